--- /dev/null
+++ b/include/fordwood/fleet_view.hpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_FLEET_VIEW_HPP_INCLUDED
+#define FORDWOOD_FLEET_VIEW_HPP_INCLUDED
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fordwood/configuration.hpp"
+#include "fordwood/member.hpp"
+
+namespace fordwood {
+
+// What one node knows of the fleet at a moment: configuration, members, leaving upstreams.
+// Immutable once built, so that threads may share it. Answers which upstreams serve a request, in
+// which order to try them, and which member owns an upstream.
+class FleetView
+{
+public:
+    FleetView(std::uint64_t version, std::shared_ptr<const Configuration> configuration,
+              std::vector<Member> members, std::set<std::string> leavingUpstreams,
+              std::string ownFailureDomain);
+
+    std::uint64_t version() const { return m_version; }
+    const Configuration &configuration() const { return *m_configuration; }
+    const std::vector<Member> &members() const { return m_members; }
+
+    // The upstreams that may take a request, best first: rendezvous order by `prefixHash` within
+    // the own failure domain, then within the own region, then elsewhere. At most `count`.
+    std::vector<const UpstreamConfig *> engines(const std::string &model, std::uint64_t prefixHash,
+                                                std::size_t count) const;
+    std::vector<const UpstreamConfig *> services(const std::string &service,
+                                                 std::uint64_t prefixHash, std::size_t count) const;
+
+    // The member that owns an upstream: the rendezvous winner among the members of the upstream's
+    // failure domain, else of its region, else of all. Null when there are no members.
+    const Member *owner(const UpstreamConfig &upstream) const;
+
+    // True when an upstream must get no new work, by the VM list or by the configuration.
+    bool isLeaving(const std::string &upstream) const;
+
+private:
+    struct Candidates
+    {
+        std::vector<const UpstreamConfig *> upstreams;
+        std::vector<std::uint64_t> hashes;
+    };
+    // Near before far: own failure domain, own region, elsewhere.
+    using Rings = std::array<Candidates, 3>;
+
+    std::size_t ringOf(const std::string &failureDomain) const;
+    std::string regionOf(const std::string &failureDomain) const;
+    void addCandidate(Rings &rings, const UpstreamConfig &upstream);
+    static std::vector<const UpstreamConfig *> choose(const std::map<std::string, Rings> &from,
+                                                      const std::string &name,
+                                                      std::uint64_t prefixHash, std::size_t count);
+
+    struct Owners
+    {
+        std::vector<const Member *> members;
+        std::vector<std::uint64_t> hashes;
+    };
+
+    std::uint64_t m_version;
+    std::shared_ptr<const Configuration> m_configuration;
+    std::vector<Member> m_members;
+    std::set<std::string> m_leaving;
+    std::string m_ownFailureDomain;
+    std::map<std::string, Rings> m_engines;
+    std::map<std::string, Rings> m_services;
+    std::map<std::string, Owners> m_ownersByDomain;
+    std::map<std::string, Owners> m_ownersByRegion;
+    Owners m_allOwners;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_FLEET_VIEW_HPP_INCLUDED
--- /dev/null
+++ b/src/adapters/grpc/control_client.hpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ADAPTERS_GRPC_CONTROL_CLIENT_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_GRPC_CONTROL_CLIENT_HPP_INCLUDED
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/control.grpc.pb.h"
+
+namespace fordwood::adapters {
+
+// Reads the snapshots of the controld on the same VM, and connects again when it was restarted.
+class ControlClient
+{
+public:
+    ControlClient(std::string address, std::string node);
+
+    // Runs until stop(): calls `onSnapshot` for each snapshot, with `first` true for the first one
+    // of a connection, and `onLost` when the connection breaks.
+    void run(const std::function<void(wire::Snapshot, bool first)> &onSnapshot,
+             const std::function<void(const std::string &why)> &onLost);
+
+    // Ends run(); may be called from another thread.
+    void stop();
+
+private:
+    std::string m_node;
+    std::unique_ptr<wire::Control::Stub> m_stub;
+    std::mutex m_mutex;
+    grpc::ClientContext *m_context = nullptr;
+    std::atomic<bool> m_stopping{false};
+};
+
+// Asks one controld for its status. The error is a text.
+tl::expected<wire::StatusReply, std::string> askStatus(const std::string &address,
+                                                       Duration timeout);
+
+} // namespace fordwood::adapters
+
+#endif // FORDWOOD_ADAPTERS_GRPC_CONTROL_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/src/adapters/grpc/permit_client.cpp
@@ -0,0 +1,252 @@
+// SPDX-License-Identifier: MIT
+#include "adapters/grpc/permit_client.hpp"
+
+#include <condition_variable>
+#include <mutex>
+
+#include <grpcpp/create_channel.h>
+
+#include "adapters/grpc/outgoing.hpp"
+
+namespace fordwood::adapters {
+
+namespace {
+
+constexpr int kReconnectFirstMs = 100;
+constexpr int kReconnectMostMs = 1000;
+
+PermitReply replyOf(const wire::Grant &grant)
+{
+    PermitReply reply;
+    reply.askId = grant.ask_id();
+    reply.granted = true;
+    reply.permitId = grant.permit_id();
+    reply.waited = std::chrono::milliseconds(grant.waited_ms());
+    reply.sendWithin = std::chrono::milliseconds(grant.send_within_ms());
+    return reply;
+}
+
+PermitReply replyOf(const wire::Denial &denial)
+{
+    PermitReply reply;
+    reply.askId = denial.ask_id();
+    reply.reason = info(static_cast<Reason>(denial.reason())).reason;
+    reply.retryAfter = std::chrono::milliseconds(denial.retry_after_ms());
+    return reply;
+}
+
+std::shared_ptr<grpc::Channel> openChannel(const std::string &address)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectFirstMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectFirstMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMostMs);
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+} // namespace
+
+// Counts the streams that gRPC still works on.
+struct PermitClient::Alive
+{
+    std::mutex mutex;
+    std::condition_variable none;
+    int streams = 0;
+};
+
+// One stream to one owner. Kept alive by itself until gRPC is done with it.
+class PermitClient::Stream
+    : public grpc::ClientBidiReactor<wire::PermitCommands, wire::PermitEvents>
+{
+public:
+    Stream(std::string owner, std::uint64_t id, PermitClientListener &listener,
+           std::shared_ptr<Alive> alive)
+        : m_owner(std::move(owner)), m_id(id), m_listener(listener), m_alive(std::move(alive))
+    { }
+
+    std::uint64_t id() const { return m_id; }
+
+    void start(const std::shared_ptr<Stream> &self, const std::shared_ptr<grpc::Channel> &channel)
+    {
+        m_self = self;
+        {
+            const std::lock_guard lock(m_alive->mutex);
+            ++m_alive->streams;
+        }
+        m_stub = wire::Permits::NewStub(channel);
+        m_stub->async()->Exchange(&m_context, this);
+        // Writes come from the dispatch thread; the hold keeps the stream open for them.
+        AddHold();
+        StartRead(&m_incoming);
+        StartCall();
+    }
+
+    void send(const wire::PermitCommands &commands)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_closed)
+            return;
+        if (const auto *next = m_outgoing.add(commands))
+            StartWrite(next);
+    }
+
+    void close()
+    {
+        m_context.TryCancel();
+        endWrites();
+    }
+
+    void OnReadDone(bool ok) override
+    {
+        if (!ok)
+            return endWrites();
+        for (const wire::Grant &it : m_incoming.grants())
+            take(replyOf(it));
+        for (const wire::Denial &it : m_incoming.denials())
+            take(replyOf(it));
+        StartRead(&m_incoming);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        if (!ok)
+            return endWrites();
+        const std::lock_guard lock(m_mutex);
+        if (m_closed)
+            return;
+        if (const auto *next = m_outgoing.written())
+            StartWrite(next);
+    }
+
+    void OnDone(const grpc::Status &) override
+    {
+        m_listener.streamLost(m_owner, m_id);
+        const auto self = std::move(m_self);
+        const auto alive = m_alive;
+        const std::lock_guard lock(alive->mutex);
+        --alive->streams;
+        alive->none.notify_all();
+    }
+
+private:
+    void take(const PermitReply &reply)
+    {
+        if (m_listener.replyArrived(m_owner, reply) || !reply.granted)
+            return;
+        wire::PermitCommands commands;
+        commands.add_releases()->set_permit_id(reply.permitId);
+        send(commands);
+    }
+
+    void endWrites()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!std::exchange(m_closed, true))
+            RemoveHold();
+    }
+
+    std::string m_owner;
+    std::uint64_t m_id;
+    PermitClientListener &m_listener;
+    std::shared_ptr<Alive> m_alive;
+    std::shared_ptr<Stream> m_self;
+    std::unique_ptr<wire::Permits::Stub> m_stub;
+    grpc::ClientContext m_context;
+    wire::PermitEvents m_incoming;
+    Outgoing<wire::PermitCommands> m_outgoing;
+    std::mutex m_mutex;
+    bool m_closed = false;
+};
+
+PermitClient::PermitClient(std::string node, PermitClientListener &listener)
+    : m_node(std::move(node)), m_listener(listener), m_alive(std::make_shared<Alive>())
+{ }
+
+PermitClient::~PermitClient()
+{
+    close();
+}
+
+void PermitClient::ask(const AskPermit &ask)
+{
+    wire::PermitCommands commands;
+    wire::Ask *message = commands.add_asks();
+    message->set_ask_id(ask.askId);
+    message->set_upstream(ask.upstream);
+    message->set_team(ask.team);
+    message->set_cost(ask.cost);
+    message->set_priority(ask.priority);
+    message->set_wait_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(ask.wait).count()));
+    open(ask.owner, ask.ownerAddress)->send(commands);
+}
+
+void PermitClient::withdraw(const WithdrawAsk &withdrawal)
+{
+    wire::PermitCommands commands;
+    wire::Withdraw *message = commands.add_withdrawals();
+    message->set_ask_id(withdrawal.askId);
+    message->set_upstream(withdrawal.upstream);
+    send(withdrawal.owner, commands);
+}
+
+void PermitClient::release(const ReleasePermit &release)
+{
+    wire::PermitCommands commands;
+    wire::Release *message = commands.add_releases();
+    message->set_permit_id(release.permitId);
+    message->set_upstream(release.upstream);
+    message->set_cost(release.cost);
+    send(release.owner, commands);
+}
+
+bool PermitClient::forget(const std::string &owner, std::uint64_t stream)
+{
+    const auto it = m_streams.find(owner);
+    if (it == m_streams.end() || it->second->id() != stream)
+        return false;
+    m_streams.erase(it);
+    return true;
+}
+
+void PermitClient::close()
+{
+    for (const auto &[owner, it] : m_streams)
+        it->close();
+    m_streams.clear();
+    std::unique_lock lock(m_alive->mutex);
+    m_alive->none.wait(lock, [&] { return m_alive->streams == 0; });
+}
+
+std::shared_ptr<PermitClient::Stream> PermitClient::open(const std::string &owner,
+                                                         const std::string &address)
+{
+    Channel &channel = m_channels[owner];
+    if (channel.address != address) {
+        channel = {address, openChannel(address)};
+        const auto old = m_streams.find(owner);
+        if (old != m_streams.end())
+            old->second->close();
+        // The old stream's end is reported as any other; until then it keeps its place.
+    }
+    const auto known = m_streams.find(owner);
+    if (known != m_streams.end())
+        return known->second;
+    auto stream = std::make_shared<Stream>(owner, m_nextStream++, m_listener, m_alive);
+    m_streams.emplace(owner, stream);
+    stream->start(stream, channel.channel);
+    wire::PermitCommands hello;
+    hello.set_node(m_node);
+    stream->send(hello);
+    return stream;
+}
+
+void PermitClient::send(const std::string &owner, const wire::PermitCommands &commands)
+{
+    const auto it = m_streams.find(owner);
+    if (it != m_streams.end())
+        it->second->send(commands);
+}
+
+} // namespace fordwood::adapters
--- /dev/null
+++ b/src/adapters/grpc/permit_client.hpp
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ADAPTERS_GRPC_PERMIT_CLIENT_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_GRPC_PERMIT_CLIENT_HPP_INCLUDED
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/call.hpp"
+#include "core/dispatcher.hpp"
+#include "fordwood/control.grpc.pb.h"
+
+namespace fordwood::adapters {
+
+// What an entry node hears from the owners.
+class PermitClientListener
+{
+public:
+    virtual ~PermitClientListener() = default;
+
+    // An owner has answered. False when the answer cannot be taken now.
+    virtual bool replyArrived(const std::string &owner, const PermitReply &reply) = 0;
+
+    // The stream to an owner is gone, with its open asks and its permits.
+    virtual void streamLost(const std::string &owner, std::uint64_t stream) = 0;
+};
+
+// The entry node's side of the permit streams: one stream to each owner it asks, opened at the
+// first ask. All calls come from one thread; the listener is called from gRPC's threads.
+class PermitClient
+{
+public:
+    PermitClient(std::string node, PermitClientListener &listener);
+    ~PermitClient();
+
+    void ask(const AskPermit &ask);
+    void withdraw(const WithdrawAsk &withdrawal);
+    void release(const ReleasePermit &release);
+
+    // Forgets a stream that was reported lost. True when it was the owner's present stream.
+    bool forget(const std::string &owner, std::uint64_t stream);
+
+    // Ends all streams and waits until gRPC is done with them.
+    void close();
+
+private:
+    class Stream;
+
+    std::shared_ptr<Stream> open(const std::string &owner, const std::string &address);
+    void send(const std::string &owner, const wire::PermitCommands &commands);
+
+    struct Channel
+    {
+        std::string address;
+        std::shared_ptr<grpc::Channel> channel;
+    };
+
+    std::string m_node;
+    PermitClientListener &m_listener;
+    std::map<std::string, Channel> m_channels; // by owner
+    std::map<std::string, std::shared_ptr<Stream>> m_streams; // by owner
+    std::uint64_t m_nextStream = 1;
+    struct Alive;
+    std::shared_ptr<Alive> m_alive;
+};
+
+} // namespace fordwood::adapters
+
+#endif // FORDWOOD_ADAPTERS_GRPC_PERMIT_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/src/adapters/grpc/permit_service.cpp
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: MIT
+#include "adapters/grpc/permit_service.hpp"
+
+#include <unordered_map>
+
+#include "adapters/grpc/outgoing.hpp"
+
+namespace fordwood::adapters {
+
+namespace {
+
+std::uint32_t toMs(Duration time)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+void addTo(wire::PermitEvents &events, const PermitAnswer &answer)
+{
+    if (answer.granted) {
+        wire::Grant *grant = events.add_grants();
+        grant->set_ask_id(answer.askId);
+        grant->set_permit_id(answer.permitId);
+        grant->set_waited_ms(toMs(answer.waited));
+        grant->set_send_within_ms(toMs(answer.sendWithin));
+        return;
+    }
+    wire::Denial *denial = events.add_denials();
+    denial->set_ask_id(answer.askId);
+    denial->set_reason(static_cast<std::uint32_t>(answer.reason));
+    denial->set_retry_after_ms(toMs(answer.retryAfter));
+}
+
+} // namespace
+
+// One entry node's stream. Kept alive by itself until gRPC is done with it.
+class PermitService::Stream
+    : public grpc::ServerBidiReactor<wire::PermitCommands, wire::PermitEvents>
+{
+public:
+    Stream(PermitService &service, HolderId holder) : m_service(service), m_holder(holder) { }
+
+    void start(std::shared_ptr<Stream> self)
+    {
+        m_self = std::move(self);
+        StartRead(&m_incoming);
+    }
+
+    void send(const wire::PermitEvents &events)
+    {
+        const std::lock_guard lock(m_finishMutex);
+        if (m_finished)
+            return;
+        if (const auto *next = m_outgoing.add(events))
+            StartWrite(next);
+    }
+
+    void finish()
+    {
+        const std::lock_guard lock(m_finishMutex);
+        if (!std::exchange(m_finished, true))
+            Finish(grpc::Status::OK);
+    }
+
+    void OnReadDone(bool ok) override
+    {
+        if (!ok)
+            return finish();
+        if (!m_service.m_listener.commandsArrived(m_holder, m_incoming))
+            refuse();
+        StartRead(&m_incoming);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        if (!ok)
+            return finish();
+        const std::lock_guard lock(m_finishMutex);
+        if (m_finished)
+            return;
+        if (const auto *next = m_outgoing.written())
+            StartWrite(next);
+    }
+
+    void OnCancel() override { finish(); }
+
+    void OnDone() override
+    {
+        m_service.remove(m_holder);
+        const auto self = std::move(m_self);
+    }
+
+private:
+    // The owner's ring is full: every ask is denied at once, none is left without an answer.
+    void refuse()
+    {
+        wire::PermitEvents events;
+        for (const wire::Ask &it : m_incoming.asks()) {
+            wire::Denial *denial = events.add_denials();
+            denial->set_ask_id(it.ask_id());
+            denial->set_reason(static_cast<std::uint32_t>(Reason::RingFull));
+        }
+        send(events);
+    }
+
+    PermitService &m_service;
+    HolderId m_holder;
+    std::shared_ptr<Stream> m_self;
+    wire::PermitCommands m_incoming;
+    Outgoing<wire::PermitEvents> m_outgoing;
+    std::mutex m_finishMutex;
+    bool m_finished = false;
+};
+
+PermitService::PermitService(PermitListener &listener) : m_listener(listener) { }
+
+PermitService::~PermitService() = default;
+
+void PermitService::send(const std::vector<PermitAnswer> &answers)
+{
+    std::unordered_map<HolderId, wire::PermitEvents> byHolder;
+    for (const PermitAnswer &it : answers)
+        addTo(byHolder[it.holder], it);
+    for (const auto &[holder, events] : byHolder) {
+        std::shared_ptr<Stream> stream;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto it = m_streams.find(holder);
+            if (it != m_streams.end())
+                stream = it->second;
+        }
+        if (stream)
+            stream->send(events);
+    }
+}
+
+void PermitService::closeAll()
+{
+    std::vector<std::shared_ptr<Stream>> streams;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closing = true;
+        for (const auto &[holder, it] : m_streams)
+            streams.push_back(it);
+    }
+    for (const auto &it : streams)
+        it->finish();
+}
+
+grpc::ServerBidiReactor<wire::PermitCommands, wire::PermitEvents> *
+PermitService::Exchange(grpc::CallbackServerContext *)
+{
+    std::shared_ptr<Stream> stream;
+    bool closing = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const HolderId holder = m_nextHolder++;
+        stream = std::make_shared<Stream>(*this, holder);
+        m_streams.emplace(holder, stream);
+        closing = m_closing;
+    }
+    stream->start(stream);
+    if (closing)
+        stream->finish();
+    return stream.get();
+}
+
+void PermitService::remove(HolderId holder)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_streams.erase(holder);
+    }
+    m_listener.holderGone(holder);
+}
+
+} // namespace fordwood::adapters
--- /dev/null
+++ b/src/adapters/http/caller_server.cpp
@@ -0,0 +1,289 @@
+// SPDX-License-Identifier: MIT
+#include "adapters/http/caller_server.hpp"
+
+#include <microhttpd.h>
+#include <strings.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+#include "adapters/http/mhd_response.hpp"
+#include "adapters/http/socket_address.hpp"
+
+namespace fordwood::adapters {
+
+namespace {
+
+constexpr auto kWatchPeriod = std::chrono::milliseconds(100);
+constexpr unsigned kIdleSeconds = 300;
+constexpr unsigned kSpareConnections = 64;
+constexpr std::size_t kReadBlock = 16'384;
+constexpr std::size_t kMostDiscarded = 8; // times the largest body
+
+// One request as it arrives.
+struct Incoming
+{
+    CallerMessage message;
+    bool tooLarge = false;
+    std::shared_ptr<Exchange> exchange;
+};
+
+struct PartsReader
+{
+    std::shared_ptr<Exchange> exchange;
+    MHD_Connection *connection;
+};
+
+ssize_t readPart(void *cls, std::uint64_t, char *target, std::size_t size)
+{
+    auto *reader = static_cast<PartsReader *>(cls);
+    std::size_t taken = 0;
+    switch (reader->exchange->read(target, size, taken)) {
+    case Exchange::Read::Data:
+        return static_cast<ssize_t>(taken);
+    case Exchange::Read::Wait:
+        MHD_suspend_connection(reader->connection);
+        return 0;
+    case Exchange::Read::End:
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    case Exchange::Read::Broken:
+        break;
+    }
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+void freeParts(void *cls)
+{
+    delete static_cast<PartsReader *>(cls);
+}
+
+MHD_Result queueParts(MHD_Connection *connection, const std::shared_ptr<Exchange> &exchange,
+                      const AnswerHead &head)
+{
+    auto *reader = new PartsReader{exchange, connection};
+    MHD_Response *response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, kReadBlock,
+                                                               &readPart, reader, &freeParts);
+    addHeaders(response, head.headers);
+    MHD_add_response_header(response, "Fordwood-Verdict", "ran");
+    const MHD_Result result
+        = MHD_queue_response(connection, static_cast<unsigned>(head.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+MHD_Result queueTaken(MHD_Connection *connection, const std::shared_ptr<Exchange> &exchange,
+                      TakenAnswer taken)
+{
+    switch (taken.kind) {
+    case TakenAnswer::Kind::Nothing:
+        MHD_suspend_connection(connection);
+        return MHD_YES;
+    case TakenAnswer::Kind::Refusal:
+        return queueAnswer(connection, answerOf(taken.verdict));
+    case TakenAnswer::Kind::Whole:
+        taken.head.headers.emplace_back("Fordwood-Verdict", "ran");
+        return queueAnswer(connection, {taken.head.status, "", std::move(taken.body),
+                                        std::move(taken.head.headers)});
+    case TakenAnswer::Kind::Parts:
+        return queueParts(connection, exchange, taken.head);
+    }
+    return MHD_NO;
+}
+
+MHD_Result addHeader(void *cls, MHD_ValueKind, const char *name, const char *value)
+{
+    static_cast<Headers *>(cls)->emplace_back(name, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+} // namespace
+
+// The functions that the HTTP library calls.
+struct CallerServerCallbacks
+{
+    static void *onUri(void *cls, const char *uri, MHD_Connection *connection)
+    {
+        // A request begins: its time to arrive whole starts here.
+        static_cast<CallerServer *>(cls)->m_watch.idle(connection);
+        auto *incoming = new Incoming;
+        incoming->message.path = uri;
+        return incoming;
+    }
+
+    static MHD_Result onRequest(void *cls, MHD_Connection *connection, const char *,
+                                const char *method, const char *, const char *data,
+                                std::size_t *size, void **state)
+    {
+        auto &server = *static_cast<CallerServer *>(cls);
+        auto *incoming = static_cast<Incoming *>(*state);
+        if (incoming->message.method.empty())
+            return begin(server, connection, *incoming, method);
+        if (*size > 0) {
+            collect(server, *incoming, std::string_view(data, *size));
+            *size = 0;
+            return MHD_YES;
+        }
+        if (incoming->exchange)
+            return queueTaken(connection, incoming->exchange, incoming->exchange->takeAnswer());
+        if (incoming->tooLarge)
+            return refuse(server, connection, Reason::BodyTooLarge);
+        return handle(server, connection, *incoming);
+    }
+
+    static MHD_Result begin(CallerServer &server, MHD_Connection *connection, Incoming &incoming,
+                            const char *method)
+    {
+        incoming.message.method = method;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader,
+                                  &incoming.message.headers);
+        const std::string length = incoming.message.header("Content-Length");
+        const std::size_t bytes = std::strtoull(length.c_str(), nullptr, 10);
+        if (bytes > server.m_settings.maxBodyBytes * kMostDiscarded)
+            return refuse(server, connection, Reason::BodyTooLarge);
+        if (bytes <= server.m_settings.maxBodyBytes)
+            incoming.message.body.reserve(bytes);
+        return MHD_YES;
+    }
+
+    static void collect(CallerServer &server, Incoming &incoming, std::string_view bytes)
+    {
+        if (incoming.message.body.size() + bytes.size() > server.m_settings.maxBodyBytes) {
+            incoming.tooLarge = true;
+            incoming.message.body.clear();
+        }
+        if (!incoming.tooLarge)
+            incoming.message.body.append(bytes);
+    }
+
+    static MHD_Result refuse(CallerServer &server, MHD_Connection *connection, Reason reason)
+    {
+        server.m_handler.refused(reason);
+        return queueAnswer(connection, answerOf(Verdict::of(reason)));
+    }
+
+    static MHD_Result handle(CallerServer &server, MHD_Connection *connection, Incoming &incoming)
+    {
+        auto handled = server.m_handler.handle(std::move(incoming.message));
+        incoming.message.method = "-"; // marks the request as begun
+        if (const auto *answer = std::get_if<DirectAnswer>(&handled))
+            return queueAnswer(connection, *answer);
+        incoming.exchange = std::get<std::shared_ptr<Exchange>>(handled);
+        const CallId call = incoming.exchange->id();
+        incoming.exchange->setWake([connection] { MHD_resume_connection(connection); });
+        server.m_watch.serving(connection, [&server, call] { server.m_handler.callerLeft(call); });
+        incoming.exchange->takeAnswer(); // nothing yet; from now on the answer wakes us
+        MHD_suspend_connection(connection);
+        server.m_handler.submit(incoming.exchange);
+        return MHD_YES;
+    }
+
+    static void onCompleted(void *cls, MHD_Connection *connection, void **state,
+                            MHD_RequestTerminationCode code)
+    {
+        auto &server = *static_cast<CallerServer *>(cls);
+        const std::unique_ptr<Incoming> incoming(static_cast<Incoming *>(*state));
+        *state = nullptr;
+        server.m_watch.idle(connection);
+        if (!incoming || !incoming->exchange)
+            return;
+        incoming->exchange->abandon();
+        if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+            server.m_handler.callerLeft(incoming->exchange->id());
+        server.m_handler.exchangeEnded(incoming->exchange->id());
+    }
+
+    static void onConnection(void *cls, MHD_Connection *connection, void **,
+                             MHD_ConnectionNotificationCode code)
+    {
+        auto &server = *static_cast<CallerServer *>(cls);
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+            return server.m_watch.closed(connection);
+        const auto *socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        server.m_watch.opened(connection, socket == nullptr ? -1 : socket->connect_fd);
+    }
+
+    static MHD_Result onAccept(void *cls, const sockaddr *, socklen_t)
+    {
+        auto &server = *static_cast<CallerServer *>(cls);
+        if (server.m_watch.connections() < server.m_settings.maxConnections)
+            return MHD_YES;
+        server.m_handler.refused(Reason::ConnectionLimit);
+        return MHD_NO;
+    }
+
+    static void onLog(void *cls, const char *, va_list)
+    {
+        // The library answers malformed requests by itself and only tells its log.
+        static_cast<CallerServer *>(cls)->m_handler.refused(Reason::MalformedRequest);
+    }
+};
+
+std::string CallerMessage::header(std::string_view name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0)
+            return value;
+    }
+    return "";
+}
+
+CallerServer::CallerServer(const Clock &clock, const config::EntrySettings &settings,
+                           CallerHandler &handler)
+    : m_settings(settings), m_handler(handler),
+      m_watch(clock, settings.readTimeout, [&handler] { handler.refused(Reason::ReadTimeout); })
+{ }
+
+CallerServer::~CallerServer()
+{
+    stop();
+}
+
+bool CallerServer::start()
+{
+    const auto address = parseSocketAddress(m_settings.listen);
+    if (!address)
+        return false;
+    const unsigned flags = static_cast<unsigned>(MHD_USE_EPOLL_INTERNAL_THREAD)
+                           | static_cast<unsigned>(MHD_ALLOW_SUSPEND_RESUME)
+                           | static_cast<unsigned>(MHD_USE_ERROR_LOG)
+                           | (address->isSix() ? static_cast<unsigned>(MHD_USE_IPv6) : 0U);
+    using Self = CallerServerCallbacks;
+    m_daemon = MHD_start_daemon(
+        flags, 0, &Self::onAccept, this, &Self::onRequest, this, MHD_OPTION_EXTERNAL_LOGGER,
+        &Self::onLog, this, MHD_OPTION_SOCK_ADDR, address->get(), MHD_OPTION_THREAD_POOL_SIZE,
+        std::max(2U, m_settings.httpThreads), MHD_OPTION_CONNECTION_LIMIT,
+        m_settings.maxConnections + kSpareConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        m_settings.maxHeaderBytes + kReadBlock, MHD_OPTION_CONNECTION_TIMEOUT, kIdleSeconds,
+        MHD_OPTION_URI_LOG_CALLBACK, &Self::onUri, this, MHD_OPTION_NOTIFY_COMPLETED,
+        &Self::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &Self::onConnection, this,
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
+    if (m_daemon == nullptr)
+        return false;
+    m_watchThread = std::thread([this] {
+        while (!m_stopping) {
+            m_watch.check();
+            std::this_thread::sleep_for(kWatchPeriod);
+        }
+    });
+    return true;
+}
+
+void CallerServer::stopListening()
+{
+    if (m_daemon == nullptr)
+        return;
+    const MHD_socket listener = MHD_quiesce_daemon(m_daemon);
+    if (listener != MHD_INVALID_SOCKET)
+        close(listener);
+}
+
+void CallerServer::stop()
+{
+    m_stopping = true;
+    if (m_watchThread.joinable())
+        m_watchThread.join();
+    if (m_daemon != nullptr)
+        MHD_stop_daemon(std::exchange(m_daemon, nullptr));
+}
+
+} // namespace fordwood::adapters
--- /dev/null
+++ b/src/adapters/http/socket_address.hpp
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ADAPTERS_HTTP_SOCKET_ADDRESS_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_HTTP_SOCKET_ADDRESS_HPP_INCLUDED
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+
+namespace fordwood::adapters {
+
+// A socket address made of "IPv4:port" or "[IPv6]:port".
+struct SocketAddress
+{
+    sockaddr_storage storage{};
+
+    bool isSix() const { return storage.ss_family == AF_INET6; }
+    const sockaddr *get() const { return reinterpret_cast<const sockaddr *>(&storage); }
+};
+
+// Empty when the text is no such address.
+std::optional<SocketAddress> parseSocketAddress(const std::string &text);
+
+} // namespace fordwood::adapters
+
+#endif // FORDWOOD_ADAPTERS_HTTP_SOCKET_ADDRESS_HPP_INCLUDED
--- /dev/null
+++ b/src/adapters/http/upstream_client.cpp
@@ -0,0 +1,356 @@
+// SPDX-License-Identifier: MIT
+#include "adapters/http/upstream_client.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <vector>
+
+namespace fordwood::adapters {
+
+namespace {
+
+constexpr int kPollMs = 1000;
+constexpr long kConnectTimeoutMs = 1000;
+constexpr long kIdleConnections = 1024;
+constexpr std::string_view kStreamEnd = "data: [DONE]";
+constexpr std::size_t kTailBytes = 64;
+
+std::string lower(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char it) { return static_cast<char>(std::tolower(it)); });
+    return result;
+}
+
+bool isHopByHop(const std::string &name)
+{
+    static constexpr std::array kNames{
+        "connection", "keep-alive",         "transfer-encoding", "te", "trailer", "upgrade",
+        "date",       "proxy-authenticate", "content-length"};
+    return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
+}
+
+bool isGatewayError(long status)
+{
+    return status == 502 || status == 503 || status == 504;
+}
+
+} // namespace
+
+// One attempt under way: a transfer of the HTTP library and what was learned from it.
+class UpstreamClient::Transfer
+{
+public:
+    Transfer(UpstreamClient &client, UpstreamAttempt attempt)
+        : m_client(client), m_attempt(std::move(attempt)), m_easy(curl_easy_init())
+    { }
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+    ~Transfer()
+    {
+        curl_easy_cleanup(m_easy);
+        curl_slist_free_all(m_headerList);
+    }
+
+    CURL *easy() const { return m_easy; }
+    Key key() const { return {m_attempt.send.call, m_attempt.send.attempt}; }
+
+    void prepare()
+    {
+        const UpstreamRequest &request = m_attempt.exchange->request();
+        const std::string url = "http://" + m_attempt.send.address + request.path;
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_attempt.send.deadline - m_client.m_clock.now());
+        curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
+        curl_easy_setopt(m_easy, CURLOPT_PATH_AS_IS, 1L);
+        curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+        curl_easy_setopt(m_easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+        curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, left.count()));
+        curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        if (request.method != "GET" || !request.body.empty()) {
+            curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, request.body.data());
+            curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(request.body.size()));
+        }
+        if (!m_attempt.send.repeatable) {
+            // On a reused connection that turns out to be dead the library would send again by
+            // itself, also after the upstream has read the request.
+            curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
+        }
+        addHeaders(request);
+        curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
+        curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
+        curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
+        curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
+        curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
+    }
+
+    void resume()
+    {
+        if (std::exchange(m_paused, false))
+            curl_easy_pause(m_easy, CURLPAUSE_CONT);
+    }
+
+    // Tells the listener how the transfer ended.
+    void report(CURLcode ec)
+    {
+        const auto [call, attempt] = key();
+        Exchange &exchange = *m_attempt.exchange;
+        if (ec == CURLE_OK && !m_failure && beginAnswer() && wholeStream()) {
+            exchange.finish(attempt);
+            return m_client.m_listener.attemptFinished(call, attempt, m_cost);
+        }
+        AttemptFailure failure = m_failure ? *m_failure : failureOf(ec);
+        failure.answerBegun = !exchange.discard(attempt);
+        m_client.m_listener.attemptFailed(call, attempt, failure);
+    }
+
+    void reportExpired()
+    {
+        const auto [call, attempt] = key();
+        m_client.m_listener.attemptFailed(call, attempt,
+                                          {RunState::NotRun, Reason::PermitExpired, "", false});
+    }
+
+private:
+    void addHeaders(const UpstreamRequest &request)
+    {
+        const auto add = [&](const std::string &name, const std::string &value) {
+            m_headerList = curl_slist_append(m_headerList, (name + ": " + value).c_str());
+        };
+        for (const auto &[name, value] : request.headers)
+            add(name, value);
+        add("X-Priority", std::to_string(m_attempt.send.priority));
+        add("Expect", "");
+        m_headerList = curl_slist_append(m_headerList, "Accept:");
+        curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headerList);
+    }
+
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t n, void *self)
+    {
+        static_cast<Transfer *>(self)->takeHeader(std::string_view(data, size * n));
+        return size * n;
+    }
+
+    void takeHeader(std::string_view line)
+    {
+        while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+            line.remove_suffix(1);
+        if (line.rfind("HTTP/", 0) == 0) {
+            m_head = AnswerHead{}; // a new head, after an interim one
+            m_notRun = false;
+            return;
+        }
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos)
+            return;
+        const std::string name = lower(line.substr(0, colon));
+        std::string_view value = line.substr(colon + 1);
+        while (!value.empty() && value.front() == ' ')
+            value.remove_prefix(1);
+        if (name == "x-request-not-run")
+            m_notRun = value == "true";
+        else if (name == "x-version-mismatch")
+            m_versionMismatch = value == "true";
+        else if (name == "x-used-tokens")
+            m_cost = std::strtod(std::string(value).c_str(), nullptr);
+        else if (name.rfind("fordwood-", 0) != 0 && !isHopByHop(name))
+            m_head.headers.emplace_back(line.substr(0, colon), value);
+        if (name == "content-type")
+            m_head.stream = lower(value).rfind("text/event-stream", 0) == 0;
+    }
+
+    static std::size_t onBody(char *data, std::size_t size, std::size_t n, void *self)
+    {
+        return static_cast<Transfer *>(self)->takeBody(std::string_view(data, size * n));
+    }
+
+    std::size_t takeBody(std::string_view bytes)
+    {
+        constexpr std::size_t kAbort = 0;
+        if (!beginAnswer())
+            return m_failure && m_failure->reason != Reason::CallerLeft ? bytes.size() : kAbort;
+        switch (m_attempt.exchange->append(key().second, bytes)) {
+        case Exchange::Append::Taken:
+            keepTail(bytes);
+            return bytes.size();
+        case Exchange::Append::Full:
+            m_paused = true;
+            return CURL_WRITEFUNC_PAUSE;
+        case Exchange::Append::Gone:
+            break;
+        }
+        return kAbort;
+    }
+
+    void keepTail(std::string_view bytes)
+    {
+        m_tail.append(bytes.substr(bytes.size() - std::min(bytes.size(), kTailBytes)));
+        if (m_tail.size() > kTailBytes)
+            m_tail.erase(0, m_tail.size() - kTailBytes);
+    }
+
+    // Decides, once the head is whole, whether this is an answer to pass on.
+    bool beginAnswer()
+    {
+        if (m_begun || m_failure)
+            return m_begun;
+        long status = 0;
+        curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+        m_head.status = static_cast<int>(status);
+        const std::string detail = "The upstream answered " + std::to_string(status) + ".";
+        if (m_notRun && status >= 400) {
+            const Reason reason
+                = m_versionMismatch ? Reason::VersionMismatch : Reason::UpstreamPushback;
+            m_failure = AttemptFailure{RunState::NotRun, reason, detail, false};
+        } else if (isGatewayError(status)) {
+            m_failure = AttemptFailure{RunState::MayHaveRun, Reason::UpstreamBroke, detail, false};
+        } else if (m_attempt.exchange->begin(key().second, m_head)) {
+            m_begun = true;
+        } else {
+            m_failure = AttemptFailure{RunState::MayHaveRun, Reason::CallerLeft, "", false};
+        }
+        return m_begun;
+    }
+
+    // A stream of events is whole only with its closing event.
+    bool wholeStream() const
+    {
+        return !m_head.stream || m_head.status >= 400
+               || m_tail.find(kStreamEnd) != std::string::npos;
+    }
+
+    AttemptFailure failureOf(CURLcode ec) const
+    {
+        long sent = 0;
+        curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &sent);
+        const std::string detail = ec == CURLE_OK ? "" : curl_easy_strerror(ec);
+        if (ec == CURLE_OK)
+            return {RunState::MayHaveRun, Reason::AnswerCut, detail, false};
+        if (sent == 0)
+            return {RunState::NotRun, Reason::ConnectFailed, detail, false};
+        if (ec == CURLE_OPERATION_TIMEDOUT)
+            return {RunState::MayHaveRun, Reason::UpstreamTimeout, detail, false};
+        return {RunState::MayHaveRun, m_begun ? Reason::AnswerCut : Reason::UpstreamBroke, detail,
+                false};
+    }
+
+    UpstreamClient &m_client;
+    UpstreamAttempt m_attempt;
+    CURL *m_easy;
+    curl_slist *m_headerList = nullptr;
+    AnswerHead m_head;
+    std::string m_tail; // last bytes of the answer
+    std::optional<AttemptFailure> m_failure;
+    double m_cost = 0.0;
+    bool m_notRun = false;
+    bool m_versionMismatch = false;
+    bool m_begun = false;
+    bool m_paused = false;
+};
+
+UpstreamClient::UpstreamClient(const Clock &clock, UpstreamListener &listener, std::size_t ringSize)
+    : m_clock(clock), m_listener(listener), m_sends(ringSize), m_cancels(ringSize),
+      m_wakeups(ringSize), m_multi(curl_multi_init())
+{
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kIdleConnections);
+    curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+}
+
+UpstreamClient::~UpstreamClient()
+{
+    while (!m_transfers.empty())
+        drop(m_transfers.begin()->first);
+    curl_multi_cleanup(m_multi);
+}
+
+bool UpstreamClient::send(UpstreamAttempt attempt)
+{
+    const bool taken = m_sends.tryPush(std::move(attempt));
+    curl_multi_wakeup(m_multi);
+    return taken;
+}
+
+bool UpstreamClient::cancel(const CancelAttempt &cancel)
+{
+    const bool taken = m_cancels.tryPush(cancel);
+    curl_multi_wakeup(m_multi);
+    return taken;
+}
+
+void UpstreamClient::run()
+{
+    while (!m_stopping) {
+        takeCommands();
+        int running = 0;
+        curl_multi_perform(m_multi, &running);
+        takeResults();
+        curl_multi_poll(m_multi, nullptr, 0, kPollMs, nullptr);
+    }
+}
+
+void UpstreamClient::stop()
+{
+    m_stopping = true;
+    curl_multi_wakeup(m_multi);
+}
+
+void UpstreamClient::takeCommands()
+{
+    while (auto it = m_sends.tryPop())
+        start(std::move(*it));
+    while (const auto it = m_cancels.tryPop())
+        drop({it->call, it->attempt});
+    while (const auto it = m_wakeups.tryPop()) {
+        const auto transfer = m_transfers.find({it->call, it->attempt});
+        if (transfer != m_transfers.end())
+            transfer->second->resume();
+    }
+}
+
+void UpstreamClient::start(UpstreamAttempt attempt)
+{
+    const bool late = m_clock.now() > attempt.send.sendBy;
+    const Wakeup wakeup{attempt.send.call, attempt.send.attempt};
+    attempt.exchange->setOnSpace([this, wakeup] {
+        m_wakeups.tryPush(wakeup);
+        curl_multi_wakeup(m_multi);
+    });
+    auto transfer = std::make_unique<Transfer>(*this, std::move(attempt));
+    if (late)
+        return transfer->reportExpired();
+    transfer->prepare();
+    curl_multi_add_handle(m_multi, transfer->easy());
+    m_transfers.emplace(transfer->key(), std::move(transfer));
+}
+
+void UpstreamClient::drop(const Key &key)
+{
+    const auto it = m_transfers.find(key);
+    if (it == m_transfers.end())
+        return;
+    curl_multi_remove_handle(m_multi, it->second->easy());
+    m_transfers.erase(it);
+}
+
+void UpstreamClient::takeResults()
+{
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        const CURLcode ec = message->data.result;
+        char *own = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &own);
+        auto *transfer = reinterpret_cast<Transfer *>(own);
+        transfer->report(ec);
+        drop(transfer->key());
+    }
+}
+
+} // namespace fordwood::adapters
--- /dev/null
+++ b/src/adapters/http/upstream_client.hpp
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ADAPTERS_HTTP_UPSTREAM_CLIENT_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_HTTP_UPSTREAM_CLIENT_HPP_INCLUDED
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <curl/curl.h>
+
+#include "adapters/http/exchange.hpp"
+#include "adapters/threads/bounded_ring.hpp"
+#include "core/dispatcher.hpp"
+
+namespace fordwood::adapters {
+
+// What the dispatch thread hears of its attempts. Called from the client's thread.
+class UpstreamListener
+{
+public:
+    virtual ~UpstreamListener() = default;
+    virtual void attemptFinished(CallId call, unsigned attempt, double cost) = 0;
+    virtual void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) = 0;
+};
+
+// One attempt to have a call answered by an upstream.
+struct UpstreamAttempt
+{
+    SendCall send;
+    std::shared_ptr<Exchange> exchange;
+};
+
+// Talks HTTP to upstreams, all attempts on one thread. For every attempt it tells whether the
+// request may have run: "not run" only if no byte of it was handed to a socket, or if the upstream
+// says so itself with the header `X-Request-Not-Run: true`.
+class UpstreamClient
+{
+public:
+    UpstreamClient(const Clock &clock, UpstreamListener &listener, std::size_t ringSize);
+    ~UpstreamClient();
+
+    // False when the ring to the client's thread is full.
+    bool send(UpstreamAttempt attempt);
+    bool cancel(const CancelAttempt &cancel);
+
+    // Runs until stop().
+    void run();
+    void stop();
+
+private:
+    class Transfer;
+    struct Wakeup // a transfer whose answer has space again
+    {
+        CallId call;
+        unsigned attempt;
+    };
+    using Key = std::pair<CallId, unsigned>;
+
+    void takeCommands();
+    void start(UpstreamAttempt attempt);
+    void drop(const Key &key);
+    void takeResults();
+
+    const Clock &m_clock;
+    UpstreamListener &m_listener;
+    BoundedRing<UpstreamAttempt> m_sends;
+    BoundedRing<CancelAttempt> m_cancels;
+    BoundedRing<Wakeup> m_wakeups;
+    CURLM *m_multi;
+    std::map<Key, std::unique_ptr<Transfer>> m_transfers;
+    std::atomic<bool> m_stopping{false};
+};
+
+} // namespace fordwood::adapters
+
+#endif // FORDWOOD_ADAPTERS_HTTP_UPSTREAM_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/src/adapters/observe/metrics.hpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ADAPTERS_OBSERVE_METRICS_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_OBSERVE_METRICS_HPP_INCLUDED
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/reason.hpp"
+
+namespace fordwood::adapters {
+
+// The counters, gauges and histograms of one process. Every reason has its counters from the start,
+// so that a zero is seen as a zero. Thread-safe.
+class Metrics
+{
+public:
+    Metrics();
+
+    // Counts a request that ended without a whole answer of an upstream.
+    void countRefusal(Reason reason);
+
+    // Counts a call that was sent, or asked for, again.
+    void countRetry(Reason reason);
+
+    // Counts anything else, by name.
+    void count(const std::string &name, double by = 1.0);
+
+    void setGauge(const std::string &name, double value);
+
+    // Adds a time to a histogram.
+    void observe(const std::string &name, Duration time);
+
+    // Everything in Prometheus text form.
+    std::string text() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    std::map<Reason, prometheus::Counter *> m_refusals;
+    std::map<Reason, prometheus::Counter *> m_retries;
+};
+
+} // namespace fordwood::adapters
+
+#endif // FORDWOOD_ADAPTERS_OBSERVE_METRICS_HPP_INCLUDED
--- /dev/null
+++ b/src/adapters/platform/vm_list.hpp
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ADAPTERS_PLATFORM_VM_LIST_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_PLATFORM_VM_LIST_HPP_INCLUDED
+
+#include <optional>
+#include <string>
+
+#include "fordwood/vm_list.hpp"
+
+namespace fordwood::adapters {
+
+// Reads the JSON of the platform's VM list:
+// {"vms": [{"name", "role": "entry" | "upstream" | "store", "failure_domain", "region",
+//           "control_address", "state": "live" | "leaving"}]}
+// Empty when the text has another shape.
+std::optional<VmList> parseVmList(const std::string &json);
+
+} // namespace fordwood::adapters
+
+#endif // FORDWOOD_ADAPTERS_PLATFORM_VM_LIST_HPP_INCLUDED
--- /dev/null
+++ b/src/apps/ctl/main.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+#include "apps/common/daemon.hpp"
+#include "apps/ctl/commands.hpp"
+#include "config/document.hpp"
+
+namespace {
+
+namespace po = boost::program_options;
+
+using namespace fordwood;
+
+constexpr const char *kUsage
+    = "Usage: fordwoodctl VERB [options]\n\n"
+      "  check PATH    checks a configuration (a file, or a folder of .toml files)\n"
+      "  submit PATH   checks it whole and puts it in force as one unit\n"
+      "  show          prints the configuration in force\n"
+      "  diff PATH     compares it with the configuration in force\n"
+      "  status        asks nodes which version they serve\n"
+      "  version       prints the version of this program\n\n"
+      "Exit codes: 0 done; 1 failed; 2 wrong options or a configuration that was refused;\n"
+      "3 another submission came first; 4 not known whether it took effect (submit again with the\n"
+      "same --submission); 5 diff found differences.\n\n";
+
+po::options_description describe()
+{
+    po::options_description options("Options");
+    auto add = options.add_options();
+    add("help", "show this text");
+    add("output", po::value<std::string>()->default_value("text"), "text or json");
+    add("platform", po::value<std::string>(), "address of the key-value service, IP:port");
+    add("node", po::value<std::vector<std::string>>(), "address of a controld (may be repeated)");
+    add("submission", po::value<std::string>(),
+        "id of the submission; the same id is never taken twice");
+    add("base", po::value<long long>(), "refuse if another version than this is in force");
+    add("timeout", po::value<std::string>()->default_value("10s"), "longest time to try");
+    return options;
+}
+
+int fail(const std::string &problem)
+{
+    std::cerr << "fordwoodctl: " << problem << "\n";
+    return apps::ExitUsage;
+}
+
+int run(int argc, char **argv)
+{
+    const po::options_description visible = describe();
+    po::options_description all;
+    all.add(visible).add_options()("verb", po::value<std::string>())(
+        "argument", po::value<std::vector<std::string>>());
+    po::positional_options_description positions;
+    positions.add("verb", 1).add("argument", -1);
+    po::variables_map values;
+    po::store(po::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
+
+    if (values.count("help") != 0 || values.count("verb") == 0) {
+        std::cout << kUsage << visible;
+        return values.count("help") != 0 ? apps::ExitOk : apps::ExitUsage;
+    }
+    apps::CtlOptions options;
+    options.verb = values["verb"].as<std::string>();
+    if (options.verb == "version") {
+        std::cout << "fordwoodctl " << FORDWOOD_VERSION << "\n";
+        return apps::ExitOk;
+    }
+    const std::string output = values["output"].as<std::string>();
+    if (output != "text" && output != "json")
+        return fail("--output: is \"" + output + "\", expected text or json");
+    options.json = output == "json";
+    const std::string timeout = values["timeout"].as<std::string>();
+    const auto span = config::parseSpan(timeout);
+    if (!span)
+        return fail("--timeout: is \"" + timeout + "\", expected a time span like 10s");
+    options.timeout = *span;
+    if (values.count("argument") != 0)
+        options.arguments = values["argument"].as<std::vector<std::string>>();
+    if (values.count("platform") != 0)
+        options.platform = values["platform"].as<std::string>();
+    if (values.count("node") != 0)
+        options.nodes = values["node"].as<std::vector<std::string>>();
+    if (values.count("submission") != 0)
+        options.submissionId = values["submission"].as<std::string>();
+    if (values.count("base") != 0)
+        options.base = values["base"].as<long long>();
+    return apps::runVerb(options, std::cout, std::cerr);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const po::error &ec) {
+        return fail(ec.what());
+    }
+}
--- /dev/null
+++ b/src/apps/entryd/api.cpp
@@ -0,0 +1,259 @@
+// SPDX-License-Identifier: MIT
+#include "apps/entryd/api.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+#include <nlohmann/json.hpp>
+
+#include "config/document.hpp"
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood::apps {
+
+namespace {
+
+using Json = nlohmann::json;
+using Understood = tl::expected<std::variant<Interpreted, adapters::DirectAnswer>, Verdict>;
+
+constexpr double kBytesPerToken = 4.0;
+constexpr double kDefaultNewTokens = 256.0;
+constexpr double kMostNewTokens = 1e6;
+constexpr std::size_t kPrefixBytes = 1024; // of a plain prompt that decide its upstream
+constexpr int kPriorityBound = 100;
+
+tl::unexpected<Verdict> refuse(Reason reason, std::string detail = {})
+{
+    return tl::make_unexpected(Verdict::of(reason, std::move(detail)));
+}
+
+// Headers that are not passed on to plain services.
+bool isWithheld(std::string_view name)
+{
+    static constexpr std::array kNames{
+        "authorization", "host", "connection", "content-length", "expect",    "transfer-encoding",
+        "keep-alive",    "te",   "upgrade",    "x-team",         "x-priority"};
+    std::string lower(name);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char it) { return static_cast<char>(std::tolower(it)); });
+    return lower.rfind("fordwood-", 0) == 0
+           || std::find(kNames.begin(), kNames.end(), lower) != kNames.end();
+}
+
+const TeamConfig *teamOf(const ServingState &state, const adapters::CallerMessage &message)
+{
+    constexpr std::string_view kBearer = "Bearer ";
+    const std::string header = message.header("Authorization");
+    if (header.rfind(kBearer, 0) != 0)
+        return nullptr;
+    return state.teams.find(std::string_view(header).substr(kBearer.size()));
+}
+
+// Reads what any request may say in headers: deadline, priority, repeatable.
+tl::expected<CallRequest, Verdict> commonFields(const ServingState &state, const TeamConfig &team,
+                                                const adapters::CallerMessage &message,
+                                                TimePoint now)
+{
+    const LimitsConfig &limits = state.view->configuration().limits;
+    CallRequest call;
+    call.team = team.name;
+    call.priority = team.priority;
+    Duration left = limits.defaultDeadline;
+    const std::string deadline = message.header("Fordwood-Deadline");
+    if (!deadline.empty()) {
+        const auto span = config::parseSpan(deadline);
+        if (!span || *span <= Duration::zero())
+            return refuse(Reason::InvalidField, "Fordwood-Deadline: is \"" + deadline
+                                                    + "\", expected a span like \"5s\".");
+        left = std::min(*span, limits.maxDeadline);
+    }
+    call.deadline = now + left;
+    const std::string priority = message.header("Fordwood-Priority");
+    if (!priority.empty()) {
+        int value = 0;
+        const char *end = priority.data() + priority.size();
+        const auto [rest, ec] = std::from_chars(priority.data(), end, value);
+        if (ec != std::errc() || rest != end || std::abs(value) > kPriorityBound)
+            return refuse(Reason::InvalidField,
+                          "Fordwood-Priority: is \"" + priority
+                              + "\", expected a whole number from -100 to 100.");
+        call.priority = value;
+    }
+    const std::string repeatable = message.header("Fordwood-Repeatable");
+    if (!repeatable.empty() && repeatable != "true" && repeatable != "false")
+        return refuse(Reason::InvalidField, "Fordwood-Repeatable: is \"" + repeatable
+                                                + "\", expected \"true\" or \"false\".");
+    call.repeatable = repeatable != "false";
+    return call;
+}
+
+std::string problemWithMessages(const Json &body)
+{
+    if (!body.contains("messages") || !body["messages"].is_array() || body["messages"].empty())
+        return "messages: expected a list of messages.";
+    std::size_t n = 0;
+    for (const Json &it : body["messages"]) {
+        const std::string place = "messages[" + std::to_string(n++) + "]";
+        if (!it.is_object())
+            return place + ": expected an object.";
+        if (!it.contains("role") || !it["role"].is_string())
+            return place + ".role: expected a text.";
+        if (!it.contains("content") || !(it["content"].is_string() || it["content"].is_array()))
+            return place + ".content: expected a text or a list of parts.";
+    }
+    return "";
+}
+
+std::string problemWithPrompt(const Json &body)
+{
+    if (!body.contains("prompt") || !body["prompt"].is_string())
+        return "prompt: expected a text.";
+    return "";
+}
+
+std::string problemWithOptions(const Json &body)
+{
+    if (body.contains("stream") && !body["stream"].is_boolean())
+        return "stream: expected true or false.";
+    if (body.contains("cache_salt"))
+        return "cache_salt: is set by the system and may not be given.";
+    if (!body.contains("max_tokens"))
+        return "";
+    const Json &most = body["max_tokens"];
+    if (!most.is_number_integer() || most.get<double>() < 1 || most.get<double>() > kMostNewTokens)
+        return "max_tokens: expected a whole number from 1 to 1000000.";
+    return "";
+}
+
+// The part of a prompt that its follow-ups share: the first message, or the beginning of a text.
+std::string sharedPart(const Json &body, bool chat)
+{
+    if (chat)
+        return body["messages"][0].dump();
+    return body["prompt"].get_ref<const std::string &>().substr(0, kPrefixBytes);
+}
+
+// What keeps the context of teams and weight versions apart inside the engines.
+std::string cacheSalt(const CallRequest &call, const ModelConfig &model)
+{
+    return call.team + "/" + model.name + "/" + model.weightVersion;
+}
+
+Understood interpretCompletion(const ServingState &state, const TeamConfig &team,
+                               adapters::CallerMessage message, TimePoint now, bool chat)
+{
+    if (message.method != "POST")
+        return refuse(Reason::MethodNotAllowed);
+    auto call = commonFields(state, team, message, now);
+    if (!call)
+        return tl::make_unexpected(call.error());
+    const Json body = Json::parse(message.body, nullptr, false);
+    if (body.is_discarded())
+        return refuse(Reason::InvalidJson);
+    if (!body.is_object())
+        return refuse(Reason::InvalidField, "The body: expected an object.");
+    if (!body.contains("model") || !body["model"].is_string())
+        return refuse(Reason::InvalidField, "model: expected a text.");
+    std::string problem = chat ? problemWithMessages(body) : problemWithPrompt(body);
+    if (problem.empty())
+        problem = problemWithOptions(body);
+    if (!problem.empty())
+        return refuse(Reason::InvalidField, problem);
+    const auto &models = state.view->configuration().models;
+    const auto model = models.find(body["model"].get<std::string>());
+    if (model == models.end())
+        return refuse(Reason::UnknownModel, "model: \"" + body["model"].get<std::string>() + "\".");
+
+    Interpreted result;
+    result.call = *call;
+    result.call.kind = CallKind::Completion;
+    result.call.target = model->first;
+    const std::string salt = cacheSalt(*call, model->second);
+    result.call.prefixHash = stableHash(sharedPart(body, chat), stableHash(salt));
+    result.call.cost = static_cast<double>(message.body.size()) / kBytesPerToken
+                       + body.value("max_tokens", kDefaultNewTokens);
+    result.upstream.path = message.path;
+    result.upstream.headers
+        = {{"Content-Type", "application/json"}, {"X-Weight-Version", model->second.weightVersion}};
+    const std::string requestId = message.header("X-Request-Id");
+    if (!requestId.empty())
+        result.upstream.headers.emplace_back("X-Request-Id", requestId);
+    // The salt goes in front of the caller's fields, as text: the body is passed on as it came.
+    const std::size_t brace = message.body.find('{') + 1;
+    message.body.insert(brace, "\"cache_salt\":" + Json(salt).dump() + ",");
+    result.upstream.body = std::move(message.body);
+    return std::variant<Interpreted, adapters::DirectAnswer>(std::move(result));
+}
+
+Understood listModels(const ServingState &state)
+{
+    Json list{{"object", "list"}, {"data", Json::array()}};
+    for (const auto &[name, model] : state.view->configuration().models)
+        list["data"].push_back({{"id", name}, {"object", "model"}, {"owned_by", "fordwood"}});
+    adapters::DirectAnswer answer;
+    answer.body = list.dump();
+    return std::variant<Interpreted, adapters::DirectAnswer>(std::move(answer));
+}
+
+// The route with the longest path that the request's path begins with, at a segment's border.
+const RouteConfig *routeOf(const Configuration &configuration, const std::string &path)
+{
+    const RouteConfig *best = nullptr;
+    for (const auto &[prefix, route] : configuration.routes) {
+        const bool begins = path.rfind(prefix, 0) == 0;
+        const bool border = path.size() == prefix.size() || prefix.back() == '/'
+                            || path[std::min(prefix.size(), path.size() - 1)] == '/'
+                            || path[std::min(prefix.size(), path.size() - 1)] == '?';
+        if (begins && border && (best == nullptr || prefix.size() > best->path.size()))
+            best = &route;
+    }
+    return best;
+}
+
+Understood interpretService(const ServingState &state, const TeamConfig &team,
+                            adapters::CallerMessage message, TimePoint now)
+{
+    const RouteConfig *route = routeOf(state.view->configuration(), message.path);
+    if (route == nullptr)
+        return refuse(Reason::UnknownRoute);
+    auto call = commonFields(state, team, message, now);
+    if (!call)
+        return tl::make_unexpected(call.error());
+    Interpreted result;
+    result.call = *call;
+    result.call.kind = CallKind::Service;
+    result.call.target = route->service;
+    result.call.repeatable = call->repeatable && route->repeatable;
+    result.call.prefixHash = stableHash(message.path, stableHash(team.name));
+    result.upstream.method = message.method;
+    result.upstream.path = message.path;
+    for (const auto &[name, value] : message.headers) {
+        if (!isWithheld(name))
+            result.upstream.headers.emplace_back(name, value);
+    }
+    result.upstream.headers.emplace_back("X-Team", team.name);
+    result.upstream.body = std::move(message.body);
+    return std::variant<Interpreted, adapters::DirectAnswer>(std::move(result));
+}
+
+} // namespace
+
+tl::expected<std::variant<Interpreted, adapters::DirectAnswer>, Verdict>
+interpret(const ServingState &state, adapters::CallerMessage message, TimePoint now)
+{
+    const TeamConfig *team = teamOf(state, message);
+    if (team == nullptr)
+        return refuse(Reason::UnknownTeam);
+    const std::string path = message.path.substr(0, message.path.find('?'));
+    if (path == "/v1/models")
+        return message.method == "GET" ? listModels(state) : refuse(Reason::MethodNotAllowed);
+    if (path == "/v1/chat/completions")
+        return interpretCompletion(state, *team, std::move(message), now, true);
+    if (path == "/v1/completions")
+        return interpretCompletion(state, *team, std::move(message), now, false);
+    return interpretService(state, *team, std::move(message), now);
+}
+
+} // namespace fordwood::apps
--- /dev/null
+++ b/src/apps/entryd/entry_node.cpp
@@ -0,0 +1,320 @@
+// SPDX-License-Identifier: MIT
+#include "apps/entryd/entry_node.hpp"
+
+#include <algorithm>
+
+#include "adapters/observe/event_log.hpp"
+
+namespace fordwood::apps {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr Duration kStopStep = std::chrono::milliseconds(20);
+constexpr std::size_t kEventsPerRound = 256;
+// No call has more events under way than this, so that the ring cannot fill up with them.
+constexpr std::size_t kEventsPerCall = 8;
+constexpr std::chrono::milliseconds kRetrySoon{500};
+
+DispatcherLimits limitsOf(const config::EntrySettings &settings)
+{
+    DispatcherLimits limits;
+    limits.maxCalls = settings.maxInFlight;
+    limits.ownerTimeout = settings.ownerTimeout;
+    return limits;
+}
+
+} // namespace
+
+EntryNode::EntryNode(const config::Settings &settings)
+    : m_settings(settings), m_ring(settings.entry.maxInFlight * kEventsPerCall),
+      m_dispatcher(m_clock, limitsOf(settings.entry)),
+      m_control(settings.control.listen, settings.node.name),
+      m_snapshots(settings.node.failureDomain), m_permits(settings.node.name, *this),
+      m_upstreams(m_clock, *this, settings.entry.maxInFlight * 2),
+      m_callers(m_clock, settings.entry, *this)
+{ }
+
+EntryNode::~EntryNode() = default;
+
+bool EntryNode::start()
+{
+    if (!m_callers.start()) {
+        logEvent(Event::ListenFailed, {{"address", m_settings.entry.listen}});
+        return false;
+    }
+    m_dispatchThread = std::thread([this] { runDispatch(); });
+    m_upstreamThread = std::thread([this] { m_upstreams.run(); });
+    m_controlThread = std::thread([this] {
+        bool lost = false;
+        m_control.run(
+            [&](wire::Snapshot snapshot, bool first) {
+                if (std::exchange(lost, false))
+                    logEvent(Event::ControlBack);
+                takeSnapshot(std::move(snapshot), first);
+            },
+            [&](const std::string &why) {
+                if (!std::exchange(lost, true))
+                    logEvent(Event::ControlLost, {{"why", why}});
+            });
+    });
+    return true;
+}
+
+void EntryNode::beginStop()
+{
+    m_unready = true;
+    std::this_thread::sleep_for(m_settings.entry.stopNotice);
+    pushSurely(StopEvent{});
+}
+
+void EntryNode::finishStop()
+{
+    const TimePoint begin = m_clock.now();
+    const Duration most = m_settings.entry.stopTimeout;
+    while (m_inFlight > 0) {
+        if (most > Duration::zero() && m_clock.now() - begin > most)
+            break;
+        std::this_thread::sleep_for(kStopStep);
+    }
+    m_callers.stopListening();
+    m_callers.stop();
+    m_control.stop();
+    m_controlThread.join();
+    m_stopping = true;
+    m_dispatchThread.join();
+    m_permits.close();
+    m_upstreams.stop();
+    m_upstreamThread.join();
+}
+
+std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
+EntryNode::handle(adapters::CallerMessage message)
+{
+    if (message.path == "/healthz" || message.path == "/readyz" || message.path == "/metrics")
+        return operatorAnswer(message.path);
+    m_metrics.count("fordwood_requests_total");
+    const auto state = m_state.load();
+    if (!state)
+        return refusal(Verdict::of(Reason::NotReady, {}, kRetrySoon));
+    if (m_inFlight >= m_settings.entry.maxInFlight)
+        return refusal(Verdict::of(Reason::InFlightLimit, {}, kRetrySoon));
+    auto understood = interpret(*state, std::move(message), m_clock.now());
+    if (!understood)
+        return refusal(understood.error());
+    if (auto *answer = std::get_if<adapters::DirectAnswer>(&*understood))
+        return std::move(*answer);
+    auto &interpreted = std::get<Interpreted>(*understood);
+    interpreted.call.id = m_nextCall++;
+    auto exchange = std::make_shared<adapters::Exchange>(
+        interpreted.call.id, std::move(interpreted.upstream), m_settings.entry.answerBufferBytes);
+    ++m_inFlight;
+    const std::lock_guard lock(m_understoodMutex);
+    m_understood.emplace(interpreted.call.id, std::move(interpreted.call));
+    return exchange;
+}
+
+void EntryNode::submit(const std::shared_ptr<adapters::Exchange> &exchange)
+{
+    CallRequest request;
+    {
+        const std::lock_guard lock(m_understoodMutex);
+        request = std::move(m_understood.extract(exchange->id()).mapped());
+    }
+    if (m_ring.tryPush(BeginEvent{std::move(request), exchange}))
+        return;
+    m_metrics.countRefusal(Reason::RingFull);
+    exchange->refuse(Verdict::of(Reason::RingFull, {}, kRetrySoon));
+}
+
+void EntryNode::callerLeft(CallId call)
+{
+    pushSurely(LeftEvent{call});
+}
+
+void EntryNode::exchangeEnded(CallId)
+{
+    --m_inFlight;
+}
+
+void EntryNode::refused(Reason reason)
+{
+    m_metrics.countRefusal(reason);
+}
+
+bool EntryNode::replyArrived(const std::string &owner, const PermitReply &reply)
+{
+    return m_ring.tryPush(ReplyEvent{owner, reply});
+}
+
+void EntryNode::streamLost(const std::string &owner, std::uint64_t stream)
+{
+    pushSurely(StreamLostEvent{owner, stream});
+}
+
+void EntryNode::attemptFinished(CallId call, unsigned attempt, double cost)
+{
+    pushSurely(FinishedEvent{call, attempt, cost});
+}
+
+void EntryNode::attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure)
+{
+    pushSurely(FailedEvent{call, attempt, failure});
+}
+
+adapters::DirectAnswer EntryNode::operatorAnswer(const std::string &path)
+{
+    if (path == "/metrics") {
+        m_metrics.setGauge("fordwood_in_flight", static_cast<double>(m_inFlight));
+        m_metrics.setGauge("fordwood_connections", static_cast<double>(m_callers.connections()));
+        return {200, "text/plain; version=0.0.4", m_metrics.text(), {}};
+    }
+    if (path == "/healthz")
+        return {200, "text/plain", "ok\n", {}};
+    if (m_unready)
+        return {503, "text/plain", "stopping\n", {}};
+    if (!m_ready)
+        return {503, "text/plain", "no configuration yet\n", {}};
+    return {200, "text/plain", "ready\n", {}};
+}
+
+adapters::DirectAnswer EntryNode::refusal(const Verdict &verdict)
+{
+    m_metrics.countRefusal(verdict.reason);
+    return adapters::answerOf(verdict);
+}
+
+void EntryNode::takeSnapshot(wire::Snapshot snapshot, bool)
+{
+    std::string error;
+    const auto view = m_snapshots.read(snapshot, error);
+    if (!view) {
+        logEvent(Event::ConfigurationDamaged, {{"error", error}});
+        m_metrics.count("fordwood_configuration_damaged_total");
+        return;
+    }
+    const auto state = std::make_shared<const ServingState>(view);
+    const auto before = m_state.exchange(state);
+    if (!before || before->view->version() != view->version())
+        logEvent(Event::ConfigurationApplied, {{"version", view->version()}});
+    m_metrics.setGauge("fordwood_configuration_version", static_cast<double>(view->version()));
+    pushSurely(StateEvent{state});
+    m_ready = true;
+}
+
+// For events that must not be lost. The ring is sized so that it takes them; should it ever be
+// full, the thread waits rather than lose the end of a call.
+void EntryNode::pushSurely(EntryEvent event)
+{
+    while (!m_ring.tryPush(event) && !m_stopping)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
+void EntryNode::runDispatch()
+{
+    TimePoint nextTick = m_clock.now() + kTick;
+    while (!m_stopping) {
+        auto event = m_ring.pop(kTick);
+        for (std::size_t n = 0; event; ++n) {
+            std::visit([this](auto &it) { on(it); }, *event);
+            event = n < kEventsPerRound ? m_ring.tryPop() : std::nullopt;
+        }
+        if (m_clock.now() >= nextTick) {
+            m_dispatcher.tick();
+            nextTick = m_clock.now() + kTick;
+        }
+        // Carrying out may bring further actions.
+        for (auto actions = m_dispatcher.takeActions(); !actions.empty();
+             actions = m_dispatcher.takeActions()) {
+            for (const Action &it : actions)
+                carryOut(it);
+        }
+    }
+}
+
+void EntryNode::on(BeginEvent &event)
+{
+    m_exchanges.emplace(event.request.id, std::move(event.exchange));
+    m_dispatcher.begin(event.request);
+}
+
+void EntryNode::on(const ReplyEvent &event)
+{
+    m_dispatcher.permitAnswered(event.owner, event.reply);
+}
+
+void EntryNode::on(const StreamLostEvent &event)
+{
+    if (!m_permits.forget(event.owner, event.stream))
+        return;
+    logEvent(Event::OwnerLost, {{"owner", event.owner}});
+    m_metrics.count("fordwood_owner_streams_lost_total");
+    m_dispatcher.ownerLost(event.owner);
+}
+
+void EntryNode::on(const FinishedEvent &event)
+{
+    m_dispatcher.attemptFinished(event.call, event.attempt, event.cost);
+    if (m_exchanges.erase(event.call) > 0)
+        m_metrics.count("fordwood_answers_total");
+}
+
+void EntryNode::on(const FailedEvent &event)
+{
+    m_dispatcher.attemptFailed(event.call, event.attempt, event.failure);
+}
+
+void EntryNode::on(const LeftEvent &event)
+{
+    m_dispatcher.callerLeft(event.call);
+}
+
+void EntryNode::on(const StateEvent &event)
+{
+    m_dispatcher.setView(event.state->view);
+}
+
+void EntryNode::on(const StopEvent &)
+{
+    m_dispatcher.stop();
+}
+
+void EntryNode::carryOut(const Action &action)
+{
+    if (const auto *ask = std::get_if<AskPermit>(&action)) {
+        m_permits.ask(*ask);
+    } else if (const auto *withdrawal = std::get_if<WithdrawAsk>(&action)) {
+        m_permits.withdraw(*withdrawal);
+    } else if (const auto *release = std::get_if<ReleasePermit>(&action)) {
+        m_permits.release(*release);
+    } else if (const auto *cancel = std::get_if<CancelAttempt>(&action)) {
+        m_upstreams.cancel(*cancel);
+    } else if (const auto *retry = std::get_if<CountRetry>(&action)) {
+        m_metrics.countRetry(retry->reason);
+    } else if (const auto *end = std::get_if<EndCall>(&action)) {
+        endExchange(end->call, end->verdict);
+    } else if (const auto *send = std::get_if<SendCall>(&action)) {
+        const auto exchange = m_exchanges.find(send->call);
+        if (exchange == m_exchanges.end() || !m_upstreams.send({*send, exchange->second}))
+            m_dispatcher.attemptFailed(send->call, send->attempt,
+                                       {RunState::NotRun, Reason::RingFull, "", false});
+    }
+}
+
+void EntryNode::endExchange(CallId call, const Verdict &verdict)
+{
+    const auto it = m_exchanges.find(call);
+    if (it == m_exchanges.end())
+        return;
+    it->second->refuse(verdict);
+    m_exchanges.erase(it);
+    m_metrics.countRefusal(verdict.reason);
+    if (verdict.state != RunState::NotRun && verdict.reason != Reason::CallerLeft)
+        logEvent(Event::AnswerBroken,
+                 {{"call", call}, {"reason", std::string(info(verdict.reason).name)}});
+}
+
+} // namespace fordwood::apps
--- /dev/null
+++ b/src/apps/entryd/entry_node.hpp
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_APPS_ENTRYD_ENTRY_NODE_HPP_INCLUDED
+#define FORDWOOD_APPS_ENTRYD_ENTRY_NODE_HPP_INCLUDED
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+
+#include "adapters/grpc/control_client.hpp"
+#include "adapters/grpc/permit_client.hpp"
+#include "adapters/http/caller_server.hpp"
+#include "adapters/http/upstream_client.hpp"
+#include "adapters/observe/metrics.hpp"
+#include "adapters/system_clock.hpp"
+#include "adapters/threads/bounded_ring.hpp"
+#include "apps/common/daemon.hpp"
+#include "apps/entryd/api.hpp"
+#include "apps/entryd/snapshot_reader.hpp"
+#include "core/dispatcher.hpp"
+
+namespace fordwood::apps {
+
+// One entryd: takes callers' requests, has them answered by upstreams, and passes the answers on.
+// Threads: HTTP for callers, dispatch (all decisions), HTTP to upstreams, snapshots from controld.
+class EntryNode : public Daemon,
+                  private adapters::CallerHandler,
+                  private adapters::PermitClientListener,
+                  private adapters::UpstreamListener
+{
+public:
+    explicit EntryNode(const config::Settings &settings);
+    ~EntryNode() override;
+
+    bool start() override;
+    void beginStop() override;
+    void finishStop() override;
+
+private:
+    struct BeginEvent
+    {
+        CallRequest request;
+        std::shared_ptr<adapters::Exchange> exchange;
+    };
+    struct ReplyEvent
+    {
+        std::string owner;
+        PermitReply reply;
+    };
+    struct StreamLostEvent
+    {
+        std::string owner;
+        std::uint64_t stream;
+    };
+    struct FinishedEvent
+    {
+        CallId call;
+        unsigned attempt;
+        double cost;
+    };
+    struct FailedEvent
+    {
+        CallId call;
+        unsigned attempt;
+        AttemptFailure failure;
+    };
+    struct LeftEvent
+    {
+        CallId call;
+    };
+    struct StateEvent
+    {
+        std::shared_ptr<const ServingState> state;
+    };
+    struct StopEvent
+    { };
+    using EntryEvent = std::variant<BeginEvent, ReplyEvent, StreamLostEvent, FinishedEvent,
+                                    FailedEvent, LeftEvent, StateEvent, StopEvent>;
+
+    // CallerHandler, on the HTTP threads
+    std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
+    handle(adapters::CallerMessage message) override;
+    void submit(const std::shared_ptr<adapters::Exchange> &exchange) override;
+    void callerLeft(CallId call) override;
+    void exchangeEnded(CallId call) override;
+    void refused(Reason reason) override;
+
+    // PermitClientListener, on gRPC's threads
+    bool replyArrived(const std::string &owner, const PermitReply &reply) override;
+    void streamLost(const std::string &owner, std::uint64_t stream) override;
+
+    // UpstreamListener, on the upstream thread
+    void attemptFinished(CallId call, unsigned attempt, double cost) override;
+    void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) override;
+
+    adapters::DirectAnswer operatorAnswer(const std::string &path);
+    adapters::DirectAnswer refusal(const Verdict &verdict);
+    void takeSnapshot(wire::Snapshot snapshot, bool first);
+    void pushSurely(EntryEvent event);
+
+    // On the dispatch thread
+    void runDispatch();
+    void on(BeginEvent &event);
+    void on(const ReplyEvent &event);
+    void on(const StreamLostEvent &event);
+    void on(const FinishedEvent &event);
+    void on(const FailedEvent &event);
+    void on(const LeftEvent &event);
+    void on(const StateEvent &event);
+    void on(const StopEvent &event);
+    void carryOut(const Action &action);
+    void endExchange(CallId call, const Verdict &verdict);
+
+    const config::Settings m_settings;
+    adapters::SystemClock m_clock;
+    adapters::Metrics m_metrics;
+    adapters::BoundedRing<EntryEvent> m_ring;
+    Dispatcher m_dispatcher;
+    adapters::ControlClient m_control;
+    SnapshotReader m_snapshots;
+    adapters::PermitClient m_permits;
+    adapters::UpstreamClient m_upstreams;
+    adapters::CallerServer m_callers;
+    std::thread m_dispatchThread;
+    std::thread m_upstreamThread;
+    std::thread m_controlThread;
+
+    std::atomic<std::shared_ptr<const ServingState>> m_state;
+    std::atomic<CallId> m_nextCall{1};
+    std::atomic<std::size_t> m_inFlight{0};
+    std::atomic<bool> m_ready{false};
+    std::atomic<bool> m_unready{false}; // a planned stop has begun
+    std::atomic<bool> m_stopping{false};
+
+    // Requests understood but not yet submitted, by id.
+    std::mutex m_understoodMutex;
+    std::unordered_map<CallId, CallRequest> m_understood;
+
+    // Of the dispatch thread alone:
+    std::unordered_map<CallId, std::shared_ptr<adapters::Exchange>> m_exchanges;
+};
+
+} // namespace fordwood::apps
+
+#endif // FORDWOOD_APPS_ENTRYD_ENTRY_NODE_HPP_INCLUDED
--- /dev/null
+++ b/src/apps/load/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/config/schema.cpp
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: MIT
+#include "config/schema.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <sstream>
+#include <vector>
+
+namespace fordwood::config {
+
+namespace {
+
+using enum FieldType;
+
+constexpr double kNoBound = 1e15;
+
+constexpr Field kLimits[] = {
+    {"default_deadline", Span, false, 0.001, 86400, "60s",
+     "Time that a request gets when its caller names none."},
+    {"max_deadline", Span, false, 0.001, 86400, "10m", "Longest time that a caller may ask for."},
+    {"permit_life", Span, false, 0.01, 2, "2s",
+     "Time within which a granted request must be sent."},
+    {"queue_per_team", Integer, false, 1, 100000, "256",
+     "Requests of one team that may wait for one upstream."},
+    {"max_loads_at_once", Integer, false, 1, 1000, "2",
+     "Engines that may load weights at the same time."},
+    {"retry_ratio", Number, false, 0, 1, "0.1", "Retries earned by one first send."},
+};
+constexpr Field kFailureDomain[] = {
+    {"name", Text, true, 0, 0, "", "Name of the failure domain."},
+    {"region", Text, true, 0, 0, "", "Region that it lies in."},
+};
+constexpr Field kTeam[] = {
+    {"name", Text, true, 0, 0, "", "Name of the team."},
+    {"share", Number, false, 1e-6, 1e6, "1.0", "Weight in fair queueing."},
+    {"priority", Integer, false, -100, 100, "0", "Priority of requests that name none."},
+    {"key_sha256", DigestList, true, 0, 0, "",
+     "SHA-256 digests of the team's bearer keys, 64 hexadecimal digits each."},
+    {"max_running", Integer, false, 0, 1e6, "0",
+     "Requests running at once over the fleet; 0: no ceiling."},
+};
+constexpr Field kModel[] = {
+    {"name", Text, true, 0, 0, "", "Name by which callers ask for the model."},
+    {"weight_version", Text, true, 0, 0, "", "Weight version that new requests run on."},
+};
+constexpr Field kUpstream[] = {
+    {"name", Text, true, 0, 0, "", "Name of the upstream."},
+    {"kind", Text, true, 0, 0, "", "`engine` or `service`."},
+    {"failure_domain", Text, true, 0, 0, "", "Failure domain that it runs in."},
+    {"address", Address, true, 0, 0, "", "IP address and port."},
+    {"models", TextList, false, 0, 0, "[]", "Models that an engine serves."},
+    {"service", Text, false, 0, 0, "", "Name of the plain service that it is part of."},
+    {"slots", Integer, true, 1, 100000, "", "Requests that it runs at once."},
+    {"prefill_tokens_per_second", Number, false, 1, 1e9, "10000",
+     "Rate at which an engine computes uncached prompt tokens."},
+    {"checks_fences", Flag, false, 0, 0, "false", "Whether it refuses orders with an old fence."},
+    {"leaving", Flag, false, 0, 0, "false", "Whether it must get no new work."},
+};
+constexpr Field kRoute[] = {
+    {"path", Text, true, 0, 0, "", "Path prefix, beginning with `/`."},
+    {"service", Text, true, 0, 0, "", "Plain service that takes its requests."},
+    {"repeatable", Flag, false, 0, 0, "false", "Whether a request may be run more than once."},
+};
+constexpr Field kStore[] = {
+    {"name", Text, true, 0, 0, "", "Name of the store VM."},
+    {"failure_domain", Text, true, 0, 0, "", "Failure domain that it runs in."},
+    {"address", Address, true, 0, 0, "", "IP address and port."},
+    {"memory_bytes", Integer, true, 0, kNoBound, "", "Memory for kept context, in bytes."},
+    {"disk_bytes", Integer, false, 0, kNoBound, "0", "Disk for kept context, in bytes."},
+    {"link_bytes_per_second", Number, true, 1, kNoBound, "",
+     "Rate of the link to it, in bytes a second."},
+};
+constexpr Section kConfiguration[] = {
+    {"limits", false, kLimits, "Limits that hold for the whole fleet."},
+    {"failure_domain", true, kFailureDomain, "One entry for each failure domain."},
+    {"team", true, kTeam, "One entry for each team."},
+    {"model", true, kModel, "One entry for each model in service."},
+    {"upstream", true, kUpstream, "One entry for each upstream."},
+    {"route", true, kRoute, "One entry for each path of a plain service."},
+    {"store", true, kStore, "One entry for each store VM."},
+};
+
+constexpr Field kNode[] = {
+    {"name", Text, true, 0, 0, "", "Name of this entry VM, as in the platform's VM list."},
+    {"failure_domain", Text, true, 0, 0, "", "Failure domain that it runs in."},
+    {"region", Text, true, 0, 0, "", "Region that it runs in."},
+};
+constexpr Field kEntry[] = {
+    {"listen", Address, true, 0, 0, "", "Address for callers."},
+    {"http_threads", Integer, false, 1, 64, "2", "Threads that serve callers' connections."},
+    {"max_body_bytes", Integer, false, 1, 1e9, "4194304", "Largest request body."},
+    {"max_header_bytes", Integer, false, 1024, 1e6, "16384",
+     "Memory of one connection for the request's head."},
+    {"max_connections", Integer, false, 1, 1e6, "4096", "Connections held at once."},
+    {"max_in_flight", Integer, false, 1, 1e6, "2048", "Requests served at once."},
+    {"read_timeout", Span, false, 0.05, 3600, "30s",
+     "Time for a request to arrive whole, and for an idle connection."},
+    {"answer_buffer_bytes", Integer, false, 1024, 1e8, "262144",
+     "Bytes of one answer held for a slow caller."},
+    {"owner_timeout", Span, false, 0.001, 60, "500ms",
+     "Time after which a silent owner is passed over."},
+    {"stop_notice", Span, false, 0, 3600, "2s",
+     "Time between being unready and refusing new requests in a planned stop."},
+    {"stop_timeout", Span, false, 0, 86400, "0s",
+     "Longest planned stop; 0: until every answer is finished."},
+};
+constexpr Field kControl[] = {
+    {"listen", Address, true, 0, 0, "", "Address for other nodes and for entryd (gRPC)."},
+    {"metrics_listen", Address, true, 0, 0, "", "Address of `/metrics` and `/healthz`."},
+};
+constexpr Field kPlatform[] = {
+    {"key_value", Address, true, 0, 0, "", "Address of the key-value service (etcd v3 gRPC)."},
+    {"vm_list", Address, true, 0, 0, "", "Address of the VM list (HTTP)."},
+    {"vm_list_period", Span, false, 0.05, 3600, "1s", "Time between two reads of the VM list."},
+};
+constexpr Field kLog[] = {
+    {"format", Text, false, 0, 0, "text", "`text` (key=value) or `json`."},
+};
+constexpr Section kSettings[] = {
+    {"node", false, kNode, "Who this VM is."},
+    {"entry", false, kEntry, "Read by `fordwood-entryd`."},
+    {"control", false, kControl,
+     "Read by `fordwood-controld`, and by `fordwood-entryd` to find it."},
+    {"platform", false, kPlatform, "Where the platform's services are."},
+    {"log", false, kLog, "How events are written."},
+};
+
+std::size_t editDistance(std::string_view a, std::string_view b)
+{
+    std::vector<std::size_t> row(b.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t{0});
+    for (std::size_t i = 1; i <= a.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= b.size(); ++j) {
+            const std::size_t above = row[j];
+            const std::size_t change = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+            row[j] = std::min({above + 1, row[j - 1] + 1, change});
+            diagonal = above;
+        }
+    }
+    return row.back();
+}
+
+std::string bounds(const Field &field)
+{
+    if (field.type != Integer && field.type != Number && field.type != Span)
+        return "";
+    std::ostringstream out;
+    out.precision(15);
+    const char *unit = field.type == Span ? " s" : "";
+    out << field.least << unit << " to " << field.most << unit;
+    return out.str();
+}
+
+} // namespace
+
+std::span<const Section> configurationSections()
+{
+    return kConfiguration;
+}
+
+std::span<const Section> settingsSections()
+{
+    return kSettings;
+}
+
+std::string referencePage(std::span<const Section> sections, std::string_view title,
+                          std::string_view intro)
+{
+    std::ostringstream out;
+    out << "# " << title << "\n\n" << intro << "\n\n**Contents**\n\n";
+    for (const Section &section : sections)
+        out << "- [" << section.name << "](#" << section.name << ")\n";
+    for (const Section &section : sections) {
+        out << "\n## " << section.name << "\n\n"
+            << section.text << " Written as `" << (section.repeated ? "[[" : "[") << section.name
+            << (section.repeated ? "]]" : "]") << "`.\n\n"
+            << "| key | type | default | bounds | meaning |\n|---|---|---|---|---|\n";
+        for (const Field &field : section.fields) {
+            out << "| `" << field.name << "` | " << typeName(field.type) << " | "
+                << (field.required ? "required" : field.fallback) << " | " << bounds(field) << " | "
+                << field.text << " |\n";
+        }
+    }
+    return out.str();
+}
+
+std::string_view typeName(FieldType type)
+{
+    switch (type) {
+    case Text:
+        return "text";
+    case Address:
+        return "IP:port";
+    case Integer:
+        return "whole number";
+    case Number:
+        return "number";
+    case Flag:
+        return "true or false";
+    case Span:
+        return "time span such as \"250ms\", \"2s\", \"5m\" or \"1h\"";
+    case TextList:
+        return "list of texts";
+    case DigestList:
+        return "list of SHA-256 digests";
+    }
+    return "";
+}
+
+std::string nearest(std::string_view word, std::span<const std::string_view> candidates)
+{
+    std::string_view best;
+    std::size_t least = std::max<std::size_t>(2, word.size() / 2) + 1;
+    for (const std::string_view it : candidates) {
+        const std::size_t distance = editDistance(word, it);
+        if (distance < least) {
+            least = distance;
+            best = it;
+        }
+    }
+    return std::string(best);
+}
+
+} // namespace fordwood::config
--- /dev/null
+++ b/src/core/call.hpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_CORE_CALL_HPP_INCLUDED
+#define FORDWOOD_CORE_CALL_HPP_INCLUDED
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/verdict.hpp"
+
+namespace fordwood {
+
+using CallId = std::uint64_t;
+
+// What is asked for: a completion by a model, or a plain service.
+enum class CallKind : std::uint8_t { Completion, Service };
+
+// What the dispatcher has to know about a caller's request.
+struct CallRequest
+{
+    CallId id = 0;
+    std::string team;
+    int priority = 0;
+    CallKind kind = CallKind::Completion;
+    std::string target; // model or service
+    std::uint64_t prefixHash = 0; // requests with the same hash share context
+    double cost = 1.0; // expected tokens
+    bool repeatable = true;
+    TimePoint deadline{};
+};
+
+// Asks the owner of an upstream for a permit.
+struct AskPermit
+{
+    CallId call;
+    std::uint64_t askId;
+    std::string owner;
+    std::string ownerAddress;
+    std::string upstream;
+    std::string team;
+    double cost;
+    int priority;
+    Duration wait;
+};
+
+// Takes an ask back.
+struct WithdrawAsk
+{
+    std::uint64_t askId;
+    std::string owner;
+    std::string upstream;
+};
+
+// Gives a permit back to the owner that granted it.
+struct ReleasePermit
+{
+    std::string owner;
+    std::uint64_t permitId;
+    std::string upstream;
+    double cost;
+};
+
+// Sends the call to an upstream.
+struct SendCall
+{
+    CallId call;
+    unsigned attempt;
+    std::string upstream;
+    std::string address;
+    int priority;
+    TimePoint sendBy; // not to be sent after this
+    TimePoint deadline;
+    bool repeatable;
+};
+
+// Breaks off an attempt.
+struct CancelAttempt
+{
+    CallId call;
+    unsigned attempt;
+};
+
+// Ends the call with a verdict instead of an answer.
+struct EndCall
+{
+    CallId call;
+    Verdict verdict;
+};
+
+// The call is sent again, for the reason given: for counters only.
+struct CountRetry
+{
+    Reason reason;
+};
+
+using Action = std::variant<AskPermit, WithdrawAsk, ReleasePermit, SendCall, CancelAttempt, EndCall,
+                            CountRetry>;
+
+} // namespace fordwood
+
+#endif // FORDWOOD_CORE_CALL_HPP_INCLUDED
--- /dev/null
+++ b/src/core/dispatcher.cpp
@@ -0,0 +1,311 @@
+// SPDX-License-Identifier: MIT
+#include "core/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fordwood {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetrySoon{500};
+constexpr Duration kLocalSendWithin = std::chrono::seconds(2);
+
+} // namespace
+
+Dispatcher::Dispatcher(const Clock &clock, DispatcherLimits limits)
+    : m_clock(clock), m_limits(limits)
+{ }
+
+void Dispatcher::setView(std::shared_ptr<const FleetView> view)
+{
+    m_view = std::move(view);
+}
+
+void Dispatcher::begin(const CallRequest &request)
+{
+    const auto refuse = [&](Reason reason) {
+        m_actions.emplace_back(EndCall{request.id, Verdict::of(reason, {}, kRetrySoon)});
+    };
+    if (m_stopping)
+        return refuse(Reason::Stopping);
+    if (!m_view)
+        return refuse(Reason::NotReady);
+    if (m_calls.size() >= m_limits.maxCalls)
+        return refuse(Reason::InFlightLimit);
+    Call &call = m_calls[request.id];
+    call.request = request;
+    call.last = Verdict::of(Reason::NoUpstream, {}, kRetrySoon);
+    const double ratio = m_view->configuration().limits.retryRatio;
+    m_budgets.try_emplace(request.team, ratio).first->second.countFirstSend();
+    choose(call);
+    ask(call);
+}
+
+void Dispatcher::permitAnswered(const std::string &owner, const PermitReply &reply)
+{
+    const auto known = m_asks.find(reply.askId);
+    if (known == m_asks.end()) {
+        // The call has gone on without this permit.
+        if (reply.granted)
+            m_actions.emplace_back(ReleasePermit{owner, reply.permitId, {}, 0.0});
+        return;
+    }
+    Call &call = m_calls.at(known->second);
+    m_asks.erase(known);
+    call.askId = 0;
+    if (reply.granted) {
+        // Counted from the ask, not from the reply: it may have lain unread while we were paused.
+        const TimePoint sendBy = call.asked + reply.waited + reply.sendWithin;
+        return send(call, Held{owner, reply.permitId, current(call)->name}, sendBy);
+    }
+    askNext(call, Verdict::of(reply.reason, {}, reply.retryAfter));
+}
+
+void Dispatcher::ownerLost(const std::string &owner)
+{
+    std::vector<CallId> waiting;
+    for (auto &[id, call] : m_calls) {
+        if (call.askId != 0 && call.askedOwner == owner)
+            waiting.push_back(id);
+        if (call.held && call.held->owner == owner)
+            call.held->owner.clear(); // nobody is left to give it back to
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const CallId id : waiting) {
+        Call &call = m_calls.at(id);
+        m_asks.erase(call.askId);
+        call.askId = 0;
+        fallBack(call);
+    }
+}
+
+void Dispatcher::attemptFailed(CallId id, unsigned attempt, const AttemptFailure &failure)
+{
+    Call *call = find(id, attempt);
+    if (call == nullptr)
+        return;
+    releaseHeld(*call, 0.0);
+    Verdict verdict{failure.state, failure.reason, std::chrono::milliseconds(0), failure.detail};
+    if (!maySendAgain(failure.state, call->request.repeatable, failure.answerBegun))
+        return end(id, verdict);
+    if (call->request.deadline <= m_clock.now())
+        return end(id, verdict);
+    if (!takeRetry(*call, failure.reason)) {
+        // The failure itself stays the verdict: an exhausted budget must not hide that it may have
+        // run.
+        verdict.detail += (verdict.detail.empty() ? "" : "; ") + std::string("no retry left");
+        return end(id, verdict);
+    }
+    call->stage = Stage::Asking;
+    call->last = verdict;
+    call->mayHaveRun = call->mayHaveRun || failure.state != RunState::NotRun;
+    const std::string failed = current(*call)->name;
+    choose(*call);
+    std::erase_if(call->candidates, [&](const UpstreamConfig *it) { return it->name == failed; });
+    if (call->candidates.empty())
+        return end(id, verdict);
+    ask(*call);
+}
+
+void Dispatcher::attemptFinished(CallId id, unsigned attempt, double cost)
+{
+    Call *call = find(id, attempt);
+    if (call == nullptr)
+        return;
+    releaseHeld(*call, cost);
+    m_calls.erase(id);
+}
+
+void Dispatcher::callerLeft(CallId id)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    Call &call = it->second;
+    withdraw(call);
+    if (call.stage == Stage::Sent)
+        m_actions.emplace_back(CancelAttempt{id, call.attempt});
+    releaseHeld(call, 0.0);
+    end(id, Verdict::of(Reason::CallerLeft));
+}
+
+void Dispatcher::tick()
+{
+    const TimePoint now = m_clock.now();
+    std::vector<CallId> silent;
+    std::vector<CallId> late;
+    for (const auto &[id, call] : m_calls) {
+        if (call.request.deadline <= now)
+            late.push_back(id);
+        else if (call.askId != 0 && call.askedUntil <= now)
+            silent.push_back(id);
+    }
+    std::sort(silent.begin(), silent.end());
+    std::sort(late.begin(), late.end());
+    for (const CallId id : late) {
+        Call &call = m_calls.at(id);
+        withdraw(call);
+        if (call.stage == Stage::Sent) {
+            m_actions.emplace_back(CancelAttempt{id, call.attempt});
+            releaseHeld(call, 0.0);
+            end(id, Verdict::of(Reason::UpstreamTimeout));
+        } else {
+            end(id, Verdict::of(Reason::DeadlineTooNear, {}, kRetrySoon));
+        }
+    }
+    for (const CallId id : silent) {
+        Call &call = m_calls.at(id);
+        withdraw(call);
+        fallBack(call);
+    }
+}
+
+std::vector<Action> Dispatcher::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void Dispatcher::choose(Call &call)
+{
+    const CallRequest &request = call.request;
+    call.view = m_view;
+    call.next = 0;
+    call.queueing = false;
+    call.candidates
+        = request.kind == CallKind::Completion
+              ? m_view->engines(request.target, request.prefixHash, m_limits.candidates)
+              : m_view->services(request.target, request.prefixHash, m_limits.candidates);
+}
+
+void Dispatcher::ask(Call &call)
+{
+    const UpstreamConfig *upstream = current(call);
+    if (upstream == nullptr)
+        return end(call.request.id, call.last);
+    const Member *owner = call.view->owner(*upstream);
+    if (owner == nullptr)
+        return fallBack(call);
+    // A lone candidate is queued for at once; else the first round only looks for a free place.
+    call.queueing = call.queueing || call.candidates.size() == 1;
+    const TimePoint now = m_clock.now();
+    const Duration left = call.request.deadline - now;
+    call.askId = m_nextAsk++;
+    call.askedOwner = owner->name;
+    call.asked = now;
+    call.askedUntil = now + m_limits.ownerTimeout + (call.queueing ? left : Duration::zero());
+    m_asks.emplace(call.askId, call.request.id);
+    m_actions.emplace_back(AskPermit{call.request.id, call.askId, owner->name,
+                                     owner->controlAddress, upstream->name, call.request.team,
+                                     call.request.cost, call.request.priority,
+                                     call.queueing ? left : Duration::zero()});
+}
+
+void Dispatcher::askNext(Call &call, const Verdict &why)
+{
+    call.last = why;
+    if (call.queueing)
+        return end(call.request.id, why);
+    ++call.next;
+    if (call.next < call.candidates.size())
+        return ask(call);
+    // No place is free anywhere near: wait at the first choice, where the context is warmest.
+    call.next = 0;
+    call.queueing = true;
+    ask(call);
+}
+
+void Dispatcher::fallBack(Call &call)
+{
+    const UpstreamConfig *upstream = current(call);
+    std::size_t &used = m_localInUse[upstream->name];
+    if (used >= localAllowance(*upstream)) {
+        const Verdict verdict = Verdict::of(Reason::LocalAllowanceUsed, {}, kRetrySoon);
+        return call.queueing ? end(call.request.id, verdict) : askNext(call, verdict);
+    }
+    ++used;
+    m_actions.emplace_back(CountRetry{Reason::OwnerSilent});
+    send(call, Held{{}, 0, upstream->name}, m_clock.now() + kLocalSendWithin);
+}
+
+void Dispatcher::send(Call &call, Held held, TimePoint sendBy)
+{
+    const UpstreamConfig *upstream = current(call);
+    call.held = std::move(held);
+    if (m_view->isLeaving(upstream->name)) {
+        releaseHeld(call, 0.0);
+        return askNext(call, Verdict::of(Reason::UpstreamLeaving, {}, kRetrySoon));
+    }
+    call.stage = Stage::Sent;
+    ++call.attempt;
+    m_actions.emplace_back(SendCall{call.request.id, call.attempt, upstream->name,
+                                    upstream->address, call.request.priority, sendBy,
+                                    call.request.deadline, call.request.repeatable});
+}
+
+void Dispatcher::releaseHeld(Call &call, double cost)
+{
+    if (!call.held)
+        return;
+    const Held held = *std::exchange(call.held, std::nullopt);
+    if (held.permitId != 0) {
+        if (!held.owner.empty())
+            m_actions.emplace_back(ReleasePermit{held.owner, held.permitId, held.upstream, cost});
+        return;
+    }
+    std::size_t &used = m_localInUse[held.upstream];
+    used -= used > 0 ? 1 : 0;
+}
+
+void Dispatcher::withdraw(Call &call)
+{
+    if (call.askId == 0)
+        return;
+    m_actions.emplace_back(WithdrawAsk{call.askId, call.askedOwner, current(call)->name});
+    m_asks.erase(call.askId);
+    call.askId = 0;
+}
+
+void Dispatcher::end(CallId id, const Verdict &verdict)
+{
+    const auto it = m_calls.find(id);
+    EndCall action{id, verdict};
+    // "Not run" is only true if it is true of every attempt.
+    if (it != m_calls.end() && it->second.mayHaveRun && verdict.state == RunState::NotRun)
+        action.verdict.state = RunState::MayHaveRun;
+    m_actions.emplace_back(std::move(action));
+    m_calls.erase(id);
+}
+
+bool Dispatcher::takeRetry(const Call &call, Reason reason)
+{
+    if (!m_budgets[call.request.team].takeRetry()) {
+        m_actions.emplace_back(CountRetry{Reason::RetryBudgetUsed});
+        return false;
+    }
+    m_actions.emplace_back(CountRetry{reason});
+    return true;
+}
+
+std::size_t Dispatcher::localAllowance(const UpstreamConfig &upstream) const
+{
+    std::size_t peers = 0;
+    for (const Member &it : m_view->members())
+        peers += it.failureDomain == upstream.failureDomain ? 1 : 0;
+    return std::max<std::size_t>(1, upstream.slots / std::max<std::size_t>(1, peers));
+}
+
+const UpstreamConfig *Dispatcher::current(const Call &call) const
+{
+    return call.next < call.candidates.size() ? call.candidates[call.next] : nullptr;
+}
+
+Dispatcher::Call *Dispatcher::find(CallId id, unsigned attempt)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end() || it->second.attempt != attempt || it->second.stage != Stage::Sent)
+        return nullptr;
+    return &it->second;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/dispatcher.hpp
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_CORE_DISPATCHER_HPP_INCLUDED
+#define FORDWOOD_CORE_DISPATCHER_HPP_INCLUDED
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/call.hpp"
+#include "fordwood/clock.hpp"
+#include "fordwood/fleet_view.hpp"
+#include "fordwood/retry_budget.hpp"
+
+namespace fordwood {
+
+// Settings of the dispatcher.
+struct DispatcherLimits
+{
+    std::size_t maxCalls = 2048;
+    Duration ownerTimeout = std::chrono::milliseconds(500);
+    std::size_t candidates = 3; // upstreams tried without queueing before the call queues
+};
+
+// How an attempt at an upstream failed.
+struct AttemptFailure
+{
+    RunState state = RunState::MayHaveRun;
+    Reason reason = Reason::UpstreamBroke;
+    std::string detail;
+    bool answerBegun = false; // a part of the answer has gone to the caller
+};
+
+// An owner's answer to an ask.
+struct PermitReply
+{
+    std::uint64_t askId = 0;
+    bool granted = false;
+    std::uint64_t permitId = 0;
+    Duration waited{0}; // at the owner
+    Duration sendWithin{0}; // counted from the grant
+    Reason reason = Reason::Internal;
+    std::chrono::milliseconds retryAfter{0};
+};
+
+// The life of every call on one entry node, from its arrival to its end: which upstream, permit,
+// send, and after a failure whether it may be sent again. Events in, actions out; no I/O and no
+// threads. Every call that began ends exactly once: by finished(), or by one EndCall action.
+class Dispatcher
+{
+public:
+    Dispatcher(const Clock &clock, DispatcherLimits limits);
+
+    // Replaces the view of the fleet. Calls under way go on.
+    void setView(std::shared_ptr<const FleetView> view);
+
+    // A caller's request has arrived.
+    void begin(const CallRequest &request);
+
+    // An owner has answered an ask.
+    void permitAnswered(const std::string &owner, const PermitReply &reply);
+
+    // The connection to an owner is gone, and with it its open asks and its permits.
+    void ownerLost(const std::string &owner);
+
+    // An attempt has failed.
+    void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure);
+
+    // An attempt has brought the whole answer. `cost` is what it used, or zero if unknown.
+    void attemptFinished(CallId call, unsigned attempt, double cost);
+
+    // The caller is gone.
+    void callerLeft(CallId call);
+
+    // Handles everything whose time has come.
+    void tick();
+
+    // Refuses new calls from now on.
+    void stop() { m_stopping = true; }
+
+    // Actions since the last call, in order.
+    std::vector<Action> takeActions();
+
+    std::size_t calls() const { return m_calls.size(); }
+
+private:
+    enum class Stage : std::uint8_t { Asking, Sent };
+
+    struct Held // a permit in use
+    {
+        std::string owner; // empty: taken from the local allowance
+        std::uint64_t permitId = 0;
+        std::string upstream;
+    };
+    struct Call
+    {
+        CallRequest request;
+        Stage stage = Stage::Asking;
+        unsigned attempt = 0;
+        std::vector<const UpstreamConfig *> candidates;
+        std::shared_ptr<const FleetView> view; // keeps the candidates alive
+        std::size_t next = 0; // candidate asked now
+        bool queueing = false; // the ask now open may wait at the owner
+        std::uint64_t askId = 0;
+        std::string askedOwner;
+        TimePoint asked{};
+        TimePoint askedUntil{};
+        std::optional<Held> held;
+        Verdict last; // why the call has not been answered yet
+        bool mayHaveRun = false; // by any attempt so far
+    };
+
+    void choose(Call &call);
+    void ask(Call &call);
+    void askNext(Call &call, const Verdict &why);
+    void fallBack(Call &call);
+    void send(Call &call, Held held, TimePoint sendBy);
+    void releaseHeld(Call &call, double cost);
+    void withdraw(Call &call);
+    void end(CallId id, const Verdict &verdict);
+    bool takeRetry(const Call &call, Reason reason);
+    std::size_t localAllowance(const UpstreamConfig &upstream) const;
+    const UpstreamConfig *current(const Call &call) const;
+    Call *find(CallId id, unsigned attempt);
+
+    const Clock &m_clock;
+    DispatcherLimits m_limits;
+    std::shared_ptr<const FleetView> m_view;
+    std::unordered_map<CallId, Call> m_calls;
+    std::unordered_map<std::uint64_t, CallId> m_asks;
+    std::map<std::string, std::size_t> m_localInUse; // by upstream
+    std::map<std::string, RetryBudget> m_budgets; // by team
+    std::vector<Action> m_actions;
+    std::uint64_t m_nextAsk = 1;
+    bool m_stopping = false;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_CORE_DISPATCHER_HPP_INCLUDED
--- /dev/null
+++ b/src/core/fair_queue.cpp
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/fair_queue.hpp"
+
+#include <algorithm>
+
+namespace fordwood {
+
+void FairQueue::push(const Entry &entry)
+{
+    Team &team = m_teams[entry.team];
+    const Order order{entry.priority, m_sequence++, entry.id};
+    if (team.waiting.empty()) {
+        team.tag = std::max(team.tag, m_virtualTime);
+        m_active.emplace(team.tag, entry.team);
+    }
+    team.waiting.insert(order);
+    m_entries.emplace(entry.id, Slot{entry, order});
+}
+
+std::optional<FairQueue::Entry> FairQueue::pop()
+{
+    if (m_active.empty())
+        return std::nullopt;
+    const auto [tag, name] = *m_active.begin();
+    m_virtualTime = std::max(m_virtualTime, tag);
+    Team &team = m_teams[name];
+    const Slot slot = m_entries.at(team.waiting.begin()->id);
+    charge(slot.entry.team, slot.entry.share, slot.entry.cost);
+    forget(slot);
+    return slot.entry;
+}
+
+bool FairQueue::remove(EntryId id)
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end())
+        return false;
+    forget(Slot(it->second));
+    return true;
+}
+
+void FairQueue::charge(const std::string &team, double share, double cost)
+{
+    Team &entry = m_teams[team];
+    const bool active = !entry.waiting.empty();
+    if (active)
+        m_active.erase({entry.tag, team});
+    entry.tag = std::max(entry.tag, m_virtualTime) + cost / std::max(share, 1e-9);
+    if (active)
+        m_active.emplace(entry.tag, team);
+    // Nobody waits, so nobody was kept from its share: all start again from the same point.
+    if (m_active.empty())
+        m_virtualTime = std::max(m_virtualTime, entry.tag);
+}
+
+std::size_t FairQueue::waiting(const std::string &team) const
+{
+    const auto it = m_teams.find(team);
+    return it == m_teams.end() ? 0 : it->second.waiting.size();
+}
+
+void FairQueue::forget(const Slot &slot)
+{
+    Team &team = m_teams[slot.entry.team];
+    team.waiting.erase(slot.order);
+    if (team.waiting.empty())
+        m_active.erase({team.tag, slot.entry.team});
+    m_entries.erase(slot.entry.id);
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/fleet_view.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/fleet_view.hpp"
+
+#include <algorithm>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+FleetView::FleetView(std::uint64_t version, std::shared_ptr<const Configuration> configuration,
+                     std::vector<Member> members, std::set<std::string> leavingUpstreams,
+                     std::string ownFailureDomain)
+    : m_version(version), m_configuration(std::move(configuration)), m_members(std::move(members)),
+      m_leaving(std::move(leavingUpstreams)), m_ownFailureDomain(std::move(ownFailureDomain))
+{
+    for (const auto &[name, it] : m_configuration->upstreams) {
+        if (isLeaving(name))
+            continue;
+        for (const std::string &model : it.models)
+            addCandidate(m_engines[model], it);
+        if (it.kind == UpstreamKind::Service)
+            addCandidate(m_services[it.service], it);
+    }
+    const auto addOwner = [](Owners &owners, const Member &member) {
+        owners.members.push_back(&member);
+        owners.hashes.push_back(stableHash(member.name));
+    };
+    for (const Member &it : m_members) {
+        if (it.leaving)
+            continue;
+        addOwner(m_ownersByDomain[it.failureDomain], it);
+        addOwner(m_ownersByRegion[it.region], it);
+        addOwner(m_allOwners, it);
+    }
+}
+
+std::vector<const UpstreamConfig *>
+FleetView::engines(const std::string &model, std::uint64_t prefixHash, std::size_t count) const
+{
+    return choose(m_engines, model, prefixHash, count);
+}
+
+std::vector<const UpstreamConfig *>
+FleetView::services(const std::string &service, std::uint64_t prefixHash, std::size_t count) const
+{
+    return choose(m_services, service, prefixHash, count);
+}
+
+const Member *FleetView::owner(const UpstreamConfig &upstream) const
+{
+    const std::uint64_t key = stableHash(upstream.name);
+    const auto winner = [&](const Owners &owners) -> const Member * {
+        const int index = rendezvousWinner(key, owners.hashes);
+        return index < 0 ? nullptr : owners.members[static_cast<std::size_t>(index)];
+    };
+    const auto domain = m_ownersByDomain.find(upstream.failureDomain);
+    if (domain != m_ownersByDomain.end())
+        return winner(domain->second);
+    const auto region = m_ownersByRegion.find(regionOf(upstream.failureDomain));
+    if (region != m_ownersByRegion.end())
+        return winner(region->second);
+    return winner(m_allOwners);
+}
+
+bool FleetView::isLeaving(const std::string &upstream) const
+{
+    if (m_leaving.count(upstream) != 0)
+        return true;
+    const auto it = m_configuration->upstreams.find(upstream);
+    return it == m_configuration->upstreams.end() || it->second.leaving;
+}
+
+std::size_t FleetView::ringOf(const std::string &failureDomain) const
+{
+    if (failureDomain == m_ownFailureDomain)
+        return 0;
+    return regionOf(failureDomain) == regionOf(m_ownFailureDomain) ? 1 : 2;
+}
+
+std::string FleetView::regionOf(const std::string &failureDomain) const
+{
+    const auto it = m_configuration->failureDomains.find(failureDomain);
+    return it == m_configuration->failureDomains.end() ? "" : it->second.region;
+}
+
+void FleetView::addCandidate(Rings &rings, const UpstreamConfig &upstream)
+{
+    Candidates &candidates = rings[ringOf(upstream.failureDomain)];
+    candidates.upstreams.push_back(&upstream);
+    candidates.hashes.push_back(stableHash(upstream.name));
+}
+
+std::vector<const UpstreamConfig *> FleetView::choose(const std::map<std::string, Rings> &from,
+                                                      const std::string &name,
+                                                      std::uint64_t prefixHash, std::size_t count)
+{
+    std::vector<const UpstreamConfig *> result;
+    const auto rings = from.find(name);
+    if (rings == from.end())
+        return result;
+    for (const Candidates &it : rings->second) {
+        if (result.size() >= count)
+            break;
+        for (const std::size_t index :
+             rendezvousOrder(prefixHash, it.hashes, count - result.size()))
+            result.push_back(it.upstreams[index]);
+    }
+    return result;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/submission.cpp
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/submission.hpp"
+
+#include <algorithm>
+
+namespace fordwood {
+
+namespace {
+
+constexpr std::size_t kRecentIds = 256;
+constexpr std::size_t kWritesPerCall = 64; // below the usual limit of operations per transaction
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+
+bool contains(const std::vector<std::string> &ids, const std::string &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+std::string headKey()
+{
+    return "/fordwood/config/head";
+}
+
+std::string manifestKey(const std::string &sha256)
+{
+    return "/fordwood/config/manifest/" + sha256;
+}
+
+std::string pieceKey(const std::string &sha256)
+{
+    return "/fordwood/config/piece/" + sha256;
+}
+
+Submitter::Submitter(KeyValueStore &store, const HeadCodec &codec, const Clock &clock,
+                     std::function<void(Duration)> pause)
+    : m_store(store), m_codec(codec), m_clock(clock), m_pause(std::move(pause))
+{ }
+
+SubmissionResult Submitter::submit(const Submission &submission, Duration limit)
+{
+    const TimePoint end = m_clock.now() + limit;
+    const std::string manifest = m_codec.encodeManifest(submission.pieces);
+    const std::string manifestSha256 = m_codec.digest(manifest);
+    std::string lastError;
+    do {
+        const auto base = readHead();
+        if (!base) {
+            lastError = base.error().text;
+            continue;
+        }
+        const ConfigHead &head = base->head;
+        if (contains(head.recentSubmissionIds, submission.id))
+            return {SubmissionOutcome::Accepted, head.version, "accepted before", 0};
+        if (submission.base && *submission.base != head.version)
+            return {SubmissionOutcome::Refused, head.version,
+                    "based on version " + std::to_string(*submission.base), 0};
+        if (head.manifestSha256 == manifestSha256)
+            return {SubmissionOutcome::Unchanged, head.version, "nothing differs", 0};
+        const auto written = writePieces(submission, manifest);
+        if (!written) {
+            lastError = written.error().text;
+            continue;
+        }
+        return settle(submission, *base, manifestSha256, *written, end);
+    } while (waitBeforeRetry(end));
+    return {SubmissionOutcome::NotStored, 0, lastError, 0};
+}
+
+StoreResult<Submitter::Base> Submitter::readHead()
+{
+    const auto stored = m_store.get(headKey(), kCallTimeout);
+    if (!stored)
+        return tl::make_unexpected(stored.error());
+    if (!*stored)
+        return Base{};
+    const auto head = m_codec.decodeHead((*stored)->value);
+    if (!head)
+        return tl::make_unexpected(StoreError{RunState::NotRun, "the stored head is damaged"});
+    return Base{*head, (*stored)->revision};
+}
+
+StoreResult<std::size_t> Submitter::writePieces(const Submission &submission,
+                                                const std::string &manifest)
+{
+    std::vector<std::string> keys;
+    std::vector<ConditionalWrite> all;
+    for (const StoredPiece &it : submission.pieces) {
+        keys.push_back(pieceKey(it.sha256));
+        all.push_back({keys.back(), 0, it.text});
+    }
+    keys.push_back(manifestKey(m_codec.digest(manifest)));
+    all.push_back({keys.back(), 0, manifest});
+
+    const auto present = m_store.getMany(keys, kCallTimeout);
+    if (!present)
+        return tl::make_unexpected(present.error());
+    std::vector<ConditionalWrite> missing;
+    for (std::size_t it = 0; it < all.size(); ++it) {
+        if (!(*present)[it])
+            missing.push_back(all[it]);
+    }
+    for (std::size_t begin = 0; begin < missing.size(); begin += kWritesPerCall) {
+        const std::size_t end = std::min(missing.size(), begin + kWritesPerCall);
+        const std::vector<ConditionalWrite> part(
+            missing.begin() + static_cast<std::ptrdiff_t>(begin),
+            missing.begin() + static_cast<std::ptrdiff_t>(end));
+        // A lost reply does no harm here: the values are named by their content.
+        const auto done = m_store.writeMissing(part, kCallTimeout);
+        if (!done)
+            return tl::make_unexpected(done.error());
+    }
+    return missing.size();
+}
+
+SubmissionResult Submitter::settle(const Submission &submission, const Base &base,
+                                   const std::string &manifestSha256, std::size_t written,
+                                   TimePoint end)
+{
+    const ConfigHead next = successor(base, submission, manifestSha256);
+    const std::vector<ConditionalWrite> swap{{headKey(), base.revision, m_codec.encodeHead(next)}};
+    bool mayHaveRun = false;
+    std::string lastError;
+    do {
+        const auto done = m_store.write(swap, kCallTimeout);
+        if (done && *done)
+            return {SubmissionOutcome::Accepted, next.version, "", written};
+        if (!done) {
+            mayHaveRun = mayHaveRun || done.error().state != RunState::NotRun;
+            lastError = done.error().text;
+            continue;
+        }
+        // The head has moved on, so no earlier try of ours can still take effect: reading decides.
+        const auto now = readHead();
+        if (!now) {
+            mayHaveRun = true;
+            lastError = now.error().text;
+            continue;
+        }
+        if (contains(now->head.recentSubmissionIds, submission.id))
+            return {SubmissionOutcome::Accepted, next.version, "", written};
+        return {SubmissionOutcome::Refused, now->head.version,
+                "submission " + now->head.submissionId + " came first", written};
+    } while (waitBeforeRetry(end));
+    return {mayHaveRun ? SubmissionOutcome::Unknown : SubmissionOutcome::NotStored, next.version,
+            lastError, written};
+}
+
+ConfigHead Submitter::successor(const Base &base, const Submission &submission,
+                                const std::string &manifestSha256) const
+{
+    ConfigHead next;
+    next.version = base.head.version + 1;
+    next.base = base.head.version;
+    next.manifestSha256 = manifestSha256;
+    next.submissionId = submission.id;
+    next.recentSubmissionIds = base.head.recentSubmissionIds;
+    next.recentSubmissionIds.push_back(submission.id);
+    if (next.recentSubmissionIds.size() > kRecentIds)
+        next.recentSubmissionIds.erase(next.recentSubmissionIds.begin());
+    next.accepted = m_clock.wallNow();
+    return next;
+}
+
+bool Submitter::waitBeforeRetry(TimePoint end)
+{
+    if (m_clock.now() + kRetryPause >= end)
+        return false;
+    m_pause(kRetryPause);
+    return true;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/tests/standins/blocking_server.hpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_TESTS_STANDINS_BLOCKING_SERVER_HPP_INCLUDED
+#define FORDWOOD_TESTS_STANDINS_BLOCKING_SERVER_HPP_INCLUDED
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+struct MHD_Daemon;
+
+namespace fordwood::standins {
+
+// A request to a stand-in, whole.
+struct Request
+{
+    std::string method;
+    std::string path; // without the query
+    std::string query;
+    std::map<std::string, std::string> headers; // names in lower case
+    std::string body;
+
+    std::string header(const std::string &name) const;
+};
+
+// What a stand-in answers.
+struct Answer
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+    std::map<std::string, std::string> headers;
+    // Called again and again for the parts of a streamed answer, until it gives an empty text. It
+    // may block. `left` becomes true in the last call when the client is gone.
+    std::function<std::string(bool left)> nextPart;
+    bool cutConnection = false; // close the connection without an answer
+    bool cutAfterParts = false; // close a streamed answer without its proper end
+};
+
+// A small HTTP server with a thread for each connection, so that handlers may simply sleep.
+class BlockingServer
+{
+public:
+    using Handler = std::function<Answer(const Request &)>;
+
+    BlockingServer(const std::string &address, Handler handler);
+    ~BlockingServer();
+    BlockingServer(const BlockingServer &) = delete;
+    BlockingServer &operator=(const BlockingServer &) = delete;
+
+    bool listening() const { return m_daemon != nullptr; }
+    const Handler &handler() const { return m_handler; }
+
+private:
+    Handler m_handler;
+    MHD_Daemon *m_daemon = nullptr;
+};
+
+// Waits for SIGTERM or SIGINT. Call blockSignals() first, before any thread is started.
+void blockSignals();
+void waitForSignal();
+
+} // namespace fordwood::standins
+
+#endif // FORDWOOD_TESTS_STANDINS_BLOCKING_SERVER_HPP_INCLUDED
--- /dev/null
+++ b/tests/unit/configuration_test.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: MIT
+#include "config/read_configuration.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "config/settings.hpp"
+
+using namespace fordwood;
+using namespace fordwood::config;
+
+namespace {
+
+const std::string kDigest(64, 'a');
+
+const std::string kSound = R"([[failure_domain]]
+name = "a"
+region = "r"
+[[model]]
+name = "m"
+weight_version = "v1"
+[[team]]
+name = "t"
+key_sha256 = [")" + kDigest + R"("]
+[[upstream]]
+name = "e"
+kind = "engine"
+failure_domain = "a"
+address = "127.0.0.1:80"
+models = ["m"]
+slots = 4
+)";
+
+ConfigErrors errorsOf(const std::string &text)
+{
+    ConfigErrors errors;
+    std::vector<Document> documents;
+    if (auto document = parseDocument("f.toml", text, errors))
+        documents.push_back(std::move(*document));
+    readConfiguration(documents, errors);
+    return errors;
+}
+
+std::string firstError(const std::string &text)
+{
+    const ConfigErrors errors = errorsOf(text);
+    return errors.empty() ? "" : errors.front().toString();
+}
+
+std::map<std::string, std::string> piecesOf(const std::string &text)
+{
+    ConfigErrors errors;
+    std::vector<Document> documents{*parseDocument("f.toml", text, errors)};
+    std::map<std::string, std::string> pieces;
+    for (const ConfigPiece &it : cutPieces(documents))
+        pieces[it.name] = it.text;
+    return pieces;
+}
+
+} // namespace
+
+TEST_CASE("configuration: a sound one is accepted [configuration]")
+{
+    CHECK(firstError(kSound) == "");
+}
+
+TEST_CASE(
+    "configuration: every fault names file, line, column and field [configuration][bad-input]")
+{
+    const std::string team
+        = "[[team]]\nname = \"u\"\nkey_sha256 = [\"" + std::string(64, 'b') + "\"]\n";
+    struct Case
+    {
+        std::string text;
+        std::string error;
+    };
+    const std::vector<Case> cases{
+        {"[[team]\n", "f.toml:1:8: "},
+        {"[[teem]]\n", "f.toml:1:1: teem: unknown section, expected \"team\"?"},
+        {team + "shore = 2\n", "f.toml:4:1: team.shore: unknown key, expected \"share\"?"},
+        {team + "share = -1\n",
+         "f.toml:4:9: team.share: is -1, expected number from 1e-06 to 1000000"},
+        {team + "share = nan\n", "f.toml:4:9: team.share: is nan, expected number"},
+        {team + "share = inf\n", "f.toml:4:9: team.share: is inf, expected number"},
+        {team + "share = \"2\"\n", "f.toml:4:9: team.share: has the wrong type, expected number"},
+        {"[[team]]\nkey_sha256 = [\"" + kDigest + "\"]\n", "f.toml:1:1: team.name: is missing"},
+        {"[[team]]\nname = \"u\"\nkey_sha256 = [\"xyz\"]\n",
+         "f.toml:3:14: team.key_sha256: holds \"xyz\""},
+        {"[limits]\ndefault_deadline = \"soon\"\n",
+         "f.toml:2:20: limits.default_deadline: is \"soon\""},
+        {"[limits]\ndefault_deadline = \"20m\"\n",
+         "limits.default_deadline: is longer than max_deadline"},
+        {kSound + team + team, "team.name: \"u\" stands twice"},
+        {kSound + "[[team]]\nname = \"u\"\nkey_sha256 = [\"" + kDigest + "\"]\n", "shares a key"},
+        {kSound
+             + "[[upstream]]\nname = \"x\"\nkind = \"engine\"\nfailure_domain = \"zz\"\n"
+               "address = \"127.0.0.1:1\"\nmodels = [\"m\"]\nslots = 1\n",
+         "upstream.failure_domain: \"zz\" is not declared"},
+        {kSound
+             + "[[upstream]]\nname = \"x\"\nkind = \"engin\"\nfailure_domain = \"a\"\n"
+               "address = \"127.0.0.1:1\"\nmodels = [\"m\"]\nslots = 1\n",
+         "upstream.kind: is \"engin\""},
+        {kSound
+             + "[[upstream]]\nname = \"x\"\nkind = \"service\"\nfailure_domain = \"a\"\n"
+               "address = \"somewhere:1\"\nservice = \"s\"\nslots = 1\n",
+         "upstream.address: is \"somewhere:1\", expected IP:port"},
+        {kSound + "[[route]]\npath = \"/v1/x\"\nservice = \"s\"\n", "route.path: is \"/v1/x\""},
+        {kSound + "[[route]]\npath = \"/x\"\nservice = \"s\"\n",
+         "route.service: \"s\" has no upstream"},
+    };
+    for (const Case &it : cases) {
+        const std::string error = firstError(it.text);
+        CHECK_MESSAGE(error.find(it.error) != std::string::npos, "expected \"", it.error,
+                      "\" in \"", error, "\"");
+    }
+}
+
+TEST_CASE("configuration: all faults are told, not only the first [configuration]")
+{
+    CHECK(errorsOf("[[team]]\nname = 3\n[[model]]\nname = \"\"\n").size() == 4);
+}
+
+TEST_CASE("configuration: pieces depend on content alone, and a change touches one [configuration]")
+{
+    std::string teams;
+    std::string reversed;
+    for (int it = 0; it < 200; ++it) {
+        const std::string table = "[[team]]\nname = \"t" + std::to_string(it)
+                                  + "\"\nkey_sha256 = [\"" + std::string(61, '0')
+                                  + std::to_string(100 + it) + "\"]\n";
+        teams += table;
+        reversed = table + "# a comment\n" + reversed;
+    }
+    const auto pieces = piecesOf(teams);
+    CHECK(pieces.size() == 8);
+    CHECK(pieces == piecesOf(reversed));
+    std::string changed = teams;
+    changed.replace(changed.find("name = \"t7\""), 11, "share = 2.0\nname = \"t7\"");
+    const auto after = piecesOf(changed);
+    const auto differing = std::count_if(after.begin(), after.end(), [&](const auto &it) {
+        return pieces.at(it.first) != it.second;
+    });
+    CHECK(differing == 1);
+}
+
+TEST_CASE("configuration: time spans [configuration]")
+{
+    using namespace std::chrono_literals;
+    CHECK(parseSpan("250ms") == Duration(250ms));
+    CHECK(parseSpan("1.5s") == Duration(1500ms));
+    CHECK(parseSpan("2m") == Duration(2min));
+    CHECK_FALSE(parseSpan("2"));
+    CHECK_FALSE(parseSpan("-2s"));
+    CHECK_FALSE(parseSpan("nans"));
+    CHECK_FALSE(parseSpan("1e99s"));
+    CHECK_FALSE(parseSpan(""));
+}
--- /dev/null
+++ b/tests/unit/dispatcher_test.cpp
@@ -0,0 +1,280 @@
+// SPDX-License-Identifier: MIT
+#include "core/dispatcher.hpp"
+
+#include <doctest/doctest.h>
+
+#include "fordwood/manual_clock.hpp"
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One dispatcher before two engines in one failure domain, with one owner.
+struct Bench
+{
+    ManualClock clock;
+    Dispatcher dispatcher{clock, DispatcherLimits{}};
+    std::vector<Action> actions;
+
+    explicit Bench(int engines = 2) { setFleet(engines, {}); }
+
+    void setFleet(int engines, const std::set<std::string> &leaving)
+    {
+        auto configuration = std::make_shared<Configuration>();
+        configuration->failureDomains["a"] = {"a", "r"};
+        configuration->models["m"] = {"m", "v1"};
+        for (int it = 0; it < engines; ++it) {
+            UpstreamConfig upstream;
+            upstream.name = "e" + std::to_string(it);
+            upstream.failureDomain = "a";
+            upstream.address = "127.0.0.1:1";
+            upstream.models = {"m"};
+            upstream.slots = 1;
+            configuration->upstreams[upstream.name] = upstream;
+        }
+        dispatcher.setView(std::make_shared<const FleetView>(
+            1, configuration, std::vector<Member>{{"n1", "a", "r", "127.0.0.1:2", false}}, leaving,
+            "a"));
+    }
+
+    void begin(CallId id, bool repeatable = true)
+    {
+        CallRequest request;
+        request.id = id;
+        request.team = "t";
+        request.target = "m";
+        request.repeatable = repeatable;
+        request.deadline = clock.now() + 30s;
+        dispatcher.begin(request);
+    }
+
+    // The last action of a kind since the last call, if any.
+    template <typename T>
+    std::optional<T> last()
+    {
+        for (Action &it : dispatcher.takeActions())
+            actions.push_back(std::move(it));
+        std::optional<T> found;
+        for (const Action &it : actions) {
+            if (const T *action = std::get_if<T>(&it))
+                found = *action;
+        }
+        actions.clear();
+        return found;
+    }
+
+    void grantLast()
+    {
+        const auto ask = last<AskPermit>();
+        REQUIRE(ask);
+        PermitReply reply;
+        reply.askId = ask->askId;
+        reply.granted = true;
+        reply.permitId = ++permits;
+        reply.sendWithin = 2s;
+        dispatcher.permitAnswered("n1", reply);
+    }
+
+    std::uint64_t permits = 0;
+};
+
+} // namespace
+
+TEST_CASE("dispatcher: a granted call is sent, and its permit is given back [permits]")
+{
+    Bench bench;
+    bench.begin(1);
+    bench.grantLast();
+    const auto send = bench.last<SendCall>();
+    REQUIRE(send);
+    CHECK(send->sendBy == bench.clock.now() + 2s);
+    bench.dispatcher.attemptFinished(1, send->attempt, 42.0);
+    const auto release = bench.last<ReleasePermit>();
+    REQUIRE(release);
+    CHECK(release->permitId == 1);
+    CHECK(release->cost == 42.0);
+    CHECK(bench.dispatcher.calls() == 0);
+}
+
+TEST_CASE("dispatcher: what may have run is sent again only if it is repeatable [at-most-once]")
+{
+    for (const bool repeatable : {false, true}) {
+        CAPTURE(repeatable);
+        Bench bench;
+        bench.begin(1, repeatable);
+        bench.grantLast();
+        const auto send = bench.last<SendCall>();
+        bench.dispatcher.attemptFailed(1, send->attempt,
+                                       {RunState::MayHaveRun, Reason::UpstreamBroke, "", false});
+        if (repeatable) {
+            CHECK(bench.last<AskPermit>());
+        } else {
+            const auto end = bench.last<EndCall>();
+            REQUIRE(end);
+            CHECK(end->verdict.state == RunState::MayHaveRun);
+        }
+    }
+}
+
+TEST_CASE("dispatcher: what did not run goes to another upstream [retry]")
+{
+    Bench bench;
+    bench.begin(1, false);
+    bench.grantLast();
+    const auto first = bench.last<SendCall>();
+    bench.dispatcher.attemptFailed(1, first->attempt,
+                                   {RunState::NotRun, Reason::ConnectFailed, "", false});
+    bench.grantLast();
+    const auto second = bench.last<SendCall>();
+    REQUIRE(second);
+    CHECK(second->upstream != first->upstream);
+}
+
+TEST_CASE("dispatcher: after an attempt that may have run no refusal says not run [not-run]")
+{
+    Bench bench;
+    bench.begin(1, true);
+    bench.grantLast();
+    const auto send = bench.last<SendCall>();
+    bench.dispatcher.attemptFailed(1, send->attempt,
+                                   {RunState::MayHaveRun, Reason::UpstreamBroke, "", false});
+    const auto ask = bench.last<AskPermit>();
+    REQUIRE(ask);
+    PermitReply denial;
+    denial.askId = ask->askId;
+    denial.reason = Reason::DeadlineTooNear;
+    bench.dispatcher.permitAnswered("n1", denial);
+    const auto end = bench.last<EndCall>();
+    REQUIRE(end);
+    CHECK(end->verdict.reason == Reason::DeadlineTooNear);
+    CHECK(end->verdict.state == RunState::MayHaveRun);
+}
+
+TEST_CASE("dispatcher: an answer that has begun is never begun again [whole-answers]")
+{
+    Bench bench;
+    bench.begin(1, true);
+    bench.grantLast();
+    const auto send = bench.last<SendCall>();
+    bench.dispatcher.attemptFailed(1, send->attempt,
+                                   {RunState::MayHaveRun, Reason::AnswerCut, "", true});
+    const auto end = bench.last<EndCall>();
+    REQUIRE(end);
+    CHECK(end->verdict.reason == Reason::AnswerCut);
+}
+
+TEST_CASE(
+    "dispatcher: a permit that lay unread while the node was paused is not used late [leaving]")
+{
+    Bench bench;
+    bench.begin(1);
+    const auto ask = bench.last<AskPermit>();
+    bench.clock.advance(10s); // the grant came at once, but nobody read it
+    PermitReply reply;
+    reply.askId = ask->askId;
+    reply.granted = true;
+    reply.permitId = 1;
+    reply.sendWithin = 2s;
+    bench.dispatcher.permitAnswered("n1", reply);
+    const auto send = bench.last<SendCall>();
+    REQUIRE(send);
+    CHECK(send->sendBy < bench.clock.now());
+}
+
+TEST_CASE("dispatcher: a permit for an upstream that is leaving meanwhile is given back [leaving]")
+{
+    Bench bench(1);
+    bench.begin(1);
+    const auto ask = bench.last<AskPermit>();
+    bench.setFleet(1, {"e0"});
+    PermitReply reply;
+    reply.askId = ask->askId;
+    reply.granted = true;
+    reply.permitId = 9;
+    reply.sendWithin = 2s;
+    bench.dispatcher.permitAnswered("n1", reply);
+    bool sent = false;
+    bool released = false;
+    std::optional<Verdict> verdict;
+    for (const Action &it : bench.dispatcher.takeActions()) {
+        sent = sent || std::holds_alternative<SendCall>(it);
+        released = released || std::holds_alternative<ReleasePermit>(it);
+        if (const auto *end = std::get_if<EndCall>(&it))
+            verdict = end->verdict;
+    }
+    CHECK_FALSE(sent);
+    CHECK(released);
+    REQUIRE(verdict);
+    CHECK(verdict->state == RunState::NotRun);
+    CHECK(verdict->reason == Reason::UpstreamLeaving);
+}
+
+TEST_CASE("dispatcher: a silent owner costs a local allowance, which is bounded [owner]")
+{
+    Bench bench(1);
+    bench.begin(1);
+    bench.begin(2);
+    bench.dispatcher.takeActions();
+    bench.dispatcher.ownerLost("n1");
+    int sent = 0;
+    int refused = 0;
+    for (const Action &it : bench.dispatcher.takeActions()) {
+        sent += std::holds_alternative<SendCall>(it) ? 1 : 0;
+        refused += std::holds_alternative<EndCall>(it) ? 1 : 0;
+    }
+    CHECK(sent == 1);
+    CHECK(refused == 1);
+}
+
+TEST_CASE("dispatcher: the retry budget bounds how often a team's calls are sent again [retry]")
+{
+    Bench bench;
+    int retries = 0;
+    for (CallId id = 1; id <= 200; ++id) {
+        bench.begin(id, true);
+        bench.grantLast();
+        const auto send = bench.last<SendCall>();
+        bench.dispatcher.attemptFailed(id, send->attempt,
+                                       {RunState::NotRun, Reason::UpstreamPushback, "", false});
+        if (bench.last<AskPermit>())
+            ++retries;
+    }
+    CHECK(retries >= 20);
+    CHECK(retries <= 32);
+}
+
+TEST_CASE("dispatcher: when the caller leaves, the attempt is cancelled and the permit given back")
+{
+    Bench bench;
+    bench.begin(1);
+    bench.grantLast();
+    bench.dispatcher.takeActions();
+    bench.dispatcher.callerLeft(1);
+    bool cancelled = false;
+    bool released = false;
+    for (const Action &it : bench.dispatcher.takeActions()) {
+        cancelled = cancelled || std::holds_alternative<CancelAttempt>(it);
+        released = released || std::holds_alternative<ReleasePermit>(it);
+    }
+    CHECK(cancelled);
+    CHECK(released);
+    CHECK(bench.dispatcher.calls() == 0);
+}
+
+TEST_CASE("dispatcher: a late grant for a call that is over is given back [permits]")
+{
+    Bench bench;
+    bench.begin(1);
+    const auto ask = bench.last<AskPermit>();
+    bench.dispatcher.callerLeft(1);
+    bench.dispatcher.takeActions();
+    PermitReply reply;
+    reply.askId = ask->askId;
+    reply.granted = true;
+    reply.permitId = 5;
+    bench.dispatcher.permitAnswered("n1", reply);
+    const auto release = bench.last<ReleasePermit>();
+    REQUIRE(release);
+    CHECK(release->permitId == 5);
+}
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,3 @@
+// SPDX-License-Identifier: MIT
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/tests/unit/submission_test.cpp
@@ -0,0 +1,223 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/submission.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "adapters/platform/proto_head_codec.hpp"
+#include "fordwood/manual_clock.hpp"
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A store whose writes can lose their replies, before or after they take effect.
+class FaultyStore : public KeyValueStore
+{
+public:
+    enum class Fault { None, LostAfterEffect, LostBeforeEffect, Down };
+
+    std::map<std::string, StoredValue> values;
+    std::vector<Fault> headFaults; // for the next writes of the head, in order
+    std::function<void()> beforeHeadWrite; // a racing operator
+    bool down = false;
+
+    StoreResult<std::optional<StoredValue>> get(const std::string &key, Duration) override
+    {
+        if (down)
+            return tl::make_unexpected(StoreError{RunState::NotRun, "down"});
+        const auto it = values.find(key);
+        return it == values.end() ? std::nullopt : std::optional(it->second);
+    }
+
+    StoreResult<std::vector<std::optional<StoredValue>>>
+    getMany(const std::vector<std::string> &keys, Duration timeout) override
+    {
+        std::vector<std::optional<StoredValue>> result;
+        for (const std::string &it : keys) {
+            const auto value = get(it, timeout);
+            if (!value)
+                return tl::make_unexpected(value.error());
+            result.push_back(*value);
+        }
+        return result;
+    }
+
+    StoreResult<bool> write(const std::vector<ConditionalWrite> &writes, Duration) override
+    {
+        if (beforeHeadWrite)
+            std::exchange(beforeHeadWrite, nullptr)();
+        Fault fault = down ? Fault::Down : Fault::None;
+        if (!headFaults.empty()) {
+            fault = headFaults.front();
+            headFaults.erase(headFaults.begin());
+        }
+        if (fault == Fault::Down || fault == Fault::LostBeforeEffect)
+            return tl::make_unexpected(StoreError{
+                fault == Fault::Down ? RunState::NotRun : RunState::MayHaveRun, "no answer"});
+        bool all = true;
+        for (const ConditionalWrite &it : writes) {
+            const auto known = values.find(it.key);
+            all = all
+                  && (known == values.end() ? 0 : known->second.revision) == it.expectedRevision;
+        }
+        if (all)
+            put(writes);
+        if (fault == Fault::LostAfterEffect)
+            return tl::make_unexpected(StoreError{RunState::MayHaveRun, "reply lost"});
+        return all;
+    }
+
+    StoreResult<bool> writeMissing(const std::vector<ConditionalWrite> &writes, Duration) override
+    {
+        if (down)
+            return tl::make_unexpected(StoreError{RunState::NotRun, "down"});
+        for (const ConditionalWrite &it : writes) {
+            if (values.count(it.key) == 0)
+                put({it});
+        }
+        return true;
+    }
+
+private:
+    void put(const std::vector<ConditionalWrite> &writes)
+    {
+        ++m_revision;
+        for (const ConditionalWrite &it : writes)
+            values[it.key] = {it.value, m_revision};
+    }
+
+    std::int64_t m_revision = 0;
+};
+
+struct Bench
+{
+    ManualClock clock;
+    FaultyStore store;
+    adapters::ProtoHeadCodec codec;
+    Submitter submitter{store, codec, clock, [this](Duration time) { clock.advance(time); }};
+
+    Submission submission(const std::string &id, const std::string &text) const
+    {
+        return {id, {{"piece", codec.digest(text), text}}, std::nullopt};
+    }
+};
+
+} // namespace
+
+TEST_CASE("submission: a first one and a next one raise the version [configuration]")
+{
+    Bench bench;
+    const auto first = bench.submitter.submit(bench.submission("s1", "one"), 5s);
+    CHECK(first.outcome == SubmissionOutcome::Accepted);
+    CHECK(first.version == 1);
+    CHECK(first.piecesWritten == 2); // the piece and the manifest
+    const auto second = bench.submitter.submit(bench.submission("s2", "two"), 5s);
+    CHECK(second.version == 2);
+    const auto same = bench.submitter.submit(bench.submission("s3", "two"), 5s);
+    CHECK(same.outcome == SubmissionOutcome::Unchanged);
+    CHECK(same.version == 2);
+}
+
+TEST_CASE("submission: a reply that is lost after the effect is settled, not repeated [platform]")
+{
+    Bench bench;
+    bench.store.headFaults = {FaultyStore::Fault::LostAfterEffect};
+    const auto result = bench.submitter.submit(bench.submission("s1", "one"), 5s);
+    CHECK(result.outcome == SubmissionOutcome::Accepted);
+    CHECK(result.version == 1);
+    const auto head = bench.codec.decodeHead(bench.store.values.at(headKey()).value);
+    CHECK(head->version == 1);
+}
+
+TEST_CASE(
+    "submission: lost after the effect and overtaken at once is still told as accepted [race]")
+{
+    Bench bench;
+    bench.store.headFaults = {FaultyStore::Fault::LostAfterEffect};
+    // Another operator's submission follows before ours has heard of its own success.
+    int writes = 0;
+    Submitter submitter(bench.store, bench.codec, bench.clock, [&](Duration time) {
+        bench.clock.advance(time);
+        if (writes++ == 0)
+            CHECK(bench.submitter.submit(bench.submission("other", "two"), 5s).version == 2);
+    });
+    const auto result = submitter.submit(bench.submission("s1", "one"), 5s);
+    CHECK(result.outcome == SubmissionOutcome::Accepted);
+    CHECK(result.version == 1);
+}
+
+TEST_CASE("submission: of two racing operators one wins and the other is told [race]")
+{
+    Bench bench;
+    SubmissionResult other;
+    bench.store.beforeHeadWrite
+        = [&] { other = bench.submitter.submit(bench.submission("s2", "two"), 5s); };
+    const auto result = bench.submitter.submit(bench.submission("s1", "one"), 5s);
+    CHECK(other.outcome == SubmissionOutcome::Accepted);
+    CHECK(result.outcome == SubmissionOutcome::Refused);
+    CHECK(result.version == 1);
+}
+
+TEST_CASE("submission: a late effect of a lost write cannot undo a refusal [race][platform]")
+{
+    Bench bench;
+    bench.store.headFaults = {FaultyStore::Fault::LostBeforeEffect};
+    bench.store.beforeHeadWrite
+        = [&] { CHECK(bench.submitter.submit(bench.submission("s2", "two"), 5s).version == 1); };
+    // The first try is lost; the fault hits the racing write instead of ours, so give it one too.
+    bench.store.headFaults.insert(bench.store.headFaults.begin(), FaultyStore::Fault::None);
+    const auto result = bench.submitter.submit(bench.submission("s1", "one"), 5s);
+    CHECK(result.outcome == SubmissionOutcome::Refused);
+    // The lost write arrives now, with the revision that it was based on: it must not take effect.
+    ConfigHead late;
+    late.version = 1;
+    late.submissionId = "s1";
+    const auto done = bench.store.write({{headKey(), 0, bench.codec.encodeHead(late)}}, 1s);
+    CHECK_FALSE(*done);
+}
+
+TEST_CASE("submission: with the store down it is surely not in force [platform]")
+{
+    Bench bench;
+    bench.store.down = true;
+    const auto result = bench.submitter.submit(bench.submission("s1", "one"), 3s);
+    CHECK(result.outcome == SubmissionOutcome::NotStored);
+}
+
+TEST_CASE(
+    "submission: without a certain answer the outcome is unknown, and asking again settles it")
+{
+    Bench bench;
+    bench.store.headFaults.assign(100, FaultyStore::Fault::LostBeforeEffect);
+    const auto result = bench.submitter.submit(bench.submission("s1", "one"), 2s);
+    CHECK(result.outcome == SubmissionOutcome::Unknown);
+    bench.store.headFaults.clear();
+    CHECK(bench.submitter.submit(bench.submission("s1", "one"), 2s).version == 1);
+    CHECK(bench.submitter.submit(bench.submission("s1", "one"), 2s).version == 1);
+}
+
+TEST_CASE("submission: one based on another version than that in force is refused [race]")
+{
+    Bench bench;
+    bench.submitter.submit(bench.submission("s1", "one"), 5s);
+    Submission late = bench.submission("s2", "two");
+    late.base = 0;
+    CHECK(bench.submitter.submit(late, 5s).outcome == SubmissionOutcome::Refused);
+    late.base = 1;
+    CHECK(bench.submitter.submit(late, 5s).outcome == SubmissionOutcome::Accepted);
+}
+
+TEST_CASE("head guard: versions never go back [configuration]")
+{
+    HeadGuard guard;
+    ConfigHead head;
+    head.version = 5;
+    CHECK(guard.offer(head) == HeadOrder::Newer);
+    CHECK(guard.offer(head) == HeadOrder::Same);
+    head.version = 4;
+    CHECK(guard.offer(head) == HeadOrder::Older);
+    CHECK(guard.head().version == 5);
+}
