--- /dev/null
+++ b/bench/path_bench.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: MIT
+// Measures the whole path with real processes: what fordwood adds to calling an engine directly,
+// how many short requests a node serves, and what the daemons use with many open streams. Usage:
+// path-bench [requests] [streams]
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "process/fleet.hpp"
+
+namespace {
+
+using namespace fordwood::process;
+using Json = nlohmann::json;
+
+std::string list(const std::vector<std::string> &addresses)
+{
+    return Json(addresses).dump();
+}
+
+std::string run(const std::string &targets, const std::string &rest)
+{
+    return "[run]\ntargets = " + targets + "\n" + rest;
+}
+
+constexpr const char *kShort
+    = "[[conversation]]\nteam = \"team-0\"\nkey = \"key-0\"\nmodel = \"m\"\n"
+      "contexts = 50\nquestion_tokens = 32\nnew_tokens = 2\n";
+
+double milliseconds(fordwood::Duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+// First byte through the nodes against first byte from the engines themselves.
+void overhead(int requests)
+{
+    Fleet fleet({3, 4, 3, 64, {"token_ms=0", "prefill_rate=100000000"}, ""});
+    fleet.start();
+    const std::string workload
+        = "rate = 500.0\nrequests = " + std::to_string(requests) + "\n" + kShort;
+    std::string direct;
+    std::string through;
+    fleet.load(
+        run(list(fleet.addresses([&](int it) { return fleet.engineAddress(it); }, 4)), workload),
+        direct);
+    const int code = fleet.load(
+        run(list(fleet.addresses([&](int it) { return fleet.entryAddress(it); }, 3)), workload),
+        through);
+    const Json a = Json::parse(direct)["first_byte_ms"];
+    const Json b = Json::parse(through)["first_byte_ms"];
+    std::cout << "overhead at 500/s over 3 nodes, " << requests << " requests, exit " << code
+              << "\n";
+    for (const char *it : {"p50", "p95", "p99"})
+        std::cout << "  " << it << " direct " << a[it].get<double>() << " ms, through "
+                  << b[it].get<double>() << " ms, added "
+                  << b[it].get<double>() - a[it].get<double>() << " ms\n";
+    std::cout << "  outcomes " << Json::parse(through)["outcomes"].dump() << "\n";
+}
+
+// Offered load on one node, and the processor time that its daemons used for it.
+void throughput(double rate)
+{
+    Fleet fleet({1, 4, 1, 256, {"token_ms=0", "prefill_rate=100000000", "queue=4096"}, ""});
+    fleet.start();
+    const int requests = static_cast<int>(rate * 5);
+    const Usage entryBefore = fleet.entryds[0].usage();
+    const Usage controlBefore = fleet.controlds[0].usage();
+    std::string result;
+    fleet.load(run(list({fleet.entryAddress(0)}), "rate = " + std::to_string(rate)
+                                                      + "\nrequests = " + std::to_string(requests)
+                                                      + "\n" + kShort + "stream = false\n"),
+               result, {"--threads", "2"});
+    const Usage entry = fleet.entryds[0].usage();
+    const Usage control = fleet.controlds[0].usage();
+    const Json json = Json::parse(result);
+    const double answered = json["outcomes"]["answered"];
+    const double entryMs = milliseconds(entry.processorTime - entryBefore.processorTime);
+    const double controlMs = milliseconds(control.processorTime - controlBefore.processorTime);
+    std::cout << "one node, offered " << rate << "/s: answered "
+              << answered / json["seconds"].get<double>() << "/s, whole p50 "
+              << json["whole_ms"]["p50"].get<double>() << " ms p99 "
+              << json["whole_ms"]["p99"].get<double>() << " ms, entryd "
+              << 1000 * entryMs / answered << " us, controld " << 1000 * controlMs / answered
+              << " us a request\n  outcomes " << json["outcomes"].dump() << " reasons "
+              << json["reasons"].dump() << "\n";
+}
+
+// Memory of the daemons while many streams are open.
+void openStreams(int streams)
+{
+    Fleet fleet({1, 4, 1, streams, {"token_ms=200", "prefill_rate=100000000"}, ""});
+    fleet.start();
+    const Usage idleEntry = fleet.entryds[0].usage();
+    const Usage idleControl = fleet.controlds[0].usage();
+    std::string result;
+    std::thread load([&] {
+        fleet.load(
+            run(list({fleet.entryAddress(0)}),
+                "rate = 500.0\nrequests = " + std::to_string(streams)
+                    + "\n[[conversation]]\nteam = \"team-0\"\nkey = \"key-0\"\nmodel = \"m\"\n"
+                      "contexts = 100\nquestion_tokens = 1000\nnew_tokens = 60\n"),
+            result);
+    });
+    const bool open
+        = Fleet::waitFor([&] { return fleet.metric(0, "fordwood_in_flight") >= streams; });
+    const Usage entry = fleet.entryds[0].usage();
+    const Usage control = fleet.controlds[0].usage();
+    load.join();
+    constexpr double kMegabyte = 1 << 20;
+    std::cout << streams << " open streams (" << (open ? "all open at once" : "never all open")
+              << "): entryd " << static_cast<double>(idleEntry.residentBytes) / kMegabyte << " -> "
+              << static_cast<double>(entry.residentBytes) / kMegabyte << " MB, controld "
+              << static_cast<double>(idleControl.residentBytes) / kMegabyte << " -> "
+              << static_cast<double>(control.residentBytes) / kMegabyte << " MB\n  outcomes "
+              << Json::parse(result)["outcomes"].dump() << "\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    overhead(argc > 1 ? std::atoi(argv[1]) : 2000);
+    for (const double rate : {1000.0, 3000.0, 5000.0})
+        throughput(rate);
+    openStreams(argc > 2 ? std::atoi(argv[2]) : 1000);
+    return 0;
+}
