--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -18,11 +18,12 @@
     EventLevel level;
     std::string_view name;
     std::string_view text;
+    std::string_view advice;
 };
 
 constexpr EventInfo kEvents[] = {
-#define FORDWOOD_EVENT(symbol, number, level, text) \
-    {Event::symbol, EventLevel::level, #symbol, text},
+#define FORDWOOD_EVENT(symbol, number, level, text, advice) \
+    {Event::symbol, EventLevel::level, #symbol, text, advice},
 #include "adapters/observe/event_list.inc"
 #undef FORDWOOD_EVENT
 };
@@ -92,6 +93,20 @@
     el::Loggers::reconfigureAllLoggers(conf);
 }
 
+std::string eventsPage()
+{
+    std::ostringstream out;
+    out << "# Events\n\nEvery line of the log is one of these numbered events, as `key=value` text "
+           "or "
+           "as JSON\n(setting `log.format`). This page is made from the code by "
+           "`tools/write_references.sh`.\n\n"
+           "| number | name | level | meaning | what to do |\n|---|---|---|---|---|\n";
+    for (const EventInfo &it : kEvents)
+        out << "| " << static_cast<int>(it.event) << " | " << it.name << " | "
+            << levelName(it.level) << " | " << it.text << " | " << it.advice << " |\n";
+    return out.str();
+}
+
 void logEvent(Event event, std::initializer_list<EventField> fields)
 {
     const EventInfo &info = infoOf(event);
--- a/src/adapters/observe/event_log.hpp
+++ b/src/adapters/observe/event_log.hpp
@@ -14,7 +14,7 @@
 
 // The numbered events that the programs log.
 enum class Event : std::uint16_t {
-#define FORDWOOD_EVENT(symbol, number, level, text) symbol = number,
+#define FORDWOOD_EVENT(symbol, number, level, text, advice) symbol = number,
 #include "adapters/observe/event_list.inc"
 #undef FORDWOOD_EVENT
 };
@@ -36,6 +36,9 @@
 // Sets the form of the log (key=value or JSON lines on standard error) and the program's name.
 void openEventLog(const std::string &program, bool json);
 
+// The catalogue of events, in Markdown.
+std::string eventsPage();
+
 // Writes one event.
 void logEvent(Event event, std::initializer_list<EventField> fields = {});
 
--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -14,6 +14,7 @@
 #include "adapters/platform/proto_head_codec.hpp"
 #include "adapters/system_clock.hpp"
 #include "apps/common/daemon.hpp"
+#include "apps/ctl/references.hpp"
 #include "apps/ctl/sources.hpp"
 
 namespace fordwood::apps {
@@ -324,6 +325,16 @@
     return allAnswered && same ? ExitOk : ExitFailed;
 }
 
+int reference(const CtlOptions &options, const Output &output)
+{
+    const auto page = referenceOf(options.arguments.empty() ? "" : options.arguments[0]);
+    if (!page)
+        return output.fail(ExitUsage,
+                           "reference: expected configuration, settings, reasons or events");
+    output.out << *page;
+    return ExitOk;
+}
+
 } // namespace
 
 int runVerb(const CtlOptions &options, std::ostream &out, std::ostream &err)
@@ -337,6 +348,8 @@
         return output.fail(ExitUsage, options.verb + ": expected one file or folder");
     if (needsPlatform && options.platform.empty())
         return output.fail(ExitUsage, "--platform: is missing, expected IP:port");
+    if (options.verb == "reference")
+        return reference(options, output);
     if (options.verb == "check")
         return check(options, output);
     if (options.verb == "submit")
@@ -346,10 +359,11 @@
     if (options.verb == "diff")
         return diff(options, output);
     if (options.verb != "status")
-        return output.fail(ExitUsage,
-                           "\"" + options.verb
-                               + "\": unknown verb, expected check, submit, show, diff, status or "
-                                 "version");
+        return output.fail(
+            ExitUsage,
+            "\"" + options.verb
+                + "\": unknown verb, expected check, submit, show, diff, status, reference or "
+                  "version");
     if (options.nodes.empty())
         return output.fail(ExitUsage, "--node: is missing, expected IP:port of a controld");
     return status(options, output);
--- a/src/apps/ctl/main.cpp
+++ b/src/apps/ctl/main.cpp
@@ -20,6 +20,7 @@
       "  show          prints the configuration in force\n"
       "  diff PATH     compares it with the configuration in force\n"
       "  status        asks nodes which version they serve\n"
+      "  reference P   prints a page of the docs: configuration, settings, reasons or events\n"
       "  version       prints the version of this program\n\n"
       "Exit codes: 0 done; 1 failed; 2 wrong options or a configuration that was refused;\n"
       "3 another submission came first; 4 not known whether it took effect (submit again with the\n"
--- a/src/apps/load/main.cpp
+++ b/src/apps/load/main.cpp
@@ -27,6 +27,7 @@
     auto add = options.add_options();
     add("help", "show this text");
     add("version", "show the version");
+    add("reference", "print the reference of workload files");
     add("target", po::value<std::vector<std::string>>(),
         "use these addresses instead of the file's");
     add("rate", po::value<double>(), "use this rate instead of the file's");
@@ -45,6 +46,10 @@
         std::cout << "fordwood-load " << FORDWOOD_VERSION << "\n";
         return apps::ExitOk;
     }
+    if (values.count("reference") != 0) {
+        std::cout << apps::workloadReference();
+        return apps::ExitOk;
+    }
     if (values.count("help") != 0 || values.count("workload") == 0) {
         std::cout << kUsage << options;
         return values.count("help") != 0 ? apps::ExitOk : apps::ExitUsage;
