--- /dev/null
+++ b/include/fordwood/config_delta.hpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_CONFIG_DELTA_HPP_INCLUDED
+#define FORDWOOD_CONFIG_DELTA_HPP_INCLUDED
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fordwood {
+
+// One immutable part of a configuration, stored under the digest of its text.
+struct StoredPiece
+{
+    std::string name;
+    std::string sha256;
+    std::string text;
+};
+
+// How one piece comes from the one of the same name before it: the first and last bytes stay, what
+// lies between is replaced.
+struct PieceSplice
+{
+    std::string name;
+    std::size_t keepFront = 0; // bytes
+    std::size_t keepBack = 0; // bytes
+    std::string middle;
+    std::string sha256; // of the result
+};
+
+// What changes from one configuration to the next. A change of one table is a few hundred bytes,
+// however large the configuration is.
+struct ConfigDelta
+{
+    std::string fromManifestSha256;
+    std::vector<PieceSplice> splices;
+    std::vector<std::string> removed; // names of pieces
+};
+
+// The change between two lists of pieces; both are sorted by name in the result of applyDelta().
+ConfigDelta makeDelta(const std::vector<StoredPiece> &before, const std::string &fromManifestSha256,
+                      const std::vector<StoredPiece> &after);
+
+// Applies a change. Empty when it does not fit the pieces, or a digest does not come out right.
+std::optional<std::vector<StoredPiece>>
+applyDelta(const std::vector<StoredPiece> &before, const ConfigDelta &delta,
+           const std::function<std::string(const std::string &)> &digest);
+
+} // namespace fordwood
+
+#endif // FORDWOOD_CONFIG_DELTA_HPP_INCLUDED
--- a/include/fordwood/config_head.hpp
+++ b/include/fordwood/config_head.hpp
@@ -4,10 +4,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "fordwood/clock.hpp"
+#include "fordwood/config_delta.hpp"
 
 namespace fordwood {
 
@@ -20,6 +22,7 @@
     std::string submissionId;
     std::vector<std::string> recentSubmissionIds; // newest last, this submission included
     WallTime accepted{};
+    std::optional<ConfigDelta> delta; // from the configuration before it, when that is small
 };
 
 // How a head compares with the newest one seen.
--- a/include/fordwood/submission.hpp
+++ b/include/fordwood/submission.hpp
@@ -12,14 +12,6 @@
 
 namespace fordwood {
 
-// One immutable part of a configuration, stored under the digest of its text.
-struct StoredPiece
-{
-    std::string name;
-    std::string sha256;
-    std::string text;
-};
-
 // Turns heads and manifests into the bytes that are stored, and back.
 class HeadCodec
 {
@@ -88,8 +80,10 @@
 
     StoreResult<Base> readHead();
     StoreResult<std::size_t> writePieces(const Submission &submission, const std::string &manifest);
-    SubmissionResult settle(const Submission &submission, const Base &base,
-                            const std::string &manifestSha256, std::size_t written, TimePoint end);
+    SubmissionResult settle(const Submission &submission, const Base &base, const ConfigHead &next,
+                            std::size_t written, TimePoint end);
+    std::optional<ConfigDelta> deltaFrom(const ConfigHead &base,
+                                         const std::vector<StoredPiece> &after);
     ConfigHead successor(const Base &base, const Submission &submission,
                          const std::string &manifestSha256) const;
     bool waitBeforeRetry(TimePoint end);
--- a/include/fordwood/vm_list.hpp
+++ b/include/fordwood/vm_list.hpp
@@ -2,6 +2,8 @@
 #ifndef FORDWOOD_VM_LIST_HPP_INCLUDED
 #define FORDWOOD_VM_LIST_HPP_INCLUDED
 
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,12 +15,29 @@
 // The platform's lagging list of VMs, as far as the system uses it.
 struct VmList
 {
-    std::vector<Member> entryVms; // those that run this system
+    std::uint64_t revision = 0; // grows with every change of the list; zero: none read yet
+    std::vector<Member> entryVms; // those that run this system, by name
     std::set<std::string> leavingUpstreams;
 
     bool operator==(const VmList &) const = default;
 };
 
+// What changes from one list to a later one.
+struct VmListDelta
+{
+    std::uint64_t fromRevision = 0; // zero: the delta is the whole list
+    std::uint64_t toRevision = 0;
+    std::vector<Member> changed;
+    std::vector<std::string> removed;
+    std::vector<std::string> leavingAdded;
+    std::vector<std::string> leavingRemoved;
+};
+
+VmListDelta makeDelta(const VmList &before, const VmList &after);
+
+// Empty when the delta does not fit the list.
+std::optional<VmList> applyDelta(const VmList &before, const VmListDelta &delta);
+
 } // namespace fordwood
 
 #endif // FORDWOOD_VM_LIST_HPP_INCLUDED
--- a/src/adapters/platform/proto_head_codec.cpp
+++ b/src/adapters/platform/proto_head_codec.cpp
@@ -5,6 +5,38 @@
 
 namespace fordwood::adapters {
 
+namespace {
+
+wire::Delta toWire(const ConfigDelta &delta)
+{
+    wire::Delta message;
+    message.set_from_manifest_sha256(delta.fromManifestSha256);
+    for (const PieceSplice &it : delta.splices) {
+        wire::Splice *splice = message.add_splices();
+        splice->set_name(it.name);
+        splice->set_keep_front(it.keepFront);
+        splice->set_keep_back(it.keepBack);
+        splice->set_middle(it.middle);
+        splice->set_sha256(it.sha256);
+    }
+    for (const std::string &it : delta.removed)
+        message.add_removed(it);
+    return message;
+}
+
+ConfigDelta fromWire(const wire::Delta &message)
+{
+    ConfigDelta delta;
+    delta.fromManifestSha256 = message.from_manifest_sha256();
+    for (const wire::Splice &it : message.splices())
+        delta.splices.push_back(
+            {it.name(), it.keep_front(), it.keep_back(), it.middle(), it.sha256()});
+    delta.removed.assign(message.removed().begin(), message.removed().end());
+    return delta;
+}
+
+} // namespace
+
 wire::Head toWire(const ConfigHead &head)
 {
     wire::Head message;
@@ -15,6 +47,8 @@
     message.set_accepted_unix_ms(head.accepted.time_since_epoch().count());
     for (const std::string &it : head.recentSubmissionIds)
         message.add_recent_submission_ids(it);
+    if (head.delta)
+        *message.mutable_delta() = toWire(*head.delta);
     return message;
 }
 
@@ -28,6 +62,8 @@
     head.accepted = WallTime(std::chrono::milliseconds(message.accepted_unix_ms()));
     head.recentSubmissionIds.assign(message.recent_submission_ids().begin(),
                                     message.recent_submission_ids().end());
+    if (message.has_delta())
+        head.delta = fromWire(message.delta());
     return head;
 }
 
--- /dev/null
+++ b/src/core/spreading_tree.cpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/spreading_tree.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+namespace {
+
+using Ranks = std::vector<std::string>;
+
+constexpr std::size_t kChords = 2; // links of a relay beside those to the next domain
+
+// The members of a domain in the order of their ranks.
+Ranks ranked(const std::string &domain, const std::set<std::string> &names)
+{
+    const std::vector<std::string> list(names.begin(), names.end());
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(list.size());
+    for (const std::string &it : list)
+        hashes.push_back(stableHash(it));
+    Ranks ranks;
+    for (const std::size_t it : rendezvousOrder(stableHash("relay/" + domain), hashes, list.size()))
+        ranks.push_back(list[it]);
+    return ranks;
+}
+
+std::size_t firstParent(std::size_t position)
+{
+    return (position - kRelaysPerDomain) / kFanOut;
+}
+
+// Places go in pairs: the second parent is the neighbour of the first.
+std::size_t secondParent(std::size_t position)
+{
+    return firstParent(position) ^ 1U;
+}
+
+// Relays of different domains form a ring over the domains, with a few chords, so that a domain
+// that is cut off from the platform still hears of changes over several ways.
+std::vector<std::string> neighboursOf(const std::string &self, const std::string &ownDomain,
+                                      const std::map<std::string, Ranks> &domains)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, ranks] : domains)
+        names.push_back(name);
+    std::set<std::string> chosen;
+    const auto own = std::find(names.begin(), names.end(), ownDomain) - names.begin();
+    chosen.insert(names[(static_cast<std::size_t>(own) + 1) % names.size()]);
+    std::vector<std::uint64_t> hashes;
+    for (const std::string &it : names)
+        hashes.push_back(stableHash(it));
+    for (const std::size_t it : rendezvousOrder(stableHash(self), hashes, kChords))
+        chosen.insert(names[it]);
+    chosen.erase(ownDomain);
+    std::vector<std::string> neighbours;
+    for (const std::string &it : chosen) {
+        const Ranks &ranks = domains.at(it);
+        const std::size_t pick = stableHash(self) % std::min(kRelaysPerDomain, ranks.size());
+        neighbours.push_back(ranks[pick]);
+    }
+    return neighbours;
+}
+
+} // namespace
+
+SpreadingPlace spreadingPlace(const std::string &self, const std::string &ownFailureDomain,
+                              const std::vector<Member> &members)
+{
+    std::map<std::string, std::set<std::string>> names;
+    for (const Member &it : members)
+        names[it.failureDomain].insert(it.name);
+    names[ownFailureDomain].insert(self);
+    std::map<std::string, Ranks> domains;
+    for (const auto &[domain, set] : names)
+        domains[domain] = ranked(domain, set);
+
+    const Ranks &own = domains[ownFailureDomain];
+    const auto position
+        = static_cast<std::size_t>(std::find(own.begin(), own.end(), self) - own.begin());
+    SpreadingPlace place;
+    place.relay = position < kRelaysPerDomain;
+    if (place.relay) {
+        place.neighbours = neighboursOf(self, ownFailureDomain, domains);
+        // The two relays of a domain are each other's neighbours as well; one of them links.
+        if (position == 1)
+            place.neighbours.push_back(own[0]);
+    } else {
+        place.parents = {own[firstParent(position)], own[secondParent(position)]};
+    }
+    for (std::size_t it = kRelaysPerDomain; it < own.size(); ++it) {
+        if (firstParent(it) == position || secondParent(it) == position)
+            place.children.push_back(own[it]);
+    }
+    return place;
+}
+
+} // namespace fordwood
--- a/src/core/submission.cpp
+++ b/src/core/submission.cpp
@@ -2,12 +2,14 @@
 #include "fordwood/submission.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace fordwood {
 
 namespace {
 
-constexpr std::size_t kRecentIds = 256;
+constexpr std::size_t kRecentIds = 64; // a minute and a half of changes at the target rate
+constexpr std::size_t kMostDeltaBytes = 32'768; // a larger change is fetched piece by piece
 constexpr std::size_t kWritesPerCall = 64; // below the usual limit of operations per transaction
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
@@ -42,7 +44,11 @@
 SubmissionResult Submitter::submit(const Submission &submission, Duration limit)
 {
     const TimePoint end = m_clock.now() + limit;
-    const std::string manifest = m_codec.encodeManifest(submission.pieces);
+    // Sorted, so that the manifest does not depend on who puts the pieces together.
+    std::vector<StoredPiece> pieces = submission.pieces;
+    std::sort(pieces.begin(), pieces.end(),
+              [](const StoredPiece &a, const StoredPiece &b) { return a.name < b.name; });
+    const std::string manifest = m_codec.encodeManifest(pieces);
     const std::string manifestSha256 = m_codec.digest(manifest);
     std::string lastError;
     do {
@@ -64,7 +70,9 @@
             lastError = written.error().text;
             continue;
         }
-        return settle(submission, *base, manifestSha256, *written, end);
+        ConfigHead next = successor(*base, submission, manifestSha256);
+        next.delta = deltaFrom(base->head, pieces);
+        return settle(submission, *base, next, *written, end);
     } while (waitBeforeRetry(end));
     return {SubmissionOutcome::NotStored, 0, lastError, 0};
 }
@@ -115,11 +123,52 @@
     return missing.size();
 }
 
+// The change from the configuration in force, if it can be read and is small. It spares every node
+// the reading of pieces; without it they are fetched one by one.
+std::optional<ConfigDelta> Submitter::deltaFrom(const ConfigHead &base,
+                                                const std::vector<StoredPiece> &after)
+{
+    if (base.version == 0)
+        return std::nullopt;
+    const auto manifest = m_store.get(manifestKey(base.manifestSha256), kCallTimeout);
+    if (!manifest || !*manifest)
+        return std::nullopt;
+    auto before = m_codec.decodeManifest((*manifest)->value);
+    if (!before)
+        return std::nullopt;
+    std::map<std::string, const StoredPiece *> present;
+    for (const StoredPiece &it : after)
+        present[it.sha256] = &it;
+    std::vector<std::string> keys;
+    for (const StoredPiece &it : *before) {
+        if (present.count(it.sha256) == 0)
+            keys.push_back(pieceKey(it.sha256));
+    }
+    const auto values = m_store.getMany(keys, kCallTimeout);
+    if (!values)
+        return std::nullopt;
+    std::size_t next = 0;
+    for (StoredPiece &it : *before) {
+        const auto known = present.find(it.sha256);
+        if (known != present.end())
+            it.text = known->second->text;
+        else if (const auto &value = (*values)[next++])
+            it.text = value->value;
+        else
+            return std::nullopt;
+    }
+    ConfigDelta delta = makeDelta(*before, base.manifestSha256, after);
+    std::size_t bytes = 0;
+    for (const PieceSplice &it : delta.splices)
+        bytes += it.middle.size() + it.name.size() + it.sha256.size();
+    if (bytes > kMostDeltaBytes)
+        return std::nullopt;
+    return delta;
+}
+
 SubmissionResult Submitter::settle(const Submission &submission, const Base &base,
-                                   const std::string &manifestSha256, std::size_t written,
-                                   TimePoint end)
+                                   const ConfigHead &next, std::size_t written, TimePoint end)
 {
-    const ConfigHead next = successor(base, submission, manifestSha256);
     const std::vector<ConditionalWrite> swap{{headKey(), base.revision, m_codec.encodeHead(next)}};
     bool mayHaveRun = false;
     std::string lastError;
