controld spreads by links between nodes; only relays read the platform

Cause: each node held a watch and polled the VM list. Change: PeerLinks adapter, platform threads that run only while the node is told to read, seeds for a start during an outage.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,7 +80,7 @@
     start "controld-$it" "$bin/fordwood-controld" --settings "$work/entry-$it.toml"
     start "entryd-$it" "$bin/fordwood-entryd" --settings "$work/entry-$it.toml"
 done
-curl -sf --noproxy '*' -X PUT -d "{\"vms\":[${list%,}]}" http://127.10.9.9:7001/vms
+curl -sf --noproxy '*' -X PUT -d "{\"revision\":1,\"vms\":[${list%,}]}" http://127.10.9.9:7001/vms
 
 say "a configuration: checked, submitted as one unit"
 mkdir "$work/config"
--- /dev/null
+++ b/src/adapters/grpc/peer_links.cpp
@@ -0,0 +1,361 @@
+// SPDX-License-Identifier: MIT
+#include "adapters/grpc/peer_links.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include <grpcpp/create_channel.h>
+
+#include "adapters/grpc/peer_codec.hpp"
+
+namespace fordwood::adapters {
+
+namespace {
+
+constexpr int kReconnectFirstMs = 200;
+constexpr int kReconnectMostMs = 2000;
+
+std::shared_ptr<grpc::Channel> openChannel(const std::string &address)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectFirstMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectFirstMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMostMs);
+    arguments.SetMaxReceiveMessageSize(-1);
+    // Streams to one address must not share a connection that another object has given up.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+} // namespace
+
+// Merging two updates would mix their fields, so messages wait in a list here.
+class PeerOutgoing
+{
+public:
+    const wire::PeerMessage *add(const wire::PeerMessage &message)
+    {
+        m_waiting.push_back(message);
+        return m_busy ? nullptr : takeNext();
+    }
+
+    const wire::PeerMessage *written()
+    {
+        m_busy = false;
+        return m_waiting.empty() ? nullptr : takeNext();
+    }
+
+private:
+    const wire::PeerMessage *takeNext()
+    {
+        m_current = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        m_busy = true;
+        return &m_current;
+    }
+
+    std::deque<wire::PeerMessage> m_waiting;
+    wire::PeerMessage m_current;
+    bool m_busy = false;
+};
+
+// A stream that a peer opened.
+class PeerLinks::Served : public grpc::ServerBidiReactor<wire::PeerMessage, wire::PeerMessage>,
+                          public PeerStream
+{
+public:
+    explicit Served(PeerLinks &links) : m_links(links) { }
+
+    void start(const std::shared_ptr<Served> &self)
+    {
+        m_self = self;
+        send(m_links.hello());
+        StartRead(&m_incoming);
+    }
+
+    void send(const wire::PeerMessage &message) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_finished)
+            return;
+        if (const auto *next = m_outgoing.add(message))
+            StartWrite(next);
+    }
+
+    void close() override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!std::exchange(m_finished, true))
+            Finish(grpc::Status::OK);
+    }
+
+    void OnReadDone(bool ok) override
+    {
+        if (!ok)
+            return close();
+        m_links.arrived(m_self, m_peer, m_incoming);
+        StartRead(&m_incoming);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        if (!ok)
+            return close();
+        const std::lock_guard lock(m_mutex);
+        if (m_finished)
+            return;
+        if (const auto *next = m_outgoing.written())
+            StartWrite(next);
+    }
+
+    void OnCancel() override { close(); }
+
+    void OnDone() override
+    {
+        m_links.ended(this, m_peer);
+        const auto self = std::move(m_self);
+    }
+
+private:
+    PeerLinks &m_links;
+    std::string m_peer; // known after the first message
+    std::shared_ptr<PeerStream> m_self;
+    wire::PeerMessage m_incoming;
+    PeerOutgoing m_outgoing;
+    std::mutex m_mutex;
+    bool m_finished = false;
+};
+
+// A stream that this node opened.
+class PeerLinks::Dialled : public grpc::ClientBidiReactor<wire::PeerMessage, wire::PeerMessage>,
+                           public PeerStream
+{
+public:
+    Dialled(PeerLinks &links, std::string address) : m_links(links), m_address(std::move(address))
+    { }
+
+    void start(const std::shared_ptr<Dialled> &self, const std::shared_ptr<grpc::Channel> &channel)
+    {
+        m_self = self;
+        m_stub = wire::Peers::NewStub(channel);
+        m_stub->async()->Link(&m_context, this);
+        AddHold(); // for writes from the control thread
+        StartRead(&m_incoming);
+        StartCall();
+        send(m_links.hello());
+    }
+
+    void send(const wire::PeerMessage &message) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_closed)
+            return;
+        if (const auto *next = m_outgoing.add(message))
+            StartWrite(next);
+    }
+
+    void close() override
+    {
+        m_context.TryCancel();
+        endWrites();
+    }
+
+    void OnReadDone(bool ok) override
+    {
+        if (!ok)
+            return endWrites();
+        m_links.arrived(m_self, m_peer, m_incoming);
+        StartRead(&m_incoming);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        if (!ok)
+            return endWrites();
+        const std::lock_guard lock(m_mutex);
+        if (m_closed)
+            return;
+        if (const auto *next = m_outgoing.written())
+            StartWrite(next);
+    }
+
+    void OnDone(const grpc::Status &) override
+    {
+        const auto self = std::move(m_self);
+        m_links.ended(this, m_peer);
+    }
+
+private:
+    void endWrites()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!std::exchange(m_closed, true))
+            RemoveHold();
+    }
+
+    PeerLinks &m_links;
+    std::string m_address;
+    std::string m_peer; // known after the first message
+    std::shared_ptr<PeerStream> m_self;
+    std::unique_ptr<wire::Peers::Stub> m_stub;
+    grpc::ClientContext m_context;
+    wire::PeerMessage m_incoming;
+    PeerOutgoing m_outgoing;
+    std::mutex m_mutex;
+    bool m_closed = false;
+};
+
+PeerLinks::PeerLinks(std::string self, PeerListener &listener)
+    : m_self(std::move(self)), m_listener(listener)
+{ }
+
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::dial(const std::vector<std::string> &addresses)
+{
+    std::vector<std::shared_ptr<Dialled>> gone;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto it = m_dials.begin(); it != m_dials.end();) {
+            const bool wanted
+                = std::find(addresses.begin(), addresses.end(), it->first) != addresses.end();
+            if (!wanted && it->second.stream)
+                gone.push_back(it->second.stream);
+            it = wanted ? std::next(it) : m_dials.erase(it);
+        }
+        for (const std::string &it : addresses)
+            m_dials.try_emplace(it, Dial{openChannel(it), nullptr});
+    }
+    for (const auto &it : gone)
+        it->close();
+    reopen();
+}
+
+void PeerLinks::reopen()
+{
+    std::vector<std::pair<std::shared_ptr<Dialled>, std::shared_ptr<grpc::Channel>>> fresh;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_closing)
+            return;
+        for (auto &[address, dial] : m_dials) {
+            if (dial.stream)
+                continue;
+            dial.stream = std::make_shared<Dialled>(*this, address);
+            ++m_dialledAlive;
+            fresh.emplace_back(dial.stream, dial.channel);
+        }
+    }
+    for (const auto &[stream, channel] : fresh)
+        stream->start(stream, channel);
+}
+
+void PeerLinks::send(const std::string &peer, const PeerUpdate &update)
+{
+    std::shared_ptr<PeerStream> stream;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_streams.find(peer);
+        if (it != m_streams.end() && !it->second.empty())
+            stream = it->second.back();
+    }
+    if (!stream)
+        return;
+    const wire::PeerMessage message = toWire(update);
+    m_bytesSent += message.ByteSizeLong();
+    stream->send(message);
+}
+
+void PeerLinks::closeAll()
+{
+    std::vector<std::shared_ptr<PeerStream>> all;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closing = true;
+        all = m_served;
+        for (const auto &[address, dial] : m_dials) {
+            if (dial.stream)
+                all.push_back(dial.stream);
+        }
+        m_dials.clear();
+    }
+    for (const auto &it : all)
+        it->close();
+    all.clear();
+    std::unique_lock lock(m_mutex);
+    m_none.wait(lock, [this] { return m_dialledAlive == 0; });
+}
+
+grpc::ServerBidiReactor<wire::PeerMessage, wire::PeerMessage> *
+PeerLinks::Link(grpc::CallbackServerContext *)
+{
+    auto stream = std::make_shared<Served>(*this);
+    keepServed(stream);
+    stream->start(stream);
+    return stream.get();
+}
+
+void PeerLinks::keepServed(const std::shared_ptr<PeerStream> &stream)
+{
+    const std::lock_guard lock(m_mutex);
+    m_served.push_back(stream);
+}
+
+void PeerLinks::arrived(const std::shared_ptr<PeerStream> &stream, std::string &peer,
+                        const wire::PeerMessage &message)
+{
+    if (peer.empty()) {
+        if (message.node().empty() || message.node() == m_self)
+            return stream->close(); // not a peer: a seed may be this node itself
+        peer = message.node();
+        bool first = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            auto &streams = m_streams[peer];
+            first = streams.empty();
+            streams.push_back(stream);
+        }
+        if (first)
+            m_listener.linkUp(peer);
+        return;
+    }
+    m_listener.updateArrived(peer, fromWire(message));
+}
+
+void PeerLinks::ended(const PeerStream *stream, const std::string &peer)
+{
+    bool last = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto same = [&](const auto &it) { return it.get() == stream; };
+        std::erase_if(m_served, same);
+        for (auto &[address, dial] : m_dials) {
+            if (dial.stream && static_cast<PeerStream *>(dial.stream.get()) == stream)
+                dial.stream = nullptr;
+        }
+        const auto known = m_streams.find(peer);
+        if (known != m_streams.end()) {
+            last = std::erase_if(known->second, same) > 0 && known->second.empty();
+            if (last)
+                m_streams.erase(known);
+        }
+    }
+    if (last)
+        m_listener.linkDown(peer);
+    // Only after the listener heard of it: closeAll() may let go of everything now.
+    if (dynamic_cast<const Dialled *>(stream) != nullptr) {
+        const std::lock_guard lock(m_mutex);
+        --m_dialledAlive;
+        m_none.notify_all();
+    }
+}
+
+wire::PeerMessage PeerLinks::hello() const
+{
+    wire::PeerMessage message;
+    message.set_node(m_self);
+    return message;
+}
+
+} // namespace fordwood::adapters
--- /dev/null
+++ b/src/adapters/grpc/peer_links.hpp
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ADAPTERS_GRPC_PEER_LINKS_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_GRPC_PEER_LINKS_HPP_INCLUDED
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "fordwood/control.grpc.pb.h"
+#include "fordwood/member.hpp"
+#include "fordwood/replicator.hpp"
+
+namespace fordwood::adapters {
+
+// What the control duty hears of its links. Called from gRPC's threads.
+class PeerListener
+{
+public:
+    virtual ~PeerListener() = default;
+    virtual void linkUp(const std::string &peer) = 0;
+    virtual void linkDown(const std::string &peer) = 0;
+    virtual void updateArrived(const std::string &peer, PeerUpdate update) = 0;
+};
+
+// One stream to a peer, whichever side opened it.
+class PeerStream
+{
+public:
+    virtual ~PeerStream() = default;
+    virtual void send(const wire::PeerMessage &message) = 0;
+    virtual void close() = 0;
+};
+
+// The links of one controld: serves those that other nodes open, and opens and reopens its own.
+// A peer counts as linked while at least one stream to it is up. Thread-safe.
+class PeerLinks : public wire::Peers::CallbackService
+{
+public:
+    PeerLinks(std::string self, PeerListener &listener);
+    ~PeerLinks() override;
+
+    // Sets the addresses to hold a stream to; others that this node opened are closed.
+    void dial(const std::vector<std::string> &addresses);
+
+    // Opens again what broke; call it about once a second.
+    void reopen();
+
+    void send(const std::string &peer, const PeerUpdate &update);
+
+    // Bytes sent so far, as encoded messages.
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+
+    // Ends all streams and waits until gRPC is done with those that this node opened.
+    void closeAll();
+
+    grpc::ServerBidiReactor<wire::PeerMessage, wire::PeerMessage> *
+    Link(grpc::CallbackServerContext *context) override;
+
+private:
+    class Served;
+    class Dialled;
+
+    // Called by the streams.
+    void arrived(const std::shared_ptr<PeerStream> &stream, std::string &peer,
+                 const wire::PeerMessage &message);
+    void ended(const PeerStream *stream, const std::string &peer);
+    wire::PeerMessage hello() const;
+    void keepServed(const std::shared_ptr<PeerStream> &stream);
+
+    const std::string m_self;
+    PeerListener &m_listener;
+    std::mutex m_mutex;
+    std::condition_variable m_none;
+    std::map<std::string, std::vector<std::shared_ptr<PeerStream>>> m_streams; // by peer
+    std::vector<std::shared_ptr<PeerStream>> m_served;
+    struct Dial
+    {
+        std::shared_ptr<grpc::Channel> channel;
+        std::shared_ptr<Dialled> stream; // null while broken
+    };
+    std::map<std::string, Dial> m_dials; // by address
+    int m_dialledAlive = 0;
+    std::atomic<std::uint64_t> m_bytesSent{0};
+    bool m_closing = false;
+};
+
+} // namespace fordwood::adapters
+
+#endif // FORDWOOD_ADAPTERS_GRPC_PEER_LINKS_HPP_INCLUDED
--- a/src/adapters/platform/vm_list.cpp
+++ b/src/adapters/platform/vm_list.cpp
@@ -14,6 +14,7 @@
         return std::nullopt;
     VmList list;
     try {
+        list.revision = document.at("revision");
         for (const auto &it : document["vms"]) {
             const std::string name = it.at("name");
             const std::string role = it.at("role");
--- a/src/adapters/platform/vm_list.hpp
+++ b/src/adapters/platform/vm_list.hpp
@@ -10,7 +10,8 @@
 namespace fordwood::adapters {
 
 // Reads the JSON of the platform's VM list:
-// {"vms": [{"name", "role": "entry" | "upstream" | "store", "failure_domain", "region",
+// {"revision": n, "vms": [{"name", "role": "entry" | "upstream" | "store", "failure_domain",
+// "region",
 //           "control_address", "state": "live" | "leaving"}]}
 // Empty when the text has another shape.
 std::optional<VmList> parseVmList(const std::string &json);
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -3,8 +3,10 @@
 
 #include <grpcpp/server_builder.h>
 
+#include "adapters/grpc/peer_codec.hpp"
 #include "adapters/observe/event_log.hpp"
 #include "config/read_configuration.hpp"
+#include "fordwood/rendezvous.hpp"
 
 namespace fordwood::apps {
 
@@ -14,7 +16,9 @@
 using adapters::logEvent;
 
 constexpr std::size_t kRingSize = 16'384;
-constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr Duration kWait = std::chrono::milliseconds(20);
+constexpr Duration kReplicatorTick = std::chrono::milliseconds(200);
+constexpr Duration kReopenLinks = std::chrono::seconds(1);
 constexpr std::size_t kEventsPerRound = 256;
 
 adapters::DirectAnswer adminAnswer(const adapters::Metrics &metrics, const std::string &path)
@@ -26,10 +30,24 @@
     return adapters::answerOf(Verdict::of(Reason::UnknownRoute));
 }
 
+Member selfOf(const config::Settings &settings)
+{
+    return {settings.node.name, settings.node.failureDomain, settings.node.region,
+            settings.control.listen, false};
+}
+
+std::uint64_t incarnationOf(const Clock &clock)
+{
+    return static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
+}
+
 } // namespace
 
 ControlNode::ControlNode(const config::Settings &settings)
-    : m_settings(settings), m_ring(kRingSize), m_book(m_clock), m_permitService(*this),
+    : m_settings(settings), m_ring(kRingSize),
+      m_replicator(selfOf(settings), incarnationOf(m_clock), m_clock, m_codec, {},
+                   stableHash(settings.node.name, incarnationOf(m_clock))),
+      m_book(m_clock), m_permitService(*this), m_links(settings.node.name, *this),
       m_platform(settings.platform, *this, m_metrics),
       m_admin([this](const std::string &path) { return adminAnswer(m_metrics, path); })
 { }
@@ -45,6 +63,7 @@
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.RegisterService(&m_controlService);
     builder.RegisterService(&m_permitService);
+    builder.RegisterService(&m_links);
     m_server = builder.BuildAndStart();
     if (!m_server || port == 0) {
         logEvent(Event::ListenFailed, {{"address", m_settings.control.listen}});
@@ -54,13 +73,17 @@
         logEvent(Event::ListenFailed, {{"address", m_settings.control.metricsListen}});
         return false;
     }
-    m_thread = std::thread([this] { run(); });
     m_platform.start();
+    m_replicator.start();
+    m_thread = std::thread([this] { run(); });
+    // Until the VM list is known, the seeds are the only peers that can be asked.
+    m_links.dial(m_settings.control.seeds);
     return true;
 }
 
 void ControlNode::beginStop()
 {
+    pushSurely(StopEvent{});
     m_platform.stop();
     m_controlService.closeAll();
     m_permitService.closeAll();
@@ -68,20 +91,28 @@
 
 void ControlNode::finishStop()
 {
+    m_links.closeAll();
     m_server->Shutdown();
     m_server->Wait();
     m_stopping = true;
     m_thread.join();
 }
 
-void ControlNode::configurationFetched(FetchedConfiguration fetched)
+// ---------------------------------------------------------------- from the adapters
+
+void ControlNode::headRead(const ConfigHead &head)
+{
+    pushSurely(HeadEvent{head});
+}
+
+void ControlNode::listRead(const VmList &list)
 {
-    pushSurely(std::move(fetched));
+    pushSurely(ListEvent{list});
 }
 
-void ControlNode::vmListRead(VmList list)
+void ControlNode::blobsRead(const std::vector<Blob> &blobs)
 {
-    pushSurely(std::move(list));
+    pushSurely(BlobsEvent{blobs});
 }
 
 void ControlNode::platformReachable(bool reachable)
@@ -107,6 +138,21 @@
     pushSurely(HolderGoneEvent{holder});
 }
 
+void ControlNode::linkUp(const std::string &peer)
+{
+    pushSurely(LinkEvent{peer, true});
+}
+
+void ControlNode::linkDown(const std::string &peer)
+{
+    pushSurely(LinkEvent{peer, false});
+}
+
+void ControlNode::updateArrived(const std::string &peer, PeerUpdate update)
+{
+    pushSurely(UpdateEvent{peer, std::move(update)});
+}
+
 // For events that must not be lost and whose threads may wait: never a caller's thread.
 void ControlNode::pushSurely(const ControlEvent &event)
 {
@@ -114,26 +160,44 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
 }
 
+// ---------------------------------------------------------------- the control thread
+
 void ControlNode::run()
 {
+    TimePoint nextTick = m_clock.now();
+    TimePoint nextReopen = m_clock.now() + kReopenLinks;
     while (!m_stopping) {
-        auto event = m_ring.pop(kTick);
-        for (std::size_t n = 0; event && n < kEventsPerRound; ++n) {
+        auto event = m_ring.pop(kWait);
+        for (std::size_t n = 0; event; ++n) {
             std::visit([this](auto &it) { on(it); }, *event);
-            event = m_ring.tryPop();
+            event = n < kEventsPerRound ? m_ring.tryPop() : std::nullopt;
         }
-        if (event)
-            std::visit([this](auto &it) { on(it); }, *event);
-        m_book.tick();
-        const auto answers = m_book.takeAnswers();
-        for (const PermitAnswer &it : answers) {
-            if (!it.granted)
-                m_metrics.countRefusal(it.reason);
+        const TimePoint now = m_clock.now();
+        if (now >= nextTick) {
+            m_replicator.tick();
+            nextTick = now + kReplicatorTick;
+        }
+        if (now >= nextReopen) {
+            m_links.reopen();
+            nextReopen = now + kReopenLinks;
         }
-        m_permitService.send(answers);
+        for (const ReplicatorAction &it : m_replicator.takeActions())
+            carryOut(it);
+        sendPermits();
     }
 }
 
+void ControlNode::sendPermits()
+{
+    m_book.tick();
+    const auto answers = m_book.takeAnswers();
+    for (const PermitAnswer &it : answers) {
+        if (!it.granted)
+            m_metrics.countRefusal(it.reason);
+    }
+    m_permitService.send(answers);
+}
+
 void ControlNode::on(const CommandsEvent &event)
 {
     for (const wire::Held &it : event.commands.held())
@@ -160,58 +224,133 @@
     m_book.dropHolder(event.holder);
 }
 
-void ControlNode::on(FetchedConfiguration &event)
+void ControlNode::on(const HeadEvent &event)
+{
+    m_replicator.platformHead(event.head);
+}
+
+void ControlNode::on(const ListEvent &event)
+{
+    m_replicator.platformList(event.list);
+}
+
+void ControlNode::on(const BlobsEvent &event)
+{
+    m_replicator.platformBlobs(event.blobs);
+}
+
+void ControlNode::on(const ReachableEvent &event)
+{
+    m_reachable = event.reachable;
+    updateStatus();
+}
+
+void ControlNode::on(const LinkEvent &event)
+{
+    if (event.up)
+        m_replicator.linkUp(event.peer);
+    else
+        m_replicator.linkDown(event.peer);
+}
+
+void ControlNode::on(const UpdateEvent &event)
+{
+    m_replicator.updateArrived(event.peer, event.update);
+}
+
+void ControlNode::on(const StopEvent &)
+{
+    m_replicator.stop();
+}
+
+void ControlNode::carryOut(const ReplicatorAction &action)
+{
+    if (const auto *update = std::get_if<SendUpdate>(&action)) {
+        m_links.send(update->peer, update->update);
+    } else if (const auto *keep = std::get_if<KeepLinks>(&action)) {
+        std::vector<std::string> addresses;
+        for (const Member &it : keep->peers)
+            addresses.push_back(it.controlAddress);
+        m_links.dial(addresses);
+    } else if (const auto *reading = std::get_if<ReadPlatform>(&action)) {
+        m_platform.setReading(reading->enabled);
+    } else if (const auto *fetch = std::get_if<FetchBlobs>(&action)) {
+        m_platform.fetch(*fetch);
+    } else if (const auto *configuration = std::get_if<ApplyConfiguration>(&action)) {
+        applyConfiguration(*configuration);
+    } else if (const auto *members = std::get_if<ApplyMembers>(&action)) {
+        applyMembers(*members);
+    } else if (const auto *alarm = std::get_if<ReplicatorAlarm>(&action)) {
+        raise(*alarm);
+    }
+}
+
+void ControlNode::applyConfiguration(const ApplyConfiguration &action)
 {
     config::ConfigErrors errors;
     std::vector<config::Document> documents;
-    for (const StoredPiece &it : event.pieces) {
+    for (const StoredPiece &it : action.pieces) {
         if (auto document = config::parseDocument(it.name, it.text, errors))
             documents.push_back(std::move(*document));
     }
     auto configuration = config::readConfiguration(documents, errors);
     if (!configuration || !errors.empty()) {
         logEvent(Event::ConfigurationDamaged,
-                 {{"version", event.head.version},
+                 {{"version", action.head.version},
                   {"error", errors.empty() ? "" : errors.front().toString()}});
+        m_metrics.count("fordwood_configuration_damaged_total");
         return;
     }
     m_configuration = std::make_shared<const Configuration>(std::move(*configuration));
-    m_fetched = std::move(event);
-    logEvent(Event::ConfigurationApplied, {{"version", m_fetched.head.version},
-                                           {"pieces", m_fetched.pieces.size()},
-                                           {"submission", m_fetched.head.submissionId}});
+    m_head = action.head;
+    m_pieces = action.pieces;
+    logEvent(Event::ConfigurationApplied, {{"version", m_head.version},
+                                           {"pieces", m_pieces.size()},
+                                           {"submission", m_head.submissionId}});
     rebuild();
 }
 
-void ControlNode::on(VmList &event)
+void ControlNode::applyMembers(const ApplyMembers &action)
 {
-    if (event.entryVms != m_list.entryVms)
-        logEvent(Event::MembersChanged, {{"members", event.entryVms.size()}});
-    if (event.leavingUpstreams != m_list.leavingUpstreams)
-        logEvent(Event::UpstreamsLeaving, {{"leaving", event.leavingUpstreams.size()}});
-    m_list = std::move(event);
+    if (action.members != m_members)
+        logEvent(Event::MembersChanged, {{"members", action.members.size()}});
+    if (action.leavingUpstreams != m_leavingUpstreams)
+        logEvent(Event::UpstreamsLeaving, {{"leaving", action.leavingUpstreams.size()}});
+    m_members = action.members;
+    m_leavingUpstreams = action.leavingUpstreams;
     rebuild();
 }
 
-void ControlNode::on(const ReachableEvent &event)
+void ControlNode::raise(const ReplicatorAlarm &alarm)
 {
-    m_reachable = event.reachable;
-    m_metrics.setGauge("fordwood_platform_reachable", m_reachable ? 1 : 0);
-    updateStatus();
+    switch (alarm.kind) {
+    case ReplicatorAlarm::Kind::OlderHead:
+        logEvent(Event::OlderHeadSeen, {{"seen", alarm.seen}, {"kept", alarm.kept}});
+        m_metrics.count("fordwood_older_head_total");
+        break;
+    case ReplicatorAlarm::Kind::DamagedConfiguration:
+        logEvent(Event::ConfigurationDamaged, {{"version", alarm.seen}});
+        m_metrics.count("fordwood_configuration_damaged_total");
+        break;
+    case ReplicatorAlarm::Kind::Orphaned:
+        logEvent(Event::Orphaned, {{"version", alarm.kept}});
+        m_metrics.count("fordwood_orphaned_total");
+        break;
+    }
 }
 
 void ControlNode::rebuild()
 {
+    updateStatus();
     if (!m_configuration)
         return;
-    m_view = std::make_shared<const FleetView>(m_fetched.head.version, m_configuration,
-                                               m_list.entryVms, m_list.leavingUpstreams,
-                                               m_settings.node.failureDomain);
+    const FleetView view(m_head.version, m_configuration, m_members, m_leavingUpstreams,
+                         m_settings.node.failureDomain);
     std::vector<OwnedUpstream> owned;
     for (const auto &[name, it] : m_configuration->upstreams) {
-        const Member *owner = m_view->owner(it);
+        const Member *owner = view.owner(it);
         if (owner != nullptr && owner->name == m_settings.node.name)
-            owned.push_back({name, it.slots, m_view->isLeaving(name)});
+            owned.push_back({name, it.slots, view.isLeaving(name)});
     }
     std::map<std::string, double> shares;
     for (const auto &[name, it] : m_configuration->teams)
@@ -225,9 +364,10 @@
 void ControlNode::publish()
 {
     auto snapshot = std::make_shared<wire::Snapshot>();
-    *snapshot->mutable_head() = adapters::toWire(m_fetched.head);
+    *snapshot->mutable_head() = adapters::toWire(m_head);
     snapshot->mutable_head()->clear_recent_submission_ids();
-    for (const StoredPiece &it : m_fetched.pieces) {
+    snapshot->mutable_head()->clear_delta();
+    for (const StoredPiece &it : m_pieces) {
         wire::PieceReference *reference = snapshot->mutable_manifest()->add_pieces();
         reference->set_name(it.name);
         reference->set_sha256(it.sha256);
@@ -236,15 +376,9 @@
         piece->set_sha256(it.sha256);
         piece->set_text(it.text);
     }
-    for (const Member &it : m_list.entryVms) {
-        wire::Member *member = snapshot->add_members();
-        member->set_name(it.name);
-        member->set_failure_domain(it.failureDomain);
-        member->set_region(it.region);
-        member->set_control_address(it.controlAddress);
-        member->set_leaving(it.leaving);
-    }
-    for (const std::string &it : m_list.leavingUpstreams)
+    for (const Member &it : m_members)
+        *snapshot->add_members() = adapters::toWire(it);
+    for (const std::string &it : m_leavingUpstreams)
         snapshot->add_leaving_upstreams(it);
     m_controlService.publish(snapshot);
 }
@@ -254,20 +388,26 @@
     wire::StatusReply status;
     status.set_node(m_settings.node.name);
     status.set_failure_domain(m_settings.node.failureDomain);
-    status.set_version(m_fetched.head.version);
-    status.set_submission_id(m_fetched.head.submissionId);
-    status.set_manifest_sha256(m_fetched.head.manifestSha256);
+    status.set_version(m_head.version);
+    status.set_submission_id(m_head.submissionId);
+    status.set_manifest_sha256(m_head.manifestSha256);
     status.set_platform_reachable(m_reachable);
-    status.set_live_members(static_cast<std::uint32_t>(m_list.entryVms.size()));
+    status.set_live_members(static_cast<std::uint32_t>(m_members.size()));
     status.set_owned_upstreams(static_cast<std::uint32_t>(m_book.owned()));
+    status.set_relay(m_replicator.isRelay());
+    status.set_links(static_cast<std::uint32_t>(m_replicator.links()));
+    status.set_reads_platform(m_replicator.readsPlatform());
     status.set_build(FORDWOOD_VERSION);
     m_controlService.setStatus(status);
-    m_metrics.setGauge("fordwood_configuration_version",
-                       static_cast<double>(m_fetched.head.version));
-    m_metrics.setGauge("fordwood_members", static_cast<double>(m_list.entryVms.size()));
+    m_metrics.setGauge("fordwood_configuration_version", static_cast<double>(m_head.version));
+    m_metrics.setGauge("fordwood_members", static_cast<double>(m_members.size()));
     m_metrics.setGauge("fordwood_leaving_upstreams",
-                       static_cast<double>(m_list.leavingUpstreams.size()));
+                       static_cast<double>(m_leavingUpstreams.size()));
     m_metrics.setGauge("fordwood_owned_upstreams", static_cast<double>(m_book.owned()));
+    m_metrics.setGauge("fordwood_relay", m_replicator.isRelay() ? 1 : 0);
+    m_metrics.setGauge("fordwood_links", static_cast<double>(m_replicator.links()));
+    m_metrics.setGauge("fordwood_reads_platform", m_replicator.readsPlatform() ? 1 : 0);
+    m_metrics.setGauge("fordwood_platform_reachable", m_reachable ? 1 : 0);
 }
 
 } // namespace fordwood::apps
--- a/src/apps/controld/control_node.hpp
+++ b/src/apps/controld/control_node.hpp
@@ -5,13 +5,15 @@
 #include <atomic>
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
 #include <thread>
 #include <variant>
+#include <vector>
 
 #include <grpcpp/server.h>
 
 #include "adapters/grpc/control_service.hpp"
+#include "adapters/grpc/peer_links.hpp"
 #include "adapters/grpc/permit_service.hpp"
 #include "adapters/http/admin_server.hpp"
 #include "adapters/observe/metrics.hpp"
@@ -20,12 +22,17 @@
 #include "apps/common/daemon.hpp"
 #include "apps/controld/platform_duty.hpp"
 #include "fordwood/fleet_view.hpp"
+#include "fordwood/replicator.hpp"
 
 namespace fordwood::apps {
 
-// One controld: knows the configuration and the members, tells them to the entryd of its VM, and
-// grants permits for the upstreams that it owns. All decisions are made on one thread.
-class ControlNode : public Daemon, private PlatformListener, private adapters::PermitListener
+// One controld: takes part in spreading the configuration and the members, tells them to the entryd
+// of its VM, and grants permits for the upstreams that it owns. All decisions are made on one
+// thread.
+class ControlNode : public Daemon,
+                    private PlatformListener,
+                    private adapters::PermitListener,
+                    private adapters::PeerListener
 {
 public:
     explicit ControlNode(const config::Settings &settings);
@@ -45,37 +52,80 @@
     {
         HolderId holder;
     };
+    struct HeadEvent
+    {
+        ConfigHead head;
+    };
+    struct ListEvent
+    {
+        VmList list;
+    };
+    struct BlobsEvent
+    {
+        std::vector<Blob> blobs;
+    };
     struct ReachableEvent
     {
         bool reachable;
     };
-    using ControlEvent = std::variant<CommandsEvent, HolderGoneEvent, FetchedConfiguration, VmList,
-                                      ReachableEvent>;
+    struct LinkEvent
+    {
+        std::string peer;
+        bool up;
+    };
+    struct UpdateEvent
+    {
+        std::string peer;
+        PeerUpdate update;
+    };
+    struct StopEvent
+    { };
+    using ControlEvent
+        = std::variant<CommandsEvent, HolderGoneEvent, HeadEvent, ListEvent, BlobsEvent,
+                       ReachableEvent, LinkEvent, UpdateEvent, StopEvent>;
 
-    void configurationFetched(FetchedConfiguration fetched) override;
-    void vmListRead(VmList list) override;
+    // PlatformListener, PermitListener and PeerListener, on the threads of those adapters
+    void headRead(const ConfigHead &head) override;
+    void listRead(const VmList &list) override;
+    void blobsRead(const std::vector<Blob> &blobs) override;
     void platformReachable(bool reachable) override;
     bool commandsArrived(HolderId holder, wire::PermitCommands commands) override;
     void holderGone(HolderId holder) override;
+    void linkUp(const std::string &peer) override;
+    void linkDown(const std::string &peer) override;
+    void updateArrived(const std::string &peer, PeerUpdate update) override;
+    void pushSurely(const ControlEvent &event);
 
+    // On the control thread
     void run();
     void on(const CommandsEvent &event);
     void on(const HolderGoneEvent &event);
-    void on(FetchedConfiguration &event);
-    void on(VmList &event);
+    void on(const HeadEvent &event);
+    void on(const ListEvent &event);
+    void on(const BlobsEvent &event);
     void on(const ReachableEvent &event);
-    void pushSurely(const ControlEvent &event);
+    void on(const LinkEvent &event);
+    void on(const UpdateEvent &event);
+    void on(const StopEvent &event);
+    void carryOut(const ReplicatorAction &action);
+    void applyConfiguration(const ApplyConfiguration &action);
+    void applyMembers(const ApplyMembers &action);
+    void raise(const ReplicatorAlarm &alarm);
+    void sendPermits();
     void rebuild();
     void publish();
     void updateStatus();
 
     const config::Settings m_settings;
     adapters::SystemClock m_clock;
+    adapters::ProtoHeadCodec m_codec;
     adapters::Metrics m_metrics;
     adapters::BoundedRing<ControlEvent> m_ring;
+    Replicator m_replicator;
     PermitBook m_book;
     adapters::ControlService m_controlService;
     adapters::PermitService m_permitService;
+    adapters::PeerLinks m_links;
     PlatformDuty m_platform;
     adapters::AdminServer m_admin;
     std::unique_ptr<grpc::Server> m_server;
@@ -83,10 +133,11 @@
     std::atomic<bool> m_stopping{false};
 
     // Of the control thread alone:
-    FetchedConfiguration m_fetched;
+    ConfigHead m_head; // in force on this node
+    std::vector<StoredPiece> m_pieces;
     std::shared_ptr<const Configuration> m_configuration;
-    VmList m_list;
-    std::shared_ptr<const FleetView> m_view;
+    std::vector<Member> m_members;
+    std::set<std::string> m_leavingUpstreams;
     bool m_reachable = false;
 };
 
--- a/src/apps/controld/platform_duty.cpp
+++ b/src/apps/controld/platform_duty.cpp
@@ -1,12 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "apps/controld/platform_duty.hpp"
 
-#include <optional>
-
 #include "adapters/http/http_get.hpp"
 #include "adapters/observe/event_log.hpp"
 #include "adapters/platform/vm_list.hpp"
-#include "config/read_configuration.hpp"
 
 namespace fordwood::apps {
 
@@ -17,12 +14,15 @@
 
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
+constexpr Duration kFetchWait = std::chrono::milliseconds(200);
+constexpr std::size_t kFetchRing = 64;
 
 } // namespace
 
 PlatformDuty::PlatformDuty(const config::PlatformSettings &settings, PlatformListener &listener,
                            adapters::Metrics &metrics)
-    : m_settings(settings), m_listener(listener), m_metrics(metrics), m_store(settings.keyValue)
+    : m_settings(settings), m_listener(listener), m_metrics(metrics), m_store(settings.keyValue),
+      m_fetches(kFetchRing)
 { }
 
 PlatformDuty::~PlatformDuty()
@@ -34,6 +34,7 @@
 {
     m_headThread = std::thread([this] { watchHead(); });
     m_listThread = std::thread([this] { readList(); });
+    m_fetchThread = std::thread([this] { fetchBlobs(); });
 }
 
 void PlatformDuty::stop()
@@ -45,120 +46,86 @@
             m_watch->cancel();
     }
     m_wake.notify_all();
-    if (m_headThread.joinable())
-        m_headThread.join();
-    if (m_listThread.joinable())
-        m_listThread.join();
+    for (std::thread *it : {&m_headThread, &m_listThread, &m_fetchThread}) {
+        if (it->joinable())
+            it->join();
+    }
 }
 
-void PlatformDuty::watchHead()
+void PlatformDuty::setReading(bool enabled)
 {
-    while (true) {
-        if (!followHead() && pause(kRetryPause))
-            return;
+    {
         const std::lock_guard lock(m_mutex);
-        if (m_stopping)
-            return;
+        m_reading = enabled;
+        if (!enabled && m_watch)
+            m_watch->cancel();
     }
+    m_wake.notify_all();
 }
 
-// Reads the head, then follows its changes until the connection breaks. False on any failure.
-bool PlatformDuty::followHead()
+void PlatformDuty::fetch(const FetchBlobs &fetch)
+{
+    // A full ring drops the request; the replicator asks again for what did not come.
+    if (!m_fetches.tryPush(fetch))
+        m_metrics.count("fordwood_platform_fetches_dropped_total");
+}
+
+void PlatformDuty::watchHead()
+{
+    while (waitUntilReading()) {
+        followHead();
+        pause(kRetryPause);
+    }
+}
+
+// Reads the head, then follows its changes until the connection breaks or reading ends.
+void PlatformDuty::followHead()
 {
     m_metrics.count("fordwood_platform_reads_total");
     const auto stored = m_store.get(headKey(), kCallTimeout);
-    if (!stored) {
-        setReachable(false, stored.error().text);
-        return false;
-    }
+    if (!stored)
+        return setReachable(false, stored.error().text);
     setReachable(true, "");
     std::int64_t revision = 0;
     if (*stored) {
         revision = (*stored)->revision;
-        if (!take((*stored)->value))
-            return false;
+        report((*stored)->value);
     }
+    m_metrics.count("fordwood_platform_watches_total");
     const auto watch = m_store.watch(headKey(), revision);
     {
         const std::lock_guard lock(m_mutex);
-        if (m_stopping)
+        if (m_stopping || !m_reading)
             watch->cancel();
         m_watch = watch;
     }
-    m_metrics.count("fordwood_platform_watches_total");
+    std::string why;
     while (true) {
         const auto change = watch->next();
         if (!change) {
-            setReachable(false, change.error().text);
-            return false;
+            why = change.error().text;
+            break;
         }
-        if (!take(change->value))
-            return false;
+        report(change->value);
     }
+    const std::lock_guard lock(m_mutex);
+    m_watch = nullptr;
+    if (m_reading && !m_stopping)
+        setReachable(false, why);
 }
 
-// Takes a head if it is newer than all before. False when it could not be fetched.
-bool PlatformDuty::take(const std::string &bytes)
+void PlatformDuty::report(const std::string &bytes)
 {
-    const auto head = m_codec.decodeHead(bytes);
-    if (!head) {
-        logEvent(Event::ConfigurationDamaged, {{"what", "head"}});
-        m_metrics.count("fordwood_configuration_damaged_total");
-        return true;
-    }
-    if (head->version < m_guard.head().version) {
-        logEvent(Event::OlderHeadSeen, {{"seen", head->version}, {"kept", m_guard.head().version}});
-        m_metrics.count("fordwood_older_head_total");
-        return true;
-    }
-    return head->version == m_guard.head().version || fetch(*head);
-}
-
-bool PlatformDuty::fetch(const ConfigHead &head)
-{
-    m_metrics.count("fordwood_platform_reads_total");
-    const auto manifest = m_store.get(manifestKey(head.manifestSha256), kCallTimeout);
-    if (!manifest)
-        return false;
-    auto pieces = *manifest ? m_codec.decodeManifest((*manifest)->value) : std::nullopt;
-    if (!pieces) {
-        logEvent(Event::ConfigurationDamaged, {{"what", "manifest"}});
-        return true;
-    }
-    std::vector<std::string> keys;
-    for (const StoredPiece &it : *pieces) {
-        if (m_texts.count(it.sha256) == 0)
-            keys.push_back(pieceKey(it.sha256));
-    }
-    m_metrics.count("fordwood_platform_reads_total", keys.empty() ? 0 : 1);
-    const auto values = m_store.getMany(keys, kCallTimeout);
-    if (!values)
-        return false;
-    std::map<std::string, std::string> texts;
-    std::size_t next = 0;
-    for (StoredPiece &it : *pieces) {
-        const auto known = m_texts.find(it.sha256);
-        if (known != m_texts.end())
-            it.text = known->second;
-        else if (const auto &value = (*values)[next++])
-            it.text = value->value;
-        if (m_codec.digest(it.text) != it.sha256) {
-            logEvent(Event::ConfigurationDamaged, {{"what", "piece"}, {"piece", it.name}});
-            return true;
-        }
-        texts[it.sha256] = it.text;
-    }
-    m_texts = std::move(texts);
-    m_guard.offer(head);
-    m_listener.configurationFetched({head, std::move(*pieces)});
-    return true;
+    if (const auto head = m_codec.decodeHead(bytes))
+        return m_listener.headRead(*head);
+    logEvent(Event::ConfigurationDamaged, {{"what", "head"}});
+    m_metrics.count("fordwood_configuration_damaged_total");
 }
 
 void PlatformDuty::readList()
 {
     bool lost = false;
-    std::optional<VmList> last;
-    do {
+    while (waitUntilReading()) {
         m_metrics.count("fordwood_vm_list_reads_total");
         const auto text = adapters::httpGet("http://" + m_settings.vmList + "/vms", kCallTimeout);
         const auto list = text ? adapters::parseVmList(*text) : std::nullopt;
@@ -167,19 +134,45 @@
         if (list && lost)
             logEvent(Event::VmListBack);
         lost = !list;
-        if (list && list != last) {
-            last = list;
-            m_listener.vmListRead(*list);
+        if (list)
+            m_listener.listRead(*list);
+        pause(m_settings.vmListPeriod);
+    }
+}
+
+void PlatformDuty::fetchBlobs()
+{
+    while (!isStopping()) {
+        const auto fetch = m_fetches.pop(kFetchWait);
+        if (!fetch)
+            continue;
+        std::vector<std::string> digests = fetch->manifests;
+        std::vector<std::string> keys;
+        for (const std::string &it : fetch->manifests)
+            keys.push_back(manifestKey(it));
+        for (const std::string &it : fetch->pieces) {
+            digests.push_back(it);
+            keys.push_back(pieceKey(it));
+        }
+        m_metrics.count("fordwood_platform_reads_total");
+        const auto values = m_store.getMany(keys, kCallTimeout);
+        if (!values)
+            continue;
+        std::vector<Blob> blobs;
+        for (std::size_t it = 0; it < keys.size(); ++it) {
+            if ((*values)[it])
+                blobs.push_back({digests[it], (*values)[it]->value});
         }
-    } while (!pause(m_settings.vmListPeriod));
+        m_listener.blobsRead(blobs);
+    }
 }
 
 void PlatformDuty::setReachable(bool reachable, const std::string &why)
 {
-    if (m_reachable == static_cast<int>(reachable))
+    if (m_reachable == reachable)
         return;
-    const bool first = m_reachable < 0;
-    m_reachable = static_cast<int>(reachable);
+    const bool first = !m_reachable;
+    m_reachable = reachable;
     if (!reachable)
         logEvent(Event::PlatformLost, {{"why", why}});
     else if (!first)
@@ -187,11 +180,24 @@
     m_listener.platformReachable(reachable);
 }
 
-// True when the duty is being stopped.
-bool PlatformDuty::pause(Duration time)
+// False when the duty is being stopped.
+bool PlatformDuty::waitUntilReading()
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait(lock, [this] { return m_stopping || m_reading; });
+    return !m_stopping;
+}
+
+void PlatformDuty::pause(Duration time)
 {
     std::unique_lock lock(m_mutex);
-    return m_wake.wait_for(lock, time, [&] { return m_stopping; });
+    m_wake.wait_for(lock, time, [this] { return m_stopping; });
+}
+
+bool PlatformDuty::isStopping()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_stopping;
 }
 
 } // namespace fordwood::apps
--- a/src/apps/controld/platform_duty.hpp
+++ b/src/apps/controld/platform_duty.hpp
@@ -2,12 +2,10 @@
 #ifndef FORDWOOD_APPS_CONTROLD_PLATFORM_DUTY_HPP_INCLUDED
 #define FORDWOOD_APPS_CONTROLD_PLATFORM_DUTY_HPP_INCLUDED
 
-#include <atomic>
 #include <condition_variable>
-#include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -15,31 +13,25 @@
 #include "adapters/observe/metrics.hpp"
 #include "adapters/platform/etcd_store.hpp"
 #include "adapters/platform/proto_head_codec.hpp"
+#include "adapters/threads/bounded_ring.hpp"
 #include "config/settings.hpp"
-#include "fordwood/submission.hpp"
-#include "fordwood/vm_list.hpp"
+#include "fordwood/replicator.hpp"
 
 namespace fordwood::apps {
 
-// A configuration read from the platform: checked, with every piece.
-struct FetchedConfiguration
-{
-    ConfigHead head;
-    std::vector<StoredPiece> pieces;
-};
-
 // What the platform's threads report. Called from those threads.
 class PlatformListener
 {
 public:
     virtual ~PlatformListener() = default;
-    virtual void configurationFetched(FetchedConfiguration fetched) = 0;
-    virtual void vmListRead(VmList list) = 0;
+    virtual void headRead(const ConfigHead &head) = 0;
+    virtual void listRead(const VmList &list) = 0;
+    virtual void blobsRead(const std::vector<Blob> &blobs) = 0;
     virtual void platformReachable(bool reachable) = 0;
 };
 
-// Reads the platform: one thread watches the head of the configuration and fetches pieces that
-// changed, one reads the VM list.
+// Reads the platform, as long as this node is told to: one thread watches the head of the
+// configuration, one reads the VM list, one fetches values by digest.
 class PlatformDuty
 {
 public:
@@ -50,29 +42,38 @@
     void start();
     void stop();
 
+    // Whether to watch the head and to read the list.
+    void setReading(bool enabled);
+
+    // Fetches values; those that are not there are left out of the answer.
+    void fetch(const FetchBlobs &fetch);
+
 private:
     void watchHead();
-    bool followHead();
-    bool take(const std::string &bytes);
-    bool fetch(const ConfigHead &head);
+    void followHead();
+    void report(const std::string &bytes);
     void readList();
+    void fetchBlobs();
     void setReachable(bool reachable, const std::string &why);
-    bool pause(Duration time);
+    bool waitUntilReading();
+    void pause(Duration time);
+    bool isStopping();
 
     const config::PlatformSettings m_settings;
     PlatformListener &m_listener;
     adapters::Metrics &m_metrics;
     adapters::EtcdStore m_store;
     adapters::ProtoHeadCodec m_codec;
-    HeadGuard m_guard;
-    std::map<std::string, std::string> m_texts; // pieces of the last configuration, by digest
+    adapters::BoundedRing<FetchBlobs> m_fetches;
     std::thread m_headThread;
     std::thread m_listThread;
+    std::thread m_fetchThread;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_stopping = false;
+    bool m_reading = false;
     std::shared_ptr<adapters::KeyWatch> m_watch;
-    int m_reachable = -1; // unknown, no, yes
+    std::optional<bool> m_reachable; // of the head's thread alone
 };
 
 } // namespace fordwood::apps
--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -306,6 +306,8 @@
                         {"failure_domain", reply->failure_domain()},
                         {"version", reply->version()},
                         {"platform_reachable", reply->platform_reachable()},
+                        {"relay", reply->relay()},
+                        {"links", reply->links()},
                         {"members", reply->live_members()},
                         {"owned_upstreams", reply->owned_upstreams()},
                         {"build", reply->build()}});
@@ -313,7 +315,8 @@
             output.out << reply->node() << ": version " << reply->version() << ", platform "
                        << (reply->platform_reachable() ? "reachable" : "not reachable") << ", "
                        << reply->live_members() << " members, owns " << reply->owned_upstreams()
-                       << " upstreams, build " << reply->build() << "\n";
+                       << " upstreams" << (reply->relay() ? ", relay" : "") << ", "
+                       << reply->links() << " links, build " << reply->build() << "\n";
     }
     const bool same = versions.size() <= 1;
     if (output.json)
--- a/src/apps/entryd/snapshot_reader.cpp
+++ b/src/apps/entryd/snapshot_reader.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "apps/entryd/snapshot_reader.hpp"
 
+#include "adapters/grpc/peer_codec.hpp"
 #include "config/read_configuration.hpp"
 
 namespace fordwood::apps {
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -107,6 +107,8 @@
 constexpr Field kControl[] = {
     {"listen", Address, true, 0, 0, "", "Address for other nodes and for entryd (gRPC)."},
     {"metrics_listen", Address, true, 0, 0, "", "Address of `/metrics` and `/healthz`."},
+    {"seeds", TextList, false, 0, 0, "[]",
+     "Addresses (`control.listen`) of other nodes, asked while the VM list is not known."},
 };
 constexpr Field kPlatform[] = {
     {"key_value", Address, true, 0, 0, "", "Address of the key-value service (etcd v3 gRPC)."},
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -33,7 +33,8 @@
         entry.stopNotice = table.span("stop_notice", entry.stopNotice);
         entry.stopTimeout = table.span("stop_timeout", entry.stopTimeout);
     } else if (section == "control") {
-        settings.control = {table.text("listen"), table.text("metrics_listen")};
+        settings.control
+            = {table.text("listen"), table.text("metrics_listen"), table.texts("seeds")};
     } else if (section == "platform") {
         settings.platform = {table.text("key_value"), table.text("vm_list"),
                              table.span("vm_list_period", std::chrono::seconds(1))};
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "config/config_error.hpp"
 #include "fordwood/clock.hpp"
@@ -36,6 +37,7 @@
 {
     std::string listen;
     std::string metricsListen;
+    std::vector<std::string> seeds; // addresses of other nodes
 };
 
 struct PlatformSettings
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -201,7 +201,7 @@
                                                                                 : "leaving";
     };
     std::ostringstream out;
-    out << "{\"vms\":[";
+    out << "{\"revision\":" << ++m_listRevision << ",\"vms\":[";
     for (int it = 0; it < m_size.nodes; ++it) {
         const std::string name = "node-" + std::to_string(it);
         out << "{\"name\":\"" << name << "\",\"role\":\"entry\",\"failure_domain\":\""
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -96,6 +96,7 @@
 
     FleetSize m_size;
     std::string m_network; // "127.a.b."
+    int m_listRevision = 0;
     std::string m_folder;
 };
 
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -312,7 +312,7 @@
 private:
     std::mutex m_mutex;
     std::deque<std::pair<SteadyClock::time_point, std::string>> m_history{
-        {SteadyClock::time_point(), R"({"vms":[]})"}};
+        {SteadyClock::time_point(), R"({"revision":0,"vms":[]})"}};
 };
 
 Answer setFaults(State &state, const std::string &body)
