--- /dev/null
+++ b/tests/support/replica_fleet.hpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_TESTS_SUPPORT_REPLICA_FLEET_HPP_INCLUDED
+#define FORDWOOD_TESTS_SUPPORT_REPLICA_FLEET_HPP_INCLUDED
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "adapters/platform/proto_head_codec.hpp"
+#include "fordwood/manual_clock.hpp"
+#include "fordwood/replicator.hpp"
+#include "support/faulty_store.hpp"
+
+namespace fordwood::support {
+
+// Many replicators in one process over a paused clock, with a store and a VM list as the platform.
+// Links break and messages are lost as told; nothing here decides anything.
+class ReplicaFleet
+{
+public:
+    ReplicaFleet(int nodes, int domains, std::uint64_t seed = 1);
+
+    // Submits a configuration of these pieces; gives the version, or zero if it was not accepted.
+    std::uint64_t submit(const std::map<std::string, std::string> &pieces);
+
+    // Lets time pass.
+    void run(Duration time);
+
+    // Runs until every live node serves the version; false after `most`. `took` gets the time.
+    bool runUntilServed(std::uint64_t version, Duration most, Duration *took = nullptr);
+
+    void kill(int node);
+    void restart(int node); // with empty memory
+    void setPaused(int node, bool paused); // hears and does nothing; its links stay
+    void cutDomain(const std::string &domain, bool cut); // from all others and from the platform
+    void setPlatformDown(bool down);
+    void setListLag(Duration lag) { m_listLag = lag; }
+    // Puts an older head into the platform, as a restored copy would.
+    void restoreOldHead(std::uint64_t version);
+    void setLeavingUpstream(const std::string &name, bool leaving);
+    void setSeeds(bool known) { m_seeds = known; }
+
+    bool alive(int node) const
+    {
+        return m_nodes[static_cast<std::size_t>(node)].replicator != nullptr;
+    }
+    std::uint64_t version(int node) const;
+    std::string text(int node, const std::string &piece) const;
+    const Replicator &replicator(int node) const;
+    int nodes() const { return static_cast<int>(m_nodes.size()); }
+    int relays() const;
+    std::uint64_t alarms() const { return m_alarms; }
+    // Did any node ever serve a lower version after a higher one?
+    bool versionsWentBack() const { return m_wentBack; }
+
+    // Sums since the last resetCounters().
+    void resetCounters();
+    std::uint64_t messages() const { return m_messages; }
+    std::uint64_t bytes() const { return m_bytes; }
+    std::uint64_t mostBytesOfOneNode() const;
+    std::uint64_t platformCalls() const { return m_platformCalls; }
+
+    ManualClock clock;
+    FaultyStore store;
+    adapters::ProtoHeadCodec codec;
+
+private:
+    struct Node
+    {
+        Member member;
+        std::unique_ptr<Replicator> replicator; // null: dead
+        std::set<std::string> dialled;
+        bool reading = false;
+        bool paused = false;
+        std::uint64_t served = 0;
+        std::map<std::string, std::string> pieces;
+        TimePoint nextListRead{};
+        std::uint64_t bytes = 0;
+    };
+    struct Message
+    {
+        std::string from;
+        std::string to;
+        PeerUpdate update;
+    };
+    using Pair = std::pair<std::string, std::string>;
+
+    void step();
+    void carryOut(Node &node);
+    void connect();
+    void deliver();
+    void readPlatform(Node &node);
+    bool reachable(const Node &a, const Node &b) const;
+    bool platformReachable(const Node &node) const;
+    VmList laggedList() const;
+    void changeList();
+    Node *find(const std::string &name);
+
+    std::vector<Node> m_nodes;
+    std::map<std::string, int> m_indices;
+    std::set<Pair> m_linked; // dialler, peer
+    std::deque<Message> m_wire;
+    std::vector<std::pair<TimePoint, VmList>> m_lists;
+    VmList m_list;
+    std::set<std::string> m_cut; // domains
+    std::vector<ConfigHead> m_heads;
+    bool m_platformDown = false;
+    bool m_seeds = false;
+    Duration m_listLag{0};
+    std::uint64_t m_submissions = 0;
+    std::uint64_t m_alarms = 0;
+    bool m_wentBack = false;
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_bytes = 0;
+    std::uint64_t m_platformCalls = 0;
+    std::uint64_t m_incarnations = 1000;
+    std::mt19937_64 m_random;
+};
+
+} // namespace fordwood::support
+
+#endif // FORDWOOD_TESTS_SUPPORT_REPLICA_FLEET_HPP_INCLUDED
