Second parents send versions only; pieces are parsed once

Cause: the busiest node sent 3203 B/s at 0.625 changes/s, since both parents sent every change; every change parsed the whole configuration again. Change: only first parents and relays send the change itself, others the version, and a node asks the second one after 300 ms; ConfigurationAssembler keeps what was parsed, by digest.

--- a/include/fordwood/replicator.hpp
+++ b/include/fordwood/replicator.hpp
@@ -102,6 +102,7 @@
     Duration heartbeat = std::chrono::seconds(2);
     Duration suspectAfter = std::chrono::seconds(7); // of silence
     Duration askAgain = std::chrono::seconds(1); // for parts that did not come
+    Duration firstParentGrace = std::chrono::milliseconds(300); // before another link is asked
     Duration orphanAfter = std::chrono::seconds(10); // without any link: read the platform
 };
 
@@ -178,7 +179,9 @@
     void takeLiveness(const std::vector<LivenessRecord> &records, const std::string &from);
     void suspect(const std::string &member);
     void announceSelf();
-    void announceHead(const std::string &except);
+    void announceHead();
+    bool getsWholeChanges(const std::string &peer) const;
+    void askForNewer();
     void changed();
     void rearrange();
     void heartbeat();
@@ -202,6 +205,14 @@
     std::string m_manifest; // encoded
     VmList m_list;
     LivenessTable m_liveness;
+    struct Newer // a version that a peer has and this node was not sent yet
+    {
+        std::uint64_t version = 0;
+        std::string peer;
+        TimePoint since{};
+    };
+
+    std::optional<Newer> m_newer;
     std::optional<Pending> m_pending;
     std::map<std::string, std::string> m_blobs; // parts of the pending configuration
     std::map<std::string, Link> m_links;
--- a/include/fordwood/spreading_tree.hpp
+++ b/include/fordwood/spreading_tree.hpp
@@ -16,6 +16,7 @@
     bool relay = false; // reads the platform for its failure domain
     std::vector<std::string> parents; // first and second; none for relays
     std::vector<std::string> children; // whose first or second parent this node is
+    std::vector<std::string> firstChildren; // those whose first parent it is
     std::vector<std::string> neighbours; // relays of other domains that this relay links to
 };
 
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -5,7 +5,6 @@
 
 #include "adapters/grpc/peer_codec.hpp"
 #include "adapters/observe/event_log.hpp"
-#include "config/read_configuration.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood::apps {
@@ -288,20 +287,15 @@
 void ControlNode::applyConfiguration(const ApplyConfiguration &action)
 {
     config::ConfigErrors errors;
-    std::vector<config::Document> documents;
-    for (const StoredPiece &it : action.pieces) {
-        if (auto document = config::parseDocument(it.name, it.text, errors))
-            documents.push_back(std::move(*document));
-    }
-    auto configuration = config::readConfiguration(documents, errors);
-    if (!configuration || !errors.empty()) {
+    auto configuration = m_assembler.assemble(action.pieces, errors);
+    if (!configuration) {
         logEvent(Event::ConfigurationDamaged,
                  {{"version", action.head.version},
                   {"error", errors.empty() ? "" : errors.front().toString()}});
         m_metrics.count("fordwood_configuration_damaged_total");
         return;
     }
-    m_configuration = std::make_shared<const Configuration>(std::move(*configuration));
+    m_configuration = std::move(configuration);
     m_head = action.head;
     m_pieces = action.pieces;
     logEvent(Event::ConfigurationApplied, {{"version", m_head.version},
--- a/src/apps/controld/control_node.hpp
+++ b/src/apps/controld/control_node.hpp
@@ -21,6 +21,7 @@
 #include "adapters/threads/bounded_ring.hpp"
 #include "apps/common/daemon.hpp"
 #include "apps/controld/platform_duty.hpp"
+#include "config/configuration_assembler.hpp"
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/replicator.hpp"
 
@@ -133,6 +134,7 @@
     std::atomic<bool> m_stopping{false};
 
     // Of the control thread alone:
+    config::ConfigurationAssembler m_assembler;
     ConfigHead m_head; // in force on this node
     std::vector<StoredPiece> m_pieces;
     std::shared_ptr<const Configuration> m_configuration;
--- a/src/apps/entryd/snapshot_reader.cpp
+++ b/src/apps/entryd/snapshot_reader.cpp
@@ -2,7 +2,8 @@
 #include "apps/entryd/snapshot_reader.hpp"
 
 #include "adapters/grpc/peer_codec.hpp"
-#include "config/read_configuration.hpp"
+
+#include "adapters/grpc/peer_codec.hpp"
 
 namespace fordwood::apps {
 
@@ -19,29 +20,27 @@
         return nullptr;
     }
     if (snapshot.head().manifest_sha256() != m_manifestSha256 || !m_configuration) {
-        config::ConfigErrors errors;
-        std::map<std::string, config::Document> pieces;
-        for (const wire::Piece &it : snapshot.new_pieces()) {
-            if (auto document = config::parseDocument(it.name(), it.text(), errors))
-                m_pieces.insert_or_assign(it.sha256(), std::move(*document));
-        }
-        std::vector<config::Document> documents;
+        for (const wire::Piece &it : snapshot.new_pieces())
+            m_texts[it.sha256()] = it.text();
+        std::map<std::string, std::string> texts;
+        std::vector<StoredPiece> pieces;
         for (const wire::PieceReference &it : snapshot.manifest().pieces()) {
-            const auto known = m_pieces.find(it.sha256());
-            if (known == m_pieces.end()) {
+            const auto known = m_texts.find(it.sha256());
+            if (known == m_texts.end()) {
                 error = "piece " + it.name() + " is missing";
                 return nullptr;
             }
-            documents.push_back(known->second);
-            pieces.emplace(it.sha256(), known->second);
+            pieces.push_back({it.name(), it.sha256(), known->second});
+            texts.emplace(it.sha256(), known->second);
         }
-        auto configuration = config::readConfiguration(documents, errors);
-        if (!configuration || !errors.empty()) {
+        config::ConfigErrors errors;
+        auto configuration = m_assembler.assemble(pieces, errors);
+        if (!configuration) {
             error = errors.empty() ? "damaged" : errors.front().toString();
             return nullptr;
         }
-        m_pieces = std::move(pieces);
-        m_configuration = std::make_shared<const Configuration>(std::move(*configuration));
+        m_texts = std::move(texts);
+        m_configuration = std::move(configuration);
         m_manifestSha256 = snapshot.head().manifest_sha256();
     }
     m_version = snapshot.head().version();
--- a/src/apps/entryd/snapshot_reader.hpp
+++ b/src/apps/entryd/snapshot_reader.hpp
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "config/document.hpp"
+#include "config/configuration_assembler.hpp"
 #include "fordwood/control.pb.h"
 #include "fordwood/fleet_view.hpp"
 
@@ -25,7 +25,8 @@
 
 private:
     std::string m_ownFailureDomain;
-    std::map<std::string, config::Document> m_pieces; // by digest
+    std::map<std::string, std::string> m_texts; // pieces by digest
+    config::ConfigurationAssembler m_assembler;
     std::string m_manifestSha256;
     std::shared_ptr<const Configuration> m_configuration;
     std::uint64_t m_version = 0;
--- a/src/config/read_configuration.cpp
+++ b/src/config/read_configuration.cpp
@@ -25,6 +25,10 @@
     {
         for (const CheckedTable &it : tables)
             readTable(it);
+    }
+
+    void checkAllReferences(const std::vector<CheckedTable> &tables)
+    {
         for (const CheckedTable &it : tables)
             checkReferences(it);
     }
@@ -229,6 +233,17 @@
     const auto tables = checkDocuments(documents, configurationSections(), errors);
     Reader reader(errors);
     reader.read(tables);
+    reader.checkAllReferences(tables);
+    if (errors.size() != before)
+        return std::nullopt;
+    return reader.take();
+}
+
+std::optional<Configuration> readTables(std::span<const Document> documents, ConfigErrors &errors)
+{
+    const std::size_t before = errors.size();
+    Reader reader(errors);
+    reader.read(checkDocuments(documents, configurationSections(), errors));
     if (errors.size() != before)
         return std::nullopt;
     return reader.take();
--- a/src/config/read_configuration.hpp
+++ b/src/config/read_configuration.hpp
@@ -20,6 +20,10 @@
 std::optional<Configuration> readConfiguration(std::span<const Document> documents,
                                                ConfigErrors &errors);
 
+// Checks documents as a part of a configuration: fields and names that stand twice, but no
+// references to other parts. Empty when any error was added.
+std::optional<Configuration> readTables(std::span<const Document> documents, ConfigErrors &errors);
+
 // One part of a configuration: a canonical TOML text of a few tables of one section.
 struct ConfigPiece
 {
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -159,24 +159,55 @@
     if (m_pending && m_pending->head.version <= m_head.version)
         m_pending.reset();
     m_actions.emplace_back(ApplyConfiguration{m_head, m_pieces});
-    announceHead("");
+    announceHead();
 }
 
-// Tells the links that do not know the version yet. The ids of submissions stay in the platform.
-void Replicator::announceHead(const std::string &except)
+// Tells the links that do not know the version yet: first children and other relays get the change
+// itself, the others only the version. The ids of submissions stay in the platform.
+void Replicator::announceHead()
 {
     ConfigHead head = m_head;
     head.recentSubmissionIds.clear();
     for (auto &[peer, link] : m_links) {
-        if (peer == except || link.headVersion >= m_head.version)
+        if (link.headVersion >= m_head.version)
             continue;
-        link.headVersion = m_head.version;
         PeerUpdate update = baseUpdate();
-        update.head = head;
+        if (getsWholeChanges(peer)) {
+            link.headVersion = m_head.version;
+            update.head = head;
+        }
         send(peer, std::move(update));
     }
 }
 
+bool Replicator::getsWholeChanges(const std::string &peer) const
+{
+    const auto contains = [&](const std::vector<std::string> &names) {
+        return std::find(names.begin(), names.end(), peer) != names.end();
+    };
+    if (contains(m_place.firstChildren))
+        return true;
+    return !contains(m_place.children) && !contains(m_place.parents);
+}
+
+// Asks a peer that has a newer version, once the first parent has had time to send it unasked.
+void Replicator::askForNewer()
+{
+    if (!m_newer)
+        return;
+    if (m_newer->version <= m_head.version
+        || (m_pending && m_pending->head.version >= m_newer->version)) {
+        m_newer.reset();
+        return;
+    }
+    if (m_clock.now() - m_newer->since < m_limits.firstParentGrace)
+        return;
+    PeerUpdate update = baseUpdate();
+    update.wantsHead = true;
+    send(m_newer->peer, std::move(update));
+    m_newer.reset();
+}
+
 // ---------------------------------------------------------------- VM list and members
 
 void Replicator::platformList(const VmList &list)
@@ -369,22 +400,23 @@
             answer = true;
         }
     }
-    // Who is behind is helped, whether it asked or not.
-    if (update.wantsHead || (update.headVersion < m_head.version && !update.head)) {
+    // Who is behind is helped, unless its first parent does that.
+    const bool helped = getsWholeChanges(peer) && update.headVersion < m_head.version;
+    if (update.wantsHead || (helped && link.headVersion < m_head.version)) {
+        link.headVersion = m_head.version;
         reply.head = m_head;
         reply.head->recentSubmissionIds.clear();
         answer = true;
     }
-    if (update.wantsList || update.listRevision < m_list.revision) {
+    if (update.wantsList || link.listRevision < m_list.revision) {
+        link.listRevision = m_list.revision;
         reply.list = makeDelta(VmList{}, m_list);
         answer = true;
     }
     const bool behind = update.headVersion > m_head.version && !update.head
                         && (!m_pending || m_pending->head.version < update.headVersion);
-    if (behind) {
-        reply.wantsHead = true;
-        answer = true;
-    }
+    if (behind && (!m_newer || m_newer->version < update.headVersion))
+        m_newer = Newer{update.headVersion, peer, m_clock.now()};
     if (update.listRevision > m_list.revision && !update.list) {
         reply.wantsList = true;
         answer = true;
@@ -400,6 +432,7 @@
     heartbeat();
     lookForSilence();
     lookForOrphanhood();
+    askForNewer();
     if (m_pending && m_clock.now() - m_pending->askedAt >= m_limits.askAgain)
         askForParts();
 }
--- a/src/core/spreading_tree.cpp
+++ b/src/core/spreading_tree.cpp
@@ -95,6 +95,8 @@
     for (std::size_t it = kRelaysPerDomain; it < own.size(); ++it) {
         if (firstParent(it) == position || secondParent(it) == position)
             place.children.push_back(own[it]);
+        if (firstParent(it) == position)
+            place.firstChildren.push_back(own[it]);
     }
     return place;
 }
