--- a/include/fordwood/fleet_view.hpp
+++ b/include/fordwood/fleet_view.hpp
@@ -39,6 +39,13 @@
     // failure domain, else of its region, else of all. Null when there are no members.
     const Member *owner(const UpstreamConfig &upstream) const;
 
+    // The member that is asked whether a key of a partition may run. Null when there are no
+    // members.
+    const Member *keyHolder(std::uint32_t partition) const;
+
+    // A member by its name; null when it is none.
+    const Member *member(const std::string &name) const;
+
     // True when an upstream must get no new work, by the VM list or by the configuration.
     bool isLeaving(const std::string &upstream) const;
 
--- a/include/fordwood/replicator.hpp
+++ b/include/fordwood/replicator.hpp
@@ -116,7 +116,8 @@
 class Replicator
 {
 public:
-    Replicator(Member self, std::uint64_t incarnation, const Clock &clock, const HeadCodec &codec,
+    // `boot`: names the start of this process; later starts have higher ones.
+    Replicator(Member self, std::uint64_t boot, const Clock &clock, const HeadCodec &codec,
                ReplicatorLimits limits = {}, std::uint64_t seed = 1);
 
     // Begins; until the first VM list is known the node reads the platform by itself.
@@ -147,6 +148,8 @@
     bool readsPlatform() const { return m_reading; }
     std::size_t links() const { return m_links.size(); }
     bool isSuspected(const std::string &member) const { return m_liveness.isSuspected(member); }
+    // When the process of a member was started, as far as known; zero otherwise.
+    std::uint64_t bootOf(const std::string &member) const;
     // The members that this node counts on: listed and not suspected.
     std::vector<Member> members() const;
 
--- /dev/null
+++ b/src/adapters/grpc/key_codec.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+#include "adapters/grpc/key_codec.hpp"
+
+namespace fordwood::adapters {
+
+namespace {
+
+WallTime wallTime(std::int64_t unixMs)
+{
+    return WallTime(std::chrono::milliseconds(unixMs));
+}
+
+} // namespace
+
+wire::KeptReply toWire(const KeptAnswer &answer)
+{
+    wire::KeptReply message;
+    message.set_status(answer.status);
+    message.set_content_type(answer.contentType);
+    message.set_body(answer.body);
+    return message;
+}
+
+KeptAnswer fromWire(const wire::KeptReply &message)
+{
+    return {message.status(), message.content_type(), message.body()};
+}
+
+ClaimAnswer fromWire(const wire::ClaimReply &message)
+{
+    ClaimAnswer answer;
+    answer.decision = static_cast<ClaimAnswer::Decision>(message.decision());
+    answer.reason = info(static_cast<Reason>(message.reason())).reason;
+    answer.state = static_cast<RunState>(message.state());
+    answer.holder = message.holder();
+    answer.answer = fromWire(message.answer());
+    return answer;
+}
+
+IdempotencyKey keyOf(const wire::Claim &message)
+{
+    return {message.team(), message.key(), wallTime(message.issued_unix_ms())};
+}
+
+IdempotencyKey keyOf(const wire::ClaimEnd &message)
+{
+    return {message.team(), message.key(), wallTime(message.issued_unix_ms())};
+}
+
+wire::TenureChains toWire(const std::map<std::uint32_t, TenureChain> &chains)
+{
+    wire::TenureChains message;
+    for (const auto &[partition, chain] : chains) {
+        wire::PartitionChain *one = message.add_chains();
+        one->set_partition(partition);
+        for (const Tenure &it : chain) {
+            wire::TenureInterval *tenure = one->add_tenures();
+            tenure->set_node(it.holder.node);
+            tenure->set_boot(it.holder.boot);
+            tenure->set_from_unix_ms(it.from.time_since_epoch().count());
+            tenure->set_until_unix_ms(it.until.time_since_epoch().count());
+        }
+    }
+    return message;
+}
+
+std::map<std::uint32_t, TenureChain> fromWire(const wire::TenureChains &message)
+{
+    std::map<std::uint32_t, TenureChain> chains;
+    for (const wire::PartitionChain &one : message.chains()) {
+        TenureChain &chain = chains[one.partition()];
+        for (const wire::TenureInterval &it : one.tenures())
+            chain.push_back({{it.node(), it.boot()},
+                             wallTime(it.from_unix_ms()),
+                             wallTime(it.until_unix_ms())});
+    }
+    return chains;
+}
+
+} // namespace fordwood::adapters
--- a/src/adapters/grpc/permit_client.cpp
+++ b/src/adapters/grpc/permit_client.cpp
@@ -6,6 +6,7 @@
 
 #include <grpcpp/create_channel.h>
 
+#include "adapters/grpc/key_codec.hpp"
 #include "adapters/grpc/outgoing.hpp"
 
 namespace fordwood::adapters {
@@ -105,6 +106,8 @@
             take(replyOf(it));
         for (const wire::Denial &it : m_incoming.denials())
             take(replyOf(it));
+        for (const wire::ClaimReply &it : m_incoming.claim_replies())
+            m_listener.claimAnswered(m_owner, it.claim_id(), fromWire(it));
         StartRead(&m_incoming);
     }
 
@@ -201,6 +204,29 @@
     send(release.owner, commands);
 }
 
+void PermitClient::claim(const ClaimKey &claim)
+{
+    wire::PermitCommands commands;
+    wire::Claim *message = commands.add_claims();
+    message->set_claim_id(claim.claimId);
+    message->set_team(claim.key.team);
+    message->set_key(claim.key.text);
+    message->set_issued_unix_ms(claim.key.issued.time_since_epoch().count());
+    open(claim.holder, claim.holderAddress)->send(commands);
+}
+
+void PermitClient::finishClaim(const FinishClaim &finish)
+{
+    wire::PermitCommands commands;
+    wire::ClaimEnd *message = commands.add_claim_ends();
+    message->set_team(finish.key.team);
+    message->set_key(finish.key.text);
+    message->set_issued_unix_ms(finish.key.issued.time_since_epoch().count());
+    message->set_state(static_cast<std::uint32_t>(finish.state));
+    *message->mutable_answer() = toWire(finish.answer);
+    send(finish.holder, commands);
+}
+
 bool PermitClient::forget(const std::string &owner, std::uint64_t stream)
 {
     const auto it = m_streams.find(owner);
--- a/src/adapters/grpc/permit_client.hpp
+++ b/src/adapters/grpc/permit_client.hpp
@@ -21,6 +21,11 @@
     // An owner has answered. False when the answer cannot be taken now.
     virtual bool replyArrived(const std::string &owner, const PermitReply &reply) = 0;
 
+    // The holder of a key has answered a claim.
+    virtual void claimAnswered(const std::string &holder, std::uint64_t claimId,
+                               const ClaimAnswer &answer)
+        = 0;
+
     // The stream to an owner is gone, with its open asks and its permits.
     virtual void streamLost(const std::string &owner, std::uint64_t stream) = 0;
 };
@@ -36,6 +41,8 @@
     void ask(const AskPermit &ask);
     void withdraw(const WithdrawAsk &withdrawal);
     void release(const ReleasePermit &release);
+    void claim(const ClaimKey &claim);
+    void finishClaim(const FinishClaim &finish);
 
     // Forgets a stream that was reported lost. True when it was the owner's present stream.
     bool forget(const std::string &owner, std::uint64_t stream);
--- a/src/adapters/grpc/permit_service.cpp
+++ b/src/adapters/grpc/permit_service.cpp
@@ -3,6 +3,7 @@
 
 #include <unordered_map>
 
+#include "adapters/grpc/key_codec.hpp"
 #include "adapters/grpc/outgoing.hpp"
 
 namespace fordwood::adapters {
@@ -100,6 +101,13 @@
             denial->set_ask_id(it.ask_id());
             denial->set_reason(static_cast<std::uint32_t>(Reason::RingFull));
         }
+        for (const wire::Claim &it : m_incoming.claims()) {
+            wire::ClaimReply *reply = events.add_claim_replies();
+            reply->set_claim_id(it.claim_id());
+            reply->set_decision(static_cast<std::uint32_t>(ClaimAnswer::Decision::Refuse));
+            reply->set_reason(static_cast<std::uint32_t>(Reason::RingFull));
+            reply->set_state(static_cast<std::uint32_t>(RunState::MayHaveRun));
+        }
         send(events);
     }
 
@@ -121,17 +129,35 @@
     std::unordered_map<HolderId, wire::PermitEvents> byHolder;
     for (const PermitAnswer &it : answers)
         addTo(byHolder[it.holder], it);
-    for (const auto &[holder, events] : byHolder) {
-        std::shared_ptr<Stream> stream;
-        {
-            const std::lock_guard lock(m_mutex);
-            const auto it = m_streams.find(holder);
-            if (it != m_streams.end())
-                stream = it->second;
-        }
-        if (stream)
-            stream->send(events);
+    for (const auto &[holder, events] : byHolder)
+        sendTo(holder, events);
+}
+
+void PermitService::sendClaim(HolderId holder, std::uint64_t claimId, const ClaimAnswer &answer)
+{
+    wire::PermitEvents events;
+    wire::ClaimReply *reply = events.add_claim_replies();
+    reply->set_claim_id(claimId);
+    reply->set_decision(static_cast<std::uint32_t>(answer.decision));
+    reply->set_reason(static_cast<std::uint32_t>(answer.reason));
+    reply->set_state(static_cast<std::uint32_t>(answer.state));
+    reply->set_holder(answer.holder);
+    if (answer.decision == ClaimAnswer::Decision::Answer)
+        *reply->mutable_answer() = toWire(answer.answer);
+    sendTo(holder, events);
+}
+
+void PermitService::sendTo(HolderId holder, const wire::PermitEvents &events)
+{
+    std::shared_ptr<Stream> stream;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_streams.find(holder);
+        if (it != m_streams.end())
+            stream = it->second;
     }
+    if (stream)
+        stream->send(events);
 }
 
 void PermitService::closeAll()
--- a/src/adapters/grpc/permit_service.hpp
+++ b/src/adapters/grpc/permit_service.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "fordwood/control.grpc.pb.h"
+#include "fordwood/key_registry.hpp"
 #include "fordwood/permit_book.hpp"
 
 namespace fordwood::adapters {
@@ -35,6 +36,9 @@
     // Sends answers to their holders; those of holders that are gone are dropped.
     void send(const std::vector<PermitAnswer> &answers);
 
+    // Sends the answer to a claim of a key.
+    void sendClaim(HolderId holder, std::uint64_t claimId, const ClaimAnswer &answer);
+
     // Ends all streams, so that the server can stop.
     void closeAll();
 
@@ -44,6 +48,7 @@
 private:
     class Stream;
 
+    void sendTo(HolderId holder, const wire::PermitEvents &events);
     void remove(HolderId holder);
 
     PermitListener &m_listener;
--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -15,6 +15,7 @@
 constexpr long kIdleConnections = 1024;
 constexpr std::string_view kStreamEnd = "data: [DONE]";
 constexpr std::size_t kTailBytes = 64;
+constexpr std::size_t kMostKeptBytes = 16'384;
 
 std::string lower(std::string_view text)
 {
@@ -103,7 +104,7 @@
         Exchange &exchange = *m_attempt.exchange;
         if (ec == CURLE_OK && !m_failure && beginAnswer() && wholeStream()) {
             exchange.finish(attempt);
-            return m_client.m_listener.attemptFinished(call, attempt, m_cost);
+            return m_client.m_listener.attemptFinished(call, attempt, m_cost, keptAnswer());
         }
         AttemptFailure failure = m_failure ? *m_failure : failureOf(ec);
         failure.answerBegun = !exchange.discard(attempt);
@@ -178,6 +179,8 @@
         switch (m_attempt.exchange->append(key().second, bytes)) {
         case Exchange::Append::Taken:
             keepTail(bytes);
+            if (m_attempt.send.keepAnswer && m_kept.size() <= kMostKeptBytes)
+                m_kept.append(bytes);
             return bytes.size();
         case Exchange::Append::Full:
             m_paused = true;
@@ -188,6 +191,19 @@
         return kAbort;
     }
 
+    // The answer, if it is to be kept and short enough.
+    KeptAnswer keptAnswer() const
+    {
+        if (!m_attempt.send.keepAnswer || m_kept.size() > kMostKeptBytes)
+            return {};
+        KeptAnswer answer{m_head.status, "", m_kept};
+        for (const auto &[name, value] : m_head.headers) {
+            if (lower(name) == "content-type")
+                answer.contentType = value;
+        }
+        return answer;
+    }
+
     void keepTail(std::string_view bytes)
     {
         m_tail.append(bytes.substr(bytes.size() - std::min(bytes.size(), kTailBytes)));
@@ -245,6 +261,7 @@
     CURL *m_easy;
     curl_slist *m_headerList = nullptr;
     AnswerHead m_head;
+    std::string m_kept;
     std::string m_tail; // last bytes of the answer
     std::optional<AttemptFailure> m_failure;
     double m_cost = 0.0;
--- a/src/adapters/http/upstream_client.hpp
+++ b/src/adapters/http/upstream_client.hpp
@@ -21,7 +21,7 @@
 {
 public:
     virtual ~UpstreamListener() = default;
-    virtual void attemptFinished(CallId call, unsigned attempt, double cost) = 0;
+    virtual void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer) = 0;
     virtual void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) = 0;
 };
 
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -3,6 +3,7 @@
 
 #include <grpcpp/server_builder.h>
 
+#include "adapters/grpc/key_codec.hpp"
 #include "adapters/grpc/peer_codec.hpp"
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
@@ -35,7 +36,7 @@
             settings.control.listen, false};
 }
 
-std::uint64_t incarnationOf(const Clock &clock)
+std::uint64_t bootOf(const Clock &clock)
 {
     return static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
 }
@@ -43,11 +44,12 @@
 } // namespace
 
 ControlNode::ControlNode(const config::Settings &settings)
-    : m_settings(settings), m_ring(kRingSize),
-      m_replicator(selfOf(settings), incarnationOf(m_clock), m_clock, m_codec, {},
-                   stableHash(settings.node.name, incarnationOf(m_clock))),
-      m_book(m_clock), m_permitService(*this), m_links(settings.node.name, *this),
-      m_platform(settings.platform, *this, m_metrics),
+    : m_settings(settings), m_boot(bootOf(m_clock)), m_ring(kRingSize),
+      m_replicator(selfOf(settings), m_boot, m_clock, m_codec, {},
+                   stableHash(settings.node.name, m_boot)),
+      m_book(m_clock), m_keys({settings.node.name, m_boot}, m_clock, {}), m_permitService(*this),
+      m_links(settings.node.name, *this), m_platform(settings.platform, *this, m_metrics),
+      m_tenures(settings.platform.keyValue, settings.node.name, m_clock, *this, m_metrics),
       m_admin([this](const std::string &path) { return adminAnswer(m_metrics, path); })
 { }
 
@@ -63,6 +65,7 @@
     builder.RegisterService(&m_controlService);
     builder.RegisterService(&m_permitService);
     builder.RegisterService(&m_links);
+    builder.RegisterService(&m_tenures);
     m_server = builder.BuildAndStart();
     if (!m_server || port == 0) {
         logEvent(Event::ListenFailed, {{"address", m_settings.control.listen}});
@@ -73,6 +76,7 @@
         return false;
     }
     m_platform.start();
+    m_tenures.start();
     m_replicator.start();
     m_thread = std::thread([this] { run(); });
     // Until the VM list is known, the seeds are the only peers that can be asked.
@@ -84,6 +88,7 @@
 {
     pushSurely(StopEvent{});
     m_platform.stop();
+    m_tenures.stop();
     m_controlService.closeAll();
     m_permitService.closeAll();
 }
@@ -121,7 +126,8 @@
 
 bool ControlNode::commandsArrived(HolderId holder, wire::PermitCommands commands)
 {
-    if (commands.releases().empty() && commands.withdrawals().empty()) {
+    if (commands.releases().empty() && commands.withdrawals().empty()
+        && commands.claim_ends().empty()) {
         const bool taken = m_ring.tryPush(CommandsEvent{holder, std::move(commands)});
         if (!taken)
             m_metrics.countRefusal(Reason::RingFull);
@@ -152,6 +158,11 @@
     pushSurely(UpdateEvent{peer, std::move(update)});
 }
 
+void ControlNode::chainsLearned(std::map<std::uint32_t, TenureChain> chains)
+{
+    pushSurely(ChainsEvent{std::move(chains)});
+}
+
 // For events that must not be lost and whose threads may wait: never a caller's thread.
 void ControlNode::pushSurely(const ControlEvent &event)
 {
@@ -174,6 +185,8 @@
         const TimePoint now = m_clock.now();
         if (now >= nextTick) {
             m_replicator.tick();
+            m_keys.tick();
+            tellTenures();
             nextTick = now + kReplicatorTick;
         }
         if (now >= nextReopen) {
@@ -216,11 +229,21 @@
         ask.wait = std::chrono::milliseconds(it.wait_ms());
         m_book.ask(ask);
     }
+    for (const wire::ClaimEnd &it : event.commands.claim_ends())
+        m_keys.finish(event.holder, adapters::keyOf(it), static_cast<RunState>(it.state()),
+                      adapters::fromWire(it.answer()));
+    for (const wire::Claim &it : event.commands.claims()) {
+        const ClaimAnswer answer = m_keys.claim(event.holder, adapters::keyOf(it));
+        if (answer.decision == ClaimAnswer::Decision::Refuse)
+            m_metrics.countRefusal(answer.reason);
+        m_permitService.sendClaim(event.holder, it.claim_id(), answer);
+    }
 }
 
 void ControlNode::on(const HolderGoneEvent &event)
 {
     m_book.dropHolder(event.holder);
+    m_keys.dropClaimant(event.holder);
 }
 
 void ControlNode::on(const HeadEvent &event)
@@ -257,6 +280,12 @@
     m_replicator.updateArrived(event.peer, event.update);
 }
 
+void ControlNode::on(const ChainsEvent &event)
+{
+    for (const auto &[partition, chain] : event.chains)
+        m_keys.setChain(partition, chain);
+}
+
 void ControlNode::on(const StopEvent &)
 {
     m_replicator.stop();
@@ -333,6 +362,22 @@
     }
 }
 
+// Who may hold keys, by the boots that the members' liveness tells.
+void ControlNode::tellTenures()
+{
+    std::vector<TenureMember> members;
+    std::map<std::string, std::uint64_t> boots;
+    for (const Member &it : m_members) {
+        const std::uint64_t boot
+            = it.name == m_settings.node.name ? m_boot : m_replicator.bootOf(it.name);
+        boots[it.name] = boot;
+        if (!it.leaving && boot != 0)
+            members.push_back({{it.name, boot}, it.controlAddress});
+    }
+    m_keys.setAlive(std::move(boots));
+    m_tenures.setMembers(std::move(members));
+}
+
 void ControlNode::rebuild()
 {
     updateStatus();
@@ -398,6 +443,7 @@
     m_metrics.setGauge("fordwood_leaving_upstreams",
                        static_cast<double>(m_leavingUpstreams.size()));
     m_metrics.setGauge("fordwood_owned_upstreams", static_cast<double>(m_book.owned()));
+    m_metrics.setGauge("fordwood_idempotency_keys", static_cast<double>(m_keys.keys()));
     m_metrics.setGauge("fordwood_relay", m_replicator.isRelay() ? 1 : 0);
     m_metrics.setGauge("fordwood_links", static_cast<double>(m_replicator.links()));
     m_metrics.setGauge("fordwood_reads_platform", m_replicator.readsPlatform() ? 1 : 0);
--- a/src/apps/controld/control_node.hpp
+++ b/src/apps/controld/control_node.hpp
@@ -21,8 +21,10 @@
 #include "adapters/threads/bounded_ring.hpp"
 #include "apps/common/daemon.hpp"
 #include "apps/controld/platform_duty.hpp"
+#include "apps/controld/tenure_duty.hpp"
 #include "config/configuration_assembler.hpp"
 #include "fordwood/fleet_view.hpp"
+#include "fordwood/key_registry.hpp"
 #include "fordwood/replicator.hpp"
 
 namespace fordwood::apps {
@@ -33,7 +35,8 @@
 class ControlNode : public Daemon,
                     private PlatformListener,
                     private adapters::PermitListener,
-                    private adapters::PeerListener
+                    private adapters::PeerListener,
+                    private TenureListener
 {
 public:
     explicit ControlNode(const config::Settings &settings);
@@ -79,11 +82,15 @@
         std::string peer;
         PeerUpdate update;
     };
+    struct ChainsEvent
+    {
+        std::map<std::uint32_t, TenureChain> chains;
+    };
     struct StopEvent
     { };
     using ControlEvent
         = std::variant<CommandsEvent, HolderGoneEvent, HeadEvent, ListEvent, BlobsEvent,
-                       ReachableEvent, LinkEvent, UpdateEvent, StopEvent>;
+                       ReachableEvent, LinkEvent, UpdateEvent, ChainsEvent, StopEvent>;
 
     // PlatformListener, PermitListener and PeerListener, on the threads of those adapters
     void headRead(const ConfigHead &head) override;
@@ -95,6 +102,7 @@
     void linkUp(const std::string &peer) override;
     void linkDown(const std::string &peer) override;
     void updateArrived(const std::string &peer, PeerUpdate update) override;
+    void chainsLearned(std::map<std::uint32_t, TenureChain> chains) override;
     void pushSurely(const ControlEvent &event);
 
     // On the control thread
@@ -107,27 +115,32 @@
     void on(const ReachableEvent &event);
     void on(const LinkEvent &event);
     void on(const UpdateEvent &event);
+    void on(const ChainsEvent &event);
     void on(const StopEvent &event);
     void carryOut(const ReplicatorAction &action);
     void applyConfiguration(const ApplyConfiguration &action);
     void applyMembers(const ApplyMembers &action);
     void raise(const ReplicatorAlarm &alarm);
     void sendPermits();
+    void tellTenures();
     void rebuild();
     void publish();
     void updateStatus();
 
     const config::Settings m_settings;
     adapters::SystemClock m_clock;
+    const std::uint64_t m_boot; // names the start of this process
     adapters::ProtoHeadCodec m_codec;
     adapters::Metrics m_metrics;
     adapters::BoundedRing<ControlEvent> m_ring;
     Replicator m_replicator;
     PermitBook m_book;
+    KeyRegistry m_keys;
     adapters::ControlService m_controlService;
     adapters::PermitService m_permitService;
     adapters::PeerLinks m_links;
     PlatformDuty m_platform;
+    TenureDuty m_tenures;
     adapters::AdminServer m_admin;
     std::unique_ptr<grpc::Server> m_server;
     std::thread m_thread;
--- /dev/null
+++ b/src/apps/controld/tenure_duty.cpp
@@ -0,0 +1,170 @@
+// SPDX-License-Identifier: MIT
+#include "apps/controld/tenure_duty.hpp"
+
+#include <grpcpp/create_channel.h>
+
+#include "adapters/grpc/key_codec.hpp"
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood::apps {
+
+namespace {
+
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds kTellTimeout{500};
+
+std::vector<std::uint64_t> hashesOf(const std::vector<TenureMember> &members)
+{
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(members.size());
+    for (const TenureMember &it : members)
+        hashes.push_back(stableHash(it.holder.node));
+    return hashes;
+}
+
+} // namespace
+
+TenureDuty::TenureDuty(const std::string &storeAddress, std::string self, const Clock &clock,
+                       TenureListener &listener, adapters::Metrics &metrics)
+    : m_store(storeAddress), m_self(std::move(self)), m_clock(clock), m_listener(listener),
+      m_metrics(metrics)
+{ }
+
+TenureDuty::~TenureDuty()
+{
+    stop();
+}
+
+void TenureDuty::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void TenureDuty::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void TenureDuty::setMembers(std::vector<TenureMember> members)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool first = m_members.empty() && !members.empty();
+    m_members = std::move(members);
+    if (first)
+        m_wake.notify_all();
+}
+
+grpc::ServerUnaryReactor *TenureDuty::Learn(grpc::CallbackServerContext *context,
+                                            const wire::TenureChains *request, wire::LearnReply *)
+{
+    m_listener.chainsLearned(adapters::fromWire(*request));
+    grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+}
+
+void TenureDuty::run()
+{
+    while (pause()) {
+        std::vector<TenureMember> members;
+        {
+            const std::lock_guard lock(m_mutex);
+            members = m_members;
+        }
+        const auto hashes = hashesOf(members);
+        for (std::uint32_t value = 0; value < kTenureValues; ++value) {
+            const int keeper = keeperIndex(value, hashes);
+            if (keeper >= 0 && members[static_cast<std::size_t>(keeper)].holder.node == m_self)
+                extend(value, members);
+        }
+    }
+}
+
+void TenureDuty::extend(std::uint32_t value, const std::vector<TenureMember> &members)
+{
+    const auto known = read(value);
+    if (!known)
+        return;
+    const auto hashes = hashesOf(members);
+    const auto chains = extendTenures(
+        known->chains, value,
+        [&](std::uint32_t partition) {
+            const int index = keyHolderIndex(partition, hashes);
+            return index < 0 ? KeyHolder{} : members[static_cast<std::size_t>(index)].holder;
+        },
+        m_clock.wallNow(), m_limits);
+    const std::vector<ConditionalWrite> write{
+        {tenureKey(value), known->revision, adapters::toWire(chains).SerializeAsString()}};
+    m_metrics.count("fordwood_tenure_writes_total");
+    const auto done = m_store.write(write, kCallTimeout);
+    // Only what is surely stored may be told; a write whose reply was lost is read back next time.
+    if (!done || !*done) {
+        m_metrics.count(done ? "fordwood_tenure_conflicts_total" : "fordwood_tenure_errors_total");
+        return;
+    }
+    tell(members, chains);
+}
+
+std::optional<TenureDuty::Known> TenureDuty::read(std::uint32_t value)
+{
+    m_metrics.count("fordwood_platform_reads_total");
+    const auto stored = m_store.get(tenureKey(value), kCallTimeout);
+    wire::TenureChains message;
+    if (!stored || (*stored && !message.ParseFromString((*stored)->value))) {
+        m_metrics.count("fordwood_tenure_errors_total");
+        return std::nullopt;
+    }
+    Known known;
+    known.chains = adapters::fromWire(message);
+    known.revision = *stored ? (*stored)->revision : 0;
+    return known;
+}
+
+// Tells each holder the chains of its partitions. A holder that misses this goes on with the tenure
+// that it knows, which is shorter.
+void TenureDuty::tell(const std::vector<TenureMember> &members,
+                      const std::map<std::uint32_t, TenureChain> &chains)
+{
+    std::map<std::string, std::map<std::uint32_t, TenureChain>> byNode;
+    for (const auto &[partition, chain] : chains) {
+        if (!chain.empty())
+            byNode[chain.back().holder.node][partition] = chain;
+    }
+    for (const TenureMember &it : members) {
+        const auto own = byNode.find(it.holder.node);
+        if (own == byNode.end())
+            continue;
+        if (it.holder.node == m_self) {
+            m_listener.chainsLearned(own->second);
+            continue;
+        }
+        auto &channel = m_channels[it.controlAddress];
+        if (!channel)
+            channel = grpc::CreateChannel(it.controlAddress, grpc::InsecureChannelCredentials());
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + kTellTimeout);
+        wire::LearnReply reply;
+        if (!wire::Keys::NewStub(channel)
+                 ->Learn(&context, adapters::toWire(own->second), &reply)
+                 .ok())
+            m_metrics.count("fordwood_tenure_untold_total");
+    }
+}
+
+// Waits for the next period; false when the duty is being stopped.
+bool TenureDuty::pause()
+{
+    std::unique_lock lock(m_mutex);
+    const bool known = !m_members.empty();
+    m_wake.wait_for(lock, m_limits.period,
+                    [&] { return m_stopping || (!known && !m_members.empty()); });
+    return !m_stopping;
+}
+
+} // namespace fordwood::apps
--- /dev/null
+++ b/src/apps/controld/tenure_duty.hpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_APPS_CONTROLD_TENURE_DUTY_HPP_INCLUDED
+#define FORDWOOD_APPS_CONTROLD_TENURE_DUTY_HPP_INCLUDED
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "adapters/observe/metrics.hpp"
+#include "adapters/platform/etcd_store.hpp"
+#include "fordwood/control.grpc.pb.h"
+#include "fordwood/tenure.hpp"
+
+namespace fordwood::apps {
+
+// What the control duty hears of tenures. Called from other threads.
+class TenureListener
+{
+public:
+    virtual ~TenureListener() = default;
+    virtual void chainsLearned(std::map<std::uint32_t, TenureChain> chains) = 0;
+};
+
+// A process that may hold tenures, and where it is reached.
+struct TenureMember
+{
+    KeyHolder holder;
+    std::string controlAddress;
+};
+
+// Extends the tenures of the stored values that fall to this node, by compare-and-swap, and tells
+// the holders. The writes do not grow with the fleet: each value is written once in a period, by
+// one node. Two nodes that both think a value falls to them cost a write that fails and nothing
+// else.
+class TenureDuty : public wire::Keys::CallbackService
+{
+public:
+    TenureDuty(const std::string &storeAddress, std::string self, const Clock &clock,
+               TenureListener &listener, adapters::Metrics &metrics);
+    ~TenureDuty() override;
+
+    void start();
+    void stop();
+
+    // Who is there to hold tenures now.
+    void setMembers(std::vector<TenureMember> members);
+
+    // A keeper tells this node the chains of its partitions.
+    grpc::ServerUnaryReactor *Learn(grpc::CallbackServerContext *context,
+                                    const wire::TenureChains *request,
+                                    wire::LearnReply *reply) override;
+
+private:
+    struct Known // a stored value
+    {
+        std::map<std::uint32_t, TenureChain> chains;
+        std::int64_t revision = 0;
+    };
+
+    void run();
+    void extend(std::uint32_t value, const std::vector<TenureMember> &members);
+    std::optional<Known> read(std::uint32_t value);
+    void tell(const std::vector<TenureMember> &members,
+              const std::map<std::uint32_t, TenureChain> &chains);
+    bool pause();
+
+    adapters::EtcdStore m_store;
+    const std::string m_self;
+    const Clock &m_clock;
+    TenureListener &m_listener;
+    adapters::Metrics &m_metrics;
+    TenureLimits m_limits;
+    std::map<std::string, std::shared_ptr<grpc::Channel>> m_channels; // by address
+    std::thread m_thread;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::vector<TenureMember> m_members;
+    bool m_stopping = false;
+};
+
+} // namespace fordwood::apps
+
+#endif // FORDWOOD_APPS_CONTROLD_TENURE_DUTY_HPP_INCLUDED
--- a/src/apps/entryd/api.cpp
+++ b/src/apps/entryd/api.cpp
@@ -86,6 +86,14 @@
         return refuse(Reason::InvalidField, "Fordwood-Repeatable: is \"" + repeatable
                                                 + "\", expected \"true\" or \"false\".");
     call.repeatable = repeatable != "false";
+    const std::string key = message.header("Idempotency-Key");
+    if (!key.empty()) {
+        const auto issued = issueTimeOf(key);
+        if (!issued)
+            return refuse(Reason::InvalidKey, "Idempotency-Key: is \"" + key + "\".");
+        call.key = IdempotencyKey{team.name, key, *issued};
+        call.repeatable = false;
+    }
     return call;
 }
 
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -97,14 +97,15 @@
     if (message.path == "/healthz" || message.path == "/readyz" || message.path == "/metrics")
         return operatorAnswer(message.path);
     m_metrics.count("fordwood_requests_total");
+    const bool keyed = !message.header("Idempotency-Key").empty();
     const auto state = m_state.load();
     if (!state)
-        return refusal(Verdict::of(Reason::NotReady, {}, kRetrySoon));
+        return refusal(Verdict::of(Reason::NotReady, {}, kRetrySoon), keyed);
     if (m_inFlight >= m_settings.entry.maxInFlight)
-        return refusal(Verdict::of(Reason::InFlightLimit, {}, kRetrySoon));
+        return refusal(Verdict::of(Reason::InFlightLimit, {}, kRetrySoon), keyed);
     auto understood = interpret(*state, std::move(message), m_clock.now());
     if (!understood)
-        return refusal(understood.error());
+        return refusal(understood.error(), keyed);
     if (auto *answer = std::get_if<adapters::DirectAnswer>(&*understood))
         return std::move(*answer);
     auto &interpreted = std::get<Interpreted>(*understood);
@@ -124,10 +125,14 @@
         const std::lock_guard lock(m_understoodMutex);
         request = std::move(m_understood.extract(exchange->id()).mapped());
     }
+    const bool keyed = request.key.has_value();
     if (m_ring.tryPush(BeginEvent{std::move(request), exchange}))
         return;
     m_metrics.countRefusal(Reason::RingFull);
-    exchange->refuse(Verdict::of(Reason::RingFull, {}, kRetrySoon));
+    Verdict verdict = Verdict::of(Reason::RingFull, {}, kRetrySoon);
+    if (keyed)
+        verdict.state = RunState::MayHaveRun;
+    exchange->refuse(verdict);
 }
 
 void EntryNode::callerLeft(CallId call)
@@ -150,14 +155,20 @@
     return m_ring.tryPush(ReplyEvent{owner, reply});
 }
 
+void EntryNode::claimAnswered(const std::string &holder, std::uint64_t claimId,
+                              const ClaimAnswer &answer)
+{
+    pushSurely(ClaimEvent{holder, claimId, answer});
+}
+
 void EntryNode::streamLost(const std::string &owner, std::uint64_t stream)
 {
     pushSurely(StreamLostEvent{owner, stream});
 }
 
-void EntryNode::attemptFinished(CallId call, unsigned attempt, double cost)
+void EntryNode::attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer)
 {
-    pushSurely(FinishedEvent{call, attempt, cost});
+    pushSurely(FinishedEvent{call, attempt, cost, std::move(answer)});
 }
 
 void EntryNode::attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure)
@@ -181,8 +192,14 @@
     return {200, "text/plain", "ready\n", {}};
 }
 
-adapters::DirectAnswer EntryNode::refusal(const Verdict &verdict)
+adapters::DirectAnswer EntryNode::refusal(Verdict verdict, bool keyed)
 {
+    // With a key the verdict speaks of the key: an earlier send of it may have run. Requests that
+    // are wrong in themselves were refused before, too.
+    constexpr int kTooMany = 429;
+    const int status = info(verdict.reason).httpStatus;
+    if (keyed && (status >= 500 || status == kTooMany))
+        verdict.state = RunState::MayHaveRun;
     m_metrics.countRefusal(verdict.reason);
     return adapters::answerOf(verdict);
 }
@@ -247,6 +264,11 @@
     m_dispatcher.permitAnswered(event.owner, event.reply);
 }
 
+void EntryNode::on(const ClaimEvent &event)
+{
+    m_dispatcher.claimAnswered(event.holder, event.claimId, event.answer);
+}
+
 void EntryNode::on(const StreamLostEvent &event)
 {
     if (!m_permits.forget(event.owner, event.stream))
@@ -258,7 +280,7 @@
 
 void EntryNode::on(const FinishedEvent &event)
 {
-    m_dispatcher.attemptFinished(event.call, event.attempt, event.cost);
+    m_dispatcher.attemptFinished(event.call, event.attempt, event.cost, event.answer);
     if (m_exchanges.erase(event.call) > 0)
         m_metrics.count("fordwood_answers_total");
 }
@@ -295,6 +317,12 @@
         m_upstreams.cancel(*cancel);
     } else if (const auto *retry = std::get_if<CountRetry>(&action)) {
         m_metrics.countRetry(retry->reason);
+    } else if (const auto *claim = std::get_if<ClaimKey>(&action)) {
+        m_permits.claim(*claim);
+    } else if (const auto *finish = std::get_if<FinishClaim>(&action)) {
+        m_permits.finishClaim(*finish);
+    } else if (const auto *kept = std::get_if<AnswerKept>(&action)) {
+        answerKept(*kept);
     } else if (const auto *end = std::get_if<EndCall>(&action)) {
         endExchange(end->call, end->verdict);
     } else if (const auto *send = std::get_if<SendCall>(&action)) {
@@ -305,6 +333,25 @@
     }
 }
 
+// The caller gets the answer that its first send got.
+void EntryNode::answerKept(const AnswerKept &action)
+{
+    const auto it = m_exchanges.find(action.call);
+    if (it == m_exchanges.end())
+        return;
+    constexpr unsigned kOnlyAttempt = 1;
+    adapters::AnswerHead head{action.answer.status, {}, false};
+    if (!action.answer.contentType.empty())
+        head.headers.emplace_back("Content-Type", action.answer.contentType);
+    head.headers.emplace_back("Fordwood-Repeated", "true");
+    if (it->second->begin(kOnlyAttempt, std::move(head))) {
+        it->second->append(kOnlyAttempt, action.answer.body);
+        it->second->finish(kOnlyAttempt);
+    }
+    m_exchanges.erase(it);
+    m_metrics.count("fordwood_repeated_answers_total");
+}
+
 void EntryNode::endExchange(CallId call, const Verdict &verdict)
 {
     const auto it = m_exchanges.find(call);
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -55,11 +55,18 @@
         std::string owner;
         std::uint64_t stream;
     };
+    struct ClaimEvent
+    {
+        std::string holder;
+        std::uint64_t claimId;
+        ClaimAnswer answer;
+    };
     struct FinishedEvent
     {
         CallId call;
         unsigned attempt;
         double cost;
+        KeptAnswer answer;
     };
     struct FailedEvent
     {
@@ -77,8 +84,8 @@
     };
     struct StopEvent
     { };
-    using EntryEvent = std::variant<BeginEvent, ReplyEvent, StreamLostEvent, FinishedEvent,
-                                    FailedEvent, LeftEvent, StateEvent, StopEvent>;
+    using EntryEvent = std::variant<BeginEvent, ReplyEvent, ClaimEvent, StreamLostEvent,
+                                    FinishedEvent, FailedEvent, LeftEvent, StateEvent, StopEvent>;
 
     // CallerHandler, on the HTTP threads
     std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
@@ -90,14 +97,16 @@
 
     // PermitClientListener, on gRPC's threads
     bool replyArrived(const std::string &owner, const PermitReply &reply) override;
+    void claimAnswered(const std::string &holder, std::uint64_t claimId,
+                       const ClaimAnswer &answer) override;
     void streamLost(const std::string &owner, std::uint64_t stream) override;
 
     // UpstreamListener, on the upstream thread
-    void attemptFinished(CallId call, unsigned attempt, double cost) override;
+    void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer) override;
     void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) override;
 
     adapters::DirectAnswer operatorAnswer(const std::string &path);
-    adapters::DirectAnswer refusal(const Verdict &verdict);
+    adapters::DirectAnswer refusal(Verdict verdict, bool keyed);
     void takeSnapshot(const wire::Snapshot &snapshot);
     void pushSurely(const EntryEvent &event);
 
@@ -105,6 +114,7 @@
     void runDispatch();
     void on(BeginEvent &event);
     void on(const ReplyEvent &event);
+    void on(const ClaimEvent &event);
     void on(const StreamLostEvent &event);
     void on(const FinishedEvent &event);
     void on(const FailedEvent &event);
@@ -113,6 +123,7 @@
     void on(const StopEvent &event);
     void carryOut(const Action &action);
     void endExchange(CallId call, const Verdict &verdict);
+    void answerKept(const AnswerKept &action);
 
     const config::Settings m_settings;
     adapters::SystemClock m_clock;
--- a/src/apps/load/outcome.cpp
+++ b/src/apps/load/outcome.cpp
@@ -47,8 +47,11 @@
     std::vector<double> whole;
     std::array<int, kOutcomeNames.size()> outcomes{};
     std::map<std::string, int> reasons;
+    std::map<std::string, std::map<std::string, int>> byTarget;
     for (const RequestRecord &it : records) {
-        ++outcomes.at(static_cast<std::size_t>(it.outcome));
+        const auto outcome = static_cast<std::size_t>(it.outcome);
+        ++outcomes.at(outcome);
+        ++byTarget[it.target][kOutcomeNames.at(outcome)];
         if (!it.reason.empty())
             ++reasons[it.reason];
         if (it.outcome != CallerOutcome::Answered)
@@ -66,6 +69,7 @@
                 {"seconds", seconds},
                 {"outcomes", byOutcome},
                 {"reasons", reasons},
+                {"by_target", byTarget},
                 {"first_byte_ms", quantiles(firstBytes)},
                 {"whole_ms", quantiles(whole)},
                 {"between_tokens_ms", quantiles(between)},
--- a/src/apps/load/outcome.hpp
+++ b/src/apps/load/outcome.hpp
@@ -24,6 +24,7 @@
 struct RequestRecord
 {
     std::size_t kind = 0;
+    std::string target; // that it was sent to
     std::string id;
     CallerOutcome outcome = CallerOutcome::Lost;
     std::string reason; // of a refusal or a broken answer
--- a/src/apps/load/runner.cpp
+++ b/src/apps/load/runner.cpp
@@ -64,6 +64,7 @@
         m_record.kind = plan.kind;
         m_record.id = std::to_string(workload.seed) + "-" + std::to_string(number);
         const std::string &target = workload.targets[number % workload.targets.size()];
+        m_record.target = target;
         std::string path = m_kind.path;
         if (path.empty()) {
             path = "/v1/chat/completions";
--- a/src/core/call.hpp
+++ b/src/core/call.hpp
@@ -3,10 +3,12 @@
 #define FORDWOOD_CORE_CALL_HPP_INCLUDED
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "fordwood/clock.hpp"
+#include "fordwood/key_registry.hpp"
 #include "fordwood/verdict.hpp"
 
 namespace fordwood {
@@ -27,6 +29,7 @@
     std::uint64_t prefixHash = 0; // requests with the same hash share context
     double cost = 1.0; // expected tokens
     bool repeatable = true;
+    std::optional<IdempotencyKey> key; // such a request is never repeatable
     TimePoint deadline{};
 };
 
@@ -72,6 +75,7 @@
     TimePoint sendBy; // not to be sent after this
     TimePoint deadline;
     bool repeatable;
+    bool keepAnswer; // for callers who send the same key again
 };
 
 // Breaks off an attempt.
@@ -94,8 +98,33 @@
     Reason reason;
 };
 
-using Action = std::variant<AskPermit, WithdrawAsk, ReleasePermit, SendCall, CancelAttempt, EndCall,
-                            CountRetry>;
+// Asks the holder of a key whether the call may run.
+struct ClaimKey
+{
+    std::uint64_t claimId;
+    std::string holder;
+    std::string holderAddress;
+    IdempotencyKey key;
+};
+
+// Tells the holder of a key how the call ended.
+struct FinishClaim
+{
+    std::string holder;
+    IdempotencyKey key;
+    RunState state;
+    KeptAnswer answer;
+};
+
+// Ends the call with an answer that was kept.
+struct AnswerKept
+{
+    CallId call;
+    KeptAnswer answer;
+};
+
+using Action = std::variant<ClaimKey, FinishClaim, AnswerKept, AskPermit, WithdrawAsk,
+                            ReleasePermit, SendCall, CancelAttempt, EndCall, CountRetry>;
 
 } // namespace fordwood
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetrySoon{500};
+constexpr int kMostRedirections = 2;
 constexpr Duration kLocalSendWithin = std::chrono::seconds(2);
 
 } // namespace
@@ -25,7 +26,10 @@
 void Dispatcher::begin(const CallRequest &request)
 {
     const auto refuse = [&](Reason reason) {
-        m_actions.emplace_back(EndCall{request.id, Verdict::of(reason, {}, kRetrySoon)});
+        Verdict verdict = Verdict::of(reason, {}, kRetrySoon);
+        if (request.key)
+            verdict.state = RunState::MayHaveRun; // by an earlier send with the same key
+        m_actions.emplace_back(EndCall{request.id, std::move(verdict)});
     };
     if (m_stopping)
         return refuse(Reason::Stopping);
@@ -39,9 +43,40 @@
     const double ratio = m_view->configuration().limits.retryRatio;
     m_budgets.try_emplace(request.team, ratio).first->second.countFirstSend();
     choose(call);
+    if (request.key) {
+        const std::uint32_t partition = keyPartition(request.key->team, request.key->text);
+        return claim(call, call.view->keyHolder(partition));
+    }
     ask(call);
 }
 
+void Dispatcher::claimAnswered(const std::string &holder, std::uint64_t claimId,
+                               const ClaimAnswer &answer)
+{
+    const auto known = m_claims.find(claimId);
+    if (known == m_claims.end())
+        return; // the claim was dropped, and the holder told so
+    Call &call = m_calls.at(known->second);
+    m_claims.erase(known);
+    call.claimId = 0;
+    switch (answer.decision) {
+    case ClaimAnswer::Decision::Run:
+        call.claimed = true;
+        call.claimHolder = holder;
+        return ask(call);
+    case ClaimAnswer::Decision::Answer:
+        m_actions.emplace_back(AnswerKept{call.request.id, answer.answer});
+        m_calls.erase(call.request.id);
+        return;
+    case ClaimAnswer::Decision::Redirect:
+        if (++call.redirections <= kMostRedirections)
+            return claim(call, call.view->member(answer.holder));
+        return end(call.request.id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
+    case ClaimAnswer::Decision::Refuse:
+        return end(call.request.id, Verdict{answer.state, answer.reason, kRetrySoon, {}});
+    }
+}
+
 void Dispatcher::permitAnswered(const std::string &owner, const PermitReply &reply)
 {
     const auto known = m_asks.find(reply.askId);
@@ -65,12 +100,18 @@
 void Dispatcher::ownerLost(const std::string &owner)
 {
     std::vector<CallId> waiting;
+    std::vector<CallId> unclaimed;
     for (auto &[id, call] : m_calls) {
+        if (call.claimId != 0 && call.claimHolder == owner)
+            unclaimed.push_back(id);
         if (call.askId != 0 && call.askedOwner == owner)
             waiting.push_back(id);
         if (call.held && call.held->owner == owner)
             call.held->owner.clear(); // nobody is left to give it back to
     }
+    std::sort(unclaimed.begin(), unclaimed.end());
+    for (const CallId id : unclaimed)
+        end(id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
     std::sort(waiting.begin(), waiting.end());
     for (const CallId id : waiting) {
         Call &call = m_calls.at(id);
@@ -108,12 +149,15 @@
     ask(*call);
 }
 
-void Dispatcher::attemptFinished(CallId id, unsigned attempt, double cost)
+void Dispatcher::attemptFinished(CallId id, unsigned attempt, double cost, KeptAnswer answer)
 {
     Call *call = find(id, attempt);
     if (call == nullptr)
         return;
     releaseHeld(*call, cost);
+    if (call->claimed)
+        m_actions.emplace_back(
+            FinishClaim{call->claimHolder, *call->request.key, RunState::Ran, std::move(answer)});
     m_calls.erase(id);
 }
 
@@ -135,14 +179,20 @@
     const TimePoint now = m_clock.now();
     std::vector<CallId> silent;
     std::vector<CallId> late;
+    std::vector<CallId> unclaimed;
     for (const auto &[id, call] : m_calls) {
         if (call.request.deadline <= now)
             late.push_back(id);
+        else if (call.claimId != 0 && call.claimUntil <= now)
+            unclaimed.push_back(id);
         else if (call.askId != 0 && call.askedUntil <= now)
             silent.push_back(id);
     }
     std::sort(silent.begin(), silent.end());
     std::sort(late.begin(), late.end());
+    std::sort(unclaimed.begin(), unclaimed.end());
+    for (const CallId id : unclaimed)
+        end(id, Verdict::of(Reason::OwnerSilent, {}, kRetrySoon));
     for (const CallId id : late) {
         Call &call = m_calls.at(id);
         withdraw(call);
@@ -166,6 +216,30 @@
     return std::exchange(m_actions, {});
 }
 
+// Asks a member whether the call's key may run.
+void Dispatcher::claim(Call &call, const Member *holder)
+{
+    if (holder == nullptr)
+        return end(call.request.id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
+    call.stage = Stage::Claiming;
+    call.claimId = m_nextAsk++;
+    call.claimHolder = holder->name;
+    call.claimUntil = m_clock.now() + m_limits.ownerTimeout;
+    m_claims.emplace(call.claimId, call.request.id);
+    m_actions.emplace_back(
+        ClaimKey{call.claimId, holder->name, holder->controlAddress, *call.request.key});
+}
+
+// Gives up an open claim: should the holder have granted it, the key is free again.
+void Dispatcher::dropClaim(Call &call)
+{
+    if (call.claimId == 0)
+        return;
+    m_claims.erase(call.claimId);
+    call.claimId = 0;
+    m_actions.emplace_back(FinishClaim{call.claimHolder, *call.request.key, RunState::NotRun, {}});
+}
+
 void Dispatcher::choose(Call &call)
 {
     const CallRequest &request = call.request;
@@ -190,6 +264,7 @@
     call.queueing = call.queueing || call.candidates.size() == 1;
     const TimePoint now = m_clock.now();
     const Duration left = call.request.deadline - now;
+    call.stage = Stage::Asking;
     call.askId = m_nextAsk++;
     call.askedOwner = owner->name;
     call.asked = now;
@@ -238,9 +313,9 @@
     }
     call.stage = Stage::Sent;
     ++call.attempt;
-    m_actions.emplace_back(SendCall{call.request.id, call.attempt, upstream->name,
-                                    upstream->address, call.request.priority, sendBy,
-                                    call.request.deadline, call.request.repeatable});
+    m_actions.emplace_back(SendCall{
+        call.request.id, call.attempt, upstream->name, upstream->address, call.request.priority,
+        sendBy, call.request.deadline, call.request.repeatable, call.request.key.has_value()});
 }
 
 void Dispatcher::releaseHeld(Call &call, double cost)
@@ -270,9 +345,21 @@
 {
     const auto it = m_calls.find(id);
     EndCall action{id, verdict};
-    // "Not run" is only true if it is true of every attempt.
-    if (it != m_calls.end() && it->second.mayHaveRun && verdict.state == RunState::NotRun)
-        action.verdict.state = RunState::MayHaveRun;
+    if (it != m_calls.end()) {
+        Call &call = it->second;
+        const bool everSent = call.attempt > 0;
+        // "Not run" is only true if it is true of every attempt, and of a key only if the key was
+        // ours.
+        const bool unsure = call.mayHaveRun || (call.request.key && !call.claimed);
+        if (unsure && verdict.state == RunState::NotRun)
+            action.verdict.state = RunState::MayHaveRun;
+        dropClaim(call);
+        if (call.claimed)
+            m_actions.emplace_back(FinishClaim{call.claimHolder,
+                                               *call.request.key,
+                                               everSent ? action.verdict.state : RunState::NotRun,
+                                               {}});
+    }
     m_actions.emplace_back(std::move(action));
     m_calls.erase(id);
 }
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -62,6 +62,9 @@
     // An owner has answered an ask.
     void permitAnswered(const std::string &owner, const PermitReply &reply);
 
+    // The holder of a key has answered a claim.
+    void claimAnswered(const std::string &holder, std::uint64_t claimId, const ClaimAnswer &answer);
+
     // The connection to an owner is gone, and with it its open asks and its permits.
     void ownerLost(const std::string &owner);
 
@@ -69,7 +72,7 @@
     void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure);
 
     // An attempt has brought the whole answer. `cost` is what it used, or zero if unknown.
-    void attemptFinished(CallId call, unsigned attempt, double cost);
+    void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer = {});
 
     // The caller is gone.
     void callerLeft(CallId call);
@@ -86,7 +89,7 @@
     std::size_t calls() const { return m_calls.size(); }
 
 private:
-    enum class Stage : std::uint8_t { Asking, Sent };
+    enum class Stage : std::uint8_t { Claiming, Asking, Sent };
 
     struct Held // a permit in use
     {
@@ -108,10 +111,17 @@
         TimePoint asked{};
         TimePoint askedUntil{};
         std::optional<Held> held;
+        std::uint64_t claimId = 0; // while a claim is open
+        std::string claimHolder;
+        TimePoint claimUntil{};
+        int redirections = 0;
+        bool claimed = false;
         Verdict last; // why the call has not been answered yet
         bool mayHaveRun = false; // by any attempt so far
     };
 
+    void claim(Call &call, const Member *holder);
+    void dropClaim(Call &call);
     void choose(Call &call);
     void ask(Call &call);
     void askNext(Call &call, const Verdict &why);
@@ -130,6 +140,7 @@
     std::shared_ptr<const FleetView> m_view;
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<std::uint64_t, CallId> m_asks;
+    std::unordered_map<std::uint64_t, CallId> m_claims;
     std::map<std::string, std::size_t> m_localInUse; // by upstream
     std::map<std::string, RetryBudget> m_budgets; // by team
     std::vector<Action> m_actions;
--- a/src/core/fleet_view.cpp
+++ b/src/core/fleet_view.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "fordwood/rendezvous.hpp"
+#include "fordwood/tenure.hpp"
 
 namespace fordwood {
 
@@ -62,6 +63,19 @@
     return winner(m_allOwners);
 }
 
+const Member *FleetView::keyHolder(std::uint32_t partition) const
+{
+    const int index = keyHolderIndex(partition, m_allOwners.hashes);
+    return index < 0 ? nullptr : m_allOwners.members[static_cast<std::size_t>(index)];
+}
+
+const Member *FleetView::member(const std::string &name) const
+{
+    const auto it = std::find_if(m_members.begin(), m_members.end(),
+                                 [&](const Member &known) { return known.name == name; });
+    return it == m_members.end() ? nullptr : &*it;
+}
+
 bool FleetView::isLeaving(const std::string &upstream) const
 {
     if (m_leaving.count(upstream) != 0)
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// An incarnation is the boot and, in the low bits, the number of suspicions answered since.
+constexpr unsigned kBootShift = 10;
 constexpr std::size_t kMostWants = 64; // digests asked for in one update
 
 std::vector<std::string> namesOf(const std::vector<Member> &members)
@@ -21,9 +23,9 @@
 
 } // namespace
 
-Replicator::Replicator(Member self, std::uint64_t incarnation, const Clock &clock,
-                       const HeadCodec &codec, ReplicatorLimits limits, std::uint64_t seed)
-    : m_self(std::move(self)), m_incarnation(incarnation), m_clock(clock), m_codec(codec),
+Replicator::Replicator(Member self, std::uint64_t boot, const Clock &clock, const HeadCodec &codec,
+                       ReplicatorLimits limits, std::uint64_t seed)
+    : m_self(std::move(self)), m_incarnation(boot << kBootShift), m_clock(clock), m_codec(codec),
       m_limits(limits), m_random(seed)
 {
     m_liveness.offer({m_self.name, m_incarnation, false});
@@ -246,6 +248,11 @@
     send(from, std::move(update));
 }
 
+std::uint64_t Replicator::bootOf(const std::string &member) const
+{
+    return m_liveness.of(member).incarnation >> kBootShift;
+}
+
 std::vector<Member> Replicator::members() const
 {
     std::vector<Member> members;
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -2,7 +2,9 @@
 // The whole path with real processes.
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <thread>
 
@@ -279,3 +281,109 @@
     CHECK(runsOf(0) == before);
     CHECK(runsOf(1) >= 20);
 }
+
+namespace {
+
+// A version 7 UUID issued now.
+std::string newKey(int number)
+{
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+    char text[64];
+    std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012x",
+                  static_cast<unsigned long long>(now >> 16),
+                  static_cast<unsigned long long>(now & 0xffff), static_cast<unsigned>(number));
+    return text;
+}
+
+HttpAnswer keyed(const Fleet &fleet, int node, const std::string &key, int team = 0)
+{
+    return httpCall("POST", fleet.caller(node) + "/once", "x",
+                    {Fleet::bearer(team), "X-Request-Id: " + key, "Idempotency-Key: " + key});
+}
+
+Json runsOf(const Fleet &fleet)
+{
+    return Json::parse(httpCall("GET", "http://" + fleet.serviceAddress() + "/runs").body);
+}
+
+// Waits until keys are taken: tenures must reach the present first.
+bool keysReady(const Fleet &fleet, int nodes)
+{
+    int number = 1000;
+    return Fleet::waitFor([&] {
+        int taken = 0;
+        for (int it = 0; it < 8; ++it)
+            taken += keyed(fleet, it % nodes, newKey(++number)).status == 200 ? 1 : 0;
+        return taken == 8;
+    });
+}
+
+} // namespace
+
+TEST_CASE("path: the same key runs once, whichever nodes it is sent to [at-most-once]")
+{
+    Fleet fleet;
+    fleet.start();
+    REQUIRE(keysReady(fleet, 3));
+    for (int it = 0; it < 10; ++it) {
+        const std::string key = newKey(it);
+        const auto first = keyed(fleet, it % 3, key);
+        CHECK(first.status == 200);
+        // The holder may hear of the end a moment after the caller does.
+        HttpAnswer again;
+        CHECK(Fleet::waitFor([&] {
+            again = keyed(fleet, (it + 1) % 3, key);
+            return again.status != 409;
+        }));
+        CHECK(again.status == 200);
+        CHECK(again.body == first.body);
+        CHECK(again.headers.count("fordwood-repeated") == 1);
+    }
+    CHECK(runsOf(fleet)["doubled"].empty());
+    CHECK(keyed(fleet, 0, "no-uuid").status == 400);
+}
+
+TEST_CASE("path: a key that may have run is not run again, also after its answer was lost")
+{
+    Fleet fleet;
+    fleet.start();
+    REQUIRE(keysReady(fleet, 3));
+    httpCall("PUT", "http://" + fleet.serviceAddress() + "/faults", R"({"close_after_run": 1})");
+    const std::string key = newKey(1);
+    const auto cut = keyed(fleet, 0, key);
+    CHECK(cut.status == 502);
+    CHECK(cut.headers.at("fordwood-verdict") == "may-have-run");
+    const auto again = keyed(fleet, 1, key);
+    CHECK(again.status == 409);
+    CHECK(again.headers.at("fordwood-verdict") == "may-have-run");
+    CHECK(runsOf(fleet)["doubled"].empty());
+}
+
+TEST_CASE("path: when the holder of a key dies, the key is not run by another [at-most-once]")
+{
+    Fleet fleet;
+    fleet.start();
+    REQUIRE(keysReady(fleet, 3));
+    std::vector<std::string> keys;
+    for (int it = 0; it < 12; ++it) {
+        keys.push_back(newKey(it));
+        CHECK(keyed(fleet, 0, keys.back()).status == 200);
+    }
+    fleet.controlds[1].kill();
+    fleet.controlds[2].kill();
+    fleet.startControld(1);
+    fleet.startControld(2);
+    for (const std::string &it : keys) {
+        const auto again = keyed(fleet, 0, it);
+        CAPTURE(again.body);
+        // Either the answer that was kept, or no run and no claim that it did not run.
+        if (again.status != 200)
+            CHECK(again.headers.at("fordwood-verdict") != "not-run");
+    }
+    CHECK(runsOf(fleet)["doubled"].empty());
+    // New keys are taken again once new tenures reach the present.
+    CHECK(keysReady(fleet, 3));
+    CHECK(runsOf(fleet)["doubled"].empty());
+}
