--- a/tests/support/replica_fleet.cpp
+++ b/tests/support/replica_fleet.cpp
@@ -70,6 +70,18 @@
 void ReplicaFleet::kill(int index)
 {
     Node &node = m_nodes[static_cast<std::size_t>(index)];
+    // Its links break at once, also when it is started again before the next step.
+    for (auto it = m_linked.begin(); it != m_linked.end();) {
+        const bool first = it->first == node.member.name;
+        if (!first && it->second != node.member.name) {
+            ++it;
+            continue;
+        }
+        Node *other = find(first ? it->second : it->first);
+        if (other->replicator)
+            other->replicator->linkDown(node.member.name);
+        it = m_linked.erase(it);
+    }
     node.replicator = nullptr;
     node.dialled.clear();
     node.reading = false;
@@ -82,7 +94,7 @@
     kill(index);
     Node &node = m_nodes[static_cast<std::size_t>(index)];
     node.paused = false;
-    node.replicator = std::make_unique<Replicator>(node.member, m_incarnations += 10, clock, codec,
+    node.replicator = std::make_unique<Replicator>(node.member, node.boot = ++m_boots, clock, codec,
                                                    ReplicatorLimits{}, m_random());
     if (m_seeds) {
         for (const Node &it : m_nodes) {
@@ -174,6 +186,21 @@
 void ReplicaFleet::step()
 {
     clock.advance(kStep);
+    stepNow();
+}
+
+bool ReplicaFleet::reaches(int a, int b) const
+{
+    return reachable(m_nodes[static_cast<std::size_t>(a)], m_nodes[static_cast<std::size_t>(b)]);
+}
+
+bool ReplicaFleet::reachesPlatform(int node) const
+{
+    return platformReachable(m_nodes[static_cast<std::size_t>(node)]);
+}
+
+void ReplicaFleet::stepNow()
+{
     connect();
     deliver();
     for (Node &it : m_nodes) {
--- a/tests/support/replica_fleet.hpp
+++ b/tests/support/replica_fleet.hpp
@@ -28,6 +28,9 @@
     // Submits a configuration of these pieces; gives the version, or zero if it was not accepted.
     std::uint64_t submit(const std::map<std::string, std::string> &pieces);
 
+    // Does what is due now, without letting time pass. Called by run() every 100 ms.
+    void stepNow();
+
     // Lets time pass.
     void run(Duration time);
 
@@ -57,6 +60,17 @@
     std::uint64_t alarms() const { return m_alarms; }
     // Did any node ever serve a lower version after a higher one?
     bool versionsWentBack() const { return m_wentBack; }
+    bool paused(int node) const { return m_nodes[static_cast<std::size_t>(node)].paused; }
+    bool platformDown() const { return m_platformDown; }
+    bool reaches(int a, int b) const;
+    bool reachesPlatform(int node) const;
+    const Member &member(int node) const { return m_nodes[static_cast<std::size_t>(node)].member; }
+    // Grows with every start of a node.
+    std::uint64_t boot(int node) const { return m_nodes[static_cast<std::size_t>(node)].boot; }
+    const std::map<std::string, std::string> &pieces(int node) const
+    {
+        return m_nodes[static_cast<std::size_t>(node)].pieces;
+    }
 
     // Sums since the last resetCounters().
     void resetCounters();
@@ -77,6 +91,7 @@
         std::set<std::string> dialled;
         bool reading = false;
         bool paused = false;
+        std::uint64_t boot = 0;
         std::uint64_t served = 0;
         std::map<std::string, std::string> pieces;
         TimePoint nextListRead{};
@@ -118,7 +133,7 @@
     std::uint64_t m_messages = 0;
     std::uint64_t m_bytes = 0;
     std::uint64_t m_platformCalls = 0;
-    std::uint64_t m_incarnations = 1000;
+    std::uint64_t m_boots = 1000;
     std::mt19937_64 m_random;
 };
 
--- /dev/null
+++ b/tests/support/world.hpp
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_TESTS_SUPPORT_WORLD_HPP_INCLUDED
+#define FORDWOOD_TESTS_SUPPORT_WORLD_HPP_INCLUDED
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/dispatcher.hpp"
+#include "fordwood/fleet_view.hpp"
+#include "fordwood/key_registry.hpp"
+#include "fordwood/permit_book.hpp"
+#include "support/replica_fleet.hpp"
+
+namespace fordwood::support {
+
+// Lies that a test tells the decisions, to show that the checks can fail.
+enum class Mutation {
+    None,
+    SaysNotRun, // a broken attempt is reported as not run
+    ForgetsBoot, // a restarted holder of keys passes for the old one
+    HidesLeaving, // owners are not told that an upstream is leaving
+    RunsEveryClaim, // every claim of a key is granted
+    LosesRefusals, // some refusals never reach their callers
+};
+
+struct WorldSize
+{
+    int nodes = 8;
+    int domains = 4;
+    int engines = 6;
+    std::size_t slots = 4;
+    std::uint64_t seed = 1;
+    Mutation mutation = Mutation::None;
+};
+
+// What a caller asks for in a test.
+struct WorldRequest
+{
+    int node = 0; // that it is sent to
+    std::string team = "team-0";
+    bool service = false; // a plain call, else a completion
+    bool repeatable = true;
+    std::string key; // idempotency key; empty: none
+    WallTime issued{}; // of the key
+    Duration deadline = std::chrono::seconds(20);
+};
+
+// How a request ended.
+struct WorldResult
+{
+    WorldRequest request;
+    bool ended = false;
+    bool answered = false;
+    bool repeatedAnswer = false;
+    TimePoint sent{};
+    bool nodePaused = false; // its entry VM was paused meanwhile
+    bool nodeDied = false; // its entry VM died, so the caller got no word
+    Verdict verdict;
+    int runs = 0; // that upstreams began for it
+};
+
+// Whole nodes without I/O: replicators, owners, key registries and dispatchers over one paused
+// clock, with fakes of upstreams that only count and take time. Checks after each step what must
+// always hold.
+class World
+{
+public:
+    explicit World(WorldSize size);
+
+    // Lets the fleet settle: configuration in force, links up, tenures reaching the present.
+    void settle();
+
+    // Submits the standard configuration with the given weight version; gives the version or zero.
+    std::uint64_t submit(const std::string &weightVersion);
+
+    std::size_t send(const WorldRequest &request); // gives the request's number
+    void run(Duration time);
+
+    void kill(int node); // the whole VM
+    void restart(int node);
+    void pause(int node, bool paused);
+    void cutDomain(const std::string &domain, bool cut) { fleet.cutDomain(domain, cut); }
+    void setPlatformDown(bool down) { fleet.setPlatformDown(down); }
+    void loseNextReplies(int n);
+    void setLeaving(const std::string &upstream, bool leaving);
+    void breakUpstream(const std::string &upstream); // all its runs break off
+    void refuseNext(const std::string &upstream, int n);
+    void leaveCaller(std::size_t request);
+    void stopNode(int node); // planned: finishes what runs, takes no more
+
+    const WorldResult &result(std::size_t request) const { return m_results[request]; }
+    std::size_t requests() const { return m_results.size(); }
+    std::size_t open() const;
+    // The first thing that did not hold, with the time; empty when all did.
+    const std::string &violation() const { return m_violation; }
+    std::size_t runsOn(const std::string &upstream) const;
+    std::uint64_t steps() const { return m_steps; }
+
+    ReplicaFleet fleet;
+
+private:
+    using Place = std::pair<int, std::uint64_t>; // a node and its boot
+    struct Node
+    {
+        std::unique_ptr<Dispatcher> dispatcher;
+        std::unique_ptr<PermitBook> book;
+        std::unique_ptr<KeyRegistry> keys;
+        std::shared_ptr<const FleetView> view;
+        std::string viewMark; // what the view was made of
+        std::map<CallId, std::size_t> calls; // to requests
+        std::set<std::string> streams; // owners with an open stream
+        TimePoint nextTenures{};
+        bool stopping = false;
+    };
+    struct Upstream
+    {
+        std::size_t running = 0;
+        int refuse = 0;
+        std::size_t runs = 0;
+        std::optional<TimePoint> leavingSince;
+    };
+    struct Run // an attempt under way
+    {
+        Place place;
+        SendCall send;
+        std::size_t request = 0;
+        TimePoint arrives{};
+        TimePoint ends{};
+        bool begun = false;
+    };
+    struct Event // to be handled by a node at a later step
+    {
+        TimePoint at{};
+        Place to;
+        std::function<void(Node &)> handle;
+    };
+
+    void step();
+    void startNode(int node);
+    void refreshView(int node);
+    void carryOut(int node, const Action &action);
+    void sendCall(int node, const SendCall &send);
+    void answerOwners(int node);
+    void breakStreams();
+    void extendTenures(int node);
+    void moveRuns();
+    void endRun(Run &run, const AttemptFailure *failure);
+    void finishRequest(int node, CallId call, bool answered, const Verdict &verdict);
+    void checkAll();
+    void violate(const std::string &what);
+    void post(int to, std::function<void(Node &)> handle);
+    HolderId holderOf(const Place &place) const;
+    int indexOf(const std::string &member) const;
+    Configuration configurationOf(const std::string &weightVersion) const;
+    Place placeOf(int node) const { return {node, fleet.boot(node)}; }
+
+    WorldSize m_size;
+    std::mt19937_64 m_random;
+    std::vector<Node> m_nodes;
+    std::map<std::string, Upstream> m_upstreams;
+    std::vector<Run> m_runs;
+    std::vector<Event> m_events;
+    std::vector<WorldResult> m_results;
+    std::map<std::pair<std::string, std::string>, int> m_runsByKey; // team and key
+    CallId m_nextCall = 1;
+    std::uint64_t m_steps = 0;
+    TimePoint m_lastDisturbance{}; // that may delay the news of a leaving upstream
+    std::string m_violation;
+};
+
+} // namespace fordwood::support
+
+#endif // FORDWOOD_TESTS_SUPPORT_WORLD_HPP_INCLUDED
