Owners refuse at once what cannot finish before its deadline

Cause: at twice the capacity 96 % fairness error and goodput down from 56 to 29 requests/s (8 at three times): queued requests got their place just before their deadline and died in the middle. Ruled out: the fair queue itself (its unit tests hold shares), charging. Change: an owner learns how long permits are held and denies asks whose expected wait leaves too little time, also when their turn comes.

--- a/include/fordwood/fair_queue.hpp
+++ b/include/fordwood/fair_queue.hpp
@@ -36,6 +36,12 @@
     // Takes out the entry whose team is furthest behind its share.
     std::optional<Entry> pop();
 
+    // The entry that pop() would take.
+    std::optional<Entry> next() const;
+
+    // The sum of the shares of the teams that have waiting entries.
+    double activeShare() const;
+
     // Takes out an entry that no longer waits. False when there is none of that id.
     bool remove(EntryId id);
 
@@ -63,6 +69,7 @@
     struct Team
     {
         std::set<Order> waiting;
+        double share = 1.0;
         double tag = 0.0; // virtual time at which the team's next entry starts
     };
     struct Slot
--- a/include/fordwood/permit_book.hpp
+++ b/include/fordwood/permit_book.hpp
@@ -59,8 +59,10 @@
 
 // Decides who may send to the upstreams that this node owns: as many running requests per upstream
 // as it has slots, and weighted fair queueing over teams when there are more. Events in, answers
-// out; no I/O and no threads. Two books that both think they own an upstream admit too much for a
-// moment and break nothing else.
+// out; no I/O and no threads. An ask that could not be granted early enough to finish before its
+// deadline is denied at once: a place given to a request that dies in the middle is lost for all.
+// Two books that both think they own an upstream admit too much for a moment and break nothing
+// else.
 class PermitBook
 {
 public:
@@ -80,6 +82,10 @@
     // `upstream` stands for any.
     void release(HolderId holder, std::uint64_t permitId, const std::string &upstream, double cost);
 
+    // Ends a permit whose upstream was full all the same, of runs that came without a permit: the
+    // next grants of the upstream wait a moment.
+    void pushedBack(HolderId holder, std::uint64_t permitId, const std::string &upstream);
+
     // Ends a waiting ask whose caller has gone; a permit granted meanwhile must be released.
     void withdraw(HolderId holder, std::uint64_t askId, const std::string &upstream);
 
@@ -106,6 +112,7 @@
         HolderId holder;
         std::string team;
         double cost;
+        TimePoint granted{};
     };
     struct Waiting
     {
@@ -117,6 +124,8 @@
     {
         OwnedUpstream upstream;
         FairQueue queue;
+        TimePoint fullUntil{};
+        Duration meanHold{0}; // of a permit, from grant to release
         std::unordered_map<FairQueue::EntryId, Waiting> waiting;
         std::map<std::pair<HolderId, std::uint64_t>, FairQueue::EntryId> byAsk;
         std::map<std::pair<HolderId, std::uint64_t>, Permit> running;
@@ -128,6 +137,7 @@
     void fill(Line &line);
     void dropWaiting(Line &line, FairQueue::EntryId id);
     void releaseIn(Line &line, HolderId holder, std::uint64_t permitId, double cost);
+    Duration expectedWait(const Line &line, const PermitAsk &ask) const;
     std::chrono::milliseconds retryAdvice(const Line *line) const;
     double share(const std::string &team) const;
 
--- a/src/adapters/grpc/permit_client.cpp
+++ b/src/adapters/grpc/permit_client.cpp
@@ -201,6 +201,7 @@
     message->set_permit_id(release.permitId);
     message->set_upstream(release.upstream);
     message->set_cost(release.cost);
+    message->set_pushed_back(release.pushedBack);
     send(release.owner, commands);
 }
 
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -214,8 +214,12 @@
 {
     for (const wire::Held &it : event.commands.held())
         m_book.hold(event.holder, it.permit_id(), it.upstream(), it.team());
-    for (const wire::Release &it : event.commands.releases())
-        m_book.release(event.holder, it.permit_id(), it.upstream(), it.cost());
+    for (const wire::Release &it : event.commands.releases()) {
+        if (it.pushed_back())
+            m_book.pushedBack(event.holder, it.permit_id(), it.upstream());
+        else
+            m_book.release(event.holder, it.permit_id(), it.upstream(), it.cost());
+    }
     for (const wire::Withdraw &it : event.commands.withdrawals())
         m_book.withdraw(event.holder, it.ask_id(), it.upstream());
     for (const wire::Ask &it : event.commands.asks()) {
--- a/src/config/read_configuration.cpp
+++ b/src/config/read_configuration.cpp
@@ -106,6 +106,7 @@
         upstream.prefillTokensPerSecond
             = table.number("prefill_tokens_per_second", upstream.prefillTokensPerSecond);
         upstream.checksFences = table.flag("checks_fences", false);
+        upstream.refusesWhenFull = table.flag("refuses_when_full", false);
         upstream.leaving = table.flag("leaving", false);
         return upstream;
     }
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -54,6 +54,10 @@
     {"prefill_tokens_per_second", Number, false, 1, 1e9, "10000",
      "Rate at which an engine computes uncached prompt tokens."},
     {"checks_fences", Flag, false, 0, 0, "false", "Whether it refuses orders with an old fence."},
+    {"refuses_when_full", Flag, false, 0, 0, "false",
+     "Whether it answers `X-Request-Not-Run: true` at once when it has no free slot; such "
+     "upstreams "
+     "are sent to without a permit while there is no contention."},
     {"leaving", Flag, false, 0, 0, "false", "Whether it must get no new work."},
 };
 constexpr Field kRoute[] = {
--- a/src/core/call.hpp
+++ b/src/core/call.hpp
@@ -62,6 +62,7 @@
     std::uint64_t permitId;
     std::string upstream;
     double cost;
+    bool pushedBack; // the upstream was full all the same
 };
 
 // Sends the call to an upstream.
--- /dev/null
+++ b/src/core/contention.hpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_CORE_CONTENTION_HPP_INCLUDED
+#define FORDWOOD_CORE_CONTENTION_HPP_INCLUDED
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "fordwood/clock.hpp"
+
+namespace fordwood {
+
+// Tells whether upstreams of a kind are short of places, from what happened to recent sends. While
+// they are not, requests are sent without asking an owner first; an upstream that is full says so,
+// unrun. One value for all upstreams of a model: a pair of entry node and upstream sees far too few
+// requests to judge by itself in a large fleet. Not thread-safe.
+class Contention
+{
+public:
+    struct Limits
+    {
+        Duration window = std::chrono::seconds(2);
+        double share = 0.05; // of sends that were refused
+        Duration calmFor = std::chrono::seconds(5); // without a refusal until contention ends
+    };
+
+    Contention(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
+
+    // A send to an upstream of the kind went through.
+    void countAccepted(const std::string &kind) { count(kind, false); }
+
+    // An upstream of the kind, or its owner, had no place.
+    void countRefused(const std::string &kind) { count(kind, true); }
+
+    bool isContended(const std::string &kind)
+    {
+        Meter &meter = m_meters[kind];
+        return meter.contended && m_clock.now() - meter.lastRefusal < m_limits.calmFor;
+    }
+
+private:
+    struct Meter
+    {
+        std::deque<std::pair<TimePoint, bool>> recent; // refused or not
+        std::size_t refusals = 0;
+        TimePoint lastRefusal{};
+        bool contended = false;
+    };
+
+    void count(const std::string &kind, bool refused)
+    {
+        Meter &meter = m_meters[kind];
+        const TimePoint now = m_clock.now();
+        if (refused)
+            meter.lastRefusal = now;
+        else if (now - meter.lastRefusal >= m_limits.calmFor)
+            meter.contended = false;
+        meter.recent.emplace_back(now, refused);
+        meter.refusals += refused ? 1 : 0;
+        while (now - meter.recent.front().first > m_limits.window) {
+            meter.refusals -= meter.recent.front().second ? 1 : 0;
+            meter.recent.pop_front();
+        }
+        const auto sends = static_cast<double>(meter.recent.size());
+        if (refused && static_cast<double>(meter.refusals) >= m_limits.share * sends)
+            meter.contended = true;
+    }
+
+    const Clock &m_clock;
+    Limits m_limits;
+    std::map<std::string, Meter> m_meters;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_CORE_CONTENTION_HPP_INCLUDED
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(const Clock &clock, DispatcherLimits limits)
-    : m_clock(clock), m_limits(limits)
+    : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{})
 { }
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view)
@@ -83,7 +83,7 @@
     if (known == m_asks.end()) {
         // The call has gone on without this permit.
         if (reply.granted)
-            m_actions.emplace_back(ReleasePermit{owner, reply.permitId, {}, 0.0});
+            m_actions.emplace_back(ReleasePermit{owner, reply.permitId, {}, 0.0, false});
         return;
     }
     Call &call = m_calls.at(known->second);
@@ -94,6 +94,8 @@
         const TimePoint sendBy = call.asked + reply.waited + reply.sendWithin;
         return send(call, Held{owner, reply.permitId, current(call)->name}, sendBy);
     }
+    if (reply.reason == Reason::UpstreamBusy)
+        m_contention.countRefused(call.request.target);
     askNext(call, Verdict::of(reply.reason, {}, reply.retryAfter));
 }
 
@@ -126,13 +128,20 @@
     Call *call = find(id, attempt);
     if (call == nullptr)
         return;
-    releaseHeld(*call, 0.0);
+    const bool sentDirectly = call->held && call->held->direct;
+    releaseHeld(*call, 0.0, failure.reason == Reason::UpstreamPushback);
+    if (failure.reason == Reason::UpstreamPushback)
+        m_contention.countRefused(call->request.target);
     Verdict verdict{failure.state, failure.reason, std::chrono::milliseconds(0), failure.detail};
     if (!maySendAgain(failure.state, call->request.repeatable, failure.answerBegun))
         return end(id, verdict);
     if (call->request.deadline <= m_clock.now())
         return end(id, verdict);
-    if (!takeRetry(*call, failure.reason)) {
+    // A direct send that met a full upstream now waits its turn at the owner: that adds no load.
+    const bool free = sentDirectly && failure.reason == Reason::UpstreamPushback;
+    if (free)
+        m_actions.emplace_back(CountRetry{failure.reason});
+    if (!free && !takeRetry(*call, failure.reason)) {
         // The failure itself stays the verdict: an exhausted budget must not hide that it may have
         // run.
         verdict.detail += (verdict.detail.empty() ? "" : "; ") + std::string("no retry left");
@@ -143,7 +152,14 @@
     call->mayHaveRun = call->mayHaveRun || failure.state != RunState::NotRun;
     const std::string failed = current(*call)->name;
     choose(*call);
-    std::erase_if(call->candidates, [&](const UpstreamConfig *it) { return it->name == failed; });
+    const auto others
+        = std::stable_partition(call->candidates.begin(), call->candidates.end(),
+                                [&](const UpstreamConfig *it) { return it->name != failed; });
+    // A full upstream is still there to be waited for, after the others; a broken one is not.
+    const bool onlyFull
+        = failure.reason == Reason::UpstreamPushback || failure.reason == Reason::PermitExpired;
+    if (!onlyFull)
+        call->candidates.erase(others, call->candidates.end());
     if (call->candidates.empty())
         return end(id, verdict);
     ask(*call);
@@ -155,6 +171,7 @@
     if (call == nullptr)
         return;
     releaseHeld(*call, cost);
+    m_contention.countAccepted(call->request.target);
     if (call->claimed)
         m_actions.emplace_back(
             FinishClaim{call->claimHolder, *call->request.key, RunState::Ran, std::move(answer)});
@@ -257,6 +274,8 @@
     const UpstreamConfig *upstream = current(call);
     if (upstream == nullptr)
         return end(call.request.id, call.last);
+    if (maySendDirectly(*upstream, call))
+        return send(call, Held{{}, 0, upstream->name, true}, m_clock.now() + kLocalSendWithin);
     const Member *owner = call.view->owner(*upstream);
     if (owner == nullptr)
         return fallBack(call);
@@ -290,6 +309,14 @@
     ask(call);
 }
 
+// Only where a full upstream says that it did not run the request, and only for the first attempt:
+// a call that was refused once waits its turn.
+bool Dispatcher::maySendDirectly(const UpstreamConfig &upstream, const Call &call)
+{
+    return m_limits.direct && upstream.refusesWhenFull && call.attempt == 0
+           && !m_contention.isContended(call.request.target);
+}
+
 void Dispatcher::fallBack(Call &call)
 {
     const UpstreamConfig *upstream = current(call);
@@ -318,14 +345,17 @@
         sendBy, call.request.deadline, call.request.repeatable, call.request.key.has_value()});
 }
 
-void Dispatcher::releaseHeld(Call &call, double cost)
+void Dispatcher::releaseHeld(Call &call, double cost, bool pushedBack)
 {
     if (!call.held)
         return;
     const Held held = *std::exchange(call.held, std::nullopt);
+    if (held.direct)
+        return;
     if (held.permitId != 0) {
         if (!held.owner.empty())
-            m_actions.emplace_back(ReleasePermit{held.owner, held.permitId, held.upstream, cost});
+            m_actions.emplace_back(
+                ReleasePermit{held.owner, held.permitId, held.upstream, cost, pushedBack});
         return;
     }
     std::size_t &used = m_localInUse[held.upstream];
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/call.hpp"
+#include "core/contention.hpp"
 #include "fordwood/clock.hpp"
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/retry_budget.hpp"
@@ -21,6 +22,7 @@
 {
     std::size_t maxCalls = 2048;
     Duration ownerTimeout = std::chrono::milliseconds(500);
+    bool direct = true; // send without permits while there is no contention
     std::size_t candidates = 3; // upstreams tried without queueing before the call queues
 };
 
@@ -93,9 +95,10 @@
 
     struct Held // a permit in use
     {
-        std::string owner; // empty: taken from the local allowance
+        std::string owner; // empty: taken without one
         std::uint64_t permitId = 0;
         std::string upstream;
+        bool direct = false; // sent without asking, since there is no contention
     };
     struct Call
     {
@@ -126,8 +129,9 @@
     void ask(Call &call);
     void askNext(Call &call, const Verdict &why);
     void fallBack(Call &call);
+    bool maySendDirectly(const UpstreamConfig &upstream, const Call &call);
     void send(Call &call, Held held, TimePoint sendBy);
-    void releaseHeld(Call &call, double cost);
+    void releaseHeld(Call &call, double cost, bool pushedBack = false);
     void withdraw(Call &call);
     void end(CallId id, const Verdict &verdict);
     bool takeRetry(const Call &call, Reason reason);
@@ -143,6 +147,7 @@
     std::unordered_map<std::uint64_t, CallId> m_claims;
     std::map<std::string, std::size_t> m_localInUse; // by upstream
     std::map<std::string, RetryBudget> m_budgets; // by team
+    Contention m_contention; // by model or service
     std::vector<Action> m_actions;
     std::uint64_t m_nextAsk = 1;
     bool m_stopping = false;
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -8,6 +8,7 @@
 void FairQueue::push(const Entry &entry)
 {
     Team &team = m_teams[entry.team];
+    team.share = entry.share;
     const Order order{entry.priority, m_sequence++, entry.id};
     if (team.waiting.empty()) {
         team.tag = std::max(team.tag, m_virtualTime);
@@ -30,6 +31,22 @@
     return slot.entry;
 }
 
+std::optional<FairQueue::Entry> FairQueue::next() const
+{
+    if (m_active.empty())
+        return std::nullopt;
+    const Team &team = m_teams.at(m_active.begin()->second);
+    return m_entries.at(team.waiting.begin()->id).entry;
+}
+
+double FairQueue::activeShare() const
+{
+    double sum = 0.0;
+    for (const auto &[tag, name] : m_active)
+        sum += m_teams.at(name).share;
+    return sum;
+}
+
 bool FairQueue::remove(EntryId id)
 {
     const auto it = m_entries.find(id);
--- a/src/core/permit_book.cpp
+++ b/src/core/permit_book.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr Duration kFullFor = std::chrono::milliseconds(20);
 constexpr std::chrono::milliseconds kRetryStep{250};
 constexpr std::chrono::milliseconds kRetryMost{10'000};
 
@@ -48,7 +49,8 @@
     Line &line = it->second;
     if (line.upstream.leaving)
         return deny(ask, Reason::UpstreamLeaving);
-    if (line.queue.empty() && line.running.size() < line.upstream.slots) {
+    const bool full = m_clock.now() < line.fullUntil;
+    if (!full && line.queue.empty() && line.running.size() < line.upstream.slots) {
         line.queue.charge(ask.team, share(ask.team), ask.cost);
         return grant(line, ask, Duration::zero());
     }
@@ -56,6 +58,8 @@
         return deny(ask, Reason::UpstreamBusy);
     if (line.queue.waiting(ask.team) >= m_limits.queuePerTeam)
         return deny(ask, Reason::QueueFull);
+    if (expectedWait(line, ask) + line.meanHold > ask.wait)
+        return deny(ask, Reason::DeadlineTooNear);
     const FairQueue::EntryId id = m_nextEntry++;
     line.waiting.emplace(id, Waiting{ask, m_clock.now()});
     line.byAsk.emplace(std::pair(ask.holder, ask.askId), id);
@@ -76,6 +80,8 @@
     const auto permit = line.running.find({holder, permitId});
     if (permit == line.running.end())
         return;
+    const Duration held = m_clock.now() - permit->second.granted;
+    line.meanHold = line.meanHold == Duration::zero() ? held : (line.meanHold * 7 + held) / 8;
     const double correction = cost > 0 ? cost - permit->second.cost : 0.0;
     if (correction > 0)
         line.queue.charge(permit->second.team, share(permit->second.team), correction);
@@ -83,6 +89,14 @@
     fill(line);
 }
 
+void PermitBook::pushedBack(HolderId holder, std::uint64_t permitId, const std::string &upstream)
+{
+    const auto it = m_lines.find(upstream);
+    if (it != m_lines.end())
+        it->second.fullUntil = m_clock.now() + kFullFor;
+    release(holder, permitId, upstream, 0.0);
+}
+
 void PermitBook::withdraw(HolderId holder, std::uint64_t askId, const std::string &upstream)
 {
     const auto it = m_lines.find(upstream);
@@ -98,7 +112,8 @@
 {
     const auto it = m_lines.find(upstream);
     if (it != m_lines.end())
-        it->second.running.insert_or_assign({holder, permitId}, Permit{holder, team, 0.0});
+        it->second.running.insert_or_assign({holder, permitId},
+                                            Permit{holder, team, 0.0, m_clock.now()});
 }
 
 void PermitBook::dropHolder(HolderId holder)
@@ -130,6 +145,7 @@
             deny(line.waiting.at(id).ask, Reason::DeadlineTooNear);
             dropWaiting(line, id);
         }
+        fill(line);
     }
 }
 
@@ -153,7 +169,8 @@
 void PermitBook::grant(Line &line, const PermitAsk &ask, Duration waited)
 {
     const std::uint64_t id = m_nextPermit++;
-    line.running.emplace(std::pair(ask.holder, id), Permit{ask.holder, ask.team, ask.cost});
+    line.running.emplace(std::pair(ask.holder, id),
+                         Permit{ask.holder, ask.team, ask.cost, m_clock.now()});
     PermitAnswer answer;
     answer.holder = ask.holder;
     answer.askId = ask.askId;
@@ -189,11 +206,20 @@
 
 void PermitBook::fill(Line &line)
 {
+    if (m_clock.now() < line.fullUntil)
+        return; // tick() comes back to it
     while (!line.upstream.leaving && line.running.size() < line.upstream.slots) {
-        const auto entry = line.queue.pop();
+        const auto entry = line.queue.next();
         if (!entry)
             return;
         const Waiting waiting = line.waiting.at(entry->id);
+        if (waiting.since + waiting.ask.wait - m_clock.now() < line.meanHold) {
+            // Too late to finish: it must not take the place of one that can.
+            deny(waiting.ask, Reason::DeadlineTooNear);
+            dropWaiting(line, entry->id);
+            continue;
+        }
+        line.queue.pop();
         dropWaiting(line, entry->id);
         grant(line, waiting.ask, m_clock.now() - waiting.since);
     }
@@ -209,6 +235,18 @@
     line.waiting.erase(it);
 }
 
+// How long an ask would wait, from the mean time that permits are held and the team's part of the
+// places among the teams that wait.
+Duration PermitBook::expectedWait(const Line &line, const PermitAsk &ask) const
+{
+    const std::size_t ahead = line.queue.waiting(ask.team);
+    const double own = share(ask.team);
+    const double active = line.queue.activeShare() + (ahead == 0 ? own : 0.0);
+    const double rounds = static_cast<double>(ahead + 1) * active / own
+                          / static_cast<double>(std::max<std::size_t>(1, line.upstream.slots));
+    return std::chrono::duration_cast<Duration>(line.meanHold * rounds);
+}
+
 std::chrono::milliseconds PermitBook::retryAdvice(const Line *line) const
 {
     if (line == nullptr)
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -204,7 +204,9 @@
 {
     Node &node = m_nodes[static_cast<std::size_t>(index)];
     const std::uint64_t boot = m_size.mutation == Mutation::ForgetsBoot ? 1 : fleet.boot(index);
-    node.dispatcher = std::make_unique<Dispatcher>(fleet.clock, DispatcherLimits{});
+    DispatcherLimits limits;
+    limits.direct = m_size.direct;
+    node.dispatcher = std::make_unique<Dispatcher>(fleet.clock, limits);
     node.book = std::make_unique<PermitBook>(fleet.clock, PermitLimits{kPermitLife, 64});
     node.keys = std::make_unique<KeyRegistry>(KeyHolder{fleet.member(index).name, boot},
                                               fleet.clock, KeyRegistry::Limits{});
@@ -223,6 +225,7 @@
         upstream.failureDomain = "domain-" + std::to_string(it % m_size.domains);
         upstream.models = {"m"};
         upstream.slots = m_size.slots;
+        upstream.refusesWhenFull = true;
         configuration.upstreams[upstream.name] = upstream;
     }
     UpstreamConfig service;
@@ -258,7 +261,8 @@
         = std::make_shared<Configuration>(configurationOf(fleet.text(index, "weights")));
     node.view = std::make_shared<const FleetView>(fleet.version(index), configuration, members,
                                                   leaving, fleet.member(index).failureDomain);
-    node.dispatcher->setView(node.view);
+    node.dispatcher->setView(m_size.staticParts ? withoutOwners(index) : node.view);
+    node.book->setShares(m_size.shares);
     std::vector<OwnedUpstream> owned;
     for (const auto &[name, it] : configuration->upstreams) {
         const Member *owner = node.view->owner(it);
@@ -268,6 +272,18 @@
     node.book->setUpstreams(owned);
 }
 
+// A view in which no member may own an upstream.
+std::shared_ptr<const FleetView> World::withoutOwners(int index) const
+{
+    const FleetView &view = *m_nodes[static_cast<std::size_t>(index)].view;
+    std::vector<Member> members = view.members();
+    for (Member &it : members)
+        it.leaving = true;
+    return std::make_shared<const FleetView>(
+        view.version(), std::make_shared<Configuration>(view.configuration()), members,
+        view.leaving(), fleet.member(index).failureDomain);
+}
+
 void World::carryOut(int index, const Action &action)
 {
     Node &node = m_nodes[static_cast<std::size_t>(index)];
@@ -276,6 +292,7 @@
         const int target = indexOf(owner);
         if (target < 0 || !fleet.alive(target) || !fleet.reaches(index, target))
             return; // the stream breaks, which breakStreams() reports
+        ++m_permitMessages;
         post(target, std::move(handle));
     };
     if (const auto *ask = std::get_if<AskPermit>(&action)) {
@@ -296,7 +313,10 @@
     } else if (const auto *release = std::get_if<ReleasePermit>(&action)) {
         const ReleasePermit message = *release;
         toOwner(message.owner, [holder, message](Node &it) {
-            it.book->release(holder, message.permitId, message.upstream, message.cost);
+            if (message.pushedBack)
+                it.book->pushedBack(holder, message.permitId, message.upstream);
+            else
+                it.book->release(holder, message.permitId, message.upstream, message.cost);
         });
     } else if (const auto *claim = std::get_if<ClaimKey>(&action)) {
         node.streams.insert(claim->holder);
@@ -365,8 +385,9 @@
         const bool gone
             = !fleet.alive(it.place.first) || fleet.boot(it.place.first) != it.place.second;
         if (!it.begun && it.arrives <= now) {
-            if (upstream.refuse > 0) {
-                --upstream.refuse;
+            const bool full = upstream.running >= m_size.slots && it.send.upstream != "service-0";
+            if (upstream.refuse > 0 || full) {
+                upstream.refuse -= upstream.refuse > 0 ? 1 : 0;
                 const AttemptFailure kRefused{RunState::NotRun, Reason::UpstreamPushback, "",
                                               false};
                 endRun(it, &kRefused);
@@ -435,6 +456,7 @@
         reply.sendWithin = answer.sendWithin;
         reply.reason = answer.reason;
         const std::string owner = fleet.member(index).name;
+        ++m_permitMessages;
         post(entry, [owner, reply](Node &node) { node.dispatcher->permitAnswered(owner, reply); });
     }
 }
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -37,6 +37,9 @@
     int engines = 6;
     std::size_t slots = 4;
     std::uint64_t seed = 1;
+    bool direct = true; // send without permits while there is no contention
+    bool staticParts = false; // no owners: every node has an equal part of each upstream
+    std::map<std::string, double> shares; // of teams
     Mutation mutation = Mutation::None;
 };
 
@@ -101,6 +104,8 @@
     // The first thing that did not hold, with the time; empty when all did.
     const std::string &violation() const { return m_violation; }
     std::size_t runsOn(const std::string &upstream) const;
+    // Messages between dispatchers and owners so far.
+    std::uint64_t permitMessages() const { return m_permitMessages; }
     std::uint64_t steps() const { return m_steps; }
 
     ReplicaFleet fleet;
@@ -145,6 +150,7 @@
     void step();
     void startNode(int node);
     void refreshView(int node);
+    std::shared_ptr<const FleetView> withoutOwners(int node) const;
     void carryOut(int node, const Action &action);
     void sendCall(int node, const SendCall &send);
     void answerOwners(int node);
@@ -171,6 +177,7 @@
     std::map<std::pair<std::string, std::string>, int> m_runsByKey; // team and key
     CallId m_nextCall = 1;
     std::uint64_t m_steps = 0;
+    std::uint64_t m_permitMessages = 0;
     TimePoint m_lastDisturbance{}; // that may delay the news of a leaving upstream
     std::string m_violation;
 };
