Permits only under contention, for upstreams that refuse when full

Change: while calls find places among their candidates they are sent without asking; a model whose candidates are all full goes over to permits until five seconds after.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -62,9 +62,9 @@
 }
 
 // Offered load on one node, and the processor time that its daemons used for it.
-void throughput(double rate)
+void throughput(double rate, bool direct)
 {
-    Fleet fleet({1, 4, 1, 256, {"token_ms=0", "prefill_rate=100000000", "queue=4096"}, ""});
+    Fleet fleet({1, 4, 1, 256, {"token_ms=0", "prefill_rate=100000000", "queue=0"}, "", direct});
     fleet.start();
     const int requests = static_cast<int>(rate * 5);
     const Usage entryBefore = fleet.entryds[0].usage();
@@ -80,8 +80,8 @@
     const double answered = json["outcomes"]["answered"];
     const double entryMs = milliseconds(entry.processorTime - entryBefore.processorTime);
     const double controlMs = milliseconds(control.processorTime - controlBefore.processorTime);
-    std::cout << "one node, offered " << rate << "/s: answered "
-              << answered / json["seconds"].get<double>() << "/s, whole p50 "
+    std::cout << "one node, " << (direct ? "direct" : "permits") << ", offered " << rate
+              << "/s: answered " << answered / json["seconds"].get<double>() << "/s, whole p50 "
               << json["whole_ms"]["p50"].get<double>() << " ms p99 "
               << json["whole_ms"]["p99"].get<double>() << " ms, entryd "
               << 1000 * entryMs / answered << " us, controld " << 1000 * controlMs / answered
@@ -124,8 +124,10 @@
 int main(int argc, char **argv)
 {
     overhead(argc > 1 ? std::atoi(argv[1]) : 2000);
-    for (const double rate : {1000.0, 3000.0, 5000.0})
-        throughput(rate);
+    for (const bool direct : {false, true}) {
+        for (const double rate : {43.0, 1000.0, 3000.0, 5000.0})
+            throughput(rate, direct);
+    }
     openStreams(argc > 2 ? std::atoi(argv[2]) : 1000);
     return 0;
 }
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -94,8 +94,6 @@
         const TimePoint sendBy = call.asked + reply.waited + reply.sendWithin;
         return send(call, Held{owner, reply.permitId, current(call)->name}, sendBy);
     }
-    if (reply.reason == Reason::UpstreamBusy)
-        m_contention.countRefused(call.request.target);
     askNext(call, Verdict::of(reply.reason, {}, reply.retryAfter));
 }
 
@@ -131,7 +129,7 @@
     const bool sentDirectly = call->held && call->held->direct;
     releaseHeld(*call, 0.0, failure.reason == Reason::UpstreamPushback);
     if (failure.reason == Reason::UpstreamPushback)
-        m_contention.countRefused(call->request.target);
+        call->full.push_back(current(*call)->name);
     Verdict verdict{failure.state, failure.reason, std::chrono::milliseconds(0), failure.detail};
     if (!maySendAgain(failure.state, call->request.repeatable, failure.answerBegun))
         return end(id, verdict);
@@ -150,16 +148,11 @@
     call->stage = Stage::Asking;
     call->last = verdict;
     call->mayHaveRun = call->mayHaveRun || failure.state != RunState::NotRun;
-    const std::string failed = current(*call)->name;
-    choose(*call);
-    const auto others
-        = std::stable_partition(call->candidates.begin(), call->candidates.end(),
-                                [&](const UpstreamConfig *it) { return it->name != failed; });
-    // A full upstream is still there to be waited for, after the others; a broken one is not.
     const bool onlyFull
         = failure.reason == Reason::UpstreamPushback || failure.reason == Reason::PermitExpired;
     if (!onlyFull)
-        call->candidates.erase(others, call->candidates.end());
+        call->broken.push_back(current(*call)->name);
+    choose(*call);
     if (call->candidates.empty())
         return end(id, verdict);
     ask(*call);
@@ -257,16 +250,24 @@
     m_actions.emplace_back(FinishClaim{call.claimHolder, *call.request.key, RunState::NotRun, {}});
 }
 
+// The upstreams to try, best first: those that broke are left out, those that were full come last.
 void Dispatcher::choose(Call &call)
 {
     const CallRequest &request = call.request;
     call.view = m_view;
     call.next = 0;
     call.queueing = false;
-    call.candidates
-        = request.kind == CallKind::Completion
-              ? m_view->engines(request.target, request.prefixHash, m_limits.candidates)
-              : m_view->services(request.target, request.prefixHash, m_limits.candidates);
+    const std::size_t count = m_limits.candidates + call.broken.size();
+    call.candidates = request.kind == CallKind::Completion
+                          ? m_view->engines(request.target, request.prefixHash, count)
+                          : m_view->services(request.target, request.prefixHash, count);
+    const auto among = [](const std::vector<std::string> &names, const UpstreamConfig *it) {
+        return std::find(names.begin(), names.end(), it->name) != names.end();
+    };
+    std::erase_if(call.candidates,
+                  [&](const UpstreamConfig *it) { return among(call.broken, it); });
+    std::stable_partition(call.candidates.begin(), call.candidates.end(),
+                          [&](const UpstreamConfig *it) { return !among(call.full, it); });
 }
 
 void Dispatcher::ask(Call &call)
@@ -303,18 +304,25 @@
     ++call.next;
     if (call.next < call.candidates.size())
         return ask(call);
+    m_contention.countRefused(call.request.target);
     // No place is free anywhere near: wait at the first choice, where the context is warmest.
     call.next = 0;
     call.queueing = true;
     ask(call);
 }
 
-// Only where a full upstream says that it did not run the request, and only for the first attempt:
-// a call that was refused once waits its turn.
+// Only where a full upstream says that it did not run the request. A call that found every
+// candidate full waits its turn at an owner instead, and tells the others of its model that places
+// are short.
 bool Dispatcher::maySendDirectly(const UpstreamConfig &upstream, const Call &call)
 {
-    return m_limits.direct && upstream.refusesWhenFull && call.attempt == 0
-           && !m_contention.isContended(call.request.target);
+    if (!m_limits.direct || !upstream.refusesWhenFull)
+        return false;
+    const bool triedAll
+        = std::find(call.full.begin(), call.full.end(), upstream.name) != call.full.end();
+    if (triedAll)
+        m_contention.countRefused(call.request.target);
+    return !triedAll && !m_contention.isContended(call.request.target);
 }
 
 void Dispatcher::fallBack(Call &call)
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -106,6 +106,8 @@
         Stage stage = Stage::Asking;
         unsigned attempt = 0;
         std::vector<const UpstreamConfig *> candidates;
+        std::vector<std::string> full; // upstreams that refused the call for want of a place
+        std::vector<std::string> broken; // upstreams at which an attempt failed
         std::shared_ptr<const FleetView> view; // keeps the candidates alive
         std::size_t next = 0; // candidate asked now
         bool queueing = false; // the ask now open may wait at the owner
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -185,7 +185,8 @@
         out << "[[upstream]]\nname = \"engine-" << it
             << "\"\nkind = \"engine\"\nfailure_domain = \"" << failureDomain(it)
             << "\"\naddress = \"" << engineAddress(it)
-            << "\"\nmodels = [\"m\"]\nslots = " << m_size.engineSlots << "\n";
+            << "\"\nmodels = [\"m\"]\nslots = " << m_size.engineSlots
+            << "\nrefuses_when_full = " << (m_size.refusesWhenFull ? "true" : "false") << "\n";
     out << "[[upstream]]\nname = \"service-0\"\nkind = \"service\"\nfailure_domain = \""
         << failureDomain(0) << "\"\naddress = \"" << serviceAddress()
         << "\"\nservice = \"s\"\nslots = 64\n"
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -21,6 +21,7 @@
     int engineSlots = 8;
     std::vector<std::string> engineOptions{"token_ms=1"}; // for standin-engine
     std::string entrySettings; // further lines of [entry]
+    bool refusesWhenFull = false; // engines are sent to without permits while they have places
 };
 
 // A fleet on one machine: stand-ins and entry VMs as processes on loopback addresses that no other
