Fan-out 4; cheaper application of a change; queue cost free of the number of teams

Change: fan-out 4 instead of 8; a running sum of shares; the assembler copies the last configuration and exchanges only the tables of changed pieces.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -89,6 +89,27 @@
               << json["reasons"].dump() << "\n";
 }
 
+// What daemons use with no requests at all, over ten seconds.
+void idle(int nodes)
+{
+    Fleet fleet({nodes, 4, std::max(1, nodes / 4), 8, {}, ""});
+    fleet.start();
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const Usage entry = fleet.entryds[0].usage();
+    const Usage control = fleet.controlds[0].usage();
+    constexpr int kSeconds = 10;
+    std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
+    const Usage entryAfter = fleet.entryds[0].usage();
+    const Usage controlAfter = fleet.controlds[0].usage();
+    constexpr double kMegabyte = 1 << 20;
+    std::cout << "idle, " << nodes << " nodes: entryd "
+              << milliseconds(entryAfter.processorTime - entry.processorTime) / kSeconds
+              << " ms/s, controld "
+              << milliseconds(controlAfter.processorTime - control.processorTime) / kSeconds
+              << " ms/s, " << static_cast<double>(controlAfter.residentBytes) / kMegabyte
+              << " MB\n";
+}
+
 // Memory of the daemons while many streams are open.
 void openStreams(int streams)
 {
@@ -123,6 +144,8 @@
 
 int main(int argc, char **argv)
 {
+    for (const int nodes : {3, 8, 16, 32})
+        idle(nodes);
     overhead(argc > 1 ? std::atoi(argv[1]) : 2000);
     for (const bool direct : {false, true}) {
         for (const double rate : {43.0, 1000.0, 3000.0, 5000.0})
--- a/include/fordwood/fair_queue.hpp
+++ b/include/fordwood/fair_queue.hpp
@@ -40,7 +40,7 @@
     std::optional<Entry> next() const;
 
     // The sum of the shares of the teams that have waiting entries.
-    double activeShare() const;
+    double activeShare() const { return m_activeShare; }
 
     // Takes out an entry that no longer waits. False when there is none of that id.
     bool remove(EntryId id);
@@ -83,6 +83,7 @@
     std::map<std::string, Team> m_teams;
     std::set<std::pair<double, std::string>> m_active; // teams with waiting entries, by tag
     std::unordered_map<EntryId, Slot> m_entries;
+    double m_activeShare = 0.0;
     double m_virtualTime = 0.0;
     std::uint64_t m_sequence = 0;
 };
--- a/include/fordwood/permit_book.hpp
+++ b/include/fordwood/permit_book.hpp
@@ -104,6 +104,8 @@
 
     std::size_t running(const std::string &upstream) const;
     std::size_t waiting(const std::string &upstream) const;
+    // True while any ask waits, so that tick() has work.
+    bool hasWaiting() const;
     std::size_t owned() const { return m_lines.size(); }
 
 private:
--- a/include/fordwood/spreading_tree.hpp
+++ b/include/fordwood/spreading_tree.hpp
@@ -23,7 +23,7 @@
 // Relays of each failure domain: the two members that rank highest by rendezvous hash.
 constexpr std::size_t kRelaysPerDomain = 2;
 // Children that name one node as their first parent.
-constexpr std::size_t kFanOut = 8;
+constexpr std::size_t kFanOut = 4;
 
 // Computes the place of `self` among the members (self included, whether listed or not). Members
 // that are leaving take part like the others until they are gone.
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -16,7 +16,8 @@
 using adapters::logEvent;
 
 constexpr std::size_t kRingSize = 16'384;
-constexpr Duration kWait = std::chrono::milliseconds(20);
+constexpr Duration kBusyWait = std::chrono::milliseconds(20);
+constexpr Duration kIdleWait = std::chrono::milliseconds(200);
 constexpr Duration kReplicatorTick = std::chrono::milliseconds(200);
 constexpr Duration kReopenLinks = std::chrono::seconds(1);
 constexpr std::size_t kEventsPerRound = 256;
@@ -177,7 +178,7 @@
     TimePoint nextTick = m_clock.now();
     TimePoint nextReopen = m_clock.now() + kReopenLinks;
     while (!m_stopping) {
-        auto event = m_ring.pop(kWait);
+        auto event = m_ring.pop(m_book.hasWaiting() ? kBusyWait : kIdleWait);
         for (std::size_t n = 0; event; ++n) {
             std::visit([this](auto &it) { on(it); }, *event);
             event = n < kEventsPerRound ? m_ring.tryPop() : std::nullopt;
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -13,6 +13,7 @@
 using adapters::logEvent;
 
 constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr Duration kIdleWait = std::chrono::milliseconds(200);
 constexpr Duration kStopStep = std::chrono::milliseconds(20);
 constexpr std::size_t kEventsPerRound = 256;
 // No call has more events under way than this, so that the ring cannot fill up with them.
@@ -235,7 +236,7 @@
 {
     TimePoint nextTick = m_clock.now() + kTick;
     while (!m_stopping) {
-        auto event = m_ring.pop(kTick);
+        auto event = m_ring.pop(m_dispatcher.calls() > 0 ? kTick : kIdleWait);
         for (std::size_t n = 0; event; ++n) {
             std::visit([this](auto &it) { on(it); }, *event);
             event = n < kEventsPerRound ? m_ring.tryPop() : std::nullopt;
--- a/src/config/configuration_assembler.hpp
+++ b/src/config/configuration_assembler.hpp
@@ -25,7 +25,14 @@
                                                   ConfigErrors &errors);
 
 private:
-    std::map<std::string, std::shared_ptr<const Configuration>> m_parts; // by digest
+    struct Part
+    {
+        std::string sha256;
+        std::shared_ptr<const Configuration> content;
+    };
+
+    std::map<std::string, Part> m_parts; // by the names of pieces
+    std::shared_ptr<const Configuration> m_whole;
 };
 
 } // namespace fordwood::config
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -8,11 +8,12 @@
 void FairQueue::push(const Entry &entry)
 {
     Team &team = m_teams[entry.team];
-    team.share = entry.share;
     const Order order{entry.priority, m_sequence++, entry.id};
     if (team.waiting.empty()) {
+        team.share = entry.share;
         team.tag = std::max(team.tag, m_virtualTime);
         m_active.emplace(team.tag, entry.team);
+        m_activeShare += entry.share;
     }
     team.waiting.insert(order);
     m_entries.emplace(entry.id, Slot{entry, order});
@@ -39,14 +40,6 @@
     return m_entries.at(team.waiting.begin()->id).entry;
 }
 
-double FairQueue::activeShare() const
-{
-    double sum = 0.0;
-    for (const auto &[tag, name] : m_active)
-        sum += m_teams.at(name).share;
-    return sum;
-}
-
 bool FairQueue::remove(EntryId id)
 {
     const auto it = m_entries.find(id);
@@ -80,8 +73,10 @@
 {
     Team &team = m_teams[slot.entry.team];
     team.waiting.erase(slot.order);
-    if (team.waiting.empty())
+    if (team.waiting.empty()) {
         m_active.erase({team.tag, slot.entry.team});
+        m_activeShare = m_active.empty() ? 0.0 : m_activeShare - team.share;
+    }
     m_entries.erase(slot.entry.id);
 }
 
--- a/src/core/permit_book.cpp
+++ b/src/core/permit_book.cpp
@@ -160,6 +160,12 @@
     return it == m_lines.end() ? 0 : it->second.running.size();
 }
 
+bool PermitBook::hasWaiting() const
+{
+    return std::any_of(m_lines.begin(), m_lines.end(),
+                       [](const auto &it) { return !it.second.queue.empty(); });
+}
+
 std::size_t PermitBook::waiting(const std::string &upstream) const
 {
     const auto it = m_lines.find(upstream);
--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 
+#include "config/configuration_assembler.hpp"
 #include "config/settings.hpp"
 
 using namespace fordwood;
@@ -157,3 +158,30 @@
     CHECK_FALSE(parseSpan("1e99s"));
     CHECK_FALSE(parseSpan(""));
 }
+
+TEST_CASE(
+    "configuration: put together from pieces, step by step, as if read at once [configuration]")
+{
+    const auto text = [](int from, int to) {
+        std::string teams = kSound;
+        for (int it = from; it < to; ++it)
+            teams += "[[team]]\nname = \"t" + std::to_string(it) + "\"\nkey_sha256 = [\""
+                     + std::string(61, '0') + std::to_string(100 + it) + "\"]\n";
+        return teams;
+    };
+    ConfigurationAssembler assembler;
+    ConfigErrors errors;
+    // The number of pieces changes on the way, so that tables move between pieces.
+    for (const auto &[from, to] : {std::pair{0, 10}, {0, 200}, {50, 60}, {5, 120}, {0, 0}}) {
+        std::vector<StoredPiece> pieces;
+        for (const auto &[name, piece] : piecesOf(text(from, to)))
+            pieces.push_back({name, sha256Hex(piece), piece});
+        const auto whole = assembler.assemble(pieces, errors);
+        REQUIRE(whole);
+        CHECK(whole->teams.size() == static_cast<std::size_t>(to - from) + 1);
+        for (int it = from; it < to; ++it)
+            CHECK(whole->teams.count("t" + std::to_string(it)) == 1);
+        CHECK(whole->upstreams.size() == 1);
+    }
+    CHECK_FALSE(assembler.assemble({{"team", "x", "[[team]"}}, errors));
+}
