--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -2,8 +2,6 @@
 // Measures the whole path with real processes: what fordwood adds to calling an engine directly,
 // how many short requests a node serves, and what the daemons use with many open streams. Usage:
 // path-bench [requests] [streams]
-#include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -110,47 +108,70 @@
               << " MB\n";
 }
 
-// Memory of the daemons while many streams are open.
-void openStreams(int streams)
+// Memory and processor time of the daemons while many streams are open.
+void openStreams(int streams, int tokenMs)
 {
-    Fleet fleet({1, 4, 1, streams, {"token_ms=200", "prefill_rate=100000000"}, ""});
+    Fleet fleet(
+        {1, 4, 1, streams, {"token_ms=" + std::to_string(tokenMs), "prefill_rate=100000000"}, ""});
     fleet.start();
     const Usage idleEntry = fleet.entryds[0].usage();
     const Usage idleControl = fleet.controlds[0].usage();
+    constexpr int kSeconds = 5;
+    const int tokens = (kSeconds + 10) * 1000 / tokenMs;
     std::string result;
     std::thread load([&] {
-        fleet.load(
-            run(list({fleet.entryAddress(0)}),
-                "rate = 500.0\nrequests = " + std::to_string(streams)
-                    + "\n[[conversation]]\nteam = \"team-0\"\nkey = \"key-0\"\nmodel = \"m\"\n"
-                      "contexts = 100\nquestion_tokens = 1000\nnew_tokens = 60\n"),
-            result);
+        fleet.load(run(list({fleet.entryAddress(0)}),
+                       "rate = 500.0\nrequests = " + std::to_string(streams)
+                           + "\n[[conversation]]\nteam = \"team-0\"\nkey = \"key-0\"\nmodel = "
+                             "\"m\"\ncontexts = 100\nquestion_tokens = 1000\nnew_tokens = "
+                           + std::to_string(tokens) + "\n"),
+                   result, {"--threads", "2"});
     });
     const bool open
         = Fleet::waitFor([&] { return fleet.metric(0, "fordwood_in_flight") >= streams; });
+    const Usage before = fleet.entryds[0].usage();
+    std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
     const Usage entry = fleet.entryds[0].usage();
     const Usage control = fleet.controlds[0].usage();
     load.join();
     constexpr double kMegabyte = 1 << 20;
+    const Json json = Json::parse(result);
+    const double between = json["between_tokens_ms"]["p50"];
+    const double perSecond = 1000.0 * streams / between;
+    const double entryMs = milliseconds(entry.processorTime - before.processorTime);
     std::cout << streams << " open streams (" << (open ? "all open at once" : "never all open")
-              << "): entryd " << static_cast<double>(idleEntry.residentBytes) / kMegabyte << " -> "
-              << static_cast<double>(entry.residentBytes) / kMegabyte << " MB, controld "
+              << "), " << perSecond << " tokens/s: entryd "
+              << static_cast<double>(idleEntry.residentBytes) / kMegabyte << " -> "
+              << static_cast<double>(entry.residentBytes) / kMegabyte << " MB, "
+              << 1000 * entryMs / kSeconds / perSecond << " us a token; controld "
               << static_cast<double>(idleControl.residentBytes) / kMegabyte << " -> "
-              << static_cast<double>(control.residentBytes) / kMegabyte << " MB\n  outcomes "
-              << Json::parse(result)["outcomes"].dump() << "\n";
+              << static_cast<double>(control.residentBytes) / kMegabyte
+              << " MB; between tokens p50 " << between << " p95 "
+              << json["between_tokens_ms"]["p95"].get<double>() << " ms\n  outcomes "
+              << json["outcomes"].dump() << "\n";
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    for (const int nodes : {3, 8, 16, 32})
-        idle(nodes);
-    overhead(argc > 1 ? std::atoi(argv[1]) : 2000);
-    for (const bool direct : {false, true}) {
-        for (const double rate : {43.0, 1000.0, 3000.0, 5000.0})
-            throughput(rate, direct);
+    const std::string part = argc > 1 ? argv[1] : "all";
+    const auto wanted = [&](const char *name) { return part == "all" || part == name; };
+    if (wanted("idle")) {
+        for (const int nodes : {3, 8, 16, 32})
+            idle(nodes);
+    }
+    if (wanted("overhead"))
+        overhead(2000);
+    if (wanted("throughput")) {
+        for (const bool direct : {false, true}) {
+            for (const double rate : {43.0, 1000.0, 3000.0, 5000.0})
+                throughput(rate, direct);
+        }
+    }
+    if (wanted("streams")) {
+        openStreams(450, 31);
+        openStreams(1000, 200);
     }
-    openStreams(argc > 2 ? std::atoi(argv[2]) : 1000);
     return 0;
 }
--- a/include/fordwood/key_registry.hpp
+++ b/include/fordwood/key_registry.hpp
@@ -59,7 +59,7 @@
 public:
     struct Limits
     {
-        std::size_t mostKeys = 200'000;
+        std::size_t mostKeys = 100'000; // some 42 MB
         std::size_t mostAnswerBytes = 16u << 20;
         Duration window = std::chrono::minutes(10);
     };
