--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -1,16 +1,22 @@
 // SPDX-License-Identifier: MIT
 #include "adapters/http/upstream_client.hpp"
 
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
-#include <cstring>
-#include <vector>
+#include <cstdlib>
+#include <tuple>
+#include <utility>
 
 namespace fordwood::adapters {
 
 namespace {
 
-constexpr int kPollMs = 1000;
+constexpr int kLongestWaitMs = 1000;
+constexpr int kEventsAtOnce = 64;
 constexpr long kConnectTimeoutMs = 1000;
 constexpr long kIdleConnections = 1024;
 constexpr std::string_view kStreamEnd = "data: [DONE]";
@@ -273,10 +279,19 @@
 
 UpstreamClient::UpstreamClient(const Clock &clock, UpstreamListener &listener, std::size_t ringSize)
     : m_clock(clock), m_listener(listener), m_sends(ringSize), m_cancels(ringSize),
-      m_wakeups(ringSize), m_multi(curl_multi_init())
+      m_spaces(ringSize), m_multi(curl_multi_init()), m_epoll(epoll_create1(EPOLL_CLOEXEC)),
+      m_wakeup(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kIdleConnections);
     curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &UpstreamClient::onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &UpstreamClient::onTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = m_wakeup;
+    epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeup, &event);
 }
 
 UpstreamClient::~UpstreamClient()
@@ -284,19 +299,87 @@
     while (!m_transfers.empty())
         drop(m_transfers.begin()->first);
     curl_multi_cleanup(m_multi);
+    close(m_epoll);
+    close(m_wakeup);
+}
+
+int UpstreamClient::onSocket(CURL *, curl_socket_t socket, int what, void *self, void *)
+{
+    static_cast<UpstreamClient *>(self)->watchSocket(socket, what);
+    return 0;
+}
+
+int UpstreamClient::onTimer(CURLM *, long timeoutMs, void *self)
+{
+    auto *client = static_cast<UpstreamClient *>(self);
+    client->m_timer.reset();
+    if (timeoutMs >= 0)
+        client->m_timer = client->m_clock.now() + std::chrono::milliseconds(timeoutMs);
+    return 0;
+}
+
+void UpstreamClient::watchSocket(curl_socket_t socket, int what)
+{
+    if (what == CURL_POLL_REMOVE) {
+        epoll_ctl(m_epoll, EPOLL_CTL_DEL, socket, nullptr);
+        return;
+    }
+    epoll_event event{};
+    event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U)
+                   | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+    event.data.fd = socket;
+    if (epoll_ctl(m_epoll, EPOLL_CTL_MOD, socket, &event) != 0)
+        epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event);
+}
+
+void UpstreamClient::handleEvents(int timeoutMs)
+{
+    std::array<epoll_event, kEventsAtOnce> events{};
+    const int n = epoll_wait(m_epoll, events.data(), kEventsAtOnce, timeoutMs);
+    int running = 0;
+    for (int it = 0; it < n; ++it) {
+        const epoll_event &event = events[static_cast<std::size_t>(it)];
+        if (event.data.fd == m_wakeup) {
+            std::uint64_t count = 0;
+            std::ignore = read(m_wakeup, &count, sizeof count);
+            continue;
+        }
+        const int mask = ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
+                         | ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
+                         | ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+        curl_multi_socket_action(m_multi, event.data.fd, mask, &running);
+    }
+    if (m_timer && *m_timer <= m_clock.now()) {
+        m_timer.reset();
+        curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+}
+
+int UpstreamClient::timeoutMs() const
+{
+    if (!m_timer)
+        return kLongestWaitMs;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(*m_timer - m_clock.now());
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, kLongestWaitMs));
+}
+
+void UpstreamClient::wake() const
+{
+    const std::uint64_t one = 1;
+    std::ignore = write(m_wakeup, &one, sizeof one);
 }
 
 bool UpstreamClient::send(UpstreamAttempt attempt)
 {
     const bool taken = m_sends.tryPush(std::move(attempt));
-    curl_multi_wakeup(m_multi);
+    wake();
     return taken;
 }
 
 bool UpstreamClient::cancel(const CancelAttempt &cancel)
 {
     const bool taken = m_cancels.tryPush(cancel);
-    curl_multi_wakeup(m_multi);
+    wake();
     return taken;
 }
 
@@ -304,17 +387,15 @@
 {
     while (!m_stopping) {
         takeCommands();
-        int running = 0;
-        curl_multi_perform(m_multi, &running);
+        handleEvents(timeoutMs());
         takeResults();
-        curl_multi_poll(m_multi, nullptr, 0, kPollMs, nullptr);
     }
 }
 
 void UpstreamClient::stop()
 {
     m_stopping = true;
-    curl_multi_wakeup(m_multi);
+    wake();
 }
 
 void UpstreamClient::takeCommands()
@@ -323,7 +404,7 @@
         start(std::move(*it));
     while (const auto it = m_cancels.tryPop())
         drop({it->call, it->attempt});
-    while (const auto it = m_wakeups.tryPop()) {
+    while (const auto it = m_spaces.tryPop()) {
         const auto transfer = m_transfers.find({it->call, it->attempt});
         if (transfer != m_transfers.end())
             transfer->second->resume();
@@ -333,10 +414,10 @@
 void UpstreamClient::start(UpstreamAttempt attempt)
 {
     const bool late = m_clock.now() > attempt.send.sendBy;
-    const Wakeup wakeup{attempt.send.call, attempt.send.attempt};
+    const Space wakeup{attempt.send.call, attempt.send.attempt};
     attempt.exchange->setOnSpace([this, wakeup] {
-        m_wakeups.tryPush(wakeup);
-        curl_multi_wakeup(m_multi);
+        m_spaces.tryPush(wakeup);
+        wake();
     });
     auto transfer = std::make_unique<Transfer>(*this, std::move(attempt));
     if (late)
--- a/src/adapters/http/upstream_client.hpp
+++ b/src/adapters/http/upstream_client.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <curl/curl.h>
@@ -32,7 +33,8 @@
     std::shared_ptr<Exchange> exchange;
 };
 
-// Talks HTTP to upstreams, all attempts on one thread. For every attempt it tells whether the
+// Talks HTTP to upstreams, all attempts on one thread, which wakes only for the sockets that have
+// something to do. For every attempt it tells whether the
 // request may have run: "not run" only if no byte of it was handed to a socket, or if the upstream
 // says so itself with the header `X-Request-Not-Run: true`.
 class UpstreamClient
@@ -51,13 +53,20 @@
 
 private:
     class Transfer;
-    struct Wakeup // a transfer whose answer has space again
+    struct Space // a transfer whose answer has space again
     {
         CallId call;
         unsigned attempt;
     };
     using Key = std::pair<CallId, unsigned>;
 
+    static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *);
+    static int onTimer(CURLM *multi, long timeoutMs, void *self);
+    void watchSocket(curl_socket_t socket, int what);
+    void handleEvents(int timeoutMs);
+    int timeoutMs() const;
+    void wake() const;
+
     void takeCommands();
     void start(UpstreamAttempt attempt);
     void drop(const Key &key);
@@ -67,8 +76,11 @@
     UpstreamListener &m_listener;
     BoundedRing<UpstreamAttempt> m_sends;
     BoundedRing<CancelAttempt> m_cancels;
-    BoundedRing<Wakeup> m_wakeups;
+    BoundedRing<Space> m_spaces;
     CURLM *m_multi;
+    int m_epoll; // all sockets of the transfers, and the wake-up
+    int m_wakeup; // an eventfd that other threads write
+    std::optional<TimePoint> m_timer; // when the library wants to be called
     std::map<Key, std::unique_ptr<Transfer>> m_transfers;
     std::atomic<bool> m_stopping{false};
 };
