--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -61,6 +61,7 @@
 std::vector<Member> membersOf(int n)
 {
     std::vector<Member> members;
+    members.reserve(static_cast<std::size_t>(n));
     for (int it = 0; it < n; ++it)
         members.push_back({"node-" + std::to_string(it), "d" + std::to_string(it % kDomains),
                            "r" + std::to_string(it % kDomains % kRegions), "10.0.0.1:7100", false});
--- a/src/apps/load/outcome.cpp
+++ b/src/apps/load/outcome.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iomanip>
 #include <sstream>
 
@@ -29,7 +30,7 @@
         return 0;
     std::sort(samples.begin(), samples.end());
     const auto index
-        = static_cast<std::size_t>(part * static_cast<double>(samples.size() - 1) + 0.5);
+        = static_cast<std::size_t>(std::lround(part * static_cast<double>(samples.size() - 1)));
     return samples[index];
 }
 
--- a/src/core/spreading_tree.cpp
+++ b/src/core/spreading_tree.cpp
@@ -46,12 +46,14 @@
                                       const std::map<std::string, Ranks> &domains)
 {
     std::vector<std::string> names;
+    names.reserve(domains.size());
     for (const auto &[name, ranks] : domains)
         names.push_back(name);
     std::set<std::string> chosen;
     const auto own = std::find(names.begin(), names.end(), ownDomain) - names.begin();
     chosen.insert(names[(static_cast<std::size_t>(own) + 1) % names.size()]);
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(names.size());
     for (const std::string &it : names)
         hashes.push_back(stableHash(it));
     for (const std::size_t it : rendezvousOrder(stableHash(self), hashes, kChords))
--- a/tests/process/bad_input_test.cpp
+++ b/tests/process/bad_input_test.cpp
@@ -125,7 +125,9 @@
         CHECK(answer.body.find(it.text) != std::string::npos);
         ++reasons[it.reason];
     }
-    for (const auto &[reason, n] : reasons) {
+    for (const auto &it : reasons) {
+        const std::string &reason = it.first;
+        const int n = it.second;
         CAPTURE(reason);
         CHECK(fleet.metric(0, "fordwood_refusals_total", "\"" + reason + "\"") == n);
     }
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -49,7 +49,7 @@
     const int start = static_cast<int>(getpid());
     for (int it = 0; it < 50'000; ++it) {
         const int n = (start + it) % 50'000;
-        const std::string network
+        std::string network
             = "127." + std::to_string(20 + n / 250) + "." + std::to_string(1 + n % 250) + ".";
         if (isFree(network + "1:7000") && isFree(network + "1:7001"))
             return network;
@@ -285,6 +285,7 @@
 std::vector<std::string> Fleet::addresses(const std::function<std::string(int)> &of, int n) const
 {
     std::vector<std::string> result;
+    result.reserve(static_cast<std::size_t>(n));
     for (int it = 0; it < n; ++it)
         result.push_back(of(it));
     return result;
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -16,6 +16,7 @@
 Process::Process(const std::vector<std::string> &command, const std::string &logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &it : command)
         arguments.push_back(const_cast<char *>(it.c_str()));
     arguments.push_back(nullptr);
--- a/tests/scenario/lua_test.cpp
+++ b/tests/scenario/lua_test.cpp
@@ -43,7 +43,7 @@
 std::string textField(lua_State *lua, const char *name, const std::string &fallback)
 {
     lua_getfield(lua, 1, name);
-    const std::string value = lua_isstring(lua, -1) ? lua_tostring(lua, -1) : fallback;
+    std::string value = lua_isstring(lua, -1) ? lua_tostring(lua, -1) : fallback;
     lua_pop(lua, 1);
     return value;
 }
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-World::World(WorldSize size)
+World::World(const WorldSize &size)
     : fleet(size.nodes, size.domains, size.seed), m_size(size), m_random(size.seed),
       m_nodes(static_cast<std::size_t>(size.nodes))
 {
@@ -536,11 +536,14 @@
                                             limits.period);
         if (!done || !*done)
             continue;
-        for (const auto &[partition, chain] : chains) {
+        for (const auto &it : chains) {
+            const std::uint32_t partition = it.first;
+            const TenureChain &chain = it.second;
             const int target = chain.empty() ? -1 : indexOf(chain.back().holder.node);
             if (target < 0 || !fleet.alive(target) || !fleet.reaches(index, target))
                 continue;
-            post(target, [partition, chain](Node &it) { it.keys->setChain(partition, chain); });
+            post(target,
+                 [partition, chain](Node &holder) { holder.keys->setChain(partition, chain); });
         }
     }
 }
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -75,7 +75,7 @@
 class World
 {
 public:
-    explicit World(WorldSize size);
+    explicit World(const WorldSize &size);
 
     // Lets the fleet settle: configuration in force, links up, tenures reaching the present.
     void settle();
--- a/tests/unit/key_registry_test.cpp
+++ b/tests/unit/key_registry_test.cpp
@@ -127,7 +127,7 @@
     std::uint64_t random = 7;
     for (int it = 0; it < 200; ++it) {
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
-        const KeyHolder wanted{random % 3 == 0 ? "a" : "b", (random >> 20) % 2};
+        KeyHolder wanted{random % 3 == 0 ? "a" : "b", (random >> 20) % 2};
         const auto before = chains;
         // Clocks of two keepers differ by up to five seconds either way.
         const auto skew
--- a/tests/unit/replicator_test.cpp
+++ b/tests/unit/replicator_test.cpp
@@ -68,6 +68,7 @@
 TEST_CASE("tree: two relays a domain, bounded fan-out, every other node has parents [membership]")
 {
     std::vector<Member> members;
+    members.reserve(300);
     for (int it = 0; it < 300; ++it)
         members.push_back({"n" + std::to_string(it), "d" + std::to_string(it % 4), "r", "", false});
     int relays = 0;
