A fresh node hears its peers before it believes the platform; parts are asked for in turn

Cause: after a restore of an old copy a restarted node served the old version until its peers answered. Change: it waits up to 2 s for a peer's version. The test now shows that the first version it serves is the newest.

--- a/include/fordwood/replicator.hpp
+++ b/include/fordwood/replicator.hpp
@@ -103,6 +103,7 @@
     Duration suspectAfter = std::chrono::seconds(7); // of silence
     Duration askAgain = std::chrono::seconds(1); // for parts that did not come
     Duration firstParentGrace = std::chrono::milliseconds(300); // before another link is asked
+    Duration firstWord = std::chrono::seconds(2); // a fresh node waits so long for a peer's version
     Duration orphanAfter = std::chrono::seconds(10); // without any link: read the platform
 };
 
@@ -172,6 +173,7 @@
     };
 
     void offerHead(const ConfigHead &head, const std::string &from);
+    bool mustHearPeersFirst() const;
     bool applyByDelta(const ConfigHead &head);
     void askForParts();
     void takeBlob(const Blob &blob);
@@ -217,6 +219,9 @@
 
     std::optional<Newer> m_newer;
     std::optional<Pending> m_pending;
+    std::optional<ConfigHead> m_firstHead; // of the platform, until a peer has spoken
+    TimePoint m_started{};
+    bool m_heardPeer = false;
     std::map<std::string, std::string> m_blobs; // parts of the pending configuration
     std::map<std::string, Link> m_links;
     std::map<std::string, TimePoint> m_silentSince; // expected peers without a link
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -33,6 +33,7 @@
 
 void Replicator::start()
 {
+    m_started = m_clock.now();
     setReading(true);
 }
 
@@ -40,9 +41,22 @@
 
 void Replicator::platformHead(const ConfigHead &head)
 {
+    if (mustHearPeersFirst()) {
+        m_firstHead = head;
+        return;
+    }
     offerHead(head, "");
 }
 
+// A platform that was restored from an old copy shows an older version. A fresh node has nothing to
+// compare it with, so it gives its peers a moment to name a newer one before it serves any.
+bool Replicator::mustHearPeersFirst() const
+{
+    const bool onlyMember = m_list.revision > 0 && members().size() <= 1;
+    return m_head.version == 0 && !m_heardPeer && !onlyMember
+           && m_clock.now() - m_started < m_limits.firstWord;
+}
+
 void Replicator::offerHead(const ConfigHead &head, const std::string &from)
 {
     if (head.version < m_head.version && from.empty()) {
@@ -92,8 +106,9 @@
     }
     if (wants.empty())
         return;
-    const bool fromPlatform
-        = m_reading && (pending.from.empty() || m_links.empty() || pending.tries % 2 == 1);
+    // Platform and peers in turn, beginning with whoever offered it: either may not answer.
+    const std::size_t platformsTurn = pending.from.empty() ? 0 : 1;
+    const bool fromPlatform = m_reading && (m_links.empty() || pending.tries % 2 == platformsTurn);
     ++pending.tries;
     if (fromPlatform) {
         m_actions.emplace_back(std::move(fetch));
@@ -383,6 +398,8 @@
     Link &link = known->second;
     link.lastHeard = m_clock.now();
     link.headVersion = std::max(link.headVersion, update.headVersion);
+    // A peer that is fresh itself has no word to give.
+    m_heardPeer = m_heardPeer || update.headVersion > 0;
     link.listRevision = std::max(link.listRevision, update.listRevision);
     if (update.leaving) {
         m_links.erase(known);
@@ -436,6 +453,8 @@
 
 void Replicator::tick()
 {
+    if (m_firstHead && !mustHearPeersFirst())
+        offerHead(*std::exchange(m_firstHead, std::nullopt), "");
     heartbeat();
     lookForSilence();
     lookForOrphanhood();
--- a/tests/support/replica_fleet.cpp
+++ b/tests/support/replica_fleet.cpp
@@ -86,6 +86,7 @@
     node.dialled.clear();
     node.reading = false;
     node.served = 0;
+    node.firstServed = 0;
     node.pieces.clear();
 }
 
@@ -147,6 +148,11 @@
     return m_nodes[static_cast<std::size_t>(node)].served;
 }
 
+std::uint64_t ReplicaFleet::firstServed(int node) const
+{
+    return m_nodes[static_cast<std::size_t>(node)].firstServed;
+}
+
 std::string ReplicaFleet::text(int node, const std::string &piece) const
 {
     const auto &pieces = m_nodes[static_cast<std::size_t>(node)].pieces;
@@ -247,6 +253,8 @@
         } else if (const auto *applied = std::get_if<ApplyConfiguration>(&action)) {
             m_wentBack = m_wentBack || applied->head.version <= node.served;
             node.served = applied->head.version;
+            if (node.firstServed == 0)
+                node.firstServed = node.served;
             node.pieces.clear();
             for (const StoredPiece &it : applied->pieces)
                 node.pieces[it.name] = it.text;
--- a/tests/support/replica_fleet.hpp
+++ b/tests/support/replica_fleet.hpp
@@ -53,6 +53,7 @@
         return m_nodes[static_cast<std::size_t>(node)].replicator != nullptr;
     }
     std::uint64_t version(int node) const;
+    std::uint64_t firstServed(int node) const; // since its last start; zero: none yet
     std::string text(int node, const std::string &piece) const;
     const Replicator &replicator(int node) const;
     int nodes() const { return static_cast<int>(m_nodes.size()); }
@@ -93,6 +94,7 @@
         bool paused = false;
         std::uint64_t boot = 0;
         std::uint64_t served = 0;
+        std::uint64_t firstServed = 0;
         std::map<std::string, std::string> pieces;
         TimePoint nextListRead{};
         std::uint64_t bytes = 0;
--- a/tests/unit/replicator_test.cpp
+++ b/tests/unit/replicator_test.cpp
@@ -222,6 +222,7 @@
     fleet.restart(4);
     fleet.run(20s);
     CHECK(fleet.version(4) == 3);
+    CHECK(fleet.firstServed(4) == 3); // it never served the older one
 }
 
 TEST_CASE("replicator: a leaving upstream is known everywhere after the list's lag [leaving]")
