One writer for the four gRPC streams

Cause: the same lines for holding back writes and for closing stood in four reactors. Change: StreamWriter, with merged or queued messages.

--- a/src/adapters/grpc/peer_links.cpp
+++ b/src/adapters/grpc/peer_links.cpp
@@ -2,12 +2,12 @@
 #include "adapters/grpc/peer_links.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <utility>
 
 #include <grpcpp/create_channel.h>
 
 #include "adapters/grpc/peer_codec.hpp"
+#include "adapters/grpc/stream_writer.hpp"
 
 namespace fordwood::adapters {
 
@@ -30,42 +30,17 @@
 
 } // namespace
 
-// Merging two updates would mix their fields, so messages wait in a list here.
-class PeerOutgoing
-{
-public:
-    const wire::PeerMessage *add(const wire::PeerMessage &message)
-    {
-        m_waiting.push_back(message);
-        return m_busy ? nullptr : takeNext();
-    }
-
-    const wire::PeerMessage *written()
-    {
-        m_busy = false;
-        return m_waiting.empty() ? nullptr : takeNext();
-    }
-
-private:
-    const wire::PeerMessage *takeNext()
-    {
-        m_current = std::move(m_waiting.front());
-        m_waiting.pop_front();
-        m_busy = true;
-        return &m_current;
-    }
-
-    std::deque<wire::PeerMessage> m_waiting;
-    wire::PeerMessage m_current;
-    bool m_busy = false;
-};
+// Merging two updates would mix their fields, so they wait one after the other.
+using PeerWriter = StreamWriter<wire::PeerMessage, QueuedMessages>;
 
 // A stream that a peer opened.
 class PeerLinks::Served : public grpc::ServerBidiReactor<wire::PeerMessage, wire::PeerMessage>,
                           public PeerStream
 {
 public:
-    explicit Served(PeerLinks &links) : m_links(links) { }
+    explicit Served(PeerLinks &links)
+        : m_links(links), m_writer([this](const wire::PeerMessage *it) { StartWrite(it); })
+    { }
 
     void start(const std::shared_ptr<Served> &self)
     {
@@ -74,20 +49,11 @@
         StartRead(&m_incoming);
     }
 
-    void send(const wire::PeerMessage &message) override
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_finished)
-            return;
-        if (const auto *next = m_outgoing.add(message))
-            StartWrite(next);
-    }
+    void send(const wire::PeerMessage &message) override { m_writer.send(message); }
 
     void close() override
     {
-        const std::lock_guard lock(m_mutex);
-        if (!std::exchange(m_finished, true))
-            Finish(grpc::Status::OK);
+        m_writer.close([this] { Finish(grpc::Status::OK); });
     }
 
     void OnReadDone(bool ok) override
@@ -102,11 +68,7 @@
     {
         if (!ok)
             return close();
-        const std::lock_guard lock(m_mutex);
-        if (m_finished)
-            return;
-        if (const auto *next = m_outgoing.written())
-            StartWrite(next);
+        m_writer.written();
     }
 
     void OnCancel() override { close(); }
@@ -122,9 +84,7 @@
     std::string m_peer; // known after the first message
     std::shared_ptr<PeerStream> m_self;
     wire::PeerMessage m_incoming;
-    PeerOutgoing m_outgoing;
-    std::mutex m_mutex;
-    bool m_finished = false;
+    PeerWriter m_writer;
 };
 
 // A stream that this node opened.
@@ -132,7 +92,8 @@
                            public PeerStream
 {
 public:
-    Dialled(PeerLinks &links, std::string address) : m_links(links), m_address(std::move(address))
+    explicit Dialled(PeerLinks &links)
+        : m_links(links), m_writer([this](const wire::PeerMessage *it) { StartWrite(it); })
     { }
 
     void start(const std::shared_ptr<Dialled> &self, const std::shared_ptr<grpc::Channel> &channel)
@@ -146,14 +107,7 @@
         send(m_links.hello());
     }
 
-    void send(const wire::PeerMessage &message) override
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_closed)
-            return;
-        if (const auto *next = m_outgoing.add(message))
-            StartWrite(next);
-    }
+    void send(const wire::PeerMessage &message) override { m_writer.send(message); }
 
     void close() override
     {
@@ -173,11 +127,7 @@
     {
         if (!ok)
             return endWrites();
-        const std::lock_guard lock(m_mutex);
-        if (m_closed)
-            return;
-        if (const auto *next = m_outgoing.written())
-            StartWrite(next);
+        m_writer.written();
     }
 
     void OnDone(const grpc::Status &) override
@@ -189,21 +139,16 @@
 private:
     void endWrites()
     {
-        const std::lock_guard lock(m_mutex);
-        if (!std::exchange(m_closed, true))
-            RemoveHold();
+        m_writer.close([this] { RemoveHold(); });
     }
 
     PeerLinks &m_links;
-    std::string m_address;
     std::string m_peer; // known after the first message
     std::shared_ptr<PeerStream> m_self;
     std::unique_ptr<wire::Peers::Stub> m_stub;
     grpc::ClientContext m_context;
     wire::PeerMessage m_incoming;
-    PeerOutgoing m_outgoing;
-    std::mutex m_mutex;
-    bool m_closed = false;
+    PeerWriter m_writer;
 };
 
 PeerLinks::PeerLinks(std::string self, PeerListener &listener)
@@ -242,7 +187,7 @@
         for (auto &[address, dial] : m_dials) {
             if (dial.stream)
                 continue;
-            dial.stream = std::make_shared<Dialled>(*this, address);
+            dial.stream = std::make_shared<Dialled>(*this);
             ++m_dialledAlive;
             fresh.emplace_back(dial.stream, dial.channel);
         }
--- a/src/adapters/grpc/permit_client.cpp
+++ b/src/adapters/grpc/permit_client.cpp
@@ -7,7 +7,7 @@
 #include <grpcpp/create_channel.h>
 
 #include "adapters/grpc/key_codec.hpp"
-#include "adapters/grpc/outgoing.hpp"
+#include "adapters/grpc/stream_writer.hpp"
 
 namespace fordwood::adapters {
 
@@ -63,7 +63,8 @@
 public:
     Stream(std::string owner, std::uint64_t id, PermitClientListener &listener,
            std::shared_ptr<Alive> alive)
-        : m_owner(std::move(owner)), m_id(id), m_listener(listener), m_alive(std::move(alive))
+        : m_owner(std::move(owner)), m_id(id), m_listener(listener), m_alive(std::move(alive)),
+          m_writer([this](const wire::PermitCommands *it) { StartWrite(it); })
     { }
 
     std::uint64_t id() const { return m_id; }
@@ -83,14 +84,7 @@
         StartCall();
     }
 
-    void send(const wire::PermitCommands &commands)
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_closed)
-            return;
-        if (const auto *next = m_outgoing.add(commands))
-            StartWrite(next);
-    }
+    void send(const wire::PermitCommands &commands) { m_writer.send(commands); }
 
     void close()
     {
@@ -115,11 +109,7 @@
     {
         if (!ok)
             return endWrites();
-        const std::lock_guard lock(m_mutex);
-        if (m_closed)
-            return;
-        if (const auto *next = m_outgoing.written())
-            StartWrite(next);
+        m_writer.written();
     }
 
     void OnDone(const grpc::Status &) override
@@ -144,9 +134,7 @@
 
     void endWrites()
     {
-        const std::lock_guard lock(m_mutex);
-        if (!std::exchange(m_closed, true))
-            RemoveHold();
+        m_writer.close([this] { RemoveHold(); });
     }
 
     std::string m_owner;
@@ -157,9 +145,7 @@
     std::unique_ptr<wire::Permits::Stub> m_stub;
     grpc::ClientContext m_context;
     wire::PermitEvents m_incoming;
-    Outgoing<wire::PermitCommands> m_outgoing;
-    std::mutex m_mutex;
-    bool m_closed = false;
+    StreamWriter<wire::PermitCommands, MergedMessages> m_writer;
 };
 
 PermitClient::PermitClient(std::string node, PermitClientListener &listener)
--- a/src/adapters/grpc/permit_service.cpp
+++ b/src/adapters/grpc/permit_service.cpp
@@ -4,7 +4,7 @@
 #include <unordered_map>
 
 #include "adapters/grpc/key_codec.hpp"
-#include "adapters/grpc/outgoing.hpp"
+#include "adapters/grpc/stream_writer.hpp"
 
 namespace fordwood::adapters {
 
@@ -39,7 +39,10 @@
     : public grpc::ServerBidiReactor<wire::PermitCommands, wire::PermitEvents>
 {
 public:
-    Stream(PermitService &service, HolderId holder) : m_service(service), m_holder(holder) { }
+    Stream(PermitService &service, HolderId holder)
+        : m_service(service), m_holder(holder),
+          m_writer([this](const wire::PermitEvents *it) { StartWrite(it); })
+    { }
 
     void start(std::shared_ptr<Stream> self)
     {
@@ -47,20 +50,11 @@
         StartRead(&m_incoming);
     }
 
-    void send(const wire::PermitEvents &events)
-    {
-        const std::lock_guard lock(m_finishMutex);
-        if (m_finished)
-            return;
-        if (const auto *next = m_outgoing.add(events))
-            StartWrite(next);
-    }
+    void send(const wire::PermitEvents &events) { m_writer.send(events); }
 
     void finish()
     {
-        const std::lock_guard lock(m_finishMutex);
-        if (!std::exchange(m_finished, true))
-            Finish(grpc::Status::OK);
+        m_writer.close([this] { Finish(grpc::Status::OK); });
     }
 
     void OnReadDone(bool ok) override
@@ -76,11 +70,7 @@
     {
         if (!ok)
             return finish();
-        const std::lock_guard lock(m_finishMutex);
-        if (m_finished)
-            return;
-        if (const auto *next = m_outgoing.written())
-            StartWrite(next);
+        m_writer.written();
     }
 
     void OnCancel() override { finish(); }
@@ -115,9 +105,7 @@
     HolderId m_holder;
     std::shared_ptr<Stream> m_self;
     wire::PermitCommands m_incoming;
-    Outgoing<wire::PermitEvents> m_outgoing;
-    std::mutex m_finishMutex;
-    bool m_finished = false;
+    StreamWriter<wire::PermitEvents, MergedMessages> m_writer;
 };
 
 PermitService::PermitService(PermitListener &listener) : m_listener(listener) { }
