--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -130,7 +130,7 @@
 {
     Fleet fleet({1, 1, 1, 1, {"token_ms=1", "prefill_rate=10"}, ""});
     fleet.start();
-    const std::string body = completion(true, 100);
+    const std::string body = completion(true, 100000);
     sendAndLeave(fleet.entryAddress(0),
                  "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + Fleet::bearer()
                      + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
