One look-up of a permit's owner, one way to pass liveness on, one status less

Cause, from reading the whole change again: the owner of a permit in use was looked up by the same lines in setView and holdAgain; two loops sent liveness records over all links; every rebuild of a view set the status twice. Change: ownerOf, spreadLiveness, an early return.

--- a/include/fordwood/replicator.hpp
+++ b/include/fordwood/replicator.hpp
@@ -183,6 +183,7 @@
     void takeListDelta(const VmListDelta &delta, const std::string &from);
     void takeLiveness(const std::vector<LivenessRecord> &records, const std::string &from);
     void suspect(const std::string &member);
+    void spreadLiveness(const std::vector<LivenessRecord> &records, const std::string &except);
     void announceSelf();
     void announceHead();
     bool getsWholeChanges(const std::string &peer) const;
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -385,9 +385,8 @@
 
 void ControlNode::rebuild()
 {
-    updateStatus();
     if (!m_configuration)
-        return;
+        return updateStatus();
     const FleetView view(m_head.version, m_configuration, m_members, m_leavingUpstreams,
                          m_settings.node.failureDomain);
     std::vector<OwnedUpstream> owned;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -24,13 +24,10 @@
 {
     m_view = std::move(view);
     for (auto &[id, call] : m_calls) {
-        if (!call.held || call.held->direct)
+        if (!call.held || call.held->direct || call.held->owner.empty())
             continue;
-        const auto upstream = m_view->configuration().upstreams.find(call.held->upstream);
-        if (upstream == m_view->configuration().upstreams.end())
-            continue;
-        const Member *owner = m_view->owner(upstream->second);
-        if (owner != nullptr && owner->name != call.held->owner && !call.held->owner.empty())
+        const Member *owner = ownerOf(*call.held);
+        if (owner != nullptr && owner->name != call.held->owner)
             holdAtOwner(call, *owner);
     }
 }
@@ -367,6 +364,14 @@
         sendBy, call.request.deadline, call.request.repeatable, call.request.key.has_value()});
 }
 
+// Who owns the upstream of a permit in use now; null when it has gone or there are no members.
+const Member *Dispatcher::ownerOf(const Held &held) const
+{
+    const auto &upstreams = m_view->configuration().upstreams;
+    const auto it = upstreams.find(held.upstream);
+    return it == upstreams.end() ? nullptr : m_view->owner(it->second);
+}
+
 // Moves a permit in use to another owner, or to the next process of the same one.
 void Dispatcher::holdAtOwner(Call &call, const Member &owner)
 {
@@ -390,10 +395,7 @@
     for (const auto &[id, call] : m_calls) {
         if (!call.held || call.held->direct || !call.held->owner.empty())
             continue;
-        const auto upstream = m_view->configuration().upstreams.find(call.held->upstream);
-        if (upstream == m_view->configuration().upstreams.end())
-            continue;
-        const Member *present = m_view->owner(upstream->second);
+        const Member *present = ownerOf(*call.held);
         if (present != nullptr && present->name == owner.name)
             ids.push_back(id);
     }
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -134,6 +134,7 @@
     void fallBack(Call &call);
     bool maySendDirectly(const UpstreamConfig &upstream, const Call &call);
     void send(Call &call, Held held, TimePoint sendBy);
+    const Member *ownerOf(const Held &held) const;
     void holdAtOwner(Call &call, const Member &owner);
     void holdAgain(const Member &owner);
     void releaseHeld(Call &call, double cost, bool pushedBack = false);
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -294,25 +294,28 @@
     }
     if (news.empty())
         return;
+    spreadLiveness(news, from);
+    changed();
+}
+
+// Passes records on to all links but the one that they came from.
+void Replicator::spreadLiveness(const std::vector<LivenessRecord> &records,
+                                const std::string &except)
+{
     for (const auto &[peer, link] : m_links) {
-        if (peer == from)
+        if (peer == except)
             continue;
         PeerUpdate update = baseUpdate();
-        update.liveness = news;
+        update.liveness = records;
         send(peer, std::move(update));
     }
-    changed();
 }
 
 void Replicator::announceSelf()
 {
     const LivenessRecord self{m_self.name, m_incarnation, false};
     m_liveness.offer(self);
-    for (const auto &[peer, link] : m_links) {
-        PeerUpdate update = baseUpdate();
-        update.liveness = {self};
-        send(peer, std::move(update));
-    }
+    spreadLiveness({self}, "");
 }
 
 void Replicator::suspect(const std::string &member)
