--- a/include/fordwood/configuration.hpp
+++ b/include/fordwood/configuration.hpp
@@ -45,6 +45,7 @@
     std::size_t slots = 1; // requests run at once
     double prefillTokensPerSecond = 10'000;
     bool checksFences = false;
+    bool resumes = false; // continues a stream that broke at another engine
     bool refusesWhenFull = false; // answers "not run" when it has no free slot
     bool leaving = false;
 };
--- a/include/fordwood/fleet_view.hpp
+++ b/include/fordwood/fleet_view.hpp
@@ -21,7 +21,7 @@
 public:
     FleetView(std::uint64_t version, std::shared_ptr<const Configuration> configuration,
               std::vector<Member> members, std::set<std::string> leavingUpstreams,
-              std::string ownFailureDomain);
+              std::string ownFailureDomain, std::size_t listedMembers = 0);
 
     std::uint64_t version() const { return m_version; }
     const Configuration &configuration() const { return *m_configuration; }
@@ -43,6 +43,18 @@
     // members.
     const Member *keyHolder(std::uint32_t partition) const;
 
+    // The member that divides a team's ceiling among the nodes. Null when there are no members.
+    const Member *teamOwner(const std::string &team) const;
+
+    // The base parts of the teams that have a ceiling: what every node may run of a team's requests
+    // without asking. All base parts together are at most half of the ceiling.
+    std::map<std::string, std::size_t> ceilingBases() const;
+
+    // What the team's owner may give away: the rest of the ceiling, in the proportion of the listed
+    // members that are alive. Where a partition leaves two owners, their pools together are at most
+    // the rest.
+    std::size_t ceilingPool(const TeamConfig &team) const;
+
     // A member by its name; null when it is none.
     const Member *member(const std::string &name) const;
 
@@ -58,6 +70,7 @@
     // Near before far: own failure domain, own region, elsewhere.
     using Rings = std::array<Candidates, 3>;
 
+    std::size_t ceilingBase(const TeamConfig &team) const;
     std::size_t ringOf(const std::string &failureDomain) const;
     std::string regionOf(const std::string &failureDomain) const;
     void addCandidate(Rings &rings, const UpstreamConfig &upstream);
@@ -76,6 +89,7 @@
     std::vector<Member> m_members;
     std::set<std::string> m_leaving;
     std::string m_ownFailureDomain;
+    std::size_t m_listedMembers; // by the platform, dead or alive
     std::map<std::string, Rings> m_engines;
     std::map<std::string, Rings> m_services;
     std::map<std::string, Owners> m_ownersByDomain;
--- a/include/fordwood/replicator.hpp
+++ b/include/fordwood/replicator.hpp
@@ -82,6 +82,7 @@
 {
     std::vector<Member> members; // listed and not suspected
     std::set<std::string> leavingUpstreams;
+    std::size_t listed = 0; // members that the platform lists, suspected or not
 };
 
 // Something an operator should hear of.
@@ -229,6 +230,7 @@
     std::set<std::string> m_expected; // peers from whom heartbeats are due
     SpreadingPlace m_place;
     std::vector<Member> m_lastMembers;
+    std::size_t m_lastListed = 0;
     std::set<std::string> m_lastLeaving;
     std::vector<std::string> m_lastKept;
     bool m_reading = false;
--- a/src/adapters/grpc/permit_client.cpp
+++ b/src/adapters/grpc/permit_client.cpp
@@ -102,6 +102,9 @@
             take(replyOf(it));
         for (const wire::ClaimReply &it : m_incoming.claim_replies())
             m_listener.claimAnswered(m_owner, it.claim_id(), fromWire(it));
+        for (const wire::AllowanceReply &it : m_incoming.allowances())
+            m_listener.allowanceAnswered(it.team(), it.ask_id(),
+                                         {it.amount(), std::chrono::milliseconds(it.life_ms())});
         StartRead(&m_incoming);
     }
 
@@ -224,6 +227,17 @@
     send(finish.holder, commands);
 }
 
+void PermitClient::askAllowance(const AskAllowance &ask)
+{
+    wire::PermitCommands commands;
+    wire::AllowanceAsk *message = commands.add_allowance_asks();
+    message->set_ask_id(ask.ask.askId);
+    message->set_team(ask.ask.team);
+    message->set_used(static_cast<std::uint32_t>(ask.ask.used));
+    message->set_wanted(static_cast<std::uint32_t>(ask.ask.wanted));
+    open(ask.owner, ask.ownerAddress)->send(commands);
+}
+
 bool PermitClient::forget(const std::string &owner, std::uint64_t stream)
 {
     const auto it = m_streams.find(owner);
--- a/src/adapters/grpc/permit_client.hpp
+++ b/src/adapters/grpc/permit_client.hpp
@@ -26,6 +26,11 @@
                                const ClaimAnswer &answer)
         = 0;
 
+    // The owner of a team has answered an ask for a part of its ceiling.
+    virtual void allowanceAnswered(const std::string &team, std::uint64_t askId,
+                                   const Allowance &allowance)
+        = 0;
+
     // The stream to an owner is gone, with its open asks and its permits.
     virtual void streamLost(const std::string &owner, std::uint64_t stream) = 0;
 };
@@ -44,6 +49,7 @@
     void hold(const HoldPermit &hold);
     void claim(const ClaimKey &claim);
     void finishClaim(const FinishClaim &finish);
+    void askAllowance(const AskAllowance &ask);
 
     // Forgets a stream that was reported lost. True when it was the owner's present stream.
     bool forget(const std::string &owner, std::uint64_t stream);
--- a/src/adapters/grpc/permit_service.cpp
+++ b/src/adapters/grpc/permit_service.cpp
@@ -91,6 +91,11 @@
             denial->set_ask_id(it.ask_id());
             denial->set_reason(static_cast<std::uint32_t>(Reason::RingFull));
         }
+        for (const wire::AllowanceAsk &it : m_incoming.allowance_asks()) {
+            wire::AllowanceReply *reply = events.add_allowances();
+            reply->set_ask_id(it.ask_id());
+            reply->set_team(it.team());
+        }
         for (const wire::Claim &it : m_incoming.claims()) {
             wire::ClaimReply *reply = events.add_claim_replies();
             reply->set_claim_id(it.claim_id());
@@ -135,6 +140,17 @@
     sendTo(holder, events);
 }
 
+void PermitService::sendAllowance(const AllowanceAsk &ask, const Allowance &allowance)
+{
+    wire::PermitEvents events;
+    wire::AllowanceReply *reply = events.add_allowances();
+    reply->set_ask_id(ask.askId);
+    reply->set_team(ask.team);
+    reply->set_amount(static_cast<std::uint32_t>(allowance.amount));
+    reply->set_life_ms(toMs(allowance.life));
+    sendTo(ask.holder, events);
+}
+
 void PermitService::sendTo(HolderId holder, const wire::PermitEvents &events)
 {
     std::shared_ptr<Stream> stream;
--- a/src/adapters/grpc/permit_service.hpp
+++ b/src/adapters/grpc/permit_service.hpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <unordered_map>
 
+#include "fordwood/allowance_book.hpp"
 #include "fordwood/control.grpc.pb.h"
 #include "fordwood/key_registry.hpp"
 #include "fordwood/permit_book.hpp"
@@ -39,6 +40,9 @@
     // Sends the answer to a claim of a key.
     void sendClaim(HolderId holder, std::uint64_t claimId, const ClaimAnswer &answer);
 
+    // Sends a part of a team's ceiling.
+    void sendAllowance(const AllowanceAsk &ask, const Allowance &allowance);
+
     // Ends all streams, so that the server can stop.
     void closeAll();
 
--- a/src/adapters/http/exchange.cpp
+++ b/src/adapters/http/exchange.cpp
@@ -24,6 +24,15 @@
     return true;
 }
 
+bool Exchange::goOn(unsigned attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_started || m_finished || m_refusal || m_abandoned)
+        return false;
+    m_attempt = attempt;
+    return true;
+}
+
 Exchange::Append Exchange::append(unsigned attempt, std::string_view bytes)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/adapters/http/exchange.hpp
+++ b/src/adapters/http/exchange.hpp
@@ -66,6 +66,10 @@
     // begun to answer: nothing of this one may then be passed on.
     bool begin(unsigned attempt, AnswerHead head);
 
+    // Lets another attempt go on with an answer that the caller has a part of. False when there is
+    // none to go on with.
+    bool goOn(unsigned attempt);
+
     // Adds bytes of the answer. Full: nothing was taken, try again after `onSpace` was called.
     Append append(unsigned attempt, std::string_view bytes);
 
--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -20,6 +20,10 @@
 constexpr long kConnectTimeoutMs = 1000;
 constexpr long kIdleConnections = 1024;
 constexpr std::string_view kStreamEnd = "data: [DONE]";
+constexpr std::string_view kData = "data:";
+constexpr std::array<std::string_view, 2> kEventEnds{"\n\n", "\r\n\r\n"};
+constexpr std::size_t kMostEventBytes = 1 << 20;
+constexpr long kOk = 200;
 constexpr std::size_t kTailBytes = 64;
 constexpr std::size_t kMostKeptBytes = 16'384;
 
@@ -108,12 +112,15 @@
     {
         const auto [call, attempt] = key();
         Exchange &exchange = *m_attempt.exchange;
-        if (ec == CURLE_OK && !m_failure && beginAnswer() && wholeStream()) {
+        if (ec == CURLE_OK && !m_failure && beginAnswer() && passRest() && wholeStream()) {
             exchange.finish(attempt);
             return m_client.m_listener.attemptFinished(call, attempt, m_cost, keptAnswer());
         }
         AttemptFailure failure = m_failure ? *m_failure : failureOf(ec);
         failure.answerBegun = !exchange.discard(attempt);
+        const auto resumed = m_attempt.send.resumeFrom;
+        if (failure.answerBegun && m_inEvents && (m_head.stream || resumed))
+            failure.passedEvents = resumed.value_or(0) + m_passedEvents;
         m_client.m_listener.attemptFailed(call, attempt, failure);
     }
 
@@ -133,6 +140,8 @@
         for (const auto &[name, value] : request.headers)
             add(name, value);
         add("X-Priority", std::to_string(m_attempt.send.priority));
+        if (m_attempt.send.resumeFrom)
+            add("X-Resume-From", std::to_string(*m_attempt.send.resumeFrom));
         add("Expect", "");
         m_headerList = curl_slist_append(m_headerList, "Accept:");
         curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headerList);
@@ -182,11 +191,15 @@
         constexpr std::size_t kAbort = 0;
         if (!beginAnswer())
             return m_failure && m_failure->reason != Reason::CallerLeft ? bytes.size() : kAbort;
-        switch (m_attempt.exchange->append(key().second, bytes)) {
+        // Of a stream only whole events are passed on, so that another engine can go on after them.
+        const std::string joined = m_partEvent.empty() ? "" : m_partEvent + std::string(bytes);
+        const std::string_view all = joined.empty() ? bytes : std::string_view(joined);
+        m_inEvents = m_inEvents && all.size() <= kMostEventBytes;
+        const bool byEvents = m_head.stream && m_inEvents;
+        const std::string_view whole = byEvents ? all.substr(0, endOfEvents(all)) : all;
+        switch (pass(whole)) {
         case Exchange::Append::Taken:
-            keepTail(bytes);
-            if (m_attempt.send.keepAnswer && m_kept.size() <= kMostKeptBytes)
-                m_kept.append(bytes);
+            m_partEvent = std::string(all.substr(whole.size()));
             return bytes.size();
         case Exchange::Append::Full:
             m_paused = true;
@@ -197,6 +210,54 @@
         return kAbort;
     }
 
+    static std::size_t endOfEvents(std::string_view bytes)
+    {
+        std::size_t end = 0;
+        for (const std::string_view it : kEventEnds) {
+            const std::size_t last = bytes.rfind(it);
+            if (last != std::string_view::npos)
+                end = std::max(end, last + it.size());
+        }
+        return end;
+    }
+
+    Exchange::Append pass(std::string_view bytes)
+    {
+        const auto result = bytes.empty() ? Exchange::Append::Taken
+                                          : m_attempt.exchange->append(key().second, bytes);
+        if (result != Exchange::Append::Taken)
+            return result;
+        if (m_head.stream)
+            countEvents(bytes);
+        keepTail(bytes);
+        if (m_attempt.send.keepAnswer && m_kept.size() <= kMostKeptBytes)
+            m_kept.append(bytes);
+        return result;
+    }
+
+    void countEvents(std::string_view events)
+    {
+        while (!events.empty()) {
+            const bool isContent = events.rfind(kData, 0) == 0 && events.rfind(kStreamEnd, 0) != 0;
+            m_passedEvents += isContent ? 1 : 0;
+            events.remove_prefix(endOfFirst(events));
+        }
+    }
+
+    static std::size_t endOfFirst(std::string_view events)
+    {
+        std::size_t end = events.size();
+        for (const std::string_view it : kEventEnds) {
+            const std::size_t first = events.find(it);
+            if (first != std::string_view::npos)
+                end = std::min(end, first + it.size());
+        }
+        return end;
+    }
+
+    // What came after the last whole event, at the end of an answer.
+    bool passRest() { return m_partEvent.empty() || pass(m_partEvent) == Exchange::Append::Taken; }
+
     // The answer, if it is to be kept and short enough.
     KeptAnswer keptAnswer() const
     {
@@ -232,6 +293,11 @@
             m_failure = AttemptFailure{RunState::NotRun, reason, detail, false};
         } else if (isGatewayError(status)) {
             m_failure = AttemptFailure{RunState::MayHaveRun, Reason::UpstreamBroke, detail, false};
+        } else if (m_attempt.send.resumeFrom) {
+            m_begun = status == kOk && m_head.stream && m_attempt.exchange->goOn(key().second);
+            if (!m_begun)
+                m_failure
+                    = AttemptFailure{RunState::MayHaveRun, Reason::AnswerCut, detail, false, {}};
         } else if (m_attempt.exchange->begin(key().second, m_head)) {
             m_begun = true;
         } else {
@@ -269,6 +335,9 @@
     AnswerHead m_head;
     std::string m_kept;
     std::string m_tail; // last bytes of the answer
+    std::string m_partEvent; // of a stream, not passed on yet
+    std::uint64_t m_passedEvents = 0;
+    bool m_inEvents = true; // a stream has been passed on in whole events only
     std::optional<AttemptFailure> m_failure;
     double m_cost = 0.0;
     bool m_notRun = false;
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -48,8 +48,9 @@
     : m_settings(settings), m_boot(bootOf(m_clock)), m_ring(kRingSize),
       m_replicator(selfOf(settings), m_boot, m_clock, m_codec, {},
                    stableHash(settings.node.name, m_boot)),
-      m_book(m_clock), m_keys({settings.node.name, m_boot}, m_clock, {}), m_permitService(*this),
-      m_links(settings.node.name, *this), m_platform(settings.platform, *this, m_metrics),
+      m_book(m_clock), m_allowances(m_clock, {}), m_keys({settings.node.name, m_boot}, m_clock, {}),
+      m_permitService(*this), m_links(settings.node.name, *this),
+      m_platform(settings.platform, *this, m_metrics),
       m_tenures(settings.platform.keyValue, settings.node.name, m_clock, *this, m_metrics),
       m_admin([this](const std::string &path) { return adminAnswer(m_metrics, path); })
 { }
@@ -234,6 +235,13 @@
         ask.wait = std::chrono::milliseconds(it.wait_ms());
         m_book.ask(ask);
     }
+    for (const wire::AllowanceAsk &it : event.commands.allowance_asks()) {
+        const AllowanceAsk ask{event.holder, it.ask_id(), it.team(), it.used(), it.wanted()};
+        const Allowance allowance = m_allowances.ask(ask);
+        if (allowance.amount < ask.wanted)
+            m_metrics.count("fordwood_allowances_short_total");
+        m_permitService.sendAllowance(ask, allowance);
+    }
     for (const wire::ClaimEnd &it : event.commands.claim_ends())
         m_keys.finish(event.holder, adapters::keyOf(it), static_cast<RunState>(it.state()),
                       adapters::fromWire(it.answer()));
@@ -345,6 +353,7 @@
     if (action.leavingUpstreams != m_leavingUpstreams)
         logEvent(Event::UpstreamsLeaving, {{"leaving", action.leavingUpstreams.size()}});
     m_members = action.members;
+    m_listedMembers = action.listed;
     m_leavingUpstreams = action.leavingUpstreams;
     rebuild();
 }
@@ -388,7 +397,7 @@
     if (!m_configuration)
         return updateStatus();
     const FleetView view(m_head.version, m_configuration, m_members, m_leavingUpstreams,
-                         m_settings.node.failureDomain);
+                         m_settings.node.failureDomain, m_listedMembers);
     std::vector<OwnedUpstream> owned;
     for (const auto &[name, it] : m_configuration->upstreams) {
         const Member *owner = view.owner(it);
@@ -396,8 +405,14 @@
             owned.push_back({name, it.slots, view.isLeaving(name)});
     }
     std::map<std::string, double> shares;
-    for (const auto &[name, it] : m_configuration->teams)
+    std::map<std::string, std::size_t> pools;
+    for (const auto &[name, it] : m_configuration->teams) {
         shares[name] = it.share;
+        const Member *owner = it.maxRunning > 0 ? view.teamOwner(name) : nullptr;
+        if (owner != nullptr && owner->name == m_settings.node.name)
+            pools[name] = view.ceilingPool(it);
+    }
+    m_allowances.setPools(pools);
     m_book.setShares(std::move(shares));
     m_book.setUpstreams(owned);
     publish();
@@ -423,6 +438,7 @@
         *snapshot->add_members() = adapters::toWire(it);
     for (const std::string &it : m_leavingUpstreams)
         snapshot->add_leaving_upstreams(it);
+    snapshot->set_listed_members(static_cast<std::uint32_t>(m_listedMembers));
     m_controlService.publish(snapshot);
 }
 
@@ -447,6 +463,7 @@
     m_metrics.setGauge("fordwood_leaving_upstreams",
                        static_cast<double>(m_leavingUpstreams.size()));
     m_metrics.setGauge("fordwood_owned_upstreams", static_cast<double>(m_book.owned()));
+    m_metrics.setGauge("fordwood_owned_ceilings", static_cast<double>(m_allowances.teams()));
     m_metrics.setGauge("fordwood_idempotency_keys", static_cast<double>(m_keys.keys()));
     m_metrics.setGauge("fordwood_relay", m_replicator.isRelay() ? 1 : 0);
     m_metrics.setGauge("fordwood_links", static_cast<double>(m_replicator.links()));
--- a/src/apps/controld/control_node.hpp
+++ b/src/apps/controld/control_node.hpp
@@ -23,6 +23,7 @@
 #include "apps/controld/platform_duty.hpp"
 #include "apps/controld/tenure_duty.hpp"
 #include "config/configuration_assembler.hpp"
+#include "fordwood/allowance_book.hpp"
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/key_registry.hpp"
 #include "fordwood/replicator.hpp"
@@ -135,6 +136,7 @@
     adapters::BoundedRing<ControlEvent> m_ring;
     Replicator m_replicator;
     PermitBook m_book;
+    AllowanceBook m_allowances;
     KeyRegistry m_keys;
     adapters::ControlService m_controlService;
     adapters::PermitService m_permitService;
@@ -152,6 +154,7 @@
     std::vector<StoredPiece> m_pieces;
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<Member> m_members;
+    std::size_t m_listedMembers = 0;
     std::set<std::string> m_leavingUpstreams;
     bool m_reachable = false;
 };
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -162,6 +162,14 @@
     pushSurely(ClaimEvent{holder, claimId, answer});
 }
 
+void EntryNode::allowanceAnswered(const std::string &team, std::uint64_t askId,
+                                  const Allowance &allowance)
+{
+    // One that is lost is given up after the owner's timeout, and what it granted runs out.
+    if (!m_ring.tryPush(AllowanceEvent{team, askId, allowance}))
+        m_metrics.count("fordwood_allowances_dropped_total");
+}
+
 void EntryNode::streamLost(const std::string &owner, std::uint64_t stream)
 {
     pushSurely(StreamLostEvent{owner, stream});
@@ -270,6 +278,11 @@
     m_dispatcher.claimAnswered(event.holder, event.claimId, event.answer);
 }
 
+void EntryNode::on(const AllowanceEvent &event)
+{
+    m_dispatcher.allowanceAnswered(event.team, event.askId, event.allowance);
+}
+
 void EntryNode::on(const StreamLostEvent &event)
 {
     if (!m_permits.forget(event.owner, event.stream))
@@ -320,6 +333,9 @@
         m_upstreams.cancel(*cancel);
     } else if (const auto *retry = std::get_if<CountRetry>(&action)) {
         m_metrics.countRetry(retry->reason);
+    } else if (const auto *allowance = std::get_if<AskAllowance>(&action)) {
+        m_metrics.count("fordwood_allowance_asks_total");
+        m_permits.askAllowance(*allowance);
     } else if (const auto *claim = std::get_if<ClaimKey>(&action)) {
         m_permits.claim(*claim);
     } else if (const auto *finish = std::get_if<FinishClaim>(&action)) {
@@ -329,6 +345,8 @@
     } else if (const auto *end = std::get_if<EndCall>(&action)) {
         endExchange(end->call, end->verdict);
     } else if (const auto *send = std::get_if<SendCall>(&action)) {
+        if (send->resumeFrom)
+            m_metrics.count("fordwood_resumed_streams_total");
         const auto exchange = m_exchanges.find(send->call);
         if (exchange == m_exchanges.end() || !m_upstreams.send({*send, exchange->second}))
             m_dispatcher.attemptFailed(send->call, send->attempt,
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -61,6 +61,12 @@
         std::uint64_t claimId;
         ClaimAnswer answer;
     };
+    struct AllowanceEvent
+    {
+        std::string team;
+        std::uint64_t askId;
+        Allowance allowance;
+    };
     struct FinishedEvent
     {
         CallId call;
@@ -84,8 +90,9 @@
     };
     struct StopEvent
     { };
-    using EntryEvent = std::variant<BeginEvent, ReplyEvent, ClaimEvent, StreamLostEvent,
-                                    FinishedEvent, FailedEvent, LeftEvent, StateEvent, StopEvent>;
+    using EntryEvent
+        = std::variant<BeginEvent, ReplyEvent, ClaimEvent, AllowanceEvent, StreamLostEvent,
+                       FinishedEvent, FailedEvent, LeftEvent, StateEvent, StopEvent>;
 
     // CallerHandler, on the HTTP threads
     std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
@@ -99,6 +106,8 @@
     bool replyArrived(const std::string &owner, const PermitReply &reply) override;
     void claimAnswered(const std::string &holder, std::uint64_t claimId,
                        const ClaimAnswer &answer) override;
+    void allowanceAnswered(const std::string &team, std::uint64_t askId,
+                           const Allowance &allowance) override;
     void streamLost(const std::string &owner, std::uint64_t stream) override;
 
     // UpstreamListener, on the upstream thread
@@ -115,6 +124,7 @@
     void on(BeginEvent &event);
     void on(const ReplyEvent &event);
     void on(const ClaimEvent &event);
+    void on(const AllowanceEvent &event);
     void on(const StreamLostEvent &event);
     void on(const FinishedEvent &event);
     void on(const FailedEvent &event);
--- a/src/apps/entryd/snapshot_reader.cpp
+++ b/src/apps/entryd/snapshot_reader.cpp
@@ -51,7 +51,8 @@
     const std::set<std::string> leaving(snapshot.leaving_upstreams().begin(),
                                         snapshot.leaving_upstreams().end());
     return std::make_shared<const FleetView>(m_version, m_configuration, std::move(members),
-                                             leaving, m_ownFailureDomain);
+                                             leaving, m_ownFailureDomain,
+                                             snapshot.listed_members());
 }
 
 } // namespace fordwood::apps
--- a/src/config/read_configuration.cpp
+++ b/src/config/read_configuration.cpp
@@ -107,6 +107,7 @@
             = table.number("prefill_tokens_per_second", upstream.prefillTokensPerSecond);
         upstream.checksFences = table.flag("checks_fences", false);
         upstream.refusesWhenFull = table.flag("refuses_when_full", false);
+        upstream.resumes = table.flag("resumes", false);
         upstream.leaving = table.flag("leaving", false);
         return upstream;
     }
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -58,6 +58,9 @@
      "Whether it answers `X-Request-Not-Run: true` at once when it has no free slot; such "
      "upstreams "
      "are sent to without a permit while there is no contention."},
+    {"resumes", Flag, false, 0, 0, "false",
+     "Whether it continues a stream that broke at another engine: it must leave out as many events "
+     "as the header `X-Resume-From` says."},
     {"leaving", Flag, false, 0, 0, "false", "Whether it must get no new work."},
 };
 constexpr Field kRoute[] = {
--- /dev/null
+++ b/src/core/allowance_book.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/allowance_book.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace fordwood {
+
+void AllowanceBook::setPools(const std::map<std::string, std::size_t> &pools)
+{
+    std::erase_if(m_pools, [&](const auto &it) { return pools.count(it.first) == 0; });
+    for (const auto &[team, size] : pools) {
+        const auto [it, fresh] = m_pools.try_emplace(team);
+        it->second.size = size;
+        if (fresh)
+            it->second.closedUntil = m_clock.now() + m_limits.life;
+    }
+}
+
+Allowance AllowanceBook::ask(const AllowanceAsk &ask)
+{
+    const auto known = m_pools.find(ask.team);
+    if (known == m_pools.end())
+        return {0, m_limits.life};
+    Pool &pool = known->second;
+    forgetOld(pool);
+    Holder &holder = pool.holders[ask.holder];
+    holder.used = ask.used;
+    holder.wanted = ask.wanted;
+    std::size_t others = 0;
+    for (const auto &[id, it] : pool.holders)
+        others += id == ask.holder ? 0 : std::max(heldBy(it), it.used);
+    const std::size_t free = pool.size - std::min(pool.size, others);
+    std::size_t amount = std::min({ask.wanted, free, equalPart(pool)});
+    if (m_clock.now() < pool.closedUntil)
+        amount = 0;
+    // A wish without a grant is remembered as long: it makes the others' parts smaller.
+    holder.grants.push_back({amount, m_clock.now() + m_limits.life});
+    return {amount, m_limits.life};
+}
+
+std::size_t AllowanceBook::granted(const std::string &team) const
+{
+    const auto known = m_pools.find(team);
+    if (known == m_pools.end())
+        return 0;
+    Pool pool = known->second;
+    forgetOld(pool);
+    std::size_t sum = 0;
+    for (const auto &[id, it] : pool.holders)
+        sum += heldBy(it);
+    return sum;
+}
+
+void AllowanceBook::forgetOld(Pool &pool) const
+{
+    const TimePoint now = m_clock.now();
+    for (auto &[id, holder] : pool.holders)
+        std::erase_if(holder.grants, [&](const Grant &it) { return it.until <= now; });
+    std::erase_if(pool.holders, [](const auto &it) { return it.second.grants.empty(); });
+}
+
+std::size_t AllowanceBook::heldBy(const Holder &holder)
+{
+    std::size_t most = 0;
+    for (const Grant &it : holder.grants)
+        most = std::max(most, it.amount);
+    return most;
+}
+
+// What each holder may have if the pool is divided equally, and what some do not want goes to the
+// others.
+std::size_t AllowanceBook::equalPart(const Pool &pool)
+{
+    std::vector<std::size_t> wishes;
+    for (const auto &[id, it] : pool.holders)
+        wishes.push_back(it.wanted);
+    std::sort(wishes.begin(), wishes.end());
+    std::size_t left = pool.size;
+    for (std::size_t it = 0; it < wishes.size(); ++it) {
+        const std::size_t sharers = wishes.size() - it;
+        const std::size_t part = (left + sharers - 1) / sharers;
+        if (wishes[it] > left / sharers)
+            return part;
+        left -= wishes[it];
+    }
+    return std::numeric_limits<std::size_t>::max();
+}
+
+} // namespace fordwood
--- a/src/core/call.hpp
+++ b/src/core/call.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "fordwood/allowance_book.hpp"
 #include "fordwood/clock.hpp"
 #include "fordwood/key_registry.hpp"
 #include "fordwood/verdict.hpp"
@@ -87,6 +88,7 @@
     TimePoint deadline;
     bool repeatable;
     bool keepAnswer; // for callers who send the same key again
+    std::optional<std::uint64_t> resumeFrom; // events of the stream that the caller has already
 };
 
 // Breaks off an attempt.
@@ -118,6 +120,14 @@
     IdempotencyKey key;
 };
 
+// Asks the owner of a team for a part of its ceiling.
+struct AskAllowance
+{
+    std::string owner;
+    std::string ownerAddress;
+    AllowanceAsk ask;
+};
+
 // Tells the holder of a key how the call ended.
 struct FinishClaim
 {
@@ -135,8 +145,8 @@
 };
 
 using Action
-    = std::variant<ClaimKey, FinishClaim, AnswerKept, AskPermit, WithdrawAsk, ReleasePermit,
-                   HoldPermit, SendCall, CancelAttempt, EndCall, CountRetry>;
+    = std::variant<AskAllowance, ClaimKey, FinishClaim, AnswerKept, AskPermit, WithdrawAsk,
+                   ReleasePermit, HoldPermit, SendCall, CancelAttempt, EndCall, CountRetry>;
 
 } // namespace fordwood
 
--- /dev/null
+++ b/src/core/ceiling_gate.cpp
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/ceiling_gate.hpp"
+
+#include <algorithm>
+
+namespace fordwood {
+
+namespace {
+
+// A part of what is in use is asked for on top, so that not every request needs an ask.
+constexpr std::size_t kHeadroomPart = 4;
+
+} // namespace
+
+void CeilingGate::setBases(const std::map<std::string, std::size_t> &bases)
+{
+    for (auto &[name, team] : m_teams)
+        team.limited = false;
+    for (const auto &[name, base] : bases) {
+        Team &team = m_teams[name];
+        team.limited = true;
+        team.base = base;
+    }
+    std::erase_if(m_teams, [](const auto &it) {
+        return !it.second.limited && it.second.running == 0 && !it.second.asking;
+    });
+}
+
+bool CeilingGate::enter(const std::string &name)
+{
+    Team &team = m_teams[name];
+    if (team.limited && team.running >= ceiling(team))
+        return false;
+    ++team.running;
+    return true;
+}
+
+void CeilingGate::leave(const std::string &name)
+{
+    const auto it = m_teams.find(name);
+    if (it == m_teams.end() || it->second.running == 0)
+        return;
+    --it->second.running;
+    if (!it->second.limited && it->second.running == 0 && !it->second.asking)
+        m_teams.erase(it);
+}
+
+bool CeilingGate::mayAsk(const std::string &name) const
+{
+    const auto it = m_teams.find(name);
+    return it != m_teams.end() && it->second.limited && m_clock.now() >= it->second.askAgainAt;
+}
+
+AllowanceAsk CeilingGate::ask(const std::string &name, std::size_t waiting)
+{
+    Team &team = m_teams[name];
+    const std::size_t used = team.running - std::min(team.running, team.base);
+    team.wanted = used + waiting + std::max<std::size_t>(1, used / kHeadroomPart);
+    team.asked = m_clock.now();
+    team.asking = true;
+    team.askId = m_nextAsk++;
+    return {0, team.askId, name, used, team.wanted};
+}
+
+bool CeilingGate::isAsking(const std::string &name) const
+{
+    const auto it = m_teams.find(name);
+    return it != m_teams.end() && it->second.asking;
+}
+
+void CeilingGate::answered(const std::string &name, std::uint64_t askId, const Allowance &allowance)
+{
+    const auto it = m_teams.find(name);
+    if (it == m_teams.end() || !it->second.asking || it->second.askId != askId)
+        return;
+    Team &team = it->second;
+    team.asking = false;
+    team.amount = allowance.amount;
+    // Counted from the ask, so that it ends here before it ends at the owner.
+    team.until = team.asked + allowance.life;
+    team.renewAt = team.asked + allowance.life / 2;
+    if (allowance.amount < team.wanted)
+        team.askAgainAt = m_clock.now() + m_limits.askAgain;
+}
+
+void CeilingGate::unanswered(const std::string &name)
+{
+    const auto it = m_teams.find(name);
+    if (it == m_teams.end() || !it->second.asking)
+        return;
+    it->second.asking = false;
+    it->second.askAgainAt = m_clock.now() + m_limits.askAgain;
+}
+
+std::vector<std::string> CeilingGate::due() const
+{
+    const TimePoint now = m_clock.now();
+    std::vector<std::string> names;
+    for (const auto &[name, team] : m_teams) {
+        const bool inUse = team.limited && team.running > team.base;
+        if (inUse && !team.asking && now >= team.renewAt && now >= team.askAgainAt)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::size_t CeilingGate::running(const std::string &name) const
+{
+    const auto it = m_teams.find(name);
+    return it == m_teams.end() ? 0 : it->second.running;
+}
+
+std::size_t CeilingGate::ceiling(const Team &team) const
+{
+    return team.base + (m_clock.now() < team.until ? team.amount : 0);
+}
+
+} // namespace fordwood
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -17,12 +17,14 @@
 } // namespace
 
 Dispatcher::Dispatcher(const Clock &clock, DispatcherLimits limits)
-    : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{})
+    : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{}),
+      m_gate(clock, CeilingGate::Limits{})
 { }
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view)
 {
     m_view = std::move(view);
+    m_gate.setBases(m_view->ceilingBases());
     for (auto &[id, call] : m_calls) {
         if (!call.held || call.held->direct || call.held->owner.empty())
             continue;
@@ -56,7 +58,7 @@
         const std::uint32_t partition = keyPartition(request.key->team, request.key->text);
         return claim(call, call.view->keyHolder(partition));
     }
-    ask(call);
+    admit(call);
 }
 
 void Dispatcher::claimAnswered(const std::string &holder, std::uint64_t claimId,
@@ -72,11 +74,10 @@
     case ClaimAnswer::Decision::Run:
         call.claimed = true;
         call.claimHolder = holder;
-        return ask(call);
+        return admit(call);
     case ClaimAnswer::Decision::Answer:
         m_actions.emplace_back(AnswerKept{call.request.id, answer.answer});
-        m_calls.erase(call.request.id);
-        return;
+        return forget(call.request.id);
     case ClaimAnswer::Decision::Redirect:
         if (++call.redirections <= kMostRedirections)
             return claim(call, call.view->member(answer.holder));
@@ -106,6 +107,16 @@
     askNext(call, Verdict::of(reply.reason, {}, reply.retryAfter));
 }
 
+void Dispatcher::allowanceAnswered(const std::string &team, std::uint64_t askId,
+                                   const Allowance &allowance)
+{
+    m_gate.answered(team, askId, allowance);
+    if (m_gate.isAsking(team))
+        return; // it was the answer to an earlier ask
+    m_allowanceAsks.erase(team);
+    settleAdmitting(team);
+}
+
 void Dispatcher::ownerLost(const std::string &owner)
 {
     m_lostOwners.insert(owner);
@@ -122,6 +133,7 @@
     std::sort(unclaimed.begin(), unclaimed.end());
     for (const CallId id : unclaimed)
         end(id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
+    giveUpAllowances([&](const AllowanceWait &it) { return it.owner == owner; });
     std::sort(waiting.begin(), waiting.end());
     for (const CallId id : waiting) {
         Call &call = m_calls.at(id);
@@ -141,7 +153,9 @@
     if (failure.reason == Reason::UpstreamPushback)
         call->full.push_back(current(*call)->name);
     Verdict verdict{failure.state, failure.reason, std::chrono::milliseconds(0), failure.detail};
-    if (!maySendAgain(failure.state, call->request.repeatable, failure.answerBegun))
+    // A stream of whole events is not begun again but continued.
+    const bool cutForGood = failure.answerBegun && !failure.passedEvents;
+    if (!maySendAgain(failure.state, call->request.repeatable, cutForGood))
         return end(id, verdict);
     if (call->request.deadline <= m_clock.now())
         return end(id, verdict);
@@ -156,6 +170,8 @@
         return end(id, verdict);
     }
     call->stage = Stage::Asking;
+    if (failure.answerBegun)
+        call->resumeFrom = failure.passedEvents;
     call->last = verdict;
     call->mayHaveRun = call->mayHaveRun || failure.state != RunState::NotRun;
     const bool onlyFull
@@ -178,7 +194,7 @@
     if (call->claimed)
         m_actions.emplace_back(
             FinishClaim{call->claimHolder, *call->request.key, RunState::Ran, std::move(answer)});
-    m_calls.erase(id);
+    forget(id);
 }
 
 void Dispatcher::callerLeft(CallId id)
@@ -229,6 +245,9 @@
         withdraw(call);
         fallBack(call);
     }
+    giveUpAllowances([&](const AllowanceWait &it) { return it.until <= now; });
+    for (const std::string &team : m_gate.due())
+        askAllowance(team);
 }
 
 std::vector<Action> Dispatcher::takeActions()
@@ -236,6 +255,88 @@
     return std::exchange(m_actions, {});
 }
 
+// Lets the call begin if its team may run one more request; else it waits for the answer of the
+// team's owner, unless that has just said that there is no more.
+void Dispatcher::admit(Call &call)
+{
+    const std::string team = call.request.team;
+    if (m_gate.enter(team)) {
+        call.entered = true;
+        return ask(call);
+    }
+    if (!m_gate.isAsking(team) && !m_gate.mayAsk(team))
+        return end(call.request.id, Verdict::of(Reason::TeamCeiling, {}, kRetrySoon));
+    call.stage = Stage::Admitting;
+    m_admitting[team].push_back(call.request.id);
+    if (!m_gate.isAsking(team))
+        askAllowance(team);
+}
+
+void Dispatcher::askAllowance(const std::string &team)
+{
+    const auto waiting = m_admitting.find(team);
+    const AllowanceAsk ask
+        = m_gate.ask(team, waiting == m_admitting.end() ? 0 : waiting->second.size());
+    const Member *owner = m_view->teamOwner(team);
+    if (owner == nullptr) {
+        m_gate.unanswered(team);
+        return settleAdmitting(team);
+    }
+    m_allowanceAsks[team] = {owner->name, m_clock.now() + m_limits.ownerTimeout};
+    m_actions.emplace_back(AskAllowance{owner->name, owner->controlAddress, ask});
+}
+
+// Goes on without the answers to the open asks that match.
+template <typename Matches>
+void Dispatcher::giveUpAllowances(Matches matches)
+{
+    std::vector<std::string> teams;
+    for (const auto &[team, it] : m_allowanceAsks) {
+        if (matches(it))
+            teams.push_back(team);
+    }
+    for (const std::string &team : teams) {
+        m_allowanceAsks.erase(team);
+        m_gate.unanswered(team);
+        settleAdmitting(team);
+    }
+}
+
+// Lets waiting calls of a team begin as far as its ceiling allows. The others ask again if the
+// owner gave all that was asked for before they came, and are refused if it did not.
+void Dispatcher::settleAdmitting(const std::string &team)
+{
+    const auto waiting = m_admitting.extract(team);
+    if (waiting.empty())
+        return;
+    for (const CallId id : waiting.mapped()) {
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end())
+            continue; // its caller has left, or its time is up
+        Call &call = it->second;
+        call.entered = m_gate.enter(team);
+        if (call.entered)
+            ask(call);
+        else if (m_gate.mayAsk(team))
+            m_admitting[team].push_back(id);
+        else
+            end(id, Verdict::of(Reason::TeamCeiling, {}, kRetrySoon));
+    }
+    if (m_admitting.count(team) != 0)
+        askAllowance(team);
+}
+
+// Removes a call that has ended.
+void Dispatcher::forget(CallId id)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    if (it->second.entered)
+        m_gate.leave(it->second.request.team);
+    m_calls.erase(it);
+}
+
 // Asks a member whether the call's key may run.
 void Dispatcher::claim(Call &call, const Member *holder)
 {
@@ -267,7 +368,8 @@
     call.view = m_view;
     call.next = 0;
     call.queueing = false;
-    const std::size_t count = m_limits.candidates + call.broken.size();
+    const std::size_t count = call.resumeFrom ? m_view->configuration().upstreams.size()
+                                              : m_limits.candidates + call.broken.size();
     call.candidates = request.kind == CallKind::Completion
                           ? m_view->engines(request.target, request.prefixHash, count)
                           : m_view->services(request.target, request.prefixHash, count);
@@ -276,6 +378,8 @@
     };
     std::erase_if(call.candidates,
                   [&](const UpstreamConfig *it) { return among(call.broken, it); });
+    if (call.resumeFrom)
+        std::erase_if(call.candidates, [](const UpstreamConfig *it) { return !it->resumes; });
     std::stable_partition(call.candidates.begin(), call.candidates.end(),
                           [&](const UpstreamConfig *it) { return !among(call.full, it); });
 }
@@ -359,9 +463,10 @@
     }
     call.stage = Stage::Sent;
     ++call.attempt;
-    m_actions.emplace_back(SendCall{
-        call.request.id, call.attempt, upstream->name, upstream->address, call.request.priority,
-        sendBy, call.request.deadline, call.request.repeatable, call.request.key.has_value()});
+    m_actions.emplace_back(SendCall{call.request.id, call.attempt, upstream->name,
+                                    upstream->address, call.request.priority, sendBy,
+                                    call.request.deadline, call.request.repeatable,
+                                    call.request.key.has_value(), call.resumeFrom});
 }
 
 // Who owns the upstream of a permit in use now; null when it has gone or there are no members.
@@ -450,7 +555,7 @@
                                                {}});
     }
     m_actions.emplace_back(std::move(action));
-    m_calls.erase(id);
+    forget(id);
 }
 
 bool Dispatcher::takeRetry(const Call &call, Reason reason)
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -12,6 +12,7 @@
 
 #include "core/call.hpp"
 #include "core/contention.hpp"
+#include "fordwood/ceiling_gate.hpp"
 #include "fordwood/clock.hpp"
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/retry_budget.hpp"
@@ -34,6 +35,7 @@
     Reason reason = Reason::UpstreamBroke;
     std::string detail;
     bool answerBegun = false; // a part of the answer has gone to the caller
+    std::optional<std::uint64_t> passedEvents = std::nullopt; // whole events of a stream that did
 };
 
 // An owner's answer to an ask.
@@ -68,6 +70,10 @@
     // The holder of a key has answered a claim.
     void claimAnswered(const std::string &holder, std::uint64_t claimId, const ClaimAnswer &answer);
 
+    // The owner of a team has answered an ask for a part of its ceiling.
+    void allowanceAnswered(const std::string &team, std::uint64_t askId,
+                           const Allowance &allowance);
+
     // The connection to an owner is gone, and with it its open asks and its permits.
     void ownerLost(const std::string &owner);
 
@@ -92,7 +98,7 @@
     std::size_t calls() const { return m_calls.size(); }
 
 private:
-    enum class Stage : std::uint8_t { Claiming, Asking, Sent };
+    enum class Stage : std::uint8_t { Claiming, Admitting, Asking, Sent };
 
     struct Held // a permit in use
     {
@@ -122,10 +128,18 @@
         TimePoint claimUntil{};
         int redirections = 0;
         bool claimed = false;
+        bool entered = false; // counts against the ceiling of its team
         Verdict last; // why the call has not been answered yet
         bool mayHaveRun = false; // by any attempt so far
+        std::optional<std::uint64_t> resumeFrom; // events that the caller has already
     };
 
+    void admit(Call &call);
+    void askAllowance(const std::string &team);
+    void settleAdmitting(const std::string &team);
+    template <typename Matches>
+    void giveUpAllowances(Matches matches);
+    void forget(CallId id);
     void claim(Call &call, const Member *holder);
     void dropClaim(Call &call);
     void choose(Call &call);
@@ -155,6 +169,14 @@
     std::map<std::string, std::size_t> m_localInUse; // by upstream
     std::map<std::string, RetryBudget> m_budgets; // by team
     Contention m_contention; // by model or service
+    struct AllowanceWait // an open ask
+    {
+        std::string owner;
+        TimePoint until;
+    };
+    CeilingGate m_gate;
+    std::map<std::string, AllowanceWait> m_allowanceAsks; // by team
+    std::map<std::string, std::vector<CallId>> m_admitting; // by team, in order
     std::vector<Action> m_actions;
     std::uint64_t m_nextAsk = 1;
     bool m_stopping = false;
--- a/src/core/fleet_view.cpp
+++ b/src/core/fleet_view.cpp
@@ -10,9 +10,10 @@
 
 FleetView::FleetView(std::uint64_t version, std::shared_ptr<const Configuration> configuration,
                      std::vector<Member> members, std::set<std::string> leavingUpstreams,
-                     std::string ownFailureDomain)
+                     std::string ownFailureDomain, std::size_t listedMembers)
     : m_version(version), m_configuration(std::move(configuration)), m_members(std::move(members)),
-      m_leaving(std::move(leavingUpstreams)), m_ownFailureDomain(std::move(ownFailureDomain))
+      m_leaving(std::move(leavingUpstreams)), m_ownFailureDomain(std::move(ownFailureDomain)),
+      m_listedMembers(std::max(listedMembers, m_members.size()))
 {
     for (const auto &[name, it] : m_configuration->upstreams) {
         if (isLeaving(name))
@@ -69,6 +70,35 @@
     return index < 0 ? nullptr : m_allOwners.members[static_cast<std::size_t>(index)];
 }
 
+const Member *FleetView::teamOwner(const std::string &team) const
+{
+    const int index = rendezvousWinner(stableHash(team), m_allOwners.hashes);
+    return index < 0 ? nullptr : m_allOwners.members[static_cast<std::size_t>(index)];
+}
+
+std::map<std::string, std::size_t> FleetView::ceilingBases() const
+{
+    std::map<std::string, std::size_t> bases;
+    for (const auto &[name, it] : m_configuration->teams) {
+        if (it.maxRunning > 0)
+            bases[name] = ceilingBase(it);
+    }
+    return bases;
+}
+
+std::size_t FleetView::ceilingBase(const TeamConfig &team) const
+{
+    return static_cast<std::size_t>(team.maxRunning) / 2
+           / std::max<std::size_t>(1, m_listedMembers);
+}
+
+std::size_t FleetView::ceilingPool(const TeamConfig &team) const
+{
+    const std::size_t listed = std::max<std::size_t>(1, m_listedMembers);
+    const std::size_t rest = static_cast<std::size_t>(team.maxRunning) - listed * ceilingBase(team);
+    return rest * m_members.size() / listed;
+}
+
 const Member *FleetView::member(const std::string &name) const
 {
     const auto it = std::find_if(m_members.begin(), m_members.end(),
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -331,10 +331,13 @@
 void Replicator::changed()
 {
     std::vector<Member> now = members();
-    if (now != m_lastMembers || m_list.leavingUpstreams != m_lastLeaving) {
+    const std::size_t listed = m_list.entryVms.size();
+    if (now != m_lastMembers || m_list.leavingUpstreams != m_lastLeaving
+        || listed != m_lastListed) {
         m_lastMembers = now;
+        m_lastListed = listed;
         m_lastLeaving = m_list.leavingUpstreams;
-        m_actions.emplace_back(ApplyMembers{now, m_lastLeaving});
+        m_actions.emplace_back(ApplyMembers{now, m_lastLeaving, listed});
     }
     rearrange();
 }
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -186,6 +186,7 @@
             << "\"\nkind = \"engine\"\nfailure_domain = \"" << failureDomain(it)
             << "\"\naddress = \"" << engineAddress(it)
             << "\"\nmodels = [\"m\"]\nslots = " << m_size.engineSlots
+            << "\nresumes = " << (m_size.resumes ? "true" : "false")
             << "\nrefuses_when_full = " << (m_size.refusesWhenFull ? "true" : "false") << "\n";
     out << "[[upstream]]\nname = \"service-0\"\nkind = \"service\"\nfailure_domain = \""
         << failureDomain(0) << "\"\naddress = \"" << serviceAddress()
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -21,6 +21,7 @@
     int engineSlots = 8;
     std::vector<std::string> engineOptions{"token_ms=1"}; // for standin-engine
     std::string entrySettings; // further lines of [entry]
+    bool resumes = false; // engines go on with streams that broke elsewhere
     bool refusesWhenFull = false; // engines are sent to without permits while they have places
 };
 
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -194,6 +194,45 @@
     CHECK(answer.body.find("[DONE]") == std::string::npos);
 }
 
+TEST_CASE(
+    "path: a stream whose engine dies goes on at another, with no token lost or doubled [whole]")
+{
+    FleetSize size{1, 3, 1, 4, {"token_ms=20"}, ""};
+    size.resumes = true;
+    Fleet fleet(size);
+    fleet.start();
+    HttpAnswer streamed;
+    std::thread caller([&] {
+        streamed = httpCall("POST", fleet.caller(0) + "/v1/chat/completions", completion(true, 60),
+                            {Fleet::bearer()});
+    });
+    int serving = -1;
+    Fleet::waitFor([&] {
+        for (int it = 0; it < 3; ++it) {
+            const auto stats = httpCall("GET", "http://" + fleet.engineAddress(it) + "/stats");
+            serving = Json::parse(stats.body)["running"] == 1 ? it : serving;
+        }
+        return serving >= 0;
+    });
+    REQUIRE(serving >= 0);
+    // Some tokens have been passed on by the time of a second request's whole answer.
+    httpCall("POST", fleet.caller(0) + "/v1/chat/completions", completion(false, 4),
+             {Fleet::bearer()});
+    fleet.engineProcesses[static_cast<std::size_t>(serving)].kill();
+    caller.join();
+    CHECK(streamed.whole);
+    CHECK(streamed.body.find("[DONE]") != std::string::npos);
+    CHECK(streamed.body.find("event: error") == std::string::npos);
+    for (int it = 1; it < 59; ++it) {
+        const std::string token = "\"w" + std::to_string(it) + " \"";
+        const std::size_t first = streamed.body.find(token);
+        CAPTURE(token);
+        CHECK(first != std::string::npos);
+        CHECK(streamed.body.find(token, first + 1) == std::string::npos);
+    }
+    CHECK(fleet.metric(0, "fordwood_resumed_streams_total") == 1);
+}
+
 TEST_CASE("path: controld dies and comes back while streams run and requests arrive [recovery]")
 {
     Fleet fleet({1, 2, 1, 8, {"token_ms=20"}, ""});
--- a/tests/scenario/lua_test.cpp
+++ b/tests/scenario/lua_test.cpp
@@ -72,6 +72,12 @@
     size.domains = numberField(lua, "domains", size.domains);
     size.engines = numberField(lua, "engines", size.engines);
     size.slots = static_cast<std::size_t>(numberField(lua, "slots", static_cast<int>(size.slots)));
+    lua_getfield(lua, 1, "ceilings");
+    if (lua_istable(lua, -1)) {
+        for (lua_pushnil(lua); lua_next(lua, -2) != 0; lua_pop(lua, 1))
+            size.ceilings[luaL_checkstring(lua, -2)] = luaL_checkinteger(lua, -1);
+    }
+    lua_pop(lua, 1);
     world = std::make_unique<World>(size);
     world->settle();
     return 0;
--- a/tests/scenario/random_test.cpp
+++ b/tests/scenario/random_test.cpp
@@ -131,6 +131,7 @@
     size.nodes = kNodes;
     size.seed = seed;
     size.mutation = mutation;
+    size.ceilings = {{"team-1", 5}, {"team-2", 40}};
     world = std::make_unique<World>(size);
     world->settle();
     Storm storm(*world, seed, kNodes);
@@ -179,6 +180,7 @@
         {Mutation::RunsEveryClaim, "a key ran twice"},
         {Mutation::ForgetsBoot, "a key ran twice"},
         {Mutation::LosesRefusals, "got no end"},
+        {Mutation::GrantsEveryWish, "of at most"},
     };
     for (const Case &it : cases) {
         std::string violation;
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -208,6 +208,7 @@
     limits.direct = m_size.direct;
     node.dispatcher = std::make_unique<Dispatcher>(fleet.clock, limits);
     node.book = std::make_unique<PermitBook>(fleet.clock, PermitLimits{kPermitLife, 64});
+    node.allowances = std::make_unique<AllowanceBook>(fleet.clock, AllowanceBook::Limits{});
     node.keys = std::make_unique<KeyRegistry>(KeyHolder{fleet.member(index).name, boot},
                                               fleet.clock, KeyRegistry::Limits{});
 }
@@ -219,6 +220,10 @@
     for (int it = 0; it < m_size.domains; ++it)
         configuration.failureDomains["domain-" + std::to_string(it)]
             = {"domain-" + std::to_string(it), "region"};
+    for (const auto &[team, ceiling] : m_size.ceilings) {
+        configuration.teams[team].name = team;
+        configuration.teams[team].maxRunning = ceiling;
+    }
     for (int it = 0; it < m_size.engines; ++it) {
         UpstreamConfig upstream;
         upstream.name = "engine-" + std::to_string(it);
@@ -249,7 +254,8 @@
     std::set<std::string> leaving = replicator.list().leavingUpstreams;
     if (m_size.mutation == Mutation::HidesLeaving)
         leaving.clear();
-    std::string mark = std::to_string(fleet.version(index));
+    std::string mark = std::to_string(fleet.version(index)) + "/"
+                       + std::to_string(replicator.list().entryVms.size());
     for (const Member &it : members)
         mark += "," + it.name;
     for (const std::string &it : leaving)
@@ -260,7 +266,8 @@
     auto configuration
         = std::make_shared<Configuration>(configurationOf(fleet.text(index, "weights")));
     node.view = std::make_shared<const FleetView>(fleet.version(index), configuration, members,
-                                                  leaving, fleet.member(index).failureDomain);
+                                                  leaving, fleet.member(index).failureDomain,
+                                                  replicator.list().entryVms.size());
     node.dispatcher->setView(m_size.staticParts ? withoutOwners(index) : node.view);
     node.book->setShares(m_size.shares);
     std::vector<OwnedUpstream> owned;
@@ -270,6 +277,13 @@
             owned.push_back({name, it.slots, node.view->isLeaving(name)});
     }
     node.book->setUpstreams(owned);
+    std::map<std::string, std::size_t> pools;
+    for (const auto &[name, it] : configuration->teams) {
+        const Member *owner = node.view->teamOwner(name);
+        if (owner != nullptr && owner->name == fleet.member(index).name)
+            pools[name] = node.view->ceilingPool(it);
+    }
+    node.allowances->setPools(pools);
 }
 
 // A view in which no member may own an upstream.
@@ -324,6 +338,19 @@
         toOwner(message.owner, [holder, message](Node &it) {
             it.book->hold(holder, message.permitId, message.upstream, message.team);
         });
+    } else if (const auto *allowance = std::get_if<AskAllowance>(&action)) {
+        node.streams.insert(allowance->owner);
+        AllowanceAsk message = allowance->ask;
+        message.holder = holder;
+        toOwner(allowance->owner, [this, index, holder, message](Node &it) {
+            Allowance answer = it.allowances->ask(message);
+            if (m_size.mutation == Mutation::GrantsEveryWish)
+                answer.amount = message.wanted;
+            if (holder == holderOf(placeOf(index)))
+                post(index, [message, answer](Node &entry) {
+                    entry.dispatcher->allowanceAnswered(message.team, message.askId, answer);
+                });
+        });
     } else if (const auto *claim = std::get_if<ClaimKey>(&action)) {
         node.streams.insert(claim->holder);
         const ClaimKey message = *claim;
@@ -595,6 +622,7 @@
         if (runs > 1)
             violate("a key ran twice: " + key.second);
     }
+    checkCeilings();
     for (WorldResult &it : m_results) {
         if (it.ended)
             continue;
@@ -605,6 +633,18 @@
     }
 }
 
+void World::checkCeilings()
+{
+    std::map<std::string, std::int64_t> running;
+    for (const Run &it : m_runs)
+        running[m_results[it.request].request.team] += it.begun ? 1 : 0;
+    for (const auto &[team, ceiling] : m_size.ceilings) {
+        if (running[team] > ceiling)
+            violate("a team runs " + std::to_string(running[team]) + " of at most "
+                    + std::to_string(ceiling) + " requests");
+    }
+}
+
 void World::violate(const std::string &what)
 {
     if (m_violation.empty())
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/dispatcher.hpp"
+#include "fordwood/allowance_book.hpp"
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/key_registry.hpp"
 #include "fordwood/permit_book.hpp"
@@ -28,6 +29,7 @@
     HidesLeaving, // owners are not told that an upstream is leaving
     RunsEveryClaim, // every claim of a key is granted
     LosesRefusals, // some refusals never reach their callers
+    GrantsEveryWish, // a team's owner gives away more than its ceiling
 };
 
 struct WorldSize
@@ -40,6 +42,7 @@
     bool direct = true; // send without permits while there is no contention
     bool staticParts = false; // no owners: every node has an equal part of each upstream
     std::map<std::string, double> shares; // of teams
+    std::map<std::string, std::int64_t> ceilings; // of teams: requests running at once
     Mutation mutation = Mutation::None;
 };
 
@@ -116,6 +119,7 @@
     {
         std::unique_ptr<Dispatcher> dispatcher;
         std::unique_ptr<PermitBook> book;
+        std::unique_ptr<AllowanceBook> allowances;
         std::unique_ptr<KeyRegistry> keys;
         std::shared_ptr<const FleetView> view;
         std::string viewMark; // what the view was made of
@@ -160,6 +164,7 @@
     void endRun(Run &run, const AttemptFailure *failure);
     void finishRequest(int node, CallId call, bool answered, const Verdict &verdict);
     void checkAll();
+    void checkCeilings();
     void violate(const std::string &what);
     void post(int to, std::function<void(Node &)> handle);
     HolderId holderOf(const Place &place) const;
