Weight versions: owners order their engines to load, through slots in the platform

Cause: the weight version of a configuration was only a header on requests; engines had to be loaded by hand, and requests met mismatches until their retry budget was used up. Change: LoadPlanner (core) and LoadDuty (controld): one value of slots by compare-and-swap, fences, orders bounded by spans on the holder's own clock, reading back. Requests are stamped with the version when they are sent; owners hold back grants for engines with other weights; mismatches cost no retry. Ruled out: one loader for the fleet (11,000 engines report to it), leases kept alive (writes for as long as a load lasts), a keeper of slots by messages (one more hand-over). Found: the storm showed at once that engines marked as leaving are not loaded, as is right, so the end of the storm takes the marks back before it compares versions. Real processes: 600 of 600 requests answered during a change.

--- a/include/fordwood/permit_book.hpp
+++ b/include/fordwood/permit_book.hpp
@@ -75,6 +75,10 @@
     // Replaces the shares of the teams; a team without an entry has share 1.
     void setShares(std::map<std::string, double> shares);
 
+    // Stops grants for an upstream for the moment, as while it loads weights: asks that may wait
+    // do.
+    void setHeld(const std::string &upstream, bool held);
+
     // Handles one ask; the answer may come now or with a later call to takeAnswers().
     void ask(const PermitAsk &ask);
 
@@ -127,6 +131,7 @@
         OwnedUpstream upstream;
         FairQueue queue;
         TimePoint fullUntil{};
+        bool held = false;
         Duration meanHold{0}; // of a permit, from grant to release
         std::unordered_map<FairQueue::EntryId, Waiting> waiting;
         std::map<std::pair<HolderId, std::uint64_t>, FairQueue::EntryId> byAsk;
--- a/src/adapters/http/exchange.hpp
+++ b/src/adapters/http/exchange.hpp
@@ -25,6 +25,9 @@
     std::string path;
     Headers headers;
     std::string body;
+    std::string weightVersion; // that the headers and the salt in the body speak of; empty: none
+    std::size_t saltBegin = 0; // of the salt in the body
+    std::size_t saltLength = 0;
 };
 
 // The head of an answer.
@@ -59,6 +62,8 @@
 
     CallId id() const { return m_id; }
     const UpstreamRequest &request() const { return m_request; }
+    // Only for the dispatch thread, and only while no attempt is under way.
+    UpstreamRequest &editRequest() { return m_request; }
 
     // --- for the thread that talks to upstreams ---
 
@@ -108,7 +113,7 @@
     bool readableLocked() const;
 
     const CallId m_id;
-    const UpstreamRequest m_request;
+    UpstreamRequest m_request;
     const std::size_t m_bufferBytes;
 
     std::mutex m_mutex;
--- a/src/adapters/http/http_get.cpp
+++ b/src/adapters/http/http_get.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "adapters/http/http_get.hpp"
 
+#include <algorithm>
+
 #include <strings.h>
 
 #include <memory>
@@ -29,26 +31,54 @@
     return size * n;
 }
 
-} // namespace
+using Handle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
-tl::expected<HttpDocument, std::string> httpGet(const std::string &url, Duration timeout,
-                                                const std::string &tag)
+HeaderList headerList(const std::string &header)
 {
-    constexpr long kNotModified = 304;
-    const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(),
-                                                                   curl_easy_cleanup);
+    return {header.empty() ? nullptr : curl_slist_append(nullptr, header.c_str()),
+            curl_slist_free_all};
+}
+
+// A handle for one blocking call, whose answer goes to `body`.
+Handle openHandle(const std::string &url, Duration timeout, std::string &body)
+{
+    Handle easy(curl_easy_init(), curl_easy_cleanup);
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
-    HttpDocument document;
-    const std::string condition = "If-None-Match: " + tag;
-    const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(
-        tag.empty() ? nullptr : curl_slist_append(nullptr, condition.c_str()), curl_slist_free_all);
     curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
-    curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(ms));
+    curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, std::max<long>(1, ms));
     curl_easy_setopt(easy.get(), CURLOPT_FAILONERROR, 1L);
     curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, append);
-    curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &document.body);
+    curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &body);
+    return easy;
+}
+
+} // namespace
+
+tl::expected<std::string, std::string> httpPost(const std::string &url, const std::string &json,
+                                                Duration timeout)
+{
+    std::string body;
+    const Handle easy = openHandle(url, timeout, body);
+    const HeaderList headers = headerList("Content-Type: application/json");
+    curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, headers.get());
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, json.data());
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(json.size()));
+    const CURLcode ec = curl_easy_perform(easy.get());
+    if (ec != CURLE_OK)
+        return tl::make_unexpected(url + ": " + curl_easy_strerror(ec));
+    return body;
+}
+
+tl::expected<HttpDocument, std::string> httpGet(const std::string &url, Duration timeout,
+                                                const std::string &tag)
+{
+    constexpr long kNotModified = 304;
+    HttpDocument document;
+    const Handle easy = openHandle(url, timeout, document.body);
+    const HeaderList headers = headerList(tag.empty() ? "" : "If-None-Match: " + tag);
     curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, headers.get());
     curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, takeTag);
     curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &document.tag);
--- a/src/adapters/http/http_get.hpp
+++ b/src/adapters/http/http_get.hpp
@@ -18,6 +18,11 @@
     bool unchanged = false; // it is still the one of the tag that was sent
 };
 
+// Sends a JSON document by POST; blocks for `timeout` at most. Gives the answer's body, or as error
+// a text when there was none or its status was an error.
+tl::expected<std::string, std::string> httpPost(const std::string &url, const std::string &json,
+                                                Duration timeout);
+
 // Fetches a document; blocks for `timeout` at most. With the tag of an earlier fetch the server may
 // answer that nothing has changed. The error is a text.
 tl::expected<HttpDocument, std::string> httpGet(const std::string &url, Duration timeout,
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -52,6 +52,7 @@
       m_permitService(*this), m_links(settings.node.name, *this),
       m_platform(settings.platform, *this, m_metrics),
       m_tenures(settings.platform.keyValue, settings.node.name, m_clock, *this, m_metrics),
+      m_loads(settings.platform.keyValue, settings.node.name, m_boot, m_clock, *this, m_metrics),
       m_admin([this](const std::string &path) { return adminAnswer(m_metrics, path); })
 { }
 
@@ -79,6 +80,7 @@
     }
     m_platform.start();
     m_tenures.start();
+    m_loads.start();
     m_replicator.start();
     m_thread = std::thread([this] { run(); });
     // Until the VM list is known, the seeds are the only peers that can be asked.
@@ -91,6 +93,7 @@
     pushSurely(StopEvent{});
     m_platform.stop();
     m_tenures.stop();
+    m_loads.stop();
     m_controlService.closeAll();
     m_permitService.closeAll();
 }
@@ -160,6 +163,11 @@
     pushSurely(UpdateEvent{peer, std::move(update)});
 }
 
+void ControlNode::engineHeld(const std::string &upstream, bool held)
+{
+    pushSurely(EngineHeldEvent{upstream, held});
+}
+
 void ControlNode::chainsLearned(std::map<std::uint32_t, TenureChain> chains)
 {
     pushSurely(ChainsEvent{std::move(chains)});
@@ -299,6 +307,11 @@
         m_keys.setChain(partition, chain);
 }
 
+void ControlNode::on(const EngineHeldEvent &event)
+{
+    m_book.setHeld(event.upstream, event.held);
+}
+
 void ControlNode::on(const StopEvent &)
 {
     m_replicator.stop();
@@ -415,10 +428,29 @@
     m_allowances.setPools(pools);
     m_book.setShares(std::move(shares));
     m_book.setUpstreams(owned);
+    planLoads(owned);
     publish();
     updateStatus();
 }
 
+// Tells the load duty which weights the owned engines must serve.
+void ControlNode::planLoads(const std::vector<OwnedUpstream> &owned)
+{
+    LoadDuty::Plan plan;
+    plan.configVersion = m_head.version;
+    plan.mostAtOnce = m_configuration->limits.maxLoadsAtOnce;
+    plan.members = m_members.size();
+    for (const OwnedUpstream &it : owned) {
+        const UpstreamConfig &upstream = m_configuration->upstreams.at(it.name);
+        if (upstream.kind != UpstreamKind::Engine || it.leaving)
+            continue;
+        for (const std::string &model : upstream.models)
+            plan.targets.push_back({it.name, upstream.address, model,
+                                    m_configuration->models.at(model).weightVersion});
+    }
+    m_loads.setPlan(std::move(plan));
+}
+
 void ControlNode::publish()
 {
     auto snapshot = std::make_shared<wire::Snapshot>();
--- a/src/apps/controld/control_node.hpp
+++ b/src/apps/controld/control_node.hpp
@@ -20,6 +20,7 @@
 #include "adapters/system_clock.hpp"
 #include "adapters/threads/bounded_ring.hpp"
 #include "apps/common/daemon.hpp"
+#include "apps/controld/load_duty.hpp"
 #include "apps/controld/platform_duty.hpp"
 #include "apps/controld/tenure_duty.hpp"
 #include "config/configuration_assembler.hpp"
@@ -37,7 +38,8 @@
                     private PlatformListener,
                     private adapters::PermitListener,
                     private adapters::PeerListener,
-                    private TenureListener
+                    private TenureListener,
+                    private LoadListener
 {
 public:
     explicit ControlNode(const config::Settings &settings);
@@ -87,11 +89,16 @@
     {
         std::map<std::uint32_t, TenureChain> chains;
     };
+    struct EngineHeldEvent
+    {
+        std::string upstream;
+        bool held;
+    };
     struct StopEvent
     { };
-    using ControlEvent
-        = std::variant<CommandsEvent, HolderGoneEvent, HeadEvent, ListEvent, BlobsEvent,
-                       ReachableEvent, LinkEvent, UpdateEvent, ChainsEvent, StopEvent>;
+    using ControlEvent = std::variant<CommandsEvent, HolderGoneEvent, HeadEvent, ListEvent,
+                                      BlobsEvent, ReachableEvent, LinkEvent, UpdateEvent,
+                                      ChainsEvent, EngineHeldEvent, StopEvent>;
 
     // PlatformListener, PermitListener and PeerListener, on the threads of those adapters
     void headRead(const ConfigHead &head) override;
@@ -104,6 +111,7 @@
     void linkDown(const std::string &peer) override;
     void updateArrived(const std::string &peer, PeerUpdate update) override;
     void chainsLearned(std::map<std::uint32_t, TenureChain> chains) override;
+    void engineHeld(const std::string &upstream, bool held) override;
     void pushSurely(const ControlEvent &event);
 
     // On the control thread
@@ -117,6 +125,7 @@
     void on(const LinkEvent &event);
     void on(const UpdateEvent &event);
     void on(const ChainsEvent &event);
+    void on(const EngineHeldEvent &event);
     void on(const StopEvent &event);
     void carryOut(const ReplicatorAction &action);
     void applyConfiguration(const ApplyConfiguration &action);
@@ -125,6 +134,7 @@
     void sendPermits();
     void tellTenures();
     void rebuild();
+    void planLoads(const std::vector<OwnedUpstream> &owned);
     void publish();
     void updateStatus();
 
@@ -143,6 +153,7 @@
     adapters::PeerLinks m_links;
     PlatformDuty m_platform;
     TenureDuty m_tenures;
+    LoadDuty m_loads;
     adapters::AdminServer m_admin;
     std::unique_ptr<grpc::Server> m_server;
     std::thread m_thread;
--- a/src/apps/entryd/api.cpp
+++ b/src/apps/entryd/api.cpp
@@ -144,9 +144,9 @@
 }
 
 // What keeps the context of teams and weight versions apart inside the engines.
-std::string cacheSalt(const CallRequest &call, const ModelConfig &model)
+std::string cacheSalt(const std::string &team, const std::string &model, const std::string &version)
 {
-    return call.team + "/" + model.name + "/" + model.weightVersion;
+    return team + "/" + model + "/" + version;
 }
 
 Understood interpretCompletion(const ServingState &state, const TeamConfig &team,
@@ -178,20 +178,18 @@
     result.call = *call;
     result.call.kind = CallKind::Completion;
     result.call.target = model->first;
-    const std::string salt = cacheSalt(*call, model->second);
+    result.call.weightVersion = model->second.weightVersion;
+    const std::string salt = cacheSalt(call->team, model->first, model->second.weightVersion);
     result.call.prefixHash = stableHash(sharedPart(body, chat), stableHash(salt));
     result.call.cost = static_cast<double>(message.body.size()) / kBytesPerToken
                        + body.value("max_tokens", kDefaultNewTokens);
     result.upstream.path = message.path;
-    result.upstream.headers
-        = {{"Content-Type", "application/json"}, {"X-Weight-Version", model->second.weightVersion}};
+    result.upstream.headers = {{"Content-Type", "application/json"}};
     const std::string requestId = message.header("X-Request-Id");
     if (!requestId.empty())
         result.upstream.headers.emplace_back("X-Request-Id", requestId);
-    // The salt goes in front of the caller's fields, as text: the body is passed on as it came.
-    const std::size_t brace = message.body.find('{') + 1;
-    message.body.insert(brace, "\"cache_salt\":" + Json(salt).dump() + ",");
     result.upstream.body = std::move(message.body);
+    stampWeightVersion(result.upstream, result.call, model->second.weightVersion);
     return std::variant<Interpreted, adapters::DirectAnswer>(std::move(result));
 }
 
@@ -248,6 +246,25 @@
 
 } // namespace
 
+void stampWeightVersion(adapters::UpstreamRequest &request, const CallRequest &call,
+                        const std::string &version)
+{
+    if (request.weightVersion == version)
+        return;
+    constexpr std::string_view kHeader = "X-Weight-Version";
+    std::erase_if(request.headers, [&](const auto &it) { return it.first == kHeader; });
+    request.headers.emplace_back(kHeader, version);
+    // The salt goes in front of the caller's fields, as text: the rest of the body stays as it
+    // came.
+    const std::string salt
+        = "\"cache_salt\":" + Json(cacheSalt(call.team, call.target, version)).dump() + ",";
+    if (request.weightVersion.empty())
+        request.saltBegin = request.body.find('{') + 1;
+    request.body.replace(request.saltBegin, request.saltLength, salt);
+    request.saltLength = salt.size();
+    request.weightVersion = version;
+}
+
 tl::expected<std::variant<Interpreted, adapters::DirectAnswer>, Verdict>
 interpret(const ServingState &state, adapters::CallerMessage message, TimePoint now)
 {
--- a/src/apps/entryd/api.hpp
+++ b/src/apps/entryd/api.hpp
@@ -33,6 +33,11 @@
     adapters::UpstreamRequest upstream;
 };
 
+// Makes a completion's request ask for a weight version, in its headers and in the salt that keeps
+// the contexts of teams and weight versions apart.
+void stampWeightVersion(adapters::UpstreamRequest &request, const CallRequest &call,
+                        const std::string &version);
+
 // Understands a caller's request: who asks, for what, until when, and what is sent upstream.
 // Gives an answer at once where no upstream is needed, and a verdict where it is refused.
 tl::expected<std::variant<Interpreted, adapters::DirectAnswer>, Verdict>
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -264,7 +264,7 @@
 
 void EntryNode::on(BeginEvent &event)
 {
-    m_exchanges.emplace(event.request.id, std::move(event.exchange));
+    m_open.emplace(event.request.id, OpenCall{event.request, std::move(event.exchange)});
     m_dispatcher.begin(event.request);
 }
 
@@ -295,7 +295,7 @@
 void EntryNode::on(const FinishedEvent &event)
 {
     m_dispatcher.attemptFinished(event.call, event.attempt, event.cost, event.answer);
-    if (m_exchanges.erase(event.call) > 0)
+    if (m_open.erase(event.call) > 0)
         m_metrics.count("fordwood_answers_total");
 }
 
@@ -345,41 +345,49 @@
     } else if (const auto *end = std::get_if<EndCall>(&action)) {
         endExchange(end->call, end->verdict);
     } else if (const auto *send = std::get_if<SendCall>(&action)) {
-        if (send->resumeFrom)
-            m_metrics.count("fordwood_resumed_streams_total");
-        const auto exchange = m_exchanges.find(send->call);
-        if (exchange == m_exchanges.end() || !m_upstreams.send({*send, exchange->second}))
-            m_dispatcher.attemptFailed(send->call, send->attempt,
-                                       {RunState::NotRun, Reason::RingFull, "", false});
+        sendUpstream(*send);
     }
 }
 
+void EntryNode::sendUpstream(const SendCall &send)
+{
+    const auto open = m_open.find(send.call);
+    if (open != m_open.end() && !send.weightVersion.empty())
+        stampWeightVersion(open->second.exchange->editRequest(), open->second.request,
+                           send.weightVersion);
+    if (send.resumeFrom)
+        m_metrics.count("fordwood_resumed_streams_total");
+    if (open == m_open.end() || !m_upstreams.send({send, open->second.exchange}))
+        m_dispatcher.attemptFailed(send.call, send.attempt,
+                                   {RunState::NotRun, Reason::RingFull, "", false});
+}
+
 // The caller gets the answer that its first send got.
 void EntryNode::answerKept(const AnswerKept &action)
 {
-    const auto it = m_exchanges.find(action.call);
-    if (it == m_exchanges.end())
+    const auto it = m_open.find(action.call);
+    if (it == m_open.end())
         return;
     constexpr unsigned kOnlyAttempt = 1;
     adapters::AnswerHead head{action.answer.status, {}, false};
     if (!action.answer.contentType.empty())
         head.headers.emplace_back("Content-Type", action.answer.contentType);
     head.headers.emplace_back("Fordwood-Repeated", "true");
-    if (it->second->begin(kOnlyAttempt, std::move(head))) {
-        it->second->append(kOnlyAttempt, action.answer.body);
-        it->second->finish(kOnlyAttempt);
+    if (it->second.exchange->begin(kOnlyAttempt, std::move(head))) {
+        it->second.exchange->append(kOnlyAttempt, action.answer.body);
+        it->second.exchange->finish(kOnlyAttempt);
     }
-    m_exchanges.erase(it);
+    m_open.erase(it);
     m_metrics.count("fordwood_repeated_answers_total");
 }
 
 void EntryNode::endExchange(CallId call, const Verdict &verdict)
 {
-    const auto it = m_exchanges.find(call);
-    if (it == m_exchanges.end())
+    const auto it = m_open.find(call);
+    if (it == m_open.end())
         return;
-    it->second->refuse(verdict);
-    m_exchanges.erase(it);
+    it->second.exchange->refuse(verdict);
+    m_open.erase(it);
     m_metrics.countRefusal(verdict.reason);
     if (verdict.state != RunState::NotRun && verdict.reason != Reason::CallerLeft)
         logEvent(Event::AnswerBroken,
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -132,6 +132,7 @@
     void on(const StateEvent &event);
     void on(const StopEvent &event);
     void carryOut(const Action &action);
+    void sendUpstream(const SendCall &send);
     void endExchange(CallId call, const Verdict &verdict);
     void answerKept(const AnswerKept &action);
 
@@ -161,7 +162,12 @@
     std::unordered_map<CallId, CallRequest> m_understood;
 
     // Of the dispatch thread alone:
-    std::unordered_map<CallId, std::shared_ptr<adapters::Exchange>> m_exchanges;
+    struct OpenCall
+    {
+        CallRequest request;
+        std::shared_ptr<adapters::Exchange> exchange;
+    };
+    std::unordered_map<CallId, OpenCall> m_open;
 };
 
 } // namespace fordwood::apps
--- a/src/core/call.hpp
+++ b/src/core/call.hpp
@@ -27,6 +27,7 @@
     int priority = 0;
     CallKind kind = CallKind::Completion;
     std::string target; // model or service
+    std::string weightVersion; // of a completion
     std::uint64_t prefixHash = 0; // requests with the same hash share context
     double cost = 1.0; // expected tokens
     bool repeatable = true;
@@ -88,6 +89,7 @@
     TimePoint deadline;
     bool repeatable;
     bool keepAnswer; // for callers who send the same key again
+    std::string weightVersion; // that must answer; empty: any
     std::optional<std::uint64_t> resumeFrom; // events of the stream that the caller has already
 };
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -12,6 +12,7 @@
 // Marks permit ids that this node made itself, apart from those that owners give out.
 constexpr std::uint64_t kMovedPermit = 1ULL << 63;
 constexpr int kMostRedirections = 2;
+constexpr int kMostMismatches = 20;
 constexpr Duration kLocalSendWithin = std::chrono::seconds(2);
 
 } // namespace
@@ -149,8 +150,10 @@
     if (call == nullptr)
         return;
     const bool sentDirectly = call->held && call->held->direct;
-    releaseHeld(*call, 0.0, failure.reason == Reason::UpstreamPushback);
-    if (failure.reason == Reason::UpstreamPushback)
+    const bool busy
+        = failure.reason == Reason::UpstreamPushback || failure.reason == Reason::VersionMismatch;
+    releaseHeld(*call, 0.0, busy);
+    if (busy)
         call->full.push_back(current(*call)->name);
     Verdict verdict{failure.state, failure.reason, std::chrono::milliseconds(0), failure.detail};
     // A stream of whole events is not begun again but continued.
@@ -159,8 +162,7 @@
         return end(id, verdict);
     if (call->request.deadline <= m_clock.now())
         return end(id, verdict);
-    // A direct send that met a full upstream now waits its turn at the owner: that adds no load.
-    const bool free = sentDirectly && failure.reason == Reason::UpstreamPushback;
+    const bool free = isFree(*call, failure, sentDirectly);
     if (free)
         m_actions.emplace_back(CountRetry{failure.reason});
     if (!free && !takeRetry(*call, failure.reason)) {
@@ -174,9 +176,7 @@
         call->resumeFrom = failure.passedEvents;
     call->last = verdict;
     call->mayHaveRun = call->mayHaveRun || failure.state != RunState::NotRun;
-    const bool onlyFull
-        = failure.reason == Reason::UpstreamPushback || failure.reason == Reason::PermitExpired;
-    if (!onlyFull)
+    if (!busy && failure.reason != Reason::PermitExpired)
         call->broken.push_back(current(*call)->name);
     choose(*call);
     if (call->candidates.empty())
@@ -184,6 +184,15 @@
     ask(*call);
 }
 
+// Whether sending again costs nothing of the team's budget, since it adds no load: a direct send
+// that met a full upstream now waits its turn at the owner, and so does one that met other weights.
+bool Dispatcher::isFree(Call &call, const AttemptFailure &failure, bool sentDirectly)
+{
+    if (failure.reason == Reason::VersionMismatch)
+        return ++call.mismatches <= kMostMismatches;
+    return sentDirectly && failure.reason == Reason::UpstreamPushback;
+}
+
 void Dispatcher::attemptFinished(CallId id, unsigned attempt, double cost, KeptAnswer answer)
 {
     Call *call = find(id, attempt);
@@ -461,12 +470,25 @@
         releaseHeld(call, 0.0);
         return askNext(call, Verdict::of(Reason::UpstreamLeaving, {}, kRetrySoon));
     }
+    renewVersion(call);
     call.stage = Stage::Sent;
     ++call.attempt;
-    m_actions.emplace_back(SendCall{call.request.id, call.attempt, upstream->name,
-                                    upstream->address, call.request.priority, sendBy,
-                                    call.request.deadline, call.request.repeatable,
-                                    call.request.key.has_value(), call.resumeFrom});
+    m_actions.emplace_back(
+        SendCall{call.request.id, call.attempt, upstream->name, upstream->address,
+                 call.request.priority, sendBy, call.request.deadline, call.request.repeatable,
+                 call.request.key.has_value(), call.request.weightVersion, call.resumeFrom});
+}
+
+// A request that nobody has begun to answer runs on the weight version that is in force now; a
+// stream goes on with the one that it began with.
+void Dispatcher::renewVersion(Call &call) const
+{
+    if (call.request.kind != CallKind::Completion || call.resumeFrom)
+        return;
+    const auto &models = m_view->configuration().models;
+    const auto model = models.find(call.request.target);
+    if (model != models.end())
+        call.request.weightVersion = model->second.weightVersion;
 }
 
 // Who owns the upstream of a permit in use now; null when it has gone or there are no members.
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -127,6 +127,7 @@
         std::string claimHolder;
         TimePoint claimUntil{};
         int redirections = 0;
+        int mismatches = 0; // upstreams that served another weight version
         bool claimed = false;
         bool entered = false; // counts against the ceiling of its team
         Verdict last; // why the call has not been answered yet
@@ -148,6 +149,8 @@
     void fallBack(Call &call);
     bool maySendDirectly(const UpstreamConfig &upstream, const Call &call);
     void send(Call &call, Held held, TimePoint sendBy);
+    bool isFree(Call &call, const AttemptFailure &failure, bool sentDirectly);
+    void renewVersion(Call &call) const;
     const Member *ownerOf(const Held &held) const;
     void holdAtOwner(Call &call, const Member &owner);
     void holdAgain(const Member &owner);
--- a/src/core/permit_book.cpp
+++ b/src/core/permit_book.cpp
@@ -41,6 +41,15 @@
     m_shares = std::move(shares);
 }
 
+void PermitBook::setHeld(const std::string &upstream, bool held)
+{
+    const auto it = m_lines.find(upstream);
+    if (it == m_lines.end())
+        return;
+    it->second.held = held;
+    fill(it->second);
+}
+
 void PermitBook::ask(const PermitAsk &ask)
 {
     const auto it = m_lines.find(ask.upstream);
@@ -49,7 +58,7 @@
     Line &line = it->second;
     if (line.upstream.leaving)
         return deny(ask, Reason::UpstreamLeaving);
-    const bool full = m_clock.now() < line.fullUntil;
+    const bool full = line.held || m_clock.now() < line.fullUntil;
     if (!full && line.queue.empty() && line.running.size() < line.upstream.slots) {
         line.queue.charge(ask.team, share(ask.team), ask.cost);
         return grant(line, ask, Duration::zero());
@@ -212,7 +221,7 @@
 
 void PermitBook::fill(Line &line)
 {
-    if (m_clock.now() < line.fullUntil)
+    if (line.held || m_clock.now() < line.fullUntil)
         return; // tick() comes back to it
     while (!line.upstream.leaving && line.running.size() < line.upstream.slots) {
         const auto entry = line.queue.next();
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -233,6 +233,30 @@
     CHECK(fleet.metric(0, "fordwood_resumed_streams_total") == 1);
 }
 
+TEST_CASE("path: new weights are loaded while requests run, and none is lost [weights]")
+{
+    Fleet fleet({3, 4, 3, 8, {"token_ms=5", "load_ms=300"}, ""});
+    fleet.start();
+    std::string text;
+    std::thread load([&] { fleet.load(mixedWorkload(fleet, 600, 100), text); });
+    Fleet::waitFor([&] { return fleet.metric(0, "fordwood_answers_total") >= 20; });
+    std::string configuration = fleet.configuration();
+    configuration.replace(configuration.find("\"v1\""), 4, "\"v2\"");
+    CHECK(fleet.submit(configuration) == 0);
+    load.join();
+    CAPTURE(text);
+    const Json result = Json::parse(text);
+    CHECK(result["outcomes"]["answered"] == 600);
+    CHECK(result["doubled_runs"] == 0);
+    for (int it = 0; it < 4; ++it) {
+        CAPTURE(it);
+        const auto stats
+            = Json::parse(httpCall("GET", "http://" + fleet.engineAddress(it) + "/stats").body);
+        CHECK(stats["version"] == "v2");
+        CHECK(stats["overlapping_orders"] == 0);
+    }
+}
+
 TEST_CASE("path: controld dies and comes back while streams run and requests arrive [recovery]")
 {
     Fleet fleet({1, 2, 1, 8, {"token_ms=20"}, ""});
--- a/tests/scenario/lua_test.cpp
+++ b/tests/scenario/lua_test.cpp
@@ -215,6 +215,12 @@
                          static_cast<lua_Integer>(present(lua).runsOn(luaL_checkstring(lua, 1))));
          return 1;
      }},
+    {"weights_on",
+     [](lua_State *lua) {
+         const std::string version = present(lua).versionOn(luaL_checkstring(lua, 1));
+         lua_pushlstring(lua, version.data(), version.size());
+         return 1;
+     }},
     {"seeds",
      [](lua_State *lua) {
          present(lua).fleet.setSeeds(lua_toboolean(lua, 1) != 0);
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -16,6 +16,7 @@
 #include "fordwood/allowance_book.hpp"
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/key_registry.hpp"
+#include "fordwood/load_planner.hpp"
 #include "fordwood/permit_book.hpp"
 #include "support/replica_fleet.hpp"
 
@@ -29,6 +30,7 @@
     HidesLeaving, // owners are not told that an upstream is leaving
     RunsEveryClaim, // every claim of a key is granted
     LosesRefusals, // some refusals never reach their callers
+    HidesSlots, // nodes do not see each other's load slots
     GrantsEveryWish, // a team's owner gives away more than its ceiling
 };
 
@@ -107,6 +109,12 @@
     // The first thing that did not hold, with the time; empty when all did.
     const std::string &violation() const { return m_violation; }
     std::size_t runsOn(const std::string &upstream) const;
+    const std::string &versionOn(const std::string &upstream) const;
+    // Engines that may load weights at once.
+    static constexpr std::size_t kMostLoads = 2;
+    // Calls to the platform for load slots so far.
+    std::uint64_t loadReads() const { return m_loadReads; }
+    std::uint64_t loadWrites() const { return m_loadWrites; }
     // Messages between dispatchers and owners so far.
     std::uint64_t permitMessages() const { return m_permitMessages; }
     std::uint64_t steps() const { return m_steps; }
@@ -121,6 +129,7 @@
         std::unique_ptr<PermitBook> book;
         std::unique_ptr<AllowanceBook> allowances;
         std::unique_ptr<KeyRegistry> keys;
+        std::unique_ptr<LoadPlanner> loads;
         std::shared_ptr<const FleetView> view;
         std::string viewMark; // what the view was made of
         std::map<CallId, std::size_t> calls; // to requests
@@ -134,6 +143,11 @@
         int refuse = 0;
         std::size_t runs = 0;
         std::optional<TimePoint> leavingSince;
+        std::string version = "v1"; // of its weights
+        std::string loads; // the version that it is loading; empty: none
+        TimePoint loadedAt{};
+        std::int64_t fence = 0; // of the newest order
+        bool checksFences = false;
     };
     struct Run // an attempt under way
     {
@@ -160,6 +174,11 @@
     void answerOwners(int node);
     void breakStreams();
     void extendTenures(int node);
+    void moveLoads(int node);
+    void carryOutLoad(int node, const LoadAction &action);
+    void orderLoad(const OrderLoad &order);
+    void finishLoads();
+    void postLater(int to, Duration delay, std::function<void(Node &)> handle);
     void moveRuns();
     void endRun(Run &run, const AttemptFailure *failure);
     void finishRequest(int node, CallId call, bool answered, const Verdict &verdict);
@@ -183,6 +202,8 @@
     CallId m_nextCall = 1;
     std::uint64_t m_steps = 0;
     std::uint64_t m_permitMessages = 0;
+    std::uint64_t m_loadReads = 0;
+    std::uint64_t m_loadWrites = 0;
     TimePoint m_lastDisturbance{}; // that may delay the news of a leaving upstream
     std::string m_violation;
 };
