A planned stop hands over its keys; a keyed run goes on without its caller

Cause: keys issued in the last ten minutes were refused as key-holder-gone after each planned stop, and a keyed run was cancelled when its caller left, although that caller comes back with the same key. Change: the stopping holder closes, sends its keys to the successors, then rewrites its tenures by compare-and-swap. A goodbye now is a suspicion at once. Keyed runs are finished and their answers kept. Ruled out: the key table in the platform (megabytes a stop); waiting for the tenures to run out.

--- a/include/fordwood/key_registry.hpp
+++ b/include/fordwood/key_registry.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "fordwood/reason.hpp"
 #include "fordwood/tenure.hpp"
@@ -51,6 +52,21 @@
     KeptAnswer answer;
 };
 
+// A key and what is known of it, handed to another process.
+struct HandedKey
+{
+    IdempotencyKey key;
+    RunState state = RunState::MayHaveRun; // MayHaveRun or Ran
+    std::optional<KeptAnswer> answer;
+};
+
+// All that a process knows of its keys, for its successors.
+struct HandedKeys
+{
+    std::vector<HandedKey> keys;
+    WallTime floor{}; // keys issued before this may have been forgotten
+};
+
 // The keys that one process has let run, in the tenures that it holds. Decides for each keyed
 // request whether it may run: never twice, and "not run" is only said where that is certain. No I/O
 // and no threads.
@@ -82,6 +98,13 @@
     // A claimant is gone: what it was running may have run.
     void dropClaimant(ClaimantId claimant);
 
+    // Lets no further key run here, for good, and gives what is known of all keys. What still runs
+    // is handed on as one that may have run.
+    HandedKeys close();
+
+    // Takes what another process knew. Must come before the tenures that go with it.
+    void takeOver(const HandedKeys &handed);
+
     // Forgets keys older than the window.
     void tick();
 
@@ -101,6 +124,7 @@
 
     ClaimAnswer refuse(Reason reason) const;
     ClaimAnswer repeated(const Entry &entry) const;
+    void remember(const Id &id, Entry entry);
     void forgetOldest();
     void forget(const Id &id);
 
@@ -113,6 +137,7 @@
     std::multimap<WallTime, Id> m_byTime;
     WallTime m_floor{}; // keys issued before this may have been forgotten
     std::size_t m_answerBytes = 0;
+    bool m_closed = false;
 };
 
 } // namespace fordwood
--- a/include/fordwood/tenure.hpp
+++ b/include/fordwood/tenure.hpp
@@ -77,6 +77,12 @@
               const std::function<KeyHolder(std::uint32_t partition)> &wanted, WallTime now,
               const TenureLimits &limits);
 
+// The chains of one stored value after a process has handed its tenures to those that `successor`
+// names; partitions without one stay as they are.
+std::map<std::uint32_t, TenureChain>
+handOverTenures(std::map<std::uint32_t, TenureChain> chains, const KeyHolder &from,
+                const std::function<KeyHolder(std::uint32_t partition)> &successor);
+
 } // namespace fordwood
 
 #endif // FORDWOOD_TENURE_HPP_INCLUDED
--- a/src/adapters/grpc/key_codec.cpp
+++ b/src/adapters/grpc/key_codec.cpp
@@ -77,4 +77,29 @@
     return chains;
 }
 
+wire::ClaimEnd toWire(const HandedKey &key)
+{
+    wire::ClaimEnd message;
+    message.set_team(key.key.team);
+    message.set_key(key.key.text);
+    message.set_issued_unix_ms(key.key.issued.time_since_epoch().count());
+    message.set_state(static_cast<std::uint32_t>(key.state));
+    if (key.answer)
+        *message.mutable_answer() = toWire(*key.answer);
+    return message;
+}
+
+HandedKeys fromWire(const wire::HandedKeys &message)
+{
+    HandedKeys handed;
+    handed.floor = wallTime(message.floor_unix_ms());
+    for (const wire::ClaimEnd &it : message.keys()) {
+        HandedKey key{keyOf(it), static_cast<RunState>(it.state()), std::nullopt};
+        if (it.has_answer())
+            key.answer = fromWire(it.answer());
+        handed.keys.push_back(std::move(key));
+    }
+    return handed;
+}
+
 } // namespace fordwood::adapters
--- a/src/adapters/grpc/key_codec.hpp
+++ b/src/adapters/grpc/key_codec.hpp
@@ -20,6 +20,9 @@
 wire::TenureChains toWire(const std::map<std::uint32_t, TenureChain> &chains);
 std::map<std::uint32_t, TenureChain> fromWire(const wire::TenureChains &message);
 
+wire::ClaimEnd toWire(const HandedKey &key);
+HandedKeys fromWire(const wire::HandedKeys &message);
+
 } // namespace fordwood::adapters
 
 #endif // FORDWOOD_ADAPTERS_GRPC_KEY_CODEC_HPP_INCLUDED
--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -223,8 +223,12 @@
 
     Exchange::Append pass(std::string_view bytes)
     {
-        const auto result = bytes.empty() ? Exchange::Append::Taken
-                                          : m_attempt.exchange->append(key().second, bytes);
+        auto result = bytes.empty() || m_detached ? Exchange::Append::Taken
+                                                  : m_attempt.exchange->append(key().second, bytes);
+        if (result == Exchange::Append::Gone && m_attempt.send.keepAnswer) {
+            m_detached = true;
+            result = Exchange::Append::Taken;
+        }
         if (result != Exchange::Append::Taken)
             return result;
         if (m_head.stream)
@@ -300,6 +304,9 @@
                     = AttemptFailure{RunState::MayHaveRun, Reason::AnswerCut, detail, false, {}};
         } else if (m_attempt.exchange->begin(key().second, m_head)) {
             m_begun = true;
+        } else if (m_attempt.send.keepAnswer) {
+            m_begun = true;
+            m_detached = true;
         } else {
             m_failure = AttemptFailure{RunState::MayHaveRun, Reason::CallerLeft, "", false};
         }
@@ -343,6 +350,7 @@
     bool m_notRun = false;
     bool m_versionMismatch = false;
     bool m_begun = false;
+    bool m_detached = false; // the caller has left, the answer is taken to be kept
     bool m_paused = false;
 };
 
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -90,9 +90,12 @@
 
 void ControlNode::beginStop()
 {
-    pushSurely(StopEvent{});
+    const auto keys = std::make_shared<std::promise<HandedKeys>>();
+    auto handed = keys->get_future();
+    pushSurely(StopEvent{keys});
     m_platform.stop();
     m_tenures.stop();
+    m_tenures.handOver({m_settings.node.name, m_boot}, handed.get());
     m_loads.stop();
     m_controlService.closeAll();
     m_permitService.closeAll();
@@ -163,6 +166,11 @@
     pushSurely(UpdateEvent{peer, std::move(update)});
 }
 
+void ControlNode::keysHanded(HandedKeys keys)
+{
+    pushSurely(KeysHandedEvent{std::move(keys)});
+}
+
 void ControlNode::engineHeld(const std::string &upstream, bool held)
 {
     pushSurely(EngineHeldEvent{upstream, held});
@@ -312,9 +320,15 @@
     m_book.setHeld(event.upstream, event.held);
 }
 
-void ControlNode::on(const StopEvent &)
+void ControlNode::on(const KeysHandedEvent &event)
+{
+    m_keys.takeOver(event.keys);
+}
+
+void ControlNode::on(const StopEvent &event)
 {
     m_replicator.stop();
+    event.keys->set_value(m_keys.close());
 }
 
 void ControlNode::carryOut(const ReplicatorAction &action)
--- a/src/apps/controld/control_node.hpp
+++ b/src/apps/controld/control_node.hpp
@@ -3,6 +3,7 @@
 #define FORDWOOD_APPS_CONTROLD_CONTROL_NODE_HPP_INCLUDED
 
 #include <atomic>
+#include <future>
 #include <map>
 #include <memory>
 #include <set>
@@ -94,11 +95,17 @@
         std::string upstream;
         bool held;
     };
+    struct KeysHandedEvent
+    {
+        HandedKeys keys;
+    };
     struct StopEvent
-    { };
+    {
+        std::shared_ptr<std::promise<HandedKeys>> keys; // what this process hands over
+    };
     using ControlEvent = std::variant<CommandsEvent, HolderGoneEvent, HeadEvent, ListEvent,
                                       BlobsEvent, ReachableEvent, LinkEvent, UpdateEvent,
-                                      ChainsEvent, EngineHeldEvent, StopEvent>;
+                                      ChainsEvent, EngineHeldEvent, KeysHandedEvent, StopEvent>;
 
     // PlatformListener, PermitListener and PeerListener, on the threads of those adapters
     void headRead(const ConfigHead &head) override;
@@ -111,6 +118,7 @@
     void linkDown(const std::string &peer) override;
     void updateArrived(const std::string &peer, PeerUpdate update) override;
     void chainsLearned(std::map<std::uint32_t, TenureChain> chains) override;
+    void keysHanded(HandedKeys keys) override;
     void engineHeld(const std::string &upstream, bool held) override;
     void pushSurely(const ControlEvent &event);
 
@@ -126,6 +134,7 @@
     void on(const UpdateEvent &event);
     void on(const ChainsEvent &event);
     void on(const EngineHeldEvent &event);
+    void on(const KeysHandedEvent &event);
     void on(const StopEvent &event);
     void carryOut(const ReplicatorAction &action);
     void applyConfiguration(const ApplyConfiguration &action);
--- a/src/apps/controld/tenure_duty.cpp
+++ b/src/apps/controld/tenure_duty.cpp
@@ -1,15 +1,21 @@
 // SPDX-License-Identifier: MIT
 #include "apps/controld/tenure_duty.hpp"
 
+#include <set>
+
 #include <grpcpp/create_channel.h>
 
 #include "adapters/grpc/key_codec.hpp"
+#include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood::apps {
 
 namespace {
 
+using adapters::Event;
+using adapters::logEvent;
+
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds kTellTimeout{500};
 
@@ -69,6 +75,15 @@
     return reactor;
 }
 
+grpc::ServerUnaryReactor *TenureDuty::HandOver(grpc::CallbackServerContext *context,
+                                               const wire::HandedKeys *request, wire::LearnReply *)
+{
+    m_listener.keysHanded(adapters::fromWire(*request));
+    grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+}
+
 void TenureDuty::run()
 {
     while (pause()) {
@@ -144,19 +159,100 @@
             m_listener.chainsLearned(own->second);
             continue;
         }
-        auto &channel = m_channels[it.controlAddress];
-        if (!channel)
-            channel = grpc::CreateChannel(it.controlAddress, grpc::InsecureChannelCredentials());
         grpc::ClientContext context;
         context.set_deadline(std::chrono::system_clock::now() + kTellTimeout);
         wire::LearnReply reply;
-        if (!wire::Keys::NewStub(channel)
-                 ->Learn(&context, adapters::toWire(own->second), &reply)
-                 .ok())
+        if (!stubOf(it.controlAddress).Learn(&context, adapters::toWire(own->second), &reply).ok())
             m_metrics.count("fordwood_tenure_untold_total");
     }
 }
 
+wire::Keys::Stub &TenureDuty::stubOf(const std::string &address)
+{
+    auto &stub = m_stubs[address];
+    if (!stub)
+        stub
+            = wire::Keys::NewStub(grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+    return *stub;
+}
+
+// A successor gets the keys first and the tenures after them: with the tenures alone it would take
+// keys that have run for new ones.
+void TenureDuty::handOver(const KeyHolder &self, const HandedKeys &handed)
+{
+    std::vector<TenureMember> others;
+    {
+        const std::lock_guard lock(m_mutex);
+        others = m_members;
+    }
+    std::erase_if(others, [&](const TenureMember &it) { return it.holder.node == self.node; });
+    const auto hashes = hashesOf(others);
+    const auto successorIndex
+        = [&](std::uint32_t partition) { return keyHolderIndex(partition, hashes); };
+    std::map<int, HandedKeys> bySuccessor;
+    for (std::uint32_t partition = 0; partition < kKeyPartitions; ++partition)
+        bySuccessor[successorIndex(partition)].floor = handed.floor;
+    for (const HandedKey &it : handed.keys)
+        bySuccessor[successorIndex(keyPartition(it.key.team, it.key.text))].keys.push_back(it);
+    std::set<int> ready;
+    for (const auto &[index, keys] : bySuccessor) {
+        if (index >= 0 && sendKeys(others[static_cast<std::size_t>(index)], keys))
+            ready.insert(index);
+    }
+    const auto successor = [&](std::uint32_t partition) {
+        const int index = successorIndex(partition);
+        return ready.count(index) == 0 ? KeyHolder{}
+                                       : others[static_cast<std::size_t>(index)].holder;
+    };
+    bool all = true;
+    for (std::uint32_t value = 0; value < kTenureValues; ++value)
+        all = handOverValue(value, self, others, successor) && all;
+    logEvent(all ? Event::KeysHandedOver : Event::KeysNotHandedOver,
+             {{"keys", handed.keys.size()}, {"successors", ready.size()}});
+}
+
+// In parts, so that no message is too large. False when any of them was not taken.
+bool TenureDuty::sendKeys(const TenureMember &to, const HandedKeys &keys)
+{
+    constexpr std::size_t kMostBytes = 1 << 20;
+    std::size_t next = 0;
+    do {
+        wire::HandedKeys message;
+        message.set_floor_unix_ms(keys.floor.time_since_epoch().count());
+        for (; next < keys.keys.size() && message.ByteSizeLong() < kMostBytes; ++next)
+            *message.add_keys() = adapters::toWire(keys.keys[next]);
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + kTellTimeout);
+        wire::LearnReply reply;
+        if (!stubOf(to.controlAddress).HandOver(&context, message, &reply).ok())
+            return false;
+    } while (next < keys.keys.size());
+    return true;
+}
+
+bool TenureDuty::handOverValue(std::uint32_t value, const KeyHolder &self,
+                               const std::vector<TenureMember> &members,
+                               const std::function<KeyHolder(std::uint32_t)> &successor)
+{
+    constexpr int kTries = 3; // the value's keeper may write at the same moment
+    for (int it = 0; it < kTries; ++it) {
+        const auto known = read(value);
+        if (!known)
+            continue;
+        const auto chains = handOverTenures(known->chains, self, successor);
+        if (chains == known->chains) // nothing was ours, or a write whose reply was lost
+            return true;
+        const std::vector<ConditionalWrite> write{
+            {tenureKey(value), known->revision, adapters::toWire(chains).SerializeAsString()}};
+        const auto done = m_store.write(write, kCallTimeout);
+        if (!done || !*done)
+            continue;
+        tell(members, chains);
+        return true;
+    }
+    return false;
+}
+
 // Waits for the next period; false when the duty is being stopped.
 bool TenureDuty::pause()
 {
--- a/src/apps/controld/tenure_duty.hpp
+++ b/src/apps/controld/tenure_duty.hpp
@@ -14,6 +14,7 @@
 #include "adapters/observe/metrics.hpp"
 #include "adapters/platform/etcd_store.hpp"
 #include "fordwood/control.grpc.pb.h"
+#include "fordwood/key_registry.hpp"
 #include "fordwood/tenure.hpp"
 
 namespace fordwood::apps {
@@ -24,6 +25,7 @@
 public:
     virtual ~TenureListener() = default;
     virtual void chainsLearned(std::map<std::uint32_t, TenureChain> chains) = 0;
+    virtual void keysHanded(HandedKeys keys) = 0;
 };
 
 // A process that may hold tenures, and where it is reached.
@@ -47,6 +49,11 @@
     void start();
     void stop();
 
+    // Gives this process's keys and tenures to the others, for a planned stop; call after stop().
+    // Blocks for a few seconds at most. What could not be handed over is refused later as held by a
+    // process that is gone.
+    void handOver(const KeyHolder &self, const HandedKeys &handed);
+
     // Who is there to hold tenures now.
     void setMembers(std::vector<TenureMember> members);
 
@@ -55,6 +62,11 @@
                                     const wire::TenureChains *request,
                                     wire::LearnReply *reply) override;
 
+    // A node that is being stopped hands its keys to this one.
+    grpc::ServerUnaryReactor *HandOver(grpc::CallbackServerContext *context,
+                                       const wire::HandedKeys *request,
+                                       wire::LearnReply *reply) override;
+
 private:
     struct Known // a stored value
     {
@@ -63,6 +75,11 @@
     };
 
     void run();
+    bool sendKeys(const TenureMember &to, const HandedKeys &keys);
+    bool handOverValue(std::uint32_t value, const KeyHolder &self,
+                       const std::vector<TenureMember> &members,
+                       const std::function<KeyHolder(std::uint32_t)> &successor);
+    wire::Keys::Stub &stubOf(const std::string &address);
     void extend(std::uint32_t value, const std::vector<TenureMember> &members);
     std::optional<Known> read(std::uint32_t value);
     void tell(const std::vector<TenureMember> &members,
@@ -75,7 +92,7 @@
     TenureListener &m_listener;
     adapters::Metrics &m_metrics;
     TenureLimits m_limits;
-    std::map<std::string, std::shared_ptr<grpc::Channel>> m_channels; // by address
+    std::map<std::string, std::unique_ptr<wire::Keys::Stub>> m_stubs; // by address
     std::thread m_thread;
     std::mutex m_mutex;
     std::condition_variable m_wake;
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -76,7 +76,7 @@
 {
     const TimePoint begin = m_clock.now();
     const Duration most = m_settings.entry.stopTimeout;
-    while (m_inFlight > 0) {
+    while (m_inFlight > 0 || m_openCalls > 0) { // a keyed call may outlive its caller
         if (most > Duration::zero() && m_clock.now() - begin > most)
             break;
         std::this_thread::sleep_for(kStopStep);
@@ -249,6 +249,7 @@
             std::visit([this](auto &it) { on(it); }, *event);
             event = n < kEventsPerRound ? m_ring.tryPop() : std::nullopt;
         }
+        m_openCalls = m_dispatcher.calls();
         if (m_clock.now() >= nextTick) {
             m_dispatcher.tick();
             nextTick = m_clock.now() + kTick;
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -153,6 +153,7 @@
     std::atomic<std::shared_ptr<const ServingState>> m_state;
     std::atomic<CallId> m_nextCall{1};
     std::atomic<std::size_t> m_inFlight{0};
+    std::atomic<std::size_t> m_openCalls{0}; // of the dispatcher
     std::atomic<bool> m_ready{false};
     std::atomic<bool> m_unready{false}; // a planned stop has begun
     std::atomic<bool> m_stopping{false};
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -212,6 +212,8 @@
     if (it == m_calls.end())
         return;
     Call &call = it->second;
+    if (call.claimed && call.stage == Stage::Sent)
+        return; // its answer is kept for the caller's next send with the same key
     withdraw(call);
     if (call.stage == Stage::Sent)
         m_actions.emplace_back(CancelAttempt{id, call.attempt});
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -83,7 +83,7 @@
     // An attempt has brought the whole answer. `cost` is what it used, or zero if unknown.
     void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer = {});
 
-    // The caller is gone.
+    // The caller is gone. A keyed request that was sent goes on: its answer is kept.
     void callerLeft(CallId call);
 
     // Handles everything whose time has come.
--- a/src/core/key_registry.cpp
+++ b/src/core/key_registry.cpp
@@ -83,10 +83,10 @@
                                      [&](const Tenure &it) { return it.covers(key.issued); });
     if (tenure == chain->second.end() || key.issued < m_floor)
         return refuse(Reason::KeyTooOld);
+    if (tenure->holder == m_self && m_closed)
+        return refuse(Reason::KeyHolderGone);
     if (tenure->holder == m_self) {
-        m_entries.emplace(id, Entry{State::Running, claimant, key.issued, std::nullopt});
-        m_byTime.emplace(key.issued, id);
-        forgetOldest();
+        remember(id, Entry{State::Running, claimant, key.issued, std::nullopt});
         ClaimAnswer answer;
         answer.decision = ClaimAnswer::Decision::Run;
         return answer;
@@ -125,6 +125,42 @@
     }
 }
 
+HandedKeys KeyRegistry::close()
+{
+    m_closed = true;
+    HandedKeys handed;
+    handed.floor = m_floor;
+    for (const auto &[id, it] : m_entries) {
+        const RunState state = it.state == State::Ran ? RunState::Ran : RunState::MayHaveRun;
+        handed.keys.push_back({{id.first, id.second, it.issued}, state, it.answer});
+    }
+    return handed;
+}
+
+void KeyRegistry::takeOver(const HandedKeys &handed)
+{
+    m_floor = std::max(m_floor, handed.floor);
+    for (const HandedKey &it : handed.keys) {
+        const Id id{it.key.team, it.key.text};
+        if (m_entries.count(id) != 0)
+            continue; // handed over twice
+        const State state = it.state == RunState::Ran ? State::Ran : State::MayHaveRun;
+        Entry entry{state, 0, it.key.issued, std::nullopt};
+        if (it.answer && m_answerBytes + it.answer->body.size() <= m_limits.mostAnswerBytes) {
+            m_answerBytes += it.answer->body.size();
+            entry.answer = it.answer;
+        }
+        remember(id, std::move(entry));
+    }
+}
+
+void KeyRegistry::remember(const Id &id, Entry entry)
+{
+    m_byTime.emplace(entry.issued, id);
+    m_entries.emplace(id, std::move(entry));
+    forgetOldest();
+}
+
 void KeyRegistry::tick()
 {
     const WallTime oldest
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -410,6 +410,7 @@
     if (update.leaving) {
         m_links.erase(known);
         m_silentSince.erase(peer);
+        suspect(peer); // by its own word, without waiting for its silence
         return;
     }
     takeLiveness(update.liveness, peer);
--- a/src/core/tenure.cpp
+++ b/src/core/tenure.cpp
@@ -53,4 +53,20 @@
     return chains;
 }
 
+std::map<std::uint32_t, TenureChain>
+handOverTenures(std::map<std::uint32_t, TenureChain> chains, const KeyHolder &from,
+                const std::function<KeyHolder(std::uint32_t partition)> &successor)
+{
+    for (auto &[partition, chain] : chains) {
+        const KeyHolder to = successor(partition);
+        if (to.node.empty())
+            continue;
+        for (Tenure &it : chain) {
+            if (it.holder == from)
+                it.holder = to;
+        }
+    }
+    return chains;
+}
+
 } // namespace fordwood
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -385,6 +385,36 @@
 
 } // namespace
 
+TEST_CASE("path: a planned stop of a VM hands its keys to the others [at-most-once][stop]")
+{
+    Fleet fleet;
+    fleet.start();
+    REQUIRE(keysReady(fleet, fleet.nodes()));
+    std::vector<std::string> keys;
+    for (int it = 0; it < 30; ++it) {
+        keys.push_back(newKey(it));
+        CHECK(keyed(fleet, it % fleet.nodes(), keys.back()).status == 200);
+        // The holder has heard of the end.
+        CHECK(Fleet::waitFor([&] { return keyed(fleet, 0, keys.back()).status == 200; }));
+    }
+    const int before = runsOf(fleet)["total"];
+    fleet.entryds[0].signal(SIGTERM);
+    CHECK(fleet.entryds[0].wait() == 0);
+    fleet.controlds[0].signal(SIGTERM);
+    CHECK(fleet.controlds[0].wait() == 0);
+    for (const std::string &it : keys) {
+        // The others hear of the stop a moment later.
+        HttpAnswer again;
+        CHECK(Fleet::waitFor([&] {
+            again = keyed(fleet, 1, it);
+            return again.status == 200;
+        }));
+        CAPTURE(again.body);
+        CHECK(again.headers.count("fordwood-repeated") == 1);
+    }
+    CHECK(runsOf(fleet)["total"] == before);
+}
+
 TEST_CASE("path: the same key runs once, whichever nodes it is sent to [at-most-once]")
 {
     Fleet fleet;
--- a/tests/scenario/random_test.cpp
+++ b/tests/scenario/random_test.cpp
@@ -87,7 +87,7 @@
         const std::string upstream
             = m_random() % 4 == 0 ? "service-0" : "engine-" + std::to_string(m_random() % 6);
         const std::string domain = "domain-" + std::to_string(m_random() % 4);
-        switch (m_random() % 16) {
+        switch (m_random() % 17) {
         case 0:
             return m_world.kill(target);
         case 1:
@@ -113,6 +113,8 @@
             return m_world.setLeaving(upstream, m_random() % 2 == 0);
         case 12:
             return m_world.loseNextReplies(2);
+        case 16:
+            return m_world.stopNode(target);
         case 13:
             m_world.submit("v" + std::to_string(m_random() % 5));
             return;
@@ -188,6 +190,7 @@
         {Mutation::LosesRefusals, "got no end"},
         {Mutation::GrantsEveryWish, "of at most"},
         {Mutation::HidesSlots, "load at once"},
+        {Mutation::HandsOverTenuresOnly, "a key ran twice"},
     };
     for (const Case &it : cases) {
         std::string violation;
--- a/tests/support/replica_fleet.cpp
+++ b/tests/support/replica_fleet.cpp
@@ -67,6 +67,13 @@
     }
 }
 
+void ReplicaFleet::stop(int index)
+{
+    Node &node = m_nodes[static_cast<std::size_t>(index)];
+    if (node.replicator)
+        node.replicator->stop();
+}
+
 void ReplicaFleet::kill(int index)
 {
     Node &node = m_nodes[static_cast<std::size_t>(index)];
--- a/tests/support/replica_fleet.hpp
+++ b/tests/support/replica_fleet.hpp
@@ -38,6 +38,7 @@
     bool runUntilServed(std::uint64_t version, Duration most, Duration *took = nullptr);
 
     void kill(int node);
+    void stop(int node); // says goodbye, and goes on until it is killed
     void restart(int node); // with empty memory
     void setPaused(int node, bool paused); // hears and does nothing; its links stay
     void cutDomain(const std::string &domain, bool cut); // from all others and from the platform
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -146,8 +146,14 @@
 
 void World::stopNode(int node)
 {
+    if (!fleet.alive(node) || m_nodes[static_cast<std::size_t>(node)].stopping)
+        return;
     m_nodes[static_cast<std::size_t>(node)].stopping = true;
-    post(node, [](Node &it) { it.dispatcher->stop(); });
+    post(node, [this, node](Node &it) {
+        it.dispatcher->stop();
+        fleet.stop(node);
+        handOverKeys(node);
+    });
 }
 
 std::size_t World::open() const
@@ -540,6 +546,29 @@
     }
 }
 
+KeyHolder World::Holders::of(std::uint32_t partition) const
+{
+    const int at = keyHolderIndex(partition, hashes);
+    return at < 0 ? KeyHolder{} : holders[static_cast<std::size_t>(at)];
+}
+
+World::Holders World::holdersSeenBy(int index, bool withItself) const
+{
+    Holders seen;
+    const Replicator &replicator = fleet.replicator(index);
+    for (const Member &it : replicator.members()) {
+        const bool self = it.name == fleet.member(index).name;
+        std::uint64_t boot = self ? fleet.boot(index) : replicator.bootOf(it.name);
+        if (boot == 0 || (self && !withItself))
+            continue;
+        if (m_size.mutation == Mutation::ForgetsBoot)
+            boot = 1;
+        seen.holders.push_back({it.name, boot});
+        seen.hashes.push_back(stableHash(it.name));
+    }
+    return seen;
+}
+
 void World::extendTenures(int index)
 {
     Node &node = m_nodes[static_cast<std::size_t>(index)];
@@ -547,28 +576,17 @@
     if (!node.view || fleet.clock.now() < node.nextTenures)
         return;
     node.nextTenures = fleet.clock.now() + limits.period;
-    const Replicator &replicator = fleet.replicator(index);
-    std::vector<KeyHolder> holders;
-    std::vector<std::uint64_t> hashes;
+    const Holders seen = holdersSeenBy(index, !node.stopping);
     std::map<std::string, std::uint64_t> boots;
-    for (const Member &it : replicator.members()) {
-        std::uint64_t boot
-            = it.name == fleet.member(index).name ? fleet.boot(index) : replicator.bootOf(it.name);
-        if (boot == 0)
-            continue;
-        if (m_size.mutation == Mutation::ForgetsBoot)
-            boot = 1;
-        holders.push_back({it.name, boot});
-        hashes.push_back(stableHash(it.name));
-        boots[it.name] = boot;
-    }
+    for (const KeyHolder &it : seen.holders)
+        boots[it.node] = it.boot;
     node.keys->setAlive(boots);
     if (!fleet.reachesPlatform(index))
         return;
     for (std::uint32_t value = 0; value < kTenureValues; ++value) {
-        const int keeper = keeperIndex(value, hashes);
+        const int keeper = keeperIndex(value, seen.hashes);
         if (keeper < 0
-            || holders[static_cast<std::size_t>(keeper)].node != fleet.member(index).name)
+            || seen.holders[static_cast<std::size_t>(keeper)].node != fleet.member(index).name)
             continue;
         const auto stored = fleet.store.get(tenureKey(value), limits.period);
         if (!stored)
@@ -578,25 +596,61 @@
             message.ParseFromString((*stored)->value);
         const auto chains = fordwood::extendTenures(
             adapters::fromWire(message), value,
-            [&](std::uint32_t partition) {
-                const int at = keyHolderIndex(partition, hashes);
-                return at < 0 ? KeyHolder{} : holders[static_cast<std::size_t>(at)];
-            },
-            fleet.clock.wallNow(), limits);
+            [&](std::uint32_t partition) { return seen.of(partition); }, fleet.clock.wallNow(),
+            limits);
         const auto done = fleet.store.write({{tenureKey(value), *stored ? (*stored)->revision : 0,
                                               adapters::toWire(chains).SerializeAsString()}},
                                             limits.period);
-        if (!done || !*done)
+        if (done && *done)
+            tellChains(index, chains);
+    }
+}
+
+void World::tellChains(int from, const std::map<std::uint32_t, TenureChain> &chains)
+{
+    for (const auto &it : chains) {
+        const std::uint32_t partition = it.first;
+        const TenureChain &chain = it.second;
+        const int target = chain.empty() ? -1 : indexOf(chain.back().holder.node);
+        if (target < 0 || !fleet.alive(target) || !fleet.reaches(from, target))
             continue;
-        for (const auto &it : chains) {
-            const std::uint32_t partition = it.first;
-            const TenureChain &chain = it.second;
-            const int target = chain.empty() ? -1 : indexOf(chain.back().holder.node);
-            if (target < 0 || !fleet.alive(target) || !fleet.reaches(index, target))
-                continue;
-            post(target,
-                 [partition, chain](Node &holder) { holder.keys->setChain(partition, chain); });
-        }
+        post(target, [partition, chain](Node &holder) { holder.keys->setChain(partition, chain); });
+    }
+}
+
+// A planned stop: successors get the keys first and the tenures after them.
+void World::handOverKeys(int index)
+{
+    const KeyHolder self{fleet.member(index).name, fleet.boot(index)};
+    const HandedKeys handed = m_nodes[static_cast<std::size_t>(index)].keys->close();
+    const Holders seen = holdersSeenBy(index, false);
+    std::map<int, HandedKeys> bySuccessor;
+    for (const HandedKey &it : handed.keys)
+        bySuccessor[indexOf(seen.of(keyPartition(it.key.team, it.key.text)).node)].keys.push_back(
+            it);
+    const auto successor = [&](std::uint32_t partition) {
+        const KeyHolder to = seen.of(partition);
+        const int target = indexOf(to.node);
+        const bool there = target >= 0 && fleet.alive(target) && fleet.reaches(index, target)
+                           && fleet.boot(target) == to.boot;
+        return there ? to : KeyHolder{};
+    };
+    for (const auto &[target, keys] : bySuccessor) {
+        if (target >= 0 && m_size.mutation != Mutation::HandsOverTenuresOnly)
+            post(target, [keys = keys](Node &it) { it.keys->takeOver(keys); });
+    }
+    for (std::uint32_t value = 0; value < kTenureValues; ++value) {
+        const auto stored = fleet.store.get(tenureKey(value), kHop);
+        wire::TenureChains message;
+        if (!fleet.reachesPlatform(index) || !stored || !*stored
+            || !message.ParseFromString((*stored)->value))
+            continue;
+        const auto chains = handOverTenures(adapters::fromWire(message), self, successor);
+        const auto done = fleet.store.write(
+            {{tenureKey(value), (*stored)->revision, adapters::toWire(chains).SerializeAsString()}},
+            kHop);
+        if (done && *done)
+            tellChains(index, chains);
     }
 }
 
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -30,6 +30,7 @@
     HidesLeaving, // owners are not told that an upstream is leaving
     RunsEveryClaim, // every claim of a key is granted
     LosesRefusals, // some refusals never reach their callers
+    HandsOverTenuresOnly, // a planned stop hands on the tenures without the keys
     HidesSlots, // nodes do not see each other's load slots
     GrantsEveryWish, // a team's owner gives away more than its ceiling
 };
@@ -173,7 +174,16 @@
     void sendCall(int node, const SendCall &send);
     void answerOwners(int node);
     void breakStreams();
+    struct Holders // who may hold tenures, as one node sees it
+    {
+        std::vector<KeyHolder> holders;
+        std::vector<std::uint64_t> hashes;
+        KeyHolder of(std::uint32_t partition) const;
+    };
+    Holders holdersSeenBy(int node, bool withItself) const;
     void extendTenures(int node);
+    void handOverKeys(int node);
+    void tellChains(int from, const std::map<std::uint32_t, TenureChain> &chains);
     void moveLoads(int node);
     void carryOutLoad(int node, const LoadAction &action);
     void orderLoad(const OrderLoad &order);
