Salts of contexts cannot be run together

Cause, found by a new test that tries to cross from team to team: the salt that keeps contexts apart in engines was team/model/version joined by slashes. Team "a" with model "b/c" and team "a/b" with model "c" had the same salt, so the one could have read what the other had computed. Change: the salt is the digest of a list of the three. Ruled out: forbidding the mark in names (operators name models with slashes).

--- a/src/apps/entryd/api.cpp
+++ b/src/apps/entryd/api.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/document.hpp"
+#include "config/read_configuration.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood::apps {
@@ -146,7 +147,8 @@
 // What keeps the context of teams and weight versions apart inside the engines.
 std::string cacheSalt(const std::string &team, const std::string &model, const std::string &version)
 {
-    return team + "/" + model + "/" + version;
+    // As a list and not joined by a mark: names may hold any mark.
+    return config::sha256Hex(Json::array({team, model, version}).dump());
 }
 
 Understood interpretCompletion(const ServingState &state, const TeamConfig &team,
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -257,6 +257,25 @@
     }
 }
 
+TEST_CASE("path: a team finds its own context in an engine, and no other team's [isolation]")
+{
+    Fleet fleet({1, 1, 1, 8, {}, ""});
+    fleet.start();
+    const std::string prompt(4096, 'p');
+    const auto uncachedAfter = [&](int team) {
+        const std::string body = Json{{"model", "m"}, {"prompt", prompt}, {"max_tokens", 2}}.dump();
+        CHECK(httpCall("POST", fleet.caller(0) + "/v1/completions", body, {Fleet::bearer(team)})
+                  .status
+              == 200);
+        const auto stats = httpCall("GET", "http://" + fleet.engineAddress(0) + "/stats").body;
+        return Json::parse(stats)["uncached_tokens"].get<int>();
+    };
+    const int first = uncachedAfter(0);
+    CHECK(first >= 1024);
+    CHECK(uncachedAfter(0) == first); // all of it was there
+    CHECK(uncachedAfter(1) == 2 * first); // none of it was
+}
+
 TEST_CASE("path: controld dies and comes back while streams run and requests arrive [recovery]")
 {
     Fleet fleet({1, 2, 1, 8, {"token_ms=20"}, ""});
