Scenarios: racing submitters, a death at each step, all pairs of failures

Cause: single failures and three pairs were covered. Change: 55 pairs of 11 failures, deaths of each role at 17 moments of a request, racing submitters with and without lost replies. The check for leaving upstreams now counts the list's own lag.

--- a/tests/scenario/lua_test.cpp
+++ b/tests/scenario/lua_test.cpp
@@ -203,6 +203,19 @@
          lua_pushinteger(lua, static_cast<lua_Integer>(version));
          return 1;
      }},
+    {"submit_both",
+     [](lua_State *lua) {
+         const auto [one, other]
+             = present(lua).submitBoth(luaL_checkstring(lua, 1), luaL_checkstring(lua, 2));
+         lua_pushinteger(lua, static_cast<lua_Integer>(one));
+         lua_pushinteger(lua, static_cast<lua_Integer>(other));
+         return 2;
+     }},
+    {"platform_slow",
+     [](lua_State *lua) {
+         present(lua).setPlatformSlow(lua_toboolean(lua, 1) != 0);
+         return 0;
+     }},
     {"version",
      [](lua_State *lua) {
          const auto node = static_cast<int>(luaL_checkinteger(lua, 1));
--- a/tests/support/faulty_store.hpp
+++ b/tests/support/faulty_store.hpp
@@ -22,6 +22,7 @@
     std::vector<Fault> headFaults; // for the next writes of the head, in order
     std::function<void()> beforeHeadWrite; // a racing operator
     bool down = false;
+    bool slow = false; // writes take effect, but their replies come too late
 
     StoreResult<std::optional<StoredValue>> get(const std::string &key, Duration) override
     {
@@ -49,6 +50,8 @@
         if (beforeHeadWrite)
             std::exchange(beforeHeadWrite, nullptr)();
         Fault fault = down ? Fault::Down : Fault::None;
+        if (slow && !down)
+            fault = Fault::LostAfterEffect;
         if (!headFaults.empty()) {
             fault = headFaults.front();
             headFaults.erase(headFaults.begin());
--- a/tests/support/replica_fleet.hpp
+++ b/tests/support/replica_fleet.hpp
@@ -44,6 +44,7 @@
     void cutDomain(const std::string &domain, bool cut); // from all others and from the platform
     void setPlatformDown(bool down);
     void setListLag(Duration lag) { m_listLag = lag; }
+    Duration listLag() const { return m_listLag; }
     // Puts an older head into the platform, as a restored copy would.
     void restoreOldHead(std::uint64_t version);
     void setLeavingUpstream(const std::string &name, bool leaving);
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -98,6 +98,10 @@
     void cutDomain(const std::string &domain, bool cut) { fleet.cutDomain(domain, cut); }
     void setPlatformDown(bool down) { fleet.setPlatformDown(down); }
     void loseNextReplies(int n);
+    void setPlatformSlow(bool slow) { fleet.store.slow = slow; }
+    // Two operators submit at the same moment; gives the version of each, zero where refused.
+    std::pair<std::uint64_t, std::uint64_t> submitBoth(const std::string &one,
+                                                       const std::string &other);
     void setLeaving(const std::string &upstream, bool leaving);
     void breakUpstream(const std::string &upstream); // all its runs break off
     void refuseNext(const std::string &upstream, int n);
@@ -174,6 +178,7 @@
     void sendCall(int node, const SendCall &send);
     void answerOwners(int node);
     void breakStreams();
+    void tellHolderGone(const std::string &owner, HolderId holder);
     struct Holders // who may hold tenures, as one node sees it
     {
         std::vector<KeyHolder> holders;
