--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -98,8 +98,7 @@
         odd = !odd;
         const auto configuration = assembler.assemble(odd ? two : one, errors);
         const FleetView view(1, configuration, members, {}, "d3");
-        for (const auto &[name, it] : configuration->upstreams)
-            owned += view.owner(it)->name == "node-3" ? 1 : 0;
+        owned += view.ownedBy(members[3]).size();
         const apps::TeamIndex index(*configuration);
         benchmark::DoNotOptimize(index);
     }
@@ -126,8 +125,7 @@
     const auto view = viewOf(static_cast<int>(state.range(0)));
     std::size_t owned = 0;
     for (auto _ : state) {
-        for (const auto &[name, it] : view->configuration().upstreams)
-            owned += view->owner(it)->name == "node-3" ? 1 : 0;
+        owned += view->ownedBy(view->members()[3]).size();
     }
     benchmark::DoNotOptimize(owned);
 }
--- a/include/fordwood/fleet_view.hpp
+++ b/include/fordwood/fleet_view.hpp
@@ -39,6 +39,10 @@
     // failure domain, else of its region, else of all. Null when there are no members.
     const Member *owner(const UpstreamConfig &upstream) const;
 
+    // The upstreams that a member owns. Much cheaper than owner() for each: those of domains that
+    // have members of their own are passed over.
+    std::vector<const UpstreamConfig *> ownedBy(const Member &member) const;
+
     // The member that is asked whether a key of a partition may run. Null when there are no
     // members.
     const Member *keyHolder(std::uint32_t partition) const;
@@ -71,9 +75,9 @@
     using Rings = std::array<Candidates, 3>;
 
     std::size_t ceilingBase(const TeamConfig &team) const;
-    std::size_t ringOf(const std::string &failureDomain) const;
-    std::string regionOf(const std::string &failureDomain) const;
-    void addCandidate(Rings &rings, const UpstreamConfig &upstream);
+    std::map<std::string, std::size_t> ringsByDomain() const;
+    const std::string &regionOf(const std::string &failureDomain) const;
+    static void addCandidate(Candidates &candidates, const UpstreamConfig &upstream);
     static std::vector<const UpstreamConfig *> choose(const std::map<std::string, Rings> &from,
                                                       const std::string &name,
                                                       std::uint64_t prefixHash, std::size_t count);
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -426,11 +426,8 @@
     const FleetView view(m_head.version, m_configuration, m_members, m_leavingUpstreams,
                          m_settings.node.failureDomain, m_listedMembers);
     std::vector<OwnedUpstream> owned;
-    for (const auto &[name, it] : m_configuration->upstreams) {
-        const Member *owner = view.owner(it);
-        if (owner != nullptr && owner->name == m_settings.node.name)
-            owned.push_back({name, it.slots, view.isLeaving(name)});
-    }
+    for (const UpstreamConfig *it : view.ownedBy(selfOf(m_settings)))
+        owned.push_back({it->name, it->slots, view.isLeaving(it->name)});
     std::map<std::string, double> shares;
     std::map<std::string, std::size_t> pools;
     for (const auto &[name, it] : m_configuration->teams) {
--- a/src/core/fleet_view.cpp
+++ b/src/core/fleet_view.cpp
@@ -8,6 +8,14 @@
 
 namespace fordwood {
 
+namespace {
+
+constexpr std::size_t kOwnDomain = 0;
+constexpr std::size_t kOwnRegion = 1;
+constexpr std::size_t kElsewhere = 2;
+
+} // namespace
+
 FleetView::FleetView(std::uint64_t version, std::shared_ptr<const Configuration> configuration,
                      std::vector<Member> members, std::set<std::string> leavingUpstreams,
                      std::string ownFailureDomain, std::size_t listedMembers)
@@ -15,13 +23,16 @@
       m_leaving(std::move(leavingUpstreams)), m_ownFailureDomain(std::move(ownFailureDomain)),
       m_listedMembers(std::max(listedMembers, m_members.size()))
 {
+    const auto rings = ringsByDomain();
     for (const auto &[name, it] : m_configuration->upstreams) {
-        if (isLeaving(name))
+        if (it.leaving || m_leaving.count(name) != 0)
             continue;
+        const auto domain = rings.find(it.failureDomain);
+        const std::size_t ring = domain == rings.end() ? kElsewhere : domain->second;
         for (const std::string &model : it.models)
-            addCandidate(m_engines[model], it);
+            addCandidate(m_engines[model][ring], it);
         if (it.kind == UpstreamKind::Service)
-            addCandidate(m_services[it.service], it);
+            addCandidate(m_services[it.service][ring], it);
     }
     const auto addOwner = [](Owners &owners, const Member &member) {
         owners.members.push_back(&member);
@@ -64,6 +75,20 @@
     return winner(m_allOwners);
 }
 
+std::vector<const UpstreamConfig *> FleetView::ownedBy(const Member &member) const
+{
+    std::vector<const UpstreamConfig *> owned;
+    for (const auto &[name, it] : m_configuration->upstreams) {
+        const bool elsewhere = it.failureDomain != member.failureDomain;
+        if (elsewhere && m_ownersByDomain.count(it.failureDomain) != 0)
+            continue;
+        const Member *winner = owner(it);
+        if (winner != nullptr && winner->name == member.name)
+            owned.push_back(&it);
+    }
+    return owned;
+}
+
 const Member *FleetView::keyHolder(std::uint32_t partition) const
 {
     const int index = keyHolderIndex(partition, m_allOwners.hashes);
@@ -114,22 +139,26 @@
     return it == m_configuration->upstreams.end() || it->second.leaving;
 }
 
-std::size_t FleetView::ringOf(const std::string &failureDomain) const
+// How near each failure domain is to this node's own.
+std::map<std::string, std::size_t> FleetView::ringsByDomain() const
 {
-    if (failureDomain == m_ownFailureDomain)
-        return 0;
-    return regionOf(failureDomain) == regionOf(m_ownFailureDomain) ? 1 : 2;
+    const std::string &ownRegion = regionOf(m_ownFailureDomain);
+    std::map<std::string, std::size_t> rings;
+    for (const auto &[name, it] : m_configuration->failureDomains)
+        rings[name] = it.region == ownRegion ? kOwnRegion : kElsewhere;
+    rings[m_ownFailureDomain] = kOwnDomain;
+    return rings;
 }
 
-std::string FleetView::regionOf(const std::string &failureDomain) const
+const std::string &FleetView::regionOf(const std::string &failureDomain) const
 {
+    static const std::string kNone;
     const auto it = m_configuration->failureDomains.find(failureDomain);
-    return it == m_configuration->failureDomains.end() ? "" : it->second.region;
+    return it == m_configuration->failureDomains.end() ? kNone : it->second.region;
 }
 
-void FleetView::addCandidate(Rings &rings, const UpstreamConfig &upstream)
+void FleetView::addCandidate(Candidates &candidates, const UpstreamConfig &upstream)
 {
-    Candidates &candidates = rings[ringOf(upstream.failureDomain)];
     candidates.upstreams.push_back(&upstream);
     candidates.hashes.push_back(stableHash(upstream.name));
 }
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -296,11 +296,8 @@
     node.dispatcher->setView(m_size.staticParts ? withoutOwners(index) : node.view);
     node.book->setShares(m_size.shares);
     std::vector<OwnedUpstream> owned;
-    for (const auto &[name, it] : configuration->upstreams) {
-        const Member *owner = node.view->owner(it);
-        if (owner != nullptr && owner->name == fleet.member(index).name)
-            owned.push_back({name, it.slots, node.view->isLeaving(name)});
-    }
+    for (const UpstreamConfig *it : node.view->ownedBy(fleet.member(index)))
+        owned.push_back({it->name, it->slots, node.view->isLeaving(it->name)});
     node.book->setUpstreams(owned);
     std::map<std::string, std::size_t> pools;
     for (const auto &[name, it] : configuration->teams) {
