Members are worked out once for all that a round of events has changed

Change: only a changed suspicion counts, and the work is done once, when the actions are taken. Ranks of other domains are found only where a relay needs them.

--- a/include/fordwood/replicator.hpp
+++ b/include/fordwood/replicator.hpp
@@ -231,6 +231,7 @@
     SpreadingPlace m_place;
     std::vector<Member> m_lastMembers;
     std::size_t m_lastListed = 0;
+    bool m_membersChanged = false; // since the last call of takeActions()
     std::set<std::string> m_lastLeaving;
     std::vector<std::string> m_lastKept;
     bool m_reading = false;
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -289,13 +289,14 @@
             }
             continue;
         }
-        if (m_liveness.offer(it))
-            news.push_back(it);
+        const bool before = m_liveness.isSuspected(it.member);
+        if (!m_liveness.offer(it))
+            continue;
+        news.push_back(it);
+        m_membersChanged = m_membersChanged || before != it.suspected;
     }
-    if (news.empty())
-        return;
-    spreadLiveness(news, from);
-    changed();
+    if (!news.empty())
+        spreadLiveness(news, from);
 }
 
 // Passes records on to all links but the one that they came from.
@@ -531,6 +532,9 @@
 
 std::vector<ReplicatorAction> Replicator::takeActions()
 {
+    // Once for all that the events since the last call have changed.
+    if (std::exchange(m_membersChanged, false))
+        changed();
     return std::exchange(m_actions, {});
 }
 
--- a/src/core/spreading_tree.cpp
+++ b/src/core/spreading_tree.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string_view>
 
 #include "fordwood/rendezvous.hpp"
 
@@ -12,20 +13,21 @@
 namespace {
 
 using Ranks = std::vector<std::string>;
+using NamesByDomain = std::map<std::string, std::set<std::string_view>>;
 
 constexpr std::size_t kChords = 2; // links of a relay beside those to the next domain
 
 // The members of a domain in the order of their ranks.
-Ranks ranked(const std::string &domain, const std::set<std::string> &names)
+Ranks ranked(const std::string &domain, const std::set<std::string_view> &names)
 {
-    const std::vector<std::string> list(names.begin(), names.end());
+    const std::vector<std::string_view> list(names.begin(), names.end());
     std::vector<std::uint64_t> hashes;
     hashes.reserve(list.size());
-    for (const std::string &it : list)
+    for (const std::string_view it : list)
         hashes.push_back(stableHash(it));
     Ranks ranks;
     for (const std::size_t it : rendezvousOrder(stableHash("relay/" + domain), hashes, list.size()))
-        ranks.push_back(list[it]);
+        ranks.emplace_back(list[it]);
     return ranks;
 }
 
@@ -43,11 +45,11 @@
 // Relays of different domains form a ring over the domains, with a few chords, so that a domain
 // that is cut off from the platform still hears of changes over several ways.
 std::vector<std::string> neighboursOf(const std::string &self, const std::string &ownDomain,
-                                      const std::map<std::string, Ranks> &domains)
+                                      const NamesByDomain &domains)
 {
     std::vector<std::string> names;
     names.reserve(domains.size());
-    for (const auto &[name, ranks] : domains)
+    for (const auto &[name, members] : domains)
         names.push_back(name);
     std::set<std::string> chosen;
     const auto own = std::find(names.begin(), names.end(), ownDomain) - names.begin();
@@ -61,7 +63,7 @@
     chosen.erase(ownDomain);
     std::vector<std::string> neighbours;
     for (const std::string &it : chosen) {
-        const Ranks &ranks = domains.at(it);
+        const Ranks ranks = ranked(it, domains.at(it));
         const std::size_t pick = stableHash(self) % std::min(kRelaysPerDomain, ranks.size());
         neighbours.push_back(ranks[pick]);
     }
@@ -73,15 +75,12 @@
 SpreadingPlace spreadingPlace(const std::string &self, const std::string &ownFailureDomain,
                               const std::vector<Member> &members)
 {
-    std::map<std::string, std::set<std::string>> names;
+    NamesByDomain domains;
     for (const Member &it : members)
-        names[it.failureDomain].insert(it.name);
-    names[ownFailureDomain].insert(self);
-    std::map<std::string, Ranks> domains;
-    for (const auto &[domain, set] : names)
-        domains[domain] = ranked(domain, set);
-
-    const Ranks &own = domains[ownFailureDomain];
+        domains[it.failureDomain].insert(it.name);
+    domains[ownFailureDomain].insert(self);
+    // Of the other domains only those are ranked whose relays are neighbours.
+    const Ranks own = ranked(ownFailureDomain, domains[ownFailureDomain]);
     const auto position
         = static_cast<std::size_t>(std::find(own.begin(), own.end(), self) - own.begin());
     SpreadingPlace place;
