--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -2,6 +2,8 @@
 // Measures the whole path with real processes: what fordwood adds to calling an engine directly,
 // how many short requests a node serves, and what the daemons use with many open streams. Usage:
 // path-bench [requests] [streams]
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -33,6 +35,29 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+// Bytes that the loopback device has carried, with TCP and IP headers and acknowledgements.
+double loopbackBytes()
+{
+    std::ifstream file("/proc/net/dev");
+    std::string line;
+    while (std::getline(file, line)) {
+        const std::size_t colon = line.find("lo:");
+        if (colon != std::string::npos)
+            return std::strtod(line.c_str() + colon + 3, nullptr);
+    }
+    return 0;
+}
+
+double platformCalls(const Fleet &fleet)
+{
+    const Json counters
+        = Json::parse(httpCall("GET", "http://" + fleet.platformHttp() + "/counters").body);
+    double sum = 0;
+    for (const auto &[name, value] : counters.items())
+        sum += value.is_number() ? value.get<double>() : 0;
+    return sum;
+}
+
 // First byte through the nodes against first byte from the engines themselves.
 void overhead(int requests)
 {
@@ -67,6 +92,7 @@
     const int requests = static_cast<int>(rate * 5);
     const Usage entryBefore = fleet.entryds[0].usage();
     const Usage controlBefore = fleet.controlds[0].usage();
+    const double bytesBefore = loopbackBytes();
     std::string result;
     fleet.load(run(list({fleet.entryAddress(0)}), "rate = " + std::to_string(rate)
                                                       + "\nrequests = " + std::to_string(requests)
@@ -83,7 +109,8 @@
               << json["whole_ms"]["p50"].get<double>() << " ms p99 "
               << json["whole_ms"]["p99"].get<double>() << " ms, entryd "
               << 1000 * entryMs / answered << " us, controld " << 1000 * controlMs / answered
-              << " us a request\n  outcomes " << json["outcomes"].dump() << " reasons "
+              << " us, " << (loopbackBytes() - bytesBefore) / answered
+              << " B a request\n  outcomes " << json["outcomes"].dump() << " reasons "
               << json["reasons"].dump() << "\n";
 }
 
@@ -95,8 +122,12 @@
     std::this_thread::sleep_for(std::chrono::seconds(3));
     const Usage entry = fleet.entryds[0].usage();
     const Usage control = fleet.controlds[0].usage();
+    const double calls = platformCalls(fleet);
+    const double bytes = loopbackBytes();
     constexpr int kSeconds = 10;
     std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
+    const double bytesAfter = loopbackBytes();
+    const double callsAfter = platformCalls(fleet);
     const Usage entryAfter = fleet.entryds[0].usage();
     const Usage controlAfter = fleet.controlds[0].usage();
     constexpr double kMegabyte = 1 << 20;
@@ -104,8 +135,10 @@
               << milliseconds(entryAfter.processorTime - entry.processorTime) / kSeconds
               << " ms/s, controld "
               << milliseconds(controlAfter.processorTime - control.processorTime) / kSeconds
-              << " ms/s, " << static_cast<double>(controlAfter.residentBytes) / kMegabyte
-              << " MB\n";
+              << " ms/s, " << static_cast<double>(controlAfter.residentBytes) / kMegabyte << " MB, "
+              << (bytesAfter - bytes) / kSeconds / nodes
+              << " B/s a node on the wire, platform and engines included, "
+              << (callsAfter - calls) / kSeconds << " platform calls/s of the fleet\n";
 }
 
 // Memory and processor time of the daemons while many streams are open.
@@ -158,7 +191,7 @@
     const std::string part = argc > 1 ? argv[1] : "all";
     const auto wanted = [&](const char *name) { return part == "all" || part == name; };
     if (wanted("idle")) {
-        for (const int nodes : {3, 8, 16, 32})
+        for (const int nodes : {3, 8, 16, 32, 64})
             idle(nodes);
     }
     if (wanted("overhead"))
