--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -266,6 +266,7 @@
     ManualClock clock;
     LoadPlanner planner("n", 1, clock, {}, 1);
     std::vector<LoadTarget> targets;
+    targets.reserve(static_cast<std::size_t>(state.range(0)));
     for (int it = 0; it < state.range(0); ++it)
         targets.push_back({"e" + std::to_string(it), "10.0.0.1:8000", "m", "v1"});
     planner.setTargets(targets, 1, 2, kNodes);
--- a/bench/faults_bench.cpp
+++ b/bench/faults_bench.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: MIT
-// Eight entry VMs as real processes under load for two and a half minutes: a VM is killed every five seconds
-// and started again, one stops as planned, the platform is down for a minute, an upstream leaves.
-// Prints what callers saw, and how long the leaving upstream got new work. Exit code 1 when a
-// promise broke.
+// Eight entry VMs as real processes under load for two and a half minutes: a VM is killed every
+// five seconds and started again, one stops as planned, the platform is down for a minute, an
+// upstream leaves. Prints what callers saw, and how long the leaving upstream got new work. Exit
+// code 1 when a promise broke.
 #include <algorithm>
 #include <csignal>
 #include <iostream>
