A bench of routing: prompts that come back, against the usual ways

Change: the World of the scenarios can have engines that compute prompts at a rate, one after the other, and keep what they computed; routing-bench sends them contexts by Zipf's law, through our decisions or through round robin, least loaded, two choices and a hash of the prefix.

--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -3,7 +3,9 @@
 #define FORDWOOD_TESTS_SUPPORT_WORLD_HPP_INCLUDED
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,8 +37,24 @@
     GrantsEveryWish, // a team's owner gives away more than its ceiling
 };
 
+// How requests find their engines: by the decisions under test, or by one of the usual ways, with a
+// queue in each engine.
+enum class Routing { Fordwood, RoundRobin, LeastLoaded, TwoChoices, PrefixHash };
+
+// Engines that compute prompts at a rate, one after the other, and keep what they computed.
+struct EngineModel
+{
+    bool on = false; // else every run takes the same time
+    double prefillTokensPerSecond = 10'000;
+    Duration tokenTime = std::chrono::milliseconds(31);
+    std::size_t cacheTokens = 120'000; // the least recently used context goes first
+    Duration loadLag = std::chrono::milliseconds(500); // of what the usual ways know of load
+};
+
 struct WorldSize
 {
+    Routing routing = Routing::Fordwood;
+    EngineModel engineModel;
     int nodes = 8;
     int domains = 4;
     int engines = 6;
@@ -59,6 +77,10 @@
     std::string key; // idempotency key; empty: none
     WallTime issued{}; // of the key
     Duration deadline = std::chrono::seconds(20);
+    std::uint64_t context = 0; // that it shares with others; zero: with nobody
+    std::size_t contextTokens = 0;
+    std::size_t questionTokens = 0;
+    std::size_t newTokens = 0;
 };
 
 // How a request ended.
@@ -73,6 +95,8 @@
     bool nodeDied = false; // its entry VM died, so the caller got no word
     Verdict verdict;
     int runs = 0; // that upstreams began for it
+    TimePoint firstToken{};
+    std::size_t uncachedTokens = 0;
 };
 
 // Whole nodes without I/O: replicators, owners, key registries and dispatchers over one paused
@@ -153,6 +177,11 @@
         TimePoint loadedAt{};
         std::int64_t fence = 0; // of the newest order
         bool checksFences = false;
+        TimePoint prefillFree{};
+        std::list<std::pair<std::uint64_t, std::size_t>> cache; // context and tokens, newest first
+        std::size_t cachedTokens = 0;
+        std::deque<std::pair<TimePoint, std::size_t>> pastLoads; // running and queued, as they were
+        std::size_t queued = 0; // of runs that did not come from a dispatcher
     };
     struct Run // an attempt under way
     {
@@ -162,6 +191,7 @@
         TimePoint arrives{};
         TimePoint ends{};
         bool begun = false;
+        bool baseline = false; // no dispatcher sent it
     };
     struct Event // to be handled by a node at a later step
     {
@@ -195,6 +225,12 @@
     void finishLoads();
     void postLater(int to, Duration delay, std::function<void(Node &)> handle);
     void moveRuns();
+    void sendByBaseline(std::size_t request);
+    std::string baselineEngine(std::uint64_t context);
+    std::size_t laggingLoad(const std::string &engine) const;
+    void compute(Upstream &upstream, Run &run);
+    static std::size_t takeUncached(Upstream &upstream, const WorldRequest &request,
+                                    std::size_t most);
     void endRun(Run &run, const AttemptFailure *failure);
     void finishRequest(int node, CallId call, bool answered, const Verdict &verdict);
     void checkAll();
@@ -216,6 +252,7 @@
     std::map<std::pair<std::string, std::string>, int> m_runsByKey; // team and key
     CallId m_nextCall = 1;
     std::uint64_t m_steps = 0;
+    std::size_t m_nextEngine = 0;
     std::uint64_t m_permitMessages = 0;
     std::uint64_t m_loadReads = 0;
     std::uint64_t m_loadWrites = 0;
