Engines are chosen alike by all nodes of a region

Cause: nodes tried the engines of their own failure domain first, so each domain computed a popular context again, four times over at the notice boards. Change: rendezvous order over the engines of the region; plain services still go by domain first. Ruled out: a fixed owner domain for each context (the same mapping with one more step). Spilling by slots still doubles contexts and overfills the prompt computation.

--- a/include/fordwood/fleet_view.hpp
+++ b/include/fordwood/fleet_view.hpp
@@ -28,8 +28,9 @@
     const std::vector<Member> &members() const { return m_members; }
     const std::set<std::string> &leaving() const { return m_leaving; }
 
-    // The upstreams that may take a request, best first: rendezvous order by `prefixHash` within
-    // the own failure domain, then within the own region, then elsewhere. At most `count`.
+    // The upstreams that may take a request, best first, at most `count`: rendezvous order by
+    // `prefixHash`, of engines within the own region and then elsewhere, of services within the own
+    // failure domain, then within the own region, then elsewhere.
     std::vector<const UpstreamConfig *> engines(const std::string &model, std::uint64_t prefixHash,
                                                 std::size_t count) const;
     std::vector<const UpstreamConfig *> services(const std::string &service,
--- a/src/core/fleet_view.cpp
+++ b/src/core/fleet_view.cpp
@@ -29,8 +29,11 @@
             continue;
         const auto domain = rings.find(it.failureDomain);
         const std::size_t ring = domain == rings.end() ? kElsewhere : domain->second;
+        // Context is found again only if all nodes of a region choose alike: a prompt computed anew
+        // costs a thousand times more than the way to another failure domain.
+        const std::size_t engineRing = ring == kElsewhere ? kElsewhere : kOwnRegion;
         for (const std::string &model : it.models)
-            addCandidate(m_engines[model][ring], it);
+            addCandidate(m_engines[model][engineRing], it);
         if (it.kind == UpstreamKind::Service)
             addCandidate(m_services[it.service][ring], it);
     }
