A call that met other weights tries the engines of its own domain next

Change: after a mismatch every engine of the model is a candidate, those of the own domain first. Before: domain_cut.lua fails.

--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -127,7 +127,7 @@
         std::string claimHolder;
         TimePoint claimUntil{};
         int redirections = 0;
-        int mismatches = 0; // upstreams that served another weight version
+        std::vector<std::string> mismatched; // upstreams that served another weight version
         bool claimed = false;
         bool entered = false; // counts against the ceiling of its team
         Verdict last; // why the call has not been answered yet
@@ -144,6 +144,7 @@
     void claim(Call &call, const Member *holder);
     void dropClaim(Call &call);
     void choose(Call &call);
+    std::vector<const UpstreamConfig *> candidatesFor(const Call &call) const;
     void ask(Call &call);
     void askNext(Call &call, const Verdict &why);
     void askAgain(Call &call, const std::string &asked, const Verdict &why);
--- a/include/fordwood/fleet_view.hpp
+++ b/include/fordwood/fleet_view.hpp
@@ -26,6 +26,7 @@
     std::uint64_t version() const { return m_version; }
     const Configuration &configuration() const { return *m_configuration; }
     const std::vector<Member> &members() const { return m_members; }
+    const std::string &ownFailureDomain() const { return m_ownFailureDomain; }
     const std::set<std::string> &leaving() const { return m_leaving; }
 
     // The upstreams that may take a request, best first, at most `count`: rendezvous order by
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -12,7 +12,7 @@
 // Marks permit ids that this node made itself, apart from those that owners give out.
 constexpr std::uint64_t kMovedPermit = 1ULL << 63;
 constexpr int kMostRedirections = 2;
-constexpr int kMostMismatches = 20;
+constexpr std::size_t kMostMismatches = 20;
 constexpr Duration kLocalSendWithin = std::chrono::seconds(2);
 
 } // namespace
@@ -173,7 +173,9 @@
     const bool busy
         = failure.reason == Reason::UpstreamPushback || failure.reason == Reason::VersionMismatch;
     releaseHeld(*call, 0.0, busy);
-    if (busy)
+    if (failure.reason == Reason::VersionMismatch)
+        call->mismatched.push_back(current(*call)->name);
+    else if (busy)
         call->full.push_back(current(*call)->name);
     Verdict verdict{failure.state, failure.reason, std::chrono::milliseconds(0), failure.detail};
     // A stream of whole events is not begun again but continued.
@@ -209,7 +211,7 @@
 bool Dispatcher::isFree(Call &call, const AttemptFailure &failure, bool sentDirectly)
 {
     if (failure.reason == Reason::VersionMismatch)
-        return ++call.mismatches <= kMostMismatches;
+        return call.mismatched.size() <= kMostMismatches;
     return sentDirectly && failure.reason == Reason::UpstreamPushback;
 }
 
@@ -395,24 +397,40 @@
 // The upstreams to try, best first: those that broke are left out, those that were full come last.
 void Dispatcher::choose(Call &call)
 {
-    const CallRequest &request = call.request;
     call.view = m_view;
     call.next = 0;
     call.queueing = false;
-    const std::size_t count = call.resumeFrom ? m_view->configuration().upstreams.size()
-                                              : m_limits.candidates + call.broken.size();
-    call.candidates = request.kind == CallKind::Completion
-                          ? m_view->engines(request.target, request.prefixHash, count)
-                          : m_view->services(request.target, request.prefixHash, count);
+    call.candidates = candidatesFor(call);
     const auto among = [](const std::vector<std::string> &names, const UpstreamConfig *it) {
         return std::find(names.begin(), names.end(), it->name) != names.end();
     };
     std::erase_if(call.candidates,
                   [&](const UpstreamConfig *it) { return among(call.broken, it); });
+    std::stable_partition(call.candidates.begin(), call.candidates.end(), [&](const auto *it) {
+        return !among(call.full, it) && !among(call.mismatched, it);
+    });
+    if (call.candidates.size() > m_limits.candidates)
+        call.candidates.resize(m_limits.candidates);
+}
+
+std::vector<const UpstreamConfig *> Dispatcher::candidatesFor(const Call &call) const
+{
+    const CallRequest &request = call.request;
+    const bool anywhere = call.resumeFrom || !call.mismatched.empty();
+    const std::size_t count = anywhere ? m_view->configuration().upstreams.size()
+                                       : m_limits.candidates + call.broken.size();
+    if (request.kind == CallKind::Service)
+        return m_view->services(request.target, request.prefixHash, count);
+    auto candidates = m_view->engines(request.target, request.prefixHash, count);
     if (call.resumeFrom)
-        std::erase_if(call.candidates, [](const UpstreamConfig *it) { return !it->resumes; });
-    std::stable_partition(call.candidates.begin(), call.candidates.end(),
-                          [&](const UpstreamConfig *it) { return !among(call.full, it); });
+        std::erase_if(candidates, [](const UpstreamConfig *it) { return !it->resumes; });
+    // Weights that are not those of this node's configuration: if the domain is cut off, its own
+    // engines are the ones that still have them.
+    if (!call.mismatched.empty())
+        std::stable_partition(candidates.begin(), candidates.end(), [&](const auto *it) {
+            return it->failureDomain == m_view->ownFailureDomain();
+        });
+    return candidates;
 }
 
 void Dispatcher::ask(Call &call)
@@ -464,8 +482,10 @@
 {
     if (!m_limits.direct || !upstream.refusesWhenFull)
         return false;
-    const bool triedAll
-        = std::find(call.full.begin(), call.full.end(), upstream.name) != call.full.end();
+    const auto refusedBy = [&](const std::vector<std::string> &names) {
+        return std::find(names.begin(), names.end(), upstream.name) != names.end();
+    };
+    const bool triedAll = refusedBy(call.full) || refusedBy(call.mismatched);
     if (triedAll)
         m_contention.countRefused(call.request.target);
     return !triedAll && !m_contention.isContended(call.request.target);
