Owners know how long a prompt waits to be computed, and which contexts an engine keeps

Cause: places were counted in running requests, but engines compute prompts one after the other, so eight free slots could hide ten seconds of prompts; and long prompts were sent without asking while slots were free. Change: PrefillLine (one for each engine at its owner): contexts believed to be kept, and the time until all given prompts are computed. Asks carry the prompt's hash and sizes; an engine is given prompts while it has less than 250 ms to compute, or, where the context is kept, less than computing it elsewhere would take; denials say when the first token could come, and the call waits where that is soonest. Prompts of more than 1,000 tokens always ask. New field cache_tokens.

--- a/include/fordwood/call.hpp
+++ b/include/fordwood/call.hpp
@@ -10,6 +10,7 @@
 #include "fordwood/allowance_book.hpp"
 #include "fordwood/clock.hpp"
 #include "fordwood/key_registry.hpp"
+#include "fordwood/prefill_line.hpp"
 #include "fordwood/verdict.hpp"
 
 namespace fordwood {
@@ -29,6 +30,8 @@
     std::string target; // model or service
     std::string weightVersion; // of a completion
     std::uint64_t prefixHash = 0; // requests with the same hash share context
+    std::size_t contextTokens = 0; // of the prompt, shared by requests with the same prefix hash
+    std::size_t questionTokens = 0; // of the prompt, its own
     double cost = 1.0; // expected tokens
     bool repeatable = true;
     std::optional<IdempotencyKey> key; // such a request is never repeatable
@@ -47,6 +50,7 @@
     double cost;
     int priority;
     Duration wait;
+    PromptSize prompt;
 };
 
 // Takes an ask back.
--- a/include/fordwood/configuration.hpp
+++ b/include/fordwood/configuration.hpp
@@ -44,6 +44,7 @@
     std::string service; // plain services only
     std::size_t slots = 1; // requests run at once
     double prefillTokensPerSecond = 10'000;
+    std::int64_t cacheTokens = 100'000; // of context that an engine keeps
     bool checksFences = false;
     bool resumes = false; // continues a stream that broke at another engine
     bool refusesWhenFull = false; // answers "not run" when it has no free slot
--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -25,6 +25,7 @@
     std::size_t maxCalls = 2048;
     Duration ownerTimeout = std::chrono::milliseconds(500);
     bool direct = true; // send without permits while there is no contention
+    std::size_t mostDirectTokens = 1000; // longer prompts always ask: they wait for one another
     std::size_t candidates = 3; // upstreams tried without queueing before the call queues
 };
 
@@ -48,6 +49,7 @@
     Duration sendWithin{0}; // counted from the grant
     Reason reason = Reason::Internal;
     std::chrono::milliseconds retryAfter{0};
+    Duration firstTokenIn{0}; // with a denial
 };
 
 // The life of every call on one entry node, from its arrival to its end: which upstream, permit,
@@ -117,6 +119,8 @@
         std::vector<std::string> broken; // upstreams at which an attempt failed
         std::shared_ptr<const FleetView> view; // keeps the candidates alive
         std::size_t next = 0; // candidate asked now
+        std::size_t soonest = 0; // of the candidates that had no place
+        Duration soonestIn = Duration::max();
         bool queueing = false; // the ask now open may wait at the owner
         std::uint64_t askId = 0;
         std::string askedOwner;
--- a/include/fordwood/permit_book.hpp
+++ b/include/fordwood/permit_book.hpp
@@ -10,6 +10,7 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/fair_queue.hpp"
+#include "fordwood/prefill_line.hpp"
 #include "fordwood/reason.hpp"
 
 namespace fordwood {
@@ -27,6 +28,7 @@
     double cost = 1.0; // expected uncached prefill tokens plus generated tokens
     int priority = 0; // higher goes first within the team
     Duration wait{0}; // how long the request may queue; zero: answer at once
+    PromptSize prompt = {}; // of a completion
 };
 
 // The owner's answer: a permit, or a denial with its reason. Denials always mean "not run".
@@ -40,6 +42,7 @@
     Duration sendWithin{0}; // counted from the grant
     Reason reason = Reason::Internal;
     std::chrono::milliseconds retryAfter{0};
+    Duration firstTokenIn{0}; // with a denial for want of a place: when it could be, about
 };
 
 // What the owner needs to know about an upstream.
@@ -48,6 +51,8 @@
     std::string name;
     std::size_t slots = 1; // requests that the upstream runs at once
     bool leaving = false;
+    double prefillTokensPerSecond = 10'000;
+    std::size_t cacheTokens = 100'000;
 };
 
 // The limits that an owner keeps to.
@@ -55,6 +60,9 @@
 {
     Duration sendWithin = std::chrono::seconds(2); // life of an unused permit
     std::size_t queuePerTeam = 256; // waiting asks per team and upstream
+    // Prompts are given to an engine while it has less than this to compute; the others wait here,
+    // where teams get their shares.
+    Duration mostBacklog = std::chrono::milliseconds(250);
 };
 
 // Decides who may send to the upstreams that this node owns: as many running requests per upstream
@@ -132,6 +140,8 @@
         FairQueue queue;
         TimePoint fullUntil{};
         bool held = false;
+        PrefillLine prefill;
+        Duration waitingPrefill{0}; // of all waiting asks
         Duration meanHold{0}; // of a permit, from grant to release
         std::unordered_map<FairQueue::EntryId, Waiting> waiting;
         std::map<std::pair<HolderId, std::uint64_t>, FairQueue::EntryId> byAsk;
@@ -144,6 +154,7 @@
     void fill(Line &line);
     void dropWaiting(Line &line, FairQueue::EntryId id);
     void releaseIn(Line &line, HolderId holder, std::uint64_t permitId, double cost);
+    bool takesNow(const Line &line, const PermitAsk &ask) const;
     Duration expectedWait(const Line &line, const PermitAsk &ask) const;
     std::chrono::milliseconds retryAdvice(const Line *line) const;
     double share(const std::string &team) const;
--- /dev/null
+++ b/include/fordwood/prefill_line.hpp
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_PREFILL_LINE_HPP_INCLUDED
+#define FORDWOOD_PREFILL_LINE_HPP_INCLUDED
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+#include "fordwood/clock.hpp"
+
+namespace fordwood {
+
+// A prompt as routing sees it.
+struct PromptSize
+{
+    std::uint64_t prefixHash = 0; // prompts with the same hash begin with the same context
+    std::size_t contextTokens = 0;
+    std::size_t questionTokens = 0;
+};
+
+// What is believed of one engine's computation of prompts: which contexts it keeps, and when it
+// will have computed all that it was given. Engines compute prompts one after the other at a
+// roughly fixed rate, so this, and not the number of running requests, tells how long a new one
+// waits. A wrong belief makes a request slower and never an answer wrong. Not thread-safe.
+class PrefillLine
+{
+public:
+    // Tokens a second, and the tokens of context that the engine keeps.
+    void setEngine(double tokensPerSecond, std::size_t cacheTokens)
+    {
+        m_rate = tokensPerSecond;
+        m_most = cacheTokens;
+    }
+
+    bool isWarm(const PromptSize &prompt) const { return m_places.count(prompt.prefixHash) != 0; }
+
+    // Time to compute what the engine does not keep of the prompt.
+    Duration timeFor(const PromptSize &prompt) const
+    {
+        const std::size_t context = isWarm(prompt) ? 0 : prompt.contextTokens;
+        return timeOf(context + prompt.questionTokens);
+    }
+
+    // Time to compute the prompt where nothing of it is kept.
+    Duration coldTimeFor(const PromptSize &prompt) const
+    {
+        return timeOf(prompt.contextTokens + prompt.questionTokens);
+    }
+
+    // Time until all prompts given so far are computed.
+    Duration backlog(TimePoint now) const { return std::max(Duration::zero(), m_free - now); }
+
+    // The engine was given a prompt.
+    void give(const PromptSize &prompt, TimePoint now)
+    {
+        m_free = std::max(m_free, now) + timeFor(prompt);
+        touch(prompt);
+    }
+
+private:
+    Duration timeOf(std::size_t tokens) const
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(static_cast<double>(tokens) / m_rate));
+    }
+
+    void touch(const PromptSize &prompt)
+    {
+        if (prompt.contextTokens == 0)
+            return;
+        const auto known = m_places.find(prompt.prefixHash);
+        if (known != m_places.end()) {
+            m_kept.splice(m_kept.begin(), m_kept, known->second);
+            return;
+        }
+        m_kept.push_front(prompt);
+        m_places[prompt.prefixHash] = m_kept.begin();
+        m_tokens += prompt.contextTokens;
+        while (m_tokens > m_most && !m_kept.empty()) {
+            m_tokens -= m_kept.back().contextTokens;
+            m_places.erase(m_kept.back().prefixHash);
+            m_kept.pop_back();
+        }
+    }
+
+    double m_rate = 10'000;
+    std::size_t m_most = 100'000;
+    std::size_t m_tokens = 0;
+    std::list<PromptSize> m_kept; // the least recently used last
+    std::unordered_map<std::uint64_t, std::list<PromptSize>::iterator> m_places;
+    TimePoint m_free{};
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_PREFILL_LINE_HPP_INCLUDED
--- a/src/adapters/grpc/permit_client.cpp
+++ b/src/adapters/grpc/permit_client.cpp
@@ -33,6 +33,7 @@
     reply.askId = denial.ask_id();
     reply.reason = info(static_cast<Reason>(denial.reason())).reason;
     reply.retryAfter = std::chrono::milliseconds(denial.retry_after_ms());
+    reply.firstTokenIn = std::chrono::milliseconds(denial.first_token_in_ms());
     return reply;
 }
 
@@ -171,6 +172,9 @@
     message->set_priority(ask.priority);
     message->set_wait_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(ask.wait).count()));
+    message->set_prefix_hash(ask.prompt.prefixHash);
+    message->set_context_tokens(static_cast<std::uint32_t>(ask.prompt.contextTokens));
+    message->set_question_tokens(static_cast<std::uint32_t>(ask.prompt.questionTokens));
     open(ask.owner, ask.ownerAddress)->send(commands);
 }
 
--- a/src/adapters/grpc/permit_service.cpp
+++ b/src/adapters/grpc/permit_service.cpp
@@ -30,6 +30,7 @@
     denial->set_ask_id(answer.askId);
     denial->set_reason(static_cast<std::uint32_t>(answer.reason));
     denial->set_retry_after_ms(toMs(answer.retryAfter));
+    denial->set_first_token_in_ms(toMs(answer.firstTokenIn));
 }
 
 } // namespace
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -249,6 +249,7 @@
         ask.cost = it.cost();
         ask.priority = it.priority();
         ask.wait = std::chrono::milliseconds(it.wait_ms());
+        ask.prompt = {it.prefix_hash(), it.context_tokens(), it.question_tokens()};
         m_book.ask(ask);
     }
     for (const wire::AllowanceAsk &it : event.commands.allowance_asks()) {
@@ -427,7 +428,8 @@
                          m_settings.node.failureDomain, m_listedMembers);
     std::vector<OwnedUpstream> owned;
     for (const UpstreamConfig *it : view.ownedBy(selfOf(m_settings)))
-        owned.push_back({it->name, it->slots, view.isLeaving(it->name)});
+        owned.push_back({it->name, it->slots, view.isLeaving(it->name), it->prefillTokensPerSecond,
+                         static_cast<std::size_t>(it->cacheTokens)});
     std::map<std::string, double> shares;
     std::map<std::string, std::size_t> pools;
     for (const auto &[name, it] : m_configuration->teams) {
--- a/src/apps/entryd/api.cpp
+++ b/src/apps/entryd/api.cpp
@@ -144,6 +144,11 @@
     return body["prompt"].get_ref<const std::string &>().substr(0, kPrefixBytes);
 }
 
+std::size_t tokensOf(std::size_t bytes)
+{
+    return static_cast<std::size_t>(static_cast<double>(bytes) / kBytesPerToken);
+}
+
 // What keeps the context of teams and weight versions apart inside the engines.
 std::string cacheSalt(const std::string &team, const std::string &model, const std::string &version)
 {
@@ -182,7 +187,12 @@
     result.call.target = model->first;
     result.call.weightVersion = model->second.weightVersion;
     const std::string salt = cacheSalt(call->team, model->first, model->second.weightVersion);
-    result.call.prefixHash = stableHash(sharedPart(body, chat), stableHash(salt));
+    const std::string shared = sharedPart(body, chat);
+    result.call.prefixHash = stableHash(shared, stableHash(salt));
+    const std::size_t sharedBytes = chat ? shared.size() : message.body.size();
+    result.call.contextTokens = tokensOf(sharedBytes);
+    result.call.questionTokens
+        = tokensOf(message.body.size() - std::min(message.body.size(), sharedBytes));
     result.call.cost = static_cast<double>(message.body.size()) / kBytesPerToken
                        + body.value("max_tokens", kDefaultNewTokens);
     result.upstream.path = message.path;
--- a/src/config/read_configuration.cpp
+++ b/src/config/read_configuration.cpp
@@ -105,6 +105,7 @@
         upstream.slots = static_cast<std::size_t>(table.integer("slots", 1));
         upstream.prefillTokensPerSecond
             = table.number("prefill_tokens_per_second", upstream.prefillTokensPerSecond);
+        upstream.cacheTokens = table.integer("cache_tokens", upstream.cacheTokens);
         upstream.checksFences = table.flag("checks_fences", false);
         upstream.refusesWhenFull = table.flag("refuses_when_full", false);
         upstream.resumes = table.flag("resumes", false);
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -53,6 +53,8 @@
     {"slots", Integer, true, 1, 100000, "", "Requests that it runs at once."},
     {"prefill_tokens_per_second", Number, false, 1, 1e9, "10000",
      "Rate at which an engine computes uncached prompt tokens."},
+    {"cache_tokens", Integer, false, 0, 1e9, "100000",
+     "Tokens of context that an engine keeps in memory, about."},
     {"checks_fences", Flag, false, 0, 0, "false", "Whether it refuses orders with an old fence."},
     {"refuses_when_full", Flag, false, 0, 0, "false",
      "Whether it answers `X-Request-Not-Run: true` at once when it has no free slot; such "
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -106,6 +106,10 @@
         return send(call, Held{owner, reply.permitId, current(call)->name}, sendBy);
     }
     const Verdict why = Verdict::of(reply.reason, {}, reply.retryAfter);
+    if (reply.reason == Reason::UpstreamBusy && reply.firstTokenIn < call.soonestIn) {
+        call.soonest = call.next;
+        call.soonestIn = reply.firstTokenIn;
+    }
     if (reply.reason == Reason::NotOwner)
         return askAgain(call, owner, why);
     askNext(call, why);
@@ -399,6 +403,8 @@
 {
     call.view = m_view;
     call.next = 0;
+    call.soonest = 0;
+    call.soonestIn = Duration::max();
     call.queueing = false;
     call.candidates = candidatesFor(call);
     const auto among = [](const std::vector<std::string> &names, const UpstreamConfig *it) {
@@ -454,10 +460,17 @@
     call.asked = now;
     call.askedUntil = now + m_limits.ownerTimeout + (call.queueing ? left : Duration::zero());
     m_asks.emplace(call.askId, call.request.id);
-    m_actions.emplace_back(AskPermit{call.request.id, call.askId, owner->name,
-                                     owner->controlAddress, upstream->name, call.request.team,
-                                     call.request.cost, call.request.priority,
-                                     call.queueing ? left : Duration::zero()});
+    m_actions.emplace_back(AskPermit{
+        call.request.id,
+        call.askId,
+        owner->name,
+        owner->controlAddress,
+        upstream->name,
+        call.request.team,
+        call.request.cost,
+        call.request.priority,
+        call.queueing ? left : Duration::zero(),
+        {call.request.prefixHash, call.request.contextTokens, call.request.questionTokens}});
 }
 
 void Dispatcher::askNext(Call &call, const Verdict &why)
@@ -469,8 +482,8 @@
     if (call.next < call.candidates.size())
         return ask(call);
     m_contention.countRefused(call.request.target);
-    // No place is free anywhere near: wait at the first choice, where the context is warmest.
-    call.next = 0;
+    // No place is free anywhere near: wait where the first token would come soonest.
+    call.next = call.soonest;
     call.queueing = true;
     ask(call);
 }
@@ -480,7 +493,8 @@
 // are short.
 bool Dispatcher::maySendDirectly(const UpstreamConfig &upstream, const Call &call)
 {
-    if (!m_limits.direct || !upstream.refusesWhenFull)
+    const std::size_t tokens = call.request.contextTokens + call.request.questionTokens;
+    if (!m_limits.direct || !upstream.refusesWhenFull || tokens > m_limits.mostDirectTokens)
         return false;
     const auto refusedBy = [&](const std::vector<std::string> &names) {
         return std::find(names.begin(), names.end(), upstream.name) != names.end();
--- a/src/core/permit_book.cpp
+++ b/src/core/permit_book.cpp
@@ -25,6 +25,7 @@
         Line &line
             = known.empty() ? lines[it.name] : lines.insert(std::move(known)).position->second;
         line.upstream = it;
+        line.prefill.setEngine(it.prefillTokensPerSecond, it.cacheTokens);
     }
     for (auto &[name, line] : m_lines)
         denyAllWaiting(line, Reason::NotOwner);
@@ -58,8 +59,7 @@
     Line &line = it->second;
     if (line.upstream.leaving)
         return deny(ask, Reason::UpstreamLeaving);
-    const bool full = line.held || m_clock.now() < line.fullUntil;
-    if (!full && line.queue.empty() && line.running.size() < line.upstream.slots) {
+    if (line.queue.empty() && takesNow(line, ask)) {
         line.queue.charge(ask.team, share(ask.team), ask.cost);
         return grant(line, ask, Duration::zero());
     }
@@ -72,6 +72,7 @@
     const FairQueue::EntryId id = m_nextEntry++;
     line.waiting.emplace(id, Waiting{ask, m_clock.now()});
     line.byAsk.emplace(std::pair(ask.holder, ask.askId), id);
+    line.waitingPrefill += line.prefill.timeFor(ask.prompt);
     line.queue.push({id, ask.team, share(ask.team), ask.cost, ask.priority});
 }
 
@@ -184,6 +185,7 @@
 void PermitBook::grant(Line &line, const PermitAsk &ask, Duration waited)
 {
     const std::uint64_t id = m_nextPermit++;
+    line.prefill.give(ask.prompt, m_clock.now());
     line.running.emplace(std::pair(ask.holder, id),
                          Permit{ask.holder, ask.team, ask.cost, m_clock.now()});
     PermitAnswer answer;
@@ -204,6 +206,9 @@
     answer.askId = ask.askId;
     answer.reason = reason;
     answer.retryAfter = retryAdvice(it == m_lines.end() ? nullptr : &it->second);
+    if (it != m_lines.end())
+        answer.firstTokenIn
+            = expectedWait(it->second, ask) + it->second.prefill.timeFor(ask.prompt);
     m_answers.push_back(answer);
 }
 
@@ -223,7 +228,8 @@
 {
     if (line.held || m_clock.now() < line.fullUntil)
         return; // tick() comes back to it
-    while (!line.upstream.leaving && line.running.size() < line.upstream.slots) {
+    while (!line.upstream.leaving && line.running.size() < line.upstream.slots
+           && line.prefill.backlog(m_clock.now()) <= m_limits.mostBacklog) {
         const auto entry = line.queue.next();
         if (!entry)
             return;
@@ -246,10 +252,25 @@
     if (it == line.waiting.end())
         return;
     line.byAsk.erase({it->second.ask.holder, it->second.ask.askId});
+    line.waitingPrefill
+        -= std::min(line.waitingPrefill, line.prefill.timeFor(it->second.ask.prompt));
     line.queue.remove(id);
     line.waiting.erase(it);
 }
 
+// Whether a request may go to the upstream at once. One whose context is kept there waits as long
+// as it would take to compute it elsewhere; any other goes where less is to be computed.
+bool PermitBook::takesNow(const Line &line, const PermitAsk &ask) const
+{
+    const TimePoint now = m_clock.now();
+    if (line.held || now < line.fullUntil || line.running.size() >= line.upstream.slots)
+        return false;
+    const Duration most = line.prefill.isWarm(ask.prompt)
+                              ? std::max(m_limits.mostBacklog, line.prefill.coldTimeFor(ask.prompt))
+                              : m_limits.mostBacklog;
+    return line.prefill.backlog(now) <= most;
+}
+
 // How long an ask would wait, from the mean time that permits are held and the team's part of the
 // places among the teams that wait.
 Duration PermitBook::expectedWait(const Line &line, const PermitAsk &ask) const
@@ -259,7 +280,10 @@
     const double active = line.queue.activeShare() + (ahead == 0 ? own : 0.0);
     const double rounds = static_cast<double>(ahead + 1) * active / own
                           / static_cast<double>(std::max<std::size_t>(1, line.upstream.slots));
-    return std::chrono::duration_cast<Duration>(line.meanHold * rounds);
+    const bool slotsFree = line.queue.empty() && line.running.size() < line.upstream.slots;
+    const auto bySlots = std::chrono::duration_cast<Duration>(line.meanHold * rounds);
+    const Duration byPrefill = line.prefill.backlog(m_clock.now()) + line.waitingPrefill;
+    return std::max(slotsFree ? Duration::zero() : bySlots, byPrefill);
 }
 
 std::chrono::milliseconds PermitBook::retryAdvice(const Line *line) const
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -83,6 +83,8 @@
     const std::size_t prompt = request.contextTokens + request.questionTokens;
     if (prompt > 0)
         call.cost = static_cast<double>(prompt + request.newTokens);
+    call.contextTokens = request.contextTokens;
+    call.questionTokens = request.questionTokens;
     call.repeatable = request.repeatable && request.key.empty();
     call.deadline = fleet.clock.now() + request.deadline;
     if (!request.key.empty())
@@ -266,6 +268,8 @@
         upstream.failureDomain = "domain-" + std::to_string(it % m_size.domains);
         upstream.models = {"m"};
         upstream.slots = m_size.slots;
+        upstream.prefillTokensPerSecond = m_size.engineModel.prefillTokensPerSecond;
+        upstream.cacheTokens = static_cast<std::int64_t>(m_size.engineModel.cacheTokens);
         upstream.refusesWhenFull = true;
         configuration.upstreams[upstream.name] = upstream;
     }
@@ -308,7 +312,8 @@
     node.book->setShares(m_size.shares);
     std::vector<OwnedUpstream> owned;
     for (const UpstreamConfig *it : node.view->ownedBy(fleet.member(index)))
-        owned.push_back({it->name, it->slots, node.view->isLeaving(it->name)});
+        owned.push_back({it->name, it->slots, node.view->isLeaving(it->name),
+                         it->prefillTokensPerSecond, static_cast<std::size_t>(it->cacheTokens)});
     node.book->setUpstreams(owned);
     std::map<std::string, std::size_t> pools;
     for (const auto &[name, it] : configuration->teams) {
@@ -357,6 +362,7 @@
         message.team = ask->team;
         message.cost = ask->cost;
         message.wait = ask->wait;
+        message.prompt = ask->prompt;
         toOwner(ask->owner, [message](Node &it) { it.book->ask(message); });
     } else if (const auto *withdrawal = std::get_if<WithdrawAsk>(&action)) {
         const WithdrawAsk message = *withdrawal;
@@ -546,6 +552,7 @@
         reply.waited = answer.waited;
         reply.sendWithin = answer.sendWithin;
         reply.reason = answer.reason;
+        reply.firstTokenIn = answer.firstTokenIn;
         const std::string owner = fleet.member(index).name;
         ++m_permitMessages;
         post(entry, [owner, reply](Node &node) { node.dispatcher->permitAnswered(owner, reply); });
