--- a/include/fordwood/prefill_line.hpp
+++ b/include/fordwood/prefill_line.hpp
@@ -59,6 +59,9 @@
         touch(prompt);
     }
 
+    // Nothing runs on the engine any more: whatever was believed, it waits for work.
+    void setIdle(TimePoint now) { m_free = std::min(m_free, now); }
+
 private:
     Duration timeOf(std::size_t tokens) const
     {
--- a/src/core/permit_book.cpp
+++ b/src/core/permit_book.cpp
@@ -96,6 +96,8 @@
     if (correction > 0)
         line.queue.charge(permit->second.team, share(permit->second.team), correction);
     line.running.erase(permit);
+    if (line.running.empty())
+        line.prefill.setIdle(m_clock.now());
     fill(line);
 }
 
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -192,6 +192,17 @@
     return out.str();
 }
 
+// What the engines were told to compute a second.
+std::string Fleet::prefillRate() const
+{
+    constexpr std::string_view kOption = "prefill_rate=";
+    for (const std::string &it : m_size.engineOptions) {
+        if (it.rfind(kOption, 0) == 0)
+            return it.substr(kOption.size());
+    }
+    return "10000";
+}
+
 std::string Fleet::configuration() const
 {
     if (!m_size.example.empty())
@@ -208,6 +219,7 @@
             << "\"\nkind = \"engine\"\nfailure_domain = \"" << failureDomain(it)
             << "\"\naddress = \"" << engineAddress(it)
             << "\"\nmodels = [\"m\"]\nslots = " << m_size.engineSlots
+            << "\nprefill_tokens_per_second = " << prefillRate()
             << "\nresumes = " << (m_size.resumes ? "true" : "false")
             << "\nrefuses_when_full = " << (m_size.refusesWhenFull ? "true" : "false") << "\n";
     out << "[[upstream]]\nname = \"service-0\"\nkind = \"service\"\nfailure_domain = \""
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -93,6 +93,7 @@
 
 private:
     std::string exampleConfiguration() const;
+    std::string prefillRate() const;
     std::string host(int number) const;
     std::string settingsFile(int node) const;
     void writeSettings(int node) const;
