--- a/tests/scenario/random_test.cpp
+++ b/tests/scenario/random_test.cpp
@@ -189,6 +189,7 @@
         {Mutation::ForgetsBoot, "a key ran twice"},
         {Mutation::LosesRefusals, "got no end"},
         {Mutation::GrantsEveryWish, "of at most"},
+        {Mutation::RepeatsAll, "ran twice"},
         {Mutation::HidesSlots, "load at once"},
         {Mutation::HandsOverTenuresOnly, "a key ran twice"},
     };
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -84,7 +84,8 @@
         call.cost = static_cast<double>(prompt + request.newTokens);
     call.contextTokens = request.contextTokens;
     call.questionTokens = request.questionTokens;
-    call.repeatable = request.repeatable && request.key.empty();
+    call.repeatable
+        = (request.repeatable && request.key.empty()) || m_size.mutation == Mutation::RepeatsAll;
     call.deadline = fleet.clock.now() + request.deadline;
     if (!request.key.empty())
         call.key = IdempotencyKey{request.team, request.key, request.issued};
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -32,6 +32,7 @@
     HidesLeaving, // owners are not told that an upstream is leaving
     RunsEveryClaim, // every claim of a key is granted
     LosesRefusals, // some refusals never reach their callers
+    RepeatsAll, // what may not be repeated is passed off as repeatable
     HandsOverTenuresOnly, // a planned stop hands on the tenures without the keys
     HidesSlots, // nodes do not see each other's load slots
     GrantsEveryWish, // a team's owner gives away more than its ceiling
