Prompts that waited leave nothing behind in an owner's reckoning

Of several prompts that waited for one context the first makes the others cheap, so the rest of their time stayed in the sum for good, and later asks were refused as deadline-too-near although nothing waited. Change: what was added is kept with the ask and subtracted. Test: fails before, passes after.

--- a/include/fordwood/permit_book.hpp
+++ b/include/fordwood/permit_book.hpp
@@ -134,6 +134,7 @@
     {
         PermitAsk ask;
         TimePoint since;
+        Duration prefill; // to compute its prompt, as believed when it came
     };
     // All that concerns one upstream.
     struct Line
--- a/src/core/permit_book.cpp
+++ b/src/core/permit_book.cpp
@@ -70,9 +70,10 @@
     if (expectedWait(line, ask) + line.meanHold > ask.wait)
         return deny(ask, Reason::DeadlineTooNear);
     const FairQueue::EntryId id = m_nextEntry++;
-    line.waiting.emplace(id, Waiting{ask, m_clock.now()});
+    const Duration prefill = line.prefill.timeFor(ask.prompt);
+    line.waiting.emplace(id, Waiting{ask, m_clock.now(), prefill});
     line.byAsk.emplace(std::pair(ask.holder, ask.askId), id);
-    line.waitingPrefill += line.prefill.timeFor(ask.prompt);
+    line.waitingPrefill += prefill;
     line.queue.push({id, ask.team, share(ask.team), ask.cost, ask.priority});
 }
 
@@ -255,8 +256,7 @@
     if (it == line.waiting.end())
         return;
     line.byAsk.erase({it->second.ask.holder, it->second.ask.askId});
-    line.waitingPrefill
-        -= std::min(line.waitingPrefill, line.prefill.timeFor(it->second.ask.prompt));
+    line.waitingPrefill -= it->second.prefill; // what was added, whatever is believed by now
     line.queue.remove(id);
     line.waiting.erase(it);
 }
--- a/tests/unit/prefill_line_test.cpp
+++ b/tests/unit/prefill_line_test.cpp
@@ -78,6 +78,29 @@
     CHECK(book.takeAnswers().at(0).granted);
 }
 
+TEST_CASE("permit book: prompts that waited for one context leave nothing behind [routing]")
+{
+    ManualClock clock;
+    PermitBook book(clock);
+    book.setUpstreams({{"up", 8, false, 1000, 10'000}});
+    book.ask(askOf(1, 1));
+    for (std::uint64_t it = 2; it <= 5; ++it)
+        book.ask(askOf(it, 2, 60s)); // the first of them makes it cheap for the others
+    for (int it = 0; it < 10; ++it) {
+        clock.advance(1s);
+        book.tick();
+        for (const PermitAnswer &answer : book.takeAnswers()) {
+            REQUIRE(answer.granted);
+            book.release(0, answer.permitId, "up", 0);
+        }
+    }
+    REQUIRE(book.waiting("up") == 0);
+    book.ask(askOf(6, 6));
+    CHECK(book.takeAnswers().at(0).granted);
+    book.ask(askOf(7, 7, 4s)); // the engine has 1.1 s to compute, and nothing waits
+    CHECK(book.waiting("up") == 1);
+}
+
 TEST_CASE("permit book: free slots do not hide prompts that wait to be computed [routing]")
 {
     ManualClock clock;
