One salt for each request; one hop in the World; loads sampled only where they are read

Found by reading the change again. A completion's salt was hashed twice on its way in: once for its prefix, once for its stamp. The length of a message's way stood in three files. Worlds that route by our decisions kept samples of load that only the other ways read.

--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -155,7 +155,7 @@
     void fallBack(Call &call);
     bool maySendDirectly(const UpstreamConfig &upstream, const Call &call);
     void send(Call &call, Held held, TimePoint sendBy);
-    bool isFree(Call &call, const AttemptFailure &failure, bool sentDirectly);
+    static bool isFree(const Call &call, const AttemptFailure &failure, bool sentDirectly);
     void renewVersion(Call &call) const;
     const Member *ownerOf(const Held &held) const;
     void holdAtOwner(Call &call, const Member &owner);
--- a/src/apps/entryd/api.cpp
+++ b/src/apps/entryd/api.cpp
@@ -156,6 +156,22 @@
     return config::sha256Hex(Json::array({team, model, version}).dump());
 }
 
+// Makes a request ask for a weight version, in its headers and in the salt.
+void stamp(adapters::UpstreamRequest &request, const std::string &version, const std::string &salt)
+{
+    constexpr std::string_view kHeader = "X-Weight-Version";
+    std::erase_if(request.headers, [&](const auto &it) { return it.first == kHeader; });
+    request.headers.emplace_back(kHeader, version);
+    // The salt goes in front of the caller's fields, as text: the rest of the body stays as it
+    // came.
+    const std::string field = "\"cache_salt\":" + Json(salt).dump() + ",";
+    if (request.weightVersion.empty())
+        request.saltBegin = request.body.find('{') + 1;
+    request.body.replace(request.saltBegin, request.saltLength, field);
+    request.saltLength = field.size();
+    request.weightVersion = version;
+}
+
 Understood interpretCompletion(const ServingState &state, const TeamConfig &team,
                                adapters::CallerMessage message, TimePoint now, bool chat)
 {
@@ -201,7 +217,7 @@
     if (!requestId.empty())
         result.upstream.headers.emplace_back("X-Request-Id", requestId);
     result.upstream.body = std::move(message.body);
-    stampWeightVersion(result.upstream, result.call, model->second.weightVersion);
+    stamp(result.upstream, model->second.weightVersion, salt);
     return std::variant<Interpreted, adapters::DirectAnswer>(std::move(result));
 }
 
@@ -261,20 +277,8 @@
 void stampWeightVersion(adapters::UpstreamRequest &request, const CallRequest &call,
                         const std::string &version)
 {
-    if (request.weightVersion == version)
-        return;
-    constexpr std::string_view kHeader = "X-Weight-Version";
-    std::erase_if(request.headers, [&](const auto &it) { return it.first == kHeader; });
-    request.headers.emplace_back(kHeader, version);
-    // The salt goes in front of the caller's fields, as text: the rest of the body stays as it
-    // came.
-    const std::string salt
-        = "\"cache_salt\":" + Json(cacheSalt(call.team, call.target, version)).dump() + ",";
-    if (request.weightVersion.empty())
-        request.saltBegin = request.body.find('{') + 1;
-    request.body.replace(request.saltBegin, request.saltLength, salt);
-    request.saltLength = salt.size();
-    request.weightVersion = version;
+    if (request.weightVersion != version)
+        stamp(request, version, cacheSalt(call.team, call.target, version));
 }
 
 tl::expected<std::variant<Interpreted, adapters::DirectAnswer>, Verdict>
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -212,7 +212,7 @@
 
 // Whether sending again costs nothing of the team's budget, since it adds no load: a direct send
 // that met a full upstream now waits its turn at the owner, and so does one that met other weights.
-bool Dispatcher::isFree(Call &call, const AttemptFailure &failure, bool sentDirectly)
+bool Dispatcher::isFree(const Call &call, const AttemptFailure &failure, bool sentDirectly)
 {
     if (failure.reason == Reason::VersionMismatch)
         return call.mismatched.size() <= kMostMismatches;
--- a/src/core/load_planner.cpp
+++ b/src/core/load_planner.cpp
@@ -2,7 +2,6 @@
 #include "fordwood/load_planner.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace fordwood {
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -11,7 +11,6 @@
 
 constexpr Duration kStep = std::chrono::milliseconds(20);
 constexpr std::uint64_t kFleetEvery = 5; // steps between two of the replicators
-constexpr Duration kHop = std::chrono::milliseconds(20);
 constexpr Duration kRunTime = std::chrono::milliseconds(300);
 constexpr Duration kBreakNotice = std::chrono::milliseconds(40);
 // From the list to everywhere, and the life of a permit given just before.
@@ -210,11 +209,7 @@
     for (const Event &it : due)
         it.handle(m_nodes[static_cast<std::size_t>(it.to.first)]);
     moveRuns();
-    for (auto &[name, it] : m_upstreams) {
-        it.pastLoads.emplace_back(fleet.clock.now(), it.running + it.queued);
-        while (it.pastLoads.front().first + m_size.engineModel.loadLag < fleet.clock.now())
-            it.pastLoads.pop_front();
-    }
+    sampleLoads();
     finishLoads();
     for (int it = 0; it < m_size.nodes; ++it) {
         if (!fleet.alive(it) || fleet.paused(it))
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -152,6 +152,7 @@
     ReplicaFleet fleet;
 
 private:
+    static constexpr Duration kHop = std::chrono::milliseconds(20); // of a message
     using Place = std::pair<int, std::uint64_t>; // a node and its boot
     struct Node
     {
@@ -227,6 +228,7 @@
     void postLater(int to, Duration delay, std::function<void(Node &)> handle);
     void moveRuns();
     void sendByBaseline(std::size_t request);
+    void sampleLoads();
     std::string baselineEngine(std::uint64_t context);
     std::size_t laggingLoad(const std::string &engine) const;
     void compute(Upstream &upstream, Run &run);
--- a/tests/support/world_engines.cpp
+++ b/tests/support/world_engines.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Duration kHop = std::chrono::milliseconds(20);
 constexpr Duration kLoadTime = std::chrono::seconds(1);
 
 } // namespace
@@ -84,6 +83,18 @@
     }
 }
 
+// Only the usual ways of routing read the loads.
+void World::sampleLoads()
+{
+    if (m_size.routing == Routing::Fordwood)
+        return;
+    for (auto &[name, it] : m_upstreams) {
+        it.pastLoads.emplace_back(fleet.clock.now(), it.running + it.queued);
+        while (it.pastLoads.front().first + m_size.engineModel.loadLag < fleet.clock.now())
+            it.pastLoads.pop_front();
+    }
+}
+
 std::size_t World::laggingLoad(const std::string &engine) const
 {
     const auto &loads = m_upstreams.at(engine).pastLoads;
--- a/tests/support/world_keys.cpp
+++ b/tests/support/world_keys.cpp
@@ -6,12 +6,6 @@
 
 namespace fordwood::support {
 
-namespace {
-
-constexpr Duration kHop = std::chrono::milliseconds(20);
-
-} // namespace
-
 KeyHolder World::Holders::of(std::uint32_t partition) const
 {
     const int at = keyHolderIndex(partition, hashes);
