--- /dev/null
+++ b/include/fordwood/context_directory.hpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_CONTEXT_DIRECTORY_HPP_INCLUDED
+#define FORDWOOD_CONTEXT_DIRECTORY_HPP_INCLUDED
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/prompt.hpp"
+#include "fordwood/serving_config.hpp"
+
+namespace fordwood {
+
+// A part that a store holds whole, or has dropped.
+struct StorePartChange
+{
+    std::string salt;
+    std::string partId;
+    bool held = false;
+    std::size_t tokens = 0;
+};
+
+// What one store of kept context has told.
+struct StoreNews
+{
+    std::string store; // its name
+    std::uint64_t epoch = 0; // changes when the store has lost everything
+    bool restated = false; // `changes` is all that it holds
+    std::vector<StorePartChange> changes;
+};
+
+// Where kept context lies, as far as this node knows: at the engines by what it sent there, in the
+// stores by what they tell. A store's word holds only while it answers: one that has been away may
+// have come back empty, and a part of that name may then be half written.
+class ContextDirectory
+{
+public:
+    struct Limits
+    {
+        Duration engineMemory = std::chrono::seconds(20); // how long a send tells of an engine
+        Duration storeWord = std::chrono::milliseconds(1'500); // how long a store's answer holds
+        Duration saveLife = std::chrono::seconds(4); // a save that was not confirmed by then is lost
+        std::size_t mostSends = 4'096; // sends remembered
+    };
+
+    explicit ContextDirectory(const Clock &clock) : ContextDirectory(clock, Limits{}) { }
+    ContextDirectory(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
+
+    // The stores of the configuration in force.
+    void setStores(const std::vector<ContextStore> &stores);
+
+    // A request with this context was sent to an engine.
+    void sentTo(const std::string &instanceId, const std::string &salt, std::uint64_t contextHash);
+
+    // Whether the engine is believed to keep the context.
+    bool isAtEngine(const std::string &instanceId, const std::string &salt,
+                    std::uint64_t contextHash) const;
+
+    void storeAnswered(const StoreNews &news);
+    void storeSilent(const std::string &store);
+
+    // Address of a store that holds the part whole; empty when there is none.
+    std::string storeWith(const std::string &salt, const std::string &partId) const;
+
+    // Address of the store that shall keep the part; empty when it has no room, is silent, or a
+    // save is under way. A save is then taken to be under way.
+    std::string storeForSave(const std::string &salt, const PromptPart &part);
+
+private:
+    struct Store
+    {
+        ContextStore config;
+        std::uint64_t hash = 0;
+        std::uint64_t epoch = 0;
+        TimePoint answered = TimePoint::min();
+        std::unordered_map<std::string, std::size_t> parts; // tokens by salt and part
+        std::size_t tokens = 0; // of all parts
+        std::map<std::string, TimePoint> saves; // under way, by salt and part
+        std::size_t tokensOfSaves = 0;
+        std::map<std::string, std::size_t> saveTokens;
+    };
+
+    bool speaks(const Store &store) const;
+    static void forgetAll(Store &store);
+    static void apply(Store &store, const StorePartChange &change);
+    void dropOldSaves(Store &store) const;
+    static void endSave(Store &store, const std::string &name);
+
+    const Clock &m_clock;
+    const Limits m_limits;
+    std::map<std::string, Store> m_stores; // by name
+    std::unordered_map<std::string, TimePoint> m_sends; // by instance, salt and context
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_CONTEXT_DIRECTORY_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/engine_chooser.hpp
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_ENGINE_CHOOSER_HPP_INCLUDED
+#define FORDWOOD_ENGINE_CHOOSER_HPP_INCLUDED
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/context_directory.hpp"
+#include "fordwood/load_book.hpp"
+#include "fordwood/prompt.hpp"
+#include "fordwood/serving_config.hpp"
+#include "fordwood/upstream_health.hpp"
+#include "fordwood/upstream_record.hpp"
+
+namespace fordwood {
+
+// The weight version that a model's requests should run on, and since when it was wanted.
+struct WeightTarget
+{
+    std::uint64_t version = 0; // zero: none was named, any will do
+    TimePoint since{};
+};
+
+// The engine for a request, and what is to be said to it.
+struct EngineChoice
+{
+    std::string instanceId;
+    std::uint64_t weightVersion = 0;
+    std::string salt;
+    std::vector<std::string> fetchFrom; // an address for each part; empty: none
+    std::vector<std::string> saveTo; // likewise
+    RequestLoad load;
+};
+
+// Chooses the engine for a prompt. All nodes prefer the same engine for the same context, so that
+// it is computed once; an engine is passed over when the work that lies there costs more than
+// moving the context, or computing it again, elsewhere.
+class EngineChooser
+{
+public:
+    struct Limits
+    {
+        // Answers that begin on older weights lose value from here on (rules of the platform).
+        Duration oldWeightsFine = std::chrono::milliseconds(1'500);
+        // After this no request may begin on older weights: the bound of the platform's settings
+        // less the time that a request may wait at an engine.
+        Duration oldWeightsEnd = std::chrono::milliseconds(10'500);
+    };
+
+    EngineChooser(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
+
+    struct Question
+    {
+        const Prompt &prompt;
+        std::string walledTeam; // empty: the team shares context
+        WeightTarget target;
+        const EngineTraits &traits;
+        const std::set<std::string> &tried; // instances that failed this request
+    };
+
+    // Nothing: no engine may take the request now.
+    std::optional<EngineChoice> choose(const Question &question,
+                                       const std::vector<const UpstreamRecord *> &engines,
+                                       const LoadBook &loads, const UpstreamHealth &health,
+                                       ContextDirectory &contexts) const;
+
+private:
+    struct Rated
+    {
+        const UpstreamRecord *engine = nullptr;
+        std::uint64_t version = 0;
+        std::string salt;
+        bool holdsContext = false;
+        double cost = 0.0;
+    };
+
+    bool mayUse(const UpstreamRecord &engine, const Question &question,
+                const UpstreamHealth &health) const;
+    double waitingCost(const UpstreamLoad &load, const Question &question) const;
+    static EngineChoice complete(const Rated &rated, const Question &question,
+                                 ContextDirectory &contexts);
+
+    const Clock &m_clock;
+    const Limits m_limits;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_ENGINE_CHOOSER_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/fenced_lock.hpp
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_FENCED_LOCK_HPP_INCLUDED
+#define FORDWOOD_FENCED_LOCK_HPP_INCLUDED
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/store_replica.hpp"
+
+namespace fordwood {
+
+// Asks the store for a lease.
+struct GrantLease
+{
+    Duration life;
+};
+
+// Writes the lock's key under the lease, if the key is absent.
+struct TakeLock
+{
+    std::string key;
+    std::string value;
+    std::int64_t lease;
+};
+
+// Renews the lease.
+struct KeepLease
+{
+    std::int64_t lease;
+};
+
+// Gives the lease up, and the lock with it.
+struct EndLease
+{
+    std::int64_t lease;
+};
+
+using LockAction = std::variant<GrantLease, TakeLock, KeepLease, EndLease>;
+
+// How the store answered a write that had a condition.
+enum class WriteResult {
+    Done,
+    ConditionFailed,
+    LeaseOver,
+    Unknown, // no answer: it may have been done, or may be done later
+    Refused, // surely not done
+};
+
+// A lock over the fleet: a key of the platform's store under a lease. The revision at which the key
+// was created is the fence: it grows with each holder. Events in, actions out; no I/O.
+//
+// The holder counts its lease from the moment at which it *sent* the renewal, on its steady clock,
+// so that it stops before the store gives the lock to another; a holder that was frozen sees on
+// waking that its time is over. A new holder waits `quietTime` before it acts, in which whatever
+// the one before has sent arrives.
+class FencedLock
+{
+public:
+    struct Limits
+    {
+        Duration life = std::chrono::seconds(3); // of the lease
+        Duration keepEvery = std::chrono::milliseconds(900);
+        Duration quietTime = std::chrono::seconds(3);
+        // Before the end of the lease in which the holder no longer acts.
+        Duration margin = std::chrono::milliseconds(300);
+        // A write without an answer is waited for so long before a new attempt.
+        Duration settleTime = std::chrono::seconds(2);
+        Duration retryEvery = std::chrono::milliseconds(500);
+    };
+
+    // The lock as it is held by this node.
+    struct Holding
+    {
+        std::int64_t fence = 0;
+        TimePoint actFrom{};
+        TimePoint actUntil{};
+    };
+
+    // `owner` must differ between nodes and between the lives of a node.
+    FencedLock(std::string key, std::string owner, const Clock &clock, Limits limits);
+
+    // How long this node waits before it tries to take a lock that is free: nodes that would rather
+    // have another one hold it wait longer.
+    void setPatience(Duration patience) { m_patience = patience; }
+
+    // The key as the node's copy of the store shows it; null when it is absent.
+    void keyChanged(const StoredItem *item);
+
+    void leaseGranted(std::int64_t lease, Duration life, TimePoint asked);
+    void leaseRefused();
+    void lockTaken(WriteResult result, std::int64_t revision);
+    void leaseKept(Duration life, TimePoint asked);
+    void leaseNotKept(bool isOver);
+
+    // A higher fence was seen where orders go: the lock is given up and taken anew.
+    void fenceRefused();
+
+    // Gives the lock up for good, at a planned stop.
+    void release();
+
+    std::vector<LockAction> tick();
+
+    // Nothing while this node does not hold the lock, or may not act.
+    std::optional<Holding> holding() const;
+
+private:
+    enum class Stage : std::uint8_t { Idle, Granting, Taking, Settling, Held, Released };
+
+    void startOver(Duration pause);
+    void hold(std::int64_t fence);
+    std::string value() const;
+
+    const std::string m_key;
+    const std::string m_owner;
+    const Clock &m_clock;
+    const Limits m_limits;
+    Duration m_patience{0};
+    Stage m_stage = Stage::Idle;
+    std::uint64_t m_attempt = 0;
+    std::optional<TimePoint> m_freeSince; // the key is absent
+    TimePoint m_notBefore{};
+    TimePoint m_waitUntil{}; // for an answer, or for a write to show
+    std::int64_t m_lease = 0;
+    TimePoint m_leaseEnd{};
+    TimePoint m_nextKeep{};
+    bool m_keeping = false;
+    std::int64_t m_fence = 0;
+    TimePoint m_actFrom{};
+    std::vector<LockAction> m_actions;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_FENCED_LOCK_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/load_book.hpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_LOAD_BOOK_HPP_INCLUDED
+#define FORDWOOD_LOAD_BOOK_HPP_INCLUDED
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+
+namespace fordwood {
+
+// Work that lies at one upstream.
+struct UpstreamLoad
+{
+    std::size_t running = 0; // requests sent and not ended
+    std::size_t tokensToCompute = 0; // prompt tokens of those that have not answered yet
+    std::size_t tokensHeld = 0; // memory that the requests need, in tokens
+
+    UpstreamLoad &operator+=(const UpstreamLoad &other);
+    bool operator==(const UpstreamLoad &) const = default;
+};
+
+// What one request adds to the load of its upstream.
+struct RequestLoad
+{
+    std::size_t tokensToCompute = 0;
+    std::size_t tokensHeld = 0;
+};
+
+// The load of each upstream: this node's own requests exactly, those of its peers as they told
+// last. A peer that has fallen silent counts for nothing after a while.
+class LoadBook
+{
+public:
+    using Loads = std::map<std::string, UpstreamLoad>; // by instance id
+
+    explicit LoadBook(const Clock &clock, Duration peerLife = std::chrono::seconds(2))
+        : m_clock(clock), m_peerLife(peerLife)
+    { }
+
+    void begin(const std::string &instanceId, const RequestLoad &load);
+
+    // The prompt has been computed: the first part of the answer is there.
+    void computed(const std::string &instanceId, const RequestLoad &load);
+
+    // The request has ended. `wasComputed`: computed() was called for it.
+    void end(const std::string &instanceId, const RequestLoad &load, bool wasComputed);
+
+    // Replaces what a peer has told of its own requests.
+    void setPeer(const std::string &peer, Loads loads);
+
+    // What all nodes together have sent there.
+    UpstreamLoad total(const std::string &instanceId) const;
+
+    const Loads &own() const { return m_own; }
+    UpstreamLoad ownAt(const std::string &instanceId) const;
+
+private:
+    struct Peer
+    {
+        Loads loads;
+        TimePoint told{};
+    };
+
+    const Clock &m_clock;
+    const Duration m_peerLife;
+    Loads m_own;
+    std::map<std::string, Peer> m_peers;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_LOAD_BOOK_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/service_chooser.hpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_SERVICE_CHOOSER_HPP_INCLUDED
+#define FORDWOOD_SERVICE_CHOOSER_HPP_INCLUDED
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fordwood/load_book.hpp"
+#include "fordwood/upstream_health.hpp"
+#include "fordwood/upstream_record.hpp"
+
+namespace fordwood {
+
+// The upstream of a plain service that would answer soonest: the one with the fewest requests for
+// its slots, less those that failed of late; among equals one in this node's failure domain, else
+// one that `salt` picks. Null when none may be used.
+const UpstreamRecord *chooseUpstream(const std::vector<const UpstreamRecord *> &upstreams,
+                                     const std::set<std::string> &tried,
+                                     const std::string &ownFailureDomain, std::uint64_t salt,
+                                     const LoadBook &loads, const UpstreamHealth &health);
+
+} // namespace fordwood
+
+#endif // FORDWOOD_SERVICE_CHOOSER_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/upstream_directory.hpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_UPSTREAM_DIRECTORY_HPP_INCLUDED
+#define FORDWOOD_UPSTREAM_DIRECTORY_HPP_INCLUDED
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/upstream_record.hpp"
+
+namespace fordwood {
+
+// Which upstreams may be sent to. Knows that records expire while the platform's store is away
+// although their upstreams live: such a record stays in use for a while after the store's return.
+class UpstreamDirectory
+{
+public:
+    struct Limits
+    {
+        // How long after the store's return upstreams need to write themselves again.
+        // Two seconds by the platform's pages, and what a change needs to be seen.
+        Duration returnWithin = std::chrono::milliseconds(2'300);
+    };
+
+    UpstreamDirectory(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
+
+    // An upstream has written its record.
+    void put(UpstreamRecord record);
+
+    // The record is gone. `mayBeExpiry`: whoever saw it could not tell an upstream that has left
+    // from a lease that ran out while the store was away.
+    void remove(const std::string &instanceId, bool mayBeExpiry);
+
+    // Whether the store answers any node. While it does not, nothing is taken as gone.
+    void setStoreReachable(bool reachable);
+
+    // Takes as gone what has not come back in time. Returns the ids.
+    std::vector<std::string> tick();
+
+    // The upstreams of a service that take new work, by instance id.
+    std::vector<const UpstreamRecord *> usable(const std::string &service) const;
+
+    // All engines that take new work.
+    std::vector<const UpstreamRecord *> usableEngines() const;
+
+    // Null when the instance is gone.
+    const UpstreamRecord *find(const std::string &instanceId) const;
+
+    // The upstream now runs these weights, as an order or a report has shown.
+    void setWeightVersion(const std::string &instanceId, const std::string &model,
+                          std::uint64_t version);
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct Entry
+    {
+        UpstreamRecord record;
+        bool expired = false; // its record is gone, but perhaps only for the store's absence
+    };
+
+    const Clock &m_clock;
+    const Limits m_limits;
+    std::map<std::string, Entry> m_entries;
+    bool m_storeReachable = true;
+    TimePoint m_reachableSince{}; // since the store answers, as far as known
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_UPSTREAM_DIRECTORY_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/upstream_record.hpp
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_UPSTREAM_RECORD_HPP_INCLUDED
+#define FORDWOOD_UPSTREAM_RECORD_HPP_INCLUDED
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace fordwood {
+
+// What an upstream tells of itself through the platform. Every start of an upstream is a new
+// instance with an id of its own.
+struct UpstreamRecord
+{
+    std::string instanceId;
+    std::string service;
+    std::string address; // IP:port; may be given to another upstream later
+    std::string failureDomain;
+    std::size_t slots = 1;
+    bool draining = false; // gets no new work
+    std::map<std::string, std::uint64_t> weightVersions; // by model; empty for plain services
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_UPSTREAM_RECORD_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/weight_rollout.hpp
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_WEIGHT_ROLLOUT_HPP_INCLUDED
+#define FORDWOOD_WEIGHT_ROLLOUT_HPP_INCLUDED
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/fenced_lock.hpp"
+#include "fordwood/load_book.hpp"
+#include "fordwood/upstream_record.hpp"
+
+namespace fordwood {
+
+// What an engine says of itself when asked.
+struct EngineReport
+{
+    std::map<std::string, std::uint64_t> weightVersions; // by model
+    bool busy = false; // an order is under way
+    std::int64_t ordersTaken = 0; // since its start
+};
+
+// Asks an engine for its report.
+struct AskReport
+{
+    std::string instanceId;
+    std::string address;
+};
+
+// Orders an engine to load weights, if it has taken no order since its report.
+struct OrderWeights
+{
+    std::string instanceId;
+    std::string address;
+    std::string model;
+    std::uint64_t version;
+    std::int64_t fence;
+    std::int64_t ordersTaken;
+};
+
+using RolloutAction = std::variant<AskReport, OrderWeights>;
+
+// How an engine answered an order.
+enum class OrderResult {
+    Accepted, // it loads now
+    AlreadyDone,
+    Conflict, // another order is under way, or was taken since the report
+    Fenced, // it has seen a higher fence
+    Refused, // for another reason; not done
+    Unknown, // no answer: it may be carried out, now or later
+};
+
+// Brings the engines to the weight versions that were named, a few at a time, while this node holds
+// the lock for it. Events in, actions out; no I/O.
+class WeightRollout
+{
+public:
+    struct Limits
+    {
+        // Engines that may load at once, as a part of all: beyond it each load takes longer.
+        double loadingPart = 0.2;
+        // From the announcement that an engine is about to load to the order, so that no node
+        // sends it requests that it would turn away.
+        Duration announceLead = std::chrono::milliseconds(60);
+        Duration reportEvery = std::chrono::milliseconds(200); // while an engine loads
+        // After an order without an answer the next one waits, since the first may be late.
+        Duration lateOrder = std::chrono::milliseconds(1'500);
+        // An engine that does not come to its version in time is put behind the others.
+        Duration longestLoad = std::chrono::seconds(8);
+        Duration pause = std::chrono::seconds(1);
+    };
+
+    explicit WeightRollout(const Clock &clock) : WeightRollout(clock, Limits{}) { }
+    WeightRollout(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
+
+    // The engines that are in service, with what they told last.
+    void setEngines(const std::vector<const UpstreamRecord *> &engines);
+
+    // The version that a model must come to.
+    void setTarget(const std::string &model, std::uint64_t version);
+
+    void reportRead(const std::string &instanceId, const std::optional<EngineReport> &report);
+    void orderAnswered(const std::string &instanceId, OrderResult result);
+
+    // What is to be done now under the lock; nothing without it.
+    std::vector<RolloutAction> tick(const std::optional<FencedLock::Holding> &holding,
+                                    const LoadBook &loads);
+
+    // Whether any engine is behind its target.
+    bool hasWork() const;
+
+    // The engines that load or are about to.
+    std::set<std::string> loading() const;
+
+    // Engines whose new version an answer has shown and that have not yet told it themselves.
+    const std::map<std::string, std::map<std::string, std::uint64_t>> &shown() const
+    {
+        return m_shown;
+    }
+
+    // Whether an engine has refused the fence since the last call.
+    bool takeFenceRefused() { return std::exchange(m_fenceRefused, false); }
+
+private:
+    enum class Stage : std::uint8_t { Announced, Reading, Ready, Ordering, Loading };
+    struct Engine
+    {
+        std::string address;
+        std::map<std::string, std::uint64_t> versions;
+        TimePoint notBefore{}; // after a failure
+    };
+    struct Load
+    {
+        Stage stage = Stage::Announced;
+        TimePoint since{};
+        TimePoint nextStep{};
+        bool isAsking = false; // a report is on its way
+        bool wasOrdered = false;
+        std::int64_t ordersTaken = 0;
+    };
+
+    std::optional<std::string> modelBehind(const Engine &engine) const;
+    void startLoads(const LoadBook &loads);
+    void step(const std::string &instanceId, Load &load, std::int64_t fence);
+    void giveUp(const std::string &instanceId);
+
+    const Clock &m_clock;
+    const Limits m_limits;
+    std::map<std::string, Engine> m_engines;
+    std::map<std::string, std::uint64_t> m_targets;
+    std::map<std::string, Load> m_loads;
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_shown;
+    std::vector<RolloutAction> m_actions;
+    bool m_fenceRefused = false;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_WEIGHT_ROLLOUT_HPP_INCLUDED
--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -1,11 +1,16 @@
 // SPDX-License-Identifier: MIT
 #include "adapters/observe/event_log.hpp"
 
+#include <atomic>
+#include <memory>
 #include <sstream>
+#include <thread>
 
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
+#include "adapters/threads/bounded_ring.hpp"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace fordwood::adapters {
@@ -78,8 +83,96 @@
     return out.str();
 }
 
+std::string lineOf(const EventInfo &info, std::initializer_list<EventField> fields)
+{
+    return jsonLines ? asJson(info, fields) : asText(info, fields);
+}
+
+void writeLine(EventLevel level, const std::string &line)
+{
+    switch (level) {
+    case EventLevel::Info:
+        LOG(INFO) << line;
+        break;
+    case EventLevel::Warning:
+        LOG(WARNING) << line;
+        break;
+    case EventLevel::Error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+// Writes the lines of all threads, a batch at a time so that it wakes seldom.
+class LogThread
+{
+public:
+    LogThread() : m_lines(kMostWaiting), m_thread([this] { run(); }) { }
+    LogThread(const LogThread &) = delete;
+    LogThread &operator=(const LogThread &) = delete;
+    ~LogThread()
+    {
+        m_stopping.store(true);
+        m_thread.join();
+    }
+
+    void push(EventLevel level, std::string line)
+    {
+        if (!m_lines.tryPush({level, std::move(line)}))
+            m_dropped.fetch_add(1);
+    }
+
+private:
+    struct Line
+    {
+        EventLevel level = EventLevel::Info;
+        std::string text;
+    };
+
+    // A busy node writes some hundred lines a second; more than this wait only in a storm.
+    static constexpr std::size_t kMostWaiting = 4'096;
+    static constexpr std::chrono::milliseconds kBatchEvery{50};
+
+    void run()
+    {
+        while (!m_stopping.load()) {
+            std::this_thread::sleep_for(kBatchEvery);
+            writeAll();
+        }
+        writeAll();
+    }
+
+    void writeAll()
+    {
+        while (auto line = m_lines.tryPop())
+            writeLine(line->level, line->text);
+        const std::uint64_t dropped = m_dropped.exchange(0);
+        if (dropped > 0) {
+            const EventInfo &info = infoOf(Event::LogLinesDropped);
+            writeLine(info.level, lineOf(info, {{"lines", dropped}}));
+        }
+    }
+
+    BoundedRing<Line> m_lines;
+    std::atomic<std::uint64_t> m_dropped{0};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+std::unique_ptr<LogThread> logThread; // NOLINT: set before other threads start, reset after their end
+
 } // namespace
 
+void startLogThread()
+{
+    logThread = std::make_unique<LogThread>();
+}
+
+void stopLogThread()
+{
+    logThread.reset();
+}
+
 void openEventLog(const std::string &program, bool json)
 {
     programName = program;
@@ -110,18 +203,11 @@
 void logEvent(Event event, std::initializer_list<EventField> fields)
 {
     const EventInfo &info = infoOf(event);
-    const std::string line = jsonLines ? asJson(info, fields) : asText(info, fields);
-    switch (info.level) {
-    case EventLevel::Info:
-        LOG(INFO) << line;
-        break;
-    case EventLevel::Warning:
-        LOG(WARNING) << line;
-        break;
-    case EventLevel::Error:
-        LOG(ERROR) << line;
-        break;
-    }
+    std::string line = lineOf(info, fields);
+    if (logThread)
+        logThread->push(info.level, std::move(line));
+    else
+        writeLine(info.level, line);
 }
 
 } // namespace fordwood::adapters
--- a/src/adapters/observe/event_log.hpp
+++ b/src/adapters/observe/event_log.hpp
@@ -36,6 +36,13 @@
 // Sets the form of the log (key=value or JSON lines on standard error) and the program's name.
 void openEventLog(const std::string &program, bool json);
 
+// From here on a thread of its own writes the log: logEvent() never waits, and drops its line when
+// more than a few thousand wait to be written. Call once, and stopLogThread() before the end.
+void startLogThread();
+
+// Writes what is left and ends the thread.
+void stopLogThread();
+
 // The catalogue of events, in Markdown.
 std::string eventsPage();
 
--- /dev/null
+++ b/src/apps/common/options.cpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+#include "apps/common/options.hpp"
+
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+#include "apps/common/daemon.hpp"
+
+namespace fordwood::apps {
+
+namespace po = boost::program_options;
+
+sigset_t blockSignals(std::initializer_list<int> signals)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int it : signals)
+        sigaddset(&set, it);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return set;
+}
+
+std::optional<std::string> parseOptions(int argc, char **argv, const std::string &name, int &code)
+{
+    po::options_description options("Options");
+    options.add_options()("help", "show this text")("version", "show the version")(
+        "settings", po::value<std::string>(), "settings file of this VM (TOML)");
+    code = ExitUsage;
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, options), values);
+        if (values.count("help") != 0) {
+            std::cout << "Usage: " << name << " --settings FILE\n\n" << options;
+            code = ExitOk;
+            return std::nullopt;
+        }
+        if (values.count("version") != 0) {
+            std::cout << name << " " << FORDWOOD_VERSION << "\n";
+            code = ExitOk;
+            return std::nullopt;
+        }
+        if (values.count("settings") != 0)
+            return values["settings"].as<std::string>();
+        std::cerr << name << ": --settings: is missing, expected a file\n";
+    } catch (const po::error &ec) {
+        std::cerr << name << ": " << ec.what() << "\n";
+    }
+    return std::nullopt;
+}
+
+} // namespace fordwood::apps
--- a/src/apps/ctl/references.cpp
+++ b/src/apps/ctl/references.cpp
@@ -44,6 +44,11 @@
                                      "The settings file of one entry VM, read at start by both "
                                      "daemons.\n"
                                          + std::string(kMade));
+    if (name == "node-settings")
+        return config::referencePage(config::nodeSections(), "Node settings reference",
+                                     "The settings file of `fordwood-noded`, read at its start and "
+                                     "at SIGHUP.\n"
+                                         + std::string(kMade));
     if (name == "reasons")
         return reasonsPage();
     if (name == "events")
--- /dev/null
+++ b/src/config/node_settings.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: MIT
+#include "config/node_settings.hpp"
+
+#include <set>
+
+#include "config/settings_tables.hpp"
+
+namespace fordwood::config {
+
+namespace {
+
+void readTable(const CheckedTable &table, OneProcessSettings &settings)
+{
+    const std::string_view section = table.section();
+    if (section == "node") {
+        settings.node = {table.text("name"), table.text("failure_domain"), table.text("region")};
+    } else if (section == "callers") {
+        CallerSettings &callers = settings.callers;
+        callers.listen = table.text("listen");
+        callers.readyListen = table.text("ready_listen");
+        callers.maxConnections = static_cast<std::size_t>(table.integer(
+            "max_connections", static_cast<std::int64_t>(callers.maxConnections)));
+    } else if (section == "peers") {
+        PeerSettings &peers = settings.peers;
+        peers.listen = table.text("listen");
+        peers.gossipListen = table.text("gossip_listen");
+        peers.metricsListen = table.text("metrics_listen");
+        peers.seeds = table.texts("seeds");
+        peers.gossipEvery = table.span("gossip_every", peers.gossipEvery);
+    } else if (section == "store") {
+        settings.store.address = table.text("address");
+        settings.store.leastLease = table.span("least_lease", settings.store.leastLease);
+    } else if (section == "bounds") {
+        BoundSettings &bounds = settings.bounds;
+        bounds.stopWithin = table.span("stop_within", bounds.stopWithin);
+        bounds.retryRatio = table.number("retry_ratio", bounds.retryRatio);
+        bounds.retryWindow = table.span("retry_window", bounds.retryWindow);
+        bounds.retrySlack = table.number("retry_slack", bounds.retrySlack);
+        bounds.orderLease = table.span("order_lease", bounds.orderLease);
+        bounds.weightsWithin = table.span("weights_within", bounds.weightsWithin);
+    } else if (section == "log") {
+        settings.jsonLog = table.text("format") == "json";
+    }
+}
+
+} // namespace
+
+std::optional<OneProcessSettings> readOneProcessSettings(const std::string &path,
+                                                         ConfigErrors &errors)
+{
+    const auto tables = readSettingsTables(path, nodeSections(),
+                                           {"node", "callers", "peers", "store"}, errors);
+    OneProcessSettings settings;
+    for (const CheckedTable &it : tables.tables)
+        readTable(it, settings);
+    if (!errors.empty())
+        return std::nullopt;
+    return settings;
+}
+
+} // namespace fordwood::config
--- /dev/null
+++ b/src/config/node_settings.hpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_CONFIG_NODE_SETTINGS_HPP_INCLUDED
+#define FORDWOOD_CONFIG_NODE_SETTINGS_HPP_INCLUDED
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/config_error.hpp"
+#include "config/settings.hpp"
+#include "fordwood/clock.hpp"
+
+namespace fordwood::config {
+
+struct CallerSettings
+{
+    std::string listen;
+    std::string readyListen;
+    std::size_t maxConnections = 2'500;
+};
+
+struct PeerSettings
+{
+    std::string listen; // where peers read this node's copy of the store
+    std::string gossipListen; // UDP
+    std::string metricsListen;
+    std::vector<std::string> seeds; // `listen` addresses of other nodes
+    Duration gossipEvery = std::chrono::milliseconds(200);
+};
+
+struct StoreSettings
+{
+    std::string address;
+    Duration leastLease = std::chrono::seconds(1);
+};
+
+// What the platform's rules bound, as its settings state them.
+struct BoundSettings
+{
+    Duration stopWithin = std::chrono::seconds(8);
+    double retryRatio = 0.2;
+    Duration retryWindow = std::chrono::seconds(10);
+    double retrySlack = 50.0;
+    Duration orderLease = std::chrono::seconds(3);
+    Duration weightsWithin = std::chrono::seconds(12);
+};
+
+// The settings file of a node that runs as one process.
+struct OneProcessSettings
+{
+    NodeSettings node;
+    CallerSettings callers;
+    PeerSettings peers;
+    StoreSettings store;
+    BoundSettings bounds;
+    bool jsonLog = false;
+};
+
+// Reads and checks a settings file; empty when any error was added.
+std::optional<OneProcessSettings> readOneProcessSettings(const std::string &path,
+                                                         ConfigErrors &errors);
+
+} // namespace fordwood::config
+
+#endif // FORDWOOD_CONFIG_NODE_SETTINGS_HPP_INCLUDED
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -127,6 +127,47 @@
 constexpr Field kLog[] = {
     {"format", Text, false, 0, 0, "text", "`text` (key=value) or `json`."},
 };
+constexpr Field kCallers[] = {
+    {"listen", Address, true, 0, 0, "", "Address for callers."},
+    {"ready_listen", Address, true, 0, 0, "",
+     "Address at which the platform asks whether the node takes new connections."},
+    {"max_connections", Integer, false, 1, 1e6, "2500",
+     "Callers' connections held at once; further ones are closed."},
+};
+constexpr Field kPeers[] = {
+    {"listen", Address, true, 0, 0, "",
+     "Address at which peers read this node's copy of the platform's store."},
+    {"gossip_listen", Address, true, 0, 0, "", "Address for short messages of peers (UDP)."},
+    {"metrics_listen", Address, true, 0, 0, "", "Address of `/metrics`."},
+    {"seeds", TextList, false, 0, 0, "[]",
+     "`peers.listen` of other nodes, asked while the store does not answer."},
+    {"gossip_every", Span, false, 0.01, 10, "200ms", "Time between two messages to each peer."},
+};
+constexpr Field kStoreOfNode[] = {
+    {"address", Address, true, 0, 0, "", "Address of the platform's key-value store (HTTP)."},
+    {"least_lease", Span, false, 0.1, 600, "1s", "Shortest lease that the store grants."},
+};
+constexpr Field kBounds[] = {
+    {"stop_within", Span, false, 1, 3600, "8s",
+     "Time that the platform gives a planned stop before it kills the process."},
+    {"retry_ratio", Number, false, 0, 1, "0.2",
+     "Repeated sends of the whole fleet for each request to a service."},
+    {"retry_window", Span, false, 1, 3600, "10s", "Time over which repeated sends are counted."},
+    {"retry_slack", Number, false, 0, 1e6, "50",
+     "Repeated sends of the whole fleet in each window, beyond the ratio."},
+    {"order_lease", Span, false, 0.1, 600, "3s",
+     "Lease of the node that orders engines to load weights; a successor waits as long."},
+    {"weights_within", Span, false, 1, 3600, "12s",
+     "Time after which no request may begin on weights older than those that were named."},
+};
+constexpr Section kNodeSettings[] = {
+    {"node", false, kNode, "Who this VM is."},
+    {"callers", false, kCallers, "Where callers are served."},
+    {"peers", false, kPeers, "What passes between nodes."},
+    {"store", false, kStoreOfNode, "Where the platform's store is."},
+    {"bounds", false, kBounds, "What the platform's rules bound."},
+    {"log", false, kLog, "How events are written."},
+};
 constexpr Section kSettings[] = {
     {"node", false, kNode, "Who this VM is."},
     {"entry", false, kEntry, "Read by `fordwood-entryd`."},
@@ -176,6 +217,11 @@
     return kSettings;
 }
 
+std::span<const Section> nodeSections()
+{
+    return kNodeSettings;
+}
+
 std::string referencePage(std::span<const Section> sections, std::string_view title,
                           std::string_view intro)
 {
--- a/src/config/schema.hpp
+++ b/src/config/schema.hpp
@@ -37,6 +37,9 @@
 // The sections of one process's settings.
 std::span<const Section> settingsSections();
 
+// The sections of the settings of a node that runs as one process.
+std::span<const Section> nodeSections();
+
 // The reference page of a set of sections, in Markdown.
 std::string referencePage(std::span<const Section> sections, std::string_view title,
                           std::string_view intro);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -7,7 +7,7 @@
 #include <iterator>
 #include <set>
 
-#include "config/document.hpp"
+#include "config/settings_tables.hpp"
 
 namespace fordwood::config {
 
@@ -56,30 +56,41 @@
     return std::string(std::istreambuf_iterator<char>(in), {});
 }
 
-std::optional<Settings> readSettings(const std::string &path, ConfigErrors &errors)
+SettingsTables readSettingsTables(const std::string &path, std::span<const Section> sections,
+                                  std::initializer_list<std::string_view> required,
+                                  ConfigErrors &errors)
 {
+    SettingsTables read;
     const auto text = readFile(path, errors);
     if (!text)
-        return std::nullopt;
+        return read;
     auto document = parseDocument(path, *text, errors);
     if (!document)
-        return std::nullopt;
-    const std::vector<Document> documents{std::move(*document)};
-    const auto tables = checkDocuments(documents, settingsSections(), errors);
-    Settings settings;
+        return read;
+    read.documents.push_back(std::move(*document));
+    read.tables = checkDocuments(read.documents, sections, errors);
     std::set<std::string_view> seen;
-    for (const CheckedTable &it : tables) {
+    for (const CheckedTable &it : read.tables) {
         seen.insert(it.section());
-        readTable(it, settings);
         const std::string format = it.section() == "log" ? it.text("format", "text") : "text";
         if (format != "text" && format != "json")
             errors.push_back(
                 it.error("format", "is \"" + format + "\"", "expected \"text\" or \"json\""));
     }
-    for (const std::string_view it : {"node", "entry", "control", "platform"}) {
+    for (const std::string_view it : required) {
         if (errors.empty() && seen.count(it) == 0)
             errors.push_back({path, 0, 0, std::string(it), "is missing", "expected the section"});
     }
+    return read;
+}
+
+std::optional<Settings> readSettings(const std::string &path, ConfigErrors &errors)
+{
+    const auto read = readSettingsTables(path, settingsSections(),
+                                         {"node", "entry", "control", "platform"}, errors);
+    Settings settings;
+    for (const CheckedTable &it : read.tables)
+        readTable(it, settings);
     if (!errors.empty())
         return std::nullopt;
     return settings;
--- /dev/null
+++ b/src/core/call_plan.cpp
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/call_plan.hpp"
+
+namespace fordwood {
+
+namespace {
+
+// Upstreams that one request tries to reach in vain before it is refused: two dead ones are likely
+// in a bad hour, more mean that this node is cut off.
+constexpr std::size_t kMostConnectFailures = 4;
+
+} // namespace
+
+void CallPlan::sending(const std::string &instanceId)
+{
+    m_tried.insert(instanceId);
+    m_sends += 1;
+}
+
+void CallPlan::notSent()
+{
+    m_sends -= 1;
+    m_connectFailures += 1;
+}
+
+AfterFailure CallPlan::afterFailure(const FailedAttempt &failure, TimePoint now,
+                                    const std::function<bool()> &takeRepeat)
+{
+    m_reason = failure.reason;
+    if (failure.state != RunState::NotRun)
+        m_mayHaveRun = true;
+    const AfterFailure end
+        = failure.answerBegun ? AfterFailure::CutAnswer : AfterFailure::EndWithVerdict;
+    if (failure.answerBegun && !m_terms.resumable)
+        return end;
+    if (m_mayHaveRun && !m_terms.mayRunAgain)
+        return end;
+    if (now >= m_terms.answerBy || m_sends >= m_terms.maxAttempts
+        || m_connectFailures >= kMostConnectFailures)
+        return end;
+    // A first send that never reached an upstream is no repetition.
+    if (m_sends > 0 && !takeRepeat()) {
+        if (!m_mayHaveRun)
+            m_reason = Reason::RetryBudgetUsed;
+        return end;
+    }
+    return AfterFailure::SendAgain;
+}
+
+Verdict CallPlan::verdict(std::chrono::milliseconds retryAfter) const
+{
+    Verdict verdict = Verdict::of(m_reason);
+    if (!m_mayHaveRun) {
+        verdict.state = RunState::NotRun;
+        verdict.retryAfter = retryAfter;
+        return verdict;
+    }
+    verdict.state = RunState::MayHaveRun;
+    if (info(m_reason).state == RunState::NotRun)
+        verdict.reason = Reason::UpstreamBroke; // an earlier attempt may have run
+    return verdict;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/context_directory.cpp
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/context_directory.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+namespace {
+
+// Parts below this size are computed again sooner than a store can be asked for them.
+constexpr std::size_t kLeastTokensToSave = 512;
+
+// The part of a store that is filled: what other nodes save at the same moment is not known yet.
+constexpr double kFillPart = 0.95;
+
+std::string partName(const std::string &salt, const std::string &partId)
+{
+    return salt + "/" + partId;
+}
+
+std::string sendName(const std::string &instanceId, const std::string &salt,
+                     std::uint64_t contextHash)
+{
+    return instanceId + "/" + salt + "/" + std::to_string(contextHash);
+}
+
+} // namespace
+
+void ContextDirectory::setStores(const std::vector<ContextStore> &stores)
+{
+    std::set<std::string> names;
+    for (const ContextStore &it : stores) {
+        names.insert(it.name);
+        Store &store = m_stores[it.name];
+        if (store.config.address != it.address)
+            forgetAll(store);
+        store.config = it;
+        store.hash = stableHash(it.name);
+    }
+    std::erase_if(m_stores, [&](const auto &it) { return !names.contains(it.first); });
+}
+
+void ContextDirectory::sentTo(const std::string &instanceId, const std::string &salt,
+                              std::uint64_t contextHash)
+{
+    if (m_sends.size() >= m_limits.mostSends) {
+        const TimePoint oldest = m_clock.now() - m_limits.engineMemory;
+        std::erase_if(m_sends, [&](const auto &it) { return it.second < oldest; });
+    }
+    if (m_sends.size() >= m_limits.mostSends)
+        m_sends.clear();
+    m_sends[sendName(instanceId, salt, contextHash)] = m_clock.now();
+}
+
+bool ContextDirectory::isAtEngine(const std::string &instanceId, const std::string &salt,
+                                  std::uint64_t contextHash) const
+{
+    const auto it = m_sends.find(sendName(instanceId, salt, contextHash));
+    return it != m_sends.end() && m_clock.now() - it->second < m_limits.engineMemory;
+}
+
+bool ContextDirectory::speaks(const Store &store) const
+{
+    return store.answered != TimePoint::min()
+           && m_clock.now() - store.answered < m_limits.storeWord;
+}
+
+void ContextDirectory::forgetAll(Store &store)
+{
+    store.parts.clear();
+    store.saves.clear();
+    store.saveTokens.clear();
+    store.tokens = 0;
+    store.tokensOfSaves = 0;
+    store.answered = TimePoint::min();
+}
+
+void ContextDirectory::storeAnswered(const StoreNews &news)
+{
+    const auto it = m_stores.find(news.store);
+    if (it == m_stores.end())
+        return;
+    Store &store = it->second;
+    if (news.restated || news.epoch != store.epoch)
+        forgetAll(store);
+    store.epoch = news.epoch;
+    store.answered = m_clock.now();
+    for (const StorePartChange &change : news.changes)
+        apply(store, change);
+}
+
+void ContextDirectory::apply(Store &store, const StorePartChange &change)
+{
+    const std::string name = partName(change.salt, change.partId);
+    endSave(store, name);
+    const auto it = store.parts.find(name);
+    if (it != store.parts.end()) {
+        store.tokens -= it->second;
+        store.parts.erase(it);
+    }
+    if (!change.held)
+        return;
+    store.parts[name] = change.tokens;
+    store.tokens += change.tokens;
+}
+
+void ContextDirectory::endSave(Store &store, const std::string &name)
+{
+    if (store.saves.erase(name) == 0)
+        return;
+    store.tokensOfSaves -= store.saveTokens[name];
+    store.saveTokens.erase(name);
+}
+
+void ContextDirectory::storeSilent(const std::string &store)
+{
+    const auto it = m_stores.find(store);
+    if (it != m_stores.end())
+        it->second.answered = TimePoint::min();
+}
+
+std::string ContextDirectory::storeWith(const std::string &salt, const std::string &partId) const
+{
+    const std::string name = partName(salt, partId);
+    for (const auto &[key, store] : m_stores) {
+        if (speaks(store) && store.parts.contains(name))
+            return store.config.address;
+    }
+    return {};
+}
+
+void ContextDirectory::dropOldSaves(Store &store) const
+{
+    std::vector<std::string> lost;
+    for (const auto &[name, since] : store.saves) {
+        if (m_clock.now() - since >= m_limits.saveLife)
+            lost.push_back(name);
+    }
+    for (const std::string &it : lost)
+        endSave(store, it);
+}
+
+std::string ContextDirectory::storeForSave(const std::string &salt, const PromptPart &part)
+{
+    if (part.tokens < kLeastTokensToSave || !storeWith(salt, part.id).empty())
+        return {};
+    const std::string name = partName(salt, part.id);
+    const std::uint64_t hash = stableHash(name);
+    Store *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (auto &[key, store] : m_stores) {
+        dropOldSaves(store);
+        if (store.saves.contains(name))
+            return {};
+        const auto room = static_cast<std::size_t>(
+            kFillPart * static_cast<double>(store.config.capacityTokens));
+        if (!speaks(store) || store.tokens + store.tokensOfSaves + part.tokens > room)
+            continue;
+        const std::uint64_t weight = rendezvousWeight(hash, store.hash);
+        if (best == nullptr || weight > bestWeight) {
+            best = &store;
+            bestWeight = weight;
+        }
+    }
+    if (best == nullptr)
+        return {};
+    best->saves[name] = m_clock.now();
+    best->saveTokens[name] = part.tokens;
+    best->tokensOfSaves += part.tokens;
+    return best->config.address;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/fenced_lock.cpp
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/fenced_lock.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fordwood {
+
+FencedLock::FencedLock(std::string key, std::string owner, const Clock &clock, Limits limits)
+    : m_key(std::move(key)), m_owner(std::move(owner)), m_clock(clock), m_limits(limits)
+{ }
+
+std::string FencedLock::value() const
+{
+    return m_owner + "#" + std::to_string(m_attempt);
+}
+
+void FencedLock::keyChanged(const StoredItem *item)
+{
+    const bool isOwn = item != nullptr && item->value == value();
+    if (item == nullptr) {
+        if (!m_freeSince)
+            m_freeSince = m_clock.now();
+    } else {
+        m_freeSince.reset();
+    }
+    if (isOwn && (m_stage == Stage::Taking || m_stage == Stage::Settling))
+        hold(item->created);
+    else if (m_stage == Stage::Held && !isOwn && (item == nullptr || item->created > m_fence))
+        startOver(m_limits.retryEvery);
+}
+
+void FencedLock::leaseGranted(std::int64_t lease, Duration life, TimePoint asked)
+{
+    if (m_stage != Stage::Granting) {
+        m_actions.emplace_back(EndLease{lease});
+        return;
+    }
+    m_lease = lease;
+    m_leaseEnd = asked + life;
+    m_attempt += 1;
+    m_stage = Stage::Taking;
+    m_waitUntil = m_clock.now() + m_limits.settleTime;
+    m_actions.emplace_back(TakeLock{m_key, value(), lease});
+}
+
+void FencedLock::leaseRefused()
+{
+    if (m_stage == Stage::Granting)
+        startOver(m_limits.retryEvery);
+}
+
+void FencedLock::lockTaken(WriteResult result, std::int64_t revision)
+{
+    if (m_stage != Stage::Taking)
+        return;
+    switch (result) {
+    case WriteResult::Done:
+        hold(revision);
+        return;
+    case WriteResult::Unknown:
+        // The copy of the store will show whether it was done.
+        m_stage = Stage::Settling;
+        m_waitUntil = m_clock.now() + m_limits.settleTime;
+        return;
+    case WriteResult::ConditionFailed:
+    case WriteResult::LeaseOver:
+    case WriteResult::Refused:
+        startOver(m_limits.retryEvery);
+        return;
+    }
+}
+
+void FencedLock::hold(std::int64_t fence)
+{
+    m_stage = Stage::Held;
+    m_fence = fence;
+    m_actFrom = m_clock.now() + m_limits.quietTime;
+    m_nextKeep = m_clock.now();
+    m_keeping = false;
+}
+
+void FencedLock::leaseKept(Duration life, TimePoint asked)
+{
+    m_keeping = false;
+    if (m_stage != Stage::Held)
+        return;
+    m_leaseEnd = std::max(m_leaseEnd, asked + life);
+}
+
+void FencedLock::leaseNotKept(bool isOver)
+{
+    m_keeping = false;
+    if (m_stage == Stage::Held && isOver)
+        startOver(m_limits.retryEvery);
+}
+
+void FencedLock::fenceRefused()
+{
+    if (m_stage == Stage::Held)
+        startOver(m_limits.retryEvery);
+}
+
+void FencedLock::release()
+{
+    if (m_lease != 0)
+        m_actions.emplace_back(EndLease{m_lease});
+    m_lease = 0;
+    m_stage = Stage::Released;
+}
+
+void FencedLock::startOver(Duration pause)
+{
+    if (m_lease != 0)
+        m_actions.emplace_back(EndLease{m_lease});
+    m_lease = 0;
+    m_stage = Stage::Idle;
+    m_notBefore = m_clock.now() + pause;
+}
+
+std::vector<LockAction> FencedLock::tick()
+{
+    const TimePoint now = m_clock.now();
+    switch (m_stage) {
+    case Stage::Idle:
+        if (m_freeSince && now >= m_notBefore && now - *m_freeSince >= m_patience) {
+            m_stage = Stage::Granting;
+            m_waitUntil = now + m_limits.settleTime;
+            m_actions.emplace_back(GrantLease{m_limits.life});
+        }
+        break;
+    case Stage::Granting:
+    case Stage::Taking:
+    case Stage::Settling:
+        if (now >= m_waitUntil)
+            startOver(m_limits.retryEvery);
+        break;
+    case Stage::Held:
+        if (now >= m_leaseEnd) {
+            startOver(m_limits.retryEvery);
+        } else if (!m_keeping && now >= m_nextKeep) {
+            m_keeping = true;
+            m_nextKeep = now + m_limits.keepEvery;
+            m_actions.emplace_back(KeepLease{m_lease});
+        }
+        break;
+    case Stage::Released:
+        break;
+    }
+    return std::exchange(m_actions, {});
+}
+
+std::optional<FencedLock::Holding> FencedLock::holding() const
+{
+    if (m_stage != Stage::Held || m_clock.now() >= m_leaseEnd - m_limits.margin)
+        return std::nullopt;
+    return Holding{m_fence, m_actFrom, m_leaseEnd - m_limits.margin};
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/load_book.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/load_book.hpp"
+
+#include <algorithm>
+
+namespace fordwood {
+
+namespace {
+
+void subtract(std::size_t &from, std::size_t n)
+{
+    from -= std::min(from, n);
+}
+
+} // namespace
+
+UpstreamLoad &UpstreamLoad::operator+=(const UpstreamLoad &other)
+{
+    running += other.running;
+    tokensToCompute += other.tokensToCompute;
+    tokensHeld += other.tokensHeld;
+    return *this;
+}
+
+void LoadBook::begin(const std::string &instanceId, const RequestLoad &load)
+{
+    m_own[instanceId] += {1, load.tokensToCompute, load.tokensHeld};
+}
+
+void LoadBook::computed(const std::string &instanceId, const RequestLoad &load)
+{
+    subtract(m_own[instanceId].tokensToCompute, load.tokensToCompute);
+}
+
+void LoadBook::end(const std::string &instanceId, const RequestLoad &load, bool wasComputed)
+{
+    const auto it = m_own.find(instanceId);
+    if (it == m_own.end())
+        return;
+    UpstreamLoad &own = it->second;
+    subtract(own.running, 1);
+    subtract(own.tokensHeld, load.tokensHeld);
+    if (!wasComputed)
+        subtract(own.tokensToCompute, load.tokensToCompute);
+    if (own.running == 0)
+        m_own.erase(it);
+}
+
+void LoadBook::setPeer(const std::string &peer, Loads loads)
+{
+    m_peers[peer] = {std::move(loads), m_clock.now()};
+}
+
+UpstreamLoad LoadBook::ownAt(const std::string &instanceId) const
+{
+    const auto it = m_own.find(instanceId);
+    return it == m_own.end() ? UpstreamLoad{} : it->second;
+}
+
+UpstreamLoad LoadBook::total(const std::string &instanceId) const
+{
+    UpstreamLoad sum = ownAt(instanceId);
+    for (const auto &[name, peer] : m_peers) {
+        if (m_clock.now() - peer.told > m_peerLife)
+            continue;
+        const auto it = peer.loads.find(instanceId);
+        if (it != peer.loads.end())
+            sum += it->second;
+    }
+    return sum;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/prompt.cpp
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/prompt.hpp"
+
+#include <array>
+#include <cstdio>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+std::size_t Prompt::sharedTokens() const
+{
+    std::size_t sum = 0;
+    for (std::size_t it = 0; it + 1 < parts.size(); ++it)
+        sum += parts[it].tokens;
+    return sum;
+}
+
+std::uint64_t Prompt::contextHash() const
+{
+    std::uint64_t hash = 0;
+    for (std::size_t it = 0; it + 1 < parts.size(); ++it)
+        hash = stableHash(parts[it].id, hash + 1);
+    return hash;
+}
+
+std::string contextSalt(const std::string &model, std::uint64_t weightVersion,
+                        const std::string &walledTeam)
+{
+    // Hashes of fixed width, so that no two lists of names give the same text.
+    constexpr std::uint64_t kTeamSeed = 1;
+    const std::uint64_t team = walledTeam.empty() ? 0 : stableHash(walledTeam, kTeamSeed);
+    std::array<char, 64> text{};
+    const int n = std::snprintf(text.data(), text.size(), "%llu-%016llx-%016llx",
+                                static_cast<unsigned long long>(weightVersion),
+                                static_cast<unsigned long long>(stableHash(model)),
+                                static_cast<unsigned long long>(team));
+    return {text.data(), static_cast<std::size_t>(n)};
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/service_chooser.cpp
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/service_chooser.hpp"
+
+#include <algorithm>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+namespace {
+
+// In requests for each slot. An upstream that fails all of its requests counts as this full.
+constexpr double kFailureCost = 4.0;
+// A path to another failure domain costs bytes and a millisecond: as much as a small load.
+constexpr double kOtherDomainCost = 0.08;
+// Only to spread equals.
+constexpr double kSpread = 0.01;
+constexpr double kHashRange = 18446744073709551616.0; // 2^64
+
+} // namespace
+
+const UpstreamRecord *chooseUpstream(const std::vector<const UpstreamRecord *> &upstreams,
+                                     const std::set<std::string> &tried,
+                                     const std::string &ownFailureDomain, std::uint64_t salt,
+                                     const LoadBook &loads, const UpstreamHealth &health)
+{
+    const UpstreamRecord *best = nullptr;
+    double least = 0.0;
+    for (const UpstreamRecord *it : upstreams) {
+        if (tried.contains(it->instanceId) || health.isPaused(it->instanceId))
+            continue;
+        const auto slots = static_cast<double>(std::max<std::size_t>(it->slots, 1));
+        double cost = static_cast<double>(loads.total(it->instanceId).running) / slots;
+        cost += kFailureCost * health.failureRate(it->instanceId);
+        if (it->failureDomain != ownFailureDomain)
+            cost += kOtherDomainCost;
+        const std::uint64_t hash = rendezvousWeight(salt, stableHash(it->instanceId));
+        cost += kSpread * static_cast<double>(hash) / kHashRange;
+        if (best == nullptr || cost < least) {
+            best = it;
+            least = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/store_replica.cpp
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/store_replica.hpp"
+
+#include <algorithm>
+
+namespace fordwood {
+
+namespace {
+
+// Removed keys that are remembered, so that a peer that lags can be told of them. Some hundred
+// upstreams leave in a bad hour; a peer that lags further gets the whole copy instead.
+constexpr std::size_t kMostRemovedKeys = 1024;
+
+} // namespace
+
+std::optional<std::vector<StoredItem>> StoreReplica::merge(const StoreChanges &changes)
+{
+    const bool whole = changes.since == 0;
+    if (!whole && changes.since > m_revision)
+        return std::nullopt;
+    std::vector<StoredItem> changed;
+    for (const StoredItem &it : changes.items) {
+        if (take(it))
+            changed.push_back(it);
+    }
+    if (whole && changes.revision > m_revision) {
+        // What a whole copy leaves out was removed at some revision up to that of the copy.
+        std::map<std::string, bool> present;
+        for (const StoredItem &it : changes.items)
+            present[it.key] = true;
+        for (auto &[key, item] : m_items) {
+            if (!item.value || present.contains(key) || item.revision > changes.revision)
+                continue;
+            item.value.reset();
+            item.revision = changes.revision;
+            changed.push_back(item);
+        }
+    }
+    m_revision = std::max(m_revision, changes.revision);
+    if (whole && m_rememberedSince == 0)
+        m_rememberedSince = changes.revision;
+    forgetOldest();
+    return changed;
+}
+
+StoreChanges StoreReplica::changesSince(std::int64_t revision) const
+{
+    StoreChanges changes;
+    changes.since = revision >= m_rememberedSince ? revision : 0;
+    changes.revision = m_revision;
+    for (const auto &[key, item] : m_items) {
+        if (changes.since == 0 ? item.value.has_value() : item.revision > revision)
+            changes.items.push_back(item);
+    }
+    return changes;
+}
+
+const StoredItem *StoreReplica::find(const std::string &key) const
+{
+    const auto it = m_items.find(key);
+    return it == m_items.end() || !it->second.value ? nullptr : &it->second;
+}
+
+bool StoreReplica::take(const StoredItem &item)
+{
+    const auto [it, isNew] = m_items.try_emplace(item.key, item);
+    if (isNew)
+        return true;
+    if (item.revision <= it->second.revision)
+        return false;
+    it->second = item;
+    return true;
+}
+
+void StoreReplica::forgetOldest()
+{
+    std::vector<std::pair<std::int64_t, const std::string *>> removed;
+    for (const auto &[key, item] : m_items) {
+        if (!item.value)
+            removed.emplace_back(item.revision, &key);
+    }
+    if (removed.size() <= kMostRemovedKeys)
+        return;
+    std::sort(removed.begin(), removed.end());
+    removed.resize(removed.size() - kMostRemovedKeys / 2);
+    for (const auto &[revision, key] : removed) {
+        m_rememberedSince = std::max(m_rememberedSince, revision);
+        m_items.erase(*key);
+    }
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/weight_rollout.cpp
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/weight_rollout.hpp"
+
+#include <algorithm>
+
+namespace fordwood {
+
+void WeightRollout::setEngines(const std::vector<const UpstreamRecord *> &engines)
+{
+    std::map<std::string, Engine> next;
+    for (const UpstreamRecord *it : engines) {
+        Engine &engine = next[it->instanceId];
+        const auto known = m_engines.find(it->instanceId);
+        if (known != m_engines.end())
+            engine = known->second;
+        engine.address = it->address;
+        for (const auto &[model, version] : it->weightVersions)
+            engine.versions[model] = std::max(engine.versions[model], version);
+    }
+    m_engines = std::move(next);
+    std::erase_if(m_loads, [&](const auto &it) { return !m_engines.contains(it.first); });
+    std::erase_if(m_shown, [&](const auto &it) { return !m_engines.contains(it.first); });
+}
+
+void WeightRollout::setTarget(const std::string &model, std::uint64_t version)
+{
+    std::uint64_t &target = m_targets[model];
+    target = std::max(target, version);
+}
+
+std::optional<std::string> WeightRollout::modelBehind(const Engine &engine) const
+{
+    for (const auto &[model, version] : engine.versions) {
+        const auto target = m_targets.find(model);
+        if (target != m_targets.end() && version < target->second)
+            return model;
+    }
+    return std::nullopt;
+}
+
+bool WeightRollout::hasWork() const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(),
+                       [&](const auto &it) { return modelBehind(it.second).has_value(); });
+}
+
+std::set<std::string> WeightRollout::loading() const
+{
+    std::set<std::string> ids;
+    for (const auto &[id, load] : m_loads)
+        ids.insert(id);
+    return ids;
+}
+
+void WeightRollout::giveUp(const std::string &instanceId)
+{
+    m_loads.erase(instanceId);
+    const auto it = m_engines.find(instanceId);
+    if (it != m_engines.end())
+        it->second.notBefore = m_clock.now() + m_limits.pause;
+}
+
+void WeightRollout::startLoads(const LoadBook &loads)
+{
+    const auto most = std::max<std::size_t>(
+        1, static_cast<std::size_t>(m_limits.loadingPart * static_cast<double>(m_engines.size())));
+    std::vector<std::pair<std::size_t, std::string>> behind; // by running requests
+    for (const auto &[id, engine] : m_engines) {
+        if (modelBehind(engine) && !m_loads.contains(id) && m_clock.now() >= engine.notBefore)
+            behind.emplace_back(loads.total(id).running, id);
+    }
+    std::sort(behind.begin(), behind.end());
+    for (const auto &[running, id] : behind) {
+        if (m_loads.size() >= most)
+            return;
+        Load load;
+        load.since = m_clock.now();
+        load.nextStep = load.since + m_limits.announceLead;
+        m_loads.emplace(id, load);
+    }
+}
+
+std::vector<RolloutAction> WeightRollout::tick(const std::optional<FencedLock::Holding> &holding,
+                                               const LoadBook &loads)
+{
+    const TimePoint now = m_clock.now();
+    if (!holding || now < holding->actFrom || now >= holding->actUntil) {
+        m_loads.clear();
+        m_actions.clear();
+        return {};
+    }
+    startLoads(loads);
+    std::vector<std::string> late;
+    for (auto &[id, load] : m_loads) {
+        if (now - load.since >= m_limits.longestLoad)
+            late.push_back(id);
+        else if (now >= load.nextStep && !load.isAsking)
+            step(id, load, holding->fence);
+    }
+    for (const std::string &it : late)
+        giveUp(it);
+    return std::exchange(m_actions, {});
+}
+
+void WeightRollout::step(const std::string &instanceId, Load &load, std::int64_t fence)
+{
+    const Engine &engine = m_engines.at(instanceId);
+    const std::optional<std::string> model = modelBehind(engine);
+    if (load.stage == Stage::Ready && model) {
+        load.stage = Stage::Ordering;
+        load.isAsking = true;
+        load.wasOrdered = true;
+        m_actions.emplace_back(OrderWeights{instanceId, engine.address, *model,
+                                            m_targets.at(*model), fence, load.ordersTaken});
+        return;
+    }
+    load.stage = load.wasOrdered ? Stage::Loading : Stage::Reading;
+    load.isAsking = true;
+    m_actions.emplace_back(AskReport{instanceId, engine.address});
+}
+
+void WeightRollout::reportRead(const std::string &instanceId,
+                               const std::optional<EngineReport> &report)
+{
+    const auto it = m_loads.find(instanceId);
+    if (it == m_loads.end())
+        return;
+    Load &load = it->second;
+    load.isAsking = false;
+    if (!report) {
+        if (!load.wasOrdered)
+            giveUp(instanceId);
+        else
+            load.nextStep = m_clock.now() + m_limits.reportEvery;
+        return;
+    }
+    Engine &engine = m_engines.at(instanceId);
+    for (const auto &[model, version] : report->weightVersions) {
+        if (version <= engine.versions[model])
+            continue;
+        engine.versions[model] = version;
+        m_shown[instanceId][model] = version;
+    }
+    if (!modelBehind(engine)) {
+        m_loads.erase(it);
+        return;
+    }
+    load.ordersTaken = report->ordersTaken;
+    if (report->busy) {
+        load.nextStep = m_clock.now() + m_limits.reportEvery;
+        return;
+    }
+    load.stage = Stage::Ready;
+    load.nextStep = m_clock.now();
+}
+
+void WeightRollout::orderAnswered(const std::string &instanceId, OrderResult result)
+{
+    const auto it = m_loads.find(instanceId);
+    if (it == m_loads.end())
+        return;
+    Load &load = it->second;
+    load.isAsking = false;
+    load.stage = Stage::Loading;
+    switch (result) {
+    case OrderResult::Accepted:
+    case OrderResult::AlreadyDone:
+    case OrderResult::Conflict:
+        load.nextStep = m_clock.now() + m_limits.reportEvery;
+        return;
+    case OrderResult::Unknown:
+        load.nextStep = m_clock.now() + m_limits.lateOrder;
+        return;
+    case OrderResult::Fenced:
+        m_fenceRefused = true;
+        giveUp(instanceId);
+        return;
+    case OrderResult::Refused:
+        giveUp(instanceId);
+        return;
+    }
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/node/call_run.cpp
@@ -0,0 +1,529 @@
+// SPDX-License-Identifier: MIT
+#include "node/call_run.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "adapters/observe/event_log.hpp"
+#include "fordwood/rendezvous.hpp"
+#include "fordwood/service_chooser.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+// How long a caller waits that does not say.
+constexpr std::chrono::milliseconds kUsualPatience{30'000};
+
+// Less than this is not worth sending: no upstream would finish.
+constexpr std::chrono::milliseconds kLeastPatience{5};
+
+// While no upstream may be used, this often one is looked for anew, for a quarter of the target
+// latency: after that an early refusal serves the caller better.
+constexpr Duration kLookAgain = std::chrono::milliseconds(25);
+constexpr int kWaitPart = 4;
+
+// What a refused caller is told to wait.
+constexpr std::chrono::milliseconds kRetryAfter{250};
+
+// An upstream that has no room is passed over for a moment.
+constexpr Duration kFullPause = std::chrono::milliseconds(150);
+
+// How long an upstream keeps a resting channel when it does not say.
+constexpr Duration kUsualKeepAlive = std::chrono::seconds(4);
+
+bool isGood(unsigned status)
+{
+    constexpr unsigned kFirstGood = 200;
+    constexpr unsigned kFirstOther = 300;
+    return status >= kFirstGood && status < kFirstOther;
+}
+
+std::string_view textOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+// Seconds with a fraction, as callers read them.
+std::string secondsText(std::chrono::milliseconds time)
+{
+    std::array<char, 32> text{};
+    const int n = std::snprintf(text.data(), text.size(), "%.3f",
+                                std::chrono::duration<double>(time).count());
+    return {text.data(), static_cast<std::size_t>(n)};
+}
+
+} // namespace
+
+CallRun::CallRun(Traffic &traffic, CallerPort &port, http::request_header<> head, std::string body,
+                 TimePoint arrived)
+    : m_traffic(traffic), m_port(port), m_head(std::move(head)),
+      m_body(std::make_shared<const std::string>(std::move(body))), m_arrived(arrived),
+      m_caller(platform::readCallerHead(m_head)), m_table(traffic.table()),
+      m_deadline(traffic.context()), m_retry(traffic.context())
+{ }
+
+void CallRun::start()
+{
+    if (!admit())
+        return;
+    m_traffic.countRequest(m_pool->name);
+    armDeadline();
+    attempt();
+}
+
+bool CallRun::admit()
+{
+    const auto refuse = [this](Reason reason) {
+        giveUp(Verdict::of(reason, {}, kRetryAfter));
+        return false;
+    };
+    if (!m_table)
+        return refuse(Reason::NotReady);
+    if (m_caller.requestId.empty())
+        return refuse(Reason::MalformedRequest);
+    m_route = m_table->findRoute(textOf(m_head[http::field::host]), textOf(m_head.target()));
+    if (m_route == nullptr)
+        return refuse(Reason::UnknownRoute);
+    if (m_table->hasTeams())
+        m_team = m_table->findTeam(m_caller.teamKey);
+    if (m_table->hasTeams() && m_team == nullptr && !m_route->isPublic)
+        return refuse(Reason::UnknownTeam);
+    m_pool = m_table->findService(RouteTable::targetOf(*m_route, m_caller.requestId));
+    if (m_pool == nullptr)
+        return refuse(Reason::NoUpstream);
+    std::chrono::milliseconds patience = m_caller.patience.value_or(kUsualPatience);
+    if (m_route->timeout.count() > 0)
+        patience = std::min(patience, m_route->timeout);
+    CallTerms terms;
+    terms.mayRunAgain = m_route->mayRunAgain();
+    terms.resumable = m_route->streaming && m_route->resumable;
+    terms.maxAttempts = m_route->maxAttempts;
+    terms.answerBy = m_arrived + patience;
+    m_plan = CallPlan(terms);
+    return true;
+}
+
+void CallRun::armDeadline()
+{
+    m_deadline.expires_at(m_plan.terms().answerBy);
+    m_deadline.async_wait([self = shared_from_this()](const ErrorCode &ec) {
+        if (!ec && !self->m_isOver)
+            self->deadlinePassed();
+    });
+}
+
+std::chrono::milliseconds CallRun::remaining() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_plan.terms().answerBy
+                                                                 - m_traffic.clock().now());
+}
+
+bool CallRun::isStream() const
+{
+    return m_route->streaming && m_attempt && isGood(m_attempt->answer->result_int());
+}
+
+void CallRun::attempt()
+{
+    if (remaining() < kLeastPatience) {
+        deadlinePassed();
+        return;
+    }
+    if (!choose()) {
+        waitForUpstream();
+        return;
+    }
+    m_plan.sending(m_attempt->upstream.instanceId);
+    m_attempt->begun = m_traffic.clock().now();
+    m_lastUpstream = m_attempt->upstream.instanceId;
+    m_traffic.loads().begin(m_lastUpstream, m_attempt->load);
+    m_traffic.channels().take(m_attempt->upstream,
+                              [self = shared_from_this()](std::shared_ptr<HttpChannel> channel,
+                                                          const ErrorCode &ec) {
+                                  self->connected(std::move(channel), ec);
+                              });
+}
+
+bool CallRun::choose()
+{
+    const auto candidates = m_traffic.candidates(*m_pool);
+    if (m_pool->engine && m_caller.prompt)
+        return chooseEngine(candidates);
+    const std::uint64_t salt = stableHash(m_caller.requestId);
+    const UpstreamRecord *chosen
+        = chooseUpstream(candidates, m_plan.tried(), m_traffic.settings().node.failureDomain, salt,
+                         m_traffic.loads(), m_traffic.health());
+    if (chosen == nullptr)
+        return false;
+    m_attempt.emplace();
+    m_attempt->upstream = *chosen;
+    return true;
+}
+
+bool CallRun::chooseEngine(const std::vector<const UpstreamRecord *> &candidates)
+{
+    const std::string walled = m_team != nullptr && m_team->isolated ? m_team->name : "";
+    const EngineChooser::Question question{*m_caller.prompt, walled,
+                                           m_traffic.weightTarget(m_caller.prompt->model),
+                                           *m_pool->engine, m_plan.tried()};
+    const auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
+                                                   m_traffic.health(), m_traffic.contexts());
+    if (!choice)
+        return false;
+    m_attempt.emplace();
+    m_attempt->upstream = *m_traffic.upstreams().find(choice->instanceId);
+    m_attempt->load = choice->load;
+    m_attempt->weightVersion = choice->weightVersion;
+    m_attempt->salt = choice->salt;
+    m_attempt->fetchFrom = choice->fetchFrom;
+    m_attempt->saveTo = choice->saveTo;
+    return true;
+}
+
+void CallRun::waitForUpstream()
+{
+    const Duration patience = m_route->targetLatency / kWaitPart;
+    const TimePoint now = m_traffic.clock().now();
+    if (m_streamBegun || now - m_arrived >= patience) {
+        if (m_streamBegun) {
+            m_port.cut();
+            finish("cut-no-upstream", 0);
+            return;
+        }
+        m_plan.setReason(Reason::NoUpstream);
+        giveUp(m_plan.verdict(kRetryAfter));
+        return;
+    }
+    m_retry.expires_after(kLookAgain);
+    m_retry.async_wait([self = shared_from_this()](const ErrorCode &ec) {
+        if (!ec && !self->m_isOver)
+            self->attempt();
+    });
+}
+
+void CallRun::connected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec)
+{
+    if (m_isOver || !m_attempt) {
+        // The caller left meanwhile, or the deadline passed: nothing has been sent.
+        m_traffic.channels().drop(m_lastUpstream, channel);
+        return;
+    }
+    m_attempt->channel = std::move(channel);
+    if (!ec) {
+        send();
+        return;
+    }
+    m_traffic.health().failed(m_attempt->upstream.instanceId);
+    m_plan.notSent();
+    endAttempt(false);
+    judgeFailure({RunState::NotRun, Reason::ConnectFailed, m_streamBegun});
+}
+
+http::request_header<> CallRun::upstreamHead() const
+{
+    platform::UpstreamStamp stamp;
+    stamp.instanceId = m_attempt->upstream.instanceId;
+    stamp.team = m_team != nullptr ? m_team->name : "";
+    stamp.patience = std::max(remaining(), kLeastPatience);
+    if (m_events.lastId())
+        stamp.resumeFrom = m_events.lastId();
+    if (m_attempt->weightVersion > 0) {
+        stamp.weightVersion = m_attempt->weightVersion;
+        stamp.contextSalt = m_attempt->salt;
+        stamp.fetchFrom = m_attempt->fetchFrom;
+        stamp.saveTo = m_attempt->saveTo;
+        const auto ofTeam = m_team != nullptr ? m_team->priority : std::nullopt;
+        stamp.priority = ofTeam.value_or(m_route->priority);
+    }
+    http::request_header<> head;
+    head.method_string(m_head.method_string());
+    head.target(m_head.target());
+    head.version(11);
+    platform::writeUpstreamHead(m_head, stamp, head);
+    return head;
+}
+
+void CallRun::send()
+{
+    // The upstream may have begun to leave while the connection came up.
+    const UpstreamRecord *record = m_traffic.upstreams().find(m_attempt->upstream.instanceId);
+    if (record == nullptr || record->draining) {
+        m_plan.notSent();
+        endAttempt(true);
+        judgeFailure({RunState::NotRun, Reason::UpstreamLeaving, m_streamBegun});
+        return;
+    }
+    m_attempt->sent = true;
+    m_attempt->channel->exchange(upstreamHead(), m_body, *this);
+}
+
+void CallRun::headRead(const http::response_header<> &head)
+{
+    const auto self = shared_from_this();
+    m_attempt->head = platform::readAnswerHead(head.result_int(), head);
+    m_attempt->answer = head;
+    // An answer to another request stands in the place of ours, which may have run.
+    if (m_attempt->head.requestId != m_caller.requestId) {
+        m_traffic.health().answeredFailure(m_attempt->upstream.instanceId);
+        endAttempt(false);
+        judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamBegun});
+        return;
+    }
+    if (m_attempt->head.notRun || !isGood(head.result_int()))
+        return;
+    if (!m_attempt->head.isSealed) {
+        m_traffic.health().answeredFailure(m_attempt->upstream.instanceId);
+        endAttempt(false);
+        judgeFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamBegun});
+    }
+}
+
+bool CallRun::bodyRead(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    if (isStream() && !m_attempt->head.notRun)
+        return passEvents(bytes);
+    m_attempt->body.append(bytes);
+    return true;
+}
+
+bool CallRun::passEvents(std::string_view bytes)
+{
+    const std::string_view events = m_events.add(bytes);
+    if (!m_attempt->computed) {
+        m_attempt->computed = true;
+        m_traffic.loads().computed(m_attempt->upstream.instanceId, m_attempt->load);
+    }
+    if (m_events.isTooLong()) {
+        endAttempt(false);
+        judgeFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamBegun});
+        return false;
+    }
+    if (events.empty())
+        return true;
+    if (!m_streamBegun)
+        beginStream();
+    return m_port.sendPiece(events);
+}
+
+void CallRun::beginStream()
+{
+    m_streamBegun = true;
+    m_firstEvent = m_traffic.clock().now();
+    m_port.beginStream(callersHead());
+}
+
+http::response_header<> CallRun::callersHead() const
+{
+    http::response_header<> head;
+    head.result(m_attempt->answer->result_int());
+    head.version(11);
+    platform::writeCallerHead(*m_attempt->answer, head);
+    return head;
+}
+
+void CallRun::callerReady()
+{
+    if (m_attempt && m_attempt->channel)
+        m_attempt->channel->resumeReading();
+}
+
+void CallRun::answerEnded()
+{
+    const auto self = shared_from_this();
+    judgeAnswer();
+}
+
+void CallRun::judgeAnswer()
+{
+    const unsigned status = m_attempt->answer->result_int();
+    const std::string id = m_attempt->upstream.instanceId;
+    UpstreamHealth &health = m_traffic.health();
+    if (m_attempt->head.notRun) {
+        const bool wrong = m_attempt->head.wrongInstance;
+        health.refused(id, kFullPause);
+        endAttempt(true);
+        judgeFailure({RunState::NotRun,
+                      wrong ? Reason::VersionMismatch : Reason::UpstreamPushback, m_streamBegun});
+        return;
+    }
+    if (isStream()) {
+        const bool isWhole = !m_events.hasPartOfEvent();
+        endAttempt(true);
+        if (!isWhole) {
+            health.failed(id);
+            judgeFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamBegun});
+            return;
+        }
+        health.succeeded(id);
+        if (!m_streamBegun)
+            beginStream(); // a stream without an event
+        m_port.endStream();
+        finish("answered", status);
+        return;
+    }
+    constexpr unsigned kFirstServerError = 500;
+    if (status < kFirstServerError)
+        health.succeeded(id);
+    else
+        health.answeredFailure(id);
+    if (m_streamBegun) { // the stream was to go on here, and does not
+        endAttempt(true);
+        judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, true});
+        return;
+    }
+    if (status < kFirstServerError || !m_plan.terms().mayRunAgain) {
+        passOn();
+        return;
+    }
+    // A failure of the upstream's own: another may do better; if none may be asked, it stands.
+    const auto again = m_plan.afterFailure({RunState::Ran, Reason::UpstreamBroke, false},
+                                           m_traffic.clock().now(), [this] {
+                                               return m_traffic.takeRepeat(m_pool->name);
+                                           });
+    if (again != AfterFailure::SendAgain) {
+        passOn();
+        return;
+    }
+    m_traffic.metrics().countRetry(Reason::UpstreamBroke);
+    endAttempt(true);
+    attempt();
+}
+
+void CallRun::passOn()
+{
+    const unsigned status = m_attempt->answer->result_int();
+    http::response_header<> head = callersHead();
+    std::string body = std::move(m_attempt->body);
+    endAttempt(true);
+    m_port.sendWhole(std::move(head), std::move(body));
+    finish(isGood(status) ? "answered" : "upstream-failure", status);
+}
+
+void CallRun::channelFailed(const ChannelFailure &failure)
+{
+    const auto self = shared_from_this();
+    m_traffic.health().failed(m_attempt->upstream.instanceId);
+    logEvent(Event::AttemptFailed, {{"request", m_caller.requestId},
+                                    {"upstream", m_attempt->upstream.instanceId},
+                                    {"cause", failure.cause.message()},
+                                    {"events_passed", m_events.lastId().value_or(0)}});
+    endAttempt(false);
+    judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamBegun});
+}
+
+void CallRun::endAttempt(bool reusable)
+{
+    if (!m_attempt)
+        return;
+    const std::string &id = m_attempt->upstream.instanceId;
+    m_traffic.loads().end(id, m_attempt->load, m_attempt->computed);
+    if (!m_attempt->channel)
+        return;
+    const std::shared_ptr<HttpChannel> channel = std::move(m_attempt->channel);
+    m_attempt->channel.reset();
+    if (reusable)
+        m_traffic.channels().giveBack(id, channel,
+                                      m_attempt->head.keepAlive
+                                          ? Duration(*m_attempt->head.keepAlive)
+                                          : kUsualKeepAlive);
+    else
+        m_traffic.channels().drop(id, channel);
+}
+
+void CallRun::judgeFailure(const FailedAttempt &failure)
+{
+    m_events.dropPartOfEvent();
+    const AfterFailure next = m_plan.afterFailure(failure, m_traffic.clock().now(), [this] {
+        return m_traffic.takeRepeat(m_pool->name);
+    });
+    switch (next) {
+    case AfterFailure::SendAgain:
+        m_traffic.metrics().countRetry(failure.reason);
+        attempt();
+        return;
+    case AfterFailure::EndWithVerdict:
+        giveUp(m_plan.verdict(kRetryAfter));
+        return;
+    case AfterFailure::CutAnswer:
+        m_port.cut();
+        finish("cut", 0);
+        return;
+    }
+}
+
+void CallRun::deadlinePassed()
+{
+    const bool sent = m_attempt && m_attempt->sent;
+    endAttempt(false);
+    if (m_streamBegun) {
+        m_port.cut();
+        finish("cut-deadline", 0);
+        return;
+    }
+    m_plan.setReason(sent || m_plan.mayHaveRun() ? Reason::UpstreamTimeout
+                                                 : Reason::DeadlineTooNear);
+    Verdict verdict = m_plan.verdict(kRetryAfter);
+    if (sent)
+        verdict = Verdict::of(Reason::UpstreamTimeout);
+    giveUp(verdict);
+}
+
+void CallRun::giveUp(const Verdict &verdict)
+{
+    const ReasonInfo &reason = info(verdict.reason);
+    // "Not run" is a promise that the status carries; a refused connection is one as well.
+    constexpr unsigned kUnavailable = 503;
+    constexpr unsigned kFirstServerError = 500;
+    auto status = static_cast<unsigned>(reason.httpStatus);
+    if (verdict.state == RunState::NotRun && status >= kFirstServerError)
+        status = kUnavailable;
+    http::response_header<> head;
+    head.result(status);
+    head.version(11);
+    head.set(http::field::content_type, "application/json");
+    if (verdict.state == RunState::NotRun && verdict.retryAfter.count() > 0
+        && status == kUnavailable)
+        head.set(http::field::retry_after, secondsText(verdict.retryAfter));
+    m_traffic.metrics().countRefusal(verdict.reason);
+    std::string body = R"({"error":{"code":")" + std::string(reason.name) + R"("}})";
+    m_port.sendWhole(std::move(head), std::move(body));
+    finish(reason.name, status);
+}
+
+void CallRun::callerLeft()
+{
+    if (m_isOver)
+        return;
+    endAttempt(false);
+    m_traffic.metrics().countRefusal(Reason::CallerLeft);
+    finish(info(Reason::CallerLeft).name, 0);
+}
+
+void CallRun::finish(std::string_view outcome, unsigned status)
+{
+    m_isOver = true;
+    m_deadline.cancel();
+    m_retry.cancel();
+    const Duration took = m_traffic.clock().now() - m_arrived;
+    m_traffic.metrics().observe("fordwood_request_seconds", took);
+    if (m_firstEvent)
+        m_traffic.metrics().observe("fordwood_first_event_seconds", *m_firstEvent - m_arrived);
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took);
+    logEvent(Event::RequestEnded,
+             {{"request", m_caller.requestId},
+              {"route", m_route != nullptr ? m_route->name : ""},
+              {"team", m_team != nullptr ? m_team->name : ""},
+              {"configuration", m_table ? m_table->config().version : 0},
+              {"upstream", m_lastUpstream},
+              {"sends", m_plan.sends()},
+              {"outcome", std::string(outcome)},
+              {"status", status},
+              {"ms", ms.count()}});
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/call_run.hpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_CALL_RUN_HPP_INCLUDED
+#define FORDWOOD_NODE_CALL_RUN_HPP_INCLUDED
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "fordwood/call_plan.hpp"
+#include "fordwood/event_splitter.hpp"
+#include "fordwood/route_table.hpp"
+#include "node/caller_port.hpp"
+#include "node/http_channel.hpp"
+#include "node/traffic.hpp"
+#include "platform/caller_messages.hpp"
+
+namespace fordwood::node {
+
+// One request of a caller from its arrival to its last byte: finds the route and the team, has an
+// upstream chosen, sends, passes the answer on, and follows CallPlan when an attempt fails.
+class CallRun : public AnswerReader, public std::enable_shared_from_this<CallRun>
+{
+public:
+    // `arrived`: when the request began to arrive. `port` must live until the run has ended it or
+    // callerLeft() was called.
+    CallRun(Traffic &traffic, CallerPort &port, http::request_header<> head, std::string body,
+            TimePoint arrived);
+
+    void start();
+
+    // The caller has closed its connection.
+    void callerLeft();
+
+    // The caller takes more of the stream.
+    void callerReady();
+
+    // From AnswerReader:
+    void headRead(const http::response_header<> &head) override;
+    bool bodyRead(std::string_view bytes) override;
+    void answerEnded() override;
+    void channelFailed(const ChannelFailure &failure) override;
+
+private:
+    // What is under way at one upstream.
+    struct Attempt
+    {
+        UpstreamRecord upstream;
+        RequestLoad load;
+        std::uint64_t weightVersion = 0;
+        std::string salt;
+        std::vector<std::string> fetchFrom;
+        std::vector<std::string> saveTo;
+        std::shared_ptr<HttpChannel> channel;
+        TimePoint begun{};
+        bool sent = false;
+        bool computed = false; // the answer has begun
+        platform::AnswerHead head;
+        std::optional<http::response_header<>> answer;
+        std::string body; // of an answer that is passed on whole
+    };
+
+    bool admit(); // false: the request has been refused
+    void attempt();
+    bool choose();
+    bool chooseEngine(const std::vector<const UpstreamRecord *> &candidates);
+    void waitForUpstream();
+    void connected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
+    void send();
+    http::request_header<> upstreamHead() const;
+    void judgeFailure(const FailedAttempt &failure);
+    void judgeAnswer();
+    bool passEvents(std::string_view bytes);
+    void beginStream();
+    http::response_header<> callersHead() const;
+    void endAttempt(bool reusable);
+    void deadlinePassed();
+    void giveUp(const Verdict &verdict);
+    void passOn();
+    void finish(std::string_view outcome, unsigned status);
+    void armDeadline();
+    std::chrono::milliseconds remaining() const;
+    bool isStream() const;
+
+    Traffic &m_traffic;
+    CallerPort &m_port;
+    http::request_header<> m_head;
+    std::shared_ptr<const std::string> m_body;
+    const TimePoint m_arrived;
+    platform::CallerHead m_caller;
+    std::shared_ptr<const RouteTable> m_table;
+    const ServiceRoute *m_route = nullptr;
+    const ServingTeam *m_team = nullptr;
+    const ServicePool *m_pool = nullptr;
+    CallPlan m_plan{CallTerms{}};
+    std::optional<Attempt> m_attempt;
+    net::steady_timer m_deadline;
+    net::steady_timer m_retry; // while no upstream may be used
+    EventSplitter m_events;
+    bool m_streamBegun = false; // a part of the answer has gone to the caller
+    bool m_isOver = false;
+    std::optional<TimePoint> m_firstEvent;
+    std::string m_lastUpstream; // for the log
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_CALL_RUN_HPP_INCLUDED
--- /dev/null
+++ b/src/node/control_duty.cpp
@@ -0,0 +1,468 @@
+// SPDX-License-Identifier: MIT
+#include "node/control_duty.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+
+#include "adapters/observe/event_log.hpp"
+#include "fordwood/rendezvous.hpp"
+#include "platform/documents.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+constexpr std::string_view kNodePrefix = "fordwood/nodes/";
+constexpr std::string_view kReplicaTarget = "/replica?since=";
+
+constexpr Duration kTickEvery = std::chrono::milliseconds(20);
+
+// A change is told to peers at once; this bounds how often when changes come in a row.
+constexpr Duration kGossipLeast = std::chrono::milliseconds(20);
+
+// A node whose own watch works gets a change from there; only when it does not come is a peer asked.
+constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
+
+constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
+constexpr Duration kSeedPause = std::chrono::milliseconds(300);
+
+// A removal that is seen so soon after the store answered again may be an expiry.
+constexpr Duration kExpiryDoubt = std::chrono::seconds(1);
+
+// Nodes that stand further down the order for the lock leave it to those before them.
+constexpr Duration kLockPatiencePerRank = std::chrono::milliseconds(400);
+
+constexpr std::size_t kMailboxCapacity = 64;
+
+std::string makeOwner(const std::string &node)
+{
+    std::random_device device;
+    return node + "/" + std::to_string(device()) + std::to_string(device());
+}
+
+FencedLock::Limits lockLimits(const config::OneProcessSettings &settings)
+{
+    FencedLock::Limits limits;
+    limits.life = std::max(settings.bounds.orderLease, settings.store.leastLease);
+    limits.quietTime = settings.bounds.orderLease;
+    return limits;
+}
+
+PeerAddress ownAddress(const config::OneProcessSettings &settings)
+{
+    return {settings.peers.gossipListen, settings.peers.listen};
+}
+
+} // namespace
+
+ControlDuty::ControlDuty(const config::OneProcessSettings &settings, const Clock &clock,
+                         adapters::Metrics &metrics, Tell tell)
+    : m_settings(settings), m_clock(clock), m_metrics(metrics), m_tell(std::move(tell)),
+      m_owner(makeOwner(settings.node.name)), m_context(1), m_caller(m_context),
+      m_store(m_context, m_caller, settings.store.address, m_replica, *this),
+      m_ownKey(clock, m_store, std::string(kNodePrefix) + settings.node.name,
+               encodePeerAddress(ownAddress(settings))),
+      m_orders(clock, m_caller, m_store, settings.node.name, m_owner, lockLimits(settings)),
+      m_contexts(m_context, m_caller, [this](FleetUpdate it) { this->tell(std::move(it)); }),
+      m_peers(m_context, clock, settings.node.name, [this](const Gossip &it) { heard(it); }),
+      m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
+      m_replicaServer(m_context, [this](std::string_view it) { return replicaReply(it); }),
+      m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
+      m_ownLoads(m_context, kMailboxCapacity,
+                 [this](OwnLoads it) { m_lastOwnLoads = std::move(it.loads); }),
+      m_tickTimer(m_context), m_upstreams(clock, {}), m_loads(clock)
+{ }
+
+bool ControlDuty::open()
+{
+    ErrorCode ec;
+    const auto failed = [&](const std::string &address) {
+        logEvent(Event::ListenFailed, {{"address", address}, {"error", ec.message()}});
+        return false;
+    };
+    if (!m_readyServer.listen(m_settings.callers.readyListen, ec))
+        return failed(m_settings.callers.readyListen);
+    if (!m_replicaServer.listen(m_settings.peers.listen, ec))
+        return failed(m_settings.peers.listen);
+    if (!m_metricsServer.listen(m_settings.peers.metricsListen, ec))
+        return failed(m_settings.peers.metricsListen);
+    if (!m_peers.open(m_settings.peers.gossipListen, ec))
+        return failed(m_settings.peers.gossipListen);
+    m_store.start();
+    m_nextSeedAsk = m_clock.now() + kSeedPause;
+    tick();
+    return true;
+}
+
+void ControlDuty::stop()
+{
+    m_context.stop();
+}
+
+void ControlDuty::beginStop()
+{
+    net::post(m_context, [this] {
+        m_isStopping = true;
+        m_orders.release();
+        tell(StopBegins{});
+    });
+}
+
+void ControlDuty::finishStop()
+{
+    net::post(m_context, [this] {
+        m_isLeaving = true;
+        m_ownKey.remove();
+        gossip();
+    });
+}
+
+void ControlDuty::reload(const config::OneProcessSettings &settings)
+{
+    // Addresses of a running process stay as they are; a changed one needs a restart.
+    net::post(m_context, [this, settings] { m_settings.peers = settings.peers; });
+}
+
+HttpReply ControlDuty::readyReply(std::string_view) const
+{
+    const bool ready = m_hasConfiguration && !m_isStopping && m_upstreams.size() > 0;
+    return {ready ? 200U : 503U, ""};
+}
+
+HttpReply ControlDuty::metricsReply(std::string_view target) const
+{
+    if (target != "/metrics")
+        return {404, ""};
+    return {200, m_metrics.text()};
+}
+
+HttpReply ControlDuty::replicaReply(std::string_view target) const
+{
+    if (!target.starts_with(kReplicaTarget))
+        return {404, ""};
+    target.remove_prefix(kReplicaTarget.size());
+    std::int64_t since = 0;
+    const auto [end, ec] = std::from_chars(target.data(), target.data() + target.size(), since);
+    if (ec != std::errc() || end != target.data() + target.size() || since < 0)
+        return {400, ""};
+    if (m_replica.revision() == 0)
+        return {503, ""};
+    return {200, encodeReplicaPart({m_replica.changesSince(since), inDoubt()})};
+}
+
+// Whether a removal may be the expiry of a lease while the store was away.
+bool ControlDuty::inDoubt() const
+{
+    return !m_store.isReachable() || m_clock.now() - m_storeBack < kExpiryDoubt;
+}
+
+void ControlDuty::storeTold(const StoreChanges &changes)
+{
+    merge(changes, inDoubt());
+}
+
+void ControlDuty::storeReachable(bool reachable)
+{
+    if (reachable) {
+        m_storeBack = m_clock.now();
+        logEvent(Event::PlatformBack, {{"revision", m_replica.revision()}});
+    } else {
+        logEvent(Event::PlatformLost, {{"revision", m_replica.revision()}});
+    }
+    noteReachability();
+}
+
+void ControlDuty::noteReachability()
+{
+    const bool reachable = m_store.isReachable() || m_peers.anyReachesStore();
+    if (reachable == m_toldReachable)
+        return;
+    m_toldReachable = reachable;
+    m_upstreams.setStoreReachable(reachable);
+    tell(StoreReachability{reachable});
+}
+
+void ControlDuty::merge(const StoreChanges &changes, bool mayBeExpiry)
+{
+    const std::int64_t before = m_replica.revision();
+    const auto changed = m_replica.merge(changes);
+    if (!changed)
+        return;
+    for (const StoredItem &it : *changed)
+        take(it, mayBeExpiry);
+    if (m_replica.revision() != before)
+        m_gossipSoon = true;
+    m_orders.rollout().setEngines(m_upstreams.usableEngines());
+    m_orders.lock().keyChanged(m_replica.find(OrderDuty::lockKey()));
+}
+
+void ControlDuty::take(const StoredItem &item, bool mayBeExpiry)
+{
+    switch (platform::kindOf(item.key)) {
+    case platform::DocumentKind::Configuration:
+        takeConfiguration(item);
+        break;
+    case platform::DocumentKind::WeightVersion:
+        takeWeights(item);
+        break;
+    case platform::DocumentKind::Upstream:
+        takeUpstream(item, mayBeExpiry);
+        break;
+    case platform::DocumentKind::Other:
+        if (item.key.starts_with(kNodePrefix))
+            takeNode(item);
+        break;
+    }
+}
+
+void ControlDuty::refused(const StoredItem &item, const std::string &problem) const
+{
+    logEvent(Event::StoredValueRefused,
+             {{"key", item.key}, {"revision", item.revision}, {"error", problem}});
+    m_metrics.count("fordwood_stored_values_refused_total");
+}
+
+void ControlDuty::takeConfiguration(const StoredItem &item)
+{
+    if (!item.value)
+        return; // operators replace a configuration, they never take it away
+    auto config = platform::readConfiguration(*item.value);
+    if (!config) {
+        refused(item, config.error().problem);
+        return;
+    }
+    if (m_hasConfiguration && config->version < m_configVersion) {
+        logEvent(Event::OlderHeadSeen, {{"version", config->version}, {"held", m_configVersion}});
+        return;
+    }
+    m_configVersion = config->version;
+    m_hasConfiguration = true;
+    logEvent(Event::ConfigurationApplied, {{"version", config->version},
+                                           {"revision", item.revision},
+                                           {"routes", config->routes.size()},
+                                           {"teams", config->teams.size()}});
+    m_contexts.setStores(config->stores);
+    tell(ConfigInForce{std::make_shared<const RouteTable>(std::move(*config))});
+}
+
+void ControlDuty::takeWeights(const StoredItem &item)
+{
+    if (!item.value)
+        return;
+    const auto named = platform::readWeightVersion(*item.value);
+    if (!named) {
+        refused(item, named.error().problem);
+        return;
+    }
+    logEvent(Event::WeightsNamed,
+             {{"model", named->model}, {"weights", named->version}, {"revision", item.revision}});
+    m_orders.rollout().setTarget(named->model, named->version);
+    tell(WeightsWanted{named->model, named->version});
+}
+
+void ControlDuty::takeUpstream(const StoredItem &item, bool mayBeExpiry)
+{
+    const std::string id = platform::instanceIdOf(item.key);
+    if (!item.value) {
+        logEvent(mayBeExpiry ? Event::UpstreamExpired : Event::UpstreamGone,
+                 {{"upstream", id}, {"revision", item.revision}});
+        m_upstreams.remove(id, mayBeExpiry);
+        tell(UpstreamRemoved{id, mayBeExpiry});
+        return;
+    }
+    auto record = platform::readUpstream(item.key, *item.value);
+    if (!record) {
+        refused(item, record.error().problem);
+        return;
+    }
+    logEvent(record->draining ? Event::UpstreamDraining : Event::UpstreamReady,
+             {{"upstream", id},
+              {"service", record->service},
+              {"address", record->address},
+              {"revision", item.revision}});
+    m_upstreams.put(*record);
+    tell(UpstreamWritten{std::move(*record)});
+}
+
+void ControlDuty::takeNode(const StoredItem &item)
+{
+    const std::string node = item.key.substr(kNodePrefix.size());
+    if (!item.value) {
+        m_peers.removeAddress(node);
+        return;
+    }
+    const auto address = decodePeerAddress(*item.value);
+    if (address)
+        m_peers.setAddress(node, *address);
+    else
+        refused(item, "is no address of a node");
+}
+
+void ControlDuty::heard(const Gossip &message)
+{
+    if (message.leaving) {
+        m_loads.setPeer(message.node, {});
+        tell(PeerLoads{message.node, {}});
+        tell(EnginesLoading{message.node, {}});
+        return;
+    }
+    m_loads.setPeer(message.node, message.loads);
+    tell(PeerLoads{message.node, message.loads});
+    tell(EnginesLoading{message.node, message.enginesLoading});
+    for (const auto &[id, versions] : message.weightsShown) {
+        for (const auto &[model, version] : versions) {
+            m_upstreams.setWeightVersion(id, model, version);
+            tell(WeightsShown{id, model, version});
+        }
+    }
+}
+
+void ControlDuty::gossip()
+{
+    Gossip message;
+    message.node = m_settings.node.name;
+    message.replicaAddress = m_settings.peers.listen;
+    message.revision = m_replica.revision();
+    message.storeReachable = m_store.isReachable() && m_replica.revision() != 0;
+    message.leaving = m_isLeaving;
+    message.loads = m_lastOwnLoads;
+    message.enginesLoading = m_orders.rollout().loading();
+    message.weightsShown = m_orders.rollout().shown();
+    m_peers.sendAll(message);
+    tell(EnginesLoading{message.node, message.enginesLoading});
+    m_gossipSoon = false;
+    m_nextGossip = m_clock.now() + m_settings.peers.gossipEvery;
+}
+
+void ControlDuty::tick()
+{
+    m_tickTimer.expires_after(kTickEvery);
+    m_tickTimer.async_wait([this](const ErrorCode &ec) {
+        if (!ec)
+            tick();
+    });
+    const TimePoint now = m_clock.now();
+    flushUpdates();
+    if (!m_isStopping) {
+        m_ownKey.tick();
+        m_orders.tick(m_loads);
+        noteLoading();
+    }
+    noteReachability();
+    noteLiveNodes();
+    for (const std::string &it : m_upstreams.tick())
+        logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
+    reachStoreThroughPeers();
+    const bool soon = m_gossipSoon
+                      && now >= m_nextGossip - m_settings.peers.gossipEvery + kGossipLeast;
+    if (soon || now >= m_nextGossip)
+        gossip();
+}
+
+void ControlDuty::noteLoading()
+{
+    const auto loading = m_orders.rollout().loading();
+    if (loading == m_toldLoading)
+        return;
+    m_toldLoading = loading;
+    m_gossipSoon = true;
+    for (const auto &[id, versions] : m_orders.rollout().shown()) {
+        for (const auto &[model, version] : versions) {
+            m_upstreams.setWeightVersion(id, model, version);
+            tell(WeightsShown{id, model, version});
+        }
+    }
+}
+
+void ControlDuty::noteLiveNodes()
+{
+    std::vector<std::string> names = m_peers.live();
+    names.push_back(m_settings.node.name);
+    if (names.size() == m_liveNodes)
+        return;
+    m_liveNodes = names.size();
+    logEvent(Event::MembersChanged, {{"live", names.size()}});
+    tell(LiveNodes{names.size()});
+    // The node that ranks first takes the lock; the others only when it does not.
+    const std::uint64_t key = stableHash(OrderDuty::lockKey());
+    const std::uint64_t own = rendezvousWeight(key, stableHash(m_settings.node.name));
+    const auto before = std::count_if(names.begin(), names.end(), [&](const std::string &it) {
+        return rendezvousWeight(key, stableHash(it)) > own;
+    });
+    m_orders.lock().setPatience(kLockPatiencePerRank * (before + 1));
+}
+
+void ControlDuty::reachStoreThroughPeers()
+{
+    const TimePoint now = m_clock.now();
+    if (m_replica.revision() == 0 && now >= m_nextSeedAsk)
+        askSeeds();
+    const auto ahead = m_peers.aheadOf(m_replica.revision());
+    if (!ahead) {
+        m_isBehind = false;
+        return;
+    }
+    if (!m_isBehind)
+        m_aheadSince = now;
+    m_isBehind = true;
+    if (m_store.isReachable() && now - m_aheadSince < kWaitForWatch)
+        return;
+    fetchFrom(*ahead);
+}
+
+void ControlDuty::askSeeds()
+{
+    m_nextSeedAsk = m_clock.now() + kSeedPause;
+    const auto &seeds = m_settings.peers.seeds;
+    if (seeds.empty())
+        return;
+    m_nextSeed = (m_nextSeed + 1) % seeds.size();
+    if (seeds[m_nextSeed] != m_settings.peers.listen)
+        fetchFrom(seeds[m_nextSeed]);
+}
+
+void ControlDuty::fetchFrom(const std::string &address)
+{
+    if (m_isFetching)
+        return;
+    m_isFetching = true;
+    HttpCall call;
+    call.address = address;
+    call.method = "GET";
+    call.target = std::string(kReplicaTarget) + std::to_string(m_replica.revision());
+    m_caller.send(call, kFetchPatience, [this, address](const HttpResult &result) {
+        m_isFetching = false;
+        if (!result || result->status != 200)
+            return; // the next tick asks again, perhaps another peer
+        const auto part = decodeReplicaPart(result->body);
+        if (!part)
+            return;
+        logEvent(Event::ReplicaFetched, {{"peer", address},
+                                         {"since", part->changes.since},
+                                         {"revision", part->changes.revision},
+                                         {"items", part->changes.items.size()}});
+        m_metrics.count("fordwood_replica_fetches_total");
+        merge(part->changes, part->mayBeExpiry);
+    });
+}
+
+void ControlDuty::tell(FleetUpdate update)
+{
+    if (!m_waiting.empty() || !m_tell(update))
+        m_waiting.push_back(std::move(update));
+}
+
+void ControlDuty::flushUpdates()
+{
+    if (m_waiting.empty())
+        return;
+    m_metrics.count("fordwood_updates_waiting_total");
+    while (!m_waiting.empty() && m_tell(m_waiting.front()))
+        m_waiting.pop_front();
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/control_duty.hpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_CONTROL_DUTY_HPP_INCLUDED
+#define FORDWOOD_NODE_CONTROL_DUTY_HPP_INCLUDED
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/observe/metrics.hpp"
+#include "config/node_settings.hpp"
+#include "fordwood/load_book.hpp"
+#include "fordwood/store_replica.hpp"
+#include "fordwood/upstream_directory.hpp"
+#include "node/context_watch.hpp"
+#include "node/fleet_update.hpp"
+#include "node/http_caller.hpp"
+#include "node/mailbox.hpp"
+#include "node/order_duty.hpp"
+#include "node/own_key.hpp"
+#include "node/peer_links.hpp"
+#include "node/small_server.hpp"
+#include "node/store_link.hpp"
+
+namespace fordwood::node {
+
+// All that a node knows of the fleet and says to it: follows the platform's store, exchanges its
+// copy with peers, orders weights, watches the stores of kept context. Runs on a thread of its own,
+// and tells the thread that serves requests what has changed.
+class ControlDuty : private StoreListener
+{
+public:
+    // False when the receiver is full for the moment.
+    using Tell = std::function<bool(FleetUpdate)>;
+
+    ControlDuty(const config::OneProcessSettings &settings, const Clock &clock,
+                adapters::Metrics &metrics, Tell tell);
+
+    // Opens the node's sockets; false when one cannot be opened, which has been logged.
+    bool open();
+
+    // Runs until stop().
+    void run() { m_context.run(); }
+
+    // From any thread.
+    void stop();
+    void beginStop();
+    // Says goodbye to peers and to the platform, a moment before stop().
+    void finishStop();
+    void reload(const config::OneProcessSettings &settings);
+    Mailbox<OwnLoads> &loadsMailbox() { return m_ownLoads; }
+
+private:
+    void storeTold(const StoreChanges &changes) override;
+    void storeReachable(bool reachable) override;
+
+    HttpReply readyReply(std::string_view target) const;
+    HttpReply replicaReply(std::string_view target) const;
+    HttpReply metricsReply(std::string_view target) const;
+
+    void merge(const StoreChanges &changes, bool mayBeExpiry);
+    void take(const StoredItem &item, bool mayBeExpiry);
+    void takeConfiguration(const StoredItem &item);
+    void takeWeights(const StoredItem &item);
+    void takeUpstream(const StoredItem &item, bool mayBeExpiry);
+    void takeNode(const StoredItem &item);
+    void refused(const StoredItem &item, const std::string &problem) const;
+
+    void heard(const Gossip &message);
+    void gossip();
+    void tick();
+    void reachStoreThroughPeers();
+    void fetchFrom(const std::string &address);
+    void askSeeds();
+    void noteReachability();
+    void noteLiveNodes();
+    void noteLoading();
+    bool inDoubt() const;
+    void tell(FleetUpdate update);
+    void flushUpdates();
+
+    config::OneProcessSettings m_settings;
+    const Clock &m_clock;
+    adapters::Metrics &m_metrics;
+    Tell m_tell;
+    const std::string m_owner; // this life of this node
+    net::io_context m_context;
+    HttpCaller m_caller;
+    StoreReplica m_replica;
+    StoreLink m_store;
+    OwnKey m_ownKey;
+    OrderDuty m_orders;
+    ContextWatch m_contexts;
+    PeerLinks m_peers;
+    SmallServer m_readyServer;
+    SmallServer m_replicaServer;
+    SmallServer m_metricsServer;
+    Mailbox<OwnLoads> m_ownLoads;
+    net::steady_timer m_tickTimer;
+    UpstreamDirectory m_upstreams;
+    LoadBook m_loads;
+    LoadBook::Loads m_lastOwnLoads;
+    std::deque<FleetUpdate> m_waiting; // updates that did not fit
+    std::uint64_t m_configVersion = 0;
+    bool m_hasConfiguration = false;
+    bool m_isStopping = false;
+    bool m_isLeaving = false; // nothing runs any more
+    bool m_isFetching = false;
+    bool m_gossipSoon = false; // something changed that peers should hear at once
+    std::size_t m_nextSeed = 0;
+    std::size_t m_liveNodes = 0;
+    bool m_toldReachable = true;
+    std::set<std::string> m_toldLoading;
+    TimePoint m_storeBack{}; // when the store answered this node again
+    TimePoint m_nextGossip{};
+    TimePoint m_nextSeedAsk{};
+    TimePoint m_aheadSince{}; // since a peer is ahead of this node's copy
+    bool m_isBehind = false;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_CONTROL_DUTY_HPP_INCLUDED
--- /dev/null
+++ b/src/node/fleet_update.hpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_FLEET_UPDATE_HPP_INCLUDED
+#define FORDWOOD_NODE_FLEET_UPDATE_HPP_INCLUDED
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "fordwood/context_directory.hpp"
+#include "fordwood/load_book.hpp"
+#include "fordwood/route_table.hpp"
+#include "fordwood/upstream_record.hpp"
+
+// What the control thread tells the thread that serves requests.
+namespace fordwood::node {
+
+// A configuration is in force.
+struct ConfigInForce
+{
+    std::shared_ptr<const RouteTable> table;
+};
+
+// An upstream has written its record.
+struct UpstreamWritten
+{
+    UpstreamRecord record;
+};
+
+// The record of an upstream is gone.
+struct UpstreamRemoved
+{
+    std::string instanceId;
+    bool mayBeExpiry = false;
+};
+
+// Whether the platform's store answers any node.
+struct StoreReachability
+{
+    bool reachable = true;
+};
+
+// A model shall run on a weight version.
+struct WeightsWanted
+{
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+// An engine runs on a weight version, though its record may not say so yet.
+struct WeightsShown
+{
+    std::string instanceId;
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+// The engines that load weights, or are about to, by the word of one node.
+struct EnginesLoading
+{
+    std::string node;
+    std::set<std::string> instanceIds;
+};
+
+// What a peer has sent to the upstreams.
+struct PeerLoads
+{
+    std::string peer;
+    LoadBook::Loads loads;
+};
+
+// How many nodes live, this one included.
+struct LiveNodes
+{
+    std::size_t n = 1;
+};
+
+// A store of kept context has told what it holds.
+struct ContextStoreTold
+{
+    StoreNews news;
+};
+
+// A store of kept context does not answer.
+struct ContextStoreSilent
+{
+    std::string store;
+};
+
+// The planned stop begins.
+struct StopBegins
+{ };
+
+using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, StoreReachability,
+                                 WeightsWanted, WeightsShown, EnginesLoading, PeerLoads, LiveNodes,
+                                 ContextStoreTold, ContextStoreSilent, StopBegins>;
+
+// What the thread that serves requests tells the control thread: its own load, now and then.
+struct OwnLoads
+{
+    LoadBook::Loads loads;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_FLEET_UPDATE_HPP_INCLUDED
--- /dev/null
+++ b/src/node/http_caller.cpp
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: MIT
+#include "node/http_caller.hpp"
+
+#include <algorithm>
+
+namespace fordwood::node {
+
+namespace {
+
+// A reply that is longer is not one of ours: the largest configuration is 1 MB as base64.
+constexpr std::size_t kMostReplyBytes = 16 << 20;
+
+// Channels that rest for each address.
+constexpr std::size_t kMostIdle = 2;
+
+// Servers close resting channels after a time that they need not tell; below this it is unlikely.
+constexpr Duration kLongestRest = std::chrono::milliseconds(1'500);
+
+constexpr Duration kLongestConnect = std::chrono::milliseconds(1'000);
+
+http::request_header<> headOf(const HttpCall &call)
+{
+    http::request_header<> head;
+    head.method_string(call.method);
+    head.target(call.target);
+    head.version(11);
+    head.set(http::field::host, call.address);
+    for (const auto &[name, value] : call.fields)
+        head.set(name, value);
+    if (!call.body.empty())
+        head.set(http::field::content_type, "application/json");
+    return head;
+}
+
+} // namespace
+
+// One call from its send to its reply. Keeps itself alive until `done` was called.
+class HttpCaller::Run : public AnswerReader, public std::enable_shared_from_this<Run>
+{
+public:
+    Run(HttpCaller &caller, const HttpCall &call, Done done)
+        : m_caller(caller), m_call(call), m_done(std::move(done)), m_timer(caller.m_context)
+    { }
+
+    void start(Duration patience)
+    {
+        m_self = shared_from_this();
+        m_timer.expires_after(patience);
+        m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
+            if (!ec)
+                self->end(tl::unexpected(self->m_sent ? HttpFailure::NoAnswer
+                                                      : HttpFailure::NotSent));
+        });
+        m_channel = m_caller.takeIdle(m_call.address);
+        if (m_channel) {
+            sendNow();
+            return;
+        }
+        const auto endpoint = parseEndpoint<tcp>(m_call.address);
+        if (!endpoint) {
+            end(tl::unexpected(HttpFailure::NotSent));
+            return;
+        }
+        m_channel = std::make_shared<HttpChannel>(m_caller.m_context);
+        m_channel->connect(*endpoint, std::min(patience, kLongestConnect), patience,
+                           [self = shared_from_this()](const ErrorCode &ec) {
+                               if (!self->m_self)
+                                   return;
+                               if (ec)
+                                   self->end(tl::unexpected(HttpFailure::NotSent));
+                               else
+                                   self->sendNow();
+                           });
+    }
+
+    void headRead(const http::response_header<> &head) override
+    {
+        m_reply.status = head.result_int();
+    }
+
+    bool bodyRead(std::string_view bytes) override
+    {
+        m_reply.body.append(bytes);
+        if (m_reply.body.size() <= kMostReplyBytes)
+            return true;
+        end(tl::unexpected(HttpFailure::NoAnswer));
+        return false;
+    }
+
+    void answerEnded() override
+    {
+        m_caller.keep(m_call.address, m_channel);
+        m_channel.reset();
+        end(std::move(m_reply));
+    }
+
+    void channelFailed(const ChannelFailure &) override
+    {
+        end(tl::unexpected(HttpFailure::NoAnswer));
+    }
+
+private:
+    void sendNow()
+    {
+        m_sent = true;
+        m_channel->exchange(headOf(m_call), std::make_shared<const std::string>(m_call.body),
+                            *this);
+    }
+
+    void end(const HttpResult &result)
+    {
+        const auto self = std::move(m_self);
+        if (!self)
+            return;
+        m_timer.cancel();
+        if (m_channel)
+            m_channel->close();
+        m_channel.reset();
+        m_done(result);
+    }
+
+    HttpCaller &m_caller;
+    HttpCall m_call;
+    Done m_done;
+    net::steady_timer m_timer;
+    std::shared_ptr<HttpChannel> m_channel;
+    std::shared_ptr<Run> m_self;
+    HttpReply m_reply;
+    bool m_sent = false;
+};
+
+void HttpCaller::send(const HttpCall &call, Duration patience, Done done)
+{
+    std::make_shared<Run>(*this, call, std::move(done))->start(patience);
+}
+
+std::shared_ptr<HttpChannel> HttpCaller::takeIdle(const std::string &address)
+{
+    const auto [begin, end] = m_idle.equal_range(address);
+    std::shared_ptr<HttpChannel> found;
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (auto it = begin; it != end && !found;) {
+        if (now - it->second.since < kLongestRest && it->second.channel->isReusable())
+            found = it->second.channel;
+        it = m_idle.erase(it);
+    }
+    return found;
+}
+
+void HttpCaller::keep(const std::string &address, std::shared_ptr<HttpChannel> channel)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    std::erase_if(m_idle, [&](const auto &it) { return now - it.second.since >= kLongestRest; });
+    if (channel->isReusable() && m_idle.count(address) < kMostIdle)
+        m_idle.emplace(address, Idle{std::move(channel), now});
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/net.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+#include "node/net.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace fordwood::node {
+
+namespace {
+
+void setTcpOption(tcp::socket &socket, int option, int value)
+{
+    // A kernel that lacks the option leaves the connection to its own, longer time limits.
+    std::ignore = ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+} // namespace
+
+void watchForSilence(tcp::socket &socket, Duration silence)
+{
+    constexpr int kProbeSeconds = 1; // the shortest that the kernel takes
+    constexpr int kProbes = 3;
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(silence);
+    ErrorCode ec; // the options only make failures show sooner
+    socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(net::socket_base::keep_alive(true), ec);
+    setTcpOption(socket, TCP_KEEPIDLE, kProbeSeconds);
+    setTcpOption(socket, TCP_KEEPINTVL, kProbeSeconds);
+    setTcpOption(socket, TCP_KEEPCNT, kProbes);
+    setTcpOption(socket, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
+}
+
+bool isQuiet(tcp::socket &socket)
+{
+    if (!socket.is_open())
+        return false;
+    char byte = 0;
+    const auto n
+        = ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+tcp::acceptor listenAt(net::io_context &context, const std::string &address, ErrorCode &ec)
+{
+    tcp::acceptor acceptor(context);
+    const auto endpoint = parseEndpoint<tcp>(address);
+    if (!endpoint) {
+        ec = net::error::invalid_argument;
+        return acceptor;
+    }
+    acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+        acceptor.set_option(net::socket_base::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(*endpoint, ec);
+    if (!ec)
+        acceptor.listen(net::socket_base::max_listen_connections, ec);
+    return acceptor;
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/order_duty.hpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_ORDER_DUTY_HPP_INCLUDED
+#define FORDWOOD_NODE_ORDER_DUTY_HPP_INCLUDED
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/fenced_lock.hpp"
+#include "fordwood/load_book.hpp"
+#include "fordwood/weight_rollout.hpp"
+#include "node/http_caller.hpp"
+#include "node/store_link.hpp"
+
+namespace fordwood::node {
+
+// Orders engines to load weights while this node holds the lock for it: carries out what FencedLock
+// and WeightRollout decide.
+class OrderDuty
+{
+public:
+    OrderDuty(const Clock &clock, HttpCaller &caller, StoreLink &store, std::string node,
+              const std::string &owner, FencedLock::Limits limits);
+
+    FencedLock &lock() { return m_lock; }
+    WeightRollout &rollout() { return m_rollout; }
+
+    void tick(const LoadBook &loads);
+
+    // Gives the lock up, at a planned stop.
+    void release();
+
+    static std::string lockKey();
+
+private:
+    void carryOut(const LockAction &action);
+    void carryOut(const RolloutAction &action);
+    void grant(const GrantLease &action);
+    void take(const TakeLock &action);
+    void keep(const KeepLease &action);
+    void ask(const AskReport &action);
+    void order(const OrderWeights &action);
+    void noteHolding();
+
+    const Clock &m_clock;
+    HttpCaller &m_caller;
+    StoreLink &m_store;
+    const std::string m_node;
+    FencedLock m_lock;
+    WeightRollout m_rollout;
+    std::int64_t m_loggedFence = 0; // zero: not held, as logged last
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_ORDER_DUTY_HPP_INCLUDED
--- /dev/null
+++ b/src/node/peer_links.cpp
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: MIT
+#include "node/peer_links.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace fordwood::node {
+
+namespace {
+
+// Some ten messages long, so that lost datagrams do not make a peer seem gone.
+constexpr Duration kLiveFor = std::chrono::seconds(2);
+
+// A peer without a key in the store is forgotten after this silence.
+constexpr Duration kRememberFor = std::chrono::seconds(60);
+
+} // namespace
+
+PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, std::string ownName, Heard heard)
+    : m_clock(clock), m_ownName(std::move(ownName)), m_heard(std::move(heard)), m_socket(context)
+{ }
+
+bool PeerLinks::open(const std::string &address, ErrorCode &ec)
+{
+    const auto endpoint = parseEndpoint<udp>(address);
+    if (!endpoint) {
+        ec = net::error::invalid_argument;
+        return false;
+    }
+    m_socket.open(endpoint->protocol(), ec);
+    if (!ec)
+        m_socket.bind(*endpoint, ec);
+    if (!ec)
+        m_socket.non_blocking(true, ec);
+    if (ec)
+        return false;
+    receive();
+    return true;
+}
+
+void PeerLinks::setAddress(const std::string &node, const PeerAddress &address)
+{
+    if (node == m_ownName)
+        return;
+    Peer &peer = m_peers[node];
+    peer.gossip = parseEndpoint<udp>(address.gossip);
+    peer.replicaAddress = address.replica;
+    peer.hasKey = true;
+}
+
+void PeerLinks::removeAddress(const std::string &node)
+{
+    const auto it = m_peers.find(node);
+    if (it == m_peers.end())
+        return;
+    it->second.hasKey = false;
+    if (!isLive(it->second))
+        m_peers.erase(it);
+}
+
+void PeerLinks::sendAll(const Gossip &message)
+{
+    const std::string bytes = encodeGossip(message);
+    std::erase_if(m_peers, [&](const auto &it) {
+        const Peer &peer = it.second;
+        return !peer.hasKey && (!peer.heard || m_clock.now() - *peer.heard > kRememberFor);
+    });
+    for (const auto &[name, peer] : m_peers) {
+        if (!peer.gossip)
+            continue;
+        ErrorCode ec; // a datagram that is lost here is one more lost datagram
+        m_socket.send_to(net::buffer(bytes), *peer.gossip, 0, ec);
+    }
+}
+
+void PeerLinks::receive()
+{
+    m_socket.async_receive_from(net::buffer(m_bytes), m_sender,
+                                [this](const ErrorCode &ec, std::size_t n) {
+                                    if (ec == net::error::operation_aborted)
+                                        return;
+                                    if (!ec) {
+                                        const auto message = decodeGossip({m_bytes.data(), n});
+                                        if (message && message->node != m_ownName)
+                                            take(*message);
+                                    }
+                                    receive();
+                                });
+}
+
+void PeerLinks::take(const Gossip &message)
+{
+    if (message.leaving) {
+        m_peers.erase(message.node);
+        m_heard(message);
+        return;
+    }
+    Peer &peer = m_peers[message.node];
+    peer.gossip = m_sender;
+    peer.heard = m_clock.now();
+    peer.replicaAddress = message.replicaAddress;
+    peer.revision = message.revision;
+    peer.reachesStore = message.storeReachable;
+    m_heard(message);
+}
+
+bool PeerLinks::isLive(const Peer &peer) const
+{
+    return peer.heard && m_clock.now() - *peer.heard < kLiveFor;
+}
+
+std::vector<std::string> PeerLinks::live() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : m_peers) {
+        if (isLive(peer))
+            names.push_back(name);
+    }
+    return names;
+}
+
+bool PeerLinks::anyReachesStore() const
+{
+    for (const auto &[name, peer] : m_peers) {
+        if (isLive(peer) && peer.reachesStore)
+            return true;
+    }
+    return false;
+}
+
+std::optional<std::string> PeerLinks::aheadOf(std::int64_t revision) const
+{
+    const Peer *best = nullptr;
+    for (const auto &[name, peer] : m_peers) {
+        if (isLive(peer) && peer.revision > revision
+            && (best == nullptr || peer.revision > best->revision))
+            best = &peer;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return best->replicaAddress;
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/peer_messages.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: MIT
+#include "node/peer_messages.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace fordwood::node {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string encode(const Json &object)
+{
+    std::string bytes;
+    Json::to_cbor(object, bytes);
+    return bytes;
+}
+
+// Reads bytes with `read`; nothing when they are no message of ours.
+template <typename T, typename Read>
+std::optional<T> decode(std::string_view bytes, Read read)
+{
+    try {
+        return read(Json::from_cbor(bytes.begin(), bytes.end()));
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encodeGossip(const Gossip &message)
+{
+    Json loads = Json::object();
+    for (const auto &[id, load] : message.loads)
+        loads[id] = {load.running, load.tokensToCompute, load.tokensHeld};
+    Json object{{"node", message.node},
+                {"replica", message.replicaAddress},
+                {"revision", message.revision},
+                {"reachable", message.storeReachable},
+                {"loads", std::move(loads)}};
+    if (message.leaving)
+        object["leaving"] = true;
+    if (!message.enginesLoading.empty())
+        object["loading"] = message.enginesLoading;
+    if (!message.weightsShown.empty())
+        object["shown"] = message.weightsShown;
+    return encode(object);
+}
+
+std::optional<Gossip> decodeGossip(std::string_view bytes)
+{
+    return decode<Gossip>(bytes, [](const Json &object) {
+        Gossip message;
+        object.at("node").get_to(message.node);
+        object.at("replica").get_to(message.replicaAddress);
+        object.at("revision").get_to(message.revision);
+        object.at("reachable").get_to(message.storeReachable);
+        message.leaving = object.value("leaving", false);
+        for (const auto &[id, load] : object.at("loads").items())
+            message.loads[id] = {load.at(0).get<std::size_t>(), load.at(1).get<std::size_t>(),
+                                 load.at(2).get<std::size_t>()};
+        if (object.contains("loading"))
+            object.at("loading").get_to(message.enginesLoading);
+        if (object.contains("shown"))
+            object.at("shown").get_to(message.weightsShown);
+        return message;
+    });
+}
+
+std::string encodeReplicaPart(const ReplicaPart &part)
+{
+    Json items = Json::array();
+    for (const StoredItem &it : part.changes.items) {
+        Json item{it.key, it.revision, it.created};
+        if (it.value)
+            item.push_back(Json::binary({it.value->begin(), it.value->end()}));
+        items.push_back(std::move(item));
+    }
+    return encode({{"since", part.changes.since},
+                   {"revision", part.changes.revision},
+                   {"doubt", part.mayBeExpiry},
+                   {"items", std::move(items)}});
+}
+
+std::optional<ReplicaPart> decodeReplicaPart(std::string_view bytes)
+{
+    return decode<ReplicaPart>(bytes, [](const Json &object) {
+        ReplicaPart part;
+        object.at("since").get_to(part.changes.since);
+        object.at("revision").get_to(part.changes.revision);
+        object.at("doubt").get_to(part.mayBeExpiry);
+        for (const Json &it : object.at("items")) {
+            StoredItem item;
+            it.at(0).get_to(item.key);
+            it.at(1).get_to(item.revision);
+            it.at(2).get_to(item.created);
+            if (it.size() > 3) {
+                const auto &value = it.at(3).get_binary();
+                item.value.emplace(value.begin(), value.end());
+            }
+            part.changes.items.push_back(std::move(item));
+        }
+        return part;
+    });
+}
+
+std::string encodePeerAddress(const PeerAddress &address)
+{
+    return encode({{"gossip", address.gossip}, {"replica", address.replica}});
+}
+
+std::optional<PeerAddress> decodePeerAddress(std::string_view bytes)
+{
+    return decode<PeerAddress>(bytes, [](const Json &object) {
+        return PeerAddress{object.at("gossip").get<std::string>(),
+                           object.at("replica").get<std::string>()};
+    });
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/small_server.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+#include "node/small_server.hpp"
+
+#include <memory>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace fordwood::node {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// A connection that asks nothing is closed after this; the platform asks every second.
+constexpr Duration kLongestRest = std::chrono::seconds(15);
+constexpr Duration kSilence = std::chrono::seconds(2);
+constexpr std::uint32_t kMostHeadBytes = 4'096;
+
+} // namespace
+
+// One connection: a request, its reply, the next request.
+class SmallServer::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(tcp::socket socket, const Answer &answer)
+        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_answer(answer)
+    { }
+
+    void start()
+    {
+        watchForSilence(m_socket, kSilence);
+        read();
+    }
+
+private:
+    void read()
+    {
+        m_timer.expires_after(kLongestRest);
+        m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
+            if (!ec)
+                self->close();
+        });
+        m_parser.emplace();
+        m_parser->header_limit(kMostHeadBytes);
+        m_parser->body_limit(std::uint64_t{0});
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+                             if (ec)
+                                 self->close();
+                             else
+                                 self->reply();
+                         });
+    }
+
+    void reply()
+    {
+        const auto &request = m_parser->get();
+        const auto target = request.target();
+        const HttpReply made = request.method() == http::verb::get
+                                   ? m_answer({target.data(), target.size()})
+                                   : HttpReply{405, ""};
+        m_reply = {};
+        m_reply.result(made.status);
+        m_reply.keep_alive(request.keep_alive());
+        m_reply.body() = made.body;
+        m_reply.prepare_payload();
+        http::async_write(m_socket, m_reply,
+                          [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+                              if (ec || !self->m_reply.keep_alive())
+                                  self->close();
+                              else
+                                  self->read();
+                          });
+    }
+
+    void close()
+    {
+        m_timer.cancel();
+        ErrorCode ec; // a socket that is closed already is fine
+        m_socket.close(ec);
+    }
+
+    tcp::socket m_socket;
+    net::steady_timer m_timer;
+    const Answer &m_answer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_reply;
+};
+
+SmallServer::SmallServer(net::io_context &context, Answer answer)
+    : m_context(context), m_acceptor(context), m_answer(std::move(answer))
+{ }
+
+bool SmallServer::listen(const std::string &address, ErrorCode &ec)
+{
+    m_acceptor = listenAt(m_context, address, ec);
+    if (ec)
+        return false;
+    accept();
+    return true;
+}
+
+void SmallServer::accept()
+{
+    m_acceptor.async_accept([this](const ErrorCode &ec, tcp::socket socket) {
+        if (ec == net::error::operation_aborted)
+            return;
+        if (!ec)
+            std::make_shared<Connection>(std::move(socket), m_answer)->start();
+        accept();
+    });
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/small_server.hpp
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_SMALL_SERVER_HPP_INCLUDED
+#define FORDWOOD_NODE_SMALL_SERVER_HPP_INCLUDED
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "node/http_call.hpp"
+#include "node/net.hpp"
+
+namespace fordwood::node {
+
+// Answers short GET requests of the platform, of peers and of monitoring: readiness, the copy of the
+// store, metrics. Used on the thread of its io_context.
+class SmallServer
+{
+public:
+    // Gives the reply for a target such as "/metrics".
+    using Answer = std::function<HttpReply(std::string_view target)>;
+
+    SmallServer(net::io_context &context, Answer answer);
+
+    // False when the address cannot be used; `ec` tells why.
+    bool listen(const std::string &address, ErrorCode &ec);
+
+private:
+    class Connection;
+
+    void accept();
+
+    net::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    Answer m_answer;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_SMALL_SERVER_HPP_INCLUDED
--- /dev/null
+++ b/src/node/store_link.cpp
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+#include "node/store_link.hpp"
+
+#include <algorithm>
+
+namespace fordwood::node {
+
+namespace {
+
+using platform::StoreFailure;
+
+// A waiting watch is a call like any other, so it waits long; a silent connection shows sooner, by
+// its probes.
+constexpr std::chrono::milliseconds kWatchWait{20'000};
+constexpr Duration kWatchGrace = std::chrono::seconds(2); // beyond the wait
+
+// Slower than this only when the store is in trouble: it answers in milliseconds.
+constexpr Duration kCallPatience = std::chrono::milliseconds(1'500);
+
+// Changes that come together are read by one call.
+constexpr Duration kBatchPause = std::chrono::milliseconds(30);
+
+// Failed calls cost as much as others: they are repeated after a pause that grows.
+constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+constexpr Duration kLongestPause = std::chrono::milliseconds(800);
+
+} // namespace
+
+StoreLink::StoreLink(net::io_context &context, HttpCaller &caller, std::string address,
+                     const StoreReplica &replica, StoreListener &listener)
+    : m_timer(context), m_caller(caller), m_address(std::move(address)), m_replica(replica),
+      m_listener(listener)
+{ }
+
+void StoreLink::after(Duration pause, void (StoreLink::*step)())
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this, step](const ErrorCode &ec) {
+        if (!ec)
+            (this->*step)();
+    });
+}
+
+void StoreLink::send(HttpCall call, const HttpCaller::Done &done)
+{
+    call.address = m_address;
+    m_caller.send(call, kCallPatience, done);
+}
+
+void StoreLink::readAll()
+{
+    readPage("", std::make_shared<StoreChanges>());
+}
+
+void StoreLink::readPage(const std::string &after, const std::shared_ptr<StoreChanges> &read)
+{
+    send(platform::rangeCall(after),
+         [this, read](const HttpResult &result) { takePage(result, read); });
+}
+
+void StoreLink::takePage(const HttpResult &result, const std::shared_ptr<StoreChanges> &read)
+{
+    auto page = platform::readRange(result);
+    if (!page) {
+        failed(page.error());
+        return;
+    }
+    answered();
+    // Pages are no snapshot: what changed after the first one is read by the watch.
+    if (read->revision == 0)
+        read->revision = page->content.revision;
+    auto &items = page->content.items;
+    read->items.insert(read->items.end(), items.begin(), items.end());
+    if (page->nextAfter) {
+        readPage(*page->nextAfter, read);
+        return;
+    }
+    m_isWhole = true;
+    m_listener.storeTold(*read);
+    watch();
+}
+
+void StoreLink::watch()
+{
+    const std::int64_t after = m_replica.revision();
+    HttpCall call = platform::watchCall(after, kWatchWait);
+    call.address = m_address;
+    m_caller.send(call, kWatchWait + kWatchGrace,
+                  [this, after](const HttpResult &result) { takeWatch(result, after); });
+}
+
+void StoreLink::takeWatch(const HttpResult &result, std::int64_t after)
+{
+    const auto changes = platform::readWatch(result, after);
+    if (!changes) {
+        failed(changes.error());
+        return;
+    }
+    answered();
+    m_listener.storeTold(*changes);
+    this->after(kBatchPause, &StoreLink::watch);
+}
+
+void StoreLink::answered()
+{
+    m_failures = 0;
+    if (m_reachable)
+        return;
+    m_reachable = true;
+    m_listener.storeReachable(true);
+}
+
+void StoreLink::failed(StoreFailure failure)
+{
+    if (failure == StoreFailure::HistoryLost) {
+        answered();
+        m_isWhole = false;
+        readAll();
+        return;
+    }
+    constexpr unsigned kMostDoublings = 4;
+    const Duration pause
+        = std::min(kFirstPause * (1U << std::min(m_failures, kMostDoublings)), kLongestPause);
+    m_failures += 1;
+    // A waiting watch may be cut at any time; only the next call shows whether the store is away.
+    if (m_reachable && m_failures > 1) {
+        m_reachable = false;
+        m_listener.storeReachable(false);
+    }
+    const bool first = m_failures == 1 && m_isWhole;
+    after(first ? Duration(0) : pause, m_isWhole ? &StoreLink::watch : &StoreLink::readAll);
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/store_link.hpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_STORE_LINK_HPP_INCLUDED
+#define FORDWOOD_NODE_STORE_LINK_HPP_INCLUDED
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "fordwood/store_replica.hpp"
+#include "node/http_caller.hpp"
+#include "platform/store_calls.hpp"
+
+namespace fordwood::node {
+
+// Takes what the link reads.
+class StoreListener
+{
+public:
+    virtual ~StoreListener() = default;
+
+    // The platform's store has told changes, or all that it holds.
+    virtual void storeTold(const StoreChanges &changes) = 0;
+
+    // The store answers this node, or no longer does.
+    virtual void storeReachable(bool reachable) = 0;
+};
+
+// Follows the platform's store: reads all of it once, then waits for changes; reads all anew when
+// the store has forgotten what happened in between. One waiting call for every key there is.
+class StoreLink
+{
+public:
+    StoreLink(net::io_context &context, HttpCaller &caller, std::string address,
+              const StoreReplica &replica, StoreListener &listener);
+
+    void start() { readAll(); }
+
+    bool isReachable() const { return m_reachable; }
+
+    // Sends one of the other calls; a call that is not answered tells of an outage too.
+    void send(HttpCall call, const HttpCaller::Done &done);
+
+private:
+    void readAll();
+    void readPage(const std::string &after, const std::shared_ptr<StoreChanges> &read);
+    void takePage(const HttpResult &result, const std::shared_ptr<StoreChanges> &read);
+    void watch();
+    void takeWatch(const HttpResult &result, std::int64_t after);
+    void answered();
+    void failed(platform::StoreFailure failure);
+    void after(Duration pause, void (StoreLink::*step)());
+
+    net::steady_timer m_timer;
+    HttpCaller &m_caller;
+    const std::string m_address;
+    const StoreReplica &m_replica;
+    StoreListener &m_listener;
+    bool m_reachable = true;
+    bool m_isWhole = false; // the copy holds all up to its revision
+    unsigned m_failures = 0; // in a row
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_STORE_LINK_HPP_INCLUDED
--- /dev/null
+++ b/src/node/traffic.cpp
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: MIT
+#include "node/traffic.hpp"
+
+#include <algorithm>
+
+namespace fordwood::node {
+
+namespace {
+
+// A request that waits at an engine when old weights end must still begin in time.
+constexpr Duration kOldWeightsMargin = std::chrono::milliseconds(1'500);
+
+// The part of an upstream's connections that all nodes together use: a node that starts again does
+// not know of those that its last life left open.
+constexpr double kConnectionPart = 0.9;
+
+// A node says several times a second which engines load by its order; one that fell silent may be
+// gone, and its word with it.
+constexpr Duration kLoadingWord = std::chrono::seconds(1);
+
+EngineChooser::Limits chooserLimits(const config::OneProcessSettings &settings)
+{
+    EngineChooser::Limits limits;
+    limits.oldWeightsEnd = settings.bounds.weightsWithin - kOldWeightsMargin;
+    return limits;
+}
+
+} // namespace
+
+Traffic::Traffic(net::io_context &context, const Clock &clock,
+                 const config::OneProcessSettings &settings, adapters::Metrics &metrics)
+    : m_context(context), m_clock(clock), m_settings(settings), m_metrics(metrics),
+      m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_contexts(clock),
+      m_engines(clock, chooserLimits(settings)), m_channels(context, clock)
+{ }
+
+void Traffic::take(const FleetUpdate &update)
+{
+    std::visit([this](const auto &it) { apply(it); }, update);
+}
+
+void Traffic::apply(const ConfigInForce &update)
+{
+    m_table = update.table;
+    m_contexts.setStores(m_table->config().stores);
+    m_metrics.setGauge("fordwood_configuration_version",
+                       static_cast<double>(m_table->config().version));
+}
+
+void Traffic::apply(const UpstreamWritten &update)
+{
+    m_upstreams.put(update.record);
+}
+
+void Traffic::apply(const UpstreamRemoved &update)
+{
+    m_upstreams.remove(update.instanceId, update.mayBeExpiry);
+    if (m_upstreams.find(update.instanceId) == nullptr)
+        forget(update.instanceId);
+}
+
+void Traffic::apply(const StoreReachability &update)
+{
+    m_upstreams.setStoreReachable(update.reachable);
+}
+
+void Traffic::apply(const WeightsWanted &update)
+{
+    WeightTarget &target = m_weights[update.model];
+    if (update.version <= target.version)
+        return;
+    target = {update.version, m_clock.now()};
+}
+
+void Traffic::apply(const WeightsShown &update)
+{
+    m_upstreams.setWeightVersion(update.instanceId, update.model, update.version);
+}
+
+void Traffic::apply(const EnginesLoading &update)
+{
+    if (update.instanceIds.empty())
+        m_loading.erase(update.node);
+    else
+        m_loading[update.node] = {update.instanceIds, m_clock.now()};
+}
+
+void Traffic::apply(const PeerLoads &update)
+{
+    m_loads.setPeer(update.peer, update.loads);
+}
+
+void Traffic::apply(const LiveNodes &update)
+{
+    m_liveNodes = std::max<std::size_t>(update.n, 1);
+}
+
+void Traffic::apply(const ContextStoreTold &update)
+{
+    m_contexts.storeAnswered(update.news);
+}
+
+void Traffic::apply(const ContextStoreSilent &update)
+{
+    m_contexts.storeSilent(update.store);
+}
+
+void Traffic::apply(const StopBegins &)
+{
+    m_isStopping = true;
+}
+
+void Traffic::forget(const std::string &instanceId)
+{
+    m_channels.forget(instanceId);
+    m_health.forget(instanceId);
+}
+
+void Traffic::tick()
+{
+    for (const std::string &it : m_upstreams.tick())
+        forget(it);
+    m_channels.tick();
+}
+
+bool Traffic::isLoading(const std::string &instanceId) const
+{
+    return std::any_of(m_loading.begin(), m_loading.end(), [&](const auto &it) {
+        return m_clock.now() - it.second.told < kLoadingWord
+               && it.second.instanceIds.contains(instanceId);
+    });
+}
+
+std::vector<const UpstreamRecord *> Traffic::candidates(const ServicePool &pool) const
+{
+    std::size_t most = SIZE_MAX;
+    if (pool.maxConnections > 0) {
+        const double part = kConnectionPart * static_cast<double>(pool.maxConnections)
+                            / static_cast<double>(m_liveNodes);
+        most = std::max<std::size_t>(1, static_cast<std::size_t>(part));
+    }
+    std::vector<const UpstreamRecord *> found = m_upstreams.usable(pool.name);
+    std::erase_if(found, [&](const UpstreamRecord *it) {
+        return isLoading(it->instanceId) || !m_channels.hasRoom(it->instanceId, most);
+    });
+    return found;
+}
+
+WeightTarget Traffic::weightTarget(const std::string &model) const
+{
+    const auto it = m_weights.find(model);
+    return it == m_weights.end() ? WeightTarget{} : it->second;
+}
+
+WindowBudget &Traffic::budget(const std::string &service)
+{
+    const auto it = m_budgets.find(service);
+    if (it != m_budgets.end())
+        return it->second;
+    WindowBudget::Limits limits;
+    limits.window = m_settings.bounds.retryWindow;
+    limits.ratio = m_settings.bounds.retryRatio;
+    limits.slack = m_settings.bounds.retrySlack;
+    return m_budgets.emplace(service, WindowBudget(m_clock, limits)).first->second;
+}
+
+void Traffic::countRequest(const std::string &service)
+{
+    budget(service).countRequest();
+}
+
+bool Traffic::takeRepeat(const std::string &service)
+{
+    return budget(service).takeRepeat(m_liveNodes);
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/traffic.hpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_TRAFFIC_HPP_INCLUDED
+#define FORDWOOD_NODE_TRAFFIC_HPP_INCLUDED
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "adapters/observe/metrics.hpp"
+#include "config/node_settings.hpp"
+#include "fordwood/context_directory.hpp"
+#include "fordwood/engine_chooser.hpp"
+#include "fordwood/load_book.hpp"
+#include "fordwood/route_table.hpp"
+#include "fordwood/upstream_directory.hpp"
+#include "fordwood/upstream_health.hpp"
+#include "fordwood/window_budget.hpp"
+#include "node/fleet_update.hpp"
+#include "node/upstream_pool.hpp"
+
+namespace fordwood::node {
+
+// What all requests of this node share: the configuration in force, what is known of the upstreams,
+// the channels to them. Used on the thread that serves requests.
+class Traffic
+{
+public:
+    Traffic(net::io_context &context, const Clock &clock,
+            const config::OneProcessSettings &settings, adapters::Metrics &metrics);
+
+    // Takes what the control thread tells.
+    void take(const FleetUpdate &update);
+
+    // Regular work: several times a second.
+    void tick();
+
+    // The upstreams of a service that this request may be sent to now.
+    std::vector<const UpstreamRecord *> candidates(const ServicePool &pool) const;
+
+    // The weights that requests to the model should run on.
+    WeightTarget weightTarget(const std::string &model) const;
+
+    // Counts a request to the service, for the budget of repeated sends.
+    void countRequest(const std::string &service);
+
+    // Takes one repeated send to the service out of this node's part of the budget.
+    bool takeRepeat(const std::string &service);
+
+    const std::shared_ptr<const RouteTable> &table() const { return m_table; }
+    bool isStopping() const { return m_isStopping; }
+    const config::OneProcessSettings &settings() const { return m_settings; }
+    const Clock &clock() const { return m_clock; }
+    net::io_context &context() { return m_context; }
+    adapters::Metrics &metrics() { return m_metrics; }
+    UpstreamDirectory &upstreams() { return m_upstreams; }
+    LoadBook &loads() { return m_loads; }
+    UpstreamHealth &health() { return m_health; }
+    ContextDirectory &contexts() { return m_contexts; }
+    const EngineChooser &engines() const { return m_engines; }
+    UpstreamPool &channels() { return m_channels; }
+
+private:
+    void apply(const ConfigInForce &update);
+    void apply(const UpstreamWritten &update);
+    void apply(const UpstreamRemoved &update);
+    void apply(const StoreReachability &update);
+    void apply(const WeightsWanted &update);
+    void apply(const WeightsShown &update);
+    void apply(const EnginesLoading &update);
+    void apply(const PeerLoads &update);
+    void apply(const LiveNodes &update);
+    void apply(const ContextStoreTold &update);
+    void apply(const ContextStoreSilent &update);
+    void apply(const StopBegins &update);
+
+    WindowBudget &budget(const std::string &service);
+    bool isLoading(const std::string &instanceId) const;
+    void forget(const std::string &instanceId);
+
+    net::io_context &m_context;
+    const Clock &m_clock;
+    const config::OneProcessSettings m_settings;
+    adapters::Metrics &m_metrics;
+    std::shared_ptr<const RouteTable> m_table;
+    UpstreamDirectory m_upstreams;
+    LoadBook m_loads;
+    UpstreamHealth m_health;
+    ContextDirectory m_contexts;
+    EngineChooser m_engines;
+    UpstreamPool m_channels;
+    std::map<std::string, WeightTarget> m_weights; // by model
+    struct LoadingWord
+    {
+        std::set<std::string> instanceIds;
+        TimePoint told{};
+    };
+    std::map<std::string, LoadingWord> m_loading; // by the node that says so
+    std::map<std::string, WindowBudget> m_budgets; // by service
+    std::size_t m_liveNodes = 1;
+    bool m_isStopping = false;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_TRAFFIC_HPP_INCLUDED
--- /dev/null
+++ b/src/node/traffic_duty.hpp
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_TRAFFIC_DUTY_HPP_INCLUDED
+#define FORDWOOD_NODE_TRAFFIC_DUTY_HPP_INCLUDED
+
+#include <functional>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "config/node_settings.hpp"
+#include "node/caller_session.hpp"
+#include "node/mailbox.hpp"
+#include "node/traffic.hpp"
+
+namespace fordwood::node {
+
+// Serves the callers: accepts their connections and runs their requests, on a thread of its own.
+class TrafficDuty
+{
+public:
+    using TellLoads = std::function<void(OwnLoads)>;
+
+    TrafficDuty(const config::OneProcessSettings &settings, const Clock &clock,
+                adapters::Metrics &metrics, TellLoads tellLoads);
+
+    // Opens the callers' address; false when that fails, which has been logged.
+    bool open();
+
+    // Runs until a planned stop is complete.
+    void run() { m_context.run(); }
+
+    // Where the control thread puts what it tells.
+    Mailbox<FleetUpdate> &mailbox() { return m_mailbox; }
+
+private:
+    void accept();
+    void accepted(tcp::socket socket);
+    void tick();
+    void stopStep();
+    std::size_t serving() const;
+
+    const Clock &m_clock;
+    const config::OneProcessSettings m_settings;
+    adapters::Metrics &m_metrics;
+    TellLoads m_tellLoads;
+    net::io_context m_context;
+    Traffic m_traffic;
+    Mailbox<FleetUpdate> m_mailbox;
+    tcp::acceptor m_acceptor;
+    net::steady_timer m_tickTimer;
+    net::steady_timer m_acceptTimer;
+    std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
+    std::optional<TimePoint> m_stopBegan;
+    bool m_idleClosed = false;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_TRAFFIC_DUTY_HPP_INCLUDED
--- a/tools/write_references.sh
+++ b/tools/write_references.sh
@@ -15,7 +15,7 @@
 }
 check=no
 [[ ${1:-} == --check ]] && check=yes
-for it in configuration settings reasons events; do
+for it in configuration settings node-settings reasons events; do
     write "docs/$it.md" "$bin/fordwoodctl" reference "$it"
 done
 write docs/workloads.md "$bin/fordwood-load" --reference
