--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -43,7 +43,8 @@
     {
         Duration engineMemory = std::chrono::seconds(20); // how long a send tells of an engine
         Duration storeWord = std::chrono::milliseconds(1'500); // how long a store's answer holds
-        Duration saveLife = std::chrono::seconds(4); // a save that was not confirmed by then is lost
+        Duration saveLife
+            = std::chrono::seconds(4); // a save that was not confirmed by then is lost
         std::size_t mostSends = 4'096; // sends remembered
     };
 
--- a/include/fordwood/store_replica.hpp
+++ b/include/fordwood/store_replica.hpp
@@ -29,9 +29,9 @@
     std::vector<StoredItem> items;
 };
 
-// A node's copy of the platform's store. Copies are merged by the revisions of the store, so that it
-// does not matter whether a change came from the store or from a peer, nor in which order: a copy
-// never goes back.
+// A node's copy of the platform's store. Copies are merged by the revisions of the store, so that
+// it does not matter whether a change came from the store or from a peer, nor in which order: a
+// copy never goes back.
 class StoreReplica
 {
 public:
--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -159,7 +159,8 @@
     std::thread m_thread;
 };
 
-std::unique_ptr<LogThread> logThread; // NOLINT: set before other threads start, reset after their end
+std::unique_ptr<LogThread>
+    logThread; // NOLINT: set before other threads start, reset after their end
 
 } // namespace
 
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -18,8 +18,8 @@
         CallerSettings &callers = settings.callers;
         callers.listen = table.text("listen");
         callers.readyListen = table.text("ready_listen");
-        callers.maxConnections = static_cast<std::size_t>(table.integer(
-            "max_connections", static_cast<std::int64_t>(callers.maxConnections)));
+        callers.maxConnections = static_cast<std::size_t>(
+            table.integer("max_connections", static_cast<std::int64_t>(callers.maxConnections)));
     } else if (section == "peers") {
         PeerSettings &peers = settings.peers;
         peers.listen = table.text("listen");
@@ -48,8 +48,8 @@
 std::optional<OneProcessSettings> readOneProcessSettings(const std::string &path,
                                                          ConfigErrors &errors)
 {
-    const auto tables = readSettingsTables(path, nodeSections(),
-                                           {"node", "callers", "peers", "store"}, errors);
+    const auto tables
+        = readSettingsTables(path, nodeSections(), {"node", "callers", "peers", "store"}, errors);
     OneProcessSettings settings;
     for (const CheckedTable &it : tables.tables)
         readTable(it, settings);
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -55,11 +55,10 @@
     return cost;
 }
 
-std::optional<EngineChoice> EngineChooser::choose(const Question &question,
-                                                  const std::vector<const UpstreamRecord *> &engines,
-                                                  const LoadBook &loads,
-                                                  const UpstreamHealth &health,
-                                                  ContextDirectory &contexts) const
+std::optional<EngineChoice>
+EngineChooser::choose(const Question &question, const std::vector<const UpstreamRecord *> &engines,
+                      const LoadBook &loads, const UpstreamHealth &health,
+                      ContextDirectory &contexts) const
 {
     std::vector<Rated> rated;
     std::vector<std::uint64_t> hashes;
@@ -89,8 +88,8 @@
         Rated &it = rated[n];
         const bool isHome = static_cast<int>(n) == home;
         const bool isStored = inStores[it.salt];
-        it.holdsContext = contexts.isAtEngine(it.engine->instanceId, it.salt, context)
-                          || (isHome && isStored);
+        it.holdsContext
+            = contexts.isAtEngine(it.engine->instanceId, it.salt, context) || (isHome && isStored);
         it.cost = waitingCost(loads.total(it.engine->instanceId), question);
         it.cost += kFailureCost * health.failureRate(it.engine->instanceId);
         if (it.version < question.target.version && old)
@@ -101,9 +100,8 @@
         if (isHome) // among engines that lack the context, the one that others will choose too
             it.cost -= shared * kFetchWeight;
     }
-    const auto best = std::min_element(rated.begin(), rated.end(), [](const Rated &a, const Rated &b) {
-        return a.cost < b.cost;
-    });
+    const auto best = std::min_element(
+        rated.begin(), rated.end(), [](const Rated &a, const Rated &b) { return a.cost < b.cost; });
     return complete(*best, question, contexts);
 }
 
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -15,9 +15,8 @@
 std::string hostName(std::string_view host)
 {
     std::string name(host.substr(0, host.rfind(':')));
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char it) {
-        return static_cast<char>(std::tolower(it));
-    });
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char it) { return static_cast<char>(std::tolower(it)); });
     return name;
 }
 
@@ -70,9 +69,9 @@
 const std::string &RouteTable::targetOf(const ServiceRoute &route, std::string_view requestId)
 {
     constexpr double kHashRange = 18446744073709551616.0; // 2^64
-    const double sum = std::accumulate(
-        route.targets.begin(), route.targets.end(), 0.0,
-        [](double total, const SplitTarget &it) { return total + it.weight; });
+    const double sum
+        = std::accumulate(route.targets.begin(), route.targets.end(), 0.0,
+                          [](double total, const SplitTarget &it) { return total + it.weight; });
     double left = static_cast<double>(stableHash(requestId)) / kHashRange * sum;
     for (const SplitTarget &it : route.targets) {
         left -= it.weight;
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -141,11 +141,11 @@
     m_attempt->begun = m_traffic.clock().now();
     m_lastUpstream = m_attempt->upstream.instanceId;
     m_traffic.loads().begin(m_lastUpstream, m_attempt->load);
-    m_traffic.channels().take(m_attempt->upstream,
-                              [self = shared_from_this()](std::shared_ptr<HttpChannel> channel,
-                                                          const ErrorCode &ec) {
-                                  self->connected(std::move(channel), ec);
-                              });
+    m_traffic.channels().take(
+        m_attempt->upstream,
+        [self = shared_from_this()](std::shared_ptr<HttpChannel> channel, const ErrorCode &ec) {
+            self->connected(std::move(channel), ec);
+        });
 }
 
 bool CallRun::choose()
@@ -347,8 +347,8 @@
         const bool wrong = m_attempt->head.wrongInstance;
         health.refused(id, kFullPause);
         endAttempt(true);
-        judgeFailure({RunState::NotRun,
-                      wrong ? Reason::VersionMismatch : Reason::UpstreamPushback, m_streamBegun});
+        judgeFailure({RunState::NotRun, wrong ? Reason::VersionMismatch : Reason::UpstreamPushback,
+                      m_streamBegun});
         return;
     }
     if (isStream()) {
@@ -382,9 +382,8 @@
     }
     // A failure of the upstream's own: another may do better; if none may be asked, it stands.
     const auto again = m_plan.afterFailure({RunState::Ran, Reason::UpstreamBroke, false},
-                                           m_traffic.clock().now(), [this] {
-                                               return m_traffic.takeRepeat(m_pool->name);
-                                           });
+                                           m_traffic.clock().now(),
+                                           [this] { return m_traffic.takeRepeat(m_pool->name); });
     if (again != AfterFailure::SendAgain) {
         passOn();
         return;
@@ -427,10 +426,9 @@
     const std::shared_ptr<HttpChannel> channel = std::move(m_attempt->channel);
     m_attempt->channel.reset();
     if (reusable)
-        m_traffic.channels().giveBack(id, channel,
-                                      m_attempt->head.keepAlive
-                                          ? Duration(*m_attempt->head.keepAlive)
-                                          : kUsualKeepAlive);
+        m_traffic.channels().giveBack(
+            id, channel,
+            m_attempt->head.keepAlive ? Duration(*m_attempt->head.keepAlive) : kUsualKeepAlive);
     else
         m_traffic.channels().drop(id, channel);
 }
@@ -438,9 +436,8 @@
 void CallRun::judgeFailure(const FailedAttempt &failure)
 {
     m_events.dropPartOfEvent();
-    const AfterFailure next = m_plan.afterFailure(failure, m_traffic.clock().now(), [this] {
-        return m_traffic.takeRepeat(m_pool->name);
-    });
+    const AfterFailure next = m_plan.afterFailure(
+        failure, m_traffic.clock().now(), [this] { return m_traffic.takeRepeat(m_pool->name); });
     switch (next) {
     case AfterFailure::SendAgain:
         m_traffic.metrics().countRetry(failure.reason);
@@ -514,16 +511,15 @@
     if (m_firstEvent)
         m_traffic.metrics().observe("fordwood_first_event_seconds", *m_firstEvent - m_arrived);
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took);
-    logEvent(Event::RequestEnded,
-             {{"request", m_caller.requestId},
-              {"route", m_route != nullptr ? m_route->name : ""},
-              {"team", m_team != nullptr ? m_team->name : ""},
-              {"configuration", m_table ? m_table->config().version : 0},
-              {"upstream", m_lastUpstream},
-              {"sends", m_plan.sends()},
-              {"outcome", std::string(outcome)},
-              {"status", status},
-              {"ms", ms.count()}});
+    logEvent(Event::RequestEnded, {{"request", m_caller.requestId},
+                                   {"route", m_route != nullptr ? m_route->name : ""},
+                                   {"team", m_team != nullptr ? m_team->name : ""},
+                                   {"configuration", m_table ? m_table->config().version : 0},
+                                   {"upstream", m_lastUpstream},
+                                   {"sends", m_plan.sends()},
+                                   {"outcome", std::string(outcome)},
+                                   {"status", status},
+                                   {"ms", ms.count()}});
 }
 
 } // namespace fordwood::node
--- a/src/node/caller_port.hpp
+++ b/src/node/caller_port.hpp
@@ -23,7 +23,8 @@
     // Begins an answer that comes in pieces.
     virtual void beginStream(boost::beast::http::response_header<> head) = 0;
 
-    // Sends a piece. False: the caller reads slowly; callerReady() of the call tells when it goes on.
+    // Sends a piece. False: the caller reads slowly; callerReady() of the call tells when it goes
+    // on.
     virtual bool sendPiece(std::string_view bytes) = 0;
 
     // The answer is whole.
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -83,11 +83,10 @@
     }
     m_left.shrink_to_fit();
     setTimer(limits().idleTimeout, &CallerSession::close);
-    m_socket.async_wait(tcp::socket::wait_read,
-                        [self = shared_from_this()](const ErrorCode &ec) {
-                            if (!ec && !self->m_isClosed)
-                                self->readHead();
-                        });
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode &ec) {
+        if (!ec && !self->m_isClosed)
+            self->readHead();
+    });
 }
 
 void CallerSession::readHead()
@@ -165,8 +164,8 @@
         if (ec || self->m_isClosed || !self->m_run)
             return;
         char byte = 0;
-        const auto n = ::recv(self->m_socket.native_handle(), &byte, sizeof(byte),
-                              MSG_PEEK | MSG_DONTWAIT);
+        const auto n
+            = ::recv(self->m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
         // Bytes are the next request: it is read after the answer, and the close seen then.
         if (n > 0)
             return;
@@ -242,7 +241,7 @@
     m_outgoing.push_back(textOf(head) + body);
     m_outgoingBytes += m_outgoing.back().size();
     m_answerEnds = true;
-    m_run.reset();
+    releaseRun();
     writeNext();
 }
 
@@ -271,16 +270,23 @@
     m_outgoing.emplace_back("0\r\n\r\n");
     m_outgoingBytes += m_outgoing.back().size();
     m_answerEnds = true;
-    m_run.reset();
+    releaseRun();
     writeNext();
 }
 
 void CallerSession::cut()
 {
-    m_run.reset();
+    releaseRun();
     close();
 }
 
+void CallerSession::releaseRun()
+{
+    // The run itself is the caller of this function and goes on for a moment.
+    net::post(m_socket.get_executor(), [run = std::move(m_run)] {});
+    m_run.reset();
+}
+
 void CallerSession::writeNext()
 {
     if (m_isWriting || m_isClosed)
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -67,6 +67,7 @@
     void writeNext();
     void answered();
     void callerGone();
+    void releaseRun();
     void lingeringClose();
     void discardRest();
     void close();
--- a/src/node/context_watch.cpp
+++ b/src/node/context_watch.cpp
@@ -100,8 +100,7 @@
                   });
 }
 
-void ContextWatch::tell(const std::shared_ptr<Followed> &store,
-                        const platform::StoreEvents &events)
+void ContextWatch::tell(const std::shared_ptr<Followed> &store, const platform::StoreEvents &events)
 {
     if (!store->answers)
         logEvent(Event::ContextStoreBack,
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -24,7 +24,8 @@
 // A change is told to peers at once; this bounds how often when changes come in a row.
 constexpr Duration kGossipLeast = std::chrono::milliseconds(20);
 
-// A node whose own watch works gets a change from there; only when it does not come is a peer asked.
+// A node whose own watch works gets a change from there; only when it does not come is a peer
+// asked.
 constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
 
 constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
@@ -357,8 +358,8 @@
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
     reachStoreThroughPeers();
-    const bool soon = m_gossipSoon
-                      && now >= m_nextGossip - m_settings.peers.gossipEvery + kGossipLeast;
+    const bool soon
+        = m_gossipSoon && now >= m_nextGossip - m_settings.peers.gossipEvery + kGossipLeast;
     if (soon || now >= m_nextGossip)
         gossip();
 }
--- a/src/node/http_caller.cpp
+++ b/src/node/http_caller.cpp
@@ -48,8 +48,8 @@
         m_timer.expires_after(patience);
         m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
             if (!ec)
-                self->end(tl::unexpected(self->m_sent ? HttpFailure::NoAnswer
-                                                      : HttpFailure::NotSent));
+                self->end(
+                    tl::unexpected(self->m_sent ? HttpFailure::NoAnswer : HttpFailure::NotSent));
         });
         m_channel = m_caller.takeIdle(m_call.address);
         if (m_channel) {
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "node/http_channel.hpp"
 
+#include <limits>
+
 #include <boost/asio/error.hpp>
 
 namespace fordwood::node {
@@ -50,7 +52,8 @@
         now.request.content_length(now.body->size());
     now.serializer.emplace(now.request);
     now.parser.header_limit(kMostHeadBytes);
-    now.parser.body_limit(boost::none);
+    // Boost 1.74 takes "no limit" for a limit of zero.
+    now.parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (isHead)
         now.parser.skip(true);
     now.reader = &reader;
@@ -60,33 +63,33 @@
 
 void HttpChannel::writeRequest()
 {
-    http::async_write(m_socket, *m_exchange->serializer,
-                      [self = shared_from_this(), now = m_exchange](const ErrorCode &ec,
-                                                                    std::size_t) {
-                          if (now != self->m_exchange)
-                              return;
-                          // An answer may come although the request was not read whole; what the
-                          // reading side finds decides.
-                          if (!ec)
-                              now->isWritten = true;
-                      });
+    http::async_write(
+        m_socket, *m_exchange->serializer,
+        [self = shared_from_this(), now = m_exchange](const ErrorCode &ec, std::size_t) {
+            if (now != self->m_exchange)
+                return;
+            // An answer may come although the request was not read whole; what the
+            // reading side finds decides.
+            if (!ec)
+                now->isWritten = true;
+        });
 }
 
 void HttpChannel::readHead()
 {
-    http::async_read_header(m_socket, m_exchange->buffer, m_exchange->parser,
-                            [self = shared_from_this(), now = m_exchange](const ErrorCode &ec,
-                                                                          std::size_t) {
-                                if (now != self->m_exchange)
-                                    return;
-                                if (ec) {
-                                    self->fail(ec);
-                                    return;
-                                }
-                                now->reader->headRead(now->parser.get().base());
-                                if (now == self->m_exchange)
-                                    self->readBody();
-                            });
+    http::async_read_header(
+        m_socket, m_exchange->buffer, m_exchange->parser,
+        [self = shared_from_this(), now = m_exchange](const ErrorCode &ec, std::size_t) {
+            if (now != self->m_exchange)
+                return;
+            if (ec) {
+                self->fail(ec);
+                return;
+            }
+            now->reader->headRead(now->parser.get().base());
+            if (now == self->m_exchange)
+                self->readBody();
+        });
 }
 
 void HttpChannel::readBody()
@@ -99,12 +102,12 @@
     now.parser.get().body().data = now.piece.data();
     now.parser.get().body().size = now.piece.size();
     now.parser.get().body().more = true;
-    http::async_read_some(m_socket, now.buffer, now.parser,
-                          [self = shared_from_this(), kept = m_exchange](const ErrorCode &ec,
-                                                                         std::size_t) {
-                              if (kept == self->m_exchange)
-                                  self->takeBody(ec);
-                          });
+    http::async_read_some(
+        m_socket, now.buffer, now.parser,
+        [self = shared_from_this(), kept = m_exchange](const ErrorCode &ec, std::size_t) {
+            if (kept == self->m_exchange)
+                self->takeBody(ec);
+        });
 }
 
 void HttpChannel::takeBody(const ErrorCode &ec)
--- a/src/node/net.cpp
+++ b/src/node/net.cpp
@@ -39,8 +39,7 @@
     if (!socket.is_open())
         return false;
     char byte = 0;
-    const auto n
-        = ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    const auto n = ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/node/order_duty.cpp
+++ b/src/node/order_duty.cpp
@@ -160,10 +160,9 @@
     m_caller.send(platform::orderCall(action, m_node), kOrderPatience,
                   [this, id = action.instanceId](const HttpResult &result) {
                       const OrderResult answer = platform::readOrder(result);
-                      logEvent(Event::OrderAnswered,
-                               {{"upstream", id},
-                                {"answer", std::string(nameOf(answer))},
-                                {"status", result ? result->status : 0}});
+                      logEvent(Event::OrderAnswered, {{"upstream", id},
+                                                      {"answer", std::string(nameOf(answer))},
+                                                      {"status", result ? result->status : 0}});
                       m_rollout.orderAnswered(id, answer);
                   });
 }
--- a/src/node/small_server.hpp
+++ b/src/node/small_server.hpp
@@ -11,8 +11,8 @@
 
 namespace fordwood::node {
 
-// Answers short GET requests of the platform, of peers and of monitoring: readiness, the copy of the
-// store, metrics. Used on the thread of its io_context.
+// Answers short GET requests of the platform, of peers and of monitoring: readiness, the copy of
+// the store, metrics. Used on the thread of its io_context.
 class SmallServer
 {
 public:
--- a/src/node/traffic_duty.cpp
+++ b/src/node/traffic_duty.cpp
@@ -74,10 +74,8 @@
         m_metrics.countRefusal(Reason::ConnectionLimit);
         return;
     }
-    const auto session
-        = std::make_shared<CallerSession>(m_traffic, std::move(socket), [this](CallerSession *it) {
-              m_sessions.erase(it);
-          });
+    const auto session = std::make_shared<CallerSession>(
+        m_traffic, std::move(socket), [this](CallerSession *it) { m_sessions.erase(it); });
     m_sessions.emplace(session.get(), session);
     session->start();
 }
@@ -85,9 +83,8 @@
 std::size_t TrafficDuty::serving() const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &it) {
-            return it.second->isServing();
-        }));
+        std::count_if(m_sessions.begin(), m_sessions.end(),
+                      [](const auto &it) { return it.second->isServing(); }));
 }
 
 void TrafficDuty::tick()
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// Upstreams are a few milliseconds away; a dead one must not hold a request that another could take.
+// Upstreams are a few milliseconds away; a dead one must not hold a request that another could
+// take.
 constexpr Duration kConnectPatience = std::chrono::milliseconds(300);
 
 // Bytes that an upstream does not confirm for so long mean that it, or the way there, is gone.
@@ -43,10 +44,9 @@
         ready(channel, net::error::invalid_argument);
         return;
     }
-    channel->connect(*endpoint, kConnectPatience, kSilence,
-                     [channel, ready = std::move(ready)](const ErrorCode &ec) {
-                         ready(channel, ec);
-                     });
+    channel->connect(
+        *endpoint, kConnectPatience, kSilence,
+        [channel, ready = std::move(ready)](const ErrorCode &ec) { ready(channel, ec); });
 }
 
 void UpstreamPool::giveBack(const std::string &instanceId, std::shared_ptr<HttpChannel> channel,
