Short prompts get engines of their own; heavy sends are told to peers at once

Change: a group of engines, sized by the context that short prompts share, is set apart; sends of 1,500 tokens and more are gossiped at once; saves prefer a store in the engine's failure domain; ages of named weights pass between peers; the order lock's lease is 1.5 s.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -67,9 +67,10 @@
     // Address of a store that holds the part whole; empty when there is none.
     std::string storeWith(const std::string &salt, const std::string &partId) const;
 
-    // Address of the store that shall keep the part; empty when it has no room, is silent, or a
-    // save is under way. A save is then taken to be under way.
-    std::string storeForSave(const std::string &salt, const PromptPart &part);
+    // Address of the store that shall keep the part, one in the engine's failure domain if it has
+    // room; empty when none has, or a save is under way. A save is then taken to be under way.
+    std::string storeForSave(const std::string &salt, const PromptPart &part,
+                             const std::string &failureDomain);
 
 private:
     struct Store
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -33,6 +33,11 @@
     std::vector<std::string> fetchFrom; // an address for each part; empty: none
     std::vector<std::string> saveTo; // likewise
     RequestLoad load;
+    // What decided, for the log:
+    bool isHome = false; // the engine that all nodes prefer for the context
+    bool holdsContext = false; // as believed
+    bool isStored = false; // a store holds the context
+    UpstreamLoad found; // what lay at the engine before
 };
 
 // Chooses the engine for a prompt. All nodes prefer the same engine for the same context, so that
@@ -59,6 +64,8 @@
         WeightTarget target;
         const EngineTraits &traits;
         const std::set<std::string> &tried; // instances that failed this request
+        // The engines that are set apart for short prompts; see engine_groups.hpp.
+        const std::set<std::string> &shortGroup;
     };
 
     // Nothing: no engine may take the request now.
@@ -73,10 +80,15 @@
         const UpstreamRecord *engine = nullptr;
         std::uint64_t version = 0;
         std::string salt;
+        bool isHome = false;
+        bool isStored = false;
         bool holdsContext = false;
+        UpstreamLoad load;
         double cost = 0.0;
     };
 
+    static int homeOf(std::uint64_t context, const std::vector<Rated> &rated, bool isShort,
+                      const std::set<std::string> &shortGroup);
     bool mayUse(const UpstreamRecord &engine, const Question &question,
                 const UpstreamHealth &health) const;
     double waitingCost(const UpstreamLoad &load, const Question &question) const;
--- a/include/fordwood/fenced_lock.hpp
+++ b/include/fordwood/fenced_lock.hpp
@@ -62,11 +62,13 @@
 public:
     struct Limits
     {
-        Duration life = std::chrono::seconds(3); // of the lease
-        Duration keepEvery = std::chrono::milliseconds(900);
+        // Of the lease: short, since engines wait for their weights until it has run out after a
+        // holder's death. A renewal takes milliseconds, some hundred on a bad day.
+        Duration life = std::chrono::milliseconds(1'500);
+        Duration keepEvery = std::chrono::milliseconds(400);
         Duration quietTime = std::chrono::seconds(3);
         // Before the end of the lease in which the holder no longer acts.
-        Duration margin = std::chrono::milliseconds(300);
+        Duration margin = std::chrono::milliseconds(200);
         // A write without an answer is waited for so long before a new attempt.
         Duration settleTime = std::chrono::seconds(2);
         Duration retryEvery = std::chrono::milliseconds(500);
--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -68,7 +68,7 @@
         // From the announcement that an engine is about to load to the order, so that no node
         // sends it requests that it would turn away.
         Duration announceLead = std::chrono::milliseconds(60);
-        Duration reportEvery = std::chrono::milliseconds(200); // while an engine loads
+        Duration reportEvery = std::chrono::milliseconds(120); // while an engine loads
         // After an order without an answer the next one waits, since the first may be late.
         Duration lateOrder = std::chrono::milliseconds(1'500);
         // An engine that does not come to its version in time is put behind the others.
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Parts below this size are computed again sooner than a store can be asked for them.
-constexpr std::size_t kLeastTokensToSave = 512;
+constexpr std::size_t kLeastTokensToSave = 1'000;
 
 // The part of a store that is filled: what other nodes save at the same moment is not known yet.
 constexpr double kFillPart = 0.95;
@@ -143,14 +143,15 @@
         endSave(store, it);
 }
 
-std::string ContextDirectory::storeForSave(const std::string &salt, const PromptPart &part)
+std::string ContextDirectory::storeForSave(const std::string &salt, const PromptPart &part,
+                                           const std::string &failureDomain)
 {
     if (part.tokens < kLeastTokensToSave || !storeWith(salt, part.id).empty())
         return {};
     const std::string name = partName(salt, part.id);
     const std::uint64_t hash = stableHash(name);
     Store *best = nullptr;
-    std::uint64_t bestWeight = 0;
+    std::pair<bool, std::uint64_t> bestWeight; // links within a failure domain are twice as fast
     for (auto &[key, store] : m_stores) {
         dropOldSaves(store);
         if (store.saves.contains(name))
@@ -159,7 +160,8 @@
             kFillPart * static_cast<double>(store.config.capacityTokens));
         if (!speaks(store) || store.tokens + store.tokensOfSaves + part.tokens > room)
             continue;
-        const std::uint64_t weight = rendezvousWeight(hash, store.hash);
+        const std::pair weight(store.config.failureDomain == failureDomain,
+                               rendezvousWeight(hash, store.hash));
         if (best == nullptr || weight > bestWeight) {
             best = &store;
             bestWeight = weight;
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 
+#include "fordwood/engine_groups.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood {
@@ -13,16 +14,23 @@
 // Costs are in prompt tokens that an engine would have to compute. The weights are trials on the
 // notice boards' standard days; see docs/design/10-platform.md.
 
-// Computing shared context again also costs the fleet, not only this request.
-constexpr double kRecomputeWeight = 4.0;
-// Moving a token of context takes about an eighth of the time of computing it.
-constexpr double kFetchWeight = 0.125;
+// Computing context again that the stores hold would also cost the fleet, not only this request;
+// but then it is fetched. What no store holds is probably read for the first time.
+constexpr double kComputeWeight = 1.0;
+// The engine that all nodes prefer for a context may have it from a request of another node.
+constexpr double kHomeComputeWeight = 0.9;
+// Moving a token of context takes a part of the time of computing it, with the wait for the links.
+constexpr double kFetchWeight = 0.3;
 // Each running request slows every token of the others a little.
 constexpr double kRunningCost = 60.0;
 // A request beyond the slots waits for a whole other request to end.
 constexpr double kNoSlotCost = 12'000.0;
 // Memory beyond the engine's preempts others, which then compute their prompts again.
 constexpr double kNoMemoryWeight = 2.0;
+// A short prompt among long ones waits for their computation, and loses its context to them.
+constexpr double kShortOutsideCost = 6'000.0;
+// A long prompt among short ones does so to some hundred of them.
+constexpr double kLongInsideCost = 25'000.0;
 // An answer on older weights loses a fifth of its value.
 constexpr double kOldWeightsCost = 15'000.0;
 // An engine all of whose requests fail is used only when there is no other.
@@ -55,13 +63,33 @@
     return cost;
 }
 
+// The engine that all nodes prefer for the context: one of its group, if any may be used.
+int EngineChooser::homeOf(std::uint64_t context, const std::vector<Rated> &rated, bool isShort,
+                          const std::set<std::string> &shortGroup)
+{
+    int home = -1;
+    bool isHomeInGroup = false;
+    std::uint64_t best = 0;
+    for (std::size_t n = 0; n < rated.size(); ++n) {
+        const std::string &id = rated[n].engine->instanceId;
+        const bool isInGroup = shortGroup.contains(id) == isShort;
+        const std::uint64_t weight = rendezvousWeight(context, stableHash(id));
+        if (home >= 0
+            && (isHomeInGroup > isInGroup || (isHomeInGroup == isInGroup && weight <= best)))
+            continue;
+        home = static_cast<int>(n);
+        isHomeInGroup = isInGroup;
+        best = weight;
+    }
+    return home;
+}
+
 std::optional<EngineChoice>
 EngineChooser::choose(const Question &question, const std::vector<const UpstreamRecord *> &engines,
                       const LoadBook &loads, const UpstreamHealth &health,
                       ContextDirectory &contexts) const
 {
     std::vector<Rated> rated;
-    std::vector<std::uint64_t> hashes;
     for (const UpstreamRecord *it : engines) {
         if (!mayUse(*it, question, health))
             continue;
@@ -70,12 +98,12 @@
         entry.version = it->weightVersions.at(question.prompt.model);
         entry.salt = contextSalt(question.prompt.model, entry.version, question.walledTeam);
         rated.push_back(std::move(entry));
-        hashes.push_back(stableHash(it->instanceId));
     }
     if (rated.empty())
         return std::nullopt;
     const std::uint64_t context = question.prompt.contextHash();
-    const int home = rendezvousWinner(context, hashes);
+    const bool isShort = isShortPrompt(question.prompt, question.traits);
+    const int home = homeOf(context, rated, isShort, question.shortGroup);
     const auto shared = static_cast<double>(question.prompt.sharedTokens());
     std::map<std::string, bool> inStores; // by salt
     for (Rated &it : rated) {
@@ -86,19 +114,23 @@
     const bool old = m_clock.now() - question.target.since >= m_limits.oldWeightsFine;
     for (std::size_t n = 0; n < rated.size(); ++n) {
         Rated &it = rated[n];
-        const bool isHome = static_cast<int>(n) == home;
-        const bool isStored = inStores[it.salt];
-        it.holdsContext
-            = contexts.isAtEngine(it.engine->instanceId, it.salt, context) || (isHome && isStored);
-        it.cost = waitingCost(loads.total(it.engine->instanceId), question);
+        it.isHome = static_cast<int>(n) == home;
+        it.isStored = inStores[it.salt];
+        it.holdsContext = contexts.isAtEngine(it.engine->instanceId, it.salt, context)
+                          || (it.isHome && it.isStored);
+        it.load = loads.total(it.engine->instanceId);
+        it.cost = waitingCost(it.load, question);
         it.cost += kFailureCost * health.failureRate(it.engine->instanceId);
+        if (question.shortGroup.contains(it.engine->instanceId) != isShort)
+            it.cost += isShort ? kShortOutsideCost : kLongInsideCost;
         if (it.version < question.target.version && old)
             it.cost += kOldWeightsCost;
         if (it.holdsContext)
             continue;
-        it.cost += shared * (isStored ? kFetchWeight : kRecomputeWeight);
-        if (isHome) // among engines that lack the context, the one that others will choose too
-            it.cost -= shared * kFetchWeight;
+        if (it.isStored)
+            it.cost += shared * kFetchWeight;
+        else
+            it.cost += shared * (it.isHome ? kHomeComputeWeight : kComputeWeight);
     }
     const auto best = std::min_element(
         rated.begin(), rated.end(), [](const Rated &a, const Rated &b) { return a.cost < b.cost; });
@@ -113,6 +145,10 @@
     choice.instanceId = rated.engine->instanceId;
     choice.weightVersion = rated.version;
     choice.salt = rated.salt;
+    choice.isHome = rated.isHome;
+    choice.holdsContext = rated.holdsContext;
+    choice.isStored = rated.isStored;
+    choice.found = rated.load;
     std::size_t fetched = 0;
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
@@ -120,7 +156,7 @@
         std::string from = isShared ? contexts.storeWith(rated.salt, part.id) : "";
         std::string to;
         if (isShared && from.empty())
-            to = contexts.storeForSave(rated.salt, part);
+            to = contexts.storeForSave(rated.salt, part, rated.engine->failureDomain);
         if (!from.empty())
             fetched += part.tokens;
         choice.fetchFrom.push_back(std::move(from));
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -2,7 +2,9 @@
 #include "node/call_run.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
+#include <sstream>
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
@@ -32,6 +34,10 @@
 // An upstream that has no room is passed over for a moment.
 constexpr Duration kFullPause = std::chrono::milliseconds(150);
 
+// A prompt that keeps an engine busy for tens of milliseconds: longer than other nodes would
+// otherwise take to hear of it.
+constexpr std::size_t kHeavyTokens = 1'500;
+
 // How long an upstream keeps a resting channel when it does not say.
 constexpr Duration kUsualKeepAlive = std::chrono::seconds(4);
 
@@ -56,6 +62,24 @@
     return {text.data(), static_cast<std::size_t>(n)};
 }
 
+// What decided the choice of an engine, for the log.
+std::string engineInputs(const EngineChoice &choice)
+{
+    if (choice.instanceId.empty())
+        return "";
+    const auto count = [](const std::vector<std::string> &addresses) {
+        return std::count_if(addresses.begin(), addresses.end(),
+                             [](const std::string &it) { return !it.empty(); });
+    };
+    std::ostringstream out;
+    out << "weights:" << choice.weightVersion << " home:" << choice.isHome
+        << " held:" << choice.holdsContext << " stored:" << choice.isStored
+        << " fetch:" << count(choice.fetchFrom) << " save:" << count(choice.saveTo)
+        << " compute:" << choice.load.tokensToCompute << " found:" << choice.found.running << "/"
+        << choice.found.tokensToCompute << "/" << choice.found.tokensHeld;
+    return out.str();
+}
+
 } // namespace
 
 CallRun::CallRun(Traffic &traffic, CallerPort &port, http::request_header<> head, std::string body,
@@ -71,6 +95,8 @@
     if (!admit())
         return;
     m_traffic.countRequest(m_pool->name);
+    if (m_pool->engine && m_caller.prompt)
+        m_traffic.countPrompt(*m_caller.prompt, *m_pool->engine);
     armDeadline();
     attempt();
 }
@@ -141,6 +167,8 @@
     m_attempt->begun = m_traffic.clock().now();
     m_lastUpstream = m_attempt->upstream.instanceId;
     m_traffic.loads().begin(m_lastUpstream, m_attempt->load);
+    if (m_attempt->load.tokensToCompute >= kHeavyTokens)
+        m_traffic.heavyLoadSent();
     m_traffic.channels().take(
         m_attempt->upstream,
         [self = shared_from_this()](std::shared_ptr<HttpChannel> channel, const ErrorCode &ec) {
@@ -167,9 +195,9 @@
 bool CallRun::chooseEngine(const std::vector<const UpstreamRecord *> &candidates)
 {
     const std::string walled = m_team != nullptr && m_team->isolated ? m_team->name : "";
-    const EngineChooser::Question question{*m_caller.prompt, walled,
-                                           m_traffic.weightTarget(m_caller.prompt->model),
-                                           *m_pool->engine, m_plan.tried()};
+    const EngineChooser::Question question{
+        *m_caller.prompt, walled,         m_traffic.weightTarget(m_caller.prompt->model),
+        *m_pool->engine,  m_plan.tried(), m_traffic.shortGroup(*m_pool)};
     const auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
                                                    m_traffic.health(), m_traffic.contexts());
     if (!choice)
@@ -177,10 +205,7 @@
     m_attempt.emplace();
     m_attempt->upstream = *m_traffic.upstreams().find(choice->instanceId);
     m_attempt->load = choice->load;
-    m_attempt->weightVersion = choice->weightVersion;
-    m_attempt->salt = choice->salt;
-    m_attempt->fetchFrom = choice->fetchFrom;
-    m_attempt->saveTo = choice->saveTo;
+    m_attempt->engine = *choice;
     return true;
 }
 
@@ -231,11 +256,11 @@
     stamp.patience = std::max(remaining(), kLeastPatience);
     if (m_events.lastId())
         stamp.resumeFrom = m_events.lastId();
-    if (m_attempt->weightVersion > 0) {
-        stamp.weightVersion = m_attempt->weightVersion;
-        stamp.contextSalt = m_attempt->salt;
-        stamp.fetchFrom = m_attempt->fetchFrom;
-        stamp.saveTo = m_attempt->saveTo;
+    if (m_attempt->engine.weightVersion > 0) {
+        stamp.weightVersion = m_attempt->engine.weightVersion;
+        stamp.contextSalt = m_attempt->engine.salt;
+        stamp.fetchFrom = m_attempt->engine.fetchFrom;
+        stamp.saveTo = m_attempt->engine.saveTo;
         const auto ofTeam = m_team != nullptr ? m_team->priority : std::nullopt;
         stamp.priority = ofTeam.value_or(m_route->priority);
     }
@@ -511,6 +536,11 @@
     if (m_firstEvent)
         m_traffic.metrics().observe("fordwood_first_event_seconds", *m_firstEvent - m_arrived);
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took);
+    const auto firstMs
+        = m_firstEvent
+              ? std::chrono::duration_cast<std::chrono::milliseconds>(*m_firstEvent - m_arrived)
+                    .count()
+              : -1;
     logEvent(Event::RequestEnded, {{"request", m_caller.requestId},
                                    {"route", m_route != nullptr ? m_route->name : ""},
                                    {"team", m_team != nullptr ? m_team->name : ""},
@@ -519,7 +549,9 @@
                                    {"sends", m_plan.sends()},
                                    {"outcome", std::string(outcome)},
                                    {"status", status},
-                                   {"ms", ms.count()}});
+                                   {"first_ms", firstMs},
+                                   {"ms", ms.count()},
+                                   {"engine", m_attempt ? engineInputs(m_attempt->engine) : ""}});
 }
 
 } // namespace fordwood::node
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -48,10 +48,7 @@
     {
         UpstreamRecord upstream;
         RequestLoad load;
-        std::uint64_t weightVersion = 0;
-        std::string salt;
-        std::vector<std::string> fetchFrom;
-        std::vector<std::string> saveTo;
+        EngineChoice engine; // of requests to engines
         std::shared_ptr<HttpChannel> channel;
         TimePoint begun{};
         bool sent = false;
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kTickEvery = std::chrono::milliseconds(20);
 
 // A change is told to peers at once; this bounds how often when changes come in a row.
-constexpr Duration kGossipLeast = std::chrono::milliseconds(20);
+constexpr Duration kGossipLeast = std::chrono::milliseconds(10);
 
 // A node whose own watch works gets a change from there; only when it does not come is a peer
 // asked.
@@ -48,7 +48,7 @@
 FencedLock::Limits lockLimits(const config::OneProcessSettings &settings)
 {
     FencedLock::Limits limits;
-    limits.life = std::max(settings.bounds.orderLease, settings.store.leastLease);
+    limits.life = std::max(limits.life, settings.store.leastLease);
     limits.quietTime = settings.bounds.orderLease;
     return limits;
 }
@@ -73,8 +73,7 @@
       m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
       m_replicaServer(m_context, [this](std::string_view it) { return replicaReply(it); }),
       m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
-      m_ownLoads(m_context, kMailboxCapacity,
-                 [this](OwnLoads it) { m_lastOwnLoads = std::move(it.loads); }),
+      m_ownLoads(m_context, kMailboxCapacity, [this](OwnLoads it) { takeOwnLoads(std::move(it)); }),
       m_tickTimer(m_context), m_upstreams(clock, {}), m_loads(clock)
 { }
 
@@ -262,7 +261,19 @@
     logEvent(Event::WeightsNamed,
              {{"model", named->model}, {"weights", named->version}, {"revision", item.revision}});
     m_orders.rollout().setTarget(named->model, named->version);
-    tell(WeightsWanted{named->model, named->version});
+    noteWeights(named->model, {named->version, m_clock.now()});
+}
+
+// A version counts from the earliest moment at which any node is known to have seen it.
+void ControlDuty::noteWeights(const std::string &model, const WeightTarget &target)
+{
+    WeightTarget &known = m_weights[model];
+    const bool isNewer = target.version > known.version;
+    const bool isEarlier = target.version == known.version && target.since < known.since;
+    if (!isNewer && !isEarlier)
+        return;
+    known = target;
+    tell(WeightsWanted{model, target.version, target.since});
 }
 
 void ControlDuty::takeUpstream(const StoredItem &item, bool mayBeExpiry)
@@ -307,13 +318,19 @@
 {
     if (message.leaving) {
         m_loads.setPeer(message.node, {});
-        tell(PeerLoads{message.node, {}});
+        tell(PeerLoads{message.node, {}, 0});
         tell(EnginesLoading{message.node, {}});
         return;
     }
     m_loads.setPeer(message.node, message.loads);
-    tell(PeerLoads{message.node, message.loads});
+    tell(PeerLoads{message.node, message.loads, message.shortContextTokens});
     tell(EnginesLoading{message.node, message.enginesLoading});
+    for (const auto &[model, named] : message.weightsNamed) {
+        // Only of versions that this node knows of: an order of events that its store confirmed.
+        const auto known = m_weights.find(model);
+        if (known != m_weights.end() && known->second.version == named.version)
+            noteWeights(model, {named.version, m_clock.now() - named.age});
+    }
     for (const auto &[id, versions] : message.weightsShown) {
         for (const auto &[model, version] : versions) {
             m_upstreams.setWeightVersion(id, model, version);
@@ -322,6 +339,19 @@
     }
 }
 
+void ControlDuty::takeOwnLoads(OwnLoads own)
+{
+    m_gossipSoon = m_gossipSoon || own.isUrgent;
+    m_lastOwn = std::move(own);
+    if (m_gossipSoon && mayGossipAgain())
+        gossip();
+}
+
+bool ControlDuty::mayGossipAgain() const
+{
+    return m_clock.now() >= m_nextGossip - m_settings.peers.gossipEvery + kGossipLeast;
+}
+
 void ControlDuty::gossip()
 {
     Gossip message;
@@ -330,9 +360,14 @@
     message.revision = m_replica.revision();
     message.storeReachable = m_store.isReachable() && m_replica.revision() != 0;
     message.leaving = m_isLeaving;
-    message.loads = m_lastOwnLoads;
+    message.loads = m_lastOwn.loads;
+    message.shortContextTokens = m_lastOwn.shortContextTokens;
     message.enginesLoading = m_orders.rollout().loading();
     message.weightsShown = m_orders.rollout().shown();
+    for (const auto &[model, target] : m_weights)
+        message.weightsNamed[model]
+            = {target.version,
+               std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - target.since)};
     m_peers.sendAll(message);
     tell(EnginesLoading{message.node, message.enginesLoading});
     m_gossipSoon = false;
@@ -358,9 +393,7 @@
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
     reachStoreThroughPeers();
-    const bool soon
-        = m_gossipSoon && now >= m_nextGossip - m_settings.peers.gossipEvery + kGossipLeast;
-    if (soon || now >= m_nextGossip)
+    if ((m_gossipSoon && mayGossipAgain()) || now >= m_nextGossip)
         gossip();
 }
 
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -13,6 +13,7 @@
 
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
+#include "fordwood/engine_chooser.hpp"
 #include "fordwood/load_book.hpp"
 #include "fordwood/store_replica.hpp"
 #include "fordwood/upstream_directory.hpp"
@@ -71,12 +72,15 @@
     void refused(const StoredItem &item, const std::string &problem) const;
 
     void heard(const Gossip &message);
+    void takeOwnLoads(OwnLoads own);
+    bool mayGossipAgain() const;
     void gossip();
     void tick();
     void reachStoreThroughPeers();
     void fetchFrom(const std::string &address);
     void askSeeds();
     void noteReachability();
+    void noteWeights(const std::string &model, const WeightTarget &target);
     void noteLiveNodes();
     void noteLoading();
     bool inDoubt() const;
@@ -103,8 +107,9 @@
     net::steady_timer m_tickTimer;
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
-    LoadBook::Loads m_lastOwnLoads;
+    OwnLoads m_lastOwn;
     std::deque<FleetUpdate> m_waiting; // updates that did not fit
+    std::map<std::string, WeightTarget> m_weights; // named last, by model
     std::uint64_t m_configVersion = 0;
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -46,6 +46,7 @@
 {
     std::string model;
     std::uint64_t version = 0;
+    TimePoint since{}; // when it was named, as far as known
 };
 
 // An engine runs on a weight version, though its record may not say so yet.
@@ -68,6 +69,7 @@
 {
     std::string peer;
     LoadBook::Loads loads;
+    std::size_t shortContextTokens = 0; // shared by its short prompts
 };
 
 // How many nodes live, this one included.
@@ -100,6 +102,8 @@
 struct OwnLoads
 {
     LoadBook::Loads loads;
+    std::size_t shortContextTokens = 0;
+    bool isUrgent = false; // peers should hear it at once
 };
 
 } // namespace fordwood::node
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -34,17 +34,17 @@
     Json loads = Json::object();
     for (const auto &[id, load] : message.loads)
         loads[id] = {load.running, load.tokensToCompute, load.tokensHeld};
-    Json object{{"node", message.node},
-                {"replica", message.replicaAddress},
-                {"revision", message.revision},
-                {"reachable", message.storeReachable},
-                {"loads", std::move(loads)}};
+    Json object{{"node", message.node},         {"replica", message.replicaAddress},
+                {"revision", message.revision}, {"reachable", message.storeReachable},
+                {"loads", std::move(loads)},    {"short", message.shortContextTokens}};
     if (message.leaving)
         object["leaving"] = true;
     if (!message.enginesLoading.empty())
         object["loading"] = message.enginesLoading;
     if (!message.weightsShown.empty())
         object["shown"] = message.weightsShown;
+    for (const auto &[model, named] : message.weightsNamed)
+        object["named"][model] = {named.version, named.age.count()};
     return encode(object);
 }
 
@@ -56,6 +56,7 @@
         object.at("replica").get_to(message.replicaAddress);
         object.at("revision").get_to(message.revision);
         object.at("reachable").get_to(message.storeReachable);
+        message.shortContextTokens = object.value("short", std::size_t{0});
         message.leaving = object.value("leaving", false);
         for (const auto &[id, load] : object.at("loads").items())
             message.loads[id] = {load.at(0).get<std::size_t>(), load.at(1).get<std::size_t>(),
@@ -64,6 +65,12 @@
             object.at("loading").get_to(message.enginesLoading);
         if (object.contains("shown"))
             object.at("shown").get_to(message.weightsShown);
+        if (!object.contains("named"))
+            return message;
+        for (const auto &[model, named] : object.at("named").items())
+            message.weightsNamed[model]
+                = {named.at(0).get<std::uint64_t>(),
+                   std::chrono::milliseconds(named.at(1).get<std::int64_t>())};
         return message;
     });
 }
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_NODE_PEER_MESSAGES_HPP_INCLUDED
 #define FORDWOOD_NODE_PEER_MESSAGES_HPP_INCLUDED
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,8 +31,17 @@
     bool storeReachable = false; // by the node
     bool leaving = false; // the node stops: its last message
     LoadBook::Loads loads; // what the node has sent to upstreams
+    std::size_t shortContextTokens = 0; // shared by the node's short prompts
     std::set<std::string> enginesLoading; // from the node that orders them
     std::map<std::string, std::map<std::string, std::uint64_t>> weightsShown; // likewise
+    struct NamedFor
+    {
+        std::uint64_t version = 0;
+        std::chrono::milliseconds age{0};
+    };
+    // By model: the weights that were named last, and how long the node has known them. A node that
+    // starts learns from its peers how long ago that was.
+    std::map<std::string, NamedFor> weightsNamed;
 };
 
 // A node's answer to a peer that lacks changes of the store.
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -31,7 +31,7 @@
                  const config::OneProcessSettings &settings, adapters::Metrics &metrics)
     : m_context(context), m_clock(clock), m_settings(settings), m_metrics(metrics),
       m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_contexts(clock),
-      m_engines(clock, chooserLimits(settings)), m_channels(context, clock)
+      m_engines(clock, chooserLimits(settings)), m_channels(context, clock), m_shortDemand(clock)
 { }
 
 void Traffic::take(const FleetUpdate &update)
@@ -67,9 +67,10 @@
 void Traffic::apply(const WeightsWanted &update)
 {
     WeightTarget &target = m_weights[update.model];
-    if (update.version <= target.version)
-        return;
-    target = {update.version, m_clock.now()};
+    if (update.version > target.version)
+        target = {update.version, update.since};
+    else if (update.version == target.version)
+        target.since = std::min(target.since, update.since);
 }
 
 void Traffic::apply(const WeightsShown &update)
@@ -88,6 +89,7 @@
 void Traffic::apply(const PeerLoads &update)
 {
     m_loads.setPeer(update.peer, update.loads);
+    m_shortDemand.setPeer(update.peer, update.shortContextTokens);
 }
 
 void Traffic::apply(const LiveNodes &update)
@@ -121,6 +123,25 @@
     for (const std::string &it : m_upstreams.tick())
         forget(it);
     m_channels.tick();
+    if (!m_table)
+        return;
+    const std::size_t demand = m_shortDemand.total();
+    for (const ServicePool &it : m_table->config().services) {
+        if (it.engine)
+            m_shortGroups[it.name]
+                = enginesForShortPrompts(m_upstreams.usable(it.name), *it.engine, demand);
+    }
+}
+
+const std::set<std::string> &Traffic::shortGroup(const ServicePool &pool)
+{
+    return m_shortGroups[pool.name];
+}
+
+void Traffic::countPrompt(const Prompt &prompt, const EngineTraits &traits)
+{
+    if (isShortPrompt(prompt, traits))
+        m_shortDemand.count(prompt);
 }
 
 bool Traffic::isLoading(const std::string &instanceId) const
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_NODE_TRAFFIC_HPP_INCLUDED
 #define FORDWOOD_NODE_TRAFFIC_HPP_INCLUDED
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -13,6 +14,7 @@
 #include "config/node_settings.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/engine_chooser.hpp"
+#include "fordwood/engine_groups.hpp"
 #include "fordwood/load_book.hpp"
 #include "fordwood/route_table.hpp"
 #include "fordwood/upstream_directory.hpp"
@@ -40,9 +42,22 @@
     // The upstreams of a service that this request may be sent to now.
     std::vector<const UpstreamRecord *> candidates(const ServicePool &pool) const;
 
+    // The engines of the service that are set apart for short prompts.
+    const std::set<std::string> &shortGroup(const ServicePool &pool);
+
+    // Counts a prompt, for what the engines must keep.
+    void countPrompt(const Prompt &prompt, const EngineTraits &traits);
+
+    // Tokens of context that this node's short prompts share.
+    std::size_t shortContextTokens() { return m_shortDemand.own(); }
+
     // The weights that requests to the model should run on.
     WeightTarget weightTarget(const std::string &model) const;
 
+    // A request was sent that peers must know of before they choose an engine.
+    void heavyLoadSent() { m_heavyLoadSent(); }
+    void onHeavyLoad(std::function<void()> told) { m_heavyLoadSent = std::move(told); }
+
     // Counts a request to the service, for the budget of repeated sends.
     void countRequest(const std::string &service);
 
@@ -99,8 +114,11 @@
     };
     std::map<std::string, LoadingWord> m_loading; // by the node that says so
     std::map<std::string, WindowBudget> m_budgets; // by service
+    ShortContextDemand m_shortDemand;
+    std::map<std::string, std::set<std::string>> m_shortGroups; // by service, as of the last tick
     std::size_t m_liveNodes = 1;
     bool m_isStopping = false;
+    std::function<void()> m_heavyLoadSent;
 };
 
 } // namespace fordwood::node
--- a/src/node/traffic_duty.cpp
+++ b/src/node/traffic_duty.cpp
@@ -33,7 +33,9 @@
       m_context(1), m_traffic(m_context, clock, settings, metrics),
       m_mailbox(m_context, kMailboxCapacity, [this](const FleetUpdate &it) { m_traffic.take(it); }),
       m_acceptor(m_context), m_tickTimer(m_context), m_acceptTimer(m_context)
-{ }
+{
+    m_traffic.onHeavyLoad([this] { reportLoads(true); });
+}
 
 bool TrafficDuty::open()
 {
@@ -95,7 +97,7 @@
             tick();
     });
     m_traffic.tick();
-    m_tellLoads({m_traffic.loads().own()});
+    reportLoads(false);
     m_metrics.setGauge("fordwood_caller_connections", static_cast<double>(m_sessions.size()));
     m_metrics.setGauge("fordwood_upstream_channels",
                        static_cast<double>(m_traffic.channels().openChannels()));
@@ -103,6 +105,11 @@
         stopStep();
 }
 
+void TrafficDuty::reportLoads(bool isUrgent)
+{
+    m_tellLoads({m_traffic.loads().own(), m_traffic.shortContextTokens(), isUrgent});
+}
+
 void TrafficDuty::stopStep()
 {
     const TimePoint now = m_clock.now();
--- a/src/node/traffic_duty.hpp
+++ b/src/node/traffic_duty.hpp
@@ -38,6 +38,7 @@
     void accepted(tcp::socket socket);
     void tick();
     void stopStep();
+    void reportLoads(bool isUrgent);
     std::size_t serving() const;
 
     const Clock &m_clock;
