Weights count as old from the first newer naming; engines drain while others load; links of stores are weighed

Change: WeightHistory; orders wait for a report that counts them; as many engines drain as load; what is to be fetched from a store counts as load of its link, near stores before far ones.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -41,7 +41,7 @@
 public:
     struct Limits
     {
-        Duration engineMemory = std::chrono::seconds(20); // how long a send tells of an engine
+        Duration engineMemory = std::chrono::seconds(20); // how long sends are remembered
         Duration storeWord = std::chrono::milliseconds(1'500); // how long a store's answer holds
         Duration saveLife
             = std::chrono::seconds(4); // a save that was not confirmed by then is lost
@@ -57,15 +57,22 @@
     // A request with this context was sent to an engine.
     void sentTo(const std::string &instanceId, const std::string &salt, std::uint64_t contextHash);
 
-    // Whether the engine is believed to keep the context.
+    // Whether a request with the context was sent to the engine within `keptFor`.
     bool isAtEngine(const std::string &instanceId, const std::string &salt,
-                    std::uint64_t contextHash) const;
+                    std::uint64_t contextHash, Duration keptFor) const;
 
     void storeAnswered(const StoreNews &news);
     void storeSilent(const std::string &store);
 
-    // Address of a store that holds the part whole; empty when there is none.
-    std::string storeWith(const std::string &salt, const std::string &partId) const;
+    // A store that holds a part; without an address when there is none.
+    struct Holder
+    {
+        std::string address;
+        std::string failureDomain;
+    };
+
+    // A store that holds the part whole.
+    Holder storeWith(const std::string &salt, const std::string &partId) const;
 
     // Address of the store that shall keep the part, one in the engine's failure domain if it has
     // room; empty when none has, or a save is under way. A save is then taken to be under way.
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_ENGINE_CHOOSER_HPP_INCLUDED
 #define FORDWOOD_ENGINE_CHOOSER_HPP_INCLUDED
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -14,16 +15,10 @@
 #include "fordwood/serving_config.hpp"
 #include "fordwood/upstream_health.hpp"
 #include "fordwood/upstream_record.hpp"
+#include "fordwood/weight_history.hpp"
 
 namespace fordwood {
 
-// The weight version that a model's requests should run on, and since when it was wanted.
-struct WeightTarget
-{
-    std::uint64_t version = 0; // zero: none was named, any will do
-    TimePoint since{};
-};
-
 // The engine for a request, and what is to be said to it.
 struct EngineChoice
 {
@@ -31,6 +26,7 @@
     std::uint64_t weightVersion = 0;
     std::string salt;
     std::vector<std::string> fetchFrom; // an address for each part; empty: none
+    std::map<std::string, std::size_t> fetchTokens; // by that address
     std::vector<std::string> saveTo; // likewise
     RequestLoad load;
     // What decided, for the log:
@@ -61,7 +57,7 @@
     {
         const Prompt &prompt;
         std::string walledTeam; // empty: the team shares context
-        WeightTarget target;
+        const WeightHistory &weights; // those named for the model
         const EngineTraits &traits;
         const std::set<std::string> &tried; // instances that failed this request
         // The engines that are set apart for short prompts; see engine_groups.hpp.
@@ -87,12 +83,23 @@
         double cost = 0.0;
     };
 
+    // What does not differ between the engines.
+    struct Terms
+    {
+        bool isShort = false;
+        std::uint64_t context = 0;
+        double sharedTokens = 0.0;
+    };
+
     static int homeOf(std::uint64_t context, const std::vector<Rated> &rated, bool isShort,
                       const std::set<std::string> &shortGroup);
     bool mayUse(const UpstreamRecord &engine, const Question &question,
                 const UpstreamHealth &health) const;
     double waitingCost(const UpstreamLoad &load, const Question &question) const;
-    static EngineChoice complete(const Rated &rated, const Question &question,
+    double versionCost(std::uint64_t version, const WeightHistory &weights) const;
+    double contextCost(const Rated &rated, const Terms &terms, const Question &question,
+                       const LoadBook &loads, const ContextDirectory &contexts) const;
+    static EngineChoice complete(const Rated &rated, const Terms &terms, const Question &question,
                                  ContextDirectory &contexts);
 
     const Clock &m_clock;
--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -65,12 +65,16 @@
     {
         // Engines that may load at once, as a part of all: beyond it each load takes longer.
         double loadingPart = 0.2;
-        // From the announcement that an engine is about to load to the order, so that no node
-        // sends it requests that it would turn away.
+        // From the announcement that an engine is about to load to the order: no node sends it
+        // requests that it would turn away, and what runs there ends, which the load waits for.
         Duration announceLead = std::chrono::milliseconds(60);
+        Duration longestDrain = std::chrono::milliseconds(800);
         Duration reportEvery = std::chrono::milliseconds(120); // while an engine loads
         // After an order without an answer the next one waits, since the first may be late.
         Duration lateOrder = std::chrono::milliseconds(1'500);
+        // Reports tell of some hundred milliseconds ago: one that does not count the last order
+        // yet is passed over for so long.
+        Duration reportLag = std::chrono::milliseconds(1'000);
         // An engine that does not come to its version in time is put behind the others.
         Duration longestLoad = std::chrono::seconds(8);
         Duration pause = std::chrono::seconds(1);
@@ -108,7 +112,7 @@
     bool takeFenceRefused() { return std::exchange(m_fenceRefused, false); }
 
 private:
-    enum class Stage : std::uint8_t { Announced, Reading, Ready, Ordering, Loading };
+    enum class Stage : std::uint8_t { Draining, Ready, Loading };
     struct Engine
     {
         std::string address;
@@ -117,17 +121,19 @@
     };
     struct Load
     {
-        Stage stage = Stage::Announced;
+        Stage stage = Stage::Draining;
         TimePoint since{};
         TimePoint nextStep{};
         bool isAsking = false; // a report is on its way
-        bool wasOrdered = false;
-        std::int64_t ordersTaken = 0;
+        std::optional<TimePoint> ordered;
+        std::int64_t ordersTaken = 0; // by the report that the order followed
     };
 
     std::optional<std::string> modelBehind(const Engine &engine) const;
     void startLoads(const LoadBook &loads);
-    void step(const std::string &instanceId, Load &load, std::int64_t fence);
+    std::size_t mostAtOnce() const;
+    bool mayOrder() const;
+    void step(const std::string &instanceId, Load &load, const LoadBook &loads, std::int64_t fence);
     void giveUp(const std::string &instanceId);
 
     const Clock &m_clock;
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -56,10 +56,10 @@
 }
 
 bool ContextDirectory::isAtEngine(const std::string &instanceId, const std::string &salt,
-                                  std::uint64_t contextHash) const
+                                  std::uint64_t contextHash, Duration keptFor) const
 {
     const auto it = m_sends.find(sendName(instanceId, salt, contextHash));
-    return it != m_sends.end() && m_clock.now() - it->second < m_limits.engineMemory;
+    return it != m_sends.end() && m_clock.now() - it->second < keptFor;
 }
 
 bool ContextDirectory::speaks(const Store &store) const
@@ -122,12 +122,13 @@
         it->second.answered = TimePoint::min();
 }
 
-std::string ContextDirectory::storeWith(const std::string &salt, const std::string &partId) const
+ContextDirectory::Holder ContextDirectory::storeWith(const std::string &salt,
+                                                     const std::string &partId) const
 {
     const std::string name = partName(salt, partId);
     for (const auto &[key, store] : m_stores) {
         if (speaks(store) && store.parts.contains(name))
-            return store.config.address;
+            return {store.config.address, store.config.failureDomain};
     }
     return {};
 }
@@ -146,7 +147,7 @@
 std::string ContextDirectory::storeForSave(const std::string &salt, const PromptPart &part,
                                            const std::string &failureDomain)
 {
-    if (part.tokens < kLeastTokensToSave || !storeWith(salt, part.id).empty())
+    if (part.tokens < kLeastTokensToSave || !storeWith(salt, part.id).address.empty())
         return {};
     const std::string name = partName(salt, part.id);
     const std::uint64_t hash = stableHash(name);
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -2,7 +2,6 @@
 #include "fordwood/engine_chooser.hpp"
 
 #include <algorithm>
-#include <map>
 
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/rendezvous.hpp"
@@ -20,7 +19,13 @@
 // The engine that all nodes prefer for a context may have it from a request of another node.
 constexpr double kHomeComputeWeight = 0.9;
 // Moving a token of context takes a part of the time of computing it, with the wait for the links.
-constexpr double kFetchWeight = 0.3;
+constexpr double kFetchWeight = 0.2;
+// Links between failure domains are half as fast.
+constexpr double kFarFactor = 2.0;
+// How long an engine keeps a context after its last use, about: long prompts fill its memory within
+// seconds, short ones do so only after minutes.
+constexpr Duration kLongContextKept = std::chrono::seconds(3);
+constexpr Duration kShortContextKept = std::chrono::seconds(20);
 // Each running request slows every token of the others a little.
 constexpr double kRunningCost = 60.0;
 // A request beyond the slots waits for a whole other request to end.
@@ -46,8 +51,8 @@
     const auto version = engine.weightVersions.find(question.prompt.model);
     if (version == engine.weightVersions.end())
         return false;
-    const bool isOld = version->second < question.target.version;
-    return !isOld || m_clock.now() - question.target.since < m_limits.oldWeightsEnd;
+    const auto since = question.weights.supersededSince(version->second);
+    return !since || m_clock.now() - *since < m_limits.oldWeightsEnd;
 }
 
 double EngineChooser::waitingCost(const UpstreamLoad &load, const Question &question) const
@@ -84,61 +89,76 @@
     return home;
 }
 
+double EngineChooser::versionCost(std::uint64_t version, const WeightHistory &weights) const
+{
+    const auto since = weights.supersededSince(version);
+    const bool losesValue = since && m_clock.now() - *since >= m_limits.oldWeightsFine;
+    return losesValue ? kOldWeightsCost : 0.0;
+}
+
+// What it costs to have the shared context at the engine.
+double EngineChooser::contextCost(const Rated &rated, const Terms &terms, const Question &question,
+                                  const LoadBook &loads, const ContextDirectory &contexts) const
+{
+    if (rated.holdsContext)
+        return 0.0;
+    if (!rated.isStored)
+        return terms.sharedTokens * (rated.isHome ? kHomeComputeWeight : kComputeWeight);
+    const ContextDirectory::Holder holder
+        = contexts.storeWith(rated.salt, question.prompt.parts.front().id);
+    const bool isNear = holder.failureDomain == rated.engine->failureDomain;
+    // Moves over the store's link run one after the other.
+    const double waiting
+        = kFetchWeight * static_cast<double>(loads.total(holder.address).tokensToCompute);
+    return waiting + terms.sharedTokens * kFetchWeight * (isNear ? 1.0 : kFarFactor);
+}
+
 std::optional<EngineChoice>
 EngineChooser::choose(const Question &question, const std::vector<const UpstreamRecord *> &engines,
                       const LoadBook &loads, const UpstreamHealth &health,
                       ContextDirectory &contexts) const
 {
+    const Prompt &prompt = question.prompt;
     std::vector<Rated> rated;
     for (const UpstreamRecord *it : engines) {
         if (!mayUse(*it, question, health))
             continue;
         Rated entry;
         entry.engine = it;
-        entry.version = it->weightVersions.at(question.prompt.model);
-        entry.salt = contextSalt(question.prompt.model, entry.version, question.walledTeam);
+        entry.version = it->weightVersions.at(prompt.model);
+        entry.salt = contextSalt(prompt.model, entry.version, question.walledTeam);
+        entry.isStored
+            = prompt.parts.size() > 1
+              && !contexts.storeWith(entry.salt, prompt.parts.front().id).address.empty();
         rated.push_back(std::move(entry));
     }
     if (rated.empty())
         return std::nullopt;
-    const std::uint64_t context = question.prompt.contextHash();
-    const bool isShort = isShortPrompt(question.prompt, question.traits);
-    const int home = homeOf(context, rated, isShort, question.shortGroup);
-    const auto shared = static_cast<double>(question.prompt.sharedTokens());
-    std::map<std::string, bool> inStores; // by salt
-    for (Rated &it : rated) {
-        const auto [stored, isNew] = inStores.try_emplace(it.salt, false);
-        if (isNew && question.prompt.parts.size() > 1)
-            stored->second = !contexts.storeWith(it.salt, question.prompt.parts.front().id).empty();
-    }
-    const bool old = m_clock.now() - question.target.since >= m_limits.oldWeightsFine;
+    Terms terms;
+    terms.isShort = isShortPrompt(prompt, question.traits);
+    terms.context = prompt.contextHash();
+    terms.sharedTokens = static_cast<double>(prompt.sharedTokens());
+    const int home = homeOf(terms.context, rated, terms.isShort, question.shortGroup);
+    const Duration keptFor = terms.isShort ? kShortContextKept : kLongContextKept;
     for (std::size_t n = 0; n < rated.size(); ++n) {
         Rated &it = rated[n];
+        const std::string &id = it.engine->instanceId;
         it.isHome = static_cast<int>(n) == home;
-        it.isStored = inStores[it.salt];
-        it.holdsContext = contexts.isAtEngine(it.engine->instanceId, it.salt, context)
-                          || (it.isHome && it.isStored);
-        it.load = loads.total(it.engine->instanceId);
-        it.cost = waitingCost(it.load, question);
-        it.cost += kFailureCost * health.failureRate(it.engine->instanceId);
-        if (question.shortGroup.contains(it.engine->instanceId) != isShort)
-            it.cost += isShort ? kShortOutsideCost : kLongInsideCost;
-        if (it.version < question.target.version && old)
-            it.cost += kOldWeightsCost;
-        if (it.holdsContext)
-            continue;
-        if (it.isStored)
-            it.cost += shared * kFetchWeight;
-        else
-            it.cost += shared * (it.isHome ? kHomeComputeWeight : kComputeWeight);
+        it.holdsContext = contexts.isAtEngine(id, it.salt, terms.context, keptFor);
+        it.load = loads.total(id);
+        it.cost = waitingCost(it.load, question) + kFailureCost * health.failureRate(id)
+                  + versionCost(it.version, question.weights)
+                  + contextCost(it, terms, question, loads, contexts);
+        if (question.shortGroup.contains(id) != terms.isShort)
+            it.cost += terms.isShort ? kShortOutsideCost : kLongInsideCost;
     }
     const auto best = std::min_element(
         rated.begin(), rated.end(), [](const Rated &a, const Rated &b) { return a.cost < b.cost; });
-    return complete(*best, question, contexts);
+    return complete(*best, terms, question, contexts);
 }
 
-EngineChoice EngineChooser::complete(const Rated &rated, const Question &question,
-                                     ContextDirectory &contexts)
+EngineChoice EngineChooser::complete(const Rated &rated, const Terms &terms,
+                                     const Question &question, ContextDirectory &contexts)
 {
     const Prompt &prompt = question.prompt;
     EngineChoice choice;
@@ -153,19 +173,22 @@
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
         const PromptPart &part = prompt.parts[n];
-        std::string from = isShared ? contexts.storeWith(rated.salt, part.id) : "";
+        std::string from = isShared ? contexts.storeWith(rated.salt, part.id).address : "";
         std::string to;
         if (isShared && from.empty())
             to = contexts.storeForSave(rated.salt, part, rated.engine->failureDomain);
-        if (!from.empty())
+        if (!from.empty()) {
             fetched += part.tokens;
+            if (!rated.holdsContext)
+                choice.fetchTokens[from] += part.tokens;
+        }
         choice.fetchFrom.push_back(std::move(from));
         choice.saveTo.push_back(std::move(to));
     }
     const std::size_t known = rated.holdsContext ? prompt.sharedTokens() : fetched;
     choice.load.tokensToCompute = prompt.tokensIn - std::min(prompt.tokensIn, known);
     choice.load.tokensHeld = prompt.tokensIn + prompt.mostTokensOut;
-    contexts.sentTo(choice.instanceId, rated.salt, prompt.contextHash());
+    contexts.sentTo(choice.instanceId, rated.salt, terms.context);
     return choice;
 }
 
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -60,10 +60,15 @@
         it->second.notBefore = m_clock.now() + m_limits.pause;
 }
 
-void WeightRollout::startLoads(const LoadBook &loads)
+std::size_t WeightRollout::mostAtOnce() const
 {
-    const auto most = std::max<std::size_t>(
+    return std::max<std::size_t>(
         1, static_cast<std::size_t>(m_limits.loadingPart * static_cast<double>(m_engines.size())));
+}
+
+// While some engines load, as many again are drained for their turn.
+void WeightRollout::startLoads(const LoadBook &loads)
+{
     std::vector<std::pair<std::size_t, std::string>> behind; // by running requests
     for (const auto &[id, engine] : m_engines) {
         if (modelBehind(engine) && !m_loads.contains(id) && m_clock.now() >= engine.notBefore)
@@ -71,7 +76,7 @@
     }
     std::sort(behind.begin(), behind.end());
     for (const auto &[running, id] : behind) {
-        if (m_loads.size() >= most)
+        if (m_loads.size() >= 2 * mostAtOnce())
             return;
         Load load;
         load.since = m_clock.now();
@@ -80,6 +85,14 @@
     }
 }
 
+bool WeightRollout::mayOrder() const
+{
+    const auto loading = std::count_if(m_loads.begin(), m_loads.end(), [](const auto &it) {
+        return it.second.ordered.has_value();
+    });
+    return static_cast<std::size_t>(loading) < mostAtOnce();
+}
+
 std::vector<RolloutAction> WeightRollout::tick(const std::optional<FencedLock::Holding> &holding,
                                                const LoadBook &loads)
 {
@@ -95,26 +108,32 @@
         if (now - load.since >= m_limits.longestLoad)
             late.push_back(id);
         else if (now >= load.nextStep && !load.isAsking)
-            step(id, load, holding->fence);
+            step(id, load, loads, holding->fence);
     }
     for (const std::string &it : late)
         giveUp(it);
     return std::exchange(m_actions, {});
 }
 
-void WeightRollout::step(const std::string &instanceId, Load &load, std::int64_t fence)
+void WeightRollout::step(const std::string &instanceId, Load &load, const LoadBook &loads,
+                         std::int64_t fence)
 {
     const Engine &engine = m_engines.at(instanceId);
+    if (load.stage == Stage::Draining) {
+        const bool isDrained = loads.total(instanceId).running == 0
+                               || m_clock.now() - load.since >= m_limits.longestDrain;
+        if (!isDrained || !mayOrder())
+            return;
+    }
     const std::optional<std::string> model = modelBehind(engine);
-    if (load.stage == Stage::Ready && model) {
-        load.stage = Stage::Ordering;
+    if (load.stage == Stage::Ready && model && (load.ordered || mayOrder())) {
+        load.stage = Stage::Loading;
         load.isAsking = true;
-        load.wasOrdered = true;
+        load.ordered = m_clock.now();
         m_actions.emplace_back(OrderWeights{instanceId, engine.address, *model,
                                             m_targets.at(*model), fence, load.ordersTaken});
         return;
     }
-    load.stage = load.wasOrdered ? Stage::Loading : Stage::Reading;
     load.isAsking = true;
     m_actions.emplace_back(AskReport{instanceId, engine.address});
 }
@@ -127,11 +146,10 @@
         return;
     Load &load = it->second;
     load.isAsking = false;
+    load.nextStep = m_clock.now() + m_limits.reportEvery;
     if (!report) {
-        if (!load.wasOrdered)
+        if (!load.ordered)
             giveUp(instanceId);
-        else
-            load.nextStep = m_clock.now() + m_limits.reportEvery;
         return;
     }
     Engine &engine = m_engines.at(instanceId);
@@ -145,11 +163,11 @@
         m_loads.erase(it);
         return;
     }
-    load.ordersTaken = report->ordersTaken;
-    if (report->busy) {
-        load.nextStep = m_clock.now() + m_limits.reportEvery;
+    const bool isFromBefore = load.ordered && report->ordersTaken <= load.ordersTaken
+                              && m_clock.now() - *load.ordered < m_limits.reportLag;
+    if (report->busy || isFromBefore)
         return;
-    }
+    load.ordersTaken = report->ordersTaken;
     load.stage = Stage::Ready;
     load.nextStep = m_clock.now();
 }
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -167,6 +167,8 @@
     m_attempt->begun = m_traffic.clock().now();
     m_lastUpstream = m_attempt->upstream.instanceId;
     m_traffic.loads().begin(m_lastUpstream, m_attempt->load);
+    for (const auto &[store, tokens] : m_attempt->engine.fetchTokens)
+        m_traffic.loads().begin(store, {tokens, 0});
     if (m_attempt->load.tokensToCompute >= kHeavyTokens)
         m_traffic.heavyLoadSent();
     m_traffic.channels().take(
@@ -196,7 +198,7 @@
 {
     const std::string walled = m_team != nullptr && m_team->isolated ? m_team->name : "";
     const EngineChooser::Question question{
-        *m_caller.prompt, walled,         m_traffic.weightTarget(m_caller.prompt->model),
+        *m_caller.prompt, walled,         m_traffic.weights(m_caller.prompt->model),
         *m_pool->engine,  m_plan.tried(), m_traffic.shortGroup(*m_pool)};
     const auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
                                                    m_traffic.health(), m_traffic.contexts());
@@ -319,10 +321,7 @@
 bool CallRun::passEvents(std::string_view bytes)
 {
     const std::string_view events = m_events.add(bytes);
-    if (!m_attempt->computed) {
-        m_attempt->computed = true;
-        m_traffic.loads().computed(m_attempt->upstream.instanceId, m_attempt->load);
-    }
+    noteComputed();
     if (m_events.isTooLong()) {
         endAttempt(false);
         judgeFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamBegun});
@@ -335,6 +334,17 @@
     return m_port.sendPiece(events);
 }
 
+// The prompt has been computed, and what was to be fetched has arrived.
+void CallRun::noteComputed()
+{
+    if (m_attempt->computed)
+        return;
+    m_attempt->computed = true;
+    m_traffic.loads().computed(m_attempt->upstream.instanceId, m_attempt->load);
+    for (const auto &[store, tokens] : m_attempt->engine.fetchTokens)
+        m_traffic.loads().end(store, {tokens, 0}, false);
+}
+
 void CallRun::beginStream()
 {
     m_streamBegun = true;
@@ -445,7 +455,8 @@
     if (!m_attempt)
         return;
     const std::string &id = m_attempt->upstream.instanceId;
-    m_traffic.loads().end(id, m_attempt->load, m_attempt->computed);
+    noteComputed();
+    m_traffic.loads().end(id, m_attempt->load, true);
     if (!m_attempt->channel)
         return;
     const std::shared_ptr<HttpChannel> channel = std::move(m_attempt->channel);
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -69,6 +69,7 @@
     void judgeFailure(const FailedAttempt &failure);
     void judgeAnswer();
     bool passEvents(std::string_view bytes);
+    void noteComputed();
     void beginStream();
     http::response_header<> callersHead() const;
     void endAttempt(bool reusable);
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -261,19 +261,13 @@
     logEvent(Event::WeightsNamed,
              {{"model", named->model}, {"weights", named->version}, {"revision", item.revision}});
     m_orders.rollout().setTarget(named->model, named->version);
-    noteWeights(named->model, {named->version, m_clock.now()});
+    noteWeights(named->model, named->version, m_clock.now());
 }
 
-// A version counts from the earliest moment at which any node is known to have seen it.
-void ControlDuty::noteWeights(const std::string &model, const WeightTarget &target)
+void ControlDuty::noteWeights(const std::string &model, std::uint64_t version, TimePoint named)
 {
-    WeightTarget &known = m_weights[model];
-    const bool isNewer = target.version > known.version;
-    const bool isEarlier = target.version == known.version && target.since < known.since;
-    if (!isNewer && !isEarlier)
-        return;
-    known = target;
-    tell(WeightsWanted{model, target.version, target.since});
+    if (m_weights[model].note(version, named))
+        tell(WeightsWanted{model, version, named});
 }
 
 void ControlDuty::takeUpstream(const StoredItem &item, bool mayBeExpiry)
@@ -325,11 +319,15 @@
     m_loads.setPeer(message.node, message.loads);
     tell(PeerLoads{message.node, message.loads, message.shortContextTokens});
     tell(EnginesLoading{message.node, message.enginesLoading});
-    for (const auto &[model, named] : message.weightsNamed) {
-        // Only of versions that this node knows of: an order of events that its store confirmed.
+    for (const auto &[model, versions] : message.weightsNamed) {
+        // Only of versions that this node has read itself: the age is all that a peer adds.
         const auto known = m_weights.find(model);
-        if (known != m_weights.end() && known->second.version == named.version)
-            noteWeights(model, {named.version, m_clock.now() - named.age});
+        if (known == m_weights.end())
+            continue;
+        for (const auto &[version, age] : versions) {
+            if (known->second.newest() >= version)
+                noteWeights(model, version, m_clock.now() - age);
+        }
     }
     for (const auto &[id, versions] : message.weightsShown) {
         for (const auto &[model, version] : versions) {
@@ -364,10 +362,11 @@
     message.shortContextTokens = m_lastOwn.shortContextTokens;
     message.enginesLoading = m_orders.rollout().loading();
     message.weightsShown = m_orders.rollout().shown();
-    for (const auto &[model, target] : m_weights)
-        message.weightsNamed[model]
-            = {target.version,
-               std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - target.since)};
+    for (const auto &[model, history] : m_weights) {
+        for (const auto &[version, named] : history.named())
+            message.weightsNamed[model][version]
+                = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - named);
+    }
     m_peers.sendAll(message);
     tell(EnginesLoading{message.node, message.enginesLoading});
     m_gossipSoon = false;
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -13,10 +13,10 @@
 
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
-#include "fordwood/engine_chooser.hpp"
 #include "fordwood/load_book.hpp"
 #include "fordwood/store_replica.hpp"
 #include "fordwood/upstream_directory.hpp"
+#include "fordwood/weight_history.hpp"
 #include "node/context_watch.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_caller.hpp"
@@ -80,7 +80,7 @@
     void fetchFrom(const std::string &address);
     void askSeeds();
     void noteReachability();
-    void noteWeights(const std::string &model, const WeightTarget &target);
+    void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
     void noteLiveNodes();
     void noteLoading();
     bool inDoubt() const;
@@ -109,7 +109,7 @@
     LoadBook m_loads;
     OwnLoads m_lastOwn;
     std::deque<FleetUpdate> m_waiting; // updates that did not fit
-    std::map<std::string, WeightTarget> m_weights; // named last, by model
+    std::map<std::string, WeightHistory> m_weights; // by model
     std::uint64_t m_configVersion = 0;
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -43,8 +43,10 @@
         object["loading"] = message.enginesLoading;
     if (!message.weightsShown.empty())
         object["shown"] = message.weightsShown;
-    for (const auto &[model, named] : message.weightsNamed)
-        object["named"][model] = {named.version, named.age.count()};
+    for (const auto &[model, versions] : message.weightsNamed) {
+        for (const auto &[version, age] : versions)
+            object["named"][model].push_back({version, age.count()});
+    }
     return encode(object);
 }
 
@@ -65,12 +67,12 @@
             object.at("loading").get_to(message.enginesLoading);
         if (object.contains("shown"))
             object.at("shown").get_to(message.weightsShown);
-        if (!object.contains("named"))
-            return message;
-        for (const auto &[model, named] : object.at("named").items())
-            message.weightsNamed[model]
-                = {named.at(0).get<std::uint64_t>(),
-                   std::chrono::milliseconds(named.at(1).get<std::int64_t>())};
+        const Json named = object.value("named", Json::object());
+        for (const auto &[model, versions] : named.items()) {
+            for (const Json &it : versions)
+                message.weightsNamed[model][it.at(0).get<std::uint64_t>()]
+                    = std::chrono::milliseconds(it.at(1).get<std::int64_t>());
+        }
         return message;
     });
 }
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -34,14 +34,9 @@
     std::size_t shortContextTokens = 0; // shared by the node's short prompts
     std::set<std::string> enginesLoading; // from the node that orders them
     std::map<std::string, std::map<std::string, std::uint64_t>> weightsShown; // likewise
-    struct NamedFor
-    {
-        std::uint64_t version = 0;
-        std::chrono::milliseconds age{0};
-    };
-    // By model: the weights that were named last, and how long the node has known them. A node that
-    // starts learns from its peers how long ago that was.
-    std::map<std::string, NamedFor> weightsNamed;
+    // By model and weight version: how long ago it was named, as far as the node knows. A node that
+    // starts learns it from its peers.
+    std::map<std::string, std::map<std::uint64_t, std::chrono::milliseconds>> weightsNamed;
 };
 
 // A node's answer to a peer that lacks changes of the store.
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -66,11 +66,7 @@
 
 void Traffic::apply(const WeightsWanted &update)
 {
-    WeightTarget &target = m_weights[update.model];
-    if (update.version > target.version)
-        target = {update.version, update.since};
-    else if (update.version == target.version)
-        target.since = std::min(target.since, update.since);
+    m_weights[update.model].note(update.version, update.since);
 }
 
 void Traffic::apply(const WeightsShown &update)
@@ -167,12 +163,6 @@
     return found;
 }
 
-WeightTarget Traffic::weightTarget(const std::string &model) const
-{
-    const auto it = m_weights.find(model);
-    return it == m_weights.end() ? WeightTarget{} : it->second;
-}
-
 WindowBudget &Traffic::budget(const std::string &service)
 {
     const auto it = m_budgets.find(service);
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -51,8 +51,8 @@
     // Tokens of context that this node's short prompts share.
     std::size_t shortContextTokens() { return m_shortDemand.own(); }
 
-    // The weights that requests to the model should run on.
-    WeightTarget weightTarget(const std::string &model) const;
+    // The weight versions that were named for the model.
+    const WeightHistory &weights(const std::string &model) { return m_weights[model]; }
 
     // A request was sent that peers must know of before they choose an engine.
     void heavyLoadSent() { m_heavyLoadSent(); }
@@ -106,7 +106,7 @@
     ContextDirectory m_contexts;
     EngineChooser m_engines;
     UpstreamPool m_channels;
-    std::map<std::string, WeightTarget> m_weights; // by model
+    std::map<std::string, WeightHistory> m_weights; // by model
     struct LoadingWord
     {
         std::set<std::string> instanceIds;
