--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -30,6 +30,7 @@
     std::string store; // its name
     std::uint64_t epoch = 0; // changes when the store has lost everything
     bool restated = false; // `changes` is all that it holds
+    std::chrono::milliseconds clock{0}; // of the engines and stores, when it answered
     std::vector<StorePartChange> changes;
 };
 
@@ -71,7 +72,10 @@
         std::string failureDomain;
     };
 
-    // A store that holds the part whole.
+    // The keeper of the stores knows of no newer weights for the model; see StoreKeeper.
+    void keeperTold(const std::string &model, std::uint64_t newestVersion);
+
+    // A store that holds the part whole, and surely will while a fetch that begins now may run.
     Holder storeWith(const std::string &salt, const std::string &partId) const;
 
     // Address of the store that shall keep the part, one in the engine's failure domain if it has
@@ -93,6 +97,7 @@
         std::map<std::string, std::size_t> saveTokens;
     };
 
+    bool isKept(const std::string &salt) const;
     bool speaks(const Store &store) const;
     static void forgetAll(Store &store);
     static void apply(Store &store, const StorePartChange &change);
@@ -103,6 +108,8 @@
     const Limits m_limits;
     std::map<std::string, Store> m_stores; // by name
     std::unordered_map<std::string, TimePoint> m_sends; // by instance, salt and context
+    // When the keeper last said that a version is the newest, by the hash of the model's name.
+    std::map<std::uint64_t, std::map<std::uint64_t, TimePoint>> m_keeperWords;
 };
 
 } // namespace fordwood
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_ENGINE_CHOOSER_HPP_INCLUDED
 #define FORDWOOD_ENGINE_CHOOSER_HPP_INCLUDED
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,6 +35,12 @@
     bool holdsContext = false; // as believed
     bool isStored = false; // a store holds the context
     UpstreamLoad found; // what lay at the engine before
+
+    bool isFetching() const
+    {
+        return std::any_of(fetchFrom.begin(), fetchFrom.end(),
+                           [](const std::string &it) { return !it.empty(); });
+    }
 };
 
 // Chooses the engine for a prompt. All nodes prefer the same engine for the same context, so that
--- a/include/fordwood/fenced_lock.hpp
+++ b/include/fordwood/fenced_lock.hpp
@@ -78,6 +78,7 @@
     struct Holding
     {
         std::int64_t fence = 0;
+        TimePoint since{};
         TimePoint actFrom{};
         TimePoint actUntil{};
     };
@@ -109,6 +110,13 @@
     // Nothing while this node does not hold the lock, or may not act.
     std::optional<Holding> holding() const;
 
+    // The owner of the lock before this node, as far as seen; empty: there was none.
+    const std::string &predecessor() const { return m_predecessor; }
+
+    // The owner before has acted last at this moment, by its own word after its time was over, or
+    // as far as it can have: `quietTime` counts from there instead of from the taking of the lock.
+    void predecessorActed(TimePoint last);
+
 private:
     enum class Stage : std::uint8_t { Idle, Granting, Taking, Settling, Held, Released };
 
@@ -131,7 +139,9 @@
     TimePoint m_nextKeep{};
     bool m_keeping = false;
     std::int64_t m_fence = 0;
+    TimePoint m_heldSince{};
     TimePoint m_actFrom{};
+    std::string m_predecessor;
     std::vector<LockAction> m_actions;
 };
 
--- a/include/fordwood/prompt.hpp
+++ b/include/fordwood/prompt.hpp
@@ -3,6 +3,7 @@
 #define FORDWOOD_PROMPT_HPP_INCLUDED
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,20 @@
 std::string contextSalt(const std::string &model, std::uint64_t weightVersion,
                         const std::string &walledTeam);
 
+// What a salt of contextSalt() says.
+struct SaltParts
+{
+    std::uint64_t weightVersion = 0;
+    std::uint64_t modelHash = 0;
+    std::uint64_t teamHash = 0; // zero: teams that share
+};
+
+// Nothing when the text is no salt of ours.
+std::optional<SaltParts> parseSalt(const std::string &salt);
+
+// The hash by which a salt names a model.
+std::uint64_t modelHashOfSalt(const std::string &model);
+
 } // namespace fordwood
 
 #endif // FORDWOOD_PROMPT_HPP_INCLUDED
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -37,6 +37,7 @@
         bounds.retryWindow = table.span("retry_window", bounds.retryWindow);
         bounds.retrySlack = table.number("retry_slack", bounds.retrySlack);
         bounds.orderLease = table.span("order_lease", bounds.orderLease);
+        bounds.fencesChecked = table.flag("fences_checked", bounds.fencesChecked);
         bounds.weightsWithin = table.span("weights_within", bounds.weightsWithin);
     } else if (section == "log") {
         settings.jsonLog = table.text("format") == "json";
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -42,6 +42,7 @@
     Duration retryWindow = std::chrono::seconds(10);
     double retrySlack = 50.0;
     Duration orderLease = std::chrono::seconds(3);
+    bool fencesChecked = false;
     Duration weightsWithin = std::chrono::seconds(12);
 };
 
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -157,6 +157,8 @@
      "Repeated sends of the whole fleet in each window, beyond the ratio."},
     {"order_lease", Span, false, 0.1, 600, "3s",
      "Lease of the node that orders engines to load weights; a successor waits as long."},
+    {"fences_checked", Flag, false, 0, 0, "false",
+     "Whether engines turn away orders with a lower fence than one they have seen."},
     {"weights_within", Span, false, 1, 3600, "12s",
      "Time after which no request may begin on weights older than those that were named."},
 };
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "fordwood/rendezvous.hpp"
+#include "fordwood/store_keeper.hpp"
 
 namespace fordwood {
 
@@ -115,6 +116,30 @@
     store.saveTokens.erase(name);
 }
 
+void ContextDirectory::keeperTold(const std::string &model, std::uint64_t newestVersion)
+{
+    auto &words = m_keeperWords[modelHashOfSalt(model)];
+    words[newestVersion] = m_clock.now();
+    std::erase_if(words,
+                  [&](const auto &it) { return m_clock.now() - it.second >= StoreLeases::kWord; });
+}
+
+// Whether the keeper has said of late that no newer weights than those of the salt were named.
+bool ContextDirectory::isKept(const std::string &salt) const
+{
+    const auto parsed = parseSalt(salt);
+    if (!parsed)
+        return false;
+    const auto words = m_keeperWords.find(parsed->modelHash);
+    if (words == m_keeperWords.end())
+        return false;
+    for (const auto &[newest, told] : words->second) {
+        if (newest <= parsed->weightVersion && m_clock.now() - told < StoreLeases::kWord)
+            return true;
+    }
+    return false;
+}
+
 void ContextDirectory::storeSilent(const std::string &store)
 {
     const auto it = m_stores.find(store);
@@ -125,6 +150,8 @@
 ContextDirectory::Holder ContextDirectory::storeWith(const std::string &salt,
                                                      const std::string &partId) const
 {
+    if (!isKept(salt))
+        return {};
     const std::string name = partName(salt, partId);
     for (const auto &[key, store] : m_stores) {
         if (speaks(store) && store.parts.contains(name))
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -37,7 +37,7 @@
 // A long prompt among short ones does so to some hundred of them.
 constexpr double kLongInsideCost = 25'000.0;
 // An answer on older weights loses a fifth of its value.
-constexpr double kOldWeightsCost = 15'000.0;
+constexpr double kOldWeightsCost = 6'000.0;
 // An engine all of whose requests fail is used only when there is no other.
 constexpr double kFailureCost = 60'000.0;
 
--- a/src/core/fenced_lock.cpp
+++ b/src/core/fenced_lock.cpp
@@ -23,6 +23,8 @@
             m_freeSince = m_clock.now();
     } else {
         m_freeSince.reset();
+        if (!isOwn)
+            m_predecessor = item->value->substr(0, item->value->rfind('#'));
     }
     if (isOwn && (m_stage == Stage::Taking || m_stage == Stage::Settling))
         hold(item->created);
@@ -75,7 +77,10 @@
 {
     m_stage = Stage::Held;
     m_fence = fence;
-    m_actFrom = m_clock.now() + m_limits.quietTime;
+    m_heldSince = m_clock.now();
+    m_actFrom = m_heldSince + m_limits.quietTime;
+    if (m_predecessor.empty())
+        m_actFrom = m_heldSince; // nobody has ordered before
     m_nextKeep = m_clock.now();
     m_keeping = false;
 }
@@ -154,7 +159,12 @@
 {
     if (m_stage != Stage::Held || m_clock.now() >= m_leaseEnd - m_limits.margin)
         return std::nullopt;
-    return Holding{m_fence, m_actFrom, m_leaseEnd - m_limits.margin};
+    return Holding{m_fence, m_heldSince, m_actFrom, m_leaseEnd - m_limits.margin};
+}
+
+void FencedLock::predecessorActed(TimePoint last)
+{
+    m_actFrom = std::min(m_actFrom, std::max(m_heldSince, last + m_limits.quietTime));
 }
 
 } // namespace fordwood
--- a/src/core/prompt.cpp
+++ b/src/core/prompt.cpp
@@ -33,9 +33,27 @@
     std::array<char, 64> text{};
     const int n = std::snprintf(text.data(), text.size(), "%llu-%016llx-%016llx",
                                 static_cast<unsigned long long>(weightVersion),
-                                static_cast<unsigned long long>(stableHash(model)),
+                                static_cast<unsigned long long>(modelHashOfSalt(model)),
                                 static_cast<unsigned long long>(team));
     return {text.data(), static_cast<std::size_t>(n)};
 }
 
+std::uint64_t modelHashOfSalt(const std::string &model)
+{
+    return stableHash(model);
+}
+
+std::optional<SaltParts> parseSalt(const std::string &salt)
+{
+    unsigned long long version = 0;
+    unsigned long long model = 0;
+    unsigned long long team = 0;
+    int length = 0;
+    const int n
+        = std::sscanf(salt.c_str(), "%llu-%16llx-%16llx%n", &version, &model, &team, &length);
+    if (n != 3 || static_cast<std::size_t>(length) != salt.size())
+        return std::nullopt;
+    return SaltParts{version, model, team};
+}
+
 } // namespace fordwood
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -97,7 +97,7 @@
                                                const LoadBook &loads)
 {
     const TimePoint now = m_clock.now();
-    if (!holding || now < holding->actFrom || now >= holding->actUntil) {
+    if (!holding || now < holding->actFrom - m_limits.longestDrain || now >= holding->actUntil) {
         m_loads.clear();
         m_actions.clear();
         return {};
@@ -107,7 +107,7 @@
     for (auto &[id, load] : m_loads) {
         if (now - load.since >= m_limits.longestLoad)
             late.push_back(id);
-        else if (now >= load.nextStep && !load.isAsking)
+        else if (now >= holding->actFrom && now >= load.nextStep && !load.isAsking)
             step(id, load, loads, holding->fence);
     }
     for (const std::string &it : late)
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -208,6 +208,7 @@
     m_attempt->upstream = *m_traffic.upstreams().find(choice->instanceId);
     m_attempt->load = choice->load;
     m_attempt->engine = *choice;
+    m_attempt->fetchUntil = m_traffic.fetchUntil();
     return true;
 }
 
@@ -263,6 +264,8 @@
         stamp.contextSalt = m_attempt->engine.salt;
         stamp.fetchFrom = m_attempt->engine.fetchFrom;
         stamp.saveTo = m_attempt->engine.saveTo;
+        if (m_attempt->engine.isFetching())
+            stamp.fetchUntil = m_attempt->fetchUntil;
         const auto ofTeam = m_team != nullptr ? m_team->priority : std::nullopt;
         stamp.priority = ofTeam.value_or(m_route->priority);
     }
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -49,6 +49,7 @@
         UpstreamRecord upstream;
         RequestLoad load;
         EngineChoice engine; // of requests to engines
+        std::chrono::milliseconds fetchUntil{0}; // by the engines' clock
         std::shared_ptr<HttpChannel> channel;
         TimePoint begun{};
         bool sent = false;
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -29,13 +29,14 @@
 constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
 
 constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
+constexpr Duration kFreePatience = std::chrono::milliseconds(700);
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
 
 // A removal that is seen so soon after the store answered again may be an expiry.
 constexpr Duration kExpiryDoubt = std::chrono::seconds(1);
 
 // Nodes that stand further down the order for the lock leave it to those before them.
-constexpr Duration kLockPatiencePerRank = std::chrono::milliseconds(400);
+constexpr Duration kLockPatiencePerRank = std::chrono::milliseconds(150);
 
 constexpr std::size_t kMailboxCapacity = 64;
 
@@ -68,7 +69,8 @@
       m_ownKey(clock, m_store, std::string(kNodePrefix) + settings.node.name,
                encodePeerAddress(ownAddress(settings))),
       m_orders(clock, m_caller, m_store, settings.node.name, m_owner, lockLimits(settings)),
-      m_contexts(m_context, m_caller, [this](FleetUpdate it) { this->tell(std::move(it)); }),
+      m_contexts(m_context, m_caller, [this](FleetUpdate it) { takeContextNews(std::move(it)); }),
+      m_keeper(clock),
       m_peers(m_context, clock, settings.node.name, [this](const Gossip &it) { heard(it); }),
       m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
       m_replicaServer(m_context, [this](std::string_view it) { return replicaReply(it); }),
@@ -246,6 +248,14 @@
                                            {"routes", config->routes.size()},
                                            {"teams", config->teams.size()}});
     m_contexts.setStores(config->stores);
+    m_models.clear();
+    for (const ServicePool &it : config->services) {
+        if (it.engine)
+            m_models.insert(it.engine->models.begin(), it.engine->models.end());
+    }
+    m_contextStores.clear();
+    for (const ContextStore &it : config->stores)
+        m_contextStores[it.name] = it;
     tell(ConfigInForce{std::make_shared<const RouteTable>(std::move(*config))});
 }
 
@@ -266,8 +276,10 @@
 
 void ControlDuty::noteWeights(const std::string &model, std::uint64_t version, TimePoint named)
 {
-    if (m_weights[model].note(version, named))
-        tell(WeightsWanted{model, version, named});
+    if (!m_weights[model].note(version, named))
+        return;
+    m_keeper.weightsNamed(model, m_weights[model].newest());
+    tell(WeightsWanted{model, version, named});
 }
 
 void ControlDuty::takeUpstream(const StoredItem &item, bool mayBeExpiry)
@@ -316,6 +328,10 @@
         tell(EnginesLoading{message.node, {}});
         return;
     }
+    for (const auto &[model, newest] : message.keeperWord)
+        tell(KeeperWord{model, newest});
+    if (message.lastOrder)
+        m_lastOrders[message.node] = m_clock.now() - *message.lastOrder;
     m_loads.setPeer(message.node, message.loads);
     tell(PeerLoads{message.node, message.loads, message.shortContextTokens});
     tell(EnginesLoading{message.node, message.enginesLoading});
@@ -360,6 +376,11 @@
     message.leaving = m_isLeaving;
     message.loads = m_lastOwn.loads;
     message.shortContextTokens = m_lastOwn.shortContextTokens;
+    if (m_orders.lastOrder())
+        message.lastOrder = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_clock.now() - *m_orders.lastOrder());
+    if (m_orders.lock().holding())
+        message.keeperWord = keeperWord();
     message.enginesLoading = m_orders.rollout().loading();
     message.weightsShown = m_orders.rollout().shown();
     for (const auto &[model, history] : m_weights) {
@@ -369,10 +390,32 @@
     }
     m_peers.sendAll(message);
     tell(EnginesLoading{message.node, message.enginesLoading});
+    // What a node tells its peers as the keeper of the stores holds for itself as well.
+    for (const auto &[model, newest] : message.keeperWord)
+        tell(KeeperWord{model, newest});
     m_gossipSoon = false;
     m_nextGossip = m_clock.now() + m_settings.peers.gossipEvery;
 }
 
+// A new holder of the lock need not wait for a predecessor that has sent nothing of late.
+void ControlDuty::shortenQuietTime()
+{
+    const auto holding = m_orders.lock().holding();
+    const std::string &owner = m_orders.lock().predecessor();
+    const std::string node = owner.substr(0, owner.find('/'));
+    const auto heard = m_peers.lastHeard(node);
+    if (!holding || !heard)
+        return;
+    const auto word = m_lastOrders.find(node);
+    // Its word counts once its lease is over, since it sends no more orders then.
+    if (word != m_lastOrders.end() && *heard > holding->since)
+        m_orders.lock().predecessorActed(word->second);
+    // One that fell silent may have gone on out of everyone's hearing; but then it is cut off, and
+    // engines that check fences turn its orders away.
+    else if (m_settings.bounds.fencesChecked)
+        m_orders.lock().predecessorActed(*heard + m_settings.peers.gossipEvery);
+}
+
 void ControlDuty::tick()
 {
     m_tickTimer.expires_after(kTickEvery);
@@ -384,8 +427,10 @@
     flushUpdates();
     if (!m_isStopping) {
         m_ownKey.tick();
+        shortenQuietTime();
         m_orders.tick(m_loads);
         noteLoading();
+        keepStores();
     }
     noteReachability();
     noteLiveNodes();
@@ -411,6 +456,57 @@
     }
 }
 
+std::map<std::string, std::uint64_t> ControlDuty::keeperWord() const
+{
+    std::map<std::string, std::uint64_t> word;
+    for (const std::string &it : m_models)
+        word[it] = m_keeper.word(it);
+    return word;
+}
+
+void ControlDuty::takeContextNews(FleetUpdate update)
+{
+    if (const auto *told = std::get_if<ContextStoreTold>(&update)) {
+        m_keeper.storeAnswered(told->news);
+        if (told->news.clock.count() > 0) {
+            m_engineClock = told->news.clock;
+            m_engineClockTold = m_clock.now();
+        }
+    } else if (const auto *silent = std::get_if<ContextStoreSilent>(&update)) {
+        m_keeper.storeSilent(silent->store);
+    }
+    tell(std::move(update));
+}
+
+void ControlDuty::keepStores()
+{
+    for (const FreeParts &it : m_keeper.tick(m_orders.lock().holding()))
+        free(it);
+}
+
+void ControlDuty::free(const FreeParts &action)
+{
+    const auto store = m_contextStores.find(action.store);
+    const auto holding = m_orders.lock().holding();
+    if (store == m_contextStores.end() || !holding) {
+        m_keeper.freed(action, false);
+        return;
+    }
+    // Not carried out after this node's lease, however late the call arrives.
+    const auto until = m_engineClock
+                       + std::chrono::duration_cast<std::chrono::milliseconds>(holding->actUntil
+                                                                               - m_engineClockTold);
+    m_caller.send(platform::freeCall(store->second.address, action, until), kFreePatience,
+                  [this, action](const HttpResult &result) {
+                      const bool done = platform::readFree(result);
+                      logEvent(Event::ContextFreed, {{"store", action.store},
+                                                     {"epoch", action.epoch},
+                                                     {"parts", action.parts.size()},
+                                                     {"status", result ? result->status : 0}});
+                      m_keeper.freed(action, done);
+                  });
+}
+
 void ControlDuty::noteLiveNodes()
 {
     std::vector<std::string> names = m_peers.live();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -14,6 +14,7 @@
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
 #include "fordwood/load_book.hpp"
+#include "fordwood/store_keeper.hpp"
 #include "fordwood/store_replica.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/weight_history.hpp"
@@ -82,7 +83,12 @@
     void noteReachability();
     void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
     void noteLiveNodes();
+    void shortenQuietTime();
+    void takeContextNews(FleetUpdate update);
     void noteLoading();
+    std::map<std::string, std::uint64_t> keeperWord() const;
+    void keepStores();
+    void free(const FreeParts &action);
     bool inDoubt() const;
     void tell(FleetUpdate update);
     void flushUpdates();
@@ -99,6 +105,7 @@
     OwnKey m_ownKey;
     OrderDuty m_orders;
     ContextWatch m_contexts;
+    StoreKeeper m_keeper;
     PeerLinks m_peers;
     SmallServer m_readyServer;
     SmallServer m_replicaServer;
@@ -110,6 +117,8 @@
     OwnLoads m_lastOwn;
     std::deque<FleetUpdate> m_waiting; // updates that did not fit
     std::map<std::string, WeightHistory> m_weights; // by model
+    std::map<std::string, TimePoint> m_lastOrders; // to engines, by the node that sent them
+    std::set<std::string> m_models; // of the configuration in force
     std::uint64_t m_configVersion = 0;
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
@@ -125,6 +134,9 @@
     TimePoint m_nextSeedAsk{};
     TimePoint m_aheadSince{}; // since a peer is ahead of this node's copy
     bool m_isBehind = false;
+    std::map<std::string, ContextStore> m_contextStores; // by name
+    std::chrono::milliseconds m_engineClock{0}; // as told last
+    TimePoint m_engineClockTold{};
 };
 
 } // namespace fordwood::node
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -78,6 +78,13 @@
     std::size_t n = 1;
 };
 
+// The keeper of the stores knows of no newer weights for the model.
+struct KeeperWord
+{
+    std::string model;
+    std::uint64_t newestVersion = 0;
+};
+
 // A store of kept context has told what it holds.
 struct ContextStoreTold
 {
@@ -96,7 +103,7 @@
 
 using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, StoreReachability,
                                  WeightsWanted, WeightsShown, EnginesLoading, PeerLoads, LiveNodes,
-                                 ContextStoreTold, ContextStoreSilent, StopBegins>;
+                                 ContextStoreTold, ContextStoreSilent, KeeperWord, StopBegins>;
 
 // What the thread that serves requests tells the control thread: its own load, now and then.
 struct OwnLoads
--- a/src/node/order_duty.cpp
+++ b/src/node/order_duty.cpp
@@ -157,6 +157,7 @@
                                      {"weights", action.version},
                                      {"fence", action.fence},
                                      {"orders_taken", action.ordersTaken}});
+    m_lastOrder = m_clock.now();
     m_caller.send(platform::orderCall(action, m_node), kOrderPatience,
                   [this, id = action.instanceId](const HttpResult &result) {
                       const OrderResult answer = platform::readOrder(result);
--- a/src/node/order_duty.hpp
+++ b/src/node/order_duty.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -29,6 +30,9 @@
 
     void tick(const LoadBook &loads);
 
+    // When this node sent its last order; nothing: it has sent none.
+    const std::optional<TimePoint> &lastOrder() const { return m_lastOrder; }
+
     // Gives the lock up, at a planned stop.
     void release();
 
@@ -50,6 +54,7 @@
     const std::string m_node;
     FencedLock m_lock;
     WeightRollout m_rollout;
+    std::optional<TimePoint> m_lastOrder;
     std::int64_t m_loggedFence = 0; // zero: not held, as logged last
 };
 
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -119,6 +119,12 @@
     return names;
 }
 
+std::optional<TimePoint> PeerLinks::lastHeard(const std::string &node) const
+{
+    const auto it = m_peers.find(node);
+    return it == m_peers.end() ? std::nullopt : it->second.heard;
+}
+
 bool PeerLinks::anyReachesStore() const
 {
     for (const auto &[name, peer] : m_peers) {
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -36,6 +36,9 @@
     // Peers heard of late, by name, without this node.
     std::vector<std::string> live() const;
 
+    // When the peer was last heard; nothing: never.
+    std::optional<TimePoint> lastHeard(const std::string &node) const;
+
     // Whether a live peer says that the platform's store answers it.
     bool anyReachesStore() const;
 
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "fordwood/store_keeper.hpp"
+
 namespace fordwood::node {
 
 namespace {
@@ -96,6 +98,23 @@
 void Traffic::apply(const ContextStoreTold &update)
 {
     m_contexts.storeAnswered(update.news);
+    if (update.news.clock.count() > 0)
+        m_engineClock = {update.news.clock, m_clock.now()};
+}
+
+void Traffic::apply(const KeeperWord &update)
+{
+    m_contexts.keeperTold(update.model, update.newestVersion);
+}
+
+std::chrono::milliseconds Traffic::fetchUntil() const
+{
+    if (m_engineClock.told.count() == 0)
+        return std::chrono::milliseconds(0);
+    // What was told is a little old by now, so that this errs to the early side.
+    return m_engineClock.told
+           + std::chrono::duration_cast<std::chrono::milliseconds>(
+               m_clock.now() - m_engineClock.when + StoreLeases::kFetch);
 }
 
 void Traffic::apply(const ContextStoreSilent &update)
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -58,6 +58,9 @@
     void heavyLoadSent() { m_heavyLoadSent(); }
     void onHeavyLoad(std::function<void()> told) { m_heavyLoadSent = std::move(told); }
 
+    // Until when a fetch that is asked for now may run, on the engines' clock; zero: not known.
+    std::chrono::milliseconds fetchUntil() const;
+
     // Counts a request to the service, for the budget of repeated sends.
     void countRequest(const std::string &service);
 
@@ -89,6 +92,7 @@
     void apply(const LiveNodes &update);
     void apply(const ContextStoreTold &update);
     void apply(const ContextStoreSilent &update);
+    void apply(const KeeperWord &update);
     void apply(const StopBegins &update);
 
     WindowBudget &budget(const std::string &service);
@@ -116,6 +120,12 @@
     std::map<std::string, WindowBudget> m_budgets; // by service
     ShortContextDemand m_shortDemand;
     std::map<std::string, std::set<std::string>> m_shortGroups; // by service, as of the last tick
+    struct EngineClock
+    {
+        std::chrono::milliseconds told{0};
+        TimePoint when{};
+    };
+    EngineClock m_engineClock;
     std::size_t m_liveNodes = 1;
     bool m_isStopping = false;
     std::function<void()> m_heavyLoadSent;
