Short prompts go first at the engines; long ones that would be late are refused at once; silent upstreams are avoided

When the store is down nobody holds the lock, and without its word nobody fetched. Change: priority by kind of prompt, then by team; a pace of computing learned from first tokens; an upstream that owes an answer for 500 ms and says nothing costs as much as one that fails; fetches end by the age of the naming alone, and where a node hears neither store nor peer.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -12,6 +12,7 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/prompt.hpp"
 #include "fordwood/serving_config.hpp"
+#include "fordwood/weight_history.hpp"
 
 namespace fordwood {
 
@@ -72,8 +73,11 @@
         std::string failureDomain;
     };
 
-    // The keeper of the stores knows of no newer weights for the model; see StoreKeeper.
-    void keeperTold(const std::string &model, std::uint64_t newestVersion);
+    // The versions that were named for the model.
+    void setWeights(const std::string &model, const WeightHistory &history);
+
+    // Whether this node hears of newly named weights: it reaches the platform's store or a peer.
+    void setInformed(bool informed) { m_isInformed = informed; }
 
     // A store that holds the part whole, and surely will while a fetch that begins now may run.
     Holder storeWith(const std::string &salt, const std::string &partId) const;
@@ -108,8 +112,8 @@
     const Limits m_limits;
     std::map<std::string, Store> m_stores; // by name
     std::unordered_map<std::string, TimePoint> m_sends; // by instance, salt and context
-    // When the keeper last said that a version is the newest, by the hash of the model's name.
-    std::map<std::uint64_t, std::map<std::uint64_t, TimePoint>> m_keeperWords;
+    std::map<std::uint64_t, WeightHistory> m_weights; // by the hash of the model's name
+    bool m_isInformed = true;
 };
 
 } // namespace fordwood
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -31,10 +31,12 @@
     std::vector<std::string> saveTo; // likewise
     RequestLoad load;
     // What decided, for the log:
+    bool isShort = false; // the prompt, for its engine
     bool isHome = false; // the engine that all nodes prefer for the context
     bool holdsContext = false; // as believed
     bool isStored = false; // a store holds the context
     UpstreamLoad found; // what lay at the engine before
+    double waitTokens = 0.0; // the wait before its prompt is computed, in tokens to compute
 
     bool isFetching() const
     {
@@ -102,12 +104,14 @@
                       const std::set<std::string> &shortGroup);
     bool mayUse(const UpstreamRecord &engine, const Question &question,
                 const UpstreamHealth &health) const;
-    double waitingCost(const UpstreamLoad &load, const Question &question) const;
+    double queueCost(const UpstreamLoad &load, const Terms &terms) const;
+    double waitingCost(const UpstreamLoad &load, const Terms &terms,
+                       const Question &question) const;
     double versionCost(std::uint64_t version, const WeightHistory &weights) const;
     double contextCost(const Rated &rated, const Terms &terms, const Question &question,
                        const LoadBook &loads, const ContextDirectory &contexts) const;
-    static EngineChoice complete(const Rated &rated, const Terms &terms, const Question &question,
-                                 ContextDirectory &contexts);
+    EngineChoice complete(const Rated &rated, const Terms &terms, const Question &question,
+                          ContextDirectory &contexts) const;
 
     const Clock &m_clock;
     const Limits m_limits;
--- a/include/fordwood/store_keeper.hpp
+++ b/include/fordwood/store_keeper.hpp
@@ -13,22 +13,26 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/fenced_lock.hpp"
+#include "fordwood/weight_history.hpp"
 
 namespace fordwood {
 
 // Spans that nodes and the keeper of the stores agree on; see StoreKeeper.
-struct StoreLeases
+struct OldContext
 {
-    // How long a node may fetch context of some weights after the keeper last said to it that no
-    // newer ones were named. Longer than it takes another node to become the keeper.
-    static constexpr Duration kWord = std::chrono::seconds(4);
+    // How long after the naming of newer weights context of older ones is still fetched. Engines
+    // come to the new weights one after the other; without the stores, those that still have the
+    // old ones would be overloaded.
+    static constexpr Duration kUse = std::chrono::seconds(5);
+    // How much later than the first a node may learn of the naming while it fetches at all: it
+    // stops when neither the platform's store nor a peer is heard, which shows within this.
+    static constexpr Duration kLag = std::chrono::seconds(3);
     // How long after its request was sent a fetch may still run; engines throw away later ones.
     static constexpr Duration kFetch = std::chrono::milliseconds(1'500);
-    // How long the keeper waits before it tells of newer weights. Engines come to them one after
-    // the other; without the stores, those that still have the old ones would be overloaded.
-    static constexpr Duration kNotice = std::chrono::seconds(4);
     // For messages on their way.
     static constexpr Duration kMargin = std::chrono::milliseconds(500);
+    // From the naming of newer weights on: nobody reads the context any more.
+    static constexpr Duration kUnused = kUse + kLag + kFetch + kMargin;
 };
 
 // Asks a store to free parts, unless it has restarted.
@@ -39,21 +43,17 @@
     std::vector<std::pair<std::string, std::string>> parts; // salt and id
 };
 
-// Frees context of old weights in the stores, which drop nothing on their own. One node at a time
-// does so: the holder of the lock. It tells its peers the newest weights that it knows of, several
-// times a second; they fetch context of older ones no longer than StoreLeases::kWord after it last
-// told them of nothing newer, and bound each fetch by StoreLeases::kFetch. So after both spans
-// nobody reads the context of weights that were superseded, not even a node that was cut off.
+// Frees context of old weights in the stores, which drop nothing on their own and do not know who
+// reads from them. One node at a time does so, the holder of the lock, and only when the spans of
+// OldContext are over: by then no node asks for such a fetch, and none that was asked for still
+// runs.
 class StoreKeeper
 {
 public:
     explicit StoreKeeper(const Clock &clock) : m_clock(clock) { }
 
-    // Newer weights were named for the model.
-    void weightsNamed(const std::string &model, std::uint64_t version);
-
-    // The newest weights of the model that the keeper tells its peers of.
-    std::uint64_t word(const std::string &model) const;
+    // The versions that were named for the model.
+    void setWeights(const std::string &model, const WeightHistory &history);
 
     void storeAnswered(const StoreNews &news);
     void storeSilent(const std::string &store);
@@ -73,13 +73,11 @@
         TimePoint notBefore{}; // after a call that failed
         std::set<std::pair<std::string, std::string>> parts; // salt and id
     };
-    using Named = std::map<std::uint64_t, TimePoint>; // versions, and since when they are known
-
-    bool isGarbage(const std::string &salt, TimePoint heldSince) const;
+    bool isGarbage(const std::string &salt) const;
 
     const Clock &m_clock;
     std::map<std::string, Store> m_stores; // by name
-    std::map<std::uint64_t, Named> m_named; // by the hash of the model's name
+    std::map<std::uint64_t, WeightHistory> m_weights; // by the hash of the model's name
 };
 
 } // namespace fordwood
--- a/include/fordwood/upstream_health.hpp
+++ b/include/fordwood/upstream_health.hpp
@@ -20,11 +20,23 @@
         Duration firstPause = std::chrono::milliseconds(500);
         Duration longestPause = std::chrono::seconds(4);
         double failureWeight = 0.2; // of the newest outcome in the failure rate
+        // An upstream that owes an answer for so long and has said nothing since may be gone.
+        Duration silence = std::chrono::milliseconds(500);
     };
 
     explicit UpstreamHealth(const Clock &clock) : UpstreamHealth(clock, Limits{}) { }
     UpstreamHealth(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
 
+    // A request has gone to it, and has ended in whatever way.
+    void sent(const std::string &instanceId);
+    void ended(const std::string &instanceId);
+
+    // It has sent something.
+    void heard(const std::string &instanceId);
+
+    // Whether it has owed an answer for long and said nothing.
+    bool isSilent(const std::string &instanceId) const;
+
     void succeeded(const std::string &instanceId);
 
     // It could not be reached, broke off, or fell silent.
@@ -50,6 +62,8 @@
         unsigned failuresInARow = 0;
         TimePoint pausedUntil{};
         double failureRate = 0.0;
+        std::size_t open = 0; // requests that it owes an answer to
+        TimePoint owesSince{}; // or heard last
     };
 
     void weigh(Entry &entry, bool failure) const;
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -116,28 +116,22 @@
     store.saveTokens.erase(name);
 }
 
-void ContextDirectory::keeperTold(const std::string &model, std::uint64_t newestVersion)
+void ContextDirectory::setWeights(const std::string &model, const WeightHistory &history)
 {
-    auto &words = m_keeperWords[modelHashOfSalt(model)];
-    words[newestVersion] = m_clock.now();
-    std::erase_if(words,
-                  [&](const auto &it) { return m_clock.now() - it.second >= StoreLeases::kWord; });
+    m_weights[modelHashOfSalt(model)] = history;
 }
 
-// Whether the keeper has said of late that no newer weights than those of the salt were named.
+// Whether context under the salt is surely not freed while a fetch that begins now may run.
 bool ContextDirectory::isKept(const std::string &salt) const
 {
     const auto parsed = parseSalt(salt);
-    if (!parsed)
+    if (!parsed || !m_isInformed)
         return false;
-    const auto words = m_keeperWords.find(parsed->modelHash);
-    if (words == m_keeperWords.end())
-        return false;
-    for (const auto &[newest, told] : words->second) {
-        if (newest <= parsed->weightVersion && m_clock.now() - told < StoreLeases::kWord)
-            return true;
-    }
-    return false;
+    const auto history = m_weights.find(parsed->modelHash);
+    if (history == m_weights.end())
+        return true;
+    const auto since = history->second.supersededSince(parsed->weightVersion);
+    return !since || m_clock.now() - *since < OldContext::kUse;
 }
 
 void ContextDirectory::storeSilent(const std::string &store)
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -28,10 +28,12 @@
 constexpr Duration kShortContextKept = std::chrono::seconds(20);
 // Each running request slows every token of the others a little.
 constexpr double kRunningCost = 60.0;
+// The part of the waiting work of an engine that a short prompt waits for.
+constexpr double kShortSeesLong = 0.3;
 // A request beyond the slots waits for a whole other request to end.
 constexpr double kNoSlotCost = 12'000.0;
 // Memory beyond the engine's preempts others, which then compute their prompts again.
-constexpr double kNoMemoryWeight = 2.0;
+constexpr double kNoMemoryWeight = 4.0;
 // A short prompt among long ones waits for their computation, and loses its context to them.
 constexpr double kShortOutsideCost = 6'000.0;
 // A long prompt among short ones does so to some hundred of them.
@@ -55,9 +57,17 @@
     return !since || m_clock.now() - *since < m_limits.oldWeightsEnd;
 }
 
-double EngineChooser::waitingCost(const UpstreamLoad &load, const Question &question) const
+// What is to be computed before a prompt: a short one goes before long ones that wait, but not
+// before those that are being computed.
+double EngineChooser::queueCost(const UpstreamLoad &load, const Terms &terms) const
 {
-    double cost = static_cast<double>(load.tokensToCompute);
+    return static_cast<double>(load.tokensToCompute) * (terms.isShort ? kShortSeesLong : 1.0);
+}
+
+double EngineChooser::waitingCost(const UpstreamLoad &load, const Terms &terms,
+                                  const Question &question) const
+{
+    double cost = queueCost(load, terms);
     cost += kRunningCost * static_cast<double>(load.running);
     if (load.running >= question.traits.slots)
         cost += kNoSlotCost * static_cast<double>(load.running - question.traits.slots + 1);
@@ -146,9 +156,11 @@
         it.isHome = static_cast<int>(n) == home;
         it.holdsContext = contexts.isAtEngine(id, it.salt, terms.context, keptFor);
         it.load = loads.total(id);
-        it.cost = waitingCost(it.load, question) + kFailureCost * health.failureRate(id)
+        it.cost = waitingCost(it.load, terms, question) + kFailureCost * health.failureRate(id)
                   + versionCost(it.version, question.weights)
                   + contextCost(it, terms, question, loads, contexts);
+        if (health.isSilent(id))
+            it.cost += kFailureCost;
         if (question.shortGroup.contains(id) != terms.isShort)
             it.cost += terms.isShort ? kShortOutsideCost : kLongInsideCost;
     }
@@ -158,7 +170,7 @@
 }
 
 EngineChoice EngineChooser::complete(const Rated &rated, const Terms &terms,
-                                     const Question &question, ContextDirectory &contexts)
+                                     const Question &question, ContextDirectory &contexts) const
 {
     const Prompt &prompt = question.prompt;
     EngineChoice choice;
@@ -169,6 +181,8 @@
     choice.holdsContext = rated.holdsContext;
     choice.isStored = rated.isStored;
     choice.found = rated.load;
+    choice.isShort = terms.isShort;
+    choice.waitTokens = queueCost(rated.load, terms);
     std::size_t fetched = 0;
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
--- a/src/core/service_chooser.cpp
+++ b/src/core/service_chooser.cpp
@@ -32,6 +32,8 @@
         const auto slots = static_cast<double>(std::max<std::size_t>(it->slots, 1));
         double cost = static_cast<double>(loads.total(it->instanceId).running) / slots;
         cost += kFailureCost * health.failureRate(it->instanceId);
+        if (health.isSilent(it->instanceId))
+            cost += kFailureCost;
         if (it->failureDomain != ownFailureDomain)
             cost += kOtherDomainCost;
         const std::uint64_t hash = rendezvousWeight(salt, stableHash(it->instanceId));
--- a/src/core/store_keeper.cpp
+++ b/src/core/store_keeper.cpp
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "fordwood/store_keeper.hpp"
 
-#include <algorithm>
-
 #include "fordwood/prompt.hpp"
 
 namespace fordwood {
@@ -16,22 +14,9 @@
 
 } // namespace
 
-void StoreKeeper::weightsNamed(const std::string &model, std::uint64_t version)
+void StoreKeeper::setWeights(const std::string &model, const WeightHistory &history)
 {
-    m_named[modelHashOfSalt(model)].try_emplace(version, m_clock.now());
-}
-
-std::uint64_t StoreKeeper::word(const std::string &model) const
-{
-    const auto named = m_named.find(modelHashOfSalt(model));
-    if (named == m_named.end())
-        return 0;
-    std::uint64_t newest = 0;
-    for (const auto &[version, since] : named->second) {
-        if (m_clock.now() - since >= StoreLeases::kNotice)
-            newest = std::max(newest, version);
-    }
-    return newest;
+    m_weights[modelHashOfSalt(model)] = history;
 }
 
 void StoreKeeper::storeAnswered(const StoreNews &news)
@@ -54,24 +39,16 @@
     m_stores[store].answers = false;
 }
 
-bool StoreKeeper::isGarbage(const std::string &salt, TimePoint heldSince) const
+bool StoreKeeper::isGarbage(const std::string &salt) const
 {
     const auto parsed = parseSalt(salt);
     if (!parsed)
         return false;
-    const auto named = m_named.find(parsed->modelHash);
-    if (named == m_named.end())
+    const auto history = m_weights.find(parsed->modelHash);
+    if (history == m_weights.end())
         return false;
-    // Peers have been told of a newer version when any of those above it had its notice.
-    for (const auto &[version, since] : named->second) {
-        if (version <= parsed->weightVersion)
-            continue;
-        // A keeper before this one may have told peers of nothing newer until it lost the lock.
-        const TimePoint told = std::max(since + StoreLeases::kNotice, heldSince);
-        if (m_clock.now() - told >= StoreLeases::kWord + StoreLeases::kFetch + StoreLeases::kMargin)
-            return true;
-    }
-    return false;
+    const auto since = history->second.supersededSince(parsed->weightVersion);
+    return since && m_clock.now() - *since >= OldContext::kUnused;
 }
 
 std::vector<FreeParts> StoreKeeper::tick(const std::optional<FencedLock::Holding> &holding)
@@ -84,7 +61,7 @@
             continue;
         FreeParts action{name, store.epoch, {}};
         for (const auto &part : store.parts) {
-            if (action.parts.size() < kMostPartsAtOnce && isGarbage(part.first, holding->since))
+            if (action.parts.size() < kMostPartsAtOnce && isGarbage(part.first))
                 action.parts.push_back(part);
         }
         if (action.parts.empty())
--- a/src/core/upstream_health.cpp
+++ b/src/core/upstream_health.cpp
@@ -10,6 +10,35 @@
     entry.failureRate += m_limits.failureWeight * ((failure ? 1.0 : 0.0) - entry.failureRate);
 }
 
+void UpstreamHealth::sent(const std::string &instanceId)
+{
+    Entry &entry = m_entries[instanceId];
+    if (entry.open == 0)
+        entry.owesSince = m_clock.now();
+    entry.open += 1;
+}
+
+void UpstreamHealth::ended(const std::string &instanceId)
+{
+    const auto it = m_entries.find(instanceId);
+    if (it != m_entries.end() && it->second.open > 0)
+        it->second.open -= 1;
+}
+
+void UpstreamHealth::heard(const std::string &instanceId)
+{
+    const auto it = m_entries.find(instanceId);
+    if (it != m_entries.end())
+        it->second.owesSince = m_clock.now();
+}
+
+bool UpstreamHealth::isSilent(const std::string &instanceId) const
+{
+    const auto it = m_entries.find(instanceId);
+    return it != m_entries.end() && it->second.open > 0
+           && m_clock.now() - it->second.owesSince >= m_limits.silence;
+}
+
 void UpstreamHealth::succeeded(const std::string &instanceId)
 {
     const auto it = m_entries.find(instanceId);
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -31,6 +31,9 @@
 // What a refused caller is told to wait.
 constexpr std::chrono::milliseconds kRetryAfter{250};
 
+// The wait at an engine, in target latencies, from which a long prompt is refused at once.
+constexpr double kLongestWait = 0.7;
+
 // An upstream that has no room is passed over for a moment.
 constexpr Duration kFullPause = std::chrono::milliseconds(150);
 
@@ -204,6 +207,10 @@
                                                    m_traffic.health(), m_traffic.contexts());
     if (!choice)
         return false;
+    if (!choice->isShort && !m_streamBegun && waitsTooLong(*choice)) {
+        m_isOverload = true;
+        return false;
+    }
     m_attempt.emplace();
     m_attempt->upstream = *m_traffic.upstreams().find(choice->instanceId);
     m_attempt->load = choice->load;
@@ -212,8 +219,23 @@
     return true;
 }
 
+// Whether the answer would be late anyway: work for it would make others late as well, while a
+// caller that is told so at once can come again.
+bool CallRun::waitsTooLong(const EngineChoice &choice)
+{
+    const Duration wait = m_traffic.pace(m_pool->name).timeFor(choice.waitTokens);
+    const std::chrono::duration<double, std::nano> longest
+        = kLongestWait * std::chrono::duration<double, std::nano>(m_route->targetLatency);
+    return m_route->targetLatency.count() > 0 && wait > longest;
+}
+
 void CallRun::waitForUpstream()
 {
+    if (m_isOverload) {
+        m_plan.setReason(Reason::UpstreamBusy);
+        giveUp(m_plan.verdict(std::max(kRetryAfter, m_route->targetLatency)));
+        return;
+    }
     const Duration patience = m_route->targetLatency / kWaitPart;
     const TimePoint now = m_traffic.clock().now();
     if (m_streamBegun || now - m_arrived >= patience) {
@@ -266,8 +288,7 @@
         stamp.saveTo = m_attempt->engine.saveTo;
         if (m_attempt->engine.isFetching())
             stamp.fetchUntil = m_attempt->fetchUntil;
-        const auto ofTeam = m_team != nullptr ? m_team->priority : std::nullopt;
-        stamp.priority = ofTeam.value_or(m_route->priority);
+        stamp.priority = enginePriority();
     }
     http::request_header<> head;
     head.method_string(m_head.method_string());
@@ -277,6 +298,16 @@
     return head;
 }
 
+// Long prompts wait for short ones, which take next to no time; the urgency of the team, or of the
+// route, decides within each kind.
+int CallRun::enginePriority() const
+{
+    constexpr int kKinds = 5; // of the ten priorities that an engine knows, for either kind
+    const auto ofTeam = m_team != nullptr ? m_team->priority : std::nullopt;
+    const int urgency = std::clamp(ofTeam.value_or(m_route->priority), 0, kKinds - 1);
+    return m_attempt->engine.isShort ? urgency : kKinds + urgency;
+}
+
 void CallRun::send()
 {
     // The upstream may have begun to leave while the connection came up.
@@ -288,12 +319,14 @@
         return;
     }
     m_attempt->sent = true;
+    m_traffic.health().sent(m_attempt->upstream.instanceId);
     m_attempt->channel->exchange(upstreamHead(), m_body, *this);
 }
 
 void CallRun::headRead(const http::response_header<> &head)
 {
     const auto self = shared_from_this();
+    m_traffic.health().heard(m_attempt->upstream.instanceId);
     m_attempt->head = platform::readAnswerHead(head.result_int(), head);
     m_attempt->answer = head;
     // An answer to another request stands in the place of ours, which may have run.
@@ -315,6 +348,7 @@
 bool CallRun::bodyRead(std::string_view bytes)
 {
     const auto self = shared_from_this();
+    m_traffic.health().heard(m_attempt->upstream.instanceId);
     if (isStream() && !m_attempt->head.notRun)
         return passEvents(bytes);
     m_attempt->body.append(bytes);
@@ -352,6 +386,10 @@
 {
     m_streamBegun = true;
     m_firstEvent = m_traffic.clock().now();
+    const EngineChoice &engine = m_attempt->engine;
+    m_traffic.pace(m_pool->name)
+        .observe(engine.found.tokensToCompute + engine.load.tokensToCompute,
+                 *m_firstEvent - m_attempt->begun);
     m_port.beginStream(callersHead());
 }
 
@@ -445,6 +483,8 @@
 {
     const auto self = shared_from_this();
     m_traffic.health().failed(m_attempt->upstream.instanceId);
+    // What rests there has probably broken as well.
+    m_traffic.channels().closeResting(m_attempt->upstream.instanceId);
     logEvent(Event::AttemptFailed, {{"request", m_caller.requestId},
                                     {"upstream", m_attempt->upstream.instanceId},
                                     {"cause", failure.cause.message()},
@@ -458,8 +498,13 @@
     if (!m_attempt)
         return;
     const std::string &id = m_attempt->upstream.instanceId;
+    if (!m_attempt->isOpen)
+        return;
+    m_attempt->isOpen = false;
     noteComputed();
     m_traffic.loads().end(id, m_attempt->load, true);
+    if (m_attempt->sent)
+        m_traffic.health().ended(id);
     if (!m_attempt->channel)
         return;
     const std::shared_ptr<HttpChannel> channel = std::move(m_attempt->channel);
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -52,6 +52,7 @@
         std::chrono::milliseconds fetchUntil{0}; // by the engines' clock
         std::shared_ptr<HttpChannel> channel;
         TimePoint begun{};
+        bool isOpen = true;
         bool sent = false;
         bool computed = false; // the answer has begun
         platform::AnswerHead head;
@@ -63,10 +64,12 @@
     void attempt();
     bool choose();
     bool chooseEngine(const std::vector<const UpstreamRecord *> &candidates);
+    bool waitsTooLong(const EngineChoice &choice);
     void waitForUpstream();
     void connected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
     void send();
     http::request_header<> upstreamHead() const;
+    int enginePriority() const;
     void judgeFailure(const FailedAttempt &failure);
     void judgeAnswer();
     bool passEvents(std::string_view bytes);
@@ -99,6 +102,7 @@
     EventSplitter m_events;
     bool m_streamBegun = false; // a part of the answer has gone to the caller
     bool m_isOver = false;
+    bool m_isOverload = false; // every engine has too much to do
     std::optional<TimePoint> m_firstEvent;
     std::string m_lastUpstream; // for the log
 };
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -180,6 +180,11 @@
 
 void ControlDuty::noteReachability()
 {
+    const bool informed = m_store.isReachable() || !m_peers.live().empty();
+    if (informed != m_toldInformed) {
+        m_toldInformed = informed;
+        tell(Informed{informed});
+    }
     const bool reachable = m_store.isReachable() || m_peers.anyReachesStore();
     if (reachable == m_toldReachable)
         return;
@@ -248,11 +253,6 @@
                                            {"routes", config->routes.size()},
                                            {"teams", config->teams.size()}});
     m_contexts.setStores(config->stores);
-    m_models.clear();
-    for (const ServicePool &it : config->services) {
-        if (it.engine)
-            m_models.insert(it.engine->models.begin(), it.engine->models.end());
-    }
     m_contextStores.clear();
     for (const ContextStore &it : config->stores)
         m_contextStores[it.name] = it;
@@ -278,7 +278,7 @@
 {
     if (!m_weights[model].note(version, named))
         return;
-    m_keeper.weightsNamed(model, m_weights[model].newest());
+    m_keeper.setWeights(model, m_weights[model]);
     tell(WeightsWanted{model, version, named});
 }
 
@@ -328,8 +328,6 @@
         tell(EnginesLoading{message.node, {}});
         return;
     }
-    for (const auto &[model, newest] : message.keeperWord)
-        tell(KeeperWord{model, newest});
     if (message.lastOrder)
         m_lastOrders[message.node] = m_clock.now() - *message.lastOrder;
     m_loads.setPeer(message.node, message.loads);
@@ -379,8 +377,6 @@
     if (m_orders.lastOrder())
         message.lastOrder = std::chrono::duration_cast<std::chrono::milliseconds>(
             m_clock.now() - *m_orders.lastOrder());
-    if (m_orders.lock().holding())
-        message.keeperWord = keeperWord();
     message.enginesLoading = m_orders.rollout().loading();
     message.weightsShown = m_orders.rollout().shown();
     for (const auto &[model, history] : m_weights) {
@@ -390,9 +386,6 @@
     }
     m_peers.sendAll(message);
     tell(EnginesLoading{message.node, message.enginesLoading});
-    // What a node tells its peers as the keeper of the stores holds for itself as well.
-    for (const auto &[model, newest] : message.keeperWord)
-        tell(KeeperWord{model, newest});
     m_gossipSoon = false;
     m_nextGossip = m_clock.now() + m_settings.peers.gossipEvery;
 }
@@ -456,14 +449,6 @@
     }
 }
 
-std::map<std::string, std::uint64_t> ControlDuty::keeperWord() const
-{
-    std::map<std::string, std::uint64_t> word;
-    for (const std::string &it : m_models)
-        word[it] = m_keeper.word(it);
-    return word;
-}
-
 void ControlDuty::takeContextNews(FleetUpdate update)
 {
     if (const auto *told = std::get_if<ContextStoreTold>(&update)) {
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -86,7 +86,6 @@
     void shortenQuietTime();
     void takeContextNews(FleetUpdate update);
     void noteLoading();
-    std::map<std::string, std::uint64_t> keeperWord() const;
     void keepStores();
     void free(const FreeParts &action);
     bool inDoubt() const;
@@ -118,7 +117,6 @@
     std::deque<FleetUpdate> m_waiting; // updates that did not fit
     std::map<std::string, WeightHistory> m_weights; // by model
     std::map<std::string, TimePoint> m_lastOrders; // to engines, by the node that sent them
-    std::set<std::string> m_models; // of the configuration in force
     std::uint64_t m_configVersion = 0;
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
@@ -128,6 +126,7 @@
     std::size_t m_nextSeed = 0;
     std::size_t m_liveNodes = 0;
     bool m_toldReachable = true;
+    bool m_toldInformed = true;
     std::set<std::string> m_toldLoading;
     TimePoint m_storeBack{}; // when the store answered this node again
     TimePoint m_nextGossip{};
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -78,11 +78,10 @@
     std::size_t n = 1;
 };
 
-// The keeper of the stores knows of no newer weights for the model.
-struct KeeperWord
+// Whether this node hears of changes at all: from the platform's store or from a peer.
+struct Informed
 {
-    std::string model;
-    std::uint64_t newestVersion = 0;
+    bool informed = true;
 };
 
 // A store of kept context has told what it holds.
@@ -103,7 +102,7 @@
 
 using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, StoreReachability,
                                  WeightsWanted, WeightsShown, EnginesLoading, PeerLoads, LiveNodes,
-                                 ContextStoreTold, ContextStoreSilent, KeeperWord, StopBegins>;
+                                 ContextStoreTold, ContextStoreSilent, Informed, StopBegins>;
 
 // What the thread that serves requests tells the control thread: its own load, now and then.
 struct OwnLoads
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -41,8 +41,6 @@
         object["leaving"] = true;
     if (message.lastOrder)
         object["ordered"] = message.lastOrder->count();
-    if (!message.keeperWord.empty())
-        object["keeper"] = message.keeperWord;
     if (!message.enginesLoading.empty())
         object["loading"] = message.enginesLoading;
     if (!message.weightsShown.empty())
@@ -69,8 +67,6 @@
                                  load.at(2).get<std::size_t>()};
         if (object.contains("ordered"))
             message.lastOrder = std::chrono::milliseconds(object.at("ordered").get<std::int64_t>());
-        if (object.contains("keeper"))
-            object.at("keeper").get_to(message.keeperWord);
         if (object.contains("loading"))
             object.at("loading").get_to(message.enginesLoading);
         if (object.contains("shown"))
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -32,9 +32,6 @@
     bool leaving = false; // the node stops: its last message
     LoadBook::Loads loads; // what the node has sent to upstreams
     std::size_t shortContextTokens = 0; // shared by the node's short prompts
-    // From the node that holds the lock: the newest weights of each model, zero where none were
-    // named; see StoreKeeper.
-    std::map<std::string, std::uint64_t> keeperWord;
     std::optional<std::chrono::milliseconds> lastOrder; // how long ago the node ordered an engine
     std::set<std::string> enginesLoading; // from the node that orders them
     std::map<std::string, std::map<std::string, std::uint64_t>> weightsShown; // likewise
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -69,6 +69,7 @@
 void Traffic::apply(const WeightsWanted &update)
 {
     m_weights[update.model].note(update.version, update.since);
+    m_contexts.setWeights(update.model, m_weights[update.model]);
 }
 
 void Traffic::apply(const WeightsShown &update)
@@ -102,9 +103,9 @@
         m_engineClock = {update.news.clock, m_clock.now()};
 }
 
-void Traffic::apply(const KeeperWord &update)
+void Traffic::apply(const Informed &update)
 {
-    m_contexts.keeperTold(update.model, update.newestVersion);
+    m_contexts.setInformed(update.informed);
 }
 
 std::chrono::milliseconds Traffic::fetchUntil() const
@@ -114,7 +115,7 @@
     // What was told is a little old by now, so that this errs to the early side.
     return m_engineClock.told
            + std::chrono::duration_cast<std::chrono::milliseconds>(
-               m_clock.now() - m_engineClock.when + StoreLeases::kFetch);
+               m_clock.now() - m_engineClock.when + OldContext::kFetch);
 }
 
 void Traffic::apply(const ContextStoreSilent &update)
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -16,6 +16,7 @@
 #include "fordwood/engine_chooser.hpp"
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/load_book.hpp"
+#include "fordwood/prefill_pace.hpp"
 #include "fordwood/route_table.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_health.hpp"
@@ -61,6 +62,9 @@
     // Until when a fetch that is asked for now may run, on the engines' clock; zero: not known.
     std::chrono::milliseconds fetchUntil() const;
 
+    // How fast the engines of a service compute prompts.
+    PrefillPace &pace(const std::string &service) { return m_paces[service]; }
+
     // Counts a request to the service, for the budget of repeated sends.
     void countRequest(const std::string &service);
 
@@ -92,7 +96,7 @@
     void apply(const LiveNodes &update);
     void apply(const ContextStoreTold &update);
     void apply(const ContextStoreSilent &update);
-    void apply(const KeeperWord &update);
+    void apply(const Informed &update);
     void apply(const StopBegins &update);
 
     WindowBudget &budget(const std::string &service);
@@ -118,6 +122,7 @@
     };
     std::map<std::string, LoadingWord> m_loading; // by the node that says so
     std::map<std::string, WindowBudget> m_budgets; // by service
+    std::map<std::string, PrefillPace> m_paces; // by service
     ShortContextDemand m_shortDemand;
     std::map<std::string, std::set<std::string>> m_shortGroups; // by service, as of the last tick
     struct EngineClock
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -12,7 +12,7 @@
 constexpr Duration kConnectPatience = std::chrono::milliseconds(300);
 
 // Bytes that an upstream does not confirm for so long mean that it, or the way there, is gone.
-constexpr Duration kSilence = std::chrono::milliseconds(1'500);
+constexpr Duration kSilence = std::chrono::milliseconds(1'000);
 
 // Before the end of what an upstream grants, so that a request and its close do not cross.
 constexpr Duration kRestMargin = std::chrono::milliseconds(700);
@@ -73,7 +73,7 @@
         it->second.inUse -= 1;
 }
 
-void UpstreamPool::forget(const std::string &instanceId)
+void UpstreamPool::closeResting(const std::string &instanceId)
 {
     const auto it = m_channels.find(instanceId);
     if (it == m_channels.end())
@@ -81,7 +81,13 @@
     for (const Resting &resting : it->second.resting)
         resting.channel->close();
     it->second.resting.clear();
-    if (it->second.inUse == 0)
+}
+
+void UpstreamPool::forget(const std::string &instanceId)
+{
+    closeResting(instanceId);
+    const auto it = m_channels.find(instanceId);
+    if (it != m_channels.end() && it->second.inUse == 0)
         m_channels.erase(it);
 }
 
--- a/src/node/upstream_pool.hpp
+++ b/src/node/upstream_pool.hpp
@@ -40,7 +40,10 @@
     // The channel is of no more use.
     void drop(const std::string &instanceId, const std::shared_ptr<HttpChannel> &channel);
 
-    // Closes the resting channels of an upstream that is gone.
+    // Closes the resting channels of an upstream that may be gone.
+    void closeResting(const std::string &instanceId);
+
+    // The upstream is gone.
     void forget(const std::string &instanceId);
 
     // Closes channels that have rested too long.
