--- /dev/null
+++ b/tests/process/node_test.cpp
@@ -0,0 +1,377 @@
+// SPDX-License-Identifier: MIT
+// fordwood-noded as a real process between callers, a store and upstreams of the users' platform.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "process/fleet.hpp"
+#include "process/http.hpp"
+#include "process/platform_standins.hpp"
+#include "process/process.hpp"
+
+using namespace fordwood::process;
+using Json = nlohmann::json;
+using Fault = UpstreamStandin::Fault;
+
+namespace {
+
+// Loopback addresses that no other test uses at the same time.
+std::string network()
+{
+    static std::atomic<int> next{1};
+    const int n = static_cast<int>(getpid()) % 100 * 2 + next++ % 2 + 1;
+    return "127.70." + std::to_string(n) + ".";
+}
+
+// A store, two upstreams and up to two nodes.
+class Deployment
+{
+public:
+    Deployment()
+        : net(network()), folder("/tmp/fordwood-node-" + std::to_string(getpid()) + net),
+          store(net + "1:7000"), first(net + "2:8000", "i-1"), second(net + "3:8000", "i-2")
+    {
+        std::filesystem::create_directories(folder);
+    }
+    ~Deployment()
+    {
+        nodes.clear();
+        std::filesystem::remove_all(folder);
+    }
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
+
+    std::string host(int node) const { return net + std::to_string(10 + node); }
+    std::string url(int node, const std::string &path) const
+    {
+        return "http://" + host(node) + ":8080" + path;
+    }
+
+    // `storeAddress`: another one than that of the store, for a node that cannot reach it.
+    void startNode(int node, const std::string &storeAddress = "")
+    {
+        const std::string path = folder + "/node-" + std::to_string(node) + ".toml";
+        std::ofstream out(path);
+        out << "[node]\nname = \"n" << node << "\"\nfailure_domain = \"x\"\nregion = \"r\"\n"
+            << "[callers]\nlisten = \"" << host(node) << ":8080\"\nready_listen = \"" << host(node)
+            << ":8081\"\n[peers]\nlisten = \"" << host(node) << ":8082\"\ngossip_listen = \""
+            << host(node) << ":8083\"\nmetrics_listen = \"" << host(node) << ":8084\"\nseeds = [\""
+            << host(0) << ":8082\"]\n[store]\naddress = \""
+            << (storeAddress.empty() ? net + "1:7000" : storeAddress)
+            << "\"\n[bounds]\nstop_within = \"5s\"\n";
+        out.close();
+        nodes.emplace_back(
+            std::vector<std::string>{FORDWOOD_PROGRAMS "/fordwood-noded", "--settings", path},
+            folder + "/node-" + std::to_string(node) + ".log");
+    }
+
+    void putUpstream(const std::string &id, const std::string &state = "ready")
+    {
+        const std::string address = net + (id == "i-1" ? "2" : "3") + ":8000";
+        store.put("servers/" + id, Json{{"service", "board"},
+                                        {"address", address},
+                                        {"zone", "x"},
+                                        {"slots", 4},
+                                        {"state", state},
+                                        {"sequence", 1}}
+                                       .dump());
+    }
+
+    void putConfiguration(int version, const std::string &prefix = "/safe/")
+    {
+        const auto route = [](const char *path, const char *kind, bool resumable) {
+            return Json{{"name", path},      {"host", "a.example"},    {"path-prefix", path},
+                        {"kind", kind},      {"service", "board"},     {"timeout-ms", 5000},
+                        {"max-attempts", 2}, {"resumable", resumable}, {"target-latency-ms", 400}};
+        };
+        Json config{{"version", version},
+                    {"routes",
+                     {route(prefix.c_str(), "safe", false), route("/once/", "unsafe", false),
+                      route("/stream/", "streaming", true)}},
+                    {"services", {{{"name", "board"}, {"max-connections", 100}}}},
+                    {"limits", {{"max-header-bytes", 4096}, {"max-body-bytes", 10000}}},
+                    {"tenants", {{{"name", "t"}, {"api-keys", {"key-t"}}}}}};
+        store.put("op/config", config.dump());
+    }
+
+    // A node before two upstreams, ready.
+    void start()
+    {
+        putConfiguration(1);
+        putUpstream("i-1");
+        putUpstream("i-2");
+        startNode(0);
+        REQUIRE(Fleet::waitFor([&] { return isReady(0); }));
+    }
+
+    bool isReady(int node) const
+    {
+        return httpCall("GET", "http://" + host(node) + ":8081/api/ready").status == 200;
+    }
+
+    HttpAnswer call(const std::string &method, const std::string &path, const std::string &id,
+                    int node = 0, const std::string &key = "key-t") const
+    {
+        return httpCall(method, url(node, path), method == "POST" ? "body" : "",
+                        {"Host: a.example", "Request-Id: " + id, "Credential: " + key,
+                         "Request-Deadline: 4000"});
+    }
+
+    double metric(const std::string &name) const
+    {
+        const std::string text = httpCall("GET", "http://" + host(0) + ":8084/metrics").body;
+        const std::size_t at = text.find("\n" + name);
+        return at == std::string::npos ? 0.0 : std::stod(text.substr(text.find(' ', at + 1)));
+    }
+
+    std::string net;
+    std::string folder;
+    KeyValueStandin store;
+    UpstreamStandin first;
+    UpstreamStandin second;
+    std::vector<Process> nodes;
+};
+
+} // namespace
+
+TEST_CASE("node: without a configuration nothing is refused for good [node]")
+{
+    Deployment fleet;
+    fleet.startNode(0);
+    REQUIRE(Fleet::waitFor([&] { return fleet.call("GET", "/safe/1", "r").status != 0; }));
+    const HttpAnswer answer = fleet.call("GET", "/safe/1", "r");
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.count("retry-after") == 1);
+    CHECK_FALSE(fleet.isReady(0));
+}
+
+TEST_CASE("node: a request reaches its upstream and its answer the caller, with head and team "
+          "[node][path]")
+{
+    Deployment fleet;
+    fleet.start();
+    const HttpAnswer answer = fleet.call("POST", "/once/1?q=2", "r-1");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "answer to r-1");
+    CHECK(answer.headers.at("request-id") == "r-1");
+    CHECK(answer.headers.at("response-seal").starts_with("sealed-by-"));
+    CHECK(fleet.first.runs("r-1") + fleet.second.runs("r-1") == 1);
+    UpstreamStandin &upstream = fleet.first.runs("r-1") == 1 ? fleet.first : fleet.second;
+    CHECK(upstream.lastField("Tenant") == "t");
+    CHECK(upstream.lastField("Credential") == "");
+    CHECK(std::stoi(upstream.lastField("Request-Deadline")) <= 4000);
+}
+
+TEST_CASE("node: no route, no key, a wrong key [node][bad-input]")
+{
+    Deployment fleet;
+    fleet.start();
+    CHECK(fleet.call("GET", "/nowhere/1", "r-1").status == 404);
+    CHECK(fleet.call("GET", "/safe/1", "r-2", 0, "key-u").status == 401);
+    CHECK(
+        httpCall("GET", fleet.url(0, "/safe/1"), "", {"Host: a.example", "Request-Id: r-3"}).status
+        == 401);
+    CHECK(
+        httpCall("GET", fleet.url(0, "/safe/1"), "", {"Host: b.example", "Request-Id: r-4"}).status
+        == 404);
+    CHECK(fleet.first.totalRuns() + fleet.second.totalRuns() == 0);
+}
+
+TEST_CASE(
+    "node: malformed requests get a clear answer, run nothing and stop nobody [node][bad-input]")
+{
+    Deployment fleet;
+    fleet.start();
+    const std::string address = fleet.host(0) + ":8080";
+    const std::string head = "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n"
+                             "Credential: key-t\r\n";
+    struct Case
+    {
+        std::string bytes;
+        std::string status;
+    };
+    const std::vector<Case> cases{
+        {head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", " 400 "},
+        {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", " 400 "},
+        {head + "Content-Length: x\r\n\r\n", " 400 "},
+        {head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", " 400 "},
+        {"no request\r\n\r\n", " 400 "},
+        {head + "X-Long: " + std::string(8'000, 'x') + "\r\n\r\n", " 431 "},
+        {head + "Content-Length: 20000\r\n\r\n", " 413 "},
+    };
+    for (const Case &it : cases) {
+        INFO(it.bytes.substr(0, 200));
+        const std::string answer = rawCall(address, it.bytes, "\r\n\r\n");
+        CHECK(answer.find(it.status) != std::string::npos);
+    }
+    CHECK(fleet.first.totalRuns() + fleet.second.totalRuns() == 0);
+    CHECK(fleet.call("GET", "/safe/1", "r-2").status == 200);
+    CHECK(fleet.metric("fordwood_refusals_total{reason=\"malformed-request\"}") >= 5);
+}
+
+TEST_CASE("node: a request inside the body of another is not run [node][bad-input]")
+{
+    Deployment fleet;
+    fleet.start();
+    const std::string inner = "POST /once/2 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: inner\r\n"
+                              "Credential: key-t\r\nContent-Length: 0\r\n\r\n";
+    const std::string outer = "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: outer\r\n"
+                              "Credential: key-t\r\nConnection: close\r\nContent-Length: "
+                              + std::to_string(inner.size()) + "\r\n\r\n" + inner;
+    CHECK(rawCall(fleet.host(0) + ":8080", outer).find(" 200 ") != std::string::npos);
+    CHECK(fleet.first.runs("outer") + fleet.second.runs("outer") == 1);
+    CHECK(fleet.first.runs("inner") + fleet.second.runs("inner") == 0);
+}
+
+TEST_CASE(
+    "node: what may not be repeated runs once, and the caller is not told otherwise [node][once]")
+{
+    Deployment fleet;
+    fleet.start();
+    for (const Fault it : {Fault::CutAfterRun, Fault::OtherRequestId, Fault::NoSeal}) {
+        fleet.first.setFault(it, 1);
+        fleet.second.setFault(it, 1);
+        const std::string id = "r-" + std::to_string(static_cast<int>(it));
+        const HttpAnswer answer = fleet.call("POST", "/once/1", id);
+        CHECK(answer.status == 502);
+        CHECK(answer.headers.count("response-seal") == 0);
+        CHECK(fleet.first.runs(id) + fleet.second.runs(id) == 1);
+        fleet.first.setFault(Fault::None, 0);
+        fleet.second.setFault(Fault::None, 0);
+        REQUIRE(Fleet::waitFor([&] { return fleet.call("GET", "/safe/1", "w").status == 200; }));
+    }
+}
+
+TEST_CASE("node: what may be repeated is, at another upstream [node][retry]")
+{
+    Deployment fleet;
+    fleet.start();
+    for (const Fault it : {Fault::CutAfterRun, Fault::TurnAway, Fault::FailAfterRun}) {
+        const std::string id = "r-" + std::to_string(static_cast<int>(it));
+        fleet.first.setFault(it, 1);
+        HttpAnswer answer = fleet.call("GET", "/safe/1", id);
+        if (fleet.first.runs(id) == 0 && it != Fault::TurnAway) // the other one was chosen
+            answer = fleet.call("GET", "/safe/1", id);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "answer to " + id);
+        fleet.first.setFault(Fault::None, 0);
+    }
+}
+
+TEST_CASE("node: a request that was turned away everywhere is refused as not run [node][not-run]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.first.setFault(Fault::TurnAway, 100);
+    fleet.second.setFault(Fault::TurnAway, 100);
+    const HttpAnswer answer = fleet.call("POST", "/once/1", "r-1");
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.count("retry-after") == 1);
+    CHECK(fleet.first.totalRuns() + fleet.second.totalRuns() == 0);
+}
+
+TEST_CASE("node: a stream that breaks goes on at another upstream, each event once, under one head "
+          "[node][streams]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.first.breakStreamsAfter(2);
+    bool wasBroken = false;
+    for (int n = 0; n < 20 && !wasBroken; ++n) {
+        const std::string id = "r-" + std::to_string(n);
+        const HttpAnswer answer = fleet.call("POST", "/stream/1", id);
+        CHECK(answer.status == 200);
+        CHECK(answer.whole);
+        CHECK(answer.body
+              == "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
+                 "id: 5\ndata: 5\n\n");
+        wasBroken = fleet.first.runs(id) == 1;
+        if (wasBroken) {
+            CHECK(answer.headers.at("response-seal") == "sealed-by-i-1");
+            CHECK(fleet.second.runs(id) == 1);
+            CHECK(fleet.second.lastField("Last-Event-Id") == "2");
+        }
+    }
+    CHECK(wasBroken);
+}
+
+TEST_CASE(
+    "node: an upstream that drains, or whose record is gone, gets no more requests [node][leaving]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.putUpstream("i-1", "draining");
+    REQUIRE(Fleet::waitFor([&] {
+        const int before = fleet.first.totalRuns();
+        for (int n = 0; n < 10; ++n)
+            CHECK(fleet.call("GET", "/safe/1", "r").status == 200);
+        return fleet.first.totalRuns() == before;
+    }));
+    fleet.putUpstream("i-1");
+    fleet.store.remove("servers/i-2");
+    REQUIRE(Fleet::waitFor([&] {
+        const int before = fleet.second.totalRuns();
+        for (int n = 0; n < 10; ++n)
+            CHECK(fleet.call("GET", "/safe/1", "r").status == 200);
+        return fleet.second.totalRuns() == before;
+    }));
+}
+
+TEST_CASE("node: a configuration that cannot be read stays out of force [node][bad-input]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.store.put("op/config", "{\"version\": 2, \"routes\": 7}");
+    fleet.store.put("servers/i-9", "nonsense");
+    REQUIRE(
+        Fleet::waitFor([&] { return fleet.metric("fordwood_stored_values_refused_total") >= 2; }));
+    CHECK(fleet.call("GET", "/safe/1", "r-1").status == 200);
+    CHECK(fleet.metric("fordwood_configuration_version") == 1);
+}
+
+TEST_CASE("node: a lost history costs nothing but a new read [node][outage]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.store.setDown(true);
+    fleet.putConfiguration(2, "/later/");
+    fleet.store.remove("servers/i-2");
+    fleet.store.forgetHistory();
+    CHECK(fleet.call("GET", "/safe/1", "r-1").status == 200); // served on what is known
+    fleet.store.setDown(false);
+    CHECK(Fleet::waitFor([&] { return fleet.call("GET", "/later/1", "r-2").status == 200; }));
+    CHECK(fleet.call("GET", "/safe/1", "r-3").status == 404);
+}
+
+TEST_CASE("node: one that the store turns away learns from its peers, changes too [node][peers]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.startNode(1, fleet.net + "99:7000"); // nothing listens there
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(1); }));
+    CHECK(fleet.call("GET", "/safe/1", "r-1", 1).status == 200);
+    fleet.putConfiguration(2, "/later/");
+    CHECK(Fleet::waitFor([&] { return fleet.call("GET", "/later/1", "r-2", 1).status == 200; }));
+    CHECK(fleet.call("GET", "/safe/1", "r-3", 1).status == 404);
+}
+
+TEST_CASE("node: a planned stop is told at once, serves on, and ends by itself [node][stop]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.nodes.front().signal(SIGHUP);
+    CHECK(fleet.call("GET", "/safe/1", "r-1").status == 200);
+    fleet.nodes.front().signal(SIGTERM);
+    REQUIRE(Fleet::waitFor([&] { return !fleet.isReady(0); }));
+    const HttpAnswer answer = fleet.call("GET", "/safe/1", "r-2");
+    CHECK(answer.status == 200);
+    CHECK(answer.headers.at("connection") == "close");
+    CHECK(fleet.nodes.front().wait() == 0);
+}
--- /dev/null
+++ b/tests/process/platform_standins.cpp
@@ -0,0 +1,327 @@
+// SPDX-License-Identifier: MIT
+#include "process/platform_standins.hpp"
+
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace fordwood::process {
+
+namespace {
+
+using Json = nlohmann::json;
+using standins::Answer;
+using standins::Request;
+
+constexpr int kStreamEvents = 5;
+
+std::string encode(const std::string &bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4, '\0');
+    EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                    reinterpret_cast<const unsigned char *>(bytes.data()),
+                    static_cast<int>(bytes.size()));
+    return text;
+}
+
+std::string decode(const std::string &text)
+{
+    std::string bytes(text.size() / 4 * 3, '\0');
+    EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                    reinterpret_cast<const unsigned char *>(text.data()),
+                    static_cast<int>(text.size()));
+    while (!bytes.empty() && bytes.size() + 3 > text.size() / 4 * 3 && bytes.back() == '\0'
+           && text[text.size() - (text.size() / 4 * 3 - bytes.size()) - 1] == '=')
+        bytes.pop_back();
+    return bytes;
+}
+
+std::string queryValue(const std::string &query, const std::string &name)
+{
+    const std::size_t at = ("&" + query).find("&" + name + "=");
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + name.size() + 1;
+    return query.substr(begin, query.find('&', begin) - begin);
+}
+
+Answer json(const Json &body, int status = 200)
+{
+    Answer answer;
+    answer.status = status;
+    answer.body = body.dump();
+    return answer;
+}
+
+Answer plain(int status)
+{
+    Answer answer;
+    answer.status = status;
+    return answer;
+}
+
+} // namespace
+
+KeyValueStandin::KeyValueStandin(const std::string &address)
+    : m_server(std::make_unique<standins::BlockingServer>(
+        address, [this](const Request &request) { return answer(request); }))
+{ }
+
+void KeyValueStandin::write(const std::string &key, const std::string &value, std::int64_t lease)
+{
+    m_revision += 1;
+    Item &item = m_items[key];
+    if (item.created == 0)
+        item.created = m_revision;
+    item.value = value;
+    item.revision = m_revision;
+    item.lease = lease;
+    m_history.push_back({key, m_revision, false});
+    m_changed.notify_all();
+}
+
+void KeyValueStandin::erase(const std::string &key)
+{
+    if (m_items.erase(key) == 0)
+        return;
+    m_revision += 1;
+    m_history.push_back({key, m_revision, true});
+    m_changed.notify_all();
+}
+
+void KeyValueStandin::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(m_mutex);
+    write(key, value, 0);
+}
+
+void KeyValueStandin::remove(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    erase(key);
+}
+
+void KeyValueStandin::setDown(bool down)
+{
+    const std::lock_guard lock(m_mutex);
+    m_down = down;
+    m_changed.notify_all();
+}
+
+void KeyValueStandin::forgetHistory()
+{
+    const std::lock_guard lock(m_mutex);
+    m_history.clear();
+    m_historyFrom = m_revision;
+    m_changed.notify_all();
+}
+
+std::int64_t KeyValueStandin::revision()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_revision;
+}
+
+Answer KeyValueStandin::answer(const Request &request)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_down)
+            return plain(503);
+    }
+    const std::string &path = request.path;
+    if (path == "/api/kv-range")
+        return range(request);
+    if (path == "/api/kv-watch")
+        return watch(request);
+    if (path == "/api/kv-txn")
+        return transact(request);
+    const std::int64_t lease = std::strtoll(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
+    if (path == "/api/kv-lease") {
+        const std::lock_guard lock(m_mutex);
+        return json({{"lease", ++m_nextLease}, {"ttl_ms", Json::parse(request.body)["ttl_ms"]}});
+    }
+    if (path.starts_with("/api/kv-keep/"))
+        return json({{"ttl_ms", 1500}});
+    if (path.starts_with("/api/kv-lease-end/"))
+        return endLease(lease);
+    return plain(404);
+}
+
+Answer KeyValueStandin::endLease(std::int64_t lease)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> keys;
+    for (const auto &[key, item] : m_items) {
+        if (item.lease == lease)
+            keys.push_back(key);
+    }
+    for (const std::string &it : keys)
+        erase(it);
+    return json(Json::object());
+}
+
+Answer KeyValueStandin::range(const Request &request)
+{
+    constexpr std::size_t kPage = 2; // small, so that every read has pages
+    const std::string after = queryValue(request.query, "after");
+    const std::lock_guard lock(m_mutex);
+    Json items = Json::array();
+    bool more = false;
+    for (auto it = m_items.upper_bound(after); it != m_items.end() && !more; ++it) {
+        if (items.size() == kPage) {
+            more = true;
+            continue;
+        }
+        items.push_back({{"private-key", it->first},
+                         {"value", encode(it->second.value)},
+                         {"revision", it->second.revision},
+                         {"made", it->second.created},
+                         {"lease", it->second.lease}});
+    }
+    return json({{"items", items}, {"more", more}, {"at", m_revision}});
+}
+
+Answer KeyValueStandin::watch(const Request &request)
+{
+    const std::int64_t after = std::stoll(queryValue(request.query, "after"));
+    // Shorter than asked for, so that a test need not wait for it at its end.
+    constexpr std::chrono::milliseconds kLongest{200};
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, kLongest,
+                       [&] { return m_revision > after || m_down || after < m_historyFrom; });
+    if (m_down)
+        return plain(503);
+    if (after < m_historyFrom)
+        return plain(410);
+    Json events = Json::array();
+    for (const Change &it : m_history) {
+        if (it.revision <= after)
+            continue;
+        const auto item = m_items.find(it.key);
+        if (it.gone || item == m_items.end() || item->second.revision != it.revision)
+            events.push_back({{"private-key", it.key}, {"revision", it.revision}, {"gone", true}});
+        else
+            events.push_back({{"private-key", it.key},
+                              {"value", encode(item->second.value)},
+                              {"revision", it.revision},
+                              {"made", item->second.created},
+                              {"lease", item->second.lease}});
+    }
+    return json({{"events", events}, {"at", m_revision}});
+}
+
+Answer KeyValueStandin::transact(const Request &request)
+{
+    const Json body = Json::parse(request.body);
+    const std::lock_guard lock(m_mutex);
+    for (const Json &it : body["expected-revision"]) {
+        const auto item = m_items.find(it["private-key"].get<std::string>());
+        const std::int64_t found = item == m_items.end() ? 0 : item->second.revision;
+        if (found != it["revision"].get<std::int64_t>())
+            return json({{"items", Json::array()}}, 412);
+    }
+    for (const Json &it : body["put"])
+        write(it["private-key"], decode(it["value"]), it["lease"]);
+    return json({{"revision", m_revision}});
+}
+
+UpstreamStandin::UpstreamStandin(const std::string &address, std::string instanceId)
+    : m_instanceId(std::move(instanceId)),
+      m_server(std::make_unique<standins::BlockingServer>(
+          address, [this](const Request &request) { return answer(request); }))
+{ }
+
+void UpstreamStandin::setFault(Fault fault, int requests)
+{
+    const std::lock_guard lock(m_mutex);
+    m_fault = fault;
+    m_faults = requests;
+}
+
+void UpstreamStandin::breakStreamsAfter(int events)
+{
+    const std::lock_guard lock(m_mutex);
+    m_breakAfter = events;
+}
+
+int UpstreamStandin::runs(const std::string &requestId)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs[requestId];
+}
+
+int UpstreamStandin::totalRuns()
+{
+    const std::lock_guard lock(m_mutex);
+    int sum = 0;
+    for (const auto &[id, n] : m_runs)
+        sum += n;
+    return sum;
+}
+
+std::string UpstreamStandin::lastField(const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_last.header(name);
+}
+
+Answer UpstreamStandin::answer(const Request &request)
+{
+    const std::string id = request.header("Request-Id");
+    Answer result;
+    result.headers["Request-Id"] = id;
+    const std::lock_guard lock(m_mutex);
+    if (request.header("Expect-Instance") != m_instanceId) {
+        result.status = 421;
+        return result;
+    }
+    Fault fault = Fault::None;
+    if (m_faults > 0) {
+        m_faults -= 1;
+        fault = m_fault;
+    }
+    if (fault == Fault::TurnAway) {
+        result.status = 503;
+        result.headers["Not-Executed"] = "1";
+        return result;
+    }
+    m_runs[id] += 1;
+    m_last = request;
+    result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
+    result.body = "answer to " + id;
+    if (fault == Fault::CutAfterRun)
+        result.cutConnection = true;
+    if (fault == Fault::OtherRequestId)
+        result.headers["Request-Id"] = "another";
+    if (fault == Fault::NoSeal)
+        result.headers.erase("Response-Seal");
+    if (fault == Fault::FailAfterRun)
+        result.status = 500;
+    return request.path.starts_with("/stream/") ? stream(request) : result;
+}
+
+Answer UpstreamStandin::stream(const Request &request)
+{
+    Answer result;
+    result.contentType = "text/event-stream";
+    result.headers["Request-Id"] = request.header("Request-Id");
+    result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
+    const std::string last = request.header("Last-Event-Id");
+    auto next = std::make_shared<int>(last.empty() ? 0 : std::stoi(last));
+    const int breakAfter = m_breakAfter;
+    result.cutAfterParts = breakAfter > 0;
+    result.nextPart = [next, breakAfter](bool) -> std::string {
+        *next += 1;
+        const std::string event
+            = "id: " + std::to_string(*next) + "\ndata: " + std::to_string(*next) + "\n\n";
+        if (breakAfter > 0 && *next == breakAfter + 1)
+            return event.substr(0, event.size() / 2);
+        const bool isOver = *next > kStreamEvents || (breakAfter > 0 && *next > breakAfter);
+        return isOver ? "" : event;
+    };
+    return result;
+}
+
+} // namespace fordwood::process
--- /dev/null
+++ b/tests/process/platform_standins.hpp
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_TESTS_PROCESS_PLATFORM_STANDINS_HPP_INCLUDED
+#define FORDWOOD_TESTS_PROCESS_PLATFORM_STANDINS_HPP_INCLUDED
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "standins/blocking_server.hpp"
+
+namespace fordwood::process {
+
+// The users' platform's key-value store, as far as a node uses it: keys with revisions, leases that
+// never run out by themselves, ranges, watches, conditional writes.
+class KeyValueStandin
+{
+public:
+    explicit KeyValueStandin(const std::string &address);
+
+    // Writes as the operators or the upstreams do.
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+
+    // From now on every call is turned away, or no longer.
+    void setDown(bool down);
+
+    // Forgets what has changed so far: watches must begin anew.
+    void forgetHistory();
+
+    std::int64_t revision();
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::int64_t revision = 0;
+        std::int64_t created = 0;
+        std::int64_t lease = 0;
+    };
+    struct Change
+    {
+        std::string key;
+        std::int64_t revision = 0;
+        bool gone = false;
+    };
+
+    standins::Answer answer(const standins::Request &request);
+    standins::Answer range(const standins::Request &request);
+    standins::Answer watch(const standins::Request &request);
+    standins::Answer transact(const standins::Request &request);
+    standins::Answer endLease(std::int64_t lease);
+    void write(const std::string &key, const std::string &value, std::int64_t lease);
+    void erase(const std::string &key);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, Item> m_items;
+    std::vector<Change> m_history;
+    std::int64_t m_revision = 1;
+    std::int64_t m_historyFrom = 0;
+    std::int64_t m_nextLease = 100;
+    bool m_down = false;
+    std::unique_ptr<standins::BlockingServer> m_server;
+};
+
+// An upstream of the users' platform: a plain service, or an engine that answers with a stream.
+// Counts the runs of each request.
+class UpstreamStandin
+{
+public:
+    UpstreamStandin(const std::string &address, std::string instanceId);
+
+    // How the next requests go wrong.
+    enum class Fault { None, CutAfterRun, TurnAway, OtherRequestId, NoSeal, FailAfterRun };
+    void setFault(Fault fault, int requests);
+
+    // A stream breaks after so many events, in the middle of the next one.
+    void breakStreamsAfter(int events);
+
+    int runs(const std::string &requestId);
+    int totalRuns();
+    // A field of the last request that was run.
+    std::string lastField(const std::string &name);
+
+private:
+    standins::Answer answer(const standins::Request &request);
+    standins::Answer stream(const standins::Request &request);
+
+    const std::string m_instanceId;
+    std::mutex m_mutex;
+    std::map<std::string, int> m_runs;
+    standins::Request m_last;
+    Fault m_fault = Fault::None;
+    int m_faults = 0;
+    int m_breakAfter = 0;
+    std::unique_ptr<standins::BlockingServer> m_server;
+};
+
+} // namespace fordwood::process
+
+#endif // FORDWOOD_TESTS_PROCESS_PLATFORM_STANDINS_HPP_INCLUDED
