Two nodes poll the store beside their watch; the pace of computing is learned from long prompts only

Change: the two nodes that rank first among those that reach the store ask it every second; others hear from them. PrefillPace learns from long prompts. The test of deaf watches fails without the poll.

--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -387,9 +387,11 @@
     m_streamBegun = true;
     m_firstEvent = m_traffic.clock().now();
     const EngineChoice &engine = m_attempt->engine;
-    m_traffic.pace(m_pool->name)
-        .observe(engine.found.tokensToCompute + engine.load.tokensToCompute,
-                 *m_firstEvent - m_attempt->begun);
+    // Short ones go before what lies at the engine, and so tell nothing of its pace.
+    if (!engine.isShort)
+        m_traffic.pace(m_pool->name)
+            .observe(engine.found.tokensToCompute + engine.load.tokensToCompute,
+                     *m_firstEvent - m_attempt->begun);
     m_port.beginStream(callersHead());
 }
 
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -29,6 +29,10 @@
 constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
 
 constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
+// How often the store is asked beside the watch, and by how many nodes.
+constexpr Duration kPollEvery = std::chrono::milliseconds(1'000);
+constexpr std::ptrdiff_t kPollingNodes = 2;
+
 constexpr Duration kFreePatience = std::chrono::milliseconds(700);
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
 
@@ -185,7 +189,7 @@
         m_toldInformed = informed;
         tell(Informed{informed});
     }
-    const bool reachable = m_store.isReachable() || m_peers.anyReachesStore();
+    const bool reachable = m_store.isReachable() || !m_peers.reachingStore().empty();
     if (reachable == m_toldReachable)
         return;
     m_toldReachable = reachable;
@@ -427,6 +431,7 @@
     }
     noteReachability();
     noteLiveNodes();
+    pollStore();
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
     reachStoreThroughPeers();
@@ -510,6 +515,23 @@
     m_orders.lock().setPatience(kLockPatiencePerRank * (before + 1));
 }
 
+// A watch may hear nothing for a while although things change. Two nodes ask beside it; the others
+// hear from them.
+void ControlDuty::pollStore()
+{
+    if (!m_store.isReachable() || m_clock.now() < m_nextPoll)
+        return;
+    m_nextPoll = m_clock.now() + kPollEvery;
+    std::vector<std::string> names = m_peers.reachingStore();
+    const std::uint64_t key = stableHash("polls the store");
+    const std::uint64_t own = rendezvousWeight(key, stableHash(m_settings.node.name));
+    const auto before = std::count_if(names.begin(), names.end(), [&](const std::string &it) {
+        return rendezvousWeight(key, stableHash(it)) > own;
+    });
+    if (before < kPollingNodes)
+        m_store.poll();
+}
+
 void ControlDuty::reachStoreThroughPeers()
 {
     const TimePoint now = m_clock.now();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -77,6 +77,7 @@
     bool mayGossipAgain() const;
     void gossip();
     void tick();
+    void pollStore();
     void reachStoreThroughPeers();
     void fetchFrom(const std::string &address);
     void askSeeds();
@@ -130,6 +131,7 @@
     std::set<std::string> m_toldLoading;
     TimePoint m_storeBack{}; // when the store answered this node again
     TimePoint m_nextGossip{};
+    TimePoint m_nextPoll{};
     TimePoint m_nextSeedAsk{};
     TimePoint m_aheadSince{}; // since a peer is ahead of this node's copy
     bool m_isBehind = false;
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -125,13 +125,14 @@
     return it == m_peers.end() ? std::nullopt : it->second.heard;
 }
 
-bool PeerLinks::anyReachesStore() const
+std::vector<std::string> PeerLinks::reachingStore() const
 {
+    std::vector<std::string> names;
     for (const auto &[name, peer] : m_peers) {
         if (isLive(peer) && peer.reachesStore)
-            return true;
+            names.push_back(name);
     }
-    return false;
+    return names;
 }
 
 std::optional<std::string> PeerLinks::aheadOf(std::int64_t revision) const
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -39,8 +39,8 @@
     // When the peer was last heard; nothing: never.
     std::optional<TimePoint> lastHeard(const std::string &node) const;
 
-    // Whether a live peer says that the platform's store answers it.
-    bool anyReachesStore() const;
+    // The live peers that say that the platform's store answers them.
+    std::vector<std::string> reachingStore() const;
 
     // A live peer whose copy of the store is ahead of the revision; its address for reading it.
     std::optional<std::string> aheadOf(std::int64_t revision) const;
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kWatchWait{20'000};
 constexpr Duration kWatchGrace = std::chrono::seconds(2); // beyond the wait
 
+// The shortest wait: a poll is to answer at once.
+constexpr std::chrono::milliseconds kPollWait{1};
+
 // Slower than this only when the store is in trouble: it answers in milliseconds.
 constexpr Duration kCallPatience = std::chrono::milliseconds(1'500);
 
@@ -49,20 +52,25 @@
 
 void StoreLink::readAll()
 {
-    readPage("", std::make_shared<StoreChanges>());
+    readPage("", std::make_shared<StoreChanges>(), After::Watch);
 }
 
-void StoreLink::readPage(const std::string &after, const std::shared_ptr<StoreChanges> &read)
+void StoreLink::readPage(const std::string &after, const std::shared_ptr<StoreChanges> &read,
+                         After next)
 {
     send(platform::rangeCall(after),
-         [this, read](const HttpResult &result) { takePage(result, read); });
+         [this, read, next](const HttpResult &result) { takePage(result, read, next); });
 }
 
-void StoreLink::takePage(const HttpResult &result, const std::shared_ptr<StoreChanges> &read)
+void StoreLink::takePage(const HttpResult &result, const std::shared_ptr<StoreChanges> &read,
+                         After next)
 {
     auto page = platform::readRange(result);
     if (!page) {
-        failed(page.error());
+        if (next == After::Watch)
+            failed(page.error());
+        else
+            m_isPolling = false; // the next poll tries again
         return;
     }
     answered();
@@ -72,12 +80,14 @@
     auto &items = page->content.items;
     read->items.insert(read->items.end(), items.begin(), items.end());
     if (page->nextAfter) {
-        readPage(*page->nextAfter, read);
+        readPage(*page->nextAfter, read, next);
         return;
     }
     m_isWhole = true;
+    m_isPolling = false;
     m_listener.storeTold(*read);
-    watch();
+    if (next == After::Watch)
+        watch();
 }
 
 void StoreLink::watch()
@@ -101,6 +111,39 @@
     this->after(kBatchPause, &StoreLink::watch);
 }
 
+void StoreLink::poll()
+{
+    if (m_isPolling || !m_isWhole)
+        return;
+    m_isPolling = true;
+    const std::int64_t after = m_replica.revision();
+    send(platform::watchCall(after, kPollWait), [this, after](const HttpResult &result) {
+        m_isPolling = false;
+        takePoll(result, after);
+    });
+}
+
+void StoreLink::takePoll(const HttpResult &result, std::int64_t after)
+{
+    const auto changes = platform::readWatch(result, after);
+    if (changes) {
+        answered();
+        m_listener.storeTold(*changes);
+        return;
+    }
+    // A lost history means that the waiting call has missed something; other failures are its own
+    // to find out.
+    if (changes.error() == StoreFailure::HistoryLost)
+        readAllOnce();
+}
+
+// Reads everything beside the waiting call, which goes on.
+void StoreLink::readAllOnce()
+{
+    m_isPolling = true;
+    readPage("", std::make_shared<StoreChanges>(), After::Nothing);
+}
+
 void StoreLink::answered()
 {
     m_failures = 0;
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -36,6 +36,9 @@
 
     void start() { readAll(); }
 
+    // Asks once what has changed, beside the waiting call, which may hear nothing in trouble.
+    void poll();
+
     bool isReachable() const { return m_reachable; }
 
     // Sends one of the other calls; a call that is not answered tells of an outage too.
@@ -43,9 +46,13 @@
 
 private:
     void readAll();
-    void readPage(const std::string &after, const std::shared_ptr<StoreChanges> &read);
-    void takePage(const HttpResult &result, const std::shared_ptr<StoreChanges> &read);
+    enum class After { Watch, Nothing }; // what follows a read of everything
+
+    void readPage(const std::string &after, const std::shared_ptr<StoreChanges> &read, After next);
+    void takePage(const HttpResult &result, const std::shared_ptr<StoreChanges> &read, After next);
+    void readAllOnce();
     void watch();
+    void takePoll(const HttpResult &result, std::int64_t after);
     void takeWatch(const HttpResult &result, std::int64_t after);
     void answered();
     void failed(platform::StoreFailure failure);
@@ -58,6 +65,7 @@
     StoreListener &m_listener;
     bool m_reachable = true;
     bool m_isWhole = false; // the copy holds all up to its revision
+    bool m_isPolling = false;
     unsigned m_failures = 0; // in a row
 };
 
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -350,6 +350,21 @@
     CHECK(fleet.call("GET", "/safe/1", "r-3").status == 404);
 }
 
+TEST_CASE("node: a change is noticed although the watch hears nothing [node][outage]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.store.setDeafWatches(true);
+    // The watch that waits now ends; the next one is deaf.
+    fleet.store.put("other", "1");
+    fleet.putConfiguration(2, "/later/");
+    CHECK(Fleet::waitFor([&] { return fleet.call("GET", "/later/1", "r-1").status == 200; }));
+    fleet.putConfiguration(3, "/last/");
+    CHECK(Fleet::waitFor([&] { return fleet.call("GET", "/last/1", "r-2").status == 200; }));
+    fleet.store.setDeafWatches(false);
+    fleet.store.setDown(true);
+}
+
 TEST_CASE("node: one that the store turns away learns from its peers, changes too [node][peers]")
 {
     Deployment fleet;
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -16,6 +16,11 @@
 
 constexpr int kStreamEvents = 5;
 
+// Watches are held for less than is asked for, so that a test need not wait for them at its end.
+constexpr std::chrono::milliseconds kLongestWait{200};
+// Calls that ask for no more than this are polls rather than watches.
+constexpr std::chrono::milliseconds kShortWait{10};
+
 std::string encode(const std::string &bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4, '\0');
@@ -106,9 +111,16 @@
 {
     const std::lock_guard lock(m_mutex);
     m_down = down;
+    m_deafWatches = false;
     m_changed.notify_all();
 }
 
+void KeyValueStandin::setDeafWatches(bool deaf)
+{
+    const std::lock_guard lock(m_mutex);
+    m_deafWatches = deaf;
+}
+
 void KeyValueStandin::forgetHistory()
 {
     const std::lock_guard lock(m_mutex);
@@ -186,10 +198,14 @@
 Answer KeyValueStandin::watch(const Request &request)
 {
     const std::int64_t after = std::stoll(queryValue(request.query, "after"));
-    // Shorter than asked for, so that a test need not wait for it at its end.
-    constexpr std::chrono::milliseconds kLongest{200};
+    std::chrono::milliseconds longest{std::stol(queryValue(request.query, "wait-ms"))};
     std::unique_lock lock(m_mutex);
-    m_changed.wait_for(lock, kLongest,
+    if (m_deafWatches && longest > kShortWait) {
+        m_changed.wait_for(lock, longest, [&] { return m_down || !m_deafWatches; });
+        return plain(503);
+    }
+    longest = std::min(longest, kLongestWait);
+    m_changed.wait_for(lock, longest,
                        [&] { return m_revision > after || m_down || after < m_historyFrom; });
     if (m_down)
         return plain(503);
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -28,6 +28,9 @@
     // From now on every call is turned away, or no longer.
     void setDown(bool down);
 
+    // Watches hear nothing of what changes, or hear again.
+    void setDeafWatches(bool deaf);
+
     // Forgets what has changed so far: watches must begin anew.
     void forgetHistory();
 
@@ -64,6 +67,7 @@
     std::int64_t m_historyFrom = 0;
     std::int64_t m_nextLease = 100;
     bool m_down = false;
+    bool m_deafWatches = false;
     std::unique_ptr<standins::BlockingServer> m_server;
 };
 
