A node's control in parts; keys of a planned stop are divided by one decision

Read as a newcomer: ControlDuty did what a reader of documents, a keeper of context stores and a messenger do; refusals were made in the middle of CallRun. Now DocumentReader, ContextKeeping and makeRefusal.

--- a/include/fordwood/key_registry.hpp
+++ b/include/fordwood/key_registry.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -140,6 +141,12 @@
     bool m_closed = false;
 };
 
+// Divides what a planned stop hands over among the successors, by index; -1 takes what nobody can.
+// Every successor of a partition gets the floor, also where no key goes to it.
+std::map<int, HandedKeys>
+groupBySuccessor(const HandedKeys &handed,
+                 const std::function<int(std::uint32_t partition)> &successorOf);
+
 } // namespace fordwood
 
 #endif // FORDWOOD_KEY_REGISTRY_HPP_INCLUDED
--- a/src/apps/controld/tenure_duty.cpp
+++ b/src/apps/controld/tenure_duty.cpp
@@ -189,13 +189,8 @@
     const auto hashes = hashesOf(others);
     const auto successorIndex
         = [&](std::uint32_t partition) { return keyHolderIndex(partition, hashes); };
-    std::map<int, HandedKeys> bySuccessor;
-    for (std::uint32_t partition = 0; partition < kKeyPartitions; ++partition)
-        bySuccessor[successorIndex(partition)].floor = handed.floor;
-    for (const HandedKey &it : handed.keys)
-        bySuccessor[successorIndex(keyPartition(it.key.team, it.key.text))].keys.push_back(it);
     std::set<int> ready;
-    for (const auto &[index, keys] : bySuccessor) {
+    for (const auto &[index, keys] : groupBySuccessor(handed, successorIndex)) {
         if (index >= 0 && sendKeys(others[static_cast<std::size_t>(index)], keys))
             ready.insert(index);
     }
--- a/src/core/key_registry.cpp
+++ b/src/core/key_registry.cpp
@@ -218,4 +218,16 @@
     m_entries.erase(it);
 }
 
+std::map<int, HandedKeys>
+groupBySuccessor(const HandedKeys &handed,
+                 const std::function<int(std::uint32_t partition)> &successorOf)
+{
+    std::map<int, HandedKeys> groups;
+    for (std::uint32_t partition = 0; partition < kKeyPartitions; ++partition)
+        groups[successorOf(partition)].floor = handed.floor;
+    for (const HandedKey &it : handed.keys)
+        groups[successorOf(keyPartition(it.key.team, it.key.text))].keys.push_back(it);
+    return groups;
+}
+
 } // namespace fordwood
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -2,13 +2,12 @@
 #include "node/call_run.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <sstream>
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "fordwood/service_chooser.hpp"
+#include "node/refusal.hpp"
 
 namespace fordwood::node {
 
@@ -56,15 +55,6 @@
     return {text.data(), text.size()};
 }
 
-// Seconds with a fraction, as callers read them.
-std::string secondsText(std::chrono::milliseconds time)
-{
-    std::array<char, 32> text{};
-    const int n = std::snprintf(text.data(), text.size(), "%.3f",
-                                std::chrono::duration<double>(time).count());
-    return {text.data(), static_cast<std::size_t>(n)};
-}
-
 // What decided the choice of an engine, for the log.
 std::string engineInputs(const EngineChoice &choice)
 {
@@ -558,24 +548,11 @@
 
 void CallRun::giveUp(const Verdict &verdict)
 {
-    const ReasonInfo &reason = info(verdict.reason);
-    // "Not run" is a promise that the status carries; a refused connection is one as well.
-    constexpr unsigned kUnavailable = 503;
-    constexpr unsigned kFirstServerError = 500;
-    auto status = static_cast<unsigned>(reason.httpStatus);
-    if (verdict.state == RunState::NotRun && status >= kFirstServerError)
-        status = kUnavailable;
-    http::response_header<> head;
-    head.result(status);
-    head.version(11);
-    head.set(http::field::content_type, "application/json");
-    if (verdict.state == RunState::NotRun && verdict.retryAfter.count() > 0
-        && status == kUnavailable)
-        head.set(http::field::retry_after, secondsText(verdict.retryAfter));
+    Refusal refusal = makeRefusal(verdict);
+    const unsigned status = refusal.head.result_int();
     m_traffic.metrics().countRefusal(verdict.reason);
-    std::string body = R"({"error":{"code":")" + std::string(reason.name) + R"("}})";
-    m_port.sendWhole(std::move(head), std::move(body));
-    finish(reason.name, status);
+    m_port.sendWhole(std::move(refusal.head), std::move(refusal.body));
+    finish(info(verdict.reason).name, status);
 }
 
 void CallRun::callerLeft()
--- /dev/null
+++ b/src/node/context_keeping.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: MIT
+#include "node/context_keeping.hpp"
+
+#include "adapters/observe/event_log.hpp"
+#include "platform/engine_calls.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+// A store answers within milliseconds, or is in trouble.
+constexpr Duration kFreePatience = std::chrono::milliseconds(700);
+
+} // namespace
+
+ContextKeeping::ContextKeeping(net::io_context &context, HttpCaller &caller, const Clock &clock,
+                               Tell tell)
+    : m_caller(caller), m_clock(clock), m_tell(std::move(tell)),
+      m_watch(context, caller, [this](FleetUpdate it) { take(std::move(it)); }), m_keeper(clock)
+{ }
+
+void ContextKeeping::setStores(const std::vector<ContextStore> &stores)
+{
+    m_stores.clear();
+    for (const ContextStore &it : stores)
+        m_stores[it.name] = it;
+    m_watch.setStores(stores);
+}
+
+void ContextKeeping::take(FleetUpdate update)
+{
+    if (const auto *told = std::get_if<ContextStoreTold>(&update)) {
+        m_keeper.storeAnswered(told->news);
+        if (told->news.clock.count() > 0) {
+            m_engineClock = told->news.clock;
+            m_engineClockTold = m_clock.now();
+        }
+    } else if (const auto *silent = std::get_if<ContextStoreSilent>(&update)) {
+        m_keeper.storeSilent(silent->store);
+    }
+    m_tell(std::move(update));
+}
+
+void ContextKeeping::tick(const std::optional<FencedLock::Holding> &holding)
+{
+    for (const FreeParts &it : m_keeper.tick(holding))
+        free(it, *holding);
+}
+
+void ContextKeeping::free(const FreeParts &action, const FencedLock::Holding &holding)
+{
+    const auto store = m_stores.find(action.store);
+    if (store == m_stores.end()) {
+        m_keeper.freed(action, false);
+        return;
+    }
+    // Not carried out after this node's lease, however late the call arrives.
+    const auto until = m_engineClock
+                       + std::chrono::duration_cast<std::chrono::milliseconds>(holding.actUntil
+                                                                               - m_engineClockTold);
+    m_caller.send(platform::freeCall(store->second.address, action, until), kFreePatience,
+                  [this, action](const HttpResult &result) {
+                      logEvent(Event::ContextFreed, {{"store", action.store},
+                                                     {"epoch", action.epoch},
+                                                     {"parts", action.parts.size()},
+                                                     {"status", result ? result->status : 0}});
+                      m_keeper.freed(action, platform::readFree(result));
+                  });
+}
+
+} // namespace fordwood::node
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -7,7 +7,6 @@
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
-#include "platform/documents.hpp"
 
 namespace fordwood::node {
 
@@ -16,7 +15,6 @@
 using adapters::Event;
 using adapters::logEvent;
 
-constexpr std::string_view kNodePrefix = "fordwood/nodes/";
 constexpr std::string_view kReplicaTarget = "/replica?since=";
 
 constexpr Duration kTickEvery = std::chrono::milliseconds(20);
@@ -33,7 +31,6 @@
 constexpr Duration kPollEvery = std::chrono::milliseconds(1'000);
 constexpr std::ptrdiff_t kPollingNodes = 2;
 
-constexpr Duration kFreePatience = std::chrono::milliseconds(700);
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
 
 // A removal that is seen so soon after the store answered again may be an expiry.
@@ -70,11 +67,11 @@
     : m_settings(settings), m_clock(clock), m_metrics(metrics), m_tell(std::move(tell)),
       m_owner(makeOwner(settings.node.name)), m_context(1), m_caller(m_context),
       m_store(m_context, m_caller, settings.store.address, m_replica, *this),
-      m_ownKey(clock, m_store, std::string(kNodePrefix) + settings.node.name,
+      m_ownKey(clock, m_store, DocumentReader::nodeKey(settings.node.name),
                encodePeerAddress(ownAddress(settings))),
       m_orders(clock, m_caller, m_store, settings.node.name, m_owner, lockLimits(settings)),
-      m_contexts(m_context, m_caller, [this](FleetUpdate it) { takeContextNews(std::move(it)); }),
-      m_keeper(clock),
+      m_contexts(m_context, m_caller, clock, [this](FleetUpdate it) { this->tell(std::move(it)); }),
+      m_documents(metrics, *this),
       m_peers(m_context, clock, settings.node.name, [this](const Gossip &it) { heard(it); }),
       m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
       m_replicaServer(m_context, [this](std::string_view it) { return replicaReply(it); }),
@@ -204,124 +201,54 @@
     if (!changed)
         return;
     for (const StoredItem &it : *changed)
-        take(it, mayBeExpiry);
+        m_documents.read(it, mayBeExpiry);
     if (m_replica.revision() != before)
         m_gossipSoon = true;
     m_orders.rollout().setEngines(m_upstreams.usableEngines());
     m_orders.lock().keyChanged(m_replica.find(OrderDuty::lockKey()));
 }
 
-void ControlDuty::take(const StoredItem &item, bool mayBeExpiry)
-{
-    switch (platform::kindOf(item.key)) {
-    case platform::DocumentKind::Configuration:
-        takeConfiguration(item);
-        break;
-    case platform::DocumentKind::WeightVersion:
-        takeWeights(item);
-        break;
-    case platform::DocumentKind::Upstream:
-        takeUpstream(item, mayBeExpiry);
-        break;
-    case platform::DocumentKind::Other:
-        if (item.key.starts_with(kNodePrefix))
-            takeNode(item);
-        break;
-    }
+void ControlDuty::configurationRead(ServingConfig config)
+{
+    m_hasConfiguration = true;
+    m_contexts.setStores(config.stores);
+    tell(ConfigInForce{std::make_shared<const RouteTable>(std::move(config))});
 }
 
-void ControlDuty::refused(const StoredItem &item, const std::string &problem) const
+void ControlDuty::weightsNamed(const std::string &model, std::uint64_t version)
 {
-    logEvent(Event::StoredValueRefused,
-             {{"key", item.key}, {"revision", item.revision}, {"error", problem}});
-    m_metrics.count("fordwood_stored_values_refused_total");
+    m_orders.rollout().setTarget(model, version);
+    noteWeights(model, version, m_clock.now());
 }
 
-void ControlDuty::takeConfiguration(const StoredItem &item)
+void ControlDuty::noteWeights(const std::string &model, std::uint64_t version, TimePoint named)
 {
-    if (!item.value)
-        return; // operators replace a configuration, they never take it away
-    auto config = platform::readConfiguration(*item.value);
-    if (!config) {
-        refused(item, config.error().problem);
-        return;
-    }
-    if (m_hasConfiguration && config->version < m_configVersion) {
-        logEvent(Event::OlderHeadSeen, {{"version", config->version}, {"held", m_configVersion}});
+    if (!m_weights[model].note(version, named))
         return;
-    }
-    m_configVersion = config->version;
-    m_hasConfiguration = true;
-    logEvent(Event::ConfigurationApplied, {{"version", config->version},
-                                           {"revision", item.revision},
-                                           {"routes", config->routes.size()},
-                                           {"teams", config->teams.size()}});
-    m_contexts.setStores(config->stores);
-    m_contextStores.clear();
-    for (const ContextStore &it : config->stores)
-        m_contextStores[it.name] = it;
-    tell(ConfigInForce{std::make_shared<const RouteTable>(std::move(*config))});
+    m_contexts.setWeights(model, m_weights[model]);
+    tell(WeightsWanted{model, version, named});
 }
 
-void ControlDuty::takeWeights(const StoredItem &item)
+void ControlDuty::upstreamWritten(UpstreamRecord record)
 {
-    if (!item.value)
-        return;
-    const auto named = platform::readWeightVersion(*item.value);
-    if (!named) {
-        refused(item, named.error().problem);
-        return;
-    }
-    logEvent(Event::WeightsNamed,
-             {{"model", named->model}, {"weights", named->version}, {"revision", item.revision}});
-    m_orders.rollout().setTarget(named->model, named->version);
-    noteWeights(named->model, named->version, m_clock.now());
+    m_upstreams.put(record);
+    tell(UpstreamWritten{std::move(record)});
 }
 
-void ControlDuty::noteWeights(const std::string &model, std::uint64_t version, TimePoint named)
+void ControlDuty::upstreamRemoved(const std::string &instanceId, bool mayBeExpiry)
 {
-    if (!m_weights[model].note(version, named))
-        return;
-    m_keeper.setWeights(model, m_weights[model]);
-    tell(WeightsWanted{model, version, named});
+    m_upstreams.remove(instanceId, mayBeExpiry);
+    tell(UpstreamRemoved{instanceId, mayBeExpiry});
 }
 
-void ControlDuty::takeUpstream(const StoredItem &item, bool mayBeExpiry)
+void ControlDuty::nodeWritten(const std::string &node, const PeerAddress &address)
 {
-    const std::string id = platform::instanceIdOf(item.key);
-    if (!item.value) {
-        logEvent(mayBeExpiry ? Event::UpstreamExpired : Event::UpstreamGone,
-                 {{"upstream", id}, {"revision", item.revision}});
-        m_upstreams.remove(id, mayBeExpiry);
-        tell(UpstreamRemoved{id, mayBeExpiry});
-        return;
-    }
-    auto record = platform::readUpstream(item.key, *item.value);
-    if (!record) {
-        refused(item, record.error().problem);
-        return;
-    }
-    logEvent(record->draining ? Event::UpstreamDraining : Event::UpstreamReady,
-             {{"upstream", id},
-              {"service", record->service},
-              {"address", record->address},
-              {"revision", item.revision}});
-    m_upstreams.put(*record);
-    tell(UpstreamWritten{std::move(*record)});
+    m_peers.setAddress(node, address);
 }
 
-void ControlDuty::takeNode(const StoredItem &item)
+void ControlDuty::nodeRemoved(const std::string &node)
 {
-    const std::string node = item.key.substr(kNodePrefix.size());
-    if (!item.value) {
-        m_peers.removeAddress(node);
-        return;
-    }
-    const auto address = decodePeerAddress(*item.value);
-    if (address)
-        m_peers.setAddress(node, *address);
-    else
-        refused(item, "is no address of a node");
+    m_peers.removeAddress(node);
 }
 
 void ControlDuty::heard(const Gossip &message)
@@ -427,7 +354,7 @@
         shortenQuietTime();
         m_orders.tick(m_loads);
         noteLoading();
-        keepStores();
+        m_contexts.tick(m_orders.lock().holding());
     }
     noteReachability();
     noteLiveNodes();
@@ -454,49 +381,6 @@
     }
 }
 
-void ControlDuty::takeContextNews(FleetUpdate update)
-{
-    if (const auto *told = std::get_if<ContextStoreTold>(&update)) {
-        m_keeper.storeAnswered(told->news);
-        if (told->news.clock.count() > 0) {
-            m_engineClock = told->news.clock;
-            m_engineClockTold = m_clock.now();
-        }
-    } else if (const auto *silent = std::get_if<ContextStoreSilent>(&update)) {
-        m_keeper.storeSilent(silent->store);
-    }
-    tell(std::move(update));
-}
-
-void ControlDuty::keepStores()
-{
-    for (const FreeParts &it : m_keeper.tick(m_orders.lock().holding()))
-        free(it);
-}
-
-void ControlDuty::free(const FreeParts &action)
-{
-    const auto store = m_contextStores.find(action.store);
-    const auto holding = m_orders.lock().holding();
-    if (store == m_contextStores.end() || !holding) {
-        m_keeper.freed(action, false);
-        return;
-    }
-    // Not carried out after this node's lease, however late the call arrives.
-    const auto until = m_engineClock
-                       + std::chrono::duration_cast<std::chrono::milliseconds>(holding->actUntil
-                                                                               - m_engineClockTold);
-    m_caller.send(platform::freeCall(store->second.address, action, until), kFreePatience,
-                  [this, action](const HttpResult &result) {
-                      const bool done = platform::readFree(result);
-                      logEvent(Event::ContextFreed, {{"store", action.store},
-                                                     {"epoch", action.epoch},
-                                                     {"parts", action.parts.size()},
-                                                     {"status", result ? result->status : 0}});
-                      m_keeper.freed(action, done);
-                  });
-}
-
 void ControlDuty::noteLiveNodes()
 {
     std::vector<std::string> names = m_peers.live();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -14,11 +14,11 @@
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
 #include "fordwood/load_book.hpp"
-#include "fordwood/store_keeper.hpp"
 #include "fordwood/store_replica.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/weight_history.hpp"
-#include "node/context_watch.hpp"
+#include "node/context_keeping.hpp"
+#include "node/document_reader.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_caller.hpp"
 #include "node/mailbox.hpp"
@@ -33,7 +33,7 @@
 // All that a node knows of the fleet and says to it: follows the platform's store, exchanges its
 // copy with peers, orders weights, watches the stores of kept context. Runs on a thread of its own,
 // and tells the thread that serves requests what has changed.
-class ControlDuty : private StoreListener
+class ControlDuty : private StoreListener, private DocumentListener
 {
 public:
     // False when the receiver is full for the moment.
@@ -60,17 +60,18 @@
     void storeTold(const StoreChanges &changes) override;
     void storeReachable(bool reachable) override;
 
+    void configurationRead(ServingConfig config) override;
+    void weightsNamed(const std::string &model, std::uint64_t version) override;
+    void upstreamWritten(UpstreamRecord record) override;
+    void upstreamRemoved(const std::string &instanceId, bool mayBeExpiry) override;
+    void nodeWritten(const std::string &node, const PeerAddress &address) override;
+    void nodeRemoved(const std::string &node) override;
+
     HttpReply readyReply(std::string_view target) const;
     HttpReply replicaReply(std::string_view target) const;
     HttpReply metricsReply(std::string_view target) const;
 
     void merge(const StoreChanges &changes, bool mayBeExpiry);
-    void take(const StoredItem &item, bool mayBeExpiry);
-    void takeConfiguration(const StoredItem &item);
-    void takeWeights(const StoredItem &item);
-    void takeUpstream(const StoredItem &item, bool mayBeExpiry);
-    void takeNode(const StoredItem &item);
-    void refused(const StoredItem &item, const std::string &problem) const;
 
     void heard(const Gossip &message);
     void takeOwnLoads(OwnLoads own);
@@ -85,10 +86,7 @@
     void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
     void noteLiveNodes();
     void shortenQuietTime();
-    void takeContextNews(FleetUpdate update);
     void noteLoading();
-    void keepStores();
-    void free(const FreeParts &action);
     bool inDoubt() const;
     void tell(FleetUpdate update);
     void flushUpdates();
@@ -104,8 +102,8 @@
     StoreLink m_store;
     OwnKey m_ownKey;
     OrderDuty m_orders;
-    ContextWatch m_contexts;
-    StoreKeeper m_keeper;
+    ContextKeeping m_contexts;
+    DocumentReader m_documents;
     PeerLinks m_peers;
     SmallServer m_readyServer;
     SmallServer m_replicaServer;
@@ -118,7 +116,6 @@
     std::deque<FleetUpdate> m_waiting; // updates that did not fit
     std::map<std::string, WeightHistory> m_weights; // by model
     std::map<std::string, TimePoint> m_lastOrders; // to engines, by the node that sent them
-    std::uint64_t m_configVersion = 0;
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
     bool m_isLeaving = false; // nothing runs any more
@@ -135,9 +132,6 @@
     TimePoint m_nextSeedAsk{};
     TimePoint m_aheadSince{}; // since a peer is ahead of this node's copy
     bool m_isBehind = false;
-    std::map<std::string, ContextStore> m_contextStores; // by name
-    std::chrono::milliseconds m_engineClock{0}; // as told last
-    TimePoint m_engineClockTold{};
 };
 
 } // namespace fordwood::node
--- /dev/null
+++ b/src/node/document_reader.cpp
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: MIT
+#include "node/document_reader.hpp"
+
+#include "adapters/observe/event_log.hpp"
+#include "platform/documents.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+constexpr std::string_view kNodePrefix = "fordwood/nodes/";
+
+} // namespace
+
+std::string DocumentReader::nodeKey(const std::string &node)
+{
+    return std::string(kNodePrefix) + node;
+}
+
+void DocumentReader::read(const StoredItem &item, bool mayBeExpiry)
+{
+    switch (platform::kindOf(item.key)) {
+    case platform::DocumentKind::Configuration:
+        readConfiguration(item);
+        break;
+    case platform::DocumentKind::WeightVersion:
+        readWeights(item);
+        break;
+    case platform::DocumentKind::Upstream:
+        readUpstream(item, mayBeExpiry);
+        break;
+    case platform::DocumentKind::Other:
+        if (item.key.starts_with(kNodePrefix))
+            readNode(item);
+        break;
+    }
+}
+
+void DocumentReader::refuse(const StoredItem &item, const std::string &problem)
+{
+    logEvent(Event::StoredValueRefused,
+             {{"key", item.key}, {"revision", item.revision}, {"error", problem}});
+    m_metrics.count("fordwood_stored_values_refused_total");
+}
+
+void DocumentReader::readConfiguration(const StoredItem &item)
+{
+    if (!item.value)
+        return; // operators replace a configuration, they never take it away
+    auto config = platform::readConfiguration(*item.value);
+    if (!config) {
+        refuse(item, config.error().problem);
+        return;
+    }
+    if (config->version < m_configVersion) {
+        logEvent(Event::OlderHeadSeen, {{"version", config->version}, {"held", m_configVersion}});
+        return;
+    }
+    m_configVersion = config->version;
+    logEvent(Event::ConfigurationApplied, {{"version", config->version},
+                                           {"revision", item.revision},
+                                           {"routes", config->routes.size()},
+                                           {"teams", config->teams.size()}});
+    m_listener.configurationRead(std::move(*config));
+}
+
+void DocumentReader::readWeights(const StoredItem &item)
+{
+    if (!item.value)
+        return;
+    const auto named = platform::readWeightVersion(*item.value);
+    if (!named) {
+        refuse(item, named.error().problem);
+        return;
+    }
+    logEvent(Event::WeightsNamed,
+             {{"model", named->model}, {"weights", named->version}, {"revision", item.revision}});
+    m_listener.weightsNamed(named->model, named->version);
+}
+
+void DocumentReader::readUpstream(const StoredItem &item, bool mayBeExpiry)
+{
+    const std::string id = platform::instanceIdOf(item.key);
+    if (!item.value) {
+        logEvent(mayBeExpiry ? Event::UpstreamExpired : Event::UpstreamGone,
+                 {{"upstream", id}, {"revision", item.revision}});
+        m_listener.upstreamRemoved(id, mayBeExpiry);
+        return;
+    }
+    auto record = platform::readUpstream(item.key, *item.value);
+    if (!record) {
+        refuse(item, record.error().problem);
+        return;
+    }
+    logEvent(record->draining ? Event::UpstreamDraining : Event::UpstreamReady,
+             {{"upstream", id},
+              {"service", record->service},
+              {"address", record->address},
+              {"revision", item.revision}});
+    m_listener.upstreamWritten(std::move(*record));
+}
+
+void DocumentReader::readNode(const StoredItem &item)
+{
+    const std::string node = item.key.substr(kNodePrefix.size());
+    if (!item.value) {
+        m_listener.nodeRemoved(node);
+        return;
+    }
+    const auto address = decodePeerAddress(*item.value);
+    if (address)
+        m_listener.nodeWritten(node, *address);
+    else
+        refuse(item, "is no address of a node");
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/document_reader.hpp
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_DOCUMENT_READER_HPP_INCLUDED
+#define FORDWOOD_NODE_DOCUMENT_READER_HPP_INCLUDED
+
+#include <cstdint>
+#include <string>
+
+#include "adapters/observe/metrics.hpp"
+#include "fordwood/serving_config.hpp"
+#include "fordwood/store_replica.hpp"
+#include "fordwood/upstream_record.hpp"
+#include "node/peer_messages.hpp"
+
+namespace fordwood::node {
+
+// Takes what stands in the platform's store, read and checked.
+class DocumentListener
+{
+public:
+    virtual ~DocumentListener() = default;
+
+    virtual void configurationRead(ServingConfig config) = 0;
+    virtual void weightsNamed(const std::string &model, std::uint64_t version) = 0;
+    virtual void upstreamWritten(UpstreamRecord record) = 0;
+    virtual void upstreamRemoved(const std::string &instanceId, bool mayBeExpiry) = 0;
+    virtual void nodeWritten(const std::string &node, const PeerAddress &address) = 0;
+    virtual void nodeRemoved(const std::string &node) = 0;
+};
+
+// Reads the values of the platform's store. One that cannot be read is logged and counted, and what
+// was known before stays in force; so does a configuration that is newer than the one read.
+class DocumentReader
+{
+public:
+    DocumentReader(adapters::Metrics &metrics, DocumentListener &listener)
+        : m_metrics(metrics), m_listener(listener)
+    { }
+
+    // `mayBeExpiry`: a removal may be a lease that ran out while the store was away.
+    void read(const StoredItem &item, bool mayBeExpiry);
+
+    // The key by which a node's peers find it.
+    static std::string nodeKey(const std::string &node);
+
+private:
+    void readConfiguration(const StoredItem &item);
+    void readWeights(const StoredItem &item);
+    void readUpstream(const StoredItem &item, bool mayBeExpiry);
+    void readNode(const StoredItem &item);
+    void refuse(const StoredItem &item, const std::string &problem);
+
+    adapters::Metrics &m_metrics;
+    DocumentListener &m_listener;
+    std::uint64_t m_configVersion = 0;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_DOCUMENT_READER_HPP_INCLUDED
--- /dev/null
+++ b/src/node/refusal.cpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+#include "node/refusal.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace fordwood::node {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+
+unsigned statusOf(const Verdict &verdict)
+{
+    const auto status = static_cast<unsigned>(info(verdict.reason).httpStatus);
+    if (verdict.state == RunState::NotRun)
+        return status >= kFirstServerError ? kUnavailable : status;
+    return status == kUnavailable ? kBadGateway : status;
+}
+
+// Seconds with a fraction, as callers read them.
+std::string secondsText(std::chrono::milliseconds time)
+{
+    std::array<char, 32> text{};
+    const int n = std::snprintf(text.data(), text.size(), "%.3f",
+                                std::chrono::duration<double>(time).count());
+    return {text.data(), static_cast<std::size_t>(n)};
+}
+
+} // namespace
+
+Refusal makeRefusal(const Verdict &verdict)
+{
+    Refusal refusal;
+    refusal.head.result(statusOf(verdict));
+    refusal.head.version(11);
+    refusal.head.set(http::field::content_type, "application/json");
+    if (refusal.head.result_int() == kUnavailable && verdict.retryAfter.count() > 0)
+        refusal.head.set(http::field::retry_after, secondsText(verdict.retryAfter));
+    refusal.body = R"({"error":{"code":")" + std::string(info(verdict.reason).name) + R"("}})";
+    return refusal;
+}
+
+} // namespace fordwood::node
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "node/peer_messages.hpp"
+#include "node/refusal.hpp"
 #include "platform/caller_messages.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
@@ -288,6 +289,24 @@
     CHECK(list->news.restated);
 }
 
+TEST_CASE("refusals: a status that promises \"not run\" stands only where that is true [not-run]")
+{
+    for (const ReasonInfo &it : kReasons) {
+        INFO(it.name);
+        Verdict verdict = Verdict::of(it.reason, {}, 250ms);
+        verdict.state = RunState::MayHaveRun;
+        const node::Refusal unsure = node::makeRefusal(verdict);
+        CHECK(unsure.head.result_int() != 503);
+        CHECK(unsure.head.find("Retry-After") == unsure.head.end());
+        verdict.state = RunState::NotRun;
+        const node::Refusal refusal = node::makeRefusal(verdict);
+        CHECK(refusal.head.result_int() != 502);
+        CHECK(refusal.head.result_int() != 504);
+        if (refusal.head.result_int() == 503)
+            CHECK(std::string(refusal.head["Retry-After"]) == "0.250");
+    }
+}
+
 TEST_CASE("peers: messages survive their encoding; other bytes are none [peers][bad-input]")
 {
     node::Gossip message;
--- a/tests/support/world_keys.cpp
+++ b/tests/support/world_keys.cpp
@@ -84,10 +84,6 @@
     const KeyHolder self{fleet.member(index).name, fleet.boot(index)};
     const HandedKeys handed = m_nodes[static_cast<std::size_t>(index)].keys->close();
     const Holders seen = holdersSeenBy(index, false);
-    std::map<int, HandedKeys> bySuccessor;
-    for (const HandedKey &it : handed.keys)
-        bySuccessor[indexOf(seen.of(keyPartition(it.key.team, it.key.text)).node)].keys.push_back(
-            it);
     const auto successor = [&](std::uint32_t partition) {
         const KeyHolder to = seen.of(partition);
         const int target = indexOf(to.node);
@@ -95,7 +91,9 @@
                            && fleet.boot(target) == to.boot;
         return there ? to : KeyHolder{};
     };
-    for (const auto &[target, keys] : bySuccessor) {
+    const auto successorIndex
+        = [&](std::uint32_t partition) { return indexOf(seen.of(partition).node); };
+    for (const auto &[target, keys] : groupBySuccessor(handed, successorIndex)) {
         if (target >= 0 && m_size.mutation != Mutation::HandsOverTenuresOnly)
             post(target, [keys = keys](Node &it) { it.keys->takeOver(keys); });
     }
