--- a/src/core/engine_groups.cpp
+++ b/src/core/engine_groups.cpp
@@ -68,6 +68,7 @@
     const std::size_t n = std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(needed)), 1,
                                                   std::max<std::size_t>(most, 1));
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(engines.size());
     for (const UpstreamRecord *it : engines)
         hashes.push_back(stableHash(it->instanceId));
     std::set<std::string> chosen;
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -14,6 +14,7 @@
 #include "node/caller_port.hpp"
 #include "node/http_channel.hpp"
 #include "node/traffic.hpp"
+#include "node/upstream_attempt.hpp"
 #include "platform/caller_messages.hpp"
 
 namespace fordwood::node {
@@ -43,23 +44,6 @@
     void channelFailed(const ChannelFailure &failure) override;
 
 private:
-    // What is under way at one upstream.
-    struct Attempt
-    {
-        UpstreamRecord upstream;
-        RequestLoad load;
-        EngineChoice engine; // of requests to engines
-        std::chrono::milliseconds fetchUntil{0}; // by the engines' clock
-        std::shared_ptr<HttpChannel> channel;
-        TimePoint begun{};
-        bool isOpen = true;
-        bool sent = false;
-        bool computed = false; // the answer has begun
-        platform::AnswerHead head;
-        std::optional<http::response_header<>> answer;
-        std::string body; // of an answer that is passed on whole
-    };
-
     bool admit(); // false: the request has been refused
     void attempt();
     bool choose();
@@ -96,7 +80,7 @@
     const ServingTeam *m_team = nullptr;
     const ServicePool *m_pool = nullptr;
     CallPlan m_plan{CallTerms{}};
-    std::optional<Attempt> m_attempt;
+    std::optional<UpstreamAttempt> m_attempt;
     net::steady_timer m_deadline;
     net::steady_timer m_retry; // while no upstream may be used
     EventSplitter m_events;
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -17,7 +17,7 @@
 HttpChannel::HttpChannel(net::io_context &context) : m_socket(context) { }
 
 void HttpChannel::connect(const tcp::endpoint &endpoint, Duration patience, Duration silence,
-                          std::function<void(const ErrorCode &)> done)
+                          const std::function<void(const ErrorCode &)> &done)
 {
     ErrorCode ec;
     m_socket.open(endpoint.protocol(), ec);
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -54,7 +54,7 @@
 
     // Connects within `patience`; `done` is told whether it came up.
     void connect(const tcp::endpoint &endpoint, Duration patience, Duration silence,
-                 std::function<void(const ErrorCode &)> done);
+                 const std::function<void(const ErrorCode &)> &done);
 
     // Sends a request and reads its answer. The reader must outlive the exchange or cancel it.
     void exchange(http::request_header<> head, std::shared_ptr<const std::string> body,
