--- a/src/node/small_server.hpp
+++ b/src/node/small_server.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "node/http_call.hpp"
 #include "node/net.hpp"
 
@@ -31,6 +33,7 @@
 
     net::io_context &m_context;
     tcp::acceptor m_acceptor;
+    net::steady_timer m_pause; // after a failed accept
     Answer m_answer;
 };
 
