A read that is given up keeps its buffer until its handler has run; the clock of the node's own calls is the clock port

Found by reading: a caller whose head did not arrive in time was answered while the read was still pending on memory that the answer freed. The test sends such heads; it passes before as well, since what is freed is seldom reused at once.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -92,17 +92,18 @@
 void CallerSession::readHead()
 {
     const CallerLimits now = limits();
-    m_reading = std::make_unique<Reading>(std::move(m_left));
+    m_reading = std::make_shared<Reading>(std::move(m_left));
     m_left = {};
     m_reading->begun = m_traffic.clock().now();
     m_reading->parser.header_limit(static_cast<std::uint32_t>(now.maxHeaderBytes));
     m_reading->parser.body_limit(now.maxBodyBytes);
     setTimer(now.headerTimeout, &CallerSession::readTooSlow);
-    http::async_read_header(m_socket, m_reading->buffer, m_reading->parser,
-                            [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
-                                if (!self->m_isClosed)
-                                    self->takeHead(ec);
-                            });
+    http::async_read_header(
+        m_socket, m_reading->buffer, m_reading->parser,
+        [self = shared_from_this(), kept = m_reading](const ErrorCode &ec, std::size_t) {
+            if (!self->m_isClosed && kept == self->m_reading)
+                self->takeHead(ec);
+        });
 }
 
 void CallerSession::takeHead(const ErrorCode &ec)
@@ -122,18 +123,19 @@
                      [self = shared_from_this()](const ErrorCode &writeEc, std::size_t) {
                          if (writeEc)
                              self->close();
-                         else if (!self->m_isClosed)
+                         else if (!self->m_isClosed && self->m_reading)
                              self->readBody();
                      });
 }
 
 void CallerSession::readBody()
 {
-    http::async_read(m_socket, m_reading->buffer, m_reading->parser,
-                     [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
-                         if (!self->m_isClosed)
-                             self->takeRequest(ec);
-                     });
+    http::async_read(
+        m_socket, m_reading->buffer, m_reading->parser,
+        [self = shared_from_this(), kept = m_reading](const ErrorCode &ec, std::size_t) {
+            if (!self->m_isClosed && kept == self->m_reading)
+                self->takeRequest(ec);
+        });
 }
 
 void CallerSession::takeRequest(const ErrorCode &ec)
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -76,7 +76,7 @@
     tcp::socket m_socket;
     net::steady_timer m_timer;
     Ended m_ended;
-    std::unique_ptr<Reading> m_reading;
+    std::shared_ptr<Reading> m_reading; // kept by a read until its handler has run
     boost::beast::flat_buffer m_left; // bytes of the next request
     std::shared_ptr<CallRun> m_run;
     std::deque<std::string> m_outgoing;
--- a/src/node/http_caller.cpp
+++ b/src/node/http_caller.cpp
@@ -138,7 +138,7 @@
 {
     const auto [begin, end] = m_idle.equal_range(address);
     std::shared_ptr<HttpChannel> found;
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = m_clock.now();
     for (auto it = begin; it != end && !found;) {
         if (now - it->second.since < kLongestRest && it->second.channel->isReusable())
             found = it->second.channel;
@@ -149,7 +149,7 @@
 
 void HttpCaller::keep(const std::string &address, std::shared_ptr<HttpChannel> channel)
 {
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = m_clock.now();
     std::erase_if(m_idle, [&](const auto &it) { return now - it.second.since >= kLongestRest; });
     if (channel->isReusable() && m_idle.count(address) < kMostIdle)
         m_idle.emplace(address, Idle{std::move(channel), now});
--- a/src/node/http_caller.hpp
+++ b/src/node/http_caller.hpp
@@ -20,7 +20,8 @@
 public:
     using Done = std::function<void(const HttpResult &)>;
 
-    explicit HttpCaller(net::io_context &context) : m_context(context) { }
+    HttpCaller(net::io_context &context, const Clock &clock)
+        : m_context(context), m_clock(clock) { }
 
     void send(const HttpCall &call, Duration patience, Done done);
 
@@ -39,6 +40,7 @@
     void keep(const std::string &address, std::shared_ptr<HttpChannel> channel);
 
     net::io_context &m_context;
+    const Clock &m_clock;
     std::multimap<std::string, Idle> m_idle; // by address
 };
 
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -91,13 +91,15 @@
                         {"kind", kind},      {"service", "board"},     {"timeout-ms", 5000},
                         {"max-attempts", 2}, {"resumable", resumable}, {"target-latency-ms", 400}};
         };
-        Json config{{"version", version},
-                    {"routes",
-                     {route(prefix.c_str(), "safe", false), route("/once/", "unsafe", false),
-                      route("/stream/", "streaming", true)}},
-                    {"services", {{{"name", "board"}, {"max-connections", 100}}}},
-                    {"limits", {{"max-header-bytes", 4096}, {"max-body-bytes", 10000}}},
-                    {"tenants", {{{"name", "t"}, {"api-keys", {"key-t"}}}}}};
+        Json config{
+            {"version", version},
+            {"routes",
+             {route(prefix.c_str(), "safe", false), route("/once/", "unsafe", false),
+              route("/stream/", "streaming", true)}},
+            {"services", {{{"name", "board"}, {"max-connections", 100}}}},
+            {"limits",
+             {{"max-header-bytes", 4096}, {"max-body-bytes", 10000}, {"header-timeout-ms", 300}}},
+            {"tenants", {{{"name", "t"}, {"api-keys", {"key-t"}}}}}};
         store.put("op/config", config.dump());
     }
 
@@ -216,6 +218,20 @@
     CHECK(fleet.metric("fordwood_refusals_total{reason=\"malformed-request\"}") >= 5);
 }
 
+TEST_CASE("node: a head that does not arrive whole is refused, and what follows late harms nobody "
+          "[node][bad-input]")
+{
+    Deployment fleet;
+    fleet.start();
+    const std::string part = "POST /once/1 HTTP/1.1\r\nHost: a.example\r\n";
+    for (int n = 0; n < 20; ++n) {
+        const std::string answer = rawCall(fleet.host(0) + ":8080", part);
+        CHECK(answer.find(" 408 ") != std::string::npos);
+    }
+    CHECK(fleet.call("GET", "/safe/1", "r-1").status == 200);
+    CHECK(fleet.metric("fordwood_refusals_total{reason=\"read-timeout\"}") == 20);
+}
+
 TEST_CASE("node: a request inside the body of another is not run [node][bad-input]")
 {
     Deployment fleet;
