--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "fordwood/clock.hpp"
@@ -88,6 +87,11 @@
                              const std::string &failureDomain);
 
 private:
+    struct Save
+    {
+        TimePoint since{};
+        std::size_t tokens = 0;
+    };
     struct Store
     {
         ContextStore config;
@@ -96,9 +100,8 @@
         TimePoint answered = TimePoint::min();
         std::unordered_map<std::string, std::size_t> parts; // tokens by salt and part
         std::size_t tokens = 0; // of all parts
-        std::map<std::string, TimePoint> saves; // under way, by salt and part
+        std::map<std::string, Save> saves; // under way, by salt and part
         std::size_t tokensOfSaves = 0;
-        std::map<std::string, std::size_t> saveTokens;
     };
 
     bool isKept(const std::string &salt) const;
--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -5,17 +5,19 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "fordwood/call.hpp"
-#include "fordwood/ceiling_gate.hpp"
+#include "fordwood/call_candidates.hpp"
 #include "fordwood/clock.hpp"
 #include "fordwood/contention.hpp"
 #include "fordwood/fleet_view.hpp"
+#include "fordwood/key_claims.hpp"
+#include "fordwood/permits_in_use.hpp"
 #include "fordwood/retry_budget.hpp"
+#include "fordwood/team_admission.hpp"
 
 namespace fordwood {
 
@@ -55,10 +57,13 @@
 // The life of every call on one entry node, from its arrival to its end: which upstream, permit,
 // send, and after a failure whether it may be sent again. Events in, actions out; no I/O and no
 // threads. Every call that began ends exactly once: by finished(), or by one EndCall action.
-class Dispatcher
+class Dispatcher : private TeamAdmission::Listener
 {
 public:
     Dispatcher(const Clock &clock, DispatcherLimits limits);
+    // Its parts add to the actions of this one object.
+    Dispatcher(const Dispatcher &) = delete;
+    Dispatcher &operator=(const Dispatcher &) = delete;
 
     // Replaces the view of the fleet. Calls under way go on; owners that are new hear of them.
     void setView(std::shared_ptr<const FleetView> view);
@@ -70,7 +75,7 @@
     void permitAnswered(const std::string &owner, const PermitReply &reply);
 
     // The holder of a key has answered a claim.
-    void claimAnswered(const std::string &holder, std::uint64_t claimId, const ClaimAnswer &answer);
+    void claimAnswered(std::uint64_t claimId, const ClaimAnswer &answer);
 
     // The owner of a team has answered an ask for a part of its ceiling.
     void allowanceAnswered(const std::string &team, std::uint64_t askId,
@@ -102,92 +107,56 @@
 private:
     enum class Stage : std::uint8_t { Claiming, Admitting, Asking, Sent };
 
-    struct Held // a permit in use
-    {
-        std::string owner; // empty: taken without one
-        std::uint64_t permitId = 0;
-        std::string upstream;
-        bool direct = false; // sent without asking, since there is no contention
-    };
     struct Call
     {
         CallRequest request;
         Stage stage = Stage::Asking;
         unsigned attempt = 0;
-        std::vector<const UpstreamConfig *> candidates;
-        std::vector<std::string> full; // upstreams that refused the call for want of a place
-        std::vector<std::string> broken; // upstreams at which an attempt failed
-        std::shared_ptr<const FleetView> view; // keeps the candidates alive
-        std::size_t next = 0; // candidate asked now
-        std::size_t soonest = 0; // of the candidates that had no place
-        Duration soonestIn = Duration::max();
-        bool queueing = false; // the ask now open may wait at the owner
-        std::uint64_t askId = 0;
+        CallCandidates candidates;
+        std::uint64_t askId = 0; // while an ask is open
         std::string askedOwner;
         TimePoint asked{};
         TimePoint askedUntil{};
-        std::optional<Held> held;
-        std::uint64_t claimId = 0; // while a claim is open
-        std::string claimHolder;
-        TimePoint claimUntil{};
-        int redirections = 0;
-        std::vector<std::string> mismatched; // upstreams that served another weight version
-        bool claimed = false;
         bool entered = false; // counts against the ceiling of its team
         Verdict last; // why the call has not been answered yet
         bool mayHaveRun = false; // by any attempt so far
         std::optional<std::uint64_t> resumeFrom; // events that the caller has already
     };
 
+    // TeamAdmission::Listener
+    void entered(CallId call) override;
+    void refused(CallId call) override;
+
     void admit(Call &call);
-    void askAllowance(const std::string &team);
-    void settleAdmitting(const std::string &team);
-    template <typename Matches>
-    void giveUpAllowances(Matches matches);
     void forget(CallId id);
     void claim(Call &call, const Member *holder);
-    void dropClaim(Call &call);
     void choose(Call &call);
-    std::vector<const UpstreamConfig *> candidatesFor(const Call &call) const;
     void ask(Call &call);
     void askNext(Call &call, const Verdict &why);
     void askAgain(Call &call, const std::string &asked, const Verdict &why);
     void fallBack(Call &call);
     bool maySendDirectly(const UpstreamConfig &upstream, const Call &call);
-    void send(Call &call, Held held, TimePoint sendBy);
+    void send(Call &call, TimePoint sendBy);
     static bool isFree(const Call &call, const AttemptFailure &failure, bool sentDirectly);
     void renewVersion(Call &call) const;
-    const Member *ownerOf(const Held &held) const;
-    void holdAtOwner(Call &call, const Member &owner);
-    void holdAgain(const Member &owner);
-    void releaseHeld(Call &call, double cost, bool pushedBack = false);
     void withdraw(Call &call);
+    void endLate(Call &call);
     void end(CallId id, const Verdict &verdict);
     bool takeRetry(const Call &call, Reason reason);
-    std::size_t localAllowance(const UpstreamConfig &upstream) const;
-    const UpstreamConfig *current(const Call &call) const;
     Call *find(CallId id, unsigned attempt);
 
     const Clock &m_clock;
-    DispatcherLimits m_limits;
+    const DispatcherLimits m_limits;
     std::shared_ptr<const FleetView> m_view;
+    std::vector<Action> m_actions;
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<std::uint64_t, CallId> m_asks;
-    std::unordered_map<std::uint64_t, CallId> m_claims;
-    std::set<std::string> m_lostOwners; // that have not been asked since
-    std::map<std::string, std::size_t> m_localInUse; // by upstream
+    std::uint64_t m_nextAsk = 1;
     std::map<std::string, RetryBudget> m_budgets; // by team
     Contention m_contention; // by model or service
-    struct AllowanceWait // an open ask
-    {
-        std::string owner;
-        TimePoint until;
-    };
-    CeilingGate m_gate;
-    std::map<std::string, AllowanceWait> m_allowanceAsks; // by team
-    std::map<std::string, std::vector<CallId>> m_admitting; // by team, in order
-    std::vector<Action> m_actions;
-    std::uint64_t m_nextAsk = 1;
+    KeyClaims m_claims;
+    TeamAdmission m_admission;
+    PermitsInUse m_permits;
     bool m_stopping = false;
 };
 
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -80,19 +80,25 @@
                                        ContextDirectory &contexts) const;
 
 private:
-    struct Rated
+    // What does not differ between engines that serve the same weights.
+    struct Weights
     {
-        const UpstreamRecord *engine = nullptr;
         std::uint64_t version = 0;
         std::string salt;
+        ContextDirectory::Holder holder; // the store with the context; without address: none
+        double cost = 0.0; // of answers on them
+    };
+    struct Rated
+    {
+        const UpstreamRecord *engine = nullptr;
+        const Weights *weights = nullptr;
         bool isHome = false;
-        bool isStored = false;
         bool holdsContext = false;
         UpstreamLoad load;
         double cost = 0.0;
     };
 
-    // What does not differ between the engines.
+    // What does not differ between engines at all.
     struct Terms
     {
         bool isShort = false;
@@ -108,8 +114,9 @@
     double waitingCost(const UpstreamLoad &load, const Terms &terms,
                        const Question &question) const;
     double versionCost(std::uint64_t version, const WeightHistory &weights) const;
-    double contextCost(const Rated &rated, const Terms &terms, const Question &question,
-                       const LoadBook &loads, const ContextDirectory &contexts) const;
+    Weights weightsOf(std::uint64_t version, const Question &question,
+                      const ContextDirectory &contexts) const;
+    static double contextCost(const Rated &rated, const Terms &terms, const LoadBook &loads);
     EngineChoice complete(const Rated &rated, const Terms &terms, const Question &question,
                           ContextDirectory &contexts) const;
 
--- a/include/fordwood/rendezvous.hpp
+++ b/include/fordwood/rendezvous.hpp
@@ -19,6 +19,13 @@
 // Nodes are given by the stable hashes of their names.
 int rendezvousWinner(std::uint64_t keyHash, const std::vector<std::uint64_t> &nodeHashes);
 
+// How many of the other nodes rank before a node for the key, by name: zero for the first.
+std::size_t rendezvousRank(std::uint64_t keyHash, const std::string &node,
+                           const std::vector<std::string> &others);
+
+// A hash as a fraction of its range, from 0 to below 1: for choices by weight.
+double hashFraction(std::uint64_t hash);
+
 // Indices of the first `count` nodes in rendezvous order for the key.
 std::vector<std::size_t> rendezvousOrder(std::uint64_t keyHash,
                                          const std::vector<std::uint64_t> &nodeHashes,
--- a/include/fordwood/replicator.hpp
+++ b/include/fordwood/replicator.hpp
@@ -2,8 +2,6 @@
 #ifndef FORDWOOD_REPLICATOR_HPP_INCLUDED
 #define FORDWOOD_REPLICATOR_HPP_INCLUDED
 
-#include <deque>
-#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -13,20 +11,16 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/config_head.hpp"
+#include "fordwood/configuration_copy.hpp"
 #include "fordwood/liveness.hpp"
+#include "fordwood/member_table.hpp"
+#include "fordwood/peer_table.hpp"
 #include "fordwood/spreading_tree.hpp"
 #include "fordwood/submission.hpp"
 #include "fordwood/vm_list.hpp"
 
 namespace fordwood {
 
-// Bytes named by their digest.
-struct Blob
-{
-    std::string sha256;
-    std::string bytes;
-};
-
 // What one node tells another. Most carry only the first two fields: a heartbeat.
 struct PeerUpdate
 {
@@ -83,6 +77,8 @@
     std::vector<Member> members; // listed and not suspected
     std::set<std::string> leavingUpstreams;
     std::size_t listed = 0; // members that the platform lists, suspected or not
+
+    bool operator==(const ApplyMembers &) const = default;
 };
 
 // Something an operator should hear of.
@@ -144,96 +140,76 @@
     // Actions since the last call, in order.
     std::vector<ReplicatorAction> takeActions();
 
-    const ConfigHead &head() const { return m_head; }
-    const VmList &list() const { return m_list; }
+    const ConfigHead &head() const { return m_configuration.head(); }
+    const VmList &list() const { return m_members.list(); }
     bool isRelay() const { return m_place.relay; }
     bool readsPlatform() const { return m_reading; }
-    std::size_t links() const { return m_links.size(); }
-    bool isSuspected(const std::string &member) const { return m_liveness.isSuspected(member); }
+    std::size_t links() const { return m_peers.links().size(); }
+    bool isSuspected(const std::string &member) const { return m_members.isSuspected(member); }
     // When the process of a member was started, as far as known; zero otherwise.
-    std::uint64_t bootOf(const std::string &member) const;
+    std::uint64_t bootOf(const std::string &member) const { return m_members.bootOf(member); }
     // The members that this node counts on: listed and not suspected.
-    std::vector<Member> members() const;
+    std::vector<Member> members() const { return m_members.members(); }
 
 private:
-    struct Link
+    // Who offered the configuration that is being collected, and how its parts were asked for.
+    struct Collecting
     {
-        TimePoint lastHeard{};
-        TimePoint lastSent{};
-        std::uint64_t headVersion = 0; // newest that the peer is known to have
-        std::uint64_t listRevision = 0;
-    };
-    // A configuration that is not whole yet.
-    struct Pending
-    {
-        ConfigHead head;
-        std::string from; // peer that offered it; empty: the platform
-        std::optional<std::vector<StoredPiece>> pieces; // without texts until all are there
+        std::string from; // a peer; empty: the platform
         TimePoint askedAt{};
         std::size_t tries = 0;
     };
+    // A version that a peer has and this node was not sent yet.
+    struct Newer
+    {
+        std::uint64_t version = 0;
+        std::string peer;
+        TimePoint since{};
+    };
 
+    // Configuration
     void offerHead(const ConfigHead &head, const std::string &from);
     bool mustHearPeersFirst() const;
-    bool applyByDelta(const ConfigHead &head);
     void askForParts();
-    void takeBlob(const Blob &blob);
-    void completePending();
-    void apply(ConfigHead head, std::vector<StoredPiece> pieces);
+    void takeBlobs(const std::vector<Blob> &blobs);
+    void applied();
+    void announceHead();
+    bool getsWholeChanges(const std::string &peer) const;
+    void askForNewer();
+    // VM list and members
     void offerList(const VmList &list, const std::string &from);
     void takeListDelta(const VmListDelta &delta, const std::string &from);
     void takeLiveness(const std::vector<LivenessRecord> &records, const std::string &from);
     void suspect(const std::string &member);
     void spreadLiveness(const std::vector<LivenessRecord> &records, const std::string &except);
-    void announceSelf();
-    void announceHead();
-    bool getsWholeChanges(const std::string &peer) const;
-    void askForNewer();
     void changed();
     void rearrange();
+    // Links
+    void answer(const std::string &peer, PeerTable::Link &link, const PeerUpdate &update);
+    void noteNewer(const std::string &peer, const PeerUpdate &update);
     void heartbeat();
     void lookForSilence();
     void lookForOrphanhood();
     void setReading(bool enabled);
     PeerUpdate baseUpdate() const;
     void send(const std::string &peer, PeerUpdate update);
-    std::optional<std::string> blobOf(const std::string &sha256) const;
-    std::string someLink(std::size_t n) const;
-    const Member *listed(const std::string &name) const;
 
-    Member m_self;
-    std::uint64_t m_incarnation;
+    const Member m_self;
     const Clock &m_clock;
-    const HeadCodec &m_codec;
-    ReplicatorLimits m_limits;
+    const ReplicatorLimits m_limits;
     std::mt19937_64 m_random;
-    ConfigHead m_head;
-    std::vector<StoredPiece> m_pieces;
-    std::string m_manifest; // encoded
-    VmList m_list;
-    LivenessTable m_liveness;
-    struct Newer // a version that a peer has and this node was not sent yet
-    {
-        std::uint64_t version = 0;
-        std::string peer;
-        TimePoint since{};
-    };
-
+    ConfigurationCopy m_configuration;
+    MemberTable m_members;
+    PeerTable m_peers;
+    SpreadingPlace m_place;
+    Collecting m_collecting;
     std::optional<Newer> m_newer;
-    std::optional<Pending> m_pending;
     std::optional<ConfigHead> m_firstHead; // of the platform, until a peer has spoken
     TimePoint m_started{};
     bool m_heardPeer = false;
-    std::map<std::string, std::string> m_blobs; // parts of the pending configuration
-    std::map<std::string, Link> m_links;
-    std::map<std::string, TimePoint> m_silentSince; // expected peers without a link
-    std::set<std::string> m_expected; // peers from whom heartbeats are due
-    SpreadingPlace m_place;
-    std::vector<Member> m_lastMembers;
-    std::size_t m_lastListed = 0;
     bool m_membersChanged = false; // since the last call of takeActions()
-    std::set<std::string> m_lastLeaving;
-    std::vector<std::string> m_lastKept;
+    ApplyMembers m_lastMembers; // as last told
+    std::vector<std::string> m_lastKept; // links, as last told
     bool m_reading = false;
     bool m_stopping = false;
     std::optional<TimePoint> m_aloneSince;
--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -96,9 +96,6 @@
     std::vector<RolloutAction> tick(const std::optional<FencedLock::Holding> &holding,
                                     const LoadBook &loads);
 
-    // Whether any engine is behind its target.
-    bool hasWork() const;
-
     // The engines that load or are about to.
     std::set<std::string> loading() const;
 
--- a/src/adapters/grpc/permit_client.cpp
+++ b/src/adapters/grpc/permit_client.cpp
@@ -102,7 +102,7 @@
         for (const wire::Denial &it : m_incoming.denials())
             take(replyOf(it));
         for (const wire::ClaimReply &it : m_incoming.claim_replies())
-            m_listener.claimAnswered(m_owner, it.claim_id(), fromWire(it));
+            m_listener.claimAnswered(it.claim_id(), fromWire(it));
         for (const wire::AllowanceReply &it : m_incoming.allowances())
             m_listener.allowanceAnswered(it.team(), it.ask_id(),
                                          {it.amount(), std::chrono::milliseconds(it.life_ms())});
--- a/src/adapters/grpc/permit_client.hpp
+++ b/src/adapters/grpc/permit_client.hpp
@@ -22,9 +22,7 @@
     virtual bool replyArrived(const std::string &owner, const PermitReply &reply) = 0;
 
     // The holder of a key has answered a claim.
-    virtual void claimAnswered(const std::string &holder, std::uint64_t claimId,
-                               const ClaimAnswer &answer)
-        = 0;
+    virtual void claimAnswered(std::uint64_t claimId, const ClaimAnswer &answer) = 0;
 
     // The owner of a team has answered an ask for a part of its ceiling.
     virtual void allowanceAnswered(const std::string &team, std::uint64_t askId,
--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -9,7 +9,7 @@
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
-#include "adapters/threads/bounded_ring.hpp"
+#include "adapters/observe/log_queue.hpp"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -116,19 +116,9 @@
         m_thread.join();
     }
 
-    void push(EventLevel level, std::string line)
-    {
-        if (!m_lines.tryPush({level, std::move(line)}))
-            m_dropped.fetch_add(1);
-    }
+    void push(EventLevel level, std::string line) { m_lines.push({level, std::move(line)}); }
 
 private:
-    struct Line
-    {
-        EventLevel level = EventLevel::Info;
-        std::string text;
-    };
-
     // A busy node writes some hundred lines a second; more than this wait only in a storm.
     static constexpr std::size_t kMostWaiting = 4'096;
     static constexpr std::chrono::milliseconds kBatchEvery{50};
@@ -144,17 +134,15 @@
 
     void writeAll()
     {
-        while (auto line = m_lines.tryPop())
-            writeLine(line->level, line->text);
-        const std::uint64_t dropped = m_dropped.exchange(0);
+        const std::uint64_t dropped
+            = m_lines.drain([](const LogQueue::Line &it) { writeLine(it.level, it.text); });
         if (dropped > 0) {
             const EventInfo &info = infoOf(Event::LogLinesDropped);
             writeLine(info.level, lineOf(info, {{"lines", dropped}}));
         }
     }
 
-    BoundedRing<Line> m_lines;
-    std::atomic<std::uint64_t> m_dropped{0};
+    LogQueue m_lines;
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
 };
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -3,8 +3,6 @@
 
 #include <grpcpp/server_builder.h>
 
-#include "adapters/grpc/key_codec.hpp"
-#include "adapters/grpc/peer_codec.hpp"
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 
@@ -15,7 +13,6 @@
 using adapters::Event;
 using adapters::logEvent;
 
-constexpr std::size_t kRingSize = 16'384;
 constexpr Duration kBusyWait = std::chrono::milliseconds(20);
 constexpr Duration kIdleWait = std::chrono::milliseconds(200);
 constexpr Duration kReplicatorTick = std::chrono::milliseconds(200);
@@ -45,15 +42,17 @@
 } // namespace
 
 ControlNode::ControlNode(const config::Settings &settings)
-    : m_settings(settings), m_boot(bootOf(m_clock)), m_ring(kRingSize),
+    : m_settings(settings), m_boot(bootOf(m_clock)), m_inbox(m_metrics),
       m_replicator(selfOf(settings), m_boot, m_clock, m_codec, {},
                    stableHash(settings.node.name, m_boot)),
       m_book(m_clock), m_allowances(m_clock, {}), m_keys({settings.node.name, m_boot}, m_clock, {}),
-      m_permitService(*this), m_links(settings.node.name, *this),
-      m_platform(settings.platform, *this, m_metrics),
-      m_tenures(settings.platform.keyValue, settings.node.name, m_clock, *this, m_metrics),
-      m_loads(settings.platform.keyValue, settings.node.name, m_boot, m_clock, *this, m_metrics),
-      m_admin([this](const std::string &path) { return adminAnswer(m_metrics, path); })
+      m_permitService(m_inbox), m_links(settings.node.name, m_inbox),
+      m_platform(settings.platform, m_inbox, m_metrics),
+      m_tenures(settings.platform.keyValue, settings.node.name, m_clock, m_inbox, m_metrics),
+      m_loads(settings.platform.keyValue, settings.node.name, m_boot, m_clock, m_inbox, m_metrics),
+      m_desk(m_book, m_allowances, m_keys, m_permitService, m_metrics),
+      m_admin([this](const std::string &path) { return adminAnswer(m_metrics, path); }),
+      m_fleet(selfOf(settings))
 { }
 
 ControlNode::~ControlNode() = default;
@@ -92,7 +91,7 @@
 {
     const auto keys = std::make_shared<std::promise<HandedKeys>>();
     auto handed = keys->get_future();
-    pushSurely(StopEvent{keys});
+    m_inbox.stopRequested(keys);
     m_platform.stop();
     m_tenures.stop();
     m_tenures.handOver({m_settings.node.name, m_boot}, handed.get());
@@ -107,87 +106,10 @@
     m_server->Shutdown();
     m_server->Wait();
     m_stopping = true;
+    m_inbox.close();
     m_thread.join();
 }
 
-// ---------------------------------------------------------------- from the adapters
-
-void ControlNode::headRead(const ConfigHead &head)
-{
-    pushSurely(HeadEvent{head});
-}
-
-void ControlNode::listRead(const VmList &list)
-{
-    pushSurely(ListEvent{list});
-}
-
-void ControlNode::blobsRead(const std::vector<Blob> &blobs)
-{
-    pushSurely(BlobsEvent{blobs});
-}
-
-void ControlNode::platformReachable(bool reachable)
-{
-    pushSurely(ReachableEvent{reachable});
-}
-
-bool ControlNode::commandsArrived(HolderId holder, wire::PermitCommands commands)
-{
-    if (commands.releases().empty() && commands.withdrawals().empty()
-        && commands.claim_ends().empty()) {
-        const bool taken = m_ring.tryPush(CommandsEvent{holder, std::move(commands)});
-        if (!taken)
-            m_metrics.countRefusal(Reason::RingFull);
-        return taken;
-    }
-    // A release that got lost would block a place for as long as the stream lives.
-    pushSurely(CommandsEvent{holder, std::move(commands)});
-    return true;
-}
-
-void ControlNode::holderGone(HolderId holder)
-{
-    pushSurely(HolderGoneEvent{holder});
-}
-
-void ControlNode::linkUp(const std::string &peer)
-{
-    pushSurely(LinkEvent{peer, true});
-}
-
-void ControlNode::linkDown(const std::string &peer)
-{
-    pushSurely(LinkEvent{peer, false});
-}
-
-void ControlNode::updateArrived(const std::string &peer, PeerUpdate update)
-{
-    pushSurely(UpdateEvent{peer, std::move(update)});
-}
-
-void ControlNode::keysHanded(HandedKeys keys)
-{
-    pushSurely(KeysHandedEvent{std::move(keys)});
-}
-
-void ControlNode::engineHeld(const std::string &upstream, bool held)
-{
-    pushSurely(EngineHeldEvent{upstream, held});
-}
-
-void ControlNode::chainsLearned(std::map<std::uint32_t, TenureChain> chains)
-{
-    pushSurely(ChainsEvent{std::move(chains)});
-}
-
-// For events that must not be lost and whose threads may wait: never a caller's thread.
-void ControlNode::pushSurely(const ControlEvent &event)
-{
-    while (!m_ring.tryPush(event) && !m_stopping)
-        std::this_thread::sleep_for(std::chrono::milliseconds(1));
-}
-
 // ---------------------------------------------------------------- the control thread
 
 void ControlNode::run()
@@ -195,10 +117,10 @@
     TimePoint nextTick = m_clock.now();
     TimePoint nextReopen = m_clock.now() + kReopenLinks;
     while (!m_stopping) {
-        auto event = m_ring.pop(m_book.hasWaiting() ? kBusyWait : kIdleWait);
+        auto event = m_inbox.pop(m_book.hasWaiting() ? kBusyWait : kIdleWait);
         for (std::size_t n = 0; event; ++n) {
             std::visit([this](auto &it) { on(it); }, *event);
-            event = n < kEventsPerRound ? m_ring.tryPop() : std::nullopt;
+            event = n < kEventsPerRound ? m_inbox.tryPop() : std::nullopt;
         }
         const TimePoint now = m_clock.now();
         if (now >= nextTick) {
@@ -213,67 +135,18 @@
         }
         for (const ReplicatorAction &it : m_replicator.takeActions())
             carryOut(it);
-        sendPermits();
+        m_desk.sendPermits();
     }
 }
 
-void ControlNode::sendPermits()
-{
-    m_book.tick();
-    const auto answers = m_book.takeAnswers();
-    for (const PermitAnswer &it : answers) {
-        if (!it.granted)
-            m_metrics.countRefusal(it.reason);
-    }
-    m_permitService.send(answers);
-}
-
 void ControlNode::on(const CommandsEvent &event)
 {
-    for (const wire::Held &it : event.commands.held())
-        m_book.hold(event.holder, it.permit_id(), it.upstream(), it.team());
-    for (const wire::Release &it : event.commands.releases()) {
-        if (it.pushed_back())
-            m_book.pushedBack(event.holder, it.permit_id(), it.upstream());
-        else
-            m_book.release(event.holder, it.permit_id(), it.upstream(), it.cost());
-    }
-    for (const wire::Withdraw &it : event.commands.withdrawals())
-        m_book.withdraw(event.holder, it.ask_id(), it.upstream());
-    for (const wire::Ask &it : event.commands.asks()) {
-        PermitAsk ask;
-        ask.holder = event.holder;
-        ask.askId = it.ask_id();
-        ask.upstream = it.upstream();
-        ask.team = it.team();
-        ask.cost = it.cost();
-        ask.priority = it.priority();
-        ask.wait = std::chrono::milliseconds(it.wait_ms());
-        ask.prompt = {it.prefix_hash(), it.context_tokens(), it.question_tokens()};
-        m_book.ask(ask);
-    }
-    for (const wire::AllowanceAsk &it : event.commands.allowance_asks()) {
-        const AllowanceAsk ask{event.holder, it.ask_id(), it.team(), it.used(), it.wanted()};
-        const Allowance allowance = m_allowances.ask(ask);
-        if (allowance.amount < ask.wanted)
-            m_metrics.count("fordwood_allowances_short_total");
-        m_permitService.sendAllowance(ask, allowance);
-    }
-    for (const wire::ClaimEnd &it : event.commands.claim_ends())
-        m_keys.finish(event.holder, adapters::keyOf(it), static_cast<RunState>(it.state()),
-                      adapters::fromWire(it.answer()));
-    for (const wire::Claim &it : event.commands.claims()) {
-        const ClaimAnswer answer = m_keys.claim(event.holder, adapters::keyOf(it));
-        if (answer.decision == ClaimAnswer::Decision::Refuse)
-            m_metrics.countRefusal(answer.reason);
-        m_permitService.sendClaim(event.holder, it.claim_id(), answer);
-    }
+    m_desk.carryOut(event.holder, event.commands);
 }
 
 void ControlNode::on(const HolderGoneEvent &event)
 {
-    m_book.dropHolder(event.holder);
-    m_keys.dropClaimant(event.holder);
+    m_desk.drop(event.holder);
 }
 
 void ControlNode::on(const HeadEvent &event)
@@ -357,32 +230,26 @@
 void ControlNode::applyConfiguration(const ApplyConfiguration &action)
 {
     config::ConfigErrors errors;
-    auto configuration = m_assembler.assemble(action.pieces, errors);
-    if (!configuration) {
+    if (!m_fleet.apply(action, errors)) {
         logEvent(Event::ConfigurationDamaged,
                  {{"version", action.head.version},
                   {"error", errors.empty() ? "" : errors.front().toString()}});
         m_metrics.count("fordwood_configuration_damaged_total");
         return;
     }
-    m_configuration = std::move(configuration);
-    m_head = action.head;
-    m_pieces = action.pieces;
-    logEvent(Event::ConfigurationApplied, {{"version", m_head.version},
-                                           {"pieces", m_pieces.size()},
-                                           {"submission", m_head.submissionId}});
+    logEvent(Event::ConfigurationApplied, {{"version", m_fleet.head().version},
+                                           {"pieces", m_fleet.pieces().size()},
+                                           {"submission", m_fleet.head().submissionId}});
     rebuild();
 }
 
 void ControlNode::applyMembers(const ApplyMembers &action)
 {
-    if (action.members != m_members)
+    if (action.members != m_fleet.members())
         logEvent(Event::MembersChanged, {{"members", action.members.size()}});
-    if (action.leavingUpstreams != m_leavingUpstreams)
+    if (action.leavingUpstreams != m_fleet.leavingUpstreams())
         logEvent(Event::UpstreamsLeaving, {{"leaving", action.leavingUpstreams.size()}});
-    m_members = action.members;
-    m_listedMembers = action.listed;
-    m_leavingUpstreams = action.leavingUpstreams;
+    m_fleet.apply(action);
     rebuild();
 }
 
@@ -409,7 +276,7 @@
 {
     std::vector<TenureMember> members;
     std::map<std::string, std::uint64_t> boots;
-    for (const Member &it : m_members) {
+    for (const Member &it : m_fleet.members()) {
         const std::uint64_t boot
             = it.name == m_settings.node.name ? m_boot : m_replicator.bootOf(it.name);
         boots[it.name] = boot;
@@ -420,93 +287,41 @@
     m_tenures.setMembers(std::move(members));
 }
 
+// Tells the duties what follows from the configuration and the members in force.
 void ControlNode::rebuild()
 {
-    if (!m_configuration)
+    if (!m_fleet.hasConfiguration())
         return updateStatus();
-    const FleetView view(m_head.version, m_configuration, m_members, m_leavingUpstreams,
-                         m_settings.node.failureDomain, m_listedMembers);
-    std::vector<OwnedUpstream> owned;
-    for (const UpstreamConfig *it : view.ownedBy(selfOf(m_settings)))
-        owned.push_back({it->name, it->slots, view.isLeaving(it->name), it->prefillTokensPerSecond,
-                         static_cast<std::size_t>(it->cacheTokens)});
-    std::map<std::string, double> shares;
-    std::map<std::string, std::size_t> pools;
-    for (const auto &[name, it] : m_configuration->teams) {
-        shares[name] = it.share;
-        const Member *owner = it.maxRunning > 0 ? view.teamOwner(name) : nullptr;
-        if (owner != nullptr && owner->name == m_settings.node.name)
-            pools[name] = view.ceilingPool(it);
-    }
-    m_allowances.setPools(pools);
-    m_book.setShares(std::move(shares));
+    const std::vector<OwnedUpstream> owned = m_fleet.owned();
+    m_allowances.setPools(m_fleet.ceilingPools());
+    m_book.setShares(m_fleet.shares());
     m_book.setUpstreams(owned);
-    planLoads(owned);
-    publish();
+    m_loads.setPlan(m_fleet.loadPlan(owned));
+    m_controlService.publish(m_fleet.snapshot());
     updateStatus();
 }
 
-// Tells the load duty which weights the owned engines must serve.
-void ControlNode::planLoads(const std::vector<OwnedUpstream> &owned)
-{
-    LoadDuty::Plan plan;
-    plan.configVersion = m_head.version;
-    plan.mostAtOnce = m_configuration->limits.maxLoadsAtOnce;
-    plan.members = m_members.size();
-    for (const OwnedUpstream &it : owned) {
-        const UpstreamConfig &upstream = m_configuration->upstreams.at(it.name);
-        if (upstream.kind != UpstreamKind::Engine || it.leaving)
-            continue;
-        for (const std::string &model : upstream.models)
-            plan.targets.push_back({it.name, upstream.address, model,
-                                    m_configuration->models.at(model).weightVersion});
-    }
-    m_loads.setPlan(std::move(plan));
-}
-
-void ControlNode::publish()
-{
-    auto snapshot = std::make_shared<wire::Snapshot>();
-    *snapshot->mutable_head() = adapters::toWire(m_head);
-    snapshot->mutable_head()->clear_recent_submission_ids();
-    snapshot->mutable_head()->clear_delta();
-    for (const StoredPiece &it : m_pieces) {
-        wire::PieceReference *reference = snapshot->mutable_manifest()->add_pieces();
-        reference->set_name(it.name);
-        reference->set_sha256(it.sha256);
-        wire::Piece *piece = snapshot->add_new_pieces();
-        piece->set_name(it.name);
-        piece->set_sha256(it.sha256);
-        piece->set_text(it.text);
-    }
-    for (const Member &it : m_members)
-        *snapshot->add_members() = adapters::toWire(it);
-    for (const std::string &it : m_leavingUpstreams)
-        snapshot->add_leaving_upstreams(it);
-    snapshot->set_listed_members(static_cast<std::uint32_t>(m_listedMembers));
-    m_controlService.publish(snapshot);
-}
-
 void ControlNode::updateStatus()
 {
     wire::StatusReply status;
     status.set_node(m_settings.node.name);
     status.set_failure_domain(m_settings.node.failureDomain);
-    status.set_version(m_head.version);
-    status.set_submission_id(m_head.submissionId);
-    status.set_manifest_sha256(m_head.manifestSha256);
+    status.set_version(m_fleet.head().version);
+    status.set_submission_id(m_fleet.head().submissionId);
+    status.set_manifest_sha256(m_fleet.head().manifestSha256);
     status.set_platform_reachable(m_reachable);
-    status.set_live_members(static_cast<std::uint32_t>(m_members.size()));
+    status.set_live_members(static_cast<std::uint32_t>(m_fleet.members().size()));
     status.set_owned_upstreams(static_cast<std::uint32_t>(m_book.owned()));
     status.set_relay(m_replicator.isRelay());
     status.set_links(static_cast<std::uint32_t>(m_replicator.links()));
     status.set_reads_platform(m_replicator.readsPlatform());
     status.set_build(FORDWOOD_VERSION);
     m_controlService.setStatus(status);
-    m_metrics.setGauge("fordwood_configuration_version", static_cast<double>(m_head.version));
-    m_metrics.setGauge("fordwood_members", static_cast<double>(m_members.size()));
+    m_metrics.setGauge("fordwood_configuration_version",
+                       static_cast<double>(m_fleet.head().version));
+    m_metrics.setGauge("fordwood_members", static_cast<double>(m_fleet.members().size()));
     m_metrics.setGauge("fordwood_leaving_upstreams",
-                       static_cast<double>(m_leavingUpstreams.size()));
+                       static_cast<double>(m_fleet.leavingUpstreams().size()));
     m_metrics.setGauge("fordwood_owned_upstreams", static_cast<double>(m_book.owned()));
     m_metrics.setGauge("fordwood_owned_ceilings", static_cast<double>(m_allowances.teams()));
     m_metrics.setGauge("fordwood_idempotency_keys", static_cast<double>(m_keys.keys()));
--- /dev/null
+++ b/src/apps/controld/permit_desk.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: MIT
+#include "apps/controld/permit_desk.hpp"
+
+#include "adapters/grpc/key_codec.hpp"
+
+namespace fordwood::apps {
+
+void PermitDesk::carryOut(HolderId holder, const wire::PermitCommands &commands)
+{
+    for (const wire::Held &it : commands.held())
+        m_permits.hold(holder, it.permit_id(), it.upstream(), it.team());
+    for (const wire::Release &it : commands.releases())
+        release(holder, it);
+    for (const wire::Withdraw &it : commands.withdrawals())
+        m_permits.withdraw(holder, it.ask_id(), it.upstream());
+    for (const wire::Ask &it : commands.asks())
+        ask(holder, it);
+    for (const wire::AllowanceAsk &it : commands.allowance_asks())
+        askAllowance(holder, it);
+    for (const wire::ClaimEnd &it : commands.claim_ends())
+        m_keys.finish(holder, adapters::keyOf(it), static_cast<RunState>(it.state()),
+                      adapters::fromWire(it.answer()));
+    for (const wire::Claim &it : commands.claims())
+        claim(holder, it);
+}
+
+void PermitDesk::drop(HolderId holder)
+{
+    m_permits.dropHolder(holder);
+    m_keys.dropClaimant(holder);
+}
+
+void PermitDesk::sendPermits()
+{
+    m_permits.tick();
+    const auto answers = m_permits.takeAnswers();
+    for (const PermitAnswer &it : answers) {
+        if (!it.granted)
+            m_metrics.countRefusal(it.reason);
+    }
+    m_service.send(answers);
+}
+
+void PermitDesk::release(HolderId holder, const wire::Release &command)
+{
+    if (command.pushed_back())
+        m_permits.pushedBack(holder, command.permit_id(), command.upstream());
+    else
+        m_permits.release(holder, command.permit_id(), command.upstream(), command.cost());
+}
+
+void PermitDesk::ask(HolderId holder, const wire::Ask &command)
+{
+    PermitAsk ask;
+    ask.holder = holder;
+    ask.askId = command.ask_id();
+    ask.upstream = command.upstream();
+    ask.team = command.team();
+    ask.cost = command.cost();
+    ask.priority = command.priority();
+    ask.wait = std::chrono::milliseconds(command.wait_ms());
+    ask.prompt = {command.prefix_hash(), command.context_tokens(), command.question_tokens()};
+    m_permits.ask(ask);
+}
+
+void PermitDesk::askAllowance(HolderId holder, const wire::AllowanceAsk &command)
+{
+    const AllowanceAsk ask{holder, command.ask_id(), command.team(), command.used(),
+                           command.wanted()};
+    const Allowance allowance = m_allowances.ask(ask);
+    if (allowance.amount < ask.wanted)
+        m_metrics.count("fordwood_allowances_short_total");
+    m_service.sendAllowance(ask, allowance);
+}
+
+void PermitDesk::claim(HolderId holder, const wire::Claim &command)
+{
+    const ClaimAnswer answer = m_keys.claim(holder, adapters::keyOf(command));
+    if (answer.decision == ClaimAnswer::Decision::Refuse)
+        m_metrics.countRefusal(answer.reason);
+    m_service.sendClaim(holder, command.claim_id(), answer);
+}
+
+} // namespace fordwood::apps
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -156,10 +156,9 @@
     return m_ring.tryPush(ReplyEvent{owner, reply});
 }
 
-void EntryNode::claimAnswered(const std::string &holder, std::uint64_t claimId,
-                              const ClaimAnswer &answer)
+void EntryNode::claimAnswered(std::uint64_t claimId, const ClaimAnswer &answer)
 {
-    pushSurely(ClaimEvent{holder, claimId, answer});
+    pushSurely(ClaimEvent{claimId, answer});
 }
 
 void EntryNode::allowanceAnswered(const std::string &team, std::uint64_t askId,
@@ -276,7 +275,7 @@
 
 void EntryNode::on(const ClaimEvent &event)
 {
-    m_dispatcher.claimAnswered(event.holder, event.claimId, event.answer);
+    m_dispatcher.claimAnswered(event.claimId, event.answer);
 }
 
 void EntryNode::on(const AllowanceEvent &event)
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -57,7 +57,6 @@
     };
     struct ClaimEvent
     {
-        std::string holder;
         std::uint64_t claimId;
         ClaimAnswer answer;
     };
@@ -104,8 +103,7 @@
 
     // PermitClientListener, on gRPC's threads
     bool replyArrived(const std::string &owner, const PermitReply &reply) override;
-    void claimAnswered(const std::string &holder, std::uint64_t claimId,
-                       const ClaimAnswer &answer) override;
+    void claimAnswered(std::uint64_t claimId, const ClaimAnswer &answer) override;
     void allowanceAnswered(const std::string &team, std::uint64_t askId,
                            const Allowance &allowance) override;
     void streamLost(const std::string &owner, std::uint64_t stream) override;
--- /dev/null
+++ b/src/core/call_candidates.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/call_candidates.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fordwood {
+
+namespace {
+
+bool names(const std::vector<std::string> &list, const UpstreamConfig &upstream)
+{
+    return std::find(list.begin(), list.end(), upstream.name) != list.end();
+}
+
+} // namespace
+
+void CallCandidates::choose(std::shared_ptr<const FleetView> view, const CallRequest &call,
+                            bool resuming, std::size_t most)
+{
+    m_view = std::move(view);
+    m_current = 0;
+    m_soonest = 0;
+    m_soonestIn = Duration::max();
+    m_queueing = false;
+    m_upstreams = select(call, resuming, most);
+    std::erase_if(m_upstreams, [&](const UpstreamConfig *it) { return names(m_broken, *it); });
+    std::stable_partition(m_upstreams.begin(), m_upstreams.end(),
+                          [&](const UpstreamConfig *it) { return !wasRefusedBy(*it); });
+    if (m_upstreams.size() > most)
+        m_upstreams.resize(most);
+}
+
+std::vector<const UpstreamConfig *> CallCandidates::select(const CallRequest &call, bool resuming,
+                                                           std::size_t most) const
+{
+    const bool anywhere = resuming || !m_otherWeights.empty();
+    const std::size_t count
+        = anywhere ? m_view->configuration().upstreams.size() : most + m_broken.size();
+    if (call.kind == CallKind::Service)
+        return m_view->services(call.target, call.prefixHash, count);
+    auto upstreams = m_view->engines(call.target, call.prefixHash, count);
+    if (resuming)
+        std::erase_if(upstreams, [](const UpstreamConfig *it) { return !it->resumes; });
+    // Weights that are not those of this node's configuration: if the domain is cut off, its own
+    // engines are the ones that still have them.
+    if (!m_otherWeights.empty())
+        std::stable_partition(upstreams.begin(), upstreams.end(), [&](const auto *it) {
+            return it->failureDomain == m_view->ownFailureDomain();
+        });
+    return upstreams;
+}
+
+const UpstreamConfig *CallCandidates::current() const
+{
+    return m_current < m_upstreams.size() ? m_upstreams[m_current] : nullptr;
+}
+
+bool CallCandidates::advance()
+{
+    ++m_current;
+    return m_current < m_upstreams.size();
+}
+
+void CallCandidates::noteFirstTokenIn(Duration in)
+{
+    if (in >= m_soonestIn)
+        return;
+    m_soonest = m_current;
+    m_soonestIn = in;
+}
+
+void CallCandidates::queueWhereSoonest()
+{
+    m_current = m_soonest;
+    m_queueing = true;
+}
+
+bool CallCandidates::wasRefusedBy(const UpstreamConfig &upstream) const
+{
+    return names(m_full, upstream) || names(m_otherWeights, upstream);
+}
+
+} // namespace fordwood
--- a/src/core/call_plan.cpp
+++ b/src/core/call_plan.cpp
@@ -31,9 +31,8 @@
         m_mayHaveRun = true;
     const AfterFailure end
         = failure.answerBegun ? AfterFailure::CutAnswer : AfterFailure::EndWithVerdict;
-    if (failure.answerBegun && !m_terms.resumable)
-        return end;
-    if (m_mayHaveRun && !m_terms.mayRunAgain)
+    const RunState state = m_mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
+    if (!maySendAgain(state, m_terms.mayRunAgain, failure.answerBegun && !m_terms.resumable))
         return end;
     if (now >= m_terms.answerBy || m_sends >= m_terms.maxAttempts
         || m_connectFailures >= kMostConnectFailures)
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -73,7 +73,6 @@
 {
     store.parts.clear();
     store.saves.clear();
-    store.saveTokens.clear();
     store.tokens = 0;
     store.tokensOfSaves = 0;
     store.answered = TimePoint::min();
@@ -110,10 +109,11 @@
 
 void ContextDirectory::endSave(Store &store, const std::string &name)
 {
-    if (store.saves.erase(name) == 0)
+    const auto it = store.saves.find(name);
+    if (it == store.saves.end())
         return;
-    store.tokensOfSaves -= store.saveTokens[name];
-    store.saveTokens.erase(name);
+    store.tokensOfSaves -= it->second.tokens;
+    store.saves.erase(it);
 }
 
 void ContextDirectory::setWeights(const std::string &model, const WeightHistory &history)
@@ -157,8 +157,8 @@
 void ContextDirectory::dropOldSaves(Store &store) const
 {
     std::vector<std::string> lost;
-    for (const auto &[name, since] : store.saves) {
-        if (m_clock.now() - since >= m_limits.saveLife)
+    for (const auto &[name, save] : store.saves) {
+        if (m_clock.now() - save.since >= m_limits.saveLife)
             lost.push_back(name);
     }
     for (const std::string &it : lost)
@@ -191,8 +191,7 @@
     }
     if (best == nullptr)
         return {};
-    best->saves[name] = m_clock.now();
-    best->saveTokens[name] = part.tokens;
+    best->saves[name] = Save{m_clock.now(), part.tokens};
     best->tokensOfSaves += part.tokens;
     return best->config.address;
 }
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -9,9 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetrySoon{500};
-// Marks permit ids that this node made itself, apart from those that owners give out.
-constexpr std::uint64_t kMovedPermit = 1ULL << 63;
-constexpr int kMostRedirections = 2;
 constexpr std::size_t kMostMismatches = 20;
 constexpr Duration kLocalSendWithin = std::chrono::seconds(2);
 
@@ -19,20 +16,15 @@
 
 Dispatcher::Dispatcher(const Clock &clock, DispatcherLimits limits)
     : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{}),
-      m_gate(clock, CeilingGate::Limits{})
+      m_claims(clock, limits.ownerTimeout, m_actions),
+      m_admission(clock, limits.ownerTimeout, *this, m_actions), m_permits(m_actions)
 { }
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view)
 {
     m_view = std::move(view);
-    m_gate.setBases(m_view->ceilingBases());
-    for (auto &[id, call] : m_calls) {
-        if (!call.held || call.held->direct || call.held->owner.empty())
-            continue;
-        const Member *owner = ownerOf(*call.held);
-        if (owner != nullptr && owner->name != call.held->owner)
-            holdAtOwner(call, *owner);
-    }
+    m_admission.setView(m_view);
+    m_permits.setView(m_view);
 }
 
 void Dispatcher::begin(const CallRequest &request)
@@ -57,34 +49,30 @@
     choose(call);
     if (request.key) {
         const std::uint32_t partition = keyPartition(request.key->team, request.key->text);
-        return claim(call, call.view->keyHolder(partition));
+        return claim(call, call.candidates.view().keyHolder(partition));
     }
     admit(call);
 }
 
-void Dispatcher::claimAnswered(const std::string &holder, std::uint64_t claimId,
-                               const ClaimAnswer &answer)
+void Dispatcher::claimAnswered(std::uint64_t claimId, const ClaimAnswer &answer)
 {
-    const auto known = m_claims.find(claimId);
-    if (known == m_claims.end())
-        return; // the claim was dropped, and the holder told so
-    Call &call = m_calls.at(known->second);
-    m_claims.erase(known);
-    call.claimId = 0;
+    const auto id = m_claims.answered(claimId);
+    if (!id)
+        return;
+    Call &call = m_calls.at(*id);
     switch (answer.decision) {
     case ClaimAnswer::Decision::Run:
-        call.claimed = true;
-        call.claimHolder = holder;
+        m_claims.grant(*id);
         return admit(call);
     case ClaimAnswer::Decision::Answer:
-        m_actions.emplace_back(AnswerKept{call.request.id, answer.answer});
-        return forget(call.request.id);
+        m_actions.emplace_back(AnswerKept{*id, answer.answer});
+        return forget(*id);
     case ClaimAnswer::Decision::Redirect:
-        if (++call.redirections <= kMostRedirections)
-            return claim(call, call.view->member(answer.holder));
-        return end(call.request.id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
+        if (m_claims.mayRedirect(*id))
+            return claim(call, call.candidates.view().member(answer.holder));
+        return end(*id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
     case ClaimAnswer::Decision::Refuse:
-        return end(call.request.id, Verdict{answer.state, answer.reason, kRetrySoon, {}});
+        return end(*id, Verdict{answer.state, answer.reason, kRetrySoon, {}});
     }
 }
 
@@ -103,13 +91,12 @@
     if (reply.granted) {
         // Counted from the ask, not from the reply: it may have lain unread while we were paused.
         const TimePoint sendBy = call.asked + reply.waited + reply.sendWithin;
-        return send(call, Held{owner, reply.permitId, current(call)->name}, sendBy);
+        m_permits.takeGranted(call.request, owner, reply.permitId, call.candidates.current()->name);
+        return send(call, sendBy);
     }
     const Verdict why = Verdict::of(reply.reason, {}, reply.retryAfter);
-    if (reply.reason == Reason::UpstreamBusy && reply.firstTokenIn < call.soonestIn) {
-        call.soonest = call.next;
-        call.soonestIn = reply.firstTokenIn;
-    }
+    if (reply.reason == Reason::UpstreamBusy)
+        call.candidates.noteFirstTokenIn(reply.firstTokenIn);
     if (reply.reason == Reason::NotOwner)
         return askAgain(call, owner, why);
     askNext(call, why);
@@ -119,14 +106,14 @@
 // moment.
 void Dispatcher::askAgain(Call &call, const std::string &asked, const Verdict &why)
 {
-    const bool queueing = call.queueing;
+    const bool queueing = call.candidates.isQueueing();
     choose(call);
-    call.queueing = queueing;
-    const UpstreamConfig *upstream = current(call);
+    call.candidates.setQueueing(queueing);
+    const UpstreamConfig *upstream = call.candidates.current();
     if (upstream == nullptr)
         return end(call.request.id, why);
     call.last = why;
-    const Member *owner = call.view->owner(*upstream);
+    const Member *owner = call.candidates.view().owner(*upstream);
     if (owner != nullptr && owner->name != asked)
         return ask(call);
     fallBack(call);
@@ -135,30 +122,20 @@
 void Dispatcher::allowanceAnswered(const std::string &team, std::uint64_t askId,
                                    const Allowance &allowance)
 {
-    m_gate.answered(team, askId, allowance);
-    if (m_gate.isAsking(team))
-        return; // it was the answer to an earlier ask
-    m_allowanceAsks.erase(team);
-    settleAdmitting(team);
+    m_admission.answered(team, askId, allowance);
 }
 
 void Dispatcher::ownerLost(const std::string &owner)
 {
-    m_lostOwners.insert(owner);
+    m_permits.ownerLost(owner);
     std::vector<CallId> waiting;
-    std::vector<CallId> unclaimed;
-    for (auto &[id, call] : m_calls) {
-        if (call.claimId != 0 && call.claimHolder == owner)
-            unclaimed.push_back(id);
+    for (const auto &[id, call] : m_calls) {
         if (call.askId != 0 && call.askedOwner == owner)
             waiting.push_back(id);
-        if (call.held && call.held->owner == owner)
-            call.held->owner.clear(); // nobody is left to give it back to
     }
-    std::sort(unclaimed.begin(), unclaimed.end());
-    for (const CallId id : unclaimed)
+    for (const CallId id : m_claims.openAt(owner))
         end(id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
-    giveUpAllowances([&](const AllowanceWait &it) { return it.owner == owner; });
+    m_admission.ownerLost(owner);
     std::sort(waiting.begin(), waiting.end());
     for (const CallId id : waiting) {
         Call &call = m_calls.at(id);
@@ -173,14 +150,14 @@
     Call *call = find(id, attempt);
     if (call == nullptr)
         return;
-    const bool sentDirectly = call->held && call->held->direct;
+    const bool sentDirectly = m_permits.isDirect(id);
     const bool busy
         = failure.reason == Reason::UpstreamPushback || failure.reason == Reason::VersionMismatch;
-    releaseHeld(*call, 0.0, busy);
+    m_permits.release(id, 0.0, busy);
     if (failure.reason == Reason::VersionMismatch)
-        call->mismatched.push_back(current(*call)->name);
+        call->candidates.noteOtherWeights();
     else if (busy)
-        call->full.push_back(current(*call)->name);
+        call->candidates.noteFull();
     Verdict verdict{failure.state, failure.reason, std::chrono::milliseconds(0), failure.detail};
     // A stream of whole events is not begun again but continued.
     const bool cutForGood = failure.answerBegun && !failure.passedEvents;
@@ -203,9 +180,9 @@
     call->last = verdict;
     call->mayHaveRun = call->mayHaveRun || failure.state != RunState::NotRun;
     if (!busy && failure.reason != Reason::PermitExpired)
-        call->broken.push_back(current(*call)->name);
+        call->candidates.noteBroken();
     choose(*call);
-    if (call->candidates.empty())
+    if (call->candidates.isEmpty())
         return end(id, verdict);
     ask(*call);
 }
@@ -215,7 +192,7 @@
 bool Dispatcher::isFree(const Call &call, const AttemptFailure &failure, bool sentDirectly)
 {
     if (failure.reason == Reason::VersionMismatch)
-        return call.mismatched.size() <= kMostMismatches;
+        return call.candidates.metOtherWeights() <= kMostMismatches;
     return sentDirectly && failure.reason == Reason::UpstreamPushback;
 }
 
@@ -224,11 +201,9 @@
     Call *call = find(id, attempt);
     if (call == nullptr)
         return;
-    releaseHeld(*call, cost);
+    m_permits.release(id, cost);
     m_contention.countAccepted(call->request.target);
-    if (call->claimed)
-        m_actions.emplace_back(
-            FinishClaim{call->claimHolder, *call->request.key, RunState::Ran, std::move(answer)});
+    m_claims.finish(id, RunState::Ran, std::move(answer));
     forget(id);
 }
 
@@ -238,12 +213,12 @@
     if (it == m_calls.end())
         return;
     Call &call = it->second;
-    if (call.claimed && call.stage == Stage::Sent)
+    if (m_claims.isGranted(id) && call.stage == Stage::Sent)
         return; // its answer is kept for the caller's next send with the same key
     withdraw(call);
     if (call.stage == Stage::Sent)
         m_actions.emplace_back(CancelAttempt{id, call.attempt});
-    releaseHeld(call, 0.0);
+    m_permits.release(id, 0.0);
     end(id, Verdict::of(Reason::CallerLeft));
 }
 
@@ -256,7 +231,7 @@
     for (const auto &[id, call] : m_calls) {
         if (call.request.deadline <= now)
             late.push_back(id);
-        else if (call.claimId != 0 && call.claimUntil <= now)
+        else if (m_claims.isOverdue(id))
             unclaimed.push_back(id);
         else if (call.askId != 0 && call.askedUntil <= now)
             silent.push_back(id);
@@ -266,25 +241,26 @@
     std::sort(unclaimed.begin(), unclaimed.end());
     for (const CallId id : unclaimed)
         end(id, Verdict::of(Reason::OwnerSilent, {}, kRetrySoon));
-    for (const CallId id : late) {
-        Call &call = m_calls.at(id);
-        withdraw(call);
-        if (call.stage == Stage::Sent) {
-            m_actions.emplace_back(CancelAttempt{id, call.attempt});
-            releaseHeld(call, 0.0);
-            end(id, Verdict::of(Reason::UpstreamTimeout));
-        } else {
-            end(id, Verdict::of(Reason::DeadlineTooNear, {}, kRetrySoon));
-        }
-    }
+    for (const CallId id : late)
+        endLate(m_calls.at(id));
     for (const CallId id : silent) {
         Call &call = m_calls.at(id);
         withdraw(call);
         fallBack(call);
     }
-    giveUpAllowances([&](const AllowanceWait &it) { return it.until <= now; });
-    for (const std::string &team : m_gate.due())
-        askAllowance(team);
+    m_admission.tick();
+}
+
+// Ends a call whose time is up.
+void Dispatcher::endLate(Call &call)
+{
+    const CallId id = call.request.id;
+    withdraw(call);
+    if (call.stage != Stage::Sent)
+        return end(id, Verdict::of(Reason::DeadlineTooNear, {}, kRetrySoon));
+    m_actions.emplace_back(CancelAttempt{id, call.attempt});
+    m_permits.release(id, 0.0);
+    end(id, Verdict::of(Reason::UpstreamTimeout));
 }
 
 std::vector<Action> Dispatcher::takeActions()
@@ -292,75 +268,23 @@
     return std::exchange(m_actions, {});
 }
 
-// Lets the call begin if its team may run one more request; else it waits for the answer of the
-// team's owner, unless that has just said that there is no more.
+// Lets the call begin if its team may run one more request.
 void Dispatcher::admit(Call &call)
 {
-    const std::string team = call.request.team;
-    if (m_gate.enter(team)) {
-        call.entered = true;
-        return ask(call);
-    }
-    if (!m_gate.isAsking(team) && !m_gate.mayAsk(team))
-        return end(call.request.id, Verdict::of(Reason::TeamCeiling, {}, kRetrySoon));
     call.stage = Stage::Admitting;
-    m_admitting[team].push_back(call.request.id);
-    if (!m_gate.isAsking(team))
-        askAllowance(team);
+    m_admission.admit(call.request.id, call.request.team);
 }
 
-void Dispatcher::askAllowance(const std::string &team)
+void Dispatcher::entered(CallId id)
 {
-    const auto waiting = m_admitting.find(team);
-    const AllowanceAsk ask
-        = m_gate.ask(team, waiting == m_admitting.end() ? 0 : waiting->second.size());
-    const Member *owner = m_view->teamOwner(team);
-    if (owner == nullptr) {
-        m_gate.unanswered(team);
-        return settleAdmitting(team);
-    }
-    m_allowanceAsks[team] = {owner->name, m_clock.now() + m_limits.ownerTimeout};
-    m_actions.emplace_back(AskAllowance{owner->name, owner->controlAddress, ask});
+    Call &call = m_calls.at(id);
+    call.entered = true;
+    ask(call);
 }
 
-// Goes on without the answers to the open asks that match.
-template <typename Matches>
-void Dispatcher::giveUpAllowances(Matches matches)
+void Dispatcher::refused(CallId id)
 {
-    std::vector<std::string> teams;
-    for (const auto &[team, it] : m_allowanceAsks) {
-        if (matches(it))
-            teams.push_back(team);
-    }
-    for (const std::string &team : teams) {
-        m_allowanceAsks.erase(team);
-        m_gate.unanswered(team);
-        settleAdmitting(team);
-    }
-}
-
-// Lets waiting calls of a team begin as far as its ceiling allows. The others ask again if the
-// owner gave all that was asked for before they came, and are refused if it did not.
-void Dispatcher::settleAdmitting(const std::string &team)
-{
-    const auto waiting = m_admitting.extract(team);
-    if (waiting.empty())
-        return;
-    for (const CallId id : waiting.mapped()) {
-        const auto it = m_calls.find(id);
-        if (it == m_calls.end())
-            continue; // its caller has left, or its time is up
-        Call &call = it->second;
-        call.entered = m_gate.enter(team);
-        if (call.entered)
-            ask(call);
-        else if (m_gate.mayAsk(team))
-            m_admitting[team].push_back(id);
-        else
-            end(id, Verdict::of(Reason::TeamCeiling, {}, kRetrySoon));
-    }
-    if (m_admitting.count(team) != 0)
-        askAllowance(team);
+    end(id, Verdict::of(Reason::TeamCeiling, {}, kRetrySoon));
 }
 
 // Removes a call that has ended.
@@ -369,8 +293,12 @@
     const auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
-    if (it->second.entered)
-        m_gate.leave(it->second.request.team);
+    const Call &call = it->second;
+    if (call.entered)
+        m_admission.leave(call.request.team);
+    else
+        m_admission.withdraw(id, call.request.team);
+    m_claims.forget(id);
     m_calls.erase(it);
 }
 
@@ -380,85 +308,37 @@
     if (holder == nullptr)
         return end(call.request.id, Verdict::of(Reason::KeyHolderGone, {}, kRetrySoon));
     call.stage = Stage::Claiming;
-    call.claimId = m_nextAsk++;
-    call.claimHolder = holder->name;
-    call.claimUntil = m_clock.now() + m_limits.ownerTimeout;
-    m_claims.emplace(call.claimId, call.request.id);
-    m_actions.emplace_back(
-        ClaimKey{call.claimId, holder->name, holder->controlAddress, *call.request.key});
-}
-
-// Gives up an open claim: should the holder have granted it, the key is free again.
-void Dispatcher::dropClaim(Call &call)
-{
-    if (call.claimId == 0)
-        return;
-    m_claims.erase(call.claimId);
-    call.claimId = 0;
-    m_actions.emplace_back(FinishClaim{call.claimHolder, *call.request.key, RunState::NotRun, {}});
+    m_claims.open(call.request.id, *call.request.key, *holder);
 }
 
-// The upstreams to try, best first: those that broke are left out, those that were full come last.
 void Dispatcher::choose(Call &call)
 {
-    call.view = m_view;
-    call.next = 0;
-    call.soonest = 0;
-    call.soonestIn = Duration::max();
-    call.queueing = false;
-    call.candidates = candidatesFor(call);
-    const auto among = [](const std::vector<std::string> &names, const UpstreamConfig *it) {
-        return std::find(names.begin(), names.end(), it->name) != names.end();
-    };
-    std::erase_if(call.candidates,
-                  [&](const UpstreamConfig *it) { return among(call.broken, it); });
-    std::stable_partition(call.candidates.begin(), call.candidates.end(), [&](const auto *it) {
-        return !among(call.full, it) && !among(call.mismatched, it);
-    });
-    if (call.candidates.size() > m_limits.candidates)
-        call.candidates.resize(m_limits.candidates);
-}
-
-std::vector<const UpstreamConfig *> Dispatcher::candidatesFor(const Call &call) const
-{
-    const CallRequest &request = call.request;
-    const bool anywhere = call.resumeFrom || !call.mismatched.empty();
-    const std::size_t count = anywhere ? m_view->configuration().upstreams.size()
-                                       : m_limits.candidates + call.broken.size();
-    if (request.kind == CallKind::Service)
-        return m_view->services(request.target, request.prefixHash, count);
-    auto candidates = m_view->engines(request.target, request.prefixHash, count);
-    if (call.resumeFrom)
-        std::erase_if(candidates, [](const UpstreamConfig *it) { return !it->resumes; });
-    // Weights that are not those of this node's configuration: if the domain is cut off, its own
-    // engines are the ones that still have them.
-    if (!call.mismatched.empty())
-        std::stable_partition(candidates.begin(), candidates.end(), [&](const auto *it) {
-            return it->failureDomain == m_view->ownFailureDomain();
-        });
-    return candidates;
+    call.candidates.choose(m_view, call.request, call.resumeFrom.has_value(), m_limits.candidates);
 }
 
 void Dispatcher::ask(Call &call)
 {
-    const UpstreamConfig *upstream = current(call);
+    const UpstreamConfig *upstream = call.candidates.current();
     if (upstream == nullptr)
         return end(call.request.id, call.last);
-    if (maySendDirectly(*upstream, call))
-        return send(call, Held{{}, 0, upstream->name, true}, m_clock.now() + kLocalSendWithin);
-    const Member *owner = call.view->owner(*upstream);
+    if (maySendDirectly(*upstream, call)) {
+        m_permits.takeDirect(call.request, upstream->name);
+        return send(call, m_clock.now() + kLocalSendWithin);
+    }
+    const Member *owner = call.candidates.view().owner(*upstream);
     if (owner == nullptr)
         return fallBack(call);
-    holdAgain(*owner);
+    m_permits.aboutToAsk(*owner);
     // A lone candidate is queued for at once; else the first round only looks for a free place.
-    call.queueing = call.queueing || call.candidates.size() == 1;
+    const bool queueing = call.candidates.isQueueing() || call.candidates.isOnlyOne();
+    call.candidates.setQueueing(queueing);
     const TimePoint now = m_clock.now();
-    const Duration left = call.request.deadline - now;
+    const Duration wait = queueing ? call.request.deadline - now : Duration::zero();
     call.stage = Stage::Asking;
     call.askId = m_nextAsk++;
     call.askedOwner = owner->name;
     call.asked = now;
-    call.askedUntil = now + m_limits.ownerTimeout + (call.queueing ? left : Duration::zero());
+    call.askedUntil = now + m_limits.ownerTimeout + wait;
     m_asks.emplace(call.askId, call.request.id);
     m_actions.emplace_back(AskPermit{
         call.request.id,
@@ -469,22 +349,20 @@
         call.request.team,
         call.request.cost,
         call.request.priority,
-        call.queueing ? left : Duration::zero(),
+        wait,
         {call.request.prefixHash, call.request.contextTokens, call.request.questionTokens}});
 }
 
 void Dispatcher::askNext(Call &call, const Verdict &why)
 {
     call.last = why;
-    if (call.queueing)
+    if (call.candidates.isQueueing())
         return end(call.request.id, why);
-    ++call.next;
-    if (call.next < call.candidates.size())
+    if (call.candidates.advance())
         return ask(call);
     m_contention.countRefused(call.request.target);
-    // No place is free anywhere near: wait where the first token would come soonest.
-    call.next = call.soonest;
-    call.queueing = true;
+    // No place is free anywhere near.
+    call.candidates.queueWhereSoonest();
     ask(call);
 }
 
@@ -496,10 +374,7 @@
     const std::size_t tokens = call.request.contextTokens + call.request.questionTokens;
     if (!m_limits.direct || !upstream.refusesWhenFull || tokens > m_limits.mostDirectTokens)
         return false;
-    const auto refusedBy = [&](const std::vector<std::string> &names) {
-        return std::find(names.begin(), names.end(), upstream.name) != names.end();
-    };
-    const bool triedAll = refusedBy(call.full) || refusedBy(call.mismatched);
+    const bool triedAll = call.candidates.wasRefusedBy(upstream);
     if (triedAll)
         m_contention.countRefused(call.request.target);
     return !triedAll && !m_contention.isContended(call.request.target);
@@ -507,23 +382,21 @@
 
 void Dispatcher::fallBack(Call &call)
 {
-    const UpstreamConfig *upstream = current(call);
-    std::size_t &used = m_localInUse[upstream->name];
-    if (used >= localAllowance(*upstream)) {
+    if (!m_permits.takeLocal(call.request, *call.candidates.current())) {
         const Verdict verdict = Verdict::of(Reason::LocalAllowanceUsed, {}, kRetrySoon);
-        return call.queueing ? end(call.request.id, verdict) : askNext(call, verdict);
+        return call.candidates.isQueueing() ? end(call.request.id, verdict)
+                                            : askNext(call, verdict);
     }
-    ++used;
     m_actions.emplace_back(CountRetry{Reason::OwnerSilent});
-    send(call, Held{{}, 0, upstream->name}, m_clock.now() + kLocalSendWithin);
+    send(call, m_clock.now() + kLocalSendWithin);
 }
 
-void Dispatcher::send(Call &call, Held held, TimePoint sendBy)
+// Sends the call under the permit that it has just taken.
+void Dispatcher::send(Call &call, TimePoint sendBy)
 {
-    const UpstreamConfig *upstream = current(call);
-    call.held = std::move(held);
+    const UpstreamConfig *upstream = call.candidates.current();
     if (m_view->isLeaving(upstream->name)) {
-        releaseHeld(call, 0.0);
+        m_permits.release(call.request.id, 0.0);
         return askNext(call, Verdict::of(Reason::UpstreamLeaving, {}, kRetrySoon));
     }
     renewVersion(call);
@@ -547,68 +420,12 @@
         call.request.weightVersion = model->second.weightVersion;
 }
 
-// Who owns the upstream of a permit in use now; null when it has gone or there are no members.
-const Member *Dispatcher::ownerOf(const Held &held) const
-{
-    const auto &upstreams = m_view->configuration().upstreams;
-    const auto it = upstreams.find(held.upstream);
-    return it == upstreams.end() ? nullptr : m_view->owner(it->second);
-}
-
-// Moves a permit in use to another owner, or to the next process of the same one.
-void Dispatcher::holdAtOwner(Call &call, const Member &owner)
-{
-    Held &held = *call.held;
-    if (held.permitId == 0) // it no longer counts against the local allowance
-        m_localInUse[held.upstream] -= m_localInUse[held.upstream] > 0 ? 1 : 0;
-    if (!held.owner.empty() && held.permitId != 0)
-        m_actions.emplace_back(ReleasePermit{held.owner, held.permitId, held.upstream, 0.0, false});
-    held.owner = owner.name;
-    held.permitId = kMovedPermit | call.request.id;
-    m_actions.emplace_back(HoldPermit{owner.name, owner.controlAddress, held.permitId,
-                                      held.upstream, call.request.team});
-}
-
-// An owner that was lost is asked again: its process may be another one that knows of nothing.
-void Dispatcher::holdAgain(const Member &owner)
-{
-    if (m_lostOwners.erase(owner.name) == 0)
-        return;
-    std::vector<CallId> ids;
-    for (const auto &[id, call] : m_calls) {
-        if (!call.held || call.held->direct || !call.held->owner.empty())
-            continue;
-        const Member *present = ownerOf(*call.held);
-        if (present != nullptr && present->name == owner.name)
-            ids.push_back(id);
-    }
-    std::sort(ids.begin(), ids.end());
-    for (const CallId id : ids)
-        holdAtOwner(m_calls.at(id), owner);
-}
-
-void Dispatcher::releaseHeld(Call &call, double cost, bool pushedBack)
-{
-    if (!call.held)
-        return;
-    const Held held = *std::exchange(call.held, std::nullopt);
-    if (held.direct)
-        return;
-    if (held.permitId != 0) {
-        if (!held.owner.empty())
-            m_actions.emplace_back(
-                ReleasePermit{held.owner, held.permitId, held.upstream, cost, pushedBack});
-        return;
-    }
-    std::size_t &used = m_localInUse[held.upstream];
-    used -= used > 0 ? 1 : 0;
-}
-
 void Dispatcher::withdraw(Call &call)
 {
     if (call.askId == 0)
         return;
-    m_actions.emplace_back(WithdrawAsk{call.askId, call.askedOwner, current(call)->name});
+    m_actions.emplace_back(
+        WithdrawAsk{call.askId, call.askedOwner, call.candidates.current()->name});
     m_asks.erase(call.askId);
     call.askId = 0;
 }
@@ -618,19 +435,14 @@
     const auto it = m_calls.find(id);
     EndCall action{id, verdict};
     if (it != m_calls.end()) {
-        Call &call = it->second;
-        const bool everSent = call.attempt > 0;
+        const Call &call = it->second;
         // "Not run" is only true if it is true of every attempt, and of a key only if the key was
         // ours.
-        const bool unsure = call.mayHaveRun || (call.request.key && !call.claimed);
+        const bool unsure = call.mayHaveRun || (call.request.key && !m_claims.isGranted(id));
         if (unsure && verdict.state == RunState::NotRun)
             action.verdict.state = RunState::MayHaveRun;
-        dropClaim(call);
-        if (call.claimed)
-            m_actions.emplace_back(FinishClaim{call.claimHolder,
-                                               *call.request.key,
-                                               everSent ? action.verdict.state : RunState::NotRun,
-                                               {}});
+        const bool everSent = call.attempt > 0;
+        m_claims.finish(id, everSent ? action.verdict.state : RunState::NotRun, {});
     }
     m_actions.emplace_back(std::move(action));
     forget(id);
@@ -646,19 +458,6 @@
     return true;
 }
 
-std::size_t Dispatcher::localAllowance(const UpstreamConfig &upstream) const
-{
-    std::size_t peers = 0;
-    for (const Member &it : m_view->members())
-        peers += it.failureDomain == upstream.failureDomain ? 1 : 0;
-    return std::max<std::size_t>(1, upstream.slots / std::max<std::size_t>(1, peers));
-}
-
-const UpstreamConfig *Dispatcher::current(const Call &call) const
-{
-    return call.next < call.candidates.size() ? call.candidates[call.next] : nullptr;
-}
-
 Dispatcher::Call *Dispatcher::find(CallId id, unsigned attempt)
 {
     const auto it = m_calls.find(id);
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -106,16 +106,27 @@
     return losesValue ? kOldWeightsCost : 0.0;
 }
 
+EngineChooser::Weights EngineChooser::weightsOf(std::uint64_t version, const Question &question,
+                                                const ContextDirectory &contexts) const
+{
+    const Prompt &prompt = question.prompt;
+    Weights weights;
+    weights.version = version;
+    weights.salt = contextSalt(prompt.model, version, question.walledTeam);
+    weights.cost = versionCost(version, question.weights);
+    if (prompt.parts.size() > 1)
+        weights.holder = contexts.storeWith(weights.salt, prompt.parts.front().id);
+    return weights;
+}
+
 // What it costs to have the shared context at the engine.
-double EngineChooser::contextCost(const Rated &rated, const Terms &terms, const Question &question,
-                                  const LoadBook &loads, const ContextDirectory &contexts) const
+double EngineChooser::contextCost(const Rated &rated, const Terms &terms, const LoadBook &loads)
 {
     if (rated.holdsContext)
         return 0.0;
-    if (!rated.isStored)
+    const ContextDirectory::Holder &holder = rated.weights->holder;
+    if (holder.address.empty())
         return terms.sharedTokens * (rated.isHome ? kHomeComputeWeight : kComputeWeight);
-    const ContextDirectory::Holder holder
-        = contexts.storeWith(rated.salt, question.prompt.parts.front().id);
     const bool isNear = holder.failureDomain == rated.engine->failureDomain;
     // Moves over the store's link run one after the other.
     const double waiting
@@ -129,17 +140,18 @@
                       ContextDirectory &contexts) const
 {
     const Prompt &prompt = question.prompt;
+    std::map<std::uint64_t, Weights> weights; // by version
     std::vector<Rated> rated;
     for (const UpstreamRecord *it : engines) {
         if (!mayUse(*it, question, health))
             continue;
+        const std::uint64_t version = it->weightVersions.at(prompt.model);
+        auto known = weights.find(version);
+        if (known == weights.end())
+            known = weights.emplace(version, weightsOf(version, question, contexts)).first;
         Rated entry;
         entry.engine = it;
-        entry.version = it->weightVersions.at(prompt.model);
-        entry.salt = contextSalt(prompt.model, entry.version, question.walledTeam);
-        entry.isStored
-            = prompt.parts.size() > 1
-              && !contexts.storeWith(entry.salt, prompt.parts.front().id).address.empty();
+        entry.weights = &known->second;
         rated.push_back(std::move(entry));
     }
     if (rated.empty())
@@ -154,11 +166,10 @@
         Rated &it = rated[n];
         const std::string &id = it.engine->instanceId;
         it.isHome = static_cast<int>(n) == home;
-        it.holdsContext = contexts.isAtEngine(id, it.salt, terms.context, keptFor);
+        it.holdsContext = contexts.isAtEngine(id, it.weights->salt, terms.context, keptFor);
         it.load = loads.total(id);
         it.cost = waitingCost(it.load, terms, question) + kFailureCost * health.failureRate(id)
-                  + versionCost(it.version, question.weights)
-                  + contextCost(it, terms, question, loads, contexts);
+                  + it.weights->cost + contextCost(it, terms, loads);
         if (health.isSilent(id))
             it.cost += kFailureCost;
         if (question.shortGroup.contains(id) != terms.isShort)
@@ -175,11 +186,11 @@
     const Prompt &prompt = question.prompt;
     EngineChoice choice;
     choice.instanceId = rated.engine->instanceId;
-    choice.weightVersion = rated.version;
-    choice.salt = rated.salt;
+    choice.weightVersion = rated.weights->version;
+    choice.salt = rated.weights->salt;
     choice.isHome = rated.isHome;
     choice.holdsContext = rated.holdsContext;
-    choice.isStored = rated.isStored;
+    choice.isStored = !rated.weights->holder.address.empty();
     choice.found = rated.load;
     choice.isShort = terms.isShort;
     choice.waitTokens = queueCost(rated.load, terms);
@@ -187,10 +198,10 @@
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
         const PromptPart &part = prompt.parts[n];
-        std::string from = isShared ? contexts.storeWith(rated.salt, part.id).address : "";
+        std::string from = isShared ? contexts.storeWith(choice.salt, part.id).address : "";
         std::string to;
         if (isShared && from.empty())
-            to = contexts.storeForSave(rated.salt, part, rated.engine->failureDomain);
+            to = contexts.storeForSave(choice.salt, part, rated.engine->failureDomain);
         if (!from.empty()) {
             fetched += part.tokens;
             if (!rated.holdsContext)
@@ -202,7 +213,7 @@
     const std::size_t known = rated.holdsContext ? prompt.sharedTokens() : fetched;
     choice.load.tokensToCompute = prompt.tokensIn - std::min(prompt.tokensIn, known);
     choice.load.tokensHeld = prompt.tokensIn + prompt.mostTokensOut;
-    contexts.sentTo(choice.instanceId, rated.salt, terms.context);
+    contexts.sentTo(choice.instanceId, choice.salt, terms.context);
     return choice;
 }
 
--- /dev/null
+++ b/src/core/key_claims.cpp
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/key_claims.hpp"
+
+#include <utility>
+
+namespace fordwood {
+
+namespace {
+
+constexpr int kMostRedirections = 2; // our choice: one change of holders, and one more under way
+
+} // namespace
+
+KeyClaims::KeyClaims(const Clock &clock, Duration holderTimeout, std::vector<Action> &actions)
+    : m_clock(clock), m_holderTimeout(holderTimeout), m_actions(actions)
+{ }
+
+void KeyClaims::open(CallId call, const IdempotencyKey &key, const Member &holder)
+{
+    Claim &claim = m_claims[call];
+    claim.key = key;
+    claim.holder = holder.name;
+    claim.openId = m_nextId++;
+    claim.until = m_clock.now() + m_holderTimeout;
+    m_open.emplace(claim.openId, call);
+    m_actions.emplace_back(ClaimKey{claim.openId, holder.name, holder.controlAddress, key});
+}
+
+std::optional<CallId> KeyClaims::answered(std::uint64_t claimId)
+{
+    const auto open = m_open.find(claimId);
+    if (open == m_open.end())
+        return std::nullopt;
+    const CallId call = open->second;
+    m_open.erase(open);
+    m_claims.at(call).openId = 0;
+    return call;
+}
+
+void KeyClaims::grant(CallId call)
+{
+    m_claims.at(call).granted = true;
+}
+
+bool KeyClaims::isGranted(CallId call) const
+{
+    const auto it = m_claims.find(call);
+    return it != m_claims.end() && it->second.granted;
+}
+
+bool KeyClaims::mayRedirect(CallId call)
+{
+    return ++m_claims.at(call).redirections <= kMostRedirections;
+}
+
+bool KeyClaims::isOverdue(CallId call) const
+{
+    const auto it = m_claims.find(call);
+    return it != m_claims.end() && it->second.openId != 0 && it->second.until <= m_clock.now();
+}
+
+std::vector<CallId> KeyClaims::openAt(const std::string &holder) const
+{
+    std::vector<CallId> calls;
+    for (const auto &[call, claim] : m_claims) {
+        if (claim.openId != 0 && claim.holder == holder)
+            calls.push_back(call);
+    }
+    return calls;
+}
+
+void KeyClaims::finish(CallId call, RunState state, KeptAnswer answer)
+{
+    const auto it = m_claims.find(call);
+    if (it == m_claims.end())
+        return;
+    const Claim &claim = it->second;
+    if (claim.granted)
+        m_actions.emplace_back(FinishClaim{claim.holder, claim.key, state, std::move(answer)});
+    else if (claim.openId != 0)
+        m_actions.emplace_back(FinishClaim{claim.holder, claim.key, RunState::NotRun, {}});
+    forget(call);
+}
+
+void KeyClaims::forget(CallId call)
+{
+    const auto it = m_claims.find(call);
+    if (it == m_claims.end())
+        return;
+    m_open.erase(it->second.openId);
+    m_claims.erase(it);
+}
+
+} // namespace fordwood
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -37,6 +37,24 @@
     return winner;
 }
 
+std::size_t rendezvousRank(std::uint64_t keyHash, const std::string &node,
+                           const std::vector<std::string> &others)
+{
+    const std::uint64_t own = rendezvousWeight(keyHash, stableHash(node));
+    const auto before = std::count_if(others.begin(), others.end(), [&](const std::string &it) {
+        return rendezvousWeight(keyHash, stableHash(it)) > own;
+    });
+    return static_cast<std::size_t>(before);
+}
+
+double hashFraction(std::uint64_t hash)
+{
+    // The upper 53 bits are what a double holds exactly, so that the result stays below 1.
+    constexpr unsigned kDroppedBits = 11;
+    constexpr double kRange = 9007199254740992.0; // 2^53
+    return static_cast<double>(hash >> kDroppedBits) / kRange;
+}
+
 std::vector<std::size_t> rendezvousOrder(std::uint64_t keyHash,
                                          const std::vector<std::uint64_t> &nodeHashes,
                                          std::size_t count)
--- a/src/core/replicator.cpp
+++ b/src/core/replicator.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-// An incarnation is the boot and, in the low bits, the number of suspicions answered since.
-constexpr unsigned kBootShift = 10;
-constexpr std::size_t kMostWants = 64; // digests asked for in one update
-
 std::vector<std::string> namesOf(const std::vector<Member> &members)
 {
     std::vector<std::string> names;
@@ -21,15 +17,25 @@
     return names;
 }
 
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+// A head as peers get it: the ids of submissions stay in the platform.
+ConfigHead withoutSubmissionIds(ConfigHead head)
+{
+    head.recentSubmissionIds.clear();
+    return head;
+}
+
 } // namespace
 
 Replicator::Replicator(Member self, std::uint64_t boot, const Clock &clock, const HeadCodec &codec,
                        ReplicatorLimits limits, std::uint64_t seed)
-    : m_self(std::move(self)), m_incarnation(boot << kBootShift), m_clock(clock), m_codec(codec),
-      m_limits(limits), m_random(seed)
-{
-    m_liveness.offer({m_self.name, m_incarnation, false});
-}
+    : m_self(std::move(self)), m_clock(clock), m_limits(limits), m_random(seed),
+      m_configuration(codec), m_members(m_self.name, boot), m_peers(clock)
+{ }
 
 void Replicator::start()
 {
@@ -52,146 +58,103 @@
 // compare it with, so it gives its peers a moment to name a newer one before it serves any.
 bool Replicator::mustHearPeersFirst() const
 {
-    const bool onlyMember = m_list.revision > 0 && members().size() <= 1;
-    return m_head.version == 0 && !m_heardPeer && !onlyMember
+    const bool onlyMember = list().revision > 0 && members().size() <= 1;
+    return head().version == 0 && !m_heardPeer && !onlyMember
            && m_clock.now() - m_started < m_limits.firstWord;
 }
 
-void Replicator::offerHead(const ConfigHead &head, const std::string &from)
-{
-    if (head.version < m_head.version && from.empty()) {
-        m_actions.emplace_back(
-            ReplicatorAlarm{ReplicatorAlarm::Kind::OlderHead, head.version, m_head.version});
-        return;
+void Replicator::offerHead(const ConfigHead &offered, const std::string &from)
+{
+    switch (m_configuration.offer(offered)) {
+    case ConfigurationCopy::Offer::Older:
+        if (from.empty())
+            m_actions.emplace_back(
+                ReplicatorAlarm{ReplicatorAlarm::Kind::OlderHead, offered.version, head().version});
+        break;
+    case ConfigurationCopy::Offer::Known:
+        break;
+    case ConfigurationCopy::Offer::InForce:
+        applied();
+        break;
+    case ConfigurationCopy::Offer::NeedsParts:
+        m_collecting = Collecting{from, m_clock.now(), 0};
+        askForParts();
+        break;
     }
-    if (head.version <= m_head.version)
-        return;
-    if (m_pending && m_pending->head.version >= head.version)
-        return;
-    if (applyByDelta(head))
-        return;
-    m_pending = Pending{head, from, std::nullopt, m_clock.now(), 0};
-    askForParts();
-}
-
-bool Replicator::applyByDelta(const ConfigHead &head)
-{
-    if (!head.delta || head.delta->fromManifestSha256 != m_head.manifestSha256)
-        return false;
-    auto pieces = applyDelta(m_pieces, *head.delta,
-                             [this](const std::string &bytes) { return m_codec.digest(bytes); });
-    if (!pieces || m_codec.digest(m_codec.encodeManifest(*pieces)) != head.manifestSha256)
-        return false;
-    apply(head, std::move(*pieces));
-    return true;
 }
 
-// Asks for what the pending configuration lacks: first the peer that offered it, then others in
+// Asks for what the collected configuration lacks: first the peer that offered it, then others in
 // turn, and the platform if this node reads it.
 void Replicator::askForParts()
 {
-    Pending &pending = *m_pending;
-    pending.askedAt = m_clock.now();
-    std::vector<std::string> wants;
-    FetchBlobs fetch;
-    if (!pending.pieces) {
-        wants.push_back(pending.head.manifestSha256);
-        fetch.manifests = wants;
-    } else {
-        for (const StoredPiece &it : *pending.pieces) {
-            if (m_blobs.count(it.sha256) == 0 && wants.size() < kMostWants)
-                wants.push_back(it.sha256);
-        }
-        fetch.pieces = wants;
-    }
-    if (wants.empty())
+    m_collecting.askedAt = m_clock.now();
+    ConfigurationCopy::Missing missing = m_configuration.missing();
+    if (missing.manifests.empty() && missing.pieces.empty())
         return;
     // Platform and peers in turn, beginning with whoever offered it: either may not answer.
-    const std::size_t platformsTurn = pending.from.empty() ? 0 : 1;
-    const bool fromPlatform = m_reading && (m_links.empty() || pending.tries % 2 == platformsTurn);
-    ++pending.tries;
+    const std::size_t platformsTurn = m_collecting.from.empty() ? 0 : 1;
+    const bool fromPlatform
+        = m_reading && (m_peers.links().empty() || m_collecting.tries % 2 == platformsTurn);
+    ++m_collecting.tries;
     if (fromPlatform) {
-        m_actions.emplace_back(std::move(fetch));
+        m_actions.emplace_back(FetchBlobs{missing.manifests, missing.pieces});
         return;
     }
-    const bool offerer = pending.tries == 1 && m_links.count(pending.from) != 0;
-    const std::string peer = offerer ? pending.from : someLink(pending.tries);
+    const bool offerer = m_collecting.tries == 1 && m_peers.has(m_collecting.from);
+    const std::string peer = offerer ? m_collecting.from : m_peers.inTurn(m_collecting.tries);
     if (peer.empty())
         return;
     PeerUpdate update = baseUpdate();
-    update.wants = std::move(wants);
+    update.wants = missing.manifests.empty() ? missing.pieces : missing.manifests;
     send(peer, std::move(update));
 }
 
 void Replicator::platformBlobs(const std::vector<Blob> &blobs)
 {
-    for (const Blob &it : blobs)
-        takeBlob(it);
-    completePending();
-}
-
-void Replicator::takeBlob(const Blob &blob)
-{
-    if (!m_pending || m_codec.digest(blob.bytes) != blob.sha256)
-        return;
-    if (blob.sha256 == m_pending->head.manifestSha256) {
-        m_pending->pieces = m_codec.decodeManifest(blob.bytes);
-        if (!m_pending->pieces) {
-            m_actions.emplace_back(ReplicatorAlarm{ReplicatorAlarm::Kind::DamagedConfiguration,
-                                                   m_pending->head.version, m_head.version});
-            m_pending.reset();
-            return;
-        }
-        // Pieces that did not change need not be asked for.
-        for (const StoredPiece &it : m_pieces)
-            m_blobs[it.sha256] = it.text;
-        m_pending->tries = 0;
-        return;
-    }
-    m_blobs[blob.sha256] = blob.bytes;
+    takeBlobs(blobs);
 }
 
-void Replicator::completePending()
+void Replicator::takeBlobs(const std::vector<Blob> &blobs)
 {
-    if (!m_pending)
-        return;
-    if (!m_pending->pieces)
-        return;
-    for (StoredPiece &it : *m_pending->pieces) {
-        const auto blob = m_blobs.find(it.sha256);
-        if (blob == m_blobs.end())
-            return askForParts();
-        it.text = blob->second;
+    const std::uint64_t collected = m_configuration.collecting();
+    const bool hadManifest = m_configuration.hasManifest();
+    const ConfigurationCopy::Progress progress = m_configuration.take(blobs);
+    if (!hadManifest && m_configuration.hasManifest())
+        m_collecting.tries = 0;
+    switch (progress) {
+    case ConfigurationCopy::Progress::Idle:
+        break;
+    case ConfigurationCopy::Progress::NeedsParts:
+        askForParts();
+        break;
+    case ConfigurationCopy::Progress::InForce:
+        applied();
+        break;
+    case ConfigurationCopy::Progress::Damaged:
+        m_actions.emplace_back(ReplicatorAlarm{ReplicatorAlarm::Kind::DamagedConfiguration,
+                                               collected, head().version});
+        break;
     }
-    const Pending pending = *std::exchange(m_pending, std::nullopt);
-    apply(pending.head, *pending.pieces);
 }
 
-void Replicator::apply(ConfigHead head, std::vector<StoredPiece> pieces)
+// A newer configuration is in force.
+void Replicator::applied()
 {
-    m_head = std::move(head);
-    m_pieces = std::move(pieces);
-    m_manifest = m_codec.encodeManifest(m_pieces);
-    m_blobs.clear();
-    if (m_pending && m_pending->head.version <= m_head.version)
-        m_pending.reset();
-    m_actions.emplace_back(ApplyConfiguration{m_head, m_pieces});
+    m_actions.emplace_back(ApplyConfiguration{head(), m_configuration.pieces()});
     announceHead();
 }
 
 // Tells the links that do not know the version yet: first children and other relays get the change
-// itself, the others only the version. The ids of submissions stay in the platform.
+// itself, the others only the version.
 void Replicator::announceHead()
 {
-    ConfigHead head = m_head;
-    head.recentSubmissionIds.clear();
-    for (auto &[peer, link] : m_links) {
-        if (link.headVersion >= m_head.version)
+    for (auto &[peer, link] : m_peers.links()) {
+        if (link.headVersion >= head().version)
             continue;
         PeerUpdate update = baseUpdate();
         if (getsWholeChanges(peer)) {
-            link.headVersion = m_head.version;
-            update.head = head;
+            link.headVersion = head().version;
+            update.head = withoutSubmissionIds(head());
         }
         send(peer, std::move(update));
     }
@@ -199,12 +162,9 @@
 
 bool Replicator::getsWholeChanges(const std::string &peer) const
 {
-    const auto contains = [&](const std::vector<std::string> &names) {
-        return std::find(names.begin(), names.end(), peer) != names.end();
-    };
-    if (contains(m_place.firstChildren))
+    if (contains(m_place.firstChildren, peer))
         return true;
-    return !contains(m_place.children) && !contains(m_place.parents);
+    return !contains(m_place.children, peer) && !contains(m_place.parents, peer);
 }
 
 // Asks a peer that has a newer version, once the first parent has had time to send it unasked.
@@ -212,8 +172,7 @@
 {
     if (!m_newer)
         return;
-    if (m_newer->version <= m_head.version
-        || (m_pending && m_pending->head.version >= m_newer->version)) {
+    if (m_newer->version <= head().version || m_configuration.collecting() >= m_newer->version) {
         m_newer.reset();
         return;
     }
@@ -232,78 +191,50 @@
     offerList(list, "");
 }
 
-void Replicator::offerList(const VmList &list, const std::string &from)
+void Replicator::offerList(const VmList &offered, const std::string &from)
 {
-    if (list.revision <= m_list.revision)
+    const auto delta = m_members.take(offered);
+    if (!delta)
         return;
-    const VmListDelta delta = makeDelta(m_list, list);
-    m_list = list;
-    for (auto &[peer, link] : m_links) {
-        if (peer == from || link.listRevision >= m_list.revision)
+    for (auto &[peer, link] : m_peers.links()) {
+        if (peer == from || link.listRevision >= list().revision)
             continue;
         PeerUpdate update = baseUpdate();
-        update.list = link.listRevision == delta.fromRevision ? delta : makeDelta(VmList{}, m_list);
-        link.listRevision = m_list.revision;
+        update.list
+            = link.listRevision == delta->fromRevision ? *delta : makeDelta(VmList{}, list());
+        link.listRevision = list().revision;
         send(peer, std::move(update));
     }
-    m_liveness.keepOnly(
-        [this](const std::string &name) { return name == m_self.name || listed(name) != nullptr; });
     changed();
 }
 
 void Replicator::takeListDelta(const VmListDelta &delta, const std::string &from)
 {
-    if (delta.toRevision <= m_list.revision)
+    if (delta.toRevision <= list().revision)
         return;
-    const auto list = applyDelta(m_list, delta);
-    if (list)
-        return offerList(*list, from);
+    const auto newer = applyDelta(list(), delta);
+    if (newer)
+        return offerList(*newer, from);
     PeerUpdate update = baseUpdate();
     update.wantsList = true;
     send(from, std::move(update));
 }
 
-std::uint64_t Replicator::bootOf(const std::string &member) const
-{
-    return m_liveness.of(member).incarnation >> kBootShift;
-}
-
-std::vector<Member> Replicator::members() const
-{
-    std::vector<Member> members;
-    for (const Member &it : m_list.entryVms) {
-        if (!m_liveness.isSuspected(it.name) || it.name == m_self.name)
-            members.push_back(it);
-    }
-    return members;
-}
-
 void Replicator::takeLiveness(const std::vector<LivenessRecord> &records, const std::string &from)
 {
-    std::vector<LivenessRecord> news;
-    for (const LivenessRecord &it : records) {
-        if (it.member == m_self.name) {
-            if (it.suspected && it.incarnation >= m_incarnation && !m_stopping) {
-                m_incarnation = it.incarnation + 1;
-                announceSelf();
-            }
-            continue;
-        }
-        const bool before = m_liveness.isSuspected(it.member);
-        if (!m_liveness.offer(it))
-            continue;
-        news.push_back(it);
-        m_membersChanged = m_membersChanged || before != it.suspected;
-    }
-    if (!news.empty())
-        spreadLiveness(news, from);
+    const MemberTable::News news = m_members.take(records);
+    if (news.selfSuspected && !m_stopping)
+        spreadLiveness({m_members.answerSuspicion()}, "");
+    m_membersChanged = m_membersChanged || news.membersChanged;
+    if (!news.records.empty())
+        spreadLiveness(news.records, from);
 }
 
 // Passes records on to all links but the one that they came from.
 void Replicator::spreadLiveness(const std::vector<LivenessRecord> &records,
                                 const std::string &except)
 {
-    for (const auto &[peer, link] : m_links) {
+    for (const auto &[peer, link] : m_peers.links()) {
         if (peer == except)
             continue;
         PeerUpdate update = baseUpdate();
@@ -312,33 +243,19 @@
     }
 }
 
-void Replicator::announceSelf()
-{
-    const LivenessRecord self{m_self.name, m_incarnation, false};
-    m_liveness.offer(self);
-    spreadLiveness({self}, "");
-}
-
 void Replicator::suspect(const std::string &member)
 {
-    if (m_liveness.isSuspected(member) || listed(member) == nullptr)
-        return;
-    LivenessRecord record = m_liveness.of(member);
-    record.suspected = true;
-    takeLiveness({record}, "");
+    if (const auto record = m_members.suspicionOf(member))
+        takeLiveness({*record}, "");
 }
 
 // Members, suspicions or the list have changed: tell the node, and find the new place in the tree.
 void Replicator::changed()
 {
-    std::vector<Member> now = members();
-    const std::size_t listed = m_list.entryVms.size();
-    if (now != m_lastMembers || m_list.leavingUpstreams != m_lastLeaving
-        || listed != m_lastListed) {
+    ApplyMembers now{members(), list().leavingUpstreams, list().entryVms.size()};
+    if (now != m_lastMembers) {
         m_lastMembers = now;
-        m_lastListed = listed;
-        m_lastLeaving = m_list.leavingUpstreams;
-        m_actions.emplace_back(ApplyMembers{now, m_lastLeaving, listed});
+        m_actions.emplace_back(std::move(now));
     }
     rearrange();
 }
@@ -351,25 +268,18 @@
     wanted.insert(wanted.end(), m_place.neighbours.begin(), m_place.neighbours.end());
     KeepLinks keep;
     for (const Member &it : now) {
-        if (it.name != m_self.name
-            && std::find(wanted.begin(), wanted.end(), it.name) != wanted.end())
+        if (it.name != m_self.name && contains(wanted, it.name))
             keep.peers.push_back(it);
     }
-    m_expected.clear();
-    m_expected.insert(m_place.children.begin(), m_place.children.end());
-    m_expected.insert(m_place.parents.begin(), m_place.parents.end());
-    std::erase_if(m_silentSince,
-                  [this](const auto &it) { return m_expected.count(it.first) == 0; });
-    for (const std::string &it : m_expected) {
-        if (m_links.count(it) == 0)
-            m_silentSince.try_emplace(it, m_clock.now());
-    }
+    std::set<std::string> expected(m_place.children.begin(), m_place.children.end());
+    expected.insert(m_place.parents.begin(), m_place.parents.end());
+    m_peers.expect(std::move(expected));
     const std::vector<std::string> names = namesOf(keep.peers);
     if (names != m_lastKept) {
         m_lastKept = names;
         m_actions.emplace_back(std::move(keep));
     }
-    if (m_list.revision > 0 && !m_aloneSince)
+    if (list().revision > 0 && !m_aloneSince)
         setReading(m_place.relay);
 }
 
@@ -377,40 +287,33 @@
 
 void Replicator::linkUp(const std::string &peer)
 {
-    m_links[peer] = Link{m_clock.now(), m_clock.now(), 0, 0};
-    m_silentSince.erase(peer);
-    if (std::exchange(m_aloneSince, std::nullopt) && m_list.revision > 0)
+    m_peers.up(peer);
+    if (std::exchange(m_aloneSince, std::nullopt) && list().revision > 0)
         setReading(m_place.relay);
     // Each side says what it has; the versions in the update bring out what the other lacks.
     PeerUpdate update = baseUpdate();
-    update.liveness = m_liveness.all();
+    update.liveness = m_members.records();
     send(peer, std::move(update));
 }
 
 void Replicator::linkDown(const std::string &peer)
 {
-    if (m_links.erase(peer) == 0)
-        return;
-    if (m_expected.count(peer) != 0)
-        m_silentSince.try_emplace(peer, m_clock.now());
-    if (m_pending && m_pending->from == peer)
-        m_pending->from.clear();
+    if (m_peers.down(peer) && m_collecting.from == peer)
+        m_collecting.from.clear();
 }
 
 void Replicator::updateArrived(const std::string &peer, const PeerUpdate &update)
 {
-    const auto known = m_links.find(peer);
-    if (known == m_links.end())
+    PeerTable::Link *link = m_peers.find(peer);
+    if (link == nullptr)
         return;
-    Link &link = known->second;
-    link.lastHeard = m_clock.now();
-    link.headVersion = std::max(link.headVersion, update.headVersion);
+    link->lastHeard = m_clock.now();
+    link->headVersion = std::max(link->headVersion, update.headVersion);
+    link->listRevision = std::max(link->listRevision, update.listRevision);
     // A peer that is fresh itself has no word to give.
     m_heardPeer = m_heardPeer || update.headVersion > 0;
-    link.listRevision = std::max(link.listRevision, update.listRevision);
     if (update.leaving) {
-        m_links.erase(known);
-        m_silentSince.erase(peer);
+        m_peers.closedByPeer(peer);
         suspect(peer); // by its own word, without waiting for its silence
         return;
     }
@@ -419,44 +322,52 @@
         takeListDelta(*update.list, peer);
     if (update.head)
         offerHead(*update.head, peer);
-    for (const Blob &it : update.blobs)
-        takeBlob(it);
     if (!update.blobs.empty())
-        completePending();
+        takeBlobs(update.blobs);
+    answer(peer, *link, update);
+    noteNewer(peer, update);
+}
 
+// Sends a peer what it asked for, and what its versions show that it lacks.
+void Replicator::answer(const std::string &peer, PeerTable::Link &link, const PeerUpdate &update)
+{
     PeerUpdate reply = baseUpdate();
-    bool answer = false;
+    bool needed = false;
     for (const std::string &it : update.wants) {
-        if (auto bytes = blobOf(it)) {
+        if (auto bytes = m_configuration.bytesOf(it)) {
             reply.blobs.push_back({it, std::move(*bytes)});
-            answer = true;
+            needed = true;
         }
     }
     // Who is behind is helped, unless its first parent does that.
-    const bool helped = getsWholeChanges(peer) && update.headVersion < m_head.version;
-    if (update.wantsHead || (helped && link.headVersion < m_head.version)) {
-        link.headVersion = m_head.version;
-        reply.head = m_head;
-        reply.head->recentSubmissionIds.clear();
-        answer = true;
+    const bool helped = getsWholeChanges(peer) && update.headVersion < head().version;
+    if (update.wantsHead || (helped && link.headVersion < head().version)) {
+        link.headVersion = head().version;
+        reply.head = withoutSubmissionIds(head());
+        needed = true;
     }
-    if (update.wantsList || link.listRevision < m_list.revision) {
-        link.listRevision = m_list.revision;
-        reply.list = makeDelta(VmList{}, m_list);
-        answer = true;
+    if (update.wantsList || link.listRevision < list().revision) {
+        link.listRevision = list().revision;
+        reply.list = makeDelta(VmList{}, list());
+        needed = true;
     }
-    const bool behind = update.headVersion > m_head.version && !update.head
-                        && (!m_pending || m_pending->head.version < update.headVersion);
-    if (behind && (!m_newer || m_newer->version < update.headVersion))
-        m_newer = Newer{update.headVersion, peer, m_clock.now()};
-    if (update.listRevision > m_list.revision && !update.list) {
+    if (update.listRevision > list().revision && !update.list) {
         reply.wantsList = true;
-        answer = true;
+        needed = true;
     }
-    if (answer && m_links.count(peer) != 0)
+    if (needed)
         send(peer, std::move(reply));
 }
 
+// Remembers a peer that names a newer version without sending it.
+void Replicator::noteNewer(const std::string &peer, const PeerUpdate &update)
+{
+    const bool behind = update.headVersion > head().version && !update.head
+                        && m_configuration.collecting() < update.headVersion;
+    if (behind && (!m_newer || m_newer->version < update.headVersion))
+        m_newer = Newer{update.headVersion, peer, m_clock.now()};
+}
+
 // ---------------------------------------------------------------- time
 
 void Replicator::tick()
@@ -467,35 +378,20 @@
     lookForSilence();
     lookForOrphanhood();
     askForNewer();
-    if (m_pending && m_clock.now() - m_pending->askedAt >= m_limits.askAgain)
+    const bool collecting = m_configuration.collecting() != 0;
+    if (collecting && m_clock.now() - m_collecting.askedAt >= m_limits.askAgain)
         askForParts();
 }
 
 void Replicator::heartbeat()
 {
-    const TimePoint now = m_clock.now();
-    std::vector<std::string> due;
-    for (const auto &[peer, link] : m_links) {
-        if (now - link.lastSent >= m_limits.heartbeat)
-            due.push_back(peer);
-    }
-    for (const std::string &it : due)
+    for (const std::string &it : m_peers.unsentFor(m_limits.heartbeat))
         send(it, baseUpdate());
 }
 
 void Replicator::lookForSilence()
 {
-    const TimePoint now = m_clock.now();
-    std::vector<std::string> silent;
-    for (const auto &[peer, since] : m_silentSince) {
-        if (now - since >= m_limits.suspectAfter)
-            silent.push_back(peer);
-    }
-    for (const auto &[peer, link] : m_links) {
-        if (m_expected.count(peer) != 0 && now - link.lastHeard >= m_limits.suspectAfter)
-            silent.push_back(peer);
-    }
-    for (const std::string &it : silent)
+    for (const std::string &it : m_peers.silentFor(m_limits.suspectAfter))
         suspect(it);
 }
 
@@ -503,7 +399,7 @@
 // its own so that a whole domain does not come at once.
 void Replicator::lookForOrphanhood()
 {
-    const bool alone = m_links.empty() && !m_place.relay && m_list.revision > 0;
+    const bool alone = m_peers.links().empty() && !m_place.relay && list().revision > 0;
     if (!alone) {
         m_aloneSince.reset();
         return;
@@ -515,7 +411,7 @@
             m_random() % static_cast<std::uint64_t>(m_limits.orphanAfter.count())));
     }
     if (!m_reading && now - *m_aloneSince >= m_limits.orphanAfter + m_jitter) {
-        m_actions.emplace_back(ReplicatorAlarm{ReplicatorAlarm::Kind::Orphaned, 0, m_head.version});
+        m_actions.emplace_back(ReplicatorAlarm{ReplicatorAlarm::Kind::Orphaned, 0, head().version});
         setReading(true);
     }
 }
@@ -523,7 +419,7 @@
 void Replicator::stop()
 {
     m_stopping = true;
-    for (const auto &[peer, link] : m_links) {
+    for (const auto &[peer, link] : m_peers.links()) {
         PeerUpdate update = baseUpdate();
         update.leaving = true;
         send(peer, std::move(update));
@@ -547,46 +443,18 @@
 PeerUpdate Replicator::baseUpdate() const
 {
     PeerUpdate update;
-    update.headVersion = m_head.version;
-    update.listRevision = m_list.revision;
+    update.headVersion = head().version;
+    update.listRevision = list().revision;
     return update;
 }
 
 void Replicator::send(const std::string &peer, PeerUpdate update)
 {
-    const auto link = m_links.find(peer);
-    if (link == m_links.end())
+    PeerTable::Link *link = m_peers.find(peer);
+    if (link == nullptr)
         return;
-    link->second.lastSent = m_clock.now();
+    link->lastSent = m_clock.now();
     m_actions.emplace_back(SendUpdate{peer, std::move(update)});
 }
 
-std::optional<std::string> Replicator::blobOf(const std::string &sha256) const
-{
-    if (sha256 == m_head.manifestSha256 && m_head.version > 0)
-        return m_manifest;
-    for (const StoredPiece &it : m_pieces) {
-        if (it.sha256 == sha256)
-            return it.text;
-    }
-    return std::nullopt;
-}
-
-std::string Replicator::someLink(std::size_t n) const
-{
-    if (m_links.empty())
-        return "";
-    auto it = m_links.begin();
-    std::advance(it, static_cast<std::ptrdiff_t>(n % m_links.size()));
-    return it->first;
-}
-
-const Member *Replicator::listed(const std::string &name) const
-{
-    const auto it = std::lower_bound(
-        m_list.entryVms.begin(), m_list.entryVms.end(), name,
-        [](const Member &member, const std::string &key) { return member.name < key; });
-    return it != m_list.entryVms.end() && it->name == name ? &*it : nullptr;
-}
-
 } // namespace fordwood
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -68,11 +68,10 @@
 
 const std::string &RouteTable::targetOf(const ServiceRoute &route, std::string_view requestId)
 {
-    constexpr double kHashRange = 18446744073709551616.0; // 2^64
     const double sum
         = std::accumulate(route.targets.begin(), route.targets.end(), 0.0,
                           [](double total, const SplitTarget &it) { return total + it.weight; });
-    double left = static_cast<double>(stableHash(requestId)) / kHashRange * sum;
+    double left = hashFraction(stableHash(requestId)) * sum;
     for (const SplitTarget &it : route.targets) {
         left -= it.weight;
         if (left < 0)
--- a/src/core/service_chooser.cpp
+++ b/src/core/service_chooser.cpp
@@ -15,7 +15,6 @@
 constexpr double kOtherDomainCost = 0.08;
 // Only to spread equals.
 constexpr double kSpread = 0.01;
-constexpr double kHashRange = 18446744073709551616.0; // 2^64
 
 } // namespace
 
@@ -37,7 +36,7 @@
         if (it->failureDomain != ownFailureDomain)
             cost += kOtherDomainCost;
         const std::uint64_t hash = rendezvousWeight(salt, stableHash(it->instanceId));
-        cost += kSpread * static_cast<double>(hash) / kHashRange;
+        cost += kSpread * hashFraction(hash);
         if (best == nullptr || cost < least) {
             best = it;
             least = cost;
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -38,12 +38,6 @@
     return std::nullopt;
 }
 
-bool WeightRollout::hasWork() const
-{
-    return std::any_of(m_engines.begin(), m_engines.end(),
-                       [&](const auto &it) { return modelBehind(it.second).has_value(); });
-}
-
 std::set<std::string> WeightRollout::loading() const
 {
     std::set<std::string> ids;
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -471,7 +471,7 @@
     finish(isGood(status) ? "answered" : "upstream-failure", status);
 }
 
-void CallRun::channelFailed(const ChannelFailure &failure)
+void CallRun::channelFailed(const ErrorCode &cause)
 {
     const auto self = shared_from_this();
     m_traffic.health().failed(m_attempt->upstream.instanceId);
@@ -479,7 +479,7 @@
     m_traffic.channels().closeResting(m_attempt->upstream.instanceId);
     logEvent(Event::AttemptFailed, {{"request", m_caller.requestId},
                                     {"upstream", m_attempt->upstream.instanceId},
-                                    {"cause", failure.cause.message()},
+                                    {"cause", cause.message()},
                                     {"events_passed", m_events.lastId().value_or(0)}});
     endAttempt(false);
     judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamBegun});
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -41,7 +41,7 @@
     void headRead(const http::response_header<> &head) override;
     bool bodyRead(std::string_view bytes) override;
     void answerEnded() override;
-    void channelFailed(const ChannelFailure &failure) override;
+    void channelFailed(const ErrorCode &cause) override;
 
 private:
     bool admit(); // false: the request has been refused
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -32,8 +32,6 @@
     // The planned stop: closes the connection if it rests, else after its answer.
     void closeWhenIdle();
 
-    bool isServing() const { return m_run != nullptr; }
-
     // From CallerPort:
     void sendWhole(http::response_header<> head, std::string body) override;
     void beginStream(http::response_header<> head) override;
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -29,7 +29,7 @@
 constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
 // How often the store is asked beside the watch, and by how many nodes.
 constexpr Duration kPollEvery = std::chrono::milliseconds(1'000);
-constexpr std::ptrdiff_t kPollingNodes = 2;
+constexpr std::size_t kPollingNodes = 2;
 
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
 
@@ -383,20 +383,17 @@
 
 void ControlDuty::noteLiveNodes()
 {
-    std::vector<std::string> names = m_peers.live();
-    names.push_back(m_settings.node.name);
-    if (names.size() == m_liveNodes)
+    const std::vector<std::string> peers = m_peers.live();
+    const std::size_t live = peers.size() + 1;
+    if (live == m_liveNodes)
         return;
-    m_liveNodes = names.size();
-    logEvent(Event::MembersChanged, {{"live", names.size()}});
-    tell(LiveNodes{names.size()});
+    m_liveNodes = live;
+    logEvent(Event::MembersChanged, {{"live", live}});
+    tell(LiveNodes{live});
     // The node that ranks first takes the lock; the others only when it does not.
-    const std::uint64_t key = stableHash(OrderDuty::lockKey());
-    const std::uint64_t own = rendezvousWeight(key, stableHash(m_settings.node.name));
-    const auto before = std::count_if(names.begin(), names.end(), [&](const std::string &it) {
-        return rendezvousWeight(key, stableHash(it)) > own;
-    });
-    m_orders.lock().setPatience(kLockPatiencePerRank * (before + 1));
+    const std::size_t before
+        = rendezvousRank(stableHash(OrderDuty::lockKey()), m_settings.node.name, peers);
+    m_orders.lock().setPatience(kLockPatiencePerRank * static_cast<std::int64_t>(before + 1));
 }
 
 // A watch may hear nothing for a while although things change. Two nodes ask beside it; the others
@@ -406,12 +403,8 @@
     if (!m_store.isReachable() || m_clock.now() < m_nextPoll)
         return;
     m_nextPoll = m_clock.now() + kPollEvery;
-    std::vector<std::string> names = m_peers.reachingStore();
-    const std::uint64_t key = stableHash("polls the store");
-    const std::uint64_t own = rendezvousWeight(key, stableHash(m_settings.node.name));
-    const auto before = std::count_if(names.begin(), names.end(), [&](const std::string &it) {
-        return rendezvousWeight(key, stableHash(it)) > own;
-    });
+    const std::size_t before = rendezvousRank(stableHash("polls the store"), m_settings.node.name,
+                                              m_peers.reachingStore());
     if (before < kPollingNodes)
         m_store.poll();
 }
@@ -472,17 +465,16 @@
 
 void ControlDuty::tell(FleetUpdate update)
 {
-    if (!m_waiting.empty() || !m_tell(update))
-        m_waiting.push_back(std::move(update));
+    if (!m_waiting.isEmpty() || !m_tell(update))
+        m_waiting.push(std::move(update));
 }
 
 void ControlDuty::flushUpdates()
 {
-    if (m_waiting.empty())
+    if (m_waiting.isEmpty())
         return;
     m_metrics.count("fordwood_updates_waiting_total");
-    while (!m_waiting.empty() && m_tell(m_waiting.front()))
-        m_waiting.pop_front();
+    m_waiting.flush(m_tell);
 }
 
 } // namespace fordwood::node
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -3,7 +3,6 @@
 #define FORDWOOD_NODE_CONTROL_DUTY_HPP_INCLUDED
 
 #include <atomic>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +26,7 @@
 #include "node/peer_links.hpp"
 #include "node/small_server.hpp"
 #include "node/store_link.hpp"
+#include "node/update_queue.hpp"
 
 namespace fordwood::node {
 
@@ -113,7 +113,7 @@
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
     OwnLoads m_lastOwn;
-    std::deque<FleetUpdate> m_waiting; // updates that did not fit
+    UpdateQueue m_waiting; // updates that did not fit
     std::map<std::string, WeightHistory> m_weights; // by model
     std::map<std::string, TimePoint> m_lastOrders; // to engines, by the node that sent them
     bool m_hasConfiguration = false;
--- a/src/node/http_caller.cpp
+++ b/src/node/http_caller.cpp
@@ -94,10 +94,7 @@
         end(std::move(m_reply));
     }
 
-    void channelFailed(const ChannelFailure &) override
-    {
-        end(tl::unexpected(HttpFailure::NoAnswer));
-    }
+    void channelFailed(const ErrorCode &) override { end(tl::unexpected(HttpFailure::NoAnswer)); }
 
 private:
     void sendNow()
--- a/src/node/http_caller.hpp
+++ b/src/node/http_caller.hpp
@@ -26,7 +26,6 @@
     void send(const HttpCall &call, Duration patience, Done done);
 
     // Closes the resting channels.
-    void closeIdle() { m_idle.clear(); }
 
 private:
     class Run;
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -154,7 +154,7 @@
     const std::shared_ptr<Exchange> now = std::move(m_exchange);
     m_exchange.reset();
     close();
-    now->reader->channelFailed({true, ec});
+    now->reader->channelFailed(ec);
 }
 
 void HttpChannel::close()
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -20,13 +20,6 @@
 
 namespace http = boost::beast::http;
 
-// Why an exchange on a channel failed.
-struct ChannelFailure
-{
-    bool sent = false; // a byte of the request may have reached the other side
-    ErrorCode cause;
-};
-
 // Takes what a channel reads. Calls come in the order head, body pieces, end; failed() may come in
 // place of any of them and is then the last.
 class AnswerReader
@@ -42,7 +35,7 @@
     // The answer is whole.
     virtual void answerEnded() = 0;
 
-    virtual void channelFailed(const ChannelFailure &failure) = 0;
+    virtual void channelFailed(const ErrorCode &cause) = 0;
 };
 
 // One HTTP/1.1 connection to an upstream, a peer or the platform: one exchange at a time, and never
--- a/src/node/small_server.cpp
+++ b/src/node/small_server.cpp
@@ -18,7 +18,6 @@
 // A connection that asks nothing is closed after this; the platform asks every second.
 constexpr Duration kLongestRest = std::chrono::seconds(15);
 constexpr Duration kSilence = std::chrono::seconds(2);
-constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 constexpr std::uint32_t kMostHeadBytes = 4'096;
 
 } // namespace
@@ -94,35 +93,14 @@
 };
 
 SmallServer::SmallServer(net::io_context &context, Answer answer)
-    : m_context(context), m_acceptor(context), m_pause(context), m_answer(std::move(answer))
+    : m_answer(std::move(answer)), m_acceptor(context, [this](tcp::socket socket) {
+          std::make_shared<Connection>(std::move(socket), m_answer)->start();
+      })
 { }
 
 bool SmallServer::listen(const std::string &address, ErrorCode &ec)
 {
-    m_acceptor = listenAt(m_context, address, ec);
-    if (ec)
-        return false;
-    accept();
-    return true;
-}
-
-void SmallServer::accept()
-{
-    m_acceptor.async_accept([this](const ErrorCode &ec, tcp::socket socket) {
-        if (ec == net::error::operation_aborted)
-            return;
-        if (!ec) {
-            std::make_shared<Connection>(std::move(socket), m_answer)->start();
-            accept();
-            return;
-        }
-        // Out of descriptors most of the time: at once it would fail again.
-        m_pause.expires_after(kAcceptPause);
-        m_pause.async_wait([this](const ErrorCode &timerEc) {
-            if (!timerEc)
-                accept();
-        });
-    });
+    return m_acceptor.listen(address, ec);
 }
 
 } // namespace fordwood::node
--- a/src/node/small_server.hpp
+++ b/src/node/small_server.hpp
@@ -6,8 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include <boost/asio/steady_timer.hpp>
-
+#include "node/accept_loop.hpp"
 #include "node/http_call.hpp"
 #include "node/net.hpp"
 
@@ -29,12 +28,8 @@
 private:
     class Connection;
 
-    void accept();
-
-    net::io_context &m_context;
-    tcp::acceptor m_acceptor;
-    net::steady_timer m_pause; // after a failed accept
-    Answer m_answer;
+    const Answer m_answer;
+    AcceptLoop m_acceptor;
 };
 
 } // namespace fordwood::node
--- a/src/node/traffic_duty.hpp
+++ b/src/node/traffic_duty.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "config/node_settings.hpp"
+#include "node/accept_loop.hpp"
 #include "node/caller_session.hpp"
 #include "node/mailbox.hpp"
 #include "node/traffic.hpp"
@@ -34,12 +35,10 @@
     Mailbox<FleetUpdate> &mailbox() { return m_mailbox; }
 
 private:
-    void accept();
     void accepted(tcp::socket socket);
     void tick();
     void stopStep();
     void reportLoads(bool isUrgent);
-    std::size_t serving() const;
 
     const Clock &m_clock;
     const config::OneProcessSettings m_settings;
@@ -48,9 +47,8 @@
     net::io_context m_context;
     Traffic m_traffic;
     Mailbox<FleetUpdate> m_mailbox;
-    tcp::acceptor m_acceptor;
+    AcceptLoop m_acceptor;
     net::steady_timer m_tickTimer;
-    net::steady_timer m_acceptTimer;
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
     std::optional<TimePoint> m_stopBegan;
     bool m_idleClosed = false;
--- a/tests/process/http.cpp
+++ b/tests/process/http.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <curl/curl.h>
 
@@ -95,9 +96,11 @@
         close(fd);
 }
 
-std::string rawCall(const std::string &address, const std::string &bytes, const std::string &enough)
+namespace {
+
+// Reads until `enough` is in what came, or the peer closes.
+std::string readUntil(int fd, const std::string &enough)
 {
-    const int fd = sendBytes(address, bytes);
     std::string received;
     std::array<char, 4096> buf{};
     pollfd waiting{fd, POLLIN, 0};
@@ -109,6 +112,34 @@
         if (!enough.empty() && received.find(enough) != std::string::npos)
             break;
     }
+    return received;
+}
+
+} // namespace
+
+RestingConnection::RestingConnection(const std::string &address) : m_socket(sendBytes(address, ""))
+{ }
+
+RestingConnection::RestingConnection(RestingConnection &&other) noexcept
+    : m_socket(std::exchange(other.m_socket, -1))
+{ }
+
+RestingConnection::~RestingConnection()
+{
+    if (m_socket >= 0)
+        close(m_socket);
+}
+
+bool RestingConnection::exchange(const std::string &bytes, const std::string &enough)
+{
+    send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return readUntil(m_socket, enough).find(enough) != std::string::npos;
+}
+
+std::string rawCall(const std::string &address, const std::string &bytes, const std::string &enough)
+{
+    const int fd = sendBytes(address, bytes);
+    std::string received = readUntil(fd, enough);
     if (fd >= 0)
         close(fd);
     return received;
--- a/tests/process/http.hpp
+++ b/tests/process/http.hpp
@@ -21,6 +21,24 @@
 HttpAnswer httpCall(const std::string &method, const std::string &url, const std::string &body = "",
                     const std::vector<std::string> &headers = {});
 
+// A connection that stays open between exchanges.
+class RestingConnection
+{
+public:
+    // Connects to "IP:port".
+    explicit RestingConnection(const std::string &address);
+    RestingConnection(RestingConnection &&other) noexcept;
+    RestingConnection(const RestingConnection &) = delete;
+    RestingConnection &operator=(const RestingConnection &) = delete;
+    ~RestingConnection();
+
+    // Sends raw bytes and reads until `enough` is in what came; false when the peer closes first.
+    bool exchange(const std::string &bytes, const std::string &enough);
+
+private:
+    int m_socket = -1;
+};
+
 // Sends raw bytes to "IP:port" and closes the connection without reading.
 void sendAndLeave(const std::string &address, const std::string &bytes);
 
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -406,3 +406,31 @@
     CHECK(answer.headers.at("connection") == "close");
     CHECK(fleet.nodes.front().wait() == 0);
 }
+
+TEST_CASE("node: a resting connection of a caller costs little memory, and serves again "
+          "[node][memory]")
+{
+    constexpr std::size_t kConnections = 1'000;
+    // The bound that docs/operations/one-process.md states.
+    constexpr std::size_t kMostBytesEach = 4'096;
+    Deployment fleet;
+    fleet.start();
+    const std::string address = fleet.host(0) + ":8080";
+    const auto request = [](std::size_t n) {
+        return "GET /safe/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-" + std::to_string(n)
+               + "\r\nCredential: key-t\r\n\r\n";
+    };
+    RestingConnection first(address);
+    REQUIRE(first.exchange(request(0), "answer to r-0"));
+    const std::size_t before = fleet.nodes.front().usage().residentBytes;
+    std::vector<RestingConnection> connections;
+    for (std::size_t n = 1; n <= kConnections; ++n) {
+        connections.emplace_back(address);
+        REQUIRE(connections.back().exchange(request(n), "answer to r-" + std::to_string(n)));
+    }
+    const std::size_t after = fleet.nodes.front().usage().residentBytes;
+    const std::size_t each = (after - std::min(before, after)) / kConnections;
+    MESSAGE("bytes of resident memory for each resting connection: ", each);
+    CHECK(each <= kMostBytesEach);
+    CHECK(connections.front().exchange(request(9'999), "answer to r-9999"));
+}
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -401,7 +401,7 @@
                 answer.decision = ClaimAnswer::Decision::Run;
             if (holder == holderOf(placeOf(index)))
                 post(index, [message, answer](Node &entry) {
-                    entry.dispatcher->claimAnswered(message.holder, message.claimId, answer);
+                    entry.dispatcher->claimAnswered(message.claimId, answer);
                 });
         });
     } else if (const auto *finish = std::get_if<FinishClaim>(&action)) {
--- /dev/null
+++ b/tests/unit/log_queue_test.cpp
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+#include "adapters/observe/log_queue.hpp"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace fordwood::adapters;
+
+namespace {
+
+std::vector<std::string> drained(LogQueue &queue, std::uint64_t &dropped)
+{
+    std::vector<std::string> lines;
+    dropped = queue.drain([&](const LogQueue::Line &it) { lines.push_back(it.text); });
+    return lines;
+}
+
+} // namespace
+
+TEST_CASE("log: a full queue drops lines, counts them, and keeps the older ones [log]")
+{
+    LogQueue queue(2);
+    for (const char *it : {"one", "two", "three", "four", "five"})
+        queue.push({EventLevel::Info, it});
+    std::uint64_t dropped = 0;
+    CHECK(drained(queue, dropped) == std::vector<std::string>{"one", "two"});
+    CHECK(dropped == 3);
+}
+
+TEST_CASE("log: each dropped line is counted once, and the queue takes lines again [log]")
+{
+    LogQueue queue(1);
+    queue.push({EventLevel::Info, "one"});
+    queue.push({EventLevel::Error, "two"});
+    std::uint64_t dropped = 0;
+    CHECK(drained(queue, dropped).size() == 1);
+    CHECK(dropped == 1);
+    queue.push({EventLevel::Info, "three"});
+    CHECK(drained(queue, dropped) == std::vector<std::string>{"three"});
+    CHECK(dropped == 0);
+}
