The log names the shared context of a prompt

Cause: which request read a context again could not be told from the log. The line of a request now holds the context's hash beside its weights and engine.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -31,6 +31,7 @@
     std::vector<std::string> saveTo; // likewise
     RequestLoad load;
     // What decided, for the log:
+    std::uint64_t context = 0; // names the shared parts
     bool isShort = false; // the prompt, for its engine
     bool isHome = false; // the engine that all nodes prefer for the context
     bool holdsContext = false; // as believed
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -188,6 +188,7 @@
     choice.instanceId = rated.engine->instanceId;
     choice.weightVersion = rated.weights->version;
     choice.salt = rated.weights->salt;
+    choice.context = terms.context;
     choice.isHome = rated.isHome;
     choice.holdsContext = rated.holdsContext;
     choice.isStored = !rated.weights->holder.address.empty();
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -65,7 +65,8 @@
                              [](const std::string &it) { return !it.empty(); });
     };
     std::ostringstream out;
-    out << "weights:" << choice.weightVersion << " home:" << choice.isHome
+    out << "context:" << std::hex << choice.context << std::dec
+        << " weights:" << choice.weightVersion << " home:" << choice.isHome
         << " held:" << choice.holdsContext << " stored:" << choice.isStored
         << " fetch:" << count(choice.fetchFrom) << " save:" << count(choice.saveTo)
         << " compute:" << choice.load.tokensToCompute << " found:" << choice.found.running << "/"
