Short prompts of a context keep to two engines

Change: the engine that all nodes prefer counts as having the context (0.2), the next one in their order costs 2, others 4 times the shared tokens.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -93,7 +93,9 @@
     {
         const UpstreamRecord *engine = nullptr;
         const Weights *weights = nullptr;
-        bool isHome = false;
+        bool isInGroup = false; // of engines for prompts of this size
+        std::uint64_t weight = 0; // by which all nodes rank it for the context
+        std::size_t rank = 0; // zero: the engine that all nodes prefer
         bool holdsContext = false;
         UpstreamLoad load;
         double cost = 0.0;
@@ -107,8 +109,9 @@
         double sharedTokens = 0.0;
     };
 
-    static int homeOf(std::uint64_t context, const std::vector<Rated> &rated, bool isShort,
-                      const std::set<std::string> &shortGroup);
+    static void rank(std::vector<Rated> &rated, const Terms &terms,
+                     const std::set<std::string> &shortGroup);
+    static double computeWeight(const Rated &rated, const Terms &terms);
     bool mayUse(const UpstreamRecord &engine, const Question &question,
                 const UpstreamHealth &health) const;
     double queueCost(const UpstreamLoad &load, const Terms &terms) const;
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -18,6 +18,10 @@
 constexpr double kComputeWeight = 1.0;
 // The engine that all nodes prefer for a context may have it from a request of another node.
 constexpr double kHomeComputeWeight = 0.9;
+// For short prompts, which come from all nodes, most to few contexts.
+constexpr double kShortHomeWeight = 0.2;
+constexpr double kShortNextWeight = 2.0;
+constexpr double kShortElsewhereWeight = 4.0;
 // Moving a token of context takes a part of the time of computing it, with the wait for the links.
 constexpr double kFetchWeight = 0.2;
 // Links between failure domains are half as fast.
@@ -78,25 +82,32 @@
     return cost;
 }
 
-// The engine that all nodes prefer for the context: one of its group, if any may be used.
-int EngineChooser::homeOf(std::uint64_t context, const std::vector<Rated> &rated, bool isShort,
-                          const std::set<std::string> &shortGroup)
+// Orders the engines as all nodes prefer them for the context: first those of its group.
+void EngineChooser::rank(std::vector<Rated> &rated, const Terms &terms,
+                         const std::set<std::string> &shortGroup)
 {
-    int home = -1;
-    bool isHomeInGroup = false;
-    std::uint64_t best = 0;
-    for (std::size_t n = 0; n < rated.size(); ++n) {
-        const std::string &id = rated[n].engine->instanceId;
-        const bool isInGroup = shortGroup.contains(id) == isShort;
-        const std::uint64_t weight = rendezvousWeight(context, stableHash(id));
-        if (home >= 0
-            && (isHomeInGroup > isInGroup || (isHomeInGroup == isInGroup && weight <= best)))
-            continue;
-        home = static_cast<int>(n);
-        isHomeInGroup = isInGroup;
-        best = weight;
+    for (Rated &it : rated) {
+        const std::string &id = it.engine->instanceId;
+        it.isInGroup = shortGroup.contains(id) == terms.isShort;
+        it.weight = rendezvousWeight(terms.context, stableHash(id));
     }
-    return home;
+    std::sort(rated.begin(), rated.end(), [](const Rated &a, const Rated &b) {
+        return std::pair(a.isInGroup, a.weight) > std::pair(b.isInGroup, b.weight);
+    });
+    for (std::size_t n = 0; n < rated.size(); ++n)
+        rated[n].rank = n;
+}
+
+// What it costs to compute the shared context at the engine, in its own tokens. All nodes send the
+// short prompts of a context to the same engine, and the others to the same next one, so that it is
+// probably there; the more of them have it, the less room there is for other contexts.
+double EngineChooser::computeWeight(const Rated &rated, const Terms &terms)
+{
+    if (!terms.isShort)
+        return rated.rank == 0 ? kHomeComputeWeight : kComputeWeight;
+    if (rated.rank == 0)
+        return kShortHomeWeight;
+    return rated.rank == 1 ? kShortNextWeight : kShortElsewhereWeight;
 }
 
 double EngineChooser::versionCost(std::uint64_t version, const WeightHistory &weights) const
@@ -126,7 +137,7 @@
         return 0.0;
     const ContextDirectory::Holder &holder = rated.weights->holder;
     if (holder.address.empty())
-        return terms.sharedTokens * (rated.isHome ? kHomeComputeWeight : kComputeWeight);
+        return terms.sharedTokens * computeWeight(rated, terms);
     const bool isNear = holder.failureDomain == rated.engine->failureDomain;
     // Moves over the store's link run one after the other.
     const double waiting
@@ -160,19 +171,17 @@
     terms.isShort = isShortPrompt(prompt, question.traits);
     terms.context = prompt.contextHash();
     terms.sharedTokens = static_cast<double>(prompt.sharedTokens());
-    const int home = homeOf(terms.context, rated, terms.isShort, question.shortGroup);
+    rank(rated, terms, question.shortGroup);
     const Duration keptFor = terms.isShort ? kShortContextKept : kLongContextKept;
-    for (std::size_t n = 0; n < rated.size(); ++n) {
-        Rated &it = rated[n];
+    for (Rated &it : rated) {
         const std::string &id = it.engine->instanceId;
-        it.isHome = static_cast<int>(n) == home;
         it.holdsContext = contexts.isAtEngine(id, it.weights->salt, terms.context, keptFor);
         it.load = loads.total(id);
         it.cost = waitingCost(it.load, terms, question) + kFailureCost * health.failureRate(id)
                   + it.weights->cost + contextCost(it, terms, loads);
         if (health.isSilent(id))
             it.cost += kFailureCost;
-        if (question.shortGroup.contains(id) != terms.isShort)
+        if (!it.isInGroup)
             it.cost += terms.isShort ? kShortOutsideCost : kLongInsideCost;
     }
     const auto best = std::min_element(
@@ -189,7 +198,7 @@
     choice.weightVersion = rated.weights->version;
     choice.salt = rated.weights->salt;
     choice.context = terms.context;
-    choice.isHome = rated.isHome;
+    choice.isHome = rated.rank == 0;
     choice.holdsContext = rated.holdsContext;
     choice.isStored = !rated.weights->holder.address.empty();
     choice.found = rated.load;
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -90,6 +90,24 @@
     }
 }
 
+TEST_CASE("engines: short prompts of a context keep to two engines while those have places "
+          "[routing]")
+{
+    View view;
+    const Prompt prompt = shortPrompt();
+    const std::string home = view.choose(prompt)->instanceId;
+    view.m_loads.begin(home, {0, 0});
+    for (int n = 0; n < 5; ++n)
+        view.m_loads.begin(home, {0, 500});
+    CHECK(view.choose(prompt)->instanceId == home); // six runs slow it less than a cold read
+    view.m_loads.setPeer("peer", {{home, {11, 0, 0}}});
+    const std::string next = view.choose(prompt)->instanceId;
+    CHECK(next != home); // it has no place left
+    View other;
+    other.m_loads.setPeer("peer", {{home, {17, 0, 0}}});
+    CHECK(other.choose(prompt)->instanceId == next); // the same one by another node's choice
+}
+
 TEST_CASE("engines: a context goes elsewhere when its engine has too much to do [routing]")
 {
     View view;
