The oldest weights are replaced first

An engine that had just come to the replaced version went on to the newest at once, and idle engines came first, which those are. So three of 24 loads went to engines that served the newer of two old versions, while others came to the end of their time with the oldest. Change: an engine whose order is done leaves the loads, and the order of the queue is: oldest weights, then fewest running requests.

--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -123,14 +123,18 @@
         TimePoint nextStep{};
         bool isAsking = false; // a report is on its way
         std::optional<TimePoint> ordered;
+        std::string model; // that was ordered, and its version
+        std::uint64_t version = 0;
         std::int64_t ordersTaken = 0; // by the report that the order followed
     };
 
     std::optional<std::string> modelBehind(const Engine &engine) const;
+    std::uint64_t versionsBehind(const Engine &engine) const;
     void startLoads(const LoadBook &loads);
     std::size_t mostAtOnce() const;
     bool mayOrder() const;
     void step(const std::string &instanceId, Load &load, const LoadBook &loads, std::int64_t fence);
+    bool isDone(const Engine &engine, const Load &load) const;
     void giveUp(const std::string &instanceId);
 
     const Clock &m_clock;
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -2,6 +2,7 @@
 #include "fordwood/weight_rollout.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fordwood {
 
@@ -38,6 +39,18 @@
     return std::nullopt;
 }
 
+// How far the engine's weights lie back, by version numbers.
+std::uint64_t WeightRollout::versionsBehind(const Engine &engine) const
+{
+    std::uint64_t most = 0;
+    for (const auto &[model, version] : engine.versions) {
+        const auto target = m_targets.find(model);
+        if (target != m_targets.end() && version < target->second)
+            most = std::max(most, target->second - version);
+    }
+    return most;
+}
+
 std::set<std::string> WeightRollout::loading() const
 {
     std::set<std::string> ids;
@@ -54,28 +67,48 @@
         it->second.notBefore = m_clock.now() + m_limits.pause;
 }
 
+// Whether the engine serves what it was ordered to load. If newer weights were named meanwhile, it
+// waits for its turn like the others.
+bool WeightRollout::isDone(const Engine &engine, const Load &load) const
+{
+    if (!modelBehind(engine))
+        return true;
+    const auto version = engine.versions.find(load.model);
+    return load.ordered && version != engine.versions.end() && version->second >= load.version;
+}
+
 std::size_t WeightRollout::mostAtOnce() const
 {
     return std::max<std::size_t>(
         1, static_cast<std::size_t>(m_limits.loadingPart * static_cast<double>(m_engines.size())));
 }
 
-// While some engines load, as many again are drained for their turn.
+// While some engines load, as many again are drained for their turn. Those with the oldest weights
+// come first: an engine that has just loaded what was replaced since is of use for longer.
 void WeightRollout::startLoads(const LoadBook &loads)
 {
-    std::vector<std::pair<std::size_t, std::string>> behind; // by running requests
+    struct Behind
+    {
+        std::uint64_t versions = 0;
+        std::size_t running = 0;
+        std::string instanceId;
+    };
+    std::vector<Behind> behind;
     for (const auto &[id, engine] : m_engines) {
         if (modelBehind(engine) && !m_loads.contains(id) && m_clock.now() >= engine.notBefore)
-            behind.emplace_back(loads.total(id).running, id);
+            behind.push_back({versionsBehind(engine), loads.total(id).running, id});
     }
-    std::sort(behind.begin(), behind.end());
-    for (const auto &[running, id] : behind) {
+    std::sort(behind.begin(), behind.end(), [](const Behind &a, const Behind &b) {
+        return std::tie(b.versions, a.running, a.instanceId)
+               < std::tie(a.versions, b.running, b.instanceId);
+    });
+    for (const Behind &it : behind) {
         if (m_loads.size() >= 2 * mostAtOnce())
             return;
         Load load;
         load.since = m_clock.now();
         load.nextStep = load.since + m_limits.announceLead;
-        m_loads.emplace(id, load);
+        m_loads.emplace(it.instanceId, load);
     }
 }
 
@@ -124,8 +157,10 @@
         load.stage = Stage::Loading;
         load.isAsking = true;
         load.ordered = m_clock.now();
-        m_actions.emplace_back(OrderWeights{instanceId, engine.address, *model,
-                                            m_targets.at(*model), fence, load.ordersTaken});
+        load.model = *model;
+        load.version = m_targets.at(*model);
+        m_actions.emplace_back(OrderWeights{instanceId, engine.address, *model, load.version, fence,
+                                            load.ordersTaken});
         return;
     }
     load.isAsking = true;
@@ -153,7 +188,7 @@
         engine.versions[model] = version;
         m_shown[instanceId][model] = version;
     }
-    if (!modelBehind(engine)) {
+    if (isDone(engine, load)) {
         m_loads.erase(it);
         return;
     }
--- a/tests/unit/weight_rollout_test.cpp
+++ b/tests/unit/weight_rollout_test.cpp
@@ -153,3 +153,52 @@
     REQUIRE(orders.size() == 1);
     CHECK(orders.front().version == 3);
 }
+
+TEST_CASE("rollout: engines with the oldest weights load first, however idle the others are "
+          "[weights]")
+{
+    Rollout fleet(10);
+    for (int n = 0; n < 4; ++n)
+        fleet.m_records[static_cast<std::size_t>(n)].weightVersions["m"] = 2;
+    fleet.publish();
+    for (int n = 4; n < 10; ++n)
+        fleet.m_loads.begin("e" + std::to_string(n), {0, 0}); // those with version 1 are busy
+    fleet.m_rollout.setTarget("m", 3);
+    const auto orders = fleet.run(2s, {{{"m", 1}}, false, 0});
+    REQUIRE(!orders.empty());
+    for (const OrderWeights &it : orders)
+        CHECK_MESSAGE(it.instanceId >= "e4", it.instanceId);
+}
+
+TEST_CASE("rollout: an engine that has loaded what was replaced meanwhile waits for its turn "
+          "[weights]")
+{
+    Rollout fleet(10);
+    fleet.m_rollout.setTarget("m", 2);
+    const auto first = fleet.run(200ms, {{{"m", 1}}, false, 0});
+    REQUIRE(first.size() == 2);
+    for (const OrderWeights &it : first)
+        fleet.m_rollout.orderAnswered(it.instanceId, OrderResult::Accepted);
+    fleet.m_rollout.setTarget("m", 3);
+    // All reports say version 2: those two have loaded it.
+    std::vector<OrderWeights> next;
+    for (Duration passed{0}; passed < 2s; passed += 20ms) {
+        for (const RolloutAction &it : fleet.tick()) {
+            const auto *ask = std::get_if<AskReport>(&it);
+            if (ask == nullptr) {
+                next.push_back(std::get<OrderWeights>(it));
+                continue;
+            }
+            const bool loaded
+                = ask->instanceId == first[0].instanceId || ask->instanceId == first[1].instanceId;
+            fleet.m_rollout.reportRead(ask->instanceId,
+                                       EngineReport{{{"m", loaded ? 2U : 1U}}, false, loaded});
+        }
+    }
+    REQUIRE(next.size() == 2);
+    for (const OrderWeights &it : next) {
+        CHECK(it.version == 3);
+        CHECK(it.instanceId != first[0].instanceId);
+        CHECK(it.instanceId != first[1].instanceId);
+    }
+}
