Context of replaced weights ends part by part

What they computed was even saved again, for nobody. Change: the use of a part ends between 2 and 9 s after the naming, by a hash of its name, and its room is freed 5 s later as before; what will not be fetched for 2 s more is not saved. The rule that makes freeing safe is unchanged, with the part's own span in it.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -47,6 +47,8 @@
         Duration saveLife
             = std::chrono::seconds(4); // a save that was not confirmed by then is lost
         std::size_t mostSends = 4'096; // sends remembered
+        // Context that will not be fetched for so long any more is not worth a save.
+        Duration leastUse = std::chrono::seconds(2);
     };
 
     explicit ContextDirectory(const Clock &clock) : ContextDirectory(clock, Limits{}) { }
@@ -104,7 +106,7 @@
         std::size_t tokensOfSaves = 0;
     };
 
-    bool isKept(const std::string &salt) const;
+    bool isKept(const std::string &salt, const std::string &partId, Duration ahead) const;
     bool speaks(const Store &store) const;
     static void forgetAll(Store &store);
     static void apply(Store &store, const StorePartChange &change);
--- a/include/fordwood/store_keeper.hpp
+++ b/include/fordwood/store_keeper.hpp
@@ -20,10 +20,13 @@
 // Spans that nodes and the keeper of the stores agree on; see StoreKeeper.
 struct OldContext
 {
-    // How long after the naming of newer weights context of older ones is still fetched. Engines
-    // come to the new weights one after the other; without the stores, those that still have the
-    // old ones would be overloaded.
-    static constexpr Duration kUse = std::chrono::seconds(5);
+    // How long after the naming of newer weights context of older ones is still fetched: one part
+    // after the other ends, by a hash of its name, about as the engines come to the new weights one
+    // after the other. So the requests for a context go over to the new weights together, those for
+    // others are still served from what is kept, and the stores get room little by little.
+    static constexpr Duration kShortestUse = std::chrono::seconds(2);
+    static constexpr Duration kLongestUse = std::chrono::seconds(9);
+    static Duration useOf(const std::string &partId);
     // How much later than the first a node may learn of the naming while it fetches at all: it
     // stops when neither the platform's store nor a peer is heard, which shows within this.
     static constexpr Duration kLag = std::chrono::seconds(3);
@@ -31,8 +34,11 @@
     static constexpr Duration kFetch = std::chrono::milliseconds(1'500);
     // For messages on their way.
     static constexpr Duration kMargin = std::chrono::milliseconds(500);
-    // From the naming of newer weights on: nobody reads the context any more.
-    static constexpr Duration kUnused = kUse + kLag + kFetch + kMargin;
+    // From the naming of newer weights on: after this nobody reads the part any more.
+    static Duration unusedAfter(const std::string &partId)
+    {
+        return useOf(partId) + kLag + kFetch + kMargin;
+    }
 };
 
 // Asks a store to free parts, unless it has restarted.
@@ -73,7 +79,7 @@
         TimePoint notBefore{}; // after a call that failed
         std::set<std::pair<std::string, std::string>> parts; // salt and id
     };
-    bool isGarbage(const std::string &salt) const;
+    bool isGarbage(const std::string &salt, const std::string &partId) const;
 
     const Clock &m_clock;
     std::map<std::string, Store> m_stores; // by name
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -121,8 +121,9 @@
     m_weights[modelHashOfSalt(model)] = history;
 }
 
-// Whether context under the salt is surely not freed while a fetch that begins now may run.
-bool ContextDirectory::isKept(const std::string &salt) const
+// Whether a part under the salt is surely not freed while a fetch that begins `ahead` of now runs.
+bool ContextDirectory::isKept(const std::string &salt, const std::string &partId,
+                              Duration ahead) const
 {
     const auto parsed = parseSalt(salt);
     if (!parsed || !m_isInformed)
@@ -131,7 +132,7 @@
     if (history == m_weights.end())
         return true;
     const auto since = history->second.supersededSince(parsed->weightVersion);
-    return !since || m_clock.now() - *since < OldContext::kUse;
+    return !since || m_clock.now() + ahead - *since < OldContext::useOf(partId);
 }
 
 void ContextDirectory::storeSilent(const std::string &store)
@@ -144,7 +145,7 @@
 ContextDirectory::Holder ContextDirectory::storeWith(const std::string &salt,
                                                      const std::string &partId) const
 {
-    if (!isKept(salt))
+    if (!isKept(salt, partId, Duration::zero()))
         return {};
     const std::string name = partName(salt, partId);
     for (const auto &[key, store] : m_stores) {
@@ -168,7 +169,8 @@
 std::string ContextDirectory::storeForSave(const std::string &salt, const PromptPart &part,
                                            const std::string &failureDomain)
 {
-    if (part.tokens < kLeastTokensToSave || !storeWith(salt, part.id).address.empty())
+    if (part.tokens < kLeastTokensToSave || !isKept(salt, part.id, m_limits.leastUse)
+        || !storeWith(salt, part.id).address.empty())
         return {};
     const std::string name = partName(salt, part.id);
     const std::uint64_t hash = stableHash(name);
--- a/src/core/store_keeper.cpp
+++ b/src/core/store_keeper.cpp
@@ -2,6 +2,7 @@
 #include "fordwood/store_keeper.hpp"
 
 #include "fordwood/prompt.hpp"
+#include "fordwood/rendezvous.hpp"
 
 namespace fordwood {
 
@@ -14,6 +15,13 @@
 
 } // namespace
 
+Duration OldContext::useOf(const std::string &partId)
+{
+    const auto spread = std::chrono::duration<double>(kLongestUse - kShortestUse);
+    return kShortestUse
+           + std::chrono::duration_cast<Duration>(spread * hashFraction(stableHash(partId)));
+}
+
 void StoreKeeper::setWeights(const std::string &model, const WeightHistory &history)
 {
     m_weights[modelHashOfSalt(model)] = history;
@@ -39,7 +47,7 @@
     m_stores[store].answers = false;
 }
 
-bool StoreKeeper::isGarbage(const std::string &salt) const
+bool StoreKeeper::isGarbage(const std::string &salt, const std::string &partId) const
 {
     const auto parsed = parseSalt(salt);
     if (!parsed)
@@ -48,7 +56,7 @@
     if (history == m_weights.end())
         return false;
     const auto since = history->second.supersededSince(parsed->weightVersion);
-    return since && m_clock.now() - *since >= OldContext::kUnused;
+    return since && m_clock.now() - *since >= OldContext::unusedAfter(partId);
 }
 
 std::vector<FreeParts> StoreKeeper::tick(const std::optional<FencedLock::Holding> &holding)
@@ -61,7 +69,7 @@
             continue;
         FreeParts action{name, store.epoch, {}};
         for (const auto &part : store.parts) {
-            if (action.parts.size() < kMostPartsAtOnce && isGarbage(part.first))
+            if (action.parts.size() < kMostPartsAtOnce && isGarbage(part.first, part.second))
                 action.parts.push_back(part);
         }
         if (action.parts.empty())
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -280,7 +280,7 @@
     history.note(2, clock.now());
     keeper.setWeights("m", history);
     const FencedLock::Holding holding{1, {}, {}, TimePoint::max()};
-    clock.advance(OldContext::kUnused - 1ms);
+    clock.advance(OldContext::unusedAfter("a") - 1ms);
     CHECK(keeper.tick(holding).empty());
     clock.advance(1ms);
     CHECK(keeper.tick(std::nullopt).empty()); // only the holder of the lock
@@ -309,11 +309,41 @@
     view.m_weights.note(2, view.m_clock.now());
     view.m_contexts.setWeights("m", view.m_weights);
     CHECK(view.choose(longPrompt())->isFetching());
-    view.m_clock.advance(OldContext::kUse);
+    view.m_clock.advance(OldContext::useOf("c1"));
     view.tellStore({});
     CHECK_FALSE(view.choose(longPrompt())->isFetching());
 }
 
+TEST_CASE("contexts: what is superseded ends part by part, and is not saved any more before "
+          "[stores]")
+{
+    View view;
+    std::vector<StorePartChange> changes;
+    const std::string salt = view.choose(longPrompt())->salt;
+    for (int n = 0; n < 100; ++n)
+        changes.push_back({salt, "c" + std::to_string(n), true, 1'200});
+    view.tellStore(changes);
+    view.m_weights.note(2, view.m_clock.now());
+    view.m_contexts.setWeights("m", view.m_weights);
+    const auto stillFetched = [&] {
+        int sum = 0;
+        for (int n = 0; n < 100; ++n)
+            sum += view.m_contexts.storeWith(salt, "c" + std::to_string(n)).address.empty() ? 0 : 1;
+        return sum;
+    };
+    CHECK(stillFetched() == 100);
+    view.m_clock.advance((OldContext::kShortestUse + OldContext::kLongestUse) / 2);
+    view.tellStore({});
+    CHECK(stillFetched() > 30);
+    CHECK(stillFetched() < 70);
+    view.m_clock.advance((OldContext::kLongestUse - OldContext::kShortestUse) / 2);
+    view.tellStore({});
+    CHECK(stillFetched() == 0);
+    CHECK(view.m_contexts.storeForSave(salt, {"new", 5'000}, "even").empty());
+    CHECK_FALSE(
+        view.m_contexts.storeForSave(contextSalt("m", 2, ""), {"new", 5'000}, "even").empty());
+}
+
 TEST_CASE("salts: are read back, and only ours [isolation]")
 {
     const auto parsed = parseSalt(contextSalt("m", 7, "team"));
