Peers are told which engine got a long context; a refused request leaves nothing behind

And a prompt that was refused since its wait was too long still counted as sent, so that the next one found a save "under way" for 4 s and a context "held" that nobody had. Change: sends of long contexts of the last 0.6 s go with the messages between nodes (at most 64, as hashes); choosing no longer changes anything, what is sent is noted when it is.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -3,6 +3,7 @@
 #define FORDWOOD_CONTEXT_DIRECTORY_HPP_INCLUDED
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -49,6 +50,10 @@
         std::size_t mostSends = 4'096; // sends remembered
         // Context that will not be fetched for so long any more is not worth a save.
         Duration leastUse = std::chrono::seconds(2);
+        // Sends are told to peers for so long: some messages may be lost.
+        Duration tellSends = std::chrono::milliseconds(600);
+        std::size_t leastTokensToTell = 1'000; // of context: smaller ones are read again quickly
+        std::size_t mostToldSends = 64; // in one message
     };
 
     explicit ContextDirectory(const Clock &clock) : ContextDirectory(clock, Limits{}) { }
@@ -57,8 +62,13 @@
     // The stores of the configuration in force.
     void setStores(const std::vector<ContextStore> &stores);
 
-    // A request with this context was sent to an engine.
-    void sentTo(const std::string &instanceId, const std::string &salt, std::uint64_t contextHash);
+    // A request with this context, of so many tokens, was sent to an engine.
+    void sentTo(const std::string &instanceId, const std::string &salt, std::uint64_t contextHash,
+                std::size_t tokens);
+
+    // Sends of long contexts of late, in a form for peers; and what a peer has told so.
+    std::vector<std::uint64_t> recentSends();
+    void peerSent(const std::vector<std::uint64_t> &sends);
 
     // Whether a request with the context was sent to the engine within `keptFor`.
     bool isAtEngine(const std::string &instanceId, const std::string &salt,
@@ -84,10 +94,13 @@
     Holder storeWith(const std::string &salt, const std::string &partId) const;
 
     // Address of the store that shall keep the part, one in the engine's failure domain if it has
-    // room; empty when none has, or a save is under way. A save is then taken to be under way.
+    // room; empty when none has, or a save is under way.
     std::string storeForSave(const std::string &salt, const PromptPart &part,
                              const std::string &failureDomain);
 
+    // A request was sent that saves the part to the store at the address.
+    void saveBegins(const std::string &address, const std::string &salt, const PromptPart &part);
+
 private:
     struct Save
     {
@@ -106,6 +119,7 @@
         std::size_t tokensOfSaves = 0;
     };
 
+    void remember(std::uint64_t send);
     bool isKept(const std::string &salt, const std::string &partId, Duration ahead) const;
     bool speaks(const Store &store) const;
     static void forgetAll(Store &store);
@@ -116,7 +130,8 @@
     const Clock &m_clock;
     const Limits m_limits;
     std::map<std::string, Store> m_stores; // by name
-    std::unordered_map<std::string, TimePoint> m_sends; // by instance, salt and context
+    std::unordered_map<std::uint64_t, TimePoint> m_sends; // by hash of instance, salt, context
+    std::deque<std::pair<TimePoint, std::uint64_t>> m_toTell; // own sends, oldest first
     std::map<std::uint64_t, WeightHistory> m_weights; // by the hash of the model's name
     bool m_isInformed = true;
 };
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -80,6 +80,10 @@
                                        const LoadBook &loads, const UpstreamHealth &health,
                                        ContextDirectory &contexts) const;
 
+    // The request is sent as it was chosen: what follows for where its context lies.
+    static void noteSent(const EngineChoice &choice, const Prompt &prompt,
+                         ContextDirectory &contexts);
+
 private:
     // What does not differ between engines that serve the same weights.
     struct Weights
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -22,10 +22,11 @@
     return salt + "/" + partId;
 }
 
-std::string sendName(const std::string &instanceId, const std::string &salt,
-                     std::uint64_t contextHash)
+// Names a send to an engine; two with the same hash would cost a cold read at most.
+std::uint64_t sendHash(const std::string &instanceId, const std::string &salt,
+                       std::uint64_t contextHash)
 {
-    return instanceId + "/" + salt + "/" + std::to_string(contextHash);
+    return stableHash(salt, stableHash(instanceId, contextHash));
 }
 
 } // namespace
@@ -45,7 +46,17 @@
 }
 
 void ContextDirectory::sentTo(const std::string &instanceId, const std::string &salt,
-                              std::uint64_t contextHash)
+                              std::uint64_t contextHash, std::size_t tokens)
+{
+    const std::uint64_t send = sendHash(instanceId, salt, contextHash);
+    remember(send);
+    if (tokens >= m_limits.leastTokensToTell)
+        m_toTell.emplace_back(m_clock.now(), send);
+    if (m_toTell.size() > m_limits.mostToldSends)
+        m_toTell.pop_front();
+}
+
+void ContextDirectory::remember(std::uint64_t send)
 {
     if (m_sends.size() >= m_limits.mostSends) {
         const TimePoint oldest = m_clock.now() - m_limits.engineMemory;
@@ -53,13 +64,29 @@
     }
     if (m_sends.size() >= m_limits.mostSends)
         m_sends.clear();
-    m_sends[sendName(instanceId, salt, contextHash)] = m_clock.now();
+    m_sends[send] = m_clock.now();
+}
+
+std::vector<std::uint64_t> ContextDirectory::recentSends()
+{
+    while (!m_toTell.empty() && m_clock.now() - m_toTell.front().first >= m_limits.tellSends)
+        m_toTell.pop_front();
+    std::vector<std::uint64_t> sends;
+    for (const auto &[when, send] : m_toTell)
+        sends.push_back(send);
+    return sends;
+}
+
+void ContextDirectory::peerSent(const std::vector<std::uint64_t> &sends)
+{
+    for (const std::uint64_t it : sends)
+        remember(it);
 }
 
 bool ContextDirectory::isAtEngine(const std::string &instanceId, const std::string &salt,
                                   std::uint64_t contextHash, Duration keptFor) const
 {
-    const auto it = m_sends.find(sendName(instanceId, salt, contextHash));
+    const auto it = m_sends.find(sendHash(instanceId, salt, contextHash));
     return it != m_sends.end() && m_clock.now() - it->second < keptFor;
 }
 
@@ -191,11 +218,20 @@
             bestWeight = weight;
         }
     }
-    if (best == nullptr)
-        return {};
-    best->saves[name] = Save{m_clock.now(), part.tokens};
-    best->tokensOfSaves += part.tokens;
-    return best->config.address;
+    return best == nullptr ? std::string() : best->config.address;
+}
+
+void ContextDirectory::saveBegins(const std::string &address, const std::string &salt,
+                                  const PromptPart &part)
+{
+    for (auto &[key, store] : m_stores) {
+        if (store.config.address != address)
+            continue;
+        const std::string name = partName(salt, part.id);
+        endSave(store, name);
+        store.saves[name] = Save{m_clock.now(), part.tokens};
+        store.tokensOfSaves += part.tokens;
+    }
 }
 
 } // namespace fordwood
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -223,8 +223,17 @@
     const std::size_t known = rated.holdsContext ? prompt.sharedTokens() : fetched;
     choice.load.tokensToCompute = prompt.tokensIn - std::min(prompt.tokensIn, known);
     choice.load.tokensHeld = prompt.tokensIn + prompt.mostTokensOut;
-    contexts.sentTo(choice.instanceId, choice.salt, terms.context);
     return choice;
 }
 
+void EngineChooser::noteSent(const EngineChoice &choice, const Prompt &prompt,
+                             ContextDirectory &contexts)
+{
+    contexts.sentTo(choice.instanceId, choice.salt, choice.context, prompt.sharedTokens());
+    for (std::size_t n = 0; n < choice.saveTo.size(); ++n) {
+        if (!choice.saveTo[n].empty())
+            contexts.saveBegins(choice.saveTo[n], choice.salt, prompt.parts[n]);
+    }
+}
+
 } // namespace fordwood
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -202,6 +202,7 @@
         m_isOverload = true;
         return false;
     }
+    EngineChooser::noteSent(*choice, *m_caller.prompt, m_traffic.contexts());
     m_attempt.emplace();
     m_attempt->upstream = *m_traffic.upstreams().find(choice->instanceId);
     m_attempt->load = choice->load;
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -255,14 +255,14 @@
 {
     if (message.leaving) {
         m_loads.setPeer(message.node, {});
-        tell(PeerLoads{message.node, {}, 0});
+        tell(PeerLoads{message.node, {}, 0, {}});
         tell(EnginesLoading{message.node, {}});
         return;
     }
     if (message.lastOrder)
         m_lastOrders[message.node] = m_clock.now() - *message.lastOrder;
     m_loads.setPeer(message.node, message.loads);
-    tell(PeerLoads{message.node, message.loads, message.shortContextTokens});
+    tell(PeerLoads{message.node, message.loads, message.shortContextTokens, message.contextsSent});
     tell(EnginesLoading{message.node, message.enginesLoading});
     for (const auto &[model, versions] : message.weightsNamed) {
         // Only of versions that this node has read itself: the age is all that a peer adds.
@@ -305,6 +305,7 @@
     message.leaving = m_isLeaving;
     message.loads = m_lastOwn.loads;
     message.shortContextTokens = m_lastOwn.shortContextTokens;
+    message.contextsSent = m_lastOwn.contextsSent;
     if (m_orders.lastOrder())
         message.lastOrder = std::chrono::duration_cast<std::chrono::milliseconds>(
             m_clock.now() - *m_orders.lastOrder());
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "fordwood/context_directory.hpp"
 #include "fordwood/load_book.hpp"
@@ -70,6 +71,7 @@
     std::string peer;
     LoadBook::Loads loads;
     std::size_t shortContextTokens = 0; // shared by its short prompts
+    std::vector<std::uint64_t> contextsSent; // see ContextDirectory::recentSends()
 };
 
 // How many nodes live, this one included.
@@ -109,6 +111,7 @@
 {
     LoadBook::Loads loads;
     std::size_t shortContextTokens = 0;
+    std::vector<std::uint64_t> contextsSent;
     bool isUrgent = false; // peers should hear it at once
 };
 
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -37,6 +37,8 @@
     Json object{{"node", message.node},         {"replica", message.replicaAddress},
                 {"revision", message.revision}, {"reachable", message.storeReachable},
                 {"loads", std::move(loads)},    {"short", message.shortContextTokens}};
+    if (!message.contextsSent.empty())
+        object["contexts"] = message.contextsSent;
     if (message.leaving)
         object["leaving"] = true;
     if (message.lastOrder)
@@ -67,6 +69,8 @@
                                  load.at(2).get<std::size_t>()};
         if (object.contains("ordered"))
             message.lastOrder = std::chrono::milliseconds(object.at("ordered").get<std::int64_t>());
+        if (object.contains("contexts"))
+            object.at("contexts").get_to(message.contextsSent);
         if (object.contains("loading"))
             object.at("loading").get_to(message.enginesLoading);
         if (object.contains("shown"))
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "fordwood/load_book.hpp"
 #include "fordwood/store_replica.hpp"
@@ -32,6 +33,7 @@
     bool leaving = false; // the node stops: its last message
     LoadBook::Loads loads; // what the node has sent to upstreams
     std::size_t shortContextTokens = 0; // shared by the node's short prompts
+    std::vector<std::uint64_t> contextsSent; // long ones, to engines, of late
     std::optional<std::chrono::milliseconds> lastOrder; // how long ago the node ordered an engine
     std::set<std::string> enginesLoading; // from the node that orders them
     std::map<std::string, std::map<std::string, std::uint64_t>> weightsShown; // likewise
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -89,6 +89,7 @@
 {
     m_loads.setPeer(update.peer, update.loads);
     m_shortDemand.setPeer(update.peer, update.shortContextTokens);
+    m_contexts.peerSent(update.contextsSent);
 }
 
 void Traffic::apply(const LiveNodes &update)
--- a/src/node/traffic_duty.cpp
+++ b/src/node/traffic_duty.cpp
@@ -76,7 +76,8 @@
 
 void TrafficDuty::reportLoads(bool isUrgent)
 {
-    m_tellLoads({m_traffic.loads().own(), m_traffic.shortContextTokens(), isUrgent});
+    m_tellLoads({m_traffic.loads().own(), m_traffic.shortContextTokens(),
+                 m_traffic.contexts().recentSends(), isUrgent});
 }
 
 void TrafficDuty::stopStep()
--- a/tests/node/mailbox_test.cpp
+++ b/tests/node/mailbox_test.cpp
@@ -56,7 +56,7 @@
 {
     UpdateQueue queue;
     for (std::size_t n = 0; n < 10'000; ++n) {
-        queue.push(PeerLoads{"n" + std::to_string(n % 3), {}, n});
+        queue.push(PeerLoads{"n" + std::to_string(n % 3), {}, n, {}});
         queue.push(LiveNodes{n});
         queue.push(UpstreamWritten{{}});
     }
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -320,8 +320,10 @@
     message.enginesLoading = {"e"};
     message.weightsShown["e"]["m"] = 2;
     message.weightsNamed["m"][2] = 800ms;
+    message.contextsSent = {1, 0xffffffffffffffffULL};
     const auto read = node::decodeGossip(node::encodeGossip(message));
     REQUIRE(read);
+    CHECK(read->contextsSent == message.contextsSent);
     CHECK(read->loads == message.loads);
     CHECK(read->lastOrder == message.lastOrder);
     CHECK(read->enginesLoading == message.enginesLoading);
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -56,6 +56,15 @@
                                 engines, m_loads, m_health, m_contexts);
     }
 
+    // Chooses, and sends as chosen.
+    std::optional<EngineChoice> send(const Prompt &prompt, const std::string &walledTeam = "")
+    {
+        const auto choice = choose(prompt, walledTeam);
+        if (choice)
+            EngineChooser::noteSent(*choice, prompt, m_contexts);
+        return choice;
+    }
+
     ManualClock m_clock;
     LoadBook m_loads;
     UpstreamHealth m_health;
@@ -132,7 +141,7 @@
     "engines: a part that no store holds is saved once; one that is held whole is fetched [stores]")
 {
     View view;
-    const auto first = view.choose(longPrompt());
+    const auto first = view.send(longPrompt());
     CHECK(first->saveTo == std::vector<std::string>{"10.0.0.1:80", ""});
     CHECK_FALSE(first->isFetching());
     CHECK(first->load.tokensToCompute == 17'000);
@@ -145,6 +154,30 @@
     CHECK(third->load.tokensToCompute == 4'200);
 }
 
+TEST_CASE("engines: a choice that is not sent leaves nothing behind [stores]")
+{
+    View view;
+    const auto refused = view.choose(longPrompt());
+    const auto next = view.choose(longPrompt());
+    CHECK(next->saveTo == refused->saveTo);
+    CHECK_FALSE(next->holdsContext);
+}
+
+TEST_CASE("engines: what another node has sent is looked for where it sent it [routing][peers]")
+{
+    View one;
+    View other;
+    const std::string home = one.send(longPrompt())->instanceId;
+    other.m_loads.setPeer("one", {{home, {1, 10'000, 17'000}}});
+    CHECK(other.choose(longPrompt())->instanceId != home); // it computes, and would do it again
+    other.m_contexts.peerSent(one.m_contexts.recentSends());
+    const auto choice = other.choose(longPrompt());
+    CHECK(choice->instanceId == home);
+    CHECK(choice->holdsContext);
+    one.m_clock.advance(1s);
+    CHECK(one.m_contexts.recentSends().empty());
+}
+
 TEST_CASE("engines: nothing is fetched from a store that is silent or came back empty [stores]")
 {
     View view;
