A context that an engine has is not read again for a shorter wait

Cause: the chooser weighed tokens to compute against tokens that wait, one to one; but reading a shared part again costs the fleet more than the whole request is worth, while a wait of a few hundred milliseconds mostly still meets the target latency. Change: where some engine is believed to have the context with the same weights, computing it elsewhere counts 2.5 times.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -92,11 +92,12 @@
         std::string salt;
         ContextDirectory::Holder holder; // the store with the context; without address: none
         double cost = 0.0; // of answers on them
+        bool isHeld = false; // some engine has the context, as believed
     };
     struct Rated
     {
         const UpstreamRecord *engine = nullptr;
-        const Weights *weights = nullptr;
+        Weights *weights = nullptr;
         bool isInGroup = false; // of engines for prompts of this size
         std::uint64_t weight = 0; // by which all nodes rank it for the context
         std::size_t rank = 0; // zero: the engine that all nodes prefer
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -18,6 +18,8 @@
 constexpr double kComputeWeight = 1.0;
 // The engine that all nodes prefer for a context may have it from a request of another node.
 constexpr double kHomeComputeWeight = 0.9;
+// Reading a context again that another engine has costs the fleet more than the request's wait.
+constexpr double kReadAgainWeight = 2.5;
 // For short prompts, which come from all nodes, most to few contexts.
 constexpr double kShortHomeWeight = 0.2;
 constexpr double kShortNextWeight = 2.0;
@@ -103,8 +105,11 @@
 // probably there; the more of them have it, the less room there is for other contexts.
 double EngineChooser::computeWeight(const Rated &rated, const Terms &terms)
 {
-    if (!terms.isShort)
+    if (!terms.isShort) {
+        if (rated.weights->isHeld)
+            return kReadAgainWeight;
         return rated.rank == 0 ? kHomeComputeWeight : kComputeWeight;
+    }
     if (rated.rank == 0)
         return kShortHomeWeight;
     return rated.rank == 1 ? kShortNextWeight : kShortElsewhereWeight;
@@ -173,9 +178,13 @@
     terms.sharedTokens = static_cast<double>(prompt.sharedTokens());
     rank(rated, terms, question.shortGroup);
     const Duration keptFor = terms.isShort ? kShortContextKept : kLongContextKept;
+    for (Rated &it : rated) {
+        it.holdsContext
+            = contexts.isAtEngine(it.engine->instanceId, it.weights->salt, terms.context, keptFor);
+        it.weights->isHeld = it.weights->isHeld || it.holdsContext;
+    }
     for (Rated &it : rated) {
         const std::string &id = it.engine->instanceId;
-        it.holdsContext = contexts.isAtEngine(id, it.weights->salt, terms.context, keptFor);
         it.load = loads.total(id);
         it.cost = waitingCost(it.load, terms, question) + kFailureCost * health.failureRate(id)
                   + it.weights->cost + contextCost(it, terms, loads);
