Old context is used from 3.5 to 10 s

Cause: between 2 and 4 s after a naming hardly any engine has the new weights, so contexts whose use had ended were computed again by engines with the old ones. Change: the span of use runs from 3.5 to 10 s instead of 2 to 9.

--- a/include/fordwood/store_keeper.hpp
+++ b/include/fordwood/store_keeper.hpp
@@ -24,8 +24,8 @@
     // after the other ends, by a hash of its name, about as the engines come to the new weights one
     // after the other. So the requests for a context go over to the new weights together, those for
     // others are still served from what is kept, and the stores get room little by little.
-    static constexpr Duration kShortestUse = std::chrono::seconds(2);
-    static constexpr Duration kLongestUse = std::chrono::seconds(9);
+    static constexpr Duration kShortestUse = std::chrono::milliseconds(3'500);
+    static constexpr Duration kLongestUse = std::chrono::seconds(10);
     static Duration useOf(const std::string &partId);
     // How much later than the first a node may learn of the naming while it fetches at all: it
     // stops when neither the platform's store nor a peer is heard, which shows within this.
