Engines drain for up to 1.5 s before they load

Cause: an engine that is ordered to load first ends its runs, and counts as loading meanwhile; after 0.8 s of draining some still had runs, and loads then took 1.9 to 2.4 s instead of 1.1. Change: up to 1.5 s.

--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -68,7 +68,7 @@
         // From the announcement that an engine is about to load to the order: no node sends it
         // requests that it would turn away, and what runs there ends, which the load waits for.
         Duration announceLead = std::chrono::milliseconds(60);
-        Duration longestDrain = std::chrono::milliseconds(800);
+        Duration longestDrain = std::chrono::milliseconds(1'500);
         Duration reportEvery = std::chrono::milliseconds(120); // while an engine loads
         // After an order without an answer the next one waits, since the first may be late.
         Duration lateOrder = std::chrono::milliseconds(1'500);
