A node that wakes asks the stores before it chooses

And the answers of the stores that lay in its sockets, up to 3 s old, counted as given now. Change: an answer read more than 0.2 s after its time limit is asked for anew, with no wait; long prompts wait for the first word of a store, for 0.15 s at most, when the node has not looked at its clock for a second.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -77,6 +77,9 @@
     void storeAnswered(const StoreNews &news);
     void storeSilent(const std::string &store);
 
+    // Whether any store's word holds now; true as well when there is no store.
+    bool hasWord() const;
+
     // A store that holds a part; without an address when there is none.
     struct Holder
     {
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -96,6 +96,13 @@
            && m_clock.now() - store.answered < m_limits.storeWord;
 }
 
+bool ContextDirectory::hasWord() const
+{
+    return m_stores.empty()
+           || std::any_of(m_stores.begin(), m_stores.end(),
+                          [this](const auto &it) { return speaks(it.second); });
+}
+
 void ContextDirectory::forgetAll(Store &store)
 {
     store.parts.clear();
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "adapters/observe/event_log.hpp"
+#include "fordwood/engine_groups.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "fordwood/service_chooser.hpp"
 #include "node/refusal.hpp"
@@ -190,6 +191,9 @@
 
 bool CallRun::chooseEngine(const std::vector<const UpstreamRecord *> &candidates)
 {
+    // Short prompts are computed sooner than asked about.
+    if (!isShortPrompt(*m_caller.prompt, *m_pool->engine) && m_traffic.isWaking())
+        return false;
     const std::string walled = m_team != nullptr && m_team->isolated ? m_team->name : "";
     const EngineChooser::Question question{
         *m_caller.prompt, walled,         m_traffic.weights(m_caller.prompt->model),
--- a/src/node/context_keeping.cpp
+++ b/src/node/context_keeping.cpp
@@ -19,7 +19,8 @@
 ContextKeeping::ContextKeeping(net::io_context &context, HttpCaller &caller, const Clock &clock,
                                Tell tell)
     : m_caller(caller), m_clock(clock), m_tell(std::move(tell)),
-      m_watch(context, caller, [this](FleetUpdate it) { take(std::move(it)); }), m_keeper(clock)
+      m_watch(context, caller, clock, [this](FleetUpdate it) { take(std::move(it)); }),
+      m_keeper(clock)
 { }
 
 void ContextKeeping::setStores(const std::vector<ContextStore> &stores)
--- a/src/node/context_watch.cpp
+++ b/src/node/context_watch.cpp
@@ -20,6 +20,9 @@
 // Events that come together are read by one call.
 constexpr Duration kBatchPause = std::chrono::milliseconds(120);
 
+// A call that ends so much later than its time limit was not read in time.
+constexpr Duration kLateRead = std::chrono::milliseconds(200);
+
 constexpr Duration kRetryPause = std::chrono::milliseconds(400);
 
 } // namespace
@@ -35,7 +38,7 @@
             store = std::make_shared<Followed>(m_context);
         store->config = it;
         if (isNew)
-            poll(store);
+            poll(store, kWait);
     }
     std::erase_if(m_stores, [&](const auto &it) { return !names.contains(it.first); });
 }
@@ -51,13 +54,14 @@
     store->timer.expires_after(pause);
     store->timer.async_wait([this, store](const ErrorCode &ec) {
         if (!ec && isFollowed(store))
-            poll(store);
+            poll(store, kWait);
     });
 }
 
-void ContextWatch::poll(const std::shared_ptr<Followed> &store)
+void ContextWatch::poll(const std::shared_ptr<Followed> &store, std::chrono::milliseconds wait)
 {
-    m_caller.send(platform::storeEventsCall(store->config, store->cursor, kWait), kWait + kGrace,
+    store->asked = m_clock.now();
+    m_caller.send(platform::storeEventsCall(store->config, store->cursor, wait), wait + kGrace,
                   [this, store](const HttpResult &result) {
                       if (isFollowed(store))
                           takeEvents(store, result);
@@ -66,6 +70,12 @@
 
 void ContextWatch::takeEvents(const std::shared_ptr<Followed> &store, const HttpResult &result)
 {
+    // What lay unread while this VM stood still says nothing of now: ask, and have the answer at
+    // once.
+    if (m_clock.now() - store->asked > kWait + kGrace + kLateRead) {
+        poll(store, std::chrono::milliseconds(0));
+        return;
+    }
     const auto events = platform::readStoreEvents(result, store->config.name);
     if (!events) {
         silent(store);
--- a/src/node/context_watch.hpp
+++ b/src/node/context_watch.hpp
@@ -22,8 +22,8 @@
 public:
     using Tell = std::function<void(FleetUpdate)>;
 
-    ContextWatch(net::io_context &context, HttpCaller &caller, Tell tell)
-        : m_context(context), m_caller(caller), m_tell(std::move(tell))
+    ContextWatch(net::io_context &context, HttpCaller &caller, const Clock &clock, Tell tell)
+        : m_context(context), m_caller(caller), m_clock(clock), m_tell(std::move(tell))
     { }
 
     // The stores of the configuration in force.
@@ -37,10 +37,11 @@
         ContextStore config;
         platform::EventCursor cursor;
         bool answers = false;
+        TimePoint asked{}; // when the call under way was sent
         net::steady_timer timer;
     };
 
-    void poll(const std::shared_ptr<Followed> &store);
+    void poll(const std::shared_ptr<Followed> &store, std::chrono::milliseconds wait);
     void takeEvents(const std::shared_ptr<Followed> &store, const HttpResult &result);
     void readList(const std::shared_ptr<Followed> &store);
     void tell(const std::shared_ptr<Followed> &store, const platform::StoreEvents &events);
@@ -50,6 +51,7 @@
 
     net::io_context &m_context;
     HttpCaller &m_caller;
+    const Clock &m_clock;
     Tell m_tell;
     std::map<std::string, std::shared_ptr<Followed>> m_stores; // by name
 };
--- a/src/node/http_caller.hpp
+++ b/src/node/http_caller.hpp
@@ -25,8 +25,6 @@
 
     void send(const HttpCall &call, Duration patience, Done done);
 
-    // Closes the resting channels.
-
 private:
     class Run;
     struct Idle
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -20,6 +20,12 @@
 // gone, and its word with it.
 constexpr Duration kLoadingWord = std::chrono::seconds(1);
 
+// Between two looks at the clock; longer than a tick takes on the busiest machine.
+constexpr Duration kStandstill = std::chrono::seconds(1);
+
+// The stores of context answer within this, or are themselves away.
+constexpr Duration kWakeTime = std::chrono::milliseconds(150);
+
 EngineChooser::Limits chooserLimits(const config::OneProcessSettings &settings)
 {
     EngineChooser::Limits limits;
@@ -33,7 +39,8 @@
                  const config::OneProcessSettings &settings, adapters::Metrics &metrics)
     : m_context(context), m_clock(clock), m_settings(settings), m_metrics(metrics),
       m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_contexts(clock),
-      m_engines(clock, chooserLimits(settings)), m_channels(context, clock), m_shortDemand(clock)
+      m_engines(clock, chooserLimits(settings)), m_channels(context, clock), m_shortDemand(clock),
+      m_lastTick(clock.now())
 { }
 
 void Traffic::take(const FleetUpdate &update)
@@ -135,8 +142,23 @@
     m_health.forget(instanceId);
 }
 
+void Traffic::noteStandstill()
+{
+    const TimePoint now = m_clock.now();
+    if (now - m_lastTick >= kStandstill)
+        m_woke = now;
+    m_lastTick = now;
+}
+
+bool Traffic::isWaking()
+{
+    noteStandstill();
+    return m_woke && m_clock.now() - *m_woke < kWakeTime && !m_contexts.hasWord();
+}
+
 void Traffic::tick()
 {
+    noteStandstill();
     for (const std::string &it : m_upstreams.tick())
         forget(it);
     m_channels.tick();
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -40,6 +41,10 @@
     // Regular work: several times a second.
     void tick();
 
+    // Whether this process stood still until a moment ago and knows of no store of context yet:
+    // what it knows of the fleet is old, and right in a few milliseconds.
+    bool isWaking();
+
     // The upstreams of a service that this request may be sent to now.
     std::vector<const UpstreamRecord *> candidates(const ServicePool &pool) const;
 
@@ -99,6 +104,7 @@
     void apply(const Informed &update);
     void apply(const StopBegins &update);
 
+    void noteStandstill();
     WindowBudget &budget(const std::string &service);
     bool isLoading(const std::string &instanceId) const;
     void forget(const std::string &instanceId);
@@ -131,6 +137,8 @@
         TimePoint when{};
     };
     EngineClock m_engineClock;
+    TimePoint m_lastTick;
+    std::optional<TimePoint> m_woke;
     std::size_t m_liveNodes = 1;
     bool m_isStopping = false;
     std::function<void()> m_heavyLoadSent;
