--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -19,7 +19,7 @@
 // The engine that all nodes prefer for a context may have it from a request of another node.
 constexpr double kHomeComputeWeight = 0.9;
 // Reading a context again that another engine has costs the fleet more than the request's wait.
-constexpr double kReadAgainWeight = 2.5;
+constexpr double kReadAgainWeight = 4.0;
 // For short prompts, which come from all nodes, most to few contexts.
 constexpr double kShortHomeWeight = 0.2;
 constexpr double kShortNextWeight = 2.0;
