--- a/src/apps/load/main.cpp
+++ b/src/apps/load/main.cpp
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include "apps/common/daemon.hpp"
+#include "apps/load/report.hpp"
 #include "apps/load/runner.hpp"
 
 namespace {
@@ -14,13 +15,44 @@
 
 using namespace fordwood;
 
+constexpr const char *kReportCommand = "report";
+
 constexpr const char *kUsage
-    = "Usage: fordwood-load WORKLOAD [options]\n\n"
-      "Sends a workload at its own pace and reports what its callers saw.\n\n"
+    = "Usage: fordwood-load WORKLOAD [options]\n"
+      "       fordwood-load report [--journal DIR] [--input FILE]... --page FILE\n\n"
+      "Sends a workload at its own pace and reports what its callers saw; or makes\n"
+      "one HTML page of the figures of earlier runs.\n\n"
       "Exit codes: 0 done, and every request was answered or refused with a\n"
       "verdict; 1 some were lost, truncated, crossed or doubled; 2 wrong\n"
       "options or a workload file that was refused.\n\n";
 
+// Makes the page of the figures of earlier runs.
+int makeReport(const po::variables_map &values)
+{
+    if (values.count("page") == 0 || (values.count("journal") == 0 && values.count("input") == 0)) {
+        std::cerr << "fordwood-load report: needs --page, and --journal or --input\n";
+        return apps::ExitUsage;
+    }
+    const std::string journal
+        = values.count("journal") != 0 ? values["journal"].as<std::string>() : std::string();
+    const auto inputs = values.count("input") != 0 ? values["input"].as<std::vector<std::string>>()
+                                                   : std::vector<std::string>{};
+    const auto report = apps::readReport(journal, inputs);
+    if (!report) {
+        std::cerr << report.error().text << "\n";
+        return apps::ExitUsage;
+    }
+    const std::string path = values["page"].as<std::string>();
+    std::ofstream out(path);
+    out << apps::renderReport(*report);
+    out.close();
+    if (!out) {
+        std::cerr << path << ": cannot be written\n";
+        return apps::ExitUsage;
+    }
+    return apps::ExitOk;
+}
+
 int run(int argc, char **argv)
 {
     po::options_description options("Options");
@@ -36,6 +68,9 @@
     add("threads", po::value<unsigned>()->default_value(1), "threads that send");
     add("output", po::value<std::string>()->default_value("text"), "text or json");
     add("result", po::value<std::string>(), "write the result as JSON to this file too");
+    add("journal", po::value<std::string>(), "report: the directory of the journal");
+    add("input", po::value<std::vector<std::string>>(), "report: result files of earlier runs");
+    add("page", po::value<std::string>(), "report: write the page to this file");
     po::options_description all;
     all.add(options).add_options()("workload", po::value<std::string>());
     po::positional_options_description positions;
@@ -54,6 +89,8 @@
         std::cout << kUsage << options;
         return values.count("help") != 0 ? apps::ExitOk : apps::ExitUsage;
     }
+    if (values["workload"].as<std::string>() == kReportCommand)
+        return makeReport(values);
     config::ConfigErrors errors;
     auto workload = apps::readWorkload(values["workload"].as<std::string>(), errors);
     if (!workload) {
--- /dev/null
+++ b/src/apps/load/report.cpp
@@ -0,0 +1,297 @@
+// SPDX-License-Identifier: MIT
+#include "apps/load/report.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+#include "apps/load/svg_plot.hpp"
+
+namespace fordwood::apps {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Lines of a plot of prices: the dearest ones.
+constexpr std::size_t kMostPrices = 6;
+
+// Reads a JSON file with `read`, which may use the throwing accessors.
+template <typename T, typename Read>
+tl::expected<T, ReportError> readFile(const std::filesystem::path &path, Read read)
+{
+    std::ifstream in(path);
+    if (!in)
+        return tl::unexpected(ReportError{path.string() + ": cannot be opened"});
+    try {
+        return read(Json::parse(in));
+    } catch (const Json::exception &error) {
+        return tl::unexpected(ReportError{path.string() + ": " + error.what()});
+    }
+}
+
+PlayedDay readDay(const Json &object)
+{
+    PlayedDay day;
+    object.at("name").get_to(day.name);
+    day.worth = object.value("G", 0.0);
+    day.brokenRules = object.value("rules", Json::object()).size();
+    const Json prices = object.value("prices", Json::array());
+    for (const Json &it : prices) // [what for, how much of it, the part of the worth]
+        day.prices[it.at(0).get<std::string>()] = it.at(2).get<double>();
+    return day;
+}
+
+// A text that may be missing or null.
+std::string textOf(const Json &object, const char *key)
+{
+    const auto it = object.find(key);
+    return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
+}
+
+JournalEntry readEntry(const Json &object)
+{
+    JournalEntry entry;
+    entry.at = object.at("at").at(1).get<std::string>();
+    object.at("cmd").get_to(entry.command);
+    entry.why = textOf(object, "why");
+    entry.site = textOf(object, "site");
+    const Json days = object.value("days", Json::array());
+    for (const Json &it : days)
+        entry.days.push_back(readDay(it));
+    return entry;
+}
+
+LoadResult readResult(const Json &object)
+{
+    LoadResult result;
+    object.at("first_byte_ms").get_to(result.firstByteMs);
+    object.at("whole_ms").get_to(result.wholeMs);
+    object.at("outcomes").get_to(result.outcomes);
+    return result;
+}
+
+std::vector<std::filesystem::path> entriesOf(const std::string &directory)
+{
+    std::vector<std::filesystem::path> paths;
+    for (const auto &it : std::filesystem::directory_iterator(directory)) {
+        if (it.path().extension() == ".json")
+            paths.push_back(it.path());
+    }
+    std::sort(paths.begin(), paths.end()); // their names begin with the time
+    return paths;
+}
+
+// The scores of one site, in order: rounds that may be compared.
+std::vector<const JournalEntry *> scoresOf(const Report &report, const std::string &site)
+{
+    std::vector<const JournalEntry *> scores;
+    for (const JournalEntry &it : report.journal) {
+        if (it.command == "score" && it.site == site && !it.days.empty())
+            scores.push_back(&it);
+    }
+    return scores;
+}
+
+const PlayedDay *findDay(const JournalEntry &entry, const std::string &name)
+{
+    const auto it = std::find_if(entry.days.begin(), entry.days.end(),
+                                 [&](const PlayedDay &day) { return day.name == name; });
+    return it == entry.days.end() ? nullptr : &*it;
+}
+
+// Days that more than one score has played; those drawn for one score alone make no line.
+std::set<std::string> repeatedDays(const std::vector<const JournalEntry *> &scores)
+{
+    std::map<std::string, int> counts;
+    for (const JournalEntry *entry : scores) {
+        for (const PlayedDay &it : entry->days)
+            ++counts[it.name];
+    }
+    std::set<std::string> names;
+    for (const auto &[name, n] : counts) {
+        if (n > 1 || scores.size() == 1)
+            names.insert(name);
+    }
+    return names;
+}
+
+Plot worthPlot(const std::string &site, const std::vector<const JournalEntry *> &scores)
+{
+    Plot plot{site + ": worth by day", "of an ideal system", {}};
+    for (const std::string &name : repeatedDays(scores)) {
+        PlotSeries series{name, {}};
+        for (const JournalEntry *it : scores) {
+            const PlayedDay *day = findDay(*it, name);
+            series.values.push_back(day != nullptr ? std::optional(day->worth) : std::nullopt);
+        }
+        plot.series.push_back(std::move(series));
+    }
+    return plot;
+}
+
+// Mean over the days of an entry.
+double meanPrice(const JournalEntry &entry, const std::string &name)
+{
+    double sum = 0.0;
+    for (const PlayedDay &it : entry.days) {
+        const auto price = it.prices.find(name);
+        sum += price == it.prices.end() ? 0.0 : price->second;
+    }
+    return sum / static_cast<double>(entry.days.size());
+}
+
+Plot pricePlot(const std::string &site, const std::vector<const JournalEntry *> &scores)
+{
+    std::map<std::string, double> sums;
+    for (const JournalEntry *entry : scores) {
+        for (const PlayedDay &day : entry->days) {
+            for (const auto &[name, part] : day.prices)
+                sums[name] += part;
+        }
+    }
+    std::vector<std::pair<double, std::string>> dearest;
+    for (const auto &[name, sum] : sums)
+        dearest.emplace_back(sum, name);
+    std::sort(dearest.rbegin(), dearest.rend());
+    dearest.resize(std::min(dearest.size(), kMostPrices));
+    Plot plot{site + ": prices, mean over the days", "part of the worth", {}};
+    for (const auto &[sum, name] : dearest) {
+        PlotSeries series{name, {}};
+        for (const JournalEntry *it : scores)
+            series.values.emplace_back(meanPrice(*it, name));
+        plot.series.push_back(std::move(series));
+    }
+    return plot;
+}
+
+Plot timesPlot(const std::vector<LoadResult> &results)
+{
+    std::set<std::string> quantiles;
+    for (const LoadResult &result : results) {
+        for (const auto &[name, value] : result.firstByteMs)
+            quantiles.insert(name);
+    }
+    Plot plot{"Time to the first byte", "ms", {}};
+    for (const std::string &name : quantiles) {
+        PlotSeries series{name, {}};
+        for (const LoadResult &it : results) {
+            const auto value = it.firstByteMs.find(name);
+            series.values.push_back(value == it.firstByteMs.end() ? std::nullopt
+                                                                  : std::optional(value->second));
+        }
+        plot.series.push_back(std::move(series));
+    }
+    return plot;
+}
+
+void writeJournalTable(std::ostream &out, const std::vector<JournalEntry> &journal)
+{
+    out << "<table><tr><th>ended</th><th>command</th><th>site</th><th>days</th>"
+           "<th>mean worth</th><th>days with a rule broken</th><th>why</th></tr>\n";
+    for (const JournalEntry &it : journal) {
+        const auto broken = std::count_if(it.days.begin(), it.days.end(),
+                                          [](const PlayedDay &day) { return day.brokenRules > 0; });
+        const auto mean = it.meanWorth();
+        out << "<tr><td>" << escapeHtml(it.at) << "</td><td>" << escapeHtml(it.command)
+            << "</td><td>" << escapeHtml(it.site) << "</td><td>" << it.days.size() << "</td><td>";
+        if (mean)
+            out << *mean;
+        out << "</td><td>" << broken << "</td><td>" << escapeHtml(it.why) << "</td></tr>\n";
+    }
+    out << "</table>\n";
+}
+
+void writeResultTable(std::ostream &out, const std::vector<LoadResult> &results)
+{
+    out << "<table><tr><th>file</th><th>outcomes</th><th>first byte, ms</th><th>whole, ms</th>"
+           "</tr>\n";
+    const auto list = [&](const std::map<std::string, double> &values) {
+        out << "<td>";
+        for (const auto &[name, value] : values)
+            out << escapeHtml(name) << " " << value << " ";
+        out << "</td>";
+    };
+    for (const LoadResult &it : results) {
+        out << "<tr><td>" << escapeHtml(it.file) << "</td>";
+        list(it.outcomes);
+        list(it.firstByteMs);
+        list(it.wholeMs);
+        out << "</tr>\n";
+    }
+    out << "</table>\n";
+}
+
+} // namespace
+
+std::optional<double> JournalEntry::meanWorth() const
+{
+    if (days.empty())
+        return std::nullopt;
+    double sum = 0.0;
+    for (const PlayedDay &it : days)
+        sum += it.worth;
+    return sum / static_cast<double>(days.size());
+}
+
+tl::expected<Report, ReportError> readReport(const std::string &journalDirectory,
+                                             const std::vector<std::string> &resultFiles)
+{
+    Report report;
+    if (!journalDirectory.empty()) {
+        if (!std::filesystem::is_directory(journalDirectory))
+            return tl::unexpected(ReportError{journalDirectory + ": is no directory"});
+        for (const auto &path : entriesOf(journalDirectory)) {
+            auto entry = readFile<JournalEntry>(path, readEntry);
+            if (!entry)
+                return tl::unexpected(entry.error());
+            report.journal.push_back(std::move(*entry));
+        }
+    }
+    for (const std::string &path : resultFiles) {
+        auto result = readFile<LoadResult>(path, readResult);
+        if (!result)
+            return tl::unexpected(result.error());
+        result->file = path;
+        report.results.push_back(std::move(*result));
+    }
+    return report;
+}
+
+std::string renderReport(const Report &report)
+{
+    std::ostringstream out;
+    out << "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+           "<title>fordwood: figures by round</title>\n<style>body{font-family:sans-serif;"
+           "margin:2em}table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #ccc;"
+           "padding:2px 6px;text-align:left;vertical-align:top}</style></head><body>\n"
+           "<h1>fordwood: figures by round</h1>\n";
+    std::set<std::string> sites;
+    for (const JournalEntry &it : report.journal) {
+        if (!it.site.empty())
+            sites.insert(it.site);
+    }
+    for (const std::string &site : sites) {
+        const auto scores = scoresOf(report, site);
+        if (scores.empty())
+            continue;
+        out << "<h2>" << escapeHtml(site) << ": " << scores.size() << " scores</h2>\n"
+            << drawSvg(worthPlot(site, scores)) << drawSvg(pricePlot(site, scores));
+    }
+    if (!report.results.empty()) {
+        out << "<h2>Result files</h2>\n" << drawSvg(timesPlot(report.results));
+        writeResultTable(out, report.results);
+    }
+    if (!report.journal.empty()) {
+        out << "<h2>Journal</h2>\n";
+        writeJournalTable(out, report.journal);
+    }
+    out << "</body></html>\n";
+    return out.str();
+}
+
+} // namespace fordwood::apps
