Memory that an engine lacks counts as wait before an early refusal

Change: tokens without memory count four times towards the wait, as they did already in choosing among engines.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -122,6 +122,7 @@
     double queueCost(const UpstreamLoad &load, const Terms &terms) const;
     double waitingCost(const UpstreamLoad &load, const Terms &terms,
                        const Question &question) const;
+    static std::size_t missingMemory(const UpstreamLoad &load, const Question &question);
     double versionCost(std::uint64_t version, const WeightHistory &weights) const;
     Weights weightsOf(std::uint64_t version, const Question &question,
                       const ContextDirectory &contexts) const;
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -77,11 +77,16 @@
     cost += kRunningCost * static_cast<double>(load.running);
     if (load.running >= question.traits.slots)
         cost += kNoSlotCost * static_cast<double>(load.running - question.traits.slots + 1);
+    cost += kNoMemoryWeight * static_cast<double>(missingMemory(load, question));
+    return cost;
+}
+
+// Tokens for which the engine would have no memory beside the requests that run there.
+std::size_t EngineChooser::missingMemory(const UpstreamLoad &load, const Question &question)
+{
     const std::size_t memory
         = load.tokensHeld + question.prompt.tokensIn + question.prompt.mostTokensOut;
-    if (memory > question.traits.contextTokens)
-        cost += kNoMemoryWeight * static_cast<double>(memory - question.traits.contextTokens);
-    return cost;
+    return memory - std::min(memory, question.traits.contextTokens);
 }
 
 // Orders the engines as all nodes prefer them for the context: first those of its group.
@@ -212,7 +217,9 @@
     choice.isStored = !rated.weights->holder.address.empty();
     choice.found = rated.load;
     choice.isShort = terms.isShort;
-    choice.waitTokens = queueCost(rated.load, terms);
+    choice.waitTokens
+        = queueCost(rated.load, terms)
+          + kNoMemoryWeight * static_cast<double>(missingMemory(rated.load, question));
     std::size_t fetched = 0;
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -178,6 +178,19 @@
     CHECK(one.m_contexts.recentSends().empty());
 }
 
+TEST_CASE("engines: memory that an engine lacks counts as wait, since runs must end first "
+          "[routing][admission]")
+{
+    View view;
+    CHECK(view.choose(longPrompt())->waitTokens == 0.0);
+    for (const UpstreamRecord &it : view.m_records)
+        view.m_loads.begin(it.instanceId, {0, 69'000});
+    CHECK(view.choose(longPrompt())->waitTokens == 0.0); // 17,030 fit into what is left
+    for (const UpstreamRecord &it : view.m_records)
+        view.m_loads.begin(it.instanceId, {0, 10'000});
+    CHECK(view.choose(longPrompt())->waitTokens > 30'000.0); // 9,030 tokens do not
+}
+
 TEST_CASE("engines: nothing is fetched from a store that is silent or came back empty [stores]")
 {
     View view;
