--- a/src/apps/load/report.cpp
+++ b/src/apps/load/report.cpp
@@ -155,6 +155,7 @@
         }
     }
     std::vector<std::pair<double, std::string>> dearest;
+    dearest.reserve(sums.size());
     for (const auto &[name, sum] : sums)
         dearest.emplace_back(sum, name);
     std::sort(dearest.rbegin(), dearest.rend());
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -173,7 +173,7 @@
         Rated entry;
         entry.engine = it;
         entry.weights = &known->second;
-        rated.push_back(std::move(entry));
+        rated.push_back(entry);
     }
     if (rated.empty())
         return std::nullopt;
--- a/src/core/member_table.cpp
+++ b/src/core/member_table.cpp
@@ -53,7 +53,7 @@
 LivenessRecord MemberTable::answerSuspicion()
 {
     ++m_incarnation;
-    const LivenessRecord self{m_self, m_incarnation, false};
+    LivenessRecord self{m_self, m_incarnation, false};
     m_liveness.offer(self);
     return self;
 }
--- a/src/core/permits_in_use.cpp
+++ b/src/core/permits_in_use.cpp
@@ -118,9 +118,10 @@
 std::size_t PermitsInUse::localPlaces(const UpstreamConfig &upstream) const
 {
     const auto &members = m_view->members();
-    const auto peers = std::count_if(members.begin(), members.end(), [&](const Member &it) {
-        return it.failureDomain == upstream.failureDomain;
-    });
+    const auto peers = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const Member &it) {
+            return it.failureDomain == upstream.failureDomain;
+        }));
     return std::max<std::size_t>(1, upstream.slots / std::max<std::size_t>(1, peers));
 }
 
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -3,6 +3,7 @@
 
 #include <sstream>
 #include <sys/socket.h>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -84,7 +85,8 @@
     m_left.shrink_to_fit();
     setTimer(limits().idleTimeout, &CallerSession::close);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode &ec) {
-        if (!ec && !self->m_isClosed)
+        // What crosses the close is not taken: its answer could not be sent any more.
+        if (!ec && !self->m_isClosed && !self->m_isClosing)
             self->readHead();
     });
 }
@@ -333,14 +335,16 @@
 {
     m_closeWhenIdle = true;
     const bool isResting = !m_run && !m_reading && m_outgoing.empty();
-    if (isResting)
+    // A request that has arrived already is answered first.
+    if (isResting && isQuiet(m_socket))
         lingeringClose();
 }
 
 void CallerSession::lingeringClose()
 {
-    if (m_isClosed)
+    if (m_isClosed || m_isClosing)
         return;
+    m_isClosing = true;
     ErrorCode ec; // a caller that is gone already is fine
     m_socket.shutdown(tcp::socket::shutdown_send, ec);
     if (ec) {
@@ -373,6 +377,9 @@
         return;
     m_isClosed = true;
     m_timer.cancel();
+    // A run writes to this session as long as nobody tells it otherwise.
+    if (const auto run = std::exchange(m_run, nullptr))
+        run->callerLeft();
     ErrorCode ec; // a socket that is closed already is fine
     m_socket.close(ec);
     // Not at once: callers of this function may still use the session.
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -84,6 +84,7 @@
     bool m_callerWaits = false; // the run was told that the caller reads slowly
     bool m_keepAlive = true;
     bool m_closeWhenIdle = false;
+    bool m_isClosing = false; // nothing more is sent, nor taken
     bool m_isClosed = false;
 };
 
