--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -59,7 +59,7 @@
     // Chooses, and sends as chosen.
     std::optional<EngineChoice> send(const Prompt &prompt, const std::string &walledTeam = "")
     {
-        const auto choice = choose(prompt, walledTeam);
+        auto choice = choose(prompt, walledTeam);
         if (choice)
             EngineChooser::noteSent(*choice, prompt, m_contexts);
         return choice;
@@ -364,16 +364,18 @@
           "[stores]")
 {
     View view;
+    constexpr std::size_t kParts = 100;
     std::vector<StorePartChange> changes;
+    changes.reserve(kParts);
     const std::string salt = view.choose(longPrompt())->salt;
-    for (int n = 0; n < 100; ++n)
+    for (std::size_t n = 0; n < kParts; ++n)
         changes.push_back({salt, "c" + std::to_string(n), true, 1'200});
     view.tellStore(changes);
     view.m_weights.note(2, view.m_clock.now());
     view.m_contexts.setWeights("m", view.m_weights);
     const auto stillFetched = [&] {
         int sum = 0;
-        for (int n = 0; n < 100; ++n)
+        for (std::size_t n = 0; n < kParts; ++n)
             sum += view.m_contexts.storeWith(salt, "c" + std::to_string(n)).address.empty() ? 0 : 1;
         return sum;
     };
