Relays follow the stores for the other nodes of a large fleet

Cause: on the grown transfer fleet each of 82 nodes watched the platform's store and waited for the events of 17 stores of kept context. Change: above 12 nodes, two relays in each failure domain (RelayRole: rendezvous rank among those that the platform's store answers; a relay steps down after 2 s) follow the stores; no more of them follow stores of kept context than those serve. The others read changes of the platform's store from a relay as before from peers, and what the stores of kept context tell from a relay's log (StoreNewsLog), with the age of the store's own word.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -31,7 +31,9 @@
     std::string store; // its name
     std::uint64_t epoch = 0; // changes when the store has lost everything
     bool restated = false; // `changes` is all that it holds
+    std::uint64_t next = 0; // the number of the store's first event that is not in here
     std::chrono::milliseconds clock{0}; // of the engines and stores, when it answered
+    std::chrono::milliseconds age{0}; // how long ago it answered, to the relay that heard it
     std::vector<StorePartChange> changes;
 };
 
--- a/include/fordwood/serving_config.hpp
+++ b/include/fordwood/serving_config.hpp
@@ -43,6 +43,7 @@
     std::size_t slots = 1; // requests that run at once
     std::size_t contextTokens = 0; // memory for running requests and kept context
     std::vector<std::string> models;
+    std::size_t mostReaders = 0; // calls that wait for events, at once; 0: not stated
 };
 
 // A service: a set of upstreams that can stand in for one another.
@@ -61,6 +62,7 @@
     std::string failureDomain;
     std::size_t capacityTokens = 0;
     bool managed = false; // it drops nothing on its own
+    std::size_t mostReaders = 0; // waiting calls that it holds at once; 0: not stated
 };
 
 // A team: who it is by its keys, and how it is treated.
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -125,7 +125,7 @@
     if (news.restated || news.epoch != store.epoch)
         forgetAll(store);
     store.epoch = news.epoch;
-    store.answered = m_clock.now();
+    store.answered = std::max(store.answered, m_clock.now() - news.age);
     for (const StorePartChange &change : news.changes)
         apply(store, change);
 }
--- /dev/null
+++ b/src/core/store_news_log.cpp
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/store_news_log.hpp"
+
+#include <algorithm>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+void StoreNewsLog::told(const StoreNews &news)
+{
+    Store &store = m_stores[news.store];
+    if (news.restated || news.epoch != store.epoch) {
+        store.parts.clear();
+        store.recent.clear();
+        store.recentChanges = 0;
+    }
+    for (const StorePartChange &it : news.changes) {
+        if (it.held)
+            store.parts[{it.salt, it.partId}] = it.tokens;
+        else
+            store.parts.erase({it.salt, it.partId});
+    }
+    if (!news.restated && news.epoch == store.epoch)
+        remember(store, news);
+    store.epoch = news.epoch;
+    store.next = news.next;
+    store.answers = true;
+    store.answered = m_clock.now();
+    store.clock = news.clock;
+}
+
+void StoreNewsLog::remember(Store &store, const StoreNews &news) const
+{
+    if (news.changes.empty())
+        return;
+    store.recent.push_back({store.next, news.changes});
+    store.recentChanges += news.changes.size();
+    while (store.recentChanges > m_limits.recentChanges) {
+        store.recentChanges -= store.recent.front().changes.size();
+        store.recent.pop_front();
+    }
+}
+
+void StoreNewsLog::silent(const std::string &store)
+{
+    m_stores[store].answers = false;
+}
+
+StoreNews StoreNewsLog::newsFor(const std::string &name, const Store &store,
+                                const StorePosition &position) const
+{
+    StoreNews news;
+    news.store = name;
+    news.epoch = store.epoch;
+    news.next = store.next;
+    news.clock = store.clock;
+    news.age
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - store.answered);
+    const std::uint64_t oldest = store.recent.empty() ? store.next : store.recent.front().from;
+    if (position.epoch != store.epoch || position.next < oldest) {
+        news.restated = true;
+        for (const auto &[part, tokens] : store.parts)
+            news.changes.push_back({part.first, part.second, true, tokens});
+        return news;
+    }
+    // A reader that comes from another relay may stand within a batch, or be ahead of this node: to
+    // be told a change twice does no harm, in their order.
+    news.next = std::max(store.next, position.next);
+    for (std::size_t n = 0; n < store.recent.size(); ++n) {
+        const bool isLast = n + 1 == store.recent.size();
+        const std::uint64_t end = isLast ? store.next : store.recent[n + 1].from;
+        if (end <= position.next)
+            continue;
+        const auto &changes = store.recent[n].changes;
+        news.changes.insert(news.changes.end(), changes.begin(), changes.end());
+    }
+    return news;
+}
+
+std::vector<StoreNews> StoreNewsLog::since(const std::vector<StorePosition> &positions) const
+{
+    std::vector<StoreNews> told;
+    for (const auto &[name, store] : m_stores) {
+        if (!store.answers)
+            continue;
+        const std::uint64_t hash = stableHash(name);
+        const auto known = std::find_if(positions.begin(), positions.end(),
+                                        [&](const StorePosition &it) { return it.store == hash; });
+        told.push_back(newsFor(name, store, known == positions.end() ? StorePosition{} : *known));
+    }
+    return told;
+}
+
+} // namespace fordwood
--- a/src/node/context_keeping.cpp
+++ b/src/node/context_keeping.cpp
@@ -17,30 +17,41 @@
 } // namespace
 
 ContextKeeping::ContextKeeping(net::io_context &context, HttpCaller &caller, const Clock &clock,
-                               Tell tell)
+                               ContextRelayReader::Source source, Tell tell)
     : m_caller(caller), m_clock(clock), m_tell(std::move(tell)),
       m_watch(context, caller, clock, [this](FleetUpdate it) { take(std::move(it)); }),
-      m_keeper(clock)
+      m_relayReader(context, caller, clock, std::move(source),
+                    [this](FleetUpdate it) { take(std::move(it)); }),
+      m_log(clock), m_keeper(clock)
 { }
 
+void ContextKeeping::setFollowing(bool follows)
+{
+    m_watch.setFollowing(follows);
+    m_relayReader.setReading(!follows);
+}
+
 void ContextKeeping::setStores(const std::vector<ContextStore> &stores)
 {
     m_stores.clear();
     for (const ContextStore &it : stores)
         m_stores[it.name] = it;
     m_watch.setStores(stores);
+    m_relayReader.setStores(stores);
 }
 
 void ContextKeeping::take(FleetUpdate update)
 {
     if (const auto *told = std::get_if<ContextStoreTold>(&update)) {
         m_keeper.storeAnswered(told->news);
+        m_log.told(told->news);
         if (told->news.clock.count() > 0) {
             m_engineClock = told->news.clock;
-            m_engineClockTold = m_clock.now();
+            m_engineClockTold = m_clock.now() - told->news.age;
         }
     } else if (const auto *silent = std::get_if<ContextStoreSilent>(&update)) {
         m_keeper.storeSilent(silent->store);
+        m_log.silent(silent->store);
     }
     m_tell(std::move(update));
 }
--- a/src/node/context_keeping.hpp
+++ b/src/node/context_keeping.hpp
@@ -11,6 +11,8 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/fenced_lock.hpp"
 #include "fordwood/store_keeper.hpp"
+#include "fordwood/store_news_log.hpp"
+#include "node/context_relay_reader.hpp"
 #include "node/context_watch.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_caller.hpp"
@@ -24,11 +26,21 @@
 public:
     using Tell = std::function<void(FleetUpdate)>;
 
-    ContextKeeping(net::io_context &context, HttpCaller &caller, const Clock &clock, Tell tell);
+    ContextKeeping(net::io_context &context, HttpCaller &caller, const Clock &clock,
+                   ContextRelayReader::Source source, Tell tell);
 
     // The stores of the configuration in force.
     void setStores(const std::vector<ContextStore> &stores);
 
+    // Whether this node asks the stores itself; else it asks the relay that `source` names.
+    void setFollowing(bool follows);
+
+    // What a peer lacks that stands at these positions.
+    std::vector<StoreNews> newsSince(const std::vector<StorePosition> &positions) const
+    {
+        return m_log.since(positions);
+    }
+
     void setWeights(const std::string &model, const WeightHistory &history)
     {
         m_keeper.setWeights(model, history);
@@ -44,6 +56,8 @@
     const Clock &m_clock;
     Tell m_tell;
     ContextWatch m_watch;
+    ContextRelayReader m_relayReader;
+    StoreNewsLog m_log; // for peers, while this node follows the stores
     StoreKeeper m_keeper;
     std::map<std::string, ContextStore> m_stores; // by name
     std::chrono::milliseconds m_engineClock{0}; // as told last
--- a/src/node/context_watch.cpp
+++ b/src/node/context_watch.cpp
@@ -28,9 +28,27 @@
 } // namespace
 
 void ContextWatch::setStores(const std::vector<ContextStore> &stores)
+{
+    m_known = stores;
+    if (m_follows)
+        follow();
+}
+
+void ContextWatch::setFollowing(bool follows)
+{
+    if (follows == m_follows)
+        return;
+    m_follows = follows;
+    if (m_follows)
+        follow();
+    else
+        m_stores.clear(); // answers of calls under way are dropped
+}
+
+void ContextWatch::follow()
 {
     std::set<std::string> names;
-    for (const ContextStore &it : stores) {
+    for (const ContextStore &it : m_known) {
         names.insert(it.name);
         std::shared_ptr<Followed> &store = m_stores[it.name];
         const bool isNew = !store || store->config.address != it.address;
--- a/src/node/context_watch.hpp
+++ b/src/node/context_watch.hpp
@@ -29,6 +29,9 @@
     // The stores of the configuration in force.
     void setStores(const std::vector<ContextStore> &stores);
 
+    // Whether this node asks the stores at all; if not, it reads what relays tell.
+    void setFollowing(bool follows);
+
 private:
     struct Followed
     {
@@ -41,6 +44,7 @@
         net::steady_timer timer;
     };
 
+    void follow();
     void poll(const std::shared_ptr<Followed> &store, std::chrono::milliseconds wait);
     void takeEvents(const std::shared_ptr<Followed> &store, const HttpResult &result);
     void readList(const std::shared_ptr<Followed> &store);
@@ -53,7 +57,9 @@
     HttpCaller &m_caller;
     const Clock &m_clock;
     Tell m_tell;
-    std::map<std::string, std::shared_ptr<Followed>> m_stores; // by name
+    std::vector<ContextStore> m_known; // of the configuration in force
+    std::map<std::string, std::shared_ptr<Followed>> m_stores; // by name; empty: not following
+    bool m_follows = true;
 };
 
 } // namespace fordwood::node
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -7,6 +7,7 @@
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
+#include "node/context_messages.hpp"
 
 namespace fordwood::node {
 
@@ -55,9 +56,27 @@
     return limits;
 }
 
+// How many readers the stores of kept context serve at once, by the strictest of them or, where
+// none says, by what engines say; 0: not stated.
+std::size_t mostContextReaders(const ServingConfig &config)
+{
+    std::size_t least = 0;
+    const auto note = [&least](std::size_t n) {
+        if (n > 0 && (least == 0 || n < least))
+            least = n;
+    };
+    for (const ContextStore &it : config.stores)
+        note(it.mostReaders);
+    if (least > 0)
+        return least;
+    for (const ServicePool &it : config.services)
+        note(it.engine ? it.engine->mostReaders : 0);
+    return least;
+}
+
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
 {
-    return {settings.peers.gossipListen, settings.peers.listen};
+    return {settings.peers.gossipListen, settings.peers.listen, settings.node.failureDomain};
 }
 
 } // namespace
@@ -70,11 +89,15 @@
       m_ownKey(clock, m_store, DocumentReader::nodeKey(settings.node.name),
                encodePeerAddress(ownAddress(settings))),
       m_orders(clock, m_caller, m_store, settings.node.name, m_owner, lockLimits(settings)),
-      m_contexts(m_context, m_caller, clock, [this](FleetUpdate it) { this->tell(std::move(it)); }),
-      m_documents(metrics, *this),
-      m_peers(m_context, clock, settings.node.name, [this](const Gossip &it) { heard(it); }),
+      m_contexts(
+          m_context, m_caller, clock,
+          [this](const std::string &failed) { return m_peers.contextFollower(failed); },
+          [this](FleetUpdate it) { this->tell(std::move(it)); }),
+      m_documents(metrics, *this), m_role(clock, settings.node.name),
+      m_peers(m_context, clock, settings.node.name, settings.node.failureDomain,
+              [this](const Gossip &it) { heard(it); }),
       m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
-      m_replicaServer(m_context, [this](std::string_view it) { return replicaReply(it); }),
+      m_peerServer(m_context, [this](std::string_view it) { return peerReply(it); }),
       m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
       m_ownLoads(m_context, kMailboxCapacity, [this](OwnLoads it) { takeOwnLoads(std::move(it)); }),
       m_tickTimer(m_context), m_upstreams(clock, {}), m_loads(clock)
@@ -89,7 +112,7 @@
     };
     if (!m_readyServer.listen(m_settings.callers.readyListen, ec))
         return failed(m_settings.callers.readyListen);
-    if (!m_replicaServer.listen(m_settings.peers.listen, ec))
+    if (!m_peerServer.listen(m_settings.peers.listen, ec))
         return failed(m_settings.peers.listen);
     if (!m_metricsServer.listen(m_settings.peers.metricsListen, ec))
         return failed(m_settings.peers.metricsListen);
@@ -143,10 +166,20 @@
     return {200, m_metrics.text()};
 }
 
-HttpReply ControlDuty::replicaReply(std::string_view target) const
+HttpReply ControlDuty::peerReply(std::string_view target) const
 {
-    if (!target.starts_with(kReplicaTarget))
+    if (target.starts_with(kReplicaTarget))
+        return replicaReply(target);
+    const auto positions = readContextNewsTarget(target);
+    if (!positions)
         return {404, ""};
+    if (!m_role.followsContext())
+        return {503, ""};
+    return {200, encodeContextNews(m_contexts.newsSince(*positions))};
+}
+
+HttpReply ControlDuty::replicaReply(std::string_view target) const
+{
     target.remove_prefix(kReplicaTarget.size());
     std::int64_t since = 0;
     const auto [end, ec] = std::from_chars(target.data(), target.data() + target.size(), since);
@@ -160,7 +193,7 @@
 // Whether a removal may be the expiry of a lease while the store was away.
 bool ControlDuty::inDoubt() const
 {
-    return !m_store.isReachable() || m_clock.now() - m_storeBack < kExpiryDoubt;
+    return !reachesStore() || m_clock.now() - m_storeBack < kExpiryDoubt;
 }
 
 void ControlDuty::storeTold(const StoreChanges &changes)
@@ -181,12 +214,12 @@
 
 void ControlDuty::noteReachability()
 {
-    const bool informed = m_store.isReachable() || !m_peers.live().empty();
+    const bool informed = reachesStore() || !m_peers.live().empty();
     if (informed != m_toldInformed) {
         m_toldInformed = informed;
         tell(Informed{informed});
     }
-    const bool reachable = m_store.isReachable() || !m_peers.reachingStore().empty();
+    const bool reachable = reachesStore() || !m_peers.reachingStore().empty();
     if (reachable == m_toldReachable)
         return;
     m_toldReachable = reachable;
@@ -212,6 +245,8 @@
 {
     m_hasConfiguration = true;
     m_contexts.setStores(config.stores);
+    if (const std::size_t most = mostContextReaders(config); most > 0)
+        m_role.setMostReaders(most);
     tell(ConfigInForce{std::make_shared<const RouteTable>(std::move(config))});
 }
 
@@ -301,7 +336,9 @@
     message.node = m_settings.node.name;
     message.replicaAddress = m_settings.peers.listen;
     message.revision = m_replica.revision();
-    message.storeReachable = m_store.isReachable() && m_replica.revision() != 0;
+    message.storeReachable = reachesStore() && m_replica.revision() != 0;
+    message.isRelay = m_role.isRelay();
+    message.followsContext = m_role.followsContext();
     message.leaving = m_isLeaving;
     message.loads = m_lastOwn.loads;
     message.shortContextTokens = m_lastOwn.shortContextTokens;
@@ -359,6 +396,7 @@
     }
     noteReachability();
     noteLiveNodes();
+    noteRole();
     pollStore();
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
@@ -397,11 +435,31 @@
     m_orders.lock().setPatience(kLockPatiencePerRank * static_cast<std::int64_t>(before + 1));
 }
 
+// Whether this node follows the stores itself.
+void ControlDuty::noteRole()
+{
+    const bool wasRelay = m_role.isRelay();
+    RelayRole::Peers peers;
+    peers.liveNodes = m_liveNodes;
+    peers.reachingInDomain = m_peers.reachingStoreIn(m_settings.node.failureDomain);
+    peers.relays = m_peers.relays();
+    m_role.update(peers);
+    m_contexts.setFollowing(m_role.followsContext());
+    if (m_role.isRelay() == wasRelay)
+        return;
+    logEvent(Event::RelayRoleChanged, {{"relay", m_role.isRelay()}, {"live", m_liveNodes}});
+    // What has run out while this node did not look is not told from what was removed.
+    if (m_role.isRelay())
+        m_storeBack = m_clock.now();
+    m_store.setFollowing(m_role.isRelay());
+    m_gossipSoon = true;
+}
+
 // A watch may hear nothing for a while although things change. Two nodes ask beside it; the others
 // hear from them.
 void ControlDuty::pollStore()
 {
-    if (!m_store.isReachable() || m_clock.now() < m_nextPoll)
+    if (!reachesStore() || m_clock.now() < m_nextPoll)
         return;
     m_nextPoll = m_clock.now() + kPollEvery;
     const std::size_t before = rendezvousRank(stableHash("polls the store"), m_settings.node.name,
@@ -423,7 +481,7 @@
     if (!m_isBehind)
         m_aheadSince = now;
     m_isBehind = true;
-    if (m_store.isReachable() && now - m_aheadSince < kWaitForWatch)
+    if (reachesStore() && now - m_aheadSince < kWaitForWatch)
         return;
     fetchFrom(*ahead);
 }
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -13,6 +13,7 @@
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
 #include "fordwood/load_book.hpp"
+#include "fordwood/relay_role.hpp"
 #include "fordwood/store_replica.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/weight_history.hpp"
@@ -68,6 +69,7 @@
     void nodeRemoved(const std::string &node) override;
 
     HttpReply readyReply(std::string_view target) const;
+    HttpReply peerReply(std::string_view target) const;
     HttpReply replicaReply(std::string_view target) const;
     HttpReply metricsReply(std::string_view target) const;
 
@@ -85,6 +87,9 @@
     void noteReachability();
     void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
     void noteLiveNodes();
+    void noteRole();
+    // Whether this node follows the platform's store and is answered.
+    bool reachesStore() const { return m_role.isRelay() && m_store.isReachable(); }
     void shortenQuietTime();
     void noteLoading();
     bool inDoubt() const;
@@ -104,9 +109,10 @@
     OrderDuty m_orders;
     ContextKeeping m_contexts;
     DocumentReader m_documents;
+    RelayRole m_role;
     PeerLinks m_peers;
     SmallServer m_readyServer;
-    SmallServer m_replicaServer;
+    SmallServer m_peerServer;
     SmallServer m_metricsServer;
     Mailbox<OwnLoads> m_ownLoads;
     net::steady_timer m_tickTimer;
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -1,9 +1,13 @@
 // SPDX-License-Identifier: MIT
 #include "node/peer_links.hpp"
 
+#include <tuple>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "fordwood/rendezvous.hpp"
+
 namespace fordwood::node {
 
 namespace {
@@ -16,8 +20,10 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, std::string ownName, Heard heard)
-    : m_clock(clock), m_ownName(std::move(ownName)), m_heard(std::move(heard)), m_socket(context)
+PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, std::string ownName,
+                     std::string failureDomain, Heard heard)
+    : m_clock(clock), m_ownName(std::move(ownName)), m_failureDomain(std::move(failureDomain)),
+      m_heard(std::move(heard)), m_socket(context)
 { }
 
 bool PeerLinks::open(const std::string &address, ErrorCode &ec)
@@ -45,6 +51,7 @@
     Peer &peer = m_peers[node];
     peer.gossip = parseEndpoint<udp>(address.gossip);
     peer.replicaAddress = address.replica;
+    peer.failureDomain = address.failureDomain;
     peer.hasKey = true;
 }
 
@@ -101,6 +108,8 @@
     peer.replicaAddress = message.replicaAddress;
     peer.revision = message.revision;
     peer.reachesStore = message.storeReachable;
+    peer.isRelay = message.isRelay;
+    peer.followsContext = message.followsContext;
     m_heard(message);
 }
 
@@ -109,16 +118,21 @@
     return peer.heard && m_clock.now() - *peer.heard < kLiveFor;
 }
 
-std::vector<std::string> PeerLinks::live() const
+std::vector<std::string> PeerLinks::liveWhere(const std::function<bool(const Peer &)> &holds) const
 {
     std::vector<std::string> names;
     for (const auto &[name, peer] : m_peers) {
-        if (isLive(peer))
+        if (isLive(peer) && holds(peer))
             names.push_back(name);
     }
     return names;
 }
 
+std::vector<std::string> PeerLinks::live() const
+{
+    return liveWhere([](const Peer &) { return true; });
+}
+
 std::optional<TimePoint> PeerLinks::lastHeard(const std::string &node) const
 {
     const auto it = m_peers.find(node);
@@ -127,25 +141,52 @@
 
 std::vector<std::string> PeerLinks::reachingStore() const
 {
-    std::vector<std::string> names;
-    for (const auto &[name, peer] : m_peers) {
-        if (isLive(peer) && peer.reachesStore)
-            names.push_back(name);
-    }
-    return names;
+    return liveWhere([](const Peer &it) { return it.reachesStore; });
+}
+
+std::vector<std::string> PeerLinks::reachingStoreIn(const std::string &failureDomain) const
+{
+    return liveWhere(
+        [&](const Peer &it) { return it.reachesStore && it.failureDomain == failureDomain; });
+}
+
+std::vector<std::string> PeerLinks::relays() const
+{
+    return liveWhere([](const Peer &it) { return it.isRelay; });
 }
 
 std::optional<std::string> PeerLinks::aheadOf(std::int64_t revision) const
 {
-    const Peer *best = nullptr;
+    return best([&](const Peer &it) { return it.revision > revision; },
+                [](const Peer &it) { return it.reachesStore; });
+}
+
+std::optional<std::string> PeerLinks::contextFollower(const std::string &failed) const
+{
+    return best([](const Peer &it) { return it.followsContext; },
+                [&](const Peer &it) { return it.replicaAddress != failed; });
+}
+
+// The live peer to read from among those that will do, by its address: preferred ones first, then
+// those near this node, then by a hash that spreads the readers.
+std::optional<std::string>
+PeerLinks::best(const std::function<bool(const Peer &)> &willDo,
+                const std::function<bool(const Peer &)> &isPreferred) const
+{
+    const std::uint64_t own = stableHash(m_ownName);
+    std::optional<std::tuple<bool, bool, std::uint64_t>> most;
+    std::optional<std::string> address;
     for (const auto &[name, peer] : m_peers) {
-        if (isLive(peer) && peer.revision > revision
-            && (best == nullptr || peer.revision > best->revision))
-            best = &peer;
+        if (!isLive(peer) || !willDo(peer))
+            continue;
+        const std::tuple rank(isPreferred(peer), peer.failureDomain == m_failureDomain,
+                              rendezvousWeight(own, stableHash(name)));
+        if (most && rank < *most)
+            continue;
+        most = rank;
+        address = peer.replicaAddress;
     }
-    if (best == nullptr)
-        return std::nullopt;
-    return best->replicaAddress;
+    return address;
 }
 
 } // namespace fordwood::node
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -22,7 +22,8 @@
 public:
     using Heard = std::function<void(const Gossip &)>;
 
-    PeerLinks(net::io_context &context, const Clock &clock, std::string ownName, Heard heard);
+    PeerLinks(net::io_context &context, const Clock &clock, std::string ownName,
+              std::string failureDomain, Heard heard);
 
     // False when the address cannot be used; `ec` tells why.
     bool open(const std::string &address, ErrorCode &ec);
@@ -42,9 +43,21 @@
     // The live peers that say that the platform's store answers them.
     std::vector<std::string> reachingStore() const;
 
+    // Of these, the ones in the failure domain.
+    std::vector<std::string> reachingStoreIn(const std::string &failureDomain) const;
+
+    // The live peers that are relays.
+    std::vector<std::string> relays() const;
+
     // A live peer whose copy of the store is ahead of the revision; its address for reading it.
+    // Those that the store answers come first, then those of this node's failure domain.
     std::optional<std::string> aheadOf(std::int64_t revision) const;
 
+    // A live peer that follows the stores of kept context, other than the one at the address that
+    // failed if there is another; its address for reading. Those of this node's failure domain come
+    // first.
+    std::optional<std::string> contextFollower(const std::string &failed) const;
+
 private:
     struct Peer
     {
@@ -53,17 +66,24 @@
         std::optional<TimePoint> heard;
         std::string replicaAddress;
         std::int64_t revision = 0;
+        std::string failureDomain; // empty: not known
         bool reachesStore = false;
+        bool isRelay = false;
+        bool followsContext = false;
     };
 
     void receive();
     void take(const Gossip &message);
     bool isLive(const Peer &peer) const;
+    std::optional<std::string> best(const std::function<bool(const Peer &)> &willDo,
+                                    const std::function<bool(const Peer &)> &isPreferred) const;
+    std::vector<std::string> liveWhere(const std::function<bool(const Peer &)> &holds) const;
 
     static constexpr std::size_t kMostBytes = 65'507; // of a datagram
 
     const Clock &m_clock;
     const std::string m_ownName;
+    const std::string m_failureDomain;
     Heard m_heard;
     udp::socket m_socket;
     udp::endpoint m_sender;
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "node/peer_messages.hpp"
 
-#include <nlohmann/json.hpp>
+#include "node/cbor.hpp"
 
 namespace fordwood::node {
 
@@ -9,24 +9,6 @@
 
 using Json = nlohmann::json;
 
-std::string encode(const Json &object)
-{
-    std::string bytes;
-    Json::to_cbor(object, bytes);
-    return bytes;
-}
-
-// Reads bytes with `read`; nothing when they are no message of ours.
-template <typename T, typename Read>
-std::optional<T> decode(std::string_view bytes, Read read)
-{
-    try {
-        return read(Json::from_cbor(bytes.begin(), bytes.end()));
-    } catch (const Json::exception &) {
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 std::string encodeGossip(const Gossip &message)
@@ -39,6 +21,10 @@
                 {"loads", std::move(loads)},    {"short", message.shortContextTokens}};
     if (!message.contextsSent.empty())
         object["contexts"] = message.contextsSent;
+    if (message.isRelay)
+        object["relay"] = true;
+    if (message.followsContext)
+        object["follows"] = true;
     if (message.leaving)
         object["leaving"] = true;
     if (message.lastOrder)
@@ -51,18 +37,20 @@
         for (const auto &[version, age] : versions)
             object["named"][model].push_back({version, age.count()});
     }
-    return encode(object);
+    return encodeCbor(object);
 }
 
 std::optional<Gossip> decodeGossip(std::string_view bytes)
 {
-    return decode<Gossip>(bytes, [](const Json &object) {
+    return decodeCbor<Gossip>(bytes, [](const Json &object) {
         Gossip message;
         object.at("node").get_to(message.node);
         object.at("replica").get_to(message.replicaAddress);
         object.at("revision").get_to(message.revision);
         object.at("reachable").get_to(message.storeReachable);
         message.shortContextTokens = object.value("short", std::size_t{0});
+        message.isRelay = object.value("relay", false);
+        message.followsContext = object.value("follows", false);
         message.leaving = object.value("leaving", false);
         for (const auto &[id, load] : object.at("loads").items())
             message.loads[id] = {load.at(0).get<std::size_t>(), load.at(1).get<std::size_t>(),
@@ -94,15 +82,15 @@
             item.push_back(Json::binary({it.value->begin(), it.value->end()}));
         items.push_back(std::move(item));
     }
-    return encode({{"since", part.changes.since},
-                   {"revision", part.changes.revision},
-                   {"doubt", part.mayBeExpiry},
-                   {"items", std::move(items)}});
+    return encodeCbor({{"since", part.changes.since},
+                       {"revision", part.changes.revision},
+                       {"doubt", part.mayBeExpiry},
+                       {"items", std::move(items)}});
 }
 
 std::optional<ReplicaPart> decodeReplicaPart(std::string_view bytes)
 {
-    return decode<ReplicaPart>(bytes, [](const Json &object) {
+    return decodeCbor<ReplicaPart>(bytes, [](const Json &object) {
         ReplicaPart part;
         object.at("since").get_to(part.changes.since);
         object.at("revision").get_to(part.changes.revision);
@@ -124,14 +112,17 @@
 
 std::string encodePeerAddress(const PeerAddress &address)
 {
-    return encode({{"gossip", address.gossip}, {"replica", address.replica}});
+    return encodeCbor({{"gossip", address.gossip},
+                       {"replica", address.replica},
+                       {"domain", address.failureDomain}});
 }
 
 std::optional<PeerAddress> decodePeerAddress(std::string_view bytes)
 {
-    return decode<PeerAddress>(bytes, [](const Json &object) {
+    return decodeCbor<PeerAddress>(bytes, [](const Json &object) {
         return PeerAddress{object.at("gossip").get<std::string>(),
-                           object.at("replica").get<std::string>()};
+                           object.at("replica").get<std::string>(),
+                           object.value("domain", std::string())};
     });
 }
 
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -21,6 +21,7 @@
 {
     std::string gossip; // UDP
     std::string replica; // HTTP
+    std::string failureDomain;
 };
 
 // The short message that each node sends to each other one, several times a second.
@@ -29,7 +30,9 @@
     std::string node;
     std::string replicaAddress;
     std::int64_t revision = 0; // up to which the node's copy of the store is whole
-    bool storeReachable = false; // by the node
+    bool storeReachable = false; // by the node, which follows it
+    bool isRelay = false; // see RelayRole
+    bool followsContext = false; // likewise
     bool leaving = false; // the node stops: its last message
     LoadBook::Loads loads; // what the node has sent to upstreams
     std::size_t shortContextTokens = 0; // shared by the node's short prompts
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -87,7 +87,26 @@
     m_isPolling = false;
     m_listener.storeTold(*read);
     if (next == After::Watch)
+        goOn();
+}
+
+void StoreLink::setFollowing(bool follows)
+{
+    m_follows = follows;
+    if (m_follows && m_rests)
+        goOn();
+}
+
+// The next step of following: waits for changes, or first reads all.
+void StoreLink::goOn()
+{
+    m_rests = !m_follows;
+    if (m_rests)
+        return;
+    if (m_isWhole)
         watch();
+    else
+        readAll();
 }
 
 void StoreLink::watch()
@@ -108,7 +127,7 @@
     }
     answered();
     m_listener.storeTold(*changes);
-    this->after(kBatchPause, &StoreLink::watch);
+    this->after(kBatchPause, &StoreLink::goOn);
 }
 
 void StoreLink::poll()
@@ -171,7 +190,7 @@
         m_listener.storeReachable(false);
     }
     const bool first = m_failures == 1 && m_isWhole;
-    after(first ? Duration(0) : pause, m_isWhole ? &StoreLink::watch : &StoreLink::readAll);
+    after(first ? Duration(0) : pause, &StoreLink::goOn);
 }
 
 } // namespace fordwood::node
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -36,6 +36,9 @@
 
     void start() { readAll(); }
 
+    // Whether the link goes on waiting for changes; if not, others tell this node.
+    void setFollowing(bool follows);
+
     // Asks once what has changed, beside the waiting call, which may hear nothing in trouble.
     void poll();
 
@@ -52,6 +55,7 @@
     void takePage(const HttpResult &result, const std::shared_ptr<StoreChanges> &read, After next);
     void readAllOnce();
     void watch();
+    void goOn();
     void takePoll(const HttpResult &result, std::int64_t after);
     void takeWatch(const HttpResult &result, std::int64_t after);
     void answered();
@@ -66,6 +70,8 @@
     bool m_reachable = true;
     bool m_isWhole = false; // the copy holds all up to its revision
     bool m_isPolling = false;
+    bool m_follows = true;
+    bool m_rests = false; // nothing is under way
     unsigned m_failures = 0; // in a row
 };
 
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -108,7 +108,7 @@
 {
     m_contexts.storeAnswered(update.news);
     if (update.news.clock.count() > 0)
-        m_engineClock = {update.news.clock, m_clock.now()};
+        m_engineClock = {update.news.clock, m_clock.now() - update.news.age};
 }
 
 void Traffic::apply(const Informed &update)
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -2,6 +2,7 @@
 // What the platform says is read into the product's types, once and strictly.
 #include <doctest/doctest.h>
 
+#include "node/context_messages.hpp"
 #include "node/peer_messages.hpp"
 #include "node/refusal.hpp"
 #include "platform/caller_messages.hpp"
@@ -149,7 +150,7 @@
                      "engine":{"slots":32,"kv-cache-tokens":87295,"models":[{"name":"m"}]}},
                     {"name":"s2","max-connections":110},
                     {"name":"k","kv-store-address":"10.0.0.9:80","zone":"z",
-                     "kv-cache-tokens":1000,"managed":true}],
+                     "kv-cache-tokens":1000,"managed":true,"max-in-flight":12}],
         "limits":{"max-header-bytes":16384,"idle-timeout-ms":15000},
         "tenants":[{"name":"t","api-keys":["k1"],"priority":1,"isolated":true},{"name":"u"}]})");
     REQUIRE(config);
@@ -165,6 +166,7 @@
     CHECK_FALSE(config->services[1].engine);
     REQUIRE(config->stores.size() == 1);
     CHECK(config->stores[0].address == "10.0.0.9:80");
+    CHECK(config->stores[0].mostReaders == 12);
     CHECK(config->limits.idleTimeout == 15s);
     CHECK(config->limits.maxBodyBytes == 4'194'304);
     REQUIRE(config->teams.size() == 2);
@@ -321,9 +323,12 @@
     message.weightsShown["e"]["m"] = 2;
     message.weightsNamed["m"][2] = 800ms;
     message.contextsSent = {1, 0xffffffffffffffffULL};
+    message.isRelay = true;
     const auto read = node::decodeGossip(node::encodeGossip(message));
     REQUIRE(read);
     CHECK(read->contextsSent == message.contextsSent);
+    CHECK(read->isRelay);
+    CHECK_FALSE(read->followsContext);
     CHECK(read->loads == message.loads);
     CHECK(read->lastOrder == message.lastOrder);
     CHECK(read->enginesLoading == message.enginesLoading);
@@ -343,3 +348,40 @@
     CHECK(readPart->changes.items == part.changes.items);
     CHECK(readPart->mayBeExpiry);
 }
+
+TEST_CASE("peers: what relays tell survives its encoding; other bytes are none [relays][bad-input]")
+{
+    const std::vector<StorePosition> positions{{1, 2, 3}, {0xffffffffffffffffULL, 0, 0}};
+    const auto asked = node::readContextNewsTarget(node::contextNewsTarget(positions));
+    REQUIRE(asked);
+    REQUIRE(asked->size() == 2);
+    CHECK((*asked)[0].epoch == 2);
+    CHECK((*asked)[0].next == 3);
+    CHECK((*asked)[1].store == 0xffffffffffffffffULL);
+    CHECK(node::readContextNewsTarget(node::contextNewsTarget({}))->empty());
+    for (const char *bad : {"/", "/replica?since=1", "/contexts?since=1", "/contexts?since=1.2.3",
+                            "/contexts?since=1.2.x,", "/contexts?since=-1.2.3,"})
+        CHECK_FALSE(node::readContextNewsTarget(bad));
+
+    StoreNews news;
+    news.store = "s";
+    news.epoch = 5;
+    news.next = 9;
+    news.age = 120ms;
+    news.clock = 77ms;
+    news.restated = true;
+    news.changes = {{"salt", "a", true, 100}, {"salt", "b", false, 0}, {"other", "a", true, 1}};
+    const std::string bytes = node::encodeContextNews({news});
+    const auto read = node::decodeContextNews(bytes);
+    REQUIRE(read);
+    REQUIRE(read->size() == 1);
+    CHECK(read->front().next == 9);
+    CHECK(read->front().age == 120ms);
+    CHECK(read->front().clock == 77ms);
+    CHECK(read->front().restated);
+    REQUIRE(read->front().changes.size() == 3);
+    CHECK_FALSE(read->front().changes[1].held);
+    CHECK(read->front().changes[2].salt == "other");
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        CHECK_FALSE(node::decodeContextNews(bytes.substr(0, n)));
+}
--- /dev/null
+++ b/tests/unit/relay_test.cpp
@@ -0,0 +1,205 @@
+// SPDX-License-Identifier: MIT
+// Who follows the stores for others, and what a relay tells.
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "fordwood/manual_clock.hpp"
+#include "fordwood/relay_role.hpp"
+#include "fordwood/rendezvous.hpp"
+#include "fordwood/store_news_log.hpp"
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int kNodes = 30;
+
+std::string nodeName(int n)
+{
+    return "node-" + std::to_string(n);
+}
+
+// Nodes of one failure domain that see each other, and whether the platform's store answers them.
+class Domain
+{
+public:
+    Domain()
+    {
+        for (int n = 0; n < kNodes; ++n)
+            m_roles.emplace_back(m_clock, nodeName(n));
+        m_isAnswered.assign(kNodes, true);
+    }
+
+    void update(std::size_t liveNodes = kNodes)
+    {
+        std::vector<std::string> reaching;
+        std::vector<std::string> relays;
+        for (int n = 0; n < kNodes; ++n) {
+            if (m_roles[n].isRelay())
+                relays.push_back(nodeName(n));
+            if (m_roles[n].isRelay() && m_isAnswered[n])
+                reaching.push_back(nodeName(n));
+        }
+        for (int n = 0; n < kNodes; ++n) {
+            RelayRole::Peers peers{liveNodes, reaching, relays};
+            std::erase(peers.reachingInDomain, nodeName(n));
+            std::erase(peers.relays, nodeName(n));
+            m_roles[n].update(peers);
+        }
+    }
+
+    void settle(std::size_t liveNodes = kNodes)
+    {
+        for (int n = 0; n < 10; ++n) {
+            update(liveNodes);
+            m_clock.advance(1s);
+        }
+    }
+
+    std::vector<int> relays() const
+    {
+        std::vector<int> found;
+        for (int n = 0; n < kNodes; ++n) {
+            if (m_roles[n].isRelay())
+                found.push_back(n);
+        }
+        return found;
+    }
+
+    ManualClock m_clock;
+    std::vector<RelayRole> m_roles;
+    std::vector<bool> m_isAnswered;
+};
+
+StoreNews news(std::uint64_t next, std::vector<StorePartChange> changes)
+{
+    StoreNews told;
+    told.store = "s";
+    told.epoch = 7;
+    told.next = next;
+    told.changes = std::move(changes);
+    return told;
+}
+
+StorePosition position(std::uint64_t next, std::uint64_t epoch = 7)
+{
+    return {stableHash("s"), epoch, next};
+}
+
+} // namespace
+
+TEST_CASE("relays: two nodes of a large failure domain follow the stores [relays]")
+{
+    Domain domain;
+    domain.update();
+    CHECK(domain.relays().size() == kNodes); // none steps down before others have proved themselves
+    domain.settle();
+    CHECK(domain.relays().size() == 2);
+}
+
+TEST_CASE("relays: in a small fleet every node follows the stores itself [relays]")
+{
+    Domain domain;
+    domain.settle(8);
+    CHECK(domain.relays().size() == kNodes);
+}
+
+TEST_CASE("relays: one that the store does not answer is replaced, and steps in again [relays]")
+{
+    Domain domain;
+    domain.settle();
+    const std::vector<int> before = domain.relays();
+    domain.m_isAnswered[before.front()] = false;
+    domain.settle();
+    CHECK(domain.relays().size() == 3); // it goes on trying
+    domain.m_isAnswered[before.front()] = true;
+    domain.settle();
+    CHECK(domain.relays() == before);
+}
+
+TEST_CASE("relays: a node that hears no relay becomes one at once [relays]")
+{
+    Domain domain;
+    domain.settle();
+    RelayRole &role = domain.m_roles[domain.relays().front() == 0 ? 1 : 0];
+    role.update({kNodes, {}, {}});
+    CHECK(role.isRelay());
+    CHECK(role.followsContext());
+}
+
+TEST_CASE("relays: no more of them follow the stores of kept context than those serve [relays]")
+{
+    Domain domain;
+    for (RelayRole &it : domain.m_roles)
+        it.setMostReaders(1);
+    domain.settle();
+    const auto followers = std::count_if(domain.m_roles.begin(), domain.m_roles.end(),
+                                         [](const RelayRole &it) { return it.followsContext(); });
+    CHECK(domain.relays().size() == 2);
+    CHECK(followers == 1);
+}
+
+TEST_CASE("relays: a reader is told what it lacks, and all when that is not known [relays][stores]")
+{
+    ManualClock clock;
+    StoreNewsLog log(clock, {3});
+    log.told(news(10, {}));
+    log.told(news(12, {{"salt", "a", true, 100}, {"salt", "b", true, 200}}));
+    log.told(news(13, {{"salt", "a", false, 0}}));
+    clock.advance(300ms);
+
+    const auto lacking = log.since({position(12)});
+    REQUIRE(lacking.size() == 1);
+    CHECK_FALSE(lacking[0].restated);
+    REQUIRE(lacking[0].changes.size() == 1);
+    CHECK(lacking[0].changes[0].partId == "a");
+    CHECK_FALSE(lacking[0].changes[0].held);
+    CHECK(lacking[0].next == 13);
+    CHECK(lacking[0].age == 300ms); // the store's word is as old as it is for the relay
+
+    CHECK(log.since({position(13)})[0].changes.empty());
+    for (const StorePosition &unknown : {position(9), position(13, 6)}) {
+        const auto whole = log.since({unknown});
+        CHECK(whole[0].restated);
+        REQUIRE(whole[0].changes.size() == 1);
+        CHECK(whole[0].changes[0].partId == "b");
+    }
+    CHECK(log.since({})[0].restated);
+
+    log.told(news(15, {{"salt", "c", true, 1}, {"salt", "d", true, 1}}));
+    CHECK(log.since({position(10)})[0].restated); // the oldest changes are no longer known
+    CHECK_FALSE(log.since({position(13)})[0].restated);
+}
+
+TEST_CASE("relays: a reader that is ahead is not set back; a silent store is not told of "
+          "[relays][stores]")
+{
+    ManualClock clock;
+    StoreNewsLog log(clock);
+    log.told(news(10, {}));
+    const auto told = log.since({position(14)});
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].next == 14);
+    CHECK(told[0].changes.empty());
+    log.silent("s");
+    CHECK(log.since({position(10)}).empty());
+}
+
+TEST_CASE("relays: a relay's word of a store is no fresher than the store's own [relays][stores]")
+{
+    ManualClock clock;
+    clock.advance(10s);
+    ContextDirectory contexts(clock);
+    ContextStore store;
+    store.name = "s";
+    store.address = "10.0.0.1:80";
+    contexts.setStores({store});
+    StoreNews told = news(1, {{"salt", "a", true, 100}});
+    told.age = 1'400ms;
+    contexts.storeAnswered(told);
+    CHECK(contexts.hasWord());
+    clock.advance(200ms);
+    CHECK_FALSE(contexts.hasWord());
+}
