Context is computed where its store has too much to send

Cause: on the grown transfer fleet most late answers fall into the 9 s after links of five stores turn slow: their prompts wait for a fetch, whatever it costs, since a stored context was always fetched. Change: a stored context is computed where the work that lies at the store's link costs more than four times the computation, the weight that reading again has elsewhere. The log of a request tells the tokens that are shared. The test fails without the change.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -32,6 +32,7 @@
     RequestLoad load;
     // What decided, for the log:
     std::uint64_t context = 0; // names the shared parts
+    std::size_t sharedTokens = 0; // of them
     bool isShort = false; // the prompt, for its engine
     bool isHome = false; // the engine that all nodes prefer for the context
     bool holdsContext = false; // as believed
@@ -102,6 +103,7 @@
         std::uint64_t weight = 0; // by which all nodes rank it for the context
         std::size_t rank = 0; // zero: the engine that all nodes prefer
         bool holdsContext = false;
+        bool fetches = true; // the context, where a store has it
         UpstreamLoad load;
         double cost = 0.0;
     };
@@ -126,7 +128,7 @@
     double versionCost(std::uint64_t version, const WeightHistory &weights) const;
     Weights weightsOf(std::uint64_t version, const Question &question,
                       const ContextDirectory &contexts) const;
-    static double contextCost(const Rated &rated, const Terms &terms, const LoadBook &loads);
+    static double contextCost(Rated &rated, const Terms &terms, const LoadBook &loads);
     EngineChoice complete(const Rated &rated, const Terms &terms, const Question &question,
                           ContextDirectory &contexts) const;
 
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -140,8 +140,10 @@
     return weights;
 }
 
-// What it costs to have the shared context at the engine.
-double EngineChooser::contextCost(const Rated &rated, const Terms &terms, const LoadBook &loads)
+// What it costs to have the shared context at the engine. Where the store's link has more to send
+// than computing the context again costs the fleet, it is computed: so a link that turns slow makes
+// few answers late.
+double EngineChooser::contextCost(Rated &rated, const Terms &terms, const LoadBook &loads)
 {
     if (rated.holdsContext)
         return 0.0;
@@ -152,7 +154,11 @@
     // Moves over the store's link run one after the other.
     const double waiting
         = kFetchWeight * static_cast<double>(loads.total(holder.address).tokensToCompute);
-    return waiting + terms.sharedTokens * kFetchWeight * (isNear ? 1.0 : kFarFactor);
+    const double fetching
+        = waiting + terms.sharedTokens * kFetchWeight * (isNear ? 1.0 : kFarFactor);
+    const double computing = terms.sharedTokens * kReadAgainWeight;
+    rated.fetches = fetching <= computing;
+    return std::min(fetching, computing);
 }
 
 std::optional<EngineChoice>
@@ -212,6 +218,7 @@
     choice.weightVersion = rated.weights->version;
     choice.salt = rated.weights->salt;
     choice.context = terms.context;
+    choice.sharedTokens = prompt.sharedTokens();
     choice.isHome = rated.rank == 0;
     choice.holdsContext = rated.holdsContext;
     choice.isStored = !rated.weights->holder.address.empty();
@@ -225,6 +232,8 @@
         const bool isShared = n + 1 < prompt.parts.size();
         const PromptPart &part = prompt.parts[n];
         std::string from = isShared ? contexts.storeWith(choice.salt, part.id).address : "";
+        if (!rated.fetches)
+            from.clear();
         std::string to;
         if (isShared && from.empty())
             to = contexts.storeForSave(choice.salt, part, prompt.sharedTokens(),
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -70,8 +70,9 @@
         << " weights:" << choice.weightVersion << " home:" << choice.isHome
         << " held:" << choice.holdsContext << " stored:" << choice.isStored
         << " fetch:" << count(choice.fetchFrom) << " save:" << count(choice.saveTo)
-        << " compute:" << choice.load.tokensToCompute << " found:" << choice.found.running << "/"
-        << choice.found.tokensToCompute << "/" << choice.found.tokensHeld;
+        << " shared:" << choice.sharedTokens << " compute:" << choice.load.tokensToCompute
+        << " found:" << choice.found.running << "/" << choice.found.tokensToCompute << "/"
+        << choice.found.tokensHeld;
     return out.str();
 }
 
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -154,6 +154,23 @@
     CHECK(third->load.tokensToCompute == 4'200);
 }
 
+TEST_CASE("engines: context is computed where its store has too much to send already [stores]")
+{
+    View view;
+    const auto first = view.send(longPrompt());
+    view.tellStore({{first->salt, "c1", true, 12'800}});
+    view.m_clock.advance(4s); // the engine has probably dropped it
+    view.tellStore({});
+    CHECK(view.choose(longPrompt())->isFetching());
+    view.m_loads.begin("10.0.0.1:80", {200'000, 0});
+    CHECK(view.choose(longPrompt())->isFetching()); // 0.8 of four times its computation
+    view.m_loads.begin("10.0.0.1:80", {100'000, 0});
+    const auto computed = view.choose(longPrompt());
+    CHECK_FALSE(computed->isFetching());
+    CHECK(computed->load.tokensToCompute == 17'000);
+    CHECK(computed->saveTo == std::vector<std::string>{"", ""}); // it is kept already
+}
+
 TEST_CASE("engines: a choice that is not sent leaves nothing behind [stores]")
 {
     View view;
