--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -85,7 +85,7 @@
                          adapters::Metrics &metrics, Tell tell)
     : m_settings(settings), m_clock(clock), m_metrics(metrics), m_tell(std::move(tell)),
       m_owner(makeOwner(settings.node.name)), m_context(1), m_caller(m_context, clock),
-      m_store(m_context, m_caller, settings.store.address, m_replica, *this),
+      m_store(m_context, m_caller, clock, settings.store.address, m_replica, *this),
       m_ownKey(clock, m_store, DocumentReader::nodeKey(settings.node.name),
                encodePeerAddress(ownAddress(settings))),
       m_orders(clock, m_caller, m_store, settings.node.name, m_owner, lockLimits(settings)),
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -20,8 +20,13 @@
 // Slower than this only when the store is in trouble: it answers in milliseconds.
 constexpr Duration kCallPatience = std::chrono::milliseconds(1'500);
 
-// Changes that come together are read by one call.
+// Changes that come together are read by one call. While they keep coming the pause doubles, up to
+// a part of the second or two within which changes must be in force: a fleet that starts, where
+// each node writes its key, else wakes every node with each few keys.
 constexpr Duration kBatchPause = std::chrono::milliseconds(30);
+constexpr Duration kLongestBatchPause = std::chrono::milliseconds(240);
+// A wait that brings a change sooner than this goes on with those before it.
+constexpr Duration kQuietWait = std::chrono::milliseconds(500);
 
 // Failed calls cost as much as others: they are repeated after a pause that grows.
 constexpr Duration kFirstPause = std::chrono::milliseconds(200);
@@ -29,10 +34,10 @@
 
 } // namespace
 
-StoreLink::StoreLink(net::io_context &context, HttpCaller &caller, std::string address,
-                     const StoreReplica &replica, StoreListener &listener)
-    : m_timer(context), m_caller(caller), m_address(std::move(address)), m_replica(replica),
-      m_listener(listener)
+StoreLink::StoreLink(net::io_context &context, HttpCaller &caller, const Clock &clock,
+                     std::string address, const StoreReplica &replica, StoreListener &listener)
+    : m_timer(context), m_caller(caller), m_clock(clock), m_address(std::move(address)), m_replica(replica),
+      m_listener(listener), m_batchPause(kBatchPause)
 { }
 
 void StoreLink::after(Duration pause, void (StoreLink::*step)())
@@ -114,6 +119,7 @@
     const std::int64_t after = m_replica.revision();
     HttpCall call = platform::watchCall(after, kWatchWait);
     call.address = m_address;
+    m_watchBegan = m_clock.now();
     m_caller.send(call, kWatchWait + kWatchGrace,
                   [this, after](const HttpResult &result) { takeWatch(result, after); });
 }
@@ -127,7 +133,9 @@
     }
     answered();
     m_listener.storeTold(*changes);
-    this->after(kBatchPause, &StoreLink::goOn);
+    const bool goesOn = m_clock.now() - m_watchBegan < kQuietWait;
+    m_batchPause = goesOn ? std::min(2 * m_batchPause, kLongestBatchPause) : kBatchPause;
+    this->after(m_batchPause, &StoreLink::goOn);
 }
 
 void StoreLink::poll()
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -31,8 +31,8 @@
 class StoreLink
 {
 public:
-    StoreLink(net::io_context &context, HttpCaller &caller, std::string address,
-              const StoreReplica &replica, StoreListener &listener);
+    StoreLink(net::io_context &context, HttpCaller &caller, const Clock &clock,
+              std::string address, const StoreReplica &replica, StoreListener &listener);
 
     void start() { readAll(); }
 
@@ -64,9 +64,12 @@
 
     net::steady_timer m_timer;
     HttpCaller &m_caller;
+    const Clock &m_clock;
     const std::string m_address;
     const StoreReplica &m_replica;
     StoreListener &m_listener;
+    Duration m_batchPause; // after the next change
+    TimePoint m_watchBegan{};
     bool m_reachable = true;
     bool m_isWhole = false; // the copy holds all up to its revision
     bool m_isPolling = false;
