--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -12,6 +12,7 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/load_book.hpp"
+#include "fordwood/mechanisms.hpp"
 #include "fordwood/prompt.hpp"
 #include "fordwood/serving_config.hpp"
 #include "fordwood/upstream_health.hpp"
@@ -60,6 +61,7 @@
         // After this no request may begin on older weights: the bound of the platform's settings
         // less the time that a request may wait at an engine.
         Duration oldWeightsEnd = std::chrono::milliseconds(10'500);
+        Mechanisms mechanisms;
     };
 
     EngineChooser(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
@@ -118,7 +120,8 @@
 
     static void rank(std::vector<Rated> &rated, const Terms &terms,
                      const std::set<std::string> &shortGroup);
-    static double computeWeight(const Rated &rated, const Terms &terms);
+    double computeWeight(const Rated &rated, const Terms &terms) const;
+    double readAgainWeight() const;
     bool mayUse(const UpstreamRecord &engine, const Question &question,
                 const UpstreamHealth &health) const;
     double queueCost(const UpstreamLoad &load, const Terms &terms) const;
@@ -128,7 +131,8 @@
     double versionCost(std::uint64_t version, const WeightHistory &weights) const;
     Weights weightsOf(std::uint64_t version, const Question &question,
                       const ContextDirectory &contexts) const;
-    static double contextCost(Rated &rated, const Terms &terms, const LoadBook &loads);
+    double contextCost(Rated &rated, const Terms &terms, const LoadBook &loads) const;
+    std::size_t contextToSave(const Prompt &prompt, const PromptPart &part) const;
     EngineChoice complete(const Rated &rated, const Terms &terms, const Question &question,
                           ContextDirectory &contexts) const;
 
--- a/include/fordwood/relay_role.hpp
+++ b/include/fordwood/relay_role.hpp
@@ -11,8 +11,8 @@
 
 namespace fordwood {
 
-// Up to so many nodes, each follows the stores itself and tells each other one: changes are heard at
-// once, and a store of kept context serves as many readers (12 where their limit is known).
+// Up to so many nodes, each follows the stores itself and tells each other one: changes are heard
+// at once, and a store of kept context serves as many readers (12 where their limit is known).
 constexpr std::size_t kSmallFleet = 12;
 
 // Whether a node follows the platform's store and the stores of kept context itself, or hears of
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -9,6 +9,22 @@
 
 namespace {
 
+Mechanisms readMechanisms(const CheckedTable &table)
+{
+    Mechanisms mechanisms;
+    mechanisms.contextStores = table.flag("context_stores", mechanisms.contextStores);
+    mechanisms.smallFirstParts = table.flag("small_first_parts", mechanisms.smallFirstParts);
+    mechanisms.computingInstead = table.flag("computing_instead", mechanisms.computingInstead);
+    mechanisms.readAgainWeight = table.flag("read_again_weight", mechanisms.readAgainWeight);
+    mechanisms.toldContexts = table.flag("told_contexts", mechanisms.toldContexts);
+    mechanisms.shortEngines = table.flag("short_engines", mechanisms.shortEngines);
+    mechanisms.shortFirst = table.flag("short_first", mechanisms.shortFirst);
+    mechanisms.earlyRefusals = table.flag("early_refusals", mechanisms.earlyRefusals);
+    mechanisms.relays = table.flag("relays", mechanisms.relays);
+    mechanisms.passingOn = table.flag("passing_on", mechanisms.passingOn);
+    return mechanisms;
+}
+
 void readTable(const CheckedTable &table, OneProcessSettings &settings)
 {
     const std::string_view section = table.section();
@@ -39,6 +55,8 @@
         bounds.orderLease = table.span("order_lease", bounds.orderLease);
         bounds.fencesChecked = table.flag("fences_checked", bounds.fencesChecked);
         bounds.weightsWithin = table.span("weights_within", bounds.weightsWithin);
+    } else if (section == "mechanisms") {
+        settings.mechanisms = readMechanisms(table);
     } else if (section == "log") {
         settings.jsonLog = table.text("format") == "json";
     }
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -9,6 +9,7 @@
 #include "config/config_error.hpp"
 #include "config/settings.hpp"
 #include "fordwood/clock.hpp"
+#include "fordwood/mechanisms.hpp"
 
 namespace fordwood::config {
 
@@ -54,6 +55,7 @@
     PeerSettings peers;
     StoreSettings store;
     BoundSettings bounds;
+    Mechanisms mechanisms;
     bool jsonLog = false;
 };
 
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -162,12 +162,34 @@
     {"weights_within", Span, false, 1, 3600, "12s",
      "Time after which no request may begin on weights older than those that were named."},
 };
+constexpr Field kMechanisms[] = {
+    {"context_stores", Flag, false, 0, 0, "true",
+     "Context is saved to stores of kept context and fetched from them."},
+    {"small_first_parts", Flag, false, 0, 0, "true", "Small parts of long contexts are saved too."},
+    {"computing_instead", Flag, false, 0, 0, "true",
+     "Context is computed where its store has too much to send."},
+    {"read_again_weight", Flag, false, 0, 0, "true",
+     "Context that an engine has is computed elsewhere only where that is four times cheaper."},
+    {"told_contexts", Flag, false, 0, 0, "true",
+     "Nodes use what peers tell of engines that got long contexts."},
+    {"short_engines", Flag, false, 0, 0, "true", "Engines are set apart for short prompts."},
+    {"short_first", Flag, false, 0, 0, "true",
+     "Short prompts go before long ones at every engine."},
+    {"early_refusals", Flag, false, 0, 0, "true",
+     "Long prompts that would be late are refused at once."},
+    {"relays", Flag, false, 0, 0, "true",
+     "In a large fleet two nodes of each failure domain follow the stores for the others."},
+    {"passing_on", Flag, false, 0, 0, "true",
+     "In a large fleet messages between nodes cross to each failure domain once."},
+};
 constexpr Section kNodeSettings[] = {
     {"node", false, kNode, "Who this VM is."},
     {"callers", false, kCallers, "Where callers are served."},
     {"peers", false, kPeers, "What passes between nodes."},
     {"store", false, kStoreOfNode, "Where the platform's store is."},
     {"bounds", false, kBounds, "What the platform's rules bound."},
+    {"mechanisms", false, kMechanisms,
+     "Parts of the decisions, to be switched off one by one where their worth is measured."},
     {"log", false, kLog, "How events are written."},
 };
 constexpr Section kSettings[] = {
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -108,11 +108,11 @@
 // What it costs to compute the shared context at the engine, in its own tokens. All nodes send the
 // short prompts of a context to the same engine, and the others to the same next one, so that it is
 // probably there; the more of them have it, the less room there is for other contexts.
-double EngineChooser::computeWeight(const Rated &rated, const Terms &terms)
+double EngineChooser::computeWeight(const Rated &rated, const Terms &terms) const
 {
     if (!terms.isShort) {
         if (rated.weights->isHeld)
-            return kReadAgainWeight;
+            return readAgainWeight();
         return rated.rank == 0 ? kHomeComputeWeight : kComputeWeight;
     }
     if (rated.rank == 0)
@@ -120,6 +120,11 @@
     return rated.rank == 1 ? kShortNextWeight : kShortElsewhereWeight;
 }
 
+double EngineChooser::readAgainWeight() const
+{
+    return m_limits.mechanisms.readAgainWeight ? kReadAgainWeight : kComputeWeight;
+}
+
 double EngineChooser::versionCost(std::uint64_t version, const WeightHistory &weights) const
 {
     const auto since = weights.supersededSince(version);
@@ -135,7 +140,7 @@
     weights.version = version;
     weights.salt = contextSalt(prompt.model, version, question.walledTeam);
     weights.cost = versionCost(version, question.weights);
-    if (prompt.parts.size() > 1)
+    if (prompt.parts.size() > 1 && m_limits.mechanisms.contextStores)
         weights.holder = contexts.storeWith(weights.salt, prompt.parts.front().id);
     return weights;
 }
@@ -143,7 +148,7 @@
 // What it costs to have the shared context at the engine. Where the store's link has more to send
 // than computing the context again costs the fleet, it is computed: so a link that turns slow makes
 // few answers late.
-double EngineChooser::contextCost(Rated &rated, const Terms &terms, const LoadBook &loads)
+double EngineChooser::contextCost(Rated &rated, const Terms &terms, const LoadBook &loads) const
 {
     if (rated.holdsContext)
         return 0.0;
@@ -156,9 +161,9 @@
         = kFetchWeight * static_cast<double>(loads.total(holder.address).tokensToCompute);
     const double fetching
         = waiting + terms.sharedTokens * kFetchWeight * (isNear ? 1.0 : kFarFactor);
-    const double computing = terms.sharedTokens * kReadAgainWeight;
-    rated.fetches = fetching <= computing;
-    return std::min(fetching, computing);
+    const double computing = terms.sharedTokens * readAgainWeight();
+    rated.fetches = fetching <= computing || !m_limits.mechanisms.computingInstead;
+    return rated.fetches ? fetching : computing;
 }
 
 std::optional<EngineChoice>
@@ -209,6 +214,12 @@
     return complete(*best, terms, question, contexts);
 }
 
+// The size that decides whether a part is worth a save.
+std::size_t EngineChooser::contextToSave(const Prompt &prompt, const PromptPart &part) const
+{
+    return m_limits.mechanisms.smallFirstParts ? prompt.sharedTokens() : part.tokens;
+}
+
 EngineChoice EngineChooser::complete(const Rated &rated, const Terms &terms,
                                      const Question &question, ContextDirectory &contexts) const
 {
@@ -231,13 +242,15 @@
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
         const PromptPart &part = prompt.parts[n];
-        std::string from = isShared ? contexts.storeWith(choice.salt, part.id).address : "";
-        if (!rated.fetches)
-            from.clear();
+        std::string from;
         std::string to;
-        if (isShared && from.empty())
-            to = contexts.storeForSave(choice.salt, part, prompt.sharedTokens(),
-                                       rated.engine->failureDomain);
+        if (isShared && m_limits.mechanisms.contextStores) {
+            if (rated.fetches)
+                from = contexts.storeWith(choice.salt, part.id).address;
+            if (from.empty())
+                to = contexts.storeForSave(choice.salt, part, contextToSave(prompt, part),
+                                           rated.engine->failureDomain);
+        }
         if (!from.empty()) {
             fetched += part.tokens;
             if (!rated.holdsContext)
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -220,6 +220,8 @@
 // caller that is told so at once can come again.
 bool CallRun::waitsTooLong(const EngineChoice &choice)
 {
+    if (!m_traffic.settings().mechanisms.earlyRefusals)
+        return false;
     const Duration wait = m_traffic.pace(m_pool->name).timeFor(choice.waitTokens);
     const std::chrono::duration<double, std::nano> longest
         = kLongestWait * std::chrono::duration<double, std::nano>(m_route->targetLatency);
@@ -302,7 +304,8 @@
     constexpr int kKinds = 5; // of the ten priorities that an engine knows, for either kind
     const auto ofTeam = m_team != nullptr ? m_team->priority : std::nullopt;
     const int urgency = std::clamp(ofTeam.value_or(m_route->priority), 0, kKinds - 1);
-    return m_attempt->engine.isShort ? urgency : kKinds + urgency;
+    const bool goesFirst = m_attempt->engine.isShort || !m_traffic.settings().mechanisms.shortFirst;
+    return goesFirst ? urgency : kKinds + urgency;
 }
 
 void CallRun::send()
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <random>
 
 #include "adapters/observe/event_log.hpp"
@@ -74,6 +75,20 @@
     return least;
 }
 
+RelayRole::Limits roleLimits(const config::OneProcessSettings &settings)
+{
+    RelayRole::Limits limits;
+    if (!settings.mechanisms.relays)
+        limits.smallFleet = std::numeric_limits<std::size_t>::max();
+    return limits;
+}
+
+// Up to how many nodes each tells each other one.
+std::size_t fleetOfEachTold(const config::OneProcessSettings &settings)
+{
+    return settings.mechanisms.passingOn ? kSmallFleet : std::numeric_limits<std::size_t>::max();
+}
+
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
 {
     return {settings.peers.gossipListen, settings.peers.listen, settings.node.failureDomain};
@@ -93,9 +108,9 @@
           m_context, m_caller, clock,
           [this](const std::string &failed) { return m_peers.contextFollower(failed); },
           [this](FleetUpdate it) { this->tell(std::move(it)); }),
-      m_documents(metrics, *this), m_role(clock, settings.node.name),
-      m_peers(m_context, clock, settings.node.name, settings.node.failureDomain,
-              [this](const Gossip &it) { heard(it); }),
+      m_documents(metrics, *this), m_role(clock, settings.node.name, roleLimits(settings)),
+      m_peers(m_context, clock, {settings.node.name, settings.node.failureDomain},
+              fleetOfEachTold(settings), [this](const Gossip &it) { heard(it); }),
       m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
       m_peerServer(m_context, [this](std::string_view it) { return peerReply(it); }),
       m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "fordwood/relay_role.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood::node {
@@ -21,10 +20,10 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, std::string ownName,
-                     std::string failureDomain, Heard heard)
-    : m_clock(clock), m_ownName(std::move(ownName)), m_failureDomain(std::move(failureDomain)),
-      m_heard(std::move(heard)), m_socket(context)
+PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, Self self,
+                     std::size_t smallFleet, Heard heard)
+    : m_clock(clock), m_self(std::move(self)), m_smallFleet(smallFleet), m_heard(std::move(heard)),
+      m_socket(context)
 { }
 
 bool PeerLinks::open(const std::string &address, ErrorCode &ec)
@@ -47,7 +46,7 @@
 
 void PeerLinks::setAddress(const std::string &node, const PeerAddress &address)
 {
-    if (node == m_ownName)
+    if (node == m_self.name)
         return;
     Peer &peer = m_peers[node];
     peer.gossip = parseEndpoint<udp>(address.gossip);
@@ -74,7 +73,7 @@
     });
     const std::string datagram = static_cast<char>(Delivery::Direct) + encodeGossip(message);
     // A last message must not be overtaken by one before it.
-    const bool tellsEach = message.leaving || m_peers.size() < kSmallFleet;
+    const bool tellsEach = message.leaving || m_peers.size() < m_smallFleet;
     std::map<std::string, std::vector<const Peer *>> across; // by failure domain
     for (const auto &[name, peer] : m_peers) {
         if (tellsEach || isNear(peer) || peer.failureDomain.empty())
@@ -114,7 +113,7 @@
             send(datagram, *it);
         return;
     }
-    const auto order = rendezvousOrder(stableHash(m_ownName), hashes, kInTurn);
+    const auto order = rendezvousOrder(stableHash(m_self.name), hashes, kInTurn);
     datagram.front() = static_cast<char>(Delivery::PassOn);
     send(datagram, *live[order[m_sends % order.size()]]);
 }
@@ -130,7 +129,7 @@
 
 bool PeerLinks::isNear(const Peer &peer) const
 {
-    return peer.failureDomain == m_failureDomain;
+    return peer.failureDomain == m_self.failureDomain;
 }
 
 void PeerLinks::receive()
@@ -151,7 +150,7 @@
         return;
     const auto delivery = static_cast<Delivery>(datagram.front());
     const auto message = decodeGossip(datagram.substr(1));
-    if (!message || message->node == m_ownName)
+    if (!message || message->node == m_self.name)
         return;
     if (delivery == Delivery::PassOn)
         passOn(std::string(datagram));
@@ -237,13 +236,13 @@
 PeerLinks::best(const std::function<bool(const Peer &)> &willDo,
                 const std::function<bool(const Peer &)> &isPreferred) const
 {
-    const std::uint64_t own = stableHash(m_ownName);
+    const std::uint64_t own = stableHash(m_self.name);
     std::optional<std::tuple<bool, bool, std::uint64_t>> most;
     std::optional<std::string> address;
     for (const auto &[name, peer] : m_peers) {
         if (!isLive(peer) || !willDo(peer))
             continue;
-        const std::tuple rank(isPreferred(peer), peer.failureDomain == m_failureDomain,
+        const std::tuple rank(isPreferred(peer), peer.failureDomain == m_self.failureDomain,
                               rendezvousWeight(own, stableHash(name)));
         if (most && rank < *most)
             continue;
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -24,8 +24,15 @@
 public:
     using Heard = std::function<void(const Gossip &)>;
 
-    PeerLinks(net::io_context &context, const Clock &clock, std::string ownName,
-              std::string failureDomain, Heard heard);
+    struct Self
+    {
+        std::string name;
+        std::string failureDomain;
+    };
+
+    // `smallFleet`: up to so many nodes, each tells each other one.
+    PeerLinks(net::io_context &context, const Clock &clock, Self self, std::size_t smallFleet,
+              Heard heard);
 
     // False when the address cannot be used; `ec` tells why.
     bool open(const std::string &address, ErrorCode &ec);
@@ -99,8 +106,8 @@
     static constexpr std::size_t kMostBytes = 65'507; // of a datagram
 
     const Clock &m_clock;
-    const std::string m_ownName;
-    const std::string m_failureDomain;
+    const Self m_self;
+    const std::size_t m_smallFleet;
     Heard m_heard;
     udp::socket m_socket;
     udp::endpoint m_sender;
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -36,8 +36,8 @@
 
 StoreLink::StoreLink(net::io_context &context, HttpCaller &caller, const Clock &clock,
                      std::string address, const StoreReplica &replica, StoreListener &listener)
-    : m_timer(context), m_caller(caller), m_clock(clock), m_address(std::move(address)), m_replica(replica),
-      m_listener(listener), m_batchPause(kBatchPause)
+    : m_timer(context), m_caller(caller), m_clock(clock), m_address(std::move(address)),
+      m_replica(replica), m_listener(listener), m_batchPause(kBatchPause)
 { }
 
 void StoreLink::after(Duration pause, void (StoreLink::*step)())
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -31,8 +31,8 @@
 class StoreLink
 {
 public:
-    StoreLink(net::io_context &context, HttpCaller &caller, const Clock &clock,
-              std::string address, const StoreReplica &replica, StoreListener &listener);
+    StoreLink(net::io_context &context, HttpCaller &caller, const Clock &clock, std::string address,
+              const StoreReplica &replica, StoreListener &listener);
 
     void start() { readAll(); }
 
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -30,6 +30,7 @@
 {
     EngineChooser::Limits limits;
     limits.oldWeightsEnd = settings.bounds.weightsWithin - kOldWeightsMargin;
+    limits.mechanisms = settings.mechanisms;
     return limits;
 }
 
@@ -96,7 +97,8 @@
 {
     m_loads.setPeer(update.peer, update.loads);
     m_shortDemand.setPeer(update.peer, update.shortContextTokens);
-    m_contexts.peerSent(update.contextsSent);
+    if (m_settings.mechanisms.toldContexts)
+        m_contexts.peerSent(update.contextsSent);
 }
 
 void Traffic::apply(const LiveNodes &update)
@@ -166,7 +168,7 @@
         return;
     const std::size_t demand = m_shortDemand.total();
     for (const ServicePool &it : m_table->config().services) {
-        if (it.engine)
+        if (it.engine && m_settings.mechanisms.shortEngines)
             m_shortGroups[it.name]
                 = enginesForShortPrompts(m_upstreams.usable(it.name), *it.engine, demand);
     }
--- a/tests/unit/node_settings_test.cpp
+++ b/tests/unit/node_settings_test.cpp
@@ -83,6 +83,16 @@
     CHECK(reading.settings->bounds.stopWithin == 8s);
 }
 
+TEST_CASE("node settings: a mechanism is on unless it is switched off [settings]")
+{
+    const Reading reading = readText(std::string(kSound) + "[mechanisms]\nrelays = false\n");
+    REQUIRE(reading.settings);
+    CHECK_FALSE(reading.settings->mechanisms.relays);
+    CHECK(reading.settings->mechanisms.shortEngines);
+    CHECK(readText(kSound).settings->mechanisms.relays);
+    CHECK_FALSE(readText(std::string(kSound) + "[mechanisms]\nrelay = false\n").settings);
+}
+
 TEST_CASE("node settings: an unknown key is refused with its place and the key that was meant "
           "[settings][bad-input]")
 {
