The log of an early refusal tells what decided it

An early refusal logged no engine, load or wait: the operator could not see why. It now logs them as a request that was sent does, with the wait in tokens.

--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -71,8 +71,8 @@
         << " held:" << choice.holdsContext << " stored:" << choice.isStored
         << " fetch:" << count(choice.fetchFrom) << " save:" << count(choice.saveTo)
         << " shared:" << choice.sharedTokens << " compute:" << choice.load.tokensToCompute
-        << " found:" << choice.found.running << "/" << choice.found.tokensToCompute << "/"
-        << choice.found.tokensHeld;
+        << " found:" << choice.found.running << "/" << choice.found.tokensToCompute << "/" << choice.found.tokensHeld
+        << " wait:" << static_cast<std::uint64_t>(choice.waitTokens);
     return out.str();
 }
 
@@ -205,6 +205,7 @@
         return false;
     if (!choice->isShort && !m_streamBegun && waitsTooLong(*choice)) {
         m_isOverload = true;
+        m_busyEngine = engineInputs(*choice);
         return false;
     }
     EngineChooser::noteSent(*choice, *m_caller.prompt, m_traffic.contexts());
@@ -599,7 +600,7 @@
                                    {"status", status},
                                    {"first_ms", firstMs},
                                    {"ms", ms.count()},
-                                   {"engine", m_attempt ? engineInputs(m_attempt->engine) : ""}});
+                                   {"engine", m_attempt ? engineInputs(m_attempt->engine) : m_busyEngine}});
 }
 
 } // namespace fordwood::node
