--- /dev/null
+++ b/src/node/call_log.cpp
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+#include "node/call_log.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+#include "adapters/observe/event_log.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+auto countGiven(const std::vector<std::string> &addresses)
+{
+    return std::count_if(addresses.begin(), addresses.end(),
+                         [](const std::string &it) { return !it.empty(); });
+}
+
+std::string engineInputs(const EngineChoice &choice)
+{
+    std::ostringstream out;
+    out << "context:" << std::hex << choice.context << std::dec
+        << " weights:" << choice.weightVersion << " home:" << choice.isHome
+        << " held:" << choice.holdsContext << " stored:" << choice.isStored
+        << " fetch:" << countGiven(choice.fetchFrom) << " save:" << countGiven(choice.saveTo)
+        << " shared:" << choice.sharedTokens << " compute:" << choice.load.tokensToCompute
+        << " found:" << choice.found.running << "/" << choice.found.tokensToCompute << "/"
+        << choice.found.tokensHeld << " wait:" << static_cast<std::uint64_t>(choice.waitTokens);
+    return out.str();
+}
+
+std::int64_t inMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+void logCallEnd(const CallEnd &end)
+{
+    constexpr std::int64_t kNoEvent = -1;
+    logEvent(Event::RequestEnded,
+             {{"request", end.request},
+              {"route", end.route},
+              {"team", end.team},
+              {"configuration", end.configuration},
+              {"upstream", end.upstream},
+              {"sends", end.sends},
+              {"outcome", std::string(end.outcome)},
+              {"status", end.status},
+              {"first_ms", end.firstEvent ? inMilliseconds(*end.firstEvent) : kNoEvent},
+              {"ms", inMilliseconds(end.took)},
+              {"engine", end.engine != nullptr ? engineInputs(*end.engine) : ""}});
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/call_log.hpp
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_CALL_LOG_HPP_INCLUDED
+#define FORDWOOD_NODE_CALL_LOG_HPP_INCLUDED
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/engine_chooser.hpp"
+
+namespace fordwood::node {
+
+// How a request ended, and what decided it.
+struct CallEnd
+{
+    std::string request; // its id
+    std::string route; // empty: none was found
+    std::string team;
+    std::uint64_t configuration = 0; // version in force
+    std::string upstream; // the last one
+    std::size_t sends = 0;
+    std::string_view outcome;
+    unsigned status = 0; // zero: the answer was cut, or the caller left
+    Duration took{};
+    std::optional<Duration> firstEvent; // of a stream, after the arrival
+    const EngineChoice *engine = nullptr; // chosen last; null: no engine was looked for
+};
+
+// Writes the line about the end of a request.
+void logCallEnd(const CallEnd &end);
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_CALL_LOG_HPP_INCLUDED
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -2,12 +2,12 @@
 #include "node/call_run.hpp"
 
 #include <algorithm>
-#include <sstream>
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "fordwood/service_chooser.hpp"
+#include "node/call_log.hpp"
 #include "node/refusal.hpp"
 
 namespace fordwood::node {
@@ -56,26 +56,6 @@
     return {text.data(), text.size()};
 }
 
-// What decided the choice of an engine, for the log.
-std::string engineInputs(const EngineChoice &choice)
-{
-    if (choice.instanceId.empty())
-        return "";
-    const auto count = [](const std::vector<std::string> &addresses) {
-        return std::count_if(addresses.begin(), addresses.end(),
-                             [](const std::string &it) { return !it.empty(); });
-    };
-    std::ostringstream out;
-    out << "context:" << std::hex << choice.context << std::dec
-        << " weights:" << choice.weightVersion << " home:" << choice.isHome
-        << " held:" << choice.holdsContext << " stored:" << choice.isStored
-        << " fetch:" << count(choice.fetchFrom) << " save:" << count(choice.saveTo)
-        << " shared:" << choice.sharedTokens << " compute:" << choice.load.tokensToCompute
-        << " found:" << choice.found.running << "/" << choice.found.tokensToCompute << "/" << choice.found.tokensHeld
-        << " wait:" << static_cast<std::uint64_t>(choice.waitTokens);
-    return out.str();
-}
-
 } // namespace
 
 CallRun::CallRun(Traffic &traffic, CallerPort &port, http::request_header<> head, std::string body,
@@ -205,7 +185,7 @@
         return false;
     if (!choice->isShort && !m_streamBegun && waitsTooLong(*choice)) {
         m_isOverload = true;
-        m_busyEngine = engineInputs(*choice);
+        m_busyEngine = *choice;
         return false;
     }
     EngineChooser::noteSent(*choice, *m_caller.prompt, m_traffic.contexts());
@@ -584,23 +564,20 @@
     m_traffic.metrics().observe("fordwood_request_seconds", took);
     if (m_firstEvent)
         m_traffic.metrics().observe("fordwood_first_event_seconds", *m_firstEvent - m_arrived);
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took);
-    const auto firstMs
-        = m_firstEvent
-              ? std::chrono::duration_cast<std::chrono::milliseconds>(*m_firstEvent - m_arrived)
-                    .count()
-              : -1;
-    logEvent(Event::RequestEnded, {{"request", m_caller.requestId},
-                                   {"route", m_route != nullptr ? m_route->name : ""},
-                                   {"team", m_team != nullptr ? m_team->name : ""},
-                                   {"configuration", m_table ? m_table->config().version : 0},
-                                   {"upstream", m_lastUpstream},
-                                   {"sends", m_plan.sends()},
-                                   {"outcome", std::string(outcome)},
-                                   {"status", status},
-                                   {"first_ms", firstMs},
-                                   {"ms", ms.count()},
-                                   {"engine", m_attempt ? engineInputs(m_attempt->engine) : m_busyEngine}});
+    CallEnd end;
+    end.request = m_caller.requestId;
+    end.route = m_route != nullptr ? m_route->name : "";
+    end.team = m_team != nullptr ? m_team->name : "";
+    end.configuration = m_table ? m_table->config().version : 0;
+    end.upstream = m_lastUpstream;
+    end.sends = m_plan.sends();
+    end.outcome = outcome;
+    end.status = status;
+    end.took = took;
+    if (m_firstEvent)
+        end.firstEvent = *m_firstEvent - m_arrived;
+    end.engine = m_attempt ? &m_attempt->engine : m_busyEngine ? &*m_busyEngine : nullptr;
+    logCallEnd(end);
 }
 
 } // namespace fordwood::node
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -89,7 +89,7 @@
     bool m_isOverload = false; // every engine has too much to do
     std::optional<TimePoint> m_firstEvent;
     std::string m_lastUpstream; // for the log
-    std::string m_busyEngine; // likewise: what decided an early refusal
+    std::optional<EngineChoice> m_busyEngine; // likewise: what decided an early refusal
 };
 
 } // namespace fordwood::node
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -3,12 +3,11 @@
 
 #include <algorithm>
 #include <charconv>
-#include <limits>
-#include <random>
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "node/context_messages.hpp"
+#include "node/control_limits.hpp"
 
 namespace fordwood::node {
 
@@ -43,52 +42,6 @@
 
 constexpr std::size_t kMailboxCapacity = 64;
 
-std::string makeOwner(const std::string &node)
-{
-    std::random_device device;
-    return node + "/" + std::to_string(device()) + std::to_string(device());
-}
-
-FencedLock::Limits lockLimits(const config::OneProcessSettings &settings)
-{
-    FencedLock::Limits limits;
-    limits.life = std::max(limits.life, settings.store.leastLease);
-    limits.quietTime = settings.bounds.orderLease;
-    return limits;
-}
-
-// How many readers the stores of kept context serve at once, by the strictest of them or, where
-// none says, by what engines say; 0: not stated.
-std::size_t mostContextReaders(const ServingConfig &config)
-{
-    std::size_t least = 0;
-    const auto note = [&least](std::size_t n) {
-        if (n > 0 && (least == 0 || n < least))
-            least = n;
-    };
-    for (const ContextStore &it : config.stores)
-        note(it.mostReaders);
-    if (least > 0)
-        return least;
-    for (const ServicePool &it : config.services)
-        note(it.engine ? it.engine->mostReaders : 0);
-    return least;
-}
-
-RelayRole::Limits roleLimits(const config::OneProcessSettings &settings)
-{
-    RelayRole::Limits limits;
-    if (!settings.mechanisms.relays)
-        limits.smallFleet = std::numeric_limits<std::size_t>::max();
-    return limits;
-}
-
-// Up to how many nodes each tells each other one.
-std::size_t fleetOfEachTold(const config::OneProcessSettings &settings)
-{
-    return settings.mechanisms.passingOn ? kSmallFleet : std::numeric_limits<std::size_t>::max();
-}
-
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
 {
     return {settings.peers.gossipListen, settings.peers.listen, settings.node.failureDomain};
@@ -99,7 +52,7 @@
 ControlDuty::ControlDuty(const config::OneProcessSettings &settings, const Clock &clock,
                          adapters::Metrics &metrics, Tell tell)
     : m_settings(settings), m_clock(clock), m_metrics(metrics), m_tell(std::move(tell)),
-      m_owner(makeOwner(settings.node.name)), m_context(1), m_caller(m_context, clock),
+      m_owner(makeLockOwner(settings.node.name)), m_context(1), m_caller(m_context, clock),
       m_store(m_context, m_caller, clock, settings.store.address, m_replica, *this),
       m_ownKey(clock, m_store, DocumentReader::nodeKey(settings.node.name),
                encodePeerAddress(ownAddress(settings))),
--- /dev/null
+++ b/src/node/control_limits.cpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+#include "node/control_limits.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+
+namespace fordwood::node {
+
+std::string makeLockOwner(const std::string &node)
+{
+    std::random_device device;
+    return node + "/" + std::to_string(device()) + std::to_string(device());
+}
+
+FencedLock::Limits lockLimits(const config::OneProcessSettings &settings)
+{
+    FencedLock::Limits limits;
+    limits.life = std::max(limits.life, settings.store.leastLease);
+    limits.quietTime = settings.bounds.orderLease;
+    return limits;
+}
+
+std::size_t mostContextReaders(const ServingConfig &config)
+{
+    std::size_t least = 0;
+    const auto note = [&least](std::size_t n) {
+        if (n > 0 && (least == 0 || n < least))
+            least = n;
+    };
+    for (const ContextStore &it : config.stores)
+        note(it.mostReaders);
+    if (least > 0)
+        return least;
+    for (const ServicePool &it : config.services)
+        note(it.engine ? it.engine->mostReaders : 0);
+    return least;
+}
+
+RelayRole::Limits roleLimits(const config::OneProcessSettings &settings)
+{
+    RelayRole::Limits limits;
+    if (!settings.mechanisms.relays)
+        limits.smallFleet = std::numeric_limits<std::size_t>::max();
+    return limits;
+}
+
+std::size_t fleetOfEachTold(const config::OneProcessSettings &settings)
+{
+    return settings.mechanisms.passingOn ? kSmallFleet : std::numeric_limits<std::size_t>::max();
+}
+
+} // namespace fordwood::node
