--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-constexpr int kNodes = 30;
+constexpr std::size_t kNodes = 30;
 
-std::string nodeName(int n)
+std::string nodeName(std::size_t n)
 {
     return "node-" + std::to_string(n);
 }
@@ -27,7 +27,7 @@
 public:
     Domain()
     {
-        for (int n = 0; n < kNodes; ++n)
+        for (std::size_t n = 0; n < kNodes; ++n)
             m_roles.emplace_back(m_clock, nodeName(n));
         m_isAnswered.assign(kNodes, true);
     }
@@ -36,13 +36,13 @@
     {
         std::vector<std::string> reaching;
         std::vector<std::string> relays;
-        for (int n = 0; n < kNodes; ++n) {
+        for (std::size_t n = 0; n < kNodes; ++n) {
             if (m_roles[n].isRelay())
                 relays.push_back(nodeName(n));
             if (m_roles[n].isRelay() && m_isAnswered[n])
                 reaching.push_back(nodeName(n));
         }
-        for (int n = 0; n < kNodes; ++n) {
+        for (std::size_t n = 0; n < kNodes; ++n) {
             RelayRole::Peers peers{liveNodes, reaching, relays};
             std::erase(peers.reachingInDomain, nodeName(n));
             std::erase(peers.relays, nodeName(n));
@@ -58,10 +58,10 @@
         }
     }
 
-    std::vector<int> relays() const
+    std::vector<std::size_t> relays() const
     {
-        std::vector<int> found;
-        for (int n = 0; n < kNodes; ++n) {
+        std::vector<std::size_t> found;
+        for (std::size_t n = 0; n < kNodes; ++n) {
             if (m_roles[n].isRelay())
                 found.push_back(n);
         }
@@ -110,7 +110,7 @@
 {
     Domain domain;
     domain.settle();
-    const std::vector<int> before = domain.relays();
+    const std::vector<std::size_t> before = domain.relays();
     domain.m_isAnswered[before.front()] = false;
     domain.settle();
     CHECK(domain.relays().size() == 3); // it goes on trying
