A planned stop takes no request that may outlast it

Change: from 2.8 s on a request whose time limit lies beyond the end of the stop is refused as not run; shorter ones are served. The test fails without the change.

--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -105,6 +105,8 @@
     terms.resumable = m_route->streaming && m_route->resumable;
     terms.maxAttempts = m_route->maxAttempts;
     terms.answerBy = m_arrived + patience;
+    if (!m_traffic.mayFinish(terms.answerBy))
+        return refuse(Reason::Stopping);
     m_plan = CallPlan(terms);
     return true;
 }
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -26,6 +26,14 @@
 // The stores of context answer within this, or are themselves away.
 constexpr Duration kWakeTime = std::chrono::milliseconds(150);
 
+// Requests that may take longer than what is left of a planned stop are refused from here on: the
+// platform forgives those that were sent in its first 3 s, less the way of the signal to a busy
+// process.
+constexpr Duration kEveryRequestTaken = std::chrono::milliseconds(2'800);
+
+// The last part of the time that the platform gives a stop, kept for what follows the requests.
+constexpr Duration kStopReserve = std::chrono::milliseconds(600);
+
 EngineChooser::Limits chooserLimits(const config::OneProcessSettings &settings)
 {
     EngineChooser::Limits limits;
@@ -135,7 +143,22 @@
 
 void Traffic::apply(const StopBegins &)
 {
-    m_isStopping = true;
+    m_stopBegan = m_clock.now();
+}
+
+Duration Traffic::stopAge() const
+{
+    return m_stopBegan ? m_clock.now() - *m_stopBegan : Duration::zero();
+}
+
+TimePoint Traffic::stopEnds() const
+{
+    return m_stopBegan.value_or(m_clock.now()) + m_settings.bounds.stopWithin - kStopReserve;
+}
+
+bool Traffic::mayFinish(TimePoint answerBy) const
+{
+    return !isStopping() || stopAge() < kEveryRequestTaken || answerBy <= stopEnds();
 }
 
 void Traffic::forget(const std::string &instanceId)
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -77,7 +77,18 @@
     bool takeRepeat(const std::string &service);
 
     const std::shared_ptr<const RouteTable> &table() const { return m_table; }
-    bool isStopping() const { return m_isStopping; }
+    bool isStopping() const { return m_stopBegan.has_value(); }
+
+    // Whether a request that arrives now and is answered by then at the latest will be finished
+    // before a planned stop ends. The first seconds of the stop take every request: a caller that
+    // does not know of it yet counts on that.
+    bool mayFinish(TimePoint answerBy) const;
+
+    // How long ago a planned stop began; zero: none has.
+    Duration stopAge() const;
+
+    // When a planned stop that has begun ends at the latest.
+    TimePoint stopEnds() const;
     const config::OneProcessSettings &settings() const { return m_settings; }
     const Clock &clock() const { return m_clock; }
     net::io_context &context() { return m_context; }
@@ -140,7 +151,7 @@
     TimePoint m_lastTick;
     std::optional<TimePoint> m_woke;
     std::size_t m_liveNodes = 1;
-    bool m_isStopping = false;
+    std::optional<TimePoint> m_stopBegan;
     std::function<void()> m_heavyLoadSent;
 };
 
--- a/src/node/traffic_duty.cpp
+++ b/src/node/traffic_duty.cpp
@@ -17,9 +17,6 @@
 // resting connections are served until then, and closed after it.
 constexpr Duration kOutOfRotation = std::chrono::milliseconds(3'200);
 
-// The last part of the time that the platform gives a stop, kept for what follows the requests.
-constexpr Duration kStopReserve = std::chrono::milliseconds(600);
-
 } // namespace
 
 TrafficDuty::TrafficDuty(const config::OneProcessSettings &settings, const Clock &clock,
@@ -82,15 +79,11 @@
 
 void TrafficDuty::stopStep()
 {
-    const TimePoint now = m_clock.now();
-    if (!m_stopBegan)
-        m_stopBegan = now;
-    const Duration since = now - *m_stopBegan;
-    if (since >= m_settings.bounds.stopWithin - kStopReserve) {
+    if (m_clock.now() >= m_traffic.stopEnds()) {
         m_context.stop();
         return;
     }
-    if (since < kOutOfRotation)
+    if (m_traffic.stopAge() < kOutOfRotation)
         return;
     if (!m_idleClosed) {
         m_idleClosed = true;
--- a/src/node/traffic_duty.hpp
+++ b/src/node/traffic_duty.hpp
@@ -50,7 +50,6 @@
     AcceptLoop m_acceptor;
     net::steady_timer m_tickTimer;
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
-    std::optional<TimePoint> m_stopBegan;
     bool m_idleClosed = false;
 };
 
--- a/tests/node/caller_session_test.cpp
+++ b/tests/node/caller_session_test.cpp
@@ -101,3 +101,19 @@
     connected.context.poll();
     CHECK(connected.ended == 1);
 }
+
+TEST_CASE("planned stop: from some seconds on, what may outlast it is not taken [stop]")
+{
+    Connected connected;
+    Traffic &traffic = connected.traffic;
+    ManualClock &clock = connected.clock;
+    CHECK(traffic.mayFinish(clock.now() + 1h));
+    traffic.take(StopBegins{});
+    const TimePoint end = traffic.stopEnds();
+    CHECK(end > clock.now() + 7s);
+    CHECK(traffic.mayFinish(clock.now() + 12s)); // its caller could not know yet
+    clock.advance(2'900ms);
+    CHECK_FALSE(traffic.mayFinish(clock.now() + 12s));
+    CHECK(traffic.mayFinish(clock.now() + 3s));
+    CHECK(traffic.stopEnds() == end);
+}
