--- a/include/fordwood/load_book.hpp
+++ b/include/fordwood/load_book.hpp
@@ -19,6 +19,7 @@
     std::size_t tokensHeld = 0; // memory that the requests need, in tokens
 
     UpstreamLoad &operator+=(const UpstreamLoad &other);
+    UpstreamLoad &operator-=(const UpstreamLoad &other); // not below zero
     bool operator==(const UpstreamLoad &) const = default;
 };
 
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -188,6 +188,8 @@
      "In a large fleet two nodes of each failure domain follow the stores for the others."},
     {"passing_on", Flag, false, 0, 0, "true",
      "In a large fleet messages between nodes cross to each failure domain once."},
+    {"load_sums", Flag, false, 0, 0, "true",
+     "In a large fleet relays sum up what the nodes have sent to upstreams."},
 };
 constexpr Section kNodeSettings[] = {
     {"node", false, kNode, "Who this VM is."},
--- a/src/core/load_book.cpp
+++ b/src/core/load_book.cpp
@@ -22,6 +22,14 @@
     return *this;
 }
 
+UpstreamLoad &UpstreamLoad::operator-=(const UpstreamLoad &other)
+{
+    subtract(running, other.running);
+    subtract(tokensToCompute, other.tokensToCompute);
+    subtract(tokensHeld, other.tokensHeld);
+    return *this;
+}
+
 void LoadBook::begin(const std::string &instanceId, const RequestLoad &load)
 {
     m_own[instanceId] += {1, load.tokensToCompute, load.tokensHeld};
--- /dev/null
+++ b/src/core/load_sums.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/load_sums.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fordwood {
+
+LoadReport &LoadReport::operator+=(const LoadReport &other)
+{
+    nodes += other.nodes;
+    for (const auto &[id, load] : other.loads)
+        loads[id] += load;
+    shortContextTokens += other.shortContextTokens;
+    contextsSent.insert(contextsSent.end(), other.contextsSent.begin(), other.contextsSent.end());
+    return *this;
+}
+
+LoadReport withoutPart(LoadReport report, const LoadReport &part)
+{
+    report.nodes -= std::min(report.nodes, part.nodes);
+    report.shortContextTokens -= std::min(report.shortContextTokens, part.shortContextTokens);
+    for (const auto &[id, load] : part.loads) {
+        const auto it = report.loads.find(id);
+        if (it == report.loads.end())
+            continue;
+        it->second -= load;
+        if (it->second == UpstreamLoad{})
+            report.loads.erase(it);
+    }
+    return report;
+}
+
+void LoadSums::setNode(const std::string &node, std::uint64_t number, LoadReport report)
+{
+    m_nodes[node] = {std::move(report), number, m_clock.now()};
+}
+
+void LoadSums::setDomain(const std::string &failureDomain, LoadReport report)
+{
+    m_domains[failureDomain] = {std::move(report), 0, m_clock.now()};
+}
+
+LoadReport LoadSums::sumOf(const std::map<std::string, Told> &told, LoadReport sum) const
+{
+    for (const auto &[name, it] : told) {
+        if (counts(it))
+            sum += it.report;
+    }
+    return sum;
+}
+
+LoadReport LoadSums::ofDomain() const
+{
+    return sumOf(m_nodes, m_own);
+}
+
+LoadReport LoadSums::ofOthers() const
+{
+    LoadReport none;
+    none.nodes = 0;
+    return sumOf(m_domains, sumOf(m_nodes, std::move(none)));
+}
+
+std::map<std::string, std::uint64_t> LoadSums::numbers() const
+{
+    std::map<std::string, std::uint64_t> numbers;
+    for (const auto &[name, it] : m_nodes) {
+        if (counts(it))
+            numbers[name] = it.number;
+    }
+    return numbers;
+}
+
+std::uint64_t SentReports::add(LoadReport report)
+{
+    m_sent.push_back(std::move(report));
+    if (m_sent.size() > kMost)
+        m_sent.pop_front();
+    return ++m_last;
+}
+
+LoadReport SentReports::withoutOwn(LoadReport sum, std::optional<std::uint64_t> number) const
+{
+    if (!number || *number > m_last || m_last - *number >= m_sent.size())
+        return sum;
+    const std::size_t age = m_last - *number;
+    return withoutPart(std::move(sum), m_sent[m_sent.size() - 1 - age]);
+}
+
+} // namespace fordwood
--- a/src/core/relay_role.cpp
+++ b/src/core/relay_role.cpp
@@ -2,6 +2,7 @@
 #include "fordwood/relay_role.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include "fordwood/rendezvous.hpp"
@@ -27,18 +28,58 @@
     return strengthRank("relay", m_self, peers.reachingInDomain) < m_limits.relaysPerDomain;
 }
 
+// The ranks 0 and 1 at once, 2 and 3 after a pause, 4 to 7 after two.
+Duration RelayRole::standInAfter(std::size_t rank) const
+{
+    const auto pauses = std::bit_width(rank / m_limits.relaysPerDomain);
+    return m_limits.standInPause * static_cast<std::int64_t>(pauses);
+}
+
 void RelayRole::update(const Peers &peers)
 {
+    if (m_isLearning) {
+        m_isLearning = m_clock.now() - m_begun < m_limits.learning;
+        if (m_isLearning)
+            return;
+    }
+    updateRelay(peers);
+    updateAsking(peers);
+    m_followsContext = m_isRelay && strengthRank("relay", m_self, peers.relays) < m_mostReaders;
+}
+
+void RelayRole::updateRelay(const Peers &peers)
+{
+    const TimePoint now = m_clock.now();
     if (isNeeded(peers)) {
-        m_isRelay = true;
         m_notNeededSince.reset();
-    } else {
-        if (!m_notNeededSince)
-            m_notNeededSince = m_clock.now();
-        if (m_clock.now() - *m_notNeededSince >= m_limits.stepDown)
-            m_isRelay = false;
+        if (!m_neededSince)
+            m_neededSince = now;
+        if (now - *m_neededSince >= standInAfter(peers.knownBefore))
+            m_isRelay = true;
+        return;
     }
-    m_followsContext = m_isRelay && strengthRank("relay", m_self, peers.relays) < m_mostReaders;
+    m_neededSince.reset();
+    if (!m_notNeededSince)
+        m_notNeededSince = now;
+    if (now - *m_notNeededSince >= m_limits.stepDown)
+        m_isRelay = false;
+}
+
+void RelayRole::updateAsking(const Peers &peers)
+{
+    const TimePoint now = m_clock.now();
+    // One that is answered goes on until a relay is: what the relays hear, they hear from it.
+    const bool goesOn = m_asksToo && peers.isAnswered && !peers.relayAnswered;
+    if (peers.relayHears && !goesOn) {
+        m_unheardSince.reset();
+        m_asksToo = false;
+        return;
+    }
+    if (!m_unheardSince)
+        m_unheardSince = now;
+    const auto rank = static_cast<std::int64_t>(peers.knownBefore);
+    if (now - *m_unheardSince >= m_limits.askPause * rank)
+        m_asksToo = true;
 }
 
 } // namespace fordwood
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -27,6 +27,9 @@
 // asked.
 constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
 
+// Between two reads of a peer's copy: a fleet that starts writes hundreds of keys one by one.
+constexpr Duration kFetchPause = std::chrono::milliseconds(200);
+
 constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
 // How often the store is asked beside the watch, and by how many nodes.
 constexpr Duration kPollEvery = std::chrono::milliseconds(1'000);
@@ -37,6 +40,13 @@
 // A removal that is seen so soon after the store answered again may be an expiry.
 constexpr Duration kExpiryDoubt = std::chrono::seconds(1);
 
+// The name under which the load of all other nodes is kept where relays sum it up.
+constexpr std::string_view kOthers = "others";
+
+// In a large fleet relays take the lock. The others go for it only if no relay does for so long:
+// none of these may be answered by the store.
+constexpr Duration kLockPatienceOfOthers = std::chrono::seconds(2);
+
 // Nodes that stand further down the order for the lock leave it to those before them.
 constexpr Duration kLockPatiencePerRank = std::chrono::milliseconds(150);
 
@@ -44,7 +54,14 @@
 
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
 {
-    return {settings.peers.gossipListen, settings.peers.listen, settings.node.failureDomain};
+    return {settings.peers.gossipListen, settings.peers.listen, settings.node.failureDomain,
+            vmStrength(settings.vm)};
+}
+
+LoadExchange::Pace exchangePace(const config::OneProcessSettings &settings)
+{
+    constexpr double kBytesOfMegabit = 125'000.0;
+    return {settings.peers.gossipEvery, kBytesOfMegabit * settings.vm.linkMbps};
 }
 
 } // namespace
@@ -59,12 +76,16 @@
       m_orders(clock, m_caller, m_store, settings.node.name, m_owner, lockLimits(settings)),
       m_contexts(
           m_context, m_caller, clock,
-          [this](const std::string &failed) { return m_peers.contextFollower(failed); },
+          [this](const std::string &failed) { return m_peers.roster().contextFollower(failed); },
           [this](FleetUpdate it) { this->tell(std::move(it)); }),
       m_documents(metrics, *this),
       m_role(clock, {settings.node.name, vmStrength(settings.vm)}, roleLimits(settings)),
-      m_peers(m_context, clock, {settings.node.name, settings.node.failureDomain},
+      m_peers(m_context, clock,
+              {settings.node.name, settings.node.failureDomain, vmStrength(settings.vm)},
               fleetOfEachTold(settings), [this](const Gossip &it) { heard(it); }),
+      m_exchange(clock, m_peers, exchangePace(settings),
+                 [this](LoadReport it) { noteOthersLoad(std::move(it)); }),
+      m_orderWords(clock),
       m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
       m_peerServer(m_context, [this](std::string_view it) { return peerReply(it); }),
       m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
@@ -183,12 +204,12 @@
 
 void ControlDuty::noteReachability()
 {
-    const bool informed = reachesStore() || !m_peers.live().empty();
+    const bool informed = reachesStore() || !m_peers.roster().live().empty();
     if (informed != m_toldInformed) {
         m_toldInformed = informed;
         tell(Informed{informed});
     }
-    const bool reachable = reachesStore() || !m_peers.reachingStore().empty();
+    const bool reachable = reachesStore() || m_peers.roster().hearsStore();
     if (reachable == m_toldReachable)
         return;
     m_toldReachable = reachable;
@@ -255,19 +276,56 @@
     m_peers.removeAddress(node);
 }
 
+bool ControlDuty::usesSums() const
+{
+    return m_settings.mechanisms.relays && m_settings.mechanisms.loadSums
+           && m_peers.roster().size() >= kSmallFleet;
+}
+
 void ControlDuty::heard(const Gossip &message)
 {
+    m_exchange.take(message, m_role.isRelay());
     if (message.leaving) {
         m_loads.setPeer(message.node, {});
         tell(PeerLoads{message.node, {}, 0, {}});
         tell(EnginesLoading{message.node, {}});
         return;
     }
-    if (message.lastOrder)
-        m_lastOrders[message.node] = m_clock.now() - *message.lastOrder;
-    m_loads.setPeer(message.node, message.loads);
-    tell(PeerLoads{message.node, message.loads, message.shortContextTokens, message.contextsSent});
-    tell(EnginesLoading{message.node, message.enginesLoading});
+    if (!usesSums() && message.scope == LoadScope::Node) {
+        m_loads.setPeer(message.node, message.load.loads);
+        tell(PeerLoads{message.node, message.load.loads, message.load.shortContextTokens,
+                       message.load.contextsSent});
+    }
+    takeOrders(message.node, message.orders);
+    for (const auto &[node, word] : message.ordersHeard) {
+        if (node != m_settings.node.name)
+            takeOrders(node, word);
+    }
+    takeNamed(message);
+}
+
+void ControlDuty::noteOthersLoad(LoadReport others)
+{
+    m_loads.setPeer(std::string(kOthers), others.loads);
+    tell(PeerLoads{std::string(kOthers), std::move(others.loads), others.shortContextTokens,
+                   std::move(others.contextsSent)});
+}
+
+void ControlDuty::takeOrders(const std::string &node, const OrderWord &word)
+{
+    if (!m_orderWords.note(node, word))
+        return;
+    tell(EnginesLoading{node, word.enginesLoading});
+    for (const auto &[id, versions] : word.weightsShown) {
+        for (const auto &[model, version] : versions) {
+            m_upstreams.setWeightVersion(id, model, version);
+            tell(WeightsShown{id, model, version});
+        }
+    }
+}
+
+void ControlDuty::takeNamed(const Gossip &message)
+{
     for (const auto &[model, versions] : message.weightsNamed) {
         // Only of versions that this node has read itself: the age is all that a peer adds.
         const auto known = m_weights.find(model);
@@ -278,17 +336,13 @@
                 noteWeights(model, version, m_clock.now() - age);
         }
     }
-    for (const auto &[id, versions] : message.weightsShown) {
-        for (const auto &[model, version] : versions) {
-            m_upstreams.setWeightVersion(id, model, version);
-            tell(WeightsShown{id, model, version});
-        }
-    }
 }
 
 void ControlDuty::takeOwnLoads(OwnLoads own)
 {
-    m_gossipSoon = m_gossipSoon || own.isUrgent;
+    // A relay's sums go out often enough by themselves.
+    const bool isUrgent = own.isUrgent && !(usesSums() && m_role.isRelay());
+    m_gossipSoon = m_gossipSoon || isUrgent;
     m_lastOwn = std::move(own);
     if (m_gossipSoon && mayGossipAgain())
         gossip();
@@ -296,13 +350,15 @@
 
 bool ControlDuty::mayGossipAgain() const
 {
-    return m_clock.now() >= m_nextGossip - m_settings.peers.gossipEvery + kGossipLeast;
+    return m_clock.now() >= m_lastGossip + kGossipLeast;
 }
 
-void ControlDuty::gossip()
+Gossip ControlDuty::ownMessage() const
 {
     Gossip message;
     message.node = m_settings.node.name;
+    message.failureDomain = m_settings.node.failureDomain;
+    message.gossipAddress = m_settings.peers.gossipListen;
     message.replicaAddress = m_settings.peers.listen;
     message.revision = m_replica.revision();
     message.storeReachable = reachesStore() && m_replica.revision() != 0;
@@ -310,24 +366,40 @@
     message.isRelay = m_role.isRelay();
     message.followsContext = m_role.followsContext();
     message.leaving = m_isLeaving;
-    message.loads = m_lastOwn.loads;
-    message.shortContextTokens = m_lastOwn.shortContextTokens;
-    message.contextsSent = m_lastOwn.contextsSent;
+    message.load = {1, m_lastOwn.loads, m_lastOwn.shortContextTokens, m_lastOwn.contextsSent};
     if (m_orders.lastOrder())
-        message.lastOrder = std::chrono::duration_cast<std::chrono::milliseconds>(
+        message.orders.lastOrder = std::chrono::duration_cast<std::chrono::milliseconds>(
             m_clock.now() - *m_orders.lastOrder());
-    message.enginesLoading = m_orders.rollout().loading();
-    message.weightsShown = m_orders.rollout().shown();
+    message.orders.enginesLoading = m_orders.rollout().loading();
+    message.orders.weightsShown = m_orders.rollout().shown();
     for (const auto &[model, history] : m_weights) {
         for (const auto &[version, named] : history.named())
             message.weightsNamed[model][version]
                 = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - named);
     }
-    m_peers.sendAll(message);
-    m_metrics.setGauge("fordwood_peer_datagrams", static_cast<double>(m_peers.datagramsSent()));
-    tell(EnginesLoading{message.node, message.enginesLoading});
+    return message;
+}
+
+void ControlDuty::gossip()
+{
+    Gossip message = ownMessage();
+    tell(EnginesLoading{message.node, message.orders.enginesLoading});
     m_gossipSoon = false;
-    m_nextGossip = m_clock.now() + m_settings.peers.gossipEvery;
+    m_lastGossip = m_clock.now();
+    Duration pause = m_settings.peers.gossipEvery;
+    if (usesSums()) {
+        m_exchange.setOwn(message.load);
+        if (m_role.isRelay()) {
+            message.hearsStore
+                = message.storeReachable || !m_peers.roster().reachingStore().empty();
+            message.ordersHeard = m_orderWords.toPassOn();
+        }
+        pause = m_exchange.send(std::move(message), m_role.isRelay());
+    } else {
+        m_peers.sendAll(message);
+    }
+    m_metrics.setGauge("fordwood_peer_datagrams", static_cast<double>(m_peers.datagramsSent()));
+    m_nextGossip = m_clock.now() + pause;
 }
 
 // A new holder of the lock need not wait for a predecessor that has sent nothing of late.
@@ -336,13 +408,13 @@
     const auto holding = m_orders.lock().holding();
     const std::string &owner = m_orders.lock().predecessor();
     const std::string node = owner.substr(0, owner.find('/'));
-    const auto heard = m_peers.lastHeard(node);
+    const auto heard = std::max(m_peers.roster().lastHeard(node), m_orderWords.lastSaid(node));
     if (!holding || !heard)
         return;
-    const auto word = m_lastOrders.find(node);
+    const auto lastOrder = m_orderWords.lastOrder(node);
     // Its word counts once its lease is over, since it sends no more orders then.
-    if (word != m_lastOrders.end() && *heard > holding->since)
-        m_orders.lock().predecessorActed(word->second);
+    if (lastOrder && *heard > holding->since)
+        m_orders.lock().predecessorActed(*lastOrder);
     // One that fell silent may have gone on out of everyone's hearing; but then it is cut off, and
     // engines that check fences turn its orders away.
     else if (m_settings.bounds.fencesChecked)
@@ -393,38 +465,72 @@
 
 void ControlDuty::noteLiveNodes()
 {
-    const std::vector<std::string> peers = m_peers.live();
-    const std::size_t live = peers.size() + 1;
+    m_orders.lock().setPatience(lockPatience());
+    std::size_t live = m_peers.roster().live().size() + 1;
+    if (usesSums())
+        live = m_exchange.liveNodes() > 0 ? m_exchange.liveNodes() : m_peers.roster().size() + 1;
     if (live == m_liveNodes)
         return;
     m_liveNodes = live;
     logEvent(Event::MembersChanged, {{"live", live}});
     tell(LiveNodes{live});
-    // The strongest node takes the lock, since its holder has most to do; the others only when it
-    // does not.
+}
+
+// The strongest node takes the lock, since its holder has most to do; the others only when it does
+// not.
+Duration ControlDuty::lockPatience() const
+{
+    const PeerRoster &roster = m_peers.roster();
+    if (usesSums() && !m_role.isRelay())
+        return kLockPatienceOfOthers
+               + kLockPatiencePerRank * static_cast<std::int64_t>(roster.knownBefore());
     const std::size_t before
         = strengthRank(OrderDuty::lockKey(), {m_settings.node.name, vmStrength(m_settings.vm)},
-                       m_peers.liveCandidates());
-    m_orders.lock().setPatience(kLockPatiencePerRank * static_cast<std::int64_t>(before + 1));
+                       usesSums() ? roster.relays() : roster.liveCandidates());
+    return kLockPatiencePerRank * static_cast<std::int64_t>(before + 1);
+}
+
+RelayRole::Peers ControlDuty::relayPeers() const
+{
+    const PeerRoster &roster = m_peers.roster();
+    RelayRole::Peers peers;
+    peers.relays = roster.relays();
+    if (!usesSums()) {
+        peers.liveNodes = m_liveNodes;
+        peers.reachingInDomain = roster.reachingStoreNear();
+        return peers;
+    }
+    const auto relays = roster.relaysNear();
+    const auto anyRelay = [&relays](bool PeerRoster::Peer::*holds) {
+        return std::any_of(relays.begin(), relays.end(),
+                           [holds](const PeerRoster::Peer *it) { return it->*holds; });
+    };
+    // Known ones, as a node that has just started hears nobody yet.
+    peers.liveNodes = roster.size() + 1;
+    peers.reachingInDomain = roster.relayCandidatesNear();
+    peers.knownBefore = roster.knownBefore();
+    peers.relayAnswered = anyRelay(&PeerRoster::Peer::reachesStore);
+    peers.relayHears = anyRelay(&PeerRoster::Peer::hearsStore);
+    peers.isAnswered = m_store.isReachable();
+    return peers;
 }
 
 // Whether this node follows the stores itself.
 void ControlDuty::noteRole()
 {
     const bool wasRelay = m_role.isRelay();
-    RelayRole::Peers peers;
-    peers.liveNodes = m_liveNodes;
-    peers.reachingInDomain = m_peers.reachingStoreIn(m_settings.node.failureDomain);
-    peers.relays = m_peers.relays();
-    m_role.update(peers);
+    const bool followed = m_role.followsStore();
+    m_role.update(relayPeers());
     m_contexts.setFollowing(m_role.followsContext());
+    if (m_role.followsStore() != followed) {
+        // What has run out while this node did not look is not told from what was removed.
+        if (m_role.followsStore())
+            m_storeBack = m_clock.now();
+        m_store.setFollowing(m_role.followsStore());
+    }
     if (m_role.isRelay() == wasRelay)
         return;
     logEvent(Event::RelayRoleChanged, {{"relay", m_role.isRelay()}, {"live", m_liveNodes}});
-    // What has run out while this node did not look is not told from what was removed.
-    if (m_role.isRelay())
-        m_storeBack = m_clock.now();
-    m_store.setFollowing(m_role.isRelay());
     m_gossipSoon = true;
 }
 
@@ -436,7 +542,7 @@
         return;
     m_nextPoll = m_clock.now() + kPollEvery;
     const std::size_t before = rendezvousRank(stableHash("polls the store"), m_settings.node.name,
-                                              m_peers.reachingStore());
+                                              m_peers.roster().reachingStore());
     if (before < kPollingNodes)
         m_store.poll();
 }
@@ -444,9 +550,11 @@
 void ControlDuty::reachStoreThroughPeers()
 {
     const TimePoint now = m_clock.now();
-    if (m_replica.revision() == 0 && now >= m_nextSeedAsk)
+    // A seed's copy may lack the keys of peers that have just started: ask until one is heard.
+    const bool knowsNobody = !reachesStore() && m_peers.roster().live().empty();
+    if ((m_replica.revision() == 0 || knowsNobody) && now >= m_nextSeedAsk)
         askSeeds();
-    const auto ahead = m_peers.aheadOf(m_replica.revision());
+    const auto ahead = m_peers.roster().aheadOf(m_replica.revision());
     if (!ahead) {
         m_isBehind = false;
         return;
@@ -456,7 +564,8 @@
     m_isBehind = true;
     if (reachesStore() && now - m_aheadSince < kWaitForWatch)
         return;
-    fetchFrom(*ahead);
+    if (now >= m_nextFetch)
+        fetchFrom(*ahead);
 }
 
 void ControlDuty::askSeeds()
@@ -475,6 +584,7 @@
     if (m_isFetching)
         return;
     m_isFetching = true;
+    m_nextFetch = m_clock.now() + kFetchPause;
     HttpCall call;
     call.address = address;
     call.method = "GET";
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -21,8 +21,10 @@
 #include "node/document_reader.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_caller.hpp"
+#include "node/load_exchange.hpp"
 #include "node/mailbox.hpp"
 #include "node/order_duty.hpp"
+#include "node/order_words.hpp"
 #include "node/own_key.hpp"
 #include "node/peer_links.hpp"
 #include "node/small_server.hpp"
@@ -76,9 +78,16 @@
     void merge(const StoreChanges &changes, bool mayBeExpiry);
 
     void heard(const Gossip &message);
+    void takeOrders(const std::string &node, const OrderWord &word);
+    void takeNamed(const Gossip &message);
+    // Whether nodes hear of load by the sums of relays.
+    bool usesSums() const;
+    void noteOthersLoad(LoadReport others);
     void takeOwnLoads(OwnLoads own);
     bool mayGossipAgain() const;
+    Gossip ownMessage() const;
     void gossip();
+    RelayRole::Peers relayPeers() const;
     void tick();
     void pollStore();
     void reachStoreThroughPeers();
@@ -87,9 +96,10 @@
     void noteReachability();
     void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
     void noteLiveNodes();
+    Duration lockPatience() const;
     void noteRole();
     // Whether this node follows the platform's store and is answered.
-    bool reachesStore() const { return m_role.isRelay() && m_store.isReachable(); }
+    bool reachesStore() const { return m_role.followsStore() && m_store.isReachable(); }
     void shortenQuietTime();
     void noteLoading();
     bool inDoubt() const;
@@ -111,6 +121,8 @@
     DocumentReader m_documents;
     RelayRole m_role;
     PeerLinks m_peers;
+    LoadExchange m_exchange;
+    OrderWords m_orderWords;
     SmallServer m_readyServer;
     SmallServer m_peerServer;
     SmallServer m_metricsServer;
@@ -121,7 +133,6 @@
     OwnLoads m_lastOwn;
     UpdateQueue m_waiting; // updates that did not fit
     std::map<std::string, WeightHistory> m_weights; // by model
-    std::map<std::string, TimePoint> m_lastOrders; // to engines, by the node that sent them
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
     bool m_isLeaving = false; // nothing runs any more
@@ -133,8 +144,10 @@
     bool m_toldInformed = true;
     std::set<std::string> m_toldLoading;
     TimePoint m_storeBack{}; // when the store answered this node again
+    TimePoint m_lastGossip{};
     TimePoint m_nextGossip{};
     TimePoint m_nextPoll{};
+    TimePoint m_nextFetch{};
     TimePoint m_nextSeedAsk{};
     TimePoint m_aheadSince{}; // since a peer is ahead of this node's copy
     bool m_isBehind = false;
--- a/src/node/control_limits.cpp
+++ b/src/node/control_limits.cpp
@@ -7,6 +7,14 @@
 
 namespace fordwood::node {
 
+namespace {
+
+// By then a node has read the platform's store a second time, and knows the others that started
+// with it: a large fleet that starts at once would else consist of relays.
+constexpr Duration kLearning = std::chrono::milliseconds(750);
+
+} // namespace
+
 std::string makeLockOwner(const std::string &node)
 {
     std::random_device device;
@@ -48,6 +56,8 @@
     RelayRole::Limits limits;
     if (!settings.mechanisms.relays)
         limits.smallFleet = std::numeric_limits<std::size_t>::max();
+    else if (settings.mechanisms.loadSums)
+        limits.learning = kLearning;
     return limits;
 }
 
--- a/src/node/order_duty.hpp
+++ b/src/node/order_duty.hpp
@@ -27,6 +27,7 @@
 
     FencedLock &lock() { return m_lock; }
     WeightRollout &rollout() { return m_rollout; }
+    const WeightRollout &rollout() const { return m_rollout; }
 
     void tick(const LoadBook &loads);
 
--- /dev/null
+++ b/src/node/order_words.hpp
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_ORDER_WORDS_HPP_INCLUDED
+#define FORDWOOD_NODE_ORDER_WORDS_HPP_INCLUDED
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "fordwood/clock.hpp"
+#include "node/peer_messages.hpp"
+
+namespace fordwood::node {
+
+// The last word of each node that has ordered engines of late. Relays pass it on, so that all nodes
+// know which engines load, and a new holder of the lock when its predecessor sent its last order.
+class OrderWords
+{
+public:
+    explicit OrderWords(const Clock &clock) : m_clock(clock) { }
+
+    // False: a newer word of the node is known.
+    bool note(const std::string &node, const OrderWord &word);
+
+    // When the node sent its last order, as far as it has said.
+    std::optional<TimePoint> lastOrder(const std::string &node) const;
+
+    // When the node said its last word.
+    std::optional<TimePoint> lastSaid(const std::string &node) const;
+
+    // Those that others should hear.
+    std::map<std::string, OrderWord> toPassOn() const;
+
+private:
+    struct Said
+    {
+        OrderWord word;
+        TimePoint when{};
+        std::optional<TimePoint> lastOrder;
+    };
+
+    const Clock &m_clock;
+    std::map<std::string, Said> m_said;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_ORDER_WORDS_HPP_INCLUDED
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -4,32 +4,25 @@
 
 #include <array>
 #include <functional>
-#include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "fordwood/clock.hpp"
-#include "fordwood/relay_role.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
+#include "node/peer_roster.hpp"
 
 namespace fordwood::node {
 
-// Datagrams to and from the other nodes, and who of them lives. A peer is known by its key in the
-// platform's store or by its own messages; it counts as live while it is heard. In a large fleet a
-// message crosses to each other failure domain once, and is passed on there: with 82 nodes in four
-// domains three datagrams instead of some sixty.
+// Datagrams to and from the other nodes. In a small fleet each node tells each other one. In a
+// large one nodes report to the relays of their failure domain, which exchange sums and tell them
+// to the nodes. Without sums a message crosses to each other failure domain once, and is passed on
+// there: with 82 nodes in four domains three datagrams instead of some sixty.
 class PeerLinks
 {
 public:
     using Heard = std::function<void(const Gossip &)>;
-
-    struct Self
-    {
-        std::string name;
-        std::string failureDomain;
-    };
+    using Self = PeerRoster::Self;
 
     // `smallFleet`: up to so many nodes, each tells each other one.
     PeerLinks(net::io_context &context, const Clock &clock, Self self, std::size_t smallFleet,
@@ -38,89 +31,55 @@
     // False when the address cannot be used; `ec` tells why.
     bool open(const std::string &address, ErrorCode &ec);
 
-    // A node has written its address, or its key is gone. A live peer is kept all the same.
-    void setAddress(const std::string &node, const PeerAddress &address);
-    void removeAddress(const std::string &node);
-
-    void sendAll(const Gossip &message);
-
-    // Datagrams that this node has sent.
-    std::size_t datagramsSent() const { return m_datagramsSent; }
-
-    // Peers heard of late, by name, without this node.
-    std::vector<std::string> live() const;
-
-    // When the peer was last heard; nothing: never.
-    std::optional<TimePoint> lastHeard(const std::string &node) const;
+    void setAddress(const std::string &node, const PeerAddress &address)
+    {
+        m_roster.setAddress(node, address);
+    }
+    void removeAddress(const std::string &node) { m_roster.removeAddress(node); }
 
-    // The live peers that say that the platform's store answers them.
-    std::vector<std::string> reachingStore() const;
+    const PeerRoster &roster() const { return m_roster; }
 
-    // Of these, the ones in the failure domain.
-    std::vector<RelayCandidate> reachingStoreIn(const std::string &failureDomain) const;
+    // To every node, directly or passed on.
+    void sendAll(const Gossip &message);
 
-    // All live peers.
-    std::vector<RelayCandidate> liveCandidates() const;
+    // What this node has sent to upstreams, to the relays of its failure domain.
+    void sendToRelays(const Gossip &message);
 
-    // The live peers that are relays.
-    std::vector<RelayCandidate> relays() const;
+    // The sums of all nodes, to those of this failure domain. Returns the bytes sent.
+    std::size_t sendNear(const Gossip &message);
 
-    // A live peer whose copy of the store is ahead of the revision; its address for reading it.
-    // Those that the store answers come first, then those of this node's failure domain.
-    std::optional<std::string> aheadOf(std::int64_t revision) const;
+    // The sums of this failure domain, to a relay of each other one. Returns the bytes sent.
+    std::size_t sendAcross(const Gossip &message);
 
-    // A live peer that follows the stores of kept context, other than the one at the address that
-    // failed if there is another; its address for reading. Those of this node's failure domain come
-    // first.
-    std::optional<std::string> contextFollower(const std::string &failed) const;
+    // Datagrams that this node has sent.
+    std::size_t datagramsSent() const { return m_datagramsSent; }
 
 private:
-    struct Peer
-    {
-        std::optional<udp::endpoint> gossip;
-        bool hasKey = false; // in the platform's store
-        std::optional<TimePoint> heard;
-        std::string replicaAddress;
-        std::int64_t revision = 0;
-        std::string failureDomain; // empty: not known
-        double strength = 0.0; // of its VM; zero: not known
-        bool reachesStore = false;
-        bool isRelay = false;
-        bool followsContext = false;
-    };
+    using Peer = PeerRoster::Peer;
 
     // What a datagram's first byte says of the message behind it.
     enum class Delivery : char {
         Direct, // from the node that wrote it
         PassOn, // likewise; the receiver tells the others of its failure domain
-        Passed, // from a node that was asked to
+        Passed, // from a node that was asked to, or that is no relay and knows one
     };
 
     void receive();
     void received(std::string_view datagram);
-    void passOn(std::string datagram);
+    void passOn(std::string datagram, const std::vector<const Peer *> &peers);
     void send(const std::string &datagram, const Peer &peer);
+    std::size_t sendEach(const Gossip &message, const std::vector<const Peer *> &peers);
     double distanceTo(const Peer &peer) const;
-    void sendAcross(std::string datagram, const std::vector<const Peer *> &members);
-    void take(const Gossip &message, bool isDirect);
-    bool isNear(const Peer &peer) const;
-    bool isLive(const Peer &peer) const;
-    std::optional<std::string> best(const std::function<bool(const Peer &)> &willDo,
-                                    const std::function<bool(const Peer &)> &isPreferred) const;
-    std::vector<RelayCandidate>
-    candidatesWhere(const std::function<bool(const Peer &)> &holds) const;
-    std::vector<std::string> liveWhere(const std::function<bool(const Peer &)> &holds) const;
+    void passAcross(std::string datagram, const std::vector<const Peer *> &members);
 
     static constexpr std::size_t kMostBytes = 65'507; // of a datagram
 
-    const Clock &m_clock;
-    const Self m_self;
+    PeerRoster m_roster;
     const std::size_t m_smallFleet;
     Heard m_heard;
     udp::socket m_socket;
     udp::endpoint m_sender;
     std::array<char, kMostBytes> m_bytes{};
-    std::map<std::string, Peer> m_peers;
     std::size_t m_sends = 0; // messages
     std::size_t m_datagramsSent = 0;
 };
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -9,32 +9,112 @@
 
 using Json = nlohmann::json;
 
-} // namespace
+Json encodeOrders(const OrderWord &word)
+{
+    Json object = Json::object();
+    if (word.age.count() > 0)
+        object["age"] = word.age.count();
+    if (word.lastOrder)
+        object["ordered"] = word.lastOrder->count();
+    if (!word.enginesLoading.empty())
+        object["loading"] = word.enginesLoading;
+    if (!word.weightsShown.empty())
+        object["shown"] = word.weightsShown;
+    return object;
+}
 
-std::string encodeGossip(const Gossip &message)
+OrderWord decodeOrders(const Json &object)
+{
+    OrderWord word;
+    word.age = std::chrono::milliseconds(object.value("age", std::int64_t{0}));
+    if (object.contains("ordered"))
+        word.lastOrder = std::chrono::milliseconds(object.at("ordered").get<std::int64_t>());
+    if (object.contains("loading"))
+        object.at("loading").get_to(word.enginesLoading);
+    if (object.contains("shown"))
+        object.at("shown").get_to(word.weightsShown);
+    return word;
+}
+
+Json encodeLoad(const LoadReport &report)
 {
     Json loads = Json::object();
-    for (const auto &[id, load] : message.loads)
+    for (const auto &[id, load] : report.loads)
         loads[id] = {load.running, load.tokensToCompute, load.tokensHeld};
-    Json object{{"node", message.node},         {"replica", message.replicaAddress},
-                {"revision", message.revision}, {"reachable", message.storeReachable},
-                {"loads", std::move(loads)},    {"short", message.shortContextTokens}};
-    if (!message.contextsSent.empty())
-        object["contexts"] = message.contextsSent;
+    Json object{
+        {"nodes", report.nodes}, {"at", std::move(loads)}, {"short", report.shortContextTokens}};
+    if (!report.contextsSent.empty())
+        object["contexts"] = report.contextsSent;
+    return object;
+}
+
+LoadReport decodeLoad(const Json &object)
+{
+    LoadReport report;
+    object.at("nodes").get_to(report.nodes);
+    for (const auto &[id, load] : object.at("at").items())
+        report.loads[id] = {load.at(0).get<std::size_t>(), load.at(1).get<std::size_t>(),
+                            load.at(2).get<std::size_t>()};
+    object.at("short").get_to(report.shortContextTokens);
+    if (object.contains("contexts"))
+        object.at("contexts").get_to(report.contextsSent);
+    return report;
+}
+
+// Numbers on the wire; what is not known is a node's own load.
+constexpr int kDomainScope = 1;
+constexpr int kFleetScope = 2;
+
+int encodeScope(LoadScope scope)
+{
+    switch (scope) {
+    case LoadScope::Node:
+        return 0;
+    case LoadScope::Domain:
+        return kDomainScope;
+    case LoadScope::Fleet:
+        return kFleetScope;
+    }
+    return 0;
+}
+
+LoadScope decodeScope(int number)
+{
+    if (number == kDomainScope)
+        return LoadScope::Domain;
+    return number == kFleetScope ? LoadScope::Fleet : LoadScope::Node;
+}
+
+} // namespace
+
+std::string encodeGossip(const Gossip &message)
+{
+    Json object{{"node", message.node},
+                {"domain", message.failureDomain},
+                {"gossip", message.gossipAddress},
+                {"replica", message.replicaAddress},
+                {"revision", message.revision},
+                {"reachable", message.storeReachable},
+                {"scope", encodeScope(message.scope)},
+                {"load", encodeLoad(message.load)}};
+    if (message.number > 0)
+        object["number"] = message.number;
+    if (!message.numbers.empty())
+        object["numbers"] = message.numbers;
     if (message.strength > 0.0)
         object["strength"] = message.strength;
+    if (message.hearsStore)
+        object["hears"] = true;
     if (message.isRelay)
         object["relay"] = true;
     if (message.followsContext)
         object["follows"] = true;
     if (message.leaving)
         object["leaving"] = true;
-    if (message.lastOrder)
-        object["ordered"] = message.lastOrder->count();
-    if (!message.enginesLoading.empty())
-        object["loading"] = message.enginesLoading;
-    if (!message.weightsShown.empty())
-        object["shown"] = message.weightsShown;
+    if (!message.orders.isEmpty())
+        object["orders"] = encodeOrders(message.orders);
+    for (const auto &[node, word] : message.ordersHeard)
+        object["heard"][node] = encodeOrders(word);
     for (const auto &[model, versions] : message.weightsNamed) {
         for (const auto &[version, age] : versions)
             object["named"][model].push_back({version, age.count()});
@@ -47,25 +127,26 @@
     return decodeCbor<Gossip>(bytes, [](const Json &object) {
         Gossip message;
         object.at("node").get_to(message.node);
+        object.at("domain").get_to(message.failureDomain);
+        object.at("gossip").get_to(message.gossipAddress);
         object.at("replica").get_to(message.replicaAddress);
         object.at("revision").get_to(message.revision);
         object.at("reachable").get_to(message.storeReachable);
-        message.shortContextTokens = object.value("short", std::size_t{0});
+        message.scope = decodeScope(object.at("scope").get<int>());
+        message.load = decodeLoad(object.at("load"));
+        message.number = object.value("number", std::uint64_t{0});
+        if (object.contains("numbers"))
+            object.at("numbers").get_to(message.numbers);
         message.strength = object.value("strength", 0.0);
+        message.hearsStore = object.value("hears", false);
         message.isRelay = object.value("relay", false);
         message.followsContext = object.value("follows", false);
         message.leaving = object.value("leaving", false);
-        for (const auto &[id, load] : object.at("loads").items())
-            message.loads[id] = {load.at(0).get<std::size_t>(), load.at(1).get<std::size_t>(),
-                                 load.at(2).get<std::size_t>()};
-        if (object.contains("ordered"))
-            message.lastOrder = std::chrono::milliseconds(object.at("ordered").get<std::int64_t>());
-        if (object.contains("contexts"))
-            object.at("contexts").get_to(message.contextsSent);
-        if (object.contains("loading"))
-            object.at("loading").get_to(message.enginesLoading);
-        if (object.contains("shown"))
-            object.at("shown").get_to(message.weightsShown);
+        if (object.contains("orders"))
+            message.orders = decodeOrders(object.at("orders"));
+        const Json heard = object.value("heard", Json::object());
+        for (const auto &[node, word] : heard.items())
+            message.ordersHeard[node] = decodeOrders(word);
         const Json named = object.value("named", Json::object());
         for (const auto &[model, versions] : named.items()) {
             for (const Json &it : versions)
@@ -117,7 +198,8 @@
 {
     return encodeCbor({{"gossip", address.gossip},
                        {"replica", address.replica},
-                       {"domain", address.failureDomain}});
+                       {"domain", address.failureDomain},
+                       {"strength", address.strength}});
 }
 
 std::optional<PeerAddress> decodePeerAddress(std::string_view bytes)
@@ -125,7 +207,7 @@
     return decodeCbor<PeerAddress>(bytes, [](const Json &object) {
         return PeerAddress{object.at("gossip").get<std::string>(),
                            object.at("replica").get<std::string>(),
-                           object.value("domain", std::string())};
+                           object.value("domain", std::string()), object.value("strength", 0.0)};
     });
 }
 
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-#include "fordwood/load_book.hpp"
+#include "fordwood/load_sums.hpp"
 #include "fordwood/store_replica.hpp"
 
 namespace fordwood::node {
@@ -22,25 +22,48 @@
     std::string gossip; // UDP
     std::string replica; // HTTP
     std::string failureDomain;
+    double strength = 0.0; // of the node's VM; see vmStrength()
+};
+
+// Whose load a message tells.
+enum class LoadScope {
+    Node, // the writer's own
+    Domain, // all nodes of the writer's failure domain, by one of its relays
+    Fleet, // all nodes, by a relay to those of its failure domain
+};
+
+// What a node has said of orders to engines, as others pass it on.
+struct OrderWord
+{
+    std::chrono::milliseconds age{0}; // since the node said so
+    std::optional<std::chrono::milliseconds> lastOrder; // how long ago the node ordered an engine
+    std::set<std::string> enginesLoading;
+    std::map<std::string, std::map<std::string, std::uint64_t>> weightsShown;
+
+    bool isEmpty() const { return !lastOrder && enginesLoading.empty() && weightsShown.empty(); }
 };
 
-// The short message that each node sends to each other one, several times a second.
+// The short message by which nodes tell each other of themselves, several times a second: in a
+// small fleet each to each, in a large one by relays.
 struct Gossip
 {
     std::string node;
+    std::string failureDomain;
+    std::string gossipAddress;
     std::string replicaAddress;
     std::int64_t revision = 0; // up to which the node's copy of the store is whole
     bool storeReachable = false; // by the node, which follows it
     double strength = 0.0; // of the node's VM; see vmStrength()
+    bool hearsStore = false; // the node is reached by word of one that reaches it
     bool isRelay = false; // see RelayRole
     bool followsContext = false; // likewise
     bool leaving = false; // the node stops: its last message
-    LoadBook::Loads loads; // what the node has sent to upstreams
-    std::size_t shortContextTokens = 0; // shared by the node's short prompts
-    std::vector<std::uint64_t> contextsSent; // long ones, to engines, of late
-    std::optional<std::chrono::milliseconds> lastOrder; // how long ago the node ordered an engine
-    std::set<std::string> enginesLoading; // from the node that orders them
-    std::map<std::string, std::map<std::string, std::uint64_t>> weightsShown; // likewise
+    LoadScope scope = LoadScope::Node;
+    LoadReport load; // what has been sent to upstreams
+    std::uint64_t number = 0; // of the writer's own report
+    std::map<std::string, std::uint64_t> numbers; // of the reports in a sum, by node
+    OrderWord orders; // from the node that orders engines
+    std::map<std::string, OrderWord> ordersHeard; // from others, by node; in sums
     // By model and weight version: how long ago it was named, as far as the node knows. A node that
     // starts learns it from its peers.
     std::map<std::string, std::map<std::uint64_t, std::chrono::milliseconds>> weightsNamed;
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -2,6 +2,7 @@
 #include "node/store_link.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fordwood::node {
 
@@ -28,6 +29,10 @@
 // A wait that brings a change sooner than this goes on with those before it.
 constexpr Duration kQuietWait = std::chrono::milliseconds(500);
 
+// After its start a node reads once more before it waits for changes: meanwhile the others that
+// started with it have written their keys, and it knows whether it need follow at all.
+constexpr Duration kStartPause = std::chrono::milliseconds(700);
+
 // Failed calls cost as much as others: they are repeated after a pause that grows.
 constexpr Duration kFirstPause = std::chrono::milliseconds(200);
 constexpr Duration kLongestPause = std::chrono::milliseconds(800);
@@ -91,7 +96,11 @@
     m_isWhole = true;
     m_isPolling = false;
     m_listener.storeTold(*read);
-    if (next == After::Watch)
+    if (next != After::Watch)
+        return;
+    if (std::exchange(m_isStarting, false))
+        after(kStartPause, &StoreLink::goOn);
+    else
         goOn();
 }
 
@@ -105,7 +114,8 @@
 // The next step of following: waits for changes, or first reads all.
 void StoreLink::goOn()
 {
-    m_rests = !m_follows;
+    // A node that has no copy yet reads on until it has one, from here or from a peer.
+    m_rests = !m_follows && m_replica.revision() != 0;
     if (m_rests)
         return;
     if (m_isWhole)
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -71,6 +71,7 @@
     Duration m_batchPause; // after the next change
     TimePoint m_watchBegan{};
     bool m_reachable = true;
+    bool m_isStarting = true; // nothing has been read yet
     bool m_isWhole = false; // the copy holds all up to its revision
     bool m_isPolling = false;
     bool m_follows = true;
--- a/tests/node/peer_links_test.cpp
+++ b/tests/node/peer_links_test.cpp
@@ -40,18 +40,19 @@
     {
         Node &node = m_nodes[n];
         node.links = std::make_unique<PeerLinks>(
-            m_context, m_clock, PeerLinks::Self{node.name, node.domain}, kSmallFleet,
+            m_context, m_clock, PeerLinks::Self{node.name, node.domain, 0.0}, kSmallFleet,
             [this, n](const Gossip &it) { m_nodes[n].heard.push_back(it.node); });
         ErrorCode ec;
         REQUIRE(node.links->open(node.address, ec));
         for (const Node &it : m_nodes)
-            node.links->setAddress(it.name, {it.address, it.address, it.domain});
+            node.links->setAddress(it.name, {it.address, it.address, it.domain, 0.0});
     }
 
     void say(std::size_t n)
     {
         Gossip message;
         message.node = m_nodes[n].name;
+        message.failureDomain = m_nodes[n].domain;
         m_nodes[n].links->sendAll(message);
     }
 
--- /dev/null
+++ b/tests/unit/load_sums_test.cpp
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: MIT
+// What relays tell of the load at the upstreams.
+#include "fordwood/load_sums.hpp"
+
+#include <doctest/doctest.h>
+
+#include "fordwood/manual_clock.hpp"
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+LoadReport report(std::size_t running, std::size_t tokens = 0)
+{
+    LoadReport report;
+    report.loads["e"] = {running, tokens, tokens};
+    report.shortContextTokens = 10;
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("load sums: nodes and other failure domains are added up once each [sums]")
+{
+    ManualClock clock;
+    LoadSums sums(clock);
+    sums.setOwn(report(1));
+    sums.setNode("a", 1, report(2));
+    sums.setNode("a", 2, report(3)); // in place of the one before
+    LoadReport domain = report(10);
+    domain.nodes = 5;
+    sums.setDomain("d2", domain);
+    sums.setDomain("d2", domain); // from its other relay
+    CHECK(sums.ofDomain().loads.at("e").running == 4);
+    CHECK(sums.ofDomain().nodes == 2);
+    CHECK(sums.ofOthers().loads.at("e").running == 13);
+    CHECK(sums.ofOthers().nodes == 6);
+    CHECK(sums.ofOthers().shortContextTokens == 20);
+    CHECK(sums.numbers() == std::map<std::string, std::uint64_t>{{"a", 2}});
+}
+
+TEST_CASE("load sums: the load of a node that is gone counts for a second at the most [sums]")
+{
+    ManualClock clock;
+    LoadSums sums(clock);
+    sums.setNode("gone", 1, report(2));
+    sums.setNode("live", 1, report(3));
+    sums.setDomain("gone", report(4));
+    clock.advance(900ms);
+    CHECK(sums.ofOthers().loads.at("e").running == 9);
+    sums.setNode("live", 2, report(3));
+    clock.advance(200ms);
+    CHECK(sums.ofOthers().loads.at("e").running == 3);
+    CHECK(sums.ofOthers().nodes == 1);
+    CHECK(sums.numbers().size() == 1);
+}
+
+TEST_CASE("load sums: a node that leaves counts no more [sums]")
+{
+    ManualClock clock;
+    LoadSums sums(clock);
+    sums.setNode("a", 1, report(2));
+    sums.forgetNode("a");
+    CHECK(sums.ofOthers() == LoadReport{0, {}, 0, {}});
+}
+
+TEST_CASE("load sums: a node takes out the report that the sum holds, not its newest [sums]")
+{
+    SentReports sent;
+    CHECK(sent.add(report(2, 100)) == 1);
+    CHECK(sent.add(report(5, 700)) == 2);
+    LoadReport sum = report(9, 1'000);
+    sum.nodes = 4;
+    CHECK(sent.withoutOwn(sum, 1).loads.at("e") == UpstreamLoad{7, 900, 900});
+    CHECK(sent.withoutOwn(sum, 2).loads.at("e") == UpstreamLoad{4, 300, 300});
+    CHECK(sent.withoutOwn(sum, 1).nodes == 3);
+    // A relay that has not heard this node, or one that heard its last life.
+    CHECK(sent.withoutOwn(sum, std::nullopt) == sum);
+    CHECK(sent.withoutOwn(sum, 77) == sum);
+}
+
+TEST_CASE("load sums: an upstream that only this node uses is in no sum without it [sums]")
+{
+    SentReports sent;
+    sent.add(report(2));
+    LoadReport sum = report(2);
+    sum.nodes = 2;
+    CHECK(sent.withoutOwn(sum, 1).loads.empty());
+}
+
+TEST_CASE("load sums: reports of long ago are not kept [sums]")
+{
+    SentReports sent;
+    for (int n = 0; n < 1'000; ++n)
+        sent.add(report(1));
+    const LoadReport sum = report(3);
+    CHECK(sent.withoutOwn(sum, 1) == sum);
+    CHECK(sent.withoutOwn(sum, 1'000).loads.at("e").running == 2);
+}
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -214,3 +214,164 @@
     clock.advance(200ms);
     CHECK_FALSE(contexts.hasWord());
 }
+
+namespace {
+
+// The nodes of a failure domain as they see each other in a large fleet: each knows all by their
+// keys, and hears the relays that live.
+class QuietDomain
+{
+public:
+    QuietDomain()
+    {
+        RelayRole::Limits limits;
+        limits.learning = 750ms;
+        for (std::size_t n = 0; n < kNodes; ++n)
+            m_roles.emplace_back(m_clock, candidate(n), limits);
+        m_isLive.assign(kNodes, true);
+        m_isAnswered.assign(kNodes, true);
+    }
+
+    void run(Duration time)
+    {
+        constexpr Duration kStep = 50ms;
+        for (Duration passed{}; passed < time; passed += kStep) {
+            m_clock.advance(kStep);
+            update();
+        }
+    }
+
+    std::vector<std::size_t> relays() const
+    {
+        std::vector<std::size_t> found;
+        for (std::size_t n = 0; n < kNodes; ++n) {
+            if (m_isLive[n] && m_roles[n].isRelay())
+                found.push_back(n);
+        }
+        return found;
+    }
+
+    std::size_t followers() const
+    {
+        std::size_t count = 0;
+        for (std::size_t n = 0; n < kNodes; ++n)
+            count += m_isLive[n] && m_roles[n].followsStore() ? 1 : 0;
+        return count;
+    }
+
+    void stop(const std::vector<std::size_t> &nodes)
+    {
+        for (const std::size_t it : nodes)
+            m_isLive[it] = false;
+    }
+
+    ManualClock m_clock;
+    std::vector<RelayRole> m_roles;
+    std::vector<bool> m_isLive;
+    std::vector<bool> m_isAnswered; // by the platform's store
+
+private:
+    std::size_t knownBefore(std::size_t n) const
+    {
+        std::vector<RelayCandidate> others;
+        for (std::size_t it = 0; it < kNodes; ++it) {
+            if (it != n)
+                others.push_back(candidate(it));
+        }
+        return strengthRank("relay", candidate(n), others);
+    }
+
+    void update()
+    {
+        const auto live = relays();
+        bool hears = false;
+        for (std::size_t n = 0; n < kNodes; ++n)
+            hears = hears || (m_isLive[n] && m_roles[n].followsStore() && m_isAnswered[n]);
+        for (std::size_t n = 0; n < kNodes; ++n) {
+            if (!m_isLive[n])
+                continue;
+            RelayRole::Peers peers;
+            peers.liveNodes = kNodes;
+            peers.relayAnswered = false;
+            peers.relayHears = !live.empty() && hears;
+            for (const std::size_t it : live) {
+                if (it == n)
+                    continue;
+                peers.reachingInDomain.push_back(candidate(it));
+                peers.relays.push_back(candidate(it));
+                peers.relayAnswered = peers.relayAnswered || m_isAnswered[it];
+            }
+            peers.knownBefore = knownBefore(n);
+            peers.isAnswered = m_isAnswered[n];
+            m_roles[n].update(peers);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("relays: of a large fleet that starts at once only two nodes of a domain become relays "
+          "[relays][sums]")
+{
+    QuietDomain domain;
+    domain.run(700ms);
+    CHECK(domain.relays().empty());
+    CHECK(domain.followers() == kNodes); // each reads the store once
+    domain.run(100ms);
+    CHECK(domain.relays().size() == 2);
+    domain.run(2s);
+    CHECK(domain.relays().size() == 2);
+    CHECK(domain.followers() == 2);
+}
+
+TEST_CASE("relays: few stand in for a relay that is gone, and at once [relays][sums]")
+{
+    QuietDomain domain;
+    domain.run(3s);
+    domain.stop({domain.relays().front()});
+    domain.run(400ms);
+    CHECK(domain.relays().size() >= 2);
+    CHECK(domain.relays().size() <= 4);
+    domain.run(3s);
+    CHECK(domain.relays().size() == 2);
+}
+
+TEST_CASE("relays: however many of a domain are gone, others stand in within a second "
+          "[relays][sums]")
+{
+    QuietDomain domain;
+    domain.run(3s);
+    std::vector<std::size_t> gone;
+    for (std::size_t n = 0; n < kNodes; ++n) {
+        if (candidate(n).strength > 20.0 || n % 2 == 0)
+            gone.push_back(n); // all strong ones, and half of the others
+    }
+    domain.stop(gone);
+    domain.run(1s);
+    CHECK(domain.relays().size() >= 2);
+    CHECK(domain.relays().size() <= 8);
+    domain.run(3s);
+    CHECK(domain.relays().size() == 2);
+}
+
+TEST_CASE("relays: where the store answers only others, a node that it answers asks it too "
+          "[relays][sums]")
+{
+    QuietDomain domain;
+    domain.run(3s);
+    domain.m_isAnswered.assign(kNodes, false);
+    domain.run(200ms);
+    const auto relays = domain.relays();
+    for (std::size_t n = 0; n < kNodes; ++n)
+        domain.m_isAnswered[n] = std::find(relays.begin(), relays.end(), n) == relays.end();
+    domain.run(2s);
+    const std::size_t asking = domain.followers();
+    CHECK(asking >= 3);
+    CHECK(asking <= 6); // not all of them
+    domain.run(3s);
+    CHECK(domain.followers() == asking); // it goes on while the relays are not answered
+    domain.m_isAnswered.assign(kNodes, true);
+    domain.run(1s);
+    CHECK(domain.followers() == 2);
+    CHECK(domain.relays().size() == 2);
+}
