--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -48,6 +48,13 @@
     }
 };
 
+// The part of the engines that a node should consider for one request, where so many nodes choose
+// from loads that are some tenths of a second old. All of a large fleet would else send to the few
+// engines that seemed idle: with 295 nodes some 40 long prompts between two messages, where an
+// engine computes three. A random part leaves each engine to as many nodes as there are in a small
+// fleet.
+double partToConsider(std::size_t liveNodes);
+
 // Chooses the engine for a prompt. All nodes prefer the same engine for the same context, so that
 // it is computed once; an engine is passed over when the work that lies there costs more than
 // moving the context, or computing it again, elsewhere.
@@ -75,6 +82,10 @@
         const std::set<std::string> &tried; // instances that failed this request
         // The engines that are set apart for short prompts; see engine_groups.hpp.
         const std::set<std::string> &shortGroup;
+        // The part of the engines that is considered beside those that have the context or are
+        // preferred for it; see partToConsider(). `draw` says which: another number, other ones.
+        double consideredPart = 1.0;
+        std::uint64_t draw = 0;
     };
 
     // Nothing: no engine may take the request now.
@@ -102,6 +113,7 @@
         const UpstreamRecord *engine = nullptr;
         Weights *weights = nullptr;
         bool isInGroup = false; // of engines for prompts of this size
+        std::uint64_t hash = 0; // of its instance id
         std::uint64_t weight = 0; // by which all nodes rank it for the context
         std::size_t rank = 0; // zero: the engine that all nodes prefer
         bool holdsContext = false;
@@ -118,6 +130,9 @@
         double sharedTokens = 0.0;
     };
 
+    void rate(Rated &rated, const Terms &terms, const Question &question, const LoadBook &loads,
+              const UpstreamHealth &health) const;
+    static bool isConsidered(const Rated &rated, const Question &question);
     static void rank(std::vector<Rated> &rated, const Terms &terms,
                      const std::set<std::string> &shortGroup);
     double computeWeight(const Rated &rated, const Terms &terms) const;
--- a/include/fordwood/mechanisms.hpp
+++ b/include/fordwood/mechanisms.hpp
@@ -18,6 +18,7 @@
     bool earlyRefusals = true; // long prompts that would be late are refused at once
     bool relays = true; // in a large fleet two nodes of a failure domain follow the stores
     bool passingOn = true; // in a large fleet messages cross to a failure domain once
+    bool fewCandidates = true; // in a large fleet a node considers a random part of the engines
     bool loadSums = true; // in a large fleet relays sum up what the nodes have sent to upstreams
 };
 
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -22,6 +22,7 @@
     mechanisms.earlyRefusals = table.flag("early_refusals", mechanisms.earlyRefusals);
     mechanisms.relays = table.flag("relays", mechanisms.relays);
     mechanisms.passingOn = table.flag("passing_on", mechanisms.passingOn);
+    mechanisms.fewCandidates = table.flag("few_candidates", mechanisms.fewCandidates);
     mechanisms.loadSums = table.flag("load_sums", mechanisms.loadSums);
     return mechanisms;
 }
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -188,6 +188,8 @@
      "In a large fleet two nodes of each failure domain follow the stores for the others."},
     {"passing_on", Flag, false, 0, 0, "true",
      "In a large fleet messages between nodes cross to each failure domain once."},
+    {"few_candidates", Flag, false, 0, 0, "true",
+     "In a large fleet a node considers a random part of the engines for each request."},
     {"load_sums", Flag, false, 0, 0, "true",
      "In a large fleet relays sum up what the nodes have sent to upstreams."},
 };
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -96,7 +96,8 @@
     for (Rated &it : rated) {
         const std::string &id = it.engine->instanceId;
         it.isInGroup = shortGroup.contains(id) == terms.isShort;
-        it.weight = rendezvousWeight(terms.context, stableHash(id));
+        it.hash = stableHash(id);
+        it.weight = rendezvousWeight(terms.context, it.hash);
     }
     std::sort(rated.begin(), rated.end(), [](const Rated &a, const Rated &b) {
         return std::pair(a.isInGroup, a.weight) > std::pair(b.isInGroup, b.weight);
@@ -166,6 +167,35 @@
     return rated.fetches ? fetching : computing;
 }
 
+// Those that have the context or are preferred for it, and a random part of the others.
+bool EngineChooser::isConsidered(const Rated &rated, const Question &question)
+{
+    constexpr std::size_t kPreferred = 2; // of the order that all nodes share
+    return rated.holdsContext || rated.rank < kPreferred
+           || hashFraction(rendezvousWeight(question.draw, rated.hash)) < question.consideredPart;
+}
+
+void EngineChooser::rate(Rated &rated, const Terms &terms, const Question &question,
+                         const LoadBook &loads, const UpstreamHealth &health) const
+{
+    const std::string &id = rated.engine->instanceId;
+    rated.load = loads.total(id);
+    rated.cost = waitingCost(rated.load, terms, question) + kFailureCost * health.failureRate(id)
+                 + rated.weights->cost + contextCost(rated, terms, loads);
+    if (health.isSilent(id))
+        rated.cost += kFailureCost;
+    if (!rated.isInGroup)
+        rated.cost += terms.isShort ? kShortOutsideCost : kLongInsideCost;
+}
+
+double partToConsider(std::size_t liveNodes)
+{
+    // Nodes that choose at the same time and do not yet see each other's choices do little harm.
+    constexpr double kChoosersOfAnEngine = 12.0;
+    return std::min(1.0,
+                    kChoosersOfAnEngine / static_cast<double>(std::max<std::size_t>(liveNodes, 1)));
+}
+
 std::optional<EngineChoice>
 EngineChooser::choose(const Question &question, const std::vector<const UpstreamRecord *> &engines,
                       const LoadBook &loads, const UpstreamHealth &health,
@@ -199,16 +229,9 @@
             = contexts.isAtEngine(it.engine->instanceId, it.weights->salt, terms.context, keptFor);
         it.weights->isHeld = it.weights->isHeld || it.holdsContext;
     }
-    for (Rated &it : rated) {
-        const std::string &id = it.engine->instanceId;
-        it.load = loads.total(id);
-        it.cost = waitingCost(it.load, terms, question) + kFailureCost * health.failureRate(id)
-                  + it.weights->cost + contextCost(it, terms, loads);
-        if (health.isSilent(id))
-            it.cost += kFailureCost;
-        if (!it.isInGroup)
-            it.cost += terms.isShort ? kShortOutsideCost : kLongInsideCost;
-    }
+    std::erase_if(rated, [&](const Rated &it) { return !isConsidered(it, question); });
+    for (Rated &it : rated)
+        rate(it, terms, question, loads, health);
     const auto best = std::min_element(
         rated.begin(), rated.end(), [](const Rated &a, const Rated &b) { return a.cost < b.cost; });
     return complete(*best, terms, question, contexts);
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -178,9 +178,14 @@
     if (!isShortPrompt(*m_caller.prompt, *m_pool->engine) && m_traffic.isWaking())
         return false;
     const std::string walled = m_team != nullptr && m_team->isolated ? m_team->name : "";
-    const EngineChooser::Question question{
-        *m_caller.prompt, walled,         m_traffic.weights(m_caller.prompt->model),
-        *m_pool->engine,  m_plan.tried(), m_traffic.shortGroup(*m_pool)};
+    const EngineChooser::Question question{*m_caller.prompt,
+                                           walled,
+                                           m_traffic.weights(m_caller.prompt->model),
+                                           *m_pool->engine,
+                                           m_plan.tried(),
+                                           m_traffic.shortGroup(*m_pool),
+                                           m_traffic.consideredPart(),
+                                           stableHash(m_caller.requestId, m_plan.sends())};
     const auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
                                                    m_traffic.health(), m_traffic.contexts());
     if (!choice)
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -202,6 +202,11 @@
     return m_shortGroups[pool.name];
 }
 
+double Traffic::consideredPart() const
+{
+    return m_settings.mechanisms.fewCandidates ? partToConsider(m_liveNodes) : 1.0;
+}
+
 void Traffic::countPrompt(const Prompt &prompt, const EngineTraits &traits)
 {
     if (isShortPrompt(prompt, traits))
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -51,6 +51,9 @@
     // The engines of the service that are set apart for short prompts.
     const std::set<std::string> &shortGroup(const ServicePool &pool);
 
+    // The part of the engines that a request considers.
+    double consideredPart() const;
+
     // Counts a prompt, for what the engines must keep.
     void countPrompt(const Prompt &prompt, const EngineTraits &traits);
 
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -1,10 +1,14 @@
 // SPDX-License-Identifier: MIT
 #include "fordwood/engine_chooser.hpp"
 
+#include <algorithm>
+#include <map>
+
 #include <doctest/doctest.h>
 
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/manual_clock.hpp"
+#include "fordwood/rendezvous.hpp"
 #include "fordwood/store_keeper.hpp"
 
 using namespace fordwood;
@@ -433,3 +437,72 @@
     CHECK_FALSE(parseSalt("7"));
     CHECK_FALSE(parseSalt(contextSalt("m", 7, "") + "x"));
 }
+
+namespace {
+
+// Many nodes choose at the same moment from one view of 160 engines, each for a context that no
+// engine has: how many requests the busiest engine gets.
+std::size_t mostAtOneEngine(std::size_t nodes, double consideredPart)
+{
+    constexpr std::size_t kManyEngines = 160;
+    View view;
+    const UpstreamRecord engine = view.m_records.front();
+    view.m_records.clear();
+    for (std::size_t n = 0; n < kManyEngines; ++n) {
+        view.m_records.push_back(engine);
+        view.m_records.back().instanceId = "many-" + std::to_string(n);
+        // Three of them seem to have next to nothing to do.
+        if (n > 2)
+            view.m_loads.begin(view.m_records.back().instanceId, {20'000, 20'000});
+    }
+    std::vector<const UpstreamRecord *> engines;
+    for (const UpstreamRecord &it : view.m_records)
+        engines.push_back(&it);
+    std::map<std::string, std::size_t> chosen;
+    std::size_t most = 0;
+    for (std::size_t n = 0; n < nodes; ++n) {
+        const Prompt prompt = longPrompt("cold-" + std::to_string(n));
+        const auto choice = view.m_chooser.choose(
+            {prompt, "", view.m_weights, view.m_traits, view.m_tried, view.m_shortGroup,
+             consideredPart, stableHash(std::to_string(n))},
+            engines, view.m_loads, view.m_health, view.m_contexts);
+        most = std::max(most, ++chosen[choice->instanceId]);
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("engines: many nodes that choose at once do not all take the few idle ones "
+          "[routing][overload]")
+{
+    CHECK(mostAtOneEngine(40, 1.0) >= 12); // what it prevents
+    CHECK(mostAtOneEngine(40, partToConsider(295)) <= 5);
+}
+
+TEST_CASE("engines: a small fleet considers all of them [routing]")
+{
+    CHECK(partToConsider(0) == 1.0);
+    CHECK(partToConsider(12) == 1.0);
+    CHECK(partToConsider(48) == 0.25);
+}
+
+TEST_CASE("engines: one that has the context is considered, whatever is drawn [routing]")
+{
+    View view;
+    const Prompt prompt = longPrompt();
+    // Not the one that all prefer.
+    const std::string home = view.choose(prompt)->instanceId;
+    view.m_loads.begin(home, {50'000, 50'000});
+    const std::string holder = view.send(prompt)->instanceId;
+    REQUIRE(holder != home);
+    std::vector<const UpstreamRecord *> engines;
+    for (const UpstreamRecord &it : view.m_records)
+        engines.push_back(&it);
+    for (std::uint64_t draw = 0; draw < 50; ++draw) {
+        const auto choice = view.m_chooser.choose(
+            {prompt, "", view.m_weights, view.m_traits, view.m_tried, view.m_shortGroup, 0.0, draw},
+            engines, view.m_loads, view.m_health, view.m_contexts);
+        CHECK(choice->instanceId == holder);
+    }
+}
