--- a/include/fordwood/load_sums.hpp
+++ b/include/fordwood/load_sums.hpp
@@ -67,6 +67,9 @@
     // The nodes of this failure domain that the sums count, with the numbers of their reports.
     std::map<std::string, std::uint64_t> numbers() const;
 
+    // Nodes whose reports are kept, for the metrics.
+    std::size_t keptNodes() const { return m_nodes.size(); }
+
 private:
     struct Told
     {
--- a/src/core/load_sums.cpp
+++ b/src/core/load_sums.cpp
@@ -25,6 +25,9 @@
 
 void LoadSums::setNode(const std::string &node, std::uint64_t number, LoadReport report)
 {
+    // Nodes come and go under ever new names; those that are gone need no room.
+    if (!m_nodes.contains(node))
+        std::erase_if(m_nodes, [this](const auto &it) { return !counts(it.second); });
     m_nodes[node] = {std::move(report), number, m_clock.now()};
 }
 
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -403,6 +403,8 @@
         m_peers.sendAll(message);
     }
     m_metrics.setGauge("fordwood_peer_datagrams", static_cast<double>(m_peers.datagramsSent()));
+    m_metrics.setGauge("fordwood_reporting_nodes",
+                       static_cast<double>(m_exchange.reportingNodes()));
     m_nextGossip = m_clock.now() + pause;
 }
 
--- a/src/node/load_exchange.hpp
+++ b/src/node/load_exchange.hpp
@@ -43,6 +43,9 @@
     // How many nodes live, by the last sum heard or made; zero: none yet.
     std::size_t liveNodes() const { return m_liveNodes; }
 
+    // Nodes that report to this one.
+    std::size_t reportingNodes() const { return m_sums.keptNodes(); }
+
 private:
     void report(Gossip message);
     Duration tellSums(Gossip message);
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -216,7 +216,7 @@
 
 std::vector<const PeerRoster::Peer *> PeerRoster::relaysToTell()
 {
-    const auto relays = relaysNear();
+    std::vector<const Peer *> relays = relaysNear();
     if (!relays.empty()) {
         m_search = 0;
         return relays;
--- a/tests/unit/load_sums_test.cpp
+++ b/tests/unit/load_sums_test.cpp
@@ -56,6 +56,17 @@
     CHECK(sums.numbers().size() == 1);
 }
 
+TEST_CASE("load sums: nodes that were replaced take no room [sums]")
+{
+    ManualClock clock;
+    LoadSums sums(clock);
+    for (int n = 0; n < 1'000; ++n) {
+        sums.setNode("n" + std::to_string(n), 1, report(1));
+        clock.advance(100ms);
+    }
+    CHECK(sums.keptNodes() <= 12);
+}
+
 TEST_CASE("load sums: a node that leaves counts no more [sums]")
 {
     ManualClock clock;
