Evacuated failure domains get nothing new

Requests that wait or connect choose again; where all upstreams of a service stand in evacuated domains, callers are told so at once. Orders of weights go on to engines there. Tests fail without the change: directory, documents, and a process test with a node that only hears of it from a peer.

--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -3,6 +3,7 @@
 #define FORDWOOD_UPSTREAM_DIRECTORY_HPP_INCLUDED
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,16 +33,27 @@
     // from a lease that ran out while the store was away.
     void remove(const std::string &instanceId, bool mayBeExpiry);
 
+    // Operators want nothing new sent to the upstreams of the failure domain, or have taken that
+    // back. What runs there ends by itself.
+    void setEvacuated(const std::string &failureDomain, bool isEvacuated);
+    std::size_t evacuatedDomains() const { return m_evacuated.size(); }
+
+    // Whether the service has upstreams that would be usable but for an evacuation.
+    bool hasEvacuated(const std::string &service) const;
+
     // Whether the store answers any node. While it does not, nothing is taken as gone.
     void setStoreReachable(bool reachable);
 
     // Takes as gone what has not come back in time. Returns the ids.
     std::vector<std::string> tick();
 
+    // Whether the upstream is known and may be sent new work.
+    bool takesNewWork(const std::string &instanceId) const;
+
     // The upstreams of a service that take new work, by instance id.
     std::vector<const UpstreamRecord *> usable(const std::string &service) const;
 
-    // All engines that take new work.
+    // All engines that are not leaving, evacuated ones too.
     std::vector<const UpstreamRecord *> usableEngines() const;
 
     // Null when the instance is gone.
@@ -62,7 +74,10 @@
 
     const Clock &m_clock;
     const Limits m_limits;
+    bool isUsable(const UpstreamRecord &record) const;
+
     std::map<std::string, Entry> m_entries;
+    std::set<std::string> m_evacuated; // failure domains
     bool m_storeReachable = true;
     TimePoint m_reachableSince{}; // since the store answers, as far as known
 };
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -29,6 +29,33 @@
         m_entries.erase(it);
 }
 
+void UpstreamDirectory::setEvacuated(const std::string &failureDomain, bool isEvacuated)
+{
+    if (isEvacuated)
+        m_evacuated.insert(failureDomain);
+    else
+        m_evacuated.erase(failureDomain);
+}
+
+bool UpstreamDirectory::isUsable(const UpstreamRecord &record) const
+{
+    return !record.draining && !m_evacuated.contains(record.failureDomain);
+}
+
+bool UpstreamDirectory::hasEvacuated(const std::string &service) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
+        const UpstreamRecord &record = it.second.record;
+        return record.service == service && !record.draining && !isUsable(record);
+    });
+}
+
+bool UpstreamDirectory::takesNewWork(const std::string &instanceId) const
+{
+    const UpstreamRecord *record = find(instanceId);
+    return record != nullptr && isUsable(*record);
+}
+
 void UpstreamDirectory::setStoreReachable(bool reachable)
 {
     if (reachable && !m_storeReachable)
@@ -56,7 +83,7 @@
 {
     std::vector<const UpstreamRecord *> found;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.record.service == service && !entry.record.draining)
+        if (entry.record.service == service && isUsable(entry.record))
             found.push_back(&entry.record);
     }
     return found;
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -31,6 +31,9 @@
 // What a refused caller is told to wait.
 constexpr std::chrono::milliseconds kRetryAfter{250};
 
+// An evacuation lasts for seconds at least.
+constexpr std::chrono::milliseconds kEvacuatedRetryAfter{1'000};
+
 // The wait at an engine, in target latencies, from which a long prompt is refused at once.
 constexpr double kLongestWait = 0.7;
 
@@ -223,6 +226,11 @@
         giveUp(m_plan.verdict(std::max(kRetryAfter, m_route->targetLatency)));
         return;
     }
+    if (!m_streamBegun && m_traffic.isEvacuated(*m_pool)) {
+        m_plan.setReason(Reason::DomainEvacuated);
+        giveUp(m_plan.verdict(kEvacuatedRetryAfter));
+        return;
+    }
     const Duration patience = m_route->targetLatency / kWaitPart;
     const TimePoint now = m_traffic.clock().now();
     if (m_streamBegun || now - m_arrived >= patience) {
@@ -298,9 +306,9 @@
 
 void CallRun::send()
 {
-    // The upstream may have begun to leave while the connection came up.
-    const UpstreamRecord *record = m_traffic.upstreams().find(m_attempt->upstream.instanceId);
-    if (record == nullptr || record->draining) {
+    // The upstream may have begun to leave while the connection came up, or its failure domain may
+    // have been evacuated.
+    if (!m_traffic.upstreams().takesNewWork(m_attempt->upstream.instanceId)) {
         m_plan.notSent();
         endAttempt(true);
         judgeFailure({RunState::NotRun, Reason::UpstreamLeaving, m_streamBegun});
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -269,6 +269,12 @@
     tell(UpstreamRemoved{instanceId, mayBeExpiry});
 }
 
+// Orders go on to the engines of the domain: they shall have the right weights when they come back.
+void ControlDuty::evacuationRead(const std::string &failureDomain, bool isEvacuated)
+{
+    tell(DomainEvacuated{failureDomain, isEvacuated});
+}
+
 void ControlDuty::nodeWritten(const std::string &node, const PeerAddress &address)
 {
     m_peers.setAddress(node, address);
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -67,6 +67,7 @@
     void weightsNamed(const std::string &model, std::uint64_t version) override;
     void upstreamWritten(UpstreamRecord record) override;
     void upstreamRemoved(const std::string &instanceId, bool mayBeExpiry) override;
+    void evacuationRead(const std::string &failureDomain, bool isEvacuated) override;
     void nodeWritten(const std::string &node, const PeerAddress &address) override;
     void nodeRemoved(const std::string &node) override;
 
--- a/src/node/document_reader.cpp
+++ b/src/node/document_reader.cpp
@@ -32,6 +32,9 @@
     case platform::DocumentKind::Upstream:
         readUpstream(item, mayBeExpiry);
         break;
+    case platform::DocumentKind::Evacuation:
+        readEvacuation(item);
+        break;
     case platform::DocumentKind::Other:
         if (item.key.starts_with(kNodePrefix))
             readNode(item);
@@ -103,6 +106,15 @@
     m_listener.upstreamWritten(std::move(*record));
 }
 
+void DocumentReader::readEvacuation(const StoredItem &item)
+{
+    const std::string domain = platform::evacuatedDomainOf(item.key);
+    const bool isEvacuated = item.value.has_value();
+    logEvent(isEvacuated ? Event::EvacuationBegins : Event::EvacuationEnds,
+             {{"failure_domain", domain}, {"revision", item.revision}});
+    m_listener.evacuationRead(domain, isEvacuated);
+}
+
 void DocumentReader::readNode(const StoredItem &item)
 {
     const std::string node = item.key.substr(kNodePrefix.size());
--- a/src/node/document_reader.hpp
+++ b/src/node/document_reader.hpp
@@ -23,6 +23,7 @@
     virtual void weightsNamed(const std::string &model, std::uint64_t version) = 0;
     virtual void upstreamWritten(UpstreamRecord record) = 0;
     virtual void upstreamRemoved(const std::string &instanceId, bool mayBeExpiry) = 0;
+    virtual void evacuationRead(const std::string &failureDomain, bool isEvacuated) = 0;
     virtual void nodeWritten(const std::string &node, const PeerAddress &address) = 0;
     virtual void nodeRemoved(const std::string &node) = 0;
 };
@@ -46,6 +47,7 @@
     void readConfiguration(const StoredItem &item);
     void readWeights(const StoredItem &item);
     void readUpstream(const StoredItem &item, bool mayBeExpiry);
+    void readEvacuation(const StoredItem &item);
     void readNode(const StoredItem &item);
     void refuse(const StoredItem &item, const std::string &problem);
 
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -36,6 +36,13 @@
     bool mayBeExpiry = false;
 };
 
+// Operators have evacuated a failure domain, or taken that back.
+struct DomainEvacuated
+{
+    std::string failureDomain;
+    bool isEvacuated = true;
+};
+
 // Whether the platform's store answers any node.
 struct StoreReachability
 {
@@ -102,8 +109,8 @@
 struct StopBegins
 { };
 
-using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, StoreReachability,
-                                 WeightsWanted, WeightsShown, EnginesLoading, PeerLoads, LiveNodes,
+using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, DomainEvacuated,
+                                 StoreReachability, WeightsWanted, WeightsShown, EnginesLoading, PeerLoads, LiveNodes,
                                  ContextStoreTold, ContextStoreSilent, Informed, StopBegins>;
 
 // What the thread that serves requests tells the control thread: its own load, now and then.
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -77,6 +77,13 @@
         forget(update.instanceId);
 }
 
+void Traffic::apply(const DomainEvacuated &update)
+{
+    m_upstreams.setEvacuated(update.failureDomain, update.isEvacuated);
+    m_metrics.setGauge("fordwood_evacuated_domains",
+                       static_cast<double>(m_upstreams.evacuatedDomains()));
+}
+
 void Traffic::apply(const StoreReachability &update)
 {
     m_upstreams.setStoreReachable(update.reachable);
@@ -236,6 +243,11 @@
     return found;
 }
 
+bool Traffic::isEvacuated(const ServicePool &pool) const
+{
+    return m_upstreams.usable(pool.name).empty() && m_upstreams.hasEvacuated(pool.name);
+}
+
 WindowBudget &Traffic::budget(const std::string &service)
 {
     const auto it = m_budgets.find(service);
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -48,6 +48,9 @@
     // The upstreams of a service that this request may be sent to now.
     std::vector<const UpstreamRecord *> candidates(const ServicePool &pool) const;
 
+    // Whether the service has upstreams, and all of them stand in evacuated failure domains.
+    bool isEvacuated(const ServicePool &pool) const;
+
     // The engines of the service that are set apart for short prompts.
     const std::set<std::string> &shortGroup(const ServicePool &pool);
 
@@ -107,6 +110,7 @@
     void apply(const ConfigInForce &update);
     void apply(const UpstreamWritten &update);
     void apply(const UpstreamRemoved &update);
+    void apply(const DomainEvacuated &update);
     void apply(const StoreReachability &update);
     void apply(const WeightsWanted &update);
     void apply(const WeightsShown &update);
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -22,6 +22,10 @@
         return "upstream " + it.record.instanceId;
     }
     std::string operator()(const UpstreamRemoved &it) const { return "upstream " + it.instanceId; }
+    std::string operator()(const DomainEvacuated &it) const
+    {
+        return "evacuation " + it.failureDomain;
+    }
     std::string operator()(const StoreReachability &) const { return "store reachability"; }
     std::string operator()(const WeightsWanted &it) const
     {
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -199,6 +199,8 @@
     CHECK(kindOf("servers/i-7") == DocumentKind::Upstream);
     CHECK(kindOf("op/config") == DocumentKind::Configuration);
     CHECK(kindOf("op/version/m") == DocumentKind::WeightVersion);
+    CHECK(kindOf("op/evacuate/z") == DocumentKind::Evacuation);
+    CHECK(evacuatedDomainOf("op/evacuate/z") == "z");
     CHECK(kindOf("op/other") == DocumentKind::Other);
 }
 
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -393,6 +393,32 @@
     CHECK(fleet.call("GET", "/safe/1", "r-3", 1).status == 404);
 }
 
+TEST_CASE("node: an evacuated domain gets nothing, also by a node that only hears of it from a peer, "
+          "until that is taken back [node][evacuation]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.startNode(1, fleet.net + "99:7000"); // nothing listens there
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(1); }));
+    for (const int node : {0, 1})
+        CHECK(fleet.call("GET", "/safe/1", "before-" + std::to_string(node), node).status == 200);
+    fleet.store.put("op/evacuate/x", "whatever it says");
+    for (const int node : {0, 1}) {
+        CHECK(Fleet::waitFor(
+            [&] { return fleet.call("POST", "/once/1", "during", node).status == 503; }));
+        const HttpAnswer answer = fleet.call("POST", "/once/1", "refused", node);
+        CHECK(answer.status == 503);
+        CHECK(answer.body.find("domain-evacuated") != std::string::npos);
+        CHECK(answer.headers.contains("retry-after"));
+    }
+    CHECK(fleet.first.runs("refused") + fleet.second.runs("refused") == 0);
+    CHECK(fleet.metric("fordwood_evacuated_domains") == 1);
+    fleet.store.remove("op/evacuate/x");
+    for (const int node : {0, 1})
+        CHECK(Fleet::waitFor(
+            [&] { return fleet.call("GET", "/safe/1", "after", node).status == 200; }));
+}
+
 TEST_CASE("node: a planned stop is told at once, serves on, and ends by itself [node][stop]")
 {
     Deployment fleet;
--- a/tests/unit/upstream_directory_test.cpp
+++ b/tests/unit/upstream_directory_test.cpp
@@ -83,3 +83,43 @@
     upstreams.put(record);
     CHECK(upstreams.find("a")->weightVersions.at("m") == 2);
 }
+
+TEST_CASE("upstreams: those of an evacuated failure domain get nothing new until that is taken back "
+          "[evacuation]")
+{
+    const ManualClock clock;
+    UpstreamDirectory upstreams(clock, {});
+    for (const char *it : {"a", "b"}) {
+        UpstreamRecord record = recordOf(it);
+        record.failureDomain = it;
+        upstreams.put(record);
+    }
+    upstreams.setEvacuated("a", true);
+    CHECK_FALSE(upstreams.takesNewWork("a"));
+    REQUIRE(upstreams.usable("board").size() == 1);
+    CHECK(upstreams.usable("board").front()->instanceId == "b");
+    CHECK(upstreams.find("a") != nullptr); // what runs there goes on
+    SUBCASE("one that comes up there meanwhile as well")
+    {
+        UpstreamRecord record = recordOf("c");
+        record.failureDomain = "a";
+        upstreams.put(record);
+        CHECK_FALSE(upstreams.takesNewWork("c"));
+    }
+    SUBCASE("two domains are told apart, in whatever order they come back")
+    {
+        upstreams.setEvacuated("b", true);
+        CHECK(upstreams.usable("board").empty());
+        CHECK(upstreams.hasEvacuated("board"));
+        upstreams.setEvacuated("a", false);
+        CHECK(upstreams.takesNewWork("a"));
+        CHECK_FALSE(upstreams.takesNewWork("b"));
+    }
+    SUBCASE("one that leaves is no reason to speak of an evacuation")
+    {
+        UpstreamRecord record = recordOf("a", true);
+        record.failureDomain = "a";
+        upstreams.put(record);
+        CHECK_FALSE(upstreams.hasEvacuated("board"));
+    }
+}
