A few nodes send to a cold upstream, and divide what it bears

Cause: an upstream that starts is empty, so every node prefers it at once; how long it stays cold and what it bears then was read nowhere. Change: records, services and settings tell of cold starts; for each cold upstream the four nodes that rank highest for it may send to it, each a part of the rate, counted over a second and the jitter of the network; nodes that have just joined or been chosen wait for a window; a refused connection is taken as a restart.

--- a/include/fordwood/serving_config.hpp
+++ b/include/fordwood/serving_config.hpp
@@ -51,6 +51,8 @@
 {
     std::string name;
     std::size_t maxConnections = 0; // that one upstream takes from all callers; 0: not stated
+    std::chrono::milliseconds coldStart{0}; // an upstream that has just started is slow for so long
+    double coldRequestsPerSecond = 0.0; // that a cold upstream bears; 0: as many as any other
     std::optional<EngineTraits> engine; // nothing: a plain service
 };
 
--- a/include/fordwood/upstream_record.hpp
+++ b/include/fordwood/upstream_record.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_UPSTREAM_RECORD_HPP_INCLUDED
 #define FORDWOOD_UPSTREAM_RECORD_HPP_INCLUDED
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -18,6 +19,7 @@
     std::string failureDomain;
     std::size_t slots = 1;
     bool draining = false; // gets no new work
+    std::chrono::milliseconds coldFor{0}; // from when the record was written; bears less until then
     std::map<std::string, std::uint64_t> weightVersions; // by model; empty for plain services
 };
 
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -57,6 +57,8 @@
         bounds.orderLease = table.span("order_lease", bounds.orderLease);
         bounds.fencesChecked = table.flag("fences_checked", bounds.fencesChecked);
         bounds.weightsWithin = table.span("weights_within", bounds.weightsWithin);
+        bounds.coldOvershoot = table.number("cold_overshoot", bounds.coldOvershoot);
+        bounds.coldSlack = table.number("cold_slack", bounds.coldSlack);
     } else if (section == "vm") {
         VmSettings &vm = settings.vm;
         vm.processorShare = table.number("processor_share", vm.processorShare);
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -53,6 +53,8 @@
     Duration orderLease = std::chrono::seconds(3);
     bool fencesChecked = false;
     Duration weightsWithin = std::chrono::seconds(12);
+    double coldOvershoot = 1.0;
+    double coldSlack = 0.0;
 };
 
 // The settings file of a node that runs as one process.
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -161,6 +161,10 @@
      "Whether engines turn away orders with a lower fence than one they have seen."},
     {"weights_within", Span, false, 1, 3600, "12s",
      "Time after which no request may begin on weights older than those that were named."},
+    {"cold_overshoot", Number, false, 1, 1000, "1",
+     "What a cold upstream bears in any one second, in its service's stated rate."},
+    {"cold_slack", Number, false, 0, 1e6, "0",
+     "Requests that a cold upstream bears in any one second beyond that."},
 };
 constexpr Field kVm[] = {
     {"processor_share", Number, false, 0.001, 1024, "1",
--- /dev/null
+++ b/src/core/cold_gate.cpp
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/cold_gate.hpp"
+
+#include <algorithm>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+namespace {
+
+// Two parts of a fleet that cannot hear each other may each choose nodes of their own: either part
+// uses half of what the upstream bears.
+constexpr double kPartOfEachView = 0.5;
+
+} // namespace
+
+ColdGate::ColdGate(const Clock &clock, Limits limits, const std::string &self)
+    : m_clock(clock), m_limits(limits), m_self(stableHash(self)), m_nodesSince(clock.now())
+{ }
+
+void ColdGate::setNodes(const std::vector<std::string> &others)
+{
+    const TimePoint now = m_clock.now();
+    // While changes follow each other closely, the nodes before all of them stay the ones to agree
+    // with: a node that was chosen then may have sent a moment ago.
+    if (now - m_nodesSince >= m_limits.window)
+        m_nodesBefore = std::move(m_nodes);
+    NodeHashes &nodes = m_nodes.emplace();
+    for (const std::string &it : others)
+        nodes.push_back(stableHash(it));
+    m_nodesSince = now;
+    m_changes += 1;
+}
+
+void ColdGate::noteCold(const std::string &instanceId, Duration remaining)
+{
+    const auto known = m_upstreams.find(instanceId);
+    if (remaining <= Duration::zero() && known == m_upstreams.end())
+        return;
+    m_upstreams[instanceId].coldUntil = m_clock.now() + remaining;
+}
+
+void ColdGate::suspectRestart(const std::string &instanceId, Duration coldStart)
+{
+    if (coldStart > Duration::zero())
+        m_upstreams[instanceId].suspectUntil = m_clock.now() + coldStart;
+}
+
+bool ColdGate::isCold(const Upstream &upstream) const
+{
+    return m_clock.now() < std::max(upstream.coldUntil, upstream.suspectUntil);
+}
+
+bool ColdGate::isCold(const std::string &instanceId) const
+{
+    const auto it = m_upstreams.find(instanceId);
+    return it != m_upstreams.end() && isCold(it->second);
+}
+
+std::size_t ColdGate::coldUpstreams() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                      [this](const auto &it) { return isCold(it.second); }));
+}
+
+// What all nodes that agree with each other may send in a window. Never more than the stated rate:
+// the rest is for what they do not know.
+std::size_t ColdGate::mostForAll(double requestsPerSecond) const
+{
+    const double borne = requestsPerSecond * m_limits.overshoot + m_limits.slack;
+    const double most = std::min(requestsPerSecond, kPartOfEachView * borne);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(most));
+}
+
+bool ColdGate::isAmongSenders(std::uint64_t upstream, const std::optional<NodeHashes> &others,
+                              std::size_t senders) const
+{
+    if (!others)
+        return false;
+    const std::uint64_t own = rendezvousWeight(upstream, m_self);
+    const auto before = std::count_if(others->begin(), others->end(), [&](std::uint64_t it) {
+        return rendezvousWeight(upstream, it) > own;
+    });
+    return static_cast<std::size_t>(before) < senders;
+}
+
+bool ColdGate::isSender(Upstream &upstream, const std::string &instanceId, std::size_t senders)
+{
+    if (upstream.judgedAt != m_changes) {
+        const std::uint64_t hash = stableHash(instanceId);
+        upstream.judgedAt = m_changes;
+        upstream.isSender = isAmongSenders(hash, m_nodes, senders);
+        upstream.wasSender = isAmongSenders(hash, m_nodesBefore, senders);
+    }
+    const bool isSettled = m_clock.now() - m_nodesSince >= m_limits.window;
+    return upstream.isSender && (isSettled || upstream.wasSender);
+}
+
+bool ColdGate::maySend(const std::string &instanceId, double requestsPerSecond)
+{
+    const auto it = m_upstreams.find(instanceId);
+    if (requestsPerSecond <= 0.0 || it == m_upstreams.end() || !isCold(it->second))
+        return true;
+    Upstream &upstream = it->second;
+    const std::size_t most = mostForAll(requestsPerSecond);
+    const std::size_t nodes = m_nodes ? m_nodes->size() + 1 : 1;
+    const std::size_t senders = std::min({m_limits.senders, most, nodes});
+    if (!isSender(upstream, instanceId, senders))
+        return false;
+    const TimePoint oldest = m_clock.now() - m_limits.window;
+    while (!upstream.sends.empty() && upstream.sends.front() <= oldest)
+        upstream.sends.pop_front();
+    return upstream.sends.size() < most / senders;
+}
+
+void ColdGate::sent(const std::string &instanceId)
+{
+    const auto it = m_upstreams.find(instanceId);
+    if (it != m_upstreams.end() && isCold(it->second))
+        it->second.sends.push_back(m_clock.now());
+}
+
+} // namespace fordwood
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -263,6 +263,9 @@
         return;
     }
     m_traffic.health().failed(m_attempt->upstream.instanceId);
+    // Nothing listens there: whatever comes back at the address has just started.
+    if (ec == net::error::connection_refused)
+        m_traffic.coldGate().suspectRestart(m_attempt->upstream.instanceId, m_pool->coldStart);
     m_plan.notSent();
     endAttempt(false);
     judgeFailure({RunState::NotRun, Reason::ConnectFailed, m_streamBegun});
@@ -314,6 +317,15 @@
         judgeFailure({RunState::NotRun, Reason::UpstreamLeaving, m_streamBegun});
         return;
     }
+    // Others may have gone to a cold upstream meanwhile, or it may have turned cold.
+    if (!m_traffic.coldGate().maySend(m_attempt->upstream.instanceId,
+                                      m_pool->coldRequestsPerSecond)) {
+        m_plan.notSent();
+        endAttempt(true);
+        judgeFailure({RunState::NotRun, Reason::UpstreamBusy, m_streamBegun});
+        return;
+    }
+    m_traffic.coldGate().sent(m_attempt->upstream.instanceId);
     m_attempt->sent = true;
     m_traffic.health().sent(m_attempt->upstream.instanceId);
     m_attempt->channel->exchange(upstreamHead(), m_body, *this);
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -278,11 +278,13 @@
 void ControlDuty::nodeWritten(const std::string &node, const PeerAddress &address)
 {
     m_peers.setAddress(node, address);
+    m_keysChanged = true;
 }
 
 void ControlDuty::nodeRemoved(const std::string &node)
 {
     m_peers.removeAddress(node);
+    m_keysChanged = true;
 }
 
 bool ControlDuty::usesSums() const
@@ -462,6 +464,7 @@
     m_nextMembers = m_clock.now() + kMembersEvery;
     noteReachability();
     noteLiveNodes();
+    noteKnownNodes();
     noteRole();
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
@@ -495,6 +498,18 @@
     tell(LiveNodes{live});
 }
 
+void ControlDuty::noteKnownNodes()
+{
+    if (!m_keysChanged || m_replica.revision() == 0)
+        return;
+    m_keysChanged = false;
+    std::vector<std::string> others = m_peers.roster().withKey();
+    if (others == m_toldNodes) // keys are written anew without a change of the nodes
+        return;
+    m_toldNodes = others;
+    tell(KnownNodes{std::move(others)});
+}
+
 // The strongest node takes the lock, since its holder has most to do; the others only when it does
 // not.
 Duration ControlDuty::lockPatience() const
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -98,6 +98,7 @@
     void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
     void noteMembers();
     void noteLiveNodes();
+    void noteKnownNodes();
     Duration lockPatience() const;
     void noteRole();
     // Whether this node follows the platform's store and is answered.
@@ -142,9 +143,11 @@
     bool m_gossipSoon = false; // something changed that peers should hear at once
     std::size_t m_nextSeed = 0;
     std::size_t m_liveNodes = 0;
+    bool m_keysChanged = true; // of nodes in the platform's store, since they were told of
     bool m_toldReachable = true;
     bool m_toldInformed = true;
     std::set<std::string> m_toldLoading;
+    std::optional<std::vector<std::string>> m_toldNodes;
     TimePoint m_storeBack{}; // when the store answered this node again
     TimePoint m_lastGossip{};
     TimePoint m_nextGossip{};
--- a/src/node/document_reader.cpp
+++ b/src/node/document_reader.cpp
@@ -102,6 +102,7 @@
              {{"upstream", id},
               {"service", record->service},
               {"address", record->address},
+              {"cold_ms", record->coldFor.count()},
               {"revision", item.revision}});
     m_listener.upstreamWritten(std::move(*record));
 }
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -87,6 +87,12 @@
     std::size_t n = 1;
 };
 
+// The other nodes that have a key in the platform's store, by name.
+struct KnownNodes
+{
+    std::vector<std::string> others;
+};
+
 // Whether this node hears of changes at all: from the platform's store or from a peer.
 struct Informed
 {
@@ -110,8 +116,9 @@
 { };
 
 using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, DomainEvacuated,
-                                 StoreReachability, WeightsWanted, WeightsShown, EnginesLoading, PeerLoads, LiveNodes,
-                                 ContextStoreTold, ContextStoreSilent, Informed, StopBegins>;
+                                 StoreReachability, WeightsWanted, WeightsShown, EnginesLoading,
+                                 PeerLoads, LiveNodes, KnownNodes, ContextStoreTold,
+                                 ContextStoreSilent, Informed, StopBegins>;
 
 // What the thread that serves requests tells the control thread: its own load, now and then.
 struct OwnLoads
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -47,6 +47,16 @@
         erase(node);
 }
 
+std::vector<std::string> PeerRoster::withKey() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.hasKey)
+            names.push_back(name);
+    }
+    return names;
+}
+
 void PeerRoster::erase(const std::string &node)
 {
     m_knownBefore.reset();
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -57,6 +57,10 @@
     const Self &self() const { return m_self; }
     const std::map<std::string, Peer> &peers() const { return m_peers; }
     std::size_t size() const { return m_peers.size(); }
+
+    // The peers that have a key in the platform's store: the same for all nodes that have read up
+    // to the same revision.
+    std::vector<std::string> withKey() const;
     bool isLive(const Peer &peer) const;
     bool isNear(const Peer &peer) const { return peer.failureDomain == m_self.failureDomain; }
 
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -42,12 +42,21 @@
     return limits;
 }
 
+ColdGate::Limits coldLimits(const config::OneProcessSettings &settings)
+{
+    ColdGate::Limits limits;
+    limits.overshoot = settings.bounds.coldOvershoot;
+    limits.slack = settings.bounds.coldSlack;
+    return limits;
+}
+
 } // namespace
 
 Traffic::Traffic(net::io_context &context, const Clock &clock,
                  const config::OneProcessSettings &settings, adapters::Metrics &metrics)
     : m_context(context), m_clock(clock), m_settings(settings), m_metrics(metrics),
-      m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_contexts(clock),
+      m_upstreams(clock, {}), m_loads(clock), m_health(clock),
+      m_coldGate(clock, coldLimits(settings), settings.node.name), m_contexts(clock),
       m_engines(clock, chooserLimits(settings)), m_channels(context, clock), m_shortDemand(clock),
       m_lastTick(clock.now())
 { }
@@ -68,6 +77,7 @@
 void Traffic::apply(const UpstreamWritten &update)
 {
     m_upstreams.put(update.record);
+    m_coldGate.noteCold(update.record.instanceId, update.record.coldFor);
 }
 
 void Traffic::apply(const UpstreamRemoved &update)
@@ -121,6 +131,11 @@
     m_liveNodes = std::max<std::size_t>(update.n, 1);
 }
 
+void Traffic::apply(const KnownNodes &update)
+{
+    m_coldGate.setNodes(update.others);
+}
+
 void Traffic::apply(const ContextStoreTold &update)
 {
     m_contexts.storeAnswered(update.news);
@@ -172,6 +187,7 @@
 {
     m_channels.forget(instanceId);
     m_health.forget(instanceId);
+    m_coldGate.forget(instanceId);
 }
 
 void Traffic::noteStandstill()
@@ -194,6 +210,7 @@
     for (const std::string &it : m_upstreams.tick())
         forget(it);
     m_channels.tick();
+    m_metrics.setGauge("fordwood_cold_upstreams", static_cast<double>(m_coldGate.coldUpstreams()));
     if (!m_table)
         return;
     const std::size_t demand = m_shortDemand.total();
@@ -228,7 +245,7 @@
     });
 }
 
-std::vector<const UpstreamRecord *> Traffic::candidates(const ServicePool &pool) const
+std::vector<const UpstreamRecord *> Traffic::candidates(const ServicePool &pool)
 {
     std::size_t most = SIZE_MAX;
     if (pool.maxConnections > 0) {
@@ -238,7 +255,8 @@
     }
     std::vector<const UpstreamRecord *> found = m_upstreams.usable(pool.name);
     std::erase_if(found, [&](const UpstreamRecord *it) {
-        return isLoading(it->instanceId) || !m_channels.hasRoom(it->instanceId, most);
+        return isLoading(it->instanceId) || !m_channels.hasRoom(it->instanceId, most)
+               || !m_coldGate.maySend(it->instanceId, pool.coldRequestsPerSecond);
     });
     return found;
 }
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -13,6 +13,7 @@
 
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
+#include "fordwood/cold_gate.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/engine_chooser.hpp"
 #include "fordwood/engine_groups.hpp"
@@ -46,7 +47,7 @@
     bool isWaking();
 
     // The upstreams of a service that this request may be sent to now.
-    std::vector<const UpstreamRecord *> candidates(const ServicePool &pool) const;
+    std::vector<const UpstreamRecord *> candidates(const ServicePool &pool);
 
     // Whether the service has upstreams, and all of them stand in evacuated failure domains.
     bool isEvacuated(const ServicePool &pool) const;
@@ -102,6 +103,7 @@
     UpstreamDirectory &upstreams() { return m_upstreams; }
     LoadBook &loads() { return m_loads; }
     UpstreamHealth &health() { return m_health; }
+    ColdGate &coldGate() { return m_coldGate; }
     ContextDirectory &contexts() { return m_contexts; }
     const EngineChooser &engines() const { return m_engines; }
     UpstreamPool &channels() { return m_channels; }
@@ -117,6 +119,7 @@
     void apply(const EnginesLoading &update);
     void apply(const PeerLoads &update);
     void apply(const LiveNodes &update);
+    void apply(const KnownNodes &update);
     void apply(const ContextStoreTold &update);
     void apply(const ContextStoreSilent &update);
     void apply(const Informed &update);
@@ -135,6 +138,7 @@
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
     UpstreamHealth m_health;
+    ColdGate m_coldGate;
     ContextDirectory m_contexts;
     EngineChooser m_engines;
     UpstreamPool m_channels;
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -38,6 +38,7 @@
     std::string operator()(const EnginesLoading &it) const { return "engines loading " + it.node; }
     std::string operator()(const PeerLoads &it) const { return "loads " + it.peer; }
     std::string operator()(const LiveNodes &) const { return "live nodes"; }
+    std::string operator()(const KnownNodes &) const { return "known nodes"; }
     std::string operator()(const ContextStoreTold &it) const
     {
         return "context store " + it.news.store;
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -148,7 +148,7 @@
                    "service":"s2","public":true}],
         "services":[{"name":"s1","max-connections":240,
                      "engine":{"slots":32,"kv-cache-tokens":87295,"models":[{"name":"m"}]}},
-                    {"name":"s2","max-connections":110},
+                    {"name":"s2","max-connections":110,"cold-start-s":3.5,"cold-per-s":14.0},
                     {"name":"k","kv-store-address":"10.0.0.9:80","zone":"z",
                      "kv-cache-tokens":1000,"managed":true,"max-in-flight":12}],
         "limits":{"max-header-bytes":16384,"idle-timeout-ms":15000},
@@ -164,6 +164,9 @@
     REQUIRE(config->services.size() == 2);
     CHECK(config->services[0].engine->slots == 32);
     CHECK_FALSE(config->services[1].engine);
+    CHECK(config->services[0].coldRequestsPerSecond == 0.0);
+    CHECK(config->services[1].coldStart == 3500ms);
+    CHECK(config->services[1].coldRequestsPerSecond == 14.0);
     REQUIRE(config->stores.size() == 1);
     CHECK(config->stores[0].address == "10.0.0.9:80");
     CHECK(config->stores[0].mostReaders == 12);
@@ -190,10 +193,11 @@
 TEST_CASE("upstream records: state and weights [platform]")
 {
     const auto record = readUpstream("servers/i-7", R"({"service":"s","address":"10.0.0.2:80",
-        "zone":"z","slots":32,"state":"draining","models":[{"name":"m","version":4}]})");
+        "zone":"z","slots":32,"state":"draining","cold-remaining-ms":1821,"models":[{"name":"m","version":4}]})");
     REQUIRE(record);
     CHECK(record->instanceId == "i-7");
     CHECK(record->draining);
+    CHECK(record->coldFor == 1821ms);
     CHECK(record->weightVersions.at("m") == 4);
     CHECK_FALSE(readUpstream("servers/i-7", R"({"service":"s"})"));
     CHECK(kindOf("servers/i-7") == DocumentKind::Upstream);
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -393,8 +393,9 @@
     CHECK(fleet.call("GET", "/safe/1", "r-3", 1).status == 404);
 }
 
-TEST_CASE("node: an evacuated domain gets nothing, also by a node that only hears of it from a peer, "
-          "until that is taken back [node][evacuation]")
+TEST_CASE(
+    "node: an evacuated domain gets nothing, also by a node that only hears of it from a peer, "
+    "until that is taken back [node][evacuation]")
 {
     Deployment fleet;
     fleet.start();
--- /dev/null
+++ b/tests/unit/cold_gate_test.cpp
@@ -0,0 +1,215 @@
+// SPDX-License-Identifier: MIT
+// The load pattern: upstreams come back cold and empty, and every node would send to them at once.
+#include "fordwood/cold_gate.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+#include "fordwood/manual_clock.hpp"
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double kRate = 14.0;
+constexpr std::size_t kBorne = 26; // in a second: 1.5 x 14 + 5
+
+ColdGate::Limits limits()
+{
+    ColdGate::Limits limits;
+    limits.overshoot = 1.5;
+    limits.slack = 5.0;
+    return limits;
+}
+
+// Nodes that all want to send to one cold upstream all the time, and what arrives there.
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t nodes)
+    {
+        for (std::size_t n = 0; n < nodes; ++n)
+            start("node-" + std::to_string(n));
+    }
+
+    void start(const std::string &name)
+    {
+        m_names.push_back(name);
+        m_gates[name] = std::make_unique<ColdGate>(clock, limits(), name);
+        m_gates[name]->noteCold("u", 1h);
+    }
+
+    void stop(std::string name) // a copy: it is taken out of the list
+    {
+        std::erase(m_names, name);
+        m_gates.erase(name);
+    }
+
+    const std::vector<std::string> &names() const { return m_names; }
+
+    // Each of `nodes` hears that these are the ones that live.
+    void tell(const std::vector<std::string> &nodes)
+    {
+        for (const std::string &it : nodes) {
+            std::vector<std::string> others = nodes;
+            std::erase(others, it);
+            m_gates.at(it)->setNodes(others);
+        }
+    }
+
+    void play(Duration time)
+    {
+        constexpr Duration kStep = 10ms;
+        for (Duration passed{}; passed < time; passed += kStep) {
+            clock.advance(kStep);
+            for (auto &[name, gate] : m_gates) {
+                while (gate->maySend("u", kRate)) {
+                    gate->sent("u");
+                    // Nearly at once, or late for a lost packet.
+                    m_arrivals.push_back(clock.now() + 10ms * (m_random() % 10));
+                }
+            }
+        }
+    }
+
+    // The most requests in any second.
+    std::size_t busiestSecond()
+    {
+        std::sort(m_arrivals.begin(), m_arrivals.end());
+        std::size_t most = 0;
+        for (auto first = m_arrivals.begin(); first != m_arrivals.end(); ++first) {
+            const auto end = std::lower_bound(first, m_arrivals.end(), *first + 1s);
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
+
+    std::size_t arrivals() const { return m_arrivals.size(); }
+
+    ManualClock clock;
+
+private:
+    std::vector<std::string> m_names;
+    std::map<std::string, std::unique_ptr<ColdGate>> m_gates; // by node
+    std::vector<TimePoint> m_arrivals;
+    std::mt19937 m_random{7}; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same each time
+};
+
+} // namespace
+
+TEST_CASE(
+    "cold upstreams: no second brings more than they bear, however many nodes want to send, and "
+    "they are put to use [cold]")
+{
+    for (const std::size_t nodes : {1, 3, 79, 300}) {
+        CAPTURE(nodes);
+        Fleet fleet(nodes);
+        fleet.clock.advance(2s);
+        fleet.tell(fleet.names());
+        fleet.play(10s);
+        CHECK(fleet.busiestSecond() <= kBorne);
+        CHECK(fleet.arrivals() >= 90); // of 140 at the stated rate
+    }
+}
+
+TEST_CASE("cold upstreams: two parts of the fleet that cannot hear each other stay below what they "
+          "bear [cold][partition]")
+{
+    for (const std::size_t nodes : {8, 79, 300}) {
+        CAPTURE(nodes);
+        Fleet fleet(nodes);
+        fleet.clock.advance(2s);
+        fleet.tell(fleet.names());
+        fleet.play(3s);
+        const auto half = fleet.names().begin() + static_cast<std::ptrdiff_t>(nodes / 2);
+        const std::vector<std::string> one(fleet.names().begin(), half);
+        const std::vector<std::string> other(half, fleet.names().end());
+        fleet.tell(one);
+        fleet.tell(other);
+        fleet.play(5s);
+        fleet.tell(fleet.names());
+        fleet.play(3s);
+        CHECK(fleet.busiestSecond() <= kBorne);
+    }
+}
+
+TEST_CASE(
+    "cold upstreams: nodes that are replaced one after the other, or all at once, send no more "
+    "[cold][restart]")
+{
+    Fleet fleet(79);
+    fleet.clock.advance(2s);
+    fleet.tell(fleet.names());
+    fleet.play(2s);
+    SUBCASE("one after the other")
+    {
+        for (std::size_t n = 0; n < 40; ++n) {
+            fleet.stop(fleet.names().front());
+            fleet.start("new-" + std::to_string(n));
+            fleet.tell(fleet.names());
+            fleet.play(200ms);
+        }
+    }
+    SUBCASE("all at once, within a second")
+    {
+        while (!fleet.names().empty())
+            fleet.stop(fleet.names().front());
+        fleet.play(500ms);
+        for (std::size_t n = 0; n < 79; ++n) {
+            fleet.start("new-" + std::to_string(n));
+            fleet.tell(fleet.names());
+        }
+    }
+    const std::size_t before = fleet.arrivals();
+    fleet.play(5s);
+    CHECK(fleet.busiestSecond() <= kBorne);
+    CHECK(fleet.arrivals() > before + 20); // it is used again
+}
+
+TEST_CASE(
+    "cold upstreams: one is cold for as long as its record says, and may turn cold again [cold]")
+{
+    ManualClock clock;
+    ColdGate gate(clock, limits(), "a");
+    clock.advance(2s);
+    gate.setNodes({});
+    clock.advance(2s);
+    gate.noteCold("u", 0s);
+    CHECK_FALSE(gate.isCold("u"));
+    gate.noteCold("u", 3s);
+    CHECK(gate.isCold("u"));
+    for (std::size_t n = 0; n < 13; ++n) {
+        REQUIRE(gate.maySend("u", kRate));
+        gate.sent("u");
+    }
+    CHECK_FALSE(gate.maySend("u", kRate));
+    CHECK(gate.maySend("u", 0.0)); // of a service that states no rate
+    CHECK(gate.maySend("warm", kRate));
+    clock.advance(3s);
+    CHECK_FALSE(gate.isCold("u"));
+    CHECK(gate.maySend("u", kRate));
+    gate.noteCold("u", 1s);
+    CHECK(gate.coldUpstreams() == 1);
+    gate.forget("u");
+    CHECK_FALSE(gate.isCold("u"));
+}
+
+TEST_CASE(
+    "cold upstreams: one that nothing listened at is taken as cold until a start is surely over, "
+    "whatever its old record says [cold]")
+{
+    ManualClock clock;
+    ColdGate gate(clock, limits(), "a");
+    gate.suspectRestart("u", 3s);
+    gate.noteCold("u", 0s);
+    CHECK(gate.isCold("u"));
+    CHECK_FALSE(gate.maySend("u", kRate)); // the other nodes are not known yet
+    clock.advance(3s);
+    CHECK_FALSE(gate.isCold("u"));
+    gate.suspectRestart("v", 0s); // its service knows no cold start
+    CHECK_FALSE(gate.isCold("v"));
+}
--- a/tests/unit/upstream_directory_test.cpp
+++ b/tests/unit/upstream_directory_test.cpp
@@ -84,8 +84,9 @@
     CHECK(upstreams.find("a")->weightVersions.at("m") == 2);
 }
 
-TEST_CASE("upstreams: those of an evacuated failure domain get nothing new until that is taken back "
-          "[evacuation]")
+TEST_CASE(
+    "upstreams: those of an evacuated failure domain get nothing new until that is taken back "
+    "[evacuation]")
 {
     const ManualClock clock;
     UpstreamDirectory upstreams(clock, {});
