The whole rate of a cold upstream is divided among its senders

Cause: 13 requests a window were divided by four and rounded down to 12. Change: the first senders of the order take the rest. Tests of the bound hold as before.

--- a/include/fordwood/cold_gate.hpp
+++ b/include/fordwood/cold_gate.hpp
@@ -74,16 +74,18 @@
         TimePoint coldUntil{};
         TimePoint suspectUntil{};
         std::deque<TimePoint> sends; // within the window
-        std::uint64_t judgedAt = 0; // the change of the nodes for which the next two hold
-        bool isSender = false;
-        bool wasSender = false; // by the nodes before the last change
+        // The change of the nodes for which the next two hold; zero: not judged yet.
+        std::uint64_t judgedAt = 0;
+        std::size_t rank = 0; // among the nodes that may send to it
+        std::size_t rankBefore = 0; // by the nodes before the last change
     };
 
     bool isCold(const Upstream &upstream) const;
     std::size_t mostForAll(double requestsPerSecond) const;
-    bool isAmongSenders(std::uint64_t upstream, const std::optional<NodeHashes> &others,
-                        std::size_t senders) const;
-    bool isSender(Upstream &upstream, const std::string &instanceId, std::size_t senders);
+    // How many of the others come before this node in the order of the upstream's senders.
+    std::size_t rankAmong(const std::optional<NodeHashes> &others, std::uint64_t upstream) const;
+    // What this node may send in a window.
+    std::size_t ownPart(Upstream &upstream, const std::string &instanceId, std::size_t most);
 
     const Clock &m_clock;
     const Limits m_limits;
@@ -91,7 +93,7 @@
     std::optional<NodeHashes> m_nodes; // the others; nothing: not told yet
     std::optional<NodeHashes> m_nodesBefore; // a window ago at least
     TimePoint m_nodesSince;
-    std::uint64_t m_changes = 0; // of the nodes
+    std::uint64_t m_changes = 1; // of the nodes
     std::map<std::string, Upstream> m_upstreams; // by instance id; those that were ever cold
 };
 
--- a/src/core/cold_gate.cpp
+++ b/src/core/cold_gate.cpp
@@ -2,6 +2,7 @@
 #include "fordwood/cold_gate.hpp"
 
 #include <algorithm>
+#include <cstdint>
 
 #include "fordwood/rendezvous.hpp"
 
@@ -13,6 +14,8 @@
 // uses half of what the upstream bears.
 constexpr double kPartOfEachView = 0.5;
 
+constexpr std::size_t kNoSender = SIZE_MAX;
+
 } // namespace
 
 ColdGate::ColdGate(const Clock &clock, Limits limits, const std::string &self)
@@ -74,28 +77,35 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(most));
 }
 
-bool ColdGate::isAmongSenders(std::uint64_t upstream, const std::optional<NodeHashes> &others,
-                              std::size_t senders) const
+std::size_t ColdGate::rankAmong(const std::optional<NodeHashes> &others,
+                                std::uint64_t upstream) const
 {
     if (!others)
-        return false;
+        return kNoSender;
     const std::uint64_t own = rendezvousWeight(upstream, m_self);
-    const auto before = std::count_if(others->begin(), others->end(), [&](std::uint64_t it) {
-        return rendezvousWeight(upstream, it) > own;
-    });
-    return static_cast<std::size_t>(before) < senders;
+    return static_cast<std::size_t>(
+        std::count_if(others->begin(), others->end(),
+                      [&](std::uint64_t it) { return rendezvousWeight(upstream, it) > own; }));
 }
 
-bool ColdGate::isSender(Upstream &upstream, const std::string &instanceId, std::size_t senders)
+std::size_t ColdGate::ownPart(Upstream &upstream, const std::string &instanceId, std::size_t most)
 {
     if (upstream.judgedAt != m_changes) {
         const std::uint64_t hash = stableHash(instanceId);
         upstream.judgedAt = m_changes;
-        upstream.isSender = isAmongSenders(hash, m_nodes, senders);
-        upstream.wasSender = isAmongSenders(hash, m_nodesBefore, senders);
+        upstream.rank = rankAmong(m_nodes, hash);
+        upstream.rankBefore = rankAmong(m_nodesBefore, hash);
     }
+    const std::size_t nodes = m_nodes ? m_nodes->size() + 1 : 1;
+    const std::size_t senders = std::min({m_limits.senders, most, nodes});
+    const auto partOf = [&](std::size_t rank) -> std::size_t {
+        if (rank >= senders)
+            return 0;
+        return most / senders + (rank < most % senders ? 1 : 0);
+    };
     const bool isSettled = m_clock.now() - m_nodesSince >= m_limits.window;
-    return upstream.isSender && (isSettled || upstream.wasSender);
+    const std::size_t part = partOf(upstream.rank);
+    return isSettled ? part : std::min(part, partOf(upstream.rankBefore));
 }
 
 bool ColdGate::maySend(const std::string &instanceId, double requestsPerSecond)
@@ -104,15 +114,10 @@
     if (requestsPerSecond <= 0.0 || it == m_upstreams.end() || !isCold(it->second))
         return true;
     Upstream &upstream = it->second;
-    const std::size_t most = mostForAll(requestsPerSecond);
-    const std::size_t nodes = m_nodes ? m_nodes->size() + 1 : 1;
-    const std::size_t senders = std::min({m_limits.senders, most, nodes});
-    if (!isSender(upstream, instanceId, senders))
-        return false;
     const TimePoint oldest = m_clock.now() - m_limits.window;
     while (!upstream.sends.empty() && upstream.sends.front() <= oldest)
         upstream.sends.pop_front();
-    return upstream.sends.size() < most / senders;
+    return upstream.sends.size() < ownPart(upstream, instanceId, mostForAll(requestsPerSecond));
 }
 
 void ColdGate::sent(const std::string &instanceId)
