Each life of an upstream is one of its own; entries that make no sense name none

Cause: an upstream may start again under its id: the directory kept the highest weights ever seen of an id, and loads, health, connections and contexts of the earlier life. Change: platform/ makes one instance id of announced id and birth, and takes it apart again in what is sent; everything between sees two upstreams. Entries of an earlier life are dropped, entries with missing or senseless fields name no upstream, the others hold; each is a log line and a count.

--- a/include/fordwood/upstream_record.hpp
+++ b/include/fordwood/upstream_record.hpp
@@ -5,15 +5,20 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
+#include "fordwood/clock.hpp"
+
 namespace fordwood {
 
 // What an upstream tells of itself through the platform. Every start of an upstream is a new
-// instance with an id of its own.
+// instance with an id of its own, also where it goes on under the id by which it knows itself.
 struct UpstreamRecord
 {
-    std::string instanceId;
+    std::string instanceId; // of this life
+    std::string announcedId; // by which it knows itself
+    std::optional<WallTime> born; // when this life began; nothing: it does not say
     std::string service;
     std::string address; // IP:port; may be given to another upstream later
     std::string failureDomain;
--- a/src/node/document_reader.cpp
+++ b/src/node/document_reader.cpp
@@ -86,20 +86,25 @@
 
 void DocumentReader::readUpstream(const StoredItem &item, bool mayBeExpiry)
 {
-    const std::string id = platform::instanceIdOf(item.key);
+    const std::string id = platform::announcedIdOf(item.key);
     if (!item.value) {
         logEvent(mayBeExpiry ? Event::UpstreamExpired : Event::UpstreamGone,
                  {{"upstream", id}, {"revision", item.revision}});
-        m_listener.upstreamRemoved(id, mayBeExpiry);
+        endLife(id, mayBeExpiry);
         return;
     }
     auto record = platform::readUpstream(item.key, *item.value);
     if (!record) {
         refuse(item, record.error().problem);
+        endLife(id, false);
         return;
     }
+    const auto known = m_lives.find(id);
+    if (known != m_lives.end() && !goesOn(known->second, *record, item))
+        return;
+    m_lives[id] = {record->instanceId, record->born};
     logEvent(record->draining ? Event::UpstreamDraining : Event::UpstreamReady,
-             {{"upstream", id},
+             {{"upstream", record->instanceId},
               {"service", record->service},
               {"address", record->address},
               {"cold_ms", record->coldFor.count()},
@@ -107,6 +112,38 @@
     m_listener.upstreamWritten(std::move(*record));
 }
 
+// Whether the record takes the place of what is known under its id. A write of an earlier life may
+// reach the store after the first one of the next.
+bool DocumentReader::goesOn(const Life &known, const UpstreamRecord &record, const StoredItem &item)
+{
+    if (known.born && !record.born) {
+        refuse(item, "does not tell when the upstream was born, as the one before did");
+        endLife(record.announcedId, false);
+        return false;
+    }
+    if (record.born < known.born) {
+        refuse(item, "is of an earlier life of the upstream");
+        return false;
+    }
+    if (record.instanceId != known.instanceId) {
+        logEvent(Event::UpstreamRestarted, {{"upstream", record.instanceId},
+                                            {"before", known.instanceId},
+                                            {"revision", item.revision}});
+        m_listener.upstreamRemoved(known.instanceId, false);
+    }
+    return true;
+}
+
+void DocumentReader::endLife(const std::string &announcedId, bool mayBeExpiry)
+{
+    const auto known = m_lives.find(announcedId);
+    if (known == m_lives.end())
+        return;
+    m_listener.upstreamRemoved(known->second.instanceId, mayBeExpiry);
+    if (!mayBeExpiry)
+        m_lives.erase(known);
+}
+
 void DocumentReader::readEvacuation(const StoredItem &item)
 {
     const std::string domain = platform::evacuatedDomainOf(item.key);
--- a/src/node/document_reader.hpp
+++ b/src/node/document_reader.hpp
@@ -3,6 +3,8 @@
 #define FORDWOOD_NODE_DOCUMENT_READER_HPP_INCLUDED
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 
 #include "adapters/observe/metrics.hpp"
@@ -28,8 +30,9 @@
     virtual void nodeRemoved(const std::string &node) = 0;
 };
 
-// Reads the values of the platform's store. One that cannot be read is logged and counted, and what
-// was known before stays in force; so does a configuration that is newer than the one read.
+// Reads the values of the platform's store. One that cannot be read is logged and counted. Of
+// operators' documents the one before stays in force, also against an older configuration; an
+// upstream whose record cannot be read is used no more, since another writer may have the key.
 class DocumentReader
 {
 public:
@@ -44,16 +47,26 @@
     static std::string nodeKey(const std::string &node);
 
 private:
+    struct Life
+    {
+        std::string instanceId;
+        std::optional<WallTime> born;
+    };
+
     void readConfiguration(const StoredItem &item);
     void readWeights(const StoredItem &item);
     void readUpstream(const StoredItem &item, bool mayBeExpiry);
     void readEvacuation(const StoredItem &item);
     void readNode(const StoredItem &item);
+    bool goesOn(const Life &known, const UpstreamRecord &record, const StoredItem &item);
+    // What was known under the announced id is no upstream to use.
+    void endLife(const std::string &announcedId, bool mayBeExpiry);
     void refuse(const StoredItem &item, const std::string &problem);
 
     adapters::Metrics &m_metrics;
     DocumentListener &m_listener;
     std::uint64_t m_configVersion = 0;
+    std::map<std::string, Life> m_lives; // the last one of each upstream, by announced id
 };
 
 } // namespace fordwood::node
--- /dev/null
+++ b/tests/node/document_reader_test.cpp
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: MIT
+// What becomes known of upstreams when their entries change hands, lives, or cannot be read.
+#include "node/document_reader.hpp"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "fordwood/manual_clock.hpp"
+#include "fordwood/upstream_directory.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using Json = nlohmann::json;
+
+namespace {
+
+// Keeps a directory of upstreams, and what was said of failure domains.
+class Listener : public DocumentListener
+{
+public:
+    void configurationRead(ServingConfig /*config*/) override { }
+    void weightsNamed(const std::string & /*model*/, std::uint64_t version) override
+    {
+        lastNamed = version;
+    }
+    void upstreamWritten(UpstreamRecord record) override { upstreams.put(std::move(record)); }
+    void upstreamRemoved(const std::string &instanceId, bool mayBeExpiry) override
+    {
+        upstreams.remove(instanceId, mayBeExpiry);
+    }
+    void evacuationRead(const std::string &failureDomain, bool isEvacuated) override
+    {
+        upstreams.setEvacuated(failureDomain, isEvacuated);
+    }
+    void nodeWritten(const std::string & /*node*/, const PeerAddress & /*address*/) override { }
+    void nodeRemoved(const std::string & /*node*/) override { }
+
+    std::vector<std::string> usable() const
+    {
+        std::vector<std::string> ids;
+        for (const UpstreamRecord *it : upstreams.usable("s"))
+            ids.push_back(it->instanceId);
+        return ids;
+    }
+
+    ManualClock clock;
+    UpstreamDirectory upstreams{clock, {}};
+    std::uint64_t lastNamed = 0;
+};
+
+// Reads entries one after the other, at rising revisions.
+class Entries
+{
+public:
+    void write(const std::string &key, const std::optional<std::string> &value)
+    {
+        m_reader.read({key, ++m_revision, 1, value}, false);
+    }
+
+    void expire(const std::string &key) { m_reader.read({key, ++m_revision, 1, {}}, true); }
+
+    // `born`: nothing, and the entry does not tell.
+    void upstream(const std::string &id, const std::optional<std::int64_t> &born,
+                  std::uint64_t weights = 1)
+    {
+        Json record{{"service", "s"}, {"address", "10.0.0.2:80"},
+                    {"zone", "z"},    {"version", "v1"},
+                    {"slots", 32},    {"state", "ready"},
+                    {"sequence", 4},  {"cold-remaining-ms", 0}};
+        record["models"] = Json::array({{{"name", "m"}, {"version", weights}}});
+        if (born)
+            record["born"] = *born;
+        write("servers/" + id, record.dump());
+    }
+
+    std::size_t refused() const
+    {
+        const std::string text = "\n" + m_metrics.text();
+        const std::string name = "\nfordwood_stored_values_refused_total ";
+        const std::size_t at = text.find(name);
+        return at == std::string::npos ? 0 : std::stoul(text.substr(at + name.size()));
+    }
+
+    Listener listener;
+
+private:
+    adapters::Metrics m_metrics;
+    DocumentReader m_reader{m_metrics, listener};
+    std::int64_t m_revision = 0;
+};
+
+using Ids = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE(
+    "entries: an upstream that starts again under its id is another one, with its own weights "
+    "[entries][restart]")
+{
+    Entries entries;
+    entries.upstream("i", 1'000, 1);
+    entries.listener.upstreams.setWeightVersion("i@1000", "m", 5);
+    entries.upstream("i", 2'000, 1);
+    CHECK(entries.listener.usable() == Ids{"i@2000"});
+    CHECK(entries.listener.upstreams.find("i@1000") == nullptr);
+    CHECK(entries.listener.upstreams.find("i@2000")->weightVersions.at("m") == 1);
+    SUBCASE("an entry of the earlier life that comes late changes nothing")
+    {
+        entries.upstream("i", 1'000, 9);
+        CHECK(entries.listener.usable() == Ids{"i@2000"});
+        CHECK(entries.refused() == 1);
+    }
+    SUBCASE("one that goes and comes back in doubt is the same life")
+    {
+        entries.listener.upstreams.setStoreReachable(false);
+        entries.expire("servers/i");
+        CHECK(entries.listener.usable() == Ids{"i@2000"});
+        entries.upstream("i", 2'000);
+        CHECK(entries.listener.usable() == Ids{"i@2000"});
+    }
+    SUBCASE("one that expired in doubt and started again")
+    {
+        entries.listener.upstreams.setStoreReachable(false);
+        entries.expire("servers/i");
+        entries.upstream("i", 3'000);
+        CHECK(entries.listener.usable() == Ids{"i@3000"});
+    }
+}
+
+TEST_CASE(
+    "entries: one that cannot be read names no upstream, the others hold [entries][bad-input]")
+{
+    Entries entries;
+    entries.upstream("a", 1'000);
+    entries.upstream("b", 1'000);
+    entries.write("servers/a", "\xff\xfe nonsense");
+    CHECK(entries.listener.usable() == Ids{"b@1000"});
+    CHECK(entries.refused() == 1);
+    entries.upstream("a", 1'000); // the upstream itself again
+    CHECK(entries.listener.usable() == Ids{"a@1000", "b@1000"});
+    entries.upstream("b", std::nullopt); // it has told its birth before
+    CHECK(entries.listener.usable() == Ids{"a@1000"});
+    CHECK(entries.refused() == 2);
+    entries.upstream("c", std::nullopt); // never told
+    CHECK(entries.listener.usable() == Ids{"a@1000", "c"});
+    entries.write("servers/a", std::nullopt);
+    CHECK(entries.listener.usable() == Ids{"c"});
+}
+
+TEST_CASE("entries: weights and evacuations that cannot be read [entries][bad-input]")
+{
+    Entries entries;
+    entries.upstream("a", 1'000);
+    entries.write("op/version/m", R"({"model":"m","version":2})");
+    for (const char *it : {R"({"model":"m","version":-3})", R"({"model":"m","version":3.5})",
+                           R"({"model":"m","version":"3"})", R"({"model":"","version":3})",
+                           R"({"version":3})", "3", ""})
+        entries.write("op/version/m", it);
+    CHECK(entries.listener.lastNamed == 2);
+    CHECK(entries.refused() == 7);
+    entries.write("op/evacuate/z", "\xff"); // the key alone asks for it
+    CHECK(entries.listener.usable().empty());
+    entries.write("op/evacuate/z", std::nullopt);
+    CHECK(entries.listener.usable() == Ids{"a@1000"});
+}
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -2,16 +2,20 @@
 // What the platform says is read into the product's types, once and strictly.
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "node/context_messages.hpp"
 #include "node/peer_messages.hpp"
 #include "node/refusal.hpp"
 #include "platform/caller_messages.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
+#include "platform/instance_id.hpp"
 #include "platform/store_calls.hpp"
 
 using namespace fordwood;
 using namespace fordwood::platform;
+using Json = nlohmann::json;
 using namespace std::chrono_literals;
 
 namespace {
@@ -190,16 +194,38 @@
     }
 }
 
-TEST_CASE("upstream records: state and weights [platform]")
+namespace {
+
+// A record as upstreams write it, with some fields replaced; a null one is left out.
+std::string recordWith(const Json &fields)
+{
+    Json record{
+        {"service", "s"},  {"address", "10.0.0.2:80"}, {"zone", "z"},   {"version", "v1"},
+        {"slots", 32},     {"state", "ready"},         {"sequence", 4}, {"cold-remaining-ms", 0},
+        {"stage", "both"}, {"born", 1'796'000'000'000}};
+    record["models"] = Json::array({{{"name", "m"}, {"version", 4}, {"adapters", Json::array()}}});
+    for (const auto &[name, value] : fields.items()) {
+        if (value.is_null())
+            record.erase(name);
+        else
+            record[name] = value;
+    }
+    return record.dump();
+}
+
+} // namespace
+
+TEST_CASE("upstream records: state, weights, cold start and life [platform]")
 {
-    const auto record = readUpstream("servers/i-7", R"({"service":"s","address":"10.0.0.2:80",
-        "zone":"z","slots":32,"state":"draining","cold-remaining-ms":1821,"models":[{"name":"m","version":4}]})");
+    const auto record = readUpstream(
+        "servers/i-7", recordWith({{"state", "draining"}, {"cold-remaining-ms", 1821}}));
     REQUIRE(record);
-    CHECK(record->instanceId == "i-7");
+    CHECK(record->announcedId == "i-7");
+    CHECK(record->instanceId == "i-7@1796000000000");
+    CHECK(record->born == WallTime(1'796'000'000'000ms));
     CHECK(record->draining);
     CHECK(record->coldFor == 1821ms);
     CHECK(record->weightVersions.at("m") == 4);
-    CHECK_FALSE(readUpstream("servers/i-7", R"({"service":"s"})"));
     CHECK(kindOf("servers/i-7") == DocumentKind::Upstream);
     CHECK(kindOf("op/config") == DocumentKind::Configuration);
     CHECK(kindOf("op/version/m") == DocumentKind::WeightVersion);
@@ -208,6 +234,58 @@
     CHECK(kindOf("op/other") == DocumentKind::Other);
 }
 
+TEST_CASE(
+    "upstream records: plain services have no models, older upstreams tell no birth [platform]")
+{
+    const auto record
+        = readUpstream("servers/i-7", recordWith({{"models", nullptr}, {"born", nullptr}}));
+    REQUIRE(record);
+    CHECK(record->instanceId == "i-7");
+    CHECK(record->weightVersions.empty());
+}
+
+TEST_CASE("upstream records: a field that is missing or makes no sense gives no upstream "
+          "[platform][bad-input]")
+{
+    for (const char *it : {"service", "address", "zone", "version", "slots", "state", "sequence",
+                           "cold-remaining-ms"}) {
+        CAPTURE(it);
+        CHECK_FALSE(readUpstream("servers/i-7", recordWith({{it, nullptr}})));
+        for (const Json &wrong :
+             {Json(true), Json(-1), Json(1.5), Json::array(), Json::object(), Json("")})
+            CHECK_FALSE(readUpstream("servers/i-7", recordWith({{it, wrong}})));
+    }
+    for (const Json &wrong :
+         {Json("1796000000000"), Json(1.5), Json(-1), Json(true), Json::array()})
+        CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"born", wrong}})));
+    CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"state", "resting"}})));
+    CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"address", "10.0.0.2"}})));
+    CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"address", "a.example:80"}})));
+    CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"models", {{{"name", "m"}}}}})));
+    CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"models", 7}})));
+    for (const char *it : {"", "null", "[]", "7", "{", "\xff\xfe"})
+        CHECK_FALSE(readUpstream("servers/i-7", it));
+}
+
+TEST_CASE(
+    "upstreams: what is sent to one names it as it knows itself, in whichever life [platform]")
+{
+    const std::string instance = instanceIdOf("i-7", WallTime(1'796'000'000'000ms));
+    CHECK(announcedPart(instance) == "i-7");
+    CHECK(announcedPart("i-7") == "i-7");
+    UpstreamStamp stamp;
+    stamp.instanceId = instance;
+    Fields head;
+    writeUpstreamHead({}, stamp, head);
+    CHECK(textOf(head, "Expect-Instance") == "i-7");
+    AskReport ask;
+    ask.instanceId = instance;
+    CHECK(reportCall(ask).fields.front().second == "i-7");
+    OrderWeights order;
+    order.instanceId = instance;
+    CHECK(orderCall(order, "n").fields.front().second == "i-7");
+}
+
 TEST_CASE("store: pages, changes and removals [platform]")
 {
     const auto page = readRange(replyOf(200, R"({"items":[{"private-key":"a","value":"bm9kZS0x",
