Requests that are bound to regions go nowhere else, nor does their context

Cause: routes and teams may name regions; that was read nowhere. Change: upstreams elsewhere are no candidates, stores elsewhere get no saves; settings tell the regions of the domains. A domain whose region is not known is in none.

--- a/include/fordwood/route_table.hpp
+++ b/include/fordwood/route_table.hpp
@@ -26,6 +26,9 @@
 
     const ServicePool *findService(std::string_view name) const;
 
+    // The store of kept context at the address; null when there is none.
+    const ContextStore *findStore(std::string_view address) const;
+
     // The service that takes a request, by the weights of the route. The same request id gives the
     // same service on every node.
     static const std::string &targetOf(const ServiceRoute &route, std::string_view requestId);
--- a/include/fordwood/serving_config.hpp
+++ b/include/fordwood/serving_config.hpp
@@ -28,6 +28,7 @@
     bool streaming = false; // the answer is a series of events
     bool resumable = false; // a broken stream may go on at another upstream
     bool isPublic = false; // needs no team key
+    std::vector<std::string> homeRegions; // that a request may go to; none: any
     std::size_t maxAttempts = 1; // upstreams to which one request may be sent
     std::chrono::milliseconds timeout{0}; // longest time that a request is held
     std::chrono::milliseconds targetLatency{0}; // an answer within it has its full value
@@ -74,6 +75,7 @@
     std::vector<std::string> keys;
     std::optional<int> priority; // goes before that of the route
     bool isolated = false; // shares no kept context with other teams
+    std::vector<std::string> homeRegions; // that its requests may go to; none: any
 };
 
 // What a caller may send, and how long it may take.
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -27,7 +27,20 @@
     return mechanisms;
 }
 
-void readTable(const CheckedTable &table, OneProcessSettings &settings)
+// Adds the regions that a list such as "domain=region" names.
+void readRegions(const CheckedTable &table, DomainRegions &regions, ConfigErrors &errors)
+{
+    for (const std::string &it : table.texts("regions")) {
+        const std::size_t sign = it.find('=');
+        if (sign == 0 || sign == std::string::npos || sign + 1 == it.size())
+            errors.push_back(table.error("regions", "\"" + it + "\" names no region",
+                                         "\"failure domain=region\""));
+        else
+            regions[it.substr(0, sign)] = it.substr(sign + 1);
+    }
+}
+
+void readTable(const CheckedTable &table, OneProcessSettings &settings, ConfigErrors &errors)
 {
     const std::string_view section = table.section();
     if (section == "node") {
@@ -64,6 +77,8 @@
         vm.processorShare = table.number("processor_share", vm.processorShare);
         vm.processorSpeed = table.number("processor_speed", vm.processorSpeed);
         vm.linkMbps = table.number("link_mbps", vm.linkMbps);
+    } else if (section == "places") {
+        readRegions(table, settings.regions, errors);
     } else if (section == "mechanisms") {
         settings.mechanisms = readMechanisms(table);
     } else if (section == "log") {
@@ -80,7 +95,8 @@
         = readSettingsTables(path, nodeSections(), {"node", "callers", "peers", "store"}, errors);
     OneProcessSettings settings;
     for (const CheckedTable &it : tables.tables)
-        readTable(it, settings);
+        readTable(it, settings, errors);
+    settings.regions[settings.node.failureDomain] = settings.node.region;
     if (!errors.empty())
         return std::nullopt;
     return settings;
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -9,6 +9,7 @@
 #include "config/config_error.hpp"
 #include "config/settings.hpp"
 #include "fordwood/clock.hpp"
+#include "fordwood/homes.hpp"
 #include "fordwood/mechanisms.hpp"
 
 namespace fordwood::config {
@@ -66,6 +67,7 @@
     StoreSettings store;
     BoundSettings bounds;
     VmSettings vm;
+    DomainRegions regions;
     Mechanisms mechanisms;
     bool jsonLog = false;
 };
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -166,6 +166,11 @@
     {"cold_slack", Number, false, 0, 1e6, "0",
      "Requests that a cold upstream bears in any one second beyond that."},
 };
+constexpr Field kPlaces[] = {
+    {"regions", TextList, false, 0, 0, "[]",
+     "The region of each failure domain, as `domain=region`: requests and teams may be bound to "
+     "regions. The node's own is known from `[node]`."},
+};
 constexpr Field kVm[] = {
     {"processor_share", Number, false, 0.001, 1024, "1",
      "Cores, or the part of one, that the node may use."},
@@ -203,6 +208,7 @@
     {"peers", false, kPeers, "What passes between nodes."},
     {"store", false, kStoreOfNode, "Where the platform's store is."},
     {"bounds", false, kBounds, "What the platform's rules bound."},
+    {"places", false, kPlaces, "Where the failure domains are."},
     {"vm", false, kVm, "How strong the VM is: the strongest nodes work for the others."},
     {"mechanisms", false, kMechanisms,
      "Parts of the decisions, to be switched off one by one where their worth is measured."},
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -66,6 +66,14 @@
     return it == m_services.end() ? nullptr : it->second;
 }
 
+const ContextStore *RouteTable::findStore(std::string_view address) const
+{
+    const auto it
+        = std::find_if(m_config.stores.begin(), m_config.stores.end(),
+                       [&](const ContextStore &store) { return store.address == address; });
+    return it == m_config.stores.end() ? nullptr : &*it;
+}
+
 const std::string &RouteTable::targetOf(const ServiceRoute &route, std::string_view requestId)
 {
     const double sum
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -5,6 +5,7 @@
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/engine_groups.hpp"
+#include "fordwood/homes.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "fordwood/service_chooser.hpp"
 #include "node/call_log.hpp"
@@ -161,7 +162,13 @@
 
 bool CallRun::choose()
 {
-    const auto candidates = m_traffic.candidates(*m_pool);
+    auto candidates = m_traffic.candidates(*m_pool);
+    const Homes homes(*m_route, m_team);
+    if (!homes.isAnywhere()) {
+        std::erase_if(candidates, [&](const UpstreamRecord *it) {
+            return !homes.allows(it->failureDomain, m_traffic.settings().regions);
+        });
+    }
     if (m_pool->engine && m_caller.prompt)
         return chooseEngine(candidates);
     const std::uint64_t salt = stableHash(m_caller.requestId);
@@ -189,8 +196,8 @@
                                            m_traffic.shortGroup(*m_pool),
                                            m_traffic.consideredPart(),
                                            stableHash(m_caller.requestId, m_plan.sends())};
-    const auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
-                                                   m_traffic.health(), m_traffic.contexts());
+    auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
+                                             m_traffic.health(), m_traffic.contexts());
     if (!choice)
         return false;
     if (!choice->isShort && !m_streamBegun && waitsTooLong(*choice)) {
@@ -198,6 +205,7 @@
         m_busyEngine = *choice;
         return false;
     }
+    keepContextAtHome(*choice);
     EngineChooser::noteSent(*choice, *m_caller.prompt, m_traffic.contexts());
     m_attempt.emplace();
     m_attempt->upstream = *m_traffic.upstreams().find(choice->instanceId);
@@ -207,6 +215,19 @@
     return true;
 }
 
+// Context of a prompt that is bound to regions is saved in no other.
+void CallRun::keepContextAtHome(EngineChoice &choice) const
+{
+    const Homes homes(*m_route, m_team);
+    if (homes.isAnywhere())
+        return;
+    for (std::string &address : choice.saveTo) {
+        const ContextStore *store = m_table->findStore(address);
+        if (store != nullptr && !homes.allows(store->failureDomain, m_traffic.settings().regions))
+            address.clear();
+    }
+}
+
 // Whether the answer would be late anyway: work for it would make others late as well, while a
 // caller that is told so at once can come again.
 bool CallRun::waitsTooLong(const EngineChoice &choice)
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -48,6 +48,7 @@
     void attempt();
     bool choose();
     bool chooseEngine(const std::vector<const UpstreamRecord *> &candidates);
+    void keepContextAtHome(EngineChoice &choice) const;
     bool waitsTooLong(const EngineChoice &choice);
     void waitForUpstream();
     void connected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -79,7 +79,10 @@
                                         {"address", address},
                                         {"zone", "x"},
                                         {"slots", 4},
+                                        {"version", "v1"},
                                         {"state", state},
+                                        {"cold-remaining-ms", 0},
+                                        {"born", 1'796'000'000'000},
                                         {"sequence", 1}}
                                        .dump());
     }
@@ -91,11 +94,15 @@
                         {"kind", kind},      {"service", "board"},     {"timeout-ms", 5000},
                         {"max-attempts", 2}, {"resumable", resumable}, {"target-latency-ms", 400}};
         };
+        const auto abroad = [](Json bound) {
+            bound["allowed-regions"] = {"elsewhere"};
+            return bound;
+        };
         Json config{
             {"version", version},
             {"routes",
              {route(prefix.c_str(), "safe", false), route("/once/", "unsafe", false),
-              route("/stream/", "streaming", true)}},
+              abroad(route("/abroad/", "safe", false)), route("/stream/", "streaming", true)}},
             {"services", {{{"name", "board"}, {"max-connections", 100}}}},
             {"limits",
              {{"max-header-bytes", 4096}, {"max-body-bytes", 10000}, {"header-timeout-ms", 300}}},
@@ -420,6 +427,17 @@
             [&] { return fleet.call("GET", "/safe/1", "after", node).status == 200; }));
 }
 
+TEST_CASE(
+    "node: a request that is bound to another region is refused, and runs nowhere [node][homes]")
+{
+    Deployment fleet;
+    fleet.start();
+    const HttpAnswer answer = fleet.call("GET", "/abroad/1", "r-1");
+    CHECK(answer.status == 503);
+    CHECK(answer.body.find("no-upstream") != std::string::npos);
+    CHECK(fleet.first.runs("r-1") + fleet.second.runs("r-1") == 0);
+}
+
 TEST_CASE("node: a planned stop is told at once, serves on, and ends by itself [node][stop]")
 {
     Deployment fleet;
--- a/tests/unit/node_settings_test.cpp
+++ b/tests/unit/node_settings_test.cpp
@@ -98,6 +98,20 @@
     CHECK_FALSE(readText(std::string(kSound) + "[mechanisms]\nrelay = false\n").settings);
 }
 
+TEST_CASE("node settings: the regions of failure domains are read, the own one is known [settings]")
+{
+    const Reading reading
+        = readText(std::string(kSound) + "[places]\nregions = [\"y=r\", \"z=other\"]\n");
+    REQUIRE(reading.settings);
+    CHECK(reading.settings->regions == DomainRegions{{"x", "r"}, {"y", "r"}, {"z", "other"}});
+    for (const char *it : {"y", "=r", "y="}) {
+        const Reading bad
+            = readText(std::string(kSound) + "[places]\nregions = [\"" + it + "\"]\n");
+        REQUIRE_FALSE(bad.settings);
+        CHECK(bad.errors.front().field == "places.regions");
+    }
+}
+
 TEST_CASE("node settings: an unknown key is refused with its place and the key that was meant "
           "[settings][bad-input]")
 {
--- a/tests/unit/serving_parts_test.cpp
+++ b/tests/unit/serving_parts_test.cpp
@@ -69,7 +69,7 @@
 TEST_CASE("routes: a key belongs to the team that holds it, and to nobody else [teams]")
 {
     ServingConfig config;
-    config.teams = {{"a", {"k1", "k2"}, std::nullopt, false}, {"b", {"k3"}, 1, true}};
+    config.teams = {{"a", {"k1", "k2"}, std::nullopt, false, {}}, {"b", {"k3"}, 1, true, {}}};
     const RouteTable table(config);
     CHECK(table.findTeam("k2")->name == "a");
     CHECK(table.findTeam("k3")->name == "b");
