--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -86,6 +86,9 @@
         // preferred for it; see partToConsider(). `draw` says which: another number, other ones.
         double consideredPart = 1.0;
         std::uint64_t draw = 0;
+        // Cold engines to which only few nodes may send, this one among them: always considered,
+        // as nobody else puts them to use.
+        std::set<std::string> coldToUse = {};
     };
 
     // Nothing: no engine may take the request now.
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -172,6 +172,7 @@
 {
     constexpr std::size_t kPreferred = 2; // of the order that all nodes share
     return rated.holdsContext || rated.rank < kPreferred
+           || question.coldToUse.contains(rated.engine->instanceId)
            || hashFraction(rendezvousWeight(question.draw, rated.hash)) < question.consideredPart;
 }
 
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -200,7 +200,8 @@
                                            m_plan.tried(),
                                            m_traffic.shortGroup(*m_pool),
                                            m_traffic.consideredPart(),
-                                           stableHash(m_caller.requestId, m_plan.sends())};
+                                           stableHash(m_caller.requestId, m_plan.sends()),
+                                           m_traffic.coldAmong(candidates)};
     auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
                                              m_traffic.health(), m_traffic.contexts());
     if (!choice)
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -261,6 +261,17 @@
     return found;
 }
 
+std::set<std::string>
+Traffic::coldAmong(const std::vector<const UpstreamRecord *> &candidates) const
+{
+    std::set<std::string> cold;
+    for (const UpstreamRecord *it : candidates) {
+        if (m_coldGate.isCold(it->instanceId))
+            cold.insert(it->instanceId);
+    }
+    return cold;
+}
+
 bool Traffic::isEvacuated(const ServicePool &pool) const
 {
     return m_upstreams.usable(pool.name).empty() && m_upstreams.hasEvacuated(pool.name);
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -49,6 +49,9 @@
     // The upstreams of a service that this request may be sent to now.
     std::vector<const UpstreamRecord *> candidates(const ServicePool &pool);
 
+    // Those of the candidates that are cold: this node is one of the few that may send to them.
+    std::set<std::string> coldAmong(const std::vector<const UpstreamRecord *> &candidates) const;
+
     // Whether the service has upstreams, and all of them stand in evacuated failure domains.
     bool isEvacuated(const ServicePool &pool) const;
 
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -508,6 +508,34 @@
     }
 }
 
+TEST_CASE("engines: a cold one that only few nodes may send to is considered by these, and used "
+          "while the "
+          "others are busy [routing][cold]")
+{
+    View view;
+    const Prompt prompt = longPrompt();
+    std::vector<const UpstreamRecord *> engines;
+    for (const UpstreamRecord &it : view.m_records)
+        engines.push_back(&it);
+    for (const UpstreamRecord &it : view.m_records)
+        view.m_loads.begin(it.instanceId, {50'000, 50'000});
+    const auto choose = [&](const std::set<std::string> &coldToUse) {
+        return view.m_chooser
+            .choose({prompt, "", view.m_weights, view.m_traits, view.m_tried, view.m_shortGroup,
+                     0.0, 7, coldToUse},
+                    engines, view.m_loads, view.m_health, view.m_contexts)
+            ->instanceId;
+    };
+    std::size_t passedOver = 0;
+    for (const UpstreamRecord &it : view.m_records) {
+        view.m_loads.end(it.instanceId, {50'000, 50'000}, false); // this one is idle
+        CHECK(choose({it.instanceId}) == it.instanceId);
+        passedOver += choose({}) != it.instanceId ? 1 : 0;
+        view.m_loads.begin(it.instanceId, {50'000, 50'000});
+    }
+    CHECK(passedOver == kEngines - 2); // all but those preferred for the context
+}
+
 TEST_CASE("engines: short prompts of a fleet that has just started use all engines "
           "[routing][overload]")
 {
