--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -72,10 +72,10 @@
         bool expired = false; // its record is gone, but perhaps only for the store's absence
     };
 
-    const Clock &m_clock;
-    const Limits m_limits;
     bool isUsable(const UpstreamRecord &record) const;
 
+    const Clock &m_clock;
+    const Limits m_limits;
     std::map<std::string, Entry> m_entries;
     std::set<std::string> m_evacuated; // failure domains
     bool m_storeReachable = true;
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -264,6 +264,8 @@
     for (const Json &wrong :
          {Json("1796000000000"), Json(1.5), Json(-1), Json(true), Json::array()})
         CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"born", wrong}})));
+    for (const char *it : {"born", "cold-remaining-ms"})
+        CHECK_FALSE(readUpstream("servers/i-7", recordWith({{it, UINT64_MAX}})));
     CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"state", "resting"}})));
     CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"address", "10.0.0.2"}})));
     CHECK_FALSE(readUpstream("servers/i-7", recordWith({{"address", "a.example:80"}})));
