Event 402 tells the fingerprint of the request and how long it had been open

Cause: the logs of the incident could not tell whether the same request was there each time an upstream ended, as a request's id is new with each try of its caller. Sends were one each, so that the nodes' own retries are ruled out. Change: a fingerprint of method, host, path, team and body (128 bits), computed only when an upstream breaks off. No decision changes.

--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -39,6 +39,16 @@
 
 } // namespace
 
+void logAttemptFailure(const AttemptFailure &failure)
+{
+    logEvent(Event::AttemptFailed, {{"request", failure.request},
+                                    {"upstream", failure.upstream},
+                                    {"cause", failure.cause},
+                                    {"events_passed", failure.eventsPassed},
+                                    {"open_ms", inMilliseconds(failure.openFor)},
+                                    {"fingerprint", failure.fingerprint.text()}});
+}
+
 void logCallEnd(const CallEnd &end)
 {
     constexpr std::int64_t kNoEvent = -1;
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -9,6 +9,7 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/engine_chooser.hpp"
+#include "fordwood/request_fingerprint.hpp"
 
 namespace fordwood::node {
 
@@ -28,6 +29,20 @@
     const EngineChoice *engine = nullptr; // chosen last; null: no engine was looked for
 };
 
+// An upstream broke off while a request was there.
+struct AttemptFailure
+{
+    std::string request; // its id, which is new with each try of a caller
+    std::string upstream;
+    std::string cause;
+    std::uint64_t eventsPassed = 0; // the id of the last one
+    Duration openFor{}; // since the upstream was chosen
+    RequestFingerprint fingerprint; // the same for the same request
+};
+
+// Writes the line about it.
+void logAttemptFailure(const AttemptFailure &failure);
+
 // Writes the line about the end of a request.
 void logCallEnd(const CallEnd &end);
 
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "adapters/observe/event_log.hpp"
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/homes.hpp"
 #include "fordwood/rendezvous.hpp"
@@ -15,9 +14,6 @@
 
 namespace {
 
-using adapters::Event;
-using adapters::logEvent;
-
 // How long a caller waits that does not say.
 constexpr std::chrono::milliseconds kUsualPatience{30'000};
 
@@ -129,6 +125,12 @@
     });
 }
 
+RequestFingerprint CallRun::fingerprint() const
+{
+    return fingerprintOf({textOf(m_head.method_string()), textOf(m_head[http::field::host]),
+                          textOf(m_head.target()), m_team != nullptr ? m_team->name : "", *m_body});
+}
+
 std::chrono::milliseconds CallRun::remaining() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_plan.terms().answerBy
@@ -536,10 +538,9 @@
     m_traffic.health().failed(m_attempt->upstream.instanceId);
     // What rests there has probably broken as well.
     m_traffic.channels().closeResting(m_attempt->upstream.instanceId);
-    logEvent(Event::AttemptFailed, {{"request", m_caller.requestId},
-                                    {"upstream", m_attempt->upstream.instanceId},
-                                    {"cause", cause.message()},
-                                    {"events_passed", m_events.lastId().value_or(0)}});
+    logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, cause.message(),
+                       m_events.lastId().value_or(0), m_traffic.clock().now() - m_attempt->begun,
+                       fingerprint()});
     endAttempt(false);
     judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamBegun});
 }
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -10,6 +10,7 @@
 
 #include "fordwood/call_plan.hpp"
 #include "fordwood/event_splitter.hpp"
+#include "fordwood/request_fingerprint.hpp"
 #include "fordwood/route_table.hpp"
 #include "node/caller_port.hpp"
 #include "node/http_channel.hpp"
@@ -69,6 +70,7 @@
     void finish(std::string_view outcome, unsigned status);
     void armDeadline();
     std::chrono::milliseconds remaining() const;
+    RequestFingerprint fingerprint() const;
     bool isStream() const;
 
     Traffic &m_traffic;
