Test: a request that ends its upstreams is sent on and on (fails; known red)

Cause, to be mended next: the request comes again under a new id each time, and no node counts the upstreams that have ended under it.

--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -135,6 +135,13 @@
     return m_revision;
 }
 
+bool KeyValueStandin::has(const std::string &prefix)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_items.lower_bound(prefix);
+    return it != m_items.end() && it->first.starts_with(prefix);
+}
+
 Answer KeyValueStandin::answer(const Request &request)
 {
     {
@@ -256,6 +263,25 @@
     m_faults = requests;
 }
 
+void UpstreamStandin::endUnder(const std::string &path,
+                               std::function<void(const std::string &, const std::string &)> ended)
+{
+    const std::lock_guard lock(m_mutex);
+    m_endsUnder = path;
+    m_ended = std::move(ended);
+}
+
+Answer UpstreamStandin::end()
+{
+    const std::string before = m_instanceId;
+    m_lives += 1;
+    m_instanceId = before.substr(0, before.find('.')) + "." + std::to_string(m_lives);
+    m_ended(before, m_instanceId);
+    Answer result;
+    result.cutConnection = true;
+    return result;
+}
+
 void UpstreamStandin::breakStreamsAfter(int events)
 {
     const std::lock_guard lock(m_mutex);
@@ -305,6 +331,8 @@
     }
     m_runs[id] += 1;
     m_last = request;
+    if (request.path == m_endsUnder)
+        return end();
     result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
     result.body = "answer to " + id;
     if (fault == Fault::CutAfterRun)
