A request under which three upstreams have ended is held, at every node

Cause: one request, sent again under a new id each time, ended each engine that began to run it. Attempts are bounded for one call and repeats for a window; nobody saw that the calls were the same, so that every node sent it to the next engine. Change: nodes name a request by its content, tell each other each upstream that broke off under one, and hold a request with three ends; what is held goes into the platform's store, for nodes that start later. Requests that were answered within the last minute are never suspected. Ruled out: the nodes' own retries (each of the 61 failed requests had been sent once).

--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -61,10 +61,14 @@
     node::ControlDuty control(settings, clock, metrics, [&](node::FleetUpdate it) {
         return trafficDuty->mailbox().push(std::move(it));
     });
-    node::TrafficDuty traffic(settings, clock, metrics, [&](node::OwnLoads it) {
+    const auto tellLoads = [&](node::OwnLoads it) {
         // Loads are told again a moment later: one that does not fit is not missed.
         std::ignore = controlDuty->loadsMailbox().push(std::move(it));
-    });
+    };
+    const auto tellRequestNews = [&](std::vector<RequestNews> it) {
+        return controlDuty->requestNewsMailbox().push(std::move(it));
+    };
+    node::TrafficDuty traffic(settings, clock, metrics, tellLoads, tellRequestNews);
     trafficDuty = &traffic;
     controlDuty = &control;
     if (!control.open() || !traffic.open())
--- /dev/null
+++ b/src/core/recent_answers.cpp
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/recent_answers.hpp"
+
+namespace fordwood {
+
+namespace {
+
+// A node answers some tens of requests a second; 48 KB.
+constexpr std::size_t kSlots = 2'048;
+
+constexpr Duration kOfLate = std::chrono::minutes(1);
+
+} // namespace
+
+RecentAnswers::RecentAnswers(const Clock &clock) : m_clock(clock), m_slots(kSlots) { }
+
+void RecentAnswers::note(const RequestFingerprint &request)
+{
+    m_slots[request.low % kSlots] = {request, m_clock.now()};
+}
+
+bool RecentAnswers::contains(const RequestFingerprint &request) const
+{
+    const Slot &slot = m_slots[request.low % kSlots];
+    return slot.request == request && m_clock.now() - slot.when < kOfLate;
+}
+
+} // namespace fordwood
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -148,6 +148,10 @@
         deadlinePassed();
         return;
     }
+    if (isHeld()) {
+        refuseHeld();
+        return;
+    }
     if (!choose()) {
         waitForUpstream();
         return;
@@ -167,6 +171,48 @@
         });
 }
 
+// Whether upstreams have ended one after the other under this request. Also asked before it goes
+// to a further upstream and after it has waited, since any node may have learnt it meanwhile.
+bool CallRun::isHeld() const
+{
+    return !m_traffic.quarantine().isIdle() && m_traffic.quarantine().isHeld(fingerprint());
+}
+
+void CallRun::refuseHeld()
+{
+    if (m_streamBegun) {
+        m_port.cut();
+        finish("cut-quarantined", 0);
+        return;
+    }
+    m_plan.setReason(Reason::RequestQuarantined);
+    giveUp(m_plan.verdict(std::chrono::ceil<std::chrono::milliseconds>(
+        m_traffic.quarantine().heldFor(fingerprint()))));
+}
+
+// The upstream broke off under the request. Without counting that, a request that comes again under
+// new ids ended 19 of a fleet's 18 engines and their successors in some seconds.
+void CallRun::noteBrokeOff()
+{
+    m_traffic.quarantine().brokeOff(fingerprint(), m_attempt->upstream.instanceId);
+    m_traffic.requestNewsMade();
+}
+
+void CallRun::noteAnswered()
+{
+    m_traffic.quarantine().answered(fingerprint());
+    m_traffic.requestNewsMade();
+}
+
+// The attempt ends without a word of the upstream, which may have ended.
+void CallRun::noteUnanswered()
+{
+    if (!m_attempt || !m_attempt->isOpen || !m_attempt->sent)
+        return;
+    m_traffic.quarantine().leftUnanswered(fingerprint(), m_attempt->upstream.instanceId);
+    m_traffic.requestNewsMade();
+}
+
 bool CallRun::choose()
 {
     auto candidates = m_traffic.candidates(*m_pool);
@@ -467,10 +513,12 @@
         endAttempt(true);
         if (!isWhole) {
             health.failed(id);
+            noteBrokeOff();
             judgeFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamBegun});
             return;
         }
         health.succeeded(id);
+        noteAnswered();
         if (!m_streamBegun)
             beginStream(); // a stream without an event
         m_port.endStream();
@@ -487,6 +535,8 @@
         judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, true});
         return;
     }
+    if (isGood(status))
+        noteAnswered();
     if (status < kFirstServerError || !m_plan.terms().mayRunAgain) {
         passOn();
         return;
@@ -541,6 +591,7 @@
     logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, cause.message(),
                        m_events.lastId().value_or(0), m_traffic.clock().now() - m_attempt->begun,
                        fingerprint()});
+    noteBrokeOff();
     endAttempt(false);
     judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamBegun});
 }
@@ -592,6 +643,7 @@
 void CallRun::deadlinePassed()
 {
     const bool sent = m_attempt && m_attempt->sent;
+    noteUnanswered();
     endAttempt(false);
     if (m_streamBegun) {
         m_port.cut();
@@ -619,6 +671,7 @@
 {
     if (m_isOver)
         return;
+    noteUnanswered();
     endAttempt(false);
     m_traffic.metrics().countRefusal(Reason::CallerLeft);
     finish(info(Reason::CallerLeft).name, 0);
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -47,6 +47,11 @@
 private:
     bool admit(); // false: the request has been refused
     void attempt();
+    bool isHeld() const;
+    void refuseHeld();
+    void noteBrokeOff();
+    void noteAnswered();
+    void noteUnanswered();
     bool choose();
     bool chooseEngine(const std::vector<const UpstreamRecord *> &candidates);
     void keepContextAtHome(EngineChoice &choice) const;
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -81,6 +81,9 @@
           m_context, m_caller, clock,
           [this](const std::string &failed) { return m_peers.roster().contextFollower(failed); },
           [this](FleetUpdate it) { this->tell(std::move(it)); }),
+      m_quarantine(
+          clock, m_store, m_replica,
+          [this](std::vector<RequestNews> it) { this->tell(RequestsHeard{std::move(it)}); }),
       m_documents(metrics, *this),
       m_role(clock, {settings.node.name, vmStrength(settings.vm)}, roleLimits(settings)),
       m_peers(m_context, clock,
@@ -93,6 +96,8 @@
       m_peerServer(m_context, [this](std::string_view it) { return peerReply(it); }),
       m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
       m_ownLoads(m_context, kMailboxCapacity, [this](OwnLoads it) { takeOwnLoads(std::move(it)); }),
+      m_ownRequestNews(m_context, kMailboxCapacity,
+                       [this](const std::vector<RequestNews> &it) { takeOwnRequestNews(it); }),
       m_tickTimer(m_context), m_upstreams(clock, {}), m_loads(clock)
 { }
 
@@ -287,6 +292,20 @@
     m_keysChanged = true;
 }
 
+void ControlDuty::heldRequestRead(const RequestFingerprint &request,
+                                  const std::vector<std::uint64_t> &lives)
+{
+    m_quarantine.takeStored(request, lives);
+}
+
+void ControlDuty::takeOwnRequestNews(const std::vector<RequestNews> &news)
+{
+    m_quarantine.takeOwn(news);
+    m_gossipSoon = m_gossipSoon || m_quarantine.hasNews();
+    if (m_gossipSoon && mayGossipAgain())
+        gossip();
+}
+
 bool ControlDuty::usesSums() const
 {
     return m_settings.mechanisms.relays && m_settings.mechanisms.loadSums
@@ -296,6 +315,8 @@
 void ControlDuty::heard(const Gossip &message)
 {
     m_exchange.take(message, m_role.isRelay());
+    // In a large fleet nodes hear from the relays only.
+    m_quarantine.takeHeard(message.requestNews, usesSums() && m_role.isRelay());
     if (message.leaving) {
         m_loads.setPeer(message.node, {});
         tell(PeerLoads{message.node, {}, 0, {}});
@@ -395,6 +416,7 @@
 void ControlDuty::gossip()
 {
     Gossip message = ownMessage();
+    message.requestNews = m_quarantine.newsForPeers();
     tell(EnginesLoading{message.node, message.orders.enginesLoading});
     m_gossipSoon = false;
     m_lastGossip = m_clock.now();
@@ -450,6 +472,7 @@
         m_orders.tick(m_loads);
         noteLoading();
         m_contexts.tick(m_orders.lock().holding());
+        m_quarantine.tick();
     }
     if (now >= m_nextMembers)
         noteMembers();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -27,6 +27,7 @@
 #include "node/order_words.hpp"
 #include "node/own_key.hpp"
 #include "node/peer_links.hpp"
+#include "node/quarantine_duty.hpp"
 #include "node/small_server.hpp"
 #include "node/store_link.hpp"
 #include "node/update_queue.hpp"
@@ -58,6 +59,7 @@
     void finishStop();
     void reload(const config::OneProcessSettings &settings);
     Mailbox<OwnLoads> &loadsMailbox() { return m_ownLoads; }
+    Mailbox<std::vector<RequestNews>> &requestNewsMailbox() { return m_ownRequestNews; }
 
 private:
     void storeTold(const StoreChanges &changes) override;
@@ -70,6 +72,8 @@
     void evacuationRead(const std::string &failureDomain, bool isEvacuated) override;
     void nodeWritten(const std::string &node, const PeerAddress &address) override;
     void nodeRemoved(const std::string &node) override;
+    void heldRequestRead(const RequestFingerprint &request,
+                         const std::vector<std::uint64_t> &lives) override;
 
     HttpReply readyReply(std::string_view target) const;
     HttpReply peerReply(std::string_view target) const;
@@ -85,6 +89,7 @@
     bool usesSums() const;
     void noteOthersLoad(LoadReport others);
     void takeOwnLoads(OwnLoads own);
+    void takeOwnRequestNews(const std::vector<RequestNews> &news);
     bool mayGossipAgain() const;
     Gossip ownMessage() const;
     void gossip();
@@ -121,6 +126,7 @@
     OwnKey m_ownKey;
     OrderDuty m_orders;
     ContextKeeping m_contexts;
+    QuarantineDuty m_quarantine;
     DocumentReader m_documents;
     RelayRole m_role;
     PeerLinks m_peers;
@@ -130,6 +136,7 @@
     SmallServer m_peerServer;
     SmallServer m_metricsServer;
     Mailbox<OwnLoads> m_ownLoads;
+    Mailbox<std::vector<RequestNews>> m_ownRequestNews;
     net::steady_timer m_tickTimer;
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
--- a/src/node/document_reader.cpp
+++ b/src/node/document_reader.cpp
@@ -2,6 +2,7 @@
 #include "node/document_reader.hpp"
 
 #include "adapters/observe/event_log.hpp"
+#include "node/quarantine_duty.hpp"
 #include "platform/documents.hpp"
 
 namespace fordwood::node {
@@ -38,6 +39,8 @@
     case platform::DocumentKind::Other:
         if (item.key.starts_with(kNodePrefix))
             readNode(item);
+        else if (const auto request = QuarantineDuty::requestOf(item.key))
+            readHeldRequest(*request, item);
         break;
     }
 }
@@ -167,4 +170,16 @@
         refuse(item, "is no address of a node");
 }
 
+// A key that is gone releases nothing: its lease may have run out while the store was away, and
+// nodes let go of a request by themselves.
+void DocumentReader::readHeldRequest(const RequestFingerprint &request, const StoredItem &item)
+{
+    if (!item.value)
+        return;
+    if (const auto lives = QuarantineDuty::decodeLives(*item.value))
+        m_listener.heldRequestRead(request, *lives);
+    else
+        refuse(item, "does not tell which upstreams have ended");
+}
+
 } // namespace fordwood::node
--- a/src/node/document_reader.hpp
+++ b/src/node/document_reader.hpp
@@ -6,8 +6,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "adapters/observe/metrics.hpp"
+#include "fordwood/request_fingerprint.hpp"
 #include "fordwood/serving_config.hpp"
 #include "fordwood/store_replica.hpp"
 #include "fordwood/upstream_record.hpp"
@@ -28,6 +30,10 @@
     virtual void evacuationRead(const std::string &failureDomain, bool isEvacuated) = 0;
     virtual void nodeWritten(const std::string &node, const PeerAddress &address) = 0;
     virtual void nodeRemoved(const std::string &node) = 0;
+    // Upstreams have ended under the request, by their lives.
+    virtual void heldRequestRead(const RequestFingerprint &request,
+                                 const std::vector<std::uint64_t> &lives)
+        = 0;
 };
 
 // Reads the values of the platform's store. One that cannot be read is logged and counted. Of
@@ -58,6 +64,7 @@
     void readUpstream(const StoredItem &item, bool mayBeExpiry);
     void readEvacuation(const StoredItem &item);
     void readNode(const StoredItem &item);
+    void readHeldRequest(const RequestFingerprint &request, const StoredItem &item);
     bool goesOn(const Life &known, const UpstreamRecord &record, const StoredItem &item);
     // What was known under the announced id is no upstream to use.
     void endLife(const std::string &announcedId, bool mayBeExpiry);
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -11,6 +11,7 @@
 
 #include "fordwood/context_directory.hpp"
 #include "fordwood/load_book.hpp"
+#include "fordwood/quarantine.hpp"
 #include "fordwood/route_table.hpp"
 #include "fordwood/upstream_record.hpp"
 
@@ -111,6 +112,12 @@
     std::string store;
 };
 
+// What other nodes know of requests that end upstreams.
+struct RequestsHeard
+{
+    std::vector<RequestNews> news;
+};
+
 // The planned stop begins.
 struct StopBegins
 { };
@@ -118,7 +125,7 @@
 using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, DomainEvacuated,
                                  StoreReachability, WeightsWanted, WeightsShown, EnginesLoading,
                                  PeerLoads, LiveNodes, KnownNodes, ContextStoreTold,
-                                 ContextStoreSilent, Informed, StopBegins>;
+                                 ContextStoreSilent, Informed, RequestsHeard, StopBegins>;
 
 // What the thread that serves requests tells the control thread: its own load, now and then.
 struct OwnLoads
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -36,6 +36,31 @@
     return word;
 }
 
+// Two numbers name a request, a third one the life that ended under it.
+Json encodeRequestNews(const std::vector<RequestNews> &news)
+{
+    Json list = Json::array();
+    for (const RequestNews &it : news) {
+        Json row{it.request.high, it.request.low};
+        if (it.brokenLife)
+            row.push_back(*it.brokenLife);
+        list.push_back(std::move(row));
+    }
+    return list;
+}
+
+std::vector<RequestNews> decodeRequestNews(const Json &list)
+{
+    std::vector<RequestNews> news;
+    for (const Json &row : list) {
+        RequestNews it{{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>()}, {}};
+        if (row.size() > 2)
+            it.brokenLife = row.at(2).get<std::uint64_t>();
+        news.push_back(it);
+    }
+    return news;
+}
+
 constexpr std::size_t kNumbersOfRow = 4;
 
 Json encodeLoad(const LoadReport &report)
@@ -131,6 +156,8 @@
         for (const auto &[version, age] : versions)
             object["named"][model].push_back({version, age.count()});
     }
+    if (!message.requestNews.empty())
+        object["requests"] = encodeRequestNews(message.requestNews);
     return encodeCbor(object);
 }
 
@@ -165,6 +192,8 @@
                 message.weightsNamed[model][it.at(0).get<std::uint64_t>()]
                     = std::chrono::milliseconds(it.at(1).get<std::int64_t>());
         }
+        if (object.contains("requests"))
+            message.requestNews = decodeRequestNews(object.at("requests"));
         return message;
     });
 }
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fordwood/load_sums.hpp"
+#include "fordwood/quarantine.hpp"
 #include "fordwood/store_replica.hpp"
 
 namespace fordwood::node {
@@ -67,6 +68,7 @@
     // By model and weight version: how long ago it was named, as far as the node knows. A node that
     // starts learns it from its peers.
     std::map<std::string, std::map<std::uint64_t, std::chrono::milliseconds>> weightsNamed;
+    std::vector<RequestNews> requestNews; // of requests that end upstreams
 };
 
 // A node's answer to a peer that lacks changes of the store.
--- /dev/null
+++ b/src/node/quarantine_duty.cpp
@@ -0,0 +1,174 @@
+// SPDX-License-Identifier: MIT
+#include "node/quarantine_duty.hpp"
+
+#include "adapters/observe/event_log.hpp"
+#include "node/cbor.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+constexpr std::string_view kPrefix = "fordwood/quarantine/";
+
+// As long as a hold lasts, and the longest that the platform grants; after it the key goes.
+constexpr Duration kLease = std::chrono::minutes(10);
+
+constexpr Duration kRetryPause = std::chrono::milliseconds(700);
+constexpr Duration kSweepEvery = std::chrono::seconds(1);
+
+} // namespace
+
+QuarantineDuty::QuarantineDuty(const Clock &clock, StoreLink &store, const StoreReplica &replica,
+                               Tell tell)
+    : m_clock(clock), m_store(store), m_replica(replica), m_tell(std::move(tell)),
+      m_quarantine(clock), m_spreader(clock)
+{ }
+
+std::string QuarantineDuty::keyOf(const RequestFingerprint &request)
+{
+    return std::string(kPrefix) + request.text();
+}
+
+std::optional<RequestFingerprint> QuarantineDuty::requestOf(std::string_view key)
+{
+    if (!key.starts_with(kPrefix))
+        return std::nullopt;
+    return RequestFingerprint::parse(key.substr(kPrefix.size()));
+}
+
+std::string QuarantineDuty::encodeLives(const std::vector<std::uint64_t> &lives)
+{
+    return encodeCbor(lives);
+}
+
+std::optional<std::vector<std::uint64_t>> QuarantineDuty::decodeLives(std::string_view bytes)
+{
+    return decodeCbor<std::vector<std::uint64_t>>(
+        bytes, [](const nlohmann::json &lives) { return lives.get<std::vector<std::uint64_t>>(); });
+}
+
+bool QuarantineDuty::take(const RequestNews &news)
+{
+    const bool wasHeld = m_quarantine.isHeld(news.request);
+    if (!m_quarantine.take(news))
+        return false;
+    const bool isHeld = m_quarantine.isHeld(news.request);
+    if (isHeld && !wasHeld)
+        noteHeld(news.request);
+    if (wasHeld && !isHeld)
+        logEvent(Event::RequestReleased, {{"fingerprint", news.request.text()}});
+    return true;
+}
+
+void QuarantineDuty::noteHeld(const RequestFingerprint &request)
+{
+    const bool isOwn = m_own.contains(request);
+    logEvent(Event::RequestHeld, {{"fingerprint", request.text()},
+                                  {"ends", m_quarantine.endsUnder(request).size()},
+                                  {"own", isOwn}});
+    // Nodes under whose sends upstreams ended write it: a few, so that one may be lost.
+    if (isOwn)
+        m_writes.try_emplace(request);
+}
+
+void QuarantineDuty::takeOwn(const std::vector<RequestNews> &news)
+{
+    for (const RequestNews &it : news) {
+        if (it.brokenLife)
+            m_own.insert(it.request);
+        if (take(it))
+            m_spreader.add(it);
+    }
+}
+
+void QuarantineDuty::takeHeard(const std::vector<RequestNews> &news, bool passesOn)
+{
+    std::vector<RequestNews> unknown;
+    for (const RequestNews &it : news) {
+        if (!take(it))
+            continue;
+        unknown.push_back(it);
+        if (passesOn)
+            m_spreader.add(it);
+    }
+    if (!unknown.empty())
+        m_tell(std::move(unknown));
+}
+
+void QuarantineDuty::takeStored(const RequestFingerprint &request,
+                                const std::vector<std::uint64_t> &lives)
+{
+    std::vector<RequestNews> news;
+    for (const std::uint64_t it : lives)
+        news.push_back({request, it});
+    takeHeard(news, false);
+}
+
+void QuarantineDuty::tick()
+{
+    for (auto &[request, write] : m_writes)
+        carryOut(request, write);
+    // One whose key others have written, or that has been released, needs no write.
+    std::erase_if(m_writes, [this](const auto &it) {
+        return !it.second.isBusy
+               && (m_replica.find(keyOf(it.first)) != nullptr || !m_quarantine.isHeld(it.first));
+    });
+    if (m_clock.now() < m_nextSweep)
+        return;
+    m_nextSweep = m_clock.now() + kSweepEvery;
+    m_quarantine.tick();
+    std::erase_if(m_own, [this](const auto &it) { return !m_quarantine.isSuspect(it); });
+}
+
+void QuarantineDuty::carryOut(const RequestFingerprint &request, Write &write)
+{
+    if (write.isBusy || m_clock.now() < write.next || m_replica.find(keyOf(request)) != nullptr)
+        return;
+    write.isBusy = true;
+    if (write.lease == 0)
+        grant(request);
+    else
+        put(request, write.lease);
+}
+
+void QuarantineDuty::retry(const RequestFingerprint &request)
+{
+    Write &write = m_writes[request];
+    write.isBusy = false;
+    write.next = m_clock.now() + kRetryPause;
+}
+
+void QuarantineDuty::grant(const RequestFingerprint &request)
+{
+    m_store.send(platform::grantCall(kLease), [this, request](const HttpResult &result) {
+        const auto granted = platform::readGrant(result);
+        if (!granted) {
+            retry(request);
+            return;
+        }
+        m_writes[request].lease = granted->lease;
+        put(request, granted->lease);
+    });
+}
+
+void QuarantineDuty::put(const RequestFingerprint &request, std::int64_t lease)
+{
+    // A write that is done late, or by several nodes, says the same.
+    const std::string value = encodeLives(m_quarantine.endsUnder(request));
+    m_store.send(platform::putCall(keyOf(request), value, lease, false),
+                 [this, request](const HttpResult &result) {
+                     const auto answer = platform::readPut(result);
+                     if (answer.result == WriteResult::Done) {
+                         m_writes.erase(request);
+                         return;
+                     }
+                     if (answer.result == WriteResult::LeaseOver)
+                         m_writes[request].lease = 0;
+                     retry(request);
+                 });
+}
+
+} // namespace fordwood::node
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -56,9 +56,9 @@
                  const config::OneProcessSettings &settings, adapters::Metrics &metrics)
     : m_context(context), m_clock(clock), m_settings(settings), m_metrics(metrics),
       m_upstreams(clock, {}), m_loads(clock), m_health(clock),
-      m_coldGate(clock, coldLimits(settings), settings.node.name), m_contexts(clock),
-      m_engines(clock, chooserLimits(settings)), m_channels(context, clock), m_shortDemand(clock),
-      m_lastTick(clock.now())
+      m_coldGate(clock, coldLimits(settings), settings.node.name), m_quarantine(clock),
+      m_contexts(clock), m_engines(clock, chooserLimits(settings)), m_channels(context, clock),
+      m_shortDemand(clock), m_lastTick(clock.now())
 { }
 
 void Traffic::take(const FleetUpdate &update)
@@ -82,9 +82,20 @@
 
 void Traffic::apply(const UpstreamRemoved &update)
 {
+    const UpstreamRecord *record = m_upstreams.find(update.instanceId);
+    const bool wasDraining = record != nullptr && record->draining;
     m_upstreams.remove(update.instanceId, update.mayBeExpiry);
-    if (m_upstreams.find(update.instanceId) == nullptr)
-        forget(update.instanceId);
+    if (m_upstreams.find(update.instanceId) != nullptr)
+        return;
+    if (!wasDraining)
+        noteUpstreamEnded(update.instanceId);
+    forget(update.instanceId);
+}
+
+void Traffic::noteUpstreamEnded(const std::string &instanceId)
+{
+    m_quarantine.upstreamEnded(instanceId);
+    m_requestNews();
 }
 
 void Traffic::apply(const DomainEvacuated &update)
@@ -163,6 +174,12 @@
     m_contexts.storeSilent(update.store);
 }
 
+void Traffic::apply(const RequestsHeard &update)
+{
+    m_quarantine.heard(update.news);
+    m_requestNews();
+}
+
 void Traffic::apply(const StopBegins &)
 {
     m_stopBegan = m_clock.now();
@@ -207,9 +224,14 @@
 void Traffic::tick()
 {
     noteStandstill();
-    for (const std::string &it : m_upstreams.tick())
+    for (const std::string &it : m_upstreams.tick()) {
+        noteUpstreamEnded(it);
         forget(it);
+    }
     m_channels.tick();
+    m_quarantine.tick();
+    m_metrics.setGauge("fordwood_quarantined_requests",
+                       static_cast<double>(m_quarantine.heldRequests()));
     m_metrics.setGauge("fordwood_cold_upstreams", static_cast<double>(m_coldGate.coldUpstreams()));
     if (!m_table)
         return;
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -19,6 +19,7 @@
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/load_book.hpp"
 #include "fordwood/prefill_pace.hpp"
+#include "fordwood/quarantine_gate.hpp"
 #include "fordwood/route_table.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_health.hpp"
@@ -74,6 +75,10 @@
     void heavyLoadSent() { m_heavyLoadSent(); }
     void onHeavyLoad(std::function<void()> told) { m_heavyLoadSent = std::move(told); }
 
+    // An upstream broke off, or answered: peers may have to hear of it.
+    void onRequestNews(std::function<void()> told) { m_requestNews = std::move(told); }
+    void requestNewsMade() { m_requestNews(); }
+
     // Until when a fetch that is asked for now may run, on the engines' clock; zero: not known.
     std::chrono::milliseconds fetchUntil() const;
 
@@ -107,6 +112,7 @@
     LoadBook &loads() { return m_loads; }
     UpstreamHealth &health() { return m_health; }
     ColdGate &coldGate() { return m_coldGate; }
+    QuarantineGate &quarantine() { return m_quarantine; }
     ContextDirectory &contexts() { return m_contexts; }
     const EngineChooser &engines() const { return m_engines; }
     UpstreamPool &channels() { return m_channels; }
@@ -126,9 +132,11 @@
     void apply(const ContextStoreTold &update);
     void apply(const ContextStoreSilent &update);
     void apply(const Informed &update);
+    void apply(const RequestsHeard &update);
     void apply(const StopBegins &update);
 
     void noteStandstill();
+    void noteUpstreamEnded(const std::string &instanceId);
     WindowBudget &budget(const std::string &service);
     bool isLoading(const std::string &instanceId) const;
     void forget(const std::string &instanceId);
@@ -142,6 +150,7 @@
     LoadBook m_loads;
     UpstreamHealth m_health;
     ColdGate m_coldGate;
+    QuarantineGate m_quarantine;
     ContextDirectory m_contexts;
     EngineChooser m_engines;
     UpstreamPool m_channels;
@@ -167,6 +176,7 @@
     std::size_t m_liveNodes = 1;
     std::optional<TimePoint> m_stopBegan;
     std::function<void()> m_heavyLoadSent;
+    std::function<void()> m_requestNews = [] {};
 };
 
 } // namespace fordwood::node
--- a/src/node/traffic_duty.cpp
+++ b/src/node/traffic_duty.cpp
@@ -20,15 +20,18 @@
 } // namespace
 
 TrafficDuty::TrafficDuty(const config::OneProcessSettings &settings, const Clock &clock,
-                         adapters::Metrics &metrics, TellLoads tellLoads)
+                         adapters::Metrics &metrics, TellLoads tellLoads,
+                         TellRequestNews tellRequestNews)
     : m_clock(clock), m_settings(settings), m_metrics(metrics), m_tellLoads(std::move(tellLoads)),
-      m_context(1), m_traffic(m_context, clock, settings, metrics),
+      m_tellRequestNews(std::move(tellRequestNews)), m_context(1),
+      m_traffic(m_context, clock, settings, metrics),
       m_mailbox(m_context, kMailboxCapacity, [this](const FleetUpdate &it) { m_traffic.take(it); }),
       m_acceptor(m_context, [this](tcp::socket it) { accepted(std::move(it)); }),
       m_tickTimer(m_context)
 {
     m_acceptor.onFailure([this] { m_metrics.count("fordwood_accept_failures_total"); });
     m_traffic.onHeavyLoad([this] { reportLoads(true); });
+    m_traffic.onRequestNews([this] { reportRequestNews(); });
 }
 
 bool TrafficDuty::open()
@@ -64,6 +67,7 @@
     });
     m_traffic.tick();
     reportLoads(false);
+    reportRequestNews();
     m_metrics.setGauge("fordwood_caller_connections", static_cast<double>(m_sessions.size()));
     m_metrics.setGauge("fordwood_upstream_channels",
                        static_cast<double>(m_traffic.channels().openChannels()));
@@ -77,6 +81,14 @@
                  m_traffic.contexts().recentSends(), isUrgent});
 }
 
+void TrafficDuty::reportRequestNews()
+{
+    const std::vector<RequestNews> news = m_traffic.quarantine().takeNews();
+    m_untold.insert(m_untold.end(), news.begin(), news.end());
+    if (!m_untold.empty() && m_tellRequestNews(m_untold))
+        m_untold.clear();
+}
+
 void TrafficDuty::stopStep()
 {
     if (m_clock.now() >= m_traffic.stopEnds()) {
--- a/src/node/traffic_duty.hpp
+++ b/src/node/traffic_duty.hpp
@@ -21,9 +21,11 @@
 {
 public:
     using TellLoads = std::function<void(OwnLoads)>;
+    // False when the receiver is full for the moment.
+    using TellRequestNews = std::function<bool(std::vector<RequestNews>)>;
 
     TrafficDuty(const config::OneProcessSettings &settings, const Clock &clock,
-                adapters::Metrics &metrics, TellLoads tellLoads);
+                adapters::Metrics &metrics, TellLoads tellLoads, TellRequestNews tellRequestNews);
 
     // Opens the callers' address; false when that fails, which has been logged.
     bool open();
@@ -39,11 +41,14 @@
     void tick();
     void stopStep();
     void reportLoads(bool isUrgent);
+    void reportRequestNews();
 
     const Clock &m_clock;
     const config::OneProcessSettings m_settings;
     adapters::Metrics &m_metrics;
     TellLoads m_tellLoads;
+    TellRequestNews m_tellRequestNews;
+    std::vector<RequestNews> m_untold; // news that did not fit yet
     net::io_context m_context;
     Traffic m_traffic;
     Mailbox<FleetUpdate> m_mailbox;
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -45,6 +45,7 @@
     }
     std::string operator()(const ContextStoreSilent &it) const { return silenceOf(it.store); }
     std::string operator()(const Informed &) const { return "informed"; }
+    std::string operator()(const RequestsHeard &) const { return "requests heard"; }
     std::string operator()(const StopBegins &) const { return "stop"; }
 };
 
@@ -71,6 +72,16 @@
     }
 }
 
+// News of requests that wait; beyond it the oldest go. As many as a node remembers requests.
+constexpr std::size_t kMostRequestNews = 2'048;
+
+void addRequests(std::vector<RequestNews> &older, const std::vector<RequestNews> &newer)
+{
+    older.insert(older.end(), newer.begin(), newer.end());
+    if (older.size() > kMostRequestNews)
+        older.erase(older.begin(), older.end() - kMostRequestNews);
+}
+
 } // namespace
 
 void UpdateQueue::push(FleetUpdate update)
@@ -88,6 +99,8 @@
     FleetUpdate &older = known->second->update;
     if (told != nullptr)
         addNews(std::get<ContextStoreTold>(older).news, std::move(told->news));
+    else if (const auto *requests = std::get_if<RequestsHeard>(&update))
+        addRequests(std::get<RequestsHeard>(older).news, requests->news);
     else
         older = std::move(update);
 }
--- a/src/node/update_queue.hpp
+++ b/src/node/update_queue.hpp
@@ -12,9 +12,9 @@
 namespace fordwood::node {
 
 // Updates that wait because the serving thread's mailbox is full. An update that says all there is
-// to say about its subject takes the place of an older one that still waits, and what a store of
-// kept context tells is added up; so the queue is bounded by what the fleet consists of, however
-// long the serving thread is busy.
+// to say about its subject takes the place of an older one that still waits; what a store of kept
+// context tells, and what peers tell of requests, is added up; so the queue is bounded by what the
+// fleet consists of, however long the serving thread is busy.
 class UpdateQueue
 {
 public:
--- a/tests/node/document_reader_test.cpp
+++ b/tests/node/document_reader_test.cpp
@@ -35,6 +35,11 @@
     }
     void nodeWritten(const std::string & /*node*/, const PeerAddress & /*address*/) override { }
     void nodeRemoved(const std::string & /*node*/) override { }
+    void heldRequestRead(const RequestFingerprint &request,
+                         const std::vector<std::uint64_t> & /*lives*/) override
+    {
+        held.push_back(request);
+    }
 
     std::vector<std::string> usable() const
     {
@@ -47,6 +52,7 @@
     ManualClock clock;
     UpstreamDirectory upstreams{clock, {}};
     std::uint64_t lastNamed = 0;
+    std::vector<RequestFingerprint> held;
 };
 
 // Reads entries one after the other, at rising revisions.
--- /dev/null
+++ b/tests/unit/quarantine_test.cpp
@@ -0,0 +1,214 @@
+// SPDX-License-Identifier: MIT
+// Requests that end the upstreams that run them, and requests that are merely there.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "fordwood/manual_clock.hpp"
+#include "fordwood/news_spreader.hpp"
+#include "fordwood/quarantine_gate.hpp"
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+const RequestFingerprint kFatal{1, 2};
+const RequestFingerprint kOther{3, 4};
+
+RequestNews ended(std::uint64_t life, const RequestFingerprint &request = kFatal)
+{
+    return {request, life};
+}
+
+// Nodes that tell each other everything at once.
+struct Nodes
+{
+    Nodes() : gates{QuarantineGate(clock), QuarantineGate(clock), QuarantineGate(clock)} { }
+
+    void tellEachOther()
+    {
+        for (QuarantineGate &from : gates) {
+            const auto news = from.takeNews();
+            for (QuarantineGate &to : gates) {
+                if (&to != &from)
+                    to.heard(news);
+            }
+        }
+    }
+
+    ManualClock clock;
+    std::vector<QuarantineGate> gates;
+};
+
+} // namespace
+
+TEST_CASE("quarantine: three ends hold a request, whoever saw them and in whatever order")
+{
+    ManualClock clock;
+    Quarantine one(clock);
+    Quarantine other(clock);
+    const std::vector<RequestNews> news{ended(7), ended(8), ended(7), ended(9)};
+    for (auto it = news.begin(); it != news.end(); ++it)
+        one.take(*it);
+    for (auto it = news.rbegin(); it != news.rend(); ++it)
+        other.take(*it);
+    CHECK(one.isHeld(kFatal));
+    CHECK(other.isHeld(kFatal));
+    CHECK_FALSE(one.isHeld(kOther));
+    CHECK(one.heldRequests() == 1);
+}
+
+TEST_CASE("quarantine: one upstream that ends under many copies of a request counts once")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock);
+    CHECK(quarantine.take(ended(7)));
+    for (int n = 0; n < 10; ++n)
+        CHECK_FALSE(quarantine.take(ended(7)));
+    CHECK(quarantine.isSuspect(kFatal));
+    CHECK_FALSE(quarantine.isHeld(kFatal));
+}
+
+TEST_CASE("quarantine: a request that an upstream answers is not to blame, before and after")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock);
+    for (std::uint64_t life = 1; life <= 3; ++life)
+        quarantine.take(ended(life));
+    CHECK(quarantine.isHeld(kFatal));
+    CHECK(quarantine.take({kFatal, {}}));
+    CHECK_FALSE(quarantine.isHeld(kFatal));
+    for (std::uint64_t life = 4; life <= 9; ++life)
+        CHECK_FALSE(quarantine.take(ended(life)));
+    CHECK_FALSE(quarantine.isHeld(kFatal));
+}
+
+TEST_CASE("quarantine: after the hold a request may be tried, and one more end holds it again")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock);
+    for (std::uint64_t life = 1; life <= 3; ++life)
+        quarantine.take(ended(life));
+    CHECK(quarantine.heldFor(kFatal) == 10min);
+    clock.advance(10min);
+    CHECK_FALSE(quarantine.isHeld(kFatal));
+    quarantine.take(ended(4));
+    CHECK(quarantine.isHeld(kFatal));
+    clock.advance(1h);
+    quarantine.tick();
+    CHECK(quarantine.isEmpty());
+}
+
+TEST_CASE("quarantine: what is remembered is bounded, and a held request is not forgotten for it")
+{
+    ManualClock clock;
+    Quarantine quarantine(clock);
+    for (std::uint64_t life = 1; life <= 3; ++life)
+        quarantine.take(ended(life));
+    for (std::uint64_t n = 0; n < 5'000; ++n) {
+        clock.advance(1ms);
+        quarantine.take(ended(1, {n, n + 10}));
+    }
+    CHECK(quarantine.isHeld(kFatal));
+    CHECK_FALSE(quarantine.isSuspect({0, 10}));
+    CHECK(quarantine.isSuspect({4'999, 5'009}));
+}
+
+TEST_CASE("quarantine: ends that three nodes saw, one each, hold the request at all of them")
+{
+    Nodes nodes;
+    for (std::size_t n = 0; n < nodes.gates.size(); ++n)
+        nodes.gates[n].brokeOff(kFatal, "i-" + std::to_string(n));
+    nodes.tellEachOther();
+    for (const QuarantineGate &it : nodes.gates)
+        CHECK(it.isHeld(kFatal));
+}
+
+TEST_CASE("quarantine: a page that was answered a moment ago is not held when upstreams end one "
+          "after the other, at no node")
+{
+    Nodes nodes;
+    nodes.gates[0].answered(kOther);
+    for (int n = 0; n < 6; ++n) {
+        nodes.clock.advance(500ms);
+        for (QuarantineGate &it : nodes.gates)
+            it.brokeOff(kOther, "i-" + std::to_string(n));
+        nodes.tellEachOther();
+        nodes.tellEachOther(); // the answer goes back to those that told of an end
+    }
+    for (const QuarantineGate &it : nodes.gates)
+        CHECK_FALSE(it.isHeld(kOther));
+}
+
+TEST_CASE("quarantine: an answer of long ago does not speak for a request")
+{
+    ManualClock clock;
+    QuarantineGate gate(clock);
+    gate.answered(kFatal);
+    clock.advance(1min);
+    for (int n = 0; n < 3; ++n)
+        gate.brokeOff(kFatal, "i-" + std::to_string(n));
+    CHECK(gate.isHeld(kFatal));
+}
+
+TEST_CASE("quarantine: an upstream that loses power under a request counts once it is gone")
+{
+    ManualClock clock;
+    QuarantineGate gate(clock);
+    // Its connections stay silent. The first caller leaves before the record runs out, the last
+    // one after it.
+    for (const char *it : {"i-1", "i-2"}) {
+        gate.leftUnanswered(kFatal, it);
+        clock.advance(4s);
+        gate.upstreamEnded(it);
+    }
+    gate.upstreamEnded("i-3");
+    clock.advance(1s);
+    CHECK_FALSE(gate.isHeld(kFatal));
+    gate.leftUnanswered(kFatal, "i-3");
+    CHECK(gate.isHeld(kFatal));
+}
+
+TEST_CASE("quarantine: a caller that left long before an upstream ended has nothing to do with it")
+{
+    ManualClock clock;
+    QuarantineGate gate(clock);
+    for (const char *it : {"i-1", "i-2", "i-3"}) {
+        gate.leftUnanswered(kFatal, it);
+        clock.advance(10s);
+        gate.tick();
+        gate.upstreamEnded(it);
+    }
+    CHECK_FALSE(gate.isHeld(kFatal));
+}
+
+TEST_CASE("quarantine: news are told again for peers that miss some messages, then no more")
+{
+    ManualClock clock;
+    NewsSpreader spreader(clock);
+    spreader.add(ended(7));
+    CHECK(spreader.hasNew());
+    int told = 0;
+    for (int n = 0; n < 200; ++n) {
+        told += static_cast<int>(spreader.next().size());
+        clock.advance(100ms);
+    }
+    CHECK(told == 6);
+    CHECK_FALSE(spreader.hasNew());
+}
+
+TEST_CASE("quarantine: many news at once go out in messages of bounded size, each of them")
+{
+    ManualClock clock;
+    NewsSpreader spreader(clock);
+    for (std::uint64_t n = 0; n < 1'000; ++n)
+        spreader.add(ended(n));
+    std::size_t messages = 0;
+    while (spreader.hasNew() && messages < 100) {
+        CHECK(spreader.next().size() <= 200);
+        messages += 1;
+    }
+    CHECK(messages <= 15);
+}
