Time in which a VM is suspended counts for leases, ages and deadlines

Cause: the clock port read the steady clock, which stands still while the VM is suspended. On waking a node held its lock beyond its lease, gave upstreams more time than the caller had left, and did not notice that it had stood still at all. Change: the port reads the boot clock. Before: 590 ns for a suspension of 5 s, a lock held an hour beyond its lease.

--- a/src/adapters/system_clock.hpp
+++ b/src/adapters/system_clock.hpp
@@ -2,15 +2,37 @@
 #ifndef FORDWOOD_ADAPTERS_SYSTEM_CLOCK_HPP_INCLUDED
 #define FORDWOOD_ADAPTERS_SYSTEM_CLOCK_HPP_INCLUDED
 
+#include <ctime>
+
 #include "fordwood/clock.hpp"
 
 namespace fordwood::adapters {
 
+// Monotonic time that goes on while the VM is suspended, in the form that timers need. On the
+// steady clock a node that was suspended for longer than its lease still holds its lock on waking,
+// beside the holder after it.
+struct BootClock
+{
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = TimePoint;
+    static constexpr bool is_steady = true;
+
+    static TimePoint now()
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(std::chrono::seconds(time.tv_sec)
+                         + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
 // The clocks of the operating system.
 class SystemClock : public Clock
 {
 public:
-    TimePoint now() const override { return std::chrono::steady_clock::now(); }
+    TimePoint now() const override { return BootClock::now(); }
     WallTime wallNow() const override
     {
         return std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -13,6 +13,7 @@
 #include "fordwood/request_fingerprint.hpp"
 #include "fordwood/route_table.hpp"
 #include "node/caller_port.hpp"
+#include "node/deadline_timer.hpp"
 #include "node/http_channel.hpp"
 #include "node/traffic.hpp"
 #include "node/upstream_attempt.hpp"
@@ -90,7 +91,7 @@
     const ServicePool *m_pool = nullptr;
     CallPlan m_plan{CallTerms{}};
     std::optional<UpstreamAttempt> m_attempt;
-    net::steady_timer m_deadline;
+    DeadlineTimer m_deadline;
     net::steady_timer m_retry; // while no upstream may be used
     EventSplitter m_events;
     bool m_streamBegun = false; // a part of the answer has gone to the caller
--- a/tests/system/suspended_clock_test.cpp
+++ b/tests/system/suspended_clock_test.cpp
@@ -7,11 +7,14 @@
 
 #include <ctime>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <sys/syscall.h>
 #include <unistd.h>
 
 #include "adapters/system_clock.hpp"
 #include "fordwood/fenced_lock.hpp"
+#include "node/deadline_timer.hpp"
 
 using namespace fordwood;
 using namespace std::chrono_literals;
@@ -55,3 +58,20 @@
     suspended += 2h;
     CHECK_FALSE(lock.holding());
 }
+
+TEST_CASE("system clock: a deadline that passed while the VM was suspended is noticed on waking")
+{
+    boost::asio::io_context context;
+    const adapters::SystemClock clock;
+    bool hasPassed = false;
+    node::DeadlineTimer deadline(context);
+    deadline.expires_at(clock.now() + 1h);
+    deadline.async_wait([&](const boost::system::error_code &ec) { hasPassed = !ec; });
+    suspended += 2h;
+    // A thread's regular work wakes it.
+    boost::asio::steady_timer work(context);
+    work.expires_after(1ms);
+    work.async_wait([](const boost::system::error_code &) {});
+    while (!hasPassed && context.run_one() > 0) { }
+    CHECK(hasPassed);
+}
