Tests: news of requests reach each node of a large fleet, and what is held while the store is away

The relays' fleet of the tests has a header of its own; messages can be lost in it. News that three nodes of 60 have reach all within half a second, and all though each third message is lost.

--- a/tests/node/decoder_fuzz_test.cpp
+++ b/tests/node/decoder_fuzz_test.cpp
@@ -9,6 +9,7 @@
 #include "node/context_messages.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
+#include "node/quarantine_duty.hpp"
 #include "platform/caller_messages.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
@@ -195,6 +196,7 @@
     gossip.node = "n";
     gossip.weightsNamed["m"][2] = std::chrono::milliseconds(30);
     gossip.orders.enginesLoading = {"i-1"};
+    gossip.requestNews = {{{1, 2}, 3}, {{4, 5}, {}}};
     gossip.load.loads = UpstreamLoads({{"i-1", {1, 2, 3}}});
     feed({node::encodeGossip(gossip)}, 12,
          [](const std::string &it) { return !!node::decodeGossip(it); });
@@ -202,6 +204,8 @@
     part.changes = {0, 9, {{"op/evacuate/z", 9, 9, "{}"}, {"b", 8, 1, std::nullopt}}};
     feed({node::encodeReplicaPart(part)}, 13,
          [](const std::string &it) { return !!node::decodeReplicaPart(it); });
+    feed({node::QuarantineDuty::encodeLives({1, UINT64_MAX})}, 15,
+         [](const std::string &it) { return !!node::QuarantineDuty::decodeLives(it); });
     feed({node::encodePeerAddress({"10.0.0.1:1", "10.0.0.1:2", "z", 1.0})}, 14,
          [](const std::string &it) { return !!node::decodePeerAddress(it); });
 }
--- a/tests/node/document_reader_test.cpp
+++ b/tests/node/document_reader_test.cpp
@@ -8,6 +8,7 @@
 
 #include "fordwood/manual_clock.hpp"
 #include "fordwood/upstream_directory.hpp"
+#include "node/quarantine_duty.hpp"
 
 using namespace fordwood;
 using namespace fordwood::node;
@@ -170,3 +171,19 @@
     entries.write("op/evacuate/z", std::nullopt);
     CHECK(entries.listener.usable() == Ids{"a@1000"});
 }
+
+TEST_CASE(
+    "entries: a held request is told; a value that cannot be read is refused, and a key that is "
+    "gone releases nothing [entries][quarantine]")
+{
+    Entries entries;
+    const RequestFingerprint request{1, 2};
+    const std::string key = QuarantineDuty::keyOf(request);
+    entries.write(key, QuarantineDuty::encodeLives({7, 8, 9}));
+    CHECK(entries.listener.held == std::vector{request});
+    entries.write(key, "nonsense");
+    CHECK(entries.refused() == 1);
+    entries.write(key, {});
+    entries.write("fordwood/quarantine/nonsense", QuarantineDuty::encodeLives({7}));
+    CHECK(entries.listener.held.size() == 1);
+}
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -423,6 +423,7 @@
     message.ordersHeard["b"] = {30ms, 20ms, {"f"}, {}};
     message.hearsStore = true;
     message.weightsNamed["m"][2] = 800ms;
+    message.requestNews = {{{1, UINT64_MAX}, 3}, {{4, 5}, {}}};
     message.isRelay = true;
     message.strength = 12.5;
     const auto read = node::decodeGossip(node::encodeGossip(message));
@@ -445,6 +446,7 @@
     CHECK(read->ordersHeard.at("b").lastOrder == 20ms);
     CHECK(read->ordersHeard.at("b").enginesLoading == std::set<std::string>{"f"});
     CHECK(read->weightsNamed == message.weightsNamed);
+    CHECK(read->requestNews == message.requestNews);
     CHECK_FALSE(node::decodeGossip("no message"));
     CHECK_FALSE(node::decodeGossip(""));
     const std::string whole = node::encodeGossip(message);
--- /dev/null
+++ b/tests/node/quarantine_duty_test.cpp
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: MIT
+// How the nodes of a large fleet hear of requests that end upstreams.
+#include "node/quarantine_duty.hpp"
+
+#include <doctest/doctest.h>
+
+#include "support/relay_fleet.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+
+namespace {
+
+const RequestFingerprint kFatal{1, 2};
+
+// Nodes that hold the request by what they have been told, and by `own`.
+std::size_t holders(RelayFleet &fleet, const std::vector<RequestNews> &own = {})
+{
+    std::size_t n = 0;
+    const ManualClock clock;
+    for (const RelayFleet::Node &node : fleet.nodes()) {
+        Quarantine quarantine(clock);
+        for (const RequestNews &it : node.requestNews)
+            quarantine.take(it);
+        for (const RequestNews &it : own)
+            quarantine.take(it);
+        n += quarantine.isHeld(kFatal) ? 1 : 0;
+    }
+    return n;
+}
+
+} // namespace
+
+TEST_CASE("quarantine duty: ends seen by nodes of three domains reach every node within half a "
+          "second [quarantine][relays]")
+{
+    RelayFleet fleet(3, 20, 87);
+    fleet.withRelays().run(6);
+    for (const std::size_t n : {57, 58, 59}) // one of each domain, none a relay
+        fleet.nodes()[n].quarantine->takeOwn({{kFatal, n}});
+    fleet.run(5);
+    CHECK(holders(fleet) == 57);
+    CHECK(holders(fleet, {{kFatal, 57}, {kFatal, 58}, {kFatal, 59}}) == 60);
+}
+
+TEST_CASE("quarantine duty: a third of the messages lost costs some rounds, no node "
+          "[quarantine][relays]")
+{
+    RelayFleet fleet(3, 20, 88);
+    fleet.withRelays().run(6);
+    fleet.loseEach(3);
+    for (const std::size_t n : {57, 58, 59})
+        fleet.nodes()[n].quarantine->takeOwn({{kFatal, n}});
+    fleet.run(30);
+    CHECK(holders(fleet, {{kFatal, 57}, {kFatal, 58}, {kFatal, 59}}) == 60);
+}
+
+TEST_CASE("quarantine duty: what has been told goes quiet [quarantine][relays]")
+{
+    RelayFleet fleet(3, 20, 89);
+    fleet.withRelays().run(6);
+    fleet.nodes()[59].quarantine->takeOwn({{kFatal, 1}, {kFatal, 2}, {kFatal, 3}});
+    fleet.run(100);
+    for (const RelayFleet::Node &it : fleet.nodes()) {
+        CHECK_FALSE(it.quarantine->hasNews());
+        CHECK(it.quarantine->newsForPeers().empty());
+    }
+}
+
+TEST_CASE("quarantine duty: the key and the value of a held request are read back, others are not "
+          "[quarantine]")
+{
+    const std::string key = QuarantineDuty::keyOf(kFatal);
+    CHECK(QuarantineDuty::requestOf(key) == kFatal);
+    CHECK_FALSE(QuarantineDuty::requestOf("fordwood/nodes/a"));
+    CHECK_FALSE(QuarantineDuty::requestOf(key + "0"));
+    const std::vector<std::uint64_t> lives{3, UINT64_MAX};
+    CHECK(QuarantineDuty::decodeLives(QuarantineDuty::encodeLives(lives)) == lives);
+    for (const char *it : {"", "\x83\x01", "\x63\x61\x62\x63", "\xa1\x61\x61\x01"})
+        CHECK_FALSE(QuarantineDuty::decodeLives(it));
+}
--- a/tests/process/quarantine_test.cpp
+++ b/tests/process/quarantine_test.cpp
@@ -84,3 +84,24 @@
     CHECK(fleet.call("POST", kFatal, "after").status == 503);
     CHECK(fatal.ends == 3);
 }
+
+TEST_CASE("node: a request that is held while the platform's store is away is held at the peers, "
+          "and written once the store is back [node][quarantine][outage]")
+{
+    FatalRequest fatal;
+    Deployment &fleet = fatal.fleet;
+    while (fatal.ends < 2 && fatal.tries < 20)
+        CHECK(fatal.send(0).status == 502);
+    for (const int it : {0, 1})
+        REQUIRE(Fleet::waitFor(
+            [&] { return fleet.call("GET", "/safe/1", "known", it).status == 200; }));
+    fleet.store.setDown(true);
+    while (fatal.ends < 3 && fatal.tries < 20)
+        fatal.send(0);
+    CHECK(Fleet::waitFor([&] { return fleet.metric("fordwood_quarantined_requests", 1) == 1; }));
+    CHECK(fatal.send(1).status == 503);
+    CHECK_FALSE(fleet.store.has("fordwood/quarantine/"));
+    fleet.store.setDown(false);
+    CHECK(Fleet::waitFor([&] { return fleet.store.has("fordwood/quarantine/"); }));
+    CHECK(fatal.ends == 3);
+}
