A held request whose key goes from the store is written again

A lease may run out while the store is away; nodes that start after that knew nothing of the request. The nodes under whose sends upstreams ended look whether the key stands.

--- a/src/node/quarantine_duty.cpp
+++ b/src/node/quarantine_duty.cpp
@@ -17,6 +17,10 @@
 constexpr Duration kLease = std::chrono::minutes(10);
 
 constexpr Duration kRetryPause = std::chrono::milliseconds(700);
+
+// A write that was done shows in the copy of the store within this.
+constexpr Duration kShowsAfter = std::chrono::seconds(3);
+
 constexpr Duration kSweepEvery = std::chrono::seconds(1);
 
 } // namespace
@@ -69,9 +73,6 @@
     logEvent(Event::RequestHeld, {{"fingerprint", request.text()},
                                   {"ends", m_quarantine.endsUnder(request).size()},
                                   {"own", isOwn}});
-    // Nodes under whose sends upstreams ended write it: a few, so that one may be lost.
-    if (isOwn)
-        m_writes.try_emplace(request);
 }
 
 void QuarantineDuty::takeOwn(const std::vector<RequestNews> &news)
@@ -109,13 +110,7 @@
 
 void QuarantineDuty::tick()
 {
-    for (auto &[request, write] : m_writes)
-        carryOut(request, write);
-    // One whose key others have written, or that has been released, needs no write.
-    std::erase_if(m_writes, [this](const auto &it) {
-        return !it.second.isBusy
-               && (m_replica.find(keyOf(it.first)) != nullptr || !m_quarantine.isHeld(it.first));
-    });
+    writeHeld();
     if (m_clock.now() < m_nextSweep)
         return;
     m_nextSweep = m_clock.now() + kSweepEvery;
@@ -123,9 +118,23 @@
     std::erase_if(m_own, [this](const auto &it) { return !m_quarantine.isSuspect(it); });
 }
 
+// The nodes under whose sends upstreams ended see to it that a held request stands in the store: a
+// few, so that one may be lost. A lease that runs out while the store is away takes the key along.
+void QuarantineDuty::writeHeld()
+{
+    for (const RequestFingerprint &it : m_own) {
+        if (m_quarantine.isHeld(it) && m_replica.find(keyOf(it)) == nullptr)
+            carryOut(it, m_writes[it]);
+    }
+    std::erase_if(m_writes, [this](const auto &it) {
+        return !it.second.isBusy
+               && (m_replica.find(keyOf(it.first)) != nullptr || !m_quarantine.isHeld(it.first));
+    });
+}
+
 void QuarantineDuty::carryOut(const RequestFingerprint &request, Write &write)
 {
-    if (write.isBusy || m_clock.now() < write.next || m_replica.find(keyOf(request)) != nullptr)
+    if (write.isBusy || m_clock.now() < write.next)
         return;
     write.isBusy = true;
     if (write.lease == 0)
@@ -161,13 +170,11 @@
     m_store.send(platform::putCall(keyOf(request), value, lease, false),
                  [this, request](const HttpResult &result) {
                      const auto answer = platform::readPut(result);
-                     if (answer.result == WriteResult::Done) {
-                         m_writes.erase(request);
-                         return;
-                     }
                      if (answer.result == WriteResult::LeaseOver)
                          m_writes[request].lease = 0;
                      retry(request);
+                     if (answer.result == WriteResult::Done)
+                         m_writes[request].next = m_clock.now() + kShowsAfter;
                  });
 }
 
--- a/src/node/quarantine_duty.hpp
+++ b/src/node/quarantine_duty.hpp
@@ -59,6 +59,7 @@
 
     bool take(const RequestNews &news);
     void noteHeld(const RequestFingerprint &request);
+    void writeHeld();
     void carryOut(const RequestFingerprint &request, Write &write);
     void grant(const RequestFingerprint &request);
     void put(const RequestFingerprint &request, std::int64_t lease);
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -142,6 +142,18 @@
     return it != m_items.end() && it->first.starts_with(prefix);
 }
 
+void KeyValueStandin::removeAll(const std::string &prefix)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> keys;
+    for (auto it = m_items.lower_bound(prefix); it != m_items.end(); ++it) {
+        if (it->first.starts_with(prefix))
+            keys.push_back(it->first);
+    }
+    for (const std::string &it : keys)
+        erase(it);
+}
+
 Answer KeyValueStandin::answer(const Request &request)
 {
     {
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -37,8 +37,9 @@
 
     std::int64_t revision();
 
-    // Whether there is a key that begins so.
+    // Whether there is a key that begins so; takes all of them away.
     bool has(const std::string &prefix);
+    void removeAll(const std::string &prefix);
 
 private:
     struct Item
--- a/tests/process/quarantine_test.cpp
+++ b/tests/process/quarantine_test.cpp
@@ -75,8 +75,12 @@
     CHECK(fleet.call("POST", "/once/other", "other").status == 200);
     CHECK(fleet.call("GET", "/safe/1", "read", 1).status == 200);
 
-    // A fleet that has lost all its processes still knows.
+    // A key that goes with its lease is written again.
+    CHECK(Fleet::waitFor([&] { return fleet.store.has("fordwood/quarantine/"); }));
+    fleet.store.removeAll("fordwood/quarantine/");
     CHECK(Fleet::waitFor([&] { return fleet.store.has("fordwood/quarantine/"); }));
+
+    // A fleet that has lost all its processes still knows.
     fleet.nodes.clear();
     fleet.startNode(0);
     REQUIRE(Fleet::waitFor([&] { return fleet.isReady(0); }));
