--- a/include/fordwood/request_fingerprint.hpp
+++ b/include/fordwood/request_fingerprint.hpp
@@ -2,11 +2,11 @@
 #ifndef FORDWOOD_REQUEST_FINGERPRINT_HPP_INCLUDED
 #define FORDWOOD_REQUEST_FINGERPRINT_HPP_INCLUDED
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace fordwood {
 
@@ -27,7 +27,11 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=>(const RequestFingerprint &) const = default;
+    bool operator==(const RequestFingerprint &) const = default;
+    bool operator<(const RequestFingerprint &other) const
+    {
+        return std::tie(high, low) < std::tie(other.high, other.low);
+    }
 
     // 32 hexadecimal digits.
     std::string text() const;
--- a/src/adapters/system_clock.hpp
+++ b/src/adapters/system_clock.hpp
@@ -17,7 +17,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = TimePoint;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std's name
 
     static TimePoint now()
     {
--- a/src/node/quarantine_duty.cpp
+++ b/src/node/quarantine_duty.cpp
@@ -103,6 +103,7 @@
                                 const std::vector<std::uint64_t> &lives)
 {
     std::vector<RequestNews> news;
+    news.reserve(lives.size());
     for (const std::uint64_t it : lives)
         news.push_back({request, it});
     takeHeard(news, false);
