Test: entry daemons send a request that ends upstreams on and on (fails; known red)

The same cause as in the node of one process, looked for elsewhere: the dispatcher judges each call for itself. CallRequest names its request by content; no decision uses that yet.

--- a/include/fordwood/call.hpp
+++ b/include/fordwood/call.hpp
@@ -11,6 +11,7 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/key_registry.hpp"
 #include "fordwood/prefill_line.hpp"
+#include "fordwood/request_fingerprint.hpp"
 #include "fordwood/verdict.hpp"
 
 namespace fordwood {
@@ -35,6 +36,7 @@
     double cost = 1.0; // expected tokens
     bool repeatable = true;
     std::optional<IdempotencyKey> key; // such a request is never repeatable
+    RequestFingerprint fingerprint; // the same for the same request, whenever it comes
     TimePoint deadline{};
 };
 
--- a/src/apps/entryd/api.cpp
+++ b/src/apps/entryd/api.cpp
@@ -61,6 +61,8 @@
     CallRequest call;
     call.team = team.name;
     call.priority = team.priority;
+    const std::string host = message.header("Host");
+    call.fingerprint = fingerprintOf({message.method, host, message.path, team.name, message.body});
     Duration left = limits.defaultDeadline;
     const std::string deadline = message.header("Fordwood-Deadline");
     if (!deadline.empty()) {
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -315,3 +315,88 @@
     CHECK(release->owner == "n1");
     CHECK(release->permitId == hold->permitId);
 }
+
+namespace {
+
+// Calls with the request that ends upstreams, one after the other, until three have ended under it.
+// An upstream is back under its name by the next call. Returns the id of a call to come.
+CallId endThreeUpstreams(Bench &bench, CallId id)
+{
+    for (int n = 0; n < 3; ++n) {
+        bench.clock.advance(5s);
+        bench.begin(id, false);
+        bench.grantLast();
+        const auto send = bench.last<SendCall>();
+        REQUIRE(send);
+        bench.dispatcher.attemptFailed(id, send->attempt,
+                                       {RunState::MayHaveRun, Reason::UpstreamBroke, "", false});
+        CHECK(bench.last<EndCall>()->verdict.state == RunState::MayHaveRun);
+        ++id;
+    }
+    return id;
+}
+
+} // namespace
+
+// The node in one process held a request under which three engines had ended; an entry daemon went
+// on sending such a request to an engine each time its caller came back, since it judged each call
+// for itself.
+TEST_CASE("dispatcher: a call under which three upstreams broke off before is sent to none, others "
+          "are [quarantine]")
+{
+    Bench bench;
+    const CallId id = endThreeUpstreams(bench, 1);
+    bench.begin(id, false);
+    const auto end = bench.last<EndCall>();
+    REQUIRE(end);
+    CHECK(end->verdict.reason == Reason::RequestQuarantined);
+    CHECK(end->verdict.state == RunState::NotRun);
+    CHECK(end->verdict.retryAfter > 9min);
+    CHECK(bench.dispatcher.calls() == 0);
+
+    CallRequest other;
+    other.id = id + 1;
+    other.team = "t";
+    other.target = "m";
+    other.deadline = bench.clock.now() + 30s;
+    other.fingerprint = {7, 7};
+    bench.dispatcher.begin(other);
+    CHECK(bench.last<AskPermit>());
+}
+
+TEST_CASE("dispatcher: copies of a call that break off with one upstream count as one end "
+          "[quarantine]")
+{
+    Bench bench;
+    for (CallId id = 1; id <= 5; ++id) {
+        bench.begin(id, false);
+        bench.grantLast();
+        const auto send = bench.last<SendCall>();
+        REQUIRE(send);
+        bench.dispatcher.attemptFailed(id, send->attempt,
+                                       {RunState::MayHaveRun, Reason::UpstreamBroke, "", false});
+        bench.last<EndCall>();
+    }
+    bench.begin(6, false);
+    CHECK(bench.last<AskPermit>());
+}
+
+TEST_CASE("dispatcher: a call that waits for its permit when its request is held is not sent "
+          "[quarantine]")
+{
+    Bench bench;
+    bench.begin(1, false);
+    const auto ask = bench.last<AskPermit>();
+    REQUIRE(ask);
+    endThreeUpstreams(bench, 2);
+    PermitReply reply;
+    reply.askId = ask->askId;
+    reply.granted = true;
+    reply.permitId = 99;
+    reply.sendWithin = 1min;
+    bench.dispatcher.permitAnswered("n1", reply);
+    const auto end = bench.last<EndCall>();
+    REQUIRE(end);
+    CHECK(end->verdict.reason == Reason::RequestQuarantined);
+    CHECK(bench.dispatcher.calls() == 0);
+}
