Entry daemons hold a request under which three upstreams have ended

Cause: the dispatcher judged each call for itself, as the node in one process did. Change: it uses the same gate. Upstreams keep their name there, so breaks at one within a second count as one end. Daemons do not tell each other. Before: the fourth call of such a request asks for a permit, and one that waited is sent.

--- a/include/fordwood/call.hpp
+++ b/include/fordwood/call.hpp
@@ -36,7 +36,8 @@
     double cost = 1.0; // expected tokens
     bool repeatable = true;
     std::optional<IdempotencyKey> key; // such a request is never repeatable
-    RequestFingerprint fingerprint; // the same for the same request, whenever it comes
+    // The same for the same request, whenever it comes; without one it is never held.
+    std::optional<RequestFingerprint> fingerprint;
     TimePoint deadline{};
 };
 
--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -16,8 +16,10 @@
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/key_claims.hpp"
 #include "fordwood/permits_in_use.hpp"
+#include "fordwood/quarantine_gate.hpp"
 #include "fordwood/retry_budget.hpp"
 #include "fordwood/team_admission.hpp"
+#include "fordwood/upstream_ends.hpp"
 
 namespace fordwood {
 
@@ -143,6 +145,9 @@
     void endLate(Call &call);
     void end(CallId id, const Verdict &verdict);
     bool takeRetry(const Call &call, Reason reason);
+    void noteBrokeOff(const Call &call);
+    bool isHeld(const CallRequest &request) const;
+    Verdict heldVerdict(const CallRequest &request) const;
     Call *find(CallId id, unsigned attempt);
 
     const Clock &m_clock;
@@ -157,6 +162,8 @@
     KeyClaims m_claims;
     TeamAdmission m_admission;
     PermitsInUse m_permits;
+    QuarantineGate m_quarantine;
+    UpstreamEnds m_ends;
     bool m_stopping = false;
 };
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include "fordwood/dispatcher.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace fordwood {
@@ -17,7 +18,8 @@
 Dispatcher::Dispatcher(const Clock &clock, DispatcherLimits limits)
     : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{}),
       m_claims(clock, limits.ownerTimeout, m_actions),
-      m_admission(clock, limits.ownerTimeout, *this, m_actions), m_permits(m_actions)
+      m_admission(clock, limits.ownerTimeout, *this, m_actions), m_permits(m_actions),
+      m_quarantine(clock), m_ends(clock)
 { }
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view)
@@ -29,18 +31,20 @@
 
 void Dispatcher::begin(const CallRequest &request)
 {
-    const auto refuse = [&](Reason reason) {
-        Verdict verdict = Verdict::of(reason, {}, kRetrySoon);
+    const auto refuseWith = [&](Verdict verdict) {
         if (request.key)
             verdict.state = RunState::MayHaveRun; // by an earlier send with the same key
         m_actions.emplace_back(EndCall{request.id, std::move(verdict)});
     };
+    const auto refuse = [&](Reason reason) { refuseWith(Verdict::of(reason, {}, kRetrySoon)); };
     if (m_stopping)
         return refuse(Reason::Stopping);
     if (!m_view)
         return refuse(Reason::NotReady);
     if (m_calls.size() >= m_limits.maxCalls)
         return refuse(Reason::InFlightLimit);
+    if (isHeld(request))
+        return refuseWith(heldVerdict(request));
     Call &call = m_calls[request.id];
     call.request = request;
     call.last = Verdict::of(Reason::NoUpstream, {}, kRetrySoon);
@@ -154,6 +158,8 @@
     const bool busy
         = failure.reason == Reason::UpstreamPushback || failure.reason == Reason::VersionMismatch;
     m_permits.release(id, 0.0, busy);
+    if (failure.reason == Reason::UpstreamBroke || failure.reason == Reason::AnswerCut)
+        noteBrokeOff(*call);
     if (failure.reason == Reason::VersionMismatch)
         call->candidates.noteOtherWeights();
     else if (busy)
@@ -163,7 +169,7 @@
     const bool cutForGood = failure.answerBegun && !failure.passedEvents;
     if (!maySendAgain(failure.state, call->request.repeatable, cutForGood))
         return end(id, verdict);
-    if (call->request.deadline <= m_clock.now())
+    if (call->request.deadline <= m_clock.now() || isHeld(call->request))
         return end(id, verdict);
     const bool free = isFree(*call, failure, sentDirectly);
     if (free)
@@ -202,6 +208,8 @@
     if (call == nullptr)
         return;
     m_permits.release(id, cost);
+    if (call->request.fingerprint)
+        m_quarantine.answered(*call->request.fingerprint);
     m_contention.countAccepted(call->request.target);
     m_claims.finish(id, RunState::Ran, std::move(answer));
     forget(id);
@@ -249,6 +257,9 @@
         fallBack(call);
     }
     m_admission.tick();
+    m_quarantine.tick();
+    // This daemon counts for itself: there is nobody to tell.
+    std::ignore = m_quarantine.takeNews();
 }
 
 // Ends a call whose time is up.
@@ -399,6 +410,11 @@
         m_permits.release(call.request.id, 0.0);
         return askNext(call, Verdict::of(Reason::UpstreamLeaving, {}, kRetrySoon));
     }
+    // Its upstreams may have ended under other copies of it while it waited.
+    if (isHeld(call.request)) {
+        m_permits.release(call.request.id, 0.0);
+        return end(call.request.id, heldVerdict(call.request));
+    }
     renewVersion(call);
     call.stage = Stage::Sent;
     ++call.attempt;
@@ -458,6 +474,27 @@
     return true;
 }
 
+// An upstream has broken off under the call. Without counting that, a request that its caller sends
+// again and again ends an upstream each time.
+void Dispatcher::noteBrokeOff(const Call &call)
+{
+    if (call.request.fingerprint)
+        m_quarantine.brokeOff(*call.request.fingerprint,
+                              m_ends.brokeOff(call.candidates.current()->name));
+}
+
+bool Dispatcher::isHeld(const CallRequest &request) const
+{
+    return request.fingerprint && m_quarantine.isHeld(*request.fingerprint);
+}
+
+Verdict Dispatcher::heldVerdict(const CallRequest &request) const
+{
+    return Verdict::of(
+        Reason::RequestQuarantined, {},
+        std::chrono::ceil<std::chrono::milliseconds>(m_quarantine.heldFor(*request.fingerprint)));
+}
+
 Dispatcher::Call *Dispatcher::find(CallId id, unsigned attempt)
 {
     const auto it = m_calls.find(id);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -45,6 +45,7 @@
         request.team = "t";
         request.target = "m";
         request.repeatable = repeatable;
+        request.fingerprint = {1, 2};
         request.deadline = clock.now() + 30s;
         dispatcher.begin(request);
     }
