--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -3,20 +3,14 @@
 
 #include <algorithm>
 
-#include "fordwood/engine_groups.hpp"
-#include "fordwood/homes.hpp"
-#include "fordwood/rendezvous.hpp"
-#include "fordwood/service_chooser.hpp"
 #include "node/call_log.hpp"
 #include "node/refusal.hpp"
+#include "node/upstream_choice.hpp"
 
 namespace fordwood::node {
 
 namespace {
 
-// How long a caller waits that does not say.
-constexpr std::chrono::milliseconds kUsualPatience{30'000};
-
 // Less than this is not worth sending: no upstream would finish.
 constexpr std::chrono::milliseconds kLeastPatience{5};
 
@@ -31,9 +25,6 @@
 // An evacuation lasts for seconds at least.
 constexpr std::chrono::milliseconds kEvacuatedRetryAfter{1'000};
 
-// The wait at an engine, in target latencies, from which a long prompt is refused at once.
-constexpr double kLongestWait = 0.7;
-
 // An upstream that has no room is passed over for a moment.
 constexpr Duration kFullPause = std::chrono::milliseconds(150);
 
@@ -56,66 +47,30 @@
     return status >= kFirstGood && status < kFirstOther;
 }
 
-std::string_view textOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 } // namespace
 
 CallRun::CallRun(Traffic &traffic, CallerPort &port, http::request_header<> head, std::string body,
                  TimePoint arrived)
     : m_traffic(traffic), m_port(port), m_head(std::move(head)),
       m_body(std::make_shared<const std::string>(std::move(body))), m_arrived(arrived),
-      m_caller(platform::readCallerHead(m_head)), m_table(traffic.table()),
-      m_deadline(traffic.context()), m_retry(traffic.context())
+      m_caller(platform::readCallerHead(m_head)), m_deadline(traffic.context()),
+      m_retry(traffic.context())
 { }
 
 void CallRun::start()
 {
-    if (!admit())
+    if (const auto refused = admitCall(m_traffic, m_head, m_caller, m_arrived, m_call)) {
+        giveUp(Verdict::of(*refused, {}, kRetryAfter));
         return;
-    m_traffic.countRequest(m_pool->name);
-    if (m_pool->engine && m_caller.prompt)
-        m_traffic.countPrompt(*m_caller.prompt, *m_pool->engine);
+    }
+    m_plan = CallPlan(m_call.terms);
+    m_traffic.countRequest(m_call.pool->name);
+    if (m_call.pool->engine && m_caller.prompt)
+        m_traffic.countPrompt(*m_caller.prompt, *m_call.pool->engine);
     armDeadline();
     attempt();
 }
 
-bool CallRun::admit()
-{
-    const auto refuse = [this](Reason reason) {
-        giveUp(Verdict::of(reason, {}, kRetryAfter));
-        return false;
-    };
-    if (!m_table)
-        return refuse(Reason::NotReady);
-    if (m_caller.requestId.empty())
-        return refuse(Reason::MalformedRequest);
-    m_route = m_table->findRoute(textOf(m_head[http::field::host]), textOf(m_head.target()));
-    if (m_route == nullptr)
-        return refuse(Reason::UnknownRoute);
-    if (m_table->hasTeams())
-        m_team = m_table->findTeam(m_caller.teamKey);
-    if (m_table->hasTeams() && m_team == nullptr && !m_route->isPublic)
-        return refuse(Reason::UnknownTeam);
-    m_pool = m_table->findService(RouteTable::targetOf(*m_route, m_caller.requestId));
-    if (m_pool == nullptr)
-        return refuse(Reason::NoUpstream);
-    std::chrono::milliseconds patience = m_caller.patience.value_or(kUsualPatience);
-    if (m_route->timeout.count() > 0)
-        patience = std::min(patience, m_route->timeout);
-    CallTerms terms;
-    terms.mayRunAgain = m_route->mayRunAgain();
-    terms.resumable = m_route->streaming && m_route->resumable;
-    terms.maxAttempts = m_route->maxAttempts;
-    terms.answerBy = m_arrived + patience;
-    if (!m_traffic.mayFinish(terms.answerBy))
-        return refuse(Reason::Stopping);
-    m_plan = CallPlan(terms);
-    return true;
-}
-
 void CallRun::armDeadline()
 {
     m_deadline.expires_at(m_plan.terms().answerBy);
@@ -125,12 +80,6 @@
     });
 }
 
-RequestFingerprint CallRun::fingerprint() const
-{
-    return fingerprintOf({textOf(m_head.method_string()), textOf(m_head[http::field::host]),
-                          textOf(m_head.target()), m_team != nullptr ? m_team->name : "", *m_body});
-}
-
 std::chrono::milliseconds CallRun::remaining() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_plan.terms().answerBy
@@ -139,7 +88,7 @@
 
 bool CallRun::isStream() const
 {
-    return m_route->streaming && m_attempt && isGood(m_attempt->answer->result_int());
+    return m_call.route->streaming && m_attempt && isGood(m_attempt->answer->result_int());
 }
 
 void CallRun::attempt()
@@ -215,98 +164,33 @@
 
 bool CallRun::choose()
 {
-    auto candidates = m_traffic.candidates(*m_pool);
-    const Homes homes(*m_route, m_team);
-    if (!homes.isAnywhere()) {
-        std::erase_if(candidates, [&](const UpstreamRecord *it) {
-            return !homes.allows(it->failureDomain, m_traffic.settings().regions);
-        });
-    }
-    if (m_pool->engine && m_caller.prompt)
-        return chooseEngine(candidates);
-    const std::uint64_t salt = stableHash(m_caller.requestId);
-    const UpstreamRecord *chosen
-        = chooseUpstream(candidates, m_plan.tried(), m_traffic.settings().node.failureDomain, salt,
-                         m_traffic.loads(), m_traffic.health());
-    if (chosen == nullptr)
+    UpstreamChoice choice = chooseUpstream(m_traffic, m_call, m_caller, m_plan, m_streamBegun);
+    if (choice.busyEngine)
+        m_busyEngine = std::move(choice.busyEngine);
+    if (!choice.attempt)
         return false;
-    m_attempt.emplace();
-    m_attempt->upstream = *chosen;
+    m_attempt = std::move(choice.attempt);
     return true;
 }
 
-bool CallRun::chooseEngine(const std::vector<const UpstreamRecord *> &candidates)
-{
-    // Short prompts are computed sooner than asked about.
-    if (!isShortPrompt(*m_caller.prompt, *m_pool->engine) && m_traffic.isWaking())
-        return false;
-    const std::string walled = m_team != nullptr && m_team->isolated ? m_team->name : "";
-    const EngineChooser::Question question{*m_caller.prompt,
-                                           walled,
-                                           m_traffic.weights(m_caller.prompt->model),
-                                           *m_pool->engine,
-                                           m_plan.tried(),
-                                           m_traffic.shortGroup(*m_pool),
-                                           m_traffic.consideredPart(),
-                                           stableHash(m_caller.requestId, m_plan.sends()),
-                                           m_traffic.coldAmong(candidates)};
-    auto choice = m_traffic.engines().choose(question, candidates, m_traffic.loads(),
-                                             m_traffic.health(), m_traffic.contexts());
-    if (!choice)
-        return false;
-    if (!choice->isShort && !m_streamBegun && waitsTooLong(*choice)) {
-        m_isOverload = true;
-        m_busyEngine = *choice;
-        return false;
-    }
-    keepContextAtHome(*choice);
-    EngineChooser::noteSent(*choice, *m_caller.prompt, m_traffic.contexts());
-    m_attempt.emplace();
-    m_attempt->upstream = *m_traffic.upstreams().find(choice->instanceId);
-    m_attempt->load = choice->load;
-    m_attempt->engine = *choice;
-    m_attempt->fetchUntil = m_traffic.fetchUntil();
-    return true;
-}
-
-// Context of a prompt that is bound to regions is saved in no other.
-void CallRun::keepContextAtHome(EngineChoice &choice) const
-{
-    const Homes homes(*m_route, m_team);
-    if (homes.isAnywhere())
-        return;
-    for (std::string &address : choice.saveTo) {
-        const ContextStore *store = m_table->findStore(address);
-        if (store != nullptr && !homes.allows(store->failureDomain, m_traffic.settings().regions))
-            address.clear();
-    }
-}
-
-// Whether the answer would be late anyway: work for it would make others late as well, while a
-// caller that is told so at once can come again.
-bool CallRun::waitsTooLong(const EngineChoice &choice)
+RequestFingerprint CallRun::fingerprint() const
 {
-    if (!m_traffic.settings().mechanisms.earlyRefusals)
-        return false;
-    const Duration wait = m_traffic.pace(m_pool->name).timeFor(choice.waitTokens);
-    const std::chrono::duration<double, std::nano> longest
-        = kLongestWait * std::chrono::duration<double, std::nano>(m_route->targetLatency);
-    return m_route->targetLatency.count() > 0 && wait > longest;
+    return fingerprintOf(m_head, m_call, *m_body);
 }
 
 void CallRun::waitForUpstream()
 {
-    if (m_isOverload) {
+    if (m_busyEngine) {
         m_plan.setReason(Reason::UpstreamBusy);
-        giveUp(m_plan.verdict(std::max(kRetryAfter, m_route->targetLatency)));
+        giveUp(m_plan.verdict(std::max(kRetryAfter, m_call.route->targetLatency)));
         return;
     }
-    if (!m_streamBegun && m_traffic.isEvacuated(*m_pool)) {
+    if (!m_streamBegun && m_traffic.isEvacuated(*m_call.pool)) {
         m_plan.setReason(Reason::DomainEvacuated);
         giveUp(m_plan.verdict(kEvacuatedRetryAfter));
         return;
     }
-    const Duration patience = m_route->targetLatency / kWaitPart;
+    const Duration patience = m_call.route->targetLatency / kWaitPart;
     const TimePoint now = m_traffic.clock().now();
     if (m_streamBegun || now - m_arrived >= patience) {
         if (m_streamBegun) {
@@ -340,48 +224,12 @@
     m_traffic.health().failed(m_attempt->upstream.instanceId);
     // Nothing listens there: whatever comes back at the address has just started.
     if (ec == net::error::connection_refused)
-        m_traffic.coldGate().suspectRestart(m_attempt->upstream.instanceId, m_pool->coldStart);
+        m_traffic.coldGate().suspectRestart(m_attempt->upstream.instanceId, m_call.pool->coldStart);
     m_plan.notSent();
     endAttempt(false);
     judgeFailure({RunState::NotRun, Reason::ConnectFailed, m_streamBegun});
 }
 
-http::request_header<> CallRun::upstreamHead() const
-{
-    platform::UpstreamStamp stamp;
-    stamp.instanceId = m_attempt->upstream.instanceId;
-    stamp.team = m_team != nullptr ? m_team->name : "";
-    stamp.patience = std::max(remaining(), kLeastPatience);
-    if (m_events.lastId())
-        stamp.resumeFrom = m_events.lastId();
-    if (m_attempt->engine.weightVersion > 0) {
-        stamp.weightVersion = m_attempt->engine.weightVersion;
-        stamp.contextSalt = m_attempt->engine.salt;
-        stamp.fetchFrom = m_attempt->engine.fetchFrom;
-        stamp.saveTo = m_attempt->engine.saveTo;
-        if (m_attempt->engine.isFetching())
-            stamp.fetchUntil = m_attempt->fetchUntil;
-        stamp.priority = enginePriority();
-    }
-    http::request_header<> head;
-    head.method_string(m_head.method_string());
-    head.target(m_head.target());
-    head.version(11);
-    platform::writeUpstreamHead(m_head, stamp, head);
-    return head;
-}
-
-// Long prompts wait for short ones, which take next to no time; the urgency of the team, or of the
-// route, decides within each kind.
-int CallRun::enginePriority() const
-{
-    constexpr int kKinds = 5; // of the ten priorities that an engine knows, for either kind
-    const auto ofTeam = m_team != nullptr ? m_team->priority : std::nullopt;
-    const int urgency = std::clamp(ofTeam.value_or(m_route->priority), 0, kKinds - 1);
-    const bool goesFirst = m_attempt->engine.isShort || !m_traffic.settings().mechanisms.shortFirst;
-    return goesFirst ? urgency : kKinds + urgency;
-}
-
 void CallRun::send()
 {
     // The upstream may have begun to leave while the connection came up, or its failure domain may
@@ -394,7 +242,7 @@
     }
     // Others may have gone to a cold upstream meanwhile, or it may have turned cold.
     if (!m_traffic.coldGate().maySend(m_attempt->upstream.instanceId,
-                                      m_pool->coldRequestsPerSecond)) {
+                                      m_call.pool->coldRequestsPerSecond)) {
         m_plan.notSent();
         endAttempt(true);
         judgeFailure({RunState::NotRun, Reason::UpstreamBusy, m_streamBegun});
@@ -403,7 +251,9 @@
     m_traffic.coldGate().sent(m_attempt->upstream.instanceId);
     m_attempt->sent = true;
     m_traffic.health().sent(m_attempt->upstream.instanceId);
-    m_attempt->channel->exchange(upstreamHead(), m_body, *this);
+    const UpstreamHeadTerms terms{std::max(remaining(), kLeastPatience), m_events.lastId(),
+                                  m_traffic.settings().mechanisms.shortFirst};
+    m_attempt->channel->exchange(upstreamHead(m_head, m_call, *m_attempt, terms), m_body, *this);
 }
 
 void CallRun::headRead(const http::response_header<> &head)
@@ -472,7 +322,7 @@
     const EngineChoice &engine = m_attempt->engine;
     // Short ones go before what lies at the engine, and so tell nothing of its pace.
     if (!engine.isShort)
-        m_traffic.pace(m_pool->name)
+        m_traffic.pace(m_call.pool->name)
             .observe(engine.found.tokensToCompute + engine.load.tokensToCompute,
                      *m_firstEvent - m_attempt->begun);
     m_port.beginStream(callersHead());
@@ -542,9 +392,9 @@
         return;
     }
     // A failure of the upstream's own: another may do better; if none may be asked, it stands.
-    const auto again = m_plan.afterFailure({RunState::Ran, Reason::UpstreamBroke, false},
-                                           m_traffic.clock().now(),
-                                           [this] { return m_traffic.takeRepeat(m_pool->name); });
+    const auto again = m_plan.afterFailure(
+        {RunState::Ran, Reason::UpstreamBroke, false}, m_traffic.clock().now(),
+        [this] { return m_traffic.takeRepeat(m_call.pool->name); });
     if (again != AfterFailure::SendAgain) {
         passOn();
         return;
@@ -623,8 +473,9 @@
 void CallRun::judgeFailure(const FailedAttempt &failure)
 {
     m_events.dropPartOfEvent();
-    const AfterFailure next = m_plan.afterFailure(
-        failure, m_traffic.clock().now(), [this] { return m_traffic.takeRepeat(m_pool->name); });
+    const AfterFailure next = m_plan.afterFailure(failure, m_traffic.clock().now(), [this] {
+        return m_traffic.takeRepeat(m_call.pool->name);
+    });
     switch (next) {
     case AfterFailure::SendAgain:
         m_traffic.metrics().countRetry(failure.reason);
@@ -688,9 +539,9 @@
         m_traffic.metrics().observe("fordwood_first_event_seconds", *m_firstEvent - m_arrived);
     CallEnd end;
     end.request = m_caller.requestId;
-    end.route = m_route != nullptr ? m_route->name : "";
-    end.team = m_team != nullptr ? m_team->name : "";
-    end.configuration = m_table ? m_table->config().version : 0;
+    end.route = m_call.route != nullptr ? m_call.route->name : "";
+    end.team = m_call.team != nullptr ? m_call.team->name : "";
+    end.configuration = m_call.table ? m_call.table->config().version : 0;
     end.upstream = m_lastUpstream;
     end.sends = m_plan.sends();
     end.outcome = outcome;
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -11,7 +11,7 @@
 #include "fordwood/call_plan.hpp"
 #include "fordwood/event_splitter.hpp"
 #include "fordwood/request_fingerprint.hpp"
-#include "fordwood/route_table.hpp"
+#include "node/admitted_call.hpp"
 #include "node/caller_port.hpp"
 #include "node/deadline_timer.hpp"
 #include "node/http_channel.hpp"
@@ -46,7 +46,6 @@
     void channelFailed(const ErrorCode &cause) override;
 
 private:
-    bool admit(); // false: the request has been refused
     void attempt();
     bool isHeld() const;
     void refuseHeld();
@@ -54,14 +53,9 @@
     void noteAnswered();
     void noteUnanswered();
     bool choose();
-    bool chooseEngine(const std::vector<const UpstreamRecord *> &candidates);
-    void keepContextAtHome(EngineChoice &choice) const;
-    bool waitsTooLong(const EngineChoice &choice);
     void waitForUpstream();
     void connected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
     void send();
-    http::request_header<> upstreamHead() const;
-    int enginePriority() const;
     void judgeFailure(const FailedAttempt &failure);
     void judgeAnswer();
     void judgeRefusal();
@@ -85,10 +79,7 @@
     std::shared_ptr<const std::string> m_body;
     const TimePoint m_arrived;
     platform::CallerHead m_caller;
-    std::shared_ptr<const RouteTable> m_table;
-    const ServiceRoute *m_route = nullptr;
-    const ServingTeam *m_team = nullptr;
-    const ServicePool *m_pool = nullptr;
+    AdmittedCall m_call;
     CallPlan m_plan{CallTerms{}};
     std::optional<UpstreamAttempt> m_attempt;
     DeadlineTimer m_deadline;
@@ -96,10 +87,9 @@
     EventSplitter m_events;
     bool m_streamBegun = false; // a part of the answer has gone to the caller
     bool m_isOver = false;
-    bool m_isOverload = false; // every engine has too much to do
     std::optional<TimePoint> m_firstEvent;
     std::string m_lastUpstream; // for the log
-    std::optional<EngineChoice> m_busyEngine; // likewise: what decided an early refusal
+    std::optional<EngineChoice> m_busyEngine; // every engine has too much to do, this one least
 };
 
 } // namespace fordwood::node
--- /dev/null
+++ b/src/node/upstream_choice.hpp
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_UPSTREAM_CHOICE_HPP_INCLUDED
+#define FORDWOOD_NODE_UPSTREAM_CHOICE_HPP_INCLUDED
+
+#include <optional>
+
+#include "fordwood/call_plan.hpp"
+#include "node/admitted_call.hpp"
+#include "node/upstream_attempt.hpp"
+
+namespace fordwood::node {
+
+// Which upstream takes a request next.
+struct UpstreamChoice
+{
+    std::optional<UpstreamAttempt> attempt; // nothing: none may be used now
+    std::optional<EngineChoice> busyEngine; // the best engine, which has too much to do
+};
+
+// `answerBegun`: a part of the answer has gone to the caller, so that it cannot be refused.
+UpstreamChoice chooseUpstream(Traffic &traffic, const AdmittedCall &call,
+                              const platform::CallerHead &caller, const CallPlan &plan,
+                              bool answerBegun);
+
+// The head with which the request goes to the upstream of an attempt.
+struct UpstreamHeadTerms
+{
+    std::chrono::milliseconds patience{0}; // that the caller has left
+    std::optional<std::uint64_t> resumeFrom; // the last event of the stream that the caller has
+    bool shortFirst = true; // see Mechanisms
+};
+http::request_header<> upstreamHead(const http::request_header<> &head, const AdmittedCall &call,
+                                    const UpstreamAttempt &attempt, const UpstreamHeadTerms &terms);
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_UPSTREAM_CHOICE_HPP_INCLUDED
