--- a/include/fordwood/rendezvous.hpp
+++ b/include/fordwood/rendezvous.hpp
@@ -23,6 +23,10 @@
 std::size_t rendezvousRank(std::uint64_t keyHash, const std::string &node,
                            const std::vector<std::string> &others);
 
+// The same where the hashes of the names are known.
+std::size_t rendezvousRank(std::uint64_t keyHash, std::uint64_t nodeHash,
+                           const std::vector<std::uint64_t> &otherHashes);
+
 // A hash as a fraction of its range, from 0 to below 1: for choices by weight.
 double hashFraction(std::uint64_t hash);
 
--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -54,7 +54,7 @@
     std::vector<const UpstreamRecord *> usable(const std::string &service) const;
 
     // All engines that are not leaving, evacuated ones too.
-    std::vector<const UpstreamRecord *> usableEngines() const;
+    std::vector<const UpstreamRecord *> stayingEngines() const;
 
     // Null when the instance is gone.
     const UpstreamRecord *find(const std::string &instanceId) const;
--- a/src/core/cold_gate.cpp
+++ b/src/core/cold_gate.cpp
@@ -80,12 +80,7 @@
 std::size_t ColdGate::rankAmong(const std::optional<NodeHashes> &others,
                                 std::uint64_t upstream) const
 {
-    if (!others)
-        return kNoSender;
-    const std::uint64_t own = rendezvousWeight(upstream, m_self);
-    return static_cast<std::size_t>(
-        std::count_if(others->begin(), others->end(),
-                      [&](std::uint64_t it) { return rendezvousWeight(upstream, it) > own; }));
+    return others ? rendezvousRank(upstream, m_self, *others) : kNoSender;
 }
 
 std::size_t ColdGate::ownPart(Upstream &upstream, const std::string &instanceId, std::size_t most)
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -40,10 +40,20 @@
 std::size_t rendezvousRank(std::uint64_t keyHash, const std::string &node,
                            const std::vector<std::string> &others)
 {
-    const std::uint64_t own = rendezvousWeight(keyHash, stableHash(node));
-    const auto before = std::count_if(others.begin(), others.end(), [&](const std::string &it) {
-        return rendezvousWeight(keyHash, stableHash(it)) > own;
-    });
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(others.size());
+    for (const std::string &it : others)
+        hashes.push_back(stableHash(it));
+    return rendezvousRank(keyHash, stableHash(node), hashes);
+}
+
+std::size_t rendezvousRank(std::uint64_t keyHash, std::uint64_t nodeHash,
+                           const std::vector<std::uint64_t> &otherHashes)
+{
+    const std::uint64_t own = rendezvousWeight(keyHash, nodeHash);
+    const auto before
+        = std::count_if(otherHashes.begin(), otherHashes.end(),
+                        [&](std::uint64_t it) { return rendezvousWeight(keyHash, it) > own; });
     return static_cast<std::size_t>(before);
 }
 
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -46,7 +46,8 @@
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
         const UpstreamRecord &record = it.second.record;
-        return record.service == service && !record.draining && !isUsable(record);
+        return record.service == service && !record.draining
+               && m_evacuated.contains(record.failureDomain);
     });
 }
 
@@ -89,7 +90,7 @@
     return found;
 }
 
-std::vector<const UpstreamRecord *> UpstreamDirectory::usableEngines() const
+std::vector<const UpstreamRecord *> UpstreamDirectory::stayingEngines() const
 {
     std::vector<const UpstreamRecord *> found;
     for (const auto &[id, entry] : m_entries) {
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -235,7 +235,7 @@
         m_documents.read(it, mayBeExpiry);
     if (m_replica.revision() != before)
         m_gossipSoon = true;
-    m_orders.rollout().setEngines(m_upstreams.usableEngines());
+    m_orders.rollout().setEngines(m_upstreams.stayingEngines());
     m_orders.lock().keyChanged(m_replica.find(OrderDuty::lockKey()));
 }
 
