--- a/tests/node/quarantine_duty_test.cpp
+++ b/tests/node/quarantine_duty_test.cpp
@@ -36,7 +36,7 @@
 {
     RelayFleet fleet(3, 20, 87);
     fleet.withRelays().run(6);
-    for (const std::size_t n : {57, 58, 59}) // one of each domain, none a relay
+    for (const std::size_t n : {57U, 58U, 59U}) // one of each domain, none a relay
         fleet.nodes()[n].quarantine->takeOwn({{kFatal, n}});
     fleet.run(5);
     CHECK(holders(fleet) == 57);
@@ -49,7 +49,7 @@
     RelayFleet fleet(3, 20, 88);
     fleet.withRelays().run(6);
     fleet.loseEach(3);
-    for (const std::size_t n : {57, 58, 59})
+    for (const std::size_t n : {57U, 58U, 59U})
         fleet.nodes()[n].quarantine->takeOwn({{kFatal, n}});
     fleet.run(30);
     CHECK(holders(fleet, {{kFatal, 57}, {kFatal, 58}, {kFatal, 59}}) == 60);
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -49,11 +49,10 @@
     ManualClock clock;
     Quarantine one(clock);
     Quarantine other(clock);
-    const std::vector<RequestNews> news{ended(7), ended(8), ended(7), ended(9)};
-    for (auto it = news.begin(); it != news.end(); ++it)
-        one.take(*it);
-    for (auto it = news.rbegin(); it != news.rend(); ++it)
-        other.take(*it);
+    for (const std::uint64_t life : {7U, 8U, 7U, 9U})
+        one.take(ended(life));
+    for (const std::uint64_t life : {9U, 7U, 8U, 7U})
+        other.take(ended(life));
     CHECK(one.isHeld(kFatal));
     CHECK(other.isHeld(kFatal));
     CHECK_FALSE(one.isHeld(kOther));
