--- a/include/fordwood/quarantine.hpp
+++ b/include/fordwood/quarantine.hpp
@@ -29,7 +29,7 @@
 //
 // The load pattern that it answers: one request comes again and again, at any node and under a new
 // id each time, and each upstream that begins to run it ends, with all that runs beside it. In a
-// fleet that has 18 engines at a time 19 ended so within ten seconds.
+// fleet that has 18 engines at a time 19 ended so, twelve of them within eight seconds.
 class Quarantine
 {
 public:
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -140,7 +140,7 @@
 }
 
 // The upstream broke off under the request. Without counting that, a request that came again under
-// new ids ended 19 engines within ten seconds, in a fleet that has 18 at a time.
+// new ids ended 19 engines, in a fleet that has 18 at a time.
 void CallRun::noteBrokeOff()
 {
     m_traffic.quarantine().brokeOff(fingerprint(), m_attempt->upstream.instanceId);
--- a/tests/process/quarantine_test.cpp
+++ b/tests/process/quarantine_test.cpp
@@ -7,7 +7,7 @@
 // such as
 //   event=402 name=AttemptFailed cause="partial message" events_passed="0"
 //   event=401 name=RequestEnded sends="1" outcome="upstream-broke" status="502"
-// for the same team, context and sizes at thirteen engines in eight seconds.
+// for the same team, context and sizes at twelve engines in eight seconds.
 #include <doctest/doctest.h>
 
 #include "process/node_deployment.hpp"
