Sight: nodes read and log the limits that upstreams name

The incident's logs could not tell whether an answer named a limit, to whom, and what a node believed. Now each node keeps a belief for each life of an upstream, versioned so that what overtakes on its way does no harm, and logs events 314 to 317; gauge of limited upstreams, counter of limits that cannot be read. Nothing is decided by it yet.

--- /dev/null
+++ b/include/fordwood/upstream_limits.hpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_UPSTREAM_LIMITS_HPP_INCLUDED
+#define FORDWOOD_UPSTREAM_LIMITS_HPP_INCLUDED
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+
+namespace fordwood {
+
+// What nodes tell each other of one upstream's limit.
+struct LimitWord
+{
+    std::uint64_t upstream = 0; // its life, by the stable hash of its instance id
+    std::uint64_t version = 0; // of what is believed of it; the highest one holds
+    double perSecond = 0.0; // requests a second; zero: the upstream names no limit any more
+    Duration age{}; // since the answer that brought it about was read
+
+    bool operator==(const LimitWord &) const = default;
+};
+
+// What a node believes of one upstream's limit has changed.
+struct LimitChange
+{
+    std::string instanceId;
+    std::optional<double> before; // requests a second; nothing: no limit
+    std::optional<double> now;
+    std::uint64_t version = 0;
+    Duration age{}; // since the answer that brought it about was read, by this node or a peer
+};
+
+// Which upstreams name a limit: the requests a second that they take from all nodes together.
+//
+// The load pattern that it answers: an upstream in need names its limit in its answers, so that
+// only nodes that send there are told, while the limit holds for the sum of what all nodes send;
+// and it lifts the limit in the same way, when most nodes send it nothing any more. So nodes tell
+// each other, and order what they hear by a version that each change raises: an older word that
+// arrives late, or that a node reads after standing still, never replaces a newer one.
+class UpstreamLimits
+{
+public:
+    explicit UpstreamLimits(const Clock &clock) : m_clock(clock) { }
+
+    // The upstream is in service: only of such ones is anything kept.
+    void know(const std::string &instanceId);
+
+    // The upstream's life is over, and its limit with it.
+    void forget(const std::string &instanceId);
+
+    // An answer of the upstream to a request that was sent at `sent` names so many requests a
+    // second, or none. Answers overtake each other: what is believed changes only by an answer to a
+    // request that was sent after it came to be believed, and is eased only by one to a request
+    // that was sent after the last answer that bore it out.
+    std::optional<LimitChange> answered(const std::string &instanceId,
+                                        std::optional<double> perSecond, TimePoint sent);
+
+    // What a peer has told. Words about upstreams that this node does not know are passed over.
+    std::vector<LimitChange> heard(const std::vector<LimitWord> &words);
+
+    // Requests a second that the upstream takes from all nodes together; nothing: any number.
+    std::optional<double> perSecond(const std::string &instanceId) const;
+
+    // What peers should hear: limits that stand, and of late lifted ones.
+    std::vector<LimitWord> words() const;
+
+    // Upstreams that name a limit now, for the metrics.
+    std::size_t limited() const;
+
+private:
+    struct Belief
+    {
+        std::string instanceId;
+        std::uint64_t version = 0; // zero: never has any answer named a limit
+        std::optional<double> perSecond;
+        TimePoint learnt{}; // when this node came to believe it
+        TimePoint borneOut{}; // the last answer that said the same, or `learnt`
+        TimePoint answered{}; // when the answer that brought it about was read, by any node
+        TimePoint tellUntil{}; // that it has been lifted
+    };
+
+    bool mayChange(const Belief &belief, std::optional<double> perSecond, TimePoint sent) const;
+    LimitChange change(Belief &belief, std::uint64_t version, std::optional<double> perSecond,
+                       TimePoint answered);
+
+    const Clock &m_clock;
+    std::map<std::uint64_t, Belief> m_beliefs; // by the hash of the instance id
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_UPSTREAM_LIMITS_HPP_INCLUDED
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -250,6 +250,7 @@
     }
     m_traffic.coldGate().sent(m_attempt->upstream.instanceId);
     m_attempt->sent = true;
+    m_attempt->sentAt = m_traffic.clock().now();
     m_traffic.health().sent(m_attempt->upstream.instanceId);
     const UpstreamHeadTerms terms{std::max(remaining(), kLeastPatience), m_events.lastId(),
                                   m_traffic.settings().mechanisms.shortFirst};
@@ -269,6 +270,7 @@
         judgeFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamBegun});
         return;
     }
+    m_traffic.noteAnswer(m_caller.requestId, *m_attempt);
     if (m_attempt->head.notRun || !isGood(head.result_int()))
         return;
     if (!m_attempt->head.isSealed) {
--- /dev/null
+++ b/src/node/limit_log.hpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
+#define FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
+
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "adapters/observe/metrics.hpp"
+#include "fordwood/upstream_limits.hpp"
+
+namespace fordwood::node {
+
+// Logs and counts what a node learns of limits that upstreams name.
+class LimitLog
+{
+public:
+    explicit LimitLog(adapters::Metrics &metrics) : m_metrics(metrics) { }
+
+    // `source`: the request whose answer said so, or that a peer did.
+    void changed(const LimitChange &change, std::string_view source);
+
+    // An answer names a limit that is no number. Counted each time, logged once for each life.
+    void unreadable(const std::string &instanceId, const std::string &requestId);
+
+    void forget(const std::string &instanceId) { m_unreadable.erase(instanceId); }
+
+private:
+    adapters::Metrics &m_metrics;
+    std::set<std::string> m_unreadable; // instance ids that have been logged
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -55,7 +55,7 @@
 Traffic::Traffic(net::io_context &context, const Clock &clock,
                  const config::OneProcessSettings &settings, adapters::Metrics &metrics)
     : m_context(context), m_clock(clock), m_settings(settings), m_metrics(metrics),
-      m_upstreams(clock, {}), m_loads(clock), m_health(clock),
+      m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_limits(clock), m_limitLog(metrics),
       m_coldGate(clock, coldLimits(settings), settings.node.name), m_quarantine(clock),
       m_contexts(clock), m_engines(clock, chooserLimits(settings)), m_channels(context, clock),
       m_shortDemand(clock), m_lastTick(clock.now())
@@ -77,6 +77,7 @@
 void Traffic::apply(const UpstreamWritten &update)
 {
     m_upstreams.put(update.record);
+    m_limits.know(update.record.instanceId);
     m_coldGate.noteCold(update.record.instanceId, update.record.coldFor);
 }
 
@@ -205,6 +206,24 @@
     m_channels.forget(instanceId);
     m_health.forget(instanceId);
     m_coldGate.forget(instanceId);
+    m_limits.forget(instanceId);
+    m_limitLog.forget(instanceId);
+}
+
+void Traffic::noteAnswer(const std::string &requestId, const UpstreamAttempt &attempt)
+{
+    const platform::AnswerHead &head = attempt.head;
+    const std::string &id = attempt.upstream.instanceId;
+    if (head.wrongInstance || m_upstreams.find(id) == nullptr)
+        return;
+    if (head.isLimitUnreadable)
+        m_limitLog.unreadable(id, requestId);
+    // A failure that something on the way has made up names no limit, and lifts none.
+    const bool isWord = head.requestsPerSecond || (head.isSealed && !head.isLimitUnreadable);
+    if (!isWord)
+        return;
+    if (const auto change = m_limits.answered(id, head.requestsPerSecond, attempt.sentAt))
+        m_limitLog.changed(*change, requestId);
 }
 
 void Traffic::noteStandstill()
@@ -232,6 +251,7 @@
     m_quarantine.tick();
     m_metrics.setGauge("fordwood_quarantined_requests",
                        static_cast<double>(m_quarantine.heldRequests()));
+    m_metrics.setGauge("fordwood_limited_upstreams", static_cast<double>(m_limits.limited()));
     m_metrics.setGauge("fordwood_cold_upstreams", static_cast<double>(m_coldGate.coldUpstreams()));
     if (!m_table)
         return;
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -23,8 +23,11 @@
 #include "fordwood/route_table.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_health.hpp"
+#include "fordwood/upstream_limits.hpp"
 #include "fordwood/window_budget.hpp"
 #include "node/fleet_update.hpp"
+#include "node/limit_log.hpp"
+#include "node/upstream_attempt.hpp"
 #include "node/upstream_pool.hpp"
 
 namespace fordwood::node {
@@ -79,6 +82,9 @@
     void onRequestNews(std::function<void()> told) { m_requestNews = std::move(told); }
     void requestNewsMade() { m_requestNews(); }
 
+    // What the answer to a request says of the upstream's limit.
+    void noteAnswer(const std::string &requestId, const UpstreamAttempt &attempt);
+
     // Until when a fetch that is asked for now may run, on the engines' clock; zero: not known.
     std::chrono::milliseconds fetchUntil() const;
 
@@ -149,6 +155,8 @@
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
     UpstreamHealth m_health;
+    UpstreamLimits m_limits;
+    LimitLog m_limitLog;
     ColdGate m_coldGate;
     QuarantineGate m_quarantine;
     ContextDirectory m_contexts;
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -25,6 +25,7 @@
     std::chrono::milliseconds fetchUntil{0}; // by the engines' clock
     std::shared_ptr<HttpChannel> channel;
     TimePoint begun{};
+    TimePoint sentAt{}; // when the request was handed to the connection
     bool isOpen = true;
     bool sent = false;
     bool computed = false; // the answer has begun
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -55,6 +55,32 @@
     CHECK(head.prompt->sharedTokens() == 1210);
 }
 
+TEST_CASE(
+    "upstreams: the limit that an answer names is read; what names no rate is told apart from "
+    "no limit [platform][limit][bad-input]")
+{
+    const auto read = [](std::initializer_list<const char *> values) {
+        Fields fields;
+        for (const char *it : values)
+            fields.insert("Server-Limit", it);
+        return readAnswerHead(200, fields);
+    };
+    CHECK_FALSE(read({}).requestsPerSecond);
+    CHECK_FALSE(read({}).isLimitUnreadable);
+    CHECK(read({"3.2"}).requestsPerSecond == 3.2);
+    CHECK(read({"4"}).requestsPerSecond == 4.0);
+    CHECK(read({"0"}).requestsPerSecond == 0.0);
+    CHECK(read({"1e300"}).requestsPerSecond == 1e300);
+    for (const char *it : {"", "-0.5", "nan", "inf", "1e999", "3.2/s", "3,2", "three", "0x10"}) {
+        CAPTURE(it);
+        CHECK_FALSE(read({it}).requestsPerSecond);
+        CHECK(read({it}).isLimitUnreadable);
+    }
+    CHECK(read({"5", "3.2"}).requestsPerSecond == 3.2);
+    CHECK(read({"5", "many"}).requestsPerSecond == 5.0);
+    CHECK(read({"5", "many"}).isLimitUnreadable);
+}
+
 TEST_CASE("callers: numbers that are none are taken as not given [platform][bad-input]")
 {
     Fields fields;
--- /dev/null
+++ b/tests/process/limit_test.cpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+// Two engines in need named in their answers how many requests a second they take from all nodes
+// together. No node read that, and the requests went on as before: eight nodes sent 33 and 43
+// requests within four seconds to engines that named 2.7 and 2.9 a second and bear 21 and 22. What
+// settled it were the arrivals, 9.5 a second before the limit was named and 8.2 after, and lines
+// such as
+//   event=314 name=LimitNamed upstream="i-1" per_second="2.000000" source="a-17"
+// at each node, with sends to that upstream going on after them.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+#include "process/node_deployment.hpp"
+
+using namespace fordwood::process;
+using namespace std::chrono_literals;
+
+namespace {
+
+using RealClock = std::chrono::steady_clock;
+using Arrivals = std::vector<RealClock::time_point>;
+
+// Callers at both nodes, each of whom comes again at once.
+struct Callers
+{
+    // The answers by status.
+    std::map<long, int> callFor(const Deployment &fleet, RealClock::duration time)
+    {
+        std::map<long, int> all;
+        std::mutex mutex;
+        std::vector<std::thread> threads;
+        for (const int node : {0, 1}) {
+            threads.emplace_back([&, node] {
+                const auto end = RealClock::now() + time;
+                for (int n = 0; RealClock::now() < end; ++n) {
+                    const std::string id = std::to_string(node) + "-" + std::to_string(begun++);
+                    const HttpAnswer answer = fleet.call("GET", "/safe/1", id, node);
+                    const std::lock_guard lock(mutex);
+                    all[answer.status] += 1;
+                    if (answer.status == 503)
+                        lastRefusal = answer;
+                    std::this_thread::sleep_for(10ms);
+                }
+            });
+        }
+        for (std::thread &it : threads)
+            it.join();
+        return all;
+    }
+
+    HttpAnswer lastRefusal;
+    std::atomic<int> begun{0};
+};
+
+// The most arrivals in four seconds, of those after `from`.
+std::size_t busiest(const Arrivals &arrivals, RealClock::time_point from)
+{
+    std::size_t most = 0;
+    for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
+         first != arrivals.end(); ++first) {
+        const auto end = std::lower_bound(first, arrivals.end(), *first + 4s);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("node: what an upstream says of its limit is told by log and metrics [node][limit]")
+{
+    Deployment fleet;
+    fleet.start();
+    int calls = 0;
+    const auto call = [&] { fleet.call("GET", "/safe/1", "l-" + std::to_string(++calls)); };
+    const auto callUntilLogged = [&](const std::string &event) {
+        return Fleet::waitFor([&] {
+            call();
+            return fleet.logged(0, event) > 0;
+        });
+    };
+    const auto limited = [&] { return fleet.metric("fordwood_limited_upstreams"); };
+    fleet.first.nameLimit("50");
+    CHECK(callUntilLogged("event=314"));
+    CHECK(Fleet::waitFor([&] { return limited() == 1; }));
+    fleet.first.nameLimit("4e1");
+    CHECK(callUntilLogged("event=315"));
+    for (const char *it : {"-1", "nan", "inf", "2/s"}) {
+        fleet.first.nameLimit(it);
+        const double before = fleet.metric("fordwood_unreadable_limits_total");
+        CHECK(Fleet::waitFor([&] {
+            call();
+            return fleet.metric("fordwood_unreadable_limits_total") > before;
+        }));
+        CHECK(limited() == 1); // what was known holds
+    }
+    CHECK(fleet.logged(0, "event=317") == 1);
+    fleet.first.nameLimit(std::nullopt);
+    CHECK(callUntilLogged("event=316"));
+    CHECK(Fleet::waitFor([&] { return limited() == 0; }));
+}
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -302,6 +302,18 @@
     m_breakAfter = events;
 }
 
+void UpstreamStandin::nameLimit(std::optional<std::string> limit)
+{
+    const std::lock_guard lock(m_mutex);
+    m_limit = std::move(limit);
+}
+
+std::vector<std::chrono::steady_clock::time_point> UpstreamStandin::arrivals()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_arrivals;
+}
+
 int UpstreamStandin::runs(const std::string &requestId)
 {
     const std::lock_guard lock(m_mutex);
@@ -333,6 +345,9 @@
         result.status = 421;
         return result;
     }
+    m_arrivals.push_back(std::chrono::steady_clock::now());
+    if (m_limit)
+        result.headers["Server-Limit"] = *m_limit;
     Fault fault = Fault::None;
     if (m_faults > 0) {
         m_faults -= 1;
@@ -366,6 +381,8 @@
     result.contentType = "text/event-stream";
     result.headers["Request-Id"] = request.header("Request-Id");
     result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
+    if (m_limit)
+        result.headers["Server-Limit"] = *m_limit;
     const std::string last = request.header("Last-Event-Id");
     auto next = std::make_shared<int>(last.empty() ? 0 : std::stoi(last));
     const int breakAfter = m_breakAfter;
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -2,12 +2,14 @@
 #ifndef FORDWOOD_TESTS_PROCESS_PLATFORM_STANDINS_HPP_INCLUDED
 #define FORDWOOD_TESTS_PROCESS_PLATFORM_STANDINS_HPP_INCLUDED
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -95,6 +97,12 @@
     void endUnder(const std::string &path, NextLife next,
                   std::function<void(const std::string &, const std::string &)> ended);
 
+    // What its answers say of its limit from now on; nothing: no such field.
+    void nameLimit(std::optional<std::string> limit);
+
+    // When requests arrived, whatever became of them.
+    std::vector<std::chrono::steady_clock::time_point> arrivals();
+
     // A stream breaks after so many events, in the middle of the next one.
     void breakStreamsAfter(int events);
 
@@ -117,6 +125,8 @@
     std::mutex m_mutex;
     std::map<std::string, int> m_runs;
     standins::Request m_last;
+    std::optional<std::string> m_limit;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     Fault m_fault = Fault::None;
     int m_faults = 0;
     int m_breakAfter = 0;
