Test: upstreams that name a limit get more than that (fails; known red)

Two nodes, two upstreams that name two requests a second each, callers that come again at once: 211 and 210 requests in some four seconds where 1.5 x 2 x 4 + 5 = 17 are allowed, and no caller is refused.

--- a/tests/process/limit_test.cpp
+++ b/tests/process/limit_test.cpp
@@ -100,3 +100,28 @@
     CHECK(callUntilLogged("event=316"));
     CHECK(Fleet::waitFor([&] { return limited() == 0; }));
 }
+
+TEST_CASE("node: upstreams that name a limit get no more than that from all nodes together, and "
+          "callers beyond it are told when to come again [node][limit]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.startNode(1);
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(1); }));
+    fleet.first.nameLimit("2");
+    fleet.second.nameLimit("2.0");
+    Callers callers;
+    callers.callFor(fleet, 3s);
+    const auto inForce = RealClock::now();
+    const std::map<long, int> answers = callers.callFor(fleet, 9s);
+    constexpr std::size_t kBorne = 17; // in four seconds: 1.5 x 2 x 4 + 5
+    for (UpstreamStandin *it : {&fleet.first, &fleet.second}) {
+        CHECK(busiest(it->arrivals(), inForce) <= kBorne);
+        CHECK(it->totalRuns() > 0);
+    }
+    REQUIRE(answers.contains(200));
+    CHECK(answers.at(200) >= 18); // of 36 at the rates that they name
+    REQUIRE(answers.contains(503));
+    CHECK(callers.lastRefusal.body.find("upstream-limited") != std::string::npos);
+    CHECK(callers.lastRefusal.headers.contains("retry-after"));
+}
