What an upstream names as its limit is divided among the nodes that have requests for it

Callers saw an engine in need go under: two engines that named 2.7 and 2.9 requests a second got 33 and 43 in four seconds, where 21 and 22 are borne. Cause: no node acted on what the answers said, and only the nodes that happened to send there could have known. Class: what one node learns from an answer is known to no other, while the rate holds for all of them together.

Nodes now tell each other limits, ordered by a version that each change raises, and which of them have requests for a limited upstream; the first few by rendezvous divide the limit, one request in so many seconds each. One gate is asked for cold and for limited upstreams, by first sends, repeats and streams that go on; it costs neither retries nor health. Where only limits stand in the way the request is refused at once, not run, with a Retry-After that the sum of the limits bears out.

Why it holds: as many senders as the slack over the limit allows for, each with one request saved up at most; nobody begins to send before a peer names it; with nodes silent, as behind a cut, each side keeps to half of what the upstream bears.

--- a/include/fordwood/call_plan.hpp
+++ b/include/fordwood/call_plan.hpp
@@ -49,6 +49,10 @@
     // against endless search, but not against the upstreams that the request may be sent to.
     void notSent();
 
+    // The upstream takes no more requests for now, as this node knows by itself. Nothing came up
+    // and nothing failed, so that it counts against nothing, and the upstream may be chosen again.
+    void turnedDown(const std::string &instanceId);
+
     // Another upstream has the address of the one that was meant, which has ended, and turned the
     // request away. The one that has ended does not count among those that the request may be sent
     // to, but what arrived at its address counts as a send of the fleet's.
--- /dev/null
+++ b/include/fordwood/limit_gate.hpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_LIMIT_GATE_HPP_INCLUDED
+#define FORDWOOD_LIMIT_GATE_HPP_INCLUDED
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/limit_senders.hpp"
+#include "fordwood/limit_share.hpp"
+#include "fordwood/upstream_limits.hpp"
+
+namespace fordwood {
+
+// How many requests this node may send to upstreams that name a limit for all nodes together.
+//
+// The load pattern that it answers: callers keep all nodes busy, so that each of them has a request
+// for an upstream in need at any moment, while the upstream takes two or three a second from all.
+// Without it eight nodes sent 43 requests in four seconds to one that bears 22. The nodes that
+// have requests for an upstream divide its limit: each of the first few may send one request in so
+// many seconds. None is saved up by a node that waits, stands still or has just come.
+class LimitGate
+{
+public:
+    // `self`: this life of this node, another number than any other's.
+    LimitGate(const Clock &clock, std::uint64_t self);
+
+    // What is known of the limits; the upstreams that are in service are to be made known to it.
+    UpstreamLimits &limits() { return m_limits; }
+    const UpstreamLimits &limits() const { return m_limits; }
+
+    // The upstream's life is over.
+    void forget(const std::string &instanceId);
+
+    // How many nodes live, this one included.
+    void setLiveNodes(std::size_t n);
+
+    // What a peer has told, and what peers should hear: of this node alone, where relays tell it
+    // on, or also of the others that it has heard of.
+    std::vector<LimitChange> heard(const std::vector<LimitWord> &words);
+    std::vector<LimitWord> ownWords() const;
+    std::vector<LimitWord> allWords() const;
+
+    // Whether a request that waits here may go to the upstream now; always to one without a limit.
+    bool maySend(const std::string &instanceId);
+
+    // A request goes to the upstream.
+    void sent(const std::string &instanceId);
+
+    // Requests a second that this node may send; nothing: any number.
+    std::optional<double> ownPart(const std::string &instanceId) const;
+
+    // Requests a second that all nodes together may send; nothing: any number.
+    std::optional<double> partOfAll(const std::string &instanceId) const;
+
+private:
+    bool isWhole() const;
+    std::optional<LimitShare> share(std::uint64_t upstream) const;
+
+    const Clock &m_clock;
+    UpstreamLimits m_limits;
+    LimitSenders m_senders;
+    // When the next request may go is counted from here: the last one, or when this node's turn
+    // among the senders began.
+    std::map<std::uint64_t, TimePoint> m_lastSends; // by the hash of the instance id
+    std::size_t m_liveNodes = 1;
+    std::size_t m_wholeNodes = 1; // before nodes fell silent
+    std::optional<TimePoint> m_silentSince; // when the last of them did
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_LIMIT_GATE_HPP_INCLUDED
--- /dev/null
+++ b/include/fordwood/send_gate.hpp
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_SEND_GATE_HPP_INCLUDED
+#define FORDWOOD_SEND_GATE_HPP_INCLUDED
+
+#include <cstdint>
+#include <string>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/cold_gate.hpp"
+#include "fordwood/limit_gate.hpp"
+
+namespace fordwood {
+
+// Whether this node may send a request to an upstream that takes only so many from all nodes
+// together: because it is cold, because it names a limit, or both; then the smaller rate holds. One
+// question for all that sends: first sends, repeats, and streams that go on elsewhere.
+class SendGate
+{
+public:
+    // `self`: this node's name; `life`: a number for this life of it, another one than any other's.
+    SendGate(const Clock &clock, ColdGate::Limits limits, const std::string &self,
+             std::uint64_t life)
+        : m_cold(clock, limits, self), m_limits(clock, life)
+    { }
+
+    // Whether a request may go to the upstream now. `coldPerSecond`: what it is stated to take
+    // while it is cold; zero: any number.
+    bool maySend(const std::string &instanceId, double coldPerSecond)
+    {
+        // Both are asked, as asking also says that there is a request.
+        const bool isWithinLimit = m_limits.maySend(instanceId);
+        return m_cold.maySend(instanceId, coldPerSecond) && isWithinLimit;
+    }
+
+    // A request goes to the upstream.
+    void sent(const std::string &instanceId)
+    {
+        m_cold.sent(instanceId);
+        m_limits.sent(instanceId);
+    }
+
+    // Whether the upstream takes only so many requests, for either reason.
+    bool isBounded(const std::string &instanceId) const
+    {
+        return m_cold.isCold(instanceId) || isLimited(instanceId);
+    }
+
+    bool isLimited(const std::string &instanceId) const
+    {
+        return m_limits.limits().perSecond(instanceId).has_value();
+    }
+
+    // The upstream's life is over.
+    void forget(const std::string &instanceId)
+    {
+        m_cold.forget(instanceId);
+        m_limits.forget(instanceId);
+    }
+
+    ColdGate &cold() { return m_cold; }
+    LimitGate &limits() { return m_limits; }
+    const LimitGate &limits() const { return m_limits; }
+
+private:
+    ColdGate m_cold;
+    LimitGate m_limits;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_SEND_GATE_HPP_INCLUDED
--- a/include/fordwood/upstream_limits.hpp
+++ b/include/fordwood/upstream_limits.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "fordwood/clock.hpp"
+#include "fordwood/limit_senders.hpp"
 
 namespace fordwood {
 
@@ -20,6 +21,7 @@
     std::uint64_t version = 0; // of what is believed of it; the highest one holds
     double perSecond = 0.0; // requests a second; zero: the upstream names no limit any more
     Duration age{}; // since the answer that brought it about was read
+    std::vector<SenderWord> senders; // nodes that have requests for it; none once it is lifted
 
     bool operator==(const LimitWord &) const = default;
 };
@@ -65,7 +67,9 @@
     // Requests a second that the upstream takes from all nodes together; nothing: any number.
     std::optional<double> perSecond(const std::string &instanceId) const;
 
-    // What peers should hear: limits that stand, and of late lifted ones.
+    std::optional<double> perSecond(std::uint64_t upstream) const;
+
+    // What peers should hear: limits that stand, and of late lifted ones. Without senders.
     std::vector<LimitWord> words() const;
 
     // Upstreams that name a limit now, for the metrics.
--- a/src/core/call_plan.cpp
+++ b/src/core/call_plan.cpp
@@ -25,6 +25,13 @@
     m_connectFailures += 1;
 }
 
+void CallPlan::turnedDown(const std::string &instanceId)
+{
+    m_tried.erase(instanceId);
+    m_sends -= 1;
+    m_arrivals -= 1;
+}
+
 void CallPlan::metAnother()
 {
     m_sends -= 1;
--- a/src/core/upstream_limits.cpp
+++ b/src/core/upstream_limits.cpp
@@ -52,8 +52,7 @@
                                    std::optional<double> perSecond, TimePoint answered)
 {
     const TimePoint now = m_clock.now();
-    const LimitChange result{belief.instanceId, belief.perSecond, perSecond, version,
-                             now - answered};
+    LimitChange result{belief.instanceId, belief.perSecond, perSecond, version, now - answered};
     belief.version = version;
     belief.perSecond = perSecond;
     belief.learnt = now;
@@ -90,7 +89,7 @@
             continue;
         Belief &belief = known->second;
         const std::optional<double> named
-            = it.perSecond > 0.0 ? std::optional(it.perSecond) : std::nullopt;
+            = binding(it.perSecond > 0.0 ? std::optional(it.perSecond) : std::nullopt);
         // Two nodes may have read different answers at the same time: the stricter one holds until
         // the next answer.
         const bool isStricter = it.version == belief.version && named
@@ -109,7 +108,12 @@
 
 std::optional<double> UpstreamLimits::perSecond(const std::string &instanceId) const
 {
-    const auto it = m_beliefs.find(stableHash(instanceId));
+    return perSecond(stableHash(instanceId));
+}
+
+std::optional<double> UpstreamLimits::perSecond(std::uint64_t upstream) const
+{
+    const auto it = m_beliefs.find(upstream);
     return it == m_beliefs.end() ? std::nullopt : it->second.perSecond;
 }
 
@@ -120,7 +124,7 @@
     for (const auto &[hash, it] : m_beliefs) {
         const bool isLifted = it.version > 0 && !it.perSecond && now < it.tellUntil;
         if (it.perSecond || isLifted)
-            words.push_back({hash, it.version, it.perSecond.value_or(0.0), now - it.answered});
+            words.push_back({hash, it.version, it.perSecond.value_or(0.0), now - it.answered, {}});
     }
     return words;
 }
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -112,7 +112,7 @@
     for (const auto &[store, tokens] : m_attempt->engine.fetchTokens)
         m_traffic.loads().begin(store, {tokens, 0});
     if (m_attempt->load.tokensToCompute >= kHeavyTokens)
-        m_traffic.heavyLoadSent();
+        m_traffic.reportNow();
     m_traffic.channels().take(
         m_attempt->upstream,
         [self = shared_from_this()](std::shared_ptr<HttpChannel> channel, const ErrorCode &ec) {
@@ -167,6 +167,7 @@
     UpstreamChoice choice = chooseUpstream(m_traffic, m_call, m_caller, m_plan, m_streamBegun);
     if (choice.busyEngine)
         m_busyEngine = std::move(choice.busyEngine);
+    m_spentUpstream = std::move(choice.spentUpstream);
     if (!choice.attempt)
         return false;
     m_attempt = std::move(choice.attempt);
@@ -190,6 +191,12 @@
         giveUp(m_plan.verdict(kEvacuatedRetryAfter));
         return;
     }
+    if (!m_streamBegun && !m_spentUpstream.empty()) {
+        m_lastUpstream = m_spentUpstream;
+        m_plan.setReason(Reason::UpstreamLimited);
+        giveUp(m_plan.verdict(std::max(kRetryAfter, m_traffic.returnAfterLimit(*m_call.pool))));
+        return;
+    }
     const Duration patience = m_call.route->targetLatency / kWaitPart;
     const TimePoint now = m_traffic.clock().now();
     if (m_streamBegun || now - m_arrived >= patience) {
@@ -224,7 +231,8 @@
     m_traffic.health().failed(m_attempt->upstream.instanceId);
     // Nothing listens there: whatever comes back at the address has just started.
     if (ec == net::error::connection_refused)
-        m_traffic.coldGate().suspectRestart(m_attempt->upstream.instanceId, m_call.pool->coldStart);
+        m_traffic.gate().cold().suspectRestart(m_attempt->upstream.instanceId,
+                                               m_call.pool->coldStart);
     m_plan.notSent();
     endAttempt(false);
     judgeFailure({RunState::NotRun, Reason::ConnectFailed, m_streamBegun});
@@ -240,15 +248,16 @@
         judgeFailure({RunState::NotRun, Reason::UpstreamLeaving, m_streamBegun});
         return;
     }
-    // Others may have gone to a cold upstream meanwhile, or it may have turned cold.
-    if (!m_traffic.coldGate().maySend(m_attempt->upstream.instanceId,
-                                      m_call.pool->coldRequestsPerSecond)) {
-        m_plan.notSent();
+    // What the upstream takes may be used up meanwhile, or it may have turned cold or named a
+    // limit. Nothing has happened to the request or the upstream: another one is chosen.
+    if (!m_traffic.gate().maySend(m_attempt->upstream.instanceId,
+                                  m_call.pool->coldRequestsPerSecond)) {
+        m_plan.turnedDown(m_attempt->upstream.instanceId);
         endAttempt(true);
-        judgeFailure({RunState::NotRun, Reason::UpstreamBusy, m_streamBegun});
+        attempt();
         return;
     }
-    m_traffic.coldGate().sent(m_attempt->upstream.instanceId);
+    m_traffic.gate().sent(m_attempt->upstream.instanceId);
     m_attempt->sent = true;
     m_attempt->sentAt = m_traffic.clock().now();
     m_traffic.health().sent(m_attempt->upstream.instanceId);
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -89,6 +89,8 @@
     bool m_isOver = false;
     std::optional<TimePoint> m_firstEvent;
     std::string m_lastUpstream; // for the log
+    // One of the upstreams whose limit is used up, where no other could serve the request.
+    std::string m_spentUpstream;
     std::optional<EngineChoice> m_busyEngine; // every engine has too much to do, this one least
 };
 
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -26,6 +26,10 @@
 // A change is told to peers at once; this bounds how often when changes come in a row.
 constexpr Duration kGossipLeast = std::chrono::milliseconds(10);
 
+// A node that is not named by its peers for a second sends nothing to an upstream with a limit: so
+// a few messages may be lost.
+constexpr Duration kLimitsEvery = std::chrono::milliseconds(200);
+
 // A node whose own watch works gets a change from there; only when it does not come is a peer
 // asked.
 constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
@@ -72,7 +76,7 @@
 ControlDuty::ControlDuty(const config::OneProcessSettings &settings, const Clock &clock,
                          adapters::Metrics &metrics, Tell tell)
     : m_settings(settings), m_clock(clock), m_metrics(metrics), m_tell(std::move(tell)),
-      m_owner(makeLockOwner(settings.node.name)), m_context(1), m_caller(m_context, clock),
+      m_owner(makeNodeLife(settings.node.name)), m_context(1), m_caller(m_context, clock),
       m_store(m_context, m_caller, clock, settings.store.address, m_replica, *this),
       m_ownKey(clock, m_store, DocumentReader::nodeKey(settings.node.name),
                encodePeerAddress(ownAddress(settings))),
@@ -328,6 +332,8 @@
         tell(PeerLoads{message.node, message.load.loads, message.load.shortContextTokens,
                        message.load.contextsSent});
     }
+    if (!message.limits.empty())
+        tell(LimitsHeard{message.node, message.limits});
     takeOrders(message.node, message.orders);
     for (const auto &[node, word] : message.ordersHeard) {
         if (node != m_settings.node.name)
@@ -413,10 +419,24 @@
     return message;
 }
 
+// Those that have just changed are told at once, the others now and then, since messages go out
+// more often than a limit needs.
+std::vector<LimitWord> ControlDuty::limitsForPeers()
+{
+    const TimePoint now = m_clock.now();
+    if (!m_lastOwn.isUrgent && now < m_nextLimits)
+        return {};
+    m_nextLimits = now + kLimitsEvery;
+    // Where relays tell on what they hear, the other nodes speak of themselves only.
+    const bool tellsAll = !usesSums() || m_role.isRelay();
+    return m_limitRounds.next(tellsAll ? m_lastOwn.limits.all : m_lastOwn.limits.own);
+}
+
 void ControlDuty::gossip()
 {
     Gossip message = ownMessage();
     message.requestNews = m_quarantine.newsForPeers();
+    message.limits = limitsForPeers();
     tell(EnginesLoading{message.node, message.orders.enginesLoading});
     m_gossipSoon = false;
     m_lastGossip = m_clock.now();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -21,6 +21,7 @@
 #include "node/document_reader.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_caller.hpp"
+#include "node/limit_rounds.hpp"
 #include "node/load_exchange.hpp"
 #include "node/mailbox.hpp"
 #include "node/order_duty.hpp"
@@ -92,6 +93,7 @@
     void takeOwnRequestNews(const std::vector<RequestNews> &news);
     bool mayGossipAgain() const;
     Gossip ownMessage() const;
+    std::vector<LimitWord> limitsForPeers();
     void gossip();
     RelayRole::Peers relayPeers() const;
     void tick();
@@ -141,6 +143,7 @@
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
     OwnLoads m_lastOwn;
+    LimitRounds m_limitRounds;
     UpdateQueue m_waiting; // updates that did not fit
     std::map<std::string, WeightHistory> m_weights; // by model
     bool m_hasConfiguration = false;
@@ -158,6 +161,7 @@
     TimePoint m_storeBack{}; // when the store answered this node again
     TimePoint m_lastGossip{};
     TimePoint m_nextGossip{};
+    TimePoint m_nextLimits{};
     TimePoint m_nextMembers{};
     TimePoint m_nextPoll{};
     TimePoint m_nextFetch{};
--- a/src/node/control_limits.cpp
+++ b/src/node/control_limits.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-std::string makeLockOwner(const std::string &node)
+std::string makeNodeLife(const std::string &node)
 {
     std::random_device device;
     return node + "/" + std::to_string(device()) + std::to_string(device());
--- a/src/node/control_limits.hpp
+++ b/src/node/control_limits.hpp
@@ -13,7 +13,7 @@
 namespace fordwood::node {
 
 // Names this life of the node as a holder of the lock.
-std::string makeLockOwner(const std::string &node);
+std::string makeNodeLife(const std::string &node);
 
 FencedLock::Limits lockLimits(const config::OneProcessSettings &settings);
 
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -13,6 +13,7 @@
 #include "fordwood/load_book.hpp"
 #include "fordwood/quarantine.hpp"
 #include "fordwood/route_table.hpp"
+#include "fordwood/upstream_limits.hpp"
 #include "fordwood/upstream_record.hpp"
 
 // What the control thread tells the thread that serves requests.
@@ -118,14 +119,30 @@
     std::vector<RequestNews> news;
 };
 
+// What a peer has told of limits that upstreams name.
+struct LimitsHeard
+{
+    std::string peer;
+    std::vector<LimitWord> words;
+};
+
 // The planned stop begins.
 struct StopBegins
 { };
 
-using FleetUpdate = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, DomainEvacuated,
-                                 StoreReachability, WeightsWanted, WeightsShown, EnginesLoading,
-                                 PeerLoads, LiveNodes, KnownNodes, ContextStoreTold,
-                                 ContextStoreSilent, Informed, RequestsHeard, StopBegins>;
+using FleetUpdate
+    = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, DomainEvacuated,
+                   StoreReachability, WeightsWanted, WeightsShown, EnginesLoading, PeerLoads,
+                   LiveNodes, KnownNodes, ContextStoreTold, ContextStoreSilent, Informed,
+                   RequestsHeard, LimitsHeard, StopBegins>;
+
+// What peers should hear of limits that upstreams name: of this node alone, or of all nodes where
+// it is a relay.
+struct LimitNews
+{
+    std::vector<LimitWord> own;
+    std::vector<LimitWord> all;
+};
 
 // What the thread that serves requests tells the control thread: its own load, now and then.
 struct OwnLoads
@@ -133,6 +150,7 @@
     LoadBook::Loads loads;
     std::size_t shortContextTokens = 0;
     std::vector<std::uint64_t> contextsSent;
+    LimitNews limits;
     bool isUrgent = false; // peers should hear it at once
 };
 
--- a/src/node/limit_log.cpp
+++ b/src/node/limit_log.cpp
@@ -21,13 +21,15 @@
 
 } // namespace
 
-void LimitLog::changed(const LimitChange &change, std::string_view source)
+void LimitLog::changed(const LimitChange &change, std::string_view source,
+                       std::optional<double> ownPart)
 {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(change.age);
     logEvent(eventOf(change), {{"upstream", change.instanceId},
                                {"per_second", change.now.value_or(0.0)},
                                {"before", change.before.value_or(0.0)},
                                {"belief", change.version},
+                               {"own_part", ownPart.value_or(0.0)},
                                {"source", std::string(source)},
                                {"age_ms", age.count()}});
 }
--- a/src/node/limit_log.hpp
+++ b/src/node/limit_log.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
 #define FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -17,8 +18,9 @@
 public:
     explicit LimitLog(adapters::Metrics &metrics) : m_metrics(metrics) { }
 
-    // `source`: the request whose answer said so, or that a peer did.
-    void changed(const LimitChange &change, std::string_view source);
+    // `source`: the request whose answer said so, or the peer that told it. `ownPart`: what this
+    // node may send now, in requests a second.
+    void changed(const LimitChange &change, std::string_view source, std::optional<double> ownPart);
 
     // An answer names a limit that is no number. Counted each time, logged once for each life.
     void unreadable(const std::string &instanceId, const std::string &requestId);
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "node/peer_messages.hpp"
 
+#include <algorithm>
+
 #include "node/cbor.hpp"
 
 namespace fordwood::node {
@@ -61,6 +63,42 @@
     return news;
 }
 
+// Four numbers of each limit, and two of each sender.
+Json encodeLimits(const std::vector<LimitWord> &words)
+{
+    Json list = Json::array();
+    for (const LimitWord &it : words) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(it.age);
+        Json senders = Json::array();
+        for (const SenderWord &sender : it.senders) {
+            senders.push_back(sender.node);
+            senders.push_back(sender.said);
+        }
+        list.push_back({it.upstream, it.version, it.perSecond, age.count(), std::move(senders)});
+    }
+    return list;
+}
+
+std::vector<LimitWord> decodeLimits(const Json &list)
+{
+    constexpr std::int64_t kOldest = 3'600'000; // milliseconds; only for the log
+    std::vector<LimitWord> words;
+    for (const Json &row : list) {
+        LimitWord it;
+        it.upstream = row.at(0).get<std::uint64_t>();
+        it.version = row.at(1).get<std::uint64_t>();
+        it.perSecond = row.at(2).get<double>();
+        it.age = std::chrono::milliseconds(
+            std::clamp<std::int64_t>(row.at(3).get<std::int64_t>(), 0, kOldest));
+        const Json &senders = row.at(4);
+        for (std::size_t n = 0; n < senders.size(); n += 2)
+            it.senders.push_back(
+                {senders.at(n).get<std::uint64_t>(), senders.at(n + 1).get<std::uint64_t>()});
+        words.push_back(std::move(it));
+    }
+    return words;
+}
+
 constexpr std::size_t kNumbersOfRow = 4;
 
 Json encodeLoad(const LoadReport &report)
@@ -158,6 +196,8 @@
     }
     if (!message.requestNews.empty())
         object["requests"] = encodeRequestNews(message.requestNews);
+    if (!message.limits.empty())
+        object["limits"] = encodeLimits(message.limits);
     return encodeCbor(object);
 }
 
@@ -194,6 +234,8 @@
         }
         if (object.contains("requests"))
             message.requestNews = decodeRequestNews(object.at("requests"));
+        if (object.contains("limits"))
+            message.limits = decodeLimits(object.at("limits"));
         return message;
     });
 }
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -14,6 +14,7 @@
 #include "fordwood/load_sums.hpp"
 #include "fordwood/quarantine.hpp"
 #include "fordwood/store_replica.hpp"
+#include "fordwood/upstream_limits.hpp"
 
 namespace fordwood::node {
 
@@ -69,6 +70,7 @@
     // starts learns it from its peers.
     std::map<std::string, std::map<std::uint64_t, std::chrono::milliseconds>> weightsNamed;
     std::vector<RequestNews> requestNews; // of requests that end upstreams
+    std::vector<LimitWord> limits; // that upstreams name; ages in whole milliseconds
 };
 
 // A node's answer to a peer that lacks changes of the store.
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 
+#include "fordwood/rendezvous.hpp"
 #include "fordwood/store_keeper.hpp"
+#include "node/control_limits.hpp"
 
 namespace fordwood::node {
 
@@ -55,10 +57,11 @@
 Traffic::Traffic(net::io_context &context, const Clock &clock,
                  const config::OneProcessSettings &settings, adapters::Metrics &metrics)
     : m_context(context), m_clock(clock), m_settings(settings), m_metrics(metrics),
-      m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_limits(clock), m_limitLog(metrics),
-      m_coldGate(clock, coldLimits(settings), settings.node.name), m_quarantine(clock),
-      m_contexts(clock), m_engines(clock, chooserLimits(settings)), m_channels(context, clock),
-      m_shortDemand(clock), m_lastTick(clock.now())
+      m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_limitLog(metrics),
+      m_gate(clock, coldLimits(settings), settings.node.name,
+             stableHash(makeNodeLife(settings.node.name))),
+      m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
+      m_channels(context, clock), m_shortDemand(clock), m_lastTick(clock.now())
 { }
 
 void Traffic::take(const FleetUpdate &update)
@@ -77,8 +80,8 @@
 void Traffic::apply(const UpstreamWritten &update)
 {
     m_upstreams.put(update.record);
-    m_limits.know(update.record.instanceId);
-    m_coldGate.noteCold(update.record.instanceId, update.record.coldFor);
+    m_gate.limits().limits().know(update.record.instanceId);
+    m_gate.cold().noteCold(update.record.instanceId, update.record.coldFor);
 }
 
 void Traffic::apply(const UpstreamRemoved &update)
@@ -141,11 +144,12 @@
 void Traffic::apply(const LiveNodes &update)
 {
     m_liveNodes = std::max<std::size_t>(update.n, 1);
+    m_gate.limits().setLiveNodes(m_liveNodes);
 }
 
 void Traffic::apply(const KnownNodes &update)
 {
-    m_coldGate.setNodes(update.others);
+    m_gate.cold().setNodes(update.others);
 }
 
 void Traffic::apply(const ContextStoreTold &update)
@@ -181,6 +185,12 @@
     m_requestNews();
 }
 
+void Traffic::apply(const LimitsHeard &update)
+{
+    for (const LimitChange &it : m_gate.limits().heard(update.words))
+        logLimit(it, update.peer);
+}
+
 void Traffic::apply(const StopBegins &)
 {
     m_stopBegan = m_clock.now();
@@ -205,8 +215,7 @@
 {
     m_channels.forget(instanceId);
     m_health.forget(instanceId);
-    m_coldGate.forget(instanceId);
-    m_limits.forget(instanceId);
+    m_gate.forget(instanceId);
     m_limitLog.forget(instanceId);
 }
 
@@ -222,8 +231,12 @@
     const bool isWord = head.requestsPerSecond || (head.isSealed && !head.isLimitUnreadable);
     if (!isWord)
         return;
-    if (const auto change = m_limits.answered(id, head.requestsPerSecond, attempt.sentAt))
-        m_limitLog.changed(*change, requestId);
+    const auto change
+        = m_gate.limits().limits().answered(id, head.requestsPerSecond, attempt.sentAt);
+    if (!change)
+        return;
+    logLimit(*change, requestId);
+    m_reportNow();
 }
 
 void Traffic::noteStandstill()
@@ -251,8 +264,10 @@
     m_quarantine.tick();
     m_metrics.setGauge("fordwood_quarantined_requests",
                        static_cast<double>(m_quarantine.heldRequests()));
-    m_metrics.setGauge("fordwood_limited_upstreams", static_cast<double>(m_limits.limited()));
-    m_metrics.setGauge("fordwood_cold_upstreams", static_cast<double>(m_coldGate.coldUpstreams()));
+    m_metrics.setGauge("fordwood_limited_upstreams",
+                       static_cast<double>(m_gate.limits().limits().limited()));
+    m_metrics.setGauge("fordwood_cold_upstreams",
+                       static_cast<double>(m_gate.cold().coldUpstreams()));
     if (!m_table)
         return;
     const std::size_t demand = m_shortDemand.total();
@@ -296,22 +311,44 @@
         most = std::max<std::size_t>(1, static_cast<std::size_t>(part));
     }
     std::vector<const UpstreamRecord *> found = m_upstreams.usable(pool.name);
+    bool isLimitSpent = false;
     std::erase_if(found, [&](const UpstreamRecord *it) {
-        return isLoading(it->instanceId) || !m_channels.hasRoom(it->instanceId, most)
-               || !m_coldGate.maySend(it->instanceId, pool.coldRequestsPerSecond);
+        if (isLoading(it->instanceId) || !m_channels.hasRoom(it->instanceId, most))
+            return true;
+        if (m_gate.maySend(it->instanceId, pool.coldRequestsPerSecond))
+            return false;
+        isLimitSpent = isLimitSpent || m_gate.isLimited(it->instanceId);
+        return true;
     });
+    if (isLimitSpent)
+        m_metrics.count("fordwood_limited_choices_total");
     return found;
 }
 
+void Traffic::logLimit(const LimitChange &change, const std::string &source)
+{
+    m_limitLog.changed(change, source, m_gate.limits().ownPart(change.instanceId));
+}
+
+// Each node's callers return as often as its part of what all these upstreams take bears out.
+std::chrono::milliseconds Traffic::returnAfterLimit(const ServicePool &pool)
+{
+    double perSecond = 0.0;
+    for (const UpstreamRecord *it : m_upstreams.usable(pool.name))
+        perSecond += m_gate.limits().partOfAll(it->instanceId).value_or(0.0);
+    const auto times = m_returnTimes.try_emplace(pool.name, m_clock).first;
+    return times->second.next(perSecond / static_cast<double>(m_liveNodes));
+}
+
 std::set<std::string>
-Traffic::coldAmong(const std::vector<const UpstreamRecord *> &candidates) const
+Traffic::boundedAmong(const std::vector<const UpstreamRecord *> &candidates) const
 {
-    std::set<std::string> cold;
+    std::set<std::string> bounded;
     for (const UpstreamRecord *it : candidates) {
-        if (m_coldGate.isCold(it->instanceId))
-            cold.insert(it->instanceId);
+        if (m_gate.isBounded(it->instanceId))
+            bounded.insert(it->instanceId);
     }
-    return cold;
+    return bounded;
 }
 
 bool Traffic::isEvacuated(const ServicePool &pool) const
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -13,17 +13,17 @@
 
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
-#include "fordwood/cold_gate.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/engine_chooser.hpp"
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/load_book.hpp"
 #include "fordwood/prefill_pace.hpp"
 #include "fordwood/quarantine_gate.hpp"
+#include "fordwood/return_times.hpp"
 #include "fordwood/route_table.hpp"
+#include "fordwood/send_gate.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_health.hpp"
-#include "fordwood/upstream_limits.hpp"
 #include "fordwood/window_budget.hpp"
 #include "node/fleet_update.hpp"
 #include "node/limit_log.hpp"
@@ -53,8 +53,13 @@
     // The upstreams of a service that this request may be sent to now.
     std::vector<const UpstreamRecord *> candidates(const ServicePool &pool);
 
-    // Those of the candidates that are cold: this node is one of the few that may send to them.
-    std::set<std::string> coldAmong(const std::vector<const UpstreamRecord *> &candidates) const;
+    // Those of the candidates that take only so many requests: this node is one of the few that may
+    // send to them.
+    std::set<std::string> boundedAmong(const std::vector<const UpstreamRecord *> &candidates) const;
+
+    // When a caller may come again who is refused because all upstreams of the service that could
+    // serve it take only so many requests.
+    std::chrono::milliseconds returnAfterLimit(const ServicePool &pool);
 
     // Whether the service has upstreams, and all of them stand in evacuated failure domains.
     bool isEvacuated(const ServicePool &pool) const;
@@ -74,15 +79,19 @@
     // The weight versions that were named for the model.
     const WeightHistory &weights(const std::string &model) { return m_weights[model]; }
 
-    // A request was sent that peers must know of before they choose an engine.
-    void heavyLoadSent() { m_heavyLoadSent(); }
-    void onHeavyLoad(std::function<void()> told) { m_heavyLoadSent = std::move(told); }
+    // A request was sent that peers must know of before they choose an engine, or a limit has
+    // changed.
+    void reportNow() { m_reportNow(); }
+    void onReportNow(std::function<void()> told) { m_reportNow = std::move(told); }
+
+    // What this node's peers should hear of limits, and what those should for whom it is a relay.
+    LimitNews limitNews() const { return {m_gate.limits().ownWords(), m_gate.limits().allWords()}; }
 
     // An upstream broke off, or answered: peers may have to hear of it.
     void onRequestNews(std::function<void()> told) { m_requestNews = std::move(told); }
     void requestNewsMade() { m_requestNews(); }
 
-    // What the answer to a request says of the upstream's limit.
+    // What the answer to a request says of the upstream's limit; peers hear of a change at once.
     void noteAnswer(const std::string &requestId, const UpstreamAttempt &attempt);
 
     // Until when a fetch that is asked for now may run, on the engines' clock; zero: not known.
@@ -117,7 +126,7 @@
     UpstreamDirectory &upstreams() { return m_upstreams; }
     LoadBook &loads() { return m_loads; }
     UpstreamHealth &health() { return m_health; }
-    ColdGate &coldGate() { return m_coldGate; }
+    SendGate &gate() { return m_gate; }
     QuarantineGate &quarantine() { return m_quarantine; }
     ContextDirectory &contexts() { return m_contexts; }
     const EngineChooser &engines() const { return m_engines; }
@@ -139,12 +148,14 @@
     void apply(const ContextStoreSilent &update);
     void apply(const Informed &update);
     void apply(const RequestsHeard &update);
+    void apply(const LimitsHeard &update);
     void apply(const StopBegins &update);
 
     void noteStandstill();
     void noteUpstreamEnded(const std::string &instanceId);
     WindowBudget &budget(const std::string &service);
     bool isLoading(const std::string &instanceId) const;
+    void logLimit(const LimitChange &change, const std::string &source);
     void forget(const std::string &instanceId);
 
     net::io_context &m_context;
@@ -155,9 +166,9 @@
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
     UpstreamHealth m_health;
-    UpstreamLimits m_limits;
     LimitLog m_limitLog;
-    ColdGate m_coldGate;
+    SendGate m_gate;
+    std::map<std::string, ReturnTimes> m_returnTimes; // by service
     QuarantineGate m_quarantine;
     ContextDirectory m_contexts;
     EngineChooser m_engines;
@@ -183,7 +194,7 @@
     std::optional<TimePoint> m_woke;
     std::size_t m_liveNodes = 1;
     std::optional<TimePoint> m_stopBegan;
-    std::function<void()> m_heavyLoadSent;
+    std::function<void()> m_reportNow;
     std::function<void()> m_requestNews = [] {};
 };
 
--- a/src/node/traffic_duty.cpp
+++ b/src/node/traffic_duty.cpp
@@ -30,7 +30,7 @@
       m_tickTimer(m_context)
 {
     m_acceptor.onFailure([this] { m_metrics.count("fordwood_accept_failures_total"); });
-    m_traffic.onHeavyLoad([this] { reportLoads(true); });
+    m_traffic.onReportNow([this] { reportLoads(true); });
     m_traffic.onRequestNews([this] { reportRequestNews(); });
 }
 
@@ -78,7 +78,7 @@
 void TrafficDuty::reportLoads(bool isUrgent)
 {
     m_tellLoads({m_traffic.loads().own(), m_traffic.shortContextTokens(),
-                 m_traffic.contexts().recentSends(), isUrgent});
+                 m_traffic.contexts().recentSends(), m_traffic.limitNews(), isUrgent});
 }
 
 void TrafficDuty::reportRequestNews()
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -46,6 +46,7 @@
     std::string operator()(const ContextStoreSilent &it) const { return silenceOf(it.store); }
     std::string operator()(const Informed &) const { return "informed"; }
     std::string operator()(const RequestsHeard &) const { return "requests heard"; }
+    std::string operator()(const LimitsHeard &it) const { return "limits " + it.peer; }
     std::string operator()(const StopBegins &) const { return "stop"; }
 };
 
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -2,6 +2,7 @@
 #include "node/upstream_choice.hpp"
 
 #include <algorithm>
+#include <functional>
 
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/homes.hpp"
@@ -53,7 +54,7 @@
                                            traffic.shortGroup(*call.pool),
                                            traffic.consideredPart(),
                                            stableHash(caller.requestId, plan.sends()),
-                                           traffic.coldAmong(candidates)};
+                                           traffic.boundedAmong(candidates)};
     return traffic.engines().choose(question, candidates, traffic.loads(), traffic.health(),
                                     traffic.contexts());
 }
@@ -70,7 +71,7 @@
     if (!choice)
         return {};
     if (!choice->isShort && !answerBegun && waitsTooLong(traffic, call, *choice))
-        return {std::nullopt, std::move(choice)};
+        return {std::nullopt, std::move(choice), ""};
     keepContextAtHome(homes, call, traffic.settings().regions, *choice);
     EngineChooser::noteSent(*choice, *caller.prompt, traffic.contexts());
     UpstreamChoice chosen;
@@ -93,19 +94,11 @@
     return goesFirst ? urgency : kKinds + urgency;
 }
 
-} // namespace
-
-UpstreamChoice chooseUpstream(Traffic &traffic, const AdmittedCall &call,
-                              const platform::CallerHead &caller, const CallPlan &plan,
-                              bool answerBegun)
+UpstreamChoice chooseAmong(Traffic &traffic, const AdmittedCall &call,
+                           const platform::CallerHead &caller, const CallPlan &plan,
+                           bool answerBegun, const Homes &homes,
+                           const std::vector<const UpstreamRecord *> &candidates)
 {
-    auto candidates = traffic.candidates(*call.pool);
-    const Homes homes(*call.route, call.team);
-    if (!homes.isAnywhere()) {
-        std::erase_if(candidates, [&](const UpstreamRecord *it) {
-            return !homes.allows(it->failureDomain, traffic.settings().regions);
-        });
-    }
     if (call.pool->engine && caller.prompt)
         return chooseEngine(traffic, call, caller, plan, answerBegun, homes, candidates);
     const UpstreamRecord *best
@@ -117,6 +110,40 @@
     return chosen;
 }
 
+// Where nothing but limits stands in the way, it is known now that the request cannot be served.
+std::string spentUpstream(Traffic &traffic, const AdmittedCall &call, const CallPlan &plan,
+                          const std::function<bool(const UpstreamRecord &)> &mayServe)
+{
+    std::string spent;
+    for (const UpstreamRecord *it : traffic.upstreams().usable(call.pool->name)) {
+        if (plan.tried().contains(it->instanceId) || !mayServe(*it))
+            continue;
+        if (!traffic.gate().isLimited(it->instanceId))
+            return "";
+        spent = it->instanceId;
+    }
+    return spent;
+}
+
+} // namespace
+
+UpstreamChoice chooseUpstream(Traffic &traffic, const AdmittedCall &call,
+                              const platform::CallerHead &caller, const CallPlan &plan,
+                              bool answerBegun)
+{
+    const Homes homes(*call.route, call.team);
+    const auto mayServe = [&](const UpstreamRecord &it) {
+        return homes.isAnywhere() || homes.allows(it.failureDomain, traffic.settings().regions);
+    };
+    auto candidates = traffic.candidates(*call.pool);
+    std::erase_if(candidates, [&](const UpstreamRecord *it) { return !mayServe(*it); });
+    UpstreamChoice chosen
+        = chooseAmong(traffic, call, caller, plan, answerBegun, homes, candidates);
+    if (!chosen.attempt && candidates.empty())
+        chosen.spentUpstream = spentUpstream(traffic, call, plan, mayServe);
+    return chosen;
+}
+
 http::request_header<> upstreamHead(const http::request_header<> &head, const AdmittedCall &call,
                                     const UpstreamAttempt &attempt, const UpstreamHeadTerms &terms)
 {
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -15,6 +15,8 @@
 {
     std::optional<UpstreamAttempt> attempt; // nothing: none may be used now
     std::optional<EngineChoice> busyEngine; // the best engine, which has too much to do
+    // Where all upstreams that could serve the request name limits that are used up: one of them.
+    std::string spentUpstream;
 };
 
 // `answerBegun`: a part of the answer has gone to the caller, so that it cannot be refused.
--- a/tests/node/decoder_fuzz_test.cpp
+++ b/tests/node/decoder_fuzz_test.cpp
@@ -197,6 +197,7 @@
     gossip.weightsNamed["m"][2] = std::chrono::milliseconds(30);
     gossip.orders.enginesLoading = {"i-1"};
     gossip.requestNews = {{{1, 2}, 3}, {{4, 5}, {}}};
+    gossip.limits = {{7, 2, 3.2, std::chrono::seconds(1), {{8, 9}, {10, 11}}}};
     gossip.load.loads = UpstreamLoads({{"i-1", {1, 2, 3}}});
     feed({node::encodeGossip(gossip)}, 12,
          [](const std::string &it) { return !!node::decodeGossip(it); });
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -450,6 +450,8 @@
     message.hearsStore = true;
     message.weightsNamed["m"][2] = 800ms;
     message.requestNews = {{{1, UINT64_MAX}, 3}, {{4, 5}, {}}};
+    message.limits
+        = {{UINT64_MAX, 2, 3.2, 1500ms, {{8, 9}, {UINT64_MAX, 11}}}, {6, 3, 0.0, 0ms, {}}};
     message.isRelay = true;
     message.strength = 12.5;
     const auto read = node::decodeGossip(node::encodeGossip(message));
@@ -473,6 +475,7 @@
     CHECK(read->ordersHeard.at("b").enginesLoading == std::set<std::string>{"f"});
     CHECK(read->weightsNamed == message.weightsNamed);
     CHECK(read->requestNews == message.requestNews);
+    CHECK(read->limits == message.limits);
     CHECK_FALSE(node::decodeGossip("no message"));
     CHECK_FALSE(node::decodeGossip(""));
     const std::string whole = node::encodeGossip(message);
--- a/tests/unit/call_plan_test.cpp
+++ b/tests/unit/call_plan_test.cpp
@@ -72,6 +72,24 @@
     CHECK(plan.sends() == 0);
 }
 
+TEST_CASE(
+    "call plan: an attempt that this node turned down itself costs no retry, and the upstream "
+    "may be chosen again [retry][limit]")
+{
+    CallPlan plan(termsOf(false));
+    for (int n = 0; n < 20; ++n) {
+        plan.sending("a");
+        plan.turnedDown("a");
+    }
+    CHECK(plan.sends() == 0);
+    CHECK(plan.tried().empty());
+    // Neither the budget of repeats nor the search for a reachable upstream has been touched.
+    plan.sending("b");
+    plan.notSent();
+    CHECK(failureOf(plan, RunState::NotRun, Reason::ConnectFailed, false, false)
+          == AfterFailure::SendAgain);
+}
+
 TEST_CASE("call plan: the search for a reachable upstream ends [retry]")
 {
     CallPlan plan(termsOf(true, false, 10));
--- a/tests/unit/upstream_limits_test.cpp
+++ b/tests/unit/upstream_limits_test.cpp
@@ -134,7 +134,7 @@
     pair.a.know("u/2");
     CHECK_FALSE(pair.a.perSecond("u"));
     CHECK_FALSE(pair.a.perSecond("u/2"));
-    CHECK(pair.a.heard({{stableHash("u"), 9, 2.0, 0s}}).empty());
+    CHECK(pair.a.heard({{stableHash("u"), 9, 2.0, 0s, {}}}).empty());
     CHECK_FALSE(pair.answer(pair.a, 2.0));
     CHECK(pair.a.words().empty());
 }
