--- a/tests/process/limit_test.cpp
+++ b/tests/process/limit_test.cpp
@@ -22,7 +22,7 @@
 using RealClock = std::chrono::steady_clock;
 using Arrivals = std::vector<RealClock::time_point>;
 
-// Callers at both nodes, each of whom comes again at once.
+// Callers at some of the nodes, one at each, who come again at once.
 struct Callers
 {
     // The answers by status.
@@ -31,7 +31,7 @@
         std::map<long, int> all;
         std::mutex mutex;
         std::vector<std::thread> threads;
-        for (const int node : {0, 1}) {
+        for (const int node : nodes) {
             threads.emplace_back([&, node] {
                 const auto end = RealClock::now() + time;
                 for (int n = 0; RealClock::now() < end; ++n) {
@@ -50,6 +50,7 @@
         return all;
     }
 
+    std::vector<int> nodes{0, 1};
     HttpAnswer lastRefusal;
     std::atomic<int> begun{0};
 };
@@ -125,3 +126,41 @@
     CHECK(callers.lastRefusal.body.find("upstream-limited") != std::string::npos);
     CHECK(callers.lastRefusal.headers.contains("retry-after"));
 }
+
+TEST_CASE("node: in a fleet with relays, nodes learn of a limit that only others were told, and "
+          "the few that have callers divide it [node][limit][relays]")
+{
+    constexpr int kNodes = 14;
+    Deployment fleet;
+    fleet.start();
+    for (int node = 1; node < kNodes; ++node)
+        fleet.startNode(node, "", node % 2 == 0 ? "x" : "y");
+    for (int node = 0; node < kNodes; ++node)
+        REQUIRE(Fleet::waitFor([&] { return fleet.isReady(node); }));
+    fleet.first.nameLimit("2");
+    fleet.second.nameLimit("2");
+    Callers callers;
+    callers.nodes = {0, 13};
+    callers.callFor(fleet, 3s);
+    for (int node = 0; node < kNodes; ++node) {
+        CAPTURE(node);
+        CHECK(
+            Fleet::waitFor([&] { return fleet.metric("fordwood_limited_upstreams", node) == 2; }));
+    }
+    const auto inForce = RealClock::now();
+    const std::map<long, int> answers = callers.callFor(fleet, 9s);
+    for (UpstreamStandin *it : {&fleet.first, &fleet.second})
+        CHECK(busiest(it->arrivals(), inForce) <= 17); // 1.5 x 2 x 4 + 5
+    REQUIRE(answers.contains(200));
+    CHECK(answers.at(200) >= 18); // of 36 at the rates that they name
+
+    // Lifted again: nodes without callers hear it from the others.
+    fleet.first.nameLimit(std::nullopt);
+    fleet.second.nameLimit(std::nullopt);
+    callers.callFor(fleet, 4s);
+    for (int node = 0; node < kNodes; ++node) {
+        CAPTURE(node);
+        CHECK(
+            Fleet::waitFor([&] { return fleet.metric("fordwood_limited_upstreams", node) == 0; }));
+    }
+}
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -52,11 +52,12 @@
     }
 
     // `storeAddress`: another one than that of the store, for a node that cannot reach it.
-    void startNode(int node, const std::string &storeAddress = "")
+    void startNode(int node, const std::string &storeAddress = "", const std::string &domain = "x")
     {
         const std::string path = folder + "/node-" + std::to_string(node) + ".toml";
         std::ofstream out(path);
-        out << "[node]\nname = \"n" << node << "\"\nfailure_domain = \"x\"\nregion = \"r\"\n"
+        out << "[node]\nname = \"n" << node << "\"\nfailure_domain = \"" << domain
+            << "\"\nregion = \"r\"\n"
             << "[callers]\nlisten = \"" << host(node) << ":8080\"\nready_listen = \"" << host(node)
             << ":8081\"\n[peers]\nlisten = \"" << host(node) << ":8082\"\ngossip_listen = \""
             << host(node) << ":8083\"\nmetrics_listen = \"" << host(node) << ":8084\"\nseeds = [\""
