--- a/tests/unit/limit_gate_test.cpp
+++ b/tests/unit/limit_gate_test.cpp
@@ -6,17 +6,11 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <deque>
-#include <memory>
-#include <random>
-#include <set>
-
-#include "fordwood/manual_clock.hpp"
-#include "fordwood/rendezvous.hpp"
+#include "support/limit_fleet.hpp"
 
 using namespace fordwood;
 using namespace std::chrono_literals;
+using support::LimitFleet;
 
 namespace {
 
@@ -28,180 +22,6 @@
     return static_cast<std::size_t>(1.5 * perSecond * 4.0 + 5.0);
 }
 
-// Nodes with callers that wait at all times, an upstream that names a limit in each answer, and
-// messages between the nodes that take their time and now and then are lost.
-class Fleet
-{
-public:
-    Fleet(std::size_t size, double perSecond) : limit(perSecond)
-    {
-        for (std::size_t n = 0; n < size; ++n)
-            start("node-" + std::to_string(n));
-        clock.advance(1s);
-    }
-
-    struct Node
-    {
-        std::string name;
-        std::unique_ptr<LimitGate> gate;
-        bool hasCallers = true;
-        bool isFrozen = false;
-        int side = 0; // of a cut
-        TimePoint started{};
-    };
-
-    Node &start(const std::string &name)
-    {
-        nodes.push_back({name, std::make_unique<LimitGate>(clock, stableHash(name)), true, false, 0,
-                         clock.now()});
-        nodes.back().gate->limits().know(upstream);
-        return nodes.back();
-    }
-
-    void tellLiveNodes()
-    {
-        for (Node &it : nodes) {
-            const auto live = std::count_if(nodes.begin(), nodes.end(), [&](const Node &other) {
-                return other.side == it.side && !other.isFrozen;
-            });
-            if (!it.isFrozen)
-                it.gate->setLiveNodes(static_cast<std::size_t>(live));
-        }
-    }
-
-    void play(Duration time)
-    {
-        constexpr Duration kStep = 10ms;
-        for (Duration passed{}; passed < time; passed += kStep) {
-            clock.advance(kStep);
-            deliver();
-            if (clock.now() >= m_nextTold)
-                tell();
-            // Which node's callers are quickest differs from moment to moment.
-            const std::size_t first = m_random() % nodes.size();
-            for (std::size_t n = 0; n < nodes.size(); ++n)
-                send(nodes[(first + n) % nodes.size()]);
-        }
-    }
-
-    // The most arrivals in any four seconds that begin between these times.
-    std::size_t busiest(TimePoint from, TimePoint until = TimePoint::max())
-    {
-        std::sort(arrivals.begin(), arrivals.end());
-        std::size_t most = 0;
-        for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-             first != arrivals.end() && *first < until; ++first) {
-            const auto end = std::lower_bound(first, arrivals.end(), *first + 4s);
-            most = std::max(most, static_cast<std::size_t>(end - first));
-        }
-        return most;
-    }
-
-    // The part of what the upstream takes that arrives from then on.
-    double used(TimePoint from)
-    {
-        std::sort(arrivals.begin(), arrivals.end());
-        const auto n = arrivals.end() - std::lower_bound(arrivals.begin(), arrivals.end(), from);
-        const double seconds = std::chrono::duration<double>(clock.now() - from).count();
-        return static_cast<double>(n) / (*limit * seconds);
-    }
-
-    ManualClock clock;
-    std::string upstream = "u";
-    std::optional<double> limit; // that it names
-    std::deque<Node> nodes;
-    std::vector<TimePoint> arrivals;
-
-private:
-    // An answer that is on its way back, or what nodes tell each other.
-    struct Message
-    {
-        TimePoint when{};
-        std::size_t to = 0;
-        std::vector<LimitWord> words;
-    };
-    struct Answer
-    {
-        TimePoint when{};
-        TimePoint sent{};
-        std::string node;
-        std::optional<double> named;
-    };
-
-    void send(Node &node)
-    {
-        if (node.isFrozen || !node.hasCallers || !node.gate->maySend(upstream))
-            return;
-        // Nearly at once, or late for a lost packet or a connection that comes up late.
-        const bool isLate = m_random() % 20 == 0;
-        const TimePoint arrival = clock.now() + 1ms * (isLate ? 300 : m_random() % 20);
-        // A few requests a second, where nothing holds them back, are told apart from many.
-        if (!node.gate->limits().perSecond(upstream) && m_random() % 100 != 0)
-            return;
-        node.gate->sent(upstream);
-        arrivals.push_back(arrival);
-        m_answers.push_back({arrival + 50ms * (1 + m_random() % 6), clock.now(), node.name, limit});
-    }
-
-    // As relays do it: two on each side hear of all nodes there, and tell them, some hundred
-    // milliseconds late.
-    void tell()
-    {
-        m_nextTold = clock.now() + 200ms;
-        std::map<int, std::vector<std::size_t>> relays; // by side
-        for (std::size_t n = 0; n < nodes.size(); ++n) {
-            if (!nodes[n].isFrozen && relays[nodes[n].side].size() < 2)
-                relays[nodes[n].side].push_back(n);
-        }
-        for (std::size_t n = 0; n < nodes.size(); ++n) {
-            for (const std::size_t relay : relays[nodes[n].side]) {
-                if (n == relay)
-                    continue;
-                if (!nodes[n].isFrozen)
-                    tell(relay, nodes[n].gate->ownWords());
-                tell(n, nodes[relay].gate->allWords());
-            }
-        }
-    }
-
-    void tell(std::size_t to, std::vector<LimitWord> words)
-    {
-        const bool isLost = m_random() % 30 == 0;
-        const Duration way = 100ms + 10ms * (m_random() % 20);
-        if (!isLost)
-            m_messages.push_back({clock.now() + way, to, std::move(words)});
-    }
-
-    // What reaches a node that stands still lies there until it goes on.
-    void deliver()
-    {
-        std::erase_if(m_messages, [this](const Message &it) {
-            if (it.to >= nodes.size())
-                return true;
-            if (clock.now() < it.when || nodes[it.to].isFrozen)
-                return false;
-            nodes[it.to].gate->heard(it.words);
-            return true;
-        });
-        std::erase_if(m_answers, [this](const Answer &it) {
-            const auto node = std::find_if(nodes.begin(), nodes.end(), [&](const Node &other) {
-                return other.name == it.node;
-            });
-            if (node == nodes.end())
-                return true;
-            if (clock.now() < it.when || node->isFrozen)
-                return false;
-            node->gate->limits().answered(upstream, it.named, it.sent);
-            return true;
-        });
-    }
-
-    std::vector<Message> m_messages;
-    std::vector<Answer> m_answers;
-    TimePoint m_nextTold{};
-    std::mt19937 m_random{11}; // NOLINT(cert-msc32-c,cert-msc51-cpp): the same each time
-};
-
 } // namespace
 
 TEST_CASE(
@@ -212,7 +32,7 @@
         for (const double perSecond : {0.3, 1.0, 2.4, 3.2, 10.0, 30.0}) {
             CAPTURE(nodes);
             CAPTURE(perSecond);
-            Fleet fleet(nodes, perSecond);
+            LimitFleet fleet(nodes, perSecond);
             fleet.tellLiveNodes();
             const TimePoint named = fleet.clock.now();
             // Long enough for a few requests at the least rate.
@@ -230,7 +50,7 @@
         for (const std::size_t busy : {1U, 2U}) {
             CAPTURE(nodes);
             CAPTURE(busy);
-            Fleet fleet(nodes, 3.2);
+            LimitFleet fleet(nodes, 3.2);
             fleet.tellLiveNodes();
             for (std::size_t n = busy; n < nodes; ++n)
                 fleet.nodes[n].hasCallers = false;
@@ -256,7 +76,7 @@
 {
     for (const double perSecond : {0.3, 2.4, 10.0}) {
         CAPTURE(perSecond);
-        Fleet fleet(8, perSecond);
+        LimitFleet fleet(8, perSecond);
         fleet.tellLiveNodes();
         const TimePoint named = fleet.clock.now();
         fleet.play(8s);
@@ -286,7 +106,7 @@
         for (const double perSecond : {0.3, 2.4, 3.2, 10.0, 30.0}) {
             CAPTURE(nodes);
             CAPTURE(perSecond);
-            Fleet fleet(nodes, perSecond);
+            LimitFleet fleet(nodes, perSecond);
             fleet.tellLiveNodes();
             const TimePoint named = fleet.clock.now();
             fleet.play(8s);
@@ -297,7 +117,7 @@
             const TimePoint cut = fleet.clock.now();
             fleet.play(15s);
             CHECK(fleet.used(cut) >= 0.8);
-            for (Fleet::Node &it : fleet.nodes)
+            for (LimitFleet::Node &it : fleet.nodes)
                 it.side = 0;
             fleet.tellLiveNodes();
             fleet.play(8s);
@@ -310,7 +130,7 @@
           "more [limit][restart]")
 {
     constexpr double kRate = 2.4;
-    Fleet fleet(8, kRate);
+    LimitFleet fleet(8, kRate);
     fleet.tellLiveNodes();
     const TimePoint named = fleet.clock.now();
     fleet.play(5s);
@@ -347,7 +167,7 @@
 {
     for (const std::size_t nodes : {8U, 79U}) {
         CAPTURE(nodes);
-        Fleet fleet(nodes, 10.0);
+        LimitFleet fleet(nodes, 10.0);
         fleet.tellLiveNodes();
         fleet.play(8s);
         fleet.limit = 1.0;
@@ -360,17 +180,17 @@
         fleet.limit.reset();
         // Their parts grow once the others have ceased to send, and then an answer shows it.
         fleet.play(12s);
-        for (const Fleet::Node &it : fleet.nodes)
-            CHECK_FALSE(it.gate->limits().perSecond("u"));
+        for (LimitFleet::Node &it : fleet.nodes)
+            CHECK_FALSE(it.gate().limits().perSecond("u"));
     }
 }
 
 TEST_CASE("limit gate: the next life of an upstream has no limit of the one before [limit]")
 {
-    Fleet fleet(3, 1.0);
+    LimitFleet fleet(3, 1.0);
     fleet.tellLiveNodes();
     fleet.play(5s);
-    LimitGate &gate = *fleet.nodes.front().gate;
+    LimitGate &gate = fleet.nodes.front().gate();
     CHECK_FALSE((gate.maySend("u") && gate.maySend("u") && gate.ownPart("u") > 1.0));
     REQUIRE(gate.ownPart("u"));
     CHECK(gate.partOfAll("u") == 1.0);
