Bench: three ways of dividing a limit, both sides of each

Even parts, a few senders of all nodes, and a few of those that have requests: over 8, 79 and 300 nodes, 0.3, 3.2 and 30 a second, callers everywhere or at a few nodes, two nodes that stand still, and a cut.

--- /dev/null
+++ b/bench/limit_bench.cpp
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: MIT
+// How nodes divide what an upstream in need takes, three ways, over a paused clock: the most
+// requests in any four seconds as a part of what it bears, and the part of its limit that is used
+// while callers wait. What answers and peers say is the same for all; the ways differ in who sends.
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+#include <string>
+
+#include "fordwood/rendezvous.hpp"
+#include "support/limit_fleet.hpp"
+
+namespace {
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+using support::LimitFleet;
+using support::LimitPolicy;
+
+// Senders without any word between the nodes: the first few of all nodes that live, each with the
+// same part.
+class FixedParts : public LimitPolicy
+{
+public:
+    // `isEven`: all nodes send; else as many as the limit allows for.
+    FixedParts(const Clock &clock, const std::string &name, bool isEven)
+        : m_clock(clock), m_gate(clock, stableHash(name)), m_name(name), m_isEven(isEven)
+    {
+        m_gate.limits().know(LimitFleet::kUpstream);
+    }
+
+    bool maySend() override
+    {
+        const auto limit = m_gate.limits().perSecond(LimitFleet::kUpstream);
+        if (!limit)
+            return true;
+        const LimitShare share = shareOfLimit(*limit, true);
+        const std::size_t nodes = m_others.size() + 1;
+        const std::size_t senders = m_isEven ? nodes : std::min(nodes, share.senders);
+        const std::size_t rank
+            = rendezvousRank(stableHash(LimitFleet::kUpstream), m_name, m_others);
+        if (rank >= senders)
+            return false;
+        const auto pause = std::chrono::duration<double>(static_cast<double>(senders) / *limit);
+        return !m_last || m_clock.now() - *m_last >= pause;
+    }
+    void sent() override { m_last = m_clock.now(); }
+    void setNodes(const std::vector<std::string> &names) override
+    {
+        m_others = names;
+        std::erase(m_others, m_name);
+    }
+    LimitGate &gate() override { return m_gate; }
+
+private:
+    const Clock &m_clock;
+    LimitGate m_gate;
+    const std::string m_name;
+    const bool m_isEven;
+    std::vector<std::string> m_others;
+    std::optional<TimePoint> m_last;
+};
+
+struct Way
+{
+    const char *name;
+    LimitFleet::MakePolicy make;
+};
+
+struct Figures
+{
+    double busiest = 0; // of what is borne
+    double used = 0;
+};
+
+enum class Pattern { Even, OneNode, QuarterOfNodes, TwoFrozen, Cut };
+
+constexpr Pattern kPatterns[]{Pattern::Even, Pattern::OneNode, Pattern::QuarterOfNodes,
+                              Pattern::TwoFrozen, Pattern::Cut};
+
+const char *nameOf(Pattern pattern)
+{
+    switch (pattern) {
+    case Pattern::Even:
+        return "callers everywhere";
+    case Pattern::OneNode:
+        return "callers at one node";
+    case Pattern::QuarterOfNodes:
+        return "callers at a quarter of the nodes";
+    case Pattern::TwoFrozen:
+        return "two nodes stand still, unnoticed";
+    case Pattern::Cut:
+        return "half cut off from half";
+    }
+    return "";
+}
+
+void strike(LimitFleet &fleet, Pattern pattern)
+{
+    const std::size_t nodes = fleet.nodes.size();
+    for (std::size_t n = 0; n < nodes; ++n) {
+        LimitFleet::Node &it = fleet.nodes[n];
+        if (pattern == Pattern::OneNode)
+            it.hasCallers = n == nodes / 2;
+        if (pattern == Pattern::QuarterOfNodes)
+            it.hasCallers = n % 4 == 0;
+        if (pattern == Pattern::TwoFrozen)
+            it.isFrozen = n == 0 || n == nodes / 2;
+        if (pattern == Pattern::Cut)
+            it.side = n < nodes / 2 ? 1 : 0;
+    }
+    if (pattern != Pattern::TwoFrozen)
+        fleet.tellLiveNodes();
+}
+
+Figures measure(const Way &way, std::size_t nodes, double perSecond, Pattern pattern)
+{
+    LimitFleet fleet(nodes, perSecond, way.make);
+    fleet.tellLiveNodes();
+    const TimePoint named = fleet.clock.now();
+    fleet.play(6s);
+    strike(fleet, pattern);
+    fleet.play(6s);
+    const TimePoint settled = fleet.clock.now();
+    fleet.play(perSecond < 1.0 ? 60s : 20s);
+    const double borne = 1.5 * perSecond * 4.0 + 5.0;
+    return {static_cast<double>(fleet.busiest(named + 3s)) / borne, fleet.used(settled)};
+}
+
+} // namespace
+
+int main()
+{
+    const auto fixed = [](bool isEven) {
+        return [isEven](const Clock &clock, const std::string &name) {
+            return std::make_unique<FixedParts>(clock, name, isEven);
+        };
+    };
+    const Way kWays[]{{"even", fixed(true)},
+                      {"few of all", fixed(false)},
+                      {"few with requests", LimitFleet::gatePolicy}};
+    std::cout << std::fixed << std::setprecision(2) << "| pattern | nodes | limit a second | "
+              << kWays[0].name << " | " << kWays[1].name << " | " << kWays[2].name
+              << " |\n|---|---|---|---|---|---|\n";
+    for (const Pattern pattern : kPatterns) {
+        for (const std::size_t nodes : {8U, 79U, 300U}) {
+            for (const double perSecond : {0.3, 3.2, 30.0}) {
+                std::cout << "| " << nameOf(pattern) << " | " << nodes << " | " << perSecond;
+                for (const Way &it : kWays) {
+                    const Figures figures = measure(it, nodes, perSecond, pattern);
+                    std::cout << " | " << figures.busiest << " / " << figures.used << std::flush;
+                }
+                std::cout << " |\n";
+            }
+        }
+    }
+    return 0;
+}
