--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -15,6 +15,8 @@
 #include "fordwood/contention.hpp"
 #include "fordwood/fleet_view.hpp"
 #include "fordwood/key_claims.hpp"
+#include "fordwood/limit_gate.hpp"
+#include "fordwood/limit_text.hpp"
 #include "fordwood/permits_in_use.hpp"
 #include "fordwood/quarantine_gate.hpp"
 #include "fordwood/retry_budget.hpp"
@@ -31,6 +33,7 @@
     bool direct = true; // send without permits while there is no contention
     std::size_t mostDirectTokens = 1000; // longer prompts always ask: they wait for one another
     std::size_t candidates = 3; // upstreams tried without queueing before the call queues
+    std::string node = {}; // this one's name
 };
 
 // How an attempt at an upstream failed.
@@ -92,6 +95,20 @@
     // An attempt has brought the whole answer. `cost` is what it used, or zero if unknown.
     void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer = {});
 
+    // What an answer said of its upstream's limit has been taken in.
+    struct LimitHeard
+    {
+        std::string upstream; // empty: the attempt is over
+        std::optional<LimitChange> change;
+        std::optional<double> ownPart; // requests a second that this node may send there
+    };
+
+    // The head of an answer says this of the upstream's limit.
+    LimitHeard limitRead(CallId call, unsigned attempt, const LimitReading &limit);
+
+    // Upstreams that name a limit now, for the metrics.
+    std::size_t limitedUpstreams() const { return m_gate.limits().limited(); }
+
     // The caller is gone. A keyed request that was sent goes on: its answer is kept.
     void callerLeft(CallId call);
 
@@ -119,6 +136,7 @@
         std::string askedOwner;
         TimePoint asked{};
         TimePoint askedUntil{};
+        TimePoint sentAt{};
         bool entered = false; // counts against the ceiling of its team
         Verdict last; // why the call has not been answered yet
         bool mayHaveRun = false; // by any attempt so far
@@ -164,6 +182,7 @@
     PermitsInUse m_permits;
     QuarantineGate m_quarantine;
     UpstreamEnds m_ends;
+    LimitGate m_gate;
     bool m_stopping = false;
 };
 
--- /dev/null
+++ b/include/fordwood/limit_text.hpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_LIMIT_TEXT_HPP_INCLUDED
+#define FORDWOOD_LIMIT_TEXT_HPP_INCLUDED
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+
+namespace fordwood {
+
+// What one answer says of the limit of its upstream.
+struct LimitReading
+{
+    std::optional<double> perSecond; // requests a second, from zero up; nothing: none that is read
+    bool isUnreadable = false; // it names something that is no such number
+};
+
+// Requests a second in plain decimal digits; nothing for what names no number from zero up, or one
+// too large to be held.
+std::optional<double> readRate(std::string_view text);
+
+// Takes in one field of an answer. One that is there twice names both limits: the smaller one
+// holds.
+inline void addLimit(std::string_view text, LimitReading &reading)
+{
+    const auto rate = readRate(text);
+    if (!rate)
+        reading.isUnreadable = true;
+    else
+        reading.perSecond = std::min(*rate, reading.perSecond.value_or(*rate));
+}
+
+} // namespace fordwood
+
+#endif // FORDWOOD_LIMIT_TEXT_HPP_INCLUDED
--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -24,6 +24,7 @@
 constexpr std::array<std::string_view, 2> kEventEnds{"\n\n", "\r\n\r\n"};
 constexpr std::size_t kMostEventBytes = 1 << 20;
 constexpr long kOk = 200;
+constexpr long kFirstFailure = 400;
 constexpr std::size_t kTailBytes = 64;
 constexpr std::size_t kMostKeptBytes = 16'384;
 
@@ -160,6 +161,7 @@
         if (line.rfind("HTTP/", 0) == 0) {
             m_head = AnswerHead{}; // a new head, after an interim one
             m_notRun = false;
+            m_limit = LimitReading{};
             return;
         }
         const std::size_t colon = line.find(':');
@@ -173,6 +175,8 @@
             m_notRun = value == "true";
         else if (name == "x-version-mismatch")
             m_versionMismatch = value == "true";
+        else if (name == "x-requests-per-second")
+            addLimit(value, m_limit);
         else if (name == "x-used-tokens")
             m_cost = std::strtod(std::string(value).c_str(), nullptr);
         else if (name.rfind("fordwood-", 0) != 0 && !isHopByHop(name))
@@ -290,6 +294,9 @@
         long status = 0;
         curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
         m_head.status = static_cast<int>(status);
+        // A failure that something on the way has made up names no limit, and lifts none.
+        if (m_limit.perSecond || m_limit.isUnreadable || status < kFirstFailure)
+            m_client.m_listener.limitRead(key().first, key().second, m_limit);
         const std::string detail = "The upstream answered " + std::to_string(status) + ".";
         if (m_notRun && status >= 400) {
             const Reason reason
@@ -348,6 +355,7 @@
     std::optional<AttemptFailure> m_failure;
     double m_cost = 0.0;
     bool m_notRun = false;
+    LimitReading m_limit;
     bool m_versionMismatch = false;
     bool m_begun = false;
     bool m_detached = false; // the caller has left, the answer is taken to be kept
--- a/src/adapters/http/upstream_client.hpp
+++ b/src/adapters/http/upstream_client.hpp
@@ -14,6 +14,7 @@
 #include "adapters/http/exchange.hpp"
 #include "adapters/threads/bounded_ring.hpp"
 #include "fordwood/dispatcher.hpp"
+#include "fordwood/limit_text.hpp"
 
 namespace fordwood::adapters {
 
@@ -24,6 +25,8 @@
     virtual ~UpstreamListener() = default;
     virtual void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer) = 0;
     virtual void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) = 0;
+    // The head of an answer is there, and says this of the upstream's limit.
+    virtual void limitRead(CallId call, unsigned attempt, const LimitReading &limit) = 0;
 };
 
 // One attempt to have a call answered by an upstream.
--- a/src/node/limit_log.cpp
+++ b/src/adapters/observe/limit_log.cpp
@@ -1,17 +1,14 @@
 // SPDX-License-Identifier: MIT
-#include "node/limit_log.hpp"
+#include "adapters/observe/limit_log.hpp"
 
 #include <chrono>
 
 #include "adapters/observe/event_log.hpp"
 
-namespace fordwood::node {
+namespace fordwood::adapters {
 
 namespace {
 
-using adapters::Event;
-using adapters::logEvent;
-
 Event eventOf(const LimitChange &change)
 {
     if (!change.now)
@@ -41,4 +38,4 @@
         logEvent(Event::LimitUnreadable, {{"upstream", instanceId}, {"source", requestId}});
 }
 
-} // namespace fordwood::node
+} // namespace fordwood::adapters
--- a/src/node/limit_log.hpp
+++ b/src/adapters/observe/limit_log.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
-#ifndef FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
-#define FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
+#ifndef FORDWOOD_ADAPTERS_OBSERVE_LIMIT_LOG_HPP_INCLUDED
+#define FORDWOOD_ADAPTERS_OBSERVE_LIMIT_LOG_HPP_INCLUDED
 
 #include <optional>
 #include <set>
@@ -10,13 +10,13 @@
 #include "adapters/observe/metrics.hpp"
 #include "fordwood/upstream_limits.hpp"
 
-namespace fordwood::node {
+namespace fordwood::adapters {
 
 // Logs and counts what a node learns of limits that upstreams name.
 class LimitLog
 {
 public:
-    explicit LimitLog(adapters::Metrics &metrics) : m_metrics(metrics) { }
+    explicit LimitLog(Metrics &metrics) : m_metrics(metrics) { }
 
     // `source`: the request whose answer said so, or the peer that told it. `ownPart`: what this
     // node may send now, in requests a second.
@@ -28,10 +28,10 @@
     void forget(const std::string &instanceId) { m_unreadable.erase(instanceId); }
 
 private:
-    adapters::Metrics &m_metrics;
+    Metrics &m_metrics;
     std::set<std::string> m_unreadable; // instance ids that have been logged
 };
 
-} // namespace fordwood::node
+} // namespace fordwood::adapters
 
-#endif // FORDWOOD_NODE_LIMIT_LOG_HPP_INCLUDED
+#endif // FORDWOOD_ADAPTERS_OBSERVE_LIMIT_LOG_HPP_INCLUDED
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -20,11 +20,12 @@
 constexpr std::size_t kEventsPerCall = 8;
 constexpr std::chrono::milliseconds kRetrySoon{500};
 
-DispatcherLimits limitsOf(const config::EntrySettings &settings)
+DispatcherLimits limitsOf(const config::Settings &settings)
 {
     DispatcherLimits limits;
-    limits.maxCalls = settings.maxInFlight;
-    limits.ownerTimeout = settings.ownerTimeout;
+    limits.maxCalls = settings.entry.maxInFlight;
+    limits.ownerTimeout = settings.entry.ownerTimeout;
+    limits.node = settings.node.name;
     return limits;
 }
 
@@ -32,7 +33,7 @@
 
 EntryNode::EntryNode(const config::Settings &settings)
     : m_settings(settings), m_ring(settings.entry.maxInFlight * kEventsPerCall),
-      m_dispatcher(m_clock, limitsOf(settings.entry)),
+      m_dispatcher(m_clock, limitsOf(settings)),
       m_control(settings.control.listen, settings.node.name),
       m_snapshots(settings.node.failureDomain), m_permits(settings.node.name, *this),
       m_upstreams(m_clock, *this, settings.entry.maxInFlight * 2),
@@ -184,6 +185,13 @@
     pushSurely(FailedEvent{call, attempt, failure});
 }
 
+void EntryNode::limitRead(CallId call, unsigned attempt, const LimitReading &limit)
+{
+    // The next answer says the same.
+    if (!m_ring.tryPush(LimitEvent{call, attempt, limit}))
+        m_metrics.count("fordwood_limits_dropped_total");
+}
+
 adapters::DirectAnswer EntryNode::operatorAnswer(const std::string &path)
 {
     if (path == "/metrics") {
@@ -304,6 +312,17 @@
     m_dispatcher.attemptFailed(event.call, event.attempt, event.failure);
 }
 
+void EntryNode::on(const LimitEvent &event)
+{
+    const auto heard = m_dispatcher.limitRead(event.call, event.attempt, event.limit);
+    if (event.limit.isUnreadable && !heard.upstream.empty())
+        m_limitLog.unreadable(heard.upstream, std::to_string(event.call));
+    if (heard.change)
+        m_limitLog.changed(*heard.change, std::to_string(event.call), heard.ownPart);
+    m_metrics.setGauge("fordwood_limited_upstreams",
+                       static_cast<double>(m_dispatcher.limitedUpstreams()));
+}
+
 void EntryNode::on(const LeftEvent &event)
 {
     m_dispatcher.callerLeft(event.call);
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -14,6 +14,7 @@
 #include "adapters/grpc/permit_client.hpp"
 #include "adapters/http/caller_server.hpp"
 #include "adapters/http/upstream_client.hpp"
+#include "adapters/observe/limit_log.hpp"
 #include "adapters/observe/metrics.hpp"
 #include "adapters/system_clock.hpp"
 #include "adapters/threads/bounded_ring.hpp"
@@ -79,6 +80,12 @@
         unsigned attempt;
         AttemptFailure failure;
     };
+    struct LimitEvent
+    {
+        CallId call;
+        unsigned attempt;
+        LimitReading limit;
+    };
     struct LeftEvent
     {
         CallId call;
@@ -91,7 +98,7 @@
     { };
     using EntryEvent
         = std::variant<BeginEvent, ReplyEvent, ClaimEvent, AllowanceEvent, StreamLostEvent,
-                       FinishedEvent, FailedEvent, LeftEvent, StateEvent, StopEvent>;
+                       FinishedEvent, FailedEvent, LimitEvent, LeftEvent, StateEvent, StopEvent>;
 
     // CallerHandler, on the HTTP threads
     std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
@@ -111,6 +118,7 @@
     // UpstreamListener, on the upstream thread
     void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer) override;
     void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) override;
+    void limitRead(CallId call, unsigned attempt, const LimitReading &limit) override;
 
     adapters::DirectAnswer operatorAnswer(const std::string &path);
     adapters::DirectAnswer refusal(Verdict verdict, bool keyed);
@@ -126,6 +134,7 @@
     void on(const StreamLostEvent &event);
     void on(const FinishedEvent &event);
     void on(const FailedEvent &event);
+    void on(const LimitEvent &event);
     void on(const LeftEvent &event);
     void on(const StateEvent &event);
     void on(const StopEvent &event);
@@ -137,6 +146,7 @@
     const config::Settings m_settings;
     adapters::SystemClock m_clock;
     adapters::Metrics m_metrics;
+    adapters::LimitLog m_limitLog{m_metrics};
     adapters::BoundedRing<EntryEvent> m_ring;
     Dispatcher m_dispatcher;
     adapters::ControlClient m_control;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "fordwood/rendezvous.hpp"
+
 namespace fordwood {
 
 namespace {
@@ -19,7 +21,7 @@
     : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{}),
       m_claims(clock, limits.ownerTimeout, m_actions),
       m_admission(clock, limits.ownerTimeout, *this, m_actions), m_permits(m_actions),
-      m_quarantine(clock), m_ends(clock)
+      m_quarantine(clock), m_ends(clock), m_gate(clock, stableHash(limits.node))
 { }
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view)
@@ -215,6 +217,20 @@
     forget(id);
 }
 
+Dispatcher::LimitHeard Dispatcher::limitRead(CallId id, unsigned attempt, const LimitReading &limit)
+{
+    const Call *call = find(id, attempt);
+    if (call == nullptr)
+        return {};
+    LimitHeard heard;
+    heard.upstream = call->candidates.current()->name;
+    m_gate.limits().know(heard.upstream);
+    if (limit.perSecond || !limit.isUnreadable)
+        heard.change = m_gate.limits().answered(heard.upstream, limit.perSecond, call->sentAt);
+    heard.ownPart = m_gate.ownPart(heard.upstream);
+    return heard;
+}
+
 void Dispatcher::callerLeft(CallId id)
 {
     const auto it = m_calls.find(id);
@@ -417,6 +433,7 @@
     }
     renewVersion(call);
     call.stage = Stage::Sent;
+    call.sentAt = m_clock.now();
     ++call.attempt;
     m_actions.emplace_back(
         SendCall{call.request.id, call.attempt, upstream->name, upstream->address,
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -225,14 +225,13 @@
     const std::string &id = attempt.upstream.instanceId;
     if (head.wrongInstance || m_upstreams.find(id) == nullptr)
         return;
-    if (head.isLimitUnreadable)
+    if (head.limit.isUnreadable)
         m_limitLog.unreadable(id, requestId);
     // A failure that something on the way has made up names no limit, and lifts none.
-    const bool isWord = head.requestsPerSecond || (head.isSealed && !head.isLimitUnreadable);
+    const bool isWord = head.limit.perSecond || (head.isSealed && !head.limit.isUnreadable);
     if (!isWord)
         return;
-    const auto change
-        = m_gate.limits().limits().answered(id, head.requestsPerSecond, attempt.sentAt);
+    const auto change = m_gate.limits().limits().answered(id, head.limit.perSecond, attempt.sentAt);
     if (!change)
         return;
     logLimit(*change, requestId);
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "adapters/observe/limit_log.hpp"
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
 #include "fordwood/context_directory.hpp"
@@ -26,7 +27,6 @@
 #include "fordwood/upstream_health.hpp"
 #include "fordwood/window_budget.hpp"
 #include "node/fleet_update.hpp"
-#include "node/limit_log.hpp"
 #include "node/upstream_attempt.hpp"
 #include "node/upstream_pool.hpp"
 
@@ -166,7 +166,7 @@
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
     UpstreamHealth m_health;
-    LimitLog m_limitLog;
+    adapters::LimitLog m_limitLog;
     SendGate m_gate;
     std::map<std::string, ReturnTimes> m_returnTimes; // by service
     QuarantineGate m_quarantine;
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -63,22 +63,22 @@
         Fields fields;
         for (const char *it : values)
             fields.insert("Server-Limit", it);
-        return readAnswerHead(200, fields);
+        return readAnswerHead(200, fields).limit;
     };
-    CHECK_FALSE(read({}).requestsPerSecond);
-    CHECK_FALSE(read({}).isLimitUnreadable);
-    CHECK(read({"3.2"}).requestsPerSecond == 3.2);
-    CHECK(read({"4"}).requestsPerSecond == 4.0);
-    CHECK(read({"0"}).requestsPerSecond == 0.0);
-    CHECK(read({"1e300"}).requestsPerSecond == 1e300);
+    CHECK_FALSE(read({}).perSecond);
+    CHECK_FALSE(read({}).isUnreadable);
+    CHECK(read({"3.2"}).perSecond == 3.2);
+    CHECK(read({"4"}).perSecond == 4.0);
+    CHECK(read({"0"}).perSecond == 0.0);
+    CHECK(read({"1e300"}).perSecond == 1e300);
     for (const char *it : {"", "-0.5", "nan", "inf", "1e999", "3.2/s", "3,2", "three", "0x10"}) {
         CAPTURE(it);
-        CHECK_FALSE(read({it}).requestsPerSecond);
-        CHECK(read({it}).isLimitUnreadable);
+        CHECK_FALSE(read({it}).perSecond);
+        CHECK(read({it}).isUnreadable);
     }
-    CHECK(read({"5", "3.2"}).requestsPerSecond == 3.2);
-    CHECK(read({"5", "many"}).requestsPerSecond == 5.0);
-    CHECK(read({"5", "many"}).isLimitUnreadable);
+    CHECK(read({"5", "3.2"}).perSecond == 3.2);
+    CHECK(read({"5", "many"}).perSecond == 5.0);
+    CHECK(read({"5", "many"}).isUnreadable);
 }
 
 TEST_CASE("callers: numbers that are none are taken as not given [platform][bad-input]")
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -19,8 +19,12 @@
 
     explicit Bench(int engines = 2) { setFleet(engines, {}); }
 
-    void setFleet(int engines, const std::set<std::string> &leaving)
+    // `further`: members beside the one that owns the engines.
+    void setFleet(int engines, const std::set<std::string> &leaving,
+                  const std::vector<Member> &further = {})
     {
+        std::vector<Member> members{{"n1", "a", "r", "127.0.0.1:2", false}};
+        members.insert(members.end(), further.begin(), further.end());
         auto configuration = std::make_shared<Configuration>();
         configuration->failureDomains["a"] = {"a", "r"};
         configuration->models["m"] = {"m", "v1"};
@@ -33,9 +37,8 @@
             upstream.slots = 1;
             configuration->upstreams[upstream.name] = upstream;
         }
-        dispatcher.setView(std::make_shared<const FleetView>(
-            1, configuration, std::vector<Member>{{"n1", "a", "r", "127.0.0.1:2", false}}, leaving,
-            "a"));
+        dispatcher.setView(
+            std::make_shared<const FleetView>(1, configuration, std::move(members), leaving, "a"));
     }
 
     void begin(CallId id, bool repeatable = true)
@@ -401,3 +404,47 @@
     CHECK(end->verdict.reason == Reason::RequestQuarantined);
     CHECK(bench.dispatcher.calls() == 0);
 }
+
+// The load pattern: an engine in need, and callers that come ten times a second to one of the
+// daemons that send there.
+TEST_CASE("dispatcher: an upstream that names a limit gets this daemon's part of it, and calls "
+          "beyond it are refused at once [limit]")
+{
+    for (const int others : {0, 3}) {
+        CAPTURE(others);
+        Bench bench(1);
+        std::vector<Member> further;
+        for (int n = 0; n < others; ++n)
+            further.push_back({"m" + std::to_string(n), "b", "r", "127.0.0.1:3", false});
+        bench.setFleet(1, {}, further);
+        constexpr double kLimit = 2.0;
+        std::size_t sends = 0;
+        std::optional<EndCall> refused;
+        for (CallId id = 1; id <= 300; ++id) {
+            bench.clock.advance(100ms);
+            bench.begin(id);
+            const auto isOpen = [&] { return bench.dispatcher.calls() > 0; };
+            if (isOpen())
+                bench.grantLast();
+            const std::vector<Action> actions = bench.dispatcher.takeActions();
+            for (const Action &it : actions) {
+                if (const auto *send = std::get_if<SendCall>(&it)) {
+                    sends += 1;
+                    bench.dispatcher.limitRead(id, send->attempt, {kLimit, false});
+                    bench.dispatcher.attemptFinished(id, send->attempt, 1.0);
+                }
+                if (const auto *end = std::get_if<EndCall>(&it))
+                    refused = *end;
+            }
+            bench.last<EndCall>();
+            CHECK_FALSE(isOpen());
+        }
+        const double part = kLimit * 30.0 / static_cast<double>(others + 1);
+        CHECK(static_cast<double>(sends) <= part + 3.0);
+        CHECK(static_cast<double>(sends) >= 0.7 * part);
+        REQUIRE(refused);
+        CHECK(refused->verdict.reason == Reason::UpstreamLimited);
+        CHECK(refused->verdict.state == RunState::NotRun);
+        CHECK(refused->verdict.retryAfter > 0ms);
+    }
+}
