Entry daemons keep to their part of the limit that an engine names

An engine in need got 300 sends in 30 s from one daemon where it takes 60: the dispatcher knew neither limit nor rate, the same cause as at the nodes. It asks the same gate now, before a permit is asked for and again when it is there; other upstreams come first, and where none is left the call is refused at once as not run, with the time at which its turn comes. Daemons do not tell each other of limits: each takes an equal part of the members', so that the sum holds whoever has been told.

--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include "fordwood/permits_in_use.hpp"
 #include "fordwood/quarantine_gate.hpp"
 #include "fordwood/retry_budget.hpp"
+#include "fordwood/return_times.hpp"
 #include "fordwood/team_admission.hpp"
 #include "fordwood/upstream_ends.hpp"
 
@@ -153,6 +154,7 @@
     void choose(Call &call);
     void ask(Call &call);
     void askNext(Call &call, const Verdict &why);
+    void passOver(Call &call);
     void askAgain(Call &call, const std::string &asked, const Verdict &why);
     void fallBack(Call &call);
     bool maySendDirectly(const UpstreamConfig &upstream, const Call &call);
@@ -166,6 +168,7 @@
     void noteBrokeOff(const Call &call);
     bool isHeld(const CallRequest &request) const;
     Verdict heldVerdict(const CallRequest &request) const;
+    Verdict limitedVerdict(const std::string &upstream);
     Call *find(CallId id, unsigned attempt);
 
     const Clock &m_clock;
@@ -183,6 +186,7 @@
     QuarantineGate m_quarantine;
     UpstreamEnds m_ends;
     LimitGate m_gate;
+    std::map<std::string, ReturnTimes> m_returnTimes; // by upstream that names a limit
     bool m_stopping = false;
 };
 
--- a/include/fordwood/limit_gate.hpp
+++ b/include/fordwood/limit_gate.hpp
@@ -39,6 +39,10 @@
     // How many nodes live, this one included.
     void setLiveNodes(std::size_t n);
 
+    // In a fleet whose nodes tell each other nothing of limits: the others, by name. Each of them
+    // is taken to have requests, and to have heard of a limit by its own answers.
+    void setSilentNodes(const std::vector<std::string> &others);
+
     // What a peer has told, and what peers should hear: of this node alone, where relays tell it
     // on, or also of the others that it has heard of.
     std::vector<LimitChange> heard(const std::vector<LimitWord> &words);
--- a/include/fordwood/limit_senders.hpp
+++ b/include/fordwood/limit_senders.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "fordwood/clock.hpp"
@@ -45,6 +46,13 @@
     // Whether no other node lives, as far as this one knows: then nobody has to name it.
     void setAlone(bool isAlone) { m_isAlone = isAlone; }
 
+    // In a fleet whose nodes do not tell each other who has requests: these have some at all times,
+    // beside this node. Lives, by number.
+    void setAlwaysWanting(std::vector<std::uint64_t> others)
+    {
+        m_alwaysWanting = std::move(others);
+    }
+
     // This node has a request that the upstream could take. Upstreams are named by the hash of
     // their instance id.
     void want(std::uint64_t upstream);
@@ -81,6 +89,7 @@
         std::map<std::uint64_t, Heard> others; // by node
     };
 
+    static std::optional<Place> bounded(Place place, std::size_t mostSenders);
     bool isWanting(const Wanting &wanting) const;
     bool isNamed(const Wanting &wanting) const;
     bool isYoungerThan(TimePoint when, Duration age) const { return m_clock.now() - when < age; }
@@ -90,6 +99,7 @@
     const Clock &m_clock;
     const std::uint64_t m_self;
     bool m_isAlone = true;
+    std::optional<std::vector<std::uint64_t>> m_alwaysWanting;
     std::map<std::uint64_t, Wanting> m_upstreams;
 };
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -29,6 +29,12 @@
     m_view = std::move(view);
     m_admission.setView(m_view);
     m_permits.setView(m_view);
+    std::vector<std::string> others;
+    for (const Member &it : m_view->members()) {
+        if (it.name != m_limits.node)
+            others.push_back(it.name);
+    }
+    m_gate.setSilentNodes(others);
 }
 
 void Dispatcher::begin(const CallRequest &request)
@@ -348,6 +354,8 @@
     const UpstreamConfig *upstream = call.candidates.current();
     if (upstream == nullptr)
         return end(call.request.id, call.last);
+    if (!m_gate.maySend(upstream->name))
+        return passOver(call);
     if (maySendDirectly(*upstream, call)) {
         m_permits.takeDirect(call.request, upstream->name);
         return send(call, m_clock.now() + kLocalSendWithin);
@@ -393,6 +401,15 @@
     ask(call);
 }
 
+// The upstream takes no more requests for now. Others come first; where there is none, the call is
+// refused at once.
+void Dispatcher::passOver(Call &call)
+{
+    if (call.candidates.isQueueing())
+        return end(call.request.id, limitedVerdict(call.candidates.current()->name));
+    askNext(call, Verdict::of(Reason::UpstreamLimited, {}, kRetrySoon));
+}
+
 // Only where a full upstream says that it did not run the request. A call that found every
 // candidate full waits its turn at an owner instead, and tells the others of its model that places
 // are short.
@@ -431,6 +448,14 @@
         m_permits.release(call.request.id, 0.0);
         return end(call.request.id, heldVerdict(call.request));
     }
+    // Another call may have used this daemon's part of the limit, or the limit been named, while
+    // this one waited for its permit. An engine that named two requests a second got ten from one
+    // daemon.
+    if (!m_gate.maySend(upstream->name)) {
+        m_permits.release(call.request.id, 0.0);
+        return passOver(call);
+    }
+    m_gate.sent(upstream->name);
     renewVersion(call);
     call.stage = Stage::Sent;
     call.sentAt = m_clock.now();
@@ -512,6 +537,14 @@
         std::chrono::ceil<std::chrono::milliseconds>(m_quarantine.heldFor(*request.fingerprint)));
 }
 
+Verdict Dispatcher::limitedVerdict(const std::string &upstream)
+{
+    const double nodes = static_cast<double>(std::max<std::size_t>(m_view->members().size(), 1));
+    const double perSecond = m_gate.partOfAll(upstream).value_or(0.0);
+    const auto times = m_returnTimes.try_emplace(upstream, m_clock).first;
+    return Verdict::of(Reason::UpstreamLimited, {}, times->second.next(perSecond / nodes));
+}
+
 Dispatcher::Call *Dispatcher::find(CallId id, unsigned attempt)
 {
     const auto it = m_calls.find(id);
--- a/src/core/limit_gate.cpp
+++ b/src/core/limit_gate.cpp
@@ -2,6 +2,7 @@
 #include "fordwood/limit_gate.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "fordwood/rendezvous.hpp"
 
@@ -47,6 +48,16 @@
         m_silentSince.reset();
 }
 
+void LimitGate::setSilentNodes(const std::vector<std::string> &others)
+{
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(others.size());
+    for (const std::string &it : others)
+        hashes.push_back(stableHash(it));
+    m_senders.setAlwaysWanting(std::move(hashes));
+    setLiveNodes(others.size() + 1);
+}
+
 bool LimitGate::isWhole() const
 {
     return !m_silentSince || m_clock.now() - *m_silentSince >= kMayBeCutOff;
--- a/src/core/limit_senders.cpp
+++ b/src/core/limit_senders.cpp
@@ -82,9 +82,21 @@
         hear(wanting, it);
 }
 
+std::optional<LimitSenders::Place> LimitSenders::bounded(Place place, std::size_t mostSenders)
+{
+    if (place.rank >= mostSenders)
+        return std::nullopt;
+    place.senders = std::min(place.senders, mostSenders);
+    return place;
+}
+
 std::optional<LimitSenders::Place> LimitSenders::place(std::uint64_t upstream,
                                                        std::size_t mostSenders) const
 {
+    if (m_alwaysWanting)
+        return bounded(
+            {rendezvousRank(upstream, m_self, *m_alwaysWanting), m_alwaysWanting->size() + 1},
+            mostSenders);
     const auto it = m_upstreams.find(upstream);
     if (it == m_upstreams.end() || !isWanting(it->second) || !isNamed(it->second)
         || isYoungerThan(*it->second.since, kSaidFor))
@@ -97,10 +109,7 @@
         place.senders += 1;
         place.rank += rendezvousWeight(upstream, node) > own ? 1 : 0;
     }
-    if (place.rank >= mostSenders)
-        return std::nullopt;
-    place.senders = std::min(place.senders, mostSenders);
-    return place;
+    return bounded(place, mostSenders);
 }
 
 std::vector<SenderWord> LimitSenders::ownWord(std::uint64_t upstream) const
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -14,9 +14,16 @@
 struct Bench
 {
     ManualClock clock;
-    Dispatcher dispatcher{clock, DispatcherLimits{}};
+    Dispatcher dispatcher{clock, limits()};
     std::vector<Action> actions;
 
+    static DispatcherLimits limits()
+    {
+        DispatcherLimits limits;
+        limits.node = "n1";
+        return limits;
+    }
+
     explicit Bench(int engines = 2) { setFleet(engines, {}); }
 
     // `further`: members beside the one that owns the engines.
