Reading a peer's copy of the store stands by itself

No change of behaviour. Process test: a limit ends with the life that named it, and a node that starts hears of the others from its peers.

--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -66,7 +66,7 @@
 class Dispatcher : private TeamAdmission::Listener
 {
 public:
-    Dispatcher(const Clock &clock, DispatcherLimits limits);
+    Dispatcher(const Clock &clock, const DispatcherLimits &limits);
     // Its parts add to the actions of this one object.
     Dispatcher(const Dispatcher &) = delete;
     Dispatcher &operator=(const Dispatcher &) = delete;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const Clock &clock, DispatcherLimits limits)
+Dispatcher::Dispatcher(const Clock &clock, const DispatcherLimits &limits)
     : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{}),
       m_claims(clock, limits.ownerTimeout, m_actions),
       m_admission(clock, limits.ownerTimeout, *this, m_actions), m_permits(m_actions),
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -2,7 +2,6 @@
 #include "node/control_duty.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
@@ -16,8 +15,6 @@
 using adapters::Event;
 using adapters::logEvent;
 
-constexpr std::string_view kReplicaTarget = "/replica?since=";
-
 constexpr Duration kTickEvery = std::chrono::milliseconds(20);
 
 // How often the node looks at who lives and what follows for its own duties.
@@ -30,20 +27,10 @@
 // a few messages may be lost.
 constexpr Duration kLimitsEvery = std::chrono::milliseconds(200);
 
-// A node whose own watch works gets a change from there; only when it does not come is a peer
-// asked.
-constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
-
-// Between two reads of a peer's copy: a fleet that starts writes hundreds of keys one by one.
-constexpr Duration kFetchPause = std::chrono::milliseconds(200);
-
-constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
 // How often the store is asked beside the watch, and by how many nodes.
 constexpr Duration kPollEvery = std::chrono::milliseconds(1'000);
 constexpr std::size_t kPollingNodes = 2;
 
-constexpr Duration kSeedPause = std::chrono::milliseconds(300);
-
 // A removal that is seen so soon after the store answered again may be an expiry.
 constexpr Duration kExpiryDoubt = std::chrono::seconds(1);
 
@@ -89,6 +76,8 @@
           clock, m_store, m_replica,
           [this](std::vector<RequestNews> it) { this->tell(RequestsHeard{std::move(it)}); }),
       m_documents(metrics, *this),
+      m_fetcher(clock, m_caller, m_replica, metrics,
+                [this](const ReplicaPart &it) { merge(it.changes, it.mayBeExpiry); }),
       m_role(clock, {settings.node.name, vmStrength(settings.vm)}, roleLimits(settings)),
       m_peers(m_context, clock,
               {settings.node.name, settings.node.failureDomain, vmStrength(settings.vm)},
@@ -107,6 +96,7 @@
 
 bool ControlDuty::open()
 {
+    m_fetcher.setSeeds(m_settings.peers.seeds, m_settings.peers.listen);
     ErrorCode ec;
     const auto failed = [&](const std::string &address) {
         logEvent(Event::ListenFailed, {{"address", address}, {"error", ec.message()}});
@@ -121,7 +111,6 @@
     if (!m_peers.open(m_settings.peers.gossipListen, ec))
         return failed(m_settings.peers.gossipListen);
     m_store.start();
-    m_nextSeedAsk = m_clock.now() + kSeedPause;
     tick();
     return true;
 }
@@ -152,7 +141,10 @@
 void ControlDuty::reload(const config::OneProcessSettings &settings)
 {
     // Addresses of a running process stay as they are; a changed one needs a restart.
-    net::post(m_context, [this, settings] { m_settings.peers = settings.peers; });
+    net::post(m_context, [this, settings] {
+        m_settings.peers = settings.peers;
+        m_fetcher.setSeeds(m_settings.peers.seeds, m_settings.peers.listen);
+    });
 }
 
 HttpReply ControlDuty::readyReply(std::string_view) const
@@ -170,7 +162,7 @@
 
 HttpReply ControlDuty::peerReply(std::string_view target) const
 {
-    if (target.starts_with(kReplicaTarget))
+    if (target.starts_with(ReplicaFetcher::kTarget))
         return replicaReply(target);
     const auto positions = readContextNewsTarget(target);
     if (!positions)
@@ -182,14 +174,12 @@
 
 HttpReply ControlDuty::replicaReply(std::string_view target) const
 {
-    target.remove_prefix(kReplicaTarget.size());
-    std::int64_t since = 0;
-    const auto [end, ec] = std::from_chars(target.data(), target.data() + target.size(), since);
-    if (ec != std::errc() || end != target.data() + target.size() || since < 0)
+    const auto since = ReplicaFetcher::sinceOf(target);
+    if (!since)
         return {400, ""};
     if (m_replica.revision() == 0)
         return {503, ""};
-    return {200, encodeReplicaPart({m_replica.changesSince(since), inDoubt()})};
+    return {200, encodeReplicaPart({m_replica.changesSince(*since), inDoubt()})};
 }
 
 // Whether a removal may be the expiry of a lease while the store was away.
@@ -497,7 +487,7 @@
     if (now >= m_nextMembers)
         noteMembers();
     pollStore();
-    reachStoreThroughPeers();
+    m_fetcher.tick(m_peers.roster(), reachesStore());
     if ((m_gossipSoon && mayGossipAgain()) || now >= m_nextGossip)
         gossip();
 }
@@ -624,64 +614,6 @@
         m_store.poll();
 }
 
-void ControlDuty::reachStoreThroughPeers()
-{
-    const TimePoint now = m_clock.now();
-    // A seed's copy may lack the keys of peers that have just started: ask until one is heard.
-    const bool knowsNobody = !reachesStore() && m_peers.roster().live().empty();
-    if ((m_replica.revision() == 0 || knowsNobody) && now >= m_nextSeedAsk)
-        askSeeds();
-    const auto ahead = m_peers.roster().aheadOf(m_replica.revision());
-    if (!ahead) {
-        m_isBehind = false;
-        return;
-    }
-    if (!m_isBehind)
-        m_aheadSince = now;
-    m_isBehind = true;
-    if (reachesStore() && now - m_aheadSince < kWaitForWatch)
-        return;
-    if (now >= m_nextFetch)
-        fetchFrom(*ahead);
-}
-
-void ControlDuty::askSeeds()
-{
-    m_nextSeedAsk = m_clock.now() + kSeedPause;
-    const auto &seeds = m_settings.peers.seeds;
-    if (seeds.empty())
-        return;
-    m_nextSeed = (m_nextSeed + 1) % seeds.size();
-    if (seeds[m_nextSeed] != m_settings.peers.listen)
-        fetchFrom(seeds[m_nextSeed]);
-}
-
-void ControlDuty::fetchFrom(const std::string &address)
-{
-    if (m_isFetching)
-        return;
-    m_isFetching = true;
-    m_nextFetch = m_clock.now() + kFetchPause;
-    HttpCall call;
-    call.address = address;
-    call.method = "GET";
-    call.target = std::string(kReplicaTarget) + std::to_string(m_replica.revision());
-    m_caller.send(call, kFetchPatience, [this, address](const HttpResult &result) {
-        m_isFetching = false;
-        if (!result || result->status != 200)
-            return; // the next tick asks again, perhaps another peer
-        const auto part = decodeReplicaPart(result->body);
-        if (!part)
-            return;
-        logEvent(Event::ReplicaFetched, {{"peer", address},
-                                         {"since", part->changes.since},
-                                         {"revision", part->changes.revision},
-                                         {"items", part->changes.items.size()}});
-        m_metrics.count("fordwood_replica_fetches_total");
-        merge(part->changes, part->mayBeExpiry);
-    });
-}
-
 void ControlDuty::tell(FleetUpdate update)
 {
     if (!m_waiting.isEmpty() || !m_tell(update))
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -29,6 +29,7 @@
 #include "node/own_key.hpp"
 #include "node/peer_links.hpp"
 #include "node/quarantine_duty.hpp"
+#include "node/replica_fetcher.hpp"
 #include "node/small_server.hpp"
 #include "node/store_link.hpp"
 #include "node/update_queue.hpp"
@@ -98,9 +99,6 @@
     RelayRole::Peers relayPeers() const;
     void tick();
     void pollStore();
-    void reachStoreThroughPeers();
-    void fetchFrom(const std::string &address);
-    void askSeeds();
     void noteReachability();
     void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
     void noteMembers();
@@ -130,6 +128,7 @@
     ContextKeeping m_contexts;
     QuarantineDuty m_quarantine;
     DocumentReader m_documents;
+    ReplicaFetcher m_fetcher;
     RelayRole m_role;
     PeerLinks m_peers;
     LoadExchange m_exchange;
@@ -149,9 +148,7 @@
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
     bool m_isLeaving = false; // nothing runs any more
-    bool m_isFetching = false;
     bool m_gossipSoon = false; // something changed that peers should hear at once
-    std::size_t m_nextSeed = 0;
     std::size_t m_liveNodes = 0;
     bool m_keysChanged = true; // of nodes in the platform's store, since they were told of
     bool m_toldReachable = true;
@@ -164,10 +161,6 @@
     TimePoint m_nextLimits{};
     TimePoint m_nextMembers{};
     TimePoint m_nextPoll{};
-    TimePoint m_nextFetch{};
-    TimePoint m_nextSeedAsk{};
-    TimePoint m_aheadSince{}; // since a peer is ahead of this node's copy
-    bool m_isBehind = false;
 };
 
 } // namespace fordwood::node
--- /dev/null
+++ b/src/node/replica_fetcher.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+#include "node/replica_fetcher.hpp"
+
+#include <charconv>
+
+#include "adapters/observe/event_log.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+// A node whose own watch works gets a change from there; only when it does not come is a peer
+// asked.
+constexpr Duration kWaitForWatch = std::chrono::milliseconds(150);
+
+// Between two reads of a peer's copy: a fleet that starts writes hundreds of keys one by one.
+constexpr Duration kFetchPause = std::chrono::milliseconds(200);
+
+constexpr Duration kFetchPatience = std::chrono::milliseconds(800);
+
+constexpr Duration kSeedPause = std::chrono::milliseconds(300);
+
+} // namespace
+
+std::optional<std::int64_t> ReplicaFetcher::sinceOf(std::string_view target)
+{
+    if (!target.starts_with(kTarget))
+        return std::nullopt;
+    target.remove_prefix(kTarget.size());
+    std::int64_t since = 0;
+    const auto [end, ec] = std::from_chars(target.data(), target.data() + target.size(), since);
+    const bool isWhole = ec == std::errc() && end == target.data() + target.size();
+    return isWhole && since >= 0 ? std::optional(since) : std::nullopt;
+}
+
+void ReplicaFetcher::setSeeds(std::vector<std::string> seeds, std::string self)
+{
+    m_seeds = std::move(seeds);
+    m_self = std::move(self);
+    m_nextSeedAsk = m_clock.now() + kSeedPause;
+}
+
+void ReplicaFetcher::tick(const PeerRoster &roster, bool reachesStore)
+{
+    const TimePoint now = m_clock.now();
+    // A seed's copy may lack the keys of peers that have just started: ask until one is heard.
+    const bool knowsNobody = !reachesStore && roster.live().empty();
+    if ((m_replica.revision() == 0 || knowsNobody) && now >= m_nextSeedAsk)
+        askSeeds();
+    const auto ahead = roster.aheadOf(m_replica.revision());
+    if (!ahead) {
+        m_isBehind = false;
+        return;
+    }
+    if (!m_isBehind)
+        m_behindSince = now;
+    m_isBehind = true;
+    if (reachesStore && now - m_behindSince < kWaitForWatch)
+        return;
+    if (now >= m_nextFetch)
+        fetchFrom(*ahead);
+}
+
+void ReplicaFetcher::askSeeds()
+{
+    m_nextSeedAsk = m_clock.now() + kSeedPause;
+    if (m_seeds.empty())
+        return;
+    m_nextSeed = (m_nextSeed + 1) % m_seeds.size();
+    if (m_seeds[m_nextSeed] != m_self)
+        fetchFrom(m_seeds[m_nextSeed]);
+}
+
+void ReplicaFetcher::fetchFrom(const std::string &address)
+{
+    if (m_isFetching)
+        return;
+    m_isFetching = true;
+    m_nextFetch = m_clock.now() + kFetchPause;
+    HttpCall call;
+    call.address = address;
+    call.method = "GET";
+    call.target = std::string(kTarget) + std::to_string(m_replica.revision());
+    m_caller.send(call, kFetchPatience,
+                  [this, address](const HttpResult &result) { fetched(address, result); });
+}
+
+void ReplicaFetcher::fetched(const std::string &address, const HttpResult &result)
+{
+    m_isFetching = false;
+    if (!result || result->status != 200)
+        return; // the next tick asks again, perhaps another peer
+    const auto part = decodeReplicaPart(result->body);
+    if (!part)
+        return;
+    logEvent(Event::ReplicaFetched, {{"peer", address},
+                                     {"since", part->changes.since},
+                                     {"revision", part->changes.revision},
+                                     {"items", part->changes.items.size()}});
+    m_metrics.count("fordwood_replica_fetches_total");
+    m_take(*part);
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/replica_fetcher.hpp
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_REPLICA_FETCHER_HPP_INCLUDED
+#define FORDWOOD_NODE_REPLICA_FETCHER_HPP_INCLUDED
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "adapters/observe/metrics.hpp"
+#include "fordwood/store_replica.hpp"
+#include "node/http_caller.hpp"
+#include "node/peer_messages.hpp"
+#include "node/peer_roster.hpp"
+
+namespace fordwood::node {
+
+// Reads what this node's copy of the platform's store lacks from a peer that has it: where the
+// store turns this node away, where its watch hears nothing, and in a large fleet where only relays
+// follow the store. A node that knows nobody asks its seeds.
+class ReplicaFetcher
+{
+public:
+    // Takes a part of a peer's copy.
+    using Take = std::function<void(const ReplicaPart &)>;
+
+    ReplicaFetcher(const Clock &clock, HttpCaller &caller, const StoreReplica &replica,
+                   adapters::Metrics &metrics, Take take)
+        : m_clock(clock), m_caller(caller), m_replica(replica), m_metrics(metrics),
+          m_take(std::move(take)), m_nextSeedAsk(clock.now())
+    { }
+
+    // From where a node reads that knows nobody, and where it listens itself.
+    void setSeeds(std::vector<std::string> seeds, std::string self);
+
+    // Regular work. `reachesStore`: this node follows the store itself and is answered.
+    void tick(const PeerRoster &roster, bool reachesStore);
+
+    // How the target begins that asks a peer for what came after a revision, and the revision that
+    // such a target names; nothing: it names none.
+    static constexpr std::string_view kTarget = "/replica?since=";
+    static std::optional<std::int64_t> sinceOf(std::string_view target);
+
+private:
+    void askSeeds();
+    void fetchFrom(const std::string &address);
+    void fetched(const std::string &address, const HttpResult &result);
+
+    const Clock &m_clock;
+    HttpCaller &m_caller;
+    const StoreReplica &m_replica;
+    adapters::Metrics &m_metrics;
+    Take m_take;
+    std::vector<std::string> m_seeds;
+    std::string m_self;
+    std::size_t m_nextSeed = 0;
+    bool m_isFetching = false;
+    bool m_isBehind = false; // a peer is ahead of this node's copy
+    TimePoint m_behindSince{};
+    TimePoint m_nextFetch{};
+    TimePoint m_nextSeedAsk;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_REPLICA_FETCHER_HPP_INCLUDED
--- a/tests/process/limit_test.cpp
+++ b/tests/process/limit_test.cpp
@@ -164,3 +164,39 @@
             Fleet::waitFor([&] { return fleet.metric("fordwood_limited_upstreams", node) == 0; }));
     }
 }
+
+TEST_CASE(
+    "node: the limit of an upstream ends with its life, and a node that starts hears of those "
+    "that stand from its peers [node][limit][lives]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.startNode(1);
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(1); }));
+    const auto limited = [&](int node) { return fleet.metric("fordwood_limited_upstreams", node); };
+    fleet.first.nameLimit("0.5");
+    fleet.second.nameLimit("0.5");
+    int calls = 0;
+    const auto callUntilLimited = [&](int node, double n) {
+        return Fleet::waitFor([&] {
+            fleet.call("GET", "/safe/1", "c-" + std::to_string(++calls), node);
+            return limited(node) == n;
+        });
+    };
+    REQUIRE(callUntilLimited(0, 2));
+    REQUIRE(Fleet::waitFor([&] { return limited(1) == 2; }));
+
+    // No answer names a limit any more: what ends it is the record of the next life.
+    fleet.first.nameLimit(std::nullopt);
+    fleet.putUpstream("i-1", "ready", 2);
+    for (const int node : {0, 1})
+        CHECK(Fleet::waitFor([&] { return limited(node) == 1; }));
+
+    // It sends nothing itself.
+    const int logged = fleet.logged(0, "event=314");
+    fleet.nodes.erase(fleet.nodes.begin());
+    fleet.startNode(0);
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(0); }));
+    CHECK(Fleet::waitFor([&] { return limited(0) == 1; }));
+    CHECK(fleet.logged(0, "event=314") == logged + 1);
+}
