Limits cost nothing at a choice while no upstream names one

Each choice asked for a belief of each upstream, a hash and a look-up in a table of all of them, and each report to peers went through that table: beliefs are kept only of upstreams that have named a limit once. Daemons of the two-daemon form keep none of upstreams that never did.

--- a/include/fordwood/upstream_limits.hpp
+++ b/include/fordwood/upstream_limits.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "fordwood/clock.hpp"
@@ -73,13 +74,13 @@
     std::vector<LimitWord> words() const;
 
     // Upstreams that name a limit now, for the metrics.
-    std::size_t limited() const;
+    std::size_t limited() const { return m_limited; }
 
 private:
     struct Belief
     {
         std::string instanceId;
-        std::uint64_t version = 0; // zero: never has any answer named a limit
+        std::uint64_t version = 0; // zero: nothing is believed yet
         std::optional<double> perSecond;
         TimePoint learnt{}; // when this node came to believe it
         TimePoint borneOut{}; // the last answer that said the same, or `learnt`
@@ -87,12 +88,17 @@
         TimePoint tellUntil{}; // that it has been lifted
     };
 
-    bool mayChange(const Belief &belief, std::optional<double> perSecond, TimePoint sent) const;
+    static bool mayChange(const Belief &belief, std::optional<double> perSecond, TimePoint sent);
+    Belief *belief(std::uint64_t upstream);
     LimitChange change(Belief &belief, std::uint64_t version, std::optional<double> perSecond,
                        TimePoint answered);
 
     const Clock &m_clock;
-    std::map<std::uint64_t, Belief> m_beliefs; // by the hash of the instance id
+    // By the hash of the instance id. Few of the upstreams in service ever name a limit: what is
+    // asked for each of them at each choice costs nothing while none does.
+    std::unordered_map<std::uint64_t, std::string> m_inService;
+    std::map<std::uint64_t, Belief> m_beliefs;
+    std::size_t m_limited = 0;
 };
 
 } // namespace fordwood
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -230,7 +230,8 @@
         return {};
     LimitHeard heard;
     heard.upstream = call->candidates.current()->name;
-    m_gate.limits().know(heard.upstream);
+    if (limit.perSecond)
+        m_gate.limits().know(heard.upstream);
     if (limit.perSecond || !limit.isUnreadable)
         heard.change = m_gate.limits().answered(heard.upstream, limit.perSecond, call->sentAt);
     heard.ownPart = m_gate.ownPart(heard.upstream);
--- a/src/core/limit_gate.cpp
+++ b/src/core/limit_gate.cpp
@@ -101,6 +101,8 @@
 
 bool LimitGate::maySend(const std::string &instanceId)
 {
+    if (m_limits.limited() == 0)
+        return true;
     const std::uint64_t upstream = stableHash(instanceId);
     const auto division = share(upstream);
     if (!division)
--- a/src/core/upstream_limits.cpp
+++ b/src/core/upstream_limits.cpp
@@ -31,16 +31,36 @@
 
 void UpstreamLimits::know(const std::string &instanceId)
 {
-    m_beliefs[stableHash(instanceId)].instanceId = instanceId;
+    m_inService.emplace(stableHash(instanceId), instanceId);
 }
 
 void UpstreamLimits::forget(const std::string &instanceId)
 {
-    m_beliefs.erase(stableHash(instanceId));
+    const std::uint64_t upstream = stableHash(instanceId);
+    m_inService.erase(upstream);
+    const auto it = m_beliefs.find(upstream);
+    if (it == m_beliefs.end())
+        return;
+    m_limited -= it->second.perSecond ? 1 : 0;
+    m_beliefs.erase(it);
+}
+
+// What is believed of the upstream, to be changed; null: it is not in service.
+UpstreamLimits::Belief *UpstreamLimits::belief(std::uint64_t upstream)
+{
+    const auto known = m_beliefs.find(upstream);
+    if (known != m_beliefs.end())
+        return &known->second;
+    const auto it = m_inService.find(upstream);
+    if (it == m_inService.end())
+        return nullptr;
+    Belief &belief = m_beliefs[upstream];
+    belief.instanceId = it->second;
+    return &belief;
 }
 
 bool UpstreamLimits::mayChange(const Belief &belief, std::optional<double> perSecond,
-                               TimePoint sent) const
+                               TimePoint sent)
 {
     if (belief.version == 0)
         return true;
@@ -53,6 +73,8 @@
 {
     const TimePoint now = m_clock.now();
     LimitChange result{belief.instanceId, belief.perSecond, perSecond, version, now - answered};
+    m_limited += perSecond ? 1 : 0;
+    m_limited -= belief.perSecond ? 1 : 0;
     belief.version = version;
     belief.perSecond = perSecond;
     belief.learnt = now;
@@ -65,18 +87,22 @@
 std::optional<LimitChange> UpstreamLimits::answered(const std::string &instanceId,
                                                     std::optional<double> perSecond, TimePoint sent)
 {
-    const auto it = m_beliefs.find(stableHash(instanceId));
-    if (it == m_beliefs.end())
-        return std::nullopt;
-    Belief &belief = it->second;
     const std::optional<double> named = binding(perSecond);
-    if (named == belief.perSecond) {
-        belief.borneOut = m_clock.now();
+    if (!named && m_limited == 0)
+        return std::nullopt;
+    const std::uint64_t upstream = stableHash(instanceId);
+    if (!named && !m_beliefs.contains(upstream))
+        return std::nullopt; // as ever
+    Belief *known = belief(upstream);
+    if (known == nullptr)
+        return std::nullopt;
+    if (named == known->perSecond) {
+        known->borneOut = m_clock.now();
         return std::nullopt;
     }
-    if (!mayChange(belief, named, sent))
+    if (!mayChange(*known, named, sent))
         return std::nullopt;
-    return change(belief, belief.version + 1, named, m_clock.now());
+    return change(*known, known->version + 1, named, m_clock.now());
 }
 
 std::vector<LimitChange> UpstreamLimits::heard(const std::vector<LimitWord> &words)
@@ -84,22 +110,22 @@
     std::vector<LimitChange> changes;
     const TimePoint now = m_clock.now();
     for (const LimitWord &it : words) {
-        const auto known = m_beliefs.find(it.upstream);
-        if (known == m_beliefs.end())
+        Belief *found = belief(it.upstream);
+        if (found == nullptr)
             continue;
-        Belief &belief = known->second;
+        Belief &known = *found;
         const std::optional<double> named
             = binding(it.perSecond > 0.0 ? std::optional(it.perSecond) : std::nullopt);
         // Two nodes may have read different answers at the same time: the stricter one holds until
         // the next answer.
-        const bool isStricter = it.version == belief.version && named
-                                && (!belief.perSecond || *named < *belief.perSecond);
-        if (it.version < belief.version)
-            belief.tellUntil = now + kTellLifted; // who says so has missed what came after
-        if (it.version <= belief.version && !isStricter)
+        const bool isStricter = it.version == known.version && named
+                                && (!known.perSecond || *named < *known.perSecond);
+        if (it.version < known.version)
+            known.tellUntil = now + kTellLifted; // who says so has missed what came after
+        if (it.version <= known.version && !isStricter)
             continue;
-        const bool isSame = named == belief.perSecond;
-        LimitChange made = change(belief, it.version, named, now - it.age);
+        const bool isSame = named == known.perSecond;
+        LimitChange made = change(known, it.version, named, now - it.age);
         if (!isSame)
             changes.push_back(std::move(made));
     }
@@ -108,7 +134,7 @@
 
 std::optional<double> UpstreamLimits::perSecond(const std::string &instanceId) const
 {
-    return perSecond(stableHash(instanceId));
+    return m_limited == 0 ? std::nullopt : perSecond(stableHash(instanceId));
 }
 
 std::optional<double> UpstreamLimits::perSecond(std::uint64_t upstream) const
@@ -129,11 +155,4 @@
     return words;
 }
 
-std::size_t UpstreamLimits::limited() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_beliefs.begin(), m_beliefs.end(),
-                      [](const auto &it) { return it.second.perSecond.has_value(); }));
-}
-
 } // namespace fordwood
