--- /dev/null
+++ b/bench/cold_bench.cpp
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: MIT
+// How nodes divide what a cold upstream bears, three ways, over a paused clock: the most requests
+// in any second as a part of what is borne (26 at 14 a second), and the part of the stated rate
+// that is used in the three seconds of a cold start while callers wait.
+#include <algorithm>
+#include <deque>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fordwood/cold_gate.hpp"
+#include "fordwood/manual_clock.hpp"
+#include "fordwood/rendezvous.hpp"
+
+namespace {
+
+using namespace fordwood;
+using namespace std::chrono_literals;
+
+constexpr const char *kUpstream = "u";
+constexpr double kRate = 14.0;
+constexpr double kOvershoot = 1.5;
+constexpr double kSlack = 5.0;
+constexpr double kBorne = kRate * kOvershoot + kSlack; // in a second
+constexpr Duration kColdFor = 3s;
+
+// How one node keeps to what the cold upstream bears.
+class ColdPolicy
+{
+public:
+    ColdPolicy() = default;
+    ColdPolicy(const ColdPolicy &) = delete;
+    ColdPolicy &operator=(const ColdPolicy &) = delete;
+    virtual ~ColdPolicy() = default;
+
+    // The nodes that are known, this one included; the upstream turns cold.
+    virtual void setNodes(const std::vector<std::string> &names) = 0;
+    virtual void turnCold() = 0;
+    virtual bool maySend() = 0;
+    virtual void sent() = 0;
+};
+
+class EvenParts : public ColdPolicy
+{
+public:
+    explicit EvenParts(const Clock &clock) : m_clock(clock) { }
+
+    void setNodes(const std::vector<std::string> &names) override { m_nodes = names.size(); }
+    void turnCold() override { }
+    bool maySend() override
+    {
+        const auto pause = std::chrono::duration<double>(static_cast<double>(m_nodes) / kRate);
+        return !m_last || m_clock.now() - *m_last >= pause;
+    }
+    void sent() override { m_last = m_clock.now(); }
+
+private:
+    const Clock &m_clock;
+    std::size_t m_nodes = 1;
+    std::optional<TimePoint> m_last;
+};
+
+// The way of the product.
+class FewSenders : public ColdPolicy
+{
+public:
+    FewSenders(const Clock &clock, const std::string &name)
+        : m_name(name), m_gate(clock, limits(), name)
+    { }
+
+    void setNodes(const std::vector<std::string> &names) override
+    {
+        std::vector<std::string> others = names;
+        std::erase(others, m_name);
+        m_gate.setNodes(others);
+    }
+    void turnCold() override { m_gate.noteCold(kUpstream, kColdFor); }
+    bool maySend() override { return m_gate.maySend(kUpstream, kRate); }
+    void sent() override { m_gate.sent(kUpstream); }
+
+private:
+    static ColdGate::Limits limits()
+    {
+        ColdGate::Limits limits;
+        limits.overshoot = kOvershoot;
+        limits.slack = kSlack;
+        return limits;
+    }
+
+    const std::string m_name;
+    ColdGate m_gate;
+};
+
+// What the holder of the upstream's rate has left to give: one request at a time.
+struct Holder
+{
+    double tokens = 0.0;
+    TimePoint filled{};
+};
+
+// One node, the first by rendezvous, gives out what the upstream bears, a request at a time; the
+// others ask it, and its word takes a message there and back through the nodes' threads.
+class AskedHolder : public ColdPolicy
+{
+public:
+    AskedHolder(const Clock &clock, std::map<std::string, Holder> &holders)
+        : m_clock(clock), m_holders(holders)
+    { }
+
+    void setNodes(const std::vector<std::string> &names) override
+    {
+        std::vector<std::uint64_t> hashes;
+        hashes.reserve(names.size());
+        for (const std::string &it : names)
+            hashes.push_back(stableHash(it));
+        m_holder = names[static_cast<std::size_t>(rendezvousWinner(stableHash(kUpstream), hashes))];
+    }
+    void turnCold() override { }
+    bool maySend() override
+    {
+        const TimePoint now = m_clock.now();
+        if (!m_asked)
+            m_asked = now;
+        if (now - *m_asked < kAnswerTakes)
+            return false;
+        m_asked.reset();
+        // Two holders, for a moment or in a cut, each give half of what is borne.
+        const double rate = std::min(kRate, kBorne / 2.0);
+        Holder &holder = m_holders[m_holder];
+        const std::chrono::duration<double> passed = now - holder.filled;
+        holder.tokens = std::min(rate / 4.0, holder.tokens + rate * passed.count());
+        holder.filled = now;
+        if (holder.tokens < 1.0)
+            return false;
+        holder.tokens -= 1.0;
+        return true;
+    }
+    void sent() override { }
+
+private:
+    static constexpr Duration kAnswerTakes = 40ms;
+
+    const Clock &m_clock;
+    std::map<std::string, Holder> &m_holders; // by name
+    std::string m_holder;
+    std::optional<TimePoint> m_asked;
+};
+
+enum class Way { EvenParts, FewSenders, AskedHolder };
+enum class Pattern { Everywhere, OneDomain, Cut };
+
+struct Figures
+{
+    double busiest = 0; // of what is borne
+    double used = 0;
+};
+
+std::size_t busiestSecond(std::vector<TimePoint> &arrivals)
+{
+    std::sort(arrivals.begin(), arrivals.end());
+    std::size_t most = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        const auto end = std::lower_bound(first, arrivals.end(), *first + 1s);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+Figures measure(Way way, std::size_t nodes, Pattern pattern)
+{
+    ManualClock clock;
+    std::map<std::string, Holder> holders;
+    std::vector<std::string> names;
+    std::vector<std::unique_ptr<ColdPolicy>> policies;
+    for (std::size_t n = 0; n < nodes; ++n) {
+        names.push_back("node-" + std::to_string(n));
+        if (way == Way::EvenParts)
+            policies.push_back(std::make_unique<EvenParts>(clock));
+        else if (way == Way::FewSenders)
+            policies.push_back(std::make_unique<FewSenders>(clock, names.back()));
+        else
+            policies.push_back(std::make_unique<AskedHolder>(clock, holders));
+    }
+    const auto half = names.begin() + static_cast<std::ptrdiff_t>(nodes / 2);
+    const std::vector<std::string> one(names.begin(), half);
+    const std::vector<std::string> other(half, names.end());
+    const bool isCut = pattern == Pattern::Cut;
+    for (std::size_t n = 0; n < nodes; ++n)
+        policies[n]->setNodes(!isCut ? names : n < nodes / 2 ? one : other);
+    clock.advance(5s);
+    for (const auto &it : policies)
+        it->turnCold();
+    std::mt19937 random(7); // NOLINT(cert-msc32-c,cert-msc51-cpp): the same each time
+    std::vector<TimePoint> arrivals;
+    constexpr Duration kStep = 10ms;
+    for (Duration passed = kStep; passed < kColdFor; passed += kStep) {
+        clock.advance(kStep);
+        for (std::size_t n = 0; n < nodes; ++n) {
+            const bool hasCallers = pattern != Pattern::OneDomain || n % 4 == 0;
+            if (!hasCallers || !policies[n]->maySend())
+                continue;
+            policies[n]->sent();
+            arrivals.push_back(clock.now() + 10ms * (random() % 10));
+        }
+    }
+    const double used = static_cast<double>(arrivals.size())
+                        / (kRate * std::chrono::duration<double>(kColdFor).count());
+    return {static_cast<double>(busiestSecond(arrivals)) / kBorne, used};
+}
+
+const char *nameOf(Pattern pattern)
+{
+    switch (pattern) {
+    case Pattern::Everywhere:
+        return "callers everywhere";
+    case Pattern::OneDomain:
+        return "callers in one failure domain of four";
+    case Pattern::Cut:
+        return "half cut off from half";
+    }
+    return "";
+}
+
+} // namespace
+
+int main()
+{
+    std::cout << std::fixed << std::setprecision(2)
+              << "| pattern | nodes | equal parts | few of all nodes | asked holder |\n"
+                 "|---|---|---|---|---|\n";
+    for (const Pattern pattern : {Pattern::Everywhere, Pattern::OneDomain, Pattern::Cut}) {
+        for (const std::size_t nodes : {3U, 8U, 79U, 295U}) {
+            std::cout << "| " << nameOf(pattern) << " | " << nodes;
+            for (const Way it : {Way::EvenParts, Way::FewSenders, Way::AskedHolder}) {
+                const Figures figures = measure(it, nodes, pattern);
+                std::cout << " | " << figures.busiest << " / " << figures.used;
+            }
+            std::cout << " |\n";
+        }
+    }
+    return 0;
+}
