--- a/bench/cold_bench.cpp
+++ b/bench/cold_bench.cpp
@@ -16,6 +16,7 @@
 #include "fordwood/cold_gate.hpp"
 #include "fordwood/manual_clock.hpp"
 #include "fordwood/rendezvous.hpp"
+#include "support/busiest_window.hpp"
 
 namespace {
 
@@ -160,17 +161,6 @@
     double used = 0;
 };
 
-std::size_t busiestSecond(std::vector<TimePoint> &arrivals)
-{
-    std::sort(arrivals.begin(), arrivals.end());
-    std::size_t most = 0;
-    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-        const auto end = std::lower_bound(first, arrivals.end(), *first + 1s);
-        most = std::max(most, static_cast<std::size_t>(end - first));
-    }
-    return most;
-}
-
 Figures measure(Way way, std::size_t nodes, Pattern pattern)
 {
     ManualClock clock;
@@ -210,7 +200,7 @@
     }
     const double used = static_cast<double>(arrivals.size())
                         / (kRate * std::chrono::duration<double>(kColdFor).count());
-    return {static_cast<double>(busiestSecond(arrivals)) / kBorne, used};
+    return {static_cast<double>(support::busiestWindow(arrivals, 1s, TimePoint{})) / kBorne, used};
 }
 
 const char *nameOf(Pattern pattern)
--- a/bench/limit_bench.cpp
+++ b/bench/limit_bench.cpp
@@ -26,12 +26,12 @@
     FixedParts(const Clock &clock, const std::string &name, bool isEven)
         : m_clock(clock), m_gate(clock, stableHash(name)), m_name(name), m_isEven(isEven)
     {
-        m_gate.limits().know(LimitFleet::kUpstream);
+        m_gate.beliefs().know(LimitFleet::kUpstream);
     }
 
     bool maySend() override
     {
-        const auto limit = m_gate.limits().perSecond(LimitFleet::kUpstream);
+        const auto limit = m_gate.beliefs().perSecond(LimitFleet::kUpstream);
         if (!limit)
             return true;
         const LimitShare share = shareOfLimit(*limit, true);
--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -108,7 +108,7 @@
     LimitHeard limitRead(CallId call, unsigned attempt, const LimitReading &limit);
 
     // Upstreams that name a limit now, for the metrics.
-    std::size_t limitedUpstreams() const { return m_gate.limits().limited(); }
+    std::size_t limitedUpstreams() const { return m_gate.beliefs().limited(); }
 
     // The caller is gone. A keyed request that was sent goes on: its answer is kept.
     void callerLeft(CallId call);
--- a/include/fordwood/limit_gate.hpp
+++ b/include/fordwood/limit_gate.hpp
@@ -29,9 +29,9 @@
     // `self`: this life of this node, another number than any other's.
     LimitGate(const Clock &clock, std::uint64_t self);
 
-    // What is known of the limits; the upstreams that are in service are to be made known to it.
-    UpstreamLimits &limits() { return m_limits; }
-    const UpstreamLimits &limits() const { return m_limits; }
+    // What is believed of the limits; the upstreams that are in service are to be made known to it.
+    UpstreamLimits &beliefs() { return m_beliefs; }
+    const UpstreamLimits &beliefs() const { return m_beliefs; }
 
     // The upstream's life is over.
     void forget(const std::string &instanceId);
@@ -66,7 +66,7 @@
     std::optional<LimitShare> share(std::uint64_t upstream) const;
 
     const Clock &m_clock;
-    UpstreamLimits m_limits;
+    UpstreamLimits m_beliefs;
     LimitSenders m_senders;
     // When the next request may go is counted from here: the last one, or when this node's turn
     // among the senders began.
--- a/include/fordwood/send_gate.hpp
+++ b/include/fordwood/send_gate.hpp
@@ -47,7 +47,7 @@
 
     bool isLimited(const std::string &instanceId) const
     {
-        return m_limits.limits().perSecond(instanceId).has_value();
+        return m_limits.beliefs().perSecond(instanceId).has_value();
     }
 
     // The upstream's life is over.
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -231,9 +231,9 @@
     LimitHeard heard;
     heard.upstream = call->candidates.current()->name;
     if (limit.perSecond)
-        m_gate.limits().know(heard.upstream);
+        m_gate.beliefs().know(heard.upstream);
     if (limit.perSecond || !limit.isUnreadable)
-        heard.change = m_gate.limits().answered(heard.upstream, limit.perSecond, call->sentAt);
+        heard.change = m_gate.beliefs().answered(heard.upstream, limit.perSecond, call->sentAt);
     heard.ownPart = m_gate.ownPart(heard.upstream);
     return heard;
 }
--- a/src/core/limit_gate.cpp
+++ b/src/core/limit_gate.cpp
@@ -25,13 +25,13 @@
 } // namespace
 
 LimitGate::LimitGate(const Clock &clock, std::uint64_t self)
-    : m_clock(clock), m_limits(clock), m_senders(clock, self)
+    : m_clock(clock), m_beliefs(clock), m_senders(clock, self)
 { }
 
 void LimitGate::forget(const std::string &instanceId)
 {
     const std::uint64_t upstream = stableHash(instanceId);
-    m_limits.forget(instanceId);
+    m_beliefs.forget(instanceId);
     m_senders.forget(upstream);
     m_lastSends.erase(upstream);
 }
@@ -65,9 +65,9 @@
 
 std::vector<LimitChange> LimitGate::heard(const std::vector<LimitWord> &words)
 {
-    std::vector<LimitChange> changes = m_limits.heard(words);
+    std::vector<LimitChange> changes = m_beliefs.heard(words);
     for (const LimitWord &it : words) {
-        if (m_limits.perSecond(it.upstream))
+        if (m_beliefs.perSecond(it.upstream))
             m_senders.heard(it.upstream, it.senders);
     }
     return changes;
@@ -75,7 +75,7 @@
 
 std::vector<LimitWord> LimitGate::ownWords() const
 {
-    std::vector<LimitWord> words = m_limits.words();
+    std::vector<LimitWord> words = m_beliefs.words();
     for (LimitWord &it : words)
         it.senders = m_senders.ownWord(it.upstream);
     return words;
@@ -83,7 +83,7 @@
 
 std::vector<LimitWord> LimitGate::allWords() const
 {
-    std::vector<LimitWord> words = m_limits.words();
+    std::vector<LimitWord> words = m_beliefs.words();
     for (LimitWord &it : words) {
         if (const auto division = share(it.upstream))
             it.senders = m_senders.firstWords(it.upstream, division->senders);
@@ -93,7 +93,7 @@
 
 std::optional<LimitShare> LimitGate::share(std::uint64_t upstream) const
 {
-    const auto perSecond = m_limits.perSecond(upstream);
+    const auto perSecond = m_beliefs.perSecond(upstream);
     if (!perSecond)
         return std::nullopt;
     return shareOfLimit(*perSecond, isWhole());
@@ -101,7 +101,7 @@
 
 bool LimitGate::maySend(const std::string &instanceId)
 {
-    if (m_limits.limited() == 0)
+    if (m_beliefs.limited() == 0)
         return true;
     const std::uint64_t upstream = stableHash(instanceId);
     const auto division = share(upstream);
@@ -121,7 +121,7 @@
 void LimitGate::sent(const std::string &instanceId)
 {
     const std::uint64_t upstream = stableHash(instanceId);
-    if (m_limits.perSecond(upstream))
+    if (m_beliefs.perSecond(upstream))
         m_lastSends[upstream] = m_clock.now();
 }
 
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -80,7 +80,7 @@
 void Traffic::apply(const UpstreamWritten &update)
 {
     m_upstreams.put(update.record);
-    m_gate.limits().limits().know(update.record.instanceId);
+    m_gate.limits().beliefs().know(update.record.instanceId);
     m_gate.cold().noteCold(update.record.instanceId, update.record.coldFor);
 }
 
@@ -231,7 +231,8 @@
     const bool isWord = head.limit.perSecond || (head.isSealed && !head.limit.isUnreadable);
     if (!isWord)
         return;
-    const auto change = m_gate.limits().limits().answered(id, head.limit.perSecond, attempt.sentAt);
+    const auto change
+        = m_gate.limits().beliefs().answered(id, head.limit.perSecond, attempt.sentAt);
     if (!change)
         return;
     logLimit(*change, requestId);
@@ -264,7 +265,7 @@
     m_metrics.setGauge("fordwood_quarantined_requests",
                        static_cast<double>(m_quarantine.heldRequests()));
     m_metrics.setGauge("fordwood_limited_upstreams",
-                       static_cast<double>(m_gate.limits().limits().limited()));
+                       static_cast<double>(m_gate.limits().beliefs().limited()));
     m_metrics.setGauge("fordwood_cold_upstreams",
                        static_cast<double>(m_gate.cold().coldUpstreams()));
     if (!m_table)
--- a/tests/process/limit_test.cpp
+++ b/tests/process/limit_test.cpp
@@ -8,11 +8,11 @@
 // at each node, with sends to that upstream going on after them.
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <chrono>
 #include <thread>
 
 #include "process/node_deployment.hpp"
+#include "support/busiest_window.hpp"
 
 using namespace fordwood::process;
 using namespace std::chrono_literals;
@@ -58,13 +58,7 @@
 // The most arrivals in four seconds, of those after `from`.
 std::size_t busiest(const Arrivals &arrivals, RealClock::time_point from)
 {
-    std::size_t most = 0;
-    for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-         first != arrivals.end(); ++first) {
-        const auto end = std::lower_bound(first, arrivals.end(), *first + 4s);
-        most = std::max(most, static_cast<std::size_t>(end - first));
-    }
-    return most;
+    return fordwood::support::busiestWindow(arrivals, 4s, from);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/support/busiest_window.hpp
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_TESTS_SUPPORT_BUSIEST_WINDOW_HPP_INCLUDED
+#define FORDWOOD_TESTS_SUPPORT_BUSIEST_WINDOW_HPP_INCLUDED
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace fordwood::support {
+
+// The most arrivals in any window that begins at one of them, from then on; of either clock.
+template <typename Time, typename Window>
+std::size_t busiestWindow(std::vector<Time> arrivals, Window window, Time from)
+{
+    std::sort(arrivals.begin(), arrivals.end());
+    std::size_t most = 0;
+    for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
+         first != arrivals.end(); ++first) {
+        const auto end = std::lower_bound(first, arrivals.end(), *first + window);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+} // namespace fordwood::support
+
+#endif // FORDWOOD_TESTS_SUPPORT_BUSIEST_WINDOW_HPP_INCLUDED
--- a/tests/support/limit_fleet.cpp
+++ b/tests/support/limit_fleet.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fordwood/rendezvous.hpp"
+#include "support/busiest_window.hpp"
 
 namespace fordwood::support {
 
@@ -13,7 +14,7 @@
 GatePolicy::GatePolicy(const Clock &clock, const std::string &name, std::string upstream)
     : m_gate(clock, stableHash(name)), m_upstream(std::move(upstream))
 {
-    m_gate.limits().know(m_upstream);
+    m_gate.beliefs().know(m_upstream);
 }
 
 LimitFleet::LimitFleet(std::size_t size, double perSecond, MakePolicy make)
@@ -65,22 +66,15 @@
     }
 }
 
-std::size_t LimitFleet::busiest(TimePoint from)
+std::size_t LimitFleet::busiest(TimePoint from) const
 {
-    std::sort(arrivals.begin(), arrivals.end());
-    std::size_t most = 0;
-    for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-         first != arrivals.end(); ++first) {
-        const auto end = std::lower_bound(first, arrivals.end(), *first + 4s);
-        most = std::max(most, static_cast<std::size_t>(end - first));
-    }
-    return most;
+    return busiestWindow(arrivals, 4s, from);
 }
 
-double LimitFleet::used(TimePoint from)
+double LimitFleet::used(TimePoint from) const
 {
-    std::sort(arrivals.begin(), arrivals.end());
-    const auto n = arrivals.end() - std::lower_bound(arrivals.begin(), arrivals.end(), from);
+    const auto n = std::count_if(arrivals.begin(), arrivals.end(),
+                                 [from](TimePoint it) { return it >= from; });
     const double seconds = std::chrono::duration<double>(clock.now() - from).count();
     return static_cast<double>(n) / (*limit * seconds);
 }
@@ -93,7 +87,7 @@
     const bool isLate = m_random() % 20 == 0;
     const TimePoint arrival = clock.now() + 1ms * (isLate ? 300 : m_random() % 20);
     // Without a limit, each node sends some request a second there.
-    if (!node.gate().limits().perSecond(kUpstream) && m_random() % 100 != 0)
+    if (!node.gate().beliefs().perSecond(kUpstream) && m_random() % 100 != 0)
         return;
     node.policy->sent();
     arrivals.push_back(arrival);
@@ -147,7 +141,7 @@
             return true;
         if (clock.now() < it.when || node->isFrozen)
             return false;
-        node->gate().limits().answered(kUpstream, it.named, it.sent);
+        node->gate().beliefs().answered(kUpstream, it.named, it.sent);
         return true;
     });
 }
--- a/tests/support/limit_fleet.hpp
+++ b/tests/support/limit_fleet.hpp
@@ -86,10 +86,10 @@
     void play(Duration time);
 
     // The most arrivals in any four seconds from then on.
-    std::size_t busiest(TimePoint from);
+    std::size_t busiest(TimePoint from) const;
 
     // The part of what the upstream takes that arrives from then on.
-    double used(TimePoint from);
+    double used(TimePoint from) const;
 
     static constexpr const char *kUpstream = "u";
 
--- a/tests/unit/limit_gate_test.cpp
+++ b/tests/unit/limit_gate_test.cpp
@@ -181,7 +181,7 @@
         // Their parts grow once the others have ceased to send, and then an answer shows it.
         fleet.play(12s);
         for (LimitFleet::Node &it : fleet.nodes)
-            CHECK_FALSE(it.gate().limits().perSecond("u"));
+            CHECK_FALSE(it.gate().beliefs().perSecond("u"));
     }
 }
 
@@ -195,7 +195,7 @@
     REQUIRE(gate.ownPart("u"));
     CHECK(gate.partOfAll("u") == 1.0);
     gate.forget("u");
-    gate.limits().know("u/2");
+    gate.beliefs().know("u/2");
     CHECK(gate.maySend("u/2"));
     CHECK_FALSE(gate.ownPart("u/2"));
     CHECK(gate.ownWords().empty());
