What is known of an upstream's failures grows old

Callers were served by three of four upstreams though the fourth was well again, and each node had another three: the failure rate of an upstream changed by further answers only, and where the others had room nothing was sent there that could be answered (0 of 1,200 requests in 30 s, ten seconds after it was well). Cause: a belief from answers that has no age. Half of it is forgotten in four seconds now, but not before the upstream has missed twelve of its turns, and a rate below a twentieth is none.

--- a/include/fordwood/upstream_health.hpp
+++ b/include/fordwood/upstream_health.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_UPSTREAM_HEALTH_HPP_INCLUDED
 #define FORDWOOD_UPSTREAM_HEALTH_HPP_INCLUDED
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -20,6 +21,14 @@
         Duration firstPause = std::chrono::milliseconds(500);
         Duration longestPause = std::chrono::seconds(4);
         double failureWeight = 0.2; // of the newest outcome in the failure rate
+        // Half of the failure rate is forgotten in this time, longer than a pause, so that one that
+        // goes on failing costs few requests; but not before the upstream has missed so many of
+        // its turns, since in a large fleet each node has a request for it only now and then.
+        Duration forgetsHalfIn = std::chrono::seconds(4);
+        double turnsToForgetHalf = 12.0;
+        // Less than this is none: where the others are idle, the least rate would keep every
+        // request away from an upstream.
+        double leastRate = 0.05;
         // An upstream that owes an answer for so long and has said nothing since may be gone.
         Duration silence = std::chrono::milliseconds(500);
     };
@@ -61,15 +70,19 @@
     {
         unsigned failuresInARow = 0;
         TimePoint pausedUntil{};
-        double failureRate = 0.0;
+        double failureRate = 0.0; // when it was weighed
+        TimePoint weighed{};
+        std::uint64_t sendsThen = 0; // of this node to all upstreams
         std::size_t open = 0; // requests that it owes an answer to
         TimePoint owesSince{}; // or heard last
     };
 
     void weigh(Entry &entry, bool failure) const;
+    double failureRate(const Entry &entry) const;
 
     const Clock &m_clock;
     const Limits m_limits;
+    std::uint64_t m_sends = 0; // to all upstreams
     std::map<std::string, Entry> m_entries;
 };
 
--- a/src/core/upstream_health.cpp
+++ b/src/core/upstream_health.cpp
@@ -2,16 +2,34 @@
 #include "fordwood/upstream_health.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fordwood {
 
 void UpstreamHealth::weigh(Entry &entry, bool failure) const
 {
-    entry.failureRate += m_limits.failureWeight * ((failure ? 1.0 : 0.0) - entry.failureRate);
+    const double rate = failureRate(entry);
+    entry.failureRate = rate + m_limits.failureWeight * ((failure ? 1.0 : 0.0) - rate);
+    entry.weighed = m_clock.now();
+    entry.sendsThen = m_sends;
+}
+
+// What is known of an upstream that gets no requests grows old. Without that one that had failed
+// and was well again got none of 1,200 requests in 30 s, where the other three had room.
+double UpstreamHealth::failureRate(const Entry &entry) const
+{
+    const std::chrono::duration<double> age = m_clock.now() - entry.weighed;
+    const std::chrono::duration<double> half = m_limits.forgetsHalfIn;
+    const double turns = static_cast<double>(m_sends - entry.sendsThen)
+                         / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
+    const double halvings = std::min(age / half, turns / m_limits.turnsToForgetHalf);
+    const double rate = entry.failureRate * std::exp2(-halvings);
+    return rate < m_limits.leastRate ? 0.0 : rate;
 }
 
 void UpstreamHealth::sent(const std::string &instanceId)
 {
+    m_sends += 1;
     Entry &entry = m_entries[instanceId];
     if (entry.open == 0)
         entry.owesSince = m_clock.now();
@@ -82,7 +100,7 @@
 double UpstreamHealth::failureRate(const std::string &instanceId) const
 {
     const auto it = m_entries.find(instanceId);
-    return it == m_entries.end() ? 0.0 : it->second.failureRate;
+    return it == m_entries.end() ? 0.0 : failureRate(it->second);
 }
 
 } // namespace fordwood
--- a/tests/unit/health_patterns_test.cpp
+++ b/tests/unit/health_patterns_test.cpp
@@ -22,16 +22,18 @@
 
 namespace {
 
-// One node before four upstreams of six slots, forty requests a second of 50 ms each.
+// One node before four upstreams of six slots, forty requests a second of 50 ms each; or of a fleet
+// with more of both.
 class Service
 {
 public:
     enum class Outcome { Answered, Failure, Refused, Silence };
     using Behaviour = std::function<Outcome(TimePoint)>; // of the first upstream
 
-    explicit Service(Behaviour behaviour) : m_behaviour(std::move(behaviour))
+    explicit Service(Behaviour behaviour, std::size_t upstreams = 4, Duration pause = 25ms)
+        : m_pause(pause), m_behaviour(std::move(behaviour))
     {
-        for (int n = 0; n < 4; ++n) {
+        for (std::size_t n = 0; n < upstreams; ++n) {
             UpstreamRecord record;
             record.instanceId = "u" + std::to_string(n);
             record.failureDomain = "x";
@@ -51,10 +53,9 @@
 
     Counts play(Duration time)
     {
-        constexpr Duration kPause = 25ms;
         Counts counts;
-        for (Duration passed{}; passed < time; passed += kPause) {
-            m_clock.advance(kPause);
+        for (Duration passed{}; passed < time; passed += m_pause) {
+            m_clock.advance(m_pause);
             endRuns();
             counts.requests += 1;
             const UpstreamRecord *chosen = chooseUpstream(
@@ -110,6 +111,7 @@
         });
     }
 
+    const Duration m_pause;
     ManualClock m_clock;
     LoadBook m_loads{m_clock};
     UpstreamHealth m_health{m_clock};
@@ -157,6 +159,21 @@
     CHECK(counts.toFirst - counts.failed >= 100); // of some 300 at its equal part
 }
 
+TEST_CASE("health patterns: a grey upstream gets few requests also where each node has one for it "
+          "only now and then [health]")
+{
+    std::mt19937 random(5); // NOLINT(cert-msc32-c,cert-msc51-cpp): the same each time
+    constexpr std::size_t kUpstreams = 112;
+    Service service(
+        [&](TimePoint) {
+            return random() % 10 < 4 ? Service::Outcome::Failure : Service::Outcome::Answered;
+        },
+        kUpstreams, 64ms);
+    service.play(10min);
+    const auto counts = service.play(1h);
+    CHECK(partOf(counts.toFirst, counts.requests) <= 0.3 / kUpstreams);
+}
+
 TEST_CASE("health patterns: an upstream that hangs is avoided as soon as it owes answers for long "
           "[health]")
 {
