--- a/bench/limit_bench.cpp
+++ b/bench/limit_bench.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// How nodes divide what an upstream in need takes, three ways, over a paused clock: the most
+// How nodes divide what an overloaded upstream takes, three ways, over a paused clock: the most
 // requests in any four seconds as a part of what it bears, and the part of its limit that is used
 // while callers wait. What answers and peers say is the same for all; the ways differ in who sends.
 #include <algorithm>
--- a/include/fordwood/limit_gate.hpp
+++ b/include/fordwood/limit_gate.hpp
@@ -19,8 +19,8 @@
 // How many requests this node may send to upstreams that name a limit for all nodes together.
 //
 // The load pattern that it answers: callers keep all nodes busy, so that each of them has a request
-// for an upstream in need at any moment, while the upstream takes two or three a second from all.
-// Without it eight nodes sent 43 requests in four seconds to one that bears 22. The nodes that
+// for an overloaded upstream at any moment, while the upstream takes two or three a second from
+// all. Without it eight nodes sent 43 requests in four seconds to one that bears 22. The nodes that
 // have requests for an upstream divide its limit: each of the first few may send one request in so
 // many seconds. None is saved up by a node that waits, stands still or has just come.
 class LimitGate
--- a/include/fordwood/limit_share.hpp
+++ b/include/fordwood/limit_share.hpp
@@ -6,8 +6,8 @@
 
 namespace fordwood {
 
-// How nodes divide what an upstream in need takes: so many of them send to it, each the same part
-// of so many requests a second.
+// How nodes divide what an overloaded upstream takes: so many of them send to it, each the same
+// part of so many requests a second.
 struct LimitShare
 {
     std::size_t senders = 0;
--- a/include/fordwood/upstream_limits.hpp
+++ b/include/fordwood/upstream_limits.hpp
@@ -39,7 +39,7 @@
 
 // Which upstreams name a limit: the requests a second that they take from all nodes together.
 //
-// The load pattern that it answers: an upstream in need names its limit in its answers, so that
+// The load pattern that it answers: an overloaded upstream names its limit in its answers, so that
 // only nodes that send there are told, while the limit holds for the sum of what all nodes send;
 // and it lifts the limit in the same way, when most nodes send it nothing any more. So nodes tell
 // each other, and order what they hear by a version that each change raises: an older word that
--- a/src/core/limit_share.cpp
+++ b/src/core/limit_share.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// What an upstream in need bears beyond its limit, as the platform states it: in some four seconds,
-// so many times the limit, and so many requests more.
+// What an overloaded upstream bears beyond its limit, as the platform states it: in some four
+// seconds, so many times the limit, and so many requests more.
 constexpr double kBorneSeconds = 4.0;
 constexpr double kOvershoot = 1.5;
 constexpr double kSlack = 5.0;
--- a/tests/node/limit_rounds_test.cpp
+++ b/tests/node/limit_rounds_test.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// The load pattern: a whole fleet of upstreams is in need at the same time.
+// The load pattern: a whole fleet of upstreams is overloaded at the same time.
 #include "node/limit_rounds.hpp"
 
 #include <doctest/doctest.h>
--- a/tests/process/limit_test.cpp
+++ b/tests/process/limit_test.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// Two engines in need named in their answers how many requests a second they take from all nodes
+// Two overloaded engines named in their answers how many requests a second they take from all nodes
 // together. No node read that, and the requests went on as before: eight nodes sent 33 and 43
 // requests within four seconds to engines that named 2.7 and 2.9 a second and bear 21 and 22. What
 // settled it were the arrivals, 9.5 a second before the limit was named and 8.2 after, and lines
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -412,7 +412,7 @@
     CHECK(bench.dispatcher.calls() == 0);
 }
 
-// The load pattern: an engine in need, and callers that come ten times a second to one of the
+// The load pattern: an overloaded engine, and callers that come ten times a second to one of the
 // daemons that send there.
 TEST_CASE("dispatcher: an upstream that names a limit gets this daemon's part of it, and calls "
           "beyond it are refused at once [limit]")
--- a/tests/unit/limit_gate_test.cpp
+++ b/tests/unit/limit_gate_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
-// The load pattern: an upstream in need names what it takes from all nodes together, while callers
-// keep the nodes busy, evenly or at a few of them. Each test looks at both sides: the most that
-// arrives in any four seconds, and the part of the named rate that is used while callers wait.
+// The load pattern: an overloaded upstream names what it takes from all nodes together, while
+// callers keep the nodes busy, evenly or at a few of them. Each test looks at both sides: the most
+// that arrives in any four seconds, and the part of the named rate that is used while callers wait.
 #include "fordwood/limit_gate.hpp"
 
 #include <doctest/doctest.h>
--- a/tests/unit/upstream_limits_test.cpp
+++ b/tests/unit/upstream_limits_test.cpp
@@ -107,7 +107,7 @@
     CHECK(pair.answer(pair.a, std::nullopt, 200ms));
     pair.clock.advance(10ms);
     CHECK_FALSE(pair.answer(pair.a, 3.0, 400ms)); // an answer that was long on its way
-    CHECK(pair.answer(pair.a, 3.0, 5ms)); // it is in need again
+    CHECK(pair.answer(pair.a, 3.0, 5ms)); // it is overloaded again
 }
 
 TEST_CASE("limits: where two nodes have read different answers at once, the stricter one holds "
