--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -421,6 +421,7 @@
         CAPTURE(others);
         Bench bench(1);
         std::vector<Member> further;
+        further.reserve(static_cast<std::size_t>(others));
         for (int n = 0; n < others; ++n)
             further.push_back({"m" + std::to_string(n), "b", "r", "127.0.0.1:3", false});
         bench.setFleet(1, {}, further);
