Entry daemons hear of limits only once an answer has named one

Found when the whole change was read again: each answer of the two-daemon form pushed an event to the dispatch thread and set a gauge, though no upstream had ever named a limit. Behaviour is the same: what is not limited needs no lifting.

--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -294,9 +294,7 @@
         long status = 0;
         curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
         m_head.status = static_cast<int>(status);
-        // A failure that something on the way has made up names no limit, and lifts none.
-        if (m_limit.perSecond || m_limit.isUnreadable || status < kFirstFailure)
-            m_client.m_listener.limitRead(key().first, key().second, m_limit);
+        tellLimit(status);
         const std::string detail = "The upstream answered " + std::to_string(status) + ".";
         if (m_notRun && status >= 400) {
             const Reason reason
@@ -320,6 +318,17 @@
         return m_begun;
     }
 
+    // While no answer has named a limit there is none to be lifted: the dispatch thread need not
+    // hear of each answer.
+    void tellLimit(long status)
+    {
+        const bool isNamed = m_limit.perSecond || m_limit.isUnreadable;
+        m_client.m_hasReadLimit = m_client.m_hasReadLimit || isNamed;
+        // A failure that something on the way has made up names no limit, and lifts none.
+        if (m_client.m_hasReadLimit && (isNamed || status < kFirstFailure))
+            m_client.m_listener.limitRead(key().first, key().second, m_limit);
+    }
+
     // A stream of events is whole only with its closing event.
     bool wholeStream() const
     {
--- a/src/adapters/http/upstream_client.hpp
+++ b/src/adapters/http/upstream_client.hpp
@@ -85,6 +85,7 @@
     int m_wakeup; // an eventfd that other threads write
     std::optional<TimePoint> m_timer; // when the library wants to be called
     std::map<Key, std::unique_ptr<Transfer>> m_transfers;
+    bool m_hasReadLimit = false; // in any answer so far
     std::atomic<bool> m_stopping{false};
 };
 
