Sight: what a node believes of the age of weights, and from whom

The line of a choice gave the engine's weights, but neither the newest that the node knew nor how long ago, by this node, they were named; the naming's event gave no age. Now event 228 tells each age that a node comes to believe and whose word it is, and the line of a request's end the newest weights and for how long the engine's had been replaced. No decision changes.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -32,6 +32,8 @@
     std::vector<std::string> saveTo; // likewise
     RequestLoad load;
     // What decided, for the log:
+    std::uint64_t newestWeights = 0; // named for the model, as far as known
+    std::optional<Duration> replacedFor; // since newer weights than the engine's were named
     std::uint64_t context = 0; // names the shared parts
     std::size_t sharedTokens = 0; // of them
     bool isShort = false; // the prompt, for its engine
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -251,6 +251,9 @@
     EngineChoice choice;
     choice.instanceId = rated.engine->instanceId;
     choice.weightVersion = rated.weights->version;
+    choice.newestWeights = question.weights.newest();
+    if (const auto since = question.weights.supersededSince(choice.weightVersion))
+        choice.replacedFor = m_clock.now() - *since;
     choice.salt = rated.weights->salt;
     choice.context = terms.context;
     choice.sharedTokens = prompt.sharedTokens();
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -19,24 +19,27 @@
                          [](const std::string &it) { return !it.empty(); });
 }
 
+std::int64_t inMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 std::string engineInputs(const EngineChoice &choice)
 {
     std::ostringstream out;
     out << "context:" << std::hex << choice.context << std::dec
-        << " weights:" << choice.weightVersion << " home:" << choice.isHome
-        << " held:" << choice.holdsContext << " stored:" << choice.isStored
-        << " fetch:" << countGiven(choice.fetchFrom) << " save:" << countGiven(choice.saveTo)
-        << " shared:" << choice.sharedTokens << " compute:" << choice.load.tokensToCompute
-        << " found:" << choice.found.running << "/" << choice.found.tokensToCompute << "/"
-        << choice.found.tokensHeld << " wait:" << static_cast<std::uint64_t>(choice.waitTokens);
+        << " weights:" << choice.weightVersion << " newest:" << choice.newestWeights;
+    if (choice.replacedFor)
+        out << " replaced_ms:" << inMilliseconds(*choice.replacedFor);
+    out << " home:" << choice.isHome << " held:" << choice.holdsContext
+        << " stored:" << choice.isStored << " fetch:" << countGiven(choice.fetchFrom)
+        << " save:" << countGiven(choice.saveTo) << " shared:" << choice.sharedTokens
+        << " compute:" << choice.load.tokensToCompute << " found:" << choice.found.running << "/"
+        << choice.found.tokensToCompute << "/" << choice.found.tokensHeld
+        << " wait:" << static_cast<std::uint64_t>(choice.waitTokens);
     return out.str();
 }
 
-std::int64_t inMilliseconds(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 } // namespace
 
 void logAttemptFailure(const AttemptFailure &failure)
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -245,13 +245,21 @@
 void ControlDuty::weightsNamed(const std::string &model, std::uint64_t version)
 {
     m_orders.rollout().setTarget(model, version);
-    noteWeights(model, version, m_clock.now());
+    noteWeights(model, version, m_clock.now(), m_settings.node.name);
 }
 
-void ControlDuty::noteWeights(const std::string &model, std::uint64_t version, TimePoint named)
+void ControlDuty::noteWeights(const std::string &model, std::uint64_t version, TimePoint named,
+                              const std::string &from)
 {
     if (!m_weights[model].note(version, named))
         return;
+    logEvent(
+        Event::WeightsAgeLearnt,
+        {{"model", model},
+         {"weights", version},
+         {"age_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - named).count()},
+         {"from", from}});
     m_contexts.setWeights(model, m_weights[model]);
     tell(WeightsWanted{model, version, named});
 }
@@ -361,7 +369,7 @@
             continue;
         for (const auto &[version, age] : versions) {
             if (known->second.newest() >= version)
-                noteWeights(model, version, m_clock.now() - age);
+                noteWeights(model, version, m_clock.now() - age, message.node);
         }
     }
 }
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -100,7 +100,8 @@
     void tick();
     void pollStore();
     void noteReachability();
-    void noteWeights(const std::string &model, std::uint64_t version, TimePoint named);
+    void noteWeights(const std::string &model, std::uint64_t version, TimePoint named,
+                     const std::string &from);
     void noteMembers();
     void noteLiveNodes();
     void noteKnownNodes();
