--- /dev/null
+++ b/tests/node/weights_fleet.cpp
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: MIT
+#include "node/weights_fleet.hpp"
+
+#include <atomic>
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace fordwood::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *kModel = "m";
+constexpr Duration kStep = 100ms; // of the paused clock; shorter than any pause that counts
+
+// Loopback addresses that no other test uses at the same time.
+std::string network()
+{
+    static std::atomic<int> next{0};
+    return "127.7" + std::to_string(1 + next++ % 9) + "." + std::to_string(getpid() % 250 + 1)
+           + ".";
+}
+
+} // namespace
+
+WeightsNode::WeightsNode(config::OneProcessSettings settings)
+    : m_settings(std::move(settings)), m_context(1),
+      m_traffic(m_context, m_clock, m_settings, m_metrics),
+      m_control(m_settings, m_clock, m_metrics, [this](FleetUpdate it) {
+          const std::lock_guard lock(m_mutex);
+          m_updates.push_back(std::move(it));
+          return true;
+      })
+{
+    if (!m_control.open())
+        throw std::runtime_error("a test's address is taken");
+    m_thread = std::thread([this] { m_control.run(); });
+}
+
+WeightsNode::~WeightsNode()
+{
+    m_control.stop();
+    m_thread.join();
+}
+
+void WeightsNode::takeUpdates()
+{
+    std::vector<FleetUpdate> updates;
+    {
+        const std::lock_guard lock(m_mutex);
+        updates.swap(m_updates);
+    }
+    for (const FleetUpdate &it : updates) {
+        m_traffic.take(it);
+        if (const auto *live = std::get_if<LiveNodes>(&it))
+            m_live = live->n;
+    }
+}
+
+std::size_t WeightsNode::peersHeard()
+{
+    takeUpdates();
+    return m_live - 1;
+}
+
+std::uint64_t WeightsNode::newestWeights()
+{
+    takeUpdates();
+    return m_traffic.weights(kModel).newest();
+}
+
+bool WeightsNode::mayBeginOn(std::uint64_t weights)
+{
+    takeUpdates();
+    UpstreamRecord engine;
+    engine.instanceId = "e";
+    engine.weightVersions[kModel] = weights;
+    const Prompt prompt{kModel, {{"context", 300}, {"own", 80}}, 380, 10};
+    const EngineTraits traits;
+    const EngineChooser::Question question{prompt, "", m_traffic.weights(kModel), traits, {}, {}};
+    return m_traffic.engines()
+        .choose(question, {&engine}, m_traffic.loads(), m_traffic.health(), m_traffic.contexts())
+        .has_value();
+}
+
+WeightsFleet::WeightsFleet(int nodes) : m_size(nodes), m_net(network()), m_store(m_net + "1:7000")
+{
+    nameWeights(1);
+}
+
+void WeightsFleet::nameWeights(std::uint64_t version)
+{
+    m_store.put(std::string("op/version/") + kModel,
+                nlohmann::json{{"model", kModel}, {"version", version}}.dump());
+}
+
+void WeightsFleet::start(int node, const std::string &storeAddress)
+{
+    config::OneProcessSettings settings;
+    settings.node.name = "n" + std::to_string(node);
+    settings.node.failureDomain = "domain-" + std::to_string(node);
+    settings.callers.readyListen = host(node) + ":8081";
+    settings.peers.listen = host(node) + ":8082";
+    settings.peers.gossipListen = host(node) + ":8083";
+    settings.peers.metricsListen = host(node) + ":8084";
+    settings.peers.seeds = {host(0) + ":8082", host(1) + ":8082"};
+    settings.store.address = storeAddress.empty() ? m_net + "1:7000" : storeAddress;
+    settings.bounds.weightsWithin = 10s;
+    m_nodes[node] = std::make_unique<WeightsNode>(settings);
+}
+
+void WeightsFleet::startAll()
+{
+    for (int n = 0; n < m_size; ++n)
+        start(n);
+}
+
+bool WeightsFleet::waitFor(const std::function<bool()> &holds)
+{
+    // By the wall's clock: only a fault makes it take this long.
+    const auto until = std::chrono::steady_clock::now() + 20s;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() >= until)
+            return false;
+        step(kStep / 10);
+    }
+    return true;
+}
+
+bool WeightsFleet::waitForWeights(std::uint64_t version)
+{
+    return waitFor([&] {
+        for (const auto &[n, node] : m_nodes) {
+            if (node->newestWeights() != version)
+                return false;
+        }
+        return true;
+    });
+}
+
+bool WeightsFleet::waitForPeers()
+{
+    return waitFor([&] {
+        for (const auto &[n, node] : m_nodes) {
+            if (node->peersHeard() + 1 != m_nodes.size())
+                return false;
+        }
+        return true;
+    });
+}
+
+void WeightsFleet::step(Duration by)
+{
+    std::map<int, std::uint64_t> reads;
+    for (const auto &[n, node] : m_nodes) {
+        node->clock().advance(by);
+        reads[n] = node->clock().reads();
+    }
+    m_passed += by;
+    // A turn of the node reads the clock several times; the next one begins within 20 ms.
+    constexpr std::uint64_t kReadsOfATurn = 20;
+    for (const auto &[n, node] : m_nodes) {
+        while (node->clock().reads() < reads[n] + kReadsOfATurn)
+            std::this_thread::sleep_for(1ms);
+    }
+}
+
+void WeightsFleet::advance(Duration by)
+{
+    for (Duration left = by; left > Duration::zero(); left -= kStep)
+        step(std::min(left, kStep));
+}
+
+int WeightsFleet::nodesThatUse(std::uint64_t weights)
+{
+    int n = 0;
+    for (const auto &[name, node] : m_nodes)
+        n += node->mayBeginOn(weights) ? 1 : 0;
+    return n;
+}
+
+} // namespace fordwood::node
