A call that waited for news of the store dates them

Where the store had turned away other calls for four seconds while its waiting watches went on, a naming that came by such a watch at once counted as up to 4.97 s old, so engines with the replaced weights were used for 3.5 s only, and 142 of 212 requests of the seconds 30 and 31 were refused. A waiting call that is answered shows that there was nothing to tell before: its connection ends by its probes when it is silent for two seconds. Now such a naming counts as at most 2 s old.

--- a/include/fordwood/copy_freshness.hpp
+++ b/include/fordwood/copy_freshness.hpp
@@ -19,9 +19,12 @@
     // The copy holds what the store answered to a call that was sent at that time.
     void storeAnswered(TimePoint asked);
 
+    // The store had nothing new to tell until then. Not believed just after this process stood
+    // still, since the answer may have waited in its sockets.
+    void storeWasQuiet(TimePoint until);
+
     // A peer that learnt from the store itself, so long ago, that its copy was whole has nothing
-    // that this node lacks. Not believed just after this process stood still: such words may have
-    // waited in its sockets.
+    // that this node lacks. Not believed just after a standstill either.
     void peerHasNoMore(Duration age);
 
     // Regular work, several times a second.
--- a/src/core/copy_freshness.cpp
+++ b/src/core/copy_freshness.cpp
@@ -21,6 +21,12 @@
     m_wholeAt = std::max(m_wholeAt.value_or(asked), asked);
 }
 
+void CopyFreshness::storeWasQuiet(TimePoint until)
+{
+    if (!isWaking())
+        storeAnswered(until);
+}
+
 void CopyFreshness::peerHasNoMore(Duration age)
 {
     if (isWaking())
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -192,11 +192,14 @@
     return !reachesStore() || m_clock.now() - m_storeBack < kExpiryDoubt;
 }
 
-void ControlDuty::storeTold(const StoreChanges &changes, TimePoint asked)
+void ControlDuty::storeTold(const StoreChanges &changes, const StoreAnswerTimes &times)
 {
+    // Before the news are read, since it dates them.
+    if (times.quietUntil && changes.since == m_replica.revision())
+        m_freshness.storeWasQuiet(*times.quietUntil);
     merge(changes, inDoubt());
     if (changes.revision <= m_replica.revision())
-        m_freshness.storeAnswered(asked);
+        m_freshness.storeAnswered(times.asked);
 }
 
 void ControlDuty::storeReachable(bool reachable)
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -65,7 +65,7 @@
     Mailbox<std::vector<RequestNews>> &requestNewsMailbox() { return m_ownRequestNews; }
 
 private:
-    void storeTold(const StoreChanges &changes, TimePoint asked) override;
+    void storeTold(const StoreChanges &changes, const StoreAnswerTimes &times) override;
     void storeReachable(bool reachable) override;
 
     void configurationRead(ServingConfig config) override;
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -15,6 +15,10 @@
 constexpr std::chrono::milliseconds kWatchWait{20'000};
 constexpr Duration kWatchGrace = std::chrono::seconds(2); // beyond the wait
 
+// A connection that has been silent for longer is found by its probes and ends: an answer that a
+// waiting call still gets was not on its way for longer.
+constexpr Duration kLongestSilence = std::chrono::seconds(2);
+
 // The shortest wait: a poll is to answer at once.
 constexpr std::chrono::milliseconds kPollWait{1};
 
@@ -96,7 +100,7 @@
     }
     m_isWhole = true;
     m_isPolling = false;
-    m_listener.storeTold(read, whole->asked);
+    m_listener.storeTold(read, {whole->asked, std::nullopt});
     if (next != After::Watch)
         return;
     if (std::exchange(m_isStarting, false))
@@ -143,12 +147,21 @@
         return;
     }
     answered();
-    m_listener.storeTold(*changes, m_watchBegan);
+    m_listener.storeTold(*changes, watchTimes());
     const bool goesOn = m_clock.now() - m_watchBegan < kQuietWait;
     m_batchPause = goesOn ? std::min(2 * m_batchPause, kLongestBatchPause) : kBatchPause;
     this->after(m_batchPause, &StoreLink::goOn);
 }
 
+StoreAnswerTimes StoreLink::watchTimes() const
+{
+    const TimePoint now = m_clock.now();
+    StoreAnswerTimes times{m_watchBegan, std::nullopt};
+    if (now - m_watchBegan >= kQuietWait)
+        times.quietUntil = std::max(m_watchBegan, now - kLongestSilence);
+    return times;
+}
+
 void StoreLink::poll()
 {
     if (m_isPolling || !m_isWhole)
@@ -167,7 +180,7 @@
     const auto changes = platform::readWatch(result, after);
     if (changes) {
         answered();
-        m_listener.storeTold(*changes, asked);
+        m_listener.storeTold(*changes, {asked, std::nullopt});
         return;
     }
     // A lost history means that the waiting call has missed something; other failures are its own
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -3,6 +3,7 @@
 #define FORDWOOD_NODE_STORE_LINK_HPP_INCLUDED
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -13,14 +14,22 @@
 
 namespace fordwood::node {
 
+// What an answer of the store shows about when things happened there.
+struct StoreAnswerTimes
+{
+    TimePoint asked{}; // when the call was sent; the answer holds all that had happened by then
+    // A call that waited for news shows that there were none until about this moment.
+    std::optional<TimePoint> quietUntil;
+};
+
 // Takes what the link reads.
 class StoreListener
 {
 public:
     virtual ~StoreListener() = default;
 
-    // The platform's store has told changes, or all that it holds, to a call sent at that time.
-    virtual void storeTold(const StoreChanges &changes, TimePoint asked) = 0;
+    // The platform's store has told changes, or all that it holds.
+    virtual void storeTold(const StoreChanges &changes, const StoreAnswerTimes &times) = 0;
 
     // The store answers this node, or no longer does.
     virtual void storeReachable(bool reachable) = 0;
@@ -65,6 +74,7 @@
     void goOn();
     void takePoll(const HttpResult &result, std::int64_t after, TimePoint asked);
     void takeWatch(const HttpResult &result, std::int64_t after);
+    StoreAnswerTimes watchTimes() const;
     void answered();
     void failed(platform::StoreFailure failure);
     void after(Duration pause, void (StoreLink::*step)());
--- a/tests/support/relay_fleet.hpp
+++ b/tests/support/relay_fleet.hpp
@@ -130,7 +130,9 @@
     // Hears nothing of a store that is not there.
     struct DeafListener : StoreListener
     {
-        void storeTold(const StoreChanges & /*changes*/, TimePoint /*asked*/) override { }
+        void storeTold(const StoreChanges & /*changes*/,
+                       const StoreAnswerTimes & /*times*/) override
+        { }
         void storeReachable(bool /*reachable*/) override { }
     };
 
--- a/tests/unit/event_time_test.cpp
+++ b/tests/unit/event_time_test.cpp
@@ -59,6 +59,22 @@
     CHECK(freshness.wholeAt() == asked);
 }
 
+TEST_CASE("freshness: a call that waited for news dates them [beliefs]")
+{
+    ManualClock clock;
+    CopyFreshness freshness(clock);
+    for (int n = 0; n < 50; ++n) {
+        clock.advance(100ms);
+        freshness.tick();
+    }
+    freshness.storeWasQuiet(clock.now() - 2s);
+    CHECK(freshness.wholeAt() == clock.now() - 2s);
+    clock.advance(3s); // the process stood still, and the next answer lay in its socket
+    const auto before = freshness.wholeAt();
+    freshness.storeWasQuiet(clock.now() - 2s);
+    CHECK(freshness.wholeAt() == before);
+}
+
 TEST_CASE("freshness: peers' words count from when the store told them [beliefs]")
 {
     ManualClock clock;
