A mark in the store tells the age of a naming when no node is left who knows it

Nodes that all start anew soon after weights were named could use none of the engines that have the replaced ones, which just then are all: callers would be refused until the first engine is loaded, 5 s or more. It costs two calls of one node for each naming. The stand-in of the store lets leases run out by the tests' clock for it.

Test: three nodes killed 1 s after a naming use the replaced weights again within 0.3 s of their start, until at most 8.5 s after the naming.

--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -44,6 +44,14 @@
 // Nodes that stand further down the order for the lock leave it to those before them.
 constexpr Duration kLockPatiencePerRank = std::chrono::milliseconds(150);
 
+// Nodes that stand further down the order for writing marks of namings leave it to those before
+// them.
+constexpr Duration kMarkPatiencePerRank = std::chrono::milliseconds(300);
+
+// How long before the bound of old weights a mark ends: requests that wait at an engine must still
+// begin in time, and the word of the store on the mark may be some seconds old.
+constexpr Duration kMarkMargin = std::chrono::seconds(4);
+
 constexpr std::size_t kMailboxCapacity = 64;
 
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
@@ -58,6 +66,11 @@
     return {settings.peers.gossipEvery, kBytesOfMegabit * settings.vm.linkMbps};
 }
 
+NamingMarks::Limits markLimits(const config::OneProcessSettings &settings)
+{
+    return {settings.bounds.weightsWithin - kMarkMargin, settings.store.leastLease};
+}
+
 } // namespace
 
 ControlDuty::ControlDuty(const config::OneProcessSettings &settings, const Clock &clock,
@@ -71,6 +84,7 @@
       m_store(m_context, m_caller, clock, settings.store.address, m_replica, *this),
       m_ownKey(clock, m_store, DocumentReader::nodeKey(settings.node.name),
                encodePeerAddress(ownAddress(settings))),
+      m_marks(clock, m_store, m_replica, m_weights, markLimits(settings)),
       m_orders(clock, m_caller, m_store, settings.node.name, m_owner, lockLimits(settings)),
       m_contexts(
           m_context, m_caller, clock,
@@ -495,6 +509,7 @@
     noteLiveNodes();
     noteKnownNodes();
     noteRole();
+    noteMarks();
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
 }
@@ -597,6 +612,17 @@
     m_gossipSoon = true;
 }
 
+// The ages of namings, for nodes that start when nobody is left who knows them.
+void ControlDuty::noteMarks()
+{
+    m_marks.read(m_freshness.wholeAt());
+    if (!reachesStore())
+        return;
+    const std::size_t before = rendezvousRank(stableHash("marks namings"), m_settings.node.name,
+                                              m_peers.roster().reachingStore());
+    m_marks.write(kMarkPatiencePerRank * static_cast<std::int64_t>(before));
+}
+
 // A watch may hear nothing for a while although things change. Two nodes ask beside it; the others
 // hear from them.
 void ControlDuty::pollStore()
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -24,6 +24,7 @@
 #include "node/limit_rounds.hpp"
 #include "node/load_exchange.hpp"
 #include "node/mailbox.hpp"
+#include "node/naming_marks.hpp"
 #include "node/order_duty.hpp"
 #include "node/order_words.hpp"
 #include "node/own_key.hpp"
@@ -99,6 +100,7 @@
     RelayRole::Peers relayPeers() const;
     void tick();
     void pollStore();
+    void noteMarks();
     void noteReachability();
     void weightsLearnt(const std::string &model, std::uint64_t version,
                        const WeightHistory &history);
@@ -127,6 +129,7 @@
     WeightNews m_weights;
     StoreLink m_store;
     OwnKey m_ownKey;
+    NamingMarks m_marks;
     OrderDuty m_orders;
     ContextKeeping m_contexts;
     QuarantineDuty m_quarantine;
--- /dev/null
+++ b/src/node/naming_marks.cpp
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: MIT
+#include "node/naming_marks.hpp"
+
+#include <algorithm>
+
+#include "adapters/observe/event_log.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+constexpr std::string_view kPrefix = "fordwood/named/";
+
+// A lease runs from the arrival of the call that asked for it: one that was answered later than
+// this may run on for too long, and is ended.
+constexpr Duration kLongestGrant = std::chrono::milliseconds(250);
+
+// A write that was done shows in the copy of the store within this.
+constexpr Duration kRetryPause = std::chrono::milliseconds(700);
+
+} // namespace
+
+std::string NamingMarks::keyOf(const std::string &model, std::uint64_t version)
+{
+    return std::string(kPrefix) + model + "/" + std::to_string(version);
+}
+
+void NamingMarks::read(std::optional<TimePoint> wholeAt)
+{
+    if (!wholeAt)
+        return;
+    for (const auto &[model, versions] : m_news.all()) {
+        for (const auto &[version, named] : versions.named()) {
+            if (m_replica.find(keyOf(model, version)) != nullptr)
+                m_news.happenedAfter(model, version, *wholeAt - m_limits.life);
+        }
+    }
+}
+
+// So long that the mark ends with its life at the latest, whenever the call arrives.
+Duration NamingMarks::leaseFor(const EventTime &named) const
+{
+    if (!named.earliest)
+        return Duration::zero();
+    return *named.earliest + m_limits.life - kLongestGrant - m_clock.now();
+}
+
+void NamingMarks::write(Duration patience)
+{
+    const TimePoint now = m_clock.now();
+    for (const auto &[model, versions] : m_news.all()) {
+        for (const auto &[version, named] : versions.named()) {
+            const Duration lease = leaseFor(named);
+            const bool isWanted = lease >= m_limits.leastLease && now - named.latest >= patience
+                                  && m_replica.find(keyOf(model, version)) == nullptr;
+            if (isWanted)
+                grant({model, version}, lease);
+        }
+    }
+}
+
+void NamingMarks::grant(const Naming &naming, Duration lease)
+{
+    Write &write = m_writes[naming];
+    const TimePoint asked = m_clock.now();
+    if (write.isBusy || asked < write.next)
+        return;
+    write.isBusy = true;
+    m_store.send(platform::grantCall(lease),
+                 [this, naming, asked, lease](const HttpResult &result) {
+                     const auto granted = platform::readGrant(result);
+                     const bool isLate = m_clock.now() - asked > kLongestGrant;
+                     if (granted && !isLate && granted->life <= lease) {
+                         put(naming, granted->lease);
+                         return;
+                     }
+                     if (granted)
+                         m_store.send(platform::endCall(granted->lease), [](const HttpResult &) {
+                             // A lease without a key harms nobody.
+                         });
+                     finished(naming);
+                 });
+}
+
+void NamingMarks::put(const Naming &naming, std::int64_t lease)
+{
+    m_store.send(platform::putCall(keyOf(naming.first, naming.second), "", lease, true),
+                 [this, naming](const HttpResult &result) {
+                     if (platform::readPut(result).result == WriteResult::Done)
+                         logEvent(Event::NamingMarked,
+                                  {{"model", naming.first}, {"weights", naming.second}});
+                     finished(naming);
+                 });
+}
+
+void NamingMarks::finished(const Naming &naming)
+{
+    Write &write = m_writes[naming];
+    write.isBusy = false;
+    write.next = m_clock.now() + kRetryPause;
+}
+
+} // namespace fordwood::node
--- a/src/node/weight_news.cpp
+++ b/src/node/weight_news.cpp
@@ -54,6 +54,11 @@
     }
 }
 
+void WeightNews::happenedAfter(const std::string &model, std::uint64_t version, TimePoint moment)
+{
+    note(model, version, {moment, m_clock.now()}, "mark");
+}
+
 NamedWeights WeightNews::forPeers() const
 {
     NamedWeights named;
--- a/src/node/weight_news.hpp
+++ b/src/node/weight_news.hpp
@@ -34,8 +34,14 @@
     // the store turns away.
     void heard(const std::string &peer, const NamedWeights &named);
 
+    // Something shows that a version that is known was named after that moment.
+    void happenedAfter(const std::string &model, std::uint64_t version, TimePoint moment);
+
     NamedWeights forPeers() const;
 
+    // By model.
+    const std::map<std::string, WeightHistory> &all() const { return m_histories; }
+
 private:
     void note(const std::string &model, std::uint64_t version, const EventTime &named,
               const std::string &from);
@@ -43,7 +49,7 @@
     const Clock &m_clock;
     const std::string m_node;
     const Learnt m_learnt;
-    std::map<std::string, WeightHistory> m_histories; // by model
+    std::map<std::string, WeightHistory> m_histories;
 };
 
 } // namespace fordwood::node
--- a/tests/node/weight_age_test.cpp
+++ b/tests/node/weight_age_test.cpp
@@ -62,13 +62,40 @@
     REQUIRE(fleet.waitForWeights(1));
     fleet.nameWeights(2);
     REQUIRE(fleet.waitForWeights(2));
+    fleet.advance(1s);
     fleet.killAll();
+    fleet.store().removeAll("fordwood/named/");
     fleet.start(2);
     REQUIRE(fleet.waitForWeights(2));
     CHECK(fleet.nodesThatUse(1) == 0);
     CHECK(fleet.nodesThatUse(2) == 1);
 }
 
+// Nobody is left who saw the naming; the store still tells how old it may be.
+TEST_CASE("weights: nodes that all start anew soon after a naming use what it replaced while they "
+          "may [weights]")
+{
+    WeightsFleet fleet(3);
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(1));
+    REQUIRE(fleet.waitForPeers());
+    fleet.advance(2s);
+    fleet.nameWeights(2);
+    REQUIRE(fleet.waitForWeights(2));
+    fleet.advance(1s);
+    fleet.killAll();
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(2));
+    fleet.advance(300ms);
+    for (int n = 0; n < 9; ++n) {
+        CHECK(fleet.nodesThatUse(1) == 3);
+        fleet.advance(400ms);
+    }
+    fleet.advance(4s); // 9 s after the naming
+    CHECK(fleet.nodesThatUse(1) == 0);
+    CHECK(fleet.nodesThatUse(2) == 3);
+}
+
 TEST_CASE("weights: what was named while the store was away is as old as its absence may make it "
           "[weights]")
 {
--- a/tests/node/weights_fleet.hpp
+++ b/tests/node/weights_fleet.hpp
@@ -92,7 +92,6 @@
     const int m_size;
     const std::string m_net;
     process::KeyValueStandin m_store;
-    Duration m_passed{0};
     std::map<int, std::unique_ptr<WeightsNode>> m_nodes;
 };
 
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -169,20 +169,49 @@
     if (path == "/api/kv-txn")
         return transact(request);
     const std::int64_t lease = std::strtoll(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
-    if (path == "/api/kv-lease") {
-        const std::lock_guard lock(m_mutex);
-        return json({{"lease", ++m_nextLease}, {"ttl_ms", Json::parse(request.body)["ttl_ms"]}});
-    }
+    const std::lock_guard lock(m_mutex);
+    if (path == "/api/kv-lease")
+        return grant(request);
     if (path.starts_with("/api/kv-keep/"))
-        return json({{"ttl_ms", 1500}});
-    if (path.starts_with("/api/kv-lease-end/"))
-        return endLease(lease);
-    return plain(404);
+        return keep(lease);
+    if (!path.starts_with("/api/kv-lease-end/"))
+        return plain(404);
+    endLease(lease);
+    return json(Json::object());
+}
+
+Answer KeyValueStandin::grant(const Request &request)
+{
+    const std::chrono::milliseconds life{Json::parse(request.body)["ttl_ms"].get<std::int64_t>()};
+    m_leases[++m_nextLease] = {life, life};
+    return json({{"lease", m_nextLease}, {"ttl_ms", life.count()}});
+}
+
+Answer KeyValueStandin::keep(std::int64_t lease)
+{
+    const auto it = m_leases.find(lease);
+    if (it == m_leases.end())
+        return plain(404);
+    it->second.left = it->second.life;
+    return json({{"ttl_ms", it->second.life.count()}});
 }
 
-Answer KeyValueStandin::endLease(std::int64_t lease)
+void KeyValueStandin::passTime(std::chrono::nanoseconds time)
 {
     const std::lock_guard lock(m_mutex);
+    std::vector<std::int64_t> over;
+    for (auto &[id, lease] : m_leases) {
+        lease.left -= time;
+        if (lease.left <= lease.left.zero())
+            over.push_back(id);
+    }
+    for (const std::int64_t it : over)
+        endLease(it);
+}
+
+void KeyValueStandin::endLease(std::int64_t lease)
+{
+    m_leases.erase(lease);
     std::vector<std::string> keys;
     for (const auto &[key, item] : m_items) {
         if (item.lease == lease)
@@ -190,7 +219,6 @@
     }
     for (const std::string &it : keys)
         erase(it);
-    return json(Json::object());
 }
 
 Answer KeyValueStandin::range(const Request &request)
@@ -257,6 +285,11 @@
         if (found != it["revision"].get<std::int64_t>())
             return json({{"items", Json::array()}}, 412);
     }
+    for (const Json &it : body["put"]) {
+        const std::int64_t lease = it["lease"];
+        if (lease != 0 && !m_leases.contains(lease))
+            return plain(404);
+    }
     for (const Json &it : body["put"])
         write(it["private-key"], decode(it["value"]), it["lease"]);
     return json({{"revision", m_revision}});
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -18,7 +18,7 @@
 namespace fordwood::process {
 
 // The users' platform's key-value store, as far as a node uses it: keys with revisions, leases that
-// never run out by themselves, ranges, watches, conditional writes.
+// run out only as passTime() says, ranges, watches, conditional writes.
 class KeyValueStandin
 {
 public:
@@ -37,6 +37,9 @@
     // Forgets what has changed so far: watches must begin anew.
     void forgetHistory();
 
+    // Time of a paused clock has passed: leases that were not renewed meanwhile run out.
+    void passTime(std::chrono::nanoseconds time);
+
     std::int64_t revision();
 
     // Whether there is a key that begins so; takes all of them away.
@@ -51,6 +54,11 @@
         std::int64_t created = 0;
         std::int64_t lease = 0;
     };
+    struct Lease
+    {
+        std::chrono::milliseconds life{0};
+        std::chrono::nanoseconds left{0};
+    };
     struct Change
     {
         std::string key;
@@ -62,7 +70,9 @@
     standins::Answer range(const standins::Request &request);
     standins::Answer watch(const standins::Request &request);
     standins::Answer transact(const standins::Request &request);
-    standins::Answer endLease(std::int64_t lease);
+    standins::Answer grant(const standins::Request &request);
+    standins::Answer keep(std::int64_t lease);
+    void endLease(std::int64_t lease);
     void write(const std::string &key, const std::string &value, std::int64_t lease);
     void erase(const std::string &key);
 
@@ -73,6 +83,7 @@
     std::int64_t m_revision = 1;
     std::int64_t m_historyFrom = 0;
     std::int64_t m_nextLease = 100;
+    std::map<std::int64_t, Lease> m_leases;
     bool m_down = false;
     bool m_deafWatches = false;
     std::unique_ptr<standins::BlockingServer> m_server;
