--- a/tests/node/weight_age_test.cpp
+++ b/tests/node/weight_age_test.cpp
@@ -113,3 +113,28 @@
     fleet.advance(4s);
     CHECK(fleet.nodesThatUse(1) == 0);
 }
+
+// Found by the random test: a node that had started between two namings knew the age of the second
+// only, and took it for the age of all that it had ever replaced ("WeightsAgeLearnt weights=4
+// age_ms=2000 from=mark", and engines with version 1, replaced 9 s before, were used).
+TEST_CASE("weights: the age of a naming says nothing of weights that were replaced before it "
+          "[weights]")
+{
+    WeightsFleet fleet(2);
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(1));
+    REQUIRE(fleet.waitForPeers());
+    fleet.advance(1s);
+    fleet.nameWeights(2);
+    REQUIRE(fleet.waitForWeights(2));
+    fleet.advance(8s);
+    fleet.nameWeights(3);
+    REQUIRE(fleet.waitForWeights(3));
+    fleet.advance(500ms);
+    fleet.killAll();
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(3));
+    fleet.advance(700ms);
+    CHECK(fleet.nodesThatUse(1) == 0);
+    CHECK(fleet.nodesThatUse(2) == 2);
+}
--- a/tests/node/weights_fleet.cpp
+++ b/tests/node/weights_fleet.cpp
@@ -74,7 +74,9 @@
 
 bool WeightsNode::mayBeginOn(std::uint64_t weights)
 {
-    takeUpdates();
+    // A node that has read nothing yet knows of no engine either.
+    if (newestWeights() == 0)
+        return false;
     UpstreamRecord engine;
     engine.instanceId = "e";
     engine.weightVersions[kModel] = weights;
