The age of a naming bounds only what it may have replaced

Callers could be answered from weights replaced 9 s and more before (8.5 s are allowed) after all nodes had started anew between two namings: the mark of the second told its age, and version 1, which the first had replaced, was taken to be as young. Now each earliest time goes with the newest version that was named by then, in what a node reads, what peers tell and what marks hold; weights older than that count as replaced for long unless their own naming is known. It holds whichever namings a node has missed.

--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -288,7 +288,7 @@
     ManualClock clock;
     StoreKeeper keeper(clock);
     WeightHistory history;
-    history.note(1, EventTime::at(clock.now()));
+    history.note(1, {EventTime::at(clock.now()), 0});
     keeper.setWeights("m", history);
     const std::string salt = contextSalt("m", 1, "");
     for (int store = 0; store < kStores; ++store) {
--- a/include/fordwood/weight_history.hpp
+++ b/include/fordwood/weight_history.hpp
@@ -11,6 +11,20 @@
 
 namespace fordwood {
 
+// What is known of when weights were named.
+struct WeightNaming
+{
+    EventTime named;
+    // The newest weights that had been named at `named.earliest`, which bounds the age of what came
+    // after them only: what was replaced before may have been so for long. Nothing: not known.
+    std::optional<std::uint64_t> after;
+
+    // Takes in what another one knows. False when that tells nothing new.
+    bool narrow(const WeightNaming &other);
+
+    bool operator==(const WeightNaming &) const = default;
+};
+
 // The weight versions that were named for one model, each with the time of its naming as far as it
 // is known. A version counts as old from the naming of the first newer one, also when further ones
 // follow.
@@ -18,10 +32,10 @@
 {
 public:
     // False when it tells nothing new.
-    bool note(std::uint64_t version, const EventTime &named);
+    bool note(std::uint64_t version, const WeightNaming &naming);
 
     // Nothing where the version was not named, as far as known.
-    std::optional<EventTime> find(std::uint64_t version) const;
+    std::optional<WeightNaming> find(std::uint64_t version) const;
 
     // Zero while none was named.
     std::uint64_t newest() const;
@@ -29,10 +43,10 @@
     // When the first version above this one was named; nothing when it is the newest.
     std::optional<EventTime> superseded(std::uint64_t version) const;
 
-    const std::map<std::uint64_t, EventTime> &named() const { return m_named; }
+    const std::map<std::uint64_t, WeightNaming> &named() const { return m_named; }
 
 private:
-    std::map<std::uint64_t, EventTime> m_named;
+    std::map<std::uint64_t, WeightNaming> m_named;
 };
 
 } // namespace fordwood
--- a/src/core/weight_history.cpp
+++ b/src/core/weight_history.cpp
@@ -13,20 +13,31 @@
 
 } // namespace
 
-bool WeightHistory::note(std::uint64_t version, const EventTime &named)
+bool WeightNaming::narrow(const WeightNaming &other)
+{
+    const WeightNaming before = *this;
+    const std::optional<TimePoint> earliest = named.earliest;
+    named.narrow(other.named);
+    const bool isOthers = other.named.earliest && (!earliest || named.earliest > earliest);
+    if (isOthers)
+        after = other.after;
+    return *this != before;
+}
+
+bool WeightHistory::note(std::uint64_t version, const WeightNaming &naming)
 {
     const bool isTooOld = m_named.size() >= kMostVersions && version < m_named.begin()->first;
     if (isTooOld)
         return false;
-    const auto [it, isNew] = m_named.try_emplace(version, named);
+    const auto [it, isNew] = m_named.try_emplace(version, naming);
     if (!isNew)
-        return it->second.narrow(named);
+        return it->second.narrow(naming);
     if (m_named.size() > kMostVersions)
         m_named.erase(m_named.begin());
     return true;
 }
 
-std::optional<EventTime> WeightHistory::find(std::uint64_t version) const
+std::optional<WeightNaming> WeightHistory::find(std::uint64_t version) const
 {
     const auto it = m_named.find(version);
     return it == m_named.end() ? std::nullopt : std::optional(it->second);
@@ -37,19 +48,24 @@
     return m_named.empty() ? 0 : m_named.rbegin()->first;
 }
 
-// Versions are named in their order, so no later one was named before; but more may be known of
-// when a later one was.
+// Versions are named in their order, so the first newer one came no later than any other; but it
+// may not be known here, or less of it than of a later one.
 std::optional<EventTime> WeightHistory::superseded(std::uint64_t version) const
 {
     const auto first = m_named.upper_bound(version);
     if (first == m_named.end())
         return std::nullopt;
-    EventTime named = first->second;
-    for (auto it = std::next(first); it != m_named.end(); ++it)
-        named.latest = std::min(named.latest, it->second.latest);
-    if (named.earliest)
-        named.earliest = std::min(*named.earliest, named.latest);
-    return named;
+    EventTime replaced{std::nullopt, first->second.named.latest};
+    for (auto it = first; it != m_named.end(); ++it) {
+        const WeightNaming &naming = it->second;
+        replaced.latest = std::min(replaced.latest, naming.named.latest);
+        const bool holds = naming.after && *naming.after <= version;
+        if (holds && !replaced.earliest)
+            replaced.earliest = naming.named.earliest;
+    }
+    if (replaced.earliest)
+        replaced.earliest = std::min(*replaced.earliest, replaced.latest);
+    return replaced;
 }
 
 } // namespace fordwood
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -275,8 +275,8 @@
                                 const WeightHistory &history)
 {
     m_contexts.setWeights(model, history);
-    if (const auto named = history.find(version))
-        tell(WeightsWanted{model, version, *named});
+    if (const auto naming = history.find(version))
+        tell(WeightsWanted{model, version, *naming});
 }
 
 void ControlDuty::upstreamWritten(UpstreamRecord record)
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -10,12 +10,12 @@
 #include <vector>
 
 #include "fordwood/context_directory.hpp"
-#include "fordwood/event_time.hpp"
 #include "fordwood/load_book.hpp"
 #include "fordwood/quarantine.hpp"
 #include "fordwood/route_table.hpp"
 #include "fordwood/upstream_limits.hpp"
 #include "fordwood/upstream_record.hpp"
+#include "fordwood/weight_history.hpp"
 
 // What the control thread tells the thread that serves requests.
 namespace fordwood::node {
@@ -57,7 +57,7 @@
 {
     std::string model;
     std::uint64_t version = 0;
-    EventTime named;
+    WeightNaming naming;
 };
 
 // An engine runs on a weight version, though its record may not say so yet.
--- a/src/node/naming_marks.cpp
+++ b/src/node/naming_marks.cpp
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "node/naming_marks.hpp"
 
-#include <algorithm>
+#include <charconv>
+#include <string_view>
 
 #include "adapters/observe/event_log.hpp"
 
@@ -21,6 +22,15 @@
 // A write that was done shows in the copy of the store within this.
 constexpr Duration kRetryPause = std::chrono::milliseconds(700);
 
+// Nothing: the value is no version.
+std::optional<std::uint64_t> readAfter(std::string_view value)
+{
+    std::uint64_t after = 0;
+    const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), after);
+    const bool isWhole = ec == std::errc() && end == value.data() + value.size();
+    return isWhole ? std::optional(after) : std::nullopt;
+}
+
 } // namespace
 
 std::string NamingMarks::keyOf(const std::string &model, std::uint64_t version)
@@ -33,36 +43,39 @@
     if (!wholeAt)
         return;
     for (const auto &[model, versions] : m_news.all()) {
-        for (const auto &[version, named] : versions.named()) {
-            if (m_replica.find(keyOf(model, version)) != nullptr)
-                m_news.happenedAfter(model, version, *wholeAt - m_limits.life);
+        for (const auto &[version, naming] : versions.named()) {
+            const StoredItem *mark = m_replica.find(keyOf(model, version));
+            const auto after = mark != nullptr ? readAfter(*mark->value) : std::nullopt;
+            if (after)
+                m_news.marked(model, version, *wholeAt - m_limits.life, *after);
         }
     }
 }
 
 // So long that the mark ends with its life at the latest, whenever the call arrives.
-Duration NamingMarks::leaseFor(const EventTime &named) const
+Duration NamingMarks::leaseFor(const WeightNaming &naming) const
 {
-    if (!named.earliest)
+    if (!naming.named.earliest || !naming.after)
         return Duration::zero();
-    return *named.earliest + m_limits.life - kLongestGrant - m_clock.now();
+    return *naming.named.earliest + m_limits.life - kLongestGrant - m_clock.now();
 }
 
 void NamingMarks::write(Duration patience)
 {
     const TimePoint now = m_clock.now();
     for (const auto &[model, versions] : m_news.all()) {
-        for (const auto &[version, named] : versions.named()) {
-            const Duration lease = leaseFor(named);
-            const bool isWanted = lease >= m_limits.leastLease && now - named.latest >= patience
+        for (const auto &[version, naming] : versions.named()) {
+            const Duration lease = leaseFor(naming);
+            const bool isWanted = lease >= m_limits.leastLease
+                                  && now - naming.named.latest >= patience
                                   && m_replica.find(keyOf(model, version)) == nullptr;
             if (isWanted)
-                grant({model, version}, lease);
+                grant({model, version}, *naming.after, lease);
         }
     }
 }
 
-void NamingMarks::grant(const Naming &naming, Duration lease)
+void NamingMarks::grant(const Naming &naming, std::uint64_t after, Duration lease)
 {
     Write &write = m_writes[naming];
     const TimePoint asked = m_clock.now();
@@ -70,11 +83,11 @@
         return;
     write.isBusy = true;
     m_store.send(platform::grantCall(lease),
-                 [this, naming, asked, lease](const HttpResult &result) {
+                 [this, naming, after, asked, lease](const HttpResult &result) {
                      const auto granted = platform::readGrant(result);
                      const bool isLate = m_clock.now() - asked > kLongestGrant;
                      if (granted && !isLate && granted->life <= lease) {
-                         put(naming, granted->lease);
+                         put(naming, after, granted->lease);
                          return;
                      }
                      if (granted)
@@ -85,15 +98,16 @@
                  });
 }
 
-void NamingMarks::put(const Naming &naming, std::int64_t lease)
+void NamingMarks::put(const Naming &naming, std::uint64_t after, std::int64_t lease)
 {
-    m_store.send(platform::putCall(keyOf(naming.first, naming.second), "", lease, true),
-                 [this, naming](const HttpResult &result) {
-                     if (platform::readPut(result).result == WriteResult::Done)
-                         logEvent(Event::NamingMarked,
-                                  {{"model", naming.first}, {"weights", naming.second}});
-                     finished(naming);
-                 });
+    const std::string key = keyOf(naming.first, naming.second);
+    m_store.send(platform::putCall(key, std::to_string(after), lease, true), [this, naming](
+                                                                                 const HttpResult
+                                                                                     &result) {
+        if (platform::readPut(result).result == WriteResult::Done)
+            logEvent(Event::NamingMarked, {{"model", naming.first}, {"weights", naming.second}});
+        finished(naming);
+    });
 }
 
 void NamingMarks::finished(const Naming &naming)
--- a/src/node/naming_marks.hpp
+++ b/src/node/naming_marks.hpp
@@ -40,6 +40,7 @@
     // others.
     void write(Duration patience);
 
+    // The key of a mark. Its value is the newest version that had been named before, as text.
     static std::string keyOf(const std::string &model, std::uint64_t version);
 
 private:
@@ -50,9 +51,9 @@
         TimePoint next{};
     };
 
-    Duration leaseFor(const EventTime &named) const;
-    void grant(const Naming &naming, Duration lease);
-    void put(const Naming &naming, std::int64_t lease);
+    Duration leaseFor(const WeightNaming &naming) const;
+    void grant(const Naming &naming, std::uint64_t after, Duration lease);
+    void put(const Naming &naming, std::uint64_t after, std::int64_t lease);
     void finished(const Naming &naming);
 
     const Clock &m_clock;
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -106,12 +106,14 @@
         std::clamp<std::int64_t>(number.get<std::int64_t>(), 0, kOldest));
 }
 
-// Two numbers, a third one where it is known how long ago it may have been at most.
+// Two numbers; two more where it is known how long ago it may have been at most.
 Json encodeNamedAge(std::uint64_t version, const NamedAge &age)
 {
     Json row{version, age.least.count()};
-    if (age.most)
+    if (age.most && age.after) {
         row.push_back(age.most->count());
+        row.push_back(*age.after);
+    }
     return row;
 }
 
@@ -119,8 +121,10 @@
 {
     NamedAge age;
     age.least = decodeAge(row.at(1));
-    if (row.size() > 2)
+    if (row.size() > 3) {
         age.most = decodeAge(row.at(2));
+        age.after = row.at(3).get<std::uint64_t>();
+    }
     return age;
 }
 
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -45,11 +45,12 @@
     bool isEmpty() const { return !lastOrder && enginesLoading.empty() && weightsShown.empty(); }
 };
 
-// How long ago weights were named, as far as a node knows; see EventTime.
+// How long ago weights were named, as far as a node knows; see WeightNaming.
 struct NamedAge
 {
     std::chrono::milliseconds least{0};
     std::optional<std::chrono::milliseconds> most; // nothing: any time
+    std::optional<std::uint64_t> after = std::nullopt; // of other weights; goes with `most`
 
     bool operator==(const NamedAge &) const = default;
 };
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -116,7 +116,7 @@
 
 void Traffic::apply(const WeightsWanted &update)
 {
-    m_weights[update.model].note(update.version, update.named);
+    m_weights[update.model].note(update.version, update.naming);
     m_contexts.setWeights(update.model, m_weights[update.model]);
 }
 
--- a/src/node/weight_news.cpp
+++ b/src/node/weight_news.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "node/weight_news.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 #include "adapters/observe/event_log.hpp"
@@ -16,21 +17,23 @@
 // A word that moves a time by less than this is not logged: each peer's differs by its delay.
 constexpr Duration kLeastToLog = milliseconds(250);
 
-NamedAge ageOf(const EventTime &named, TimePoint now)
+NamedAge ageOf(const WeightNaming &naming, TimePoint now)
 {
     NamedAge age;
-    age.least = std::chrono::floor<milliseconds>(now - named.latest);
-    if (named.earliest)
-        age.most = std::chrono::ceil<milliseconds>(now - *named.earliest);
+    age.least = std::chrono::floor<milliseconds>(now - naming.named.latest);
+    if (naming.named.earliest && naming.after) {
+        age.most = std::chrono::ceil<milliseconds>(now - *naming.named.earliest);
+        age.after = naming.after;
+    }
     return age;
 }
 
-bool isWorthLogging(const std::optional<EventTime> &before, const EventTime &now)
+bool isWorthLogging(const EventTime &before, const EventTime &now)
 {
-    if (!before || before->earliest.has_value() != now.earliest.has_value())
+    if (before.earliest.has_value() != now.earliest.has_value())
         return true;
-    const Duration earliest = now.earliest ? *now.earliest - *before->earliest : Duration::zero();
-    return std::chrono::abs(earliest) >= kLeastToLog || before->latest - now.latest >= kLeastToLog;
+    const Duration earliest = now.earliest ? *now.earliest - *before.earliest : Duration::zero();
+    return std::chrono::abs(earliest) >= kLeastToLog || before.latest - now.latest >= kLeastToLog;
 }
 
 } // namespace
@@ -38,7 +41,12 @@
 void WeightNews::read(const std::string &model, std::uint64_t version,
                       std::optional<TimePoint> notBefore)
 {
-    note(model, version, {notBefore, m_clock.now()}, m_node);
+    std::uint64_t &newest = m_newestRead[model];
+    WeightNaming naming{{std::nullopt, m_clock.now()}, std::nullopt};
+    if (notBefore && newest > 0)
+        naming = {{notBefore, m_clock.now()}, newest};
+    newest = std::max(newest, version);
+    note(model, version, naming, m_node);
 }
 
 void WeightNews::heard(const std::string &peer, const NamedWeights &named)
@@ -46,46 +54,48 @@
     const TimePoint now = m_clock.now();
     for (const auto &[model, versions] : named) {
         for (const auto &[version, age] : versions) {
-            EventTime when{std::nullopt, now - age.least};
+            WeightNaming naming{{std::nullopt, now - age.least}, age.after};
             if (age.most)
-                when.earliest = now - *age.most;
-            note(model, version, when, peer);
+                naming.named.earliest = now - *age.most;
+            note(model, version, naming, peer);
         }
     }
 }
 
-void WeightNews::happenedAfter(const std::string &model, std::uint64_t version, TimePoint moment)
+void WeightNews::marked(const std::string &model, std::uint64_t version, TimePoint moment,
+                        std::uint64_t after)
 {
-    note(model, version, {moment, m_clock.now()}, "mark");
+    note(model, version, {{moment, m_clock.now()}, after}, "mark");
 }
 
 NamedWeights WeightNews::forPeers() const
 {
     NamedWeights named;
     for (const auto &[model, history] : m_histories) {
-        for (const auto &[version, when] : history.named())
-            named[model][version] = ageOf(when, m_clock.now());
+        for (const auto &[version, naming] : history.named())
+            named[model][version] = ageOf(naming, m_clock.now());
     }
     return named;
 }
 
-void WeightNews::note(const std::string &model, std::uint64_t version, const EventTime &named,
+void WeightNews::note(const std::string &model, std::uint64_t version, const WeightNaming &naming,
                       const std::string &from)
 {
     WeightHistory &history = m_histories[model];
-    const std::optional<EventTime> before = history.find(version);
-    if (!history.note(version, named))
+    const std::optional<WeightNaming> before = history.find(version);
+    if (!history.note(version, naming))
         return;
-    const std::optional<EventTime> known = history.find(version);
+    const std::optional<WeightNaming> known = history.find(version);
     if (!known)
         return;
-    if (isWorthLogging(before, *known)) {
+    if (!before || isWorthLogging(before->named, known->named)) {
         const NamedAge age = ageOf(*known, m_clock.now());
         logEvent(Event::WeightsAgeLearnt,
                  {{"model", model},
                   {"weights", version},
                   {"age_ms", age.least.count()},
                   {"age_at_most_ms", age.most ? std::to_string(age.most->count()) : "unknown"},
+                  {"after", known->after.value_or(0)},
                   {"from", from}});
     }
     m_learnt(model, version, history);
--- a/src/node/weight_news.hpp
+++ b/src/node/weight_news.hpp
@@ -34,8 +34,10 @@
     // the store turns away.
     void heard(const std::string &peer, const NamedWeights &named);
 
-    // Something shows that a version that is known was named after that moment.
-    void happenedAfter(const std::string &model, std::uint64_t version, TimePoint moment);
+    // A mark shows that a version that is known was named after that moment, at which the newest
+    // weights were `after`.
+    void marked(const std::string &model, std::uint64_t version, TimePoint moment,
+                std::uint64_t after);
 
     NamedWeights forPeers() const;
 
@@ -43,13 +45,14 @@
     const std::map<std::string, WeightHistory> &all() const { return m_histories; }
 
 private:
-    void note(const std::string &model, std::uint64_t version, const EventTime &named,
+    void note(const std::string &model, std::uint64_t version, const WeightNaming &naming,
               const std::string &from);
 
     const Clock &m_clock;
     const std::string m_node;
     const Learnt m_learnt;
     std::map<std::string, WeightHistory> m_histories;
+    std::map<std::string, std::uint64_t> m_newestRead; // by model; peers may know newer ones
 };
 
 } // namespace fordwood::node
--- a/tests/node/decoder_fuzz_test.cpp
+++ b/tests/node/decoder_fuzz_test.cpp
@@ -194,7 +194,7 @@
 {
     node::Gossip gossip;
     gossip.node = "n";
-    gossip.weightsNamed["m"][2] = {std::chrono::milliseconds(30), std::chrono::milliseconds(40)};
+    gossip.weightsNamed["m"][2] = {std::chrono::milliseconds(30), std::chrono::milliseconds(40), 1};
     gossip.wholeFor = std::chrono::milliseconds(50);
     gossip.orders.enginesLoading = {"i-1"};
     gossip.requestNews = {{{1, 2}, 3}, {{4, 5}, {}}};
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -448,7 +448,7 @@
     message.orders.weightsShown["e"]["m"] = 2;
     message.ordersHeard["b"] = {30ms, 20ms, {"f"}, {}};
     message.hearsStore = true;
-    message.weightsNamed["m"] = {{2, {800ms, 1'200ms}}, {3, {20ms, std::nullopt}}};
+    message.weightsNamed["m"] = {{2, {800ms, 1'200ms, 1}}, {3, {20ms, std::nullopt}}};
     message.wholeFor = 90ms;
     message.requestNews = {{{1, UINT64_MAX}, 3}, {{4, 5}, {}}};
     message.limits
--- a/tests/node/weight_age_test.cpp
+++ b/tests/node/weight_age_test.cpp
@@ -114,7 +114,7 @@
     CHECK(fleet.nodesThatUse(1) == 0);
 }
 
-// Found by the random test: a node that had started between two namings knew the age of the second
+// Found by the random test. A node that had started between two namings knew the age of the second
 // only, and took it for the age of all that it had ever replaced ("WeightsAgeLearnt weights=4
 // age_ms=2000 from=mark", and engines with version 1, replaced 9 s before, were used).
 TEST_CASE("weights: the age of a naming says nothing of weights that were replaced before it "
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -262,11 +262,11 @@
 {
     View view;
     view.m_records[3].weightVersions["m"] = 2;
-    view.m_weights.note(1, EventTime::at(view.m_clock.now() - 1h));
-    view.m_weights.note(2, EventTime::at(view.m_clock.now()));
+    view.m_weights.note(1, {EventTime::at(view.m_clock.now() - 1h), 0});
+    view.m_weights.note(2, {EventTime::at(view.m_clock.now()), 1});
     view.m_clock.advance(5s);
-    view.m_weights.note(3,
-                        EventTime::at(view.m_clock.now())); // does not make version 1 any younger
+    view.m_weights.note(
+        3, {EventTime::at(view.m_clock.now()), 2}); // does not make version 1 any younger
     view.m_clock.advance(6s);
     for (int n = 0; n < 20; ++n)
         CHECK(view.choose(longPrompt("c" + std::to_string(n)))->instanceId == "e3");
@@ -359,7 +359,7 @@
     news.changes = {{old, "a", true, 10}, {current, "a", true, 10}, {"foreign", "b", true, 10}};
     keeper.storeAnswered(news);
     WeightHistory history;
-    history.note(2, EventTime::at(clock.now()));
+    history.note(2, {EventTime::at(clock.now()), 1});
     keeper.setWeights("m", history);
     const FencedLock::Holding holding{1, {}, {}, TimePoint::max()};
     clock.advance(OldContext::unusedAfter("a") - 1ms);
@@ -388,7 +388,7 @@
     view.m_contexts.setInformed(false);
     CHECK_FALSE(view.choose(longPrompt())->isFetching());
     view.m_contexts.setInformed(true);
-    view.m_weights.note(2, EventTime::at(view.m_clock.now()));
+    view.m_weights.note(2, {EventTime::at(view.m_clock.now()), 1});
     view.m_contexts.setWeights("m", view.m_weights);
     CHECK(view.choose(longPrompt())->isFetching());
     view.m_clock.advance(OldContext::useOf("c1"));
@@ -407,7 +407,7 @@
     for (std::size_t n = 0; n < kParts; ++n)
         changes.push_back({salt, "c" + std::to_string(n), true, 1'200});
     view.tellStore(changes);
-    view.m_weights.note(2, EventTime::at(view.m_clock.now()));
+    view.m_weights.note(2, {EventTime::at(view.m_clock.now()), 1});
     view.m_contexts.setWeights("m", view.m_weights);
     const auto stillFetched = [&] {
         int sum = 0;
--- a/tests/unit/serving_parts_test.cpp
+++ b/tests/unit/serving_parts_test.cpp
@@ -193,17 +193,31 @@
     const TimePoint start{1h};
     WeightHistory history;
     CHECK(history.newest() == 0);
-    CHECK(history.note(2, EventTime::at(start)));
-    CHECK(history.note(3, EventTime::at(start + 4s)));
+    CHECK(history.note(2, {EventTime::at(start), 1}));
+    CHECK(history.note(3, {EventTime::at(start + 4s), 2}));
     CHECK(history.newest() == 3);
     CHECK(history.superseded(1) == EventTime::at(start));
     CHECK(history.superseded(2) == EventTime::at(start + 4s));
     CHECK_FALSE(history.superseded(3));
-    CHECK_FALSE(history.note(2, EventTime::at(start + 1s))); // another node saw it later
-    CHECK(history.note(2, EventTime::at(start - 1s))); // or earlier
+    CHECK_FALSE(history.note(2, {EventTime::at(start + 1s), 1})); // another node saw it later
+    CHECK(history.note(2, {EventTime::at(start - 1s), 1})); // or earlier
     CHECK(history.superseded(1) == EventTime::at(start - 1s));
 }
 
+TEST_CASE("weights: the age of a naming bounds only what it may have replaced [weights]")
+{
+    const TimePoint start{1h};
+    WeightHistory history;
+    history.note(3, {EventTime::at(start), 2});
+    CHECK(history.superseded(2) == EventTime::at(start));
+    CHECK_FALSE(history.superseded(1)->earliest); // by version 2, which may have come long before
+    // Both were named while somebody did not look.
+    history.note(3, {{start - 9s, start}, 1});
+    CHECK_FALSE(history.superseded(1)->earliest);
+    history.note(2, {{start - 2s, start}, 1});
+    CHECK(history.superseded(1)->earliest == start - 2s);
+}
+
 TEST_CASE("pace: is learned from long prompts [routing]")
 {
     PrefillPace pace;
