Tests: a store that stalls after a naming, and a late word of one, make weights too young (fail; known red)

The store confirms a naming and answers nobody for 8 s: 3 of 3 nodes use the replaced weights 10.3 s after it. Nodes that all started anew hear a word from long ago that calls the naming 0.2 s old: 3 of 3 use them 10.5 and 13.5 s after it.

--- a/tests/node/weight_age_test.cpp
+++ b/tests/node/weight_age_test.cpp
@@ -138,3 +138,52 @@
     CHECK(fleet.nodesThatUse(1) == 0);
     CHECK(fleet.nodesThatUse(2) == 2);
 }
+
+// The store confirms a naming and then answers nobody for eight seconds. Each node's waiting call
+// is answered when that is over, and the two seconds that were taken for the longest way of its
+// answer made the naming so young: version 1 was used for 5 s too long.
+TEST_CASE(
+    "weights: a naming that the store confirmed before it stalled is as old as that [weights]")
+{
+    WeightsFleet fleet(3);
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(1));
+    REQUIRE(fleet.waitForPeers());
+    fleet.advance(3s);
+    fleet.store().setStalled(true);
+    fleet.nameWeights(2);
+    fleet.advance(8s);
+    fleet.store().setStalled(false);
+    REQUIRE(fleet.waitForWeights(2));
+    fleet.advance(2300ms);
+    CHECK(fleet.nodesThatUse(1) == 0);
+    CHECK(fleet.nodesThatUse(2) == 3);
+}
+
+// Nodes that found a naming know that it is at least so old. A word from long ago, which calls it
+// younger than that, must not tell them anything: it was passed on late.
+TEST_CASE("weights: an old word of a naming makes it no younger than it is known to be [weights]")
+{
+    WeightsFleet fleet(3);
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(1));
+    fleet.nameWeights(2);
+    REQUIRE(fleet.waitForWeights(2));
+    fleet.advance(7s);
+    fleet.killAll();
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(2));
+    REQUIRE(fleet.waitForPeers());
+    fleet.advance(3s);
+    Gossip old;
+    old.node = "n9";
+    old.failureDomain = "domain-9";
+    old.gossipAddress = fleet.host(9) + ":8083";
+    old.replicaAddress = fleet.host(9) + ":8082";
+    old.weightsNamed["m"][2] = {150ms, 200ms, 1};
+    fleet.sendToAll(old);
+    fleet.advance(500ms);
+    CHECK(fleet.nodesThatUse(1) == 0);
+    fleet.advance(3s);
+    CHECK(fleet.nodesThatUse(1) == 0);
+}
--- a/tests/node/weights_fleet.cpp
+++ b/tests/node/weights_fleet.cpp
@@ -120,6 +120,16 @@
         start(n);
 }
 
+void WeightsFleet::sendToAll(const Gossip &message)
+{
+    constexpr char kDirect = 0; // how it is delivered; stands before the message
+    const std::string bytes = kDirect + encodeGossip(message);
+    net::io_context context;
+    udp::socket socket(context, *parseEndpoint<udp>(host(m_size) + ":8083"));
+    for (const auto &[n, node] : m_nodes)
+        socket.send_to(net::buffer(bytes), *parseEndpoint<udp>(host(n) + ":8083"));
+}
+
 bool WeightsFleet::waitFor(const std::function<bool()> &holds)
 {
     // By the wall's clock: only a fault makes it take this long.
--- a/tests/node/weights_fleet.hpp
+++ b/tests/node/weights_fleet.hpp
@@ -72,6 +72,12 @@
     WeightsNode &at(int node) { return *m_nodes.at(node); }
     process::KeyValueStandin &store() { return m_store; }
 
+    // The address of a node's VM.
+    std::string host(int node) const { return m_net + std::to_string(10 + node); }
+
+    // A datagram that reaches all live nodes as if from a node that is not one of them.
+    void sendToAll(const Gossip &message);
+
     void nameWeights(std::uint64_t version);
     // Until every live node knows of them.
     bool waitForWeights(std::uint64_t version);
@@ -86,7 +92,6 @@
 
 private:
     bool waitFor(const std::function<bool()> &holds);
-    std::string host(int node) const { return m_net + std::to_string(10 + node); }
     void step(Duration by);
 
     const int m_size;
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -154,7 +154,22 @@
         erase(it);
 }
 
+void KeyValueStandin::setStalled(bool stalled)
+{
+    const std::lock_guard lock(m_mutex);
+    m_stalled = stalled;
+    m_changed.notify_all();
+}
+
 Answer KeyValueStandin::answer(const Request &request)
+{
+    Answer result = carryOut(request);
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] { return !m_stalled; });
+    return result;
+}
+
+Answer KeyValueStandin::carryOut(const Request &request)
 {
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -31,6 +31,9 @@
     // From now on every call is turned away, or no longer.
     void setDown(bool down);
 
+    // Calls are taken and carried out, but their answers are held back until it is over.
+    void setStalled(bool stalled);
+
     // Watches hear nothing of what changes, or hear again.
     void setDeafWatches(bool deaf);
 
@@ -67,6 +70,7 @@
     };
 
     standins::Answer answer(const standins::Request &request);
+    standins::Answer carryOut(const standins::Request &request);
     standins::Answer range(const standins::Request &request);
     standins::Answer watch(const standins::Request &request);
     standins::Answer transact(const standins::Request &request);
@@ -86,6 +90,7 @@
     std::map<std::int64_t, Lease> m_leases;
     bool m_down = false;
     bool m_deafWatches = false;
+    bool m_stalled = false;
     std::unique_ptr<standins::BlockingServer> m_server;
 };
 
