A waiting call shows that the store was quiet only before a call that it answered

Callers got answers from weights replaced 10 s and more before: the store had confirmed a naming, stalled for 8 s, and the answer of the waiting call counted as on its way for two seconds at most. Neither a stalled store nor one behind a proxy fails its probes. Now it shows quiet up to the send of the newest other call that the store answered, a refusal included; whatever stalls, that is before the news.

--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -15,10 +15,6 @@
 constexpr std::chrono::milliseconds kWatchWait{20'000};
 constexpr Duration kWatchGrace = std::chrono::seconds(2); // beyond the wait
 
-// A connection that has been silent for longer is found by its probes and ends: an answer that a
-// waiting call still gets was not on its way for longer.
-constexpr Duration kLongestSilence = std::chrono::seconds(2);
-
 // The shortest wait: a poll is to answer at once.
 constexpr std::chrono::milliseconds kPollWait{1};
 
@@ -61,7 +57,12 @@
 void StoreLink::send(HttpCall call, const HttpCaller::Done &done)
 {
     call.address = m_address;
-    m_caller.send(call, kCallPatience, done);
+    m_caller.send(call, kCallPatience,
+                  [this, asked = m_clock.now(), done](const HttpResult &result) {
+                      if (result) // also one that turns the call away
+                          m_lastAnswered = std::max(m_lastAnswered, asked);
+                      done(result);
+                  });
 }
 
 void StoreLink::readAll()
@@ -153,12 +154,13 @@
     this->after(m_batchPause, &StoreLink::goOn);
 }
 
+// The waiting call may be answered long after its news, if the store stalls: quiet was only what
+// lies before a later call that the store did answer.
 StoreAnswerTimes StoreLink::watchTimes() const
 {
-    const TimePoint now = m_clock.now();
     StoreAnswerTimes times{m_watchBegan, std::nullopt};
-    if (now - m_watchBegan >= kQuietWait)
-        times.quietUntil = std::max(m_watchBegan, now - kLongestSilence);
+    if (m_lastAnswered > m_watchBegan)
+        times.quietUntil = m_lastAnswered;
     return times;
 }
 
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -18,7 +18,7 @@
 struct StoreAnswerTimes
 {
     TimePoint asked{}; // when the call was sent; the answer holds all that had happened by then
-    // A call that waited for news shows that there were none until about this moment.
+    // A call that waited for news shows that there were none until this moment.
     std::optional<TimePoint> quietUntil;
 };
 
@@ -87,6 +87,7 @@
     StoreListener &m_listener;
     Duration m_batchPause; // after the next change
     TimePoint m_watchBegan{};
+    TimePoint m_lastAnswered{}; // when the newest other call was sent that got an answer
     bool m_reachable = true;
     bool m_isStarting = true; // nothing has been read yet
     bool m_isWhole = false; // the copy holds all up to its revision
