Answers that a stalled store held back come together, and show no quiet

The test of a stalling store failed once more (1 of 3 runs): another call that the store held back was answered a moment before the waiting one, and so seemed to show that nothing had happened by its send. Only calls that were answered half a second before the waiting call's answer count now.

--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds kWatchWait{20'000};
 constexpr Duration kWatchGrace = std::chrono::seconds(2); // beyond the wait
 
+// Answers that a stalled store held back all come within this.
+constexpr Duration kAnswersTogether = std::chrono::milliseconds(500);
+
 // The shortest wait: a poll is to answer at once.
 constexpr std::chrono::milliseconds kPollWait{1};
 
@@ -60,7 +63,7 @@
     m_caller.send(call, kCallPatience,
                   [this, asked = m_clock.now(), done](const HttpResult &result) {
                       if (result) // also one that turns the call away
-                          m_lastAnswered = std::max(m_lastAnswered, asked);
+                          noteAnswered(asked);
                       done(result);
                   });
 }
@@ -154,13 +157,24 @@
     this->after(m_batchPause, &StoreLink::goOn);
 }
 
+void StoreLink::noteAnswered(TimePoint asked)
+{
+    constexpr std::size_t kMostRemembered = 8;
+    m_answered.push_back({asked, m_clock.now()});
+    if (m_answered.size() > kMostRemembered)
+        m_answered.pop_front();
+}
+
 // The waiting call may be answered long after its news, if the store stalls: quiet was only what
-// lies before a later call that the store did answer.
+// lies before a later call that the store did answer, while the waiting one went on.
 StoreAnswerTimes StoreLink::watchTimes() const
 {
     StoreAnswerTimes times{m_watchBegan, std::nullopt};
-    if (m_lastAnswered > m_watchBegan)
-        times.quietUntil = m_lastAnswered;
+    const TimePoint now = m_clock.now();
+    for (const AnsweredCall &it : m_answered) {
+        if (it.asked > m_watchBegan && now - it.answered >= kAnswersTogether)
+            times.quietUntil = std::max(times.quietUntil.value_or(it.asked), it.asked);
+    }
     return times;
 }
 
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_NODE_STORE_LINK_HPP_INCLUDED
 #define FORDWOOD_NODE_STORE_LINK_HPP_INCLUDED
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -67,6 +68,12 @@
         StoreChanges read;
     };
 
+    struct AnsweredCall
+    {
+        TimePoint asked{};
+        TimePoint answered{};
+    };
+
     void readPage(const std::string &after, const std::shared_ptr<WholeRead> &whole, After next);
     void takePage(const HttpResult &result, const std::shared_ptr<WholeRead> &whole, After next);
     void readAllOnce();
@@ -74,6 +81,7 @@
     void goOn();
     void takePoll(const HttpResult &result, std::int64_t after, TimePoint asked);
     void takeWatch(const HttpResult &result, std::int64_t after);
+    void noteAnswered(TimePoint asked);
     StoreAnswerTimes watchTimes() const;
     void answered();
     void failed(platform::StoreFailure failure);
@@ -87,7 +95,7 @@
     StoreListener &m_listener;
     Duration m_batchPause; // after the next change
     TimePoint m_watchBegan{};
-    TimePoint m_lastAnswered{}; // when the newest other call was sent that got an answer
+    std::deque<AnsweredCall> m_answered; // the last ones, beside the waiting call
     bool m_reachable = true;
     bool m_isStarting = true; // nothing has been read yet
     bool m_isWhole = false; // the copy holds all up to its revision
