A word that calls a naming younger than it is known to be tells nothing

Callers could be answered from weights replaced 10.5 s before: all nodes had started anew, found the naming and knew no age of it, and a word from long ago, passed on late, called it 0.2 s old. Such a word contradicts what is known; now it changes nothing. It holds however late a word is, since the latest time only moves back.

--- a/src/core/event_time.cpp
+++ b/src/core/event_time.cpp
@@ -18,8 +18,9 @@
 {
     const EventTime before = *this;
     latest = std::min(latest, other.latest);
-    const bool isBetter
-        = other.earliest && (!earliest || *other.earliest - *earliest >= kLeastGain);
+    // A word that calls it younger than it is known to be comes from long ago, and tells nothing.
+    const bool isTrue = other.earliest && *other.earliest - latest < kLeastGain;
+    const bool isBetter = isTrue && (!earliest || *other.earliest - *earliest >= kLeastGain);
     if (isBetter)
         earliest = other.earliest;
     // Delays only make a moment seem later, and so cannot make the latest one wrong.
