--- a/tests/unit/fenced_lock_test.cpp
+++ b/tests/unit/fenced_lock_test.cpp
@@ -169,3 +169,36 @@
     clock.advance(300ms);
     CHECK(node.lock.tick().size() == 1);
 }
+
+TEST_CASE("lock: a copy of the store from before the lock was taken does not end it [lock]")
+{
+    ManualClock clock;
+    Node node("a", clock);
+    const std::string value = node.take(41);
+    node.lock.keyChanged(nullptr); // the copy is merged up to an older revision
+    REQUIRE(node.lock.holding());
+    CHECK(node.lock.holding()->fence == 41);
+
+    const StoredItem shown{"lock", 41, 41, value};
+    node.lock.keyChanged(&shown);
+    REQUIRE(node.lock.holding());
+    node.lock.keyChanged(nullptr); // now it is gone indeed
+    CHECK_FALSE(node.lock.holding());
+}
+
+TEST_CASE("lock: a holder whose key never shows acts no longer than its lease [lock]")
+{
+    ManualClock clock;
+    Node node("a", clock);
+    node.take(41);
+    node.lock.keyChanged(nullptr);
+    clock.advance(1300ms);
+    CHECK_FALSE(node.lock.holding());
+
+    // It tries anew once its copy of the store shows that the key is free.
+    clock.advance(200ms);
+    REQUIRE(node.lock.tick().size() == 1); // EndLease
+    clock.advance(500ms);
+    node.lock.keyChanged(nullptr);
+    CHECK(node.lock.tick().size() == 1); // GrantLease
+}
