A copy of the store from before the lock was taken does not end it

Nobody ordered engines for a while after the lock had changed hands: the new holder gave it up as soon as its copy of the store was merged up to a revision from before the taking, since the key was absent there. Now an absent key counts once the copy has shown the own one; until then the lease alone tells, by the holder's own count and by the store's answers to renewals. A key of a higher revision still ends the holding at once.

--- a/include/fordwood/fenced_lock.hpp
+++ b/include/fordwood/fenced_lock.hpp
@@ -139,6 +139,7 @@
     TimePoint m_nextKeep{};
     bool m_keeping = false;
     std::int64_t m_fence = 0;
+    bool m_isShown = false; // the copy of the store has shown the own key
     TimePoint m_heldSince{};
     TimePoint m_actFrom{};
     std::string m_predecessor;
--- a/src/core/fenced_lock.cpp
+++ b/src/core/fenced_lock.cpp
@@ -18,6 +18,10 @@
 void FencedLock::keyChanged(const StoredItem *item)
 {
     const bool isOwn = item != nullptr && item->value == value();
+    // The copy may be merged up to a revision from before this node took the lock: as long as it
+    // has not shown the key, only the lease tells whether the lock is still held.
+    if (item == nullptr && m_stage == Stage::Held && !m_isShown)
+        return;
     if (item == nullptr) {
         if (!m_freeSince)
             m_freeSince = m_clock.now();
@@ -28,7 +32,9 @@
     }
     if (isOwn && (m_stage == Stage::Taking || m_stage == Stage::Settling))
         hold(item->created);
-    else if (m_stage == Stage::Held && !isOwn && (item == nullptr || item->created > m_fence))
+    if (isOwn && m_stage == Stage::Held)
+        m_isShown = true;
+    if (m_stage == Stage::Held && !isOwn && (item == nullptr || item->created > m_fence))
         startOver(m_limits.retryEvery);
 }
 
@@ -76,6 +82,7 @@
 void FencedLock::hold(std::int64_t fence)
 {
     m_stage = Stage::Held;
+    m_isShown = false;
     m_fence = fence;
     m_heldSince = m_clock.now();
     m_actFrom = m_heldSince + m_limits.quietTime;
