A new holder of the lock waits also where it has seen nobody before it

A node that started after its predecessor's key had gone took the lock for never held and ordered engines at once, up to 1.6 s too early for the rule that holders do not take turns within `order_lease` (3 s). Now it waits `order_lease` from the taking, unless the predecessor is known and heard. Cost: engines are ordered 3 s later after the very first start of a fleet.

--- a/include/fordwood/fenced_lock.hpp
+++ b/include/fordwood/fenced_lock.hpp
@@ -110,7 +110,7 @@
     // Nothing while this node does not hold the lock, or may not act.
     std::optional<Holding> holding() const;
 
-    // The owner of the lock before this node, as far as seen; empty: there was none.
+    // The owner of the lock before this node, as far as seen; empty: none was seen.
     const std::string &predecessor() const { return m_predecessor; }
 
     // The owner before has acted last at this moment, by its own word after its time was over, or
--- a/src/core/fenced_lock.cpp
+++ b/src/core/fenced_lock.cpp
@@ -85,9 +85,8 @@
     m_isShown = false;
     m_fence = fence;
     m_heldSince = m_clock.now();
+    // Also where no predecessor was seen: its key may have gone before this node started.
     m_actFrom = m_heldSince + m_limits.quietTime;
-    if (m_predecessor.empty())
-        m_actFrom = m_heldSince; // nobody has ordered before
     m_nextKeep = m_clock.now();
     m_keeping = false;
 }
