Two engines load at once where a fifth of all is less

Small fleets brought engines to new weights one after the other, though loads do not slow each other down up to two at once. Now two load, and of few engines no more than half are out of service, loading or drained for their turn.

--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_WEIGHT_ROLLOUT_HPP_INCLUDED
 #define FORDWOOD_WEIGHT_ROLLOUT_HPP_INCLUDED
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -63,8 +64,10 @@
 public:
     struct Limits
     {
-        // Engines that may load at once, as a part of all: beyond it each load takes longer.
+        // Engines that may load at once, as a part of all and at least so many: beyond it each load
+        // takes longer.
         double loadingPart = 0.2;
+        std::size_t leastLoading = 2;
         // From the announcement that an engine is about to load to the order: no node sends it
         // requests that it would turn away, and what runs there ends, which the load waits for.
         Duration announceLead = std::chrono::milliseconds(60);
@@ -132,6 +135,7 @@
     std::uint64_t versionsBehind(const Engine &engine) const;
     void startLoads(const LoadBook &loads);
     std::size_t mostAtOnce() const;
+    std::size_t mostKeptFree() const;
     bool mayOrder() const;
     void step(const std::string &instanceId, Load &load, const LoadBook &loads, std::int64_t fence);
     bool isDone(const Engine &engine, const Load &load) const;
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -77,13 +77,21 @@
     return load.ordered && version != engine.versions.end() && version->second >= load.version;
 }
 
+// Of few engines half go on serving, however many might load without slowing each other down.
 std::size_t WeightRollout::mostAtOnce() const
 {
-    return std::max<std::size_t>(
-        1, static_cast<std::size_t>(m_limits.loadingPart * static_cast<double>(m_engines.size())));
+    const auto part
+        = static_cast<std::size_t>(m_limits.loadingPart * static_cast<double>(m_engines.size()));
+    return std::clamp<std::size_t>(m_engines.size() / 2, 1, std::max(m_limits.leastLoading, part));
 }
 
-// While some engines load, as many again are drained for their turn. Those with the oldest weights
+// Those that load, and those that are drained for their turn.
+std::size_t WeightRollout::mostKeptFree() const
+{
+    return std::max(mostAtOnce(), std::min(2 * mostAtOnce(), m_engines.size() / 2));
+}
+
+// While some engines load, others are drained for their turn. Those with the oldest weights
 // come first: an engine that has just loaded what was replaced since is of use for longer.
 void WeightRollout::startLoads(const LoadBook &loads)
 {
@@ -103,7 +111,7 @@
                < std::tie(a.versions, b.running, b.instanceId);
     });
     for (const Behind &it : behind) {
-        if (m_loads.size() >= 2 * mostAtOnce())
+        if (m_loads.size() >= mostKeptFree())
             return;
         Load load;
         load.since = m_clock.now();
