--- a/tests/unit/rollout_simulation_test.cpp
+++ b/tests/unit/rollout_simulation_test.cpp
@@ -339,3 +339,20 @@
         CHECK_MESSAGE(worst.mostKept <= engines / 2, engines);
     }
 }
+
+TEST_CASE("rollout simulation: orders without answers do not keep engines from the new weights "
+          "[weights][simulation][lost-reply]")
+{
+    struct Case
+    {
+        std::size_t engines;
+        Duration bound;
+    };
+    for (const Case &it : {Case{6, 14s}, Case{9, 14s}, Case{18, 21s}, Case{112, 21s}}) {
+        const Outcome worst = worstRollout(it.engines, 0.5);
+        REQUIRE(worst.toLast);
+        CHECK_MESSAGE(*worst.toLast < it.bound, it.engines);
+        CHECK(worst.idle < static_cast<std::int64_t>(it.engines) * 3s);
+        CHECK(worst.orders < 4 * it.engines);
+    }
+}
