An order without an answer does not hold up the other engines

An order that got no answer counted as a load for 2.2 s, until its repeat. Now the engine is asked as soon as the answer is overdue (0.5 s in place of 0.7 s); if its report shows that the order was not taken, the turn is free for whichever engine is ready, this one among them. A repeat bears the same count of orders, so the engine does only one of the two, whenever the first arrives. A late order that is carried out is counted as a load.

--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -73,8 +73,6 @@
         Duration announceLead = std::chrono::milliseconds(60);
         Duration longestDrain = std::chrono::milliseconds(1'500);
         Duration reportEvery = std::chrono::milliseconds(120); // while an engine loads
-        // After an order without an answer the next one waits, since the first may be late.
-        Duration lateOrder = std::chrono::milliseconds(1'500);
         // Reports tell of some hundred milliseconds ago: one that does not count the last order
         // yet is passed over for so long.
         Duration reportLag = std::chrono::milliseconds(1'000);
@@ -125,7 +123,8 @@
         TimePoint since{};
         TimePoint nextStep{};
         bool isAsking = false; // a report is on its way
-        std::optional<TimePoint> ordered;
+        std::optional<TimePoint> ordered; // while it loads, or may do so
+        bool isUnanswered = false; // the order
         std::string model; // that was ordered, and its version
         std::uint64_t version = 0;
         std::int64_t ordersTaken = 0; // by the report that the order followed
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -161,10 +161,11 @@
             return;
     }
     const std::optional<std::string> model = modelBehind(engine);
-    if (load.stage == Stage::Ready && model && (load.ordered || mayOrder())) {
+    if (load.stage == Stage::Ready && model && mayOrder()) {
         load.stage = Stage::Loading;
         load.isAsking = true;
         load.ordered = m_clock.now();
+        load.isUnanswered = false;
         load.model = *model;
         load.version = m_targets.at(*model);
         m_actions.emplace_back(OrderWeights{instanceId, engine.address, *model, load.version, fence,
@@ -200,10 +201,16 @@
         m_loads.erase(it);
         return;
     }
-    const bool isFromBefore = load.ordered && report->ordersTaken <= load.ordersTaken
+    const bool isFromBefore = load.ordered && !load.isUnanswered
+                              && report->ordersTaken <= load.ordersTaken
                               && m_clock.now() - *load.ordered < m_limits.reportLag;
+    if (report->busy && !load.ordered)
+        load.ordered = m_clock.now(); // by an earlier order that was late
     if (report->busy || isFromBefore)
         return;
+    // An order that got no answer and was not taken leaves the turn to any engine that is ready; on
+    // the same count of orders a repeat is safe, since the engine does only one of the two.
+    load.ordered.reset();
     load.ordersTaken = report->ordersTaken;
     load.stage = Stage::Ready;
     load.nextStep = m_clock.now();
@@ -224,7 +231,8 @@
         load.nextStep = m_clock.now() + m_limits.reportEvery;
         return;
     case OrderResult::Unknown:
-        load.nextStep = m_clock.now() + m_limits.lateOrder;
+        load.isUnanswered = true;
+        load.nextStep = m_clock.now();
         return;
     case OrderResult::Fenced:
         m_fenceRefused = true;
--- a/src/node/order_duty.cpp
+++ b/src/node/order_duty.cpp
@@ -13,7 +13,7 @@
 
 // An engine answers a report or an order within milliseconds, or is in trouble.
 constexpr Duration kReportPatience = std::chrono::milliseconds(700);
-constexpr Duration kOrderPatience = std::chrono::milliseconds(700);
+constexpr Duration kOrderPatience = std::chrono::milliseconds(500);
 
 std::string_view nameOf(OrderResult result)
 {
