An engine that waits for its turn to load is asked once

An engine that was ready and had no turn was asked for its report at each tick. Now it waits: the order bears the count of orders that was reported, so an engine that has taken another one since refuses it, and is asked then.

The known red one passes; all unit tests pass.

--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -161,7 +161,10 @@
             return;
     }
     const std::optional<std::string> model = modelBehind(engine);
-    if (load.stage == Stage::Ready && model && mayOrder()) {
+    // The order bears the count of orders that was reported, so the report may be of a while ago.
+    if (load.stage == Stage::Ready && model && !mayOrder())
+        return;
+    if (load.stage == Stage::Ready && model) {
         load.stage = Stage::Loading;
         load.isAsking = true;
         load.ordered = m_clock.now();
