--- a/tests/unit/rollout_simulation_test.cpp
+++ b/tests/unit/rollout_simulation_test.cpp
@@ -382,3 +382,25 @@
         CHECK(worst.reports < 11 * engines);
     }
 }
+
+TEST_CASE(
+    "rollout simulation: engines that are down do not hold up the others [weights][simulation]")
+{
+    for (const std::size_t engines : {6U, 9U, 18U, 112U}) {
+        const std::size_t down = engines / 3;
+        const Outcome calm = worstRollout(engines, 0.0);
+        const Outcome others = worstRollout(engines, 0.0, down, 120s);
+        REQUIRE(calm.toLast);
+        const double share = static_cast<double>(engines - down) / static_cast<double>(engines);
+        CHECK(inSeconds(others.toUp) < share * inSeconds(*calm.toLast) + 2.0);
+    }
+}
+
+TEST_CASE("rollout simulation: engines that come back load soon after [weights][simulation]")
+{
+    for (const std::size_t engines : {6U, 9U, 18U, 112U}) {
+        const Outcome worst = worstRollout(engines, 0.0, engines / 3, 10s);
+        REQUIRE(worst.toLast);
+        CHECK(*worst.toLast < 10s + 5s);
+    }
+}
