An engine is asked before it is drained, so that one that is down takes nobody's place

Engines that did not answer took the places of those that were drained for their turn, again and again. Now each is asked first, while it still serves; only one that has answered is drained. Those that were silent last time are asked beside the others, within a number of their own. An engine that has come to its weights without an order is no longer drained for nothing, and what it shows is passed on at once.

--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -106,20 +106,26 @@
         return m_shown;
     }
 
+    // Whether more has been shown since the last call.
+    bool takeShownAnew() { return std::exchange(m_shownAnew, false); }
+
     // Whether an engine has refused the fence since the last call.
     bool takeFenceRefused() { return std::exchange(m_fenceRefused, false); }
 
 private:
-    enum class Stage : std::uint8_t { Draining, Ready, Loading };
+    // An engine is asked before it is drained, so that one that does not answer serves on, or is
+    // left to itself, and takes the place of no other.
+    enum class Stage : std::uint8_t { Asking, Draining, Loading };
     struct Engine
     {
         std::string address;
         std::map<std::string, std::uint64_t> versions;
         TimePoint notBefore{}; // after a failure
+        bool isSilent = false; // did not answer when asked last
     };
     struct Load
     {
-        Stage stage = Stage::Draining;
+        Stage stage = Stage::Asking;
         TimePoint since{};
         TimePoint nextStep{};
         bool isAsking = false; // a report is on its way
@@ -135,8 +141,12 @@
     void startLoads(const LoadBook &loads);
     std::size_t mostAtOnce() const;
     std::size_t mostKeptFree() const;
+    std::size_t keptFree() const;
+    std::size_t asked(bool silent) const;
     bool mayOrder() const;
     void step(const std::string &instanceId, Load &load, const LoadBook &loads, std::int64_t fence);
+    void order(const std::string &instanceId, Load &load, std::int64_t fence);
+    void noteState(Load &load, const EngineReport &report);
     bool isDone(const Engine &engine, const Load &load) const;
     void giveUp(const std::string &instanceId);
 
@@ -147,6 +157,7 @@
     std::map<std::string, Load> m_loads;
     std::map<std::string, std::map<std::string, std::uint64_t>> m_shown;
     std::vector<RolloutAction> m_actions;
+    bool m_shownAnew = false;
     bool m_fenceRefused = false;
 };
 
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -54,8 +54,10 @@
 std::set<std::string> WeightRollout::loading() const
 {
     std::set<std::string> ids;
-    for (const auto &[id, load] : m_loads)
-        ids.insert(id);
+    for (const auto &[id, load] : m_loads) {
+        if (load.stage != Stage::Asking)
+            ids.insert(id);
+    }
     return ids;
 }
 
@@ -91,8 +93,24 @@
     return std::max(mostAtOnce(), std::min(2 * mostAtOnce(), m_engines.size() / 2));
 }
 
+std::size_t WeightRollout::keptFree() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_loads.begin(), m_loads.end(),
+                      [](const auto &it) { return it.second.stage != Stage::Asking; }));
+}
+
+std::size_t WeightRollout::asked(bool silent) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_loads.begin(), m_loads.end(), [&](const auto &it) {
+            return it.second.stage == Stage::Asking && m_engines.at(it.first).isSilent == silent;
+        }));
+}
+
 // While some engines load, others are drained for their turn. Those with the oldest weights
-// come first: an engine that has just loaded what was replaced since is of use for longer.
+// come first: an engine that has just loaded what was replaced since is of use for longer. Engines
+// that did not answer are asked beside the others, since they may be down for long.
 void WeightRollout::startLoads(const LoadBook &loads)
 {
     struct Behind
@@ -111,11 +129,13 @@
                < std::tie(a.versions, b.running, b.instanceId);
     });
     for (const Behind &it : behind) {
-        if (m_loads.size() >= mostKeptFree())
-            return;
+        const bool isSilent = m_engines.at(it.instanceId).isSilent;
+        const std::size_t others = asked(isSilent) + (isSilent ? 0 : keptFree());
+        if (others >= mostKeptFree())
+            continue;
         Load load;
         load.since = m_clock.now();
-        load.nextStep = load.since + m_limits.announceLead;
+        load.nextStep = load.since;
         m_loads.emplace(it.instanceId, load);
     }
 }
@@ -137,12 +157,17 @@
         m_actions.clear();
         return {};
     }
+    // What has come to its weights without an order of this holder.
+    std::erase_if(m_loads, [this](const auto &it) {
+        return !it.second.ordered && !modelBehind(m_engines.at(it.first));
+    });
     startLoads(loads);
     std::vector<std::string> late;
     for (auto &[id, load] : m_loads) {
+        const bool mayAct = now >= holding->actFrom || load.stage == Stage::Asking;
         if (now - load.since >= m_limits.longestLoad)
             late.push_back(id);
-        else if (now >= holding->actFrom && now >= load.nextStep && !load.isAsking)
+        else if (mayAct && now >= load.nextStep && !load.isAsking)
             step(id, load, loads, holding->fence);
     }
     for (const std::string &it : late)
@@ -153,30 +178,32 @@
 void WeightRollout::step(const std::string &instanceId, Load &load, const LoadBook &loads,
                          std::int64_t fence)
 {
-    const Engine &engine = m_engines.at(instanceId);
-    if (load.stage == Stage::Draining) {
-        const bool isDrained = loads.total(instanceId).running == 0
-                               || m_clock.now() - load.since >= m_limits.longestDrain;
-        if (!isDrained || !mayOrder())
-            return;
-    }
-    const std::optional<std::string> model = modelBehind(engine);
-    // The order bears the count of orders that was reported, so the report may be of a while ago.
-    if (load.stage == Stage::Ready && model && !mayOrder())
-        return;
-    if (load.stage == Stage::Ready && model) {
-        load.stage = Stage::Loading;
+    if (load.stage != Stage::Draining) {
         load.isAsking = true;
-        load.ordered = m_clock.now();
-        load.isUnanswered = false;
-        load.model = *model;
-        load.version = m_targets.at(*model);
-        m_actions.emplace_back(OrderWeights{instanceId, engine.address, *model, load.version, fence,
-                                            load.ordersTaken});
+        m_actions.emplace_back(AskReport{instanceId, m_engines.at(instanceId).address});
         return;
     }
+    const bool isDrained = loads.total(instanceId).running == 0
+                           || m_clock.now() - load.since >= m_limits.longestDrain;
+    if (isDrained && mayOrder())
+        order(instanceId, load, fence);
+}
+
+// The order bears the count of orders that was reported, so the report may be of a while ago.
+void WeightRollout::order(const std::string &instanceId, Load &load, std::int64_t fence)
+{
+    const Engine &engine = m_engines.at(instanceId);
+    const std::optional<std::string> model = modelBehind(engine);
+    if (!model)
+        return;
+    load.stage = Stage::Loading;
     load.isAsking = true;
-    m_actions.emplace_back(AskReport{instanceId, engine.address});
+    load.ordered = m_clock.now();
+    load.isUnanswered = false;
+    load.model = *model;
+    load.version = m_targets.at(*model);
+    m_actions.emplace_back(
+        OrderWeights{instanceId, engine.address, *model, load.version, fence, load.ordersTaken});
 }
 
 void WeightRollout::reportRead(const std::string &instanceId,
@@ -188,12 +215,13 @@
     Load &load = it->second;
     load.isAsking = false;
     load.nextStep = m_clock.now() + m_limits.reportEvery;
+    Engine &engine = m_engines.at(instanceId);
+    engine.isSilent = !report;
     if (!report) {
         if (!load.ordered)
             giveUp(instanceId);
         return;
     }
-    Engine &engine = m_engines.at(instanceId);
     for (const auto &[model, version] : report->weightVersions) {
         if (version <= engine.versions[model])
             continue;
@@ -201,22 +229,40 @@
         m_shown[instanceId][model] = version;
     }
     if (isDone(engine, load)) {
+        m_shownAnew = true;
         m_loads.erase(it);
         return;
     }
+    if (load.stage == Stage::Asking && keptFree() >= mostKeptFree())
+        m_loads.erase(it); // it waits for its turn like the others
+    else
+        noteState(load, *report);
+}
+
+void WeightRollout::noteState(Load &load, const EngineReport &report)
+{
+    const TimePoint now = m_clock.now();
+    if (load.stage == Stage::Asking) {
+        load.since = now;
+        load.nextStep = now + m_limits.announceLead;
+    }
+    if (report.busy) {
+        load.stage = Stage::Loading;
+        load.ordered = load.ordered.value_or(now); // by an earlier order that was late
+        return;
+    }
     const bool isFromBefore = load.ordered && !load.isUnanswered
-                              && report->ordersTaken <= load.ordersTaken
-                              && m_clock.now() - *load.ordered < m_limits.reportLag;
-    if (report->busy && !load.ordered)
-        load.ordered = m_clock.now(); // by an earlier order that was late
-    if (report->busy || isFromBefore)
+                              && report.ordersTaken <= load.ordersTaken
+                              && now - *load.ordered < m_limits.reportLag;
+    if (isFromBefore)
         return;
     // An order that got no answer and was not taken leaves the turn to any engine that is ready; on
     // the same count of orders a repeat is safe, since the engine does only one of the two.
     load.ordered.reset();
-    load.ordersTaken = report->ordersTaken;
-    load.stage = Stage::Ready;
-    load.nextStep = m_clock.now();
+    load.ordersTaken = report.ordersTaken;
+    if (load.stage == Stage::Loading)
+        load.nextStep = now;
+    load.stage = Stage::Draining;
 }
 
 void WeightRollout::orderAnswered(const std::string &instanceId, OrderResult result)
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -499,7 +499,7 @@
 void ControlDuty::noteLoading()
 {
     const auto loading = m_orders.rollout().loading();
-    if (loading == m_toldLoading)
+    if (!m_orders.rollout().takeShownAnew() && loading == m_toldLoading)
         return;
     m_toldLoading = loading;
     m_gossipSoon = true;
