--- a/tests/unit/rollout_simulation_test.cpp
+++ b/tests/unit/rollout_simulation_test.cpp
@@ -404,3 +404,13 @@
         CHECK(*worst.toLast < 10s + 5s);
     }
 }
+
+TEST_CASE(
+    "rollout simulation: engines that end in their load leave their turn [weights][simulation]")
+{
+    for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+        Simulation simulation(9, 0.0, seed);
+        simulation.endInLoad(2);
+        CHECK(simulation.run(30s).toUp < 9s);
+    }
+}
--- a/tests/unit/weight_rollout_test.cpp
+++ b/tests/unit/weight_rollout_test.cpp
@@ -202,3 +202,16 @@
         CHECK(it.instanceId != first[1].instanceId);
     }
 }
+
+TEST_CASE("rollout: an engine that loads keeps its turn over a report that was not read [weights]")
+{
+    Rollout rollout(3);
+    rollout.m_rollout.setTarget("m", 2);
+    const auto orders = rollout.run(200ms, kOld);
+    REQUIRE(orders.size() == 1);
+    const std::string first = orders.front().instanceId;
+    rollout.m_rollout.orderAnswered(first, OrderResult::Accepted);
+    rollout.m_rollout.reportRead(first, std::nullopt);
+    CHECK(rollout.run(800ms, {{{"m", 1}}, true, 1}).empty());
+    CHECK(rollout.m_rollout.loading().contains(first));
+}
