An engine that goes down in its load leaves its turn to another

An engine that had taken an order and went down held its turn for 8 s. Now two reports missed in a row end it, or one if the order got no answer either. An engine that loads keeps its turn over one missed report.

--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -76,6 +76,8 @@
         // Reports tell of some hundred milliseconds ago: one that does not count the last order
         // yet is passed over for so long.
         Duration reportLag = std::chrono::milliseconds(1'000);
+        // An engine that loads and misses so many reports in a row is taken for down.
+        int mostReportsMissed = 2;
         // An engine that does not come to its version in time is put behind the others.
         Duration longestLoad = std::chrono::seconds(8);
         Duration pause = std::chrono::seconds(1);
@@ -131,6 +133,7 @@
         bool isAsking = false; // a report is on its way
         std::optional<TimePoint> ordered; // while it loads, or may do so
         bool isUnanswered = false; // the order
+        int reportsMissed = 0; // in a row
         std::string model; // that was ordered, and its version
         std::uint64_t version = 0;
         std::int64_t ordersTaken = 0; // by the report that the order followed
@@ -146,6 +149,7 @@
     bool mayOrder() const;
     void step(const std::string &instanceId, Load &load, const LoadBook &loads, std::int64_t fence);
     void order(const std::string &instanceId, Load &load, std::int64_t fence);
+    void noteMissed(const std::string &instanceId, Load &load);
     void noteState(Load &load, const EngineReport &report);
     bool isDone(const Engine &engine, const Load &load) const;
     void giveUp(const std::string &instanceId);
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -218,10 +218,10 @@
     Engine &engine = m_engines.at(instanceId);
     engine.isSilent = !report;
     if (!report) {
-        if (!load.ordered)
-            giveUp(instanceId);
+        noteMissed(instanceId, load);
         return;
     }
+    load.reportsMissed = 0;
     for (const auto &[model, version] : report->weightVersions) {
         if (version <= engine.versions[model])
             continue;
@@ -239,6 +239,15 @@
         noteState(load, *report);
 }
 
+// One that has gone down leaves its turn to another; one that loads may miss a report.
+void WeightRollout::noteMissed(const std::string &instanceId, Load &load)
+{
+    load.reportsMissed += 1;
+    const bool mayLoad = load.ordered && !load.isUnanswered;
+    if (!mayLoad || load.reportsMissed >= m_limits.mostReportsMissed)
+        giveUp(instanceId);
+}
+
 void WeightRollout::noteState(Load &load, const EngineReport &report)
 {
     const TimePoint now = m_clock.now();
