--- a/tests/unit/rollout_simulation_test.cpp
+++ b/tests/unit/rollout_simulation_test.cpp
@@ -102,6 +102,9 @@
     // The first engines that load go down while they do so, for good.
     void endInLoad(std::size_t engines) { m_endInLoad = engines; }
 
+    // Newer weights are named meanwhile; all times count from the first naming.
+    void nameAgain(Duration after) { m_nextNaming = m_start + after; }
+
     Outcome run(Duration longest)
     {
         while (m_clock.now() < m_start + longest && !m_outcome.toLast)
@@ -127,6 +130,11 @@
     void step()
     {
         m_clock.advance(kStep);
+        if (m_nextNaming && m_clock.now() >= *m_nextNaming) {
+            m_nextNaming.reset();
+            m_newest += 1;
+            m_rollout.setTarget("m", m_newest);
+        }
         for (auto &[id, engine] : m_engines)
             advance(id, engine);
         deliver();
@@ -257,17 +265,19 @@
             if (!engine.state.busy && !engine.hasRun && !engine.isDown(now))
                 m_outcome.idle += kStep;
         }
-        const auto isNew = [](const auto &it) { return it.second.state.version == 2; };
+        const auto isNew = [this](const auto &it) { return it.second.state.version == m_newest; };
         const auto isOldAndUp
             = [&](const auto &it) { return !isNew(it) && !it.second.isDown(now); };
         if (std::any_of(m_engines.begin(), m_engines.end(), isOldAndUp))
             m_outcome.toUp = now - m_start;
-        if (std::all_of(m_engines.begin(), m_engines.end(), isNew))
+        if (!m_nextNaming && std::all_of(m_engines.begin(), m_engines.end(), isNew))
             m_outcome.toLast = now - m_start;
     }
 
     const double m_unanswered;
     std::size_t m_endInLoad = 0;
+    std::uint64_t m_newest = 2;
+    std::optional<TimePoint> m_nextNaming;
     std::mt19937 m_random;
     ManualClock m_clock;
     const TimePoint m_start = m_clock.now();
@@ -414,3 +424,27 @@
         CHECK(simulation.run(30s).toUp < 9s);
     }
 }
+
+TEST_CASE("rollout simulation: weights that are named in a rollout come to all engines "
+          "[weights][simulation]")
+{
+    struct Case
+    {
+        std::size_t engines;
+        Duration bound;
+    };
+    for (const Duration after : {500ms, 1000ms, 3000ms}) {
+        for (const Case &it : {Case{6, 8s}, Case{9, 10s}, Case{18, 11s}, Case{112, 10s}}) {
+            std::vector<Outcome> outcomes;
+            for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+                Simulation simulation(it.engines, 0.0, seed);
+                simulation.nameAgain(after);
+                outcomes.push_back(simulation.run(60s));
+            }
+            const Outcome worst = worstOf(outcomes);
+            REQUIRE(worst.toLast);
+            CHECK_MESSAGE(*worst.toLast < after + it.bound, it.engines);
+            CHECK(worst.mostLoads <= loadsWithoutSlowing(it.engines));
+        }
+    }
+}
--- a/tests/unit/weight_rollout_test.cpp
+++ b/tests/unit/weight_rollout_test.cpp
@@ -215,3 +215,18 @@
     CHECK(rollout.run(800ms, {{{"m", 1}}, true, 1}).empty());
     CHECK(rollout.m_rollout.loading().contains(first));
 }
+
+TEST_CASE("rollout: engines that a holder before has ordered count as loading [weights][lock]")
+{
+    Rollout rollout(9);
+    rollout.m_rollout.setTarget("m", 2);
+    for (Duration passed{0}; passed < 1s; passed += 20ms) {
+        for (const RolloutAction &it : rollout.tick()) {
+            const auto *ask = std::get_if<AskReport>(&it);
+            REQUIRE(ask != nullptr);
+            const bool busy = ask->instanceId == "e0" || ask->instanceId == "e1";
+            rollout.m_rollout.reportRead(ask->instanceId, EngineReport{{{"m", 1}}, busy, busy});
+        }
+    }
+    CHECK(rollout.m_rollout.loading().size() == 4); // two load and two are drained
+}
