Test: a holder gives up a lock that outlasts the store's absence (fails; known red)

Leases may wait while the store is away. The holder's own count ends after 1.5 s without an answer; then it must not act, but it also gave the lock up. Its word for the store was lost with the store, so the key stayed for the rest of the lease once the store was back; then the lock was taken anew, by the same node, and the quiet time of 3 s began. The store was away from 20.04 to 24.04:

21.1456 event=225 name=OrderLockLost fence="14" 25.7621 event=224 name=OrderLockTaken fence="40" 28.7704 event=226 name=WeightsOrdered fence="40"

The first order came 4.7 s after the store's return, 4.5 s after the naming. The other side: a lease that ran out is given up at once.

--- a/tests/unit/fenced_lock_test.cpp
+++ b/tests/unit/fenced_lock_test.cpp
@@ -204,3 +204,50 @@
     node.lock.keyChanged(nullptr);
     CHECK(node.lock.tick().size() == 1); // GrantLease
 }
+
+TEST_CASE("lock: a holder whose lease outlasts the store's absence goes on at once [lock][store]")
+{
+    ManualClock clock;
+    Node node("a", clock);
+    const std::string value = node.take(41);
+    const StoredItem shown{"lock", 41, 41, value};
+    node.lock.keyChanged(&shown);
+    clock.advance(4s); // orders may be sent by now
+    node.lock.leaseKept(1500ms, clock.now());
+    const auto before = node.lock.holding();
+    REQUIRE(before);
+
+    // The store answers nothing: the holder does not act, but asks whether its lease is still
+    // there.
+    for (int n = 0; n < 8; ++n) {
+        clock.advance(500ms);
+        for (const LockAction &it : node.lock.tick()) {
+            CHECK(std::holds_alternative<KeepLease>(it));
+            node.lock.leaseNotKept(false);
+        }
+    }
+    CHECK_FALSE(node.lock.holding());
+
+    // Leases waited with the store, so nobody can have held the lock since.
+    node.lock.leaseKept(1500ms, clock.now());
+    REQUIRE(node.lock.holding());
+    CHECK(node.lock.holding()->fence == 41);
+    CHECK(node.lock.holding()->actFrom == before->actFrom);
+}
+
+TEST_CASE("lock: a holder whose lease ran out while the store was away starts over [lock][store]")
+{
+    ManualClock clock;
+    Node node("a", clock);
+    const std::string value = node.take(41);
+    const StoredItem shown{"lock", 41, 41, value};
+    node.lock.keyChanged(&shown);
+    clock.advance(4s);
+    node.lock.tick();
+    node.lock.leaseNotKept(true);
+    node.lock.leaseKept(1500ms, clock.now()); // an older answer that was late
+    CHECK_FALSE(node.lock.holding());
+    node.lock.keyChanged(nullptr);
+    clock.advance(500ms);
+    CHECK(std::holds_alternative<GrantLease>(node.lock.tick().back()));
+}
