A holder whose lease outlasts the store's absence goes on ordering

After each absence of the store nobody ordered engines for up to 4.7 s: the holder had given up a lock that the store still had. Now it goes on asking for its lease after its own count has ended; it acts on nothing until the store says that the lease is still there. The key never went then, so nobody else can have held the lock, and neither the taking nor the quiet time is due. If the store says that the lease is over, or its copy shows the key gone or another's, it starts over as before.

--- a/include/fordwood/fenced_lock.hpp
+++ b/include/fordwood/fenced_lock.hpp
@@ -55,8 +55,8 @@
 //
 // The holder counts its lease from the moment at which it *sent* the renewal, on its steady clock,
 // so that it stops before the store gives the lock to another; a holder that was frozen sees on
-// waking that its time is over. A new holder waits `quietTime` before it acts, in which whatever
-// the one before has sent arrives.
+// waking that its time is over. It acts again if the store says that the lease is still there. A
+// new holder waits `quietTime` before it acts, in which whatever the one before has sent arrives.
 class FencedLock
 {
 public:
--- a/src/core/fenced_lock.cpp
+++ b/src/core/fenced_lock.cpp
@@ -147,9 +147,9 @@
             startOver(m_limits.retryEvery);
         break;
     case Stage::Held:
-        if (now >= m_leaseEnd) {
-            startOver(m_limits.retryEvery);
-        } else if (!m_keeping && now >= m_nextKeep) {
+        // Also after its own count has ended: a lease may wait while the store is away. If the
+        // store still has it when it is back, nobody else can have held the lock.
+        if (!m_keeping && now >= m_nextKeep) {
             m_keeping = true;
             m_nextKeep = now + m_limits.keepEvery;
             m_actions.emplace_back(KeepLease{m_lease});
