Sight: which engines are behind and what each waits for

Nothing told why an engine had not been brought to the newest weights: whether it waited for the quiet time of the lock, its turn, its runs, an answer, or had not answered. No decision changes.

--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -57,6 +57,28 @@
     Unknown, // no answer: it may be carried out, now or later
 };
 
+// What an engine with old weights waits for.
+enum class RolloutWait : std::uint8_t {
+    QuietTime, // orders of the holder before may still arrive
+    Turn,
+    Report, // it was asked, and has not answered yet
+    Silent, // it did not answer when asked last; it is asked again now and then
+    Pause, // it refused an order, or did not come to its weights in time
+    Drain, // it is kept free of requests, for an order as soon as others have loaded
+    Answer, // to its order; none has come in time
+    Load, // it was ordered
+};
+
+struct EngineBehind
+{
+    std::string model;
+    std::uint64_t version = 0; // that it has
+    std::uint64_t target = 0;
+    RolloutWait waitsFor = RolloutWait::Turn;
+
+    bool operator==(const EngineBehind &) const = default;
+};
+
 // Brings the engines to the weight versions that were named, a few at a time, while this node holds
 // the lock for it. Events in, actions out; no I/O.
 class WeightRollout
@@ -102,6 +124,9 @@
     // The engines that load or are about to.
     std::set<std::string> loading() const;
 
+    // The engines that have not come to their weights, by id.
+    std::map<std::string, EngineBehind> behind(const FencedLock::Holding &holding) const;
+
     // Engines whose new version an answer has shown and that have not yet told it themselves.
     const std::map<std::string, std::map<std::string, std::uint64_t>> &shown() const
     {
@@ -139,6 +164,7 @@
         std::int64_t ordersTaken = 0; // by the report that the order followed
     };
 
+    RolloutWait waitOf(const std::string &instanceId, const Engine &engine) const;
     std::optional<std::string> modelBehind(const Engine &engine) const;
     std::uint64_t versionsBehind(const Engine &engine) const;
     void startLoads(const LoadBook &loads);
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -61,6 +61,39 @@
     return ids;
 }
 
+std::map<std::string, EngineBehind> WeightRollout::behind(const FencedLock::Holding &holding) const
+{
+    const bool isQuiet = m_clock.now() < holding.actFrom;
+    std::map<std::string, EngineBehind> found;
+    for (const auto &[id, engine] : m_engines) {
+        const std::optional<std::string> model = modelBehind(engine);
+        if (!model)
+            continue;
+        const RolloutWait wait = isQuiet ? RolloutWait::QuietTime : waitOf(id, engine);
+        found[id] = {*model, engine.versions.at(*model), m_targets.at(*model), wait};
+    }
+    return found;
+}
+
+RolloutWait WeightRollout::waitOf(const std::string &instanceId, const Engine &engine) const
+{
+    const auto it = m_loads.find(instanceId);
+    if (it == m_loads.end()) {
+        if (m_clock.now() >= engine.notBefore)
+            return RolloutWait::Turn;
+        return engine.isSilent ? RolloutWait::Silent : RolloutWait::Pause;
+    }
+    switch (it->second.stage) {
+    case Stage::Asking:
+        return engine.isSilent ? RolloutWait::Silent : RolloutWait::Report;
+    case Stage::Draining:
+        return RolloutWait::Drain;
+    case Stage::Loading:
+        return it->second.isUnanswered ? RolloutWait::Answer : RolloutWait::Load;
+    }
+    return RolloutWait::Turn;
+}
+
 void WeightRollout::giveUp(const std::string &instanceId)
 {
     m_loads.erase(instanceId);
--- a/src/node/order_duty.cpp
+++ b/src/node/order_duty.cpp
@@ -15,6 +15,41 @@
 constexpr Duration kReportPatience = std::chrono::milliseconds(700);
 constexpr Duration kOrderPatience = std::chrono::milliseconds(500);
 
+// How often the engines with old weights are looked at for the log.
+constexpr Duration kBehindEvery = std::chrono::milliseconds(200);
+
+std::string_view nameOf(RolloutWait wait)
+{
+    switch (wait) {
+    case RolloutWait::QuietTime:
+        return "quiet-time";
+    case RolloutWait::Turn:
+        return "turn";
+    case RolloutWait::Report:
+        return "report";
+    case RolloutWait::Silent:
+        return "silent";
+    case RolloutWait::Pause:
+        return "pause";
+    case RolloutWait::Drain:
+        return "drain";
+    case RolloutWait::Answer:
+        return "answer";
+    case RolloutWait::Load:
+        return "load";
+    }
+    return "turn";
+}
+
+void logBehind(const std::string &instanceId, const EngineBehind &engine, std::string_view waitsFor)
+{
+    logEvent(Event::EngineBehind, {{"upstream", instanceId},
+                                   {"model", engine.model},
+                                   {"weights", engine.version},
+                                   {"newest", engine.target},
+                                   {"waits_for", std::string(waitsFor)}});
+}
+
 std::string_view nameOf(OrderResult result)
 {
     switch (result) {
@@ -56,6 +91,7 @@
         carryOut(it);
     if (m_rollout.takeFenceRefused())
         m_lock.fenceRefused();
+    noteBehind();
 }
 
 void OrderDuty::release()
@@ -79,6 +115,28 @@
     m_loggedFence = fence;
 }
 
+// The holder alone tells, and only what has changed.
+void OrderDuty::noteBehind()
+{
+    const auto holding = m_lock.holding();
+    if (!holding)
+        m_loggedBehind.clear();
+    if (!holding || m_clock.now() < m_nextBehind)
+        return;
+    m_nextBehind = m_clock.now() + kBehindEvery;
+    auto behind = m_rollout.behind(*holding);
+    for (const auto &[id, engine] : behind) {
+        const auto known = m_loggedBehind.find(id);
+        if (known == m_loggedBehind.end() || known->second != engine)
+            logBehind(id, engine, nameOf(engine.waitsFor));
+    }
+    for (const auto &[id, engine] : m_loggedBehind) {
+        if (!behind.contains(id))
+            logBehind(id, engine, "nothing");
+    }
+    m_loggedBehind = std::move(behind);
+}
+
 void OrderDuty::carryOut(const LockAction &action)
 {
     if (const auto *granting = std::get_if<GrantLease>(&action))
--- a/src/node/order_duty.hpp
+++ b/src/node/order_duty.hpp
@@ -48,6 +48,7 @@
     void ask(const AskReport &action);
     void order(const OrderWeights &action);
     void noteHolding();
+    void noteBehind();
 
     const Clock &m_clock;
     HttpCaller &m_caller;
@@ -57,6 +58,8 @@
     WeightRollout m_rollout;
     std::optional<TimePoint> m_lastOrder;
     std::int64_t m_loggedFence = 0; // zero: not held, as logged last
+    TimePoint m_nextBehind{};
+    std::map<std::string, EngineBehind> m_loggedBehind;
 };
 
 } // namespace fordwood::node
--- a/tests/unit/weight_rollout_test.cpp
+++ b/tests/unit/weight_rollout_test.cpp
@@ -230,3 +230,33 @@
     }
     CHECK(rollout.m_rollout.loading().size() == 4); // two load and two are drained
 }
+
+TEST_CASE("rollout: tells of each engine with old weights what it waits for [weights][sight]")
+{
+    Rollout rollout(6);
+    rollout.m_rollout.setTarget("m", 2);
+    const auto behind = [&] { return rollout.m_rollout.behind(*rollout.m_holding); };
+    const auto waitOf = [&](const std::string &id) { return behind().at(id).waitsFor; };
+
+    rollout.m_holding = FencedLock::Holding{9, {}, rollout.m_clock.now() + 1s, TimePoint::max()};
+    CHECK(behind().at("e0") == EngineBehind{"m", 1, 2, RolloutWait::QuietTime});
+    rollout.m_holding->actFrom = TimePoint{};
+
+    rollout.tick();
+    CHECK(waitOf("e0") == RolloutWait::Report);
+    CHECK(waitOf("e3") == RolloutWait::Turn);
+    rollout.m_rollout.reportRead("e0", kOld);
+    rollout.m_rollout.reportRead("e1", kOld);
+    rollout.m_rollout.reportRead("e2", std::nullopt);
+    CHECK(waitOf("e0") == RolloutWait::Drain);
+    CHECK(waitOf("e2") == RolloutWait::Silent);
+
+    rollout.run(100ms, kOld);
+    CHECK(waitOf("e0") == RolloutWait::Load);
+    rollout.m_rollout.orderAnswered("e0", OrderResult::Unknown);
+    CHECK(waitOf("e0") == RolloutWait::Answer);
+    rollout.m_rollout.orderAnswered("e1", OrderResult::Refused);
+    CHECK(waitOf("e1") == RolloutWait::Pause);
+    rollout.m_rollout.reportRead("e0", EngineReport{{{"m", 2}}, false, 1});
+    CHECK_FALSE(behind().contains("e0"));
+}
