--- a/include/fordwood/fenced_lock.hpp
+++ b/include/fordwood/fenced_lock.hpp
@@ -55,8 +55,8 @@
 //
 // The holder counts its lease from the moment at which it *sent* the renewal, on its steady clock,
 // so that it stops before the store gives the lock to another; a holder that was frozen sees on
-// waking that its time is over. A new holder waits `quietTime` before it acts, in which whatever
-// the one before has sent arrives.
+// waking that its time is over. It acts again if the store says that the lease is still there. A
+// new holder waits `quietTime` before it acts, in which whatever the one before has sent arrives.
 class FencedLock
 {
 public:
@@ -110,7 +110,7 @@
     // Nothing while this node does not hold the lock, or may not act.
     std::optional<Holding> holding() const;
 
-    // The owner of the lock before this node, as far as seen; empty: there was none.
+    // The owner of the lock before this node, as far as seen; empty: none was seen.
     const std::string &predecessor() const { return m_predecessor; }
 
     // The owner before has acted last at this moment, by its own word after its time was over, or
@@ -139,6 +139,7 @@
     TimePoint m_nextKeep{};
     bool m_keeping = false;
     std::int64_t m_fence = 0;
+    bool m_isShown = false; // the copy of the store has shown the own key
     TimePoint m_heldSince{};
     TimePoint m_actFrom{};
     std::string m_predecessor;
--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_WEIGHT_ROLLOUT_HPP_INCLUDED
 #define FORDWOOD_WEIGHT_ROLLOUT_HPP_INCLUDED
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -56,6 +57,28 @@
     Unknown, // no answer: it may be carried out, now or later
 };
 
+// What an engine with old weights waits for.
+enum class RolloutWait : std::uint8_t {
+    QuietTime, // orders of the holder before may still arrive
+    Turn,
+    Report, // it was asked, and has not answered yet
+    Silent, // it did not answer when asked last; it is asked again now and then
+    Pause, // it refused an order, or did not come to its weights in time
+    Drain, // it is kept free of requests, for an order as soon as others have loaded
+    Answer, // to its order; none has come in time
+    Load, // it was ordered
+};
+
+struct EngineBehind
+{
+    std::string model;
+    std::uint64_t version = 0; // that it has
+    std::uint64_t target = 0;
+    RolloutWait waitsFor = RolloutWait::Turn;
+
+    bool operator==(const EngineBehind &) const = default;
+};
+
 // Brings the engines to the weight versions that were named, a few at a time, while this node holds
 // the lock for it. Events in, actions out; no I/O.
 class WeightRollout
@@ -63,18 +86,20 @@
 public:
     struct Limits
     {
-        // Engines that may load at once, as a part of all: beyond it each load takes longer.
+        // Engines that may load at once, as a part of all and at least so many: beyond it each load
+        // takes longer.
         double loadingPart = 0.2;
+        std::size_t leastLoading = 2;
         // From the announcement that an engine is about to load to the order: no node sends it
         // requests that it would turn away, and what runs there ends, which the load waits for.
         Duration announceLead = std::chrono::milliseconds(60);
         Duration longestDrain = std::chrono::milliseconds(1'500);
         Duration reportEvery = std::chrono::milliseconds(120); // while an engine loads
-        // After an order without an answer the next one waits, since the first may be late.
-        Duration lateOrder = std::chrono::milliseconds(1'500);
         // Reports tell of some hundred milliseconds ago: one that does not count the last order
         // yet is passed over for so long.
         Duration reportLag = std::chrono::milliseconds(1'000);
+        // An engine that loads and misses so many reports in a row is taken for down.
+        int mostReportsMissed = 2;
         // An engine that does not come to its version in time is put behind the others.
         Duration longestLoad = std::chrono::seconds(8);
         Duration pause = std::chrono::seconds(1);
@@ -99,41 +124,59 @@
     // The engines that load or are about to.
     std::set<std::string> loading() const;
 
+    // The engines that have not come to their weights, by id.
+    std::map<std::string, EngineBehind> behind(const FencedLock::Holding &holding) const;
+
     // Engines whose new version an answer has shown and that have not yet told it themselves.
     const std::map<std::string, std::map<std::string, std::uint64_t>> &shown() const
     {
         return m_shown;
     }
 
+    // Whether more has been shown since the last call.
+    bool takeShownAnew() { return std::exchange(m_shownAnew, false); }
+
     // Whether an engine has refused the fence since the last call.
     bool takeFenceRefused() { return std::exchange(m_fenceRefused, false); }
 
 private:
-    enum class Stage : std::uint8_t { Draining, Ready, Loading };
+    // An engine is asked before it is drained, so that one that does not answer serves on, or is
+    // left to itself, and takes the place of no other.
+    enum class Stage : std::uint8_t { Asking, Draining, Loading };
     struct Engine
     {
         std::string address;
         std::map<std::string, std::uint64_t> versions;
         TimePoint notBefore{}; // after a failure
+        bool isSilent = false; // did not answer when asked last
     };
     struct Load
     {
-        Stage stage = Stage::Draining;
+        Stage stage = Stage::Asking;
         TimePoint since{};
         TimePoint nextStep{};
         bool isAsking = false; // a report is on its way
-        std::optional<TimePoint> ordered;
+        std::optional<TimePoint> ordered; // while it loads, or may do so
+        bool isUnanswered = false; // the order
+        int reportsMissed = 0; // in a row
         std::string model; // that was ordered, and its version
         std::uint64_t version = 0;
         std::int64_t ordersTaken = 0; // by the report that the order followed
     };
 
+    RolloutWait waitOf(const std::string &instanceId, const Engine &engine) const;
     std::optional<std::string> modelBehind(const Engine &engine) const;
     std::uint64_t versionsBehind(const Engine &engine) const;
     void startLoads(const LoadBook &loads);
     std::size_t mostAtOnce() const;
+    std::size_t mostKeptFree() const;
+    std::size_t keptFree() const;
+    std::size_t asked(bool silent) const;
     bool mayOrder() const;
     void step(const std::string &instanceId, Load &load, const LoadBook &loads, std::int64_t fence);
+    void order(const std::string &instanceId, Load &load, std::int64_t fence);
+    void noteMissed(const std::string &instanceId, Load &load);
+    void noteState(Load &load, const EngineReport &report);
     bool isDone(const Engine &engine, const Load &load) const;
     void giveUp(const std::string &instanceId);
 
@@ -144,6 +187,7 @@
     std::map<std::string, Load> m_loads;
     std::map<std::string, std::map<std::string, std::uint64_t>> m_shown;
     std::vector<RolloutAction> m_actions;
+    bool m_shownAnew = false;
     bool m_fenceRefused = false;
 };
 
