An engine with replaced weights is used while the wait there ends before the bound

Callers got answers from weights that had been replaced for longer than is allowed, although their requests were sent in time. Cause: a fixed 1.5 s was kept for the wait at an engine; what lay there did not count. Now the chooser reckons when the first token would come: prompts that wait there and the request's own at the pace that engines showed, what the store of its context still has to send, and rounds of answers that must end before it has a slot and memory, one place in eight left to what peers have not told yet. An engine is left out when that ends within 1 s of the bound or after it. What waits there counts in full: an engine that is left out for its queue has work meanwhile. The pace follows its first samples sooner: after ten prompts of 1 s each, which it first takes for 0.4 s, it says 0.88 s. Early refusals for too long a wait use the same pace.

A request's time limit at the engine, cut to the bound, was not tried: the limit ends answers too, not only waits.

Tests of single waits (prompts, memory, a store of context that sends) are with the chooser's. A node that hears no peers for 2 s does not count what they sent, as before.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -13,6 +13,7 @@
 #include "fordwood/context_directory.hpp"
 #include "fordwood/load_book.hpp"
 #include "fordwood/mechanisms.hpp"
+#include "fordwood/prefill_pace.hpp"
 #include "fordwood/prompt.hpp"
 #include "fordwood/serving_config.hpp"
 #include "fordwood/upstream_health.hpp"
@@ -42,6 +43,7 @@
     bool isStored = false; // a store holds the context
     UpstreamLoad found; // what lay at the engine before
     double waitTokens = 0.0; // the wait before its prompt is computed, in tokens to compute
+    Duration beginsAfter{}; // its send: until its first token, as far as can be told
 
     bool isFetching() const
     {
@@ -67,9 +69,8 @@
     {
         // Answers that begin on older weights lose value from here on (rules of the platform).
         Duration oldWeightsFine = std::chrono::milliseconds(1'500);
-        // After this no request may begin on older weights: the bound of the platform's settings
-        // less the time that a request may wait at an engine.
-        Duration oldWeightsEnd = std::chrono::milliseconds(10'500);
+        // After this no request may begin on older weights (the bound of the platform's settings).
+        Duration weightsWithin = std::chrono::seconds(12);
         Mechanisms mechanisms;
     };
 
@@ -91,6 +92,8 @@
         // Cold engines to which only few nodes may send, this one among them: always considered,
         // as nobody else puts them to use.
         std::set<std::string> coldToUse = {};
+        // Of the engines of the service.
+        PrefillPace pace = {};
     };
 
     // Nothing: no engine may take the request now.
@@ -99,6 +102,10 @@
                                        const LoadBook &loads, const UpstreamHealth &health,
                                        ContextDirectory &contexts) const;
 
+    // Whether a request that is sent now and begins after such a wait may begin on the weights.
+    bool beginsInTime(std::uint64_t version, Duration beginsAfter,
+                      const WeightHistory &weights) const;
+
     // The request is sent as it was chosen: what follows for where its context lies.
     static void noteSent(const EngineChoice &choice, const Prompt &prompt,
                          ContextDirectory &contexts);
@@ -110,7 +117,9 @@
         std::uint64_t version = 0;
         std::string salt;
         ContextDirectory::Holder holder; // the store with the context; without address: none
+        double storeTokens = 0.0; // that others fetch there
         double cost = 0.0; // of answers on them
+        bool isReplaced = false;
         bool isHeld = false; // some engine has the context, as believed
     };
     struct Rated
@@ -148,10 +157,13 @@
     double waitingCost(const UpstreamLoad &load, const Terms &terms,
                        const Question &question) const;
     static std::size_t missingMemory(const UpstreamLoad &load, const Question &question);
+    Duration timeToBegin(const UpstreamLoad &load, const Question &question,
+                         const Weights &weights) const;
+    double storeWait(const Weights &weights, double sharedTokens) const;
     double versionCost(std::uint64_t version, const WeightHistory &weights) const;
-    Weights weightsOf(std::uint64_t version, const Question &question,
+    Weights weightsOf(std::uint64_t version, const Question &question, const LoadBook &loads,
                       const ContextDirectory &contexts) const;
-    double contextCost(Rated &rated, const Terms &terms, const LoadBook &loads) const;
+    double contextCost(Rated &rated, const Terms &terms) const;
     std::size_t contextToSave(const Prompt &prompt, const PromptPart &part) const;
     EngineChoice complete(const Rated &rated, const Terms &terms, const Question &question,
                           ContextDirectory &contexts) const;
--- a/include/fordwood/prefill_pace.hpp
+++ b/include/fordwood/prefill_pace.hpp
@@ -9,8 +9,8 @@
 
 namespace fordwood {
 
-// How fast the engines of one service compute prompts, as their first tokens show. Nobody states
-// it, and engines differ.
+// How fast the engines of one service compute prompts, as their first tokens show, and how long
+// answers keep their places there. Nobody states it, and engines differ.
 class PrefillPace
 {
 public:
@@ -20,27 +20,59 @@
     {
         // Shorter ones tell of the fixed part of the time.
         constexpr std::size_t kLeastTokens = 4'000;
-        constexpr double kWeight = 0.05;
         if (tokens < kLeastTokens || took <= Duration(0))
             return;
-        const double sample = static_cast<double>(tokens) / milliseconds(took);
-        m_tokensPerMs += kWeight * (sample - m_tokensPerMs);
+        m_tokensPerMs.add(static_cast<double>(tokens) / milliseconds(took));
+    }
+
+    // An answer has ended `took` after its first token.
+    void observeAnswer(Duration took)
+    {
+        if (took > Duration(0))
+            m_answerMs.add(milliseconds(took));
     }
 
     // How long so many tokens take, about.
     Duration timeFor(double tokens) const
     {
-        const std::chrono::duration<double, std::milli> ms(tokens / m_tokensPerMs);
+        const std::chrono::duration<double, std::milli> ms(tokens / m_tokensPerMs.value);
+        return std::chrono::duration_cast<Duration>(ms);
+    }
+
+    // How long it takes at most, about, until `n` of the requests have ended, of which so many run
+    // at once: those that began together end together.
+    Duration timeForEnds(std::size_t n, std::size_t atOnce) const
+    {
+        const std::size_t places = std::max<std::size_t>(atOnce, 1);
+        const std::size_t rounds = (n + places - 1) / places;
+        const std::chrono::duration<double, std::milli> ms(m_answerMs.value
+                                                           * static_cast<double>(rounds));
         return std::chrono::duration_cast<Duration>(ms);
     }
 
 private:
+    // Of the last samples; the value before the first one counts as a sample.
+    struct Mean
+    {
+        void add(double sample)
+        {
+            constexpr double kLeastWeight = 0.05;
+            samples += 1;
+            const double weight = std::max(kLeastWeight, 1.0 / static_cast<double>(samples));
+            value += weight * (sample - value);
+        }
+
+        double value = 0.0;
+        std::size_t samples = 1;
+    };
+
     static double milliseconds(Duration time)
     {
         return std::chrono::duration<double, std::milli>(time).count();
     }
 
-    double m_tokensPerMs = 50.0; // until observed: a slow engine of today
+    Mean m_tokensPerMs{50.0}; // until observed: a slow engine of today
+    Mean m_answerMs{1'000.0};
 };
 
 } // namespace fordwood
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -48,6 +48,11 @@
 constexpr double kOldWeightsCost = 6'000.0;
 // An engine all of whose requests fail is used only when there is no other.
 constexpr double kFailureCost = 60'000.0;
+// Of so many places at an engine one may be taken by a request that a peer has not told of yet.
+constexpr std::size_t kPlacesForOneUntold = 8;
+// For what a wait takes beyond what is expected: an engine may be slower than the others, and peers
+// may have sent it prompts that they have not told of yet.
+constexpr Duration kBeginMargin = std::chrono::seconds(1);
 
 } // namespace
 
@@ -56,14 +61,53 @@
 {
     if (question.tried.contains(engine.instanceId) || health.isPaused(engine.instanceId))
         return false;
-    const auto version = engine.weightVersions.find(question.prompt.model);
-    if (version == engine.weightVersions.end())
-        return false;
+    return engine.weightVersions.contains(question.prompt.model);
+}
+
+bool EngineChooser::beginsInTime(std::uint64_t version, Duration beginsAfter,
+                                 const WeightHistory &weights) const
+{
+    const auto replaced = weights.superseded(version);
+    if (!replaced)
+        return true;
     // Weights that were replaced at a time that nobody knows may have been so for long: only nodes
     // that know how long may use them.
-    const auto replaced = question.weights.superseded(version->second);
-    return !replaced
-           || (replaced->earliest && m_clock.now() - *replaced->earliest < m_limits.oldWeightsEnd);
+    if (!replaced->earliest)
+        return false;
+    // A fixed time for the wait is too short where requests queue, and leaves engines without work
+    // that could still begin it at once.
+    const Duration begins = m_clock.now() - *replaced->earliest + beginsAfter;
+    return begins + kBeginMargin < m_limits.weightsWithin;
+}
+
+// How long a request waits at an engine for its first token. All that lies there counts, also what
+// a short prompt may overtake: an engine that is left out for its queue has work meanwhile.
+Duration EngineChooser::timeToBegin(const UpstreamLoad &load, const Question &question,
+                                    const Weights &weights) const
+{
+    const Prompt &prompt = question.prompt;
+    const EngineTraits &traits = question.traits;
+    const std::size_t requests = load.running + 1;
+    const std::size_t held = load.tokensHeld + prompt.tokensIn + prompt.mostTokensOut;
+    std::size_t atOnce = traits.slots;
+    // Where the memory holds fewer requests than there are slots, it decides how many run at once.
+    if (held > 0 && traits.contextTokens > 0)
+        atOnce = std::min(atOnce, requests * traits.contextTokens / held);
+    const std::size_t places = atOnce - atOnce / kPlacesForOneUntold;
+    const std::size_t mustEnd = requests - std::min(requests, places);
+    const double tokens = static_cast<double>(load.tokensToCompute + prompt.tokensIn)
+                          + storeWait(weights, static_cast<double>(prompt.sharedTokens()));
+    return question.pace.timeFor(tokens) + question.pace.timeForEnds(mustEnd, atOnce);
+}
+
+// What the store of a context sends before it, in tokens to compute; nothing where the context is
+// computed instead.
+double EngineChooser::storeWait(const Weights &weights, double sharedTokens) const
+{
+    const double waiting = kFetchWeight * weights.storeTokens;
+    const bool isFetched
+        = waiting + sharedTokens * kFetchWeight <= sharedTokens * readAgainWeight();
+    return isFetched || !m_limits.mechanisms.computingInstead ? waiting : 0.0;
 }
 
 // What is to be computed before a prompt: a short one goes before long ones that wait, but not
@@ -139,6 +183,7 @@
 }
 
 EngineChooser::Weights EngineChooser::weightsOf(std::uint64_t version, const Question &question,
+                                                const LoadBook &loads,
                                                 const ContextDirectory &contexts) const
 {
     const Prompt &prompt = question.prompt;
@@ -146,15 +191,19 @@
     weights.version = version;
     weights.salt = contextSalt(prompt.model, version, question.walledTeam);
     weights.cost = versionCost(version, question.weights);
+    weights.isReplaced = question.weights.superseded(version).has_value();
     if (prompt.parts.size() > 1 && m_limits.mechanisms.contextStores)
         weights.holder = contexts.storeWith(weights.salt, prompt.parts.front().id);
+    if (!weights.holder.address.empty())
+        weights.storeTokens
+            = static_cast<double>(loads.total(weights.holder.address).tokensToCompute);
     return weights;
 }
 
 // What it costs to have the shared context at the engine. Where the store's link has more to send
 // than computing the context again costs the fleet, it is computed: so a link that turns slow makes
 // few answers late.
-double EngineChooser::contextCost(Rated &rated, const Terms &terms, const LoadBook &loads) const
+double EngineChooser::contextCost(Rated &rated, const Terms &terms) const
 {
     if (rated.holdsContext)
         return 0.0;
@@ -163,8 +212,7 @@
         return terms.sharedTokens * computeWeight(rated, terms);
     const bool isNear = holder.failureDomain == rated.engine->failureDomain;
     // Moves over the store's link run one after the other.
-    const double waiting
-        = kFetchWeight * static_cast<double>(loads.total(holder.address).tokensToCompute);
+    const double waiting = kFetchWeight * rated.weights->storeTokens;
     const double fetching
         = waiting + terms.sharedTokens * kFetchWeight * (isNear ? 1.0 : kFarFactor);
     const double computing = terms.sharedTokens * readAgainWeight();
@@ -187,7 +235,7 @@
     const std::string &id = rated.engine->instanceId;
     rated.load = loads.total(id);
     rated.cost = waitingCost(rated.load, terms, question) + kFailureCost * health.failureRate(id)
-                 + rated.weights->cost + contextCost(rated, terms, loads);
+                 + rated.weights->cost + contextCost(rated, terms);
     if (health.isSilent(id))
         rated.cost += kFailureCost;
     if (!rated.isInGroup)
@@ -216,7 +264,12 @@
         const std::uint64_t version = it->weightVersions.at(prompt.model);
         auto known = weights.find(version);
         if (known == weights.end())
-            known = weights.emplace(version, weightsOf(version, question, contexts)).first;
+            known = weights.emplace(version, weightsOf(version, question, loads, contexts)).first;
+        if (known->second.isReplaced) {
+            const Duration wait = timeToBegin(loads.total(it->instanceId), question, known->second);
+            if (!beginsInTime(version, wait, question.weights))
+                continue;
+        }
         Rated entry;
         entry.engine = it;
         entry.weights = &known->second;
@@ -267,6 +320,7 @@
     choice.holdsContext = rated.holdsContext;
     choice.isStored = !rated.weights->holder.address.empty();
     choice.found = rated.load;
+    choice.beginsAfter = timeToBegin(rated.load, question, *rated.weights);
     choice.isShort = terms.isShort;
     choice.waitTokens
         = queueCost(rated.load, terms)
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -380,6 +380,9 @@
         }
         health.succeeded(id);
         noteAnswered();
+        if (m_firstEvent)
+            m_traffic.pace(m_call.pool->name)
+                .observeAnswer(m_traffic.clock().now() - *m_firstEvent);
         if (!m_streamBegun)
             beginStream(); // a stream without an event
         m_port.endStream();
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// A request that waits at an engine when old weights end must still begin in time.
-constexpr Duration kOldWeightsMargin = std::chrono::milliseconds(1'500);
-
 // The part of an upstream's connections that all nodes together use: a node that starts again does
 // not know of those that its last life left open.
 constexpr double kConnectionPart = 0.9;
@@ -39,7 +36,7 @@
 EngineChooser::Limits chooserLimits(const config::OneProcessSettings &settings)
 {
     EngineChooser::Limits limits;
-    limits.oldWeightsEnd = settings.bounds.weightsWithin - kOldWeightsMargin;
+    limits.weightsWithin = settings.bounds.weightsWithin;
     limits.mechanisms = settings.mechanisms;
     return limits;
 }
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -54,7 +54,8 @@
                                            traffic.shortGroup(*call.pool),
                                            traffic.consideredPart(),
                                            stableHash(caller.requestId, plan.sends()),
-                                           traffic.boundedAmong(candidates)};
+                                           traffic.boundedAmong(candidates),
+                                           traffic.pace(call.pool->name)};
     return traffic.engines().choose(question, candidates, traffic.loads(), traffic.health(),
                                     traffic.contexts());
 }
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -274,6 +274,55 @@
     CHECK_FALSE(view.choose(longPrompt()));
 }
 
+TEST_CASE("engines: one with replaced weights is left out where the wait would outlast their time "
+          "[weights]")
+{
+    View view;
+    view.m_weights.note(1, {EventTime::at(view.m_clock.now() - 1h), 0});
+    view.m_weights.note(2, {EventTime::at(view.m_clock.now()), 1});
+    const auto mayBegin = [&] { return view.choose(shortPrompt()).has_value(); };
+    const auto fillAll = [&](const RequestLoad &load) {
+        for (const UpstreamRecord &it : view.m_records)
+            view.m_loads.begin(it.instanceId, load);
+    };
+    view.m_clock.advance(8s);
+    fillAll({100'000, 0}); // 2 s of work
+    CHECK(mayBegin());
+    view.m_clock.advance(1'500ms);
+    CHECK_FALSE(mayBegin());
+    for (const UpstreamRecord &it : view.m_records)
+        view.m_loads.end(it.instanceId, {100'000, 0}, false);
+    CHECK(mayBegin());
+    fillAll({0, 86'900}); // no memory until it ends
+    CHECK(mayBegin());
+    view.m_clock.advance(800ms);
+    CHECK_FALSE(mayBegin());
+    for (const UpstreamRecord &it : view.m_records)
+        view.m_loads.end(it.instanceId, {0, 86'900}, true);
+    CHECK(mayBegin());
+}
+
+TEST_CASE("engines: the wait for a store of context takes from the time of replaced weights "
+          "[weights][stores]")
+{
+    View view;
+    const Prompt prompt = longPrompt();
+    const std::string salt = contextSalt("m", 1, "");
+    view.tellStore({{salt, "c1", true, 12'800}});
+    view.m_weights.note(1, {EventTime::at(view.m_clock.now() - 1h), 0});
+    view.m_weights.note(2, {EventTime::at(view.m_clock.now()), 1});
+    view.m_clock.advance(9s);
+    view.tellStore({});
+    CHECK(view.choose(prompt)->isFetching());
+    view.m_loads.begin("10.0.0.1:80", {200'000, 0}); // 0.8 s
+    CHECK(view.choose(prompt)->isFetching());
+    view.m_clock.advance(1s);
+    view.tellStore({});
+    CHECK_FALSE(view.choose(prompt));
+    view.m_loads.begin("10.0.0.1:80", {100'000, 0}); // more than computing it instead
+    CHECK_FALSE(view.choose(prompt)->isFetching());
+}
+
 TEST_CASE("engines: those that failed the request, or pause, are left out [health]")
 {
     View view;
--- a/tests/unit/late_begin_test.cpp
+++ b/tests/unit/late_begin_test.cpp
@@ -159,7 +159,7 @@
     {
         constexpr int kNodes = 3;
         EngineChooser::Limits limits;
-        limits.oldWeightsEnd = kBound - 1500ms; // as nodes set it
+        limits.weightsWithin = kBound;
         for (int n = 0; n < kNodes; ++n)
             m_nodes.push_back(std::make_unique<Node>(m_clock, limits));
         for (int n = 0; n < kEngines; ++n) {
@@ -226,7 +226,8 @@
         std::vector<const UpstreamRecord *> records;
         for (const UpstreamRecord &it : m_records)
             records.push_back(&it);
-        const EngineChooser::Question question{prompt, "", m_weights, m_traits, {}, m_shortGroup};
+        const EngineChooser::Question question{prompt,       "",  m_weights, m_traits, {},
+                                               m_shortGroup, 1.0, 0,         {},       node.pace};
         const auto choice
             = node.chooser.choose(question, records, node.loads, node.health, node.contexts);
         if (!choice)
@@ -263,7 +264,11 @@
             m_seen.late += 1;
     }
 
-    void ended(Sent &sent) { sent.node->loads.end(sent.choice.instanceId, sent.choice.load, true); }
+    void ended(Sent &sent)
+    {
+        sent.node->pace.observeAnswer(m_clock.now() - sent.begun);
+        sent.node->loads.end(sent.choice.instanceId, sent.choice.load, true);
+    }
 
     void tellLoads()
     {
@@ -393,3 +398,23 @@
     const Seen seen = runVaried(manyShort());
     CHECK(milliseconds(seen.idle) < 500.0 * kEngines * kVariations);
 }
+
+TEST_CASE("late begin: a request that waits for others to end waits as long as they take [weights]")
+{
+    PrefillPace pace;
+    for (int n = 0; n < 200; ++n)
+        pace.observeAnswer(600ms);
+    CHECK(pace.timeForEnds(0, 32) == 0ms);
+    CHECK(pace.timeForEnds(1, 32) > 590ms);
+    CHECK(pace.timeForEnds(32, 32) < 700ms);
+    CHECK(pace.timeForEnds(160, 32) > 2'900ms);
+}
+
+TEST_CASE("late begin: slow engines are known after a few prompts [weights]")
+{
+    PrefillPace pace;
+    for (int n = 0; n < 10; ++n)
+        pace.observe(20'000, 1s);
+    CHECK(pace.timeFor(20'000) > 800ms);
+    CHECK(pace.timeFor(20'000) < 1'100ms);
+}
