--- /dev/null
+++ b/tests/node/late_send_test.cpp
@@ -0,0 +1,192 @@
+// SPDX-License-Identifier: MIT
+// A request was sent to an engine whose weights had been replaced for longer than is allowed, and
+// began there. The engine was chosen in time; then the process stood still while the connection
+// came up, and the request was handed to it without another look at the weights: 11 s after newer
+// ones were named, where 10 s are allowed.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "adapters/system_clock.hpp"
+#include "fordwood/manual_clock.hpp"
+#include "node/call_run.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A caller that is told nothing in these tests but how its request ends.
+class Caller : public CallerPort
+{
+public:
+    void sendWhole(http::response_header<> head, std::string) override
+    {
+        m_status = head.result_int();
+    }
+    void beginStream(http::response_header<>) override { }
+    bool sendPiece(std::string_view) override { return true; }
+    void endStream() override { }
+    void cut() override { }
+
+    unsigned status() const { return m_status; }
+
+private:
+    unsigned m_status = 0; // none yet
+};
+
+// Takes connections and answers nothing.
+class Engine
+{
+public:
+    explicit Engine(net::io_context &context)
+        : m_acceptor(context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0))
+    {
+        m_acceptor.non_blocking(true);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    // Whether a part of a request has arrived.
+    bool hasRequest()
+    {
+        ErrorCode ec;
+        tcp::socket socket(m_acceptor.get_executor());
+        while (!m_acceptor.accept(socket, ec)) {
+            m_callers.push_back(std::move(socket));
+            socket = tcp::socket(m_acceptor.get_executor());
+        }
+        return std::any_of(m_callers.begin(), m_callers.end(),
+                           [](const tcp::socket &it) { return it.available() > 0; });
+    }
+
+private:
+    tcp::acceptor m_acceptor;
+    std::vector<tcp::socket> m_callers;
+};
+
+// The serving thread's state: a service with one engine, whose weights are replaced at the start.
+struct Serving
+{
+    Serving() : traffic(context, clock, makeSettings(), metrics), older(context), newer(context)
+    {
+        // Deadlines go by the machine's clock.
+        clock.advance(std::max<Duration>(0s, adapters::BootClock::now() - clock.now()) + 1h);
+        ServingConfig config;
+        ServicePool pool;
+        pool.name = "service";
+        pool.engine.emplace();
+        pool.engine->slots = 16;
+        pool.engine->contextTokens = 100'000;
+        config.services.push_back(pool);
+        ServiceRoute route;
+        route.name = "route";
+        route.host = "a.example";
+        route.pathPrefix = "/";
+        route.targets.push_back({"service", 1.0});
+        route.streaming = true;
+        config.routes.push_back(route);
+        traffic.take(ConfigInForce{std::make_shared<const RouteTable>(std::move(config))});
+        add("older", older, 1);
+        traffic.take(WeightsWanted{"m", 1, {EventTime::at(clock.now() - 1h), 0}});
+        traffic.take(WeightsWanted{"m", 2, {EventTime::at(clock.now()), 1}});
+    }
+
+    static config::OneProcessSettings makeSettings()
+    {
+        config::OneProcessSettings settings;
+        settings.bounds.weightsWithin = 10s;
+        return settings;
+    }
+
+    void add(const std::string &id, const Engine &engine, std::uint64_t weights)
+    {
+        UpstreamRecord record;
+        record.instanceId = id;
+        record.service = "service";
+        record.address = engine.address();
+        record.weightVersions["m"] = weights;
+        traffic.take(UpstreamWritten{record});
+    }
+
+    // The engine is chosen; its connection is known to be up only when the context runs again.
+    void ask()
+    {
+        http::request_header<> head;
+        head.method(http::verb::post);
+        head.target("/x");
+        head.set(http::field::host, "a.example");
+        head.set("Request-Id", "r");
+        head.set("Model", "m");
+        head.set("Token-Usage", "380,10");
+        head.set("Prompt-Prefix", "a1:300,b2:80");
+        call = std::make_shared<CallRun>(traffic, caller, std::move(head), "", clock.now());
+        call->start();
+    }
+
+    // Until an engine has the request, or the caller an answer.
+    void serve()
+    {
+        // By the wall's clock: only a fault makes it take this long.
+        const auto until = std::chrono::steady_clock::now() + 5s;
+        while (!older.hasRequest() && !newer.hasRequest() && caller.status() == 0
+               && std::chrono::steady_clock::now() < until)
+            context.run_one_for(5ms);
+    }
+
+    ~Serving() { call->callerLeft(); }
+
+    net::io_context context;
+    ManualClock clock;
+    adapters::Metrics metrics;
+    Traffic traffic;
+    Engine older;
+    Engine newer;
+    Caller caller;
+    std::shared_ptr<CallRun> call;
+};
+
+} // namespace
+
+TEST_CASE("late send: weights are looked at again when the connection is up [weights]")
+{
+    Serving serving;
+    serving.clock.advance(8s);
+    serving.ask();
+    serving.add("newer", serving.newer, 2);
+    serving.clock.advance(3s);
+    serving.serve();
+    CHECK_FALSE(serving.older.hasRequest());
+    CHECK(serving.newer.hasRequest());
+}
+
+// The other side: engines with replaced weights are of use while they may be.
+TEST_CASE("late send: a connection that comes up a little late is used [weights]")
+{
+    Serving serving;
+    serving.clock.advance(8s);
+    serving.ask();
+    serving.add("newer", serving.newer, 2);
+    serving.clock.advance(500ms);
+    serving.serve();
+    CHECK(serving.older.hasRequest());
+}
+
+TEST_CASE("late send: nothing is sent where the only engine's weights were replaced meanwhile "
+          "[weights]")
+{
+    Serving serving;
+    serving.clock.advance(8s);
+    serving.ask();
+    serving.clock.advance(3s);
+    serving.serve();
+    CHECK_FALSE(serving.older.hasRequest());
+    CHECK(serving.caller.status() == 503);
+}
