The weights are looked at again just before a request is sent

Callers got answers from weights that had been replaced for longer than is allowed, where a node stood still for seconds between the choice of an engine and the moment at which the connection to it was up: the look just before the send asked whether the engine leaves and takes requests, not for its weights. Now it asks whether the request would still begin in time, with the wait as reckoned at the choice; if not, another engine is chosen, and it counts against nothing, as with one whose limit is used up.

Test: chosen 8 s after the naming, connected 3 s later: sent to replaced weights before; now sent to the engine with the newer ones, or refused as not run where there is none. Connected 0.5 s later it is sent as chosen, before and after.

--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -238,6 +238,16 @@
     judgeFailure({RunState::NotRun, Reason::ConnectFailed, m_streamBegun});
 }
 
+// Whether the request would still begin in time on the weights of the engine that was chosen.
+bool CallRun::beginsInTime() const
+{
+    if (!m_call.pool->engine || !m_caller.prompt)
+        return true;
+    const EngineChoice &engine = m_attempt->engine;
+    return m_traffic.engines().beginsInTime(engine.weightVersion, engine.beginsAfter,
+                                            m_traffic.weights(m_caller.prompt->model));
+}
+
 void CallRun::send()
 {
     // The upstream may have begun to leave while the connection came up, or its failure domain may
@@ -249,9 +259,11 @@
         return;
     }
     // What the upstream takes may be used up meanwhile, or it may have turned cold or named a
-    // limit. Nothing has happened to the request or the upstream: another one is chosen.
+    // limit, or its weights have been replaced for too long, as when this process stood still.
+    // Nothing has happened to the request or the upstream: another one is chosen.
     if (!m_traffic.gate().maySend(m_attempt->upstream.instanceId,
-                                  m_call.pool->coldRequestsPerSecond)) {
+                                  m_call.pool->coldRequestsPerSecond)
+        || !beginsInTime()) {
         m_plan.turnedDown(m_attempt->upstream.instanceId);
         endAttempt(true);
         attempt();
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -55,6 +55,7 @@
     bool choose();
     void waitForUpstream();
     void connected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
+    bool beginsInTime() const;
     void send();
     void judgeFailure(const FailedAttempt &failure);
     void judgeAnswer();
