Test: a stream that broke off goes on at replaced weights only before the bound

Half a second after the first engine was chosen, 8 s after the naming, the stream goes on at another engine with the same weights; 3 s after it, not.

--- a/tests/node/late_send_test.cpp
+++ b/tests/node/late_send_test.cpp
@@ -67,6 +67,9 @@
                            [](const tcp::socket &it) { return it.available() > 0; });
     }
 
+    // Breaks off without an answer.
+    void cut() { m_callers.clear(); }
+
 private:
     tcp::acceptor m_acceptor;
     std::vector<tcp::socket> m_callers;
@@ -92,6 +95,8 @@
         route.pathPrefix = "/";
         route.targets.push_back({"service", 1.0});
         route.streaming = true;
+        route.resumable = true;
+        route.maxAttempts = 2;
         config.routes.push_back(route);
         traffic.take(ConfigInForce{std::make_shared<const RouteTable>(std::move(config))});
         add("older", older, 1);
@@ -132,11 +137,12 @@
     }
 
     // Until an engine has the request, or the caller an answer.
-    void serve()
+    void serve() { serve(newer); }
+    void serve(Engine &other)
     {
         // By the wall's clock: only a fault makes it take this long.
         const auto until = std::chrono::steady_clock::now() + 5s;
-        while (!older.hasRequest() && !newer.hasRequest() && caller.status() == 0
+        while (!older.hasRequest() && !other.hasRequest() && caller.status() == 0
                && std::chrono::steady_clock::now() < until)
             context.run_one_for(5ms);
     }
@@ -190,3 +196,22 @@
     CHECK_FALSE(serving.older.hasRequest());
     CHECK(serving.caller.status() == 503);
 }
+
+TEST_CASE("late send: a stream that broke off goes on at replaced weights only before the bound "
+          "[weights]")
+{
+    for (const Duration later : {Duration(500ms), Duration(3s)}) {
+        Serving serving;
+        serving.clock.advance(8s);
+        serving.ask();
+        serving.serve();
+        REQUIRE(serving.older.hasRequest());
+        Engine next(serving.context);
+        serving.add("next", next, 1);
+        serving.clock.advance(later);
+        serving.older.cut();
+        serving.serve(next);
+        CHECK(next.hasRequest() == (later < 2s));
+        CHECK((serving.caller.status() == 0) == (later < 2s));
+    }
+}
