Test: an engine that turns a request away for its weights is not taken at its word (fails; known red)

Requests of a node's serving thread to two engines on loopback, over a paused clock; the record of one names version 2, and it runs version 1. It turns 18 of 40 requests away, one after the other, and runs none; where its answer does not say which weights it has, 6 of 10. One refusal each is what a node should need.

--- /dev/null
+++ b/tests/node/engine_refusal_test.cpp
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: MIT
+// Engines answer 421 when their weights are not those that a node takes them for. The answer tells
+// which they are, but the node only passed the engine over for 150 ms, as it does with a full one,
+// and then sent there anew: each time a caller paid a send, and part of the budget of repeated
+// sends with it. In the run below, two engines, one of which runs other weights than its record
+// says, turned away 18 of 40 requests 200 ms apart, and ran none although it might have.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <memory>
+
+#include <unistd.h>
+
+#include "fordwood/manual_clock.hpp"
+#include "node/call_run.hpp"
+#include "standins/blocking_server.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *kModel = "m";
+
+// An engine that runs one version of its model, and turns requests for another one away.
+class VersionedEngine
+{
+public:
+    // `tells`: its answers name the version.
+    VersionedEngine(std::string id, std::string address, std::uint64_t version, bool tells)
+        : m_id(std::move(id)), m_address(std::move(address)), m_version(version), m_tells(tells),
+          m_server(m_address, [this](const standins::Request &it) { return answer(it); })
+    { }
+
+    UpstreamRecord record(std::uint64_t version) const
+    {
+        UpstreamRecord record;
+        record.instanceId = m_id;
+        record.announcedId = m_id;
+        record.service = "models";
+        record.address = m_address;
+        record.weightVersions[kModel] = version;
+        return record;
+    }
+
+    int runs() const { return m_runs; }
+    int refused() const { return m_refused; }
+
+private:
+    standins::Answer answer(const standins::Request &request)
+    {
+        standins::Answer answer;
+        answer.headers["Request-Id"] = request.header("Request-Id");
+        answer.headers["Instance-Id"] = m_id;
+        if (m_tells)
+            answer.headers["Versions"] = std::to_string(m_version);
+        if (request.header("Expect-Version") == std::to_string(m_version)) {
+            ++m_runs;
+            answer.headers["Response-Seal"] = "seal";
+            answer.body = "good";
+            return answer;
+        }
+        ++m_refused;
+        answer.status = 421;
+        answer.headers["Not-Executed"] = "1";
+        return answer;
+    }
+
+    const std::string m_id;
+    const std::string m_address;
+    const std::uint64_t m_version;
+    const bool m_tells;
+    std::atomic<int> m_runs{0};
+    std::atomic<int> m_refused{0};
+    standins::BlockingServer m_server;
+};
+
+// Loopback addresses that no other run of the tests uses at the same time.
+std::string address(int host)
+{
+    return "127.7." + std::to_string(getpid() % 250 + 1) + "." + std::to_string(host) + ":8080";
+}
+
+class Caller : public CallerPort
+{
+public:
+    void sendWhole(http::response_header<> head, std::string /*body*/) override
+    {
+        status = head.result_int();
+    }
+    void beginStream(http::response_header<> /*head*/) override { }
+    bool sendPiece(std::string_view /*bytes*/) override { return true; }
+    void endStream() override { }
+    void cut() override { status = 1; }
+
+    unsigned status = 0; // zero: not over
+};
+
+// A node's serving thread before two engines, over a paused clock.
+class Serving
+{
+public:
+    explicit Serving(bool tells)
+        : wrong("e0", address(40), 1, tells), right("e1", address(41), 2, true),
+          m_traffic(m_context, m_clock, m_settings, m_metrics)
+    {
+        ServiceRoute route;
+        route.name = "r";
+        route.host = "a.example";
+        route.pathPrefix = "/";
+        route.targets = {{"models", 1.0}};
+        route.repeatable = true;
+        route.maxAttempts = 2;
+        ServicePool pool;
+        pool.name = "models";
+        pool.engine = EngineTraits{8, 100'000, {kModel}, 0};
+        ServingConfig config;
+        config.version = 1;
+        config.routes = {route};
+        config.services = {pool};
+        m_traffic.onReportNow([] {});
+        m_traffic.onRequestNews([] {});
+        m_traffic.take(ConfigInForce{std::make_shared<RouteTable>(std::move(config))});
+        write(wrong.record(2));
+        write(right.record(2));
+    }
+
+    void write(const UpstreamRecord &record) { m_traffic.take(UpstreamWritten{record}); }
+
+    // Requests with contexts of their own, 200 ms apart. Gives how many were answered well.
+    int send(int requests)
+    {
+        int answered = 0;
+        for (int n = 0; n < requests; ++n) {
+            m_clock.advance(200ms);
+            m_traffic.tick();
+            answered += sendOne() == 200 ? 1 : 0;
+        }
+        return answered;
+    }
+
+    VersionedEngine wrong; // its record names version 2, and it runs version 1
+    VersionedEngine right;
+
+private:
+    unsigned sendOne()
+    {
+        const std::string name = std::to_string(++m_requests);
+        http::request_header<> head;
+        head.method(http::verb::post);
+        head.target("/a");
+        head.set(http::field::host, "a.example");
+        head.set("Request-Id", "r" + name);
+        head.set("Request-Deadline", std::to_string(std::chrono::milliseconds(24h * 365).count()));
+        head.set("Model", kModel);
+        head.set("Token-Usage", "900,10");
+        head.set("Prompt-Prefix", "c" + name + ":800,own" + name + ":100");
+        Caller caller;
+        const auto run
+            = std::make_shared<CallRun>(m_traffic, caller, std::move(head), "", m_clock.now());
+        run->start();
+        // By the wall's clock: only a fault makes it take this long.
+        const auto until = std::chrono::steady_clock::now() + 20s;
+        while (caller.status == 0 && std::chrono::steady_clock::now() < until)
+            m_context.run_one_for(10ms);
+        return caller.status;
+    }
+
+    net::io_context m_context;
+    ManualClock m_clock;
+    config::OneProcessSettings m_settings;
+    adapters::Metrics m_metrics;
+    Traffic m_traffic;
+    int m_requests = 0;
+};
+
+} // namespace
+
+TEST_CASE("engine refusals: one that names other weights than believed is taken at its word "
+          "[weights]")
+{
+    Serving serving(true);
+    CHECK(serving.send(40) == 40);
+    CHECK(serving.wrong.refused() == 1);
+    CHECK(serving.wrong.runs() >= 5); // its weights are allowed as well
+    CHECK(serving.wrong.runs() + serving.right.runs() == 40);
+}
+
+TEST_CASE("engine refusals: one that does not name its weights gets nothing until they are known "
+          "[weights]")
+{
+    Serving serving(false);
+    CHECK(serving.send(10) == 10);
+    CHECK(serving.wrong.refused() == 1);
+    serving.write(serving.wrong.record(1));
+    CHECK(serving.send(40) == 40);
+    CHECK(serving.wrong.refused() == 1);
+    CHECK(serving.wrong.runs() >= 5);
+}
