An engine's refusal for its weights tells which it runs

Callers paid a send, and the budget of repeated sends with it, for each refusal; an engine that another node had just loaded, or whose record lagged, was passed over for 150 ms as if it were full and then sent the same again. The answer names the engine's weights (`Versions`), and nobody read it. Now the node believes it from the moment at which it sent the request, if nothing later is known, and sends on at once with what the engine runs, if that may be used. Where the answer does not name them, none are believed until a record or an answer does, for 5 s at most; an engine without known weights gets no request. A record that goes on saying otherwise for 5 s holds again, lest an engine that was loaded anew stays idle.

The lock's holder needs no word of it: it goes by the record, or asks the engine when what was shown has not been written in 5 s.

The first test lets the engine write its record after 4 s, as engines do; one more asks what a record that stays wrong costs.

--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -71,6 +71,11 @@
     bool setWeightVersion(const std::string &instanceId, const std::string &model,
                           const SeenWeights &weights);
 
+    // The engine was seen not to run these weights, and did not say which. Until something later is
+    // known, or its record would say so, none are believed. False as above.
+    bool doubtWeights(const std::string &instanceId, const std::string &model,
+                      const SeenWeights &notThese);
+
     // Whether the version is believed although the engine's record does not say so yet.
     bool isAhead(const std::string &instanceId, const std::string &model,
                  std::uint64_t version) const;
@@ -87,6 +92,7 @@
         std::optional<std::uint64_t> told; // by the record; nothing: it does not name the model
         TimePoint read{}; // when the record was
         std::optional<SeenWeights> shown; // otherwise than told
+        std::optional<TimePoint> doubted; // since when neither is believed
         TimePoint lastSeen{}; // by an answer; what was seen before counts no more
     };
     struct Entry
@@ -99,6 +105,7 @@
     bool isUsable(const UpstreamRecord &record) const;
     bool mustBeWritten(const SeenWeights &shown) const;
     Weights merged(const Entry &entry, const std::string &model, std::uint64_t told) const;
+    static bool isNewer(const Weights &weights, const SeenWeights &seen);
     void dropUnconfirmed(Entry &entry);
 
     const Clock &m_clock;
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -50,9 +50,14 @@
 void UpstreamDirectory::dropUnconfirmed(Entry &entry)
 {
     for (auto &[model, weights] : entry.weights) {
-        if (!weights.shown || !mustBeWritten(*weights.shown))
+        const bool isUnconfirmed = weights.shown && mustBeWritten(*weights.shown);
+        // Also while the store is away: the engine is tried again with what it told last.
+        const bool isDoubtOver
+            = weights.doubted && m_clock.now() - *weights.doubted >= m_limits.recordWithin;
+        if (!isUnconfirmed && !isDoubtOver)
             continue;
         weights.shown.reset();
+        weights.doubted.reset();
         if (weights.told)
             entry.record.weightVersions[model] = *weights.told;
         else
@@ -160,15 +165,13 @@
     Entry &entry = it->second;
     const auto known = entry.weights.find(model);
     Weights next = known == entry.weights.end() ? Weights{} : known->second;
-    if (weights.seen <= next.lastSeen)
-        return false;
-    // Older weights that were seen before the record was read have been replaced since.
-    if (next.told && weights.version < *next.told && weights.seen <= next.read)
+    if (!isNewer(next, weights))
         return false;
     const auto before = entry.record.weightVersions.find(model);
     const bool isNews
         = before == entry.record.weightVersions.end() || before->second != weights.version;
     next.lastSeen = weights.seen;
+    next.doubted.reset();
     if (next.told == weights.version)
         next.shown.reset();
     else
@@ -179,6 +182,35 @@
     return isNews;
 }
 
+// Whether nothing later is known than what was seen.
+bool UpstreamDirectory::isNewer(const Weights &weights, const SeenWeights &seen)
+{
+    if (seen.seen <= weights.lastSeen)
+        return false;
+    // Older weights that were seen before the record was read have been replaced since.
+    return !weights.told || seen.version >= *weights.told || seen.seen > weights.read;
+}
+
+bool UpstreamDirectory::doubtWeights(const std::string &instanceId, const std::string &model,
+                                     const SeenWeights &notThese)
+{
+    const auto it = m_entries.find(instanceId);
+    if (it == m_entries.end())
+        return false;
+    std::map<std::string, std::uint64_t> &believed = it->second.record.weightVersions;
+    const auto version = believed.find(model);
+    Weights &weights = it->second.weights[model];
+    const bool isLater = notThese.seen > std::max(weights.lastSeen, weights.read);
+    if (!isLater || version == believed.end() || version->second != notThese.version)
+        return false;
+    weights.shown.reset();
+    weights.doubted = notThese.seen;
+    weights.lastSeen = notThese.seen;
+    believed.erase(version);
+    m_weightsChanged = true;
+    return true;
+}
+
 bool UpstreamDirectory::isAhead(const std::string &instanceId, const std::string &model,
                                 std::uint64_t version) const
 {
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -421,7 +421,12 @@
     const std::string id = m_attempt->upstream.instanceId;
     const bool isGone = platform::isOfAnother(m_attempt->head, id);
     const bool isWrong = m_attempt->head.wrongInstance;
-    m_traffic.health().refused(id, isGone ? kGonePause : kFullPause);
+    // An engine that was taken to run other weights is well: it is sent what suits those that it
+    // runs. Without this it turned every request away that a node had for it after each pause.
+    const bool isKnownBetter
+        = isWrong && !isGone && m_traffic.noteOtherWeights(m_caller.requestId, *m_attempt);
+    if (!isKnownBetter)
+        m_traffic.health().refused(id, isGone ? kGonePause : kFullPause);
     endAttempt(true);
     if (isGone) {
         m_traffic.channels().closeResting(id);
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "fordwood/store_keeper.hpp"
 #include "node/control_limits.hpp"
@@ -239,6 +240,30 @@
     m_reportNow();
 }
 
+bool Traffic::noteOtherWeights(const std::string &requestId, const UpstreamAttempt &attempt)
+{
+    const std::string &id = attempt.upstream.instanceId;
+    const std::uint64_t expected = attempt.engine.weightVersion;
+    const std::uint64_t told = attempt.head.weightVersion.value_or(0);
+    if (attempt.model.empty() || told == expected)
+        return false;
+    // It was judged after it was sent: what has become known since then may be newer.
+    const bool isNews
+        = told > 0 ? m_upstreams.setWeightVersion(id, attempt.model, {told, attempt.sentAt})
+                   : m_upstreams.doubtWeights(id, attempt.model, {expected, attempt.sentAt});
+    if (isNews)
+        adapters::logEvent(adapters::Event::OtherWeightsFound, {{"upstream", id},
+                                                                {"request", requestId},
+                                                                {"model", attempt.model},
+                                                                {"expected", expected},
+                                                                {"weights", told}});
+    const UpstreamRecord *record = m_upstreams.find(id);
+    if (record == nullptr)
+        return false;
+    const auto believed = record->weightVersions.find(attempt.model);
+    return believed == record->weightVersions.end() || believed->second != expected;
+}
+
 void Traffic::noteStandstill()
 {
     const TimePoint now = m_clock.now();
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -94,6 +94,10 @@
     // What the answer to a request says of the upstream's limit; peers hear of a change at once.
     void noteAnswer(const std::string &requestId, const UpstreamAttempt &attempt);
 
+    // The engine has turned the request away, perhaps since it runs other weights than believed.
+    // Whether these are no longer believed.
+    bool noteOtherWeights(const std::string &requestId, const UpstreamAttempt &attempt);
+
     // Until when a fetch that is asked for now may run, on the engines' clock; zero: not known.
     std::chrono::milliseconds fetchUntil() const;
 
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -22,6 +22,7 @@
     UpstreamRecord upstream;
     RequestLoad load;
     EngineChoice engine; // of requests to engines
+    std::string model; // likewise
     std::chrono::milliseconds fetchUntil{0}; // by the engines' clock
     std::shared_ptr<HttpChannel> channel;
     TimePoint begun{};
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -78,6 +78,7 @@
     chosen.attempt.emplace();
     chosen.attempt->upstream = *traffic.upstreams().find(choice->instanceId);
     chosen.attempt->load = choice->load;
+    chosen.attempt->model = caller.prompt->model;
     chosen.attempt->engine = std::move(*choice);
     chosen.attempt->fetchUntil = traffic.fetchUntil();
     return chosen;
--- a/tests/node/engine_refusal_test.cpp
+++ b/tests/node/engine_refusal_test.cpp
@@ -181,12 +181,27 @@
           "[weights]")
 {
     Serving serving(true);
-    CHECK(serving.send(40) == 40);
+    CHECK(serving.send(20) == 20);
+    CHECK(serving.wrong.refused() == 1);
+    CHECK(serving.wrong.runs() >= 2);
+    serving.write(serving.wrong.record(1)); // within three heartbeats at the latest
+    CHECK(serving.send(20) == 20);
     CHECK(serving.wrong.refused() == 1);
     CHECK(serving.wrong.runs() >= 5); // its weights are allowed as well
     CHECK(serving.wrong.runs() + serving.right.runs() == 40);
 }
 
+// A record that still says so after its time is believed again, lest an engine that has loaded its
+// weights anew is left out for good.
+TEST_CASE("engine refusals: one whose record goes on naming other weights is tried now and then "
+          "[weights]")
+{
+    Serving serving(true);
+    CHECK(serving.send(100) == 100);
+    CHECK(serving.wrong.refused() >= 2);
+    CHECK(serving.wrong.refused() <= 5); // in 20 s
+}
+
 TEST_CASE("engine refusals: one that does not name its weights gets nothing until they are known "
           "[weights]")
 {
--- a/tests/unit/engine_versions_test.cpp
+++ b/tests/unit/engine_versions_test.cpp
@@ -206,3 +206,51 @@
     CHECK_FALSE(upstreams.isAhead("e", "m", 2));
     CHECK_FALSE(upstreams.setWeightVersion("gone", "m", {3, clock.now()}));
 }
+
+TEST_CASE(
+    "engine versions: none is believed of an engine that turned the last one down until more is "
+    "known [weights]")
+{
+    ManualClock clock;
+    UpstreamDirectory upstreams(clock, {});
+    UpstreamRecord record;
+    record.instanceId = "e";
+    record.service = "models";
+    record.weightVersions["m"] = 2;
+    upstreams.put(record);
+    const TimePoint before = clock.now();
+    clock.advance(100ms);
+    const auto isKnown = [&] { return upstreams.find("e")->weightVersions.contains("m"); };
+    CHECK_FALSE(upstreams.doubtWeights("e", "m", {2, before})); // as old as the record
+    CHECK_FALSE(upstreams.doubtWeights("e", "m", {1, clock.now()})); // no more believed
+    REQUIRE(isKnown());
+    REQUIRE(upstreams.doubtWeights("e", "m", {2, clock.now()}));
+    CHECK_FALSE(isKnown());
+    CHECK(upstreams.usable("models").size() == 1); // its other models are
+    clock.advance(100ms);
+    SUBCASE("a record")
+    {
+        upstreams.put(record);
+        CHECK(isKnown());
+    }
+    SUBCASE("an answer")
+    {
+        CHECK(upstreams.setWeightVersion("e", "m", {3, clock.now()}));
+        CHECK(upstreams.find("e")->weightVersions.at("m") == 3);
+    }
+    SUBCASE("an answer from before tells nothing")
+    {
+        CHECK_FALSE(upstreams.setWeightVersion("e", "m", {3, before}));
+        CHECK_FALSE(isKnown());
+    }
+    SUBCASE("the time in which a record would say so, also while the store is away")
+    {
+        upstreams.setStoreReachable(false);
+        clock.advance(4s);
+        upstreams.tick();
+        CHECK_FALSE(isKnown());
+        clock.advance(1s);
+        upstreams.tick();
+        CHECK(upstreams.find("e")->weightVersions.at("m") == 2);
+    }
+}
