--- a/tests/node/engine_refusal_test.cpp
+++ b/tests/node/engine_refusal_test.cpp
@@ -46,6 +46,7 @@
 
     int runs() const { return m_runs; }
     int refused() const { return m_refused; }
+    int unconditioned() const { return m_unconditioned; }
 
 private:
     standins::Answer answer(const standins::Request &request)
@@ -55,6 +56,7 @@
         answer.headers["Instance-Id"] = m_id;
         if (m_tells)
             answer.headers["Versions"] = std::to_string(m_version);
+        m_unconditioned += request.header("Expect-Version").empty() ? 1 : 0;
         if (request.header("Expect-Version") == std::to_string(m_version)) {
             ++m_runs;
             answer.headers["Response-Seal"] = "seal";
@@ -73,6 +75,7 @@
     const bool m_tells;
     std::atomic<int> m_runs{0};
     std::atomic<int> m_refused{0};
+    std::atomic<int> m_unconditioned{0}; // requests that any weights would do for
     standins::BlockingServer m_server;
 };
 
@@ -213,3 +216,29 @@
     CHECK(serving.wrong.refused() == 1);
     CHECK(serving.wrong.runs() >= 5);
 }
+
+// A record that names version 0 tells none, since versions begin at 1. Such an engine was sent
+// requests that any weights would do for, and that were kept apart from other teams' context by
+// nothing: the condition and the salt are left out where the version is 0.
+TEST_CASE("engine refusals: an engine whose weights are not known gets no request [weights]")
+{
+    Serving serving(true);
+    UpstreamRecord record = serving.wrong.record(0);
+    SUBCASE("its record names the version that is none") { }
+    SUBCASE("its record names no model")
+    {
+        record.weightVersions.clear();
+    }
+    SUBCASE("its record names another model")
+    {
+        record.weightVersions = {{"other", 1}};
+    }
+    serving.write(record);
+    CHECK(serving.send(20) == 20);
+    CHECK(serving.wrong.unconditioned() == 0);
+    CHECK(serving.right.unconditioned() == 0);
+    CHECK(serving.right.runs() == 20);
+    serving.write(serving.wrong.record(1));
+    CHECK(serving.send(20) == 20);
+    CHECK(serving.wrong.runs() >= 2);
+}
