An engine that tells no version of its weights gets no request

A record that names version 0 tells none, as versions begin at 1. The choice took it for one, and the head of the request for none: it went out without the condition on the weights and without a salt for kept context, which is all that keeps an isolated team's context apart there. Now such an engine is passed over until its weights are known; it is still ordered to load. No answer or peer makes a version 0 believed.

--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -57,7 +57,8 @@
     if (question.tried.contains(engine.instanceId) || health.isPaused(engine.instanceId))
         return false;
     const auto version = engine.weightVersions.find(question.prompt.model);
-    if (version == engine.weightVersions.end())
+    // Versions begin at 1: 0 tells none, and the request could be held to nothing.
+    if (version == engine.weightVersions.end() || version->second == 0)
         return false;
     // Weights that were replaced at a time that nobody knows may have been so for long: only nodes
     // that know how long may use them.
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -160,7 +160,8 @@
                                          const SeenWeights &weights)
 {
     const auto it = m_entries.find(instanceId);
-    if (it == m_entries.end() || mustBeWritten(weights))
+    const bool isNone = weights.version == 0; // versions begin at 1
+    if (it == m_entries.end() || isNone || mustBeWritten(weights))
         return false;
     Entry &entry = it->second;
     const auto known = entry.weights.find(model);
--- a/tests/unit/engine_versions_test.cpp
+++ b/tests/unit/engine_versions_test.cpp
@@ -205,6 +205,9 @@
     CHECK(believed() == 2);
     CHECK_FALSE(upstreams.isAhead("e", "m", 2));
     CHECK_FALSE(upstreams.setWeightVersion("gone", "m", {3, clock.now()}));
+    clock.advance(100ms);
+    CHECK_FALSE(upstreams.setWeightVersion("e", "m", {0, clock.now()})); // there is no such version
+    CHECK(believed() == 2);
 }
 
 TEST_CASE(
