Test: nodes and an engine that goes back, before one store

Control threads of three nodes before the store's stand-in, over a paused clock: the engine loads by order, and then runs older weights again; with a record that says so, and without one. A node that starts while the store is away still hears from the holder of the lock what reports had shown, 10 s after.

--- /dev/null
+++ b/tests/node/engine_goes_back_test.cpp
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: MIT
+// Nodes before the store's stand-in and one engine, which is ordered to load weights and later runs
+// older ones again.
+#include <doctest/doctest.h>
+
+#include <atomic>
+
+#include <nlohmann/json.hpp>
+
+#include "node/weights_fleet.hpp"
+#include "standins/blocking_server.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+// Of three nodes of the same strength the one that takes the lock, by the hashes of their names.
+constexpr int kOrders = 1;
+
+// Loads what it is ordered, at once; its record says what the test writes.
+class OrderedEngine
+{
+public:
+    explicit OrderedEngine(WeightsFleet &fleet)
+        : m_fleet(fleet), m_address(fleet.host(90) + ":8080"),
+          m_server(m_address, [this](const standins::Request &it) { return answer(it); })
+    { }
+
+    // The engine's heartbeat.
+    void writeRecord()
+    {
+        Json record{{"service", "s"}, {"address", m_address}, {"zone", "domain-0"},
+                    {"version", "v"}, {"slots", 8},           {"state", "ready"},
+                    {"born", 1'000},  {"sequence", 1},        {"cold-remaining-ms", 0}};
+        record["models"] = Json::array({{{"name", "m"}, {"version", m_runs.load()}}});
+        m_fleet.store().put("servers/e", record.dump());
+    }
+
+    // It carries out a late order after its count of orders began anew.
+    void goBack(std::uint64_t version)
+    {
+        m_runs = version;
+        m_taken = 1;
+    }
+
+    int orders() const { return m_orders; }
+    std::uint64_t runs() const { return m_runs; }
+
+private:
+    standins::Answer answer(const standins::Request &request)
+    {
+        standins::Answer answer;
+        if (request.path == "/api/report") {
+            Json report{{"busy", false}, {"sequence", m_taken.load()}};
+            report["models"] = Json::array({{{"name", "m"}, {"version", m_runs.load()}}});
+            answer.body = report.dump();
+            return answer;
+        }
+        m_runs = Json::parse(request.body).at("version").get<std::uint64_t>();
+        ++m_taken;
+        ++m_orders;
+        answer.status = 202;
+        return answer;
+    }
+
+    WeightsFleet &m_fleet;
+    const std::string m_address;
+    std::atomic<std::uint64_t> m_runs{1};
+    std::atomic<int> m_taken{0};
+    std::atomic<int> m_orders{0};
+    standins::BlockingServer m_server;
+};
+
+} // namespace
+
+TEST_CASE("engine goes back: all nodes believe its record and it is ordered again [weights]")
+{
+    WeightsFleet fleet(3);
+    OrderedEngine engine(fleet);
+    engine.writeRecord();
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(1));
+    REQUIRE(fleet.waitForPeers());
+    fleet.nameWeights(2);
+    // By its report alone: the record does not say so yet.
+    REQUIRE(fleet.waitForEngine("e@1000", 2));
+    CHECK(engine.orders() == 1);
+    engine.writeRecord();
+    fleet.advance(3s);
+    CHECK(engine.orders() == 1);
+    engine.goBack(1);
+    engine.writeRecord();
+    REQUIRE(fleet.waitForEngine("e@1000", 1));
+    REQUIRE(fleet.waitForEngine("e@1000", 2));
+    CHECK(engine.orders() == 2);
+    CHECK(engine.runs() == 2);
+    engine.writeRecord();
+    fleet.advance(10s);
+    CHECK(fleet.waitForEngine("e@1000", 2));
+    CHECK(engine.orders() == 2);
+}
+
+TEST_CASE("engine goes back: it is found where its record never said otherwise [weights]")
+{
+    WeightsFleet fleet(3);
+    OrderedEngine engine(fleet);
+    engine.writeRecord();
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(1));
+    REQUIRE(fleet.waitForPeers());
+    fleet.nameWeights(2);
+    REQUIRE(fleet.waitForEngine("e@1000", 2));
+    engine.goBack(1);
+    fleet.advance(4s);
+    CHECK(engine.orders() == 1);
+    fleet.advance(4s);
+    CHECK(engine.orders() == 2);
+    CHECK(fleet.waitForEngine("e@1000", 2));
+}
+
+TEST_CASE(
+    "engine goes back: a node that starts while the store is away hears what reports have shown "
+    "[weights]")
+{
+    WeightsFleet fleet(3);
+    OrderedEngine engine(fleet);
+    engine.writeRecord();
+    fleet.startAll();
+    REQUIRE(fleet.waitForWeights(1));
+    REQUIRE(fleet.waitForPeers());
+    fleet.nameWeights(2);
+    REQUIRE(fleet.waitForEngine("e@1000", 2));
+    fleet.store().setDown(true); // before the engine has written anything
+    fleet.advance(10s);
+    CHECK(fleet.waitForEngine("e@1000", 2));
+    for (int n = 0; n < 3; ++n) {
+        if (n == kOrders)
+            continue;
+        fleet.kill(n);
+        fleet.start(n);
+        REQUIRE(fleet.waitForPeers());
+        CHECK(fleet.waitForEngine("e@1000", 2));
+    }
+}
--- a/tests/node/weights_fleet.cpp
+++ b/tests/node/weights_fleet.cpp
@@ -66,6 +66,16 @@
     return m_live - 1;
 }
 
+std::uint64_t WeightsNode::weightsOf(const std::string &instanceId)
+{
+    takeUpdates();
+    const UpstreamRecord *record = m_traffic.upstreams().find(instanceId);
+    if (record == nullptr)
+        return 0;
+    const auto version = record->weightVersions.find(kModel);
+    return version == record->weightVersions.end() ? 0 : version->second;
+}
+
 std::uint64_t WeightsNode::newestWeights()
 {
     takeUpdates();
@@ -141,6 +151,17 @@
     });
 }
 
+bool WeightsFleet::waitForEngine(const std::string &instanceId, std::uint64_t weights)
+{
+    return waitFor([&] {
+        for (const auto &[n, node] : m_nodes) {
+            if (node->weightsOf(instanceId) != weights)
+                return false;
+        }
+        return true;
+    });
+}
+
 bool WeightsFleet::waitForPeers()
 {
     return waitFor([&] {
--- a/tests/node/weights_fleet.hpp
+++ b/tests/node/weights_fleet.hpp
@@ -37,6 +37,9 @@
     // Whether the node would send a request to an engine that runs these weights.
     bool mayBeginOn(std::uint64_t weights);
 
+    // The weights that the node takes an engine to run; zero: none are known.
+    std::uint64_t weightsOf(const std::string &instanceId);
+
     // How many other nodes it hears.
     std::size_t peersHeard();
 
@@ -72,12 +75,18 @@
     WeightsNode &at(int node) { return *m_nodes.at(node); }
     process::KeyValueStandin &store() { return m_store; }
 
+    // An address of the fleet's own network; those of its nodes begin at 10.
+    std::string host(int n) const { return m_net + std::to_string(10 + n); }
+
     void nameWeights(std::uint64_t version);
     // Until every live node knows of them.
     bool waitForWeights(std::uint64_t version);
     // Until every live node hears all others.
     bool waitForPeers();
 
+    // Until every live node takes the engine to run these.
+    bool waitForEngine(const std::string &instanceId, std::uint64_t weights);
+
     // Moves the clocks in steps that every node takes part in.
     void advance(Duration by);
 
@@ -86,7 +95,6 @@
 
 private:
     bool waitFor(const std::function<bool()> &holds);
-    std::string host(int node) const { return m_net + std::to_string(10 + node); }
     void step(Duration by);
 
     const int m_size;
