--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -61,7 +61,9 @@
 {
     if (question.tried.contains(engine.instanceId) || health.isPaused(engine.instanceId))
         return false;
-    return engine.weightVersions.contains(question.prompt.model);
+    const auto version = engine.weightVersions.find(question.prompt.model);
+    // Versions begin at 1: 0 tells none, and the request could be held to nothing.
+    return version != engine.weightVersions.end() && version->second != 0;
 }
 
 bool EngineChooser::beginsInTime(std::uint64_t version, Duration beginsAfter,
--- a/tests/node/weights_fleet.hpp
+++ b/tests/node/weights_fleet.hpp
@@ -37,6 +37,9 @@
     // Whether the node would send a request to an engine that runs these weights.
     bool mayBeginOn(std::uint64_t weights);
 
+    // The weights that the node takes an engine to run; zero: none are known.
+    std::uint64_t weightsOf(const std::string &instanceId);
+
     // How many other nodes it hears.
     std::size_t peersHeard();
 
@@ -84,6 +87,9 @@
     // Until every live node hears all others.
     bool waitForPeers();
 
+    // Until every live node takes the engine to run these.
+    bool waitForEngine(const std::string &instanceId, std::uint64_t weights);
+
     // Moves the clocks in steps that every node takes part in.
     void advance(Duration by);
 
