--- /dev/null
+++ b/tests/node/belief_ages_test.cpp
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: MIT
+// A belief whose age counts from the moment at which a node heard of it is too young wherever the
+// word has waited. A node that stands still (a frozen VM, a process that gets no processor) finds
+// what peers said meanwhile in its socket, takes it for news of now, and, as a relay, passes it on
+// to nodes that ran all the time. For those the word of a peer that has died since is 3 s younger
+// than it is: its load, the engines that it has load, when it last ordered one, until when its copy
+// of the store was whole, how old weights are. A node that wakes after 3 s with one such message in
+// its socket holds its sender for live (1 of 1) and passes the message on (1 of 1).
+#include "node/peer_links.hpp"
+
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include "fordwood/manual_clock.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A node whose work is done only when the test lets it.
+class Node
+{
+public:
+    Node(const ManualClock &clock, const std::string &name, const std::string &domain,
+         const std::string &address)
+        : m_name(name), m_domain(domain), m_address(address),
+          m_links(m_context, clock, {name, domain, 0.0}, kTellsNobodyAlone,
+                  [this](const Gossip &it) { m_heard.push_back(it.revision); })
+    {
+        ErrorCode ec;
+        REQUIRE(m_links.open(address, ec));
+    }
+
+    void know(const Node &other)
+    {
+        m_links.setAddress(other.m_name, {other.m_address, other.m_address, other.m_domain, 0.0});
+    }
+
+    void say(std::int64_t revision)
+    {
+        Gossip message;
+        message.node = m_name;
+        message.failureDomain = m_domain;
+        message.revision = revision;
+        m_links.sendAll(message);
+    }
+
+    // All that is ready: datagrams on loopback have arrived when they are sent.
+    void work()
+    {
+        while (m_context.poll() > 0) { }
+    }
+
+    // The revisions in the messages heard since the last call.
+    std::vector<std::int64_t> takeHeard() { return std::exchange(m_heard, {}); }
+
+    const PeerRoster &roster() const { return m_links.roster(); }
+
+private:
+    // Messages to another failure domain are passed on there, however few nodes there are.
+    static constexpr std::size_t kTellsNobodyAlone = 0;
+
+    const std::string m_name;
+    const std::string m_domain;
+    const std::string m_address;
+    net::io_context m_context;
+    std::vector<std::int64_t> m_heard;
+    PeerLinks m_links;
+};
+
+// A sender in one failure domain; in another one a node that passes its messages on to a third.
+class Line
+{
+public:
+    Line()
+    {
+        for (Node *it : all()) {
+            for (const Node *other : all()) {
+                if (it != other)
+                    it->know(*other);
+            }
+        }
+        passer.say(1);
+        workAll();
+        for (Node *it : all())
+            it->takeHeard();
+    }
+
+    std::vector<Node *> all() { return {&sender, &passer, &last}; }
+
+    void workAll()
+    {
+        for (int n = 0; n < 3; ++n) {
+            for (Node *it : all())
+                it->work();
+        }
+    }
+
+    // In steps in which all nodes but the one in the middle work.
+    void standStill(Duration time)
+    {
+        for (Duration gone{}; gone < time; gone += kStep) {
+            clock.advance(kStep);
+            sender.work();
+            last.work();
+        }
+    }
+
+    static constexpr Duration kStep = 100ms;
+
+    ManualClock clock;
+    const std::string net = "127.73." + std::to_string(static_cast<int>(getpid()) % 250 + 1) + ".";
+    Node sender{clock, "a", "d0", net + "1:9000"};
+    Node passer{clock, "b", "d1", net + "2:9000"};
+    Node last{clock, "c", "d1", net + "3:9000"};
+};
+
+} // namespace
+
+TEST_CASE("ages: what waited in the socket of a node that stood still is no news [standstill]")
+{
+    Line line;
+    line.sender.say(5);
+    line.standStill(3s);
+    line.passer.work();
+    CHECK(line.passer.takeHeard().empty());
+    CHECK(line.passer.roster().live().empty());
+    // The other side: it hears at once what is said from now on.
+    line.sender.say(6);
+    line.passer.work();
+    CHECK(line.passer.takeHeard() == std::vector<std::int64_t>{6});
+    CHECK(line.passer.roster().live() == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("ages: a node that stood still passes on nothing that waited in its socket [standstill]")
+{
+    Line line;
+    line.sender.say(5);
+    line.standStill(3s);
+    line.workAll();
+    CHECK(line.last.takeHeard().empty());
+    line.sender.say(6);
+    line.workAll();
+    CHECK(line.last.takeHeard() == std::vector<std::int64_t>{6});
+}
+
+TEST_CASE("ages: a full socket is emptied at once when its node wakes [standstill]")
+{
+    Line line;
+    for (int n = 0; n < 20; ++n) {
+        line.sender.say(n);
+        line.standStill(100ms);
+    }
+    line.passer.work();
+    line.sender.say(100);
+    line.passer.work();
+    CHECK(line.passer.takeHeard() == std::vector<std::int64_t>{100});
+}
+
+TEST_CASE("ages: a node that is slow but runs hears all that was said [standstill]")
+{
+    Line line;
+    for (int n = 0; n < 10; ++n) {
+        line.sender.say(n);
+        line.standStill(800ms);
+        line.workAll();
+    }
+    CHECK(line.passer.takeHeard().size() == 10);
+    CHECK(line.last.takeHeard().size() == 10);
+}
