A node that stood still drops what peers said meanwhile

Callers saw nothing of it yet: found by looking for beliefs whose age counts from their reading. A VM that was frozen finds datagrams in its socket. It held their senders for live, took loads, engines that load, last orders and ages in them for those of now, and as a relay passed them on to nodes that ran all the time. There a new holder of the order lock would hear, after the lease of the one before was over, a last order that is not the last, and a node cut off from the store that its copy was whole until now.

Cause: an age in a message is relative to its sending, and is turned into a time when it is read. Change: StandstillWatch tells a thread that it stood still (1 s between turns), and PeerLinks then empties its socket; event 318 says how long and how many. News of requests that end upstreams and goodbyes in there are lost too: the former are told six times over seven seconds, and held ones stand in the store. Traffic uses the same watch. Weighed: dropping for half a second after waking, as for word of whole copies: a node would hear nobody for that time; the kernel's time stamps: they follow the time of day, which jumps.

Tests: messages of up to 3 s ago heard 1 of 1 and 20 of 20 before, none after; passed on 1 of 1 before, none after; what is said after waking is heard at once; a node that is slow by 0.8 s loses none of ten. The test of nodes that nobody hears moved the clock by 10 s with no node running, which is a standstill now: it moves it in steps in which they run. Unit and node tests pass (node tests three times in a row).

--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -7,15 +7,30 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
+#include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood::node {
 
+namespace {
+
+using adapters::Event;
+using adapters::logEvent;
+
+// Several turns within the time from which on a node is held to have stood still.
+constexpr Duration kTurnEvery = std::chrono::milliseconds(100);
+
+// Datagrams that are dropped at once; the sockets of any VM hold fewer.
+constexpr std::size_t kMostWaiting = 100'000;
+
+} // namespace
+
 PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, Self self,
                      std::size_t smallFleet, Heard heard)
     : m_roster(clock, std::move(self)), m_smallFleet(smallFleet), m_heard(std::move(heard)),
-      m_socket(context)
+      m_socket(context), m_turnTimer(context), m_standstill(clock)
 { }
 
 bool PeerLinks::open(const std::string &address, ErrorCode &ec)
@@ -32,6 +47,8 @@
         m_socket.non_blocking(true, ec);
     if (ec)
         return false;
+    m_standstill.turn(); // the thread does not work before
+    keepTurns();
     receive();
     return true;
 }
@@ -124,6 +141,45 @@
         send(datagram, *it);
 }
 
+void PeerLinks::keepTurns()
+{
+    tick();
+    m_turnTimer.expires_after(kTurnEvery);
+    m_turnTimer.async_wait([this](const ErrorCode &ec) {
+        if (!ec)
+            keepTurns();
+    });
+}
+
+void PeerLinks::tick()
+{
+    const Duration stoodStill = m_standstill.turn();
+    if (stoodStill == Duration::zero())
+        return;
+    const std::size_t dropped = dropWaiting();
+    logEvent(Event::StoodStill,
+             {{"stood_still_ms", std::chrono::floor<std::chrono::milliseconds>(stoodStill).count()},
+              {"datagrams_dropped", dropped}});
+}
+
+// What peers said while this node stood still would count as said now, here and, where it is passed
+// on, with nodes that ran. They say it anew several times a second.
+std::size_t PeerLinks::dropWaiting()
+{
+    std::array<char, 1> byte{};
+    udp::endpoint from;
+    ErrorCode ec;
+    std::size_t n = 0;
+    while (n < kMostWaiting && !ec) {
+        m_socket.receive_from(net::buffer(byte), from, 0, ec);
+        n += ec ? 0 : 1;
+    }
+    // One may have been read already and wait for its turn behind this one.
+    m_isDropping = true;
+    net::post(m_socket.get_executor(), [this] { m_isDropping = false; });
+    return n;
+}
+
 void PeerLinks::receive()
 {
     m_socket.async_receive_from(net::buffer(m_bytes), m_sender,
@@ -138,7 +194,8 @@
 
 void PeerLinks::received(std::string_view datagram)
 {
-    if (datagram.empty())
+    tick();
+    if (m_isDropping || datagram.empty())
         return;
     const auto delivery = static_cast<Delivery>(datagram.front());
     const auto message = decodeGossip(datagram.substr(1));
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -7,7 +7,10 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "fordwood/clock.hpp"
+#include "fordwood/standstill_watch.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
 #include "node/peer_roster.hpp"
@@ -31,6 +34,10 @@
     // False when the address cannot be used; `ec` tells why.
     bool open(const std::string &address, ErrorCode &ec);
 
+    // Regular work, which the node's thread does by itself too. After a standstill of the thread
+    // drops what waits in the socket.
+    void tick();
+
     void setAddress(const std::string &node, const PeerAddress &address)
     {
         m_roster.setAddress(node, address);
@@ -64,6 +71,9 @@
         Passed, // from a node that was asked to, or that is no relay and knows one
     };
 
+    void keepTurns();
+    // Returns the number of datagrams.
+    std::size_t dropWaiting();
     void receive();
     void received(std::string_view datagram);
     void passOn(std::string datagram, const std::vector<const Peer *> &peers);
@@ -78,6 +88,9 @@
     const std::size_t m_smallFleet;
     Heard m_heard;
     udp::socket m_socket;
+    net::steady_timer m_turnTimer;
+    StandstillWatch m_standstill;
+    bool m_isDropping = false; // what was read before this node was seen to have stood still
     udp::endpoint m_sender;
     std::array<char, kMostBytes> m_bytes{};
     std::size_t m_sends = 0; // messages
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -22,9 +22,6 @@
 // gone, and its word with it.
 constexpr Duration kLoadingWord = std::chrono::seconds(1);
 
-// Between two looks at the clock; longer than a tick takes on the busiest machine.
-constexpr Duration kStandstill = std::chrono::seconds(1);
-
 // The stores of context answer within this, or are themselves away.
 constexpr Duration kWakeTime = std::chrono::milliseconds(150);
 
@@ -61,7 +58,7 @@
       m_gate(clock, coldLimits(settings), settings.node.name,
              stableHash(makeNodeLife(settings.node.name))),
       m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
-      m_channels(context, clock), m_shortDemand(clock), m_lastTick(clock.now())
+      m_channels(context, clock), m_shortDemand(clock), m_standstill(clock)
 { }
 
 void Traffic::take(const FleetUpdate &update)
@@ -241,10 +238,8 @@
 
 void Traffic::noteStandstill()
 {
-    const TimePoint now = m_clock.now();
-    if (now - m_lastTick >= kStandstill)
-        m_woke = now;
-    m_lastTick = now;
+    if (m_standstill.turn() > Duration::zero())
+        m_woke = m_clock.now();
 }
 
 bool Traffic::isWaking()
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -23,6 +23,7 @@
 #include "fordwood/return_times.hpp"
 #include "fordwood/route_table.hpp"
 #include "fordwood/send_gate.hpp"
+#include "fordwood/standstill_watch.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_health.hpp"
 #include "fordwood/window_budget.hpp"
@@ -190,7 +191,7 @@
         TimePoint when{};
     };
     EngineClock m_engineClock;
-    TimePoint m_lastTick;
+    StandstillWatch m_standstill;
     std::optional<TimePoint> m_woke;
     std::size_t m_liveNodes = 1;
     std::optional<TimePoint> m_stopBegan;
--- a/tests/node/belief_ages_test.cpp
+++ b/tests/node/belief_ages_test.cpp
@@ -54,8 +54,12 @@
     void work()
     {
         while (m_context.poll() > 0) { }
+        m_links.tick();
     }
 
+    // Its timers may run before it reads its socket, or after.
+    void tick() { m_links.tick(); }
+
     // The revisions in the messages heard since the last call.
     std::vector<std::int64_t> takeHeard() { return std::exchange(m_heard, {}); }
 
@@ -149,6 +153,20 @@
     CHECK(line.last.takeHeard() == std::vector<std::int64_t>{6});
 }
 
+TEST_CASE("ages: it is the same where timers run first [standstill]")
+{
+    Line line;
+    line.sender.say(5);
+    line.standStill(3s);
+    line.passer.tick();
+    line.workAll();
+    CHECK(line.passer.takeHeard().empty());
+    CHECK(line.last.takeHeard().empty());
+    line.sender.say(6);
+    line.workAll();
+    CHECK(line.passer.takeHeard() == std::vector<std::int64_t>{6});
+}
+
 TEST_CASE("ages: a full socket is emptied at once when its node wakes [standstill]")
 {
     Line line;
--- a/tests/node/peer_links_test.cpp
+++ b/tests/node/peer_links_test.cpp
@@ -62,6 +62,17 @@
         while (m_context.poll() > 0) { }
     }
 
+    // In which all nodes run and say nothing.
+    void pause(Duration time)
+    {
+        constexpr Duration kStep = 500ms;
+        for (Duration gone{}; gone < time; gone += kStep) {
+            m_clock.advance(kStep);
+            for (const Node &it : m_nodes)
+                it.links->tick();
+        }
+    }
+
     void introduceAll()
     {
         for (std::size_t n = 0; n < m_nodes.size(); ++n)
@@ -135,7 +146,7 @@
 {
     Fleet fleet(3, 6);
     fleet.introduceAll();
-    fleet.m_clock.advance(10s); // all others have fallen silent
+    fleet.pause(10s); // all others have fallen silent
     fleet.say(0);
     fleet.settle();
     CHECK(fleet.hearersOf(0).first == 17);
