A released request leaves the store, so that nodes which start do not hold it

Callers of a page that many ask for, held by mistake when three upstreams crashed while it was there and released by the first answer, would be refused for ten minutes more by each node that started within ten minutes of the hold (all of them, when all start anew).

Cause: the key of a held request says that it was held, not that it is; it stood for the whole of its lease, and a node that read it counted ten minutes from there. Those that had seen the answer forget it after a minute. Change: the nodes that wrote the key end its lease once they hear of the release, also when that comes while the key is being written, and again until the store has answered.

Tests: held by a node that starts 5 s after the release, 1 of 1 before, 0 after; key gone with one and two writers, with a release during the write, and with the store away at the release; what is held stays held for a node that starts a minute later. Unit and node tests pass. Left: a writer that dies before the release leaves its key for what is left of its lease.

--- a/src/node/quarantine_duty.cpp
+++ b/src/node/quarantine_duty.cpp
@@ -63,7 +63,7 @@
     if (isHeld && !wasHeld)
         noteHeld(news.request);
     if (wasHeld && !isHeld)
-        logEvent(Event::RequestReleased, {{"fingerprint", news.request.text()}});
+        noteReleased(news.request);
     return true;
 }
 
@@ -75,6 +75,14 @@
                                   {"own", isOwn}});
 }
 
+void QuarantineDuty::noteReleased(const RequestFingerprint &request)
+{
+    logEvent(Event::RequestReleased, {{"fingerprint", request.text()}});
+    const auto write = m_writes.find(request);
+    if (write != m_writes.end())
+        write->second.next = m_clock.now();
+}
+
 void QuarantineDuty::takeOwn(const std::vector<RequestNews> &news)
 {
     for (const RequestNews &it : news) {
@@ -112,6 +120,7 @@
 void QuarantineDuty::tick()
 {
     writeHeld();
+    takeBackReleased();
     if (m_clock.now() < m_nextSweep)
         return;
     m_nextSweep = m_clock.now() + kSweepEvery;
@@ -127,9 +136,29 @@
         if (m_quarantine.isHeld(it) && m_replica.find(keyOf(it)) == nullptr)
             carryOut(it, m_writes[it]);
     }
+}
+
+// A node that starts takes what stands in the store for held from then on, and would refuse a
+// request that an answer has released, with nobody left who remembers the answer.
+void QuarantineDuty::takeBackReleased()
+{
     std::erase_if(m_writes, [this](const auto &it) {
-        return !it.second.isBusy
-               && (m_replica.find(keyOf(it.first)) != nullptr || !m_quarantine.isHeld(it.first));
+        const Write &write = it.second;
+        return !write.isBusy && write.lease == 0 && !m_quarantine.isHeld(it.first);
+    });
+    for (auto &[request, write] : m_writes) {
+        if (!m_quarantine.isHeld(request) && !write.isBusy && m_clock.now() >= write.next)
+            takeBack(request, write);
+    }
+}
+
+void QuarantineDuty::takeBack(const RequestFingerprint &request, Write &write)
+{
+    write.isBusy = true;
+    m_store.send(platform::endCall(write.lease), [this, request](const HttpResult &result) {
+        if (platform::readEnd(result))
+            m_writes[request].lease = 0;
+        retry(request);
     });
 }
 
@@ -160,7 +189,10 @@
             return;
         }
         m_writes[request].lease = granted->lease;
-        put(request, granted->lease);
+        if (m_quarantine.isHeld(request))
+            put(request, granted->lease);
+        else
+            retry(request);
     });
 }
 
--- a/src/node/quarantine_duty.hpp
+++ b/src/node/quarantine_duty.hpp
@@ -49,20 +49,23 @@
     static std::optional<std::vector<std::uint64_t>> decodeLives(std::string_view bytes);
 
 private:
-    // A request that this node has to write into the store.
+    // A held request that this node has written into the store, or is about to.
     struct Write
     {
         bool isBusy = false; // a call is on its way
-        std::int64_t lease = 0;
+        std::int64_t lease = 0; // which the key goes with
         TimePoint next{};
     };
 
     bool take(const RequestNews &news);
     void noteHeld(const RequestFingerprint &request);
+    void noteReleased(const RequestFingerprint &request);
     void writeHeld();
+    void takeBackReleased();
     void carryOut(const RequestFingerprint &request, Write &write);
     void grant(const RequestFingerprint &request);
     void put(const RequestFingerprint &request, std::int64_t lease);
+    void takeBack(const RequestFingerprint &request, Write &write);
     void retry(const RequestFingerprint &request);
 
     const Clock &m_clock;
