Test: a list of kept context that lay unread is taken for news (fails; known red)

Where events of a store were missed, a node reads the store's list. The answer counts from the moment at which it is read, also when the node stood still in between: 5 s old by the test, where a store's word holds for 1.5 s.

--- a/tests/node/belief_ages_test.cpp
+++ b/tests/node/belief_ages_test.cpp
@@ -8,7 +8,9 @@
 // its socket holds its sender for live (1 of 1) and passes the message on (1 of 1).
 #include "node/peer_links.hpp"
 
+#include <atomic>
 #include <functional>
+#include <future>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -16,8 +18,10 @@
 #include <unistd.h>
 
 #include "fordwood/manual_clock.hpp"
+#include "node/context_watch.hpp"
 #include "node/quarantine_duty.hpp"
 #include "process/platform_standins.hpp"
+#include "standins/blocking_server.hpp"
 
 using namespace fordwood;
 using namespace fordwood::node;
@@ -364,3 +368,97 @@
     CHECK(fleet.hasKey());
     CHECK(fleet.isHeldByOneThatStartsNow());
 }
+
+// A store of kept context lists what it holds where a node has missed some of its events. An answer
+// that lay unread while the node stood still was taken for what the store holds now (events are
+// asked for anew in that case, lists were not): 5 s old by this test, where a store's word holds
+// for 1.5 s. The node then reads from parts that may have been freed meanwhile.
+namespace {
+
+class ListingStore
+{
+public:
+    ListingStore() : m_server(address, [this](const standins::Request &it) { return answer(it); })
+    {
+        REQUIRE(m_server.listening());
+    }
+
+    const std::string address
+        = "127.75." + std::to_string(static_cast<int>(getpid()) % 250 + 1) + ".1:7100";
+    std::atomic<int> lists{0};
+    std::promise<void> mayList;
+
+private:
+    standins::Answer answer(const standins::Request &request)
+    {
+        standins::Answer made;
+        made.status = 200;
+        if (request.path != "/api/kv-list") {
+            made.body
+                = R"({"epoch": 7, "next-token": 1, "clock_ms": 5, "lost": true, "events": []})";
+            return made;
+        }
+        if (++lists == 1)
+            mayList.get_future().wait();
+        made.body = R"({"epoch": 7, "next-token": 4, "clock_ms": 5, "held": []})";
+        return made;
+    }
+
+    standins::BlockingServer m_server;
+};
+
+struct ListReader
+{
+    explicit ListReader(const std::string &address)
+    {
+        ContextStore config;
+        config.name = "s";
+        config.address = address;
+        watch.setStores({config});
+    }
+    ~ListReader() { watch.setStores({}); }
+
+    void runUntil(const std::function<bool()> &holds)
+    {
+        constexpr int kTurns = 500;
+        for (int n = 0; n < kTurns && !holds(); ++n)
+            context.run_one_for(10ms);
+        REQUIRE(holds());
+    }
+
+    net::io_context context;
+    ManualClock clock;
+    HttpCaller caller{context, clock};
+    std::vector<std::uint64_t> told; // numbers of next events
+    ContextWatch watch{context, caller, clock, [this](const FleetUpdate &it) {
+                           if (const auto *news = std::get_if<ContextStoreTold>(&it))
+                               told.push_back(news->news.next);
+                       }};
+};
+
+} // namespace
+
+TEST_CASE("ages: a list of a store that lay unread is asked for anew [standstill][stores]")
+{
+    ListingStore store;
+    ListReader reader(store.address);
+    reader.runUntil([&] { return store.lists > 0; });
+    reader.clock.advance(5s); // the node stands still while the answer comes
+    store.mayList.set_value();
+    reader.runUntil([&] { return store.lists > 1 || !reader.told.empty(); });
+    CHECK(reader.told.empty());
+    // The other side: the next one counts.
+    reader.runUntil([&] { return !reader.told.empty(); });
+    CHECK(reader.told.front() == 4);
+}
+
+TEST_CASE("ages: a list of a store that is read in time counts [stores]")
+{
+    ListingStore store;
+    ListReader reader(store.address);
+    reader.runUntil([&] { return store.lists > 0; });
+    reader.clock.advance(1s); // slow, but running
+    store.mayList.set_value();
+    reader.runUntil([&] { return !reader.told.empty(); });
+    CHECK(store.lists == 1);
+}
