A list of kept context that lay unread is asked for anew

Found by looking for beliefs whose age counts from their reading: where events of a store of kept context were missed, a node reads the store's list, and took it for news however long it had stood still meanwhile (events were asked for anew already). It would then fetch parts that may have been freed. Cause: the answer's age counted from its reading. Change: the moment of the call decides, for lists as for events.

--- a/src/node/context_watch.cpp
+++ b/src/node/context_watch.cpp
@@ -86,11 +86,15 @@
                   });
 }
 
+// What lay unread while this VM stood still says nothing of now.
+bool ContextWatch::isReadLate(const Followed &store) const
+{
+    return m_clock.now() - store.asked > kWait + kGrace + kLateRead;
+}
+
 void ContextWatch::takeEvents(const std::shared_ptr<Followed> &store, const HttpResult &result)
 {
-    // What lay unread while this VM stood still says nothing of now: ask, and have the answer at
-    // once.
-    if (m_clock.now() - store->asked > kWait + kGrace + kLateRead) {
+    if (isReadLate(*store)) { // ask, and have the answer at once
         poll(store, std::chrono::milliseconds(0));
         return;
     }
@@ -116,18 +120,28 @@
 
 void ContextWatch::readList(const std::shared_ptr<Followed> &store)
 {
+    store->asked = m_clock.now();
     m_caller.send(platform::storeListCall(store->config), kWait + kGrace,
                   [this, store](const HttpResult &result) {
-                      if (!isFollowed(store))
-                          return;
-                      const auto list = platform::readStoreList(result, store->config.name);
-                      if (list)
-                          tell(store, *list);
-                      else
-                          silent(store);
+                      if (isFollowed(store))
+                          takeList(store, result);
                   });
 }
 
+void ContextWatch::takeList(const std::shared_ptr<Followed> &store, const HttpResult &result)
+{
+    // Parts in an old list may have been freed since, and would be fetched.
+    if (isReadLate(*store)) {
+        readList(store);
+        return;
+    }
+    const auto list = platform::readStoreList(result, store->config.name);
+    if (list)
+        tell(store, *list);
+    else
+        silent(store);
+}
+
 void ContextWatch::tell(const std::shared_ptr<Followed> &store, const platform::StoreEvents &events)
 {
     if (!store->answers)
--- a/src/node/context_watch.hpp
+++ b/src/node/context_watch.hpp
@@ -46,8 +46,10 @@
 
     void follow();
     void poll(const std::shared_ptr<Followed> &store, std::chrono::milliseconds wait);
+    bool isReadLate(const Followed &store) const;
     void takeEvents(const std::shared_ptr<Followed> &store, const HttpResult &result);
     void readList(const std::shared_ptr<Followed> &store);
+    void takeList(const std::shared_ptr<Followed> &store, const HttpResult &result);
     void tell(const std::shared_ptr<Followed> &store, const platform::StoreEvents &events);
     void silent(const std::shared_ptr<Followed> &store);
     void pollAfter(const std::shared_ptr<Followed> &store, Duration pause);
