A node that becomes a relay tells on word of kept context as old as it is

Cause: the log from which a relay tells others counted each word of a store from the moment at which it was heard, also one that came from a relay. For a moment after a change of relays readers fetched by word that was older than the 1.5 s for which it holds. Change: the word's age counts, and an older one makes no newer one older, unless the store has begun anew.

Tests: told 100 ms old where it was 900 before, 900 after; 0 where the newest was 100 before, 100 after; the store's own answer is news. Unit and node tests pass (253, 82).

--- a/src/core/store_news_log.cpp
+++ b/src/core/store_news_log.cpp
@@ -14,6 +14,7 @@
         store.parts.clear();
         store.recent.clear();
         store.recentChanges = 0;
+        store.answered = TimePoint::min();
     }
     for (const StorePartChange &it : news.changes) {
         if (it.held)
@@ -26,7 +27,8 @@
     store.epoch = news.epoch;
     store.next = news.next;
     store.answers = true;
-    store.answered = m_clock.now();
+    // It may come from a relay; readers fetch by it for a while from the store's answer on.
+    store.answered = std::max(store.answered, m_clock.now() - news.age);
     store.clock = news.clock;
 }
 
