--- a/tests/node/belief_ages_test.cpp
+++ b/tests/node/belief_ages_test.cpp
@@ -20,6 +20,7 @@
 #include "fordwood/manual_clock.hpp"
 #include "node/context_watch.hpp"
 #include "node/quarantine_duty.hpp"
+#include "node/traffic.hpp"
 #include "process/platform_standins.hpp"
 #include "standins/blocking_server.hpp"
 
@@ -462,3 +463,54 @@
     reader.runUntil([&] { return !reader.told.empty(); });
     CHECK(store.lists == 1);
 }
+
+// What one thread of a node tells the other waits in a ring: for milliseconds, longer where the
+// ring is full, and as long as the node stands still. The word of a store of kept context counted
+// from when it was taken out: 3 s old by this test, and the node took it for a word since it woke
+// and fetched by it.
+namespace {
+
+// The serving thread's state, with one store of kept context in its configuration.
+struct ServingThread
+{
+    ServingThread()
+    {
+        ContextStore store;
+        store.name = "s";
+        store.address = "127.0.0.1:1";
+        store.capacityTokens = 1'000'000;
+        ServingConfig config;
+        config.stores.push_back(store);
+        traffic.take(ConfigInForce{std::make_shared<const RouteTable>(std::move(config))});
+    }
+
+    // As the other thread puts it into the ring.
+    FleetUpdate storeTold() const
+    {
+        StoreNews news;
+        news.store = "s";
+        news.epoch = 1;
+        return ContextStoreTold{news};
+    }
+
+    net::io_context context;
+    ManualClock clock;
+    config::OneProcessSettings settings;
+    adapters::Metrics metrics;
+    Traffic traffic{context, clock, settings, metrics};
+};
+
+} // namespace
+
+TEST_CASE("ages: word of kept context that waited between threads is no word since waking "
+          "[standstill][stores]")
+{
+    ServingThread serving;
+    const FleetUpdate waiting = serving.storeTold();
+    serving.clock.advance(3s);
+    serving.traffic.take(waiting);
+    CHECK(serving.traffic.isWaking());
+    // The other side: the next word ends the wait.
+    serving.traffic.take(serving.storeTold());
+    CHECK_FALSE(serving.traffic.isWaking());
+}
