Word of kept context counts from when the node heard it, however long it waits between threads

Cause: the age in such a word holds at the moment at which the node's one thread hears it; the other counted it from when it took the word out of the ring, which may be full, and stands still with the node. A node that woke fetched by a word of before, instead of waiting 150 ms for a new one. Change: the update names the moment at which it was heard; both threads read one clock. Words that wait together are as old as the last one, whose clock of the engines they already took.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -76,7 +76,8 @@
     bool isAtEngine(const std::string &instanceId, const std::string &salt,
                     std::uint64_t contextHash, Duration keptFor) const;
 
-    void storeAnswered(const StoreNews &news);
+    // `waited`: since this node heard the news.
+    void storeAnswered(const StoreNews &news, Duration waited = Duration::zero());
     void storeSilent(const std::string &store);
 
     // Whether any store's word holds now; true as well when there is no store.
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -116,7 +116,7 @@
     store.answered = TimePoint::min();
 }
 
-void ContextDirectory::storeAnswered(const StoreNews &news)
+void ContextDirectory::storeAnswered(const StoreNews &news, Duration waited)
 {
     const auto it = m_stores.find(news.store);
     if (it == m_stores.end())
@@ -125,7 +125,7 @@
     if (news.restated || news.epoch != store.epoch)
         forgetAll(store);
     store.epoch = news.epoch;
-    store.answered = std::max(store.answered, m_clock.now() - news.age);
+    store.answered = std::max(store.answered, m_clock.now() - waited - news.age);
     for (const StorePartChange &change : news.changes)
         apply(store, change);
 }
--- a/src/node/context_relay_reader.cpp
+++ b/src/node/context_relay_reader.cpp
@@ -101,9 +101,10 @@
 void ContextRelayReader::take(StoreNews news, TimePoint asked)
 {
     // As old as it was for the relay, and on its way since, at the most.
-    news.age += std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - asked);
+    const TimePoint now = m_clock.now();
+    news.age += std::chrono::duration_cast<std::chrono::milliseconds>(now - asked);
     m_positions[news.store] = {stableHash(news.store), news.epoch, news.next};
-    m_tell(ContextStoreTold{std::move(news)});
+    m_tell(ContextStoreTold{std::move(news), now});
 }
 
 } // namespace fordwood::node
--- a/src/node/context_watch.cpp
+++ b/src/node/context_watch.cpp
@@ -149,7 +149,7 @@
                  {{"store", store->config.name}, {"epoch", events.cursor.epoch}});
     store->answers = true;
     store->cursor = events.cursor;
-    m_tell(ContextStoreTold{events.news});
+    m_tell(ContextStoreTold{events.news, m_clock.now()});
     pollAfter(store, kBatchPause);
 }
 
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -106,6 +106,7 @@
 struct ContextStoreTold
 {
     StoreNews news;
+    TimePoint heard{}; // by this node, which is when the age in the news holds
 };
 
 // A store of kept context does not answer.
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -151,9 +151,10 @@
 
 void Traffic::apply(const ContextStoreTold &update)
 {
-    m_contexts.storeAnswered(update.news);
+    // It may have waited between the threads, as long as the node stood still.
+    m_contexts.storeAnswered(update.news, m_clock.now() - update.heard);
     if (update.news.clock.count() > 0)
-        m_engineClock = {update.news.clock, m_clock.now() - update.news.age};
+        m_engineClock = {update.news.clock, update.heard - update.news.age};
 }
 
 void Traffic::apply(const Informed &update)
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -73,6 +73,14 @@
     }
 }
 
+// All of it is as old as the newer word.
+void addWord(ContextStoreTold &older, ContextStoreTold newer)
+{
+    older.heard = newer.heard;
+    older.news.age = newer.news.age;
+    addNews(older.news, std::move(newer.news));
+}
+
 // News of requests that wait; beyond it the oldest go. As many as a node remembers requests.
 constexpr std::size_t kMostRequestNews = 2'048;
 
@@ -99,7 +107,7 @@
     }
     FleetUpdate &older = known->second->update;
     if (told != nullptr)
-        addNews(std::get<ContextStoreTold>(older).news, std::move(told->news));
+        addWord(std::get<ContextStoreTold>(older), std::move(*told));
     else if (const auto *requests = std::get_if<RequestsHeard>(&update))
         addRequests(std::get<RequestsHeard>(older).news, requests->news);
     else
--- a/tests/node/belief_ages_test.cpp
+++ b/tests/node/belief_ages_test.cpp
@@ -21,6 +21,7 @@
 #include "node/context_watch.hpp"
 #include "node/quarantine_duty.hpp"
 #include "node/traffic.hpp"
+#include "node/update_queue.hpp"
 #include "process/platform_standins.hpp"
 #include "standins/blocking_server.hpp"
 
@@ -490,7 +491,7 @@
         StoreNews news;
         news.store = "s";
         news.epoch = 1;
-        return ContextStoreTold{news};
+        return ContextStoreTold{news, clock.now()};
     }
 
     net::io_context context;
@@ -514,3 +515,24 @@
     serving.traffic.take(serving.storeTold());
     CHECK_FALSE(serving.traffic.isWaking());
 }
+
+TEST_CASE("ages: words of a store that wait together are as old as the last [stores]")
+{
+    const auto wordAt = [](Duration time, std::chrono::milliseconds age) {
+        StoreNews news;
+        news.store = "s";
+        news.age = age;
+        return ContextStoreTold{news, TimePoint{} + time};
+    };
+    UpdateQueue queue;
+    queue.push(wordAt(1s, 300ms));
+    queue.push(wordAt(2s, 20ms));
+    std::vector<FleetUpdate> taken;
+    queue.flush([&](const FleetUpdate &it) {
+        taken.push_back(it);
+        return true;
+    });
+    REQUIRE(taken.size() == 1);
+    CHECK(std::get<ContextStoreTold>(taken.front()).heard == TimePoint{} + 2s);
+    CHECK(std::get<ContextStoreTold>(taken.front()).news.age == 20ms);
+}
--- a/tests/node/standstill_test.cpp
+++ b/tests/node/standstill_test.cpp
@@ -42,7 +42,7 @@
         StoreNews news;
         news.store = "s";
         news.epoch = 1;
-        traffic.take(ContextStoreTold{news});
+        traffic.take(ContextStoreTold{news, clock.now()});
     }
 
     boost::asio::io_context context;
