--- a/tests/node/belief_ages_test.cpp
+++ b/tests/node/belief_ages_test.cpp
@@ -19,6 +19,7 @@
 
 #include "fordwood/manual_clock.hpp"
 #include "node/context_watch.hpp"
+#include "node/order_words.hpp"
 #include "node/quarantine_duty.hpp"
 #include "node/traffic.hpp"
 #include "node/update_queue.hpp"
@@ -536,3 +537,43 @@
     CHECK(std::get<ContextStoreTold>(taken.front()).heard == TimePoint{} + 2s);
     CHECK(std::get<ContextStoreTold>(taken.front()).news.age == 20ms);
 }
+
+// Nodes do not send to engines that load by the word of the node that orders them, for a second
+// from each word. Relays pass on the last word of a node for two seconds, also after its death, and
+// each time it counted as a word of that moment: 10 of 10 in this test, so that the engines stood
+// idle for 3 s after the death of who had ordered them, where 1 s is meant.
+TEST_CASE("ages: the last word of a node that ordered engines is news once only [relays]")
+{
+    ManualClock clock;
+    clock.advance(1h);
+    OrderWords words(clock);
+    OrderWord last{0ms, 40ms, {"e"}, {}};
+    REQUIRE(words.note("a", last));
+    const TimePoint said = clock.now();
+    int news = 0;
+    for (int n = 1; n <= 10; ++n) {
+        clock.advance(200ms);
+        last.age += 198ms; // what it takes on its way is lost each time
+        news += words.note("a", last) ? 1 : 0;
+    }
+    CHECK(news == 0);
+    CHECK(words.lastSaid("a") == said);
+}
+
+TEST_CASE("ages: each new word of a node that orders engines is news [relays]")
+{
+    ManualClock clock;
+    clock.advance(1h);
+    OrderWords words(clock);
+    std::chrono::milliseconds lastOrder = 40ms;
+    REQUIRE(words.note("a", {0ms, lastOrder, {"e"}, {}}));
+    for (int n = 0; n < 10; ++n) { // the same engine loads on
+        clock.advance(200ms);
+        lastOrder += 200ms;
+        CHECK(words.note("a", {30ms, lastOrder, {"e"}, {}}));
+    }
+    clock.advance(10ms);
+    CHECK(words.note("a", {0ms, lastOrder + 40ms, {}, {{"e", {{"m", 2}}}}}));
+    clock.advance(10ms);
+    CHECK(words.note("a", {0ms, 0ms, {"f"}, {{"e", {{"m", 2}}}}}));
+}
