The last word of a node that ordered engines is news once only

Cause: an order word that relays pass on says how old it is, but each hearing of it counted as new, and the engines in it as loading from then on: after the death of the node that ordered them they stood idle for the two seconds in which relays pass the word on and one more. Change: a word that says the same as the last, at the same moment less what it takes on its way, is that word. A live node's words differ, since each names another time since its last order; one that waits before its first order is taken anew each 0.4 s.

Node tests pass (87).

--- a/src/node/order_words.cpp
+++ b/src/node/order_words.cpp
@@ -9,11 +9,22 @@
 // the life of the lock, shorter than an echo between relays could keep it going.
 constexpr Duration kPassOnFor = std::chrono::seconds(2);
 
+// Two that say the same are one word if they seem to be no further apart: what a word takes on its
+// way is lost from its age.
+constexpr Duration kSameWord = std::chrono::milliseconds(300);
+
 std::chrono::milliseconds inMilliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+// A new word names another time since the last order.
+bool saysTheSame(const OrderWord &a, const OrderWord &b)
+{
+    return a.lastOrder == b.lastOrder && a.enginesLoading == b.enginesLoading
+           && a.weightsShown == b.weightsShown;
+}
+
 } // namespace
 
 bool OrderWords::note(const std::string &node, const OrderWord &word)
@@ -26,6 +37,10 @@
         return false;
     if (known != m_said.end() && known->second.when > when)
         return false;
+    // One that relays pass on again, perhaps after its node's death, keeps no engine out of use.
+    if (known != m_said.end() && when - known->second.when < kSameWord
+        && saysTheSame(known->second.word, word))
+        return false;
     Said said;
     said.word = word;
     said.when = when;
--- a/src/node/order_words.hpp
+++ b/src/node/order_words.hpp
@@ -18,7 +18,8 @@
 public:
     explicit OrderWords(const Clock &clock) : m_clock(clock) { }
 
-    // False: a newer word of the node is known, or it has never said anything of orders.
+    // False: this word or a newer one of the node is known, or it has never said anything of
+    // orders.
     bool note(const std::string &node, const OrderWord &word);
 
     // When the node sent its last order, as far as it has said.
--- a/tests/node/belief_ages_test.cpp
+++ b/tests/node/belief_ages_test.cpp
@@ -8,6 +8,7 @@
 // its socket holds its sender for live (1 of 1) and passes the message on (1 of 1).
 #include "node/peer_links.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -577,3 +578,22 @@
     clock.advance(10ms);
     CHECK(words.note("a", {0ms, 0ms, {"f"}, {{"e", {{"m", 2}}}}}));
 }
+
+TEST_CASE("ages: a node that waits before its first order is heard often enough [relays]")
+{
+    ManualClock clock;
+    clock.advance(1h);
+    OrderWords words(clock);
+    const OrderWord waits{0ms, std::nullopt, {"e"}, {}};
+    REQUIRE(words.note("a", waits));
+    TimePoint lastNews = clock.now();
+    Duration longest{};
+    for (int n = 0; n < 20; ++n) {
+        clock.advance(200ms);
+        if (!words.note("a", waits))
+            continue;
+        longest = std::max(longest, clock.now() - lastNews);
+        lastNews = clock.now();
+    }
+    CHECK(longest == 400ms); // a second after a word its engines are used again
+}
