Test: a node that starts as the store returns drops upstreams that may live (fails; known red)

The directory of upstreams takes the store for reachable since the epoch of the clock, so that the time for records to come back is over before it begins: 1 of 1 dropped at once. A test beside it rules out that who reads a cold upstream's record late takes it for warm.

--- a/tests/unit/belief_ages_test.cpp
+++ b/tests/unit/belief_ages_test.cpp
@@ -2,9 +2,11 @@
 // What a node that has just started, or has stood still, takes for the age of what it reads.
 #include <doctest/doctest.h>
 
+#include "fordwood/cold_gate.hpp"
 #include "fordwood/manual_clock.hpp"
 #include "fordwood/standstill_watch.hpp"
 #include "fordwood/store_news_log.hpp"
+#include "fordwood/upstream_directory.hpp"
 
 using namespace fordwood;
 using namespace std::chrono_literals;
@@ -59,3 +61,46 @@
     log.told(news);
     CHECK(log.since({}).front().age == 100ms);
 }
+
+// Ruled out: a record says for how long the upstream stays cold from its writing on, and a node
+// counts from its reading. That is too long for who reads late, never too short.
+TEST_CASE("ages: who reads the record of a cold upstream late is careful for longer [cold]")
+{
+    ManualClock clock;
+    clock.advance(1h);
+    ColdGate early(clock, {}, "a");
+    early.noteCold("u", 3s);
+    clock.advance(2s);
+    ColdGate late(clock, {}, "b");
+    late.noteCold("u", 3s);
+    CHECK(early.isCold("u"));
+    CHECK(late.isCold("u"));
+    clock.advance(1s);
+    CHECK_FALSE(early.isCold("u"));
+    CHECK(late.isCold("u"));
+    // The other side: no longer than the record says.
+    clock.advance(2s);
+    CHECK_FALSE(late.isCold("u"));
+}
+
+// Records of upstreams run out while the store is away, and their upstreams write them anew within
+// two seconds of its return; until then nodes keep what may have run out. A node that started just
+// after the return, and hears so from a peer, takes the store for having answered since ever: it
+// drops such an upstream at once (1 of 1), where the others keep it.
+TEST_CASE("ages: a node that starts as the store returns keeps what may have run out [expiry]")
+{
+    ManualClock clock;
+    clock.advance(1h);
+    UpstreamDirectory directory(clock, {});
+    UpstreamRecord record;
+    record.instanceId = "u";
+    record.service = "s";
+    directory.put(record);
+    directory.remove("u", true);
+    CHECK(directory.tick().empty());
+    CHECK(directory.takesNewWork("u"));
+    // The other side: what does not come back is gone.
+    clock.advance(2'500ms);
+    directory.tick();
+    CHECK_FALSE(directory.takesNewWork("u"));
+}
