Tests: nodes of a paused clock do a whole turn for each step

The clock moves on once a node has read it so many times; peers' links read it too now, so that 20 reads were less than a turn.

--- a/tests/node/weights_fleet.cpp
+++ b/tests/node/weights_fleet.cpp
@@ -161,7 +161,7 @@
     }
     m_passed += by;
     // A turn of the node reads the clock several times; the next one begins within 20 ms.
-    constexpr std::uint64_t kReadsOfATurn = 20;
+    constexpr std::uint64_t kReadsOfATurn = 40;
     for (const auto &[n, node] : m_nodes) {
         while (node->clock().reads() < reads[n] + kReadsOfATurn)
             std::this_thread::sleep_for(1ms);
