--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -20,9 +20,6 @@
 // gone, and its word with it.
 constexpr Duration kLoadingWord = std::chrono::seconds(1);
 
-// Between two looks at the clock; longer than a tick takes on the busiest machine.
-constexpr Duration kStandstill = std::chrono::seconds(1);
-
 // The stores of context answer within this, or are themselves away.
 constexpr Duration kWakeTime = std::chrono::milliseconds(150);
 
@@ -59,7 +56,7 @@
       m_gate(clock, coldLimits(settings), settings.node.name,
              stableHash(makeNodeLife(settings.node.name))),
       m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
-      m_channels(context, clock), m_shortDemand(clock), m_lastTick(clock.now())
+      m_channels(context, clock), m_shortDemand(clock), m_standstill(clock)
 { }
 
 void Traffic::take(const FleetUpdate &update)
@@ -152,9 +149,10 @@
 
 void Traffic::apply(const ContextStoreTold &update)
 {
-    m_contexts.storeAnswered(update.news);
+    // It may have waited between the threads, as long as the node stood still.
+    m_contexts.storeAnswered(update.news, m_clock.now() - update.heard);
     if (update.news.clock.count() > 0)
-        m_engineClock = {update.news.clock, m_clock.now() - update.news.age};
+        m_engineClock = {update.news.clock, update.heard - update.news.age};
 }
 
 void Traffic::apply(const Informed &update)
@@ -263,10 +261,8 @@
 
 void Traffic::noteStandstill()
 {
-    const TimePoint now = m_clock.now();
-    if (now - m_lastTick >= kStandstill)
-        m_woke = now;
-    m_lastTick = now;
+    if (m_standstill.turn() > Duration::zero())
+        m_woke = m_clock.now();
 }
 
 bool Traffic::isWaking()
