Test: one request in many that ends each engine, at every node for 20 s

The pattern for which requests are held was tested in pieces only: three ends, from three nodes, in any order. Now a fleet of eight nodes and 18 engines takes one such request in 33 for 20 s, under new ids, at any node, with others beside it that break off when their engine ends. Both sides: a round of messages after the third end it is sent nowhere any more, and no other request is refused.

--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -2,6 +2,11 @@
 // Requests that end the upstreams that run them, and requests that are merely there.
 #include <doctest/doctest.h>
 
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -211,3 +216,157 @@
     }
     CHECK(messages <= 15);
 }
+
+namespace {
+
+// Callers send to any node for 20 s, one request in 33 with the content that ends each engine that
+// runs it, always under a new id; and each engine that ended starts again as another life.
+class FleetUnderFatalRequests
+{
+public:
+    explicit FleetUnderFatalRequests(std::uint64_t seed) : m_random(seed)
+    {
+        for (int n = 0; n < 8; ++n)
+            m_gates.emplace_back(m_clock);
+    }
+
+    void run()
+    {
+        const TimePoint end = m_clock.now() + 20s;
+        while (m_clock.now() < end) {
+            arrive(m_random() % 33 == 0 ? kFatal : RequestFingerprint{m_random() % 100, 10});
+            m_clock.advance(kBetweenRequests);
+            finishRuns();
+            if (m_clock.now() >= m_nextRound)
+                tellEachOther();
+        }
+    }
+
+    std::size_t ends = 0;
+    std::size_t fatalSentOnceKnown = 0; // a round of messages after the third end, or later
+    std::size_t fatalRefused = 0;
+    std::size_t othersRefused = 0;
+    std::size_t othersAnswered = 0;
+
+private:
+    static constexpr Duration kBetweenRequests = 5ms;
+    static constexpr Duration kRunTime = 30ms;
+    static constexpr Duration kRound = 100ms;
+    static constexpr Duration kDown = 3s;
+
+    struct Engine
+    {
+        std::uint64_t life = 0;
+        TimePoint upFrom{};
+    };
+
+    struct Run
+    {
+        RequestFingerprint request;
+        std::size_t node = 0;
+        std::size_t engine = 0;
+        TimePoint until{};
+    };
+
+    std::string idOf(std::size_t engine) const
+    {
+        return std::to_string(engine) + "-" + std::to_string(m_engines[engine].life);
+    }
+
+    // Nothing: all are down.
+    std::optional<std::size_t> pickEngine()
+    {
+        const std::size_t first = m_random() % m_engines.size();
+        for (std::size_t n = 0; n < m_engines.size(); ++n) {
+            const std::size_t engine = (first + n) % m_engines.size();
+            if (m_engines[engine].upFrom <= m_clock.now())
+                return engine;
+        }
+        return {};
+    }
+
+    void arrive(const RequestFingerprint &request)
+    {
+        const std::size_t node = m_random() % m_gates.size();
+        if (m_gates[node].isHeld(request)) {
+            (request == kFatal ? fatalRefused : othersRefused) += 1;
+            return;
+        }
+        const std::optional<std::size_t> engine = pickEngine();
+        if (!engine) {
+            othersRefused += 1;
+            return;
+        }
+        if (request == kFatal && m_knownFrom && m_clock.now() >= *m_knownFrom)
+            fatalSentOnceKnown += 1;
+        m_runs.push_back({request, node, *engine, m_clock.now() + kRunTime});
+    }
+
+    void finishRuns()
+    {
+        while (!m_runs.empty() && m_runs.front().until <= m_clock.now()) {
+            const Run run = m_runs.front();
+            m_runs.pop_front();
+            if (run.request == kFatal) {
+                m_gates[run.node].brokeOff(run.request, idOf(run.engine));
+                endEngine(run.engine);
+            } else {
+                m_gates[run.node].answered(run.request);
+                othersAnswered += 1;
+            }
+        }
+    }
+
+    // All that runs there breaks off at the same moment.
+    void endEngine(std::size_t engine)
+    {
+        for (const Run &it : m_runs) {
+            if (it.engine == engine)
+                m_gates[it.node].brokeOff(it.request, idOf(engine));
+        }
+        std::erase_if(m_runs, [engine](const Run &it) { return it.engine == engine; });
+        m_engines[engine].life += 1;
+        m_engines[engine].upFrom = m_clock.now() + kDown;
+        ends += 1;
+        if (ends == 3)
+            m_knownFrom = m_clock.now() + kRound;
+    }
+
+    void tellEachOther()
+    {
+        m_nextRound = m_clock.now() + kRound;
+        for (QuarantineGate &from : m_gates) {
+            const auto news = from.takeNews();
+            for (QuarantineGate &to : m_gates) {
+                if (&to != &from)
+                    to.heard(news);
+            }
+        }
+    }
+
+    ManualClock m_clock;
+    std::mt19937_64 m_random;
+    std::deque<QuarantineGate> m_gates;
+    std::array<Engine, 18> m_engines;
+    std::deque<Run> m_runs; // by end
+    TimePoint m_nextRound{};
+    std::optional<TimePoint> m_knownFrom;
+};
+
+} // namespace
+
+TEST_CASE("quarantine: one request in many that comes again for 20 s at any node ends a few "
+          "engines only and the others are answered")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        FleetUnderFatalRequests fleet(seed);
+        fleet.run();
+        CHECK(fleet.ends >= 3);
+        CHECK(fleet.ends <= 6);
+        CHECK(fleet.fatalSentOnceKnown == 0);
+        CHECK(fleet.fatalRefused > 50);
+        CHECK(fleet.othersRefused == 0);
+        CHECK(fleet.othersAnswered > 3'700);
+    }
+}
