The first naming of a model has an age, and a naming written again is none

Callers were refused while engines stood idle: since ages tell which weights were named before, a model's first naming, before which none was, counted as of unknown age, and what it replaced was not used until engines were loaded. Now "none had been named" is said as such. A document that names the same weights once more dates nothing: it would make them younger than they are.

--- a/src/node/weight_news.cpp
+++ b/src/node/weight_news.cpp
@@ -42,10 +42,13 @@
                       std::optional<TimePoint> notBefore)
 {
     std::uint64_t &newest = m_newestRead[model];
-    WeightNaming naming{{std::nullopt, m_clock.now()}, std::nullopt};
-    if (notBefore && newest > 0)
-        naming = {{notBefore, m_clock.now()}, newest};
-    newest = std::max(newest, version);
+    if (version <= newest)
+        return; // written again, which is no naming
+    // Zero where none had been named: engines ran what they came with.
+    WeightNaming naming{{notBefore, m_clock.now()}, std::nullopt};
+    if (notBefore)
+        naming.after = newest;
+    newest = version;
     note(model, version, naming, m_node);
 }
 
