An upstream that may have expired is kept also by a node that starts as the store returns

A node that started while the platform's store was away took it to be reachable since the epoch of its clock, so that it dropped at once what may only have expired for the store's absence; callers had no upstream there. It is as far as known reachable from the node's start on.

--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -30,7 +30,9 @@
         Duration recordWithin = std::chrono::seconds(5);
     };
 
-    UpstreamDirectory(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
+    UpstreamDirectory(const Clock &clock, Limits limits)
+        : m_clock(clock), m_limits(limits), m_reachableSince(clock.now())
+    { }
 
     // An upstream has written its record.
     void put(UpstreamRecord record);
@@ -113,7 +115,7 @@
     std::map<std::string, Entry> m_entries;
     std::set<std::string> m_evacuated; // failure domains
     bool m_storeReachable = true;
-    TimePoint m_reachableSince{}; // since the store answers, as far as known
+    TimePoint m_reachableSince; // since the store answers, as far as known; from its start at most
     bool m_weightsChanged = false;
 };
 
