--- a/include/fordwood/weight_history.hpp
+++ b/include/fordwood/weight_history.hpp
@@ -16,8 +16,8 @@
 {
     EventTime named;
     // The newest weights that had been named at `named.earliest`, which bounds the age of what came
-    // after them only: what was replaced before may have been so for long. Zero: none had been named.
-    // Nothing: not known.
+    // after them only: what was replaced before may have been so for long. Zero: none had been
+    // named. Nothing: not known.
     std::optional<std::uint64_t> after;
 
     // Takes in what another one knows. False when that tells nothing new.
