--- a/tests/node/weight_age_random_test.cpp
+++ b/tests/node/weight_age_random_test.cpp
@@ -113,7 +113,9 @@
 
 void WeightsStorm::check()
 {
-    for (const auto &[version, named] : m_named) {
+    for (const auto &it : m_named) {
+        const std::uint64_t version = it.first;
+        const Duration named = it.second;
         const Duration age = m_now - named;
         const int users = m_fleet.nodesThatUse(version - 1);
         INFO("version ", version, " named ", age.count() / 1'000'000, " ms ago at ",
