--- a/include/fordwood/copy_freshness.hpp
+++ b/include/fordwood/copy_freshness.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "fordwood/clock.hpp"
+#include "fordwood/standstill_watch.hpp"
 
 namespace fordwood {
 
@@ -14,7 +15,7 @@
 class CopyFreshness
 {
 public:
-    explicit CopyFreshness(const Clock &clock) : m_clock(clock), m_lastTick(clock.now()) { }
+    explicit CopyFreshness(const Clock &clock) : m_clock(clock), m_standstill(clock) { }
 
     // The copy holds what the store answered to a call that was sent at that time.
     void storeAnswered(TimePoint asked);
@@ -28,7 +29,7 @@
     void peerHasNoMore(Duration age);
 
     // Regular work, several times a second.
-    void tick();
+    void tick() { noteStandstill(); }
 
     // Nothing: the copy was never known to be whole.
     std::optional<TimePoint> wholeAt() const { return m_wholeAt; }
@@ -38,12 +39,13 @@
     std::optional<Duration> ageByStore() const;
 
 private:
-    bool isWaking() const;
+    void noteStandstill();
+    bool isWaking();
 
     const Clock &m_clock;
     std::optional<TimePoint> m_wholeAt;
     std::optional<TimePoint> m_byStore;
-    TimePoint m_lastTick;
+    StandstillWatch m_standstill;
     std::optional<TimePoint> m_woke;
 };
 
--- a/src/core/copy_freshness.cpp
+++ b/src/core/copy_freshness.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Between two turns of the node's work; longer than one takes on the busiest VM.
-constexpr Duration kStandstill = std::chrono::seconds(1);
-
 // What lies in the sockets of a process that wakes is read within this.
 constexpr Duration kWakeTime = std::chrono::milliseconds(500);
 
@@ -35,18 +32,16 @@
     m_wholeAt = std::max(m_wholeAt.value_or(then), then);
 }
 
-void CopyFreshness::tick()
+void CopyFreshness::noteStandstill()
 {
-    const TimePoint now = m_clock.now();
-    if (now - m_lastTick >= kStandstill)
-        m_woke = now;
-    m_lastTick = now;
+    if (m_standstill.turn() > Duration::zero())
+        m_woke = m_clock.now();
 }
 
-bool CopyFreshness::isWaking() const
+bool CopyFreshness::isWaking()
 {
-    const TimePoint now = m_clock.now();
-    return now - m_lastTick >= kStandstill || (m_woke && now - *m_woke < kWakeTime);
+    noteStandstill();
+    return m_woke && m_clock.now() - *m_woke < kWakeTime;
 }
 
 std::optional<Duration> CopyFreshness::ageByStore() const
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -48,8 +48,8 @@
 // them.
 constexpr Duration kMarkPatiencePerRank = std::chrono::milliseconds(300);
 
-// How long before the bound of old weights a mark ends: requests that wait at an engine must still
-// begin in time, and the word of the store on the mark may be some seconds old.
+// How long before the bound of old weights a mark ends. The word of the store on it may be two
+// seconds old, and a request that is chosen by it must still begin in time.
 constexpr Duration kMarkMargin = std::chrono::seconds(4);
 
 constexpr std::size_t kMailboxCapacity = 64;
--- a/src/node/weight_news.cpp
+++ b/src/node/weight_news.cpp
@@ -96,7 +96,7 @@
         logEvent(Event::WeightsAgeLearnt,
                  {{"model", model},
                   {"weights", version},
-                  {"age_ms", age.least.count()},
+                  {"age_at_least_ms", age.least.count()},
                   {"age_at_most_ms", age.most ? std::to_string(age.most->count()) : "unknown"},
                   {"after", known->after.value_or(0)},
                   {"from", from}});
