--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -54,9 +54,8 @@
 
 // The part of the engines that a node should consider for one request, where so many nodes choose
 // from loads that are some tenths of a second old. All of a large fleet would else send to the few
-// engines that seemed idle: with 295 nodes some 40 long prompts between two messages, where an
-// engine computes three. A random part leaves each engine to as many nodes as there are in a small
-// fleet.
+// engines that seemed idle, many times what these compute between two messages. A random part
+// leaves each engine to as many nodes as there are in a small fleet.
 double partToConsider(std::size_t liveNodes);
 
 // Chooses the engine for a prompt. All nodes prefer the same engine for the same context, so that
--- a/include/fordwood/load_sums.hpp
+++ b/include/fordwood/load_sums.hpp
@@ -33,8 +33,8 @@
 
 // What a relay knows of the load at the upstreams: the last report of each node of its failure
 // domain and one sum for each other domain. Nodes hear the sum of all from their relays, so that
-// what a node hears grows with the upstreams and not with the nodes: with 295 nodes that tell each
-// other, 1,700 messages a second took a weak VM's whole processor.
+// what a node hears grows with the upstreams and not with the nodes: where hundreds of nodes tell
+// each other, the messages take a weak VM's whole processor.
 //
 // The load pattern that it answers: many nodes with few requests each before shared upstreams. No
 // node sees enough of the load by itself, and all need the same sum.
--- a/include/fordwood/relay_role.hpp
+++ b/include/fordwood/relay_role.hpp
@@ -31,9 +31,8 @@
 // Whether a node follows the platform's store and the stores of kept context itself, or hears of
 // them from relays: two nodes of each failure domain, the strongest ones, equals by a hash of their
 // names. Without relays each change wakes a waiting call of every node, and a store of kept context
-// turns away readers beyond its limit, so that no node knows what it holds: with 82 nodes 8,000
-// calls of the platform's store and 137,000 of the stores of kept context in 34 s. Two nodes that
-// both think they are relays cost a few calls and nothing else.
+// turns away readers beyond its limit, so that no node knows what it holds. Two nodes that both
+// think they are relays cost a few calls and nothing else.
 class RelayRole
 {
 public:
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -10,8 +10,7 @@
 
 namespace {
 
-// Costs are in prompt tokens that an engine would have to compute. The weights are trials on the
-// notice boards' standard days; see docs/design/10-platform.md.
+// Costs are in prompt tokens that an engine would have to compute; see docs/design/10-platform.md.
 
 // Computing context again that the stores hold would also cost the fleet, not only this request;
 // but then it is fetched. What no store holds is probably read for the first time.
--- a/src/core/store_keeper.cpp
+++ b/src/core/store_keeper.cpp
@@ -73,8 +73,8 @@
     return replaced->latest;
 }
 
-// Looks at the parts of old weights only: a turn over 17 stores of 400 parts each, fifty times a
-// second, takes 0.005 ms instead of 2.0 ms when nothing is old (decisions-bench, keepStores).
+// Looks at the parts of old weights only: turns come many times a second, and mostly nothing is
+// old.
 void StoreKeeper::addGarbage(const Store &store, FreeParts &action) const
 {
     for (const auto &[salt, ids] : store.parts) {
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -20,7 +20,7 @@
 // Datagrams to and from the other nodes. In a small fleet each node tells each other one. In a
 // large one nodes report to the relays of their failure domain, which exchange sums and tell them
 // to the nodes. Without sums a message crosses to each other failure domain once, and is passed on
-// there: with 82 nodes in four domains three datagrams instead of some sixty.
+// there: as many datagrams as there are domains, not nodes.
 class PeerLinks
 {
 public:
