--- a/src/node/naming_marks.hpp
+++ b/src/node/naming_marks.hpp
@@ -17,8 +17,9 @@
 
 // Keeps the age of namings where it outlives all nodes: a key in the platform's store under a lease
 // that runs out a fixed time after the naming. While the key is there, the naming is no older than
-// that, whoever reads it; clocks of two nodes are never compared. Without it nodes that all start
-// anew could not use engines that have the replaced weights, which just after a naming are all.
+// that, whoever reads it, but for time in which the store was away and its leases waited; clocks of
+// two nodes are never compared. Without it nodes that all start anew could not use engines that
+// have the replaced weights, which just after a naming are all.
 class NamingMarks
 {
 public:
