The line of a request's end tells what the upstream's last answer says of draining and backoff

Sight for the incident (draining and backoff in answers): no line told what the answers said, so that a header that nobody reads could not be told from one that is read and forgotten. The platform's adapter decodes both fields; nothing is decided by them yet. The stand-in of upstreams learns to say both. The serving thread of a node over a paused clock, until now written twice in tests, is one fixture.

--- a/include/fordwood/limit_text.hpp
+++ b/include/fordwood/limit_text.hpp
@@ -15,15 +15,14 @@
     bool isUnreadable = false; // it names something that is no such number
 };
 
-// Requests a second in plain decimal digits; nothing for what names no number from zero up, or one
-// too large to be held.
-std::optional<double> readRate(std::string_view text);
+// A decimal number; nothing for what is no number from zero up, or one too large to be held.
+std::optional<double> readNonNegative(std::string_view text);
 
 // Takes in one field of an answer. One that is there twice names both limits: the smaller one
 // holds.
 inline void addLimit(std::string_view text, LimitReading &reading)
 {
-    const auto rate = readRate(text);
+    const auto rate = readNonNegative(text);
     if (!rate)
         reading.isUnreadable = true;
     else
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -40,6 +40,16 @@
     return out.str();
 }
 
+std::string upstreamState(const CallEnd &end)
+{
+    std::ostringstream out;
+    if (end.isUpstreamDraining)
+        out << "draining";
+    if (end.backoff)
+        out << (end.isUpstreamDraining ? " " : "") << "backoff_ms:" << inMilliseconds(*end.backoff);
+    return out.str();
+}
+
 } // namespace
 
 void logAttemptFailure(const AttemptFailure &failure)
@@ -66,6 +76,7 @@
               {"status", end.status},
               {"first_ms", end.firstEvent ? inMilliseconds(*end.firstEvent) : kNoEvent},
               {"ms", inMilliseconds(end.took)},
+              {"upstream_state", upstreamState(end)},
               {"engine", end.engine != nullptr ? engineInputs(*end.engine) : ""}});
 }
 
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -27,6 +27,9 @@
     Duration took{};
     std::optional<Duration> firstEvent; // of a stream, after the arrival
     const EngineChoice *engine = nullptr; // chosen last; null: no engine was looked for
+    // What the last answer of the upstream says of its own state.
+    bool isUpstreamDraining = false;
+    std::optional<Duration> backoff;
 };
 
 // An upstream broke off while a request was there.
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -580,6 +580,10 @@
     end.took = took;
     if (m_firstEvent)
         end.firstEvent = *m_firstEvent - m_arrived;
+    if (m_attempt) {
+        end.isUpstreamDraining = m_attempt->head.isDraining;
+        end.backoff = m_attempt->head.backoff.length;
+    }
     end.engine = m_attempt ? &m_attempt->engine : m_busyEngine ? &*m_busyEngine : nullptr;
     logCallEnd(end);
 }
--- a/tests/node/engine_refusal_test.cpp
+++ b/tests/node/engine_refusal_test.cpp
@@ -7,13 +7,9 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <memory>
 
-#include <unistd.h>
-
-#include "fordwood/manual_clock.hpp"
-#include "node/call_run.hpp"
 #include "standins/blocking_server.hpp"
+#include "support/serving_thread.hpp"
 
 using namespace fordwood;
 using namespace fordwood::node;
@@ -79,65 +75,26 @@
     standins::BlockingServer m_server;
 };
 
-// Loopback addresses that no other run of the tests uses at the same time.
-std::string address(int host)
-{
-    return "127.7." + std::to_string(getpid() % 250 + 1) + "." + std::to_string(host) + ":8080";
-}
-
-class Caller : public CallerPort
-{
-public:
-    void sendWhole(http::response_header<> head, std::string /*body*/) override
-    {
-        status = head.result_int();
-    }
-    void beginStream(http::response_header<> /*head*/) override { }
-    bool sendPiece(std::string_view /*bytes*/) override { return true; }
-    void endStream() override { }
-    void cut() override { status = 1; }
-
-    unsigned status = 0; // zero: not over
-};
-
 // A node's serving thread before two engines, over a paused clock.
 class Serving
 {
 public:
     explicit Serving(bool tells)
-        : wrong("e0", address(40), 1, tells), right("e1", address(41), 2, true),
-          m_traffic(m_context, m_clock, m_settings, m_metrics)
+        : wrong("e0", ownAddress(40), 1, tells), right("e1", ownAddress(41), 2, true),
+          m_thread(pool())
     {
-        ServiceRoute route;
-        route.name = "r";
-        route.host = "a.example";
-        route.pathPrefix = "/";
-        route.targets = {{"models", 1.0}};
-        route.repeatable = true;
-        route.maxAttempts = 2;
-        ServicePool pool;
-        pool.name = "models";
-        pool.engine = EngineTraits{8, 100'000, {kModel}, 0};
-        ServingConfig config;
-        config.version = 1;
-        config.routes = {route};
-        config.services = {pool};
-        m_traffic.onReportNow([] {});
-        m_traffic.onRequestNews([] {});
-        m_traffic.take(ConfigInForce{std::make_shared<RouteTable>(std::move(config))});
         write(wrong.record(2));
         write(right.record(2));
     }
 
-    void write(const UpstreamRecord &record) { m_traffic.take(UpstreamWritten{record}); }
+    void write(const UpstreamRecord &record) { m_thread.write(record); }
 
     // Requests with contexts of their own, 200 ms apart. Gives how many were answered well.
     int send(int requests)
     {
         int answered = 0;
         for (int n = 0; n < requests; ++n) {
-            m_clock.advance(200ms);
-            m_traffic.tick();
+            m_thread.advance(200ms);
             answered += sendOne() == 200 ? 1 : 0;
         }
         return answered;
@@ -147,34 +104,25 @@
     VersionedEngine right;
 
 private:
+    static ServicePool pool()
+    {
+        ServicePool pool;
+        pool.name = "models";
+        pool.engine = EngineTraits{8, 100'000, {kModel}, 0};
+        return pool;
+    }
+
     unsigned sendOne()
     {
         const std::string name = std::to_string(++m_requests);
-        http::request_header<> head;
-        head.method(http::verb::post);
-        head.target("/a");
-        head.set(http::field::host, "a.example");
-        head.set("Request-Id", "r" + name);
-        head.set("Request-Deadline", std::to_string(std::chrono::milliseconds(24h * 365).count()));
-        head.set("Model", kModel);
-        head.set("Token-Usage", "900,10");
-        head.set("Prompt-Prefix", "c" + name + ":800,own" + name + ":100");
-        Caller caller;
-        const auto run
-            = std::make_shared<CallRun>(m_traffic, caller, std::move(head), "", m_clock.now());
-        run->start();
-        // By the wall's clock: only a fault makes it take this long.
-        const auto until = std::chrono::steady_clock::now() + 20s;
-        while (caller.status == 0 && std::chrono::steady_clock::now() < until)
-            m_context.run_one_for(10ms);
-        return caller.status;
+        http::fields fields;
+        fields.set("Model", kModel);
+        fields.set("Token-Usage", "900,10");
+        fields.set("Prompt-Prefix", "c" + name + ":800,own" + name + ":100");
+        return m_thread.send(fields).status;
     }
 
-    net::io_context m_context;
-    ManualClock m_clock;
-    config::OneProcessSettings m_settings;
-    adapters::Metrics m_metrics;
-    Traffic m_traffic;
+    ServingThread m_thread;
     int m_requests = 0;
 };
 
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -81,6 +81,39 @@
     CHECK(read({"5", "many"}).isUnreadable);
 }
 
+TEST_CASE("upstreams: what an answer says of draining and backoff is read "
+          "[platform][drain][backoff][bad-input]")
+{
+    const auto read = [](unsigned status, std::initializer_list<const char *> values) {
+        Fields fields;
+        for (const char *it : values)
+            fields.insert("Retry-After", it);
+        return readAnswerHead(status, fields).backoff;
+    };
+    CHECK_FALSE(read(503, {}).length);
+    CHECK_FALSE(read(200, {"3"}).length);
+    CHECK_FALSE(read(429, {"3"}).length);
+    CHECK(read(503, {"3"}).length == Duration(3s));
+    CHECK(read(503, {"0.25"}).length == Duration(250ms));
+    CHECK(read(503, {"0"}).length == Duration(0s));
+    CHECK(read(503, {"1", "2.5"}).length == Duration(2500ms));
+    CHECK(*read(503, {"1e300"}).length > 24h);
+    for (const char *it : {"", "-1", "nan", "inf", "3s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        CAPTURE(it);
+        CHECK_FALSE(read(503, {it}).length);
+        CHECK(read(503, {it}).isUnreadable);
+    }
+    const auto isDraining = [](const char *value) {
+        Fields fields;
+        fields.set("Server-Leaving", value);
+        return readAnswerHead(200, fields).isDraining;
+    };
+    CHECK(isDraining("1"));
+    CHECK_FALSE(isDraining("0"));
+    CHECK_FALSE(isDraining(""));
+    CHECK_FALSE(readAnswerHead(200, Fields{}).isDraining);
+}
+
 TEST_CASE("callers: numbers that are none are taken as not given [platform][bad-input]")
 {
     Fields fields;
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -356,6 +356,26 @@
     m_limit = std::move(limit);
 }
 
+void UpstreamStandin::setDraining(bool draining)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isDraining = draining;
+}
+
+void UpstreamStandin::rejectWithBackoff(std::optional<std::string> retryAfter)
+{
+    const std::lock_guard lock(m_mutex);
+    m_retryAfter = std::move(retryAfter);
+}
+
+void UpstreamStandin::addState(Answer &answer) const
+{
+    if (m_limit)
+        answer.headers["Server-Limit"] = *m_limit;
+    if (m_isDraining)
+        answer.headers["Server-Leaving"] = "1";
+}
+
 std::vector<std::chrono::steady_clock::time_point> UpstreamStandin::arrivals()
 {
     const std::lock_guard lock(m_mutex);
@@ -394,8 +414,13 @@
         return result;
     }
     m_arrivals.push_back(std::chrono::steady_clock::now());
-    if (m_limit)
-        result.headers["Server-Limit"] = *m_limit;
+    addState(result);
+    if (m_retryAfter) {
+        result.status = 503;
+        result.headers["Not-Executed"] = "1";
+        result.headers["Retry-After"] = *m_retryAfter;
+        return result;
+    }
     Fault fault = Fault::None;
     if (m_faults > 0) {
         m_faults -= 1;
@@ -429,8 +454,7 @@
     result.contentType = "text/event-stream";
     result.headers["Request-Id"] = request.header("Request-Id");
     result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
-    if (m_limit)
-        result.headers["Server-Limit"] = *m_limit;
+    addState(result);
     const std::string last = request.header("Last-Event-Id");
     auto next = std::make_shared<int>(last.empty() ? 0 : std::stoi(last));
     const int breakAfter = m_breakAfter;
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -116,6 +116,13 @@
     // What its answers say of its limit from now on; nothing: no such field.
     void nameLimit(std::optional<std::string> limit);
 
+    // Whether its answers say from now on that it is draining.
+    void setDraining(bool draining);
+
+    // From now on it rejects every request and asks for this backoff, in the field's own text;
+    // nothing: it rejects none.
+    void rejectWithBackoff(std::optional<std::string> retryAfter);
+
     // When requests arrived, whatever became of them.
     std::vector<std::chrono::steady_clock::time_point> arrivals();
 
@@ -130,6 +137,7 @@
 private:
     standins::Answer answer(const standins::Request &request);
     standins::Answer stream(const standins::Request &request);
+    void addState(standins::Answer &answer) const;
 
     standins::Answer end();
 
@@ -142,6 +150,8 @@
     std::map<std::string, int> m_runs;
     standins::Request m_last;
     std::optional<std::string> m_limit;
+    bool m_isDraining = false;
+    std::optional<std::string> m_retryAfter;
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     Fault m_fault = Fault::None;
     int m_faults = 0;
