--- /dev/null
+++ b/tests/node/upstream_state_test.cpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+#include <doctest/doctest.h>
+
+#include "process/platform_standins.hpp"
+#include "support/serving_thread.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A node's serving thread before two upstreams of a plain service. Nothing is heard of the
+// platform's store.
+class Serving
+{
+public:
+    Serving()
+        : first(ownAddress(50), "i-1"), second(ownAddress(51), "i-2"), m_thread(pool(), route())
+    {
+        write("i-1", 50);
+        write("i-2", 51);
+    }
+
+    // `life`: which one of those under the id.
+    void write(const std::string &id, int host, int life = 0)
+    {
+        UpstreamRecord record;
+        record.instanceId = life == 0 ? id : id + "/" + std::to_string(life);
+        record.announcedId = id;
+        record.service = "board";
+        record.address = ownAddress(host);
+        m_thread.write(record);
+    }
+
+    CallerAnswer send() { return m_thread.send(); }
+
+    // Requests, so long apart. Gives how many were answered well.
+    int send(int requests, Duration apart)
+    {
+        int answered = 0;
+        for (int n = 0; n < requests; ++n) {
+            m_thread.advance(apart);
+            answered += send().status == 200 ? 1 : 0;
+        }
+        return answered;
+    }
+
+    // Until the upstream has been asked once more. False: it gets no request.
+    bool sendTo(process::UpstreamStandin &upstream)
+    {
+        constexpr int kMostTries = 50;
+        const std::size_t before = upstream.arrivals().size();
+        for (int n = 0; n < kMostTries && upstream.arrivals().size() == before; ++n)
+            send();
+        return upstream.arrivals().size() > before;
+    }
+
+    void advance(Duration by) { m_thread.advance(by); }
+
+    process::UpstreamStandin first;
+    process::UpstreamStandin second;
+
+private:
+    static ServicePool pool()
+    {
+        ServicePool pool;
+        pool.name = "board";
+        return pool;
+    }
+
+    static ServiceRoute route()
+    {
+        ServiceRoute route;
+        route.targetLatency = 400ms;
+        return route;
+    }
+
+    ServingThread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("upstream state: an upstream that says in an answer that it is draining gets no request "
+          "after it [drain]")
+{
+    Serving serving;
+    serving.first.setDraining(true);
+    REQUIRE(serving.sendTo(serving.first));
+    CHECK(serving.send(40, 100ms) == 40);
+    CHECK(serving.first.arrivals().size() == 1);
+}
+
+TEST_CASE("upstream state: an upstream gets no request within the backoff that it asked for "
+          "[backoff]")
+{
+    Serving serving;
+    serving.first.rejectWithBackoff("3");
+    REQUIRE(serving.sendTo(serving.first));
+    CHECK(serving.send(29, 100ms) == 29);
+    CHECK(serving.first.arrivals().size() == 1);
+}
