--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -21,9 +21,9 @@
 #include "node/document_reader.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_caller.hpp"
-#include "node/limit_rounds.hpp"
 #include "node/load_exchange.hpp"
 #include "node/mailbox.hpp"
+#include "node/message_rounds.hpp"
 #include "node/naming_marks.hpp"
 #include "node/order_duty.hpp"
 #include "node/order_words.hpp"
@@ -153,7 +153,7 @@
     UpstreamDirectory m_upstreams;
     LoadBook m_loads;
     OwnLoads m_lastOwn;
-    LimitRounds m_limitRounds;
+    MessageRounds<LimitWord> m_limitRounds;
     UpdateQueue m_waiting; // updates that did not fit
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
--- a/tests/node/limit_rounds_test.cpp
+++ b/tests/node/message_rounds_test.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 // The load pattern: a whole fleet of upstreams is overloaded at the same time.
-#include "node/limit_rounds.hpp"
+#include "node/message_rounds.hpp"
 
 #include <doctest/doctest.h>
 
@@ -28,9 +28,9 @@
 } // namespace
 
 TEST_CASE(
-    "limit rounds: few limits go into each message, many in turn, and none is left out [limit]")
+    "message rounds: few limits go into each message, many in turn, and none is left out [limit]")
 {
-    LimitRounds rounds;
+    MessageRounds<LimitWord> rounds;
     CHECK(rounds.next(wordsOf(3, 1)).size() == 3);
     const auto many = wordsOf(300, 1);
     std::set<std::uint64_t> told;
@@ -41,10 +41,10 @@
     CHECK(told.size() == many.size());
 }
 
-TEST_CASE("limit rounds: the largest message fits into a datagram [limit]")
+TEST_CASE("message rounds: the largest message fits into a datagram [limit]")
 {
     constexpr std::size_t kLargestDatagram = 65'507;
-    LimitRounds rounds;
+    MessageRounds<LimitWord> rounds;
     Gossip message;
     message.limits = rounds.next(wordsOf(1'000, 9)); // as many senders as a limit of 3.2 has
     CHECK(encodeGossip(message).size() < kLargestDatagram / 4);
