An upstream that says in an answer that it is draining gets no new request, from any node

Cause: draining was known from the upstream's record alone, and while the platform's store is away no record is written; the answers say it too, and nobody read them.

UpstreamDirectory keeps the report beside the record, for the upstream's life: every question of who takes new work asks it already, also just before a send. Each answer counts that the upstream itself has sent, also a rejection, one without a seal and one that stands in the place of another request's; not one of another instance at its address. Nodes report it to each other: with four nodes each would otherwise lose a request's worth, and one that starts would not know. Where all upstreams of a service are draining, requests are rejected at once.

Ways weighed for peers: none (each node learns by its own answer); a version for each report as limits have (draining is never taken back, so an older report says the same); a key in the store (which is away).

--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -41,6 +41,17 @@
     // from a lease that ran out while the store was away.
     void remove(const std::string &instanceId, bool mayBeExpiry);
 
+    // The upstream says in an answer that it is draining. That holds for the rest of its life,
+    // whatever its record says: nothing is written while the platform's store is away. False: it
+    // is known, or the upstream is not.
+    bool reportDraining(const std::string &instanceId);
+
+    // The upstreams that are draining by their answers.
+    std::vector<std::string> reportedDraining() const;
+
+    // Whether the service has upstreams that are draining.
+    bool hasDraining(const std::string &service) const;
+
     // Operators want nothing new sent to the upstreams of the failure domain, or have taken that
     // back. What runs there ends by itself.
     void setEvacuated(const std::string &failureDomain, bool isEvacuated);
@@ -101,6 +112,7 @@
     {
         UpstreamRecord record; // with the weights that are believed
         std::map<std::string, Weights> weights; // by model
+        bool reportedDraining = false; // by an answer
         bool expired = false; // its record is gone, but perhaps only for the store's absence
     };
 
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -16,6 +16,7 @@
     }
     entry.weights = std::move(weights);
     entry.record = std::move(record);
+    entry.record.draining = entry.record.draining || entry.reportedDraining;
     entry.expired = false;
 }
 
@@ -77,6 +78,34 @@
         m_entries.erase(it);
 }
 
+bool UpstreamDirectory::reportDraining(const std::string &instanceId)
+{
+    const auto it = m_entries.find(instanceId);
+    if (it == m_entries.end() || it->second.reportedDraining)
+        return false;
+    it->second.reportedDraining = true;
+    it->second.record.draining = true;
+    return true;
+}
+
+std::vector<std::string> UpstreamDirectory::reportedDraining() const
+{
+    std::vector<std::string> found;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.reportedDraining)
+            found.push_back(id);
+    }
+    return found;
+}
+
+bool UpstreamDirectory::hasDraining(const std::string &service) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
+        const UpstreamRecord &record = it.second.record;
+        return record.service == service && record.draining;
+    });
+}
+
 void UpstreamDirectory::setEvacuated(const std::string &failureDomain, bool isEvacuated)
 {
     if (isEvacuated)
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -22,8 +22,8 @@
 // What a refused caller is told to wait.
 constexpr std::chrono::milliseconds kRetryAfter{250};
 
-// An evacuation lasts for seconds at least.
-constexpr std::chrono::milliseconds kEvacuatedRetryAfter{1'000};
+// An evacuation lasts for seconds at least, and so does the start of upstreams.
+constexpr std::chrono::milliseconds kNoneInServiceRetryAfter{1'000};
 
 // An upstream that has no room is passed over for a moment.
 constexpr Duration kFullPause = std::chrono::milliseconds(150);
@@ -188,7 +188,12 @@
     }
     if (!m_streamBegun && m_traffic.isEvacuated(*m_call.pool)) {
         m_plan.setReason(Reason::DomainEvacuated);
-        giveUp(m_plan.verdict(kEvacuatedRetryAfter));
+        giveUp(m_plan.verdict(kNoneInServiceRetryAfter));
+        return;
+    }
+    if (!m_streamBegun && m_traffic.isDrained(*m_call.pool)) {
+        m_plan.setReason(Reason::UpstreamLeaving);
+        giveUp(m_plan.verdict(kNoneInServiceRetryAfter));
         return;
     }
     if (!m_streamBegun && !m_spentUpstream.empty()) {
@@ -284,6 +289,7 @@
     m_traffic.health().heard(m_attempt->upstream.instanceId);
     m_attempt->head = platform::readAnswerHead(head.result_int(), head);
     m_attempt->answer = head;
+    m_traffic.noteState(m_caller.requestId, *m_attempt);
     // An answer to another request stands in the place of ours, which may have run.
     if (m_attempt->head.requestId != m_caller.requestId) {
         m_traffic.health().answeredFailure(m_attempt->upstream.instanceId);
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -109,7 +109,9 @@
       m_ownLoads(m_context, kMailboxCapacity, [this](OwnLoads it) { takeOwnLoads(std::move(it)); }),
       m_ownRequestNews(m_context, kMailboxCapacity,
                        [this](const std::vector<RequestNews> &it) { takeOwnRequestNews(it); }),
-      m_tickTimer(m_context), m_upstreams(clock, {}), m_loads(clock)
+      m_tickTimer(m_context), m_upstreams(clock, {}),
+      m_drainReports(m_upstreams, [this](FleetUpdate it) { this->tell(std::move(it)); }),
+      m_loads(clock)
 { }
 
 bool ControlDuty::open()
@@ -347,6 +349,8 @@
     }
     if (!message.limits.empty())
         tell(LimitsHeard{message.node, message.limits});
+    if (m_drainReports.takeFrom(message.node, message.draining))
+        noteEngines();
     takeOrders(message.node, message.orders);
     for (const auto &[node, word] : message.ordersHeard) {
         if (node != m_settings.node.name)
@@ -388,6 +392,8 @@
     const bool isUrgent = own.isUrgent && !(usesSums() && m_role.isRelay());
     m_gossipSoon = m_gossipSoon || isUrgent;
     m_lastOwn = std::move(own);
+    if (m_drainReports.takeOwn(m_lastOwn.draining))
+        noteEngines();
     if (m_gossipSoon && mayGossipAgain())
         gossip();
 }
@@ -453,6 +459,7 @@
     Gossip message = ownMessage();
     message.requestNews = m_quarantine.newsForPeers();
     message.limits = limitsForPeers();
+    message.draining = m_drainReports.forPeers();
     tell(EnginesLoading{message.node, message.orders.enginesLoading});
     m_gossipSoon = false;
     m_lastGossip = m_clock.now();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -19,6 +19,7 @@
 #include "fordwood/upstream_directory.hpp"
 #include "node/context_keeping.hpp"
 #include "node/document_reader.hpp"
+#include "node/drain_reports.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_caller.hpp"
 #include "node/load_exchange.hpp"
@@ -151,6 +152,7 @@
     Mailbox<std::vector<RequestNews>> m_ownRequestNews;
     net::steady_timer m_tickTimer;
     UpstreamDirectory m_upstreams;
+    DrainReports m_drainReports;
     LoadBook m_loads;
     OwnLoads m_lastOwn;
     MessageRounds<LimitWord> m_limitRounds;
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -129,6 +129,13 @@
     std::vector<LimitWord> words;
 };
 
+// A peer knows an upstream to be draining, by its answers.
+struct DrainingReported
+{
+    std::string peer;
+    std::string instanceId;
+};
+
 // The planned stop begins.
 struct StopBegins
 { };
@@ -137,7 +144,7 @@
     = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, DomainEvacuated,
                    StoreReachability, WeightsWanted, WeightsShown, EnginesLoading, PeerLoads,
                    LiveNodes, KnownNodes, ContextStoreTold, ContextStoreSilent, Informed,
-                   RequestsHeard, LimitsHeard, StopBegins>;
+                   RequestsHeard, LimitsHeard, DrainingReported, StopBegins>;
 
 // What peers should hear of limits that upstreams name: of this node alone, or of all nodes where
 // it is a relay.
@@ -154,6 +161,7 @@
     std::size_t shortContextTokens = 0;
     std::vector<std::uint64_t> contextsSent;
     LimitNews limits;
+    std::vector<std::string> draining; // upstreams that say so in their answers
     bool isUrgent = false; // peers should hear it at once
 };
 
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -251,6 +251,8 @@
         object["requests"] = encodeRequestNews(message.requestNews);
     if (!message.limits.empty())
         object["limits"] = encodeLimits(message.limits);
+    if (!message.draining.empty())
+        object["draining"] = message.draining;
     return encodeCbor(object);
 }
 
@@ -290,6 +292,8 @@
             message.requestNews = decodeRequestNews(object.at("requests"));
         if (object.contains("limits"))
             message.limits = decodeLimits(object.at("limits"));
+        if (object.contains("draining"))
+            object.at("draining").get_to(message.draining);
         return message;
     });
 }
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -95,6 +95,7 @@
     NamedWeights weightsNamed;
     std::vector<RequestNews> requestNews; // of requests that end upstreams
     std::vector<LimitWord> limits; // that upstreams name; ages in whole milliseconds
+    std::vector<std::string> draining; // upstreams that say so in their answers
 };
 
 // A node's answer to a peer that lacks changes of the store.
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -187,6 +187,11 @@
         logLimit(it, update.peer);
 }
 
+void Traffic::apply(const DrainingReported &update)
+{
+    noteDraining(update.instanceId, update.peer);
+}
+
 void Traffic::apply(const StopBegins &)
 {
     m_stopBegan = m_clock.now();
@@ -215,6 +220,23 @@
     m_limitLog.forget(instanceId);
 }
 
+void Traffic::noteState(const std::string &requestId, const UpstreamAttempt &attempt)
+{
+    if (platform::isOfAnother(attempt.head, attempt.upstream.instanceId))
+        return;
+    if (attempt.head.isDraining)
+        noteDraining(attempt.upstream.instanceId, requestId);
+}
+
+void Traffic::noteDraining(const std::string &instanceId, const std::string &source)
+{
+    if (!m_upstreams.reportDraining(instanceId))
+        return;
+    adapters::logEvent(adapters::Event::DrainingReported,
+                       {{"upstream", instanceId}, {"source", source}});
+    m_reportNow();
+}
+
 void Traffic::noteAnswer(const std::string &requestId, const UpstreamAttempt &attempt)
 {
     const platform::AnswerHead &head = attempt.head;
@@ -284,6 +306,8 @@
                        static_cast<double>(m_quarantine.heldRequests()));
     m_metrics.setGauge("fordwood_limited_upstreams",
                        static_cast<double>(m_gate.limits().beliefs().limited()));
+    m_metrics.setGauge("fordwood_draining_reported_upstreams",
+                       static_cast<double>(m_upstreams.reportedDraining().size()));
     m_metrics.setGauge("fordwood_cold_upstreams",
                        static_cast<double>(m_gate.cold().coldUpstreams()));
     if (!m_table)
@@ -374,6 +398,11 @@
     return m_upstreams.usable(pool.name).empty() && m_upstreams.hasEvacuated(pool.name);
 }
 
+bool Traffic::isDrained(const ServicePool &pool) const
+{
+    return m_upstreams.usable(pool.name).empty() && m_upstreams.hasDraining(pool.name);
+}
+
 WindowBudget &Traffic::budget(const std::string &service)
 {
     const auto it = m_budgets.find(service);
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -65,6 +65,9 @@
     // Whether the service has upstreams, and all of them stand in evacuated failure domains.
     bool isEvacuated(const ServicePool &pool) const;
 
+    // Whether the service has upstreams, and all of them are draining.
+    bool isDrained(const ServicePool &pool) const;
+
     // The engines of the service that are set apart for short prompts.
     const std::set<std::string> &shortGroup(const ServicePool &pool);
 
@@ -92,6 +95,10 @@
     void onRequestNews(std::function<void()> told) { m_requestNews = std::move(told); }
     void requestNewsMade() { m_requestNews(); }
 
+    // What an answer says of its upstream's own state: whether it is draining. Holds for each
+    // answer that the upstream has sent, also in the place of another one.
+    void noteState(const std::string &requestId, const UpstreamAttempt &attempt);
+
     // What the answer to a request says of the upstream's limit; peers hear of a change at once.
     void noteAnswer(const std::string &requestId, const UpstreamAttempt &attempt);
 
@@ -154,12 +161,14 @@
     void apply(const Informed &update);
     void apply(const RequestsHeard &update);
     void apply(const LimitsHeard &update);
+    void apply(const DrainingReported &update);
     void apply(const StopBegins &update);
 
     void noteStandstill();
     void noteUpstreamEnded(const std::string &instanceId);
     WindowBudget &budget(const std::string &service);
     bool isLoading(const std::string &instanceId) const;
+    void noteDraining(const std::string &instanceId, const std::string &source);
     void logLimit(const LimitChange &change, const std::string &source);
     void forget(const std::string &instanceId);
 
--- a/src/node/traffic_duty.cpp
+++ b/src/node/traffic_duty.cpp
@@ -78,7 +78,8 @@
 void TrafficDuty::reportLoads(bool isUrgent)
 {
     m_tellLoads({m_traffic.loads().own(), m_traffic.shortContextTokens(),
-                 m_traffic.contexts().recentSends(), m_traffic.limitNews(), isUrgent});
+                 m_traffic.contexts().recentSends(), m_traffic.limitNews(),
+                 m_traffic.upstreams().reportedDraining(), isUrgent});
 }
 
 void TrafficDuty::reportRequestNews()
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -47,6 +47,7 @@
     std::string operator()(const Informed &) const { return "informed"; }
     std::string operator()(const RequestsHeard &) const { return "requests heard"; }
     std::string operator()(const LimitsHeard &it) const { return "limits " + it.peer; }
+    std::string operator()(const DrainingReported &it) const { return "draining " + it.instanceId; }
     std::string operator()(const StopBegins &) const { return "stop"; }
 };
 
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -486,6 +486,7 @@
     message.requestNews = {{{1, UINT64_MAX}, 3}, {{4, 5}, {}}};
     message.limits
         = {{UINT64_MAX, 2, 3.2, 1500ms, {{8, 9}, {UINT64_MAX, 11}}}, {6, 3, 0.0, 0ms, {}}};
+    message.draining = {"i-1/5"};
     message.isRelay = true;
     message.strength = 12.5;
     const auto read = node::decodeGossip(node::encodeGossip(message));
@@ -511,6 +512,7 @@
     CHECK(read->wholeFor == message.wholeFor);
     CHECK(read->requestNews == message.requestNews);
     CHECK(read->limits == message.limits);
+    CHECK(read->draining == message.draining);
     CHECK_FALSE(node::decodeGossip("no message"));
     CHECK_FALSE(node::decodeGossip(""));
     const std::string whole = node::encodeGossip(message);
--- a/tests/node/upstream_state_test.cpp
+++ b/tests/node/upstream_state_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include <doctest/doctest.h>
 
+#include "platform/instance_id.hpp"
 #include "process/platform_standins.hpp"
 #include "support/serving_thread.hpp"
 
@@ -23,10 +24,10 @@
     }
 
     // `life`: which one of those under the id.
-    void write(const std::string &id, int host, int life = 0)
+    void write(const std::string &id, int host, int life = 1)
     {
         UpstreamRecord record;
-        record.instanceId = life == 0 ? id : id + "/" + std::to_string(life);
+        record.instanceId = platform::instanceIdOf(id, WallTime(std::chrono::milliseconds(life)));
         record.announcedId = id;
         record.service = "board";
         record.address = ownAddress(host);
@@ -91,6 +92,49 @@
     CHECK(serving.first.arrivals().size() == 1);
 }
 
+TEST_CASE("upstream state: draining that an answer reported holds until the upstream's next life "
+          "[drain][lives]")
+{
+    Serving serving;
+    serving.first.setDraining(true);
+    REQUIRE(serving.sendTo(serving.first));
+    serving.write("i-1", 50); // an older record of the same life, read late
+    CHECK(serving.send(40, 100ms) == 40);
+    CHECK(serving.first.arrivals().size() == 1);
+    serving.first.setDraining(false);
+    serving.write("i-1", 50, 2);
+    CHECK(serving.sendTo(serving.first));
+    CHECK(serving.sendTo(serving.first));
+}
+
+// The rejections come in the place of an answer, and one of them even in that of another request's.
+TEST_CASE("upstream state: each answer counts that the upstream itself has sent [drain]")
+{
+    using Fault = process::UpstreamStandin::Fault;
+    for (const Fault it : {Fault::TurnAway, Fault::OtherRequestId, Fault::NoSeal}) {
+        CAPTURE(static_cast<int>(it));
+        Serving serving;
+        serving.first.setDraining(true);
+        serving.first.setFault(it, 1);
+        REQUIRE(serving.sendTo(serving.first));
+        serving.send(40, 100ms);
+        CHECK(serving.first.arrivals().size() == 1);
+    }
+}
+
+TEST_CASE("upstream state: where all upstreams are draining, requests are rejected at once [drain]")
+{
+    Serving serving;
+    serving.first.setDraining(true);
+    serving.second.setDraining(true);
+    REQUIRE(serving.sendTo(serving.first));
+    REQUIRE(serving.sendTo(serving.second));
+    const CallerAnswer answer = serving.send();
+    CHECK(answer.status == 503);
+    CHECK(answer.body.find("upstream-leaving") != std::string::npos);
+    CHECK(answer.retryAfter() == 1.0);
+}
+
 TEST_CASE("upstream state: an upstream gets no request within the backoff that it asked for "
           "[backoff]")
 {
--- a/tests/process/limit_test.cpp
+++ b/tests/process/limit_test.cpp
@@ -194,3 +194,32 @@
     CHECK(Fleet::waitFor([&] { return limited(0) == 1; }));
     CHECK(fleet.logged(0, "event=314") == logged + 1);
 }
+
+TEST_CASE("node: that an upstream is draining, by its answers, is known to nodes without callers "
+          "and to those that start later, while the platform's store is away [node][drain]")
+{
+    Deployment fleet;
+    fleet.start();
+    fleet.startNode(1);
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(1); }));
+    fleet.store.setDown(true);
+    fleet.first.setDraining(true);
+    const auto reported
+        = [&](int node) { return fleet.metric("fordwood_draining_reported_upstreams", node) == 1; };
+    int calls = 0;
+    REQUIRE(Fleet::waitFor([&] {
+        fleet.call("GET", "/safe/1", "d-" + std::to_string(++calls));
+        return reported(0);
+    }));
+    CHECK(Fleet::waitFor([&] { return reported(1); }));
+    CHECK(fleet.logged(1, "event=319") == 1);
+    fleet.startNode(2);
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(2); }));
+    CHECK(Fleet::waitFor([&] { return reported(2); }));
+    const std::size_t before = fleet.first.arrivals().size();
+    for (int n = 0; n < 20; ++n) {
+        const std::string id = "e-" + std::to_string(n);
+        CHECK(fleet.call("GET", "/safe/1", id, n % 3).status == 200);
+    }
+    CHECK(fleet.first.arrivals().size() == before);
+}
