An upstream that asks for a backoff gets no request from the node that it asked until that is over

Callers were refused: five of 18 engines shed load, rejected each request within 2 ms and asked for 3 s, and got as many requests as before or more, for quick rejections look like idle slots; 427 requests ended with upstream-pushback in five seconds, while the other engines had room. Cause: a rejection paused an upstream for 150 ms whatever it asked for; the field was passed over.

The request may be in the place of another one's answer. What is said to one node is not reported to others: the upstream asks each node for itself. Of several backoffs the last end holds; ten minutes are kept to at most, lest an upstream that confuses units is lost. Where limits and backoffs alone stand in the way the request is refused at once, and callers return from the first end on, as many a second as there are slots: ReturnTimes, told when the first may come. A request that fails its last attempt is told the same instead of 250 ms.

Ways weighed for the end: all callers told the same end (a herd of what was refused in 3 s), each told the whole backoff (the last ones wait 3 s in vain), one after the other from the end on (kept). A trial request before the others (half-open): rejections cost 2 ms, so at most what is sent in 2 ms is saved; not built.

--- a/include/fordwood/return_times.hpp
+++ b/include/fordwood/return_times.hpp
@@ -18,9 +18,9 @@
 public:
     explicit ReturnTimes(const Clock &clock) : m_clock(clock) { }
 
-    // From now until the next caller may come again, where so many requests are taken a second.
-    // Bounded: later, other upstreams may serve it.
-    std::chrono::milliseconds next(double perSecond);
+    // From now until the next caller may come again, where so many requests are taken a second, and
+    // none within `closedFor`. Bounded: later, other upstreams may serve it.
+    std::chrono::milliseconds next(double perSecond, Duration closedFor = Duration::zero());
 
 private:
     const Clock &m_clock;
--- a/src/core/return_times.cpp
+++ b/src/core/return_times.cpp
@@ -15,11 +15,12 @@
 
 } // namespace
 
-std::chrono::milliseconds ReturnTimes::next(double perSecond)
+std::chrono::milliseconds ReturnTimes::next(double perSecond, Duration closedFor)
 {
     const TimePoint now = m_clock.now();
     const std::chrono::duration<double> pause(1.0 / std::max(perSecond, kLeastRate));
-    const TimePoint after = std::max(m_last, now) + std::chrono::duration_cast<Duration>(pause);
+    const TimePoint after
+        = std::max(m_last, now + closedFor) + std::chrono::duration_cast<Duration>(pause);
     m_last = std::min(after, now + kLatest);
     return std::chrono::ceil<std::chrono::milliseconds>(m_last - now);
 }
--- a/src/node/call_run.cpp
+++ b/src/node/call_run.cpp
@@ -5,7 +5,6 @@
 
 #include "node/call_log.hpp"
 #include "node/refusal.hpp"
-#include "node/upstream_choice.hpp"
 
 namespace fordwood::node {
 
@@ -167,7 +166,7 @@
     UpstreamChoice choice = chooseUpstream(m_traffic, m_call, m_caller, m_plan, m_streamBegun);
     if (choice.busyEngine)
         m_busyEngine = std::move(choice.busyEngine);
-    m_spentUpstream = std::move(choice.spentUpstream);
+    m_unavailable = std::move(choice.unavailable);
     if (!choice.attempt)
         return false;
     m_attempt = std::move(choice.attempt);
@@ -196,10 +195,10 @@
         giveUp(m_plan.verdict(kNoneInServiceRetryAfter));
         return;
     }
-    if (!m_streamBegun && !m_spentUpstream.empty()) {
-        m_lastUpstream = m_spentUpstream;
-        m_plan.setReason(Reason::UpstreamLimited);
-        giveUp(m_plan.verdict(std::max(kRetryAfter, m_traffic.returnAfterLimit(*m_call.pool))));
+    if (!m_streamBegun && m_unavailable) {
+        m_lastUpstream = m_unavailable->upstream;
+        m_plan.setReason(m_unavailable->reason);
+        giveUp(m_plan.verdict(std::max(kRetryAfter, m_unavailable->retryAfter)));
         return;
     }
     const Duration patience = m_call.route->targetLatency / kWaitPart;
@@ -519,7 +518,7 @@
         attempt();
         return;
     case AfterFailure::EndWithVerdict:
-        giveUp(m_plan.verdict(kRetryAfter));
+        giveUp(m_plan.verdict(returnAfter()));
         return;
     case AfterFailure::CutAnswer:
         m_port.cut();
@@ -528,6 +527,12 @@
     }
 }
 
+// What a caller is told whose request has failed and is not sent again.
+std::chrono::milliseconds CallRun::returnAfter()
+{
+    return std::max(kRetryAfter, returnAfterAll(m_traffic, m_call).value_or(kRetryAfter));
+}
+
 void CallRun::deadlinePassed()
 {
     const bool sent = m_attempt && m_attempt->sent;
--- a/src/node/call_run.hpp
+++ b/src/node/call_run.hpp
@@ -17,6 +17,7 @@
 #include "node/http_channel.hpp"
 #include "node/traffic.hpp"
 #include "node/upstream_attempt.hpp"
+#include "node/upstream_choice.hpp"
 #include "platform/caller_messages.hpp"
 
 namespace fordwood::node {
@@ -71,6 +72,7 @@
     void finish(std::string_view outcome, unsigned status);
     void armDeadline();
     std::chrono::milliseconds remaining() const;
+    std::chrono::milliseconds returnAfter();
     RequestFingerprint fingerprint() const;
     bool isStream() const;
 
@@ -90,8 +92,7 @@
     bool m_isOver = false;
     std::optional<TimePoint> m_firstEvent;
     std::string m_lastUpstream; // for the log
-    // One of the upstreams whose limit is used up, where no other could serve the request.
-    std::string m_spentUpstream;
+    std::optional<Unavailability> m_unavailable; // why no upstream takes the request now
     std::optional<EngineChoice> m_busyEngine; // every engine has too much to do, this one least
 };
 
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -226,6 +226,22 @@
         return;
     if (attempt.head.isDraining)
         noteDraining(attempt.upstream.instanceId, requestId);
+    if (attempt.head.backoff.isUnreadable)
+        m_metrics.count("fordwood_unreadable_backoffs_total");
+    if (attempt.head.backoff.length)
+        noteBackoff(attempt.upstream.instanceId, *attempt.head.backoff.length, requestId);
+}
+
+void Traffic::noteBackoff(const std::string &instanceId, Duration length,
+                          const std::string &request)
+{
+    if (m_upstreams.find(instanceId) == nullptr || !m_gate.backoffs().request(instanceId, length))
+        return;
+    const auto remaining
+        = std::chrono::ceil<std::chrono::milliseconds>(m_gate.backoffs().remaining(instanceId));
+    adapters::logEvent(
+        adapters::Event::BackoffRequested,
+        {{"upstream", instanceId}, {"request", request}, {"backoff_ms", remaining.count()}});
 }
 
 void Traffic::noteDraining(const std::string &instanceId, const std::string &source)
@@ -301,11 +317,14 @@
         forget(it);
     }
     m_channels.tick();
+    m_gate.backoffs().tick();
     m_quarantine.tick();
     m_metrics.setGauge("fordwood_quarantined_requests",
                        static_cast<double>(m_quarantine.heldRequests()));
     m_metrics.setGauge("fordwood_limited_upstreams",
                        static_cast<double>(m_gate.limits().beliefs().limited()));
+    m_metrics.setGauge("fordwood_backing_off_upstreams",
+                       static_cast<double>(m_gate.backoffs().size()));
     m_metrics.setGauge("fordwood_draining_reported_upstreams",
                        static_cast<double>(m_upstreams.reportedDraining().size()));
     m_metrics.setGauge("fordwood_cold_upstreams",
@@ -382,6 +401,18 @@
     return times->second.next(perSecond / static_cast<double>(m_liveNodes));
 }
 
+// At the end of their backoffs upstreams take about as many requests as they have slots, and as
+// many again each second. Callers that all came back then would be rejected once more.
+std::chrono::milliseconds Traffic::returnAfterBackoff(const ServicePool &pool, Duration backoff)
+{
+    std::size_t slots = 0;
+    for (const UpstreamRecord *it : m_upstreams.usable(pool.name))
+        slots += it->slots;
+    const auto times = m_returnTimes.try_emplace(pool.name, m_clock).first;
+    return times->second.next(static_cast<double>(slots) / static_cast<double>(m_liveNodes),
+                              backoff);
+}
+
 std::set<std::string>
 Traffic::boundedAmong(const std::vector<const UpstreamRecord *> &candidates) const
 {
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -62,6 +62,9 @@
     // serve it take only so many requests.
     std::chrono::milliseconds returnAfterLimit(const ServicePool &pool);
 
+    // Likewise where all of them want none for now, for so long at least.
+    std::chrono::milliseconds returnAfterBackoff(const ServicePool &pool, Duration backoff);
+
     // Whether the service has upstreams, and all of them stand in evacuated failure domains.
     bool isEvacuated(const ServicePool &pool) const;
 
@@ -95,8 +98,9 @@
     void onRequestNews(std::function<void()> told) { m_requestNews = std::move(told); }
     void requestNewsMade() { m_requestNews(); }
 
-    // What an answer says of its upstream's own state: whether it is draining. Holds for each
-    // answer that the upstream has sent, also in the place of another one.
+    // What an answer says of its upstream's own state: whether it is draining, and whether it wants
+    // nothing from this node for now. Holds for each answer that the upstream has sent, also in the
+    // place of another one.
     void noteState(const std::string &requestId, const UpstreamAttempt &attempt);
 
     // What the answer to a request says of the upstream's limit; peers hear of a change at once.
@@ -168,6 +172,7 @@
     void noteUpstreamEnded(const std::string &instanceId);
     WindowBudget &budget(const std::string &service);
     bool isLoading(const std::string &instanceId) const;
+    void noteBackoff(const std::string &instanceId, Duration length, const std::string &request);
     void noteDraining(const std::string &instanceId, const std::string &source);
     void logLimit(const LimitChange &change, const std::string &source);
     void forget(const std::string &instanceId);
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/homes.hpp"
@@ -17,9 +18,9 @@
 constexpr double kLongestWait = 0.7;
 
 // Context of a prompt that is bound to regions is saved in no other.
-void keepContextAtHome(const Homes &homes, const AdmittedCall &call, const DomainRegions &regions,
-                       EngineChoice &choice)
+void keepContextAtHome(const AdmittedCall &call, const DomainRegions &regions, EngineChoice &choice)
 {
+    const Homes homes(*call.route, call.team);
     if (homes.isAnywhere())
         return;
     for (std::string &address : choice.saveTo) {
@@ -62,8 +63,7 @@
 
 UpstreamChoice chooseEngine(Traffic &traffic, const AdmittedCall &call,
                             const platform::CallerHead &caller, const CallPlan &plan,
-                            bool answerBegun, const Homes &homes,
-                            const std::vector<const UpstreamRecord *> &candidates)
+                            bool answerBegun, const std::vector<const UpstreamRecord *> &candidates)
 {
     // Short prompts are computed sooner than asked about.
     if (!isShortPrompt(*caller.prompt, *call.pool->engine) && traffic.isWaking())
@@ -72,8 +72,8 @@
     if (!choice)
         return {};
     if (!choice->isShort && !answerBegun && waitsTooLong(traffic, call, *choice))
-        return {std::nullopt, std::move(choice), ""};
-    keepContextAtHome(homes, call, traffic.settings().regions, *choice);
+        return {std::nullopt, std::move(choice), std::nullopt};
+    keepContextAtHome(call, traffic.settings().regions, *choice);
     EngineChooser::noteSent(*choice, *caller.prompt, traffic.contexts());
     UpstreamChoice chosen;
     chosen.attempt.emplace();
@@ -98,11 +98,10 @@
 
 UpstreamChoice chooseAmong(Traffic &traffic, const AdmittedCall &call,
                            const platform::CallerHead &caller, const CallPlan &plan,
-                           bool answerBegun, const Homes &homes,
-                           const std::vector<const UpstreamRecord *> &candidates)
+                           bool answerBegun, const std::vector<const UpstreamRecord *> &candidates)
 {
     if (call.pool->engine && caller.prompt)
-        return chooseEngine(traffic, call, caller, plan, answerBegun, homes, candidates);
+        return chooseEngine(traffic, call, caller, plan, answerBegun, candidates);
     const UpstreamRecord *best
         = fordwood::chooseUpstream(candidates, plan.tried(), traffic.settings().node.failureDomain,
                                    stableHash(caller.requestId), traffic.loads(), traffic.health());
@@ -112,19 +111,48 @@
     return chosen;
 }
 
-// Where nothing but limits stands in the way, it is known now that the request cannot be served.
-std::string spentUpstream(Traffic &traffic, const AdmittedCall &call, const CallPlan &plan,
-                          const std::function<bool(const UpstreamRecord &)> &mayServe)
+using MayServe = std::function<bool(const UpstreamRecord &)>;
+
+MayServe servingFor(const Traffic &traffic, const AdmittedCall &call)
+{
+    const Homes homes(*call.route, call.team);
+    return [homes, &regions = traffic.settings().regions](const UpstreamRecord &it) {
+        return homes.isAnywhere() || homes.allows(it.failureDomain, regions);
+    };
+}
+
+// Where nothing but limits and backoffs stands in the way, it is known now that the request cannot
+// be served. `tried`: upstreams that it does not go to again, though its caller may come back to
+// them.
+std::optional<Unavailability> unavailability(Traffic &traffic, const AdmittedCall &call,
+                                             const MayServe &mayServe,
+                                             const std::set<std::string> &tried)
 {
-    std::string spent;
+    Unavailability found;
+    std::optional<Duration> backoff; // until the first one ends
     for (const UpstreamRecord *it : traffic.upstreams().usable(call.pool->name)) {
-        if (plan.tried().contains(it->instanceId) || !mayServe(*it))
+        if (!mayServe(*it))
             continue;
-        if (!traffic.gate().isLimited(it->instanceId))
-            return "";
-        spent = it->instanceId;
+        const Duration remaining = traffic.gate().backoffs().remaining(it->instanceId);
+        if (remaining > Duration::zero())
+            backoff = std::min(backoff.value_or(remaining), remaining);
+        else if (traffic.gate().isLimited(it->instanceId))
+            found.reason = Reason::UpstreamLimited;
+        else if (tried.contains(it->instanceId))
+            continue;
+        else
+            return std::nullopt;
+        found.upstream = it->instanceId;
+    }
+    if (found.reason == Reason::UpstreamLimited) {
+        found.retryAfter = traffic.returnAfterLimit(*call.pool);
+        return found;
     }
-    return spent;
+    if (!backoff)
+        return std::nullopt;
+    found.reason = Reason::UpstreamBackoff;
+    found.retryAfter = traffic.returnAfterBackoff(*call.pool, *backoff);
+    return found;
 }
 
 } // namespace
@@ -133,19 +161,21 @@
                               const platform::CallerHead &caller, const CallPlan &plan,
                               bool answerBegun)
 {
-    const Homes homes(*call.route, call.team);
-    const auto mayServe = [&](const UpstreamRecord &it) {
-        return homes.isAnywhere() || homes.allows(it.failureDomain, traffic.settings().regions);
-    };
+    const MayServe mayServe = servingFor(traffic, call);
     auto candidates = traffic.candidates(*call.pool);
     std::erase_if(candidates, [&](const UpstreamRecord *it) { return !mayServe(*it); });
-    UpstreamChoice chosen
-        = chooseAmong(traffic, call, caller, plan, answerBegun, homes, candidates);
+    UpstreamChoice chosen = chooseAmong(traffic, call, caller, plan, answerBegun, candidates);
     if (!chosen.attempt && candidates.empty())
-        chosen.spentUpstream = spentUpstream(traffic, call, plan, mayServe);
+        chosen.unavailable = unavailability(traffic, call, mayServe, plan.tried());
     return chosen;
 }
 
+std::optional<std::chrono::milliseconds> returnAfterAll(Traffic &traffic, const AdmittedCall &call)
+{
+    const auto found = unavailability(traffic, call, servingFor(traffic, call), {});
+    return found ? std::optional(found->retryAfter) : std::nullopt;
+}
+
 http::request_header<> upstreamHead(const http::request_header<> &head, const AdmittedCall &call,
                                     const UpstreamAttempt &attempt, const UpstreamHeadTerms &terms)
 {
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -10,13 +10,21 @@
 
 namespace fordwood::node {
 
+// Why no upstream takes a request now, although there are some.
+struct Unavailability
+{
+    Reason reason = Reason::NoUpstream;
+    std::string upstream; // one of them
+    std::chrono::milliseconds retryAfter{0}; // when one will, by what they say
+};
+
 // Which upstream takes a request next.
 struct UpstreamChoice
 {
     std::optional<UpstreamAttempt> attempt; // nothing: none may be used now
     std::optional<EngineChoice> busyEngine; // the best engine, which has too much to do
-    // Where all upstreams that could serve the request name limits that are used up: one of them.
-    std::string spentUpstream;
+    // Where limits that are used up and backoffs alone stand in the way.
+    std::optional<Unavailability> unavailable;
 };
 
 // `answerBegun`: a part of the answer has gone to the caller, so that it cannot be refused.
@@ -24,6 +32,10 @@
                               const platform::CallerHead &caller, const CallPlan &plan,
                               bool answerBegun);
 
+// When a caller may come again who is refused although upstreams are in service; nothing: at any
+// time, as one of them may take the request.
+std::optional<std::chrono::milliseconds> returnAfterAll(Traffic &traffic, const AdmittedCall &call);
+
 // The head with which the request goes to the upstream of an attempt.
 struct UpstreamHeadTerms
 {
--- a/tests/node/upstream_state_test.cpp
+++ b/tests/node/upstream_state_test.cpp
@@ -144,3 +144,70 @@
     CHECK(serving.send(29, 100ms) == 29);
     CHECK(serving.first.arrivals().size() == 1);
 }
+
+TEST_CASE("upstream state: an upstream gets requests again when its backoff is over, or its life "
+          "[backoff][lives]")
+{
+    Serving serving;
+    serving.first.rejectWithBackoff("3");
+    REQUIRE(serving.sendTo(serving.first));
+    serving.first.rejectWithBackoff(std::nullopt);
+    serving.advance(2900ms);
+    CHECK_FALSE(serving.sendTo(serving.first));
+    SUBCASE("the time is over")
+    {
+        serving.advance(200ms);
+    }
+    SUBCASE("it has started again")
+    {
+        serving.write("i-1", 50, 2);
+    }
+    CHECK(serving.sendTo(serving.first));
+}
+
+TEST_CASE("upstream state: where all upstreams back off, callers are rejected at once and told to "
+          "return one after the other when the first one takes requests [backoff]")
+{
+    Serving serving;
+    serving.first.rejectWithBackoff("4");
+    REQUIRE(serving.sendTo(serving.first));
+    serving.advance(500ms);
+    serving.second.rejectWithBackoff("2.5");
+    // The one that learns it has been sent, and is told the same.
+    double last = serving.send().retryAfter();
+    CHECK(last >= 2.5);
+    const std::size_t arrived = serving.first.arrivals().size() + serving.second.arrivals().size();
+    for (int n = 0; n < 10; ++n) {
+        const CallerAnswer answer = serving.send();
+        CHECK(answer.status == 503);
+        CHECK(answer.body.find("upstream-backoff") != std::string::npos);
+        CHECK(answer.retryAfter() > last);
+        last = answer.retryAfter();
+    }
+    CHECK(last < 8.5); // two upstreams of a slot each
+    CHECK(serving.first.arrivals().size() + serving.second.arrivals().size() == arrived);
+    serving.second.rejectWithBackoff(std::nullopt);
+    serving.advance(2600ms);
+    CHECK(serving.send().status == 200);
+}
+
+TEST_CASE(
+    "upstream state: what asks for no backoff that can be kept to, and which of several holds "
+    "[backoff][bad-input]")
+{
+    Serving serving;
+    for (const char *it : {"0", "-3", "soon", ""}) {
+        CAPTURE(it);
+        serving.first.rejectWithBackoff(it);
+        REQUIRE(serving.sendTo(serving.first));
+        serving.advance(200ms); // an upstream that is full is passed over for less
+        CHECK(serving.sendTo(serving.first));
+        serving.advance(200ms);
+    }
+    serving.first.rejectWithBackoff("1e300");
+    REQUIRE(serving.sendTo(serving.first));
+    serving.advance(9min);
+    CHECK_FALSE(serving.sendTo(serving.first));
+    serving.advance(2min);
+    CHECK(serving.sendTo(serving.first));
+}
