The two-daemon form keeps to the draining and the backoff that engines state in their answers

The same cause elsewhere: entry daemons see answers too and passed over both. Engines say X-Draining, and Retry-After on what they did not run. An upstream goes on under its name there when it starts again, so draining counts for ten seconds after the last answer that says so. Asked where limits are: when an upstream is chosen, and again when the permit has come. One reader of the field for both forms.

--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -22,10 +22,18 @@
 #include "fordwood/retry_budget.hpp"
 #include "fordwood/return_times.hpp"
 #include "fordwood/team_admission.hpp"
+#include "fordwood/upstream_backoffs.hpp"
 #include "fordwood/upstream_ends.hpp"
 
 namespace fordwood {
 
+// What an upstream's answer says of the upstream itself.
+struct UpstreamNotice
+{
+    bool isDraining = false; // it takes no new work
+    std::optional<Duration> backoff; // it wants nothing from this daemon for so long
+};
+
 // Settings of the dispatcher.
 struct DispatcherLimits
 {
@@ -107,6 +115,15 @@
     // The head of an answer says this of the upstream's limit.
     LimitHeard limitRead(CallId call, unsigned attempt, const LimitReading &limit);
 
+    // The head of an answer says this of its upstream. Gives the upstream's name and how long it
+    // gets no requests; nothing: it changes nothing.
+    struct Backoff
+    {
+        std::string upstream;
+        Duration length{};
+    };
+    std::optional<Backoff> noticeRead(CallId call, unsigned attempt, const UpstreamNotice &notice);
+
     // Upstreams that name a limit now, for the metrics.
     std::size_t limitedUpstreams() const { return m_gate.beliefs().limited(); }
 
@@ -168,7 +185,8 @@
     void noteBrokeOff(const Call &call);
     bool isHeld(const CallRequest &request) const;
     Verdict heldVerdict(const CallRequest &request) const;
-    Verdict limitedVerdict(const std::string &upstream);
+    bool maySend(const std::string &upstream);
+    Verdict closedVerdict(const UpstreamConfig &upstream);
     Call *find(CallId id, unsigned attempt);
 
     const Clock &m_clock;
@@ -186,7 +204,8 @@
     QuarantineGate m_quarantine;
     UpstreamEnds m_ends;
     LimitGate m_gate;
-    std::map<std::string, ReturnTimes> m_returnTimes; // by upstream that names a limit
+    UpstreamBackoffs m_backoffs;
+    std::map<std::string, ReturnTimes> m_returnTimes; // by upstream that takes only so many
     bool m_stopping = false;
 };
 
--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kMostEventBytes = 1 << 20;
 constexpr long kOk = 200;
 constexpr long kFirstFailure = 400;
+constexpr long kUnavailable = 503;
 constexpr std::size_t kTailBytes = 64;
 constexpr std::size_t kMostKeptBytes = 16'384;
 
@@ -162,6 +163,8 @@
             m_head = AnswerHead{}; // a new head, after an interim one
             m_notRun = false;
             m_limit = LimitReading{};
+            m_isDraining = false;
+            m_backoff = BackoffReading{};
             return;
         }
         const std::size_t colon = line.find(':');
@@ -177,6 +180,10 @@
             m_versionMismatch = value == "true";
         else if (name == "x-requests-per-second")
             addLimit(value, m_limit);
+        else if (name == "x-draining")
+            m_isDraining = value == "true";
+        else if (name == "retry-after")
+            addBackoff(value, m_backoff);
         else if (name == "x-used-tokens")
             m_cost = std::strtod(std::string(value).c_str(), nullptr);
         else if (name.rfind("fordwood-", 0) != 0 && !isHopByHop(name))
@@ -295,6 +302,7 @@
         curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
         m_head.status = static_cast<int>(status);
         tellLimit(status);
+        tellNotice(status);
         const std::string detail = "The upstream answered " + std::to_string(status) + ".";
         if (m_notRun && status >= 400) {
             const Reason reason
@@ -329,6 +337,16 @@
             m_client.m_listener.limitRead(key().first, key().second, m_limit);
     }
 
+    void tellNotice(long status)
+    {
+        UpstreamNotice notice;
+        notice.isDraining = m_isDraining;
+        if (status == kUnavailable && m_notRun)
+            notice.backoff = m_backoff.length;
+        if (notice.isDraining || notice.backoff)
+            m_client.m_listener.noticeRead(key().first, key().second, notice);
+    }
+
     // A stream of events is whole only with its closing event.
     bool wholeStream() const
     {
@@ -365,6 +383,8 @@
     double m_cost = 0.0;
     bool m_notRun = false;
     LimitReading m_limit;
+    bool m_isDraining = false;
+    BackoffReading m_backoff;
     bool m_versionMismatch = false;
     bool m_begun = false;
     bool m_detached = false; // the caller has left, the answer is taken to be kept
--- a/src/adapters/http/upstream_client.hpp
+++ b/src/adapters/http/upstream_client.hpp
@@ -13,6 +13,7 @@
 
 #include "adapters/http/exchange.hpp"
 #include "adapters/threads/bounded_ring.hpp"
+#include "fordwood/backoff_text.hpp"
 #include "fordwood/dispatcher.hpp"
 #include "fordwood/limit_text.hpp"
 
@@ -27,6 +28,8 @@
     virtual void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) = 0;
     // The head of an answer is there, and says this of the upstream's limit.
     virtual void limitRead(CallId call, unsigned attempt, const LimitReading &limit) = 0;
+    // The head of an answer says this of the upstream. Comes before the end of the attempt.
+    virtual void noticeRead(CallId call, unsigned attempt, const UpstreamNotice &notice) = 0;
 };
 
 // One attempt to have a call answered by an upstream.
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -192,6 +192,13 @@
         m_metrics.count("fordwood_limits_dropped_total");
 }
 
+void EntryNode::noticeRead(CallId call, unsigned attempt, const UpstreamNotice &notice)
+{
+    // The next answer says the same.
+    if (!m_ring.tryPush(NoticeEvent{call, attempt, notice}))
+        m_metrics.count("fordwood_notices_dropped_total");
+}
+
 adapters::DirectAnswer EntryNode::operatorAnswer(const std::string &path)
 {
     if (path == "/metrics") {
@@ -323,6 +330,18 @@
                        static_cast<double>(m_dispatcher.limitedUpstreams()));
 }
 
+void EntryNode::on(const NoticeEvent &event)
+{
+    const auto backoff = m_dispatcher.noticeRead(event.call, event.attempt, event.notice);
+    if (!backoff)
+        return;
+    const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(backoff->length);
+    adapters::logEvent(adapters::Event::BackoffRequested, {{"upstream", backoff->upstream},
+                                                           {"request", std::to_string(event.call)},
+                                                           {"draining", event.notice.isDraining},
+                                                           {"backoff_ms", length.count()}});
+}
+
 void EntryNode::on(const LeftEvent &event)
 {
     m_dispatcher.callerLeft(event.call);
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -80,6 +80,12 @@
         unsigned attempt;
         AttemptFailure failure;
     };
+    struct NoticeEvent
+    {
+        CallId call = 0;
+        unsigned attempt = 0;
+        UpstreamNotice notice;
+    };
     struct LimitEvent
     {
         CallId call;
@@ -96,9 +102,9 @@
     };
     struct StopEvent
     { };
-    using EntryEvent
-        = std::variant<BeginEvent, ReplyEvent, ClaimEvent, AllowanceEvent, StreamLostEvent,
-                       FinishedEvent, FailedEvent, LimitEvent, LeftEvent, StateEvent, StopEvent>;
+    using EntryEvent = std::variant<BeginEvent, ReplyEvent, ClaimEvent, AllowanceEvent,
+                                    StreamLostEvent, FinishedEvent, FailedEvent, LimitEvent,
+                                    NoticeEvent, LeftEvent, StateEvent, StopEvent>;
 
     // CallerHandler, on the HTTP threads
     std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
@@ -119,6 +125,7 @@
     void attemptFinished(CallId call, unsigned attempt, double cost, KeptAnswer answer) override;
     void attemptFailed(CallId call, unsigned attempt, const AttemptFailure &failure) override;
     void limitRead(CallId call, unsigned attempt, const LimitReading &limit) override;
+    void noticeRead(CallId call, unsigned attempt, const UpstreamNotice &notice) override;
 
     adapters::DirectAnswer operatorAnswer(const std::string &path);
     adapters::DirectAnswer refusal(Verdict verdict, bool keyed);
@@ -135,6 +142,7 @@
     void on(const FinishedEvent &event);
     void on(const FailedEvent &event);
     void on(const LimitEvent &event);
+    void on(const NoticeEvent &event);
     void on(const LeftEvent &event);
     void on(const StateEvent &event);
     void on(const StopEvent &event);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetrySoon{500};
+
+// Here an upstream goes on under its name when it starts again, so that an answer by which it is
+// draining counts for a while only.
+constexpr Duration kDrainingPause = std::chrono::seconds(10);
 constexpr std::size_t kMostMismatches = 20;
 constexpr Duration kLocalSendWithin = std::chrono::seconds(2);
 
@@ -21,7 +25,7 @@
     : m_clock(clock), m_limits(limits), m_contention(clock, Contention::Limits{}),
       m_claims(clock, limits.ownerTimeout, m_actions),
       m_admission(clock, limits.ownerTimeout, *this, m_actions), m_permits(m_actions),
-      m_quarantine(clock), m_ends(clock), m_gate(clock, stableHash(limits.node))
+      m_quarantine(clock), m_ends(clock), m_gate(clock, stableHash(limits.node)), m_backoffs(clock)
 { }
 
 void Dispatcher::setView(std::shared_ptr<const FleetView> view)
@@ -238,6 +242,27 @@
     return heard;
 }
 
+std::optional<Dispatcher::Backoff> Dispatcher::noticeRead(CallId id, unsigned attempt,
+                                                          const UpstreamNotice &notice)
+{
+    const Call *call = find(id, attempt);
+    if (call == nullptr)
+        return std::nullopt;
+    const Duration length = std::max(notice.isDraining ? kDrainingPause : Duration::zero(),
+                                     notice.backoff.value_or(Duration::zero()));
+    const std::string &upstream = call->candidates.current()->name;
+    if (!m_backoffs.request(upstream, length))
+        return std::nullopt;
+    return Backoff{upstream, length};
+}
+
+// Both are asked only where the upstream wants requests, since asking the gate says that there is
+// one.
+bool Dispatcher::maySend(const std::string &upstream)
+{
+    return !m_backoffs.isBackingOff(upstream) && m_gate.maySend(upstream);
+}
+
 void Dispatcher::callerLeft(CallId id)
 {
     const auto it = m_calls.find(id);
@@ -355,7 +380,7 @@
     const UpstreamConfig *upstream = call.candidates.current();
     if (upstream == nullptr)
         return end(call.request.id, call.last);
-    if (!m_gate.maySend(upstream->name))
+    if (!maySend(upstream->name))
         return passOver(call);
     if (maySendDirectly(*upstream, call)) {
         m_permits.takeDirect(call.request, upstream->name);
@@ -407,7 +432,7 @@
 void Dispatcher::passOver(Call &call)
 {
     if (call.candidates.isQueueing())
-        return end(call.request.id, limitedVerdict(call.candidates.current()->name));
+        return end(call.request.id, closedVerdict(*call.candidates.current()));
     askNext(call, Verdict::of(Reason::UpstreamLimited, {}, kRetrySoon));
 }
 
@@ -452,7 +477,7 @@
     // Another call may have used this daemon's part of the limit, or the limit been named, while
     // this one waited for its permit. An engine that named two requests a second got ten from one
     // daemon.
-    if (!m_gate.maySend(upstream->name)) {
+    if (!maySend(upstream->name)) {
         m_permits.release(call.request.id, 0.0);
         return passOver(call);
     }
@@ -538,12 +563,16 @@
         std::chrono::ceil<std::chrono::milliseconds>(m_quarantine.heldFor(*request.fingerprint)));
 }
 
-Verdict Dispatcher::limitedVerdict(const std::string &upstream)
+Verdict Dispatcher::closedVerdict(const UpstreamConfig &upstream)
 {
     const double nodes = static_cast<double>(std::max<std::size_t>(m_view->members().size(), 1));
-    const double perSecond = m_gate.partOfAll(upstream).value_or(0.0);
-    const auto times = m_returnTimes.try_emplace(upstream, m_clock).first;
-    return Verdict::of(Reason::UpstreamLimited, {}, times->second.next(perSecond / nodes));
+    ReturnTimes &times = m_returnTimes.try_emplace(upstream.name, m_clock).first->second;
+    const Duration backoff = m_backoffs.remaining(upstream.name);
+    if (backoff > Duration::zero())
+        return Verdict::of(Reason::UpstreamBackoff, {},
+                           times.next(static_cast<double>(upstream.slots) / nodes, backoff));
+    const double perSecond = m_gate.partOfAll(upstream.name).value_or(0.0);
+    return Verdict::of(Reason::UpstreamLimited, {}, times.next(perSecond / nodes));
 }
 
 Dispatcher::Call *Dispatcher::find(CallId id, unsigned attempt)
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -456,3 +456,44 @@
         CHECK(refused->verdict.retryAfter > 0ms);
     }
 }
+
+TEST_CASE("dispatcher: an engine that rejects a call and asks for a backoff, or is draining, gets "
+          "none until it is over [backoff][drain]")
+{
+    for (const UpstreamNotice &notice : {UpstreamNotice{true, {}}, UpstreamNotice{false, 10s}}) {
+        Bench bench(1);
+        bench.begin(1);
+        bench.grantLast();
+        const auto send = bench.last<SendCall>();
+        REQUIRE(send);
+        REQUIRE(bench.dispatcher.noticeRead(1, send->attempt, notice));
+        bench.dispatcher.attemptFinished(1, send->attempt, 1.0);
+        std::chrono::milliseconds last{0};
+        for (CallId id = 2; id <= 4; ++id) {
+            bench.begin(id);
+            const auto refused = bench.last<EndCall>();
+            REQUIRE(refused);
+            CHECK(refused->verdict.reason == Reason::UpstreamBackoff);
+            CHECK(refused->verdict.state == RunState::NotRun);
+            CHECK(refused->verdict.retryAfter > std::max<std::chrono::milliseconds>(10s, last));
+            last = refused->verdict.retryAfter;
+        }
+        bench.clock.advance(10s);
+        bench.begin(5);
+        bench.grantLast();
+        CHECK(bench.last<SendCall>());
+    }
+}
+
+TEST_CASE("dispatcher: a call that waits for its permit is not sent into a backoff [backoff]")
+{
+    Bench bench(1);
+    bench.begin(1);
+    bench.grantLast();
+    const auto send = bench.last<SendCall>();
+    REQUIRE(send);
+    bench.begin(2);
+    bench.dispatcher.noticeRead(1, send->attempt, {false, 3s});
+    bench.grantLast();
+    CHECK_FALSE(bench.last<SendCall>());
+}
