--- a/src/node/http_call.hpp
+++ b/src/node/http_call.hpp
@@ -24,6 +24,9 @@
 {
     unsigned status = 0;
     std::string body;
+    std::vector<std::pair<std::string, std::string>> fields = {}; // of the head
+
+    bool operator==(const HttpReply &) const = default;
 };
 
 // Why a call brought no reply.
--- a/src/node/http_caller.cpp
+++ b/src/node/http_caller.cpp
@@ -76,6 +76,8 @@
     void headRead(const http::response_header<> &head) override
     {
         m_reply.status = head.result_int();
+        for (const auto &it : head)
+            m_reply.fields.emplace_back(it.name_string(), it.value());
     }
 
     bool bodyRead(std::string_view bytes) override
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "adapters/observe/event_log.hpp"
+
 namespace fordwood::node {
 
 namespace {
@@ -64,6 +66,7 @@
                   [this, asked = m_clock.now(), done](const HttpResult &result) {
                       if (result) // also one that turns the call away
                           noteAnswered(asked);
+                      noteEpoch(result);
                       done(result);
                   });
 }
@@ -145,6 +148,7 @@
 
 void StoreLink::takeWatch(const HttpResult &result, std::int64_t after)
 {
+    noteEpoch(result);
     const auto changes = platform::readWatch(result, after);
     if (!changes) {
         failed(changes.error());
@@ -157,6 +161,17 @@
     this->after(m_batchPause, &StoreLink::goOn);
 }
 
+void StoreLink::noteEpoch(const HttpResult &result)
+{
+    const std::uint64_t epoch = platform::epochOf(result);
+    if (epoch <= m_epoch)
+        return;
+    if (m_epoch != 0)
+        adapters::logEvent(adapters::Event::StoreRestored,
+                           {{"epoch", epoch}, {"held_revision", m_replica.revision()}});
+    m_epoch = epoch;
+}
+
 void StoreLink::noteAnswered(TimePoint asked)
 {
     constexpr std::size_t kMostRemembered = 8;
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -54,6 +54,9 @@
 
     bool isReachable() const { return m_reachable; }
 
+    // How often the store has been restored from a snapshot, by the answers of this link.
+    std::uint64_t epoch() const { return m_epoch; }
+
     // Sends one of the other calls; a call that is not answered tells of an outage too.
     void send(HttpCall call, const HttpCaller::Done &done);
 
@@ -82,6 +85,7 @@
     void takePoll(const HttpResult &result, std::int64_t after, TimePoint asked);
     void takeWatch(const HttpResult &result, std::int64_t after);
     void noteAnswered(TimePoint asked);
+    void noteEpoch(const HttpResult &result);
     StoreAnswerTimes watchTimes() const;
     void answered();
     void failed(platform::StoreFailure failure);
@@ -103,6 +107,7 @@
     bool m_follows = true;
     bool m_rests = false; // nothing is under way
     unsigned m_failures = 0; // in a row
+    std::uint64_t m_epoch = 0;
 };
 
 } // namespace fordwood::node
--- a/tests/node/weights_fleet.cpp
+++ b/tests/node/weights_fleet.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "node/weights_fleet.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 
@@ -61,6 +62,12 @@
     }
 }
 
+Traffic &WeightsNode::traffic()
+{
+    takeUpdates();
+    return m_traffic;
+}
+
 std::size_t WeightsNode::peersHeard()
 {
     takeUpdates();
@@ -181,6 +188,16 @@
         kStep);
 }
 
+bool WeightsFleet::waitForAll(const std::function<bool(Traffic &)> &holds)
+{
+    return waitFor(
+        [&] {
+            return std::all_of(m_nodes.begin(), m_nodes.end(),
+                               [&](const auto &it) { return holds(it.second->traffic()); });
+        },
+        kMessageStep);
+}
+
 bool WeightsFleet::waitForPeers()
 {
     return waitFor(
--- a/tests/node/weights_fleet.hpp
+++ b/tests/node/weights_fleet.hpp
@@ -43,6 +43,9 @@
     // How many other nodes it hears.
     std::size_t peersHeard();
 
+    // The serving thread's state, with all that the control thread has told it.
+    Traffic &traffic();
+
 private:
     void takeUpdates();
 
@@ -87,6 +90,8 @@
     bool waitForWeights(std::uint64_t version);
     // Until every live node hears all others.
     bool waitForPeers();
+    // Until it holds for the state of every live node's serving thread.
+    bool waitForAll(const std::function<bool(Traffic &)> &holds);
 
     // Until every live node takes the engine to run these.
     bool waitForEngine(const std::string &instanceId, std::uint64_t weights);
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -75,23 +75,23 @@
 
 void KeyValueStandin::write(const std::string &key, const std::string &value, std::int64_t lease)
 {
-    m_revision += 1;
-    Item &item = m_items[key];
+    m_now.revision += 1;
+    Item &item = m_now.items[key];
     if (item.created == 0)
-        item.created = m_revision;
+        item.created = m_now.revision;
     item.value = value;
-    item.revision = m_revision;
+    item.revision = m_now.revision;
     item.lease = lease;
-    m_history.push_back({key, m_revision, false});
+    m_history.push_back({key, m_now.revision, false});
     m_changed.notify_all();
 }
 
 void KeyValueStandin::erase(const std::string &key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_now.items.erase(key) == 0)
         return;
-    m_revision += 1;
-    m_history.push_back({key, m_revision, true});
+    m_now.revision += 1;
+    m_history.push_back({key, m_now.revision, true});
     m_changed.notify_all();
 }
 
@@ -125,28 +125,44 @@
 {
     const std::lock_guard lock(m_mutex);
     m_history.clear();
-    m_historyFrom = m_revision;
+    m_historyFrom = m_now.revision;
+    m_changed.notify_all();
+}
+
+void KeyValueStandin::takeSnapshot()
+{
+    const std::lock_guard lock(m_mutex);
+    m_snapshot = m_now;
+}
+
+void KeyValueStandin::restoreSnapshot()
+{
+    const std::lock_guard lock(m_mutex);
+    m_now = m_snapshot;
+    m_epoch += 1;
+    m_history.clear();
+    m_historyFrom = m_now.revision;
     m_changed.notify_all();
 }
 
 std::int64_t KeyValueStandin::revision()
 {
     const std::lock_guard lock(m_mutex);
-    return m_revision;
+    return m_now.revision;
 }
 
 bool KeyValueStandin::has(const std::string &prefix)
 {
     const std::lock_guard lock(m_mutex);
-    const auto it = m_items.lower_bound(prefix);
-    return it != m_items.end() && it->first.starts_with(prefix);
+    const auto it = m_now.items.lower_bound(prefix);
+    return it != m_now.items.end() && it->first.starts_with(prefix);
 }
 
 void KeyValueStandin::removeAll(const std::string &prefix)
 {
     const std::lock_guard lock(m_mutex);
     std::vector<std::string> keys;
-    for (auto it = m_items.lower_bound(prefix); it != m_items.end(); ++it) {
+    for (auto it = m_now.items.lower_bound(prefix); it != m_now.items.end(); ++it) {
         if (it->first.starts_with(prefix))
             keys.push_back(it->first);
     }
@@ -166,6 +182,7 @@
     Answer result = carryOut(request);
     std::unique_lock lock(m_mutex);
     m_changed.wait(lock, [this] { return !m_stalled; });
+    result.headers["Store-Era"] = std::to_string(m_epoch);
     return result;
 }
 
@@ -198,14 +215,14 @@
 Answer KeyValueStandin::grant(const Request &request)
 {
     const std::chrono::milliseconds life{Json::parse(request.body)["ttl_ms"].get<std::int64_t>()};
-    m_leases[++m_nextLease] = {life, life};
-    return json({{"lease", m_nextLease}, {"ttl_ms", life.count()}});
+    m_now.leases[++m_now.nextLease] = {life, life};
+    return json({{"lease", m_now.nextLease}, {"ttl_ms", life.count()}});
 }
 
 Answer KeyValueStandin::keep(std::int64_t lease)
 {
-    const auto it = m_leases.find(lease);
-    if (it == m_leases.end())
+    const auto it = m_now.leases.find(lease);
+    if (it == m_now.leases.end())
         return plain(404);
     it->second.left = it->second.life;
     return json({{"ttl_ms", it->second.life.count()}});
@@ -215,7 +232,7 @@
 {
     const std::lock_guard lock(m_mutex);
     std::vector<std::int64_t> over;
-    for (auto &[id, lease] : m_leases) {
+    for (auto &[id, lease] : m_now.leases) {
         lease.left -= time;
         if (lease.left <= lease.left.zero())
             over.push_back(id);
@@ -226,9 +243,9 @@
 
 void KeyValueStandin::endLease(std::int64_t lease)
 {
-    m_leases.erase(lease);
+    m_now.leases.erase(lease);
     std::vector<std::string> keys;
-    for (const auto &[key, item] : m_items) {
+    for (const auto &[key, item] : m_now.items) {
         if (item.lease == lease)
             keys.push_back(key);
     }
@@ -243,7 +260,7 @@
     const std::lock_guard lock(m_mutex);
     Json items = Json::array();
     bool more = false;
-    for (auto it = m_items.upper_bound(after); it != m_items.end() && !more; ++it) {
+    for (auto it = m_now.items.upper_bound(after); it != m_now.items.end() && !more; ++it) {
         if (items.size() == kPage) {
             more = true;
             continue;
@@ -254,7 +271,7 @@
                          {"made", it->second.created},
                          {"lease", it->second.lease}});
     }
-    return json({{"items", items}, {"more", more}, {"at", m_revision}});
+    return json({{"items", items}, {"more", more}, {"at", m_now.revision}});
 }
 
 Answer KeyValueStandin::watch(const Request &request)
@@ -268,17 +285,17 @@
     }
     longest = std::min(longest, kLongestWait);
     m_changed.wait_for(lock, longest,
-                       [&] { return m_revision > after || m_down || after < m_historyFrom; });
+                       [&] { return m_now.revision != after || m_down || after < m_historyFrom; });
     if (m_down)
         return plain(503);
-    if (after < m_historyFrom)
+    if (after < m_historyFrom || after > m_now.revision)
         return plain(410);
     Json events = Json::array();
     for (const Change &it : m_history) {
         if (it.revision <= after)
             continue;
-        const auto item = m_items.find(it.key);
-        if (it.gone || item == m_items.end() || item->second.revision != it.revision)
+        const auto item = m_now.items.find(it.key);
+        if (it.gone || item == m_now.items.end() || item->second.revision != it.revision)
             events.push_back({{"private-key", it.key}, {"revision", it.revision}, {"gone", true}});
         else
             events.push_back({{"private-key", it.key},
@@ -287,7 +304,7 @@
                               {"made", item->second.created},
                               {"lease", item->second.lease}});
     }
-    return json({{"events", events}, {"at", m_revision}});
+    return json({{"events", events}, {"at", m_now.revision}});
 }
 
 Answer KeyValueStandin::transact(const Request &request)
@@ -295,19 +312,19 @@
     const Json body = Json::parse(request.body);
     const std::lock_guard lock(m_mutex);
     for (const Json &it : body["expected-revision"]) {
-        const auto item = m_items.find(it["private-key"].get<std::string>());
-        const std::int64_t found = item == m_items.end() ? 0 : item->second.revision;
+        const auto item = m_now.items.find(it["private-key"].get<std::string>());
+        const std::int64_t found = item == m_now.items.end() ? 0 : item->second.revision;
         if (found != it["revision"].get<std::int64_t>())
             return json({{"items", Json::array()}}, 412);
     }
     for (const Json &it : body["put"]) {
         const std::int64_t lease = it["lease"];
-        if (lease != 0 && !m_leases.contains(lease))
+        if (lease != 0 && !m_now.leases.contains(lease))
             return plain(404);
     }
     for (const Json &it : body["put"])
         write(it["private-key"], decode(it["value"]), it["lease"]);
-    return json({{"revision", m_revision}});
+    return json({{"revision", m_now.revision}});
 }
 
 UpstreamStandin::UpstreamStandin(const std::string &address, std::string instanceId)
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -40,6 +40,11 @@
     // Forgets what has changed so far: watches must begin anew.
     void forgetHistory();
 
+    // Comes back from a copy as it stood at takeSnapshot(): keys, leases and revisions of then, and
+    // the epoch rises.
+    void takeSnapshot();
+    void restoreSnapshot();
+
     // Time of a paused clock has passed: leases that were not renewed meanwhile run out.
     void passTime(std::chrono::nanoseconds time);
 
@@ -80,14 +85,21 @@
     void write(const std::string &key, const std::string &value, std::int64_t lease);
     void erase(const std::string &key);
 
+    struct Content
+    {
+        std::map<std::string, Item> items;
+        std::int64_t revision = 1;
+        std::int64_t nextLease = 100;
+        std::map<std::int64_t, Lease> leases;
+    };
+
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, Item> m_items;
+    Content m_now;
+    Content m_snapshot;
+    std::uint64_t m_epoch = 1;
     std::vector<Change> m_history;
-    std::int64_t m_revision = 1;
     std::int64_t m_historyFrom = 0;
-    std::int64_t m_nextLease = 100;
-    std::map<std::int64_t, Lease> m_leases;
     bool m_down = false;
     bool m_deafWatches = false;
     bool m_stalled = false;
