What a node knows of the platform's store is ordered by epoch, then revision

In the same time each node read the whole store up to 70 times a second: the wait for changes after a revision that the store does not have is turned away, the read of all brought nothing, and so on. Cause: revisions were taken for numbers that only grow, though the store owns them. Class: a number that orders events is set back by another process.

Each answer of the store tells its epoch. A later epoch begins with a whole read, whose keys replace the copy; changes of an earlier one, from the store late or from a peer that is cut off, are dropped, and a peer that is an epoch ahead is read from like one that is ahead in revisions. Any answer of the store may be the first to tell. What the copy lacks then counts as perhaps expired, and the copy as not known to be whole for ten seconds, in which namings would be taken for too young.

Ways weighed: dropping the copy whenever revisions go back (a restored store that is past the old mark shows nothing); comparing the values of keys (an older value cannot be told from a newer one in general); (epoch, revision) in each item (the whole copy changes its epoch at once: one number).

The test was known red: configuration 2 and the draining upstream in use at both nodes; now neither, also at a node that hears it from the other alone.

--- a/include/fordwood/copy_freshness.hpp
+++ b/include/fordwood/copy_freshness.hpp
@@ -28,6 +28,10 @@
     // that this node lacks. Not believed just after a standstill either.
     void peerHasNoMore(Duration age);
 
+    // The store was restored from a snapshot. What the copy lacks now may be older than what showed
+    // that it was whole, and is written again within seconds.
+    void storeRestored();
+
     // Regular work, several times a second.
     void tick() { noteStandstill(); }
 
@@ -41,12 +45,14 @@
 private:
     void noteStandstill();
     bool isWaking();
+    bool isRestoring() const;
 
     const Clock &m_clock;
     std::optional<TimePoint> m_wholeAt;
     std::optional<TimePoint> m_byStore;
     StandstillWatch m_standstill;
     std::optional<TimePoint> m_woke;
+    std::optional<TimePoint> m_restored;
 };
 
 } // namespace fordwood
--- a/include/fordwood/store_replica.hpp
+++ b/include/fordwood/store_replica.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "fordwood/store_version.hpp"
+
 namespace fordwood {
 
 // One key of the platform's store as it stood at a revision.
@@ -27,33 +29,40 @@
     std::int64_t since = 0; // zero: the items are all keys there are
     std::int64_t revision = 0;
     std::vector<StoredItem> items;
+    std::uint64_t epoch = 0; // of all revisions here
+
+    StoreVersion version() const { return {epoch, revision}; }
 };
 
 // A node's copy of the platform's store. Copies are merged by the revisions of the store, so that
 // it does not matter whether a change came from the store or from a peer, nor in which order: a
-// copy never goes back.
+// copy never goes back. A later epoch begins with all keys there are; what is of an earlier one is
+// not taken.
 class StoreReplica
 {
 public:
     // Takes in changes of the store. Returns what has changed here, gone keys included. Changes
-    // that begin after this copy's revision leave a gap and are not taken: nothing is returned.
+    // that begin after this copy's version leave a gap and are not taken: nothing is returned.
     std::optional<std::vector<StoredItem>> merge(const StoreChanges &changes);
 
-    // All changes after a revision; everything when the copy no longer remembers so far back.
-    StoreChanges changesSince(std::int64_t revision) const;
+    // All changes after a version; everything when the copy no longer remembers so far back, or the
+    // version is of another epoch.
+    StoreChanges changesSince(const StoreVersion &version) const;
 
     // The value of a key; null when it is absent.
     const StoredItem *find(const std::string &key) const;
 
-    // Every change up to this revision is in the copy. Zero: nothing was read yet.
-    std::int64_t revision() const { return m_revision; }
+    // Every change up to this version is in the copy.
+    const StoreVersion &version() const { return m_version; }
+    bool isEmpty() const { return m_version.revision == 0; }
 
 private:
+    std::vector<StoredItem> beginEpoch(const StoreChanges &changes);
     bool take(const StoredItem &item);
     void forgetOldest();
 
     std::map<std::string, StoredItem> m_items; // with the keys that are gone
-    std::int64_t m_revision = 0;
+    StoreVersion m_version;
     std::int64_t m_rememberedSince = 0; // removals up to here may be forgotten
 };
 
--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -63,6 +63,10 @@
     // Whether the store answers any node. While it does not, nothing is taken as gone.
     void setStoreReachable(bool reachable);
 
+    // The store was restored from a snapshot: the time that upstreams have to write themselves
+    // again begins anew.
+    void storeRestored() { m_reachableSince = m_clock.now(); }
+
     // Takes as gone what has not come back in time. Returns the ids.
     std::vector<std::string> tick();
 
--- a/src/core/copy_freshness.cpp
+++ b/src/core/copy_freshness.cpp
@@ -10,10 +10,27 @@
 // What lies in the sockets of a process that wakes is read within this.
 constexpr Duration kWakeTime = std::chrono::milliseconds(500);
 
+// Operators have written again what a restored store lost within this.
+constexpr Duration kRestoreTime = std::chrono::seconds(10);
+
 } // namespace
 
+void CopyFreshness::storeRestored()
+{
+    m_restored = m_clock.now();
+    m_wholeAt.reset();
+    m_byStore.reset();
+}
+
+bool CopyFreshness::isRestoring() const
+{
+    return m_restored && m_clock.now() - *m_restored < kRestoreTime;
+}
+
 void CopyFreshness::storeAnswered(TimePoint asked)
 {
+    if (isRestoring())
+        return;
     m_byStore = std::max(m_byStore.value_or(asked), asked);
     m_wholeAt = std::max(m_wholeAt.value_or(asked), asked);
 }
@@ -26,7 +43,7 @@
 
 void CopyFreshness::peerHasNoMore(Duration age)
 {
-    if (isWaking())
+    if (isWaking() || isRestoring())
         return;
     const TimePoint then = m_clock.now() - age;
     m_wholeAt = std::max(m_wholeAt.value_or(then), then);
--- a/src/core/store_replica.cpp
+++ b/src/core/store_replica.cpp
@@ -2,6 +2,7 @@
 #include "fordwood/store_replica.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fordwood {
 
@@ -16,14 +17,20 @@
 std::optional<std::vector<StoredItem>> StoreReplica::merge(const StoreChanges &changes)
 {
     const bool whole = changes.since == 0;
-    if (!whole && changes.since > m_revision)
+    if (changes.epoch < m_version.epoch)
+        return std::vector<StoredItem>();
+    const bool isRestored = changes.epoch > m_version.epoch;
+    if (!whole && (isRestored || changes.since > m_version.revision))
         return std::nullopt;
+    if (isRestored && !isEmpty())
+        return beginEpoch(changes);
+    m_version.epoch = changes.epoch;
     std::vector<StoredItem> changed;
     for (const StoredItem &it : changes.items) {
         if (take(it))
             changed.push_back(it);
     }
-    if (whole && changes.revision > m_revision) {
+    if (whole && changes.revision > m_version.revision) {
         // What a whole copy leaves out was removed at some revision up to that of the copy.
         std::map<std::string, bool> present;
         for (const StoredItem &it : changes.items)
@@ -36,20 +43,44 @@
             changed.push_back(item);
         }
     }
-    m_revision = std::max(m_revision, changes.revision);
+    m_version.revision = std::max(m_version.revision, changes.revision);
     if (whole && m_rememberedSince == 0)
         m_rememberedSince = changes.revision;
     forgetOldest();
     return changed;
 }
 
-StoreChanges StoreReplica::changesSince(std::int64_t revision) const
+// Which writes were lost is not known, so the copy becomes what the restored store holds.
+std::vector<StoredItem> StoreReplica::beginEpoch(const StoreChanges &changes)
 {
+    std::map<std::string, StoredItem> held = std::exchange(m_items, {});
+    std::vector<StoredItem> changed;
+    for (const StoredItem &it : changes.items) {
+        m_items[it.key] = it;
+        const auto before = held.find(it.key);
+        if (before == held.end() || before->second.value != it.value)
+            changed.push_back(it);
+    }
+    for (const auto &[key, item] : held) {
+        if (!item.value || m_items.contains(key))
+            continue;
+        m_items[key] = {key, changes.revision, 0, std::nullopt};
+        changed.push_back(m_items[key]);
+    }
+    m_version = changes.version();
+    m_rememberedSince = changes.revision;
+    return changed;
+}
+
+StoreChanges StoreReplica::changesSince(const StoreVersion &version) const
+{
+    const bool isKnown = version.epoch == m_version.epoch && version.revision >= m_rememberedSince;
     StoreChanges changes;
-    changes.since = revision >= m_rememberedSince ? revision : 0;
-    changes.revision = m_revision;
+    changes.since = isKnown ? version.revision : 0;
+    changes.revision = m_version.revision;
+    changes.epoch = m_version.epoch;
     for (const auto &[key, item] : m_items) {
-        if (changes.since == 0 ? item.value.has_value() : item.revision > revision)
+        if (changes.since == 0 ? item.value.has_value() : item.revision > version.revision)
             changes.items.push_back(item);
     }
     return changes;
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -197,7 +197,7 @@
     const auto since = ReplicaFetcher::sinceOf(target);
     if (!since)
         return {400, ""};
-    if (m_replica.revision() == 0)
+    if (m_replica.isEmpty())
         return {503, ""};
     return {200, encodeReplicaPart({m_replica.changesSince(*since), inDoubt()})};
 }
@@ -211,10 +211,11 @@
 void ControlDuty::storeTold(const StoreChanges &changes, const StoreAnswerTimes &times)
 {
     // Before the news are read, since it dates them.
-    if (times.quietUntil && changes.since == m_replica.revision())
+    const StoreVersion since{changes.epoch, changes.since};
+    if (times.quietUntil && since == m_replica.version())
         m_freshness.storeWasQuiet(*times.quietUntil);
     merge(changes, inDoubt());
-    if (changes.revision <= m_replica.revision())
+    if (holdsAllOf(changes.version()))
         m_freshness.storeAnswered(times.asked);
 }
 
@@ -222,9 +223,9 @@
 {
     if (reachable) {
         m_storeBack = m_clock.now();
-        logEvent(Event::PlatformBack, {{"revision", m_replica.revision()}});
+        logEvent(Event::PlatformBack, {{"revision", m_replica.version().revision}});
     } else {
-        logEvent(Event::PlatformLost, {{"revision", m_replica.revision()}});
+        logEvent(Event::PlatformLost, {{"revision", m_replica.version().revision}});
     }
     noteReachability();
 }
@@ -246,18 +247,39 @@
 
 void ControlDuty::merge(const StoreChanges &changes, bool mayBeExpiry)
 {
-    const std::int64_t before = m_replica.revision();
+    const StoreVersion before = m_replica.version();
     const auto changed = m_replica.merge(changes);
     if (!changed)
         return;
+    const bool isRestored = before.revision != 0 && m_replica.version().epoch != before.epoch;
+    if (isRestored)
+        storeRestored(before);
     for (const StoredItem &it : *changed)
-        m_documents.read(it, mayBeExpiry);
-    if (m_replica.revision() != before)
+        m_documents.read(it, mayBeExpiry || isRestored);
+    if (m_replica.version() != before)
         m_gossipSoon = true;
     noteEngines();
     m_orders.lock().keyChanged(m_replica.find(OrderDuty::lockKey()));
 }
 
+// The copy is that of a store that was restored from a snapshot. Upstreams that it lacks may not
+// have written themselves again yet, and namings that it lacks are no younger than those that
+// follow.
+void ControlDuty::storeRestored(const StoreVersion &before)
+{
+    logEvent(Event::StoreRestored, {{"epoch", m_replica.version().epoch},
+                                    {"revision", m_replica.version().revision},
+                                    {"held_revision", before.revision}});
+    m_freshness.storeRestored();
+    m_upstreams.storeRestored();
+    tell(StoreRestored{});
+}
+
+bool ControlDuty::holdsAllOf(const StoreVersion &version) const
+{
+    return version.epoch == m_replica.version().epoch && version <= m_replica.version();
+}
+
 void ControlDuty::configurationRead(ServingConfig config)
 {
     m_hasConfiguration = true;
@@ -357,7 +379,7 @@
             takeOrders(node, word);
     }
     m_weights.heard(message.node, message.weightsNamed);
-    if (message.wholeFor && message.revision <= m_replica.revision())
+    if (message.wholeFor && holdsAllOf(message.version))
         m_freshness.peerHasNoMore(*message.wholeFor);
 }
 
@@ -410,8 +432,8 @@
     message.failureDomain = m_settings.node.failureDomain;
     message.gossipAddress = m_settings.peers.gossipListen;
     message.replicaAddress = m_settings.peers.listen;
-    message.revision = m_replica.revision();
-    message.storeReachable = reachesStore() && m_replica.revision() != 0;
+    message.version = m_replica.version();
+    message.storeReachable = reachesStore() && !m_replica.isEmpty();
     message.strength = vmStrength(m_settings.vm);
     message.isRelay = m_role.isRelay();
     message.followsContext = m_role.followsContext();
@@ -535,7 +557,8 @@
     noteRole();
     noteMarks();
     for (const std::string &it : m_upstreams.tick())
-        logEvent(Event::UpstreamGone, {{"upstream", it}, {"revision", m_replica.revision()}});
+        logEvent(Event::UpstreamGone,
+                 {{"upstream", it}, {"revision", m_replica.version().revision}});
     if (m_upstreams.takeWeightsChanged())
         noteEngines();
 }
@@ -590,7 +613,7 @@
 
 void ControlDuty::noteKnownNodes()
 {
-    if (!m_keysChanged || m_replica.revision() == 0)
+    if (!m_keysChanged || m_replica.isEmpty())
         return;
     m_keysChanged = false;
     std::vector<std::string> others = m_peers.roster().withKey();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -86,6 +86,8 @@
     HttpReply metricsReply(std::string_view target) const;
 
     void merge(const StoreChanges &changes, bool mayBeExpiry);
+    void storeRestored(const StoreVersion &before);
+    bool holdsAllOf(const StoreVersion &version) const;
 
     void heard(const Gossip &message);
     void takeOrders(const std::string &node, const OrderWord &word);
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -53,6 +53,11 @@
     bool reachable = true;
 };
 
+// The platform's store was restored from a snapshot: upstreams may have to write their records
+// again.
+struct StoreRestored
+{ };
+
 // A model shall run on a weight version.
 struct WeightsWanted
 {
@@ -142,8 +147,8 @@
 
 using FleetUpdate
     = std::variant<ConfigInForce, UpstreamWritten, UpstreamRemoved, DomainEvacuated,
-                   StoreReachability, WeightsWanted, WeightsShown, EnginesLoading, PeerLoads,
-                   LiveNodes, KnownNodes, ContextStoreTold, ContextStoreSilent, Informed,
+                   StoreReachability, StoreRestored, WeightsWanted, WeightsShown, EnginesLoading,
+                   PeerLoads, LiveNodes, KnownNodes, ContextStoreTold, ContextStoreSilent, Informed,
                    RequestsHeard, LimitsHeard, DrainingReported, StopBegins>;
 
 // What peers should hear of limits that upstreams name: of this node alone, or of all nodes where
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -219,10 +219,12 @@
                 {"domain", message.failureDomain},
                 {"gossip", message.gossipAddress},
                 {"replica", message.replicaAddress},
-                {"revision", message.revision},
+                {"revision", message.version.revision},
                 {"reachable", message.storeReachable},
                 {"scope", encodeScope(message.scope)},
                 {"load", encodeLoad(message.load)}};
+    if (message.version.epoch > 0)
+        object["epoch"] = message.version.epoch;
     if (message.number > 0)
         object["number"] = message.number;
     if (!message.numbers.empty())
@@ -264,7 +266,8 @@
         object.at("domain").get_to(message.failureDomain);
         object.at("gossip").get_to(message.gossipAddress);
         object.at("replica").get_to(message.replicaAddress);
-        object.at("revision").get_to(message.revision);
+        object.at("revision").get_to(message.version.revision);
+        message.version.epoch = object.value("epoch", std::uint64_t{0});
         object.at("reachable").get_to(message.storeReachable);
         message.scope = decodeScope(object.at("scope").get<int>());
         message.load = decodeLoad(object.at("load"));
@@ -309,6 +312,7 @@
     }
     return encodeCbor({{"since", part.changes.since},
                        {"revision", part.changes.revision},
+                       {"epoch", part.changes.epoch},
                        {"doubt", part.mayBeExpiry},
                        {"items", std::move(items)}});
 }
@@ -319,6 +323,7 @@
         ReplicaPart part;
         object.at("since").get_to(part.changes.since);
         object.at("revision").get_to(part.changes.revision);
+        part.changes.epoch = object.value("epoch", std::uint64_t{0});
         object.at("doubt").get_to(part.mayBeExpiry);
         for (const Json &it : object.at("items")) {
             StoredItem item;
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -76,7 +76,7 @@
     std::string failureDomain;
     std::string gossipAddress;
     std::string replicaAddress;
-    std::int64_t revision = 0; // up to which the node's copy of the store is whole
+    StoreVersion version; // up to which the node's copy of the store is whole
     bool storeReachable = false; // by the node, which follows it
     double strength = 0.0; // of the node's VM; see vmStrength()
     bool hearsStore = false; // the node is reached by word of one that reaches it
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -82,7 +82,7 @@
     peer.replicaAddress = message.replicaAddress;
     if (!message.failureDomain.empty())
         peer.failureDomain = message.failureDomain;
-    peer.revision = message.revision;
+    peer.version = message.version;
     peer.reachesStore = message.storeReachable;
     peer.hearsStore = message.hearsStore;
     peer.strength = message.strength;
@@ -268,9 +268,9 @@
     return found;
 }
 
-std::optional<std::string> PeerRoster::aheadOf(std::int64_t revision) const
+std::optional<std::string> PeerRoster::aheadOf(const StoreVersion &version) const
 {
-    return best([&](const Peer &it) { return it.revision > revision; },
+    return best([&](const Peer &it) { return it.version > version; },
                 [](const Peer &it) { return it.reachesStore; });
 }
 
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -33,7 +33,7 @@
         bool hasKey = false; // in the platform's store
         std::optional<TimePoint> heard;
         std::string replicaAddress;
-        std::int64_t revision = 0;
+        StoreVersion version; // of its copy of the store
         std::string failureDomain; // empty: not known
         double strength = 0.0; // of its VM; zero: not known
         bool reachesStore = false;
@@ -104,9 +104,9 @@
     // turn. Where none is heard, two candidates at a time.
     std::vector<const Peer *> oneOfEachOtherDomain();
 
-    // A live peer whose copy of the store is ahead of the revision; its address for reading it.
+    // A live peer whose copy of the store is ahead of the version; its address for reading it.
     // Those that the store answers come first, then those of this node's failure domain.
-    std::optional<std::string> aheadOf(std::int64_t revision) const;
+    std::optional<std::string> aheadOf(const StoreVersion &version) const;
 
     // A live peer that follows the stores of kept context, other than the one at the address that
     // failed if there is another; its address for reading. Those of this node's failure domain come
--- a/src/node/replica_fetcher.cpp
+++ b/src/node/replica_fetcher.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "node/replica_fetcher.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "adapters/observe/event_log.hpp"
@@ -23,17 +24,38 @@
 
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
 
+constexpr std::string_view kEpoch = "&epoch=";
+
+template <typename Number>
+bool readNumber(std::string_view text, Number &number)
+{
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return ec == std::errc() && end == text.data() + text.size();
+}
+
 } // namespace
 
-std::optional<std::int64_t> ReplicaFetcher::sinceOf(std::string_view target)
+std::string ReplicaFetcher::targetSince(const StoreVersion &version)
+{
+    std::string target = std::string(kTarget) + std::to_string(version.revision);
+    if (version.epoch > 0)
+        target += std::string(kEpoch) + std::to_string(version.epoch);
+    return target;
+}
+
+std::optional<StoreVersion> ReplicaFetcher::sinceOf(std::string_view target)
 {
     if (!target.starts_with(kTarget))
         return std::nullopt;
     target.remove_prefix(kTarget.size());
-    std::int64_t since = 0;
-    const auto [end, ec] = std::from_chars(target.data(), target.data() + target.size(), since);
-    const bool isWhole = ec == std::errc() && end == target.data() + target.size();
-    return isWhole && since >= 0 ? std::optional(since) : std::nullopt;
+    const std::size_t epochAt = std::min(target.find(kEpoch), target.size());
+    StoreVersion version;
+    if (!readNumber(target.substr(0, epochAt), version.revision) || version.revision < 0)
+        return std::nullopt;
+    target.remove_prefix(epochAt);
+    if (!target.empty() && !readNumber(target.substr(kEpoch.size()), version.epoch))
+        return std::nullopt;
+    return version;
 }
 
 void ReplicaFetcher::setSeeds(std::vector<std::string> seeds, std::string self)
@@ -48,9 +70,9 @@
     const TimePoint now = m_clock.now();
     // A seed's copy may lack the keys of peers that have just started: ask until one is heard.
     const bool knowsNobody = !reachesStore && roster.live().empty();
-    if ((m_replica.revision() == 0 || knowsNobody) && now >= m_nextSeedAsk)
+    if ((m_replica.isEmpty() || knowsNobody) && now >= m_nextSeedAsk)
         askSeeds();
-    const auto ahead = roster.aheadOf(m_replica.revision());
+    const auto ahead = roster.aheadOf(m_replica.version());
     if (!ahead) {
         m_isBehind = false;
         return;
@@ -83,7 +105,7 @@
     HttpCall call;
     call.address = address;
     call.method = "GET";
-    call.target = std::string(kTarget) + std::to_string(m_replica.revision());
+    call.target = targetSince(m_replica.version());
     m_caller.send(call, kFetchPatience,
                   [this, address](const HttpResult &result) { fetched(address, result); });
 }
@@ -98,6 +120,7 @@
         return;
     logEvent(Event::ReplicaFetched, {{"peer", address},
                                      {"since", part->changes.since},
+                                     {"epoch", part->changes.epoch},
                                      {"revision", part->changes.revision},
                                      {"items", part->changes.items.size()}});
     m_metrics.count("fordwood_replica_fetches_total");
--- a/src/node/replica_fetcher.hpp
+++ b/src/node/replica_fetcher.hpp
@@ -38,10 +38,11 @@
     // Regular work. `reachesStore`: this node follows the store itself and is answered.
     void tick(const PeerRoster &roster, bool reachesStore);
 
-    // How the target begins that asks a peer for what came after a revision, and the revision that
-    // such a target names; nothing: it names none.
+    // How the target begins that asks a peer for what came after a version; such a target, and the
+    // version that one names; nothing: it names none.
     static constexpr std::string_view kTarget = "/replica?since=";
-    static std::optional<std::int64_t> sinceOf(std::string_view target);
+    static std::string targetSince(const StoreVersion &version);
+    static std::optional<StoreVersion> sinceOf(std::string_view target);
 
 private:
     void askSeeds();
--- a/src/node/store_link.cpp
+++ b/src/node/store_link.cpp
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "adapters/observe/event_log.hpp"
-
 namespace fordwood::node {
 
 namespace {
@@ -97,8 +95,14 @@
     answered();
     // Pages are no snapshot: what changed after the first one is read by the watch.
     StoreChanges &read = whole->read;
-    if (read.revision == 0)
+    if (read.revision == 0) {
         read.revision = page->content.revision;
+        read.epoch = page->content.epoch;
+    }
+    if (page->content.epoch != read.epoch) {
+        readPage("", std::make_shared<WholeRead>(WholeRead{m_clock.now(), {}}), next);
+        return;
+    }
     auto &items = page->content.items;
     read.items.insert(read.items.end(), items.begin(), items.end());
     if (page->nextAfter) {
@@ -127,7 +131,7 @@
 void StoreLink::goOn()
 {
     // A node that has no copy yet reads on until it has one, from here or from a peer.
-    m_rests = !m_follows && m_replica.revision() != 0;
+    m_rests = !m_follows && !m_replica.isEmpty();
     if (m_rests)
         return;
     if (m_isWhole)
@@ -138,18 +142,28 @@
 
 void StoreLink::watch()
 {
-    const std::int64_t after = m_replica.revision();
-    HttpCall call = platform::watchCall(after, kWatchWait);
+    const StoreVersion after = m_replica.version();
+    HttpCall call = platform::watchCall(after.revision, kWatchWait);
     call.address = m_address;
     m_watchBegan = m_clock.now();
     m_caller.send(call, kWatchWait + kWatchGrace,
                   [this, after](const HttpResult &result) { takeWatch(result, after); });
 }
 
-void StoreLink::takeWatch(const HttpResult &result, std::int64_t after)
+// Of a restored store the changes after a revision of before it are not those that the copy lacks.
+platform::StoreResult<StoreChanges> StoreLink::changesIn(const HttpResult &result,
+                                                         const StoreVersion &after) const
+{
+    auto changes = platform::readWatch(result, after.revision);
+    if (changes && changes->epoch != after.epoch)
+        return tl::unexpected(StoreFailure::HistoryLost);
+    return changes;
+}
+
+void StoreLink::takeWatch(const HttpResult &result, const StoreVersion &after)
 {
     noteEpoch(result);
-    const auto changes = platform::readWatch(result, after);
+    const auto changes = changesIn(result, after);
     if (!changes) {
         failed(changes.error());
         return;
@@ -166,10 +180,10 @@
     const std::uint64_t epoch = platform::epochOf(result);
     if (epoch <= m_epoch)
         return;
-    if (m_epoch != 0)
-        adapters::logEvent(adapters::Event::StoreRestored,
-                           {{"epoch", epoch}, {"held_revision", m_replica.revision()}});
     m_epoch = epoch;
+    // The waiting call may be on a connection that hears nothing any more.
+    if (m_isWhole && m_follows && epoch > m_replica.version().epoch)
+        readAllOnce();
 }
 
 void StoreLink::noteAnswered(TimePoint asked)
@@ -198,17 +212,18 @@
     if (m_isPolling || !m_isWhole)
         return;
     m_isPolling = true;
-    const std::int64_t after = m_replica.revision();
+    const StoreVersion after = m_replica.version();
     const TimePoint asked = m_clock.now();
-    send(platform::watchCall(after, kPollWait), [this, after, asked](const HttpResult &result) {
-        m_isPolling = false;
-        takePoll(result, after, asked);
-    });
+    send(platform::watchCall(after.revision, kPollWait),
+         [this, after, asked](const HttpResult &result) {
+             m_isPolling = false;
+             takePoll(result, after, asked);
+         });
 }
 
-void StoreLink::takePoll(const HttpResult &result, std::int64_t after, TimePoint asked)
+void StoreLink::takePoll(const HttpResult &result, const StoreVersion &after, TimePoint asked)
 {
-    const auto changes = platform::readWatch(result, after);
+    const auto changes = changesIn(result, after);
     if (changes) {
         answered();
         m_listener.storeTold(*changes, {asked, std::nullopt});
@@ -241,7 +256,11 @@
     if (failure == StoreFailure::HistoryLost) {
         answered();
         m_isWhole = false;
-        readAll();
+        // Lost again at once: reading all in a row would only load the store.
+        const TimePoint now = m_clock.now();
+        const bool isRepeated = m_historyLost && now - *m_historyLost < kLongestPause;
+        m_historyLost = now;
+        after(isRepeated ? kFirstPause : Duration(0), &StoreLink::readAll);
         return;
     }
     constexpr unsigned kMostDoublings = 4;
--- a/src/node/store_link.hpp
+++ b/src/node/store_link.hpp
@@ -37,7 +37,8 @@
 };
 
 // Follows the platform's store: reads all of it once, then waits for changes; reads all anew when
-// the store has forgotten what happened in between. One waiting call for every key there is.
+// the store has forgotten what happened in between, or was restored from a snapshot, which each of
+// its answers tells. One waiting call for every key there is.
 class StoreLink
 {
 public:
@@ -82,8 +83,10 @@
     void readAllOnce();
     void watch();
     void goOn();
-    void takePoll(const HttpResult &result, std::int64_t after, TimePoint asked);
-    void takeWatch(const HttpResult &result, std::int64_t after);
+    void takePoll(const HttpResult &result, const StoreVersion &after, TimePoint asked);
+    void takeWatch(const HttpResult &result, const StoreVersion &after);
+    platform::StoreResult<StoreChanges> changesIn(const HttpResult &result,
+                                                  const StoreVersion &after) const;
     void noteAnswered(TimePoint asked);
     void noteEpoch(const HttpResult &result);
     StoreAnswerTimes watchTimes() const;
@@ -108,6 +111,7 @@
     bool m_rests = false; // nothing is under way
     unsigned m_failures = 0; // in a row
     std::uint64_t m_epoch = 0;
+    std::optional<TimePoint> m_historyLost; // when the store last had forgotten it
 };
 
 } // namespace fordwood::node
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -109,6 +109,11 @@
     m_upstreams.setStoreReachable(update.reachable);
 }
 
+void Traffic::apply(const StoreRestored & /*update*/)
+{
+    m_upstreams.storeRestored();
+}
+
 void Traffic::apply(const WeightsWanted &update)
 {
     m_weights[update.model].note(update.version, update.naming);
--- a/src/node/traffic.hpp
+++ b/src/node/traffic.hpp
@@ -154,6 +154,7 @@
     void apply(const UpstreamRemoved &update);
     void apply(const DomainEvacuated &update);
     void apply(const StoreReachability &update);
+    void apply(const StoreRestored &update);
     void apply(const WeightsWanted &update);
     void apply(const WeightsShown &update);
     void apply(const EnginesLoading &update);
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -27,6 +27,7 @@
         return "evacuation " + it.failureDomain;
     }
     std::string operator()(const StoreReachability &) const { return "store reachability"; }
+    std::string operator()(const StoreRestored &) const { return "store restored"; }
     std::string operator()(const WeightsWanted &it) const
     {
         return "weights wanted " + it.model + " " + std::to_string(it.version);
--- a/tests/node/belief_ages_test.cpp
+++ b/tests/node/belief_ages_test.cpp
@@ -41,7 +41,7 @@
          const std::string &address)
         : m_name(name), m_domain(domain), m_address(address),
           m_links(m_context, clock, {name, domain, 0.0}, kTellsNobodyAlone,
-                  [this](const Gossip &it) { m_heard.push_back(it.revision); })
+                  [this](const Gossip &it) { m_heard.push_back(it.version.revision); })
     {
         ErrorCode ec;
         REQUIRE(m_links.open(address, ec));
@@ -57,7 +57,7 @@
         Gossip message;
         message.node = m_name;
         message.failureDomain = m_domain;
-        message.revision = revision;
+        message.version.revision = revision;
         m_links.sendAll(message);
     }
 
@@ -236,7 +236,7 @@
             turn();
     }
 
-    bool hasRead() const { return m_replica.revision() != 0; }
+    bool hasRead() const { return !m_replica.isEmpty(); }
 
     // Whether the requests of this node would be told to hold it, by what they hear from peers and
     // from the store.
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -465,7 +465,7 @@
     node::Gossip message;
     message.node = "a";
     message.replicaAddress = "10.0.0.1:1";
-    message.revision = 12;
+    message.version = {3, 12};
     message.storeReachable = true;
     message.failureDomain = "d";
     message.gossipAddress = "10.0.0.1:2";
@@ -492,6 +492,7 @@
     const auto read = node::decodeGossip(node::encodeGossip(message));
     REQUIRE(read);
     CHECK(read->failureDomain == "d");
+    CHECK(read->version == message.version);
     CHECK(read->gossipAddress == "10.0.0.1:2");
     CHECK(read->scope == node::LoadScope::Fleet);
     CHECK(read->load == message.load);
@@ -521,10 +522,11 @@
 
     node::ReplicaPart part;
     part.mayBeExpiry = true;
-    part.changes = {3, 9, {{"a", 4, 4, std::string("\0x", 2)}, {"b", 9, 0, std::nullopt}}};
+    part.changes = {3, 9, {{"a", 4, 4, std::string("\0x", 2)}, {"b", 9, 0, std::nullopt}}, 2};
     const auto readPart = node::decodeReplicaPart(node::encodeReplicaPart(part));
     REQUIRE(readPart);
     CHECK(readPart->changes.items == part.changes.items);
+    CHECK(readPart->changes.version() == StoreVersion{2, 9});
     CHECK(readPart->mayBeExpiry);
 }
 
--- a/tests/node/store_restored_test.cpp
+++ b/tests/node/store_restored_test.cpp
@@ -16,12 +16,14 @@
 // Two nodes before a store that is restored from a snapshot, with many writes between.
 struct Restored : WeightsFleet
 {
-    Restored() : WeightsFleet(2)
+    // `secondsStore`: the address of the store for the second node; empty: that of the store.
+    explicit Restored(const std::string &secondsStore = "") : WeightsFleet(2)
     {
         configure(1, {"a", "b"});
         putUpstream("i-1", "ready");
         putUpstream("i-2", "ready");
-        startAll();
+        start(0);
+        start(1, secondsStore);
         REQUIRE(waitForPeers());
         REQUIRE(waitForUse("i-1", true));
         REQUIRE(waitForUse("i-2", true));
@@ -119,7 +121,13 @@
 TEST_CASE("store restored: what is written after the restore is in force in time, though its "
           "revisions were given out before [restored]")
 {
-    Restored fleet;
+    std::string secondsStore;
+    SUBCASE("both nodes are answered by the store") { }
+    SUBCASE("one of them hears of it from the other alone")
+    {
+        secondsStore = "127.0.0.1:9";
+    }
+    Restored fleet(secondsStore);
     fleet.store().takeSnapshot();
     fleet.loseLastWrites();
     fleet.configure(3, {"a"});
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -27,7 +27,7 @@
     REQUIRE(changed);
     CHECK(changed->empty());
     CHECK(replica.find("config")->value == "new");
-    CHECK(replica.revision() == 10);
+    CHECK(replica.version().revision == 10);
 }
 
 TEST_CASE("replica: an older whole read does not bring back what is gone [versions][leaving]")
@@ -58,7 +58,7 @@
     StoreReplica replica;
     REQUIRE(replica.merge({0, 10, {}}));
     CHECK_FALSE(replica.merge({15, 20, {itemOf("a", 20, "1")}}));
-    CHECK(replica.revision() == 10);
+    CHECK(replica.version().revision == 10);
 }
 
 TEST_CASE("replica: a peer that lags is told what it lacks, removals too [peers]")
@@ -66,14 +66,14 @@
     StoreReplica ahead;
     REQUIRE(ahead.merge({0, 10, {itemOf("a", 8, "1"), itemOf("b", 9, "2")}}));
     StoreReplica behind;
-    REQUIRE(behind.merge(ahead.changesSince(0)));
+    REQUIRE(behind.merge(ahead.changesSince({})));
     REQUIRE(ahead.merge({10, 12, {goneAt("a", 11), itemOf("b", 12, "3")}}));
-    const StoreChanges changes = ahead.changesSince(behind.revision());
+    const StoreChanges changes = ahead.changesSince(behind.version());
     CHECK(changes.since == 10);
     REQUIRE(behind.merge(changes));
     CHECK(behind.find("a") == nullptr);
     CHECK(behind.find("b")->value == "3");
-    CHECK(behind.revision() == 12);
+    CHECK(behind.version().revision == 12);
 }
 
 TEST_CASE("replica: a peer that lags further than removals are remembered gets everything [peers]")
@@ -90,9 +90,35 @@
         REQUIRE(ahead.merge({revision + 1, revision + 2, {goneAt(key, revision + 2)}}));
         revision += 2;
     }
-    const StoreChanges changes = ahead.changesSince(behind.revision());
+    const StoreChanges changes = ahead.changesSince(behind.version());
     CHECK(changes.since == 0);
     REQUIRE(behind.merge(changes));
     CHECK(behind.find("key0") == nullptr);
     CHECK(behind.find("kept") != nullptr);
 }
+
+TEST_CASE("replica: a restored store's copy takes the place of one with higher revisions "
+          "[store][restored]")
+{
+    StoreReplica replica;
+    REQUIRE(replica.merge({0, 90, {itemOf("a", 80, "x"), itemOf("b", 90, "x")}, 1}));
+    CHECK_FALSE(replica.merge({70, 71, {itemOf("c", 71, "x")}, 2})); // the rest is not known
+    const auto changed = replica.merge({0, 60, {itemOf("a", 40, "w")}, 2});
+    REQUIRE(changed);
+    CHECK(replica.version() == StoreVersion{2, 60});
+    CHECK(replica.find("b") == nullptr);
+    REQUIRE(replica.merge({60, 61, {itemOf("a", 61, "y")}, 2}));
+    CHECK(replica.find("a")->revision == 61);
+    SUBCASE("what is of the time before is not taken")
+    {
+        CHECK(replica.merge({0, 99, {itemOf("a", 95, "z")}, 1})->empty());
+        CHECK(replica.find("a")->revision == 61);
+        CHECK(replica.changesSince({1, 61}).since == 0);
+    }
+    SUBCASE("it is restored once more")
+    {
+        REQUIRE(replica.merge({0, 50, {}, 4}));
+        CHECK(replica.find("a") == nullptr);
+        CHECK(replica.version() == StoreVersion{4, 50});
+    }
+}
