A restored store does not bring older states back

Callers would have been served in an evacuated failure domain, by draining upstreams and by ended ones: a copy some seconds old shows what nodes know better, or lacks it, and operators and upstreams write again in an order of their own. Two tests, failing before: the domain was used again, a draining upstream and one that had gone were sent requests (configurations and namings held, by their versions).

What two states of a key mean only their content tells: RestorePolicy, implemented beside the documents in the platform's adapter. Between two values the newer one stays for good (version, life, draining); where the key is gone in one of them the copy keeps what it held until the key is written again, or for ten seconds. Then the store's word holds, so that nothing is kept that nobody writes again. An upstream that the copy lacks counts as perhaps expired, as after any absence of the store. Peers are told what the store shows: each goes by what it knows itself.

Ways weighed: sticky flags in each part that reads documents (five places); a pause of all reading after a restore (what is written first after it would be in force too late); the rule in the copy (kept).

--- a/include/fordwood/copy_freshness.hpp
+++ b/include/fordwood/copy_freshness.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_COPY_FRESHNESS_HPP_INCLUDED
 #define FORDWOOD_COPY_FRESHNESS_HPP_INCLUDED
 
+#include <chrono>
 #include <optional>
 
 #include "fordwood/clock.hpp"
@@ -15,6 +16,9 @@
 class CopyFreshness
 {
 public:
+    // Within this operators and upstreams have written again what a restored store lost.
+    static constexpr Duration kRestoreTime = std::chrono::seconds(10);
+
     explicit CopyFreshness(const Clock &clock) : m_clock(clock), m_standstill(clock) { }
 
     // The copy holds what the store answered to a call that was sent at that time.
--- a/include/fordwood/store_replica.hpp
+++ b/include/fordwood/store_replica.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "fordwood/restore_policy.hpp"
 #include "fordwood/store_version.hpp"
 
 namespace fordwood {
@@ -38,13 +39,25 @@
 // it does not matter whether a change came from the store or from a peer, nor in which order: a
 // copy never goes back. A later epoch begins with all keys there are; what is of an earlier one is
 // not taken.
+//
+// Of keys that a restored store shows in an older state the copy keeps what it held: between two
+// values for good, where the key is gone in one of the two until it is written again or settle() is
+// called.
 class StoreReplica
 {
 public:
+    StoreReplica() = default;
+    // `policy` must outlive the copy.
+    explicit StoreReplica(const RestorePolicy &policy) : m_policy(&policy) { }
+
     // Takes in changes of the store. Returns what has changed here, gone keys included. Changes
     // that begin after this copy's version leave a gap and are not taken: nothing is returned.
     std::optional<std::vector<StoredItem>> merge(const StoreChanges &changes);
 
+    // Whoever was to write again after a restore has done so: takes what the store has shown since.
+    // Returns what has changed here.
+    std::vector<StoredItem> settle();
+
     // All changes after a version; everything when the copy no longer remembers so far back, or the
     // version is of another epoch.
     StoreChanges changesSince(const StoreVersion &version) const;
@@ -58,10 +71,15 @@
 
 private:
     std::vector<StoredItem> beginEpoch(const StoreChanges &changes);
+    bool isOlder(const StoredItem &held, const StoredItem &read) const;
+    void keepHeld(const StoredItem &held, const StoredItem &read);
     bool take(const StoredItem &item);
     void forgetOldest();
 
     std::map<std::string, StoredItem> m_items; // with the keys that are gone
+    const RestorePolicy *m_policy = nullptr;
+    bool m_wasRestored = false;
+    std::map<std::string, StoredItem> m_unsettled; // as read; m_items has what was held
     StoreVersion m_version;
     std::int64_t m_rememberedSince = 0; // removals up to here may be forgotten
 };
--- a/src/core/copy_freshness.cpp
+++ b/src/core/copy_freshness.cpp
@@ -10,9 +10,6 @@
 // What lies in the sockets of a process that wakes is read within this.
 constexpr Duration kWakeTime = std::chrono::milliseconds(500);
 
-// Operators have written again what a restored store lost within this.
-constexpr Duration kRestoreTime = std::chrono::seconds(10);
-
 } // namespace
 
 void CopyFreshness::storeRestored()
--- a/src/core/store_replica.cpp
+++ b/src/core/store_replica.cpp
@@ -36,7 +36,8 @@
         for (const StoredItem &it : changes.items)
             present[it.key] = true;
         for (auto &[key, item] : m_items) {
-            if (!item.value || present.contains(key) || item.revision > changes.revision)
+            if (!item.value || present.contains(key) || m_unsettled.contains(key)
+                || item.revision > changes.revision)
                 continue;
             item.value.reset();
             item.revision = changes.revision;
@@ -50,28 +51,59 @@
     return changed;
 }
 
-// Which writes were lost is not known, so the copy becomes what the restored store holds.
+// Which writes were lost is not known, so the copy becomes what the restored store holds, but for
+// what is known to be older.
 std::vector<StoredItem> StoreReplica::beginEpoch(const StoreChanges &changes)
 {
-    std::map<std::string, StoredItem> held = std::exchange(m_items, {});
+    const std::map<std::string, StoredItem> held = std::exchange(m_items, {});
+    m_unsettled.clear();
+    m_wasRestored = true;
     std::vector<StoredItem> changed;
+    const auto takeOver = [&](const StoredItem &read, const StoredItem *before) {
+        if (before != nullptr && isOlder(*before, read)) {
+            keepHeld(*before, read);
+            return;
+        }
+        m_items[read.key] = read;
+        if (before == nullptr || before->value != read.value)
+            changed.push_back(read);
+    };
     for (const StoredItem &it : changes.items) {
-        m_items[it.key] = it;
         const auto before = held.find(it.key);
-        if (before == held.end() || before->second.value != it.value)
-            changed.push_back(it);
+        takeOver(it, before == held.end() ? nullptr : &before->second);
     }
     for (const auto &[key, item] : held) {
-        if (!item.value || m_items.contains(key))
-            continue;
-        m_items[key] = {key, changes.revision, 0, std::nullopt};
-        changed.push_back(m_items[key]);
+        if (item.value && !m_items.contains(key))
+            takeOver({key, changes.revision, 0, std::nullopt}, &item);
     }
     m_version = changes.version();
     m_rememberedSince = changes.revision;
     return changed;
 }
 
+bool StoreReplica::isOlder(const StoredItem &held, const StoredItem &read) const
+{
+    return m_policy != nullptr && m_wasRestored && m_policy->isOlder(held, read);
+}
+
+// At the revision of what was read, so that whatever is written next takes its place.
+void StoreReplica::keepHeld(const StoredItem &held, const StoredItem &read)
+{
+    m_items[held.key] = {held.key, read.revision, read.created, held.value};
+    if (held.value.has_value() != read.value.has_value())
+        m_unsettled[held.key] = read;
+}
+
+std::vector<StoredItem> StoreReplica::settle()
+{
+    std::vector<StoredItem> changed;
+    for (const auto &[key, read] : std::exchange(m_unsettled, {})) {
+        m_items[key] = read;
+        changed.push_back(read);
+    }
+    return changed;
+}
+
 StoreChanges StoreReplica::changesSince(const StoreVersion &version) const
 {
     const bool isKnown = version.epoch == m_version.epoch && version.revision >= m_rememberedSince;
@@ -79,7 +111,10 @@
     changes.since = isKnown ? version.revision : 0;
     changes.revision = m_version.revision;
     changes.epoch = m_version.epoch;
-    for (const auto &[key, item] : m_items) {
+    for (const auto &[key, held] : m_items) {
+        // Each reader goes by what it knows itself.
+        const auto unsettled = m_unsettled.find(key);
+        const StoredItem &item = unsettled == m_unsettled.end() ? held : unsettled->second;
         if (changes.since == 0 ? item.value.has_value() : item.revision > version.revision)
             changes.items.push_back(item);
     }
@@ -99,6 +134,12 @@
         return true;
     if (item.revision <= it->second.revision)
         return false;
+    // Operators write again in their order: older values may come first.
+    if (item.value && it->second.value && isOlder(it->second, item)) {
+        keepHeld(StoredItem(it->second), item);
+        return false;
+    }
+    m_unsettled.erase(item.key);
     it->second = item;
     return true;
 }
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -270,11 +270,22 @@
     logEvent(Event::StoreRestored, {{"epoch", m_replica.version().epoch},
                                     {"revision", m_replica.version().revision},
                                     {"held_revision", before.revision}});
+    m_settleAt = m_clock.now() + CopyFreshness::kRestoreTime;
     m_freshness.storeRestored();
     m_upstreams.storeRestored();
     tell(StoreRestored{});
 }
 
+void ControlDuty::settleRestored()
+{
+    if (!m_settleAt || m_clock.now() < *m_settleAt)
+        return;
+    m_settleAt.reset();
+    for (const StoredItem &it : m_replica.settle())
+        m_documents.read(it, false);
+    noteEngines();
+}
+
 bool ControlDuty::holdsAllOf(const StoreVersion &version) const
 {
     return version.epoch == m_replica.version().epoch && version <= m_replica.version();
@@ -532,6 +543,7 @@
     const TimePoint now = m_clock.now();
     flushUpdates();
     m_freshness.tick();
+    settleRestored();
     if (!m_isStopping) {
         m_ownKey.tick();
         shortenQuietTime();
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -36,6 +36,7 @@
 #include "node/store_link.hpp"
 #include "node/update_queue.hpp"
 #include "node/weight_news.hpp"
+#include "platform/document_order.hpp"
 
 namespace fordwood::node {
 
@@ -87,6 +88,7 @@
 
     void merge(const StoreChanges &changes, bool mayBeExpiry);
     void storeRestored(const StoreVersion &before);
+    void settleRestored();
     bool holdsAllOf(const StoreVersion &version) const;
 
     void heard(const Gossip &message);
@@ -132,7 +134,9 @@
     const std::string m_owner; // this life of this node
     net::io_context m_context;
     HttpCaller m_caller;
-    StoreReplica m_replica;
+    const platform::DocumentOrder m_documentOrder;
+    StoreReplica m_replica{m_documentOrder};
+    std::optional<TimePoint> m_settleAt; // after a restore of the store
     CopyFreshness m_freshness; // of the replica
     WeightNews m_weights;
     StoreLink m_store;
--- a/tests/node/store_restored_test.cpp
+++ b/tests/node/store_restored_test.cpp
@@ -140,3 +140,69 @@
         CHECK(Restored::uses(fleet.at(node).traffic(), "i-2"));
     }
 }
+
+TEST_CASE("store restored: what nodes know is not undone by an older copy, nor by what is written "
+          "again in its order [restored]")
+{
+    Restored fleet;
+    fleet.putUpstream("i-3", "ready");
+    fleet.putUpstream("i-4", "ready");
+    REQUIRE(fleet.waitForUse("i-3", true));
+    REQUIRE(fleet.waitForUse("i-4", true));
+    fleet.store().takeSnapshot();
+    fleet.putUpstream("i-1", "draining");
+    fleet.store().remove("servers/i-3");
+    fleet.store().put("op/evacuate/y", "");
+    fleet.nameWeights(2);
+    fleet.configure(2, {"a"});
+    fleet.configure(3, {"a"});
+    REQUIRE(fleet.waitForConfiguration(3));
+    REQUIRE(fleet.waitForUse("i-1", false));
+    REQUIRE(fleet.waitForUse("i-3", false));
+    const auto isAsBefore = [](Traffic &it) {
+        return Restored::versionOf(it) == 3 && !Restored::uses(it, "i-1")
+               && !Restored::uses(it, "i-3") && Restored::uses(it, "i-4")
+               && it.upstreams().evacuatedDomains() == 1 && it.weights("m").newest() == 2;
+    };
+    fleet.restore();
+    for (const int node : {0, 1})
+        CHECK(isAsBefore(fleet.at(node).traffic()));
+    fleet.configure(2, {"a", "b"});
+    fleet.nameWeights(1);
+    fleet.advance(500ms);
+    for (const int node : {0, 1})
+        CHECK(isAsBefore(fleet.at(node).traffic()));
+    fleet.putUpstream("i-1", "draining");
+    fleet.store().put("op/evacuate/y", "");
+    fleet.advance(12s);
+    for (const int node : {0, 1}) {
+        Traffic &traffic = fleet.at(node).traffic();
+        CHECK_FALSE(Restored::uses(traffic, "i-1"));
+        CHECK(traffic.upstreams().evacuatedDomains() == 1);
+    }
+}
+
+// The other side: nothing is kept for good that nobody writes again.
+TEST_CASE("store restored: what is not written again is let go [restored]")
+{
+    Restored fleet;
+    fleet.putUpstream("i-3", "ready");
+    REQUIRE(fleet.waitForUse("i-3", true));
+    fleet.store().takeSnapshot();
+    fleet.store().remove("servers/i-3");
+    REQUIRE(fleet.waitForUse("i-3", false));
+    fleet.store().put("op/evacuate/y", "");
+    fleet.putUpstream("i-4", "ready"); // its record is lost, and not written again
+    REQUIRE(fleet.waitForUse("i-4", true));
+    fleet.restore();
+    for (const int node : {0, 1})
+        CHECK(Restored::uses(fleet.at(node).traffic(), "i-4")); // it may live
+    fleet.advance(12s);
+    for (const int node : {0, 1}) {
+        Traffic &traffic = fleet.at(node).traffic();
+        traffic.tick();
+        CHECK(Restored::uses(traffic, "i-3")); // its record has stood for so long
+        CHECK_FALSE(Restored::uses(traffic, "i-4"));
+        CHECK(traffic.upstreams().evacuatedDomains() == 0);
+    }
+}
