Fences grow across a restore of the store, and a lock of before it is lost

Orders would have been refused: the fence is the revision of the lock's key, and after a restore a new holder's is lower than what engines have seen (412 until the count has passed), or equal to that of another holder; a holder went on by renewing a lease id that may be another's by now.

The fence is the whole version of the key's creation, epoch first, as one number. The first answer of a higher epoch ends the lock; its lease is neither renewed nor ended. What a copy of the epoch before says of the key is passed over. The copy may show an earlier holder than the last one, so that a predecessor's word shortens the quiet time only from three seconds after the restore on.

Without the change a lock taken at revision 7 after one at 41 has fence 7 (the tests need the new calls to compile).

--- a/include/fordwood/fenced_lock.hpp
+++ b/include/fordwood/fenced_lock.hpp
@@ -50,8 +50,9 @@
     Refused, // surely not done
 };
 
-// A lock over the fleet: a key of the platform's store under a lease. The revision at which the key
-// was created is the fence: it grows with each holder. Events in, actions out; no I/O.
+// A lock over the fleet: a key of the platform's store under a lease. The version of the store at
+// which the key was created is the fence: it grows with each holder. Events in, actions out; no
+// I/O.
 //
 // The holder counts its lease from the moment at which it *sent* the renewal, on its steady clock,
 // so that it stops before the store gives the lock to another; a holder that was frozen sees on
@@ -90,8 +91,12 @@
     // have another one hold it wait longer.
     void setPatience(Duration patience) { m_patience = patience; }
 
-    // The key as the node's copy of the store shows it; null when it is absent.
-    void keyChanged(const StoredItem *item);
+    // The key as the node's copy of the store shows it; null when it is absent. `epoch`: of the
+    // copy.
+    void keyChanged(const StoredItem *item, std::uint64_t epoch = 0);
+
+    // The store is in this epoch. A lock of an earlier one is lost, and its lease may be another's.
+    void storeRestored(std::uint64_t epoch);
 
     void leaseGranted(std::int64_t lease, Duration life, TimePoint asked);
     void leaseRefused();
@@ -121,7 +126,7 @@
     enum class Stage : std::uint8_t { Idle, Granting, Taking, Settling, Held, Released };
 
     void startOver(Duration pause);
-    void hold(std::int64_t fence);
+    void hold(std::int64_t created);
     std::string value() const;
 
     const std::string m_key;
@@ -138,7 +143,9 @@
     TimePoint m_leaseEnd{};
     TimePoint m_nextKeep{};
     bool m_keeping = false;
-    std::int64_t m_fence = 0;
+    std::uint64_t m_epoch = 0; // of the store; zero: not known
+    std::optional<TimePoint> m_restoredAt;
+    std::int64_t m_created = 0; // revision at which the own key was created
     bool m_isShown = false; // the copy of the store has shown the own key
     TimePoint m_heldSince{};
     TimePoint m_actFrom{};
--- a/include/fordwood/store_version.hpp
+++ b/include/fordwood/store_version.hpp
@@ -17,6 +17,14 @@
     auto operator<=>(const StoreVersion &) const = default;
 };
 
+// One number that orders versions as they order themselves, for engines that know fences as such.
+// Room for 2^40 writes in an epoch.
+constexpr std::int64_t fenceOf(const StoreVersion &version)
+{
+    constexpr int kRevisionBits = 40;
+    return static_cast<std::int64_t>(version.epoch << kRevisionBits) + version.revision;
+}
+
 } // namespace fordwood
 
 #endif // FORDWOOD_STORE_VERSION_HPP_INCLUDED
--- a/src/core/fenced_lock.cpp
+++ b/src/core/fenced_lock.cpp
@@ -15,8 +15,25 @@
     return m_owner + "#" + std::to_string(m_attempt);
 }
 
-void FencedLock::keyChanged(const StoredItem *item)
+void FencedLock::storeRestored(std::uint64_t epoch)
 {
+    if (epoch <= m_epoch)
+        return;
+    const bool isFirst = std::exchange(m_epoch, epoch) == 0;
+    if (isFirst)
+        return;
+    m_restoredAt = m_clock.now();
+    m_freeSince.reset();
+    m_lease = 0;
+    if (m_stage != Stage::Released)
+        startOver(m_limits.retryEvery);
+}
+
+void FencedLock::keyChanged(const StoredItem *item, std::uint64_t epoch)
+{
+    storeRestored(epoch);
+    if (epoch < m_epoch)
+        return;
     const bool isOwn = item != nullptr && item->value == value();
     // The copy may be merged up to a revision from before this node took the lock: as long as it
     // has not shown the key, only the lease tells whether the lock is still held.
@@ -34,7 +51,7 @@
         hold(item->created);
     if (isOwn && m_stage == Stage::Held)
         m_isShown = true;
-    if (m_stage == Stage::Held && !isOwn && (item == nullptr || item->created > m_fence))
+    if (m_stage == Stage::Held && !isOwn && (item == nullptr || item->created > m_created))
         startOver(m_limits.retryEvery);
 }
 
@@ -79,11 +96,11 @@
     }
 }
 
-void FencedLock::hold(std::int64_t fence)
+void FencedLock::hold(std::int64_t created)
 {
     m_stage = Stage::Held;
     m_isShown = false;
-    m_fence = fence;
+    m_created = created;
     m_heldSince = m_clock.now();
     // Also where no predecessor was seen: its key may have gone before this node started.
     m_actFrom = m_heldSince + m_limits.quietTime;
@@ -165,12 +182,15 @@
 {
     if (m_stage != Stage::Held || m_clock.now() >= m_leaseEnd - m_limits.margin)
         return std::nullopt;
-    return Holding{m_fence, m_heldSince, m_actFrom, m_leaseEnd - m_limits.margin};
+    return Holding{fenceOf({m_epoch, m_created}), m_heldSince, m_actFrom,
+                   m_leaseEnd - m_limits.margin};
 }
 
 void FencedLock::predecessorActed(TimePoint last)
 {
-    m_actFrom = std::min(m_actFrom, std::max(m_heldSince, last + m_limits.quietTime));
+    // After a restore the copy may show an earlier holder than the last one.
+    const TimePoint acted = std::max(last, m_restoredAt.value_or(last));
+    m_actFrom = std::min(m_actFrom, std::max(m_heldSince, acted + m_limits.quietTime));
 }
 
 } // namespace fordwood
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -259,7 +259,7 @@
     if (m_replica.version() != before)
         m_gossipSoon = true;
     noteEngines();
-    m_orders.lock().keyChanged(m_replica.find(OrderDuty::lockKey()));
+    m_orders.lock().keyChanged(m_replica.find(OrderDuty::lockKey()), m_replica.version().epoch);
 }
 
 // The copy is that of a store that was restored from a snapshot. Upstreams that it lacks may not
--- a/src/node/order_duty.cpp
+++ b/src/node/order_duty.cpp
@@ -84,6 +84,7 @@
 
 void OrderDuty::tick(const LoadBook &loads)
 {
+    m_lock.storeRestored(m_store.epoch());
     for (const LockAction &it : m_lock.tick())
         carryOut(it);
     noteHolding();
@@ -156,6 +157,7 @@
     const TimePoint asked = m_clock.now();
     m_store.send(platform::grantCall(action.life), [this, asked](const HttpResult &result) {
         const auto granted = platform::readGrant(result);
+        m_lock.storeRestored(m_store.epoch());
         if (granted)
             m_lock.leaseGranted(granted->lease, granted->life, asked);
         else
@@ -170,6 +172,7 @@
     m_store.send(platform::putCall(action.key, action.value, action.lease, true),
                  [this](const HttpResult &result) {
                      const auto answer = platform::readPut(result);
+                     m_lock.storeRestored(m_store.epoch());
                      m_lock.lockTaken(answer.result, answer.revision);
                  });
 }
@@ -179,6 +182,7 @@
     const TimePoint asked = m_clock.now();
     m_store.send(platform::keepCall(action.lease), [this, asked](const HttpResult &result) {
         const auto kept = platform::readKeep(result);
+        m_lock.storeRestored(m_store.epoch());
         if (kept && *kept)
             m_lock.leaseKept(**kept, asked);
         else
--- a/tests/unit/fenced_lock_test.cpp
+++ b/tests/unit/fenced_lock_test.cpp
@@ -263,3 +263,53 @@
     clock.advance(500ms);
     CHECK(std::holds_alternative<GrantLease>(node.lock.tick().back()));
 }
+
+// Revisions are given out again: engines that have seen a higher fence would turn all orders away,
+// and two holders could have the same one.
+TEST_CASE("lock: a fence taken after a restore of the store is higher than all before it "
+          "[lock][restored]")
+{
+    ManualClock clock;
+    Node node("a", clock);
+    node.lock.storeRestored(1);
+    node.take(41);
+    const std::int64_t before = node.lock.holding()->fence;
+    node.lock.storeRestored(2);
+    CHECK_FALSE(node.lock.holding());
+    node.lock.keyChanged(nullptr, 2);
+    clock.advance(500ms);
+    node.take(7);
+    REQUIRE(node.lock.holding());
+    CHECK(node.lock.holding()->fence > before);
+}
+
+TEST_CASE("lock: a lease from before a restore is neither renewed nor ended, since its id may be "
+          "another's by now [lock][restored]")
+{
+    ManualClock clock;
+    Node node("a", clock);
+    node.lock.storeRestored(1);
+    node.take(41);
+    node.lock.storeRestored(2);
+    const auto actions = node.lock.tick();
+    CHECK(actions.empty());
+    // What its copy of before the restore shows says nothing of the lock any more.
+    node.lock.keyChanged(nullptr, 1);
+    clock.advance(5s);
+    CHECK(node.lock.tick().empty());
+}
+
+// The copy may show an earlier holder than the last one, whose orders may still be on their way.
+TEST_CASE("lock: after a restore the word of the holder before does not shorten the quiet time "
+          "[lock][restored]")
+{
+    ManualClock clock;
+    Node node("a", clock);
+    node.lock.storeRestored(1);
+    node.lock.storeRestored(2);
+    node.lock.keyChanged(nullptr, 2);
+    clock.advance(500ms);
+    node.take(7);
+    node.lock.predecessorActed(clock.now() - 10s);
+    CHECK(node.lock.holding()->actFrom == clock.now() + 2500ms);
+}
