A lease of the store is its holder's in one epoch only, and nodes write their keys again after a restore

A holder that ends such a lease would take another's keys away.

StoreLease is an id with its epoch; OwnKey, QuarantineDuty and NamingMarks renew, use and end it in that epoch only.

--- /dev/null
+++ b/include/fordwood/store_lease.hpp
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_STORE_LEASE_HPP_INCLUDED
+#define FORDWOOD_STORE_LEASE_HPP_INCLUDED
+
+#include <cstdint>
+
+namespace fordwood {
+
+// A lease of the platform's store. After a restore of the store its id may be given out again: it
+// is its holder's in the epoch in which it was granted only.
+struct StoreLease
+{
+    std::int64_t id = 0; // zero: none
+    std::uint64_t epoch = 0;
+
+    bool holdsIn(std::uint64_t current) const { return id != 0 && epoch == current; }
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_STORE_LEASE_HPP_INCLUDED
--- a/src/node/control_duty.hpp
+++ b/src/node/control_duty.hpp
@@ -134,7 +134,7 @@
     const std::string m_owner; // this life of this node
     net::io_context m_context;
     HttpCaller m_caller;
-    const platform::DocumentOrder m_documentOrder;
+    const platform::DocumentOrder m_documentOrder{DocumentReader::nodeKey("")};
     StoreReplica m_replica{m_documentOrder};
     std::optional<TimePoint> m_settleAt; // after a restore of the store
     CopyFreshness m_freshness; // of the replica
--- a/src/node/naming_marks.cpp
+++ b/src/node/naming_marks.cpp
@@ -86,12 +86,13 @@
                  [this, naming, after, asked, lease](const HttpResult &result) {
                      const auto granted = platform::readGrant(result);
                      const bool isLate = m_clock.now() - asked > kLongestGrant;
-                     if (granted && !isLate && granted->life <= lease) {
-                         put(naming, after, granted->lease);
+                     const bool isOwn = granted && granted->lease.holdsIn(m_store.epoch());
+                     if (isOwn && !isLate && granted->life <= lease) {
+                         put(naming, after, granted->lease.id);
                          return;
                      }
-                     if (granted)
-                         m_store.send(platform::endCall(granted->lease), [](const HttpResult &) {
+                     if (isOwn)
+                         m_store.send(platform::endCall(granted->lease.id), [](const HttpResult &) {
                              // A lease without a key harms nobody.
                          });
                      finished(naming);
--- a/src/node/order_duty.cpp
+++ b/src/node/order_duty.cpp
@@ -159,7 +159,7 @@
         const auto granted = platform::readGrant(result);
         m_lock.storeRestored(m_store.epoch());
         if (granted)
-            m_lock.leaseGranted(granted->lease, granted->life, asked);
+            m_lock.leaseGranted(granted->lease.id, granted->life, asked);
         else
             m_lock.leaseRefused();
         for (const LockAction &it : m_lock.tick())
--- a/src/node/own_key.cpp
+++ b/src/node/own_key.cpp
@@ -22,7 +22,8 @@
     if (m_isBusy || m_isRemoved || m_clock.now() < m_next)
         return;
     m_isBusy = true;
-    if (m_lease == 0)
+    m_isPut = m_isPut && isLeased();
+    if (!isLeased())
         grant();
     else if (!m_isPut)
         put();
@@ -53,12 +54,12 @@
 void OwnKey::put()
 {
     // Whether the key was written before does not matter: only this node writes it.
-    m_store.send(platform::putCall(m_key, m_value, m_lease, false),
+    m_store.send(platform::putCall(m_key, m_value, m_lease.id, false),
                  [this](const HttpResult &result) {
                      const auto answer = platform::readPut(result);
                      m_isPut = answer.result == WriteResult::Done;
                      if (answer.result == WriteResult::LeaseOver)
-                         m_lease = 0;
+                         m_lease = {};
                      retry();
                      if (m_isPut)
                          m_next = m_clock.now() + kKeepEvery;
@@ -67,7 +68,7 @@
 
 void OwnKey::keep()
 {
-    m_store.send(platform::keepCall(m_lease), [this](const HttpResult &result) {
+    m_store.send(platform::keepCall(m_lease.id), [this](const HttpResult &result) {
         const auto kept = platform::readKeep(result);
         retry();
         if (!kept)
@@ -76,7 +77,7 @@
             m_next = m_clock.now() + kKeepEvery;
             return;
         }
-        m_lease = 0; // it has run out, and the key with it
+        m_lease = {}; // it has run out, and the key with it
         m_isPut = false;
     });
 }
@@ -84,8 +85,8 @@
 void OwnKey::remove()
 {
     m_isRemoved = true;
-    if (m_lease != 0)
-        m_store.send(platform::endCall(m_lease), [](const HttpResult &) {
+    if (isLeased())
+        m_store.send(platform::endCall(m_lease.id), [](const HttpResult &) {
             // A lease that is not ended runs out by itself.
         });
 }
--- a/src/node/own_key.hpp
+++ b/src/node/own_key.hpp
@@ -25,12 +25,13 @@
     void put();
     void keep();
     void retry();
+    bool isLeased() const { return m_lease.holdsIn(m_store.epoch()); }
 
     const Clock &m_clock;
     StoreLink &m_store;
     const std::string m_key;
     const std::string m_value;
-    std::int64_t m_lease = 0;
+    StoreLease m_lease;
     bool m_isPut = false;
     bool m_isBusy = false; // a call is on its way
     bool m_isRemoved = false;
--- a/src/node/quarantine_duty.cpp
+++ b/src/node/quarantine_duty.cpp
@@ -144,7 +144,7 @@
 {
     std::erase_if(m_writes, [this](const auto &it) {
         const Write &write = it.second;
-        return !write.isBusy && write.lease == 0 && !m_quarantine.isHeld(it.first);
+        return !write.isBusy && !isLeased(write) && !m_quarantine.isHeld(it.first);
     });
     for (auto &[request, write] : m_writes) {
         if (!m_quarantine.isHeld(request) && !write.isBusy && m_clock.now() >= write.next)
@@ -155,9 +155,9 @@
 void QuarantineDuty::takeBack(const RequestFingerprint &request, Write &write)
 {
     write.isBusy = true;
-    m_store.send(platform::endCall(write.lease), [this, request](const HttpResult &result) {
+    m_store.send(platform::endCall(write.lease.id), [this, request](const HttpResult &result) {
         if (platform::readEnd(result))
-            m_writes[request].lease = 0;
+            m_writes[request].lease = {};
         retry(request);
     });
 }
@@ -167,10 +167,10 @@
     if (write.isBusy || m_clock.now() < write.next)
         return;
     write.isBusy = true;
-    if (write.lease == 0)
+    if (!isLeased(write))
         grant(request);
     else
-        put(request, write.lease);
+        put(request, write.lease.id);
 }
 
 void QuarantineDuty::retry(const RequestFingerprint &request)
@@ -189,8 +189,8 @@
             return;
         }
         m_writes[request].lease = granted->lease;
-        if (m_quarantine.isHeld(request))
-            put(request, granted->lease);
+        if (m_quarantine.isHeld(request) && isLeased(m_writes[request]))
+            put(request, granted->lease.id);
         else
             retry(request);
     });
@@ -204,7 +204,7 @@
                  [this, request](const HttpResult &result) {
                      const auto answer = platform::readPut(result);
                      if (answer.result == WriteResult::LeaseOver)
-                         m_writes[request].lease = 0;
+                         m_writes[request].lease = {};
                      retry(request);
                      if (answer.result == WriteResult::Done)
                          m_writes[request].next = m_clock.now() + kShowsAfter;
--- a/src/node/quarantine_duty.hpp
+++ b/src/node/quarantine_duty.hpp
@@ -53,11 +53,12 @@
     struct Write
     {
         bool isBusy = false; // a call is on its way
-        std::int64_t lease = 0; // which the key goes with
+        StoreLease lease; // which the key goes with
         TimePoint next{};
     };
 
     bool take(const RequestNews &news);
+    bool isLeased(const Write &write) const { return write.lease.holdsIn(m_store.epoch()); }
     void noteHeld(const RequestFingerprint &request);
     void noteReleased(const RequestFingerprint &request);
     void writeHeld();
--- a/tests/node/document_reader_test.cpp
+++ b/tests/node/document_reader_test.cpp
@@ -9,6 +9,7 @@
 #include "fordwood/manual_clock.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "node/quarantine_duty.hpp"
+#include "platform/document_order.hpp"
 
 using namespace fordwood;
 using namespace fordwood::node;
@@ -187,3 +188,35 @@
     entries.write("fordwood/quarantine/nonsense", QuarantineDuty::encodeLives({7}));
     CHECK(entries.listener.held.size() == 1);
 }
+
+TEST_CASE("documents: which of two states is the older one, where revisions do not tell "
+          "[restored][bad-input]")
+{
+    const platform::DocumentOrder order("fordwood/nodes/");
+    const auto isOlder = [&](const std::string &key, std::optional<std::string> held,
+                             std::optional<std::string> read) {
+        return order.isOlder({key, 9, 1, std::move(held)}, {key, 5, 1, std::move(read)});
+    };
+    const auto weights
+        = [](int version) { return R"({"model":"m","version":)" + std::to_string(version) + "}"; };
+    const auto upstream = [](const std::string &state, int born) {
+        return R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","slots":1,)"
+               R"("cold-remaining-ms":0,"sequence":1,"state":")"
+               + state + R"(","born":)" + std::to_string(born) + "}";
+    };
+    CHECK(isOlder("op/version/m", weights(3), weights(2)));
+    CHECK_FALSE(isOlder("op/version/m", weights(2), weights(3)));
+    CHECK(isOlder("op/version/m", weights(3), std::nullopt));
+    CHECK_FALSE(isOlder("op/version/m", "?", weights(2)));
+    CHECK_FALSE(isOlder("op/version/m", weights(2), "?"));
+    CHECK(isOlder("op/evacuate/z", "", std::nullopt));
+    CHECK_FALSE(isOlder("op/evacuate/z", std::nullopt, ""));
+    CHECK(isOlder("servers/a", upstream("draining", 1), upstream("ready", 1)));
+    CHECK_FALSE(isOlder("servers/a", upstream("draining", 1), upstream("ready", 2)));
+    CHECK(isOlder("servers/a", upstream("ready", 2), upstream("draining", 1)));
+    CHECK_FALSE(isOlder("servers/a", upstream("ready", 1), std::nullopt));
+    CHECK(isOlder("servers/a", std::nullopt, upstream("ready", 1)));
+    CHECK_FALSE(isOlder("servers/a", "?", upstream("ready", 1)));
+    CHECK(isOlder("fordwood/nodes/n1", "x", std::nullopt));
+    CHECK_FALSE(isOlder("fordwood/weights-lock", "x", std::nullopt));
+}
--- a/tests/node/store_restored_test.cpp
+++ b/tests/node/store_restored_test.cpp
@@ -22,6 +22,7 @@
         configure(1, {"a", "b"});
         putUpstream("i-1", "ready");
         putUpstream("i-2", "ready");
+        store().takeSnapshot(); // the first one, before any node has written its key
         start(0);
         start(1, secondsStore);
         REQUIRE(waitForPeers());
@@ -206,3 +207,25 @@
         CHECK(traffic.upstreams().evacuatedDomains() == 0);
     }
 }
+
+TEST_CASE(
+    "store restored: nodes write their keys again under leases of their own, though lease ids "
+    "were given out before [restored]")
+{
+    Restored fleet;
+    fleet.advance(2s);
+    REQUIRE(fleet.store().has("fordwood/nodes/n0"));
+    REQUIRE(fleet.store().has("fordwood/nodes/n1"));
+    fleet.restore();
+    fleet.advance(5s);
+    // Leases are renewed by their holders alone.
+    for (int n = 0; n < 4; ++n) {
+        CHECK(fleet.store().has("fordwood/nodes/n0"));
+        CHECK(fleet.store().has("fordwood/nodes/n1"));
+        fleet.advance(3s);
+    }
+    fleet.kill(1);
+    fleet.advance(12s);
+    CHECK(fleet.store().has("fordwood/nodes/n0"));
+    CHECK_FALSE(fleet.store().has("fordwood/nodes/n1"));
+}
