--- a/include/fordwood/store_version.hpp
+++ b/include/fordwood/store_version.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace fordwood {
 
@@ -14,7 +15,11 @@
     std::uint64_t epoch = 0;
     std::int64_t revision = 0; // zero: nothing was read yet
 
-    auto operator<=>(const StoreVersion &) const = default;
+    bool operator==(const StoreVersion &) const = default;
+    std::strong_ordering operator<=>(const StoreVersion &other) const
+    {
+        return std::tie(epoch, revision) <=> std::tie(other.epoch, other.revision);
+    }
 };
 
 // One number that orders versions as they order themselves, for engines that know fences as such.
