What a restored store showed and then lost is not taken when the copy settles

Found reading the change again: a record of an upstream that had gone stands in the older copy and waits; if its lease runs out and only a whole read tells so, it was still taken after ten seconds, and requests were sent to an upstream that had ended. The test failed before.

--- a/src/core/store_replica.cpp
+++ b/src/core/store_replica.cpp
@@ -35,6 +35,9 @@
         std::map<std::string, bool> present;
         for (const StoredItem &it : changes.items)
             present[it.key] = true;
+        std::erase_if(m_unsettled, [&](const auto &it) {
+            return it.second.value && !present.contains(it.first);
+        });
         for (auto &[key, item] : m_items) {
             if (!item.value || present.contains(key) || m_unsettled.contains(key)
                 || item.revision > changes.revision)
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -122,3 +122,23 @@
         CHECK(replica.version() == StoreVersion{4, 50});
     }
 }
+
+TEST_CASE("replica: what a restored store showed and then lost is not taken when it settles "
+          "[store][restored]")
+{
+    const struct : RestorePolicy
+    {
+        bool isOlder(const StoredItem &held, const StoredItem &read) const override
+        {
+            return !held.value && read.value;
+        }
+    } policy;
+    StoreReplica replica(policy);
+    REQUIRE(replica.merge({0, 90, {itemOf("a", 80, "x")}, 1}));
+    REQUIRE(replica.merge({90, 91, {goneAt("a", 91)}, 1}));
+    REQUIRE(replica.merge({0, 85, {itemOf("a", 80, "x")}, 2}));
+    CHECK(replica.find("a") == nullptr);
+    REQUIRE(replica.merge({0, 95, {}, 2}));
+    CHECK(replica.settle().empty());
+    CHECK(replica.find("a") == nullptr);
+}
