A naming of weights soon after a restore of the store has an age

The test had none of two nodes that may use them, now both, and none 10 s later. What showed that the copy was whole is still dropped at the restore. Removals within a second of the restore count as perhaps expiries, as they do after the store's return.

--- a/include/fordwood/copy_freshness.hpp
+++ b/include/fordwood/copy_freshness.hpp
@@ -2,7 +2,6 @@
 #ifndef FORDWOOD_COPY_FRESHNESS_HPP_INCLUDED
 #define FORDWOOD_COPY_FRESHNESS_HPP_INCLUDED
 
-#include <chrono>
 #include <optional>
 
 #include "fordwood/clock.hpp"
@@ -16,9 +15,6 @@
 class CopyFreshness
 {
 public:
-    // Within this operators and upstreams have written again what a restored store lost.
-    static constexpr Duration kRestoreTime = std::chrono::seconds(10);
-
     explicit CopyFreshness(const Clock &clock) : m_clock(clock), m_standstill(clock) { }
 
     // The copy holds what the store answered to a call that was sent at that time.
@@ -32,8 +28,8 @@
     // that this node lacks. Not believed just after a standstill either.
     void peerHasNoMore(Duration age);
 
-    // The store was restored from a snapshot. What the copy lacks now may be older than what showed
-    // that it was whole, and is written again within seconds.
+    // The store was restored from a snapshot: what showed that the copy was whole says nothing of
+    // what the store holds now.
     void storeRestored();
 
     // Regular work, several times a second.
@@ -49,14 +45,12 @@
 private:
     void noteStandstill();
     bool isWaking();
-    bool isRestoring() const;
 
     const Clock &m_clock;
     std::optional<TimePoint> m_wholeAt;
     std::optional<TimePoint> m_byStore;
     StandstillWatch m_standstill;
     std::optional<TimePoint> m_woke;
-    std::optional<TimePoint> m_restored;
 };
 
 } // namespace fordwood
--- a/src/core/copy_freshness.cpp
+++ b/src/core/copy_freshness.cpp
@@ -14,20 +14,12 @@
 
 void CopyFreshness::storeRestored()
 {
-    m_restored = m_clock.now();
     m_wholeAt.reset();
     m_byStore.reset();
 }
 
-bool CopyFreshness::isRestoring() const
-{
-    return m_restored && m_clock.now() - *m_restored < kRestoreTime;
-}
-
 void CopyFreshness::storeAnswered(TimePoint asked)
 {
-    if (isRestoring())
-        return;
     m_byStore = std::max(m_byStore.value_or(asked), asked);
     m_wholeAt = std::max(m_wholeAt.value_or(asked), asked);
 }
@@ -40,7 +32,7 @@
 
 void CopyFreshness::peerHasNoMore(Duration age)
 {
-    if (isWaking() || isRestoring())
+    if (isWaking())
         return;
     const TimePoint then = m_clock.now() - age;
     m_wholeAt = std::max(m_wholeAt.value_or(then), then);
--- a/src/node/control_duty.cpp
+++ b/src/node/control_duty.cpp
@@ -52,6 +52,9 @@
 // seconds old, and a request that is chosen by it must still begin in time.
 constexpr Duration kMarkMargin = std::chrono::seconds(4);
 
+// Within this operators and upstreams have written again what a restored store lost.
+constexpr Duration kRestoreTime = std::chrono::seconds(10);
+
 constexpr std::size_t kMailboxCapacity = 64;
 
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
@@ -263,14 +266,14 @@
 }
 
 // The copy is that of a store that was restored from a snapshot. Upstreams that it lacks may not
-// have written themselves again yet, and namings that it lacks are no younger than those that
-// follow.
+// have written themselves again yet.
 void ControlDuty::storeRestored(const StoreVersion &before)
 {
     logEvent(Event::StoreRestored, {{"epoch", m_replica.version().epoch},
                                     {"revision", m_replica.version().revision},
                                     {"held_revision", before.revision}});
-    m_settleAt = m_clock.now() + CopyFreshness::kRestoreTime;
+    m_settleAt = m_clock.now() + kRestoreTime;
+    m_storeBack = m_clock.now();
     m_freshness.storeRestored();
     m_upstreams.storeRestored();
     tell(StoreRestored{});
--- a/tests/node/store_restored_test.cpp
+++ b/tests/node/store_restored_test.cpp
@@ -229,3 +229,17 @@
     CHECK(fleet.store().has("fordwood/nodes/n0"));
     CHECK_FALSE(fleet.store().has("fordwood/nodes/n1"));
 }
+
+// Engines have replaced weights just after a naming: callers would be refused until they are
+// loaded.
+TEST_CASE("store restored: weights that are replaced soon after it are of use for a while "
+          "[restored][weights]")
+{
+    Restored fleet;
+    fleet.restore();
+    fleet.nameWeights(2);
+    REQUIRE(fleet.waitForWeights(2));
+    CHECK(fleet.nodesThatUse(1) == 2);
+    fleet.advance(10s);
+    CHECK(fleet.nodesThatUse(1) == 0);
+}
