--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -256,8 +256,7 @@
     return Backoff{upstream, length};
 }
 
-// Both are asked only where the upstream wants requests, since asking the gate says that there is
-// one.
+// The gate counts whoever asks it as having a request: it is not asked during a backoff.
 bool Dispatcher::maySend(const std::string &upstream)
 {
     return !m_backoffs.isBackingOff(upstream) && m_gate.maySend(upstream);
--- a/tests/node/upstream_state_test.cpp
+++ b/tests/node/upstream_state_test.cpp
@@ -107,7 +107,7 @@
     CHECK(serving.sendTo(serving.first));
 }
 
-// The rejections come in the place of an answer, and one of them even in that of another request's.
+// Also a rejection, an answer to another request, and one without a seal tell of the upstream.
 TEST_CASE("upstream state: each answer counts that the upstream itself has sent [drain]")
 {
     using Fault = process::UpstreamStandin::Fault;
