Bounded memory for callers and upstreams that read slowly

Cause: an answer that is not streamed was held whole whatever its size, an answer that its caller did not read was held until the caller closed (a closed receive window is probed and acknowledged for good), request bodies had no bound over all connections, and the kernel sized its own buffers. An event that arrives in small parts was searched from its start with each part, so its time grew with the square of its size: 200 streams with events of 40 KB kept the serving thread busy for more than 30 s.

Change: BufferBudget decides by connection, team and node; answers wait at their upstream, large ones are forwarded as they arrive, large bodies get 503 buffers-full (not run), a caller that reads nothing for unread_timeout loses its connection. Every buffer may hold 16 KB, so usual requests pass. The splitter searches new bytes only.

Chosen, not tuned: 64 KB a channel as before for streams, a quarter of the memory, half of it for a team, 20 s.

--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -52,6 +52,11 @@
         callers.readyListen = table.text("ready_listen");
         callers.maxConnections = static_cast<std::size_t>(
             table.integer("max_connections", static_cast<std::int64_t>(callers.maxConnections)));
+        callers.channelBuffer = static_cast<std::size_t>(
+            table.integer("channel_buffer", static_cast<std::int64_t>(callers.channelBuffer)));
+        callers.bufferShare = table.number("buffer_share", callers.bufferShare);
+        callers.teamBufferShare = table.number("team_buffer_share", callers.teamBufferShare);
+        callers.unreadTimeout = table.span("unread_timeout", callers.unreadTimeout);
     } else if (section == "peers") {
         PeerSettings &peers = settings.peers;
         peers.listen = table.text("listen");
@@ -78,6 +83,7 @@
         vm.processorShare = table.number("processor_share", vm.processorShare);
         vm.processorSpeed = table.number("processor_speed", vm.processorSpeed);
         vm.linkMbps = table.number("link_mbps", vm.linkMbps);
+        vm.memoryMegabytes = table.number("memory_mb", vm.memoryMegabytes);
     } else if (section == "places") {
         readRegions(table, settings.regions, errors);
     } else if (section == "mechanisms") {
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -19,6 +19,11 @@
     std::string listen;
     std::string readyListen;
     std::size_t maxConnections = 2'500;
+    // What the node holds for slow readers; see BufferLimits.
+    std::size_t channelBuffer = 65'536; // bytes
+    double bufferShare = 0.25; // of the VM's memory, for all callers together
+    double teamBufferShare = 0.5; // of that, for one team
+    Duration unreadTimeout = std::chrono::seconds(20);
 };
 
 struct PeerSettings
@@ -42,6 +47,7 @@
     double processorShare = 1.0; // cores, or a fraction of one
     double processorSpeed = 1.0; // of a core, relative to other VMs
     double linkMbps = 1'000.0;
+    double memoryMegabytes = 256.0;
 };
 
 // Limits that the platform's rules set, and what the platform's services guarantee.
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -136,6 +136,16 @@
      "Address at which the platform checks whether the node accepts new connections."},
     {"max_connections", Integer, false, 1, 1e6, "2500",
      "Maximum number of callers' connections; further ones are closed."},
+    {"channel_buffer", Integer, false, 16384, 1e9, "65536",
+     "Bytes of an answer that are held for a caller who reads slowly. Above that, the node stops "
+     "reading from the upstream until the caller has read."},
+    {"buffer_share", Number, false, 0.01, 0.9, "0.25",
+     "Share of the VM's memory for the requests and answers of all callers. Above that, each "
+     "answer is held up to 16 KB, and a larger request body is rejected with 503."},
+    {"team_buffer_share", Number, false, 0.01, 1, "0.5",
+     "Share of that memory that one team may use."},
+    {"unread_timeout", Span, false, 0.1, 3600, "20s",
+     "A connection is closed if its caller has read nothing of a waiting answer for this long."},
 };
 constexpr Field kPeers[] = {
     {"listen", Address, true, 0, 0, "",
@@ -187,6 +197,7 @@
      "Speed of one core, relative to other VMs."},
     {"link_mbps", Number, false, 0.001, 1e6, "1000",
      "Bandwidth of the VM's network link, in Mbit/s."},
+    {"memory_mb", Number, false, 1, 1e7, "256", "Memory that the node may use, in MB."},
 };
 constexpr Field kMechanisms[] = {
     {"context_stores", Flag, false, 0, 0, "true",
--- a/src/core/event_splitter.cpp
+++ b/src/core/event_splitter.cpp
@@ -8,14 +8,20 @@
 
 namespace {
 
-// Position after the last blank line of the text, or zero.
-std::size_t endOfLastEvent(std::string_view text)
+constexpr std::string_view kBlankLines[] = {"\n\n", "\r\n\r\n"};
+constexpr std::size_t kMaxBlankBytes = 4;
+
+// Position after the last blank line of the text, or zero. There is none in the first `searched`
+// bytes, which are not searched again: an event may arrive in many small parts.
+std::size_t endOfLastEvent(std::string_view text, std::size_t searched)
 {
+    const std::size_t from = searched - std::min(searched, kMaxBlankBytes - 1);
+    const std::string_view rest = text.substr(from);
     std::size_t end = 0;
-    for (const std::string_view blank : {"\n\n", "\r\n\r\n"}) {
-        const std::size_t at = text.rfind(blank);
+    for (const std::string_view blank : kBlankLines) {
+        const std::size_t at = rest.rfind(blank);
         if (at != std::string_view::npos)
-            end = std::max(end, at + blank.size());
+            end = std::max(end, from + at + blank.size());
     }
     return end;
 }
@@ -26,8 +32,9 @@
 {
     m_bytes.erase(0, m_completeBytes);
     m_completeBytes = 0;
+    const std::size_t searched = m_bytes.size();
     m_bytes.append(bytes);
-    m_completeBytes = endOfLastEvent(m_bytes);
+    m_completeBytes = endOfLastEvent(m_bytes, searched);
     const std::string_view events = std::string_view(m_bytes).substr(0, m_completeBytes);
     updateLastId(events);
     return events;
--- a/src/node/answer_writer.hpp
+++ b/src/node/answer_writer.hpp
@@ -17,6 +17,9 @@
 public:
     virtual ~AnswerWriter() = default;
 
+    // Counts what is held of the answer toward the limit of this team.
+    virtual void setTeam(const std::string &team) = 0;
+
     // Sends an answer with its complete body.
     virtual void sendAnswer(boost::beast::http::response_header<> head, std::string body) = 0;
 
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -50,16 +50,17 @@
 } // namespace
 
 CallHandler::CallHandler(NodeState &state, AnswerWriter &writer, http::request_header<> head,
-                         std::string body, TimePoint arrived)
+                         HeldBody body, TimePoint arrived)
     : m_state(state), m_writer(writer), m_head(std::move(head)),
-      m_body(std::make_shared<const std::string>(std::move(body))), m_arrived(arrived),
+      m_body(std::make_shared<const std::string>(std::move(body.bytes))),
+      m_bodyBuffer(std::move(body.held)), m_answerBuffer(state.buffers()), m_arrived(arrived),
       m_caller(platform::readCallerHead(m_head)), m_deadlineTimer(state.context()),
       m_retryTimer(state.context())
 { }
 
 void CallHandler::start()
 {
-    if (const auto refused = admitCall(m_state, m_head, m_caller, m_arrived, m_call)) {
+    if (const auto refused = admit()) {
         rejectWith(Verdict::of(*refused, {}, kRetryAfter));
         return;
     }
@@ -71,6 +72,20 @@
     startAttempt();
 }
 
+std::optional<Reason> CallHandler::admit()
+{
+    if (const auto refused = admitCall(m_state, m_head, m_caller, m_arrived, m_call))
+        return refused;
+    if (m_call.team == nullptr)
+        return std::nullopt;
+    m_bodyBuffer.setTeam(m_call.team->name);
+    m_answerBuffer.setTeam(m_call.team->name);
+    m_writer.setTeam(m_call.team->name);
+    if (!m_state.buffers().mayHoldRequest(m_bodyBuffer))
+        return Reason::BuffersFull;
+    return std::nullopt;
+}
+
 void CallHandler::startDeadlineTimer()
 {
     m_deadlineTimer.expires_at(m_plan.policy().answerBy);
@@ -313,8 +328,44 @@
     m_state.health().dataReceived(m_attempt->upstream.instanceId);
     if (isStreamed() && !m_attempt->head.hasNotRun)
         return forwardEvents(bytes);
+    if (m_attempt->head.hasNotRun)
+        return true; // the caller gets another answer
+    if (m_isPassedThrough)
+        return m_writer.sendChunk(bytes);
+    return collectBody(bytes);
+}
+
+// Holds the body until it is complete, so that another upstream can be tried if this one fails
+// before that. A body that is too large to hold is forwarded from then on.
+bool CallHandler::collectBody(std::string_view bytes)
+{
     m_attempt->body.append(bytes);
-    return true;
+    m_answerBuffer.resize(m_attempt->body.size());
+    return m_state.buffers().mayReadAnswer(m_answerBuffer) || beginPassThrough();
+}
+
+bool CallHandler::beginPassThrough()
+{
+    m_isPassedThrough = true;
+    m_streamStarted = true;
+    m_writer.beginStream(answerHead());
+    const std::string body = std::move(m_attempt->body);
+    m_answerBuffer.resize(0);
+    return m_writer.sendChunk(body);
+}
+
+void CallHandler::endPassThrough()
+{
+    const unsigned status = m_attempt->answer->result_int();
+    if (isSuccess(status)) {
+        m_state.health().succeeded(m_attempt->upstream.instanceId);
+        recordAnswered();
+    } else {
+        m_state.health().answeredWithError(m_attempt->upstream.instanceId);
+    }
+    endAttempt(true);
+    m_writer.endStream();
+    finish(isSuccess(status) ? "answered" : "upstream-failure", status);
 }
 
 bool CallHandler::forwardEvents(std::string_view bytes)
@@ -387,6 +438,10 @@
         handleRejection();
         return;
     }
+    if (m_isPassedThrough) {
+        endPassThrough();
+        return;
+    }
     if (isStreamed()) {
         const bool isComplete = !m_eventSplitter.hasPartialEvent();
         endAttempt(true);
@@ -503,6 +558,7 @@
         return;
     const std::shared_ptr<HttpChannel> channel = std::move(m_attempt->channel);
     m_attempt->channel.reset();
+    m_answerBuffer.resize(0);
     if (reusable)
         m_state.channels().release(id, channel,
                                    m_attempt->head.keepAlive ? Duration(*m_attempt->head.keepAlive)
@@ -514,6 +570,12 @@
 void CallHandler::handleFailure(const FailedAttempt &failure)
 {
     m_eventSplitter.dropPartialEvent();
+    // A part of this upstream's answer is with the caller, and no other upstream can continue it.
+    if (m_isPassedThrough) {
+        m_writer.abort();
+        finish("cut", 0);
+        return;
+    }
     const AfterFailure next = m_plan.afterFailure(
         failure, m_state.clock().now(), [this] { return m_state.takeRetry(m_call.pool->name); });
     switch (next) {
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "fordwood/buffer_budget.hpp"
 #include "fordwood/call_plan.hpp"
 #include "fordwood/event_splitter.hpp"
 #include "fordwood/request_fingerprint.hpp"
@@ -22,6 +23,13 @@
 
 namespace fordwood::node {
 
+// The body of a request, counted in the budget as long as it is held.
+struct HeldBody
+{
+    std::string bytes;
+    BufferBudget::Buffer held;
+};
+
 // Handles one request of a caller from its arrival to the last byte of its answer: finds the route
 // and the team, selects an upstream, sends the request, forwards the answer, and retries as
 // CallPlan decides when an attempt fails.
@@ -30,8 +38,8 @@
 public:
     // `arrived`: when the first bytes of the request arrived. `writer` must outlive the answer, or
     // the call to onCallerDisconnect().
-    CallHandler(NodeState &state, AnswerWriter &writer, http::request_header<> head,
-                std::string body, TimePoint arrived);
+    CallHandler(NodeState &state, AnswerWriter &writer, http::request_header<> head, HeldBody body,
+                TimePoint arrived);
 
     void start();
 
@@ -63,6 +71,10 @@
     void handleAnswer();
     void handleRejection();
     bool forwardEvents(std::string_view bytes);
+    bool collectBody(std::string_view bytes);
+    bool beginPassThrough();
+    void endPassThrough();
+    std::optional<Reason> admit();
     void recordPromptComputed();
     void beginStream();
     http::response_header<> answerHead() const;
@@ -81,6 +93,8 @@
     AnswerWriter &m_writer;
     http::request_header<> m_head;
     std::shared_ptr<const std::string> m_body;
+    BufferBudget::Buffer m_bodyBuffer;
+    BufferBudget::Buffer m_answerBuffer; // the part of an answer that is not streamed
     const TimePoint m_arrived;
     platform::CallerHead m_caller;
     AdmittedCall m_call;
@@ -90,6 +104,7 @@
     net::steady_timer m_retryTimer; // runs while no upstream is available
     EventSplitter m_eventSplitter;
     bool m_streamStarted = false; // the caller has received a part of the answer
+    bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
     std::optional<TimePoint> m_firstEventAt;
     std::string m_lastUpstream; // instance id, for the log
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -20,9 +20,6 @@
 // Time limit for reading a request body. The largest bodies have a few MB.
 constexpr Duration kBodyTimeout = std::chrono::seconds(10);
 
-// With more unsent bytes of a stream than this, reading from the upstream is paused.
-constexpr std::size_t kMaxOutgoingBytes = 65'536;
-
 // A caller that does not acknowledge sent bytes for this long is considered gone.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::seconds(5);
 
@@ -49,12 +46,13 @@
 
 CallerSession::CallerSession(NodeState &state, tcp::socket socket, OnClosed onClosed)
     : m_state(state), m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
-      m_onClosed(std::move(onClosed))
+      m_onClosed(std::move(onClosed)), m_outgoingBuffer(state.buffers())
 { }
 
 void CallerSession::start()
 {
     enableDeadPeerDetection(m_socket, kUnacknowledgedTimeout);
+    limitSocketBuffers(m_socket, m_state.buffers().limits().perChannel);
     waitForRequest();
 }
 
@@ -94,11 +92,12 @@
 void CallerSession::readHead()
 {
     const CallerLimits current = callerLimits();
-    m_incoming = std::make_shared<IncomingRequest>(std::move(m_unparsed));
+    m_incoming = std::make_shared<IncomingRequest>(std::move(m_unparsed), m_state.buffers());
     m_unparsed = {};
     m_incoming->startedAt = m_state.clock().now();
     m_incoming->parser.header_limit(static_cast<std::uint32_t>(current.maxHeaderBytes));
     m_incoming->parser.body_limit(current.maxBodyBytes);
+    m_incoming->parser.eager(true);
     startTimer(current.headerTimeout, &CallerSession::handleReadTimeout);
     http::async_read_header(
         m_socket, m_incoming->buffer, m_incoming->parser,
@@ -132,31 +131,46 @@
 
 void CallerSession::readBody()
 {
-    http::async_read(
+    if (m_incoming->parser.is_done()) {
+        handleRequest();
+        return;
+    }
+    http::async_read_some(
         m_socket, m_incoming->buffer, m_incoming->parser,
         [self = shared_from_this(), incoming = m_incoming](const ErrorCode &ec, std::size_t) {
             if (!self->m_isClosed && incoming == self->m_incoming)
-                self->handleRequest(ec);
+                self->handleBodyPart(ec);
         });
 }
 
-void CallerSession::handleRequest(const ErrorCode &ec)
+void CallerSession::handleBodyPart(const ErrorCode &ec)
 {
     if (ec) {
         handleReadError(ec);
         return;
     }
+    m_incoming->held.resize(m_incoming->parser.get().body().size());
+    if (!m_state.buffers().mayHoldRequest(m_incoming->held)) {
+        reject(Reason::BuffersFull, http::status::service_unavailable);
+        return;
+    }
+    readBody();
+}
+
+void CallerSession::handleRequest()
+{
     m_timer.cancel();
     auto request = m_incoming->parser.release();
     m_unparsed = std::move(m_incoming->buffer);
     const TimePoint startedAt = m_incoming->startedAt;
+    BufferBudget::Buffer held = std::move(m_incoming->held);
     m_incoming.reset();
     m_keepAlive = request.keep_alive();
     m_isAnswerComplete = false;
     m_isCallerSlow = false;
     std::string body = std::move(request.body());
     m_call = std::make_shared<CallHandler>(m_state, *this, std::move(request.base()),
-                                           std::move(body), startedAt);
+                                           HeldBody{std::move(body), std::move(held)}, startedAt);
     m_call->start();
     if (m_call)
         watchForDisconnect();
@@ -243,8 +257,7 @@
         m_keepAlive = false;
     if (status != kNoContent && status != kNotModified)
         head.set(http::field::content_length, std::to_string(body.size()));
-    m_outgoing.push_back(serializeHead(head) + body);
-    m_outgoingBytes += m_outgoing.back().size();
+    append(serializeHead(head) + body);
     m_isAnswerComplete = true;
     releaseCall();
     writeNext();
@@ -256,24 +269,23 @@
     if (head.find(http::field::connection) != head.end())
         m_keepAlive = false;
     head.set(http::field::transfer_encoding, "chunked");
-    m_outgoing.push_back(serializeHead(head));
-    m_outgoingBytes += m_outgoing.back().size();
+    append(serializeHead(head));
     writeNext();
 }
 
 bool CallerSession::sendChunk(std::string_view bytes)
 {
-    m_outgoing.push_back(encodeChunk(bytes));
-    m_outgoingBytes += m_outgoing.back().size();
+    append(encodeChunk(bytes));
     writeNext();
-    m_isCallerSlow = m_outgoingBytes > kMaxOutgoingBytes;
+    m_isCallerSlow = !m_state.buffers().mayReadAnswer(m_outgoingBuffer);
+    if (m_isCallerSlow)
+        m_state.metrics().count("fordwood_paused_answers_total");
     return !m_isCallerSlow;
 }
 
 void CallerSession::endStream()
 {
-    m_outgoing.emplace_back("0\r\n\r\n");
-    m_outgoingBytes += m_outgoing.back().size();
+    append("0\r\n\r\n");
     m_isAnswerComplete = true;
     releaseCall();
     writeNext();
@@ -292,6 +304,14 @@
     m_call.reset();
 }
 
+void CallerSession::append(std::string bytes)
+{
+    if (m_outgoing.empty())
+        m_lastProgress = m_state.clock().now();
+    m_outgoingBuffer.add(bytes.size());
+    m_outgoing.push_back(std::move(bytes));
+}
+
 void CallerSession::writeNext()
 {
     if (m_isWriting || m_isClosed)
@@ -302,24 +322,49 @@
         return;
     }
     m_isWriting = true;
-    net::async_write(m_socket, net::buffer(m_outgoing.front()),
-                     [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
-                         self->m_isWriting = false;
-                         if (self->m_isClosed)
-                             return;
-                         if (ec) {
-                             self->handleDisconnect();
-                             return;
-                         }
-                         self->m_outgoingBytes -= self->m_outgoing.front().size();
-                         self->m_outgoing.pop_front();
-                         if (self->m_isCallerSlow && self->m_outgoingBytes <= kMaxOutgoingBytes
-                             && self->m_call) {
-                             self->m_isCallerSlow = false;
-                             self->m_call->onCallerReady();
-                         }
-                         self->writeNext();
-                     });
+    const auto unwritten = net::buffer(m_outgoing.front()) + m_frontWritten;
+    m_socket.async_write_some(unwritten,
+                              [self = shared_from_this()](const ErrorCode &ec, std::size_t n) {
+                                  self->m_isWriting = false;
+                                  if (self->m_isClosed)
+                                      return;
+                                  if (ec)
+                                      self->handleDisconnect();
+                                  else
+                                      self->onWritten(n);
+                              });
+}
+
+void CallerSession::onWritten(std::size_t n)
+{
+    m_lastProgress = m_state.clock().now();
+    m_frontWritten += n;
+    if (m_frontWritten == m_outgoing.front().size()) {
+        m_outgoingBuffer.remove(m_frontWritten);
+        m_outgoing.pop_front();
+        m_frontWritten = 0;
+    }
+    if (m_isCallerSlow && m_call && m_state.buffers().mayReadAnswer(m_outgoingBuffer)) {
+        m_isCallerSlow = false;
+        m_call->onCallerReady();
+    }
+    writeNext();
+}
+
+// Without this, a caller that stops reading keeps its part of the answer in memory for good: it
+// still acknowledges the probes of its closed receive window.
+void CallerSession::closeIfUnread()
+{
+    const Duration unreadFor = m_state.clock().now() - m_lastProgress;
+    if (m_isClosed || m_outgoing.empty() || unreadFor < m_state.settings().callers.unreadTimeout)
+        return;
+    logEvent(Event::AnswerUnread,
+             {{"bytes", m_outgoingBuffer.bytes()},
+              {"unread_ms", std::chrono::floor<std::chrono::milliseconds>(unreadFor).count()}});
+    m_state.metrics().count("fordwood_unread_answers_total");
+    ErrorCode ec; // without the option, the kernel keeps the unsent bytes a little longer
+    m_socket.set_option(net::socket_base::linger(true, 0), ec);
+    close();
 }
 
 void CallerSession::onAnswerWritten()
@@ -383,6 +428,7 @@
         call->onCallerDisconnect();
     ErrorCode ec; // closing a closed socket is harmless
     m_socket.close(ec);
+    m_outgoingBuffer.resize(0);
     // Posted, since callers of this function may still use the session.
     net::post(m_socket.get_executor(),
               [self = shared_from_this()] { self->m_onClosed(self.get()); });
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "fordwood/buffer_budget.hpp"
 #include "node/answer_writer.hpp"
 #include "node/call_handler.hpp"
 #include "node/node_state.hpp"
@@ -33,7 +34,11 @@
     // answer.
     void closeWhenIdle();
 
+    // Closes the connection if the caller has read nothing of its answer for too long.
+    void closeIfUnread();
+
     // From AnswerWriter:
+    void setTeam(const std::string &team) override { m_outgoingBuffer.setTeam(team); }
     void sendAnswer(http::response_header<> head, std::string body) override;
     void beginStream(http::response_header<> head) override;
     bool sendChunk(std::string_view bytes) override;
@@ -44,10 +49,13 @@
     // The state of a request that is being read; an idle connection has none.
     struct IncomingRequest
     {
-        explicit IncomingRequest(boost::beast::flat_buffer bytes) : buffer(std::move(bytes)) { }
+        IncomingRequest(boost::beast::flat_buffer bytes, BufferBudget &budget)
+            : buffer(std::move(bytes)), held(budget)
+        { }
 
         boost::beast::flat_buffer buffer;
         http::request_parser<http::string_body> parser;
+        BufferBudget::Buffer held; // the body
         TimePoint startedAt{};
     };
 
@@ -55,7 +63,8 @@
     void readHead();
     void handleHead(const ErrorCode &ec);
     void readBody();
-    void handleRequest(const ErrorCode &ec);
+    void handleBodyPart(const ErrorCode &ec);
+    void handleRequest();
     void watchForDisconnect();
     void handleReadError(const ErrorCode &ec);
     void reject(Reason reason, http::status status);
@@ -63,7 +72,9 @@
     void handleReadTimeout();
     CallerLimits callerLimits() const;
     void setConnectionField(http::response_header<> &head) const;
+    void append(std::string bytes);
     void writeNext();
+    void onWritten(std::size_t n);
     void onAnswerWritten();
     void handleDisconnect();
     void releaseCall();
@@ -80,7 +91,9 @@
     boost::beast::flat_buffer m_unparsed; // bytes received beyond the last request
     std::shared_ptr<CallHandler> m_call;
     std::deque<std::string> m_outgoing;
-    std::size_t m_outgoingBytes = 0;
+    std::size_t m_frontWritten = 0; // bytes of the first outgoing text that are written
+    BufferBudget::Buffer m_outgoingBuffer;
+    TimePoint m_lastProgress{}; // when the caller last read a part of the outgoing bytes
     bool m_isWriting = false;
     bool m_isAnswerComplete = false; // m_outgoing holds the rest of the answer
     bool m_isCallerSlow = false; // sendChunk() has returned false
--- a/src/node/channel_pool.cpp
+++ b/src/node/channel_pool.cpp
@@ -46,7 +46,7 @@
         return;
     }
     channel->connect(
-        *endpoint, kConnectTimeout, kUnacknowledgedTimeout,
+        *endpoint, {kConnectTimeout, kUnacknowledgedTimeout, m_socketBuffer},
         [channel, onReady = std::move(onReady)](const ErrorCode &ec) { onReady(channel, ec); });
 }
 
--- a/src/node/channel_pool.hpp
+++ b/src/node/channel_pool.hpp
@@ -22,7 +22,9 @@
 public:
     using OnReady = std::function<void(std::shared_ptr<HttpChannel>, const ErrorCode &)>;
 
-    ChannelPool(net::io_context &context, const Clock &clock) : m_context(context), m_clock(clock)
+    // `socketBuffer`: see limitSocketBuffers().
+    ChannelPool(net::io_context &context, const Clock &clock, std::size_t socketBuffer)
+        : m_context(context), m_clock(clock), m_socketBuffer(socketBuffer)
     { }
 
     // Whether another channel may be used. `maxChannels`: this node's share of the connections that
@@ -66,6 +68,7 @@
 
     net::io_context &m_context;
     const Clock &m_clock;
+    const std::size_t m_socketBuffer;
     std::map<std::string, Channels> m_channels; // by instance id
 };
 
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -16,15 +16,17 @@
 
 HttpChannel::HttpChannel(net::io_context &context) : m_socket(context) { }
 
-void HttpChannel::connect(const tcp::endpoint &endpoint, Duration timeout,
-                          Duration unacknowledgedTimeout,
+void HttpChannel::connect(const tcp::endpoint &endpoint, const Options &options,
                           const std::function<void(const ErrorCode &)> &onConnected)
 {
     ErrorCode ec;
     m_socket.open(endpoint.protocol(), ec);
     if (!ec)
-        enableDeadPeerDetection(m_socket, unacknowledgedTimeout);
-    m_connectTimer = std::make_unique<net::steady_timer>(m_socket.get_executor(), timeout);
+        enableDeadPeerDetection(m_socket, options.unacknowledgedTimeout);
+    if (!ec && options.socketBuffer)
+        limitSocketBuffers(m_socket, *options.socketBuffer);
+    m_connectTimer
+        = std::make_unique<net::steady_timer>(m_socket.get_executor(), options.connectTimeout);
     m_connectTimer->async_wait([self = shared_from_this()](const ErrorCode &timerEc) {
         if (!timerEc)
             self->m_socket.close();
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -46,9 +46,15 @@
 public:
     explicit HttpChannel(net::io_context &context);
 
-    // Connects within `timeout` and passes the result to `onConnected`. `unacknowledgedTimeout`:
-    // see enableDeadPeerDetection().
-    void connect(const tcp::endpoint &endpoint, Duration timeout, Duration unacknowledgedTimeout,
+    struct Options
+    {
+        Duration connectTimeout{0};
+        Duration unacknowledgedTimeout{0}; // see enableDeadPeerDetection()
+        std::optional<std::size_t> socketBuffer; // bytes; see limitSocketBuffers()
+    };
+
+    // Connects and passes the result to `onConnected`.
+    void connect(const tcp::endpoint &endpoint, const Options &options,
                  const std::function<void(const ErrorCode &)> &onConnected);
 
     // Sends a request and reads its answer. The handler must outlive the exchange, or close() must
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -63,7 +63,7 @@
             return;
         }
         m_channel = std::make_shared<HttpChannel>(m_caller.m_context);
-        m_channel->connect(*endpoint, std::min(timeout, kMaxConnectTime), timeout,
+        m_channel->connect(*endpoint, {std::min(timeout, kMaxConnectTime), timeout, std::nullopt},
                            [self = shared_from_this()](const ErrorCode &ec) {
                                if (!self->m_keepAlive)
                                    return;
--- a/src/node/net.cpp
+++ b/src/node/net.cpp
@@ -34,6 +34,14 @@
     setTcpOption(socket, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
 }
 
+void limitSocketBuffers(tcp::socket &socket, std::size_t bytes)
+{
+    const auto size = static_cast<int>(bytes);
+    ErrorCode ec; // ignored: a kernel without these options uses its own sizes
+    socket.set_option(net::socket_base::send_buffer_size(size), ec);
+    socket.set_option(net::socket_base::receive_buffer_size(size), ec);
+}
+
 bool isOpenAndIdle(tcp::socket &socket)
 {
     if (!socket.is_open())
--- a/src/node/net.hpp
+++ b/src/node/net.hpp
@@ -41,6 +41,11 @@
 // not answered.
 void enableDeadPeerDetection(tcp::socket &socket, Duration unacknowledgedTimeout);
 
+// Bounds the bytes that the kernel holds for the connection in each direction. Otherwise it holds
+// up to several megabytes for a peer that does not read. Call it before the connection is made or
+// used.
+void limitSocketBuffers(tcp::socket &socket, std::size_t bytes);
+
 // Whether a connection is open and has no unread input, so that a request can be sent on it.
 bool isOpenAndIdle(tcp::socket &socket);
 
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -48,6 +48,18 @@
     return limits;
 }
 
+BufferLimits bufferLimits(const config::OneProcessSettings &settings)
+{
+    constexpr double kBytesOfMegabyte = 1'000'000.0;
+    const double total
+        = settings.callers.bufferShare * settings.vm.memoryMegabytes * kBytesOfMegabyte;
+    BufferLimits limits;
+    limits.perChannel = settings.callers.channelBuffer;
+    limits.total = static_cast<std::size_t>(total);
+    limits.perTeam = static_cast<std::size_t>(settings.callers.teamBufferShare * total);
+    return limits;
+}
+
 } // namespace
 
 NodeState::NodeState(net::io_context &context, const Clock &clock,
@@ -57,7 +69,8 @@
       m_gate(clock, coldLimits(settings), settings.node.name,
              stableHash(makeNodeInstanceId(settings.node.name))),
       m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
-      m_channels(context, clock), m_shortDemand(clock), m_stallDetector(clock)
+      m_channels(context, clock, settings.callers.channelBuffer), m_buffers(bufferLimits(settings)),
+      m_shortDemand(clock), m_stallDetector(clock)
 { }
 
 void NodeState::handle(const FleetUpdate &update)
@@ -336,6 +349,7 @@
                        static_cast<double>(m_gate.backoffs().size()));
     m_metrics.setGauge("fordwood_draining_reported_upstreams",
                        static_cast<double>(m_upstreams.reportedDraining().size()));
+    m_metrics.setGauge("fordwood_buffered_bytes", static_cast<double>(m_buffers.total()));
     m_metrics.setGauge("fordwood_cold_upstreams",
                        static_cast<double>(m_gate.coldGate().coldUpstreams()));
     if (!m_table)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -14,6 +14,7 @@
 #include "adapters/observe/limit_log.hpp"
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
+#include "fordwood/buffer_budget.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/engine_chooser.hpp"
 #include "fordwood/engine_groups.hpp"
@@ -162,6 +163,7 @@
     ContextDirectory &contexts() { return m_contexts; }
     const EngineChooser &engines() const { return m_engines; }
     ChannelPool &channels() { return m_channels; }
+    BufferBudget &buffers() { return m_buffers; }
 
 private:
     void apply(const ConfigApplied &update);
@@ -208,6 +210,7 @@
     ContextDirectory m_contexts;
     EngineChooser m_engines;
     ChannelPool m_channels;
+    BufferBudget m_buffers;
     std::map<std::string, WeightHistory> m_weights; // by model
     struct LoadingReport
     {
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -12,6 +12,7 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kMailboxCapacity = 4'096;
+constexpr Duration kUnreadCheckInterval = std::chrono::seconds(1);
 
 // The platform stops routing new connections to the node after two readiness checks, a second
 // apart, have failed. Idle connections are kept until then, and closed afterwards.
@@ -72,10 +73,20 @@
     m_metrics.setGauge("fordwood_caller_connections", static_cast<double>(m_sessions.size()));
     m_metrics.setGauge("fordwood_upstream_channels",
                        static_cast<double>(m_state.channels().openChannels()));
+    closeUnreadAnswers();
     if (m_state.isStopping())
         continueStop();
 }
 
+void ServingLoop::closeUnreadAnswers()
+{
+    if (m_clock.now() < m_nextUnreadCheck)
+        return;
+    m_nextUnreadCheck = m_clock.now() + kUnreadCheckInterval;
+    for (const auto &[key, session] : m_sessions)
+        session->closeIfUnread();
+}
+
 void ServingLoop::reportLoads(bool isUrgent)
 {
     m_publishLoads({m_state.loads().own(), m_state.shortContextTokens(),
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -40,6 +40,7 @@
 private:
     void onAccepted(tcp::socket socket);
     void tick();
+    void closeUnreadAnswers();
     void continueStop();
     void reportLoads(bool isUrgent);
     void reportQuarantineUpdates();
@@ -57,6 +58,7 @@
     net::steady_timer m_tickTimer;
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
     bool m_idleSessionsClosed = false;
+    TimePoint m_nextUnreadCheck{};
 };
 
 } // namespace fordwood::node
--- a/tests/node/late_send_test.cpp
+++ b/tests/node/late_send_test.cpp
@@ -24,6 +24,7 @@
 class RecordingWriter : public AnswerWriter
 {
 public:
+    void setTeam(const std::string & /*team*/) override { }
     void sendAnswer(http::response_header<> head, std::string) override
     {
         m_status = head.result_int();
@@ -135,7 +136,9 @@
         head.set("Model", "m");
         head.set("Token-Usage", "380,10");
         head.set("Prompt-Prefix", "a1:300,b2:80");
-        call = std::make_shared<CallHandler>(state, caller, std::move(head), "", clock.now());
+        call = std::make_shared<CallHandler>(state, caller, std::move(head),
+                                             HeldBody{"", BufferBudget::Buffer(state.buffers())},
+                                             clock.now());
         call->start();
     }
 
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -59,9 +59,10 @@
         out << "[node]\nname = \"n" << node << "\"\nfailure_domain = \"" << domain
             << "\"\nregion = \"r\"\n"
             << "[callers]\nlisten = \"" << host(node) << ":8080\"\nready_listen = \"" << host(node)
-            << ":8081\"\n[peers]\nlisten = \"" << host(node) << ":8082\"\ngossip_listen = \""
-            << host(node) << ":8083\"\nmetrics_listen = \"" << host(node) << ":8084\"\nseeds = [\""
-            << host(0) << ":8082\"]\n[store]\naddress = \""
+            << ":8081\"\n"
+            << extraSettings << "[peers]\nlisten = \"" << host(node)
+            << ":8082\"\ngossip_listen = \"" << host(node) << ":8083\"\nmetrics_listen = \""
+            << host(node) << ":8084\"\nseeds = [\"" << host(0) << ":8082\"]\n[store]\naddress = \""
             << (storeAddress.empty() ? net + "1:7000" : storeAddress)
             << "\"\n[bounds]\nstop_within = \"5s\"\n";
         out.close();
@@ -87,12 +88,13 @@
                                        .dump());
     }
 
-    void putConfiguration(int version, const std::string &prefix = "/safe/")
+    void putConfiguration(int version, const std::string &prefix = "/safe/",
+                          int maxConnections = 100, int timeoutMs = 5000)
     {
-        const auto route = [](const char *path, const char *kind, bool resumable) {
+        const auto route = [timeoutMs](const char *path, const char *kind, bool resumable) {
             return nlohmann::json{
                 {"name", path},      {"host", "a.example"},    {"path-prefix", path},
-                {"kind", kind},      {"service", "board"},     {"timeout-ms", 5000},
+                {"kind", kind},      {"service", "board"},     {"timeout-ms", timeoutMs},
                 {"max-attempts", 2}, {"resumable", resumable}, {"target-latency-ms", 400}};
         };
         const auto abroad = [](nlohmann::json bound) {
@@ -104,7 +106,7 @@
             {"routes",
              {route(prefix.c_str(), "safe", false), route("/once/", "unsafe", false),
               abroad(route("/abroad/", "safe", false)), route("/stream/", "streaming", true)}},
-            {"services", {{{"name", "board"}, {"max-connections", 100}}}},
+            {"services", {{{"name", "board"}, {"max-connections", maxConnections}}}},
             {"limits",
              {{"max-header-bytes", 4096}, {"max-body-bytes", 10000}, {"header-timeout-ms", 300}}},
             {"tenants", {{{"name", "t"}, {"api-keys", {"key-t"}}}}}};
@@ -153,6 +155,7 @@
 
     std::string net;
     std::string folder;
+    std::string extraSettings; // lines of the section "callers"
     KeyValueStandin store;
     UpstreamStandin first;
     UpstreamStandin second;
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -14,8 +14,6 @@
 using standins::Answer;
 using standins::Request;
 
-constexpr int kStreamEvents = 5;
-
 // Watches end earlier than requested, so that a test need not wait for them at its end.
 constexpr std::chrono::milliseconds kMaxWatchTime{200};
 // Calls with a wait of at most this are polls rather than watches.
@@ -368,6 +366,13 @@
     m_breakAfter = events;
 }
 
+void UpstreamStandin::setStreams(int events, std::size_t bytesPerEvent)
+{
+    const std::lock_guard lock(m_mutex);
+    m_streamEvents = events;
+    m_bytesPerEvent = bytesPerEvent;
+}
+
 void UpstreamStandin::setLimit(std::optional<std::string> limit)
 {
     const std::lock_guard lock(m_mutex);
@@ -476,14 +481,16 @@
     const std::string last = request.header("Last-Event-Id");
     auto next = std::make_shared<int>(last.empty() ? 0 : std::stoi(last));
     const int breakAfter = m_breakAfter;
+    const int events = m_streamEvents;
+    const std::size_t bytes = m_bytesPerEvent;
     result.cutAfterParts = breakAfter > 0;
-    result.nextPart = [next, breakAfter](bool) -> std::string {
+    result.nextPart = [next, breakAfter, events, bytes](bool) -> std::string {
         *next += 1;
-        const std::string event
-            = "id: " + std::to_string(*next) + "\ndata: " + std::to_string(*next) + "\n\n";
+        const std::string data = bytes > 0 ? std::string(bytes, 'x') : std::to_string(*next);
+        const std::string event = "id: " + std::to_string(*next) + "\ndata: " + data + "\n\n";
         if (breakAfter > 0 && *next == breakAfter + 1)
             return event.substr(0, event.size() / 2);
-        const bool isOver = *next > kStreamEvents || (breakAfter > 0 && *next > breakAfter);
+        const bool isOver = *next > events || (breakAfter > 0 && *next > breakAfter);
         return isOver ? "" : event;
     };
     return result;
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -138,6 +138,9 @@
     // When requests for this instance arrived, including rejected ones.
     std::vector<std::chrono::steady_clock::time_point> arrivals();
 
+    // Streams have this many events with so much data each from now on.
+    void setStreams(int events, std::size_t bytesPerEvent);
+
     // Streams break off in the middle of the event that follows the given number of events.
     void breakStreamsAfter(int events);
 
@@ -168,6 +171,8 @@
     Fault m_fault = Fault::None;
     int m_faultyRequests = 0;
     int m_breakAfter = 0;
+    int m_streamEvents = 5;
+    std::size_t m_bytesPerEvent = 0; // zero: the event's number
     std::unique_ptr<standins::BlockingServer> m_server;
 };
 
--- a/tests/support/serving_thread.hpp
+++ b/tests/support/serving_thread.hpp
@@ -23,6 +23,7 @@
 // The answer that a caller received.
 struct CallerAnswer : AnswerWriter
 {
+    void setTeam(const std::string & /*team*/) override { }
     void sendAnswer(http::response_header<> answer, std::string text) override
     {
         status = answer.result_int();
@@ -91,8 +92,9 @@
         for (const auto &it : fields)
             head.set(it.name_string(), it.value());
         CallerAnswer answer;
-        const auto run
-            = std::make_shared<CallHandler>(m_traffic, answer, std::move(head), "", m_clock.now());
+        const auto run = std::make_shared<CallHandler>(
+            m_traffic, answer, std::move(head),
+            HeldBody{"", BufferBudget::Buffer(m_traffic.buffers())}, m_clock.now());
         run->start();
         // In real time. Only a defect makes the answer take this long.
         const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
--- a/tests/unit/serving_parts_test.cpp
+++ b/tests/unit/serving_parts_test.cpp
@@ -178,6 +178,20 @@
     CHECK_FALSE(events.hasPartialEvent());
 }
 
+TEST_CASE("event splitter: a blank line is found wherever the bytes are divided [events]")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for (std::size_t size = 1; size < text.size(); ++size) {
+        EventSplitter events;
+        std::string joined;
+        for (std::size_t at = 0; at < text.size(); at += size)
+            joined += events.add(std::string_view(text).substr(at, size));
+        CHECK(joined == text);
+        CHECK(events.lastId() == 3);
+        CHECK_FALSE(events.hasPartialEvent());
+    }
+}
+
 TEST_CASE("events: an event that is too long is detected [streams]")
 {
     EventSplitter events;
