State of upstreams: work grows with changes, not with upstreams

Cause: before 10,000 upstreams each read of changes by each peer went through all keys of the replica, each merge counted all removed keys and built the table of engines anew, and both threads went through all upstreams ten times a second.

Change: the replica has an index by revision and counts removals; the directory keeps the upstreams that have unconfirmed weights, are expired or have reported draining in sets of their own, and its upstreams by service; the rollout takes over changed engines only.

Conclusion: equal results (random test against all changes), cost by what changed.

--- a/include/fordwood/store_replica.hpp
+++ b/include/fordwood/store_replica.hpp
@@ -5,7 +5,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "fordwood/restore_policy.hpp"
@@ -40,6 +43,8 @@
 // one. A new epoch can only start with a snapshot of all keys, and changes of an earlier epoch are
 // ignored.
 //
+// What a merge or a read of changes costs grows with the changes, not with the keys that exist.
+//
 // When a restored store returns a key in a state that the RestorePolicy considers older than the
 // replica's, the replica keeps its own. If both states have a value, it keeps it until the key is
 // written again. If the key is removed in one of the two states, it keeps it only until the key is
@@ -48,6 +53,8 @@
 {
 public:
     StoreReplica() = default;
+    StoreReplica(const StoreReplica &) = delete;
+    StoreReplica &operator=(const StoreReplica &) = delete;
     // `policy` must outlive the replica.
     explicit StoreReplica(const RestorePolicy &policy) : m_policy(&policy) { }
 
@@ -72,14 +79,27 @@
     const StoreVersion &version() const { return m_version; }
     bool isEmpty() const { return m_version.revision == 0; }
 
+    // Items looked at by all merges and reads of changes so far.
+    std::uint64_t itemsVisited() const { return m_itemsVisited; }
+
 private:
+    using Items = std::map<std::string, StoredItem>;
+
+    void set(StoredItem item);
+    void replace(StoredItem &held, StoredItem item);
+    void removeMissing(const StoreChanges &snapshot, std::vector<StoredItem> &changed);
+    const StoredItem &readState(const StoredItem &held) const;
     std::vector<StoredItem> beginEpoch(const StoreChanges &changes);
     bool isOlder(const StoredItem &held, const StoredItem &read) const;
     void keepHeld(const StoredItem &held, const StoredItem &read);
     bool apply(const StoredItem &item);
     void dropOldestRemovals();
 
-    std::map<std::string, StoredItem> m_items; // including removed keys
+    Items m_items; // including removed keys
+    // The items by revision. The keys are those in m_items.
+    std::set<std::pair<std::int64_t, std::string_view>> m_byRevision;
+    std::size_t m_removedKeys = 0; // in m_items
+    mutable std::uint64_t m_itemsVisited = 0;
     const RestorePolicy *m_policy = nullptr;
     bool m_wasRestored = false;
     std::map<std::string, StoredItem>
--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -17,7 +18,7 @@
 
 // Tracks which upstreams may be sent requests. While the platform's store is unreachable, records
 // may expire although their upstreams live; such a record stays in use for a while after the store
-// is back.
+// is back. Each call costs as much as what it changes or returns, however many upstreams there are.
 class UpstreamDirectory
 {
 public:
@@ -34,6 +35,8 @@
     UpstreamDirectory(const Clock &clock, Limits limits)
         : m_clock(clock), m_limits(limits), m_reachableSince(clock.now())
     { }
+    UpstreamDirectory(const UpstreamDirectory &) = delete;
+    UpstreamDirectory &operator=(const UpstreamDirectory &) = delete;
 
     // An upstream has published its record.
     void put(UpstreamRecord record);
@@ -48,7 +51,10 @@
     bool reportDraining(const std::string &instanceId);
 
     // The upstreams that their answers reported as draining.
-    std::vector<std::string> reportedDraining() const;
+    std::vector<std::string> reportedDraining() const
+    {
+        return {m_reportedDraining.begin(), m_reportedDraining.end()};
+    }
 
     // Whether the service has upstreams that are draining.
     bool hasDraining(const std::string &service) const;
@@ -78,9 +84,6 @@
     // The upstreams of a service that accept new requests, in the order of their instance ids.
     std::vector<const UpstreamRecord *> usable(const std::string &service) const;
 
-    // All engines that are not draining, including evacuated ones.
-    std::vector<const UpstreamRecord *> stayingEngines() const;
-
     // Null if the instance is unknown.
     const UpstreamRecord *find(const std::string &instanceId) const;
 
@@ -100,11 +103,14 @@
     bool isAheadOfRecord(const std::string &instanceId, const std::string &model,
                          std::uint64_t version) const;
 
-    // Whether the known weights have changed other than by a record since the last call.
-    bool takeWeightsChanged() { return std::exchange(m_weightsChanged, false); }
+    // The upstreams that were added, removed or changed since the last call.
+    std::set<std::string> takeChanged() { return std::exchange(m_changed, {}); }
 
     std::size_t size() const { return m_entries.size(); }
 
+    // Entries looked at by all calls of tick() so far.
+    std::uint64_t entriesVisited() const { return m_entriesVisited; }
+
 private:
     // What is known about an engine's weights of one model.
     struct Weights
@@ -120,24 +126,31 @@
     {
         UpstreamRecord record; // with the weight versions that are assumed
         std::map<std::string, Weights> weights; // by model
-        bool reportedDraining = false; // an answer reported it
-        bool expired = false; // its record is gone, perhaps only because the store was unreachable
     };
+    using Entries = std::map<std::string, Entry>;
 
     bool isUsable(const UpstreamRecord &record) const;
     bool isRecordDue(const ObservedWeights &observed) const;
     Weights mergeObserved(const Entry &entry, const std::string &model,
                           std::uint64_t recorded) const;
     static bool isNewer(const Weights &weights, const ObservedWeights &seen);
-    void dropUnconfirmed(Entry &entry);
+    bool dropUnconfirmed(Entry &entry);
+    void erase(Entries::iterator entry);
+    template <typename Predicate>
+    bool anyOfService(const std::string &service, Predicate predicate) const;
 
     const Clock &m_clock;
     const Limits m_limits;
-    std::map<std::string, Entry> m_entries;
+    Entries m_entries; // by instance id
+    std::map<std::string, std::map<std::string_view, Entry *>> m_services; // by service and id
+    std::set<std::string> m_unconfirmed; // with weights that an answer has shown or ruled out
+    std::set<std::string> m_reportedDraining;
+    std::set<std::string> m_expired; // records gone, perhaps as the store was unreachable
+    std::set<std::string> m_changed;
+    std::uint64_t m_entriesVisited = 0;
     std::set<std::string> m_evacuated; // failure domains
     bool m_storeReachable = true;
     TimePoint m_reachableSince; // when the store became reachable; initially the start of this node
-    bool m_weightsChanged = false;
 };
 
 } // namespace fordwood
--- a/include/fordwood/weight_rollout.hpp
+++ b/include/fordwood/weight_rollout.hpp
@@ -15,6 +15,7 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/fenced_lock.hpp"
 #include "fordwood/observed_weights.hpp"
+#include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_load_tracker.hpp"
 #include "fordwood/upstream_record.hpp"
 
@@ -110,8 +111,13 @@
     explicit WeightRollout(const Clock &clock) : WeightRollout(clock, Limits{}) { }
     WeightRollout(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
 
-    // Sets the engines in service, with the weight versions in their records.
-    void setEngines(const std::vector<const UpstreamRecord *> &engines);
+    // Sets an engine in service, with the weight versions in its record. An upstream that is
+    // draining or runs no weights is removed.
+    void setEngine(const UpstreamRecord &engine);
+    void removeEngine(const std::string &instanceId);
+
+    // Takes over the upstreams of the directory that have changed.
+    void update(UpstreamDirectory &upstreams);
 
     // Sets the version that all engines must serve for the model.
     void setTarget(const std::string &model, std::uint64_t version);
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -7,17 +7,23 @@
 
 void UpstreamDirectory::put(UpstreamRecord record)
 {
-    Entry &entry = m_entries[record.instanceId];
+    const auto [it, isNew] = m_entries.try_emplace(record.instanceId);
+    Entry &entry = it->second;
+    if (!isNew && entry.record.service != record.service)
+        m_services[entry.record.service].erase(it->first);
+    m_services[record.service][it->first] = &entry;
     std::map<std::string, Weights> weights;
     for (auto &[model, version] : record.weightVersions) {
-        const Weights &it = weights[model] = mergeObserved(entry, model, version);
-        if (it.observed)
-            version = it.observed->version;
+        const Weights &merged = weights[model] = mergeObserved(entry, model, version);
+        if (merged.observed)
+            version = merged.observed->version;
     }
     entry.weights = std::move(weights);
     entry.record = std::move(record);
-    entry.record.draining = entry.record.draining || entry.reportedDraining;
-    entry.expired = false;
+    entry.record.draining
+        = entry.record.draining || m_reportedDraining.contains(entry.record.instanceId);
+    m_expired.erase(entry.record.instanceId);
+    m_changed.insert(entry.record.instanceId);
 }
 
 // An answer may show newer weights before the record lists them, but only for a limited time. A
@@ -52,8 +58,10 @@
                   >= m_limits.recordUpdateWithin;
 }
 
-void UpstreamDirectory::dropUnconfirmed(Entry &entry)
+// Returns whether unconfirmed weights are left.
+bool UpstreamDirectory::dropUnconfirmed(Entry &entry)
 {
+    bool isAnyLeft = false;
     for (auto &[model, weights] : entry.weights) {
         const bool isUnconfirmed = weights.observed && isRecordDue(*weights.observed);
         // Also while the store is unreachable: the engine is tried again with the version that it
@@ -61,16 +69,19 @@
         const bool isRejectionOver
             = weights.rejectedAt
               && m_clock.now() - *weights.rejectedAt >= m_limits.recordUpdateWithin;
-        if (!isUnconfirmed && !isRejectionOver)
+        if (!isUnconfirmed && !isRejectionOver) {
+            isAnyLeft = isAnyLeft || weights.observed || weights.rejectedAt;
             continue;
+        }
         weights.observed.reset();
         weights.rejectedAt.reset();
         if (weights.recorded)
             entry.record.weightVersions[model] = *weights.recorded;
         else
             entry.record.weightVersions.erase(model);
-        m_weightsChanged = true;
+        m_changed.insert(entry.record.instanceId);
     }
+    return isAnyLeft;
 }
 
 void UpstreamDirectory::remove(const std::string &instanceId, bool mayBeExpiry)
@@ -79,37 +90,43 @@
     if (it == m_entries.end())
         return;
     if (mayBeExpiry && !it->second.record.draining)
-        it->second.expired = true;
+        m_expired.insert(instanceId);
     else
-        m_entries.erase(it);
+        erase(it);
+}
+
+void UpstreamDirectory::erase(Entries::iterator entry)
+{
+    m_services[entry->second.record.service].erase(entry->first);
+    m_unconfirmed.erase(entry->first);
+    m_reportedDraining.erase(entry->first);
+    m_expired.erase(entry->first);
+    m_changed.insert(entry->first);
+    m_entries.erase(entry);
 }
 
 bool UpstreamDirectory::reportDraining(const std::string &instanceId)
 {
     const auto it = m_entries.find(instanceId);
-    if (it == m_entries.end() || it->second.reportedDraining)
+    if (it == m_entries.end() || !m_reportedDraining.insert(instanceId).second)
         return false;
-    it->second.reportedDraining = true;
     it->second.record.draining = true;
+    m_changed.insert(instanceId);
     return true;
 }
 
-std::vector<std::string> UpstreamDirectory::reportedDraining() const
+template <typename Predicate>
+bool UpstreamDirectory::anyOfService(const std::string &service, Predicate predicate) const
 {
-    std::vector<std::string> found;
-    for (const auto &[id, entry] : m_entries) {
-        if (entry.reportedDraining)
-            found.push_back(id);
-    }
-    return found;
+    const auto entries = m_services.find(service);
+    return entries != m_services.end()
+           && std::any_of(entries->second.begin(), entries->second.end(),
+                          [&](const auto &it) { return predicate(it.second->record); });
 }
 
 bool UpstreamDirectory::hasDraining(const std::string &service) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
-        const UpstreamRecord &record = it.second.record;
-        return record.service == service && record.draining;
-    });
+    return anyOfService(service, [](const UpstreamRecord &it) { return it.draining; });
 }
 
 void UpstreamDirectory::setEvacuated(const std::string &failureDomain, bool isEvacuated)
@@ -127,10 +144,8 @@
 
 bool UpstreamDirectory::hasEvacuated(const std::string &service) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
-        const UpstreamRecord &record = it.second.record;
-        return record.service == service && !record.draining
-               && m_evacuated.contains(record.failureDomain);
+    return anyOfService(service, [this](const UpstreamRecord &it) {
+        return !it.draining && m_evacuated.contains(it.failureDomain);
     });
 }
 
@@ -149,18 +164,16 @@
 
 std::vector<std::string> UpstreamDirectory::tick()
 {
-    for (auto &[id, entry] : m_entries)
-        dropUnconfirmed(entry);
-    std::vector<std::string> gone;
+    std::erase_if(m_unconfirmed, [this](const std::string &it) {
+        m_entriesVisited += 1;
+        return !dropUnconfirmed(m_entries.at(it));
+    });
     if (!m_storeReachable || m_clock.now() - m_reachableSince < m_limits.republishWithin)
-        return gone;
-    for (auto it = m_entries.begin(); it != m_entries.end();) {
-        if (!it->second.expired) {
-            ++it;
-            continue;
-        }
-        gone.push_back(it->first);
-        it = m_entries.erase(it);
+        return {};
+    const std::vector<std::string> gone(m_expired.begin(), m_expired.end());
+    for (const std::string &it : gone) {
+        m_entriesVisited += 1;
+        erase(m_entries.find(it));
     }
     return gone;
 }
@@ -168,20 +181,11 @@
 std::vector<const UpstreamRecord *> UpstreamDirectory::usable(const std::string &service) const
 {
     std::vector<const UpstreamRecord *> found;
-    for (const auto &[id, entry] : m_entries) {
-        if (entry.record.service == service && isUsable(entry.record))
-            found.push_back(&entry.record);
-    }
-    return found;
-}
-
-std::vector<const UpstreamRecord *> UpstreamDirectory::stayingEngines() const
-{
-    std::vector<const UpstreamRecord *> found;
-    for (const auto &[id, entry] : m_entries) {
-        if (!entry.record.weightVersions.empty() && !entry.record.draining)
-            found.push_back(&entry.record);
-    }
+    anyOfService(service, [&](const UpstreamRecord &it) {
+        if (isUsable(it))
+            found.push_back(&it);
+        return false;
+    });
     return found;
 }
 
@@ -214,7 +218,9 @@
         next.observed = weights;
     entry.weights[model] = next;
     entry.record.weightVersions[model] = weights.version;
-    m_weightsChanged = m_weightsChanged || isChange;
+    m_unconfirmed.insert(instanceId);
+    if (isChange)
+        m_changed.insert(instanceId);
     return isChange;
 }
 
@@ -243,7 +249,8 @@
     weights.rejectedAt = rejected.seen;
     weights.lastObserved = rejected.seen;
     versions.erase(version);
-    m_weightsChanged = true;
+    m_unconfirmed.insert(instanceId);
+    m_changed.insert(instanceId);
     return true;
 }
 
--- a/src/core/weight_rollout.cpp
+++ b/src/core/weight_rollout.cpp
@@ -6,23 +6,34 @@
 
 namespace fordwood {
 
-void WeightRollout::setEngines(const std::vector<const UpstreamRecord *> &engines)
+void WeightRollout::setEngine(const UpstreamRecord &engine)
 {
-    std::map<std::string, Engine> next;
-    for (const UpstreamRecord *it : engines) {
-        Engine &engine = next[it->instanceId];
-        const auto existing = m_engines.find(it->instanceId);
-        if (existing != m_engines.end())
-            engine = existing->second;
-        engine.address = it->address;
-        // Even if the version is older than before: the engine has gone back to it and has to be
-        // ordered again.
-        engine.versions = it->weightVersions;
+    if (engine.draining || engine.weightVersions.empty()) {
+        removeEngine(engine.instanceId);
+        return;
+    }
+    Engine &known = m_engines[engine.instanceId];
+    known.address = engine.address;
+    // Even if the version is older than before: the engine has gone back to it and has to be
+    // ordered again.
+    known.versions = engine.weightVersions;
+}
+
+void WeightRollout::removeEngine(const std::string &instanceId)
+{
+    m_engines.erase(instanceId);
+    m_loads.erase(instanceId);
+    m_reportedVersions.erase(instanceId);
+}
+
+void WeightRollout::update(UpstreamDirectory &upstreams)
+{
+    for (const std::string &it : upstreams.takeChanged()) {
+        if (const UpstreamRecord *record = upstreams.find(it))
+            setEngine(*record);
+        else
+            removeEngine(it);
     }
-    m_engines = std::move(next);
-    std::erase_if(m_loads, [&](const auto &it) { return !m_engines.contains(it.first); });
-    std::erase_if(m_reportedVersions,
-                  [&](const auto &it) { return !m_engines.contains(it.first); });
 }
 
 void WeightRollout::forgetReported(const std::string &instanceId, const std::string &model)
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -586,8 +586,7 @@
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone,
                  {{"upstream", it}, {"revision", m_replica.version().revision}});
-    if (m_upstreams.takeWeightsChanged())
-        updateEngines();
+    updateEngines();
 }
 
 void ControlLoop::updateLoading()
@@ -623,7 +622,7 @@
                 rollout.forgetReported(id, model);
         }
     }
-    rollout.setEngines(m_upstreams.stayingEngines());
+    rollout.update(m_upstreams);
 }
 
 void ControlLoop::updateLiveNodes()
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -338,6 +338,7 @@
         recordUpstreamEnd(it);
         forget(it);
     }
+    m_upstreams.takeChanged(); // not followed on this thread; the list would grow
     m_channels.tick();
     m_gate.backoffs().tick();
     m_quarantine.tick();
--- a/tests/unit/engine_versions_test.cpp
+++ b/tests/unit/engine_versions_test.cpp
@@ -34,7 +34,7 @@
         record.service = "models";
         record.weightVersions["m"] = version;
         m_upstreams.put(record);
-        m_rollout.setEngines(m_upstreams.stayingEngines());
+        m_rollout.update(m_upstreams);
     }
 
     // Sets the version that the engine runs and reports when asked.
@@ -74,8 +74,7 @@
             for (const auto &[model, weights] : models)
                 m_upstreams.setWeightVersion(id, model, weights);
         }
-        if (m_upstreams.takeWeightsChanged())
-            m_rollout.setEngines(m_upstreams.stayingEngines());
+        m_rollout.update(m_upstreams);
     }
 
     ManualClock m_clock;
--- a/tests/unit/rollout_simulation_test.cpp
+++ b/tests/unit/rollout_simulation_test.cpp
@@ -95,10 +95,8 @@
             m_engines[record.instanceId] = {};
             m_upstreamLoads.begin(record.instanceId, {0, 0});
         }
-        std::vector<const UpstreamRecord *> known;
         for (const UpstreamRecord &it : m_records)
-            known.push_back(&it);
-        m_rollout.setEngines(known);
+            m_rollout.setEngine(it);
         m_rollout.setTarget("m", 2);
     }
 
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <random>
+
 using namespace fordwood;
 
 namespace {
@@ -144,3 +147,62 @@
     CHECK(replica.acceptDeferred().empty());
     CHECK(replica.find("a") == nullptr);
 }
+
+namespace {
+
+// A replica of a store with many upstreams.
+constexpr int kManyKeys = 10'000;
+
+void fill(StoreReplica &replica)
+{
+    StoreChanges snapshot{0, kManyKeys, {}};
+    for (int n = 0; n < kManyKeys; ++n)
+        snapshot.items.push_back(makeItem("upstream-" + std::to_string(n), n + 1, "ready"));
+    REQUIRE(replica.merge(snapshot));
+}
+
+} // namespace
+
+// Guards against relays that are busy with reading all keys for each read of each of their peers.
+TEST_CASE("replica: merging and reading a change costs the same however many keys there are [size]")
+{
+    StoreReplica replica;
+    fill(replica);
+    const std::uint64_t before = replica.itemsVisited();
+    constexpr int kChanges = 100;
+    for (int n = 0; n < kChanges; ++n) {
+        const std::int64_t revision = kManyKeys + n + 1;
+        REQUIRE(replica.merge({revision - 1, revision, {makeItem("upstream-7", revision, "x")}}));
+        const StoreChanges changes = replica.changesSince({0, revision - 1});
+        REQUIRE(changes.items.size() == 1);
+        CHECK(changes.items.front().revision == revision);
+    }
+    CHECK(replica.itemsVisited() - before <= 2 * kChanges);
+}
+
+TEST_CASE(
+    "replica: changes since any revision are those with a later one, through writes, removals "
+    "and snapshots [size][history]")
+{
+    std::minstd_rand random(7);
+    StoreReplica replica;
+    std::map<std::string, StoredItem> expected;
+    REQUIRE(replica.merge({0, 1, {makeItem("key-0", 1, "first")}}));
+    expected["key-0"] = makeItem("key-0", 1, "first");
+    for (std::int64_t revision = 2; revision < 400; ++revision) {
+        const std::string key = "key-" + std::to_string(random() % 40);
+        const StoredItem item = random() % 4 == 0
+                                    ? removedItem(key, revision)
+                                    : makeItem(key, revision, std::to_string(revision));
+        REQUIRE(replica.merge({revision - 1, revision, {item}}));
+        expected[key] = item;
+        const std::int64_t since = 1 + static_cast<std::int64_t>(random()) % revision;
+        std::size_t later = 0;
+        for (const auto &[name, it] : expected)
+            later += it.revision > since ? 1 : 0;
+        const StoreChanges changes = replica.changesSince({0, since});
+        CHECK(changes.items.size() == later);
+        for (const StoredItem &it : changes.items)
+            CHECK(it == expected.at(it.key));
+    }
+}
--- a/tests/unit/upstream_directory_test.cpp
+++ b/tests/unit/upstream_directory_test.cpp
@@ -122,3 +122,48 @@
         CHECK_FALSE(upstreams.hasEvacuated("board"));
     }
 }
+
+// Guards against nodes that go through all upstreams ten times a second: ten thousand took a tenth
+// of a weak VM's processor.
+TEST_CASE("upstreams: periodic work costs as much as what changed, however many there are [size]")
+{
+    constexpr int kUpstreams = 10'000;
+    ManualClock clock;
+    UpstreamDirectory upstreams(clock, {});
+    for (int n = 0; n < kUpstreams; ++n) {
+        UpstreamRecord record = recordOf("u" + std::to_string(n));
+        record.weightVersions["m"] = 1;
+        upstreams.put(record);
+    }
+    CHECK(upstreams.takeChanged().size() == kUpstreams);
+    CHECK(upstreams.takeChanged().empty());
+    clock.advance(1s);
+    CHECK(upstreams.setWeightVersion("u5", "m", {2, clock.now()}));
+    upstreams.setStoreReachable(false);
+    upstreams.remove("u6", true);
+    upstreams.setStoreReachable(true);
+    const std::uint64_t before = upstreams.entriesVisited();
+    constexpr int kTicks = 100; // ten seconds
+    for (int n = 0; n < kTicks; ++n) {
+        clock.advance(100ms);
+        upstreams.tick();
+    }
+    CHECK(upstreams.entriesVisited() - before <= kTicks + 1);
+    CHECK(upstreams.takeChanged() == std::set<std::string>{"u5", "u6"});
+    CHECK(upstreams.find("u5")->weightVersions.at("m") == 1);
+    CHECK(upstreams.find("u6") == nullptr);
+}
+
+TEST_CASE("upstreams: one that moves to another service is usable only there [size]")
+{
+    const ManualClock clock;
+    UpstreamDirectory upstreams(clock, {});
+    upstreams.put(recordOf("a"));
+    UpstreamRecord moved = recordOf("a");
+    moved.service = "other";
+    upstreams.put(moved);
+    CHECK(upstreams.usable("board").empty());
+    CHECK(upstreams.usable("other").size() == 1);
+    upstreams.remove("a", false);
+    CHECK(upstreams.usable("other").empty());
+}
--- a/tests/unit/weight_rollout_test.cpp
+++ b/tests/unit/weight_rollout_test.cpp
@@ -27,10 +27,8 @@
 
     void setEngines()
     {
-        std::vector<const UpstreamRecord *> engines;
         for (const UpstreamRecord &it : m_records)
-            engines.push_back(&it);
-        m_rollout.setEngines(engines);
+            m_rollout.setEngine(it);
     }
 
     std::vector<RolloutAction> tick()
