--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -6,7 +6,7 @@
     clang-format-14 clang-tidy-14
     libmicrohttpd-dev libcurl4-openssl-dev libgrpc++-dev libprotobuf-dev prometheus-cpp-dev
     libtomlplusplus-dev libboost-program-options-dev libboost-dev libeasyloggingpp-dev
-    libexpected-dev doctest-dev liblua5.4-dev libxxhash-dev nlohmann-json3-dev libssl-dev
+    libexpected-dev doctest-dev liblua5.4-dev libxxhash-dev nlohmann-json3-dev libssl-dev zlib1g-dev
     libbenchmark-dev
 )
 missing=()
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -63,10 +63,22 @@
             vmStrength(settings.vm)};
 }
 
-LoadExchange::Pace exchangePace(const config::OneProcessSettings &settings)
+double linkBytesPerSecond(const config::OneProcessSettings &settings)
 {
     constexpr double kBytesOfMegabit = 125'000.0;
-    return {settings.peers.gossipEvery, kBytesOfMegabit * settings.vm.linkMbps};
+    return kBytesOfMegabit * settings.vm.linkMbps;
+}
+
+LoadExchange::Pace exchangePace(const config::OneProcessSettings &settings)
+{
+    return {settings.peers.gossipEvery, linkBytesPerSecond(settings)};
+}
+
+ReplicaServer::Limits replicaServerLimits(const config::OneProcessSettings &settings)
+{
+    ReplicaServer::Limits limits;
+    limits.linkBytesPerSecond = linkBytesPerSecond(settings);
+    return limits;
 }
 
 NamingMarks::Limits markLimits(const config::OneProcessSettings &settings)
@@ -102,6 +114,7 @@
       m_documents(metrics, *this),
       m_fetcher(clock, m_client, m_replica, metrics,
                 [this](const ReplicaPart &it) { merge(it.changes, it.mayBeExpiry); }),
+      m_replicaServer(clock, m_replica, metrics, replicaServerLimits(settings)),
       m_role(clock, {settings.node.name, vmStrength(settings.vm)}, relayRoleLimits(settings)),
       m_peers(m_context, clock,
               {settings.node.name, settings.node.failureDomain, vmStrength(settings.vm)},
@@ -175,39 +188,29 @@
     });
 }
 
-HttpReply ControlLoop::readyReply(std::string_view) const
+ServedReply ControlLoop::readyReply(std::string_view) const
 {
     const bool ready = m_hasConfiguration && !m_isStopping && m_upstreams.size() > 0;
-    return {ready ? 200U : 503U, ""};
+    return makeReply(ready ? 200 : 503);
 }
 
-HttpReply ControlLoop::metricsReply(std::string_view target) const
+ServedReply ControlLoop::metricsReply(std::string_view target) const
 {
     if (target != "/metrics")
-        return {404, ""};
-    return {200, m_metrics.text()};
+        return makeReply(404);
+    return makeReply(200, m_metrics.text());
 }
 
-HttpReply ControlLoop::peerReply(std::string_view target) const
+ServedReply ControlLoop::peerReply(std::string_view target)
 {
-    if (target.starts_with(ReplicaFetcher::kTarget))
-        return replicaReply(target);
+    if (auto reply = m_replicaServer.reply(target, removalsMayBeExpiry()))
+        return std::move(*reply);
     const auto positions = parseContextUpdatesTarget(target);
     if (!positions)
-        return {404, ""};
+        return makeReply(404);
     if (!m_role.followsContext())
-        return {503, ""};
-    return {200, encodeContextUpdates(m_contextStores.updatesSince(*positions))};
-}
-
-HttpReply ControlLoop::replicaReply(std::string_view target) const
-{
-    const auto since = ReplicaFetcher::parseTarget(target);
-    if (!since)
-        return {400, ""};
-    if (m_replica.isEmpty())
-        return {503, ""};
-    return {200, encodeReplicaPart({m_replica.changesSince(*since), removalsMayBeExpiry()})};
+        return makeReply(503);
+    return makeReply(200, encodeContextUpdates(m_contextStores.updatesSince(*positions)));
 }
 
 // Whether a removal may be due to a lease that expired while the store was unreachable.
@@ -262,8 +265,7 @@
     const bool isRestored = before.revision != 0 && m_replica.version().epoch != before.epoch;
     if (isRestored)
         storeRestored(before);
-    for (const StoredItem &it : *changed)
-        m_documents.read(it, mayBeExpiry || isRestored);
+    m_documents.readAll(*changed, mayBeExpiry || isRestored);
     if (m_replica.version() != before)
         m_isGossipDue = true;
     updateEngines();
@@ -290,8 +292,7 @@
     if (!m_restoreDoneAt || m_clock.now() < *m_restoreDoneAt)
         return;
     m_restoreDoneAt.reset();
-    for (const StoredItem &it : m_replica.acceptDeferred())
-        m_documents.read(it, false);
+    m_documents.readAll(m_replica.acceptDeferred(), false);
     updateEngines();
 }
 
@@ -520,6 +521,8 @@
         m_peers.sendAll(message);
     }
     m_metrics.setGauge("fordwood_peer_datagrams", static_cast<double>(m_peers.datagramsSent()));
+    m_metrics.setGauge("fordwood_peer_datagrams_failed",
+                       static_cast<double>(m_peers.datagramsFailed()));
     m_metrics.setGauge("fordwood_reporting_nodes",
                        static_cast<double>(m_exchange.reportingNodes()));
     m_nextGossip = m_clock.now() + pause;
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -31,6 +31,7 @@
 #include "node/peer_links.hpp"
 #include "node/quarantine_distributor.hpp"
 #include "node/replica_fetcher.hpp"
+#include "node/replica_server.hpp"
 #include "node/rollout_executor.hpp"
 #include "node/round_robin_batcher.hpp"
 #include "node/store_client.hpp"
@@ -85,10 +86,9 @@
     void onQuarantinedRequest(const RequestFingerprint &request,
                               const std::vector<std::uint64_t> &instances) override;
 
-    HttpReply readyReply(std::string_view target) const;
-    HttpReply peerReply(std::string_view target) const;
-    HttpReply replicaReply(std::string_view target) const;
-    HttpReply metricsReply(std::string_view target) const;
+    ServedReply readyReply(std::string_view target) const;
+    ServedReply peerReply(std::string_view target);
+    ServedReply metricsReply(std::string_view target) const;
 
     void merge(const StoreChanges &changes, bool mayBeExpiry);
     void storeRestored(const StoreVersion &before);
@@ -151,6 +151,7 @@
     QuarantineDistributor m_quarantine;
     DocumentReader m_documents;
     ReplicaFetcher m_fetcher;
+    ReplicaServer m_replicaServer;
     RelayRole m_role;
     PeerLinks m_peers;
     LoadExchange m_exchange;
--- a/src/node/document_reader.cpp
+++ b/src/node/document_reader.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::string_view kNodePrefix = "fordwood/nodes/";
 
+// Of more items that are read together, only a summary is logged.
+constexpr std::size_t kMaxLoggedItems = 100;
+
 } // namespace
 
 std::string DocumentReader::nodeKey(const std::string &node)
@@ -21,6 +24,21 @@
     return std::string(kNodePrefix) + node;
 }
 
+// A snapshot holds the records of all upstreams. A line for each would fill the log of every node
+// that starts.
+void DocumentReader::readAll(const std::vector<StoredItem> &items, bool mayBeExpiry)
+{
+    const std::size_t before = m_instances.size();
+    m_logsRecords = items.size() <= kMaxLoggedItems;
+    for (const StoredItem &it : items)
+        read(it, mayBeExpiry);
+    if (!m_logsRecords)
+        logEvent(Event::UpstreamsRead, {{"items", items.size()},
+                                        {"upstreams_before", before},
+                                        {"upstreams", m_instances.size()}});
+    m_logsRecords = true;
+}
+
 void DocumentReader::read(const StoredItem &item, bool mayBeExpiry)
 {
     switch (platform::kindOf(item.key)) {
@@ -106,12 +124,13 @@
     if (known != m_instances.end() && !acceptRecord(known->second, *record, item))
         return;
     m_instances[id] = {record->instanceId, record->startedAt};
-    logEvent(record->draining ? Event::UpstreamDraining : Event::UpstreamReady,
-             {{"upstream", record->instanceId},
-              {"service", record->service},
-              {"address", record->address},
-              {"cold_ms", record->coldFor.count()},
-              {"revision", item.revision}});
+    if (m_logsRecords || record->draining)
+        logEvent(record->draining ? Event::UpstreamDraining : Event::UpstreamReady,
+                 {{"upstream", record->instanceId},
+                  {"service", record->service},
+                  {"address", record->address},
+                  {"cold_ms", record->coldFor.count()},
+                  {"revision", item.revision}});
     m_listener.onUpstreamRecord(std::move(*record));
 }
 
--- a/src/node/document_reader.hpp
+++ b/src/node/document_reader.hpp
@@ -48,6 +48,7 @@
     { }
 
     // `mayBeExpiry`: a removal may be due to a lease that expired while the store was unreachable.
+    void readAll(const std::vector<StoredItem> &items, bool mayBeExpiry);
     void read(const StoredItem &item, bool mayBeExpiry);
 
     // The store key under which peers find the node.
@@ -75,6 +76,7 @@
     adapters::Metrics &m_metrics;
     DocumentListener &m_listener;
     std::uint64_t m_configVersion = 0;
+    bool m_logsRecords = true; // each record of an upstream on its own
     std::map<std::string, KnownInstance>
         m_instances; // the latest of each upstream, by announced id
 };
--- a/src/node/internal_server.cpp
+++ b/src/node/internal_server.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "node/refusal.hpp"
+
 namespace fordwood::node {
 
 namespace http = boost::beast::http;
@@ -60,16 +62,20 @@
     {
         const auto &request = m_parser->get();
         const auto target = request.target();
-        const HttpReply made = request.method() == http::verb::get
-                                   ? m_answer({target.data(), target.size()})
-                                   : HttpReply{405, ""};
+        const ServedReply made = request.method() == http::verb::get
+                                     ? m_answer({target.data(), target.size()})
+                                     : makeReply(405);
         m_reply = {};
         m_reply.result(made.status);
         m_reply.keep_alive(request.keep_alive());
-        m_reply.body() = made.body;
+        if (made.retryAfter.count() > 0)
+            m_reply.set(http::field::retry_after, secondsText(made.retryAfter));
+        m_body = made.body;
+        m_reply.body() = boost::beast::span<const char>(m_body->data(), m_body->size());
         m_reply.prepare_payload();
         http::async_write(m_socket, m_reply,
                           [self = shared_from_this()](const ErrorCode &ec, std::size_t) {
+                              self->m_body.reset(); // an idle connection holds no reply
                               if (ec || !self->m_reply.keep_alive())
                                   self->close();
                               else
@@ -89,9 +95,15 @@
     const Answer &m_answer;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    http::response<http::string_body> m_reply;
+    http::response<http::span_body<const char>> m_reply;
+    std::shared_ptr<const std::string> m_body; // of the reply that is being sent
 };
 
+ServedReply makeReply(unsigned status, std::string body)
+{
+    return {status, std::make_shared<const std::string>(std::move(body))};
+}
+
 InternalServer::InternalServer(net::io_context &context, Answer answer)
     : m_answer(std::move(answer)), m_acceptor(context, [this](tcp::socket socket) {
           std::make_shared<Connection>(std::move(socket), m_answer)->start();
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -22,6 +22,9 @@
 // Several ticks fit into the shortest gap that counts as a stall.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
+// A message that cannot be sent to one peer usually cannot be sent to the others either.
+constexpr Duration kFailureLogInterval = std::chrono::seconds(1);
+
 // Bound on the datagrams dropped in one call; socket buffers hold fewer.
 constexpr std::size_t kMaxDroppedDatagrams = 100'000;
 
@@ -29,8 +32,9 @@
 
 PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, Self self,
                      std::size_t smallFleet, OnMessage onMessage)
-    : m_roster(clock, std::move(self)), m_smallFleet(smallFleet), m_onMessage(std::move(onMessage)),
-      m_socket(context), m_tickTimer(context), m_stallDetector(clock)
+    : m_clock(clock), m_roster(clock, std::move(self)), m_smallFleet(smallFleet),
+      m_onMessage(std::move(onMessage)), m_socket(context), m_tickTimer(context),
+      m_stallDetector(clock)
 { }
 
 bool PeerLinks::open(const std::string &address, ErrorCode &ec)
@@ -99,9 +103,24 @@
 {
     if (!peer.gossip)
         return;
-    ErrorCode ec; // ignored: receivers tolerate lost datagrams
+    ErrorCode ec;
     m_socket.send_to(net::buffer(datagram), *peer.gossip, 0, ec);
     m_datagramsSent += 1;
+    if (ec)
+        recordSendFailure(datagram.size(), peer, ec);
+}
+
+// Receivers tolerate lost datagrams, so nothing is repeated.
+void PeerLinks::recordSendFailure(std::size_t bytes, const Peer &peer, const ErrorCode &cause)
+{
+    m_datagramsFailed += 1;
+    if (m_clock.now() < m_nextFailureLog)
+        return;
+    m_nextFailureLog = m_clock.now() + kFailureLogInterval;
+    logEvent(Event::DatagramNotSent, {{"peer", peer.replicaAddress},
+                                      {"bytes", bytes},
+                                      {"error", cause.message()},
+                                      {"failed", m_datagramsFailed}});
 }
 
 // Messages alternate between two forwarders, so that a forwarder that has just died loses only
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -62,6 +62,9 @@
     // Total number of datagrams sent.
     std::size_t datagramsSent() const { return m_datagramsSent; }
 
+    // Of these, the ones that the kernel did not take, for example because they were too long.
+    std::size_t datagramsFailed() const { return m_datagramsFailed; }
+
 private:
     using Peer = PeerRoster::Peer;
 
@@ -79,12 +82,14 @@
     void onDatagram(std::string_view datagram);
     void forward(std::string datagram, const std::vector<const Peer *> &peers);
     void send(const std::string &datagram, const Peer &peer);
+    void recordSendFailure(std::size_t bytes, const Peer &peer, const ErrorCode &cause);
     std::size_t sendToPeers(const Gossip &message, const std::vector<const Peer *> &peers);
     double forwardingDistance(const Peer &peer) const;
     void sendForForwarding(std::string datagram, const std::vector<const Peer *> &members);
 
     static constexpr std::size_t kMaxDatagramBytes = 65'507; // of a datagram
 
+    const Clock &m_clock;
     PeerRoster m_roster;
     const std::size_t m_smallFleet;
     OnMessage m_onMessage;
@@ -96,6 +101,8 @@
     std::array<char, kMaxDatagramBytes> m_bytes{};
     std::size_t m_messagesSent = 0; // messages
     std::size_t m_datagramsSent = 0;
+    std::size_t m_datagramsFailed = 0;
+    TimePoint m_nextFailureLog{};
 };
 
 } // namespace fordwood::node
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -22,7 +22,8 @@
     return status == kServiceUnavailable ? kBadGateway : status;
 }
 
-// Retry-After in seconds with a fraction, which callers accept.
+} // namespace
+
 std::string secondsText(std::chrono::milliseconds time)
 {
     std::array<char, 32> text{};
@@ -31,8 +32,6 @@
     return {text.data(), static_cast<std::size_t>(n)};
 }
 
-} // namespace
-
 Refusal makeRefusal(const Verdict &verdict)
 {
     Refusal refusal;
--- a/src/node/replica_fetcher.cpp
+++ b/src/node/replica_fetcher.cpp
@@ -4,7 +4,12 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/beast/core/string.hpp>
+
 #include "adapters/observe/event_log.hpp"
+#include "fordwood/backoff_text.hpp"
+#include "fordwood/rendezvous.hpp"
+#include "node/packing.hpp"
 
 namespace fordwood::node {
 
@@ -23,6 +28,11 @@
 
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
 
+// A snapshot of ten thousand upstreams takes a weak link a second or two.
+constexpr Duration kSnapshotTimeout = std::chrono::seconds(5);
+
+constexpr Duration kMaxSnapshotPause = std::chrono::seconds(2);
+
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
 
 constexpr std::string_view kEpochParameter = "&epoch=";
@@ -107,19 +117,34 @@
     HttpCall call;
     call.address = address;
     call.method = "GET";
-    call.target = targetSince(m_replica.version());
-    m_client.send(call, kFetchTimeout,
-                  [this, address](const HttpResult &result) { onFetched(address, result); });
+    const bool isSnapshot = m_replica.isEmpty() && !m_withoutSnapshots.contains(address);
+    call.target = isSnapshot ? std::string(kSnapshotTarget) : targetSince(m_replica.version());
+    m_client.send(call, isSnapshot ? kSnapshotTimeout : kFetchTimeout,
+                  [this, address, isSnapshot](const HttpResult &result) {
+                      onFetched(address, isSnapshot, result);
+                  });
 }
 
-void ReplicaFetcher::onFetched(const std::string &address, const HttpResult &result)
+void ReplicaFetcher::onFetched(const std::string &address, bool isSnapshot,
+                               const HttpResult &result)
 {
+    constexpr unsigned kOk = 200;
+    constexpr unsigned kNotFound = 404;
     m_isFetching = false;
-    if (!result || result->status != 200)
+    if (!result)
         return; // a later tick tries again, possibly with another peer
-    const auto part = decodeReplicaPart(result->body);
-    if (!part)
+    if (isSnapshot && result->status == kNotFound)
+        m_withoutSnapshots.insert(address);
+    if (result->status != kOk) {
+        pauseFetches(*result);
         return;
+    }
+    const auto unpacked = isSnapshot ? unpack(result->body) : std::optional(result->body);
+    const auto part = unpacked ? decodeReplicaPart(*unpacked) : std::nullopt;
+    if (!part) {
+        logEvent(Event::ReplicaDamaged, {{"peer", address}, {"bytes", result->body.size()}});
+        return;
+    }
     logEvent(Event::ReplicaFetched, {{"peer", address},
                                      {"since", part->changes.since},
                                      {"epoch", part->changes.epoch},
@@ -129,4 +154,23 @@
     m_onPart(*part);
 }
 
+// A peer that sends as many snapshots as its link carries says when to come back. The nodes that it
+// has turned away come back one after the other.
+void ReplicaFetcher::pauseFetches(const HttpReply &reply)
+{
+    ParsedBackoff backoff;
+    for (const auto &[name, value] : reply.fields) {
+        if (boost::beast::iequals(name, "Retry-After"))
+            addBackoffField(value, backoff);
+    }
+    if (!backoff.length)
+        return;
+    m_deferrals += 1;
+    const double spread = 0.5 + hashFraction(stableHash(m_self, m_deferrals));
+    const Duration pause = std::chrono::duration_cast<Duration>(
+        spread * std::chrono::duration<double>(std::min(*backoff.length, kMaxSnapshotPause)));
+    m_nextFetch = m_clock.now() + pause;
+    m_nextSeedFetch = m_nextFetch;
+}
+
 } // namespace fordwood::node
--- a/src/node/replica_fetcher.hpp
+++ b/src/node/replica_fetcher.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,13 +44,16 @@
     // The request target that asks a peer for the changes after a version: its prefix, the function
     // that builds one, and the function that gets the version from one (nullopt if malformed).
     static constexpr std::string_view kTarget = "/replica?since=";
+    // The request target that asks a peer for a snapshot of all keys, made by pack().
+    static constexpr std::string_view kSnapshotTarget = "/snapshot";
     static std::string targetSince(const StoreVersion &version);
     static std::optional<StoreVersion> parseTarget(std::string_view target);
 
 private:
     void fetchFromSeed();
     void fetchFrom(const std::string &address);
-    void onFetched(const std::string &address, const HttpResult &result);
+    void onFetched(const std::string &address, bool isSnapshot, const HttpResult &result);
+    void pauseFetches(const HttpReply &reply);
 
     const Clock &m_clock;
     HttpClient &m_client;
@@ -60,6 +64,8 @@
     std::string m_self;
     std::size_t m_nextSeed = 0;
     bool m_isFetching = false;
+    std::size_t m_deferrals = 0; // fetches that a peer has put off
+    std::set<std::string> m_withoutSnapshots; // addresses of peers of earlier versions
     bool m_isBehind = false; // a peer is ahead of this node's replica
     TimePoint m_behindSince{};
     TimePoint m_nextFetch{};
--- a/tests/node/peer_links_test.cpp
+++ b/tests/node/peer_links_test.cpp
@@ -56,6 +56,18 @@
         m_nodes[n].links->sendAll(message);
     }
 
+    // Sends a message that does not fit into a datagram.
+    void sendTooLong(std::size_t n)
+    {
+        Gossip message;
+        message.node = m_nodes[n].name;
+        message.failureDomain = m_nodes[n].domain;
+        message.draining.assign(10'000, "an upstream");
+        m_nodes[n].links->sendAll(message);
+    }
+
+    std::size_t failedFrom(std::size_t n) const { return m_nodes[n].links->datagramsFailed(); }
+
     // Runs until no message is in flight: datagrams on loopback arrive as soon as they are sent.
     void deliverAll()
     {
@@ -161,3 +173,15 @@
     fleet.deliverAll();
     CHECK(fleet.receiversOf(0) == std::pair<std::size_t, std::ptrdiff_t>(7, 1));
 }
+
+// Guards against messages that vanish: a sum over thousands of upstreams reached no node, and no
+// log line or metric showed it.
+TEST_CASE(
+    "links: a message that is too long for a datagram is counted as not sent [messages][size]")
+{
+    Fleet fleet(1, 3);
+    fleet.sendFrom(0);
+    CHECK(fleet.failedFrom(0) == 0);
+    fleet.sendTooLong(0);
+    CHECK(fleet.failedFrom(0) == 2);
+}
