Report numbers in sums by hash, in one flat list

Cause: a relay lists in each sum the number of the report that it holds of each node of its failure domain, by name: 26 B for each of 163 nodes, to each of them, ten times a second from each relay. Each message that was sent also went through all 985 peers (4 in 100).

Change: a flat list of 64-bit hashes of the names and numbers; lists by name are still read. Peers without a key are kept in a set of their own.

Before and after: 26 B -> at most 14 B a node (test); no text and no tree node for each.

--- a/include/fordwood/load_sums.hpp
+++ b/include/fordwood/load_sums.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fordwood/clock.hpp"
@@ -27,6 +28,15 @@
     bool operator==(const LoadReport &) const = default;
 };
 
+// Numbers of the reports in a sum, each with the stable hash of its node's name, from which a node
+// learns which of its own reports to subtract. With the names themselves, reading the list took
+// most of the processor time of a weak VM in a failure domain of 160 nodes.
+using ReportNumbers = std::vector<std::pair<std::uint64_t, std::uint64_t>>;
+
+// The number of the node's report; nothing: the sum includes none of its load.
+std::optional<std::uint64_t> findReportNumber(const ReportNumbers &numbers,
+                                              const std::string &node);
+
 // Subtracts the load of `part`, which must be included in the report. Contexts are not removed: it
 // does no harm when a node receives its own sends.
 LoadReport withoutPart(LoadReport report, const LoadReport &part);
@@ -65,7 +75,7 @@
     LoadReport othersSum() const;
 
     // The report numbers of the nodes of this failure domain that the sums include.
-    std::map<std::string, std::uint64_t> reportNumbers() const;
+    ReportNumbers reportNumbers() const;
 
     // Number of nodes with a stored report, for the metrics.
     std::size_t nodeCount() const { return m_nodes.size(); }
--- a/src/core/load_sums.cpp
+++ b/src/core/load_sums.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "fordwood/rendezvous.hpp"
+
 namespace fordwood {
 
 LoadReport &LoadReport::operator+=(const LoadReport &other)
@@ -58,16 +60,24 @@
     return addCurrent(m_domains, addCurrent(m_nodes, std::move(none)));
 }
 
-std::map<std::string, std::uint64_t> LoadSums::reportNumbers() const
+ReportNumbers LoadSums::reportNumbers() const
 {
-    std::map<std::string, std::uint64_t> numbers;
+    ReportNumbers numbers;
     for (const auto &[name, it] : m_nodes) {
         if (isCurrent(it))
-            numbers[name] = it.number;
+            numbers.emplace_back(stableHash(name), it.number);
     }
     return numbers;
 }
 
+std::optional<std::uint64_t> findReportNumber(const ReportNumbers &numbers, const std::string &node)
+{
+    const std::uint64_t hash = stableHash(node);
+    const auto found = std::find_if(numbers.begin(), numbers.end(),
+                                    [hash](const auto &it) { return it.first == hash; });
+    return found == numbers.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::uint64_t SentReports::add(LoadReport report)
 {
     m_sent.push_back(std::move(report));
--- a/src/node/load_exchange.cpp
+++ b/src/node/load_exchange.cpp
@@ -38,10 +38,8 @@
     case LoadScope::Fleet:
         if (!isInOwnDomain || isRelay)
             return;
-        const auto number = message.reportNumbers.find(self.name);
-        publishOthers(m_sent.withoutOwn(message.load, number == message.reportNumbers.end()
-                                                          ? std::nullopt
-                                                          : std::optional(number->second)));
+        publishOthers(
+            m_sent.withoutOwn(message.load, findReportNumber(message.reportNumbers, self.name)));
         return;
     }
 }
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "fordwood/rendezvous.hpp"
 #include "node/cbor.hpp"
 
 namespace fordwood::node {
@@ -189,6 +190,34 @@
     return report;
 }
 
+// One flat array of hashes and numbers, for the same reason.
+Json encodeNumbers(const ReportNumbers &numbers)
+{
+    Json list = Json::array();
+    for (const auto &[node, number] : numbers) {
+        list.push_back(node);
+        list.push_back(number);
+    }
+    return list;
+}
+
+ReportNumbers decodeNumbers(const Json &list)
+{
+    ReportNumbers numbers;
+    for (std::size_t n = 0; n < list.size(); n += 2)
+        numbers.emplace_back(list.at(n).get<std::uint64_t>(), list.at(n + 1).get<std::uint64_t>());
+    return numbers;
+}
+
+// Nodes of an earlier version send the numbers by name.
+ReportNumbers decodeNamedNumbers(const Json &object)
+{
+    ReportNumbers numbers;
+    for (const auto &[node, number] : object.items())
+        numbers.emplace_back(stableHash(node), number.get<std::uint64_t>());
+    return numbers;
+}
+
 // Values on the wire. Unknown values are decoded as LoadScope::Node.
 constexpr int kDomainScope = 1;
 constexpr int kFleetScope = 2;
@@ -230,7 +259,7 @@
     if (message.reportNumber > 0)
         object["number"] = message.reportNumber;
     if (!message.reportNumbers.empty())
-        object["numbers"] = message.reportNumbers;
+        object["included"] = encodeNumbers(message.reportNumbers);
     if (message.strength > 0.0)
         object["strength"] = message.strength;
     if (message.getsStoreChanges)
@@ -274,8 +303,10 @@
         message.scope = decodeScope(object.at("scope").get<int>());
         message.load = decodeLoad(object.at("load"));
         message.reportNumber = object.value("number", std::uint64_t{0});
-        if (object.contains("numbers"))
-            object.at("numbers").get_to(message.reportNumbers);
+        if (object.contains("included"))
+            message.reportNumbers = decodeNumbers(object.at("included"));
+        else if (object.contains("numbers"))
+            message.reportNumbers = decodeNamedNumbers(object.at("numbers"));
         message.strength = object.value("strength", 0.0);
         message.getsStoreChanges = object.value("hears", false);
         message.isRelay = object.value("relay", false);
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -90,7 +90,7 @@
     LoadScope scope = LoadScope::Node;
     LoadReport load; // requests sent to upstreams
     std::uint64_t reportNumber = 0; // of the sender's own load report
-    std::map<std::string, std::uint64_t> reportNumbers; // of the reports included in a sum, by node
+    ReportNumbers reportNumbers; // of the reports included in a sum
     OrderReport orders; // the sender's own
     std::map<std::string, OrderReport>
         forwardedOrders; // of other nodes, by node; sent by relays with the sums
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -34,6 +34,7 @@
     if (address.strength > 0.0)
         peer.strength = address.strength;
     peer.hasKey = true;
+    m_withoutKey.erase(node);
 }
 
 void PeerRoster::removeAddress(const std::string &node)
@@ -42,6 +43,7 @@
     if (it == m_peers.end())
         return;
     it->second.hasKey = false;
+    m_withoutKey.insert(node);
     if (!isLive(it->second))
         erase(node);
 }
@@ -60,6 +62,7 @@
 {
     m_higherRanked.reset();
     m_recent.erase(node);
+    m_withoutKey.erase(node);
     m_peers.erase(node);
 }
 
@@ -70,6 +73,8 @@
         return;
     }
     Peer &peer = m_peers[message.node];
+    if (!peer.hasKey)
+        m_withoutKey.insert(message.node);
     if (peer.failureDomain != message.failureDomain || peer.strength != message.strength)
         m_higherRanked.reset();
     m_recent[message.node] = &peer;
@@ -92,10 +97,10 @@
 void PeerRoster::removeSilent()
 {
     std::vector<std::string> forgotten;
-    for (const auto &[name, peer] : m_peers) {
-        if (!peer.hasKey
-            && (!peer.lastReceived || m_clock.now() - *peer.lastReceived > kForgetAfter))
-            forgotten.push_back(name);
+    for (const std::string &it : m_withoutKey) {
+        const Peer &peer = m_peers.at(it);
+        if (!peer.lastReceived || m_clock.now() - *peer.lastReceived > kForgetAfter)
+            forgotten.push_back(it);
     }
     for (const std::string &it : forgotten)
         erase(it);
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -131,6 +132,7 @@
     const Clock &m_clock;
     const Self m_self;
     std::map<std::string, Peer> m_peers;
+    std::set<std::string> m_withoutKey; // names of the peers without a key
     std::map<std::string, const Peer *> m_recent; // with recent messages; few in a large fleet
     mutable std::optional<std::size_t> m_higherRanked; // cached until the known nodes change
     std::size_t m_domainRound = 0; // of sums sent to other domains
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "fordwood/rendezvous.hpp"
+#include "node/cbor.hpp"
 #include "node/context_messages.hpp"
 #include "node/peer_messages.hpp"
 #include "node/refusal.hpp"
@@ -473,7 +475,7 @@
     message.load.shortContextTokens = 9;
     message.load.contextsSent = {1, 0xffffffffffffffffULL};
     message.reportNumber = 5;
-    message.reportNumbers["b"] = 4;
+    message.reportNumbers = {{stableHash("b"), 4}};
     message.orders.lastOrder = 250ms;
     message.orders.enginesLoading = {"e"};
     message.orders.observedVersions["e"]["m"] = {2, 700ms};
@@ -528,6 +530,35 @@
     CHECK(readPart->mayBeExpiry);
 }
 
+// Guards against relays whose links are full of lists of names: their nodes lost messages and
+// counted each other as gone and back several times a second.
+TEST_CASE("messages: the numbers of the reports in a sum take little space [messages][size]")
+{
+    constexpr std::size_t kNodes = 160;
+    constexpr std::size_t kMostBytesPerNode = 14; // a hash and a number of minutes of reports
+    node::Gossip message;
+    message.node = "relay";
+    const std::size_t without = node::encodeGossip(message).size();
+    for (std::size_t n = 0; n < kNodes; ++n)
+        message.reportNumbers.emplace_back(stableHash("front-hall-" + std::to_string(n)),
+                                           5'000 + n);
+    const std::string bytes = node::encodeGossip(message);
+    CHECK(bytes.size() - without <= kNodes * kMostBytesPerNode);
+    CHECK(node::decodeGossip(bytes)->reportNumbers == message.reportNumbers);
+}
+
+TEST_CASE("messages: report numbers by name, from nodes of an earlier version, are understood "
+          "[messages]")
+{
+    node::Gossip message;
+    message.node = "relay";
+    auto object = nlohmann::json::from_cbor(node::encodeGossip(message));
+    object["numbers"] = {{"a", 7}, {"b", 8}};
+    const auto read = node::decodeGossip(node::encodeCbor(object));
+    REQUIRE(read);
+    CHECK(findReportNumber(read->reportNumbers, "b") == 8);
+}
+
 TEST_CASE("peers: context updates of relays are decoded as they were encoded; other bytes are "
           "rejected [relays][bad-input]")
 {
--- a/tests/unit/load_sums_test.cpp
+++ b/tests/unit/load_sums_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include "fordwood/manual_clock.hpp"
+#include "fordwood/rendezvous.hpp"
 
 using namespace fordwood;
 using namespace std::chrono_literals;
@@ -37,7 +38,9 @@
     CHECK(sums.othersSum().loads.at("e").running == 13);
     CHECK(sums.othersSum().nodes == 6);
     CHECK(sums.othersSum().shortContextTokens == 20);
-    CHECK(sums.reportNumbers() == std::map<std::string, std::uint64_t>{{"a", 2}});
+    CHECK(sums.reportNumbers() == ReportNumbers{{stableHash("a"), 2}});
+    CHECK(findReportNumber(sums.reportNumbers(), "a") == 2);
+    CHECK_FALSE(findReportNumber(sums.reportNumbers(), "b"));
 }
 
 TEST_CASE("load sums: the load of a node that is gone is counted for at most a second [sums]")
