--- a/include/fordwood/load_sums.hpp
+++ b/include/fordwood/load_sums.hpp
@@ -29,8 +29,8 @@
 };
 
 // Numbers of the reports in a sum, each with the stable hash of its node's name, from which a node
-// learns which of its own reports to subtract. With the names themselves, reading the list took
-// most of the processor time of a weak VM in a failure domain of 160 nodes.
+// learns which of its own reports to subtract. With the names themselves, reading the lists would
+// take much of a weak VM's processor time in a failure domain of 160 nodes.
 using ReportNumbers = std::vector<std::pair<std::uint64_t, std::uint64_t>>;
 
 // The number of the node's report; nothing: the sum includes none of its load.
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include "adapters/observe/event_log.hpp"
+#include "node/refusal.hpp"
 
 namespace fordwood::node {
 
@@ -20,6 +21,9 @@
 // Time limit for reading a request body. The largest bodies have a few MB.
 constexpr Duration kBodyTimeout = std::chrono::seconds(10);
 
+// The callers that fill the buffers read slowly, or not at all until the unread timeout.
+constexpr std::chrono::milliseconds kBuffersFullRetryAfter{1'000};
+
 // A caller that does not acknowledge sent bytes for this long is considered gone.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::seconds(5);
 
@@ -151,7 +155,7 @@
     }
     m_incoming->held.resize(m_incoming->parser.get().body().size());
     if (!m_state.buffers().mayHoldRequest(m_incoming->held)) {
-        reject(Reason::BuffersFull, http::status::service_unavailable);
+        reject(Reason::BuffersFull, http::status::service_unavailable, kBuffersFullRetryAfter);
         return;
     }
     readBody();
@@ -222,7 +226,7 @@
         reject(Reason::MalformedRequest, http::status::bad_request);
 }
 
-void CallerSession::reject(Reason reason, http::status status)
+void CallerSession::reject(Reason reason, http::status status, std::chrono::milliseconds retryAfter)
 {
     const bool isFirstByteMissing = m_incoming && !m_incoming->parser.got_some();
     if (isFirstByteMissing) {
@@ -238,6 +242,8 @@
     http::response_header<> head;
     head.result(status);
     head.version(11);
+    if (retryAfter.count() > 0)
+        head.set(http::field::retry_after, secondsText(retryAfter));
     sendAnswer(std::move(head), {});
 }
 
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -67,7 +67,8 @@
     void handleRequest();
     void watchForDisconnect();
     void handleReadError(const ErrorCode &ec);
-    void reject(Reason reason, http::status status);
+    void reject(Reason reason, http::status status,
+                std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
     void startTimer(Duration timeout, void (CallerSession::*onExpired)());
     void handleReadTimeout();
     CallerLimits callerLimits() const;
--- a/src/node/replica_fetcher.cpp
+++ b/src/node/replica_fetcher.cpp
@@ -31,6 +31,10 @@
 // A snapshot of ten thousand upstreams takes a weak link a second or two.
 constexpr Duration kSnapshotTimeout = std::chrono::seconds(5);
 
+// A peer that no longer has the changes since this node's version sends all keys. Where these do
+// not arrive in time, they are read as a snapshot, which is smaller.
+constexpr std::size_t kUnansweredBeforeSnapshot = 2;
+
 constexpr Duration kMaxSnapshotPause = std::chrono::seconds(2);
 
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
@@ -117,7 +121,9 @@
     HttpCall call;
     call.address = address;
     call.method = "GET";
-    const bool isSnapshot = m_replica.isEmpty() && !m_withoutSnapshots.contains(address);
+    const bool needsSnapshot
+        = m_replica.isEmpty() || m_unansweredFetches >= kUnansweredBeforeSnapshot;
+    const bool isSnapshot = needsSnapshot && !m_withoutSnapshots.contains(address);
     call.target = isSnapshot ? std::string(kSnapshotTarget) : targetSince(m_replica.version());
     m_client.send(call, isSnapshot ? kSnapshotTimeout : kFetchTimeout,
                   [this, address, isSnapshot](const HttpResult &result) {
@@ -131,6 +137,7 @@
     constexpr unsigned kOk = 200;
     constexpr unsigned kNotFound = 404;
     m_isFetching = false;
+    m_unansweredFetches = result ? 0 : m_unansweredFetches + 1;
     if (!result)
         return; // a later tick tries again, possibly with another peer
     if (isSnapshot && result->status == kNotFound)
--- a/src/node/replica_fetcher.hpp
+++ b/src/node/replica_fetcher.hpp
@@ -65,6 +65,7 @@
     std::size_t m_nextSeed = 0;
     bool m_isFetching = false;
     std::size_t m_deferrals = 0; // fetches that a peer has put off
+    std::size_t m_unansweredFetches = 0; // consecutive
     std::set<std::string> m_withoutSnapshots; // addresses of peers of earlier versions
     bool m_isBehind = false; // a peer is ahead of this node's replica
     TimePoint m_behindSince{};
--- a/tests/node/slow_reader_test.cpp
+++ b/tests/node/slow_reader_test.cpp
@@ -244,7 +244,9 @@
     BufferBudget::Buffer others(fixture.state.buffers());
     others.add(250'001);
     fixture.send("POST /x", std::string(20'000, 'b'));
-    CHECK(fixture.read().starts_with("HTTP/1.1 503"));
+    const std::string answer = fixture.read();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: 1.000") != std::string::npos);
     CHECK(fixture.upstream.left() == kLargeAnswer);
     CHECK(fixture.metrics.text().find("reason=\"buffers-full\"} 1") != std::string::npos);
 
