--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -37,6 +37,8 @@
 // busy for tens of milliseconds, longer than peers would otherwise take to learn of them.
 constexpr std::size_t kHeavyPromptTokens = 1'500;
 
+constexpr unsigned kFirstServerError = 500;
+
 // How long an upstream keeps an idle connection open if it does not state it.
 constexpr Duration kDefaultKeepAlive = std::chrono::seconds(4);
 
@@ -357,12 +359,12 @@
 void CallHandler::endPassThrough()
 {
     const unsigned status = m_attempt->answer->result_int();
-    if (isSuccess(status)) {
+    if (status < kFirstServerError)
         m_state.health().succeeded(m_attempt->upstream.instanceId);
-        recordAnswered();
-    } else {
+    else
         m_state.health().answeredWithError(m_attempt->upstream.instanceId);
-    }
+    if (isSuccess(status))
+        recordAnswered();
     endAttempt(true);
     m_writer.endStream();
     finish(isSuccess(status) ? "answered" : "upstream-failure", status);
@@ -461,7 +463,6 @@
         finish("answered", status);
         return;
     }
-    constexpr unsigned kFirstServerError = 500;
     if (status < kFirstServerError)
         health.succeeded(id);
     else
--- a/src/node/replica_fetcher.cpp
+++ b/src/node/replica_fetcher.cpp
@@ -28,8 +28,8 @@
 
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
 
-// A snapshot of ten thousand upstreams takes a weak link a second or two.
-constexpr Duration kSnapshotTimeout = std::chrono::seconds(5);
+// Peers send as many snapshots at once as their links carry in a second.
+constexpr Duration kSnapshotTimeout = std::chrono::seconds(2);
 
 // A peer that no longer has the changes since this node's version sends all keys. Where these do
 // not arrive in time, they are read as a snapshot, which is smaller.
