--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -170,7 +170,7 @@
     });
     if (!m_storeReachable || m_clock.now() - m_reachableSince < m_limits.republishWithin)
         return {};
-    const std::vector<std::string> gone(m_expired.begin(), m_expired.end());
+    std::vector<std::string> gone(m_expired.begin(), m_expired.end());
     for (const std::string &it : gone) {
         m_entriesVisited += 1;
         erase(m_entries.find(it));
--- a/tests/process/slow_reader_test.cpp
+++ b/tests/process/slow_reader_test.cpp
@@ -69,6 +69,7 @@
 
     net::io_context context;
     std::vector<Caller> callers;
+    callers.reserve(kStoppedReaders);
     for (int n = 0; n < kStoppedReaders; ++n)
         callers.emplace_back(context, fleet.host(0), "/stream/1", "s-" + std::to_string(n));
     REQUIRE(Fleet::waitFor(
