One node schedules the engines of a service

Cause: nodes choose engines by sums of load that are 100 to 500 ms old, so several nodes choose the same idle engine.

Change: in a fleet that exchanges load sums, one node for each service (and 128 engines) chooses the engines for all nodes, over a ledger of what it has placed. Nodes report progress in batches.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -11,6 +11,7 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/context_directory.hpp"
+#include "fordwood/load_view.hpp"
 #include "fordwood/mechanisms.hpp"
 #include "fordwood/prefill_pace.hpp"
 #include "fordwood/prompt.hpp"
@@ -101,8 +102,7 @@
     // Returns nothing if no engine may take the request at the moment.
     std::optional<EngineChoice> choose(const Query &query,
                                        const std::vector<const UpstreamRecord *> &engines,
-                                       const UpstreamLoadTracker &loads,
-                                       const UpstreamHealth &health,
+                                       const LoadView &loads, const UpstreamHealth &health,
                                        ContextDirectory &contexts) const;
 
     // Whether a request that is sent now, and gets its first token after the delay, may run on this
@@ -149,7 +149,7 @@
     };
 
     void computeCost(Candidate &candidate, const PromptInfo &promptInfo, const Query &query,
-                     const UpstreamLoadTracker &loads, const UpstreamHealth &health) const;
+                     const LoadView &loads, const UpstreamHealth &health) const;
     static bool isConsidered(const Candidate &candidate, const Query &query);
     static void rank(std::vector<Candidate> &candidates, const PromptInfo &promptInfo,
                      const std::set<std::string> &shortGroup);
@@ -165,8 +165,7 @@
                               const VersionInfo &weights) const;
     double storeWait(const VersionInfo &weights, double sharedTokens) const;
     double oldWeightsCost(std::uint64_t version, const WeightHistory &weights) const;
-    VersionInfo weightsInfo(std::uint64_t version, const Query &query,
-                            const UpstreamLoadTracker &loads,
+    VersionInfo weightsInfo(std::uint64_t version, const Query &query, const LoadView &loads,
                             const ContextDirectory &contexts) const;
     double contextCost(Candidate &candidate, const PromptInfo &promptInfo) const;
     std::size_t contextToSave(const Prompt &prompt, const PromptPart &part) const;
--- a/include/fordwood/mechanisms.hpp
+++ b/include/fordwood/mechanisms.hpp
@@ -23,6 +23,7 @@
     bool passingOn = true; // in a large fleet a message is sent to each failure domain once
     bool fewCandidates = true; // in a large fleet a node considers a random subset of engines
     bool loadSums = true; // in a large fleet relays aggregate the load that nodes send
+    bool engineScheduler = true; // in a large fleet one node chooses the engines of a service
 };
 
 } // namespace fordwood
--- /dev/null
+++ b/include/fordwood/placement_ledger.hpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_PLACEMENT_LEDGER_HPP_INCLUDED
+#define FORDWOOD_PLACEMENT_LEDGER_HPP_INCLUDED
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "fordwood/clock.hpp"
+#include "fordwood/load_view.hpp"
+#include "fordwood/upstream_load_tracker.hpp"
+
+namespace fordwood {
+
+// Identifies a request that was placed at an engine: the process that sends it, and its number
+// there.
+struct PlacementId
+{
+    std::uint64_t process = 0;
+    std::uint64_t number = 0;
+
+    bool operator==(const PlacementId &) const = default;
+    bool operator<(const PlacementId &other) const
+    {
+        return std::tie(process, number) < std::tie(other.process, other.number);
+    }
+};
+
+// A scheduler's record of the requests that are placed at engines and have not ended. It serves
+// load where many nodes send long prompts to shared engines: each placement is known before the
+// next one is decided, so that two nodes do not choose the same idle engine.
+class PlacementLedger : public LoadView
+{
+public:
+    struct Placement
+    {
+        std::string engine; // instance id
+        RequestLoad load;
+        std::map<std::string, std::size_t> fetchTokens = {}; // context to fetch, by store address
+        // The prompt counts as computed from then on, even without a report: its node may be gone.
+        TimePoint computedBy{};
+        TimePoint endsBy{}; // the caller's deadline
+    };
+
+    explicit PlacementLedger(const Clock &clock) : m_clock(clock) { }
+
+    // Replaces an earlier placement with this id.
+    void add(const PlacementId &id, const Placement &placement);
+
+    // The prompt has been computed, or the request has ended. Unknown ids are ignored.
+    void promptComputed(const PlacementId &id);
+    void end(const PlacementId &id);
+
+    // Removes what is past its time.
+    void removeExpired();
+
+    // The load of an engine by instance id, or the context to fetch from a store by address.
+    UpstreamLoad total(const std::string &instanceId) const override;
+
+    std::size_t size() const { return m_placements.size(); }
+
+private:
+    struct Entry
+    {
+        std::uint64_t engine = 0; // hash of the instance id
+        RequestLoad load;
+        std::vector<std::pair<std::uint64_t, std::size_t>> fetchTokens; // by hash of the address
+        bool isComputed = false;
+        TimePoint computedBy{};
+        TimePoint endsBy{};
+    };
+
+    void promptComputed(Entry &entry);
+    void subtract(std::uint64_t upstream, const UpstreamLoad &load);
+
+    const Clock &m_clock;
+    std::map<PlacementId, Entry> m_placements;
+    std::set<std::pair<TimePoint, PlacementId>> m_expiries; // the next one of each placement
+    std::unordered_map<std::uint64_t, UpstreamLoad> m_loads; // by hash of the instance id
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_PLACEMENT_LEDGER_HPP_INCLUDED
--- a/include/fordwood/upstream_load_tracker.hpp
+++ b/include/fordwood/upstream_load_tracker.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fordwood/clock.hpp"
+#include "fordwood/load_view.hpp"
 #include "fordwood/upstream_load.hpp"
 #include "fordwood/upstream_loads.hpp"
 
@@ -22,7 +23,7 @@
 
 // Tracks the load of each upstream: exactly for this node's own requests, and for those of its
 // peers as they last reported. The report of a peer counts until `peerTimeout` has passed.
-class UpstreamLoadTracker
+class UpstreamLoadTracker : public LoadView
 {
 public:
     using Loads = std::map<std::string, UpstreamLoad>; // by instance id
@@ -42,8 +43,7 @@
     // Replaces the loads that a peer has reported for its own requests.
     void setPeerLoads(const std::string &peer, UpstreamLoads loads);
 
-    // The load from the requests of all nodes.
-    UpstreamLoad total(const std::string &instanceId) const;
+    UpstreamLoad total(const std::string &instanceId) const override;
 
     const Loads &own() const { return m_own; }
     UpstreamLoad ownLoad(const std::string &instanceId) const;
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -24,6 +24,7 @@
     mechanisms.passingOn = table.flag("passing_on", mechanisms.passingOn);
     mechanisms.fewCandidates = table.flag("few_candidates", mechanisms.fewCandidates);
     mechanisms.loadSums = table.flag("load_sums", mechanisms.loadSums);
+    mechanisms.engineScheduler = table.flag("engine_scheduler", mechanisms.engineScheduler);
     return mechanisms;
 }
 
@@ -62,6 +63,7 @@
         peers.listen = table.text("listen");
         peers.gossipListen = table.text("gossip_listen");
         peers.metricsListen = table.text("metrics_listen");
+        peers.placementListen = table.text("placement_listen");
         peers.seeds = table.textList("seeds");
         peers.gossipEvery = table.span("gossip_every", peers.gossipEvery);
     } else if (section == "store") {
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -31,6 +31,7 @@
     std::string listen; // where peers read this node's replica of the store
     std::string gossipListen; // UDP
     std::string metricsListen;
+    std::string placementListen; // UDP; empty: this node neither schedules engines nor asks
     std::vector<std::string> seeds; // `listen` addresses of other nodes
     Duration gossipEvery = std::chrono::milliseconds(200);
 };
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -152,6 +152,10 @@
      "Address at which peers read this node's replica of the platform's store."},
     {"gossip_listen", Address, true, 0, 0, "", "Address for gossip messages of peers (UDP)."},
     {"metrics_listen", Address, true, 0, 0, "", "Address of `/metrics`."},
+    {"placement_listen", Address, false, 0, 0, "",
+     "Address for placement messages of peers (UDP). Without it, the node does not schedule "
+     "engines "
+     "and chooses them itself."},
     {"seeds", TextList, false, 0, 0, "[]",
      "Addresses (`peers.listen`) of other nodes, used while the store does not answer."},
     {"gossip_every", Span, false, 0.01, 10, "200ms",
@@ -225,6 +229,10 @@
      "In a large fleet, a node considers a random subset of the engines for each request."},
     {"load_sums", Flag, false, 0, 0, "true",
      "In a large fleet, relays add up the loads that nodes have sent to upstreams."},
+    {"engine_scheduler", Flag, false, 0, 0, "true",
+     "In a large fleet, one node chooses the engines for the prompts of all nodes, for each "
+     "service "
+     "and up to 128 engines."},
 };
 constexpr Section kNodeSettings[] = {
     {"node", false, kNode, "Identity of this VM."},
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -188,7 +188,7 @@
 }
 
 EngineChooser::VersionInfo EngineChooser::weightsInfo(std::uint64_t version, const Query &query,
-                                                      const UpstreamLoadTracker &loads,
+                                                      const LoadView &loads,
                                                       const ContextDirectory &contexts) const
 {
     const Prompt &prompt = query.prompt;
@@ -238,7 +238,7 @@
 }
 
 void EngineChooser::computeCost(Candidate &candidate, const PromptInfo &promptInfo,
-                                const Query &query, const UpstreamLoadTracker &loads,
+                                const Query &query, const LoadView &loads,
                                 const UpstreamHealth &health) const
 {
     const std::string &id = candidate.engine->instanceId;
@@ -263,7 +263,7 @@
 
 std::optional<EngineChoice>
 EngineChooser::choose(const Query &query, const std::vector<const UpstreamRecord *> &engines,
-                      const UpstreamLoadTracker &loads, const UpstreamHealth &health,
+                      const LoadView &loads, const UpstreamHealth &health,
                       ContextDirectory &contexts) const
 {
     const Prompt &prompt = query.prompt;
--- /dev/null
+++ b/src/core/placement_ledger.cpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/placement_ledger.hpp"
+
+#include <algorithm>
+
+#include "fordwood/upstream_loads.hpp"
+
+namespace fordwood {
+
+void PlacementLedger::add(const PlacementId &id, const Placement &placement)
+{
+    end(id);
+    Entry entry;
+    entry.engine = UpstreamLoads::keyOf(placement.engine);
+    entry.load = placement.load;
+    entry.computedBy = placement.computedBy;
+    entry.endsBy = placement.endsBy;
+    m_loads[entry.engine] += {1, entry.load.tokensToCompute, entry.load.tokensHeld};
+    for (const auto &[store, tokens] : placement.fetchTokens) {
+        entry.fetchTokens.emplace_back(UpstreamLoads::keyOf(store), tokens);
+        m_loads[entry.fetchTokens.back().first] += {1, tokens, 0};
+    }
+    m_expiries.emplace(std::min(entry.computedBy, entry.endsBy), id);
+    m_placements.emplace(id, entry);
+}
+
+void PlacementLedger::promptComputed(const PlacementId &id)
+{
+    const auto it = m_placements.find(id);
+    if (it == m_placements.end() || it->second.isComputed)
+        return;
+    m_expiries.erase({std::min(it->second.computedBy, it->second.endsBy), id});
+    promptComputed(it->second);
+    m_expiries.emplace(it->second.endsBy, id);
+}
+
+void PlacementLedger::promptComputed(Entry &entry)
+{
+    entry.isComputed = true;
+    subtract(entry.engine, {0, entry.load.tokensToCompute, 0});
+    for (const auto &[store, tokens] : entry.fetchTokens)
+        subtract(store, {1, tokens, 0});
+}
+
+void PlacementLedger::end(const PlacementId &id)
+{
+    const auto it = m_placements.find(id);
+    if (it == m_placements.end())
+        return;
+    promptComputed(id);
+    const Entry &entry = it->second;
+    m_expiries.erase({entry.endsBy, id});
+    subtract(entry.engine, {1, 0, entry.load.tokensHeld});
+    m_placements.erase(it);
+}
+
+void PlacementLedger::subtract(std::uint64_t upstream, const UpstreamLoad &load)
+{
+    const auto it = m_loads.find(upstream);
+    it->second -= load;
+    if (it->second.running == 0)
+        m_loads.erase(it);
+}
+
+void PlacementLedger::removeExpired()
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= m_clock.now()) {
+        const PlacementId id = m_expiries.begin()->second;
+        const Entry &entry = m_placements.at(id);
+        if (entry.isComputed || entry.endsBy <= m_clock.now())
+            end(id);
+        else
+            promptComputed(id);
+    }
+}
+
+UpstreamLoad PlacementLedger::total(const std::string &instanceId) const
+{
+    const auto it = m_loads.find(UpstreamLoads::keyOf(instanceId));
+    return it == m_loads.end() ? UpstreamLoad{} : it->second;
+}
+
+} // namespace fordwood
--- /dev/null
+++ b/src/core/scheduler_ranking.cpp
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/scheduler_ranking.hpp"
+
+#include <algorithm>
+
+#include "fordwood/rendezvous.hpp"
+
+namespace fordwood {
+
+namespace {
+
+// A scheduler compares all engines of its shard for each prompt, which takes about a microsecond
+// for each of them.
+constexpr std::size_t kEnginesPerShard = 128;
+
+// The first candidate, and the one that takes over from it.
+constexpr std::size_t kCandidates = 2;
+
+} // namespace
+
+EngineShard shardFor(std::uint64_t contextHash, std::size_t engines)
+{
+    EngineShard shard;
+    shard.count = std::max<std::size_t>(1, (engines + kEnginesPerShard - 1) / kEnginesPerShard);
+    shard.index = contextHash % shard.count;
+    return shard;
+}
+
+void SchedulerRanking::setNodes(std::vector<SchedulerNode> nodes)
+{
+    double strongest = 0.0;
+    for (const SchedulerNode &it : nodes)
+        strongest = std::max(strongest, it.strength);
+    std::erase_if(nodes, [&](const SchedulerNode &it) { return it.strength < strongest; });
+    m_nodes = std::move(nodes);
+    m_hashes.clear();
+    for (const SchedulerNode &it : m_nodes)
+        m_hashes.push_back(stableHash(it.name));
+    std::erase_if(m_misses, [&](const auto &it) {
+        return std::none_of(m_nodes.begin(), m_nodes.end(),
+                            [&](const SchedulerNode &node) { return node.name == it.first; });
+    });
+}
+
+const SchedulerNode *SchedulerRanking::schedulerFor(const std::string &service,
+                                                    const EngineShard &shard) const
+{
+    const std::uint64_t key = stableHash(service, shard.index);
+    for (const std::size_t it : rendezvousOrder(key, m_hashes, kCandidates)) {
+        if (!isPassedOver(m_nodes[it].name))
+            return &m_nodes[it];
+    }
+    return nullptr;
+}
+
+bool SchedulerRanking::isPassedOver(const std::string &node) const
+{
+    const auto it = m_misses.find(node);
+    return it != m_misses.end() && m_clock.now() < it->second.passedOverUntil;
+}
+
+bool SchedulerRanking::recordMiss(const std::string &node)
+{
+    Misses &misses = m_misses[node];
+    misses.inARow += 1;
+    if (misses.inARow <= m_limits.missesAllowed)
+        return false;
+    misses.passedOverUntil = m_clock.now() + m_limits.passOver;
+    return misses.inARow == m_limits.missesAllowed + 1;
+}
+
+bool SchedulerRanking::recordReply(const std::string &node)
+{
+    const auto it = m_misses.find(node);
+    if (it == m_misses.end())
+        return false;
+    const bool wasPassedOver = it->second.inARow > m_limits.missesAllowed;
+    m_misses.erase(it);
+    return wasPassedOver;
+}
+
+} // namespace fordwood
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -118,10 +118,63 @@
         rejectQuarantined();
         return;
     }
+    const auto shard = m_streamStarted ? std::nullopt : scheduledShard(m_state, m_call, m_caller);
+    if (shard)
+        requestPlacement(*shard);
+    else
+        chooseLocally(std::nullopt);
+}
+
+void CallHandler::requestPlacement(const EngineShard &shard)
+{
+    m_state.placements().request(
+        placementRequest(m_state, m_call, m_caller, m_plan, shard, fingerprint()),
+        [self = shared_from_this(), shard](const std::optional<PlacementReply> &reply,
+                                           const PlacementHandle &placement) {
+            self->onPlacement(shard, reply, placement);
+        });
+}
+
+void CallHandler::onPlacement(const EngineShard &shard, const std::optional<PlacementReply> &reply,
+                              const PlacementHandle &placement)
+{
+    const bool isPlaced = reply && reply->outcome == PlacementOutcome::Placed;
+    if (m_isFinished) { // the caller has disconnected, or the deadline has passed
+        if (isPlaced)
+            m_state.placements().ended(placement);
+        return;
+    }
+    if (reply && reply->outcome == PlacementOutcome::Busy) {
+        m_plan.setReason(Reason::UpstreamBusy);
+        rejectWith(m_plan.verdict(std::max(kRetryAfter, reply->retryAfter)));
+        return;
+    }
+    if (isPlaced) {
+        m_attempt = scheduledAttempt(m_state, m_call, m_caller, m_plan, *reply);
+        if (m_attempt) {
+            m_attempt->placement = placement;
+            beginAttempt();
+            return;
+        }
+        m_state.placements().ended(placement);
+    }
+    chooseLocally(shard);
+}
+
+// Chooses the upstream at this node. `shard`: set if a scheduler must learn of the choice.
+void CallHandler::chooseLocally(const std::optional<EngineShard> &shard)
+{
     if (!selectUpstream()) {
         handleNoUpstream();
         return;
     }
+    if (shard)
+        reportLocalPlacement(m_state, m_call, *shard, *m_attempt);
+    beginAttempt();
+}
+
+void CallHandler::beginAttempt()
+{
     m_plan.beginSend(m_attempt->upstream.instanceId);
     m_attempt->startedAt = m_state.clock().now();
     m_lastUpstream = m_attempt->upstream.instanceId;
@@ -393,6 +446,7 @@
         return;
     m_attempt->promptComputed = true;
     m_state.loads().promptComputed(m_attempt->upstream.instanceId, m_attempt->load);
+    m_state.placements().promptComputed(m_attempt->placement);
     for (const auto &[store, tokens] : m_attempt->engine.fetchTokens)
         m_state.loads().end(store, {tokens, 0}, false);
 }
@@ -553,6 +607,7 @@
     m_attempt->isOpen = false;
     recordPromptComputed();
     m_state.loads().end(id, m_attempt->load, true);
+    m_state.placements().ended(m_attempt->placement);
     if (m_attempt->sent)
         m_state.health().ended(id);
     if (!m_attempt->channel)
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -62,6 +62,11 @@
     void recordDisconnect();
     void recordAnswered();
     void recordUnanswered();
+    void requestPlacement(const EngineShard &shard);
+    void onPlacement(const EngineShard &shard, const std::optional<PlacementReply> &reply,
+                     const PlacementHandle &placement);
+    void chooseLocally(const std::optional<EngineShard> &shard);
+    void beginAttempt();
     bool selectUpstream();
     void handleNoUpstream();
     void onConnected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -60,7 +60,7 @@
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
 {
     return {settings.peers.gossipListen, settings.peers.listen, settings.node.failureDomain,
-            vmStrength(settings.vm)};
+            vmStrength(settings.vm), settings.peers.placementListen};
 }
 
 double linkBytesPerSecond(const config::OneProcessSettings &settings)
@@ -646,11 +646,14 @@
     if (!m_keysChanged || m_replica.isEmpty())
         return;
     m_keysChanged = false;
-    std::vector<std::string> others = m_peers.roster().registeredPeers();
-    if (others == m_publishedNodes) // rewriting a key does not change the set of nodes
+    KnownNodes nodes{m_peers.roster().registeredPeers(), m_peers.roster().registeredSchedulers()};
+    if (!m_settings.peers.placementListen.empty())
+        nodes.schedulers.push_back(
+            {m_settings.node.name, m_settings.peers.placementListen, vmStrength(m_settings.vm)});
+    if (nodes == m_publishedNodes) // rewriting a key does not change the set of nodes
         return;
-    m_publishedNodes = others;
-    publish(KnownNodes{std::move(others)});
+    m_publishedNodes = nodes;
+    publish(std::move(nodes));
 }
 
 // The delay grows with the node's rank by VM strength: the strongest node takes the lock, since the
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -177,7 +177,7 @@
     bool m_publishedReachable = true;
     bool m_publishedReceivesVersions = true;
     std::set<std::string> m_publishedLoading;
-    std::optional<std::vector<std::string>> m_publishedNodes;
+    std::optional<KnownNodes> m_publishedNodes;
     TimePoint m_expiryDoubtSince{}; // when this node last began to get answers from the store
     TimePoint m_lastGossip{};
     TimePoint m_nextGossip{};
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -13,6 +13,7 @@
 #include "fordwood/observed_weights.hpp"
 #include "fordwood/quarantine.hpp"
 #include "fordwood/route_table.hpp"
+#include "fordwood/scheduler_ranking.hpp"
 #include "fordwood/upstream_limits.hpp"
 #include "fordwood/upstream_load_tracker.hpp"
 #include "fordwood/upstream_record.hpp"
@@ -101,6 +102,9 @@
 struct KnownNodes
 {
     std::vector<std::string> others;
+    std::vector<SchedulerNode> schedulers; // nodes that may schedule engines, this one included
+
+    bool operator==(const KnownNodes &) const = default;
 };
 
 // Whether this node receives changes at all, from the platform's store or from a peer.
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -69,8 +69,10 @@
       m_gate(clock, coldLimits(settings), settings.node.name,
              stableHash(makeNodeInstanceId(settings.node.name))),
       m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
-      m_channels(context, clock, settings.callers.channelBuffer), m_buffers(bufferLimits(settings)),
-      m_shortDemand(clock), m_stallDetector(clock)
+      m_channels(context, clock, settings.callers.channelBuffer), m_scheduler(*this, clock),
+      m_placements(context, clock, metrics, stableHash(makeNodeInstanceId(settings.node.name)),
+                   m_scheduler),
+      m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock)
 { }
 
 void NodeState::handle(const FleetUpdate &update)
@@ -164,6 +166,7 @@
 void NodeState::apply(const KnownNodes &update)
 {
     m_gate.coldGate().setNodes(update.others);
+    m_placements.setNodes(update.schedulers);
 }
 
 void NodeState::apply(const ContextStoreUpdated &update)
@@ -340,6 +343,7 @@
     }
     m_upstreams.takeChanged(); // not followed on this thread; the list would grow
     m_channels.tick();
+    m_placements.tick();
     m_gate.backoffs().tick();
     m_quarantine.tick();
     m_metrics.setGauge("fordwood_quarantined_requests",
@@ -410,6 +414,15 @@
     return found;
 }
 
+std::vector<const UpstreamRecord *> NodeState::schedulableEngines(const ServicePool &pool) const
+{
+    std::vector<const UpstreamRecord *> found = m_upstreams.usable(pool.name);
+    std::erase_if(found, [&](const UpstreamRecord *it) {
+        return isLoading(it->instanceId) || m_gate.isRateLimited(it->instanceId);
+    });
+    return found;
+}
+
 void NodeState::logLimit(const LimitChange &change, const std::string &source)
 {
     m_limitLog.logChange(change, source, m_gate.limitGate().ownRate(change.instanceId));
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -29,7 +29,9 @@
 #include "fordwood/upstream_load_tracker.hpp"
 #include "fordwood/window_budget.hpp"
 #include "node/channel_pool.hpp"
+#include "node/engine_scheduler.hpp"
 #include "node/fleet_update.hpp"
+#include "node/placements.hpp"
 #include "node/upstream_attempt.hpp"
 
 namespace fordwood::node {
@@ -89,6 +91,10 @@
     // The weight versions that were announced for the model.
     const WeightHistory &weights(const std::string &model) { return m_weights[model]; }
 
+    // The engines of a service at which this node may place requests of all nodes. Cold engines are
+    // not among them: they accept requests of a few nodes only.
+    std::vector<const UpstreamRecord *> schedulableEngines(const ServicePool &pool) const;
+
     // Requests an immediate load report to peers: a request was sent that they must know of before
     // they choose an engine, or a limit or an upstream's draining state has changed.
     void requestLoadReport() { m_onLoadReportRequest(); }
@@ -163,6 +169,8 @@
     ContextDirectory &contexts() { return m_contexts; }
     const EngineChooser &engines() const { return m_engines; }
     ChannelPool &channels() { return m_channels; }
+    Placements &placements() { return m_placements; }
+    const Placements &placements() const { return m_placements; }
     BufferBudget &buffers() { return m_buffers; }
 
 private:
@@ -210,6 +218,8 @@
     ContextDirectory m_contexts;
     EngineChooser m_engines;
     ChannelPool m_channels;
+    EngineScheduler m_scheduler;
+    Placements m_placements;
     BufferBudget m_buffers;
     std::map<std::string, WeightHistory> m_weights; // by model
     struct LoadingReport
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -375,10 +375,13 @@
 
 std::string encodePeerAddress(const PeerAddress &address)
 {
-    return encodeCbor({{"gossip", address.gossip},
-                       {"replica", address.replica},
-                       {"domain", address.failureDomain},
-                       {"strength", address.strength}});
+    Json object{{"gossip", address.gossip},
+                {"replica", address.replica},
+                {"domain", address.failureDomain},
+                {"strength", address.strength}};
+    if (!address.placement.empty())
+        object["placement"] = address.placement;
+    return encodeCbor(object);
 }
 
 std::optional<PeerAddress> decodePeerAddress(std::string_view bytes)
@@ -386,7 +389,8 @@
     return decodeCbor<PeerAddress>(bytes, [](const Json &object) {
         return PeerAddress{object.at("gossip").get<std::string>(),
                            object.at("replica").get<std::string>(),
-                           object.value("domain", std::string()), object.value("strength", 0.0)};
+                           object.value("domain", std::string()), object.value("strength", 0.0),
+                           object.value("placement", std::string())};
     });
 }
 
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -26,6 +26,7 @@
     std::string replica; // HTTP
     std::string failureDomain;
     double strength = 0.0; // of the node's VM; see vmStrength()
+    std::string placement = {}; // UDP; empty: the node does not schedule engines
 };
 
 // Whose load a message reports.
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -33,6 +33,7 @@
     peer.failureDomain = address.failureDomain;
     if (address.strength > 0.0)
         peer.strength = address.strength;
+    peer.placementAddress = address.placement;
     peer.hasKey = true;
     m_withoutKey.erase(node);
 }
@@ -58,6 +59,16 @@
     return names;
 }
 
+std::vector<SchedulerNode> PeerRoster::registeredSchedulers() const
+{
+    std::vector<SchedulerNode> nodes;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.hasKey && !peer.placementAddress.empty())
+            nodes.push_back({name, peer.placementAddress, peer.strength});
+    }
+    return nodes;
+}
+
 void PeerRoster::erase(const std::string &node)
 {
     m_higherRanked.reset();
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -11,6 +11,7 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/relay_role.hpp"
+#include "fordwood/scheduler_ranking.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
 
@@ -38,6 +39,7 @@
         StoreVersion version; // of its copy of the store
         std::string failureDomain; // empty: unknown
         double strength = 0.0; // of its VM; zero: unknown
+        std::string placementAddress; // empty: it does not schedule engines
         bool reachesStore = false;
         bool getsStoreChanges = false;
         bool isRelay = false;
@@ -63,6 +65,9 @@
     // The peers that have a key in the platform's store. The list is the same on all nodes that
     // have read up to the same revision.
     std::vector<std::string> registeredPeers() const;
+
+    // Those of them that may schedule engines.
+    std::vector<SchedulerNode> registeredSchedulers() const;
     bool isLive(const Peer &peer) const;
     bool isInOwnDomain(const Peer &peer) const
     {
--- /dev/null
+++ b/src/node/placement_messages.cpp
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: MIT
+#include "node/placement_messages.hpp"
+
+#include "node/cbor.hpp"
+
+namespace fordwood::node {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+// A message is an array of the version, its kind and its fields in a fixed order.
+constexpr int kVersion = 1;
+constexpr int kRequest = 0;
+constexpr int kReply = 1;
+constexpr int kProgress = 2;
+
+// Reads the fields of a message one after the other.
+class Fields
+{
+public:
+    explicit Fields(const Json &array, std::size_t first = 0) : m_array(array), m_next(first) { }
+
+    const Json &next() { return m_array.at(m_next++); }
+
+    template <typename T>
+    void read(T &field)
+    {
+        next().get_to(field);
+    }
+
+    void read(milliseconds &field) { field = milliseconds(next().get<std::int64_t>()); }
+
+    void read(UpstreamLoad &load)
+    {
+        read(load.running);
+        read(load.tokensToCompute);
+        read(load.tokensHeld);
+    }
+
+private:
+    const Json &m_array;
+    std::size_t m_next;
+};
+
+Json encodeParts(const std::vector<PromptPart> &parts)
+{
+    Json list = Json::array();
+    for (const PromptPart &it : parts) {
+        list.push_back(it.id);
+        list.push_back(it.tokens);
+    }
+    return list;
+}
+
+std::vector<PromptPart> decodeParts(const Json &list)
+{
+    std::vector<PromptPart> parts;
+    for (std::size_t n = 0; n < list.size(); n += 2)
+        parts.push_back({list.at(n).get<std::string>(), list.at(n + 1).get<std::size_t>()});
+    return parts;
+}
+
+Json encode(const PlacementRequest &it)
+{
+    return {kVersion,
+            kRequest,
+            it.id.process,
+            it.id.number,
+            it.service,
+            it.shard.count,
+            it.shard.index,
+            it.prompt.model,
+            encodeParts(it.prompt.parts),
+            it.prompt.tokensIn,
+            it.prompt.maxTokensOut,
+            it.isolatedTeam,
+            it.team,
+            it.fingerprint,
+            it.avoid,
+            it.targetLatency.count(),
+            it.maxPause.count(),
+            it.remaining.count()};
+}
+
+std::optional<PlacementRequest> decodeRequest(Fields fields)
+{
+    PlacementRequest it;
+    fields.read(it.id.process);
+    fields.read(it.id.number);
+    fields.read(it.service);
+    fields.read(it.shard.count);
+    fields.read(it.shard.index);
+    fields.read(it.prompt.model);
+    it.prompt.parts = decodeParts(fields.next());
+    fields.read(it.prompt.tokensIn);
+    fields.read(it.prompt.maxTokensOut);
+    fields.read(it.isolatedTeam);
+    fields.read(it.team);
+    fields.read(it.fingerprint);
+    fields.read(it.avoid);
+    fields.read(it.targetLatency);
+    fields.read(it.maxPause);
+    fields.read(it.remaining);
+    if (it.shard.index >= it.shard.count)
+        return std::nullopt;
+    return it;
+}
+
+Json encode(const PlacementReply &it)
+{
+    return {kVersion,
+            kReply,
+            it.number,
+            static_cast<int>(it.outcome),
+            it.instanceId,
+            it.weightVersion,
+            it.loadBefore.running,
+            it.loadBefore.tokensToCompute,
+            it.loadBefore.tokensHeld,
+            it.tokensToCompute,
+            it.firstTokenDelay.count(),
+            it.saveTo,
+            it.retryAfter.count()};
+}
+
+std::optional<PlacementReply> decodeReply(Fields fields)
+{
+    PlacementReply it;
+    fields.read(it.number);
+    const int outcome = fields.next().get<int>();
+    if (outcome < 0 || outcome > static_cast<int>(PlacementOutcome::Unavailable))
+        return std::nullopt;
+    it.outcome = static_cast<PlacementOutcome>(outcome);
+    fields.read(it.instanceId);
+    fields.read(it.weightVersion);
+    fields.read(it.loadBefore);
+    fields.read(it.tokensToCompute);
+    fields.read(it.firstTokenDelay);
+    fields.read(it.saveTo);
+    fields.read(it.retryAfter);
+    return it;
+}
+
+Json encode(const PlacementProgress &it)
+{
+    Json placed = Json::array();
+    for (const PlacementProgress::Local &local : it.placed)
+        placed.push_back({local.number, local.instanceId, local.load.tokensToCompute,
+                          local.load.tokensHeld, local.remaining.count()});
+    return {kVersion, kProgress, it.process, std::move(placed), it.computed, it.ended};
+}
+
+PlacementProgress decodeProgress(Fields fields)
+{
+    PlacementProgress it;
+    fields.read(it.process);
+    for (const Json &row : fields.next()) {
+        Fields values(row);
+        PlacementProgress::Local local;
+        values.read(local.number);
+        values.read(local.instanceId);
+        values.read(local.load.tokensToCompute);
+        values.read(local.load.tokensHeld);
+        values.read(local.remaining);
+        it.placed.push_back(std::move(local));
+    }
+    fields.read(it.computed);
+    fields.read(it.ended);
+    return it;
+}
+
+std::optional<PlacementMessage> decode(const Json &array)
+{
+    Fields fields(array);
+    if (fields.next().get<int>() != kVersion)
+        return std::nullopt;
+    switch (fields.next().get<int>()) {
+    case kRequest:
+        return decodeRequest(fields);
+    case kReply:
+        return decodeReply(fields);
+    case kProgress:
+        return decodeProgress(fields);
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encodePlacement(const PlacementMessage &message)
+{
+    return encodeCbor(std::visit([](const auto &it) { return encode(it); }, message));
+}
+
+std::optional<PlacementMessage> decodePlacement(std::string_view bytes)
+{
+    return decodeCbor<PlacementMessage>(bytes, [](const Json &it) { return decode(it); });
+}
+
+} // namespace fordwood::node
--- /dev/null
+++ b/src/node/placements.hpp
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_PLACEMENTS_HPP_INCLUDED
+#define FORDWOOD_NODE_PLACEMENTS_HPP_INCLUDED
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/observe/metrics.hpp"
+#include "fordwood/scheduler_ranking.hpp"
+#include "node/datagram_socket.hpp"
+#include "node/engine_scheduler.hpp"
+#include "node/placement_messages.hpp"
+
+namespace fordwood::node {
+
+// A request that a scheduler counts as placed until its end is reported. Empty: no scheduler does.
+struct PlacementHandle
+{
+    std::uint64_t number = 0;
+    std::optional<udp::endpoint> scheduler;
+};
+
+// Asks the schedulers of the services for engines, and answers other nodes where this node is the
+// scheduler. A scheduler that does not answer in time is not waited for: the node then chooses the
+// engine itself. Used only on the serving thread.
+class Placements
+{
+public:
+    // Nothing: no scheduler answered in time.
+    using OnReply
+        = std::function<void(const std::optional<PlacementReply> &, const PlacementHandle &)>;
+
+    // `process` identifies this process among all nodes and their restarts.
+    Placements(net::io_context &context, const Clock &clock, adapters::Metrics &metrics,
+               std::uint64_t process, EngineScheduler &scheduler);
+
+    // Returns false and sets `ec` if the address cannot be used.
+    bool open(const std::string &address, ErrorCode &ec);
+
+    // All nodes that may schedule, this one included.
+    void setNodes(std::vector<SchedulerNode> nodes);
+
+    // Whether a scheduler for the service can be asked.
+    bool hasScheduler(const std::string &service, const EngineShard &shard) const;
+
+    // Calls `onReply` exactly once. Sets the request's id.
+    void request(PlacementRequest request, OnReply onReply);
+
+    // Reports a request that this node placed itself.
+    PlacementHandle recordLocal(const std::string &service, const EngineShard &shard,
+                                PlacementProgress::Local placed);
+
+    void promptComputed(const PlacementHandle &handle);
+    void ended(const PlacementHandle &handle);
+
+    // Periodic work.
+    void tick();
+
+private:
+    struct Pending
+    {
+        OnReply onReply;
+        std::string node;
+        udp::endpoint scheduler;
+        std::unique_ptr<net::steady_timer> timeout;
+    };
+
+    const udp::endpoint *endpointOf(const SchedulerNode &node) const;
+    bool isSelf(const udp::endpoint &address) const { return m_own && address == *m_own; }
+    void onDatagram(std::string_view bytes, const udp::endpoint &from);
+    void handle(const PlacementRequest &request, const udp::endpoint &from);
+    void handle(const PlacementReply &reply, const udp::endpoint &from);
+    void handle(const PlacementProgress &progress, const udp::endpoint &from);
+    void onTimeout(std::uint64_t number);
+    void countReply(const PlacementReply &reply);
+    PlacementProgress &progressFor(const udp::endpoint &scheduler);
+    void sendProgress();
+
+    net::io_context &m_context;
+    adapters::Metrics &m_metrics;
+    const std::uint64_t m_process;
+    EngineScheduler &m_scheduler;
+    SchedulerRanking m_ranking;
+    DatagramSocket m_socket;
+    std::optional<udp::endpoint> m_own;
+    std::map<std::string, udp::endpoint> m_endpoints; // by address
+    std::size_t m_nodeCount = 0;
+    std::uint64_t m_lastNumber = 0;
+    std::unordered_map<std::uint64_t, Pending> m_pending; // by number
+    std::map<udp::endpoint, PlacementProgress> m_progress; // not sent yet, by scheduler
+    net::steady_timer m_progressTimer;
+    bool m_isProgressDue = false;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_PLACEMENTS_HPP_INCLUDED
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -44,6 +44,11 @@
                  {{"address", m_settings.callers.listen}, {"error", ec.message()}});
         return false;
     }
+    const std::string &placementAddress = m_settings.peers.placementListen;
+    if (!placementAddress.empty() && !m_state.placements().open(placementAddress, ec)) {
+        logEvent(Event::ListenFailed, {{"address", placementAddress}, {"error", ec.message()}});
+        return false;
+    }
     tick();
     return true;
 }
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -12,6 +12,7 @@
 #include "fordwood/upstream_load_tracker.hpp"
 #include "fordwood/upstream_record.hpp"
 #include "node/http_channel.hpp"
+#include "node/placements.hpp"
 #include "platform/caller_messages.hpp"
 
 namespace fordwood::node {
@@ -24,6 +25,7 @@
     EngineChoice engine; // only for requests to engines
     std::string model; // only for requests to engines
     std::chrono::milliseconds fetchDeadline{0}; // on the engines' clock
+    PlacementHandle placement;
     std::shared_ptr<HttpChannel> channel;
     TimePoint startedAt{};
     TimePoint sentAt{}; // when the request was written to the channel
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -18,6 +18,9 @@
 // refused at once.
 constexpr double kMaxWait = 0.7;
 
+// A node with more unusable engines than this has a problem of its own.
+constexpr std::size_t kMaxAvoided = 32;
+
 // Removes stores outside the regions that the request is restricted to: its context must not be
 // saved there.
 void dropForbiddenSaveTargets(const AdmittedCall &call, const DomainRegions &regions,
@@ -65,6 +68,20 @@
                                   state.contexts());
 }
 
+UpstreamAttempt engineAttempt(NodeState &state, const AdmittedCall &call,
+                              const platform::CallerHead &caller, EngineChoice choice)
+{
+    dropForbiddenSaveTargets(call, state.settings().regions, choice);
+    EngineChooser::recordSent(choice, *caller.prompt, state.contexts());
+    UpstreamAttempt attempt;
+    attempt.upstream = *state.upstreams().find(choice.instanceId);
+    attempt.load = choice.load;
+    attempt.model = caller.prompt->model;
+    attempt.engine = std::move(choice);
+    attempt.fetchDeadline = state.fetchDeadline();
+    return attempt;
+}
+
 UpstreamChoice chooseEngine(NodeState &state, const AdmittedCall &call,
                             const platform::CallerHead &caller, const CallPlan &plan,
                             bool answerStarted,
@@ -78,15 +95,8 @@
         return {};
     if (!choice->isShort && !answerStarted && exceedsMaxWait(state, call, *choice))
         return {std::nullopt, std::move(choice), std::nullopt};
-    dropForbiddenSaveTargets(call, state.settings().regions, *choice);
-    EngineChooser::recordSent(*choice, *caller.prompt, state.contexts());
     UpstreamChoice chosen;
-    chosen.attempt.emplace();
-    chosen.attempt->upstream = *state.upstreams().find(choice->instanceId);
-    chosen.attempt->load = choice->load;
-    chosen.attempt->model = caller.prompt->model;
-    chosen.attempt->engine = std::move(*choice);
-    chosen.attempt->fetchDeadline = state.fetchDeadline();
+    chosen.attempt = engineAttempt(state, call, caller, std::move(*choice));
     return chosen;
 }
 
@@ -178,6 +188,76 @@
     return chosen;
 }
 
+std::optional<EngineShard> scheduledShard(NodeState &state, const AdmittedCall &call,
+                                          const platform::CallerHead &caller)
+{
+    if (!call.pool->engine || !caller.prompt || !state.settings().mechanisms.engineScheduler
+        || !AllowedRegions(*call.route, call.team).isUnrestricted())
+        return std::nullopt;
+    const EngineShard shard
+        = shardFor(caller.prompt->contextHash(), state.upstreams().usable(call.pool->name).size());
+    if (!state.placements().hasScheduler(call.pool->name, shard))
+        return std::nullopt;
+    return shard;
+}
+
+PlacementRequest placementRequest(NodeState &state, const AdmittedCall &call,
+                                  const platform::CallerHead &caller, const CallPlan &plan,
+                                  const EngineShard &shard, const RequestFingerprint &fingerprint)
+{
+    PlacementRequest request;
+    request.service = call.pool->name;
+    request.shard = shard;
+    request.prompt = *caller.prompt;
+    if (call.team != nullptr) {
+        request.team = stableHash(call.team->name);
+        request.isolatedTeam = call.team->isolated ? call.team->name : "";
+    }
+    request.fingerprint = fingerprint.low;
+    request.targetLatency = call.route->targetLatency;
+    request.remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+        plan.policy().answerBy - state.clock().now());
+    for (const std::string &it : plan.tried())
+        request.avoid.push_back(stableHash(it));
+    for (const UpstreamRecord *it : state.upstreams().usable(call.pool->name)) {
+        if (request.avoid.size() >= kMaxAvoided)
+            break;
+        if (state.health().isPaused(it->instanceId))
+            request.avoid.push_back(stableHash(it->instanceId));
+    }
+    return request;
+}
+
+std::optional<UpstreamAttempt> scheduledAttempt(NodeState &state, const AdmittedCall &call,
+                                                const platform::CallerHead &caller,
+                                                const CallPlan &plan, const PlacementReply &reply)
+{
+    auto candidates = state.candidates(*call.pool);
+    std::erase_if(candidates,
+                  [&](const UpstreamRecord *it) { return it->instanceId != reply.instanceId; });
+    auto choice = bestEngine(state, call, caller, plan, candidates);
+    if (!choice || choice->weightVersion != reply.weightVersion)
+        return std::nullopt;
+    choice->loadBefore = reply.loadBefore;
+    choice->queuedTokens = static_cast<double>(reply.loadBefore.tokensToCompute);
+    choice->firstTokenDelay = reply.firstTokenDelay;
+    choice->load.tokensToCompute = reply.tokensToCompute;
+    if (reply.saveTo.size() == choice->saveTo.size())
+        choice->saveTo = reply.saveTo;
+    return engineAttempt(state, call, caller, std::move(*choice));
+}
+
+void reportLocalPlacement(NodeState &state, const AdmittedCall &call, const EngineShard &shard,
+                          UpstreamAttempt &attempt)
+{
+    PlacementProgress::Local placed;
+    placed.instanceId = attempt.upstream.instanceId;
+    placed.load = attempt.load;
+    placed.remaining = std::chrono::duration_cast<std::chrono::milliseconds>(call.terms.answerBy
+                                                                             - state.clock().now());
+    attempt.placement = state.placements().recordLocal(call.pool->name, shard, std::move(placed));
+}
+
 std::optional<std::chrono::milliseconds> retryAfterUnavailable(NodeState &state,
                                                                const AdmittedCall &call)
 {
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -6,6 +6,7 @@
 
 #include "fordwood/call_plan.hpp"
 #include "node/admitted_call.hpp"
+#include "node/placement_messages.hpp"
 #include "node/upstream_attempt.hpp"
 
 namespace fordwood::node {
@@ -32,6 +33,25 @@
                               const platform::CallerHead &caller, const CallPlan &plan,
                               bool answerStarted);
 
+// The shard of the service's engines to which the request belongs, if its scheduler chooses the
+// engine; nothing if this node does.
+std::optional<EngineShard> scheduledShard(NodeState &state, const AdmittedCall &call,
+                                          const platform::CallerHead &caller);
+
+// The request to the scheduler for an engine.
+PlacementRequest placementRequest(NodeState &state, const AdmittedCall &call,
+                                  const platform::CallerHead &caller, const CallPlan &plan,
+                                  const EngineShard &shard, const RequestFingerprint &fingerprint);
+
+// The attempt at the engine that the scheduler has chosen; nothing if this node cannot use it.
+std::optional<UpstreamAttempt> scheduledAttempt(NodeState &state, const AdmittedCall &call,
+                                                const platform::CallerHead &caller,
+                                                const CallPlan &plan, const PlacementReply &reply);
+
+// Reports to the scheduler that this node has chosen an engine itself.
+void reportLocalPlacement(NodeState &state, const AdmittedCall &call, const EngineShard &shard,
+                          UpstreamAttempt &attempt);
+
 // The time after which a refused caller may retry, if every upstream in service is rate limited or
 // backing off; nothing if one of them may accept the request now.
 std::optional<std::chrono::milliseconds> retryAfterUnavailable(NodeState &state,
