The scheduler prefers engines that produce the first token in time

Cause: the choice minimises a cost in which computing a context again weighs four times, so that requests queue at the engine that holds it while others are idle, and are then rejected by an estimate that counts the missing memory as a queue.

Change: EngineChooser estimates the expected delay of each candidate (queue, own tokens, context to fetch or compute, missing memory, slots); with a bound in the query, engines within it come first. The scheduler sets the bound and rejects only if the caller would leave first. The log line's wait is this delay in milliseconds.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -45,7 +45,9 @@
     bool isStored = false; // a store holds the context
     UpstreamLoad loadBefore; // load of the engine before this request
     double queuedTokens = 0.0; // work to be computed before this prompt, in tokens
-    Duration firstTokenDelay{}; // estimated time from the send to the first token
+    // Upper bound of the time from the send to the first token, for rules that must not be broken.
+    Duration firstTokenDelay{};
+    Duration expectedDelay{}; // the likely time from the send to the first token
 
     bool isFetching() const
     {
@@ -97,6 +99,10 @@
         std::set<std::string> assignedColdEngines = {};
         // Pace of the service's engines.
         PrefillPace pace = {};
+        // An engine that is expected to produce the first token within this time is preferred to
+        // one that is not, at any cost; zero: no such bound. For a caller that knows the loads
+        // exactly: with old ones, many nodes would choose the same few engines.
+        Duration maxDelay{};
     };
 
     // Returns nothing if no engine may take the request at the moment.
@@ -138,6 +144,9 @@
         bool fetches = true; // the context, if a store has it
         UpstreamLoad load;
         double cost = 0.0;
+        double contextTokens = 0.0; // time to provide the context, in tokens to compute
+        Duration expectedDelay{}; // see EngineChoice
+        bool isLate = false; // the first token is expected after `Query::maxDelay`
     };
 
     // Values of the prompt, the same for all engines.
@@ -163,6 +172,8 @@
     static std::size_t missingMemory(const UpstreamLoad &load, const Query &query);
     Duration timeToFirstToken(const UpstreamLoad &load, const Query &query,
                               const VersionInfo &weights) const;
+    Duration expectedDelay(const Candidate &candidate, const PromptInfo &promptInfo,
+                           const Query &query) const;
     double storeWait(const VersionInfo &weights, double sharedTokens) const;
     double oldWeightsCost(std::uint64_t version, const WeightHistory &weights) const;
     VersionInfo weightsInfo(std::uint64_t version, const Query &query, const LoadView &loads,
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -213,6 +213,7 @@
     if (candidate.holdsContext)
         return 0.0;
     const ContextDirectory::Holder &holder = candidate.weights->holder;
+    candidate.contextTokens = promptInfo.sharedTokens;
     if (holder.address.empty())
         return promptInfo.sharedTokens * recomputeWeight(candidate, promptInfo);
     const bool isNear = holder.failureDomain == candidate.engine->failureDomain;
@@ -223,6 +224,8 @@
           + promptInfo.sharedTokens * kFetchWeight * (isNear ? 1.0 : kCrossDomainFactor);
     const double computing = promptInfo.sharedTokens * readAgainWeight();
     candidate.fetches = fetching <= computing || !m_limits.mechanisms.computingInstead;
+    if (candidate.fetches)
+        candidate.contextTokens = fetching;
     return candidate.fetches ? fetching : computing;
 }
 
@@ -250,6 +253,25 @@
         candidate.cost += kFailureCost;
     if (!candidate.isInMatchingGroup)
         candidate.cost += promptInfo.isShort ? kShortOutsideGroupCost : kLongInShortGroupCost;
+    candidate.expectedDelay = expectedDelay(candidate, promptInfo, query);
+    candidate.isLate
+        = query.maxDelay > Duration::zero() && candidate.expectedDelay > query.maxDelay;
+}
+
+// A request beyond the slots waits for the end of another one. One beyond the memory preempts
+// another, whose prompt is then computed again.
+Duration EngineChooser::expectedDelay(const Candidate &candidate, const PromptInfo &promptInfo,
+                                      const Query &query) const
+{
+    const UpstreamLoad &load = candidate.load;
+    const double ownTokens
+        = static_cast<double>(query.prompt.tokensIn) - promptInfo.sharedTokens;
+    const double tokens
+        = queueCost(load, promptInfo) + ownTokens + candidate.contextTokens
+          + kMissingMemoryWeight * static_cast<double>(missingMemory(load, query));
+    const std::size_t slots = query.traits.slots;
+    const std::size_t mustEnd = load.running + 1 - std::min(load.running + 1, slots);
+    return query.pace.timeFor(tokens) + query.pace.timeUntilFinished(mustEnd, slots);
 }
 
 double candidateFractionFor(std::size_t liveNodes)
@@ -303,9 +325,10 @@
     std::erase_if(candidates, [&](const Candidate &it) { return !isConsidered(it, query); });
     for (Candidate &it : candidates)
         computeCost(it, promptInfo, query, loads, health);
-    const auto best
-        = std::min_element(candidates.begin(), candidates.end(),
-                           [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    const auto best = std::min_element(
+        candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+            return std::pair(a.isLate, a.cost) < std::pair(b.isLate, b.cost);
+        });
     return complete(*best, promptInfo, query, contexts);
 }
 
@@ -334,6 +357,7 @@
     choice.isStored = !candidate.weights->holder.address.empty();
     choice.loadBefore = candidate.load;
     choice.firstTokenDelay = timeToFirstToken(candidate.load, query, *candidate.weights);
+    choice.expectedDelay = candidate.expectedDelay;
     choice.isShort = promptInfo.isShort;
     choice.queuedTokens
         = queueCost(candidate.load, promptInfo)
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -36,7 +36,7 @@
         << " save:" << countNonEmpty(choice.saveTo) << " shared:" << choice.sharedTokens
         << " compute:" << choice.load.tokensToCompute << " found:" << choice.loadBefore.running
         << "/" << choice.loadBefore.tokensToCompute << "/" << choice.loadBefore.tokensHeld
-        << " wait:" << static_cast<std::uint64_t>(choice.queuedTokens);
+        << " wait:" << inMilliseconds(choice.expectedDelay);
     return out.str();
 }
 
--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -23,10 +23,16 @@
 // Maximum estimated wait in target latencies. Answers to prompts that wait longer would be late.
 constexpr double kMaxWait = 0.7;
 
-bool isLate(const PlacementRequest &request, const EngineChoice &choice, const PrefillPace &pace)
+Duration maxDelay(const PlacementRequest &request)
 {
-    const std::chrono::duration<double, std::nano> target(request.targetLatency);
-    return target.count() > 0 && pace.timeFor(choice.queuedTokens) > kMaxWait * target;
+    return std::chrono::duration_cast<Duration>(
+        kMaxWait * std::chrono::duration<double, std::milli>(request.targetLatency));
+}
+
+// Whether the request cannot be served before its caller gives up.
+bool isHopeless(const PlacementRequest &request, const EngineChoice &choice)
+{
+    return choice.expectedDelay > request.remaining / 2;
 }
 
 } // namespace
@@ -75,7 +81,9 @@
         return reply;
     reply.firstTokenDelay
         = std::chrono::duration_cast<std::chrono::milliseconds>(choice->firstTokenDelay);
-    if (!choice->isShort && isLate(request, *choice, m_state.pace(request.service))) {
+    reply.expectedDelay
+        = std::chrono::duration_cast<std::chrono::milliseconds>(choice->expectedDelay);
+    if (!choice->isShort && isHopeless(request, *choice)) {
         reply.outcome = PlacementOutcome::Busy;
         reply.retryAfter = request.targetLatency;
         return reply;
@@ -109,7 +117,8 @@
                                      1.0,
                                      0,
                                      {},
-                                     m_state.pace(pool.name)};
+                                     m_state.pace(pool.name),
+                                     maxDelay(request)};
     return m_state.engines().choose(query, engines, m_loads, m_state.health(), m_state.contexts());
 }
 
@@ -119,7 +128,7 @@
     const TimePoint now = m_clock.now();
     m_ledger.add(request.id,
                  {choice.instanceId, choice.load, choice.fetchTokens,
-                  now + 2 * choice.firstTokenDelay + kOverdueMargin, now + request.remaining});
+                  now + 2 * choice.expectedDelay + kOverdueMargin, now + request.remaining});
 }
 
 void EngineScheduler::apply(const PlacementProgress &progress)
--- a/src/node/placement_messages.cpp
+++ b/src/node/placement_messages.cpp
@@ -121,6 +121,7 @@
             it.loadBefore.tokensHeld,
             it.tokensToCompute,
             it.firstTokenDelay.count(),
+            it.expectedDelay.count(),
             it.saveTo,
             it.retryAfter.count()};
 }
@@ -138,6 +139,7 @@
     fields.read(it.loadBefore);
     fields.read(it.tokensToCompute);
     fields.read(it.firstTokenDelay);
+    fields.read(it.expectedDelay);
     fields.read(it.saveTo);
     fields.read(it.retryAfter);
     return it;
--- a/src/node/placement_messages.hpp
+++ b/src/node/placement_messages.hpp
@@ -48,7 +48,8 @@
     std::uint64_t weightVersion = 0;
     UpstreamLoad loadBefore; // of the engine, without this request
     std::size_t tokensToCompute = 0; // of this request's prompt
-    std::chrono::milliseconds firstTokenDelay{0}; // estimated
+    std::chrono::milliseconds firstTokenDelay{0}; // see EngineChoice
+    std::chrono::milliseconds expectedDelay{0};
     std::vector<std::string> saveTo; // store address for each part; empty: none
     std::chrono::milliseconds retryAfter{0};
 };
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -241,6 +241,7 @@
     choice->loadBefore = reply.loadBefore;
     choice->queuedTokens = static_cast<double>(reply.loadBefore.tokensToCompute);
     choice->firstTokenDelay = reply.firstTokenDelay;
+    choice->expectedDelay = reply.expectedDelay;
     choice->load.tokensToCompute = reply.tokensToCompute;
     if (reply.saveTo.size() == choice->saveTo.size())
         choice->saveTo = reply.saveTo;
