Admission of long prompts at the scheduler

The scheduler rejected prompts by the token queue at the chosen engine and gave each caller the target latency as Retry-After, so that all of them returned at once.

PlacementAdmission decides by the estimated time to the first token, spreads returning callers at the rate of the placements, gives them precedence and limits teams to twice their equal share while prompts are late everywhere. RetrySchedule::next() takes a caller's own bound.

--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -20,13 +20,40 @@
 // have ended, and an engine would seem busy until the caller's deadline.
 constexpr Duration kOverdueMargin = std::chrono::seconds(1);
 
-// Maximum estimated wait in target latencies. Answers to prompts that wait longer would be late.
-constexpr double kMaxWait = 0.7;
+// Estimated time to the first token at the engine with the least work. Engines without a free slot
+// are not considered, except the chosen one.
+Duration leastLoadedDelay(const PlacementRequest &request, const EngineChoice &choice,
+                          const ServicePool &pool, NodeState &state, const LoadView &loads)
+{
+    const PrefillPace &pace = state.pace(pool.name);
+    Duration least = choice.firstTokenDelay;
+    for (const UpstreamRecord *it : state.schedulableEngines(pool)) {
+        const UpstreamLoad load = loads.total(it->instanceId);
+        if (load.running >= pool.engine->slots
+            || !request.shard.contains(stableHash(it->instanceId)))
+            continue;
+        const auto tokens = static_cast<double>(load.tokensToCompute + request.prompt.tokensIn);
+        least = std::min(least, pace.timeFor(tokens));
+    }
+    return least;
+}
 
-bool isLate(const PlacementRequest &request, const EngineChoice &choice, const PrefillPace &pace)
+PlacementAdmission::Request admissionRequest(const PlacementRequest &request,
+                                             const EngineChoice &choice, const ServicePool &pool,
+                                             NodeState &state, const LoadView &loads)
 {
-    const std::chrono::duration<double, std::nano> target(request.targetLatency);
-    return target.count() > 0 && pace.timeFor(choice.queuedTokens) > kMaxWait * target;
+    PlacementAdmission::Request result;
+    result.team = request.team;
+    result.fingerprint = request.fingerprint;
+    result.targetLatency = request.targetLatency;
+    result.remaining = request.remaining;
+    result.delay = choice.firstTokenDelay;
+    // Prompts with a shorter delay are placed in any case.
+    const bool mayBeRejected
+        = result.targetLatency > Duration::zero() && result.delay > result.targetLatency / 2;
+    result.leastLoadedDelay
+        = mayBeRejected ? leastLoadedDelay(request, choice, pool, state, loads) : result.delay;
+    return result;
 }
 
 } // namespace
@@ -75,10 +102,20 @@
         return reply;
     reply.firstTokenDelay
         = std::chrono::duration_cast<std::chrono::milliseconds>(choice->firstTokenDelay);
-    if (!choice->isShort && isLate(request, *choice, m_state.pace(request.service))) {
-        reply.outcome = PlacementOutcome::Busy;
-        reply.retryAfter = request.targetLatency;
-        return reply;
+    if (!choice->isShort) {
+        PlacementAdmission &admission
+            = m_admissions.try_emplace(request.service, m_clock).first->second;
+        const PlacementAdmission::Decision decision
+            = admission.decide(admissionRequest(request, *choice, *pool, m_state, m_loads));
+        if (decision.isReturning)
+            m_state.metrics().count("fordwood_placements_returned_total");
+        if (decision.isOverShare)
+            m_state.metrics().count("fordwood_placements_over_share_total");
+        if (!decision.isPlaced) {
+            reply.outcome = PlacementOutcome::Busy;
+            reply.retryAfter = decision.retryAfter;
+            return reply;
+        }
     }
     reply.outcome = PlacementOutcome::Placed;
     reply.instanceId = choice->instanceId;
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -2,12 +2,14 @@
 #ifndef FORDWOOD_NODE_ENGINE_SCHEDULER_HPP_INCLUDED
 #define FORDWOOD_NODE_ENGINE_SCHEDULER_HPP_INCLUDED
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "fordwood/engine_chooser.hpp"
 #include "fordwood/load_view.hpp"
+#include "fordwood/placement_admission.hpp"
 #include "fordwood/placement_ledger.hpp"
 #include "fordwood/serving_config.hpp"
 #include "node/placement_messages.hpp"
@@ -54,6 +56,7 @@
     const Clock &m_clock;
     PlacementLedger m_ledger;
     Loads m_loads;
+    std::map<std::string, PlacementAdmission> m_admissions; // by service
     std::optional<TimePoint> m_activeSince; // of the current role as a scheduler
     TimePoint m_lastRequest{};
 };
--- a/tests/unit/retry_schedule_test.cpp
+++ b/tests/unit/retry_schedule_test.cpp
@@ -39,3 +39,12 @@
         CHECK(schedule.next(n % 2 == 0 ? 3.0 : 0.0) <= 30s);
     CHECK(schedule.next(3.0) == 30s);
 }
+
+TEST_CASE("retry schedule: a caller with little time does not bring later callers forward [limit]")
+{
+    ManualClock clock;
+    RetrySchedule schedule(clock);
+    CHECK(schedule.next(1.0, 5s) == 6s);
+    CHECK(schedule.next(1.0, 5s, 2s) == 2s);
+    CHECK(schedule.next(1.0) == 7s);
+}
