--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -20,19 +20,53 @@
 // have ended, and an engine would seem busy until the caller's deadline.
 constexpr Duration kOverdueMargin = std::chrono::seconds(1);
 
-// Maximum estimated wait in target latencies. Answers to prompts that wait longer would be late.
+// Engines with a longer expected delay, in target latencies, are used only if there is no other:
+// the estimate may be wrong by the work of one more prompt.
 constexpr double kMaxWait = 0.7;
 
+// Callers prefer a late answer to none, as long as the engines can make up for it.
+constexpr double kMaxLateShare = 0.5;
+
 Duration maxDelay(const PlacementRequest &request)
 {
     return std::chrono::duration_cast<Duration>(
         kMaxWait * std::chrono::duration<double, std::milli>(request.targetLatency));
 }
 
-// Whether the request cannot be served before its caller gives up.
-bool isHopeless(const PlacementRequest &request, const EngineChoice &choice)
+// Estimated time to the first token at the engine with the least work. Engines without a free slot
+// are not considered, except the chosen one.
+Duration leastLoadedDelay(const PlacementRequest &request, const EngineChoice &choice,
+                          const ServicePool &pool, NodeState &state, const LoadView &loads)
+{
+    const PrefillPace &pace = state.pace(pool.name);
+    Duration least = choice.expectedDelay;
+    for (const UpstreamRecord *it : state.schedulableEngines(pool)) {
+        const UpstreamLoad load = loads.total(it->instanceId);
+        if (load.running >= pool.engine->slots
+            || !request.shard.contains(stableHash(it->instanceId)))
+            continue;
+        const auto tokens = static_cast<double>(load.tokensToCompute + request.prompt.tokensIn);
+        least = std::min(least, pace.timeFor(tokens));
+    }
+    return least;
+}
+
+PlacementAdmission::Request admissionRequest(const PlacementRequest &request,
+                                             const EngineChoice &choice, const ServicePool &pool,
+                                             NodeState &state, const LoadView &loads)
 {
-    return choice.expectedDelay > request.remaining / 2;
+    PlacementAdmission::Request result;
+    result.team = request.team;
+    result.fingerprint = request.fingerprint;
+    result.targetLatency = request.targetLatency;
+    result.remaining = request.remaining;
+    result.delay = choice.expectedDelay;
+    // Prompts with a shorter delay are placed in any case.
+    const bool mayBeRejected
+        = result.targetLatency > Duration::zero() && result.delay > result.targetLatency / 2;
+    result.leastLoadedDelay
+        = mayBeRejected ? leastLoadedDelay(request, choice, pool, state, loads) : result.delay;
+    return result;
 }
 
 } // namespace
@@ -83,10 +117,22 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(choice->firstTokenDelay);
     reply.expectedDelay
         = std::chrono::duration_cast<std::chrono::milliseconds>(choice->expectedDelay);
-    if (!choice->isShort && isHopeless(request, *choice)) {
-        reply.outcome = PlacementOutcome::Busy;
-        reply.retryAfter = request.targetLatency;
-        return reply;
+    if (!choice->isShort) {
+        PlacementAdmission &admission
+            = m_admissions
+                  .try_emplace(request.service, m_clock, PlacementAdmission::Limits{kMaxLateShare})
+                  .first->second;
+        const PlacementAdmission::Decision decision
+            = admission.decide(admissionRequest(request, *choice, *pool, m_state, m_loads));
+        if (decision.isReturning)
+            m_state.metrics().count("fordwood_placements_returned_total");
+        if (decision.isOverShare)
+            m_state.metrics().count("fordwood_placements_over_share_total");
+        if (!decision.isPlaced) {
+            reply.outcome = PlacementOutcome::Busy;
+            reply.retryAfter = decision.retryAfter;
+            return reply;
+        }
     }
     reply.outcome = PlacementOutcome::Placed;
     reply.instanceId = choice->instanceId;
