Context that no store holds is fetched from an engine

Cause: only stores were sources of context. A long prompt whose context no store holds, and whose engine is busy, was computed again at another engine (about 170 ms of computing where a transfer takes about 19 ms).

Change: ContextDirectory::engineSources returns the engines that received a context recently and have had the time to compute it. EngineChooser costs a fetch from the cheapest of them like one from a store, and names it for the shared parts that no store holds. It acts only if the query says so, which EngineScheduler does. The scheduler's reply names the source; the sending node uses it if it knows a usable engine at that address. Setting mechanisms.context_from_engines, counter fordwood_context_from_engines_total.

An engine that is still computing the context is not a source: the fetch would miss, and its low estimated cost would let several engines compute the context.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -12,6 +12,7 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/prompt.hpp"
 #include "fordwood/serving_config.hpp"
+#include "fordwood/upstream_record.hpp"
 #include "fordwood/weight_history.hpp"
 
 namespace fordwood {
@@ -67,9 +68,11 @@
     // Sets the stores of the current configuration.
     void setStores(const std::vector<ContextStore> &stores);
 
-    // A request with this context of `tokens` tokens was sent to an engine.
+    // A request with this context of `tokens` tokens was sent to an engine, which will have
+    // computed the context after `computedAfter`; zero: it has it already.
     void recordSend(const std::string &instanceId, const std::string &salt,
-                    std::uint64_t contextHash, std::size_t tokens);
+                    std::uint64_t contextHash, std::size_t tokens,
+                    Duration computedAfter = Duration::zero());
 
     // Recent sends of long contexts as hashes to announce to peers, and those that a peer
     // announced.
@@ -80,6 +83,14 @@
     bool isContextAtEngine(const std::string &instanceId, const std::string &salt,
                            std::uint64_t contextHash, Duration keptFor) const;
 
+    // The engines among `engines` from which a context of `tokens` tokens can be fetched, those
+    // that have had it longest first. It was sent to them within the last `keptFor`, and they have
+    // had the time to compute it: an engine that is still computing it cannot send it. Empty for a
+    // context that is computed faster than fetched.
+    std::vector<const UpstreamRecord *>
+    engineSources(const std::vector<const UpstreamRecord *> &engines, const std::string &salt,
+                  std::uint64_t contextHash, std::size_t tokens, Duration keptFor) const;
+
     // `waited`: time since this node received the update.
     void storeAnswered(const ContextStoreUpdate &update, Duration waited = Duration::zero());
     void storeFailed(const std::string &store);
@@ -132,7 +143,13 @@
         std::size_t tokensOfSaves = 0;
     };
 
-    void remember(std::uint64_t send);
+    struct Send
+    {
+        TimePoint last{};
+        TimePoint computedAt{}; // estimate
+    };
+
+    void remember(std::uint64_t send, Duration computedAfter);
     bool willBeKept(const std::string &salt, const std::string &partId, Duration ahead) const;
     bool isCurrent(const Store &store) const;
     static void forgetAll(Store &store);
@@ -143,7 +160,7 @@
     const Clock &m_clock;
     const Limits m_limits;
     std::map<std::string, Store> m_stores; // by name
-    std::unordered_map<std::uint64_t, TimePoint> m_sends; // by hash of instance, salt, context
+    std::unordered_map<std::uint64_t, Send> m_sends; // by hash of instance, salt, context
     std::deque<std::pair<TimePoint, std::uint64_t>> m_toAnnounce; // own sends, oldest first
     std::map<std::uint64_t, WeightHistory> m_weights; // by the hash of the model's name
     bool m_receivesVersions = true;
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -29,8 +29,10 @@
     std::string instanceId;
     std::uint64_t weightVersion = 0;
     std::string salt;
-    std::vector<std::string> fetchFrom; // store address for each part; empty: none
-    std::map<std::string, std::size_t> fetchTokens; // by store address
+    // Address of a store or of the engine `sourceEngine` for each part; empty: none.
+    std::vector<std::string> fetchFrom;
+    std::string sourceEngine; // address; empty: nothing is fetched from an engine
+    std::map<std::string, std::size_t> fetchTokens; // by address
     std::vector<std::string> saveTo; // store address for each part; empty: none
     RequestLoad load;
     // Reasons for the choice, for the log:
@@ -97,6 +99,9 @@
         std::set<std::string> assignedColdEngines = {};
         // Pace of the service's engines.
         PrefillPace pace = {};
+        // Whether context that no store holds may be fetched from an engine. Only a scheduler
+        // knows well enough which engines have received it.
+        bool fetchesFromEngines = false;
     };
 
     // Returns nothing if no engine may take the request at the moment.
@@ -115,6 +120,13 @@
                            ContextDirectory &contexts);
 
 private:
+    // An engine from which the context can be fetched.
+    struct Source
+    {
+        const UpstreamRecord *engine = nullptr;
+        double queuedTokens = 0.0; // to be sent over its link for other requests
+    };
+
     // Values shared by all engines that serve the same weights.
     struct VersionInfo
     {
@@ -125,6 +137,8 @@
         double cost = 0.0; // of answering with this version
         bool isSuperseded = false;
         bool isAtEngine = false; // an engine has the context, according to recent sends
+        bool isStored = false; // stores hold all shared parts; set only for fetches from engines
+        std::vector<Source> sources; // only if a part of the context is not in any store
     };
     struct Candidate
     {
@@ -136,6 +150,7 @@
         std::size_t rank = 0; // zero: preferred by all nodes
         bool holdsContext = false;
         bool fetches = true; // the context, if a store has it
+        const UpstreamRecord *source = nullptr; // engine to fetch from what no store holds
         UpstreamLoad load;
         double cost = 0.0;
     };
@@ -167,6 +182,12 @@
     double oldWeightsCost(std::uint64_t version, const WeightHistory &weights) const;
     VersionInfo weightsInfo(std::uint64_t version, const Query &query, const LoadView &loads,
                             const ContextDirectory &contexts) const;
+    void findSources(const std::vector<Candidate> &candidates, const PromptInfo &promptInfo,
+                     const Query &query, const LoadView &loads, const UpstreamHealth &health,
+                     const ContextDirectory &contexts) const;
+    static double fetchCost(double sharedTokens, double waitingTokens, bool isNear);
+    static std::pair<const UpstreamRecord *, double> cheapestSource(const Candidate &candidate,
+                                                                    const PromptInfo &promptInfo);
     double contextCost(Candidate &candidate, const PromptInfo &promptInfo) const;
     std::size_t contextToSave(const Prompt &prompt, const PromptPart &part) const;
     EngineChoice complete(const Candidate &candidate, const PromptInfo &promptInfo,
--- a/include/fordwood/mechanisms.hpp
+++ b/include/fordwood/mechanisms.hpp
@@ -24,6 +24,7 @@
     bool fewCandidates = true; // in a large fleet a node considers a random subset of engines
     bool loadSums = true; // in a large fleet relays aggregate the load that nodes send
     bool engineScheduler = true; // in a large fleet one node chooses the engines of a service
+    bool contextFromEngines = true; // context that no store holds is fetched from engines
 };
 
 } // namespace fordwood
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -25,6 +25,8 @@
     mechanisms.fewCandidates = table.flag("few_candidates", mechanisms.fewCandidates);
     mechanisms.loadSums = table.flag("load_sums", mechanisms.loadSums);
     mechanisms.engineScheduler = table.flag("engine_scheduler", mechanisms.engineScheduler);
+    mechanisms.contextFromEngines
+        = table.flag("context_from_engines", mechanisms.contextFromEngines);
     return mechanisms;
 }
 
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -233,6 +233,9 @@
      "In a large fleet, one node chooses the engines for the prompts of all nodes, for each "
      "service "
      "and up to 128 engines."},
+    {"context_from_engines", Flag, false, 0, 0, "true",
+     "In a large fleet, context that no store holds is fetched from an engine that has computed "
+     "it."},
 };
 constexpr Section kNodeSettings[] = {
     {"node", false, kNode, "Identity of this VM."},
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -50,25 +50,30 @@
 }
 
 void ContextDirectory::recordSend(const std::string &instanceId, const std::string &salt,
-                                  std::uint64_t contextHash, std::size_t tokens)
+                                  std::uint64_t contextHash, std::size_t tokens,
+                                  Duration computedAfter)
 {
     const std::uint64_t send = sendHash(instanceId, salt, contextHash);
-    remember(send);
+    remember(send, computedAfter);
     if (tokens >= m_limits.minAnnouncedTokens)
         m_toAnnounce.emplace_back(m_clock.now(), send);
     if (m_toAnnounce.size() > m_limits.maxAnnouncedSends)
         m_toAnnounce.pop_front();
 }
 
-void ContextDirectory::remember(std::uint64_t send)
+void ContextDirectory::remember(std::uint64_t send, Duration computedAfter)
 {
     if (m_sends.size() >= m_limits.maxSends) {
         const TimePoint oldest = m_clock.now() - m_limits.sendMemory;
-        std::erase_if(m_sends, [&](const auto &it) { return it.second < oldest; });
+        std::erase_if(m_sends, [&](const auto &it) { return it.second.last < oldest; });
     }
     if (m_sends.size() >= m_limits.maxSends)
         m_sends.clear();
-    m_sends[send] = m_clock.now();
+    const TimePoint now = m_clock.now();
+    const auto [it, isNew] = m_sends.try_emplace(send, Send{now, now + computedAfter});
+    it->second.last = now;
+    if (!isNew && computedAfter > Duration::zero())
+        it->second.computedAt = now + computedAfter;
 }
 
 std::vector<std::uint64_t> ContextDirectory::recentSends()
@@ -85,14 +90,37 @@
 void ContextDirectory::recordPeerSends(const std::vector<std::uint64_t> &sends)
 {
     for (const std::uint64_t it : sends)
-        remember(it);
+        remember(it, Duration::zero());
 }
 
 bool ContextDirectory::isContextAtEngine(const std::string &instanceId, const std::string &salt,
                                          std::uint64_t contextHash, Duration keptFor) const
 {
     const auto it = m_sends.find(sendHash(instanceId, salt, contextHash));
-    return it != m_sends.end() && m_clock.now() - it->second < keptFor;
+    return it != m_sends.end() && m_clock.now() - it->second.last < keptFor;
+}
+
+std::vector<const UpstreamRecord *>
+ContextDirectory::engineSources(const std::vector<const UpstreamRecord *> &engines,
+                                const std::string &salt, std::uint64_t contextHash,
+                                std::size_t tokens, Duration keptFor) const
+{
+    if (tokens < m_limits.minAnnouncedTokens)
+        return {};
+    const TimePoint now = m_clock.now();
+    std::vector<std::pair<TimePoint, const UpstreamRecord *>> found;
+    for (const UpstreamRecord *engine : engines) {
+        const auto it = m_sends.find(sendHash(engine->instanceId, salt, contextHash));
+        if (it != m_sends.end() && now - it->second.last < keptFor && it->second.computedAt <= now)
+            found.emplace_back(it->second.computedAt, engine);
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<const UpstreamRecord *> sources;
+    sources.reserve(found.size());
+    for (const auto &[computedAt, engine] : found)
+        sources.push_back(engine);
+    return sources;
 }
 
 bool ContextDirectory::isCurrent(const Store &store) const
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -202,25 +202,86 @@
     if (!weights.holder.address.empty())
         weights.storeTokens
             = static_cast<double>(loads.total(weights.holder.address).tokensToCompute);
+    // The first part of a context is often shared with others and thus stored, while the large part
+    // behind it is not.
+    weights.isStored
+        = query.fetchesFromEngines && !weights.holder.address.empty()
+          && std::all_of(prompt.parts.begin(), prompt.parts.end() - 1, [&](const PromptPart &it) {
+                 return !contexts.holderOf(weights.salt, it.id).address.empty();
+             });
     return weights;
 }
 
-// Cost of providing the shared context at the engine. If the store's link has more queued than
+// Finds the engines from which the context can be fetched, as far as stores do not hold it. An
+// engine that fails or is silent is left out: a fetch from a dead engine takes several hundred
+// milliseconds, and computing the context about 170.
+void EngineChooser::findSources(const std::vector<Candidate> &candidates,
+                                const PromptInfo &promptInfo, const Query &query,
+                                const LoadView &loads, const UpstreamHealth &health,
+                                const ContextDirectory &contexts) const
+{
+    if (!query.fetchesFromEngines || !m_limits.mechanisms.contextFromEngines || promptInfo.isShort)
+        return;
+    std::map<VersionInfo *, std::vector<const UpstreamRecord *>> holders;
+    for (const Candidate &it : candidates) {
+        const std::string &id = it.engine->instanceId;
+        if (it.holdsContext && !it.weights->isStored && !it.engine->address.empty()
+            && health.failureRate(id) == 0.0 && !health.isSilent(id))
+            holders[it.weights].push_back(it.engine);
+    }
+    for (const auto &[weights, engines] : holders) {
+        for (const UpstreamRecord *it :
+             contexts.engineSources(engines, weights->salt, promptInfo.context,
+                                    query.prompt.sharedTokens(), kLongContextKept)) {
+            const std::size_t queued = loads.total(it->address).tokensToCompute;
+            weights->sources.push_back({it, static_cast<double>(queued)});
+        }
+    }
+}
+
+// Transfers over a link run one after the other.
+double EngineChooser::fetchCost(double sharedTokens, double waitingTokens, bool isNear)
+{
+    return kFetchWeight * waitingTokens
+           + sharedTokens * kFetchWeight * (isNear ? 1.0 : kCrossDomainFactor);
+}
+
+// The engine from which fetching the context costs least, and that cost; nullptr if there is none.
+// Addresses are compared, since an engine that has restarted has another instance id.
+std::pair<const UpstreamRecord *, double>
+EngineChooser::cheapestSource(const Candidate &candidate, const PromptInfo &promptInfo)
+{
+    std::pair<const UpstreamRecord *, double> best(nullptr, 0.0);
+    for (const Source &it : candidate.weights->sources) {
+        if (it.engine->address == candidate.engine->address)
+            continue;
+        const bool isNear = it.engine->failureDomain == candidate.engine->failureDomain;
+        const double cost = fetchCost(promptInfo.sharedTokens,
+                                      it.queuedTokens + candidate.weights->storeTokens, isNear);
+        if (best.first == nullptr || cost < best.second)
+            best = {it.engine, cost};
+    }
+    return best;
+}
+
+// Cost of providing the shared context at the engine. If the source's link has more queued than
 // recomputing the context costs the fleet, the context is recomputed, so that a slow link delays
 // few answers.
 double EngineChooser::contextCost(Candidate &candidate, const PromptInfo &promptInfo) const
 {
     if (candidate.holdsContext)
         return 0.0;
+    const auto [source, sourceCost] = cheapestSource(candidate, promptInfo);
+    if (source != nullptr && sourceCost <= promptInfo.sharedTokens * readAgainWeight()) {
+        candidate.source = source;
+        return sourceCost;
+    }
     const ContextDirectory::Holder &holder = candidate.weights->holder;
     if (holder.address.empty())
         return promptInfo.sharedTokens * recomputeWeight(candidate, promptInfo);
     const bool isNear = holder.failureDomain == candidate.engine->failureDomain;
-    // Transfers over the store's link run one after the other.
-    const double waitingTokens = kFetchWeight * candidate.weights->storeTokens;
     const double fetching
-        = waitingTokens
-          + promptInfo.sharedTokens * kFetchWeight * (isNear ? 1.0 : kCrossDomainFactor);
+        = fetchCost(promptInfo.sharedTokens, candidate.weights->storeTokens, isNear);
     const double computing = promptInfo.sharedTokens * readAgainWeight();
     candidate.fetches = fetching <= computing || !m_limits.mechanisms.computingInstead;
     return candidate.fetches ? fetching : computing;
@@ -300,6 +361,7 @@
                                                      promptInfo.context, keptFor);
         it.weights->isAtEngine = it.weights->isAtEngine || it.holdsContext;
     }
+    findSources(candidates, promptInfo, query, loads, health, contexts);
     std::erase_if(candidates, [&](const Candidate &it) { return !isConsidered(it, query); });
     for (Candidate &it : candidates)
         computeCost(it, promptInfo, query, loads, health);
@@ -351,6 +413,10 @@
                 to = contexts.storeForSave(choice.salt, part, contextToSave(prompt, part),
                                            candidate.engine->failureDomain);
         }
+        if (isShared && from.empty() && candidate.source != nullptr) {
+            from = candidate.source->address;
+            choice.sourceEngine = from;
+        }
         if (!from.empty()) {
             fetched += part.tokens;
             if (!candidate.holdsContext)
@@ -368,7 +434,8 @@
 void EngineChooser::recordSent(const EngineChoice &choice, const Prompt &prompt,
                                ContextDirectory &contexts)
 {
-    contexts.recordSend(choice.instanceId, choice.salt, choice.context, prompt.sharedTokens());
+    contexts.recordSend(choice.instanceId, choice.salt, choice.context, prompt.sharedTokens(),
+                        choice.holdsContext ? Duration::zero() : choice.firstTokenDelay);
     for (std::size_t n = 0; n < choice.saveTo.size(); ++n) {
         if (!choice.saveTo[n].empty())
             contexts.beginSave(choice.saveTo[n], choice.salt, prompt.parts[n]);
--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -86,6 +86,7 @@
     reply.loadBefore = choice->loadBefore;
     reply.tokensToCompute = choice->load.tokensToCompute;
     reply.saveTo = choice->saveTo;
+    reply.sourceEngine = choice->sourceEngine;
     record(request, *choice);
     return reply;
 }
@@ -109,7 +110,8 @@
                                      1.0,
                                      0,
                                      {},
-                                     m_state.pace(pool.name)};
+                                     m_state.pace(pool.name),
+                                     true};
     return m_state.engines().choose(query, engines, m_loads, m_state.health(), m_state.contexts());
 }
 
--- a/src/node/placement_messages.cpp
+++ b/src/node/placement_messages.cpp
@@ -122,7 +122,8 @@
             it.tokensToCompute,
             it.firstTokenDelay.count(),
             it.saveTo,
-            it.retryAfter.count()};
+            it.retryAfter.count(),
+            it.sourceEngine};
 }
 
 std::optional<PlacementReply> decodeReply(Fields fields)
@@ -140,6 +141,7 @@
     fields.read(it.firstTokenDelay);
     fields.read(it.saveTo);
     fields.read(it.retryAfter);
+    fields.read(it.sourceEngine);
     return it;
 }
 
--- a/src/node/placement_messages.hpp
+++ b/src/node/placement_messages.hpp
@@ -51,6 +51,7 @@
     std::chrono::milliseconds firstTokenDelay{0}; // estimated
     std::vector<std::string> saveTo; // store address for each part; empty: none
     std::chrono::milliseconds retryAfter{0};
+    std::string sourceEngine; // address to fetch shared parts from; empty: none
 };
 
 // What became of a node's requests.
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -68,6 +68,46 @@
                                   state.contexts());
 }
 
+// Whether this node may let the engine fetch context from the address. A scheduler may not know yet
+// that this node's requests to the source fail, or that it has other weights by now.
+bool isUsableSource(NodeState &state, const AdmittedCall &call, const Prompt &prompt,
+                    const EngineChoice &choice, const std::string &address)
+{
+    if (address.empty() || !state.settings().mechanisms.contextFromEngines)
+        return false;
+    const auto engines = state.upstreams().usable(call.pool->name);
+    return std::any_of(engines.begin(), engines.end(), [&](const UpstreamRecord *it) {
+        const auto version = it->weightVersions.find(prompt.model);
+        return it->address == address && version != it->weightVersions.end()
+               && version->second == choice.weightVersion
+               && !state.health().isPaused(it->instanceId);
+    });
+}
+
+// Lets the engine fetch from another engine the shared parts that no store holds.
+void fetchFromEngine(NodeState &state, const Prompt &prompt, const std::string &address,
+                     EngineChoice &choice)
+{
+    for (std::size_t n = 0; n + 1 < prompt.parts.size(); ++n) {
+        if (!choice.fetchFrom[n].empty()
+            || !state.contexts().holderOf(choice.salt, prompt.parts[n].id).address.empty())
+            continue;
+        choice.fetchFrom[n] = address;
+        choice.sourceEngine = address;
+    }
+}
+
+// Tokens to compute if the engine has none of the context that it does not fetch.
+std::size_t tokensNotFetched(const Prompt &prompt, const EngineChoice &choice)
+{
+    std::size_t tokens = prompt.tokensIn;
+    for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
+        if (!choice.fetchFrom[n].empty())
+            tokens -= std::min(tokens, prompt.parts[n].tokens);
+    }
+    return tokens;
+}
+
 UpstreamAttempt engineAttempt(NodeState &state, const AdmittedCall &call,
                               const platform::CallerHead &caller, EngineChoice choice)
 {
@@ -77,6 +117,8 @@
     attempt.upstream = *state.upstreams().find(choice.instanceId);
     attempt.load = choice.load;
     attempt.model = caller.prompt->model;
+    if (!choice.sourceEngine.empty())
+        state.metrics().count("fordwood_context_from_engines_total");
     attempt.engine = std::move(choice);
     attempt.fetchDeadline = state.fetchDeadline();
     return attempt;
@@ -242,6 +284,10 @@
     choice->queuedTokens = static_cast<double>(reply.loadBefore.tokensToCompute);
     choice->firstTokenDelay = reply.firstTokenDelay;
     choice->load.tokensToCompute = reply.tokensToCompute;
+    if (isUsableSource(state, call, *caller.prompt, *choice, reply.sourceEngine))
+        fetchFromEngine(state, *caller.prompt, reply.sourceEngine, *choice);
+    else if (!reply.sourceEngine.empty())
+        choice->load.tokensToCompute = tokensNotFetched(*caller.prompt, *choice);
     if (reply.saveTo.size() == choice->saveTo.size())
         choice->saveTo = reply.saveTo;
     return engineAttempt(state, call, caller, std::move(*choice));
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -30,6 +30,7 @@
         for (std::size_t n = 0; n < kEngines; ++n) {
             UpstreamRecord record;
             record.instanceId = "e" + std::to_string(n);
+            record.address = "10.0.1." + std::to_string(n) + ":80";
             record.failureDomain = n % 2 == 0 ? "even" : "odd";
             record.weightVersions["m"] = 1;
             m_records.push_back(record);
@@ -57,7 +58,17 @@
         std::vector<const UpstreamRecord *> engines;
         for (const UpstreamRecord &it : m_records)
             engines.push_back(&it);
-        return m_chooser.choose({prompt, isolatedTeam, m_weights, m_traits, m_tried, m_shortGroup},
+        return m_chooser.choose({prompt,
+                                 isolatedTeam,
+                                 m_weights,
+                                 m_traits,
+                                 m_tried,
+                                 m_shortGroup,
+                                 1.0,
+                                 0,
+                                 {},
+                                 {},
+                                 m_fetchesFromEngines},
                                 engines, m_loads, m_health, m_contexts);
     }
 
@@ -80,6 +91,7 @@
     std::set<std::string> m_tried;
     std::set<std::string> m_shortGroup;
     std::vector<UpstreamRecord> m_records;
+    bool m_fetchesFromEngines = false;
 };
 
 Prompt longPrompt(const std::string &context = "c1")
@@ -618,3 +630,91 @@
     CHECK(maxAtOneEngine(true) >= 16); // all slots of an engine are used while others are idle
     CHECK(maxAtOneEngine(Mechanisms{}.shortEngines) <= 12);
 }
+
+namespace {
+
+// Lets an engine compute the context and makes it busy.
+UpstreamRecord &computeAtBusyEngine(NodeView &view)
+{
+    const auto first = view.send(longPrompt());
+    view.m_clock.advance(first->firstTokenDelay);
+    view.m_loads.begin(first->instanceId, {200'000, 0});
+    return *std::find_if(view.m_records.begin(), view.m_records.end(),
+                         [&](const auto &it) { return it.instanceId == first->instanceId; });
+}
+
+// The tokens that are computed for 20 prompts which want a context while its engine is busy.
+std::size_t computedForBurst(bool fetchesFromEngines)
+{
+    NodeView view;
+    view.m_fetchesFromEngines = fetchesFromEngines;
+    const std::string source = computeAtBusyEngine(view).instanceId;
+    std::size_t sum = 0;
+    for (int n = 0; n < 20; ++n) {
+        const auto choice = view.send(longPrompt());
+        CHECK(choice->instanceId != source);
+        sum += choice->load.tokensToCompute;
+        view.m_loads.begin(choice->instanceId, choice->load);
+        for (const auto &[address, tokens] : choice->fetchTokens)
+            view.m_loads.begin(address, {tokens, 0});
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("engines: prompts that want one context while its engine is busy do not compute it again "
+          "[routing][overload]")
+{
+    CHECK(computedForBurst(true) == 20 * 4'200);
+    CHECK(computedForBurst(false) >= 20 * 4'200 + 12'800);
+}
+
+// A fetch from an engine that is still computing would miss, and both would compute the context.
+TEST_CASE("engines: context is fetched from an engine only once it has had the time to compute it "
+          "[routing][peers]")
+{
+    NodeView view;
+    view.m_fetchesFromEngines = true;
+    const auto first = view.send(longPrompt());
+    view.m_loads.begin(first->instanceId, {200'000, 0});
+    CHECK(view.choose(longPrompt())->load.tokensToCompute == 17'000);
+    view.m_clock.advance(first->firstTokenDelay);
+    const auto fetched = view.choose(longPrompt());
+    CHECK(fetched->load.tokensToCompute == 4'200);
+    NodeView other; // it has begun no save, and also saves what it fetches
+    other.m_fetchesFromEngines = true;
+    other.m_loads.begin(first->instanceId, {200'000, 0});
+    other.m_contexts.recordPeerSends(view.m_contexts.recentSends());
+    CHECK(other.choose(longPrompt())->sourceEngine == fetched->sourceEngine);
+    CHECK(other.choose(longPrompt())->saveTo == std::vector<std::string>{"10.0.0.1:80", ""});
+    view.updateStore({{first->salt, "c1", true, 12'800}});
+    CHECK(view.choose(longPrompt())->fetchFrom == std::vector<std::string>{"10.0.0.1:80", ""});
+}
+
+TEST_CASE("engines: no context is fetched from an engine that is unusable or cannot have it "
+          "[health][isolation]")
+{
+    const auto isFetched = [](const auto &change, const std::string &isolatedTeam = "") {
+        NodeView view;
+        view.m_fetchesFromEngines = true;
+        UpstreamRecord &source = computeAtBusyEngine(view);
+        change(view, source);
+        return !view.choose(longPrompt(), isolatedTeam)->sourceEngine.empty();
+    };
+    CHECK(isFetched([](NodeView &, UpstreamRecord &) {}));
+    CHECK_FALSE(isFetched([](NodeView &, UpstreamRecord &) {}, "team-a"));
+    CHECK_FALSE(isFetched(
+        [](NodeView &it, UpstreamRecord &source) { it.m_health.failed(source.instanceId); }));
+    CHECK_FALSE(isFetched(
+        [](NodeView &it, UpstreamRecord &source) { it.m_tried.insert(source.instanceId); }));
+    CHECK_FALSE(isFetched([](NodeView &it, UpstreamRecord &source) {
+        it.m_records.erase(it.m_records.begin() + (&source - it.m_records.data()));
+    }));
+    CHECK_FALSE(
+        isFetched([](NodeView &, UpstreamRecord &source) { source.weightVersions["m"] = 2; }));
+    CHECK_FALSE(isFetched([](NodeView &it, UpstreamRecord &source) {
+        source.instanceId = "restarted";
+        it.m_loads.begin("restarted", {200'000, 0});
+    }));
+}
