--- a/src/node/placement_messages.cpp
+++ b/src/node/placement_messages.cpp
@@ -123,7 +123,8 @@
             it.firstTokenDelay.count(),
             it.expectedDelay.count(),
             it.saveTo,
-            it.retryAfter.count()};
+            it.retryAfter.count(),
+            it.sourceEngine};
 }
 
 std::optional<PlacementReply> decodeReply(Fields fields)
@@ -142,6 +143,7 @@
     fields.read(it.expectedDelay);
     fields.read(it.saveTo);
     fields.read(it.retryAfter);
+    fields.read(it.sourceEngine);
     return it;
 }
 
