The scheduler sizes the group of engines for short prompts by load

Cause: the group followed only the context that short prompts share, so it was too small for a starting fleet and did not see slots or computation.

Change: EngineGroupPlanner sizes the group for the largest of computation, slots and context, from what the scheduler places; it is used where a route has gap_aim_ms and both kinds of prompt are present. Selecting engines for a given size is a function of its own. Routes read gap_aim_ms.

--- a/include/fordwood/engine_groups.hpp
+++ b/include/fordwood/engine_groups.hpp
@@ -30,6 +30,8 @@
     { }
 
     void count(const Prompt &prompt);
+    // The same, for a known hash of the shared parts.
+    void count(std::uint64_t context, std::size_t sharedTokens);
 
     // Tokens of the contexts that this node's requests used recently.
     std::size_t ownTokens();
@@ -57,10 +59,20 @@
     std::map<std::string, PeerDemand> m_peers;
 };
 
-// Selects the engines that short prompts prefer and long ones avoid. Without this group, each long
-// prompt evicts the contexts of some hundred short ones from an engine's memory and delays the
-// requests that run there. All nodes that see the same engines select the same group, and adding
-// one engine to it moves few contexts.
+// The largest number of engines that may be for short prompts; zero if there are too few engines.
+std::size_t maxShortPromptEngines(std::size_t engines);
+
+// How many engines have the memory for shared context of this size, beside running requests.
+std::size_t enginesForSharedContext(const EngineTraits &traits, std::size_t tokens);
+
+// Selects this many engines for short prompts. All nodes that see the same engines select the same
+// ones, and adding one engine moves few contexts.
+std::set<std::string> selectShortPromptEngines(const std::vector<const UpstreamRecord *> &engines,
+                                               std::size_t count);
+
+// Selects the engines that short prompts prefer and long ones avoid, by the size of the contexts of
+// short prompts. Without this group, each long prompt evicts the contexts of some hundred short
+// ones from an engine's memory and delays the requests that run there.
 std::set<std::string> enginesForShortPrompts(const std::vector<const UpstreamRecord *> &engines,
                                              const EngineTraits &traits, std::size_t demandTokens);
 
--- a/include/fordwood/placement_ledger.hpp
+++ b/include/fordwood/placement_ledger.hpp
@@ -46,6 +46,8 @@
         // The prompt counts as computed from then on, even without a report: its node may be gone.
         TimePoint computedBy{};
         TimePoint endsBy{}; // the caller's deadline
+        // The service and shard among whose short requests this one counts; empty: a long one.
+        std::string shortRequestOf = {};
     };
 
     explicit PlacementLedger(const Clock &clock) : m_clock(clock) { }
@@ -63,6 +65,9 @@
     // The load of an engine by instance id, or the context to fetch from a store by address.
     UpstreamLoad total(const std::string &instanceId) const override;
 
+    // Short requests of a service and shard that have not ended.
+    std::size_t runningShort(const std::string &serviceShard) const;
+
     std::size_t size() const { return m_placements.size(); }
 
 private:
@@ -74,6 +79,7 @@
         bool isComputed = false;
         TimePoint computedBy{};
         TimePoint endsBy{};
+        std::string shortRequestOf;
     };
 
     void promptComputed(Entry &entry);
@@ -83,6 +89,7 @@
     std::map<PlacementId, Entry> m_placements;
     std::set<std::pair<TimePoint, PlacementId>> m_expiries; // the next one of each placement
     std::unordered_map<std::uint64_t, UpstreamLoad> m_loads; // by hash of the instance id
+    std::map<std::string, std::size_t> m_runningShort; // by service and shard
 };
 
 } // namespace fordwood
--- a/include/fordwood/prefill_pace.hpp
+++ b/include/fordwood/prefill_pace.hpp
@@ -39,6 +39,13 @@
         return std::chrono::duration_cast<Duration>(ms);
     }
 
+    // Of one engine.
+    double tokensPerSecond() const
+    {
+        constexpr double kMillisecondsPerSecond = 1'000.0;
+        return kMillisecondsPerSecond * m_tokensPerMs.value;
+    }
+
     // Approximate upper bound of the time until `n` requests have finished, of which `atOnce` run
     // at once: requests that started together finish together.
     Duration timeUntilFinished(std::size_t n, std::size_t atOnce) const
--- a/include/fordwood/serving_config.hpp
+++ b/include/fordwood/serving_config.hpp
@@ -32,6 +32,8 @@
     std::size_t maxAttempts = 1; // upstreams to which one request may be sent
     std::chrono::milliseconds timeout{0}; // longest time that a request may take
     std::chrono::milliseconds targetLatency{0}; // a response within it has its full value
+    std::chrono::milliseconds maxPause{
+        0}; // between two events of a timely stream; 0: not specified
     int priority = 0; // 0 is the most urgent
 
     // Whether another attempt is allowed after one that may have run.
--- a/src/adapters/observe/metrics.cpp
+++ b/src/adapters/observe/metrics.cpp
@@ -45,9 +45,10 @@
     prometheus::BuildCounter().Name(name).Register(*m_registry).Add({}).Increment(by);
 }
 
-void Metrics::setGauge(const std::string &name, double value)
+void Metrics::setGauge(const std::string &name, double value,
+                       const std::map<std::string, std::string> &labels)
 {
-    prometheus::BuildGauge().Name(name).Register(*m_registry).Add({}).Set(value);
+    prometheus::BuildGauge().Name(name).Register(*m_registry).Add(labels).Set(value);
 }
 
 void Metrics::observe(const std::string &name, Duration time)
--- a/src/adapters/observe/metrics.hpp
+++ b/src/adapters/observe/metrics.hpp
@@ -32,7 +32,8 @@
     // Increments a counter by name.
     void count(const std::string &name, double by = 1.0);
 
-    void setGauge(const std::string &name, double value);
+    void setGauge(const std::string &name, double value,
+                  const std::map<std::string, std::string> &labels = {});
 
     // Adds a time to a histogram.
     void observe(const std::string &name, Duration time);
--- a/src/core/engine_groups.cpp
+++ b/src/core/engine_groups.cpp
@@ -28,7 +28,12 @@
 
 void ShortPromptDemand::count(const Prompt &prompt)
 {
-    m_contexts[prompt.contextHash()] = {prompt.sharedTokens(), m_clock.now()};
+    count(prompt.contextHash(), prompt.sharedTokens());
+}
+
+void ShortPromptDemand::count(std::uint64_t context, std::size_t sharedTokens)
+{
+    m_contexts[context] = {sharedTokens, m_clock.now()};
 }
 
 std::size_t ShortPromptDemand::ownTokens()
@@ -57,24 +62,41 @@
     return sum;
 }
 
-std::set<std::string> enginesForShortPrompts(const std::vector<const UpstreamRecord *> &engines,
-                                             const EngineTraits &traits, std::size_t demandTokens)
+std::size_t maxShortPromptEngines(std::size_t engines)
+{
+    if (engines < 2)
+        return 0;
+    return std::max<std::size_t>(static_cast<std::size_t>(kMaxShare * static_cast<double>(engines)),
+                                 1);
+}
+
+std::size_t enginesForSharedContext(const EngineTraits &traits, std::size_t tokens)
+{
+    if (traits.contextTokens == 0)
+        return 0;
+    return static_cast<std::size_t>(std::ceil(kRunningRequestsFactor * static_cast<double>(tokens)
+                                              / static_cast<double>(traits.contextTokens)));
+}
+
+std::set<std::string> selectShortPromptEngines(const std::vector<const UpstreamRecord *> &engines,
+                                               std::size_t count)
 {
-    if (engines.size() < 2 || traits.contextTokens == 0 || demandTokens == 0)
-        return {};
-    const double needed = kRunningRequestsFactor * static_cast<double>(demandTokens)
-                          / static_cast<double>(traits.contextTokens);
-    const auto most = static_cast<std::size_t>(kMaxShare * static_cast<double>(engines.size()));
-    const std::size_t n = std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(needed)), 1,
-                                                  std::max<std::size_t>(most, 1));
     std::vector<std::uint64_t> hashes;
     hashes.reserve(engines.size());
     for (const UpstreamRecord *it : engines)
         hashes.push_back(stableHash(it->instanceId));
     std::set<std::string> selected;
-    for (const std::size_t it : rendezvousOrder(stableHash("short prompts"), hashes, n))
+    for (const std::size_t it : rendezvousOrder(stableHash("short prompts"), hashes, count))
         selected.insert(engines[it]->instanceId);
     return selected;
 }
 
+std::set<std::string> enginesForShortPrompts(const std::vector<const UpstreamRecord *> &engines,
+                                             const EngineTraits &traits, std::size_t demandTokens)
+{
+    const std::size_t needed = enginesForSharedContext(traits, demandTokens);
+    return selectShortPromptEngines(engines,
+                                    std::min(needed, maxShortPromptEngines(engines.size())));
+}
+
 } // namespace fordwood
--- a/src/core/placement_ledger.cpp
+++ b/src/core/placement_ledger.cpp
@@ -20,6 +20,9 @@
         entry.fetchTokens.emplace_back(UpstreamLoads::keyOf(store), tokens);
         m_loads[entry.fetchTokens.back().first] += {1, tokens, 0};
     }
+    entry.shortRequestOf = placement.shortRequestOf;
+    if (!entry.shortRequestOf.empty())
+        m_runningShort[entry.shortRequestOf] += 1;
     m_expiries.emplace(std::min(entry.computedBy, entry.endsBy), id);
     m_placements.emplace(id, entry);
 }
@@ -51,6 +54,9 @@
     const Entry &entry = it->second;
     m_expiries.erase({entry.endsBy, id});
     subtract(entry.engine, {1, 0, entry.load.tokensHeld});
+    const auto runningShort = m_runningShort.find(entry.shortRequestOf);
+    if (runningShort != m_runningShort.end() && --runningShort->second == 0)
+        m_runningShort.erase(runningShort);
     m_placements.erase(it);
 }
 
@@ -80,4 +86,10 @@
     return it == m_loads.end() ? UpstreamLoad{} : it->second;
 }
 
+std::size_t PlacementLedger::runningShort(const std::string &serviceShard) const
+{
+    const auto it = m_runningShort.find(serviceShard);
+    return it == m_runningShort.end() ? 0 : it->second;
+}
+
 } // namespace fordwood
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -2,11 +2,15 @@
 #ifndef FORDWOOD_NODE_ENGINE_SCHEDULER_HPP_INCLUDED
 #define FORDWOOD_NODE_ENGINE_SCHEDULER_HPP_INCLUDED
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fordwood/engine_chooser.hpp"
+#include "fordwood/engine_group_planner.hpp"
 #include "fordwood/load_view.hpp"
 #include "fordwood/placement_ledger.hpp"
 #include "fordwood/serving_config.hpp"
@@ -30,6 +34,9 @@
     // Applies what a node reports of its requests.
     void apply(const PlacementProgress &progress);
 
+    // Periodic work.
+    void tick();
+
     // Requests that are placed and have not ended.
     std::size_t openPlacements() const { return m_ledger.size(); }
 
@@ -45,10 +52,31 @@
         EngineScheduler &m_scheduler;
     };
 
+    // The engines of a service's shard that are for short prompts.
+    struct ShortGroup
+    {
+        ShortGroup(const Clock &clock, std::string serviceName, EngineShard engineShard)
+            : service(std::move(serviceName)), shard(engineShard), planner(clock)
+        { }
+
+        std::string service;
+        EngineShard shard;
+        EngineGroupPlanner planner;
+        std::size_t engineCount = 0; // in the shard
+        std::set<std::string> engines;
+    };
+
     void recordActivity();
     bool isLedgerComplete() const;
     std::optional<EngineChoice> choose(const PlacementRequest &request, const ServicePool &pool);
     void record(const PlacementRequest &request, const EngineChoice &choice);
+    static std::string groupKey(const PlacementRequest &request);
+    std::vector<const UpstreamRecord *> shardEngines(const std::string &service,
+                                                     const EngineShard &shard) const;
+    ShortGroup &shortGroup(const PlacementRequest &request, const ServicePool &pool);
+    std::size_t shortGroupSize(const std::string &key, ShortGroup &group, const ServicePool &pool);
+    void selectShortGroup(ShortGroup &group, std::size_t size);
+    void updateShortGroups();
 
     NodeState &m_state;
     const Clock &m_clock;
@@ -56,6 +84,7 @@
     Loads m_loads;
     std::optional<TimePoint> m_activeSince; // of the current role as a scheduler
     TimePoint m_lastRequest{};
+    std::map<std::string, ShortGroup> m_shortGroups; // by service and shard
 };
 
 } // namespace fordwood::node
--- a/src/node/placements.cpp
+++ b/src/node/placements.cpp
@@ -211,6 +211,7 @@
 void Placements::tick()
 {
     m_socket.checkForStall();
+    m_scheduler.tick();
     m_metrics.setGauge("fordwood_placements_open",
                        static_cast<double>(m_scheduler.openPlacements()));
 }
--- a/tests/node/decoder_fuzz_test.cpp
+++ b/tests/node/decoder_fuzz_test.cpp
@@ -118,8 +118,8 @@
 
 const std::string kConfiguration
     = R"({"version":7,"routes":[{"name":"r","host":"a","path-prefix":"/p/","kind":"streaming",)"
-      R"("timeout-ms":8000,"target-latency-ms":800,"priority":1,"traffic-split":[{"service":"s",)"
-      R"("weight":90}],"max-attempts":2,"resumable":true}],"services":[{"name":"s",)"
+      R"("timeout-ms":8000,"target-latency-ms":800,"gap_aim_ms":250,"priority":1,)"
+      R"("traffic-split":[{"service":"s","weight":90}],"max-attempts":2,"resumable":true}],"services":[{"name":"s",)"
       R"("max-connections":590,"cold-start-s":3.0,"cold-per-s":14.0,"engine":{"slots":12,)"
       R"("kv-cache-tokens":86792,"models":[{"name":"m"}]}},{"name":"k","zone":"z",)"
       R"("kv-store-address":"10.0.0.1:80","managed":true}],"limits":{"max-header-bytes":16384},)"
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -212,7 +212,8 @@
 {
     const auto config = readConfiguration(R"({"version":7,
         "routes":[{"name":"r1","host":"a.example","path-prefix":"/x/","kind":"streaming",
-                   "timeout-ms":10000,"target-latency-ms":800,"priority":1,"max-attempts":2,
+                   "timeout-ms":10000,"target-latency-ms":800,"gap_aim_ms":250,"priority":1,
+                   "max-attempts":2,
                    "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
                    "resumable":true},
                   {"name":"r2","host":"a.example","path-prefix":"/y/","kind":"safe",
@@ -230,6 +231,9 @@
     CHECK(config->routes[0].mayRunAgain());
     CHECK(config->routes[0].targets.size() == 2);
     CHECK(config->routes[0].timeout == 10s);
+    CHECK(config->routes[0].targetLatency == 800ms);
+    CHECK(config->routes[0].maxPause == 250ms);
+    CHECK(config->routes[1].maxPause == 0ms);
     CHECK(config->routes[1].repeatable);
     CHECK(config->routes[1].isPublic);
     REQUIRE(config->services.size() == 2);
@@ -253,7 +257,11 @@
 {
     for (const char *it : {"", "{", "[]", "{}", R"({"version":"x","routes":[],"services":[]})",
                            R"({"version":1,"routes":[{}],"services":[]})",
-                           R"({"version":1,"routes":7,"services":[]})"}) {
+                           R"({"version":1,"routes":7,"services":[]})",
+                           R"({"version":1,"services":[],"routes":[{"host":"a","path-prefix":"/",
+                               "service":"s","gap_aim_ms":"250"}]})",
+                           R"({"version":1,"services":[],"routes":[{"host":"a","path-prefix":"/",
+                               "service":"s","gap_aim_ms":null}]})"}) {
         const auto config = readConfiguration(it);
         REQUIRE_FALSE(config);
         CHECK_FALSE(config.error().problem.empty());
--- a/tools/check_platform_names.sh
+++ b/tools/check_platform_names.sh
@@ -9,7 +9,7 @@
     Expect-Version Cache-Salt Kv-Fetch Kv-Save Kv-Until Kv-From Kv-Backup Pin-Ms Response-Seal
     Not-Executed Server-Limit Server-Leaving Store-Era Instance-Id Length-Hint Wait-Ms /api/ kv-txn kv-watch kv-range kv-lease kv-keep
     private-key path-prefix next-token expected-revision fencing-token traffic-split api-keys
-    target-latency-ms max-attempts kv-cache-tokens kv-store-address op/config op/version 'servers/'
+    target-latency-ms gap_aim_ms max-attempts kv-cache-tokens kv-store-address op/config op/version 'servers/'
 )
 pattern=$(printf '%s|' "${names[@]}")
 # The product's own interface has an X-Request-Id of its own.
