The scheduler avoids engines that are slow at the moment

Cause: engines are slower by 2.5 for periods of about 600 ms, and the tokens queued there count as at any other engine.

Change: EnginePaces compares the times to first token with the scheduler's estimates, from the ledger's samples and from the prompt that is overdue first; the load of an engine is multiplied by it. The samples also go to the service's PrefillPace. The reply carries the recorded load, from which nodes learn.

--- a/include/fordwood/placement_ledger.hpp
+++ b/include/fordwood/placement_ledger.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "fordwood/clock.hpp"
+#include "fordwood/engine_paces.hpp"
 #include "fordwood/load_view.hpp"
 #include "fordwood/upstream_load_tracker.hpp"
 
@@ -38,6 +40,22 @@
 class PlacementLedger : public LoadView
 {
 public:
+    // The estimate of a prompt's first token.
+    struct Estimate
+    {
+        std::string service;
+        std::size_t tokens = 0; // to compute by then, those queued before included; zero: unknown
+        Duration firstToken{}; // after the placement; zero: no estimate
+    };
+
+    // A first token that arrived, and its estimate.
+    struct FirstToken
+    {
+        std::uint64_t engine = 0; // hash of the instance id
+        Estimate estimate;
+        Duration took{};
+    };
+
     struct Placement
     {
         std::string engine; // instance id
@@ -48,6 +66,7 @@
         TimePoint endsBy{}; // the caller's deadline
         // The service and shard among whose short requests this one counts; empty: a long one.
         std::string shortRequestOf = {};
+        Estimate estimate = {};
     };
 
     explicit PlacementLedger(const Clock &clock) : m_clock(clock) { }
@@ -55,8 +74,9 @@
     // Replaces an earlier placement with this id.
     void add(const PlacementId &id, const Placement &placement);
 
-    // The prompt has been computed, or the request has ended. Unknown ids are ignored.
-    void promptComputed(const PlacementId &id);
+    // The prompt has been computed, or the request has ended. Unknown ids are ignored. Returns the
+    // time of the first token if it was estimated and is reported for the first time.
+    std::optional<FirstToken> promptComputed(const PlacementId &id);
     void end(const PlacementId &id);
 
     // Removes what is past its time.
@@ -65,6 +85,10 @@
     // The load of an engine by instance id, or the context to fetch from a store by address.
     UpstreamLoad total(const std::string &instanceId) const override;
 
+    // Of the engine's prompts with an estimate that have not been computed, the one whose first
+    // token was expected first. `engine`: hash of the instance id.
+    std::optional<WaitingPrompt> firstDue(std::uint64_t engine) const;
+
     // Short requests of a service and shard that have not ended.
     std::size_t runningShort(const std::string &serviceShard) const;
 
@@ -80,7 +104,10 @@
         TimePoint computedBy{};
         TimePoint endsBy{};
         std::string shortRequestOf;
+        Estimate estimate;
+        TimePoint placedAt{};
     };
+    using WaitingPrompts = std::set<std::pair<TimePoint, PlacementId>>; // by expected first token
 
     void promptComputed(Entry &entry);
     void subtract(std::uint64_t upstream, const UpstreamLoad &load);
@@ -89,6 +116,7 @@
     std::map<PlacementId, Entry> m_placements;
     std::set<std::pair<TimePoint, PlacementId>> m_expiries; // the next one of each placement
     std::unordered_map<std::uint64_t, UpstreamLoad> m_loads; // by hash of the instance id
+    std::unordered_map<std::uint64_t, WaitingPrompts> m_waiting; // by hash of the instance id
     std::map<std::string, std::size_t> m_runningShort; // by service and shard
 };
 
--- a/src/core/placement_ledger.cpp
+++ b/src/core/placement_ledger.cpp
@@ -20,6 +20,10 @@
         entry.fetchTokens.emplace_back(UpstreamLoads::keyOf(store), tokens);
         m_loads[entry.fetchTokens.back().first] += {1, tokens, 0};
     }
+    entry.estimate = placement.estimate;
+    entry.placedAt = m_clock.now();
+    if (entry.estimate.firstToken > Duration(0))
+        m_waiting[entry.engine].emplace(entry.placedAt + entry.estimate.firstToken, id);
     entry.shortRequestOf = placement.shortRequestOf;
     if (!entry.shortRequestOf.empty())
         m_runningShort[entry.shortRequestOf] += 1;
@@ -27,14 +31,31 @@
     m_placements.emplace(id, entry);
 }
 
-void PlacementLedger::promptComputed(const PlacementId &id)
+std::optional<PlacementLedger::FirstToken> PlacementLedger::promptComputed(const PlacementId &id)
 {
     const auto it = m_placements.find(id);
     if (it == m_placements.end() || it->second.isComputed)
-        return;
-    m_expiries.erase({std::min(it->second.computedBy, it->second.endsBy), id});
-    promptComputed(it->second);
-    m_expiries.emplace(it->second.endsBy, id);
+        return std::nullopt;
+    Entry &entry = it->second;
+    m_expiries.erase({std::min(entry.computedBy, entry.endsBy), id});
+    promptComputed(entry);
+    m_expiries.emplace(entry.endsBy, id);
+    if (entry.estimate.firstToken <= Duration(0))
+        return std::nullopt;
+    const auto waiting = m_waiting.find(entry.engine);
+    waiting->second.erase({entry.placedAt + entry.estimate.firstToken, id});
+    if (waiting->second.empty())
+        m_waiting.erase(waiting);
+    return FirstToken{entry.engine, entry.estimate, m_clock.now() - entry.placedAt};
+}
+
+std::optional<WaitingPrompt> PlacementLedger::firstDue(std::uint64_t engine) const
+{
+    const auto it = m_waiting.find(engine);
+    if (it == m_waiting.end())
+        return std::nullopt;
+    const Entry &entry = m_placements.at(it->second.begin()->second);
+    return WaitingPrompt{entry.placedAt, entry.estimate.firstToken};
 }
 
 void PlacementLedger::promptComputed(Entry &entry)
--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -5,6 +5,7 @@
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
+#include "fordwood/upstream_loads.hpp"
 #include "node/node_state.hpp"
 
 namespace fordwood::node {
@@ -24,6 +25,23 @@
 // Maximum estimated wait in target latencies. Answers to prompts that wait longer would be late.
 constexpr double kMaxWait = 0.7;
 
+// A slow engine without requests is avoided from this pace on: below it, the difference may be
+// chance.
+constexpr double kSlowPace = 1.5;
+
+// The work at a slow engine besides the recorded tokens, per unit of pace above 1: it delays the
+// answers that run there and the prompt itself.
+constexpr double kSlowEngineTokens = 2'000.0;
+
+// Added to the estimate of each first token: the chunk that the engine computes at the moment, and
+// the messages between the nodes.
+constexpr Duration kFirstTokenOverhead = std::chrono::milliseconds(30);
+
+// Share of the queued tokens that a short prompt waits for, and time to fetch a token relative to
+// computing it, as EngineChooser estimates them.
+constexpr double kShortQueueShare = 0.3;
+constexpr double kFetchWeight = 0.2;
+
 bool isLate(const PlacementRequest &request, const EngineChoice &choice, const PrefillPace &pace)
 {
     const std::chrono::duration<double, std::nano> target(request.targetLatency);
@@ -34,10 +52,22 @@
 
 UpstreamLoad EngineScheduler::Loads::total(const std::string &instanceId) const
 {
-    UpstreamLoad load = m_scheduler.m_ledger.total(instanceId);
-    if (m_scheduler.isLedgerComplete())
+    UpstreamLoad load = m_scheduler.recordedLoad(instanceId);
+    const std::uint64_t engine = UpstreamLoads::keyOf(instanceId);
+    const double pace = m_scheduler.m_paces.value(engine, m_scheduler.m_ledger.firstDue(engine));
+    double tokens = pace * static_cast<double>(load.tokensToCompute);
+    if (load.running > 0 || pace > kSlowPace)
+        tokens += kSlowEngineTokens * (pace - 1.0);
+    load.tokensToCompute = static_cast<std::size_t>(tokens);
+    return load;
+}
+
+UpstreamLoad EngineScheduler::recordedLoad(const std::string &instanceId) const
+{
+    UpstreamLoad load = m_ledger.total(instanceId);
+    if (isLedgerComplete())
         return load;
-    const UpstreamLoad exchanged = m_scheduler.m_state.loads().total(instanceId);
+    const UpstreamLoad exchanged = m_state.loads().total(instanceId);
     load.running = std::max(load.running, exchanged.running);
     load.tokensToCompute = std::max(load.tokensToCompute, exchanged.tokensToCompute);
     load.tokensHeld = std::max(load.tokensHeld, exchanged.tokensHeld);
@@ -45,7 +75,7 @@
 }
 
 EngineScheduler::EngineScheduler(NodeState &state, const Clock &clock)
-    : m_state(state), m_clock(clock), m_ledger(clock), m_loads(*this)
+    : m_state(state), m_clock(clock), m_ledger(clock), m_paces(clock), m_loads(*this)
 { }
 
 void EngineScheduler::recordActivity()
@@ -111,7 +141,12 @@
                                      0,
                                      {},
                                      m_state.pace(pool.name)};
-    return m_state.engines().choose(query, engines, m_loads, m_state.health(), m_state.contexts());
+    auto choice
+        = m_state.engines().choose(query, engines, m_loads, m_state.health(), m_state.contexts());
+    // The requesting node learns the pace of all engines from it.
+    if (choice)
+        choice->loadBefore = recordedLoad(choice->instanceId);
+    return choice;
 }
 
 void EngineScheduler::record(const PlacementRequest &request, const EngineChoice &choice)
@@ -123,9 +158,36 @@
         group->second.planner.promptPlaced(
             {choice.isShort, choice.load, choice.context, choice.sharedTokens, request.maxPause});
     const TimePoint now = m_clock.now();
-    m_ledger.add(request.id, {choice.instanceId, choice.load, choice.fetchTokens,
-                              now + 2 * choice.firstTokenDelay + kOverdueMargin,
-                              now + request.remaining, choice.isShort ? key : std::string()});
+    m_ledger.add(request.id,
+                 {choice.instanceId, choice.load, choice.fetchTokens,
+                  now + 2 * choice.firstTokenDelay + kOverdueMargin, now + request.remaining,
+                  choice.isShort ? key : std::string(), estimate(request, choice)});
+}
+
+// Without the pace of the engine, with which the first tokens are compared. Nothing is estimated
+// while the ledger does not know all requests, or where a request waits for a slot.
+PlacementLedger::Estimate EngineScheduler::estimate(const PlacementRequest &request,
+                                                    const EngineChoice &choice) const
+{
+    const UpstreamLoad load = m_ledger.total(choice.instanceId);
+    const ServicePool *pool = m_state.table()->findService(request.service);
+    if (!isLedgerComplete() || load.running >= pool->engine->slots)
+        return {};
+    const std::size_t tokens = load.tokensToCompute + choice.load.tokensToCompute;
+    double cost = static_cast<double>(choice.load.tokensToCompute);
+    cost += (choice.isShort ? kShortQueueShare : 1.0) * static_cast<double>(load.tokensToCompute);
+    for (const auto &[store, fetched] : choice.fetchTokens)
+        cost += kFetchWeight * static_cast<double>(fetched);
+    // Short prompts overtake the queue, so their first tokens do not show how fast it is computed.
+    return {request.service, choice.isShort ? 0 : tokens,
+            kFirstTokenOverhead + m_state.pace(request.service).timeFor(cost)};
+}
+
+void EngineScheduler::observe(const PlacementLedger::FirstToken &firstToken)
+{
+    const PlacementLedger::Estimate &estimate = firstToken.estimate;
+    m_paces.addSample(firstToken.engine, estimate.firstToken, firstToken.took);
+    m_state.pace(estimate.service).observe(estimate.tokens, firstToken.took);
 }
 
 std::string EngineScheduler::groupKey(const PlacementRequest &request)
@@ -203,6 +265,7 @@
 void EngineScheduler::tick()
 {
     updateShortGroups();
+    m_paces.removeExpired();
 }
 
 void EngineScheduler::apply(const PlacementProgress &progress)
@@ -212,8 +275,10 @@
         m_ledger.add({progress.process, it.number},
                      {it.instanceId, it.load, {}, m_clock.now() + kOverdueMargin, endsBy});
     }
-    for (const std::uint64_t it : progress.computed)
-        m_ledger.promptComputed({progress.process, it});
+    for (const std::uint64_t it : progress.computed) {
+        if (const auto firstToken = m_ledger.promptComputed({progress.process, it}))
+            observe(*firstToken);
+    }
     for (const std::uint64_t it : progress.ended)
         m_ledger.end({progress.process, it});
 }
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -11,6 +11,7 @@
 
 #include "fordwood/engine_chooser.hpp"
 #include "fordwood/engine_group_planner.hpp"
+#include "fordwood/engine_paces.hpp"
 #include "fordwood/load_view.hpp"
 #include "fordwood/placement_ledger.hpp"
 #include "fordwood/serving_config.hpp"
@@ -41,7 +42,7 @@
     std::size_t openPlacements() const { return m_ledger.size(); }
 
 private:
-    // The ledger's loads and, until the ledger is complete, the exchanged ones.
+    // The recorded loads, multiplied by the pace of the engine.
     class Loads : public LoadView
     {
     public:
@@ -68,6 +69,11 @@
 
     void recordActivity();
     bool isLedgerComplete() const;
+    // The ledger's load and, until the ledger is complete, the exchanged one.
+    UpstreamLoad recordedLoad(const std::string &instanceId) const;
+    PlacementLedger::Estimate estimate(const PlacementRequest &request,
+                                       const EngineChoice &choice) const;
+    void observe(const PlacementLedger::FirstToken &firstToken);
     std::optional<EngineChoice> choose(const PlacementRequest &request, const ServicePool &pool);
     void record(const PlacementRequest &request, const EngineChoice &choice);
     static std::string groupKey(const PlacementRequest &request);
@@ -81,6 +87,7 @@
     NodeState &m_state;
     const Clock &m_clock;
     PlacementLedger m_ledger;
+    EnginePaces m_paces;
     Loads m_loads;
     std::optional<TimePoint> m_activeSince; // of the current role as a scheduler
     TimePoint m_lastRequest{};
