--- a/src/core/placement_ledger.cpp
+++ b/src/core/placement_ledger.cpp
@@ -20,18 +20,42 @@
         entry.fetchTokens.emplace_back(UpstreamLoads::keyOf(store), tokens);
         m_loads[entry.fetchTokens.back().first] += {1, tokens, 0};
     }
+    entry.estimate = placement.estimate;
+    entry.placedAt = m_clock.now();
+    if (entry.estimate.firstToken > Duration(0))
+        m_waiting[entry.engine].emplace(entry.placedAt + entry.estimate.firstToken, id);
+    entry.shortRequestOf = placement.shortRequestOf;
+    if (!entry.shortRequestOf.empty())
+        m_runningShort[entry.shortRequestOf] += 1;
     m_expiries.emplace(std::min(entry.computedBy, entry.endsBy), id);
     m_placements.emplace(id, entry);
 }
 
-void PlacementLedger::promptComputed(const PlacementId &id)
+std::optional<PlacementLedger::FirstToken> PlacementLedger::promptComputed(const PlacementId &id)
 {
     const auto it = m_placements.find(id);
     if (it == m_placements.end() || it->second.isComputed)
-        return;
-    m_expiries.erase({std::min(it->second.computedBy, it->second.endsBy), id});
-    promptComputed(it->second);
-    m_expiries.emplace(it->second.endsBy, id);
+        return std::nullopt;
+    Entry &entry = it->second;
+    m_expiries.erase({std::min(entry.computedBy, entry.endsBy), id});
+    promptComputed(entry);
+    m_expiries.emplace(entry.endsBy, id);
+    if (entry.estimate.firstToken <= Duration(0))
+        return std::nullopt;
+    const auto waiting = m_waiting.find(entry.engine);
+    waiting->second.erase({entry.placedAt + entry.estimate.firstToken, id});
+    if (waiting->second.empty())
+        m_waiting.erase(waiting);
+    return FirstToken{entry.engine, entry.estimate, m_clock.now() - entry.placedAt};
+}
+
+std::optional<WaitingPrompt> PlacementLedger::firstDue(std::uint64_t engine) const
+{
+    const auto it = m_waiting.find(engine);
+    if (it == m_waiting.end())
+        return std::nullopt;
+    const Entry &entry = m_placements.at(it->second.begin()->second);
+    return WaitingPrompt{entry.placedAt, entry.estimate.firstToken};
 }
 
 void PlacementLedger::promptComputed(Entry &entry)
@@ -51,6 +75,9 @@
     const Entry &entry = it->second;
     m_expiries.erase({entry.endsBy, id});
     subtract(entry.engine, {1, 0, entry.load.tokensHeld});
+    const auto runningShort = m_runningShort.find(entry.shortRequestOf);
+    if (runningShort != m_runningShort.end() && --runningShort->second == 0)
+        m_runningShort.erase(runningShort);
     m_placements.erase(it);
 }
 
@@ -80,4 +107,10 @@
     return it == m_loads.end() ? UpstreamLoad{} : it->second;
 }
 
+std::size_t PlacementLedger::runningShort(const std::string &serviceShard) const
+{
+    const auto it = m_runningShort.find(serviceShard);
+    return it == m_runningShort.end() ? 0 : it->second;
+}
+
 } // namespace fordwood
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -4,10 +4,14 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fordwood/engine_chooser.hpp"
+#include "fordwood/engine_group_planner.hpp"
+#include "fordwood/engine_paces.hpp"
 #include "fordwood/load_view.hpp"
 #include "fordwood/placement_admission.hpp"
 #include "fordwood/placement_ledger.hpp"
@@ -32,11 +36,14 @@
     // Applies what a node reports of its requests.
     void apply(const PlacementProgress &progress);
 
+    // Periodic work.
+    void tick();
+
     // Requests that are placed and have not ended.
     std::size_t openPlacements() const { return m_ledger.size(); }
 
 private:
-    // The ledger's loads and, until the ledger is complete, the exchanged ones.
+    // The recorded loads, multiplied by the pace of the engine.
     class Loads : public LoadView
     {
     public:
@@ -47,18 +54,46 @@
         EngineScheduler &m_scheduler;
     };
 
+    // The engines of a service's shard that are for short prompts.
+    struct ShortGroup
+    {
+        ShortGroup(const Clock &clock, std::string serviceName, EngineShard engineShard)
+            : service(std::move(serviceName)), shard(engineShard), planner(clock)
+        { }
+
+        std::string service;
+        EngineShard shard;
+        EngineGroupPlanner planner;
+        std::size_t engineCount = 0; // in the shard
+        std::set<std::string> engines;
+    };
+
     void recordActivity();
     bool isLedgerComplete() const;
+    // The ledger's load and, until the ledger is complete, the exchanged one.
+    UpstreamLoad recordedLoad(const std::string &instanceId) const;
+    PlacementLedger::Estimate estimate(const PlacementRequest &request,
+                                       const EngineChoice &choice) const;
+    void observe(const PlacementLedger::FirstToken &firstToken);
     std::optional<EngineChoice> choose(const PlacementRequest &request, const ServicePool &pool);
     void record(const PlacementRequest &request, const EngineChoice &choice);
+    static std::string groupKey(const PlacementRequest &request);
+    std::vector<const UpstreamRecord *> shardEngines(const std::string &service,
+                                                     const EngineShard &shard) const;
+    ShortGroup &shortGroup(const PlacementRequest &request, const ServicePool &pool);
+    std::size_t shortGroupSize(const std::string &key, ShortGroup &group, const ServicePool &pool);
+    void selectShortGroup(ShortGroup &group, std::size_t size);
+    void updateShortGroups();
 
     NodeState &m_state;
     const Clock &m_clock;
     PlacementLedger m_ledger;
+    EnginePaces m_paces;
     Loads m_loads;
     std::map<std::string, PlacementAdmission> m_admissions; // by service
     std::optional<TimePoint> m_activeSince; // of the current role as a scheduler
     TimePoint m_lastRequest{};
+    std::map<std::string, ShortGroup> m_shortGroups; // by service and shard
 };
 
 } // namespace fordwood::node
