--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -53,7 +53,7 @@
             = std::chrono::milliseconds(1'500); // how long a store's answer is valid
         Duration saveTimeout
             = std::chrono::seconds(4); // a save not confirmed by then is considered lost
-        std::size_t maxSends = 4'096; // sends remembered
+        std::size_t maxSends = 32'768; // sends remembered; a scheduler records those of all nodes
         // Context that can be fetched for less than this time is not worth saving.
         Duration minUseTime = std::chrono::seconds(2);
         // Sends are announced to peers for this long, as some messages may be lost.
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -45,6 +45,7 @@
     bool isPreferred = false; // all nodes rank this engine first for the context
     bool holdsContext = false; // according to recent sends
     bool isStored = false; // a store holds the context
+    bool fetchesStored = false; // it is fetched from there, and not computed
     UpstreamLoad loadBefore; // load of the engine before this request
     double queuedTokens = 0.0; // work to be computed before this prompt, in tokens
     // Upper bound of the time from the send to the first token, for rules that must not be broken.
@@ -105,6 +106,8 @@
         // one that is not, at any cost; zero: no such bound. For a caller that knows the loads
         // exactly: with old ones, many nodes would choose the same few engines.
         Duration maxDelay{};
+        // Whether stored context is fetched, if this has been decided already.
+        std::optional<bool> fetchesStored = {};
         // Whether context that no store holds may be fetched from an engine. Only a scheduler
         // knows well enough which engines have received it.
         bool fetchesFromEngines = false;
@@ -133,13 +136,22 @@
         double queuedTokens = 0.0; // to be sent over its link for other requests
     };
 
+    // The store that holds a part of the prompt; empty address: none.
+    struct StoredPart
+    {
+        ContextDirectory::Holder holder;
+        double queuedTokens = 0.0; // there, for other requests
+
+        bool isHeld() const { return !holder.address.empty(); }
+    };
+
     // Values shared by all engines that serve the same weights.
     struct VersionInfo
     {
         std::uint64_t version = 0;
         std::string salt;
-        ContextDirectory::Holder holder; // store with the context; empty address: none
-        double storeTokens = 0.0; // queued there for other requests
+        // The stores that hold the shared parts, in the order of the parts.
+        std::vector<StoredPart> stored;
         double cost = 0.0; // of answering with this version
         bool isSuperseded = false;
         bool isAtEngine = false; // an engine has the context, according to recent sends
@@ -155,6 +167,8 @@
         std::uint64_t weight = 0; // rendezvous weight of the engine for the context
         std::size_t rank = 0; // zero: preferred by all nodes
         bool holdsContext = false;
+        // Shared parts that the engine has. Fewer than all of them are known only to a scheduler.
+        std::size_t heldParts = 0;
         bool fetches = true; // the context, if a store has it
         const UpstreamRecord *source = nullptr; // engine to fetch from what no store holds
         UpstreamLoad load;
@@ -190,6 +204,7 @@
     Duration expectedDelay(const Candidate &candidate, const PromptInfo &promptInfo,
                            const Query &query) const;
     double storeWait(const VersionInfo &weights, double sharedTokens) const;
+    static double storeQueue(const VersionInfo &weights, std::size_t firstPart);
     double oldWeightsCost(std::uint64_t version, const WeightHistory &weights) const;
     VersionInfo weightsInfo(std::uint64_t version, const Query &query, const LoadView &loads,
                             const ContextDirectory &contexts) const;
@@ -199,7 +214,8 @@
     static double fetchCost(double sharedTokens, double waitingTokens, bool isNear);
     static std::pair<const UpstreamRecord *, double> cheapestSource(const Candidate &candidate,
                                                                     const PromptInfo &promptInfo);
-    double contextCost(Candidate &candidate, const PromptInfo &promptInfo) const;
+    double contextCost(Candidate &candidate, const PromptInfo &promptInfo,
+                       const Query &query) const;
     std::size_t contextToSave(const Prompt &prompt, const PromptPart &part) const;
     EngineChoice complete(const Candidate &candidate, const PromptInfo &promptInfo,
                           const Query &query, ContextDirectory &contexts) const;
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -106,12 +106,22 @@
 // recomputed instead.
 double EngineChooser::storeWait(const VersionInfo &weights, double sharedTokens) const
 {
-    const double waitingTokens = kFetchWeight * weights.storeTokens;
+    const double waitingTokens = kFetchWeight * storeQueue(weights, 0);
     const bool isFetched
         = waitingTokens + sharedTokens * kFetchWeight <= sharedTokens * readAgainWeight();
     return isFetched || !m_limits.mechanisms.computingInstead ? waitingTokens : 0.0;
 }
 
+// Tokens queued at the stores from which the parts from the given one on are fetched. A part that
+// is not stored ends the fetch. Transfers of different stores run at the same time.
+double EngineChooser::storeQueue(const VersionInfo &weights, std::size_t firstPart)
+{
+    double most = 0.0;
+    for (std::size_t n = firstPart; n < weights.stored.size() && weights.stored[n].isHeld(); ++n)
+        most = std::max(most, weights.stored[n].queuedTokens);
+    return most;
+}
+
 // Work to be computed before a prompt. A short prompt overtakes long ones that wait, but not those
 // that are being computed.
 double EngineChooser::queueCost(const UpstreamLoad &load, const PromptInfo &promptInfo) const
@@ -197,18 +207,20 @@
     weights.salt = contextSalt(prompt.model, version, query.isolatedTeam);
     weights.cost = oldWeightsCost(version, query.weights);
     weights.isSuperseded = query.weights.supersededAt(version).has_value();
-    if (prompt.parts.size() > 1 && m_limits.mechanisms.contextStores)
-        weights.holder = contexts.holderOf(weights.salt, prompt.parts.front().id);
-    if (!weights.holder.address.empty())
-        weights.storeTokens
-            = static_cast<double>(loads.total(weights.holder.address).tokensToCompute);
-    // The first part of a context is often shared with others and thus stored, while the large part
-    // behind it is not.
-    weights.isStored
-        = query.fetchesFromEngines && !weights.holder.address.empty()
-          && std::all_of(prompt.parts.begin(), prompt.parts.end() - 1, [&](const PromptPart &it) {
-                 return !contexts.holderOf(weights.salt, it.id).address.empty();
-             });
+    for (std::size_t n = 0; n + 1 < prompt.parts.size(); ++n) {
+        StoredPart part;
+        if (m_limits.mechanisms.contextStores)
+            part.holder = contexts.holderOf(weights.salt, prompt.parts[n].id);
+        if (part.isHeld())
+            part.queuedTokens
+                = static_cast<double>(loads.total(part.holder.address).tokensToCompute);
+        weights.stored.push_back(std::move(part));
+        if (!query.fetchesFromEngines)
+            break; // without exact loads, the first part stands for all
+    }
+    weights.isStored = query.fetchesFromEngines && !weights.stored.empty()
+                       && std::all_of(weights.stored.begin(), weights.stored.end(),
+                                      [](const StoredPart &it) { return it.isHeld(); });
     return weights;
 }
 
@@ -257,7 +269,7 @@
             continue;
         const bool isNear = it.engine->failureDomain == candidate.engine->failureDomain;
         const double cost = fetchCost(promptInfo.sharedTokens,
-                                      it.queuedTokens + candidate.weights->storeTokens, isNear);
+                                      it.queuedTokens + storeQueue(*candidate.weights, 0), isNear);
         if (best.first == nullptr || cost < best.second)
             best = {it.engine, cost};
     }
@@ -267,7 +279,8 @@
 // Cost of providing the shared context at the engine. If the source's link has more queued than
 // recomputing the context costs the fleet, the context is recomputed, so that a slow link delays
 // few answers.
-double EngineChooser::contextCost(Candidate &candidate, const PromptInfo &promptInfo) const
+double EngineChooser::contextCost(Candidate &candidate, const PromptInfo &promptInfo,
+                                  const Query &query) const
 {
     if (candidate.holdsContext)
         return 0.0;
@@ -277,15 +290,20 @@
         candidate.contextTokens = sourceCost;
         return sourceCost;
     }
-    const ContextDirectory::Holder &holder = candidate.weights->holder;
-    candidate.contextTokens = promptInfo.sharedTokens;
-    if (holder.address.empty())
-        return promptInfo.sharedTokens * recomputeWeight(candidate, promptInfo);
-    const bool isNear = holder.failureDomain == candidate.engine->failureDomain;
-    const double fetching
-        = fetchCost(promptInfo.sharedTokens, candidate.weights->storeTokens, isNear);
-    const double computing = promptInfo.sharedTokens * readAgainWeight();
-    candidate.fetches = fetching <= computing || !m_limits.mechanisms.computingInstead;
+    const VersionInfo &weights = *candidate.weights;
+    const std::size_t first = candidate.heldParts;
+    double missingTokens = promptInfo.sharedTokens;
+    for (std::size_t n = 0; n < first; ++n)
+        missingTokens -= static_cast<double>(query.prompt.parts[n].tokens);
+    candidate.contextTokens = missingTokens;
+    if (first >= weights.stored.size() || !weights.stored[first].isHeld())
+        return missingTokens * recomputeWeight(candidate, promptInfo);
+    const bool isNear
+        = weights.stored[first].holder.failureDomain == candidate.engine->failureDomain;
+    const double fetching = fetchCost(missingTokens, storeQueue(weights, first), isNear);
+    const double computing = missingTokens * readAgainWeight();
+    candidate.fetches = query.fetchesStored.value_or(fetching <= computing
+                                                     || !m_limits.mechanisms.computingInstead);
     if (candidate.fetches)
         candidate.contextTokens = fetching;
     return candidate.fetches ? fetching : computing;
@@ -310,7 +328,7 @@
     candidate.load = loads.total(id);
     candidate.cost = waitingCost(candidate.load, promptInfo, query)
                      + kFailureCost * health.failureRate(id) + candidate.weights->cost
-                     + contextCost(candidate, promptInfo);
+                     + contextCost(candidate, promptInfo, query);
     if (health.isSilent(id))
         candidate.cost += kFailureCost;
     if (!candidate.isInMatchingGroup)
@@ -326,11 +344,9 @@
                                       const Query &query) const
 {
     const UpstreamLoad &load = candidate.load;
-    const double ownTokens
-        = static_cast<double>(query.prompt.tokensIn) - promptInfo.sharedTokens;
-    const double tokens
-        = queueCost(load, promptInfo) + ownTokens + candidate.contextTokens
-          + kMissingMemoryWeight * static_cast<double>(missingMemory(load, query));
+    const double ownTokens = static_cast<double>(query.prompt.tokensIn) - promptInfo.sharedTokens;
+    const double tokens = queueCost(load, promptInfo) + ownTokens + candidate.contextTokens
+                          + kMissingMemoryWeight * static_cast<double>(missingMemory(load, query));
     const std::size_t slots = query.traits.slots;
     const std::size_t mustEnd = load.running + 1 - std::min(load.running + 1, slots);
     return query.pace.timeFor(tokens) + query.pace.timeUntilFinished(mustEnd, slots);
@@ -383,6 +399,13 @@
         it.holdsContext = contexts.isContextAtEngine(it.engine->instanceId, it.weights->salt,
                                                      promptInfo.context, keptFor);
         it.weights->isAtEngine = it.weights->isAtEngine || it.holdsContext;
+        // All requests of a few services begin with the same first part. Without this, the store
+        // that holds it would seem to be the busiest one, although hardly any engine fetches it.
+        const bool holdsFirst
+            = query.fetchesFromEngines && prompt.parts.size() > 2
+              && contexts.isContextAtEngine(it.engine->instanceId, it.weights->salt,
+                                            prompt.prefixHash(1), kShortContextKept);
+        it.heldParts = it.holdsContext ? prompt.parts.size() - 1 : (holdsFirst ? 1 : 0);
     }
     findSources(candidates, promptInfo, query, loads, health, contexts);
     std::erase_if(candidates, [&](const Candidate &it) { return !isConsidered(it, query); });
@@ -417,7 +440,9 @@
     choice.sharedTokens = prompt.sharedTokens();
     choice.isPreferred = candidate.rank == 0;
     choice.holdsContext = candidate.holdsContext;
-    choice.isStored = !candidate.weights->holder.address.empty();
+    choice.isStored
+        = !candidate.weights->stored.empty() && candidate.weights->stored.front().isHeld();
+    choice.fetchesStored = candidate.fetches;
     choice.loadBefore = candidate.load;
     choice.firstTokenDelay = timeToFirstToken(candidate.load, query, *candidate.weights);
     choice.expectedDelay = candidate.expectedDelay;
@@ -425,7 +450,7 @@
     choice.queuedTokens
         = queueCost(candidate.load, promptInfo)
           + kMissingMemoryWeight * static_cast<double>(missingMemory(candidate.load, query));
-    std::size_t fetched = 0;
+    std::size_t known = 0; // tokens that need not be computed
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
         const PromptPart &part = prompt.parts[n];
@@ -442,15 +467,15 @@
             from = candidate.source->address;
             choice.sourceEngine = from;
         }
-        if (!from.empty()) {
-            fetched += part.tokens;
-            if (!candidate.holdsContext)
-                choice.fetchTokens[from] += part.tokens;
+        if (n < candidate.heldParts) {
+            known += part.tokens;
+        } else if (!from.empty()) {
+            known += part.tokens;
+            choice.fetchTokens[from] += part.tokens;
         }
         choice.fetchFrom.push_back(std::move(from));
         choice.saveTo.push_back(std::move(to));
     }
-    const std::size_t known = candidate.holdsContext ? prompt.sharedTokens() : fetched;
     choice.load.tokensToCompute = prompt.tokensIn - std::min(prompt.tokensIn, known);
     choice.load.tokensHeld = prompt.tokensIn + prompt.maxTokensOut;
     return choice;
@@ -461,6 +486,9 @@
 {
     contexts.recordSend(choice.instanceId, choice.salt, choice.context, prompt.sharedTokens(),
                         choice.holdsContext ? Duration::zero() : choice.firstTokenDelay);
+    constexpr std::size_t kNotAnnounced = 0; // tokens: peers do not need to know of first parts
+    if (prompt.parts.size() > 2)
+        contexts.recordSend(choice.instanceId, choice.salt, prompt.prefixHash(1), kNotAnnounced);
     for (std::size_t n = 0; n < choice.saveTo.size(); ++n) {
         if (!choice.saveTo[n].empty())
             contexts.beginSave(choice.saveTo[n], choice.salt, prompt.parts[n]);
--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -170,6 +170,7 @@
     reply.weightVersion = choice->weightVersion;
     reply.loadBefore = choice->loadBefore;
     reply.tokensToCompute = choice->load.tokensToCompute;
+    reply.fetchesStored = choice->fetchesStored;
     reply.saveTo = choice->saveTo;
     reply.sourceEngine = choice->sourceEngine;
     record(request, *choice);
@@ -197,6 +198,7 @@
                                      {},
                                      m_state.pace(pool.name),
                                      maxDelay(request),
+                                     {},
                                      true};
     auto choice
         = m_state.engines().choose(query, engines, m_loads, m_state.health(), m_state.contexts());
--- a/src/node/placement_messages.cpp
+++ b/src/node/placement_messages.cpp
@@ -122,6 +122,7 @@
             it.tokensToCompute,
             it.firstTokenDelay.count(),
             it.expectedDelay.count(),
+            it.fetchesStored,
             it.saveTo,
             it.retryAfter.count(),
             it.sourceEngine};
@@ -141,6 +142,7 @@
     fields.read(it.tokensToCompute);
     fields.read(it.firstTokenDelay);
     fields.read(it.expectedDelay);
+    fields.read(it.fetchesStored);
     fields.read(it.saveTo);
     fields.read(it.retryAfter);
     fields.read(it.sourceEngine);
