Five faults of the engine scheduler

Cause and change: - A context's shard was its hash modulo the number of shards, so that one more engine moved nearly all contexts of a large service to engines that compute them again. Shards use consistent hashing: 1 in n moves. - A placement whose reply was lost counted at the scheduler until the deadline: a node reports the end of each request that it no longer waits for. - Placements expired only on requests, so a node that no longer schedules kept them and their gauge: the periodic work removes them. - A request that does not fit into a datagram counted as two misses of its scheduler after the second one: a failed send is not a miss, and the node chooses at once. - Numbers of messages were converted unchecked (negative and floating-point values, times that overflow): other types are rejected, values bounded.

The timeout of a reply is a parameter, for tests on busy machines.

--- a/include/fordwood/scheduler_ranking.hpp
+++ b/include/fordwood/scheduler_ranking.hpp
@@ -18,7 +18,11 @@
     std::size_t count = 1; // shards of the service
     std::size_t index = 0;
 
-    bool contains(std::uint64_t engineHash) const { return engineHash % count == index; }
+    bool contains(std::uint64_t engineHash) const { return shardIndex(engineHash, count) == index; }
+
+    // The shard of an engine or context, by consistent hashing: another shard takes its part from
+    // each of the others, and everything else stays where its context has been computed.
+    static std::size_t shardIndex(std::uint64_t hash, std::size_t count);
 };
 
 // The shard for prompts with this context. Shards keep a scheduler's work the same in a fleet of
--- a/src/core/scheduler_ranking.cpp
+++ b/src/core/scheduler_ranking.cpp
@@ -18,11 +18,26 @@
 
 } // namespace
 
+// Jump consistent hash (Lamping and Veach, 2014): constant memory, a few steps for each hash.
+std::size_t EngineShard::shardIndex(std::uint64_t hash, std::size_t count)
+{
+    constexpr std::uint64_t kMultiplier = 2'862'933'555'777'941'757ULL;
+    constexpr double kRange = 2'147'483'648.0; // of the upper 31 bits, plus one
+    std::size_t index = 0;
+    double next = 0.0;
+    while (next < static_cast<double>(count)) {
+        index = static_cast<std::size_t>(next);
+        hash = hash * kMultiplier + 1;
+        next = static_cast<double>(index + 1) * (kRange / static_cast<double>((hash >> 33) + 1));
+    }
+    return index;
+}
+
 EngineShard shardFor(std::uint64_t contextHash, std::size_t engines)
 {
     EngineShard shard;
     shard.count = std::max<std::size_t>(1, (engines + kEnginesPerShard - 1) / kEnginesPerShard);
-    shard.index = contextHash % shard.count;
+    shard.index = EngineShard::shardIndex(contextHash, shard.count);
     return shard;
 }
 
--- a/src/node/datagram_socket.cpp
+++ b/src/node/datagram_socket.cpp
@@ -19,6 +19,11 @@
 // Bound on the datagrams dropped in one call; socket buffers hold fewer.
 constexpr std::size_t kMaxDroppedDatagrams = 100'000;
 
+std::string textOf(const udp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 } // namespace
 
 DatagramSocket::DatagramSocket(net::io_context &context, const Clock &clock, OnDatagram onDatagram)
@@ -44,16 +49,17 @@
     return true;
 }
 
-void DatagramSocket::send(std::string_view bytes, const udp::endpoint &to)
+bool DatagramSocket::send(std::string_view bytes, const udp::endpoint &to, const std::string &peer)
 {
     ErrorCode ec;
     m_socket.send_to(net::buffer(bytes.data(), bytes.size()), to, 0, ec);
     m_sent += 1;
     if (ec)
-        recordFailure(bytes.size(), to, ec);
+        recordFailure(bytes.size(), peer.empty() ? textOf(to) : peer, ec);
+    return !ec;
 }
 
-void DatagramSocket::recordFailure(std::size_t bytes, const udp::endpoint &to,
+void DatagramSocket::recordFailure(std::size_t bytes, const std::string &peer,
                                    const ErrorCode &cause)
 {
     m_failed += 1;
@@ -61,10 +67,7 @@
         return;
     m_nextFailureLog = m_clock.now() + kFailureLogInterval;
     logEvent(Event::DatagramNotSent,
-             {{"peer", to.address().to_string() + ":" + std::to_string(to.port())},
-              {"bytes", bytes},
-              {"error", cause.message()},
-              {"failed", m_failed}});
+             {{"peer", peer}, {"bytes", bytes}, {"error", cause.message()}, {"failed", m_failed}});
 }
 
 void DatagramSocket::checkForStall()
--- a/src/node/datagram_socket.hpp
+++ b/src/node/datagram_socket.hpp
@@ -32,7 +32,9 @@
     // which would count as new although they are as old as the stall.
     void checkForStall();
 
-    void send(std::string_view bytes, const udp::endpoint &to);
+    // Returns whether the kernel took the datagram. `peer`: names the receiver in the log; empty:
+    // by its address.
+    bool send(std::string_view bytes, const udp::endpoint &to, const std::string &peer = {});
 
     std::size_t sent() const { return m_sent; }
     // Of these, the ones that the kernel did not take, for example because they were too long.
@@ -41,7 +43,7 @@
 private:
     void receive();
     std::size_t dropPending();
-    void recordFailure(std::size_t bytes, const udp::endpoint &to, const ErrorCode &cause);
+    void recordFailure(std::size_t bytes, const std::string &peer, const ErrorCode &cause);
 
     const Clock &m_clock;
     OnDatagram m_onDatagram;
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -30,6 +30,10 @@
     // Applies what a node reports of its requests.
     void apply(const PlacementProgress &progress);
 
+    // Removes placements that are past their time. Without requests nothing else does, and a node
+    // that no longer schedules gets none.
+    void tick() { m_ledger.removeExpired(); }
+
     // Requests that are placed and have not ended.
     std::size_t openPlacements() const { return m_ledger.size(); }
 
--- a/src/node/placement_messages.cpp
+++ b/src/node/placement_messages.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "node/placement_messages.hpp"
 
+#include <algorithm>
+
 #include "node/cbor.hpp"
 
 namespace fordwood::node {
@@ -11,12 +13,19 @@
 using std::chrono::milliseconds;
 
 // A message is an array of the version, its kind and its fields in a fixed order.
-constexpr int kVersion = 1;
-constexpr int kRequest = 0;
-constexpr int kReply = 1;
-constexpr int kProgress = 2;
-
-// Reads the fields of a message one after the other.
+constexpr std::uint64_t kVersion = 1;
+constexpr std::uint64_t kRequest = 0;
+constexpr std::uint64_t kReply = 1;
+constexpr std::uint64_t kProgress = 2;
+
+// Bounds on what a message states, so that sums and times computed from it do not overflow. Larger
+// values make no difference to a decision.
+constexpr std::uint64_t kMaxCount = 1'000'000'000; // tokens, requests
+constexpr std::int64_t kMaxTime = 86'400'000; // milliseconds
+constexpr std::size_t kMaxShards = 65'536;
+
+// Reads the fields of a message one after the other. Numbers of another type are rejected: their
+// conversion is not defined for all values.
 class Fields
 {
 public:
@@ -30,14 +39,34 @@
         next().get_to(field);
     }
 
-    void read(milliseconds &field) { field = milliseconds(next().get<std::int64_t>()); }
+    void read(std::uint64_t &field) { field = number(next()); }
+
+    void read(std::vector<std::uint64_t> &field)
+    {
+        for (const Json &it : next())
+            field.push_back(number(it));
+    }
+
+    void read(milliseconds &field)
+    {
+        const auto time = next().get_ref<const Json::number_integer_t &>();
+        field = milliseconds(std::clamp<std::int64_t>(time, 0, kMaxTime));
+    }
+
+    void readCount(std::size_t &field) { field = count(next()); }
 
     void read(UpstreamLoad &load)
     {
-        read(load.running);
-        read(load.tokensToCompute);
-        read(load.tokensHeld);
+        readCount(load.running);
+        readCount(load.tokensToCompute);
+        readCount(load.tokensHeld);
+    }
+
+    static std::uint64_t number(const Json &value)
+    {
+        return value.get_ref<const Json::number_unsigned_t &>();
     }
+    static std::size_t count(const Json &value) { return std::min(number(value), kMaxCount); }
 
 private:
     const Json &m_array;
@@ -58,7 +87,7 @@
 {
     std::vector<PromptPart> parts;
     for (std::size_t n = 0; n < list.size(); n += 2)
-        parts.push_back({list.at(n).get<std::string>(), list.at(n + 1).get<std::size_t>()});
+        parts.push_back({list.at(n).get<std::string>(), Fields::count(list.at(n + 1))});
     return parts;
 }
 
@@ -94,8 +123,8 @@
     fields.read(it.shard.index);
     fields.read(it.prompt.model);
     it.prompt.parts = decodeParts(fields.next());
-    fields.read(it.prompt.tokensIn);
-    fields.read(it.prompt.maxTokensOut);
+    fields.readCount(it.prompt.tokensIn);
+    fields.readCount(it.prompt.maxTokensOut);
     fields.read(it.isolatedTeam);
     fields.read(it.team);
     fields.read(it.fingerprint);
@@ -103,7 +132,7 @@
     fields.read(it.targetLatency);
     fields.read(it.maxPause);
     fields.read(it.remaining);
-    if (it.shard.index >= it.shard.count)
+    if (it.shard.index >= it.shard.count || it.shard.count > kMaxShards)
         return std::nullopt;
     return it;
 }
@@ -129,14 +158,14 @@
 {
     PlacementReply it;
     fields.read(it.number);
-    const int outcome = fields.next().get<int>();
-    if (outcome < 0 || outcome > static_cast<int>(PlacementOutcome::Unavailable))
+    const std::uint64_t outcome = Fields::number(fields.next());
+    if (outcome > static_cast<std::uint64_t>(PlacementOutcome::Unavailable))
         return std::nullopt;
     it.outcome = static_cast<PlacementOutcome>(outcome);
     fields.read(it.instanceId);
     fields.read(it.weightVersion);
     fields.read(it.loadBefore);
-    fields.read(it.tokensToCompute);
+    fields.readCount(it.tokensToCompute);
     fields.read(it.firstTokenDelay);
     fields.read(it.saveTo);
     fields.read(it.retryAfter);
@@ -161,8 +190,8 @@
         PlacementProgress::Local local;
         values.read(local.number);
         values.read(local.instanceId);
-        values.read(local.load.tokensToCompute);
-        values.read(local.load.tokensHeld);
+        values.readCount(local.load.tokensToCompute);
+        values.readCount(local.load.tokensHeld);
         values.read(local.remaining);
         it.placed.push_back(std::move(local));
     }
@@ -174,9 +203,9 @@
 std::optional<PlacementMessage> decode(const Json &array)
 {
     Fields fields(array);
-    if (fields.next().get<int>() != kVersion)
+    if (Fields::number(fields.next()) != kVersion)
         return std::nullopt;
-    switch (fields.next().get<int>()) {
+    switch (Fields::number(fields.next())) {
     case kRequest:
         return decodeRequest(fields);
     case kReply:
--- a/src/node/placements.cpp
+++ b/src/node/placements.cpp
@@ -13,22 +13,18 @@
 using adapters::Event;
 using adapters::logEvent;
 
-// A reply takes two passes over the network and some of the scheduler's processor time. A caller
-// hardly notices this wait if the scheduler is gone.
-constexpr Duration kReplyTimeout = std::chrono::milliseconds(10);
-
 // Progress is collected for this long: much less than the time to compute a long prompt.
 constexpr Duration kProgressInterval = std::chrono::milliseconds(4);
 
 } // namespace
 
 Placements::Placements(net::io_context &context, const Clock &clock, adapters::Metrics &metrics,
-                       std::uint64_t process, EngineScheduler &scheduler)
-    : m_context(context), m_metrics(metrics), m_process(process), m_scheduler(scheduler),
-      m_ranking(clock), m_socket(context, clock,
-                                 [this](std::string_view bytes, const udp::endpoint &from) {
-                                     onDatagram(bytes, from);
-                                 }),
+                       std::uint64_t process, EngineScheduler &scheduler, Duration replyTimeout)
+    : m_context(context), m_metrics(metrics), m_process(process), m_replyTimeout(replyTimeout),
+      m_scheduler(scheduler), m_ranking(clock),
+      m_socket(
+          context, clock,
+          [this](std::string_view bytes, const udp::endpoint &from) { onDatagram(bytes, from); }),
       m_progressTimer(context)
 { }
 
@@ -81,14 +77,18 @@
         onReply(reply, handle);
         return;
     }
+    // The scheduler has no part in this failure, which does not count as a miss.
+    if (!m_socket.send(encodePlacement(request), *endpoint)) {
+        onReply(std::nullopt, {});
+        return;
+    }
     Pending pending{std::move(onReply), node->name, *endpoint,
-                    std::make_unique<net::steady_timer>(m_context, kReplyTimeout)};
+                    std::make_unique<net::steady_timer>(m_context, m_replyTimeout)};
     pending.timeout->async_wait([this, number = handle.number](const ErrorCode &ec) {
         if (!ec)
             onTimeout(number);
     });
     m_pending.emplace(handle.number, std::move(pending));
-    m_socket.send(encodePlacement(request), *endpoint);
 }
 
 void Placements::onTimeout(std::uint64_t number)
@@ -99,6 +99,8 @@
     const Pending pending = std::move(it->second);
     m_pending.erase(it);
     m_metrics.count("fordwood_placements_missed_total");
+    // The scheduler may have placed the request, and its reply may be lost.
+    ended({number, pending.scheduler});
     if (m_ranking.recordMiss(pending.node))
         logEvent(Event::PlacementSchedulerLost, {{"scheduler", pending.node}});
     pending.onReply(std::nullopt, {});
@@ -211,6 +213,7 @@
 void Placements::tick()
 {
     m_socket.checkForStall();
+    m_scheduler.tick();
     m_metrics.setGauge("fordwood_placements_open",
                        static_cast<double>(m_scheduler.openPlacements()));
 }
--- a/src/node/placements.hpp
+++ b/src/node/placements.hpp
@@ -37,9 +37,14 @@
     using OnReply
         = std::function<void(const std::optional<PlacementReply> &, const PlacementHandle &)>;
 
+    // A reply takes two passes over the network and some of the scheduler's processor time. A
+    // caller hardly notices this wait if the scheduler is gone.
+    static constexpr Duration kReplyTimeout = std::chrono::milliseconds(10);
+
     // `process` identifies this process among all nodes and their restarts.
     Placements(net::io_context &context, const Clock &clock, adapters::Metrics &metrics,
-               std::uint64_t process, EngineScheduler &scheduler);
+               std::uint64_t process, EngineScheduler &scheduler,
+               Duration replyTimeout = kReplyTimeout);
 
     // Returns false and sets `ec` if the address cannot be used.
     bool open(const std::string &address, ErrorCode &ec);
@@ -86,6 +91,7 @@
     net::io_context &m_context;
     adapters::Metrics &m_metrics;
     const std::uint64_t m_process;
+    const Duration m_replyTimeout;
     EngineScheduler &m_scheduler;
     SchedulerRanking m_ranking;
     DatagramSocket m_socket;
