--- a/tests/node/decoder_fuzz_test.cpp
+++ b/tests/node/decoder_fuzz_test.cpp
@@ -9,11 +9,13 @@
 #include "node/context_messages.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
+#include "node/placement_messages.hpp"
 #include "node/quarantine_distributor.hpp"
 #include "platform/caller_messages.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
 #include "platform/store_calls.hpp"
+#include "support/placement_examples.hpp"
 
 using namespace fordwood;
 using namespace fordwood::platform;
@@ -211,3 +213,28 @@
     feed({node::encodePeerAddress({"10.0.0.1:1", "10.0.0.1:2", "z", 1.0})}, 14,
          [](const std::string &it) { return !!node::decodePeerAddress(it); });
 }
+
+TEST_CASE("fuzz: placement messages [fuzz][bad-input][placement]")
+{
+    std::vector<std::string> examples;
+    for (const node::PlacementMessage &it : node::placementExamples())
+        examples.push_back(node::encodePlacement(it));
+    const std::size_t read = feed(examples, 16, [](const std::string &it) {
+        const auto message = node::decodePlacement(it);
+        if (!message)
+            return false;
+        if (const auto *request = std::get_if<node::PlacementRequest>(&*message)) {
+            CHECK(request->shard.index < request->shard.count);
+            CHECK(request->remaining >= std::chrono::milliseconds(0));
+            CHECK(request->remaining <= std::chrono::hours(24));
+        }
+        if (const auto *reply = std::get_if<node::PlacementReply>(&*message)) {
+            CHECK(reply->outcome <= node::PlacementOutcome::Unavailable);
+            CHECK(reply->retryAfter >= std::chrono::milliseconds(0));
+        }
+        // What was read can be sent on.
+        CHECK(node::decodePlacement(node::encodePlacement(*message)));
+        return true;
+    });
+    CHECK(read > 0); // some mutations remain valid
+}
