PeerLinks uses DatagramSocket

Cause: opening, receiving, dropping after a stall and logging of failed sends stood twice.

Change: PeerLinks sends and receives through DatagramSocket. A sender may name the receiver in the log: DatagramNotSent still shows a peer's replica address.

Conclusion: behaviour, public interface and tests of PeerLinks are unchanged.

--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -5,55 +5,33 @@
 #include <cmath>
 #include <utility>
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
-#include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood::node {
 
 namespace {
 
-using adapters::Event;
-using adapters::logEvent;
-
 // Several ticks fit into the shortest gap that counts as a stall.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
-// A message that cannot be sent to one peer usually cannot be sent to the others either.
-constexpr Duration kFailureLogInterval = std::chrono::seconds(1);
-
-// Bound on the datagrams dropped in one call; socket buffers hold fewer.
-constexpr std::size_t kMaxDroppedDatagrams = 100'000;
-
 } // namespace
 
 PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, Self self,
                      std::size_t smallFleet, OnMessage onMessage)
-    : m_clock(clock), m_roster(clock, std::move(self)), m_smallFleet(smallFleet),
-      m_onMessage(std::move(onMessage)), m_socket(context), m_tickTimer(context),
-      m_stallDetector(clock)
+    : m_roster(clock, std::move(self)), m_smallFleet(smallFleet), m_onMessage(std::move(onMessage)),
+      m_socket(
+          context, clock,
+          [this](std::string_view bytes, const udp::endpoint &from) { onDatagram(bytes, from); }),
+      m_tickTimer(context)
 { }
 
 bool PeerLinks::open(const std::string &address, ErrorCode &ec)
 {
-    const auto endpoint = parseEndpoint<udp>(address);
-    if (!endpoint) {
-        ec = net::error::invalid_argument;
+    if (!m_socket.open(address, ec))
         return false;
-    }
-    m_socket.open(endpoint->protocol(), ec);
-    if (!ec)
-        m_socket.bind(*endpoint, ec);
-    if (!ec)
-        m_socket.non_blocking(true, ec);
-    if (ec)
-        return false;
-    m_stallDetector.poll(); // the thread does not run before this
     startTickTimer();
-    receive();
     return true;
 }
 
@@ -101,26 +79,8 @@
 
 void PeerLinks::send(const std::string &datagram, const Peer &peer)
 {
-    if (!peer.gossip)
-        return;
-    ErrorCode ec;
-    m_socket.send_to(net::buffer(datagram), *peer.gossip, 0, ec);
-    m_datagramsSent += 1;
-    if (ec)
-        recordSendFailure(datagram.size(), peer, ec);
-}
-
-// Receivers tolerate lost datagrams, so nothing is repeated.
-void PeerLinks::recordSendFailure(std::size_t bytes, const Peer &peer, const ErrorCode &cause)
-{
-    m_datagramsFailed += 1;
-    if (m_clock.now() < m_nextFailureLog)
-        return;
-    m_nextFailureLog = m_clock.now() + kFailureLogInterval;
-    logEvent(Event::DatagramNotSent, {{"peer", peer.replicaAddress},
-                                      {"bytes", bytes},
-                                      {"error", cause.message()},
-                                      {"failed", m_datagramsFailed}});
+    if (peer.gossip)
+        m_socket.send(datagram, *peer.gossip, peer.replicaAddress);
 }
 
 // Messages alternate between two forwarders, so that a forwarder that has just died loses only
@@ -172,52 +132,8 @@
     });
 }
 
-void PeerLinks::tick()
+void PeerLinks::onDatagram(std::string_view datagram, const udp::endpoint &from)
 {
-    const Duration stallTime = m_stallDetector.poll();
-    if (stallTime == Duration::zero())
-        return;
-    const std::size_t dropped = dropPending();
-    logEvent(Event::StoodStill,
-             {{"stood_still_ms", std::chrono::floor<std::chrono::milliseconds>(stallTime).count()},
-              {"datagrams_dropped", dropped}});
-}
-
-// Messages received during a stall would count as new, on this node and, once forwarded, on nodes
-// that did not stall. Peers send new ones several times a second.
-std::size_t PeerLinks::dropPending()
-{
-    std::array<char, 1> byte{};
-    udp::endpoint from;
-    ErrorCode ec;
-    std::size_t n = 0;
-    while (n < kMaxDroppedDatagrams && !ec) {
-        m_socket.receive_from(net::buffer(byte), from, 0, ec);
-        n += ec ? 0 : 1;
-    }
-    // One datagram may have been read already, with its handler queued behind this one.
-    m_isDropping = true;
-    net::post(m_socket.get_executor(), [this] { m_isDropping = false; });
-    return n;
-}
-
-void PeerLinks::receive()
-{
-    m_socket.async_receive_from(net::buffer(m_bytes), m_sender,
-                                [this](const ErrorCode &ec, std::size_t n) {
-                                    if (ec == net::error::operation_aborted)
-                                        return;
-                                    if (!ec)
-                                        onDatagram({m_bytes.data(), n});
-                                    receive();
-                                });
-}
-
-void PeerLinks::onDatagram(std::string_view datagram)
-{
-    tick();
-    if (m_isDropping || datagram.empty())
-        return;
     const auto delivery = static_cast<Delivery>(datagram.front());
     const auto message = decodeGossip(datagram.substr(1));
     if (!message || message->node == m_roster.self().name)
@@ -229,7 +145,7 @@
     // forward the sums to the relays, which also learn of the sender this way.
     else if (isDirect && message->scope == LoadScope::Domain)
         forward(std::string(datagram), m_roster.domainRelays());
-    m_roster.update(*message, isDirect ? std::optional(m_sender) : std::nullopt);
+    m_roster.update(*message, isDirect ? std::optional(from) : std::nullopt);
     m_onMessage(*message);
 }
 
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -2,7 +2,6 @@
 #ifndef FORDWOOD_NODE_PEER_LINKS_HPP_INCLUDED
 #define FORDWOOD_NODE_PEER_LINKS_HPP_INCLUDED
 
-#include <array>
 #include <functional>
 #include <string>
 #include <vector>
@@ -10,7 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "fordwood/clock.hpp"
-#include "fordwood/stall_detector.hpp"
+#include "node/datagram_socket.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
 #include "node/peer_roster.hpp"
@@ -36,8 +35,9 @@
     bool open(const std::string &address, ErrorCode &ec);
 
     // Periodic work; a timer on the node's thread calls it too. After the thread has stalled, drops
-    // the datagrams that wait in the socket.
-    void tick();
+    // the datagrams that wait in the socket: they would count as new, on this node and, once
+    // forwarded, on nodes that did not stall. Peers send new ones several times a second.
+    void tick() { m_socket.checkForStall(); }
 
     void setAddress(const std::string &node, const PeerAddress &address)
     {
@@ -60,10 +60,10 @@
     std::size_t sendToOtherDomains(const Gossip &message);
 
     // Total number of datagrams sent.
-    std::size_t datagramsSent() const { return m_datagramsSent; }
+    std::size_t datagramsSent() const { return m_socket.sent(); }
 
     // Of these, the ones that the kernel did not take, for example because they were too long.
-    std::size_t datagramsFailed() const { return m_datagramsFailed; }
+    std::size_t datagramsFailed() const { return m_socket.failed(); }
 
 private:
     using Peer = PeerRoster::Peer;
@@ -76,33 +76,19 @@
     };
 
     void startTickTimer();
-    // Returns the number of datagrams dropped.
-    std::size_t dropPending();
-    void receive();
-    void onDatagram(std::string_view datagram);
+    void onDatagram(std::string_view datagram, const udp::endpoint &from);
     void forward(std::string datagram, const std::vector<const Peer *> &peers);
     void send(const std::string &datagram, const Peer &peer);
-    void recordSendFailure(std::size_t bytes, const Peer &peer, const ErrorCode &cause);
     std::size_t sendToPeers(const Gossip &message, const std::vector<const Peer *> &peers);
     double forwardingDistance(const Peer &peer) const;
     void sendForForwarding(std::string datagram, const std::vector<const Peer *> &members);
 
-    static constexpr std::size_t kMaxDatagramBytes = 65'507; // of a datagram
-
-    const Clock &m_clock;
     PeerRoster m_roster;
     const std::size_t m_smallFleet;
     OnMessage m_onMessage;
-    udp::socket m_socket;
+    DatagramSocket m_socket;
     net::steady_timer m_tickTimer;
-    StallDetector m_stallDetector;
-    bool m_isDropping = false; // ignores a datagram read before the stall was detected
-    udp::endpoint m_sender;
-    std::array<char, kMaxDatagramBytes> m_bytes{};
     std::size_t m_messagesSent = 0; // messages
-    std::size_t m_datagramsSent = 0;
-    std::size_t m_datagramsFailed = 0;
-    TimePoint m_nextFailureLog{};
 };
 
 } // namespace fordwood::node
