--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -238,14 +238,32 @@
     for (const auto &[store, fetched] : choice.fetchTokens)
         cost += kFetchWeight * static_cast<double>(fetched);
     // Short prompts overtake the queue, so their first tokens do not show how fast it is computed.
-    return {request.service, choice.isShort ? 0 : tokens,
-            kFirstTokenOverhead + m_state.pace(request.service).timeFor(cost)};
+    const Duration expected = kFirstTokenOverhead + m_state.pace(request.service).timeFor(cost);
+    return {
+        request.service, choice.isShort ? 0 : tokens,
+        std::chrono::duration_cast<Duration>(usualRatio(request.service, choice.isShort)
+                                             * std::chrono::duration<double, std::nano>(expected))};
+}
+
+// Services differ in what a first token takes besides computing: a ratio that is usual in the
+// service says nothing about an engine.
+double &EngineScheduler::usualRatio(const std::string &service, bool isShort) const
+{
+    return m_usualRatios.try_emplace({service, isShort}, 1.0).first->second;
 }
 
 void EngineScheduler::observe(const PlacementLedger::FirstToken &firstToken)
 {
     const PlacementLedger::Estimate &estimate = firstToken.estimate;
     m_paces.addSample(firstToken.engine, estimate.firstToken, firstToken.took);
+    if (estimate.firstToken > Duration::zero()) {
+        constexpr double kSampleWeight = 0.02; // some hundred requests show what is usual
+        constexpr double kMaxRatio = 5.0; // a few dead engines must not count as usual
+        const double ratio = std::chrono::duration<double>(firstToken.took)
+                             / std::chrono::duration<double>(estimate.firstToken);
+        double &usual = usualRatio(estimate.service, estimate.tokens == 0);
+        usual *= 1.0 + kSampleWeight * (std::min(ratio, kMaxRatio) - 1.0);
+    }
     m_state.pace(estimate.service).observe(estimate.tokens, firstToken.took);
 }
 
@@ -323,6 +341,7 @@
 
 void EngineScheduler::tick()
 {
+    m_ledger.removeExpired();
     updateShortGroups();
     m_paces.removeExpired();
 }
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -36,7 +36,7 @@
     // Applies what a node reports of its requests.
     void apply(const PlacementProgress &progress);
 
-    // Periodic work.
+    // Periodic work. Without requests nothing else removes placements that are past their time.
     void tick();
 
     // Requests that are placed and have not ended.
@@ -74,6 +74,7 @@
     UpstreamLoad recordedLoad(const std::string &instanceId) const;
     PlacementLedger::Estimate estimate(const PlacementRequest &request,
                                        const EngineChoice &choice) const;
+    double &usualRatio(const std::string &service, bool isShort) const;
     void observe(const PlacementLedger::FirstToken &firstToken);
     std::optional<EngineChoice> choose(const PlacementRequest &request, const ServicePool &pool);
     void record(const PlacementRequest &request, const EngineChoice &choice);
@@ -91,6 +92,8 @@
     EnginePaces m_paces;
     Loads m_loads;
     std::map<std::string, PlacementAdmission> m_admissions; // by service
+    // Usual ratio of actual to expected times to first token, by service and kind of prompt.
+    mutable std::map<std::pair<std::string, bool>, double> m_usualRatios;
     std::optional<TimePoint> m_activeSince; // of the current role as a scheduler
     TimePoint m_lastRequest{};
     std::map<std::string, ShortGroup> m_shortGroups; // by service and shard
