--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -103,6 +103,8 @@
     {
         std::string address;
         std::string failureDomain;
+        double linkMbps = 0.0; // zero: not specified
+        Duration firstByteDelay{};
     };
 
     // Sets the versions published for the model.
--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -45,7 +45,6 @@
     bool isPreferred = false; // all nodes rank this engine first for the context
     bool holdsContext = false; // according to recent sends
     bool isStored = false; // a store holds the context
-    bool fetchesStored = false; // it is fetched from there, and not computed
     UpstreamLoad loadBefore; // load of the engine before this request
     double queuedTokens = 0.0; // work to be computed before this prompt, in tokens
     // Upper bound of the time from the send to the first token, for rules that must not be broken.
@@ -106,8 +105,6 @@
         // one that is not, at any cost; zero: no such bound. For a caller that knows the loads
         // exactly: with old ones, many nodes would choose the same few engines.
         Duration maxDelay{};
-        // Whether stored context is fetched, if this has been decided already.
-        std::optional<bool> fetchesStored = {};
         // Whether context that no store holds may be fetched from an engine. Only a scheduler
         // knows well enough which engines have received it.
         bool fetchesFromEngines = false;
@@ -167,8 +164,7 @@
         std::uint64_t weight = 0; // rendezvous weight of the engine for the context
         std::size_t rank = 0; // zero: preferred by all nodes
         bool holdsContext = false;
-        // Shared parts that the engine has. Fewer than all of them are known only to a scheduler.
-        std::size_t heldParts = 0;
+        std::size_t heldParts = 0; // shared parts that the engine has
         bool fetches = true; // the context, if a store has it
         const UpstreamRecord *source = nullptr; // engine to fetch from what no store holds
         UpstreamLoad load;
@@ -212,10 +208,14 @@
                      const Query &query, const LoadView &loads, const UpstreamHealth &health,
                      const ContextDirectory &contexts) const;
     static double fetchCost(double sharedTokens, double waitingTokens, bool isNear);
-    static std::pair<const UpstreamRecord *, double> cheapestSource(const Candidate &candidate,
-                                                                    const PromptInfo &promptInfo);
+    static double transferTokens(double tokens, double linkMbps, const Query &query);
+    static double storeFetchCost(const Candidate &candidate, double missingTokens,
+                                 const Query &query);
+    static std::pair<const UpstreamRecord *, double>
+    cheapestSource(const Candidate &candidate, const PromptInfo &promptInfo, const Query &query);
     double contextCost(Candidate &candidate, const PromptInfo &promptInfo,
                        const Query &query) const;
+    static std::size_t linkShare(const Candidate &candidate, const Query &query, std::size_t part);
     std::size_t contextToSave(const Prompt &prompt, const PromptPart &part) const;
     EngineChoice complete(const Candidate &candidate, const PromptInfo &promptInfo,
                           const Query &query, ContextDirectory &contexts) const;
--- a/include/fordwood/prompt.hpp
+++ b/include/fordwood/prompt.hpp
@@ -29,9 +29,6 @@
 
     // A hash of all parts but the last. Requests with the same hash share these parts.
     std::uint64_t contextHash() const;
-
-    // A hash of the first `n` parts.
-    std::uint64_t prefixHash(std::size_t n) const;
 };
 
 // The namespace under which engines and stores keep context, so that no request finds context that
--- a/include/fordwood/scheduler_ranking.hpp
+++ b/include/fordwood/scheduler_ranking.hpp
@@ -48,8 +48,9 @@
 public:
     struct Limits
     {
-        // One lost datagram is no reason to pass over a scheduler.
-        std::size_t missesAllowed = 1;
+        // A few lost datagrams are no reason to pass over a scheduler: the next one knows nothing
+        // of the requests that it has placed.
+        std::size_t missesAllowed = 2;
         Duration passOver = std::chrono::seconds(1);
     };
 
--- a/include/fordwood/serving_config.hpp
+++ b/include/fordwood/serving_config.hpp
@@ -47,6 +47,8 @@
     std::size_t contextTokens = 0; // memory for running requests and cached context
     std::vector<std::string> models;
     std::size_t maxReaders = 0; // concurrent calls that wait for events; 0: not specified
+    std::size_t tokenBytes = 0; // of computed context per token; 0: not specified
+    double linkMbps = 0.0; // for moving context; 0: not specified
 };
 
 // A service: a set of interchangeable upstreams.
@@ -68,6 +70,8 @@
     std::size_t capacityTokens = 0;
     bool managed = false; // it never evicts context by itself
     std::size_t maxReaders = 0; // concurrent waiting calls; 0: not specified
+    double linkMbps = 0.0; // 0: not specified
+    std::chrono::microseconds firstByteDelay{0}; // of each transfer
 };
 
 // A team: its API keys and how its requests are handled.
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -220,7 +220,8 @@
     const std::string name = partName(salt, partId);
     for (const auto &[key, store] : m_stores) {
         if (isCurrent(store) && store.parts.contains(name))
-            return {store.config.address, store.config.failureDomain};
+            return {store.config.address, store.config.failureDomain, store.config.linkMbps,
+                    store.config.firstByteDelay};
     }
     return {};
 }
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -258,18 +258,63 @@
            + sharedTokens * kFetchWeight * (isNear ? 1.0 : kCrossDomainFactor);
 }
 
+// Time to move computed context over a link, in tokens that an engine computes meanwhile.
+double EngineChooser::transferTokens(double tokens, double linkMbps, const Query &query)
+{
+    constexpr double kBitsPerByte = 8.0;
+    constexpr double kBitsPerMsOfMbps = 1'000.0;
+    const double ms = tokens * static_cast<double>(query.traits.tokenBytes) * kBitsPerByte
+                      / (linkMbps * kBitsPerMsOfMbps);
+    return ms * query.pace.tokensPerSecond() / 1'000.0;
+}
+
+// Cost of fetching the parts that the engine does not have from the stores that hold them. Without
+// exact loads, or if the configuration does not name the speed of the links, a token costs the same
+// at each store.
+double EngineChooser::storeFetchCost(const Candidate &candidate, double missingTokens,
+                                     const Query &query)
+{
+    const VersionInfo &weights = *candidate.weights;
+    const std::size_t first = candidate.heldParts;
+    const auto isNear = [&](const StoredPart &it) {
+        return it.holder.failureDomain == candidate.engine->failureDomain;
+    };
+    const bool isExact = query.fetchesFromEngines && query.traits.tokenBytes > 0
+                         && weights.stored[first].holder.linkMbps > 0.0;
+    if (!isExact)
+        return fetchCost(missingTokens, storeQueue(weights, first), isNear(weights.stored[first]));
+    double moving = 0.0; // an engine's transfers run one after the other
+    double waiting = 0.0; // those of different stores wait at the same time
+    for (std::size_t n = first; n < weights.stored.size() && weights.stored[n].isHeld(); ++n) {
+        const StoredPart &part = weights.stored[n];
+        const double factor = isNear(part) ? 1.0 : kCrossDomainFactor;
+        const auto tokens = static_cast<double>(query.prompt.parts[n].tokens);
+        moving += transferTokens(factor * tokens, part.holder.linkMbps, query);
+        moving += std::chrono::duration<double>(part.holder.firstByteDelay).count()
+                  * query.pace.tokensPerSecond();
+        waiting = std::max(waiting, transferTokens(part.queuedTokens, part.holder.linkMbps, query));
+    }
+    return waiting + moving;
+}
+
 // The engine from which fetching the context costs least, and that cost; nullptr if there is none.
 // Addresses are compared, since an engine that has restarted has another instance id.
 std::pair<const UpstreamRecord *, double>
-EngineChooser::cheapestSource(const Candidate &candidate, const PromptInfo &promptInfo)
+EngineChooser::cheapestSource(const Candidate &candidate, const PromptInfo &promptInfo,
+                              const Query &query)
 {
     std::pair<const UpstreamRecord *, double> best(nullptr, 0.0);
     for (const Source &it : candidate.weights->sources) {
         if (it.engine->address == candidate.engine->address)
             continue;
         const bool isNear = it.engine->failureDomain == candidate.engine->failureDomain;
-        const double cost = fetchCost(promptInfo.sharedTokens,
-                                      it.queuedTokens + storeQueue(*candidate.weights, 0), isNear);
+        const double factor = isNear ? 1.0 : kCrossDomainFactor;
+        const double cost
+            = query.traits.linkMbps > 0.0
+                  ? transferTokens(it.queuedTokens + factor * promptInfo.sharedTokens,
+                                   query.traits.linkMbps, query)
+                  : fetchCost(promptInfo.sharedTokens,
+                              it.queuedTokens + storeQueue(*candidate.weights, 0), isNear);
         if (best.first == nullptr || cost < best.second)
             best = {it.engine, cost};
     }
@@ -284,7 +329,7 @@
 {
     if (candidate.holdsContext)
         return 0.0;
-    const auto [source, sourceCost] = cheapestSource(candidate, promptInfo);
+    const auto [source, sourceCost] = cheapestSource(candidate, promptInfo, query);
     if (source != nullptr && sourceCost <= promptInfo.sharedTokens * readAgainWeight()) {
         candidate.source = source;
         candidate.contextTokens = sourceCost;
@@ -298,12 +343,9 @@
     candidate.contextTokens = missingTokens;
     if (first >= weights.stored.size() || !weights.stored[first].isHeld())
         return missingTokens * recomputeWeight(candidate, promptInfo);
-    const bool isNear
-        = weights.stored[first].holder.failureDomain == candidate.engine->failureDomain;
-    const double fetching = fetchCost(missingTokens, storeQueue(weights, first), isNear);
+    const double fetching = storeFetchCost(candidate, missingTokens, query);
     const double computing = missingTokens * readAgainWeight();
-    candidate.fetches = query.fetchesStored.value_or(fetching <= computing
-                                                     || !m_limits.mechanisms.computingInstead);
+    candidate.fetches = fetching <= computing || !m_limits.mechanisms.computingInstead;
     if (candidate.fetches)
         candidate.contextTokens = fetching;
     return candidate.fetches ? fetching : computing;
@@ -399,13 +441,7 @@
         it.holdsContext = contexts.isContextAtEngine(it.engine->instanceId, it.weights->salt,
                                                      promptInfo.context, keptFor);
         it.weights->isAtEngine = it.weights->isAtEngine || it.holdsContext;
-        // All requests of a few services begin with the same first part. Without this, the store
-        // that holds it would seem to be the busiest one, although hardly any engine fetches it.
-        const bool holdsFirst
-            = query.fetchesFromEngines && prompt.parts.size() > 2
-              && contexts.isContextAtEngine(it.engine->instanceId, it.weights->salt,
-                                            prompt.prefixHash(1), kShortContextKept);
-        it.heldParts = it.holdsContext ? prompt.parts.size() - 1 : (holdsFirst ? 1 : 0);
+        it.heldParts = it.holdsContext ? prompt.parts.size() - 1 : 0;
     }
     findSources(candidates, promptInfo, query, loads, health, contexts);
     std::erase_if(candidates, [&](const Candidate &it) { return !isConsidered(it, query); });
@@ -424,6 +460,17 @@
     return m_limits.mechanisms.smallFirstParts ? prompt.sharedTokens() : part.tokens;
 }
 
+// How long a part that is fetched occupies the store's link, relative to one that stays in the
+// failure domain. Only a scheduler counts this.
+std::size_t EngineChooser::linkShare(const Candidate &candidate, const Query &query,
+                                     std::size_t part)
+{
+    const std::vector<StoredPart> &stored = candidate.weights->stored;
+    const bool isFar = query.fetchesFromEngines && part < stored.size() && stored[part].isHeld()
+                       && stored[part].holder.failureDomain != candidate.engine->failureDomain;
+    return isFar ? static_cast<std::size_t>(kCrossDomainFactor) : 1;
+}
+
 EngineChoice EngineChooser::complete(const Candidate &candidate, const PromptInfo &promptInfo,
                                      const Query &query, ContextDirectory &contexts) const
 {
@@ -442,7 +489,6 @@
     choice.holdsContext = candidate.holdsContext;
     choice.isStored
         = !candidate.weights->stored.empty() && candidate.weights->stored.front().isHeld();
-    choice.fetchesStored = candidate.fetches;
     choice.loadBefore = candidate.load;
     choice.firstTokenDelay = timeToFirstToken(candidate.load, query, *candidate.weights);
     choice.expectedDelay = candidate.expectedDelay;
@@ -471,7 +517,7 @@
             known += part.tokens;
         } else if (!from.empty()) {
             known += part.tokens;
-            choice.fetchTokens[from] += part.tokens;
+            choice.fetchTokens[from] += part.tokens * linkShare(candidate, query, n);
         }
         choice.fetchFrom.push_back(std::move(from));
         choice.saveTo.push_back(std::move(to));
@@ -486,9 +532,6 @@
 {
     contexts.recordSend(choice.instanceId, choice.salt, choice.context, prompt.sharedTokens(),
                         choice.holdsContext ? Duration::zero() : choice.firstTokenDelay);
-    constexpr std::size_t kNotAnnounced = 0; // tokens: peers do not need to know of first parts
-    if (prompt.parts.size() > 2)
-        contexts.recordSend(choice.instanceId, choice.salt, prompt.prefixHash(1), kNotAnnounced);
     for (std::size_t n = 0; n < choice.saveTo.size(); ++n) {
         if (!choice.saveTo[n].empty())
             contexts.beginSave(choice.saveTo[n], choice.salt, prompt.parts[n]);
--- a/src/core/prompt.cpp
+++ b/src/core/prompt.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "fordwood/prompt.hpp"
 
-#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -18,14 +17,9 @@
 }
 
 std::uint64_t Prompt::contextHash() const
-{
-    return parts.empty() ? 0 : prefixHash(parts.size() - 1);
-}
-
-std::uint64_t Prompt::prefixHash(std::size_t n) const
 {
     std::uint64_t hash = 0;
-    for (std::size_t it = 0; it < std::min(n, parts.size()); ++it)
+    for (std::size_t it = 0; it + 1 < parts.size(); ++it)
         hash = stableHash(parts[it].id, hash + 1);
     return hash;
 }
--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -26,9 +26,8 @@
 // the estimate may be wrong by the work of one more prompt.
 constexpr double kMaxWait = 0.7;
 
-// A slow engine without requests is avoided from this pace on: below it, the difference may be
-// chance.
-constexpr double kSlowPace = 1.5;
+// A smaller difference may be due to the stores that the contexts come from.
+constexpr double kSlowPace = 3.0;
 
 // The work at a slow engine besides the recorded tokens, per unit of pace above 1: it delays the
 // answers that run there and the prompt itself.
@@ -94,9 +93,11 @@
 {
     UpstreamLoad load = m_scheduler.recordedLoad(instanceId);
     const std::uint64_t engine = UpstreamLoads::keyOf(instanceId);
-    const double pace = m_scheduler.m_paces.value(engine, m_scheduler.m_ledger.firstDue(engine));
+    const double observed
+        = m_scheduler.m_paces.value(engine, m_scheduler.m_ledger.firstDue(engine));
+    const double pace = observed < kSlowPace ? 1.0 : observed;
     double tokens = pace * static_cast<double>(load.tokensToCompute);
-    if (load.running > 0 || pace > kSlowPace)
+    if (pace > 1.0)
         tokens += kSlowEngineTokens * (pace - 1.0);
     load.tokensToCompute = static_cast<std::size_t>(tokens);
     return load;
@@ -170,7 +171,6 @@
     reply.weightVersion = choice->weightVersion;
     reply.loadBefore = choice->loadBefore;
     reply.tokensToCompute = choice->load.tokensToCompute;
-    reply.fetchesStored = choice->fetchesStored;
     reply.saveTo = choice->saveTo;
     reply.sourceEngine = choice->sourceEngine;
     record(request, *choice);
@@ -198,7 +198,6 @@
                                      {},
                                      m_state.pace(pool.name),
                                      maxDelay(request),
-                                     {},
                                      true};
     auto choice
         = m_state.engines().choose(query, engines, m_loads, m_state.health(), m_state.contexts());
--- a/src/node/placement_messages.cpp
+++ b/src/node/placement_messages.cpp
@@ -151,7 +151,6 @@
             it.tokensToCompute,
             it.firstTokenDelay.count(),
             it.expectedDelay.count(),
-            it.fetchesStored,
             it.saveTo,
             it.retryAfter.count(),
             it.sourceEngine};
@@ -171,7 +170,6 @@
     fields.readCount(it.tokensToCompute);
     fields.read(it.firstTokenDelay);
     fields.read(it.expectedDelay);
-    fields.read(it.fetchesStored);
     fields.read(it.saveTo);
     fields.read(it.retryAfter);
     fields.read(it.sourceEngine);
--- a/src/node/placement_messages.hpp
+++ b/src/node/placement_messages.hpp
@@ -50,7 +50,6 @@
     std::size_t tokensToCompute = 0; // of this request's prompt
     std::chrono::milliseconds firstTokenDelay{0}; // see EngineChoice
     std::chrono::milliseconds expectedDelay{0};
-    bool fetchesStored = false; // see EngineChoice
     std::vector<std::string> saveTo; // store address for each part; empty: none
     std::chrono::milliseconds retryAfter{0};
     std::string sourceEngine; // address to fetch shared parts from; empty: none
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -50,8 +50,7 @@
 
 std::optional<EngineChoice> bestEngine(NodeState &state, const AdmittedCall &call,
                                        const platform::CallerHead &caller, const CallPlan &plan,
-                                       const std::vector<const UpstreamRecord *> &candidates,
-                                       std::optional<bool> fetchesStored = {})
+                                       const std::vector<const UpstreamRecord *> &candidates)
 {
     const std::string isolatedTeam
         = call.team != nullptr && call.team->isolated ? call.team->name : "";
@@ -64,9 +63,7 @@
                                         state.consideredShare(),
                                         stableHash(caller.requestId, plan.sends()),
                                         state.rateLimitedCandidates(candidates),
-                                        state.pace(call.pool->name),
-                                        Duration::zero(),
-                                        fetchesStored};
+                                        state.pace(call.pool->name)};
     return state.engines().choose(question, candidates, state.loads(), state.health(),
                                   state.contexts());
 }
@@ -281,7 +278,7 @@
     auto candidates = state.candidates(*call.pool);
     std::erase_if(candidates,
                   [&](const UpstreamRecord *it) { return it->instanceId != reply.instanceId; });
-    auto choice = bestEngine(state, call, caller, plan, candidates, reply.fetchesStored);
+    auto choice = bestEngine(state, call, caller, plan, candidates);
     if (!choice || choice->weightVersion != reply.weightVersion)
         return std::nullopt;
     choice->loadBefore = reply.loadBefore;
