--- a/include/fordwood/engine_group_planner.hpp
+++ b/include/fordwood/engine_group_planner.hpp
@@ -27,7 +27,6 @@
         RequestLoad load;
         std::uint64_t context = 0; // hash of the shared parts
         std::size_t sharedTokens = 0; // in these parts
-        std::chrono::milliseconds maxPause{0}; // between events of the answer; zero: not specified
     };
 
     // The engines among which the group is chosen.
@@ -51,6 +50,9 @@
 
     void promptPlaced(const PlacedPrompt &prompt);
 
+    // The answer to a short prompt has ended. `hasPaused`: it paused longer than it may.
+    void answerEnded(bool hasPaused);
+
     // Updates and returns the number of engines for short prompts; zero: there is no group.
     // `runningShort`: short requests that are placed and have not ended.
     std::size_t size(const Engines &engines, std::size_t runningShort);
@@ -84,7 +86,8 @@
     ShortPromptDemand m_shortContexts;
     std::optional<TimePoint> m_lastShort;
     std::optional<TimePoint> m_lastLong;
-    std::optional<TimePoint> m_lastMaxPause; // requested for a short prompt
+    double m_pausedShare = 0.0; // of the latest answers to short prompts
+    std::optional<TimePoint> m_lastPauses; // when too many of them had paused
     TimePoint m_firstShort{}; // since short prompts were last absent
     std::deque<ShortTokens> m_shortTokens;
     std::size_t m_tokensInWindow = 0; // sum of m_shortTokens
--- a/include/fordwood/placement_admission.hpp
+++ b/include/fordwood/placement_admission.hpp
@@ -36,8 +36,6 @@
         // Estimated time to the first token at the best engine. Must not be larger than the target
         // latency if any engine would meet it.
         Duration delay{};
-        // The same at the engine with the least work; determines when a place is free.
-        Duration leastLoadedDelay{};
     };
 
     struct Decision
--- a/include/fordwood/placement_ledger.hpp
+++ b/include/fordwood/placement_ledger.hpp
@@ -92,6 +92,9 @@
     // Short requests of a service and shard that have not ended.
     std::size_t runningShort(const std::string &serviceShard) const;
 
+    // Service and shard of a short request; empty for others and for unknown ids.
+    std::string shortRequestOf(const PlacementId &id) const;
+
     std::size_t size() const { return m_placements.size(); }
 
 private:
--- a/src/core/engine_group_planner.cpp
+++ b/src/core/engine_group_planner.cpp
@@ -16,6 +16,11 @@
 // The first size holds for this long: the first prompts of a starting fleet do not show its load.
 constexpr Duration kStartTime = std::chrono::seconds(3);
 
+// The group is used while this share of the latest answers to short prompts paused longer than they
+// may: single ones pause beside a slow engine too.
+constexpr double kMinPausedShare = 0.05;
+constexpr double kAnswerWeight = 0.02; // of one answer in this share
+
 // Share of the engines in the group at first. In a group that starts smaller, the short prompts of
 // a starting fleet wait.
 constexpr double kStartShare = 0.25;
@@ -71,7 +76,14 @@
 
 bool EngineGroupPlanner::isGroupUsed() const
 {
-    return isRecent(m_lastShort) && isRecent(m_lastLong) && isRecent(m_lastMaxPause);
+    return isRecent(m_lastShort) && isRecent(m_lastLong) && isRecent(m_lastPauses);
+}
+
+void EngineGroupPlanner::answerEnded(bool hasPaused)
+{
+    m_pausedShare += kAnswerWeight * ((hasPaused ? 1.0 : 0.0) - m_pausedShare);
+    if (m_pausedShare >= kMinPausedShare)
+        m_lastPauses = m_clock.now();
 }
 
 void EngineGroupPlanner::promptPlaced(const PlacedPrompt &prompt)
@@ -84,8 +96,6 @@
     if (!isRecent(m_lastShort))
         m_firstShort = now;
     m_lastShort = now;
-    if (prompt.maxPause.count() > 0)
-        m_lastMaxPause = now;
     m_shortContexts.count(prompt.context, prompt.sharedTokens);
     if (m_shortTokens.empty() || m_shortTokens.back().begin != intervalOf(now))
         m_shortTokens.push_back({intervalOf(now), 0});
--- a/src/core/placement_admission.cpp
+++ b/src/core/placement_admission.cpp
@@ -65,8 +65,10 @@
     const bool isLate = isTooLate(request, false);
     const bool isReturning = isDue(request.fingerprint);
     const bool isWithinLimit = !isLate || (isReturning && !isTooLate(request, true));
+    // Where late answers are served, a team above its share gets only those in time.
+    const Duration shareLimit = m_limits.maxLateShare > 0.0 ? target : target / 2;
     const bool isOverShareNow
-        = target > Duration::zero() && request.delay > target / 2 && isOverShare(team);
+        = target > Duration::zero() && request.delay > shareLimit && isOverShare(team);
     Decision decision;
     decision.isPlaced = isWithinLimit && !isOverShareNow;
     decision.isReturning = decision.isPlaced && isReturning;
@@ -199,7 +201,7 @@
 Milliseconds PlacementAdmission::nextTurn(const Request &request, Team &team)
 {
     const Duration closedFor
-        = std::max(request.leastLoadedDelay - request.targetLatency / 2, Duration::zero());
+        = std::max(request.delay - request.targetLatency / 2, Duration::zero());
     const Milliseconds turn
         = team.schedule.next(ratePerTeam(), closedFor, longestRetryAfter(request.remaining));
     remember(request.fingerprint, m_clock.now() + turn);
--- a/src/core/placement_ledger.cpp
+++ b/src/core/placement_ledger.cpp
@@ -107,6 +107,12 @@
     return it == m_loads.end() ? UpstreamLoad{} : it->second;
 }
 
+std::string PlacementLedger::shortRequestOf(const PlacementId &id) const
+{
+    const auto it = m_placements.find(id);
+    return it == m_placements.end() ? std::string() : it->second.shortRequestOf;
+}
+
 std::size_t PlacementLedger::runningShort(const std::string &serviceShard) const
 {
     const auto it = m_runningShort.find(serviceShard);
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -436,9 +436,18 @@
         return true;
     if (!m_streamStarted)
         beginStream();
+    recordEvent();
     return m_writer.sendChunk(events);
 }
 
+void CallHandler::recordEvent()
+{
+    const TimePoint now = m_state.clock().now();
+    if (m_lastEventAt != TimePoint{})
+        m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
+    m_lastEventAt = now;
+}
+
 // Counts the prompt as computed and the context to fetch as received.
 void CallHandler::recordPromptComputed()
 {
@@ -607,7 +616,9 @@
     m_attempt->isOpen = false;
     recordPromptComputed();
     m_state.loads().end(id, m_attempt->load, true);
-    m_state.placements().ended(m_attempt->placement);
+    const Duration maxPause = m_call.route->maxPause;
+    m_state.placements().ended(m_attempt->placement,
+                               maxPause > Duration::zero() && m_longestPause > maxPause);
     if (m_attempt->sent)
         m_state.health().ended(id);
     if (!m_attempt->channel)
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -81,6 +81,7 @@
     void endPassThrough();
     std::optional<Reason> admit();
     void recordPromptComputed();
+    void recordEvent();
     void beginStream();
     http::response_header<> answerHead() const;
     void endAttempt(bool reusable);
@@ -112,6 +113,8 @@
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
     std::optional<TimePoint> m_firstEventAt;
+    TimePoint m_lastEventAt{};
+    Duration m_longestPause{}; // between events
     std::string m_lastUpstream; // instance id, for the log
     std::optional<Unavailability> m_unavailable; // why no upstream accepts the request
     std::optional<EngineChoice> m_busyEngine; // the least loaded engine, if all are overloaded
--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -51,27 +51,8 @@
         kMaxWait * std::chrono::duration<double, std::milli>(request.targetLatency));
 }
 
-// Estimated time to the first token at the engine with the least work. Engines without a free slot
-// are not considered, except the chosen one.
-Duration leastLoadedDelay(const PlacementRequest &request, const EngineChoice &choice,
-                          const ServicePool &pool, NodeState &state, const LoadView &loads)
-{
-    const PrefillPace &pace = state.pace(pool.name);
-    Duration least = choice.expectedDelay;
-    for (const UpstreamRecord *it : state.schedulableEngines(pool)) {
-        const UpstreamLoad load = loads.total(it->instanceId);
-        if (load.running >= pool.engine->slots
-            || !request.shard.contains(stableHash(it->instanceId)))
-            continue;
-        const auto tokens = static_cast<double>(load.tokensToCompute + request.prompt.tokensIn);
-        least = std::min(least, pace.timeFor(tokens));
-    }
-    return least;
-}
-
 PlacementAdmission::Request admissionRequest(const PlacementRequest &request,
-                                             const EngineChoice &choice, const ServicePool &pool,
-                                             NodeState &state, const LoadView &loads)
+                                             const EngineChoice &choice)
 {
     PlacementAdmission::Request result;
     result.team = request.team;
@@ -79,11 +60,6 @@
     result.targetLatency = request.targetLatency;
     result.remaining = request.remaining;
     result.delay = choice.expectedDelay;
-    // Prompts with a shorter delay are placed in any case.
-    const bool mayBeRejected
-        = result.targetLatency > Duration::zero() && result.delay > result.targetLatency / 2;
-    result.leastLoadedDelay
-        = mayBeRejected ? leastLoadedDelay(request, choice, pool, state, loads) : result.delay;
     return result;
 }
 
@@ -155,7 +131,7 @@
                   .try_emplace(request.service, m_clock, PlacementAdmission::Limits{kMaxLateShare})
                   .first->second;
         const PlacementAdmission::Decision decision
-            = admission.decide(admissionRequest(request, *choice, *pool, m_state, m_loads));
+            = admission.decide(admissionRequest(request, *choice));
         if (decision.isReturning)
             m_state.metrics().count("fordwood_placements_returned_total");
         if (decision.isOverShare)
@@ -214,7 +190,7 @@
     const auto group = m_shortGroups.find(key);
     if (group != m_shortGroups.end())
         group->second.planner.promptPlaced(
-            {choice.isShort, choice.load, choice.context, choice.sharedTokens, request.maxPause});
+            {choice.isShort, choice.load, choice.context, choice.sharedTokens});
     const TimePoint now = m_clock.now();
     m_ledger.add(request.id,
                  {choice.instanceId, choice.load, choice.fetchTokens,
@@ -251,6 +227,14 @@
     return m_usualRatios.try_emplace({service, isShort}, 1.0).first->second;
 }
 
+void EngineScheduler::recordEnd(const PlacementId &id, bool hasPaused)
+{
+    const auto group = m_shortGroups.find(m_ledger.shortRequestOf(id));
+    if (group != m_shortGroups.end())
+        group->second.planner.answerEnded(hasPaused);
+    m_ledger.end(id);
+}
+
 void EngineScheduler::observe(const PlacementLedger::FirstToken &firstToken)
 {
     const PlacementLedger::Estimate &estimate = firstToken.estimate;
@@ -357,7 +341,9 @@
             observe(*firstToken);
     }
     for (const std::uint64_t it : progress.ended)
-        m_ledger.end({progress.process, it});
+        recordEnd({progress.process, it},
+                  std::find(progress.paused.begin(), progress.paused.end(), it)
+                      != progress.paused.end());
 }
 
 } // namespace fordwood::node
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -75,6 +75,7 @@
     PlacementLedger::Estimate estimate(const PlacementRequest &request,
                                        const EngineChoice &choice) const;
     double &usualRatio(const std::string &service, bool isShort) const;
+    void recordEnd(const PlacementId &id, bool hasPaused);
     void observe(const PlacementLedger::FirstToken &firstToken);
     std::optional<EngineChoice> choose(const PlacementRequest &request, const ServicePool &pool);
     void record(const PlacementRequest &request, const EngineChoice &choice);
--- a/src/node/placement_messages.cpp
+++ b/src/node/placement_messages.cpp
@@ -109,7 +109,6 @@
             it.fingerprint,
             it.avoid,
             it.targetLatency.count(),
-            it.maxPause.count(),
             it.remaining.count()};
 }
 
@@ -130,7 +129,6 @@
     fields.read(it.fingerprint);
     fields.read(it.avoid);
     fields.read(it.targetLatency);
-    fields.read(it.maxPause);
     fields.read(it.remaining);
     if (it.shard.index >= it.shard.count || it.shard.count > kMaxShards)
         return std::nullopt;
@@ -182,7 +180,7 @@
     for (const PlacementProgress::Local &local : it.placed)
         placed.push_back({local.number, local.instanceId, local.load.tokensToCompute,
                           local.load.tokensHeld, local.remaining.count()});
-    return {kVersion, kProgress, it.process, std::move(placed), it.computed, it.ended};
+    return {kVersion, kProgress, it.process, std::move(placed), it.computed, it.ended, it.paused};
 }
 
 PlacementProgress decodeProgress(Fields fields)
@@ -201,6 +199,7 @@
     }
     fields.read(it.computed);
     fields.read(it.ended);
+    fields.read(it.paused);
     return it;
 }
 
--- a/src/node/placement_messages.hpp
+++ b/src/node/placement_messages.hpp
@@ -29,7 +29,6 @@
     // Hashes of instances that this request must not be sent to, or that the node cannot use now.
     std::vector<std::uint64_t> avoid;
     std::chrono::milliseconds targetLatency{0}; // zero: none
-    std::chrono::milliseconds maxPause{0}; // between events of the answer; zero: not specified
     std::chrono::milliseconds remaining{0}; // until the caller's deadline
 };
 
@@ -71,6 +70,7 @@
     std::vector<Local> placed;
     std::vector<std::uint64_t> computed; // numbers of requests whose prompt has been computed
     std::vector<std::uint64_t> ended;
+    std::vector<std::uint64_t> paused; // of these, answers that paused longer than they may
 
     bool isEmpty() const { return placed.empty() && computed.empty() && ended.empty(); }
 };
--- a/src/node/placements.cpp
+++ b/src/node/placements.cpp
@@ -178,10 +178,14 @@
         progressFor(*handle.scheduler).computed.push_back(handle.number);
 }
 
-void Placements::ended(const PlacementHandle &handle)
+void Placements::ended(const PlacementHandle &handle, bool hasPaused)
 {
-    if (handle.scheduler)
-        progressFor(*handle.scheduler).ended.push_back(handle.number);
+    if (!handle.scheduler)
+        return;
+    PlacementProgress &progress = progressFor(*handle.scheduler);
+    progress.ended.push_back(handle.number);
+    if (hasPaused)
+        progress.paused.push_back(handle.number);
 }
 
 PlacementProgress &Placements::progressFor(const udp::endpoint &scheduler)
--- a/src/node/placements.hpp
+++ b/src/node/placements.hpp
@@ -63,7 +63,8 @@
                                 PlacementProgress::Local placed);
 
     void promptComputed(const PlacementHandle &handle);
-    void ended(const PlacementHandle &handle);
+    // `hasPaused`: the answer paused longer than its route allows.
+    void ended(const PlacementHandle &handle, bool hasPaused = false);
 
     // Periodic work.
     void tick();
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -257,7 +257,6 @@
     }
     request.fingerprint = fingerprint.low;
     request.targetLatency = call.route->targetLatency;
-    request.maxPause = call.route->maxPause;
     request.remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
         plan.policy().answerBy - state.clock().now());
     for (const std::string &it : plan.tried())
