--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -68,6 +68,7 @@
                                  0,
                                  {},
                                  {},
+                                 m_maxDelay,
                                  m_fetchesFromEngines},
                                 engines, m_loads, m_health, m_contexts);
     }
@@ -92,6 +93,7 @@
     std::set<std::string> m_shortGroup;
     std::vector<UpstreamRecord> m_records;
     bool m_fetchesFromEngines = false;
+    Duration m_maxDelay{};
 };
 
 Prompt longPrompt(const std::string &context = "c1")
