--- a/src/node/engine_scheduler.cpp
+++ b/src/node/engine_scheduler.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "fordwood/upstream_loads.hpp"
 #include "node/node_state.hpp"
@@ -92,7 +91,8 @@
 }
 
 EngineScheduler::EngineScheduler(NodeState &state, const Clock &clock)
-    : m_state(state), m_clock(clock), m_ledger(clock), m_paces(clock), m_loads(*this)
+    : m_state(state), m_clock(clock), m_ledger(clock), m_paces(clock), m_loads(*this),
+      m_shortGroups(state, m_ledger, clock)
 { }
 
 void EngineScheduler::recordActivity()
@@ -168,7 +168,7 @@
                                      m_state.weights(request.prompt.model),
                                      *pool.engine,
                                      {},
-                                     shortGroup(request, pool).engines,
+                                     m_shortGroups.engines(request.shard, pool),
                                      1.0,
                                      0,
                                      {},
@@ -186,16 +186,14 @@
 void EngineScheduler::record(const PlacementRequest &request, const EngineChoice &choice)
 {
     EngineChooser::recordSent(choice, request.prompt, m_state.contexts());
-    const std::string key = groupKey(request);
-    const auto group = m_shortGroups.find(key);
-    if (group != m_shortGroups.end())
-        group->second.planner.promptPlaced(
-            {choice.isShort, choice.load, choice.context, choice.sharedTokens});
+    const std::string group = ShortPromptGroups::nameOf(request.service, request.shard);
+    m_shortGroups.promptPlaced(group,
+                               {choice.isShort, choice.load, choice.context, choice.sharedTokens});
     const TimePoint now = m_clock.now();
     m_ledger.add(request.id,
                  {choice.instanceId, choice.load, choice.fetchTokens,
                   now + 2 * choice.expectedDelay + kOverdueMargin, now + request.remaining,
-                  choice.isShort ? key : std::string(), estimate(request, choice)});
+                  choice.isShort ? group : std::string(), estimate(request, choice)});
 }
 
 // Without the pace of the engine, with which the first tokens are compared. Nothing is estimated
@@ -229,9 +227,7 @@
 
 void EngineScheduler::recordEnd(const PlacementId &id, bool hasPaused)
 {
-    const auto group = m_shortGroups.find(m_ledger.shortRequestOf(id));
-    if (group != m_shortGroups.end())
-        group->second.planner.answerEnded(hasPaused);
+    m_shortGroups.answerEnded(m_ledger.shortRequestOf(id), hasPaused);
     m_ledger.end(id);
 }
 
@@ -250,82 +246,10 @@
     m_state.pace(estimate.service).observe(estimate.tokens, firstToken.took);
 }
 
-std::string EngineScheduler::groupKey(const PlacementRequest &request)
-{
-    return request.service + '#' + std::to_string(request.shard.index) + '/'
-           + std::to_string(request.shard.count);
-}
-
-EngineScheduler::ShortGroup &EngineScheduler::shortGroup(const PlacementRequest &request,
-                                                         const ServicePool &pool)
-{
-    const std::string key = groupKey(request);
-    const auto [it, isNew]
-        = m_shortGroups.try_emplace(key, m_clock, request.service, request.shard);
-    ShortGroup &group = it->second;
-    if (isNew)
-        group.engineCount = shardEngines(pool.name, request.shard).size();
-    const std::size_t size = shortGroupSize(key, group, pool);
-    if (size != group.engines.size())
-        selectShortGroup(group, size);
-    return group;
-}
-
-std::vector<const UpstreamRecord *> EngineScheduler::shardEngines(const std::string &service,
-                                                                  const EngineShard &shard) const
-{
-    std::vector<const UpstreamRecord *> engines = m_state.upstreams().usable(service);
-    std::erase_if(engines, [&](const UpstreamRecord *it) {
-        return !shard.contains(stableHash(it->instanceId));
-    });
-    return engines;
-}
-
-std::size_t EngineScheduler::shortGroupSize(const std::string &key, ShortGroup &group,
-                                            const ServicePool &pool)
-{
-    return group.planner.size(
-        {group.engineCount, *pool.engine, m_state.pace(group.service).tokensPerSecond()},
-        m_ledger.runningShort(key));
-}
-
-void EngineScheduler::selectShortGroup(ShortGroup &group, std::size_t size)
-{
-    const std::size_t before = group.engines.size();
-    const auto engines = shardEngines(group.service, group.shard);
-    group.engineCount = engines.size();
-    group.engines = selectShortPromptEngines(engines, size);
-    if (group.engines.size() != before)
-        adapters::logEvent(adapters::Event::EngineGroupChanged,
-                           {{"service", group.service},
-                            {"engines", group.engines.size()},
-                            {"of", engines.size()},
-                            {"reason", name(group.planner.reason())}});
-}
-
-// Follows the engines that come and go, and drops the groups of services without requests, which
-// may have another scheduler now.
-void EngineScheduler::updateShortGroups()
-{
-    std::map<std::string, std::size_t> sizes; // by service
-    for (auto it = m_shortGroups.begin(); it != m_shortGroups.end();) {
-        ShortGroup &group = it->second;
-        const ServicePool *pool
-            = m_state.table() ? m_state.table()->findService(group.service) : nullptr;
-        const bool hasEngines = pool != nullptr && pool->engine;
-        selectShortGroup(group, hasEngines ? shortGroupSize(it->first, group, *pool) : 0);
-        sizes[group.service] += group.engines.size();
-        it = hasEngines && group.planner.hasLoad() ? std::next(it) : m_shortGroups.erase(it);
-    }
-    for (const auto &[service, size] : sizes)
-        m_state.metrics().setGauge("fordwood_short_prompt_engines", static_cast<double>(size),
-                                   {{"service", service}});
-}
-
 void EngineScheduler::tick()
 {
     m_ledger.removeExpired();
-    updateShortGroups();
+    m_shortGroups.update();
     m_paces.removeExpired();
 }
 
--- a/src/node/engine_scheduler.hpp
+++ b/src/node/engine_scheduler.hpp
@@ -4,19 +4,18 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "fordwood/engine_chooser.hpp"
-#include "fordwood/engine_group_planner.hpp"
 #include "fordwood/engine_paces.hpp"
 #include "fordwood/load_view.hpp"
 #include "fordwood/placement_admission.hpp"
 #include "fordwood/placement_ledger.hpp"
 #include "fordwood/serving_config.hpp"
 #include "node/placement_messages.hpp"
+#include "node/short_prompt_groups.hpp"
 
 namespace fordwood::node {
 
@@ -43,7 +42,7 @@
     std::size_t openPlacements() const { return m_ledger.size(); }
 
 private:
-    // The recorded loads, multiplied by the pace of the engine.
+    // The recorded loads, and more at an engine that is very slow at the moment.
     class Loads : public LoadView
     {
     public:
@@ -54,20 +53,6 @@
         EngineScheduler &m_scheduler;
     };
 
-    // The engines of a service's shard that are for short prompts.
-    struct ShortGroup
-    {
-        ShortGroup(const Clock &clock, std::string serviceName, EngineShard engineShard)
-            : service(std::move(serviceName)), shard(engineShard), planner(clock)
-        { }
-
-        std::string service;
-        EngineShard shard;
-        EngineGroupPlanner planner;
-        std::size_t engineCount = 0; // in the shard
-        std::set<std::string> engines;
-    };
-
     void recordActivity();
     bool isLedgerComplete() const;
     // The ledger's load and, until the ledger is complete, the exchanged one.
@@ -79,25 +64,18 @@
     void observe(const PlacementLedger::FirstToken &firstToken);
     std::optional<EngineChoice> choose(const PlacementRequest &request, const ServicePool &pool);
     void record(const PlacementRequest &request, const EngineChoice &choice);
-    static std::string groupKey(const PlacementRequest &request);
-    std::vector<const UpstreamRecord *> shardEngines(const std::string &service,
-                                                     const EngineShard &shard) const;
-    ShortGroup &shortGroup(const PlacementRequest &request, const ServicePool &pool);
-    std::size_t shortGroupSize(const std::string &key, ShortGroup &group, const ServicePool &pool);
-    void selectShortGroup(ShortGroup &group, std::size_t size);
-    void updateShortGroups();
 
     NodeState &m_state;
     const Clock &m_clock;
     PlacementLedger m_ledger;
     EnginePaces m_paces;
     Loads m_loads;
+    ShortPromptGroups m_shortGroups;
     std::map<std::string, PlacementAdmission> m_admissions; // by service
     // Usual ratio of actual to expected times to first token, by service and kind of prompt.
     mutable std::map<std::pair<std::string, bool>, double> m_usualRatios;
     std::optional<TimePoint> m_activeSince; // of the current role as a scheduler
     TimePoint m_lastRequest{};
-    std::map<std::string, ShortGroup> m_shortGroups; // by service and shard
 };
 
 } // namespace fordwood::node
