A scheduler waits for engines with the newest weights while they are in time

Cause: answers on replaced weights lose a fifth of their value; the choice weighs them as 120 ms of wait, although a wait within the target loses nothing.

Change: where engines in time come first, replaced weights cost more.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -201,7 +201,7 @@
                            const Query &query) const;
     double storeWait(const VersionInfo &weights, double sharedTokens) const;
     static double storeQueue(const VersionInfo &weights, std::size_t firstPart);
-    double oldWeightsCost(std::uint64_t version, const WeightHistory &weights) const;
+    double oldWeightsCost(std::uint64_t version, const Query &query) const;
     VersionInfo weightsInfo(std::uint64_t version, const Query &query, const LoadView &loads,
                             const ContextDirectory &contexts) const;
     void findSources(const std::vector<Candidate> &candidates, const PromptInfo &promptInfo,
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -45,6 +45,8 @@
 constexpr double kLongInShortGroupCost = 25'000.0;
 // An answer on replaced weights loses a fifth of its value.
 constexpr double kOldWeightsCost = 6'000.0;
+// The same where engines that are in time come first: among them, a longer wait loses nothing.
+constexpr double kOldWeightsCostInTime = 25'000.0;
 // An engine whose requests all fail is used only if there is no other.
 constexpr double kFailureCost = 60'000.0;
 // One in this many slots may be taken by a request that a peer has not reported yet.
@@ -188,13 +190,15 @@
     return m_limits.mechanisms.readAgainWeight ? kRecomputeWeight : kComputeWeight;
 }
 
-double EngineChooser::oldWeightsCost(std::uint64_t version, const WeightHistory &weights) const
+double EngineChooser::oldWeightsCost(std::uint64_t version, const Query &query) const
 {
-    const auto replaced = weights.supersededAt(version);
+    const auto replaced = query.weights.supersededAt(version);
     const bool losesValue = replaced
                             && (!replaced->earliest
                                 || m_clock.now() - *replaced->earliest >= m_limits.oldWeightsGrace);
-    return losesValue ? kOldWeightsCost : 0.0;
+    if (!losesValue)
+        return 0.0;
+    return query.maxDelay > Duration::zero() ? kOldWeightsCostInTime : kOldWeightsCost;
 }
 
 EngineChooser::VersionInfo EngineChooser::weightsInfo(std::uint64_t version, const Query &query,
@@ -205,7 +209,7 @@
     VersionInfo weights;
     weights.version = version;
     weights.salt = contextSalt(prompt.model, version, query.isolatedTeam);
-    weights.cost = oldWeightsCost(version, query.weights);
+    weights.cost = oldWeightsCost(version, query);
     weights.isSuperseded = query.weights.supersededAt(version).has_value();
     for (std::size_t n = 0; n + 1 < prompt.parts.size(); ++n) {
         StoredPart part;
