EngineChooser: an engine holds a context whole or not at all

Cause: a trial that knew single parts at engines was taken back, but its index of the first missing part stayed, always zero where it was read.

Change: heldParts, the sum of missing tokens and the argument of storeQueue() are gone. No change of behaviour.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -164,7 +164,6 @@
         std::uint64_t weight = 0; // rendezvous weight of the engine for the context
         std::size_t rank = 0; // zero: preferred by all nodes
         bool holdsContext = false;
-        std::size_t heldParts = 0; // shared parts that the engine has
         bool fetches = true; // the context, if a store has it
         const UpstreamRecord *source = nullptr; // engine to fetch from what no store holds
         UpstreamLoad load;
@@ -200,7 +199,7 @@
     Duration expectedDelay(const Candidate &candidate, const PromptInfo &promptInfo,
                            const Query &query) const;
     double storeWait(const VersionInfo &weights, double sharedTokens) const;
-    static double storeQueue(const VersionInfo &weights, std::size_t firstPart);
+    static double storeQueue(const VersionInfo &weights);
     double oldWeightsCost(std::uint64_t version, const Query &query) const;
     VersionInfo weightsInfo(std::uint64_t version, const Query &query, const LoadView &loads,
                             const ContextDirectory &contexts) const;
@@ -209,7 +208,7 @@
                      const ContextDirectory &contexts) const;
     static double fetchCost(double sharedTokens, double waitingTokens, bool isNear);
     static double transferTokens(double tokens, double linkMbps, const Query &query);
-    static double storeFetchCost(const Candidate &candidate, double missingTokens,
+    static double storeFetchCost(const Candidate &candidate, const PromptInfo &promptInfo,
                                  const Query &query);
     static std::pair<const UpstreamRecord *, double>
     cheapestSource(const Candidate &candidate, const PromptInfo &promptInfo, const Query &query);
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -108,18 +108,18 @@
 // recomputed instead.
 double EngineChooser::storeWait(const VersionInfo &weights, double sharedTokens) const
 {
-    const double waitingTokens = kFetchWeight * storeQueue(weights, 0);
+    const double waitingTokens = kFetchWeight * storeQueue(weights);
     const bool isFetched
         = waitingTokens + sharedTokens * kFetchWeight <= sharedTokens * readAgainWeight();
     return isFetched || !m_limits.mechanisms.computingInstead ? waitingTokens : 0.0;
 }
 
-// Tokens queued at the stores from which the parts from the given one on are fetched. A part that
-// is not stored ends the fetch. Transfers of different stores run at the same time.
-double EngineChooser::storeQueue(const VersionInfo &weights, std::size_t firstPart)
+// Tokens queued at the stores from which the context is fetched. A part that is not stored ends the
+// fetch. Transfers of different stores run at the same time.
+double EngineChooser::storeQueue(const VersionInfo &weights)
 {
     double most = 0.0;
-    for (std::size_t n = firstPart; n < weights.stored.size() && weights.stored[n].isHeld(); ++n)
+    for (std::size_t n = 0; n < weights.stored.size() && weights.stored[n].isHeld(); ++n)
         most = std::max(most, weights.stored[n].queuedTokens);
     return most;
 }
@@ -272,24 +272,23 @@
     return ms * query.pace.tokensPerSecond() / 1'000.0;
 }
 
-// Cost of fetching the parts that the engine does not have from the stores that hold them. Without
-// exact loads, or if the configuration does not name the speed of the links, a token costs the same
-// at each store.
-double EngineChooser::storeFetchCost(const Candidate &candidate, double missingTokens,
+// Cost of fetching the context from the stores that hold it. Without exact loads, or if the
+// configuration does not name the speed of the links, a token costs the same at each store.
+double EngineChooser::storeFetchCost(const Candidate &candidate, const PromptInfo &promptInfo,
                                      const Query &query)
 {
     const VersionInfo &weights = *candidate.weights;
-    const std::size_t first = candidate.heldParts;
     const auto isNear = [&](const StoredPart &it) {
         return it.holder.failureDomain == candidate.engine->failureDomain;
     };
     const bool isExact = query.fetchesFromEngines && query.traits.tokenBytes > 0
-                         && weights.stored[first].holder.linkMbps > 0.0;
+                         && weights.stored.front().holder.linkMbps > 0.0;
     if (!isExact)
-        return fetchCost(missingTokens, storeQueue(weights, first), isNear(weights.stored[first]));
+        return fetchCost(promptInfo.sharedTokens, storeQueue(weights),
+                         isNear(weights.stored.front()));
     double moving = 0.0; // an engine's transfers run one after the other
     double waiting = 0.0; // those of different stores wait at the same time
-    for (std::size_t n = first; n < weights.stored.size() && weights.stored[n].isHeld(); ++n) {
+    for (std::size_t n = 0; n < weights.stored.size() && weights.stored[n].isHeld(); ++n) {
         const StoredPart &part = weights.stored[n];
         const double factor = isNear(part) ? 1.0 : kCrossDomainFactor;
         const auto tokens = static_cast<double>(query.prompt.parts[n].tokens);
@@ -318,7 +317,7 @@
                   ? transferTokens(it.queuedTokens + factor * promptInfo.sharedTokens,
                                    query.traits.linkMbps, query)
                   : fetchCost(promptInfo.sharedTokens,
-                              it.queuedTokens + storeQueue(*candidate.weights, 0), isNear);
+                              it.queuedTokens + storeQueue(*candidate.weights), isNear);
         if (best.first == nullptr || cost < best.second)
             best = {it.engine, cost};
     }
@@ -340,15 +339,11 @@
         return sourceCost;
     }
     const VersionInfo &weights = *candidate.weights;
-    const std::size_t first = candidate.heldParts;
-    double missingTokens = promptInfo.sharedTokens;
-    for (std::size_t n = 0; n < first; ++n)
-        missingTokens -= static_cast<double>(query.prompt.parts[n].tokens);
-    candidate.contextTokens = missingTokens;
-    if (first >= weights.stored.size() || !weights.stored[first].isHeld())
-        return missingTokens * recomputeWeight(candidate, promptInfo);
-    const double fetching = storeFetchCost(candidate, missingTokens, query);
-    const double computing = missingTokens * readAgainWeight();
+    candidate.contextTokens = promptInfo.sharedTokens;
+    if (weights.stored.empty() || !weights.stored.front().isHeld())
+        return promptInfo.sharedTokens * recomputeWeight(candidate, promptInfo);
+    const double fetching = storeFetchCost(candidate, promptInfo, query);
+    const double computing = promptInfo.sharedTokens * readAgainWeight();
     candidate.fetches = fetching <= computing || !m_limits.mechanisms.computingInstead;
     if (candidate.fetches)
         candidate.contextTokens = fetching;
@@ -445,7 +440,6 @@
         it.holdsContext = contexts.isContextAtEngine(it.engine->instanceId, it.weights->salt,
                                                      promptInfo.context, keptFor);
         it.weights->isAtEngine = it.weights->isAtEngine || it.holdsContext;
-        it.heldParts = it.holdsContext ? prompt.parts.size() - 1 : 0;
     }
     findSources(candidates, promptInfo, query, loads, health, contexts);
     std::erase_if(candidates, [&](const Candidate &it) { return !isConsidered(it, query); });
@@ -517,7 +511,7 @@
             from = candidate.source->address;
             choice.sourceEngine = from;
         }
-        if (n < candidate.heldParts) {
+        if (isShared && candidate.holdsContext) {
             known += part.tokens;
         } else if (!from.empty()) {
             known += part.tokens;
