--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -300,9 +300,12 @@
     }
     m_attempt->channel = std::move(channel);
     if (!ec) {
+        if (m_attempt->channel->isNew())
+            m_state.paths().connected(m_attempt->upstream);
         sendRequest();
         return;
     }
+    m_state.paths().connectFailed(m_attempt->upstream, ec);
     m_state.health().failed(m_attempt->upstream.instanceId);
     // No process listens at the address: an upstream that answers there later has just started.
     if (ec == net::error::connection_refused)
@@ -596,6 +599,7 @@
 {
     const auto self = shared_from_this();
     m_state.health().failed(m_attempt->upstream.instanceId);
+    m_state.paths().channelFailed(m_attempt->upstream);
     // The idle channels to this upstream have probably failed as well.
     m_state.channels().closeIdle(m_attempt->upstream.instanceId);
     logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, cause.message(),
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -46,6 +46,7 @@
 {
     m_exchange = std::make_shared<Exchange>();
     m_isReusable = false;
+    m_isNew = false;
     Exchange &current = *m_exchange;
     const bool isHeadRequest = head.method() == http::verb::head;
     current.request.base() = std::move(head);
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -70,6 +70,9 @@
     // Whether the channel can carry another request, after a complete answer.
     bool isReusable();
 
+    // Whether the channel has not carried a request yet.
+    bool isNew() const { return m_isNew; }
+
 private:
     void writeRequest();
     void readHead();
@@ -98,6 +101,7 @@
     std::unique_ptr<net::steady_timer> m_connectTimer; // only while connecting
     std::shared_ptr<Exchange> m_exchange;
     bool m_isReusable = true;
+    bool m_isNew = true;
 };
 
 } // namespace fordwood::node
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -69,7 +69,8 @@
       m_gate(clock, coldLimits(settings), settings.node.name,
              stableHash(makeNodeInstanceId(settings.node.name))),
       m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
-      m_channels(context, clock, settings.callers.channelBuffer), m_scheduler(*this, clock),
+      m_channels(context, clock, settings.callers.channelBuffer),
+      m_paths(clock, m_upstreams, metrics), m_scheduler(*this, clock),
       m_placements(context, clock, metrics, stableHash(makeNodeInstanceId(settings.node.name)),
                    m_scheduler),
       m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock)
@@ -343,6 +344,7 @@
     }
     m_upstreams.takeChanged(); // not followed on this thread; the list would grow
     m_channels.tick();
+    m_paths.tick();
     m_placements.tick();
     m_gate.backoffs().tick();
     m_quarantine.tick();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -33,6 +33,7 @@
 #include "node/fleet_update.hpp"
 #include "node/placements.hpp"
 #include "node/upstream_attempt.hpp"
+#include "node/upstream_paths.hpp"
 
 namespace fordwood::node {
 
@@ -169,6 +170,7 @@
     ContextDirectory &contexts() { return m_contexts; }
     const EngineChooser &engines() const { return m_engines; }
     ChannelPool &channels() { return m_channels; }
+    UpstreamPaths &paths() { return m_paths; }
     Placements &placements() { return m_placements; }
     const Placements &placements() const { return m_placements; }
     BufferBudget &buffers() { return m_buffers; }
@@ -218,6 +220,7 @@
     ContextDirectory m_contexts;
     EngineChooser m_engines;
     ChannelPool m_channels;
+    UpstreamPaths m_paths;
     EngineScheduler m_scheduler;
     Placements m_placements;
     BufferBudget m_buffers;
