Known red: a node that reaches no upstream refuses its callers

Two process tests reproduce the incident with real nodes: one of three loses its paths to both upstreams (connections refused, or hanging), while callers, the store and the other nodes reach it.

A small library, loaded into the node process, breaks its paths to single addresses, as a partition that other nodes do not see.

--- a/tests/process/http.cpp
+++ b/tests/process/http.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "process/http.hpp"
 
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -135,6 +136,31 @@
     return readUntil(m_socket, expectedText).find(expectedText) != std::string::npos;
 }
 
+FullListener::FullListener(const std::string &ip)
+{
+    constexpr int kConnections = 2; // one more than a backlog of zero holds
+    const auto any = adapters::parseSocketAddress(ip + ":0");
+    const int listener = socket(any->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    m_sockets.push_back(listener);
+    bind(listener, any->get(), sizeof(sockaddr_in));
+    listen(listener, 0);
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&bound), &length);
+    m_address = ip + ":" + std::to_string(ntohs(bound.sin_port));
+    for (int n = 0; n < kConnections; ++n) {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        connect(fd, reinterpret_cast<const sockaddr *>(&bound), sizeof(bound));
+        m_sockets.push_back(fd);
+    }
+}
+
+FullListener::~FullListener()
+{
+    for (const int it : m_sockets)
+        close(it);
+}
+
 std::string rawCall(const std::string &address, const std::string &bytes,
                     const std::string &expectedText)
 {
--- a/tests/process/http.hpp
+++ b/tests/process/http.hpp
@@ -40,6 +40,23 @@
     int m_socket = -1;
 };
 
+// Listens at a port of the IP and accepts nothing. Its backlog is full, so that connecting to it
+// takes forever.
+class FullListener
+{
+public:
+    explicit FullListener(const std::string &ip);
+    FullListener(const FullListener &) = delete;
+    FullListener &operator=(const FullListener &) = delete;
+    ~FullListener();
+
+    std::string address() const { return m_address; }
+
+private:
+    std::string m_address;
+    std::vector<int> m_sockets;
+};
+
 // Sends raw bytes to "IP:port" and closes the connection without reading.
 void sendAndClose(const std::string &address, const std::string &bytes);
 
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -33,7 +33,8 @@
 public:
     Deployment()
         : net(network()), folder("/tmp/fordwood-node-" + std::to_string(getpid()) + net),
-          store(net + "1:7000"), first(net + "2:8000", "i-1"), second(net + "3:8000", "i-2")
+          store(net + "1:7000"), first(net + "2:8000", "i-1"), second(net + "3:8000", "i-2"),
+          unresponsive(net + "200")
     {
         std::filesystem::create_directories(folder);
     }
@@ -67,11 +68,36 @@
             << "\"\n[bounds]\nstop_within = \"5s\"\n";
         out.close();
         nodes.emplace_back(
-            std::vector<std::string>{programPath(FORDWOOD_PROGRAMS, "fordwood-noded"), "--settings",
+            std::vector<std::string>{"/usr/bin/env", "LD_PRELOAD=" FORDWOOD_BROKEN_PATHS_LIBRARY,
+                                     "FORDWOOD_BROKEN_PATHS=" + brokenPathsFile(node),
+                                     programPath(FORDWOOD_PROGRAMS, "fordwood-noded"), "--settings",
                                      path},
             folder + "/node-" + std::to_string(node) + ".log");
     }
 
+    // How new connections fail on a broken path.
+    enum class Break { Refuse, Hang };
+
+    // The node loses its paths to both upstreams. Other nodes keep theirs.
+    void cutOffFromUpstreams(int node, Break how)
+    {
+        std::ofstream out(brokenPathsFile(node));
+        for (const char *it : {"2", "3"}) {
+            if (how == Break::Refuse)
+                out << "refuse " << net << it << "\n";
+            else
+                out << "hang " << net << it << " " << unresponsive.address() << "\n";
+        }
+    }
+
+    // All paths of the node work again.
+    void restorePaths(int node) const { std::filesystem::remove(brokenPathsFile(node)); }
+
+    std::string brokenPathsFile(int node) const
+    {
+        return folder + "/broken-paths-" + std::to_string(node);
+    }
+
     // `life` numbers the restarts under this id; a higher one has a later start time.
     void putUpstream(const std::string &id, const std::string &state = "ready", int life = 1)
     {
@@ -159,6 +185,7 @@
     KeyValueStandin store;
     UpstreamStandin first;
     UpstreamStandin second;
+    FullListener unresponsive;
     std::vector<Process> nodes;
 };
 
