A node that reaches no upstream connects through a peer

What callers saw: at nodes that had lost their paths to all upstreams, 0 of 261 and 4 of 522 first attempts were answered, at the others nearly all.

Cause: a node sends over connections of its own or not at all, and nothing distinguishes "this upstream is down" from "I reach nothing, others do".

Change: UpstreamReach tells a cut from a crash: connections to two upstreams have failed, none has succeeded since, and a peer reaches one of them. From then on connections go through a peer: ProxyPeers chooses it, ProxyServer opens the connection to the upstream and copies bytes. The request, its limits, retries and deadline stay with the node that took it, so that nothing is decided or counted twice, a request goes through one peer at most, and "not run" holds: no byte is sent before the peer has connected. An answer without a length is not taken for complete on such a connection, since a peer that ends looks the same as its end. Restricted requests go only through nodes in allowed regions.

Only with [peers] proxy_listen; peers without it are not asked.

What remains: requests that wait for an answer when a silent cut begins wait for their deadline.

--- a/include/fordwood/call_plan.hpp
+++ b/include/fordwood/call_plan.hpp
@@ -50,6 +50,11 @@
     // be sent to.
     void connectionFailed();
 
+    // A peer that was asked to connect to the upstream did not answer or does not act as a proxy.
+    // Nothing was sent, and the upstream may be chosen again. Counts toward the limit of failed
+    // connections only.
+    void proxyFailed(const std::string &instanceId);
+
     // This node found by itself that the upstream accepts no requests at the moment. Nothing was
     // sent and nothing failed, so the attempt does not count at all and the upstream may be chosen
     // again.
@@ -73,6 +78,7 @@
     void setReason(Reason reason) { m_reason = reason; }
 
     bool mayHaveRun() const { return m_mayHaveRun; }
+    bool hasConnectFailed() const { return m_connectFailures > 0; }
     const std::set<std::string> &tried() const { return m_tried; }
     std::size_t sends() const { return m_sends; }
     const CallPolicy &policy() const { return m_policy; }
--- a/include/fordwood/upstream_health.hpp
+++ b/include/fordwood/upstream_health.hpp
@@ -58,6 +58,9 @@
     // The upstream refused a request because it was full; it is skipped for `pause`.
     void refused(const std::string &instanceId, Duration pause);
 
+    // The failures so far were not the upstream's own.
+    void excuse(const std::string &instanceId);
+
     // Whether the upstream is skipped at the moment.
     bool isPaused(const std::string &instanceId) const;
 
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -66,6 +66,7 @@
         peers.gossipListen = table.text("gossip_listen");
         peers.metricsListen = table.text("metrics_listen");
         peers.placementListen = table.text("placement_listen");
+        peers.proxyListen = table.text("proxy_listen");
         peers.seeds = table.textList("seeds");
         peers.gossipEvery = table.span("gossip_every", peers.gossipEvery);
     } else if (section == "store") {
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -32,6 +32,7 @@
     std::string gossipListen; // UDP
     std::string metricsListen;
     std::string placementListen; // UDP; empty: this node neither schedules engines nor asks
+    std::string proxyListen; // empty: this node neither connects for peers nor through them
     std::vector<std::string> seeds; // `listen` addresses of other nodes
     Duration gossipEvery = std::chrono::milliseconds(200);
 };
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -156,6 +156,9 @@
      "Address for placement messages of peers (UDP). Without it, the node does not schedule "
      "engines "
      "and chooses them itself."},
+    {"proxy_listen", Address, false, 0, 0, "",
+     "Address at which peers that are cut off from upstreams ask this node for connections to "
+     "them. Without it, the node neither opens connections for peers nor uses theirs."},
     {"seeds", TextList, false, 0, 0, "[]",
      "Addresses (`peers.listen`) of other nodes, used while the store does not answer."},
     {"gossip_every", Span, false, 0.01, 10, "200ms",
--- a/src/core/call_plan.cpp
+++ b/src/core/call_plan.cpp
@@ -32,6 +32,12 @@
     m_deliveries -= 1;
 }
 
+void CallPlan::proxyFailed(const std::string &instanceId)
+{
+    rejectedLocally(instanceId);
+    m_connectFailures += 1;
+}
+
 void CallPlan::reachedOtherInstance()
 {
     m_sends -= 1;
--- a/src/core/upstream_health.cpp
+++ b/src/core/upstream_health.cpp
@@ -91,6 +91,17 @@
     entry.pausedUntil = std::max(entry.pausedUntil, m_clock.now() + pause);
 }
 
+void UpstreamHealth::excuse(const std::string &instanceId)
+{
+    const auto it = m_entries.find(instanceId);
+    if (it == m_entries.end())
+        return;
+    it->second.consecutiveFailures = 0;
+    it->second.pausedUntil = {};
+    it->second.failureRate = 0.0;
+    it->second.silentSince = m_clock.now();
+}
+
 bool UpstreamHealth::isPaused(const std::string &instanceId) const
 {
     const auto it = m_entries.find(instanceId);
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -39,9 +39,6 @@
 
 constexpr unsigned kFirstServerError = 500;
 
-// How long an upstream keeps an idle connection open if it does not state it.
-constexpr Duration kDefaultKeepAlive = std::chrono::seconds(4);
-
 bool isSuccess(unsigned status)
 {
     constexpr unsigned kFirstSuccess = 200;
@@ -175,6 +172,14 @@
 
 void CallHandler::beginAttempt()
 {
+    const PathChoice path
+        = choosePath(m_state, m_call, m_caller, m_plan, *m_attempt, m_failedProxies);
+    if (!path.isUsable) {
+        m_state.placements().ended(m_attempt->placement);
+        m_attempt.reset();
+        handleNoUpstream();
+        return;
+    }
     m_plan.beginSend(m_attempt->upstream.instanceId);
     m_attempt->startedAt = m_state.clock().now();
     m_lastUpstream = m_attempt->upstream.instanceId;
@@ -183,6 +188,15 @@
         m_state.loads().begin(store, {tokens, 0});
     if (m_attempt->load.tokensToCompute >= kHeavyPromptTokens)
         m_state.requestLoadReport();
+    if (path.proxy) {
+        m_attempt->proxy = path.proxy->name;
+        m_state.paths().connectThrough(
+            *path.proxy, m_attempt->upstream,
+            [self = shared_from_this()](std::shared_ptr<HttpChannel> channel, ProxyResult result) {
+                self->onProxied(std::move(channel), result);
+            });
+        return;
+    }
     m_state.channels().acquire(
         m_attempt->upstream,
         [self = shared_from_this()](std::shared_ptr<HttpChannel> channel, const ErrorCode &ec) {
@@ -213,8 +227,11 @@
 // request that was repeated under new ids ended 19 engines, in a fleet that has 18 at a time.
 void CallHandler::recordDisconnect()
 {
-    m_state.quarantine().onDisconnect(fingerprint(), m_attempt->upstream.instanceId);
-    m_state.publishQuarantineUpdates();
+    m_state.paths().ifPathWorks(m_call.pool->name, [&state = m_state, request = fingerprint(),
+                                                    id = m_attempt->upstream.instanceId] {
+        state.quarantine().onDisconnect(request, id);
+        state.publishQuarantineUpdates();
+    });
 }
 
 void CallHandler::recordAnswered()
@@ -309,13 +326,38 @@
     m_state.health().failed(m_attempt->upstream.instanceId);
     // No process listens at the address: an upstream that answers there later has just started.
     if (ec == net::error::connection_refused)
-        m_state.gate().coldGate().suspectRestart(m_attempt->upstream.instanceId,
-                                                 m_call.pool->coldStart);
+        m_state.paths().ifPathWorks(
+            m_call.pool->name,
+            [&gate = m_state.gate().coldGate(), id = m_attempt->upstream.instanceId,
+             coldStart = m_call.pool->coldStart] { gate.suspectRestart(id, coldStart); });
     m_plan.connectionFailed();
     endAttempt(false);
     handleFailure({RunState::NotRun, Reason::ConnectFailed, m_streamStarted});
 }
 
+void CallHandler::onProxied(std::shared_ptr<HttpChannel> channel, ProxyResult result)
+{
+    if (m_isFinished || !m_attempt) {
+        // The caller has disconnected or the deadline has passed. Nothing has been sent.
+        m_state.channels().discard(m_lastUpstream, channel);
+        return;
+    }
+    m_attempt->channel = std::move(channel);
+    if (result == ProxyResult::Connected) {
+        sendRequest();
+        return;
+    }
+    if (result == ProxyResult::UpstreamUnreachable) {
+        m_state.health().failed(m_attempt->upstream.instanceId);
+        m_plan.connectionFailed();
+    } else {
+        m_failedProxies.insert(m_attempt->proxy);
+        m_plan.proxyFailed(m_attempt->upstream.instanceId);
+    }
+    endAttempt(false);
+    handleFailure({RunState::NotRun, Reason::ConnectFailed, m_streamStarted});
+}
+
 // Whether the chosen engine would still start the request before its weights are too old.
 bool CallHandler::beginsInTime() const
 {
@@ -598,14 +640,18 @@
 void CallHandler::onChannelFailure(const ErrorCode &cause)
 {
     const auto self = shared_from_this();
-    m_state.health().failed(m_attempt->upstream.instanceId);
-    m_state.paths().channelFailed(m_attempt->upstream);
+    const bool isProxied = !m_attempt->proxy.empty();
+    const bool isPathAtFault = !isProxied && m_state.paths().channelFailed(m_attempt->upstream);
+    if (!isPathAtFault)
+        m_state.health().failed(m_attempt->upstream.instanceId);
     // The idle channels to this upstream have probably failed as well.
     m_state.channels().closeIdle(m_attempt->upstream.instanceId);
     logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, cause.message(),
                        m_eventSplitter.lastId().value_or(0),
                        m_state.clock().now() - m_attempt->startedAt, fingerprint()});
-    recordDisconnect();
+    // Through a peer, either the peer or the upstream may have closed the connection.
+    if (!isPathAtFault && !isProxied)
+        recordDisconnect();
     endAttempt(false);
     handleFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamStarted});
 }
@@ -633,7 +679,7 @@
     if (reusable)
         m_state.channels().release(id, channel,
                                    m_attempt->head.keepAlive ? Duration(*m_attempt->head.keepAlive)
-                                                             : kDefaultKeepAlive);
+                                                             : ChannelPool::kDefaultKeepAlive);
     else
         m_state.channels().discard(id, channel);
 }
@@ -722,6 +768,7 @@
     end.team = m_call.team != nullptr ? m_call.team->name : "";
     end.configuration = m_call.table ? m_call.table->config().version : 0;
     end.upstream = m_lastUpstream;
+    end.proxy = m_attempt ? m_attempt->proxy : "";
     end.sends = m_plan.sends();
     end.outcome = outcome;
     end.status = status;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -70,6 +71,7 @@
     bool selectUpstream();
     void handleNoUpstream();
     void onConnected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
+    void onProxied(std::shared_ptr<HttpChannel> channel, ProxyResult result);
     bool beginsInTime() const;
     void sendRequest();
     void handleFailure(const FailedAttempt &failure);
@@ -117,6 +119,7 @@
     Duration m_longestPause{}; // between events
     std::string m_lastUpstream; // instance id, for the log
     std::optional<Unavailability> m_unavailable; // why no upstream accepts the request
+    std::set<std::string> m_failedProxies; // peers that did not connect this request
     std::optional<EngineChoice> m_busyEngine; // the least loaded engine, if all are overloaded
 };
 
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -71,6 +71,7 @@
               {"team", end.team},
               {"configuration", end.configuration},
               {"upstream", end.upstream},
+              {"proxy", end.proxy},
               {"sends", end.sends},
               {"outcome", std::string(end.outcome)},
               {"status", end.status},
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -21,6 +21,7 @@
     std::string team;
     std::uint64_t configuration = 0; // version of the configuration
     std::string upstream; // of the last attempt
+    std::string proxy; // peer through which the last attempt went; empty: none
     std::size_t sends = 0;
     std::string_view outcome;
     unsigned status = 0; // zero: the answer was aborted, or the caller disconnected
--- a/src/node/channel_pool.cpp
+++ b/src/node/channel_pool.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-// Upstreams are a few milliseconds away. A dead one must not delay a request that another one could
-// answer.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-
-// An upstream that does not acknowledge sent bytes for this long is considered unreachable.
-constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1'000);
-
 // An idle channel is closed this long before the upstream's keep-alive time ends, so that no
 // request is sent while the upstream closes the connection.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(700);
@@ -29,16 +22,22 @@
 void ChannelPool::acquire(const UpstreamRecord &upstream, OnReady onReady)
 {
     Channels &channels = m_channels[upstream.instanceId];
-    channels.inUse += 1;
     while (!channels.idle.empty()) {
         const IdleChannel newest = std::move(channels.idle.back());
         channels.idle.pop_back();
         if (m_clock.now() < newest.expiresAt && newest.channel->isReusable()) {
+            channels.inUse += 1;
             onReady(newest.channel, {});
             return;
         }
         newest.channel->close();
     }
+    acquireNew(upstream, std::move(onReady));
+}
+
+void ChannelPool::acquireNew(const UpstreamRecord &upstream, OnReady onReady)
+{
+    m_channels[upstream.instanceId].inUse += 1;
     auto channel = std::make_shared<HttpChannel>(m_context);
     const auto endpoint = parseEndpoint<tcp>(upstream.address);
     if (!endpoint) {
@@ -50,6 +49,22 @@
         [channel, onReady = std::move(onReady)](const ErrorCode &ec) { onReady(channel, ec); });
 }
 
+void ChannelPool::acquireThrough(const ProxyRoute &route, const UpstreamRecord &upstream,
+                                 OnProxied onReady)
+{
+    m_channels[upstream.instanceId].inUse += 1;
+    auto channel = std::make_shared<HttpChannel>(m_context);
+    const auto endpoint = parseEndpoint<tcp>(route.peerAddress);
+    if (!endpoint) {
+        onReady(channel, ProxyResult::PeerFailed);
+        return;
+    }
+    channel->connectThrough(
+        {*endpoint, route.node, upstream.instanceId, route.use},
+        {kConnectTimeout, kUnacknowledgedTimeout, m_socketBuffer},
+        [channel, onReady = std::move(onReady)](ProxyResult result) { onReady(channel, result); });
+}
+
 void ChannelPool::release(const std::string &instanceId, std::shared_ptr<HttpChannel> channel,
                           Duration keepAlive)
 {
--- a/src/node/channel_pool.hpp
+++ b/src/node/channel_pool.hpp
@@ -21,6 +21,17 @@
 {
 public:
     using OnReady = std::function<void(std::shared_ptr<HttpChannel>, const ErrorCode &)>;
+    using OnProxied = std::function<void(std::shared_ptr<HttpChannel>, ProxyResult)>;
+
+    // Upstreams are a few milliseconds away. A dead one must not delay a request that another one
+    // could answer.
+    static constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+
+    // An upstream that does not acknowledge sent bytes for this long is considered unreachable.
+    static constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1'000);
+
+    // How long an upstream keeps an idle connection open if it does not state it.
+    static constexpr Duration kDefaultKeepAlive = std::chrono::seconds(4);
 
     // `socketBuffer`: see limitSocketBuffers().
     ChannelPool(net::io_context &context, const Clock &clock, std::size_t socketBuffer)
@@ -35,6 +46,20 @@
     // channel counts as in use until it is released or discarded.
     void acquire(const UpstreamRecord &upstream, OnReady onReady);
 
+    // As acquire(), but opens a new connection even if a channel is idle.
+    void acquireNew(const UpstreamRecord &upstream, OnReady onReady);
+
+    // The way to an upstream through a peer.
+    struct ProxyRoute
+    {
+        std::string peerAddress;
+        std::string node; // name of this node
+        std::shared_ptr<void> use; // released when the channel is closed
+    };
+
+    // As acquireNew(), but through a peer.
+    void acquireThrough(const ProxyRoute &route, const UpstreamRecord &upstream, OnProxied onReady);
+
     // Returns a channel on which an answer was read completely. `keepAlive`: how long the upstream
     // keeps the connection open.
     void release(const std::string &instanceId, std::shared_ptr<HttpChannel> channel,
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -59,8 +59,9 @@
 
 PeerAddress ownAddress(const config::OneProcessSettings &settings)
 {
-    return {settings.peers.gossipListen, settings.peers.listen, settings.node.failureDomain,
-            vmStrength(settings.vm), settings.peers.placementListen};
+    return {settings.peers.gossipListen,    settings.peers.listen,
+            settings.node.failureDomain,    vmStrength(settings.vm),
+            settings.peers.placementListen, settings.peers.proxyListen};
 }
 
 double linkBytesPerSecond(const config::OneProcessSettings &settings)
@@ -646,7 +647,10 @@
     if (!m_keysChanged || m_replica.isEmpty())
         return;
     m_keysChanged = false;
-    KnownNodes nodes{m_peers.roster().registeredPeers(), m_peers.roster().registeredSchedulers()};
+    KnownNodes nodes{
+        m_peers.roster().registeredPeers(), m_peers.roster().registeredSchedulers(), {}};
+    if (!m_settings.peers.proxyListen.empty())
+        nodes.proxies = m_peers.roster().registeredProxies();
     if (!m_settings.peers.placementListen.empty())
         nodes.schedulers.push_back(
             {m_settings.node.name, m_settings.peers.placementListen, vmStrength(m_settings.vm)});
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -11,6 +11,7 @@
 
 #include "fordwood/context_directory.hpp"
 #include "fordwood/observed_weights.hpp"
+#include "fordwood/proxy_peers.hpp"
 #include "fordwood/quarantine.hpp"
 #include "fordwood/route_table.hpp"
 #include "fordwood/scheduler_ranking.hpp"
@@ -103,6 +104,7 @@
 {
     std::vector<std::string> others;
     std::vector<SchedulerNode> schedulers; // nodes that may schedule engines, this one included
+    std::vector<ProxyPeer> proxies; // nodes that open connections for this one
 
     bool operator==(const KnownNodes &) const = default;
 };
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -12,6 +12,10 @@
 // Heads of answers are small; a longer one does not come from an upstream.
 constexpr std::uint32_t kMaxHeadBytes = 32'768;
 
+// A peer allows an upstream as much time to connect as this node does; its reply takes a little
+// longer.
+constexpr Duration kProxyTimeMargin = std::chrono::milliseconds(50);
+
 } // namespace
 
 HttpChannel::HttpChannel(net::io_context &context) : m_socket(context) { }
@@ -25,12 +29,7 @@
         enableDeadPeerDetection(m_socket, options.unacknowledgedTimeout);
     if (!ec && options.socketBuffer)
         limitSocketBuffers(m_socket, *options.socketBuffer);
-    m_connectTimer
-        = std::make_unique<net::steady_timer>(m_socket.get_executor(), options.connectTimeout);
-    m_connectTimer->async_wait([self = shared_from_this()](const ErrorCode &timerEc) {
-        if (!timerEc)
-            self->m_socket.close();
-    });
+    closeAfter(options.connectTimeout);
     m_socket.async_connect(
         endpoint, [self = shared_from_this(), onConnected](const ErrorCode &connectEc) {
             if (self->m_connectTimer)
@@ -41,6 +40,68 @@
         });
 }
 
+void HttpChannel::closeAfter(Duration timeout)
+{
+    m_connectTimer = std::make_unique<net::steady_timer>(m_socket.get_executor(), timeout);
+    m_connectTimer->async_wait([self = shared_from_this()](const ErrorCode &ec) {
+        if (!ec)
+            self->m_socket.close();
+    });
+}
+
+void HttpChannel::connectThrough(Proxy proxy, const Options &options,
+                                 const std::function<void(ProxyResult)> &onConnected)
+{
+    m_isProxied = true;
+    m_proxy = std::move(proxy);
+    connect(m_proxy->peer, options,
+            [self = shared_from_this(), onConnected,
+             timeout = options.connectTimeout](const ErrorCode &ec) {
+                if (ec || !self->m_proxy)
+                    onConnected(ProxyResult::PeerFailed);
+                else
+                    self->requestProxy(timeout + kProxyTimeMargin, onConnected);
+            });
+}
+
+// The state of a request to a proxy, shared by its handlers.
+struct ProxyExchange
+{
+    http::request<http::empty_body> request;
+    boost::beast::flat_buffer buffer{kMaxProxyHeadBytes};
+    http::response_parser<http::empty_body> parser;
+};
+
+void HttpChannel::requestProxy(Duration timeout,
+                               const std::function<void(ProxyResult)> &onConnected)
+{
+    closeAfter(timeout);
+    const auto current = std::make_shared<ProxyExchange>();
+    current->request = {http::verb::get, kProxyTarget, 11};
+    current->request.set(http::field::host, "peer");
+    current->request.set(http::field::connection, "Upgrade");
+    current->request.set(http::field::upgrade, kProxyUpgrade);
+    current->request.set(kProxyUpstreamField, m_proxy->upstream);
+    current->request.set(kProxyNodeField, m_proxy->node);
+    http::async_write(m_socket, current->request,
+                      [self = shared_from_this(), current](const ErrorCode &, std::size_t) {
+                          // What the reading side finds decides.
+                      });
+    http::async_read_header(
+        m_socket, current->buffer, current->parser,
+        [self = shared_from_this(), current, onConnected](const ErrorCode &ec, std::size_t) {
+            self->m_connectTimer.reset();
+            const http::status status = current->parser.get().result();
+            if (!ec && status == http::status::bad_gateway)
+                onConnected(ProxyResult::UpstreamUnreachable);
+            else if (ec || status != http::status::switching_protocols || current->buffer.size() > 0
+                     || !self->m_proxy)
+                onConnected(ProxyResult::PeerFailed);
+            else
+                onConnected(ProxyResult::Connected);
+        });
+}
+
 void HttpChannel::exchange(http::request_header<> head, std::shared_ptr<const std::string> body,
                            AnswerHandler &handler)
 {
@@ -146,11 +207,15 @@
 
 void HttpChannel::completeExchange()
 {
+    if (m_isProxied && m_exchange->parser.need_eof()) {
+        fail(http::error::partial_message);
+        return;
+    }
     const std::shared_ptr<Exchange> current = std::move(m_exchange);
     m_exchange.reset();
     // Bytes after the answer belong to no request, so the channel cannot be reused.
-    m_isReusable
-        = current->isWritten && current->parser.keep_alive() && current->buffer.size() == 0;
+    m_isReusable = current->isWritten && current->parser.keep_alive() && current->buffer.size() == 0
+                   && !m_isProxied;
     if (!m_isReusable)
         close();
     current->handler->onAnswerEnd();
@@ -167,6 +232,7 @@
 void HttpChannel::close()
 {
     m_exchange.reset();
+    m_proxy.reset();
     m_isReusable = false;
     if (m_connectTimer)
         m_connectTimer->cancel();
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include "node/net.hpp"
+#include "node/proxy_protocol.hpp"
 
 namespace fordwood::node {
 
@@ -57,6 +58,21 @@
     void connect(const tcp::endpoint &endpoint, const Options &options,
                  const std::function<void(const ErrorCode &)> &onConnected);
 
+    // A peer that connects to an upstream on this node's behalf; see ProxyServer.
+    struct Proxy
+    {
+        tcp::endpoint peer;
+        std::string node; // name of this node
+        std::string upstream; // instance id
+        std::shared_ptr<void> use; // released when the channel is closed
+    };
+
+    // Connects to an upstream through a peer. The channel carries one exchange. An answer must
+    // state its length or be chunked: a peer that ends could not be told from the end of another
+    // answer.
+    void connectThrough(Proxy proxy, const Options &options,
+                        const std::function<void(ProxyResult)> &onConnected);
+
     // Sends a request and reads its answer. The handler must outlive the exchange, or close() must
     // be called before.
     void exchange(http::request_header<> head, std::shared_ptr<const std::string> body,
@@ -74,6 +90,8 @@
     bool isNew() const { return m_isNew; }
 
 private:
+    void requestProxy(Duration timeout, const std::function<void(ProxyResult)> &onConnected);
+    void closeAfter(Duration timeout);
     void writeRequest();
     void readHead();
     void readBody();
@@ -102,6 +120,8 @@
     std::shared_ptr<Exchange> m_exchange;
     bool m_isReusable = true;
     bool m_isNew = true;
+    std::optional<Proxy> m_proxy; // while connected through a peer
+    bool m_isProxied = false;
 };
 
 } // namespace fordwood::node
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -70,7 +70,8 @@
              stableHash(makeNodeInstanceId(settings.node.name))),
       m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
       m_channels(context, clock, settings.callers.channelBuffer),
-      m_paths(clock, m_upstreams, metrics), m_scheduler(*this, clock),
+      m_paths(clock, settings.node.name, {m_upstreams, m_health, m_channels, metrics}),
+      m_scheduler(*this, clock),
       m_placements(context, clock, metrics, stableHash(makeNodeInstanceId(settings.node.name)),
                    m_scheduler),
       m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock)
@@ -168,6 +169,7 @@
 {
     m_gate.coldGate().setNodes(update.others);
     m_placements.setNodes(update.schedulers);
+    m_paths.setPeers(update.proxies);
 }
 
 void NodeState::apply(const ContextStoreUpdated &update)
@@ -218,6 +220,7 @@
 void NodeState::apply(const StopStarted &)
 {
     m_stopStartedAt = m_clock.now();
+    m_paths.startStop();
 }
 
 Duration NodeState::timeSinceStop() const
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -381,16 +381,18 @@
                 {"strength", address.strength}};
     if (!address.placement.empty())
         object["placement"] = address.placement;
+    if (!address.proxy.empty())
+        object["proxy"] = address.proxy;
     return encodeCbor(object);
 }
 
 std::optional<PeerAddress> decodePeerAddress(std::string_view bytes)
 {
     return decodeCbor<PeerAddress>(bytes, [](const Json &object) {
-        return PeerAddress{object.at("gossip").get<std::string>(),
-                           object.at("replica").get<std::string>(),
-                           object.value("domain", std::string()), object.value("strength", 0.0),
-                           object.value("placement", std::string())};
+        return PeerAddress{
+            object.at("gossip").get<std::string>(),   object.at("replica").get<std::string>(),
+            object.value("domain", std::string()),    object.value("strength", 0.0),
+            object.value("placement", std::string()), object.value("proxy", std::string())};
     });
 }
 
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -27,6 +27,7 @@
     std::string failureDomain;
     double strength = 0.0; // of the node's VM; see vmStrength()
     std::string placement = {}; // UDP; empty: the node does not schedule engines
+    std::string proxy = {}; // HTTP; empty: the node opens no connections for peers
 };
 
 // Whose load a message reports.
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -34,6 +34,7 @@
     if (address.strength > 0.0)
         peer.strength = address.strength;
     peer.placementAddress = address.placement;
+    peer.proxyAddress = address.proxy;
     peer.hasKey = true;
     m_withoutKey.erase(node);
 }
@@ -69,6 +70,16 @@
     return nodes;
 }
 
+std::vector<ProxyPeer> PeerRoster::registeredProxies() const
+{
+    std::vector<ProxyPeer> nodes;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.hasKey && !peer.proxyAddress.empty())
+            nodes.push_back({name, peer.proxyAddress, peer.failureDomain});
+    }
+    return nodes;
+}
+
 void PeerRoster::erase(const std::string &node)
 {
     m_higherRanked.reset();
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "fordwood/clock.hpp"
+#include "fordwood/proxy_peers.hpp"
 #include "fordwood/relay_role.hpp"
 #include "fordwood/scheduler_ranking.hpp"
 #include "node/net.hpp"
@@ -40,6 +41,7 @@
         std::string failureDomain; // empty: unknown
         double strength = 0.0; // of its VM; zero: unknown
         std::string placementAddress; // empty: it does not schedule engines
+        std::string proxyAddress; // empty: it opens no connections for peers
         bool reachesStore = false;
         bool getsStoreChanges = false;
         bool isRelay = false;
@@ -68,6 +70,9 @@
 
     // Those of them that may schedule engines.
     std::vector<SchedulerNode> registeredSchedulers() const;
+
+    // Those of them that open connections to upstreams for others.
+    std::vector<ProxyPeer> registeredProxies() const;
     bool isLive(const Peer &peer) const;
     bool isInOwnDomain(const Peer &peer) const
     {
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -29,7 +29,7 @@
       m_state(m_context, clock, settings, metrics),
       m_mailbox(m_context, kMailboxCapacity, [this](const FleetUpdate &it) { m_state.handle(it); }),
       m_acceptor(m_context, [this](tcp::socket it) { onAccepted(std::move(it)); }),
-      m_tickTimer(m_context)
+      m_proxy(m_context, clock, m_state.paths(), m_state.buffers(), metrics), m_tickTimer(m_context)
 {
     m_acceptor.onFailure([this] { m_metrics.count("fordwood_accept_failures_total"); });
     m_state.onLoadReportRequest([this] { reportLoads(true); });
@@ -44,6 +44,11 @@
                  {{"address", m_settings.callers.listen}, {"error", ec.message()}});
         return false;
     }
+    const std::string &proxyAddress = m_settings.peers.proxyListen;
+    if (!proxyAddress.empty() && !m_proxy.listen(proxyAddress, ec)) {
+        logEvent(Event::ListenFailed, {{"address", proxyAddress}, {"error", ec.message()}});
+        return false;
+    }
     const std::string &placementAddress = m_settings.peers.placementListen;
     if (!placementAddress.empty() && !m_state.placements().open(placementAddress, ec)) {
         logEvent(Event::ListenFailed, {{"address", placementAddress}, {"error", ec.message()}});
@@ -78,6 +83,8 @@
     m_metrics.setGauge("fordwood_caller_connections", static_cast<double>(m_sessions.size()));
     m_metrics.setGauge("fordwood_upstream_channels",
                        static_cast<double>(m_state.channels().openChannels()));
+    m_metrics.setGauge("fordwood_proxied_connections",
+                       static_cast<double>(m_proxy.openConnections()));
     closeUnreadAnswers();
     if (m_state.isStopping())
         continueStop();
@@ -122,7 +129,7 @@
         for (const auto &[key, session] : sessions)
             session->closeWhenIdle();
     }
-    if (m_sessions.empty())
+    if (m_sessions.empty() && m_proxy.openConnections() == 0)
         m_context.stop();
 }
 
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -13,6 +13,7 @@
 #include "node/caller_session.hpp"
 #include "node/mailbox.hpp"
 #include "node/node_state.hpp"
+#include "node/proxy_server.hpp"
 
 namespace fordwood::node {
 
@@ -55,6 +56,7 @@
     NodeState m_state;
     Mailbox<FleetUpdate> m_mailbox;
     AcceptLoop m_acceptor;
+    ProxyServer m_proxy;
     net::steady_timer m_tickTimer;
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
     bool m_idleSessionsClosed = false;
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -26,6 +26,7 @@
     std::string model; // only for requests to engines
     std::chrono::milliseconds fetchDeadline{0}; // on the engines' clock
     PlacementHandle placement;
+    std::string proxy; // name of the peer through which it goes; empty: none
     std::shared_ptr<HttpChannel> channel;
     TimePoint startedAt{};
     TimePoint sentAt{}; // when the request was written to the channel
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -294,6 +294,27 @@
     return engineAttempt(state, call, caller, std::move(*choice));
 }
 
+PathChoice choosePath(NodeState &state, const AdmittedCall &call,
+                      const platform::CallerHead &caller, const CallPlan &plan,
+                      const UpstreamAttempt &attempt, const std::set<std::string> &failedProxies)
+{
+    if (!state.paths().needsPeer(attempt.upstream.service, plan.hasConnectFailed()))
+        return {};
+    const AllowedRegions allowedRegions(*call.route, call.team);
+    ProxyPeers::Query query;
+    query.upstreamDomain = attempt.upstream.failureDomain;
+    query.hash = stableHash(caller.requestId, plan.sends());
+    query.excluded = failedProxies;
+    query.mayPass = [&](const std::string &failureDomain) {
+        return allowedRegions.isUnrestricted()
+               || allowedRegions.allows(failureDomain, state.settings().regions);
+    };
+    PathChoice choice;
+    choice.proxy = state.paths().choosePeer(query);
+    choice.isUsable = choice.proxy || !state.paths().isCutOff(attempt.upstream.service);
+    return choice;
+}
+
 void reportLocalPlacement(NodeState &state, const AdmittedCall &call, const EngineShard &shard,
                           UpstreamAttempt &attempt)
 {
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -3,6 +3,8 @@
 #define FORDWOOD_NODE_UPSTREAM_CHOICE_HPP_INCLUDED
 
 #include <optional>
+#include <set>
+#include <string>
 
 #include "fordwood/call_plan.hpp"
 #include "node/admitted_call.hpp"
@@ -48,6 +50,18 @@
                                                 const platform::CallerHead &caller,
                                                 const CallPlan &plan, const PlacementReply &reply);
 
+// The way to the upstream of an attempt.
+struct PathChoice
+{
+    bool isUsable = true; // false: the node is cut off from the upstream, and no peer is available
+    std::optional<ProxyPeer> proxy; // nothing: the node's own path
+};
+
+// `failedProxies`: peers that could not be used for this request.
+PathChoice choosePath(NodeState &state, const AdmittedCall &call,
+                      const platform::CallerHead &caller, const CallPlan &plan,
+                      const UpstreamAttempt &attempt, const std::set<std::string> &failedProxies);
+
 // Reports to the scheduler that this node has chosen an engine itself.
 void reportLocalPlacement(NodeState &state, const AdmittedCall &call, const EngineShard &shard,
                           UpstreamAttempt &attempt);
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -63,7 +63,8 @@
             << ":8081\"\n"
             << extraSettings << "[peers]\nlisten = \"" << host(node)
             << ":8082\"\ngossip_listen = \"" << host(node) << ":8083\"\nmetrics_listen = \""
-            << host(node) << ":8084\"\nseeds = [\"" << host(0) << ":8082\"]\n[store]\naddress = \""
+            << host(node) << ":8084\"\nproxy_listen = \"" << host(node) << ":8085\"\nseeds = [\""
+            << host(0) << ":8082\"]\n[store]\naddress = \""
             << (storeAddress.empty() ? net + "1:7000" : storeAddress)
             << "\"\n[bounds]\nstop_within = \"5s\"\n";
         out.close();
