Tests of connections through a peer

Node tests: an answer passes through; an unknown or dead upstream; an end that is not stated; a reset; the caller's disconnect.

--- /dev/null
+++ b/tests/node/proxy_server_test.cpp
@@ -0,0 +1,198 @@
+// SPDX-License-Identifier: MIT
+// A channel that a peer opens, from the node that asks to the upstream.
+#include <doctest/doctest.h>
+
+#include <functional>
+
+#include <boost/asio/write.hpp>
+
+#include "fordwood/manual_clock.hpp"
+#include "node/http_channel.hpp"
+#include "node/proxy_server.hpp"
+#include "support/serving_thread.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Host : ProxyHost
+{
+    std::optional<UpstreamRecord> upstreamForPeer(const std::string &instanceId) override
+    {
+        if (instanceId != record.instanceId)
+            return std::nullopt;
+        return record;
+    }
+    void connected(const UpstreamRecord & /*upstream*/) override { ++connects; }
+    void connectFailed(const UpstreamRecord & /*upstream*/, const ErrorCode & /*cause*/) override
+    {
+        ++failures;
+    }
+
+    UpstreamRecord record;
+    int connects = 0;
+    int failures = 0;
+};
+
+struct Answer : AnswerHandler
+{
+    void onHead(const http::response_header<> & /*head*/) override { }
+    bool onBody(std::string_view bytes) override
+    {
+        body += bytes;
+        return true;
+    }
+    void onAnswerEnd() override { isComplete = true; }
+    void onChannelFailure(const ErrorCode & /*cause*/) override { hasFailed = true; }
+
+    std::string body;
+    bool isComplete = false;
+    bool hasFailed = false;
+};
+
+// A proxy, and an upstream that sends a fixed text on its connection.
+class ProxyFixture
+{
+public:
+    ProxyFixture() : m_proxy(context, m_clock, host, m_buffers, m_metrics), upstream(context)
+    {
+        host.record.instanceId = "i-1";
+        host.record.address = ownAddress(71);
+        ErrorCode ec;
+        REQUIRE(m_proxy.listen(ownAddress(70), ec));
+        m_acceptor.emplace(openAcceptor(context, ownAddress(71), ec));
+        REQUIRE(!ec);
+    }
+
+    // Asks the proxy for a connection to the instance.
+    ProxyResult connect(const std::string &instanceId)
+    {
+        if (m_acceptor)
+            m_acceptor->async_accept(
+                [this](const ErrorCode &, tcp::socket it) { upstream = std::move(it); });
+        std::optional<ProxyResult> result;
+        channel = std::make_shared<HttpChannel>(context);
+        channel->connectThrough({*parseEndpoint<tcp>(ownAddress(70)), "n1", instanceId, nullptr},
+                                {1s, 1s, std::nullopt}, [&](ProxyResult it) { result = it; });
+        runUntil([&] { return result.has_value(); });
+        REQUIRE(result);
+        return *result;
+    }
+
+    void exchange(Answer &answer)
+    {
+        http::request_header<> head;
+        head.method(http::verb::get);
+        head.target("/");
+        head.version(11);
+        channel->exchange(std::move(head), std::make_shared<const std::string>(), answer);
+    }
+
+    void sendFromUpstream(const std::string &text) { net::write(upstream, net::buffer(text)); }
+
+    // In real time. Only a defect makes the condition take this long.
+    void runUntil(const std::function<bool()> &condition)
+    {
+        const auto until = std::chrono::steady_clock::now() + 20s;
+        while (!condition() && std::chrono::steady_clock::now() < until)
+            context.run_one_for(10ms);
+        CHECK(condition());
+    }
+
+    void stopUpstream() { m_acceptor.reset(); }
+    std::size_t openConnections() const { return m_proxy.openConnections(); }
+
+    net::io_context context;
+    Host host;
+    std::shared_ptr<HttpChannel> channel;
+
+private:
+    ManualClock m_clock;
+    BufferBudget m_buffers{BufferLimits{}};
+    adapters::Metrics m_metrics;
+    ProxyServer m_proxy;
+    std::optional<tcp::acceptor> m_acceptor;
+
+public:
+    tcp::socket upstream;
+};
+
+} // namespace
+
+TEST_CASE("proxy: an answer passes through a peer, and its connection is not used again [cut]")
+{
+    ProxyFixture fixture;
+    REQUIRE(fixture.connect("i-1") == ProxyResult::Connected);
+    CHECK(fixture.host.connects == 1);
+    Answer answer;
+    fixture.exchange(answer);
+    fixture.runUntil([&] { return fixture.upstream.available() > 0; });
+    fixture.sendFromUpstream("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    fixture.runUntil([&] { return answer.isComplete; });
+    CHECK(answer.body == "whole");
+    CHECK_FALSE(fixture.channel->isReusable());
+    fixture.runUntil([&] { return fixture.openConnections() == 0; });
+}
+
+TEST_CASE("proxy: an unknown upstream is declined, and one that cannot be connected to is reported "
+          "[cut]")
+{
+    ProxyFixture fixture;
+    CHECK(fixture.connect("i-2") == ProxyResult::PeerFailed);
+    CHECK(fixture.host.connects == 0);
+    fixture.stopUpstream();
+    CHECK(fixture.connect("i-1") == ProxyResult::UpstreamUnreachable);
+    CHECK(fixture.host.failures == 1);
+    fixture.runUntil([&] { return fixture.openConnections() == 0; });
+}
+
+// A peer that ends closes the connection in the same way.
+TEST_CASE("proxy: an answer whose end is not stated is not taken for complete [cut][whole]")
+{
+    ProxyFixture fixture;
+    REQUIRE(fixture.connect("i-1") == ProxyResult::Connected);
+    Answer answer;
+    fixture.exchange(answer);
+    fixture.sendFromUpstream("HTTP/1.1 200 OK\r\n\r\npart");
+    fixture.upstream.shutdown(tcp::socket::shutdown_both);
+    fixture.runUntil([&] { return answer.hasFailed; });
+    CHECK_FALSE(answer.isComplete);
+}
+
+TEST_CASE("proxy: an upstream's reset reaches the node that asked [cut][whole]")
+{
+    ProxyFixture fixture;
+    REQUIRE(fixture.connect("i-1") == ProxyResult::Connected);
+    Answer answer;
+    fixture.exchange(answer);
+    fixture.sendFromUpstream("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    fixture.runUntil([&] { return answer.body == "part"; });
+    fixture.upstream.set_option(net::socket_base::linger(true, 0));
+    fixture.upstream.close();
+    fixture.runUntil([&] { return answer.hasFailed; });
+    fixture.runUntil([&] { return fixture.openConnections() == 0; });
+}
+
+TEST_CASE("proxy: the end of the request at the node that asked reaches the upstream [cut]")
+{
+    ProxyFixture fixture;
+    REQUIRE(fixture.connect("i-1") == ProxyResult::Connected);
+    Answer answer;
+    fixture.exchange(answer);
+    fixture.runUntil([&] { return fixture.upstream.available() > 0; });
+    fixture.channel->close();
+    bool hasEnded = false;
+    std::array<char, 1'024> buf{};
+    std::function<void()> read = [&] {
+        fixture.upstream.async_read_some(net::buffer(buf), [&](const ErrorCode &ec, std::size_t) {
+            hasEnded = static_cast<bool>(ec);
+            if (!ec)
+                read();
+        });
+    };
+    read();
+    fixture.runUntil([&] { return hasEnded; });
+    fixture.runUntil([&] { return fixture.openConnections() == 0; });
+}
