A request that waits on a lost path is sent again through a peer

Cause: bytes that were acknowledged before the cut are not covered by TCP_USER_TIMEOUT, and nothing ended the wait once the node knew that its path was lost.

Change: while a node is cut off from a service, a request on its own path that has received nothing for a second ends as a lost connection does, if it may run again; a stream continues at its last event. One that may not run again keeps waiting: silence does not show that its answer is lost.

--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -391,6 +391,9 @@
     m_state.gate().recordSend(m_attempt->upstream.instanceId);
     m_attempt->sent = true;
     m_attempt->sentAt = m_state.clock().now();
+    m_attempt->lastDataAt = m_attempt->sentAt;
+    if (m_attempt->proxy.empty())
+        m_state.paths().addUser(m_call.pool->name, weak_from_this());
     m_state.health().sent(m_attempt->upstream.instanceId);
     const UpstreamHeadOptions options{std::max(remainingTime(), kMinRemainingTime),
                                       m_eventSplitter.lastId(),
@@ -401,6 +404,7 @@
 void CallHandler::onHead(const http::response_header<> &head)
 {
     const auto self = shared_from_this();
+    m_attempt->lastDataAt = m_state.clock().now();
     m_state.health().dataReceived(m_attempt->upstream.instanceId);
     m_attempt->head = platform::readAnswerHead(head.result_int(), head);
     m_attempt->answer = head;
@@ -425,6 +429,7 @@
 bool CallHandler::onBody(std::string_view bytes)
 {
     const auto self = shared_from_this();
+    m_attempt->lastDataAt = m_state.clock().now();
     m_state.health().dataReceived(m_attempt->upstream.instanceId);
     if (isStreamed() && !m_attempt->head.hasNotRun)
         return forwardEvents(bytes);
@@ -656,6 +661,21 @@
     handleFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamStarted});
 }
 
+// A connection whose path is lost without a reset would otherwise keep the request until its
+// deadline. Other connections on the node's own path may live on, so silence decides.
+void CallHandler::onCutOff()
+{
+    if (m_isFinished || !m_attempt || !m_attempt->isOpen || !m_attempt->sent
+        || !m_attempt->proxy.empty())
+        return;
+    const bool mayResend
+        = maySendAgain(RunState::MayHaveRun, m_plan.policy().mayRunAgain,
+                       m_isPassedThrough || (m_streamStarted && !m_plan.policy().resumable));
+    const Duration silence = m_state.clock().now() - m_attempt->lastDataAt;
+    if (mayResend && silence >= ChannelPool::kUnacknowledgedTimeout)
+        onChannelFailure(net::error::timed_out);
+}
+
 void CallHandler::endAttempt(bool reusable)
 {
     if (!m_attempt)
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -34,7 +34,9 @@
 // Handles one request of a caller from its arrival to the last byte of its answer: finds the route
 // and the team, selects an upstream, sends the request, forwards the answer, and retries as
 // CallPlan decides when an attempt fails.
-class CallHandler : public AnswerHandler, public std::enable_shared_from_this<CallHandler>
+class CallHandler : public AnswerHandler,
+                    public PathUser,
+                    public std::enable_shared_from_this<CallHandler>
 {
 public:
     // `arrived`: when the first bytes of the request arrived. `writer` must outlive the answer, or
@@ -56,6 +58,9 @@
     void onAnswerEnd() override;
     void onChannelFailure(const ErrorCode &cause) override;
 
+    // From PathUser:
+    void onCutOff() override;
+
 private:
     void startAttempt();
     bool isQuarantined() const;
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -30,6 +30,7 @@
     std::shared_ptr<HttpChannel> channel;
     TimePoint startedAt{};
     TimePoint sentAt{}; // when the request was written to the channel
+    TimePoint lastDataAt{}; // when a part of the answer last arrived; initially sentAt
     bool isOpen = true;
     bool sent = false;
     bool promptComputed = false; // the first part of the answer has arrived
--- a/src/node/upstream_paths.cpp
+++ b/src/node/upstream_paths.cpp
@@ -120,8 +120,29 @@
     }
 }
 
+void UpstreamPaths::addUser(const std::string &service, std::weak_ptr<PathUser> user)
+{
+    if (!m_peers->isEmpty())
+        m_users[service].push_back(std::move(user));
+}
+
+void UpstreamPaths::notifyUsers()
+{
+    for (auto &[service, users] : m_users) {
+        std::erase_if(users, [](const auto &it) { return it.expired(); });
+        if (!isCutOff(service))
+            continue;
+        const std::vector<std::weak_ptr<PathUser>> current = users; // the calls may add users
+        for (const auto &it : current) {
+            if (const auto user = it.lock())
+                user->onCutOff();
+        }
+    }
+}
+
 void UpstreamPaths::tick()
 {
+    notifyUsers();
     for (const std::string &it : m_reach.servicesWithFailures()) {
         updateState(it, "");
         probe(it);
--- a/src/node/upstream_paths.hpp
+++ b/src/node/upstream_paths.hpp
@@ -20,6 +20,16 @@
 
 namespace fordwood::node {
 
+// A request that waits for an answer on the node's own path.
+class PathUser
+{
+public:
+    virtual ~PathUser() = default;
+
+    // Called several times a second while the node is cut off from the service.
+    virtual void onCutOff() = 0;
+};
+
 // Decides whether a connection to an upstream is opened on this node's own path or through a peer.
 // Probes the paths while that is in doubt, and logs what the node reaches.
 //
@@ -80,10 +90,14 @@
     void connectThrough(const ProxyPeer &peer, const UpstreamRecord &upstream,
                         ChannelPool::OnProxied onReady);
 
+    // The request was sent to an upstream of the service on the node's own path.
+    void addUser(const std::string &service, std::weak_ptr<PathUser> user);
+
     // Periodic work.
     void tick();
 
 private:
+    void notifyUsers();
     void fail(const UpstreamRecord &upstream, const std::string &cause);
     void updateState(const std::string &service, const std::string &cause);
     void excuseUpstreams(const std::string &service);
@@ -98,6 +112,7 @@
     std::shared_ptr<ProxyPeers> m_peers; // shared with open channels, which may outlive this
     std::map<std::string, UpstreamReach::State> m_states; // other than Reachable, by service
     std::map<std::string, std::vector<std::function<void()>>> m_heldBack; // by service
+    std::map<std::string, std::vector<std::weak_ptr<PathUser>>> m_users; // by service
     bool m_isStopping = false;
 };
 
--- a/tests/node/proxy_server_test.cpp
+++ b/tests/node/proxy_server_test.cpp
@@ -9,6 +9,7 @@
 #include "fordwood/manual_clock.hpp"
 #include "node/http_channel.hpp"
 #include "node/proxy_server.hpp"
+#include "process/platform_standins.hpp"
 #include "support/serving_thread.hpp"
 
 using namespace fordwood;
@@ -36,6 +37,102 @@
     int failures = 0;
 };
 
+// Two upstreams that accept connections of this node and do not answer, and a peer that reaches
+// their real selves.
+class LostPathFixture : ProxyHost
+{
+public:
+    LostPathFixture()
+        : m_first(ownAddress(75), "i-1"), m_second(ownAddress(76), "i-2"), m_thread(pool()),
+          m_proxy(context(), m_clock, *this, m_buffers, m_metrics), m_timer(context())
+    {
+        ErrorCode ec;
+        for (const int host : {73, 74}) {
+            m_silent.push_back(openAcceptor(context(), ownAddress(host), ec));
+            REQUIRE(!ec);
+            accept(m_silent.back());
+            m_thread.write(record("i-" + std::to_string(host - 72), host));
+        }
+        REQUIRE(m_proxy.listen(ownAddress(72), ec));
+        m_thread.traffic().paths().setPeers({{"n2", ownAddress(72), "x"}});
+    }
+
+    // Sends a request, and cuts this node off once the request waits for its answer.
+    CallerAnswer send()
+    {
+        advanceTime();
+        return m_thread.send();
+    }
+
+    int runs(const std::string &id) { return m_first.runs(id) + m_second.runs(id); }
+
+private:
+    static ServicePool pool()
+    {
+        ServicePool pool;
+        pool.name = "board";
+        return pool;
+    }
+
+    static UpstreamRecord record(const std::string &id, int host)
+    {
+        UpstreamRecord record;
+        record.instanceId = id;
+        record.announcedId = id;
+        record.service = "board";
+        record.address = ownAddress(host);
+        return record;
+    }
+
+    net::io_context &context() { return m_thread.traffic().context(); }
+
+    void accept(tcp::acceptor &acceptor)
+    {
+        acceptor.async_accept([this](const ErrorCode &ec, tcp::socket it) {
+            if (ec)
+                return;
+            m_accepted.push_back(std::move(it));
+            cutOff();
+        });
+    }
+
+    void cutOff()
+    {
+        for (tcp::acceptor &it : m_silent)
+            it.close();
+        for (const int n : {1, 2})
+            m_thread.traffic().paths().channelFailed(record("i-" + std::to_string(n), 72 + n));
+    }
+
+    void advanceTime()
+    {
+        m_timer.expires_after(5ms);
+        m_timer.async_wait([this](const ErrorCode &) {
+            m_thread.advance(100ms);
+            advanceTime();
+        });
+    }
+
+    std::optional<UpstreamRecord> upstreamForPeer(const std::string &instanceId) override
+    {
+        return record(instanceId, instanceId == "i-1" ? 75 : 76);
+    }
+    void connected(const UpstreamRecord & /*upstream*/) override { }
+    void connectFailed(const UpstreamRecord & /*upstream*/, const ErrorCode & /*cause*/) override {
+    }
+
+    process::UpstreamStandin m_first;
+    process::UpstreamStandin m_second;
+    ManualClock m_clock;
+    adapters::Metrics m_metrics;
+    BufferBudget m_buffers{BufferLimits{}};
+    ServingThread m_thread;
+    ProxyServer m_proxy;
+    net::steady_timer m_timer;
+    std::vector<tcp::acceptor> m_silent;
+    std::vector<tcp::socket> m_accepted;
+};
+
 struct Answer : AnswerHandler
 {
     void onHead(const http::response_header<> & /*head*/) override { }
@@ -196,3 +293,10 @@
     fixture.runUntil([&] { return hasEnded; });
     fixture.runUntil([&] { return fixture.openConnections() == 0; });
 }
+
+TEST_CASE("cut-off node: a request that waits on a lost path is sent again through a peer [cut]")
+{
+    LostPathFixture fixture;
+    CHECK(fixture.send().status == 200);
+    CHECK(fixture.runs("r1") == 1);
+}
