--- a/tests/process/cut_off_node_test.cpp
+++ b/tests/process/cut_off_node_test.cpp
@@ -127,7 +127,7 @@
     fleet.cutOffFromUpstreams(CutOffFixture::kCutOff, Break::Refuse);
     REQUIRE(fleet.waitUntilServing(CutOffFixture::kCutOff));
     const auto killPeers = [&](const std::string &, const std::string &) {
-        for (const std::size_t it : {0, 2})
+        for (const std::size_t it : {0U, 2U})
             fleet.nodes[it].signal(SIGKILL);
     };
     for (UpstreamStandin *it : {&fleet.first, &fleet.second})
@@ -154,13 +154,13 @@
     REQUIRE(caller.exchange("GET /stream/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: s\r\n"
                             "Credential: key-t\r\n\r\n",
                             "200 OK"));
-    for (const std::size_t it : {0, 2})
+    for (const std::size_t it : {0U, 2U})
         fleet.nodes[it].signal(SIGTERM);
     for (const int it : {0, 2})
         REQUIRE(Fleet::waitFor([&] { return !fleet.isReady(it); }));
     CHECK(caller.exchange("", "id: " + std::to_string(kEvents)));
     CHECK(fleet.first.runs("s") + fleet.second.runs("s") == 1);
-    for (const std::size_t it : {0, 2})
+    for (const std::size_t it : {0U, 2U})
         CHECK(fleet.nodes[it].wait() == 0);
 }
 
--- a/tests/process/http.cpp
+++ b/tests/process/http.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 #include <curl/curl.h>
@@ -142,7 +143,7 @@
     const auto any = adapters::parseSocketAddress(ip + ":0");
     const int listener = socket(any->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
     m_sockets.push_back(listener);
-    bind(listener, any->get(), sizeof(sockaddr_in));
+    std::ignore = bind(listener, any->get(), sizeof(sockaddr_in));
     listen(listener, 0);
     sockaddr_in bound{};
     socklen_t length = sizeof(bound);
@@ -150,7 +151,8 @@
     m_address = ip + ":" + std::to_string(ntohs(bound.sin_port));
     for (int n = 0; n < kConnections; ++n) {
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-        connect(fd, reinterpret_cast<const sockaddr *>(&bound), sizeof(bound));
+        // It stays in progress once the backlog is full.
+        std::ignore = connect(fd, reinterpret_cast<const sockaddr *>(&bound), sizeof(bound));
         m_sockets.push_back(fd);
     }
 }
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -69,10 +69,10 @@
             << "\"\n[bounds]\nstop_within = \"5s\"\n";
         out.close();
         nodes.emplace_back(
-            std::vector<std::string>{"/usr/bin/env", "LD_PRELOAD=" FORDWOOD_BROKEN_PATHS_LIBRARY,
-                                     "FORDWOOD_BROKEN_PATHS=" + brokenPathsFile(node),
-                                     programPath(FORDWOOD_PROGRAMS, "fordwood-noded"), "--settings",
-                                     path},
+            std::vector<std::string>{
+                "/usr/bin/env", std::string("LD_PRELOAD=") + FORDWOOD_BROKEN_PATHS_LIBRARY,
+                "FORDWOOD_BROKEN_PATHS=" + brokenPathsFile(node),
+                programPath(FORDWOOD_PROGRAMS, "fordwood-noded"), "--settings", path},
             folder + "/node-" + std::to_string(node) + ".log");
     }
 
--- a/tests/unit/proxy_peers_test.cpp
+++ b/tests/unit/proxy_peers_test.cpp
@@ -15,6 +15,7 @@
 std::vector<ProxyPeer> makePeers(int n)
 {
     std::vector<ProxyPeer> peers;
+    peers.reserve(static_cast<std::size_t>(n));
     for (int it = 0; it < n; ++it)
         peers.push_back({"n" + std::to_string(it), "10.0.0." + std::to_string(it) + ":1",
                          "d" + std::to_string(it / 2)});
