--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -30,14 +30,14 @@
     if (!ec && options.socketBuffer)
         limitSocketBuffers(m_socket, *options.socketBuffer);
     closeAfter(options.connectTimeout);
-    m_socket.async_connect(
-        endpoint, [self = shared_from_this(), onConnected](const ErrorCode &connectEc) {
-            if (self->m_connectTimer)
-                self->m_connectTimer->cancel();
-            self->m_connectTimer.reset();
-            const bool isOpen = self->m_socket.is_open();
-            onConnected(connectEc || isOpen ? connectEc : ErrorCode(net::error::timed_out));
-        });
+    m_socket.async_connect(endpoint,
+                           [self = shared_from_this(), onConnected](const ErrorCode &connectEc) {
+                               if (self->m_connectTimer)
+                                   self->m_connectTimer->cancel();
+                               self->m_connectTimer.reset();
+                               const bool isOpen = self->m_socket.is_open();
+                               onConnected(isOpen ? connectEc : ErrorCode(net::error::timed_out));
+                           });
 }
 
 void HttpChannel::closeAfter(Duration timeout)
--- a/src/node/proxy_server.cpp
+++ b/src/node/proxy_server.cpp
@@ -127,12 +127,12 @@
             if (!timerEc)
                 self->m_upstream.close(ignored);
         });
-        m_upstream.async_connect(*endpoint, [self
-                                             = shared_from_this()](const ErrorCode &connectEc) {
-            self->m_timer.cancel();
-            const bool isOpen = self->m_upstream.is_open();
-            self->onConnected(connectEc || isOpen ? connectEc : ErrorCode(net::error::timed_out));
-        });
+        m_upstream.async_connect(
+            *endpoint, [self = shared_from_this()](const ErrorCode &connectEc) {
+                self->m_timer.cancel();
+                const bool isOpen = self->m_upstream.is_open();
+                self->onConnected(isOpen ? connectEc : ErrorCode(net::error::timed_out));
+            });
     }
 
     void onConnected(const ErrorCode &ec)
