Tests: failures on a lost path do not count against upstreams

Refused connections of a cut-off node do not mark upstreams as restarted, and with no peer they still do; what a failed connection says about an upstream is held back until a connection succeeds, and dropped if the node is cut off. The table of held-back conclusions keeps no empty entries.

--- a/src/node/upstream_paths.cpp
+++ b/src/node/upstream_paths.cpp
@@ -154,9 +154,11 @@
 {
     const State state = m_reach.state(service);
     if (!m_reach.hasFailed(service)) {
-        for (const std::function<void()> &it : std::exchange(m_heldBack[service], {}))
-            it();
-        m_heldBack.erase(service);
+        const auto held = m_heldBack.extract(service);
+        if (!held.empty()) {
+            for (const std::function<void()> &it : held.mapped())
+                it();
+        }
     }
     const auto known = m_states.find(service);
     if (state == (known == m_states.end() ? State::Reachable : known->second))
--- a/tests/node/proxy_server_test.cpp
+++ b/tests/node/proxy_server_test.cpp
@@ -37,24 +37,41 @@
     int failures = 0;
 };
 
-// Two upstreams that accept connections of this node and do not answer, and a peer that reaches
-// their real selves.
+// A node whose own paths to two upstreams are lost, and a peer that reaches both.
 class LostPathFixture : ProxyHost
 {
 public:
-    LostPathFixture()
+    // What happens to connections on the node's own paths.
+    enum class Path { Silent, Refused };
+
+    explicit LostPathFixture(Path path)
         : m_first(ownAddress(75), "i-1"), m_second(ownAddress(76), "i-2"), m_thread(pool()),
           m_proxy(context(), m_clock, *this, m_buffers, m_metrics), m_timer(context())
     {
         ErrorCode ec;
+        m_silent.reserve(2); // the pending accepts refer to the elements
         for (const int host : {73, 74}) {
+            m_thread.write(record("i-" + std::to_string(host - 72), host));
+            if (path == Path::Refused)
+                continue;
             m_silent.push_back(openAcceptor(context(), ownAddress(host), ec));
             REQUIRE(!ec);
             accept(m_silent.back());
-            m_thread.write(record("i-" + std::to_string(host - 72), host));
         }
         REQUIRE(m_proxy.listen(ownAddress(72), ec));
-        m_thread.traffic().paths().setPeers({{"n2", ownAddress(72), "x"}});
+    }
+
+    void usePeer() { state().paths().setPeers({{"n2", ownAddress(72), "x"}}); }
+
+    NodeState &state() { return m_thread.traffic(); }
+
+    // In real time. Only a defect makes the condition take this long.
+    void runUntil(const std::function<bool()> &condition)
+    {
+        const auto until = std::chrono::steady_clock::now() + 20s;
+        while (!condition() && std::chrono::steady_clock::now() < until)
+            context().run_one_for(10ms);
+        CHECK(condition());
     }
 
     // Sends a request, and cuts this node off once the request waits for its answer.
@@ -71,6 +88,8 @@
     {
         ServicePool pool;
         pool.name = "board";
+        pool.coldStart = 1h;
+        pool.coldRequestsPerSecond = 1.0;
         return pool;
     }
 
@@ -296,7 +315,66 @@
 
 TEST_CASE("cut-off node: a request that waits on a lost path is sent again through a peer [cut]")
 {
-    LostPathFixture fixture;
+    LostPathFixture fixture(LostPathFixture::Path::Silent);
+    fixture.usePeer();
     CHECK(fixture.send().status == 200);
     CHECK(fixture.runs("r1") == 1);
 }
+
+TEST_CASE("cut-off node: connections that are refused on a lost path do not mark upstreams as "
+          "restarted [cut][lives]")
+{
+    LostPathFixture fixture(LostPathFixture::Path::Refused);
+    const ColdGate &gate = fixture.state().gate().coldGate();
+    SUBCASE("no peer reaches the upstreams")
+    {
+        fixture.send();
+        CHECK((gate.isCold("i-1") || gate.isCold("i-2")));
+    }
+    SUBCASE("a peer reaches them")
+    {
+        fixture.usePeer();
+        CHECK(fixture.send().status == 200);
+        fixture.runUntil([&] { return fixture.state().paths().isCutOff("board"); });
+        CHECK(fixture.send().status == 200);
+        CHECK_FALSE(gate.isCold("i-1"));
+        CHECK_FALSE(gate.isCold("i-2"));
+    }
+}
+
+TEST_CASE("cut-off node: what a failed connection says about an upstream counts only if the path "
+          "works [cut][quarantine]")
+{
+    LostPathFixture fixture(LostPathFixture::Path::Refused);
+    UpstreamPaths &paths = fixture.state().paths();
+    UpstreamRecord record;
+    record.instanceId = "i-1";
+    record.service = "board";
+    int conclusions = 0;
+    const auto conclude = [&] { ++conclusions; };
+    SUBCASE("without peers at once")
+    {
+        paths.channelFailed(record);
+        paths.ifPathWorks("board", conclude);
+        CHECK(conclusions == 1);
+    }
+    SUBCASE("once a connection succeeds")
+    {
+        fixture.usePeer();
+        paths.channelFailed(record);
+        paths.ifPathWorks("board", conclude);
+        CHECK(conclusions == 0);
+        paths.connected(record);
+        CHECK(conclusions == 1);
+    }
+    SUBCASE("never if the node is cut off")
+    {
+        fixture.usePeer();
+        paths.channelFailed(record);
+        paths.ifPathWorks("board", conclude);
+        CHECK(fixture.send().status == 200);
+        fixture.runUntil([&] { return paths.isCutOff("board"); });
+        paths.connected(record);
+        CHECK(conclusions == 0);
+    }
+}
