Nodes that probe at the same time ask different peers

Cause: a probe through peers had no hash of its own, so that all nodes that lost the same upstreams asked the same three peers.

Change: ProxyPeers mixes the name of its own node into the choice.

Test: 300 nodes that choose at the same time ask no peer more than 10 times; the first choice was the same for all of them before.

--- a/include/fordwood/proxy_peers.hpp
+++ b/include/fordwood/proxy_peers.hpp
@@ -46,8 +46,9 @@
         std::size_t handicapOfUnknown = 2;
     };
 
-    explicit ProxyPeers(const Clock &clock) : ProxyPeers(clock, Limits{}) { }
-    ProxyPeers(const Clock &clock, Limits limits) : m_clock(clock), m_limits(limits) { }
+    // `self`: the name of this node. Nodes that choose at the same time choose different peers.
+    ProxyPeers(const Clock &clock, const std::string &self) : ProxyPeers(clock, self, Limits{}) { }
+    ProxyPeers(const Clock &clock, const std::string &self, Limits limits);
 
     // The nodes that act as proxies, without this one.
     void setPeers(std::vector<ProxyPeer> peers);
@@ -91,6 +92,7 @@
     std::size_t effectiveLoad(const State &state) const;
 
     const Clock &m_clock;
+    const std::uint64_t m_self; // hash of this node's name
     const Limits m_limits;
     std::vector<ProxyPeer> m_peers;
     std::map<std::string, State> m_states; // by name, once used
--- a/src/core/proxy_peers.cpp
+++ b/src/core/proxy_peers.cpp
@@ -8,6 +8,10 @@
 
 namespace fordwood {
 
+ProxyPeers::ProxyPeers(const Clock &clock, const std::string &self, Limits limits)
+    : m_clock(clock), m_self(stableHash(self)), m_limits(limits)
+{ }
+
 void ProxyPeers::setPeers(std::vector<ProxyPeer> peers)
 {
     m_peers = std::move(peers);
@@ -25,6 +29,7 @@
 
 std::optional<ProxyPeer> ProxyPeers::choose(const Query &query) const
 {
+    const std::uint64_t chooser = rendezvousWeight(m_self, query.hash);
     const ProxyPeer *best = nullptr;
     std::tuple<std::size_t, bool, std::uint64_t> bestRank;
     for (const ProxyPeer &it : m_peers) {
@@ -35,7 +40,7 @@
             continue;
         // A peer in the upstream's failure domain adds no traffic between domains.
         const std::tuple rank(effectiveLoad(state), it.failureDomain != query.upstreamDomain,
-                              rendezvousWeight(query.hash, stableHash(it.name)));
+                              rendezvousWeight(chooser, stableHash(it.name)));
         if (best != nullptr && bestRank <= rank)
             continue;
         best = &it;
--- a/src/node/upstream_paths.cpp
+++ b/src/node/upstream_paths.cpp
@@ -28,7 +28,7 @@
 
 UpstreamPaths::UpstreamPaths(const Clock &clock, std::string self, Parts parts)
     : m_parts(parts), m_self(std::move(self)), m_reach(clock),
-      m_peers(std::make_shared<ProxyPeers>(clock))
+      m_peers(std::make_shared<ProxyPeers>(clock, m_self))
 { }
 
 std::optional<UpstreamRecord> UpstreamPaths::upstreamForPeer(const std::string &instanceId)
--- a/tests/unit/proxy_peers_test.cpp
+++ b/tests/unit/proxy_peers_test.cpp
@@ -27,7 +27,7 @@
 TEST_CASE("proxy peers: without peers, or if none may be used, there is no choice")
 {
     ManualClock clock;
-    ProxyPeers peers(clock);
+    ProxyPeers peers(clock, "self");
     CHECK_FALSE(peers.choose({}));
     peers.setPeers(makePeers(2));
     ProxyPeers::Query query;
@@ -41,7 +41,7 @@
 TEST_CASE("proxy peers: a request that is restricted to regions passes only through their nodes")
 {
     ManualClock clock;
-    ProxyPeers peers(clock);
+    ProxyPeers peers(clock, "self");
     peers.setPeers(makePeers(8));
     for (std::uint64_t n = 0; n < 50; ++n) {
         ProxyPeers::Query query;
@@ -57,7 +57,7 @@
 TEST_CASE("proxy peers: a peer in the upstream's failure domain is preferred to one elsewhere")
 {
     ManualClock clock;
-    ProxyPeers peers(clock);
+    ProxyPeers peers(clock, "self");
     peers.setPeers(makePeers(8));
     ProxyPeers::Query query;
     query.upstreamDomain = "d3";
@@ -68,7 +68,7 @@
 TEST_CASE("proxy peers: requests find the peers that reach upstreams and spread over them")
 {
     ManualClock clock;
-    ProxyPeers peers(clock);
+    ProxyPeers peers(clock, "self");
     peers.setPeers(makePeers(8));
     const std::set<std::string> refusing{"n0", "n2"};
     const std::set<std::string> unaware{"n4", "n6"};
@@ -108,7 +108,7 @@
 TEST_CASE("proxy peers: a peer that has recovered is used again")
 {
     ManualClock clock;
-    ProxyPeers peers(clock);
+    ProxyPeers peers(clock, "self");
     peers.setPeers(makePeers(1));
     for (int n = 0; n < 20; ++n)
         peers.failed("n0");
@@ -119,3 +119,20 @@
     peers.succeeded("n0");
     CHECK(peers.choose({}));
 }
+
+// Many nodes lose upstreams at the same moment and ask peers whether they reach them.
+TEST_CASE("proxy peers: nodes that probe at the same time do not all ask the same peers")
+{
+    constexpr int kNodes = 300;
+    ManualClock clock;
+    std::map<std::string, int> asked;
+    for (int n = 0; n < kNodes; ++n) {
+        ProxyPeers peers(clock, "chooser" + std::to_string(n));
+        peers.setPeers(makePeers(kNodes));
+        ProxyPeers::Query query;
+        query.upstreamDomain = "elsewhere";
+        asked[peers.choose(query)->name] += 1;
+    }
+    for (const auto &[name, n] : asked)
+        CHECK(n <= 10);
+}
