Observability: streams that go on, and the software version where they do

The software version in an upstream's record was checked and thrown away, and the caller's Resumes was read nowhere.

Event 407 StreamResumed is logged each time a stream goes on: by the node within its answer or by the caller with a new request, the first attempt, the last event, the version that began it as far as the node knows, and where it goes on. No decision changes.

--- a/include/fordwood/upstream_record.hpp
+++ b/include/fordwood/upstream_record.hpp
@@ -22,6 +22,8 @@
     std::string service;
     std::string address; // IP:port; another upstream may get it later
     std::string failureDomain;
+    // Of the upstream's software. Streams of different versions do not fit together.
+    std::string softwareVersion;
     std::size_t slots = 1;
     bool draining = false; // accepts no new requests
     std::chrono::milliseconds coldFor{
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -395,12 +395,33 @@
     if (m_attempt->proxy.empty())
         m_state.paths().addUser(m_call.pool->name, weak_from_this());
     m_state.health().sent(m_attempt->upstream.instanceId);
+    if (resumesStream())
+        recordResumption();
     const UpstreamHeadOptions options{std::max(remainingTime(), kMinRemainingTime),
                                       m_eventSplitter.lastId(),
                                       m_state.settings().mechanisms.shortFirst};
     m_attempt->channel->exchange(upstreamHead(m_head, m_call, *m_attempt, options), m_body, *this);
 }
 
+// Whether the attempt continues a stream of which the caller has a part.
+bool CallHandler::resumesStream() const
+{
+    return m_call.terms.resumable && (m_streamStarted || m_caller.continuesStream());
+}
+
+void CallHandler::recordResumption()
+{
+    const std::uint64_t lastEvent
+        = m_eventSplitter.lastId().value_or(m_caller.resumeFrom.value_or(0));
+    m_state.metrics().count(m_streamStarted ? "fordwood_streams_resumed_by_node_total"
+                                            : "fordwood_streams_resumed_by_caller_total");
+    const std::string &firstAttempt
+        = m_caller.firstAttempt.empty() ? m_caller.requestId : m_caller.firstAttempt;
+    logStreamResumption({m_caller.requestId, firstAttempt, lastEvent,
+                         m_streamStarted ? "node" : "caller", m_beganAt,
+                         m_attempt->upstream.instanceId, m_attempt->upstream.softwareVersion});
+}
+
 void CallHandler::onHead(const http::response_header<> &head)
 {
     const auto self = shared_from_this();
@@ -513,6 +534,8 @@
 void CallHandler::beginStream()
 {
     m_streamStarted = true;
+    if (m_beganAt.empty() && !m_caller.continuesStream())
+        m_beganAt = m_attempt->upstream.softwareVersion;
     m_firstEventAt = m_state.clock().now();
     const EngineChoice &engine = m_attempt->engine;
     // Short prompts overtake the engine's queue, so their latency does not show its pace.
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -79,6 +79,8 @@
     void onProxied(std::shared_ptr<HttpChannel> channel, ProxyResult result);
     bool beginsInTime() const;
     void sendRequest();
+    bool resumesStream() const;
+    void recordResumption();
     void handleFailure(const FailedAttempt &failure);
     void handleAnswer();
     void handleRejection();
@@ -116,6 +118,7 @@
     DeadlineTimer m_deadlineTimer;
     net::steady_timer m_retryTimer; // runs while no upstream is available
     EventSplitter m_eventSplitter;
+    std::string m_beganAt; // software version of the upstream that began the stream
     bool m_streamStarted = false; // the caller has received a part of the answer
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -62,6 +62,17 @@
                                     {"fingerprint", failure.fingerprint.text()}});
 }
 
+void logStreamResumption(const StreamResumption &resumption)
+{
+    logEvent(Event::StreamResumed, {{"request", resumption.request},
+                                    {"first_attempt", resumption.firstAttempt},
+                                    {"last_event", resumption.lastEvent},
+                                    {"by", std::string(resumption.by)},
+                                    {"began", resumption.began},
+                                    {"upstream", resumption.upstream},
+                                    {"software", resumption.software}});
+}
+
 void logCallSummary(const CallSummary &end)
 {
     constexpr std::int64_t kNoEvent = -1;
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -44,6 +44,21 @@
     RequestFingerprint fingerprint; // stays the same when the caller repeats the request
 };
 
+// A stream that has broken off goes on at an upstream.
+struct StreamResumption
+{
+    std::string request; // request id
+    std::string firstAttempt; // request id of the attempt that brought the first event
+    std::uint64_t lastEvent = 0; // that the caller has
+    std::string_view by; // "caller" or "node"
+    std::string began; // software version that began the stream; empty: unknown
+    std::string upstream;
+    std::string software; // version of the upstream's software
+};
+
+// Logs the event StreamResumed.
+void logStreamResumption(const StreamResumption &resumption);
+
 // Logs the event AttemptFailed.
 void logAttemptFailure(const AttemptFailure &failure);
 
--- a/src/node/document_reader.cpp
+++ b/src/node/document_reader.cpp
@@ -129,6 +129,7 @@
                  {{"upstream", record->instanceId},
                   {"service", record->service},
                   {"address", record->address},
+                  {"software", record->softwareVersion},
                   {"cold_ms", record->coldFor.count()},
                   {"revision", item.revision}});
     m_listener.onUpstreamRecord(std::move(*record));
