--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,8 +64,9 @@
             << ":8081\"\n"
             << extraSettings << "[peers]\nlisten = \"" << host(node)
             << ":8082\"\ngossip_listen = \"" << host(node) << ":8083\"\nmetrics_listen = \""
-            << host(node) << ":8084\"\nproxy_listen = \"" << host(node) << ":8085\"\nseeds = [\""
-            << host(0) << ":8082\"]\n[store]\naddress = \""
+            << host(node) << ":8084\"\nplacement_listen = \"" << host(node)
+            << ":8084\"\nproxy_listen = \"" << host(node) << ":8085\"\nseeds = [\"" << host(0)
+            << ":8082\"]\n[store]\naddress = \""
             << (storeAddress.empty() ? net + "1:7000" : storeAddress)
             << "\"\n[bounds]\nstop_within = \"5s\"\n";
         out.close();
@@ -102,17 +104,36 @@
     // `life` numbers the restarts under this id; a higher one has a later start time.
     void putUpstream(const std::string &id, const std::string &state = "ready", int life = 1)
     {
-        const std::string address = net + (id.starts_with("i-1") ? "2" : "3") + ":8000";
-        store.put("servers/" + id, nlohmann::json{{"service", "board"},
-                                                  {"address", address},
-                                                  {"zone", "x"},
-                                                  {"slots", 4},
-                                                  {"version", "v1"},
-                                                  {"state", state},
-                                                  {"cold-remaining-ms", 0},
-                                                  {"born", 1'796'000'000'000 + life},
-                                                  {"sequence", 1}}
-                                       .dump());
+        UpstreamEntry entry{id, net + (id.starts_with("i-1") ? "2" : "3") + ":8000", "v1"};
+        entry.state = state;
+        entry.startedAt = 1'796'000'000'000 + life;
+        putUpstreamRecord(entry);
+    }
+
+    // The record of an upstream in the store.
+    struct UpstreamEntry
+    {
+        std::string id;
+        std::string address;
+        std::string version; // of its software
+        std::string service = "board";
+        std::string state = "ready";
+        std::optional<std::int64_t> startedAt = std::nullopt; // milliseconds since 1970
+    };
+
+    void putUpstreamRecord(const UpstreamEntry &entry)
+    {
+        nlohmann::json record{{"service", entry.service},
+                              {"address", entry.address},
+                              {"zone", "x"},
+                              {"slots", 4},
+                              {"version", entry.version},
+                              {"state", entry.state},
+                              {"cold-remaining-ms", 0},
+                              {"sequence", 1}};
+        if (entry.startedAt)
+            record["born"] = *entry.startedAt;
+        store.put("servers/" + entry.id, record.dump());
     }
 
     void putConfiguration(int version, const std::string &prefix = "/safe/",
