A stream goes on only at the software version that began it

Cause: nothing bound what goes on to what began. The version in an upstream's record was thrown away, Resumes was read nowhere, and a stream that broke off was placed like a new request, by the node within its answer as well as for a caller that took it up at another node. A route with a split even drew another service, from the id of the new attempt. Change: within an answer the node knows the version. While a service has, or had within a stream's lifetime, several versions, nodes tell a few others (in a small fleet all, in a large one four of different failure domains) where their streams began, in batches of 10 ms; when a second version appears, also the streams that began before. A node at which a caller takes a stream up asks them. An origin is never guessed: with one version for a stream's lifetime it is that one, else the request is rejected as not run (stream-origin-unknown); so is one whose version has no upstream left (stream-version-gone), at once. With one version nothing is sent.

--- a/include/fordwood/scheduler_ranking.hpp
+++ b/include/fordwood/scheduler_ranking.hpp
@@ -35,6 +35,7 @@
     std::string name;
     std::string address; // for placement messages (UDP)
     double strength = 0.0; // of its VM; see vmStrength()
+    std::string failureDomain = {};
 
     bool operator==(const SchedulerNode &) const = default;
 };
--- a/include/fordwood/serving_config.hpp
+++ b/include/fordwood/serving_config.hpp
@@ -36,8 +36,10 @@
         0}; // between two events of a timely stream; 0: not specified
     int priority = 0; // 0 is the most urgent
 
+    bool isResumableStream() const { return streaming && resumable; }
+
     // Whether another attempt is allowed after one that may have run.
-    bool mayRunAgain() const { return repeatable || (streaming && resumable); }
+    bool mayRunAgain() const { return repeatable || isResumableStream(); }
 };
 
 // Properties shared by the model engines of a service.
--- a/include/fordwood/upstream_directory.hpp
+++ b/include/fordwood/upstream_directory.hpp
@@ -12,6 +12,7 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/observed_weights.hpp"
+#include "fordwood/served_versions.hpp"
 #include "fordwood/upstream_record.hpp"
 
 namespace fordwood {
@@ -33,7 +34,7 @@
     };
 
     UpstreamDirectory(const Clock &clock, Limits limits)
-        : m_clock(clock), m_limits(limits), m_reachableSince(clock.now())
+        : m_clock(clock), m_limits(limits), m_versions(clock), m_reachableSince(clock.now())
     { }
     UpstreamDirectory(const UpstreamDirectory &) = delete;
     UpstreamDirectory &operator=(const UpstreamDirectory &) = delete;
@@ -84,6 +85,9 @@
     // The upstreams of a service that accept new requests, in the order of their instance ids.
     std::vector<const UpstreamRecord *> usable(const std::string &service) const;
 
+    // The software versions of the upstreams, whether they accept new requests or not.
+    ServedVersions &versions() { return m_versions; }
+
     // Null if the instance is unknown.
     const UpstreamRecord *find(const std::string &instanceId) const;
 
@@ -143,6 +147,7 @@
     const Limits m_limits;
     Entries m_entries; // by instance id
     std::map<std::string, std::map<std::string_view, Entry *>> m_services; // by service and id
+    ServedVersions m_versions;
     std::set<std::string> m_unconfirmed; // with weights that an answer has shown or ruled out
     std::set<std::string> m_reportedDraining;
     std::set<std::string> m_expired; // records gone, perhaps as the store was unreachable
--- /dev/null
+++ b/src/core/served_versions.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+#include "fordwood/served_versions.hpp"
+
+#include <algorithm>
+
+namespace fordwood {
+
+namespace {
+
+// Bounds what peers can make this node remember. A rollout has two or three versions.
+constexpr std::size_t kMaxVersions = 32;
+
+} // namespace
+
+void ServedVersions::add(const std::string &service, const std::string &version)
+{
+    m_services[service][version].upstreams += 1;
+}
+
+void ServedVersions::remove(const std::string &service, const std::string &version)
+{
+    Presence &presence = m_services[service][version];
+    presence.upstreams -= std::min<std::size_t>(presence.upstreams, 1);
+    presence.lastSeen = m_clock.now();
+}
+
+void ServedVersions::observe(const std::string &service, const std::string &version)
+{
+    auto &versions = m_services[service];
+    if (versions.size() < kMaxVersions || versions.contains(version))
+        versions[version].lastSeen = m_clock.now();
+}
+
+void ServedVersions::extendStreamLifetime(Duration lifetime)
+{
+    m_streamLifetime = std::max(m_streamLifetime, lifetime);
+}
+
+std::set<std::string> ServedVersions::recent(const std::string &service) const
+{
+    std::set<std::string> found;
+    const auto versions = m_services.find(service);
+    if (versions == m_services.end())
+        return found;
+    for (const auto &[version, presence] : versions->second) {
+        const bool isRecent = presence.lastSeen != TimePoint{}
+                              && m_clock.now() - presence.lastSeen < m_streamLifetime;
+        if (presence.upstreams > 0 || isRecent)
+            found.insert(version);
+    }
+    return found;
+}
+
+} // namespace fordwood
--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -11,6 +11,9 @@
     Entry &entry = it->second;
     if (!isNew && entry.record.service != record.service)
         m_services[entry.record.service].erase(it->first);
+    if (!isNew)
+        m_versions.remove(entry.record.service, entry.record.softwareVersion);
+    m_versions.add(record.service, record.softwareVersion);
     m_services[record.service][it->first] = &entry;
     std::map<std::string, Weights> weights;
     for (auto &[model, version] : record.weightVersions) {
@@ -98,6 +101,7 @@
 void UpstreamDirectory::erase(Entries::iterator entry)
 {
     m_services[entry->second.record.service].erase(entry->first);
+    m_versions.remove(entry->second.record.service, entry->second.record.softwareVersion);
     m_unconfirmed.erase(entry->first);
     m_reportedDraining.erase(entry->first);
     m_expired.erase(entry->first);
--- a/src/node/admitted_call.cpp
+++ b/src/node/admitted_call.cpp
@@ -10,6 +10,9 @@
 // The timeout of requests that state none.
 constexpr std::chrono::milliseconds kDefaultTimeout{30'000};
 
+// Bounds how long a caller can make nodes remember a stream.
+constexpr std::chrono::milliseconds kMaxStreamLifetime{60'000};
+
 std::string_view toStringView(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -23,7 +26,7 @@
         timeout = std::min(timeout, route.timeout);
     CallPolicy terms;
     terms.mayRunAgain = route.mayRunAgain();
-    terms.resumable = route.streaming && route.resumable;
+    terms.resumable = route.isResumableStream();
     terms.maxAttempts = route.maxAttempts;
     terms.answerBy = arrived + timeout;
     return terms;
@@ -31,6 +34,28 @@
 
 } // namespace
 
+std::chrono::milliseconds longestTimeout(const ServiceRoute &route)
+{
+    return route.timeout.count() > 0 ? route.timeout : kDefaultTimeout;
+}
+
+bool continuesStream(const AdmittedCall &call, const platform::CallerHead &caller)
+{
+    return call.terms.resumable && caller.continuesStream();
+}
+
+bool directTo(const std::string &service, AdmittedCall &call)
+{
+    const auto &targets = call.route->targets;
+    const bool isTarget = std::any_of(targets.begin(), targets.end(),
+                                      [&](const SplitTarget &it) { return it.service == service; });
+    const ServicePool *pool = isTarget ? call.table->findService(service) : nullptr;
+    if (pool == nullptr)
+        return false;
+    call.pool = pool;
+    return true;
+}
+
 std::optional<Reason> admitCall(const NodeState &state, const http::request_header<> &head,
                                 const platform::CallerHead &caller, TimePoint arrived,
                                 AdmittedCall &call)
@@ -48,10 +73,20 @@
         call.team = call.table->findTeam(caller.teamKey);
     if (call.table->hasTeams() && call.team == nullptr && !call.route->isPublic)
         return Reason::UnknownTeam;
-    call.pool = call.table->findService(RouteTable::targetOf(*call.route, caller.requestId));
+    call.terms = policyOf(*call.route, caller, arrived);
+    const std::string &firstAttempt = call.terms.resumable && !caller.firstAttempt.empty()
+                                          ? caller.firstAttempt
+                                          : caller.requestId;
+    call.pool = call.table->findService(RouteTable::targetOf(*call.route, firstAttempt));
     if (call.pool == nullptr)
         return Reason::NoUpstream;
-    call.terms = policyOf(*call.route, caller, arrived);
+    if (call.terms.resumable) {
+        call.stream = streamKey(firstAttempt, call.team != nullptr ? call.team->name : "",
+                                call.route->host, call.route->pathPrefix);
+        call.callerDeadline = arrived
+                              + std::clamp(caller.timeout.value_or(kDefaultTimeout),
+                                           std::chrono::milliseconds(0), kMaxStreamLifetime);
+    }
     if (!state.canFinishBeforeStop(call.terms.answerBy))
         return Reason::Stopping;
     return std::nullopt;
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -64,10 +64,37 @@
         return;
     }
     m_plan = CallPlan(m_call.terms);
+    startDeadlineTimer();
+    if (continuesStream(m_call, m_caller))
+        findOrigin();
+    else
+        beginServing();
+}
+
+// A stream that another node may have sent goes on only where it began.
+void CallHandler::findOrigin()
+{
+    m_state.streams().find(m_call.stream, m_call.pool->name,
+                           [self = shared_from_this()](const std::optional<StreamOrigin> &origin) {
+                               if (!self->m_isFinished)
+                                   self->onOrigin(origin);
+                           });
+}
+
+void CallHandler::onOrigin(const std::optional<StreamOrigin> &origin)
+{
+    m_origin = origin;
+    if (m_origin && directTo(m_origin->service, m_call))
+        beginServing();
+    else
+        rejectLostStream(Reason::StreamOriginUnknown, kRetryAfter);
+}
+
+void CallHandler::beginServing()
+{
     m_state.countRequest(m_call.pool->name);
     if (m_call.pool->engine && m_caller.prompt)
         m_state.countPrompt(*m_caller.prompt, *m_call.pool->engine);
-    startDeadlineTimer();
     startAttempt();
 }
 
@@ -116,10 +143,11 @@
         return;
     }
     const auto shard = m_streamStarted ? std::nullopt : scheduledShard(m_state, m_call, m_caller);
-    if (shard)
+    // Schedulers do not know where a stream can go on.
+    if (shard && !isBoundToVersion(m_state, m_origin))
         requestPlacement(*shard);
     else
-        chooseLocally(std::nullopt);
+        chooseLocally(shard);
 }
 
 void CallHandler::requestPlacement(const EngineShard &shard)
@@ -251,7 +279,8 @@
 
 bool CallHandler::selectUpstream()
 {
-    UpstreamChoice choice = chooseUpstream(m_state, m_call, m_caller, m_plan, m_streamStarted);
+    UpstreamChoice choice
+        = chooseUpstream(m_state, m_call, m_caller, m_plan, {m_streamStarted, m_origin});
     if (choice.busyEngine)
         m_busyEngine = std::move(choice.busyEngine);
     m_unavailable = std::move(choice.unavailable);
@@ -266,8 +295,25 @@
     return fingerprintOf(m_head, m_call, *m_body);
 }
 
+// Ends a request that continues a stream which cannot go on.
+void CallHandler::rejectLostStream(Reason reason, std::chrono::milliseconds retryAfter)
+{
+    m_plan.setReason(reason);
+    if (!m_streamStarted) {
+        rejectWith(m_plan.verdict(retryAfter));
+        return;
+    }
+    m_state.metrics().countRefusal(reason);
+    m_writer.abort();
+    finish("cut-version-gone", 0);
+}
+
 void CallHandler::handleNoUpstream()
 {
+    if (m_origin && !canGoOn(m_state, *m_origin) && isBoundToVersion(m_state, m_origin)) {
+        rejectLostStream(Reason::StreamVersionGone, kNoneInServiceRetryAfter);
+        return;
+    }
     if (m_busyEngine) {
         m_plan.setReason(Reason::UpstreamBusy);
         rejectWith(m_plan.verdict(std::max(kRetryAfter, m_call.route->targetLatency)));
@@ -418,10 +464,20 @@
     const std::string &firstAttempt
         = m_caller.firstAttempt.empty() ? m_caller.requestId : m_caller.firstAttempt;
     logStreamResumption({m_caller.requestId, firstAttempt, lastEvent,
-                         m_streamStarted ? "node" : "caller", m_beganAt,
+                         m_streamStarted ? "node" : "caller", m_origin ? m_origin->version : "",
                          m_attempt->upstream.instanceId, m_attempt->upstream.softwareVersion});
 }
 
+// From its first event on, the stream can go on only at this version, at whatever node its caller
+// takes it up.
+void CallHandler::recordOrigin()
+{
+    if (!m_origin)
+        m_origin = StreamOrigin{m_call.pool->name, m_attempt->upstream.softwareVersion};
+    m_state.upstreams().versions().extendStreamLifetime(m_call.callerDeadline - m_arrived);
+    m_state.streams().record({m_call.stream, *m_origin, m_call.callerDeadline});
+}
+
 void CallHandler::onHead(const http::response_header<> &head)
 {
     const auto self = shared_from_this();
@@ -534,8 +590,8 @@
 void CallHandler::beginStream()
 {
     m_streamStarted = true;
-    if (m_beganAt.empty() && !m_caller.continuesStream())
-        m_beganAt = m_attempt->upstream.softwareVersion;
+    if (m_call.terms.resumable)
+        recordOrigin();
     m_firstEventAt = m_state.clock().now();
     const EngineChoice &engine = m_attempt->engine;
     // Short prompts overtake the engine's queue, so their latency does not show its pace.
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -62,6 +62,9 @@
     void onCutOff() override;
 
 private:
+    void findOrigin();
+    void onOrigin(const std::optional<StreamOrigin> &origin);
+    void beginServing();
     void startAttempt();
     bool isQuarantined() const;
     void rejectQuarantined();
@@ -79,8 +82,10 @@
     void onProxied(std::shared_ptr<HttpChannel> channel, ProxyResult result);
     bool beginsInTime() const;
     void sendRequest();
+    void rejectLostStream(Reason reason, std::chrono::milliseconds retryAfter);
     bool resumesStream() const;
     void recordResumption();
+    void recordOrigin();
     void handleFailure(const FailedAttempt &failure);
     void handleAnswer();
     void handleRejection();
@@ -118,7 +123,7 @@
     DeadlineTimer m_deadlineTimer;
     net::steady_timer m_retryTimer; // runs while no upstream is available
     EventSplitter m_eventSplitter;
-    std::string m_beganAt; // software version of the upstream that began the stream
+    std::optional<StreamOrigin> m_origin; // of a resumable stream that has begun
     bool m_streamStarted = false; // the caller has received a part of the answer
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -652,8 +652,8 @@
     if (!m_settings.peers.proxyListen.empty())
         nodes.proxies = m_peers.roster().registeredProxies();
     if (!m_settings.peers.placementListen.empty())
-        nodes.schedulers.push_back(
-            {m_settings.node.name, m_settings.peers.placementListen, vmStrength(m_settings.vm)});
+        nodes.schedulers.push_back({m_settings.node.name, m_settings.peers.placementListen,
+                                    vmStrength(m_settings.vm), m_settings.node.failureDomain});
     if (nodes == m_publishedNodes) // rewriting a key does not change the set of nodes
         return;
     m_publishedNodes = nodes;
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -6,6 +6,7 @@
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/old_context_cleaner.hpp"
 #include "fordwood/rendezvous.hpp"
+#include "node/admitted_call.hpp"
 #include "node/control_limits.hpp"
 
 namespace fordwood::node {
@@ -74,8 +75,16 @@
       m_scheduler(*this, clock),
       m_placements(context, clock, metrics, stableHash(makeNodeInstanceId(settings.node.name)),
                    m_scheduler),
+      m_streams(context, clock, metrics, m_upstreams.versions(),
+                [this](std::string_view bytes, const udp::endpoint &to) {
+                    m_placements.send(bytes, to);
+                }),
       m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock)
-{ }
+{
+    m_placements.onOtherMessage([this](std::string_view bytes, const udp::endpoint &from) {
+        return m_streams.onDatagram(bytes, from);
+    });
+}
 
 void NodeState::handle(const FleetUpdate &update)
 {
@@ -86,6 +95,10 @@
 {
     m_table = update.table;
     m_contexts.setStores(m_table->config().stores);
+    for (const ServiceRoute &it : m_table->config().routes) {
+        if (it.isResumableStream())
+            m_upstreams.versions().extendStreamLifetime(longestTimeout(it));
+    }
     m_metrics.setGauge("fordwood_configuration_version",
                        static_cast<double>(m_table->config().version));
 }
@@ -95,6 +108,7 @@
     m_upstreams.put(update.record);
     m_gate.limitGate().upstreamLimits().addUpstream(update.record.instanceId);
     m_gate.coldGate().setCold(update.record.instanceId, update.record.coldFor);
+    m_streams.onVersionsChanged(update.record.service);
 }
 
 void NodeState::apply(const UpstreamRecordRemoved &update)
@@ -169,6 +183,7 @@
 {
     m_gate.coldGate().setNodes(update.others);
     m_placements.setNodes(update.schedulers);
+    m_streams.setNodes(update.schedulers, m_settings.peers.placementListen);
     m_paths.setPeers(update.proxies);
 }
 
@@ -327,8 +342,10 @@
 
 void NodeState::checkForStall()
 {
-    if (m_stallDetector.poll() > Duration::zero())
-        m_stallEndedAt = m_clock.now();
+    if (m_stallDetector.poll() == Duration::zero())
+        return;
+    m_stallEndedAt = m_clock.now();
+    m_upstreams.versions().interrupt();
 }
 
 bool NodeState::isRecoveringFromStall()
@@ -349,6 +366,7 @@
     m_channels.tick();
     m_paths.tick();
     m_placements.tick();
+    m_streams.tick();
     m_gate.backoffs().tick();
     m_quarantine.tick();
     m_metrics.setGauge("fordwood_quarantined_requests",
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -32,6 +32,7 @@
 #include "node/engine_scheduler.hpp"
 #include "node/fleet_update.hpp"
 #include "node/placements.hpp"
+#include "node/stream_exchange.hpp"
 #include "node/upstream_attempt.hpp"
 #include "node/upstream_paths.hpp"
 
@@ -173,6 +174,7 @@
     UpstreamPaths &paths() { return m_paths; }
     Placements &placements() { return m_placements; }
     const Placements &placements() const { return m_placements; }
+    StreamExchange &streams() { return m_streams; }
     BufferBudget &buffers() { return m_buffers; }
 
 private:
@@ -223,6 +225,7 @@
     UpstreamPaths m_paths;
     EngineScheduler m_scheduler;
     Placements m_placements;
+    StreamExchange m_streams;
     BufferBudget m_buffers;
     std::map<std::string, WeightHistory> m_weights; // by model
     struct LoadingReport
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -65,7 +65,7 @@
     std::vector<SchedulerNode> nodes;
     for (const auto &[name, peer] : m_peers) {
         if (peer.hasKey && !peer.placementAddress.empty())
-            nodes.push_back({name, peer.placementAddress, peer.strength});
+            nodes.push_back({name, peer.placementAddress, peer.strength, peer.failureDomain});
     }
     return nodes;
 }
--- a/src/node/placements.cpp
+++ b/src/node/placements.cpp
@@ -110,6 +110,8 @@
 {
     const auto message = decodePlacement(bytes);
     if (!message) {
+        if (m_onOther && m_onOther(bytes, from))
+            return;
         m_metrics.count("fordwood_placement_messages_unreadable_total");
         return;
     }
--- a/src/node/placements.hpp
+++ b/src/node/placements.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -49,6 +50,12 @@
     // Returns false and sets `ec` if the address cannot be used.
     bool open(const std::string &address, ErrorCode &ec);
 
+    // Messages about other matters share the socket. `handler` returns false for those that it does
+    // not know either.
+    using OtherHandler = std::function<bool(std::string_view bytes, const udp::endpoint &from)>;
+    void onOtherMessage(OtherHandler handler) { m_onOther = std::move(handler); }
+    void send(std::string_view bytes, const udp::endpoint &to) { m_socket.send(bytes, to); }
+
     // All nodes that may schedule, this one included.
     void setNodes(std::vector<SchedulerNode> nodes);
 
@@ -96,6 +103,7 @@
     EngineScheduler &m_scheduler;
     SchedulerRanking m_ranking;
     DatagramSocket m_socket;
+    OtherHandler m_onOther;
     std::optional<udp::endpoint> m_own;
     std::map<std::string, udp::endpoint> m_endpoints; // by address
     std::size_t m_nodeCount = 0;
--- /dev/null
+++ b/src/node/stream_exchange.hpp
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_STREAM_EXCHANGE_HPP_INCLUDED
+#define FORDWOOD_NODE_STREAM_EXCHANGE_HPP_INCLUDED
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/observe/metrics.hpp"
+#include "fordwood/origin_search.hpp"
+#include "fordwood/served_versions.hpp"
+#include "fordwood/stream_holders.hpp"
+#include "fordwood/stream_origins.hpp"
+#include "node/net.hpp"
+#include "node/stream_messages.hpp"
+
+namespace fordwood::node {
+
+// Finds out where a stream began that a caller takes up at this node, also if the node that sent it
+// is gone. As long as a service has several software versions, nodes tell a few others where their
+// streams began; with one version nothing is sent. Used only on the serving thread.
+class StreamExchange
+{
+public:
+    using Send = std::function<void(std::string_view bytes, const udp::endpoint &to)>;
+    // Nothing: it is not known where the stream began.
+    using OnFound = std::function<void(const std::optional<StreamOrigin> &)>;
+
+    StreamExchange(net::io_context &context, const Clock &clock, adapters::Metrics &metrics,
+                   ServedVersions &versions, Send send);
+
+    // All nodes that take part, this one included, which has the address `own`.
+    void setNodes(std::vector<SchedulerNode> nodes, const std::string &own);
+
+    // The caller has received the first event of a stream, or its first one after taking it up.
+    void record(const KnownStream &stream);
+
+    // Calls `onFound` exactly once, perhaps before it returns.
+    void find(StreamKey key, const std::string &service, OnFound onFound);
+
+    // Returns false if the message is not about streams.
+    bool onDatagram(std::string_view bytes, const udp::endpoint &from);
+
+    // Upstreams of the service were added or removed.
+    void onVersionsChanged(const std::string &service);
+
+    // Periodic work.
+    void tick();
+
+private:
+    struct Search
+    {
+        StreamQuery query;
+        OriginSearch decision;
+        std::vector<udp::endpoint> peers;
+        OnFound onFound;
+        std::unique_ptr<net::steady_timer> timer;
+    };
+    using Searches = std::unordered_map<std::uint64_t, Search>;
+    // Streams to tell a peer, by origin.
+    using Notices = std::map<std::pair<std::string, std::string>, std::vector<KnownStream>>;
+
+    void handle(const StreamNotice &notice, const udp::endpoint &from);
+    void handle(const StreamQuery &query, const udp::endpoint &from);
+    void handle(const StreamReply &reply, const udp::endpoint &from);
+
+    bool mustTellPeers(const std::string &service) const;
+    OriginKnowledge knowledgeOf(StreamKey key, const std::string &service) const;
+    std::vector<udp::endpoint> holdersOf(StreamKey key) const;
+    void startRound(std::uint64_t number);
+    void finish(Searches::iterator search);
+    void tellHolders(const KnownStream &stream);
+    void sendNotices();
+    void sendNotice(const StreamOrigin &origin, const std::vector<KnownStream> &streams,
+                    const udp::endpoint &to);
+
+    net::io_context &m_context;
+    const Clock &m_clock;
+    adapters::Metrics &m_metrics;
+    ServedVersions &m_versions;
+    Send m_send;
+    StreamOrigins m_origins;
+    StreamHolders m_holders;
+    std::string m_own; // address
+    std::set<std::string> m_mixedServices; // their streams have been told to peers
+    Searches m_searches; // by number
+    std::uint64_t m_lastNumber = 0;
+    std::map<udp::endpoint, Notices> m_notices; // not sent yet
+    net::steady_timer m_noticeTimer;
+    bool m_areNoticesDue = false;
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_STREAM_EXCHANGE_HPP_INCLUDED
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -219,17 +219,33 @@
 
 UpstreamChoice chooseUpstream(NodeState &state, const AdmittedCall &call,
                               const platform::CallerHead &caller, const CallPlan &plan,
-                              bool answerStarted)
+                              const ChoiceTerms &terms)
 {
-    const UpstreamFilter isAllowed = regionFilter(state, call);
+    const UpstreamFilter isInRegion = regionFilter(state, call);
+    const UpstreamFilter isAllowed = [&](const UpstreamRecord &it) {
+        return isInRegion(it) && (!terms.origin || terms.origin->version == it.softwareVersion);
+    };
     auto candidates = state.candidates(*call.pool);
     std::erase_if(candidates, [&](const UpstreamRecord *it) { return !isAllowed(*it); });
-    UpstreamChoice chosen = chooseAmong(state, call, caller, plan, answerStarted, candidates);
+    UpstreamChoice chosen = chooseAmong(state, call, caller, plan, terms.answerStarted, candidates);
     if (!chosen.attempt && candidates.empty())
         chosen.unavailable = findUnavailability(state, call, isAllowed, plan.tried());
     return chosen;
 }
 
+bool canGoOn(NodeState &state, const StreamOrigin &origin)
+{
+    const auto usable = state.upstreams().usable(origin.service);
+    return std::any_of(usable.begin(), usable.end(), [&](const UpstreamRecord *it) {
+        return it->softwareVersion == origin.version;
+    });
+}
+
+bool isBoundToVersion(NodeState &state, const std::optional<StreamOrigin> &origin)
+{
+    return origin && state.upstreams().versions().hasSeveral(origin->service);
+}
+
 std::optional<EngineShard> scheduledShard(NodeState &state, const AdmittedCall &call,
                                           const platform::CallerHead &caller)
 {
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -30,10 +30,22 @@
     std::optional<Unavailability> unavailable;
 };
 
-// `answerStarted`: the caller has received a part of the answer, so the request cannot be refused.
+// What the attempts so far mean for the choice of an upstream.
+struct ChoiceTerms
+{
+    bool answerStarted = false; // the caller has a part of the answer: no refusal is possible
+    std::optional<StreamOrigin> origin; // of a stream that has begun; it goes on nowhere else
+};
+
 UpstreamChoice chooseUpstream(NodeState &state, const AdmittedCall &call,
                               const platform::CallerHead &caller, const CallPlan &plan,
-                              bool answerStarted);
+                              const ChoiceTerms &terms);
+
+// Whether an upstream at which the stream can go on accepts new requests.
+bool canGoOn(NodeState &state, const StreamOrigin &origin);
+
+// Whether the stream can go on at some upstreams of its service only.
+bool isBoundToVersion(NodeState &state, const std::optional<StreamOrigin> &origin);
 
 // The shard of the service's engines to which the request belongs, if its scheduler chooses the
 // engine; nothing if this node does.
--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -37,7 +37,7 @@
             REQUIRE(Fleet::waitFor([&] { return isReady(it); }));
         }
         for (const int it : {0, 1, 2})
-            REQUIRE(Fleet::waitFor([&] { return logged(it, "live=\"3\"") > 0; }));
+            REQUIRE(Fleet::waitFor([&] { return metric("fordwood_stream_peers", it) == 2; }));
     }
 
     void addUpstream(const std::string &version)
@@ -93,6 +93,12 @@
         return versions;
     }
 
+    // Waits until the node has been told where so many streams began.
+    bool waitUntilTold(int node, int streams)
+    {
+        return Fleet::waitFor([&] { return metric("fordwood_stream_origins", node) >= streams; });
+    }
+
     std::string nextId() { return "s-" + std::to_string(++m_ids); }
 
     std::vector<Upstream> upstreams;
@@ -158,6 +164,7 @@
     for (const auto &it : fleet.upstreams)
         it.standin->setStreams(24, 100'000);
     const auto streams = beginAll(fleet, 0);
+    REQUIRE(fleet.waitUntilTold(1, kStreams));
     fleet.nodes[0].signal(SIGKILL);
     const Tally tally = takeUpAll(fleet, streams, 1);
     CHECK(tally.mixed == 0);
