--- a/src/core/stream_holders.cpp
+++ b/src/core/stream_holders.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "fordwood/stream_holders.hpp"
 
+#include <map>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "fordwood/relay_role.hpp"
@@ -14,9 +16,6 @@
 // Of streams whose node is lost with four in five others, about three in five stay known.
 constexpr std::size_t kHolders = 4;
 
-// Candidates that are considered for the sake of different failure domains.
-constexpr std::size_t kCandidates = 4 * kHolders;
-
 } // namespace
 
 void StreamHolders::setNodes(std::vector<SchedulerNode> nodes)
@@ -35,18 +34,29 @@
             holders.push_back(&it);
         return holders;
     }
-    const std::vector<std::size_t> order = rendezvousOrder(key, m_hashes, kCandidates);
-    std::set<std::string> domains;
-    std::vector<const SchedulerNode *> others; // of failure domains that have a holder already
-    for (const std::size_t it : order) {
-        const SchedulerNode &node = m_nodes[it];
-        if (holders.size() < kHolders && domains.insert(node.failureDomain).second)
-            holders.push_back(&node);
-        else
-            others.push_back(&node);
+    // The first node of each failure domain comes before all others.
+    std::map<std::string_view, std::size_t> firsts;
+    for (std::size_t n = 0; n < m_nodes.size(); ++n) {
+        const auto [it, isNew] = firsts.try_emplace(m_nodes[n].failureDomain, n);
+        if (!isNew
+            && rendezvousWeight(key, m_hashes[n]) > rendezvousWeight(key, m_hashes[it->second]))
+            it->second = n;
+    }
+    std::vector<std::uint64_t> firstHashes;
+    std::vector<std::size_t> firstNodes;
+    for (const auto &[domain, n] : firsts) {
+        firstHashes.push_back(m_hashes[n]);
+        firstNodes.push_back(n);
+    }
+    std::set<std::size_t> chosen;
+    for (const std::size_t it : rendezvousOrder(key, firstHashes, kHolders))
+        chosen.insert(firstNodes[it]);
+    for (const std::size_t it : rendezvousOrder(key, m_hashes, 2 * kHolders)) {
+        if (chosen.size() < kHolders)
+            chosen.insert(it);
     }
-    for (std::size_t n = 0; n < others.size() && holders.size() < kHolders; ++n)
-        holders.push_back(others[n]);
+    for (const std::size_t it : chosen)
+        holders.push_back(&m_nodes[it]);
     return holders;
 }
 
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -279,8 +279,10 @@
 
 bool CallHandler::selectUpstream()
 {
-    UpstreamChoice choice
-        = chooseUpstream(m_state, m_call, m_caller, m_plan, {m_streamStarted, m_origin});
+    // A stream that only some upstreams can continue is not rejected for being late: its caller
+    // would lose the part that it has.
+    const bool mustGoOn = m_streamStarted || isBoundToVersion(m_state, m_origin);
+    UpstreamChoice choice = chooseUpstream(m_state, m_call, m_caller, m_plan, {mustGoOn, m_origin});
     if (choice.busyEngine)
         m_busyEngine = std::move(choice.busyEngine);
     m_unavailable = std::move(choice.unavailable);
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -125,8 +125,7 @@
 }
 
 UpstreamChoice chooseEngine(NodeState &state, const AdmittedCall &call,
-                            const platform::CallerHead &caller, const CallPlan &plan,
-                            bool answerStarted,
+                            const platform::CallerHead &caller, const CallPlan &plan, bool mustGoOn,
                             const std::vector<const UpstreamRecord *> &candidates)
 {
     // Short prompts do not wait until a context store answers: computing them takes less time.
@@ -135,7 +134,7 @@
     auto choice = bestEngine(state, call, caller, plan, candidates);
     if (!choice)
         return {};
-    if (!choice->isShort && !answerStarted && exceedsMaxWait(state, call, *choice))
+    if (!choice->isShort && !mustGoOn && exceedsMaxWait(state, call, *choice))
         return {std::nullopt, std::move(choice), std::nullopt};
     UpstreamChoice chosen;
     chosen.attempt = engineAttempt(state, call, caller, std::move(*choice));
@@ -155,12 +154,11 @@
 }
 
 UpstreamChoice chooseAmong(NodeState &state, const AdmittedCall &call,
-                           const platform::CallerHead &caller, const CallPlan &plan,
-                           bool answerStarted,
+                           const platform::CallerHead &caller, const CallPlan &plan, bool mustGoOn,
                            const std::vector<const UpstreamRecord *> &candidates)
 {
     if (call.pool->engine && caller.prompt)
-        return chooseEngine(state, call, caller, plan, answerStarted, candidates);
+        return chooseEngine(state, call, caller, plan, mustGoOn, candidates);
     const UpstreamRecord *best
         = fordwood::chooseUpstream(candidates, plan.tried(), state.settings().node.failureDomain,
                                    stableHash(caller.requestId), state.loads(), state.health());
@@ -227,7 +225,7 @@
     };
     auto candidates = state.candidates(*call.pool);
     std::erase_if(candidates, [&](const UpstreamRecord *it) { return !isAllowed(*it); });
-    UpstreamChoice chosen = chooseAmong(state, call, caller, plan, terms.answerStarted, candidates);
+    UpstreamChoice chosen = chooseAmong(state, call, caller, plan, terms.mustGoOn, candidates);
     if (!chosen.attempt && candidates.empty())
         chosen.unavailable = findUnavailability(state, call, isAllowed, plan.tried());
     return chosen;
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -33,7 +33,7 @@
 // What the attempts so far mean for the choice of an upstream.
 struct ChoiceTerms
 {
-    bool answerStarted = false; // the caller has a part of the answer: no refusal is possible
+    bool mustGoOn = false; // the caller has a part of the answer: it is not refused as late
     std::optional<StreamOrigin> origin; // of a stream that has begun; it goes on nowhere else
 };
 
