Process tests of streams that go on: kills, store away, rollouts, splits

Two of three nodes killed and taken up twice, the store away, all nodes killed, the second version appearing after the streams began, a version that has left, upstreams that restart under their ids with another version, a split over two services.

--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -138,6 +138,12 @@
 
     void putConfiguration(int version, const std::string &prefix = "/safe/",
                           int maxConnections = 100, int timeoutMs = 5000)
+    {
+        store.put("op/config", configuration(version, prefix, maxConnections, timeoutMs).dump());
+    }
+
+    static nlohmann::json configuration(int version, const std::string &prefix = "/safe/",
+                                        int maxConnections = 100, int timeoutMs = 5000)
     {
         const auto route = [timeoutMs](const char *path, const char *kind, bool resumable) {
             return nlohmann::json{
@@ -149,7 +155,7 @@
             bound["allowed-regions"] = {"elsewhere"};
             return bound;
         };
-        nlohmann::json config{
+        return {
             {"version", version},
             {"routes",
              {route(prefix.c_str(), "safe", false), route("/once/", "unsafe", false),
@@ -158,7 +164,6 @@
             {"limits",
              {{"max-header-bytes", 4096}, {"max-body-bytes", 10000}, {"header-timeout-ms", 300}}},
             {"tenants", {{{"name", "t"}, {"api-keys", {"key-t"}}}}}};
-        store.put("op/config", config.dump());
     }
 
     // Starts one node with both upstreams and waits until it is ready.
--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -17,6 +17,10 @@
 
 constexpr int kStreams = 40;
 
+// More than the buffers between an upstream and its caller hold, so that the stream is not over
+// when its caller has read the first events.
+constexpr std::size_t kBytesPerEvent = 100'000;
+
 // Three nodes and four upstreams of one service, of which two are of an older software version.
 class TwoVersions : public Deployment
 {
@@ -27,10 +31,10 @@
         std::string version;
     };
 
-    TwoVersions()
+    explicit TwoVersions(const std::vector<std::string> &versions = {"v1", "v1", "v1.1", "v1.1"})
     {
         putConfiguration(1);
-        for (const char *it : {"v1", "v1", "v1.1", "v1.1"})
+        for (const std::string &it : versions)
             addUpstream(it);
         for (const int it : {0, 1, 2}) {
             startNode(it);
@@ -40,12 +44,37 @@
             REQUIRE(Fleet::waitFor([&] { return metric("fordwood_stream_peers", it) == 2; }));
     }
 
-    void addUpstream(const std::string &version)
+    void addUpstream(const std::string &version, const std::string &service = "board")
     {
         const std::string id = "w-" + std::to_string(upstreams.size());
         const std::string address = net + std::to_string(20 + upstreams.size()) + ":8000";
         upstreams.push_back({std::make_unique<UpstreamStandin>(address, id), version});
-        putUpstreamRecord({id, address, version});
+        upstreams.back().standin->setStreams(24, kBytesPerEvent);
+        putUpstreamRecord({id, address, version, service});
+    }
+
+    // Streams are divided between the services from now on.
+    void putSplit(const std::vector<std::string> &names)
+    {
+        nlohmann::json config = configuration(2);
+        config["services"] = nlohmann::json::array();
+        nlohmann::json split = nlohmann::json::array();
+        for (const std::string &it : names) {
+            config["services"].push_back({{"name", it}});
+            split.push_back({{"service", it}, {"weight", 1.0}});
+        }
+        for (nlohmann::json &it : config["routes"])
+            it["traffic-split"] = split;
+        store.put("op/config", config.dump());
+    }
+
+    // All upstreams of the version leave.
+    void removeVersion(const std::string &version)
+    {
+        for (std::size_t n = 0; n < upstreams.size(); ++n) {
+            if (upstreams[n].version == version)
+                store.remove("servers/w-" + std::to_string(n));
+        }
     }
 
     // A stream of which a caller has read the first events.
@@ -161,8 +190,146 @@
           "killed [node][versions]")
 {
     TwoVersions fleet;
+    const auto streams = beginAll(fleet, 0);
+    REQUIRE(fleet.waitUntilTold(1, kStreams));
+    fleet.nodes[0].signal(SIGKILL);
+    const Tally tally = takeUpAll(fleet, streams, 1);
+    CHECK(tally.mixed == 0);
+    CHECK(tally.wentOn == kStreams);
+}
+
+TEST_CASE("software versions: two of three nodes are killed, and callers take up twice [node]"
+          "[versions]")
+{
+    TwoVersions fleet;
+    const auto streams = beginAll(fleet, 0);
+    REQUIRE(fleet.waitUntilTold(2, kStreams));
+    for (const std::size_t it : {0U, 1U})
+        fleet.nodes[it].signal(SIGKILL);
+    for (int take = 0; take < 2; ++take) {
+        const Tally tally = takeUpAll(fleet, streams, 2);
+        CHECK(tally.mixed == 0);
+        CHECK(tally.wentOn == kStreams);
+    }
+}
+
+TEST_CASE("software versions: the store is away when the first node is killed [node][versions]")
+{
+    TwoVersions fleet;
+    const auto streams = beginAll(fleet, 0);
+    REQUIRE(fleet.waitUntilTold(1, kStreams));
+    fleet.store.setDown(true);
+    fleet.nodes[0].signal(SIGKILL);
+    const Tally tally = takeUpAll(fleet, streams, 1);
+    CHECK(tally.mixed == 0);
+    CHECK(tally.wentOn == kStreams);
+}
+
+TEST_CASE("software versions: all nodes are killed: no stream goes on elsewhere [node][versions]")
+{
+    TwoVersions fleet;
+    const auto streams = beginAll(fleet, 0);
+    for (Process &it : fleet.nodes)
+        it.signal(SIGKILL);
+    fleet.nodes.clear();
+    for (const int it : {0, 1})
+        fleet.startNode(it);
+    for (const int it : {0, 1})
+        REQUIRE(Fleet::waitFor([&] { return fleet.isReady(it); }));
+    const Tally tally = takeUpAll(fleet, streams, 1);
+    CHECK(tally.mixed == 0);
+    const std::string id = fleet.nextId();
+    const HttpAnswer answer = fleet.takeUp(streams.front().id, 1, id);
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.contains("retry-after"));
     for (const auto &it : fleet.upstreams)
-        it.standin->setStreams(24, 100'000);
+        CHECK(it.standin->runs(id) == 0);
+    CHECK(fleet.call("GET", "/stream/1", fleet.nextId(), 1).status == 200);
+}
+
+TEST_CASE("software versions: the second version appears after the streams began [node][versions]")
+{
+    TwoVersions fleet({"v1", "v1"});
+    // With one version nothing is told, once the nodes have seen it for as long as a stream lives.
+    const auto areTold = [&] {
+        const double before = fleet.metric("fordwood_stream_notices_sent_total");
+        fleet.begin(0);
+        return fleet.metric("fordwood_stream_notices_sent_total") > before;
+    };
+    REQUIRE(Fleet::waitFor([&] { return !areTold(); }));
+    const auto streams = beginAll(fleet, 0);
+    CHECK(fleet.metric("fordwood_stream_origins", 1) < kStreams);
+    for (int n = 0; n < 2; ++n)
+        fleet.addUpstream("v1.1");
+    REQUIRE(fleet.waitUntilTold(1, kStreams));
+    fleet.nodes[0].signal(SIGKILL);
+    const Tally tally = takeUpAll(fleet, streams, 1);
+    CHECK(tally.mixed == 0);
+    CHECK(tally.wentOn == kStreams);
+}
+
+TEST_CASE("software versions: a stream whose version has left is rejected at once [node][versions]")
+{
+    TwoVersions fleet;
+    const auto streams = beginAll(fleet, 0);
+    fleet.removeVersion("v1");
+    for (const int it : {0, 1, 2})
+        REQUIRE(Fleet::waitFor([&] { return fleet.logged(it, "name=UpstreamGone") == 2; }));
+    int rejected = 0;
+    for (const auto &it : streams) {
+        const std::string id = fleet.nextId();
+        const HttpAnswer answer = fleet.takeUp(it.id, 1, id);
+        CHECK(fleet.versionsOf(it.id).size() == 1);
+        if (answer.status == 200)
+            continue;
+        rejected += 1;
+        CHECK(answer.status == 503);
+        CHECK(answer.headers.contains("retry-after"));
+    }
+    CHECK(rejected > 0);
+    CHECK(rejected < kStreams);
+}
+
+TEST_CASE("software versions: upstreams start again under their ids with another version [node]"
+          "[versions]")
+{
+    TwoVersions fleet;
+    const auto streams = beginAll(fleet, 0);
+    REQUIRE(fleet.waitUntilTold(1, kStreams));
+    fleet.nodes[0].signal(SIGKILL);
+    for (std::size_t n = 0; n < fleet.upstreams.size(); ++n) {
+        fleet.upstreams[n].version = n < 2 ? "v1.1" : "v1";
+        fleet.putUpstreamRecord({"w-" + std::to_string(n),
+                                 fleet.net + std::to_string(20 + n) + ":8000",
+                                 fleet.upstreams[n].version, "board", "ready", 1'796'000'000'001});
+    }
+    REQUIRE(Fleet::waitFor([&] { return fleet.logged(1, "name=UpstreamRestarted") == 4; }));
+    // The ids of upstreams say at which of them a stream began: the version of one and the same
+    // upstream is another now.
+    for (const auto &it : streams) {
+        const std::string id = fleet.nextId();
+        const HttpAnswer answer = fleet.takeUp(it.id, 1, id);
+        CHECK(answer.status == 200);
+        for (std::size_t n = 0; n < fleet.upstreams.size(); ++n) {
+            const bool began = fleet.upstreams[n].standin->runs(it.id) > 0;
+            const bool wentOn = fleet.upstreams[n].standin->runs(id) > 0;
+            CHECK(!(began && wentOn));
+        }
+    }
+}
+
+TEST_CASE("software versions: a stream goes on at the service of a split where it began [node]"
+          "[versions]")
+{
+    TwoVersions fleet({"v1", "v1"});
+    for (int n = 0; n < 2; ++n)
+        fleet.addUpstream("v1", "second-board");
+    fleet.putSplit({"board", "second-board"});
+    for (const int it : {0, 1, 2})
+        REQUIRE(Fleet::waitFor(
+            [&] { return fleet.metric("fordwood_configuration_version", it) == 2; }));
+    for (std::size_t n = 2; n < 4; ++n)
+        fleet.upstreams[n].version = "second-board";
     const auto streams = beginAll(fleet, 0);
     REQUIRE(fleet.waitUntilTold(1, kStreams));
     fleet.nodes[0].signal(SIGKILL);
