--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -16,6 +16,8 @@
 #include "fordwood/manual_clock.hpp"
 #include "fordwood/old_context_cleaner.hpp"
 #include "fordwood/permit_scheduler.hpp"
+#include "fordwood/rendezvous.hpp"
+#include "fordwood/stream_holders.hpp"
 #include "fordwood/weight_load_planner.hpp"
 
 namespace {
@@ -305,4 +307,19 @@
 }
 BENCHMARK(keepStores)->Arg(50)->Arg(400);
 
+// The nodes that are told where a stream began, while several software versions serve.
+void chooseStreamHolders(benchmark::State &state)
+{
+    std::vector<SchedulerNode> nodes;
+    for (int it = 0; it < state.range(0); ++it)
+        nodes.push_back({"node-" + std::to_string(it), "10.0.0.1:80", 1.0,
+                         "d" + std::to_string(it % kDomains)});
+    StreamHolders holders;
+    holders.setNodes(std::move(nodes));
+    StreamKey key = 0;
+    for (auto it : state)
+        benchmark::DoNotOptimize(holders.holdersOf(rendezvousWeight(++key, 1)));
+}
+BENCHMARK(chooseStreamHolders)->Arg(8)->Arg(90)->Arg(986)->Arg(1900);
+
 BENCHMARK_MAIN();
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -153,9 +153,9 @@
     {"gossip_listen", Address, true, 0, 0, "", "Address for gossip messages of peers (UDP)."},
     {"metrics_listen", Address, true, 0, 0, "", "Address of `/metrics`."},
     {"placement_listen", Address, false, 0, 0, "",
-     "Address for placement messages of peers (UDP). Without it, the node does not schedule "
-     "engines "
-     "and chooses them itself."},
+     "Address for messages of peers about placements and streams (UDP). Without it, the node does "
+     "not schedule engines and chooses them itself, and does not learn where streams of other "
+     "nodes began."},
     {"proxy_listen", Address, false, 0, 0, "",
      "Address at which peers that are cut off from upstreams ask this node for connections to "
      "them. Without it, the node neither opens connections for peers nor uses theirs."},
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -48,12 +48,23 @@
     m_plan = CallPlan(m_call.terms);
     startDeadlineTimer();
     if (continuesStream(m_call, m_caller))
+        continueStream();
+    else
+        beginServing();
+}
+
+// The caller has a part of the stream, which can go on only where it began. A caller that does not
+// name its first attempt may still do so where only one version is known.
+void CallHandler::continueStream()
+{
+    if (!m_caller.firstAttempt.empty())
         findOrigin();
+    else if (m_state.upstreams().versions().hasSeveral(m_call.pool->name))
+        rejectLostStream(Reason::StreamOriginUnknown, kRetryAfter);
     else
         beginServing();
 }
 
-// A stream that another node may have sent goes on only where it began.
 void CallHandler::findOrigin()
 {
     m_state.streams().find(m_call.stream, m_call.pool->name,
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -62,6 +62,7 @@
     void onCutOff() override;
 
 private:
+    void continueStream();
     void findOrigin();
     void onOrigin(const std::optional<StreamOrigin> &origin);
     void beginServing();
--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -112,6 +112,14 @@
                          "Request-Deadline: 3000", "Resumes: " + firstAttempt, "Last-Event-Id: 2"});
     }
 
+    // The same without naming the first attempt.
+    HttpAnswer takeUpUnnamed(int node)
+    {
+        return httpCall("GET", url(node, "/stream/1"), "",
+                        {"Host: a.example", "Request-Id: " + nextId(), "Credential: key-t",
+                         "Request-Deadline: 3000", "Last-Event-Id: 2"});
+    }
+
     // The versions of the upstreams that ran the stream, over all its attempts.
     std::set<std::string> versionsOf(const std::string &firstAttempt)
     {
@@ -272,6 +280,18 @@
     CHECK(tally.wentOn == kStreams);
 }
 
+TEST_CASE("software versions: callers that do not name their first attempt go on only where there "
+          "is one version [node][versions]")
+{
+    TwoVersions fleet({"v1", "v1"});
+    CHECK(fleet.takeUpUnnamed(0).status == 200);
+    fleet.addUpstream("v1.1");
+    REQUIRE(Fleet::waitFor([&] { return fleet.logged(0, "name=UpstreamReady") == 3; }));
+    const HttpAnswer answer = fleet.takeUpUnnamed(0);
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.contains("retry-after"));
+}
+
 TEST_CASE("software versions: a stream whose version has left is rejected at once [node][versions]")
 {
     TwoVersions fleet;
