A stream is bound to its version also when that one has left long ago

Read again, before anything was seen: whether a stream is bound was asked of the versions that served recently. If a stream's own version had left longer ago than a lifetime, a scheduler could have placed it at another one. Asked of the upstreams now. Versions of old rollouts filled the bound on those that peers report, so that a new one would not have counted; a node without placement_listen would have tried to send from a closed socket.

--- a/include/fordwood/served_versions.hpp
+++ b/include/fordwood/served_versions.hpp
@@ -49,6 +49,8 @@
         TimePoint lastSeen{}; // counts once there are no upstreams
     };
 
+    bool isRecent(const Presence &presence) const;
+
     const Clock &m_clock;
     std::map<std::string, std::map<std::string, Presence>> m_services; // by service and version
     Duration m_streamLifetime{};
--- a/src/core/served_versions.cpp
+++ b/src/core/served_versions.cpp
@@ -12,9 +12,18 @@
 
 } // namespace
 
+bool ServedVersions::isRecent(const Presence &presence) const
+{
+    return presence.upstreams > 0
+           || (presence.lastSeen != TimePoint{}
+               && m_clock.now() - presence.lastSeen < m_streamLifetime);
+}
+
 void ServedVersions::add(const std::string &service, const std::string &version)
 {
-    m_services[service][version].upstreams += 1;
+    auto &versions = m_services[service];
+    versions[version].upstreams += 1;
+    std::erase_if(versions, [this](const auto &it) { return !isRecent(it.second); });
 }
 
 void ServedVersions::remove(const std::string &service, const std::string &version)
@@ -27,6 +36,7 @@
 void ServedVersions::observe(const std::string &service, const std::string &version)
 {
     auto &versions = m_services[service];
+    std::erase_if(versions, [this](const auto &it) { return !isRecent(it.second); });
     if (versions.size() < kMaxVersions || versions.contains(version))
         versions[version].lastSeen = m_clock.now();
 }
@@ -43,9 +53,7 @@
     if (versions == m_services.end())
         return found;
     for (const auto &[version, presence] : versions->second) {
-        const bool isRecent = presence.lastSeen != TimePoint{}
-                              && m_clock.now() - presence.lastSeen < m_streamLifetime;
-        if (presence.upstreams > 0 || isRecent)
+        if (isRecent(presence))
             found.insert(version);
     }
     return found;
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -300,7 +300,7 @@
 
 void CallHandler::handleNoUpstream()
 {
-    if (m_origin && !canGoOn(m_state, *m_origin) && isBoundToVersion(m_state, m_origin)) {
+    if (m_origin && isVersionGone(m_state, *m_origin)) {
         rejectLostStream(Reason::StreamVersionGone, kNoneInServiceRetryAfter);
         return;
     }
--- a/src/node/stream_exchange.cpp
+++ b/src/node/stream_exchange.cpp
@@ -35,6 +35,8 @@
 void StreamExchange::setNodes(std::vector<SchedulerNode> nodes, const std::string &own)
 {
     m_own = own;
+    if (own.empty())
+        nodes.clear();
     m_metrics.setGauge(
         "fordwood_stream_peers",
         static_cast<double>(std::count_if(nodes.begin(), nodes.end(), [&](const SchedulerNode &it) {
--- a/src/node/stream_exchange.hpp
+++ b/src/node/stream_exchange.hpp
@@ -38,7 +38,8 @@
     StreamExchange(net::io_context &context, const Clock &clock, adapters::Metrics &metrics,
                    ServedVersions &versions, Send send);
 
-    // All nodes that take part, this one included, which has the address `own`.
+    // All nodes that take part, this one included, which has the address `own`. Without an address
+    // this node neither tells nor asks others.
     void setNodes(std::vector<SchedulerNode> nodes, const std::string &own);
 
     // The caller has received the first event of a stream, or its first one after taking it up.
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -178,6 +178,12 @@
     };
 }
 
+// Whether an upstream has the version at which a stream began.
+auto isOf(const StreamOrigin &origin)
+{
+    return [&origin](const UpstreamRecord *it) { return it->softwareVersion == origin.version; };
+}
+
 // Finds out whether only rate limits and backoffs prevent the request from being sent, in which
 // case it is already known that it cannot be served. `tried`: upstreams to which this request is
 // not sent again. They do not count as available, though they may accept a later request of the
@@ -231,17 +237,18 @@
     return chosen;
 }
 
-bool canGoOn(NodeState &state, const StreamOrigin &origin)
+bool isVersionGone(NodeState &state, const StreamOrigin &origin)
 {
     const auto usable = state.upstreams().usable(origin.service);
-    return std::any_of(usable.begin(), usable.end(), [&](const UpstreamRecord *it) {
-        return it->softwareVersion == origin.version;
-    });
+    return !usable.empty() && !std::any_of(usable.begin(), usable.end(), isOf(origin));
 }
 
 bool isBoundToVersion(NodeState &state, const std::optional<StreamOrigin> &origin)
 {
-    return origin && state.upstreams().versions().hasSeveral(origin->service);
+    if (!origin)
+        return false;
+    const auto usable = state.upstreams().usable(origin->service);
+    return !std::all_of(usable.begin(), usable.end(), isOf(*origin));
 }
 
 std::optional<EngineShard> scheduledShard(NodeState &state, const AdmittedCall &call,
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -41,10 +41,10 @@
                               const platform::CallerHead &caller, const CallPlan &plan,
                               const ChoiceTerms &terms);
 
-// Whether an upstream at which the stream can go on accepts new requests.
-bool canGoOn(NodeState &state, const StreamOrigin &origin);
+// Whether the upstreams that accept new requests are all of other versions than the stream's.
+bool isVersionGone(NodeState &state, const StreamOrigin &origin);
 
-// Whether the stream can go on at some upstreams of its service only.
+// Whether one of them is, so that not every choice is right.
 bool isBoundToVersion(NodeState &state, const std::optional<StreamOrigin> &origin);
 
 // The shard of the service's engines to which the request belongs, if its scheduler chooses the
--- a/tests/node/stream_exchange_test.cpp
+++ b/tests/node/stream_exchange_test.cpp
@@ -9,6 +9,8 @@
 #include <doctest/doctest.h>
 
 #include "fordwood/manual_clock.hpp"
+#include "node/node_state.hpp"
+#include "node/upstream_choice.hpp"
 
 using namespace fordwood;
 using namespace fordwood::node;
@@ -260,6 +262,46 @@
     }
 }
 
+TEST_CASE("stream exchange: a node without an address of its own sends nothing")
+{
+    Network fleet(2);
+    settle(fleet);
+    addVersion(fleet, "v2");
+    fleet.nodes[0].exchange().setNodes({{"n1", fleet.nodes[1].address(), 1.0}}, "");
+    fleet.nodes[0].exchange().record(fleet.stream(1, "v2"));
+    fleet.runFor(30ms);
+    CHECK(fleet.nodes[0].metric("fordwood_stream_notices_sent_total") == 0);
+    CHECK(!fleet.find(fleet.nodes[0], 2));
+}
+
+TEST_CASE("stream exchange: a stream is bound to its version also if that one has left long ago")
+{
+    ManualClock clock;
+    net::io_context context;
+    adapters::Metrics metrics;
+    const config::OneProcessSettings settings;
+    NodeState state(context, clock, settings, metrics);
+    const auto write = [&](const std::string &id, const std::string &version) {
+        UpstreamRecord record;
+        record.instanceId = id;
+        record.service = "s";
+        record.softwareVersion = version;
+        state.handle(UpstreamRecordWritten{record});
+    };
+    const StreamOrigin old{"s", "v1"};
+    CHECK(!isVersionGone(state, old)); // no upstream at all: one may come back
+    write("a", "v1");
+    CHECK(!isBoundToVersion(state, old));
+    write("b", "v2");
+    CHECK(isBoundToVersion(state, old));
+    CHECK(!isVersionGone(state, old));
+    state.handle(UpstreamRecordRemoved{"a"});
+    clock.advance(1h);
+    CHECK(isBoundToVersion(state, old));
+    CHECK(isVersionGone(state, old));
+    CHECK(!isBoundToVersion(state, std::nullopt));
+}
+
 TEST_CASE("stream exchange: malformed messages change nothing")
 {
     Network fleet(2);
--- a/tests/unit/software_versions_test.cpp
+++ b/tests/unit/software_versions_test.cpp
@@ -97,6 +97,21 @@
     CHECK(versions.recent("s").size() <= 32);
 }
 
+TEST_CASE("served versions: versions of rollouts long ago leave room for new ones")
+{
+    ManualClock clock;
+    ServedVersions versions(clock);
+    versions.extendStreamLifetime(10s);
+    versions.add("s", "v0");
+    for (int n = 1; n < 100; ++n) {
+        versions.add("s", "v" + std::to_string(n));
+        versions.remove("s", "v" + std::to_string(n - 1));
+        clock.advance(10s);
+    }
+    versions.observe("s", "next");
+    CHECK(versions.recent("s") == Versions{"next", "v99"});
+}
+
 TEST_CASE("served versions: upstreams that drain, restart or change their version are followed")
 {
     ManualClock clock;
