--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -311,6 +311,7 @@
 void chooseStreamHolders(benchmark::State &state)
 {
     std::vector<SchedulerNode> nodes;
+    nodes.reserve(static_cast<std::size_t>(state.range(0)));
     for (int it = 0; it < state.range(0); ++it)
         nodes.push_back({"node-" + std::to_string(it), "10.0.0.1:80", 1.0,
                          "d" + std::to_string(it % kDomains)});
--- a/tests/node/stream_exchange_test.cpp
+++ b/tests/node/stream_exchange_test.cpp
@@ -190,7 +190,7 @@
     addVersion(fleet, "v2");
     fleet.nodes[0].exchange().record(fleet.stream(1, "v2"));
     fleet.runFor(30ms);
-    for (int it = 0; it < 7; ++it)
+    for (std::size_t it = 0; it < 7; ++it)
         fleet.nodes[it].kill();
     CHECK(fleet.find(fleet.nodes[7], 1) == StreamOrigin{"s", "v2"});
     CHECK(!fleet.find(fleet.nodes[7], 2));
@@ -211,7 +211,7 @@
 {
     Network fleet(3);
     settle(fleet);
-    for (const int it : {0, 2}) {
+    for (const std::size_t it : {0U, 2U}) {
         fleet.nodes[it].versions().add("s", "v2");
         fleet.nodes[it].exchange().onVersionsChanged("s");
     }
@@ -341,7 +341,7 @@
     int newest = 1;
     int taken = 0;
     int known = 0;
-    for (int step = 0; step < 60; ++step) {
+    for (std::size_t step = 0; step < 60; ++step) {
         if (pick(6) == 0 && serving.size() < 3) {
             serving.push_back("v" + std::to_string(++newest));
             addVersion(fleet, serving.back());
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -199,6 +199,18 @@
         return n;
     }
 
+    // The last line in the log of a node that contains the text.
+    std::string lastLogged(int node, const std::string &text) const
+    {
+        std::ifstream in(folder + "/node-" + std::to_string(node) + ".log");
+        std::string last;
+        for (std::string line; std::getline(in, line);) {
+            if (line.find(text) != std::string::npos)
+                last = line;
+        }
+        return last;
+    }
+
     double metric(const std::string &name, int node = 0) const
     {
         const std::string text = httpCall("GET", "http://" + host(node) + ":8084/metrics").body;
--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -90,24 +90,28 @@
     BrokenOff begin(int node, std::chrono::milliseconds callerTimeout = std::chrono::seconds(4))
     {
         BrokenOff stream{nextId(), std::make_unique<IdleConnection>(host(node) + ":8080")};
-        REQUIRE(stream.connection->exchange("GET /stream/1 HTTP/1.1\r\nHost: a.example\r\n"
-                                            "Request-Id: "
-                                                + stream.id
-                                                + "\r\nCredential: key-t\r\n"
-                                                  "Request-Deadline: "
-                                                + std::to_string(callerTimeout.count())
-                                                + "\r\n\r\n",
-                                            "id: 2\n"));
+        const bool hasBegun = stream.connection->exchange(
+            "GET " + pathOf(stream.id) + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + stream.id
+                + "\r\nCredential: key-t\r\nRequest-Deadline: "
+                + std::to_string(callerTimeout.count()) + "\r\n\r\n",
+            "id: 2\n");
+        if (!hasBegun)
+            MESSAGE("no stream at node ", node, ": ", lastLogged(node, '"' + stream.id + '"'));
+        REQUIRE(hasBegun);
         return stream;
     }
 
+    // Each stream has a path of its own: equal requests under which several upstreams break off
+    // would be quarantined.
+    static std::string pathOf(const std::string &firstAttempt) { return "/stream/" + firstAttempt; }
+
     // The caller takes the stream up. Returns the answer to its new request.
     HttpAnswer takeUp(const std::string &firstAttempt, int node, std::string id = "")
     {
         if (id.empty())
             id = nextId();
         m_takes[firstAttempt].push_back(id);
-        return httpCall("GET", url(node, "/stream/1"), "",
+        return httpCall("GET", url(node, pathOf(firstAttempt)), "",
                         {"Host: a.example", "Request-Id: " + id, "Credential: key-t",
                          "Request-Deadline: 3000", "Resumes: " + firstAttempt, "Last-Event-Id: 2"});
     }
@@ -170,6 +174,7 @@
 std::vector<TwoVersions::BrokenOff> beginAll(TwoVersions &fleet, int node)
 {
     std::vector<TwoVersions::BrokenOff> streams;
+    streams.reserve(kStreams);
     for (int n = 0; n < kStreams; ++n)
         streams.push_back(fleet.begin(node));
     return streams;
@@ -334,9 +339,9 @@
         const std::string id = fleet.nextId();
         const HttpAnswer answer = fleet.takeUp(it.id, 1, id);
         CHECK(answer.status == 200);
-        for (std::size_t n = 0; n < fleet.upstreams.size(); ++n) {
-            const bool began = fleet.upstreams[n].standin->runs(it.id) > 0;
-            const bool wentOn = fleet.upstreams[n].standin->runs(id) > 0;
+        for (const auto &upstream : fleet.upstreams) {
+            const bool began = upstream.standin->runs(it.id) > 0;
+            const bool wentOn = upstream.standin->runs(id) > 0;
             CHECK(!(began && wentOn));
         }
     }
@@ -461,6 +466,7 @@
     int wentOn = 0;
     for (int round = 0; round < kRounds; ++round) {
         std::vector<TwoVersions::BrokenOff> streams;
+        streams.reserve(kStreamsPerRound);
         for (int n = 0; n < kStreamsPerRound; ++n)
             streams.push_back(fleet.begin(disturbances.servingNode(), kCallerTimeout));
         for (int take = 0; take < 2; ++take) {
--- a/tests/unit/software_versions_test.cpp
+++ b/tests/unit/software_versions_test.cpp
@@ -39,6 +39,7 @@
 std::vector<SchedulerNode> nodes(int n, int domains)
 {
     std::vector<SchedulerNode> all;
+    all.reserve(static_cast<std::size_t>(n));
     for (int it = 0; it < n; ++it)
         all.push_back({"n" + std::to_string(it), "10.0.0." + std::to_string(it) + ":1", 1.0,
                        "z" + std::to_string(it % domains)});
