A scheduler's placement is checked against the version that began the stream

Found by reading, seen in no run: between the question to the scheduler and its reply an engine of a second version may start, and the node would have sent a bound stream there. Test of nodes added.

--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -163,7 +163,7 @@
         return;
     }
     if (isPlaced) {
-        m_attempt = scheduledAttempt(m_state, m_call, m_caller, m_plan, *reply);
+        m_attempt = scheduledAttempt(m_state, m_call, m_caller, m_plan, *reply, m_origin);
         if (m_attempt) {
             m_attempt->placement = placement;
             beginAttempt();
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -227,7 +227,7 @@
 {
     const UpstreamFilter isInRegion = regionFilter(state, call);
     const UpstreamFilter isAllowed = [&](const UpstreamRecord &it) {
-        return isInRegion(it) && (!terms.origin || terms.origin->version == it.softwareVersion);
+        return isInRegion(it) && (!terms.origin || isOf(*terms.origin)(&it));
     };
     auto candidates = state.candidates(*call.pool);
     std::erase_if(candidates, [&](const UpstreamRecord *it) { return !isAllowed(*it); });
@@ -293,11 +293,14 @@
 
 std::optional<UpstreamAttempt> scheduledAttempt(NodeState &state, const AdmittedCall &call,
                                                 const platform::CallerHead &caller,
-                                                const CallPlan &plan, const PlacementReply &reply)
+                                                const CallPlan &plan, const PlacementReply &reply,
+                                                const std::optional<StreamOrigin> &origin)
 {
     auto candidates = state.candidates(*call.pool);
-    std::erase_if(candidates,
-                  [&](const UpstreamRecord *it) { return it->instanceId != reply.instanceId; });
+    // An upstream of another version may have started since the scheduler was asked.
+    std::erase_if(candidates, [&](const UpstreamRecord *it) {
+        return it->instanceId != reply.instanceId || (origin && !isOf(*origin)(it));
+    });
     auto choice = bestEngine(state, call, caller, plan, candidates);
     if (!choice || choice->weightVersion != reply.weightVersion)
         return std::nullopt;
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -60,7 +60,8 @@
 // The attempt at the engine that the scheduler has chosen; nothing if this node cannot use it.
 std::optional<UpstreamAttempt> scheduledAttempt(NodeState &state, const AdmittedCall &call,
                                                 const platform::CallerHead &caller,
-                                                const CallPlan &plan, const PlacementReply &reply);
+                                                const CallPlan &plan, const PlacementReply &reply,
+                                                const std::optional<StreamOrigin> &origin);
 
 // The way to the upstream of an attempt.
 struct PathChoice
--- a/tests/node/context_source_test.cpp
+++ b/tests/node/context_source_test.cpp
@@ -46,7 +46,7 @@
     REQUIRE(reply.sourceEngine == state.upstreams().find(first.instanceId)->address);
     CHECK(reply.tokensToCompute == 1'670);
     const auto check = [&](const std::string &fetchField, std::size_t tokensToCompute) {
-        const auto attempt = scheduledAttempt(state, call, caller, CallPlan(call.terms), reply);
+        const auto attempt = scheduledAttempt(state, call, caller, CallPlan(call.terms), reply, {});
         REQUIRE(attempt);
         CHECK(upstreamHead({}, call, *attempt, {})["Kv-Fetch"] == fetchField);
         CHECK(attempt->load.tokensToCompute == tokensToCompute);
@@ -60,3 +60,37 @@
     reply.sourceEngine = "10.0.0.9:80"; // of no engine
     check("", 9'190);
 }
+
+TEST_CASE("context sources: an engine of another software version than the stream's is not used")
+{
+    ServicePool pool;
+    pool.name = "models";
+    pool.engine = EngineTraits{16, 100'000, {"m"}, 0};
+    ServingThread thread(pool);
+    NodeState &state = thread.traffic();
+    UpstreamRecord record;
+    record.instanceId = record.announcedId = "e0";
+    record.service = "models";
+    record.softwareVersion = "v2";
+    record.address = ownAddress(60);
+    record.weightVersions["m"] = 1;
+    thread.write(record);
+    platform::CallerHead caller;
+    caller.prompt = Prompt{"m", {{"c1", 7'520}, {"own", 1'670}}, 9'190, 9};
+    AdmittedCall call;
+    call.table = state.table();
+    call.route = &call.table->config().routes.front();
+    call.pool = call.table->findService("models");
+    EngineScheduler scheduler(state, state.clock());
+    PlacementRequest request;
+    request.service = "models";
+    request.prompt = *caller.prompt;
+    request.remaining = 10s;
+    const PlacementReply reply = scheduler.place(request);
+    const auto attemptFor = [&](const std::optional<StreamOrigin> &origin) {
+        return scheduledAttempt(state, call, caller, CallPlan(call.terms), reply, origin);
+    };
+    CHECK(attemptFor({}));
+    CHECK(attemptFor(StreamOrigin{"models", "v2"}));
+    CHECK(!attemptFor(StreamOrigin{"models", "v1"}));
+}
