Observability: which upstreams are brittle, and what they reject

Nothing told whether an upstream had said that it is brittle, nor what was open at it when it rejected a request. Events 330 to 332 and two metrics do; nodes tell each other as they do of limits. An upstream of a brittle service that has not answered yet counts as brittle. No decision depends on it yet.

--- a/src/adapters/observe/limit_log.cpp
+++ b/src/adapters/observe/limit_log.cpp
@@ -31,6 +31,16 @@
                                {"age_ms", age.count()}});
 }
 
+void LimitLog::logBrittleness(const LimitChange &change, std::string_view source)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(change.age);
+    logEvent(change.now ? Event::BrittleReported : Event::BrittleEnded,
+             {{"upstream", change.instanceId},
+              {"rejections_per_second", change.now.value_or(0.0)},
+              {"source", std::string(source)},
+              {"age_ms", age.count()}});
+}
+
 void LimitLog::logUnreadable(const std::string &instanceId, const std::string &requestId)
 {
     m_metrics.count("fordwood_unreadable_limits_total");
--- a/src/adapters/observe/limit_log.hpp
+++ b/src/adapters/observe/limit_log.hpp
@@ -23,6 +23,10 @@
     void logChange(const LimitChange &change, std::string_view source,
                    std::optional<double> ownRate);
 
+    // Logs that an upstream is brittle, that it bears another number of rejections, or that it is
+    // no longer brittle. `source`: as above.
+    void logBrittleness(const LimitChange &change, std::string_view source);
+
     // An answer named a limit that is not a number. Counted each time, logged once per instance.
     void logUnreadable(const std::string &instanceId, const std::string &requestId);
 
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -51,6 +51,7 @@
         return;
     }
     m_state.recordLimit(m_caller.requestId, *m_attempt);
+    m_state.recordBrittleness(m_caller.requestId, *m_attempt);
     if (m_attempt->head.hasNotRun || !isSuccess(head.result_int()))
         return;
     if (!m_attempt->head.isSealed) {
@@ -248,6 +249,8 @@
     const std::string id = m_attempt->upstream.instanceId;
     const bool isOtherInstance = platform::isFromOtherInstance(m_attempt->head, id);
     const bool isMismatch = m_attempt->head.isInstanceMismatch;
+    if (!isMismatch)
+        m_state.logRejection(m_caller.requestId, *m_attempt);
     // An engine that rejects a request only because the node assumed other weights is healthy and
     // needs no pause: from now on it gets the requests for the weights that it runs. Without this
     // correction the engine rejected every request that the node sent it after each pause.
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -392,8 +392,8 @@
         publish(PeerLoads{message.node, message.load.loads, message.load.shortContextTokens,
                           message.load.contextsSent});
     }
-    if (!message.limits.empty())
-        publish(PeerLimits{message.node, message.limits});
+    if (!message.limits.empty() || !message.brittle.empty())
+        publish(PeerLimits{message.node, message.limits, message.brittle});
     if (m_drainReports.addFromPeer(message.node, message.draining))
         updateEngines();
     handleOrderReport(message.node, message.orders);
@@ -489,22 +489,24 @@
 
 // Limits that have just changed are sent at once, the others at intervals, since messages are sent
 // more often than limits need to be repeated.
-std::vector<LimitGossip> ControlLoop::limitsForPeers()
+void ControlLoop::addLimits(Gossip &message)
 {
     const TimePoint now = m_clock.now();
     if (!m_lastOwnLoads.isUrgent && now < m_nextLimits)
-        return {};
+        return;
     m_nextLimits = now + kLimitsInterval;
     // Where relays forward limits, the other nodes send only their own.
     const bool sendsAll = !usesLoadSums() || m_role.isRelay();
-    return m_limitBatches.next(sendsAll ? m_lastOwnLoads.limits.all : m_lastOwnLoads.limits.own);
+    const LimitUpdates &updates = m_lastOwnLoads.limits;
+    message.limits = m_limitBatches.next(sendsAll ? updates.all : updates.own);
+    message.brittle = m_brittleBatches.next(updates.brittle);
 }
 
 void ControlLoop::gossip()
 {
     Gossip message = ownMessage();
     message.quarantineUpdates = m_quarantine.nextBatch();
-    message.limits = limitsForPeers();
+    addLimits(message);
     message.draining = m_drainReports.nextBatch();
     publish(EnginesLoading{message.node, message.orders.enginesLoading});
     m_isGossipDue = false;
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -104,7 +104,7 @@
     void handleOwnQuarantineUpdates(const std::vector<QuarantineUpdate> &updates);
     bool canGossipNow() const;
     Gossip ownMessage() const;
-    std::vector<LimitGossip> limitsForPeers();
+    void addLimits(Gossip &message);
     void gossip();
     RelayRole::Peers relayPeers() const;
     void tick();
@@ -167,6 +167,7 @@
     UpstreamLoadTracker m_loads;
     OwnLoads m_lastOwnLoads;
     RoundRobinBatcher<LimitGossip> m_limitBatches;
+    RoundRobinBatcher<LimitGossip> m_brittleBatches;
     UpdateQueue m_pendingUpdates; // updates that the receiver had no space for
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -134,11 +134,12 @@
     std::vector<QuarantineUpdate> updates;
 };
 
-// A peer's reports of limits that upstreams announced.
+// A peer's reports of limits that upstreams announced, and of brittle upstreams.
 struct PeerLimits
 {
     std::string peer;
     std::vector<LimitGossip> limits;
+    std::vector<LimitGossip> brittle; // see BrittleUpstreams
 };
 
 // A peer reports that an upstream announced in its answers that it is draining.
@@ -165,6 +166,7 @@
 {
     std::vector<LimitGossip> own;
     std::vector<LimitGossip> all;
+    std::vector<LimitGossip> brittle; // see BrittleUpstreams
 };
 
 // Sent periodically by the thread that serves requests to the control thread: the node's own load.
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -69,7 +69,8 @@
       m_upstreams(clock, {}), m_loads(clock), m_health(clock), m_limitLog(metrics),
       m_gate(clock, coldLimits(settings), settings.node.name,
              stableHash(makeNodeInstanceId(settings.node.name))),
-      m_quarantine(clock), m_contexts(clock), m_engines(clock, chooserLimits(settings)),
+      m_brittle(clock), m_quarantine(clock), m_contexts(clock),
+      m_engines(clock, chooserLimits(settings)),
       m_channels(context, clock, settings.callers.channelBuffer),
       m_paths(clock, settings.node.name, {m_upstreams, m_health, m_channels, metrics}),
       m_scheduler(*this, clock),
@@ -107,6 +108,7 @@
 {
     m_upstreams.put(update.record);
     m_gate.limitGate().upstreamLimits().addUpstream(update.record.instanceId);
+    m_brittle.addUpstream(update.record.instanceId, update.record.service);
     m_gate.coldGate().setCold(update.record.instanceId, update.record.coldFor);
     m_streams.onVersionsChanged(update.record.service);
 }
@@ -225,6 +227,8 @@
 {
     for (const LimitChange &it : m_gate.limitGate().applyUpdates(update.limits))
         logLimit(it, update.peer);
+    for (const LimitChange &it : m_brittle.applyUpdates(update.brittle))
+        m_limitLog.logBrittleness(it, update.peer);
 }
 
 void NodeState::apply(const PeerDrainReport &update)
@@ -258,6 +262,7 @@
     m_channels.forget(instanceId);
     m_health.forget(instanceId);
     m_gate.forget(instanceId);
+    m_brittle.forget(instanceId);
     m_limitLog.forget(instanceId);
 }
 
@@ -303,10 +308,7 @@
         return;
     if (head.limit.isUnreadable)
         m_limitLog.logUnreadable(id, requestId);
-    // An answer that an intermediary generated neither sets nor lifts a limit.
-    const bool isAuthoritative
-        = head.limit.perSecond || (head.isSealed && !head.limit.isUnreadable);
-    if (!isAuthoritative)
+    if (!hasAuthority(head, head.limit))
         return;
     const auto change
         = m_gate.limitGate().upstreamLimits().onAnswer(id, head.limit.perSecond, attempt.sentAt);
@@ -316,6 +318,43 @@
     m_onLoadReportRequest();
 }
 
+// An answer that an intermediary generated neither sets nor lifts a limit.
+bool NodeState::hasAuthority(const platform::AnswerHead &head, const ParsedLimit &field) const
+{
+    return field.perSecond || (head.isSealed && !field.isUnreadable);
+}
+
+void NodeState::recordBrittleness(const std::string &requestId, const UpstreamAttempt &attempt)
+{
+    const platform::AnswerHead &head = attempt.head;
+    const std::string &id = attempt.upstream.instanceId;
+    if (platform::isFromOtherInstance(head, id) || m_upstreams.find(id) == nullptr)
+        return;
+    if (head.brittle.isUnreadable)
+        m_limitLog.logUnreadable(id, requestId);
+    if (!hasAuthority(head, head.brittle))
+        return;
+    const auto change = m_brittle.onAnswer(id, head.brittle.perSecond, attempt.sentAt);
+    if (!change)
+        return;
+    m_limitLog.logBrittleness(*change, requestId);
+    m_onLoadReportRequest();
+}
+
+void NodeState::logRejection(const std::string &requestId, const UpstreamAttempt &attempt) const
+{
+    const std::string &id = attempt.upstream.instanceId;
+    m_metrics.count("fordwood_upstream_rejections_total");
+    if (!m_brittle.isBrittle(id))
+        return;
+    adapters::logEvent(adapters::Event::BrittleRejection,
+                       {{"upstream", id},
+                        {"request", requestId},
+                        {"slots", attempt.upstream.slots},
+                        {"open", m_loads.ownLoad(id).running},
+                        {"open_all_nodes", m_loads.total(id).running}});
+}
+
 bool NodeState::recordWeightMismatch(const std::string &requestId, const UpstreamAttempt &attempt)
 {
     const std::string &id = attempt.upstream.instanceId;
@@ -373,6 +412,7 @@
                        static_cast<double>(m_quarantine.heldRequests()));
     m_metrics.setGauge("fordwood_limited_upstreams",
                        static_cast<double>(m_gate.limitGate().upstreamLimits().limitedUpstreams()));
+    m_metrics.setGauge("fordwood_brittle_upstreams", static_cast<double>(m_brittle.size()));
     m_metrics.setGauge("fordwood_backing_off_upstreams",
                        static_cast<double>(m_gate.backoffs().size()));
     m_metrics.setGauge("fordwood_draining_reported_upstreams",
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -14,6 +14,7 @@
 #include "adapters/observe/limit_log.hpp"
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
+#include "fordwood/brittle_upstreams.hpp"
 #include "fordwood/buffer_budget.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/engine_chooser.hpp"
@@ -109,7 +110,8 @@
     // ones, which it reports where it is a relay.
     LimitUpdates limitUpdates() const
     {
-        return {m_gate.limitGate().ownUpdates(), m_gate.limitGate().allUpdates()};
+        return {m_gate.limitGate().ownUpdates(), m_gate.limitGate().allUpdates(),
+                m_brittle.updates()};
     }
 
     // An upstream closed a connection during a request, or answered: the quarantine may have
@@ -129,6 +131,13 @@
     // at once.
     void recordLimit(const std::string &requestId, const UpstreamAttempt &attempt);
 
+    // Records from the answer to a request whether the upstream is brittle. A change is reported to
+    // peers at once.
+    void recordBrittleness(const std::string &requestId, const UpstreamAttempt &attempt);
+
+    // Logs that a brittle upstream rejected the request for want of room.
+    void logRejection(const std::string &requestId, const UpstreamAttempt &attempt) const;
+
     // Handles a rejection by an engine that may run other weights than this node assumed. Returns
     // whether the node no longer assumes those weights.
     bool recordWeightMismatch(const std::string &requestId, const UpstreamAttempt &attempt);
@@ -167,6 +176,7 @@
     UpstreamLoadTracker &loads() { return m_loads; }
     UpstreamHealth &health() { return m_health; }
     SendGate &gate() { return m_gate; }
+    const BrittleUpstreams &brittleUpstreams() const { return m_brittle; }
     QuarantineGate &quarantine() { return m_quarantine; }
     ContextDirectory &contexts() { return m_contexts; }
     const EngineChooser &engines() const { return m_engines; }
@@ -205,6 +215,7 @@
     void recordBackoff(const std::string &instanceId, Duration length, const std::string &request);
     void recordDraining(const std::string &instanceId, const std::string &source);
     void logLimit(const LimitChange &change, const std::string &source);
+    bool hasAuthority(const platform::AnswerHead &head, const ParsedLimit &field) const;
     void forget(const std::string &instanceId);
 
     net::io_context &m_context;
@@ -217,6 +228,7 @@
     UpstreamHealth m_health;
     adapters::LimitLog m_limitLog;
     SendGate m_gate;
+    BrittleUpstreams m_brittle;
     std::map<std::string, RetrySchedule> m_retrySchedules; // by service
     QuarantineGate m_quarantine;
     ContextDirectory m_contexts;
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -284,6 +284,8 @@
         object["requests"] = encodeQuarantineUpdates(message.quarantineUpdates);
     if (!message.limits.empty())
         object["limits"] = encodeLimits(message.limits);
+    if (!message.brittle.empty())
+        object["brittle"] = encodeLimits(message.brittle);
     if (!message.draining.empty())
         object["draining"] = message.draining;
     return encodeCbor(object);
@@ -328,6 +330,8 @@
             message.quarantineUpdates = decodeQuarantineUpdates(object.at("requests"));
         if (object.contains("limits"))
             message.limits = decodeLimits(object.at("limits"));
+        if (object.contains("brittle"))
+            message.brittle = decodeLimits(object.at("brittle"));
         if (object.contains("draining"))
             object.at("draining").get_to(message.draining);
         return message;
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -102,6 +102,7 @@
     NamingAges namingAges;
     std::vector<QuarantineUpdate> quarantineUpdates; // on requests that crash upstreams
     std::vector<LimitGossip> limits; // that upstreams announced; ages in whole milliseconds
+    std::vector<LimitGossip> brittle; // see BrittleUpstreams; without senders
     std::vector<std::string> draining; // upstreams that announced it in their answers
 };
 
