Known red: upstreams fall over under the requests that they reject

A stand-in with a few slots announces that it bears three rejections a second and later lets no request wait.

--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -119,6 +119,7 @@
         std::string service = "board";
         std::string state = "ready";
         std::optional<std::int64_t> startedAt = std::nullopt; // milliseconds since 1970
+        std::size_t slots = 4;
     };
 
     void putUpstreamRecord(const UpstreamEntry &entry)
@@ -126,7 +127,7 @@
         nlohmann::json record{{"service", entry.service},
                               {"address", entry.address},
                               {"zone", "x"},
-                              {"slots", 4},
+                              {"slots", entry.slots},
                               {"version", entry.version},
                               {"state", entry.state},
                               {"cold-remaining-ms", 0},
