Brittle upstreams get no more open requests than they have slots, of all nodes together

What callers saw: an upstream that had announced that it bears few rejections a second fell over under them, left its load to the others, and all fell in turn; hardly anything was served, also under a load that the upstreams could serve. Cause: nothing bounds how many requests of all nodes are open at one upstream. Each node relied on the upstream to let the rest wait, and knows what others have open some tenths of a second late, longer than a request takes. Class: a bound on a sum that no node sees. Change: one node for each service lends a place for each request to a brittle upstream; requests wait for one in order as long as they may, or are rejected at once, as not run. Open requests are reported to a second lender, which takes over. Nothing happens where no upstream says that it is brittle.

--- a/include/fordwood/scheduler_ranking.hpp
+++ b/include/fordwood/scheduler_ranking.hpp
@@ -63,6 +63,10 @@
     // Null if there is no node, or the first two candidates do not answer.
     const SchedulerNode *schedulerFor(const std::string &service, const EngineShard &shard) const;
 
+    // The node that is asked first and the one that takes over from it, also while passed over.
+    std::vector<const SchedulerNode *> candidatesFor(const std::string &service,
+                                                     const EngineShard &shard) const;
+
     // Returns whether the node is passed over from now on.
     bool recordMiss(const std::string &node);
     // Returns whether the node was passed over until now.
--- a/src/core/scheduler_ranking.cpp
+++ b/src/core/scheduler_ranking.cpp
@@ -57,13 +57,22 @@
     });
 }
 
+std::vector<const SchedulerNode *> SchedulerRanking::candidatesFor(const std::string &service,
+                                                                   const EngineShard &shard) const
+{
+    const std::uint64_t key = stableHash(service, shard.index);
+    std::vector<const SchedulerNode *> candidates;
+    for (const std::size_t it : rendezvousOrder(key, m_hashes, kCandidates))
+        candidates.push_back(&m_nodes[it]);
+    return candidates;
+}
+
 const SchedulerNode *SchedulerRanking::schedulerFor(const std::string &service,
                                                     const EngineShard &shard) const
 {
-    const std::uint64_t key = stableHash(service, shard.index);
-    for (const std::size_t it : rendezvousOrder(key, m_hashes, kCandidates)) {
-        if (!isPassedOver(m_nodes[it].name))
-            return &m_nodes[it];
+    for (const SchedulerNode *it : candidatesFor(service, shard)) {
+        if (!isPassedOver(it->name))
+            return it;
     }
     return nullptr;
 }
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -77,6 +77,16 @@
                      const PlacementHandle &placement);
     void chooseLocally(const std::optional<EngineShard> &shard);
     void beginAttempt();
+    void sendAttempt();
+    bool needsPlace() const;
+    void requestPlace();
+    void onPlace(const std::shared_ptr<UpstreamAttempt> &attempt,
+                 const std::optional<PlaceReply> &reply, std::uint64_t number);
+    void onNoLender(UpstreamAttempt &attempt);
+    void rejectWithoutPlace(std::chrono::milliseconds retryAfter);
+    std::chrono::milliseconds placePatience() const;
+    void dropAttempt();
+    ChoiceTerms choiceTerms() const;
     bool selectUpstream();
     void handleNoUpstream();
     void onConnected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec);
@@ -133,6 +143,7 @@
     Duration m_longestPause{}; // between events
     std::string m_lastUpstream; // instance id, for the log
     std::optional<Unavailability> m_unavailable; // why no upstream accepts the request
+    std::size_t m_missedLenders = 0; // that did not reply for this request
     std::set<std::string> m_failedProxies; // peers that did not connect this request
     std::optional<EngineChoice> m_busyEngine; // the least loaded engine, if all are overloaded
 };
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -249,7 +249,8 @@
     const std::string id = m_attempt->upstream.instanceId;
     const bool isOtherInstance = platform::isFromOtherInstance(m_attempt->head, id);
     const bool isMismatch = m_attempt->head.isInstanceMismatch;
-    if (!isMismatch)
+    m_attempt->wasRejected = !isMismatch;
+    if (m_attempt->wasRejected)
         m_state.logRejection(m_caller.requestId, *m_attempt);
     // An engine that rejects a request only because the node assumed other weights is healthy and
     // needs no pause: from now on it gets the requests for the weights that it runs. Without this
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -5,6 +5,7 @@
 
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/old_context_cleaner.hpp"
+#include "fordwood/place_share.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "node/admitted_call.hpp"
 #include "node/control_limits.hpp"
@@ -80,10 +81,16 @@
                 [this](std::string_view bytes, const udp::endpoint &to) {
                     m_placements.send(bytes, to);
                 }),
+      m_places(
+          context, clock, metrics, stableHash(makeNodeInstanceId(settings.node.name)),
+          [this](const PlaceGroup &group) { return lendableUpstreams(group); },
+          [this](std::string_view bytes, const udp::endpoint &to) {
+              return m_placements.send(bytes, to);
+          }),
       m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock)
 {
     m_placements.onOtherMessage([this](std::string_view bytes, const udp::endpoint &from) {
-        return m_streams.onDatagram(bytes, from);
+        return m_streams.onDatagram(bytes, from) || m_places.onDatagram(bytes, from);
     });
 }
 
@@ -186,6 +193,8 @@
     m_gate.coldGate().setNodes(update.others);
     m_placements.setNodes(update.schedulers);
     m_streams.setNodes(update.schedulers, m_settings.peers.placementListen);
+    m_places.setNodes(update.schedulers, m_settings.peers.placementListen);
+    m_otherNodes = update.others;
     m_paths.setPeers(update.proxies);
 }
 
@@ -341,6 +350,42 @@
     m_onLoadReportRequest();
 }
 
+PlaceGroup NodeState::placeGroup(const UpstreamRecord &upstream) const
+{
+    return {upstream.service,
+            shardFor(stableHash(upstream.instanceId), m_upstreams.usable(upstream.service).size())};
+}
+
+bool NodeState::isWithinShare(const UpstreamRecord &upstream) const
+{
+    return m_loads.ownLoad(upstream.instanceId).running < placeShare(
+               stableHash(upstream.instanceId), upstream.slots, m_settings.node.name, m_otherNodes);
+}
+
+std::vector<PlaceLender::Upstream> NodeState::lendableUpstreams(const PlaceGroup &group) const
+{
+    std::vector<PlaceLender::Upstream> found;
+    for (const UpstreamRecord *it : m_upstreams.usable(group.service)) {
+        const std::uint64_t id = stableHash(it->instanceId);
+        if (group.shard.contains(id))
+            found.push_back({id, it->slots, m_loads.total(it->instanceId).running});
+    }
+    return found;
+}
+
+std::vector<PlaceExchange::OpenRequests> NodeState::openAtBrittleUpstreams() const
+{
+    std::vector<PlaceExchange::OpenRequests> open;
+    if (m_brittle.size() == 0)
+        return open;
+    for (const auto &[id, load] : m_loads.own()) {
+        const UpstreamRecord *record = m_upstreams.find(id);
+        if (record != nullptr && m_brittle.isBrittle(id))
+            open.push_back({placeGroup(*record), stableHash(id), load.running});
+    }
+    return open;
+}
+
 void NodeState::logRejection(const std::string &requestId, const UpstreamAttempt &attempt) const
 {
     const std::string &id = attempt.upstream.instanceId;
@@ -406,6 +451,7 @@
     m_paths.tick();
     m_placements.tick();
     m_streams.tick();
+    m_places.tick(openAtBrittleUpstreams());
     m_gate.backoffs().tick();
     m_quarantine.tick();
     m_metrics.setGauge("fordwood_quarantined_requests",
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -32,6 +32,7 @@
 #include "node/channel_pool.hpp"
 #include "node/engine_scheduler.hpp"
 #include "node/fleet_update.hpp"
+#include "node/place_exchange.hpp"
 #include "node/placements.hpp"
 #include "node/stream_exchange.hpp"
 #include "node/upstream_attempt.hpp"
@@ -135,6 +136,13 @@
     // peers at once.
     void recordBrittleness(const std::string &requestId, const UpstreamAttempt &attempt);
 
+    // The lender's group of an upstream.
+    PlaceGroup placeGroup(const UpstreamRecord &upstream) const;
+
+    // Whether this node may send another request to a brittle upstream although it reaches no
+    // lender.
+    bool isWithinShare(const UpstreamRecord &upstream) const;
+
     // Logs that a brittle upstream rejected the request for want of room.
     void logRejection(const std::string &requestId, const UpstreamAttempt &attempt) const;
 
@@ -185,6 +193,7 @@
     Placements &placements() { return m_placements; }
     const Placements &placements() const { return m_placements; }
     StreamExchange &streams() { return m_streams; }
+    PlaceExchange &places() { return m_places; }
     BufferBudget &buffers() { return m_buffers; }
 
 private:
@@ -209,6 +218,8 @@
     void apply(const StopStarted &update);
 
     void checkForStall();
+    std::vector<PlaceLender::Upstream> lendableUpstreams(const PlaceGroup &group) const;
+    std::vector<PlaceExchange::OpenRequests> openAtBrittleUpstreams() const;
     void recordUpstreamEnd(const std::string &instanceId);
     WindowBudget &retryBudget(const std::string &service);
     bool isLoading(const std::string &instanceId) const;
@@ -238,6 +249,8 @@
     EngineScheduler m_scheduler;
     Placements m_placements;
     StreamExchange m_streams;
+    PlaceExchange m_places;
+    std::vector<std::string> m_otherNodes; // that have a key in the platform's store
     BufferBudget m_buffers;
     std::map<std::string, WeightHistory> m_weights; // by model
     struct LoadingReport
--- a/src/node/placements.hpp
+++ b/src/node/placements.hpp
@@ -54,7 +54,7 @@
     // not know either.
     using OtherHandler = std::function<bool(std::string_view bytes, const udp::endpoint &from)>;
     void onOtherMessage(OtherHandler handler) { m_onOther = std::move(handler); }
-    void send(std::string_view bytes, const udp::endpoint &to) { m_socket.send(bytes, to); }
+    bool send(std::string_view bytes, const udp::endpoint &to) { return m_socket.send(bytes, to); }
 
     // All nodes that may schedule, this one included.
     void setNodes(std::vector<SchedulerNode> nodes);
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -26,6 +26,8 @@
     std::string model; // only for requests to engines
     std::chrono::milliseconds fetchDeadline{0}; // on the engines' clock
     PlacementHandle placement;
+    std::uint64_t place = 0; // lent at a brittle upstream; zero: none
+    bool wasRejected = false; // by the upstream, for want of room
     std::string proxy; // name of the peer through which it goes; empty: none
     std::shared_ptr<HttpChannel> channel;
     TimePoint startedAt{};
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -18,6 +18,9 @@
 // refused at once.
 constexpr double kMaxWait = 0.7;
 
+// Upstreams that a lender considers besides the preferred one.
+constexpr std::size_t kMaxPlaceAlternatives = 15;
+
 // A node with more unusable engines than this has a problem of its own.
 constexpr std::size_t kMaxAvoided = 32;
 
@@ -184,6 +187,18 @@
     return [&origin](const UpstreamRecord *it) { return it->softwareVersion == origin.version; };
 }
 
+// The upstreams that may be sent the request now.
+std::vector<const UpstreamRecord *> allowedCandidates(NodeState &state, const AdmittedCall &call,
+                                                      const ChoiceTerms &terms)
+{
+    auto candidates = state.candidates(*call.pool);
+    const UpstreamFilter isInRegion = regionFilter(state, call);
+    std::erase_if(candidates, [&](const UpstreamRecord *it) {
+        return !isInRegion(*it) || (terms.origin && !isOf(*terms.origin)(it));
+    });
+    return candidates;
+}
+
 // Finds out whether only rate limits and backoffs prevent the request from being sent, in which
 // case it is already known that it cannot be served. `tried`: upstreams to which this request is
 // not sent again. They do not count as available, though they may accept a later request of the
@@ -229,14 +244,48 @@
     const UpstreamFilter isAllowed = [&](const UpstreamRecord &it) {
         return isInRegion(it) && (!terms.origin || isOf(*terms.origin)(&it));
     };
-    auto candidates = state.candidates(*call.pool);
-    std::erase_if(candidates, [&](const UpstreamRecord *it) { return !isAllowed(*it); });
+    const auto candidates = allowedCandidates(state, call, terms);
     UpstreamChoice chosen = chooseAmong(state, call, caller, plan, terms.mustGoOn, candidates);
     if (!chosen.attempt && candidates.empty())
         chosen.unavailable = findUnavailability(state, call, isAllowed, plan.tried());
     return chosen;
 }
 
+PlaceExchange::Question placeQuestion(NodeState &state, const AdmittedCall &call,
+                                      const platform::CallerHead &caller, const CallPlan &plan,
+                                      const ChoiceTerms &terms, const UpstreamAttempt &attempt)
+{
+    PlaceExchange::Question question;
+    question.group = state.placeGroup(attempt.upstream);
+    const std::uint64_t preferred = stableHash(attempt.upstream.instanceId);
+    std::vector<std::uint64_t> others;
+    for (const UpstreamRecord *it : allowedCandidates(state, call, terms)) {
+        const std::uint64_t id = stableHash(it->instanceId);
+        if (id != preferred && question.group.shard.contains(id)
+            && !plan.tried().contains(it->instanceId) && !state.health().isPaused(it->instanceId)
+            && state.brittleUpstreams().isBrittle(it->instanceId))
+            others.push_back(id);
+    }
+    // Requests that find their preferred upstream full spread over the others.
+    const std::uint64_t request = stableHash(caller.requestId, plan.sends());
+    question.upstreams.push_back(preferred);
+    for (const std::size_t it : rendezvousOrder(request, others, kMaxPlaceAlternatives))
+        question.upstreams.push_back(others[it]);
+    return question;
+}
+
+std::optional<UpstreamAttempt> attemptAt(NodeState &state, const AdmittedCall &call,
+                                         const platform::CallerHead &caller, const CallPlan &plan,
+                                         const ChoiceTerms &terms, std::uint64_t upstream)
+{
+    auto candidates = allowedCandidates(state, call, terms);
+    std::erase_if(candidates,
+                  [&](const UpstreamRecord *it) { return stableHash(it->instanceId) != upstream; });
+    // The request has a place, so it is not late.
+    constexpr bool kMustGoOn = true;
+    return chooseAmong(state, call, caller, plan, kMustGoOn, candidates).attempt;
+}
+
 bool isVersionGone(NodeState &state, const StreamOrigin &origin)
 {
     const auto usable = state.upstreams().usable(origin.service);
--- a/src/node/upstream_choice.hpp
+++ b/src/node/upstream_choice.hpp
@@ -41,6 +41,18 @@
                               const platform::CallerHead &caller, const CallPlan &plan,
                               const ChoiceTerms &terms);
 
+// The question for a place for an attempt at a brittle upstream, there or at another one that could
+// serve the request. The caller sets how long it may wait.
+PlaceExchange::Question placeQuestion(NodeState &state, const AdmittedCall &call,
+                                      const platform::CallerHead &caller, const CallPlan &plan,
+                                      const ChoiceTerms &terms, const UpstreamAttempt &attempt);
+
+// The attempt at the upstream where a place is lent; nothing if it has left meanwhile. `upstream`:
+// hash of its instance id.
+std::optional<UpstreamAttempt> attemptAt(NodeState &state, const AdmittedCall &call,
+                                         const platform::CallerHead &caller, const CallPlan &plan,
+                                         const ChoiceTerms &terms, std::uint64_t upstream);
+
 // Whether the upstreams that accept new requests are all of other versions than the stream's.
 bool isVersionGone(NodeState &state, const StreamOrigin &origin);
 
