Observability: the shared parts of the prompts under which upstreams broke off

Event 402 had no word of the parts, so that its lines could not tell a part that crashes upstreams from requests that merely ran there. Now it lists the ids of the shared parts. The stand-in that falls over under rejections can also do so under a part of a prompt.

--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -293,7 +293,8 @@
     m_state.channels().closeIdle(m_attempt->upstream.instanceId);
     logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, cause.message(),
                        m_eventSplitter.lastId().value_or(0),
-                       m_state.clock().now() - m_attempt->startedAt, fingerprint()});
+                       m_state.clock().now() - m_attempt->startedAt, fingerprint(),
+                       m_caller.prompt ? &*m_caller.prompt : nullptr});
     // Through a peer, either the peer or the upstream may have closed the connection.
     if (!isPathAtFault && !isProxied)
         recordDisconnect();
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -52,6 +52,21 @@
 
 } // namespace
 
+namespace {
+
+// The ids of the shared parts of a prompt, which other requests may have as well.
+std::string sharedParts(const Prompt *prompt)
+{
+    constexpr std::size_t kMaxParts = 16;
+    constexpr std::size_t kMaxIdBytes = 16;
+    std::string text;
+    for (std::size_t n = 0; prompt != nullptr && n + 1 < prompt->parts.size() && n < kMaxParts; ++n)
+        text += (n == 0 ? "" : ",") + prompt->parts[n].id.substr(0, kMaxIdBytes);
+    return text;
+}
+
+} // namespace
+
 void logAttemptFailure(const AttemptFailure &failure)
 {
     logEvent(Event::AttemptFailed, {{"request", failure.request},
@@ -59,7 +74,8 @@
                                     {"cause", failure.cause},
                                     {"events_passed", failure.eventsPassed},
                                     {"open_ms", inMilliseconds(failure.elapsed)},
-                                    {"fingerprint", failure.fingerprint.text()}});
+                                    {"fingerprint", failure.fingerprint.text()},
+                                    {"parts", sharedParts(failure.prompt)}});
 }
 
 void logStreamResumption(const StreamResumption &resumption)
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -9,6 +9,7 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/engine_chooser.hpp"
+#include "fordwood/prompt.hpp"
 #include "fordwood/request_fingerprint.hpp"
 
 namespace fordwood::node {
@@ -42,6 +43,7 @@
     std::uint64_t eventsPassed = 0; // id of the last event that was passed on
     Duration elapsed{}; // since the upstream was chosen
     RequestFingerprint fingerprint; // stays the same when the caller repeats the request
+    const Prompt *prompt = nullptr; // null: the request has none
 };
 
 // A stream that has broken off goes on at an upstream.
--- a/tests/process/brittle_upstream_test.cpp
+++ b/tests/process/brittle_upstream_test.cpp
@@ -11,7 +11,7 @@
 #include <thread>
 #include <vector>
 
-#include "process/brittle_upstream.hpp"
+#include "process/fragile_upstream.hpp"
 #include "process/node_deployment.hpp"
 
 using namespace fordwood::process;
@@ -25,7 +25,7 @@
 class BrittleFleet : public Deployment
 {
 public:
-    BrittleFleet(int nodeCount, int upstreamCount, BrittleUpstream::Traits ofUpstreams = {})
+    BrittleFleet(int nodeCount, int upstreamCount, FragileUpstream::Traits ofUpstreams = {})
         : traits(ofUpstreams)
     {
         putConfiguration(1);
@@ -52,8 +52,8 @@
             it->setWaitingRoom(requests);
     }
 
-    int falls() const { return sum(&BrittleUpstream::falls); }
-    int answered() const { return sum(&BrittleUpstream::answered); }
+    int falls() const { return sum(&FragileUpstream::falls); }
+    int answered() const { return sum(&FragileUpstream::answered); }
 
     // What the rule allows in one time in which the upstreams are brittle.
     int allowedFalls() const { return 2 + static_cast<int>(upstreams.size()) / 10; }
@@ -65,11 +65,11 @@
                / std::chrono::duration<double>(traits.work).count();
     }
 
-    const BrittleUpstream::Traits traits;
-    std::vector<std::unique_ptr<BrittleUpstream>> upstreams;
+    const FragileUpstream::Traits traits;
+    std::vector<std::unique_ptr<FragileUpstream>> upstreams;
 
 private:
-    int sum(int (BrittleUpstream::*count)()) const
+    int sum(int (FragileUpstream::*count)()) const
     {
         int n = 0;
         for (const auto &it : upstreams)
@@ -86,7 +86,7 @@
                 store.remove("servers/" + id + (life == 1 ? "" : "." + std::to_string(life)));
             putRecord(instance, address);
         };
-        upstreams.push_back(std::make_unique<BrittleUpstream>(address, id, traits, publish));
+        upstreams.push_back(std::make_unique<FragileUpstream>(address, id, traits, publish));
         putRecord(id, address);
     }
 
--- a/tests/process/brittle_upstream.cpp
+++ b/tests/process/fragile_upstream.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "process/brittle_upstream.hpp"
+#include "process/fragile_upstream.hpp"
 
 #include <cstdlib>
 #include <utility>
@@ -10,7 +10,7 @@
 using standins::Request;
 using SteadyClock = std::chrono::steady_clock;
 
-BrittleUpstream::BrittleUpstream(const std::string &address, const std::string &id, Traits traits,
+FragileUpstream::FragileUpstream(const std::string &address, const std::string &id, Traits traits,
                                  OnChange started)
     : m_id(id), m_traits(traits), m_onStart(std::move(started)),
       m_restarter([this] { restartWhenDue(); }),
@@ -18,7 +18,7 @@
           address, [this](const Request &request) { return answer(request); }))
 { }
 
-BrittleUpstream::~BrittleUpstream()
+FragileUpstream::~FragileUpstream()
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -29,43 +29,62 @@
     m_server.reset();
 }
 
-void BrittleUpstream::setBrittle(std::optional<std::string> rejectionsPerSecond)
+void FragileUpstream::setBrittle(std::optional<std::string> rejectionsPerSecond)
 {
     const std::lock_guard lock(m_mutex);
     m_brittle = std::move(rejectionsPerSecond);
 }
 
-void BrittleUpstream::setWaitingRoom(std::size_t requests)
+void FragileUpstream::setWaitingRoom(std::size_t requests)
 {
     const std::lock_guard lock(m_mutex);
     m_room = requests;
 }
 
-int BrittleUpstream::falls()
+void FragileUpstream::setFatalParts(std::set<std::string> parts)
+{
+    const std::lock_guard lock(m_mutex);
+    m_fatalParts = std::move(parts);
+}
+
+std::vector<SteadyClock::time_point> FragileUpstream::fatalRuns()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_fatalRuns;
+}
+
+void FragileUpstream::fall()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_downUntil)
+        fallOver();
+}
+
+int FragileUpstream::falls()
 {
     const std::lock_guard lock(m_mutex);
     return m_falls;
 }
 
-int BrittleUpstream::answered()
+int FragileUpstream::answered()
 {
     const std::lock_guard lock(m_mutex);
     return m_answered;
 }
 
-int BrittleUpstream::rejected()
+int FragileUpstream::rejected()
 {
     const std::lock_guard lock(m_mutex);
     return m_rejected;
 }
 
-std::string BrittleUpstream::instanceId()
+std::string FragileUpstream::instanceId()
 {
     const std::lock_guard lock(m_mutex);
     return m_lives == 1 ? m_id : m_id + "." + std::to_string(m_lives);
 }
 
-void BrittleUpstream::recordRejection()
+void FragileUpstream::recordRejection()
 {
     const auto now = SteadyClock::now();
     m_rejected += 1;
@@ -75,16 +94,21 @@
     if (!m_brittle
         || static_cast<double>(m_rejections.size()) <= std::strtod(m_brittle->c_str(), nullptr))
         return;
+    fallOver();
+}
+
+void FragileUpstream::fallOver()
+{
     m_falls += 1;
     m_lives += 1;
     m_running = 0;
     m_waiting = 0;
     m_rejections.clear();
-    m_downUntil = now + m_traits.downTime;
+    m_downUntil = SteadyClock::now() + m_traits.downTime;
     m_changed.notify_all();
 }
 
-void BrittleUpstream::restartWhenDue()
+void FragileUpstream::restartWhenDue()
 {
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
@@ -98,7 +122,7 @@
     }
 }
 
-Answer BrittleUpstream::answer(const Request &request)
+Answer FragileUpstream::answer(const Request &request)
 {
     Answer result;
     result.headers["Request-Id"] = request.header("Request-Id");
@@ -121,10 +145,25 @@
         result.headers["Not-Executed"] = "1";
         return result;
     }
-    return serve(lock, std::move(result));
+    return serve(lock, hasFatalPart(request), std::move(result));
+}
+
+// The last part of a prompt belongs to its request and is never fatal.
+bool FragileUpstream::hasFatalPart(const Request &request) const
+{
+    const std::string prompt = request.header("Prompt-Prefix");
+    for (std::size_t at = 0; at < prompt.size();) {
+        const std::size_t comma = prompt.find(',', at);
+        if (comma == std::string::npos)
+            return false;
+        if (m_fatalParts.contains(prompt.substr(at, prompt.find(':', at) - at)))
+            return true;
+        at = comma + 1;
+    }
+    return false;
 }
 
-Answer BrittleUpstream::serve(std::unique_lock<std::mutex> &lock, Answer answer)
+Answer FragileUpstream::serve(std::unique_lock<std::mutex> &lock, bool isFatal, Answer answer)
 {
     const int life = m_lives;
     const auto hasEnded = [&] { return m_lives != life || m_isStopping; };
@@ -136,8 +175,12 @@
     }
     if (!hasEnded()) {
         m_running += 1;
+        if (isFatal)
+            m_fatalRuns.push_back(SteadyClock::now());
         m_changed.wait_for(lock, m_traits.work, hasEnded);
     }
+    if (isFatal && !hasEnded())
+        fallOver();
     if (hasEnded()) {
         answer.cutConnection = true;
         return answer;
--- a/tests/process/brittle_upstream.hpp
+++ b/tests/process/fragile_upstream.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
-#ifndef FORDWOOD_TESTS_PROCESS_BRITTLE_UPSTREAM_HPP_INCLUDED
-#define FORDWOOD_TESTS_PROCESS_BRITTLE_UPSTREAM_HPP_INCLUDED
+#ifndef FORDWOOD_TESTS_PROCESS_FRAGILE_UPSTREAM_HPP_INCLUDED
+#define FORDWOOD_TESTS_PROCESS_FRAGILE_UPSTREAM_HPP_INCLUDED
 
 #include <chrono>
 #include <condition_variable>
@@ -9,17 +9,20 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "standins/blocking_server.hpp"
 
 namespace fordwood::process {
 
 // Stand-in for an upstream of the platform with a few slots and some room for waiting requests. It
-// rejects what has no room. While it is brittle and rejects too many requests within a second, it
-// falls over: its connections break, and it is back after some time as another instance.
-class BrittleUpstream
+// rejects what has no room. It falls over if it rejects too many requests within a second while it
+// is brittle, or when it begins to answer a prompt with a fatal part: its connections break, and it
+// is back after some time as another instance.
+class FragileUpstream
 {
 public:
     struct Traits
@@ -32,11 +35,11 @@
     using OnChange = std::function<void(const std::string &instanceId)>;
 
     // `started` is called for each further instance.
-    BrittleUpstream(const std::string &address, const std::string &id, Traits traits,
+    FragileUpstream(const std::string &address, const std::string &id, Traits traits,
                     OnChange started);
-    ~BrittleUpstream();
-    BrittleUpstream(const BrittleUpstream &) = delete;
-    BrittleUpstream &operator=(const BrittleUpstream &) = delete;
+    ~FragileUpstream();
+    FragileUpstream(const FragileUpstream &) = delete;
+    FragileUpstream &operator=(const FragileUpstream &) = delete;
 
     // Answers have this text in the field from now on; nullopt: no field, and it does not fall.
     void setBrittle(std::optional<std::string> rejectionsPerSecond);
@@ -44,6 +47,15 @@
     // So many requests may wait for a slot.
     void setWaitingRoom(std::size_t requests);
 
+    // Prompts with one of these parts make it fall over.
+    void setFatalParts(std::set<std::string> parts);
+
+    // When it began to run prompts with a fatal part.
+    std::vector<std::chrono::steady_clock::time_point> fatalRuns();
+
+    // It falls over now, for no reason that has to do with a request.
+    void fall();
+
     int falls();
     int answered();
     int rejected();
@@ -52,8 +64,11 @@
 private:
     standins::Answer answer(const standins::Request &request);
     standins::Answer reject();
-    standins::Answer serve(std::unique_lock<std::mutex> &lock, standins::Answer answer);
+    standins::Answer serve(std::unique_lock<std::mutex> &lock, bool isFatal,
+                           standins::Answer answer);
     void recordRejection();
+    void fallOver();
+    bool hasFatalPart(const standins::Request &request) const;
     void restartWhenDue();
 
     const std::string m_id;
@@ -62,6 +77,8 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::optional<std::string> m_brittle;
+    std::set<std::string> m_fatalParts;
+    std::vector<std::chrono::steady_clock::time_point> m_fatalRuns;
     std::size_t m_room = 100;
     std::size_t m_running = 0;
     std::size_t m_waiting = 0;
@@ -78,4 +95,4 @@
 
 } // namespace fordwood::process
 
-#endif // FORDWOOD_TESTS_PROCESS_BRITTLE_UPSTREAM_HPP_INCLUDED
+#endif // FORDWOOD_TESTS_PROCESS_FRAGILE_UPSTREAM_HPP_INCLUDED
