Parts of prompts under which upstreams end are held, whatever else a request holds

What callers saw: requests of one kind ended engines one after the other, thirty in two waves; whoever's prompt ran beside them got 502 or a stream that broke off. Cause: the quarantine counts ends for a fingerprint of the whole request. What ends the upstreams is one part of the prompt, and each request with it is another one to the quarantine. Class: the cause is smaller than what is counted. Change: the same decision for each shared part. Ends since the last answer are counted; three hold it at all nodes, and in the store. Parts that were always there together are held together only; a request with a suspect part is not repeated; one trial in the fleet at growing intervals frees what is held by mistake.

--- a/include/fordwood/quarantine.hpp
+++ b/include/fordwood/quarantine.hpp
@@ -24,11 +24,12 @@
     bool operator==(const QuarantineUpdate &) const = default;
 };
 
-// Detects poison requests, which crash the upstreams that run them, from the reports of all nodes.
-// Reports may arrive in any order and more than once: nodes that have received the same reports
-// reach the same result. A poison request is sent again and again, to any node and under a new id
-// each time, and each upstream that starts to run it ends, with all other requests running there.
-// In a fleet of 18 engines such a request ended 19 engines, twelve of them within eight seconds.
+// Detects poison requests and poison parts of prompts, which crash the upstreams that run them,
+// from the reports of all nodes. Reports may arrive in any order and more than once: nodes that
+// have received the same reports reach the same result. A poison request is sent again and again,
+// to any node and under a new id each time, and each upstream that starts to run it ends, with all
+// other requests running there. In a fleet of 18 engines such a request ended 19 engines, twelve of
+// them within eight seconds.
 class Quarantine
 {
 public:
@@ -46,6 +47,14 @@
         // How long a successful response clears a request. Later, other weights or another version
         // of the service may be in use.
         Duration answerValidFor = std::chrono::minutes(1);
+        // The same for a part of a prompt, which many requests may have, so that answers are
+        // frequent.
+        Duration partAnswerValidFor = std::chrono::seconds(10);
+        // When a part that has not been held is dropped: parts of sound requests are now and then
+        // present where an upstream ends.
+        Duration forgetPartAfter = std::chrono::minutes(2);
+        // Failures from which on a request with the part is not repeated after another one.
+        std::size_t failuresToSuspect = 2;
         // Failed instances that are recorded per request; further ones only extend the hold.
         std::size_t maxInstances = 32;
         // Recorded requests; beyond this number the entries with the oldest reports that are not
@@ -66,6 +75,19 @@
     // Whether the request must not be sent to any upstream.
     bool isHeld(const RequestFingerprint &request) const;
 
+    // The part for which a prompt with these parts must not be sent to any upstream; empty: it may
+    // be sent. A part is held only together with its company, which are the other suspect parts
+    // that were present at each of its failures: which of them is the poison is not known, and
+    // prompts that have only one of them find it out.
+    std::optional<RequestFingerprint>
+    findHeldPart(const std::vector<RequestFingerprint> &parts) const;
+
+    // Whether upstreams have ended in a row while running requests with one of the parts.
+    bool isAnySuspect(const std::vector<RequestFingerprint> &parts) const;
+
+    // The time since the last failure of a request or part; empty: none is known.
+    std::optional<Duration> sinceLastFailure(const RequestFingerprint &request) const;
+
     // The remaining hold time; zero: not held.
     Duration heldFor(const RequestFingerprint &request) const;
 
@@ -82,7 +104,7 @@
 private:
     struct Entry
     {
-        std::vector<std::uint64_t> failedInstances;
+        std::vector<std::uint64_t> failedInstances; // sorted
         bool isAnswered = false;
         TimePoint heldUntil{};
         TimePoint lastUpdate{};
@@ -91,6 +113,9 @@
     bool recordAnswer(const RequestFingerprint &request);
     bool recordFailure(const RequestFingerprint &request, std::uint64_t instance);
     bool isHeld(const Entry &entry) const;
+    Duration lifetime(const RequestFingerprint &request, const Entry &entry) const;
+    bool hasCompanyOutside(const RequestFingerprint &part, const Entry &entry,
+                           const std::vector<RequestFingerprint> &parts) const;
     void evictOldest();
 
     const Clock &m_clock;
--- a/include/fordwood/quarantine_gate.hpp
+++ b/include/fordwood/quarantine_gate.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,23 +20,24 @@
 class QuarantineGate
 {
 public:
-    explicit QuarantineGate(const Clock &clock)
-        : m_clock(clock), m_quarantine(clock), m_answers(clock)
-    { }
+    explicit QuarantineGate(const Clock &clock);
+
+    // The names of this node and of all others.
+    void setNodes(std::string self, std::vector<std::string> others);
 
     // The upstream closed its connection while running the request.
-    void onDisconnect(const RequestFingerprint &request, const std::string &instanceId);
+    void onDisconnect(const RequestIdentity &request, const std::string &instanceId);
 
     // A request ended without a response because the caller left or the deadline passed. It counts
     // as a failure if the upstream turns out to have ended at about that time, because an upstream
     // that loses power does not close its connections.
-    void onUnanswered(const RequestFingerprint &request, const std::string &instanceId);
+    void onUnanswered(const RequestIdentity &request, const std::string &instanceId);
 
     // The upstream has ended without having announced that it would leave.
     void onUpstreamEnded(const std::string &instanceId);
 
     // An upstream has completed the request successfully.
-    void onAnswer(const RequestFingerprint &request);
+    void onAnswer(const RequestIdentity &request);
 
     // Merges reports of other nodes or from the platform's store.
     void applyUpdates(const std::vector<QuarantineUpdate> &updates);
@@ -43,11 +45,25 @@
     // True if no request is recorded, so that no lookup is needed.
     bool isEmpty() const { return m_quarantine.isEmpty(); }
 
-    bool isHeld(const RequestFingerprint &request) const { return m_quarantine.isHeld(request); }
-    Duration heldFor(const RequestFingerprint &request) const
+    bool isHeld(const RequestIdentity &request) const;
+    Duration heldFor(const RequestIdentity &request) const;
+
+    // The part for which the request is held; empty: none.
+    std::optional<RequestFingerprint> heldPart(const RequestIdentity &request) const
+    {
+        return m_quarantine.findHeldPart(request.parts);
+    }
+
+    // Whether a request after which an upstream has ended must not be repeated at another one.
+    bool isRepeatUnsafe(const RequestIdentity &request) const
     {
-        return m_quarantine.heldFor(request);
+        return m_quarantine.isAnySuspect(request.parts);
     }
+
+    // Whether this request, which is held for a part, may be sent all the same. One node in the
+    // fleet sends a single one, at growing intervals, since a part may be held by mistake and is
+    // released only by an answer. Call it once for each request.
+    bool takeTrial(const RequestIdentity &request);
     std::size_t heldRequests() const { return m_quarantine.heldRequests(); }
 
     // Returns the new reports for the other nodes, each once.
@@ -59,16 +75,22 @@
 private:
     struct UnansweredRequest
     {
-        RequestFingerprint request;
+        RequestIdentity request;
         std::string instanceId;
         TimePoint when{};
     };
 
     void publish(const QuarantineUpdate &update);
+    bool isAnswered(const RequestFingerprint &subject) const;
+    void recordFailure(const RequestFingerprint &subject, std::uint64_t instance);
 
     const Clock &m_clock;
     Quarantine m_quarantine;
-    RecentAnswers m_answers;
+    RecentAnswers m_answers; // to whole requests
+    RecentAnswers m_partAnswers;
+    std::string m_self;
+    std::vector<std::string> m_otherNodes;
+    std::map<RequestFingerprint, std::size_t> m_trials; // of held parts
     std::deque<UnansweredRequest> m_unanswered; // ordered by time
     std::map<std::string, TimePoint> m_endedUpstreams; // recently ended upstreams
     std::vector<QuarantineUpdate> m_updates;
--- a/include/fordwood/recent_answers.hpp
+++ b/include/fordwood/recent_answers.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_RECENT_ANSWERS_HPP_INCLUDED
 #define FORDWOOD_RECENT_ANSWERS_HPP_INCLUDED
 
+#include <cstddef>
 #include <vector>
 
 #include "fordwood/clock.hpp"
@@ -14,12 +15,13 @@
 class RecentAnswers
 {
 public:
-    explicit RecentAnswers(const Clock &clock);
+    // `maxAge`: older answers do not count, as other weights or another version of a service may be
+    // in use by now.
+    RecentAnswers(const Clock &clock, std::size_t slots, Duration maxAge);
 
     void note(const RequestFingerprint &request);
 
-    // Whether an upstream has answered the request within the last minute. Older answers do not
-    // count: other weights or another version of a service may be in use by now.
+    // Whether an upstream has answered the request recently.
     bool contains(const RequestFingerprint &request) const;
 
 private:
@@ -30,6 +32,7 @@
     };
 
     const Clock &m_clock;
+    const Duration m_maxAge;
     std::vector<Slot> m_slots;
 };
 
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -28,12 +28,11 @@
         evictOldest();
     Entry &entry = m_entries[request];
     std::vector<std::uint64_t> &instances = entry.failedInstances;
-    if (entry.isAnswered
-        || std::find(instances.begin(), instances.end(), instance) != instances.end())
+    if (entry.isAnswered || std::binary_search(instances.begin(), instances.end(), instance))
         return false;
     const bool isRecorded = instances.size() < m_limits.maxInstances;
     if (isRecorded)
-        instances.push_back(instance);
+        instances.insert(std::lower_bound(instances.begin(), instances.end(), instance), instance);
     entry.lastUpdate = m_clock.now();
     if (instances.size() >= m_limits.failuresToHold)
         entry.heldUntil = entry.lastUpdate + m_limits.holdFor;
@@ -85,6 +84,50 @@
     return heldFor(request) > Duration::zero();
 }
 
+// Whether the part has company that is not among `parts`.
+bool Quarantine::hasCompanyOutside(const RequestFingerprint &part, const Entry &entry,
+                                   const std::vector<RequestFingerprint> &parts) const
+{
+    const std::vector<std::uint64_t> &failed = entry.failedInstances;
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &it) {
+        const auto &[other, otherEntry] = it;
+        const std::vector<std::uint64_t> &otherFailed = otherEntry.failedInstances;
+        return other.isPart && !(other == part) && !otherEntry.isAnswered
+               && std::includes(otherFailed.begin(), otherFailed.end(), failed.begin(),
+                                failed.end())
+               && std::find(parts.begin(), parts.end(), other) == parts.end();
+    });
+}
+
+std::optional<RequestFingerprint>
+Quarantine::findHeldPart(const std::vector<RequestFingerprint> &parts) const
+{
+    for (const RequestFingerprint &part : parts) {
+        const auto it = m_entries.find(part);
+        if (it != m_entries.end() && isHeld(it->second)
+            && !hasCompanyOutside(part, it->second, parts))
+            return part;
+    }
+    return std::nullopt;
+}
+
+bool Quarantine::isAnySuspect(const std::vector<RequestFingerprint> &parts) const
+{
+    return std::any_of(parts.begin(), parts.end(), [this](const RequestFingerprint &part) {
+        const auto it = m_entries.find(part);
+        return it != m_entries.end() && !it->second.isAnswered
+               && it->second.failedInstances.size() >= m_limits.failuresToSuspect;
+    });
+}
+
+std::optional<Duration> Quarantine::sinceLastFailure(const RequestFingerprint &request) const
+{
+    const auto it = m_entries.find(request);
+    if (it == m_entries.end() || it->second.isAnswered)
+        return std::nullopt;
+    return m_clock.now() - it->second.lastUpdate;
+}
+
 std::vector<std::uint64_t> Quarantine::failedInstancesOf(const RequestFingerprint &request) const
 {
     const auto it = m_entries.find(request);
@@ -97,13 +140,19 @@
         m_entries.begin(), m_entries.end(), [this](const auto &it) { return isHeld(it.second); }));
 }
 
+Duration Quarantine::lifetime(const RequestFingerprint &request, const Entry &entry) const
+{
+    if (entry.isAnswered)
+        return request.isPart ? m_limits.partAnswerValidFor : m_limits.answerValidFor;
+    const bool wasHeld = entry.failedInstances.size() >= m_limits.failuresToHold;
+    return request.isPart && !wasHeld ? m_limits.forgetPartAfter : m_limits.forgetAfter;
+}
+
 void Quarantine::tick()
 {
     const TimePoint now = m_clock.now();
     std::erase_if(m_entries, [&](const auto &it) {
-        const Entry &entry = it.second;
-        return now - entry.lastUpdate
-               >= (entry.isAnswered ? m_limits.answerValidFor : m_limits.forgetAfter);
+        return now - it.second.lastUpdate >= lifetime(it.first, it.second);
     });
 }
 
--- a/src/core/request_fingerprint.cpp
+++ b/src/core/request_fingerprint.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <charconv>
+#include <initializer_list>
 #include <memory>
 
 #include <xxhash.h>
@@ -13,6 +14,7 @@
 
 constexpr std::size_t kHalfDigits = 16; // hexadecimal digits per 64 bits
 constexpr int kBase = 16;
+constexpr std::string_view kPartPrefix = "part-";
 
 std::string formatHalf(std::uint64_t half)
 {
@@ -32,39 +34,53 @@
     return half;
 }
 
+RequestFingerprint hashOf(std::initializer_list<std::string_view> texts)
+{
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(),
+                                                                         &XXH3_freeState);
+    XXH3_128bits_reset(state.get());
+    for (const std::string_view it : texts) {
+        // Each part is preceded by its length, so that moving bytes between adjacent parts changes
+        // the hash.
+        const std::uint64_t n = it.size();
+        XXH3_128bits_update(state.get(), &n, sizeof n);
+        XXH3_128bits_update(state.get(), it.data(), it.size());
+    }
+    const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
+    return {hash.high64, hash.low64};
+}
+
 } // namespace
 
 std::string RequestFingerprint::text() const
 {
-    return formatHalf(high) + formatHalf(low);
+    return (isPart ? std::string(kPartPrefix) : std::string()) + formatHalf(high) + formatHalf(low);
 }
 
 std::optional<RequestFingerprint> RequestFingerprint::parse(std::string_view text)
 {
+    const bool isPart = text.starts_with(kPartPrefix);
+    if (isPart)
+        text.remove_prefix(kPartPrefix.size());
     if (text.size() != 2 * kHalfDigits)
         return std::nullopt;
     const auto high = parseHalf(text.substr(0, kHalfDigits));
     const auto low = parseHalf(text.substr(kHalfDigits));
     if (!high || !low)
         return std::nullopt;
-    return RequestFingerprint{*high, *low};
+    return RequestFingerprint{*high, *low, isPart};
 }
 
 RequestFingerprint fingerprintOf(const RequestContent &content)
 {
-    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(),
-                                                                         &XXH3_freeState);
-    XXH3_128bits_reset(state.get());
-    for (const std::string_view it :
-         {content.method, content.host, content.target, content.team, content.body}) {
-        // Each part is preceded by its length, so that moving bytes between adjacent parts changes
-        // the hash.
-        const std::uint64_t n = it.size();
-        XXH3_128bits_update(state.get(), &n, sizeof n);
-        XXH3_128bits_update(state.get(), it.data(), it.size());
-    }
-    const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
-    return {hash.high64, hash.low64};
+    return hashOf({content.method, content.host, content.target, content.team, content.body});
+}
+
+RequestFingerprint fingerprintOfPart(std::string_view service, std::string_view partId)
+{
+    RequestFingerprint fingerprint = hashOf({service, partId});
+    fingerprint.isPart = true;
+    return fingerprint;
 }
 
 } // namespace fordwood
--- a/src/node/admitted_call.cpp
+++ b/src/node/admitted_call.cpp
@@ -100,4 +100,20 @@
          toStringView(head.target()), call.team != nullptr ? call.team->name : "", body});
 }
 
+RequestIdentity identityOf(const RequestFingerprint &whole, const AdmittedCall &call,
+                           const platform::CallerHead &caller)
+{
+    // Bounds what a caller can make all nodes remember.
+    constexpr std::size_t kMaxParts = 256;
+    RequestIdentity identity(whole);
+    if (!caller.prompt)
+        return identity;
+    const std::vector<PromptPart> &parts = caller.prompt->parts;
+    for (std::size_t n = 0; n + 1 < parts.size() && n < kMaxParts; ++n) {
+        if (!parts[n].id.empty())
+            identity.parts.push_back(fingerprintOfPart(call.pool->name, parts[n].id));
+    }
+    return identity;
+}
+
 } // namespace fordwood::node
--- a/src/node/admitted_call.hpp
+++ b/src/node/admitted_call.hpp
@@ -52,6 +52,10 @@
 RequestFingerprint fingerprintOf(const http::request_header<> &head, const AdmittedCall &call,
                                  std::string_view body);
 
+// What the request is known by, with the shared parts of its prompt.
+RequestIdentity identityOf(const RequestFingerprint &whole, const AdmittedCall &call,
+                           const platform::CallerHead &caller);
+
 } // namespace fordwood::node
 
 #endif // FORDWOOD_NODE_ADMITTED_CALL_HPP_INCLUDED
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -334,9 +334,22 @@
 
 // Whether the request is quarantined because several upstreams in a row ended while handling it.
 // Checked before each attempt and after each wait, since any node may have reported it meanwhile.
-bool CallHandler::isQuarantined() const
+bool CallHandler::isQuarantined()
 {
-    return !m_state.quarantine().isEmpty() && m_state.quarantine().isHeld(fingerprint());
+    QuarantineGate &quarantine = m_state.quarantine();
+    if (quarantine.isEmpty())
+        return false;
+    const RequestIdentity request = identity();
+    if (!quarantine.isHeld(request))
+        return false;
+    const bool mayTry = !m_hasAskedForTrial && m_plan.sends() == 0;
+    m_hasAskedForTrial = true;
+    return !mayTry || !quarantine.takeTrial(request);
+}
+
+RequestIdentity CallHandler::identity() const
+{
+    return identityOf(fingerprint(), m_call, m_caller);
 }
 
 void CallHandler::rejectQuarantined()
@@ -347,15 +360,17 @@
         return;
     }
     m_plan.setReason(Reason::RequestQuarantined);
+    const RequestIdentity request = identity();
+    m_state.logHeldPart(request, m_caller.prompt ? &*m_caller.prompt : nullptr);
     rejectWith(m_plan.verdict(
-        std::chrono::ceil<std::chrono::milliseconds>(m_state.quarantine().heldFor(fingerprint()))));
+        std::chrono::ceil<std::chrono::milliseconds>(m_state.quarantine().heldFor(request))));
 }
 
 // Counts that the upstream closed the connection while handling the request. Without this, a
 // request that was repeated under new ids ended 19 engines, in a fleet that has 18 at a time.
 void CallHandler::recordDisconnect()
 {
-    m_state.paths().ifPathWorks(m_call.pool->name, [&state = m_state, request = fingerprint(),
+    m_state.paths().ifPathWorks(m_call.pool->name, [&state = m_state, request = identity(),
                                                     id = m_attempt->upstream.instanceId] {
         state.quarantine().onDisconnect(request, id);
         state.publishQuarantineUpdates();
@@ -364,7 +379,7 @@
 
 void CallHandler::recordAnswered()
 {
-    m_state.quarantine().onAnswer(fingerprint());
+    m_state.quarantine().onAnswer(identity());
     m_state.publishQuarantineUpdates();
 }
 
@@ -373,7 +388,7 @@
 {
     if (!m_attempt || !m_attempt->isOpen || !m_attempt->sent)
         return;
-    m_state.quarantine().onUnanswered(fingerprint(), m_attempt->upstream.instanceId);
+    m_state.quarantine().onUnanswered(identity(), m_attempt->upstream.instanceId);
     m_state.publishQuarantineUpdates();
 }
 
@@ -622,8 +637,11 @@
         finish("cut", 0);
         return;
     }
-    const AfterFailure next = m_plan.afterFailure(
-        failure, m_state.clock().now(), [this] { return m_state.takeRetry(m_call.pool->name); });
+    const AfterFailure next = m_plan.afterFailure(failure, m_state.clock().now(), [&] {
+        const bool mayCrash = failure.state != RunState::NotRun && !m_state.quarantine().isEmpty()
+                              && m_state.quarantine().isRepeatUnsafe(identity());
+        return !mayCrash && m_state.takeRetry(m_call.pool->name);
+    });
     switch (next) {
     case AfterFailure::SendAgain:
         m_state.metrics().countRetry(failure.reason);
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -67,7 +67,7 @@
     void onOrigin(const std::optional<StreamOrigin> &origin);
     void beginServing();
     void startAttempt();
-    bool isQuarantined() const;
+    bool isQuarantined();
     void rejectQuarantined();
     void recordDisconnect();
     void recordAnswered();
@@ -118,6 +118,7 @@
     std::chrono::milliseconds remainingTime() const;
     std::chrono::milliseconds retryAfter();
     RequestFingerprint fingerprint() const;
+    RequestIdentity identity() const;
     bool isStreamed() const;
 
     NodeState &m_state;
@@ -138,6 +139,7 @@
     bool m_streamStarted = false; // the caller has received a part of the answer
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
+    bool m_hasAskedForTrial = false; // of a request that is held for a part of its prompt
     std::optional<TimePoint> m_firstEventAt;
     TimePoint m_lastEventAt{};
     Duration m_longestPause{}; // between events
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -195,6 +195,7 @@
     m_streams.setNodes(update.schedulers, m_settings.peers.placementListen);
     m_places.setNodes(update.schedulers, m_settings.peers.placementListen);
     m_otherNodes = update.others;
+    m_quarantine.setNodes(m_settings.node.name, update.others);
     m_paths.setPeers(update.proxies);
 }
 
@@ -232,6 +233,20 @@
     m_onQuarantineUpdates();
 }
 
+void NodeState::logHeldPart(const RequestIdentity &request, const Prompt *prompt)
+{
+    constexpr std::size_t kMaxLogged = 256;
+    const auto held = m_quarantine.heldPart(request);
+    if (!held || prompt == nullptr || m_loggedParts.size() >= kMaxLogged
+        || !m_loggedParts.insert(*held).second)
+        return;
+    const auto at = std::find(request.parts.begin(), request.parts.end(), *held);
+    const auto n = static_cast<std::size_t>(at - request.parts.begin());
+    adapters::logEvent(adapters::Event::PromptPartHeld,
+                       {{"fingerprint", held->text()},
+                        {"part", n < prompt->parts.size() ? prompt->parts[n].id : ""}});
+}
+
 void NodeState::apply(const PeerLimits &update)
 {
     for (const LimitChange &it : m_gate.limitGate().applyUpdates(update.limits))
@@ -454,6 +469,9 @@
     m_places.tick(openAtBrittleUpstreams());
     m_gate.backoffs().tick();
     m_quarantine.tick();
+    std::erase_if(m_loggedParts, [this](const RequestFingerprint &it) {
+        return !m_quarantine.isHeld(RequestIdentity({}, {it}));
+    });
     m_metrics.setGauge("fordwood_quarantined_requests",
                        static_cast<double>(m_quarantine.heldRequests()));
     m_metrics.setGauge("fordwood_limited_upstreams",
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -99,6 +99,9 @@
     // not among them: they accept requests of a few nodes only.
     std::vector<const UpstreamRecord *> schedulableEngines(const ServicePool &pool) const;
 
+    // Logs the part of the prompt for which the request is held, once for each part.
+    void logHeldPart(const RequestIdentity &request, const Prompt *prompt);
+
     // Requests an immediate load report to peers: a request was sent that they must know of before
     // they choose an engine, or a limit or an upstream's draining state has changed.
     void requestLoadReport() { m_onLoadReportRequest(); }
@@ -242,6 +245,7 @@
     BrittleUpstreams m_brittle;
     std::map<std::string, RetrySchedule> m_retrySchedules; // by service
     QuarantineGate m_quarantine;
+    std::set<RequestFingerprint> m_loggedParts; // held parts whose ids have been logged
     ContextDirectory m_contexts;
     EngineChooser m_engines;
     ChannelPool m_channels;
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -70,11 +70,14 @@
 }
 
 // One row per update: the two halves of the request's fingerprint and, if there is one, the
-// upstream instance that crashed during the request.
-Json encodeQuarantineUpdates(const std::vector<QuarantineUpdate> &updates)
+// upstream instance that crashed during the request. `parts`: whether to encode the updates on
+// parts of prompts, which older nodes do not know, or the others.
+Json encodeQuarantineUpdates(const std::vector<QuarantineUpdate> &updates, bool parts)
 {
     Json list = Json::array();
     for (const QuarantineUpdate &it : updates) {
+        if (it.request.isPart != parts)
+            continue;
         Json row{it.request.high, it.request.low};
         if (it.failedInstance)
             row.push_back(*it.failedInstance);
@@ -83,16 +86,15 @@
     return list;
 }
 
-std::vector<QuarantineUpdate> decodeQuarantineUpdates(const Json &list)
+void decodeQuarantineUpdates(const Json &list, bool parts, std::vector<QuarantineUpdate> &updates)
 {
-    std::vector<QuarantineUpdate> updates;
     for (const Json &row : list) {
-        QuarantineUpdate it{{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>()}, {}};
+        QuarantineUpdate it{{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>(), parts},
+                            {}};
         if (row.size() > 2)
             it.failedInstance = row.at(2).get<std::uint64_t>();
         updates.push_back(it);
     }
-    return updates;
 }
 
 // One row per limit: upstream, version, rate, age, then node and sequence number of each sender.
@@ -280,8 +282,10 @@
     }
     if (message.copyAge)
         object["whole"] = message.copyAge->count();
-    if (!message.quarantineUpdates.empty())
-        object["requests"] = encodeQuarantineUpdates(message.quarantineUpdates);
+    if (Json list = encodeQuarantineUpdates(message.quarantineUpdates, false); !list.empty())
+        object["requests"] = std::move(list);
+    if (Json list = encodeQuarantineUpdates(message.quarantineUpdates, true); !list.empty())
+        object["prompt_parts"] = std::move(list);
     if (!message.limits.empty())
         object["limits"] = encodeLimits(message.limits);
     if (!message.brittle.empty())
@@ -327,7 +331,9 @@
         if (object.contains("whole"))
             message.copyAge = decodeAge(object.at("whole"));
         if (object.contains("requests"))
-            message.quarantineUpdates = decodeQuarantineUpdates(object.at("requests"));
+            decodeQuarantineUpdates(object.at("requests"), false, message.quarantineUpdates);
+        if (object.contains("prompt_parts"))
+            decodeQuarantineUpdates(object.at("prompt_parts"), true, message.quarantineUpdates);
         if (object.contains("limits"))
             message.limits = decodeLimits(object.at("limits"));
         if (object.contains("brittle"))
