--- a/tests/process/fragile_upstream.cpp
+++ b/tests/process/fragile_upstream.cpp
@@ -47,6 +47,12 @@
     m_fatalParts = std::move(parts);
 }
 
+bool FragileUpstream::hasRun(const std::string &requestId)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs.contains(requestId);
+}
+
 std::vector<SteadyClock::time_point> FragileUpstream::fatalRuns()
 {
     const std::lock_guard lock(m_mutex);
@@ -145,7 +151,7 @@
         result.headers["Not-Executed"] = "1";
         return result;
     }
-    return serve(lock, hasFatalPart(request), std::move(result));
+    return serve(lock, request, std::move(result));
 }
 
 // The last part of a prompt belongs to its request and is never fatal.
@@ -163,8 +169,10 @@
     return false;
 }
 
-Answer FragileUpstream::serve(std::unique_lock<std::mutex> &lock, bool isFatal, Answer answer)
+Answer FragileUpstream::serve(std::unique_lock<std::mutex> &lock, const Request &request,
+                              Answer answer)
 {
+    const bool isFatal = hasFatalPart(request);
     const int life = m_lives;
     const auto hasEnded = [&] { return m_lives != life || m_isStopping; };
     if (m_running >= m_traits.slots) {
@@ -175,6 +183,7 @@
     }
     if (!hasEnded()) {
         m_running += 1;
+        m_runs.insert(request.header("Request-Id"));
         if (isFatal)
             m_fatalRuns.push_back(SteadyClock::now());
         m_changed.wait_for(lock, m_traits.work, hasEnded);
--- a/tests/process/fragile_upstream.hpp
+++ b/tests/process/fragile_upstream.hpp
@@ -50,6 +50,9 @@
     // Prompts with one of these parts make it fall over.
     void setFatalParts(std::set<std::string> parts);
 
+    // Whether it began to run the request.
+    bool hasRun(const std::string &requestId);
+
     // When it began to run prompts with a fatal part.
     std::vector<std::chrono::steady_clock::time_point> fatalRuns();
 
@@ -64,7 +67,7 @@
 private:
     standins::Answer answer(const standins::Request &request);
     standins::Answer reject();
-    standins::Answer serve(std::unique_lock<std::mutex> &lock, bool isFatal,
+    standins::Answer serve(std::unique_lock<std::mutex> &lock, const standins::Request &request,
                            standins::Answer answer);
     void recordRejection();
     void fallOver();
@@ -76,6 +79,7 @@
     OnChange m_onStart;
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    std::set<std::string> m_runs; // request ids
     std::optional<std::string> m_brittle;
     std::set<std::string> m_fatalParts;
     std::vector<std::chrono::steady_clock::time_point> m_fatalRuns;
--- a/tests/process/http.cpp
+++ b/tests/process/http.cpp
@@ -43,11 +43,19 @@
 
 } // namespace
 
-HttpAnswer httpCall(const std::string &method, const std::string &url, const std::string &body,
-                    const std::vector<std::string> &headers)
+HttpCaller::HttpCaller() : m_easy(curl_easy_init()) { }
+
+HttpCaller::~HttpCaller()
+{
+    curl_easy_cleanup(m_easy);
+}
+
+HttpAnswer HttpCaller::call(const std::string &method, const std::string &url,
+                            const std::string &body, const std::vector<std::string> &headers)
 {
     HttpAnswer answer;
-    CURL *easy = curl_easy_init();
+    CURL *easy = m_easy;
+    curl_easy_reset(easy);
     curl_slist *list = curl_slist_append(nullptr, "Expect:");
     for (const std::string &it : headers)
         list = curl_slist_append(list, it.c_str());
@@ -70,10 +78,15 @@
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     answer.status = static_cast<int>(status);
     curl_slist_free_all(list);
-    curl_easy_cleanup(easy);
     return answer;
 }
 
+HttpAnswer httpCall(const std::string &method, const std::string &url, const std::string &body,
+                    const std::vector<std::string> &headers)
+{
+    return HttpCaller().call(method, url, body, headers);
+}
+
 namespace {
 
 // Connects, sends the bytes and returns the socket; -1 when the connection fails.
--- a/tests/process/http.hpp
+++ b/tests/process/http.hpp
@@ -17,7 +17,24 @@
     bool isComplete = false; // complete according to HTTP framing
 };
 
-// Sends one request and waits until its answer ends.
+// A caller that keeps its connections open from one request to the next.
+class HttpCaller
+{
+public:
+    HttpCaller();
+    ~HttpCaller();
+    HttpCaller(const HttpCaller &) = delete;
+    HttpCaller &operator=(const HttpCaller &) = delete;
+
+    // Sends one request and waits until its answer ends.
+    HttpAnswer call(const std::string &method, const std::string &url, const std::string &body = "",
+                    const std::vector<std::string> &headers = {});
+
+private:
+    void *m_easy;
+};
+
+// Sends one request on a new connection and waits until its answer ends.
 HttpAnswer httpCall(const std::string &method, const std::string &url, const std::string &body = "",
                     const std::vector<std::string> &headers = {});
 
--- a/tools/check_platform_names.sh
+++ b/tools/check_platform_names.sh
@@ -7,7 +7,7 @@
 names=(
     Request-Id Request-Deadline Credential Tenant Token-Usage Prompt-Prefix Expect-Instance
     Expect-Version Cache-Salt Kv-Fetch Kv-Save Kv-Until Kv-From Kv-Backup Pin-Ms Response-Seal
-    Not-Executed Server-Limit Server-Leaving Store-Era Instance-Id Length-Hint Wait-Ms /api/ kv-txn kv-watch kv-range kv-lease kv-keep
+    Not-Executed Server-Limit Server-Brittle Server-Leaving Store-Era Instance-Id Length-Hint Wait-Ms /api/ kv-txn kv-watch kv-range kv-lease kv-keep
     private-key path-prefix next-token expected-revision fencing-token traffic-split api-keys
     target-latency-ms gap_aim_ms max-attempts kv-cache-tokens kv-store-address op/config op/version 'servers/'
 )
