--- a/src/core/brittle_upstreams.cpp
+++ b/src/core/brittle_upstreams.cpp
@@ -37,7 +37,7 @@
                                                       std::optional<double> rejectionsPerSecond,
                                                       TimePoint sentAt)
 {
-    const auto change = m_reports.onAnswer(instanceId, rejectionsPerSecond, sentAt);
+    auto change = m_reports.onAnswer(instanceId, rejectionsPerSecond, sentAt);
     if (change)
         count(*change);
     if (m_reports.perSecond(instanceId))
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "fordwood/rendezvous.hpp"
 #include "node/call_log.hpp"
 #include "node/refusal.hpp"
 
@@ -14,13 +13,8 @@
 // With less time than this left, the request is not sent: no upstream could answer it in time.
 constexpr std::chrono::milliseconds kMinRemainingTime{5};
 
-// While no upstream is available, the node tries again at this interval, for up to a quarter of the
-// target latency. After that an early refusal is more useful to the caller.
+// While no upstream is available, the node tries again at this interval.
 constexpr Duration kUpstreamRetryInterval = std::chrono::milliseconds(25);
-constexpr int kWaitDivisor = 4;
-
-// The minimum Retry-After of a refusal.
-constexpr std::chrono::milliseconds kRetryAfter{250};
 
 // Evacuations and starts of upstreams take seconds at least.
 constexpr std::chrono::milliseconds kNoneInServiceRetryAfter{1'000};
@@ -187,110 +181,6 @@
     beginAttempt();
 }
 
-// Whether the upstream is brittle, so that the open requests of all nodes must be counted.
-bool CallHandler::needsPlace() const
-{
-    return m_attempt->place == 0
-           && m_state.brittleUpstreams().isBrittle(m_attempt->upstream.instanceId);
-}
-
-// How long the request may wait for a place: an early rejection is more useful to the caller, but
-// one that has a part of a stream would lose it.
-std::chrono::milliseconds CallHandler::placePatience() const
-{
-    using std::chrono::milliseconds;
-    if (m_streamStarted)
-        return remainingTime() / 2;
-    const Duration patience = m_call.route->targetLatency / kWaitDivisor;
-    const Duration elapsed = m_state.clock().now() - m_arrived;
-    return std::max(std::chrono::duration_cast<milliseconds>(patience - elapsed), milliseconds(0));
-}
-
-void CallHandler::requestPlace()
-{
-    PlaceExchange::Question question
-        = placeQuestion(m_state, m_call, m_caller, m_plan, choiceTerms(), *m_attempt);
-    question.patience = placePatience();
-    question.lease = remainingTime();
-    const auto attempt = std::make_shared<UpstreamAttempt>(std::move(*m_attempt));
-    m_attempt.reset();
-    m_state.places().request(
-        question, [self = shared_from_this(), attempt](const std::optional<PlaceReply> &reply,
-                                                       std::uint64_t number) {
-            self->onPlace(attempt, reply, number);
-        });
-}
-
-void CallHandler::onPlace(const std::shared_ptr<UpstreamAttempt> &attempt,
-                          const std::optional<PlaceReply> &reply, std::uint64_t number)
-{
-    if (m_isFinished) { // the caller has disconnected, or the deadline has passed
-        m_state.placements().ended(attempt->placement);
-        m_state.places().giveBack(number, false);
-        return;
-    }
-    if (!reply) {
-        onNoLender(*attempt);
-        return;
-    }
-    if (!reply->isLent()) {
-        m_state.placements().ended(attempt->placement);
-        rejectWithoutPlace(reply->retryAfter);
-        return;
-    }
-    if (reply->upstream == stableHash(attempt->upstream.instanceId)) {
-        m_attempt = std::move(*attempt);
-    } else {
-        m_state.placements().ended(attempt->placement);
-        m_attempt = attemptAt(m_state, m_call, m_caller, m_plan, choiceTerms(), reply->upstream);
-    }
-    if (!m_attempt) { // the upstream has left since the question
-        m_state.places().giveBack(number, false);
-        handleNoUpstream();
-        return;
-    }
-    m_attempt->place = number;
-    beginAttempt();
-}
-
-// No lender has replied. Another one may be asked, or there is none that this node reaches.
-void CallHandler::onNoLender(UpstreamAttempt &attempt)
-{
-    m_missedLenders += 1;
-    const PlaceGroup group = m_state.placeGroup(attempt.upstream);
-    const bool hasLender = m_state.places().hasLender(group);
-    if (!hasLender && m_state.isWithinShare(attempt.upstream)) {
-        m_state.metrics().count("fordwood_places_without_lender_total");
-        m_attempt = std::move(attempt);
-        sendAttempt();
-        return;
-    }
-    m_state.placements().ended(attempt.placement);
-    if (hasLender && m_missedLenders == 1)
-        startAttempt();
-    else
-        rejectWithoutPlace(kRetryAfter);
-}
-
-void CallHandler::rejectWithoutPlace(std::chrono::milliseconds retryAfter)
-{
-    if (m_streamStarted) {
-        m_writer.abort();
-        finish("cut-no-upstream", 0);
-        return;
-    }
-    m_plan.setReason(Reason::UpstreamBusy);
-    rejectWith(m_plan.verdict(std::max(kRetryAfter, retryAfter)));
-}
-
-// Drops an attempt of which nothing has been counted as open yet.
-void CallHandler::dropAttempt()
-{
-    m_state.placements().ended(m_attempt->placement);
-    m_state.places().giveBack(m_attempt->place, false);
-    m_attempt.reset();
-}
-
 void CallHandler::beginAttempt()
 {
     if (needsPlace())
@@ -332,66 +222,6 @@
         });
 }
 
-// Whether the request is quarantined because several upstreams in a row ended while handling it.
-// Checked before each attempt and after each wait, since any node may have reported it meanwhile.
-bool CallHandler::isQuarantined()
-{
-    QuarantineGate &quarantine = m_state.quarantine();
-    if (quarantine.isEmpty())
-        return false;
-    const RequestIdentity request = identity();
-    if (!quarantine.isHeld(request))
-        return false;
-    const bool mayTry = !m_hasAskedForTrial && m_plan.sends() == 0;
-    m_hasAskedForTrial = true;
-    return !mayTry || !quarantine.takeTrial(request);
-}
-
-RequestIdentity CallHandler::identity() const
-{
-    return identityOf(fingerprint(), m_call, m_caller);
-}
-
-void CallHandler::rejectQuarantined()
-{
-    if (m_streamStarted) {
-        m_writer.abort();
-        finish("cut-quarantined", 0);
-        return;
-    }
-    m_plan.setReason(Reason::RequestQuarantined);
-    const RequestIdentity request = identity();
-    m_state.logHeldPart(request, m_caller.prompt ? &*m_caller.prompt : nullptr);
-    rejectWith(m_plan.verdict(
-        std::chrono::ceil<std::chrono::milliseconds>(m_state.quarantine().heldFor(request))));
-}
-
-// Counts that the upstream closed the connection while handling the request. Without this, a
-// request that was repeated under new ids ended 19 engines, in a fleet that has 18 at a time.
-void CallHandler::recordDisconnect()
-{
-    m_state.paths().ifPathWorks(m_call.pool->name, [&state = m_state, request = identity(),
-                                                    id = m_attempt->upstream.instanceId] {
-        state.quarantine().onDisconnect(request, id);
-        state.publishQuarantineUpdates();
-    });
-}
-
-void CallHandler::recordAnswered()
-{
-    m_state.quarantine().onAnswer(identity());
-    m_state.publishQuarantineUpdates();
-}
-
-// Counts that the attempt ends without an answer of the upstream, which may have ended.
-void CallHandler::recordUnanswered()
-{
-    if (!m_attempt || !m_attempt->isOpen || !m_attempt->sent)
-        return;
-    m_state.quarantine().onUnanswered(identity(), m_attempt->upstream.instanceId);
-    m_state.publishQuarantineUpdates();
-}
-
 // A stream that only some upstreams can continue is not rejected for being late: its caller would
 // lose the part that it has.
 ChoiceTerms CallHandler::choiceTerms() const
@@ -411,11 +241,6 @@
     return true;
 }
 
-RequestFingerprint CallHandler::fingerprint() const
-{
-    return fingerprintOf(m_head, m_call, *m_body);
-}
-
 // Ends a request that continues a stream which cannot go on.
 void CallHandler::rejectLostStream(Reason reason, std::chrono::milliseconds retryAfter)
 {
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -62,6 +62,13 @@
     void onCutOff() override;
 
 private:
+    // The minimum Retry-After of a refusal.
+    static constexpr std::chrono::milliseconds kRetryAfter{250};
+
+    // A request waits for an upstream for this fraction of its target latency. After that an early
+    // refusal is more useful to the caller.
+    static constexpr int kWaitDivisor = 4;
+
     void continueStream();
     void findOrigin();
     void onOrigin(const std::optional<StreamOrigin> &origin);
--- a/src/node/place_exchange.cpp
+++ b/src/node/place_exchange.cpp
@@ -183,7 +183,7 @@
     for (const PlaceGroup &it : m_reported)
         recordReply(it, from);
     const auto it = m_pending.find(reply.number);
-    if (it == m_pending.end())
+    if (it == m_pending.end() || it->second.lender != from)
         return; // too late: the place has been given back
     const Pending pending = std::move(it->second);
     m_pending.erase(it);
--- a/tests/node/decoder_fuzz_test.cpp
+++ b/tests/node/decoder_fuzz_test.cpp
@@ -9,6 +9,7 @@
 #include "node/context_messages.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
+#include "node/place_messages.hpp"
 #include "node/placement_messages.hpp"
 #include "node/quarantine_distributor.hpp"
 #include "platform/caller_messages.hpp"
@@ -199,7 +200,8 @@
     gossip.namingAges["m"][2] = {std::chrono::milliseconds(30), std::chrono::milliseconds(40), 1};
     gossip.copyAge = std::chrono::milliseconds(50);
     gossip.orders.enginesLoading = {"i-1"};
-    gossip.quarantineUpdates = {{{1, 2}, 3}, {{4, 5}, {}}};
+    gossip.quarantineUpdates = {{{1, 2}, 3}, {{4, 5}, {}}, {{6, 7, true}, 8}};
+    gossip.brittle = {{7, 2, 3.0, std::chrono::seconds(1), {}}};
     gossip.limits = {{7, 2, 3.2, std::chrono::seconds(1), {{8, 9}, {10, 11}}}};
     gossip.load.loads = UpstreamLoads({{"i-1", {1, 2, 3}}});
     feed({node::encodeGossip(gossip)}, 12,
@@ -214,6 +216,28 @@
          [](const std::string &it) { return !!node::decodePeerAddress(it); });
 }
 
+TEST_CASE("fuzz: messages on places at brittle upstreams [fuzz][bad-input][brittle]")
+{
+    const node::PlaceGroup group{"s", {2, 1}};
+    const std::vector<std::string> examples{
+        node::encodePlaceMessage(node::PlaceAsk{
+            group, {{1, 2}, {7, 8}, std::chrono::milliseconds(9), std::chrono::seconds(4)}}),
+        node::encodePlaceMessage(PlaceReply{5, 7, std::chrono::milliseconds(250)}),
+        node::encodePlaceMessage(node::PlaceReturn{group, {1, 2}, true}),
+        node::encodePlaceMessage(node::PlaceStatus{group, {1, {2, 3}, {{7, 4}}}})};
+    const std::size_t read = feed(examples, 17, [](const std::string &it) {
+        const auto message = node::decodePlaceMessage(it);
+        if (!message)
+            return false;
+        if (const auto *ask = std::get_if<node::PlaceAsk>(&*message))
+            CHECK(ask->group.shard.index < ask->group.shard.count);
+        // What was read can be sent on.
+        CHECK(node::decodePlaceMessage(node::encodePlaceMessage(*message)));
+        return true;
+    });
+    CHECK(read > 0); // some mutations remain valid
+}
+
 TEST_CASE("fuzz: placement messages [fuzz][bad-input][placement]")
 {
     std::vector<std::string> examples;
