An empty stream does not clear the parts of its prompt; postmortem of parts that crash upstreams

Found by reading, seen in no run: an answer without length that ends with its connection looks complete, also if the upstream has crashed before the first event, and would have cleared the part that crashed it.

--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -204,9 +204,11 @@
             return;
         }
         health.succeeded(id);
-        recordAnswered();
-        if (m_firstEventAt)
+        // A stream that ends with its connection looks complete if the upstream has crashed.
+        if (m_firstEventAt) {
+            recordAnswered();
             m_state.pace(m_call.pool->name).observeAnswer(m_state.clock().now() - *m_firstEventAt);
+        }
         if (!m_streamStarted)
             beginStream(); // a stream without events
         m_writer.endStream();
