Nodes that cannot ask a lender use their share at any upstream of the question

A node without a lender sent only if its share at the upstream that it would have chosen was not used up.

--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -74,6 +74,8 @@
     if (!control.open() || !serving.open())
         return apps::ExitFailed;
     logEvent(Event::Started, {{"node", settings.node.name}, {"version", FORDWOOD_VERSION}});
+    if (settings.peers.placementListen.empty())
+        logEvent(Event::NoPlacementAddress);
     std::thread controlThread([&] { control.run(); });
     std::thread servingThread([&] { serving.run(); });
     logEvent(Event::Stopping, {{"signal", waitForStop(signals, path, control)}});
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -69,6 +69,13 @@
     // refusal is more useful to the caller.
     static constexpr int kWaitDivisor = 4;
 
+    // An attempt at a brittle upstream that waits for a place there or at another one.
+    struct WaitingAttempt
+    {
+        UpstreamAttempt attempt;
+        PlaceExchange::Question question;
+    };
+
     void continueStream();
     void findOrigin();
     void onOrigin(const std::optional<StreamOrigin> &origin);
@@ -87,9 +94,10 @@
     void sendAttempt();
     bool needsPlace() const;
     void requestPlace();
-    void onPlace(const std::shared_ptr<UpstreamAttempt> &attempt,
-                 const std::optional<PlaceReply> &reply, std::uint64_t number);
-    void onNoLender(UpstreamAttempt &attempt);
+    void onPlace(WaitingAttempt &waiting, const std::optional<PlaceReply> &reply,
+                 std::uint64_t number);
+    void takeUpAttempt(WaitingAttempt &waiting, std::uint64_t upstream);
+    void onNoLender(WaitingAttempt &waiting);
     void rejectWithoutPlace(std::chrono::milliseconds retryAfter);
     std::chrono::milliseconds placePatience() const;
     void dropAttempt();
--- a/src/node/call_handler_places.cpp
+++ b/src/node/call_handler_places.cpp
@@ -32,38 +32,34 @@
         = placeQuestion(m_state, m_call, m_caller, m_plan, choiceTerms(), *m_attempt);
     question.patience = placePatience();
     question.lease = remainingTime();
-    const auto attempt = std::make_shared<UpstreamAttempt>(std::move(*m_attempt));
+    const auto waiting
+        = std::make_shared<WaitingAttempt>(WaitingAttempt{std::move(*m_attempt), question});
     m_attempt.reset();
     m_state.places().request(
-        question, [self = shared_from_this(), attempt](const std::optional<PlaceReply> &reply,
+        question, [self = shared_from_this(), waiting](const std::optional<PlaceReply> &reply,
                                                        std::uint64_t number) {
-            self->onPlace(attempt, reply, number);
+            self->onPlace(*waiting, reply, number);
         });
 }
 
-void CallHandler::onPlace(const std::shared_ptr<UpstreamAttempt> &attempt,
-                          const std::optional<PlaceReply> &reply, std::uint64_t number)
+void CallHandler::onPlace(WaitingAttempt &waiting, const std::optional<PlaceReply> &reply,
+                          std::uint64_t number)
 {
     if (m_isFinished) { // the caller has disconnected, or the deadline has passed
-        m_state.placements().ended(attempt->placement);
+        m_state.placements().ended(waiting.attempt.placement);
         m_state.places().giveBack(number, false);
         return;
     }
     if (!reply) {
-        onNoLender(*attempt);
+        onNoLender(waiting);
         return;
     }
     if (!reply->isLent()) {
-        m_state.placements().ended(attempt->placement);
+        m_state.placements().ended(waiting.attempt.placement);
         rejectWithoutPlace(reply->retryAfter);
         return;
     }
-    if (reply->upstream == stableHash(attempt->upstream.instanceId)) {
-        m_attempt = std::move(*attempt);
-    } else {
-        m_state.placements().ended(attempt->placement);
-        m_attempt = attemptAt(m_state, m_call, m_caller, m_plan, choiceTerms(), reply->upstream);
-    }
+    takeUpAttempt(waiting, reply->upstream);
     if (!m_attempt) { // the upstream has left since the question
         m_state.places().giveBack(number, false);
         handleNoUpstream();
@@ -73,19 +69,32 @@
     beginAttempt();
 }
 
+// Continues the waiting attempt, at another upstream if that is where it may be sent.
+void CallHandler::takeUpAttempt(WaitingAttempt &waiting, std::uint64_t upstream)
+{
+    if (upstream == stableHash(waiting.attempt.upstream.instanceId)) {
+        m_attempt = std::move(waiting.attempt);
+        return;
+    }
+    m_state.placements().ended(waiting.attempt.placement);
+    m_attempt = attemptAt(m_state, m_call, m_caller, m_plan, choiceTerms(), upstream);
+}
+
 // No lender has replied. Another one may be asked, or there is none that this node reaches.
-void CallHandler::onNoLender(UpstreamAttempt &attempt)
+void CallHandler::onNoLender(WaitingAttempt &waiting)
 {
     m_missedLenders += 1;
-    const PlaceGroup group = m_state.placeGroup(attempt.upstream);
-    const bool hasLender = m_state.places().hasLender(group);
-    if (!hasLender && m_state.isWithinShare(attempt.upstream)) {
+    const bool hasLender = m_state.places().hasLender(waiting.question.group);
+    const auto upstream = hasLender ? std::nullopt : m_state.findWithinShare(waiting.question);
+    if (upstream)
+        takeUpAttempt(waiting, *upstream);
+    else
+        m_state.placements().ended(waiting.attempt.placement);
+    if (m_attempt) {
         m_state.metrics().count("fordwood_places_without_lender_total");
-        m_attempt = std::move(attempt);
         sendAttempt();
         return;
     }
-    m_state.placements().ended(attempt.placement);
     if (hasLender && m_missedLenders == 1)
         startAttempt();
     else
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -371,10 +371,21 @@
             shardFor(stableHash(upstream.instanceId), m_upstreams.usable(upstream.service).size())};
 }
 
-bool NodeState::isWithinShare(const UpstreamRecord &upstream) const
-{
-    return m_loads.ownLoad(upstream.instanceId).running < placeShare(
-               stableHash(upstream.instanceId), upstream.slots, m_settings.node.name, m_otherNodes);
+std::optional<std::uint64_t>
+NodeState::findWithinShare(const PlaceExchange::Question &question) const
+{
+    std::map<std::uint64_t, const UpstreamRecord *> records;
+    for (const UpstreamRecord *it : m_upstreams.usable(question.group.service))
+        records[stableHash(it->instanceId)] = it;
+    const auto isWithinShare = [&](std::uint64_t upstream) {
+        const auto it = records.find(upstream);
+        return it != records.end()
+               && m_loads.ownLoad(it->second->instanceId).running
+                      < placeShare(upstream, it->second->slots, m_settings.node.name, m_otherNodes);
+    };
+    const auto found
+        = std::find_if(question.upstreams.begin(), question.upstreams.end(), isWithinShare);
+    return found == question.upstreams.end() ? std::nullopt : std::optional(*found);
 }
 
 std::vector<PlaceLender::Upstream> NodeState::lendableUpstreams(const PlaceGroup &group) const
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -142,9 +142,9 @@
     // The lender's group of an upstream.
     PlaceGroup placeGroup(const UpstreamRecord &upstream) const;
 
-    // Whether this node may send another request to a brittle upstream although it reaches no
-    // lender.
-    bool isWithinShare(const UpstreamRecord &upstream) const;
+    // The first upstream of the question to which this node may send another request although it
+    // reaches no lender; empty: none.
+    std::optional<std::uint64_t> findWithinShare(const PlaceExchange::Question &question) const;
 
     // Logs that a brittle upstream rejected the request for want of room.
     void logRejection(const std::string &requestId, const UpstreamAttempt &attempt) const;
--- a/tests/process/fragile_fleet.hpp
+++ b/tests/process/fragile_fleet.hpp
@@ -28,9 +28,11 @@
 public:
     using RealClock = std::chrono::steady_clock;
 
-    FragileFleet(int nodeCount, int upstreamCount, FragileUpstream::Traits ofUpstreams = {})
+    FragileFleet(int nodeCount, int upstreamCount, FragileUpstream::Traits ofUpstreams = {},
+                 bool withPlacementAddresses = true)
         : nodeTotal(nodeCount), traits(ofUpstreams)
     {
+        hasPlacementAddresses = withPlacementAddresses;
         putConfiguration(1);
         for (int n = 0; n < upstreamCount; ++n)
             addUpstream(n);
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -64,8 +64,9 @@
             << ":8081\"\n"
             << extraSettings << "[peers]\nlisten = \"" << host(node)
             << ":8082\"\ngossip_listen = \"" << host(node) << ":8083\"\nmetrics_listen = \""
-            << host(node) << ":8084\"\nplacement_listen = \"" << host(node)
-            << ":8084\"\nproxy_listen = \"" << host(node) << ":8085\"\nseeds = [\"" << host(0)
+            << host(node) << ":8084\"\n"
+            << (hasPlacementAddresses ? "placement_listen = \"" + host(node) + ":8084\"\n" : "")
+            << "proxy_listen = \"" << host(node) << ":8085\"\nseeds = [\"" << host(0)
             << ":8082\"]\n[store]\naddress = \""
             << (storeAddress.empty() ? net + "1:7000" : storeAddress)
             << "\"\n[bounds]\nstop_within = \"5s\"\n";
@@ -221,6 +222,7 @@
 
     std::string net;
     std::string folder;
+    bool hasPlacementAddresses = true; // of the nodes that are started
     std::string extraSettings; // lines of the section "callers"
     KeyValueStandin store;
     UpstreamStandin first;
