--- a/tests/process/http.cpp
+++ b/tests/process/http.cpp
@@ -176,6 +176,26 @@
         close(it);
 }
 
+ClaimedNetwork::ClaimedNetwork()
+{
+    constexpr int kNetworks = 250;
+    const int start = static_cast<int>(getpid());
+    for (int n = 0; n < kNetworks && m_socket < 0; ++n) {
+        m_prefix = "127.70." + std::to_string((start + n) % kNetworks + 1) + ".";
+        const auto address = adapters::parseSocketAddress(m_prefix + "250:7000");
+        const int fd = socket(address->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (bind(fd, address->get(), sizeof(sockaddr_in)) == 0)
+            m_socket = fd;
+        else
+            close(fd);
+    }
+}
+
+ClaimedNetwork::~ClaimedNetwork()
+{
+    close(m_socket);
+}
+
 std::string rawCall(const std::string &address, const std::string &bytes,
                     const std::string &expectedText)
 {
--- a/tests/process/http.hpp
+++ b/tests/process/http.hpp
@@ -74,6 +74,22 @@
     std::vector<int> m_sockets;
 };
 
+// A network of loopback addresses that no other process claims while this object exists.
+class ClaimedNetwork
+{
+public:
+    ClaimedNetwork();
+    ClaimedNetwork(const ClaimedNetwork &) = delete;
+    ClaimedNetwork &operator=(const ClaimedNetwork &) = delete;
+    ~ClaimedNetwork();
+
+    const std::string &prefix() const { return m_prefix; } // "127.a.b."
+
+private:
+    std::string m_prefix;
+    int m_socket = -1; // bound as long as the network is claimed
+};
+
 // Sends raw bytes to "IP:port" and closes the connection without reading.
 void sendAndClose(const std::string &address, const std::string &bytes);
 
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -2,7 +2,6 @@
 #ifndef FORDWOOD_TESTS_PROCESS_NODE_DEPLOYMENT_HPP_INCLUDED
 #define FORDWOOD_TESTS_PROCESS_NODE_DEPLOYMENT_HPP_INCLUDED
 
-#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <optional>
@@ -20,20 +19,12 @@
 
 namespace fordwood::process {
 
-// Loopback addresses that no other test uses at the same time.
-inline std::string network()
-{
-    static std::atomic<int> next{1};
-    const int n = static_cast<int>(getpid()) % 100 * 2 + next++ % 2 + 1;
-    return "127.70." + std::to_string(n) + ".";
-}
-
 // A store and two upstreams, all stand-ins, and the node processes that a test starts.
 class Deployment
 {
 public:
     Deployment()
-        : net(network()), folder("/tmp/fordwood-node-" + std::to_string(getpid()) + net),
+        : net(m_network.prefix()), folder("/tmp/fordwood-node-" + std::to_string(getpid()) + net),
           store(net + "1:7000"), first(net + "2:8000", "i-1"), second(net + "3:8000", "i-2"),
           unresponsive(net + "200")
     {
@@ -220,6 +211,10 @@
         return at == std::string::npos ? 0.0 : std::stod(text.substr(text.find(' ', at + 1)));
     }
 
+private:
+    ClaimedNetwork m_network;
+
+public:
     std::string net;
     std::string folder;
     bool hasPlacementAddresses = true; // of the nodes that are started
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -22,9 +22,19 @@
     for (const std::string &it : command)
         arguments.push_back(const_cast<char *>(it.c_str()));
     arguments.push_back(nullptr);
+    // A signal before the program runs would be handled by the test's handlers.
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
     m_pid = fork();
-    if (m_pid != 0)
+    if (m_pid != 0) {
+        pthread_sigmask(SIG_SETMASK, &before, nullptr);
         return;
+    }
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGINT, SIG_DFL);
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
     prctl(PR_SET_PDEATHSIG, SIGKILL); // no process outlives a crashed test
     const int log = open(logFile.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
