A lender that was suspended or has just started lends nothing before it knows what is open

Cause: a lender that wakes after a second or so, or starts, has its own callers' requests before it has anybody's report. Its count is empty, and the exchanged loads are not there yet either; it lends what the other lender has lent. Change: after periodic work that is 400 ms late, and in a process younger than a second, it lends nothing for 300 ms, in which all nodes report. The unit test is new with the functions that it calls, so it was not run on the code before. Tests that let time pass do the periodic work meanwhile, as the loop does.

--- a/include/fordwood/place_lender.hpp
+++ b/include/fordwood/place_lender.hpp
@@ -69,6 +69,9 @@
         Duration reportLifetime = std::chrono::seconds(1);
         // After this time processes have reported what they had open when this lender was chosen.
         Duration warmUp = std::chrono::milliseconds(300);
+        // A lender whose periodic work is late by this much was suspended, and another one may have
+        // lent the same places meanwhile.
+        Duration maxTickDelay = std::chrono::milliseconds(400);
         // A lender that nobody has sent anything for this long has not been the lender.
         Duration idleTime = std::chrono::seconds(2);
         // How long an upstream that rejected a request for want of room is not lent.
@@ -91,6 +94,10 @@
         : m_clock(clock), m_limits(limits), m_retries(clock)
     { }
 
+    // Lends nothing until processes have reported their open requests, because this process has not
+    // received the exchanged loads for long enough either.
+    void waitForReports();
+
     // Replaces the upstreams. Places at others are no longer counted.
     void setUpstreams(const std::vector<Upstream> &upstreams);
 
@@ -150,6 +157,7 @@
     static std::size_t usableSlots(std::size_t slots);
     bool isWarm() const;
     void recordActivity();
+    void detectSuspension();
     std::size_t openAt(std::uint64_t id, const UpstreamState &upstream) const;
     bool hasPlace(std::uint64_t id, const UpstreamState &upstream) const;
     bool tryLend(const PlaceRequest &request);
@@ -175,6 +183,8 @@
     std::optional<TimePoint> m_activeSince;
     TimePoint m_lastActivity{};
     TimePoint m_nextTick{};
+    std::optional<TimePoint> m_lastTick; // empty: not known to have been suspended
+    TimePoint m_closedUntil{}; // no place is lent before
 };
 
 } // namespace fordwood
--- a/src/core/place_lender.cpp
+++ b/src/core/place_lender.cpp
@@ -41,8 +41,22 @@
                   [this](const auto &it) { return !m_upstreams.contains(it.second.upstream); });
 }
 
+void PlaceLender::waitForReports()
+{
+    m_closedUntil = m_clock.now() + m_limits.warmUp;
+}
+
+void PlaceLender::detectSuspension()
+{
+    const TimePoint now = m_clock.now();
+    if (m_lastTick && now - *m_lastTick > m_limits.maxTickDelay)
+        waitForReports();
+    m_lastTick = now;
+}
+
 void PlaceLender::recordActivity()
 {
+    detectSuspension();
     const TimePoint now = m_clock.now();
     if (!m_activeSince || now - m_lastActivity > m_limits.idleTime)
         m_activeSince = now;
@@ -82,7 +96,8 @@
 
 bool PlaceLender::hasPlace(std::uint64_t id, const UpstreamState &upstream) const
 {
-    return m_clock.now() >= upstream.closedUntil && openAt(id, upstream) < upstream.limit;
+    return m_clock.now() >= std::max(m_closedUntil, upstream.closedUntil)
+           && openAt(id, upstream) < upstream.limit;
 }
 
 bool PlaceLender::tryLend(const PlaceRequest &request)
@@ -214,6 +229,7 @@
 void PlaceLender::tick()
 {
     const TimePoint now = m_clock.now();
+    detectSuspension();
     m_nextTick = now + kTickInterval;
     for (auto it = m_places.begin(); it != m_places.end();) {
         const auto place = it++;
--- a/src/node/place_exchange.cpp
+++ b/src/node/place_exchange.cpp
@@ -22,6 +22,9 @@
 // How often a lender lists the upstreams of its group.
 constexpr Duration kListInterval = std::chrono::milliseconds(20);
 
+// A process that is younger may not have received the loads of all its peers.
+constexpr Duration kLoadsKnownAfter = std::chrono::seconds(1);
+
 // A lender that does not answer is asked again once it has confirmed a report.
 SchedulerRanking::Limits rankingLimits()
 {
@@ -42,7 +45,7 @@
                              adapters::Metrics &metrics, std::uint64_t process,
                              ListUpstreams listUpstreams, Send send)
     : m_context(context), m_clock(clock), m_metrics(metrics), m_process(process),
-      m_listUpstreams(std::move(listUpstreams)), m_send(std::move(send)),
+      m_startedAt(clock.now()), m_listUpstreams(std::move(listUpstreams)), m_send(std::move(send)),
       m_ranking(clock, rankingLimits()), m_waitTimer(context)
 { }
 
@@ -139,7 +142,10 @@
 
 PlaceExchange::OwnLender &PlaceExchange::lenderOf(const PlaceGroup &group)
 {
-    OwnLender &lender = m_lenders.try_emplace(group, m_clock).first->second;
+    const auto [it, isNew] = m_lenders.try_emplace(group, m_clock);
+    OwnLender &lender = it->second;
+    if (isNew && m_clock.now() - m_startedAt < kLoadsKnownAfter)
+        lender.decision.waitForReports();
     if (m_clock.now() - lender.listedAt >= kListInterval) {
         lender.listedAt = m_clock.now();
         lender.decision.setUpstreams(m_listUpstreams(group));
--- a/src/node/place_exchange.hpp
+++ b/src/node/place_exchange.hpp
@@ -121,6 +121,7 @@
     const Clock &m_clock;
     adapters::Metrics &m_metrics;
     const std::uint64_t m_process;
+    const TimePoint m_startedAt;
     ListUpstreams m_listUpstreams;
     Send m_send;
     SchedulerRanking m_ranking;
--- a/tests/unit/place_lender_test.cpp
+++ b/tests/unit/place_lender_test.cpp
@@ -32,10 +32,18 @@
     {
         lender.setUpstreams({{kUpstream, 2, 0}});
         lender.apply({1, {}, {}});
-        clock.advance(500ms);
+        pass(500ms);
         lender.apply({1, {}, {}});
     }
 
+    // Lets time pass in which the lender does its periodic work.
+    void pass(Duration time)
+    {
+        for (const TimePoint end = clock.now() + time; clock.now() < end; clock.advance(100ms))
+            lender.tick();
+        lender.tick();
+    }
+
     // Whether the request gets a place at once.
     bool lends(const PlaceRequest &request)
     {
@@ -80,8 +88,7 @@
     const auto first = it.lender.takeDecisions();
     REQUIRE(first.size() == 1);
     CHECK(first.front().process == 2);
-    it.clock.advance(2'500ms);
-    it.lender.tick();
+    it.pass(2'500ms);
     const auto last = it.lender.takeDecisions();
     REQUIRE(last.size() == 1);
     CHECK(last.front().process == 3);
@@ -96,8 +103,7 @@
     it.lender.apply({2, {}, {{kUpstream, 1}}});
     CHECK(it.lends(requestOf(1, 2)));
     // A process that is gone reports nothing more.
-    it.clock.advance(1s);
-    it.lender.tick();
+    it.pass(1s);
     CHECK(it.lends(requestOf(1, 3)));
 }
 
@@ -108,7 +114,7 @@
     REQUIRE(it.lends(requestOf(1, 2)));
     it.lender.apply({1, {2}, {}});
     CHECK_FALSE(it.lends(requestOf(2, 1))); // the report may be older than the place
-    it.clock.advance(300ms);
+    it.pass(300ms);
     it.lender.apply({1, {2}, {}});
     CHECK(it.lends(requestOf(2, 2)));
 }
@@ -118,8 +124,7 @@
     WarmLender it;
     REQUIRE(it.lends(requestOf(1, 1)));
     REQUIRE(it.lends(requestOf(1, 2)));
-    it.clock.advance(3s);
-    it.lender.tick();
+    it.pass(3s);
     CHECK(it.lender.lentPlaces() == 0);
 }
 
@@ -131,10 +136,9 @@
     REQUIRE(it.lends(requestOf(1, 2)));
     it.lender.giveBack({1, 2}, true);
     CHECK_FALSE(it.lends(requestOf(1, 3)));
-    it.clock.advance(300ms);
+    it.pass(300ms);
     CHECK_FALSE(it.lends(requestOf(1, 4))); // one place is lent
-    it.clock.advance(700ms);
-    it.lender.tick();
+    it.pass(700ms);
     CHECK(it.lends(requestOf(1, 5)));
 }
 
@@ -150,6 +154,30 @@
     CHECK_FALSE(decisions.front().reply.isLent());
 }
 
+TEST_CASE(
+    "place lender: one that was suspended, or has just started, lends nothing before it knows "
+    "what another has lent [brittle]")
+{
+    WarmLender it;
+    REQUIRE(it.lends(requestOf(1, 1)));
+    it.lender.giveBack({1, 1}, false);
+    SUBCASE("suspended")
+    {
+        it.clock.advance(1'400ms);
+    }
+    SUBCASE("started")
+    {
+        it.lender.waitForReports();
+    }
+    it.lender.setUpstreams({{kUpstream, 2, 0}});
+    CHECK_FALSE(it.lends(requestOf(1, 2)));
+    it.lender.apply({2, {}, {{kUpstream, 2}}});
+    it.pass(300ms);
+    it.lender.apply({2, {}, {{kUpstream, 1}}});
+    CHECK(it.lends(requestOf(1, 3)));
+    CHECK_FALSE(it.lends(requestOf(1, 4)));
+}
+
 TEST_CASE("place lender: upstreams do not fall over and are used, for any number of nodes "
           "[brittle]")
 {
