A lender that starts waits for the reports of others, and asks the second lender meanwhile

Each stands where a node starts again: at 22.781 s it starts, its peers learn of it at 23.088 s from the store, as its planned stop had taken its key out; it lends from 23.081 s on and has heard of nothing. Change: it waits for 300 ms from the first report of another process, one second at most; its own callers ask the second lender; it confirms no report before it lends.

--- a/include/fordwood/place_lender.hpp
+++ b/include/fordwood/place_lender.hpp
@@ -69,6 +69,8 @@
         Duration reportLifetime = std::chrono::seconds(1);
         // After this time processes have reported what they had open when this lender was chosen.
         Duration warmUp = std::chrono::milliseconds(300);
+        // How long a lender that knows nothing waits for the first process that reports to it.
+        Duration maxWait = std::chrono::seconds(1);
         // A lender whose periodic work is late by this much was suspended, and another one may have
         // lent the same places meanwhile.
         Duration maxTickDelay = std::chrono::milliseconds(400);
@@ -94,10 +96,16 @@
         : m_clock(clock), m_limits(limits), m_retries(clock)
     { }
 
-    // Lends nothing until processes have reported their open requests, because this process has not
-    // received the exchanged loads for long enough either.
+    // Lends nothing until other processes have had time to report their open requests, because this
+    // process has not received the exchanged loads for long enough either.
     void waitForReports();
 
+    // Another process takes this one for a lender.
+    void recordPeer();
+
+    // Whether it lends at all.
+    bool isOpen() const { return m_clock.now() >= m_closedUntil; }
+
     // Replaces the upstreams. Places at others are no longer counted.
     void setUpstreams(const std::vector<Upstream> &upstreams);
 
@@ -185,6 +193,7 @@
     TimePoint m_nextTick{};
     std::optional<TimePoint> m_lastTick; // empty: not known to have been suspended
     TimePoint m_closedUntil{}; // no place is lent before
+    bool m_hasPeerSinceClosed = false;
 };
 
 } // namespace fordwood
--- a/include/fordwood/scheduler_ranking.hpp
+++ b/include/fordwood/scheduler_ranking.hpp
@@ -61,7 +61,9 @@
     void setNodes(std::vector<SchedulerNode> nodes);
 
     // Null if there is no node, or the first two candidates do not answer.
-    const SchedulerNode *schedulerFor(const std::string &service, const EngineShard &shard) const;
+    // `except`: the name of a node that is not to be asked.
+    const SchedulerNode *schedulerFor(const std::string &service, const EngineShard &shard,
+                                      const std::string &except = {}) const;
 
     // The node that is asked first and the one that takes over from it, also while passed over.
     std::vector<const SchedulerNode *> candidatesFor(const std::string &service,
--- a/src/core/place_lender.cpp
+++ b/src/core/place_lender.cpp
@@ -43,7 +43,15 @@
 
 void PlaceLender::waitForReports()
 {
-    m_closedUntil = m_clock.now() + m_limits.warmUp;
+    m_closedUntil = m_clock.now() + m_limits.maxWait;
+    m_hasPeerSinceClosed = false;
+}
+
+void PlaceLender::recordPeer()
+{
+    if (isOpen() || std::exchange(m_hasPeerSinceClosed, true))
+        return;
+    m_closedUntil = std::min(m_closedUntil, m_clock.now() + m_limits.warmUp);
 }
 
 void PlaceLender::detectSuspension()
@@ -96,7 +104,7 @@
 
 bool PlaceLender::hasPlace(std::uint64_t id, const UpstreamState &upstream) const
 {
-    return m_clock.now() >= std::max(m_closedUntil, upstream.closedUntil)
+    return isOpen() && m_clock.now() >= upstream.closedUntil
            && openAt(id, upstream) < upstream.limit;
 }
 
--- a/src/core/scheduler_ranking.cpp
+++ b/src/core/scheduler_ranking.cpp
@@ -68,10 +68,11 @@
 }
 
 const SchedulerNode *SchedulerRanking::schedulerFor(const std::string &service,
-                                                    const EngineShard &shard) const
+                                                    const EngineShard &shard,
+                                                    const std::string &except) const
 {
     for (const SchedulerNode *it : candidatesFor(service, shard)) {
-        if (!isPassedOver(it->name))
+        if (it->name != except && !isPassedOver(it->name))
             return it;
     }
     return nullptr;
--- a/src/node/place_exchange.cpp
+++ b/src/node/place_exchange.cpp
@@ -76,10 +76,21 @@
         m_send(encodePlaceMessage(message), to);
 }
 
+// While this node is the lender and does not know yet what is open, the other one lends.
+const SchedulerNode *PlaceExchange::chooseLender(const PlaceGroup &group)
+{
+    const SchedulerNode *first = m_ranking.schedulerFor(rankingKey(group), group.shard);
+    if (first == nullptr || parseEndpoint<udp>(first->address) != m_own
+        || lenderOf(group).decision.isOpen())
+        return first;
+    const SchedulerNode *other
+        = m_ranking.schedulerFor(rankingKey(group), group.shard, first->name);
+    return other != nullptr ? other : first;
+}
+
 void PlaceExchange::request(const Question &question, OnReply onReply)
 {
-    const SchedulerNode *node
-        = m_ranking.schedulerFor(rankingKey(question.group), question.group.shard);
+    const SchedulerNode *node = chooseLender(question.group);
     const auto lender = node != nullptr ? parseEndpoint<udp>(node->address) : std::nullopt;
     if (!lender) {
         onReply(std::nullopt, 0);
@@ -172,8 +183,12 @@
 {
     OwnLender &lender = lenderOf(status.group);
     lender.decision.apply(status.report);
+    if (from != m_own)
+        lender.decision.recordPeer();
     sendDecisions(lender);
-    deliver(PlaceReply{}, from);
+    // Until it lends, processes that have another lender stay there.
+    if (lender.decision.isOpen())
+        deliver(PlaceReply{}, from);
 }
 
 void PlaceExchange::recordReply(const PlaceGroup &group, const udp::endpoint &from)
--- a/src/node/place_exchange.hpp
+++ b/src/node/place_exchange.hpp
@@ -107,6 +107,7 @@
     void handle(const PlaceReturn &message, const udp::endpoint &from);
     void handle(const PlaceStatus &status, const udp::endpoint &from);
 
+    const SchedulerNode *chooseLender(const PlaceGroup &group);
     std::vector<const SchedulerNode *> lendersOf(const PlaceGroup &group) const;
     void sendReturn(const PlaceReturn &message, const udp::endpoint &lender);
     void recordReply(const PlaceGroup &group, const udp::endpoint &from);
--- a/tests/unit/place_lender_test.cpp
+++ b/tests/unit/place_lender_test.cpp
@@ -172,7 +172,14 @@
     it.lender.setUpstreams({{kUpstream, 2, 0}});
     CHECK_FALSE(it.lends(requestOf(1, 2)));
     it.lender.apply({2, {}, {{kUpstream, 2}}});
-    it.pass(300ms);
+    it.pass(500ms);
+    CHECK_FALSE(it.lender.isOpen());
+    // The others may find out at different times that it lends.
+    it.lender.recordPeer();
+    it.pass(200ms);
+    it.lender.recordPeer();
+    CHECK_FALSE(it.lender.isOpen());
+    it.pass(100ms);
     it.lender.apply({2, {}, {{kUpstream, 1}}});
     CHECK(it.lends(requestOf(1, 3)));
     CHECK_FALSE(it.lends(requestOf(1, 4)));
