--- a/tests/process/brittle_upstream_test.cpp
+++ b/tests/process/brittle_upstream_test.cpp
@@ -113,7 +113,7 @@
 TEST_CASE("brittle upstreams: nodes that cannot ask a lender keep to their shares [node][brittle]")
 {
     FragileFleet fleet(3, 6, {}, false);
-    CHECK(fleet.logged(0, "event=108") == 1);
+    CHECK(Fleet::waitFor([&] { return fleet.logged(0, "event=108") == 1; }));
     checkBrittleTime(fleet, {});
 }
 
