Addresses of nodes are parsed once; a reply on a place is looked up once

Placements kept the parsed addresses of schedulers, and the exchange of places, written beside it, parsed them again for each request, reply and report. One class serves both. A reply to a request is no longer looked up in each group that is reported, and a report holds the places of its own group only. No other change of behaviour.

--- a/include/fordwood/scheduler_ranking.hpp
+++ b/include/fordwood/scheduler_ranking.hpp
@@ -18,6 +18,8 @@
     std::size_t count = 1; // shards of the service
     std::size_t index = 0;
 
+    bool operator==(const EngineShard &) const = default;
+
     bool contains(std::uint64_t engineHash) const { return shardIndex(engineHash, count) == index; }
 
     // The shard of an engine or context, by consistent hashing: another shard takes its part from
--- a/src/node/place_exchange.cpp
+++ b/src/node/place_exchange.cpp
@@ -52,10 +52,9 @@
 void PlaceExchange::setNodes(std::vector<SchedulerNode> nodes, const std::string &own)
 {
     m_own = parseEndpoint<udp>(own);
-    std::erase_if(nodes, [](const SchedulerNode &it) { return !parseEndpoint<udp>(it.address); });
     if (!m_own)
         nodes.clear();
-    m_ranking.setNodes(std::move(nodes));
+    m_ranking.setNodes(m_endpoints.assign(std::move(nodes)));
 }
 
 std::vector<const SchedulerNode *> PlaceExchange::lendersOf(const PlaceGroup &group) const
@@ -70,7 +69,7 @@
 
 void PlaceExchange::deliver(const PlaceMessage &message, const udp::endpoint &to)
 {
-    if (m_own && to == *m_own)
+    if (isSelf(to))
         std::visit([&](const auto &it) { handle(it, to); }, message);
     else
         m_send(encodePlaceMessage(message), to);
@@ -80,8 +79,8 @@
 const SchedulerNode *PlaceExchange::chooseLender(const PlaceGroup &group)
 {
     const SchedulerNode *first = m_ranking.schedulerFor(rankingKey(group), group.shard);
-    if (first == nullptr || parseEndpoint<udp>(first->address) != m_own
-        || lenderOf(group).decision.isOpen())
+    const udp::endpoint *endpoint = m_endpoints.find(first);
+    if (endpoint == nullptr || !isSelf(*endpoint) || lenderOf(group).decision.isOpen())
         return first;
     const SchedulerNode *other
         = m_ranking.schedulerFor(rankingKey(group), group.shard, first->name);
@@ -91,8 +90,8 @@
 void PlaceExchange::request(const Question &question, OnReply onReply)
 {
     const SchedulerNode *node = chooseLender(question.group);
-    const auto lender = node != nullptr ? parseEndpoint<udp>(node->address) : std::nullopt;
-    if (!lender) {
+    const udp::endpoint *lender = m_endpoints.find(node);
+    if (lender == nullptr) {
         onReply(std::nullopt, 0);
         return;
     }
@@ -183,7 +182,7 @@
 {
     OwnLender &lender = lenderOf(status.group);
     lender.decision.apply(status.report);
-    if (from != m_own)
+    if (!isSelf(from))
         lender.decision.recordPeer();
     sendDecisions(lender);
     // Until it lends, processes that have another lender stay there.
@@ -194,18 +193,21 @@
 void PlaceExchange::recordReply(const PlaceGroup &group, const udp::endpoint &from)
 {
     for (const SchedulerNode *it : lendersOf(group)) {
-        if (parseEndpoint<udp>(it->address) == from && m_ranking.recordReply(it->name))
+        const udp::endpoint *endpoint = m_endpoints.find(it);
+        if (endpoint != nullptr && *endpoint == from && m_ranking.recordReply(it->name))
             logEvent(Event::PlaceLenderBack, {{"lender", it->name}});
     }
 }
 
 void PlaceExchange::handle(const PlaceReply &reply, const udp::endpoint &from)
 {
-    for (const PlaceGroup &it : m_reported)
-        recordReply(it, from);
     const auto it = m_pending.find(reply.number);
-    if (it == m_pending.end() || it->second.lender != from)
-        return; // too late: the place has been given back
+    if (it == m_pending.end() || it->second.lender != from) {
+        // It confirms a report, or is too late: the place has been given back.
+        for (const PlaceGroup &group : m_reported)
+            recordReply(group, from);
+        return;
+    }
     const Pending pending = std::move(it->second);
     m_pending.erase(it);
     recordReply(pending.group, from);
@@ -273,20 +275,20 @@
 void PlaceExchange::report(const PlaceGroup &group, const std::vector<OpenRequests> &open)
 {
     for (const SchedulerNode *node : lendersOf(group)) {
-        const auto lender = parseEndpoint<udp>(node->address);
-        if (!lender)
+        const udp::endpoint *lender = m_endpoints.find(node);
+        if (lender == nullptr)
             continue;
         PlaceReport report{m_process, {}, {}};
         std::map<std::uint64_t, std::size_t> lentByIt;
         for (const auto &[number, held] : m_held) {
-            if (held.lender != *lender)
+            if (held.lender != *lender || !(held.group == group))
                 continue;
             report.numbers.push_back(number);
             lentByIt[held.upstream] += 1;
         }
         for (const OpenRequests &it : open) {
             const std::size_t known = lentByIt[it.upstream];
-            if (it.n > known && !(it.group < group) && !(group < it.group))
+            if (it.n > known && it.group == group)
                 report.others.push_back({it.upstream, it.n - known});
         }
         deliver(PlaceStatus{group, std::move(report)}, *lender);
--- a/src/node/place_exchange.hpp
+++ b/src/node/place_exchange.hpp
@@ -18,6 +18,7 @@
 #include "fordwood/place_lender.hpp"
 #include "fordwood/scheduler_ranking.hpp"
 #include "node/net.hpp"
+#include "node/node_endpoints.hpp"
 #include "node/place_messages.hpp"
 
 namespace fordwood::node {
@@ -108,6 +109,7 @@
     void handle(const PlaceStatus &status, const udp::endpoint &from);
 
     const SchedulerNode *chooseLender(const PlaceGroup &group);
+    bool isSelf(const udp::endpoint &address) const { return m_own && address == *m_own; }
     std::vector<const SchedulerNode *> lendersOf(const PlaceGroup &group) const;
     void sendReturn(const PlaceReturn &message, const udp::endpoint &lender);
     void recordReply(const PlaceGroup &group, const udp::endpoint &from);
@@ -126,6 +128,7 @@
     ListUpstreams m_listUpstreams;
     Send m_send;
     SchedulerRanking m_ranking;
+    NodeEndpoints m_endpoints;
     std::optional<udp::endpoint> m_own;
     std::uint64_t m_lastNumber = 0;
     std::unordered_map<std::uint64_t, Pending> m_pending; // by number
--- a/src/node/place_messages.hpp
+++ b/src/node/place_messages.hpp
@@ -22,6 +22,7 @@
     std::string service;
     EngineShard shard;
 
+    bool operator==(const PlaceGroup &) const = default;
     bool operator<(const PlaceGroup &other) const
     {
         return std::tie(service, shard.count, shard.index)
--- a/src/node/placements.cpp
+++ b/src/node/placements.cpp
@@ -38,23 +38,11 @@
 
 void Placements::setNodes(std::vector<SchedulerNode> nodes)
 {
-    m_endpoints.clear();
-    std::erase_if(nodes, [this](const SchedulerNode &it) {
-        const auto endpoint = parseEndpoint<udp>(it.address);
-        if (endpoint)
-            m_endpoints[it.address] = *endpoint;
-        return !endpoint;
-    });
+    nodes = m_endpoints.assign(std::move(nodes));
     m_nodeCount = nodes.size();
     m_ranking.setNodes(std::move(nodes));
 }
 
-const udp::endpoint *Placements::endpointOf(const SchedulerNode &node) const
-{
-    const auto it = m_endpoints.find(node.address);
-    return it == m_endpoints.end() ? nullptr : &it->second;
-}
-
 // In a small fleet every node sees the sends of all others within milliseconds.
 bool Placements::hasScheduler(const std::string &service, const EngineShard &shard) const
 {
@@ -64,7 +52,7 @@
 void Placements::request(PlacementRequest request, OnReply onReply)
 {
     const SchedulerNode *node = m_ranking.schedulerFor(request.service, request.shard);
-    const udp::endpoint *endpoint = node != nullptr ? endpointOf(*node) : nullptr;
+    const udp::endpoint *endpoint = m_endpoints.find(node);
     if (endpoint == nullptr) {
         onReply(std::nullopt, {});
         return;
@@ -164,7 +152,7 @@
                                         PlacementProgress::Local placed)
 {
     const SchedulerNode *node = m_ranking.schedulerFor(service, shard);
-    const udp::endpoint *endpoint = node != nullptr ? endpointOf(*node) : nullptr;
+    const udp::endpoint *endpoint = m_endpoints.find(node);
     if (endpoint == nullptr)
         return {};
     m_metrics.count("fordwood_placements_local_total");
--- a/src/node/placements.hpp
+++ b/src/node/placements.hpp
@@ -17,6 +17,7 @@
 #include "fordwood/scheduler_ranking.hpp"
 #include "node/datagram_socket.hpp"
 #include "node/engine_scheduler.hpp"
+#include "node/node_endpoints.hpp"
 #include "node/placement_messages.hpp"
 
 namespace fordwood::node {
@@ -85,7 +86,6 @@
         std::unique_ptr<net::steady_timer> timeout;
     };
 
-    const udp::endpoint *endpointOf(const SchedulerNode &node) const;
     bool isSelf(const udp::endpoint &address) const { return m_own && address == *m_own; }
     void onDatagram(std::string_view bytes, const udp::endpoint &from);
     void handle(const PlacementRequest &request, const udp::endpoint &from);
@@ -105,7 +105,7 @@
     DatagramSocket m_socket;
     OtherHandler m_onOther;
     std::optional<udp::endpoint> m_own;
-    std::map<std::string, udp::endpoint> m_endpoints; // by address
+    NodeEndpoints m_endpoints;
     std::size_t m_nodeCount = 0;
     std::uint64_t m_lastNumber = 0;
     std::unordered_map<std::uint64_t, Pending> m_pending; // by number
