The lender of places uses the stall detector, and shares are divided in one place

The lender had a detector of its own, twin to StallDetector, which takes the shortest stall as a parameter now. The share of a node without a lender and the quota of a cold upstream were the same division by rank.

--- a/include/fordwood/place_lender.hpp
+++ b/include/fordwood/place_lender.hpp
@@ -14,6 +14,7 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/placement_ledger.hpp"
 #include "fordwood/retry_schedule.hpp"
+#include "fordwood/stall_detector.hpp"
 
 namespace fordwood {
 
@@ -71,9 +72,9 @@
         Duration warmUp = std::chrono::milliseconds(300);
         // How long a lender that knows nothing waits for the first process that reports to it.
         Duration maxWait = std::chrono::seconds(1);
-        // A lender whose periodic work is late by this much was suspended, and another one may have
-        // lent the same places meanwhile.
-        Duration maxTickDelay = std::chrono::milliseconds(400);
+        // A lender that did nothing for this long was stalled, and another one may have lent the
+        // same places meanwhile. Its periodic work comes several times as often.
+        Duration minStall = std::chrono::milliseconds(400);
         // A lender that nobody has sent anything for this long has not been the lender.
         Duration idleTime = std::chrono::seconds(2);
         // How long an upstream that rejected a request for want of room is not lent.
@@ -93,7 +94,8 @@
 
     explicit PlaceLender(const Clock &clock) : PlaceLender(clock, Limits{}) { }
     PlaceLender(const Clock &clock, Limits limits)
-        : m_clock(clock), m_limits(limits), m_retries(clock)
+        : m_clock(clock), m_limits(limits), m_retries(clock),
+          m_stallDetector(clock, limits.minStall)
     { }
 
     // Lends nothing until other processes have had time to report their open requests, because this
@@ -165,7 +167,7 @@
     static std::size_t usableSlots(std::size_t slots);
     bool isWarm() const;
     void recordActivity();
-    void detectSuspension();
+    void checkForStall();
     std::size_t openAt(std::uint64_t id, const UpstreamState &upstream) const;
     bool hasPlace(std::uint64_t id, const UpstreamState &upstream) const;
     bool tryLend(const PlaceRequest &request);
@@ -191,7 +193,7 @@
     std::optional<TimePoint> m_activeSince;
     TimePoint m_lastActivity{};
     TimePoint m_nextTick{};
-    std::optional<TimePoint> m_lastTick; // empty: not known to have been suspended
+    StallDetector m_stallDetector;
     TimePoint m_closedUntil{}; // no place is lent before
     bool m_hasPeerSinceClosed = false;
 };
--- a/include/fordwood/stall_detector.hpp
+++ b/include/fordwood/stall_detector.hpp
@@ -11,7 +11,12 @@
 class StallDetector
 {
 public:
-    explicit StallDetector(const Clock &clock) : m_clock(clock), m_lastPoll(clock.now()) { }
+    // By default a shorter pause is no stall: longer than one iteration takes on the busiest VM.
+    static constexpr Duration kMinStall = std::chrono::seconds(1);
+
+    explicit StallDetector(const Clock &clock, Duration minStall = kMinStall)
+        : m_clock(clock), m_minStall(minStall), m_lastPoll(clock.now())
+    { }
 
     // To be called in each iteration of the thread's work, several times a second. Returns how long
     // the thread was stalled before this call; zero if it was not.
@@ -19,6 +24,7 @@
 
 private:
     const Clock &m_clock;
+    const Duration m_minStall;
     TimePoint m_lastPoll;
 };
 
--- a/src/core/cold_gate.cpp
+++ b/src/core/cold_gate.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "fordwood/even_share.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood {
@@ -93,14 +94,9 @@
     }
     const std::size_t nodes = m_nodes ? m_nodes->size() + 1 : 1;
     const std::size_t senders = std::min({m_limits.senders, total, nodes});
-    const auto quotaOf = [&](std::size_t rank) -> std::size_t {
-        if (rank >= senders)
-            return 0;
-        return total / senders + (rank < total % senders ? 1 : 0);
-    };
     const bool isSettled = m_clock.now() - m_nodesChangedAt >= m_limits.window;
-    const std::size_t quota = quotaOf(upstream.rank);
-    return isSettled ? quota : std::min(quota, quotaOf(upstream.previousRank));
+    const std::size_t quota = evenShare(total, senders, upstream.rank);
+    return isSettled ? quota : std::min(quota, evenShare(total, senders, upstream.previousRank));
 }
 
 bool ColdGate::maySend(const std::string &instanceId, double requestsPerSecond)
--- a/src/core/place_lender.cpp
+++ b/src/core/place_lender.cpp
@@ -54,17 +54,15 @@
     m_closedUntil = std::min(m_closedUntil, m_clock.now() + m_limits.warmUp);
 }
 
-void PlaceLender::detectSuspension()
+void PlaceLender::checkForStall()
 {
-    const TimePoint now = m_clock.now();
-    if (m_lastTick && now - *m_lastTick > m_limits.maxTickDelay)
+    if (m_stallDetector.poll() > Duration::zero())
         waitForReports();
-    m_lastTick = now;
 }
 
 void PlaceLender::recordActivity()
 {
-    detectSuspension();
+    checkForStall();
     const TimePoint now = m_clock.now();
     if (!m_activeSince || now - m_lastActivity > m_limits.idleTime)
         m_activeSince = now;
@@ -237,7 +235,7 @@
 void PlaceLender::tick()
 {
     const TimePoint now = m_clock.now();
-    detectSuspension();
+    checkForStall();
     m_nextTick = now + kTickInterval;
     for (auto it = m_places.begin(); it != m_places.end();) {
         const auto place = it++;
--- a/src/core/place_share.cpp
+++ b/src/core/place_share.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "fordwood/place_share.hpp"
 
+#include "fordwood/even_share.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood {
@@ -8,9 +9,7 @@
 std::size_t placeShare(std::uint64_t upstream, std::size_t slots, const std::string &self,
                        const std::vector<std::string> &otherNodes)
 {
-    const std::size_t nodes = otherNodes.size() + 1;
-    const std::size_t rank = rendezvousRank(upstream, self, otherNodes);
-    return slots / nodes + (rank < slots % nodes ? 1 : 0);
+    return evenShare(slots, otherNodes.size() + 1, rendezvousRank(upstream, self, otherNodes));
 }
 
 } // namespace fordwood
