One filter of allowed upstreams per choice, one check of fields that set a limit

The filter by region and stream was made twice for each choice of an upstream since places are asked for. Limits and brittleness were read from an answer by the same four steps.

--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -229,7 +229,8 @@
     void recordBackoff(const std::string &instanceId, Duration length, const std::string &request);
     void recordDraining(const std::string &instanceId, const std::string &source);
     void logLimit(const LimitChange &change, const std::string &source);
-    bool hasAuthority(const platform::AnswerHead &head, const ParsedLimit &field) const;
+    bool hasAuthority(const std::string &requestId, const UpstreamAttempt &attempt,
+                      const ParsedLimit &field);
     void forget(const std::string &instanceId);
 
     net::io_context &m_context;
--- a/src/node/node_state_limits.cpp
+++ b/src/node/node_state_limits.cpp
@@ -62,11 +62,7 @@
 {
     const platform::AnswerHead &head = attempt.head;
     const std::string &id = attempt.upstream.instanceId;
-    if (head.isInstanceMismatch || m_upstreams.find(id) == nullptr)
-        return;
-    if (head.limit.isUnreadable)
-        m_limitLog.logUnreadable(id, requestId);
-    if (!hasAuthority(head, head.limit))
+    if (head.isInstanceMismatch || !hasAuthority(requestId, attempt, head.limit))
         return;
     const auto change
         = m_gate.limitGate().upstreamLimits().onAnswer(id, head.limit.perSecond, attempt.sentAt);
@@ -76,21 +72,24 @@
     m_onLoadReportRequest();
 }
 
-// An answer that an intermediary generated neither sets nor lifts a limit.
-bool NodeState::hasAuthority(const platform::AnswerHead &head, const ParsedLimit &field) const
+// Whether the field of the answer sets or lifts a limit of an upstream in service. An answer that
+// an intermediary generated does neither.
+bool NodeState::hasAuthority(const std::string &requestId, const UpstreamAttempt &attempt,
+                             const ParsedLimit &field)
 {
-    return field.perSecond || (head.isSealed && !field.isUnreadable);
+    const std::string &id = attempt.upstream.instanceId;
+    if (m_upstreams.find(id) == nullptr)
+        return false;
+    if (field.isUnreadable)
+        m_limitLog.logUnreadable(id, requestId);
+    return field.perSecond || (attempt.head.isSealed && !field.isUnreadable);
 }
 
 void NodeState::recordBrittleness(const std::string &requestId, const UpstreamAttempt &attempt)
 {
     const platform::AnswerHead &head = attempt.head;
     const std::string &id = attempt.upstream.instanceId;
-    if (platform::isFromOtherInstance(head, id) || m_upstreams.find(id) == nullptr)
-        return;
-    if (head.brittle.isUnreadable)
-        m_limitLog.logUnreadable(id, requestId);
-    if (!hasAuthority(head, head.brittle))
+    if (platform::isFromOtherInstance(head, id) || !hasAuthority(requestId, attempt, head.brittle))
         return;
     const auto change = m_brittle.onAnswer(id, head.brittle.perSecond, attempt.sentAt);
     if (!change)
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -189,16 +189,22 @@
 
 // The upstreams that may be sent the request now.
 std::vector<const UpstreamRecord *> allowedCandidates(NodeState &state, const AdmittedCall &call,
-                                                      const ChoiceTerms &terms)
+                                                      const UpstreamFilter &isAllowed)
 {
     auto candidates = state.candidates(*call.pool);
-    const UpstreamFilter isInRegion = regionFilter(state, call);
-    std::erase_if(candidates, [&](const UpstreamRecord *it) {
-        return !isInRegion(*it) || (terms.origin && !isOf(*terms.origin)(it));
-    });
+    std::erase_if(candidates, [&](const UpstreamRecord *it) { return !isAllowed(*it); });
     return candidates;
 }
 
+// Whether an upstream may serve the request at any time.
+UpstreamFilter allowedFilter(const NodeState &state, const AdmittedCall &call,
+                             const ChoiceTerms &terms)
+{
+    return [isInRegion = regionFilter(state, call), &terms](const UpstreamRecord &it) {
+        return isInRegion(it) && (!terms.origin || isOf(*terms.origin)(&it));
+    };
+}
+
 // Finds out whether only rate limits and backoffs prevent the request from being sent, in which
 // case it is already known that it cannot be served. `tried`: upstreams to which this request is
 // not sent again. They do not count as available, though they may accept a later request of the
@@ -240,11 +246,8 @@
                               const platform::CallerHead &caller, const CallPlan &plan,
                               const ChoiceTerms &terms)
 {
-    const UpstreamFilter isInRegion = regionFilter(state, call);
-    const UpstreamFilter isAllowed = [&](const UpstreamRecord &it) {
-        return isInRegion(it) && (!terms.origin || isOf(*terms.origin)(&it));
-    };
-    const auto candidates = allowedCandidates(state, call, terms);
+    const UpstreamFilter isAllowed = allowedFilter(state, call, terms);
+    const auto candidates = allowedCandidates(state, call, isAllowed);
     UpstreamChoice chosen = chooseAmong(state, call, caller, plan, terms.mustGoOn, candidates);
     if (!chosen.attempt && candidates.empty())
         chosen.unavailable = findUnavailability(state, call, isAllowed, plan.tried());
@@ -259,7 +262,8 @@
     question.group = state.placeGroup(attempt.upstream);
     const std::uint64_t preferred = stableHash(attempt.upstream.instanceId);
     std::vector<std::uint64_t> others;
-    for (const UpstreamRecord *it : allowedCandidates(state, call, terms)) {
+    for (const UpstreamRecord *it :
+         allowedCandidates(state, call, allowedFilter(state, call, terms))) {
         const std::uint64_t id = stableHash(it->instanceId);
         if (id != preferred && question.group.shard.contains(id)
             && !plan.tried().contains(it->instanceId) && !state.health().isPaused(it->instanceId)
@@ -278,7 +282,7 @@
                                          const platform::CallerHead &caller, const CallPlan &plan,
                                          const ChoiceTerms &terms, std::uint64_t upstream)
 {
-    auto candidates = allowedCandidates(state, call, terms);
+    auto candidates = allowedCandidates(state, call, allowedFilter(state, call, terms));
     std::erase_if(candidates,
                   [&](const UpstreamRecord *it) { return stableHash(it->instanceId) != upstream; });
     // The request has a place, so it is not late.
