A hold is looked up once per attempt; a held part is logged once, under its own id

A rejected request was hashed twice and its hold searched four times; the result of the first search is passed on now. Found on the way, by reading: whether a logged part is still held was asked as for a prompt with this part alone, so that a part held together with its company was forgotten every tick and logged again (event 408); and its id was found by a position that shifts where a part has no id.

--- a/include/fordwood/quarantine_gate.hpp
+++ b/include/fordwood/quarantine_gate.hpp
@@ -45,13 +45,19 @@
     // True if no request is recorded, so that no lookup is needed.
     bool isEmpty() const { return m_quarantine.isEmpty(); }
 
-    bool isHeld(const RequestIdentity &request) const;
-    Duration heldFor(const RequestIdentity &request) const;
+    // Why and for how long a request is held.
+    struct Hold
+    {
+        bool isWhole = false; // the whole request is
+        std::optional<RequestFingerprint> part; // the part that is; empty: none
+        Duration remaining{};
+    };
+    std::optional<Hold> findHold(const RequestIdentity &request) const;
 
-    // The part for which the request is held; empty: none.
-    std::optional<RequestFingerprint> heldPart(const RequestIdentity &request) const
+    bool isHeld(const RequestIdentity &request) const { return findHold(request).has_value(); }
+    Duration heldFor(const RequestIdentity &request) const
     {
-        return m_quarantine.findHeldPart(request.parts);
+        return findHold(request).value_or(Hold{}).remaining;
     }
 
     // Whether a request after which an upstream has ended must not be repeated at another one.
@@ -60,10 +66,10 @@
         return m_quarantine.isAnySuspect(request.parts);
     }
 
-    // Whether this request, which is held for a part, may be sent all the same. One node in the
-    // fleet sends a single one, at growing intervals, since a part may be held by mistake and is
-    // released only by an answer. Call it once for each request.
-    bool takeTrial(const RequestIdentity &request);
+    // Whether a request that is held for a part may be sent all the same. One node in the fleet
+    // sends a single one, at growing intervals, since a part may be held by mistake and is released
+    // only by an answer. Call it once for each request.
+    bool takeTrial(const Hold &hold);
     std::size_t heldRequests() const { return m_quarantine.heldRequests(); }
 
     // Returns the new reports for the other nodes, each once.
--- a/src/core/quarantine_gate.cpp
+++ b/src/core/quarantine_gate.cpp
@@ -48,23 +48,21 @@
     return subject.isPart ? m_partAnswers.contains(subject) : m_answers.contains(subject);
 }
 
-bool QuarantineGate::isHeld(const RequestIdentity &request) const
+std::optional<QuarantineGate::Hold> QuarantineGate::findHold(const RequestIdentity &request) const
 {
-    return m_quarantine.isHeld(request.whole) || heldPart(request);
+    Hold hold;
+    hold.remaining = m_quarantine.heldFor(request.whole);
+    hold.isWhole = hold.remaining > Duration::zero();
+    hold.part = m_quarantine.findHeldPart(request.parts);
+    if (hold.part)
+        hold.remaining = std::max(hold.remaining, m_quarantine.heldFor(*hold.part));
+    return hold.isWhole || hold.part ? std::optional(hold) : std::nullopt;
 }
 
-Duration QuarantineGate::heldFor(const RequestIdentity &request) const
+bool QuarantineGate::takeTrial(const Hold &hold)
 {
-    const auto part = heldPart(request);
-    return std::max(m_quarantine.heldFor(request.whole),
-                    part ? m_quarantine.heldFor(*part) : Duration::zero());
-}
-
-bool QuarantineGate::takeTrial(const RequestIdentity &request)
-{
-    const auto part = heldPart(request);
-    if (!part || m_quarantine.isHeld(request.whole)
-        || rendezvousRank(part->low, m_self, m_otherNodes) != 0)
+    const auto &part = hold.part;
+    if (!part || hold.isWhole || rendezvousRank(part->low, m_self, m_otherNodes) != 0)
         return false;
     std::size_t &trials = m_trials[*part];
     Duration delay = kTrialDelay;
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -121,8 +121,8 @@
         onDeadline();
         return;
     }
-    if (isQuarantined()) {
-        rejectQuarantined();
+    if (const auto hold = findHold()) {
+        rejectQuarantined(*hold);
         return;
     }
     const auto shard = m_streamStarted ? std::nullopt : scheduledShard(m_state, m_call, m_caller);
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -81,8 +81,8 @@
     void onOrigin(const std::optional<StreamOrigin> &origin);
     void beginServing();
     void startAttempt();
-    bool isQuarantined();
-    void rejectQuarantined();
+    std::optional<QuarantineGate::Hold> findHold();
+    void rejectQuarantined(const QuarantineGate::Hold &hold);
     void recordDisconnect();
     void recordAnswered();
     void recordUnanswered();
--- a/src/node/call_handler_quarantine.cpp
+++ b/src/node/call_handler_quarantine.cpp
@@ -9,38 +9,41 @@
     return fingerprintOf(m_head, m_call, *m_body);
 }
 
-// Whether the request is quarantined because several upstreams in a row ended while handling it.
-// Checked before each attempt and after each wait, since any node may have reported it meanwhile.
-bool CallHandler::isQuarantined()
+RequestIdentity CallHandler::identity() const
+{
+    return identityOf(fingerprint(), m_call, m_caller);
+}
+
+// Why the request must not be sent: several upstreams in a row ended while handling it. Checked
+// before each attempt and after each wait, since any node may have reported it meanwhile.
+std::optional<QuarantineGate::Hold> CallHandler::findHold()
 {
     QuarantineGate &quarantine = m_state.quarantine();
     if (quarantine.isEmpty())
-        return false;
-    const RequestIdentity request = identity();
-    if (!quarantine.isHeld(request))
-        return false;
+        return std::nullopt;
+    const auto hold = quarantine.findHold(identity());
+    if (!hold)
+        return std::nullopt;
     const bool mayTry = !m_hasAskedForTrial && m_plan.sends() == 0;
     m_hasAskedForTrial = true;
-    return !mayTry || !quarantine.takeTrial(request);
+    return mayTry && quarantine.takeTrial(*hold) ? std::nullopt : hold;
 }
 
-RequestIdentity CallHandler::identity() const
-{
-    return identityOf(fingerprint(), m_call, m_caller);
-}
-
-void CallHandler::rejectQuarantined()
+void CallHandler::rejectQuarantined(const QuarantineGate::Hold &hold)
 {
     if (m_streamStarted) {
         m_writer.abort();
         finish("cut-quarantined", 0);
         return;
     }
+    if (hold.part) {
+        for (const PromptPart &it : m_caller.prompt->parts) {
+            if (fingerprintOfPart(m_call.pool->name, it.id) == *hold.part)
+                m_state.logHeldPart(*hold.part, it.id);
+        }
+    }
     m_plan.setReason(Reason::RequestQuarantined);
-    const RequestIdentity request = identity();
-    m_state.logHeldPart(request, m_caller.prompt ? &*m_caller.prompt : nullptr);
-    rejectWith(m_plan.verdict(
-        std::chrono::ceil<std::chrono::milliseconds>(m_state.quarantine().heldFor(request))));
+    rejectWith(m_plan.verdict(std::chrono::ceil<std::chrono::milliseconds>(hold.remaining)));
 }
 
 // Counts that the upstream closed the connection while handling the request. Without this, a
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -50,10 +50,6 @@
     return out.str();
 }
 
-} // namespace
-
-namespace {
-
 // The ids of the shared parts of a prompt, which other requests may have as well.
 std::string sharedParts(const Prompt *prompt)
 {
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -232,18 +232,13 @@
     m_onQuarantineUpdates();
 }
 
-void NodeState::logHeldPart(const RequestIdentity &request, const Prompt *prompt)
+void NodeState::logHeldPart(const RequestFingerprint &part, const std::string &partId)
 {
     constexpr std::size_t kMaxLogged = 256;
-    const auto held = m_quarantine.heldPart(request);
-    if (!held || prompt == nullptr || m_loggedParts.size() >= kMaxLogged
-        || !m_loggedParts.insert(*held).second)
+    if (m_loggedParts.size() >= kMaxLogged || !m_loggedParts.insert(part).second)
         return;
-    const auto at = std::find(request.parts.begin(), request.parts.end(), *held);
-    const auto n = static_cast<std::size_t>(at - request.parts.begin());
     adapters::logEvent(adapters::Event::PromptPartHeld,
-                       {{"fingerprint", held->text()},
-                        {"part", n < prompt->parts.size() ? prompt->parts[n].id : ""}});
+                       {{"fingerprint", part.text()}, {"part", partId}});
 }
 
 void NodeState::apply(const StopStarted &)
@@ -330,9 +325,8 @@
     m_places.tick(openAtBrittleUpstreams());
     m_gate.backoffs().tick();
     m_quarantine.tick();
-    std::erase_if(m_loggedParts, [this](const RequestFingerprint &it) {
-        return !m_quarantine.isHeld(RequestIdentity({}, {it}));
-    });
+    std::erase_if(m_loggedParts,
+                  [this](const RequestFingerprint &it) { return !m_quarantine.isHeld(it); });
     m_metrics.setGauge("fordwood_quarantined_requests",
                        static_cast<double>(m_quarantine.heldRequests()));
     m_metrics.setGauge("fordwood_limited_upstreams",
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -99,8 +99,8 @@
     // not among them: they accept requests of a few nodes only.
     std::vector<const UpstreamRecord *> schedulableEngines(const ServicePool &pool) const;
 
-    // Logs the part of the prompt for which the request is held, once for each part.
-    void logHeldPart(const RequestIdentity &request, const Prompt *prompt);
+    // Logs that requests are rejected for a part of their prompts, once for each part.
+    void logHeldPart(const RequestFingerprint &part, const std::string &partId);
 
     // Requests an immediate load report to peers: a request was sent that they must know of before
     // they choose an engine, or a limit or an upstream's draining state has changed.
--- a/tests/process/prompt_part_test.cpp
+++ b/tests/process/prompt_part_test.cpp
@@ -132,4 +132,7 @@
                             fleet.startAgain(2);
                             fleet.store.setDown(false);
                         }});
+    // Each part is logged once, also while it is held only together with others.
+    CHECK(fleet.logged(0, "event=408") >= 1);
+    CHECK(fleet.logged(0, "event=408") <= 2);
 }
--- a/tests/unit/quarantine_part_test.cpp
+++ b/tests/unit/quarantine_part_test.cpp
@@ -258,7 +258,7 @@
     }
     const RequestIdentity next = requestWith({kCommon, part("d9"), kPoison});
     CHECK(gate.isHeld(next));
-    CHECK(gate.heldPart(next) == kPoison);
+    CHECK(gate.findHold(next)->part == kPoison);
     CHECK(gate.heldFor(next) == 10min);
     CHECK_FALSE(gate.isHeld(requestWith({kCommon, part("d0")})));
 }
@@ -323,7 +323,7 @@
     const auto trials = [&] {
         int n = 0;
         for (QuarantineGate &it : gates)
-            n += it.takeTrial(requestWith({kPoison})) ? 1 : 0;
+            n += it.takeTrial(it.findHold(requestWith({kPoison})).value()) ? 1 : 0;
         return n;
     };
     CHECK(trials() == 0);
