--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -23,10 +23,6 @@
 // A change is sent to peers at once; this limits the rate when many changes follow each other.
 constexpr Duration kMinGossipInterval = std::chrono::milliseconds(10);
 
-// A node stops sending to a rate-limited upstream if its peers have not named it for a second. At
-// this interval a few messages may be lost.
-constexpr Duration kLimitsInterval = std::chrono::milliseconds(200);
-
 // How often the store is polled in addition to the watch, and by how many nodes.
 constexpr Duration kPollInterval = std::chrono::milliseconds(1'000);
 constexpr std::size_t kPollingNodes = 2;
@@ -133,7 +129,7 @@
           [this](const std::vector<QuarantineUpdate> &it) { handleOwnQuarantineUpdates(it); }),
       m_tickTimer(m_context), m_upstreams(clock, {}),
       m_drainReports(m_upstreams, [this](FleetUpdate it) { this->publish(std::move(it)); }),
-      m_loads(clock)
+      m_loads(clock), m_limitReports(clock)
 { }
 
 bool ControlLoop::open()
@@ -487,26 +483,12 @@
     return report;
 }
 
-// Limits that have just changed are sent at once, the others at intervals, since messages are sent
-// more often than limits need to be repeated.
-void ControlLoop::addLimits(Gossip &message)
-{
-    const TimePoint now = m_clock.now();
-    if (!m_lastOwnLoads.isUrgent && now < m_nextLimits)
-        return;
-    m_nextLimits = now + kLimitsInterval;
-    // Where relays forward limits, the other nodes send only their own.
-    const bool sendsAll = !usesLoadSums() || m_role.isRelay();
-    const LimitUpdates &updates = m_lastOwnLoads.limits;
-    message.limits = m_limitBatches.next(sendsAll ? updates.all : updates.own);
-    message.brittle = m_brittleBatches.next(updates.brittle);
-}
-
 void ControlLoop::gossip()
 {
     Gossip message = ownMessage();
     message.quarantineUpdates = m_quarantine.nextBatch();
-    addLimits(message);
+    // Where relays forward limits, the other nodes send only their own.
+    m_limitReports.addTo(message, m_lastOwnLoads, !usesLoadSums() || m_role.isRelay());
     message.draining = m_drainReports.nextBatch();
     publish(EnginesLoading{message.node, message.orders.enginesLoading});
     m_isGossipDue = false;
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -23,6 +23,7 @@
 #include "node/fleet_update.hpp"
 #include "node/http_client.hpp"
 #include "node/internal_server.hpp"
+#include "node/limit_reports.hpp"
 #include "node/load_exchange.hpp"
 #include "node/mailbox.hpp"
 #include "node/naming_marks.hpp"
@@ -33,7 +34,6 @@
 #include "node/replica_fetcher.hpp"
 #include "node/replica_server.hpp"
 #include "node/rollout_executor.hpp"
-#include "node/round_robin_batcher.hpp"
 #include "node/store_client.hpp"
 #include "node/update_queue.hpp"
 #include "node/weight_naming_tracker.hpp"
@@ -104,7 +104,6 @@
     void handleOwnQuarantineUpdates(const std::vector<QuarantineUpdate> &updates);
     bool canGossipNow() const;
     Gossip ownMessage() const;
-    void addLimits(Gossip &message);
     void gossip();
     RelayRole::Peers relayPeers() const;
     void tick();
@@ -166,8 +165,7 @@
     DrainReports m_drainReports;
     UpstreamLoadTracker m_loads;
     OwnLoads m_lastOwnLoads;
-    RoundRobinBatcher<LimitGossip> m_limitBatches;
-    RoundRobinBatcher<LimitGossip> m_brittleBatches;
+    LimitReports m_limitReports;
     UpdateQueue m_pendingUpdates; // updates that the receiver had no space for
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
@@ -182,7 +180,6 @@
     TimePoint m_expiryDoubtSince{}; // when this node last began to get answers from the store
     TimePoint m_lastGossip{};
     TimePoint m_nextGossip{};
-    TimePoint m_nextLimits{};
     TimePoint m_nextMemberUpdate{};
     TimePoint m_nextPoll{};
 };
