--- a/tests/unit/place_lender_test.cpp
+++ b/tests/unit/place_lender_test.cpp
@@ -56,6 +56,18 @@
     PlaceLender lender{clock};
 };
 
+// Checks, from a second after the first requests, that no upstream falls over and that they are
+// used.
+void checkUsedWithoutFalls(const PlaceFleet::Traits &traits, Duration time)
+{
+    PlaceFleet fleet(traits);
+    fleet.run(1s);
+    fleet.takeServedShare();
+    fleet.run(time);
+    CHECK(fleet.falls() == 0);
+    CHECK(fleet.takeServedShare() >= 0.8);
+}
+
 } // namespace
 
 TEST_CASE("place lender: lends as many places as there are slots, and rejects the rest at once "
@@ -198,12 +210,7 @@
                 traits.nodes = nodes;
                 traits.slots = slots;
                 traits.load = load;
-                PlaceFleet fleet(traits);
-                fleet.run(1s);
-                fleet.takeServedShare();
-                fleet.run(4s);
-                CHECK(fleet.falls() == 0);
-                CHECK(fleet.takeServedShare() >= 0.8);
+                checkUsedWithoutFalls(traits, 4s);
             }
         }
     }
@@ -214,12 +221,7 @@
     PlaceFleet::Traits traits;
     traits.nodes = 30;
     traits.shareOfFirstNode = 0.9;
-    PlaceFleet fleet(traits);
-    fleet.run(1s);
-    fleet.takeServedShare();
-    fleet.run(5s);
-    CHECK(fleet.falls() == 0);
-    CHECK(fleet.takeServedShare() >= 0.8);
+    checkUsedWithoutFalls(traits, 5s);
 }
 
 TEST_CASE("place lender: the lender dies, for several courses of events [brittle]")
