Review case 3: a prompt of many small parts ends its node, with the requests of all others there

Cause: setAddresses() writes an address for each part of a prompt into one field. Beast throws if a field has more than 65,533 bytes, and no handler of the serving thread catches it. Addresses of the cases' networks now have the same length in all runs.

--- a/review/standins/node.hpp
+++ b/review/standins/node.hpp
@@ -20,8 +20,9 @@
     Place()
     {
         std::random_device device;
-        m_prefix = "127." + std::to_string(20 + device() % 200) + "."
-                   + std::to_string(device() % 250) + ".";
+        // Three digits each, so that addresses are of the same length in all runs.
+        m_prefix = "127." + std::to_string(100 + device() % 100) + "."
+                   + std::to_string(100 + device() % 100) + ".";
         std::string folder = "/tmp/fordwood-review-XXXXXX";
         m_folder = ::mkdtemp(folder.data()) == nullptr ? "" : folder;
     }
