Observability: reads of replicas that fail, what relays send, relays that fall silent

Change: events 335 to 340, the gauges fordwood_replica_behind_seconds, fordwood_relay_link_percent and fordwood_sum_bytes, the counter fordwood_replica_read_failures_total; relays number their sums. How long a node lacks a change is counted per change: while changes follow each other, some peer is always ahead. Times are logged through one constructor of EventField. No decision changes.

--- a/src/adapters/observe/event_log.hpp
+++ b/src/adapters/observe/event_log.hpp
@@ -2,12 +2,15 @@
 #ifndef FORDWOOD_ADAPTERS_OBSERVE_EVENT_LOG_HPP_INCLUDED
 #define FORDWOOD_ADAPTERS_OBSERVE_EVENT_LOG_HPP_INCLUDED
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "fordwood/clock.hpp"
+
 namespace fordwood::adapters {
 
 enum class EventLevel { Info, Warning, Error };
@@ -29,6 +32,10 @@
         : key(fieldKey), value(std::to_string(number))
     { }
 
+    EventField(std::string_view fieldKey, Duration time) // in whole milliseconds
+        : EventField(fieldKey, std::chrono::floor<std::chrono::milliseconds>(time).count())
+    { }
+
     std::string_view key;
     std::string value;
 };
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -364,9 +364,7 @@
     const Duration unreadFor = m_state.clock().now() - m_lastProgress;
     if (m_isClosed || m_outgoing.empty() || unreadFor < m_state.settings().callers.unreadTimeout)
         return;
-    logEvent(Event::AnswerUnread,
-             {{"bytes", m_outgoingBuffer.bytes()},
-              {"unread_ms", std::chrono::floor<std::chrono::milliseconds>(unreadFor).count()}});
+    logEvent(Event::AnswerUnread, {{"bytes", m_outgoingBuffer.bytes()}, {"unread_ms", unreadFor}});
     m_state.metrics().count("fordwood_unread_answers_total");
     ErrorCode ec; // without the option, the kernel keeps the unsent bytes a little longer
     m_socket.set_option(net::socket_base::linger(true, 0), ec);
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -116,9 +116,9 @@
       m_peers(m_context, clock,
               {settings.node.name, settings.node.failureDomain, vmStrength(settings.vm)},
               directGossipLimit(settings), [this](const Gossip &it) { onGossip(it); }),
-      m_exchange(clock, m_peers, exchangePace(settings),
+      m_exchange(clock, m_peers, metrics, exchangePace(settings),
                  [this](LoadReport it) { setOthersLoad(std::move(it)); }),
-      m_orderReports(clock),
+      m_relayWatch(clock), m_orderReports(clock),
       m_readyServer(m_context, [this](std::string_view it) { return readyReply(it); }),
       m_peerServer(m_context, [this](std::string_view it) { return peerReply(it); }),
       m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
@@ -375,6 +375,11 @@
 void ControlLoop::onGossip(const Gossip &message)
 {
     m_exchange.handle(message, m_role.isRelay());
+    if (message.leaving || !message.isRelay)
+        m_relayWatch.forget(message.node);
+    else if (message.failureDomain == m_settings.node.failureDomain)
+        m_relayWatch.received(message.node,
+                              message.scope == LoadScope::Fleet ? message.reportNumber : 0);
     // In a large fleet nodes receive messages only from relays, so relays must forward.
     m_quarantine.addFromPeer(message.quarantineUpdates, usesLoadSums() && m_role.isRelay());
     if (message.leaving) {
@@ -570,6 +575,7 @@
     updateLiveNodes();
     updateKnownNodes();
     updateRole();
+    m_relayWatch.tick();
     updateNamingMarks();
     for (const std::string &it : m_upstreams.tick())
         logEvent(Event::UpstreamGone,
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -31,6 +31,7 @@
 #include "node/order_reports.hpp"
 #include "node/peer_links.hpp"
 #include "node/quarantine_distributor.hpp"
+#include "node/relay_watch.hpp"
 #include "node/replica_fetcher.hpp"
 #include "node/replica_server.hpp"
 #include "node/rollout_executor.hpp"
@@ -154,6 +155,7 @@
     RelayRole m_role;
     PeerLinks m_peers;
     LoadExchange m_exchange;
+    RelayWatch m_relayWatch;
     OrderReports m_orderReports;
     InternalServer m_readyServer;
     InternalServer m_peerServer;
--- a/src/node/datagram_socket.cpp
+++ b/src/node/datagram_socket.cpp
@@ -76,9 +76,7 @@
     if (stallTime == Duration::zero())
         return;
     const std::size_t dropped = dropPending();
-    logEvent(Event::StoodStill,
-             {{"stood_still_ms", std::chrono::floor<std::chrono::milliseconds>(stallTime).count()},
-              {"datagrams_dropped", dropped}});
+    logEvent(Event::StoodStill, {{"stood_still_ms", stallTime}, {"datagrams_dropped", dropped}});
 }
 
 std::size_t DatagramSocket::dropPending()
--- a/src/node/load_exchange.cpp
+++ b/src/node/load_exchange.cpp
@@ -78,7 +78,13 @@
     message.load = others;
     message.load += m_sums.own();
     message.reportNumbers = m_sums.reportNumbers();
-    bytes += m_peers.sendToDomain(message);
+    message.reportNumber = ++m_lastSum;
+    const std::size_t domainBytes = m_peers.sendToDomain(message);
+    bytes += domainBytes;
+    m_traffic.addSums(bytes,
+                      domainBytes / std::max<std::size_t>(m_peers.roster().domainPeers().size(), 1),
+                      message.load.loads.rows().size());
+    m_traffic.tick();
     publishOthers(std::move(others));
     const std::chrono::duration<double> linkTime(static_cast<double>(bytes)
                                                  / (kLinkShare * m_pace.linkBytesPerSecond));
--- a/src/node/load_exchange.hpp
+++ b/src/node/load_exchange.hpp
@@ -9,6 +9,7 @@
 #include "fordwood/load_sums.hpp"
 #include "node/peer_links.hpp"
 #include "node/peer_messages.hpp"
+#include "node/relay_traffic.hpp"
 
 namespace fordwood::node {
 
@@ -27,8 +28,10 @@
         double linkBytesPerSecond = 0.0; // of this VM
     };
 
-    LoadExchange(const Clock &clock, PeerLinks &peers, Pace pace, OnOthersLoad onOthersLoad)
-        : m_peers(peers), m_pace(pace), m_onOthersLoad(std::move(onOthersLoad)), m_sums(clock)
+    LoadExchange(const Clock &clock, PeerLinks &peers, adapters::Metrics &metrics, Pace pace,
+                 OnOthersLoad onOthersLoad)
+        : m_peers(peers), m_pace(pace), m_onOthersLoad(std::move(onOthersLoad)), m_sums(clock),
+          m_traffic(clock, metrics, pace.linkBytesPerSecond)
     { }
 
     void setOwn(LoadReport report) { m_sums.setOwn(std::move(report)); }
@@ -56,6 +59,8 @@
     OnOthersLoad m_onOthersLoad;
     LoadSums m_sums;
     SentReports m_sent;
+    RelayTraffic m_traffic;
+    std::uint64_t m_lastSum = 0; // number of the last sum for this failure domain
     std::size_t m_liveNodes = 0;
 };
 
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -91,7 +91,7 @@
     bool leaving = false; // the node stops; this is its last message
     LoadScope scope = LoadScope::Node;
     LoadReport load; // requests sent to upstreams
-    std::uint64_t reportNumber = 0; // of the sender's own load report
+    std::uint64_t reportNumber = 0; // of the sender's own load report, or of a relay's sum
     ReportNumbers reportNumbers; // of the reports included in a sum
     OrderReport orders; // the sender's own
     std::map<std::string, OrderReport>
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -14,9 +14,6 @@
 // The time of about ten messages, so that lost datagrams do not make a peer appear dead.
 constexpr Duration kLiveTimeout = std::chrono::seconds(2);
 
-// A relay that sends nothing for this long is replaced: its sums are too old for choosing engines.
-constexpr Duration kRelayTimeout = std::chrono::seconds(1);
-
 // A peer without a key in the store is removed if it sends nothing for this long.
 constexpr Duration kForgetAfter = std::chrono::seconds(60);
 
@@ -296,27 +293,31 @@
     return found;
 }
 
-std::optional<std::string> PeerRoster::findPeerAheadOf(const StoreVersion &version) const
+std::optional<PeerAhead> PeerRoster::findPeerAheadOf(const StoreVersion &version) const
 {
-    return selectAddress([&](const Peer &it) { return it.version > version; },
-                         [](const Peer &it) { return it.reachesStore; });
+    const Peer *peer = selectPeer([&](const Peer &it) { return it.version > version; },
+                                  [](const Peer &it) { return it.reachesStore; });
+    if (!peer)
+        return std::nullopt;
+    return PeerAhead{peer->replicaAddress, peer->version};
 }
 
 std::optional<std::string> PeerRoster::chooseContextRelay(const std::string &failed) const
 {
-    return selectAddress([](const Peer &it) { return it.followsContext; },
-                         [&](const Peer &it) { return it.replicaAddress != failed; });
+    const Peer *peer = selectPeer([](const Peer &it) { return it.followsContext; },
+                                  [&](const Peer &it) { return it.replicaAddress != failed; });
+    return peer ? std::optional(peer->replicaAddress) : std::nullopt;
 }
 
-// Returns the replica address of the best eligible live peer: preferred ones first, then those in
-// this node's failure domain, then by a hash that distributes the readers over the peers.
-std::optional<std::string>
-PeerRoster::selectAddress(const std::function<bool(const Peer &)> &isEligible,
-                          const std::function<bool(const Peer &)> &isPreferred) const
+// Returns the best eligible live peer: preferred ones first, then those in this node's failure
+// domain, then by a hash that distributes the readers over the peers. nullptr: there is none.
+const PeerRoster::Peer *
+PeerRoster::selectPeer(const std::function<bool(const Peer &)> &isEligible,
+                       const std::function<bool(const Peer &)> &isPreferred) const
 {
     const std::uint64_t own = stableHash(m_self.name);
     std::optional<std::tuple<bool, bool, std::uint64_t>> bestRank;
-    std::optional<std::string> address;
+    const Peer *best = nullptr;
     for (const auto &[name, peer] : m_recent) {
         if (!isLive(*peer) || !isEligible(*peer))
             continue;
@@ -325,9 +326,9 @@
         if (bestRank && rank < *bestRank)
             continue;
         bestRank = rank;
-        address = peer->replicaAddress;
+        best = peer;
     }
-    return address;
+    return best;
 }
 
 } // namespace fordwood::node
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -18,12 +18,23 @@
 
 namespace fordwood::node {
 
+// A peer whose copy of the platform's store is ahead of this node's.
+struct PeerAhead
+{
+    std::string address; // of its replica
+    StoreVersion version;
+};
+
 // The other nodes: which are known and live, and which of them to send each kind of message. A peer
 // becomes known through its key in the platform's store or through its own messages; it counts as
 // live while its messages arrive.
 class PeerRoster
 {
 public:
+    // A relay that sends nothing for this long is replaced: its sums are too old for choosing
+    // engines.
+    static constexpr Duration kRelayTimeout = std::chrono::seconds(1);
+
     struct Self
     {
         std::string name;
@@ -119,18 +130,17 @@
     // domain, round robin. For a domain without a live relay, two candidates per call.
     std::vector<const Peer *> otherDomainTargets();
 
-    // The replica address of a live peer whose copy of the store is ahead of the version. Prefers
+    // A live peer whose copy of the store is ahead of the version. Prefers
     // peers that reach the store, then those in this node's failure domain.
-    std::optional<std::string> findPeerAheadOf(const StoreVersion &version) const;
+    std::optional<PeerAhead> findPeerAheadOf(const StoreVersion &version) const;
 
     // The replica address of a live peer that follows the context stores. Avoids the address that
     // failed if there is another, and prefers peers in this node's failure domain.
     std::optional<std::string> chooseContextRelay(const std::string &failed) const;
 
 private:
-    std::optional<std::string>
-    selectAddress(const std::function<bool(const Peer &)> &isEligible,
-                  const std::function<bool(const Peer &)> &isPreferred) const;
+    const Peer *selectPeer(const std::function<bool(const Peer &)> &isEligible,
+                           const std::function<bool(const Peer &)> &isPreferred) const;
     std::vector<RelayCandidate>
     candidatesWhere(const std::function<bool(const Peer &)> &predicate) const;
     std::vector<std::string> liveWhere(const std::function<bool(const Peer &)> &predicate) const;
--- /dev/null
+++ b/src/node/relay_traffic.hpp
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_NODE_RELAY_TRAFFIC_HPP_INCLUDED
+#define FORDWOOD_NODE_RELAY_TRAFFIC_HPP_INCLUDED
+
+#include <cstddef>
+
+#include "adapters/observe/metrics.hpp"
+#include "fordwood/clock.hpp"
+
+namespace fordwood::node {
+
+// Counts what a relay sends to other nodes and logs a summary once a second.
+class RelayTraffic
+{
+public:
+    RelayTraffic(const Clock &clock, adapters::Metrics &metrics, double linkBytesPerSecond)
+        : m_clock(clock), m_metrics(metrics), m_linkBytesPerSecond(linkBytesPerSecond),
+          m_since(clock.now())
+    { }
+
+    // A round of sums was sent: `bytes` in total, `datagramBytes` to each node, with the loads of
+    // `rows` upstreams.
+    void addSums(std::size_t bytes, std::size_t datagramBytes, std::size_t rows);
+
+    // Call often. Logs what was sent, if anything.
+    void tick();
+
+private:
+    const Clock &m_clock;
+    adapters::Metrics &m_metrics;
+    const double m_linkBytesPerSecond;
+    TimePoint m_since;
+    std::size_t m_rounds = 0;
+    std::size_t m_bytes = 0;
+    std::size_t m_datagramBytes = 0; // of the last round
+    std::size_t m_rows = 0; // of the last round
+};
+
+} // namespace fordwood::node
+
+#endif // FORDWOOD_NODE_RELAY_TRAFFIC_HPP_INCLUDED
--- a/src/node/replica_fetcher.cpp
+++ b/src/node/replica_fetcher.cpp
@@ -41,6 +41,9 @@
 
 constexpr std::string_view kEpochParameter = "&epoch=";
 
+// Longer than a change usually takes to all nodes.
+constexpr Duration kLongBehind = std::chrono::seconds(2);
+
 template <typename Number>
 bool parseNumber(std::string_view text, Number &number)
 {
@@ -89,6 +92,7 @@
     if ((m_replica.isEmpty() || hasNoPeers) && now >= m_nextSeedFetch)
         fetchFromSeed();
     const auto ahead = roster.findPeerAheadOf(m_replica.version());
+    reportLag(ahead);
     if (!ahead) {
         m_isBehind = false;
         return;
@@ -99,7 +103,7 @@
     if (reachesStore && now - m_behindSince < kWaitForWatch)
         return;
     if (now >= m_nextFetch)
-        fetchFrom(*ahead);
+        fetchFrom(ahead->address);
 }
 
 void ReplicaFetcher::fetchFromSeed()
@@ -126,18 +130,57 @@
     const bool isSnapshot = needsSnapshot && !m_withoutSnapshots.contains(address);
     call.target = isSnapshot ? std::string(kSnapshotTarget) : targetSince(m_replica.version());
     m_client.send(call, isSnapshot ? kSnapshotTimeout : kFetchTimeout,
-                  [this, address, isSnapshot](const HttpResult &result) {
-                      onFetched(address, isSnapshot, result);
+                  [this, address, isSnapshot, askedAt = m_clock.now()](const HttpResult &result) {
+                      onFetched(address, isSnapshot, askedAt, result);
                   });
 }
 
-void ReplicaFetcher::onFetched(const std::string &address, bool isSnapshot,
+// While changes follow each other, some peer is always ahead. What counts is how long this node has
+// lacked one that it knows of.
+void ReplicaFetcher::reportLag(const std::optional<PeerAhead> &ahead)
+{
+    const TimePoint now = m_clock.now();
+    if (m_lacking && m_replica.version() >= m_lacking->version) {
+        if (m_lacking->isReported)
+            logEvent(Event::ReplicaCaughtUp, {{"behind_ms", now - m_lacking->since},
+                                              {"revision", m_replica.version().revision}});
+        m_lacking.reset();
+        m_metrics.setGauge("fordwood_replica_behind_seconds", 0.0);
+    }
+    if (!ahead)
+        return;
+    if (!m_lacking)
+        m_lacking = {ahead->version, now, now + kLongBehind};
+    m_metrics.setGauge("fordwood_replica_behind_seconds",
+                       std::chrono::duration<double>(now - m_lacking->since).count());
+    if (now < m_lacking->nextReport)
+        return;
+    m_lacking->nextReport = now + kLongBehind;
+    m_lacking->isReported = true;
+    logEvent(Event::ReplicaBehind, {{"behind_ms", now - m_lacking->since},
+                                    {"revision", m_replica.version().revision},
+                                    {"lacks", m_lacking->version.revision},
+                                    {"peer", ahead->address},
+                                    {"unanswered", m_unansweredFetches}});
+}
+
+void ReplicaFetcher::onFetched(const std::string &address, bool isSnapshot, TimePoint askedAt,
                                const HttpResult &result)
 {
     constexpr unsigned kOk = 200;
     constexpr unsigned kNotFound = 404;
     m_isFetching = false;
     m_unansweredFetches = result ? 0 : m_unansweredFetches + 1;
+    if (!result || result->status != kOk) {
+        m_metrics.count("fordwood_replica_read_failures_total");
+        logEvent(Event::ReplicaReadFailed,
+                 {{"peer", address},
+                  {"snapshot", isSnapshot},
+                  {"status", result ? result->status : 0U},
+                  {"sent", result || result.error() == HttpFailure::NoAnswer},
+                  {"waited_ms", m_clock.now() - askedAt},
+                  {"unanswered", m_unansweredFetches}});
+    }
     if (!result)
         return; // a later tick tries again, possibly with another peer
     if (isSnapshot && result->status == kNotFound)
--- a/src/node/replica_fetcher.hpp
+++ b/src/node/replica_fetcher.hpp
@@ -50,10 +50,21 @@
     static std::optional<StoreVersion> parseTarget(std::string_view target);
 
 private:
+    // A version that this node knows of and lacks.
+    struct Lacking
+    {
+        StoreVersion version;
+        TimePoint since{};
+        TimePoint nextReport{};
+        bool isReported = false;
+    };
+
     void fetchFromSeed();
     void fetchFrom(const std::string &address);
-    void onFetched(const std::string &address, bool isSnapshot, const HttpResult &result);
+    void onFetched(const std::string &address, bool isSnapshot, TimePoint askedAt,
+                   const HttpResult &result);
     void pauseFetches(const HttpReply &reply);
+    void reportLag(const std::optional<PeerAhead> &ahead);
 
     const Clock &m_clock;
     HttpClient &m_client;
@@ -68,6 +79,7 @@
     std::size_t m_unansweredFetches = 0; // consecutive
     std::set<std::string> m_withoutSnapshots; // addresses of peers of earlier versions
     bool m_isBehind = false; // a peer is ahead of this node's replica
+    std::optional<Lacking> m_lacking;
     TimePoint m_behindSince{};
     TimePoint m_nextFetch{};
     TimePoint m_nextSeedFetch;
--- a/tests/support/relay_fleet.hpp
+++ b/tests/support/relay_fleet.hpp
@@ -11,6 +11,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include "adapters/observe/metrics.hpp"
 #include "fordwood/manual_clock.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "node/http_client.hpp"
@@ -53,7 +54,7 @@
             m_context, m_clock, PeerLinks::Self{node.name, node.domain, node.strength}, kSmallFleet,
             [this, n](const Gossip &it) { onMessage(m_nodes[n], it); });
         node.exchange = std::make_unique<LoadExchange>(
-            m_clock, *node.links, LoadExchange::Pace{200ms, kLinkBytesPerSecond},
+            m_clock, *node.links, m_metrics, LoadExchange::Pace{200ms, kLinkBytesPerSecond},
             [this, n](LoadReport it) { m_nodes[n].others = std::move(it); });
         node.quarantine = std::make_unique<QuarantineDistributor>(
             m_clock, m_store, m_replica, [this, n](const std::vector<QuarantineUpdate> &it) {
@@ -167,6 +168,7 @@
     const std::string m_addressPrefix;
     const std::size_t m_domains;
     ManualClock m_clock;
+    adapters::Metrics m_metrics;
     net::io_context m_context;
     HttpClient m_caller{m_context, m_clock};
     StoreReplica m_replica;
