--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -667,26 +667,14 @@
 RelayRole::Peers ControlLoop::relayPeers() const
 {
     const PeerRoster &roster = m_peers.roster();
-    RelayRole::Peers peers;
-    peers.relays = roster.relays();
     if (!usesLoadSums()) {
+        RelayRole::Peers peers;
+        peers.relays = roster.relays();
         peers.liveNodes = m_liveNodes;
         peers.relaysReachingStore = roster.domainPeersReachingStore();
         return peers;
     }
-    const auto relays = roster.domainRelays();
-    const auto anyRelay = [&relays](bool PeerRoster::Peer::*holds) {
-        return std::any_of(relays.begin(), relays.end(),
-                           [holds](const PeerRoster::Peer *it) { return it->*holds; });
-    };
-    // Counts the known nodes, since a node that has just started has received no message yet.
-    peers.liveNodes = roster.size() + 1;
-    peers.relaysReachingStore = roster.domainRelayCandidates();
-    peers.higherRanked = roster.countHigherRanked();
-    peers.relayReachesStore = anyRelay(&PeerRoster::Peer::reachesStore);
-    peers.relayGetsStoreChanges = anyRelay(&PeerRoster::Peer::getsStoreChanges);
-    peers.reachesStore = m_store.isReachable();
-    return peers;
+    return roster.relayRolePeers(m_store.isReachable());
 }
 
 // Decides whether this node is a relay and which stores it follows itself.
--- a/src/node/datagram_socket.hpp
+++ b/src/node/datagram_socket.hpp
@@ -3,7 +3,6 @@
 #define FORDWOOD_NODE_DATAGRAM_SOCKET_HPP_INCLUDED
 
 #include <array>
-#include <functional>
 #include <string>
 #include <string_view>
 
@@ -11,34 +10,25 @@
 
 #include "fordwood/clock.hpp"
 #include "fordwood/stall_detector.hpp"
+#include "node/datagram_transport.hpp"
 #include "node/net.hpp"
 
 namespace fordwood::node {
 
-// A UDP socket for messages between nodes. Nothing is repeated: receivers tolerate lost datagrams.
-class DatagramSocket
+// A UDP socket for messages between nodes.
+class DatagramSocket : public DatagramTransport
 {
 public:
-    using OnDatagram = std::function<void(std::string_view bytes, const udp::endpoint &from)>;
-
     static constexpr std::size_t kMaxDatagramBytes = 65'507;
 
     DatagramSocket(net::io_context &context, const Clock &clock, OnDatagram onDatagram);
 
-    // Returns false and sets `ec` if the address cannot be used.
-    bool open(const std::string &address, ErrorCode &ec);
-
-    // Call it often. After the thread has stalled, drops the datagrams that wait in the socket,
-    // which would count as new although they are as old as the stall.
-    void checkForStall();
-
-    // Returns whether the kernel took the datagram. `peer`: names the receiver in the log; empty:
-    // by its address.
-    bool send(std::string_view bytes, const udp::endpoint &to, const std::string &peer = {});
-
-    std::size_t sent() const { return m_sent; }
-    // Of these, the ones that the kernel did not take, for example because they were too long.
-    std::size_t failed() const { return m_failed; }
+    bool open(const std::string &address, ErrorCode &ec) override;
+    void checkForStall() override;
+    bool send(std::string_view bytes, const udp::endpoint &to,
+              const std::string &peer = {}) override;
+    std::size_t sent() const override { return m_sent; }
+    std::size_t failed() const override { return m_failed; }
 
 private:
     void receive();
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "fordwood/rendezvous.hpp"
+#include "node/datagram_socket.hpp"
 
 namespace fordwood::node {
 
@@ -19,17 +20,20 @@
 } // namespace
 
 PeerLinks::PeerLinks(net::io_context &context, const Clock &clock, Self self,
-                     std::size_t smallFleet, OnMessage onMessage)
+                     std::size_t smallFleet, OnMessage onMessage,
+                     const MakeTransport &makeTransport)
     : m_roster(clock, std::move(self)), m_smallFleet(smallFleet), m_onMessage(std::move(onMessage)),
-      m_socket(
-          context, clock,
-          [this](std::string_view bytes, const udp::endpoint &from) { onDatagram(bytes, from); }),
       m_tickTimer(context)
-{ }
+{
+    const auto receive
+        = [this](std::string_view bytes, const udp::endpoint &from) { onDatagram(bytes, from); };
+    m_transport = makeTransport ? makeTransport(receive)
+                                : std::make_unique<DatagramSocket>(context, clock, receive);
+}
 
 bool PeerLinks::open(const std::string &address, ErrorCode &ec)
 {
-    if (!m_socket.open(address, ec))
+    if (!m_transport->open(address, ec))
         return false;
     startTickTimer();
     return true;
@@ -80,7 +84,7 @@
 void PeerLinks::send(const std::string &datagram, const Peer &peer)
 {
     if (peer.gossip)
-        m_socket.send(datagram, *peer.gossip, peer.replicaAddress);
+        m_transport->send(datagram, *peer.gossip, peer.replicaAddress);
 }
 
 // Messages alternate between two forwarders, so that a forwarder that has just died loses only
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -3,13 +3,14 @@
 #define FORDWOOD_NODE_PEER_LINKS_HPP_INCLUDED
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include "fordwood/clock.hpp"
-#include "node/datagram_socket.hpp"
+#include "node/datagram_transport.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
 #include "node/peer_roster.hpp"
@@ -27,9 +28,14 @@
     using OnMessage = std::function<void(const Gossip &)>;
     using Self = PeerRoster::Self;
 
-    // `smallFleet`: the largest fleet in which every node sends to every other.
+    // Creates the transport that delivers datagrams to the given function.
+    using MakeTransport
+        = std::function<std::unique_ptr<DatagramTransport>(DatagramTransport::OnDatagram)>;
+
+    // `smallFleet`: the largest fleet in which every node sends to every other. Without
+    // `makeTransport`, a UDP socket is used.
     PeerLinks(net::io_context &context, const Clock &clock, Self self, std::size_t smallFleet,
-              OnMessage onMessage);
+              OnMessage onMessage, const MakeTransport &makeTransport = nullptr);
 
     // Returns false and sets `ec` if the address cannot be used.
     bool open(const std::string &address, ErrorCode &ec);
@@ -37,7 +43,7 @@
     // Periodic work; a timer on the node's thread calls it too. After the thread has stalled, drops
     // the datagrams that wait in the socket: they would count as new, on this node and, once
     // forwarded, on nodes that did not stall. Peers send new ones several times a second.
-    void tick() { m_socket.checkForStall(); }
+    void tick() { m_transport->checkForStall(); }
 
     void setAddress(const std::string &node, const PeerAddress &address)
     {
@@ -60,10 +66,10 @@
     std::size_t sendToOtherDomains(const Gossip &message);
 
     // Total number of datagrams sent.
-    std::size_t datagramsSent() const { return m_socket.sent(); }
+    std::size_t datagramsSent() const { return m_transport->sent(); }
 
     // Of these, the ones that the kernel did not take, for example because they were too long.
-    std::size_t datagramsFailed() const { return m_socket.failed(); }
+    std::size_t datagramsFailed() const { return m_transport->failed(); }
 
 private:
     using Peer = PeerRoster::Peer;
@@ -86,7 +92,7 @@
     PeerRoster m_roster;
     const std::size_t m_smallFleet;
     OnMessage m_onMessage;
-    DatagramSocket m_socket;
+    std::unique_ptr<DatagramTransport> m_transport;
     net::steady_timer m_tickTimer;
     std::size_t m_messagesSent = 0; // messages
 };
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -210,6 +210,25 @@
     return found;
 }
 
+RelayRole::Peers PeerRoster::relayRolePeers(bool reachesStore) const
+{
+    const auto ownRelays = domainRelays();
+    const auto anyRelay = [&ownRelays](bool Peer::*holds) {
+        return std::any_of(ownRelays.begin(), ownRelays.end(),
+                           [holds](const Peer *it) { return it->*holds; });
+    };
+    RelayRole::Peers peers;
+    peers.relays = relays();
+    // Counts the known nodes, since a node that has just started has received no message yet.
+    peers.liveNodes = size() + 1;
+    peers.relaysReachingStore = domainRelayCandidates();
+    peers.higherRanked = countHigherRanked();
+    peers.relayReachesStore = anyRelay(&Peer::reachesStore);
+    peers.relayGetsStoreChanges = anyRelay(&Peer::getsStoreChanges);
+    peers.reachesStore = reachesStore;
+    return peers;
+}
+
 std::size_t PeerRoster::countHigherRanked() const
 {
     if (m_higherRanked)
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -116,6 +116,10 @@
     std::vector<const Peer *> domainRelays() const;
     std::vector<RelayCandidate> domainRelayCandidates() const;
 
+    // What a node of a large fleet, where relays sum up loads, knows of its peers for its role.
+    // `reachesStore`: whether the platform's store answers this node.
+    RelayRole::Peers relayRolePeers(bool reachesStore) const;
+
     // The number of nodes in this failure domain, live or not, that rank before this one as relays.
     std::size_t countHigherRanked() const;
 
