Relays send sums in turn, and changes in short messages with a budget of their own

Cause: a relay sent each sum of loads to all nodes of its failure domain at once. Before traffic a round weighs 0.4 MB, with loads 1.2 to 1.5 MB (8.5 KB to 144 to 184 nodes), which is more than the queue of its link takes. The queue drops the end, and the nodes are always in the same order: those at the end of the list heard nothing, neither loads nor versions, took the relays for dead, took over the role and sent the same rounds over links of 20 Mbit/s. Also, each change of the store made a relay send whole sums at once, whatever its pace. Class: load that grows as its own remedy; what is urgent waits behind what is large.

Changes travel in the short messages, which are sent first. Nodes that no one reads from tell no change. Each round to the domain starts at another node.

Conclusion: a round no longer exceeds a link's queue at any number of nodes and upstreams.

--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -68,7 +68,7 @@
 
 LoadExchange::Pace exchangePace(const config::OneProcessSettings &settings)
 {
-    return {settings.peers.gossipEvery, linkBytesPerSecond(settings)};
+    return {settings.peers.gossipEvery, kMinGossipInterval, linkBytesPerSecond(settings)};
 }
 
 ReplicaServer::Limits replicaServerLimits(const config::OneProcessSettings &settings)
@@ -263,13 +263,20 @@
     if (isRestored)
         storeRestored(before);
     m_documents.readAll(*changed, mayBeExpiry || isRestored);
-    if (m_replica.version() != before)
-        m_isGossipDue = true;
+    if (m_replica.version() != before && isFollowedByPeers())
+        m_hasNews = true;
     updateEngines();
     m_rolloutExecutor.lock().keyChanged(m_replica.find(RolloutExecutor::lockKey()),
                                         m_replica.version().epoch);
 }
 
+// Whether peers read this node's replica. In a large fleet they read those of relays, and of nodes
+// that follow the store in their place; hundreds of others need not tell each change that they got.
+bool ControlLoop::isFollowedByPeers() const
+{
+    return !usesLoadSums() || m_role.isRelay() || m_role.followsStore();
+}
+
 // The store was restored from a snapshot. Upstreams that are missing in it may still be running and
 // may not have written their records again yet.
 void ControlLoop::storeRestored(const StoreVersion &before)
@@ -361,8 +368,8 @@
 void ControlLoop::handleOwnQuarantineUpdates(const std::vector<QuarantineUpdate> &updates)
 {
     m_quarantine.addOwn(updates);
-    m_isGossipDue = m_isGossipDue || m_quarantine.hasUnsent();
-    if (m_isGossipDue && canGossipNow())
+    m_hasNews = m_hasNews || m_quarantine.hasUnsent();
+    if (isMessageDue())
         gossip();
 }
 
@@ -437,17 +444,20 @@
 {
     // A relay sends its sums often enough without this.
     const bool isUrgent = own.isUrgent && !(usesLoadSums() && m_role.isRelay());
-    m_isGossipDue = m_isGossipDue || isUrgent;
+    m_hasNews = m_hasNews || isUrgent;
     m_lastOwnLoads = std::move(own);
     if (m_drainReports.addOwn(m_lastOwnLoads.draining))
         updateEngines();
-    if (m_isGossipDue && canGossipNow())
+    if (isMessageDue())
         gossip();
 }
 
-bool ControlLoop::canGossipNow() const
+bool ControlLoop::isMessageDue() const
 {
-    return m_clock.now() >= m_lastGossip + kMinGossipInterval;
+    if (usesLoadSums())
+        return m_exchange.isDue(m_role.isRelay(), m_hasNews);
+    const Duration pause = m_hasNews ? kMinGossipInterval : m_settings.peers.gossipEvery;
+    return m_clock.now() - m_lastGossip >= pause;
 }
 
 Gossip ControlLoop::ownMessage() const
@@ -491,31 +501,40 @@
 void ControlLoop::gossip()
 {
     Gossip message = ownMessage();
-    message.quarantineUpdates = m_quarantine.nextBatch();
-    // Where relays forward limits, the other nodes send only their own.
-    m_limitReports.addTo(message, m_lastOwnLoads, !usesLoadSums() || m_role.isRelay());
-    message.draining = m_drainReports.nextBatch();
+    const bool isRelay = m_role.isRelay();
+    // A message without these is a sum for some of the nodes.
+    const bool reachesAll = !usesLoadSums() || m_exchange.isMessageDue(isRelay, m_hasNews);
+    if (reachesAll)
+        addReports(message);
     publish(EnginesLoading{message.node, message.orders.enginesLoading});
-    m_isGossipDue = false;
     m_lastGossip = m_clock.now();
-    Duration pause = m_settings.peers.gossipEvery;
     if (usesLoadSums()) {
         m_exchange.setOwn(message.load);
-        if (m_role.isRelay()) {
+        if (isRelay) {
             message.getsStoreChanges
                 = message.storeReachable || !m_peers.roster().peersReachingStore().empty();
             message.forwardedOrders = m_orderReports.toForward();
         }
-        pause = m_exchange.send(std::move(message), m_role.isRelay());
+        m_exchange.send(std::move(message), isRelay, m_hasNews);
     } else {
         m_peers.sendAll(message);
     }
+    if (reachesAll)
+        m_hasNews = false;
     m_metrics.setGauge("fordwood_peer_datagrams", static_cast<double>(m_peers.datagramsSent()));
     m_metrics.setGauge("fordwood_peer_datagrams_failed",
                        static_cast<double>(m_peers.datagramsFailed()));
     m_metrics.setGauge("fordwood_reporting_nodes",
                        static_cast<double>(m_exchange.reportingNodes()));
-    m_nextGossip = m_clock.now() + pause;
+}
+
+// Adds what this node has learned of requests, limits and draining upstreams.
+void ControlLoop::addReports(Gossip &message)
+{
+    message.quarantineUpdates = m_quarantine.nextBatch();
+    // Where relays forward limits, the other nodes send only their own.
+    m_limitReports.addTo(message, m_lastOwnLoads, !usesLoadSums() || m_role.isRelay());
+    message.draining = m_drainReports.nextBatch();
 }
 
 // A new lock holder waits a quiet time after the last order of its predecessor. This shortens the
@@ -564,7 +583,8 @@
         updateMembers();
     pollStore();
     m_fetcher.tick(m_peers.roster(), reachesStore());
-    if ((m_isGossipDue && canGossipNow()) || now >= m_nextGossip)
+    m_exchange.tick(m_role.isRelay());
+    if (isMessageDue())
         gossip();
 }
 
@@ -589,7 +609,7 @@
     if (!m_rolloutExecutor.rollout().takeNewReports() && loading == m_publishedLoading)
         return;
     m_publishedLoading = loading;
-    m_isGossipDue = true;
+    m_hasNews = true;
     updateObservedVersions();
 }
 
@@ -693,7 +713,7 @@
     if (m_role.isRelay() == wasRelay)
         return;
     logEvent(Event::RelayRoleChanged, {{"relay", m_role.isRelay()}, {"live", m_liveNodes}});
-    m_isGossipDue = true;
+    m_hasNews = true;
 }
 
 // Reads and writes the marks that hold the ages of weight namings. A node that starts needs them if
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -103,9 +103,11 @@
     void setOthersLoad(LoadReport others);
     void handleOwnLoads(OwnLoads own);
     void handleOwnQuarantineUpdates(const std::vector<QuarantineUpdate> &updates);
-    bool canGossipNow() const;
+    bool isMessageDue() const;
+    bool isFollowedByPeers() const;
     Gossip ownMessage() const;
     void gossip();
+    void addReports(Gossip &message);
     RelayRole::Peers relayPeers() const;
     void tick();
     void pollStore();
@@ -172,7 +174,8 @@
     bool m_hasConfiguration = false;
     bool m_isStopping = false;
     bool m_isLeaving = false; // no request runs any more
-    bool m_isGossipDue = false; // a change should be sent to peers at once
+    bool m_hasNews
+        = true; // something that peers should know at once, as that this node has started
     std::size_t m_liveNodes = 0;
     bool m_keysChanged = true; // node keys in the store changed since the last KnownNodes update
     bool m_publishedReachable = true;
@@ -181,7 +184,6 @@
     std::optional<KnownNodes> m_publishedNodes;
     TimePoint m_expiryDoubtSince{}; // when this node last began to get answers from the store
     TimePoint m_lastGossip{};
-    TimePoint m_nextGossip{};
     TimePoint m_nextMemberUpdate{};
     TimePoint m_nextPoll{};
 };
--- a/src/node/load_exchange.cpp
+++ b/src/node/load_exchange.cpp
@@ -6,18 +6,6 @@
 
 namespace fordwood::node {
 
-namespace {
-
-// Nodes receive sums from two relays, which halves the average age of the newest sum. It is then
-// less than the time to compute a long prompt.
-constexpr Duration kMinSumInterval = std::chrono::milliseconds(100);
-
-// A relay on a weak VM sends less often, so that sums leave enough bandwidth for its answers.
-constexpr double kLinkShare = 0.25;
-constexpr Duration kMaxSumInterval = std::chrono::milliseconds(500);
-
-} // namespace
-
 void LoadExchange::handle(const Gossip &message, bool isRelay)
 {
     const PeerRoster::Self &self = m_peers.roster().self();
@@ -50,46 +38,89 @@
     m_onOthersLoad(std::move(others));
 }
 
-Duration LoadExchange::send(Gossip message, bool isRelay)
+bool LoadExchange::isDue(bool isRelay, bool hasNews) const
+{
+    return isMessageDue(isRelay, hasNews) || (isRelay && m_relayPace.isSumDue());
+}
+
+bool LoadExchange::isMessageDue(bool isRelay, bool hasNews) const
+{
+    if (isRelay)
+        return m_relayPace.isMessageDue(hasNews);
+    return !m_lastReport
+           || m_clock.now() - *m_lastReport >= (hasNews ? m_minReportPause : m_reportEvery);
+}
+
+void LoadExchange::send(Gossip message, bool isRelay, bool hasNews)
 {
-    if (!isRelay) {
-        report(std::move(message));
-        return m_pace.reportEvery;
+    if (isRelay) {
+        sendAsRelay(message, hasNews);
+        return;
     }
-    report(message);
-    return sendSums(std::move(message));
+    m_lastReport = m_clock.now();
+    m_peers.sendToRelays(reportIn(std::move(message)));
 }
 
-void LoadExchange::report(Gossip message)
+Gossip LoadExchange::reportIn(Gossip message)
 {
     message.scope = LoadScope::Node;
     message.load = m_sums.own();
     message.reportNumber = m_sent.add(message.load);
-    m_peers.sendToRelays(message);
+    return message;
+}
+
+void LoadExchange::sendAsRelay(const Gossip &message, bool hasNews)
+{
+    const bool isMessageDue = m_relayPace.isMessageDue(hasNews);
+    const bool reachesAll = m_relayPace.isSumDue() && startFleetSum(message);
+    if (isMessageDue || reachesAll) {
+        const Gossip report = reportIn(message);
+        std::size_t bytes = 0;
+        // Whoever got a sum needs no report besides, unless it adds up the reports.
+        if (reachesAll)
+            m_peers.sendToRelays(report);
+        else
+            bytes += m_peers.sendToDomain(report);
+        bytes += sendDomainSum(message);
+        m_relayPace.messagesSent(bytes);
+        m_traffic.addMessages(bytes);
+    }
+    m_traffic.tick();
 }
 
-Duration LoadExchange::sendSums(Gossip message)
+std::size_t LoadExchange::sendDomainSum(Gossip message)
 {
     message.scope = LoadScope::Domain;
     message.load = m_sums.domainSum();
-    std::size_t bytes = m_peers.sendToOtherDomains(message);
+    return m_peers.sendToOtherDomains(message);
+}
+
+// Computes a new sum for the nodes of this domain. Returns whether it could be sent to all of them.
+bool LoadExchange::startFleetSum(Gossip message)
+{
     LoadReport others = m_sums.othersSum();
     message.scope = LoadScope::Fleet;
     message.load = others;
     message.load += m_sums.own();
     message.reportNumbers = m_sums.reportNumbers();
     message.reportNumber = ++m_lastSum;
-    const std::size_t domainBytes = m_peers.sendToDomain(message);
-    bytes += domainBytes;
-    m_traffic.addSums(bytes,
-                      domainBytes / std::max<std::size_t>(m_peers.roster().domainPeers().size(), 1),
-                      message.load.loads.rows().size());
-    m_traffic.tick();
+    m_fleetSum = PeerLinks::encodeDirect(message);
+    m_fleetSumRows = message.load.loads.rows().size();
+    m_sumReceivers = m_peers.roster().domainPeers().size();
+    m_relayPace.sumComputed();
+    continueFleetSum();
     publishOthers(std::move(others));
-    const std::chrono::duration<double> linkTime(static_cast<double>(bytes)
-                                                 / (kLinkShare * m_pace.linkBytesPerSecond));
-    return std::clamp(std::chrono::duration_cast<Duration>(linkTime), kMinSumInterval,
-                      kMaxSumInterval);
+    return m_sumReceivers == 0;
+}
+
+void LoadExchange::continueFleetSum()
+{
+    if (m_sumReceivers == 0)
+        return;
+    const std::size_t admitted = m_relayPace.admitSums(m_sumReceivers, m_fleetSum.size());
+    m_peers.sendToNextInDomain(m_fleetSum, admitted);
+    m_sumReceivers -= admitted;
+    m_traffic.addSums(admitted, m_fleetSum.size(), m_fleetSumRows);
 }
 
 } // namespace fordwood::node
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -42,7 +42,7 @@
 void PeerLinks::sendAll(const Gossip &message)
 {
     m_roster.removeSilent();
-    const std::string datagram = static_cast<char>(Delivery::Direct) + encodeGossip(message);
+    const std::string datagram = encodeDirect(message);
     // Sent directly, so that no earlier message of this node arrives after its last one.
     const bool sendsToEach = message.leaving || m_roster.size() < m_smallFleet;
     std::map<std::string, std::vector<const Peer *>> byDomain; // by failure domain
@@ -65,7 +65,15 @@
 
 std::size_t PeerLinks::sendToDomain(const Gossip &message)
 {
-    return sendToPeers(message, m_roster.domainPeers());
+    // Starts with another one each time: if the link drops the last part of a round, no node misses
+    // each of them.
+    std::vector<const Peer *> peers = m_roster.domainPeers();
+    if (!peers.empty()) {
+        m_firstInDomain = (m_firstInDomain + peers.size() / 3 + 1) % peers.size();
+        std::rotate(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(m_firstInDomain),
+                    peers.end());
+    }
+    return sendToPeers(message, peers);
 }
 
 std::size_t PeerLinks::sendToOtherDomains(const Gossip &message)
@@ -73,9 +81,21 @@
     return sendToPeers(message, m_roster.otherDomainTargets());
 }
 
+std::string PeerLinks::encodeDirect(const Gossip &message)
+{
+    return static_cast<char>(Delivery::Direct) + encodeGossip(message);
+}
+
+void PeerLinks::sendToNextInDomain(const std::string &datagram, std::size_t n)
+{
+    const std::vector<const Peer *> peers = m_roster.domainPeers();
+    for (std::size_t i = 0; i < std::min(n, peers.size()); ++i)
+        send(datagram, *peers[m_nextInDomain++ % peers.size()]);
+}
+
 std::size_t PeerLinks::sendToPeers(const Gossip &message, const std::vector<const Peer *> &peers)
 {
-    const std::string datagram = static_cast<char>(Delivery::Direct) + encodeGossip(message);
+    const std::string datagram = encodeDirect(message);
     for (const Peer *it : peers)
         send(datagram, *it);
     return datagram.size() * peers.size();
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -59,9 +59,16 @@
     // Sends this node's load report to the relays of its failure domain.
     void sendToRelays(const Gossip &message);
 
-    // Sends the sums of all nodes to the nodes of this failure domain. Returns the bytes sent.
+    // Sends to the nodes of this failure domain. Returns the bytes sent.
     std::size_t sendToDomain(const Gossip &message);
 
+    // The datagram that carries the message from here to its receiver.
+    static std::string encodeDirect(const Gossip &message);
+
+    // Sends the datagram to `n` nodes of this failure domain, those that follow the ones that got
+    // the last.
+    void sendToNextInDomain(const std::string &datagram, std::size_t n);
+
     // Sends the sums of this failure domain to a relay of each other one. Returns the bytes sent.
     std::size_t sendToOtherDomains(const Gossip &message);
 
@@ -95,6 +102,8 @@
     std::unique_ptr<DatagramTransport> m_transport;
     net::steady_timer m_tickTimer;
     std::size_t m_messagesSent = 0; // messages
+    std::size_t m_nextInDomain = 0; // receiver of sendToNextInDomain()
+    std::size_t m_firstInDomain = 0; // receiver of sendToDomain()
 };
 
 } // namespace fordwood::node
--- a/src/node/relay_traffic.cpp
+++ b/src/node/relay_traffic.cpp
@@ -14,10 +14,10 @@
 
 } // namespace
 
-void RelayTraffic::addSums(std::size_t bytes, std::size_t datagramBytes, std::size_t rows)
+void RelayTraffic::addSums(std::size_t receivers, std::size_t datagramBytes, std::size_t rows)
 {
-    m_rounds += 1;
-    m_bytes += bytes;
+    m_sums += receivers;
+    m_sumBytes += receivers * datagramBytes;
     m_datagramBytes = datagramBytes;
     m_rows = rows;
 }
@@ -28,21 +28,19 @@
     if (elapsed < kSummaryInterval)
         return;
     m_since = m_clock.now();
-    if (m_rounds == 0)
-        return;
-    const double seconds = std::chrono::duration<double>(elapsed).count();
-    const double linkPercent
-        = 100.0 * static_cast<double>(m_bytes) / std::max(seconds * m_linkBytesPerSecond, 1.0);
+    const double linkBytes
+        = std::max(std::chrono::duration<double>(elapsed).count() * m_linkBytesPerSecond, 1.0);
+    const double linkPercent = 100.0 * static_cast<double>(m_messageBytes + m_sumBytes) / linkBytes;
     adapters::logEvent(adapters::Event::RelayTraffic,
-                       {{"rounds", m_rounds},
-                        {"bytes", m_bytes},
+                       {{"messages", m_messageRounds},
+                        {"message_bytes", m_messageBytes},
+                        {"sums", m_sums},
                         {"sum_bytes", m_datagramBytes},
                         {"rows", m_rows},
                         {"link_percent", static_cast<int>(linkPercent)}});
     m_metrics.setGauge("fordwood_relay_link_percent", linkPercent);
     m_metrics.setGauge("fordwood_sum_bytes", static_cast<double>(m_datagramBytes));
-    m_rounds = 0;
-    m_bytes = 0;
+    m_messageRounds = m_messageBytes = m_sums = m_sumBytes = 0;
 }
 
 } // namespace fordwood::node
--- a/src/node/relay_traffic.hpp
+++ b/src/node/relay_traffic.hpp
@@ -18,9 +18,15 @@
           m_since(clock.now())
     { }
 
-    // A round of sums was sent: `bytes` in total, `datagramBytes` to each node, with the loads of
-    // `rows` upstreams.
-    void addSums(std::size_t bytes, std::size_t datagramBytes, std::size_t rows);
+    // Short messages and sums for other failure domains were sent.
+    void addMessages(std::size_t bytes)
+    {
+        m_messageRounds += 1;
+        m_messageBytes += bytes;
+    }
+
+    // A sum of `datagramBytes` with the loads of `rows` upstreams was sent to `receivers` nodes.
+    void addSums(std::size_t receivers, std::size_t datagramBytes, std::size_t rows);
 
     // Call often. Logs what was sent, if anything.
     void tick();
@@ -30,10 +36,12 @@
     adapters::Metrics &m_metrics;
     const double m_linkBytesPerSecond;
     TimePoint m_since;
-    std::size_t m_rounds = 0;
-    std::size_t m_bytes = 0;
-    std::size_t m_datagramBytes = 0; // of the last round
-    std::size_t m_rows = 0; // of the last round
+    std::size_t m_messageRounds = 0;
+    std::size_t m_messageBytes = 0;
+    std::size_t m_sums = 0;
+    std::size_t m_sumBytes = 0;
+    std::size_t m_datagramBytes = 0; // of the last sum
+    std::size_t m_rows = 0; // of the last sum
 };
 
 } // namespace fordwood::node
--- a/tests/support/linked_domain.hpp
+++ b/tests/support/linked_domain.hpp
@@ -56,7 +56,6 @@
         std::int64_t knownRevision = 0;
         bool hasNews = false;
         bool isCutOff = false;
-        TimePoint nextMessage{};
     };
 
     // The store changes once in each `interval`; zero: not at all.
@@ -68,6 +67,9 @@
 
     void addLoad() { m_hasLoad = true; }
 
+    // From now on every nth datagram is lost.
+    void loseEveryNth(std::size_t n) { m_network.loseEveryNth(n); }
+
     // Runs all nodes. Records the longest time for which a node did not know of a change.
     void run(Duration time)
     {
@@ -131,7 +133,8 @@
             });
         node.exchange = std::make_unique<LoadExchange>(
             m_clock, *node.links, m_metrics,
-            LoadExchange::Pace{std::chrono::milliseconds(200), node.link},
+            LoadExchange::Pace{std::chrono::milliseconds(200), std::chrono::milliseconds(10),
+                               node.link},
             [](const LoadReport &) {});
         return node;
     }
@@ -169,11 +172,13 @@
 
     void send(Node &node)
     {
-        if (!node.hasNews && m_clock.now() < node.nextMessage)
+        const bool isRelay = node.role->isRelay();
+        node.exchange->tick(isRelay);
+        if (!node.exchange->isDue(isRelay, node.hasNews))
             return;
-        node.nextMessage
-            = m_clock.now() + node.exchange->send(messageOf(node), node.role->isRelay());
-        node.hasNews = false;
+        const bool reachesAll = node.exchange->isMessageDue(isRelay, node.hasNews);
+        node.exchange->send(messageOf(node), isRelay, node.hasNews);
+        node.hasNews = node.hasNews && !reachesAll;
     }
 
     Gossip messageOf(Node &node)
--- a/tests/support/relay_fleet.hpp
+++ b/tests/support/relay_fleet.hpp
@@ -54,7 +54,7 @@
             m_context, m_clock, PeerLinks::Self{node.name, node.domain, node.strength}, kSmallFleet,
             [this, n](const Gossip &it) { onMessage(m_nodes[n], it); });
         node.exchange = std::make_unique<LoadExchange>(
-            m_clock, *node.links, m_metrics, LoadExchange::Pace{200ms, kLinkBytesPerSecond},
+            m_clock, *node.links, m_metrics, LoadExchange::Pace{200ms, 10ms, kLinkBytesPerSecond},
             [this, n](LoadReport it) { m_nodes[n].others = std::move(it); });
         node.quarantine = std::make_unique<QuarantineDistributor>(
             m_clock, m_store, m_replica, [this, n](const std::vector<QuarantineUpdate> &it) {
@@ -162,7 +162,7 @@
         LoadReport own;
         own.loads = {{"e", {1, 10, 10}}};
         node.exchange->setOwn(own);
-        node.exchange->send(message, node.isRelay);
+        node.exchange->send(message, node.isRelay, true);
     }
 
     const std::string m_addressPrefix;
--- a/tests/support/simulated_network.hpp
+++ b/tests/support/simulated_network.hpp
@@ -40,6 +40,9 @@
     // From now on, datagrams of the node at this address are lost, and those to it.
     void cutOff(const std::string &address) { m_cutOff.insert(address); }
 
+    // From now on every nth datagram is lost, in addition; zero: none.
+    void loseEveryNth(std::size_t n) { m_loseEvery = n; }
+
     std::size_t dropped() const { return m_dropped; }
 
 private:
@@ -115,7 +118,9 @@
     {
         const auto passed = from.m_up.pass(bytes.size(), m_clock.now());
         const std::string address = to.address().to_string() + ":" + std::to_string(to.port());
-        if (!passed || m_cutOff.contains(from.m_address) || m_cutOff.contains(address)) {
+        m_departed += 1;
+        const bool isLost = m_loseEvery > 0 && m_departed % m_loseEvery == 0;
+        if (!passed || isLost || m_cutOff.contains(from.m_address) || m_cutOff.contains(address)) {
             m_dropped += 1;
             return;
         }
@@ -143,6 +148,8 @@
     std::map<std::string, Transport *> m_transports; // by address
     std::multimap<TimePoint, Datagram> m_inFlight;
     std::set<std::string> m_cutOff;
+    std::size_t m_loseEvery = 0;
+    std::size_t m_departed = 0;
     std::size_t m_dropped = 0;
 };
 
