--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -583,6 +583,8 @@
         updateMembers();
     pollStore();
     m_fetcher.tick(m_peers.roster(), reachesStore());
+    if (m_fetcher.takeOverdue())
+        m_store.poll();
     m_exchange.tick(m_role.isRelay());
     if (isMessageDue())
         gossip();
--- a/src/node/http_call.hpp
+++ b/src/node/http_call.hpp
@@ -33,6 +33,7 @@
 enum class HttpFailure {
     NotSent, // no connection was established
     NoAnswer, // the call was sent, so it may have been executed
+    AnswerCut, // as NoAnswer; the answer began to arrive, but not all of it came in time
 };
 
 using HttpResult = tl::expected<HttpReply, HttpFailure>;
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -49,8 +49,7 @@
         m_timer.expires_after(timeout);
         m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
             if (!ec)
-                self->finish(
-                    tl::unexpected(self->m_sent ? HttpFailure::NoAnswer : HttpFailure::NotSent));
+                self->finish(tl::unexpected(self->failure()));
         });
         m_channel = m_caller.takeIdle(m_call.address);
         if (m_channel) {
@@ -86,7 +85,7 @@
         m_reply.body.append(bytes);
         if (m_reply.body.size() <= kMaxReplyBytes)
             return true;
-        finish(tl::unexpected(HttpFailure::NoAnswer));
+        finish(tl::unexpected(failure()));
         return false;
     }
 
@@ -97,12 +96,16 @@
         finish(std::move(m_reply));
     }
 
-    void onChannelFailure(const ErrorCode &) override
+    void onChannelFailure(const ErrorCode &) override { finish(tl::unexpected(failure())); }
+
+private:
+    HttpFailure failure() const
     {
-        finish(tl::unexpected(HttpFailure::NoAnswer));
+        if (!m_sent)
+            return HttpFailure::NotSent;
+        return m_reply.status == 0 ? HttpFailure::NoAnswer : HttpFailure::AnswerCut;
     }
 
-private:
     void sendRequest()
     {
         m_sent = true;
--- a/src/node/peer_roster.cpp
+++ b/src/node/peer_roster.cpp
@@ -312,42 +312,43 @@
     return found;
 }
 
-std::optional<PeerAhead> PeerRoster::findPeerAheadOf(const StoreVersion &version) const
+std::vector<PeerAhead> PeerRoster::findPeersAheadOf(const StoreVersion &version) const
 {
-    const Peer *peer = selectPeer([&](const Peer &it) { return it.version > version; },
-                                  [](const Peer &it) { return it.reachesStore; });
-    if (!peer)
-        return std::nullopt;
-    return PeerAhead{peer->replicaAddress, peer->version};
+    std::vector<PeerAhead> ahead;
+    for (const Peer *it : rankPeers([&](const Peer &peer) { return peer.version > version; },
+                                    [](const Peer &peer) { return peer.reachesStore; }))
+        ahead.push_back({it->replicaAddress, it->version});
+    return ahead;
 }
 
 std::optional<std::string> PeerRoster::chooseContextRelay(const std::string &failed) const
 {
-    const Peer *peer = selectPeer([](const Peer &it) { return it.followsContext; },
+    const auto ranked = rankPeers([](const Peer &it) { return it.followsContext; },
                                   [&](const Peer &it) { return it.replicaAddress != failed; });
-    return peer ? std::optional(peer->replicaAddress) : std::nullopt;
+    return ranked.empty() ? std::nullopt : std::optional(ranked.front()->replicaAddress);
 }
 
-// Returns the best eligible live peer: preferred ones first, then those in this node's failure
-// domain, then by a hash that distributes the readers over the peers. nullptr: there is none.
-const PeerRoster::Peer *
-PeerRoster::selectPeer(const std::function<bool(const Peer &)> &isEligible,
-                       const std::function<bool(const Peer &)> &isPreferred) const
+// Returns the eligible live peers: preferred ones first, then those in this node's failure domain,
+// then by a hash that distributes the readers over the peers.
+std::vector<const PeerRoster::Peer *>
+PeerRoster::rankPeers(const std::function<bool(const Peer &)> &isEligible,
+                      const std::function<bool(const Peer &)> &isPreferred) const
 {
     const std::uint64_t own = stableHash(m_self.name);
-    std::optional<std::tuple<bool, bool, std::uint64_t>> bestRank;
-    const Peer *best = nullptr;
+    std::vector<std::pair<std::tuple<bool, bool, std::uint64_t>, const Peer *>> ranked;
     for (const auto &[name, peer] : m_recent) {
-        if (!isLive(*peer) || !isEligible(*peer))
-            continue;
-        const std::tuple rank(isPreferred(*peer), isInOwnDomain(*peer),
-                              rendezvousWeight(own, stableHash(name)));
-        if (bestRank && rank < *bestRank)
-            continue;
-        bestRank = rank;
-        best = peer;
+        if (isLive(*peer) && isEligible(*peer))
+            ranked.push_back({{isPreferred(*peer), isInOwnDomain(*peer),
+                               rendezvousWeight(own, stableHash(name))},
+                              peer});
     }
-    return best;
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<const Peer *> peers;
+    peers.reserve(ranked.size());
+    for (const auto &[rank, peer] : ranked)
+        peers.push_back(peer);
+    return peers;
 }
 
 } // namespace fordwood::node
--- a/src/node/peer_roster.hpp
+++ b/src/node/peer_roster.hpp
@@ -134,17 +134,17 @@
     // domain, round robin. For a domain without a live relay, two candidates per call.
     std::vector<const Peer *> otherDomainTargets();
 
-    // A live peer whose copy of the store is ahead of the version. Prefers
-    // peers that reach the store, then those in this node's failure domain.
-    std::optional<PeerAhead> findPeerAheadOf(const StoreVersion &version) const;
+    // The live peers whose copy of the store is ahead of the version, best first: those that reach
+    // the store, then those in this node's failure domain.
+    std::vector<PeerAhead> findPeersAheadOf(const StoreVersion &version) const;
 
     // The replica address of a live peer that follows the context stores. Avoids the address that
     // failed if there is another, and prefers peers in this node's failure domain.
     std::optional<std::string> chooseContextRelay(const std::string &failed) const;
 
 private:
-    const Peer *selectPeer(const std::function<bool(const Peer &)> &isEligible,
-                           const std::function<bool(const Peer &)> &isPreferred) const;
+    std::vector<const Peer *> rankPeers(const std::function<bool(const Peer &)> &isEligible,
+                                        const std::function<bool(const Peer &)> &isPreferred) const;
     std::vector<RelayCandidate>
     candidatesWhere(const std::function<bool(const Peer &)> &predicate) const;
     std::vector<std::string> liveWhere(const std::function<bool(const Peer &)> &predicate) const;
--- a/src/node/replica_fetcher.cpp
+++ b/src/node/replica_fetcher.cpp
@@ -31,10 +31,6 @@
 // Peers send as many snapshots at once as their links carry in a second.
 constexpr Duration kSnapshotTimeout = std::chrono::seconds(2);
 
-// A peer that no longer has the changes since this node's version sends all keys. Where these do
-// not arrive in time, they are read as a snapshot, which is smaller.
-constexpr std::size_t kUnansweredBeforeSnapshot = 2;
-
 constexpr Duration kMaxSnapshotPause = std::chrono::seconds(2);
 
 constexpr Duration kSeedPause = std::chrono::milliseconds(300);
@@ -44,6 +40,11 @@
 // Longer than a change usually takes to all nodes.
 constexpr Duration kLongBehind = std::chrono::seconds(2);
 
+// A node that lacks a change for long, although it has asked more than one peer, reads the store
+// itself. Both hold it back where all nodes of a failure domain are in this state.
+constexpr std::size_t kFailuresBeforeStoreRead = 2;
+constexpr Duration kStoreReadPause = std::chrono::seconds(1);
+
 template <typename Number>
 bool parseNumber(std::string_view text, Number &number)
 {
@@ -51,6 +52,19 @@
     return ec == std::errc() && end == text.data() + text.size();
 }
 
+ReplicaReadPlan::Outcome outcomeOf(const ReplicaReadPlan::Read &read, const HttpResult &result)
+{
+    using Outcome = ReplicaReadPlan::Outcome;
+    constexpr unsigned kOk = 200;
+    constexpr unsigned kNotFound = 404;
+    if (!result)
+        return result.error() == HttpFailure::AnswerCut ? Outcome::Cut : Outcome::Silent;
+    if (result->status == kOk)
+        return Outcome::Done;
+    const bool isSnapshot = read.kind == ReplicaReadPlan::Kind::Snapshot;
+    return isSnapshot && result->status == kNotFound ? Outcome::NoSnapshots : Outcome::Rejected;
+}
+
 } // namespace
 
 std::string ReplicaFetcher::targetSince(const StoreVersion &version)
@@ -86,52 +100,66 @@
 void ReplicaFetcher::tick(const PeerRoster &roster, bool reachesStore)
 {
     const TimePoint now = m_clock.now();
+    const auto ahead = roster.findPeersAheadOf(m_replica.version());
+    reportLag(ahead.empty() ? std::nullopt : std::optional(ahead.front()));
+    if (ahead.empty())
+        m_behindSince.reset();
+    else if (!m_behindSince)
+        m_behindSince = now;
     // A seed's replica may lack the keys of peers that have just started, so seeds are asked until
     // a message from a peer arrives.
     const bool hasNoPeers = !reachesStore && roster.livePeers().empty();
+    std::vector<std::string> addresses;
     if ((m_replica.isEmpty() || hasNoPeers) && now >= m_nextSeedFetch)
-        fetchFromSeed();
-    const auto ahead = roster.findPeerAheadOf(m_replica.version());
-    reportLag(ahead);
-    if (!ahead) {
-        m_isBehind = false;
-        return;
+        addresses = nextSeeds();
+    const bool waitsForWatch
+        = reachesStore && m_behindSince && now - *m_behindSince < kWaitForWatch;
+    if (m_behindSince && !waitsForWatch && now >= m_nextFetch) {
+        for (const PeerAhead &it : ahead)
+            addresses.push_back(it.address);
     }
-    if (!m_isBehind)
-        m_behindSince = now;
-    m_isBehind = true;
-    if (reachesStore && now - m_behindSince < kWaitForWatch)
+    if (m_isFetching || addresses.empty())
         return;
-    if (now >= m_nextFetch)
-        fetchFrom(ahead->address);
+    if (const auto read = m_plan.next(addresses, m_replica.isEmpty()))
+        fetch(*read);
 }
 
-void ReplicaFetcher::fetchFromSeed()
+// The seeds, starting with another one each time.
+std::vector<std::string> ReplicaFetcher::nextSeeds()
 {
     m_nextSeedFetch = m_clock.now() + kSeedPause;
-    if (m_seeds.empty())
-        return;
-    m_nextSeed = (m_nextSeed + 1) % m_seeds.size();
-    if (m_seeds[m_nextSeed] != m_self)
-        fetchFrom(m_seeds[m_nextSeed]);
+    std::vector<std::string> seeds;
+    m_nextSeed += 1;
+    for (std::size_t n = 0; n < m_seeds.size(); ++n) {
+        const std::string &seed = m_seeds[(m_nextSeed + n) % m_seeds.size()];
+        if (seed != m_self)
+            seeds.push_back(seed);
+    }
+    return seeds;
 }
 
-void ReplicaFetcher::fetchFrom(const std::string &address)
+bool ReplicaFetcher::takeOverdue()
+{
+    const TimePoint now = m_clock.now();
+    if (!m_lacking || now < m_lacking->nextStoreRead
+        || m_plan.failures() < kFailuresBeforeStoreRead)
+        return false;
+    m_lacking->nextStoreRead = now + kStoreReadPause;
+    return true;
+}
+
+void ReplicaFetcher::fetch(const ReplicaReadPlan::Read &read)
 {
-    if (m_isFetching)
-        return;
     m_isFetching = true;
     m_nextFetch = m_clock.now() + kFetchPause;
     HttpCall call;
-    call.address = address;
+    call.address = read.address;
     call.method = "GET";
-    const bool needsSnapshot
-        = m_replica.isEmpty() || m_unansweredFetches >= kUnansweredBeforeSnapshot;
-    const bool isSnapshot = needsSnapshot && !m_withoutSnapshots.contains(address);
+    const bool isSnapshot = read.kind == ReplicaReadPlan::Kind::Snapshot;
     call.target = isSnapshot ? std::string(kSnapshotTarget) : targetSince(m_replica.version());
     m_client.send(call, isSnapshot ? kSnapshotTimeout : kFetchTimeout,
-                  [this, address, isSnapshot, askedAt = m_clock.now()](const HttpResult &result) {
-                      onFetched(address, isSnapshot, askedAt, result);
+                  [this, read, askedAt = m_clock.now()](const HttpResult &result) {
+                      onFetched(read, askedAt, result);
                   });
 }
 
@@ -150,7 +178,7 @@
     if (!ahead)
         return;
     if (!m_lacking)
-        m_lacking = {ahead->version, now, now + kLongBehind};
+        m_lacking = {ahead->version, now, now + kLongBehind, now + kLongBehind};
     m_metrics.setGauge("fordwood_replica_behind_seconds",
                        std::chrono::duration<double>(now - m_lacking->since).count());
     if (now < m_lacking->nextReport)
@@ -161,41 +189,35 @@
                                     {"revision", m_replica.version().revision},
                                     {"lacks", m_lacking->version.revision},
                                     {"peer", ahead->address},
-                                    {"unanswered", m_unansweredFetches}});
+                                    {"failures", m_plan.failures()}});
 }
 
-void ReplicaFetcher::onFetched(const std::string &address, bool isSnapshot, TimePoint askedAt,
+void ReplicaFetcher::onFetched(const ReplicaReadPlan::Read &read, TimePoint askedAt,
                                const HttpResult &result)
 {
-    constexpr unsigned kOk = 200;
-    constexpr unsigned kNotFound = 404;
     m_isFetching = false;
-    m_unansweredFetches = result ? 0 : m_unansweredFetches + 1;
-    if (!result || result->status != kOk) {
+    const bool isSnapshot = read.kind == ReplicaReadPlan::Kind::Snapshot;
+    const auto outcome = outcomeOf(read, result);
+    m_plan.ended(read, outcome, result ? pauseIn(*result) : std::nullopt);
+    if (outcome != ReplicaReadPlan::Outcome::Done) {
         m_metrics.count("fordwood_replica_read_failures_total");
         logEvent(Event::ReplicaReadFailed,
-                 {{"peer", address},
+                 {{"peer", read.address},
                   {"snapshot", isSnapshot},
                   {"status", result ? result->status : 0U},
-                  {"sent", result || result.error() == HttpFailure::NoAnswer},
+                  {"sent", result || result.error() != HttpFailure::NotSent},
+                  {"cut", outcome == ReplicaReadPlan::Outcome::Cut},
                   {"waited_ms", m_clock.now() - askedAt},
-                  {"unanswered", m_unansweredFetches}});
-    }
-    if (!result)
-        return; // a later tick tries again, possibly with another peer
-    if (isSnapshot && result->status == kNotFound)
-        m_withoutSnapshots.insert(address);
-    if (result->status != kOk) {
-        pauseFetches(*result);
+                  {"failures", m_plan.failures()}});
         return;
     }
     const auto unpacked = isSnapshot ? unpack(result->body) : std::optional(result->body);
     const auto part = unpacked ? decodeReplicaPart(*unpacked) : std::nullopt;
     if (!part) {
-        logEvent(Event::ReplicaDamaged, {{"peer", address}, {"bytes", result->body.size()}});
+        logEvent(Event::ReplicaDamaged, {{"peer", read.address}, {"bytes", result->body.size()}});
         return;
     }
-    logEvent(Event::ReplicaFetched, {{"peer", address},
+    logEvent(Event::ReplicaFetched, {{"peer", read.address},
                                      {"since", part->changes.since},
                                      {"epoch", part->changes.epoch},
                                      {"revision", part->changes.revision},
@@ -206,7 +228,7 @@
 
 // A peer that sends as many snapshots as its link carries says when to come back. The nodes that it
 // has turned away come back one after the other.
-void ReplicaFetcher::pauseFetches(const HttpReply &reply)
+std::optional<Duration> ReplicaFetcher::pauseIn(const HttpReply &reply)
 {
     ParsedBackoff backoff;
     for (const auto &[name, value] : reply.fields) {
@@ -214,13 +236,11 @@
             addBackoffField(value, backoff);
     }
     if (!backoff.length)
-        return;
+        return std::nullopt;
     m_deferrals += 1;
     const double spread = 0.5 + hashFraction(stableHash(m_self, m_deferrals));
-    const Duration pause = std::chrono::duration_cast<Duration>(
+    return std::chrono::duration_cast<Duration>(
         spread * std::chrono::duration<double>(std::min(*backoff.length, kMaxSnapshotPause)));
-    m_nextFetch = m_clock.now() + pause;
-    m_nextSeedFetch = m_nextFetch;
 }
 
 } // namespace fordwood::node
--- a/src/node/replica_fetcher.hpp
+++ b/src/node/replica_fetcher.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +14,7 @@
 #include "node/http_client.hpp"
 #include "node/peer_messages.hpp"
 #include "node/peer_roster.hpp"
+#include "node/replica_read_plan.hpp"
 
 namespace fordwood::node {
 
@@ -31,7 +31,7 @@
     ReplicaFetcher(const Clock &clock, HttpClient &client, const StoreReplica &replica,
                    adapters::Metrics &metrics, OnPart take)
         : m_clock(clock), m_client(client), m_replica(replica), m_metrics(metrics),
-          m_onPart(std::move(take)), m_nextSeedFetch(clock.now())
+          m_onPart(std::move(take)), m_plan(clock), m_nextSeedFetch(clock.now())
     { }
 
     // `seeds`: addresses to read from if no peer is known. `self`: this node's own address, which
@@ -41,6 +41,10 @@
     // Call regularly. `reachesStore`: this node follows the store itself and gets answers.
     void tick(const PeerRoster &roster, bool reachesStore);
 
+    // Whether to read the store itself now, since the peers have not sent a change for long. Each
+    // time it is to be read, this returns true once.
+    bool takeOverdue();
+
     // The request target that asks a peer for the changes after a version: its prefix, the function
     // that builds one, and the function that gets the version from one (nullopt if malformed).
     static constexpr std::string_view kTarget = "/replica?since=";
@@ -56,14 +60,14 @@
         StoreVersion version;
         TimePoint since{};
         TimePoint nextReport{};
+        TimePoint nextStoreRead{};
         bool isReported = false;
     };
 
-    void fetchFromSeed();
-    void fetchFrom(const std::string &address);
-    void onFetched(const std::string &address, bool isSnapshot, TimePoint askedAt,
-                   const HttpResult &result);
-    void pauseFetches(const HttpReply &reply);
+    std::vector<std::string> nextSeeds();
+    void fetch(const ReplicaReadPlan::Read &read);
+    void onFetched(const ReplicaReadPlan::Read &read, TimePoint askedAt, const HttpResult &result);
+    std::optional<Duration> pauseIn(const HttpReply &reply);
     void reportLag(const std::optional<PeerAhead> &ahead);
 
     const Clock &m_clock;
@@ -71,16 +75,14 @@
     const StoreReplica &m_replica;
     adapters::Metrics &m_metrics;
     OnPart m_onPart;
+    ReplicaReadPlan m_plan;
     std::vector<std::string> m_seeds;
     std::string m_self;
     std::size_t m_nextSeed = 0;
     bool m_isFetching = false;
     std::size_t m_deferrals = 0; // fetches that a peer has put off
-    std::size_t m_unansweredFetches = 0; // consecutive
-    std::set<std::string> m_withoutSnapshots; // addresses of peers of earlier versions
-    bool m_isBehind = false; // a peer is ahead of this node's replica
+    std::optional<TimePoint> m_behindSince; // when peers were first ahead of this node's replica
     std::optional<Lacking> m_lacking;
-    TimePoint m_behindSince{};
     TimePoint m_nextFetch{};
     TimePoint m_nextSeedFetch;
 };
