An expiry that is queued when its timer is cancelled is not handled

Cause: a steady_timer does not take back a handler that is queued already, and such a handler runs with success. After a freeze the reactor finds the end of a head and the expired header timer in one turn and queues both.

Change: TimeoutTimer runs a handler only if the timer was neither restarted, cancelled nor destroyed since. CallerSession uses it, and where the same pattern stood: the connect timer of HttpChannel (a connection could be closed after a request was sent through it), InternalServer, ProxyServer and StoreClient.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -67,11 +67,7 @@
 
 void CallerSession::startTimer(Duration timeout, void (CallerSession::*onExpired)())
 {
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([self = shared_from_this(), onExpired](const ErrorCode &ec) {
-        if (!ec)
-            ((*self).*onExpired)();
-    });
+    m_timer.start(timeout, [self = shared_from_this(), onExpired] { ((*self).*onExpired)(); });
 }
 
 void CallerSession::waitForRequest()
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -16,6 +15,7 @@
 #include "node/answer_writer.hpp"
 #include "node/call_handler.hpp"
 #include "node/node_state.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -85,7 +85,7 @@
 
     NodeState &m_state;
     tcp::socket m_socket;
-    net::steady_timer m_timer;
+    TimeoutTimer m_timer;
     OnClosed m_onClosed;
     std::shared_ptr<IncomingRequest>
         m_incoming; // a pending read shares it until its handler has run
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-HttpChannel::HttpChannel(net::io_context &context) : m_socket(context) { }
+HttpChannel::HttpChannel(net::io_context &context) : m_socket(context), m_connectTimer(context) { }
 
 void HttpChannel::connect(const tcp::endpoint &endpoint, const Options &options,
                           const std::function<void(const ErrorCode &)> &onConnected)
@@ -32,9 +32,7 @@
     closeAfter(options.connectTimeout);
     m_socket.async_connect(endpoint,
                            [self = shared_from_this(), onConnected](const ErrorCode &connectEc) {
-                               if (self->m_connectTimer)
-                                   self->m_connectTimer->cancel();
-                               self->m_connectTimer.reset();
+                               self->m_connectTimer.cancel();
                                const bool isOpen = self->m_socket.is_open();
                                onConnected(isOpen ? connectEc : ErrorCode(net::error::timed_out));
                            });
@@ -42,11 +40,7 @@
 
 void HttpChannel::closeAfter(Duration timeout)
 {
-    m_connectTimer = std::make_unique<net::steady_timer>(m_socket.get_executor(), timeout);
-    m_connectTimer->async_wait([self = shared_from_this()](const ErrorCode &ec) {
-        if (!ec)
-            self->m_socket.close();
-    });
+    m_connectTimer.start(timeout, [self = shared_from_this()] { self->m_socket.close(); });
 }
 
 void HttpChannel::connectThrough(Proxy proxy, const Options &options,
@@ -90,7 +84,7 @@
     http::async_read_header(
         m_socket, current->buffer, current->parser,
         [self = shared_from_this(), current, onConnected](const ErrorCode &ec, std::size_t) {
-            self->m_connectTimer.reset();
+            self->m_connectTimer.cancel();
             const http::status status = current->parser.get().result();
             if (!ec && status == http::status::bad_gateway)
                 onConnected(ProxyResult::UpstreamUnreachable);
@@ -234,8 +228,7 @@
     m_exchange.reset();
     m_proxy.reset();
     m_isReusable = false;
-    if (m_connectTimer)
-        m_connectTimer->cancel();
+    m_connectTimer.cancel();
     ErrorCode ec; // closing a closed socket is harmless
     m_socket.close(ec);
 }
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -10,12 +10,12 @@
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "node/net.hpp"
 #include "node/proxy_protocol.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -116,7 +116,7 @@
     };
 
     tcp::socket m_socket;
-    std::unique_ptr<net::steady_timer> m_connectTimer; // only while connecting
+    TimeoutTimer m_connectTimer; // runs while connecting
     std::shared_ptr<Exchange> m_exchange;
     bool m_isReusable = true;
     bool m_isNew = true;
--- a/src/node/internal_server.cpp
+++ b/src/node/internal_server.cpp
@@ -5,11 +5,11 @@
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "node/refusal.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -41,11 +41,7 @@
 private:
     void read()
     {
-        m_timer.expires_after(kMaxIdleTime);
-        m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
-            if (!ec)
-                self->close();
-        });
+        m_timer.start(kMaxIdleTime, [self = shared_from_this()] { self->close(); });
         m_parser.emplace();
         m_parser->header_limit(kMaxHeadBytes);
         m_parser->body_limit(std::uint64_t{0});
@@ -91,7 +87,7 @@
     }
 
     tcp::socket m_socket;
-    net::steady_timer m_timer;
+    TimeoutTimer m_timer;
     const Answer &m_answer;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
--- a/src/node/proxy_server.cpp
+++ b/src/node/proxy_server.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -12,6 +11,7 @@
 #include "adapters/observe/event_log.hpp"
 #include "node/channel_pool.hpp"
 #include "node/proxy_protocol.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -78,11 +78,7 @@
 
     void startTimer(Duration timeout)
     {
-        m_timer.expires_after(timeout);
-        m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
-            if (!ec)
-                self->close();
-        });
+        m_timer.start(timeout, [self = shared_from_this()] { self->close(); });
     }
 
     void handleRequest()
@@ -121,11 +117,9 @@
             enableDeadPeerDetection(m_upstream, ChannelPool::kUnacknowledgedTimeout);
             limitSocketBuffers(m_upstream, m_shared->buffers.limits().perChannel);
         }
-        m_timer.expires_after(ChannelPool::kConnectTimeout);
-        m_timer.async_wait([self = shared_from_this()](const ErrorCode &timerEc) {
+        m_timer.start(ChannelPool::kConnectTimeout, [self = shared_from_this()] {
             ErrorCode ignored; // closing a closed socket is harmless
-            if (!timerEc)
-                self->m_upstream.close(ignored);
+            self->m_upstream.close(ignored);
         });
         m_upstream.async_connect(
             *endpoint, [self = shared_from_this()](const ErrorCode &connectEc) {
@@ -248,7 +242,7 @@
 
     tcp::socket m_peer;
     tcp::socket m_upstream;
-    net::steady_timer m_timer;
+    TimeoutTimer m_timer;
     std::shared_ptr<Shared> m_shared;
     BufferBudget::Buffer m_held;
     boost::beast::flat_buffer m_headBuffer{kMaxProxyHeadBytes};
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -51,11 +51,7 @@
 
 void StoreClient::after(Duration pause, void (StoreClient::*step)())
 {
-    m_timer.expires_after(pause);
-    m_timer.async_wait([this, step](const ErrorCode &ec) {
-        if (!ec)
-            (this->*step)();
-    });
+    m_timer.start(pause, [this, step] { (this->*step)(); });
 }
 
 void StoreClient::send(HttpCall call, const HttpClient::Done &done)
--- a/src/node/store_client.hpp
+++ b/src/node/store_client.hpp
@@ -7,10 +7,9 @@
 #include <optional>
 #include <string>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "fordwood/store_replica.hpp"
 #include "node/http_client.hpp"
+#include "node/timeout_timer.hpp"
 #include "platform/store_calls.hpp"
 
 namespace fordwood::node {
@@ -97,7 +96,7 @@
     void onFailure(platform::StoreFailure failure);
     void after(Duration pause, void (StoreClient::*step)());
 
-    net::steady_timer m_timer;
+    TimeoutTimer m_timer;
     HttpClient &m_client;
     const Clock &m_clock;
     const std::string m_address;
--- a/tests/node/caller_session_test.cpp
+++ b/tests/node/caller_session_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cstring>
+#include <thread>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -89,6 +90,30 @@
     CHECK_FALSE(fixture.wasRequestHandled());
 }
 
+// Guards against a request that is answered with 408, which promises that it does not run, and then
+// runs: after a freeze, its header timer has expired and its head has arrived.
+TEST_CASE("caller session: a request whose head arrived during a freeze is not answered with 408 "
+          "and run [session][freeze]")
+{
+    SessionFixture fixture;
+    ServingConfig config;
+    config.version = 1;
+    config.limits.headerTimeout = 20ms;
+    fixture.state.handle(ConfigApplied{std::make_shared<RouteTable>(std::move(config))});
+    constexpr std::size_t kFirstPart = 20;
+    net::write(fixture.caller, net::buffer(kRequest, kFirstPart));
+    while (fixture.context.poll() == 0) { }
+    fixture.context.poll();
+    net::write(fixture.caller,
+               net::buffer(kRequest + kFirstPart, std::strlen(kRequest) - kFirstPart));
+    std::this_thread::sleep_for(60ms);
+    fixture.session->closeWhenIdle();
+    const std::string answer = fixture.readUntilClosed();
+    CHECK_MESSAGE(answer.starts_with("HTTP/1.1 404"), answer); // there is no route
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(fixture.metrics.text().find("reason=\"read-timeout\"} 1") == std::string::npos);
+}
+
 TEST_CASE("caller session: an idle session is closed at once and reports its end once [session]")
 {
     SessionFixture fixture;
