A prompt exchanges 256 parts with stores at most, each of them once

Cause: the head to the engine names an address for each part to fetch or save, 18 bytes for each 4 of the caller's field; above 65,533 bytes Boost.Beast throws, and nothing catches it. A part that repeats within a prompt got an address each time, since saves are recorded only when the request is sent.

Change: an engine fetches and saves the first 256 parts of a prompt, and saves a part once; the rest is computed.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -70,6 +70,10 @@
 class EngineChooser
 {
 public:
+    // The parts at the beginning of a prompt that an engine may fetch or save. The engine is told
+    // an address for each, and a head with thousands of them would be more than engines read.
+    static constexpr std::size_t kMaxExchangedParts = 256;
+
     struct Limits
     {
         // Answers that begin on replaced weights lose value after this time (a rule of the
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -2,6 +2,8 @@
 #include "fordwood/engine_chooser.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 #include "fordwood/engine_groups.hpp"
 #include "fordwood/rendezvous.hpp"
@@ -495,19 +497,22 @@
         = queueCost(candidate.load, promptInfo)
           + kMissingMemoryWeight * static_cast<double>(missingMemory(candidate.load, query));
     std::size_t known = 0; // tokens that need not be computed
+    std::set<std::string_view> partsSeen;
     for (std::size_t n = 0; n < prompt.parts.size(); ++n) {
         const bool isShared = n + 1 < prompt.parts.size();
+        const bool isExchanged = isShared && n < kMaxExchangedParts;
         const PromptPart &part = prompt.parts[n];
         std::string from;
         std::string to;
-        if (isShared && m_limits.mechanisms.contextStores) {
+        if (isExchanged && m_limits.mechanisms.contextStores) {
             if (candidate.fetches)
                 from = contexts.holderOf(choice.salt, part.id).address;
-            if (from.empty())
+            // The same part may occur several times in a prompt.
+            if (from.empty() && partsSeen.insert(part.id).second)
                 to = contexts.storeForSave(choice.salt, part, contextToSave(prompt, part),
                                            candidate.engine->failureDomain);
         }
-        if (isShared && from.empty() && candidate.source != nullptr) {
+        if (isExchanged && from.empty() && candidate.source != nullptr) {
             from = candidate.source->address;
             choice.sourceEngine = from;
         }
--- a/src/node/upstream_choice.cpp
+++ b/src/node/upstream_choice.cpp
@@ -91,7 +91,8 @@
 void fetchFromEngine(NodeState &state, const Prompt &prompt, const std::string &address,
                      EngineChoice &choice)
 {
-    for (std::size_t n = 0; n + 1 < prompt.parts.size(); ++n) {
+    const std::size_t parts = std::min(prompt.parts.size(), EngineChooser::kMaxExchangedParts + 1);
+    for (std::size_t n = 0; n + 1 < parts; ++n) {
         if (!choice.fetchFrom[n].empty()
             || !state.contexts().holderOf(choice.salt, prompt.parts[n].id).address.empty())
             continue;
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -360,6 +360,22 @@
     CHECK(orderCall(order, "n").fields.front().second == "i-7");
 }
 
+// Guards against a field that Beast rejects with an exception, which nothing catches.
+TEST_CASE("upstreams: addresses that do not fit into a field are left out [platform][size]")
+{
+    SystemFields stamp;
+    stamp.saveTo.assign(10'000, "127.100.100.100:10000");
+    stamp.fetchFrom.assign(40'000, "127.100.100.100:10000");
+    Fields head;
+    writeUpstreamHead({}, stamp, head);
+    const std::string saveTo(textOf(head, "Kv-Save"));
+    CHECK(saveTo.size() < 65'000);
+    CHECK(std::count(saveTo.begin(), saveTo.end(), ',') == 9'999);
+    CHECK(saveTo.starts_with("127.100.100.100:10000,127"));
+    CHECK(saveTo.ends_with(",-"));
+    CHECK(textOf(head, "Kv-Fetch").empty());
+}
+
 TEST_CASE("store: pages, changes and removals [platform]")
 {
     const auto page = readRange(replyOf(200, R"({"items":[{"private-key":"a","value":"bm9kZS0x",
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -212,6 +212,29 @@
     CHECK(small->saveTo[0].empty()); // alone it is recomputed faster than fetched
 }
 
+// Guards against a prompt of thousands of small parts, for which the head of the request to the
+// engine grew beyond what a field can hold and ended the node.
+TEST_CASE("engines: a part that repeats in a prompt is saved once, and so many parts at most "
+          "[stores][size]")
+{
+    NodeView view;
+    Prompt repeating{"m", {}, 40'000, 30};
+    for (int n = 0; n < 4'000; ++n)
+        repeating.parts.push_back({"p" + std::to_string(n % 16), 9});
+    const auto saved = [](const EngineChoice &it) {
+        return std::count_if(it.saveTo.begin(), it.saveTo.end(),
+                             [](const std::string &address) { return !address.empty(); });
+    };
+    CHECK(saved(*view.choose(repeating)) == 16);
+    Prompt different{"m", {}, 40'000, 30};
+    for (int n = 0; n < 4'000; ++n)
+        different.parts.push_back({"p" + std::to_string(n), 9});
+    const auto choice = view.choose(different);
+    CHECK(saved(*choice) == EngineChooser::kMaxExchangedParts);
+    CHECK(choice->saveTo.size() == 4'000);
+    CHECK(choice->fetchFrom.size() == 4'000);
+}
+
 TEST_CASE("engines: a context sent by another node is expected at the engine it was sent to "
           "[routing][peers]")
 {
