After a failed call of the store, a short read comes before the next watch

Cause: while the store counts as unreachable, only the watch can find out that it is back, and nothing else asks.

A poll and this read share their code.

--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -124,17 +124,21 @@
         continueFollowing();
 }
 
-// Starts the next step of following: a watch, or a full read if the replica is incomplete.
+// Starts the next step of following: a watch, or a full read if the replica is incomplete. After a
+// failure the store may take calls without ever answering them, and a watch would wait for its
+// whole time. A read that is answered at once comes first.
 void StoreClient::continueFollowing()
 {
     // A node without a replica keeps reading until it has one, from the store or from a peer.
     m_isIdle = !m_isFollowing && !m_replica.isEmpty();
     if (m_isIdle)
         return;
-    if (m_isComplete)
-        watch();
-    else
+    if (!m_isComplete)
         readAll();
+    else if (m_consecutiveFailures > 0)
+        readChanges(NextStep::Watch);
+    else
+        watch();
 }
 
 void StoreClient::watch()
@@ -211,27 +215,36 @@
     if (m_isPolling || !m_isComplete)
         return;
     m_isPolling = true;
+    readChanges(NextStep::Nothing);
+}
+
+// Reads the changes so far, without waiting for more.
+void StoreClient::readChanges(NextStep next)
+{
     const StoreVersion after = m_replica.version();
     const TimePoint sentAt = m_clock.now();
     send(platform::watchCall(after.revision, kPollWait),
-         [this, after, sentAt](const HttpResult &result) {
-             m_isPolling = false;
-             handlePoll(result, after, sentAt);
+         [this, next, after, sentAt](const HttpResult &result) {
+             handleChanges(changesIn(result, after), next, sentAt);
          });
 }
 
-void StoreClient::handlePoll(const HttpResult &result, const StoreVersion &after, TimePoint sentAt)
+void StoreClient::handleChanges(const platform::StoreResult<StoreChanges> &changes, NextStep next,
+                                TimePoint sentAt)
 {
-    const auto changes = changesIn(result, after);
+    if (next == NextStep::Nothing)
+        m_isPolling = false;
     if (changes) {
         onSuccess();
         m_listener.onStoreChanges(*changes, {sentAt, std::nullopt});
-        return;
-    }
-    // A lost history means that the watch has missed changes. The watch itself detects all other
-    // failures.
-    if (changes.error() == StoreFailure::HistoryLost)
+        if (next == NextStep::Watch)
+            continueFollowing();
+    } else if (next == NextStep::Watch) {
+        onFailure(changes.error());
+    } else if (changes.error() == StoreFailure::HistoryLost) {
+        // The watch has missed changes. It detects all other failures itself.
         readAllOnce();
+    }
 }
 
 // Reads everything while the watch keeps waiting.
--- a/src/node/store_client.hpp
+++ b/src/node/store_client.hpp
@@ -63,7 +63,7 @@
 
 private:
     void readAll();
-    enum class NextStep { Watch, Nothing }; // what to do after a full read
+    enum class NextStep { Watch, Nothing }; // what to do after a read
 
     // The whole content of the store, read page by page.
     struct FullRead
@@ -85,7 +85,9 @@
     void readAllOnce();
     void watch();
     void continueFollowing();
-    void handlePoll(const HttpResult &result, const StoreVersion &after, TimePoint sentAt);
+    void readChanges(NextStep next);
+    void handleChanges(const platform::StoreResult<StoreChanges> &changes, NextStep next,
+                       TimePoint sentAt);
     void handleWatch(const HttpResult &result, const StoreVersion &after);
     platform::StoreResult<StoreChanges> changesIn(const HttpResult &result,
                                                   const StoreVersion &after) const;
