What has arrived is handled before what has expired

What callers saw: a node was frozen for seconds while an upstream ran their requests. The answers lay in the node's sockets when it went on, and the callers got 504, since their time limits had passed meanwhile.

In one turn of the event loop the first read of an answer comes before the expired timers, but an answer takes several reads, and the next one is queued behind the expiry. The same order made calls of the node count as unanswered after each freeze, and let periodic work decide on leases and reachability before the answers were read.

All raw timers of a node are TimeoutTimers now, the deadline of a request among them.

The test of the suspended clock uses the new interface of DeadlineTimer; it checks what it checked before.

--- a/src/node/accept_loop.cpp
+++ b/src/node/accept_loop.cpp
@@ -44,11 +44,7 @@
 {
     if (m_onFailure)
         m_onFailure();
-    m_retryTimer.expires_after(kAcceptRetryDelay);
-    m_retryTimer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
-            accept();
-    });
+    m_retryTimer.start(kAcceptRetryDelay, [this] { accept(); });
 }
 
 } // namespace fordwood::node
--- a/src/node/accept_loop.hpp
+++ b/src/node/accept_loop.hpp
@@ -6,9 +6,9 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "node/net.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -38,7 +38,7 @@
 
     net::io_context &m_context;
     tcp::acceptor m_acceptor;
-    net::steady_timer m_retryTimer;
+    TimeoutTimer m_retryTimer;
     OnAccepted m_onAccepted;
     std::function<void()> m_onFailure;
 };
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -102,9 +102,8 @@
 
 void CallHandler::startDeadlineTimer()
 {
-    m_deadlineTimer.expires_at(m_plan.policy().answerBy);
-    m_deadlineTimer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
-        if (!ec && !self->m_isFinished)
+    m_deadlineTimer.startUntil(m_plan.policy().answerBy, [self = shared_from_this()] {
+        if (!self->m_isFinished)
             self->onDeadline();
     });
 }
@@ -293,9 +292,8 @@
         rejectWith(m_plan.verdict(kRetryAfter));
         return;
     }
-    m_retryTimer.expires_after(kUpstreamRetryInterval);
-    m_retryTimer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
-        if (!ec && !self->m_isFinished)
+    m_retryTimer.start(kUpstreamRetryInterval, [self = shared_from_this()] {
+        if (!self->m_isFinished)
             self->startAttempt();
     });
 }
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -7,8 +7,6 @@
 #include <set>
 #include <string>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "fordwood/buffer_budget.hpp"
 #include "fordwood/call_plan.hpp"
 #include "fordwood/event_splitter.hpp"
@@ -18,6 +16,7 @@
 #include "node/deadline_timer.hpp"
 #include "node/http_channel.hpp"
 #include "node/node_state.hpp"
+#include "node/timeout_timer.hpp"
 #include "node/upstream_attempt.hpp"
 #include "node/upstream_choice.hpp"
 #include "platform/caller_messages.hpp"
@@ -148,7 +147,7 @@
     CallPlan m_plan{CallPolicy{}};
     std::optional<UpstreamAttempt> m_attempt;
     DeadlineTimer m_deadlineTimer;
-    net::steady_timer m_retryTimer; // runs while no upstream is available
+    TimeoutTimer m_retryTimer; // runs while no upstream is available
     EventSplitter m_eventSplitter;
     std::optional<StreamOrigin> m_origin; // of a resumable stream that has begun
     bool m_streamStarted = false; // the caller has received a part of the answer
--- a/src/node/context_relay_reader.cpp
+++ b/src/node/context_relay_reader.cpp
@@ -47,9 +47,8 @@
 
 void ContextRelayReader::requestUpdatesAfter(Duration delay)
 {
-    m_timer.expires_after(delay);
-    m_timer.async_wait([this](const ErrorCode &ec) {
-        if (!ec && !m_isRequestPending)
+    m_timer.start(delay, [this] {
+        if (!m_isRequestPending)
             requestUpdates();
     });
 }
--- a/src/node/context_relay_reader.hpp
+++ b/src/node/context_relay_reader.hpp
@@ -9,11 +9,10 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "fordwood/context_store_log.hpp"
 #include "node/fleet_update.hpp"
 #include "node/http_client.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -44,7 +43,7 @@
     const Clock &m_clock;
     ChooseRelay m_chooseRelay;
     Publish m_publish;
-    net::steady_timer m_timer;
+    TimeoutTimer m_timer;
     std::set<std::string> m_stores; // names
     std::map<std::string, ContextStorePosition> m_positions; // by name of the store
     std::string m_relay; // last one that was asked
--- a/src/node/context_store_watcher.cpp
+++ b/src/node/context_store_watcher.cpp
@@ -70,9 +70,8 @@
 
 void ContextStoreWatcher::pollAfter(const std::shared_ptr<WatchedStore> &store, Duration delay)
 {
-    store->timer.expires_after(delay);
-    store->timer.async_wait([this, store](const ErrorCode &ec) {
-        if (!ec && isWatched(store))
+    store->timer.start(delay, [this, store] {
+        if (isWatched(store))
             poll(store, kPollWait);
     });
 }
--- a/src/node/context_store_watcher.hpp
+++ b/src/node/context_store_watcher.hpp
@@ -8,10 +8,9 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "node/fleet_update.hpp"
 #include "node/http_client.hpp"
+#include "node/timeout_timer.hpp"
 #include "platform/engine_calls.hpp"
 
 namespace fordwood::node {
@@ -42,7 +41,7 @@
         platform::EventCursor cursor;
         bool isReachable = false;
         TimePoint sentAt{}; // when the pending call was sent
-        net::steady_timer timer;
+        TimeoutTimer timer;
     };
 
     void updateWatches();
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -562,11 +562,7 @@
 
 void ControlLoop::tick()
 {
-    m_tickTimer.expires_after(kTickInterval);
-    m_tickTimer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
-            tick();
-    });
+    m_tickTimer.start(kTickInterval, [this] { tick(); });
     const TimePoint now = m_clock.now();
     flushUpdates();
     m_freshness.tick();
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -8,7 +8,6 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
@@ -36,6 +35,7 @@
 #include "node/replica_server.hpp"
 #include "node/rollout_executor.hpp"
 #include "node/store_client.hpp"
+#include "node/timeout_timer.hpp"
 #include "node/update_queue.hpp"
 #include "node/weight_naming_tracker.hpp"
 #include "platform/document_order.hpp"
@@ -164,7 +164,7 @@
     InternalServer m_metricsServer;
     Mailbox<OwnLoads> m_ownLoads;
     Mailbox<std::vector<QuarantineUpdate>> m_ownQuarantineUpdates;
-    net::steady_timer m_tickTimer;
+    TimeoutTimer m_tickTimer;
     UpstreamDirectory m_upstreams;
     DrainReports m_drainReports;
     UpstreamLoadTracker m_loads;
--- a/src/node/deadline_timer.hpp
+++ b/src/node/deadline_timer.hpp
@@ -5,13 +5,14 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 
 #include "adapters/system_clock.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
 // A timer whose clock continues while the VM is suspended. If the deadline has passed when the VM
 // resumes, the timer expires by the time of the thread's next periodic work. A steady timer would
 // expire later by the whole length of the suspension.
-using DeadlineTimer = boost::asio::basic_waitable_timer<adapters::BootClock>;
+using DeadlineTimer = BasicTimeoutTimer<net::basic_waitable_timer<adapters::BootClock>>;
 
 } // namespace fordwood::node
 
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "node/timeout_timer.hpp"
+
 namespace fordwood::node {
 
 namespace {
@@ -46,10 +48,8 @@
     void start(Duration timeout)
     {
         m_keepAlive = shared_from_this();
-        m_timer.expires_after(timeout);
-        m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
-            if (!ec)
-                self->finish(tl::unexpected(self->failure()));
+        m_timer.start(timeout, [self = shared_from_this()] {
+            self->finish(tl::unexpected(self->failure()));
         });
         m_channel = m_caller.takeIdle(m_call.address);
         if (m_channel) {
@@ -128,7 +128,7 @@
     HttpClient &m_caller;
     HttpCall m_call;
     Done m_done;
-    net::steady_timer m_timer;
+    TimeoutTimer m_timer;
     std::shared_ptr<HttpChannel> m_channel;
     std::shared_ptr<Call> m_keepAlive;
     HttpReply m_reply;
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -149,11 +149,7 @@
 void PeerLinks::startTickTimer()
 {
     tick();
-    m_tickTimer.expires_after(kTickInterval);
-    m_tickTimer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
-            startTickTimer();
-    });
+    m_tickTimer.start(kTickInterval, [this] { startTickTimer(); });
 }
 
 void PeerLinks::onDatagram(std::string_view datagram, const udp::endpoint &from)
--- a/src/node/peer_links.hpp
+++ b/src/node/peer_links.hpp
@@ -7,13 +7,12 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "fordwood/clock.hpp"
 #include "node/datagram_transport.hpp"
 #include "node/net.hpp"
 #include "node/peer_messages.hpp"
 #include "node/peer_roster.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -100,7 +99,7 @@
     const std::size_t m_smallFleet;
     OnMessage m_onMessage;
     std::unique_ptr<DatagramTransport> m_transport;
-    net::steady_timer m_tickTimer;
+    TimeoutTimer m_tickTimer;
     std::size_t m_messagesSent = 0; // messages
     std::size_t m_nextInDomain = 0; // receiver of sendToNextInDomain()
     std::size_t m_firstInDomain = 0; // receiver of sendToDomain()
--- a/src/node/place_exchange.cpp
+++ b/src/node/place_exchange.cpp
@@ -96,13 +96,9 @@
         return;
     }
     const std::uint64_t number = ++m_lastNumber;
-    Pending pending{
-        question.group, std::move(onReply), node->name, *lender,
-        std::make_unique<net::steady_timer>(m_context, question.patience + kReplyMargin)};
-    pending.timeout->async_wait([this, number](const ErrorCode &ec) {
-        if (!ec)
-            onTimeout(number);
-    });
+    Pending pending{question.group, std::move(onReply), node->name, *lender,
+                    std::make_unique<TimeoutTimer>(m_context)};
+    pending.timeout->start(question.patience + kReplyMargin, [this, number] { onTimeout(number); });
     m_pending.emplace(number, std::move(pending));
     deliver(PlaceAsk{question.group,
                      {{m_process, number}, question.upstreams, question.patience, question.lease}},
@@ -235,10 +231,7 @@
     if (m_isWaitTimerRunning)
         return;
     m_isWaitTimerRunning = true;
-    m_waitTimer.expires_after(kWaitCheckInterval);
-    m_waitTimer.async_wait([this](const ErrorCode &ec) {
-        if (ec)
-            return;
+    m_waitTimer.start(kWaitCheckInterval, [this] {
         m_isWaitTimerRunning = false;
         for (auto &[group, lender] : m_lenders) {
             lender.decision.tick();
--- a/src/node/place_exchange.hpp
+++ b/src/node/place_exchange.hpp
@@ -12,14 +12,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "adapters/observe/metrics.hpp"
 #include "fordwood/place_lender.hpp"
 #include "fordwood/scheduler_ranking.hpp"
 #include "node/net.hpp"
 #include "node/node_endpoints.hpp"
 #include "node/place_messages.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -85,7 +84,7 @@
         OnReply onReply;
         std::string node;
         udp::endpoint lender;
-        std::unique_ptr<net::steady_timer> timeout;
+        std::unique_ptr<TimeoutTimer> timeout;
     };
     struct Held
     {
@@ -135,7 +134,7 @@
     std::map<std::uint64_t, Held> m_held; // by number
     std::set<PlaceGroup> m_reported; // groups of the last reports
     std::map<PlaceGroup, OwnLender> m_lenders;
-    net::steady_timer m_waitTimer; // runs while requests wait at a lender of this node
+    TimeoutTimer m_waitTimer; // runs while requests wait at a lender of this node
     bool m_isWaitTimerRunning = false;
 };
 
--- a/src/node/placements.cpp
+++ b/src/node/placements.cpp
@@ -71,11 +71,8 @@
         return;
     }
     Pending pending{std::move(onReply), node->name, *endpoint,
-                    std::make_unique<net::steady_timer>(m_context, m_replyTimeout)};
-    pending.timeout->async_wait([this, number = handle.number](const ErrorCode &ec) {
-        if (!ec)
-            onTimeout(number);
-    });
+                    std::make_unique<TimeoutTimer>(m_context)};
+    pending.timeout->start(m_replyTimeout, [this, number = handle.number] { onTimeout(number); });
     m_pending.emplace(handle.number, std::move(pending));
 }
 
@@ -182,11 +179,7 @@
 {
     if (!m_isProgressDue) {
         m_isProgressDue = true;
-        m_progressTimer.expires_after(kProgressInterval);
-        m_progressTimer.async_wait([this](const ErrorCode &ec) {
-            if (!ec)
-                sendProgress();
-        });
+        m_progressTimer.start(kProgressInterval, [this] { sendProgress(); });
     }
     PlacementProgress &progress = m_progress[scheduler];
     progress.process = m_process;
--- a/src/node/placements.hpp
+++ b/src/node/placements.hpp
@@ -11,14 +11,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "adapters/observe/metrics.hpp"
 #include "fordwood/scheduler_ranking.hpp"
 #include "node/datagram_socket.hpp"
 #include "node/engine_scheduler.hpp"
 #include "node/node_endpoints.hpp"
 #include "node/placement_messages.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -83,7 +82,7 @@
         OnReply onReply;
         std::string node;
         udp::endpoint scheduler;
-        std::unique_ptr<net::steady_timer> timeout;
+        std::unique_ptr<TimeoutTimer> timeout;
     };
 
     bool isSelf(const udp::endpoint &address) const { return m_own && address == *m_own; }
@@ -110,7 +109,7 @@
     std::uint64_t m_lastNumber = 0;
     std::unordered_map<std::uint64_t, Pending> m_pending; // by number
     std::map<udp::endpoint, PlacementProgress> m_progress; // not sent yet, by scheduler
-    net::steady_timer m_progressTimer;
+    TimeoutTimer m_progressTimer;
     bool m_isProgressDue = false;
 };
 
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -72,11 +72,7 @@
 
 void ServingLoop::tick()
 {
-    m_tickTimer.expires_after(kTickInterval);
-    m_tickTimer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
-            tick();
-    });
+    m_tickTimer.start(kTickInterval, [this] { tick(); });
     m_state.tick();
     reportLoads(false);
     reportQuarantineUpdates();
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -6,7 +6,6 @@
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "config/node_settings.hpp"
 #include "node/accept_loop.hpp"
@@ -14,6 +13,7 @@
 #include "node/mailbox.hpp"
 #include "node/node_state.hpp"
 #include "node/proxy_server.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -57,7 +57,7 @@
     Mailbox<FleetUpdate> m_mailbox;
     AcceptLoop m_acceptor;
     ProxyServer m_proxy;
-    net::steady_timer m_tickTimer;
+    TimeoutTimer m_tickTimer;
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
     bool m_idleSessionsClosed = false;
     TimePoint m_nextUnreadCheck{};
--- a/src/node/stream_exchange.cpp
+++ b/src/node/stream_exchange.cpp
@@ -75,11 +75,7 @@
     if (m_notices.empty() || m_areNoticesDue)
         return;
     m_areNoticesDue = true;
-    m_noticeTimer.expires_after(kNoticeInterval);
-    m_noticeTimer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
-            sendNotices();
-    });
+    m_noticeTimer.start(kNoticeInterval, [this] { sendNotices(); });
 }
 
 void StreamExchange::sendNotices()
@@ -139,7 +135,7 @@
                                       std::move(decision),
                                       std::move(peers),
                                       std::move(onFound),
-                                      std::make_unique<net::steady_timer>(m_context)});
+                                      std::make_unique<TimeoutTimer>(m_context)});
     m_metrics.count("fordwood_stream_searches_total");
     startRound(number);
 }
@@ -157,11 +153,7 @@
     }
     for (const udp::endpoint &peer : search.peers)
         m_send(encodeStreamMessage(search.query), peer);
-    search.timer->expires_after(time);
-    search.timer->async_wait([this, number](const ErrorCode &ec) {
-        if (!ec)
-            startRound(number);
-    });
+    search.timer->start(time, [this, number] { startRound(number); });
 }
 
 void StreamExchange::finish(Searches::iterator search)
--- a/src/node/stream_exchange.hpp
+++ b/src/node/stream_exchange.hpp
@@ -13,8 +13,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "adapters/observe/metrics.hpp"
 #include "fordwood/origin_search.hpp"
 #include "fordwood/served_versions.hpp"
@@ -22,6 +20,7 @@
 #include "fordwood/stream_origins.hpp"
 #include "node/net.hpp"
 #include "node/stream_messages.hpp"
+#include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
@@ -64,7 +63,7 @@
         OriginSearch decision;
         std::vector<udp::endpoint> peers;
         OnFound onFound;
-        std::unique_ptr<net::steady_timer> timer;
+        std::unique_ptr<TimeoutTimer> timer;
     };
     using Searches = std::unordered_map<std::uint64_t, Search>;
     // Streams to tell a peer, by origin.
@@ -96,7 +95,7 @@
     Searches m_searches; // by number
     std::uint64_t m_lastNumber = 0;
     std::map<udp::endpoint, Notices> m_notices; // not sent yet
-    net::steady_timer m_noticeTimer;
+    TimeoutTimer m_noticeTimer;
     bool m_areNoticesDue = false;
 };
 
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -399,6 +399,13 @@
         answer.headers["Server-Leaving"] = "1";
 }
 
+void UpstreamStandin::setHeld(bool held)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isHeld = held;
+    m_released.notify_all();
+}
+
 std::vector<std::chrono::steady_clock::time_point> UpstreamStandin::arrivals()
 {
     const std::lock_guard lock(m_mutex);
@@ -431,7 +438,7 @@
     const std::string id = request.header("Request-Id");
     Answer result;
     result.headers["Request-Id"] = id;
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
     if (request.header("Expect-Instance") != m_instanceId) {
         result.status = 421;
         return result;
@@ -456,6 +463,7 @@
     }
     m_runs[id] += 1;
     m_last = request;
+    m_released.wait(lock, [this] { return !m_isHeld; });
     if (request.path == m_fatalPath)
         return end();
     result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -135,6 +135,9 @@
     // rejected.
     void rejectWithBackoff(std::optional<std::string> retryAfter);
 
+    // While held, requests run, but their answers are not sent.
+    void setHeld(bool held);
+
     // When requests for this instance arrived, including rejected ones.
     std::vector<std::chrono::steady_clock::time_point> arrivals();
 
@@ -168,6 +171,8 @@
     bool m_isDraining = false;
     std::optional<std::string> m_retryAfter;
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
+    bool m_isHeld = false;
+    std::condition_variable m_released;
     Fault m_fault = Fault::None;
     int m_faultyRequests = 0;
     int m_breakAfter = 0;
--- a/tests/system/suspended_clock_test.cpp
+++ b/tests/system/suspended_clock_test.cpp
@@ -66,8 +66,7 @@
     const adapters::SystemClock clock;
     bool hasPassed = false;
     node::DeadlineTimer deadline(context);
-    deadline.expires_at(clock.now() + 1h);
-    deadline.async_wait([&](const boost::system::error_code &ec) { hasPassed = !ec; });
+    deadline.startUntil(clock.now() + 1h, [&] { hasPassed = true; });
     suspendedTime += 2h;
     // Stands for the regular work of a thread, which wakes it up.
     boost::asio::steady_timer work(context);
