A caller's field that the HTTP library cannot hold is rejected

What callers would see: where the configuration allows heads beyond 65,533 bytes, one request with a longer field ends its node, and all requests there are lost.

Beast's parser throws for a field that it cannot hold, and nothing catches that on the serving thread.

Change: RequestParser ends the parsing of such a request with header_limit, so that it is answered with 431.

Evidence: "caller session: a field that is too long for the HTTP library is rejected" fails on the code before with the exception, for a long value and for a long name; it passes now.

Conclusion: found by looking for the cause on related paths. No installation that we know allows more than 16,384 bytes.

--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -15,6 +15,7 @@
 #include "node/answer_writer.hpp"
 #include "node/call_handler.hpp"
 #include "node/node_state.hpp"
+#include "node/request_parser.hpp"
 #include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
@@ -54,7 +55,7 @@
         { }
 
         boost::beast::flat_buffer buffer;
-        http::request_parser<http::string_body> parser;
+        RequestParser parser;
         BufferBudget::Buffer held; // the body
         TimePoint startedAt{};
     };
--- a/tests/node/caller_session_test.cpp
+++ b/tests/node/caller_session_test.cpp
@@ -114,6 +114,31 @@
     CHECK(fixture.metrics.text().find("reason=\"read-timeout\"} 1") == std::string::npos);
 }
 
+// Guards against a caller's request that ends the node by an exception of the HTTP library, and
+// with it the requests of all others.
+TEST_CASE("caller session: a field that is too long for the HTTP library is rejected "
+          "[session][size]")
+{
+    SessionFixture fixture;
+    ServingConfig config;
+    config.version = 1;
+    config.limits.maxHeaderBytes = 200'000;
+    fixture.state.handle(ConfigApplied{std::make_shared<RouteTable>(std::move(config))});
+    std::string head = "GET / HTTP/1.1\r\nHost: a.example\r\n";
+    SUBCASE("value")
+    {
+        head += "X-Long: " + std::string(70'000, 'x');
+    }
+    SUBCASE("name")
+    {
+        head += std::string(70'000, 'x') + ": 1";
+    }
+    net::async_write(fixture.caller, net::buffer(head += "\r\n\r\n"),
+                     [](const ErrorCode &, std::size_t) {});
+    const std::string answer = fixture.readUntilClosed();
+    CHECK_MESSAGE(answer.starts_with("HTTP/1.1 431"), answer);
+}
+
 TEST_CASE("caller session: an idle session is closed at once and reports its end once [session]")
 {
     SessionFixture fixture;
