A node that was stalled takes no relay role over for a second

Cause: after a stall, messages that waited are dropped, so that all peers seem lost until their next ones arrive. A node that starts listens first; one that was stalled did not.

Change: RelayRole::recordStall(). For a second the node keeps its role, takes none over, and does not begin to read the store for its domain.

Evidence: "relays: a node that was stalled takes no role over before its peers' messages arrive" fails without the call: it becomes a relay and reads the store at once. It passes now.

Conclusion: mended by test; the play of the whole fleet shows whether it still occurs there.

--- a/include/fordwood/relay_role.hpp
+++ b/include/fordwood/relay_role.hpp
@@ -54,6 +54,9 @@
         // While no relay gets changes of the platform's store, one more node of the failure domain
         // starts to read it after each step, since the store may be reachable for some nodes only.
         Duration fallbackStep = std::chrono::milliseconds(400);
+        // How long a node takes no role over after a stall. Its peers seem lost until their next
+        // messages arrive, within two of the longest intervals at which relays send.
+        Duration stallRecovery = std::chrono::seconds(1);
     };
 
     // What a node knows about its live peers.
@@ -84,6 +87,9 @@
 
     void update(const Peers &peers);
 
+    // This process has been stalled, and messages that waited meanwhile were dropped.
+    void recordStall() { m_stallEndedAt = m_clock.now(); }
+
     bool isRelay() const { return m_isRelay; }
 
     // Whether this node watches the platform's store: as a relay, during startup, or because the
@@ -96,6 +102,7 @@
 private:
     bool isNeeded(const Peers &peers) const;
     Duration takeoverDelay(std::size_t rank) const;
+    bool isRecoveringFromStall() const;
     void updateRelay(const Peers &peers);
     void updateFallback(const Peers &peers);
 
@@ -108,6 +115,7 @@
     bool m_isRelay;
     bool m_followsContext;
     bool m_isFallbackReader = false; // reads the store because no relay gets its changes
+    std::optional<TimePoint> m_stallEndedAt;
     std::optional<TimePoint> m_neededSince;
     std::optional<TimePoint> m_notNeededSince;
     std::optional<TimePoint> m_noChangesSince; // no relay gets the store's changes
--- a/src/core/relay_role.cpp
+++ b/src/core/relay_role.cpp
@@ -35,6 +35,11 @@
     return m_limits.takeoverStep * static_cast<std::int64_t>(pauses);
 }
 
+bool RelayRole::isRecoveringFromStall() const
+{
+    return m_stallEndedAt && m_clock.now() - *m_stallEndedAt < m_limits.stallRecovery;
+}
+
 void RelayRole::update(const Peers &peers)
 {
     if (m_isDiscovering) {
@@ -42,6 +47,11 @@
         if (m_isDiscovering)
             return;
     }
+    if (isRecoveringFromStall()) {
+        m_neededSince.reset();
+        m_noChangesSince.reset();
+        return;
+    }
     updateRelay(peers);
     updateFallback(peers);
     m_followsContext = m_isRelay && strengthRank("relay", m_self, peers.relays) < m_maxReaders;
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -113,6 +113,7 @@
                 [this](const ReplicaPart &it) { merge(it.changes, it.mayBeExpiry); }),
       m_replicaServer(clock, m_replica, metrics, replicaServerLimits(settings)),
       m_role(clock, {settings.node.name, vmStrength(settings.vm)}, relayRoleLimits(settings)),
+      m_stallDetector(clock),
       m_peers(m_context, clock,
               {settings.node.name, settings.node.failureDomain, vmStrength(settings.vm)},
               directGossipLimit(settings), [this](const Gossip &it) { onGossip(it); }),
@@ -700,6 +701,8 @@
 {
     const bool wasRelay = m_role.isRelay();
     const bool followed = m_role.followsStore();
+    if (m_stallDetector.poll() > Duration::zero())
+        m_role.recordStall();
     m_role.update(relayPeers());
     m_contextStores.setReadsStores(m_role.followsContext());
     if (m_role.followsStore() != followed) {
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -13,6 +13,7 @@
 #include "config/node_settings.hpp"
 #include "fordwood/relay_role.hpp"
 #include "fordwood/replica_freshness.hpp"
+#include "fordwood/stall_detector.hpp"
 #include "fordwood/store_replica.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_load_tracker.hpp"
@@ -155,6 +156,7 @@
     ReplicaFetcher m_fetcher;
     ReplicaServer m_replicaServer;
     RelayRole m_role;
+    StallDetector m_stallDetector;
     PeerLinks m_peers;
     LoadExchange m_exchange;
     RelayWatch m_relayWatch;
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -94,6 +94,43 @@
 
 } // namespace
 
+// Guards against weak nodes that become relays after a stall, although no relay was lost.
+TEST_CASE("relays: a node that was stalled takes no role over before its peers' messages arrive "
+          "[stall]")
+{
+    ManualClock clock;
+    RelayRole::Limits limits;
+    limits.discovery = 1s;
+    RelayRole role(clock, candidate(1), limits);
+    const RelayRole::Peers known{
+        kNodes, {candidate(0), candidate(3)}, {candidate(0), candidate(3)}};
+    RelayRole::Peers unknown{kNodes, {}, {}};
+    unknown.relayGetsStoreChanges = false;
+    const auto updateFor = [&](Duration time, const RelayRole::Peers &peers) {
+        for (Duration n{}; n < time; n += 100ms) {
+            clock.advance(100ms);
+            role.update(peers);
+        }
+    };
+    updateFor(3s, known);
+    REQUIRE_FALSE(role.isRelay());
+    clock.advance(4s); // a stall
+    role.recordStall();
+    updateFor(900ms, unknown);
+    CHECK_FALSE(role.isRelay());
+    CHECK_FALSE(role.followsStore());
+    SUBCASE("the relays send again")
+    {
+        updateFor(3s, known);
+        CHECK_FALSE(role.isRelay());
+    }
+    SUBCASE("the relays are lost")
+    {
+        updateFor(1s, unknown);
+        CHECK(role.isRelay());
+    }
+}
+
 TEST_CASE("relays: two nodes of a large failure domain watch the stores [relays]")
 {
     Domain domain;
