--- a/tests/process/frozen_node_test.cpp
+++ b/tests/process/frozen_node_test.cpp
@@ -34,6 +34,7 @@
     fleet.first.setHeld(true);
     fleet.second.setHeld(true);
     std::vector<std::future<HttpAnswer>> answers;
+    answers.reserve(kCallers);
     for (int n = 0; n < kCallers; ++n)
         answers.push_back(std::async(std::launch::async, [&fleet, n] {
             return httpCall("POST", fleet.url(0, "/once/1"), "body",
@@ -63,6 +64,7 @@
     fleet.start();
     net::io_context context;
     std::vector<net::ip::tcp::socket> callers;
+    callers.reserve(kCallers);
     const auto head = [](int n) {
         return "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-" + std::to_string(n)
                + "\r\nCredential: key-t\r\nRequest-Deadline: 10000\r\nContent-Length: 0\r\n"
