The proxy of the outage tests never blocks on a silenced connection

Found on reading the change again: a silenced connection waited for input and read it with a blocking call, while the read of the time before could take that input. On a reused connection the proxy then stood still until the node closed it. Now one loop reads each direction, and discards what it reads while silent.

The checks are unchanged.

--- a/tests/process/faulty_proxy.cpp
+++ b/tests/process/faulty_proxy.cpp
@@ -38,40 +38,43 @@
                 self->reset();
                 return;
             }
-            self->forward(self->m_client, self->m_server, self->m_fromClient);
-            self->forward(self->m_server, self->m_client, self->m_fromServer);
+            self->relay(self->m_client, self->m_server, self->m_fromClient);
+            self->relay(self->m_server, self->m_client, self->m_fromServer);
         });
     }
 
+    // For a connection that is silent from the beginning: there is no server.
+    void startSilently()
+    {
+        silence();
+        relay(m_client, m_server, m_fromClient);
+    }
+
     void reset()
     {
-        ErrorCode ec; // closing a closed socket is harmless
+        ErrorCode ec; // a closed socket needs no option
         m_client.set_option(net::socket_base::linger(true, 0), ec);
-        m_client.close(ec);
-        m_server.close(ec);
+        close();
     }
 
     // Keeps the connection open until the client closes it. Nothing is forwarded any more.
-    void silence()
-    {
-        m_isSilent = true;
-        discard();
-    }
+    void silence() { m_isSilent = true; }
 
 private:
     using Buffer = std::array<char, 65'536>;
 
-    void forward(tcp::socket &from, tcp::socket &to, Buffer &buffer)
+    // While silent, what is read is discarded.
+    void relay(tcp::socket &from, tcp::socket &to, Buffer &buffer)
     {
         from.async_read_some(net::buffer(buffer), [self = shared_from_this(), &from, &to,
                                                    &buffer](const ErrorCode &ec, std::size_t n) {
-            if (self->m_isSilent)
-                return;
-            if (ec) {
-                self->closeGracefully();
-                return;
-            }
-            self->send(from, to, buffer, n);
+            const bool isClosedByClient = &from == &self->m_client;
+            if (ec && (isClosedByClient || !self->m_isSilent))
+                self->close();
+            else if (!ec && self->m_isSilent)
+                self->relay(from, to, buffer);
+            else if (!ec)
+                self->send(from, to, buffer, n);
         });
     }
 
@@ -80,34 +83,20 @@
         net::async_write(
             to, net::buffer(buffer, n),
             [self = shared_from_this(), &from, &to, &buffer](const ErrorCode &ec, std::size_t) {
-                if (self->m_isSilent)
-                    return;
-                if (ec)
-                    self->closeGracefully();
+                if (ec && !self->m_isSilent)
+                    self->close();
                 else
-                    self->forward(from, to, buffer);
+                    self->relay(from, to, buffer);
             });
     }
 
-    void closeGracefully()
+    void close()
     {
         ErrorCode ec; // closing a closed socket is harmless
         m_client.close(ec);
         m_server.close(ec);
     }
 
-    void discard()
-    {
-        m_client.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode &) {
-            ErrorCode ec;
-            const std::size_t n = self->m_client.read_some(net::buffer(self->m_fromClient), ec);
-            if (n > 0)
-                self->discard();
-            else
-                self->closeGracefully();
-        });
-    }
-
     tcp::socket m_client;
     tcp::socket m_server;
     Buffer m_fromClient{};
@@ -141,7 +130,7 @@
         else if (m_mode == Mode::Reset)
             connection->reset();
         else
-            connection->silence();
+            connection->startSilently();
         accept();
     });
 }
