Events and metrics that tell why a node has no configuration after its start

Cause: no event told how many pages of the store's content a node has read, how a page failed, when a read ended, or when a node could serve first, so a link that is full, calls that are rejected and nodes that are slow looked alike.

No logic changes.

--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -87,14 +87,15 @@
 
 ControlLoop::ControlLoop(const config::OneProcessSettings &settings, const Clock &clock,
                          adapters::Metrics &metrics, Publish publish)
-    : m_settings(settings), m_clock(clock), m_metrics(metrics), m_publish(std::move(publish)),
-      m_owner(makeNodeInstanceId(settings.node.name)), m_context(1), m_client(m_context, clock),
-      m_freshness(clock), m_weightNamings(clock, settings.node.name,
-                                          [this](const std::string &model, std::uint64_t version,
-                                                 const WeightHistory &history) {
-                                              onWeightNaming(model, version, history);
-                                          }),
-      m_store(m_context, m_client, clock, settings.store.address, m_replica, *this),
+    : m_settings(settings), m_clock(clock), m_startedAt(clock.now()), m_metrics(metrics),
+      m_publish(std::move(publish)), m_owner(makeNodeInstanceId(settings.node.name)), m_context(1),
+      m_client(m_context, clock), m_freshness(clock),
+      m_weightNamings(
+          clock, settings.node.name,
+          [this](const std::string &model, std::uint64_t version, const WeightHistory &history) {
+              onWeightNaming(model, version, history);
+          }),
+      m_store(m_context, m_client, clock, metrics, settings.store.address, m_replica, *this),
       m_registration(clock, m_store, DocumentReader::nodeKey(settings.node.name),
                      encodePeerAddress(ownAddress(settings))),
       m_namingMarks(clock, m_store, m_replica, m_weightNamings, markLimits(settings)),
@@ -188,8 +189,7 @@
 
 ServedReply ControlLoop::readyReply(std::string_view) const
 {
-    const bool ready = m_hasConfiguration && !m_isStopping && m_upstreams.size() > 0;
-    return makeReply(ready ? 200 : 503);
+    return makeReply(hasConfigurationAndUpstreams() && !m_isStopping ? 200 : 503);
 }
 
 ServedReply ControlLoop::metricsReply(std::string_view target) const
@@ -591,6 +591,7 @@
 {
     m_nextMemberUpdate = m_clock.now() + kMemberUpdateInterval;
     updateReachability();
+    recordReadiness();
     updateLiveNodes();
     updateKnownNodes();
     updateRole();
@@ -602,6 +603,23 @@
     updateEngines();
 }
 
+bool ControlLoop::hasConfigurationAndUpstreams() const
+{
+    return m_hasConfiguration && m_upstreams.size() > 0;
+}
+
+void ControlLoop::recordReadiness()
+{
+    if (m_wasReady || !hasConfigurationAndUpstreams())
+        return;
+    m_wasReady = true;
+    const Duration sinceStart = m_clock.now() - m_startedAt;
+    logEvent(Event::NodeReady, {{"since_start_ms", sinceStart},
+                                {"revision", m_replica.version().revision},
+                                {"upstreams", m_upstreams.size()}});
+    m_metrics.setGauge("fordwood_start_seconds", std::chrono::duration<double>(sinceStart).count());
+}
+
 void ControlLoop::updateLoading()
 {
     const auto loading = m_rolloutExecutor.rollout().loading();
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -88,6 +88,8 @@
     void onQuarantinedRequest(const RequestFingerprint &request,
                               const std::vector<std::uint64_t> &instances) override;
 
+    bool hasConfigurationAndUpstreams() const;
+    void recordReadiness();
     ServedReply readyReply(std::string_view target) const;
     ServedReply peerReply(std::string_view target);
     ServedReply metricsReply(std::string_view target) const;
@@ -136,6 +138,7 @@
 
     config::OneProcessSettings m_settings;
     const Clock &m_clock;
+    const TimePoint m_startedAt;
     adapters::Metrics &m_metrics;
     Publish m_publish;
     const std::string m_owner; // identifies this process instance of the node
@@ -174,6 +177,7 @@
     LimitReports m_limitReports;
     UpdateQueue m_pendingUpdates; // updates that the receiver had no space for
     bool m_hasConfiguration = false;
+    bool m_wasReady = false;
     bool m_isStopping = false;
     bool m_isLeaving = false; // no request runs any more
     bool m_hasNews
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -4,10 +4,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "adapters/observe/event_log.hpp"
+
 namespace fordwood::node {
 
 namespace {
 
+using adapters::Event;
+using adapters::logEvent;
 using platform::StoreFailure;
 
 // A watch costs as much as any other call, so it waits long. TCP probes detect a dead connection
@@ -44,9 +48,11 @@
 } // namespace
 
 StoreClient::StoreClient(net::io_context &context, HttpClient &client, const Clock &clock,
-                         std::string address, const StoreReplica &replica, StoreListener &listener)
-    : m_timer(context), m_client(client), m_clock(clock), m_address(std::move(address)),
-      m_replica(replica), m_listener(listener), m_batchPause(kBatchPause)
+                         adapters::Metrics &metrics, std::string address,
+                         const StoreReplica &replica, StoreListener &listener)
+    : m_timer(context), m_client(client), m_clock(clock), m_metrics(metrics),
+      m_address(std::move(address)), m_replica(replica), m_listener(listener),
+      m_batchPause(kBatchPause)
 { }
 
 void StoreClient::after(Duration pause, void (StoreClient::*step)())
@@ -75,14 +81,30 @@
                            NextStep next)
 {
     send(platform::rangeCall(after),
-         [this, fullRead, next](const HttpResult &result) { handlePage(result, fullRead, next); });
+         [this, fullRead, next, askedAt = m_clock.now()](const HttpResult &result) {
+             handlePage(result, fullRead, next, askedAt);
+         });
+}
+
+void StoreClient::recordPageFailure(const FullRead &fullRead, TimePoint askedAt,
+                                    const HttpResult &result)
+{
+    m_failedPages += 1;
+    m_metrics.count("fordwood_store_pages_failed_total");
+    logEvent(Event::StorePageFailed, {{"page", fullRead.pages + 1},
+                                      {"items", fullRead.content.items.size()},
+                                      {"status", result ? result->status : 0U},
+                                      {"sent", result || result.error() != HttpFailure::NotSent},
+                                      {"waited_ms", m_clock.now() - askedAt},
+                                      {"failures", m_failedPages}});
 }
 
 void StoreClient::handlePage(const HttpResult &result, const std::shared_ptr<FullRead> &fullRead,
-                             NextStep next)
+                             NextStep next, TimePoint askedAt)
 {
     auto page = platform::readRange(result);
     if (!page) {
+        recordPageFailure(*fullRead, askedAt, result);
         if (next == NextStep::Watch)
             onFailure(page.error());
         else
@@ -100,6 +122,7 @@
         readPage("", std::make_shared<FullRead>(FullRead{m_clock.now(), {}}), next);
         return;
     }
+    fullRead->pages += 1;
     auto &items = page->content.items;
     read.items.insert(read.items.end(), items.begin(), items.end());
     if (page->nextAfter) {
@@ -108,6 +131,13 @@
     }
     m_isComplete = true;
     m_isPolling = false;
+    logEvent(Event::StoreContentRead, {{"pages", fullRead->pages},
+                                       {"items", read.items.size()},
+                                       {"revision", read.revision},
+                                       {"took_ms", m_clock.now() - fullRead->sentAt},
+                                       {"failed_pages", m_failedPages}});
+    m_metrics.count("fordwood_store_content_reads_total");
+    m_failedPages = 0;
     m_listener.onStoreChanges(read, {fullRead->sentAt, std::nullopt});
     if (next != NextStep::Watch)
         return;
--- a/src/node/store_client.hpp
+++ b/src/node/store_client.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "adapters/observe/metrics.hpp"
 #include "fordwood/store_replica.hpp"
 #include "node/http_client.hpp"
 #include "node/timeout_timer.hpp"
@@ -42,7 +43,8 @@
 {
 public:
     StoreClient(net::io_context &context, HttpClient &client, const Clock &clock,
-                std::string address, const StoreReplica &replica, StoreListener &listener);
+                adapters::Metrics &metrics, std::string address, const StoreReplica &replica,
+                StoreListener &listener);
 
     void start() { readAll(); }
 
@@ -70,6 +72,7 @@
     {
         TimePoint sentAt{}; // of the call for the first page
         StoreChanges content;
+        std::size_t pages = 0; // read so far
     };
 
     struct AnsweredCall
@@ -81,7 +84,8 @@
     void readPage(const std::string &after, const std::shared_ptr<FullRead> &fullRead,
                   NextStep next);
     void handlePage(const HttpResult &result, const std::shared_ptr<FullRead> &fullRead,
-                    NextStep next);
+                    NextStep next, TimePoint askedAt);
+    void recordPageFailure(const FullRead &fullRead, TimePoint askedAt, const HttpResult &result);
     void readAllOnce();
     void watch();
     void continueFollowing();
@@ -101,6 +105,7 @@
     TimeoutTimer m_timer;
     HttpClient &m_client;
     const Clock &m_clock;
+    adapters::Metrics &m_metrics;
     const std::string m_address;
     const StoreReplica &m_replica;
     StoreListener &m_listener;
@@ -114,6 +119,7 @@
     bool m_isFollowing = true;
     bool m_isIdle = false; // neither a call nor a timer for following is pending
     unsigned m_consecutiveFailures = 0;
+    std::size_t m_failedPages = 0; // since the store's whole content was last read
     std::uint64_t m_epoch = 0;
     std::optional<TimePoint> m_historyLostAt; // when the store last reported HistoryLost
 };
--- a/tests/node/information_age_test.cpp
+++ b/tests/node/information_age_test.cpp
@@ -19,6 +19,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include "adapters/observe/metrics.hpp"
 #include "fordwood/manual_clock.hpp"
 #include "node/context_store_watcher.hpp"
 #include "node/node_state.hpp"
@@ -275,7 +276,8 @@
     net::io_context m_context;
     HttpClient m_client{m_context, m_clock};
     StoreReplica m_replica;
-    StoreClient m_link{m_context, m_client, m_clock, m_store, m_replica, *this};
+    adapters::Metrics m_metrics;
+    StoreClient m_link{m_context, m_client, m_clock, m_metrics, m_store, m_replica, *this};
     std::vector<QuarantineUpdate> m_published;
     QuarantineDistributor m_quarantine{
         m_clock, m_link, m_replica, [this](const std::vector<QuarantineUpdate> &it) {
--- a/tests/node/store_client_test.cpp
+++ b/tests/node/store_client_test.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include "adapters/observe/metrics.hpp"
 #include "fordwood/manual_clock.hpp"
 #include "node/internal_server.hpp"
 
@@ -23,7 +24,7 @@
 {
     StoreFixture()
         : server(context, [this](std::string_view target) { return answer(target); }),
-          client(context, clock), store(context, client, clock, address(), replica, *this)
+          client(context, clock), store(context, client, clock, metrics, address(), replica, *this)
     {
         ErrorCode ec;
         REQUIRE(server.listen(address(), ec));
@@ -66,6 +67,7 @@
     ManualClock clock;
     InternalServer server;
     HttpClient client;
+    adapters::Metrics metrics;
     StoreReplica replica;
     StoreClient store;
 };
