--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "process/platform_standins.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <thread>
 
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -181,9 +183,32 @@
     std::unique_lock lock(m_mutex);
     m_changed.wait(lock, [this] { return !m_stalled; });
     result.headers["Store-Era"] = std::to_string(m_epoch);
+    lock.unlock();
+    passLink(result.body.size());
     return result;
 }
 
+void KeyValueStandin::setLink(std::size_t pageItems, double bytesPerSecond)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pageItems = pageItems;
+    m_linkBytesPerSecond = bytesPerSecond;
+}
+
+// Waits until the link has carried an answer of this size.
+void KeyValueStandin::passLink(std::size_t bytes)
+{
+    std::unique_lock lock(m_mutex);
+    if (m_linkBytesPerSecond <= 0.0)
+        return;
+    const std::chrono::duration<double> time(static_cast<double>(bytes) / m_linkBytesPerSecond);
+    m_linkFreeAt = std::max(m_linkFreeAt, std::chrono::steady_clock::now())
+                   + std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+    const auto arrivesAt = m_linkFreeAt;
+    lock.unlock();
+    std::this_thread::sleep_until(arrivesAt);
+}
+
 Answer KeyValueStandin::execute(const Request &request)
 {
     {
@@ -253,13 +278,14 @@
 
 Answer KeyValueStandin::range(const Request &request)
 {
-    constexpr std::size_t kPage = 2; // small, so that reads need several pages
-    const std::string after = queryValue(request.query, "after");
+    const std::string prefix = queryValue(request.query, "path-prefix");
+    const std::string after = std::max(prefix, queryValue(request.query, "after"));
     const std::lock_guard lock(m_mutex);
     Json items = Json::array();
     bool more = false;
-    for (auto it = m_now.items.upper_bound(after); it != m_now.items.end() && !more; ++it) {
-        if (items.size() == kPage) {
+    for (auto it = m_now.items.upper_bound(after);
+         it != m_now.items.end() && it->first.starts_with(prefix) && !more; ++it) {
+        if (items.size() == m_pageItems) {
             more = true;
             continue;
         }
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -37,6 +37,11 @@
     // While silent, watches report no changes; polls with a short wait still do.
     void setSilentWatches(bool silent);
 
+    // From now on ranges have up to this many items a page, and the link carries the answers of all
+    // calls one after the other, at this rate. An answer whose caller has given up takes its time
+    // as well.
+    void setLink(std::size_t pageItems, double bytesPerSecond);
+
     // Discards the history of changes. Watches from earlier revisions are rejected with 410.
     void forgetHistory();
 
@@ -75,6 +80,7 @@
     };
 
     standins::Answer answer(const standins::Request &request);
+    void passLink(std::size_t bytes);
     standins::Answer execute(const standins::Request &request);
     standins::Answer range(const standins::Request &request);
     standins::Answer watch(const standins::Request &request);
@@ -103,6 +109,9 @@
     bool m_down = false;
     bool m_watchesSilent = false;
     bool m_stalled = false;
+    std::size_t m_pageItems = 2; // small, so that reads need several pages
+    double m_linkBytesPerSecond = 0.0; // zero: no limit
+    std::chrono::steady_clock::time_point m_linkFreeAt{};
     std::unique_ptr<standins::BlockingServer> m_server;
 };
 
