Answers that never end: memory is bounded, the channel is closed, and the call ends

What callers saw: a server whose head or body does not end could take all memory of a node, and with it the requests of all callers there; a caller behind a rejection whose body does not end waited to the deadline; an interim answer (1xx) was taken for the answer.

Cause: what has arrived and is not parsed had no limit. Lines before chunks and trailers are held until they are complete. 1xx heads were answers like any other. The body of a rejection was read to its end, only to use the channel again.

Change: a channel holds at most 64 KB that are not parsed. Up to eight interim answers are passed over; more, or a change of protocol, end the channel. After 64 KB of a rejection's body the channel is closed and the rejection is taken.

Left: a rejection whose body comes slowly and without end is still waited for.

--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -113,8 +113,10 @@
     void recordOrigin();
     void handleFailure(const FailedAttempt &failure);
     void handleAnswer();
-    void handleRejection();
+    // `isComplete`: its body has been read to the end.
+    void handleRejection(bool isComplete);
     bool forwardEvents(std::string_view bytes);
+    bool skipRejectionBody(std::size_t n);
     bool collectBody(std::string_view bytes);
     bool beginPassThrough();
     void endPassThrough();
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -21,6 +21,9 @@
 
 constexpr unsigned kFirstServerError = 500;
 
+// The body of a rejection is read only so that its channel can be used again.
+constexpr std::size_t kMaxRejectionBody = 65'536;
+
 bool isSuccess(unsigned status)
 {
     constexpr unsigned kFirstSuccess = 200;
@@ -68,13 +71,22 @@
     m_state.health().dataReceived(m_attempt->upstream.instanceId);
     if (isStreamed() && !m_attempt->head.hasNotRun)
         return forwardEvents(bytes);
-    if (m_attempt->head.hasNotRun)
-        return true; // the caller gets another answer
+    if (m_attempt->head.hasNotRun) // the caller gets another answer
+        return skipRejectionBody(bytes.size());
     if (m_isPassedThrough)
         return m_writer.sendChunk(bytes);
     return collectBody(bytes);
 }
 
+bool CallHandler::skipRejectionBody(std::size_t n)
+{
+    m_attempt->skippedBytes += n;
+    if (m_attempt->skippedBytes <= kMaxRejectionBody)
+        return true;
+    handleRejection(false);
+    return false;
+}
+
 // Holds the body until it is complete, so that another upstream can be tried if this one fails
 // before that. A body that is too large to hold is forwarded from then on.
 bool CallHandler::collectBody(std::string_view bytes)
@@ -187,7 +199,7 @@
     const std::string id = m_attempt->upstream.instanceId;
     UpstreamHealth &health = m_state.health();
     if (m_attempt->head.hasNotRun) {
-        handleRejection();
+        handleRejection(true);
         return;
     }
     if (m_isPassedThrough) {
@@ -246,7 +258,7 @@
 
 // Handles an answer which states that the request has not run. It comes from the upstream or from
 // another instance at its address.
-void CallHandler::handleRejection()
+void CallHandler::handleRejection(bool isComplete)
 {
     const std::string id = m_attempt->upstream.instanceId;
     const bool isOtherInstance = platform::isFromOtherInstance(m_attempt->head, id);
@@ -262,7 +274,7 @@
           && m_state.recordWeightMismatch(m_caller.requestId, *m_attempt);
     if (!hasCorrectedWeights)
         m_state.health().refused(id, isOtherInstance ? kGoneUpstreamPause : kPushbackPause);
-    endAttempt(true);
+    endAttempt(isComplete);
     if (isOtherInstance) {
         m_state.channels().closeIdle(id);
         m_plan.reachedOtherInstance();
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -12,6 +12,9 @@
 // Heads of answers are small; a longer one does not come from an upstream.
 constexpr std::uint32_t kMaxHeadBytes = 32'768;
 
+// Interim answers (1xx) that may come before the answer.
+constexpr std::size_t kMaxInterimAnswers = 8;
+
 // A peer allows an upstream as much time to connect as this node does; its reply takes a little
 // longer.
 constexpr Duration kProxyTimeMargin = std::chrono::milliseconds(50);
@@ -103,7 +106,7 @@
     m_isReusable = false;
     m_isNew = false;
     Exchange &current = *m_exchange;
-    const bool isHeadRequest = head.method() == http::verb::head;
+    current.isHeadRequest = head.method() == http::verb::head;
     current.request.base() = std::move(head);
     current.body = std::move(body);
     current.request.body()
@@ -112,11 +115,6 @@
     if (!current.body->empty() || current.request.method() != http::verb::get)
         current.request.content_length(current.body->size());
     current.serializer.emplace(current.request);
-    current.parser.header_limit(kMaxHeadBytes);
-    // Boost 1.74 treats boost::none as a limit of zero.
-    current.parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    if (isHeadRequest)
-        current.parser.skip(true);
     current.handler = &handler;
     writeRequest();
     readHead();
@@ -138,33 +136,55 @@
 
 void HttpChannel::readHead()
 {
+    auto &parser = m_exchange->parser.emplace();
+    parser.header_limit(kMaxHeadBytes);
+    // Boost 1.74 treats boost::none as a limit of zero.
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (m_exchange->isHeadRequest)
+        parser.skip(true);
     http::async_read_header(
-        m_socket, m_exchange->buffer, m_exchange->parser,
+        m_socket, m_exchange->buffer, parser,
         [self = shared_from_this(), current = m_exchange](const ErrorCode &ec, std::size_t) {
             if (current != self->m_exchange)
                 return;
-            if (ec) {
+            if (ec)
                 self->fail(ec);
-                return;
-            }
-            current->handler->onHead(current->parser.get().base());
-            if (current == self->m_exchange)
-                self->readBody();
+            else
+                self->handleHead();
         });
 }
 
+void HttpChannel::handleHead()
+{
+    const std::shared_ptr<Exchange> current = m_exchange;
+    const auto &head = current->parser->get().base();
+    if (http::to_status_class(head.result_int()) == http::status_class::informational) {
+        current->interimAnswers += 1;
+        // This client asks for no other protocol.
+        if (head.result() == http::status::switching_protocols
+            || current->interimAnswers > kMaxInterimAnswers)
+            fail(http::error::bad_status);
+        else
+            readHead();
+        return;
+    }
+    current->handler->onHead(head);
+    if (current == m_exchange)
+        readBody();
+}
+
 void HttpChannel::readBody()
 {
     Exchange &current = *m_exchange;
-    if (current.parser.is_done()) {
+    if (current.parser->is_done()) {
         completeExchange();
         return;
     }
-    current.parser.get().body().data = current.chunk.data();
-    current.parser.get().body().size = current.chunk.size();
-    current.parser.get().body().more = true;
+    current.parser->get().body().data = current.chunk.data();
+    current.parser->get().body().size = current.chunk.size();
+    current.parser->get().body().more = true;
     http::async_read_some(
-        m_socket, current.buffer, current.parser,
+        m_socket, current.buffer, *current.parser,
         [self = shared_from_this(), expected = m_exchange](const ErrorCode &ec, std::size_t) {
             if (expected == self->m_exchange)
                 self->handleBody(ec);
@@ -178,7 +198,7 @@
         fail(ec);
         return;
     }
-    const std::size_t n = current->chunk.size() - current->parser.get().body().size;
+    const std::size_t n = current->chunk.size() - current->parser->get().body().size;
     if (n > 0) {
         const bool wantsMore = current->handler->onBody({current->chunk.data(), n});
         if (current != m_exchange)
@@ -201,15 +221,15 @@
 
 void HttpChannel::completeExchange()
 {
-    if (m_isProxied && m_exchange->parser.need_eof()) {
+    if (m_isProxied && m_exchange->parser->need_eof()) {
         fail(http::error::partial_message);
         return;
     }
     const std::shared_ptr<Exchange> current = std::move(m_exchange);
     m_exchange.reset();
     // Bytes after the answer belong to no request, so the channel cannot be reused.
-    m_isReusable = current->isWritten && current->parser.keep_alive() && current->buffer.size() == 0
-                   && !m_isProxied;
+    m_isReusable = current->isWritten && current->parser->keep_alive()
+                   && current->buffer.size() == 0 && !m_isProxied;
     if (!m_isReusable)
         close();
     current->handler->onAnswerEnd();
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -94,6 +94,7 @@
     void closeAfter(Duration timeout);
     void writeRequest();
     void readHead();
+    void handleHead();
     void readBody();
     void handleBody(const ErrorCode &ec);
     void completeExchange();
@@ -101,16 +102,22 @@
 
     static constexpr std::size_t kChunkBytes = 8'192;
 
+    // What has arrived and is not parsed yet. Lines between chunks and trailers are held until they
+    // are complete, and are no longer than a head.
+    static constexpr std::size_t kMaxUnparsedBytes = 65'536;
+
     // The state of one exchange; an idle channel has none.
     struct Exchange
     {
         http::request<http::span_body<const char>> request;
         std::optional<http::request_serializer<http::span_body<const char>>> serializer;
         std::shared_ptr<const std::string> body;
-        boost::beast::flat_buffer buffer;
-        http::response_parser<http::buffer_body> parser;
+        boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
+        std::optional<http::response_parser<http::buffer_body>> parser; // of one head and its body
         std::array<char, kChunkBytes> chunk{};
         AnswerHandler *handler = nullptr;
+        bool isHeadRequest = false;
+        std::size_t interimAnswers = 0; // that have arrived before the answer
         bool isWritten = false;
         bool isReadingPaused = false; // onBody() has returned false
     };
--- a/tests/node/slow_reader_test.cpp
+++ b/tests/node/slow_reader_test.cpp
@@ -258,3 +258,16 @@
     CHECK(small.upstream.left() < kLargeAnswer);
     CHECK(small.held() <= 250'001 + 10'000 + 3 * BufferBudget::kAlwaysAllowed);
 }
+
+// Guards against requests that wait until their deadline behind a rejection whose body does not
+// end.
+TEST_CASE("slow reader: a rejection is taken although its body does not end [endless]")
+{
+    SlowReaderFixture fixture("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r\r\n"
+                              "Not-Executed: 1\r\nContent-Length: "
+                              + std::to_string(kLargeAnswer) + "\r\n\r\n");
+    fixture.send("GET /x");
+    CHECK(fixture.read().starts_with("HTTP/1.1 503"));
+    CHECK(fixture.upstream.left() > kLargeAnswer / 2);
+    CHECK(fixture.held() == 0);
+}
