Test of engines that revert: asks which node holds the lock

The test restarts every node but the one that holds the lock, which has the engine's report. Now it reads the holder from the store. What it checks is as before.

--- a/tests/node/engine_reverts_test.cpp
+++ b/tests/node/engine_reverts_test.cpp
@@ -17,8 +17,13 @@
 
 namespace {
 
-// The one of three equally strong nodes that takes the lock, by the hashes of their names.
-constexpr int kLockHolder = 1;
+// The number of the node that holds the lock. An owner begins with the node's name, such as "n1".
+int findLockHolder(WeightsFleet &fleet)
+{
+    const std::string owner = fleet.store().value(RolloutExecutor::lockKey());
+    REQUIRE(owner.size() > 1);
+    return std::stoi(owner.substr(1));
+}
 
 // Loads the ordered weights at once. Its record changes only when the test writes it.
 class OrderedEngine
@@ -134,10 +139,11 @@
     fleet.nameWeights(2);
     REQUIRE(fleet.waitForEngine("e@1000", 2));
     fleet.store().setDown(true); // before the engine has written anything
+    const int lockHolder = findLockHolder(fleet);
     fleet.advance(10s);
     CHECK(fleet.waitForEngine("e@1000", 2));
     for (int n = 0; n < 3; ++n) {
-        if (n == kLockHolder)
+        if (n == lockHolder)
             continue;
         fleet.kill(n);
         fleet.start(n);
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -151,6 +151,23 @@
     return m_now.revision;
 }
 
+std::string KeyValueStandin::value(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_now.items.find(key);
+    return it == m_now.items.end() ? "" : it->second.value;
+}
+
+std::vector<std::string> KeyValueStandin::namesUnder(const std::string &prefix)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> names;
+    for (auto it = m_now.items.lower_bound(prefix);
+         it != m_now.items.end() && it->first.starts_with(prefix); ++it)
+        names.push_back(it->first.substr(prefix.size()));
+    return names;
+}
+
 bool KeyValueStandin::has(const std::string &prefix)
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -55,6 +55,12 @@
 
     std::int64_t revision();
 
+    // The value of a key; empty if it does not exist.
+    std::string value(const std::string &key);
+
+    // What follows the prefix in all keys that begin with it.
+    std::vector<std::string> namesUnder(const std::string &prefix);
+
     // has() returns whether a key with the prefix exists; removeAll() removes all such keys.
     bool has(const std::string &prefix);
     void removeAll(const std::string &prefix);
