--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -156,6 +156,10 @@
         return;
     }
     onSuccess();
+    if (next == NextStep::Watch && m_isStarting && !m_replica.isEmpty()) {
+        continueFollowing(); // a peer has sent the content meanwhile
+        return;
+    }
     // The pages are not a consistent snapshot. The watch reads what changed after the first page.
     StoreChanges &read = fullRead->content;
     if (read.revision == 0) {
