--- a/src/node/control_limits.hpp
+++ b/src/node/control_limits.hpp
@@ -12,6 +12,9 @@
 // Values that ControlLoop derives from the node's settings and from the configuration.
 namespace fordwood::node {
 
+// A change is sent to peers at once; this limits the rate when many changes follow each other.
+inline constexpr Duration kMinGossipInterval = std::chrono::milliseconds(10);
+
 // Returns an id for this process of the node, which differs after each restart. It identifies the
 // process as a holder of the lock, among others.
 std::string makeNodeInstanceId(const std::string &node);
