Nodes name themselves as sources only where the store's content is more than a page

Cause: in a fleet of 18 nodes with 130 keys relays named themselves too, a lease and a write for each change of a role, although a page is read as cheaply as sources are looked for.

Change: a relay is a source above 500 keys, which is a page, and stays one while keys come and go. Process tests and unit tests pass.

--- a/include/fordwood/store_replica.hpp
+++ b/include/fordwood/store_replica.hpp
@@ -79,6 +79,9 @@
     const StoreVersion &version() const { return m_version; }
     bool isEmpty() const { return m_version.revision == 0; }
 
+    // The number of keys that exist.
+    std::size_t size() const { return m_items.size() - m_removedKeys; }
+
     // Items looked at by all merges and reads of changes so far.
     std::uint64_t itemsVisited() const { return m_itemsVisited; }
 
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -176,7 +176,7 @@
     net::post(m_context, [this] {
         m_isLeaving = true;
         m_registration.setValue(std::nullopt);
-        m_sourceRegistration.tick(false, m_peers.roster().size() + 1);
+        m_sourceRegistration.tick(false, m_peers.roster().size() + 1, m_replica.size());
         gossip();
     });
 }
@@ -442,7 +442,8 @@
     updateKnownNodes();
     updateRole();
     if (!m_isStopping)
-        m_sourceRegistration.tick(usesLoadSums() && m_role.isRelay(), m_peers.roster().size() + 1);
+        m_sourceRegistration.tick(usesLoadSums() && m_role.isRelay(), m_peers.roster().size() + 1,
+                                  m_replica.size());
     m_relayWatch.tick();
     updateNamingMarks();
     for (const std::string &it : m_upstreams.tick())
--- a/src/node/replica_sources.cpp
+++ b/src/node/replica_sources.cpp
@@ -22,6 +22,9 @@
 constexpr LeasedKey::Limits kSourceKeyLimits{std::chrono::minutes(10), std::chrono::minutes(3),
                                              std::chrono::seconds(5)};
 
+// The store sends about this many items in a page.
+constexpr std::size_t kPageItems = 500;
+
 } // namespace
 
 std::string encodeSource(const ReplicaSource &source)
@@ -82,8 +85,10 @@
       m_key(clock, store, std::string(kSourcePrefix) + m_self.node, kSourceKeyLimits)
 { }
 
-void SourceRegistration::tick(bool isSource, std::size_t nodes)
+void SourceRegistration::tick(bool isRelay, std::size_t nodes, std::size_t items)
 {
+    // A source stays one while keys come and go.
+    const bool isSource = isRelay && (m_isSource || items > kPageItems);
     // Rounded up, so that the key is not written again for each node that starts.
     m_self.fleetSize = std::bit_ceil(nodes);
     m_key.setValue(isSource ? std::optional(encodeSource(m_self)) : std::nullopt);
--- a/src/node/replica_sources.hpp
+++ b/src/node/replica_sources.hpp
@@ -31,15 +31,17 @@
                                           const std::string &node,
                                           const std::string &failureDomain);
 
-// Names this node in the store while it is a source.
+// Names this node in the store while it is a source: a relay, and the store's content is more than
+// a page. Less than that every node reads from the store as cheaply as it looks for sources.
 class SourceRegistration
 {
 public:
     // `self`: its fleet size is not used.
     SourceRegistration(const Clock &clock, StoreClient &store, ReplicaSource self);
 
-    // Call regularly. `nodes`: how many nodes this one knows, itself included.
-    void tick(bool isSource, std::size_t nodes);
+    // Call regularly. `nodes`: how many nodes this one knows, itself included. `items`: how many
+    // keys the store has.
+    void tick(bool isRelay, std::size_t nodes, std::size_t items);
 
 private:
     ReplicaSource m_self;
--- a/tests/node/replica_sources_test.cpp
+++ b/tests/node/replica_sources_test.cpp
@@ -26,10 +26,10 @@
 {
 public:
     // Runs the node for some time of its clock.
-    void run(bool isSource, std::size_t nodes, Duration time = 1s)
+    void run(bool isRelay, std::size_t nodes, Duration time = 1s)
     {
         for (Duration n{}; n < time; n += 100ms) {
-            registration.tick(isSource, nodes);
+            registration.tick(isRelay, nodes, items);
             context.restart();
             context.run_for(5ms);
             clock.advance(100ms);
@@ -38,6 +38,7 @@
 
     bool isNamed() { return store.has("fordwood/sources/n"); }
 
+    std::size_t items = 10'000; // that the store has
     const std::string address
         = "127.76." + std::to_string(static_cast<int>(getpid()) % 250 + 1) + ".1:7000";
     process::KeyValueStandin store{address};
@@ -76,6 +77,20 @@
     CHECK(fixture.isNamed());
 }
 
+TEST_CASE("replica sources: no node names itself while the store's content is a page [start]")
+{
+    RegistrationFixture fixture;
+    fixture.items = 500;
+    fixture.run(true, 20);
+    CHECK_FALSE(fixture.isNamed());
+    fixture.items = 501;
+    fixture.run(true, 20);
+    CHECK(fixture.isNamed());
+    fixture.items = 499;
+    fixture.run(true, 20);
+    CHECK(fixture.isNamed());
+}
+
 // The names are needed after all nodes have been without power for some time.
 TEST_CASE("replica sources: a source that is gone stays named for minutes, and then no longer "
           "[start]")
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -54,6 +54,7 @@
     CHECK(replica.find("a") != nullptr);
     CHECK(replica.find("b") == nullptr);
     CHECK(replica.find("c") != nullptr);
+    CHECK(replica.size() == 2);
 }
 
 TEST_CASE("replica: changes that would leave a gap are not merged [history]")
