Event 409 tells what a node knows of where a stream began

Event 407 names the version that began a stream, but not whether a node knew it, was told, or concluded it from the versions that it saw.

--- a/include/fordwood/origin_search.hpp
+++ b/include/fordwood/origin_search.hpp
@@ -45,6 +45,10 @@
     // Nothing: it is not known where the stream began.
     std::optional<StreamOrigin> result() const;
 
+    // What this node and the peers that have replied know together, and how many replies came.
+    const OriginKnowledge &knowledge() const { return m_all; }
+    std::size_t replies() const { return m_replies; }
+
 private:
     bool isSoleVersionKnown() const { return m_all.versions.size() == 1 && m_all.isComplete; }
 
@@ -54,6 +58,7 @@
     OriginKnowledge m_all; // of all nodes that have replied, this one included
     std::set<std::uint64_t> m_repliedInRound;
     std::size_t m_round = 0;
+    std::size_t m_replies = 0;
 };
 
 } // namespace fordwood
--- a/src/core/origin_search.cpp
+++ b/src/core/origin_search.cpp
@@ -29,6 +29,7 @@
 void OriginSearch::addReply(std::uint64_t peer, const OriginKnowledge &knowledge)
 {
     m_repliedInRound.insert(peer);
+    m_replies += 1;
     if (!m_all.origin)
         m_all.origin = knowledge.origin;
     m_all.versions.insert(knowledge.versions.begin(), knowledge.versions.end());
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -85,6 +85,18 @@
                                     {"software", resumption.software}});
 }
 
+void logOriginFinding(const OriginFinding &finding)
+{
+    logEvent(Event::StreamOriginSearched, {{"stream", finding.stream},
+                                           {"service", finding.service},
+                                           {"known_by", std::string(finding.knownBy)},
+                                           {"began", finding.began},
+                                           {"versions", finding.versions},
+                                           {"complete", finding.isComplete},
+                                           {"replies", finding.replies},
+                                           {"took_ms", finding.elapsed}});
+}
+
 void logCallSummary(const CallSummary &end)
 {
     constexpr std::int64_t kNoEvent = -1;
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -11,6 +11,7 @@
 #include "fordwood/engine_chooser.hpp"
 #include "fordwood/prompt.hpp"
 #include "fordwood/request_fingerprint.hpp"
+#include "fordwood/stream_origins.hpp"
 
 namespace fordwood::node {
 
@@ -58,6 +59,22 @@
     std::string software; // version of the upstream's software
 };
 
+// How a node found out where a stream began that its caller takes up.
+struct OriginFinding
+{
+    StreamKey stream = 0;
+    std::string service; // where the stream would go on
+    std::string_view knownBy; // "record", "only-version", "nothing"
+    std::string began; // software version; empty: not known
+    std::size_t versions = 0; // that the service has had, as far as the nodes that replied know
+    bool isComplete = false; // one of these nodes has seen all of them
+    std::size_t replies = 0; // from peers
+    Duration elapsed{};
+};
+
+// Logs the event StreamOriginSearched.
+void logOriginFinding(const OriginFinding &finding);
+
 // Logs the event StreamResumed.
 void logStreamResumption(const StreamResumption &resumption);
 
--- a/src/node/stream_exchange.cpp
+++ b/src/node/stream_exchange.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "fordwood/rendezvous.hpp"
+#include "node/call_log.hpp"
 
 namespace fordwood::node {
 
@@ -24,6 +25,22 @@
     return stableHash(peer.address().to_string(), peer.port());
 }
 
+void logFinding(const StreamQuery &query, const OriginSearch &decision, Duration elapsed)
+{
+    const OriginKnowledge &knowledge = decision.knowledge();
+    const auto origin = decision.result();
+    OriginFinding finding;
+    finding.stream = query.key;
+    finding.service = query.service;
+    finding.knownBy = knowledge.origin ? "record" : origin ? "only-version" : "nothing";
+    finding.began = origin ? origin->version : "";
+    finding.versions = knowledge.versions.size();
+    finding.isComplete = knowledge.isComplete;
+    finding.replies = decision.replies();
+    finding.elapsed = elapsed;
+    logOriginFinding(finding);
+}
+
 } // namespace
 
 StreamExchange::StreamExchange(net::io_context &context, const Clock &clock,
@@ -126,12 +143,15 @@
     const OriginKnowledge own = knowledgeOf(key, service);
     std::vector<udp::endpoint> peers = holdersOf(key);
     OriginSearch decision(service, own, peers.size());
+    const StreamQuery query{++m_lastNumber, key, service};
     if (decision.isDone() || m_searches.size() >= kMaxSearches) {
+        logFinding(query, decision, Duration::zero());
         onFound(decision.result());
         return;
     }
-    const std::uint64_t number = ++m_lastNumber;
-    m_searches.emplace(number, Search{{number, key, service},
+    const std::uint64_t number = query.number;
+    m_searches.emplace(number, Search{query,
+                                      m_clock.now(),
                                       std::move(decision),
                                       std::move(peers),
                                       std::move(onFound),
@@ -160,6 +180,7 @@
 {
     const Search ended = std::move(search->second);
     m_searches.erase(search);
+    logFinding(ended.query, ended.decision, m_clock.now() - ended.startedAt);
     ended.onFound(ended.decision.result());
 }
 
--- a/src/node/stream_exchange.hpp
+++ b/src/node/stream_exchange.hpp
@@ -60,6 +60,7 @@
     struct Search
     {
         StreamQuery query;
+        TimePoint startedAt;
         OriginSearch decision;
         std::vector<udp::endpoint> peers;
         OnFound onFound;
