A stream is taken up only with evidence that no version is missing

Callers saw streams go on at another software version than the one that began them: at a node that was cut off, or had just resumed, while upstreams of a new version joined.

Cause: a node took the versions that it knew for all of them. It counted the time since it last noticed a stall of its own, which a node that is cut off never does, and 10 ms of silence of its peers counted as agreement. Class: a claim about the fleet without evidence of its age.

Change: the record of an upstream is in the platform's store before any stream begins there. So a node that takes a stream up reads the store first (ReadBarrier, ReplicaCheck: one read for all that wait), or has a peer do so that has followed the store for a stream's lifetime; without either the origin is unknown, and the request is rejected as not run. Also callers that do not name their first attempt wait for that read. While the store answers no node, nodes note each other's streams, as in a rollout, so that streams go on. The claim to know all versions ends where content came without its history, when a resumable route moves to other services, and with a longer lifetime.

--- a/include/fordwood/origin_search.hpp
+++ b/include/fordwood/origin_search.hpp
@@ -18,7 +18,8 @@
 {
     std::optional<StreamOrigin> origin; // nothing: it does not know the stream
     std::set<std::string> versions; // of the service, see ServedVersions::recent()
-    bool isComplete = false; // there have been no other versions
+    // There have been no other versions until the stream was taken up, by evidence from after that.
+    bool isComplete = false;
 };
 
 // Finds out at which software version a stream began that a caller takes up, from the knowledge of
--- a/include/fordwood/served_versions.hpp
+++ b/include/fordwood/served_versions.hpp
@@ -30,6 +30,9 @@
     // Changes may have been missed: what was seen until now does not count as complete.
     void interrupt() { m_observedSince = m_clock.now(); }
 
+    // Whether changes reach this node at all. What comes and goes while they do not is not seen.
+    void setFollowing(bool isFollowing);
+
     // Extends the longest time from the first attempt of a caller to the end of its last one.
     void extendStreamLifetime(Duration lifetime);
 
@@ -38,9 +41,12 @@
     std::set<std::string> recent(const std::string &service) const;
     bool hasSeveral(const std::string &service) const { return recent(service).size() > 1; }
 
-    // Whether this node has seen all changes for as long as a stream may live, so that there are no
-    // other versions than the recent ones.
-    bool isComplete() const { return m_clock.now() - m_observedSince >= m_streamLifetime; }
+    // Whether this node has followed all changes for as long as a stream may live, so that there
+    // are no other versions than the recent ones, except for what it does not know yet.
+    bool isComplete() const
+    {
+        return m_isFollowing && m_clock.now() - m_observedSince >= m_streamLifetime;
+    }
 
 private:
     struct Presence
@@ -58,6 +64,7 @@
     std::map<std::string, Versions> m_services; // by service
     Duration m_streamLifetime{};
     TimePoint m_observedSince;
+    bool m_isFollowing = true;
 };
 
 } // namespace fordwood
--- a/include/fordwood/serving_config.hpp
+++ b/include/fordwood/serving_config.hpp
@@ -15,6 +15,8 @@
 {
     std::string service;
     double weight = 1.0; // relative to the route's other targets
+
+    bool operator==(const SplitTarget &) const = default;
 };
 
 // The targets of requests for one host and path prefix, and how to handle these requests.
--- a/include/fordwood/stream_origins.hpp
+++ b/include/fordwood/stream_origins.hpp
@@ -64,6 +64,9 @@
     // The streams of a service.
     std::vector<KnownStream> of(const std::string &service) const;
 
+    // Nothing: unknown.
+    std::optional<KnownStream> stream(StreamKey key) const;
+
     // Forgets expired streams.
     void tick();
 
--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -68,7 +68,12 @@
     const auto publishQuarantineUpdates = [&](std::vector<QuarantineUpdate> it) {
         return controlPointer->quarantineUpdatesMailbox().push(std::move(it));
     };
-    node::ServingLoop serving(settings, clock, metrics, publishLoads, publishQuarantineUpdates);
+    const auto requestReplicaCheck = [&](TimePoint since) {
+        // If the mailbox is full, the request is dropped: what waits for it ends without evidence.
+        std::ignore = controlPointer->replicaChecksMailbox().push(since);
+    };
+    node::ServingLoop serving(settings, clock, metrics, publishLoads, publishQuarantineUpdates,
+                              requestReplicaCheck);
     servingPointer = &serving;
     controlPointer = &control;
     if (!control.open() || !serving.open())
--- a/src/core/served_versions.cpp
+++ b/src/core/served_versions.cpp
@@ -46,9 +46,20 @@
         versions[version].lastSeen = m_clock.now();
 }
 
+void ServedVersions::setFollowing(bool isFollowing)
+{
+    if (isFollowing && !m_isFollowing)
+        interrupt();
+    m_isFollowing = isFollowing;
+}
+
 void ServedVersions::extendStreamLifetime(Duration lifetime)
 {
-    m_streamLifetime = std::max(m_streamLifetime, lifetime);
+    if (lifetime <= m_streamLifetime)
+        return;
+    // Versions that left longer ago than the lifetime so far are not remembered.
+    m_observedSince = std::max(m_observedSince, m_clock.now() - m_streamLifetime);
+    m_streamLifetime = lifetime;
 }
 
 std::set<std::string> ServedVersions::recent(const std::string &service) const
--- a/src/core/stream_origins.cpp
+++ b/src/core/stream_origins.cpp
@@ -48,6 +48,12 @@
     return found;
 }
 
+std::optional<KnownStream> StreamOrigins::stream(StreamKey key) const
+{
+    const auto it = m_streams.find(key);
+    return it == m_streams.end() ? std::nullopt : std::optional(it->second);
+}
+
 void StreamOrigins::tick()
 {
     while (!m_byExpiry.empty() && m_byExpiry.begin()->first <= m_clock.now()) {
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -48,25 +48,63 @@
         beginServing();
 }
 
-// The caller has a part of the stream, which can go on only where it began. A caller that does not
-// name its first attempt may still do so where only one version is known.
+// The caller has a part of the stream, which can go on only where it began.
 void CallHandler::continueStream()
 {
-    if (!m_caller.firstAttempt.empty())
+    m_state.checkForStall();
+    m_state.upstreams().versions().extendStreamLifetime(m_call.callerDeadline - m_arrived);
+    if (m_caller.firstAttempt.empty())
+        continueUnnamedStream();
+    else
         findOrigin();
-    else if (m_state.upstreams().versions().hasSeveral(m_call.pool->name))
+}
+
+// A caller that does not name its first attempt may go on only where one version is known.
+void CallHandler::continueUnnamedStream()
+{
+    if (m_state.upstreams().versions().hasSeveral(m_call.pool->name))
         rejectLostStream(Reason::StreamOriginUnknown, kRetryAfter);
     else
-        beginServing();
+        waitUntilCurrent(&CallHandler::onCurrentForUnnamed);
+}
+
+// Without evidence from the store, peers may have some.
+void CallHandler::onCurrentForUnnamed(bool isCurrent)
+{
+    const std::set<std::string> versions = m_state.upstreams().versions().recent(m_call.pool->name);
+    if (versions.size() > 1) {
+        rejectLostStream(Reason::StreamOriginUnknown, kRetryAfter);
+        return;
+    }
+    if (!isCurrent) {
+        m_state.streams().findAtPeers(m_call.stream, m_call.pool->name, originReceiver());
+        return;
+    }
+    // Another version may join before the request is sent.
+    if (!versions.empty())
+        m_origin = StreamOrigin{m_call.pool->name, *versions.begin()};
+    beginServing();
+}
+
+void CallHandler::waitUntilCurrent(void (CallHandler::*next)(bool isCurrent))
+{
+    m_state.readBarrier().wait([self = shared_from_this(), next](bool isCurrent) {
+        if (!self->m_isFinished)
+            (self.get()->*next)(isCurrent);
+    });
 }
 
 void CallHandler::findOrigin()
 {
-    m_state.streams().find(m_call.stream, m_call.pool->name,
-                           [self = shared_from_this()](const std::optional<StreamOrigin> &origin) {
-                               if (!self->m_isFinished)
-                                   self->onOrigin(origin);
-                           });
+    m_state.streams().find(m_call.stream, m_call.pool->name, originReceiver());
+}
+
+StreamExchange::OnFound CallHandler::originReceiver()
+{
+    return [self = shared_from_this()](const std::optional<StreamOrigin> &origin) {
+        if (!self->m_isFinished)
+            self->onOrigin(origin);
+    };
 }
 
 void CallHandler::onOrigin(const std::optional<StreamOrigin> &origin)
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -76,7 +76,13 @@
     };
 
     void continueStream();
+    void continueUnnamedStream();
+    // Calls `next` once this node's state has all that the platform's store has now, or the store
+    // has not told in time.
+    void waitUntilCurrent(void (CallHandler::*next)(bool isCurrent));
+    void onCurrentForUnnamed(bool isCurrent);
     void findOrigin();
+    StreamExchange::OnFound originReceiver();
     void onOrigin(const std::optional<StreamOrigin> &origin);
     void beginServing();
     void startAttempt();
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -114,6 +114,8 @@
       m_fetcher(clock, m_client, m_replica, metrics,
                 [this](const ReplicaPart &it) { merge(it.changes, it.mayBeExpiry); }),
       m_replicaServer(clock, m_replica, metrics, replicaServerLimits(settings)),
+      m_replicaCheck([this] { return m_store.poll(); },
+                     [this](const ReplicaChecked &it) { this->publish(it); }),
       m_role(clock, {settings.node.name, vmStrength(settings.vm)}, relayRoleLimits(settings)),
       m_stallDetector(clock),
       m_peers(m_context, clock,
@@ -127,6 +129,8 @@
       m_metricsServer(m_context, [this](std::string_view it) { return metricsReply(it); }),
       m_ownLoads(m_context, kMailboxCapacity,
                  [this](OwnLoads it) { handleOwnLoads(std::move(it)); }),
+      m_replicaChecks(m_context, kMailboxCapacity,
+                      [this](TimePoint since) { m_replicaCheck.request(since); }),
       m_ownQuarantineUpdates(
           m_context, kMailboxCapacity,
           [this](const std::vector<QuarantineUpdate> &it) { handleOwnQuarantineUpdates(it); }),
@@ -227,8 +231,15 @@
     if (times.noChangesUntil && since == m_replica.version())
         m_freshness.storeHadNoChanges(*times.noChangesUntil);
     merge(changes, removalsMayBeExpiry());
-    if (isUpToDateWith(changes.version()))
-        m_freshness.storeAnswered(times.sentAt);
+    if (!isUpToDateWith(changes.version()))
+        return;
+    m_freshness.storeAnswered(times.sentAt);
+    m_replicaReadAt = std::max(m_replicaReadAt, times.sentAt);
+}
+
+void ControlLoop::onPollEnd(TimePoint sentAt, bool isAnswered)
+{
+    m_replicaCheck.pollEnded(sentAt, isAnswered && m_replicaReadAt >= sentAt);
 }
 
 void ControlLoop::onReachabilityChange(bool reachable)
@@ -273,6 +284,8 @@
     const bool isRestored = before.revision != 0 && m_replica.version().epoch != before.epoch;
     if (isRestored)
         storeRestored(before);
+    if (changes.since == 0)
+        publish(ChangesSkipped{});
     m_documents.readAll(*changed, mayBeExpiry || isRestored);
     if (m_replica.version() != before && isFollowedByPeers())
         m_hasNews = true;
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -32,6 +32,7 @@
 #include "node/peer_links.hpp"
 #include "node/quarantine_distributor.hpp"
 #include "node/relay_watch.hpp"
+#include "node/replica_check.hpp"
 #include "node/replica_fetcher.hpp"
 #include "node/replica_server.hpp"
 #include "node/replica_sources.hpp"
@@ -70,6 +71,8 @@
     void finishStop();
     void reload(const config::OneProcessSettings &settings);
     Mailbox<OwnLoads> &loadsMailbox() { return m_ownLoads; }
+    // Requests to compare the replica with the store; ReplicaChecked answers them.
+    Mailbox<TimePoint> &replicaChecksMailbox() { return m_replicaChecks; }
     Mailbox<std::vector<QuarantineUpdate>> &quarantineUpdatesMailbox()
     {
         return m_ownQuarantineUpdates;
@@ -78,6 +81,7 @@
 private:
     void onStoreChanges(const StoreChanges &changes, const StoreAnswerTimes &times) override;
     void onReachabilityChange(bool reachable) override;
+    void onPollEnd(TimePoint sentAt, bool isAnswered) override;
     void onReplicaSources(const std::vector<ReplicaSource> &sources) override;
 
     void onConfiguration(ServingConfig config) override;
@@ -161,6 +165,8 @@
     DocumentReader m_documents;
     ReplicaFetcher m_fetcher;
     ReplicaServer m_replicaServer;
+    ReplicaCheck m_replicaCheck;
+    TimePoint m_replicaReadAt{}; // the replica has all that the store had then
     RelayRole m_role;
     StallDetector m_stallDetector;
     PeerLinks m_peers;
@@ -171,6 +177,7 @@
     InternalServer m_peerServer;
     InternalServer m_metricsServer;
     Mailbox<OwnLoads> m_ownLoads;
+    Mailbox<TimePoint> m_replicaChecks;
     Mailbox<std::vector<QuarantineUpdate>> m_ownQuarantineUpdates;
     TimeoutTimer m_tickTimer;
     UpstreamDirectory m_upstreams;
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -61,6 +61,11 @@
 struct StoreRestored
 { };
 
+// The replica got content without the changes that led to it: upstreams may have come and gone in
+// between.
+struct ChangesSkipped
+{ };
+
 // Operators have named a weight version for a model.
 struct WeightVersionNamed
 {
@@ -115,6 +120,15 @@
     bool receives = true;
 };
 
+// The control thread has compared its replica of the platform's store with the store, at the
+// request of the serving thread. The updates before this one brought all that the store had at that
+// time.
+struct ReplicaChecked
+{
+    TimePoint asOf{};
+    bool isComplete = false; // false: there was no answer
+};
+
 // A context store has reported what it holds.
 struct ContextStoreUpdated
 {
@@ -158,7 +172,7 @@
                    StoreReachability, StoreRestored, WeightVersionNamed, WeightsObserved,
                    EnginesLoading, PeerLoads, LiveNodeCount, KnownNodes, ContextStoreUpdated,
                    ContextStoreFailed, ReceivesVersions, PeerQuarantineUpdates, PeerLimits,
-                   PeerDrainReport, StopStarted>;
+                   PeerDrainReport, ReplicaChecked, ChangesSkipped, StopStarted>;
 
 // Limits announced by upstreams, to be sent to peers: those of this node or, if it is a relay, of
 // all nodes.
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -61,6 +61,18 @@
     return limits;
 }
 
+// Whether a resumable route of the old configuration has other services or weights in the new one.
+bool movesStreams(const ServingConfig &before, const ServingConfig &after)
+{
+    return std::any_of(before.routes.begin(), before.routes.end(), [&](const ServiceRoute &old) {
+        return old.isResumableStream()
+               && std::none_of(after.routes.begin(), after.routes.end(), [&](const auto &it) {
+                      return it.host == old.host && it.pathPrefix == old.pathPrefix
+                             && it.targets == old.targets;
+                  });
+    });
+}
+
 } // namespace
 
 NodeState::NodeState(net::io_context &context, const Clock &clock,
@@ -76,7 +88,8 @@
       m_scheduler(*this, clock),
       m_placements(context, clock, metrics, stableHash(makeNodeInstanceId(settings.node.name)),
                    m_scheduler),
-      m_streams(context, clock, metrics, m_upstreams.versions(),
+      m_readBarrier(context, clock, metrics),
+      m_streams(context, clock, metrics, m_upstreams.versions(), m_readBarrier,
                 [this](std::string_view bytes, const udp::endpoint &to) {
                     m_placements.send(bytes, to);
                 }),
@@ -89,6 +102,7 @@
       m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock)
 {
     m_placements.onOtherMessage([this](std::string_view bytes, const udp::endpoint &from) {
+        checkForStall();
         return m_streams.onDatagram(bytes, from) || m_places.onDatagram(bytes, from);
     });
 }
@@ -100,6 +114,9 @@
 
 void NodeState::apply(const ConfigApplied &update)
 {
+    // A stream may have begun at a service from which its route has moved away.
+    if (m_table && movesStreams(m_table->config(), update.table->config()))
+        m_upstreams.versions().interrupt();
     m_table = update.table;
     m_contexts.setStores(m_table->config().stores);
     for (const ServiceRoute &it : m_table->config().routes) {
@@ -147,6 +164,8 @@
 void NodeState::apply(const StoreReachability &update)
 {
     m_upstreams.setStoreReachable(update.reachable);
+    m_isStoreReachable = update.reachable;
+    updateFollowing();
 }
 
 void NodeState::apply(const StoreRestored & /*update*/)
@@ -209,6 +228,23 @@
 void NodeState::apply(const ReceivesVersions &update)
 {
     m_contexts.setReceivesVersions(update.receives);
+    m_receivesVersions = update.receives;
+    updateFollowing();
+}
+
+void NodeState::updateFollowing()
+{
+    m_upstreams.versions().setFollowing(m_isStoreReachable && m_receivesVersions);
+}
+
+void NodeState::apply(const ChangesSkipped & /*update*/)
+{
+    m_upstreams.versions().interrupt();
+}
+
+void NodeState::apply(const ReplicaChecked &update)
+{
+    m_readBarrier.checked(update);
 }
 
 std::chrono::milliseconds NodeState::fetchDeadline() const
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -34,6 +34,7 @@
 #include "node/fleet_update.hpp"
 #include "node/place_exchange.hpp"
 #include "node/placements.hpp"
+#include "node/read_barrier.hpp"
 #include "node/stream_exchange.hpp"
 #include "node/upstream_attempt.hpp"
 #include "node/upstream_paths.hpp"
@@ -59,6 +60,9 @@
     // milliseconds.
     bool isRecoveringFromStall();
 
+    // Notices a stall that has just ended, which the next tick would notice only later.
+    void checkForStall();
+
     // The upstreams of a service to which a request may be sent now.
     std::vector<const UpstreamRecord *> candidates(const ServicePool &pool);
 
@@ -196,6 +200,7 @@
     Placements &placements() { return m_placements; }
     const Placements &placements() const { return m_placements; }
     StreamExchange &streams() { return m_streams; }
+    ReadBarrier &readBarrier() { return m_readBarrier; }
     PlaceExchange &places() { return m_places; }
     BufferBudget &buffers() { return m_buffers; }
 
@@ -218,9 +223,11 @@
     void apply(const PeerQuarantineUpdates &update);
     void apply(const PeerLimits &update);
     void apply(const PeerDrainReport &update);
+    void apply(const ReplicaChecked &update);
+    void apply(const ChangesSkipped &update);
     void apply(const StopStarted &update);
+    void updateFollowing();
 
-    void checkForStall();
     std::vector<PlaceLender::Upstream> lendableUpstreams(const PlaceGroup &group) const;
     std::vector<PlaceExchange::OpenRequests> openAtBrittleUpstreams() const;
     void recordUpstreamEnd(const std::string &instanceId);
@@ -253,7 +260,10 @@
     UpstreamPaths m_paths;
     EngineScheduler m_scheduler;
     Placements m_placements;
+    ReadBarrier m_readBarrier;
     StreamExchange m_streams;
+    bool m_isStoreReachable = true; // to any node
+    bool m_receivesVersions = true;
     PlaceExchange m_places;
     std::vector<std::string> m_otherNodes; // that have a key in the platform's store
     BufferBudget m_buffers;
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -22,7 +22,8 @@
 
 ServingLoop::ServingLoop(const config::OneProcessSettings &settings, const Clock &clock,
                          adapters::Metrics &metrics, PublishLoads publishLoads,
-                         PublishQuarantineUpdates publishQuarantineUpdates)
+                         PublishQuarantineUpdates publishQuarantineUpdates,
+                         RequestReplicaCheck requestReplicaCheck)
     : m_clock(clock), m_settings(settings), m_metrics(metrics),
       m_publishLoads(std::move(publishLoads)),
       m_publishQuarantineUpdates(std::move(publishQuarantineUpdates)), m_context(1),
@@ -34,6 +35,7 @@
     m_acceptor.onFailure([this] { m_metrics.count("fordwood_accept_failures_total"); });
     m_state.onLoadReportRequest([this] { reportLoads(true); });
     m_state.onQuarantineUpdates([this] { reportQuarantineUpdates(); });
+    m_state.readBarrier().onRequest(std::move(requestReplicaCheck));
 }
 
 bool ServingLoop::open()
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -24,10 +24,12 @@
     using PublishLoads = std::function<void(OwnLoads)>;
     // Returns false if the receiver's queue is full at the moment.
     using PublishQuarantineUpdates = std::function<bool(std::vector<QuarantineUpdate>)>;
+    using RequestReplicaCheck = ReadBarrier::Request;
 
     ServingLoop(const config::OneProcessSettings &settings, const Clock &clock,
                 adapters::Metrics &metrics, PublishLoads publishLoads,
-                PublishQuarantineUpdates publishQuarantineUpdates);
+                PublishQuarantineUpdates publishQuarantineUpdates,
+                RequestReplicaCheck requestReplicaCheck);
 
     // Listens at the callers' address. Logs a failure and returns false.
     bool open();
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -152,7 +152,7 @@
         if (next == NextStep::Watch)
             onFailure(page.error(), pauseAfterPage());
         else
-            m_isPolling = false; // the next poll tries again
+            endPoll(fullRead->sentAt, false); // the next poll tries again
         return;
     }
     onSuccess();
@@ -191,8 +191,10 @@
     m_metrics.count("fordwood_store_content_reads_total");
     m_failedPages = 0;
     m_listener.onStoreChanges(read, {fullRead->sentAt, std::nullopt});
-    if (next != NextStep::Watch)
+    if (next != NextStep::Watch) {
+        endPoll(fullRead->sentAt, true);
         return;
+    }
     if (std::exchange(m_isStarting, false))
         after(kStartPause, &StoreClient::continueFollowing);
     else
@@ -281,6 +283,10 @@
 void StoreClient::recordAnswer(TimePoint sentAt)
 {
     constexpr std::size_t kMaxRecentAnswers = 8;
+    // Calls that come close together must not push out the answers that are old enough to count.
+    constexpr Duration kMinSpacing = std::chrono::milliseconds(100);
+    if (!m_recentAnswers.empty() && sentAt - m_recentAnswers.back().sentAt < kMinSpacing)
+        return;
     m_recentAnswers.push_back({sentAt, m_clock.now()});
     if (m_recentAnswers.size() > kMaxRecentAnswers)
         m_recentAnswers.pop_front();
@@ -300,12 +306,21 @@
     return times;
 }
 
-void StoreClient::poll()
+bool StoreClient::poll()
 {
-    if (m_isPolling || !isComplete())
-        return;
+    if (m_isPolling)
+        return true;
+    if (!isComplete())
+        return false;
     m_isPolling = true;
     readChanges(NextStep::Nothing);
+    return true;
+}
+
+void StoreClient::endPoll(TimePoint sentAt, bool isAnswered)
+{
+    m_isPolling = false;
+    m_listener.onPollEnd(sentAt, isAnswered);
 }
 
 // Reads the changes so far, without waiting for more.
@@ -322,18 +337,20 @@
 void StoreClient::handleChanges(const platform::StoreResult<StoreChanges> &changes, NextStep next,
                                 TimePoint sentAt)
 {
-    if (next == NextStep::Nothing)
-        m_isPolling = false;
     if (changes) {
         onSuccess();
         m_listener.onStoreChanges(*changes, {sentAt, std::nullopt});
         if (next == NextStep::Watch)
             continueFollowing();
+        else
+            endPoll(sentAt, true);
     } else if (next == NextStep::Watch) {
         onFailure(changes.error());
     } else if (changes.error() == StoreFailure::HistoryLost) {
         // The watch has missed changes. It detects all other failures itself.
         readAllOnce();
+    } else {
+        endPoll(sentAt, false);
     }
 }
 
--- a/src/node/store_client.hpp
+++ b/src/node/store_client.hpp
@@ -38,6 +38,10 @@
     // The store has begun to answer this node, or has stopped.
     virtual void onReachabilityChange(bool reachable) = 0;
 
+    // A read by StoreClient::poll() has ended that was sent at that time. If it was answered,
+    // onStoreChanges() was called before with what it brought.
+    virtual void onPollEnd(TimePoint /*sentAt*/, bool /*isAnswered*/) { }
+
     // The nodes that the store names as sources of its content, while this node has none of it.
     virtual void onReplicaSources(const std::vector<ReplicaSource> & /*sources*/) { }
 };
@@ -66,8 +70,8 @@
     void setFollowing(bool follows);
 
     // Asks once for changes in addition to the watch, which may miss some if its connection or the
-    // store is in trouble.
-    void poll();
+    // store is in trouble. Returns false if the replica has no content that changes could follow.
+    bool poll();
 
     bool isReachable() const { return m_isReachable; }
 
@@ -105,6 +109,7 @@
                     NextStep next, TimePoint askedAt);
     void recordPageFailure(const FullRead &fullRead, TimePoint askedAt, const HttpResult &result);
     void readAllOnce();
+    void endPoll(TimePoint sentAt, bool isAnswered);
     void watch();
     void continueFollowing();
     void readChanges(NextStep next);
--- a/src/node/stream_exchange.cpp
+++ b/src/node/stream_exchange.cpp
@@ -44,9 +44,10 @@
 } // namespace
 
 StreamExchange::StreamExchange(net::io_context &context, const Clock &clock,
-                               adapters::Metrics &metrics, ServedVersions &versions, Send send)
+                               adapters::Metrics &metrics, ServedVersions &versions,
+                               ReadBarrier &barrier, Send send)
     : m_context(context), m_clock(clock), m_metrics(metrics), m_versions(versions),
-      m_send(std::move(send)), m_origins(clock), m_noticeTimer(context)
+      m_barrier(barrier), m_send(std::move(send)), m_origins(clock), m_noticeTimer(context)
 { }
 
 void StreamExchange::setNodes(std::vector<SchedulerNode> nodes, const std::string &own)
@@ -81,8 +82,12 @@
 
 void StreamExchange::record(const KnownStream &stream)
 {
-    if (m_origins.record(stream) && mustTellPeers(stream.origin.service))
+    if (!m_origins.record(stream))
+        return;
+    if (mustTellPeers(stream.origin.service))
         tellHolders(stream);
+    else
+        m_untold.insert(stream.key);
 }
 
 void StreamExchange::tellHolders(const KnownStream &stream)
@@ -133,29 +138,55 @@
         tellHolders(it);
 }
 
-OriginKnowledge StreamExchange::knowledgeOf(StreamKey key, const std::string &service) const
+// Streams that began while this node knew all versions have not been told to peers.
+void StreamExchange::tellUntold()
+{
+    for (const StreamKey key : std::exchange(m_untold, {})) {
+        if (const auto stream = m_origins.stream(key))
+            tellHolders(*stream);
+    }
+}
+
+OriginKnowledge StreamExchange::knowledgeOf(StreamKey key, const std::string &service,
+                                            bool isCurrent) const
 {
-    return {m_origins.find(key), m_versions.recent(service), m_versions.isComplete()};
+    return {m_origins.find(key), m_versions.recent(service), isCurrent && m_versions.isComplete()};
 }
 
+// The record of an upstream is in the platform's store before any stream begins there. So this node
+// knows the version of the stream's origin once it has all that the store had when the stream was
+// taken up.
 void StreamExchange::find(StreamKey key, const std::string &service, OnFound onFound)
 {
-    const OriginKnowledge own = knowledgeOf(key, service);
+    if (m_origins.find(key)) {
+        findAtPeers(key, service, std::move(onFound));
+        return;
+    }
+    m_barrier.wait([this, key, service, now = m_clock.now(), onFound = std::move(onFound)](
+                       bool isCurrent) { search(key, service, isCurrent, now, onFound); });
+}
+
+void StreamExchange::findAtPeers(StreamKey key, const std::string &service, OnFound onFound)
+{
+    search(key, service, false, m_clock.now(), std::move(onFound));
+}
+
+void StreamExchange::search(StreamKey key, const std::string &service, bool isCurrent,
+                            TimePoint startedAt, OnFound onFound)
+{
+    const OriginKnowledge own = knowledgeOf(key, service, isCurrent);
     std::vector<udp::endpoint> peers = holdersOf(key);
     OriginSearch decision(service, own, peers.size());
-    const StreamQuery query{++m_lastNumber, key, service};
+    const StreamQuery query{++m_lastNumber, key, service, !own.isComplete};
     if (decision.isDone() || m_searches.size() >= kMaxSearches) {
-        logFinding(query, decision, Duration::zero());
+        logFinding(query, decision, m_clock.now() - startedAt);
         onFound(decision.result());
         return;
     }
     const std::uint64_t number = query.number;
-    m_searches.emplace(number, Search{query,
-                                      m_clock.now(),
-                                      std::move(decision),
-                                      std::move(peers),
-                                      std::move(onFound),
-                                      std::make_unique<TimeoutTimer>(m_context)});
+    m_searches.emplace(number,
+                       Search{query, startedAt, std::move(decision), std::move(peers),
+                              std::move(onFound), std::make_unique<TimeoutTimer>(m_context)});
     m_metrics.count("fordwood_stream_searches_total");
     startRound(number);
 }
@@ -203,8 +234,18 @@
 
 void StreamExchange::handle(const StreamQuery &query, const udp::endpoint &from)
 {
-    m_send(encodeStreamMessage(StreamReply{query.number, knowledgeOf(query.key, query.service)}),
-           from);
+    // A warning must not wait.
+    if (!query.needsComplete || m_origins.find(query.key) || m_versions.hasSeveral(query.service)) {
+        reply(query, false, from);
+        return;
+    }
+    m_barrier.wait([this, query, from](bool isCurrent) { reply(query, isCurrent, from); });
+}
+
+void StreamExchange::reply(const StreamQuery &query, bool isCurrent, const udp::endpoint &to)
+{
+    const OriginKnowledge knowledge = knowledgeOf(query.key, query.service, isCurrent);
+    m_send(encodeStreamMessage(StreamReply{query.number, knowledge}), to);
 }
 
 void StreamExchange::handle(const StreamReply &reply, const udp::endpoint &from)
@@ -223,6 +264,9 @@
 void StreamExchange::tick()
 {
     m_origins.tick();
+    std::erase_if(m_untold, [this](StreamKey it) { return !m_origins.find(it); });
+    if (!m_versions.isComplete())
+        tellUntold();
     std::erase_if(m_mixedServices,
                   [this](const std::string &it) { return !m_versions.hasSeveral(it); });
     m_metrics.setGauge("fordwood_stream_origins", static_cast<double>(m_origins.size()));
--- a/src/node/stream_exchange.hpp
+++ b/src/node/stream_exchange.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -19,14 +20,16 @@
 #include "fordwood/stream_holders.hpp"
 #include "fordwood/stream_origins.hpp"
 #include "node/net.hpp"
+#include "node/read_barrier.hpp"
 #include "node/stream_messages.hpp"
 #include "node/timeout_timer.hpp"
 
 namespace fordwood::node {
 
 // Finds out where a stream began that a caller takes up at this node, also if the node that sent it
-// is gone. As long as a service has several software versions, nodes tell a few others where their
-// streams began; with one version nothing is sent. Used only on the serving thread.
+// is gone. As long as a service has several software versions, or the platform's store cannot tell
+// how many it has, nodes tell a few others where their streams began; otherwise nothing is sent.
+// Used only on the serving thread.
 class StreamExchange
 {
 public:
@@ -35,7 +38,7 @@
     using OnFound = std::function<void(const std::optional<StreamOrigin> &)>;
 
     StreamExchange(net::io_context &context, const Clock &clock, adapters::Metrics &metrics,
-                   ServedVersions &versions, Send send);
+                   ServedVersions &versions, ReadBarrier &barrier, Send send);
 
     // All nodes that take part, this one included, which has the address `own`. Without an address
     // this node neither tells nor asks others.
@@ -47,6 +50,9 @@
     // Calls `onFound` exactly once, perhaps before it returns.
     void find(StreamKey key, const std::string &service, OnFound onFound);
 
+    // The same from what peers know alone, where the platform's store does not answer this node.
+    void findAtPeers(StreamKey key, const std::string &service, OnFound onFound);
+
     // Returns false if the message is not about streams.
     bool onDatagram(std::string_view bytes, const udp::endpoint &from);
 
@@ -75,7 +81,11 @@
     void handle(const StreamReply &reply, const udp::endpoint &from);
 
     bool mustTellPeers(const std::string &service) const;
-    OriginKnowledge knowledgeOf(StreamKey key, const std::string &service) const;
+    OriginKnowledge knowledgeOf(StreamKey key, const std::string &service, bool isCurrent) const;
+    void search(StreamKey key, const std::string &service, bool isCurrent, TimePoint startedAt,
+                OnFound onFound);
+    void reply(const StreamQuery &query, bool isCurrent, const udp::endpoint &to);
+    void tellUntold();
     std::vector<udp::endpoint> holdersOf(StreamKey key) const;
     void startRound(std::uint64_t number);
     void finish(Searches::iterator search);
@@ -88,11 +98,13 @@
     const Clock &m_clock;
     adapters::Metrics &m_metrics;
     ServedVersions &m_versions;
+    ReadBarrier &m_barrier;
     Send m_send;
     StreamOrigins m_origins;
     StreamHolders m_holders;
     std::string m_own; // address
     std::set<std::string> m_mixedServices; // their streams have been told to peers
+    std::unordered_set<StreamKey> m_untold; // streams of this node that no peer has been told of
     Searches m_searches; // by number
     std::uint64_t m_lastNumber = 0;
     std::map<udp::endpoint, Notices> m_notices; // not sent yet
--- a/src/node/stream_messages.cpp
+++ b/src/node/stream_messages.cpp
@@ -24,6 +24,11 @@
 constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::size_t kMaxVersions = 32;
 
+// Builds that do not compare their replica with the store send neither. Their claim to know all
+// versions, which stands one place before the reply's, may be of a replica that lacks some.
+constexpr std::size_t kQueryFlag = 5;
+constexpr std::size_t kReplyFlag = 7;
+
 constexpr int kBadName = 600; // id of the exception
 
 std::string name(const Json &field)
@@ -57,12 +62,15 @@
 
 Json encode(const StreamQuery &it)
 {
-    return {kVersion, kQuery, it.number, it.key, it.service};
+    return {kVersion, kQuery, it.number, it.key, it.service, it.needsComplete};
 }
 
 StreamQuery decodeQuery(const Json &array)
 {
-    return {unsignedNumber(array.at(2)), unsignedNumber(array.at(3)), name(array.at(4))};
+    StreamQuery it{unsignedNumber(array.at(2)), unsignedNumber(array.at(3)), name(array.at(4))};
+    if (array.size() > kQueryFlag)
+        array.at(kQueryFlag).get_to(it.needsComplete);
+    return it;
 }
 
 Json encode(const StreamReply &it)
@@ -74,6 +82,7 @@
             origin ? origin->service : "",
             origin ? origin->version : "",
             it.knowledge.versions,
+            it.knowledge.isComplete,
             it.knowledge.isComplete};
 }
 
@@ -87,7 +96,8 @@
         if (it.knowledge.versions.size() < kMaxVersions)
             it.knowledge.versions.insert(name(version));
     }
-    array.at(6).get_to(it.knowledge.isComplete);
+    if (array.size() > kReplyFlag)
+        array.at(kReplyFlag).get_to(it.knowledge.isComplete);
     return it;
 }
 
--- a/src/node/stream_messages.hpp
+++ b/src/node/stream_messages.hpp
@@ -34,6 +34,8 @@
     std::uint64_t number = 0;
     StreamKey key = 0;
     std::string service; // where the stream would go on if its origin is unknown
+    // The peer is to say whether the versions that it knows are all, as of the query's arrival.
+    bool needsComplete = true;
 };
 
 // The answer to a query.
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -52,6 +52,12 @@
     std::string operator()(const PeerQuarantineUpdates &) const { return "quarantine updates"; }
     std::string operator()(const PeerLimits &it) const { return "limits " + it.peer; }
     std::string operator()(const PeerDrainReport &it) const { return "draining " + it.instanceId; }
+    std::string operator()(const ChangesSkipped &) const { return "changes skipped"; }
+    // Never replaced: a later check must not overtake the updates that it vouches for.
+    std::string operator()(const ReplicaChecked &it) const
+    {
+        return "replica checked " + std::to_string(it.asOf.time_since_epoch().count());
+    }
     std::string operator()(const StopStarted &) const { return "stop"; }
 };
 
--- a/tests/unit/software_versions_test.cpp
+++ b/tests/unit/software_versions_test.cpp
@@ -83,6 +83,35 @@
     CHECK(versions.isComplete());
 }
 
+TEST_CASE("served versions: what came and went while no changes arrived is not known")
+{
+    ManualClock clock;
+    ServedVersions versions(clock);
+    versions.extendStreamLifetime(10s);
+    clock.advance(10s);
+    CHECK(versions.isComplete());
+    versions.setFollowing(false);
+    clock.advance(20s);
+    CHECK(!versions.isComplete());
+    versions.setFollowing(true);
+    versions.setFollowing(true);
+    CHECK(!versions.isComplete());
+    clock.advance(10s);
+    CHECK(versions.isComplete());
+}
+
+TEST_CASE("served versions: a longer lifetime does not bring back versions that were forgotten")
+{
+    ManualClock clock;
+    ServedVersions versions(clock);
+    versions.extendStreamLifetime(10s);
+    clock.advance(60s);
+    versions.extendStreamLifetime(30s);
+    CHECK(!versions.isComplete());
+    clock.advance(20s);
+    CHECK(versions.isComplete());
+}
+
 TEST_CASE("served versions: a version that a peer has seen counts, and their number is bounded")
 {
     ManualClock clock;
