A stream is not rejected because its version's upstreams are not known yet

Callers got 503 (stream-version-gone) at a node that had just resumed, though peers knew where their streams began and the upstreams of that version served: the node had not read their records yet.

The node waits for a read of the store before it rejects.

--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -2,6 +2,7 @@
 #include "node/call_handler.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "node/call_log.hpp"
 #include "node/refusal.hpp"
@@ -294,6 +295,11 @@
 void CallHandler::handleNoUpstream()
 {
     if (m_origin && isVersionGone(m_state, *m_origin)) {
+        // A peer may have told of a version whose upstreams this node does not know yet.
+        if (!std::exchange(m_hasWaitedForVersion, true)) {
+            waitUntilCurrent(&CallHandler::onCurrentForVersion);
+            return;
+        }
         rejectLostStream(Reason::StreamVersionGone, kNoneInServiceRetryAfter);
         return;
     }
@@ -336,6 +342,11 @@
     });
 }
 
+void CallHandler::onCurrentForVersion(bool /*isCurrent*/)
+{
+    startAttempt();
+}
+
 void CallHandler::onConnected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec)
 {
     if (m_isFinished || !m_attempt) {
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -81,6 +81,7 @@
     // has not told in time.
     void waitUntilCurrent(void (CallHandler::*next)(bool isCurrent));
     void onCurrentForUnnamed(bool isCurrent);
+    void onCurrentForVersion(bool isCurrent);
     void findOrigin();
     StreamExchange::OnFound originReceiver();
     void onOrigin(const std::optional<StreamOrigin> &origin);
@@ -161,6 +162,7 @@
     bool m_streamStarted = false; // the caller has received a part of the answer
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
+    bool m_hasWaitedForVersion = false; // for upstreams of the version that began the stream
     bool m_hasAskedForTrial = false; // of a request that is held for a part of its prompt
     std::optional<TimePoint> m_firstEventAt;
     TimePoint m_lastEventAt{};
--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -300,6 +300,20 @@
     CHECK(takeUpAll(fleet, streams, 2).mixed == 0);
 }
 
+// Guards against takes that are rejected because the upstreams of their version are not known yet.
+TEST_CASE("software versions: streams go on at a node that was suspended while their version "
+          "joined [node][versions]")
+{
+    TwoVersions fleet({"v1", "v1"});
+    waitUntilSettled(fleet, 2);
+    fleet.nodes[2].signal(SIGSTOP);
+    const auto streams = beginAtNewVersion(fleet, "v1.1");
+    fleet.nodes[2].signal(SIGCONT);
+    const Tally tally = takeUpAll(fleet, streams, 2);
+    CHECK(tally.mixed == 0);
+    CHECK(tally.wentOn == kStreams / 2);
+}
+
 namespace {
 
 // Kills, planned stops, outages of the store, rollouts and broken streams, in random order, while
