--- a/include/fordwood/origin_search.hpp
+++ b/include/fordwood/origin_search.hpp
@@ -18,7 +18,8 @@
 {
     std::optional<StreamOrigin> origin; // nothing: it does not know the stream
     std::set<std::string> versions; // of the service, see ServedVersions::recent()
-    bool isComplete = false; // there have been no other versions
+    // There have been no other versions until the stream was taken up, by evidence from after that.
+    bool isComplete = false;
 };
 
 // Finds out at which software version a stream began that a caller takes up, from the knowledge of
@@ -45,6 +46,10 @@
     // Nothing: it is not known where the stream began.
     std::optional<StreamOrigin> result() const;
 
+    // What this node and the peers that have replied know together, and how many replies came.
+    const OriginKnowledge &knowledge() const { return m_all; }
+    std::size_t replies() const { return m_replies; }
+
 private:
     bool isSoleVersionKnown() const { return m_all.versions.size() == 1 && m_all.isComplete; }
 
@@ -54,6 +59,7 @@
     OriginKnowledge m_all; // of all nodes that have replied, this one included
     std::set<std::uint64_t> m_repliedInRound;
     std::size_t m_round = 0;
+    std::size_t m_replies = 0;
 };
 
 } // namespace fordwood
