Configuration: fields are checked for type and range; an odd one rejects it whole

Callers got 404 until all nodes were started anew, after another writer had put a configuration with "version": and no routes. The other fields went through the same conversions, an empty traffic-split left a route without a service, and "tenants" or "models" that are nested 200,000 deep were copied, each level in a call of its own.

Whole numbers may be written with a fraction of zero, times and measures with any fraction.

--- a/tests/node/document_reader_test.cpp
+++ b/tests/node/document_reader_test.cpp
@@ -11,6 +11,7 @@
 #include "fordwood/upstream_directory.hpp"
 #include "node/quarantine_distributor.hpp"
 #include "platform/document_order.hpp"
+#include "platform/documents.hpp"
 
 using namespace fordwood;
 using namespace fordwood::node;
@@ -22,7 +23,7 @@
 class Listener : public DocumentListener
 {
 public:
-    void onConfiguration(ServingConfig /*config*/) override { }
+    void onConfiguration(ServingConfig config) override { applied.push_back(config.version); }
     void onWeightVersion(const std::string & /*model*/, std::uint64_t version) override
     {
         lastNamed = version;
@@ -54,6 +55,7 @@
 
     ManualClock clock;
     UpstreamDirectory upstreams{clock, {}};
+    std::vector<std::uint64_t> applied; // versions of configurations
     std::uint64_t lastNamed = 0;
     std::vector<RequestFingerprint> held;
 };
@@ -156,6 +158,122 @@
     CHECK(entries.listener.usable() == Ids{"c"});
 }
 
+namespace {
+
+// A configuration with all fields, of which one is replaced by the given text.
+std::string configurationWith(const std::string &pointer, const std::string &text)
+{
+    Json config = Json::parse(R"({"version":2,
+        "routes":[{"host":"a","path-prefix":"/","kind":"safe","service":"s","resumable":false,
+                   "public":false,"max-attempts":1,"timeout-ms":1,"target-latency-ms":1,
+                   "gap_aim_ms":1,"priority":1,"allowed-regions":["r"]},
+                  {"host":"b","path-prefix":"/","traffic-split":[{"service":"s","weight":1}]}],
+        "services":[{"name":"s","max-connections":1,"cold-start-s":1,"cold-per-s":1,
+                     "engine":{"slots":1,"kv-cache-tokens":1,"models":[{"name":"m"}],
+                               "max-in-flight":1,"kv-token-bytes":1,"bandwidth-mbps":1}},
+                    {"name":"k","kv-store-address":"10.0.0.9:80","zone":"z","kv-cache-tokens":1,
+                     "managed":true,"max-in-flight":1,"bandwidth-mbps":1,"first_ms":1}],
+        "limits":{"max-header-bytes":1,"max-body-bytes":1,"header-timeout-ms":1,
+                  "idle-timeout-ms":1},
+        "tenants":[{"name":"t","api-keys":["k"],"priority":1,"isolated":true}]})");
+    const std::string mark = "the field";
+    REQUIRE(config.contains(Json::json_pointer(pointer)));
+    config[Json::json_pointer(pointer)] = mark;
+    std::string document = config.dump();
+    return document.replace(document.find("\"" + mark + "\""), mark.size() + 2, text);
+}
+
+const std::vector<std::string> kCounts{"/version",
+                                       "/routes/0/max-attempts",
+                                       "/routes/0/priority",
+                                       "/services/0/max-connections",
+                                       "/services/0/engine/slots",
+                                       "/services/0/engine/kv-cache-tokens",
+                                       "/services/0/engine/max-in-flight",
+                                       "/services/1/kv-cache-tokens",
+                                       "/services/1/max-in-flight",
+                                       "/limits/max-header-bytes",
+                                       "/limits/max-body-bytes",
+                                       "/tenants/0/priority"};
+const std::vector<std::string> kMeasures{"/routes/0/timeout-ms",
+                                         "/routes/0/target-latency-ms",
+                                         "/routes/0/gap_aim_ms",
+                                         "/routes/1/traffic-split/0/weight",
+                                         "/services/0/cold-start-s",
+                                         "/services/0/cold-per-s",
+                                         "/services/0/engine/kv-token-bytes",
+                                         "/services/0/engine/bandwidth-mbps",
+                                         "/services/1/bandwidth-mbps",
+                                         "/services/1/first_ms",
+                                         "/limits/header-timeout-ms",
+                                         "/limits/idle-timeout-ms"};
+const std::vector<std::string> kOthers{"/routes",
+                                       "/routes/0",
+                                       "/routes/0/public",
+                                       "/routes/0/allowed-regions",
+                                       "/routes/1/traffic-split",
+                                       "/services/0/engine/models",
+                                       "/services/1/managed",
+                                       "/limits",
+                                       "/tenants",
+                                       "/tenants/0/api-keys",
+                                       "/tenants/0/isolated"};
+
+// The last part of a pointer that is a name.
+std::string nameIn(const std::string &pointer)
+{
+    const std::string name = pointer.substr(pointer.rfind('/') + 1);
+    return name == "0" ? nameIn(pointer.substr(0, pointer.rfind('/'))) : name;
+}
+
+} // namespace
+
+// Guards against fields that the JSON library converts silently: a version too large for its type
+// shuts out all later configurations.
+TEST_CASE("entries: a configuration with an odd field is rejected whole, and the next one is "
+          "applied [entries][bad-input]")
+{
+    Entries entries;
+    const auto apply = [&](const std::string &pointer, const std::string &text) {
+        CAPTURE(pointer);
+        CAPTURE(text);
+        const std::size_t before = entries.listener.applied.size();
+        const std::size_t rejected = entries.rejected();
+        entries.write("op/config", configurationWith(pointer, text));
+        const bool isApplied = entries.listener.applied.size() > before;
+        CHECK(entries.rejected() == rejected + (isApplied ? 0 : 1));
+        if (!isApplied) {
+            const auto read = platform::readConfiguration(configurationWith(pointer, text));
+            CHECK(read.error().problem.find(nameIn(pointer)) != std::string::npos);
+        }
+        return isApplied;
+    };
+    const std::vector<std::string> odd{
+        "-1", "99999999999999999999", "1e300", "1e19", "true", "\"1\"", "[]", "{}", "null"};
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const auto *fields : {&kCounts, &kMeasures, &kOthers}) {
+        for (const std::string &field : *fields) {
+            for (const std::string &it : odd) {
+                const bool isList = it == "[]" && fields == &kOthers;
+                const bool isValid
+                    = (it == "{}" && field == "/limits") || (it == "true" && fields == &kOthers);
+                if (!isList && !isValid)
+                    CHECK_FALSE(apply(field, it));
+            }
+            CHECK_FALSE(apply(field, deep));
+        }
+    }
+    for (const std::string &it : kCounts)
+        CHECK_FALSE(apply(it, "1.5"));
+    CHECK_FALSE(apply("/version", "18446744073709551615")); // nothing could follow it
+    CHECK_FALSE(apply("/routes/1/traffic-split", "[]"));
+    CHECK(entries.listener.applied.empty());
+    for (const std::string &it : kCounts)
+        CHECK(apply(it, "2.0"));
+    for (const std::string &it : kMeasures)
+        CHECK(apply(it, "2.5"));
+}
+
 TEST_CASE("entries: weights and evacuations that cannot be parsed [entries][bad-input]")
 {
     Entries entries;
--- /dev/null
+++ b/tests/process/odd_entries_test.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+// Entries of another writer in the platform's store, which must neither end a node nor keep it from
+// later entries.
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "process/node_deployment.hpp"
+
+using namespace fordwood::process;
+using Json = nlohmann::json;
+
+namespace {
+
+// A configuration without routes and with a version that is too large for any integer type.
+std::string hugeVersion()
+{
+    Json config = Deployment::configuration(2);
+    config["routes"] = Json::array();
+    std::string text = config.dump();
+    const std::string version = R"("version":2)";
+    return text.replace(text.find(version), version.size(), R"("version":99999999999999999999)");
+}
+
+// Writes an entry and waits until the first node logs one of the texts. Returns whether it does.
+bool putAndWait(Deployment &fleet, const std::string &key, const std::string &value,
+                const std::vector<std::string> &texts)
+{
+    fleet.store.put(key, value);
+    return Fleet::waitFor([&] {
+        return std::any_of(texts.begin(), texts.end(),
+                           [&](const std::string &it) { return fleet.logged(0, it) > 0; });
+    });
+}
+
+// Part of the line on a value that is rejected.
+std::string rejected(const std::string &key)
+{
+    return " key=\"" + key + "\"";
+}
+
+} // namespace
+
+// Guards against a configuration with an odd version that shuts out all later ones until the nodes
+// are started anew, while callers get 404.
+TEST_CASE("odd entries: a configuration with a version too large for a number is rejected, and the "
+          "next one is applied [node][bad-input]")
+{
+    Deployment fleet;
+    fleet.start();
+    CHECK(fleet.call("GET", "/safe/1", "r1").status == 200);
+    REQUIRE(putAndWait(fleet, "op/config", hugeVersion(),
+                       {rejected("op/config"), "version=\"18446744073709551615\""}));
+    CHECK(fleet.lastLogged(0, "StoredValueRefused").find("version is not") != std::string::npos);
+    CHECK(fleet.call("GET", "/safe/2", "r2").status == 200);
+    fleet.putConfiguration(3, "/new/");
+    CHECK(Fleet::waitFor([&] { return fleet.call("GET", "/new/1", "r3").status == 200; }));
+    CHECK(fleet.logged(0, "OlderHeadSeen") == 0);
+    CHECK(fleet.metric("fordwood_stored_values_refused_total") == 1);
+}
