Messages of nodes: deeply nested CBOR is rejected before the library reads it

A value of another writer at fordwood/nodes/NAME or in a quarantine, or a datagram, could end a node: the JSON library reads each level of CBOR in a call of its own, also the parts of a text of indefinite length, and the stack overflows.

Without the fix the decoder test ended with SIGSEGV at the first message.

--- a/src/node/cbor.hpp
+++ b/src/node/cbor.hpp
@@ -12,19 +12,18 @@
 namespace fordwood::node {
 
 // Encodes a message between nodes as CBOR.
-inline std::string encodeCbor(const nlohmann::json &object)
-{
-    std::string bytes;
-    nlohmann::json::to_cbor(object, bytes);
-    return bytes;
-}
+std::string encodeCbor(const nlohmann::json &object);
+
+// Parses what encodeCbor() returns. Throws an exception of the JSON library for other bytes, also
+// for deeply nested ones, which would overflow the stack.
+nlohmann::json parseCbor(std::string_view bytes);
 
 // Decodes bytes and converts them with `read`; nothing if they are not a valid message.
 template <typename T, typename Read>
 std::optional<T> decodeCbor(std::string_view bytes, Read read)
 {
     try {
-        return read(nlohmann::json::from_cbor(bytes.begin(), bytes.end()));
+        return read(parseCbor(bytes));
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Tests that messages and documents of the platform are parsed strictly into the project's types.
+#include <limits>
+
 #include <doctest/doctest.h>
 
 #include <nlohmann/json.hpp>
@@ -8,7 +10,12 @@
 #include "node/cbor.hpp"
 #include "node/context_messages.hpp"
 #include "node/peer_messages.hpp"
+#include "node/place_messages.hpp"
+#include "node/placement_messages.hpp"
+#include "node/quarantine_distributor.hpp"
 #include "node/refusal.hpp"
+#include "node/replica_sources.hpp"
+#include "node/stream_messages.hpp"
 #include "platform/caller_messages.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
@@ -620,3 +627,29 @@
     for (std::size_t n = 0; n < bytes.size(); ++n)
         CHECK_FALSE(node::decodeContextUpdates(bytes.substr(0, n)));
 }
+
+// Guards against nodes that end: the library reads each level of nesting in a call of its own.
+TEST_CASE("bad input: deeply nested messages and values of nodes are rejected "
+          "[messages][bad-input]")
+{
+    constexpr std::size_t kDepth = 1'000'000;
+    const std::string array(1, '\x81'); // of one element
+    const std::string indefinite(1, '\x9f');
+    const std::string text(1, '\x7f'); // of parts
+    const std::string object = "\xa1\x61"
+                               "a"; // with one member
+    for (const std::string &level : {array, indefinite, text, object}) {
+        std::string bytes;
+        for (std::size_t n = 0; n < kDepth; ++n)
+            bytes += level;
+        CHECK_FALSE(node::decodePeerAddress(bytes));
+        CHECK_FALSE(node::decodeGossip(bytes));
+        CHECK_FALSE(node::decodeReplicaPart(bytes));
+        CHECK_FALSE(node::decodeContextUpdates(bytes));
+        CHECK_FALSE(node::decodePlacement(bytes));
+        CHECK_FALSE(node::decodePlaceMessage(bytes));
+        CHECK_FALSE(node::decodeStreamMessage(bytes));
+        CHECK_FALSE(node::decodeSource(bytes));
+        CHECK_FALSE(node::QuarantineDistributor::decodeInstances(bytes));
+    }
+}
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -60,3 +60,39 @@
     CHECK(fleet.logged(0, "OlderHeadSeen") == 0);
     CHECK(fleet.metric("fordwood_stored_values_refused_total") == 1);
 }
+
+// Guards against nodes that end: deep values, as text or as CBOR, which the JSON library reads or
+// copies with a call for each level.
+TEST_CASE("odd entries: deeply nested values at any key do not end a node, and the next change is "
+          "applied [node][bad-input]")
+{
+    constexpr std::size_t kDepth = 200'000;
+    const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const std::string deepCbor(kDepth, '\x81');
+    const std::string record
+        = R"({"service":"board","address":"10.0.0.9:80","zone":"x","version":)"
+          R"("v","slots":1,"state":"ready","cold-remaining-ms":0,"sequence":1)";
+    Deployment fleet;
+    fleet.start();
+    const auto survives = [&](const std::string &key, const std::string &value) {
+        CAPTURE(key);
+        REQUIRE(putAndWait(fleet, key, value,
+                           {rejected(key), "failure_domain=\"y\"", "upstream=\"i-4\""}));
+        const std::string prefix = "/after-" + std::to_string(fleet.store.revision()) + "/";
+        fleet.putConfiguration(static_cast<int>(fleet.store.revision()) + 100, prefix);
+        return Fleet::waitFor([&] { return fleet.call("GET", prefix + "1", "r").status == 200; });
+    };
+    Json config = Deployment::configuration(2);
+    config["tenants"] = "deep";
+    std::string text = config.dump();
+    text.replace(text.find("\"deep\""), 6, deep);
+    REQUIRE(survives("op/config", text));
+    REQUIRE(survives("op/version/m", R"({"model":"m","version":)" + deep + "}"));
+    REQUIRE(survives("op/evacuate/y", deep));
+    REQUIRE(survives("servers/i-3", record + R"(,"models":)" + deep + "}"));
+    REQUIRE(survives("servers/i-4", record + R"(,"other":)" + deep + "}"));
+    REQUIRE(survives("fordwood/nodes/other", deepCbor));
+    REQUIRE(survives("fordwood/quarantine/00000000000000010000000000000002", deepCbor));
+    fleet.startNode(1);
+    CHECK(Fleet::waitFor([&] { return fleet.isReady(1); }));
+}
