Entries: names that cannot stand in the head of a request are rejected

The name of a team and the id of an upstream become fields of each request's head. A line break in one begins another field, and the library of heads throws on a value of 64 KB, on the serving thread, where nothing catches it.

Such a configuration or record is rejected.

--- a/tests/node/document_reader_test.cpp
+++ b/tests/node/document_reader_test.cpp
@@ -274,6 +274,23 @@
         CHECK(apply(it, "2.5"));
 }
 
+// Guards against a node that ends with the first request of the team: the library of heads throws
+// on longer fields, and a line break begins another field.
+TEST_CASE("entries: names that cannot stand in the head of a request are rejected "
+          "[entries][bad-input]")
+{
+    Entries entries;
+    for (const Json &it : {Json(std::string(70'000, 'x')), Json("a\r\nb"), Json("")}) {
+        entries.write("op/config", configurationWith("/tenants/0/name", it.dump()));
+        entries.upstream(it, 1'000);
+    }
+    CHECK(entries.rejected() == 6);
+    CHECK(entries.listener.applied.empty());
+    CHECK(entries.listener.usable().empty());
+    entries.write("op/config", configurationWith("/tenants/0/name", "\"\u00e9quipe 1\""));
+    CHECK(entries.listener.applied == std::vector<std::uint64_t>{2});
+}
+
 TEST_CASE("entries: weights and evacuations that cannot be parsed [entries][bad-input]")
 {
     Entries entries;
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -61,6 +61,23 @@
     CHECK(fleet.metric("fordwood_stored_values_refused_total") == 1);
 }
 
+// Guards against nodes that end with the first request of the team: the library of heads throws on
+// longer fields.
+TEST_CASE("odd entries: a team with a name too long for the head of a request does not end a node "
+          "[node][bad-input]")
+{
+    Deployment fleet;
+    fleet.start();
+    Json config = Deployment::configuration(2, "/new/");
+    config["tenants"][0]["name"] = std::string(70'000, 'x');
+    REQUIRE(
+        putAndWait(fleet, "op/config", config.dump(), {rejected("op/config"), "version=\"2\""}));
+    for (const char *it : {"/new/1", "/safe/1"})
+        fleet.call("GET", it, "r");
+    CHECK(fleet.isReady(0));
+    CHECK(fleet.call("GET", "/safe/1", "r1").status == 200);
+}
+
 // Guards against nodes that end: deep values, as text or as CBOR, which the JSON library reads or
 // copies with a call for each level.
 TEST_CASE("odd entries: deeply nested values at any key do not end a node, and the next change is "
