Messages of nodes: numbers are checked for type and range

Numbers of peers were converted silently: doubles out of range to integers (undefined), and a strength that is not a number came into the order by which nodes are sorted. Ages of orders were not bounded, and overflow when they are added to a clock. A node's key in the store holds a strength too.

--- a/src/node/cbor.cpp
+++ b/src/node/cbor.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "node/cbor.hpp"
 
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace fordwood::node {
 
@@ -12,6 +14,10 @@
 // Messages between nodes are nested less than ten levels deep.
 constexpr std::size_t kMaxDepth = 32;
 
+// Ids of exceptions.
+constexpr int kNotAMessage = 602;
+constexpr int kOutOfRange = 603;
+
 // The upper three bits of an item's first byte (RFC 8949, section 3).
 enum class MajorType : std::uint8_t { Unsigned, Negative, Bytes, Text, Array, Map, Tag, Simple };
 
@@ -87,11 +93,26 @@
 
 Json parseCbor(std::string_view bytes)
 {
-    constexpr int kNotAMessage = 602; // id of the exception
     if (!isShallow(bytes))
         throw Json::other_error::create(kNotAMessage, "the bytes are no message of a node",
                                         nullptr);
     return Json::from_cbor(bytes.begin(), bytes.end());
 }
 
+std::int64_t signedNumber(const Json &value)
+{
+    constexpr std::uint64_t kMax = std::numeric_limits<std::int64_t>::max();
+    if (value.is_number_unsigned())
+        return static_cast<std::int64_t>(std::min(value.get<std::uint64_t>(), kMax));
+    return value.get_ref<const Json::number_integer_t &>();
+}
+
+double boundedNumber(const Json &value, double max)
+{
+    const double number = value.is_number() ? value.get<double>() : -1.0;
+    if (!(number >= 0.0 && number <= max))
+        throw Json::other_error::create(kOutOfRange, "a number is out of range", nullptr);
+    return number;
+}
+
 } // namespace fordwood::node
--- a/src/node/cbor.hpp
+++ b/src/node/cbor.hpp
@@ -36,6 +36,13 @@
     return value.get_ref<const nlohmann::json::number_unsigned_t &>();
 }
 
+// Reads a whole number that may be negative. An unsigned one beyond the type's range becomes the
+// largest.
+std::int64_t signedNumber(const nlohmann::json &value);
+
+// Reads a number from zero to `max`, which may have a fraction.
+double boundedNumber(const nlohmann::json &value, double max);
+
 } // namespace fordwood::node
 
 #endif // FORDWOOD_NODE_CBOR_HPP_INCLUDED
--- a/src/node/context_messages.cpp
+++ b/src/node/context_messages.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "node/context_messages.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 
@@ -47,13 +48,21 @@
     for (const Json &run : runs) {
         const auto salt = run.at(0).get<std::string>();
         for (const Json &it : run.at(1)) {
-            const auto tokens = it.at(1).get<std::size_t>();
+            const std::size_t tokens = unsignedNumber(it.at(1));
             changes.push_back({salt, it.at(0).get<std::string>(), tokens > 0, tokens});
         }
     }
     return changes;
 }
 
+// The limit prevents overflow when a time is added to a clock.
+std::chrono::milliseconds decodeTime(const Json &number)
+{
+    constexpr std::chrono::milliseconds kMax = std::chrono::years(200);
+    return std::chrono::milliseconds(
+        std::clamp<std::int64_t>(signedNumber(number), 0, kMax.count()));
+}
+
 } // namespace
 
 std::string contextUpdatesTarget(const std::vector<ContextStorePosition> &positions)
@@ -102,10 +111,10 @@
             ContextStoreUpdate update;
             std::size_t field = 0;
             it.at(field++).get_to(update.store);
-            it.at(field++).get_to(update.epoch);
-            it.at(field++).get_to(update.next);
-            update.clock = std::chrono::milliseconds(it.at(field++).get<std::int64_t>());
-            update.age = std::chrono::milliseconds(it.at(field++).get<std::int64_t>());
+            update.epoch = unsignedNumber(it.at(field++));
+            update.next = unsignedNumber(it.at(field++));
+            update.clock = decodeTime(it.at(field++));
+            update.age = decodeTime(it.at(field++));
             it.at(field++).get_to(update.isSnapshot);
             update.changes = readChanges(it.at(field++));
             updates.push_back(std::move(update));
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -15,8 +15,20 @@
 std::chrono::milliseconds decodeAge(const Json &number)
 {
     constexpr std::int64_t kOldest = 86'400'000; // milliseconds; greater ages make no difference
-    return std::chrono::milliseconds(
-        std::clamp<std::int64_t>(number.get<std::int64_t>(), 0, kOldest));
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(signedNumber(number), 0, kOldest));
+}
+
+// Zero if it is missing.
+std::uint64_t optionalUnsigned(const Json &object, const char *name)
+{
+    return object.contains(name) ? unsignedNumber(object.at(name)) : 0;
+}
+
+// A strength that is not a number has no place in an order of nodes.
+double decodeStrength(const Json &object)
+{
+    constexpr double kMaxStrength = 1e9; // Mbit/s
+    return object.contains("strength") ? boundedNumber(object.at("strength"), kMaxStrength) : 0.0;
 }
 
 using VersionsByEngine = decltype(OrderReport::observedVersions);
@@ -38,7 +50,7 @@
     VersionsByEngine versions;
     for (const Json &row : list)
         versions[row.at(0).get<std::string>()][row.at(1).get<std::string>()]
-            = {row.at(2).get<std::uint64_t>(), decodeAge(row.at(3))};
+            = {unsignedNumber(row.at(2)), decodeAge(row.at(3))};
     return versions;
 }
 
@@ -59,9 +71,10 @@
 OrderReport decodeOrders(const Json &object)
 {
     OrderReport report;
-    report.age = std::chrono::milliseconds(object.value("age", std::int64_t{0}));
+    if (object.contains("age"))
+        report.age = decodeAge(object.at("age"));
     if (object.contains("ordered"))
-        report.lastOrder = std::chrono::milliseconds(object.at("ordered").get<std::int64_t>());
+        report.lastOrder = decodeAge(object.at("ordered"));
     if (object.contains("loading"))
         object.at("loading").get_to(report.enginesLoading);
     if (object.contains("seen"))
@@ -89,10 +102,9 @@
 void decodeQuarantineUpdates(const Json &list, bool parts, std::vector<QuarantineUpdate> &updates)
 {
     for (const Json &row : list) {
-        QuarantineUpdate it{{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>(), parts},
-                            {}};
+        QuarantineUpdate it{{unsignedNumber(row.at(0)), unsignedNumber(row.at(1)), parts}, {}};
         if (row.size() > 2)
-            it.failedInstance = row.at(2).get<std::uint64_t>();
+            it.failedInstance = unsignedNumber(row.at(2));
         updates.push_back(it);
     }
 }
@@ -116,18 +128,19 @@
 std::vector<LimitGossip> decodeLimits(const Json &list)
 {
     constexpr std::int64_t kOldest = 3'600'000; // milliseconds; the age is only logged
+    constexpr double kMaxRate = 1e9; // requests per second
     std::vector<LimitGossip> limits;
     for (const Json &row : list) {
         LimitGossip it;
-        it.upstream = row.at(0).get<std::uint64_t>();
-        it.version = row.at(1).get<std::uint64_t>();
-        it.perSecond = row.at(2).get<double>();
+        it.upstream = unsignedNumber(row.at(0));
+        it.version = unsignedNumber(row.at(1));
+        it.perSecond = boundedNumber(row.at(2), kMaxRate);
         it.age = std::chrono::milliseconds(
-            std::clamp<std::int64_t>(row.at(3).get<std::int64_t>(), 0, kOldest));
+            std::clamp<std::int64_t>(signedNumber(row.at(3)), 0, kOldest));
         const Json &senders = row.at(4);
         for (std::size_t n = 0; n < senders.size(); n += 2)
             it.senders.push_back(
-                {senders.at(n).get<std::uint64_t>(), senders.at(n + 1).get<std::uint64_t>()});
+                {unsignedNumber(senders.at(n)), unsignedNumber(senders.at(n + 1))});
         limits.push_back(std::move(it));
     }
     return limits;
@@ -150,7 +163,7 @@
     age.min = decodeAge(row.at(1));
     if (row.size() > 3) {
         age.max = decodeAge(row.at(2));
-        age.newestBefore = row.at(3).get<std::uint64_t>();
+        age.newestBefore = unsignedNumber(row.at(3));
     }
     return age;
 }
@@ -177,18 +190,20 @@
 LoadReport decodeLoad(const Json &object)
 {
     LoadReport report;
-    object.at("nodes").get_to(report.nodes);
+    report.nodes = unsignedNumber(object.at("nodes"));
     const Json &numbers = object.at("at");
     std::vector<UpstreamLoads::Row> rows;
     rows.reserve(numbers.size() / kNumbersPerLoadRow);
     for (std::size_t n = 0; n < numbers.size(); n += kNumbersPerLoadRow)
-        rows.push_back({numbers.at(n).get<std::uint64_t>(),
-                        {numbers.at(n + 1).get<std::size_t>(), numbers.at(n + 2).get<std::size_t>(),
-                         numbers.at(n + 3).get<std::size_t>()}});
+        rows.push_back({unsignedNumber(numbers.at(n)),
+                        {unsignedNumber(numbers.at(n + 1)), unsignedNumber(numbers.at(n + 2)),
+                         unsignedNumber(numbers.at(n + 3))}});
     report.loads = UpstreamLoads(std::move(rows));
-    object.at("short").get_to(report.shortContextTokens);
-    if (object.contains("contexts"))
-        object.at("contexts").get_to(report.contextsSent);
+    report.shortContextTokens = unsignedNumber(object.at("short"));
+    if (object.contains("contexts")) {
+        for (const Json &it : object.at("contexts"))
+            report.contextsSent.push_back(unsignedNumber(it));
+    }
     return report;
 }
 
@@ -207,7 +222,7 @@
 {
     ReportNumbers numbers;
     for (std::size_t n = 0; n < list.size(); n += 2)
-        numbers.emplace_back(list.at(n).get<std::uint64_t>(), list.at(n + 1).get<std::uint64_t>());
+        numbers.emplace_back(unsignedNumber(list.at(n)), unsignedNumber(list.at(n + 1)));
     return numbers;
 }
 
@@ -216,15 +231,15 @@
 {
     ReportNumbers numbers;
     for (const auto &[node, number] : object.items())
-        numbers.emplace_back(stableHash(node), number.get<std::uint64_t>());
+        numbers.emplace_back(stableHash(node), unsignedNumber(number));
     return numbers;
 }
 
 // Values on the wire. Unknown values are decoded as LoadScope::Node.
-constexpr int kDomainScope = 1;
-constexpr int kFleetScope = 2;
+constexpr std::uint64_t kDomainScope = 1;
+constexpr std::uint64_t kFleetScope = 2;
 
-int encodeScope(LoadScope scope)
+std::uint64_t encodeScope(LoadScope scope)
 {
     switch (scope) {
     case LoadScope::Node:
@@ -237,7 +252,7 @@
     return 0;
 }
 
-LoadScope decodeScope(int number)
+LoadScope decodeScope(std::uint64_t number)
 {
     if (number == kDomainScope)
         return LoadScope::Domain;
@@ -303,17 +318,17 @@
         object.at("domain").get_to(message.failureDomain);
         object.at("gossip").get_to(message.gossipAddress);
         object.at("replica").get_to(message.replicaAddress);
-        object.at("revision").get_to(message.version.revision);
-        message.version.epoch = object.value("epoch", std::uint64_t{0});
+        message.version.revision = signedNumber(object.at("revision"));
+        message.version.epoch = optionalUnsigned(object, "epoch");
         object.at("reachable").get_to(message.storeReachable);
-        message.scope = decodeScope(object.at("scope").get<int>());
+        message.scope = decodeScope(unsignedNumber(object.at("scope")));
         message.load = decodeLoad(object.at("load"));
-        message.reportNumber = object.value("number", std::uint64_t{0});
+        message.reportNumber = optionalUnsigned(object, "number");
         if (object.contains("included"))
             message.reportNumbers = decodeNumbers(object.at("included"));
         else if (object.contains("numbers"))
             message.reportNumbers = decodeNamedNumbers(object.at("numbers"));
-        message.strength = object.value("strength", 0.0);
+        message.strength = decodeStrength(object);
         message.getsStoreChanges = object.value("hears", false);
         message.isRelay = object.value("relay", false);
         message.followsContext = object.value("follows", false);
@@ -326,7 +341,7 @@
         const Json named = object.value("named", Json::object());
         for (const auto &[model, versions] : named.items()) {
             for (const Json &it : versions)
-                message.namingAges[model][it.at(0).get<std::uint64_t>()] = decodeNamingAge(it);
+                message.namingAges[model][unsignedNumber(it.at(0))] = decodeNamingAge(it);
         }
         if (object.contains("whole"))
             message.copyAge = decodeAge(object.at("whole"));
@@ -364,15 +379,15 @@
 {
     return decodeCbor<ReplicaPart>(bytes, [](const Json &object) {
         ReplicaPart part;
-        object.at("since").get_to(part.changes.since);
-        object.at("revision").get_to(part.changes.revision);
-        part.changes.epoch = object.value("epoch", std::uint64_t{0});
+        part.changes.since = signedNumber(object.at("since"));
+        part.changes.revision = signedNumber(object.at("revision"));
+        part.changes.epoch = optionalUnsigned(object, "epoch");
         object.at("doubt").get_to(part.mayBeExpiry);
         for (const Json &it : object.at("items")) {
             StoredItem item;
             it.at(0).get_to(item.key);
-            it.at(1).get_to(item.revision);
-            it.at(2).get_to(item.createRevision);
+            item.revision = signedNumber(it.at(1));
+            item.createRevision = signedNumber(it.at(2));
             if (it.size() > 3) {
                 const auto &value = it.at(3).get_binary();
                 item.value.emplace(value.begin(), value.end());
@@ -401,7 +416,7 @@
     return decodeCbor<PeerAddress>(bytes, [](const Json &object) {
         return PeerAddress{
             object.at("gossip").get<std::string>(),   object.at("replica").get<std::string>(),
-            object.value("domain", std::string()),    object.value("strength", 0.0),
+            object.value("domain", std::string()),    decodeStrength(object),
             object.value("placement", std::string()), object.value("proxy", std::string())};
     });
 }
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -653,3 +653,72 @@
         CHECK_FALSE(node::QuarantineDistributor::decodeInstances(bytes));
     }
 }
+
+// Guards against ranks of nodes that have no order, which an algorithm that sorts does not survive,
+// and against undefined conversions.
+TEST_CASE("bad input: numbers of peers that are not finite or of another type are rejected "
+          "[messages][bad-input]")
+{
+    const double nan = std::numeric_limits<double>::quiet_NaN();
+    const double infinity = std::numeric_limits<double>::infinity();
+    auto address = Json::from_cbor(node::encodePeerAddress({"10.0.0.1:1", "10.0.0.1:2", "z", 1.0}));
+    for (const Json &it : {Json(nan), Json(infinity), Json(1e300), Json(-1.0), Json("1")}) {
+        address["strength"] = it;
+        CHECK_FALSE(node::decodePeerAddress(node::encodeCbor(address)));
+    }
+    node::Gossip message;
+    message.node = "n";
+    message.strength = 1.0;
+    message.reportNumber = 1;
+    message.version = {1, 1};
+    message.orders.age = 1ms;
+    message.orders.lastOrder = 1ms;
+    message.orders.observedVersions["i-1"]["m"] = {1, 1ms};
+    message.namingAges["m"][2] = {30ms, 40ms, 1};
+    message.copyAge = 1ms;
+    message.quarantineUpdates = {{{1, 2}, 3}};
+    message.limits = {{7, 2, 3.0, 1s, {{8, 9}}}};
+    message.load.loads = UpstreamLoads({{"i-1", {1, 2, 3}}});
+    message.load.contextsSent = {1};
+    const Json fields = Json::from_cbor(node::encodeGossip(message));
+    for (const char *field :
+         {"/strength",        "/number",       "/epoch",          "/revision",
+          "/scope",           "/orders/age",   "/orders/ordered", "/orders/seen/0/2",
+          "/orders/seen/0/3", "/named/m/0/0",  "/named/m/0/1",    "/named/m/0/3",
+          "/whole",           "/requests/0/0", "/requests/0/2",   "/limits/0/0",
+          "/limits/0/1",      "/limits/0/2",   "/limits/0/3",     "/limits/0/4/1",
+          "/load/nodes",      "/load/at/0",    "/load/at/1",      "/load/short",
+          "/load/contexts/0"}) {
+        CAPTURE(field);
+        REQUIRE(fields.contains(Json::json_pointer(field)));
+        for (const Json &it : {Json(nan), Json(infinity), Json(1e300), Json(true), Json("1")}) {
+            Json odd = fields;
+            odd[Json::json_pointer(field)] = it;
+            CHECK_FALSE(node::decodeGossip(node::encodeCbor(odd)));
+        }
+    }
+    node::ReplicaPart part;
+    part.changes = {0, 9, {{"a", 9, 9, "{}"}}};
+    const Json replica = Json::from_cbor(node::encodeReplicaPart(part));
+    for (const char *field : {"/since", "/revision", "/epoch", "/items/0/1", "/items/0/2"}) {
+        Json odd = replica;
+        odd[Json::json_pointer(field)] = 1e300;
+        CHECK_FALSE(node::decodeReplicaPart(node::encodeCbor(odd)));
+    }
+}
+
+TEST_CASE("bad input: times of peers beyond any use are shortened, so that they can be added to a "
+          "clock [messages][bad-input]")
+{
+    node::Gossip message;
+    message.node = "n";
+    message.orders.age = 1ms;
+    message.orders.lastOrder = 1ms;
+    Json fields = Json::from_cbor(node::encodeGossip(message));
+    fields["orders"]["age"] = INT64_MAX;
+    fields["orders"]["ordered"] = INT64_MAX;
+    const auto read = node::decodeGossip(node::encodeCbor(fields));
+    REQUIRE(read);
+    CHECK(read->orders.age <= 24h);
+    CHECK(*read->orders.lastOrder <= 24h);
+}
