--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -722,3 +722,37 @@
     CHECK(read->orders.age <= 24h);
     CHECK(*read->orders.lastOrder <= 24h);
 }
+
+// Guards against undefined conversions and against a lease of the longest time that overflows when
+// it is added to a clock.
+TEST_CASE("bad input: answers of the store and of engines with numbers out of range are not read "
+          "[platform][bad-input]")
+{
+    for (const char *it : {"-1", "1e300", "99999999999999999999", "1.5", "true", "null", "\"1\""}) {
+        CAPTURE(it);
+        const std::string n = it;
+        const std::string items
+            = R"({"at":1,"items":[{"private-key":"a","value":"","made":1,"revision":)" + n + "}]}";
+        CHECK_FALSE(readRange(replyOf(200, R"({"items":[],"at":)" + n + "}")));
+        CHECK_FALSE(readRange(replyOf(200, items)));
+        CHECK_FALSE(readWatch(replyOf(200, R"({"events":[],"at":)" + n + "}"), 0));
+        if (n != "1.5") { // a time may have a fraction
+            CHECK_FALSE(readGrant(replyOf(200, R"({"lease":1,"ttl_ms":)" + n + "}")));
+            CHECK_FALSE(readRenewal(replyOf(200, R"({"ttl_ms":)" + n + "}")));
+        }
+        CHECK_FALSE(readGrant(replyOf(200, R"({"ttl_ms":1,"lease":)" + n + "}")));
+        CHECK(readPut(replyOf(200, R"({"revision":)" + n + "}")).result != WriteResult::Done);
+        CHECK_FALSE(readReport(replyOf(200, R"({"models":[{"name":"m","version":)" + n + "}]}")));
+        CHECK_FALSE(readReport(replyOf(200, R"({"models":[],"sequence":)" + n + "}")));
+        CHECK_FALSE(readStoreEvents(
+            replyOf(200, R"({"epoch":1,"events":[],"next-token":)" + n + "}"), "k"));
+        CHECK_FALSE(readStoreEvents(
+            replyOf(200, R"({"epoch":1,"next-token":1,"events":[[1,"+","s","p",)" + n + "]]}"),
+            "k"));
+    }
+    CHECK_FALSE(readRenewal(replyOf(200, R"({"ttl_ms":9223372036854775807})")));
+    CHECK_FALSE(readStoreList(
+        replyOf(200, R"({"epoch":1,"next-token":1,"clock_ms":1e300,"held":[]})"), "k"));
+    CHECK(readStoreList(replyOf(200, R"({"epoch":1,"next-token":1,"clock_ms":1.8e12,"held":[]})"),
+                        "k"));
+}
