Store and engines: a call with a text that is not UTF-8 can be made

Texts that come from peers as CBOR are not checked, and dump() throws on those that are not UTF-8, on a thread that catches nothing. Such a text has not been seen at a node.

--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -756,3 +756,15 @@
     CHECK(readStoreList(replyOf(200, R"({"epoch":1,"next-token":1,"clock_ms":1.8e12,"held":[]})"),
                         "k"));
 }
+
+// Guards against an exception on the node's thread: peers encode texts without a check of UTF-8.
+TEST_CASE("bad input: a call with a text that is not UTF-8 can be made [platform][bad-input]")
+{
+    FreePartsCall action;
+    action.parts = {{"salt", "\xff\xfe"}};
+    CHECK_NOTHROW(freeCall("10.0.0.1:80", action, 1s));
+    CHECK_NOTHROW(putCall("\xff", "value", 1, true));
+    OrderWeights order;
+    order.model = "\xff";
+    CHECK_NOTHROW(orderCall(order, "holder"));
+}
