Entry daemon: a deeply nested body of a caller is refused

The first message of a body is written as text again for the hash of its prefix, each level of nesting in a call of its own: one request of a caller with a valid key could end the process. Bodies of more than 128 levels get 400.

--- a/src/apps/entryd/api.cpp
+++ b/src/apps/entryd/api.cpp
@@ -101,6 +101,27 @@
     return call;
 }
 
+// Whether objects and lists are nested too deeply in a JSON text. Each level takes the stack of a
+// call when the JSON library copies a value or writes it as text.
+bool isTooDeep(std::string_view json)
+{
+    constexpr std::size_t kMaxDepth = 128;
+    std::size_t depth = 0;
+    bool isInText = false;
+    for (std::size_t n = 0; n < json.size(); ++n) {
+        const char it = json[n];
+        if (isInText && it == '\\')
+            ++n; // the escaped character does not end the text
+        else if (it == '"')
+            isInText = !isInText;
+        else if (!isInText && (it == '[' || it == '{') && ++depth > kMaxDepth)
+            return true;
+        else if (!isInText && (it == ']' || it == '}') && depth > 0)
+            --depth;
+    }
+    return false;
+}
+
 std::string validateMessages(const Json &body)
 {
     if (!body.contains("messages") || !body["messages"].is_array() || body["messages"].empty())
@@ -185,6 +206,8 @@
     auto call = parseCommonFields(state, team, message, now);
     if (!call)
         return tl::make_unexpected(call.error());
+    if (isTooDeep(message.body))
+        return reject(Reason::InvalidField, "The body: is nested too deeply.");
     const Json body = Json::parse(message.body, nullptr, false);
     if (body.is_discarded())
         return reject(Reason::InvalidJson);
--- a/tests/unit/isolation_test.cpp
+++ b/tests/unit/isolation_test.cpp
@@ -94,6 +94,23 @@
         CHECK(value != "forged");
 }
 
+// Guards against a process that ends: each level of nesting takes the stack of a call when the
+// first message is written as text again.
+TEST_CASE("bad input: a deeply nested body of a caller is refused [bad-input]")
+{
+    constexpr std::size_t kDepth = 200'000;
+    const auto state = stateOf();
+    auto message = messageOf("key of a", "c");
+    message.path = "/v1/chat/completions";
+    const std::string head = R"({"model":"c","messages":[{"role":"user","content":)";
+    message.body = head + std::string(kDepth, '[') + std::string(kDepth, ']') + "}]}";
+    const auto refused = apps::parseRequest(*state, message, TimePoint{});
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().reason == Reason::InvalidField);
+    message.body = head + R"([{"type":"text","text":"[[[[{{{{\"[[[["}]}]})";
+    CHECK(apps::parseRequest(*state, message, TimePoint{}));
+}
+
 TEST_CASE("isolation: a later weight version replaces the whole salt [isolation]")
 {
     auto call = parsedRequest(*stateOf(), "key of a", "c");
