--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Tests that messages and documents of the platform are parsed strictly into the project's types.
+#include <limits>
+
 #include <doctest/doctest.h>
 
 #include <nlohmann/json.hpp>
@@ -8,7 +10,12 @@
 #include "node/cbor.hpp"
 #include "node/context_messages.hpp"
 #include "node/peer_messages.hpp"
+#include "node/place_messages.hpp"
+#include "node/placement_messages.hpp"
+#include "node/quarantine_distributor.hpp"
 #include "node/refusal.hpp"
+#include "node/replica_sources.hpp"
+#include "node/stream_messages.hpp"
 #include "platform/caller_messages.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
@@ -620,3 +627,144 @@
     for (std::size_t n = 0; n < bytes.size(); ++n)
         CHECK_FALSE(node::decodeContextUpdates(bytes.substr(0, n)));
 }
+
+// Guards against nodes that end: the library reads each level of nesting in a call of its own.
+TEST_CASE("bad input: deeply nested messages and values of nodes are rejected "
+          "[messages][bad-input]")
+{
+    constexpr std::size_t kDepth = 1'000'000;
+    const std::string array(1, '\x81'); // of one element
+    const std::string indefinite(1, '\x9f');
+    const std::string text(1, '\x7f'); // of parts
+    const std::string object = "\xa1\x61"
+                               "a"; // with one member
+    for (const std::string &level : {array, indefinite, text, object}) {
+        std::string bytes;
+        for (std::size_t n = 0; n < kDepth; ++n)
+            bytes += level;
+        CHECK_FALSE(node::decodePeerAddress(bytes));
+        CHECK_FALSE(node::decodeGossip(bytes));
+        CHECK_FALSE(node::decodeReplicaPart(bytes));
+        CHECK_FALSE(node::decodeContextUpdates(bytes));
+        CHECK_FALSE(node::decodePlacement(bytes));
+        CHECK_FALSE(node::decodePlaceMessage(bytes));
+        CHECK_FALSE(node::decodeStreamMessage(bytes));
+        CHECK_FALSE(node::decodeSource(bytes));
+        CHECK_FALSE(node::QuarantineDistributor::decodeInstances(bytes));
+    }
+}
+
+// Guards against ranks of nodes that have no order, which an algorithm that sorts does not survive,
+// and against undefined conversions.
+TEST_CASE("bad input: numbers of peers that are not finite or of another type are rejected "
+          "[messages][bad-input]")
+{
+    const double nan = std::numeric_limits<double>::quiet_NaN();
+    const double infinity = std::numeric_limits<double>::infinity();
+    auto address = Json::from_cbor(node::encodePeerAddress({"10.0.0.1:1", "10.0.0.1:2", "z", 1.0}));
+    for (const Json &it : {Json(nan), Json(infinity), Json(1e300), Json(-1.0), Json("1")}) {
+        address["strength"] = it;
+        CHECK_FALSE(node::decodePeerAddress(node::encodeCbor(address)));
+    }
+    node::Gossip message;
+    message.node = "n";
+    message.strength = 1.0;
+    message.reportNumber = 1;
+    message.version = {1, 1};
+    message.orders.age = 1ms;
+    message.orders.lastOrder = 1ms;
+    message.orders.observedVersions["i-1"]["m"] = {1, 1ms};
+    message.namingAges["m"][2] = {30ms, 40ms, 1};
+    message.copyAge = 1ms;
+    message.quarantineUpdates = {{{1, 2}, 3}};
+    message.limits = {{7, 2, 3.0, 1s, {{8, 9}}}};
+    message.load.loads = UpstreamLoads({{"i-1", {1, 2, 3}}});
+    message.load.contextsSent = {1};
+    const Json fields = Json::from_cbor(node::encodeGossip(message));
+    for (const char *field :
+         {"/strength",        "/number",       "/epoch",          "/revision",
+          "/scope",           "/orders/age",   "/orders/ordered", "/orders/seen/0/2",
+          "/orders/seen/0/3", "/named/m/0/0",  "/named/m/0/1",    "/named/m/0/3",
+          "/whole",           "/requests/0/0", "/requests/0/2",   "/limits/0/0",
+          "/limits/0/1",      "/limits/0/2",   "/limits/0/3",     "/limits/0/4/1",
+          "/load/nodes",      "/load/at/0",    "/load/at/1",      "/load/short",
+          "/load/contexts/0"}) {
+        CAPTURE(field);
+        REQUIRE(fields.contains(Json::json_pointer(field)));
+        for (const Json &it : {Json(nan), Json(infinity), Json(1e300), Json(true), Json("1")}) {
+            Json odd = fields;
+            odd[Json::json_pointer(field)] = it;
+            CHECK_FALSE(node::decodeGossip(node::encodeCbor(odd)));
+        }
+    }
+    node::ReplicaPart part;
+    part.changes = {0, 9, {{"a", 9, 9, "{}"}}};
+    const Json replica = Json::from_cbor(node::encodeReplicaPart(part));
+    for (const char *field : {"/since", "/revision", "/epoch", "/items/0/1", "/items/0/2"}) {
+        Json odd = replica;
+        odd[Json::json_pointer(field)] = 1e300;
+        CHECK_FALSE(node::decodeReplicaPart(node::encodeCbor(odd)));
+    }
+}
+
+TEST_CASE("bad input: times of peers beyond any use are shortened, so that they can be added to a "
+          "clock [messages][bad-input]")
+{
+    node::Gossip message;
+    message.node = "n";
+    message.orders.age = 1ms;
+    message.orders.lastOrder = 1ms;
+    Json fields = Json::from_cbor(node::encodeGossip(message));
+    fields["orders"]["age"] = INT64_MAX;
+    fields["orders"]["ordered"] = INT64_MAX;
+    const auto read = node::decodeGossip(node::encodeCbor(fields));
+    REQUIRE(read);
+    CHECK(read->orders.age <= 24h);
+    CHECK(*read->orders.lastOrder <= 24h);
+}
+
+// Guards against undefined conversions and against a lease of the longest time that overflows when
+// it is added to a clock.
+TEST_CASE("bad input: answers of the store and of engines with numbers out of range are not read "
+          "[platform][bad-input]")
+{
+    for (const char *it : {"-1", "1e300", "99999999999999999999", "1.5", "true", "null", "\"1\""}) {
+        CAPTURE(it);
+        const std::string n = it;
+        const std::string items
+            = R"({"at":1,"items":[{"private-key":"a","value":"","made":1,"revision":)" + n + "}]}";
+        CHECK_FALSE(readRange(replyOf(200, R"({"items":[],"at":)" + n + "}")));
+        CHECK_FALSE(readRange(replyOf(200, items)));
+        CHECK_FALSE(readWatch(replyOf(200, R"({"events":[],"at":)" + n + "}"), 0));
+        if (n != "1.5") { // a time may have a fraction
+            CHECK_FALSE(readGrant(replyOf(200, R"({"lease":1,"ttl_ms":)" + n + "}")));
+            CHECK_FALSE(readRenewal(replyOf(200, R"({"ttl_ms":)" + n + "}")));
+        }
+        CHECK_FALSE(readGrant(replyOf(200, R"({"ttl_ms":1,"lease":)" + n + "}")));
+        CHECK(readPut(replyOf(200, R"({"revision":)" + n + "}")).result != WriteResult::Done);
+        CHECK_FALSE(readReport(replyOf(200, R"({"models":[{"name":"m","version":)" + n + "}]}")));
+        CHECK_FALSE(readReport(replyOf(200, R"({"models":[],"sequence":)" + n + "}")));
+        CHECK_FALSE(readStoreEvents(
+            replyOf(200, R"({"epoch":1,"events":[],"next-token":)" + n + "}"), "k"));
+        CHECK_FALSE(readStoreEvents(
+            replyOf(200, R"({"epoch":1,"next-token":1,"events":[[1,"+","s","p",)" + n + "]]}"),
+            "k"));
+    }
+    CHECK_FALSE(readRenewal(replyOf(200, R"({"ttl_ms":9223372036854775807})")));
+    CHECK_FALSE(readStoreList(
+        replyOf(200, R"({"epoch":1,"next-token":1,"clock_ms":1e300,"held":[]})"), "k"));
+    CHECK(readStoreList(replyOf(200, R"({"epoch":1,"next-token":1,"clock_ms":1.8e12,"held":[]})"),
+                        "k"));
+}
+
+// Guards against an exception on the node's thread: peers encode texts without a check of UTF-8.
+TEST_CASE("bad input: a call with a text that is not UTF-8 can be made [platform][bad-input]")
+{
+    FreePartsCall action;
+    action.parts = {{"salt", "\xff\xfe"}};
+    CHECK_NOTHROW(freeCall("10.0.0.1:80", action, 1s));
+    CHECK_NOTHROW(putCall("\xff", "value", 1, true));
+    OrderWeights order;
+    order.model = "\xff";
+    CHECK_NOTHROW(orderCall(order, "holder"));
+}
