The end of a connection no longer makes a success of an empty answer or a stream

An upstream may close its connection after a whole head that names neither a length nor chunks, or between two events of such a stream.

Cause: HttpChannel reported the end of the connection like an end that the answer itself states, and CallHandler took both for a complete answer. A crash closes connections in the same way.

Now HttpChannel tells what ended an answer. If only its connection did, a success without a body is no answer, and a stream is not complete: it goes on at another upstream after its last whole event if it may be resumed, and else is cut. Bodies on other routes stay complete, as the protocol allows.

--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -54,7 +54,7 @@
     // From AnswerHandler:
     void onHead(const http::response_header<> &head) override;
     bool onBody(std::string_view bytes) override;
-    void onAnswerEnd() override;
+    void onAnswerEnd(AnswerEnd end) override;
     void onChannelFailure(const ErrorCode &cause) override;
 
     // From PathUser:
@@ -112,6 +112,8 @@
     void recordResumption();
     void recordOrigin();
     void handleFailure(const FailedAttempt &failure);
+    bool mayEndWithConnection() const;
+    void handleCutAnswer();
     void handleAnswer();
     // `isComplete`: its body has been read to the end.
     void handleRejection(bool isComplete);
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -68,6 +68,7 @@
 {
     const auto self = shared_from_this();
     m_attempt->lastDataAt = m_state.clock().now();
+    m_attempt->bodyBytes += bytes.size();
     m_state.health().dataReceived(m_attempt->upstream.instanceId);
     if (isStreamed() && !m_attempt->head.hasNotRun)
         return forwardEvents(bytes);
@@ -187,10 +188,40 @@
         m_attempt->channel->resumeReading();
 }
 
-void CallHandler::onAnswerEnd()
+void CallHandler::onAnswerEnd(AnswerEnd end)
 {
     const auto self = shared_from_this();
-    handleAnswer();
+    const bool isCut = end == AnswerEnd::Connection && !mayEndWithConnection();
+    if (end == AnswerEnd::Connection)
+        logUnframedAnswer({m_caller.requestId, m_attempt->upstream.instanceId,
+                           m_attempt->answer->result_int(), m_attempt->bodyBytes, isCut});
+    if (isCut)
+        handleCutAnswer();
+    else
+        handleAnswer();
+}
+
+// Whether the answer is complete although only the end of its connection tells so. An upstream that
+// crashes may close its connections in the same way. A stream has no other sign of its last event,
+// and a success without a body may be no more than a head.
+bool CallHandler::mayEndWithConnection() const
+{
+    if (m_attempt->head.hasNotRun || !isSuccess(m_attempt->answer->result_int()))
+        return true;
+    return !isStreamed() && m_attempt->bodyBytes > 0;
+}
+
+// Handles an answer that ended before it was known to be complete. A stream whose events are whole
+// may have been complete, so it says nothing against its upstream or its request.
+void CallHandler::handleCutAnswer()
+{
+    const bool isCertain = m_attempt->bodyBytes == 0 || m_eventSplitter.hasPartialEvent();
+    endAttempt(false);
+    if (isCertain) {
+        m_state.health().failed(m_attempt->upstream.instanceId);
+        recordDisconnect();
+    }
+    handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
 }
 
 void CallHandler::handleAnswer()
@@ -207,16 +238,13 @@
         return;
     }
     if (isStreamed()) {
-        const bool isComplete = !m_eventSplitter.hasPartialEvent();
-        endAttempt(true);
-        if (!isComplete) {
-            health.failed(id);
-            recordDisconnect();
-            handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
+        if (m_eventSplitter.hasPartialEvent()) {
+            handleCutAnswer();
             return;
         }
+        endAttempt(true);
         health.succeeded(id);
-        // A stream that ends with its connection looks complete if the upstream has crashed.
+        // A stream without events says nothing of its prompt.
         if (m_firstEventAt) {
             recordAnswered();
             m_state.pace(m_call.pool->name).observeAnswer(m_state.clock().now() - *m_firstEventAt);
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -74,6 +74,15 @@
                                     {"parts", sharedParts(failure.prompt)}});
 }
 
+void logUnframedAnswer(const UnframedAnswer &answer)
+{
+    logEvent(Event::AnswerUnframed, {{"request", answer.request},
+                                     {"upstream", answer.upstream},
+                                     {"status", answer.status},
+                                     {"bytes", answer.bytes},
+                                     {"taken_as", answer.isCut ? "cut" : "whole"}});
+}
+
 void logStreamResumption(const StreamResumption &resumption)
 {
     logEvent(Event::StreamResumed, {{"request", resumption.request},
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -46,6 +46,16 @@
     const Prompt *prompt = nullptr; // null: the request has none
 };
 
+// An answer that named neither a length nor chunks ended with its connection.
+struct UnframedAnswer
+{
+    std::string request; // request id
+    std::string upstream;
+    unsigned status = 0;
+    std::size_t bytes = 0; // of its body
+    bool isCut = false; // taken for one that is not complete
+};
+
 // A stream that has broken off goes on at an upstream.
 struct StreamResumption
 {
@@ -61,6 +71,9 @@
 // Logs the event StreamResumed.
 void logStreamResumption(const StreamResumption &resumption);
 
+// Logs the event AnswerUnframed.
+void logUnframedAnswer(const UnframedAnswer &answer);
+
 // Logs the event AttemptFailed.
 void logAttemptFailure(const AttemptFailure &failure);
 
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -221,7 +221,9 @@
 
 void HttpChannel::completeExchange()
 {
-    if (m_isProxied && m_exchange->parser->need_eof()) {
+    const AnswerEnd end
+        = m_exchange->parser->need_eof() ? AnswerEnd::Connection : AnswerEnd::Framing;
+    if (m_isProxied && end == AnswerEnd::Connection) {
         fail(http::error::partial_message);
         return;
     }
@@ -232,7 +234,7 @@
                    && current->buffer.size() == 0 && !m_isProxied;
     if (!m_isReusable)
         close();
-    current->handler->onAnswerEnd();
+    current->handler->onAnswerEnd(end);
 }
 
 void HttpChannel::fail(const ErrorCode &ec)
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -21,6 +21,12 @@
 
 namespace http = boost::beast::http;
 
+// What told the end of an answer.
+enum class AnswerEnd {
+    Framing, // its length or its last chunk, or it has no body by its nature
+    Connection, // the end of the connection, which a crash of the upstream causes as well
+};
+
 // Receives an answer as a channel reads it. The calls come in the order onHead(), onBody() any
 // number of times, onAnswerEnd(). onChannelFailure() may replace any of them, and is then the last
 // call.
@@ -34,8 +40,9 @@
     // Returns false to pause reading until HttpChannel::resumeReading() is called.
     virtual bool onBody(std::string_view bytes) = 0;
 
-    // The answer is complete.
-    virtual void onAnswerEnd() = 0;
+    // All that comes of the answer has arrived. Whether an answer that ended with its connection is
+    // complete is for the handler to decide.
+    virtual void onAnswerEnd(AnswerEnd end) = 0;
 
     virtual void onChannelFailure(const ErrorCode &cause) = 0;
 };
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -89,7 +89,8 @@
         return false;
     }
 
-    void onAnswerEnd() override
+    // The texts of the platform and of peers are read as a whole, which fails for a part of one.
+    void onAnswerEnd(AnswerEnd /*end*/) override
     {
         m_caller.keepIdle(m_call.address, m_channel);
         m_channel.reset();
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -39,6 +39,7 @@
     platform::AnswerHead head;
     std::optional<http::response_header<>> answer;
     std::string body; // of an answer that is not streamed
+    std::size_t bodyBytes = 0; // of the answer that have arrived
     std::size_t skippedBytes = 0; // of the body of a rejection
 };
 
--- a/tests/node/proxy_server_test.cpp
+++ b/tests/node/proxy_server_test.cpp
@@ -160,7 +160,7 @@
         body += bytes;
         return true;
     }
-    void onAnswerEnd() override { isComplete = true; }
+    void onAnswerEnd(AnswerEnd /*end*/) override { isComplete = true; }
     void onChannelFailure(const ErrorCode & /*cause*/) override { hasFailed = true; }
 
     std::string body;
--- /dev/null
+++ b/tests/process/cut_answer_test.cpp
@@ -0,0 +1,256 @@
+// SPDX-License-Identifier: MIT
+// Upstreams that stop in the middle of an answer and close the connection in order.
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "process/fleet.hpp"
+#include "process/node_deployment.hpp"
+#include "process/raw_upstream.hpp"
+
+using namespace fordwood::process;
+
+namespace {
+
+struct Form
+{
+    std::string name;
+    std::string bytes;
+};
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n";
+const std::string kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+
+// None of them is an answer, whatever it answers.
+std::vector<Form> cutForms()
+{
+    return {
+        {"nothing", ""},
+        {"the status line cut", "HTTP/1.1 200 O"},
+        {"the status line", "HTTP/1.1 200 OK\r\n"},
+        {"a field cut", "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Se"},
+        {"fields without the blank line", kHead},
+        {"a length with fewer digits", kHead + "Content-Length: 1"},
+        {"a head without a length or chunks", kHead + "\r\n"},
+        {"such a head of HTTP/1.0",
+         "HTTP/1.0 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n"},
+        {"fewer bytes than announced", kHead + "Content-Length: 31\r\n\r\n" + kEvents},
+        {"the head of chunks", kChunked},
+        {"the size of a chunk cut", kChunked + "1"},
+        {"a chunk cut", kChunked + "1e\r\n" + kEvents.substr(0, 14)},
+        {"chunks without the last one", kChunked + "1e\r\n" + kEvents + "\r\n"},
+        {"the last chunk cut", kChunked + "1e\r\n" + kEvents + "\r\n0\r\n"},
+    };
+}
+
+// On routes that are streams, these are not answers either.
+std::vector<Form> cutStreams()
+{
+    return {
+        {"a stream cut within an event", kHead + "\r\n" + kEvents + "id: 3\nda"},
+        {"a stream cut within its first event", kHead + "\r\nid: 1\nda"},
+        {"a stream cut after an event", kHead + "\r\n" + kEvents},
+    };
+}
+
+struct Route
+{
+    std::string path;
+    std::string method;
+    bool isStream = false;
+};
+
+const std::vector<Route> kRoutes{{"/safe/", "GET"},
+                                 {"/once/", "POST"},
+                                 {"/stream/", "GET", true},
+                                 {"/unresumable/", "GET", true}};
+
+// A node before upstreams that send what a test gives them, and, if `isProxied`, one that reaches
+// them only through the first.
+class CutAnswers : public Deployment
+{
+public:
+    explicit CutAnswers(bool isProxied = false) : m_node(isProxied ? 1 : 0)
+    {
+        start();
+        if (isProxied) {
+            startNode(1);
+            REQUIRE(Fleet::waitFor([&] { return isReady(1); }));
+            REQUIRE(Fleet::waitFor([&] { return logged(1, "live=\"2\"") > 0; }));
+            cutOffFromUpstreams(1, Break::Refuse);
+            REQUIRE(Fleet::waitFor([&] {
+                const std::string id = nextId();
+                return call("GET", "/safe/" + id, id, 1).status == 200 && isThroughPeer(id);
+            }));
+        }
+        nlohmann::json config = configuration(2);
+        config["routes"].push_back({{"name", "unresumable"},
+                                    {"host", "a.example"},
+                                    {"path-prefix", "/unresumable/"},
+                                    {"kind", "streaming"},
+                                    {"service", "board"},
+                                    {"timeout-ms", 5'000},
+                                    {"max-attempts", 2},
+                                    {"target-latency-ms", 400}});
+        store.put("op/config", config.dump());
+        for (const int it : {0, m_node})
+            REQUIRE(Fleet::waitFor([&] { return logged(it, "routes=\"5\"") > 0; }));
+        for (const char *it : {"i-1", "i-2"})
+            store.remove(std::string("servers/") + it);
+    }
+
+    // Two new upstreams that send these bytes take the place of those before.
+    void replaceUpstreams(const std::string &bytes)
+    {
+        removeUpstreams();
+        for (const char *it : {"2", "3"}) {
+            const int n = ++m_upstreams;
+            const std::string address = net + it + ":" + std::to_string(9'000 + n);
+            m_raw.push_back(std::make_unique<RawUpstream>(address));
+            m_raw.back()->setAnswer(bytes);
+            putUpstreamRecord({"r-" + std::to_string(n), address, "v1"});
+        }
+    }
+
+    // One new upstream that sends these bytes, and one that runs streams whole.
+    void mixUpstreams(const std::string &bytes)
+    {
+        replaceUpstreams(bytes);
+        store.remove("servers/r-" + std::to_string(m_upstreams));
+        putUpstream("i-2");
+    }
+
+    // Calls until an upstream's given bytes were the answer to a call. Other upstreams, which the
+    // node still knows, may answer before.
+    HttpAnswer callPlayed(const Route &route)
+    {
+        HttpAnswer answer;
+        REQUIRE(Fleet::waitFor([&] {
+            const int before = played();
+            lastId = nextId();
+            answer = call(route.method, route.path + lastId, lastId, m_node);
+            return played() > before;
+        }));
+        return answer;
+    }
+
+    // Whether the request's last attempt went through a peer.
+    bool isThroughPeer(const std::string &id) const
+    {
+        const std::string line = lastLogged(m_node, "request=\"" + id + "\"");
+        return !line.empty() && line.find("proxy=\"\"") == std::string::npos;
+    }
+
+    std::string nextId() { return "c-" + std::to_string(++m_calls); }
+
+    int node() const { return m_node; }
+
+    // Answers of the current upstreams that send what they were given.
+    int played() const
+    {
+        int n = 0;
+        for (const auto &it : m_raw)
+            n += it->answered();
+        return n;
+    }
+
+    std::string lastId; // of the last call
+
+private:
+    void removeUpstreams()
+    {
+        m_raw.clear();
+        for (const int it : {m_upstreams - 1, m_upstreams})
+            store.remove("servers/r-" + std::to_string(it));
+    }
+
+    const int m_node; // that is called
+    int m_calls = 0;
+    int m_upstreams = 0;
+    std::vector<std::unique_ptr<RawUpstream>> m_raw;
+};
+
+// Plays each form to each kind of route, and checks that no caller takes it for a success.
+void playAll(bool isProxied)
+{
+    CutAnswers fleet(isProxied);
+    std::vector<Form> forms = cutForms();
+    const std::size_t generalForms = forms.size();
+    for (const Form &it : cutStreams())
+        forms.push_back(it);
+    for (std::size_t n = 0; n < forms.size(); ++n) {
+        const Form &form = forms[n];
+        CAPTURE(form.name);
+        for (const Route &route : kRoutes) {
+            if (n >= generalForms && !route.isStream && !isProxied)
+                continue;
+            CAPTURE(route.path);
+            fleet.replaceUpstreams(form.bytes);
+            const HttpAnswer answer = fleet.callPlayed(route);
+            CAPTURE(answer.status);
+            CAPTURE(answer.body);
+            CHECK_FALSE((answer.status == 200 && answer.isComplete));
+            // A failure that may have run promises nothing.
+            if (answer.isComplete)
+                CHECK(answer.status == 502);
+        }
+    }
+}
+
+} // namespace
+
+// Guards against a 200 with an empty or short body, framed as whole.
+TEST_CASE("cut answers: no answer that stops becomes a success [node][cut-answers]")
+{
+    playAll(false);
+}
+
+TEST_CASE("cut answers: no answer that stops becomes a success through a peer [node][cut-answers]")
+{
+    playAll(true);
+}
+
+// Guards against a stream that ends before its last event, framed as whole.
+TEST_CASE("cut answers: a stream without framing goes on at another upstream after its last event "
+          "[node][cut-answers]")
+{
+    CutAnswers fleet;
+    for (const int events : {5, 2}) { // more follow, or it was whole
+        fleet.second.setStreams(events, 0);
+        fleet.mixUpstreams(kHead + "\r\n" + kEvents);
+        const HttpAnswer answer = fleet.callPlayed({"/stream/", "GET", true});
+        CHECK(answer.status == 200);
+        CHECK(answer.isComplete);
+        std::string expected;
+        for (int it = 1; it <= events; ++it)
+            expected += "id: " + std::to_string(it) + "\ndata: " + std::to_string(it) + "\n\n";
+        CHECK(answer.body == expected);
+        CHECK(fleet.second.lastField("Last-Event-Id") == "2");
+        CHECK(Fleet::waitFor([&] { return fleet.logged(0, "taken_as=\"cut\"") > 0; }));
+    }
+}
+
+TEST_CASE("cut answers: a body that ends with its connection is whole on routes that are not "
+          "streams [node][cut-answers]")
+{
+    CutAnswers fleet;
+    for (const Route &route : {kRoutes[0], kRoutes[1]}) {
+        CAPTURE(route.path);
+        fleet.replaceUpstreams(kHead + "\r\nbody");
+        const HttpAnswer answer = fleet.callPlayed(route);
+        CHECK(answer.status == 200);
+        CHECK(answer.isComplete);
+        CHECK(answer.body == "body");
+        CHECK(Fleet::waitFor([&] {
+            return fleet.lastLogged(0, "AnswerUnframed").find("taken_as=\"whole\"")
+                   != std::string::npos;
+        }));
+    }
+    // Other statuses than successes are passed on without a body, too.
+    fleet.replaceUpstreams(
+        "HTTP/1.1 404 Not Found\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n");
+    CHECK(fleet.callPlayed(kRoutes[0]).status == 404);
+}
--- /dev/null
+++ b/tests/process/raw_upstream.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+#include "process/raw_upstream.hpp"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <utility>
+
+#include "adapters/http/socket_address.hpp"
+
+namespace fordwood::process {
+
+namespace {
+
+// The value of a field of a request; empty if it has none.
+std::string fieldOf(const std::string &request, std::string name)
+{
+    std::string text = request;
+    for (std::string *it : {&text, &name})
+        std::transform(it->begin(), it->end(), it->begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    const std::size_t at = text.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+bool isWhole(const std::string &request)
+{
+    const std::size_t end = request.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    const std::string length = fieldOf(request, "Content-Length");
+    return request.size() - end - 4 >= std::strtoul(length.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+RawUpstream::RawUpstream(const std::string &address)
+{
+    constexpr int kBacklog = 64;
+    const auto target = adapters::parseSocketAddress(address);
+    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(m_listener, target->get(), sizeof(sockaddr_in)) == 0)
+        listen(m_listener, kBacklog);
+    m_thread = std::thread([this] { run(); });
+}
+
+RawUpstream::~RawUpstream()
+{
+    m_isStopping = true;
+    shutdown(m_listener, SHUT_RDWR);
+    m_thread.join();
+    close(m_listener);
+}
+
+void RawUpstream::setAnswer(std::string bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_bytes = std::move(bytes);
+}
+
+void RawUpstream::run()
+{
+    while (!m_isStopping) {
+        const int fd = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd < 0)
+            continue;
+        answer(fd);
+        close(fd);
+    }
+}
+
+// A request is read whole before the connection is closed: unread bytes would make it a reset.
+void RawUpstream::answer(int connection)
+{
+    const timeval patience{1, 0};
+    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    std::string request;
+    std::array<char, 4'096> buf{};
+    while (!isWhole(request)) {
+        const ssize_t n = recv(connection, buf.data(), buf.size(), 0);
+        if (n <= 0)
+            return;
+        request.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    std::string bytes;
+    {
+        const std::lock_guard lock(m_mutex);
+        bytes = m_bytes;
+    }
+    constexpr std::string_view kPlace = "{id}";
+    const std::size_t at = bytes.find(kPlace);
+    if (at != std::string::npos)
+        bytes.replace(at, kPlace.size(), fieldOf(request, "Request-Id"));
+    m_answered += 1;
+    send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+} // namespace fordwood::process
--- /dev/null
+++ b/tests/process/raw_upstream.hpp
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_TESTS_PROCESS_RAW_UPSTREAM_HPP_INCLUDED
+#define FORDWOOD_TESTS_PROCESS_RAW_UPSTREAM_HPP_INCLUDED
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace fordwood::process {
+
+// Stand-in for an upstream that sends given bytes for each request, whatever they are, and closes
+// the connection in order, without a reset. Handles one connection at a time.
+class RawUpstream
+{
+public:
+    // Listens at "IP:port".
+    explicit RawUpstream(const std::string &address);
+    ~RawUpstream();
+    RawUpstream(const RawUpstream &) = delete;
+    RawUpstream &operator=(const RawUpstream &) = delete;
+
+    // From now on these bytes are sent, with the request's id in place of "{id}".
+    void setAnswer(std::string bytes);
+
+    // Requests that were answered.
+    int answered() const { return m_answered; }
+
+private:
+    void run();
+    void answer(int connection);
+
+    int m_listener = -1;
+    std::mutex m_mutex;
+    std::string m_bytes;
+    std::atomic<int> m_answered{0};
+    std::atomic<bool> m_isStopping{false};
+    std::thread m_thread;
+};
+
+} // namespace fordwood::process
+
+#endif // FORDWOOD_TESTS_PROCESS_RAW_UPSTREAM_HPP_INCLUDED
