No bytes follow the answer to HEAD, or a 204, on routes that are streams

Callers got "0\r\n\r\n" after the head of an answer that has no body, bytes of no answer (MIXED), which a kept connection delivers in place of the next one.

Cause: a stream without events was begun and ended as a chunked answer, whatever the request's method and the answer's status. Now such an answer is sent as one without a body.

--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -249,8 +249,10 @@
             recordAnswered();
             m_state.pace(m_call.pool->name).observeAnswer(m_state.clock().now() - *m_firstEventAt);
         }
-        if (!m_streamStarted)
-            beginStream(); // a stream without events
+        if (!m_streamStarted) { // without events, or an answer that has no body by its nature
+            forwardAnswer();
+            return;
+        }
         m_writer.endStream();
         finish("answered", status);
         return;
--- a/tests/process/cut_answer_test.cpp
+++ b/tests/process/cut_answer_test.cpp
@@ -254,3 +254,41 @@
         "HTTP/1.1 404 Not Found\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n");
     CHECK(fleet.callPlayed(kRoutes[0]).status == 404);
 }
+
+// Guards against bytes after an answer that has no body, and against such an answer taken for a cut
+// one.
+TEST_CASE("cut answers: answers that have no body by their nature are whole "
+          "[node][cut-answers]")
+{
+    const std::string fields = "\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n";
+    const std::vector<Form> forms{{"HEAD", "HTTP/1.1 200 OK" + fields},
+                                  {"GET", "HTTP/1.1 204 No Content" + fields},
+                                  {"GET", "HTTP/1.1 304 Not Modified" + fields}};
+    for (const bool isProxied : {false, true}) {
+        CAPTURE(isProxied);
+        CutAnswers fleet(isProxied);
+        for (const Form &form : forms) {
+            CAPTURE(form.bytes);
+            for (const char *path : {"/safe/", "/stream/"}) {
+                CAPTURE(path);
+                fleet.replaceUpstreams(form.bytes);
+                std::string answer;
+                const std::string status = form.bytes.substr(9, 3);
+                REQUIRE(Fleet::waitFor([&] {
+                    const int before = fleet.played();
+                    const std::string id = fleet.nextId();
+                    answer = rawCall(fleet.host(fleet.node()) + ":8080",
+                                     form.name + " " + path + id
+                                         + " HTTP/1.1\r\nHost: a.example\r\nConnection: "
+                                           "close\r\nCredential: key-t\r\nRequest-Deadline: "
+                                           "4000\r\nRequest-Id: "
+                                         + id + "\r\n\r\n");
+                    return fleet.played() > before;
+                }));
+                CAPTURE(answer);
+                CHECK(answer.rfind("HTTP/1.1 " + status, 0) == 0);
+                CHECK(answer.find("\r\n\r\n") == answer.size() - 4);
+            }
+        }
+    }
+}
