The two daemons ask whether an answer's head was whole before they take it

Cause: libcurl reports success where the connection ends within the head, once the status line has arrived, and where a body without a length ends. UpstreamClient believed it. Now the blank line of the head has to arrive, and a success has to have a length, chunks or a body; the attempt fails as cut otherwise.

--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -11,6 +11,8 @@
 #include <tuple>
 #include <utility>
 
+#include "adapters/observe/event_log.hpp"
+
 namespace fordwood::adapters {
 
 namespace {
@@ -24,6 +26,8 @@
 constexpr std::array<std::string_view, 2> kEventEnds{"\n\n", "\r\n\r\n"};
 constexpr std::size_t kMaxEventBytes = 1 << 20;
 constexpr long kOk = 200;
+constexpr long kNoContent = 204;
+constexpr long kFirstOtherStatus = 300;
 constexpr long kFirstErrorStatus = 400;
 constexpr long kUnavailable = 503;
 constexpr std::size_t kTailBytes = 64;
@@ -114,7 +118,8 @@
     {
         const auto [call, attempt] = key();
         Exchange &exchange = *m_attempt.exchange;
-        if (ec == CURLE_OK && !m_failure && beginAnswer() && forwardRest() && isStreamComplete()) {
+        if (ec == CURLE_OK && !m_failure && isAnswerWhole() && beginAnswer() && forwardRest()
+            && isStreamComplete()) {
             exchange.finish(attempt);
             return m_client.m_listener.attemptFinished(call, attempt, m_cost, storedAnswer());
         }
@@ -159,8 +164,14 @@
     {
         while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
             line.remove_suffix(1);
+        if (line.empty()) {
+            m_isHeadWhole = true;
+            return;
+        }
         if (line.rfind("HTTP/", 0) == 0) {
             m_head = AnswerHead{}; // the head of another response, after an interim one
+            m_isHeadWhole = false;
+            m_isFramed = false;
             m_isNotRun = false;
             m_limit = ParsedLimit{};
             m_isDraining = false;
@@ -188,6 +199,8 @@
             m_cost = std::strtod(std::string(value).c_str(), nullptr);
         else if (name.rfind("fordwood-", 0) != 0 && !isHopByHop(name))
             m_head.headers.emplace_back(line.substr(0, colon), value);
+        if (name == "content-length" || name == "transfer-encoding")
+            m_isFramed = true;
         if (name == "content-type")
             m_head.isStream = toLower(value).rfind("text/event-stream", 0) == 0;
     }
@@ -200,6 +213,7 @@
     std::size_t handleBody(std::string_view bytes)
     {
         constexpr std::size_t kAbort = 0;
+        m_hasBody = m_hasBody || !bytes.empty();
         if (!beginAnswer())
             return m_failure && m_failure->reason != Reason::CallerLeft ? bytes.size() : kAbort;
         // Of a stream only complete events are forwarded, so that another engine can continue it.
@@ -356,6 +370,28 @@
             m_client.m_listener.noticeRead(key().first, key().second, notice);
     }
 
+    // libcurl takes the end of a connection for the end of an answer, even within the head. It ends
+    // a body that has no length and is not chunked, but a success without a body may be no more
+    // than a head.
+    bool isAnswerWhole() const
+    {
+        long status = 0;
+        curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+        if (!m_isHeadWhole || status < kOk)
+            return false;
+        if (m_isFramed || status >= kFirstOtherStatus || status == kNoContent
+            || m_attempt.exchange->request().method == "HEAD")
+            return true;
+        const bool isWhole
+            = m_hasBody
+              && (isStreamComplete() || m_partialEvent.find(kStreamEndEvent) != std::string::npos);
+        logEvent(Event::AnswerUnframed, {{"call", m_attempt.send.call},
+                                         {"upstream", m_attempt.send.address},
+                                         {"status", status},
+                                         {"taken_as", isWhole ? "whole" : "cut"}});
+        return isWhole;
+    }
+
     // An event stream is complete only if it ended with the closing event.
     bool isStreamComplete() const
     {
@@ -367,7 +403,8 @@
     {
         long sent = 0;
         curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &sent);
-        const std::string detail = ec == CURLE_OK ? "" : curl_easy_strerror(ec);
+        const std::string detail = ec == CURLE_OK ? "The connection ended before the answer did."
+                                                  : curl_easy_strerror(ec);
         if (ec == CURLE_OK)
             return {RunState::MayHaveRun, Reason::AnswerCut, detail, false};
         if (sent == 0)
@@ -395,6 +432,9 @@
     bool m_isDraining = false;
     ParsedBackoff m_backoff;
     bool m_isVersionMismatch = false;
+    bool m_isHeadWhole = false; // up to its blank line
+    bool m_isFramed = false; // the answer has a length or is chunked
+    bool m_hasBody = false;
     bool m_isAnswerBegun = false;
     bool m_isDetached = false; // the caller disconnected; the answer is read only to be stored
     bool m_isPaused = false;
