--- a/tests/process/cut_answer_test.cpp
+++ b/tests/process/cut_answer_test.cpp
@@ -220,7 +220,7 @@
     CutAnswers fleet;
     for (const int events : {5, 2}) { // more follow, or it was whole
         fleet.second.setStreams(events, 0);
-        fleet.mixUpstreams(kHead + "\r\n" + kEvents);
+        fleet.mixUpstreams(std::string(kHead).append("\r\n").append(kEvents));
         const HttpAnswer answer = fleet.callPlayed({"/stream/", "GET", true});
         CHECK(answer.status == 200);
         CHECK(answer.isComplete);
@@ -277,12 +277,13 @@
                 REQUIRE(Fleet::waitFor([&] {
                     const int before = fleet.played();
                     const std::string id = fleet.nextId();
-                    answer = rawCall(fleet.host(fleet.node()) + ":8080",
-                                     form.name + " " + path + id
-                                         + " HTTP/1.1\r\nHost: a.example\r\nConnection: "
-                                           "close\r\nCredential: key-t\r\nRequest-Deadline: "
-                                           "4000\r\nRequest-Id: "
-                                         + id + "\r\n\r\n");
+                    std::string request = form.name;
+                    request.append(" ").append(path).append(id);
+                    request.append(" HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+                                   "Credential: key-t\r\nRequest-Deadline: 4000\r\n"
+                                   "Request-Id: ");
+                    request.append(id).append("\r\n\r\n");
+                    answer = rawCall(fleet.host(fleet.node()) + ":8080", request);
                     return fleet.played() > before;
                 }));
                 CAPTURE(answer);
