Streams: an event whose id does not rise is withheld, and its run has failed

Callers saw events twice where an upstream began a stream anew although it was asked to continue it, within an answer or for a caller that took the stream up, and where an upstream sent an event twice.

Cause: nothing compared ids. EventSplitter passed on all complete events, and the last id served the next request only. Streams without ids were begun anew from their first event after a break. An event that ended with LF and CRLF was not seen to end.

EventSplitter knows the last event that the caller has, from this answer or from Last-Event-Id, and withholds the first event at or below it and all that follow in that run. The attempt counts as a cut answer, so CallPlan decides about another upstream; the upstream counts as having answered with an error. In a resumed run data without an id is withheld as well, as nothing tells whether the caller has it, and a stream is not resumed after such data. Ids may have gaps. An id that is not a number as a whole is none.

--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -41,6 +41,8 @@
         return;
     }
     m_plan = CallPlan(m_call.terms);
+    if (continuesStream(m_call, m_caller) && m_caller.resumeFrom)
+        m_eventSplitter.continueAfter(*m_caller.resumeFrom);
     startDeadlineTimer();
     if (continuesStream(m_call, m_caller))
         continueStream();
@@ -401,8 +403,7 @@
 
 void CallHandler::recordResumption()
 {
-    const std::uint64_t lastEvent
-        = m_eventSplitter.lastId().value_or(m_caller.resumeFrom.value_or(0));
+    const std::uint64_t lastEvent = m_eventSplitter.lastId().value_or(0);
     m_state.metrics().count(m_streamStarted ? "fordwood_streams_resumed_by_node_total"
                                             : "fordwood_streams_resumed_by_caller_total");
     const std::string &firstAttempt
@@ -453,9 +454,9 @@
 
 void CallHandler::handleFailure(const FailedAttempt &failure)
 {
-    m_eventSplitter.dropPartialEvent();
+    m_eventSplitter.endRun();
     // A part of this upstream's answer is with the caller, and no other upstream can continue it.
-    if (m_isPassedThrough) {
+    if (m_isPassedThrough || !m_eventSplitter.canContinue()) {
         m_writer.abort();
         finish("cut", 0);
         return;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -116,6 +116,7 @@
     // `isComplete`: its body has been read to the end.
     void handleRejection(bool isComplete);
     bool forwardEvents(std::string_view bytes);
+    void onEventOutOfOrder();
     bool skipRejectionBody(std::size_t n);
     bool collectBody(std::string_view bytes);
     bool beginPassThrough();
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -129,12 +129,28 @@
         handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
         return false;
     }
-    if (events.empty())
-        return true;
-    if (!m_streamStarted)
-        beginStream();
-    recordEvent();
-    return m_writer.sendChunk(events);
+    bool wantsMore = true;
+    if (!events.empty()) {
+        if (!m_streamStarted)
+            beginStream();
+        recordEvent();
+        wantsMore = m_writer.sendChunk(events);
+    }
+    if (!m_eventSplitter.isOutOfOrder())
+        return wantsMore;
+    onEventOutOfOrder();
+    return false;
+}
+
+// The upstream has begun anew, or has sent an event twice. What follows does not fit to what the
+// caller has; another upstream may continue the stream.
+void CallHandler::onEventOutOfOrder()
+{
+    logStreamOrderBroken({m_caller.requestId, m_attempt->upstream.instanceId,
+                          m_eventSplitter.lastId().value_or(0), m_eventSplitter.outOfOrderId()});
+    m_state.health().answeredWithError(m_attempt->upstream.instanceId);
+    endAttempt(false);
+    handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
 }
 
 void CallHandler::recordEvent()
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -85,6 +85,15 @@
                                     {"software", resumption.software}});
 }
 
+void logStreamOrderBroken(const StreamDisorder &disorder)
+{
+    logEvent(Event::StreamOrderBroken,
+             {{"request", disorder.request},
+              {"upstream", disorder.upstream},
+              {"last_event", disorder.lastEvent},
+              {"found", disorder.found ? std::to_string(*disorder.found) : ""}});
+}
+
 void logCallSummary(const CallSummary &end)
 {
     constexpr std::int64_t kNoEvent = -1;
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -58,6 +58,18 @@
     std::string software; // version of the upstream's software
 };
 
+// An upstream has sent an event whose id does not rise.
+struct StreamDisorder
+{
+    std::string request; // request id
+    std::string upstream;
+    std::uint64_t lastEvent = 0; // that the caller has
+    std::optional<std::uint64_t> found; // id of the event; nullopt: it has none
+};
+
+// Logs the event StreamOrderBroken.
+void logStreamOrderBroken(const StreamDisorder &disorder);
+
 // Logs the event StreamResumed.
 void logStreamResumption(const StreamResumption &resumption);
 
--- a/tests/unit/serving_parts_test.cpp
+++ b/tests/unit/serving_parts_test.cpp
@@ -172,7 +172,7 @@
     CHECK_FALSE(events.lastId());
     CHECK(events.add("\n\nid: 2\ndata: b\n\nid: 3\n") == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     CHECK(events.lastId() == 2);
-    events.dropPartialEvent(); // the stream broke in the middle of an event
+    events.endRun(); // the stream broke in the middle of an event
     CHECK(events.add("id: 3\r\ndata: c\r\n\r\n") == "id: 3\r\ndata: c\r\n\r\n");
     CHECK(events.lastId() == 3);
     CHECK_FALSE(events.hasPartialEvent());
@@ -192,6 +192,73 @@
     }
 }
 
+TEST_CASE(
+    "event splitter: events whose ids do not rise are withheld, wherever the bytes are divided "
+    "[streams]")
+{
+    struct Case
+    {
+        std::string run; // of a stream that continues after event 3
+        std::string passed;
+        bool isOutOfOrder;
+    };
+    const std::vector<Case> cases{
+        {"id: 4\ndata: d\n\nid: 5\ndata: e\n\n", "id: 4\ndata: d\n\nid: 5\ndata: e\n\n", false},
+        {"id: 9\ndata: gaps are allowed\n\n", "id: 9\ndata: gaps are allowed\n\n", false},
+        {"id: 1\ndata: a\n\nid: 4\ndata: d\n\n", "", true},
+        {"id: 4\ndata: d\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n", "id: 4\ndata: d\n\n", true},
+        {"id:4\r\ndata:d\r\n\r\nid:3\r\n\r\n", "id:4\r\ndata:d\r\n\r\n", true},
+        {"id: 4\ndata: d\n\r\nid: 2\r\n\n", "id: 4\ndata: d\n\r\n", true},
+        {"id: 2\nid: 4\ndata: the last id counts\n\n", "id: 2\nid: 4\ndata: the last id counts\n\n",
+         false},
+        {": comment\n\nretry: 5\n\n", ": comment\n\nretry: 5\n\n", false},
+        {"versions: 2\nid: 4\ndata: d\n\n", "versions: 2\nid: 4\ndata: d\n\n", false},
+        {"data: no id\n\n", "", true},
+        {"id: x4\ndata: no number\n\n", "", true},
+        {"id: 4x\ndata: no number\n\n", "", true},
+        {"id\ndata: empty\n\n", "", true}};
+    for (const Case &it : cases) {
+        CAPTURE(it.run);
+        for (std::size_t size = 1; size <= it.run.size(); ++size) {
+            EventSplitter events;
+            events.continueAfter(3);
+            std::string passed;
+            for (std::size_t at = 0; at < it.run.size(); at += size)
+                passed += events.add(std::string_view(it.run).substr(at, size));
+            CHECK(passed == it.passed);
+            CHECK(events.isOutOfOrder() == it.isOutOfOrder);
+            CHECK(events.canContinue());
+        }
+    }
+}
+
+TEST_CASE("event splitter: the last id is that of the last event that was returned [streams]")
+{
+    EventSplitter events;
+    CHECK(events.add("id: 1\ndata: a\n\nid: 1\ndata: a\n\nid: 2\n") == "id: 1\ndata: a\n\n");
+    CHECK(events.outOfOrderId() == 1);
+    CHECK(events.add("data: b\n\n").empty());
+    CHECK(events.lastId() == 1);
+    events.endRun();
+    CHECK_FALSE(events.isOutOfOrder());
+    CHECK(events.add("id: 2\ndata: b\n\nid: 3\nda") == "id: 2\ndata: b\n\n");
+    CHECK(events.lastId() == 2);
+    events.endRun();
+    CHECK_FALSE(events.hasPartialEvent());
+    CHECK(events.add("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("event splitter: a stream cannot be continued after data without an id [streams]")
+{
+    EventSplitter events;
+    CHECK(events.add("data: a\n\n") == "data: a\n\n");
+    CHECK_FALSE(events.canContinue());
+    CHECK(events.add("id: 1\ndata: b\n\n") == "id: 1\ndata: b\n\n");
+    CHECK(events.canContinue());
+    CHECK(events.add(": comment\n\n") == ": comment\n\n");
+    CHECK(events.canContinue());
+}
+
 TEST_CASE("events: an event that is too long is detected [streams]")
 {
     EventSplitter events;
