Streams: a failure in place of a resumed stream puts no second head into the answer

A caller's stream broke off for good: an upstream that was to continue it answered 500 with more than the buffers hold.

Cause, by reading: such a body was collected like that of an answer of its own, and one above the limit is passed on before it is complete, with its head, into the stream that had begun.

Now it gets 1 to 6, whole.

Once a stream has begun, the body of an answer that does not continue it is skipped like that of a rejection. Beyond 65,536 bytes the attempt ends at once.

--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -117,7 +117,7 @@
     void handleRejection(bool isComplete);
     bool forwardEvents(std::string_view bytes);
     void onEventOutOfOrder();
-    bool skipRejectionBody(std::size_t n);
+    bool skipBody(std::size_t n);
     bool collectBody(std::string_view bytes);
     bool beginPassThrough();
     void endPassThrough();
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -21,8 +21,8 @@
 
 constexpr unsigned kFirstServerError = 500;
 
-// The body of a rejection is read only so that its channel can be used again.
-constexpr std::size_t kMaxRejectionBody = 65'536;
+// A body that no caller gets is read only so that its channel can be used again.
+constexpr std::size_t kMaxSkippedBody = 65'536;
 
 bool isSuccess(unsigned status)
 {
@@ -72,18 +72,26 @@
     if (isStreamed() && !m_attempt->head.hasNotRun)
         return forwardEvents(bytes);
     if (m_attempt->head.hasNotRun) // the caller gets another answer
-        return skipRejectionBody(bytes.size());
+        return skipBody(bytes.size());
     if (m_isPassedThrough)
         return m_writer.sendChunk(bytes);
+    if (m_streamStarted) // the stream was not resumed
+        return skipBody(bytes.size());
     return collectBody(bytes);
 }
 
-bool CallHandler::skipRejectionBody(std::size_t n)
+bool CallHandler::skipBody(std::size_t n)
 {
     m_attempt->skippedBytes += n;
-    if (m_attempt->skippedBytes <= kMaxRejectionBody)
+    if (m_attempt->skippedBytes <= kMaxSkippedBody)
         return true;
-    handleRejection(false);
+    if (m_attempt->head.hasNotRun) {
+        handleRejection(false);
+        return false;
+    }
+    m_state.health().answeredWithError(m_attempt->upstream.instanceId);
+    endAttempt(false);
+    handleFailure({RunState::MayHaveRun, Reason::UpstreamBroke, m_streamStarted});
     return false;
 }
 
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -39,7 +39,7 @@
     platform::AnswerHead head;
     std::optional<http::response_header<>> answer;
     std::string body; // of an answer that is not streamed
-    std::size_t skippedBytes = 0; // of the body of a rejection
+    std::size_t skippedBytes = 0; // of a body that no caller gets
 };
 
 } // namespace fordwood::node
--- a/tests/process/stream_order_test.cpp
+++ b/tests/process/stream_order_test.cpp
@@ -150,3 +150,20 @@
     CHECK(answer.body == "data: a\n\ndata: b\n\n");
     CHECK_FALSE(answer.isComplete);
 }
+
+// Guards against the head of a failure in the middle of a stream: a body over the buffers' limit
+// is passed on before it is complete.
+TEST_CASE("stream order: an upstream that is to continue a stream fails with a large answer [node]"
+          "[streams]")
+{
+    constexpr std::size_t kBodyBytes = 200'000; // above the limit of a channel
+    ScriptedFleet fleet({breakOffAfterThree,
+                         [](int) {
+                             return Run{{std::string(kBodyBytes, 'e')}, {}, false, 500};
+                         },
+                         goOn});
+    const HttpAnswer answer = fleet.call("GET", "/stream/1", "r-1");
+    CHECK(answer.body.find("eee") == std::string::npos);
+    CHECK(idsOf(answer.body) == "1,2,3,4,5,6");
+    CHECK(answer.isComplete);
+}
