Two daemons: half an event at the end of a stream is not joined to the next engine's first event

A caller lost a token and got an event that is no JSON: an engine's answer ended, according to its framing, in the middle of an event, and the stream went on at another engine.

Cause: at the end of a transfer the bytes after the last complete event were forwarded, and counted as an event, before it was asked whether the stream had its closing event. The next engine went on behind them.

Now w1 to w6 and the end arrive once each. The stand-in engine has a new fault, end_in_event, for it.

It is asked first, over the forwarded bytes and the rest; the rest of a stream that broke off is dropped.

--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -114,7 +114,7 @@
     {
         const auto [call, attempt] = key();
         Exchange &exchange = *m_attempt.exchange;
-        if (ec == CURLE_OK && !m_failure && beginAnswer() && forwardRest() && isStreamComplete()) {
+        if (ec == CURLE_OK && !m_failure && beginAnswer() && isStreamComplete() && forwardRest()) {
             exchange.finish(attempt);
             return m_client.m_listener.attemptFinished(call, attempt, m_cost, storedAnswer());
         }
@@ -274,7 +274,8 @@
         return end;
     }
 
-    // At the end of an answer, forwards the bytes after the last complete event.
+    // At the end of a complete answer, forwards the bytes after the last complete event. Those of a
+    // stream that broke off are dropped, as another engine sends the event anew.
     bool forwardRest()
     {
         return m_partialEvent.empty()
@@ -360,7 +361,7 @@
     bool isStreamComplete() const
     {
         return !m_head.isStream || m_head.status >= 400
-               || m_tail.find(kStreamEndEvent) != std::string::npos;
+               || (m_tail + m_partialEvent).find(kStreamEndEvent) != std::string::npos;
     }
 
     AttemptFailure failureOf(CURLcode ec) const
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include <nlohmann/json.hpp>
@@ -234,6 +235,33 @@
     CHECK(fleet.metric(0, "fordwood_resumed_streams_total") == 1);
 }
 
+// Guards against a token that is lost in the half of an event before it.
+TEST_CASE("path: a stream that ends in the middle of an event resumes at another engine with whole "
+          "events [whole]")
+{
+    FleetSize size{1, 3, 1, 4, {}, ""};
+    size.resumes = true;
+    Fleet fleet(size);
+    fleet.start();
+    for (int it = 0; it < 3; ++it)
+        httpCall("PUT", "http://" + fleet.engineAddress(it) + "/faults", R"({"end_in_event": 3})");
+    const auto answer = httpCall("POST", fleet.caller(0) + "/v1/chat/completions",
+                                 completion(true, 8), {Fleet::bearer()});
+    CHECK(answer.isComplete);
+    std::string tokens;
+    std::istringstream lines(answer.body);
+    for (std::string line; std::getline(lines, line);) {
+        const Json event = line.starts_with("data: {") ? Json::parse(line.substr(6), nullptr, false)
+                                                       : Json::object();
+        CHECK_MESSAGE(!event.is_discarded(), line);
+        if (event.contains("choices"))
+            tokens += event["choices"][0]["delta"]["content"].get<std::string>();
+    }
+    CHECK(tokens.ends_with("w1 w2 w3 w4 w5 w6 end"));
+    CHECK(answer.body.ends_with("data: [DONE]\n\n"));
+    CHECK(fleet.metric(0, "fordwood_resumed_streams_total") == 1);
+}
+
 TEST_CASE("path: new weights are loaded while requests run, and no request is lost [weights]")
 {
     Fleet fleet({3, 4, 3, 8, {"token_ms=5", "load_ms=300"}, ""});
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -8,9 +8,11 @@
 //
 // POST /v1/chat/completions, /v1/completions (headers X-Weight-Version, X-Priority, X-Resume-From)
 // GET /load, /events?since=N, /stats; GET /kv?salt=S&blocks=N, PUT /kv; POST /orders {"fence",
-// "version"}; PUT /faults {"cut_after_tokens": n, "hang": bool, "slow": factor, "refuse": n}.
-// Usage: standin-engine ADDRESS [key=value ...] with slots, queue, prefill_rate, token_ms,
-// cache_blocks, model, version, load_ms, checks_fences, load_lag_ms, event_lag_ms
+// "version"}; PUT /faults {"cut_after_tokens": n, "end_in_event": n, "hang": bool, "slow": factor,
+// "refuse": n}. With end_in_event, a stream that is not a resumed one ends in the middle of the
+// event after n tokens, as if it were whole. Usage: standin-engine ADDRESS [key=value ...] with
+// slots, queue, prefill_rate, token_ms, cache_blocks, model, version, load_ms, checks_fences,
+// load_lag_ms, event_lag_ms
 #include <condition_variable>
 #include <cstdlib>
 #include <deque>
@@ -147,6 +149,8 @@
         std::size_t uncached = 0;
         bool chat = false;
         bool stream = false;
+        bool isResumed = false;
+        bool hasEndedInEvent = false;
     };
 
     static Answer status(int code, const std::string &text)
@@ -210,6 +214,7 @@
         run->id = request.header("X-Request-Id");
         run->tokens = body.value("max_tokens", std::size_t{16});
         run->next = static_cast<std::size_t>(std::atoi(request.header("X-Resume-From").c_str()));
+        run->isResumed = run->next > 0;
         run->chat = chat;
         run->stream = body.value("stream", false);
         prefill(*run, hashes);
@@ -328,7 +333,7 @@
             return "";
         }
         const bool ended = run.next > run.tokens;
-        if (ended || (cut && run.next >= cutAfter())) {
+        if (ended || run.hasEndedInEvent || (cut && run.next >= cutAfter())) {
             leaveSlot();
             return "";
         }
@@ -343,7 +348,16 @@
         Json event{{"choices", Json::array({choice})}};
         if (run.next == run.tokens)
             event["usage"] = {{"uncached_tokens", run.uncached}, {"completion_tokens", run.tokens}};
-        return "data: " + event.dump() + "\n\n";
+        const std::string whole = "data: " + event.dump() + "\n\n";
+        run.hasEndedInEvent = !run.isResumed && run.next == endInEvent() + 1;
+        return run.hasEndedInEvent ? whole.substr(0, whole.size() / 2) : whole;
+    }
+
+    // The number of tokens after which a stream ends in the middle of an event; too large: none.
+    std::size_t endInEvent()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_endInEvent > 0 ? m_endInEvent : SIZE_MAX - 1;
     }
 
     std::size_t cutAfter()
@@ -465,6 +479,7 @@
             return status(400, "expected an object");
         const std::lock_guard lock(m_mutex);
         m_cutAfterTokens = body.value("cut_after_tokens", m_cutAfterTokens);
+        m_endInEvent = body.value("end_in_event", m_endInEvent);
         m_hang = body.value("hang", m_hang);
         m_slow = body.value("slow", m_slow);
         m_refuse = body.value("refuse", m_refuse);
@@ -490,6 +505,7 @@
     std::size_t m_uncachedTokens = 0;
     std::size_t m_cancelled = 0;
     std::size_t m_cutAfterTokens = 0;
+    std::size_t m_endInEvent = 0;
     std::size_t m_refuse = 0;
     double m_slow = 1;
     bool m_hang = false;
