Streams: data without an id is withheld only until a resumed run has shown where it continues

After the first id of a resumed run that is above the last event of the caller, its place in the stream is known, so data without an id behind it is new: a closing event without an id does not fail the run.

--- a/include/fordwood/event_splitter.hpp
+++ b/include/fordwood/event_splitter.hpp
@@ -31,8 +31,8 @@
     // nothing before that.
     const std::optional<std::uint64_t> &lastId() const { return m_lastId; }
 
-    // Whether an event is withheld because its id does not rise, or, in a resumed run, because
-    // nothing tells whether the caller has it.
+    // Whether an event is withheld because its id does not rise, or because it has data and comes
+    // before the first id of a resumed run: nothing tells whether the caller has it.
     bool isOutOfOrder() const { return m_isOutOfOrder; }
 
     // The id of the withheld event that does not rise; nothing if it has none.
@@ -59,7 +59,7 @@
     std::size_t m_completeBytes = 0; // bytes of m_bytes in complete events at the last add()
     std::optional<std::uint64_t> m_lastId;
     std::optional<std::uint64_t> m_outOfOrderId;
-    bool m_isResumed = false; // the caller has events of an earlier run
+    bool m_awaitsId = false; // in a resumed run that has not shown yet where it continues
     bool m_isOutOfOrder = false;
     bool m_hasUnnumbered = false; // data without an id was returned after the last id
 };
--- a/src/core/event_splitter.cpp
+++ b/src/core/event_splitter.cpp
@@ -67,7 +67,7 @@
 void EventSplitter::continueAfter(std::uint64_t id)
 {
     m_lastId = id;
-    m_isResumed = true;
+    m_awaitsId = true;
 }
 
 std::string_view EventSplitter::add(std::string_view bytes)
@@ -89,7 +89,7 @@
     m_completeBytes = 0;
     m_isOutOfOrder = false;
     m_outOfOrderId.reset();
-    m_isResumed = m_isResumed || m_lastId.has_value() || m_hasUnnumbered;
+    m_awaitsId = m_awaitsId || m_lastId.has_value() || m_hasUnnumbered;
 }
 
 // The size of those events that may be passed on.
@@ -124,7 +124,7 @@
         hasData = hasData || fieldValue(line, "data:").has_value();
     }
     if (!id) {
-        const bool mayBeRepeated = hasData && m_isResumed;
+        const bool mayBeRepeated = hasData && m_awaitsId;
         m_hasUnnumbered = m_hasUnnumbered || (hasData && !mayBeRepeated);
         return !mayBeRepeated;
     }
@@ -134,6 +134,7 @@
     }
     m_lastId = id;
     m_hasUnnumbered = false;
+    m_awaitsId = false;
     return true;
 }
 
--- a/tests/unit/serving_parts_test.cpp
+++ b/tests/unit/serving_parts_test.cpp
@@ -257,6 +257,10 @@
     CHECK(events.canContinue());
     CHECK(events.add(": comment\n\n") == ": comment\n\n");
     CHECK(events.canContinue());
+    events.endRun();
+    // After the first id of a resumed run, its place in the stream is known.
+    CHECK(events.add("id: 2\ndata: c\n\ndata: d\n\n") == "id: 2\ndata: c\n\ndata: d\n\n");
+    CHECK_FALSE(events.canContinue());
 }
 
 TEST_CASE("events: an event that is too long is detected [streams]")
