--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -118,8 +118,8 @@
     {
         const auto [call, attempt] = key();
         Exchange &exchange = *m_attempt.exchange;
-        if (ec == CURLE_OK && !m_failure && isAnswerWhole() && beginAnswer() && forwardRest()
-            && isStreamComplete()) {
+        if (ec == CURLE_OK && !m_failure && isAnswerWhole() && beginAnswer() && isStreamComplete()
+            && forwardRest()) {
             exchange.finish(attempt);
             return m_client.m_listener.attemptFinished(call, attempt, m_cost, storedAnswer());
         }
@@ -288,7 +288,8 @@
         return end;
     }
 
-    // At the end of an answer, forwards the bytes after the last complete event.
+    // At the end of a complete answer, forwards the bytes after the last complete event. Those of a
+    // stream that broke off are dropped, as another engine sends the event anew.
     bool forwardRest()
     {
         return m_partialEvent.empty()
@@ -382,9 +383,7 @@
         if (m_isFramed || status >= kFirstOtherStatus || status == kNoContent
             || m_attempt.exchange->request().method == "HEAD")
             return true;
-        const bool isWhole
-            = m_hasBody
-              && (isStreamComplete() || m_partialEvent.find(kStreamEndEvent) != std::string::npos);
+        const bool isWhole = m_hasBody && isStreamComplete();
         logEvent(Event::AnswerUnframed, {{"call", m_attempt.send.call},
                                          {"upstream", m_attempt.send.address},
                                          {"status", status},
@@ -396,7 +395,7 @@
     bool isStreamComplete() const
     {
         return !m_head.isStream || m_head.status >= 400
-               || m_tail.find(kStreamEndEvent) != std::string::npos;
+               || (m_tail + m_partialEvent).find(kStreamEndEvent) != std::string::npos;
     }
 
     AttemptFailure failureOf(CURLcode ec) const
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -125,7 +125,8 @@
     // `isComplete`: its body has been read to the end.
     void handleRejection(bool isComplete);
     bool forwardEvents(std::string_view bytes);
-    bool skipRejectionBody(std::size_t n);
+    void onEventOutOfOrder();
+    bool skipBody(std::size_t n);
     bool collectBody(std::string_view bytes);
     bool beginPassThrough();
     void endPassThrough();
