--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -42,8 +42,6 @@
         return;
     }
     m_plan = CallPlan(m_call.terms);
-    if (continuesStream(m_call, m_caller) && m_caller.resumeFrom)
-        m_eventSplitter.continueAfter(*m_caller.resumeFrom);
     startDeadlineTimer();
     if (continuesStream(m_call, m_caller))
         continueStream();
@@ -54,6 +52,8 @@
 // The caller has a part of the stream, which can go on only where it began.
 void CallHandler::continueStream()
 {
+    if (m_caller.resumeFrom)
+        m_eventSplitter.continueAfter(*m_caller.resumeFrom);
     m_state.checkForStall();
     m_state.upstreams().versions().extendStreamLifetime(m_call.callerDeadline - m_arrived);
     if (m_caller.firstAttempt.empty())
