Planned stops: events and metrics that tell what cuts a request

A request that is open at the end of a planned stop left no line and counted nowhere, and nothing told when the signal was taken, when the serving thread heard of it, and whether it had processor time.

Event 109 tells how long the signal may have waited, from checks every 100 ms, and how long the serving thread took to hear of it. Event 110 tells what was taken, rejected and cut, and the longest pause of the thread. Event 412 and fordwood_requests_cut_by_stop_total tell each request that is cut: when it came, how long it ran, and since when its upstream has been silent. What callers get does not change.

--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
-#include <atomic>
+#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -34,14 +35,35 @@
     return settings;
 }
 
-// Waits for SIGTERM or SIGINT and returns it. On SIGHUP, reloads the settings.
-int waitForStop(const sigset_t &signals, const std::string &path, node::ControlLoop &control)
+// How often the process makes sure that no signal is pending. Tells how long one may have been when
+// it is taken, as a process without processor time takes none.
+constexpr std::chrono::milliseconds kSignalCheckInterval{100};
+
+// Waits for one of the signals, for at most `timeout`, and returns it; -1: none has come.
+int waitForSignal(const sigset_t &signals, std::chrono::nanoseconds timeout)
+{
+    const timespec time{0, static_cast<long>(timeout.count())};
+    return sigtimedwait(&signals, nullptr, &time);
+}
+
+// Waits for SIGTERM or SIGINT, which starts the stop that is returned. On SIGHUP, reloads the
+// settings.
+node::StopStarted waitForStop(const sigset_t &signals, const std::string &path, const Clock &clock,
+                              node::ControlLoop &control)
 {
+    TimePoint lastWithoutSignal = clock.now();
     for (;;) {
-        int signal = 0;
-        sigwait(&signals, &signal);
-        if (signal != SIGHUP)
-            return signal;
+        const TimePoint start = clock.now();
+        const int signal = waitForSignal(signals, kSignalCheckInterval);
+        if (signal == SIGTERM || signal == SIGINT) {
+            logEvent(Event::Stopping, {{"signal", signal}});
+            return {lastWithoutSignal, clock.now()};
+        }
+        if (signal != SIGHUP) {
+            if (errno == EAGAIN)
+                lastWithoutSignal = start + kSignalCheckInterval;
+            continue;
+        }
         if (const auto settings = readSettings(path)) {
             control.reload(*settings);
             logEvent(Event::SettingsReloaded);
@@ -83,8 +105,7 @@
         logEvent(Event::NoPlacementAddress);
     std::thread controlThread([&] { control.run(); });
     std::thread servingThread([&] { serving.run(); });
-    logEvent(Event::Stopping, {{"signal", waitForStop(signals, path, control)}});
-    control.beginStop();
+    control.beginStop(waitForStop(signals, path, clock, control));
     servingThread.join();
     control.finishStop();
     std::this_thread::sleep_for(kFinalSendTime);
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -37,7 +37,9 @@
 
 void CallHandler::start()
 {
-    if (const auto refused = admit()) {
+    const auto refused = admit();
+    m_state.countDuringStop(refused.has_value());
+    if (refused) {
         rejectWith(Verdict::of(*refused, {}, kRetryAfter));
         return;
     }
@@ -573,6 +575,37 @@
     finish(info(Reason::CallerLeft).name, 0);
 }
 
+void CallHandler::onStopEnd()
+{
+    if (m_isFinished)
+        return;
+    logStopEnd();
+    m_state.countCutByStop();
+    endAttempt(false);
+    finish("cut-stop", 0);
+}
+
+void CallHandler::logStopEnd() const
+{
+    const TimePoint now = m_state.clock().now();
+    RequestCut cut;
+    cut.request = m_caller.requestId;
+    cut.route = m_call.route != nullptr ? m_call.route->name : "";
+    cut.mayRunAgain = m_plan.policy().mayRunAgain;
+    cut.upstream = m_lastUpstream;
+    cut.eventsPassed = m_eventSplitter.lastId().value_or(0);
+    cut.elapsed = now - m_arrived;
+    cut.arrived = m_state.timeSinceStop() - cut.elapsed;
+    if (m_attempt && m_attempt->isOpen) {
+        cut.isSent = m_attempt->sent;
+        if (m_attempt->startedAt != TimePoint{})
+            cut.attemptElapsed = now - m_attempt->startedAt;
+        if (m_attempt->sent)
+            cut.silence = now - m_attempt->lastDataAt;
+    }
+    logRequestCut(cut);
+}
+
 void CallHandler::finish(std::string_view outcome, unsigned status)
 {
     m_isFinished = true;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -48,6 +48,9 @@
     // The caller has closed its connection.
     void onCallerDisconnect();
 
+    // The planned stop of this node ends while the request is open.
+    void onStopEnd();
+
     // The caller has caught up with the stream and can receive more.
     void onCallerReady();
 
@@ -89,6 +92,7 @@
     void startAttempt();
     std::optional<QuarantineGate::Hold> findHold();
     void rejectQuarantined(const QuarantineGate::Hold &hold);
+    void logStopEnd() const;
     void recordDisconnect();
     void recordAnswered();
     void recordUnanswered();
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -115,6 +115,20 @@
               {"found", disorder.found ? std::to_string(*disorder.found) : ""}});
 }
 
+void logRequestCut(const RequestCut &cut)
+{
+    logEvent(Event::RequestCutByStop, {{"request", cut.request},
+                                       {"route", cut.route},
+                                       {"may_run_again", cut.mayRunAgain},
+                                       {"upstream", cut.upstream},
+                                       {"sent", cut.isSent},
+                                       {"events_passed", cut.eventsPassed},
+                                       {"arrived_ms", inMilliseconds(cut.arrived)},
+                                       {"ms", inMilliseconds(cut.elapsed)},
+                                       {"attempt_ms", inMilliseconds(cut.attemptElapsed)},
+                                       {"silent_ms", inMilliseconds(cut.silence)}});
+}
+
 void logCallSummary(const CallSummary &end)
 {
     constexpr std::int64_t kNoEvent = -1;
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -94,6 +94,24 @@
     std::optional<std::uint64_t> found; // id of the event; nullopt: it has none
 };
 
+// A request that was still open at the end of a planned stop.
+struct RequestCut
+{
+    std::string request; // request id
+    std::string route;
+    bool mayRunAgain = false;
+    std::string upstream; // of the last attempt; empty: none was made
+    bool isSent = false; // to that upstream
+    std::uint64_t eventsPassed = 0; // id of the last event that was passed on
+    Duration arrived{}; // time from the signal to its arrival; negative: it arrived before
+    Duration elapsed{}; // since its arrival
+    Duration attemptElapsed{}; // since the upstream was chosen; zero: no attempt is open
+    Duration silence{}; // since the upstream last sent something; zero: nothing was sent to it
+};
+
+// Logs the event RequestCutByStop.
+void logRequestCut(const RequestCut &cut);
+
 // Logs the event StreamOrderBroken.
 void logStreamOrderBroken(const StreamDisorder &disorder);
 
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -386,6 +386,12 @@
         lingeringClose();
 }
 
+void CallerSession::endForStop()
+{
+    if (m_call)
+        m_call->onStopEnd();
+}
+
 void CallerSession::lingeringClose()
 {
     if (m_isClosed || m_isClosing)
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -35,6 +35,9 @@
     // answer.
     void closeWhenIdle();
 
+    // The planned stop ends: ends the request that is open, if there is one.
+    void endForStop();
+
     // Closes the connection if the caller has read nothing of its answer for too long.
     void closeIfUnread();
 
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -166,12 +166,12 @@
     m_context.stop();
 }
 
-void ControlLoop::beginStop()
+void ControlLoop::beginStop(const StopStarted &stop)
 {
-    net::post(m_context, [this] {
+    net::post(m_context, [this, stop] {
         m_isStopping = true;
         m_rolloutExecutor.release();
-        publish(StopStarted{});
+        publish(stop);
     });
 }
 
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -65,7 +65,7 @@
 
     // The following functions may be called from any thread.
     void stop();
-    void beginStop();
+    void beginStop(const StopStarted &stop);
     // Removes the node's key from the store and announces to peers that the node leaves. Call it
     // shortly before stop().
     void finishStop();
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -165,7 +165,10 @@
 
 // The planned stop has started.
 struct StopStarted
-{ };
+{
+    TimePoint signalledAt{}; // the earliest time at which the signal may have been sent
+    TimePoint takenAt{}; // when this process took it
+};
 
 using FleetUpdate
     = std::variant<ConfigApplied, UpstreamRecordWritten, UpstreamRecordRemoved, DomainEvacuated,
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -277,10 +277,13 @@
                        {{"fingerprint", part.text()}, {"part", partId}});
 }
 
-void NodeState::apply(const StopStarted &)
+void NodeState::apply(const StopStarted &update)
 {
     m_stopStartedAt = m_clock.now();
     m_paths.startStop();
+    adapters::logEvent(adapters::Event::StopHeard,
+                       {{"signal_ms", update.takenAt - update.signalledAt},
+                        {"heard_ms", *m_stopStartedAt - update.takenAt}});
 }
 
 Duration NodeState::timeSinceStop() const
@@ -288,6 +291,19 @@
     return m_stopStartedAt ? m_clock.now() - *m_stopStartedAt : Duration::zero();
 }
 
+void NodeState::countDuringStop(bool isRejected)
+{
+    if (!isStopping())
+        return;
+    (isRejected ? m_stopCounts.rejected : m_stopCounts.taken) += 1;
+}
+
+void NodeState::countCutByStop()
+{
+    m_stopCounts.cut += 1;
+    m_metrics.count("fordwood_requests_cut_by_stop_total");
+}
+
 TimePoint NodeState::stopDeadline() const
 {
     return m_stopStartedAt.value_or(m_clock.now()) + m_settings.bounds.stopWithin - kStopReserve;
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -181,6 +181,17 @@
     // The time since a planned stop started; zero: none has.
     Duration timeSinceStop() const;
 
+    // For the summary of the planned stop: requests that were taken, rejected and cut in it.
+    struct StopCounts
+    {
+        std::size_t taken = 0;
+        std::size_t rejected = 0;
+        std::size_t cut = 0;
+    };
+    const StopCounts &stopCounts() const { return m_stopCounts; }
+    void countDuringStop(bool isRejected);
+    void countCutByStop();
+
     // The latest end of the planned stop that has started.
     TimePoint stopDeadline() const;
     const config::OneProcessSettings &settings() const { return m_settings; }
@@ -289,6 +300,7 @@
     std::optional<TimePoint> m_stallEndedAt;
     std::size_t m_liveNodes = 1;
     std::optional<TimePoint> m_stopStartedAt;
+    StopCounts m_stopCounts;
     std::function<void()> m_onLoadReportRequest;
     std::function<void()> m_onQuarantineUpdates = [] {};
 };
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "node/serving_loop.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "adapters/observe/event_log.hpp"
 
 namespace fordwood::node {
@@ -84,8 +87,11 @@
     m_metrics.setGauge("fordwood_proxied_connections",
                        static_cast<double>(m_proxy.openConnections()));
     closeUnreadAnswers();
-    if (m_state.isStopping())
-        continueStop();
+    const TimePoint lastTickAt = std::exchange(m_lastTickAt, m_clock.now());
+    if (!m_state.isStopping())
+        return;
+    m_longestTickPause = std::max(m_longestTickPause, m_lastTickAt - lastTickAt);
+    continueStop();
 }
 
 void ServingLoop::closeUnreadAnswers()
@@ -115,7 +121,7 @@
 void ServingLoop::continueStop()
 {
     if (m_clock.now() >= m_state.stopDeadline()) {
-        m_context.stop();
+        endStop();
         return;
     }
     if (m_state.timeSinceStop() < kOutOfRotationAfter)
@@ -128,7 +134,22 @@
             session->closeWhenIdle();
     }
     if (m_sessions.empty() && m_proxy.openConnections() == 0)
-        m_context.stop();
+        endStop();
+}
+
+void ServingLoop::endStop()
+{
+    for (const auto &[key, session] : m_sessions)
+        session->endForStop();
+    const NodeState::StopCounts &counts = m_state.stopCounts();
+    logEvent(Event::StopEnded, {{"ms", m_state.timeSinceStop()},
+                                {"taken", counts.taken},
+                                {"rejected", counts.rejected},
+                                {"cut", counts.cut},
+                                {"connections", m_sessions.size()},
+                                {"proxied", m_proxy.openConnections()},
+                                {"longest_pause_ms", m_longestTickPause}});
+    m_context.stop();
 }
 
 } // namespace fordwood::node
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -45,6 +45,7 @@
     void tick();
     void closeUnreadAnswers();
     void continueStop();
+    void endStop();
     void reportLoads(bool isUrgent);
     void reportQuarantineUpdates();
 
@@ -63,6 +64,8 @@
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
     bool m_idleSessionsClosed = false;
     TimePoint m_nextUnreadCheck{};
+    TimePoint m_lastTickAt{};
+    Duration m_longestTickPause{}; // during a planned stop
 };
 
 } // namespace fordwood::node
