--- /dev/null
+++ b/tests/process/kept_connection.hpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_TESTS_PROCESS_KEPT_CONNECTION_HPP_INCLUDED
+#define FORDWOOD_TESTS_PROCESS_KEPT_CONNECTION_HPP_INCLUDED
+
+#include <limits>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "process/http.hpp"
+
+namespace fordwood::process {
+
+// A connection that a caller keeps from one request to the next, without sending anything anew by
+// itself. The next request may be sent before the answer to the last one has been read.
+class KeptConnection
+{
+public:
+    KeptConnection() : m_socket(m_context) { }
+
+    // Connects to the port 8080 of the host. Returns false if that fails.
+    bool connect(const std::string &host)
+    {
+        boost::system::error_code ec;
+        m_socket.connect({boost::asio::ip::make_address(host), 8080}, ec);
+        if (!ec)
+            m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+        return !ec;
+    }
+
+    // Returns false if the connection has ended.
+    bool send(const std::string &bytes)
+    {
+        boost::system::error_code ec;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ec);
+        return !ec;
+    }
+
+    // Waits for the next answer until it is complete or the connection ends.
+    HttpAnswer read()
+    {
+        namespace http = boost::beast::http;
+        HttpAnswer answer;
+        boost::system::error_code ec;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        http::read(m_socket, m_buffer, parser, ec);
+        if (!parser.is_header_done())
+            return answer;
+        answer.isComplete = parser.is_done();
+        m_isKept = answer.isComplete && parser.keep_alive();
+        auto message = parser.release();
+        answer.status = static_cast<int>(message.result_int());
+        answer.body = std::move(message.body());
+        return answer;
+    }
+
+    // Whether the last answer allows another request on this connection.
+    bool isKept() const { return m_isKept; }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    bool m_isKept = true;
+};
+
+} // namespace fordwood::process
+
+#endif // FORDWOOD_TESTS_PROCESS_KEPT_CONNECTION_HPP_INCLUDED
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_TESTS_PROCESS_NODE_DEPLOYMENT_HPP_INCLUDED
 #define FORDWOOD_TESTS_PROCESS_NODE_DEPLOYMENT_HPP_INCLUDED
 
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <optional>
@@ -61,7 +62,7 @@
             << (seedAddress.empty() ? host(0) + ":8082" : seedAddress)
             << "\"]\n[store]\naddress = \""
             << (storeAddress.empty() ? net + "1:7000" : storeAddress)
-            << "\"\n[bounds]\nstop_within = \"5s\"\n";
+            << "\"\n[bounds]\nstop_within = \"" << stopWithin.count() << "ms\"\n";
         out.close();
         nodes.emplace_back(
             std::vector<std::string>{
@@ -220,6 +221,7 @@
     std::string folder;
     bool hasPlacementAddresses = true; // of the nodes that are started
     std::string extraSettings; // lines of the section "callers"
+    std::chrono::milliseconds stopWithin{5'000}; // of the nodes that are started
     std::string seedAddress; // of the nodes that are started; empty: the first node
     KeyValueStandin store;
     UpstreamStandin first;
--- /dev/null
+++ b/tests/process/planned_stop_test.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+// Requests around the planned stop of a node: each gets a whole answer, or is told in time that it
+// does not run.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "process/stop_fleet.hpp"
+
+using namespace fordwood::process;
+using namespace std::chrono_literals;
+
+namespace {
+
+using RealClock = StopFleet::RealClock;
+
+// What became of one request.
+struct Outcome
+{
+    std::string id;
+    HttpAnswer answer;
+
+    bool isWhole() const { return answer.isComplete && answer.status == 200; }
+    bool isRejected() const { return answer.isComplete && answer.status == 503; }
+};
+
+// Sends requests at the given times after the signal, each on a connection of its own, which was
+// opened before the signal if `isKept`.
+class TimedCallers
+{
+public:
+    explicit TimedCallers(const StopFleet &fleet) : m_fleet(fleet) { }
+    ~TimedCallers() { wait(); }
+    TimedCallers(const TimedCallers &) = delete;
+    TimedCallers &operator=(const TimedCallers &) = delete;
+
+    void send(RealClock::time_point at, const std::string &route, std::chrono::milliseconds length)
+    {
+        const std::size_t n = m_threads.size();
+        m_threads.emplace_back([this, at, route, length, n] {
+            std::this_thread::sleep_until(at);
+            Outcome outcome{"r-" + std::to_string(n), {}};
+            outcome.answer = m_fleet.callOnce(0, route, length, outcome.id);
+            const std::lock_guard lock(m_mutex);
+            m_outcomes.push_back(std::move(outcome));
+        });
+    }
+
+    // All outcomes, once every request has ended.
+    const std::vector<Outcome> &wait()
+    {
+        for (std::thread &it : m_threads)
+            it.join();
+        m_threads.clear();
+        return m_outcomes;
+    }
+
+private:
+    const StopFleet &m_fleet;
+    std::mutex m_mutex;
+    std::vector<Outcome> m_outcomes;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace
+
+// Guards against times of a stop that are counted from when the process takes the signal, which may
+// be long after it was sent.
+TEST_CASE("planned stop: no request is cut that comes 3 s after a signal which was taken late "
+          "[node][stop]")
+{
+    StopFleet fleet(1, 4, 8'000ms);
+    PlannedStop stop(fleet, 0, 700ms);
+    TimedCallers callers(fleet);
+    for (int n = 0; n < 20; ++n)
+        callers.send(stop.begin() + 3'230ms + n * 10ms, "talk", 4'800ms);
+    CHECK(stop.finish() == 0);
+    for (const Outcome &it : callers.wait()) {
+        CAPTURE(it.id);
+        CAPTURE(it.answer.status);
+        CHECK((it.isWhole() || it.isRejected()));
+        if (it.isRejected())
+            CHECK(fleet.runs(it.id).empty());
+    }
+}
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -6,15 +6,27 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <map>
 #include <sstream>
+#include <thread>
 #include <utility>
 
 namespace fordwood::process {
 
+namespace {
+
+// The exit code, or the negative number of the signal that ended the process.
+int codeOf(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+} // namespace
+
 Process::Process(const std::vector<std::string> &command, const std::string &logFile)
 {
     std::vector<char *> arguments;
@@ -69,7 +81,21 @@
         return -1;
     int status = 0;
     waitpid(std::exchange(m_pid, -1), &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return codeOf(status);
+}
+
+bool Process::waitFor(Duration timeout, int &code)
+{
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    int status = 0;
+    while (waitpid(m_pid, &status, WNOHANG) == 0) {
+        if (std::chrono::steady_clock::now() >= until)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    m_pid = -1;
+    code = codeOf(status);
+    return true;
 }
 
 int Process::terminate()
--- a/tests/process/process.hpp
+++ b/tests/process/process.hpp
@@ -36,6 +36,10 @@
     // the process.
     int wait();
 
+    // Waits for the end for up to `timeout`. Returns false if the process still runs then, else
+    // sets `code` to what wait() would return.
+    bool waitFor(Duration timeout, int &code);
+
     // Sends SIGTERM, which requests a planned stop, and waits for the end.
     int terminate();
 
