Planned stops: all times count from the signal, not from when it is taken

Callers at a node that is stopped got no whole answer: the times of a stop ran from the moment at which the serving thread heard of it. A process without processor time takes its signal late, so requests that came more than 3 s after the signal were still taken, whatever time they need, and the loop ended after the platform had killed the process.

StopPlan, apart from I/O, counts from the earliest time at which the signal may have been sent: the last check that found none pending, at most 100 ms before a process that runs takes it. The end of the stop has a timer of its own instead of the next periodic work.

The test sends at 3.01 to 3.39 s, requests of 5.5 s: as it was before, all came when the node no longer listens, by the times that hold now. It lets a request pass that no upstream has begun.

--- /dev/null
+++ b/include/fordwood/stop_plan.hpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: MIT
+#ifndef FORDWOOD_STOP_PLAN_HPP_INCLUDED
+#define FORDWOOD_STOP_PLAN_HPP_INCLUDED
+
+#include <algorithm>
+#include <optional>
+
+#include "fordwood/clock.hpp"
+
+namespace fordwood {
+
+// The times of a planned stop of a node, and which requests it still takes. The platform ends the
+// process a fixed time after its signal, however late the process takes it. So all times count from
+// the earliest time at which the signal may have been sent.
+class StopPlan
+{
+public:
+    // `stopWithin`: the time from the signal until the platform ends the process.
+    explicit StopPlan(Duration stopWithin) : m_stopWithin(stopWithin) { }
+
+    // `signalledAt`: the earliest time at which the signal may have been sent.
+    void begin(TimePoint signalledAt) { m_signalledAt = signalledAt; }
+
+    bool hasBegun() const { return m_signalledAt.has_value(); }
+
+    // The time since the signal; zero: no stop has begun.
+    Duration elapsed(TimePoint now) const;
+
+    // When requests that are still open are ended. Only while a stop lasts.
+    TimePoint endsAt() const;
+
+    // Whether a request that arrives now is taken. `answerBy`: when it has its answer at the
+    // latest.
+    bool mayTake(TimePoint answerBy, TimePoint now) const;
+
+    // Whether new connections no longer arrive, so that the node may stop listening.
+    bool isOutOfRotation(TimePoint now) const;
+
+private:
+    const Duration m_stopWithin;
+    std::optional<TimePoint> m_signalledAt;
+};
+
+} // namespace fordwood
+
+#endif // FORDWOOD_STOP_PLAN_HPP_INCLUDED
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -595,7 +595,7 @@
     cut.upstream = m_lastUpstream;
     cut.eventsPassed = m_eventSplitter.lastId().value_or(0);
     cut.elapsed = now - m_arrived;
-    cut.arrived = m_state.timeSinceStop() - cut.elapsed;
+    cut.arrived = m_state.stop().elapsed(m_arrived);
     if (m_attempt && m_attempt->isOpen) {
         cut.isSent = m_attempt->sent;
         if (m_attempt->startedAt != TimePoint{})
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -245,7 +245,7 @@
 
 void CallerSession::setConnectionField(http::response_header<> &head) const
 {
-    if (!m_keepAlive || m_closesWhenIdle || m_state.isStopping())
+    if (!m_keepAlive || m_closesWhenIdle || m_state.stop().hasBegun())
         head.set(http::field::connection, "close");
 }
 
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -24,15 +24,6 @@
 // After a stall, context stores that are reachable answer within this time.
 constexpr Duration kStallRecoveryTime = std::chrono::milliseconds(150);
 
-// From this time after the start of a planned stop, requests that may take longer than the rest of
-// it are refused. The platform tolerates it if requests from the first 3 s of the stop do not
-// finish; the difference allows for the delay until a busy process receives the signal.
-constexpr Duration kAcceptAllPeriod = std::chrono::milliseconds(2'800);
-
-// The end of the time that the platform allows for a stop, reserved for the work after the last
-// request.
-constexpr Duration kStopReserve = std::chrono::milliseconds(600);
-
 EngineChooser::Limits chooserLimits(const config::OneProcessSettings &settings)
 {
     EngineChooser::Limits limits;
@@ -99,7 +90,8 @@
           [this](std::string_view bytes, const udp::endpoint &to) {
               return m_placements.send(bytes, to);
           }),
-      m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock)
+      m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock),
+      m_stop(settings.bounds.stopWithin)
 {
     m_placements.onOtherMessage([this](std::string_view bytes, const udp::endpoint &from) {
         checkForStall();
@@ -279,21 +271,16 @@
 
 void NodeState::apply(const StopStarted &update)
 {
-    m_stopStartedAt = m_clock.now();
+    m_stop.begin(update.signalledAt);
     m_paths.startStop();
     adapters::logEvent(adapters::Event::StopHeard,
                        {{"signal_ms", update.takenAt - update.signalledAt},
-                        {"heard_ms", *m_stopStartedAt - update.takenAt}});
-}
-
-Duration NodeState::timeSinceStop() const
-{
-    return m_stopStartedAt ? m_clock.now() - *m_stopStartedAt : Duration::zero();
+                        {"heard_ms", m_clock.now() - update.takenAt}});
 }
 
 void NodeState::countDuringStop(bool isRejected)
 {
-    if (!isStopping())
+    if (!m_stop.hasBegun())
         return;
     (isRejected ? m_stopCounts.rejected : m_stopCounts.taken) += 1;
 }
@@ -304,16 +291,6 @@
     m_metrics.count("fordwood_requests_cut_by_stop_total");
 }
 
-TimePoint NodeState::stopDeadline() const
-{
-    return m_stopStartedAt.value_or(m_clock.now()) + m_settings.bounds.stopWithin - kStopReserve;
-}
-
-bool NodeState::canFinishBeforeStop(TimePoint answerBy) const
-{
-    return !isStopping() || timeSinceStop() < kAcceptAllPeriod || answerBy <= stopDeadline();
-}
-
 void NodeState::forget(const std::string &instanceId)
 {
     m_channels.forget(instanceId);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -25,6 +25,7 @@
 #include "fordwood/route_table.hpp"
 #include "fordwood/send_gate.hpp"
 #include "fordwood/stall_detector.hpp"
+#include "fordwood/stop_plan.hpp"
 #include "fordwood/upstream_directory.hpp"
 #include "fordwood/upstream_health.hpp"
 #include "fordwood/upstream_load_tracker.hpp"
@@ -171,15 +172,7 @@
     bool takeRetry(const std::string &service);
 
     const std::shared_ptr<const RouteTable> &table() const { return m_table; }
-    bool isStopping() const { return m_stopStartedAt.has_value(); }
-
-    // Whether a request with this deadline may be accepted during a planned stop. In the first
-    // seconds of the stop every request is accepted, since callers do not know of it yet; after
-    // that only those that are answered before it ends.
-    bool canFinishBeforeStop(TimePoint answerBy) const;
-
-    // The time since a planned stop started; zero: none has.
-    Duration timeSinceStop() const;
+    const StopPlan &stop() const { return m_stop; }
 
     // For the summary of the planned stop: requests that were taken, rejected and cut in it.
     struct StopCounts
@@ -191,9 +184,6 @@
     const StopCounts &stopCounts() const { return m_stopCounts; }
     void countDuringStop(bool isRejected);
     void countCutByStop();
-
-    // The latest end of the planned stop that has started.
-    TimePoint stopDeadline() const;
     const config::OneProcessSettings &settings() const { return m_settings; }
     const Clock &clock() const { return m_clock; }
     net::io_context &context() { return m_context; }
@@ -299,7 +289,7 @@
     StallDetector m_stallDetector;
     std::optional<TimePoint> m_stallEndedAt;
     std::size_t m_liveNodes = 1;
-    std::optional<TimePoint> m_stopStartedAt;
+    StopPlan m_stop;
     StopCounts m_stopCounts;
     std::function<void()> m_onLoadReportRequest;
     std::function<void()> m_onQuarantineUpdates = [] {};
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -17,10 +17,6 @@
 constexpr std::size_t kMailboxCapacity = 4'096;
 constexpr Duration kUnreadCheckInterval = std::chrono::seconds(1);
 
-// The platform stops routing new connections to the node after two readiness checks, a second
-// apart, have failed. Idle connections are kept until then, and closed afterwards.
-constexpr Duration kOutOfRotationAfter = std::chrono::milliseconds(3'200);
-
 } // namespace
 
 ServingLoop::ServingLoop(const config::OneProcessSettings &settings, const Clock &clock,
@@ -33,7 +29,8 @@
       m_state(m_context, clock, settings, metrics),
       m_mailbox(m_context, kMailboxCapacity, [this](const FleetUpdate &it) { m_state.handle(it); }),
       m_acceptor(m_context, [this](tcp::socket it) { onAccepted(std::move(it)); }),
-      m_proxy(m_context, clock, m_state.paths(), m_state.buffers(), metrics), m_tickTimer(m_context)
+      m_proxy(m_context, clock, m_state.paths(), m_state.buffers(), metrics),
+      m_tickTimer(m_context), m_endTimer(m_context)
 {
     m_acceptor.onFailure([this] { m_metrics.count("fordwood_accept_failures_total"); });
     m_state.onLoadReportRequest([this] { reportLoads(true); });
@@ -88,7 +85,7 @@
                        static_cast<double>(m_proxy.openConnections()));
     closeUnreadAnswers();
     const TimePoint lastTickAt = std::exchange(m_lastTickAt, m_clock.now());
-    if (!m_state.isStopping())
+    if (!m_state.stop().hasBegun())
         return;
     m_longestTickPause = std::max(m_longestTickPause, m_lastTickAt - lastTickAt);
     continueStop();
@@ -120,11 +117,9 @@
 
 void ServingLoop::continueStop()
 {
-    if (m_clock.now() >= m_state.stopDeadline()) {
-        endStop();
-        return;
-    }
-    if (m_state.timeSinceStop() < kOutOfRotationAfter)
+    if (!std::exchange(m_isEndTimerStarted, true))
+        m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endStop(); });
+    if (!m_state.stop().isOutOfRotation(m_clock.now()))
         return;
     if (!m_idleSessionsClosed) {
         m_idleSessionsClosed = true;
@@ -142,7 +137,7 @@
     for (const auto &[key, session] : m_sessions)
         session->endForStop();
     const NodeState::StopCounts &counts = m_state.stopCounts();
-    logEvent(Event::StopEnded, {{"ms", m_state.timeSinceStop()},
+    logEvent(Event::StopEnded, {{"ms", m_state.stop().elapsed(m_clock.now())},
                                 {"taken", counts.taken},
                                 {"rejected", counts.rejected},
                                 {"cut", counts.cut},
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -10,6 +10,7 @@
 #include "config/node_settings.hpp"
 #include "node/accept_loop.hpp"
 #include "node/caller_session.hpp"
+#include "node/deadline_timer.hpp"
 #include "node/mailbox.hpp"
 #include "node/node_state.hpp"
 #include "node/proxy_server.hpp"
@@ -61,6 +62,8 @@
     AcceptLoop m_acceptor;
     ProxyServer m_proxy;
     TimeoutTimer m_tickTimer;
+    DeadlineTimer m_endTimer; // of a planned stop
+    bool m_isEndTimerStarted = false;
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
     bool m_idleSessionsClosed = false;
     TimePoint m_nextUnreadCheck{};
--- a/tests/node/caller_session_test.cpp
+++ b/tests/node/caller_session_test.cpp
@@ -159,14 +159,15 @@
     SessionFixture fixture;
     NodeState &state = fixture.state;
     ManualClock &clock = fixture.clock;
-    CHECK(state.canFinishBeforeStop(clock.now() + 1h));
-    state.handle(StopStarted{});
-    const TimePoint end = state.stopDeadline();
+    const StopPlan &stop = state.stop();
+    CHECK(stop.mayTake(clock.now() + 1h, clock.now()));
+    state.handle(StopStarted{clock.now(), clock.now()});
+    const TimePoint end = stop.endsAt();
     CHECK(end > clock.now() + 7s);
     CHECK(
-        state.canFinishBeforeStop(clock.now() + 12s)); // its caller could not know of the stop yet
+        stop.mayTake(clock.now() + 12s, clock.now())); // its caller could not know of the stop yet
     clock.advance(2'900ms);
-    CHECK_FALSE(state.canFinishBeforeStop(clock.now() + 12s));
-    CHECK(state.canFinishBeforeStop(clock.now() + 3s));
-    CHECK(state.stopDeadline() == end);
+    CHECK_FALSE(stop.mayTake(clock.now() + 12s, clock.now()));
+    CHECK(stop.mayTake(clock.now() + 3s, clock.now()));
+    CHECK(stop.endsAt() == end);
 }
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -3,9 +3,10 @@
 // does not run.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,11 +27,9 @@
     HttpAnswer answer;
 
     bool isWhole() const { return answer.isComplete && answer.status == 200; }
-    bool isRejected() const { return answer.isComplete && answer.status == 503; }
 };
 
-// Sends requests at the given times after the signal, each on a connection of its own, which was
-// opened before the signal if `isKept`.
+// Sends requests at given times, each on a connection of its own.
 class TimedCallers
 {
 public:
@@ -67,6 +66,17 @@
     std::vector<std::thread> m_threads;
 };
 
+// Each request gets its whole answer, or no upstream has begun it: it was rejected, or crossed the
+// close of its connection.
+void checkNoneIsCut(const StopFleet &fleet, const std::vector<Outcome> &outcomes)
+{
+    for (const Outcome &it : outcomes) {
+        CAPTURE(it.id);
+        CAPTURE(it.answer.status);
+        CHECK((it.isWhole() || fleet.runs(it.id).empty()));
+    }
+}
+
 } // namespace
 
 // Guards against times of a stop that are counted from when the process takes the signal, which may
@@ -78,13 +88,7 @@
     PlannedStop stop(fleet, 0, 700ms);
     TimedCallers callers(fleet);
     for (int n = 0; n < 20; ++n)
-        callers.send(stop.begin() + 3'230ms + n * 10ms, "talk", 4'800ms);
+        callers.send(stop.begin() + 3'010ms + n * 20ms, "talk", 5'500ms);
     CHECK(stop.finish() == 0);
-    for (const Outcome &it : callers.wait()) {
-        CAPTURE(it.id);
-        CAPTURE(it.answer.status);
-        CHECK((it.isWhole() || it.isRejected()));
-        if (it.isRejected())
-            CHECK(fleet.runs(it.id).empty());
-    }
+    checkNoneIsCut(fleet, callers.wait());
 }
--- a/tests/process/stop_fleet.hpp
+++ b/tests/process/stop_fleet.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_TESTS_PROCESS_STOP_FLEET_HPP_INCLUDED
 #define FORDWOOD_TESTS_PROCESS_STOP_FLEET_HPP_INCLUDED
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <memory>
@@ -23,12 +24,12 @@
     using RealClock = std::chrono::steady_clock;
 
     // The limit that callers name.
-    static constexpr std::chrono::milliseconds kCallerLimit{5'000};
+    static constexpr std::chrono::milliseconds kCallerLimit{6'000};
 
     StopFleet(int nodeCount, int upstreamCount, std::chrono::milliseconds stopTime)
     {
         stopWithin = stopTime;
-        nlohmann::json config = configuration(1, "/safe/", 1'000);
+        nlohmann::json config = configuration(1, "/safe/", 1'000, 6'000);
         nlohmann::json talk = config["routes"].back();
         talk["name"] = talk["path-prefix"] = "/talk/";
         talk["resumable"] = false;
