Planned stops: requests that usually take longer than the rest of it are rejected

For 2.8 s a node that stops took every request, however long such requests take, and cut at the end what was open: with stop_within of 3 s, streams of 1.5 s that may not be repeated.

A node remembers how long the latest 64 answered requests of each route took (AnswerTimes). In a stop it takes a request only if it usually ends before: nine in ten of the latest, all of them where the request may not run again. Later attempts are judged likewise. Where nothing is known, requests are taken in the first 35 % of the stop. After 2.8 s only those are taken that name a limit before the end, as before.

--- a/include/fordwood/stop_plan.hpp
+++ b/include/fordwood/stop_plan.hpp
@@ -29,9 +29,19 @@
     // When requests that are still open are ended. Only while a stop lasts.
     TimePoint endsAt() const;
 
-    // Whether a request that arrives now is taken. `answerBy`: when it has its answer at the
-    // latest.
-    bool mayTake(TimePoint answerBy, TimePoint now) const;
+    // What is known of a request.
+    struct Request
+    {
+        TimePoint answerBy{}; // when it has its answer at the latest
+        std::optional<Duration> usualTime; // that requests like it take; nullopt: not known
+    };
+
+    // Whether a request that arrives now is taken.
+    bool mayTake(const Request &request, TimePoint now) const;
+
+    // Whether a request that is sent to an upstream now can be expected to have its answer before
+    // the end.
+    bool canEnd(const Request &request, TimePoint now) const;
 
     // Whether new connections no longer arrive, so that the node may stop listening.
     bool isOutOfRotation(TimePoint now) const;
--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -5,9 +5,12 @@
 
 namespace {
 
-// From this time after the signal, requests that may take longer than the rest of the stop are
-// rejected. The platform tolerates it if requests from the first 3 s of the stop do not finish.
-constexpr Duration kAcceptAllPeriod = std::chrono::milliseconds(2'800);
+// From this time after the signal, callers have had time to learn of the stop: requests are taken
+// only if they have their answer before its end even if they use all their time.
+constexpr Duration kNoticePeriod = std::chrono::milliseconds(2'800);
+
+// Until this part of the stop has passed, requests are taken of which nothing is known.
+constexpr double kUnknownShare = 0.35;
 
 // The platform stops routing new connections to the node after two readiness checks, a second
 // apart, have failed.
@@ -29,9 +32,19 @@
     return *m_signalledAt + m_stopWithin - std::min(kEndReserve, m_stopWithin / kMaxReserveDivisor);
 }
 
-bool StopPlan::mayTake(TimePoint answerBy, TimePoint now) const
+bool StopPlan::mayTake(const Request &request, TimePoint now) const
+{
+    if (!hasBegun() || request.answerBy <= endsAt())
+        return true;
+    if (elapsed(now) >= kNoticePeriod || !canEnd(request, now))
+        return false;
+    return request.usualTime || elapsed(now) < kUnknownShare * m_stopWithin;
+}
+
+bool StopPlan::canEnd(const Request &request, TimePoint now) const
 {
-    return !hasBegun() || elapsed(now) < kAcceptAllPeriod || answerBy <= endsAt();
+    return !hasBegun() || request.answerBy <= endsAt() || !request.usualTime
+           || now + *request.usualTime <= endsAt();
 }
 
 bool StopPlan::isOutOfRotation(TimePoint now) const
--- a/src/node/admitted_call.cpp
+++ b/src/node/admitted_call.cpp
@@ -87,7 +87,7 @@
                               + std::clamp(caller.timeout.value_or(kDefaultTimeout),
                                            std::chrono::milliseconds(0), kMaxStreamLifetime);
     }
-    if (!state.stop().mayTake(call.terms.answerBy, state.clock().now()))
+    if (!state.stop().mayTake(state.stopRequest(call), state.clock().now()))
         return Reason::Stopping;
     return std::nullopt;
 }
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -167,6 +167,13 @@
         rejectQuarantined(*hold);
         return;
     }
+    // Here it would be cut; elsewhere its caller can have it answered.
+    if (!m_streamStarted
+        && !m_state.stop().canEnd(m_state.stopRequest(m_call), m_state.clock().now())) {
+        m_plan.setReason(Reason::Stopping);
+        rejectWith(m_plan.verdict(kRetryAfter));
+        return;
+    }
     const auto shard = m_streamStarted ? std::nullopt : scheduledShard(m_state, m_call, m_caller);
     // Schedulers do not know where a stream can go on.
     if (shard && !isBoundToVersion(m_state, m_origin))
@@ -613,6 +620,8 @@
     m_retryTimer.cancel();
     const Duration duration = m_state.clock().now() - m_arrived;
     m_state.metrics().observe("fordwood_request_seconds", duration);
+    if (outcome == kAnswered)
+        m_state.recordAnswerTime(m_call, duration);
     if (m_firstEventAt)
         m_state.metrics().observe("fordwood_first_event_seconds", *m_firstEventAt - m_arrived);
     CallSummary end;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "fordwood/buffer_budget.hpp"
 #include "fordwood/call_plan.hpp"
@@ -67,6 +68,9 @@
     // The minimum Retry-After of a refusal.
     static constexpr std::chrono::milliseconds kRetryAfter{250};
 
+    // The outcome of a request that has its whole answer from an upstream.
+    static constexpr std::string_view kAnswered = "answered";
+
     // A request waits for an upstream for this fraction of its target latency. After that an early
     // refusal is more useful to the caller.
     static constexpr int kWaitDivisor = 4;
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -126,7 +126,7 @@
         recordAnswered();
     endAttempt(true);
     m_writer.endStream();
-    finish(isSuccess(status) ? "answered" : "upstream-failure", status);
+    finish(isSuccess(status) ? kAnswered : "upstream-failure", status);
 }
 
 bool CallHandler::forwardEvents(std::string_view bytes)
@@ -278,7 +278,7 @@
             return;
         }
         m_writer.endStream();
-        finish("answered", status);
+        finish(kAnswered, status);
         return;
     }
     if (status < kFirstServerError)
@@ -347,7 +347,7 @@
     std::string body = std::move(m_attempt->body);
     endAttempt(true);
     m_writer.sendAnswer(std::move(head), std::move(body));
-    finish(isSuccess(status) ? "answered" : "upstream-failure", status);
+    finish(isSuccess(status) ? kAnswered : "upstream-failure", status);
 }
 
 void CallHandler::onChannelFailure(const ErrorCode &cause)
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -24,6 +24,11 @@
 // After a stall, context stores that are reachable answer within this time.
 constexpr Duration kStallRecoveryTime = std::chrono::milliseconds(150);
 
+// During a planned stop, a request is expected to take as long as this share of the latest ones of
+// its route. One that may not run again is lost if it is cut, so it is given the wider margin.
+constexpr double kUsualShare = 0.9;
+constexpr double kUsualShareOnce = 1.0;
+
 EngineChooser::Limits chooserLimits(const config::OneProcessSettings &settings)
 {
     EngineChooser::Limits limits;
@@ -110,6 +115,10 @@
     if (m_table && movesStreams(m_table->config(), update.table->config()))
         m_upstreams.versions().interrupt();
     m_table = update.table;
+    std::set<std::string> routes;
+    for (const ServiceRoute &it : m_table->config().routes)
+        routes.insert(it.name);
+    m_answerTimes.retain(routes);
     m_contexts.setStores(m_table->config().stores);
     for (const ServiceRoute &it : m_table->config().routes) {
         if (it.isResumableStream())
@@ -278,6 +287,20 @@
                         {"heard_ms", m_clock.now() - update.takenAt}});
 }
 
+StopPlan::Request NodeState::stopRequest(const AdmittedCall &call) const
+{
+    StopPlan::Request request{call.terms.answerBy, std::nullopt};
+    if (m_stop.hasBegun())
+        request.usualTime = m_answerTimes.within(
+            call.route->name, call.terms.mayRunAgain ? kUsualShare : kUsualShareOnce);
+    return request;
+}
+
+void NodeState::recordAnswerTime(const AdmittedCall &call, Duration time)
+{
+    m_answerTimes.record(call.route->name, time);
+}
+
 void NodeState::countDuringStop(bool isRejected)
 {
     if (!m_stop.hasBegun())
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -14,6 +14,7 @@
 #include "adapters/observe/limit_log.hpp"
 #include "adapters/observe/metrics.hpp"
 #include "config/node_settings.hpp"
+#include "fordwood/answer_times.hpp"
 #include "fordwood/brittle_upstreams.hpp"
 #include "fordwood/buffer_budget.hpp"
 #include "fordwood/context_directory.hpp"
@@ -42,6 +43,8 @@
 
 namespace fordwood::node {
 
+struct AdmittedCall;
+
 // The state that all requests of this node share: the current configuration, the known state of the
 // upstreams, and the channels to them. Used only on the serving thread.
 class NodeState
@@ -174,6 +177,12 @@
     const std::shared_ptr<const RouteTable> &table() const { return m_table; }
     const StopPlan &stop() const { return m_stop; }
 
+    // What a planned stop has to know of a request.
+    StopPlan::Request stopRequest(const AdmittedCall &call) const;
+
+    // Records how long a request took that has been answered.
+    void recordAnswerTime(const AdmittedCall &call, Duration time);
+
     // For the summary of the planned stop: requests that were taken, rejected and cut in it.
     struct StopCounts
     {
@@ -289,6 +298,7 @@
     StallDetector m_stallDetector;
     std::optional<TimePoint> m_stallEndedAt;
     std::size_t m_liveNodes = 1;
+    AnswerTimes m_answerTimes; // by route
     StopPlan m_stop;
     StopCounts m_stopCounts;
     std::function<void()> m_onLoadReportRequest;
--- a/tests/node/caller_session_test.cpp
+++ b/tests/node/caller_session_test.cpp
@@ -160,14 +160,14 @@
     NodeState &state = fixture.state;
     ManualClock &clock = fixture.clock;
     const StopPlan &stop = state.stop();
-    CHECK(stop.mayTake(clock.now() + 1h, clock.now()));
+    CHECK(stop.mayTake({clock.now() + 1h, {}}, clock.now()));
     state.handle(StopStarted{clock.now(), clock.now()});
     const TimePoint end = stop.endsAt();
     CHECK(end > clock.now() + 7s);
-    CHECK(
-        stop.mayTake(clock.now() + 12s, clock.now())); // its caller could not know of the stop yet
+    CHECK(stop.mayTake({clock.now() + 12s, {}},
+                       clock.now())); // its caller could not know of the stop yet
     clock.advance(2'900ms);
-    CHECK_FALSE(stop.mayTake(clock.now() + 12s, clock.now()));
-    CHECK(stop.mayTake(clock.now() + 3s, clock.now()));
+    CHECK_FALSE(stop.mayTake({clock.now() + 12s, {}}, clock.now()));
+    CHECK(stop.mayTake({clock.now() + 3s, {}}, clock.now()));
     CHECK(stop.endsAt() == end);
 }
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -77,6 +77,19 @@
     }
 }
 
+// Lets the node answer requests of this length, several at a time.
+void answerSome(const StopFleet &fleet, const std::string &route, std::chrono::milliseconds length)
+{
+    constexpr int kRequests = 32;
+    std::vector<std::thread> threads;
+    for (int n = 0; n < kRequests; ++n)
+        threads.emplace_back([&, n] {
+            std::ignore = fleet.callOnce(0, route, length, "earlier-" + std::to_string(n));
+        });
+    for (std::thread &it : threads)
+        it.join();
+}
+
 } // namespace
 
 // Guards against times of a stop that are counted from when the process takes the signal, which may
@@ -92,3 +105,19 @@
     CHECK(stop.finish() == 0);
     checkNoneIsCut(fleet, callers.wait());
 }
+
+// Guards against requests that are taken although they will not end in the rest of the stop.
+TEST_CASE("planned stop: requests that usually take longer than the rest of a short stop are "
+          "rejected as not run [node][stop]")
+{
+    StopFleet fleet(1, 4, 3'000ms);
+    answerSome(fleet, "talk", 1'500ms);
+    PlannedStop stop(fleet, 0);
+    TimedCallers callers(fleet);
+    for (int n = 0; n < 20; ++n)
+        callers.send(stop.begin() + n * 100ms, "talk", 1'500ms);
+    CHECK(stop.finish() == 0);
+    checkNoneIsCut(fleet, callers.wait());
+    const auto isWhole = [](const Outcome &it) { return it.isWhole(); };
+    CHECK(std::count_if(callers.wait().begin(), callers.wait().end(), isWhole) >= 6);
+}
--- a/tests/unit/stop_plan_test.cpp
+++ b/tests/unit/stop_plan_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include <doctest/doctest.h>
 
+#include "fordwood/answer_times.hpp"
 #include "fordwood/stop_plan.hpp"
 
 using namespace fordwood;
@@ -17,13 +18,13 @@
 {
     StopPlan plan(8s);
     CHECK_FALSE(plan.hasBegun());
-    CHECK(plan.mayTake(kSignal + 1h, kSignal));
+    CHECK(plan.mayTake({kSignal + 1h, {}}, kSignal));
     plan.begin(kSignal);
     CHECK(plan.endsAt() == kSignal + 7'500ms);
     CHECK(plan.elapsed(kSignal + 1'500ms) == 1'500ms);
-    CHECK(plan.mayTake(kSignal + 12s, kSignal + 2'700ms));
-    CHECK_FALSE(plan.mayTake(kSignal + 7'501ms, kSignal + 2'800ms));
-    CHECK(plan.mayTake(plan.endsAt(), kSignal + 7s));
+    CHECK(plan.mayTake({kSignal + 12s, {}}, kSignal + 2'700ms));
+    CHECK_FALSE(plan.mayTake({kSignal + 7'501ms, {}}, kSignal + 2'800ms));
+    CHECK(plan.mayTake({plan.endsAt(), 10s}, kSignal + 7s));
     CHECK_FALSE(plan.isOutOfRotation(kSignal + 3'100ms));
     CHECK(plan.isOutOfRotation(kSignal + 3'200ms));
 }
@@ -34,3 +35,44 @@
     plan.begin(kSignal);
     CHECK(plan.endsAt() == kSignal + 750ms);
 }
+
+// Guards against requests that are taken, and cut at the end of the stop.
+TEST_CASE("stop plan: a request that usually takes longer than the rest of the stop is not taken "
+          "[stop]")
+{
+    StopPlan plan(3s);
+    const StopPlan::Request request{kSignal + 12s, 1'500ms};
+    CHECK(plan.canEnd(request, kSignal));
+    plan.begin(kSignal);
+    CHECK(plan.mayTake(request, kSignal + 1s));
+    CHECK_FALSE(plan.mayTake(request, kSignal + 1'001ms));
+    CHECK_FALSE(plan.canEnd(request, kSignal + 1'001ms));
+    CHECK(plan.mayTake({kSignal + 12s, 50ms}, kSignal + 2'400ms));
+}
+
+TEST_CASE("stop plan: a request of which nothing is known is taken at the begin of the stop only "
+          "[stop]")
+{
+    StopPlan plan(3s);
+    plan.begin(kSignal);
+    const StopPlan::Request request{kSignal + 12s, {}};
+    CHECK(plan.mayTake(request, kSignal + 1s));
+    CHECK_FALSE(plan.mayTake(request, kSignal + 1'100ms));
+    CHECK(plan.canEnd(request, kSignal + 2s)); // nothing tells that it cannot
+}
+
+TEST_CASE("answer times: the share of the latest answers decides [stop]")
+{
+    AnswerTimes times;
+    for (int n = 1; n < static_cast<int>(AnswerTimes::kMinAnswers); ++n)
+        times.record("a", 1s);
+    CHECK_FALSE(times.within("a", 1.0));
+    for (int n = 1; n <= 100; ++n)
+        times.record("a", std::chrono::milliseconds(n));
+    CHECK(times.within("a", 1.0) == 100ms);
+    CHECK(times.within("a", 0.5) == 68ms); // of those from 37 ms to 100 ms
+    CHECK(times.within("a", 0.0) == 37ms);
+    CHECK_FALSE(times.within("b", 1.0));
+    times.retain({"b"});
+    CHECK_FALSE(times.within("a", 1.0));
+}
