Planned stops: requests that are open at the end get a verdict

At the end of a stop the serving loop ended whatever was open: callers found their connection closed, 0.2 s later, and could not know whether their request had run. In these 0.2 s answers came that nobody passed on.

What no upstream has begun is rejected as not run (503, stopping). What one has begun gets 502, cut-by-stop. A stream is cut after its last whole event. Connections are closed 0.1 s after that, by the serving loop itself. Event 110 tells how many callers had not received all of an answer then.

Test with nodes of: the caller of a request of 4.5 s, in a stop of 3 s, gets no answer; now 502.

--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -588,8 +588,16 @@
         return;
     logStopEnd();
     m_state.countCutByStop();
+    const bool wasSent = m_attempt && m_attempt->isOpen && m_attempt->sent;
     endAttempt(false);
-    finish("cut-stop", 0);
+    if (m_streamStarted) {
+        m_state.metrics().countRefusal(Reason::CutByStop);
+        m_writer.abort();
+        finish(info(Reason::CutByStop).name, 0);
+        return;
+    }
+    m_plan.setReason(Reason::Stopping);
+    rejectWith(wasSent ? Verdict::of(Reason::CutByStop) : m_plan.verdict(kRetryAfter));
 }
 
 void CallHandler::logStopEnd() const
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -49,7 +49,8 @@
     // The caller has closed its connection.
     void onCallerDisconnect();
 
-    // The planned stop of this node ends while the request is open.
+    // The planned stop of this node ends while the request is open. Rejects it, or cuts its answer
+    // after the last whole event.
     void onStopEnd();
 
     // The caller has caught up with the stream and can receive more.
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -38,6 +38,12 @@
     // The planned stop ends: ends the request that is open, if there is one.
     void endForStop();
 
+    // Closes the connection, whatever is open.
+    void close();
+
+    // Whether the caller has not been sent all of an answer yet.
+    bool hasUnsentBytes() const { return !m_outgoing.empty(); }
+
     // Closes the connection if the caller has read nothing of its answer for too long.
     void closeIfUnread();
 
@@ -85,7 +91,6 @@
     void releaseCall();
     void lingeringClose();
     void discardInput();
-    void close();
 
     NodeState &m_state;
     tcp::socket m_socket;
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -15,6 +15,8 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kMailboxCapacity = 4'096;
+// At the end of a planned stop, callers have this time to receive their last bytes.
+constexpr Duration kLastWriteTime = std::chrono::milliseconds(100);
 constexpr Duration kUnreadCheckInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -129,21 +131,34 @@
             session->closeWhenIdle();
     }
     if (m_sessions.empty() && m_proxy.openConnections() == 0)
-        endStop();
+        finishStop();
 }
 
 void ServingLoop::endStop()
 {
-    for (const auto &[key, session] : m_sessions)
+    const auto sessions = m_sessions;
+    for (const auto &[key, session] : sessions)
         session->endForStop();
+    m_endTimer.start(kLastWriteTime, [this] { finishStop(); });
+}
+
+void ServingLoop::finishStop()
+{
+    const auto isUnsent = [](const auto &it) { return it.second->hasUnsentBytes(); };
     const NodeState::StopCounts &counts = m_state.stopCounts();
-    logEvent(Event::StopEnded, {{"ms", m_state.stop().elapsed(m_clock.now())},
-                                {"taken", counts.taken},
-                                {"rejected", counts.rejected},
-                                {"cut", counts.cut},
-                                {"connections", m_sessions.size()},
-                                {"proxied", m_proxy.openConnections()},
-                                {"longest_pause_ms", m_longestTickPause}});
+    logEvent(Event::StopEnded,
+             {{"ms", m_state.stop().elapsed(m_clock.now())},
+              {"taken", counts.taken},
+              {"rejected", counts.rejected},
+              {"cut", counts.cut},
+              {"connections", m_sessions.size()},
+              {"unsent", std::count_if(m_sessions.begin(), m_sessions.end(), isUnsent)},
+              {"proxied", m_proxy.openConnections()},
+              {"longest_pause_ms", m_longestTickPause}});
+    // The process goes on for a moment, and callers would wait for the rest of an answer.
+    const auto sessions = m_sessions;
+    for (const auto &[key, session] : sessions)
+        session->close();
     m_context.stop();
 }
 
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -47,6 +47,7 @@
     void closeUnreadAnswers();
     void continueStop();
     void endStop();
+    void finishStop();
     void reportLoads(bool isUrgent);
     void reportQuarantineUpdates();
 
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -121,3 +121,17 @@
     const auto isWhole = [](const Outcome &it) { return it.isWhole(); };
     CHECK(std::count_if(callers.wait().begin(), callers.wait().end(), isWhole) >= 6);
 }
+
+// Guards against requests whose outcome is known at the end of a stop, and whose callers get none.
+TEST_CASE("planned stop: a request that runs at the end of the stop is told that it may have run "
+          "[node][stop]")
+{
+    StopFleet fleet(1, 2, 3'000ms);
+    PlannedStop stop(fleet, 0);
+    const HttpAnswer answer = fleet.callOnce(0, "once", 4'500ms, "long");
+    CHECK(answer.isComplete);
+    CHECK(answer.status == 502);
+    CHECK(fleet.runs("long").size() == 1);
+    CHECK(stop.finish() == 0);
+    CHECK(fleet.logged(0, "name=RequestCutByStop") == 1);
+}
