Planned stops: the next request on a connection that has just been used is answered

A connection whose last answer had announced no close was closed as that answer ended, without a look at its socket: a request that its caller had sent meanwhile was read and dropped.

Such a connection, and one that has just been accepted, stays open for 0.5 s more; the answer to a request that comes announces the close. Two tests of idle sessions now let them rest for a second first; they check the same.

Test with nodes of: the second request on a connection, sent before the first stream ends, gets no answer; now it is answered.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -31,6 +31,10 @@
 // closing with unread input would reset the connection, and the caller could lose the answer.
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 
+// During a planned stop, a caller that has just connected, or has just received an answer whose
+// head did not announce the close, has this time to send a request. That one's answer announces it.
+constexpr Duration kLastRequestTime = std::chrono::milliseconds(500);
+
 std::string serializeHead(const http::response_header<> &head)
 {
     std::ostringstream out;
@@ -72,16 +76,16 @@
 
 void CallerSession::waitForRequest()
 {
-    if (m_closesWhenIdle) {
-        lingeringClose();
-        return;
-    }
     if (m_unparsed.size() > 0) {
         readHead();
         return;
     }
     m_unparsed.shrink_to_fit();
-    startTimer(callerLimits().idleTimeout, &CallerSession::close);
+    m_idleSince = m_state.clock().now();
+    if (m_closesWhenIdle)
+        startTimer(kLastRequestTime, &CallerSession::closeIfIdle);
+    else
+        startTimer(callerLimits().idleTimeout, &CallerSession::close);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode &ec) {
         // A request that arrives during the close is not read: its answer could not be sent.
         if (!ec && !self->m_isClosed && !self->m_isClosing)
@@ -381,8 +385,19 @@
 {
     m_closesWhenIdle = true;
     const bool isIdle = !m_call && !m_incoming && m_outgoing.empty();
-    // A request that has already arrived is answered first.
-    if (isIdle && isOpenAndIdle(m_socket))
+    if (!isIdle)
+        return;
+    const Duration idleFor = m_state.clock().now() - m_idleSince;
+    if (idleFor < kLastRequestTime)
+        startTimer(kLastRequestTime - idleFor, &CallerSession::closeIfIdle);
+    else
+        closeIfIdle();
+}
+
+// A request that has already arrived is answered first.
+void CallerSession::closeIfIdle()
+{
+    if (isOpenAndIdle(m_socket))
         lingeringClose();
 }
 
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -31,8 +31,8 @@
 
     void start();
 
-    // For a planned stop: closes the connection at once if it is idle, else after the current
-    // answer.
+    // For a planned stop: closes the connection once it has been idle for a moment. The answer to a
+    // request that arrives before announces the close.
     void closeWhenIdle();
 
     // The planned stop ends: ends the request that is open, if there is one.
@@ -89,6 +89,7 @@
     void onAnswerWritten();
     void handleDisconnect();
     void releaseCall();
+    void closeIfIdle();
     void lingeringClose();
     void discardInput();
 
@@ -104,6 +105,7 @@
     std::size_t m_frontWritten = 0; // bytes of the first outgoing text that are written
     BufferBudget::Buffer m_outgoingBuffer;
     TimePoint m_lastProgress{}; // when the caller last read a part of the outgoing bytes
+    TimePoint m_idleSince{}; // the end of the last answer, or the begin of the connection
     bool m_isWriting = false;
     bool m_isAnswerComplete = false; // m_outgoing holds the rest of the answer
     bool m_isCallerSlow = false; // sendChunk() has returned false
--- a/tests/node/caller_session_test.cpp
+++ b/tests/node/caller_session_test.cpp
@@ -78,6 +78,7 @@
 TEST_CASE("caller session: a request that arrives during the close is not handled [session]")
 {
     SessionFixture fixture;
+    fixture.clock.advance(1s);
     fixture.session->closeWhenIdle();
     fixture.sendRequest();
     fixture.context.poll(); // any pending read runs before the caller closes
@@ -90,6 +91,19 @@
     CHECK_FALSE(fixture.wasRequestHandled());
 }
 
+// Guards against a caller whose request crosses the close of a connection that has just been used.
+TEST_CASE("caller session: a request that comes right after the last answer is answered although "
+          "the session closes when idle [session][stop]")
+{
+    SessionFixture fixture;
+    fixture.session->closeWhenIdle();
+    fixture.context.poll();
+    fixture.sendRequest();
+    const std::string answer = fixture.readUntilClosed();
+    CHECK_MESSAGE(answer.starts_with("HTTP/1.1 503"), answer);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
 // Guards against a request that is answered with 408, which promises that it does not run, and then
 // runs: after a freeze, its header timer has expired and its head has arrived.
 TEST_CASE("caller session: a request whose head arrived during a freeze is not answered with 408 "
@@ -142,6 +156,7 @@
 TEST_CASE("caller session: an idle session is closed at once and reports its end once [session]")
 {
     SessionFixture fixture;
+    fixture.clock.advance(1s);
     fixture.session->closeWhenIdle();
     CHECK(fixture.readUntilClosed().empty());
     ErrorCode ec;
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -122,6 +122,28 @@
     CHECK(std::count_if(callers.wait().begin(), callers.wait().end(), isWhole) >= 6);
 }
 
+// Guards against a request that is read and dropped, as the answer before it ends.
+TEST_CASE("planned stop: the next request on a connection whose answer began before the stop is "
+          "answered [node][stop]")
+{
+    StopFleet fleet(1, 2, 8'000ms);
+    KeptConnection connection;
+    REQUIRE(connection.connect(fleet.host(0)));
+    REQUIRE(connection.send(StopFleet::request("talk", 4'000ms, "first")));
+    std::this_thread::sleep_for(500ms);
+    PlannedStop stop(fleet, 0);
+    std::this_thread::sleep_for(3'000ms);
+    REQUIRE(connection.send(StopFleet::request("once", 100ms, "second")));
+    const HttpAnswer first = connection.read();
+    CHECK(first.isComplete);
+    CHECK(connection.isKept());
+    const HttpAnswer second = connection.read();
+    CHECK(second.isComplete);
+    CHECK(second.status == (fleet.runs("second").empty() ? 503 : 200));
+    CHECK_FALSE(connection.isKept());
+    CHECK(stop.finish() == 0);
+}
+
 // Guards against requests whose outcome is known at the end of a stop, and whose callers get none.
 TEST_CASE("planned stop: a request that runs at the end of the stop is told that it may have run "
           "[node][stop]")
