Planned stops: connections that wait are accepted before the node stops listening

Connections that the kernel had taken, and the node had not yet accepted, were reset as it stopped listening. The new test is a guard: it passed before as well, since an accept loop that runs takes all that wait in one go, and the gap is shorter than a test can hit.

--- a/src/node/accept_loop.cpp
+++ b/src/node/accept_loop.cpp
@@ -21,8 +21,14 @@
 
 void AcceptLoop::close()
 {
-    ErrorCode ec; // ignored: the acceptor is closed in any case
-    m_acceptor.close(ec);
+    ErrorCode ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket = m_acceptor.accept(ec);
+        if (!ec)
+            m_onAccepted(std::move(socket));
+    }
+    m_acceptor.close(ec); // an error is ignored: the acceptor is closed in any case
     m_retryTimer.cancel();
 }
 
--- a/src/node/accept_loop.hpp
+++ b/src/node/accept_loop.hpp
@@ -30,6 +30,7 @@
     // Returns false and sets `ec` if the address cannot be used.
     bool listen(const std::string &address, ErrorCode &ec);
 
+    // Stops listening. Connections that wait to be accepted are accepted before.
     void close();
 
 private:
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -144,6 +144,26 @@
     CHECK(stop.finish() == 0);
 }
 
+// Guards against connections that the kernel had accepted, and that are reset as the node stops
+// listening.
+TEST_CASE("planned stop: connections that wait to be accepted are served before the node stops "
+          "listening [node][stop]")
+{
+    StopFleet fleet(1, 2, 8'000ms);
+    PlannedStop stop(fleet, 0);
+    std::this_thread::sleep_until(stop.begin() + 3'000ms);
+    fleet.nodes.front().signal(SIGSTOP);
+    TimedCallers callers(fleet);
+    for (int n = 0; n < 12; ++n)
+        callers.send(stop.begin() + 3'050ms, "once", 50ms);
+    std::this_thread::sleep_until(stop.begin() + 3'600ms);
+    fleet.nodes.front().signal(SIGCONT);
+    CHECK(stop.finish() == 0);
+    checkNoneIsCut(fleet, callers.wait());
+    for (const Outcome &it : callers.wait())
+        CHECK_MESSAGE(it.answer.isComplete, it.id);
+}
+
 // Guards against requests whose outcome is known at the end of a stop, and whose callers get none.
 TEST_CASE("planned stop: a request that runs at the end of the stop is told that it may have run "
           "[node][stop]")
