Planned stops: requests that wait are judged anew before they are sent, and end first

A review of the fix found by reading: - the end of one request may lend its place at a brittle upstream to one that waits at this node: that one was sent and cut in the same moment, though it had not run. Requests that wait end first now. - a request was judged as it came, not as it is sent: one of which nothing is known could be sent first right before the end. It is judged again when its channel is there, and rejected as not run after 35 % of the stop. - one outlier among the latest answers made a node reject every request of its route that may not be repeated. It no longer counts; requests that were not answered by their deadline do, rests of streams do not. - an upstream that had said that it does not run the request made it one that may have run. - the time before signals are blocked bounds that of a signal which comes while the process starts.

--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -47,11 +47,11 @@
 }
 
 // Waits for SIGTERM or SIGINT, which starts the stop that is returned. On SIGHUP, reloads the
-// settings.
-node::StopStarted waitForStop(const sigset_t &signals, const std::string &path, const Clock &clock,
+// settings. `lastWithoutSignal`: a time at which no signal was pending.
+node::StopStarted waitForStop(const sigset_t &signals, TimePoint lastWithoutSignal,
+                              const std::string &path, const Clock &clock,
                               node::ControlLoop &control)
 {
-    TimePoint lastWithoutSignal = clock.now();
     for (;;) {
         const TimePoint start = clock.now();
         const int signal = waitForSignal(signals, kSignalCheckInterval);
@@ -72,10 +72,9 @@
 }
 
 // Serves until a planned stop has completed.
-int serve(const config::OneProcessSettings &settings, const std::string &path,
-          const sigset_t &signals)
+int serve(const config::OneProcessSettings &settings, const std::string &path, const Clock &clock,
+          const sigset_t &signals, TimePoint signalsBlockedAt)
 {
-    const adapters::SystemClock clock;
     adapters::Metrics metrics;
     // The two loops refer to each other, so the pointers are set after both are constructed.
     node::ServingLoop *servingPointer = nullptr;
@@ -105,7 +104,7 @@
         logEvent(Event::NoPlacementAddress);
     std::thread controlThread([&] { control.run(); });
     std::thread servingThread([&] { serving.run(); });
-    control.beginStop(waitForStop(signals, path, clock, control));
+    control.beginStop(waitForStop(signals, signalsBlockedAt, path, clock, control));
     servingThread.join();
     control.finishStop();
     std::this_thread::sleep_for(kFinalSendTime);
@@ -128,9 +127,11 @@
     if (!settings)
         return apps::ExitUsage;
     adapters::openEventLog(kName, settings->jsonLog);
+    const adapters::SystemClock clock;
+    const TimePoint signalsBlockedAt = clock.now();
     const sigset_t signals = apps::blockSignals({SIGTERM, SIGINT, SIGHUP});
     adapters::startLogThread();
-    code = serve(*settings, *path, signals);
+    code = serve(*settings, *path, clock, signals, signalsBlockedAt);
     adapters::stopLogThread();
     return code;
 }
--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -9,7 +9,7 @@
 // only if they have their answer before its end even if they use all their time.
 constexpr Duration kNoticePeriod = std::chrono::milliseconds(2'800);
 
-// Until this part of the stop has passed, requests are taken of which nothing is known.
+// Until this part of the stop has passed, requests of which nothing is known are sent to upstreams.
 constexpr double kUnknownShare = 0.35;
 
 // The platform stops routing new connections to the node after two readiness checks, a second
@@ -36,15 +36,16 @@
 {
     if (!hasBegun() || request.answerBy <= endsAt())
         return true;
-    if (elapsed(now) >= kNoticePeriod || !canEnd(request, now))
-        return false;
-    return request.usualTime || elapsed(now) < kUnknownShare * m_stopWithin;
+    return elapsed(now) < kNoticePeriod && canEnd(request, now);
 }
 
 bool StopPlan::canEnd(const Request &request, TimePoint now) const
 {
-    return !hasBegun() || request.answerBy <= endsAt() || !request.usualTime
-           || now + *request.usualTime <= endsAt();
+    if (!hasBegun() || request.answerBy <= endsAt())
+        return true;
+    if (request.usualTime)
+        return now + *request.usualTime <= endsAt();
+    return elapsed(now) < kUnknownShare * m_stopWithin;
 }
 
 bool StopPlan::isOutOfRotation(TimePoint now) const
--- a/src/node/accept_loop.cpp
+++ b/src/node/accept_loop.cpp
@@ -23,7 +23,7 @@
 {
     ErrorCode ec;
     m_acceptor.non_blocking(true, ec);
-    while (!ec) {
+    while (!ec || ec == net::error::connection_aborted) {
         tcp::socket socket = m_acceptor.accept(ec);
         if (!ec)
             m_onAccepted(std::move(socket));
--- a/src/node/accept_loop.hpp
+++ b/src/node/accept_loop.hpp
@@ -30,6 +30,9 @@
     // Returns false and sets `ec` if the address cannot be used.
     bool listen(const std::string &address, ErrorCode &ec);
 
+    // The address that it listens at.
+    tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
+
     // Stops listening. Connections that wait to be accepted are accepted before.
     void close();
 
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -38,7 +38,7 @@
 void CallHandler::start()
 {
     const auto refused = admit();
-    m_state.countDuringStop(refused.has_value());
+    m_state.countDuringStop(refused == Reason::Stopping);
     if (refused) {
         rejectWith(Verdict::of(*refused, {}, kRetryAfter));
         return;
@@ -167,11 +167,8 @@
         rejectQuarantined(*hold);
         return;
     }
-    // Here it would be cut; elsewhere its caller can have it answered.
-    if (!m_streamStarted
-        && !m_state.stop().canEnd(m_state.stopRequest(m_call), m_state.clock().now())) {
-        m_plan.setReason(Reason::Stopping);
-        rejectWith(m_plan.verdict(kRetryAfter));
+    if (wouldBeCutByStop()) {
+        rejectForStop();
         return;
     }
     const auto shard = m_streamStarted ? std::nullopt : scheduledShard(m_state, m_call, m_caller);
@@ -182,6 +179,20 @@
         chooseLocally(shard);
 }
 
+// Elsewhere the caller can have it answered. A stream that has begun can go on only here.
+bool CallHandler::wouldBeCutByStop() const
+{
+    return !m_streamStarted
+           && !m_state.stop().canEnd(m_state.stopRequest(m_call), m_state.clock().now());
+}
+
+void CallHandler::rejectForStop()
+{
+    m_state.countDuringStop(true);
+    m_plan.setReason(Reason::Stopping);
+    rejectWith(m_plan.verdict(kRetryAfter));
+}
+
 void CallHandler::requestPlacement(const EngineShard &shard)
 {
     m_state.placements().request(
@@ -438,6 +449,13 @@
         startAttempt();
         return;
     }
+    // The wait for a place and for the channel took a part of the planned stop.
+    if (wouldBeCutByStop()) {
+        m_plan.rejectedLocally(m_attempt->upstream.instanceId);
+        endAttempt(true);
+        rejectForStop();
+        return;
+    }
     m_state.gate().recordSend(m_attempt->upstream.instanceId);
     m_attempt->sent = true;
     m_attempt->sentAt = m_state.clock().now();
@@ -548,6 +566,8 @@
 void CallHandler::onDeadline()
 {
     const bool wasSent = m_attempt && m_attempt->sent;
+    if (wasSent)
+        m_state.recordAnswerTime(m_call, m_state.clock().now() - m_arrived);
     recordUnanswered();
     endAttempt(false);
     if (m_streamStarted) {
@@ -587,17 +607,25 @@
     if (m_isFinished)
         return;
     logStopEnd();
-    m_state.countCutByStop();
-    const bool wasSent = m_attempt && m_attempt->isOpen && m_attempt->sent;
+    const bool mayRun = isAtUpstream() && !m_attempt->head.hasNotRun;
     endAttempt(false);
+    if (!m_streamStarted && !mayRun) {
+        rejectForStop();
+        return;
+    }
+    m_state.countCutByStop();
     if (m_streamStarted) {
         m_state.metrics().countRefusal(Reason::CutByStop);
         m_writer.abort();
         finish(info(Reason::CutByStop).name, 0);
         return;
     }
-    m_plan.setReason(Reason::Stopping);
-    rejectWith(wasSent ? Verdict::of(Reason::CutByStop) : m_plan.verdict(kRetryAfter));
+    rejectWith(Verdict::of(Reason::CutByStop));
+}
+
+bool CallHandler::isAtUpstream() const
+{
+    return m_attempt && m_attempt->isOpen && m_attempt->sent;
 }
 
 void CallHandler::logStopEnd() const
@@ -628,7 +656,8 @@
     m_retryTimer.cancel();
     const Duration duration = m_state.clock().now() - m_arrived;
     m_state.metrics().observe("fordwood_request_seconds", duration);
-    if (outcome == kAnswered)
+    // The rest of a stream tells nothing of a whole one.
+    if (outcome == kAnswered && !m_caller.continuesStream())
         m_state.recordAnswerTime(m_call, duration);
     if (m_firstEventAt)
         m_state.metrics().observe("fordwood_first_event_seconds", *m_firstEventAt - m_arrived);
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -53,6 +53,9 @@
     // after the last whole event.
     void onStopEnd();
 
+    // Whether an upstream has the request.
+    bool isAtUpstream() const;
+
     // The caller has caught up with the stream and can receive more.
     void onCallerReady();
 
@@ -95,6 +98,8 @@
     void onOrigin(const std::optional<StreamOrigin> &origin);
     void beginServing();
     void startAttempt();
+    bool wouldBeCutByStop() const;
+    void rejectForStop();
     std::optional<QuarantineGate::Hold> findHold();
     void rejectQuarantined(const QuarantineGate::Hold &hold);
     void logStopEnd() const;
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -38,6 +38,9 @@
     // The planned stop ends: ends the request that is open, if there is one.
     void endForStop();
 
+    // Whether the request that is open has been sent to an upstream.
+    bool isAtUpstream() const { return m_call && m_call->isAtUpstream(); }
+
     // Closes the connection, whatever is open.
     void close();
 
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -24,10 +24,11 @@
 // After a stall, context stores that are reachable answer within this time.
 constexpr Duration kStallRecoveryTime = std::chrono::milliseconds(150);
 
-// During a planned stop, a request is expected to take as long as this share of the latest ones of
-// its route. One that may not run again is lost if it is cut, so it is given the wider margin.
+// During a planned stop, a request is expected to take no longer than this share of the latest ones
+// of its route. One that may not run again is lost if it is cut, so it is given the wider margin.
+// One outlier among the latest does not count.
 constexpr double kUsualShare = 0.9;
-constexpr double kUsualShareOnce = 1.0;
+constexpr double kUsualShareOnce = 0.98;
 
 EngineChooser::Limits chooserLimits(const config::OneProcessSettings &settings)
 {
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -180,7 +180,7 @@
     // What a planned stop has to know of a request.
     StopPlan::Request stopRequest(const AdmittedCall &call) const;
 
-    // Records how long a request took that has been answered.
+    // Records how long a request took that has been answered, or had not been by its deadline.
     void recordAnswerTime(const AdmittedCall &call, Duration time);
 
     // For the summary of the planned stop: requests that were taken, rejected and cut in it.
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -136,14 +136,21 @@
 
 void ServingLoop::endStop()
 {
+    // Requests that wait end first: the end of another one may lend them a place at an upstream.
     const auto sessions = m_sessions;
-    for (const auto &[key, session] : sessions)
-        session->endForStop();
+    for (const bool areAtUpstream : {false, true}) {
+        for (const auto &[key, session] : sessions) {
+            if (session->isAtUpstream() == areAtUpstream)
+                session->endForStop();
+        }
+    }
     m_endTimer.start(kLastWriteTime, [this] { finishStop(); });
 }
 
 void ServingLoop::finishStop()
 {
+    if (m_context.stopped())
+        return;
     const auto isUnsent = [](const auto &it) { return it.second->hasUnsentBytes(); };
     const NodeState::StopCounts &counts = m_state.stopCounts();
     logEvent(Event::StopEnded,
--- a/tests/unit/stop_plan_test.cpp
+++ b/tests/unit/stop_plan_test.cpp
@@ -50,7 +50,8 @@
     CHECK(plan.mayTake({kSignal + 12s, 50ms}, kSignal + 2'400ms));
 }
 
-TEST_CASE("stop plan: a request of which nothing is known is taken at the begin of the stop only "
+// Guards against requests that waited for an upstream, and are first sent right before the end.
+TEST_CASE("stop plan: a request of which nothing is known is sent at the begin of the stop only "
           "[stop]")
 {
     StopPlan plan(3s);
@@ -58,7 +59,8 @@
     const StopPlan::Request request{kSignal + 12s, {}};
     CHECK(plan.mayTake(request, kSignal + 1s));
     CHECK_FALSE(plan.mayTake(request, kSignal + 1'100ms));
-    CHECK(plan.canEnd(request, kSignal + 2s)); // nothing tells that it cannot
+    CHECK(plan.canEnd(request, kSignal + 1s));
+    CHECK_FALSE(plan.canEnd(request, kSignal + 1'100ms));
 }
 
 TEST_CASE("answer times: the share of the latest answers decides [stop]")
