Cut-off nodes: a peer closes the connections it carries as its stop ends

Requests that pass through a node which stops waited from the end of its serving loop until that of its process, 0.1 s later. By reading the code, new connections to its proxy were taken by the kernel and got no reply meanwhile.

The proxy now stops listening and closes its connections as the loop ends. Connections are closed, not reset, so that what has been written still arrives. Nothing has to be closed earlier: a connection carries one request, and a node that stops declines others from the start of its stop on.

Test of the proxy server: once it is closed, connections through it end and new ones are refused. Before, there was no way to close it.

--- a/src/node/proxy_server.cpp
+++ b/src/node/proxy_server.cpp
@@ -43,10 +43,10 @@
         : m_peer(std::move(socket)), m_upstream(m_peer.get_executor()),
           m_timer(m_peer.get_executor()), m_shared(std::move(shared)), m_held(m_shared->buffers)
     {
-        m_shared->open += 1;
+        m_shared->open.insert(this);
     }
 
-    ~Connection() { m_shared->open -= 1; }
+    ~Connection() { m_shared->open.erase(this); }
 
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -66,6 +66,26 @@
                                 });
     }
 
+    void close()
+    {
+        if (m_isClosed)
+            return;
+        m_isClosed = true;
+        m_timer.cancel();
+        ErrorCode ec; // closing a closed socket is harmless
+        m_peer.close(ec);
+        m_upstream.close(ec);
+        if (m_isCopying)
+            logEvent(Event::ConnectionProxied,
+                     {{"peer", m_peerName},
+                      {"upstream", m_record.instanceId},
+                      {"bytes_sent", m_fromPeer.bytes},
+                      {"bytes_received", m_fromUpstream.bytes},
+                      {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                 m_shared->clock.now() - m_startedAt)
+                                 .count()}});
+    }
+
 private:
     // One direction of the connection.
     struct Flow
@@ -95,7 +115,7 @@
         const auto found
             = m_shared->host.upstreamForPeer(std::string(request[kProxyUpstreamField]));
         m_held.resize(2 * kBufferBytes);
-        if (!found || m_shared->open > kMaxConnections) {
+        if (!found || m_shared->open.size() > kMaxConnections) {
             m_shared->metrics.count("fordwood_proxy_declined_total");
             reply(http::status::service_unavailable);
             return;
@@ -220,26 +240,6 @@
         close();
     }
 
-    void close()
-    {
-        if (m_isClosed)
-            return;
-        m_isClosed = true;
-        m_timer.cancel();
-        ErrorCode ec; // closing a closed socket is harmless
-        m_peer.close(ec);
-        m_upstream.close(ec);
-        if (m_isCopying)
-            logEvent(Event::ConnectionProxied,
-                     {{"peer", m_peerName},
-                      {"upstream", m_record.instanceId},
-                      {"bytes_sent", m_fromPeer.bytes},
-                      {"bytes_received", m_fromUpstream.bytes},
-                      {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                                 m_shared->clock.now() - m_startedAt)
-                                 .count()}});
-    }
-
     tcp::socket m_peer;
     tcp::socket m_upstream;
     TimeoutTimer m_timer;
@@ -259,7 +259,7 @@
 
 ProxyServer::ProxyServer(net::io_context &context, const Clock &clock, ProxyHost &host,
                          BufferBudget &buffers, adapters::Metrics &metrics)
-    : m_shared(std::make_shared<Shared>(Shared{clock, host, buffers, metrics})),
+    : m_shared(std::make_shared<Shared>(Shared{clock, host, buffers, metrics, {}})),
       m_acceptor(context, [this](tcp::socket socket) {
           std::make_shared<Connection>(std::move(socket), m_shared)->start();
       })
@@ -270,4 +270,11 @@
     return m_acceptor.listen(address, ec);
 }
 
+void ProxyServer::close()
+{
+    m_acceptor.close();
+    for (Connection *it : m_shared->open) // their pending handlers keep them alive
+        it->close();
+}
+
 } // namespace fordwood::node
--- a/src/node/proxy_server.hpp
+++ b/src/node/proxy_server.hpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "adapters/observe/metrics.hpp"
@@ -43,7 +44,11 @@
     bool listen(const std::string &address, ErrorCode &ec);
 
     // Connections of peers, including those that wait for an upstream.
-    std::size_t openConnections() const { return m_shared->open; }
+    std::size_t openConnections() const { return m_shared->open.size(); }
+
+    // Stops listening and closes all connections, so that peers do not wait for them until the
+    // process ends. What has been written to them still arrives.
+    void close();
 
 private:
     class Connection;
@@ -55,7 +60,7 @@
         ProxyHost &host;
         BufferBudget &buffers;
         adapters::Metrics &metrics;
-        std::size_t open = 0;
+        std::set<Connection *> open;
     };
 
     std::shared_ptr<Shared> m_shared;
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -155,10 +155,11 @@
               {"unsent", std::count_if(m_sessions.begin(), m_sessions.end(), isUnsent)},
               {"proxied", m_proxy.openConnections()},
               {"longest_pause_ms", m_longestTickPause}});
-    // The process goes on for a moment, and callers would wait for the rest of an answer.
+    // The process goes on for a moment, and callers and peers would wait for the rest of an answer.
     const auto sessions = m_sessions;
     for (const auto &[key, session] : sessions)
         session->close();
+    m_proxy.close();
     m_context.stop();
 }
 
--- a/tests/node/proxy_server_test.cpp
+++ b/tests/node/proxy_server_test.cpp
@@ -81,6 +81,8 @@
         return m_thread.send();
     }
 
+    void stopPeer() { m_proxy.close(); }
+
     int runs(const std::string &id) { return m_first.runs(id) + m_second.runs(id); }
 
 private:
@@ -134,7 +136,7 @@
 
     std::optional<UpstreamRecord> upstreamForPeer(const std::string &instanceId) override
     {
-        return record(instanceId, instanceId == "i-1" ? 75 : 76);
+        return record(instanceId, 74 + std::stoi(instanceId.substr(2))); // nobody listens as i-3
     }
     void connected(const UpstreamRecord & /*upstream*/) override { }
     void connectFailed(const UpstreamRecord & /*upstream*/, const ErrorCode & /*cause*/) override {
@@ -218,6 +220,7 @@
     }
 
     void stopUpstream() { m_acceptor.reset(); }
+    void stopProxy() { m_proxy.close(); }
     std::size_t openConnections() const { return m_proxy.openConnections(); }
 
     net::io_context context;
@@ -313,6 +316,23 @@
     fixture.runUntil([&] { return fixture.openConnections() == 0; });
 }
 
+// Guards against peers that wait for a node whose planned stop has ended, until its process ends.
+TEST_CASE("proxy: connections are closed as the node's stop ends, and no other is taken "
+          "[cut][stop]")
+{
+    ProxyFixture fixture;
+    REQUIRE(fixture.connect("i-1") == ProxyResult::Connected);
+    Answer answer;
+    fixture.exchange(answer);
+    fixture.sendFromUpstream("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    fixture.runUntil([&] { return answer.body == "part"; });
+    fixture.stopProxy();
+    fixture.runUntil([&] { return answer.hasFailed; });
+    fixture.runUntil([&] { return fixture.openConnections() == 0; });
+    fixture.context.restart(); // it has run out of work
+    CHECK(fixture.connect("i-1") == ProxyResult::PeerFailed);
+}
+
 TEST_CASE("cut-off node: a request that waits on a lost path is sent again through a peer [cut]")
 {
     LostPathFixture fixture(LostPathFixture::Path::Silent);
