Cut-off nodes: the end of a peer does not count against upstreams

When a peer stopped as planned, or was killed, the node that reached upstreams through it took each connection that ended for a failure of its upstream and paused it, up to 4 s: its callers then got 503 though another peer reached all upstreams.

A peer and an upstream end a connection in the same way. The node now asks the peer for another connection first, one question at a time. Only if the peer connects, or tells that the upstream is unreachable, the failure counts against the upstream. Else the peer has ended or stops, and is passed over itself.

--- a/include/fordwood/proxy_peers.hpp
+++ b/include/fordwood/proxy_peers.hpp
@@ -54,6 +54,9 @@
     void setPeers(std::vector<ProxyPeer> peers);
     bool isEmpty() const { return m_peers.empty(); }
 
+    // The peer of this name; nothing if it is not among them.
+    std::optional<ProxyPeer> find(const std::string &name) const;
+
     struct Query
     {
         std::string upstreamDomain; // failure domain of the upstream
--- a/src/core/proxy_peers.cpp
+++ b/src/core/proxy_peers.cpp
@@ -22,6 +22,13 @@
                   [&](const auto &it) { return !names.contains(it.first) && it.second.open == 0; });
 }
 
+std::optional<ProxyPeer> ProxyPeers::find(const std::string &name) const
+{
+    const auto it = std::find_if(m_peers.begin(), m_peers.end(),
+                                 [&](const ProxyPeer &peer) { return peer.name == name; });
+    return it == m_peers.end() ? std::nullopt : std::optional(*it);
+}
+
 std::size_t ProxyPeers::effectiveLoad(const State &state) const
 {
     return state.open + (state.hasSucceeded ? 0 : m_limits.handicapOfUnknown);
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -355,10 +355,17 @@
     const auto self = shared_from_this();
     const bool isProxied = !m_attempt->proxy.empty();
     const bool isPathAtFault = !isProxied && m_state.paths().channelFailed(m_attempt->upstream);
-    if (!isPathAtFault)
-        m_state.health().failed(m_attempt->upstream.instanceId);
-    // The idle channels to this upstream have probably failed as well.
-    m_state.channels().closeIdle(m_attempt->upstream.instanceId);
+    const auto blameUpstream = [&state = m_state, id = m_attempt->upstream.instanceId] {
+        state.health().failed(id);
+        // The idle channels to this upstream have probably failed as well.
+        state.channels().closeIdle(id);
+    };
+    if (isProxied)
+        m_state.paths().ifPeerWorks(m_attempt->proxy, m_attempt->upstream, blameUpstream);
+    else if (isPathAtFault)
+        m_state.channels().closeIdle(m_attempt->upstream.instanceId);
+    else
+        blameUpstream();
     logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, cause.message(),
                        m_eventSplitter.lastId().value_or(0),
                        m_state.clock().now() - m_attempt->startedAt, fingerprint(),
--- a/src/node/upstream_paths.cpp
+++ b/src/node/upstream_paths.cpp
@@ -84,21 +84,55 @@
     return isCutOff(service) || (isRetry && m_reach.hasFailed(service));
 }
 
+// The peer and the upstream end a connection in the same way. A peer that stops, or has ended, does
+// not connect any more.
+void UpstreamPaths::ifPeerWorks(const std::string &peer, const UpstreamRecord &upstream,
+                                std::function<void()> action)
+{
+    const auto found = m_peers->find(peer);
+    if (!found)
+        return;
+    std::vector<std::function<void()>> &actions = m_peerChecks[peer];
+    const bool isChecking = !actions.empty();
+    if (actions.size() < kMaxHeldBack)
+        actions.push_back(std::move(action));
+    if (isChecking)
+        return;
+    openThrough(*found, upstream,
+                [this, peer = *found, upstream](const std::shared_ptr<HttpChannel> &channel,
+                                                ProxyResult result) {
+                    m_parts.channels.discard(upstream.instanceId, channel);
+                    const auto checked = m_peerChecks.extract(peer.name);
+                    // That the upstream is unreachable says nothing against the peer here.
+                    if (result == ProxyResult::PeerFailed) {
+                        onProxyResult(peer, upstream, result);
+                        return;
+                    }
+                    for (const std::function<void()> &it : checked.mapped())
+                        it();
+                });
+}
+
 void UpstreamPaths::connectThrough(const ProxyPeer &peer, const UpstreamRecord &upstream,
                                    ChannelPool::OnProxied onReady)
+{
+    openThrough(peer, upstream,
+                [this, peer, upstream, onReady = std::move(onReady)](
+                    const std::shared_ptr<HttpChannel> &channel, ProxyResult result) {
+                    onProxyResult(peer, upstream, result);
+                    onReady(channel, result);
+                });
+}
+
+void UpstreamPaths::openThrough(const ProxyPeer &peer, const UpstreamRecord &upstream,
+                                ChannelPool::OnProxied onReady)
 {
     m_peers->opened(peer.name);
     // Counts the connection as closed when its channel is.
     const std::shared_ptr<void> use(
         nullptr, [peers = m_peers, name = peer.name](std::nullptr_t) { peers->closed(name); });
     m_parts.metrics.count("fordwood_proxied_connects_total");
-    m_parts.channels.acquireThrough(
-        {peer.address, m_self, use}, upstream,
-        [this, peer, upstream, onReady = std::move(onReady)](
-            const std::shared_ptr<HttpChannel> &channel, ProxyResult result) {
-            onProxyResult(peer, upstream, result);
-            onReady(channel, result);
-        });
+    m_parts.channels.acquireThrough({peer.address, m_self, use}, upstream, std::move(onReady));
 }
 
 void UpstreamPaths::onProxyResult(const ProxyPeer &peer, const UpstreamRecord &upstream,
--- a/src/node/upstream_paths.hpp
+++ b/src/node/upstream_paths.hpp
@@ -70,6 +70,12 @@
     // it does not.
     void ifPathWorks(const std::string &service, std::function<void()> action);
 
+    // A connection to the upstream through a peer has failed during a request. Calls `action` once
+    // the peer is known to work, so that the upstream is at fault, and never if the peer has ended
+    // or stops.
+    void ifPeerWorks(const std::string &peer, const UpstreamRecord &upstream,
+                     std::function<void()> action);
+
     // Whether the node's own path to the service has failed and peers reach it.
     bool isCutOff(const std::string &service) const
     {
@@ -97,6 +103,8 @@
     void tick();
 
 private:
+    void openThrough(const ProxyPeer &peer, const UpstreamRecord &upstream,
+                     ChannelPool::OnProxied onReady);
     void notifyUsers();
     void fail(const UpstreamRecord &upstream, const std::string &cause);
     void updateState(const std::string &service, const std::string &cause);
@@ -112,6 +120,7 @@
     std::shared_ptr<ProxyPeers> m_peers; // shared with open channels, which may outlive this
     std::map<std::string, UpstreamReach::State> m_states; // other than Reachable, by service
     std::map<std::string, std::vector<std::function<void()>>> m_heldBack; // by service
+    std::map<std::string, std::vector<std::function<void()>>> m_peerChecks; // by peer
     std::map<std::string, std::vector<std::weak_ptr<PathUser>>> m_users; // by service
     bool m_isStopping = false;
 };
--- a/tests/node/proxy_server_test.cpp
+++ b/tests/node/proxy_server_test.cpp
@@ -398,3 +398,44 @@
         CHECK(conclusions == 0);
     }
 }
+
+// Guards against upstreams that are paused because a peer has stopped.
+TEST_CASE("cut-off node: a connection that is lost through a peer counts against the upstream only "
+          "if the peer works [cut][stop]")
+{
+    LostPathFixture fixture(LostPathFixture::Path::Refused);
+    fixture.usePeer();
+    UpstreamPaths &paths = fixture.state().paths();
+    UpstreamRecord record;
+    record.instanceId = "i-1";
+    record.service = "board";
+    int conclusions = 0;
+    const auto conclude = [&] { ++conclusions; };
+    SUBCASE("it connects")
+    {
+        paths.ifPeerWorks("n2", record, conclude);
+        paths.ifPeerWorks("n2", record, conclude);
+        CHECK(conclusions == 0);
+        fixture.runUntil([&] { return conclusions == 2; });
+    }
+    SUBCASE("it tells that the upstream is unreachable")
+    {
+        record.instanceId = "i-3";
+        paths.ifPeerWorks("n2", record, conclude);
+        fixture.runUntil([&] { return conclusions == 1; });
+        CHECK(paths.choosePeer({}));
+    }
+    SUBCASE("it has ended")
+    {
+        fixture.stopPeer();
+        paths.ifPeerWorks("n2", record, conclude);
+        fixture.runUntil([&] { return !paths.choosePeer({}); });
+        CHECK(conclusions == 0);
+    }
+    SUBCASE("it is no longer known")
+    {
+        paths.setPeers({});
+        paths.ifPeerWorks("n2", record, conclude);
+        CHECK(conclusions == 0);
+    }
+}
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -76,14 +76,17 @@
     enum class Break { Refuse, Hang };
 
     // The node loses its paths to both upstreams. Other nodes keep theirs.
-    void cutOffFromUpstreams(int node, Break how)
+    void cutOffFromUpstreams(int node, Break how) { cutOffFrom(node, how, {net + "2", net + "3"}); }
+
+    // The node loses its paths to these IP addresses.
+    void cutOffFrom(int node, Break how, const std::vector<std::string> &hosts)
     {
         std::ofstream out(brokenPathsFile(node));
-        for (const char *it : {"2", "3"}) {
+        for (const std::string &it : hosts) {
             if (how == Break::Refuse)
-                out << "refuse " << net << it << "\n";
+                out << "refuse " << it << "\n";
             else
-                out << "hang " << net << it << " " << unresponsive.address() << "\n";
+                out << "hang " << it << " " << unresponsive.address() << "\n";
         }
     }
 
--- a/tests/process/stop_fleet.hpp
+++ b/tests/process/stop_fleet.hpp
@@ -37,7 +37,7 @@
         store.put("op/config", config.dump());
         for (int n = 0; n < upstreamCount; ++n) {
             const std::string id = "u-" + std::to_string(n);
-            const std::string address = net + std::to_string(50 + n) + ":8000";
+            const std::string address = upstreamHost(n) + ":8000";
             upstreams.push_back(std::make_unique<TimedUpstream>(address, id));
             UpstreamEntry entry{id, address, "v1"};
             entry.slots = 64;
@@ -49,6 +49,9 @@
             REQUIRE(Fleet::waitFor([&] { return isReady(it); }));
     }
 
+    // The IP address of an upstream.
+    std::string upstreamHost(int n) const { return net + std::to_string(50 + n); }
+
     // The text of a request, for example to "/talk/1500/ID".
     static std::string request(const std::string &route, std::chrono::milliseconds length,
                                const std::string &id)
