Planned stops: peers no longer ask a node that has told them of its end

A node that ends as planned tells its peers. They forgot its load, but schedulers, lenders of places, holders of streams and proxies were listed anew only when the store reported the removal of its key. While the store was away they went on to list it; by reading the code, requests then wait for its replies until the time-out.

--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -374,13 +374,13 @@
 void ControlLoop::onNodeAddress(const std::string &node, const PeerAddress &address)
 {
     m_peers.setAddress(node, address);
-    m_keysChanged = true;
+    m_nodesChanged = true;
 }
 
 void ControlLoop::onNodeRemoved(const std::string &node)
 {
     m_peers.removeAddress(node);
-    m_keysChanged = true;
+    m_nodesChanged = true;
 }
 
 void ControlLoop::onQuarantinedRequest(const RequestFingerprint &request,
@@ -533,9 +533,9 @@
 
 void ControlLoop::updateKnownNodes()
 {
-    if (!m_keysChanged || m_replica.isEmpty())
+    if (!m_nodesChanged || m_replica.isEmpty())
         return;
-    m_keysChanged = false;
+    m_nodesChanged = false;
     KnownNodes nodes{
         m_peers.roster().registeredPeers(), m_peers.roster().registeredSchedulers(), {}};
     if (!m_settings.peers.proxyListen.empty())
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -193,7 +193,8 @@
     bool m_hasNews
         = true; // something that peers should know at once, as that this node has started
     std::size_t m_liveNodes = 0;
-    bool m_keysChanged = true; // node keys in the store changed since the last KnownNodes update
+    // Since the last KnownNodes update, node keys in the store have changed or a node has left.
+    bool m_nodesChanged = true;
     bool m_publishedReachable = true;
     bool m_publishedReceivesVersions = true;
     std::set<std::string> m_publishedLoading;
--- a/src/node/control_loop_gossip.cpp
+++ b/src/node/control_loop_gossip.cpp
@@ -30,6 +30,8 @@
     // In a large fleet nodes receive messages only from relays, so relays must forward.
     m_quarantine.addFromPeer(message.quarantineUpdates, usesLoadSums() && m_role.isRelay());
     if (message.leaving) {
+        // The store may tell it much later.
+        m_nodesChanged = true;
         m_loads.setPeerLoads(message.node, {});
         publish(PeerLoads{message.node, {}, 0, {}});
         publish(EnginesLoading{message.node, {}});
--- a/tests/process/stopped_peer_test.cpp
+++ b/tests/process/stopped_peer_test.cpp
@@ -161,3 +161,22 @@
         CHECK(isWhole(answer));
     }
 }
+
+// Guards against peers that ask a node which has ended until the store tells that it has.
+TEST_CASE("stopped node: its peers no longer ask it, also while the store is away [node][stop]")
+{
+    StopFleet fleet(3, 1, 2'000ms);
+    const auto peersOfSecond = [&] { return fleet.metric("fordwood_stream_peers", 1); };
+    REQUIRE(Fleet::waitFor([&] { return peersOfSecond() == 2.0; }));
+    SUBCASE("the store answers") { }
+    SUBCASE("the store is away")
+    {
+        fleet.store.setDown(true);
+    }
+    PlannedStop stop(fleet, 0);
+    CHECK(stop.finish() == 0);
+    const RealClock::time_point until = RealClock::now() + 1s;
+    while (peersOfSecond() != 1.0 && RealClock::now() < until)
+        std::this_thread::sleep_for(10ms);
+    CHECK(peersOfSecond() == 1.0);
+}
