Entry nodes: requests that are open at the end of a planned stop get a verdict

When entry.stop_timeout had passed with requests still open, fordwood-entryd ended by SIGABRT: libmicrohttpd ends the process when its server is stopped while a connection is suspended, and each connection that waits for an answer is. Callers got no answer, the log named no request, and the daemon's stop ended there.

All calls are now ended first. What no upstream has been sent is rejected as not run (503, stopping); what one has been sent gets 502, cut-by-stop; a stream ends with an error event. The server stops once these answers are out, at most 0.1 s later, and rejects what comes meanwhile without suspending its connection. The time limit keeps the reserve of StopPlan for this.

--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -143,6 +143,10 @@
     // Refuses new calls from now on.
     void stop() { m_stopping = true; }
 
+    // Ends all calls, as the time of a planned stop has passed: those that no upstream has begun
+    // are refused as not run.
+    void endAllForStop();
+
     // Actions since the last call, in order.
     std::vector<Action> takeActions();
 
--- a/src/adapters/http/exchange.cpp
+++ b/src/adapters/http/exchange.cpp
@@ -86,11 +86,11 @@
     m_onSpace = std::move(onSpace);
 }
 
-void Exchange::refuse(const Verdict &verdict)
+bool Exchange::refuse(const Verdict &verdict)
 {
     const std::lock_guard lock(m_mutex);
     if (m_isFinished || m_refusal)
-        return;
+        return false;
     m_refusal = verdict;
     if (!m_isStarted) {
         m_head.reset();
@@ -100,6 +100,7 @@
         m_buffer += "\nevent: error\ndata: " + refusalBody(verdict) + "\n\n";
     }
     wakeLocked();
+    return true;
 }
 
 void Exchange::setWake(std::function<void()> wake)
--- a/src/adapters/http/exchange.hpp
+++ b/src/adapters/http/exchange.hpp
@@ -94,8 +94,8 @@
 
     // Ends the exchange with a verdict. If a part of the answer was already sent, the answer is
     // aborted so that the caller cannot mistake it for complete; otherwise the caller receives only
-    // the verdict.
-    void refuse(const Verdict &verdict);
+    // the verdict. Returns false if the answer is already complete or refused.
+    bool refuse(const Verdict &verdict);
 
     // --- for the thread that serves the caller ---
 
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -1,9 +1,12 @@
 // SPDX-License-Identifier: MIT
 #include "apps/entryd/entry_node.hpp"
 
+#include <strings.h>
+
 #include <algorithm>
 
 #include "adapters/observe/event_log.hpp"
+#include "fordwood/stop_plan.hpp"
 
 namespace fordwood::apps {
 
@@ -15,6 +18,9 @@
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr Duration kIdleWait = std::chrono::milliseconds(200);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
+
+// The time for the answers that are sent at the end of a planned stop.
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(100);
 constexpr std::size_t kEventsPerRound = 256;
 // Upper bound of the queued events of one call, so that the ring has space for those of all calls.
 constexpr std::size_t kEventsPerCall = 8;
@@ -69,32 +75,46 @@
 void EntryNode::beginStop()
 {
     m_stopBegan = true;
+    m_stopBeganAt = m_clock.now();
     std::this_thread::sleep_for(m_settings.entry.stopNotice);
     pushBlocking(StopEvent{});
 }
 
 void EntryNode::finishStop()
 {
-    const TimePoint begin = m_clock.now();
-    const Duration stopTimeout = m_settings.entry.stopTimeout;
-    while (m_inFlight > 0
-           || m_openCallCount
-                  > 0) { // a call with an idempotency key may continue after its caller disconnects
-        if (stopTimeout > Duration::zero() && m_clock.now() - begin > stopTimeout)
-            break;
-        std::this_thread::sleep_for(kStopPoll);
+    if (m_settings.entry.stopTimeout > Duration::zero()) {
+        StopPlan plan(m_settings.entry.stopTimeout);
+        plan.begin(m_clock.now());
+        m_stopEndsAt = plan.endsAt();
     }
+    waitForAnswers();
     m_callers.stopListening();
+    m_isStopOver = true;
+    pushBlocking(StopEndEvent{});
+    // The HTTP library ends the process if a connection waits for its answer as the server stops.
+    const TimePoint until = m_clock.now() + kLastAnswersTime;
+    while (m_inFlight > 0 && m_clock.now() < until)
+        std::this_thread::sleep_for(kStopPoll);
     m_callers.stop();
     m_control.stop();
     m_controlThread.join();
     m_stopping = true;
+    m_ring.tryPush(StopEvent{}); // wakes the thread
     m_dispatchThread.join();
     m_permits.close();
     m_upstreams.stop();
     m_upstreamThread.join();
 }
 
+// Waits until no call is open, at most until the end of the planned stop.
+void EntryNode::waitForAnswers()
+{
+    // A call with an idempotency key may continue after its caller disconnects.
+    while ((m_inFlight > 0 || m_openCallCount > 0)
+           && (!m_stopEndsAt || m_clock.now() < *m_stopEndsAt))
+        std::this_thread::sleep_for(kStopPoll);
+}
+
 std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
 EntryNode::handle(adapters::CallerRequest message)
 {
@@ -112,12 +132,18 @@
         return rejectionAnswer(parsed.error(), hasKey);
     if (auto *answer = std::get_if<adapters::DirectAnswer>(&*parsed))
         return std::move(*answer);
+    // Counted before the check: finishStop() sets the flag, and waits for the counted ones after
+    // it.
+    ++m_inFlight;
+    if (m_isStopOver) {
+        --m_inFlight;
+        return rejectionAnswer(Verdict::of(Reason::Stopping, {}, kRetryDelay), hasKey);
+    }
     auto &parsedRequest = std::get<ParsedRequest>(*parsed);
     parsedRequest.call.id = m_nextCall++;
     auto exchange = std::make_shared<adapters::Exchange>(parsedRequest.call.id,
                                                          std::move(parsedRequest.upstream),
                                                          m_settings.entry.answerBufferBytes);
-    ++m_inFlight;
     const std::lock_guard lock(m_unsubmittedMutex);
     m_unsubmitted.emplace(parsedRequest.call.id, std::move(parsedRequest.call));
     return exchange;
@@ -284,7 +310,8 @@
 
 void EntryNode::on(BeginEvent &event)
 {
-    m_openCalls.emplace(event.request.id, OpenCall{event.request, std::move(event.exchange)});
+    m_openCalls.emplace(event.request.id,
+                        OpenCall{event.request, std::move(event.exchange), m_clock.now()});
     m_dispatcher.begin(event.request);
 }
 
@@ -362,6 +389,11 @@
     m_dispatcher.stop();
 }
 
+void EntryNode::on(const StopEndEvent &)
+{
+    m_dispatcher.endAllForStop();
+}
+
 void EntryNode::carryOut(const Action &action)
 {
     if (const auto *permitRequest = std::get_if<RequestPermit>(&action)) {
@@ -400,6 +432,8 @@
                          send.weightVersion);
     if (send.resumeFrom)
         m_metrics.count("fordwood_resumed_streams_total");
+    if (open != m_openCalls.end())
+        open->second.upstream = send.upstream;
     if (open == m_openCalls.end() || !m_upstreams.send({send, open->second.exchange}))
         m_dispatcher.attemptFailed(send.call, send.attempt,
                                    {RunState::NotRun, Reason::RingFull, "", false});
@@ -429,12 +463,36 @@
     const auto it = m_openCalls.find(call);
     if (it == m_openCalls.end())
         return;
-    it->second.exchange->refuse(verdict);
+    const bool isCut = it->second.exchange->refuse(verdict) && m_isStopOver;
+    if (isCut) {
+        logCut(call, it->second, verdict);
+        m_metrics.count("fordwood_requests_cut_by_stop_total");
+    }
     m_openCalls.erase(it);
     m_metrics.countRefusal(verdict.reason);
-    if (verdict.state != RunState::NotRun && verdict.reason != Reason::CallerLeft)
+    if (!isCut && verdict.state != RunState::NotRun && verdict.reason != Reason::CallerLeft)
         logEvent(Event::AnswerBroken,
                  {{"call", call}, {"reason", std::string(info(verdict.reason).name)}});
 }
 
+void EntryNode::logCut(CallId call, const OpenCall &open, const Verdict &verdict) const
+{
+    const auto inMilliseconds = [](Duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    std::string requestId;
+    for (const auto &[name, value] : open.exchange->request().headers) {
+        if (strcasecmp(name.c_str(), "X-Request-Id") == 0)
+            requestId = value;
+    }
+    logEvent(Event::RequestCutByStop,
+             {{"call", call},
+              {"request", requestId},
+              {"upstream", open.upstream},
+              {"reason", std::string(info(verdict.reason).name)},
+              {"may_run_again", open.request.repeatable},
+              {"arrived_ms", inMilliseconds(open.arrivedAt - m_stopBeganAt)},
+              {"ms", inMilliseconds(m_clock.now() - open.arrivedAt)}});
+}
+
 } // namespace fordwood::apps
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -102,9 +102,12 @@
     };
     struct StopEvent
     { };
-    using EntryEvent = std::variant<BeginEvent, ReplyEvent, ClaimEvent, AllowanceEvent,
-                                    StreamLostEvent, FinishedEvent, FailedEvent, LimitEvent,
-                                    NoticeEvent, CallerLeftEvent, StateEvent, StopEvent>;
+    struct StopEndEvent
+    { };
+    using EntryEvent
+        = std::variant<BeginEvent, ReplyEvent, ClaimEvent, AllowanceEvent, StreamLostEvent,
+                       FinishedEvent, FailedEvent, LimitEvent, NoticeEvent, CallerLeftEvent,
+                       StateEvent, StopEvent, StopEndEvent>;
 
     // CallerHandler, called on the HTTP threads
     std::variant<adapters::DirectAnswer, std::shared_ptr<adapters::Exchange>>
@@ -127,6 +130,8 @@
     void limitRead(CallId call, unsigned attempt, const ParsedLimit &limit) override;
     void noticeRead(CallId call, unsigned attempt, const UpstreamNotice &notice) override;
 
+    void waitForAnswers();
+
     adapters::DirectAnswer operatorAnswer(const std::string &path);
     adapters::DirectAnswer rejectionAnswer(Verdict verdict, bool hasKey);
     void applySnapshot(const wire::Snapshot &snapshot);
@@ -146,6 +151,7 @@
     void on(const CallerLeftEvent &event);
     void on(const StateEvent &event);
     void on(const StopEvent &event);
+    void on(const StopEndEvent &event);
     void carryOut(const Action &action);
     void sendUpstream(const SendCall &send);
     void endExchange(CallId call, const Verdict &verdict);
@@ -172,7 +178,10 @@
     std::atomic<std::size_t> m_openCallCount{0}; // calls that the dispatcher has open
     std::atomic<bool> m_ready{false};
     std::atomic<bool> m_stopBegan{false}; // a planned stop has begun
+    std::atomic<bool> m_isStopOver{false}; // its time has passed, or the last answer has ended
     std::atomic<bool> m_stopping{false};
+    TimePoint m_stopBeganAt{};
+    std::optional<TimePoint> m_stopEndsAt; // nullopt: the planned stop has no time limit
 
     // Requests that were parsed but not yet submitted, by id.
     std::mutex m_unsubmittedMutex;
@@ -183,7 +192,10 @@
     {
         CallRequest request;
         std::shared_ptr<adapters::Exchange> exchange;
+        TimePoint arrivedAt{};
+        std::string upstream = {}; // of the last attempt; empty: none was made
     };
+    void logCut(CallId call, const OpenCall &open, const Verdict &verdict) const;
     std::unordered_map<CallId, OpenCall> m_openCalls;
 };
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -327,6 +327,26 @@
     end(id, Verdict::of(Reason::UpstreamTimeout));
 }
 
+void Dispatcher::endAllForStop()
+{
+    // A call that leaves its team's ceiling lets another one in, so those that wait to be let in
+    // are ended first, and those that have been sent last.
+    std::vector<std::tuple<bool, bool, CallId>> open;
+    for (const auto &[id, call] : m_calls)
+        open.emplace_back(call.entered, call.stage == Stage::Sent, id);
+    std::sort(open.begin(), open.end());
+    for (const auto &[entered, sent, id] : open) {
+        Call &call = m_calls.at(id);
+        withdraw(call);
+        if (sent) {
+            m_actions.emplace_back(CancelAttempt{id, call.attempt});
+            m_permits.release(id, 0.0);
+        }
+        end(id, sent || call.mayHaveRun ? Verdict::of(Reason::CutByStop)
+                                        : Verdict::of(Reason::Stopping, {}, kDefaultRetryAfter));
+    }
+}
+
 std::vector<Action> Dispatcher::takeActions()
 {
     return std::exchange(m_actions, {});
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "fordwood/dispatcher.hpp"
 
+#include <map>
+
 #include <doctest/doctest.h>
 
 #include "fordwood/manual_clock.hpp"
@@ -497,3 +499,33 @@
     fixture.grantLast();
     CHECK_FALSE(fixture.last<SendCall>());
 }
+
+// Guards against calls that get no verdict at the end of a planned stop, and against sends that the
+// end of another call allows.
+TEST_CASE("dispatcher: the end of a planned stop ends every call, and sends none [stop]")
+{
+    Fixture f(1);
+    f.begin(1);
+    f.grantLast();
+    REQUIRE(f.last<SendCall>());
+    f.begin(2); // waits for a permit
+    REQUIRE(f.last<RequestPermit>());
+    f.dispatcher.stop();
+    f.dispatcher.endAllForStop();
+    std::map<CallId, Verdict> verdicts;
+    int cancelled = 0;
+    for (const Action &it : f.dispatcher.takeActions()) {
+        if (const auto *end = std::get_if<EndCall>(&it))
+            verdicts[end->call] = end->verdict;
+        cancelled += std::holds_alternative<CancelAttempt>(it) ? 1 : 0;
+        CHECK_FALSE(std::holds_alternative<SendCall>(it));
+        CHECK_FALSE(std::holds_alternative<RequestPermit>(it));
+    }
+    REQUIRE(verdicts.size() == 2);
+    CHECK(verdicts[1].reason == Reason::CutByStop);
+    CHECK(verdicts[1].state == RunState::MayHaveRun);
+    CHECK(verdicts[2].reason == Reason::Stopping);
+    CHECK(verdicts[2].state == RunState::NotRun);
+    CHECK(cancelled == 1);
+    CHECK(f.dispatcher.calls() == 0);
+}
