Entry nodes: the time limit of a planned stop counts from the signal

With entry.stop_timeout set, fordwood-entryd ended later than that after the signal: the limit began after entry.stop_notice, and when the process took the signal, which is late if it has no processor time. What the platform kills then is cut without a verdict.

It includes the notice, which ends with it.

Tests, on the code before: a stop of 1.5 s with a notice of 1 s takes 2.2 s, one of 2 s whose signal is taken 0.7 s late takes 2.4 s. Now both end in time.

--- a/src/apps/common/daemon.hpp
+++ b/src/apps/common/daemon.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "config/settings.hpp"
+#include "fordwood/clock.hpp"
 
 namespace fordwood::apps {
 
@@ -26,8 +27,9 @@
     // Returns false after logging the cause if the daemon cannot serve.
     virtual bool start() = 0;
 
-    // Begins a planned stop.
-    virtual void beginStop() = 0;
+    // Begins a planned stop. `signalledAt`: the earliest time at which the signal may have been
+    // sent.
+    virtual void beginStop(TimePoint signalledAt) = 0;
 
     // Waits until the stop is complete.
     virtual void finishStop() = 0;
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -88,7 +88,7 @@
     return true;
 }
 
-void ControlNode::beginStop()
+void ControlNode::beginStop(TimePoint)
 {
     const auto keys = std::make_shared<std::promise<HandedKeys>>();
     auto handedKeys = keys->get_future();
--- a/src/apps/controld/control_node.hpp
+++ b/src/apps/controld/control_node.hpp
@@ -39,7 +39,7 @@
     ~ControlNode() override;
 
     bool start() override;
-    void beginStop() override;
+    void beginStop(TimePoint signalledAt) override;
     void finishStop() override;
 
 private:
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -72,21 +72,25 @@
     return true;
 }
 
-void EntryNode::beginStop()
+void EntryNode::beginStop(TimePoint signalledAt)
 {
     m_stopBegan = true;
-    m_stopBeganAt = m_clock.now();
-    std::this_thread::sleep_for(m_settings.entry.stopNotice);
+    m_signalledAt = signalledAt;
+    if (m_settings.entry.stopTimeout > Duration::zero()) {
+        StopPlan plan(m_settings.entry.stopTimeout);
+        plan.begin(signalledAt);
+        m_stopEndsAt = plan.endsAt();
+    }
+    // The balancer learns of the stop from now on, however late the signal was taken.
+    Duration notice = m_settings.entry.stopNotice;
+    if (m_stopEndsAt)
+        notice = std::clamp(*m_stopEndsAt - m_clock.now(), Duration::zero(), notice);
+    std::this_thread::sleep_for(notice);
     pushBlocking(StopEvent{});
 }
 
 void EntryNode::finishStop()
 {
-    if (m_settings.entry.stopTimeout > Duration::zero()) {
-        StopPlan plan(m_settings.entry.stopTimeout);
-        plan.begin(m_clock.now());
-        m_stopEndsAt = plan.endsAt();
-    }
     waitForAnswers();
     m_callers.stopListening();
     m_isStopOver = true;
@@ -491,7 +495,7 @@
               {"upstream", open.upstream},
               {"reason", std::string(info(verdict.reason).name)},
               {"may_run_again", open.request.repeatable},
-              {"arrived_ms", inMilliseconds(open.arrivedAt - m_stopBeganAt)},
+              {"arrived_ms", inMilliseconds(open.arrivedAt - m_signalledAt)},
               {"ms", inMilliseconds(m_clock.now() - open.arrivedAt)}});
 }
 
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -37,7 +37,7 @@
     ~EntryNode() override;
 
     bool start() override;
-    void beginStop() override;
+    void beginStop(TimePoint signalledAt) override;
     void finishStop() override;
 
 private:
@@ -180,7 +180,7 @@
     std::atomic<bool> m_stopBegan{false}; // a planned stop has begun
     std::atomic<bool> m_isStopOver{false}; // its time has passed, or the last answer has ended
     std::atomic<bool> m_stopping{false};
-    TimePoint m_stopBeganAt{};
+    TimePoint m_signalledAt{}; // the earliest time of the signal to stop
     std::optional<TimePoint> m_stopEndsAt; // nullopt: the planned stop has no time limit
 
     // Requests that were parsed but not yet submitted, by id.
--- a/tests/process/entry_stop_test.cpp
+++ b/tests/process/entry_stop_test.cpp
@@ -112,6 +112,44 @@
         CHECK_MESSAGE(logLines(fleet, "name=RequestCutByStop", "request=\"" + id + "\"") == 1, id);
 }
 
+// Guards against a time limit that begins only after the stop notice.
+TEST_CASE("entry stop: the stop notice is a part of the stop's time limit [stop]")
+{
+    FleetSize size = smallFleet("stop_timeout = \"1500ms\"");
+    size.stopNotice = "1s";
+    Fleet fleet(size);
+    fleet.start();
+    HttpAnswer answer;
+    std::thread caller([&] { answer = call(fleet, "long", false, kLongTokens); });
+    REQUIRE(waitForInFlight(fleet, 1));
+    const auto begin = RealClock::now();
+    fleet.entryds[0].signal(SIGTERM);
+    CHECK(fleet.entryds[0].wait() == 0);
+    CHECK(RealClock::now() - begin < 1'500ms);
+    caller.join();
+    CHECK(answer.status == 502);
+}
+
+// Guards against a time limit that begins when the process takes the signal, which may be long
+// after it was sent.
+TEST_CASE("entry stop: the time limit counts from a signal that was taken late [stop]")
+{
+    Fleet fleet(smallFleet("stop_timeout = \"2s\""));
+    fleet.start();
+    HttpAnswer answer;
+    std::thread caller([&] { answer = call(fleet, "long", false, kLongTokens); });
+    REQUIRE(waitForInFlight(fleet, 1));
+    const auto begin = RealClock::now();
+    fleet.entryds[0].signal(SIGSTOP);
+    fleet.entryds[0].signal(SIGTERM);
+    std::this_thread::sleep_for(700ms);
+    fleet.entryds[0].signal(SIGCONT);
+    CHECK(fleet.entryds[0].wait() == 0);
+    CHECK(RealClock::now() - begin < 2s);
+    caller.join();
+    CHECK(answer.status == 502);
+}
+
 // Guards against a second signal that ends the process before the stop does.
 TEST_CASE("entry stop: a second signal changes nothing [stop]")
 {
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -357,7 +357,7 @@
     std::ofstream out(settingsFile(node));
     out << "[node]\nname = \"node-" << node << "\"\nfailure_domain = \"" << failureDomain(node)
         << "\"\nregion = \"r\"\n[entry]\nlisten = \"" << entryAddress(node)
-        << "\"\nstop_notice = \"100ms\"\n"
+        << "\"\nstop_notice = \"" << m_size.stopNotice << "\"\n"
         << m_size.entrySettings << "\n[control]\nlisten = \"" << controlAddress(node)
         << "\"\nmetrics_listen = \"" << host(100 + node) << ":7101\"\n[platform]\nkey_value = \""
         << platformAddress() << "\"\nvm_list = \"" << platformHttp()
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -24,6 +24,7 @@
     bool refusesWhenFull = false; // engines with free slots get requests without permits
     bool resumes = false; // engines can resume streams that broke at another engine
     std::string example = {}; // in examples/; replaces the standard configuration
+    std::string stopNotice = "100ms"; // of entryd
 };
 
 // A fleet on one machine: stand-ins and entry VMs run as processes on loopback addresses that no
