Entry nodes: connections stay open for 0.5 s after the last answer of a planned stop

A connection whose answer had announced no close was closed within some 20 ms of the last answer's end: a caller that used it again found its request unanswered, and could not know whether it had run.

From the signal on, answers whose head has not been sent announce the close of their connection. Connections stay open for 0.5 s after the last answer, where a time limit is set at most until 0.1 s after the cut; requests that come then are rejected as not run.

The new test, a request 0.1 s after the end of a stream that began before the signal, got no answer before; now 503, stopping.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -58,6 +58,9 @@
     delete static_cast<ChunkReader *>(cls);
 }
 
+// The library closes a connection after an answer with this header.
+const Headers::value_type kCloseHeader{"Connection", "close"};
+
 MHD_Result queueChunks(MHD_Connection *connection, const std::shared_ptr<Exchange> &exchange,
                        const AnswerHead &head)
 {
@@ -72,15 +75,24 @@
     return result;
 }
 
+MHD_Result queueDirect(MHD_Connection *connection, DirectAnswer answer, bool announcesClose)
+{
+    if (announcesClose)
+        answer.headers.push_back(kCloseHeader);
+    return queueAnswer(connection, answer);
+}
+
 MHD_Result queueAvailable(MHD_Connection *connection, const std::shared_ptr<Exchange> &exchange,
-                          AvailableAnswer available)
+                          AvailableAnswer available, bool announcesClose)
 {
+    if (announcesClose)
+        available.head.headers.push_back(kCloseHeader);
     switch (available.kind) {
     case AvailableAnswer::Kind::None:
         MHD_suspend_connection(connection);
         return MHD_YES;
     case AvailableAnswer::Kind::Refusal:
-        return queueAnswer(connection, answerOf(available.verdict));
+        return queueDirect(connection, answerOf(available.verdict), announcesClose);
     case AvailableAnswer::Kind::Complete:
         available.head.headers.emplace_back("Fordwood-Verdict", "ran");
         return queueAnswer(connection, {available.head.status, "", std::move(available.body),
@@ -138,7 +150,8 @@
             return MHD_YES;
         }
         if (incoming->exchange)
-            return queueAvailable(connection, incoming->exchange, incoming->exchange->takeAnswer());
+            return queueAvailable(connection, incoming->exchange, incoming->exchange->takeAnswer(),
+                                  server.m_announcesClose);
         if (incoming->isTooLarge)
             return refuse(server, connection, Reason::BodyTooLarge);
         return handle(server, connection, *incoming);
@@ -174,7 +187,7 @@
     static MHD_Result refuse(CallerServer &server, MHD_Connection *connection, Reason reason)
     {
         server.m_handler.refused(reason);
-        return queueAnswer(connection, answerOf(Verdict::of(reason)));
+        return queueDirect(connection, answerOf(Verdict::of(reason)), server.m_announcesClose);
     }
 
     static MHD_Result handle(CallerServer &server, MHD_Connection *connection,
@@ -183,7 +196,7 @@
         auto handled = server.m_handler.handle(std::move(incoming.request));
         incoming.request.method = "-"; // not empty: the request was started
         if (const auto *answer = std::get_if<DirectAnswer>(&handled))
-            return queueAnswer(connection, *answer);
+            return queueDirect(connection, *answer, server.m_announcesClose);
         incoming.exchange = std::get<std::shared_ptr<Exchange>>(handled);
         const CallId call = incoming.exchange->id();
         incoming.exchange->setWake([connection] { MHD_resume_connection(connection); });
--- a/src/adapters/http/caller_server.hpp
+++ b/src/adapters/http/caller_server.hpp
@@ -63,6 +63,9 @@
     // Returns false if it cannot listen on the address.
     bool start();
 
+    // Lets each answer whose head has not been sent announce that its connection closes.
+    void announceClose() { m_announcesClose = true; }
+
     // Stops accepting connections; open ones continue.
     void stopListening();
 
@@ -79,6 +82,7 @@
     CallerWatch m_watch;
     MHD_Daemon *m_daemon = nullptr;
     std::thread m_watchThread;
+    std::atomic<bool> m_announcesClose{false};
     std::atomic<bool> m_stopping{false};
 };
 
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -19,8 +19,12 @@
 constexpr Duration kIdleWait = std::chrono::milliseconds(200);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
 
-// The time for the answers that are sent at the end of a planned stop.
+// The time for the answers that are sent when the time of a planned stop has passed.
 constexpr Duration kLastAnswersTime = std::chrono::milliseconds(100);
+
+// How long connections stay open after the last answer of a planned stop. The heads of answers that
+// began before the stop announced no close, so their callers may send another request.
+constexpr Duration kKeptConnectionTime = std::chrono::milliseconds(500);
 constexpr std::size_t kEventsPerRound = 256;
 // Upper bound of the queued events of one call, so that the ring has space for those of all calls.
 constexpr std::size_t kEventsPerCall = 8;
@@ -76,6 +80,7 @@
 {
     m_stopBegan = true;
     m_signalledAt = signalledAt;
+    m_callers.announceClose();
     if (m_settings.entry.stopTimeout > Duration::zero()) {
         StopPlan plan(m_settings.entry.stopTimeout);
         plan.begin(signalledAt);
@@ -96,9 +101,12 @@
     m_isStopOver = true;
     pushBlocking(StopEndEvent{});
     // The HTTP library ends the process if a connection waits for its answer as the server stops.
-    const TimePoint until = m_clock.now() + kLastAnswersTime;
-    while (m_inFlight > 0 && m_clock.now() < until)
-        std::this_thread::sleep_for(kStopPoll);
+    // Requests that come now are rejected at once.
+    const TimePoint now = m_clock.now();
+    TimePoint until = now + kKeptConnectionTime;
+    if (m_stopEndsAt)
+        until = std::min(until, std::max(now, *m_stopEndsAt) + kLastAnswersTime);
+    std::this_thread::sleep_for(until - now);
     m_callers.stop();
     m_control.stop();
     m_controlThread.join();
--- a/tests/process/entry_stop_test.cpp
+++ b/tests/process/entry_stop_test.cpp
@@ -150,6 +150,26 @@
     CHECK(answer.status == 502);
 }
 
+// Guards against connections that are closed as the last answer ends, although their callers were
+// not told of it.
+TEST_CASE("entry stop: the next request on a connection whose answer began before the stop is "
+          "answered [stop]")
+{
+    Fleet fleet(smallFleet(""));
+    fleet.start();
+    IdleConnection connection(fleet.entryAddress(0));
+    std::thread stopper([&] {
+        CHECK(waitForInFlight(fleet, 1));
+        std::this_thread::sleep_for(300ms); // until the head of the answer has been sent
+        fleet.entryds[0].signal(SIGTERM);
+    });
+    CHECK(connection.exchange(request(true, 60), "\r\n0\r\n\r\n"));
+    stopper.join();
+    std::this_thread::sleep_for(100ms);
+    CHECK(connection.exchange(request(false, 8), "stopping"));
+    CHECK(fleet.entryds[0].wait() == 0);
+}
+
 // Guards against a second signal that ends the process before the stop does.
 TEST_CASE("entry stop: a second signal changes nothing [stop]")
 {
