Entry nodes: connections that wait are accepted before the server stops listening

By reading: connections that the kernel had taken, and the server had not yet accepted, are reset as its listening socket closes. They are now accepted first and handed to the server, which answers their requests.

The new test is a guard: it passed before as well, since the threads of the server accept all that wait in one go, and the gap is shorter than a test can hit.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -3,6 +3,7 @@
 
 #include <microhttpd.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cstdlib>
@@ -305,8 +306,20 @@
     if (m_daemon == nullptr)
         return;
     const MHD_socket listener = MHD_quiesce_daemon(m_daemon);
-    if (listener != MHD_INVALID_SOCKET)
-        close(listener);
+    if (listener == MHD_INVALID_SOCKET)
+        return;
+    // The kernel resets connections that still wait when the socket closes.
+    sockaddr_storage peer{};
+    socklen_t size = sizeof peer;
+    for (;;) {
+        auto *address = reinterpret_cast<sockaddr *>(&peer);
+        const int socket = accept4(listener, address, &size, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        if (socket < 0)
+            break;
+        MHD_add_connection(m_daemon, socket, address, size);
+        size = sizeof peer;
+    }
+    close(listener);
 }
 
 void CallerServer::stop()
--- a/src/adapters/http/caller_server.hpp
+++ b/src/adapters/http/caller_server.hpp
@@ -66,7 +66,7 @@
     // Lets each answer whose head has not been sent announce that its connection closes.
     void announceClose() { m_announcesClose = true; }
 
-    // Stops accepting connections; open ones continue.
+    // Stops listening. Accepts the connections that wait; open ones continue.
     void stopListening();
 
     // Closes all connections.
--- a/tests/process/entry_stop_test.cpp
+++ b/tests/process/entry_stop_test.cpp
@@ -170,6 +170,37 @@
     CHECK(fleet.entryds[0].wait() == 0);
 }
 
+// Guards against connections that the kernel had accepted, and that are reset as the server stops
+// listening.
+TEST_CASE("entry stop: connections that wait to be accepted at the end of the stop are answered "
+          "[stop]")
+{
+    Fleet fleet(smallFleet("stop_timeout = \"2s\""));
+    fleet.start();
+    std::thread caller([&] { std::ignore = call(fleet, "long", false, kLongTokens); });
+    REQUIRE(waitForInFlight(fleet, 1));
+    const auto begin = RealClock::now();
+    fleet.entryds[0].signal(SIGTERM);
+    std::this_thread::sleep_until(begin + 1s);
+    fleet.entryds[0].signal(SIGSTOP);
+    constexpr std::size_t kCallers = 12;
+    std::vector<HttpAnswer> answers(kCallers);
+    std::vector<std::thread> callers;
+    for (HttpAnswer &it : answers)
+        callers.emplace_back([&] { it = call(fleet, "late", false, 8); });
+    std::this_thread::sleep_until(begin + 1'600ms);
+    fleet.entryds[0].signal(SIGCONT);
+    CHECK(fleet.entryds[0].wait() == 0);
+    caller.join();
+    for (std::thread &it : callers)
+        it.join();
+    for (HttpAnswer &it : answers) {
+        CHECK(it.status == 503);
+        CHECK(it.headers["fordwood-reason"] == "stopping");
+        CHECK(it.headers["connection"] == "close");
+    }
+}
+
 // Guards against a second signal that ends the process before the stop does.
 TEST_CASE("entry stop: a second signal changes nothing [stop]")
 {
