Entry nodes: the server stops only when every call has been ended

By reading: at the end of a planned stop the server was stopped after a fixed time, 0.1 to 0.5 s. If the dispatch thread had no processor time until then, connections still waited for their verdict, and libmicrohttpd ended the process. It now waits in addition until every exchange has its answer or a refusal. No test shows the fault.

--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -100,13 +100,16 @@
     m_callers.stopListening();
     m_isStopOver = true;
     pushBlocking(StopEndEvent{});
-    // The HTTP library ends the process if a connection waits for its answer as the server stops.
     // Requests that come now are rejected at once.
     const TimePoint now = m_clock.now();
     TimePoint until = now + kKeptConnectionTime;
     if (m_stopEndsAt)
         until = std::min(until, std::max(now, *m_stopEndsAt) + kLastAnswersTime);
     std::this_thread::sleep_for(until - now);
+    // The HTTP library ends the process if a connection waits for its answer as the server stops.
+    // Without processor time, the dispatch thread may not have ended all calls yet.
+    while (m_unendedCalls > 0)
+        std::this_thread::sleep_for(kStopPoll);
     m_callers.stop();
     m_control.stop();
     m_controlThread.join();
@@ -147,7 +150,9 @@
     // Counted before the check: finishStop() sets the flag, and waits for the counted ones after
     // it.
     ++m_inFlight;
+    ++m_unendedCalls;
     if (m_isStopOver) {
+        --m_unendedCalls;
         --m_inFlight;
         return rejectionAnswer(Verdict::of(Reason::Stopping, {}, kRetryDelay), hasKey);
     }
@@ -176,6 +181,7 @@
     if (hasKey)
         verdict.state = RunState::MayHaveRun;
     exchange->refuse(verdict);
+    --m_unendedCalls;
 }
 
 void EntryNode::callerLeft(CallId call)
@@ -354,8 +360,10 @@
 void EntryNode::on(const FinishedEvent &event)
 {
     m_dispatcher.attemptFinished(event.call, event.attempt, event.cost, event.answer);
-    if (m_openCalls.erase(event.call) > 0)
-        m_metrics.count("fordwood_answers_total");
+    if (m_openCalls.erase(event.call) == 0)
+        return;
+    --m_unendedCalls;
+    m_metrics.count("fordwood_answers_total");
 }
 
 void EntryNode::on(const FailedEvent &event)
@@ -467,6 +475,7 @@
         it->second.exchange->finish(kOnlyAttempt);
     }
     m_openCalls.erase(it);
+    --m_unendedCalls;
     m_metrics.count("fordwood_repeated_answers_total");
 }
 
@@ -481,6 +490,7 @@
         m_metrics.count("fordwood_requests_cut_by_stop_total");
     }
     m_openCalls.erase(it);
+    --m_unendedCalls;
     m_metrics.countRefusal(verdict.reason);
     if (!isCut && verdict.state != RunState::NotRun && verdict.reason != Reason::CallerLeft)
         logEvent(Event::AnswerBroken,
--- a/src/apps/entryd/entry_node.hpp
+++ b/src/apps/entryd/entry_node.hpp
@@ -175,6 +175,8 @@
     std::atomic<std::shared_ptr<const ServingState>> m_state;
     std::atomic<CallId> m_nextCall{1};
     std::atomic<std::size_t> m_inFlight{0};
+    std::atomic<std::size_t> m_unendedCalls{
+        0}; // whose exchange has neither an answer nor a refusal
     std::atomic<std::size_t> m_openCallCount{0}; // calls that the dispatcher has open
     std::atomic<bool> m_ready{false};
     std::atomic<bool> m_stopBegan{false}; // a planned stop has begun
