--- a/tests/process/entry_stop_test.cpp
+++ b/tests/process/entry_stop_test.cpp
@@ -186,6 +186,7 @@
     constexpr std::size_t kCallers = 12;
     std::vector<HttpAnswer> answers(kCallers);
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (HttpAnswer &it : answers)
         callers.emplace_back([&] { it = call(fleet, "late", false, 8); });
     std::this_thread::sleep_until(begin + 1'600ms);
