--- a/src/adapters/http/caller_server.hpp
+++ b/src/adapters/http/caller_server.hpp
@@ -63,7 +63,10 @@
     // Returns false if it cannot listen on the address.
     bool start();
 
-    // Stops accepting connections; open ones continue.
+    // Lets each answer whose head has not been sent announce that its connection closes.
+    void announceClose() { m_announcesClose = true; }
+
+    // Stops listening. Accepts the connections that wait; open ones continue.
     void stopListening();
 
     // Closes all connections.
@@ -79,6 +82,7 @@
     CallerWatch m_watch;
     MHD_Daemon *m_daemon = nullptr;
     std::thread m_watchThread;
+    std::atomic<bool> m_announcesClose{false};
     std::atomic<bool> m_stopping{false};
 };
 
