--- a/tests/process/kept_connection.hpp
+++ b/tests/process/kept_connection.hpp
@@ -2,6 +2,8 @@
 #ifndef FORDWOOD_TESTS_PROCESS_KEPT_CONNECTION_HPP_INCLUDED
 #define FORDWOOD_TESTS_PROCESS_KEPT_CONNECTION_HPP_INCLUDED
 
+#include <poll.h>
+
 #include <limits>
 #include <string>
 
@@ -61,6 +63,13 @@
         return answer;
     }
 
+    // Whether the node has closed the idle connection, or sent something that was not asked for.
+    bool hasEnded()
+    {
+        pollfd waiting{m_socket.native_handle(), POLLIN, 0};
+        return poll(&waiting, 1, 0) != 0;
+    }
+
     // Whether the last answer allows another request on this connection.
     bool isKept() const { return m_isKept; }
 
--- a/tests/process/timed_upstream.hpp
+++ b/tests/process/timed_upstream.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_TESTS_PROCESS_TIMED_UPSTREAM_HPP_INCLUDED
 #define FORDWOOD_TESTS_PROCESS_TIMED_UPSTREAM_HPP_INCLUDED
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -23,11 +24,18 @@
 public:
     using RealClock = std::chrono::steady_clock;
 
+    // How runs end that begin from now on: half way they break off, or nothing follows for longer
+    // than callers wait.
+    enum class Fault { None, BreakOff, Silence };
+
+    static constexpr std::chrono::milliseconds kSilence{7'000};
+
     // One run of a request.
     struct Run
     {
         RealClock::time_point begin{};
         RealClock::time_point end = RealClock::time_point::max(); // still at work
+        Fault fault = Fault::None;
     };
 
     TimedUpstream(const std::string &address, std::string instanceId)
@@ -35,6 +43,18 @@
           m_server(address, [this](const standins::Request &request) { return answer(request); })
     { }
 
+    void setFault(Fault fault)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_fault = fault;
+    }
+
+    // The number of events of a stream of this length.
+    static int eventsOf(std::chrono::milliseconds length)
+    {
+        return std::max(1, static_cast<int>(length / kEventInterval));
+    }
+
     std::vector<Run> runs(const std::string &requestId)
     {
         const std::lock_guard lock(m_mutex);
@@ -52,10 +72,11 @@
         return std::chrono::milliseconds(std::stol(path.substr(from)));
     }
 
-    std::size_t beginRun(const std::string &requestId)
+    std::size_t beginRun(const std::string &requestId, Fault &fault)
     {
         const std::lock_guard lock(m_mutex);
-        m_runs[requestId].push_back({RealClock::now()});
+        fault = m_fault;
+        m_runs[requestId].push_back({RealClock::now(), RealClock::time_point::max(), fault});
         return m_runs[requestId].size() - 1;
     }
 
@@ -76,30 +97,39 @@
         }
         result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
         const std::chrono::milliseconds length = lengthOf(request.path);
-        const std::size_t run = beginRun(id);
+        Fault fault = Fault::None;
+        const std::size_t run = beginRun(id, fault);
+        const std::chrono::milliseconds silence
+            = fault == Fault::Silence ? kSilence : std::chrono::milliseconds(0);
         if (!request.path.starts_with("/talk") && !request.path.starts_with("/stream")) {
-            std::this_thread::sleep_for(length);
+            std::this_thread::sleep_for(fault == Fault::None ? length : length / 2 + silence);
             endRun(id, run);
             result.body = "answer to " + id;
+            result.cutConnection = fault != Fault::None;
             return result;
         }
         const std::string last = request.header("Last-Event-Id");
         const int first = last.empty() ? 1 : std::stoi(last) + 1;
-        const int events = std::max(1, static_cast<int>(length / kEventInterval));
+        const int events = fault == Fault::None ? eventsOf(length) : eventsOf(length) / 2;
         result.contentType = "text/event-stream";
-        result.nextPart = [this, id, run, next = first, events](bool isClientGone) mutable {
-            if (isClientGone || next > events) {
-                endRun(id, run);
-                return std::string();
-            }
-            std::this_thread::sleep_for(kEventInterval);
-            return StreamUpstream::event(next++);
-        };
+        result.cutAfterParts = fault != Fault::None;
+        result.nextPart
+            = [this, id, run, next = first, events, silence](bool isClientGone) mutable {
+                  if (isClientGone || next > events) {
+                      if (!isClientGone)
+                          std::this_thread::sleep_for(silence);
+                      endRun(id, run);
+                      return std::string();
+                  }
+                  std::this_thread::sleep_for(kEventInterval);
+                  return StreamUpstream::event(next++);
+              };
         return result;
     }
 
     const std::string m_instanceId;
     std::mutex m_mutex;
+    Fault m_fault = Fault::None;
     std::map<std::string, std::vector<Run>> m_runs; // by request id
     standins::BlockingServer m_server; // the last member: its threads use the others
 };
