Planned stop soak: FORDWOOD_KEEP_LOGS keeps the logs, as in the other fleets

The soak took the value as the name of a folder, while the process tests only expect the variable to be set.

--- a/tests/process/planned_stop_soak_test.cpp
+++ b/tests/process/planned_stop_soak_test.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Callers on kept connections while nodes are stopped and start anew, in turn and some at once.
 // Processes are suspended as the signal comes or later, signals are repeated, the store goes away,
-// and upstreams break off or fall silent. FORDWOOD_SEED plays another series; FORDWOOD_KEEP_LOGS
-// names a folder for the nodes' logs.
+// and upstreams break off or fall silent. FORDWOOD_SEED plays another series; with
+// FORDWOOD_KEEP_LOGS the nodes' logs are kept.
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -585,18 +585,13 @@
     std::ostringstream m_faults;
 };
 
-void keepLogs(const StopFleet &fleet, unsigned seed)
+void keepLogs(const StopFleet &fleet)
 {
-    const char *folder = std::getenv("FORDWOOD_KEEP_LOGS");
-    if (folder == nullptr)
+    if (std::getenv("FORDWOOD_KEEP_LOGS") == nullptr)
         return;
-    for (int n = 0; n < kNodes; ++n) {
-        const std::string name = "node-" + std::to_string(n) + ".log";
-        std::filesystem::copy_file(fleet.folder + "/" + name,
-                                   std::string(folder) + "/seed-" + std::to_string(seed) + "-"
-                                       + name,
-                                   std::filesystem::copy_options::overwrite_existing);
-    }
+    const std::string kept = fleet.folder + "-kept";
+    std::filesystem::copy(fleet.folder, kept, std::filesystem::copy_options::recursive);
+    MESSAGE("logs kept in ", kept);
 }
 
 } // namespace
@@ -623,7 +618,7 @@
         judge.judge(it);
     for (const Stop &it : stops.stops())
         judge.judge(it);
-    keepLogs(fleet, seed);
+    keepLogs(fleet);
     MESSAGE("seed ", seed, ": ", stops.stops().size(), " stops of ", fleet.stopWithin.count(),
             " ms; ", callers.requests.load(), " requests, answered ", callers.first.load(),
             " at the first try and ", callers.second.load(), " with the retry, failed ",
