--- a/tests/process/planned_stop_soak_test.cpp
+++ b/tests/process/planned_stop_soak_test.cpp
@@ -590,7 +590,7 @@
     if (std::getenv("FORDWOOD_KEEP_LOGS") == nullptr)
         return;
     const std::string kept = fleet.folder + "-kept";
-    std::filesystem::copy(fleet.folder, kept, std::filesystem::copy_options::overwrite_existing);
+    std::filesystem::copy(fleet.folder, kept, std::filesystem::copy_options::recursive);
     MESSAGE("logs kept in ", kept);
 }
 
