Both forms of the node wait for signals in the same way

ProcessSignals holds what the one-process node and the two daemons did each for themselves: it blocks the signals, and tells with each when it may have been sent at the earliest.

--- a/src/apps/common/options.cpp
+++ b/src/apps/common/options.cpp
@@ -11,17 +11,6 @@
 
 namespace po = boost::program_options;
 
-sigset_t blockSignals(std::initializer_list<int> signals)
-{
-    sigset_t set;
-    sigemptyset(&set);
-    for (const int it : signals)
-        sigaddset(&set, it);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return set;
-}
-
 std::optional<std::string> parseOptions(int argc, char **argv, const std::string &name, int &code)
 {
     po::options_description options("Options");
--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -1,6 +1,4 @@
 // SPDX-License-Identifier: MIT
-#include <cerrno>
-#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -9,6 +7,7 @@
 #include "adapters/system_clock.hpp"
 #include "apps/common/daemon.hpp"
 #include "apps/common/options.hpp"
+#include "apps/common/process_signals.hpp"
 #include "node/control_loop.hpp"
 #include "node/serving_loop.hpp"
 
@@ -35,34 +34,16 @@
     return settings;
 }
 
-// How often the process makes sure that no signal is pending. Tells how long one may have been when
-// it is taken, as a process without processor time takes none.
-constexpr std::chrono::milliseconds kSignalCheckInterval{100};
-
-// Waits for one of the signals, for at most `timeout`, and returns it; -1: none has come.
-int waitForSignal(const sigset_t &signals, std::chrono::nanoseconds timeout)
-{
-    const timespec time{0, static_cast<long>(timeout.count())};
-    return sigtimedwait(&signals, nullptr, &time);
-}
-
 // Waits for SIGTERM or SIGINT, which starts the stop that is returned. On SIGHUP, reloads the
-// settings. `lastWithoutSignal`: a time at which no signal was pending.
-node::StopStarted waitForStop(const sigset_t &signals, TimePoint lastWithoutSignal,
-                              const std::string &path, const Clock &clock,
+// settings.
+node::StopStarted waitForStop(apps::ProcessSignals &signals, const std::string &path,
                               node::ControlLoop &control)
 {
     for (;;) {
-        const TimePoint start = clock.now();
-        const int signal = waitForSignal(signals, kSignalCheckInterval);
-        if (signal == SIGTERM || signal == SIGINT) {
-            logEvent(Event::Stopping, {{"signal", signal}});
-            return {lastWithoutSignal, clock.now()};
-        }
-        if (signal != SIGHUP) {
-            if (errno == EAGAIN)
-                lastWithoutSignal = start + kSignalCheckInterval;
-            continue;
+        const apps::ProcessSignals::Taken signal = signals.wait();
+        if (signal.number != SIGHUP) {
+            logEvent(Event::Stopping, {{"signal", signal.number}});
+            return {signal.sentAt, signal.takenAt};
         }
         if (const auto settings = readSettings(path)) {
             control.reload(*settings);
@@ -72,9 +53,10 @@
 }
 
 // Serves until a planned stop has completed.
-int serve(const config::OneProcessSettings &settings, const std::string &path, const Clock &clock,
-          const sigset_t &signals, TimePoint signalsBlockedAt)
+int serve(const config::OneProcessSettings &settings, const std::string &path,
+          apps::ProcessSignals &signals)
 {
+    const adapters::SystemClock clock;
     adapters::Metrics metrics;
     // The two loops refer to each other, so the pointers are set after both are constructed.
     node::ServingLoop *servingPointer = nullptr;
@@ -104,7 +86,7 @@
         logEvent(Event::NoPlacementAddress);
     std::thread controlThread([&] { control.run(); });
     std::thread servingThread([&] { serving.run(); });
-    control.beginStop(waitForStop(signals, signalsBlockedAt, path, clock, control));
+    control.beginStop(waitForStop(signals, path, control));
     servingThread.join();
     control.finishStop();
     std::this_thread::sleep_for(kFinalSendTime);
@@ -127,11 +109,9 @@
     if (!settings)
         return apps::ExitUsage;
     adapters::openEventLog(kName, settings->jsonLog);
-    const adapters::SystemClock clock;
-    const TimePoint signalsBlockedAt = clock.now();
-    const sigset_t signals = apps::blockSignals({SIGTERM, SIGINT, SIGHUP});
+    apps::ProcessSignals signals({SIGTERM, SIGINT, SIGHUP});
     adapters::startLogThread();
-    code = serve(*settings, *path, clock, signals, signalsBlockedAt);
+    code = serve(*settings, *path, signals);
     adapters::stopLogThread();
     return code;
 }
