Tests of planned stops: every caller that has connected gets a complete answer

They now ask for a whole answer or 503 on each connection that was made, and the first one for a signal that was taken at least 0.6 s late.

--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -24,6 +24,7 @@
 struct Outcome
 {
     std::string id;
+    bool isConnected = false;
     HttpAnswer answer;
 
     bool isWhole() const { return answer.isComplete && answer.status == 200; }
@@ -43,8 +44,11 @@
         const std::size_t n = m_threads.size();
         m_threads.emplace_back([this, at, route, length, n] {
             std::this_thread::sleep_until(at);
-            Outcome outcome{"r-" + std::to_string(n), {}};
-            outcome.answer = m_fleet.callOnce(0, route, length, outcome.id);
+            Outcome outcome{"r-" + std::to_string(n), false, {}};
+            KeptConnection connection;
+            outcome.isConnected = connection.connect(m_fleet.host(0));
+            if (connection.send(StopFleet::request(route, length, outcome.id)))
+                outcome.answer = connection.read();
             const std::lock_guard lock(m_mutex);
             m_outcomes.push_back(std::move(outcome));
         });
@@ -66,14 +70,15 @@
     std::vector<std::thread> m_threads;
 };
 
-// Each request gets its whole answer, or no upstream has begun it: it was rejected, or crossed the
-// close of its connection.
+// Each request gets its whole answer, or is rejected as not run; or the node no longer listened.
 void checkNoneIsCut(const StopFleet &fleet, const std::vector<Outcome> &outcomes)
 {
     for (const Outcome &it : outcomes) {
         CAPTURE(it.id);
         CAPTURE(it.answer.status);
         CHECK((it.isWhole() || fleet.runs(it.id).empty()));
+        CHECK((it.isWhole() || it.answer.status == (it.isConnected ? 503 : 0)));
+        CHECK(it.answer.isComplete == it.isConnected);
     }
 }
 
@@ -104,6 +109,9 @@
         callers.send(stop.begin() + 3'010ms + n * 20ms, "talk", 5'500ms);
     CHECK(stop.finish() == 0);
     checkNoneIsCut(fleet, callers.wait());
+    const std::string heard = fleet.lastLogged(0, "name=StopHeard");
+    const std::string field = "signal_ms=\"";
+    CHECK_MESSAGE(std::stoi(heard.substr(heard.find(field) + field.size())) >= 600, heard);
 }
 
 // Guards against requests that are taken although they will not end in the rest of the stop.
