--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kOutOfRotationAfter = std::chrono::milliseconds(3'200);
 
 // The end of the stop, reserved for the last answers and for the work after them.
-constexpr Duration kEndReserve = std::chrono::milliseconds(500);
+constexpr Duration kEndReserve = std::chrono::milliseconds(600);
 constexpr int kMaxReserveDivisor = 4; // of a short stop
 
 } // namespace
--- a/tests/unit/stop_plan_test.cpp
+++ b/tests/unit/stop_plan_test.cpp
@@ -20,10 +20,10 @@
     CHECK_FALSE(plan.hasBegun());
     CHECK(plan.mayTake({kSignal + 1h, {}}, kSignal));
     plan.begin(kSignal);
-    CHECK(plan.endsAt() == kSignal + 7'500ms);
+    CHECK(plan.endsAt() == kSignal + 7'400ms);
     CHECK(plan.elapsed(kSignal + 1'500ms) == 1'500ms);
     CHECK(plan.mayTake({kSignal + 12s, {}}, kSignal + 2'700ms));
-    CHECK_FALSE(plan.mayTake({kSignal + 7'501ms, {}}, kSignal + 2'800ms));
+    CHECK_FALSE(plan.mayTake({kSignal + 7'401ms, {}}, kSignal + 2'800ms));
     CHECK(plan.mayTake({plan.endsAt(), 10s}, kSignal + 7s));
     CHECK_FALSE(plan.isOutOfRotation(kSignal + 3'100ms));
     CHECK(plan.isOutOfRotation(kSignal + 3'200ms));
@@ -41,13 +41,13 @@
           "[stop]")
 {
     StopPlan plan(3s);
-    const StopPlan::Request request{kSignal + 12s, 1'500ms};
+    const StopPlan::Request request{kSignal + 12s, 1'400ms};
     CHECK(plan.canEnd(request, kSignal));
     plan.begin(kSignal);
     CHECK(plan.mayTake(request, kSignal + 1s));
     CHECK_FALSE(plan.mayTake(request, kSignal + 1'001ms));
     CHECK_FALSE(plan.canEnd(request, kSignal + 1'001ms));
-    CHECK(plan.mayTake({kSignal + 12s, 50ms}, kSignal + 2'400ms));
+    CHECK(plan.mayTake({kSignal + 12s, 50ms}, kSignal + 2'300ms));
 }
 
 // Guards against requests that waited for an upstream, and are first sent right before the end.
