--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -87,6 +87,7 @@
 {
     constexpr int kRequests = 32;
     std::vector<std::thread> threads;
+    threads.reserve(kRequests);
     for (int n = 0; n < kRequests; ++n)
         threads.emplace_back([&, n] {
             std::ignore = fleet.callOnce(0, route, length, "earlier-" + std::to_string(n));
--- a/tests/process/stopped_peer_test.cpp
+++ b/tests/process/stopped_peer_test.cpp
@@ -35,6 +35,7 @@
         for (const int it : {0, 1, 2})
             REQUIRE(Fleet::waitFor([&] { return logged(it, "live=\"3\"") > 0; }));
         std::vector<std::string> hosts;
+        hosts.reserve(kUpstreams);
         for (int n = 0; n < kUpstreams; ++n)
             hosts.push_back(upstreamHost(n));
         cutOffFrom(kCutOff, Break::Refuse, hosts);
@@ -59,6 +60,7 @@
                                               const std::string &id) const
     {
         std::vector<std::future<HttpAnswer>> calls;
+        calls.reserve(static_cast<std::size_t>(count));
         for (int n = 0; n < count; ++n)
             calls.push_back(std::async(std::launch::async, [this, route, length, id, n] {
                 return callOnce(kCutOff, route, length, id + std::to_string(n));
