--- a/include/fordwood/dispatcher.hpp
+++ b/include/fordwood/dispatcher.hpp
@@ -190,6 +190,7 @@
     static bool needsNoRetry(const Call &call, const AttemptFailure &failure, bool sentDirectly);
     void renewVersion(Call &call) const;
     void withdraw(Call &call);
+    void endUnanswered(Call &call, const Verdict &verdict);
     void endExpired(Call &call);
     void end(CallId id, const Verdict &verdict);
     bool takeRetry(const Call &call, Reason reason);
--- a/include/fordwood/stop_plan.hpp
+++ b/include/fordwood/stop_plan.hpp
@@ -2,7 +2,6 @@
 #ifndef FORDWOOD_STOP_PLAN_HPP_INCLUDED
 #define FORDWOOD_STOP_PLAN_HPP_INCLUDED
 
-#include <algorithm>
 #include <optional>
 
 #include "fordwood/clock.hpp"
--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -251,15 +251,6 @@
     }
 };
 
-std::string CallerRequest::header(std::string_view name) const
-{
-    for (const auto &[key, value] : headers) {
-        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0)
-            return value;
-    }
-    return "";
-}
-
 CallerServer::CallerServer(const Clock &clock, const config::EntrySettings &settings,
                            CallerHandler &handler)
     : m_settings(settings), m_handler(handler),
--- a/src/adapters/http/caller_server.hpp
+++ b/src/adapters/http/caller_server.hpp
@@ -25,8 +25,8 @@
     Headers headers;
     std::string body;
 
-    // Returns the value of a header, ignoring the case of its name; empty if absent.
-    std::string header(std::string_view name) const;
+    // As headerValue().
+    std::string header(std::string_view name) const { return headerValue(headers, name); }
 };
 
 // Handles the requests that CallerServer receives. Called from the HTTP threads.
--- a/src/adapters/http/exchange.cpp
+++ b/src/adapters/http/exchange.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "adapters/http/exchange.hpp"
 
+#include <strings.h>
+
 #include <algorithm>
 #include <cstring>
 #include <utility>
@@ -9,6 +11,15 @@
 
 namespace fordwood::adapters {
 
+std::string headerValue(const Headers &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0)
+            return value;
+    }
+    return "";
+}
+
 Exchange::Exchange(CallId id, UpstreamRequest request, std::size_t bufferBytes)
     : m_id(id), m_request(std::move(request)), m_bufferBytes(bufferBytes)
 { }
--- a/src/adapters/http/exchange.hpp
+++ b/src/adapters/http/exchange.hpp
@@ -18,6 +18,9 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+// Returns the value of a header, ignoring the case of its name; empty if absent.
+std::string headerValue(const Headers &headers, std::string_view name);
+
 // The request sent to an upstream for one call.
 struct UpstreamRequest
 {
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "apps/entryd/entry_node.hpp"
 
-#include <strings.h>
-
 #include <algorithm>
 
 #include "adapters/observe/event_log.hpp"
@@ -499,22 +497,14 @@
 
 void EntryNode::logCut(CallId call, const OpenCall &open, const Verdict &verdict) const
 {
-    const auto inMilliseconds = [](Duration time) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-    };
-    std::string requestId;
-    for (const auto &[name, value] : open.exchange->request().headers) {
-        if (strcasecmp(name.c_str(), "X-Request-Id") == 0)
-            requestId = value;
-    }
     logEvent(Event::RequestCutByStop,
              {{"call", call},
-              {"request", requestId},
+              {"request", adapters::headerValue(open.exchange->request().headers, "X-Request-Id")},
               {"upstream", open.upstream},
               {"reason", std::string(info(verdict.reason).name)},
               {"may_run_again", open.request.repeatable},
-              {"arrived_ms", inMilliseconds(open.arrivedAt - m_signalledAt)},
-              {"ms", inMilliseconds(m_clock.now() - open.arrivedAt)}});
+              {"arrived_ms", open.arrivedAt - m_signalledAt},
+              {"ms", m_clock.now() - open.arrivedAt}});
 }
 
 } // namespace fordwood::apps
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -315,16 +315,24 @@
     std::ignore = m_quarantine.takeUpdates();
 }
 
-// Ends a call whose deadline has passed.
-void Dispatcher::endExpired(Call &call)
+// Ends a call that can be answered no more, and cancels its attempt if it has been sent.
+void Dispatcher::endUnanswered(Call &call, const Verdict &verdict)
 {
     const CallId id = call.request.id;
     withdraw(call);
-    if (call.stage != Stage::Sent)
-        return end(id, Verdict::of(Reason::DeadlineTooNear, {}, kDefaultRetryAfter));
-    m_actions.emplace_back(CancelAttempt{id, call.attempt});
-    m_permits.release(id, 0.0);
-    end(id, Verdict::of(Reason::UpstreamTimeout));
+    if (call.stage == Stage::Sent) {
+        m_actions.emplace_back(CancelAttempt{id, call.attempt});
+        m_permits.release(id, 0.0);
+    }
+    end(id, verdict);
+}
+
+// Ends a call whose deadline has passed.
+void Dispatcher::endExpired(Call &call)
+{
+    endUnanswered(call, call.stage == Stage::Sent
+                            ? Verdict::of(Reason::UpstreamTimeout)
+                            : Verdict::of(Reason::DeadlineTooNear, {}, kDefaultRetryAfter));
 }
 
 void Dispatcher::endAllForStop()
@@ -337,13 +345,9 @@
     std::sort(open.begin(), open.end());
     for (const auto &[entered, sent, id] : open) {
         Call &call = m_calls.at(id);
-        withdraw(call);
-        if (sent) {
-            m_actions.emplace_back(CancelAttempt{id, call.attempt});
-            m_permits.release(id, 0.0);
-        }
-        end(id, sent || call.mayHaveRun ? Verdict::of(Reason::CutByStop)
-                                        : Verdict::of(Reason::Stopping, {}, kDefaultRetryAfter));
+        endUnanswered(call, call.stage == Stage::Sent || call.mayHaveRun
+                                ? Verdict::of(Reason::CutByStop)
+                                : Verdict::of(Reason::Stopping, {}, kDefaultRetryAfter));
     }
 }
 
--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "fordwood/stop_plan.hpp"
 
+#include <algorithm>
+
 namespace fordwood {
 
 namespace {
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -51,76 +51,6 @@
         beginServing();
 }
 
-// The caller has a part of the stream, which can go on only where it began.
-void CallHandler::continueStream()
-{
-    if (m_caller.resumeFrom)
-        m_eventSplitter.continueAfter(*m_caller.resumeFrom);
-    m_state.checkForStall();
-    m_state.upstreams().versions().extendStreamLifetime(m_call.callerDeadline - m_arrived);
-    if (m_caller.firstAttempt.empty())
-        continueUnnamedStream();
-    else
-        findOrigin();
-}
-
-// A caller that does not name its first attempt may go on only where one version is known.
-void CallHandler::continueUnnamedStream()
-{
-    if (m_state.upstreams().versions().hasSeveral(m_call.pool->name))
-        rejectLostStream(Reason::StreamOriginUnknown, kRetryAfter);
-    else
-        waitUntilCurrent(&CallHandler::onCurrentForUnnamed);
-}
-
-// Without evidence from the store, peers may have some.
-void CallHandler::onCurrentForUnnamed(bool isCurrent)
-{
-    const std::set<std::string> versions = m_state.upstreams().versions().recent(m_call.pool->name);
-    if (versions.size() > 1) {
-        rejectLostStream(Reason::StreamOriginUnknown, kRetryAfter);
-        return;
-    }
-    if (!isCurrent) {
-        m_state.streams().findAtPeers(m_call.stream, m_call.pool->name, originReceiver());
-        return;
-    }
-    // Another version may join before the request is sent.
-    if (!versions.empty())
-        m_origin = StreamOrigin{m_call.pool->name, *versions.begin()};
-    beginServing();
-}
-
-void CallHandler::waitUntilCurrent(void (CallHandler::*next)(bool isCurrent))
-{
-    m_state.readBarrier().wait([self = shared_from_this(), next](bool isCurrent) {
-        if (!self->m_isFinished)
-            (self.get()->*next)(isCurrent);
-    });
-}
-
-void CallHandler::findOrigin()
-{
-    m_state.streams().find(m_call.stream, m_call.pool->name, originReceiver());
-}
-
-StreamExchange::OnFound CallHandler::originReceiver()
-{
-    return [self = shared_from_this()](const std::optional<StreamOrigin> &origin) {
-        if (!self->m_isFinished)
-            self->onOrigin(origin);
-    };
-}
-
-void CallHandler::onOrigin(const std::optional<StreamOrigin> &origin)
-{
-    m_origin = origin;
-    if (m_origin && directTo(m_origin->service, m_call))
-        beginServing();
-    else
-        rejectLostStream(Reason::StreamOriginUnknown, kRetryAfter);
-}
-
 void CallHandler::beginServing()
 {
     m_state.countRequest(m_call.pool->name);
@@ -179,20 +109,6 @@
         chooseLocally(shard);
 }
 
-// Elsewhere the caller can have it answered. A stream that has begun can go on only here.
-bool CallHandler::wouldBeCutByStop() const
-{
-    return !m_streamStarted
-           && !m_state.stop().canEnd(m_state.stopRequest(m_call), m_state.clock().now());
-}
-
-void CallHandler::rejectForStop()
-{
-    m_state.countDuringStop(true);
-    m_plan.setReason(Reason::Stopping);
-    rejectWith(m_plan.verdict(kRetryAfter));
-}
-
 void CallHandler::requestPlacement(const EngineShard &shard)
 {
     m_state.placements().request(
@@ -301,19 +217,6 @@
     return true;
 }
 
-// Ends a request that continues a stream which cannot go on.
-void CallHandler::rejectLostStream(Reason reason, std::chrono::milliseconds retryAfter)
-{
-    m_plan.setReason(reason);
-    if (!m_streamStarted) {
-        rejectWith(m_plan.verdict(retryAfter));
-        return;
-    }
-    m_state.metrics().countRefusal(reason);
-    m_writer.abort();
-    finish("cut-version-gone", 0);
-}
-
 void CallHandler::handleNoUpstream()
 {
     if (m_origin && isVersionGone(m_state, *m_origin)) {
@@ -364,11 +267,6 @@
     });
 }
 
-void CallHandler::onCurrentForVersion(bool /*isCurrent*/)
-{
-    startAttempt();
-}
-
 void CallHandler::onConnected(std::shared_ptr<HttpChannel> channel, const ErrorCode &ec)
 {
     if (m_isFinished || !m_attempt) {
@@ -471,34 +369,6 @@
     m_attempt->channel->exchange(upstreamHead(m_head, m_call, *m_attempt, options), m_body, *this);
 }
 
-// Whether the attempt continues a stream of which the caller has a part.
-bool CallHandler::resumesStream() const
-{
-    return m_call.terms.resumable && (m_streamStarted || m_caller.continuesStream());
-}
-
-void CallHandler::recordResumption()
-{
-    const std::uint64_t lastEvent = m_eventSplitter.lastId().value_or(0);
-    m_state.metrics().count(m_streamStarted ? "fordwood_streams_resumed_by_node_total"
-                                            : "fordwood_streams_resumed_by_caller_total");
-    const std::string &firstAttempt
-        = m_caller.firstAttempt.empty() ? m_caller.requestId : m_caller.firstAttempt;
-    logStreamResumption({m_caller.requestId, firstAttempt, lastEvent,
-                         m_streamStarted ? "node" : "caller", m_origin ? m_origin->version : "",
-                         m_attempt->upstream.instanceId, m_attempt->upstream.softwareVersion});
-}
-
-// From its first event on, the stream can go on only at this version, at whatever node its caller
-// takes it up.
-void CallHandler::recordOrigin()
-{
-    if (!m_origin)
-        m_origin = StreamOrigin{m_call.pool->name, m_attempt->upstream.softwareVersion};
-    m_state.upstreams().versions().extendStreamLifetime(m_call.callerDeadline - m_arrived);
-    m_state.streams().record({m_call.stream, *m_origin, m_call.callerDeadline});
-}
-
 void CallHandler::endAttempt(bool reusable)
 {
     if (!m_attempt)
@@ -602,53 +472,6 @@
     finish(info(Reason::CallerLeft).name, 0);
 }
 
-void CallHandler::onStopEnd()
-{
-    if (m_isFinished)
-        return;
-    logStopEnd();
-    const bool mayRun = isAtUpstream() && !m_attempt->head.hasNotRun;
-    endAttempt(false);
-    if (!m_streamStarted && !mayRun) {
-        rejectForStop();
-        return;
-    }
-    m_state.countCutByStop();
-    if (m_streamStarted) {
-        m_state.metrics().countRefusal(Reason::CutByStop);
-        m_writer.abort();
-        finish(info(Reason::CutByStop).name, 0);
-        return;
-    }
-    rejectWith(Verdict::of(Reason::CutByStop));
-}
-
-bool CallHandler::isAtUpstream() const
-{
-    return m_attempt && m_attempt->isOpen && m_attempt->sent;
-}
-
-void CallHandler::logStopEnd() const
-{
-    const TimePoint now = m_state.clock().now();
-    RequestCut cut;
-    cut.request = m_caller.requestId;
-    cut.route = m_call.route != nullptr ? m_call.route->name : "";
-    cut.mayRunAgain = m_plan.policy().mayRunAgain;
-    cut.upstream = m_lastUpstream;
-    cut.eventsPassed = m_eventSplitter.lastId().value_or(0);
-    cut.elapsed = now - m_arrived;
-    cut.arrived = m_state.stop().elapsed(m_arrived);
-    if (m_attempt && m_attempt->isOpen) {
-        cut.isSent = m_attempt->sent;
-        if (m_attempt->startedAt != TimePoint{})
-            cut.attemptElapsed = now - m_attempt->startedAt;
-        if (m_attempt->sent)
-            cut.silence = now - m_attempt->lastDataAt;
-    }
-    logRequestCut(cut);
-}
-
 void CallHandler::finish(std::string_view outcome, unsigned status)
 {
     m_isFinished = true;
--- /dev/null
+++ b/src/node/call_handler_stop.cpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+// The part of CallHandler that ends requests for a planned stop of the node.
+#include "node/call_handler.hpp"
+
+#include "node/call_log.hpp"
+
+namespace fordwood::node {
+
+// Elsewhere the caller can have it answered. A stream that has begun can go on only here.
+bool CallHandler::wouldBeCutByStop() const
+{
+    return !m_streamStarted
+           && !m_state.stop().canEnd(m_state.stopRequest(m_call), m_state.clock().now());
+}
+
+void CallHandler::rejectForStop()
+{
+    m_state.countDuringStop(true);
+    m_plan.setReason(Reason::Stopping);
+    rejectWith(m_plan.verdict(kRetryAfter));
+}
+
+void CallHandler::onStopEnd()
+{
+    if (m_isFinished)
+        return;
+    logStopEnd();
+    const bool mayRun = isAtUpstream() && !m_attempt->head.hasNotRun;
+    endAttempt(false);
+    if (!m_streamStarted && !mayRun) {
+        rejectForStop();
+        return;
+    }
+    m_state.countCutByStop();
+    if (m_streamStarted) {
+        m_state.metrics().countRefusal(Reason::CutByStop);
+        m_writer.abort();
+        finish(info(Reason::CutByStop).name, 0);
+        return;
+    }
+    rejectWith(Verdict::of(Reason::CutByStop));
+}
+
+bool CallHandler::isAtUpstream() const
+{
+    return m_attempt && m_attempt->isOpen && m_attempt->sent;
+}
+
+void CallHandler::logStopEnd() const
+{
+    const TimePoint now = m_state.clock().now();
+    RequestCut cut;
+    cut.request = m_caller.requestId;
+    cut.route = m_call.route != nullptr ? m_call.route->name : "";
+    cut.mayRunAgain = m_plan.policy().mayRunAgain;
+    cut.upstream = m_lastUpstream;
+    cut.eventsPassed = m_eventSplitter.lastId().value_or(0);
+    cut.elapsed = now - m_arrived;
+    cut.arrived = m_state.stop().elapsed(m_arrived);
+    if (m_attempt && m_attempt->isOpen) {
+        cut.isSent = m_attempt->sent;
+        if (m_attempt->startedAt != TimePoint{})
+            cut.attemptElapsed = now - m_attempt->startedAt;
+        if (m_attempt->sent)
+            cut.silence = now - m_attempt->lastDataAt;
+    }
+    logRequestCut(cut);
+}
+
+} // namespace fordwood::node
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -116,15 +116,14 @@
     if (m_table && movesStreams(m_table->config(), update.table->config()))
         m_upstreams.versions().interrupt();
     m_table = update.table;
-    std::set<std::string> routes;
-    for (const ServiceRoute &it : m_table->config().routes)
-        routes.insert(it.name);
-    m_answerTimes.retain(routes);
     m_contexts.setStores(m_table->config().stores);
+    std::set<std::string> routes;
     for (const ServiceRoute &it : m_table->config().routes) {
+        routes.insert(it.name);
         if (it.isResumableStream())
             m_upstreams.versions().extendStreamLifetime(longestTimeout(it));
     }
+    m_answerTimes.retain(routes);
     m_metrics.setGauge("fordwood_configuration_version",
                        static_cast<double>(m_table->config().version));
 }
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -126,8 +126,7 @@
     if (!m_idleSessionsClosed) {
         m_idleSessionsClosed = true;
         m_acceptor.close();
-        const auto sessions = m_sessions;
-        for (const auto &[key, session] : sessions)
+        for (const auto &[key, session] : m_sessions)
             session->closeWhenIdle();
     }
     if (m_sessions.empty() && m_proxy.openConnections() == 0)
@@ -137,9 +136,8 @@
 void ServingLoop::endStop()
 {
     // Requests that wait end first: the end of another one may lend them a place at an upstream.
-    const auto sessions = m_sessions;
     for (const bool areAtUpstream : {false, true}) {
-        for (const auto &[key, session] : sessions) {
+        for (const auto &[key, session] : m_sessions) {
             if (session->isAtUpstream() == areAtUpstream)
                 session->endForStop();
         }
@@ -163,8 +161,7 @@
               {"proxied", m_proxy.openConnections()},
               {"longest_pause_ms", m_longestTickPause}});
     // The process goes on for a moment, and callers and peers would wait for the rest of an answer.
-    const auto sessions = m_sessions;
-    for (const auto &[key, session] : sessions)
+    for (const auto &[key, session] : m_sessions)
         session->close();
     m_proxy.close();
     m_context.stop();
