Planned stops: events that tell what is open, and what was not handled

A record of requests that were lost at a planned stop names none of them, although the process logs each end. Nothing tells whether the process was alive then. Event 111 tells once a second what is open, 413 names each request that is open a second before the end, and 414 with a counter tells input that no thread has handled as a connection closes. No change of logic.

Unit tests of stops, caller sessions and the process tests 'planned stop:*' (5) pass.

--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -24,6 +24,8 @@
 
 namespace fordwood::node {
 
+struct OpenRequest;
+
 // The body of a request, counted in the budget as long as it is held.
 struct HeldBody
 {
@@ -56,6 +58,9 @@
     // Whether an upstream has the request.
     bool isAtUpstream() const;
 
+    // Logs what is known of the request, which is open shortly before the end of a planned stop.
+    void logOpenLate() const;
+
     // The caller has caught up with the stream and can receive more.
     void onCallerReady();
 
@@ -102,7 +107,7 @@
     void rejectForStop();
     std::optional<QuarantineGate::Hold> findHold();
     void rejectQuarantined(const QuarantineGate::Hold &hold);
-    void logStopEnd() const;
+    OpenRequest describeOpen() const;
     void recordDisconnect();
     void recordAnswered();
     void recordUnanswered();
--- a/src/node/call_handler_stop.cpp
+++ b/src/node/call_handler_stop.cpp
@@ -24,7 +24,7 @@
 {
     if (m_isFinished)
         return;
-    logStopEnd();
+    logRequestCut(describeOpen());
     const bool mayRun = isAtUpstream() && !m_attempt->head.hasNotRun;
     endAttempt(false);
     if (!m_streamStarted && !mayRun) {
@@ -46,25 +46,31 @@
     return m_attempt && m_attempt->isOpen && m_attempt->sent;
 }
 
-void CallHandler::logStopEnd() const
+void CallHandler::logOpenLate() const
+{
+    if (!m_isFinished)
+        logRequestOpenLate(describeOpen());
+}
+
+OpenRequest CallHandler::describeOpen() const
 {
     const TimePoint now = m_state.clock().now();
-    RequestCut cut;
-    cut.request = m_caller.requestId;
-    cut.route = m_call.route != nullptr ? m_call.route->name : "";
-    cut.mayRunAgain = m_plan.policy().mayRunAgain;
-    cut.upstream = m_lastUpstream;
-    cut.eventsPassed = m_eventSplitter.lastId().value_or(0);
-    cut.elapsed = now - m_arrived;
-    cut.arrived = m_state.stop().elapsed(m_arrived);
+    OpenRequest open;
+    open.request = m_caller.requestId;
+    open.route = m_call.route != nullptr ? m_call.route->name : "";
+    open.mayRunAgain = m_plan.policy().mayRunAgain;
+    open.upstream = m_lastUpstream;
+    open.eventsPassed = m_eventSplitter.lastId().value_or(0);
+    open.elapsed = now - m_arrived;
+    open.arrived = m_state.stop().elapsed(m_arrived);
     if (m_attempt && m_attempt->isOpen) {
-        cut.isSent = m_attempt->sent;
+        open.isSent = m_attempt->sent;
         if (m_attempt->startedAt != TimePoint{})
-            cut.attemptElapsed = now - m_attempt->startedAt;
+            open.attemptElapsed = now - m_attempt->startedAt;
         if (m_attempt->sent)
-            cut.silence = now - m_attempt->lastDataAt;
+            open.silence = now - m_attempt->lastDataAt;
     }
-    logRequestCut(cut);
+    return open;
 }
 
 } // namespace fordwood::node
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -50,6 +50,20 @@
     return out.str();
 }
 
+void logOpenRequest(Event event, const OpenRequest &open)
+{
+    logEvent(event, {{"request", open.request},
+                     {"route", open.route},
+                     {"may_run_again", open.mayRunAgain},
+                     {"upstream", open.upstream},
+                     {"sent", open.isSent},
+                     {"events_passed", open.eventsPassed},
+                     {"arrived_ms", open.arrived},
+                     {"ms", open.elapsed},
+                     {"attempt_ms", open.attemptElapsed},
+                     {"silent_ms", open.silence}});
+}
+
 // The ids of the shared parts of a prompt, which other requests may have as well.
 std::string sharedParts(const Prompt *prompt)
 {
@@ -115,18 +129,14 @@
               {"found", disorder.found ? std::to_string(*disorder.found) : ""}});
 }
 
-void logRequestCut(const RequestCut &cut)
+void logRequestOpenLate(const OpenRequest &open)
+{
+    logOpenRequest(Event::RequestOpenLate, open);
+}
+
+void logRequestCut(const OpenRequest &cut)
 {
-    logEvent(Event::RequestCutByStop, {{"request", cut.request},
-                                       {"route", cut.route},
-                                       {"may_run_again", cut.mayRunAgain},
-                                       {"upstream", cut.upstream},
-                                       {"sent", cut.isSent},
-                                       {"events_passed", cut.eventsPassed},
-                                       {"arrived_ms", inMilliseconds(cut.arrived)},
-                                       {"ms", inMilliseconds(cut.elapsed)},
-                                       {"attempt_ms", inMilliseconds(cut.attemptElapsed)},
-                                       {"silent_ms", inMilliseconds(cut.silence)}});
+    logOpenRequest(Event::RequestCutByStop, cut);
 }
 
 void logCallSummary(const CallSummary &end)
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -94,8 +94,8 @@
     std::optional<std::uint64_t> found; // id of the event; nullopt: it has none
 };
 
-// A request that was still open at the end of a planned stop.
-struct RequestCut
+// A request that is open at the end of a planned stop, or shortly before.
+struct OpenRequest
 {
     std::string request; // request id
     std::string route;
@@ -109,8 +109,11 @@
     Duration silence{}; // since the upstream last sent something; zero: nothing was sent to it
 };
 
+// Logs the event RequestOpenLate.
+void logRequestOpenLate(const OpenRequest &open);
+
 // Logs the event RequestCutByStop.
-void logRequestCut(const RequestCut &cut);
+void logRequestCut(const OpenRequest &cut);
 
 // Logs the event StreamOrderBroken.
 void logStreamOrderBroken(const StreamDisorder &disorder);
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -401,6 +401,12 @@
         lingeringClose();
 }
 
+void CallerSession::logOpenLate() const
+{
+    if (m_call)
+        m_call->logOpenLate();
+}
+
 void CallerSession::endForStop()
 {
     if (m_call)
@@ -430,6 +436,7 @@
         std::array<char, 4'096> bytes{};
         const auto n
             = ::recv(self->m_socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+        self->m_discardedBytes += n > 0 ? static_cast<std::size_t>(n) : 0;
         const bool mayHaveMore = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
         if (mayHaveMore)
             self->discardInput();
@@ -438,12 +445,31 @@
     });
 }
 
+// A request that crosses the close of its connection gets no answer and has no other line.
+void CallerSession::logUnhandledInput()
+{
+    const std::size_t held = m_unparsed.size() + (m_incoming ? m_incoming->buffer.size() : 0);
+    ErrorCode ec; // a connection that has failed has nothing to read
+    const std::size_t unread = m_socket.available(ec);
+    const bool isReading = isReadingRequest();
+    if (held + unread + m_discardedBytes == 0 && !isReading)
+        return;
+    m_state.metrics().count("fordwood_discarded_inputs_total");
+    logEvent(Event::InputDiscarded, {{"reading", isReading},
+                                     {"held", held},
+                                     {"unread", unread},
+                                     {"discarded", m_discardedBytes},
+                                     {"ms", m_state.stop().elapsed(m_state.clock().now())}});
+}
+
 void CallerSession::close()
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
     m_timer.cancel();
+    if (m_state.stop().hasBegun())
+        logUnhandledInput();
     // The CallHandler would otherwise keep writing to this session.
     if (const auto call = std::exchange(m_call, nullptr))
         call->onCallerDisconnect();
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -38,9 +38,18 @@
     // The planned stop ends: ends the request that is open, if there is one.
     void endForStop();
 
+    // Whether a request is open.
+    bool hasRequest() const { return m_call != nullptr; }
+
     // Whether the request that is open has been sent to an upstream.
     bool isAtUpstream() const { return m_call && m_call->isAtUpstream(); }
 
+    // Whether a request has begun to arrive that is not whole yet.
+    bool isReadingRequest() const { return m_incoming && m_incoming->parser.got_some(); }
+
+    // Logs the request that is open shortly before the end of a planned stop.
+    void logOpenLate() const;
+
     // Closes the connection, whatever is open.
     void close();
 
@@ -95,6 +104,7 @@
     void closeIfIdle();
     void lingeringClose();
     void discardInput();
+    void logUnhandledInput();
 
     NodeState &m_state;
     tcp::socket m_socket;
@@ -115,6 +125,7 @@
     bool m_keepAlive = true;
     bool m_closesWhenIdle = false;
     bool m_isClosing = false; // no more requests are read and nothing is sent
+    std::size_t m_discardedBytes = 0; // input that arrived while the connection was closing
     bool m_isClosed = false;
 };
 
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -19,6 +19,12 @@
 constexpr Duration kLastWriteTime = std::chrono::milliseconds(100);
 constexpr Duration kUnreadCheckInterval = std::chrono::seconds(1);
 
+constexpr Duration kStopLogInterval = std::chrono::seconds(1);
+// Requests that are open this long before the end of a planned stop are logged: if the process is
+// ended from outside before its own end, nothing else tells of them.
+constexpr Duration kLateRequestTime = std::chrono::seconds(1);
+constexpr std::size_t kMaxLateRequests = 64; // logged
+
 } // namespace
 
 ServingLoop::ServingLoop(const config::OneProcessSettings &settings, const Clock &clock,
@@ -121,6 +127,7 @@
 {
     if (!std::exchange(m_isEndTimerStarted, true))
         m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endStop(); });
+    logStop();
     if (!m_state.stop().isOutOfRotation(m_clock.now()))
         return;
     if (!m_idleSessionsClosed) {
@@ -133,6 +140,33 @@
         finishStop();
 }
 
+void ServingLoop::logStop()
+{
+    const TimePoint now = m_clock.now();
+    const auto countSessions = [this](bool (CallerSession::*is)() const) {
+        return std::count_if(m_sessions.begin(), m_sessions.end(),
+                             [is](const auto &it) { return (*it.second.*is)(); });
+    };
+    if (now >= m_nextStopLog) {
+        m_nextStopLog = now + kStopLogInterval;
+        logEvent(Event::StopContinues,
+                 {{"ms", m_state.stop().elapsed(now)},
+                  {"connections", m_sessions.size()},
+                  {"requests", countSessions(&CallerSession::hasRequest)},
+                  {"at_upstream", countSessions(&CallerSession::isAtUpstream)},
+                  {"reading", countSessions(&CallerSession::isReadingRequest)},
+                  {"proxied", m_proxy.openConnections()}});
+    }
+    if (m_areLateRequestsLogged || now < m_state.stop().endsAt() - kLateRequestTime)
+        return;
+    m_areLateRequestsLogged = true;
+    std::size_t logged = 0;
+    for (const auto &[key, session] : m_sessions) {
+        if (session->hasRequest() && ++logged <= kMaxLateRequests)
+            session->logOpenLate();
+    }
+}
+
 void ServingLoop::endStop()
 {
     // Requests that wait end first: the end of another one may lend them a place at an upstream.
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -46,6 +46,7 @@
     void tick();
     void closeUnreadAnswers();
     void continueStop();
+    void logStop();
     void endStop();
     void finishStop();
     void reportLoads(bool isUrgent);
@@ -65,6 +66,8 @@
     TimeoutTimer m_tickTimer;
     DeadlineTimer m_endTimer; // of a planned stop
     bool m_isEndTimerStarted = false;
+    bool m_areLateRequestsLogged = false;
+    TimePoint m_nextStopLog{};
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
     bool m_idleSessionsClosed = false;
     TimePoint m_nextUnreadCheck{};
