Planned stops: requests that run are not cut for a signal that may have come earlier

Callers saw streams end seconds before the platform would have ended their node, if it had no processor time before the signal came.

Cause: all times of a stop count from the earliest moment at which the signal may have been pending. For what a node takes on that is the safe side; for what runs it is not. Without processor time for 2 s before the signal, the node cut all streams 2 s earlier than it had to.

Change: requests that no upstream has begun end by the earliest moment, those that run by the latest one, when the signal was taken. If the signal did come earlier, the platform may end the process first, and its callers lose nothing by that.

The two daemons end everything by the earliest moment still.

--- a/include/fordwood/stop_plan.hpp
+++ b/include/fordwood/stop_plan.hpp
@@ -9,25 +9,34 @@
 namespace fordwood {
 
 // The times of a planned stop of a node, and which requests it still takes. The platform ends the
-// process a fixed time after its signal, however late the process takes it. So all times count from
-// the earliest time at which the signal may have been sent.
+// process a fixed time after its signal, however late the process takes it. So the times count from
+// the earliest time at which the signal may have been sent, but for the end of requests that run:
+// these lose nothing if the platform ends the process first.
 class StopPlan
 {
 public:
     // `stopWithin`: the time from the signal until the platform ends the process.
     explicit StopPlan(Duration stopWithin) : m_stopWithin(stopWithin) { }
 
-    // `signalledAt`: the earliest time at which the signal may have been sent.
-    void begin(TimePoint signalledAt) { m_signalledAt = signalledAt; }
+    // `signalledAt`, `takenAt`: the earliest and the latest time at which the signal may have been
+    // sent.
+    void begin(TimePoint signalledAt, TimePoint takenAt)
+    {
+        m_signalledAt = signalledAt;
+        m_takenAt = takenAt;
+    }
 
     bool hasBegun() const { return m_signalledAt.has_value(); }
 
     // The time since the signal; zero: no stop has begun.
     Duration elapsed(TimePoint now) const;
 
-    // When requests that are still open are ended. Only while a stop lasts.
+    // When requests that no upstream has begun are ended. Only while a stop lasts.
     TimePoint endsAt() const;
 
+    // When requests that still run are ended. Only while a stop lasts.
+    TimePoint cutsAt() const;
+
     // What is known of a request.
     struct Request
     {
@@ -46,8 +55,11 @@
     bool isOutOfRotation(TimePoint now) const;
 
 private:
+    Duration servingTime() const;
+
     const Duration m_stopWithin;
     std::optional<TimePoint> m_signalledAt;
+    TimePoint m_takenAt{};
 };
 
 } // namespace fordwood
--- a/src/apps/entryd/entry_node.cpp
+++ b/src/apps/entryd/entry_node.cpp
@@ -81,7 +81,7 @@
     m_callers.announceClose();
     if (m_settings.entry.stopTimeout > Duration::zero()) {
         StopPlan plan(m_settings.entry.stopTimeout);
-        plan.begin(signalledAt);
+        plan.begin(signalledAt, signalledAt);
         m_stopEndsAt = plan.endsAt();
     }
     // The balancer learns of the stop from now on, however late the signal was taken.
--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -34,7 +34,18 @@
 
 TimePoint StopPlan::endsAt() const
 {
-    return *m_signalledAt + m_stopWithin - std::min(kEndReserve, m_stopWithin / kMaxReserveDivisor);
+    return *m_signalledAt + servingTime();
+}
+
+TimePoint StopPlan::cutsAt() const
+{
+    return m_takenAt + servingTime();
+}
+
+// The part of the stop before its reserve.
+Duration StopPlan::servingTime() const
+{
+    return m_stopWithin - std::min(kEndReserve, m_stopWithin / kMaxReserveDivisor);
 }
 
 bool StopPlan::mayTake(const Request &request, TimePoint now) const
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -280,7 +280,7 @@
 
 void NodeState::apply(const StopStarted &update)
 {
-    m_stop.begin(update.signalledAt);
+    m_stop.begin(update.signalledAt, update.takenAt);
     m_paths.startStop();
     adapters::logEvent(adapters::Event::StopHeard,
                        {{"signal_ms", update.takenAt - update.signalledAt},
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -126,7 +126,7 @@
 void ServingLoop::continueStop()
 {
     if (!std::exchange(m_isEndTimerStarted, true))
-        m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endStop(); });
+        m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endWaiting(); });
     logStop();
     if (!m_state.stop().isOutOfRotation(m_clock.now()))
         return;
@@ -167,15 +167,21 @@
     }
 }
 
-void ServingLoop::endStop()
+// Requests that wait end before those that run: the end of one of these may lend them a place at an
+// upstream.
+void ServingLoop::endWaiting()
 {
-    // Requests that wait end first: the end of another one may lend them a place at an upstream.
-    for (const bool areAtUpstream : {false, true}) {
-        for (const auto &[key, session] : m_sessions) {
-            if (session->isAtUpstream() == areAtUpstream)
-                session->endForStop();
-        }
+    for (const auto &[key, session] : m_sessions) {
+        if (!session->isAtUpstream())
+            session->endForStop();
     }
+    m_endTimer.startUntil(m_state.stop().cutsAt(), [this] { endStop(); });
+}
+
+void ServingLoop::endStop()
+{
+    for (const auto &[key, session] : m_sessions)
+        session->endForStop();
     m_endTimer.start(kLastWriteTime, [this] { finishStop(); });
 }
 
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -47,6 +47,7 @@
     void closeUnreadAnswers();
     void continueStop();
     void logStop();
+    void endWaiting();
     void endStop();
     void finishStop();
     void reportLoads(bool isUrgent);
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -203,3 +203,24 @@
     CHECK(stop.finish() == 0);
     checkNoneIsCut(fleet, callers.wait());
 }
+
+// Guards against streams that are cut long before the stop ends: the signal may have been pending
+// while the process had no processor time, but was not.
+TEST_CASE("planned stop: no stream is cut too early by a node that had no processor time before "
+          "the signal [node][stop]")
+{
+    StopFleet fleet(1, 4, 5'000ms);
+    TimedCallers callers(fleet);
+    const auto begin = RealClock::now();
+    for (int n = 0; n < 10; ++n)
+        callers.send(begin + n * 10ms, "talk", 5'500ms);
+    std::this_thread::sleep_until(begin + 300ms);
+    fleet.nodes.front().signal(SIGSTOP);
+    std::this_thread::sleep_until(begin + 2'300ms);
+    PlannedStop stop(fleet, 0);
+    fleet.nodes.front().signal(SIGCONT);
+    CHECK(stop.finish() == 0);
+    for (const Outcome &it : callers.wait())
+        CHECK_MESSAGE(it.isWhole(), it.id);
+    CHECK(fleet.logged(0, "name=RequestCutByStop") == 0);
+}
--- a/tests/unit/stop_plan_test.cpp
+++ b/tests/unit/stop_plan_test.cpp
@@ -19,7 +19,7 @@
     StopPlan plan(8s);
     CHECK_FALSE(plan.hasBegun());
     CHECK(plan.mayTake({kSignal + 1h, {}}, kSignal));
-    plan.begin(kSignal);
+    plan.begin(kSignal, kSignal);
     CHECK(plan.endsAt() == kSignal + 7'000ms);
     CHECK(plan.elapsed(kSignal + 1'500ms) == 1'500ms);
     CHECK(plan.mayTake({kSignal + 12s, {}}, kSignal + 2'199ms));
@@ -29,11 +29,23 @@
     CHECK(plan.isOutOfRotation(kSignal + 3'200ms));
 }
 
+// Guards against requests that are cut too early, since the signal may have been pending long
+// before the process took it.
+TEST_CASE("stop plan: requests that run end by the latest time of the signal, all else counts from "
+          "the earliest [stop]")
+{
+    StopPlan plan(8s);
+    plan.begin(kSignal, kSignal + 2s);
+    CHECK(plan.endsAt() == kSignal + 7s);
+    CHECK(plan.cutsAt() == kSignal + 9s);
+    CHECK_FALSE(plan.mayTake({kSignal + 12s, 100ms}, kSignal + 2'200ms));
+}
+
 // Guards against requests that are cut before the last sixth of a short stop, which counts as loss.
 TEST_CASE("stop plan: a short stop keeps a sixth at most for its end [stop]")
 {
     StopPlan plan(3s);
-    plan.begin(kSignal);
+    plan.begin(kSignal, kSignal);
     CHECK(plan.endsAt() == kSignal + 2'500ms);
 }
 
@@ -42,7 +54,7 @@
           "began that may outlast it [stop]")
 {
     StopPlan plan(8s);
-    plan.begin(kSignal + 700ms);
+    plan.begin(kSignal + 700ms, kSignal + 700ms);
     CHECK_FALSE(plan.mayTake({kSignal + 8'001ms, 100ms}, kSignal + 3s));
     CHECK(plan.endsAt() < kSignal + 8s);
 }
@@ -54,7 +66,7 @@
     StopPlan plan(3s);
     const StopPlan::Request request{kSignal + 12s, 1'400ms};
     CHECK(plan.canEnd(request, kSignal));
-    plan.begin(kSignal);
+    plan.begin(kSignal, kSignal);
     CHECK(plan.mayTake(request, kSignal + 1'100ms));
     CHECK_FALSE(plan.mayTake(request, kSignal + 1'101ms));
     CHECK_FALSE(plan.canEnd(request, kSignal + 1'101ms));
@@ -66,7 +78,7 @@
           "[stop]")
 {
     StopPlan plan(3s);
-    plan.begin(kSignal);
+    plan.begin(kSignal, kSignal);
     const StopPlan::Request request{kSignal + 12s, {}};
     CHECK(plan.mayTake(request, kSignal + 1s));
     CHECK_FALSE(plan.mayTake(request, kSignal + 1'100ms));
