Planned stops: a request that crosses the close of an idle connection is not read

Callers saw a request that they sent on a kept connection, as the node closed it, end without an answer or a promise.

Cause: the node closed an idle connection like one that has just carried an answer: it read what still came, for up to 0.5 s, and dropped it. A caller may send a request elsewhere that was not read, but not one that was. No answer is on its way on an idle connection, so there is nothing that the reading would protect.

Change: an idle connection is closed at once. The test fails before; its fixture lets the loop run again that a closed session leaves without work.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -394,11 +394,12 @@
         closeIfIdle();
 }
 
-// A request that has already arrived is answered first.
+// A request that has already arrived is answered first. One that crosses the close must not be
+// read: its caller may send it elsewhere only if it knows that.
 void CallerSession::closeIfIdle()
 {
-    if (isOpenAndIdle(m_socket))
-        lingeringClose();
+    if (!m_isClosing && isOpenAndIdle(m_socket))
+        close();
 }
 
 void CallerSession::logOpenLate() const
--- a/tests/node/caller_session_test.cpp
+++ b/tests/node/caller_session_test.cpp
@@ -40,6 +40,7 @@
     {
         std::string bytes;
         bool isClosed = false;
+        context.restart(); // it has stopped if a closed session has left it without work
         net::async_read(caller, net::dynamic_buffer(bytes),
                         [&](const ErrorCode &, std::size_t) { isClosed = true; });
         while (!isClosed)
@@ -91,6 +92,21 @@
     CHECK_FALSE(fixture.wasRequestHandled());
 }
 
+// Guards against a request that crosses the close of an idle connection and is read, so that its
+// caller cannot know that it has not run.
+TEST_CASE("caller session: a request that crosses the close of an idle session is not read "
+          "[session][stop]")
+{
+    SessionFixture fixture;
+    fixture.clock.advance(1s);
+    fixture.session->closeWhenIdle();
+    fixture.context.poll(); // the caller has not closed
+    CHECK(fixture.closedSessions == 1);
+    fixture.sendRequest();
+    CHECK(fixture.readUntilClosed().empty());
+    CHECK_FALSE(fixture.wasRequestHandled());
+}
+
 // Guards against a caller whose request crosses the close of a connection that has just been used.
 TEST_CASE("caller session: a request that comes right after the last answer is answered although "
           "the session closes when idle [session][stop]")
