The log neither delays the end of a node nor fails for good after one error

Cause: at the exit the node waited for the log thread, which may wait in a write for ever, so a node whose output is a full pipe was killed at the end of its grace. After any error of a write (EAGAIN of a non-blocking pipe, EPIPE, ENOSPC) std::cout kept its error state, so that every later line was dropped without being counted. Nothing told whether a log is whole.

Change: lines go to the descriptor without a stream of the C++ library. A full non-blocking pipe is waited for, other errors drop and count the line, and event 106 names the count and the error. At the stop the log thread gets 200 ms; then the process ends by _Exit() with its exit status. Event 102 is the last line and tells the time since the signal and the lines logged and dropped.

--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -1,14 +1,21 @@
 // SPDX-License-Identifier: MIT
 #include "adapters/observe/event_log.hpp"
 
+#include <unistd.h>
+
 #include <atomic>
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <sstream>
+#include <system_error>
 #include <thread>
+#include <tuple>
 
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
+#include "adapters/observe/line_output.hpp"
 #include "adapters/observe/log_queue.hpp"
 
 INITIALIZE_EASYLOGGINGPP
@@ -88,8 +95,29 @@
     return jsonLines ? formatJson(info, fields) : formatText(info, fields);
 }
 
-void writeLine(EventLevel level, const std::string &line)
+// The error of the last line that this thread wrote, as easylogging++ returns none.
+thread_local std::error_code lastWriteError; // NOLINT
+
+// Writes the lines that easylogging++ has formatted.
+class LineDispatch : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const el::LogMessage *message = data->logMessage();
+        const std::string line = message->logger()->logBuilder()->build(message, true);
+        const std::lock_guard lock(m_mutex);
+        lastWriteError = m_output.write(line);
+    }
+
+private:
+    std::mutex m_mutex;
+    LineOutput m_output{STDOUT_FILENO};
+};
+
+std::error_code writeLine(EventLevel level, const std::string &line)
 {
+    lastWriteError.clear();
     switch (level) {
     case EventLevel::Info:
         LOG(INFO) << line;
@@ -101,6 +129,7 @@
         LOG(ERROR) << line;
         break;
     }
+    return lastWriteError;
 }
 
 // Writes the lines of all threads in batches, so that the thread rarely wakes up.
@@ -112,39 +141,104 @@
     LogThread &operator=(const LogThread &) = delete;
     ~LogThread()
     {
-        m_stopping.store(true);
+        requestStop(std::nullopt);
         m_thread.join();
     }
 
-    void push(EventLevel level, std::string line) { m_lines.push({level, std::move(line)}); }
+    void push(EventLevel level, std::string line)
+    {
+        m_logged.fetch_add(1);
+        m_lines.push({level, std::move(line)});
+    }
+
+    // Returns false if the pending lines could not be written in time; the thread still runs then.
+    bool stop(std::optional<Duration> sinceSignal)
+    {
+        requestStop(sinceSignal);
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, kFinalWriteTime, [this] { return m_isFinished; });
+    }
 
 private:
     // A busy node writes a few hundred lines per second; the limit is reached only in a burst.
     static constexpr std::size_t kMaxPendingLines = 4'096;
     static constexpr std::chrono::milliseconds kBatchPeriod{50};
+    // Writing all pending lines takes a few milliseconds where somebody reads them. The planned
+    // stop keeps 0.6 s for its end, and uses up to 0.3 s of it before the log is closed.
+    static constexpr std::chrono::milliseconds kFinalWriteTime{200};
+
+    void requestStop(std::optional<Duration> sinceSignal)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_isStopping)
+            m_sinceSignal = sinceSignal;
+        m_isStopping = true;
+        m_changed.notify_all();
+    }
 
     void run()
     {
-        while (!m_stopping.load()) {
-            std::this_thread::sleep_for(kBatchPeriod);
+        std::unique_lock lock(m_mutex);
+        while (!m_changed.wait_for(lock, kBatchPeriod, [this] { return m_isStopping; })) {
+            lock.unlock();
             writeAll();
+            lock.lock();
         }
+        const std::optional<Duration> sinceSignal = m_sinceSignal;
+        lock.unlock();
         writeAll();
+        if (sinceSignal)
+            writeStopped(*sinceSignal);
+        lock.lock();
+        m_isFinished = true;
+        m_changed.notify_all();
     }
 
     void writeAll()
     {
-        const std::uint64_t dropped
-            = m_lines.drain([](const LogQueue::Line &it) { writeLine(it.level, it.text); });
-        if (dropped > 0) {
-            const EventInfo &info = findInfo(Event::LogLinesDropped);
-            writeLine(info.level, formatLine(info, {{"lines", dropped}}));
-        }
+        std::uint64_t failed = 0;
+        const std::uint64_t overflowed = m_lines.drain([&](const LogQueue::Line &it) {
+            if (const std::error_code ec = writeLine(it.level, it.text)) {
+                ++failed;
+                m_error = ec;
+            }
+        });
+        m_dropped += overflowed + failed;
+        m_unreported += overflowed + failed;
+        if (m_unreported > 0)
+            reportDropped();
+    }
+
+    void reportDropped()
+    {
+        const EventInfo &info = findInfo(Event::LogLinesDropped);
+        const std::string error = m_error ? m_error.message() : "";
+        if (writeLine(info.level, formatLine(info, {{"lines", m_unreported}, {"error", error}})))
+            return; // counted in the next report
+        m_unreported = 0;
+        m_error.clear();
+    }
+
+    void writeStopped(Duration sinceSignal)
+    {
+        const EventInfo &info = findInfo(Event::Stopped);
+        std::ignore = writeLine(info.level, formatLine(info, {{"since_signal_ms", sinceSignal},
+                                                              {"lines", m_logged.load()},
+                                                              {"dropped", m_dropped}}));
     }
 
     LogQueue m_lines;
-    std::atomic<bool> m_stopping{false};
-    std::thread m_thread;
+    std::atomic<std::uint64_t> m_logged{0};
+    // Of the log thread alone:
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_unreported = 0; // of those, not yet told by an event
+    std::error_code m_error; // of the last one that was not written
+    std::mutex m_mutex; // of the members below
+    std::condition_variable m_changed;
+    bool m_isStopping = false;
+    bool m_isFinished = false;
+    std::optional<Duration> m_sinceSignal;
+    std::thread m_thread; // last, as it uses the other members
 };
 
 std::unique_ptr<LogThread>
@@ -157,9 +251,12 @@
     logThread = std::make_unique<LogThread>();
 }
 
-void stopLogThread()
+bool stopLogThread(std::optional<Duration> sinceSignal)
 {
+    if (!logThread->stop(sinceSignal))
+        return false;
     logThread.reset();
+    return true;
 }
 
 void openEventLog(const std::string &program, bool json)
@@ -169,10 +266,11 @@
     el::Configurations conf;
     conf.setToDefault();
     conf.setGlobally(el::ConfigurationType::ToFile, "false");
-    conf.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    conf.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     conf.setGlobally(el::ConfigurationType::Format,
                      json ? "%msg" : "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
     el::Loggers::reconfigureAllLoggers(conf);
+    el::Helpers::installLogDispatchCallback<LineDispatch>("fordwood");
 }
 
 std::string eventsPage()
--- a/src/adapters/observe/event_log.hpp
+++ b/src/adapters/observe/event_log.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -47,8 +48,11 @@
 // a few thousand lines are pending. Call once, and call stopLogThread() before the process ends.
 void startLogThread();
 
-// Writes the pending lines and stops the thread.
-void stopLogThread();
+// Writes the pending lines and stops the thread. With `sinceSignal`, the time since the signal that
+// stops the process, event 102 is the last line. Returns false if the log could not be written in
+// a fraction of a second, as when nobody reads a full pipe: the thread still runs then, and the
+// process must end by std::_Exit(), since destructors would wait for the thread.
+[[nodiscard]] bool stopLogThread(std::optional<Duration> sinceSignal = std::nullopt);
 
 // Returns the list of all events as a Markdown page.
 std::string eventsPage();
--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -5,6 +5,7 @@
 
 #include "adapters/observe/event_log.hpp"
 #include "adapters/system_clock.hpp"
+#include "apps/common/close_log.hpp"
 #include "apps/common/daemon.hpp"
 #include "apps/common/options.hpp"
 #include "apps/common/process_signals.hpp"
@@ -52,9 +53,9 @@
     }
 }
 
-// Serves until a planned stop has completed.
+// Serves until a planned stop has completed. Sets `signalledAt` to the earliest time of its signal.
 int serve(const config::OneProcessSettings &settings, const std::string &path,
-          apps::ProcessSignals &signals)
+          apps::ProcessSignals &signals, std::optional<TimePoint> &signalledAt)
 {
     const adapters::SystemClock clock;
     adapters::Metrics metrics;
@@ -86,13 +87,14 @@
         logEvent(Event::NoPlacementAddress);
     std::thread controlThread([&] { control.run(); });
     std::thread servingThread([&] { serving.run(); });
-    control.beginStop(waitForStop(signals, path, control));
+    const node::StopStarted stop = waitForStop(signals, path, control);
+    signalledAt = stop.signalledAt;
+    control.beginStop(stop);
     servingThread.join();
     control.finishStop();
     std::this_thread::sleep_for(kFinalSendTime);
     control.stop();
     controlThread.join();
-    logEvent(Event::Stopped);
     return apps::ExitOk;
 }
 
@@ -111,7 +113,7 @@
     adapters::openEventLog(kName, settings->jsonLog);
     apps::ProcessSignals signals({SIGTERM, SIGINT, SIGHUP});
     adapters::startLogThread();
-    code = serve(*settings, *path, signals);
-    adapters::stopLogThread();
-    return code;
+    std::optional<TimePoint> signalledAt;
+    code = serve(*settings, *path, signals, signalledAt);
+    return apps::closeLog(code, signalledAt);
 }
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -69,7 +69,7 @@
                 "/usr/bin/env", std::string("LD_PRELOAD=") + FORDWOOD_BROKEN_PATHS_LIBRARY,
                 "FORDWOOD_BROKEN_PATHS=" + brokenPathsFile(node),
                 programPath(FORDWOOD_PROGRAMS, "fordwood-noded"), "--settings", path},
-            folder + "/node-" + std::to_string(node) + ".log");
+            folder + "/node-" + std::to_string(node) + ".log", output);
     }
 
     // How new connections fail on a broken path.
@@ -225,6 +225,7 @@
     bool hasPlacementAddresses = true; // of the nodes that are started
     std::string extraSettings; // lines of the section "callers"
     std::chrono::milliseconds stopWithin{5'000}; // of the nodes that are started
+    int output = -1; // of the nodes that are started: standard output, if it is not the log file
     std::string seedAddress; // of the nodes that are started; empty: the first node
     KeyValueStandin store;
     UpstreamStandin first;
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <sstream>
 #include <thread>
+#include <tuple>
 #include <utility>
 
 namespace fordwood::process {
@@ -25,9 +26,15 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+// Opens another end of a pipe, whose flags are independent of those of the other ends.
+int openEnd(int pipeEnd, int flags)
+{
+    return open(("/proc/self/fd/" + std::to_string(pipeEnd)).c_str(), flags | O_CLOEXEC);
+}
+
 } // namespace
 
-Process::Process(const std::vector<std::string> &command, const std::string &logFile)
+Process::Process(const std::vector<std::string> &command, const std::string &logFile, int output)
 {
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
@@ -49,7 +56,7 @@
     pthread_sigmask(SIG_SETMASK, &before, nullptr);
     prctl(PR_SET_PDEATHSIG, SIGKILL); // no process outlives a crashed test
     const int log = open(logFile.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
-    dup2(log, STDOUT_FILENO);
+    dup2(output < 0 ? log : output, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     execv(arguments[0], arguments.data());
     _exit(127);
@@ -132,6 +139,48 @@
     return usage;
 }
 
+OutputPipe::OutputPipe(Writes writes)
+{
+    int ends[2] = {-1, -1};
+    std::ignore = pipe2(ends, O_CLOEXEC | (writes == Writes::FailWhenFull ? O_NONBLOCK : 0));
+    m_writeEnd = ends[1];
+    m_readEnd = openEnd(ends[0], O_RDONLY | O_NONBLOCK);
+    close(ends[0]);
+}
+
+OutputPipe::~OutputPipe()
+{
+    close(m_writeEnd);
+    if (m_readEnd >= 0)
+        close(m_readEnd);
+}
+
+void OutputPipe::fill() const
+{
+    const int end = openEnd(m_writeEnd, O_WRONLY | O_NONBLOCK);
+    while (::write(end, "\n", 1) == 1) { }
+    close(end);
+}
+
+std::string OutputPipe::read() const
+{
+    std::string text;
+    char buf[4'096];
+    for (ssize_t n = 0; (n = ::read(m_readEnd, buf, sizeof buf)) > 0;)
+        text.append(buf, static_cast<std::size_t>(n));
+    return text;
+}
+
+void OutputPipe::closeReadEnd()
+{
+    close(std::exchange(m_readEnd, -1));
+}
+
+void OutputPipe::openReadEnd()
+{
+    m_readEnd = openEnd(m_writeEnd, O_RDONLY | O_NONBLOCK);
+}
+
 std::string programPath(const std::string &folder, const std::string &name)
 {
     std::vector<std::string> folders;
--- a/tests/process/process.hpp
+++ b/tests/process/process.hpp
@@ -23,7 +23,8 @@
 {
 public:
     Process() = default;
-    Process(const std::vector<std::string> &command, const std::string &logFile);
+    // `output`: a file descriptor for the program's standard output, or -1 for the log file.
+    Process(const std::vector<std::string> &command, const std::string &logFile, int output = -1);
     Process(Process &&other) noexcept;
     Process &operator=(Process &&other) noexcept;
     ~Process();
@@ -52,6 +53,35 @@
     pid_t m_pid = -1;
 };
 
+// A pipe for the standard output of a program, which a test fills, reads and breaks as it likes.
+class OutputPipe
+{
+public:
+    enum class Writes { Block, FailWhenFull };
+
+    explicit OutputPipe(Writes writes = Writes::Block);
+    OutputPipe(const OutputPipe &) = delete;
+    OutputPipe &operator=(const OutputPipe &) = delete;
+    ~OutputPipe();
+
+    // The descriptor to pass to Process.
+    int writeEnd() const { return m_writeEnd; }
+
+    // Fills the pipe with empty lines, so that the program's next write waits or fails.
+    void fill() const;
+
+    // Removes and returns what the pipe holds.
+    std::string read() const;
+
+    // Closes the read end: writes fail until it is opened again.
+    void closeReadEnd();
+    void openReadEnd();
+
+private:
+    int m_writeEnd = -1;
+    int m_readEnd = -1;
+};
+
 // The path of a Fordwood program in `folder`. When the environment variable FORDWOOD_BUILDS lists
 // folders, separated by colons, successive calls for a program use these in turn instead, so that a
 // fleet mixes several builds.
