fordwood-entryd and fordwood-controld write their log on a thread of its own

Cause: the two daemons wrote each line where it was logged, so that requests and the exit waited for whoever reads standard output.

Change: they start the log thread as fordwood-noded does, and close the log in a bounded time.

Test: an entry process whose full pipe nobody reads did not end within 5 s of SIGTERM; now it ends with exit status 0.

--- a/src/apps/common/daemon.cpp
+++ b/src/apps/common/daemon.cpp
@@ -3,10 +3,12 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 #include <curl/curl.h>
 
 #include "adapters/observe/event_log.hpp"
+#include "apps/common/close_log.hpp"
 #include "apps/common/options.hpp"
 #include "apps/common/process_signals.hpp"
 
@@ -17,6 +19,22 @@
 using adapters::Event;
 using adapters::logEvent;
 
+// Serves until a planned stop has completed. Sets `signalledAt` to the earliest time of its signal.
+int serve(const config::Settings &settings, const DaemonFactory &make, ProcessSignals &signals,
+          std::optional<TimePoint> &signalledAt)
+{
+    const std::unique_ptr<Daemon> daemon = make(settings);
+    if (!daemon->start())
+        return ExitFailed;
+    logEvent(Event::Started, {{"node", settings.node.name}, {"version", FORDWOOD_VERSION}});
+    const ProcessSignals::Taken signal = signals.wait();
+    logEvent(Event::Stopping, {{"signal", signal.number}});
+    signalledAt = signal.sentAt;
+    daemon->beginStop(signal.sentAt);
+    daemon->finishStop();
+    return ExitOk;
+}
+
 } // namespace
 
 int runDaemon(int argc, char **argv, const std::string &name, const DaemonFactory &make)
@@ -37,16 +55,10 @@
     }
     ProcessSignals signals({SIGTERM, SIGINT});
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    const std::unique_ptr<Daemon> daemon = make(*settings);
-    if (!daemon->start())
-        return ExitFailed;
-    logEvent(Event::Started, {{"node", settings->node.name}, {"version", FORDWOOD_VERSION}});
-    const ProcessSignals::Taken signal = signals.wait();
-    logEvent(Event::Stopping, {{"signal", signal.number}});
-    daemon->beginStop(signal.sentAt);
-    daemon->finishStop();
-    logEvent(Event::Stopped);
-    return ExitOk;
+    adapters::startLogThread();
+    std::optional<TimePoint> signalledAt;
+    code = serve(*settings, make, signals, signalledAt);
+    return closeLog(code, signalledAt);
 }
 
 } // namespace fordwood::apps
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -118,8 +118,8 @@
 void Fleet::startEntryd(int node)
 {
     const std::string name = "entryd-" + std::to_string(node);
-    entryds.at(static_cast<std::size_t>(node))
-        = Process({program("fordwood-entryd"), "--settings", settingsFile(node)}, logFile(name));
+    entryds.at(static_cast<std::size_t>(node)) = Process(
+        {program("fordwood-entryd"), "--settings", settingsFile(node)}, logFile(name), entryOutput);
 }
 
 void Fleet::startControld(int node)
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -91,6 +91,7 @@
     std::vector<Process> engineProcesses;
     std::vector<Process> entryds;
     std::vector<Process> controlds;
+    int entryOutput = -1; // of entryds that are started: standard output, if it is not the log file
 
     const std::string &folder() const { return m_folder; }
 
