Incomplete events of streams are counted in the budget of buffers

Cause: the bytes of an event that is not whole were held by EventSplitter, up to 1 MiB for each stream, and counted nowhere. Faulty upstreams on a thousand streams could take about 1 GB. A string keeps its space, so that a stream also held the space of its largest event as long as it lasted. The end of a stream whose event exceeds 1 MiB did not count against its upstream.

Change: the incomplete event is counted toward its team and the node. Bytes that were passed on are dropped at once, with their space.

--- a/include/fordwood/buffer_budget.hpp
+++ b/include/fordwood/buffer_budget.hpp
@@ -19,10 +19,12 @@
 
 // Counts the bytes of requests and answers that a node holds in memory, and decides whether it may
 // hold more. Answers above their limit are not rejected: their upstreams are not read until the
-// caller has read. Request bodies above the limit are rejected before they reach an upstream.
+// caller has read. Request bodies above the limit are rejected before they reach an upstream, and
+// streams above it end if they hold a large part of an event.
 //
 // Load pattern: hundreds of callers stop reading long answers, or one team sends large requests to
-// an upstream that reads slowly, while other teams' small requests arrive at their usual rate.
+// an upstream that reads slowly, or faulty upstreams send events without end on a thousand streams,
+// while other teams' small requests arrive at their usual rate.
 class BufferBudget
 {
     struct Held
@@ -71,6 +73,11 @@
     // Whether more of an answer may be read into the buffer.
     bool mayReadAnswer(const Buffer &buffer) const;
 
+    // Whether the buffer may hold what it does, an event of a stream that is not whole. Nothing of
+    // it can be passed on, so a stream above the limit ends: if its upstream were not read instead,
+    // streams that wait for each other's space would never go on.
+    bool mayHoldEvent(const Buffer &buffer) const { return mayHoldRequest(buffer); }
+
     // Whether the buffer may hold what it does, a request body or a part of one.
     bool mayHoldRequest(const Buffer &buffer) const;
 
--- a/include/fordwood/event_splitter.hpp
+++ b/include/fordwood/event_splitter.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_EVENT_SPLITTER_HPP_INCLUDED
 #define FORDWOOD_EVENT_SPLITTER_HPP_INCLUDED
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,13 +44,19 @@
     bool canContinue() const { return !m_hasUnnumbered; }
 
     // Whether there are bytes of an incomplete event.
-    bool hasPartialEvent() const { return m_bytes.size() > m_completeBytes; }
+    bool hasPartialEvent() const { return partialBytes() > 0; }
+
+    // Frees what add() has returned. Only bytes of an incomplete event are held from then on.
+    void dropReturned();
+
+    // The bytes of an incomplete event.
+    std::size_t partialBytes() const { return m_bytes.size() - m_completeBytes; }
 
     // The run has ended, and the stream may continue at another upstream. Drops an incomplete event
     // and those that were withheld.
     void endRun();
 
-    bool isTooLong() const { return m_bytes.size() - m_completeBytes > kMaxEventBytes; }
+    bool isTooLong() const { return partialBytes() > kMaxEventBytes; }
 
 private:
     std::size_t takeOrdered(std::string_view events);
--- a/src/core/event_splitter.cpp
+++ b/src/core/event_splitter.cpp
@@ -12,6 +12,10 @@
 constexpr std::string_view kBlankLines[] = {"\n\n", "\n\r\n"};
 constexpr std::size_t kMaxBlankBytes = 3;
 
+// Space that is kept for the next events. Most events are smaller, so their bytes are seldom copied
+// to other space.
+constexpr std::size_t kMaxSpareBytes = 16'384;
+
 // Position after the last blank line of the text, or zero. There is none in the first `searched`
 // bytes, which are not searched again: an event may arrive in many small parts.
 std::size_t endOfLastEvent(std::string_view text, std::size_t searched)
@@ -74,8 +78,7 @@
 {
     if (m_isOutOfOrder)
         return {};
-    m_bytes.erase(0, m_completeBytes);
-    m_completeBytes = 0;
+    dropReturned();
     const std::size_t searched = m_bytes.size();
     m_bytes.append(bytes);
     m_completeBytes = endOfLastEvent(m_bytes, searched);
@@ -83,10 +86,19 @@
     return events.substr(0, takeOrdered(events));
 }
 
-void EventSplitter::endRun()
+void EventSplitter::dropReturned()
 {
-    m_bytes.clear();
+    m_bytes.erase(0, m_completeBytes);
     m_completeBytes = 0;
+    // A string keeps its space, and a stream lasts longer than its largest event.
+    if (m_bytes.capacity() > kMaxSpareBytes && m_bytes.size() <= m_bytes.capacity() / 4)
+        m_bytes.shrink_to_fit();
+}
+
+void EventSplitter::endRun()
+{
+    m_completeBytes = m_bytes.size();
+    dropReturned();
     m_isOutOfOrder = false;
     m_outOfOrderId.reset();
     m_awaitsId = m_awaitsId || m_lastId.has_value() || m_hasUnnumbered;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -144,6 +144,8 @@
     // `isComplete`: its body has been read to the end.
     void handleRejection(bool isComplete);
     bool forwardEvents(std::string_view bytes);
+    bool holdPartialEvent();
+    void handleUselessAnswer(std::string_view cause);
     void onEventOutOfOrder();
     bool skipBody(std::size_t n);
     bool collectBody(std::string_view bytes);
@@ -171,7 +173,7 @@
     http::request_header<> m_head;
     std::shared_ptr<const std::string> m_body;
     BufferBudget::Buffer m_bodyBuffer;
-    BufferBudget::Buffer m_answerBuffer; // the part of an answer that is not streamed
+    BufferBudget::Buffer m_answerBuffer; // the part of an answer that cannot be passed on yet
     const TimePoint m_arrived;
     platform::CallerHead m_caller;
     AdmittedCall m_call;
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -133,11 +133,6 @@
 {
     const std::string_view events = m_eventSplitter.add(bytes);
     recordPromptComputed();
-    if (m_eventSplitter.isTooLong()) {
-        endAttempt(false);
-        handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
-        return false;
-    }
     bool wantsMore = true;
     if (!events.empty()) {
         if (!m_streamStarted)
@@ -145,10 +140,41 @@
         recordEvent();
         wantsMore = m_writer.sendChunk(events);
     }
-    if (!m_eventSplitter.isOutOfOrder())
-        return wantsMore;
-    onEventOutOfOrder();
-    return false;
+    if (m_eventSplitter.isOutOfOrder()) {
+        onEventOutOfOrder();
+        return false;
+    }
+    return holdPartialEvent() && wantsMore;
+}
+
+// Counts what is held of an event that is not whole. Returns false if that is too much and the
+// attempt has ended.
+bool CallHandler::holdPartialEvent()
+{
+    m_eventSplitter.dropReturned();
+    m_answerBuffer.resize(m_eventSplitter.partialBytes());
+    if (m_eventSplitter.isTooLong()) {
+        handleUselessAnswer("an event is too long");
+        return false;
+    }
+    if (!m_state.buffers().mayHoldEvent(m_answerBuffer)) {
+        handleUselessAnswer("no space for the rest of an event");
+        return false;
+    }
+    return true;
+}
+
+// Ends an attempt whose upstream sends more than the node can use. Where space is short because of
+// others, all upstreams with large events are counted alike, which leaves the choice among them.
+void CallHandler::handleUselessAnswer(std::string_view cause)
+{
+    logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, std::string(cause),
+                       m_eventSplitter.lastId().value_or(0),
+                       m_state.clock().now() - m_attempt->startedAt, fingerprint(),
+                       m_caller.prompt ? &*m_caller.prompt : nullptr});
+    m_state.health().answeredWithError(m_attempt->upstream.instanceId);
+    endAttempt(false);
+    handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
 }
 
 // The upstream has begun anew, or has sent an event twice. What follows does not fit to what the
--- a/tests/node/endless_answers_test.cpp
+++ b/tests/node/endless_answers_test.cpp
@@ -2,18 +2,16 @@
 // Servers whose answers never end, in the head or in the body, on real sockets.
 #include <doctest/doctest.h>
 
-#include <array>
 #include <chrono>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/write.hpp>
 
 #include "adapters/system_clock.hpp"
 #include "node/http_client.hpp"
+#include "support/endless_server.hpp"
 
 using namespace fordwood;
 using namespace fordwood::node;
@@ -21,72 +19,6 @@
 
 namespace {
 
-// Answers each connection with `begin`, and then with `part` again and again until it is closed.
-class EndlessServer
-{
-public:
-    EndlessServer(net::io_context &context, std::string begin, const std::string &part)
-        : m_acceptor(context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0)),
-          m_begin(std::move(begin))
-    {
-        constexpr std::size_t kWriteBytes = 65'536;
-        while (m_parts.size() < kWriteBytes && !part.empty())
-            m_parts += part;
-        accept();
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
-
-    std::size_t accepted() const { return m_connections.size(); }
-    std::size_t bytesSent() const { return m_bytesSent; }
-    std::size_t closed() const { return m_closed; }
-
-private:
-    struct Connection
-    {
-        explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) { }
-
-        tcp::socket socket;
-        std::array<char, 4'096> request{};
-    };
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](const ErrorCode &ec, tcp::socket socket) {
-            if (ec)
-                return;
-            m_connections.push_back(std::make_unique<Connection>(std::move(socket)));
-            Connection &it = *m_connections.back();
-            it.socket.async_read_some(
-                net::buffer(it.request),
-                [this, &it](const ErrorCode &, std::size_t) { write(it, m_begin); });
-            accept();
-        });
-    }
-
-    void write(Connection &to, const std::string &bytes)
-    {
-        net::async_write(to.socket, net::buffer(bytes),
-                         [this, &to](const ErrorCode &ec, std::size_t n) {
-                             m_bytesSent += n;
-                             if (ec)
-                                 m_closed += 1;
-                             else if (!m_parts.empty())
-                                 write(to, m_parts);
-                         });
-    }
-
-    tcp::acceptor m_acceptor;
-    const std::string m_begin;
-    std::string m_parts;
-    std::vector<std::unique_ptr<Connection>> m_connections;
-    std::size_t m_bytesSent = 0;
-    std::size_t m_closed = 0;
-};
-
 // A client and a server that it calls.
 struct EndlessFixture
 {
--- /dev/null
+++ b/tests/node/endless_streams_test.cpp
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: MIT
+// Upstreams that send bytes without end that are of no use to a caller.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "adapters/system_clock.hpp"
+#include "fordwood/manual_clock.hpp"
+#include "node/call_handler.hpp"
+#include "support/endless_server.hpp"
+#include "support/serving_thread.hpp"
+
+using namespace fordwood;
+using namespace fordwood::node;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kStreamHead = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nResponse-Seal: s\r\n"
+                                "Content-Type: text/event-stream\r\n\r\n";
+
+// The answer that a caller received, with the bytes of a stream.
+struct StreamAnswer : CallerAnswer
+{
+    bool sendChunk(std::string_view bytes) override
+    {
+        stream += bytes;
+        return true;
+    }
+
+    std::string stream;
+};
+
+// A node with one route of streams to one upstream.
+struct EndlessStreamFixture
+{
+    explicit EndlessStreamFixture(std::string begin, const std::string &part = "",
+                                  config::OneProcessSettings nodeSettings = {},
+                                  bool isStreaming = true)
+        : settings(std::move(nodeSettings)), server(context, std::move(begin), part),
+          state(context, clock, settings, metrics)
+    {
+        // Deadlines are measured on the machine's clock.
+        clock.advance(std::max<Duration>(0s, adapters::BootClock::now() - clock.now()) + 1h);
+        ServicePool pool;
+        pool.name = "board";
+        ServiceRoute route;
+        route.host = "a.example";
+        route.pathPrefix = "/";
+        route.targets = {{"board", 1.0}};
+        route.streaming = isStreaming;
+        route.targetLatency = kTargetLatency;
+        route.maxAttempts = 1;
+        ServingConfig config;
+        config.services = {pool};
+        config.routes = {route};
+        state.onLoadReportRequest([] {});
+        state.onQuarantineUpdates([] {});
+        state.handle(ConfigApplied{std::make_shared<const RouteTable>(std::move(config))});
+        UpstreamRecord record;
+        record.instanceId = "i-1";
+        record.service = "board";
+        record.address = server.address();
+        state.handle(UpstreamRecordWritten{record});
+    }
+
+    ~EndlessStreamFixture()
+    {
+        for (const auto &it : calls)
+            it->onCallerDisconnect();
+    }
+
+    StreamAnswer &begin()
+    {
+        http::request_header<> head;
+        head.method(http::verb::get);
+        head.target("/x");
+        head.set(http::field::host, "a.example");
+        head.set("Request-Id", "r");
+        StreamAnswer &answer = answers.emplace_back();
+        calls.push_back(std::make_shared<CallHandler>(
+            state, answer, std::move(head), HeldBody{"", BufferBudget::Buffer(state.buffers())},
+            clock.now()));
+        calls.back()->start();
+        return answer;
+    }
+
+    // Runs the node until the answer has ended, or nothing moves any more, for a few seconds at
+    // most.
+    void run(const StreamAnswer &answer)
+    {
+        const auto until = std::chrono::steady_clock::now() + kPatience;
+        while (answer.status == 0 && context.run_one_for(100ms) > 0
+               && std::chrono::steady_clock::now() < until) { }
+    }
+
+    StreamAnswer &call()
+    {
+        StreamAnswer &answer = begin();
+        run(answer);
+        return answer;
+    }
+
+    std::size_t held() { return state.buffers().total(); }
+    double failureRate() { return state.health().failureRate("i-1"); }
+
+    static constexpr Duration kPatience = 5s;
+    static constexpr std::chrono::milliseconds kTargetLatency{1'000};
+
+    net::io_context context;
+    ManualClock clock;
+    config::OneProcessSettings settings;
+    adapters::Metrics metrics;
+    EndlessServer server;
+    NodeState state;
+    std::list<StreamAnswer> answers;
+    std::list<std::shared_ptr<CallHandler>> calls;
+};
+
+std::string partOfEvent(std::size_t bytes)
+{
+    return "data: " + std::string(bytes, 'x');
+}
+
+} // namespace
+
+// Guards against memory that no limit covers: each stream may hold an incomplete event of 1 MiB.
+TEST_CASE("endless streams: an incomplete event is counted in the budget until it is passed on "
+          "[endless]")
+{
+    EndlessStreamFixture fixture(kStreamHead + partOfEvent(100'000));
+    StreamAnswer &answer = fixture.call();
+    CHECK(answer.status == 0);
+    CHECK(fixture.held() >= 100'000);
+    fixture.server.send("\n\n");
+    fixture.run(answer);
+    CHECK(answer.stream == partOfEvent(100'000) + "\n\n");
+    CHECK(fixture.held() == 0);
+}
+
+// Guards against streams that fill the memory of a node together.
+TEST_CASE("endless streams: without space left, a stream ends whose event is not whole, and one "
+          "of small events goes on [endless]")
+{
+    config::OneProcessSettings settings;
+    settings.vm.memoryMegabytes = 1.0; // 250 kB of buffers
+    constexpr std::size_t kMoreThanAll = 250'001;
+    EndlessStreamFixture large(kStreamHead + partOfEvent(100'000), "", settings);
+    BufferBudget::Buffer others(large.state.buffers());
+    others.add(kMoreThanAll);
+    CHECK(large.call().status == 502);
+    CHECK(large.held() == kMoreThanAll);
+    CHECK(large.failureRate() > 0.0);
+
+    EndlessStreamFixture small(kStreamHead + partOfEvent(10'000) + "\n\n", "", settings);
+    BufferBudget::Buffer othersOfSmall(small.state.buffers());
+    othersOfSmall.add(kMoreThanAll);
+    const StreamAnswer &answer = small.call();
+    CHECK(answer.status == 0);
+    CHECK(answer.stream == partOfEvent(10'000) + "\n\n");
+}
+
+TEST_CASE("endless streams: a hundred streams with large parts of events hold no more than the "
+          "budget and what each may always hold [endless]")
+{
+    config::OneProcessSettings settings;
+    settings.vm.memoryMegabytes = 1.0; // 250 kB of buffers
+    constexpr std::size_t kStreams = 100;
+    constexpr std::size_t kReadBytes = 8'192; // at once
+    EndlessStreamFixture fixture(kStreamHead + partOfEvent(200'000), "", settings);
+    for (std::size_t n = 0; n < kStreams; ++n)
+        fixture.begin();
+    std::size_t most = 0;
+    while (fixture.context.run_one_for(100ms) > 0)
+        most = std::max(most, fixture.held());
+    CHECK(most > 100'000);
+    CHECK(most <= 250'000 + kStreams * (BufferBudget::kAlwaysAllowed + kReadBytes));
+    std::size_t ended = 0;
+    for (const StreamAnswer &it : fixture.answers)
+        ended += it.status == 502 ? 1 : 0;
+    CHECK(ended >= kStreams - 2); // 250 kB are the space of one such part
+}
+
+// Guards against an upstream that sends one event without end and gets all requests nevertheless.
+TEST_CASE("endless streams: an event that is too long counts against its upstream [endless]")
+{
+    EndlessStreamFixture fixture(kStreamHead, "x");
+    CHECK(fixture.call().status == 502);
+    CHECK(fixture.held() == 0);
+    CHECK(fixture.failureRate() > 0.0);
+}
--- a/tests/unit/serving_parts_test.cpp
+++ b/tests/unit/serving_parts_test.cpp
@@ -271,6 +271,26 @@
     CHECK(events.isTooLong());
 }
 
+// Guards against streams that hold their largest event as long as they last.
+TEST_CASE("events: what was returned can be dropped, and an incomplete event is kept [streams]")
+{
+    EventSplitter events;
+    CHECK(events.add("id: 1\ndata: a\n\nid: 2") == "id: 1\ndata: a\n\n");
+    CHECK(events.partialBytes() == 5);
+    events.dropReturned();
+    CHECK(events.partialBytes() == 5);
+    const std::string large(100'000, 'x');
+    CHECK(events.add("\ndata: " + large + "\n\n") == "id: 2\ndata: " + large + "\n\n");
+    events.dropReturned();
+    CHECK_FALSE(events.hasPartialEvent());
+    CHECK(events.add("id: 2\ndata: again\n\nid: 3").empty());
+    CHECK(events.outOfOrderId() == 2);
+    events.dropReturned();
+    events.endRun();
+    CHECK(events.partialBytes() == 0);
+    CHECK(events.add("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+}
+
 TEST_CASE("weights: a version is superseded when the first newer one is published [weights]")
 {
     const TimePoint start{1h};
