Streams that bring bytes and no event end, and count against their upstream

Cause: comments were passed on, and bytes of no event held, until the deadline. Nothing of it counted against the upstream, which got the next requests as well.

Change: an attempt ends (answer-cut, event 402 "no event for too long") with more than 64 KB of comments since the last event that has data, or with more than 32 parts without one that came for longer than the route's target latency. The failure rate of its upstream rises. A few comments that keep a connection alive pass. The same limit in time holds for bodies that are skipped. Both limits are chosen, not measured.

--- a/include/fordwood/event_splitter.hpp
+++ b/include/fordwood/event_splitter.hpp
@@ -43,6 +43,9 @@
     // has been returned yet.
     bool canContinue() const { return !m_hasUnnumbered; }
 
+    // The number of returned events that have data. Comments and other events reach no reader.
+    std::uint64_t dataEvents() const { return m_dataEvents; }
+
     // Whether there are bytes of an incomplete event.
     bool hasPartialEvent() const { return partialBytes() > 0; }
 
@@ -66,6 +69,7 @@
     std::size_t m_completeBytes = 0; // bytes of m_bytes in complete events at the last add()
     std::optional<std::uint64_t> m_lastId;
     std::optional<std::uint64_t> m_outOfOrderId;
+    std::uint64_t m_dataEvents = 0; // that were returned
     bool m_awaitsId = false; // in a resumed run that has not shown yet where it continues
     bool m_isOutOfOrder = false;
     bool m_hasUnnumbered = false; // data without an id was returned after the last id
--- a/src/core/event_splitter.cpp
+++ b/src/core/event_splitter.cpp
@@ -138,6 +138,7 @@
     if (!id) {
         const bool mayBeRepeated = hasData && m_awaitsId;
         m_hasUnnumbered = m_hasUnnumbered || (hasData && !mayBeRepeated);
+        m_dataEvents += hasData && !mayBeRepeated ? 1 : 0;
         return !mayBeRepeated;
     }
     if (m_lastId && *id <= *m_lastId) {
@@ -145,6 +146,7 @@
         return false;
     }
     m_lastId = id;
+    m_dataEvents += hasData ? 1 : 0;
     m_hasUnnumbered = false;
     m_awaitsId = false;
     return true;
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -24,6 +24,15 @@
 // A body that no caller gets is read only so that its channel can be used again.
 constexpr std::size_t kMaxSkippedBody = 65'536;
 
+// Comments that are passed on between two events of a stream. Comments that keep a connection alive
+// have a few bytes, and the largest that are usual fill a buffer of 2 KB on the way.
+constexpr std::size_t kMaxCommentBytes = 65'536;
+
+// Parts of an answer without an event that may take longer than the route's target latency.
+// Comments that keep a connection alive come once a second at most, so that this many of them pass
+// on every route whose answers take less than half a minute.
+constexpr std::size_t kMaxSlowParts = 32;
+
 bool isSuccess(unsigned status)
 {
     constexpr unsigned kFirstSuccess = 200;
@@ -83,8 +92,7 @@
 
 bool CallHandler::skipBody(std::size_t n)
 {
-    m_attempt->skippedBytes += n;
-    if (m_attempt->skippedBytes <= kMaxSkippedBody)
+    if (!isTooUseless(n, kMaxSkippedBody))
         return true;
     if (m_attempt->head.hasNotRun) {
         handleRejection(false);
@@ -96,6 +104,23 @@
     return false;
 }
 
+// Counts a part of an answer that is of no use to the caller. Returns whether it is more than a
+// sound upstream sends, or came for so long that the caller has no use for what may follow.
+bool CallHandler::isTooUseless(std::size_t bytes, std::size_t maxBytes)
+{
+    const TimePoint now = m_state.clock().now();
+    UselessInput &useless = m_attempt->useless;
+    if (useless.parts == 0)
+        useless.since = now;
+    useless.parts += 1;
+    useless.bytes += bytes;
+    if (useless.bytes > maxBytes)
+        return true;
+    const Duration targetLatency = m_call.route->targetLatency;
+    return targetLatency > Duration::zero() && useless.parts > kMaxSlowParts
+           && now - useless.since > targetLatency;
+}
+
 // Holds the body until it is complete, so that another upstream can be tried if this one fails
 // before that. A body that is too large to hold is forwarded from then on.
 bool CallHandler::collectBody(std::string_view bytes)
@@ -131,8 +156,15 @@
 
 bool CallHandler::forwardEvents(std::string_view bytes)
 {
+    const std::uint64_t eventsBefore = m_eventSplitter.dataEvents();
     const std::string_view events = m_eventSplitter.add(bytes);
     recordPromptComputed();
+    if (m_eventSplitter.dataEvents() > eventsBefore) {
+        m_attempt->useless = {};
+    } else if (!m_eventSplitter.isOutOfOrder() && isTooUseless(events.size(), kMaxCommentBytes)) {
+        handleUselessAnswer("no event for too long");
+        return false;
+    }
     bool wantsMore = true;
     if (!events.empty()) {
         if (!m_streamStarted)
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -17,6 +17,15 @@
 
 namespace fordwood::node {
 
+// What has arrived of an answer since its last part that is of use to the caller: comments and
+// incomplete events of a stream, a body that no caller gets, or that of an error.
+struct UselessInput
+{
+    std::size_t parts = 0;
+    std::size_t bytes = 0;
+    TimePoint since{}; // when the first part arrived
+};
+
 // One attempt to have a request answered by an upstream: the current one, or the last one.
 struct UpstreamAttempt
 {
@@ -40,7 +49,7 @@
     std::optional<http::response_header<>> answer;
     std::string body; // of an answer that is not streamed
     std::size_t bodyBytes = 0; // of the answer that have arrived
-    std::size_t skippedBytes = 0; // of a body that no caller gets
+    UselessInput useless;
 };
 
 } // namespace fordwood::node
--- a/tests/node/endless_streams_test.cpp
+++ b/tests/node/endless_streams_test.cpp
@@ -105,6 +105,16 @@
         return answer;
     }
 
+    // Sends `part` again and again on an answer that has begun, and lets `pause` pass after each.
+    void sendSlowly(const StreamAnswer &answer, const std::string &part, int count, Duration pause)
+    {
+        for (int n = 0; n < count && answer.status == 0; ++n) {
+            server.send(part);
+            while (context.run_one_for(10ms) > 0) { }
+            clock.advance(pause);
+        }
+    }
+
     std::size_t held() { return state.buffers().total(); }
     double failureRate() { return state.health().failureRate("i-1"); }
 
@@ -193,3 +203,46 @@
     CHECK(fixture.held() == 0);
     CHECK(fixture.failureRate() > 0.0);
 }
+
+// Guards against comments that are passed on until the deadline while their upstream gets the next
+// requests.
+TEST_CASE("endless streams: a stream of comments without end is ended, and counts against its "
+          "upstream [endless]")
+{
+    EndlessStreamFixture fixture(kStreamHead, ": comment\n\n");
+    const StreamAnswer &answer = fixture.call();
+    CHECK(answer.status == 1);
+    CHECK(answer.stream.size() <= 65'536);
+    CHECK(fixture.failureRate() > 0.0);
+}
+
+TEST_CASE("endless streams: comments, and bytes of no event, end a stream once they have come for "
+          "longer than the target latency [endless]")
+{
+    for (const std::string part : {": comment\n\n", "retry: 5\n\n", "x"}) {
+        CAPTURE(part);
+        EndlessStreamFixture fixture(kStreamHead);
+        StreamAnswer &answer = fixture.call();
+        fixture.sendSlowly(answer, part, 32, 100ms);
+        CHECK(answer.status == 0);
+        fixture.sendSlowly(answer, part, 1, 100ms);
+        CHECK(answer.status != 0);
+        CHECK(fixture.failureRate() > 0.0);
+    }
+}
+
+// Guards against sound streams that are ended: comments keep connections alive.
+TEST_CASE("endless streams: a few comments may take longer than the target latency, and many may "
+          "come between events [endless]")
+{
+    EndlessStreamFixture fixture(kStreamHead);
+    StreamAnswer &answer = fixture.call();
+    for (int n = 0; n < 5; ++n) {
+        fixture.sendSlowly(answer, ": comment\n\n", 20, 1s);
+        fixture.sendSlowly(answer, "data: x\n\n", 1, 0s);
+    }
+    fixture.sendSlowly(answer, ": comment\n\n", 500, 1ms);
+    CHECK(answer.status == 0);
+    CHECK(answer.stream.size() == 600 * 11 + 5 * 9);
+    CHECK(fixture.failureRate() == 0.0);
+}
