Bodies of error answers end after 1 MiB, or when they come slowly

Cause: the body of an answer whose status is no success was passed on until the deadline, however long, and the upstream's standing did not fall.

Change: such a body may have 1 MiB, and until it is passed on no more than 32 parts that came for longer than the route's target latency. A longer one ends its attempt (answer-cut, event 402), which another upstream may repeat if nothing was passed on, and the failure rate of its upstream rises. Bodies of successes have no limit.

--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -24,6 +24,10 @@
 // A body that no caller gets is read only so that its channel can be used again.
 constexpr std::size_t kMaxSkippedBody = 65'536;
 
+// The body of an answer with another status than success. It is a message or a page for the caller,
+// not content, so a longer one is taken for one without end.
+constexpr std::size_t kMaxErrorBody = 1 << 20;
+
 // Comments that are passed on between two events of a stream. Comments that keep a connection alive
 // have a few bytes, and the largest that are usual fill a buffer of 2 KB on the way.
 constexpr std::size_t kMaxCommentBytes = 65'536;
@@ -83,11 +87,13 @@
         return forwardEvents(bytes);
     if (m_attempt->head.hasNotRun) // the caller gets another answer
         return skipBody(bytes.size());
-    if (m_isPassedThrough)
-        return m_writer.sendChunk(bytes);
-    if (m_streamStarted) // the stream was not resumed
+    if (m_streamStarted && !m_isPassedThrough) // the stream was not resumed
         return skipBody(bytes.size());
-    return collectBody(bytes);
+    if (!isSuccess(m_attempt->answer->result_int()) && isTooUseless(bytes.size(), kMaxErrorBody)) {
+        handleUselessAnswer("the body of an error does not end");
+        return false;
+    }
+    return m_isPassedThrough ? m_writer.sendChunk(bytes) : collectBody(bytes);
 }
 
 bool CallHandler::skipBody(std::size_t n)
@@ -117,7 +123,8 @@
     if (useless.bytes > maxBytes)
         return true;
     const Duration targetLatency = m_call.route->targetLatency;
-    return targetLatency > Duration::zero() && useless.parts > kMaxSlowParts
+    // What is passed through may be slow because its caller is.
+    return !m_isPassedThrough && targetLatency > Duration::zero() && useless.parts > kMaxSlowParts
            && now - useless.since > targetLatency;
 }
 
--- a/tests/node/endless_streams_test.cpp
+++ b/tests/node/endless_streams_test.cpp
@@ -131,6 +131,11 @@
     std::list<std::shared_ptr<CallHandler>> calls;
 };
 
+std::string errorHead(int status, const std::string &field = "")
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Error\r\nRequest-Id: r\r\n" + field + "\r\n";
+}
+
 std::string partOfEvent(std::size_t bytes)
 {
     return "data: " + std::string(bytes, 'x');
@@ -246,3 +251,49 @@
     CHECK(answer.stream.size() == 600 * 11 + 5 * 9);
     CHECK(fixture.failureRate() == 0.0);
 }
+
+// Guards against bodies of errors that are passed on until the deadline.
+TEST_CASE("endless streams: an error answer whose body has no end is ended, and counts against "
+          "its upstream [endless]")
+{
+    constexpr std::size_t kMaxErrorBody = 1 << 20;
+    for (const bool isStreaming : {false, true}) {
+        for (const int status : {302, 404, 500}) {
+            CAPTURE(isStreaming);
+            CAPTURE(status);
+            EndlessStreamFixture fixture(errorHead(status), "x", {}, isStreaming);
+            const StreamAnswer &answer = fixture.call();
+            CHECK(answer.status == 1);
+            CHECK(answer.stream.size() <= kMaxErrorBody);
+            CHECK(fixture.held() == 0);
+            CHECK(fixture.failureRate() > 0.0);
+        }
+    }
+}
+
+TEST_CASE("endless streams: a body of an error or a rejection that comes in small parts is waited "
+          "for no longer than the target latency [endless]")
+{
+    for (const std::string field : {"", "Not-Executed: 1\r\n"}) {
+        CAPTURE(field);
+        EndlessStreamFixture fixture(errorHead(503, field));
+        StreamAnswer &answer = fixture.call();
+        fixture.sendSlowly(answer, "x", 32, 100ms);
+        CHECK(answer.status == 0);
+        fixture.sendSlowly(answer, "x", 1, 100ms);
+        CHECK(answer.status == (field.empty() ? 502 : 503));
+        CHECK((fixture.failureRate() > 0.0) == field.empty());
+    }
+}
+
+// Guards against long pages of errors that are cut.
+TEST_CASE("endless streams: an error answer of many bytes is passed on whole [endless]")
+{
+    constexpr std::size_t kBytes = 1'000'000;
+    EndlessStreamFixture fixture(errorHead(404, "Content-Length: 1000000\r\n")
+                                 + std::string(kBytes, 'x'));
+    const StreamAnswer &answer = fixture.call();
+    CHECK(answer.status == 200); // of endStream()
+    CHECK(answer.stream.size() == kBytes);
+    CHECK(fixture.failureRate() == 0.0);
+}
