--- a/include/fordwood/event_splitter.hpp
+++ b/include/fordwood/event_splitter.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_EVENT_SPLITTER_HPP_INCLUDED
 #define FORDWOOD_EVENT_SPLITTER_HPP_INCLUDED
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -42,14 +43,23 @@
     // has been returned yet.
     bool canContinue() const { return !m_hasUnnumbered; }
 
+    // The number of returned events that have data. Comments and other events reach no reader.
+    std::uint64_t dataEvents() const { return m_dataEvents; }
+
     // Whether there are bytes of an incomplete event.
-    bool hasPartialEvent() const { return m_bytes.size() > m_completeBytes; }
+    bool hasPartialEvent() const { return partialBytes() > 0; }
+
+    // Frees what add() has returned. Only bytes of an incomplete event are held from then on.
+    void dropReturned();
+
+    // The bytes of an incomplete event.
+    std::size_t partialBytes() const { return m_bytes.size() - m_completeBytes; }
 
     // The run has ended, and the stream may continue at another upstream. Drops an incomplete event
     // and those that were withheld.
     void endRun();
 
-    bool isTooLong() const { return m_bytes.size() - m_completeBytes > kMaxEventBytes; }
+    bool isTooLong() const { return partialBytes() > kMaxEventBytes; }
 
 private:
     std::size_t takeOrdered(std::string_view events);
@@ -59,6 +69,7 @@
     std::size_t m_completeBytes = 0; // bytes of m_bytes in complete events at the last add()
     std::optional<std::uint64_t> m_lastId;
     std::optional<std::uint64_t> m_outOfOrderId;
+    std::uint64_t m_dataEvents = 0; // that were returned
     bool m_awaitsId = false; // in a resumed run that has not shown yet where it continues
     bool m_isOutOfOrder = false;
     bool m_hasUnnumbered = false; // data without an id was returned after the last id
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -24,6 +24,19 @@
 // A body that no caller gets is read only so that its channel can be used again.
 constexpr std::size_t kMaxSkippedBody = 65'536;
 
+// The body of an answer with another status than success. It is a message or a page for the caller,
+// not content, so a longer one is taken for one without end.
+constexpr std::size_t kMaxErrorBody = 1 << 20;
+
+// Comments that are passed on between two events of a stream. Comments that keep a connection alive
+// have a few bytes, and the largest that are usual fill a buffer of 2 KB on the way.
+constexpr std::size_t kMaxCommentBytes = 65'536;
+
+// Parts of an answer without an event that may take longer than the route's target latency.
+// Comments that keep a connection alive come once a second at most, so that this many of them pass
+// on every route whose answers take less than half a minute.
+constexpr std::size_t kMaxSlowParts = 32;
+
 bool isSuccess(unsigned status)
 {
     constexpr unsigned kFirstSuccess = 200;
@@ -74,17 +87,18 @@
         return forwardEvents(bytes);
     if (m_attempt->head.hasNotRun) // the caller gets another answer
         return skipBody(bytes.size());
-    if (m_isPassedThrough)
-        return m_writer.sendChunk(bytes);
-    if (m_streamStarted) // the stream was not resumed
+    if (m_streamStarted && !m_isPassedThrough) // the stream was not resumed
         return skipBody(bytes.size());
-    return collectBody(bytes);
+    if (!isSuccess(m_attempt->answer->result_int()) && isTooUseless(bytes.size(), kMaxErrorBody)) {
+        handleUselessAnswer("the body of an error does not end");
+        return false;
+    }
+    return m_isPassedThrough ? m_writer.sendChunk(bytes) : collectBody(bytes);
 }
 
 bool CallHandler::skipBody(std::size_t n)
 {
-    m_attempt->skippedBytes += n;
-    if (m_attempt->skippedBytes <= kMaxSkippedBody)
+    if (!isTooUseless(n, kMaxSkippedBody))
         return true;
     if (m_attempt->head.hasNotRun) {
         handleRejection(false);
@@ -96,6 +110,24 @@
     return false;
 }
 
+// Counts a part of an answer that is of no use to the caller. Returns whether it is more than a
+// sound upstream sends, or came for so long that the caller has no use for what may follow.
+bool CallHandler::isTooUseless(std::size_t bytes, std::size_t maxBytes)
+{
+    const TimePoint now = m_state.clock().now();
+    UselessInput &useless = m_attempt->useless;
+    if (useless.parts == 0)
+        useless.since = now;
+    useless.parts += 1;
+    useless.bytes += bytes;
+    if (useless.bytes > maxBytes)
+        return true;
+    const Duration targetLatency = m_call.route->targetLatency;
+    // What is passed through may be slow because its caller is.
+    return !m_isPassedThrough && targetLatency > Duration::zero() && useless.parts > kMaxSlowParts
+           && now - useless.since > targetLatency;
+}
+
 // Holds the body until it is complete, so that another upstream can be tried if this one fails
 // before that. A body that is too large to hold is forwarded from then on.
 bool CallHandler::collectBody(std::string_view bytes)
@@ -131,11 +163,13 @@
 
 bool CallHandler::forwardEvents(std::string_view bytes)
 {
+    const std::uint64_t eventsBefore = m_eventSplitter.dataEvents();
     const std::string_view events = m_eventSplitter.add(bytes);
     recordPromptComputed();
-    if (m_eventSplitter.isTooLong()) {
-        endAttempt(false);
-        handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
+    if (m_eventSplitter.dataEvents() > eventsBefore) {
+        m_attempt->useless = {};
+    } else if (!m_eventSplitter.isOutOfOrder() && isTooUseless(events.size(), kMaxCommentBytes)) {
+        handleUselessAnswer("no event for too long");
         return false;
     }
     bool wantsMore = true;
@@ -145,10 +179,41 @@
         recordEvent();
         wantsMore = m_writer.sendChunk(events);
     }
-    if (!m_eventSplitter.isOutOfOrder())
-        return wantsMore;
-    onEventOutOfOrder();
-    return false;
+    if (m_eventSplitter.isOutOfOrder()) {
+        onEventOutOfOrder();
+        return false;
+    }
+    return holdPartialEvent() && wantsMore;
+}
+
+// Counts what is held of an event that is not whole. Returns false if that is too much and the
+// attempt has ended.
+bool CallHandler::holdPartialEvent()
+{
+    m_eventSplitter.dropReturned();
+    m_answerBuffer.resize(m_eventSplitter.partialBytes());
+    if (m_eventSplitter.isTooLong()) {
+        handleUselessAnswer("an event is too long");
+        return false;
+    }
+    if (!m_state.buffers().mayHoldEvent(m_answerBuffer)) {
+        handleUselessAnswer("no space for the rest of an event");
+        return false;
+    }
+    return true;
+}
+
+// Ends an attempt whose upstream sends more than the node can use. Where space is short because of
+// others, all upstreams with large events are counted alike, which leaves the choice among them.
+void CallHandler::handleUselessAnswer(std::string_view cause)
+{
+    logAttemptFailure({m_caller.requestId, m_attempt->upstream.instanceId, std::string(cause),
+                       m_eventSplitter.lastId().value_or(0),
+                       m_state.clock().now() - m_attempt->startedAt, fingerprint(),
+                       m_caller.prompt ? &*m_caller.prompt : nullptr});
+    m_state.health().answeredWithError(m_attempt->upstream.instanceId);
+    endAttempt(false);
+    handleFailure({RunState::MayHaveRun, Reason::AnswerCut, m_streamStarted});
 }
 
 // The upstream has begun anew, or has sent an event twice. What follows does not fit to what the
