--- a/tests/process/stop_fleet.hpp
+++ b/tests/process/stop_fleet.hpp
@@ -17,7 +17,7 @@
 namespace fordwood::process {
 
 // Nodes before upstreams whose requests say how long they take. Routes: /safe/ may be repeated,
-// /once/ may not, /talk/ is a stream that may not be resumed, /stream/ one that may.
+// /once/ may not, /talk/ is a stream of one attempt that may not be resumed, /stream/ one that may.
 class StopFleet : public Deployment
 {
 public:
@@ -33,6 +33,7 @@
         nlohmann::json talk = config["routes"].back();
         talk["name"] = talk["path-prefix"] = "/talk/";
         talk["resumable"] = false;
+        talk["max-attempts"] = 1;
         config["routes"].push_back(talk);
         store.put("op/config", config.dump());
         for (int n = 0; n < upstreamCount; ++n) {
@@ -52,14 +53,27 @@
     // The IP address of an upstream.
     std::string upstreamHost(int n) const { return net + std::to_string(50 + n); }
 
-    // The text of a request, for example to "/talk/1500/ID".
+    // The path of a request, for example "/talk/1500/ID".
+    static std::string path(const std::string &route, std::chrono::milliseconds length,
+                            const std::string &id)
+    {
+        return "/" + route + "/" + std::to_string(length.count()) + "/" + id;
+    }
+
+    // The head of a request, without the empty line that ends it.
+    static std::string head(const std::string &method, const std::string &path,
+                            const std::string &id, std::chrono::milliseconds limit)
+    {
+        return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
+               + "\r\nCredential: key-t\r\nRequest-Deadline: " + std::to_string(limit.count())
+               + "\r\n";
+    }
+
+    // The text of a request without a body.
     static std::string request(const std::string &route, std::chrono::milliseconds length,
                                const std::string &id)
     {
-        return "GET /" + route + "/" + std::to_string(length.count()) + "/" + id
-               + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
-               + "\r\nCredential: key-t\r\nRequest-Deadline: "
-               + std::to_string(kCallerLimit.count()) + "\r\n\r\n";
+        return head("GET", path(route, length, id), id, kCallerLimit) + "\r\n";
     }
 
     // Sends a request on a connection of its own and waits for the answer.
--- a/tests/process/timed_upstream.hpp
+++ b/tests/process/timed_upstream.hpp
@@ -36,6 +36,8 @@
         RealClock::time_point begin{};
         RealClock::time_point end = RealClock::time_point::max(); // still at work
         Fault fault = Fault::None;
+        std::string path;
+        std::string body;
     };
 
     TimedUpstream(const std::string &address, std::string instanceId)
@@ -72,11 +74,13 @@
         return std::chrono::milliseconds(std::stol(path.substr(from)));
     }
 
-    std::size_t beginRun(const std::string &requestId, Fault &fault)
+    std::size_t beginRun(const std::string &requestId, const standins::Request &request,
+                         Fault &fault)
     {
         const std::lock_guard lock(m_mutex);
         fault = m_fault;
-        m_runs[requestId].push_back({RealClock::now(), RealClock::time_point::max(), fault});
+        m_runs[requestId].push_back(
+            {RealClock::now(), RealClock::time_point::max(), fault, request.path, request.body});
         return m_runs[requestId].size() - 1;
     }
 
@@ -98,7 +102,7 @@
         result.headers["Response-Seal"] = "sealed-by-" + m_instanceId;
         const std::chrono::milliseconds length = lengthOf(request.path);
         Fault fault = Fault::None;
-        const std::size_t run = beginRun(id, fault);
+        const std::size_t run = beginRun(id, request, fault);
         const std::chrono::milliseconds silence
             = fault == Fault::Silence ? kSilence : std::chrono::milliseconds(0);
         if (!request.path.starts_with("/talk") && !request.path.starts_with("/stream")) {
