Planned stop soak: callers that close late, and a check that nodes without work end

A quarter of the callers now keep a connection whose close was announced until their next request, on purpose. A node that goes on for more than a second after its last request and the time for its connections is a fault.

--- a/tests/process/kept_connection.hpp
+++ b/tests/process/kept_connection.hpp
@@ -2,6 +2,7 @@
 #ifndef FORDWOOD_TESTS_PROCESS_KEPT_CONNECTION_HPP_INCLUDED
 #define FORDWOOD_TESTS_PROCESS_KEPT_CONNECTION_HPP_INCLUDED
 
+#include <fcntl.h>
 #include <poll.h>
 
 #include <limits>
@@ -30,7 +31,13 @@
     bool connect(const std::string &host)
     {
         boost::system::error_code ec;
-        m_socket.connect({boost::asio::ip::make_address(host), 8080}, ec);
+        m_socket.open(boost::asio::ip::tcp::v4(), ec);
+        // A node that is started meanwhile would inherit the socket, which then stays open as this
+        // caller closes it.
+        if (!ec)
+            fcntl(m_socket.native_handle(), F_SETFD, FD_CLOEXEC);
+        if (!ec)
+            m_socket.connect({boost::asio::ip::make_address(host), 8080}, ec);
         if (!ec)
             m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
         return !ec;
--- a/tests/process/planned_stop_soak_test.cpp
+++ b/tests/process/planned_stop_soak_test.cpp
@@ -55,7 +55,7 @@
     callers.stop();
     // What was rejected must not run later either.
     std::this_thread::sleep_for(1s);
-    Judge judge(fleet, stops.stops());
+    Judge judge(fleet, stops.stops(), callers.attempts());
     for (const Attempt &it : callers.attempts())
         judge.judge(it);
     for (const Stop &it : stops.stops())
--- a/tests/process/stop_callers.hpp
+++ b/tests/process/stop_callers.hpp
@@ -192,6 +192,7 @@
         std::string name;
         int node = 0;
         std::unique_ptr<KeptConnection> connection;
+        bool closesLate = false; // as the next request is due, though an answer announced the close
     };
 
     void run(unsigned n, unsigned seed)
@@ -199,7 +200,8 @@
         // Every second caller keeps its connection idle for so long that it may send a request late
         // in a stop, when no new connections come.
         const Milliseconds longestPause = n % 2 == 0 ? 300ms : 3'000ms;
-        Caller caller{Random(seed * 1'000 + n), "c" + std::to_string(n) + "-", 0, nullptr};
+        Caller caller{Random(seed * 1'000 + n), "c" + std::to_string(n) + "-", 0, nullptr,
+                      n % 4 == 1};
         for (int request = 0; !m_isOver; ++request) {
             call(caller, caller.name + std::to_string(request));
             std::this_thread::sleep_for(caller.random.between(0ms, longestPause));
@@ -256,7 +258,7 @@
     {
         constexpr std::chrono::seconds kConnectTime{10};
         const auto until = RealClock::now() + kConnectTime;
-        if (caller.connection && !caller.connection->hasEnded())
+        if (caller.connection && caller.connection->isKept() && !caller.connection->hasEnded())
             return true;
         const std::optional<int> except = isRetry ? std::optional(caller.node) : std::nullopt;
         for (; RealClock::now() < until; std::this_thread::sleep_for(20ms)) {
@@ -284,7 +286,8 @@
             attempt.answer = caller.connection->read();
         }
         attempt.endedAt = RealClock::now();
-        if (!attempt.answer.isComplete || !caller.connection->isKept())
+        const bool mustClose = !attempt.answer.isComplete || !caller.connection->isKept();
+        if (mustClose && !caller.closesLate)
             caller.connection.reset();
         const std::lock_guard lock(m_mutex);
         m_attempts.push_back(attempt);
--- a/tests/process/stop_judge.hpp
+++ b/tests/process/stop_judge.hpp
@@ -33,6 +33,14 @@
 // Periodic work of a node runs each 100 ms, and its log is written each 50 ms.
 inline constexpr Milliseconds kLogSlack{200};
 
+// A node without open requests ends this long after its signal: it serves on for 3.2 s, and the
+// last connections have half a second for another request, and half a second to be closed.
+inline constexpr Milliseconds kShortestServing{4'200};
+// The same after its last answer, if that ends later.
+inline constexpr Milliseconds kLastClose{1'000};
+// For messages to peers, the end of the threads, and a busy machine.
+inline constexpr Milliseconds kExitSlack{1'000};
+
 // The requests that are named by the log of a node.
 class RequestLog
 {
@@ -74,7 +82,9 @@
 class Judge
 {
 public:
-    Judge(const StopFleet &fleet, const std::vector<Stop> &stops) : m_fleet(fleet), m_stops(stops)
+    Judge(const StopFleet &fleet, const std::vector<Stop> &stops,
+          const std::vector<Attempt> &attempts)
+        : m_fleet(fleet), m_stops(stops), m_attempts(attempts)
     {
         for (int node = 0; node < kNodes; ++node)
             m_logs.emplace_back(fleet.folder + "/node-" + std::to_string(node) + ".log");
@@ -116,6 +126,9 @@
         const bool wasSignalled = stop.exitedAt >= stop.begin + stop.signalledAfter;
         if (*stop.exitCode == -SIGKILL)
             killed += 1;
+        if (hasOverstayed(stop))
+            m_faults << "node " << stop.node << " had nothing to do and did not end"
+                     << describe(stop) << "\n";
         if ((*stop.exitCode == 0 && wasSignalled) || (*stop.exitCode == -SIGKILL && mayBeKilled))
             return;
         m_faults << "node " << stop.node << " ended with " << *stop.exitCode << describe(stop)
@@ -168,6 +181,19 @@
         }
     }
 
+    // Whether the node went on although it had neither a request nor a caller's connection to wait
+    // for.
+    bool hasOverstayed(const Stop &stop) const
+    {
+        auto last = std::max(stop.begin + stop.signalledAfter + kShortestServing,
+                             stop.begin + stop.suspendedUntil + kLastClose);
+        for (const Attempt &it : m_attempts) {
+            if (it.node == stop.node && it.sentAt < stop.exitedAt && it.endedAt > stop.begin)
+                last = std::max(last, it.endedAt + kLastClose);
+        }
+        return stop.exitedAt > last + kExitSlack;
+    }
+
     // Whether the log of the caller's node names the request. In a process that was killed, the
     // line that tells that it is open will do.
     bool isNamed(const Attempt &attempt, const std::vector<TimedUpstream::Run> &runs)
@@ -236,6 +262,7 @@
 
     const StopFleet &m_fleet;
     const std::vector<Stop> &m_stops;
+    const std::vector<Attempt> &m_attempts;
     std::vector<RequestLog> m_logs; // by node
     std::ostringstream m_faults;
 };
