Planned stops: a connection that is being closed does not hold up the end of its node

A caller that keeps its side open after an answer that announced the close kept the node until the end of its stop: as idle connections are closed, 3.2 s after the signal, the timer that closes a connection for good was replaced by the one of an idle connection, which does nothing for one that is closing.

The timer now goes on. Process test 'a caller that does not close its side does not hold up the node's end': ended 7.6 s after the signal in 3 runs of 3 before; passes now (1 run), with 'planned stop:*' and '*log*'.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -385,7 +385,7 @@
 {
     m_closesWhenIdle = true;
     const bool isIdle = !m_call && !m_incoming && m_outgoing.empty();
-    if (!isIdle)
+    if (!isIdle || m_isClosing) // the timer of a session that is closing must go on
         return;
     const Duration idleFor = m_state.clock().now() - m_idleSince;
     if (idleFor < kLastRequestTime)
@@ -398,7 +398,7 @@
 // read: its caller may send it elsewhere only if it knows that.
 void CallerSession::closeIfIdle()
 {
-    if (!m_isClosing && isOpenAndIdle(m_socket))
+    if (isOpenAndIdle(m_socket))
         close();
 }
 
