Two daemons: heads, trailers and bodies of rejections have a bound of their own

Cause: fields of heads and trailers were kept up to the limit of the libcurl that is installed, and a body that no caller gets was read until the deadline.

Change: heads, interim heads and trailers of one answer have 32 KB together; beyond, the attempt fails (upstream-broke, or answer-cut once the answer has begun). 64 KB of a body are skipped, after which the transfer ends with the failure that its head named. RawUpstream tells how much of its answer was taken.

--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -31,6 +31,15 @@
 constexpr long kFirstErrorStatus = 400;
 constexpr long kUnavailable = 503;
 constexpr std::size_t kTailBytes = 64;
+
+// Heads of answers, with those of interim ones, are small; longer ones do not come from an
+// upstream. libcurl has a limit of its own, which depends on its version, and fields take several
+// times their size in memory.
+constexpr std::size_t kMaxHeadBytes = 32'768;
+
+// A body that no caller gets is read only so that its connection can be used again.
+constexpr std::size_t kMaxSkippedBytes = 65'536;
+
 constexpr std::size_t kMaxStoredBytes = 16'384;
 
 std::string toLower(std::string_view text)
@@ -156,7 +165,17 @@
 
     static std::size_t onHeader(char *data, std::size_t size, std::size_t n, void *self)
     {
-        static_cast<Transfer *>(self)->parseHeader(std::string_view(data, size * n));
+        constexpr std::size_t kAbort = 0;
+        auto *transfer = static_cast<Transfer *>(self);
+        transfer->m_headBytes += size * n;
+        if (transfer->m_headBytes > kMaxHeadBytes) {
+            transfer->m_failure = AttemptFailure{
+                RunState::MayHaveRun,
+                transfer->m_isAnswerBegun ? Reason::AnswerCut : Reason::UpstreamBroke,
+                "The head or the trailers of the answer are too long.", false};
+            return kAbort;
+        }
+        transfer->parseHeader(std::string_view(data, size * n));
         return size * n;
     }
 
@@ -214,8 +233,11 @@
     {
         constexpr std::size_t kAbort = 0;
         m_hasBody = m_hasBody || !bytes.empty();
-        if (!beginAnswer())
-            return m_failure && m_failure->reason != Reason::CallerLeft ? bytes.size() : kAbort;
+        if (!beginAnswer()) {
+            m_skippedBytes += bytes.size();
+            const bool isWanted = m_failure && m_failure->reason != Reason::CallerLeft;
+            return isWanted && m_skippedBytes <= kMaxSkippedBytes ? bytes.size() : kAbort;
+        }
         // Of a stream only complete events are forwarded, so that another engine can continue it.
         const std::string joined
             = m_partialEvent.empty() ? "" : m_partialEvent + std::string(bytes);
@@ -419,6 +441,8 @@
     CURL *m_easy;
     curl_slist *m_headerList = nullptr;
     AnswerHead m_head;
+    std::size_t m_headBytes = 0; // of all heads and trailers that have arrived
+    std::size_t m_skippedBytes = 0; // of a body that no caller gets
     std::string m_storedBody;
     std::string m_tail; // the last bytes of the answer
     std::string m_partialEvent; // incomplete event of a stream, not forwarded yet
--- a/tests/process/raw_upstream.cpp
+++ b/tests/process/raw_upstream.cpp
@@ -101,7 +101,14 @@
     if (at != std::string::npos)
         bytes.replace(at, kPlace.size(), fieldOf(request, "Request-Id"));
     m_answered += 1;
-    send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const auto n = send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (n <= 0)
+            break;
+        sent += static_cast<std::size_t>(n);
+    }
+    m_sentBytes = sent;
 }
 
 } // namespace fordwood::process
--- a/tests/process/raw_upstream.hpp
+++ b/tests/process/raw_upstream.hpp
@@ -3,6 +3,7 @@
 #define FORDWOOD_TESTS_PROCESS_RAW_UPSTREAM_HPP_INCLUDED
 
 #include <atomic>
+#include <cstddef>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -26,6 +27,9 @@
     // Requests that were answered.
     int answered() const { return m_answered; }
 
+    // Bytes of the answer before that the other side's connection has taken.
+    std::size_t sentBytes() const { return m_sentBytes; }
+
 private:
     void run();
     void answer(int connection);
@@ -34,6 +38,7 @@
     std::mutex m_mutex;
     std::string m_bytes;
     std::atomic<int> m_answered{0};
+    std::atomic<std::size_t> m_sentBytes{0};
     std::atomic<bool> m_isStopping{false};
     std::thread m_thread;
 };
--- a/tests/process/upstream_answer_test.cpp
+++ b/tests/process/upstream_answer_test.cpp
@@ -112,3 +112,40 @@
     CHECK(service.call("/once", kHead + kChunks + "0\r\n\r\n").status == 200);
     CHECK(service.call("/once", "HTTP/1.1 404 Not Found\r\n\r\n").status == 404);
 }
+
+// Guards against memory that grows with the heads of a broken upstream.
+TEST_CASE("cut answers: a head that is longer than any upstream's is no answer "
+          "[path][cut-answers][endless]")
+{
+    std::string fields;
+    while (fields.size() < 100'000)
+        fields += "A: b\r\n";
+    std::string interim;
+    while (interim.size() < 100'000)
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string end = "Content-Length: 4\r\n\r\nbody";
+    CutService service;
+    CHECK(service.call("/once", kHead + fields + end).status == 502);
+    CHECK(service.call("/once", interim + kHead + end).status == 502);
+    CHECK(service.call("/once", kHead + fields.substr(0, 12'000) + end).status == 200);
+    const std::string chunks = kHead + kChunks + "4\r\nbody\r\n0\r\n";
+    const HttpAnswer trailers = service.call("/once", chunks + fields + "\r\n");
+    CHECK_FALSE((trailers.status == 200 && trailers.isComplete));
+}
+
+// Guards against rejections that are read until the deadline.
+TEST_CASE("cut answers: a rejection is taken although its body does not end "
+          "[path][cut-answers][endless]")
+{
+    // More than the kernel holds for a connection.
+    const std::string body(64'000'000, 'x');
+    CutService service;
+    for (const std::string field : {"", "X-Request-Not-Run: true\r\n"}) {
+        CAPTURE(field);
+        const HttpAnswer answer
+            = service.call("/once", "HTTP/1.1 503 Service Unavailable\r\n" + field + "\r\n" + body);
+        CHECK(answer.status == (field.empty() ? 502 : 503));
+        CHECK(Fleet::waitFor([&] { return service.raw->sentBytes() > 0; }));
+        CHECK(service.raw->sentBytes() < body.size() / 2);
+    }
+}
