--- a/tests/process/upstream_answer_test.cpp
+++ b/tests/process/upstream_answer_test.cpp
@@ -142,8 +142,9 @@
     CutService service;
     for (const std::string field : {"", "X-Request-Not-Run: true\r\n"}) {
         CAPTURE(field);
-        const HttpAnswer answer
-            = service.call("/once", "HTTP/1.1 503 Service Unavailable\r\n" + field + "\r\n" + body);
+        std::string bytes = "HTTP/1.1 503 Service Unavailable\r\n";
+        bytes.append(field).append("\r\n").append(body);
+        const HttpAnswer answer = service.call("/once", bytes);
         CHECK(answer.status == (field.empty() ? 502 : 503));
         CHECK(Fleet::waitFor([&] { return service.raw->sentBytes() > 0; }));
         CHECK(service.raw->sentBytes() < body.size() / 2);
