--- a/tests/process/late_signal_test.cpp
+++ b/tests/process/late_signal_test.cpp
@@ -40,6 +40,7 @@
     const auto begin = StopFleet::RealClock::now();
     std::vector<HttpAnswer> answers(kRequests);
     std::vector<std::thread> callers;
+    callers.reserve(kRequests);
     for (int n = 0; n < kRequests; ++n) {
         callers.emplace_back([&, n] {
             std::this_thread::sleep_until(begin + 3'120ms + n * 20ms);
