Planned stops: signals without a pause between them do not make a stop begin too early

Requests of a node that was reloaded again and again right before its SIGTERM were rejected and cut too early.

Cause: the earliest moment of a signal advanced only when a wait of 100 ms had passed without any. With SIGHUPs less than 100 ms apart it stayed where it was, however long.

--- a/src/apps/common/process_signals.cpp
+++ b/src/apps/common/process_signals.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "apps/common/process_signals.hpp"
 
-#include <cerrno>
 #include <chrono>
 #include <ctime>
 
@@ -25,16 +24,25 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+bool ProcessSignals::isAnyPending() const
+{
+    sigset_t pending{};
+    if (sigpending(&pending) != 0)
+        return true; // not known
+    sigandset(&pending, &pending, &m_signals);
+    return sigisemptyset(&pending) == 0;
+}
+
 ProcessSignals::Taken ProcessSignals::wait()
 {
     const timespec interval{0, std::chrono::nanoseconds(kCheckInterval).count()};
     for (;;) {
-        const TimePoint start = m_clock.now();
+        const TimePoint now = m_clock.now();
+        if (!isAnyPending())
+            m_lastWithoutSignal = now;
         const int signal = sigtimedwait(&m_signals, nullptr, &interval);
         if (signal > 0)
             return {signal, m_lastWithoutSignal, m_clock.now()};
-        if (errno == EAGAIN)
-            m_lastWithoutSignal = start + kCheckInterval;
     }
 }
 
--- a/src/apps/common/process_signals.hpp
+++ b/src/apps/common/process_signals.hpp
@@ -28,6 +28,8 @@
     Taken wait();
 
 private:
+    bool isAnyPending() const;
+
     const adapters::SystemClock m_clock;
     sigset_t m_signals{};
     TimePoint m_lastWithoutSignal; // when none was pending
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -224,3 +224,20 @@
         CHECK_MESSAGE(it.isWhole(), it.id);
     CHECK(fleet.logged(0, "name=RequestCutByStop") == 0);
 }
+
+// Guards against a stop that seems to have begun seconds ago, since other signals came before it
+// without a pause.
+TEST_CASE("planned stop: settings that are reloaded again and again do not shorten the stop "
+          "[node][stop]")
+{
+    StopFleet fleet(1, 1, 8'000ms);
+    for (int n = 0; n < 40; ++n) {
+        fleet.nodes.front().signal(SIGHUP);
+        std::this_thread::sleep_for(50ms);
+    }
+    PlannedStop stop(fleet, 0);
+    CHECK(stop.finish() == 0);
+    const std::string heard = fleet.lastLogged(0, "name=StopHeard");
+    const std::string field = "signal_ms=\"";
+    CHECK_MESSAGE(std::stoi(heard.substr(heard.find(field) + field.size())) < 1'000, heard);
+}
