--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -163,8 +163,8 @@
     // A busy node writes a few hundred lines per second; the limit is reached only in a burst.
     static constexpr std::size_t kMaxPendingLines = 4'096;
     static constexpr std::chrono::milliseconds kBatchPeriod{50};
-    // Writing all pending lines takes a few milliseconds where somebody reads them. The planned
-    // stop keeps 0.6 s for its end, and uses up to 0.3 s of it before the log is closed.
+    // Writing all pending lines takes a few milliseconds where somebody reads them. A planned stop
+    // keeps up to 1 s for its end, and uses some 0.2 s of it before the log is closed.
     static constexpr std::chrono::milliseconds kFinalWriteTime{200};
 
     void requestStop(std::optional<Duration> sinceSignal)
