--- a/tests/process/late_signal_test.cpp
+++ b/tests/process/late_signal_test.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <csignal>
 #include <string>
 #include <thread>
 #include <vector>
@@ -48,12 +47,8 @@
                 = ask(fleet, n % 2 == 0 ? "talk" : "once", "r-" + std::to_string(n));
         });
     }
-    std::this_thread::sleep_until(begin + 600ms);
-    Process &node = fleet.nodes[0];
-    node.signal(SIGTERM);
-    int code = -SIGKILL;
-    if (!node.waitFor(begin + fleet.stopWithin - StopFleet::RealClock::now(), code))
-        node.kill();
+    PlannedStop stop = PlannedStop::delivered(fleet, 0, 600ms);
+    const int code = stop.finish();
     for (std::thread &it : callers)
         it.join();
     // A rejection is complete as well, and a request that has run is told so.
