Planned stops, read anew: one function a log line, one check of an unread log

The function that logs the progress of a stop also logged late requests; two tests were alike but for their pipe; a comment still counted incomplete events as useless input. No change of behaviour, the tests keep their checks.

--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -127,7 +127,8 @@
 {
     if (!std::exchange(m_isEndTimerStarted, true))
         m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endWaiting(); });
-    logStop();
+    logStopProgress();
+    logLateRequests();
     if (!m_state.stop().isOutOfRotation(m_clock.now()))
         return;
     if (!m_idleSessionsClosed) {
@@ -140,24 +141,27 @@
         finishStop();
 }
 
-void ServingLoop::logStop()
+void ServingLoop::logStopProgress()
 {
     const TimePoint now = m_clock.now();
+    if (now < m_nextStopLog)
+        return;
+    m_nextStopLog = now + kStopLogInterval;
     const auto countSessions = [this](bool (CallerSession::*is)() const) {
         return std::count_if(m_sessions.begin(), m_sessions.end(),
                              [is](const auto &it) { return (*it.second.*is)(); });
     };
-    if (now >= m_nextStopLog) {
-        m_nextStopLog = now + kStopLogInterval;
-        logEvent(Event::StopContinues,
-                 {{"ms", m_state.stop().elapsed(now)},
-                  {"connections", m_sessions.size()},
-                  {"requests", countSessions(&CallerSession::hasRequest)},
-                  {"at_upstream", countSessions(&CallerSession::isAtUpstream)},
-                  {"reading", countSessions(&CallerSession::isReadingRequest)},
-                  {"proxied", m_proxy.openConnections()}});
-    }
-    if (m_areLateRequestsLogged || now < m_state.stop().endsAt() - kLateRequestTime)
+    logEvent(Event::StopContinues, {{"ms", m_state.stop().elapsed(now)},
+                                    {"connections", m_sessions.size()},
+                                    {"requests", countSessions(&CallerSession::hasRequest)},
+                                    {"at_upstream", countSessions(&CallerSession::isAtUpstream)},
+                                    {"reading", countSessions(&CallerSession::isReadingRequest)},
+                                    {"proxied", m_proxy.openConnections()}});
+}
+
+void ServingLoop::logLateRequests()
+{
+    if (m_areLateRequestsLogged || m_clock.now() < m_state.stop().endsAt() - kLateRequestTime)
         return;
     m_areLateRequestsLogged = true;
     std::size_t logged = 0;
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -46,7 +46,8 @@
     void tick();
     void closeUnreadAnswers();
     void continueStop();
-    void logStop();
+    void logStopProgress();
+    void logLateRequests();
     void endWaiting();
     void endStop();
     void finishStop();
--- a/src/node/upstream_attempt.hpp
+++ b/src/node/upstream_attempt.hpp
@@ -17,8 +17,8 @@
 
 namespace fordwood::node {
 
-// What has arrived of an answer since its last part that is of use to the caller: comments and
-// incomplete events of a stream, a body that no caller gets, or that of an error.
+// What has arrived of an answer since its last part that is of use to the caller: comments of a
+// stream, a body that no caller gets, or that of an error, of which only the bytes are counted.
 struct UselessInput
 {
     std::size_t parts = 0;
--- a/tests/process/log_output_test.cpp
+++ b/tests/process/log_output_test.cpp
@@ -101,26 +101,29 @@
     std::vector<std::string> m_lines;
 };
 
+// Stops the node while nobody reads its log.
+void checkEndsUnread(PipedNode &node)
+{
+    node.pipe().fill();
+    node.call("unread-", 10);
+    PlannedStop stop(node.fleet, 0);
+    CHECK(stop.finish() == 0);
+}
+
 } // namespace
 
 // Guards against an exit that waits for a write which never returns, so that the node is killed.
 TEST_CASE("planned stop: a node whose log nobody reads ends in time [node][stop]")
 {
     PipedNode node;
-    node.pipe().fill();
-    node.call("unread-", 10);
-    PlannedStop stop(node.fleet, 0);
-    CHECK(stop.finish() == 0);
+    checkEndsUnread(node);
 }
 
 // The same, where the log thread waits until a non-blocking pipe can be written.
 TEST_CASE("planned stop: a node whose non-blocking log nobody reads ends in time [node][stop]")
 {
     PipedNode node(OutputPipe::Writes::FailWhenFull);
-    node.pipe().fill();
-    node.call("unread-", 10);
-    PlannedStop stop(node.fleet, 0);
-    CHECK(stop.finish() == 0);
+    checkEndsUnread(node);
 }
 
 // Guards against an error state of the output after a write that would have blocked, with which all
