Ends of callers' connections: a counter by cause and by what they leave, and a line for each answer that did not arrive

Cause: nothing told why a caller's connection ended. A caller that closed its sending side and one that reset its connection left the same line, and an answer that was written and did not arrive left the line of one that did. Without the log no metric told any of it.

Change: CallerSession closes with a ConnectionEnd. fordwood_caller_connection_ends_total counts it with what was left of the request; event 415 names a request whose caller had not the whole answer. No decision is changed.

--- a/src/adapters/observe/metrics.cpp
+++ b/src/adapters/observe/metrics.cpp
@@ -45,6 +45,11 @@
     prometheus::BuildCounter().Name(name).Register(*m_registry).Add({}).Increment(by);
 }
 
+void Metrics::count(const std::string &name, const std::map<std::string, std::string> &labels)
+{
+    prometheus::BuildCounter().Name(name).Register(*m_registry).Add(labels).Increment();
+}
+
 void Metrics::setGauge(const std::string &name, double value,
                        const std::map<std::string, std::string> &labels)
 {
--- a/src/adapters/observe/metrics.hpp
+++ b/src/adapters/observe/metrics.hpp
@@ -32,6 +32,9 @@
     // Increments a counter by name.
     void count(const std::string &name, double by = 1.0);
 
+    // Increments a counter by name and labels. Their values must be few.
+    void count(const std::string &name, const std::map<std::string, std::string> &labels);
+
     void setGauge(const std::string &name, double value,
                   const std::map<std::string, std::string> &labels = {});
 
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -55,6 +55,9 @@
     // after the last whole event.
     void onStopEnd();
 
+    // As the caller has named the request.
+    const std::string &requestId() const { return m_caller.requestId; }
+
     // Whether an upstream has the request.
     bool isAtUpstream() const;
 
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -85,7 +85,7 @@
     if (m_closesWhenIdle)
         startTimer(kLastRequestTime, &CallerSession::closeIfIdle);
     else
-        startTimer(callerLimits().idleTimeout, &CallerSession::close);
+        startTimer(callerLimits().idleTimeout, &CallerSession::closeIdle);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode &ec) {
         // A request that arrives during the close is not read: its answer could not be sent.
         if (!ec && !self->m_isClosed && !self->m_isClosing)
@@ -127,7 +127,7 @@
     net::async_write(m_socket, net::buffer(kContinue),
                      [self = shared_from_this()](const ErrorCode &writeEc, std::size_t) {
                          if (writeEc)
-                             self->close();
+                             self->close(ConnectionEnd::CallerFailed);
                          else if (!self->m_isClosed && self->m_incoming)
                              self->readBody();
                      });
@@ -175,6 +175,7 @@
     std::string body = std::move(request.body());
     m_call = std::make_shared<CallHandler>(m_state, *this, std::move(request.base()),
                                            HeldBody{std::move(body), std::move(held)}, startedAt);
+    m_requestId = m_call->requestId();
     m_call->start();
     if (m_call)
         watchForDisconnect();
@@ -203,9 +204,10 @@
 {
     const auto call = std::move(m_call);
     m_call.reset();
+    m_isOpenAtEnd = call != nullptr;
     if (call)
         call->onCallerDisconnect();
-    close();
+    close(ConnectionEnd::CallerFailed);
 }
 
 void CallerSession::handleReadTimeout()
@@ -221,7 +223,7 @@
         reject(Reason::BodyTooLarge, http::status::payload_too_large);
     else if (ec == http::error::end_of_stream || ec == http::error::partial_message
              || ec.category() != http::make_error_code(http::error::end_of_stream).category())
-        close(); // the caller has disconnected
+        close(ConnectionEnd::CallerClosed);
     else
         reject(Reason::MalformedRequest, http::status::bad_request);
 }
@@ -230,7 +232,7 @@
 {
     const bool isFirstByteMissing = m_incoming && !m_incoming->parser.got_some();
     if (isFirstByteMissing) {
-        close();
+        close(ConnectionEnd::Idle);
         return;
     }
     m_state.metrics().countRefusal(reason);
@@ -299,8 +301,9 @@
 
 void CallerSession::abort()
 {
+    m_isOpenAtEnd = true;
     releaseCall();
-    close();
+    close(ConnectionEnd::AnswerCut);
 }
 
 void CallerSession::releaseCall()
@@ -368,7 +371,7 @@
     m_state.metrics().count("fordwood_unread_answers_total");
     ErrorCode ec; // without the option, the kernel keeps the unsent bytes a little longer
     m_socket.set_option(net::socket_base::linger(true, 0), ec);
-    close();
+    close(ConnectionEnd::AnswerUnread);
 }
 
 void CallerSession::onAnswerWritten()
@@ -399,7 +402,7 @@
 void CallerSession::closeIfIdle()
 {
     if (isOpenAndIdle(m_socket))
-        close();
+        closeIdle();
 }
 
 void CallerSession::logOpenLate() const
@@ -422,10 +425,10 @@
     ErrorCode ec; // fails if the caller has already disconnected
     m_socket.shutdown(tcp::socket::shutdown_send, ec);
     if (ec) {
-        close();
+        closeAnswered();
         return;
     }
-    startTimer(kLingerTimeout, &CallerSession::close);
+    startTimer(kLingerTimeout, &CallerSession::closeAnswered);
     discardInput();
 }
 
@@ -442,7 +445,7 @@
         if (mayHaveMore)
             self->discardInput();
         else
-            self->close();
+            self->closeAnswered();
     });
 }
 
@@ -463,12 +466,42 @@
                                      {"ms", m_state.stop().elapsed(m_state.clock().now())}});
 }
 
-void CallerSession::close()
+RequestLeft CallerSession::requestLeft()
+{
+    if (m_call || m_isOpenAtEnd)
+        return RequestLeft::Open;
+    if (isReadingRequest())
+        return RequestLeft::Partial;
+    // Closing with unread input resets the connection, with which the kernel drops what it holds.
+    ErrorCode ec; // a connection that has failed has nothing to read
+    const bool isReset = m_socket.available(ec) > 0 && unacknowledgedBytes(m_socket) > 0;
+    return isReset || !m_outgoing.empty() ? RequestLeft::Undelivered : RequestLeft::None;
+}
+
+// Tells what the connection's end leaves of its last request, also where the log is lost.
+void CallerSession::recordEnd(ConnectionEnd end)
+{
+    const RequestLeft left = requestLeft();
+    m_state.metrics().count(
+        "fordwood_caller_connection_ends_total",
+        {{"end", std::string(nameOf(end))}, {"request", std::string(nameOf(left))}});
+    if (left != RequestLeft::Open && left != RequestLeft::Undelivered)
+        return;
+    logEvent(Event::ConnectionEndedEarly, {{"request", m_requestId},
+                                           {"end", std::string(nameOf(end))},
+                                           {"left", std::string(nameOf(left))},
+                                           {"unsent", m_outgoingBuffer.bytes()},
+                                           {"unacknowledged", unacknowledgedBytes(m_socket)},
+                                           {"input_ended", m_hasInputEnded}});
+}
+
+void CallerSession::close(ConnectionEnd end)
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
     m_timer.cancel();
+    recordEnd(end);
     if (m_state.stop().hasBegun())
         logUnhandledInput();
     // The CallHandler would otherwise keep writing to this session.
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -14,6 +14,7 @@
 #include "fordwood/buffer_budget.hpp"
 #include "node/answer_writer.hpp"
 #include "node/call_handler.hpp"
+#include "node/connection_end.hpp"
 #include "node/node_state.hpp"
 #include "node/request_parser.hpp"
 #include "node/timeout_timer.hpp"
@@ -50,8 +51,8 @@
     // Logs the request that is open shortly before the end of a planned stop.
     void logOpenLate() const;
 
-    // Closes the connection, whatever is open.
-    void close();
+    // Closes the connection at the end of a planned stop, whatever is open.
+    void closeForStop() { close(ConnectionEnd::Stopped); }
 
     // Whether the caller has not been sent all of an answer yet.
     bool hasUnsentBytes() const { return !m_outgoing.empty(); }
@@ -101,9 +102,14 @@
     void onAnswerWritten();
     void handleDisconnect();
     void releaseCall();
+    void close(ConnectionEnd end);
+    void closeIdle() { close(ConnectionEnd::Idle); }
+    void closeAnswered() { close(ConnectionEnd::Answered); }
     void closeIfIdle();
     void lingeringClose();
     void discardInput();
+    RequestLeft requestLeft();
+    void recordEnd(ConnectionEnd end);
     void logUnhandledInput();
 
     NodeState &m_state;
@@ -114,6 +120,7 @@
         m_incoming; // a pending read shares it until its handler has run
     boost::beast::flat_buffer m_unparsed; // bytes received beyond the last request
     std::shared_ptr<CallHandler> m_call;
+    std::string m_requestId; // of the last request, for the log
     std::deque<std::string> m_outgoing;
     std::size_t m_frontWritten = 0; // bytes of the first outgoing text that are written
     BufferBudget::Buffer m_outgoingBuffer;
@@ -126,6 +133,8 @@
     bool m_closesWhenIdle = false;
     bool m_isClosing = false; // no more requests are read and nothing is sent
     std::size_t m_discardedBytes = 0; // input that arrived while the connection was closing
+    bool m_isOpenAtEnd = false; // the connection closes before the answer is complete
+    bool m_hasInputEnded = false; // the caller has closed its sending side, or the connection
     bool m_isClosed = false;
 };
 
--- a/src/node/net.cpp
+++ b/src/node/net.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/io_context.hpp>
@@ -51,6 +53,14 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::size_t unacknowledgedBytes(tcp::socket &socket)
+{
+    int n = 0;
+    if (!socket.is_open() || ::ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0 || n < 0)
+        return 0;
+    return static_cast<std::size_t>(n);
+}
+
 tcp::acceptor openAcceptor(net::io_context &context, const std::string &address, ErrorCode &ec)
 {
     tcp::acceptor acceptor(context);
--- a/src/node/net.hpp
+++ b/src/node/net.hpp
@@ -49,6 +49,10 @@
 // Whether a connection is open and has no unread input, so that a request can be sent on it.
 bool isOpenAndIdle(tcp::socket &socket);
 
+// The bytes that were written to the connection and that its peer has not acknowledged. Zero if the
+// kernel does not tell.
+std::size_t unacknowledgedBytes(tcp::socket &socket);
+
 // Returns an acceptor that listens at the address; sets `ec` on failure.
 tcp::acceptor openAcceptor(net::io_context &context, const std::string &address, ErrorCode &ec);
 
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -206,7 +206,7 @@
               {"longest_pause_ms", m_longestTickPause}});
     // The process goes on for a moment, and callers and peers would wait for the rest of an answer.
     for (const auto &[key, session] : m_sessions)
-        session->close();
+        session->closeForStop();
     m_proxy.close();
     m_context.stop();
 }
