Callers that end their input: one that may still wait gets its answer

Callers saw: a caller that closed its sending side, as HTTP/1.1 allows, got nothing, although its request was read, passed on and ran. The head of a stream in a planned stop announces the end of the connection and so invites callers to do this.

Cause: the end of a caller's input was taken for a caller that has left. Until something is sent the two look alike; what is sent to one that has left comes back as a reset.

An answer that has begun goes on if its head announced the close, or if a part was sent since and the connection did not fail. A request that has run in any case goes on. Any other one ends with an answer (input-ended: 503 as not run, or 502), never with silence. A reset, or a write that fails, still ends the request at once.

Of several requests sent before the end of the input, all are answered.

--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fordwood/caller_presence.hpp"
 #include "node/call_log.hpp"
 #include "node/refusal.hpp"
 
@@ -472,6 +473,31 @@
     finish(info(Reason::CallerLeft).name, 0);
 }
 
+void CallHandler::onInputEnded(bool isCloseAnnounced, bool hasTakenMore)
+{
+    if (m_isFinished)
+        return;
+    EndedInput ended;
+    ended.isAtUpstream = isAtUpstream();
+    ended.mayRunAgain = m_plan.policy().mayRunAgain;
+    ended.isStreamed = m_call.route != nullptr && m_call.route->streaming;
+    ended.hasBegun = m_streamStarted;
+    ended.isCloseAnnounced = isCloseAnnounced;
+    ended.hasTakenMore = hasTakenMore;
+    if (ended.isCallerWaiting())
+        return;
+    recordUnanswered();
+    endAttempt(false);
+    if (m_streamStarted) {
+        m_state.metrics().countRefusal(Reason::CallerLeft);
+        m_writer.abort();
+        finish(info(Reason::CallerLeft).name, 0);
+        return;
+    }
+    m_plan.setReason(Reason::InputEnded);
+    rejectWith(ended.isAtUpstream ? Verdict::of(Reason::InputEnded) : m_plan.verdict(kRetryAfter));
+}
+
 void CallHandler::finish(std::string_view outcome, unsigned status)
 {
     m_isFinished = true;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -51,6 +51,10 @@
     // The caller has closed its connection.
     void onCallerDisconnect();
 
+    // The caller has ended its input EndedInput::kDecisionTime ago. Ends the request unless the
+    // caller is taken to wait for its answer.
+    void onInputEnded(bool isCloseAnnounced, bool hasTakenMore);
+
     // The planned stop of this node ends while the request is open. Rejects it, or cuts its answer
     // after the last whole event.
     void onStopEnd();
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include "adapters/observe/event_log.hpp"
+#include "fordwood/caller_presence.hpp"
 #include "node/refusal.hpp"
 
 namespace fordwood::node {
@@ -172,6 +173,8 @@
     m_keepAlive = request.keep_alive();
     m_isAnswerComplete = false;
     m_isCallerSlow = false;
+    m_hasInputEnded = false;
+    m_hasTakenMore = false;
     std::string body = std::move(request.body());
     m_call = std::make_shared<CallHandler>(m_state, *this, std::move(request.base()),
                                            HeldBody{std::move(body), std::move(held)}, startedAt);
@@ -193,13 +196,32 @@
         // closed the connection behind them, that is detected then.
         if (n > 0)
             return;
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        if (n == 0)
+            self->handleInputEnd();
+        else if (errno == EAGAIN || errno == EWOULDBLOCK)
             self->watchForDisconnect();
         else
             self->handleDisconnect();
     });
 }
 
+// The caller has left, or has closed its sending side only. In both cases it sends nothing more.
+void CallerSession::handleInputEnd()
+{
+    m_hasInputEnded = true;
+    startTimer(EndedInput::kDecisionTime, &CallerSession::decidePresence);
+}
+
+void CallerSession::decidePresence()
+{
+    if (!m_call)
+        return;
+    if (hasFailed(m_socket))
+        handleDisconnect();
+    else
+        m_call->onInputEnded(!m_keepAlive, m_hasTakenMore);
+}
+
 void CallerSession::handleDisconnect()
 {
     const auto call = std::move(m_call);
@@ -251,7 +273,7 @@
 
 void CallerSession::setConnectionField(http::response_header<> &head) const
 {
-    if (!m_keepAlive || m_closesWhenIdle || m_state.stop().hasBegun())
+    if (!m_keepAlive || m_closesWhenIdle || !mayRequestFollow() || m_state.stop().hasBegun())
         head.set(http::field::connection, "close");
 }
 
@@ -347,6 +369,7 @@
 void CallerSession::onWritten(std::size_t n)
 {
     m_lastProgress = m_state.clock().now();
+    m_hasTakenMore = m_hasInputEnded;
     m_frontWritten += n;
     if (m_frontWritten == m_outgoing.front().size()) {
         m_outgoingBuffer.remove(m_frontWritten);
@@ -378,7 +401,7 @@
 {
     m_isAnswerComplete = false;
     m_outgoing.shrink_to_fit();
-    if (m_keepAlive)
+    if (m_keepAlive && mayRequestFollow())
         waitForRequest();
     else
         lingeringClose();
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -89,6 +89,9 @@
     void handleBodyPart(const ErrorCode &ec);
     void handleRequest();
     void watchForDisconnect();
+    void handleInputEnd();
+    bool mayRequestFollow() const { return !m_hasInputEnded || m_unparsed.size() > 0; }
+    void decidePresence();
     void handleReadError(const ErrorCode &ec);
     void reject(Reason reason, http::status status,
                 std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
@@ -135,6 +138,7 @@
     std::size_t m_discardedBytes = 0; // input that arrived while the connection was closing
     bool m_isOpenAtEnd = false; // the connection closes before the answer is complete
     bool m_hasInputEnded = false; // the caller has closed its sending side, or the connection
+    bool m_hasTakenMore = false; // a part of the answer was sent since
     bool m_isClosed = false;
 };
 
--- a/src/node/net.cpp
+++ b/src/node/net.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -53,6 +54,12 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool hasFailed(tcp::socket &socket)
+{
+    pollfd state{socket.native_handle(), 0, 0};
+    return !socket.is_open() || (::poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)));
+}
+
 std::size_t unacknowledgedBytes(tcp::socket &socket)
 {
     int n = 0;
--- a/src/node/net.hpp
+++ b/src/node/net.hpp
@@ -49,6 +49,9 @@
 // Whether a connection is open and has no unread input, so that a request can be sent on it.
 bool isOpenAndIdle(tcp::socket &socket);
 
+// Whether the connection has failed, for example by a reset.
+bool hasFailed(tcp::socket &socket);
+
 // The bytes that were written to the connection and that its peer has not acknowledged. Zero if the
 // kernel does not tell.
 std::size_t unacknowledgedBytes(tcp::socket &socket);
--- a/tests/process/kept_connection.hpp
+++ b/tests/process/kept_connection.hpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 
 #include <limits>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -51,20 +52,59 @@
         return !ec;
     }
 
+    // Closes the sending side of the connection, as a caller may that has no more requests. The
+    // answer can still be read.
+    void endSending()
+    {
+        boost::system::error_code ec; // fails if the connection has ended
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    }
+
+    // Closes the connection, as a caller does that no longer wants its answer.
+    void close()
+    {
+        boost::system::error_code ec; // closing a closed connection is harmless
+        m_socket.close(ec);
+    }
+
+    // Waits for the interim response that asks for the body. Returns false if the connection ends,
+    // or another answer comes, which read() then returns.
+    bool awaitContinue()
+    {
+        if (!readHead() || m_parser->get().result() != boost::beast::http::status::continue_)
+            return false;
+        m_parser.reset();
+        return true;
+    }
+
+    // Waits until the head of the next answer has arrived, and leaves the body unread. Returns
+    // whether it allows another request on this connection, or nothing if the connection has ended.
+    std::optional<bool> readHead()
+    {
+        namespace http = boost::beast::http;
+        boost::system::error_code ec;
+        m_parser.emplace();
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        http::read_header(m_socket, m_buffer, *m_parser, ec);
+        if (!m_parser->is_header_done())
+            return std::nullopt;
+        return m_parser->keep_alive();
+    }
+
     // Waits for the next answer until it is complete or the connection ends.
     HttpAnswer read()
     {
         namespace http = boost::beast::http;
         HttpAnswer answer;
         boost::system::error_code ec;
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-        http::read(m_socket, m_buffer, parser, ec);
-        if (!parser.is_header_done())
+        if (!m_parser && !readHead())
             return answer;
-        answer.isComplete = parser.is_done();
-        m_isKept = answer.isComplete && parser.keep_alive();
-        auto message = parser.release();
+        if (!m_parser->is_done())
+            http::read(m_socket, m_buffer, *m_parser, ec);
+        answer.isComplete = m_parser->is_done();
+        m_isKept = answer.isComplete && m_parser->keep_alive();
+        auto message = m_parser->release();
+        m_parser.reset();
         answer.status = static_cast<int>(message.result_int());
         answer.body = std::move(message.body());
         return answer;
@@ -81,9 +121,12 @@
     bool isKept() const { return m_isKept; }
 
 private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser; // of an answer whose head alone has been read
     bool m_isKept = true;
 };
 
