Time limits of requests count from when they are whole

Callers saw: a body in chunks over 0.9 s left 4.1 s of a limit of 5 s for the answer; streams that would have ended within the limit, counted from the last byte, were cut.

Cause: the limit counted from the head.

Change: it counts from the moment at which the request is whole. A caller that counts from its first byte leaves when its limit has passed, and is noticed; heads and bodies that do not come have limits of their own. What is handed to the upstream never exceeds what the caller named.

--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -41,8 +41,9 @@
                     public std::enable_shared_from_this<CallHandler>
 {
 public:
-    // `arrived`: when the first bytes of the request arrived. `writer` must outlive the answer, or
-    // the call to onCallerDisconnect().
+    // `arrived`: when the request was whole. Time limits count from then: the time that a body
+    // takes is not taken from the answer's. `writer` must outlive the answer, or the call to
+    // onCallerDisconnect().
     CallHandler(NodeState &state, AnswerWriter &writer, http::request_header<> head, HeldBody body,
                 TimePoint arrived);
 
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -99,7 +99,6 @@
     const CallerLimits current = callerLimits();
     m_incoming = std::make_shared<IncomingRequest>(std::move(m_unparsed), m_state.buffers());
     m_unparsed = {};
-    m_incoming->startedAt = m_state.clock().now();
     m_incoming->parser.header_limit(static_cast<std::uint32_t>(current.maxHeaderBytes));
     m_incoming->parser.body_limit(current.maxBodyBytes);
     m_incoming->parser.eager(true);
@@ -167,7 +166,6 @@
     m_timer.cancel();
     auto request = m_incoming->parser.release();
     m_unparsed = std::move(m_incoming->buffer);
-    const TimePoint startedAt = m_incoming->startedAt;
     BufferBudget::Buffer held = std::move(m_incoming->held);
     m_incoming.reset();
     m_keepAlive = request.keep_alive();
@@ -177,7 +175,8 @@
     m_hasTakenMore = false;
     std::string body = std::move(request.body());
     m_call = std::make_shared<CallHandler>(m_state, *this, std::move(request.base()),
-                                           HeldBody{std::move(body), std::move(held)}, startedAt);
+                                           HeldBody{std::move(body), std::move(held)},
+                                           m_state.clock().now());
     m_requestId = m_call->requestId();
     m_call->start();
     if (m_call)
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -79,7 +79,6 @@
         boost::beast::flat_buffer buffer;
         RequestParser parser;
         BufferBudget::Buffer held; // the body
-        TimePoint startedAt{};
     };
 
     void waitForRequest();
--- a/tests/process/caller_habits_test.cpp
+++ b/tests/process/caller_habits_test.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <future>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -48,6 +49,13 @@
     return std::count_if(answers.begin(), answers.end(), isWhole);
 }
 
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream out;
+    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return out.str();
+}
+
 } // namespace
 
 // Guards against a node that takes the end of a caller's input for a caller that has left.
@@ -161,3 +169,28 @@
     CHECK(Fleet::waitFor(isNoticed));
     CHECK(RealClock::now() - closedAt < 500ms);
 }
+
+// Guards against a limit that counts from the head, so that the body's time is taken from the
+// answer's.
+TEST_CASE("caller habits: a caller whose body takes long has its whole limit for the answer "
+          "[node][callers]")
+{
+    StopFleet fleet(1, 2, 8'000ms);
+    const auto answers = callAll([&](const std::string &id) {
+        KeptConnection connection;
+        const std::string head
+            = StopFleet::head("POST", StopFleet::path("talk", 4'500ms, id), id, 5'000ms)
+              + "Transfer-Encoding: chunked\r\n\r\n";
+        if (!connection.connect(fleet.host(0)) || !connection.send(head))
+            return HttpAnswer{};
+        for (int n = 0; n < 3; ++n) {
+            std::this_thread::sleep_for(300ms);
+            if (!connection.send(chunk("part " + std::to_string(n) + " of " + id)))
+                return HttpAnswer{};
+        }
+        if (!connection.send(chunk("")))
+            return HttpAnswer{};
+        return connection.read();
+    });
+    CHECK(countWhole(answers) == kCallers);
+}
