Planned stops: what runs is not cut before the last sixth, whenever the signal was sent

Callers saw: streams that ended together long before the end of a stop, at a node that had no processor time for a second or more right before its signal. The rule counts them as lost.

Cause: a process that had no processor time cannot tell how long its signal was pending. What runs was ended 0.3 s before the platform may end the process at the earliest, so that it would end by itself. But a request that is ended by the platform was lost no sooner than one that the node cuts.

Change: what runs ends by the latest time of the signal, and not before the last sixth of the stop, counted from there. With signals that were pending for up to a second (in a stop of 8 s) all is as it was.

--- a/include/fordwood/stop_plan.hpp
+++ b/include/fordwood/stop_plan.hpp
@@ -11,7 +11,7 @@
 // The times of a planned stop of a node, and which requests it still takes. The platform ends the
 // process a fixed time after its signal, however late the process takes it. So the times count from
 // the earliest time at which the signal may have been sent, but for the end of requests that run:
-// these go on as if it had just been sent, as long as the process surely ends by itself.
+// these go on as if it had just been sent, until the last sixth of the stop at least.
 class StopPlan
 {
 public:
@@ -37,6 +37,10 @@
     // When requests that still run are ended. Only while a stop lasts.
     TimePoint cutsAt() const;
 
+    // Until when the process waits for callers that have not received their last bytes. Only while
+    // a stop lasts.
+    TimePoint writesUntil() const;
+
     // What is known of a request.
     struct Request
     {
--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -23,7 +23,7 @@
 // The end of the stop, reserved for the last answers, for the work after them, and for a signal
 // that was delivered late. The platform counts a request as lost that is cut before the last sixth.
 constexpr Duration kEndReserve = std::chrono::milliseconds(1'000);
-constexpr int kMaxReserveDivisor = 6; // of a short stop
+constexpr int kLastShare = 6; // the last sixth; a short stop reserves no more
 
 // What the work after the last request takes: last bytes, messages to peers, the log.
 constexpr Duration kExitTime = std::chrono::milliseconds(300);
@@ -43,8 +43,15 @@
 
 TimePoint StopPlan::cutsAt() const
 {
-    const TimePoint latest = *m_signalledAt + m_stopWithin - exitTime();
-    return std::min(m_takenAt + servingTime(), latest);
+    // To be ended by the platform is no worse for a request than to be cut, so a signal that may
+    // have been pending for long is no reason to cut one before the last part of the stop.
+    const TimePoint lastPart = m_takenAt + m_stopWithin - m_stopWithin / kLastShare;
+    return std::min(m_takenAt + servingTime(), std::max(writesUntil(), lastPart));
+}
+
+TimePoint StopPlan::writesUntil() const
+{
+    return *m_signalledAt + m_stopWithin - exitTime();
 }
 
 Duration StopPlan::exitTime() const
@@ -55,7 +62,7 @@
 // The part of the stop before its reserve.
 Duration StopPlan::servingTime() const
 {
-    const Duration reserve = std::min(kEndReserve, m_stopWithin / kMaxReserveDivisor);
+    const Duration reserve = std::min(kEndReserve, m_stopWithin / kLastShare);
     return m_stopWithin - std::max(reserve, exitTime());
 }
 
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -225,6 +225,24 @@
     CHECK(fleet.logged(0, "name=RequestCutByStop") == 0);
 }
 
+// Guards against streams that are cut before the last sixth of the stop, since the process had no
+// processor time for nearly two seconds right before its signal.
+TEST_CASE("planned stop: streams that come right after the signal are whole although the node had "
+          "no processor time long before it [node][stop]")
+{
+    StopFleet fleet(1, 4, 8'000ms);
+    fleet.nodes.front().signal(SIGSTOP);
+    std::this_thread::sleep_for(2'000ms);
+    PlannedStop stop(fleet, 0);
+    fleet.nodes.front().signal(SIGCONT);
+    TimedCallers callers(fleet);
+    for (int n = 0; n < 10; ++n)
+        callers.send(stop.begin() + 20ms + n * 5ms, "talk", 5'900ms);
+    CHECK(stop.finish() == 0);
+    for (const Outcome &it : callers.wait())
+        CHECK_MESSAGE(it.isWhole(), it.id);
+}
+
 // Guards against a stop that seems to have begun seconds ago, since other signals came before it
 // without a pause.
 TEST_CASE("planned stop: settings that are reloaded again and again do not shorten the stop "
