Planned stops: a node listens until the platform has noticed the stop

Callers saw: connections refused by a node that the platform still sent them to, after a signal that was taken late.

Cause: the listening socket closed 3.2 s after the earliest time of the signal. The readiness checks fail from when the process takes it.

Change: the time counts from there. What is taken and sent to upstreams still counts from the earliest time, so that such callers are told `stopping`, not run.

--- a/src/core/stop_plan.cpp
+++ b/src/core/stop_plan.cpp
@@ -17,7 +17,7 @@
 constexpr double kUnknownShare = 0.35;
 
 // The platform stops routing new connections to the node after two readiness checks, a second
-// apart, have failed.
+// apart, have failed. They fail from when the process takes the signal.
 constexpr Duration kOutOfRotationAfter = std::chrono::milliseconds(3'200);
 
 // The end of the stop, reserved for the last answers, for the work after them, and for a signal
@@ -84,7 +84,7 @@
 
 bool StopPlan::isOutOfRotation(TimePoint now) const
 {
-    return hasBegun() && elapsed(now) >= kOutOfRotationAfter;
+    return hasBegun() && now - m_takenAt >= kOutOfRotationAfter;
 }
 
 } // namespace fordwood
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -243,6 +243,21 @@
         CHECK_MESSAGE(it.isWhole(), it.id);
 }
 
+// Guards against callers that the platform still sends to a node that refuses their connections:
+// the platform learns of a stop when the process takes its signal.
+TEST_CASE("planned stop: a node whose signal was taken late listens until the platform has noticed "
+          "[node][stop]")
+{
+    StopFleet fleet(1, 1, 8'000ms);
+    fleet.nodes.front().signal(SIGSTOP);
+    std::this_thread::sleep_for(2'000ms);
+    PlannedStop stop(fleet, 0);
+    fleet.nodes.front().signal(SIGCONT);
+    std::this_thread::sleep_until(stop.begin() + 2'000ms);
+    CHECK(fleet.callOnce(0, "once", 50ms, "late").status == 503);
+    CHECK(stop.finish() == 0);
+}
+
 // Guards against a stop that seems to have begun seconds ago, since other signals came before it
 // without a pause.
 TEST_CASE("planned stop: settings that are reloaded again and again do not shorten the stop "
--- a/tests/unit/stop_plan_test.cpp
+++ b/tests/unit/stop_plan_test.cpp
@@ -72,6 +72,16 @@
     }
 }
 
+// Guards against callers whose connections are refused while the platform still sends them here.
+TEST_CASE("stop plan: a node listens until the platform has noticed the stop, whenever the signal "
+          "was sent [stop]")
+{
+    StopPlan plan(8s);
+    plan.begin(kSignal - 2s, kSignal);
+    CHECK_FALSE(plan.isOutOfRotation(kSignal + 3'199ms));
+    CHECK(plan.isOutOfRotation(kSignal + 3'200ms));
+}
+
 // Guards against requests that are cut before the last sixth of a short stop, which counts as loss.
 TEST_CASE("stop plan: a short stop keeps a sixth at most for its end [stop]")
 {
