Planned stops: the end is announced before it, and callers have the rest of the stop for their last bytes

A complete answer that its caller reads slowly had 0.1 s at the end of the stop, though 0.7 s of it were left; and a node whose signal came late could be killed with its messages to peers unsent and its log unwritten.

Cause: all work after the last request was done one after the other, with fixed waits.

Change: the node announces its end 0.1 s before it, so that it need not wait for that afterwards. After the last request it ends as soon as all bytes are acknowledged, and else waits until its exit time.

No test plays a slow reader at the end of a stop.

--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -80,6 +80,7 @@
                               requestReplicaCheck);
     servingPointer = &serving;
     controlPointer = &control;
+    serving.onEnding([&] { controlPointer->announceEnd(); });
     if (!control.open() || !serving.open())
         return apps::ExitFailed;
     logEvent(Event::Started, {{"node", settings.node.name}, {"version", FORDWOOD_VERSION}});
@@ -91,8 +92,7 @@
     signalledAt = stop.signalledAt;
     control.beginStop(stop);
     servingThread.join();
-    control.finishStop();
-    std::this_thread::sleep_for(kFinalSendTime);
+    std::this_thread::sleep_for(serving.endAnnouncedAt() + kFinalSendTime - clock.now());
     control.stop();
     controlThread.join();
     return apps::ExitOk;
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -57,6 +57,9 @@
     // Whether the caller has not been sent all of an answer yet.
     bool hasUnsentBytes() const { return !m_outgoing.empty(); }
 
+    // As hasUnsentBytes(), or the caller's side has not acknowledged all that was sent.
+    bool hasUndeliveredBytes() { return hasUnsentBytes() || unacknowledgedBytes(m_socket) > 0; }
+
     // Closes the connection if the caller has read nothing of its answer for too long.
     void closeIfUnread();
 
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -175,7 +175,7 @@
     });
 }
 
-void ControlLoop::finishStop()
+void ControlLoop::announceEnd()
 {
     net::post(m_context, [this] {
         m_isLeaving = true;
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -68,7 +68,7 @@
     void beginStop(const StopStarted &stop);
     // Removes the node's key from the store and announces to peers that the node leaves. Call it
     // shortly before stop().
-    void finishStop();
+    void announceEnd();
     void reload(const config::OneProcessSettings &settings);
     Mailbox<OwnLoads> &loadsMailbox() { return m_ownLoads; }
     // Requests to compare the replica with the store; ReplicaChecked answers them.
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -15,8 +15,12 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kMailboxCapacity = 4'096;
-// At the end of a planned stop, callers have this time to receive their last bytes.
+// At the end of a planned stop, callers have at least this time to receive their last bytes.
 constexpr Duration kLastWriteTime = std::chrono::milliseconds(100);
+constexpr Duration kWriteCheckInterval = std::chrono::milliseconds(10);
+// Peers and the platform are told of the end this long before it, so that the process need not wait
+// for that after its last request.
+constexpr Duration kAnnouncementTime = std::chrono::milliseconds(100);
 constexpr Duration kUnreadCheckInterval = std::chrono::seconds(1);
 
 constexpr Duration kStopLogInterval = std::chrono::seconds(1);
@@ -126,7 +130,10 @@
 void ServingLoop::continueStop()
 {
     if (!std::exchange(m_isEndTimerStarted, true))
-        m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endWaiting(); });
+        m_endTimer.startUntil(m_state.stop().endsAt() - kAnnouncementTime, [this] {
+            announceEnd();
+            m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endWaiting(); });
+        });
     logStopProgress();
     logLateRequests();
     if (!m_state.stop().isOutOfRotation(m_clock.now()))
@@ -171,6 +178,15 @@
     }
 }
 
+void ServingLoop::announceEnd()
+{
+    if (std::exchange(m_isEndAnnounced, true))
+        return;
+    m_endAnnouncedAt = m_clock.now();
+    if (m_announceEnd)
+        m_announceEnd();
+}
+
 // Requests that wait end before those that run: the end of one of these may lend them a place at an
 // upstream.
 void ServingLoop::endWaiting()
@@ -186,13 +202,27 @@
 {
     for (const auto &[key, session] : m_sessions)
         session->endForStop();
-    m_endTimer.start(kLastWriteTime, [this] { finishStop(); });
+    m_finishesAt = std::max(m_clock.now() + kLastWriteTime, m_state.stop().writesUntil());
+    finishOnceWritten();
+}
+
+// What the kernel still holds for a caller is lost if the connection is closed with unread input.
+void ServingLoop::finishOnceWritten()
+{
+    const bool isWriting = std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &it) {
+        return it.second->hasUndeliveredBytes();
+    });
+    if (!isWriting || m_clock.now() >= m_finishesAt)
+        finishStop();
+    else
+        m_endTimer.start(kWriteCheckInterval, [this] { finishOnceWritten(); });
 }
 
 void ServingLoop::finishStop()
 {
     if (m_context.stopped())
         return;
+    announceEnd();
     const auto isUnsent = [](const auto &it) { return it.second->hasUnsentBytes(); };
     const NodeState::StopCounts &counts = m_state.stopCounts();
     logEvent(Event::StopEnded,
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -38,6 +38,12 @@
     // Runs until a planned stop is complete.
     void run() { m_context.run(); }
 
+    // Called on this loop's thread shortly before the end of a planned stop, once.
+    void onEnding(std::function<void()> announce) { m_announceEnd = std::move(announce); }
+
+    // When that was. Only after run() has returned.
+    TimePoint endAnnouncedAt() const { return m_endAnnouncedAt; }
+
     // The queue for updates from the control thread.
     Mailbox<FleetUpdate> &mailbox() { return m_mailbox; }
 
@@ -48,8 +54,10 @@
     void continueStop();
     void logStopProgress();
     void logLateRequests();
+    void announceEnd();
     void endWaiting();
     void endStop();
+    void finishOnceWritten();
     void finishStop();
     void reportLoads(bool isUrgent);
     void reportQuarantineUpdates();
@@ -68,6 +76,10 @@
     TimeoutTimer m_tickTimer;
     DeadlineTimer m_endTimer; // of a planned stop
     bool m_isEndTimerStarted = false;
+    std::function<void()> m_announceEnd;
+    bool m_isEndAnnounced = false;
+    TimePoint m_endAnnouncedAt{};
+    TimePoint m_finishesAt{}; // at the latest
     bool m_areLateRequestsLogged = false;
     TimePoint m_nextStopLog{};
     std::unordered_map<CallerSession *, std::shared_ptr<CallerSession>> m_sessions;
