fordwood-entryd: a stream goes on after its caller has closed its sending side

Callers saw: a stream that was cut as its caller closed its sending side.

Change: it decides 0.3 s later by EndedInput, with what the caller has taken of its answer since. A connection that has failed still counts at once. What has not begun ends with a refusal, as before, which the caller can read.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -201,7 +201,7 @@
         incoming.exchange = std::get<std::shared_ptr<Exchange>>(handled);
         const CallId call = incoming.exchange->id();
         incoming.exchange->setWake([connection] { MHD_resume_connection(connection); });
-        server.m_watch.markServing(connection,
+        server.m_watch.markServing(connection, incoming.exchange,
                                    [&server, call] { server.m_handler.callerLeft(call); });
         incoming.exchange
             ->takeAnswer(); // none yet; from now on the exchange resumes the connection
--- a/src/adapters/http/caller_server.hpp
+++ b/src/adapters/http/caller_server.hpp
@@ -64,7 +64,11 @@
     bool start();
 
     // Lets each answer whose head has not been sent announce that its connection closes.
-    void announceClose() { m_announcesClose = true; }
+    void announceClose()
+    {
+        m_announcesClose = true;
+        m_watch.announceClose();
+    }
 
     // Stops listening. Accepts the connections that wait; open ones continue.
     void stopListening();
--- a/src/adapters/http/caller_watch.cpp
+++ b/src/adapters/http/caller_watch.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "fordwood/caller_presence.hpp"
+
 namespace fordwood::adapters {
 
 namespace {
@@ -24,7 +26,10 @@
 void CallerWatch::addConnection(Key key, int socket)
 {
     const std::lock_guard lock(m_mutex);
-    m_connections[key] = Connection{socket, false, m_clock.now(), nullptr};
+    Connection connection;
+    connection.socket = socket;
+    connection.idleSince = m_clock.now();
+    m_connections[key] = std::move(connection);
 }
 
 void CallerWatch::removeConnection(Key key)
@@ -33,12 +38,16 @@
     m_connections.erase(key);
 }
 
-void CallerWatch::markServing(Key key, std::function<void()> onDisconnect)
+void CallerWatch::markServing(Key key, std::shared_ptr<Exchange> exchange,
+                              std::function<void()> onDisconnect)
 {
     const std::lock_guard lock(m_mutex);
     Connection &connection = m_connections[key];
     connection.isServing = true;
     connection.onDisconnect = std::move(onDisconnect);
+    connection.exchange = std::move(exchange);
+    connection.inputEndedAt.reset();
+    connection.isWaiting = false;
 }
 
 void CallerWatch::markIdle(Key key)
@@ -50,6 +59,7 @@
     it->second.isServing = false;
     it->second.idleSince = m_clock.now();
     it->second.onDisconnect = nullptr;
+    it->second.exchange = nullptr;
 }
 
 void CallerWatch::check()
@@ -74,8 +84,10 @@
         for (std::size_t it = 0; it < sockets.size(); ++it) {
             if ((sockets[it].revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0)
                 continue;
+            const bool hasFailed = (sockets[it].revents & (POLLHUP | POLLERR)) != 0;
             const auto found = m_connections.find(keys[it]);
-            if (found != m_connections.end() && found->second.onDisconnect)
+            if (found != m_connections.end() && found->second.onDisconnect
+                && hasLeft(found->second, hasFailed))
                 disconnected.push_back(std::exchange(found->second.onDisconnect, nullptr));
         }
     }
@@ -83,6 +95,27 @@
         it();
 }
 
+// Whether the caller, whose input has ended or whose connection has failed, waits no longer.
+bool CallerWatch::hasLeft(Connection &connection, bool hasFailed) const
+{
+    if (hasFailed)
+        return true;
+    const TimePoint now = m_clock.now();
+    const Exchange::Progress progress = connection.exchange->progress();
+    if (!connection.inputEndedAt) {
+        connection.inputEndedAt = now;
+        connection.takenBefore = progress.bytes;
+    }
+    if (connection.isWaiting || now - *connection.inputEndedAt < EndedInput::kDecisionTime)
+        return false;
+    EndedInput ended;
+    ended.hasBegun = progress.hasBegun;
+    ended.isCloseAnnounced = m_announcesClose;
+    ended.hasTakenMore = progress.bytes > connection.takenBefore;
+    connection.isWaiting = ended.isCallerWaiting();
+    return !connection.isWaiting;
+}
+
 std::size_t CallerWatch::connectionCount() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/adapters/http/caller_watch.hpp
+++ b/src/adapters/http/caller_watch.hpp
@@ -2,12 +2,15 @@
 #ifndef FORDWOOD_ADAPTERS_HTTP_CALLER_WATCH_HPP_INCLUDED
 #define FORDWOOD_ADAPTERS_HTTP_CALLER_WATCH_HPP_INCLUDED
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
+#include "adapters/http/exchange.hpp"
 #include "fordwood/clock.hpp"
 
 namespace fordwood::adapters {
@@ -27,8 +30,12 @@
     void removeConnection(Key key);
 
     // A request was received and is being served. `onDisconnect` is called once if the caller
-    // disconnects.
-    void markServing(Key key, std::function<void()> onDisconnect);
+    // disconnects, or ends its input and shows no sign that it waits for its answer.
+    void markServing(Key key, std::shared_ptr<Exchange> exchange,
+                     std::function<void()> onDisconnect);
+
+    // From now on answers announce the end of their connection.
+    void announceClose() { m_announcesClose = true; }
 
     // The answer was sent, or a new request begins: restarts the read timeout.
     void markIdle(Key key);
@@ -45,12 +52,18 @@
         bool isServing = false;
         TimePoint idleSince{}; // start of the read timeout
         std::function<void()> onDisconnect;
+        std::shared_ptr<Exchange> exchange; // while serving
+        std::optional<TimePoint> inputEndedAt;
+        std::size_t takenBefore = 0; // bytes of the answer, when the input ended
+        bool isWaiting = false; // though its input has ended
     };
 
     void closeTimedOut();
+    bool hasLeft(Connection &connection, bool hasFailed) const;
 
     const Clock &m_clock;
     Duration m_readTimeout;
+    std::atomic<bool> m_announcesClose{false};
     std::function<void()> m_onTimeout;
     mutable std::mutex m_mutex;
     std::unordered_map<Key, Connection> m_connections;
--- a/src/adapters/http/exchange.cpp
+++ b/src/adapters/http/exchange.cpp
@@ -161,6 +161,7 @@
         }
         std::memcpy(target, m_buffer.data() + m_bufferRead, count);
         m_bufferRead += count;
+        m_bytesTaken += count;
         if (std::exchange(m_isFull, false))
             onSpace = m_onSpace;
     }
@@ -169,6 +170,12 @@
     return ReadResult::Data;
 }
 
+Exchange::Progress Exchange::progress()
+{
+    const std::lock_guard lock(m_mutex);
+    return {m_isStarted, m_bytesTaken};
+}
+
 void Exchange::abandon()
 {
     std::function<void()> onSpace;
--- a/src/adapters/http/exchange.hpp
+++ b/src/adapters/http/exchange.hpp
@@ -111,6 +111,14 @@
     // Reads bytes of a chunked answer. After Wait the thread must wait until it is woken.
     ReadResult read(char *target, std::size_t size, std::size_t &count);
 
+    // How much of the answer the caller's thread has taken.
+    struct Progress
+    {
+        bool hasBegun = false; // the head at least
+        std::size_t bytes = 0; // of a chunked answer
+    };
+    Progress progress();
+
     // The caller disconnected or has received its answer: nothing more will be read.
     void abandon();
 
@@ -128,6 +136,7 @@
     unsigned m_attempt = 0; // the attempt whose answer is buffered
     std::string m_buffer;
     std::size_t m_bufferRead = 0;
+    std::size_t m_bytesTaken = 0;
     bool m_isChunked = false; // forwarded as it arrives
     bool m_isStarted = false; // the caller's thread has taken the head of the answer
     bool m_isFinished = false;
--- a/tests/process/http.cpp
+++ b/tests/process/http.cpp
@@ -206,4 +206,16 @@
     return received;
 }
 
+std::string halfClosedCall(const std::string &address, const std::string &bytes,
+                           const std::string &expectedText)
+{
+    const int fd = sendBytes(address, bytes);
+    std::string received = readUntil(fd, expectedText);
+    shutdown(fd, SHUT_WR); // fails if the peer has closed the connection
+    received += readUntil(fd, "");
+    if (fd >= 0)
+        close(fd);
+    return received;
+}
+
 } // namespace fordwood::process
--- a/tests/process/http.hpp
+++ b/tests/process/http.hpp
@@ -98,6 +98,11 @@
 std::string rawCall(const std::string &address, const std::string &bytes,
                     const std::string &expectedText = "");
 
+// As rawCall(), but closes the sending side only once the text has been received, and reads on
+// until the peer closes the connection.
+std::string halfClosedCall(const std::string &address, const std::string &bytes,
+                           const std::string &expectedText);
+
 } // namespace fordwood::process
 
 #endif // FORDWOOD_TESTS_PROCESS_HTTP_HPP_INCLUDED
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -145,6 +145,21 @@
     }));
 }
 
+// Guards against a stream that is cut because its caller has closed its sending side.
+TEST_CASE("path: a stream goes on after its caller has closed its sending side [caller]")
+{
+    Fleet fleet({1, 1, 1, 1, {"token_ms=50"}, ""});
+    fleet.start();
+    const std::string body = completion(true, 30);
+    const std::string answer = halfClosedCall(fleet.entryAddress(0),
+                                              "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                                                  + Fleet::bearer() + "\r\nContent-Length: "
+                                                  + std::to_string(body.size()) + "\r\n\r\n" + body,
+                                              "data: ");
+    CHECK_MESSAGE(answer.find("data: [DONE]") != std::string::npos, answer);
+    CHECK(fleet.metric(0, "fordwood_refusals_total", "caller-left") == 0);
+}
+
 TEST_CASE("path: a request that is not repeatable is not resent when its connection breaks [once]")
 {
     Fleet fleet({1, 1, 1, 1, {}, ""});
