Errors without a length that go on slowly end in time, and count against their upstream

Cause: the body of an error was bounded in size only (1 MiB).

Change: one that names no length is bounded in time as well, as other useless bytes are: more than 32 parts, and longer than the route's target latency. Errors with a length may still come in many parts.

The new test gets no answer (status 0) without the change, and 502 with it.

--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -153,6 +153,7 @@
     void handleRejection(bool isComplete);
     bool forwardEvents(std::string_view bytes);
     bool holdPartialEvent();
+    bool isEndlessError(std::size_t bytes);
     bool isTooLarge(std::size_t bytes, std::size_t maxBytes);
     bool isTooUseless(std::size_t bytes, std::size_t maxBytes);
     void handleUselessAnswer(std::string_view cause);
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -89,7 +89,7 @@
         return skipBody(bytes.size());
     if (m_streamStarted && !m_isPassedThrough) // the stream was not resumed
         return skipBody(bytes.size());
-    if (!isSuccess(m_attempt->answer->result_int()) && isTooLarge(bytes.size(), kMaxErrorBody)) {
+    if (!isSuccess(m_attempt->answer->result_int()) && isEndlessError(bytes.size())) {
         handleUselessAnswer("the body of an error does not end");
         return false;
     }
@@ -110,6 +110,15 @@
     return false;
 }
 
+// Whether the body of an error is more than a sound upstream sends. One whose length is named ends
+// by itself, however slowly it comes.
+bool CallHandler::isEndlessError(std::size_t bytes)
+{
+    const bool isLengthKnown
+        = m_attempt->answer->find(http::field::content_length) != m_attempt->answer->end();
+    return isLengthKnown ? isTooLarge(bytes, kMaxErrorBody) : isTooUseless(bytes, kMaxErrorBody);
+}
+
 // Counts a part of an answer that is of no use to the caller. Returns whether it is more than a
 // sound upstream sends.
 bool CallHandler::isTooLarge(std::size_t bytes, std::size_t maxBytes)
--- a/tests/node/endless_streams_test.cpp
+++ b/tests/node/endless_streams_test.cpp
@@ -308,6 +308,21 @@
     CHECK(fixture.failureRate() == 0.0);
 }
 
+// Guards against errors whose bodies come slowly and without end, and hold their requests until the
+// deadline.
+TEST_CASE("endless streams: an error without a length is waited for no longer than the target "
+          "latency, and counts against its upstream [endless]")
+{
+    EndlessStreamFixture fixture(errorHead(500));
+    StreamAnswer &answer = fixture.call();
+    fixture.sendSlowly(answer, "x", 32, 100ms);
+    CHECK(answer.status == 0);
+    fixture.sendSlowly(answer, "x", 1, 100ms);
+    CHECK(answer.status == 502);
+    CHECK(fixture.held() == 0);
+    CHECK(fixture.failureRate() > 0.0);
+}
+
 // Guards against long pages of errors that are cut.
 TEST_CASE("endless streams: an error answer of many bytes is passed on whole [endless]")
 {
