Callers that end their input, read anew: resets, slow readers, no further upstream, and the cause of an end

- A request whose caller was taken to wait could be sent to another upstream long after the caller had left.
It ends with input-ended now, as not run where that is so.
The new test waits for another upstream without this (status 0), and gets 503.
- After the end of the input nothing watched for the reset of a caller that leaves; it was seen at the second write after it.
Its failure is waited for now.
- Streams whose callers had left, or that the stop cut, were counted as answer-cut, so that the counter did not tell what it was added for.

--- a/include/fordwood/stop_plan.hpp
+++ b/include/fordwood/stop_plan.hpp
@@ -11,8 +11,8 @@
 // The times of a planned stop of a node, and which requests it still takes. The platform ends the
 // process a fixed time after its signal, however late the process takes it. So the times count from
 // the earliest time at which the signal may have been sent, but for two: requests that run go on as
-// if it had just been sent, until the last sixth of the stop at least, and callers come until the
-// platform has noticed.
+// if it had just been sent, until the last sixth of the stop at least (of one of 2 s or more), and
+// callers come until the platform has noticed.
 class StopPlan
 {
 public:
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -94,6 +94,12 @@
         onDeadline();
         return;
     }
+    // The caller may have left: no further upstream gets its request.
+    if (m_hasInputEnded && !m_streamStarted) {
+        m_plan.setReason(Reason::InputEnded);
+        rejectWith(m_plan.verdict(kRetryAfter));
+        return;
+    }
     if (const auto hold = findHold()) {
         rejectQuarantined(*hold);
         return;
@@ -484,8 +490,10 @@
     ended.hasBegun = m_streamStarted;
     ended.isCloseAnnounced = isCloseAnnounced;
     ended.hasTakenMore = hasTakenMore;
-    if (ended.isCallerWaiting())
+    if (ended.isCallerWaiting()) {
+        m_hasInputEnded = true;
         return;
+    }
     recordUnanswered();
     endAttempt(false);
     if (m_streamStarted) {
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -197,6 +197,7 @@
     bool m_streamStarted = false; // the caller has received a part of the answer
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
+    bool m_hasInputEnded = false; // of the caller, which is taken to wait for this attempt's answer
     bool m_hasWaitedForVersion = false; // for upstreams of the version that began the stream
     bool m_hasAskedForTrial = false; // of a request that is held for a part of its prompt
     std::optional<TimePoint> m_firstEventAt;
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -208,17 +208,32 @@
 void CallerSession::handleInputEnd()
 {
     m_hasInputEnded = true;
+    watchForFailure();
     startTimer(EndedInput::kDecisionTime, &CallerSession::decidePresence);
 }
 
+// Once the input has ended, a caller that leaves shows by a reset alone.
+void CallerSession::watchForFailure()
+{
+    m_socket.async_wait(tcp::socket::wait_error, [self = shared_from_this()](const ErrorCode &ec) {
+        if (!ec && !self->m_isClosed && self->m_call && hasFailed(self->m_socket))
+            self->handleDisconnect();
+    });
+}
+
 void CallerSession::decidePresence()
 {
     if (!m_call)
         return;
-    if (hasFailed(m_socket))
+    if (hasFailed(m_socket)) {
         handleDisconnect();
-    else
-        m_call->onInputEnded(!m_keepAlive, m_hasTakenMore);
+        return;
+    }
+    // The connection of a caller that has left would have failed under bytes that it does not read.
+    const bool readsSlowly = hasUnsentBytes();
+    m_abortEnd = ConnectionEnd::CallerLeft;
+    m_call->onInputEnded(!m_keepAlive, m_hasTakenMore || readsSlowly);
+    m_abortEnd = ConnectionEnd::AnswerCut;
 }
 
 void CallerSession::handleDisconnect()
@@ -324,7 +339,7 @@
 {
     m_isOpenAtEnd = true;
     releaseCall();
-    close(ConnectionEnd::AnswerCut);
+    close(m_abortEnd);
 }
 
 void CallerSession::releaseCall()
@@ -435,6 +450,7 @@
 
 void CallerSession::endForStop()
 {
+    m_abortEnd = ConnectionEnd::Stopped;
     if (m_call)
         m_call->onStopEnd();
 }
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -93,6 +93,7 @@
     void watchForDisconnect();
     void handleInputEnd();
     bool mayRequestFollow() const { return !m_hasInputEnded || m_unparsed.size() > 0; }
+    void watchForFailure();
     void decidePresence();
     void handleReadError(const ErrorCode &ec);
     void reject(Reason reason, http::status status,
@@ -138,6 +139,7 @@
     bool m_closesWhenIdle = false;
     bool m_isClosing = false; // no more requests are read and nothing is sent
     std::size_t m_discardedBytes = 0; // input that arrived while the connection was closing
+    ConnectionEnd m_abortEnd = ConnectionEnd::AnswerCut; // what abort() counts as
     bool m_isOpenAtEnd = false; // the connection closes before the answer is complete
     bool m_hasInputEnded = false; // the caller has closed its sending side, or the connection
     bool m_hasTakenMore = false; // a part of the answer was sent since
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -189,7 +189,7 @@
     bool m_hasConfiguration = false;
     bool m_wasReady = false;
     bool m_isStopping = false;
-    bool m_isLeaving = false; // no request runs any more
+    bool m_isLeaving = false; // the planned stop is about to end
     bool m_hasNews
         = true; // something that peers should know at once, as that this node has started
     std::size_t m_liveNodes = 0;
--- a/tests/node/endless_streams_test.cpp
+++ b/tests/node/endless_streams_test.cpp
@@ -40,7 +40,7 @@
 {
     explicit EndlessStreamFixture(std::string begin, const std::string &part = "",
                                   config::OneProcessSettings nodeSettings = {},
-                                  bool isStreaming = true)
+                                  bool isStreaming = true, std::size_t maxAttempts = 1)
         : settings(std::move(nodeSettings)), server(context, std::move(begin), part),
           state(context, clock, settings, metrics)
     {
@@ -54,7 +54,7 @@
         route.targets = {{"board", 1.0}};
         route.streaming = isStreaming;
         route.targetLatency = kTargetLatency;
-        route.maxAttempts = 1;
+        route.maxAttempts = maxAttempts;
         ServingConfig config;
         config.services = {pool};
         config.routes = {route};
@@ -323,6 +323,21 @@
     CHECK(fixture.failureRate() > 0.0);
 }
 
+// Guards against requests that reach another upstream long after their caller has left.
+TEST_CASE("ended input: a request whose caller has ended its input is not sent again "
+          "[callers]")
+{
+    EndlessStreamFixture fixture(errorHead(503, "Not-Executed: 1\r\nContent-Length: 1\r\n"), "", {},
+                                 false, 2);
+    StreamAnswer &answer = fixture.call();
+    CHECK(answer.status == 0);
+    fixture.calls.back()->onInputEnded(false, false);
+    CHECK(answer.status == 0);
+    fixture.sendSlowly(answer, "x", 1, 0ms);
+    CHECK(answer.status == 503);
+    CHECK(answer.body.find("input-ended") != std::string::npos);
+}
+
 // Guards against long pages of errors that are cut.
 TEST_CASE("endless streams: an error answer of many bytes is passed on whole [endless]")
 {
--- a/tests/process/caller_habits_test.cpp
+++ b/tests/process/caller_habits_test.cpp
@@ -168,6 +168,10 @@
     };
     CHECK(Fleet::waitFor(isNoticed));
     CHECK(RealClock::now() - closedAt < 500ms);
+    const auto hasEnded
+        = [&] { return fleet.runs("left").front().end < RealClock::time_point::max(); };
+    if (route == "talk")
+        CHECK(Fleet::waitFor(hasEnded));
 }
 
 // Guards against a limit that counts from the head, so that the body's time is taken from the
