--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fordwood/caller_presence.hpp"
 #include "node/call_log.hpp"
 #include "node/refusal.hpp"
 
@@ -93,6 +94,12 @@
         onDeadline();
         return;
     }
+    // The caller may have left: no further upstream gets its request.
+    if (m_hasInputEnded && !m_streamStarted) {
+        m_plan.setReason(Reason::InputEnded);
+        rejectWith(m_plan.verdict(kRetryAfter));
+        return;
+    }
     if (const auto hold = findHold()) {
         rejectQuarantined(*hold);
         return;
@@ -472,6 +479,33 @@
     finish(info(Reason::CallerLeft).name, 0);
 }
 
+void CallHandler::onInputEnded(bool isCloseAnnounced, bool hasTakenMore)
+{
+    if (m_isFinished)
+        return;
+    EndedInput ended;
+    ended.isAtUpstream = isAtUpstream();
+    ended.mayRunAgain = m_plan.policy().mayRunAgain;
+    ended.isStreamed = m_call.route != nullptr && m_call.route->streaming;
+    ended.hasBegun = m_streamStarted;
+    ended.isCloseAnnounced = isCloseAnnounced;
+    ended.hasTakenMore = hasTakenMore;
+    if (ended.isCallerWaiting()) {
+        m_hasInputEnded = true;
+        return;
+    }
+    recordUnanswered();
+    endAttempt(false);
+    if (m_streamStarted) {
+        m_state.metrics().countRefusal(Reason::CallerLeft);
+        m_writer.abort();
+        finish(info(Reason::CallerLeft).name, 0);
+        return;
+    }
+    m_plan.setReason(Reason::InputEnded);
+    rejectWith(ended.isAtUpstream ? Verdict::of(Reason::InputEnded) : m_plan.verdict(kRetryAfter));
+}
+
 void CallHandler::finish(std::string_view outcome, unsigned status)
 {
     m_isFinished = true;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -41,8 +41,9 @@
                     public std::enable_shared_from_this<CallHandler>
 {
 public:
-    // `arrived`: when the first bytes of the request arrived. `writer` must outlive the answer, or
-    // the call to onCallerDisconnect().
+    // `arrived`: when the request was whole. Time limits count from then: the time that a body
+    // takes is not taken from the answer's. `writer` must outlive the answer, or the call to
+    // onCallerDisconnect().
     CallHandler(NodeState &state, AnswerWriter &writer, http::request_header<> head, HeldBody body,
                 TimePoint arrived);
 
@@ -51,10 +52,17 @@
     // The caller has closed its connection.
     void onCallerDisconnect();
 
+    // The caller has ended its input EndedInput::kDecisionTime ago. Ends the request unless the
+    // caller is taken to wait for its answer.
+    void onInputEnded(bool isCloseAnnounced, bool hasTakenMore);
+
     // The planned stop of this node ends while the request is open. Rejects it, or cuts its answer
     // after the last whole event.
     void onStopEnd();
 
+    // As the caller has named the request.
+    const std::string &requestId() const { return m_caller.requestId; }
+
     // Whether an upstream has the request.
     bool isAtUpstream() const;
 
@@ -145,6 +153,7 @@
     void handleRejection(bool isComplete);
     bool forwardEvents(std::string_view bytes);
     bool holdPartialEvent();
+    bool isEndlessError(std::size_t bytes);
     bool isTooLarge(std::size_t bytes, std::size_t maxBytes);
     bool isTooUseless(std::size_t bytes, std::size_t maxBytes);
     void handleUselessAnswer(std::string_view cause);
@@ -188,6 +197,7 @@
     bool m_streamStarted = false; // the caller has received a part of the answer
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
     bool m_isFinished = false;
+    bool m_hasInputEnded = false; // of the caller, which is taken to wait for this attempt's answer
     bool m_hasWaitedForVersion = false; // for upstreams of the version that began the stream
     bool m_hasAskedForTrial = false; // of a request that is held for a part of its prompt
     std::optional<TimePoint> m_firstEventAt;
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include "adapters/observe/event_log.hpp"
+#include "fordwood/caller_presence.hpp"
 #include "node/refusal.hpp"
 
 namespace fordwood::node {
@@ -85,7 +86,7 @@
     if (m_closesWhenIdle)
         startTimer(kLastRequestTime, &CallerSession::closeIfIdle);
     else
-        startTimer(callerLimits().idleTimeout, &CallerSession::close);
+        startTimer(callerLimits().idleTimeout, &CallerSession::closeIdle);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode &ec) {
         // A request that arrives during the close is not read: its answer could not be sent.
         if (!ec && !self->m_isClosed && !self->m_isClosing)
@@ -98,7 +99,6 @@
     const CallerLimits current = callerLimits();
     m_incoming = std::make_shared<IncomingRequest>(std::move(m_unparsed), m_state.buffers());
     m_unparsed = {};
-    m_incoming->startedAt = m_state.clock().now();
     m_incoming->parser.header_limit(static_cast<std::uint32_t>(current.maxHeaderBytes));
     m_incoming->parser.body_limit(current.maxBodyBytes);
     m_incoming->parser.eager(true);
@@ -127,7 +127,7 @@
     net::async_write(m_socket, net::buffer(kContinue),
                      [self = shared_from_this()](const ErrorCode &writeEc, std::size_t) {
                          if (writeEc)
-                             self->close();
+                             self->close(ConnectionEnd::CallerFailed);
                          else if (!self->m_isClosed && self->m_incoming)
                              self->readBody();
                      });
@@ -166,15 +166,18 @@
     m_timer.cancel();
     auto request = m_incoming->parser.release();
     m_unparsed = std::move(m_incoming->buffer);
-    const TimePoint startedAt = m_incoming->startedAt;
     BufferBudget::Buffer held = std::move(m_incoming->held);
     m_incoming.reset();
     m_keepAlive = request.keep_alive();
     m_isAnswerComplete = false;
     m_isCallerSlow = false;
+    m_hasInputEnded = false;
+    m_hasTakenMore = false;
     std::string body = std::move(request.body());
     m_call = std::make_shared<CallHandler>(m_state, *this, std::move(request.base()),
-                                           HeldBody{std::move(body), std::move(held)}, startedAt);
+                                           HeldBody{std::move(body), std::move(held)},
+                                           m_state.clock().now());
+    m_requestId = m_call->requestId();
     m_call->start();
     if (m_call)
         watchForDisconnect();
@@ -192,20 +195,55 @@
         // closed the connection behind them, that is detected then.
         if (n > 0)
             return;
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        if (n == 0)
+            self->handleInputEnd();
+        else if (errno == EAGAIN || errno == EWOULDBLOCK)
             self->watchForDisconnect();
         else
             self->handleDisconnect();
     });
 }
 
+// The caller has left, or has closed its sending side only. In both cases it sends nothing more.
+void CallerSession::handleInputEnd()
+{
+    m_hasInputEnded = true;
+    watchForFailure();
+    startTimer(EndedInput::kDecisionTime, &CallerSession::decidePresence);
+}
+
+// Once the input has ended, a caller that leaves shows by a reset alone.
+void CallerSession::watchForFailure()
+{
+    m_socket.async_wait(tcp::socket::wait_error, [self = shared_from_this()](const ErrorCode &ec) {
+        if (!ec && !self->m_isClosed && self->m_call && hasFailed(self->m_socket))
+            self->handleDisconnect();
+    });
+}
+
+void CallerSession::decidePresence()
+{
+    if (!m_call)
+        return;
+    if (hasFailed(m_socket)) {
+        handleDisconnect();
+        return;
+    }
+    // The connection of a caller that has left would have failed under bytes that it does not read.
+    const bool readsSlowly = hasUnsentBytes();
+    m_abortEnd = ConnectionEnd::CallerLeft;
+    m_call->onInputEnded(!m_keepAlive, m_hasTakenMore || readsSlowly);
+    m_abortEnd = ConnectionEnd::AnswerCut;
+}
+
 void CallerSession::handleDisconnect()
 {
     const auto call = std::move(m_call);
     m_call.reset();
+    m_isOpenAtEnd = call != nullptr;
     if (call)
         call->onCallerDisconnect();
-    close();
+    close(ConnectionEnd::CallerFailed);
 }
 
 void CallerSession::handleReadTimeout()
@@ -221,7 +259,7 @@
         reject(Reason::BodyTooLarge, http::status::payload_too_large);
     else if (ec == http::error::end_of_stream || ec == http::error::partial_message
              || ec.category() != http::make_error_code(http::error::end_of_stream).category())
-        close(); // the caller has disconnected
+        close(ConnectionEnd::CallerClosed);
     else
         reject(Reason::MalformedRequest, http::status::bad_request);
 }
@@ -230,7 +268,7 @@
 {
     const bool isFirstByteMissing = m_incoming && !m_incoming->parser.got_some();
     if (isFirstByteMissing) {
-        close();
+        close(ConnectionEnd::Idle);
         return;
     }
     m_state.metrics().countRefusal(reason);
@@ -249,7 +287,7 @@
 
 void CallerSession::setConnectionField(http::response_header<> &head) const
 {
-    if (!m_keepAlive || m_closesWhenIdle || m_state.stop().hasBegun())
+    if (!m_keepAlive || m_closesWhenIdle || !mayRequestFollow() || m_state.stop().hasBegun())
         head.set(http::field::connection, "close");
 }
 
@@ -299,8 +337,9 @@
 
 void CallerSession::abort()
 {
+    m_isOpenAtEnd = true;
     releaseCall();
-    close();
+    close(m_abortEnd);
 }
 
 void CallerSession::releaseCall()
@@ -344,6 +383,7 @@
 void CallerSession::onWritten(std::size_t n)
 {
     m_lastProgress = m_state.clock().now();
+    m_hasTakenMore = m_hasInputEnded;
     m_frontWritten += n;
     if (m_frontWritten == m_outgoing.front().size()) {
         m_outgoingBuffer.remove(m_frontWritten);
@@ -368,14 +408,14 @@
     m_state.metrics().count("fordwood_unread_answers_total");
     ErrorCode ec; // without the option, the kernel keeps the unsent bytes a little longer
     m_socket.set_option(net::socket_base::linger(true, 0), ec);
-    close();
+    close(ConnectionEnd::AnswerUnread);
 }
 
 void CallerSession::onAnswerWritten()
 {
     m_isAnswerComplete = false;
     m_outgoing.shrink_to_fit();
-    if (m_keepAlive)
+    if (m_keepAlive && mayRequestFollow())
         waitForRequest();
     else
         lingeringClose();
@@ -399,7 +439,7 @@
 void CallerSession::closeIfIdle()
 {
     if (isOpenAndIdle(m_socket))
-        close();
+        closeIdle();
 }
 
 void CallerSession::logOpenLate() const
@@ -410,6 +450,7 @@
 
 void CallerSession::endForStop()
 {
+    m_abortEnd = ConnectionEnd::Stopped;
     if (m_call)
         m_call->onStopEnd();
 }
@@ -422,10 +463,10 @@
     ErrorCode ec; // fails if the caller has already disconnected
     m_socket.shutdown(tcp::socket::shutdown_send, ec);
     if (ec) {
-        close();
+        closeAnswered();
         return;
     }
-    startTimer(kLingerTimeout, &CallerSession::close);
+    startTimer(kLingerTimeout, &CallerSession::closeAnswered);
     discardInput();
 }
 
@@ -442,7 +483,7 @@
         if (mayHaveMore)
             self->discardInput();
         else
-            self->close();
+            self->closeAnswered();
     });
 }
 
@@ -463,12 +504,42 @@
                                      {"ms", m_state.stop().elapsed(m_state.clock().now())}});
 }
 
-void CallerSession::close()
+RequestLeft CallerSession::requestLeft()
+{
+    if (m_call || m_isOpenAtEnd)
+        return RequestLeft::Open;
+    if (isReadingRequest())
+        return RequestLeft::Partial;
+    // Closing with unread input resets the connection, with which the kernel drops what it holds.
+    ErrorCode ec; // a connection that has failed has nothing to read
+    const bool isReset = m_socket.available(ec) > 0 && unacknowledgedBytes(m_socket) > 0;
+    return isReset || !m_outgoing.empty() ? RequestLeft::Undelivered : RequestLeft::None;
+}
+
+// Tells what the connection's end leaves of its last request, also where the log is lost.
+void CallerSession::recordEnd(ConnectionEnd end)
+{
+    const RequestLeft left = requestLeft();
+    m_state.metrics().count(
+        "fordwood_caller_connection_ends_total",
+        {{"end", std::string(nameOf(end))}, {"request", std::string(nameOf(left))}});
+    if (left != RequestLeft::Open && left != RequestLeft::Undelivered)
+        return;
+    logEvent(Event::ConnectionEndedEarly, {{"request", m_requestId},
+                                           {"end", std::string(nameOf(end))},
+                                           {"left", std::string(nameOf(left))},
+                                           {"unsent", m_outgoingBuffer.bytes()},
+                                           {"unacknowledged", unacknowledgedBytes(m_socket)},
+                                           {"input_ended", m_hasInputEnded}});
+}
+
+void CallerSession::close(ConnectionEnd end)
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
     m_timer.cancel();
+    recordEnd(end);
     if (m_state.stop().hasBegun())
         logUnhandledInput();
     // The CallHandler would otherwise keep writing to this session.
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -14,6 +14,7 @@
 #include "fordwood/buffer_budget.hpp"
 #include "node/answer_writer.hpp"
 #include "node/call_handler.hpp"
+#include "node/connection_end.hpp"
 #include "node/node_state.hpp"
 #include "node/request_parser.hpp"
 #include "node/timeout_timer.hpp"
@@ -50,12 +51,15 @@
     // Logs the request that is open shortly before the end of a planned stop.
     void logOpenLate() const;
 
-    // Closes the connection, whatever is open.
-    void close();
+    // Closes the connection at the end of a planned stop, whatever is open.
+    void closeForStop() { close(ConnectionEnd::Stopped); }
 
     // Whether the caller has not been sent all of an answer yet.
     bool hasUnsentBytes() const { return !m_outgoing.empty(); }
 
+    // As hasUnsentBytes(), or the caller's side has not acknowledged all that was sent.
+    bool hasUndeliveredBytes() { return hasUnsentBytes() || unacknowledgedBytes(m_socket) > 0; }
+
     // Closes the connection if the caller has read nothing of its answer for too long.
     void closeIfUnread();
 
@@ -78,7 +82,6 @@
         boost::beast::flat_buffer buffer;
         RequestParser parser;
         BufferBudget::Buffer held; // the body
-        TimePoint startedAt{};
     };
 
     void waitForRequest();
@@ -88,6 +91,10 @@
     void handleBodyPart(const ErrorCode &ec);
     void handleRequest();
     void watchForDisconnect();
+    void handleInputEnd();
+    bool mayRequestFollow() const { return !m_hasInputEnded || m_unparsed.size() > 0; }
+    void watchForFailure();
+    void decidePresence();
     void handleReadError(const ErrorCode &ec);
     void reject(Reason reason, http::status status,
                 std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
@@ -101,9 +108,14 @@
     void onAnswerWritten();
     void handleDisconnect();
     void releaseCall();
+    void close(ConnectionEnd end);
+    void closeIdle() { close(ConnectionEnd::Idle); }
+    void closeAnswered() { close(ConnectionEnd::Answered); }
     void closeIfIdle();
     void lingeringClose();
     void discardInput();
+    RequestLeft requestLeft();
+    void recordEnd(ConnectionEnd end);
     void logUnhandledInput();
 
     NodeState &m_state;
@@ -114,6 +126,7 @@
         m_incoming; // a pending read shares it until its handler has run
     boost::beast::flat_buffer m_unparsed; // bytes received beyond the last request
     std::shared_ptr<CallHandler> m_call;
+    std::string m_requestId; // of the last request, for the log
     std::deque<std::string> m_outgoing;
     std::size_t m_frontWritten = 0; // bytes of the first outgoing text that are written
     BufferBudget::Buffer m_outgoingBuffer;
@@ -126,6 +139,10 @@
     bool m_closesWhenIdle = false;
     bool m_isClosing = false; // no more requests are read and nothing is sent
     std::size_t m_discardedBytes = 0; // input that arrived while the connection was closing
+    ConnectionEnd m_abortEnd = ConnectionEnd::AnswerCut; // what abort() counts as
+    bool m_isOpenAtEnd = false; // the connection closes before the answer is complete
+    bool m_hasInputEnded = false; // the caller has closed its sending side, or the connection
+    bool m_hasTakenMore = false; // a part of the answer was sent since
     bool m_isClosed = false;
 };
 
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -68,7 +68,7 @@
     void beginStop(const StopStarted &stop);
     // Removes the node's key from the store and announces to peers that the node leaves. Call it
     // shortly before stop().
-    void finishStop();
+    void announceEnd();
     void reload(const config::OneProcessSettings &settings);
     Mailbox<OwnLoads> &loadsMailbox() { return m_ownLoads; }
     // Requests to compare the replica with the store; ReplicaChecked answers them.
@@ -189,7 +189,7 @@
     bool m_hasConfiguration = false;
     bool m_wasReady = false;
     bool m_isStopping = false;
-    bool m_isLeaving = false; // no request runs any more
+    bool m_isLeaving = false; // the planned stop is about to end
     bool m_hasNews
         = true; // something that peers should know at once, as that this node has started
     std::size_t m_liveNodes = 0;
--- a/src/node/net.cpp
+++ b/src/node/net.cpp
@@ -3,7 +3,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/io_context.hpp>
@@ -51,6 +54,20 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool hasFailed(tcp::socket &socket)
+{
+    pollfd state{socket.native_handle(), 0, 0};
+    return !socket.is_open() || (::poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)));
+}
+
+std::size_t unacknowledgedBytes(tcp::socket &socket)
+{
+    int n = 0;
+    if (!socket.is_open() || ::ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0 || n < 0)
+        return 0;
+    return static_cast<std::size_t>(n);
+}
+
 tcp::acceptor openAcceptor(net::io_context &context, const std::string &address, ErrorCode &ec)
 {
     tcp::acceptor acceptor(context);
