Planned stops: warnings for requests that end without their answer, calls counted as they begin and end, the commit in the version

For the hypotheses of docs/incidents/requests-lost-at-rolling-stops.md, which the logs of cannot tell apart: a record that keeps warnings alone shows no line of a request that the node ended by itself in a stop, nothing counts calls apart from their lines, an exception ends the process without a word, and each build calls itself 0.1.0.

Events 416 to 419 and 112, fordwood_calls_total, fordwood_open_calls and fordwood_build_info. Warnings are written at once, with what was logged before them. Each process test checks that no call was dropped and that all have ended.

No request is handled in another way.

--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -132,7 +132,9 @@
     return lastWriteError;
 }
 
-// Writes the lines of all threads in batches, so that the thread rarely wakes up.
+// Writes the lines of all threads in batches, so that the thread rarely wakes up. Warnings and
+// errors, and what was logged before them, are written at once: a process that is killed shortly
+// after would lose them.
 class LogThread
 {
 public:
@@ -149,6 +151,10 @@
     {
         m_logged.fetch_add(1);
         m_lines.push({level, std::move(line)});
+        if (level == EventLevel::Info)
+            return;
+        m_hasUrgentLine.store(true);
+        m_changed.notify_all(); // one that is missed costs a batch period
     }
 
     // Returns false if the pending lines could not be written in time; the thread still runs then.
@@ -179,7 +185,10 @@
     void run()
     {
         std::unique_lock lock(m_mutex);
-        while (!m_changed.wait_for(lock, kBatchPeriod, [this] { return m_isStopping; })) {
+        while (!m_isStopping) {
+            m_changed.wait_for(lock, kBatchPeriod,
+                               [this] { return m_isStopping || m_hasUrgentLine.load(); });
+            m_hasUrgentLine.store(false);
             lock.unlock();
             writeAll();
             lock.lock();
@@ -229,6 +238,7 @@
 
     LogQueue m_lines;
     std::atomic<std::uint64_t> m_logged{0};
+    std::atomic<bool> m_hasUrgentLine{false};
     // Of the log thread alone:
     std::uint64_t m_dropped = 0;
     std::uint64_t m_unreported = 0; // of those, not yet told by an event
--- a/src/adapters/observe/metrics.cpp
+++ b/src/adapters/observe/metrics.cpp
@@ -3,6 +3,8 @@
 
 #include <prometheus/text_serializer.h>
 
+#include "adapters/observe/build_version.hpp"
+
 namespace fordwood::adapters {
 
 namespace {
@@ -28,6 +30,7 @@
         m_refusals[it.reason] = &refusals.Add(labels);
         m_retries[it.reason] = &retries.Add(labels);
     }
+    setGauge("fordwood_build_info", 1, {{"version", buildVersion()}});
 }
 
 void Metrics::countRefusal(Reason reason)
@@ -45,9 +48,10 @@
     prometheus::BuildCounter().Name(name).Register(*m_registry).Add({}).Increment(by);
 }
 
-void Metrics::count(const std::string &name, const std::map<std::string, std::string> &labels)
+void Metrics::count(const std::string &name, const std::map<std::string, std::string> &labels,
+                    double by)
 {
-    prometheus::BuildCounter().Name(name).Register(*m_registry).Add(labels).Increment();
+    prometheus::BuildCounter().Name(name).Register(*m_registry).Add(labels).Increment(by);
 }
 
 void Metrics::setGauge(const std::string &name, double value,
--- a/src/adapters/observe/metrics.hpp
+++ b/src/adapters/observe/metrics.hpp
@@ -33,7 +33,8 @@
     void count(const std::string &name, double by = 1.0);
 
     // Increments a counter by name and labels. Their values must be few.
-    void count(const std::string &name, const std::map<std::string, std::string> &labels);
+    void count(const std::string &name, const std::map<std::string, std::string> &labels,
+               double by = 1.0);
 
     void setGauge(const std::string &name, double value,
                   const std::map<std::string, std::string> &labels = {});
--- a/src/apps/common/daemon.cpp
+++ b/src/apps/common/daemon.cpp
@@ -7,10 +7,12 @@
 
 #include <curl/curl.h>
 
+#include "adapters/observe/build_version.hpp"
 #include "adapters/observe/event_log.hpp"
 #include "apps/common/close_log.hpp"
 #include "apps/common/options.hpp"
 #include "apps/common/process_signals.hpp"
+#include "apps/common/terminate_log.hpp"
 
 namespace fordwood::apps {
 
@@ -26,7 +28,7 @@
     const std::unique_ptr<Daemon> daemon = make(settings);
     if (!daemon->start())
         return ExitFailed;
-    logEvent(Event::Started, {{"node", settings.node.name}, {"version", FORDWOOD_VERSION}});
+    logEvent(Event::Started, {{"node", settings.node.name}, {"version", adapters::buildVersion()}});
     const ProcessSignals::Taken signal = signals.wait();
     logEvent(Event::Stopping, {{"signal", signal.number}});
     signalledAt = signal.sentAt;
@@ -56,6 +58,7 @@
     ProcessSignals signals({SIGTERM, SIGINT});
     curl_global_init(CURL_GLOBAL_DEFAULT);
     adapters::startLogThread();
+    logErrorsThatTerminate();
     std::optional<TimePoint> signalledAt;
     code = serve(*settings, make, signals, signalledAt);
     return closeLog(code, signalledAt);
--- a/src/apps/common/options.cpp
+++ b/src/apps/common/options.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "adapters/observe/build_version.hpp"
 #include "apps/common/daemon.hpp"
 
 namespace fordwood::apps {
@@ -26,7 +27,7 @@
             return std::nullopt;
         }
         if (values.count("version") != 0) {
-            std::cout << name << " " << FORDWOOD_VERSION << "\n";
+            std::cout << name << " " << adapters::buildVersion() << "\n";
             code = ExitOk;
             return std::nullopt;
         }
--- a/src/apps/controld/control_node.cpp
+++ b/src/apps/controld/control_node.cpp
@@ -3,6 +3,7 @@
 
 #include <grpcpp/server_builder.h>
 
+#include "adapters/observe/build_version.hpp"
 #include "adapters/observe/event_log.hpp"
 #include "fordwood/rendezvous.hpp"
 
@@ -317,7 +318,7 @@
     status.set_relay(m_replicator.isRelay());
     status.set_links(static_cast<std::uint32_t>(m_replicator.links()));
     status.set_reads_platform(m_replicator.readsPlatform());
-    status.set_build(FORDWOOD_VERSION);
+    status.set_build(adapters::buildVersion());
     m_controlService.setStatus(status);
     m_metrics.setGauge("fordwood_configuration_version",
                        static_cast<double>(m_fleet.head().version));
--- a/src/apps/ctl/main.cpp
+++ b/src/apps/ctl/main.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "adapters/observe/build_version.hpp"
 #include "apps/common/daemon.hpp"
 #include "apps/ctl/commands.hpp"
 #include "config/document.hpp"
@@ -107,7 +108,7 @@
     apps::CtlOptions options;
     options.verb = values["verb"].as<std::string>();
     if (options.verb == "version") {
-        std::cout << "fordwoodctl " << FORDWOOD_VERSION << "\n";
+        std::cout << "fordwoodctl " << adapters::buildVersion() << "\n";
         return apps::ExitOk;
     }
     const std::string output = values["output"].as<std::string>();
--- a/src/apps/load/main.cpp
+++ b/src/apps/load/main.cpp
@@ -5,6 +5,7 @@
 #include <boost/program_options.hpp>
 #include <curl/curl.h>
 
+#include "adapters/observe/build_version.hpp"
 #include "apps/common/daemon.hpp"
 #include "apps/load/report.hpp"
 #include "apps/load/runner.hpp"
@@ -79,7 +80,7 @@
     po::variables_map values;
     po::store(po::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
     if (values.count("version") != 0) {
-        std::cout << "fordwood-load " << FORDWOOD_VERSION << "\n";
+        std::cout << "fordwood-load " << adapters::buildVersion() << "\n";
         return apps::ExitOk;
     }
     if (values.count("reference") != 0) {
--- a/src/apps/noded/main.cpp
+++ b/src/apps/noded/main.cpp
@@ -3,12 +3,14 @@
 #include <iostream>
 #include <thread>
 
+#include "adapters/observe/build_version.hpp"
 #include "adapters/observe/event_log.hpp"
 #include "adapters/system_clock.hpp"
 #include "apps/common/close_log.hpp"
 #include "apps/common/daemon.hpp"
 #include "apps/common/options.hpp"
 #include "apps/common/process_signals.hpp"
+#include "apps/common/terminate_log.hpp"
 #include "node/control_loop.hpp"
 #include "node/serving_loop.hpp"
 
@@ -83,7 +85,7 @@
     serving.onEnding([&] { controlPointer->announceEnd(); });
     if (!control.open() || !serving.open())
         return apps::ExitFailed;
-    logEvent(Event::Started, {{"node", settings.node.name}, {"version", FORDWOOD_VERSION}});
+    logEvent(Event::Started, {{"node", settings.node.name}, {"version", adapters::buildVersion()}});
     if (settings.peers.placementListen.empty())
         logEvent(Event::NoPlacementAddress);
     std::thread controlThread([&] { control.run(); });
@@ -113,6 +115,7 @@
     adapters::openEventLog(kName, settings->jsonLog);
     apps::ProcessSignals signals({SIGTERM, SIGINT, SIGHUP});
     adapters::startLogThread();
+    apps::logErrorsThatTerminate();
     std::optional<TimePoint> signalledAt;
     code = serve(*settings, *path, signals, signalledAt);
     return apps::closeLog(code, signalledAt);
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -33,11 +33,21 @@
       m_body(std::make_shared<const std::string>(std::move(body.bytes))),
       m_bodyBuffer(std::move(body.held)), m_answerBuffer(state.buffers()), m_arrived(arrived),
       m_caller(platform::readCallerHead(m_head)), m_deadlineTimer(state.context()),
-      m_retryTimer(state.context())
+      m_retryTimer(state.context()), m_counts(state.callCounts())
 { }
 
+CallHandler::~CallHandler()
+{
+    if (!m_hasBegun || m_isFinished)
+        return;
+    m_counts->dropped += 1;
+    logDroppedCall(m_caller.requestId, m_lastUpstream);
+}
+
 void CallHandler::start()
 {
+    m_hasBegun = true;
+    m_counts->begun += 1;
     const auto refused = admit();
     m_state.countDuringStop(refused == Reason::Stopping);
     if (refused) {
@@ -509,6 +519,8 @@
 void CallHandler::finish(std::string_view outcome, unsigned status)
 {
     m_isFinished = true;
+    m_counts->ended += 1;
+    logEndInStop(outcome, status);
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     const Duration duration = m_state.clock().now() - m_arrived;
--- a/src/node/call_handler.hpp
+++ b/src/node/call_handler.hpp
@@ -46,6 +46,9 @@
     // onCallerDisconnect().
     CallHandler(NodeState &state, AnswerWriter &writer, http::request_header<> head, HeldBody body,
                 TimePoint arrived);
+    ~CallHandler() override;
+    CallHandler(const CallHandler &) = delete;
+    CallHandler &operator=(const CallHandler &) = delete;
 
     void start();
 
@@ -88,6 +91,9 @@
     // The outcome of a request that has its whole answer from an upstream.
     static constexpr std::string_view kAnswered = "answered";
 
+    // The outcome of a request that has an answer of an upstream which reports a failure.
+    static constexpr std::string_view kUpstreamFailure = "upstream-failure";
+
     // A request waits for an upstream for this fraction of its target latency. After that an early
     // refusal is more useful to the caller.
     static constexpr int kWaitDivisor = 4;
@@ -172,6 +178,7 @@
     void rejectWith(const Verdict &verdict);
     void forwardAnswer();
     void finish(std::string_view outcome, unsigned status);
+    void logEndInStop(std::string_view outcome, unsigned status) const;
     void startDeadlineTimer();
     std::chrono::milliseconds remainingTime() const;
     std::chrono::milliseconds retryAfter();
@@ -196,6 +203,8 @@
     std::optional<StreamOrigin> m_origin; // of a resumable stream that has begun
     bool m_streamStarted = false; // the caller has received a part of the answer
     bool m_isPassedThrough = false; // an answer too large to hold is forwarded as it arrives
+    const std::shared_ptr<CallCounts> m_counts;
+    bool m_hasBegun = false;
     bool m_isFinished = false;
     bool m_hasInputEnded = false; // of the caller, which is taken to wait for this attempt's answer
     bool m_hasWaitedForVersion = false; // for upstreams of the version that began the stream
--- a/src/node/call_handler_answer.cpp
+++ b/src/node/call_handler_answer.cpp
@@ -173,7 +173,7 @@
         recordAnswered();
     endAttempt(true);
     m_writer.endStream();
-    finish(isSuccess(status) ? kAnswered : "upstream-failure", status);
+    finish(isSuccess(status) ? kAnswered : kUpstreamFailure, status);
 }
 
 bool CallHandler::forwardEvents(std::string_view bytes)
@@ -430,7 +430,7 @@
     std::string body = std::move(m_attempt->body);
     endAttempt(true);
     m_writer.sendAnswer(std::move(head), std::move(body));
-    finish(isSuccess(status) ? kAnswered : "upstream-failure", status);
+    finish(isSuccess(status) ? kAnswered : kUpstreamFailure, status);
 }
 
 void CallHandler::onChannelFailure(const ErrorCode &cause)
--- a/src/node/call_handler_stop.cpp
+++ b/src/node/call_handler_stop.cpp
@@ -52,6 +52,17 @@
         logRequestOpenLate(describeOpen());
 }
 
+// Tells of a request that was passed on and whose caller has not the answer of its upstream.
+void CallHandler::logEndInStop(std::string_view outcome, unsigned status) const
+{
+    if (!m_state.stop().hasBegun() || m_plan.sends() == 0 || outcome == kAnswered
+        || outcome == kUpstreamFailure)
+        return;
+    UnfinishedRequest end{describeOpen(), outcome, status, m_hasInputEnded};
+    end.timeLeft = m_plan.policy().answerBy - m_state.clock().now();
+    logUnfinishedInStop(end);
+}
+
 OpenRequest CallHandler::describeOpen() const
 {
     const TimePoint now = m_state.clock().now();
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -139,6 +139,29 @@
     logOpenRequest(Event::RequestCutByStop, cut);
 }
 
+void logUnfinishedInStop(const UnfinishedRequest &end)
+{
+    const OpenRequest &it = end.request;
+    logEvent(Event::RequestUnfinishedInStop, {{"request", it.request},
+                                              {"outcome", std::string(end.outcome)},
+                                              {"status", end.status},
+                                              {"left_ms", end.timeLeft},
+                                              {"route", it.route},
+                                              {"may_run_again", it.mayRunAgain},
+                                              {"upstream", it.upstream},
+                                              {"events_passed", it.eventsPassed},
+                                              {"arrived_ms", it.arrived},
+                                              {"ms", it.elapsed},
+                                              {"attempt_ms", it.attemptElapsed},
+                                              {"silent_ms", it.silence},
+                                              {"input_ended", end.hasInputEnded}});
+}
+
+void logDroppedCall(const std::string &requestId, const std::string &upstream)
+{
+    logEvent(Event::CallDropped, {{"request", requestId}, {"upstream", upstream}});
+}
+
 void logCallSummary(const CallSummary &end)
 {
     constexpr std::int64_t kNoEvent = -1;
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -115,6 +115,22 @@
 // Logs the event RequestCutByStop.
 void logRequestCut(const OpenRequest &cut);
 
+// A request that an upstream had and that ends during a planned stop without its whole answer.
+struct UnfinishedRequest
+{
+    OpenRequest request;
+    std::string_view outcome;
+    unsigned status = 0; // zero: the answer was aborted, or the caller disconnected
+    bool hasInputEnded = false; // of the caller, which was taken to wait
+    Duration timeLeft{}; // of its time limit
+};
+
+// Logs the event RequestUnfinishedInStop.
+void logUnfinishedInStop(const UnfinishedRequest &end);
+
+// Logs the event CallDropped.
+void logDroppedCall(const std::string &requestId, const std::string &upstream);
+
 // Logs the event StreamOrderBroken.
 void logStreamOrderBroken(const StreamDisorder &disorder);
 
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -117,6 +117,7 @@
         handleReadError(ec);
         return;
     }
+    m_incoming->headAt = m_state.clock().now();
     startTimer(kBodyTimeout, &CallerSession::handleReadTimeout);
     const auto expectation = m_incoming->parser.get()[http::field::expect];
     if (!boost::beast::iequals(expectation, "100-continue")) {
@@ -164,6 +165,9 @@
 void CallerSession::handleRequest()
 {
     m_timer.cancel();
+    m_wholeAt = m_state.clock().now();
+    m_readTime = m_wholeAt - m_incoming->headAt;
+    m_isChunked = m_incoming->parser.chunked();
     auto request = m_incoming->parser.release();
     m_unparsed = std::move(m_incoming->buffer);
     BufferBudget::Buffer held = std::move(m_incoming->held);
@@ -174,10 +178,12 @@
     m_hasInputEnded = false;
     m_hasTakenMore = false;
     std::string body = std::move(request.body());
+    m_bodyBytes = body.size();
     m_call = std::make_shared<CallHandler>(m_state, *this, std::move(request.base()),
-                                           HeldBody{std::move(body), std::move(held)},
-                                           m_state.clock().now());
+                                           HeldBody{std::move(body), std::move(held)}, m_wholeAt);
     m_requestId = m_call->requestId();
+    if (m_state.stop().hasBegun())
+        logInStop(false);
     m_call->start();
     if (m_call)
         watchForDisconnect();
@@ -442,6 +448,33 @@
         closeIdle();
 }
 
+void CallerSession::logOpenInStop()
+{
+    if (m_call)
+        logInStop(true);
+}
+
+// With the caller's address, a record of callers or of a balancer tells what became of it there.
+void CallerSession::logInStop(bool wasOpen)
+{
+    if (!m_state.mayLogInStop())
+        return;
+    logEvent(Event::RequestInStop, {{"request", m_requestId},
+                                    {"caller", callerAddress()},
+                                    {"open", wasOpen},
+                                    {"chunked", m_isChunked},
+                                    {"body_bytes", m_bodyBytes},
+                                    {"read_ms", m_readTime},
+                                    {"arrived_ms", m_state.stop().elapsed(m_wholeAt)}});
+}
+
+std::string CallerSession::callerAddress() const
+{
+    ErrorCode ec;
+    const tcp::endpoint caller = m_socket.remote_endpoint(ec);
+    return ec ? "" : caller.address().to_string() + ":" + std::to_string(caller.port());
+}
+
 void CallerSession::logOpenLate() const
 {
     if (m_call)
@@ -496,8 +529,13 @@
     const bool isReading = isReadingRequest();
     if (held + unread + m_discardedBytes == 0 && !isReading)
         return;
+    const std::string request = m_incoming && m_incoming->parser.is_header_done()
+                                    ? platform::readCallerHead(m_incoming->parser.get()).requestId
+                                    : "";
     m_state.metrics().count("fordwood_discarded_inputs_total");
-    logEvent(Event::InputDiscarded, {{"reading", isReading},
+    logEvent(Event::InputDiscarded, {{"request", request},
+                                     {"caller", callerAddress()},
+                                     {"reading", isReading},
                                      {"held", held},
                                      {"unread", unread},
                                      {"discarded", m_discardedBytes},
@@ -525,12 +563,15 @@
         {{"end", std::string(nameOf(end))}, {"request", std::string(nameOf(left))}});
     if (left != RequestLeft::Open && left != RequestLeft::Undelivered)
         return;
-    logEvent(Event::ConnectionEndedEarly, {{"request", m_requestId},
-                                           {"end", std::string(nameOf(end))},
-                                           {"left", std::string(nameOf(left))},
-                                           {"unsent", m_outgoingBuffer.bytes()},
-                                           {"unacknowledged", unacknowledgedBytes(m_socket)},
-                                           {"input_ended", m_hasInputEnded}});
+    const Event event = m_state.stop().hasBegun() ? Event::ConnectionEndedEarlyInStop
+                                                  : Event::ConnectionEndedEarly;
+    logEvent(event, {{"request", m_requestId},
+                     {"caller", callerAddress()},
+                     {"end", std::string(nameOf(end))},
+                     {"left", std::string(nameOf(left))},
+                     {"unsent", m_outgoingBuffer.bytes()},
+                     {"unacknowledged", unacknowledgedBytes(m_socket)},
+                     {"input_ended", m_hasInputEnded}});
 }
 
 void CallerSession::close(ConnectionEnd end)
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -48,6 +48,9 @@
     // Whether a request has begun to arrive that is not whole yet.
     bool isReadingRequest() const { return m_incoming && m_incoming->parser.got_some(); }
 
+    // Logs the request that is open as a planned stop begins.
+    void logOpenInStop();
+
     // Logs the request that is open shortly before the end of a planned stop.
     void logOpenLate() const;
 
@@ -82,6 +85,7 @@
         boost::beast::flat_buffer buffer;
         RequestParser parser;
         BufferBudget::Buffer held; // the body
+        TimePoint headAt{}; // when its head was whole
     };
 
     void waitForRequest();
@@ -114,6 +118,8 @@
     void closeIfIdle();
     void lingeringClose();
     void discardInput();
+    void logInStop(bool wasOpen);
+    std::string callerAddress() const;
     RequestLeft requestLeft();
     void recordEnd(ConnectionEnd end);
     void logUnhandledInput();
@@ -127,6 +133,10 @@
     boost::beast::flat_buffer m_unparsed; // bytes received beyond the last request
     std::shared_ptr<CallHandler> m_call;
     std::string m_requestId; // of the last request, for the log
+    TimePoint m_wholeAt{}; // the last request
+    Duration m_readTime{}; // from its head to its last byte
+    std::size_t m_bodyBytes = 0;
+    bool m_isChunked = false; // its body came in chunks
     std::deque<std::string> m_outgoing;
     std::size_t m_frontWritten = 0; // bytes of the first outgoing text that are written
     BufferBudget::Buffer m_outgoingBuffer;
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -31,6 +31,7 @@
 #include "fordwood/upstream_health.hpp"
 #include "fordwood/upstream_load_tracker.hpp"
 #include "fordwood/window_budget.hpp"
+#include "node/call_counts.hpp"
 #include "node/channel_pool.hpp"
 #include "node/engine_scheduler.hpp"
 #include "node/fleet_update.hpp"
@@ -192,6 +193,12 @@
     };
     const StopCounts &stopCounts() const { return m_stopCounts; }
     void countDuringStop(bool isRejected);
+
+    // Whether another request may be logged in this planned stop.
+    bool mayLogInStop() { return m_loggedInStop++ < kMaxLoggedInStop; }
+
+    // Shared, as a request may outlive the state while its event loop ends.
+    const std::shared_ptr<CallCounts> &callCounts() const { return m_callCounts; }
     void countCutByStop();
     const config::OneProcessSettings &settings() const { return m_settings; }
     const Clock &clock() const { return m_clock; }
@@ -301,6 +308,9 @@
     AnswerTimes m_answerTimes; // by route
     StopPlan m_stop;
     StopCounts m_stopCounts;
+    static constexpr std::size_t kMaxLoggedInStop = 1'024;
+    std::size_t m_loggedInStop = 0;
+    const std::shared_ptr<CallCounts> m_callCounts = std::make_shared<CallCounts>();
     std::function<void()> m_onLoadReportRequest;
     std::function<void()> m_onQuarantineUpdates = [] {};
 };
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -90,6 +90,7 @@
     m_state.tick();
     reportLoads(false);
     reportQuarantineUpdates();
+    reportCalls();
     m_metrics.setGauge("fordwood_caller_connections", static_cast<double>(m_sessions.size()));
     m_metrics.setGauge("fordwood_upstream_channels",
                        static_cast<double>(m_state.channels().openChannels()));
@@ -127,13 +128,29 @@
         m_unpublishedUpdates.clear();
 }
 
+void ServingLoop::reportCalls()
+{
+    const CallCounts &calls = *m_state.callCounts();
+    const auto report = [this](const char *state, std::uint64_t now, std::uint64_t &reported) {
+        m_metrics.count("fordwood_calls_total", {{"state", state}},
+                        static_cast<double>(now - std::exchange(reported, now)));
+    };
+    report("begun", calls.begun, m_reportedCalls.begun);
+    report("ended", calls.ended, m_reportedCalls.ended);
+    report("dropped", calls.dropped, m_reportedCalls.dropped);
+    m_metrics.setGauge("fordwood_open_calls", static_cast<double>(calls.open()));
+}
+
 void ServingLoop::continueStop()
 {
-    if (!std::exchange(m_isEndTimerStarted, true))
+    if (!std::exchange(m_isEndTimerStarted, true)) {
+        for (const auto &[key, session] : m_sessions)
+            session->logOpenInStop();
         m_endTimer.startUntil(m_state.stop().endsAt() - kAnnouncementTime, [this] {
             announceEnd();
             m_endTimer.startUntil(m_state.stop().endsAt(), [this] { endWaiting(); });
         });
+    }
     logStopProgress();
     logLateRequests();
     if (!m_state.stop().isOutOfRotation(m_clock.now()))
@@ -224,19 +241,23 @@
         return;
     announceEnd();
     const auto isUnsent = [](const auto &it) { return it.second->hasUnsentBytes(); };
+    const auto unsent = std::count_if(m_sessions.begin(), m_sessions.end(), isUnsent);
     const NodeState::StopCounts &counts = m_state.stopCounts();
-    logEvent(Event::StopEnded,
-             {{"ms", m_state.stop().elapsed(m_clock.now())},
-              {"taken", counts.taken},
-              {"rejected", counts.rejected},
-              {"cut", counts.cut},
-              {"connections", m_sessions.size()},
-              {"unsent", std::count_if(m_sessions.begin(), m_sessions.end(), isUnsent)},
-              {"proxied", m_proxy.openConnections()},
-              {"longest_pause_ms", m_longestTickPause}});
     // The process goes on for a moment, and callers and peers would wait for the rest of an answer.
     for (const auto &[key, session] : m_sessions)
         session->closeForStop();
+    const CallCounts &calls = *m_state.callCounts();
+    logEvent(Event::StopEnded, {{"ms", m_state.stop().elapsed(m_clock.now())},
+                                {"taken", counts.taken},
+                                {"rejected", counts.rejected},
+                                {"cut", counts.cut},
+                                {"begun", calls.begun},
+                                {"ended", calls.ended},
+                                {"dropped", calls.dropped},
+                                {"connections", m_sessions.size()},
+                                {"unsent", unsent},
+                                {"proxied", m_proxy.openConnections()},
+                                {"longest_pause_ms", m_longestTickPause}});
     m_proxy.close();
     m_context.stop();
 }
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -60,6 +60,7 @@
     void finishOnceWritten();
     void finishStop();
     void reportLoads(bool isUrgent);
+    void reportCalls();
     void reportQuarantineUpdates();
 
     const Clock &m_clock;
@@ -87,6 +88,7 @@
     TimePoint m_nextUnreadCheck{};
     TimePoint m_lastTickAt{};
     Duration m_longestTickPause{}; // during a planned stop
+    CallCounts m_reportedCalls; // in the metrics
 };
 
 } // namespace fordwood::node
--- a/tests/process/kept_connection.hpp
+++ b/tests/process/kept_connection.hpp
@@ -117,6 +117,13 @@
         return poll(&waiting, 1, 0) != 0;
     }
 
+    // The port of this side.
+    unsigned short port() const
+    {
+        boost::system::error_code ec; // fails if the connection has ended
+        return m_socket.local_endpoint(ec).port();
+    }
+
     // Whether the last answer allows another request on this connection.
     bool isKept() const { return m_isKept; }
 
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -34,6 +34,7 @@
     ~Deployment()
     {
         nodes.clear();
+        checkCallsEnded();
         std::filesystem::remove_all(folder);
     }
     Deployment(const Deployment &) = delete;
@@ -216,7 +217,36 @@
         return at == std::string::npos ? 0.0 : std::stod(text.substr(text.find(' ', at + 1)));
     }
 
+    // The value of a field in a line of a log, without quotes; empty: it has none.
+    static std::string fieldOf(const std::string &line, const std::string &field)
+    {
+        const std::string begin = " " + field + "=\"";
+        const std::size_t at = line.find(begin);
+        if (at == std::string::npos)
+            return "";
+        const std::size_t from = at + begin.size();
+        return line.substr(from, line.find('"', from) - from);
+    }
+
 private:
+    // Guards, in each test, against requests that are dropped without an end, and nodes that end by
+    // an error.
+    void checkCallsEnded() const
+    {
+        for (const auto &it : std::filesystem::directory_iterator(folder)) {
+            if (it.path().extension() != ".log")
+                continue;
+            std::ifstream in(it.path());
+            for (std::string line; std::getline(in, line);) {
+                const bool isError = line.find(" name=EndsByError ") != std::string::npos
+                                     || line.find(" name=CallDropped ") != std::string::npos;
+                CHECK_MESSAGE(!isError, line);
+                if (line.find(" name=StopEnded ") != std::string::npos)
+                    CHECK_MESSAGE(fieldOf(line, "begun") == fieldOf(line, "ended"), line);
+            }
+        }
+    }
+
     ClaimedNetwork m_network;
 
 public:
