Input that does not end takes bounded memory, for a connection and for all together

What callers did: trailers without end behind a chunked body ended a process.

Cause: what lies between the chunks of a body and behind them is kept until its line, or all of the trailers, are complete, and the buffer for it had no largest size; the limits of Boost.Beast are for heads and bodies. Towards upstreams it had one. The same holds for the addresses for readiness, peers and metrics. And a bound for each connection is none for a crowd: neither what is read and not yet whole nor the fields of heads, which take many times their size, were counted.

Change: buffers of connections have a largest size (the configured head and 16 KB); a request that exceeds it gets 431. What a caller sends ahead of its answer is kept up to 16 KB; with more, its connection closes with the answer.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -32,6 +32,13 @@
 // closing with unread input would reset the connection, and the caller could lose the answer.
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 
+// What may be read ahead of what is parsed, beside a head: parts of a body, the lines between
+// chunks, and trailers, which are held until they are whole.
+constexpr std::size_t kReadAheadBytes = 16'384;
+
+// Requests that a caller sends before it has the answer to the last one.
+constexpr std::size_t kMaxUnparsedBytes = 16'384;
+
 // During a planned stop, a caller that has just connected, or has just received an answer whose
 // head did not announce the close, has this time to send a request. That one's answer announces it.
 constexpr Duration kLastRequestTime = std::chrono::milliseconds(500);
@@ -97,31 +104,62 @@
 void CallerSession::readHead()
 {
     const CallerLimits current = callerLimits();
-    m_incoming = std::make_shared<IncomingRequest>(std::move(m_unparsed), m_state.buffers());
+    m_incoming = std::make_shared<IncomingRequest>(std::move(m_unparsed), m_state,
+                                                   [self = weak_from_this()] {
+                                                       if (const auto session = self.lock())
+                                                           session->giveUpIncoming();
+                                                   });
     m_unparsed = {};
+    m_incoming->buffer.max_size(current.maxHeaderBytes + kReadAheadBytes);
     m_incoming->parser.header_limit(static_cast<std::uint32_t>(current.maxHeaderBytes));
     m_incoming->parser.body_limit(current.maxBodyBytes);
     m_incoming->parser.eager(true);
     startTimer(current.headerTimeout, &CallerSession::handleReadTimeout);
-    http::async_read_header(
+    readMore();
+}
+
+void CallerSession::readMore()
+{
+    if (m_incoming->parser.is_done()) {
+        handleRequest();
+        return;
+    }
+    http::async_read_some(
         m_socket, m_incoming->buffer, m_incoming->parser,
         [self = shared_from_this(), incoming = m_incoming](const ErrorCode &ec, std::size_t) {
             if (!self->m_isClosed && incoming == self->m_incoming)
-                self->handleHead(ec);
+                self->handleInput(ec);
         });
 }
 
-void CallerSession::handleHead(const ErrorCode &ec)
+void CallerSession::handleInput(const ErrorCode &ec)
 {
     if (ec) {
         handleReadError(ec);
         return;
     }
+    const std::shared_ptr<IncomingRequest> incoming = m_incoming;
+    incoming->entry.resize(incoming->bytes());
+    if (incoming != m_incoming) // given up, since all together take too much
+        return;
+    incoming->held.resize(incoming->parser.get().body().size() + incoming->parser.headBytes());
+    if (!m_state.buffers().mayHoldRequest(incoming->held)) {
+        reject(Reason::BuffersFull, http::status::service_unavailable, kBuffersFullRetryAfter);
+        return;
+    }
+    if (incoming->parser.is_header_done() && incoming->headAt == TimePoint{})
+        handleHead();
+    else
+        readMore();
+}
+
+void CallerSession::handleHead()
+{
     m_incoming->headAt = m_state.clock().now();
     startTimer(kBodyTimeout, &CallerSession::handleReadTimeout);
     const auto expectation = m_incoming->parser.get()[http::field::expect];
     if (!boost::beast::iequals(expectation, "100-continue")) {
-        readBody();
+        readMore();
         return;
     }
     static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -130,49 +168,57 @@
                          if (writeEc)
                              self->close(ConnectionEnd::CallerFailed);
                          else if (!self->m_isClosed && self->m_incoming)
-                             self->readBody();
+                             self->readMore();
                      });
 }
 
-void CallerSession::readBody()
+std::optional<TimePoint> CallerSession::restsSince() const
 {
-    if (m_incoming->parser.is_done()) {
-        handleRequest();
-        return;
-    }
-    http::async_read_some(
-        m_socket, m_incoming->buffer, m_incoming->parser,
-        [self = shared_from_this(), incoming = m_incoming](const ErrorCode &ec, std::size_t) {
-            if (!self->m_isClosed && incoming == self->m_incoming)
-                self->handleBodyPart(ec);
-        });
+    const bool isBusy = m_isClosed || m_isClosing || m_call || !m_outgoing.empty();
+    return isBusy ? std::nullopt : std::optional(m_idleSince);
 }
 
-void CallerSession::handleBodyPart(const ErrorCode &ec)
+bool CallerSession::hasUnreadInput()
 {
-    if (ec) {
-        handleReadError(ec);
+    ErrorCode ec; // a connection that has failed has nothing to read
+    return !m_incoming && m_socket.available(ec) > 0;
+}
+
+// The read that is pending would keep what the request takes.
+void CallerSession::giveUpIncoming()
+{
+    if (m_isClosed || !m_incoming)
         return;
-    }
-    m_incoming->held.resize(m_incoming->parser.get().body().size());
-    if (!m_state.buffers().mayHoldRequest(m_incoming->held)) {
-        reject(Reason::BuffersFull, http::status::service_unavailable, kBuffersFullRetryAfter);
+    ErrorCode ec; // fails if the connection has ended
+    m_socket.cancel(ec);
+    reject(Reason::BuffersFull, http::status::service_unavailable, kBuffersFullRetryAfter);
+}
+
+// Keeps what belongs to the next request, in a buffer of its size. A caller that sends more ahead
+// is not read on: its connection closes with the answer.
+void CallerSession::keepUnparsed(const boost::beast::flat_buffer &bytes)
+{
+    m_unparsed = {};
+    if (bytes.size() > kMaxUnparsedBytes) {
+        m_keepAlive = false;
         return;
     }
-    readBody();
+    m_unparsed.commit(net::buffer_copy(m_unparsed.prepare(bytes.size()), bytes.data()));
 }
 
 void CallerSession::handleRequest()
 {
     m_timer.cancel();
     m_wholeAt = m_state.clock().now();
-    m_readTime = m_wholeAt - m_incoming->headAt;
+    const bool hasHeadTime = m_incoming->headAt != TimePoint{}; // all of it came at once
+    m_readTime = hasHeadTime ? m_wholeAt - m_incoming->headAt : Duration::zero();
     m_isChunked = m_incoming->parser.chunked();
-    auto request = m_incoming->parser.release();
-    m_unparsed = std::move(m_incoming->buffer);
-    BufferBudget::Buffer held = std::move(m_incoming->held);
+    const std::shared_ptr<IncomingRequest> incoming = std::move(m_incoming);
     m_incoming.reset();
+    auto request = incoming->parser.release();
+    BufferBudget::Buffer held = std::move(incoming->held);
     m_keepAlive = request.keep_alive();
+    keepUnparsed(incoming->buffer);
     m_isAnswerComplete = false;
     m_isCallerSlow = false;
     m_hasInputEnded = false;
@@ -259,7 +305,7 @@
 
 void CallerSession::handleReadError(const ErrorCode &ec)
 {
-    if (ec == http::error::header_limit)
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
         reject(Reason::MalformedRequest, http::status::request_header_fields_too_large);
     else if (ec == http::error::body_limit)
         reject(Reason::BodyTooLarge, http::status::payload_too_large);
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -48,6 +48,16 @@
     // Whether a request has begun to arrive that is not whole yet.
     bool isReadingRequest() const { return m_incoming && m_incoming->parser.got_some(); }
 
+    // Since when the connection has had no whole request, for one that may make room for another
+    // connection; nothing while it has one, or an answer is sent.
+    std::optional<TimePoint> restsSince() const;
+
+    // Whether input has arrived of which nothing is read yet: it may be a whole request.
+    bool hasUnreadInput();
+
+    // Closes the connection, which rests, to make room for another one.
+    void makeRoom() { close(ConnectionEnd::Idle); }
+
     // Logs the request that is open as a planned stop begins.
     void logOpenInStop();
 
@@ -78,21 +88,32 @@
     // The state of a request that is being read; an idle connection has none.
     struct IncomingRequest
     {
-        IncomingRequest(boost::beast::flat_buffer bytes, BufferBudget &budget)
-            : buffer(std::move(bytes)), held(budget)
+        IncomingRequest(boost::beast::flat_buffer bytes, NodeState &state,
+                        std::function<void()> giveUp)
+            : buffer(std::move(bytes)), held(state.buffers()),
+              entry(state.incomingRequests(), std::move(giveUp))
         { }
 
+        // What it takes in memory.
+        std::size_t bytes() const
+        {
+            return buffer.capacity() + parser.headBytes() + parser.get().body().capacity();
+        }
+
         boost::beast::flat_buffer buffer;
         RequestParser parser;
-        BufferBudget::Buffer held; // the body
-        TimePoint headAt{}; // when its head was whole
+        BufferBudget::Buffer held; // the head and the body
+        IncomingRequests::Entry entry;
+        TimePoint headAt{}; // when its head was whole; zero: it is not
     };
 
     void waitForRequest();
     void readHead();
-    void handleHead(const ErrorCode &ec);
-    void readBody();
-    void handleBodyPart(const ErrorCode &ec);
+    void readMore();
+    void handleInput(const ErrorCode &ec);
+    void handleHead();
+    void giveUpIncoming();
+    void keepUnparsed(const boost::beast::flat_buffer &bytes);
     void handleRequest();
     void watchForDisconnect();
     void handleInputEnd();
--- a/src/node/internal_server.cpp
+++ b/src/node/internal_server.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kMaxIdleTime = std::chrono::seconds(15);
 constexpr Duration kUnacknowledgedTimeout = std::chrono::seconds(2);
 constexpr std::uint32_t kMaxHeadBytes = 4'096;
+// What is read ahead of what is parsed: a head, or lines between chunks and trailers.
+constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeadBytes;
 
 } // namespace
 
@@ -89,7 +91,7 @@
     tcp::socket m_socket;
     TimeoutTimer m_timer;
     const Answer &m_answer;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{kMaxUnparsedBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::span_body<const char>> m_reply;
     std::shared_ptr<const std::string> m_body; // of the reply that is being sent
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -96,8 +96,8 @@
           [this](std::string_view bytes, const udp::endpoint &to) {
               return m_placements.send(bytes, to);
           }),
-      m_buffers(bufferLimits(settings)), m_shortDemand(clock), m_stallDetector(clock),
-      m_stop(settings.bounds.stopWithin)
+      m_buffers(bufferLimits(settings)), m_incomingRequests(m_buffers.limits().total),
+      m_shortDemand(clock), m_stallDetector(clock), m_stop(settings.bounds.stopWithin)
 {
     m_placements.onOtherMessage([this](std::string_view bytes, const udp::endpoint &from) {
         checkForStall();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -35,6 +35,7 @@
 #include "node/channel_pool.hpp"
 #include "node/engine_scheduler.hpp"
 #include "node/fleet_update.hpp"
+#include "node/incoming_requests.hpp"
 #include "node/place_exchange.hpp"
 #include "node/placements.hpp"
 #include "node/read_barrier.hpp"
@@ -220,6 +221,7 @@
     ReadBarrier &readBarrier() { return m_readBarrier; }
     PlaceExchange &places() { return m_places; }
     BufferBudget &buffers() { return m_buffers; }
+    IncomingRequests &incomingRequests() { return m_incomingRequests; }
 
 private:
     void apply(const ConfigApplied &update);
@@ -284,6 +286,7 @@
     PlaceExchange m_places;
     std::vector<std::string> m_otherNodes; // that have a key in the platform's store
     BufferBudget m_buffers;
+    IncomingRequests m_incomingRequests;
     std::map<std::string, WeightHistory> m_weights; // by model
     struct LoadingReport
     {
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -9,7 +9,9 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <sstream>
 #include <thread>
@@ -117,6 +119,12 @@
     wait();
 }
 
+std::size_t Process::descriptors() const
+{
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(m_pid) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 Usage Process::usage() const
 {
     Usage usage;
--- a/tests/process/process.hpp
+++ b/tests/process/process.hpp
@@ -49,6 +49,9 @@
 
     Usage usage() const;
 
+    // The number of open file descriptors.
+    std::size_t descriptors() const;
+
 private:
     pid_t m_pid = -1;
 };
