Connections that rest make room for others

What callers saw: with as many connections open as a node allows, each further one was closed at once, whoever held them and for what; the addresses for readiness, peers and metrics had no largest number and could use up the descriptors of the process.

Change: the connection that has rested longest is closed, without having been read; one with unread input comes last. Readiness, peers and metrics: 384 connections each, the one whose last request is oldest makes room.

--- a/src/node/internal_server.cpp
+++ b/src/node/internal_server.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: MIT
 #include "node/internal_server.hpp"
 
+#include <list>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,18 +23,32 @@
 constexpr Duration kMaxIdleTime = std::chrono::seconds(15);
 constexpr Duration kUnacknowledgedTimeout = std::chrono::seconds(2);
 constexpr std::uint32_t kMaxHeadBytes = 4'096;
+
+// Of one address. In the largest fleets, a node that starts is read from by some hundred others.
+constexpr std::size_t kMaxConnections = 384;
 // What is read ahead of what is parsed: a head, or lines between chunks and trailers.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeadBytes;
 
 } // namespace
 
+// The open connections, the one whose last request is oldest first.
+struct InternalServer::Connections
+{
+    std::list<Connection *> byLastRequest;
+};
+
 // One connection, which carries one request and reply after the other.
 class InternalServer::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(tcp::socket socket, const Answer &answer)
-        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_answer(answer)
+    Connection(tcp::socket socket, const Answer &answer, std::shared_ptr<Connections> others)
+        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_answer(answer),
+          m_connections(std::move(others)),
+          m_place(m_connections->byLastRequest.insert(m_connections->byLastRequest.end(), this))
     { }
+    ~Connection() { leave(); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
 
     void start()
     {
@@ -40,7 +56,22 @@
         read();
     }
 
+    void close()
+    {
+        leave();
+        m_timer.cancel();
+        ErrorCode ec; // closing a closed socket is harmless
+        m_socket.close(ec);
+    }
+
 private:
+    void leave()
+    {
+        if (!std::exchange(m_isListed, false))
+            return;
+        m_connections->byLastRequest.erase(m_place);
+    }
+
     void read()
     {
         m_timer.start(kMaxIdleTime, [self = shared_from_this()] { self->close(); });
@@ -58,6 +89,10 @@
 
     void reply()
     {
+        if (m_isListed) {
+            auto &all = m_connections->byLastRequest;
+            all.splice(all.end(), all, m_place);
+        }
         const auto &request = m_parser->get();
         const auto target = request.target();
         const ServedReply made = request.method() == http::verb::get
@@ -81,13 +116,6 @@
                           });
     }
 
-    void close()
-    {
-        m_timer.cancel();
-        ErrorCode ec; // closing a closed socket is harmless
-        m_socket.close(ec);
-    }
-
     tcp::socket m_socket;
     TimeoutTimer m_timer;
     const Answer &m_answer;
@@ -95,6 +123,9 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::span_body<const char>> m_reply;
     std::shared_ptr<const std::string> m_body; // of the reply that is being sent
+    const std::shared_ptr<Connections> m_connections;
+    const std::list<Connection *>::iterator m_place;
+    bool m_isListed = true;
 };
 
 ServedReply makeReply(unsigned status, std::string body)
@@ -103,11 +134,18 @@
 }
 
 InternalServer::InternalServer(net::io_context &context, Answer answer)
-    : m_answer(std::move(answer)), m_acceptor(context, [this](tcp::socket socket) {
-          std::make_shared<Connection>(std::move(socket), m_answer)->start();
-      })
+    : m_answer(std::move(answer)), m_connections(std::make_shared<Connections>()),
+      m_acceptor(context, [this](tcp::socket socket) { onAccepted(std::move(socket)); })
 { }
 
+// The platform and peers send requests all the time; a connection that does not makes room.
+void InternalServer::onAccepted(tcp::socket socket)
+{
+    if (m_connections->byLastRequest.size() >= kMaxConnections)
+        m_connections->byLastRequest.front()->close();
+    std::make_shared<Connection>(std::move(socket), m_answer, m_connections)->start();
+}
+
 bool InternalServer::listen(const std::string &address, ErrorCode &ec)
 {
     return m_acceptor.listen(address, ec);
--- a/src/node/internal_server.hpp
+++ b/src/node/internal_server.hpp
@@ -38,8 +38,12 @@
 
 private:
     class Connection;
+    struct Connections;
+
+    void onAccepted(tcp::socket socket);
 
     const Answer m_answer;
+    const std::shared_ptr<Connections> m_connections;
     AcceptLoop m_acceptor;
 };
 
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -74,7 +74,7 @@
 
 void ServingLoop::onAccepted(tcp::socket socket)
 {
-    if (m_sessions.size() >= m_settings.callers.maxConnections) {
+    if (m_sessions.size() >= m_settings.callers.maxConnections && !makeRoom()) {
         m_metrics.countRefusal(Reason::ConnectionLimit);
         return;
     }
@@ -84,6 +84,32 @@
     session->start();
 }
 
+// Closes the connection that has rested longest, so that a crowd which holds connections without a
+// request shuts nobody else out. Returns false if none rests. Those with unread input come last:
+// the callers of these learn by a reset that nothing was read.
+bool ServingLoop::makeRoom()
+{
+    using Rank = std::pair<bool, TimePoint>;
+    std::shared_ptr<CallerSession> longest;
+    Rank first{true, TimePoint::max()};
+    for (const auto &[key, session] : m_sessions) {
+        const std::optional<TimePoint> since = session->restsSince();
+        if (!since || Rank(false, *since) >= first)
+            continue;
+        const Rank rank(session->hasUnreadInput(), *since);
+        if (rank < first) {
+            first = rank;
+            longest = session;
+        }
+    }
+    if (!longest)
+        return false;
+    m_metrics.count("fordwood_connections_closed_for_room_total");
+    longest->makeRoom();
+    m_sessions.erase(longest.get());
+    return true;
+}
+
 void ServingLoop::tick()
 {
     m_tickTimer.start(kTickInterval, [this] { tick(); });
--- a/src/node/serving_loop.hpp
+++ b/src/node/serving_loop.hpp
@@ -49,6 +49,7 @@
 
 private:
     void onAccepted(tcp::socket socket);
+    bool makeRoom();
     void tick();
     void closeUnreadAnswers();
     void continueStop();
--- a/tests/process/hostile_callers_test.cpp
+++ b/tests/process/hostile_callers_test.cpp
@@ -224,3 +224,13 @@
         head += "a:\r\n";
     fleet.play({"small fields", head + "\r\n", ""}, "8080", {700, 60'000});
 }
+
+// Guards against a crowd that takes all connections and leaves them idle.
+TEST_CASE("hostile callers: connections that rest shut no other caller out [node][hostile]")
+{
+    HostileFleet fleet(64, "max_connections = 50\n");
+    fleet.play({"connections", "\r\n", ""}, "8080", {100, 2});
+    fleet.play({"heads that are not whole", "GET / HTTP/1.1\r\n", ""}, "8080", {100, 16});
+    fleet.play({"connections", "\r\n", ""}, "8081", {1'000, 2});
+    CHECK(fleet.isReady(0));
+}
