Log values that others choose have a bounded length

A request's id may be as long as its head, and up to 4,096 lines wait for the reader of the log: some 100 MB of ids with heads of 16 KB. Values keep their first 1,024 bytes.

--- a/src/adapters/observe/event_log.hpp
+++ b/src/adapters/observe/event_log.hpp
@@ -25,9 +25,16 @@
 
 struct EventField
 {
+    // Values that callers or upstreams choose, such as ids, may be as long as their heads.
+    static constexpr std::size_t kMaxValueBytes = 1'024;
+
+    // Keeps the begin of a longer value.
     EventField(std::string_view fieldKey, std::string fieldValue)
         : key(fieldKey), value(std::move(fieldValue))
-    { }
+    {
+        if (value.size() > kMaxValueBytes)
+            value.resize(kMaxValueBytes);
+    }
     template <typename Number, typename = std::enable_if_t<std::is_arithmetic_v<Number>>>
     EventField(std::string_view fieldKey, Number number)
         : key(fieldKey), value(std::to_string(number))
