fordwood-entryd: bodies that are being received take bounded memory, all together

What callers did (test): 400 callers that send 500 KB of a body and no end took the daemon to 207 MB, where control may take 128 MB at the size to design for. Each stayed within max_body_bytes and max_connections.

Cause: a bound for each connection, and none for all.

Change: setting entry.max_incoming_bytes (64 MB). A body whose length is named is refused with 503 as its head arrives, one in chunks as it exceeds the rest; bodies of 4 KB always pass. Tried first and not enough: counting only what has arrived, 145 to 169 MB, as freed bodies stay with the process.

--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -6,7 +6,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <optional>
+#include <utility>
 
 #include "adapters/http/mhd_response.hpp"
 #include "adapters/http/socket_address.hpp"
@@ -19,15 +22,47 @@
 constexpr unsigned kIdleTimeoutSeconds = 300;
 constexpr unsigned kExtraConnections = 64;
 constexpr std::size_t kReadBlockBytes = 16'384;
+// Bodies of this size pass while others use up the limit of all together.
+constexpr std::size_t kAlwaysAllowedBody = 4'096;
 constexpr std::size_t kMaxDiscardFactor
     = 8; // larger bodies, in multiples of maxBodyBytes, are not read
 
 // A request while it is received and answered.
 struct IncomingRequest
 {
+    explicit IncomingRequest(std::atomic<std::size_t> &allBytes) : m_allBytes(allBytes) { }
+    ~IncomingRequest() { dropCount(); }
+    IncomingRequest(const IncomingRequest &) = delete;
+    IncomingRequest &operator=(const IncomingRequest &) = delete;
+
+    // Counts a body of this size, of which a part may be counted already. Returns whether all
+    // bodies together are within `maxBytes` then, or this one is small.
+    bool claim(std::size_t bytes, std::size_t maxBytes)
+    {
+        const std::size_t more = bytes - std::min(bytes, m_countedBytes);
+        m_countedBytes += more;
+        const std::size_t all = m_allBytes.fetch_add(more) + more;
+        return more == 0 || all <= maxBytes || bytes <= kAlwaysAllowedBody;
+    }
+
+    // Gives the body up. What follows of it is not kept.
+    void refuse(Reason reason)
+    {
+        refusal = reason;
+        request.body = {};
+        dropCount();
+    }
+
+    // The body is whole, or given up.
+    void dropCount() { m_allBytes -= std::exchange(m_countedBytes, 0); }
+
     CallerRequest request;
-    bool isTooLarge = false;
+    std::optional<Reason> refusal; // answered once the caller has sent all
     std::shared_ptr<Exchange> exchange;
+
+private:
+    std::atomic<std::size_t> &m_allBytes; // of all requests
+    std::size_t m_countedBytes = 0;
 };
 
 struct ChunkReader
@@ -132,7 +167,7 @@
     {
         // A request begins: the time limit for receiving it starts here.
         static_cast<CallerServer *>(cls)->m_watch.markIdle(connection);
-        auto *incoming = new IncomingRequest;
+        auto *incoming = new IncomingRequest(static_cast<CallerServer *>(cls)->m_incomingBytes);
         incoming->request.path = uri;
         return incoming;
     }
@@ -153,8 +188,8 @@
         if (incoming->exchange)
             return queueAvailable(connection, incoming->exchange, incoming->exchange->takeAnswer(),
                                   server.m_announcesClose);
-        if (incoming->isTooLarge)
-            return refuse(server, connection, Reason::BodyTooLarge);
+        if (incoming->refusal)
+            return refuse(server, connection, *incoming->refusal);
         return handle(server, connection, *incoming);
     }
 
@@ -170,18 +205,24 @@
         const std::size_t bytes = std::strtoull(length.c_str(), nullptr, 10);
         if (bytes > server.m_settings.maxBodyBytes * kMaxDiscardFactor)
             return refuse(server, connection, Reason::BodyTooLarge);
-        if (bytes <= server.m_settings.maxBodyBytes)
+        if (bytes <= server.m_settings.maxBodyBytes) {
+            if (!incoming.claim(bytes, server.m_settings.maxIncomingBytes))
+                return refuse(server, connection, Reason::BuffersFull);
             incoming.request.body.reserve(bytes);
+        }
         return MHD_YES;
     }
 
     static void appendBody(CallerServer &server, IncomingRequest &incoming, std::string_view bytes)
     {
-        if (incoming.request.body.size() + bytes.size() > server.m_settings.maxBodyBytes) {
-            incoming.isTooLarge = true;
-            incoming.request.body.clear();
-        }
-        if (!incoming.isTooLarge)
+        if (incoming.refusal)
+            return;
+        const std::size_t size = incoming.request.body.size() + bytes.size();
+        if (size > server.m_settings.maxBodyBytes)
+            incoming.refuse(Reason::BodyTooLarge);
+        else if (!incoming.claim(size, server.m_settings.maxIncomingBytes))
+            incoming.refuse(Reason::BuffersFull);
+        else
             incoming.request.body.append(bytes);
     }
 
@@ -194,6 +235,7 @@
     static MHD_Result handle(CallerServer &server, MHD_Connection *connection,
                              IncomingRequest &incoming)
     {
+        incoming.dropCount();
         auto handled = server.m_handler.handle(std::move(incoming.request));
         incoming.request.method = "-"; // not empty: the request was started
         if (const auto *answer = std::get_if<DirectAnswer>(&handled))
--- a/src/adapters/http/caller_server.hpp
+++ b/src/adapters/http/caller_server.hpp
@@ -86,6 +86,7 @@
     CallerWatch m_watch;
     MHD_Daemon *m_daemon = nullptr;
     std::thread m_watchThread;
+    std::atomic<std::size_t> m_incomingBytes{0}; // of the bodies that are being received
     std::atomic<bool> m_announcesClose{false};
     std::atomic<bool> m_stopping{false};
 };
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -101,6 +101,8 @@
      "Number of threads that serve callers' connections."},
     {"max_body_bytes", Integer, false, 1, 1e9, "4194304",
      "Maximum size of a request body, in bytes."},
+    {"max_incoming_bytes", Integer, false, 1, 1e12, "67108864",
+     "Maximum size of all request bodies together that are being received, in bytes."},
     {"max_header_bytes", Integer, false, 1024, 1e6, "16384",
      "Memory per connection for the head of a request, in bytes."},
     {"max_connections", Integer, false, 1, 1e6, "4096", "Maximum number of open connections."},
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -23,6 +23,8 @@
         entry.listen = table.text("listen");
         entry.httpThreads = static_cast<unsigned>(table.integer("http_threads", 2));
         entry.maxBodyBytes = static_cast<std::size_t>(table.integer("max_body_bytes", 4'194'304));
+        entry.maxIncomingBytes
+            = static_cast<std::size_t>(table.integer("max_incoming_bytes", 67'108'864));
         entry.maxHeaderBytes = static_cast<std::size_t>(table.integer("max_header_bytes", 16'384));
         entry.maxConnections = static_cast<unsigned>(table.integer("max_connections", 4096));
         entry.maxInFlight = static_cast<std::size_t>(table.integer("max_in_flight", 2048));
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -23,6 +23,7 @@
     std::string listen;
     unsigned httpThreads = 2;
     std::size_t maxBodyBytes = 4'194'304;
+    std::size_t maxIncomingBytes = 67'108'864; // of all bodies that are being received
     std::size_t maxHeaderBytes = 16'384;
     unsigned maxConnections = 4096;
     std::size_t maxInFlight = 2048;
--- a/tests/unit/log_queue_test.cpp
+++ b/tests/unit/log_queue_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
 #include <vector>
 
 using namespace fordwood::adapters;
@@ -44,7 +45,7 @@
 // Guards against log lines as long as a caller's head, thousands of which wait for a slow reader.
 TEST_CASE("log: values that others choose are cut to a bounded length")
 {
-    const adapters::EventField field("request", std::string(100'000, 'a'));
-    CHECK(field.value.size() == adapters::EventField::kMaxValueBytes);
-    CHECK(adapters::EventField("request", std::string("short")).value == "short");
+    const EventField field("request", std::string(100'000, 'a'));
+    CHECK(field.value.size() == EventField::kMaxValueBytes);
+    CHECK(EventField("request", std::string("short")).value == "short");
 }
