A process that ends by an error flushes its log without taking it from other threads

Found by the review: the handler destroyed the log's thread object while other threads may log, waited for itself when the log's own thread threw, and ran twice if two threads threw.

--- a/src/adapters/observe/event_log.cpp
+++ b/src/adapters/observe/event_log.cpp
@@ -157,6 +157,9 @@
         m_changed.notify_all(); // one that is missed costs a batch period
     }
 
+    // Whether this is the thread that writes.
+    bool isCurrent() const { return m_thread.get_id() == std::this_thread::get_id(); }
+
     // Returns false if the pending lines could not be written in time; the thread still runs then.
     bool stop(std::optional<Duration> sinceSignal)
     {
@@ -269,6 +272,12 @@
     return true;
 }
 
+void flushLogBeforeAbort()
+{
+    if (logThread && !logThread->isCurrent())
+        std::ignore = logThread->stop(std::nullopt);
+}
+
 void openEventLog(const std::string &program, bool json)
 {
     programName = program;
--- a/src/adapters/observe/event_log.hpp
+++ b/src/adapters/observe/event_log.hpp
@@ -61,6 +61,10 @@
 // process must end by std::_Exit(), since destructors would wait for the thread.
 [[nodiscard]] bool stopLogThread(std::optional<Duration> sinceSignal = std::nullopt);
 
+// Writes the pending lines, for a process that is about to abort: other threads may go on logging.
+// Waits for a fraction of a second at most.
+void flushLogBeforeAbort();
+
 // Returns the list of all events as a Markdown page.
 std::string eventsPage();
 
--- a/src/apps/common/terminate_log.cpp
+++ b/src/apps/common/terminate_log.cpp
@@ -1,10 +1,12 @@
 // SPDX-License-Identifier: MIT
 #include "apps/common/terminate_log.hpp"
 
+#include <atomic>
+#include <chrono>
 #include <cstdlib>
 #include <exception>
 #include <string>
-#include <tuple>
+#include <thread>
 
 #include "adapters/observe/build_version.hpp"
 #include "adapters/observe/event_log.hpp"
@@ -32,9 +34,14 @@
 
 [[noreturn]] void onTerminate()
 {
+    static std::atomic<bool> hasBegun{false};
+    if (hasBegun.exchange(true)) { // in another thread, which ends the process
+        for (;;)
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
     logEvent(Event::EndsByError,
              {{"error", currentError()}, {"version", adapters::buildVersion()}});
-    std::ignore = adapters::stopLogThread();
+    adapters::flushLogBeforeAbort();
     std::abort();
 }
 
