Input without end, read anew: what is not whole is counted as it comes, and callers that use their connections keep them

Found by a review that had not seen the work, each by reading: - Boost.Beast's read returns only once a part is parsed, so that heads, lines between chunks and trailers that are not whole were never counted. The session reads by itself now. Test 'hostile callers: requests that are not whole are given up*'. - A connection that was in use made room before one that never had a request, and one in the middle of a request before idle ones. Now: unused, idle, reading, unread, the longest first; the same for readiness, peers and metrics. Test 'a crowd takes no connection from callers that keep theirs'. - fordwood-entryd: 16 callers that announced 4 MB and sent nothing had all other bodies above 4 KB refused, and a refused body stayed counted. The largest is given up now, of equal ones the newest; its connection is closed. Test 'announced bodies that do not come*'. - Peers' proxies: 512 accepted connections, 256 that have asked. - A caller's address is kept for the log, as a connection that failed has none.

The crowd of the tests sent blocks of 64 KB, and so more than its size says where that is less; it sends what it says now.

--- a/include/fordwood/incoming_limit.hpp
+++ b/include/fordwood/incoming_limit.hpp
@@ -10,8 +10,8 @@
 namespace fordwood {
 
 // Bounds the bytes of all requests that are being read, and names the one to give up when they
-// exceed the limit: the largest. Requests of the usual size are whole at once and small, so that
-// they pass while a crowd uses up the limit.
+// exceed the limit: the largest, of equal ones the newest. Requests of the usual size are whole at
+// once and small, so that they pass while a crowd uses up the limit.
 //
 // Load pattern: thousands of callers, each within the bounds of one connection, send heads, bodies
 // or trailers that do not end, while others send requests at their usual rate.
--- a/src/adapters/http/caller_server.cpp
+++ b/src/adapters/http/caller_server.cpp
@@ -22,27 +22,33 @@
 constexpr unsigned kIdleTimeoutSeconds = 300;
 constexpr unsigned kExtraConnections = 64;
 constexpr std::size_t kReadBlockBytes = 16'384;
-// Bodies of this size pass while others use up the limit of all together.
-constexpr std::size_t kAlwaysAllowedBody = 4'096;
 constexpr std::size_t kMaxDiscardFactor
     = 8; // larger bodies, in multiples of maxBodyBytes, are not read
 
+int socketOf(MHD_Connection *connection)
+{
+    const auto *socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return socket == nullptr ? -1 : socket->connect_fd;
+}
+
 // A request while it is received and answered.
 struct IncomingRequest
 {
-    explicit IncomingRequest(std::atomic<std::size_t> &allBytes) : m_allBytes(allBytes) { }
+    IncomingRequest(IncomingBodies &bodies, int socket)
+        : m_bodies(bodies), m_id(bodies.begin(socket))
+    { }
     ~IncomingRequest() { dropCount(); }
     IncomingRequest(const IncomingRequest &) = delete;
     IncomingRequest &operator=(const IncomingRequest &) = delete;
 
-    // Counts a body of this size, of which a part may be counted already. Returns whether all
-    // bodies together are within `maxBytes` then, or this one is small.
-    bool claim(std::size_t bytes, std::size_t maxBytes)
+    // Counts a body of this size, of which a part may be counted already. Returns false if this
+    // request is to be given up for it.
+    bool claim(std::size_t bytes)
     {
-        const std::size_t more = bytes - std::min(bytes, m_countedBytes);
-        m_countedBytes += more;
-        const std::size_t all = m_allBytes.fetch_add(more) + more;
-        return more == 0 || all <= maxBytes || bytes <= kAlwaysAllowedBody;
+        if (bytes <= m_counted)
+            return true;
+        m_counted = bytes;
+        return m_bodies.resize(m_id, bytes);
     }
 
     // Gives the body up. What follows of it is not kept.
@@ -54,15 +60,16 @@
     }
 
     // The body is whole, or given up.
-    void dropCount() { m_allBytes -= std::exchange(m_countedBytes, 0); }
+    void dropCount() { m_bodies.end(m_id); }
 
     CallerRequest request;
     std::optional<Reason> refusal; // answered once the caller has sent all
     std::shared_ptr<Exchange> exchange;
 
 private:
-    std::atomic<std::size_t> &m_allBytes; // of all requests
-    std::size_t m_countedBytes = 0;
+    IncomingBodies &m_bodies;
+    const IncomingLimit::Id m_id;
+    std::size_t m_counted = 0;
 };
 
 struct ChunkReader
@@ -167,7 +174,8 @@
     {
         // A request begins: the time limit for receiving it starts here.
         static_cast<CallerServer *>(cls)->m_watch.markIdle(connection);
-        auto *incoming = new IncomingRequest(static_cast<CallerServer *>(cls)->m_incomingBytes);
+        auto *incoming = new IncomingRequest(static_cast<CallerServer *>(cls)->m_incomingBodies,
+                                             socketOf(connection));
         incoming->request.path = uri;
         return incoming;
     }
@@ -206,7 +214,7 @@
         if (bytes > server.m_settings.maxBodyBytes * kMaxDiscardFactor)
             return refuse(server, connection, Reason::BodyTooLarge);
         if (bytes <= server.m_settings.maxBodyBytes) {
-            if (!incoming.claim(bytes, server.m_settings.maxIncomingBytes))
+            if (!incoming.claim(bytes))
                 return refuse(server, connection, Reason::BuffersFull);
             incoming.request.body.reserve(bytes);
         }
@@ -220,7 +228,7 @@
         const std::size_t size = incoming.request.body.size() + bytes.size();
         if (size > server.m_settings.maxBodyBytes)
             incoming.refuse(Reason::BodyTooLarge);
-        else if (!incoming.claim(size, server.m_settings.maxIncomingBytes))
+        else if (!incoming.claim(size))
             incoming.refuse(Reason::BuffersFull);
         else
             incoming.request.body.append(bytes);
@@ -273,8 +281,7 @@
         auto &server = *static_cast<CallerServer *>(cls);
         if (code == MHD_CONNECTION_NOTIFY_CLOSED)
             return server.m_watch.removeConnection(connection);
-        const auto *socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        server.m_watch.addConnection(connection, socket == nullptr ? -1 : socket->connect_fd);
+        server.m_watch.addConnection(connection, socketOf(connection));
     }
 
     static MHD_Result onAccept(void *cls, const sockaddr *, socklen_t)
@@ -296,7 +303,9 @@
 CallerServer::CallerServer(const Clock &clock, const config::EntrySettings &settings,
                            CallerHandler &handler)
     : m_settings(settings), m_handler(handler),
-      m_watch(clock, settings.readTimeout, [&handler] { handler.refused(Reason::ReadTimeout); })
+      m_watch(clock, settings.readTimeout, [&handler] { handler.refused(Reason::ReadTimeout); }),
+      m_incomingBodies(settings.maxIncomingBytes,
+                       [&handler] { handler.refused(Reason::BuffersFull); })
 { }
 
 CallerServer::~CallerServer()
--- a/src/adapters/http/caller_server.hpp
+++ b/src/adapters/http/caller_server.hpp
@@ -11,6 +11,7 @@
 
 #include "adapters/http/caller_watch.hpp"
 #include "adapters/http/direct_answer.hpp"
+#include "adapters/http/incoming_bodies.hpp"
 #include "config/settings.hpp"
 
 struct MHD_Daemon;
@@ -86,7 +87,7 @@
     CallerWatch m_watch;
     MHD_Daemon *m_daemon = nullptr;
     std::thread m_watchThread;
-    std::atomic<std::size_t> m_incomingBytes{0}; // of the bodies that are being received
+    IncomingBodies m_incomingBodies;
     std::atomic<bool> m_announcesClose{false};
     std::atomic<bool> m_stopping{false};
 };
--- a/src/core/incoming_limit.cpp
+++ b/src/core/incoming_limit.cpp
@@ -31,8 +31,9 @@
 {
     if (m_total <= m_maxBytes)
         return std::nullopt;
+    // The newest of those that are equally large, as the others have got further.
     const auto largest
-        = std::max_element(m_bytes.begin(), m_bytes.end(),
+        = std::max_element(m_bytes.rbegin(), m_bytes.rend(),
                            [](const auto &a, const auto &b) { return a.second < b.second; });
     return largest->first;
 }
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "node/caller_session.hpp"
 
+#include <algorithm>
 #include <sstream>
 #include <sys/socket.h>
 #include <utility>
@@ -36,6 +37,9 @@
 // chunks, and trailers, which are held until they are whole.
 constexpr std::size_t kReadAheadBytes = 16'384;
 
+// What is read at once. A crowd of callers that send little should not cost much for each.
+constexpr std::size_t kMaxReadBytes = 16'384;
+
 // Requests that a caller sends before it has the answer to the last one.
 constexpr std::size_t kMaxUnparsedBytes = 16'384;
 
@@ -63,7 +67,10 @@
 CallerSession::CallerSession(NodeState &state, tcp::socket socket, OnClosed onClosed)
     : m_state(state), m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
       m_onClosed(std::move(onClosed)), m_outgoingBuffer(state.buffers())
-{ }
+{
+    ErrorCode ec; // the connection may have failed already
+    m_caller = m_socket.remote_endpoint(ec);
+}
 
 void CallerSession::start()
 {
@@ -110,26 +117,54 @@
                                                            session->giveUpIncoming();
                                                    });
     m_unparsed = {};
+    m_incoming->since = m_state.clock().now();
     m_incoming->buffer.max_size(current.maxHeaderBytes + kReadAheadBytes);
     m_incoming->parser.header_limit(static_cast<std::uint32_t>(current.maxHeaderBytes));
     m_incoming->parser.body_limit(current.maxBodyBytes);
     m_incoming->parser.eager(true);
     startTimer(current.headerTimeout, &CallerSession::handleReadTimeout);
-    readMore();
+    if (m_incoming->buffer.size() > 0)
+        handleInput({});
+    else
+        readMore();
 }
 
+// Boost.Beast's own reads return only once a part is parsed, and what arrives until then could not
+// be counted.
 void CallerSession::readMore()
 {
-    if (m_incoming->parser.is_done()) {
-        handleRequest();
+    boost::beast::flat_buffer &buffer = m_incoming->buffer;
+    const std::size_t space = std::min(m_incoming->readBytes, buffer.max_size() - buffer.size());
+    if (space == 0) {
+        handleReadError(http::error::buffer_overflow);
         return;
     }
-    http::async_read_some(
-        m_socket, m_incoming->buffer, m_incoming->parser,
-        [self = shared_from_this(), incoming = m_incoming](const ErrorCode &ec, std::size_t) {
-            if (!self->m_isClosed && incoming == self->m_incoming)
-                self->handleInput(ec);
-        });
+    m_socket.async_read_some(buffer.prepare(space),
+                             [self = shared_from_this(), incoming = m_incoming,
+                              space](const ErrorCode &ec, std::size_t n) {
+                                 incoming->buffer.commit(n);
+                                 if (n == space)
+                                     incoming->readBytes = std::min(2 * space, kMaxReadBytes);
+                                 if (!self->m_isClosed && incoming == self->m_incoming)
+                                     self->handleInput(ec);
+                             });
+}
+
+// Parses what has arrived. Returns false if the request has been rejected for it.
+bool CallerSession::parseInput()
+{
+    IncomingRequest &incoming = *m_incoming;
+    ErrorCode ec;
+    while (!incoming.parser.is_done() && incoming.buffer.size() > 0) {
+        incoming.buffer.consume(incoming.parser.put(incoming.buffer.data(), ec));
+        if (ec == http::error::need_more)
+            break;
+        if (ec) {
+            handleReadError(ec);
+            return false;
+        }
+    }
+    return true;
 }
 
 void CallerSession::handleInput(const ErrorCode &ec)
@@ -138,6 +173,8 @@
         handleReadError(ec);
         return;
     }
+    if (!parseInput())
+        return;
     const std::shared_ptr<IncomingRequest> incoming = m_incoming;
     incoming->entry.resize(incoming->bytes());
     if (incoming != m_incoming) // given up, since all together take too much
@@ -149,6 +186,14 @@
     }
     if (incoming->parser.is_header_done() && incoming->headAt == TimePoint{})
         handleHead();
+    else
+        readOn();
+}
+
+void CallerSession::readOn()
+{
+    if (m_incoming->parser.is_done())
+        handleRequest();
     else
         readMore();
 }
@@ -158,8 +203,8 @@
     m_incoming->headAt = m_state.clock().now();
     startTimer(kBodyTimeout, &CallerSession::handleReadTimeout);
     const auto expectation = m_incoming->parser.get()[http::field::expect];
-    if (!boost::beast::iequals(expectation, "100-continue")) {
-        readMore();
+    if (m_incoming->parser.is_done() || !boost::beast::iequals(expectation, "100-continue")) {
+        readOn();
         return;
     }
     static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -168,20 +213,21 @@
                          if (writeEc)
                              self->close(ConnectionEnd::CallerFailed);
                          else if (!self->m_isClosed && self->m_incoming)
-                             self->readMore();
+                             self->readOn();
                      });
 }
 
-std::optional<TimePoint> CallerSession::restsSince() const
-{
-    const bool isBusy = m_isClosed || m_isClosing || m_call || !m_outgoing.empty();
-    return isBusy ? std::nullopt : std::optional(m_idleSince);
-}
-
-bool CallerSession::hasUnreadInput()
+std::optional<CallerSession::Rest> CallerSession::rest()
 {
+    if (m_isClosed || m_isClosing || m_call || !m_outgoing.empty())
+        return std::nullopt;
     ErrorCode ec; // a connection that has failed has nothing to read
-    return !m_incoming && m_socket.available(ec) > 0;
+    if (m_incoming)
+        return Rest{Rest::Kind::Reading, m_incoming->since};
+    if (m_socket.available(ec) > 0)
+        return Rest{Rest::Kind::Unread, m_idleSince};
+    const bool hasHadRequest = m_wholeAt != TimePoint{};
+    return Rest{hasHadRequest ? Rest::Kind::Idle : Rest::Kind::Unused, m_idleSince};
 }
 
 // The read that is pending would keep what the request takes.
@@ -532,9 +578,7 @@
 
 std::string CallerSession::callerAddress() const
 {
-    ErrorCode ec;
-    const tcp::endpoint caller = m_socket.remote_endpoint(ec);
-    return ec ? "" : caller.address().to_string() + ":" + std::to_string(caller.port());
+    return m_caller.address().to_string() + ":" + std::to_string(m_caller.port());
 }
 
 void CallerSession::logOpenLate() const
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -48,12 +48,22 @@
     // Whether a request has begun to arrive that is not whole yet.
     bool isReadingRequest() const { return m_incoming && m_incoming->parser.got_some(); }
 
-    // Since when the connection has had no whole request, for one that may make room for another
-    // connection; nothing while it has one, or an answer is sent.
-    std::optional<TimePoint> restsSince() const;
+    // What a connection without a whole request does, and since when. Ordered by which makes room
+    // for another one first: callers that keep a connection for their requests lose it only after
+    // those that have sent none, and what is being read is worth more than an idle connection. What
+    // has arrived and is not read may be a whole request.
+    struct Rest
+    {
+        enum class Kind { Unused, Idle, Reading, Unread };
+
+        Kind kind = Kind::Unused;
+        TimePoint since{};
+
+        auto operator<=>(const Rest &) const = default;
+    };
 
-    // Whether input has arrived of which nothing is read yet: it may be a whole request.
-    bool hasUnreadInput();
+    // Nothing while the connection has a request, or an answer is sent.
+    std::optional<Rest> rest();
 
     // Closes the connection, which rests, to make room for another one.
     void makeRoom() { close(ConnectionEnd::Idle); }
@@ -104,12 +114,16 @@
         RequestParser parser;
         BufferBudget::Buffer held; // the head and the body
         IncomingRequests::Entry entry;
+        std::size_t readBytes = 1'024; // at once, as much as the caller sends
+        TimePoint since{}; // when its reading began
         TimePoint headAt{}; // when its head was whole; zero: it is not
     };
 
     void waitForRequest();
     void readHead();
     void readMore();
+    void readOn();
+    bool parseInput();
     void handleInput(const ErrorCode &ec);
     void handleHead();
     void giveUpIncoming();
@@ -148,6 +162,7 @@
 
     NodeState &m_state;
     tcp::socket m_socket;
+    tcp::endpoint m_caller; // known also after the connection has failed
     TimeoutTimer m_timer;
     OnClosed m_onClosed;
     std::shared_ptr<IncomingRequest>
--- a/src/node/internal_server.cpp
+++ b/src/node/internal_server.cpp
@@ -31,10 +31,13 @@
 
 } // namespace
 
-// The open connections, the one whose last request is oldest first.
+// The open connections.
 struct InternalServer::Connections
 {
-    std::list<Connection *> byLastRequest;
+    std::list<Connection *> unused; // without a request so far, the oldest first
+    std::list<Connection *> used; // the one whose last request is oldest first
+
+    std::size_t size() const { return unused.size() + used.size(); }
 };
 
 // One connection, which carries one request and reply after the other.
@@ -44,7 +47,7 @@
     Connection(tcp::socket socket, const Answer &answer, std::shared_ptr<Connections> others)
         : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_answer(answer),
           m_connections(std::move(others)),
-          m_place(m_connections->byLastRequest.insert(m_connections->byLastRequest.end(), this))
+          m_place(m_connections->unused.insert(m_connections->unused.end(), this))
     { }
     ~Connection() { leave(); }
     Connection(const Connection &) = delete;
@@ -69,7 +72,7 @@
     {
         if (!std::exchange(m_isListed, false))
             return;
-        m_connections->byLastRequest.erase(m_place);
+        (m_isUsed ? m_connections->used : m_connections->unused).erase(m_place);
     }
 
     void read()
@@ -90,8 +93,9 @@
     void reply()
     {
         if (m_isListed) {
-            auto &all = m_connections->byLastRequest;
-            all.splice(all.end(), all, m_place);
+            auto &from = m_isUsed ? m_connections->used : m_connections->unused;
+            m_connections->used.splice(m_connections->used.end(), from, m_place);
+            m_isUsed = true;
         }
         const auto &request = m_parser->get();
         const auto target = request.target();
@@ -126,6 +130,7 @@
     const std::shared_ptr<Connections> m_connections;
     const std::list<Connection *>::iterator m_place;
     bool m_isListed = true;
+    bool m_isUsed = false; // has had a request
 };
 
 ServedReply makeReply(unsigned status, std::string body)
@@ -141,8 +146,10 @@
 // The platform and peers send requests all the time; a connection that does not makes room.
 void InternalServer::onAccepted(tcp::socket socket)
 {
-    if (m_connections->byLastRequest.size() >= kMaxConnections)
-        m_connections->byLastRequest.front()->close();
+    if (m_connections->size() >= kMaxConnections) {
+        auto &unused = m_connections->unused;
+        (unused.empty() ? m_connections->used : unused).front()->close();
+    }
     std::make_shared<Connection>(std::move(socket), m_answer, m_connections)->start();
 }
 
--- a/src/node/proxy_server.cpp
+++ b/src/node/proxy_server.cpp
@@ -30,6 +30,7 @@
 
 // Bounds the memory and descriptors that cut-off peers use at this node.
 constexpr std::size_t kMaxConnections = 256;
+constexpr std::size_t kMaxAccepted = 2 * kMaxConnections; // with those that have not asked yet
 
 constexpr std::size_t kBufferBytes = BufferBudget::kAlwaysAllowed / 2; // for each direction
 
@@ -46,7 +47,11 @@
         m_shared->open.insert(this);
     }
 
-    ~Connection() { m_shared->open.erase(this); }
+    ~Connection()
+    {
+        m_shared->open.erase(this);
+        m_shared->asked -= m_hasAsked ? 1 : 0;
+    }
 
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -115,12 +120,14 @@
         const auto found
             = m_shared->host.upstreamForPeer(std::string(request[kProxyUpstreamField]));
         m_held.resize(2 * kBufferBytes);
-        if (!found || m_shared->open.size() > kMaxConnections) {
+        if (!found || m_shared->asked >= kMaxConnections) {
             m_shared->metrics.count("fordwood_proxy_declined_total");
             reply(http::status::service_unavailable);
             return;
         }
         m_record = *found;
+        m_hasAsked = true;
+        m_shared->asked += 1;
         connect();
     }
 
@@ -253,15 +260,17 @@
     Flow m_fromPeer{m_peer, m_upstream, {}, 0};
     Flow m_fromUpstream{m_upstream, m_peer, {}, 0};
     TimePoint m_startedAt{};
+    bool m_hasAsked = false; // for an upstream
     bool m_isCopying = false;
     bool m_isClosed = false;
 };
 
 ProxyServer::ProxyServer(net::io_context &context, const Clock &clock, ProxyHost &host,
                          BufferBudget &buffers, adapters::Metrics &metrics)
-    : m_shared(std::make_shared<Shared>(Shared{clock, host, buffers, metrics, {}})),
+    : m_shared(std::make_shared<Shared>(Shared{clock, host, buffers, metrics, {}, 0})),
       m_acceptor(context, [this](tcp::socket socket) {
-          std::make_shared<Connection>(std::move(socket), m_shared)->start();
+          if (m_shared->open.size() < kMaxAccepted)
+              std::make_shared<Connection>(std::move(socket), m_shared)->start();
       })
 { }
 
--- a/src/node/proxy_server.hpp
+++ b/src/node/proxy_server.hpp
@@ -61,6 +61,7 @@
         BufferBudget &buffers;
         adapters::Metrics &metrics;
         std::set<Connection *> open;
+        std::size_t asked = 0; // of these, for an upstream
     };
 
     std::shared_ptr<Shared> m_shared;
--- a/src/node/serving_loop.cpp
+++ b/src/node/serving_loop.cpp
@@ -84,29 +84,24 @@
     session->start();
 }
 
-// Closes the connection that has rested longest, so that a crowd which holds connections without a
-// request shuts nobody else out. Returns false if none rests. Those with unread input come last:
-// the callers of these learn by a reset that nothing was read.
+// Closes a connection that rests, so that a crowd which holds connections without a request shuts
+// nobody else out. Returns false if none rests.
 bool ServingLoop::makeRoom()
 {
-    using Rank = std::pair<bool, TimePoint>;
-    std::shared_ptr<CallerSession> longest;
-    Rank first{true, TimePoint::max()};
+    std::shared_ptr<CallerSession> chosen;
+    std::optional<CallerSession::Rest> first;
     for (const auto &[key, session] : m_sessions) {
-        const std::optional<TimePoint> since = session->restsSince();
-        if (!since || Rank(false, *since) >= first)
-            continue;
-        const Rank rank(session->hasUnreadInput(), *since);
-        if (rank < first) {
-            first = rank;
-            longest = session;
+        const std::optional<CallerSession::Rest> rest = session->rest();
+        if (rest && (!first || *rest < *first)) {
+            first = rest;
+            chosen = session;
         }
     }
-    if (!longest)
+    if (!chosen)
         return false;
     m_metrics.count("fordwood_connections_closed_for_room_total");
-    longest->makeRoom();
-    m_sessions.erase(longest.get());
+    chosen->makeRoom();
+    m_sessions.erase(chosen.get());
     return true;
 }
 
--- a/tests/process/hostile_callers_test.cpp
+++ b/tests/process/hostile_callers_test.cpp
@@ -4,10 +4,13 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "process/hostile_crowd.hpp"
+#include "process/kept_connection.hpp"
 #include "process/node_deployment.hpp"
 
 using namespace fordwood::process;
@@ -114,3 +117,43 @@
     fleet.play({"connections", "\r\n", ""}, "8081", {1'000, 2});
     CHECK(fleet.isReady(0));
 }
+
+// Guards against a crowd that drives out callers which use their connections.
+TEST_CASE("hostile callers: a crowd takes no connection from callers that keep theirs "
+          "[node][hostile]")
+{
+    HostileFleet fleet(64, "max_connections = 50\n");
+    std::vector<std::unique_ptr<KeptConnection>> kept;
+    const auto callAll = [&] {
+        for (const auto &it : kept) {
+            const std::string id = "kept-" + std::to_string(std::rand());
+            const std::string path = "/safe/" + id;
+            const bool isSent
+                = it->send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
+                           + "\r\nCredential: key-t\r\nRequest-Deadline: 4000\r\n\r\n");
+            CHECK(isSent);
+            CHECK(it->read().status == 200);
+        }
+    };
+    for (int n = 0; n < 30; ++n) {
+        kept.push_back(std::make_unique<KeptConnection>());
+        REQUIRE(kept.back()->connect(fleet.host(0)));
+    }
+    callAll();
+    fleet.play({"silent connections", "", ""}, "8080", {100, 0});
+    callAll();
+}
+
+// Guards against a limit of all that does not see what is not whole.
+TEST_CASE("hostile callers: requests that are not whole are given up when all take too much "
+          "[node][hostile]")
+{
+    HostileFleet fleet(64, "buffer_share = 0.01\n");
+    for (const Form &it : {Form{"trailers", kChunked + "\r\n0\r\n", "X-T: " + kLong + "\r\n"},
+                           Form{"a head", kChunked, "X-F: " + kLong + "\r\n"}}) {
+        const std::string refusals = "fordwood_refusals_total{reason=\"buffers-full\"}";
+        const double before = fleet.metric(refusals);
+        fleet.play(it, "8080", {300, 3'000});
+        CHECK(fleet.metric(refusals) > before);
+    }
+}
--- a/tests/process/hostile_crowd.hpp
+++ b/tests/process/hostile_crowd.hpp
@@ -58,8 +58,8 @@
         while (m_left > 0) {
             if (m_pending.empty())
                 refill();
-            const auto n
-                = send(m_socket, m_pending.data(), m_pending.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            const auto n = send(m_socket, m_pending.data(), std::min(m_pending.size(), m_left),
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
             if (n < 0 && errno == EAGAIN)
                 return true;
             if (n < 0)
--- a/tests/process/hostile_entry_test.cpp
+++ b/tests/process/hostile_entry_test.cpp
@@ -17,12 +17,13 @@
 constexpr std::size_t kMaxMemory = 128'000'000;
 constexpr std::size_t kMaxDescriptors = 4'100;
 
-void checkServes(const Fleet &fleet)
+void checkServes(const Fleet &fleet, std::size_t promptBytes = 1)
 {
-    const HttpAnswer answer
-        = httpCall("POST", fleet.caller(0) + "/v1/chat/completions",
-                   R"({"model":"m","max_tokens":2,"messages":[{"role":"user","content":"a"}]})",
-                   {Fleet::bearer(), "Content-Type: application/json"});
+    const std::string prompt(promptBytes, 'a');
+    const HttpAnswer answer = httpCall(
+        "POST", fleet.caller(0) + "/v1/chat/completions",
+        R"({"model":"m","max_tokens":2,"messages":[{"role":"user","content":")" + prompt + "\"}]}",
+        {Fleet::bearer(), "Content-Type: application/json"});
     CHECK(answer.status == 200);
     CHECK(answer.isComplete);
 }
@@ -69,3 +70,21 @@
                              + "\r\nContent-Length: 1000000\r\n\r\n";
     play(fleet, {"bodies", head, std::string(1'000, 'a')}, {400, 500'000});
 }
+
+// Guards against a few callers that announce large bodies, send none, and shut all others out.
+TEST_CASE("hostile callers: announced bodies that do not come shut no other body out at the entry "
+          "daemon [hostile]")
+{
+    FleetSize size;
+    size.nodes = size.engines = size.domains = 1;
+    Fleet fleet(size);
+    fleet.start();
+    const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" + Fleet::bearer()
+                             + "\r\nContent-Length: 4194304\r\n\r\n";
+    HostileCrowd callers(fleet.entryAddress(0), {"announced bodies", head, ""}, {16, head.size()});
+    callers.run(fleet.entryds[0]);
+    for (const std::size_t it : {1U, 8'000U, 100'000U}) {
+        CAPTURE(it);
+        checkServes(fleet, it);
+    }
+}
