--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -59,7 +60,10 @@
         Kind kind = Kind::Unused;
         TimePoint since{};
 
-        auto operator<=>(const Rest &) const = default;
+        bool operator<(const Rest &other) const
+        {
+            return std::tie(kind, since) < std::tie(other.kind, other.since);
+        }
     };
 
     // Nothing while the connection has a request, or an answer is sent.
--- a/src/node/internal_server.cpp
+++ b/src/node/internal_server.cpp
@@ -27,7 +27,7 @@
 // Of one address. In the largest fleets, a node that starts is read from by some hundred others.
 constexpr std::size_t kMaxConnections = 384;
 // What is read ahead of what is parsed: a head, or lines between chunks and trailers.
-constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeadBytes;
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{2} * kMaxHeadBytes;
 
 } // namespace
 
