--- a/tests/process/cut_answer_test.cpp
+++ b/tests/process/cut_answer_test.cpp
@@ -24,6 +24,7 @@
 const std::string kHead = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n";
 const std::string kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string kEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+const std::string kUnframed = kHead + "\r\n" + kEvents; // an answer that ends with its connection
 
 // None of them is an answer, whatever it answers.
 std::vector<Form> cutForms()
@@ -260,7 +261,7 @@
     CutAnswers fleet;
     for (const char *path : {"/unresumable/", "/stream/"}) {
         CAPTURE(path);
-        fleet.replaceUpstreams(kHead + "\r\n" + kEvents);
+        fleet.replaceUpstreams(kUnframed);
         if (path == std::string("/stream/")) // it is asked for more, and has none
             fleet.setSecond(kHead + "\r\n");
         std::string answer;
@@ -296,7 +297,7 @@
     };
     for (const RawUpstream::End end : {RawUpstream::End::Close, RawUpstream::End::Reset}) {
         CAPTURE(static_cast<int>(end));
-        fleet.replaceUpstreams(kHead + "\r\n" + kEvents);
+        fleet.replaceUpstreams(kUnframed);
         fleet.setSecond(kHead + "\r\nid: 3\nda");
         fleet.setEnd(end);
         bool isPlayed = false;
@@ -327,7 +328,7 @@
           "killed, is reset [node][cut-answers]")
 {
     CutAnswers fleet;
-    fleet.replaceUpstreams(kHead + "\r\n" + kEvents);
+    fleet.replaceUpstreams(kUnframed);
     for (const RawUpstream::End end : {RawUpstream::End::Reset, RawUpstream::End::Hold}) {
         CAPTURE(static_cast<int>(end));
         fleet.setEnd(end);
--- a/tests/process/hostile_callers_test.cpp
+++ b/tests/process/hostile_callers_test.cpp
@@ -127,10 +127,10 @@
     const auto callAll = [&] {
         for (const auto &it : kept) {
             const std::string id = "kept-" + std::to_string(std::rand());
-            const std::string path = "/safe/" + id;
-            const bool isSent
-                = it->send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
-                           + "\r\nCredential: key-t\r\nRequest-Deadline: 4000\r\n\r\n");
+            std::string request = "GET /safe/";
+            request.append(id).append(" HTTP/1.1\r\nHost: a.example\r\nCredential: key-t\r\n");
+            request.append("Request-Deadline: 4000\r\nRequest-Id: ").append(id);
+            const bool isSent = it->send(request.append("\r\n\r\n"));
             CHECK(isSent);
             CHECK(it->read().status == 200);
         }
