--- a/src/node/incoming_requests.hpp
+++ b/src/node/incoming_requests.hpp
@@ -62,8 +62,6 @@
         const IncomingLimit::Id m_id;
     };
 
-    std::size_t bytes() const { return m_state->limit.total(); }
-
 private:
     const std::shared_ptr<State> m_state;
 };
--- a/tests/process/hostile_entry_test.cpp
+++ b/tests/process/hostile_entry_test.cpp
@@ -17,6 +17,13 @@
 constexpr std::size_t kMaxMemory = 128'000'000;
 constexpr std::size_t kMaxDescriptors = 4'100;
 
+FleetSize oneOfEach()
+{
+    FleetSize size;
+    size.nodes = size.engines = size.domains = 1;
+    return size;
+}
+
 void checkServes(const Fleet &fleet, std::size_t promptBytes = 1)
 {
     const std::string prompt(promptBytes, 'a');
@@ -47,9 +54,7 @@
 // Guards against a process that runs out of memory by what a few callers send without end.
 TEST_CASE("hostile callers: input without end at the entry daemon takes bounded memory [hostile]")
 {
-    FleetSize size;
-    size.nodes = size.engines = size.domains = 1;
-    Fleet fleet(size);
+    Fleet fleet(oneOfEach());
     fleet.start();
     checkServes(fleet);
     const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" + Fleet::bearer()
@@ -62,9 +67,7 @@
 TEST_CASE("hostile callers: bodies that do not end, of many callers, take bounded memory at the "
           "entry daemon [hostile]")
 {
-    FleetSize size;
-    size.nodes = size.engines = size.domains = 1;
-    Fleet fleet(size);
+    Fleet fleet(oneOfEach());
     fleet.start();
     const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" + Fleet::bearer()
                              + "\r\nContent-Length: 1000000\r\n\r\n";
@@ -75,9 +78,7 @@
 TEST_CASE("hostile callers: announced bodies that do not come shut no other body out at the entry "
           "daemon [hostile]")
 {
-    FleetSize size;
-    size.nodes = size.engines = size.domains = 1;
-    Fleet fleet(size);
+    Fleet fleet(oneOfEach());
     fleet.start();
     const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" + Fleet::bearer()
                              + "\r\nContent-Length: 4194304\r\n\r\n";
