--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -518,9 +518,8 @@
             << at(10, 8566) << "\"]\n\n[store]\naddress = \"" << at(1, 7000)
             << "\"\nleast_lease = \"1000ms\"\n\n[bounds]\nstop_within = \"8s\"\nretry_ratio = 0.2\n"
             << "retry_window = \"10s\"\nretry_slack = 56\norder_lease = \"3000ms\"\n"
-            << "fences_checked = " << (areFencesChecked ? "true" : "false")
-            << "\nweights_within = \"12000ms\"\n\n[places]\nregions = [\"" << zone
-            << "=lombardia\"]\n\n[vm]\nprocessor_share = 0.25\nprocessor_speed = 1\n"
+            << "fences_checked = true\nweights_within = \"12000ms\"\n\n[places]\nregions = [\""
+            << zone << "=lombardia\"]\n\n[vm]\nprocessor_share = 0.25\nprocessor_speed = 1\n"
             << "memory_mb = 260\nlink_mbps = 1000.0\n";
         out.close();
         nodes.push_back(std::make_unique<Node>(path, log(node)));
@@ -556,7 +555,6 @@
         store->put("servers/" + id, entry.dump());
     }
 
-    bool areFencesChecked = true; // by the engines
     std::unique_ptr<fordwood::process::KeyValueStandin> store;
     std::vector<std::unique_ptr<Node>> nodes;
 
