--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -471,8 +471,9 @@
             ::close(fd);
             m_prefix = prefix;
         }
-        char name[] = "/tmp/fordwood-review-XXXXXX";
-        m_folder = ::mkdtemp(name);
+        const char *parent = std::getenv("TMPDIR");
+        std::string name = std::string(parent != nullptr ? parent : "/tmp") + "/fordwood-XXXXXX";
+        m_folder = ::mkdtemp(name.data());
         store = std::make_unique<fordwood::process::KeyValueStandin>(at(1, 7000));
         store->setLink(500, 0.0);
         m_leases = std::thread([this] {
