--- a/tests/process/cut_answer_test.cpp
+++ b/tests/process/cut_answer_test.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// Upstreams that stop in the middle of an answer and close the connection in order.
+// Upstreams that stop in the middle of an answer, or send one that is not valid.
 #include <doctest/doctest.h>
 
 #include <memory>
@@ -91,16 +91,15 @@
                 return call("GET", "/safe/" + id, id, 1).status == 200 && isThroughPeer(id);
             }));
         }
-        nlohmann::json config = configuration(2);
-        config["routes"].push_back({{"name", "unresumable"},
-                                    {"host", "a.example"},
-                                    {"path-prefix", "/unresumable/"},
-                                    {"kind", "streaming"},
-                                    {"service", "board"},
-                                    {"timeout-ms", 5'000},
-                                    {"max-attempts", 2},
-                                    {"target-latency-ms", 400}});
-        store.put("op/config", config.dump());
+        m_config["routes"].push_back({{"name", "unresumable"},
+                                      {"host", "a.example"},
+                                      {"path-prefix", "/unresumable/"},
+                                      {"kind", "streaming"},
+                                      {"service", "board"},
+                                      {"timeout-ms", 5'000},
+                                      {"max-attempts", 2},
+                                      {"target-latency-ms", 400}});
+        store.put("op/config", m_config.dump());
         for (const int it : {0, m_node})
             REQUIRE(Fleet::waitFor([&] { return logged(it, "routes=\"5\"") > 0; }));
         for (const char *it : {"i-1", "i-2"})
@@ -137,6 +136,25 @@
             it->setEnd(end);
     }
 
+    // Answers come before the bodies of their requests have been read.
+    void setEarly()
+    {
+        for (const auto &it : m_raw)
+            it->setEarly(true);
+    }
+
+    // Allows bodies of this length.
+    void allowBodies(std::size_t bytes)
+    {
+        m_config["version"] = 3;
+        m_config["limits"]["max-body-bytes"] = bytes;
+        store.put("op/config", m_config.dump());
+        REQUIRE(Fleet::waitFor([&] {
+            return call("POST", "/once/", nextId(), m_node, "key-t", std::string(bytes, 'x')).status
+                   != 413;
+        }));
+    }
+
     // The text of a request.
     static std::string request(const std::string &path, const std::string &id)
     {
@@ -146,13 +164,13 @@
 
     // Calls until an upstream's given bytes were the answer to a call. Other upstreams, which the
     // node still knows, may answer before.
-    HttpAnswer callPlayed(const Route &route)
+    HttpAnswer callPlayed(const Route &route, const std::string &body = "body")
     {
         HttpAnswer answer;
         REQUIRE(Fleet::waitFor([&] {
             const int before = played();
             lastId = nextId();
-            answer = call(route.method, route.path + lastId, lastId, m_node);
+            answer = call(route.method, route.path + lastId, lastId, m_node, "key-t", body);
             return played() > before;
         }));
         return answer;
@@ -189,6 +207,7 @@
     }
 
     const int m_node; // that is called
+    nlohmann::json m_config = configuration(2);
     int m_calls = 0;
     int m_upstreams = 0;
     std::vector<std::unique_ptr<RawUpstream>> m_raw;
@@ -410,3 +429,88 @@
         }
     }
 }
+
+// Guards against answers that are not valid and reach callers as answers.
+TEST_CASE("broken answers: no answer that is not valid reaches a caller [node][broken-answers]")
+{
+    const std::string fields = "Request-Id: {id}\r\nResponse-Seal: s\r\n";
+    const std::string body = "Content-Length: 30\r\n\r\n" + kEvents;
+    struct BrokenForm
+    {
+        std::string cause; // that the log gives
+        std::string bytes;
+    };
+    const std::vector<BrokenForm> forms{
+        {"bad status", "HTTP/1.1 000 Odd\r\n" + fields + body},
+        {"bad status", "HTTP/1.1 099 Odd\r\n" + fields + body},
+        {"bad status", "HTTP/1.1 600 Odd\r\n" + fields + body},
+        {"bad field", kHead + "A b: c\r\n" + body},
+        {"bad field", kHead + "A\x01: c\r\n" + body},
+        {"bad field", kHead + "A : c\r\n" + body},
+        {"bad obs-fold", kHead + " t\r\n" + body},
+        {"bad Transfer-Encoding",
+         kHead + "Transfer-Encoding: chunked, gzip\r\n\r\n1e\r\n" + kEvents + "\r\n0\r\n\r\n"},
+        {"bad Transfer-Encoding",
+         kHead + "Transfer-Encoding: gzip, chunked\r\n\r\n1e\r\n" + kEvents + "\r\n0\r\n\r\n"},
+    };
+    CutAnswers fleet;
+    for (const BrokenForm &form : forms) {
+        CAPTURE(form.bytes);
+        for (const Route &route : kRoutes) {
+            CAPTURE(route.path);
+            fleet.replaceUpstreams(form.bytes);
+            const HttpAnswer answer = fleet.callPlayed(route);
+            CAPTURE(answer.body);
+            CHECK(answer.status == 502);
+            CHECK(answer.isComplete);
+            CHECK(Fleet::waitFor([&] {
+                const std::string line = fleet.lastLogged(0, "name=AttemptFailed");
+                return CutAnswers::fieldOf(line, "request") == fleet.lastId
+                       && CutAnswers::fieldOf(line, "cause") == form.cause;
+            }));
+        }
+    }
+}
+
+// Guards against a part of an answer that becomes a success, as the reset is reported to the upload
+// alone.
+TEST_CASE("broken answers: a long upload that is answered with a part of an answer and a reset "
+          "fails [node][broken-answers]")
+{
+    constexpr std::size_t kUploadBytes = 8'000'000;
+    const std::string upload(kUploadBytes, 'x');
+    for (const bool isProxied : {false, true}) {
+        CAPTURE(isProxied);
+        CutAnswers fleet(isProxied);
+        fleet.allowBodies(kUploadBytes);
+        for (const Route &route : kRoutes) {
+            CAPTURE(route.path);
+            fleet.replaceUpstreams(kUnframed);
+            fleet.setEnd(RawUpstream::End::Reset);
+            fleet.setEarly();
+            const HttpAnswer answer = fleet.callPlayed({route.path, "POST"}, upload);
+            CAPTURE(answer.status);
+            CHECK_FALSE((answer.status == 200 && answer.isComplete));
+        }
+    }
+}
+
+// Guards against sound answers that are lost with those that break off.
+TEST_CASE("broken answers: an early answer to a long upload whose upstream closes its sending side "
+          "in order is whole [node][broken-answers]")
+{
+    constexpr std::size_t kUploadBytes = 8'000'000;
+    const std::string upload(kUploadBytes, 'x');
+    CutAnswers fleet;
+    fleet.allowBodies(kUploadBytes);
+    for (const Route &route : {kRoutes[0], kRoutes[1], kRoutes[3]}) {
+        CAPTURE(route.path);
+        fleet.replaceUpstreams(kUnframed);
+        fleet.setEnd(RawUpstream::End::CloseSending);
+        fleet.setEarly();
+        const HttpAnswer answer = fleet.callPlayed({route.path, "POST"}, upload);
+        CHECK(answer.status == 200);
+        CHECK(answer.isComplete);
+        CHECK(answer.body == kEvents);
+    }
+}
