Broken answers: a status outside 100 to 599 is no answer

Callers got answers of upstreams in trouble whose status was 000 (also 001, 099), as 0, 1 and 99, on all routes. A status of 0 also means "no answer yet" to the node's own calls, and to an order of weights any unknown status meant "not taken", which 000 does not say.

Cause: Boost.Beast takes any three digits, and no reader asked further.

Change: checkAnswerHead() rejects what the parser takes and no caller may get, at the one place through which answers of upstreams, peers and the platform pass (HttpChannel). RFC 9110 calls 600 to 999 invalid as well and asks to treat them as 5xx: 502.

--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/error.hpp>
 
+#include "adapters/http/answer_head.hpp"
+
 namespace fordwood::node {
 
 namespace {
@@ -158,6 +160,10 @@
 {
     const std::shared_ptr<Exchange> current = m_exchange;
     const auto &head = current->parser->get().base();
+    if (const ErrorCode ec = adapters::checkAnswerHead(head)) {
+        fail(ec);
+        return;
+    }
     if (http::to_status_class(head.result_int()) == http::status_class::informational) {
         current->interimAnswers += 1;
         // This client asks for no other protocol.
