Broken answers: a reset during an upload does not complete an answer without a length

A worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. Callers got the part as a complete answer.

Cause: the kernel reports a failure of a connection once, to whichever call comes first. HttpChannel writes and reads at the same time. Where the write got ECONNRESET (or the ETIMEDOUT of an unreachable upstream), the read got the end of the input, which ends an answer without a length, and the result of the write was dropped.

Change: the result of the write is kept with the exchange, and an answer that ended with its connection counts only if the write did not fail. If the connection has failed and the write has not ended yet, the channel waits for its result, which comes at once; so no order of the two is missed. EPIPE is no failure here: Linux returns it if the reset came after the upstream had closed its sending side, by which the answer is complete. An upload that is not whole says nothing alone: a sound upstream may answer early and close its sending side.

Through a peer it was handled before: such an answer must state its end there. ProxyServer still passes such a reset on as an end in order, which makes no answer complete.

--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -131,8 +131,9 @@
                 return;
             // An answer may come although the request was not read whole; what the
             // reading side finds decides.
-            if (!ec)
-                current->isWritten = true;
+            current->writeResult = ec;
+            if (current->isEndPending)
+                self->completeExchange();
         });
 }
 
@@ -229,20 +230,42 @@
 {
     const AnswerEnd end
         = m_exchange->parser->need_eof() ? AnswerEnd::Connection : AnswerEnd::Framing;
-    if (m_isProxied && end == AnswerEnd::Connection) {
-        fail(http::error::partial_message);
+    if (end == AnswerEnd::Connection && !hasEndedInOrder())
         return;
-    }
     const std::shared_ptr<Exchange> current = std::move(m_exchange);
     m_exchange.reset();
     // Bytes after the answer belong to no request, so the channel cannot be reused.
-    m_isReusable = current->isWritten && current->parser->keep_alive()
-                   && current->buffer.size() == 0 && !m_isProxied;
+    const bool isWritten = current->writeResult && !current->writeResult->failed();
+    m_isReusable
+        = isWritten && current->parser->keep_alive() && current->buffer.size() == 0 && !m_isProxied;
     if (!m_isReusable)
         close();
     current->handler->onAnswerEnd(end);
 }
 
+// Whether the upstream has closed its sending side. Returns false if the exchange has failed, or if
+// only the end of the write will tell. The kernel reports a failure of a connection once: if the
+// write gets it, reading finds no more than the end of the input.
+bool HttpChannel::hasEndedInOrder()
+{
+    if (m_isProxied) {
+        fail(http::error::partial_message);
+        return false;
+    }
+    Exchange &current = *m_exchange;
+    if (!current.writeResult) {
+        current.isEndPending = hasFailed(m_socket); // which ends the write at once
+        return !current.isEndPending;
+    }
+    // The write fails with EPIPE if the connection is reset after the upstream has closed its
+    // sending side.
+    const ErrorCode ec = *current.writeResult;
+    const bool isInOrder = !ec.failed() || ec == net::error::broken_pipe;
+    if (!isInOrder)
+        fail(ec);
+    return isInOrder;
+}
+
 void HttpChannel::fail(const ErrorCode &ec)
 {
     const std::shared_ptr<Exchange> current = std::move(m_exchange);
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -105,6 +105,7 @@
     void readBody();
     void handleBody(const ErrorCode &ec);
     void completeExchange();
+    bool hasEndedInOrder();
     void fail(const ErrorCode &ec);
 
     static constexpr std::size_t kChunkBytes = 8'192;
@@ -125,7 +126,8 @@
         AnswerHandler *handler = nullptr;
         bool isHeadRequest = false;
         std::size_t interimAnswers = 0; // that have arrived before the answer
-        bool isWritten = false;
+        std::optional<ErrorCode> writeResult; // nothing while the request is being written
+        bool isEndPending = false; // the answer has ended, and is whole if the write tells so
         bool isReadingPaused = false; // onBody() has returned false
     };
 
--- a/tests/node/broken_answers_test.cpp
+++ b/tests/node/broken_answers_test.cpp
@@ -126,6 +126,11 @@
     return fixture.answer;
 }
 
+// More than the kernel holds for a connection.
+const std::string kUpload(16'000'000, 'x');
+
+const std::string kUnframed = "HTTP/1.1 200 OK\r\n\r\npart"; // ends with its connection
+
 } // namespace
 
 // Guards against a status that no caller can read, or that means "no answer" elsewhere.
@@ -146,6 +151,84 @@
     }
 }
 
+// Guards against a part of an answer that is taken for all of it, as the kernel reports the reset
+// to the upload alone.
+TEST_CASE("broken answers: a reset during an upload does not complete an answer without a length "
+          "[broken-answers]")
+{
+    const std::vector<std::pair<std::string, std::function<void(ChannelFixture &)>>> ends{
+        {"at once", [](ChannelFixture &it) { it.reset(); }},
+        {"after the part was read",
+         [](ChannelFixture &it) {
+             it.settle();
+             it.reset();
+         }},
+        {"while reading was paused",
+         [](ChannelFixture &it) {
+             it.answer.isPausing = true;
+             it.settle();
+             it.reset();
+             it.settle();
+             it.channel->resumeReading();
+         }},
+    };
+    for (const auto &[name, end] : ends) {
+        CAPTURE(name);
+        ChannelFixture fixture;
+        fixture.exchange(kUpload);
+        fixture.send(kUnframed);
+        end(fixture);
+        fixture.awaitEnd();
+        CHECK_FALSE(fixture.answer.isComplete);
+        CHECK(fixture.answer.failure == net::error::connection_reset);
+    }
+}
+
+// Guards against sound answers that are lost with those that break off.
+TEST_CASE("broken answers: an early answer without a length whose upstream closes its sending side "
+          "in order is complete [broken-answers]")
+{
+    const std::vector<std::pair<std::string, std::function<void(ChannelFixture &)>>> ends{
+        {"and reads nothing more", [](ChannelFixture & /*it*/) {}},
+        {"and reads on", [](ChannelFixture &it) { it.readOn(); }},
+        {"and resets the connection at once", [](ChannelFixture &it) { it.reset(); }},
+        {"and resets the connection later",
+         [](ChannelFixture &it) {
+             it.settle();
+             it.reset();
+         }},
+    };
+    for (const auto &[name, end] : ends) {
+        CAPTURE(name);
+        ChannelFixture fixture;
+        fixture.exchange(kUpload);
+        fixture.send(kUnframed);
+        fixture.endSending();
+        end(fixture);
+        fixture.awaitEnd();
+        CHECK(fixture.answer.isComplete);
+        CHECK(fixture.answer.body == "part");
+        CHECK_FALSE(fixture.channel->isReusable());
+    }
+}
+
+// Guards against answers that state their end and are lost with the upload.
+TEST_CASE("broken answers: an early answer that states its end is complete, however its connection "
+          "ends [broken-answers]")
+{
+    for (const char *it : {"Content-Length: 4\r\n\r\nbody",
+                           "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+        CAPTURE(it);
+        ChannelFixture fixture;
+        fixture.exchange(kUpload);
+        fixture.send("HTTP/1.1 200 OK\r\n" + std::string(it));
+        fixture.reset();
+        fixture.awaitEnd();
+        CHECK(fixture.answer.isComplete);
+        CHECK(fixture.answer.body == "body");
+    }
+}
+
 // Guards against lines that other readers on the way take for another field, length or end.
 TEST_CASE("broken answers: a head with an odd name, length, line or status line is no answer "
           "[broken-answers]")
--- a/tests/process/cut_answer_test.cpp
+++ b/tests/process/cut_answer_test.cpp
@@ -91,16 +91,15 @@
                 return call("GET", "/safe/" + id, id, 1).status == 200 && isThroughPeer(id);
             }));
         }
-        nlohmann::json config = configuration(2);
-        config["routes"].push_back({{"name", "unresumable"},
-                                    {"host", "a.example"},
-                                    {"path-prefix", "/unresumable/"},
-                                    {"kind", "streaming"},
-                                    {"service", "board"},
-                                    {"timeout-ms", 5'000},
-                                    {"max-attempts", 2},
-                                    {"target-latency-ms", 400}});
-        store.put("op/config", config.dump());
+        m_config["routes"].push_back({{"name", "unresumable"},
+                                      {"host", "a.example"},
+                                      {"path-prefix", "/unresumable/"},
+                                      {"kind", "streaming"},
+                                      {"service", "board"},
+                                      {"timeout-ms", 5'000},
+                                      {"max-attempts", 2},
+                                      {"target-latency-ms", 400}});
+        store.put("op/config", m_config.dump());
         for (const int it : {0, m_node})
             REQUIRE(Fleet::waitFor([&] { return logged(it, "routes=\"5\"") > 0; }));
         for (const char *it : {"i-1", "i-2"})
@@ -137,6 +136,25 @@
             it->setEnd(end);
     }
 
+    // Answers come before the bodies of their requests have been read.
+    void setEarly()
+    {
+        for (const auto &it : m_raw)
+            it->setEarly(true);
+    }
+
+    // Allows bodies of this length.
+    void allowBodies(std::size_t bytes)
+    {
+        m_config["version"] = 3;
+        m_config["limits"]["max-body-bytes"] = bytes;
+        store.put("op/config", m_config.dump());
+        REQUIRE(Fleet::waitFor([&] {
+            return call("POST", "/once/", nextId(), m_node, "key-t", std::string(bytes, 'x')).status
+                   != 413;
+        }));
+    }
+
     // The text of a request.
     static std::string request(const std::string &path, const std::string &id)
     {
@@ -146,13 +164,13 @@
 
     // Calls until an upstream's given bytes were the answer to a call. Other upstreams, which the
     // node still knows, may answer before.
-    HttpAnswer callPlayed(const Route &route)
+    HttpAnswer callPlayed(const Route &route, const std::string &body = "body")
     {
         HttpAnswer answer;
         REQUIRE(Fleet::waitFor([&] {
             const int before = played();
             lastId = nextId();
-            answer = call(route.method, route.path + lastId, lastId, m_node);
+            answer = call(route.method, route.path + lastId, lastId, m_node, "key-t", body);
             return played() > before;
         }));
         return answer;
@@ -189,6 +207,7 @@
     }
 
     const int m_node; // that is called
+    nlohmann::json m_config = configuration(2);
     int m_calls = 0;
     int m_upstreams = 0;
     std::vector<std::unique_ptr<RawUpstream>> m_raw;
@@ -447,3 +466,46 @@
         }
     }
 }
+
+// Guards against a part of an answer that becomes a success, as the reset is reported to the upload
+// alone.
+TEST_CASE("broken answers: a long upload that is answered with a part of an answer and a reset "
+          "fails [node][broken-answers]")
+{
+    constexpr std::size_t kUploadBytes = 8'000'000;
+    const std::string upload(kUploadBytes, 'x');
+    for (const bool isProxied : {false, true}) {
+        CAPTURE(isProxied);
+        CutAnswers fleet(isProxied);
+        fleet.allowBodies(kUploadBytes);
+        for (const Route &route : kRoutes) {
+            CAPTURE(route.path);
+            fleet.replaceUpstreams(kUnframed);
+            fleet.setEnd(RawUpstream::End::Reset);
+            fleet.setEarly();
+            const HttpAnswer answer = fleet.callPlayed({route.path, "POST"}, upload);
+            CAPTURE(answer.status);
+            CHECK_FALSE((answer.status == 200 && answer.isComplete));
+        }
+    }
+}
+
+// Guards against sound answers that are lost with those that break off.
+TEST_CASE("broken answers: an early answer to a long upload whose upstream closes its sending side "
+          "in order is whole [node][broken-answers]")
+{
+    constexpr std::size_t kUploadBytes = 8'000'000;
+    const std::string upload(kUploadBytes, 'x');
+    CutAnswers fleet;
+    fleet.allowBodies(kUploadBytes);
+    for (const Route &route : {kRoutes[0], kRoutes[1], kRoutes[3]}) {
+        CAPTURE(route.path);
+        fleet.replaceUpstreams(kUnframed);
+        fleet.setEnd(RawUpstream::End::CloseSending);
+        fleet.setEarly();
+        const HttpAnswer answer = fleet.callPlayed({route.path, "POST"}, upload);
+        CHECK(answer.status == 200);
+        CHECK(answer.isComplete);
+        CHECK(answer.body == kEvents);
+    }
+}
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -181,9 +181,10 @@
     }
 
     HttpAnswer call(const std::string &method, const std::string &path, const std::string &id,
-                    int node = 0, const std::string &key = "key-t") const
+                    int node = 0, const std::string &key = "key-t",
+                    const std::string &body = "body") const
     {
-        return httpCall(method, url(node, path), method == "POST" ? "body" : "",
+        return httpCall(method, url(node, path), method == "POST" ? body : "",
                         {"Host: a.example", "Request-Id: " + id, "Credential: " + key,
                          "Request-Deadline: 4000"});
     }
--- a/tests/process/raw_upstream.cpp
+++ b/tests/process/raw_upstream.cpp
@@ -31,11 +31,16 @@
     return request.substr(begin, request.find("\r\n", begin) - begin);
 }
 
+bool hasHead(const std::string &request)
+{
+    return request.find("\r\n\r\n") != std::string::npos;
+}
+
 bool isWhole(const std::string &request)
 {
-    const std::size_t end = request.find("\r\n\r\n");
-    if (end == std::string::npos)
+    if (!hasHead(request))
         return false;
+    const std::size_t end = request.find("\r\n\r\n");
     const std::string length = fieldOf(request, "Content-Length");
     return request.size() - end - 4 >= std::strtoul(length.c_str(), nullptr, 10);
 }
@@ -87,19 +92,23 @@
         const linger reset{1, 0};
         setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     }
-    char byte = 0;
-    while (m_end == End::Hold && !m_isStopping && recv(connection, &byte, 1, 0) != 0) { }
+    if (m_end == End::CloseSending)
+        shutdown(connection, SHUT_WR);
+    const bool readsOn = m_end == End::Hold || m_end == End::CloseSending;
+    std::array<char, 4'096> buf{};
+    while (readsOn && !m_isStopping && recv(connection, buf.data(), buf.size(), 0) != 0) { }
     close(connection);
 }
 
-// A request is read whole before the connection is closed: unread bytes would make it a reset.
+// A request is read whole before the connection is closed, unless a test asks for an early answer:
+// unread bytes would make it a reset.
 void RawUpstream::answer(int connection)
 {
     const timeval patience{1, 0};
     setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
     std::string request;
     std::array<char, 4'096> buf{};
-    while (!isWhole(request)) {
+    while (m_isEarly ? !hasHead(request) : !isWhole(request)) {
         const ssize_t n = recv(connection, buf.data(), buf.size(), 0);
         if (n <= 0)
             return;
--- a/tests/process/raw_upstream.hpp
+++ b/tests/process/raw_upstream.hpp
@@ -26,11 +26,15 @@
     enum class End {
         Close,
         Reset, // a moment later, so that the bytes have been read
+        CloseSending, // the sending side only; what still comes is read
         Hold, // the connection stays open until the other side closes it
     };
 
     void setEnd(End end) { m_end = end; }
 
+    // Whether the bytes are sent as soon as the head of a request has arrived, before its body.
+    void setEarly(bool isEarly) { m_isEarly = isEarly; }
+
     // From now on these bytes are sent, with the request's id in place of "{id}".
     void setAnswer(std::string bytes);
 
@@ -49,6 +53,7 @@
     std::mutex m_mutex;
     std::string m_bytes;
     std::atomic<End> m_end{End::Close};
+    std::atomic<bool> m_isEarly{false};
     std::atomic<int> m_answered{0};
     std::atomic<std::size_t> m_sentBytes{0};
     std::atomic<bool> m_isStopping{false};
