Broken answers: a head with a folded line is no answer

A line of a head that began with a blank was joined to the field before it and passed on to callers; behind the line of the seal it changed the seal.

Cause: Boost.Beast joins folded lines, which HTTP/1.1 has given up, without a sign in what it has parsed.

Change: HttpChannel reads a head itself until the parser has all of it, and checkAnswerHead() looks at its text. A folded line ends the attempt with "bad obs-fold", as RFC 9112 (5.2) allows a gateway: callers get 502. It holds for interim heads as well.

Evidence: on the code before, "a head with a folded line is no answer" fails in three of four forms (whole answers); a folded line behind the status line was rejected before. All pass now, and so do the tests of endless answers, which bound the reading of heads.

--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -145,15 +145,53 @@
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (m_exchange->isHeadRequest)
         parser.skip(true);
-    http::async_read_header(
-        m_socket, m_exchange->buffer, parser,
-        [self = shared_from_this(), current = m_exchange](const ErrorCode &ec, std::size_t) {
+    parseHead();
+}
+
+// Parses the head once all of it has arrived. Boost.Beast's own reading of heads would not show
+// their text.
+void HttpChannel::parseHead()
+{
+    Exchange &current = *m_exchange;
+    if (current.buffer.size() == 0) {
+        readMoreOfHead();
+        return;
+    }
+    ErrorCode ec;
+    const std::size_t n = current.parser->put(current.buffer.data(), ec);
+    if (ec == http::error::need_more) {
+        readMoreOfHead();
+        return;
+    }
+    if (!ec) {
+        const std::string_view text(static_cast<const char *>(current.buffer.data().data()), n);
+        ec = adapters::checkAnswerHead(text, current.parser->get());
+    }
+    if (ec) {
+        fail(ec);
+        return;
+    }
+    current.buffer.consume(n);
+    handleHead();
+}
+
+void HttpChannel::readMoreOfHead()
+{
+    boost::beast::flat_buffer &buffer = m_exchange->buffer;
+    m_socket.async_read_some(
+        buffer.prepare(boost::beast::read_size(buffer, kMaxUnparsedBytes)),
+        [self = shared_from_this(), current = m_exchange](const ErrorCode &ec, std::size_t n) {
             if (current != self->m_exchange)
                 return;
-            if (ec)
-                self->fail(ec);
+            current->buffer.commit(n);
+            if (!ec)
+                self->parseHead();
+            else if (ec == net::error::eof && current->parser->got_some())
+                self->fail(http::error::partial_message);
+            else if (ec == net::error::eof)
+                self->fail(http::error::end_of_stream);
             else
-                self->handleHead();
+                self->fail(ec);
         });
 }
 
@@ -161,10 +199,6 @@
 {
     const std::shared_ptr<Exchange> current = m_exchange;
     const auto &head = current->parser->get().base();
-    if (const ErrorCode ec = adapters::checkAnswerHead(head)) {
-        fail(ec);
-        return;
-    }
     if (http::to_status_class(head.result_int()) == http::status_class::informational) {
         current->interimAnswers += 1;
         // This client asks for no other protocol.
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -101,6 +101,8 @@
     void closeAfter(Duration timeout);
     void writeRequest();
     void readHead();
+    void parseHead();
+    void readMoreOfHead();
     void handleHead();
     void readBody();
     void handleBody(const ErrorCode &ec);
--- a/tests/node/broken_answers_test.cpp
+++ b/tests/node/broken_answers_test.cpp
@@ -229,6 +229,22 @@
     }
 }
 
+// Guards against a field whose value is another one than the upstream's.
+TEST_CASE("broken answers: a head with a folded line is no answer [broken-answers]")
+{
+    for (const char *it : {"A: b\r\n c\r\n", "A: b\r\n\tc\r\n", "A: b\r\n \r\n", " A: b\r\n"}) {
+        CAPTURE(it);
+        const Answer answer
+            = answerTo("HTTP/1.1 200 OK\r\n" + std::string(it) + "Content-Length: 4\r\n\r\nbody");
+        CHECK_FALSE(answer.isComplete);
+        CHECK(answer.failure.failed());
+    }
+    // The same bytes in a body are none of the head's.
+    CHECK(answerTo("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n a\r\n b\r\n").isComplete);
+    CHECK(answerTo("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+              .isComplete);
+}
+
 // Guards against lines that other readers on the way take for another field, length or end.
 TEST_CASE("broken answers: a head with an odd name, length, line or status line is no answer "
           "[broken-answers]")
--- a/tests/process/cut_answer_test.cpp
+++ b/tests/process/cut_answer_test.cpp
@@ -447,6 +447,7 @@
         {"bad field", kHead + "A b: c\r\n" + body},
         {"bad field", kHead + "A\x01: c\r\n" + body},
         {"bad field", kHead + "A : c\r\n" + body},
+        {"bad obs-fold", kHead + " t\r\n" + body},
     };
     CutAnswers fleet;
     for (const BrokenForm &form : forms) {
