Broken answers: a transfer coding other than chunked is no answer

"Transfer-Encoding: chunked, gzip" gave callers a 200 whose body was the framing of the chunks itself, and "gzip, chunked" one whose body was still encoded, with nothing that said so.

Cause: Boost.Beast decodes chunks if "chunked" stands last in one field, and takes any other coding for none. The field concerns one connection and is not passed on.

Change: an answer with a body may name "chunked" alone, or "identity"; anything else, also in a second field, ends the attempt with "bad Transfer-Encoding". No request of a node asks for another coding. Answers without a body by their nature may name any.

Evidence: on the code before, "a transfer coding other than chunked is no answer" fails (whole answers for "chunked, gzip", "gzip, chunked", two fields, an empty one and others); it passes now, and "no answer that is not valid reaches a caller" with folded lines and codings on four kinds of route.

--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -165,7 +165,8 @@
     }
     if (!ec) {
         const std::string_view text(static_cast<const char *>(current.buffer.data().data()), n);
-        ec = adapters::checkAnswerHead(text, current.parser->get());
+        const bool hasBody = !current.parser->is_done();
+        ec = adapters::checkAnswerHead(text, current.parser->get(), hasBody);
     }
     if (ec) {
         fail(ec);
--- a/tests/node/broken_answers_test.cpp
+++ b/tests/node/broken_answers_test.cpp
@@ -245,6 +245,36 @@
               .isComplete);
 }
 
+// Guards against a body that is still encoded, with nothing that says so, and against chunks that
+// are taken for the body itself.
+TEST_CASE("broken answers: a transfer coding other than chunked is no answer [broken-answers]")
+{
+    const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+    for (const char *it :
+         {"Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+          "Transfer-Encoding: \r\n", "Transfer-Encoding: chunked, chunked\r\n",
+          "Transfer-Encoding: \"chunked\"\r\n", "Transfer-Encoding: xchunked\r\n"}) {
+        CAPTURE(it);
+        const Answer answer = answerTo("HTTP/1.1 200 OK\r\n" + std::string(it) + chunks);
+        CHECK_FALSE(answer.isComplete);
+        CHECK(answer.failure == http::error::bad_transfer_encoding);
+        CHECK(answer.body.empty());
+    }
+    for (const char *it : {"chunked", "Chunked", " chunked "}) {
+        CAPTURE(it);
+        const Answer answer
+            = answerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + std::string(it) + "\r\n" + chunks);
+        CHECK(answer.isComplete);
+        CHECK(answer.body == "body");
+    }
+    CHECK(answerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nbody").body == "body");
+    // These have no body that could be encoded.
+    CHECK(answerTo("HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: gzip, chunked\r\n\r\n")
+              .isComplete);
+}
+
 // Guards against lines that other readers on the way take for another field, length or end.
 TEST_CASE("broken answers: a head with an odd name, length, line or status line is no answer "
           "[broken-answers]")
--- a/tests/process/cut_answer_test.cpp
+++ b/tests/process/cut_answer_test.cpp
@@ -448,6 +448,10 @@
         {"bad field", kHead + "A\x01: c\r\n" + body},
         {"bad field", kHead + "A : c\r\n" + body},
         {"bad obs-fold", kHead + " t\r\n" + body},
+        {"bad Transfer-Encoding",
+         kHead + "Transfer-Encoding: chunked, gzip\r\n\r\n1e\r\n" + kEvents + "\r\n0\r\n\r\n"},
+        {"bad Transfer-Encoding",
+         kHead + "Transfer-Encoding: gzip, chunked\r\n\r\n1e\r\n" + kEvents + "\r\n0\r\n\r\n"},
     };
     CutAnswers fleet;
     for (const BrokenForm &form : forms) {
