--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -239,7 +239,9 @@
     void readFields(const http::response_header<> &head)
     {
         m_head = AnswerHead{};
+        m_cost = 0.0;
         m_isNotRun = false;
+        m_isVersionMismatch = false;
         m_limit = ParsedLimit{};
         m_isDraining = false;
         m_backoff = ParsedBackoff{};
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -129,8 +129,8 @@
         [self = shared_from_this(), current = m_exchange](const ErrorCode &ec, std::size_t) {
             if (current != self->m_exchange)
                 return;
-            // An answer may come although the request was not read whole; what the
-            // reading side finds decides.
+            // A failure alone does not end the exchange: an answer may come although the
+            // request was not read whole.
             current->writeResult = ec;
             if (current->isEndPending)
                 self->completeExchange();
@@ -265,7 +265,7 @@
 {
     const AnswerEnd end
         = m_exchange->parser->need_eof() ? AnswerEnd::Connection : AnswerEnd::Framing;
-    if (end == AnswerEnd::Connection && !hasEndedInOrder())
+    if (end == AnswerEnd::Connection && !checkConnectionEnd())
         return;
     const std::shared_ptr<Exchange> current = std::move(m_exchange);
     m_exchange.reset();
@@ -278,10 +278,10 @@
     current->handler->onAnswerEnd(end);
 }
 
-// Whether the upstream has closed its sending side. Returns false if the exchange has failed, or if
-// only the end of the write will tell. The kernel reports a failure of a connection once: if the
-// write gets it, reading finds no more than the end of the input.
-bool HttpChannel::hasEndedInOrder()
+// Checks that the connection ended because the upstream closed its sending side. Returns false if
+// not, and the exchange has failed, or if the write has to end first. The kernel reports a failure
+// of a connection once: if the write gets it, reading finds no more than the end of the input.
+bool HttpChannel::checkConnectionEnd()
 {
     if (m_isProxied) {
         fail(http::error::partial_message);
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -107,7 +107,7 @@
     void readBody();
     void handleBody(const ErrorCode &ec);
     void completeExchange();
-    bool hasEndedInOrder();
+    bool checkConnectionEnd();
     void fail(const ErrorCode &ec);
 
     static constexpr std::size_t kChunkBytes = 8'192;
@@ -129,7 +129,7 @@
         bool isHeadRequest = false;
         std::size_t interimAnswers = 0; // that have arrived before the answer
         std::optional<ErrorCode> writeResult; // nothing while the request is being written
-        bool isEndPending = false; // the answer has ended, and is whole if the write tells so
+        bool isEndPending = false; // the connection has ended, and the write's result decides
         bool isReadingPaused = false; // onBody() has returned false
     };
 
--- a/tests/node/broken_answers_test.cpp
+++ b/tests/node/broken_answers_test.cpp
@@ -136,18 +136,16 @@
 // Guards against a status that no caller can read, or that means "no answer" elsewhere.
 TEST_CASE("broken answers: a status outside 100 to 599 is no answer [broken-answers]")
 {
-    for (const char *it : {"000", "001", "099", "600", "999"}) {
+    for (const std::string it : {"000", "001", "099", "600", "999"}) {
         CAPTURE(it);
-        const Answer answer
-            = answerTo("HTTP/1.1 " + std::string(it) + " Odd\r\nContent-Length: 4\r\n\r\nbody");
+        const Answer answer = answerTo("HTTP/1.1 " + it + " Odd\r\nContent-Length: 4\r\n\r\nbody");
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure == http::error::bad_status);
         CHECK(answer.body.empty());
     }
-    for (const char *it : {"200", "299", "404", "599"}) {
+    for (const std::string it : {"200", "299", "404", "599"}) {
         CAPTURE(it);
-        CHECK(answerTo("HTTP/1.1 " + std::string(it) + " Known\r\nContent-Length: 4\r\n\r\nbody")
-                  .isComplete);
+        CHECK(answerTo("HTTP/1.1 " + it + " Known\r\nContent-Length: 4\r\n\r\nbody").isComplete);
     }
 }
 
@@ -216,12 +214,12 @@
 TEST_CASE("broken answers: an early answer that states its end is complete, however its connection "
           "ends [broken-answers]")
 {
-    for (const char *it : {"Content-Length: 4\r\n\r\nbody",
-                           "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+    for (const std::string it : {"Content-Length: 4\r\n\r\nbody",
+                                 "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
         CAPTURE(it);
         ChannelFixture fixture;
         fixture.exchange(kUpload);
-        fixture.send("HTTP/1.1 200 OK\r\n" + std::string(it));
+        fixture.send("HTTP/1.1 200 OK\r\n" + it);
         fixture.reset();
         fixture.awaitEnd();
         CHECK(fixture.answer.isComplete);
@@ -232,10 +230,11 @@
 // Guards against a field whose value is another one than the upstream's.
 TEST_CASE("broken answers: a head with a folded line is no answer [broken-answers]")
 {
-    for (const char *it : {"A: b\r\n c\r\n", "A: b\r\n\tc\r\n", "A: b\r\n \r\n", " A: b\r\n"}) {
+    for (const std::string it :
+         {"A: b\r\n c\r\n", "A: b\r\n\tc\r\n", "A: b\r\n \r\n", " A: b\r\n"}) {
         CAPTURE(it);
         const Answer answer
-            = answerTo("HTTP/1.1 200 OK\r\n" + std::string(it) + "Content-Length: 4\r\n\r\nbody");
+            = answerTo("HTTP/1.1 200 OK\r\n" + it + "Content-Length: 4\r\n\r\nbody");
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
@@ -250,22 +249,22 @@
 TEST_CASE("broken answers: a transfer coding other than chunked is no answer [broken-answers]")
 {
     const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
-    for (const char *it :
+    for (const std::string it :
          {"Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
           "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
           "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
           "Transfer-Encoding: \r\n", "Transfer-Encoding: chunked, chunked\r\n",
           "Transfer-Encoding: \"chunked\"\r\n", "Transfer-Encoding: xchunked\r\n"}) {
         CAPTURE(it);
-        const Answer answer = answerTo("HTTP/1.1 200 OK\r\n" + std::string(it) + chunks);
+        const Answer answer = answerTo("HTTP/1.1 200 OK\r\n" + it + chunks);
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure == http::error::bad_transfer_encoding);
         CHECK(answer.body.empty());
     }
-    for (const char *it : {"chunked", "Chunked", " chunked "}) {
+    for (const std::string it : {"chunked", "Chunked", " chunked "}) {
         CAPTURE(it);
         const Answer answer
-            = answerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + std::string(it) + "\r\n" + chunks);
+            = answerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + it + "\r\n" + chunks);
         CHECK(answer.isComplete);
         CHECK(answer.body == "body");
     }
@@ -282,27 +281,29 @@
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string length = "Content-Length: 4\r\n";
     const std::string body = "\r\nbody";
-    for (const char *it : {"A b: c", "A\tb: c",
-                           "A\x01"
-                           "b: c",
-                           "A\x7f: c", "A\x80: c", "A[b]: c", "A\rb: c", "A : c", "A\t: c", ": c",
-                           "A", "A: b\rc", "A: b\x01", "A: b\x7f", "A: b\r"}) {
+    for (const std::string it : {"A b: c", "A\tb: c",
+                                 "A\x01"
+                                 "b: c",
+                                 "A\x7f: c", "A\x80: c", "A[b]: c", "A\rb: c", "A : c", "A\t: c",
+                                 ": c", "A", "A: b\rc", "A: b\x01", "A: b\x7f", "A: b\r"}) {
         CAPTURE(it);
         const Answer answer = answerTo(ok + it + "\r\n" + length + body);
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
-    for (const char *it : {"+4", "4x", "-4", "0x4", "", "4 4", "4, 5", "4\r\nContent-Length: 5",
-                           "99999999999999999999", "4\r\nTransfer-Encoding: chunked"}) {
+    for (const std::string it :
+         {"+4", "4x", "-4", "0x4", "", "4 4", "4, 5", "4\r\nContent-Length: 5",
+          "99999999999999999999", "4\r\nTransfer-Encoding: chunked"}) {
         CAPTURE(it);
         const Answer answer = answerTo(ok + "Content-Length: " + it + "\r\n" + body);
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
-    for (const char *it : {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/2 200 OK",
-                           "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x01K", "HTTP 200 OK", "200 OK"}) {
+    for (const std::string it :
+         {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/2 200 OK",
+          "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x01K", "HTTP 200 OK", "200 OK"}) {
         CAPTURE(it);
-        const Answer answer = answerTo(std::string(it) + "\r\n" + length + body);
+        const Answer answer = answerTo(it + "\r\n" + length + body);
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
--- a/tests/process/upstream_answer_test.cpp
+++ b/tests/process/upstream_answer_test.cpp
@@ -3,6 +3,7 @@
 // valid.
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -57,6 +58,22 @@
     int m_calls = 0;
 };
 
+// Plays each form to both kinds of route.
+void playAll(const std::vector<Form> &forms, const std::function<void(const HttpAnswer &)> &check)
+{
+    CutService service;
+    for (const Form &it : forms) {
+        CAPTURE(it.name);
+        for (const std::string path : {"/once", "/again"}) {
+            CAPTURE(path);
+            const HttpAnswer answer = service.call(path, it.bytes);
+            CAPTURE(answer.status);
+            CAPTURE(answer.body);
+            check(answer);
+        }
+    }
+}
+
 } // namespace
 
 // Guards against a 200 with an empty or short body, framed as whole.
@@ -84,17 +101,9 @@
         {"a stream cut within an event", kStream + "\r\ndata: 1\n\ndata"},
         {"a stream cut after an event", kStream + "\r\ndata: 1\n\n"},
     };
-    CutService service;
-    for (const Form &it : forms) {
-        CAPTURE(it.name);
-        for (const char *path : {"/once", "/again"}) {
-            CAPTURE(path);
-            const HttpAnswer answer = service.call(path, it.bytes);
-            CAPTURE(answer.status);
-            CAPTURE(answer.body);
-            CHECK_FALSE((answer.status == 200 && answer.isComplete));
-        }
-    }
+    playAll(forms, [](const HttpAnswer &answer) {
+        CHECK_FALSE((answer.status == 200 && answer.isComplete));
+    });
 }
 
 TEST_CASE("cut answers: bodies that end with their connection, and answers without one, are whole "
@@ -194,17 +203,10 @@
         {"an odd name in an interim head",
          "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\n" + kHead + length + body},
     };
-    CutService service;
-    for (const Form &it : forms) {
-        CAPTURE(it.name);
-        for (const char *path : {"/once", "/again"}) {
-            CAPTURE(path);
-            const HttpAnswer answer = service.call(path, it.bytes);
-            CAPTURE(answer.body);
-            CHECK(answer.status == 502);
-            CHECK(answer.isComplete);
-        }
-    }
+    playAll(forms, [](const HttpAnswer &answer) {
+        CHECK(answer.status == 502);
+        CHECK(answer.isComplete);
+    });
 }
 
 // Guards against sound answers that are taken for broken ones.
@@ -251,7 +253,7 @@
     CutService service;
     service.raw->setEarly(true);
     service.raw->setEnd(RawUpstream::End::Reset);
-    for (const char *path : {"/once", "/again"}) {
+    for (const std::string path : {"/once", "/again"}) {
         CAPTURE(path);
         const HttpAnswer answer = service.call(path, kHead + "\r\npart", upload);
         CHECK_FALSE((answer.status == 200 && answer.isComplete));
