Clang-tidy: texts of the broken answers' tests are joined by their fixture

Three findings of clang-tidy in the new test file: structured bindings in captures, sums of strings in loops, and a literal that looked like two.

--- a/tests/node/broken_answers_test.cpp
+++ b/tests/node/broken_answers_test.cpp
@@ -4,8 +4,11 @@
 
 #include <chrono>
 #include <functional>
+#include <initializer_list>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -116,10 +119,13 @@
 };
 
 // The answer to a GET request, all of it sent at once.
-Answer answerTo(const std::string &bytes)
+Answer answerTo(std::initializer_list<std::string_view> parts)
 {
     ChannelFixture fixture;
     fixture.exchange();
+    std::string bytes;
+    for (const std::string_view it : parts)
+        bytes.append(it);
     fixture.send(bytes);
     fixture.endSending();
     fixture.awaitEnd();
@@ -131,6 +137,13 @@
 
 const std::string kUnframed = "HTTP/1.1 200 OK\r\n\r\npart"; // ends with its connection
 
+// How the server ends a connection.
+struct End
+{
+    std::string name;
+    std::function<void(ChannelFixture &)> play;
+};
+
 } // namespace
 
 // Guards against a status that no caller can read, or that means "no answer" elsewhere.
@@ -138,14 +151,14 @@
 {
     for (const std::string it : {"000", "001", "099", "600", "999"}) {
         CAPTURE(it);
-        const Answer answer = answerTo("HTTP/1.1 " + it + " Odd\r\nContent-Length: 4\r\n\r\nbody");
+        const Answer answer = answerTo({"HTTP/1.1 ", it, " Odd\r\nContent-Length: 4\r\n\r\nbody"});
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure == http::error::bad_status);
         CHECK(answer.body.empty());
     }
     for (const std::string it : {"200", "299", "404", "599"}) {
         CAPTURE(it);
-        CHECK(answerTo("HTTP/1.1 " + it + " Known\r\nContent-Length: 4\r\n\r\nbody").isComplete);
+        CHECK(answerTo({"HTTP/1.1 ", it, " Known\r\nContent-Length: 4\r\n\r\nbody"}).isComplete);
     }
 }
 
@@ -154,7 +167,7 @@
 TEST_CASE("broken answers: a reset during an upload does not complete an answer without a length "
           "[broken-answers]")
 {
-    const std::vector<std::pair<std::string, std::function<void(ChannelFixture &)>>> ends{
+    const std::vector<End> ends{
         {"at once", [](ChannelFixture &it) { it.reset(); }},
         {"after the part was read",
          [](ChannelFixture &it) {
@@ -170,12 +183,12 @@
              it.channel->resumeReading();
          }},
     };
-    for (const auto &[name, end] : ends) {
-        CAPTURE(name);
+    for (const End &it : ends) {
+        CAPTURE(it.name);
         ChannelFixture fixture;
         fixture.exchange(kUpload);
         fixture.send(kUnframed);
-        end(fixture);
+        it.play(fixture);
         fixture.awaitEnd();
         CHECK_FALSE(fixture.answer.isComplete);
         CHECK(fixture.answer.failure == net::error::connection_reset);
@@ -186,7 +199,7 @@
 TEST_CASE("broken answers: an early answer without a length whose upstream closes its sending side "
           "in order is complete [broken-answers]")
 {
-    const std::vector<std::pair<std::string, std::function<void(ChannelFixture &)>>> ends{
+    const std::vector<End> ends{
         {"and reads nothing more", [](ChannelFixture & /*it*/) {}},
         {"and reads on", [](ChannelFixture &it) { it.readOn(); }},
         {"and resets the connection at once", [](ChannelFixture &it) { it.reset(); }},
@@ -196,13 +209,13 @@
              it.reset();
          }},
     };
-    for (const auto &[name, end] : ends) {
-        CAPTURE(name);
+    for (const End &it : ends) {
+        CAPTURE(it.name);
         ChannelFixture fixture;
         fixture.exchange(kUpload);
         fixture.send(kUnframed);
         fixture.endSending();
-        end(fixture);
+        it.play(fixture);
         fixture.awaitEnd();
         CHECK(fixture.answer.isComplete);
         CHECK(fixture.answer.body == "part");
@@ -234,14 +247,15 @@
          {"A: b\r\n c\r\n", "A: b\r\n\tc\r\n", "A: b\r\n \r\n", " A: b\r\n"}) {
         CAPTURE(it);
         const Answer answer
-            = answerTo("HTTP/1.1 200 OK\r\n" + it + "Content-Length: 4\r\n\r\nbody");
+            = answerTo({"HTTP/1.1 200 OK\r\n", it, "Content-Length: 4\r\n\r\nbody"});
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
     // The same bytes in a body are none of the head's.
-    CHECK(answerTo("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n a\r\n b\r\n").isComplete);
-    CHECK(answerTo("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
-              .isComplete);
+    CHECK(answerTo({"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n a\r\n b\r\n"}).isComplete);
+    CHECK(
+        answerTo({"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"})
+            .isComplete);
 }
 
 // Guards against a body that is still encoded, with nothing that says so, and against chunks that
@@ -256,7 +270,7 @@
           "Transfer-Encoding: \r\n", "Transfer-Encoding: chunked, chunked\r\n",
           "Transfer-Encoding: \"chunked\"\r\n", "Transfer-Encoding: xchunked\r\n"}) {
         CAPTURE(it);
-        const Answer answer = answerTo("HTTP/1.1 200 OK\r\n" + it + chunks);
+        const Answer answer = answerTo({"HTTP/1.1 200 OK\r\n", it, chunks});
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure == http::error::bad_transfer_encoding);
         CHECK(answer.body.empty());
@@ -264,13 +278,13 @@
     for (const std::string it : {"chunked", "Chunked", " chunked "}) {
         CAPTURE(it);
         const Answer answer
-            = answerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + it + "\r\n" + chunks);
+            = answerTo({"HTTP/1.1 200 OK\r\nTransfer-Encoding:", it, "\r\n", chunks});
         CHECK(answer.isComplete);
         CHECK(answer.body == "body");
     }
-    CHECK(answerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nbody").body == "body");
+    CHECK(answerTo({"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nbody"}).body == "body");
     // These have no body that could be encoded.
-    CHECK(answerTo("HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: gzip, chunked\r\n\r\n")
+    CHECK(answerTo({"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"})
               .isComplete);
 }
 
@@ -281,13 +295,11 @@
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string length = "Content-Length: 4\r\n";
     const std::string body = "\r\nbody";
-    for (const std::string it : {"A b: c", "A\tb: c",
-                                 "A\x01"
-                                 "b: c",
-                                 "A\x7f: c", "A\x80: c", "A[b]: c", "A\rb: c", "A : c", "A\t: c",
-                                 ": c", "A", "A: b\rc", "A: b\x01", "A: b\x7f", "A: b\r"}) {
+    for (const std::string it :
+         {"A b: c", "A\tb: c", "A\001b: c", "A\x7f: c", "A\x80: c", "A[b]: c", "A\rb: c", "A : c",
+          "A\t: c", ": c", "A", "A: b\rc", "A: b\x01", "A: b\x7f", "A: b\r"}) {
         CAPTURE(it);
-        const Answer answer = answerTo(ok + it + "\r\n" + length + body);
+        const Answer answer = answerTo({ok, it, "\r\n", length, body});
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
@@ -295,7 +307,7 @@
          {"+4", "4x", "-4", "0x4", "", "4 4", "4, 5", "4\r\nContent-Length: 5",
           "99999999999999999999", "4\r\nTransfer-Encoding: chunked"}) {
         CAPTURE(it);
-        const Answer answer = answerTo(ok + "Content-Length: " + it + "\r\n" + body);
+        const Answer answer = answerTo({ok, "Content-Length: ", it, "\r\n", body});
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
@@ -303,7 +315,7 @@
          {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/2 200 OK",
           "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x01K", "HTTP 200 OK", "200 OK"}) {
         CAPTURE(it);
-        const Answer answer = answerTo(it + "\r\n" + length + body);
+        const Answer answer = answerTo({it, "\r\n", length, body});
         CHECK_FALSE(answer.isComplete);
         CHECK(answer.failure.failed());
     }
