--- a/tests/process/upstream_answer_test.cpp
+++ b/tests/process/upstream_answer_test.cpp
@@ -3,6 +3,7 @@
 // valid.
 #include <doctest/doctest.h>
 
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <string>
@@ -209,6 +210,25 @@
     });
 }
 
+// Guards against broken upstreams that nothing in the log tells from others.
+TEST_CASE("broken answers: the log tells which upstream's answer is not valid, and why "
+          "[path][broken-answers]")
+{
+    CutService service;
+    CHECK(service.call("/once", kHead + "A b: c\r\n\r\nbody").status == 502);
+    const std::string upstream = "upstream=\"" + service.fleet.serviceAddress() + "\"";
+    CHECK(Fleet::waitFor([&] {
+        std::ifstream in(service.fleet.folder() + "/entryd-0.log");
+        for (std::string line; std::getline(in, line);) {
+            if (line.find("name=AttemptFailed") != std::string::npos
+                && line.find(upstream) != std::string::npos
+                && line.find("cause=\"bad field\"") != std::string::npos)
+                return true;
+        }
+        return false;
+    }));
+}
+
 // Guards against sound answers that are taken for broken ones.
 TEST_CASE("broken answers: unusual answers that are valid reach callers [path][broken-answers]")
 {
