Broken answers: entryd takes a status line without a reason and the blank before it, as before

Since its heads are parsed by Boost.Beast, fordwood-entryd answered 502 for "HTTP/1.1 200" without the blank that must stand before an empty reason. Some servers send it so; libcurl takes it, and callers got these answers before.

Cause: the parser wants the blank.

Change: the line gets the blank before it is parsed, as a line that ends with LF alone gets its CR.

--- a/src/adapters/http/upstream_client.cpp
+++ b/src/adapters/http/upstream_client.cpp
@@ -67,6 +67,13 @@
     return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
 }
 
+// Whether the line is a status line without a reason that lacks the blank before it as well, as
+// some servers send it. The parser wants the blank.
+bool isStatusAlone(std::string_view line)
+{
+    return line.starts_with("HTTP/") && std::count(line.begin(), line.end(), ' ') == 1;
+}
+
 bool isGatewayError(long status)
 {
     return status == 502 || status == 503 || status == 504;
@@ -200,7 +207,10 @@
             if (line.ends_with(it))
                 line.remove_suffix(1);
         }
-        m_headText.append(line).append("\r\n"); // libcurl accepts lines that end with LF alone
+        m_headText.append(line);
+        if (isStatusAlone(line))
+            m_headText += ' ';
+        m_headText.append("\r\n"); // libcurl accepts lines that end with LF alone
         return !line.empty() || parseHead();
     }
 
--- a/tests/process/upstream_answer_test.cpp
+++ b/tests/process/upstream_answer_test.cpp
@@ -244,6 +244,7 @@
          kHead + kChunks + "4\r\nbody\r\n0\r\nX-Request-Not-Run: true\r\n\r\n"},
         {"identity", kHead + "Transfer-Encoding: identity\r\n\r\nbody"},
         {"no reason", "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nbody"},
+        {"no blank behind the status", "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nbody"},
         {"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nbody"},
     };
     CutService service;
