Old context: the log says which parts are fetched, how old the node's knowledge was, and which are freed

No event could show it: a fetch (event 401) named neither its parts nor how old the node's knowledge of the weights in force was, and a freeing (event 232) named neither parts nor weights.

Change: event 401 names the parts that are fetched from stores, with the age of the replica (`replica_age_ms`); event 232 names parts, weights, the time since newer weights were named and the least wait for the parts. The control thread publishes up to which time its replica is complete; the update never overtakes the changes before it. Gauge `fordwood_replica_age_seconds`. No decision changes.

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -114,6 +115,13 @@
     // a peer.
     void setReceivesVersions(bool informed) { m_receivesVersions = informed; }
 
+    // Sets up to which time this node certainly knows all published weights; nothing: it never did.
+    // See ReplicaFreshness::completeAsOf().
+    void setReplicaCompleteAsOf(std::optional<TimePoint> asOf) { m_replicaCompleteAsOf = asOf; }
+
+    // How long ago that was.
+    std::optional<Duration> replicaAge() const;
+
     // A store that holds the complete part, and will certainly hold it while a fetch that starts
     // now may run.
     Holder holderOf(const std::string &salt, const std::string &partId) const;
@@ -166,6 +174,7 @@
     std::deque<std::pair<TimePoint, std::uint64_t>> m_toAnnounce; // own sends, oldest first
     std::map<std::uint64_t, WeightHistory> m_weights; // by the hash of the model's name
     bool m_receivesVersions = true;
+    std::optional<TimePoint> m_replicaCompleteAsOf;
 };
 
 } // namespace fordwood
--- a/include/fordwood/old_context_cleaner.hpp
+++ b/include/fordwood/old_context_cleaner.hpp
@@ -51,6 +51,8 @@
     std::string store;
     std::uint64_t epoch = 0;
     std::vector<std::pair<std::string, std::string>> parts; // salt and id
+    // By salt, for the log: time since newer weights were named, at least.
+    std::map<std::string, Duration> supersededFor = {};
 };
 
 // Frees context of old weights in the context stores, which drop nothing on their own and have no
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -188,6 +188,13 @@
     m_weights[modelHashOfSalt(model)] = history;
 }
 
+std::optional<Duration> ContextDirectory::replicaAge() const
+{
+    if (!m_replicaCompleteAsOf)
+        return std::nullopt;
+    return m_clock.now() - *m_replicaCompleteAsOf;
+}
+
 // Whether a part with the salt will certainly be kept while a fetch that starts `ahead` from now
 // runs.
 bool ContextDirectory::willBeKept(const std::string &salt, const std::string &partId,
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -482,6 +482,7 @@
     const auto replaced = query.weights.supersededAt(choice.weightVersion);
     if (replaced && replaced->earliest)
         choice.replacedFor = m_clock.now() - *replaced->earliest;
+    choice.replicaAge = contexts.replicaAge();
     choice.salt = candidate.weights->salt;
     choice.context = promptInfo.context;
     choice.sharedTokens = prompt.sharedTokens();
@@ -507,6 +508,8 @@
         if (isExchanged && m_limits.mechanisms.contextStores) {
             if (candidate.fetches)
                 from = contexts.holderOf(choice.salt, part.id).address;
+            if (!from.empty())
+                choice.fetchedParts.push_back(part.id);
             // The same part may occur several times in a prompt.
             if (from.empty() && partsSeen.insert(part.id).second)
                 to = contexts.storeForSave(choice.salt, part, contextToSave(prompt, part),
--- a/src/core/old_context_cleaner.cpp
+++ b/src/core/old_context_cleaner.cpp
@@ -85,8 +85,11 @@
         for (const std::string &it : ids) {
             if (action.parts.size() >= kMaxPartsPerCall)
                 return;
-            if (m_clock.now() - *since >= OldContextTimes::unusedAfter(it))
-                action.parts.emplace_back(salt, it);
+            const Duration supersededFor = m_clock.now() - *since;
+            if (supersededFor < OldContextTimes::unusedAfter(it))
+                continue;
+            action.parts.emplace_back(salt, it);
+            action.supersededFor[salt] = supersededFor;
         }
     }
 }
@@ -100,7 +103,7 @@
     for (auto &[name, store] : m_stores) {
         if (!store.answers || store.isCallPending || m_clock.now() < store.retryAt)
             continue;
-        FreePartsCall action{name, store.epoch, {}};
+        FreePartsCall action{name, store.epoch, {}, {}};
         addUnusedParts(store, action);
         if (action.parts.empty())
             continue;
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -24,6 +24,28 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+constexpr std::size_t kMaxLoggedParts = 16;
+constexpr std::size_t kMaxLoggedIdBytes = 16;
+
+void appendPartId(std::string &text, const std::string &id)
+{
+    text += (text.empty() ? "" : ",") + id.substr(0, kMaxLoggedIdBytes);
+}
+
+// The parts that an engine fetches from stores, and how old this node's knowledge of the weights in
+// force was then.
+std::string storeFetches(const EngineChoice &choice)
+{
+    std::string parts;
+    for (std::size_t n = 0; n < std::min(choice.fetchedParts.size(), kMaxLoggedParts); ++n)
+        appendPartId(parts, choice.fetchedParts[n]);
+    if (parts.empty())
+        return {};
+    const std::string age
+        = choice.replicaAge ? std::to_string(inMilliseconds(*choice.replicaAge)) : "unknown";
+    return " fetched:" + parts + " replica_age_ms:" + age;
+}
+
 std::string engineInputs(const EngineChoice &choice)
 {
     std::ostringstream out;
@@ -36,7 +58,7 @@
         << " save:" << countNonEmpty(choice.saveTo) << " shared:" << choice.sharedTokens
         << " compute:" << choice.load.tokensToCompute << " found:" << choice.loadBefore.running
         << "/" << choice.loadBefore.tokensToCompute << "/" << choice.loadBefore.tokensHeld
-        << " wait:" << inMilliseconds(choice.expectedDelay);
+        << " wait:" << inMilliseconds(choice.expectedDelay) << storeFetches(choice);
     return out.str();
 }
 
@@ -67,11 +89,10 @@
 // The ids of the shared parts of a prompt, which other requests may have as well.
 std::string sharedParts(const Prompt *prompt)
 {
-    constexpr std::size_t kMaxParts = 16;
-    constexpr std::size_t kMaxIdBytes = 16;
     std::string text;
-    for (std::size_t n = 0; prompt != nullptr && n + 1 < prompt->parts.size() && n < kMaxParts; ++n)
-        text += (n == 0 ? "" : ",") + prompt->parts[n].id.substr(0, kMaxIdBytes);
+    for (std::size_t n = 0;
+         prompt != nullptr && n + 1 < prompt->parts.size() && n < kMaxLoggedParts; ++n)
+        appendPartId(text, prompt->parts[n].id);
     return text;
 }
 
--- a/src/node/context_store_manager.cpp
+++ b/src/node/context_store_manager.cpp
@@ -1,7 +1,11 @@
 // SPDX-License-Identifier: MIT
 #include "node/context_store_manager.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "adapters/observe/event_log.hpp"
+#include "fordwood/prompt.hpp"
 #include "platform/engine_calls.hpp"
 
 namespace fordwood::node {
@@ -14,6 +18,46 @@
 // A working store answers within milliseconds.
 constexpr Duration kFreeTimeout = std::chrono::milliseconds(700);
 
+constexpr std::size_t kPartsPerLine = 32;
+
+void logFreed(const FreePartsCall &call, const std::string &salt,
+              const std::vector<std::string> &parts, unsigned status)
+{
+    std::string text;
+    Duration minWait{};
+    for (const std::string &it : parts) {
+        text += (text.empty() ? "" : ",") + it;
+        minWait = std::max(minWait, OldContextTimes::unusedAfter(it));
+    }
+    const auto parsed = parseSalt(salt);
+    const auto supersededFor = call.supersededFor.find(salt);
+    logEvent(Event::ContextFreed,
+             {{"store", call.store},
+              {"epoch", call.epoch},
+              {"weights", parsed ? parsed->weightVersion : 0},
+              {"superseded_ms", supersededFor != call.supersededFor.end() ? supersededFor->second
+                                                                          : Duration::zero()},
+              {"min_wait_ms", minWait},
+              {"n", parts.size()},
+              {"parts", text},
+              {"status", status}});
+}
+
+void logFreed(const FreePartsCall &call, unsigned status)
+{
+    std::map<std::string, std::vector<std::string>> bySalt;
+    for (const auto &[salt, id] : call.parts) {
+        std::vector<std::string> &ids = bySalt[salt];
+        ids.push_back(id);
+        if (ids.size() == kPartsPerLine)
+            logFreed(call, salt, std::exchange(ids, {}), status);
+    }
+    for (const auto &[salt, ids] : bySalt) {
+        if (!ids.empty())
+            logFreed(call, salt, ids, status);
+    }
+}
+
 } // namespace
 
 ContextStoreManager::ContextStoreManager(net::io_context &context, HttpClient &client,
@@ -78,10 +122,7 @@
                            holding.actUntil - m_engineClockReadAt);
     m_client.send(platform::freeCall(store->second.address, action, until), kFreeTimeout,
                   [this, action](const HttpResult &result) {
-                      logEvent(Event::ContextFreed, {{"store", action.store},
-                                                     {"epoch", action.epoch},
-                                                     {"parts", action.parts.size()},
-                                                     {"status", result ? result->status : 0}});
+                      logFreed(action, result ? result->status : 0U);
                       m_cleaner.freeAnswered(action, platform::readFree(result));
                   });
 }
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -275,6 +275,19 @@
     publish(StoreReachability{reachable});
 }
 
+// Must come after the updates that the replica's changes cause.
+void ControlLoop::publishCompleteness()
+{
+    const auto asOf = m_freshness.completeAsOf();
+    if (asOf)
+        m_metrics.setGauge("fordwood_replica_age_seconds",
+                           std::chrono::duration<double>(m_clock.now() - *asOf).count());
+    if (asOf == m_publishedCompleteAsOf)
+        return;
+    m_publishedCompleteAsOf = asOf;
+    publish(ReplicaCompleteness{asOf});
+}
+
 void ControlLoop::merge(const StoreChanges &changes, bool mayBeExpiry)
 {
     const StoreVersion before = m_replica.version();
@@ -450,6 +463,7 @@
 {
     m_nextMemberUpdate = m_clock.now() + kMemberUpdateInterval;
     updateReachability();
+    publishCompleteness();
     recordReadiness();
     updateLiveNodes();
     updateKnownNodes();
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -122,6 +122,7 @@
     void pollStore();
     void updateNamingMarks();
     void updateReachability();
+    void publishCompleteness();
     void onWeightNaming(const std::string &model, std::uint64_t version,
                         const WeightHistory &history);
     void updateMembers();
@@ -197,6 +198,7 @@
     bool m_nodesChanged = true;
     bool m_publishedReachable = true;
     bool m_publishedReceivesVersions = true;
+    std::optional<TimePoint> m_publishedCompleteAsOf;
     std::set<std::string> m_publishedLoading;
     std::optional<KnownNodes> m_publishedNodes;
     TimePoint m_expiryDoubtSince{}; // when this node last began to get answers from the store
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -120,6 +120,13 @@
     bool receives = true;
 };
 
+// The updates before this one brought all that the platform's store had up to `asOf`; nothing: that
+// is not known of any time. See ReplicaFreshness.
+struct ReplicaCompleteness
+{
+    std::optional<TimePoint> asOf;
+};
+
 // The control thread has compared its replica of the platform's store with the store, at the
 // request of the serving thread. The updates before this one brought all that the store had at that
 // time.
@@ -174,8 +181,8 @@
     = std::variant<ConfigApplied, UpstreamRecordWritten, UpstreamRecordRemoved, DomainEvacuated,
                    StoreReachability, StoreRestored, WeightVersionNamed, WeightsObserved,
                    EnginesLoading, PeerLoads, LiveNodeCount, KnownNodes, ContextStoreUpdated,
-                   ContextStoreFailed, ReceivesVersions, PeerQuarantineUpdates, PeerLimits,
-                   PeerDrainReport, ReplicaChecked, ChangesSkipped, StopStarted>;
+                   ContextStoreFailed, ReceivesVersions, ReplicaCompleteness, PeerQuarantineUpdates,
+                   PeerLimits, PeerDrainReport, ReplicaChecked, ChangesSkipped, StopStarted>;
 
 // Limits announced by upstreams, to be sent to peers: those of this node or, if it is a relay, of
 // all nodes.
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -233,6 +233,11 @@
     updateFollowing();
 }
 
+void NodeState::apply(const ReplicaCompleteness &update)
+{
+    m_contexts.setReplicaCompleteAsOf(update.asOf);
+}
+
 void NodeState::updateFollowing()
 {
     m_upstreams.versions().setFollowing(m_isStoreReachable && m_receivesVersions);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -239,6 +239,7 @@
     void apply(const ContextStoreUpdated &update);
     void apply(const ContextStoreFailed &update);
     void apply(const ReceivesVersions &update);
+    void apply(const ReplicaCompleteness &update);
     void apply(const PeerQuarantineUpdates &update);
     void apply(const PeerLimits &update);
     void apply(const PeerDrainReport &update);
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr const char *kCompletenessSubject = "replica completeness";
+
 std::string failureSubject(const std::string &store)
 {
     return "context store failed " + store;
@@ -49,6 +51,7 @@
     }
     std::string operator()(const ContextStoreFailed &it) const { return failureSubject(it.store); }
     std::string operator()(const ReceivesVersions &) const { return "informed"; }
+    std::string operator()(const ReplicaCompleteness &) const { return kCompletenessSubject; }
     std::string operator()(const PeerQuarantineUpdates &) const { return "quarantine updates"; }
     std::string operator()(const PeerLimits &it) const { return "limits " + it.peer; }
     std::string operator()(const PeerDrainReport &it) const { return "draining " + it.instanceId; }
@@ -111,6 +114,9 @@
     auto *storeUpdate = std::get_if<ContextStoreUpdated>(&update);
     if (storeUpdate != nullptr)
         remove(failureSubject(storeUpdate->update.store)); // the store answers again
+    // A newer one must not overtake the updates that it vouches for.
+    if (std::holds_alternative<ReplicaCompleteness>(update))
+        remove(subject);
     const auto queued = m_bySubject.find(subject);
     if (queued == m_bySubject.end()) {
         m_updates.push_back({subject, std::move(update)});
--- a/tests/node/mailbox_test.cpp
+++ b/tests/node/mailbox_test.cpp
@@ -10,6 +10,7 @@
 
 using namespace fordwood;
 using namespace fordwood::node;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -126,6 +127,20 @@
     CHECK(std::holds_alternative<ContextStoreFailed>(taken.back()));
 }
 
+// Otherwise the receiver would take its knowledge of weights for complete before it has all of it.
+TEST_CASE("update queue: the replica's completeness does not overtake the changes that it vouches "
+          "for [mailbox]")
+{
+    UpdateQueue queue;
+    queue.push(ReplicaCompleteness{TimePoint(1s)});
+    queue.push(WeightVersionNamed{"m", 2, {}});
+    queue.push(ReplicaCompleteness{TimePoint(2s)});
+    const auto taken = drain(queue);
+    REQUIRE(taken.size() == 2);
+    CHECK(std::holds_alternative<WeightVersionNamed>(taken.front()));
+    CHECK(std::get<ReplicaCompleteness>(taken.back()).asOf == TimePoint(2s));
+}
+
 TEST_CASE("update queue: stops at an update that is not accepted and resumes there [mailbox]")
 {
     UpdateQueue queue;
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -459,6 +459,7 @@
     REQUIRE(actions.size() == 1);
     CHECK(actions.front().epoch == 5);
     CHECK(actions.front().parts == std::vector<std::pair<std::string, std::string>>{{old, "a"}});
+    CHECK(actions.front().supersededFor.at(old) == OldContextTimes::unusedAfter("a"));
     CHECK(cleaner.tick(holding).empty()); // the call is in progress
     cleaner.freeAnswered(actions.front(), false);
     clock.advance(1s);
