Replica freshness: a peer's report counts once the replica has caught up, and relays pass on what the readers of the store know

Cause: a node's replica is known to be complete up to a time that its own calls to the store show, or a peer that makes such calls. A report was dropped if the replica lacked a change that the peer had, so with many changes nearly all were. And a peer told only what its own calls showed: two nodes of the fleet poll the store, and in a large fleet nodes hear relays of their failure domain alone, whose watches may wait for 20 s.

Change: a report of a version that the replica lacks is kept (16 versions) and counts when the replica has reached it. Relays also tell what they know from nodes that read the store (`heard_whole`); that is never passed on again, so that nodes cannot keep each other's belief alive. A node that reaches the store polls it as well while its replica's age is above 2 s.

Figures: unit tests "freshness: *", 3 new.

--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -24,6 +24,10 @@
 constexpr Duration kPollInterval = std::chrono::milliseconds(1'000);
 constexpr std::size_t kPollingNodes = 2;
 
+// A node to which the answers to these polls do not come polls as well: the lease on kept context
+// ends while they stay away (OldContextTimes).
+constexpr Duration kMaxReplicaAge = std::chrono::seconds(2);
+
 // A removal that is seen this soon after the store answered again may be an expired lease.
 constexpr Duration kExpiryDoubtTime = std::chrono::seconds(1);
 
@@ -305,6 +309,7 @@
     updateEngines();
     m_rolloutExecutor.lock().keyChanged(m_replica.find(RolloutExecutor::lockKey()),
                                         m_replica.version().epoch);
+    m_freshness.replicaReached(m_replica.version());
 }
 
 // Whether peers read this node's replica. In a large fleet they read those of relays, and of nodes
@@ -635,7 +640,9 @@
     m_nextPoll = m_clock.now() + kPollInterval;
     const std::size_t before = rendezvousRank(stableHash("polls the store"), m_settings.node.name,
                                               m_peers.roster().peersReachingStore());
-    if (before < kPollingNodes)
+    const auto completeAsOf = m_freshness.completeAsOf();
+    const bool isOld = !completeAsOf || m_clock.now() - *completeAsOf > kMaxReplicaAge;
+    if (before < kPollingNodes || isOld)
         m_store.poll();
 }
 
--- a/src/node/control_loop_gossip.cpp
+++ b/src/node/control_loop_gossip.cpp
@@ -52,8 +52,12 @@
             handleOrderReport(node, report);
     }
     m_weightNamings.recordFromPeer(message.node, message.namingAges);
-    if (message.copyAge && isUpToDateWith(message.version))
-        m_freshness.peerHadNoChanges(*message.copyAge);
+    if (message.copyAge)
+        m_freshness.peerWasComplete(message.version, *message.copyAge,
+                                    ReplicaFreshness::Evidence::Store);
+    if (message.forwardedCopyAge)
+        m_freshness.peerWasComplete(message.version, *message.forwardedCopyAge,
+                                    ReplicaFreshness::Evidence::Peer);
 }
 
 void ControlLoop::setOthersLoad(LoadReport others)
@@ -156,6 +160,8 @@
             message.getsStoreChanges
                 = message.storeReachable || !m_peers.roster().peersReachingStore().empty();
             message.forwardedOrders = m_orderReports.toForward();
+            if (const auto age = m_freshness.ageFromReader())
+                message.forwardedCopyAge = std::chrono::ceil<std::chrono::milliseconds>(*age);
         }
         m_exchange.send(std::move(message), isRelay, m_hasNews);
     } else {
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -297,6 +297,8 @@
     }
     if (message.copyAge)
         object["whole"] = message.copyAge->count();
+    if (message.forwardedCopyAge)
+        object["heard_whole"] = message.forwardedCopyAge->count();
     if (Json list = encodeQuarantineUpdates(message.quarantineUpdates, false); !list.empty())
         object["requests"] = std::move(list);
     if (Json list = encodeQuarantineUpdates(message.quarantineUpdates, true); !list.empty())
@@ -345,6 +347,8 @@
         }
         if (object.contains("whole"))
             message.copyAge = decodeAge(object.at("whole"));
+        if (object.contains("heard_whole"))
+            message.forwardedCopyAge = decodeAge(object.at("heard_whole"));
         if (object.contains("requests"))
             decodeQuarantineUpdates(object.at("requests"), false, message.quarantineUpdates);
         if (object.contains("prompt_parts"))
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -98,6 +98,9 @@
         forwardedOrders; // of other nodes, by node; sent by relays with the sums
     // Time since the store itself confirmed that the node's copy was complete; nothing: never.
     std::optional<std::chrono::milliseconds> copyAge;
+    // The same, where the store may have confirmed it to a peer of the sender; see
+    // ReplicaFreshness::ageFromReader(). Sent by relays with the sums.
+    std::optional<std::chrono::milliseconds> forwardedCopyAge;
     // A starting node learns these from its peers.
     NamingAges namingAges;
     std::vector<QuarantineUpdate> quarantineUpdates; // on requests that crash upstreams
--- a/tests/node/decoder_fuzz_test.cpp
+++ b/tests/node/decoder_fuzz_test.cpp
@@ -199,6 +199,7 @@
     gossip.node = "n";
     gossip.namingAges["m"][2] = {std::chrono::milliseconds(30), std::chrono::milliseconds(40), 1};
     gossip.copyAge = std::chrono::milliseconds(50);
+    gossip.forwardedCopyAge = std::chrono::milliseconds(60);
     gossip.orders.enginesLoading = {"i-1"};
     gossip.quarantineUpdates = {{{1, 2}, 3}, {{4, 5}, {}}, {{6, 7, true}, 8}};
     gossip.brittle = {{7, 2, 3.0, std::chrono::seconds(1), {}}};
--- a/tests/node/platform_test.cpp
+++ b/tests/node/platform_test.cpp
@@ -514,6 +514,7 @@
     message.getsStoreChanges = true;
     message.namingAges["m"] = {{2, {800ms, 1'200ms, 1}}, {3, {20ms, std::nullopt}}};
     message.copyAge = 90ms;
+    message.forwardedCopyAge = 70ms;
     message.quarantineUpdates = {{{1, UINT64_MAX}, 3}, {{4, 5}, {}}};
     message.limits
         = {{UINT64_MAX, 2, 3.2, 1500ms, {{8, 9}, {UINT64_MAX, 11}}}, {6, 3, 0.0, 0ms, {}}};
@@ -542,6 +543,7 @@
     CHECK(read->forwardedOrders.at("b").enginesLoading == std::set<std::string>{"f"});
     CHECK(read->namingAges == message.namingAges);
     CHECK(read->copyAge == message.copyAge);
+    CHECK(read->forwardedCopyAge == message.forwardedCopyAge);
     CHECK(read->quarantineUpdates == message.quarantineUpdates);
     CHECK(read->limits == message.limits);
     CHECK(read->draining == message.draining);
--- a/tests/unit/event_time_test.cpp
+++ b/tests/unit/event_time_test.cpp
@@ -11,7 +11,10 @@
 
 namespace {
 
+using Evidence = ReplicaFreshness::Evidence;
+
 const TimePoint kStart{1h};
+const StoreVersion kVersion{1, 7}; // that the replica has reached
 
 } // namespace
 
@@ -95,7 +98,8 @@
 {
     ManualClock clock;
     ReplicaFreshness freshness(clock);
-    freshness.peerHadNoChanges(300ms);
+    freshness.replicaReached(kVersion);
+    freshness.peerWasComplete(kVersion, 300ms, Evidence::Store);
     CHECK(freshness.completeAsOf() == clock.now() - 300ms);
     CHECK_FALSE(freshness.ageFromStore()); // only what the store itself showed is passed on
 }
@@ -105,19 +109,67 @@
 {
     ManualClock clock;
     ReplicaFreshness freshness(clock);
+    freshness.replicaReached(kVersion);
     freshness.tick();
-    freshness.peerHadNoChanges(0ms);
+    freshness.peerWasComplete(kVersion, 0ms, Evidence::Store);
     const auto before = freshness.completeAsOf();
     clock.advance(3s);
-    freshness.peerHadNoChanges(0ms);
+    freshness.peerWasComplete(kVersion, 0ms, Evidence::Store);
     CHECK(freshness.completeAsOf() == before);
     freshness.tick();
-    freshness.peerHadNoChanges(0ms);
+    freshness.peerWasComplete(kVersion, 0ms, Evidence::Store);
     CHECK(freshness.completeAsOf() == before);
     for (int n = 0; n < 5; ++n) {
         clock.advance(100ms);
         freshness.tick();
     }
-    freshness.peerHadNoChanges(0ms);
+    freshness.peerWasComplete(kVersion, 0ms, Evidence::Store);
+    CHECK(freshness.completeAsOf() == clock.now());
+}
+
+TEST_CASE("freshness: a peer's report of changes that the replica lacks counts once it has them "
+          "[beliefs]")
+{
+    ManualClock clock;
+    ReplicaFreshness freshness(clock);
+    freshness.replicaReached(kVersion);
+    const TimePoint reported = clock.now() - 100ms;
+    freshness.peerWasComplete({1, 9}, 100ms, Evidence::Store);
+    CHECK_FALSE(freshness.completeAsOf());
+    clock.advance(500ms);
+    freshness.replicaReached({1, 8});
+    CHECK_FALSE(freshness.completeAsOf());
+    freshness.replicaReached({1, 9});
+    CHECK(freshness.completeAsOf() == reported); // and not later: newer changes may follow
+    CHECK(freshness.ageFromReader() == 600ms);
+}
+
+TEST_CASE("freshness: reports of another epoch of the store do not count [beliefs]")
+{
+    ManualClock clock;
+    ReplicaFreshness freshness(clock);
+    freshness.replicaReached({2, 3});
+    freshness.peerWasComplete({1, 9}, 0ms, Evidence::Store);
+    CHECK_FALSE(freshness.completeAsOf());
+    freshness.peerWasComplete({3, 1}, 0ms, Evidence::Store);
+    freshness.replicaReached({4, 1});
+    CHECK_FALSE(freshness.completeAsOf());
+    freshness.peerWasComplete({4, 1}, 0ms, Evidence::Store);
     CHECK(freshness.completeAsOf() == clock.now());
+    freshness.storeRestored();
+    CHECK_FALSE(freshness.completeAsOf());
+    CHECK_FALSE(freshness.ageFromReader());
+}
+
+TEST_CASE("freshness: what a peer knows from its peers is not passed on [beliefs]")
+{
+    ManualClock clock;
+    ReplicaFreshness freshness(clock);
+    freshness.replicaReached(kVersion);
+    freshness.peerWasComplete(kVersion, 200ms, Evidence::Peer);
+    CHECK(freshness.completeAsOf() == clock.now() - 200ms);
+    CHECK_FALSE(freshness.ageFromReader());
+    freshness.peerWasComplete(kVersion, 300ms, Evidence::Store);
+    CHECK(freshness.ageFromReader() == 300ms);
+    CHECK_FALSE(freshness.ageFromStore());
 }
