Old context: a node fetches a part only as long as its knowledge of the weights is young enough

Three of eight nodes were cut off from the platform's store and the others, heard each other, and new weights were named right after.

Cause: a node stopped fetching context when it could reach neither the platform's store nor any peer, and the holder of the lock took for granted that this happens within 3 s of a naming. A live peer is no source of new weights if it hears nothing itself, so nodes of the group kept each other's belief alive and fetched until the cut ended, while parts were freed 8.5 s and more after the naming.

Change: a part may be fetched until the weights may have been replaced for useTimeOf(part). Without known newer weights these are taken for named right after the time up to which the replica is known to be complete. So each part has a lease that rests on the node's own clock and on no detection: it ends by itself in a cut, a suspension or a group of any size. OldContextTimes has the whole decision for both sides, fetchUntil() and freeFrom(), in a header of its own. `ReceivesVersions` is gone: nothing else rested on it alone (software versions already need the store's changes).

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -111,10 +111,6 @@
     // Sets the versions published for the model.
     void setWeights(const std::string &model, const WeightHistory &history);
 
-    // Sets whether this node learns of newly published weights: it reaches the platform's store or
-    // a peer.
-    void setReceivesVersions(bool informed) { m_receivesVersions = informed; }
-
     // Sets up to which time this node certainly knows all published weights; nothing: it never did.
     // See ReplicaFreshness::completeAsOf().
     void setReplicaCompleteAsOf(std::optional<TimePoint> asOf) { m_replicaCompleteAsOf = asOf; }
@@ -173,7 +169,6 @@
     std::unordered_map<std::uint64_t, Send> m_sends; // by hash of instance, salt, context
     std::deque<std::pair<TimePoint, std::uint64_t>> m_toAnnounce; // own sends, oldest first
     std::map<std::uint64_t, WeightHistory> m_weights; // by the hash of the model's name
-    bool m_receivesVersions = true;
     std::optional<TimePoint> m_replicaCompleteAsOf;
 };
 
--- a/include/fordwood/old_context_cleaner.hpp
+++ b/include/fordwood/old_context_cleaner.hpp
@@ -13,37 +13,11 @@
 #include "fordwood/clock.hpp"
 #include "fordwood/context_directory.hpp"
 #include "fordwood/fenced_lock.hpp"
+#include "fordwood/old_context_times.hpp"
 #include "fordwood/weight_history.hpp"
 
 namespace fordwood {
 
-// Time limits that nodes and the OldContextCleaner must agree on, so that no part is freed while it
-// may still be fetched.
-struct OldContextTimes
-{
-    // How long context of old weights is still fetched after newer weights were named. The time
-    // differs between parts, by a hash of the part's id, because engines change to the new weights
-    // one after the other over about this period. So all requests for one context change over
-    // together, requests for other contexts are still served from the stores, and the stores free
-    // their space gradually.
-    static constexpr Duration kMinUseTime = std::chrono::milliseconds(3'500);
-    static constexpr Duration kMaxUseTime = std::chrono::seconds(10);
-    static Duration useTimeOf(const std::string &partId);
-    // The longest time between the first node that learns of newer weights and the last one that
-    // still fetches: a node stops fetching when it can reach neither the platform's store nor a
-    // peer, which it detects within this time.
-    static constexpr Duration kMaxLearnDelay = std::chrono::seconds(3);
-    // How long after its request was sent a fetch may still run; engines reject later ones.
-    static constexpr Duration kMaxFetchTime = std::chrono::milliseconds(1'500);
-    // For messages in transit.
-    static constexpr Duration kMargin = std::chrono::milliseconds(500);
-    // No node reads the part any more once this time has passed since newer weights were named.
-    static Duration unusedAfter(const std::string &partId)
-    {
-        return useTimeOf(partId) + kMaxLearnDelay + kMaxFetchTime + kMargin;
-    }
-};
-
 // A call that asks a store to free parts. It has no effect if the store has restarted since
 // `epoch`.
 struct FreePartsCall
@@ -84,8 +58,8 @@
         TimePoint retryAt{}; // pause after each call
         std::map<std::string, std::set<std::string>> parts; // ids by salt
     };
-    // Since when the salt's weights have been old; empty if they are not.
-    std::optional<TimePoint> oldSince(const std::string &salt) const;
+    // When newer weights than the salt's were named; empty if none are known.
+    std::optional<EventTime> supersededAt(const std::string &salt) const;
     void addUnusedParts(const Store &store, FreePartsCall &action) const;
 
     const Clock &m_clock;
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <set>
 
-#include "fordwood/old_context_cleaner.hpp"
+#include "fordwood/old_context_times.hpp"
 #include "fordwood/rendezvous.hpp"
 
 namespace fordwood {
@@ -195,21 +195,20 @@
     return m_clock.now() - *m_replicaCompleteAsOf;
 }
 
-// Whether a part with the salt will certainly be kept while a fetch that starts `ahead` from now
-// runs.
+// Whether a part with the salt will certainly be kept while a fetch that starts now runs and, if
+// newer weights are known, also one that starts `ahead` from now.
 bool ContextDirectory::willBeKept(const std::string &salt, const std::string &partId,
                                   Duration ahead) const
 {
     const auto parsed = parseSalt(salt);
-    if (!parsed || !m_receivesVersions)
+    if (!parsed)
         return false;
     const auto history = m_weights.find(parsed->modelHash);
-    if (history == m_weights.end())
-        return true;
-    const auto replaced = history->second.supersededAt(parsed->weightVersion);
-    return !replaced
-           || (replaced->earliest
-               && m_clock.now() + ahead - *replaced->earliest < OldContextTimes::useTimeOf(partId));
+    const auto superseded = history != m_weights.end()
+                                ? history->second.supersededAt(parsed->weightVersion)
+                                : std::nullopt;
+    const auto until = OldContextTimes::fetchUntil(partId, superseded, m_replicaCompleteAsOf);
+    return until && m_clock.now() + (superseded ? ahead : Duration::zero()) < *until;
 }
 
 void ContextDirectory::storeFailed(const std::string &store)
--- a/src/core/old_context_cleaner.cpp
+++ b/src/core/old_context_cleaner.cpp
@@ -2,7 +2,6 @@
 #include "fordwood/old_context_cleaner.hpp"
 
 #include "fordwood/prompt.hpp"
-#include "fordwood/rendezvous.hpp"
 
 namespace fordwood {
 
@@ -26,13 +25,6 @@
 
 } // namespace
 
-Duration OldContextTimes::useTimeOf(const std::string &partId)
-{
-    const auto spread = std::chrono::duration<double>(kMaxUseTime - kMinUseTime);
-    return kMinUseTime
-           + std::chrono::duration_cast<Duration>(spread * hashFraction(stableHash(partId)));
-}
-
 void OldContextCleaner::setWeights(const std::string &model, const WeightHistory &history)
 {
     m_weights[modelHashOfSalt(model)] = history;
@@ -58,7 +50,7 @@
     m_stores[store].answers = false;
 }
 
-std::optional<TimePoint> OldContextCleaner::oldSince(const std::string &salt) const
+std::optional<EventTime> OldContextCleaner::supersededAt(const std::string &salt) const
 {
     const auto parsed = parseSalt(salt);
     if (!parsed)
@@ -66,12 +58,7 @@
     const auto history = m_weights.find(parsed->modelHash);
     if (history == m_weights.end())
         return std::nullopt;
-    const auto replaced = history->second.supersededAt(parsed->weightVersion);
-    if (!replaced)
-        return std::nullopt;
-    // Uses the latest bound: other nodes may have a more exact time of the replacement and fetch
-    // until correspondingly later.
-    return replaced->latest;
+    return history->second.supersededAt(parsed->weightVersion);
 }
 
 // Checks single parts only of old weights: tick() runs many times a second and usually no weights
@@ -79,17 +66,16 @@
 void OldContextCleaner::addUnusedParts(const Store &store, FreePartsCall &action) const
 {
     for (const auto &[salt, ids] : store.parts) {
-        const auto since = oldSince(salt);
-        if (!since)
+        const auto superseded = supersededAt(salt);
+        if (!superseded)
             continue;
         for (const std::string &it : ids) {
             if (action.parts.size() >= kMaxPartsPerCall)
                 return;
-            const Duration supersededFor = m_clock.now() - *since;
-            if (supersededFor < OldContextTimes::unusedAfter(it))
+            if (m_clock.now() < OldContextTimes::freeFrom(it, *superseded))
                 continue;
             action.parts.emplace_back(salt, it);
-            action.supersededFor[salt] = supersededFor;
+            action.supersededFor[salt] = m_clock.now() - superseded->latest;
         }
     }
 }
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -266,11 +266,6 @@
 
 void ControlLoop::updateReachability()
 {
-    const bool receivesVersions = reachesStore() || !m_peers.roster().livePeers().empty();
-    if (receivesVersions != m_publishedReceivesVersions) {
-        m_publishedReceivesVersions = receivesVersions;
-        publish(ReceivesVersions{receivesVersions});
-    }
     const bool reachable = reachesStore() || m_peers.roster().anyPeerGetsStoreChanges();
     if (reachable == m_publishedReachable)
         return;
--- a/src/node/control_loop.hpp
+++ b/src/node/control_loop.hpp
@@ -197,7 +197,6 @@
     // Since the last KnownNodes update, node keys in the store have changed or a node has left.
     bool m_nodesChanged = true;
     bool m_publishedReachable = true;
-    bool m_publishedReceivesVersions = true;
     std::optional<TimePoint> m_publishedCompleteAsOf;
     std::set<std::string> m_publishedLoading;
     std::optional<KnownNodes> m_publishedNodes;
--- a/src/node/fleet_update.hpp
+++ b/src/node/fleet_update.hpp
@@ -114,12 +114,6 @@
     bool operator==(const KnownNodes &) const = default;
 };
 
-// Whether this node receives changes at all, from the platform's store or from a peer.
-struct ReceivesVersions
-{
-    bool receives = true;
-};
-
 // The updates before this one brought all that the platform's store had up to `asOf`; nothing: that
 // is not known of any time. See ReplicaFreshness.
 struct ReplicaCompleteness
@@ -181,8 +175,8 @@
     = std::variant<ConfigApplied, UpstreamRecordWritten, UpstreamRecordRemoved, DomainEvacuated,
                    StoreReachability, StoreRestored, WeightVersionNamed, WeightsObserved,
                    EnginesLoading, PeerLoads, LiveNodeCount, KnownNodes, ContextStoreUpdated,
-                   ContextStoreFailed, ReceivesVersions, ReplicaCompleteness, PeerQuarantineUpdates,
-                   PeerLimits, PeerDrainReport, ReplicaChecked, ChangesSkipped, StopStarted>;
+                   ContextStoreFailed, ReplicaCompleteness, PeerQuarantineUpdates, PeerLimits,
+                   PeerDrainReport, ReplicaChecked, ChangesSkipped, StopStarted>;
 
 // Limits announced by upstreams, to be sent to peers: those of this node or, if it is a relay, of
 // all nodes.
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 
 #include "adapters/observe/event_log.hpp"
-#include "fordwood/old_context_cleaner.hpp"
+#include "fordwood/old_context_times.hpp"
 #include "fordwood/rendezvous.hpp"
 #include "node/admitted_call.hpp"
 #include "node/control_limits.hpp"
@@ -165,8 +165,7 @@
 void NodeState::apply(const StoreReachability &update)
 {
     m_upstreams.setStoreReachable(update.reachable);
-    m_isStoreReachable = update.reachable;
-    updateFollowing();
+    m_upstreams.versions().setFollowing(update.reachable);
 }
 
 void NodeState::apply(const StoreRestored & /*update*/)
@@ -226,23 +225,11 @@
         m_engineClock = {update.update.clock, update.receivedAt - update.update.age};
 }
 
-void NodeState::apply(const ReceivesVersions &update)
-{
-    m_contexts.setReceivesVersions(update.receives);
-    m_receivesVersions = update.receives;
-    updateFollowing();
-}
-
 void NodeState::apply(const ReplicaCompleteness &update)
 {
     m_contexts.setReplicaCompleteAsOf(update.asOf);
 }
 
-void NodeState::updateFollowing()
-{
-    m_upstreams.versions().setFollowing(m_isStoreReachable && m_receivesVersions);
-}
-
 void NodeState::apply(const ChangesSkipped & /*update*/)
 {
     m_upstreams.versions().interrupt();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -238,7 +238,6 @@
     void apply(const KnownNodes &update);
     void apply(const ContextStoreUpdated &update);
     void apply(const ContextStoreFailed &update);
-    void apply(const ReceivesVersions &update);
     void apply(const ReplicaCompleteness &update);
     void apply(const PeerQuarantineUpdates &update);
     void apply(const PeerLimits &update);
@@ -246,7 +245,6 @@
     void apply(const ReplicaChecked &update);
     void apply(const ChangesSkipped &update);
     void apply(const StopStarted &update);
-    void updateFollowing();
 
     std::vector<PlaceLender::Upstream> lendableUpstreams(const PlaceGroup &group) const;
     std::vector<PlaceExchange::OpenRequests> openAtBrittleUpstreams() const;
@@ -282,8 +280,6 @@
     Placements m_placements;
     ReadBarrier m_readBarrier;
     StreamExchange m_streams;
-    bool m_isStoreReachable = true; // to any node
-    bool m_receivesVersions = true;
     PlaceExchange m_places;
     std::vector<std::string> m_otherNodes; // that have a key in the platform's store
     BufferBudget m_buffers;
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -50,7 +50,6 @@
         return "context store " + it.update.store;
     }
     std::string operator()(const ContextStoreFailed &it) const { return failureSubject(it.store); }
-    std::string operator()(const ReceivesVersions &) const { return "informed"; }
     std::string operator()(const ReplicaCompleteness &) const { return kCompletenessSubject; }
     std::string operator()(const PeerQuarantineUpdates &) const { return "quarantine updates"; }
     std::string operator()(const PeerLimits &it) const { return "limits " + it.peer; }
--- a/tests/node/mailbox_test.cpp
+++ b/tests/node/mailbox_test.cpp
@@ -145,7 +145,7 @@
 {
     UpdateQueue queue;
     queue.push(LiveNodeCount{1});
-    queue.push(ReceivesVersions{true});
+    queue.push(ReplicaCompleteness{});
     int capacity = 1;
     const auto take = [&](const FleetUpdate &) { return capacity-- > 0; };
     queue.flush(take);
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -79,7 +79,7 @@
     // The node loses its paths to both upstreams. Other nodes keep theirs.
     void cutOffFromUpstreams(int node, Break how) { cutOffFrom(node, how, {net + "2", net + "3"}); }
 
-    // The node loses its paths to these IP addresses.
+    // The node loses its paths to these IP addresses; datagrams to them are lost.
     void cutOffFrom(int node, Break how, const std::vector<std::string> &hosts)
     {
         std::ofstream out(brokenPathsFile(node));
@@ -118,6 +118,8 @@
         std::string state = "ready";
         std::optional<std::int64_t> startedAt = std::nullopt; // milliseconds since 1970
         std::size_t slots = 4;
+        // An engine's weights of the model "m".
+        std::optional<std::uint64_t> weights = std::nullopt;
     };
 
     void putUpstreamRecord(const UpstreamEntry &entry)
@@ -132,6 +134,8 @@
                               {"sequence", 1}};
         if (entry.startedAt)
             record["born"] = *entry.startedAt;
+        if (entry.weights)
+            record["models"] = {{{"name", "m"}, {"version", *entry.weights}}};
         store.put("servers/" + entry.id, record.dump());
     }
 
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -473,7 +473,13 @@
 std::string UpstreamStandin::lastField(const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
-    return m_last.header(name);
+    return m_requests.empty() ? "" : m_requests.back().header(name);
+}
+
+std::vector<Request> UpstreamStandin::requests()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_requests;
 }
 
 Answer UpstreamStandin::answer(const Request &request)
@@ -505,7 +511,7 @@
         return result;
     }
     m_runs[id] += 1;
-    m_last = request;
+    m_requests.push_back(request);
     m_released.wait(lock, [this] { return !m_isHeld; });
     if (request.path == m_fatalPath)
         return end();
--- a/tests/process/platform_standins.hpp
+++ b/tests/process/platform_standins.hpp
@@ -166,6 +166,8 @@
     int totalRuns();
     // A header field of the last request that ran.
     std::string lastField(const std::string &name);
+    // All requests that ran, in the order of their arrival.
+    std::vector<standins::Request> requests();
 
 private:
     standins::Answer answer(const standins::Request &request);
@@ -181,7 +183,7 @@
     int m_lives = 1;
     std::mutex m_mutex;
     std::map<std::string, int> m_runs;
-    standins::Request m_last;
+    std::vector<standins::Request> m_requests;
     std::optional<std::string> m_limit;
     bool m_isDraining = false;
     std::optional<std::string> m_retryAfter;
--- a/tests/support/broken_paths.cpp
+++ b/tests/support/broken_paths.cpp
@@ -2,8 +2,8 @@
 // Loaded into a node process by LD_PRELOAD. Breaks the process's paths to single addresses, as a
 // network partition does that other nodes do not see. The file named by FORDWOOD_BROKEN_PATHS has a
 // line "refuse IP" or "hang IP LISTENER" for each. Connections in use are lost with the next bytes
-// that are sent on them. LISTENER is an address whose backlog is full, so that connecting to it
-// takes forever.
+// that are sent on them, and datagrams are lost. LISTENER is an address whose backlog is full, so
+// that connecting to it takes forever.
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstdlib>
@@ -73,6 +73,14 @@
     return true;
 }
 
+ssize_t sizeOf(const msghdr &message)
+{
+    ssize_t size = 0;
+    for (std::size_t n = 0; n < message.msg_iovlen; ++n)
+        size += static_cast<ssize_t>(message.msg_iov[n].iov_len);
+    return size;
+}
+
 template <typename Function>
 Function *original(const char *name)
 {
@@ -98,6 +106,8 @@
 extern "C" ssize_t sendmsg(int fd, const msghdr *message, int flags)
 {
     static auto *const next = original<ssize_t(int, const msghdr *, int)>("sendmsg");
+    if (brokenPathTo(ipOf(static_cast<const sockaddr *>(message->msg_name))))
+        return sizeOf(*message);
     return isLost(fd) ? -1 : next(fd, message, flags);
 }
 
@@ -106,3 +116,13 @@
     static auto *const next = original<ssize_t(int, const void *, std::size_t, int)>("send");
     return isLost(fd) ? -1 : next(fd, bytes, size, flags);
 }
+
+extern "C" ssize_t sendto(int fd, const void *bytes, std::size_t size, int flags,
+                          const sockaddr *address, socklen_t length)
+{
+    using SendTo = ssize_t(int, const void *, std::size_t, int, const sockaddr *, socklen_t);
+    static auto *const next = original<SendTo>("sendto");
+    if (brokenPathTo(ipOf(address)))
+        return static_cast<ssize_t>(size);
+    return next(fd, bytes, size, flags, address, length);
+}
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -51,6 +51,7 @@
         update.epoch = epoch;
         update.changes = std::move(changes);
         m_contexts.storeAnswered(update);
+        m_contexts.setReplicaCompleteAsOf(m_clock.now());
     }
 
     std::optional<EngineChoice> choose(const Prompt &prompt, const std::string &isolatedTeam = "")
@@ -475,9 +476,15 @@
     NodeView view;
     const std::string salt = view.choose(longPrompt())->salt;
     view.updateStore({{salt, "c1", true, 12'800}});
-    view.m_contexts.setReceivesVersions(false);
+    const TimePoint now = view.m_clock.now();
+    view.m_contexts.setReplicaCompleteAsOf(std::nullopt);
     CHECK_FALSE(view.choose(longPrompt())->isFetching());
-    view.m_contexts.setReceivesVersions(true);
+    view.m_contexts.setReplicaCompleteAsOf(now - OldContextTimes::useTimeOf("c1"));
+    CHECK_FALSE(view.choose(longPrompt())->isFetching());
+    view.m_contexts.setReplicaCompleteAsOf(now - OldContextTimes::useTimeOf("c1") + 1ms);
+    CHECK(view.choose(longPrompt())->isFetching());
+    CHECK(view.choose(longPrompt())->replicaAge == OldContextTimes::useTimeOf("c1") - 1ms);
+    CHECK(view.choose(longPrompt())->fetchedParts == std::vector<std::string>{"c1"});
     view.m_weights.record(2, {EventTime::at(view.m_clock.now()), 1});
     view.m_contexts.setWeights("m", view.m_weights);
     CHECK(view.choose(longPrompt())->isFetching());
