Old context: nothing is fetched from, or freed in, a managed store before its clock is known

A fetch ends by a deadline on the clock that engines and stores share. While no clock was read, a request named none: its fetch could run for as long as the engine's queue makes it wait, and its part be freed meanwhile. A call that frees parts would have had a meaningless time limit.

Change: a part of a managed store counts as held only if the store's answers tell the clock; the holder of the lock sends no call before. Stores that are not managed are as before: they drop context by themselves.

Evidence: "old context: nothing is fetched from a managed store whose clock is not known" fails without the condition in holderOf() (the address is returned).

--- a/include/fordwood/context_directory.hpp
+++ b/include/fordwood/context_directory.hpp
@@ -143,6 +143,7 @@
         std::uint64_t hash = 0;
         std::uint64_t epoch = 0;
         TimePoint answered = TimePoint::min();
+        bool hasClock = false; // its answers tell the clock that it shares with the engines
         std::unordered_map<std::string, std::size_t> parts; // tokens by salt and part
         std::size_t tokens = 0; // of all parts
         std::map<std::string, Save> saves; // in progress, by salt and part
@@ -158,6 +159,7 @@
     void remember(std::uint64_t send, Duration computedAfter);
     bool willBeKept(const std::string &salt, const std::string &partId, Duration ahead) const;
     bool isCurrent(const Store &store) const;
+    static bool canBoundFetch(const Store &store);
     static void forgetAll(Store &store);
     static void apply(Store &store, const StorePartChange &change);
     void dropOldSaves(Store &store) const;
--- a/src/core/context_directory.cpp
+++ b/src/core/context_directory.cpp
@@ -129,6 +129,12 @@
            && m_clock.now() - store.answered < m_limits.storeAnswerLife;
 }
 
+// Parts of a managed store are freed, so each fetch needs a deadline on the engines' clock.
+bool ContextDirectory::canBoundFetch(const Store &store)
+{
+    return !store.config.managed || store.hasClock;
+}
+
 bool ContextDirectory::hasCurrentStore() const
 {
     return m_stores.empty()
@@ -154,6 +160,7 @@
     if (update.isSnapshot || update.epoch != store.epoch)
         forgetAll(store);
     store.epoch = update.epoch;
+    store.hasClock = store.hasClock || update.clock.count() > 0;
     store.answered = std::max(store.answered, m_clock.now() - waited - update.age);
     for (const StorePartChange &change : update.changes)
         apply(store, change);
@@ -225,7 +232,7 @@
         return {};
     const std::string name = partName(salt, partId);
     for (const auto &[key, store] : m_stores) {
-        if (isCurrent(store) && store.parts.contains(name))
+        if (isCurrent(store) && canBoundFetch(store) && store.parts.contains(name))
             return {store.config.address, store.config.failureDomain, store.config.linkMbps,
                     store.config.firstByteDelay};
     }
--- a/src/node/context_store_manager.cpp
+++ b/src/node/context_store_manager.cpp
@@ -111,7 +111,8 @@
 void ContextStoreManager::sendFree(const FreePartsCall &action, const FencedLock::Holding &holding)
 {
     const auto store = m_stores.find(action.store);
-    if (store == m_stores.end()) {
+    const bool hasClock = m_engineClock.count() > 0;
+    if (store == m_stores.end() || !hasClock) { // without a clock the call has no time limit
         m_cleaner.freeAnswered(action, false);
         return;
     }
--- a/tests/unit/old_context_times_test.cpp
+++ b/tests/unit/old_context_times_test.cpp
@@ -25,8 +25,10 @@
 
 std::vector<std::string> someParts()
 {
+    constexpr int kParts = 200;
     std::vector<std::string> parts;
-    for (int n = 0; n < 200; ++n)
+    parts.reserve(kParts);
+    for (int n = 0; n < kParts; ++n)
         parts.push_back("part-" + std::to_string(n));
     return parts;
 }
@@ -123,6 +125,29 @@
     }
 }
 
+// Guards against fetches without a deadline, which could still run when their part is freed.
+TEST_CASE("old context: nothing is fetched from a managed store whose clock is not known "
+          "[stores]")
+{
+    ManualClock clock;
+    ContextDirectory directory(clock);
+    ContextStore store;
+    store.name = "s";
+    store.address = "10.0.0.1:80";
+    store.managed = true;
+    directory.setStores({store});
+    directory.setReplicaCompleteAsOf(clock.now());
+    ContextStoreUpdate update;
+    update.store = "s";
+    update.epoch = 1;
+    update.changes = {{kSalt, "p", true, 10}};
+    directory.storeAnswered(update);
+    CHECK(directory.holderOf(kSalt, "p").address.empty());
+    update.clock = 5s;
+    directory.storeAnswered(update);
+    CHECK(directory.holderOf(kSalt, "p").address == store.address);
+}
+
 TEST_CASE("old context: a cut-off node saves what it may still fetch, whatever comes [stores]")
 {
     ManualClock clock;
