Old context: event 232 keeps its count of parts, and names them in a field of its own

The events that name freed parts had put the ids where the count was; whoever sums up `parts` would have read ids. `parts` is the count again, `ids` has the names. The process test "cut-off group" reads the event.

--- a/src/node/context_store_manager.cpp
+++ b/src/node/context_store_manager.cpp
@@ -21,11 +21,11 @@
 constexpr std::size_t kPartsPerLine = 32;
 
 void logFreed(const FreePartsCall &call, const std::string &salt,
-              const std::vector<std::string> &parts, unsigned status)
+              const std::vector<std::string> &ids, unsigned status)
 {
     std::string text;
     Duration minWait{};
-    for (const std::string &it : parts) {
+    for (const std::string &it : ids) {
         text += (text.empty() ? "" : ",") + it;
         minWait = std::max(minWait, OldContextTimes::unusedAfter(it));
     }
@@ -38,8 +38,8 @@
               {"superseded_ms", supersededFor != call.supersededFor.end() ? supersededFor->second
                                                                           : Duration::zero()},
               {"min_wait_ms", minWait},
-              {"n", parts.size()},
-              {"parts", text},
+              {"parts", ids.size()},
+              {"ids", text},
               {"status", status}});
 }
 
--- a/tests/process/cut_off_group_test.cpp
+++ b/tests/process/cut_off_group_test.cpp
@@ -74,6 +74,11 @@
     CHECK(fleet.contextStore.freedParts() > kParts / 2);
     for (const std::string &it : fetches.late)
         CHECK_MESSAGE(false, it);
+    const std::string freed = fleet.lastLogged(0, "name=ContextFreed");
+    CHECK(fleet.fieldOf(freed, "weights") == "1");
+    CHECK(fleet.fieldOf(freed, "ids").starts_with("part"));
+    CHECK(std::stoll(fleet.fieldOf(freed, "superseded_ms"))
+          >= std::stoll(fleet.fieldOf(freed, "min_wait_ms")));
     for (const int it : group)
         CHECK(fleet.logged(it, "name=ReplicaUnconfirmed") > 0);
     CHECK(fleet.logged(0, "name=ReplicaUnconfirmed") == 0);
