Old context: the log derives the parts that are fetched; the age of the replica is asked in one place

Read once more: EngineChoice carried copies of part ids on the way of each prompt, for a log line alone. ReplicaFreshness tells its own age, which ControlLoop reckoned twice. A constant that was used once is gone. No line and no decision changes; the test of the choice asks for its addresses in place of the ids.

--- a/include/fordwood/engine_chooser.hpp
+++ b/include/fordwood/engine_chooser.hpp
@@ -45,7 +45,6 @@
     bool isPreferred = false; // all nodes rank this engine first for the context
     bool holdsContext = false; // according to recent sends
     bool isStored = false; // a store holds the context
-    std::vector<std::string> fetchedParts; // ids of the parts fetched from stores
     std::optional<Duration> replicaAge; // see ContextDirectory::setReplicaCompleteAsOf()
     UpstreamLoad loadBefore; // load of the engine before this request
     double queuedTokens = 0.0; // work to be computed before this prompt, in tokens
--- a/include/fordwood/replica_freshness.hpp
+++ b/include/fordwood/replica_freshness.hpp
@@ -48,6 +48,9 @@
     // Empty: the replica was never known to be complete.
     std::optional<TimePoint> completeAsOf() const { return m_completeAsOf; }
 
+    // How long ago that was; empty: never.
+    std::optional<Duration> age() const { return ageOf(m_completeAsOf); }
+
     // How long ago the store itself showed that the replica was complete; empty: never. Peers are
     // sent this value and not completeAsOf(), which includes what peers reported and would return
     // it to them.
--- a/src/core/engine_chooser.cpp
+++ b/src/core/engine_chooser.cpp
@@ -508,8 +508,6 @@
         if (isExchanged && m_limits.mechanisms.contextStores) {
             if (candidate.fetches)
                 from = contexts.holderOf(choice.salt, part.id).address;
-            if (!from.empty())
-                choice.fetchedParts.push_back(part.id);
             // The same part may occur several times in a prompt.
             if (from.empty() && partsSeen.insert(part.id).second)
                 to = contexts.storeForSave(choice.salt, part, contextToSave(prompt, part),
--- a/src/node/call_handler.cpp
+++ b/src/node/call_handler.cpp
@@ -544,6 +544,7 @@
         end.backoff = m_attempt->head.backoff.length;
     }
     end.engine = m_attempt ? &m_attempt->engine : m_busyEngine ? &*m_busyEngine : nullptr;
+    end.prompt = m_caller.prompt ? &*m_caller.prompt : nullptr;
     logCallSummary(end);
 }
 
--- a/src/node/call_log.cpp
+++ b/src/node/call_log.cpp
@@ -24,21 +24,32 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
-constexpr std::size_t kMaxLoggedParts = 16;
-constexpr std::size_t kMaxLoggedIdBytes = 16;
-
-void appendPartId(std::string &text, const std::string &id)
+// The ids of the first parts of a prompt, without its last one, for which the predicate of their
+// number holds.
+template <typename Predicate>
+std::string partIds(const Prompt *prompt, Predicate isIncluded)
 {
-    text += (text.empty() ? "" : ",") + id.substr(0, kMaxLoggedIdBytes);
+    constexpr std::size_t kMaxParts = 16;
+    constexpr std::size_t kMaxIdBytes = 16;
+    std::string text;
+    std::size_t found = 0;
+    for (std::size_t n = 0; prompt != nullptr && n + 1 < prompt->parts.size() && found < kMaxParts;
+         ++n) {
+        if (!isIncluded(n))
+            continue;
+        text += (found++ == 0 ? "" : ",") + prompt->parts[n].id.substr(0, kMaxIdBytes);
+    }
+    return text;
 }
 
 // The parts that an engine fetches from stores, and how old this node's knowledge of the weights in
 // force was then.
-std::string storeFetches(const EngineChoice &choice)
+std::string storeFetches(const EngineChoice &choice, const Prompt *prompt)
 {
-    std::string parts;
-    for (std::size_t n = 0; n < std::min(choice.fetchedParts.size(), kMaxLoggedParts); ++n)
-        appendPartId(parts, choice.fetchedParts[n]);
+    const std::string parts = partIds(prompt, [&](std::size_t n) {
+        return n < choice.fetchFrom.size() && !choice.fetchFrom[n].empty()
+               && choice.fetchFrom[n] != choice.sourceEngine;
+    });
     if (parts.empty())
         return {};
     const std::string age
@@ -46,7 +57,7 @@
     return " fetched:" + parts + " replica_age_ms:" + age;
 }
 
-std::string engineInputs(const EngineChoice &choice)
+std::string engineInputs(const EngineChoice &choice, const Prompt *prompt)
 {
     std::ostringstream out;
     out << "context:" << std::hex << choice.context << std::dec
@@ -58,7 +69,7 @@
         << " save:" << countNonEmpty(choice.saveTo) << " shared:" << choice.sharedTokens
         << " compute:" << choice.load.tokensToCompute << " found:" << choice.loadBefore.running
         << "/" << choice.loadBefore.tokensToCompute << "/" << choice.loadBefore.tokensHeld
-        << " wait:" << inMilliseconds(choice.expectedDelay) << storeFetches(choice);
+        << " wait:" << inMilliseconds(choice.expectedDelay) << storeFetches(choice, prompt);
     return out.str();
 }
 
@@ -89,11 +100,7 @@
 // The ids of the shared parts of a prompt, which other requests may have as well.
 std::string sharedParts(const Prompt *prompt)
 {
-    std::string text;
-    for (std::size_t n = 0;
-         prompt != nullptr && n + 1 < prompt->parts.size() && n < kMaxLoggedParts; ++n)
-        appendPartId(text, prompt->parts[n].id);
-    return text;
+    return partIds(prompt, [](std::size_t) { return true; });
 }
 
 } // namespace
@@ -199,7 +206,7 @@
               {"first_ms", end.firstEvent ? inMilliseconds(*end.firstEvent) : kNoEvent},
               {"ms", inMilliseconds(end.duration)},
               {"upstream_state", upstreamState(end)},
-              {"engine", end.engine != nullptr ? engineInputs(*end.engine) : ""}});
+              {"engine", end.engine != nullptr ? engineInputs(*end.engine, end.prompt) : ""}});
 }
 
 } // namespace fordwood::node
--- a/src/node/call_log.hpp
+++ b/src/node/call_log.hpp
@@ -30,6 +30,7 @@
     Duration duration{};
     std::optional<Duration> firstEvent; // of a stream, time since the request arrived
     const EngineChoice *engine = nullptr; // of the last choice; null: none was made
+    const Prompt *prompt = nullptr; // null: the request has none
     // The upstream's state according to its last answer.
     bool isUpstreamDraining = false;
     std::optional<Duration> backoff;
--- a/src/node/control_loop.cpp
+++ b/src/node/control_loop.cpp
@@ -278,9 +278,9 @@
 // Must come after the updates that the replica's changes cause.
 void ControlLoop::publishCompleteness()
 {
+    if (const auto age = m_freshness.age())
+        recordReplicaAge(*age);
     const auto asOf = m_freshness.completeAsOf();
-    if (asOf)
-        recordReplicaAge(m_clock.now() - *asOf);
     if (asOf == m_publishedCompleteAsOf)
         return;
     m_publishedCompleteAsOf = asOf;
@@ -649,9 +649,8 @@
     m_nextPoll = m_clock.now() + kPollInterval;
     const std::size_t before = rendezvousRank(stableHash("polls the store"), m_settings.node.name,
                                               m_peers.roster().peersReachingStore());
-    const auto completeAsOf = m_freshness.completeAsOf();
-    const bool isOld = !completeAsOf || m_clock.now() - *completeAsOf > kMaxReplicaAge;
-    if (before < kPollingNodes || isOld)
+    const auto age = m_freshness.age();
+    if (before < kPollingNodes || !age || *age > kMaxReplicaAge)
         m_store.poll();
 }
 
--- a/src/node/update_queue.cpp
+++ b/src/node/update_queue.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr const char *kCompletenessSubject = "replica completeness";
-
 std::string failureSubject(const std::string &store)
 {
     return "context store failed " + store;
@@ -50,7 +48,7 @@
         return "context store " + it.update.store;
     }
     std::string operator()(const ContextStoreFailed &it) const { return failureSubject(it.store); }
-    std::string operator()(const ReplicaCompleteness &) const { return kCompletenessSubject; }
+    std::string operator()(const ReplicaCompleteness &) const { return "replica completeness"; }
     std::string operator()(const PeerQuarantineUpdates &) const { return "quarantine updates"; }
     std::string operator()(const PeerLimits &it) const { return "limits " + it.peer; }
     std::string operator()(const PeerDrainReport &it) const { return "draining " + it.instanceId; }
--- a/tests/unit/engine_chooser_test.cpp
+++ b/tests/unit/engine_chooser_test.cpp
@@ -484,7 +484,7 @@
     view.m_contexts.setReplicaCompleteAsOf(now - OldContextTimes::useTimeOf("c1") + 1ms);
     CHECK(view.choose(longPrompt())->isFetching());
     CHECK(view.choose(longPrompt())->replicaAge == OldContextTimes::useTimeOf("c1") - 1ms);
-    CHECK(view.choose(longPrompt())->fetchedParts == std::vector<std::string>{"c1"});
+    CHECK(view.choose(longPrompt())->fetchFrom == std::vector<std::string>{"10.0.0.1:80", ""});
     view.m_weights.record(2, {EventTime::at(view.m_clock.now()), 1});
     view.m_contexts.setWeights("m", view.m_weights);
     CHECK(view.choose(longPrompt())->isFetching());
