Tests: one way to start a node again, and one set of answers for the stand-ins

The soak of kept context wrote anew what five fleets had: start a node whose process has ended in its old place. Deployment::startAgain() serves all six. The stand-ins of the platform's and of the context store shared the making of answers; it is in standins/answers.hpp. No assertion changes.

--- a/tests/process/context_soak_test.cpp
+++ b/tests/process/context_soak_test.cpp
@@ -96,9 +96,7 @@
         case 4:
             m_fleet.nodes[static_cast<std::size_t>(node)].kill();
             m_resumeAt.erase(node);
-            m_fleet.startNode(node, m_fleet.storePath(node));
-            std::swap(m_fleet.nodes[static_cast<std::size_t>(node)], m_fleet.nodes.back());
-            m_fleet.nodes.pop_back();
+            m_fleet.startAgain(static_cast<std::size_t>(node), m_fleet.storePath(node));
             break;
         case 5:
             m_fleet.store.setDown(true);
--- a/tests/process/context_store_standin.cpp
+++ b/tests/process/context_store_standin.cpp
@@ -3,31 +3,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include "standins/answers.hpp"
+
 namespace fordwood::process {
 
 namespace {
 
 using Json = nlohmann::json;
 using standins::Answer;
+using standins::json;
+using standins::plain;
 using standins::Request;
 using std::chrono::milliseconds;
 
 constexpr std::uint64_t kEpoch = 7;
 
-Answer json(const Json &body)
-{
-    Answer answer;
-    answer.body = body.dump();
-    return answer;
-}
-
-Answer rejection(int status)
-{
-    Answer answer;
-    answer.status = status;
-    return answer;
-}
-
 } // namespace
 
 ContextStoreStandin::ContextStoreStandin(const std::string &address)
@@ -74,13 +64,13 @@
         return list();
     if (request.path == "/api/kv-free")
         return free(request);
-    return rejection(404);
+    return plain(404);
 }
 
 Answer ContextStoreStandin::events(const Request &request)
 {
-    const std::string since = request.query.substr(request.query.find('=') + 1);
-    const auto next = static_cast<std::size_t>(std::stoull(since));
+    const auto next
+        = static_cast<std::size_t>(std::stoull(standins::queryValue(request.query, "since")));
     const std::string wait = request.header("Wait-Ms");
     std::unique_lock lock(m_mutex);
     const std::size_t first = std::max<std::size_t>(next, 1);
@@ -117,7 +107,7 @@
     const std::lock_guard lock(m_mutex);
     if (call.value("epoch", kEpoch) != kEpoch
         || clock().count() > call.value("until_ms", clock().count()))
-        return rejection(kConflict);
+        return plain(kConflict);
     for (const Json &it : call.at("parts")) {
         const Part part{it.at(0).get<std::string>(), it.at(1).get<std::string>()};
         if (m_parts.erase(part) == 0)
--- a/tests/process/fleet_restart_test.cpp
+++ b/tests/process/fleet_restart_test.cpp
@@ -78,11 +78,8 @@
 
     void startAgain(const std::set<int> &which)
     {
-        for (const int it : which) {
-            startNode(it, "", domainOf(it));
-            nodes[static_cast<std::size_t>(it)] = std::move(nodes.back());
-            nodes.pop_back();
-        }
+        for (const int it : which)
+            Deployment::startAgain(static_cast<std::size_t>(it), "", domainOf(it));
     }
 
     // The nodes that name themselves in the store as sources of its content.
--- a/tests/process/fragile_fleet.hpp
+++ b/tests/process/fragile_fleet.hpp
@@ -45,13 +45,6 @@
     FragileFleet(const FragileFleet &) = delete;
     FragileFleet &operator=(const FragileFleet &) = delete;
 
-    void startAgain(std::size_t node)
-    {
-        startNode(static_cast<int>(node));
-        nodes[node] = std::move(nodes.back());
-        nodes.pop_back();
-    }
-
     void setBrittle(const std::optional<std::string> &rejectionsPerSecond)
     {
         for (const auto &it : upstreams)
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -73,6 +73,15 @@
             folder + "/node-" + std::to_string(node) + ".log", output);
     }
 
+    // Starts a node anew whose process has ended.
+    void startAgain(std::size_t node, const std::string &storeAddress = "",
+                    const std::string &domain = "x")
+    {
+        startNode(static_cast<int>(node), storeAddress, domain);
+        nodes[node] = std::move(nodes.back());
+        nodes.pop_back();
+    }
+
     // How new connections fail on a broken path.
     enum class Break { Refuse, Hang };
 
--- a/tests/process/platform_standins.cpp
+++ b/tests/process/platform_standins.cpp
@@ -8,12 +8,17 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include "standins/answers.hpp"
+
 namespace fordwood::process {
 
 namespace {
 
 using Json = nlohmann::json;
 using standins::Answer;
+using standins::json;
+using standins::plain;
+using standins::queryValue;
 using standins::Request;
 
 // Watches end earlier than requested, so that a test need not wait for them at its end.
@@ -42,30 +47,6 @@
     return bytes;
 }
 
-std::string queryValue(const std::string &query, const std::string &name)
-{
-    const std::size_t at = ("&" + query).find("&" + name + "=");
-    if (at == std::string::npos)
-        return "";
-    const std::size_t begin = at + name.size() + 1;
-    return query.substr(begin, query.find('&', begin) - begin);
-}
-
-Answer json(const Json &body, int status = 200)
-{
-    Answer answer;
-    answer.status = status;
-    answer.body = body.dump();
-    return answer;
-}
-
-Answer plain(int status)
-{
-    Answer answer;
-    answer.status = status;
-    return answer;
-}
-
 } // namespace
 
 KeyValueStandin::KeyValueStandin(const std::string &address)
--- a/tests/process/software_versions_test.cpp
+++ b/tests/process/software_versions_test.cpp
@@ -391,12 +391,7 @@
         startAgain(node);
     }
 
-    void startAgain(std::size_t node)
-    {
-        m_fleet.startNode(static_cast<int>(node));
-        m_fleet.nodes[node] = std::move(m_fleet.nodes.back());
-        m_fleet.nodes.pop_back();
-    }
+    void startAgain(std::size_t node) { m_fleet.startAgain(node); }
 
     TwoVersions &m_fleet;
     std::mt19937 m_random;
--- a/tests/process/stop_fleet.hpp
+++ b/tests/process/stop_fleet.hpp
@@ -92,14 +92,6 @@
         return connection.read();
     }
 
-    // Starts a node anew whose process has ended.
-    void restart(std::size_t node)
-    {
-        startNode(static_cast<int>(node));
-        nodes[node] = std::move(nodes.back());
-        nodes.pop_back();
-    }
-
     // The runs of a request at all upstreams.
     std::vector<TimedUpstream::Run> runs(const std::string &id) const
     {
--- a/tests/process/stop_series.hpp
+++ b/tests/process/stop_series.hpp
@@ -231,7 +231,7 @@
 
     void startAnew(Stop &stop)
     {
-        m_fleet.restart(static_cast<std::size_t>(stop.node));
+        m_fleet.startAgain(static_cast<std::size_t>(stop.node));
         stop.isStartedAnew = true;
         stop.startedAt = RealClock::now();
     }
--- a/tests/process/stream_order_soak_test.cpp
+++ b/tests/process/stream_order_soak_test.cpp
@@ -91,9 +91,7 @@
     void restart(std::size_t node)
     {
         nodes[node].kill();
-        startNode(static_cast<int>(node));
-        nodes[node] = std::move(nodes.back());
-        nodes.pop_back();
+        startAgain(node);
     }
 
 private:
